Add the design page, the layers and one path of a call

Cause: the project starts from nothing and every later part needs the folders, the core types and one working path in their final shape.

Added latency is not measured yet.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,18 @@
+"""Set-up shared by all features."""
+
+import os
+
+from hypothesis import settings
+
+os.environ.setdefault("JASMINECRANK_FATAL_INVARIANTS", "1")
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.load_profile("ci")
+
+
+def after_scenario(context, scenario):
+    """Close what a scenario left open."""
+    del scenario
+    stack = getattr(context, "exit_stack", None)
+    if stack is not None:
+        stack.close()
+        context.exit_stack = None
--- /dev/null
+++ b/features/steps/config_steps.py
@@ -0,0 +1,117 @@
+"""Steps on accepting documents."""
+
+import dataclasses
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from jasminecrank import state
+
+SERVICE = state.ServiceRow("ledger", 4, 1, 10.0, 20)
+ROUTE = state.RouteRow(
+    "lookup",
+    "ledger",
+    "GET",
+    "/lots",
+    state.RouteKind.LOOKUP,
+    state.Priority.ORDINARY,
+    False,
+    1000,
+)
+LIMIT = state.LimitRow("ledger", "belt", 1, 10.0, 10, 4)
+HOST = state.HostRow(
+    "ledger-1",
+    "ledger",
+    "north",
+    "savo",
+    "127.0.0.1",
+    1,
+    2,
+    3,
+    4,
+    0,
+    state.HostState.LIVE,
+)
+OUTAGE = state.OutageRow("north", state.OutageState.IN)
+KEY = state.KeyRow("ab" * 32, "belt")
+ROWS = {
+    "table": (SERVICE, ROUTE, LIMIT),
+    "hosts": (HOST,),
+    "keys": (KEY,),
+    "outages": (OUTAGE,),
+}
+
+
+def document(name, number, rows):
+    """Return a document of typed rows."""
+    by_key = {state.row_key(row): state.encode_row(row) for row in rows}
+    return state.build_document(state.DocumentName(name), number, by_key)
+
+
+def table_with(content, number):
+    """Return a table version with the named content."""
+    rows = (SERVICE, ROUTE, dataclasses.replace(LIMIT, burst=11))
+    good = document("table", number, rows)
+    by_key = dict(good.by_key)
+    match content:
+        case "the same rows":
+            return document("table", number, ROWS["table"])
+        case "another limit":
+            return good
+        case "a dangling route":
+            route = dataclasses.replace(ROUTE, service="absent")
+            return document("table", number, (SERVICE, route))
+        case "a negative rate":
+            limit = dataclasses.replace(LIMIT, rate=-1.0)
+            return document("table", number, (SERVICE, limit))
+        case "an unknown field":
+            values = json.loads(by_key["route/lookup"])
+            by_key["route/lookup"] = json.dumps({**values, "extra": 1})
+            return state.build_document(good.name, number, by_key)
+        case "a wrong digest":
+            version = state.Version(number, "00" * 32)
+            return dataclasses.replace(good, version=version)
+    raise AssertionError(content)
+
+
+@given("a node with table version {number:d} in force")
+def step_node_with_version(context, number):
+    context.state = state.ConfigState.empty()
+    for name in ("hosts", "keys", "outages"):
+        context.state.offer(document(name, 1, ROWS[name]))
+    context.state.offer(document("table", number, ROWS["table"]))
+
+
+@when("table version {number:d} with {content} is offered")
+def step_offer(context, number, content):
+    context.result = context.state.offer(table_with(content, number))
+
+
+@then("the offer is {result}")
+def step_offer_result(context, result):
+    assert type(context.result).__name__ == result, context.result
+
+
+@then("table version {number:d} is in force")
+def step_in_force(context, number):
+    assert context.state.versions().table.number == number
+    snapshot = context.state.snapshot
+    expected = 11 if type(context.result) is state.Accepted else 10
+    assert snapshot.by_limit["ledger", "belt"].burst == expected
+
+
+@when("the documents arrive in the order {order}")
+def step_arrive(context, order):
+    config = state.ConfigState.empty()
+    context.usable_after = None
+    for name in order.split(", "):
+        config.offer(document(name, 1, ROWS[name]))
+        if context.usable_after is None and config.snapshot.routes:
+            context.usable_after = name
+
+
+@then("the route is usable after the document {name}")
+def step_usable_after(context, name):
+    assert context.usable_after == name, context.usable_after
--- /dev/null
+++ b/src/jasminecrank/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution system for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/jasminecrank/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The jasminecrank command."""
+
+from jasminecrank.cli._main import main as main
--- /dev/null
+++ b/src/jasminecrank/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point for python -m jasminecrank.cli."""
+
+from jasminecrank.cli import main
+
+main()
--- /dev/null
+++ b/src/jasminecrank/cli/_node.py
@@ -0,0 +1,70 @@
+"""The node command."""
+
+import typing
+
+import cyclopts
+
+from jasminecrank import daemon
+
+Peers = typing.Annotated[
+    tuple[str, ...],
+    cyclopts.Parameter(name="--seed-peer", negative=""),
+]
+
+
+def node(
+    *,
+    host: str,
+    data_centre: str,
+    source_url: str,
+    address: str = "127.0.0.1",
+    call_port: int = 0,
+    peer_port: int = 0,
+    admin_port: int = 0,
+    server_address: str = "127.0.0.1",
+    server_port: int,
+    seed_peers: Peers = (),
+    threads: int = 48,
+) -> None:
+    """Run the node beside one backend server until SIGTERM.
+
+    Parameters
+    ----------
+    host
+        Id of this host in the published host list.
+    data_centre
+        Data centre of this host.
+    source_url
+        URL of the platform's configuration service.
+    address
+        IP address to listen on.
+    call_port
+        Port for callers; 0 takes a free one.
+    peer_port
+        Port for other nodes; 0 takes a free one.
+    admin_port
+        Port for operators; 0 takes a free one.
+    server_address
+        IP address of the backend server.
+    server_port
+        Port of the backend server.
+    seed_peers
+        ADDRESS:PORT of nodes to ask before the host list is known.
+    threads
+        Worker threads for calls, more than slots and queue together.
+    """
+    settings = daemon.NodeSettings(
+        host=host,
+        data_centre=data_centre,
+        address=address,
+        call_port=call_port,
+        peer_port=peer_port,
+        admin_port=admin_port,
+        server_address=server_address,
+        server_port=server_port,
+        source_url=source_url,
+        seed_peers=seed_peers,
+        threads=threads,
+    )
+    settings.check()
+    daemon.run_node(settings)
--- /dev/null
+++ b/src/jasminecrank/coordination/_timers.py
@@ -0,0 +1,76 @@
+"""Timers that are delivered as messages."""
+
+import heapq
+import itertools
+import threading
+import typing
+
+import pykka
+
+from jasminecrank import state
+from jasminecrank.coordination import _messages
+
+_Entry = tuple[float, int, _messages.Mailbox, object]
+
+
+class Timers:
+    """A thread that sends messages at their due times."""
+
+    __slots__ = ("_clock", "_condition", "_heap", "_sequence", "_stopped")
+
+    def __init__(self, clock: state.Clock) -> None:
+        self._clock = clock
+        self._condition = threading.Condition()
+        self._heap: list[_Entry] = []
+        self._sequence = itertools.count()
+        self._stopped = False
+
+    @classmethod
+    def start(cls, clock: state.Clock) -> typing.Self:
+        """Return timers with a running thread."""
+        timers = cls(clock)
+        threading.Thread(
+            target=timers._run, name="timers", daemon=True
+        ).start()
+        return timers
+
+    def call_later(
+        self, delay_s: float, mailbox: _messages.Mailbox, message: object
+    ) -> None:
+        """Send a message once after a delay."""
+        due_s = self._clock.monotonic_s() + delay_s
+        entry = (due_s, next(self._sequence), mailbox, message)
+        with self._condition:
+            heapq.heappush(self._heap, entry)
+            self._condition.notify()
+
+    def stop(self) -> None:
+        """End the thread; messages not yet due are dropped."""
+        with self._condition:
+            self._stopped = True
+            self._condition.notify()
+
+    def _run(self) -> None:
+        while (entry := self._next()) is not None:
+            _, _, mailbox, message = entry
+            deliver(mailbox, message)
+
+    def _next(self) -> _Entry | None:
+        with self._condition:
+            while not self._stopped:
+                if not self._heap:
+                    self._condition.wait()
+                    continue
+                wait_s = self._heap[0][0] - self._clock.monotonic_s()
+                if wait_s <= 0:
+                    return heapq.heappop(self._heap)
+                self._condition.wait(wait_s)
+            return None
+
+
+def deliver(mailbox: _messages.Mailbox, message: object) -> None:
+    """Send to an actor that may have stopped already."""
+    try:
+        mailbox.tell(message)
+    except pykka.ActorDeadError:
+        return
--- /dev/null
+++ b/src/jasminecrank/daemon/_node.py
@@ -0,0 +1,169 @@
+"""Assembly of the node process."""
+
+from dataclasses import dataclass
+import gc
+import os
+import random
+import signal
+import socket
+import sys
+import threading
+import time
+import types
+
+import pykka
+
+from jasminecrank import coordination
+from jasminecrank import state
+from jasminecrank import transport
+from jasminecrank.daemon import _settings
+
+_SWITCH_INTERVAL_S = 0.0005  # 0.005, the default, added up to 5 ms to a call
+_LISTEN_BACKLOG = 128
+
+
+@dataclass(slots=True)
+class Node:
+    """The actors and sockets of one running node."""
+
+    timers: coordination.Timers
+    config: pykka.ActorRef[coordination.ConfigActor]
+    admission: pykka.ActorRef[coordination.AdmissionActor]
+    membership: pykka.ActorRef[coordination.MembershipActor]
+    call_server: transport.CallServer
+    peer_server: transport.PeerServer
+    admin_server: transport.AdminServer
+
+    @classmethod
+    def from_config(cls, settings: _settings.NodeSettings) -> "Node":
+        """Return a node whose actors and servers run."""
+        clock = state.SystemClock()
+        timers = coordination.Timers.start(clock)
+        rng = random.Random(f"{settings.host}/{os.getpid()}/{time.time_ns()}")
+        config = coordination.ConfigActor.start(
+            coordination.ConfigSettings(settings.host, settings.data_centre),
+            timers,
+            rng,
+        )
+        admission = coordination.AdmissionActor.start(settings.host, clock)
+        membership = _start_membership(settings, clock, timers, rng)
+        source = transport.SourceReader.start(settings.source_url, config)
+        server = transport.Target(
+            settings.server_address, settings.server_port
+        )
+        transport.HealthProbe.start(server, timers, admission)
+        node = cls(
+            timers=timers,
+            config=config,
+            admission=admission,
+            membership=membership,
+            call_server=_call_server(settings, admission, clock),
+            peer_server=transport.PeerServer.start(
+                settings.host, membership, _listen(settings)
+            ),
+            admin_server=_admin_server(
+                settings,
+                transport.NodeActors(config, admission, membership),
+            ),
+        )
+        config.proxy().connect(membership, source, (admission, membership))
+        admission.proxy().connect(membership)
+        membership.proxy().connect(config, admission)
+        return node
+
+    def stop(self) -> None:
+        """Stop as planned: finish the calls in hand, then close."""
+        self.admission.tell(coordination.StopRequested())
+        self.membership.tell(coordination.StopRequested())
+        self.call_server.stop()
+        self.admin_server.stop()
+        self.peer_server.stop()
+        self.timers.stop()
+
+
+def _start_membership(
+    settings: _settings.NodeSettings,
+    clock: state.Clock,
+    timers: coordination.Timers,
+    rng: random.Random,
+) -> pykka.ActorRef[coordination.MembershipActor]:
+    def dial(
+        address: str,
+        hello: coordination.Hello,
+        mailbox: coordination.Mailbox,
+    ) -> None:
+        transport.start_dial(hello, address, mailbox)
+
+    membership_settings = coordination.MembershipSettings(
+        host=settings.host,
+        data_centre=settings.data_centre,
+        incarnation=time.time_ns(),
+        seed_peers=settings.seed_peers,
+    )
+    return coordination.MembershipActor.start(
+        membership_settings, clock, timers, rng, dial, transport.log_event
+    )
+
+
+def _call_server(
+    settings: _settings.NodeSettings,
+    admission: pykka.ActorRef[coordination.AdmissionActor],
+    clock: state.Clock,
+) -> transport.CallServer:
+    call_settings = transport.CallServerSettings(
+        host=settings.host,
+        address=settings.address,
+        port=settings.call_port,
+        server=transport.Target(settings.server_address, settings.server_port),
+        threads=settings.threads,
+    )
+    application = transport.CallApplication(call_settings, admission, clock)
+    server = transport.CallServer(call_settings, application)
+    port = server.start()
+    transport.log_fields("listening", {"socket": "calls", "port": port})
+    return server
+
+
+def _admin_server(
+    settings: _settings.NodeSettings, actors: transport.NodeActors
+) -> transport.AdminServer:
+    admin_settings = transport.AdminSettings(
+        settings.host,
+        settings.data_centre,
+        settings.address,
+        settings.admin_port,
+    )
+    application = transport.AdminApplication(admin_settings, actors)
+    server = transport.AdminServer(admin_settings, application)
+    port = server.start()
+    transport.log_fields("listening", {"socket": "admin", "port": port})
+    return server
+
+
+def _listen(settings: _settings.NodeSettings) -> socket.socket:
+    listener = socket.create_server(
+        (settings.address, settings.peer_port), backlog=_LISTEN_BACKLOG
+    )
+    port = listener.getsockname()[1]
+    transport.log_fields("listening", {"socket": "peers", "port": port})
+    return listener
+
+
+def run_node(settings: _settings.NodeSettings) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    transport.install_json_lines(settings.host, settings.data_centre)
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
+    stopping = threading.Event()
+
+    def request_stop(signum: int, frame: types.FrameType | None) -> None:
+        del signum, frame
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
+    node = Node.from_config(settings)
+    # Objects that live as long as the process need no further collection.
+    gc.freeze()
+    stopping.wait()
+    node.stop()
+    transport.log_fields("stopped", {})
--- /dev/null
+++ b/src/jasminecrank/daemon/_settings.py
@@ -0,0 +1,85 @@
+"""Checked settings of a node."""
+
+from dataclasses import dataclass
+import ipaddress
+import re
+
+from jasminecrank import exceptions
+
+_PORT_MAX = 65_535
+_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+_THREADS_MIN = 4
+_THREADS_MAX = 512
+
+
+@dataclass(slots=True, frozen=True)
+class NodeSettings:
+    """Everything that a node learns from flags and environment."""
+
+    host: str
+    data_centre: str
+    address: str
+    call_port: int
+    peer_port: int
+    admin_port: int
+    server_address: str
+    server_port: int
+    source_url: str
+    seed_peers: tuple[str, ...]
+    threads: int
+
+    def check(self) -> None:
+        """Raise SettingError naming the first impossible setting."""
+        _check_name("host", self.host)
+        _check_name("data-centre", self.data_centre)
+        _check_address("address", self.address)
+        _check_address("server-address", self.server_address)
+        _check_port("call-port", self.call_port, 0)
+        _check_port("peer-port", self.peer_port, 0)
+        _check_port("admin-port", self.admin_port, 0)
+        _check_port("server-port", self.server_port, 1)
+        if not self.source_url.startswith("http://"):
+            raise _error(
+                "source-url", self.source_url, "a URL that starts with http://"
+            )
+        for peer in self.seed_peers:
+            _check_endpoint("seed-peer", peer)
+        if not _THREADS_MIN <= self.threads <= _THREADS_MAX:
+            raise _error(
+                "threads",
+                self.threads,
+                f"a number from {_THREADS_MIN} to {_THREADS_MAX}",
+            )
+
+
+def _check_name(setting: str, value: str) -> None:
+    if not _NAME.fullmatch(value):
+        raise _error(
+            setting, value, "a name of lower-case letters, digits, . and -"
+        )
+
+
+def _check_address(setting: str, value: str) -> None:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise _error(setting, value, "an IP address") from None
+
+
+def _check_port(setting: str, value: int, lowest: int) -> None:
+    if not lowest <= value <= _PORT_MAX:
+        raise _error(setting, value, f"a port from {lowest} to {_PORT_MAX}")
+
+
+def _check_endpoint(setting: str, value: str) -> None:
+    address, _, port = value.rpartition(":")
+    if not port.isascii() or not port.isdigit():
+        raise _error(setting, value, "ADDRESS:PORT")
+    _check_address(setting, address)
+    _check_port(setting, int(port), 1)
+
+
+def _error(
+    setting: str, value: object, wanted: str
+) -> exceptions.SettingError:
+    return exceptions.SettingError(f"--{setting}: {value!r} is not {wanted}")
--- /dev/null
+++ b/src/jasminecrank/operators/_fleet.py
@@ -0,0 +1,84 @@
+"""The state of a whole fleet, read from the nodes' admin endpoints."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from concurrent import futures
+from dataclasses import dataclass
+import json
+import typing
+
+import urllib3
+
+from jasminecrank import state
+
+_TIMEOUT_S = 2.0
+_PARALLEL = 16
+
+
+@dataclass(slots=True, frozen=True)
+class NodeView:
+    """What one node shows; without values if it did not answer."""
+
+    host: str
+    data_centre: str
+    values: typing.Mapping[str, typing.Any] | None
+
+
+def read_fleet(hosts: Iterable[state.HostRow]) -> tuple[NodeView, ...]:
+    """Return the status of every host, in the order of the list."""
+    with (
+        urllib3.PoolManager(num_pools=_PARALLEL) as pool,
+        futures.ThreadPoolExecutor(_PARALLEL) as executor,
+    ):
+        return tuple(executor.map(lambda row: _read(pool, row), hosts))
+
+
+def _read(pool: urllib3.PoolManager, row: state.HostRow) -> NodeView:
+    url = f"http://{row.address}:{row.admin_port}/status"
+    try:
+        response = pool.request("GET", url, timeout=_TIMEOUT_S, retries=False)
+        values = json.loads(response.data)
+    except (urllib3.exceptions.HTTPError, ValueError):
+        values = None
+    return NodeView(row.host, row.data_centre, values)
+
+
+def format_fleet(views: Iterable[NodeView]) -> Iterator[str]:
+    """Yield the lines of the status screen."""
+    ordered = tuple(views)
+    answered = [view.values for view in ordered if view.values is not None]
+    newest = max(
+        (values["versions"]["table"] for values in answered),
+        key=_number,
+        default="0-",
+    )
+    yield (
+        f"{'host':<20} {'data centre':<14} {'ready':<6} {'table':<18} "
+        f"{'peers':>5} {'slots':>9} {'queued':>6} note"
+    )
+    for view in ordered:
+        yield _format_view(view, newest)
+    yield f"{len(answered)} of {len(ordered)} nodes answered; newest {newest}"
+
+
+def _format_view(view: NodeView, newest: str) -> str:
+    if view.values is None:
+        return f"{view.host:<20} {view.data_centre:<14} no answer"
+    values = view.values
+    table = values["versions"]["table"]
+    notes = ["lags"] if table != newest else []
+    if values["source_error"]:
+        notes.append("source failing")
+    if values["invariant_violations"]:
+        notes.append("INVARIANT VIOLATED")
+    slots = f"{values['slots_in_use']}/{values['capacity']}"
+    return (
+        f"{view.host:<20} {view.data_centre:<14} "
+        f"{'yes' if values['ready'] else 'no':<6} {table:<18} "
+        f"{len(values['peers']):>5} {slots:>9} {values['queued']:>6} "
+        f"{', '.join(notes)}"
+    ).rstrip()
+
+
+def _number(version: str) -> int:
+    return int(version.partition("-")[0])
--- /dev/null
+++ b/src/jasminecrank/operators/_table_files.py
@@ -0,0 +1,169 @@
+"""The operators' table as CSV files, checked and compiled."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import csv
+from dataclasses import dataclass
+import pathlib
+import typing
+
+from jasminecrank import exceptions
+from jasminecrank import state
+
+_DOCUMENT_BY_FILE: Mapping[str, state.DocumentName] = {
+    "services.csv": state.DocumentName.TABLE,
+    "routes.csv": state.DocumentName.TABLE,
+    "limits.csv": state.DocumentName.TABLE,
+    "keys.csv": state.DocumentName.KEYS,
+    "hosts.csv": state.DocumentName.HOSTS,
+    "outages.csv": state.DocumentName.OUTAGES,
+}
+_ROW_TYPE_BY_FILE: Mapping[str, type] = {
+    "services.csv": state.ServiceRow,
+    "routes.csv": state.RouteRow,
+    "limits.csv": state.LimitRow,
+    "keys.csv": state.KeyRow,
+    "hosts.csv": state.HostRow,
+    "outages.csv": state.OutageRow,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class TableProblem:
+    """One invalid place in a table file."""
+
+    file: str
+    row: int
+    column: str
+    value: str
+    wanted: str
+
+    def __str__(self) -> str:
+        return (
+            f"{self.file}, row {self.row}, column {self.column}: "
+            f"{self.value!r} is not {self.wanted}"
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class TableFiles:
+    """The typed rows of a table directory by document."""
+
+    rows_by_name: Mapping[state.DocumentName, tuple[state.Row, ...]]
+    problems: tuple[TableProblem, ...]
+
+    @classmethod
+    def from_directory(cls, directory: pathlib.Path) -> "TableFiles":
+        """Read and check all files; problems are collected, not raised."""
+        rows: dict[state.DocumentName, list[state.Row]] = {
+            name: [] for name in state.DocumentName
+        }
+        problems: list[TableProblem] = []
+        for file, name in _DOCUMENT_BY_FILE.items():
+            reader = _FileReader(directory / file)
+            rows[name].extend(reader.read())
+            problems.extend(reader.problems)
+        by_name = {name: tuple(found) for name, found in rows.items()}
+        if not problems:
+            problems.extend(_check_documents(by_name))
+        return cls(by_name, tuple(problems))
+
+    def documents(
+        self, number_by_name: Mapping[state.DocumentName, int]
+    ) -> tuple[state.Document, ...]:
+        """Return the compiled documents; raise TableError on problems."""
+        if self.problems:
+            raise exceptions.TableError(str(self.problems[0]))
+        return tuple(
+            state.build_document(
+                name, number_by_name[name], _encode(self.rows_by_name[name])
+            )
+            for name in state.DocumentName
+        )
+
+
+def _encode(rows: tuple[state.Row, ...]) -> dict[str, str]:
+    return {state.row_key(row): state.encode_row(row) for row in rows}
+
+
+class _FileReader:
+    """Reads one CSV file into typed rows."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._row_type = _ROW_TYPE_BY_FILE[path.name]
+        self._types = typing.get_type_hints(self._row_type)
+        self.problems: list[TableProblem] = []
+
+    def read(self) -> Iterator[state.Row]:
+        """Yield the valid rows and collect the problems."""
+        try:
+            text = self._path.read_text(encoding="utf-8-sig")
+        except (OSError, UnicodeDecodeError) as error:
+            self._add(1, "-", type(error).__name__, "a readable UTF-8 file")
+            return
+        reader = csv.DictReader(text.splitlines(), strict=True)
+        if not self._check_header(list(reader.fieldnames or [])):
+            return
+        row_by_key: dict[str, int] = {}
+        try:
+            for number, values in enumerate(reader, start=2):
+                row = self._build(number, values)
+                if row is None:
+                    continue
+                key = state.row_key(row)
+                first = row_by_key.setdefault(key, number)
+                if first != number:
+                    column = next(iter(self._types))
+                    self._add(
+                        number, column, key, f"unique (also in row {first})"
+                    )
+                    continue
+                yield row
+        except csv.Error as error:
+            self._add(reader.line_num, "-", str(error), "a CSV row")
+
+    def _check_header(self, columns: list[str]) -> bool:
+        wanted = list(self._types)
+        if columns == wanted:
+            return True
+        self._add(1, "-", ",".join(columns), f"the header {','.join(wanted)}")
+        return False
+
+    def _build(
+        self, number: int, values: dict[str | None, typing.Any]
+    ) -> state.Row | None:
+        if None in values or None in values.values():
+            count = len([v for v in values.values() if v is not None])
+            self._add(
+                number, "-", f"{count} cells", f"a row of {len(self._types)}"
+            )
+            return None
+        converted: dict[str, object] = {}
+        for column, column_type in self._types.items():
+            text = str(values[column]).strip()
+            try:
+                converted[column] = state.parse_cell(column, column_type, text)
+            except exceptions.DocumentError as error:
+                self._add(number, column, text, str(error))
+                return None
+        row: state.Row = self._row_type(**converted)
+        return row
+
+    def _add(self, row: int, column: str, value: str, wanted: str) -> None:
+        self.problems.append(
+            TableProblem(self._path.name, row, column, value, wanted)
+        )
+
+
+def _check_documents(
+    rows_by_name: Mapping[state.DocumentName, tuple[state.Row, ...]],
+) -> Iterator[TableProblem]:
+    config = state.ConfigState.empty()
+    for name, rows in rows_by_name.items():
+        document = state.build_document(name, 1, _encode(rows))
+        result = config.offer(document)
+        if isinstance(result, state.Invalid):
+            yield TableProblem(
+                f"{name.value} files", 0, "-", result.reason, "consistent"
+            )
--- /dev/null
+++ b/src/jasminecrank/protocol/__init__.py
@@ -0,0 +1,18 @@
+"""Encodings of messages, documents and calls."""
+
+from jasminecrank.protocol._cbor import decode_envelope as decode_envelope
+from jasminecrank.protocol._cbor import encode_envelope as encode_envelope
+from jasminecrank.protocol._cbor import MAX_FRAME_BYTES as MAX_FRAME_BYTES
+from jasminecrank.protocol._http import answer_headers as answer_headers
+from jasminecrank.protocol._http import decode_call as decode_call
+from jasminecrank.protocol._http import digest_key as digest_key
+from jasminecrank.protocol._http import encode_refusal as encode_refusal
+from jasminecrank.protocol._http import HttpCall as HttpCall
+from jasminecrank.protocol._http import node_headers as node_headers
+from jasminecrank.protocol._http import server_headers as server_headers
+from jasminecrank.protocol._published import (
+    decode_published as decode_published,
+)
+from jasminecrank.protocol._published import (
+    encode_published as encode_published,
+)
--- /dev/null
+++ b/src/jasminecrank/protocol/_cbor.py
@@ -0,0 +1,207 @@
+"""CBOR encoding of the messages between nodes."""
+
+from collections.abc import Mapping
+import typing
+import zlib
+
+import cbor2
+
+from jasminecrank import const
+from jasminecrank import coordination
+from jasminecrank import exceptions
+from jasminecrank import state
+
+_COMPRESS_ABOVE_BYTES = 1024
+_PLAIN = b"\x00"
+_DEFLATED = b"\x01"
+MAX_FRAME_BYTES = 4 * const.MAX_DOCUMENT_BYTES
+
+
+def encode_envelope(envelope: coordination.Envelope) -> bytes:
+    """Return the frame of a message."""
+    stamp = envelope.stamp
+    payload = cbor2.dumps(
+        [
+            envelope.sender,
+            [stamp.wall_ms, stamp.counter, stamp.host],
+            *_encode_message(envelope.message),
+        ]
+    )
+    if len(payload) <= _COMPRESS_ABOVE_BYTES:
+        return _PLAIN + payload
+    return _DEFLATED + zlib.compress(payload, 6)
+
+
+def decode_envelope(frame: bytes) -> coordination.Envelope:
+    """Return the message of a frame; raise MessageError if it has none."""
+    try:
+        values = cbor2.loads(_inflate(frame))
+        sender, stamp, kind, *fields = values
+        return coordination.Envelope(
+            str(sender), _decode_stamp(stamp), _decode_message(kind, fields)
+        )
+    except exceptions.MessageError:
+        raise
+    except (cbor2.CBORError, zlib.error, ValueError, TypeError) as error:
+        raise exceptions.MessageError(
+            f"frame of {len(frame)} bytes cannot be decoded: {error}"
+        ) from None
+
+
+def _inflate(frame: bytes) -> bytes:
+    if frame[:1] == _PLAIN:
+        return frame[1:]
+    if frame[:1] != _DEFLATED:
+        raise exceptions.MessageError(f"unknown frame type {frame[:1]!r}")
+    inflater = zlib.decompressobj()
+    payload = inflater.decompress(frame[1:], MAX_FRAME_BYTES)
+    if inflater.unconsumed_tail:
+        raise exceptions.MessageError(
+            f"frame inflates to more than {MAX_FRAME_BYTES} bytes"
+        )
+    return payload
+
+
+def _decode_stamp(values: list[typing.Any]) -> state.Stamp:
+    wall_ms, counter, host = values
+    return state.Stamp(int(wall_ms), int(counter), str(host))
+
+
+def _encode_message(message: coordination.PeerMessage) -> list[object]:
+    match message:
+        case coordination.Hello():
+            return [
+                "hello",
+                message.host,
+                message.data_centre,
+                message.incarnation,
+                _encode_vector(message.versions),
+            ]
+        case coordination.Heartbeat():
+            return [
+                "heartbeat",
+                _encode_vector(message.versions),
+                message.draining,
+            ]
+        case coordination.DocumentDelta():
+            delta = message.delta
+            return [
+                "delta",
+                delta.name.value,
+                _encode_version(delta.base),
+                _encode_version(delta.target),
+                dict(delta.upserts),
+                list(delta.removed),
+            ]
+        case coordination.DocumentSnapshot():
+            document = message.document
+            return [
+                "snapshot",
+                document.name.value,
+                _encode_version(document.version),
+                dict(document.by_key),
+            ]
+        case coordination.FetchDocument():
+            return ["fetch", message.name.value, _encode_version(message.have)]
+        case coordination.LoanRequest():
+            return [
+                "loan-request",
+                message.loan_id,
+                message.service,
+                message.team,
+                message.share_ppb,
+            ]
+        case coordination.LoanGrant():
+            return [
+                "loan-grant",
+                message.loan_id,
+                message.service,
+                message.team,
+                message.share_ppb,
+                message.tokens,
+                message.ttl_s,
+            ]
+        case coordination.Goodbye():
+            return ["goodbye", message.reason]
+        case _:
+            typing.assert_never(message)
+
+
+def _decode_message(
+    kind: object, fields: list[typing.Any]
+) -> coordination.PeerMessage:
+    match kind, fields:
+        case "hello", [host, data_centre, incarnation, versions]:
+            return coordination.Hello(
+                str(host),
+                str(data_centre),
+                int(incarnation),
+                _decode_vector(versions),
+            )
+        case "heartbeat", [versions, draining]:
+            return coordination.Heartbeat(
+                _decode_vector(versions), bool(draining)
+            )
+        case "delta", [name, base, target, upserts, removed]:
+            return coordination.DocumentDelta(
+                state.Delta(
+                    state.DocumentName(name),
+                    _decode_version(base),
+                    _decode_version(target),
+                    _decode_rows(upserts),
+                    tuple(str(key) for key in removed),
+                )
+            )
+        case "snapshot", [name, version, rows]:
+            return coordination.DocumentSnapshot(
+                state.Document(
+                    state.DocumentName(name),
+                    _decode_version(version),
+                    _decode_rows(rows),
+                )
+            )
+        case "fetch", [name, have]:
+            return coordination.FetchDocument(
+                state.DocumentName(name), _decode_version(have)
+            )
+        case "loan-request", [loan_id, service, team, share_ppb]:
+            return coordination.LoanRequest(
+                int(loan_id), str(service), str(team), int(share_ppb)
+            )
+        case "loan-grant", [loan_id, service, team, share_ppb, tokens, ttl_s]:
+            return coordination.LoanGrant(
+                int(loan_id),
+                str(service),
+                str(team),
+                int(share_ppb),
+                float(tokens),
+                float(ttl_s),
+            )
+        case "goodbye", [reason]:
+            return coordination.Goodbye(str(reason))
+        case _:
+            raise exceptions.MessageError(
+                f"unknown message {kind!r} with {len(fields)} fields"
+            )
+
+
+def _encode_version(version: state.Version) -> list[object]:
+    return [version.number, bytes.fromhex(version.digest)]
+
+
+def _decode_version(values: list[typing.Any]) -> state.Version:
+    number, digest = values
+    return state.Version(int(number), bytes(digest).hex())
+
+
+def _encode_vector(versions: state.VersionVector) -> list[object]:
+    return [_encode_version(versions.get(name)) for name in state.DocumentName]
+
+
+def _decode_vector(values: list[typing.Any]) -> state.VersionVector:
+    table, keys, hosts, outages = (_decode_version(value) for value in values)
+    return state.VersionVector(table, keys, hosts, outages)
+
+
+def _decode_rows(values: Mapping[typing.Any, typing.Any]) -> dict[str, str]:
+    return {str(key): str(text) for key, text in dict(values).items()}
--- /dev/null
+++ b/src/jasminecrank/standins/__init__.py
@@ -0,0 +1,10 @@
+"""Small stand-ins of the platform and of backend servers, for tests."""
+
+from jasminecrank.standins._backend_server import (
+    BackendServerSettings as BackendServerSettings,
+)
+from jasminecrank.standins._backend_server import (
+    BackendServerStandIn as BackendServerStandIn,
+)
+from jasminecrank.standins._deployment import Deployment as Deployment
+from jasminecrank.standins._platform import PlatformStandIn as PlatformStandIn
--- /dev/null
+++ b/src/jasminecrank/state/__init__.py
@@ -0,0 +1,61 @@
+"""Tables, versions, ledgers and decisions, free of sockets and threads."""
+
+from jasminecrank.state._admission import AdmissionState as AdmissionState
+from jasminecrank.state._calls import Admitted as Admitted
+from jasminecrank.state._calls import Answer as Answer
+from jasminecrank.state._calls import CallRequest as CallRequest
+from jasminecrank.state._calls import Decision as Decision
+from jasminecrank.state._calls import ForwardTo as ForwardTo
+from jasminecrank.state._calls import HealthReport as HealthReport
+from jasminecrank.state._calls import Outcome as Outcome
+from jasminecrank.state._calls import OutcomeKind as OutcomeKind
+from jasminecrank.state._calls import Permit as Permit
+from jasminecrank.state._calls import Refused as Refused
+from jasminecrank.state._calls import Replay as Replay
+from jasminecrank.state._clock import Clock as Clock
+from jasminecrank.state._clock import ManualClock as ManualClock
+from jasminecrank.state._clock import SystemClock as SystemClock
+from jasminecrank.state._config import Accepted as Accepted
+from jasminecrank.state._config import ConfigState as ConfigState
+from jasminecrank.state._config import Conflict as Conflict
+from jasminecrank.state._config import derive_snapshot as derive_snapshot
+from jasminecrank.state._config import empty_document as empty_document
+from jasminecrank.state._config import Invalid as Invalid
+from jasminecrank.state._config import OfferResult as OfferResult
+from jasminecrank.state._config import Stale as Stale
+from jasminecrank.state._documents import apply_delta as apply_delta
+from jasminecrank.state._documents import build_document as build_document
+from jasminecrank.state._documents import Delta as Delta
+from jasminecrank.state._documents import digest_rows as digest_rows
+from jasminecrank.state._documents import Document as Document
+from jasminecrank.state._documents import make_delta as make_delta
+from jasminecrank.state._invariants import check as check
+from jasminecrank.state._invariants import (
+    violations_by_code as violations_by_code,
+)
+from jasminecrank.state._journal import Event as Event
+from jasminecrank.state._journal import Journal as Journal
+from jasminecrank.state._journal import Stamp as Stamp
+from jasminecrank.state._row_codec import decode_row as decode_row
+from jasminecrank.state._row_codec import encode_row as encode_row
+from jasminecrank.state._row_codec import parse_cell as parse_cell
+from jasminecrank.state._row_codec import row_key as row_key
+from jasminecrank.state._rows import HostRow as HostRow
+from jasminecrank.state._rows import HostState as HostState
+from jasminecrank.state._rows import KeyRow as KeyRow
+from jasminecrank.state._rows import LimitRow as LimitRow
+from jasminecrank.state._rows import OutageRow as OutageRow
+from jasminecrank.state._rows import OutageState as OutageState
+from jasminecrank.state._rows import Priority as Priority
+from jasminecrank.state._rows import RouteKind as RouteKind
+from jasminecrank.state._rows import RouteRow as RouteRow
+from jasminecrank.state._rows import Row as Row
+from jasminecrank.state._rows import ServiceRow as ServiceRow
+from jasminecrank.state._snapshot import Snapshot as Snapshot
+from jasminecrank.state._topology import plan_links as plan_links
+from jasminecrank.state._topology import rendezvous_rank as rendezvous_rank
+from jasminecrank.state._topology import watchers as watchers
+from jasminecrank.state._versions import DocumentName as DocumentName
+from jasminecrank.state._versions import NO_VERSION as NO_VERSION
+from jasminecrank.state._versions import Version as Version
+from jasminecrank.state._versions import VersionVector as VersionVector
--- /dev/null
+++ b/src/jasminecrank/state/_calls.py
@@ -0,0 +1,113 @@
+"""Calls, the decisions on them and their outcomes."""
+
+from dataclasses import dataclass
+import enum
+
+from jasminecrank import exceptions
+from jasminecrank.state import _rows
+from jasminecrank.state import _versions
+
+
+@dataclass(slots=True, frozen=True)
+class CallRequest:
+    """What the decision on a call depends on."""
+
+    request_id: str
+    method: str
+    path: str
+    key_digest: str | None
+    deadline_at_s: float | None
+    idempotency_key: str | None
+    forwarded_by: str | None
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A whole answer of a backend server."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Permit:
+    """The right to run one call on this node's backend server."""
+
+    request_id: str
+    route: _rows.RouteRow
+    team: str
+    version: _versions.Version
+    deadline_at_s: float
+    idempotency_key: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Admitted:
+    """The call may run on this node's backend server now."""
+
+    permit: Permit
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardTo:
+    """The call belongs to another node."""
+
+    host: _rows.HostRow
+    route: _rows.RouteRow
+    team: str
+    version: _versions.Version
+    deadline_at_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Replay:
+    """The call repeats one whose answer is remembered."""
+
+    answer: Answer
+    version: _versions.Version
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """The call is refused; the run state says what may have happened."""
+
+    code: exceptions.ResultCode
+    run_state: exceptions.RunState
+    version: _versions.Version
+    team: str = ""
+    service: str = ""
+    retry_after_s: float = 0.0
+
+
+Decision = Admitted | ForwardTo | Replay | Refused
+
+
+class OutcomeKind(enum.Enum):
+    """How a permitted call ended, as far as the backend server goes."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    NOT_SENT = "not-sent"
+    TIMED_OUT = "timed-out"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """How a call ended, with the answer if there is one."""
+
+    kind: OutcomeKind
+    duration_s: float
+    answer: Answer | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class HealthReport:
+    """What a backend server's health and load endpoint shows."""
+
+    reachable: bool
+    started_at_ms: int
+    draining: bool
+    load: float
--- /dev/null
+++ b/src/jasminecrank/state/_invariants.py
@@ -0,0 +1,24 @@
+"""Invariants asserted inside the program."""
+
+from collections import Counter
+import os
+
+from absl import logging
+
+from jasminecrank import const
+from jasminecrank import exceptions
+
+violations_by_code: Counter[exceptions.ResultCode] = Counter()
+
+
+def check(
+    code: exceptions.ResultCode, holds: bool, detail: str, *values: object
+) -> None:
+    """Assert an invariant: count and log a violation, raise under test."""
+    if holds:
+        return
+    violations_by_code[code] += 1
+    message = detail % values
+    logging.error("invariant %d violated: %s", code.value, message)
+    if os.environ.get(const.FATAL_INVARIANTS_VARIABLE) == "1":
+        raise exceptions.InvariantError(message, code)
--- /dev/null
+++ b/src/jasminecrank/state/_row_codec.py
@@ -0,0 +1,180 @@
+"""Canonical text of typed rows, and its checked inverse."""
+
+import dataclasses
+import enum
+import functools
+import json
+import typing
+
+from jasminecrank import exceptions
+from jasminecrank.state import _rows
+from jasminecrank.state import _versions
+
+_PREFIXES = {
+    _versions.DocumentName.TABLE: frozenset({"service", "route", "limit"}),
+    _versions.DocumentName.KEYS: frozenset({"key"}),
+    _versions.DocumentName.HOSTS: frozenset({"host"}),
+    _versions.DocumentName.OUTAGES: frozenset({"data_centre"}),
+}
+_POSITIVE = frozenset(
+    {
+        "slots",
+        "cold_slots",
+        "max_connections",
+        "deadline_ms",
+        "weight",
+        "burst",
+        "max_in_flight",
+        "call_port",
+        "peer_port",
+        "admin_port",
+        "server_port",
+    }
+)
+_NOT_NEGATIVE = frozenset({"rate", "ramp_s", "share_slot"})
+
+
+def row_key(row: _rows.Row) -> str:
+    """Return the key under which a row is published."""
+    match row:
+        case _rows.ServiceRow():
+            return f"service/{row.service}"
+        case _rows.RouteRow():
+            return f"route/{row.route}"
+        case _rows.LimitRow():
+            return f"limit/{row.service}/{row.team}"
+        case _rows.KeyRow():
+            return f"key/{row.digest}"
+        case _rows.HostRow():
+            return f"host/{row.host}"
+        case _rows.OutageRow():
+            return f"data_centre/{row.data_centre}"
+        case _:
+            typing.assert_never(row)
+
+
+def encode_row(row: _rows.Row) -> str:
+    """Return the canonical JSON text of a row."""
+    values = {
+        field.name: _plain(getattr(row, field.name))
+        for field in dataclasses.fields(row)
+    }
+    return json.dumps(values, sort_keys=True, separators=(",", ":"))
+
+
+def _plain(value: object) -> object:
+    return value.value if isinstance(value, enum.Enum) else value
+
+
+@functools.lru_cache(maxsize=65_536)
+def decode_row(name: _versions.DocumentName, key: str, text: str) -> _rows.Row:
+    """Return the typed row.
+
+    Raises DocumentError naming row, field, value and what would be right.
+    Rows are cached by their text because most rows of a new version are
+    those of the version before.
+    """
+    prefix = key.partition("/")[0]
+    if prefix not in _PREFIXES[name]:
+        raise exceptions.DocumentError(
+            f"row {key!r} does not belong in document {name.value!r}"
+        )
+    row_type = _rows.type_by_prefix[prefix]
+    try:
+        values = json.loads(text)
+    except ValueError as error:
+        raise exceptions.DocumentError(
+            f"row {key!r} is not JSON: {error}"
+        ) from None
+    if not isinstance(values, dict):
+        raise exceptions.DocumentError(f"row {key!r} is not a JSON object")
+    row = _build(row_type, key, values)
+    if row_key(row) != key:
+        raise exceptions.DocumentError(
+            f"row {key!r} describes {row_key(row)!r}; both must agree"
+        )
+    return row
+
+
+def parse_cell(column: str, column_type: type, text: str) -> object:
+    """Return the typed value of a table cell.
+
+    Raises DocumentError whose text says what would be right.
+    """
+    value: object = text
+    if column_type is bool:
+        value = {"yes": True, "no": False}.get(text.lower(), text)
+        if value is text:
+            raise exceptions.DocumentError("yes or no")
+    elif column_type is int or column_type is float:
+        value = _parse_number(column_type, text)
+    return _convert(column, column_type, value)
+
+
+def _parse_number(column_type: type, text: str) -> object:
+    try:
+        return int(text) if column_type is int else float(text)
+    except ValueError:
+        wanted = "a whole number" if column_type is int else "a number"
+        raise exceptions.DocumentError(wanted) from None
+
+
+def _build(
+    row_type: type, key: str, values: dict[str, typing.Any]
+) -> _rows.Row:
+    fields = _field_types(row_type)
+    unknown = sorted(values.keys() - fields.keys())
+    if unknown:
+        raise exceptions.DocumentError(
+            f"row {key!r} has the unknown field {unknown[0]!r}"
+        )
+    arguments = {}
+    for field, field_type in fields.items():
+        if field not in values:
+            raise exceptions.DocumentError(
+                f"row {key!r} lacks the field {field!r}"
+            )
+        try:
+            arguments[field] = _convert(field, field_type, values[field])
+        except exceptions.DocumentError as error:
+            raise exceptions.DocumentError(
+                f"row {key!r}, field {field!r}: {values[field]!r} is not "
+                f"{error}"
+            ) from None
+    row: _rows.Row = row_type(**arguments)
+    return row
+
+
+@functools.cache
+def _field_types(row_type: type) -> dict[str, type]:
+    return typing.get_type_hints(row_type)
+
+
+def _convert(field: str, field_type: type, value: typing.Any) -> object:
+    if issubclass(field_type, enum.Enum):
+        allowed = [member.value for member in field_type]
+        if value not in allowed:
+            raise exceptions.DocumentError(f"one of {', '.join(allowed)}")
+        return field_type(value)
+    if field_type is bool:
+        if not isinstance(value, bool):
+            raise exceptions.DocumentError("true or false")
+        return value
+    if field_type is str:
+        if not isinstance(value, str) or not value:
+            raise exceptions.DocumentError("a non-empty text")
+        return value
+    return _convert_number(field, field_type, value)
+
+
+def _convert_number(field: str, field_type: type, value: typing.Any) -> object:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise exceptions.DocumentError("a number")
+    if field_type is int and not isinstance(value, int):
+        raise exceptions.DocumentError("a whole number")
+    if field in _POSITIVE and value <= 0:
+        raise exceptions.DocumentError("a number above 0")
+    if field in _NOT_NEGATIVE and not 0 <= value < float("inf"):
+        raise exceptions.DocumentError("a number of at least 0")
+    converted: object = field_type(value)
+    return converted
--- /dev/null
+++ b/src/jasminecrank/transport/_logs.py
@@ -0,0 +1,70 @@
+"""JSON log lines."""
+
+from collections.abc import Mapping
+import json
+import logging as std_logging
+import sys
+import time
+
+from absl import logging
+
+from jasminecrank import state
+
+_FIELDS_ATTRIBUTE = "jasminecrank_fields"
+
+
+class JsonLinesFormatter(std_logging.Formatter):
+    """Formats each record as one JSON object."""
+
+    def __init__(self, host: str, data_centre: str) -> None:
+        super().__init__()
+        self._host = host
+        self._data_centre = data_centre
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        milliseconds = int(record.created * 1000)
+        moment = time.gmtime(milliseconds // 1000)
+        line: dict[str, object] = {
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", moment)
+            + f".{milliseconds % 1000:03d}Z",
+            "level": record.levelname.lower(),
+            "host": self._host,
+            "data_centre": self._data_centre,
+        }
+        fields = getattr(record, _FIELDS_ATTRIBUTE, None)
+        if fields is None:
+            line["event"] = "log"
+            line["message"] = record.getMessage()
+        else:
+            line["event"] = record.getMessage()
+            line.update(fields)
+        return json.dumps(line)
+
+
+def install_json_lines(host: str, data_centre: str) -> None:
+    """Write all log records of the process as JSON lines to stderr."""
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(JsonLinesFormatter(host, data_centre))
+    handler.python_handler.stream = sys.stderr
+    logging.set_verbosity(logging.INFO)
+    std_logging.getLogger("urllib3").setLevel(std_logging.ERROR)
+    std_logging.getLogger("websockets").setLevel(std_logging.ERROR)
+    std_logging.getLogger("pykka").setLevel(std_logging.ERROR)
+
+
+def log_fields(event: str, fields: Mapping[str, object]) -> None:
+    """Write one event with its fields."""
+    logging.get_absl_logger().info(
+        event, extra={_FIELDS_ATTRIBUTE: dict(fields)}
+    )
+
+
+def log_event(event: state.Event) -> None:
+    """Write an event of the event ring."""
+    stamp = event.stamp
+    log_fields(
+        event.name,
+        {"stamp": [stamp.wall_ms, stamp.counter], **event.fields},
+    )
