Name the hosts already tried in a call request

Cause: a retry must not go to a host that failed before, and the decision on the next host belongs to the admission state.

Change: CallRequest carries tried_hosts, empty by default.

Conclusion: retries and host selection can be built separately.

--- a/src/jasminecrank/state/_calls.py
+++ b/src/jasminecrank/state/_calls.py
@@ -19,6 +19,7 @@
     deadline_at_s: float | None
     idempotency_key: str | None
     forwarded_by: str | None
+    tried_hosts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
