Add report, explain and timeline commands

Cause: auditors compare monthly printouts byte for byte, and operators need to follow one call and the events of all processes.

Lines lost at the very end of a killed process can't be seen as missing.

--- a/src/jasminecrank/cli/_main.py
+++ b/src/jasminecrank/cli/_main.py
@@ -6,6 +6,7 @@
 
 import jasminecrank
 from jasminecrank import exceptions
+from jasminecrank.cli import _audit
 from jasminecrank.cli import _node
 from jasminecrank.cli import _standin
 from jasminecrank.cli import _status
@@ -24,6 +25,8 @@
 app.command(_standin.app)
 app.command(_node.node)
 app.command(_status.status)
+_audit.add_commands(app)
+app.register_install_completion_command()
 
 
 def main() -> None:
--- a/src/jasminecrank/operators/__init__.py
+++ b/src/jasminecrank/operators/__init__.py
@@ -3,8 +3,26 @@
 from jasminecrank.operators._compile import compile_table as compile_table
 from jasminecrank.operators._compile import read_compiled as read_compiled
 from jasminecrank.operators._diff import diff_documents as diff_documents
+from jasminecrank.operators._explain import CallTrace as CallTrace
+from jasminecrank.operators._explain import explain_call as explain_call
+from jasminecrank.operators._explain import read_tables as read_tables
 from jasminecrank.operators._fleet import format_fleet as format_fleet
 from jasminecrank.operators._fleet import NodeView as NodeView
 from jasminecrank.operators._fleet import read_fleet as read_fleet
+from jasminecrank.operators._report import MonthlyReport as MonthlyReport
+from jasminecrank.operators._report_format import format_csv as format_csv
+from jasminecrank.operators._report_format import format_text as format_text
 from jasminecrank.operators._table_files import TableFiles as TableFiles
 from jasminecrank.operators._table_files import TableProblem as TableProblem
+from jasminecrank.operators._timeline import (
+    read_fleet_timeline as read_fleet_timeline,
+)
+from jasminecrank.operators._timeline import (
+    read_log_timeline as read_log_timeline,
+)
+from jasminecrank.operators._timeline import TimelineEntry as TimelineEntry
+from jasminecrank.operators._timeline import TimelineFilter as TimelineFilter
+from jasminecrank.operators._timeline_format import format_html as format_html
+from jasminecrank.operators._timeline_format import (
+    format_timeline as format_timeline,
+)
--- /dev/null
+++ b/src/jasminecrank/operators/_timeline.py
@@ -0,0 +1,190 @@
+"""The events of all processes in one causal order."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+import datetime
+import heapq
+import pathlib
+import typing
+
+import urllib3
+
+from jasminecrank import exceptions
+from jasminecrank import state
+from jasminecrank.operators import _log_lines
+
+_HIDDEN = frozenset(
+    {
+        "time",
+        "level",
+        "host",
+        "data_centre",
+        "process",
+        "sequence",
+        "event",
+        "stamp",
+    }
+)
+_TIMEOUT_S = 2.0
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Position:
+    """Place in the causal order: logical time, then host and sequence."""
+
+    wall_ms: int
+    counter: int
+    host: str
+    sequence: int
+
+
+@dataclass(slots=True, frozen=True)
+class TimelineEntry:
+    """One event of one process."""
+
+    position: Position
+    event: str
+    fields: Mapping[str, str]
+
+    def text(self) -> str:
+        """Return the fields as text."""
+        return " ".join(f"{key}={value}" for key, value in self.fields.items())
+
+
+@dataclass(slots=True, frozen=True)
+class TimelineFilter:
+    """Which entries are wanted; an empty text matches everything."""
+
+    team: str = ""
+    service: str = ""
+    request_id: str = ""
+    version: str = ""
+    host: str = ""
+
+    def matches(self, entry: TimelineEntry) -> bool:
+        """Return whether an entry is wanted."""
+        fields = entry.fields
+        return (
+            _equal(self.team, fields.get("team"))
+            and _equal(self.service, fields.get("service"))
+            and _equal(self.request_id, fields.get("request_id"))
+            and _equal(self.host, entry.position.host)
+            and (
+                not self.version
+                or any(
+                    value == self.version
+                    or value.startswith(f"{self.version}-")
+                    for key, value in fields.items()
+                    if key in ("version", "table_version")
+                )
+            )
+        )
+
+
+def _equal(wanted: str, found: str | None) -> bool:
+    return not wanted or wanted == found
+
+
+@dataclass(slots=True)
+class _ProcessClock:
+    """Gives lines without a stamp a place between those that have one."""
+
+    last: tuple[int, int] = (0, 0)
+
+    def place(self, line: _log_lines.LogLine) -> Position:
+        stamp = line.values.get("stamp")
+        if isinstance(stamp, list) and len(stamp) == 2:
+            found = (int(stamp[0]), int(stamp[1]))
+        else:
+            found = (_wall_ms(line.time), 0)
+        self.last = max(self.last, found)
+        return Position(*self.last, line.host, line.sequence)
+
+
+def _wall_ms(text: str) -> int:
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        return 0
+    return int(moment.timestamp() * 1000)
+
+
+def read_log_timeline(
+    paths: Iterable[pathlib.Path],
+) -> Iterator[TimelineEntry]:
+    """Yield the entries of log files in causal order.
+
+    Each file holds the lines of one host in the order they were written.
+    """
+    merged = heapq.merge(
+        *(_read_file(path) for path in paths),
+        key=lambda entry: entry.position,
+    )
+    yield from _without_doubles(merged)
+
+
+def _without_doubles(
+    entries: Iterable[TimelineEntry],
+) -> Iterator[TimelineEntry]:
+    last: TimelineEntry | None = None
+    for entry in entries:
+        if entry != last:
+            yield entry
+        last = entry
+
+
+def _read_file(path: pathlib.Path) -> Iterator[TimelineEntry]:
+    clock_by_process: dict[tuple[str, str], _ProcessClock] = {}
+    for line in _log_lines.read_lines(path):
+        match line:
+            case _log_lines.BrokenLine():
+                continue
+            case _log_lines.LogLine():
+                clock = clock_by_process.setdefault(
+                    (line.host, line.process), _ProcessClock()
+                )
+                yield TimelineEntry(
+                    clock.place(line), line.event, _fields(line.values)
+                )
+            case _:
+                typing.assert_never(line)
+
+
+def _fields(values: Mapping[str, typing.Any]) -> dict[str, str]:
+    return {
+        key: str(value) for key, value in values.items() if key not in _HIDDEN
+    }
+
+
+def read_fleet_timeline(
+    hosts: Iterable[state.HostRow],
+) -> Iterator[TimelineEntry]:
+    """Yield the entries of all nodes' event rings in causal order."""
+    entries: list[TimelineEntry] = []
+    for row in hosts:
+        entries.extend(_read_ring(row))
+    entries.sort(key=lambda entry: entry.position)
+    yield from entries
+
+
+def _read_ring(row: state.HostRow) -> Iterator[TimelineEntry]:
+    url = f"http://{row.address}:{row.admin_port}/events"
+    try:
+        response = urllib3.request(
+            "GET", url, timeout=_TIMEOUT_S, retries=False
+        )
+        events = response.json()
+    except (urllib3.exceptions.HTTPError, ValueError):
+        raise exceptions.JasminecrankError(
+            f"host {row.host!r} does not answer on its admin port",
+            exceptions.ResultCode.NOT_FOUND,
+        ) from None
+    for sequence, values in enumerate(events):
+        wall_ms, counter = values["stamp"]
+        yield TimelineEntry(
+            Position(wall_ms, counter, row.host, sequence),
+            values["event"],
+            _fields(values),
+        )
--- /dev/null
+++ b/src/jasminecrank/operators/_timeline_format.py
@@ -0,0 +1,67 @@
+"""Text and HTML forms of the timeline."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import datetime
+import html
+
+from jasminecrank.operators import _timeline
+
+_STYLE = """
+body { font: 13px sans-serif; margin: 1em; }
+table { border-collapse: collapse; }
+th { position: sticky; top: 0; background: #eee; }
+th, td { border-left: 1px solid #bbb; padding: 2px 6px; text-align: left; }
+td.time { font-family: monospace; white-space: nowrap; }
+td.event { background: #def; }
+td.alarm { background: #fdd; }
+"""
+_ALARMS = ("paused", "invalid", "conflict", "failed", "violated", "down")
+
+
+def format_timeline(
+    entries: Iterable[_timeline.TimelineEntry],
+) -> Iterator[str]:
+    """Yield one line for each entry."""
+    for entry in entries:
+        place = entry.position
+        yield (
+            f"{_moment(place)} {place.host:<20} {entry.event:<18} "
+            f"{entry.text()}"
+        ).rstrip()
+
+
+def format_html(
+    entries: Iterable[_timeline.TimelineEntry],
+) -> Iterator[str]:
+    """Yield a self-contained page with one lane for each process."""
+    rows = tuple(entries)
+    hosts = sorted({entry.position.host for entry in rows})
+    yield "<!DOCTYPE html>"
+    yield '<html lang="en"><head><meta charset="utf-8">'
+    yield f"<title>Timeline</title><style>{_STYLE}</style></head><body>"
+    heads = "".join(f"<th>{html.escape(host)}</th>" for host in hosts)
+    yield f"<table><thead><tr><th>time</th>{heads}</tr></thead><tbody>"
+    for entry in rows:
+        yield _html_row(entry, hosts)
+    yield "</tbody></table></body></html>"
+
+
+def _html_row(entry: _timeline.TimelineEntry, hosts: list[str]) -> str:
+    lane = hosts.index(entry.position.host)
+    alarm = any(word in entry.event for word in _ALARMS)
+    kind = "alarm" if alarm else "event"
+    text = html.escape(entry.text())
+    cell = f'<td class="{kind}"><b>{html.escape(entry.event)}</b> {text}</td>'
+    before = "<td></td>" * lane
+    after = "<td></td>" * (len(hosts) - lane - 1)
+    moment = _moment(entry.position)
+    return f'<tr><td class="time">{moment}</td>{before}{cell}{after}</tr>'
+
+
+def _moment(position: _timeline.Position) -> str:
+    moment = datetime.datetime.fromtimestamp(
+        position.wall_ms / 1000, datetime.UTC
+    )
+    text = moment.strftime("%Y-%m-%d %H:%M:%S")
+    return f"{text}.{position.wall_ms % 1000:03d}+{position.counter:<3d}"
--- a/src/jasminecrank/transport/_logs.py
+++ b/src/jasminecrank/transport/_logs.py
@@ -1,11 +1,14 @@
 """JSON log lines."""
 
 from collections.abc import Mapping
+import itertools
 import json
 import logging as std_logging
+import os
 import sys
 import time
 
+from absl import flags
 from absl import logging
 
 from jasminecrank import state
@@ -14,12 +17,18 @@
 
 
 class JsonLinesFormatter(std_logging.Formatter):
-    """Formats each record as one JSON object."""
+    """Formats each record as one JSON object.
+
+    Lines carry the process and a sequence number from 1, by which a reader
+    finds lines that are missing or doubled.
+    """
 
     def __init__(self, host: str, data_centre: str) -> None:
         super().__init__()
         self._host = host
         self._data_centre = data_centre
+        self._process = f"{os.getpid():x}-{time.time_ns():x}"
+        self._sequence = itertools.count(1)
 
     def format(self, record: std_logging.LogRecord) -> str:
         """Return the line of a record."""
@@ -31,6 +40,8 @@
             "level": record.levelname.lower(),
             "host": self._host,
             "data_centre": self._data_centre,
+            "process": self._process,
+            "sequence": next(self._sequence),
         }
         fields = getattr(record, _FIELDS_ATTRIBUTE, None)
         if fields is None:
@@ -44,6 +55,8 @@
 
 def install_json_lines(host: str, data_centre: str) -> None:
     """Write all log records of the process as JSON lines to stderr."""
+    # absl writes a plain warning line until its flags are parsed.
+    flags.FLAGS(sys.argv[:1])
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonLinesFormatter(host, data_centre))
