--- a/src/jasminecrank/cli/_main.py
+++ b/src/jasminecrank/cli/_main.py
@@ -7,6 +7,7 @@
 import jasminecrank
 from jasminecrank import exceptions
 from jasminecrank.cli import _audit
+from jasminecrank.cli import _key
 from jasminecrank.cli import _node
 from jasminecrank.cli import _standin
 from jasminecrank.cli import _status
@@ -22,6 +23,7 @@
     config=cyclopts.config.Env("JASMINECRANK_", command=False),
 )
 app.command(_table.app)
+app.command(_key.app)
 app.command(_standin.app)
 app.command(_node.node)
 app.command(_status.status)
--- a/src/jasminecrank/cli/_node.py
+++ b/src/jasminecrank/cli/_node.py
@@ -28,6 +28,11 @@
 ) -> None:
     """Run the node beside one backend server until SIGTERM.
 
+    Each setting is also read from JASMINECRANK_<NAME>.
+
+    Example: jasminecrank node --host silo-control-1 --data-centre belt-a
+    --source-url http://127.0.0.1:8500 --server-port 8080
+
     Parameters
     ----------
     host
--- a/src/jasminecrank/cli/_standin.py
+++ b/src/jasminecrank/cli/_standin.py
@@ -24,7 +24,10 @@
     port: int = 0,
     threads: int = 64,
 ) -> None:
-    """Serve compiled documents; SIGHUP reads the directory again."""
+    """Serve compiled documents; SIGHUP reads the directory again.
+
+    Example: jasminecrank standin platform compiled --port 8500
+    """
     stand_in = standins.PlatformStandIn(address, port, threads)
     stand_in.publish_directory(directory)
 
@@ -49,7 +52,10 @@
     service_time_ms: float = 5.0,
     threads: int = 64,
 ) -> None:
-    """Answer calls as a backend server with slots and cold start."""
+    """Answer calls as a backend server with slots and cold start.
+
+    Example: jasminecrank standin backend-server --slots 12 --cold-slots 3
+    """
     stand_in = standins.BackendServerStandIn(
         standins.BackendServerSettings(
             address=address,
--- a/src/jasminecrank/cli/_table.py
+++ b/src/jasminecrank/cli/_table.py
@@ -16,7 +16,10 @@
 
 @app.command
 def check(directory: pathlib.Path) -> int:
-    """Check the table files of a directory; status 2 if any is invalid."""
+    """Check the table files of a directory; status 2 if any is invalid.
+
+    Example: jasminecrank table check examples/kuopio
+    """
     files = operators.TableFiles.from_directory(directory)
     for problem in files.problems:
         sys.stderr.write(f"{problem}\n")
@@ -28,7 +31,10 @@
 
 @app.command
 def diff(before: pathlib.Path, after: pathlib.Path) -> int:
-    """Print the rows that differ between two compiled directories."""
+    """Print the rows that differ between two compiled directories.
+
+    Example: jasminecrank table diff compiled-before compiled
+    """
     lines = operators.diff_documents(
         operators.read_compiled(before), operators.read_compiled(after)
     )
@@ -42,6 +48,8 @@
     """Compile table files into the documents that the platform publishes.
 
     Only documents whose rows changed are written, with the next number.
+
+    Example: jasminecrank table compile examples/kuopio compiled
     """
     if check(directory) != 0:
         return _EXIT_INVALID
