Plan links as two trees, watcher links and service links

Cause: plan_links returned the hosts of the same service only, so services formed separate graphs and no version could pass between them.

Change: state.Topology derives all links from the host list: two trees of fan-out 8 per data centre, the watchers of a data centre and three standbys to each other, each watcher to one watcher of every other data centre, and the hosts of the same service (all up to 13, else 8 in a ring). Inner hosts of the first tree are leaves of the second.

Conclusion: the graph is connected and stays so without any one host.

--- a/src/jasminecrank/const.py
+++ b/src/jasminecrank/const.py
@@ -19,6 +19,8 @@
 """A whole quota share, in parts per billion."""
 
 WATCHERS_PER_DATA_CENTRE: Final = 3
+WATCH_STANDBYS: Final = 3
+"""Hosts linked to the watchers of their data centre to replace them."""
 TREE_FAN_OUT: Final = 8
 SERVICE_PEERS_FULL_MESH: Final = 13
 SERVICE_PEERS_MAX: Final = 8
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -54,6 +54,7 @@
 from jasminecrank.state._snapshot import Snapshot as Snapshot
 from jasminecrank.state._topology import plan_links as plan_links
 from jasminecrank.state._topology import rendezvous_rank as rendezvous_rank
+from jasminecrank.state._topology import Topology as Topology
 from jasminecrank.state._topology import watchers as watchers
 from jasminecrank.state._versions import DocumentName as DocumentName
 from jasminecrank.state._versions import NO_VERSION as NO_VERSION
--- a/src/jasminecrank/state/_snapshot.py
+++ b/src/jasminecrank/state/_snapshot.py
@@ -23,6 +23,7 @@
     by_key_digest: Mapping[str, _rows.KeyRow]
     by_host: Mapping[str, _rows.HostRow]
     hosts_by_service: Mapping[str, tuple[_rows.HostRow, ...]]
+    hosts_by_data_centre: Mapping[str, tuple[_rows.HostRow, ...]]
     data_centres_out: frozenset[str]
 
     @classmethod
@@ -60,7 +61,7 @@
                 case _rows.OutageRow():
                     if row.state is _rows.OutageState.OUT:
                         out.add(row.data_centre)
-        hosts_by_service = _group_hosts(by_host)
+        hosts_by_service = _group_hosts(by_host, "service")
         snapshot = cls(
             versions=versions,
             by_service=by_service,
@@ -69,6 +70,7 @@
             by_key_digest=by_key_digest,
             by_host=by_host,
             hosts_by_service=hosts_by_service,
+            hosts_by_data_centre=_group_hosts(by_host, "data_centre"),
             data_centres_out=frozenset(out),
         )
         snapshot._check_routes()
@@ -108,12 +110,13 @@
 
 
 def _group_hosts(
-    by_host: Mapping[str, _rows.HostRow],
+    by_host: Mapping[str, _rows.HostRow], field: str
 ) -> dict[str, tuple[_rows.HostRow, ...]]:
     grouped: defaultdict[str, list[_rows.HostRow]] = defaultdict(list)
     for host_id in sorted(by_host):
-        grouped[by_host[host_id].service].append(by_host[host_id])
-    return {service: tuple(hosts) for service, hosts in grouped.items()}
+        host = by_host[host_id]
+        grouped[getattr(host, field)].append(host)
+    return {key: tuple(hosts) for key, hosts in grouped.items()}
 
 
 def _usable_routes(
--- a/src/jasminecrank/state/_topology.py
+++ b/src/jasminecrank/state/_topology.py
@@ -1,12 +1,24 @@
 """Which hosts watch the source and which hosts link to each other."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+import functools
 import hashlib
 
 from jasminecrank import const
 from jasminecrank.state import _rows
 from jasminecrank.state import _snapshot
 
+_WATCH_SEED = "watch"
+_TREE_SEEDS = ("tree-1", "tree-2")
+# Offsets in the ring of a large service; both directions give 8 links. The
+# offset 1 alone already keeps the service connected without any one host.
+_SERVICE_OFFSETS = (1, 2, 4, 8)
+_HostRank = tuple[_rows.HostRow, ...]
+
 
 def rendezvous_rank(
     hosts: Iterable[_rows.HostRow], seed: str
@@ -21,27 +33,153 @@
     ).digest()
 
 
+# Seeds of the topology are few and fixed, those of calls are not.
+_fixed_score = functools.lru_cache(maxsize=32_768)(_score)
+
+
+@dataclass(slots=True, frozen=True)
+class Topology:
+    """The rank of every host, from which all links follow.
+
+    Both hosts of a pair derive the same links from the same host list.
+    """
+
+    by_host: Mapping[str, _rows.HostRow]
+    watch_rank_by_data_centre: Mapping[str, _HostRank]
+    trees_by_data_centre: Mapping[str, tuple[_HostRank, ...]]
+    rank_by_service: Mapping[str, _HostRank]
+
+    @classmethod
+    def from_snapshot(cls, snapshot: _snapshot.Snapshot) -> "Topology":
+        """Return the topology that a host list defines."""
+        by_data_centre = snapshot.hosts_by_data_centre
+        return cls(
+            by_host=snapshot.by_host,
+            watch_rank_by_data_centre={
+                data_centre: _rank_watchers(hosts)
+                for data_centre, hosts in by_data_centre.items()
+            },
+            trees_by_data_centre={
+                data_centre: _rank_trees(hosts)
+                for data_centre, hosts in by_data_centre.items()
+            },
+            rank_by_service={
+                service: _rank(hosts, service)
+                for service, hosts in snapshot.hosts_by_service.items()
+            },
+        )
+
+    def watchers(
+        self, data_centre: str, down: Collection[str] = ()
+    ) -> _HostRank:
+        """Return the hosts of a data centre that watch the source."""
+        rank = self.watch_rank_by_data_centre.get(data_centre, ())
+        present = [host for host in rank if host.host not in down]
+        return tuple(present[: const.WATCHERS_PER_DATA_CENTRE])
+
+    def watch_candidates(self, data_centre: str) -> _HostRank:
+        """Return the watchers and those who replace them, by rank."""
+        rank = self.watch_rank_by_data_centre.get(data_centre, ())
+        return rank[: const.WATCHERS_PER_DATA_CENTRE + const.WATCH_STANDBYS]
+
+    def watcher_count(self) -> int:
+        """Return how many hosts of the fleet watch the source."""
+        return sum(
+            len(self.watchers(data_centre))
+            for data_centre in self.watch_rank_by_data_centre
+        )
+
+    def links(
+        self, host_id: str, data_centre: str = ""
+    ) -> tuple[_rows.HostRow, ...]:
+        """Return the hosts that a host keeps links with, sorted by id.
+
+        A host that the list lacks, because the list lags, keeps links with
+        the watchers of its data centre.
+        """
+        own = self.by_host.get(host_id)
+        if own is None:
+            peers = set(self.watchers(data_centre))
+        else:
+            peers = {
+                *self._tree_peers(own),
+                *self._watch_peers(own),
+                *self._service_peers(own),
+            }
+            peers.discard(own)
+        return tuple(sorted(peers, key=lambda host: host.host))
+
+    def _tree_peers(self, own: _rows.HostRow) -> Iterator[_rows.HostRow]:
+        for rank in self.trees_by_data_centre[own.data_centre]:
+            position = rank.index(own)
+            if position > 0:
+                yield rank[(position - 1) // const.TREE_FAN_OUT]
+            first = position * const.TREE_FAN_OUT + 1
+            yield from rank[first : first + const.TREE_FAN_OUT]
+
+    def _watch_peers(self, own: _rows.HostRow) -> Iterator[_rows.HostRow]:
+        candidates = self.watch_candidates(own.data_centre)
+        if own not in candidates:
+            return
+        yield from candidates
+        local = self.watchers(own.data_centre)
+        if own not in local:
+            return
+        position = local.index(own)
+        for data_centre in self.watch_rank_by_data_centre:
+            if data_centre == own.data_centre:
+                continue
+            remote = self.watchers(data_centre)
+            for remote_position, host in enumerate(remote):
+                if remote_position == position % len(
+                    remote
+                ) or position == remote_position % len(local):
+                    yield host
+
+    def _service_peers(self, own: _rows.HostRow) -> Iterator[_rows.HostRow]:
+        rank = self.rank_by_service[own.service]
+        if len(rank) <= const.SERVICE_PEERS_FULL_MESH:
+            yield from rank
+            return
+        position = rank.index(own)
+        for offset in _SERVICE_OFFSETS:
+            yield rank[(position + offset) % len(rank)]
+            yield rank[(position - offset) % len(rank)]
+
+
+def _rank(hosts: Iterable[_rows.HostRow], seed: str) -> _HostRank:
+    return tuple(sorted(hosts, key=lambda host: _fixed_score(seed, host.host)))
+
+
+def _rank_watchers(hosts: Iterable[_rows.HostRow]) -> _HostRank:
+    rank = _rank(hosts, _WATCH_SEED)
+    return tuple(
+        sorted(rank, key=lambda host: host.state is _rows.HostState.LEAVING)
+    )
+
+
+def _rank_trees(hosts: tuple[_rows.HostRow, ...]) -> tuple[_HostRank, ...]:
+    """Return the breadth-first orders of the two trees.
+
+    Inner hosts of the first tree come last in the second, so that they are
+    leaves of it: without any one host, one of the trees is still whole.
+    """
+    first = _rank(hosts, _TREE_SEEDS[0])
+    inner_count = -(-(len(first) - 1) // const.TREE_FAN_OUT)
+    inner = {host.host for host in first[:inner_count]}
+    second = _rank(hosts, _TREE_SEEDS[1])
+    return first, tuple(sorted(second, key=lambda host: host.host in inner))
+
+
 def watchers(
     snapshot: _snapshot.Snapshot, data_centre: str
 ) -> tuple[_rows.HostRow, ...]:
     """Return the hosts of a data centre that watch the source."""
-    local = (
-        host
-        for host in snapshot.by_host.values()
-        if host.data_centre == data_centre
-    )
-    return rendezvous_rank(local, "watch")[: const.WATCHERS_PER_DATA_CENTRE]
+    return Topology.from_snapshot(snapshot).watchers(data_centre)
 
 
 def plan_links(
     snapshot: _snapshot.Snapshot, host_id: str
 ) -> tuple[_rows.HostRow, ...]:
     """Return the hosts that a host keeps peer links with, sorted by id."""
-    own = snapshot.by_host.get(host_id)
-    if own is None:
-        return ()
-    by_host: dict[str, _rows.HostRow] = {}
-    for peer in snapshot.hosts_by_service.get(own.service, ()):
-        by_host[peer.host] = peer
-    by_host.pop(host_id, None)
-    return tuple(by_host[key] for key in sorted(by_host))
+    return Topology.from_snapshot(snapshot).links(host_id)
