--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -18,7 +18,6 @@
 from jasminecrank.state._config import Accepted as Accepted
 from jasminecrank.state._config import ConfigState as ConfigState
 from jasminecrank.state._config import Conflict as Conflict
-from jasminecrank.state._config import derive_snapshot as derive_snapshot
 from jasminecrank.state._config import empty_document as empty_document
 from jasminecrank.state._config import Invalid as Invalid
 from jasminecrank.state._config import OfferResult as OfferResult
--- a/src/jasminecrank/state/_config.py
+++ b/src/jasminecrank/state/_config.py
@@ -1,7 +1,9 @@
 """The accepted documents and the rule by which newer ones replace them."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
+import hashlib
 
 from jasminecrank import const
 from jasminecrank import exceptions
@@ -55,15 +57,17 @@
     """Owns the documents in force and the snapshot derived from them."""
 
     by_name: dict[_versions.DocumentName, _documents.Document]
+    rows_by_name: dict[_versions.DocumentName, Mapping[str, _rows.Row]]
     snapshot: _snapshot.Snapshot
 
     @classmethod
     def empty(cls) -> "ConfigState":
         """Return the state of a node that has received nothing yet."""
-        by_name = {
-            name: empty_document(name) for name in _versions.DocumentName
-        }
-        return cls(by_name, _snapshot.Snapshot.empty())
+        return cls(
+            {name: empty_document(name) for name in _versions.DocumentName},
+            {name: {} for name in _versions.DocumentName},
+            _snapshot.Snapshot.empty(),
+        )
 
     def versions(self) -> _versions.VersionVector:
         """Return the versions in force."""
@@ -78,19 +82,25 @@
             return Stale(current.version)
         if document.version.number == current.version.number:
             return Conflict(current.version)
+        delta = _documents.make_delta(current, document)
         try:
             _check_digest(document)
-            rows = decode_rows(document)
-            _check_references(document.name, rows)
+            rows = _decode_changes(self.rows_by_name[document.name], delta)
+            _check_references(delta, rows)
         except exceptions.DocumentError as error:
             return Invalid(str(error))
-        return self._swap(current, document)
+        return self._swap(document, delta, rows)
 
     def _swap(
-        self, current: _documents.Document, document: _documents.Document
+        self,
+        document: _documents.Document,
+        delta: _documents.Delta,
+        rows: Mapping[str, _rows.Row],
     ) -> Accepted:
-        by_name = {**self.by_name, document.name: document}
-        snapshot = derive_snapshot(by_name)
+        current = self.by_name[document.name]
+        snapshot = self.snapshot.with_rows(
+            document.name, document.version, rows.values()
+        )
         _invariants.check(
             exceptions.ResultCode.INVARIANT_VERSION_DECREASED,
             document.version.number > current.version.number,
@@ -99,30 +109,31 @@
             current.version,
             document.version,
         )
+        applied = _documents.apply_delta(current, delta)
         _invariants.check(
             exceptions.ResultCode.INVARIANT_PARTIAL_VERSION,
-            snapshot.versions.get(document.name) == document.version
-            and _documents.digest_rows(document.by_key)
-            == document.version.digest,
+            applied == document
+            and rows.keys() == document.by_key.keys()
+            and snapshot.versions.get(document.name) == document.version
+            and snapshot.row_count(document.name) == len(document.by_key),
             "%s %s differs from the rows put in force",
             document.name.value,
             document.version,
         )
-        self.by_name = by_name
+        self.by_name = {**self.by_name, document.name: document}
+        self.rows_by_name = {**self.rows_by_name, document.name: rows}
         self.snapshot = snapshot
-        return Accepted(_documents.make_delta(current, document), snapshot)
+        return Accepted(delta, snapshot)
 
 
 def _check_digest(document: _documents.Document) -> None:
-    size_bytes = sum(
-        len(key) + len(text) for key, text in document.by_key.items()
-    )
-    if size_bytes > const.MAX_DOCUMENT_BYTES:
+    joined = _documents.join_rows(document.by_key)
+    if len(joined) > const.MAX_DOCUMENT_BYTES:
         raise exceptions.DocumentError(
-            f"document {document.name.value!r} has {size_bytes} bytes of "
+            f"document {document.name.value!r} has {len(joined)} bytes of "
             f"rows; at most {const.MAX_DOCUMENT_BYTES} are allowed"
         )
-    digest = _documents.digest_rows(document.by_key)
+    digest = hashlib.sha256(joined).hexdigest()
     if digest != document.version.digest:
         raise exceptions.DocumentError(
             f"document {document.name.value!r} {document.version.number} "
@@ -131,34 +142,43 @@
         )
 
 
-def decode_rows(document: _documents.Document) -> tuple[_rows.Row, ...]:
-    """Return all typed rows of a document, or raise DocumentError."""
-    return tuple(
-        _row_codec.decode_row(document.name, key, text)
-        for key, text in document.by_key.items()
-    )
+def _decode_changes(
+    rows: Mapping[str, _rows.Row], delta: _documents.Delta
+) -> dict[str, _rows.Row]:
+    """Return the typed rows of a newer version, or raise DocumentError.
+
+    Only changed rows are decoded, because a change is mostly one row.
+    """
+    changed = dict(rows)
+    for key in delta.removed:
+        del changed[key]
+    for key, text in delta.upserts.items():
+        changed[key] = _row_codec.decode_row(delta.name, key, text)
+    return changed
 
 
 def _check_references(
-    name: _versions.DocumentName, rows: tuple[_rows.Row, ...]
+    delta: _documents.Delta, rows: Mapping[str, _rows.Row]
 ) -> None:
-    match name:
+    match delta.name:
         case _versions.DocumentName.TABLE:
-            _check_table(rows)
+            if any(key.startswith("service/") for key in delta.removed):
+                _check_table(rows, rows.values())
+                return
+            _check_table(rows, (rows[key] for key in delta.upserts))
         case _versions.DocumentName.HOSTS:
-            _check_hosts(rows)
+            _check_hosts(rows.values())
         case _versions.DocumentName.KEYS | _versions.DocumentName.OUTAGES:
             return
 
 
-def _check_table(rows: tuple[_rows.Row, ...]) -> None:
-    services = {
-        row.service for row in rows if isinstance(row, _rows.ServiceRow)
-    }
-    for row in rows:
+def _check_table(
+    rows: Mapping[str, _rows.Row], changed: Iterable[_rows.Row]
+) -> None:
+    for row in changed:
         match row:
             case _rows.RouteRow() | _rows.LimitRow():
-                if row.service not in services:
+                if f"service/{row.service}" not in rows:
                     raise exceptions.DocumentError(
                         f"row {_row_codec.row_key(row)!r} names the service "
                         f"{row.service!r}, which the table does not have"
@@ -173,7 +193,7 @@
                 continue
 
 
-def _check_hosts(rows: tuple[_rows.Row, ...]) -> None:
+def _check_hosts(rows: Iterable[_rows.Row]) -> None:
     host_by_slot: dict[tuple[str, int], str] = {}
     for row in rows:
         if not isinstance(row, _rows.HostRow):
@@ -185,21 +205,3 @@
                 f"row 'host/{row.host}', field 'share_slot': "
                 f"{row.share_slot} of {row.service!r} belongs to {other!r}"
             )
-
-
-def derive_snapshot(
-    by_name: Mapping[_versions.DocumentName, _documents.Document],
-) -> _snapshot.Snapshot:
-    """Return the one snapshot that four valid documents define."""
-    versions = _versions.VersionVector(
-        table=by_name[_versions.DocumentName.TABLE].version,
-        keys=by_name[_versions.DocumentName.KEYS].version,
-        hosts=by_name[_versions.DocumentName.HOSTS].version,
-        outages=by_name[_versions.DocumentName.OUTAGES].version,
-    )
-    rows = [
-        row
-        for name in _versions.DocumentName
-        for row in decode_rows(by_name[name])
-    ]
-    return _snapshot.Snapshot.from_rows(versions, rows)
--- a/src/jasminecrank/state/_documents.py
+++ b/src/jasminecrank/state/_documents.py
@@ -27,12 +27,16 @@
     removed: tuple[str, ...]
 
 
+def join_rows(by_key: Mapping[str, str]) -> bytes:
+    """Return the bytes over which the digest of a document is taken."""
+    return "".join(
+        [f"{key}\0{by_key[key]}\n" for key in sorted(by_key)]
+    ).encode()
+
+
 def digest_rows(by_key: Mapping[str, str]) -> str:
     """Return the SHA-256 digest over the sorted rows."""
-    digest = hashlib.sha256()
-    for key in sorted(by_key):
-        digest.update(f"{key}\0{by_key[key]}\n".encode())
-    return digest.hexdigest()
+    return hashlib.sha256(join_rows(by_key)).hexdigest()
 
 
 def build_document(
--- a/src/jasminecrank/state/_snapshot.py
+++ b/src/jasminecrank/state/_snapshot.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 from dataclasses import dataclass
 import hmac
 
@@ -11,6 +12,17 @@
 from jasminecrank.state import _rows
 from jasminecrank.state import _versions
 
+_TYPES_BY_DOCUMENT: Mapping[_versions.DocumentName, tuple[type, ...]] = {
+    _versions.DocumentName.TABLE: (
+        _rows.ServiceRow,
+        _rows.RouteRow,
+        _rows.LimitRow,
+    ),
+    _versions.DocumentName.KEYS: (_rows.KeyRow,),
+    _versions.DocumentName.HOSTS: (_rows.HostRow,),
+    _versions.DocumentName.OUTAGES: (_rows.OutageRow,),
+}
+
 
 @dataclass(slots=True, frozen=True)
 class Snapshot:
@@ -19,11 +31,13 @@
     versions: _versions.VersionVector
     by_service: Mapping[str, _rows.ServiceRow]
     routes: tuple[_rows.RouteRow, ...]
+    published_routes: tuple[_rows.RouteRow, ...]
     by_limit: Mapping[tuple[str, str], _rows.LimitRow]
     by_key_digest: Mapping[str, _rows.KeyRow]
     by_host: Mapping[str, _rows.HostRow]
     hosts_by_service: Mapping[str, tuple[_rows.HostRow, ...]]
     hosts_by_data_centre: Mapping[str, tuple[_rows.HostRow, ...]]
+    outage_by_data_centre: Mapping[str, _rows.OutageState]
     data_centres_out: frozenset[str]
 
     @classmethod
@@ -35,46 +49,118 @@
     def from_rows(
         cls, versions: _versions.VersionVector, rows: Iterable[_rows.Row]
     ) -> "Snapshot":
-        """Return the snapshot that valid rows define.
+        """Return the snapshot that valid rows define."""
+        rows = tuple(rows)
+        snapshot = cls(
+            versions, {}, (), (), {}, {}, {}, {}, {}, {}, frozenset()
+        )
+        for name in _versions.DocumentName:
+            types = _TYPES_BY_DOCUMENT[name]
+            own_rows = [row for row in rows if isinstance(row, types)]
+            snapshot = snapshot.with_rows(name, versions.get(name), own_rows)
+        return snapshot
+
+    def with_rows(
+        self,
+        name: _versions.DocumentName,
+        version: _versions.Version,
+        rows: Iterable[_rows.Row],
+    ) -> "Snapshot":
+        """Return the snapshot with one document replaced as a whole.
 
         A route is left out until its service and a host of it are known,
         because table and hosts arrive separately and may cross.
         """
+        versions = self.versions.replace(name, version)
+        match name:
+            case _versions.DocumentName.TABLE:
+                changed = self._with_table(rows)
+            case _versions.DocumentName.KEYS:
+                changed = dataclasses.replace(
+                    self,
+                    by_key_digest={
+                        row.digest: row
+                        for row in rows
+                        if isinstance(row, _rows.KeyRow)
+                    },
+                )
+            case _versions.DocumentName.HOSTS:
+                changed = self._with_hosts(rows)
+            case _versions.DocumentName.OUTAGES:
+                changed = self._with_outages(rows)
+        snapshot = dataclasses.replace(
+            changed,
+            versions=versions,
+            routes=_usable_routes(changed),
+        )
+        snapshot._check_routes()
+        return snapshot
+
+    def _with_table(self, rows: Iterable[_rows.Row]) -> "Snapshot":
         by_service: dict[str, _rows.ServiceRow] = {}
         by_limit: dict[tuple[str, str], _rows.LimitRow] = {}
-        by_key_digest: dict[str, _rows.KeyRow] = {}
-        by_host: dict[str, _rows.HostRow] = {}
         routes: list[_rows.RouteRow] = []
-        out: set[str] = set()
         for row in rows:
             match row:
-                case _rows.ServiceRow():
-                    by_service[row.service] = row
-                case _rows.RouteRow():
-                    routes.append(row)
                 case _rows.LimitRow():
                     by_limit[row.service, row.team] = row
-                case _rows.KeyRow():
-                    by_key_digest[row.digest] = row
-                case _rows.HostRow():
-                    by_host[row.host] = row
-                case _rows.OutageRow():
-                    if row.state is _rows.OutageState.OUT:
-                        out.add(row.data_centre)
-        hosts_by_service = _group_hosts(by_host, "service")
-        snapshot = cls(
-            versions=versions,
+                case _rows.RouteRow():
+                    routes.append(row)
+                case _rows.ServiceRow():
+                    by_service[row.service] = row
+                case _:
+                    continue
+        routes.sort(key=lambda route: (-len(route.path_prefix), route.route))
+        return dataclasses.replace(
+            self,
             by_service=by_service,
-            routes=_usable_routes(routes, by_service, hosts_by_service),
+            published_routes=tuple(routes),
             by_limit=by_limit,
-            by_key_digest=by_key_digest,
+        )
+
+    def _with_hosts(self, rows: Iterable[_rows.Row]) -> "Snapshot":
+        by_host = {
+            row.host: row for row in rows if isinstance(row, _rows.HostRow)
+        }
+        return dataclasses.replace(
+            self,
             by_host=by_host,
-            hosts_by_service=hosts_by_service,
+            hosts_by_service=_group_hosts(by_host, "service"),
             hosts_by_data_centre=_group_hosts(by_host, "data_centre"),
+        )
+
+    def _with_outages(self, rows: Iterable[_rows.Row]) -> "Snapshot":
+        by_data_centre = {
+            row.data_centre: row.state
+            for row in rows
+            if isinstance(row, _rows.OutageRow)
+        }
+        out = {
+            data_centre
+            for data_centre, outage_state in by_data_centre.items()
+            if outage_state is _rows.OutageState.OUT
+        }
+        return dataclasses.replace(
+            self,
+            outage_by_data_centre=by_data_centre,
             data_centres_out=frozenset(out),
         )
-        snapshot._check_routes()
-        return snapshot
+
+    def row_count(self, name: _versions.DocumentName) -> int:
+        """Return how many rows of a document are in force."""
+        match name:
+            case _versions.DocumentName.TABLE:
+                return (
+                    len(self.by_service)
+                    + len(self.published_routes)
+                    + len(self.by_limit)
+                )
+            case _versions.DocumentName.KEYS:
+                return len(self.by_key_digest)
+            case _versions.DocumentName.HOSTS:
+                return len(self.by_host)
+            case _versions.DocumentName.OUTAGES:
+                return len(self.outage_by_data_centre)
 
     def _check_routes(self) -> None:
         for route in self.routes:
@@ -119,15 +205,10 @@
     return {key: tuple(hosts) for key, hosts in grouped.items()}
 
 
-def _usable_routes(
-    routes: Iterable[_rows.RouteRow],
-    by_service: Mapping[str, _rows.ServiceRow],
-    hosts_by_service: Mapping[str, tuple[_rows.HostRow, ...]],
-) -> tuple[_rows.RouteRow, ...]:
-    usable = [
+def _usable_routes(snapshot: Snapshot) -> tuple[_rows.RouteRow, ...]:
+    return tuple(
         route
-        for route in routes
-        if route.service in by_service and hosts_by_service.get(route.service)
-    ]
-    usable.sort(key=lambda route: (-len(route.path_prefix), route.route))
-    return tuple(usable)
+        for route in snapshot.published_routes
+        if route.service in snapshot.by_service
+        and snapshot.hosts_by_service.get(route.service)
+    )
--- a/src/jasminecrank/state/_versions.py
+++ b/src/jasminecrank/state/_versions.py
@@ -1,5 +1,6 @@
 """Versions of published documents."""
 
+import dataclasses
 from dataclasses import dataclass
 import enum
 
@@ -47,3 +48,7 @@
                 return self.hosts
             case DocumentName.OUTAGES:
                 return self.outages
+
+    def replace(self, name: DocumentName, version: Version) -> "VersionVector":
+        """Return the vector with the version of one document changed."""
+        return dataclasses.replace(self, **{name.value: version})
