Add readiness, source budget, dialling and exchange decisions

Cause: a node was ready as soon as it held any table and host list, asked the source without a budget, dialled without back-off and pushed every delta to every peer.

Change: pure decisions in state. ReadinessState: ready once the versions that peers and source show are in force, at most 5 s after the first answer; a gap above 2 s between ticks, also found when a call is admitted, ends it until an answer to a newer inquiry. SourceSchedule and WatchDuty: budget from the fleet's size, jittered back-off, replacement of a watcher without a link. DialSchedule: the lower host id dials, the higher one after a wait. ExchangeState: deltas against what a peer holds, one fetch for each document at a time, keys first.

Conclusion: the actors can follow these decisions without own rules.

--- a/src/jasminecrank/const.py
+++ b/src/jasminecrank/const.py
@@ -25,11 +25,26 @@
 SERVICE_PEERS_FULL_MESH: Final = 13
 SERVICE_PEERS_MAX: Final = 8
 
+SOURCE_CALLS_PER_S: Final = 2_000
+SOURCE_CALLS_SHARE: Final = 0.5
+"""Part of the source's capacity for watchers, and again for all others."""
+FLEET_HOSTS_MAX: Final = 2_200
+"""Size assumed until the host list is known."""
+SOURCE_WATCH_S: Final = 25
+SOURCE_WATCH_ISOLATED_S: Final = 5
+"""Watch of a node without links, which waits for nothing else."""
+ISOLATED_AFTER_S: Final = 3.0
+
 HEARTBEAT_PERIOD_S: Final = 5.0
 PEER_SILENCE_LIMIT_S: Final = 15.0
 TICK_PERIOD_S: Final = 0.5
 PAUSE_LIMIT_S: Final = 2.0
 START_BOUND_S: Final = 5.0
+START_SETTLE_S: Final = 0.5
+"""Time for other peers to answer after the first one has."""
+UNCONFIRMED_ALARM_S: Final = 90.0
+"""Above the longest watch and the heartbeats that pass its answer on."""
+CONVERGENCE_LIMIT_S: Final = 14.0
 LOAN_TTL_S: Final = 2.0
 LOAN_RETURN_MARGIN: Final = 0.1
 """Extra part of the loan time before the lender takes a share back."""
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -22,12 +22,23 @@
 from jasminecrank.state._config import Invalid as Invalid
 from jasminecrank.state._config import OfferResult as OfferResult
 from jasminecrank.state._config import Stale as Stale
+from jasminecrank.state._dialling import DialSchedule as DialSchedule
+from jasminecrank.state._dialling import DialTarget as DialTarget
 from jasminecrank.state._documents import apply_delta as apply_delta
 from jasminecrank.state._documents import build_document as build_document
 from jasminecrank.state._documents import Delta as Delta
 from jasminecrank.state._documents import digest_rows as digest_rows
 from jasminecrank.state._documents import Document as Document
 from jasminecrank.state._documents import make_delta as make_delta
+from jasminecrank.state._exchange import conflicts as conflicts
+from jasminecrank.state._exchange import ExchangeState as ExchangeState
+from jasminecrank.state._exchange import Offered as Offered
+from jasminecrank.state._exchange import Send as Send
+from jasminecrank.state._exchange import SEND_ORDER as SEND_ORDER
+from jasminecrank.state._exchange import SendDelta as SendDelta
+from jasminecrank.state._exchange import SendDocument as SendDocument
+from jasminecrank.state._exchange import SendFetch as SendFetch
+from jasminecrank.state._exchange import SendVersions as SendVersions
 from jasminecrank.state._invariants import check as check
 from jasminecrank.state._invariants import (
     violations_by_code as violations_by_code,
@@ -35,6 +46,8 @@
 from jasminecrank.state._journal import Event as Event
 from jasminecrank.state._journal import Journal as Journal
 from jasminecrank.state._journal import Stamp as Stamp
+from jasminecrank.state._readiness import Readiness as Readiness
+from jasminecrank.state._readiness import ReadinessState as ReadinessState
 from jasminecrank.state._row_codec import decode_row as decode_row
 from jasminecrank.state._row_codec import encode_row as encode_row
 from jasminecrank.state._row_codec import parse_cell as parse_cell
@@ -51,6 +64,8 @@
 from jasminecrank.state._rows import Row as Row
 from jasminecrank.state._rows import ServiceRow as ServiceRow
 from jasminecrank.state._snapshot import Snapshot as Snapshot
+from jasminecrank.state._source import SourceSchedule as SourceSchedule
+from jasminecrank.state._source import WatchDuty as WatchDuty
 from jasminecrank.state._topology import plan_links as plan_links
 from jasminecrank.state._topology import rendezvous_rank as rendezvous_rank
 from jasminecrank.state._topology import Topology as Topology
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -8,6 +8,7 @@
 from jasminecrank.state import _calls
 from jasminecrank.state import _invariants
 from jasminecrank.state import _quota
+from jasminecrank.state import _readiness
 from jasminecrank.state import _rows
 from jasminecrank.state import _slots
 from jasminecrank.state import _snapshot
@@ -25,6 +26,7 @@
     quota: _quota.QuotaState
     slots: _slots.SlotPool
     ready: bool = False
+    ticked_s: float | None = None
     draining: bool = False
     by_result: Counter[exceptions.ResultCode] = field(default_factory=Counter)
 
@@ -68,7 +70,10 @@
     def _decide(
         self, call: _calls.CallRequest, now_s: float
     ) -> _calls.Decision:
-        if not self.ready:
+        if not self.ready or (
+            self.ticked_s is not None
+            and not _readiness.is_current(self.ticked_s, now_s)
+        ):
             return self._refuse(exceptions.ResultCode.NODE_NOT_READY)
         route = self.snapshot.find_route(call.method, call.path)
         if route is None:
--- a/src/jasminecrank/state/_config.py
+++ b/src/jasminecrank/state/_config.py
@@ -120,7 +120,9 @@
             document.name.value,
             document.version,
         )
-        self.by_name = {**self.by_name, document.name: document}
+        # The applied copy shares the texts of unchanged rows with the
+        # version before, which stays in memory as a base of deltas.
+        self.by_name = {**self.by_name, document.name: applied or document}
         self.rows_by_name = {**self.rows_by_name, document.name: rows}
         self.snapshot = snapshot
         return Accepted(delta, snapshot)
--- /dev/null
+++ b/src/jasminecrank/state/_dialling.py
@@ -0,0 +1,96 @@
+"""When a node dials a peer that it has no link with."""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import random
+
+_FIRST_SPREAD_S = 0.25
+_SECOND_WAIT_S = 4.0
+"""Time for the lower host id to dial, above its longest open time-out."""
+_REDIAL_FIRST_S = 1.0
+_REDIAL_MAX_S = 8.0
+
+
+@dataclass(slots=True, frozen=True)
+class DialTarget:
+    """A peer that a link is planned with."""
+
+    host: str
+    address: str
+
+
+@dataclass(slots=True)
+class _Attempt:
+    due_s: float
+    failures: int = 0
+    running: bool = False
+
+
+@dataclass(slots=True)
+class DialSchedule:
+    """Spaces the dials of one node.
+
+    The lower host id of a pair dials. The higher one waits, and dials only
+    if no link has come, because the lower may have an older host list.
+    """
+
+    host: str
+    by_address: dict[str, _Attempt] = field(default_factory=dict)
+
+    def take_due(
+        self,
+        targets: Iterable[DialTarget],
+        linked: Collection[str],
+        now_s: float,
+        rng: random.Random,
+    ) -> tuple[DialTarget, ...]:
+        """Return the targets to dial now and note that they are dialled."""
+        wanted = [one for one in targets if one.host not in linked]
+        addresses = {one.address for one in wanted}
+        self.by_address = {
+            address: attempt
+            for address, attempt in self.by_address.items()
+            if address in addresses or attempt.running
+        }
+        due = []
+        for target in wanted:
+            attempt = self.by_address.get(target.address)
+            if attempt is None:
+                wait_s = rng.uniform(0, _FIRST_SPREAD_S)
+                if target.host < self.host and target.host:
+                    wait_s += rng.uniform(_SECOND_WAIT_S, 2 * _SECOND_WAIT_S)
+                attempt = _Attempt(now_s + wait_s)
+                self.by_address[target.address] = attempt
+            if not attempt.running and attempt.due_s <= now_s:
+                attempt.running = True
+                due.append(target)
+        return tuple(due)
+
+    def next_due_s(self) -> float | None:
+        """Return when the next dial is due."""
+        return min(
+            (
+                attempt.due_s
+                for attempt in self.by_address.values()
+                if not attempt.running
+            ),
+            default=None,
+        )
+
+    def opened(self, address: str) -> None:
+        """Note that a dial has led to a link."""
+        self.by_address.pop(address, None)
+
+    def failed(self, address: str, now_s: float, rng: random.Random) -> None:
+        """Back off after a failed dial or a lost link, with jitter."""
+        attempt = self.by_address.setdefault(address, _Attempt(now_s))
+        limit_s = min(_REDIAL_MAX_S, _REDIAL_FIRST_S * 2**attempt.failures)
+        attempt.failures = min(attempt.failures + 1, 8)
+        attempt.running = False
+        attempt.due_s = now_s + rng.uniform(limit_s / 2, limit_s)
+
+    def defer(self, address: str, now_s: float) -> None:
+        """Leave a peer that stops as planned time to come back itself."""
+        self.by_address[address] = _Attempt(now_s + _REDIAL_MAX_S)
--- /dev/null
+++ b/src/jasminecrank/state/_readiness.py
@@ -0,0 +1,130 @@
+"""When a node may accept calls: after a start, and after a pause."""
+
+import dataclasses
+from dataclasses import dataclass
+import typing
+
+from jasminecrank import const
+from jasminecrank.state import _versions
+
+
+@dataclass(slots=True, frozen=True)
+class Unconfirmed:
+    """The versions in force may be outdated; no call is accepted.
+
+    Only answers to this inquiry count, because messages from before a
+    pause may still wait in a socket.
+    """
+
+    reason: str
+    inquiry: int
+    settle_s: float
+    highest: _versions.VersionVector = _versions.VersionVector()
+    first_answer_s: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Confirmed:
+    """The versions in force were confirmed since the last start or pause."""
+
+    inquiry: int
+    reason: str
+
+
+Phase = Unconfirmed | Confirmed
+
+
+@dataclass(slots=True, frozen=True)
+class Readiness:
+    """Whether a node accepts calls, as of its last tick."""
+
+    ready: bool
+    reason: str
+    ticked_s: float
+
+
+def is_current(ticked_s: float, now_s: float) -> bool:
+    """Return whether no pause has passed since the last tick."""
+    return now_s - ticked_s <= const.PAUSE_LIMIT_S
+
+
+@dataclass(slots=True)
+class ReadinessState:
+    """Owns the decision whether a node accepts calls."""
+
+    phase: Phase
+    ticked_s: float
+
+    @classmethod
+    def from_start(cls, now_s: float) -> "ReadinessState":
+        """Return the state of a node that has just started."""
+        return cls(Unconfirmed("starting", 0, const.START_SETTLE_S), now_s)
+
+    @property
+    def inquiry(self) -> int:
+        """Return the number by which peers and source are now asked."""
+        return self.phase.inquiry
+
+    def detect_pause(self, now_s: float) -> bool:
+        """Return whether a pause has passed; nothing is confirmed then."""
+        if is_current(self.ticked_s, now_s):
+            return False
+        self.phase = Unconfirmed("paused", self.inquiry + 1, 0.0)
+        self.ticked_s = now_s
+        return True
+
+    def tick(self, now_s: float) -> None:
+        """Note that the node is running."""
+        self.ticked_s = max(self.ticked_s, now_s)
+
+    def answer(
+        self, inquiry: int, versions: _versions.VersionVector, now_s: float
+    ) -> None:
+        """Take versions that a peer or the source shows."""
+        match self.phase:
+            case Unconfirmed() as phase if inquiry == phase.inquiry:
+                first_s = phase.first_answer_s
+                self.phase = dataclasses.replace(
+                    phase,
+                    highest=phase.highest.merge(versions),
+                    first_answer_s=now_s if first_s is None else first_s,
+                )
+            case Unconfirmed() | Confirmed():
+                return
+            case _:
+                typing.assert_never(self.phase)
+
+    def decide(self, own: _versions.VersionVector, now_s: float) -> Readiness:
+        """Return whether the node accepts calls with these versions."""
+        match self.phase:
+            case Unconfirmed():
+                reason = _missing(self.phase, own, now_s)
+                if reason is not None:
+                    return Readiness(False, reason, self.ticked_s)
+                reason = "confirmed"
+                if not own.covers(self.phase.highest):
+                    reason = "start bound reached with older versions"
+                self.phase = Confirmed(self.phase.inquiry, reason)
+                return Readiness(True, reason, self.ticked_s)
+            case Confirmed():
+                return Readiness(True, self.phase.reason, self.ticked_s)
+            case _:
+                typing.assert_never(self.phase)
+
+
+def _missing(
+    phase: Unconfirmed, own: _versions.VersionVector, now_s: float
+) -> str | None:
+    """Return what the node still waits for, None if for nothing."""
+    if phase.first_answer_s is None:
+        return f"{phase.reason}: no peer and no source has answered"
+    if own.table.number == 0 or own.hosts.number == 0:
+        return f"{phase.reason}: no table or no host list received"
+    waited_s = now_s - phase.first_answer_s
+    if waited_s >= const.START_BOUND_S:
+        return None
+    if not own.covers(phase.highest):
+        return f"{phase.reason}: newer versions not yet received"
+    if waited_s < phase.settle_s:
+        return f"{phase.reason}: waiting for further answers"
+    return None
--- a/src/jasminecrank/state/_versions.py
+++ b/src/jasminecrank/state/_versions.py
@@ -52,3 +52,18 @@
     def replace(self, name: DocumentName, version: Version) -> "VersionVector":
         """Return the vector with the version of one document changed."""
         return dataclasses.replace(self, **{name.value: version})
+
+    def merge(self, other: "VersionVector") -> "VersionVector":
+        """Return the version with the higher number of each document."""
+        merged = self
+        for name in DocumentName:
+            if other.get(name).number > self.get(name).number:
+                merged = merged.replace(name, other.get(name))
+        return merged
+
+    def covers(self, other: "VersionVector") -> bool:
+        """Return whether no document of the other has a higher number."""
+        return all(
+            self.get(name).number >= other.get(name).number
+            for name in DocumentName
+        )
