Follow the decisions of state in the config and membership actors

A read of the source also mixed several calls in one message, so calls could not be counted, and an invalid document was asked for again at once.

Change: every message to the source reader is one call. SourceClient orders the calls; an invalid version is one event and is waited past until the watch ends. VersionsRequest and VersionsReply confirm versions after a pause, because heartbeats may have waited in a socket. Heartbeats carry the age of the source's last confirmation. Links of a newer incarnation replace older ones; of two links between the same processes the one that the lower host id dialled stays. Sends to a peer that does not read time out after 5 s.

--- a/src/jasminecrank/coordination/__init__.py
+++ b/src/jasminecrank/coordination/__init__.py
@@ -24,11 +24,15 @@
 from jasminecrank.coordination._messages import ConfigStatus as ConfigStatus
 from jasminecrank.coordination._messages import DecisionReply as DecisionReply
 from jasminecrank.coordination._messages import Delivered as Delivered
+from jasminecrank.coordination._messages import DialDue as DialDue
 from jasminecrank.coordination._messages import DocumentDelta as DocumentDelta
 from jasminecrank.coordination._messages import DocumentRead as DocumentRead
 from jasminecrank.coordination._messages import (
     DocumentSnapshot as DocumentSnapshot,
 )
+from jasminecrank.coordination._messages import (
+    DocumentUnreadable as DocumentUnreadable,
+)
 from jasminecrank.coordination._messages import Envelope as Envelope
 from jasminecrank.coordination._messages import FetchDocument as FetchDocument
 from jasminecrank.coordination._messages import GetEvents as GetEvents
@@ -57,12 +61,14 @@
 from jasminecrank.coordination._messages import (
     SnapshotChanged as SnapshotChanged,
 )
-from jasminecrank.coordination._messages import (
-    SourceAnswered as SourceAnswered,
-)
+from jasminecrank.coordination._messages import SourceChanged as SourceChanged
 from jasminecrank.coordination._messages import SourceFailed as SourceFailed
 from jasminecrank.coordination._messages import StopRequested as StopRequested
 from jasminecrank.coordination._messages import Tick as Tick
+from jasminecrank.coordination._messages import VersionsReply as VersionsReply
+from jasminecrank.coordination._messages import (
+    VersionsRequest as VersionsRequest,
+)
 from jasminecrank.coordination._messages import WatchSource as WatchSource
 from jasminecrank.coordination._timers import deliver as deliver
 from jasminecrank.coordination._timers import Timers as Timers
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -33,6 +33,7 @@
                 self._admission.apply_snapshot(message.snapshot, now_s)
             case _messages.ReadinessChanged():
                 self._admission.ready = message.ready
+                self._admission.ticked_s = message.ticked_s
             case _messages.StopRequested():
                 self._admission.draining = True
             case _messages.ServerHealth() | _messages.CancelCall():
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -1,18 +1,18 @@
 """The actor that owns the documents in force."""
 
 from dataclasses import dataclass
+import math
 import random
 import typing
 
+from jasminecrank import const
 from jasminecrank import exceptions
 from jasminecrank import state
 from jasminecrank.coordination import _actors
 from jasminecrank.coordination import _messages
+from jasminecrank.coordination import _source_client
 from jasminecrank.coordination import _timers
 
-_RETRY_FIRST_S = 0.5
-_RETRY_MAX_S = 8.0
-
 
 @dataclass(slots=True, frozen=True)
 class ConfigSettings:
@@ -20,6 +20,7 @@
 
     host: str
     data_centre: str
+    asks_peers_first: bool = False
 
 
 class ConfigActor(_actors.NodeActor):
@@ -28,22 +29,33 @@
     def __init__(
         self,
         settings: ConfigSettings,
+        clock: state.Clock,
         timers: _timers.Timers,
         rng: random.Random,
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._clock = clock
         self._timers = timers
-        self._rng = rng
-        self._config = state.ConfigState.empty()
-        self._by_peer: dict[str, state.VersionVector] = {}
+        now_s = clock.monotonic_s()
+        self._exchange = state.ExchangeState.from_host(settings.host)
+        self._readiness = state.ReadinessState.from_start(now_s)
+        self._source = _source_client.SourceClient.from_start(
+            settings.host,
+            settings.data_centre,
+            now_s,
+            rng,
+            settings.asks_peers_first,
+        )
+        self._published = state.VersionVector()
+        self._decided = state.Readiness(False, "starting", now_s)
+        self._started_s = now_s
+        self._confirmed_s: float | None = None
+        self._unconfirmed = False
+        self._conflicts: set[tuple[state.DocumentName, str]] = set()
         self._subscribers: tuple[_messages.Mailbox, ...] = ()
         self._membership: _messages.Mailbox | None = None
-        self._source: _messages.Mailbox | None = None
-        self._source_busy = False
-        self._source_failures = 0
-        self._source_error = ""
-        self._ready = False
+        self._reader: _messages.Mailbox | None = None
 
     def connect(
         self,
@@ -53,47 +65,120 @@
     ) -> None:
         """Take the mailboxes of the other actors and begin."""
         self._membership = membership
-        self._source = source
+        self._reader = source
         self._subscribers = subscribers
-        self._read_source()
+        self._tick(self._clock.monotonic_s())
 
     def on_receive(self, message: object) -> object:
         """Handle one message."""
+        now_s = self._clock.monotonic_s()
+        self._detect_pause(now_s)
         match message:
-            case _messages.DocumentRead():
-                self._offer(message.document, None)
-            case _messages.SourceAnswered():
-                self._source_answered()
-            case _messages.SourceFailed():
-                self._source_failed(message.reason)
             case _messages.Tick():
-                self._read_source()
+                self._tick(now_s)
+            case (
+                _messages.SourceChanged()
+                | _messages.DocumentRead()
+                | _messages.DocumentUnreadable()
+                | _messages.SourceFailed()
+            ):
+                self._handle_source(message, now_s)
             case _messages.PeerUp():
-                self._by_peer[message.host] = message.versions
-                self._fetch_newer(message.host, message.versions)
+                self._peer_up(message, now_s)
             case _messages.PeerDown():
-                self._by_peer.pop(message.host, None)
+                self._send(self._exchange.peer_down(message.host, now_s))
             case _messages.Delivered():
-                self._handle_peer(message.host, message.message)
+                self._handle_peer(message.host, message.message, now_s)
             case _messages.GetStatus():
-                return self._status()
+                return self._status(now_s)
             case _:
                 raise exceptions.JasminecrankError(
                     f"unexpected message {message!r}"
                 )
         return None
 
-    def _handle_peer(self, host: str, message: _messages.PeerMessage) -> None:
+    def _tick(self, now_s: float) -> None:
+        self._readiness.tick(now_s)
+        self._send(self._exchange.fetch_due(now_s))
+        lagging = self._exchange.lagging(now_s)
+        state.check(
+            exceptions.ResultCode.INVARIANT_REVERTED,
+            not lagging,
+            "peers still show an older version after %s s: %s",
+            const.CONVERGENCE_LIMIT_S,
+            lagging,
+        )
+        self._note_confirmation(now_s)
+        self._decide(now_s)
+        self._call_source(now_s)
+        self._timers.call_later(
+            const.TICK_PERIOD_S, self.actor_ref, _messages.Tick()
+        )
+
+    def _detect_pause(self, now_s: float) -> None:
+        if not self._readiness.detect_pause(now_s):
+            return
+        self._record("paused", {})
+        for host in sorted(self._exchange.by_peer):
+            self._ask_versions(host)
+        self._decide(now_s)
+
+    def _ask_versions(self, host: str) -> None:
+        request = _messages.VersionsRequest(self._readiness.inquiry)
+        self._tell_peer(host, request)
+
+    def _peer_up(self, message: _messages.PeerUp, now_s: float) -> None:
+        self._send(
+            self._exchange.peer_up(message.host, message.versions, now_s)
+        )
+        if self._readiness.inquiry > 0:
+            self._ask_versions(message.host)
+        else:
+            self._readiness.answer(0, message.versions, now_s)
+        self._note_conflicts(message.host, message.versions)
+        self._decide(now_s)
+
+    def _handle_peer(
+        self, host: str, message: _messages.PeerMessage, now_s: float
+    ) -> None:
         match message:
-            case _messages.Hello() | _messages.Heartbeat():
-                self._by_peer[host] = message.versions
-                self._fetch_newer(host, message.versions)
+            case _messages.Hello():
+                self._peer_shows(host, message.versions, now_s)
+            case _messages.Heartbeat():
+                self._peer_shows(host, message.versions, now_s)
+                own = self._exchange.config.versions()
+                age_s = message.confirmed_age_s
+                if own.covers(message.versions) and math.isfinite(age_s):
+                    self._confirm(now_s - age_s)
+            case _messages.VersionsRequest():
+                self._tell_peer(host, self._versions_reply(message.inquiry))
+            case _messages.VersionsReply():
+                self._peer_shows(host, message.versions, now_s)
+                self._readiness.answer(
+                    message.inquiry, message.versions, now_s
+                )
+                self._decide(now_s)
             case _messages.DocumentDelta():
-                self._apply_delta(host, message.delta)
+                self._offered(
+                    self._exchange.receive_delta(host, message.delta, now_s),
+                    message.delta.name,
+                    message.delta.target,
+                    host,
+                )
             case _messages.DocumentSnapshot():
-                self._offer(message.document, host)
+                document = message.document
+                self._offered(
+                    self._exchange.receive_document(host, document, now_s),
+                    document.name,
+                    document.version,
+                    host,
+                )
             case _messages.FetchDocument():
-                self._answer_fetch(host, message)
+                self._send(
+                    self._exchange.receive_fetch(
+                        host, message.name, message.have
+                    )
+                )
             case (
                 _messages.LoanRequest()
                 | _messages.LoanGrant()
@@ -103,119 +188,226 @@
             case _:
                 typing.assert_never(message)
 
-    def _fetch_newer(self, host: str, versions: state.VersionVector) -> None:
-        own = self._config.versions()
-        for name in state.DocumentName:
-            if versions.get(name).number > own.get(name).number:
-                self._send(host, _messages.FetchDocument(name, own.get(name)))
+    def _peer_shows(
+        self, host: str, versions: state.VersionVector, now_s: float
+    ) -> None:
+        self._send(self._exchange.peer_shows(host, versions, now_s))
+        self._note_conflicts(host, versions)
 
-    def _apply_delta(self, host: str, delta: state.Delta) -> None:
-        base = self._config.by_name[delta.name]
-        if delta.target.number <= base.version.number:
-            return
-        document = state.apply_delta(base, delta)
-        if document is None:
-            self._send(host, _messages.FetchDocument(delta.name, base.version))
+    def _versions_reply(self, inquiry: int) -> _messages.VersionsReply:
+        return _messages.VersionsReply(
+            inquiry, self._exchange.config.versions()
+        )
+
+    def _handle_source(
+        self, message: _source_client.SourceMessage, now_s: float
+    ) -> None:
+        if isinstance(message, _messages.DocumentRead):
+            document = message.document
+            offered = self._exchange.receive_document(None, document, now_s)
+            self._offered(offered, document.name, document.version, None)
+            events = self._source.read(document, offered.result, now_s)
+        else:
+            events = self._source.handle(message, now_s)
+        for event in events:
+            self._tell_membership(event)
+        own = self._exchange.config.versions()
+        if not isinstance(message, _messages.SourceFailed):
+            shown = _shown_by_source(message, own)
+            self._readiness.answer(self._source.inquiry, shown, now_s)
+        if self._source.caught_up:
+            self._confirm(now_s)
+        self._decide(now_s)
+        self._call_source(now_s)
+
+    def _call_source(self, now_s: float) -> None:
+        if self._reader is None:
             return
-        self._offer(document, host)
+        call = self._source.next_call(
+            self._exchange.config.versions(),
+            self._exchange.by_peer.keys(),
+            self._readiness.inquiry,
+            now_s,
+        )
+        if call is not None:
+            self._reader.tell(call)
 
-    def _answer_fetch(
-        self, host: str, message: _messages.FetchDocument
+    def _offered(
+        self,
+        offered: state.Offered,
+        name: state.DocumentName,
+        version: state.Version,
+        origin: str | None,
     ) -> None:
-        document = self._config.by_name[message.name]
-        if document.version.number > message.have.number:
-            self._send(host, _messages.DocumentSnapshot(document))
-
-    def _offer(self, document: state.Document, origin: str | None) -> None:
-        result = self._config.offer(document)
-        fields = {
-            "document": document.name.value,
-            "version": str(document.version),
-            "origin": origin or "source",
-        }
-        match result:
+        # Peers come first: a heartbeat sent after the snapshot has changed
+        # shows the new version, and a peer would fetch what is on its way.
+        self._send(offered.sends)
+        match offered.result:
             case state.Accepted():
-                self._record("version-accepted", fields)
-                self._publish(result, origin)
-            case state.Stale():
-                return
+                self._publish(offered.result, version, origin)
             case state.Conflict():
-                fields["in_force"] = str(result.in_force)
-                self._record("version-conflict", fields)
-            case state.Invalid():
-                fields["reason"] = result.reason
-                self._record("version-invalid", fields)
+                self._note_conflict(name, version, origin or "source")
+            case state.Invalid() if origin is not None:
+                self._record(
+                    "version-invalid",
+                    {
+                        "document": name.value,
+                        "version": str(version),
+                        "origin": origin,
+                        "reason": offered.result.reason,
+                    },
+                )
+            case state.Stale() | state.Invalid() | None:
+                return
             case _:
-                typing.assert_never(result)
+                typing.assert_never(offered.result)
 
-    def _publish(self, accepted: state.Accepted, origin: str | None) -> None:
+    def _publish(
+        self,
+        accepted: state.Accepted,
+        version: state.Version,
+        origin: str | None,
+    ) -> None:
+        snapshot = accepted.snapshot
+        state.check(
+            exceptions.ResultCode.INVARIANT_REVERTED,
+            snapshot.versions.covers(self._published)
+            and not state.conflicts(self._published, snapshot.versions),
+            "versions in force would revert from %s to %s",
+            self._published,
+            snapshot.versions,
+        )
+        self._published = snapshot.versions
         for subscriber in self._subscribers:
-            subscriber.tell(_messages.SnapshotChanged(accepted.snapshot))
-        self._update_ready()
-        delta = accepted.delta
-        for host in sorted(self._by_peer):
-            shown = self._by_peer[host].get(delta.name)
-            if host == origin or shown.number >= delta.target.number:
-                continue
-            self._send(host, _messages.DocumentDelta(delta))
-
-    def _update_ready(self) -> None:
-        versions = self._config.versions()
-        ready = versions.table.number > 0 and versions.hosts.number > 0
-        if ready == self._ready:
+            subscriber.tell(_messages.SnapshotChanged(snapshot))
+        self._record(
+            "version-accepted",
+            {
+                "document": accepted.delta.name.value,
+                "version": str(version),
+                "origin": origin or "source",
+            },
+        )
+        if accepted.delta.name is state.DocumentName.HOSTS:
+            self._source.hosts_changed(snapshot)
+        self._decide(self._clock.monotonic_s())
+
+    def _decide(self, now_s: float) -> None:
+        """Publish the readiness, also unchanged, as a sign of no pause."""
+        decided = self._readiness.decide(
+            self._exchange.config.versions(), now_s
+        )
+        if decided == self._decided:
             return
-        self._ready = ready
+        self._decided = decided
+        message = _messages.ReadinessChanged(
+            self._decided.ready,
+            self._decided.reason,
+            self._decided.ticked_s,
+            self._confirmed_s,
+        )
         for subscriber in self._subscribers:
-            subscriber.tell(_messages.ReadinessChanged(ready, "configured"))
+            subscriber.tell(message)
 
-    def _read_source(self) -> None:
-        if self._source is None or self._source_busy:
-            return
-        self._source_busy = True
-        have = self._config.versions()
-        if self._config.versions().hosts.number == 0:
-            self._source.tell(_messages.ReadSource(have))
-            return
-        if self._is_watcher():
-            self._source.tell(_messages.WatchSource(have))
+    def _confirm(self, confirmed_s: float) -> None:
+        if self._confirmed_s is None or confirmed_s > self._confirmed_s:
+            self._confirmed_s = confirmed_s
+
+    def _note_confirmation(self, now_s: float) -> None:
+        """Record when the versions have gone unconfirmed for too long."""
+        confirmed_s = self._confirmed_s
+        since_s = self._started_s if confirmed_s is None else confirmed_s
+        age_s = now_s - since_s
+        unconfirmed = age_s > const.UNCONFIRMED_ALARM_S
+        if unconfirmed == self._unconfirmed:
             return
-        self._source_busy = False
+        self._unconfirmed = unconfirmed
+        name = "versions-unconfirmed" if unconfirmed else "versions-confirmed"
+        self._record(name, {"age_s": f"{age_s:.1f}"})
+
+    def _confirmed_age_s(self, now_s: float) -> float | None:
+        if self._confirmed_s is None:
+            return None
+        return now_s - self._confirmed_s
+
+    def _note_conflicts(
+        self, host: str, versions: state.VersionVector
+    ) -> None:
+        own = self._exchange.config.versions()
+        for name in state.conflicts(own, versions):
+            self._note_conflict(name, versions.get(name), host)
 
-    def _is_watcher(self) -> bool:
-        chosen = state.watchers(
-            self._config.snapshot, self._settings.data_centre
+    def _note_conflict(
+        self, name: state.DocumentName, version: state.Version, origin: str
+    ) -> None:
+        """Raise the alarm once for each digest."""
+        if (name, version.digest) in self._conflicts:
+            return
+        self._conflicts.add((name, version.digest))
+        in_force = self._exchange.config.versions().get(name)
+        self._record(
+            "version-conflict",
+            {
+                "document": name.value,
+                "version": str(version),
+                "in_force": str(in_force),
+                "origin": origin,
+            },
         )
-        return any(host.host == self._settings.host for host in chosen)
-
-    def _source_answered(self) -> None:
-        self._source_busy = False
-        self._source_failures = 0
-        self._source_error = ""
-        self._read_source()
-
-    def _source_failed(self, reason: str) -> None:
-        self._source_busy = False
-        if not self._source_error:
-            self._record("source-failed", {"reason": reason})
-        self._source_error = reason
-        limit_s = min(_RETRY_MAX_S, _RETRY_FIRST_S * 2**self._source_failures)
-        self._source_failures = min(self._source_failures + 1, 8)
-        delay_s = self._rng.uniform(limit_s / 2, limit_s)
-        self._timers.call_later(delay_s, self.actor_ref, _messages.Tick())
-
-    def _status(self) -> _messages.ConfigStatus:
+
+    def _status(self, now_s: float) -> _messages.ConfigStatus:
         return _messages.ConfigStatus(
-            versions=self._config.versions(),
-            ready=self._ready,
-            reason="configured" if self._ready else "no configuration",
-            watching=self._is_watcher(),
-            source_error=self._source_error,
+            versions=self._exchange.config.versions(),
+            ready=self._decided.ready,
+            reason=self._decided.reason,
+            watching=self._source.watching,
+            source_error=self._source.error,
+            confirmed_age_s=self._confirmed_age_s(now_s),
         )
 
-    def _send(self, host: str, message: _messages.PeerMessage) -> None:
-        if self._membership is not None:
-            self._membership.tell(_messages.SendToPeer(host, message))
+    def _send(self, sends: tuple[state.Send, ...]) -> None:
+        for send in sends:
+            match send:
+                case state.SendDelta():
+                    message: _messages.PeerMessage = _messages.DocumentDelta(
+                        send.delta
+                    )
+                case state.SendDocument():
+                    message = _messages.DocumentSnapshot(send.document)
+                case state.SendFetch():
+                    message = _messages.FetchDocument(send.name, send.have)
+                case state.SendVersions():
+                    message = self._versions_reply(-1)
+                case _:
+                    typing.assert_never(send)
+            self._tell_peer(send.host, message)
+
+    def _tell_peer(self, host: str, message: _messages.PeerMessage) -> None:
+        self._tell_membership(_messages.SendToPeer(host, message))
 
     def _record(self, name: str, fields: dict[str, str]) -> None:
+        self._tell_membership(_messages.RecordEvent(name, fields))
+
+    def _tell_membership(self, message: object) -> None:
         if self._membership is not None:
-            self._membership.tell(_messages.RecordEvent(name, fields))
+            self._membership.tell(message)
+
+
+def _shown_by_source(
+    message: _source_client.SourceMessage, own: state.VersionVector
+) -> state.VersionVector:
+    """Return the versions that an answer of the source shows."""
+    shown = own
+    match message:
+        case _messages.SourceChanged():
+            for name in message.names:
+                newer = state.Version(own.get(name).number + 1, "")
+                shown = shown.replace(name, newer)
+        case _messages.DocumentRead():
+            document = message.document
+            shown = shown.replace(document.name, document.version)
+        case _messages.DocumentUnreadable() | _messages.SourceFailed():
+            return own
+        case _:
+            typing.assert_never(message)
+    return shown
--- a/src/jasminecrank/coordination/_membership.py
+++ b/src/jasminecrank/coordination/_membership.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+import math
 import random
 import typing
 
@@ -12,8 +13,8 @@
 from jasminecrank.coordination import _messages
 from jasminecrank.coordination import _timers
 
-_REDIAL_MIN_S = 0.5
-_REDIAL_MAX_S = 8.0
+_UNPLANNED_S = 60.0
+"""Time for host lists to become equal before an unplanned link is closed."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,8 +31,12 @@
 class _Link:
     mailbox: _messages.Mailbox
     dialled_by: str
+    address: str
+    incarnation: int
     versions: state.VersionVector
     last_heard_s: float
+    unplanned_since_s: float | None = None
+    leaving: bool = False
 
 
 Dial = Callable[[str, _messages.Hello, _messages.Mailbox], None]
@@ -64,7 +69,10 @@
         self._journal = state.Journal.from_host(settings.host)
         self._snapshot = state.Snapshot.empty()
         self._by_host: dict[str, _Link] = {}
-        self._dialling: set[str] = set()
+        self._topology = state.Topology.from_snapshot(self._snapshot)
+        self._dialling = state.DialSchedule(settings.host)
+        self._dial_due_s = math.inf
+        self._readiness: _messages.ReadinessChanged | None = None
         self._draining = False
         self._config: _messages.Mailbox | None = None
         self._admission: _messages.Mailbox | None = None
@@ -75,8 +83,7 @@
         """Take the mailboxes of the other actors and begin."""
         self._config = config
         self._admission = admission
-        for address in self._settings.seed_peers:
-            self._start_dial(address)
+        self._dial_planned()
         self._schedule_tick()
 
     def on_receive(self, message: object) -> object:
@@ -93,15 +100,14 @@
             case _messages.LinkDown():
                 self._link_down(message)
             case _messages.SnapshotChanged():
-                self._snapshot = message.snapshot
+                self._change_snapshot(message.snapshot)
+            case _messages.DialDue():
+                self._dial_due_s = math.inf
                 self._dial_planned()
             case _messages.Tick():
                 self._tick()
             case _messages.ReadinessChanged():
-                self._record(
-                    "readiness",
-                    {"ready": str(message.ready), "reason": message.reason},
-                )
+                self._change_readiness(message)
             case _messages.StopRequested():
                 self._stop_links()
             case _messages.GetStatus():
@@ -132,12 +138,15 @@
                 | _messages.DocumentDelta()
                 | _messages.DocumentSnapshot()
                 | _messages.FetchDocument()
+                | _messages.VersionsRequest()
+                | _messages.VersionsReply()
             ):
                 self._tell(self._config, delivered)
             case _messages.LoanRequest() | _messages.LoanGrant():
                 self._tell(self._admission, delivered)
             case _messages.Goodbye():
-                self._record("peer-leaving", {"peer": envelope.sender})
+                self._peer_leaves(envelope.sender, link)
+                self._tell(self._admission, delivered)
             case _:
                 typing.assert_never(envelope.message)
 
@@ -151,10 +160,11 @@
 
     def _link_up(self, message: _messages.LinkUp) -> None:
         host = message.hello.host
-        self._dialling.discard(self._address_of(host))
+        if message.address:
+            self._dialling.opened(message.address)
         known = self._by_host.get(host)
         if host == self._settings.host or (
-            known is not None and known.dialled_by < message.dialled_by
+            known is not None and _keeps(known, message)
         ):
             _timers.deliver(message.mailbox, _messages.StopRequested())
             return
@@ -163,6 +173,8 @@
         self._by_host[host] = _Link(
             message.mailbox,
             message.dialled_by,
+            message.address or self._address_of(host),
+            message.hello.incarnation,
             message.hello.versions,
             self._clock.monotonic_s(),
         )
@@ -173,47 +185,128 @@
         )
 
     def _link_down(self, message: _messages.LinkDown) -> None:
-        self._dialling.discard(message.address)
+        if message.address:
+            self._dialling.failed(
+                message.address, self._clock.monotonic_s(), self._rng
+            )
         for host, link in tuple(self._by_host.items()):
             if link.mailbox == message.mailbox:
                 self._drop(host, message.reason)
+        self._dial_planned()
 
     def _drop(self, host: str, reason: str) -> None:
         link = self._by_host.pop(host)
         _timers.deliver(link.mailbox, _messages.StopRequested())
+        now_s = self._clock.monotonic_s()
+        if link.leaving:
+            self._dialling.defer(link.address, now_s)
+        elif link.address:
+            self._dialling.failed(link.address, now_s, self._rng)
         self._record("peer-down", {"peer": host, "reason": reason})
+        if not link.leaving:
+            self._tell(self._config, _messages.PeerDown(host))
+
+    def _peer_leaves(self, host: str, link: _Link) -> None:
+        """Count a peer that stops as planned as gone, before it closes."""
+        if link.leaving:
+            return
+        link.leaving = True
+        self._record("peer-leaving", {"peer": host})
         self._tell(self._config, _messages.PeerDown(host))
 
+    def _change_snapshot(self, snapshot: state.Snapshot) -> None:
+        changed = snapshot.versions.hosts != self._snapshot.versions.hosts
+        self._snapshot = snapshot
+        if changed:
+            self._topology = state.Topology.from_snapshot(snapshot)
+            self._dial_planned()
+
+    def _change_readiness(self, message: _messages.ReadinessChanged) -> None:
+        known = self._readiness
+        self._readiness = message
+        if known is not None and (known.ready, known.reason) == (
+            message.ready,
+            message.reason,
+        ):
+            return
+        self._record(
+            "readiness",
+            {"ready": str(message.ready), "reason": message.reason},
+        )
+
     def _tick(self) -> None:
         now_s = self._clock.monotonic_s()
         for host, link in tuple(self._by_host.items()):
             if now_s - link.last_heard_s > const.PEER_SILENCE_LIMIT_S:
                 self._drop(host, "silent")
         heartbeat = _messages.Heartbeat(
-            self._snapshot.versions, self._draining
+            self._snapshot.versions,
+            self._draining,
+            self._confirmed_age_s(now_s),
         )
         for host in tuple(self._by_host):
             self._send(host, heartbeat)
+        self._close_unplanned(now_s)
         self._dial_planned()
         self._schedule_tick()
 
+    def _confirmed_age_s(self, now_s: float) -> float:
+        if self._readiness is None or self._readiness.confirmed_s is None:
+            return math.inf
+        return now_s - self._readiness.confirmed_s
+
+    def _close_unplanned(self, now_s: float) -> None:
+        """Close links that this node dialled and no longer plans.
+
+        The other side dials anew if it still plans the link.
+        """
+        planned = {peer.host for peer in self._planned()}
+        for host, link in tuple(self._by_host.items()):
+            if host in planned or link.dialled_by != self._settings.host:
+                link.unplanned_since_s = None
+            elif link.unplanned_since_s is None:
+                link.unplanned_since_s = now_s
+            elif planned and now_s - link.unplanned_since_s >= _UNPLANNED_S:
+                self._drop(host, "no longer planned")
+
     def _schedule_tick(self) -> None:
         period_s = const.HEARTBEAT_PERIOD_S
         delay_s = self._rng.uniform(0.8 * period_s, period_s)
         self._timers.call_later(delay_s, self.actor_ref, _messages.Tick())
 
+    def _planned(self) -> tuple[state.HostRow, ...]:
+        return self._topology.links(
+            self._settings.host, self._settings.data_centre
+        )
+
     def _dial_planned(self) -> None:
         if self._draining:
             return
-        for peer in state.plan_links(self._snapshot, self._settings.host):
-            if peer.host not in self._by_host:
-                self._start_dial(f"{peer.address}:{peer.peer_port}")
+        targets = [
+            state.DialTarget(peer.host, f"{peer.address}:{peer.peer_port}")
+            for peer in self._planned()
+        ]
+        if not self._topology.by_host:
+            targets = [
+                state.DialTarget("", address)
+                for address in self._settings.seed_peers
+            ]
+        now_s = self._clock.monotonic_s()
+        due = self._dialling.take_due(
+            targets, self._by_host.keys(), now_s, self._rng
+        )
+        for target in due:
+            self._dial(target.address, self._hello(), self.actor_ref)
+        self._schedule_dial(now_s)
 
-    def _start_dial(self, address: str) -> None:
-        if address in self._dialling:
+    def _schedule_dial(self, now_s: float) -> None:
+        due_s = self._dialling.next_due_s()
+        if due_s is None or due_s >= self._dial_due_s:
             return
-        self._dialling.add(address)
-        self._dial(address, self._hello(), self.actor_ref)
+        self._dial_due_s = due_s
+        self._timers.call_later(
+            max(0.0, due_s - now_s), self.actor_ref, _messages.DialDue()
+        )
 
     def _hello(self) -> _messages.Hello:
         return _messages.Hello(
@@ -250,3 +343,14 @@
     ) -> None:
         if mailbox is not None:
             mailbox.tell(message)
+
+
+def _keeps(known: _Link, message: _messages.LinkUp) -> bool:
+    """Return whether a link stays when a second one to its peer opens.
+
+    Both sides keep the link to the newer process or else the one that the
+    lower host id dialled.
+    """
+    if known.incarnation != message.hello.incarnation:
+        return known.incarnation > message.hello.incarnation
+    return known.dialled_by < message.dialled_by
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+import math
 import typing
 
 from jasminecrank import exceptions
@@ -35,6 +36,8 @@
 
     versions: state.VersionVector
     draining: bool
+    confirmed_age_s: float = math.inf
+    """Seconds since the source confirmed the versions, through any node."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +62,21 @@
     have: state.Version
 
 
+@dataclass(slots=True, frozen=True)
+class VersionsRequest:
+    """Ask a peer for its versions after a pause."""
+
+    inquiry: int
+
+
+@dataclass(slots=True, frozen=True)
+class VersionsReply:
+    """Show the versions in force: for an inquiry, or unasked with none."""
+
+    inquiry: int
+    versions: state.VersionVector
+
+
 @dataclass(slots=True, frozen=True)
 class LoanRequest:
     """Ask a peer of the same service for quota."""
@@ -94,6 +112,8 @@
     | DocumentDelta
     | DocumentSnapshot
     | FetchDocument
+    | VersionsRequest
+    | VersionsReply
     | LoanRequest
     | LoanGrant
     | Goodbye
@@ -117,6 +137,11 @@
     """Periodic timer message."""
 
 
+@dataclass(slots=True, frozen=True)
+class DialDue:
+    """It is time to dial planned peers."""
+
+
 @dataclass(slots=True, frozen=True)
 class SnapshotChanged:
     """A new snapshot is in force on this node."""
@@ -130,6 +155,10 @@
 
     ready: bool
     reason: str
+    ticked_s: float | None = None
+    """Monotonic time of the last tick, to detect a pause at use."""
+    confirmed_s: float | None = None
+    """Monotonic time at which the source last confirmed the versions."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -140,8 +169,18 @@
 
 
 @dataclass(slots=True, frozen=True)
-class SourceAnswered:
-    """The source answered a read or a watch completely."""
+class DocumentUnreadable:
+    """The source answered with something that is not a document."""
+
+    name: state.DocumentName
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class SourceChanged:
+    """A watch has ended; the source has newer versions of these."""
+
+    names: tuple[state.DocumentName, ...]
 
 
 @dataclass(slots=True, frozen=True)
@@ -153,16 +192,17 @@
 
 @dataclass(slots=True, frozen=True)
 class ReadSource:
-    """Read every document of the source that differs from these versions."""
+    """Read one document; this is one call."""
 
-    have: state.VersionVector
+    name: state.DocumentName
 
 
 @dataclass(slots=True, frozen=True)
 class WatchSource:
-    """Wait until the source has something newer, then read it."""
+    """Wait until the source has something newer; this is one call."""
 
     have: state.VersionVector
+    wait_s: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -172,6 +212,8 @@
     hello: Hello
     mailbox: Mailbox
     dialled_by: str
+    address: str = ""
+    """The address that was dialled, empty on the accepting side."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -307,6 +349,8 @@
     reason: str
     watching: bool
     source_error: str
+    confirmed_age_s: float | None
+    """Seconds since the source confirmed the versions, None if never."""
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/src/jasminecrank/coordination/_source_client.py
@@ -0,0 +1,228 @@
+"""The order of a node's calls to the configuration service."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from dataclasses import field
+import random
+import typing
+
+from jasminecrank import const
+from jasminecrank import state
+from jasminecrank.coordination import _messages
+
+SourceMessage = (
+    _messages.SourceChanged
+    | _messages.DocumentRead
+    | _messages.DocumentUnreadable
+    | _messages.SourceFailed
+)
+SourceCall = _messages.ReadSource | _messages.WatchSource
+Events = tuple[_messages.RecordEvent, ...]
+_ASK_PEERS_S = 1.0
+_NUMBER_MAX = 2**53 - 1
+
+
+@dataclass(slots=True)
+class SourceClient:
+    """Decides which call to make; ConfigActor owns it and sends the calls.
+
+    Watchers watch and read what has changed. A node without a host list
+    reads that first, because it then knows its peers. A node without links
+    watches for short times within its part of the budget.
+    """
+
+    rng: random.Random
+    schedule: state.SourceSchedule
+    duty: state.WatchDuty
+    topology: state.Topology
+    isolated_since_s: float
+    waiting: list[state.DocumentName] = field(default_factory=list)
+    rejected: dict[state.DocumentName, state.Version] = field(
+        default_factory=dict
+    )
+    reported: set[tuple[str, str, str]] = field(default_factory=set)
+    busy: bool = False
+    inquiry: int = 0
+    error: str = ""
+    caught_up: bool = False
+    """Whether the last answer showed nothing newer than is in force."""
+
+    @classmethod
+    def from_start(
+        cls,
+        host: str,
+        data_centre: str,
+        now_s: float,
+        rng: random.Random,
+        asks_peers_first: bool,
+    ) -> "SourceClient":
+        """Return the client of a node that has just started."""
+        delay_s = _ASK_PEERS_S if asks_peers_first else 0.0
+        return cls(
+            rng,
+            state.SourceSchedule.from_start(now_s, rng, delay_s),
+            state.WatchDuty(host, data_centre),
+            state.Topology.from_snapshot(state.Snapshot.empty()),
+            now_s,
+        )
+
+    @property
+    def watching(self) -> bool:
+        """Return whether this node watches the source."""
+        return self.duty.watching
+
+    def hosts_changed(self, snapshot: state.Snapshot) -> None:
+        """Take a new host list."""
+        self.topology = state.Topology.from_snapshot(snapshot)
+
+    def next_call(
+        self,
+        versions: state.VersionVector,
+        linked: Collection[str],
+        inquiry: int,
+        now_s: float,
+    ) -> SourceCall | None:
+        """Return the call to make now, if any."""
+        if versions.hosts.number > 0:
+            self.duty.update(self.topology, linked, now_s)
+            self.schedule.set_part(self.topology, self.watching)
+        if linked:
+            self.isolated_since_s = now_s
+        if self.busy or not self.schedule.may_call(now_s):
+            return None
+        call = self._choose(versions, now_s)
+        if call is not None:
+            self.busy = True
+            self.inquiry = inquiry
+            self.schedule.called(now_s)
+        return call
+
+    def _choose(
+        self, versions: state.VersionVector, now_s: float
+    ) -> SourceCall | None:
+        isolated_s = now_s - self.isolated_since_s
+        isolated = isolated_s >= const.ISOLATED_AFTER_S
+        if versions.hosts.number == 0:
+            if self.schedule.failures == 0 and not self.waiting:
+                return _messages.ReadSource(state.DocumentName.HOSTS)
+        elif not self.watching and not isolated:
+            self.waiting.clear()
+            return None
+        if self.waiting:
+            return _messages.ReadSource(self.waiting.pop(0))
+        wait_s = const.SOURCE_WATCH_S
+        if isolated:
+            wait_s = const.SOURCE_WATCH_ISOLATED_S
+        return _messages.WatchSource(self._watched(versions), wait_s)
+
+    def _watched(self, versions: state.VersionVector) -> state.VersionVector:
+        """Return the versions to wait beyond, so that no bad one repeats.
+
+        Without a host list only that is awaited: it leads to peers, which
+        have the other documents.
+        """
+        if versions.hosts.number == 0:
+            never = state.Version(_NUMBER_MAX, "")
+            return state.VersionVector(table=never, keys=never, outages=never)
+        for name, version in self.rejected.items():
+            if version.number > versions.get(name).number:
+                versions = versions.replace(name, version)
+        return versions
+
+    def handle(
+        self,
+        message: _messages.SourceChanged
+        | _messages.DocumentUnreadable
+        | _messages.SourceFailed,
+        now_s: float,
+    ) -> Events:
+        """Take an answer without a document and return its events."""
+        self.busy = False
+        self.caught_up = False
+        match message:
+            case _messages.SourceChanged():
+                self.waiting = [
+                    name for name in state.SEND_ORDER if name in message.names
+                ]
+                if not message.names:
+                    self._answered()
+                    self.caught_up = not self.rejected
+                    # A rejected version is read again after each watch, in
+                    # case only one replica served it wrongly.
+                    self.rejected.clear()
+                return ()
+            case _messages.DocumentUnreadable():
+                self._back_off(f"document {message.name.value}", now_s)
+                return self._report(
+                    "version-invalid",
+                    {
+                        "document": message.name.value,
+                        "origin": "source",
+                        "reason": message.reason,
+                    },
+                )
+            case _messages.SourceFailed():
+                first = not self.error
+                self._back_off(message.reason, now_s)
+                if not first:
+                    return ()
+                fields = {"reason": message.reason}
+                return (_messages.RecordEvent("source-failed", fields),)
+            case _:
+                typing.assert_never(message)
+
+    def read(
+        self,
+        document: state.Document,
+        result: state.OfferResult | None,
+        now_s: float,
+    ) -> Events:
+        """Take the result of a document that was read."""
+        self.busy = False
+        self.caught_up = False
+        fields = {
+            "document": document.name.value,
+            "version": str(document.version),
+            "origin": "source",
+        }
+        match result:
+            case state.Accepted():
+                self.rejected.pop(document.name, None)
+                self._answered()
+                self.caught_up = not self.waiting and not self.rejected
+                return ()
+            case state.Invalid():
+                self._answered()
+                self.rejected[document.name] = document.version
+                fields["reason"] = result.reason
+                return self._report("version-invalid", fields)
+            case state.Stale() if document.version == result.in_force:
+                # A watch that shows a newer version than the read gives
+                # would otherwise repeat at once.
+                self.schedule.failed(now_s, self.rng)
+                return ()
+            case state.Stale():
+                self._back_off("source serves older versions", now_s)
+                fields["in_force"] = str(result.in_force)
+                return self._report("source-stale", fields)
+            case state.Conflict() | None:
+                self._back_off("source serves another digest", now_s)
+                return ()
+            case _:
+                typing.assert_never(result)
+
+    def _answered(self) -> None:
+        self.schedule.answered()
+        self.error = ""
+
+    def _back_off(self, reason: str, now_s: float) -> None:
+        self.schedule.failed(now_s, self.rng)
+        self.error = reason
+
+    def _report(self, name: str, fields: dict[str, str]) -> Events:
+        """Return an event the first time, nothing on repeats."""
+        key = (name, fields["document"], str(sorted(fields.items())))
+        if key in self.reported:
+            return ()
+        self.reported.add(key)
+        return (_messages.RecordEvent(name, fields),)
--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -41,7 +41,12 @@
         timers = coordination.Timers.start(clock)
         rng = random.Random(f"{settings.host}/{os.getpid()}/{time.time_ns()}")
         config = coordination.ConfigActor.start(
-            coordination.ConfigSettings(settings.host, settings.data_centre),
+            coordination.ConfigSettings(
+                settings.host,
+                settings.data_centre,
+                asks_peers_first=bool(settings.seed_peers),
+            ),
+            clock,
             timers,
             rng,
         )
--- a/src/jasminecrank/protocol/_cbor.py
+++ b/src/jasminecrank/protocol/_cbor.py
@@ -82,6 +82,7 @@
                 "heartbeat",
                 _encode_vector(message.versions),
                 message.draining,
+                message.confirmed_age_s,
             ]
         case coordination.DocumentDelta():
             delta = message.delta
@@ -103,6 +104,14 @@
             ]
         case coordination.FetchDocument():
             return ["fetch", message.name.value, _encode_version(message.have)]
+        case coordination.VersionsRequest():
+            return ["versions?", message.inquiry]
+        case coordination.VersionsReply():
+            return [
+                "versions",
+                message.inquiry,
+                _encode_vector(message.versions),
+            ]
         case coordination.LoanRequest():
             return [
                 "loan-request",
@@ -138,9 +147,17 @@
                 int(incarnation),
                 _decode_vector(versions),
             )
-        case "heartbeat", [versions, draining]:
+        case "heartbeat", [versions, draining, confirmed_age_s]:
             return coordination.Heartbeat(
-                _decode_vector(versions), bool(draining)
+                _decode_vector(versions),
+                bool(draining),
+                float(confirmed_age_s),
+            )
+        case "versions?", [inquiry]:
+            return coordination.VersionsRequest(int(inquiry))
+        case "versions", [inquiry, versions]:
+            return coordination.VersionsReply(
+                int(inquiry), _decode_vector(versions)
             )
         case "delta", [name, base, target, upserts, removed]:
             return coordination.DocumentDelta(
--- a/src/jasminecrank/transport/_admin_server.py
+++ b/src/jasminecrank/transport/_admin_server.py
@@ -97,6 +97,7 @@
             "reason": config.reason,
             "watching": config.watching,
             "source_error": config.source_error,
+            "confirmed_age_s": config.confirmed_age_s,
             "versions": _plain_versions(config.versions),
             "slots_in_use": admission.slots_in_use,
             "capacity": admission.capacity,
--- a/src/jasminecrank/transport/_links.py
+++ b/src/jasminecrank/transport/_links.py
@@ -1,6 +1,7 @@
 """WebSocket links between nodes."""
 
 import socket
+import struct
 import threading
 
 from absl import logging
@@ -18,6 +19,7 @@
 _OPEN_TIMEOUT_S = 2.0
 _CLOSE_TIMEOUT_S = 1.0
 _HELLO_TIMEOUT_S = 2.0
+_SEND_TIMEOUT_S = 5
 
 
 class PeerLink(coordination.NodeActor):
@@ -64,8 +66,12 @@
 
     def begin(self, peer_hello: coordination.Hello, dialled_by: str) -> None:
         """Announce the open link and start reading from it."""
+        if self._connection is not None:
+            _limit_sends(self._connection.socket)
         self._membership.tell(
-            coordination.LinkUp(peer_hello, self.actor_ref, dialled_by)
+            coordination.LinkUp(
+                peer_hello, self.actor_ref, dialled_by, self._address
+            )
         )
         threading.Thread(
             target=self._read, name=f"read-{peer_hello.host}", daemon=True
@@ -216,5 +222,18 @@
     )
 
 
+def _limit_sends(peer_socket: socket.socket) -> None:
+    """Let a send to a peer that no longer reads fail.
+
+    Without the limit a paused peer would block the link's actor, which then
+    could not be stopped.
+    """
+    peer_socket.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_SNDTIMEO,
+        struct.pack("ll", _SEND_TIMEOUT_S, 0),
+    )
+
+
 def _as_bytes(frame: str | bytes) -> bytes:
     return frame if isinstance(frame, bytes) else frame.encode()
--- a/src/jasminecrank/transport/_source.py
+++ b/src/jasminecrank/transport/_source.py
@@ -11,7 +11,6 @@
 from jasminecrank import state
 
 _READ_TIMEOUT_S = 2.0
-_WATCH_S = 25
 _HTTP_OK = 200
 
 
@@ -29,49 +28,52 @@
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=1)
 
     def on_receive(self, message: object) -> object:
-        """Read or watch and send on what the source answered."""
+        """Make one call and send on what the source answered."""
         try:
             match message:
                 case coordination.ReadSource():
-                    self._read(self._ask_changed(message.have, 0))
+                    answer: object = self._read(message.name)
                 case coordination.WatchSource():
-                    self._read(self._ask_changed(message.have, _WATCH_S))
+                    answer = self._watch(message)
                 case _:
                     raise exceptions.JasminecrankError(
                         f"unexpected message {message!r}"
                     )
         except exceptions.SourceError as error:
-            self._config.tell(coordination.SourceFailed(str(error)))
-            return None
-        self._config.tell(coordination.SourceAnswered())
+            answer = coordination.SourceFailed(str(error))
+        coordination.deliver(self._config, answer)
         return None
 
-    def _ask_changed(
-        self, have: state.VersionVector, wait_s: int
-    ) -> tuple[state.DocumentName, ...]:
+    def _watch(
+        self, message: coordination.WatchSource
+    ) -> coordination.SourceChanged:
         query = "&".join(
-            f"{name.value}={have.get(name).number}"
+            f"{name.value}={message.have.get(name).number}"
             for name in state.DocumentName
         )
+        wait_s = message.wait_s
         payload = self._get(
             f"/v1/watch?{query}&wait_s={wait_s}", _READ_TIMEOUT_S + wait_s
         )
         try:
             names = json.loads(payload)["changed"]
-            return tuple(state.DocumentName(name) for name in names)
+            return coordination.SourceChanged(
+                tuple(state.DocumentName(name) for name in names)
+            )
         except (ValueError, KeyError, TypeError) as error:
             raise exceptions.SourceError(
                 f"watch answer is not as documented: {error!r}"
             ) from None
 
-    def _read(self, names: tuple[state.DocumentName, ...]) -> None:
-        for name in sorted(names, key=_read_order):
-            payload = self._get(f"/v1/documents/{name.value}", _READ_TIMEOUT_S)
-            try:
-                document = protocol.decode_published(name, payload)
-            except exceptions.DocumentError as error:
-                raise exceptions.SourceError(str(error)) from None
-            self._config.tell(coordination.DocumentRead(document))
+    def _read(
+        self, name: state.DocumentName
+    ) -> coordination.DocumentRead | coordination.DocumentUnreadable:
+        payload = self._get(f"/v1/documents/{name.value}", _READ_TIMEOUT_S)
+        try:
+            document = protocol.decode_published(name, payload)
+        except exceptions.DocumentError as error:
+            return coordination.DocumentUnreadable(name, str(error))
+        return coordination.DocumentRead(document)
 
     def _get(self, path: str, timeout_s: float) -> bytes:
         try:
@@ -85,8 +87,3 @@
         if response.status != _HTTP_OK:
             raise exceptions.SourceError(f"status {response.status} on {path}")
         return response.data
-
-
-def _read_order(name: state.DocumentName) -> int:
-    """Read keys first, because a withdrawal is the most urgent change."""
-    return 0 if name is state.DocumentName.KEYS else 1
