--- a/src/jasminecrank/state/_source.py
+++ b/src/jasminecrank/state/_source.py
@@ -99,7 +99,8 @@
         others = {row.host for row in candidates} - {self.host}
         self.unlinked_since_s = {
             host: self.unlinked_since_s.get(host, now_s)
-            for host in others.difference(linked)
+            for host in others
+            if host not in linked
         }
         down = {
             host
--- a/src/jasminecrank/state/_topology.py
+++ b/src/jasminecrank/state/_topology.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 import functools
 import hashlib
+import itertools
 
 from jasminecrank import const
 from jasminecrank.state import _rows
@@ -74,8 +75,8 @@
     ) -> _HostRank:
         """Return the hosts of a data centre that watch the source."""
         rank = self.watch_rank_by_data_centre.get(data_centre, ())
-        present = [host for host in rank if host.host not in down]
-        return tuple(present[: const.WATCHERS_PER_DATA_CENTRE])
+        present = (host for host in rank if host.host not in down)
+        return tuple(itertools.islice(present, const.WATCHERS_PER_DATA_CENTRE))
 
     def watch_candidates(self, data_centre: str) -> _HostRank:
         """Return the watchers and those who replace them, by rank."""
@@ -85,8 +86,8 @@
     def watcher_count(self) -> int:
         """Return how many hosts of the fleet watch the source."""
         return sum(
-            len(self.watchers(data_centre))
-            for data_centre in self.watch_rank_by_data_centre
+            min(len(rank), const.WATCHERS_PER_DATA_CENTRE)
+            for rank in self.watch_rank_by_data_centre.values()
         )
 
     def links(
