--- a/src/jasminecrank/coordination/__init__.py
+++ b/src/jasminecrank/coordination/__init__.py
@@ -5,6 +5,9 @@
 from jasminecrank.coordination._admission import (
     AdmissionActor as AdmissionActor,
 )
+from jasminecrank.coordination._admission import (
+    AdmissionSettings as AdmissionSettings,
+)
 from jasminecrank.coordination._config import ConfigActor as ConfigActor
 from jasminecrank.coordination._config import ConfigSettings as ConfigSettings
 from jasminecrank.coordination._membership import Dial as Dial
@@ -19,6 +22,7 @@
     AdmissionStatus as AdmissionStatus,
 )
 from jasminecrank.coordination._messages import AdmitCall as AdmitCall
+from jasminecrank.coordination._messages import AwaitDrained as AwaitDrained
 from jasminecrank.coordination._messages import CallFinished as CallFinished
 from jasminecrank.coordination._messages import CancelCall as CancelCall
 from jasminecrank.coordination._messages import ConfigStatus as ConfigStatus
@@ -31,6 +35,9 @@
 )
 from jasminecrank.coordination._messages import Envelope as Envelope
 from jasminecrank.coordination._messages import FetchDocument as FetchDocument
+from jasminecrank.coordination._messages import (
+    ForwardFinished as ForwardFinished,
+)
 from jasminecrank.coordination._messages import GetEvents as GetEvents
 from jasminecrank.coordination._messages import GetHello as GetHello
 from jasminecrank.coordination._messages import GetStatus as GetStatus
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -1,21 +1,49 @@
 """The actor that decides on calls."""
 
+from dataclasses import dataclass
+import math
+
 from jasminecrank import exceptions
 from jasminecrank import state
 from jasminecrank.coordination import _actors
 from jasminecrank.coordination import _messages
+from jasminecrank.coordination import _timers
+
+_DRAIN_POLL_S = 0.5
+"""Forwarded calls are no longer in hand once their deadline has passed."""
+
+
+@dataclass(slots=True, frozen=True)
+class AdmissionSettings:
+    """Whose calls are decided and how many can be in hand at once."""
+
+    host: str
+    threads: int
 
 
 class AdmissionActor(_actors.NodeActor):
     """Owns quotas, slots and the snapshot by which calls are decided."""
 
-    def __init__(self, host: str, clock: state.Clock) -> None:
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        clock: state.Clock,
+        timers: _timers.Timers,
+    ) -> None:
         super().__init__()
         self._clock = clock
+        self._timers = timers
         self._admission = state.AdmissionState.from_host(
-            host, clock.monotonic_s()
+            settings.host,
+            clock.monotonic_s(),
+            clock.wall_ms(),
+            settings.threads,
         )
         self._membership: _messages.Mailbox | None = None
+        self._reply_by_ticket: dict[int, _messages.DecisionReply] = {}
+        self._tick_due_s = math.inf
+        self._await_drained: list[_messages.DrainedReply] = []
+        self._reset_reported_at_s = clock.monotonic_s()
 
     def connect(self, membership: _messages.Mailbox) -> None:
         """Take the mailboxes of the other actors."""
@@ -24,33 +52,100 @@
     def on_receive(self, message: object) -> object:
         """Handle one message."""
         now_s = self._clock.monotonic_s()
+        if isinstance(message, _messages.GetStatus):
+            return self._status()
+        self._handle(message, now_s)
+        for settled in self._admission.take_settled():
+            self._reply_by_ticket.pop(settled.ticket).set(settled.decision)
+        self._schedule_tick(now_s)
+        self._report_reset()
+        if self._await_drained:
+            self._answer_drained(now_s)
+        return None
+
+    def _handle(self, message: object, now_s: float) -> None:
         match message:
             case _messages.AdmitCall():
-                message.reply.set(self._admission.admit(message.call, now_s))
+                self._admit(message, now_s)
             case _messages.CallFinished():
-                self._admission.finish(message.permit, message.outcome)
+                self._admission.finish(message.permit, message.outcome, now_s)
+            case _messages.ForwardFinished():
+                self._admission.finish_forward(
+                    message.forward, message.outcome, now_s
+                )
+            case _messages.CancelCall():
+                self._admission.cancel(message.request_id, now_s)
+            case _messages.ServerHealth():
+                self._admission.observe_health(message.health, now_s)
             case _messages.SnapshotChanged():
                 self._admission.apply_snapshot(message.snapshot, now_s)
             case _messages.ReadinessChanged():
-                self._admission.ready = message.ready
+                self._admission.set_ready(message.ready, now_s)
+            case _messages.Tick():
+                self._tick_due_s = math.inf
+                self._admission.tick(now_s)
             case _messages.StopRequested():
-                self._admission.draining = True
-            case _messages.ServerHealth() | _messages.CancelCall():
-                return None
+                self._admission.stop(now_s)
+            case _messages.AwaitDrained():
+                self._await_drained.append(message.reply)
             case _messages.Delivered():
-                return None
-            case _messages.GetStatus():
-                return self._status()
+                return
             case _:
                 raise exceptions.JasminecrankError(
                     f"unexpected message {message!r}"
                 )
-        return None
+
+    def _admit(self, message: _messages.AdmitCall, now_s: float) -> None:
+        result = self._admission.admit(message.call, now_s)
+        if isinstance(result, state.Queued):
+            self._reply_by_ticket[result.ticket] = message.reply
+            return
+        message.reply.set(result)
+
+    def _schedule_tick(self, now_s: float) -> None:
+        """Send one timer message for the next call that expires."""
+        due_s = self._admission.next_deadline_s()
+        if self._await_drained:
+            due_s = min(due_s or math.inf, now_s + _DRAIN_POLL_S)
+        if due_s is None or due_s >= self._tick_due_s:
+            return
+        self._tick_due_s = due_s
+        self._timers.call_later(
+            max(0.0, due_s - now_s), self.actor_ref, _messages.Tick()
+        )
+
+    def _answer_drained(self, now_s: float) -> None:
+        """Answer a planned stop once no call is in hand."""
+        if self._admission.calls_in_hand(now_s):
+            return
+        state.check(
+            exceptions.ResultCode.INVARIANT_GRACEFUL_STOP,
+            not self._reply_by_ticket and not self._admission.permits_out(),
+            "stopped with %d calls waiting and %d running",
+            len(self._reply_by_ticket),
+            self._admission.permits_out(),
+        )
+        for reply in self._await_drained:
+            reply.set(None)
+        self._await_drained.clear()
+
+    def _report_reset(self) -> None:
+        ramp = self._admission.dispatcher.server.ramp
+        if ramp.reset_at_s == self._reset_reported_at_s:
+            return
+        self._reset_reported_at_s = ramp.reset_at_s
+        if self._membership is not None:
+            self._membership.tell(
+                _messages.RecordEvent(
+                    "server-cold", {"reason": ramp.last_reset}
+                )
+            )
 
     def _status(self) -> _messages.AdmissionStatus:
+        server = self._admission.dispatcher.server
         return _messages.AdmissionStatus(
-            slots_in_use=self._admission.slots.in_use,
-            capacity=self._admission.slots.capacity,
-            queued=0,
+            slots_in_use=server.slots.in_use,
+            capacity=server.ramp.capacity(self._clock.monotonic_s()),
+            queued=len(self._admission.dispatcher.queue),
             by_result=dict(self._admission.by_result),
         )
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -264,6 +264,28 @@
     outcome: state.Outcome
 
 
+@dataclass(slots=True, frozen=True)
+class ForwardFinished:
+    """Tell how a call sent to another node has ended."""
+
+    forward: state.ForwardTo
+    outcome: state.Outcome
+
+
+class DrainedReply(typing.Protocol):
+    """Where the end of the last call in hand is announced."""
+
+    def set(self, value: None = None) -> None:
+        """Announce that no call is in hand."""
+
+
+@dataclass(slots=True, frozen=True)
+class AwaitDrained:
+    """Ask for a reply once a stop was requested and no call is in hand."""
+
+    reply: DrainedReply
+
+
 @dataclass(slots=True, frozen=True)
 class ServerHealth:
     """What the backend server's health endpoint shows."""
--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -1,5 +1,6 @@
 """Assembly of the node process."""
 
+import contextlib
 from dataclasses import dataclass
 import gc
 import os
@@ -20,6 +21,7 @@
 
 _SWITCH_INTERVAL_S = 0.0005  # 0.005, the default, added up to 5 ms to a call
 _LISTEN_BACKLOG = 128
+_DRAIN_S = 20.0  # above every deadline of a route in the examples, 5 s
 
 
 @dataclass(slots=True)
@@ -45,7 +47,11 @@
             timers,
             rng,
         )
-        admission = coordination.AdmissionActor.start(settings.host, clock)
+        admission = coordination.AdmissionActor.start(
+            coordination.AdmissionSettings(settings.host, settings.threads),
+            clock,
+            timers,
+        )
         membership = _start_membership(settings, clock, timers, rng)
         source = transport.SourceReader.start(settings.source_url, config)
         server = transport.Target(
@@ -75,6 +81,10 @@
         """Stop as planned: finish the calls in hand, then close."""
         self.admission.tell(coordination.StopRequested())
         self.membership.tell(coordination.StopRequested())
+        drained: pykka.ThreadingFuture[None] = pykka.ThreadingFuture()
+        self.admission.tell(coordination.AwaitDrained(drained))
+        with contextlib.suppress(pykka.Timeout):
+            drained.get(timeout=_DRAIN_S)
         self.call_server.stop()
         self.admin_server.stop()
         self.peer_server.stop()
--- a/src/jasminecrank/protocol/_http.py
+++ b/src/jasminecrank/protocol/_http.py
@@ -34,6 +34,8 @@
     exceptions.ResultCode.TOO_MANY_IN_FLIGHT: 429,
     exceptions.ResultCode.DEADLINE_EXCEEDED: 504,
     exceptions.ResultCode.REPEAT_IN_PROGRESS: 409,
+    exceptions.ResultCode.REPEAT_OUTCOME_UNKNOWN: 409,
+    exceptions.ResultCode.IDEMPOTENCY_KEY_MISMATCH: 422,
     exceptions.ResultCode.BODY_TOO_LARGE: 413,
     exceptions.ResultCode.REQUEST_INVALID: 400,
     exceptions.ResultCode.BACKEND_UNREACHABLE: 502,
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -10,8 +10,10 @@
 from jasminecrank.state._calls import Outcome as Outcome
 from jasminecrank.state._calls import OutcomeKind as OutcomeKind
 from jasminecrank.state._calls import Permit as Permit
+from jasminecrank.state._calls import Queued as Queued
 from jasminecrank.state._calls import Refused as Refused
 from jasminecrank.state._calls import Replay as Replay
+from jasminecrank.state._calls import Settled as Settled
 from jasminecrank.state._clock import Clock as Clock
 from jasminecrank.state._clock import ManualClock as ManualClock
 from jasminecrank.state._clock import SystemClock as SystemClock
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -1,41 +1,169 @@
 """The decision on a call."""
 
 from collections import Counter
+import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
+import typing
 
 from jasminecrank import exceptions
+from jasminecrank.state import _backend_server
+from jasminecrank.state import _bookings
+from jasminecrank.state import _call_checks
 from jasminecrank.state import _calls
-from jasminecrank.state import _invariants
+from jasminecrank.state import _dispatch
+from jasminecrank.state import _fair_queue
+from jasminecrank.state import _placement
 from jasminecrank.state import _quota
+from jasminecrank.state import _ramp
 from jasminecrank.state import _rows
-from jasminecrank.state import _slots
 from jasminecrank.state import _snapshot
-from jasminecrank.state import _topology
 
-_NOT_RUN = exceptions.RunState.NOT_RUN
+_THREADS = 48
+_SPARE_THREADS = 4
+"""Threads that ordinary calls leave free, so that a check finds one."""
 
 
 @dataclass(slots=True)
 class AdmissionState:
-    """Owns what the decisions on calls of one node depend on."""
+    """Owns what the decisions on calls of one node depend on.
+
+    A call gets its decision from `admit`, or later from `take_settled`
+    under the ticket that `admit` returned; never from both.
+    """
 
     host: str
+    started_at_s: float
+    started_wall_ms: int
+    threads: int
     snapshot: _snapshot.Snapshot
-    quota: _quota.QuotaState
-    slots: _slots.SlotPool
-    ready: bool = False
-    draining: bool = False
+    placement: _placement.PlacementState
+    dispatcher: _dispatch.Dispatcher
     by_result: Counter[exceptions.ResultCode] = field(default_factory=Counter)
 
     @classmethod
-    def from_host(cls, host: str, now_s: float) -> "AdmissionState":
+    def from_host(
+        cls,
+        host: str,
+        now_s: float,
+        wall_ms: int = 0,
+        threads: int = _THREADS,
+    ) -> "AdmissionState":
         """Return the state of a node that has just started."""
+        empty = _snapshot.Snapshot.empty()
+        placement = _placement.PlacementState.from_host(host, wall_ms)
+        ramp = _ramp.Ramp.from_start(max(1, threads - _SPARE_THREADS), now_s)
         return cls(
             host=host,
-            snapshot=_snapshot.Snapshot.empty(),
-            quota=_quota.QuotaState.from_host(host, now_s),
-            slots=_slots.SlotPool(0),
+            started_at_s=now_s,
+            started_wall_ms=wall_ms,
+            threads=threads,
+            snapshot=empty,
+            placement=placement,
+            dispatcher=_dispatch.Dispatcher(
+                empty,
+                _quota.QuotaState.from_host(host, now_s),
+                placement,
+                _backend_server.BackendServer(ramp),
+            ),
+        )
+
+    @property
+    def quota(self) -> _quota.QuotaState:
+        """Return the ledgers that tokens are taken from."""
+        return self.dispatcher.quota
+
+    def admit(
+        self, call: _calls.CallRequest, now_s: float
+    ) -> _calls.Decision | _calls.Queued:
+        """Return the one decision on a call, or the ticket it waits under."""
+        result = self._decide(call, now_s)
+        if not isinstance(result, _calls.Queued):
+            self._count(result)
+        return result
+
+    def take_settled(self) -> list[_calls.Settled]:
+        """Return the decisions on waiting calls made since the last time."""
+        settled = self.dispatcher.settled
+        if not settled:
+            return []
+        self.dispatcher.settled = []
+        for entry in settled:
+            self._count(entry.decision)
+        return settled
+
+    def finish(
+        self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
+    ) -> None:
+        """Take back the permit of a call that has ended."""
+        self.dispatcher.finish(permit, outcome, now_s)
+
+    def finish_forward(
+        self,
+        forward: _calls.ForwardTo,
+        outcome: _calls.Outcome,
+        now_s: float,
+    ) -> None:
+        """Note how a call sent to another node has ended."""
+        self.placement.chooser.finished(
+            forward.request_id,
+            forward.host.host,
+            outcome.kind is not _calls.OutcomeKind.ANSWERED,
+            now_s,
+        )
+
+    def permits_out(self) -> int:
+        """Return how many permits have not been taken back."""
+        return len(self.dispatcher.server.permit_by_id)
+
+    def cancel(self, request_id: str, now_s: float) -> None:
+        """Withdraw a call that waits."""
+        self.dispatcher.withdraw(
+            lambda waiting: waiting.checked.call.request_id == request_id,
+            exceptions.ResultCode.CALL_CANCELLED,
+            now_s,
+        )
+
+    def tick(self, now_s: float) -> None:
+        """Refuse the calls whose deadline passed while they waited."""
+        self.dispatcher.withdraw(
+            lambda waiting: waiting.checked.deadline_at_s <= now_s,
+            exceptions.ResultCode.DEADLINE_EXCEEDED,
+            now_s,
+        )
+        self.dispatcher.pump(now_s)
+
+    def next_deadline_s(self) -> float | None:
+        """Return when a waiting call expires and `tick` is due."""
+        return self.dispatcher.queue.next_deadline_s()
+
+    def observe_health(
+        self, report: _calls.HealthReport, now_s: float
+    ) -> None:
+        """Learn from the health and load endpoint of the server."""
+        server = self.dispatcher.server
+        server.observe_health(report, now_s)
+        if self.placement.server_draining != server.ramp.draining:
+            self.placement.server_draining = server.ramp.draining
+            self._placement_changed(now_s)
+        self.dispatcher.pump(now_s)
+
+    def set_ready(self, ready: bool, now_s: float) -> None:
+        """Begin or cease to accept calls; waiting calls go on waiting."""
+        self.dispatcher.ready = ready
+        self.dispatcher.pump(now_s)
+
+    def stop(self, now_s: float) -> None:
+        """Forward all new calls and those that wait from now on."""
+        self.placement.stopping = True
+        self._placement_changed(now_s)
+
+    def calls_in_hand(self, now_s: float) -> int:
+        """Return how many calls wait, run or are on their way elsewhere."""
+        return (
+            len(self.dispatcher.queue)
+            + self.dispatcher.server.slots.in_use
+            + self.placement.chooser.in_hand(now_s)
         )
 
     def apply_snapshot(
@@ -43,148 +171,135 @@
     ) -> None:
         """Decide by a new snapshot from now on."""
         self.snapshot = snapshot
-        self.quota.apply_snapshot(snapshot, now_s)
-        own = snapshot.by_host.get(self.host)
-        if own is None or own.service not in snapshot.by_service:
-            self.slots.capacity = 0
-            return
-        self.slots.capacity = snapshot.by_service[own.service].slots
-
-    def admit(self, call: _calls.CallRequest, now_s: float) -> _calls.Decision:
-        """Return the one decision on a call, by one snapshot."""
-        decision = self._decide(call, now_s)
-        match decision:
-            case _calls.Refused():
-                self.by_result[decision.code] += 1
-            case _calls.Admitted() | _calls.ForwardTo() | _calls.Replay():
-                self.by_result[exceptions.ResultCode.OK] += 1
-        return decision
-
-    def finish(self, permit: _calls.Permit, outcome: _calls.Outcome) -> None:
-        """Take back the permit of a call that has ended."""
-        del permit, outcome
-        self.slots.release()
+        accepted = self.placement.accepting
+        self.placement.apply_snapshot(snapshot, self._wall_ms(now_s))
+        if self.placement.accepting and not accepted:
+            self.dispatcher.server.ramp.reset("host returned", now_s)
+        self.dispatcher.apply_snapshot(
+            snapshot, self.threads - _SPARE_THREADS, now_s
+        )
+        self._recheck_waiting(now_s)
+        self.dispatcher.pump(now_s)
 
     def _decide(
         self, call: _calls.CallRequest, now_s: float
-    ) -> _calls.Decision:
-        if not self.ready:
-            return self._refuse(exceptions.ResultCode.NODE_NOT_READY)
-        route = self.snapshot.find_route(call.method, call.path)
-        if route is None:
-            return self._refuse(exceptions.ResultCode.NO_ROUTE)
-        team = self._authenticate(call, route)
-        if isinstance(team, _calls.Refused):
-            return team
-        deadline_at_s = now_s + route.deadline_ms / 1000
-        if call.deadline_at_s is not None:
-            deadline_at_s = min(deadline_at_s, call.deadline_at_s)
-        if deadline_at_s <= now_s:
-            return self._refuse(
-                exceptions.ResultCode.DEADLINE_EXCEEDED, team, route
+    ) -> _calls.Decision | _calls.Queued:
+        if not self.dispatcher.ready:
+            return _call_checks.refuse(
+                self.snapshot, exceptions.ResultCode.NODE_NOT_READY
             )
-        own = self.snapshot.by_host.get(self.host)
-        if (
-            own is None
-            or own.service != route.service
-            or not self.snapshot.accepts_new_work(own)
-            or self.draining
-        ):
-            return self._forward(call, route, team, deadline_at_s)
-        return self._run_here(call, route, team, deadline_at_s, own, now_s)
-
-    def _authenticate(
-        self, call: _calls.CallRequest, route: _rows.RouteRow
-    ) -> str | _calls.Refused:
-        if call.key_digest is None:
-            if route.open_to_all:
-                return ""
-            return self._refuse(exceptions.ResultCode.KEY_MISSING, "", route)
-        team = self.snapshot.team_of(call.key_digest)
-        if team is None and not route.open_to_all:
-            return self._refuse(exceptions.ResultCode.KEY_UNKNOWN, "", route)
-        return team or ""
+        checked = _call_checks.check_call(self.snapshot, call, now_s)
+        if isinstance(checked, _calls.Refused):
+            return checked
+        known = self.dispatcher.bookings.find(checked, now_s)
+        match known:
+            case _bookings.Known():
+                return _calls.Replay(
+                    known.answer, self.snapshot.versions.table
+                )
+            case _bookings.Rejected():
+                return self.dispatcher.reject(known, checked)
+        place = self.placement.place(
+            checked, self.dispatcher.server.ramp.is_down(now_s), now_s
+        )
+        match place:
+            case _placement.Here():
+                return self.dispatcher.submit(
+                    checked, now_s, self._wall_ms(now_s)
+                )
+            case _placement.There():
+                return self._forward(checked, place.host, now_s)
+            case _placement.Nowhere():
+                return self.dispatcher.refuse(place.code, checked)
+            case _:
+                typing.assert_never(place)
+
+    def _recheck_waiting(self, now_s: float) -> None:
+        """Decide anew on the calls that wait, after a change."""
+        for entry in self.dispatcher.queue.remove(lambda waiting: True):
+            old = entry.checked
+            checked = _call_checks.check_call(self.snapshot, old.call, now_s)
+            if isinstance(checked, _calls.Refused):
+                self.dispatcher.give_up(old, now_s)
+                self.dispatcher.settle(entry, checked)
+            elif checked.team != old.team:
+                self.dispatcher.release(
+                    entry, exceptions.ResultCode.KEY_UNKNOWN, now_s
+                )
+            elif (checked.route.service, checked.route.kind) != (
+                old.route.service,
+                old.route.kind,
+            ):
+                self.dispatcher.release(
+                    entry, exceptions.ResultCode.NO_ROUTE, now_s
+                )
+            elif not self.placement.runs_here(checked.route):
+                self._send_away(entry, now_s)
+            else:
+                kept = dataclasses.replace(
+                    checked, deadline_at_s=old.deadline_at_s
+                )
+                self.dispatcher.keep_waiting(
+                    dataclasses.replace(entry, checked=kept), now_s
+                )
+
+    def _send_away(self, entry: _fair_queue.Waiting, now_s: float) -> None:
+        checked = entry.checked
+        self.dispatcher.give_up(checked, now_s)
+        place = self.placement.place(checked, True, now_s)
+        match place:
+            case _placement.There():
+                decision: _calls.Decision = self._forward(
+                    checked, place.host, now_s
+                )
+            case _placement.Nowhere():
+                decision = self.dispatcher.refuse(place.code, checked)
+            case _placement.Here():
+                decision = self.dispatcher.refuse(
+                    exceptions.ResultCode.NO_HOST_AVAILABLE, checked
+                )
+            case _:
+                typing.assert_never(place)
+        self.dispatcher.settle(entry, decision)
 
     def _forward(
         self,
-        call: _calls.CallRequest,
-        route: _rows.RouteRow,
-        team: str,
-        deadline_at_s: float,
+        checked: _fair_queue.CheckedCall,
+        host: _rows.HostRow,
+        now_s: float,
     ) -> _calls.Decision:
-        if call.forwarded_by is not None:
-            return self._refuse(
-                exceptions.ResultCode.NO_HOST_AVAILABLE, team, route
-            )
-        candidates = [
-            host
-            for host in self.snapshot.hosts_by_service[route.service]
-            if host.host != self.host and self.snapshot.accepts_new_work(host)
-        ]
-        if not candidates:
-            return self._refuse(
-                exceptions.ResultCode.NO_HOST_AVAILABLE, team, route
+        ordinary = checked.route.priority is _rows.Priority.ORDINARY
+        if ordinary and (
+            self.calls_in_hand(now_s) >= self.threads - _SPARE_THREADS
+        ):
+            return self.dispatcher.refuse_busy(
+                exceptions.ResultCode.QUEUE_FULL, checked, now_s
             )
-        seed = call.idempotency_key or call.request_id
-        target = _topology.rendezvous_rank(candidates, seed)[0]
+        call = checked.call
+        self.placement.chooser.started(
+            call.request_id, host.host, checked.deadline_at_s
+        )
         return _calls.ForwardTo(
-            target, route, team, self.snapshot.versions.table, deadline_at_s
+            host,
+            checked.route,
+            checked.team,
+            self.snapshot.versions.table,
+            checked.deadline_at_s,
+            call.request_id,
         )
 
-    def _run_here(
-        self,
-        call: _calls.CallRequest,
-        route: _rows.RouteRow,
-        team: str,
-        deadline_at_s: float,
-        own: _rows.HostRow,
-        now_s: float,
-    ) -> _calls.Decision:
-        if team:
-            wait_s = self.quota.take(route.service, team, now_s)
-            if wait_s is not None:
-                return self._refuse(
-                    exceptions.ResultCode.RATE_EXCEEDED, team, route, wait_s
-                )
-        if not self.slots.acquire(route.priority):
-            return self._refuse(exceptions.ResultCode.QUEUE_FULL, team, route)
-        self._check_target(own)
-        permit = _calls.Permit(
-            request_id=call.request_id,
-            route=route,
-            team=team,
-            version=self.snapshot.versions.table,
-            deadline_at_s=deadline_at_s,
-            idempotency_key=call.idempotency_key,
-        )
-        return _calls.Admitted(permit)
-
-    def _check_target(self, own: _rows.HostRow) -> None:
-        _invariants.check(
-            exceptions.ResultCode.INVARIANT_DATA_CENTRE_OUT,
-            own.data_centre not in self.snapshot.data_centres_out,
-            "call admitted in data centre %s, which is out",
-            own.data_centre,
-        )
-        _invariants.check(
-            exceptions.ResultCode.INVARIANT_HOST_LEAVING,
-            own.state is _rows.HostState.LIVE and not self.draining,
-            "call admitted on host %s, which is leaving",
-            own.host,
-        )
+    def _placement_changed(self, now_s: float) -> None:
+        self.placement.update(self._wall_ms(now_s))
+        self._recheck_waiting(now_s)
 
-    def _refuse(
-        self,
-        code: exceptions.ResultCode,
-        team: str = "",
-        route: _rows.RouteRow | None = None,
-        retry_after_s: float = 0.0,
-    ) -> _calls.Refused:
-        return _calls.Refused(
-            code=code,
-            run_state=_NOT_RUN,
-            version=self.snapshot.versions.table,
-            team=team,
-            service=route.service if route else "",
-            retry_after_s=retry_after_s,
-        )
+    def _count(self, decision: _calls.Decision) -> None:
+        match decision:
+            case _calls.Refused():
+                self.by_result[decision.code] += 1
+            case _calls.Admitted() | _calls.ForwardTo() | _calls.Replay():
+                self.by_result[exceptions.ResultCode.OK] += 1
+
+    def _wall_ms(self, now_s: float) -> int:
+        """Return the wall time, on a clock that never goes back."""
+        elapsed_ms = (now_s - self.started_at_s) * 1000
+        return self.started_wall_ms + int(elapsed_ms)
--- /dev/null
+++ b/src/jasminecrank/state/_bookings.py
@@ -0,0 +1,178 @@
+"""Bookings that wait, run or are remembered, each run at most once."""
+
+from dataclasses import dataclass
+from dataclasses import field
+import typing
+
+from jasminecrank import exceptions
+from jasminecrank.state import _call_checks
+from jasminecrank.state import _calls
+from jasminecrank.state import _fair_queue
+from jasminecrank.state import _host_choice
+from jasminecrank.state import _idempotency
+from jasminecrank.state import _invariants
+from jasminecrank.state import _rows
+
+_MAY_HAVE_RUN = exceptions.RunState.MAY_HAVE_RUN
+
+
+@dataclass(slots=True, frozen=True)
+class Known:
+    """The booking was run before and its answer is remembered."""
+
+    answer: _calls.Answer
+
+
+@dataclass(slots=True, frozen=True)
+class Rejected:
+    """The booking can't run now."""
+
+    code: exceptions.ResultCode
+    run_state: exceptions.RunState
+    retry_after_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Bookings:
+    """Owns the memory of keyed bookings and the others in hand."""
+
+    memory: _idempotency.IdempotencyMemory = field(
+        default_factory=_idempotency.IdempotencyMemory
+    )
+    permitted_by_request: dict[str, bool] = field(default_factory=dict)
+
+    def find(
+        self, checked: _fair_queue.CheckedCall, now_s: float
+    ) -> Known | Rejected | None:
+        """Return what to say to a repeat; None if the call is none."""
+        if checked.route.kind is _rows.RouteKind.LOOKUP:
+            return None
+        key = _call_checks.booking_key(checked)
+        if key is None:
+            if checked.call.request_id in self.permitted_by_request:
+                return _in_progress()
+            return None
+        entry = self.memory.find(key, now_s)
+        if entry is None:
+            return None
+        if entry.fingerprint != _fingerprint(checked):
+            return Rejected(
+                exceptions.ResultCode.IDEMPOTENCY_KEY_MISMATCH,
+                exceptions.RunState.NOT_RUN,
+            )
+        return _describe(entry)
+
+    def check_new(
+        self,
+        checked: _fair_queue.CheckedCall,
+        owners: _host_choice.KeyOwners,
+        now_s: float,
+        wall_ms: int,
+    ) -> Rejected | None:
+        """Return why a booking that is not remembered can't begin."""
+        key = _call_checks.booking_key(checked)
+        if key is None:
+            return None
+        key_ms = _idempotency.uuid7_ms(key)
+        if key_ms is not None and owners.may_have_run_elsewhere(
+            key, key_ms, checked.call.forwarded_by
+        ):
+            return _outcome_unknown(_MAY_HAVE_RUN)
+        match self.memory.check_new(key_ms, wall_ms):
+            case _idempotency.NewKey.FREE:
+                return None
+            case _idempotency.NewKey.FORGOTTEN:
+                return _outcome_unknown(_MAY_HAVE_RUN)
+            case _idempotency.NewKey.FULL:
+                return Rejected(
+                    exceptions.ResultCode.IDEMPOTENCY_MEMORY_FULL,
+                    exceptions.RunState.NOT_RUN,
+                    self.memory.retry_after_s(now_s),
+                )
+
+    def begin(self, checked: _fair_queue.CheckedCall) -> None:
+        """Note a booking that waits or is about to run."""
+        if checked.route.kind is _rows.RouteKind.LOOKUP:
+            return
+        key = _call_checks.booking_key(checked)
+        if key is None:
+            self.permitted_by_request[checked.call.request_id] = False
+        else:
+            self.memory.begin(key, _fingerprint(checked))
+
+    def start(self, checked: _fair_queue.CheckedCall) -> None:
+        """Note that a booking gets its permit."""
+        if checked.route.kind is _rows.RouteKind.LOOKUP:
+            return
+        key = _call_checks.booking_key(checked)
+        if key is not None:
+            self.memory.start(key)
+            return
+        request_id = checked.call.request_id
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
+            self.permitted_by_request.get(request_id) is False,
+            "booking %s gets a second permit",
+            request_id,
+        )
+        self.permitted_by_request[request_id] = True
+
+    def withdraw(self, checked: _fair_queue.CheckedCall) -> None:
+        """Forget a booking that got no permit."""
+        if checked.route.kind is _rows.RouteKind.BOOKING:
+            self._forget(
+                checked.call.request_id, _call_checks.booking_key(checked)
+            )
+
+    def end(
+        self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
+    ) -> None:
+        """Remember how a booking with a permit has ended."""
+        if permit.route.kind is _rows.RouteKind.LOOKUP:
+            return
+        key = permit.idempotency_key or None
+        if outcome.did_not_run or key is None:
+            self._forget(permit.request_id, key)
+            return
+        answered = outcome.kind is _calls.OutcomeKind.ANSWERED
+        self.memory.end(key, outcome.answer if answered else None, now_s)
+
+    def _forget(self, request_id: str, key: str | None) -> None:
+        if key is None:
+            self.permitted_by_request.pop(request_id, None)
+        else:
+            self.memory.cancel(key)
+
+
+def _fingerprint(
+    checked: _fair_queue.CheckedCall,
+) -> _idempotency.Fingerprint:
+    call = checked.call
+    return _idempotency.Fingerprint(
+        checked.team, call.method, call.path, call.body_digest
+    )
+
+
+def _describe(entry: _idempotency.Entry) -> Known | Rejected:
+    match entry.state:
+        case _idempotency.EntryState.IN_PROGRESS:
+            return _in_progress()
+        case _idempotency.EntryState.UNKNOWN:
+            return _outcome_unknown(_MAY_HAVE_RUN)
+        case _idempotency.EntryState.ANSWERED:
+            if entry.answer is None:
+                return _outcome_unknown(exceptions.RunState.RAN)
+            return Known(entry.answer)
+        case _:
+            typing.assert_never(entry.state)
+
+
+def _in_progress() -> Rejected:
+    # The first of the equal requests may be running.
+    return Rejected(
+        exceptions.ResultCode.REPEAT_IN_PROGRESS, _MAY_HAVE_RUN, 1.0
+    )
+
+
+def _outcome_unknown(run_state: exceptions.RunState) -> Rejected:
+    return Rejected(exceptions.ResultCode.REPEAT_OUTCOME_UNKNOWN, run_state)
--- a/src/jasminecrank/state/_calls.py
+++ b/src/jasminecrank/state/_calls.py
@@ -20,6 +20,7 @@
     idempotency_key: str | None
     forwarded_by: str | None
     tried_hosts: tuple[str, ...] = ()
+    body_digest: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,6 +42,8 @@
     version: _versions.Version
     deadline_at_s: float
     idempotency_key: str | None = None
+    permit_id: int = 0
+    admitted_at_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +62,7 @@
     team: str
     version: _versions.Version
     deadline_at_s: float
+    request_id: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,6 +88,21 @@
 Decision = Admitted | ForwardTo | Replay | Refused
 
 
+@dataclass(slots=True, frozen=True)
+class Queued:
+    """The call waits; its decision follows under the ticket."""
+
+    ticket: int
+
+
+@dataclass(slots=True, frozen=True)
+class Settled:
+    """The decision on a call that waited."""
+
+    ticket: int
+    decision: Decision
+
+
 class OutcomeKind(enum.Enum):
     """How a permitted call ended, as far as the backend server goes."""
 
@@ -103,6 +122,11 @@
     duration_s: float
     answer: Answer | None = None
 
+    @property
+    def did_not_run(self) -> bool:
+        """Return whether the backend server certainly did not run it."""
+        return self.kind in (OutcomeKind.NOT_SENT, OutcomeKind.SHED)
+
 
 @dataclass(slots=True, frozen=True)
 class HealthReport:
--- /dev/null
+++ b/src/jasminecrank/state/_dispatch.py
@@ -0,0 +1,291 @@
+"""Calls that wait for a slot and calls that start."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from jasminecrank import exceptions
+from jasminecrank.state import _backend_server
+from jasminecrank.state import _bookings
+from jasminecrank.state import _call_checks
+from jasminecrank.state import _calls
+from jasminecrank.state import _fair_queue
+from jasminecrank.state import _invariants
+from jasminecrank.state import _placement
+from jasminecrank.state import _quota
+from jasminecrank.state import _rows
+from jasminecrank.state import _snapshot
+
+
+@dataclass(slots=True)
+class Dispatcher:
+    """Owns the calls that this node takes for its backend server."""
+
+    snapshot: _snapshot.Snapshot
+    quota: _quota.QuotaState
+    placement: _placement.PlacementState
+    server: _backend_server.BackendServer
+    queue: _fair_queue.FairQueue = field(default_factory=_fair_queue.FairQueue)
+    bookings: _bookings.Bookings = field(default_factory=_bookings.Bookings)
+    max_in_flight_by_team: dict[str, int] = field(default_factory=dict)
+    ready: bool = False
+    last_ticket: int = 0
+    settled: list[_calls.Settled] = field(default_factory=list)
+
+    def apply_snapshot(
+        self, snapshot: _snapshot.Snapshot, queue_threads: int, now_s: float
+    ) -> None:
+        """Follow the limits of the own service in a new snapshot."""
+        self.snapshot = snapshot
+        self.quota.apply_snapshot(snapshot, now_s)
+        own = self.placement.own
+        service = own.service if own else ""
+        row = snapshot.by_service.get(service)
+        internal = any(
+            route.service == service
+            and route.priority is _rows.Priority.INTERNAL
+            for route in snapshot.routes
+        )
+        self.server.ramp.apply_row(row, 1 if internal else 0)
+        self.queue.limit = max(0, queue_threads - (row.slots if row else 0))
+        limits = [
+            limit
+            for limit in snapshot.by_limit.values()
+            if limit.service == service
+        ]
+        self.queue.weight_by_team = {
+            limit.team: limit.weight for limit in limits
+        }
+        self.max_in_flight_by_team = {
+            limit.team: limit.max_in_flight for limit in limits
+        }
+
+    def finish(
+        self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
+    ) -> None:
+        """Take back the permit of a call that has ended."""
+        if not self.server.finish(permit, outcome, now_s):
+            return
+        if outcome.did_not_run:
+            self._refund(permit.route, permit.team, now_s)
+        self.bookings.end(permit, outcome, now_s)
+        if len(self.queue):
+            self.pump(now_s)
+
+    def withdraw(
+        self,
+        condition: Callable[[_fair_queue.Waiting], bool],
+        code: exceptions.ResultCode,
+        now_s: float,
+    ) -> None:
+        """Refuse the waiting calls that meet a condition."""
+        for entry in self.queue.remove(condition):
+            self.release(entry, code, now_s)
+
+    def keep_waiting(self, entry: _fair_queue.Waiting, now_s: float) -> None:
+        """Put a call back into the queue after a change."""
+        victim = self.queue.offer(entry)
+        if victim is not None:
+            self._push_out(victim, now_s)
+
+    def submit(
+        self, checked: _fair_queue.CheckedCall, now_s: float, wall_ms: int
+    ) -> _calls.Decision | _calls.Queued:
+        """Start a call, let it wait or refuse it."""
+        rejected = self.bookings.check_new(
+            checked, self.placement.owners, now_s, wall_ms
+        )
+        if rejected is not None:
+            return self.reject(rejected, checked)
+        wait_s = self._take_token(checked, now_s)
+        if wait_s is not None:
+            return self.refuse(
+                exceptions.ResultCode.RATE_EXCEEDED, checked, wait_s
+            )
+        self.bookings.begin(checked)
+        if not len(self.queue) and self._may_start(checked, now_s):
+            return _calls.Admitted(self._start(checked, now_s))
+        return self._wait(checked, now_s)
+
+    def _wait(
+        self, checked: _fair_queue.CheckedCall, now_s: float
+    ) -> _calls.Decision | _calls.Queued:
+        limit = self._max_in_flight(checked)
+        if limit is not None and (
+            self.queue.waiting_of(checked.team) >= limit
+        ):
+            self.give_up(checked, now_s)
+            return self.refuse_busy(
+                exceptions.ResultCode.TOO_MANY_IN_FLIGHT, checked, now_s
+            )
+        self.last_ticket += 1
+        entry = _fair_queue.Waiting(self.last_ticket, checked)
+        victim = self.queue.offer(entry)
+        if victim is entry:
+            self.give_up(checked, now_s)
+            return self.refuse_busy(
+                exceptions.ResultCode.QUEUE_FULL, checked, now_s
+            )
+        if victim is not None:
+            self._push_out(victim, now_s)
+        self.pump(now_s)
+        for index, settled in enumerate(self.settled):
+            if settled.ticket == entry.ticket:
+                return self.settled.pop(index).decision
+        return _calls.Queued(entry.ticket)
+
+    def pump(self, now_s: float) -> None:
+        """Start waiting calls while there are slots."""
+        while self.ready and (entry := self._next(now_s)) is not None:
+            if entry.checked.deadline_at_s <= now_s:
+                self.release(
+                    entry, exceptions.ResultCode.DEADLINE_EXCEEDED, now_s
+                )
+                continue
+            permit = self._start(entry.checked, now_s)
+            self.settle(entry, _calls.Admitted(permit))
+
+    def _next(self, now_s: float) -> _fair_queue.Waiting | None:
+        if not len(self.queue):
+            return None
+        if self.server.has_room(_rows.Priority.INTERNAL, now_s):
+            entry = self.queue.pop_internal()
+            if entry is not None:
+                return entry
+        if self.server.has_room(_rows.Priority.ORDINARY, now_s):
+            return self.queue.pop(self._team_may_start)
+        return None
+
+    def _team_may_start(self, team: str) -> bool:
+        limit = self.max_in_flight_by_team.get(team)
+        return limit is None or self.server.running_by_team[team] < limit
+
+    def _may_start(
+        self, checked: _fair_queue.CheckedCall, now_s: float
+    ) -> bool:
+        priority = checked.route.priority
+        return self.server.has_room(priority, now_s) and (
+            priority is _rows.Priority.INTERNAL
+            or self._team_may_start(checked.team)
+        )
+
+    def _max_in_flight(self, checked: _fair_queue.CheckedCall) -> int | None:
+        if checked.route.priority is _rows.Priority.INTERNAL:
+            return None
+        return self.max_in_flight_by_team.get(checked.team)
+
+    def _start(
+        self, checked: _fair_queue.CheckedCall, now_s: float
+    ) -> _calls.Permit:
+        self._check_target(checked)
+        self.bookings.start(checked)
+        return self.server.start(checked, self.snapshot.versions.table, now_s)
+
+    def _check_target(self, checked: _fair_queue.CheckedCall) -> None:
+        own = self.placement.own
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_DATA_CENTRE_OUT,
+            own is not None
+            and own.data_centre not in self.snapshot.data_centres_out,
+            "call admitted on host %s, whose data centre is out",
+            self.placement.host,
+        )
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_HOST_LEAVING,
+            own is not None
+            and own.state is _rows.HostState.LIVE
+            and not self.placement.stopping
+            and not self.server.ramp.draining,
+            "call admitted on host %s, which is leaving",
+            self.placement.host,
+        )
+        digest = checked.call.key_digest
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_KEY,
+            checked.route.open_to_all
+            or (
+                digest is not None
+                and self.snapshot.team_of(digest) == checked.team
+            ),
+            "call admitted for team %s without a valid key",
+            checked.team,
+        )
+
+    def _take_token(
+        self, checked: _fair_queue.CheckedCall, now_s: float
+    ) -> float | None:
+        """Take a token; teams without a limit use open routes only."""
+        service = checked.route.service
+        if (service, checked.team) not in self.snapshot.by_limit:
+            return None
+        return self.quota.take(service, checked.team, now_s)
+
+    def _refund(self, route: _rows.RouteRow, team: str, now_s: float) -> None:
+        if (route.service, team) in self.snapshot.by_limit:
+            self.quota.refund(route.service, team, now_s)
+
+    def give_up(self, checked: _fair_queue.CheckedCall, now_s: float) -> None:
+        """Undo what was noted for a call that will not run here."""
+        self._refund(checked.route, checked.team, now_s)
+        self.bookings.withdraw(checked)
+
+    def release(
+        self,
+        entry: _fair_queue.Waiting,
+        code: exceptions.ResultCode,
+        now_s: float,
+    ) -> None:
+        """Refuse a call that waited."""
+        self.give_up(entry.checked, now_s)
+        self.settle(entry, self.refuse(code, entry.checked))
+
+    def _push_out(self, victim: _fair_queue.Waiting, now_s: float) -> None:
+        self.give_up(victim.checked, now_s)
+        self.settle(
+            victim,
+            self.refuse_busy(
+                exceptions.ResultCode.QUEUE_FULL, victim.checked, now_s
+            ),
+        )
+
+    def settle(
+        self, entry: _fair_queue.Waiting, decision: _calls.Decision
+    ) -> None:
+        """Note the one decision on a call that waited."""
+        self.settled.append(_calls.Settled(entry.ticket, decision))
+
+    def refuse_busy(
+        self,
+        code: exceptions.ResultCode,
+        checked: _fair_queue.CheckedCall,
+        now_s: float,
+    ) -> _calls.Refused:
+        """Refuse a call because others are served first."""
+        wait_s = self.server.retry_after_s(len(self.queue), now_s)
+        return self.refuse(code, checked, wait_s)
+
+    def reject(
+        self,
+        rejected: _bookings.Rejected,
+        checked: _fair_queue.CheckedCall,
+    ) -> _calls.Refused:
+        """Refuse a booking that can't run now."""
+        return _call_checks.refuse(
+            self.snapshot,
+            rejected.code,
+            checked.team,
+            checked.route,
+            rejected.retry_after_s,
+            rejected.run_state,
+        )
+
+    def refuse(
+        self,
+        code: exceptions.ResultCode,
+        checked: _fair_queue.CheckedCall,
+        retry_after_s: float = 0.0,
+    ) -> _calls.Refused:
+        """Refuse a call that did not run."""
+        return _call_checks.refuse(
+            self.snapshot, code, checked.team, checked.route, retry_after_s
+        )
--- /dev/null
+++ b/src/jasminecrank/state/_host_choice.py
@@ -0,0 +1,195 @@
+"""Which other node a call is forwarded to."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from jasminecrank import const
+from jasminecrank.state import _calls
+from jasminecrank.state import _rows
+from jasminecrank.state import _snapshot
+from jasminecrank.state import _topology
+
+_REMOTE_COST = 2
+"""Calls in hand that a host of the own data centre may have more."""
+
+_FAILED_COST = 8
+_FAILED_S = 1.0
+_MAX_CHANGES = 32
+
+
+@dataclass(slots=True)
+class SeenLoad:
+    """What this node has seen of another node's load."""
+
+    deadline_by_request: dict[str, float] = field(default_factory=dict)
+    failed_until_s: float = 0.0
+
+    def cost(self, now_s: float) -> int:
+        """Return the calls in hand there, more after a failure."""
+        cost = len(self.deadline_by_request)
+        return cost + (_FAILED_COST if now_s < self.failed_until_s else 0)
+
+
+@dataclass(slots=True)
+class HostChooser:
+    """Chooses among the hosts of a service that accept new work."""
+
+    host: str
+    load_by_host: dict[str, SeenLoad] = field(default_factory=dict)
+
+    def choose(
+        self,
+        snapshot: _snapshot.Snapshot,
+        call: _calls.CallRequest,
+        service: str,
+        now_s: float,
+    ) -> _rows.HostRow | None:
+        """Return the less loaded of two hosts, near ones preferred."""
+        excluded = {self.host, *call.tried_hosts}
+        hosts = [
+            host
+            for host in accepting_hosts(snapshot, service)
+            if host.host not in excluded
+        ]
+        if not hosts:
+            return None
+        own = snapshot.by_host.get(self.host)
+        home = own.data_centre if own else None
+        ranked = _topology.rendezvous_rank(hosts, call.request_id)
+        near = [host for host in ranked if host.data_centre == home]
+        far = [host for host in ranked if host.data_centre != home]
+        candidates = [*near[:2], *far[: 1 if near else 2]]
+        return min(
+            candidates,
+            key=lambda host: (
+                self._cost(host.host, now_s)
+                + (_REMOTE_COST if near and host.data_centre != home else 0)
+            ),
+        )
+
+    def started(
+        self, request_id: str, host: str, deadline_at_s: float
+    ) -> None:
+        """Note a call that is on its way to a host."""
+        load = self.load_by_host.setdefault(host, SeenLoad())
+        load.deadline_by_request[request_id] = deadline_at_s
+
+    def finished(
+        self, request_id: str, host: str, failed: bool, now_s: float
+    ) -> None:
+        """Note how a forwarded call has ended."""
+        load = self.load_by_host.get(host)
+        if load is None:
+            return
+        load.deadline_by_request.pop(request_id, None)
+        if failed:
+            load.failed_until_s = now_s + _FAILED_S
+
+    def in_hand(self, now_s: float) -> int:
+        """Return how many forwarded calls have not ended."""
+        return sum(
+            self._drop_expired(load, now_s)
+            for load in self.load_by_host.values()
+        )
+
+    def keep_hosts(self, snapshot: _snapshot.Snapshot) -> None:
+        """Forget hosts that a snapshot no longer has."""
+        for host in self.load_by_host.keys() - snapshot.by_host.keys():
+            del self.load_by_host[host]
+
+    def _cost(self, host: str, now_s: float) -> int:
+        load = self.load_by_host.get(host)
+        if load is None:
+            return 0
+        self._drop_expired(load, now_s)
+        return load.cost(now_s)
+
+    def _drop_expired(self, load: SeenLoad, now_s: float) -> int:
+        """Drop calls past their deadline, whose end was never reported."""
+        pending = load.deadline_by_request
+        for request_id in [
+            request_id
+            for request_id, deadline_at_s in pending.items()
+            if deadline_at_s <= now_s
+        ]:
+            del pending[request_id]
+        return len(pending)
+
+
+def accepting_hosts(
+    snapshot: _snapshot.Snapshot, service: str
+) -> tuple[_rows.HostRow, ...]:
+    """Return the hosts of a service that may be given new work."""
+    return tuple(
+        host
+        for host in snapshot.hosts_by_service.get(service, ())
+        if snapshot.accepts_new_work(host)
+    )
+
+
+def key_owner(
+    hosts: Sequence[_rows.HostRow], key: str
+) -> _rows.HostRow | None:
+    """Return the one host that runs bookings with an idempotency key."""
+    if not hosts:
+        return None
+    return _topology.rendezvous_rank(hosts, key)[0]
+
+
+@dataclass(slots=True, frozen=True)
+class _Change:
+    until_ms: int
+    hosts: tuple[_rows.HostRow, ...]
+
+
+@dataclass(slots=True)
+class KeyOwners:
+    """Which hosts owned the keys of the own service, and until when.
+
+    A key that another host owned after the key was made may have run there,
+    and only that host remembers it.
+    """
+
+    host: str
+    hosts: tuple[_rows.HostRow, ...] = ()
+    changes: deque[_Change] = field(default_factory=deque)
+    unknown_up_to_ms: int = 0
+
+    @classmethod
+    def from_start(cls, host: str, wall_ms: int) -> "KeyOwners":
+        """Return the history of a node that remembers nothing."""
+        return cls(host, unknown_up_to_ms=wall_ms)
+
+    def apply_hosts(
+        self, hosts: tuple[_rows.HostRow, ...], wall_ms: int
+    ) -> None:
+        """Follow the hosts of the own service that accept new work."""
+        if [row.host for row in hosts] == [row.host for row in self.hosts]:
+            return
+        if self.hosts:
+            self.changes.append(_Change(wall_ms, self.hosts))
+        self.hosts = hosts
+        oldest_ms = wall_ms - int(const.IDEMPOTENCY_TTL_S * 1000)
+        while self.changes and self.changes[0].until_ms < oldest_ms:
+            self.changes.popleft()
+        if len(self.changes) > _MAX_CHANGES:
+            self.unknown_up_to_ms = self.changes.popleft().until_ms
+
+    def may_have_run_elsewhere(
+        self, key: str, key_ms: int, forwarded_by: str | None
+    ) -> bool:
+        """Return whether a key not remembered here may have run before.
+
+        A former owner that forwards a call has not run it.
+        """
+        if key_ms < self.unknown_up_to_ms:
+            return True
+        for change in self.changes:
+            if key_ms >= change.until_ms:
+                continue
+            owner = key_owner(change.hosts, key)
+            if owner and owner.host not in (self.host, forwarded_by):
+                return True
+        return False
--- /dev/null
+++ b/src/jasminecrank/state/_idempotency.py
@@ -0,0 +1,186 @@
+"""Memory of bookings that came with an idempotency key."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+import uuid
+
+from jasminecrank import const
+from jasminecrank import exceptions
+from jasminecrank.state import _calls
+from jasminecrank.state import _invariants
+
+_MAX_BYTES = 32_000_000
+"""Answers kept; a node has 256 MB and an answer up to 1 MB."""
+
+_FORGET_AGE_MS = 5_000
+"""Youngest key that may be forgotten early, when the memory is full."""
+
+_VERSION_7 = 7
+
+
+class EntryState(enum.Enum):
+    """What is known about the booking of a key."""
+
+    IN_PROGRESS = "in-progress"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class Fingerprint:
+    """What has to be equal in a repeat of the same booking."""
+
+    team: str
+    method: str
+    path: str
+    body_digest: str
+
+
+@dataclass(slots=True)
+class Entry:
+    """One remembered booking."""
+
+    fingerprint: Fingerprint
+    state: EntryState = EntryState.IN_PROGRESS
+    answer: _calls.Answer | None = None
+    permitted: bool = False
+
+
+class NewKey(enum.Enum):
+    """Whether a booking with a key not remembered may begin."""
+
+    FREE = "free"
+    FULL = "full"
+    FORGOTTEN = "forgotten"
+
+
+def uuid7_ms(key: str) -> int | None:
+    """Return the time in a UUIDv7 key, None for any other key."""
+    try:
+        value = uuid.UUID(key)
+    except ValueError:
+        return None
+    return value.int >> 80 if value.version == _VERSION_7 else None
+
+
+@dataclass(slots=True)
+class IdempotencyMemory:
+    """Remembers bookings by key for a limited time.
+
+    An ended booking is forgotten early only if its key is a UUIDv7: every
+    key not younger than the youngest forgotten one is then refused, so that
+    none of them can run twice. Other keys fill the memory, which then takes
+    no new bookings.
+    """
+
+    max_keys: int = const.IDEMPOTENCY_MAX_KEYS
+    max_bytes: int = _MAX_BYTES
+    by_key: dict[str, Entry] = field(default_factory=dict)
+    answer_bytes: int = 0
+    forgotten_up_to_ms: int = -1
+    _ended: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _forgettable: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    _with_answer: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+    def find(self, key: str, now_s: float) -> Entry | None:
+        """Return what is remembered of a key."""
+        self._expire(now_s)
+        return self.by_key.get(key)
+
+    def check_new(self, key_ms: int | None, wall_ms: int) -> NewKey:
+        """Return whether a booking with a key not remembered may begin."""
+        if key_ms is not None and key_ms <= self.forgotten_up_to_ms:
+            return NewKey.FORGOTTEN
+        if len(self.by_key) >= self.max_keys and not self._forget(wall_ms):
+            return NewKey.FULL
+        return NewKey.FREE
+
+    def begin(self, key: str, fingerprint: Fingerprint) -> None:
+        """Remember a booking that waits or is about to run."""
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
+            key not in self.by_key,
+            "a booking with a remembered key begins again",
+        )
+        self.by_key[key] = Entry(fingerprint)
+
+    def start(self, key: str) -> None:
+        """Note that a booking gets its permit."""
+        entry = self.by_key.get(key)
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
+            entry is not None
+            and entry.state is EntryState.IN_PROGRESS
+            and not entry.permitted,
+            "a booking gets a second permit",
+        )
+        if entry is not None:
+            entry.permitted = True
+
+    def cancel(self, key: str) -> None:
+        """Forget a booking that did not run."""
+        entry = self.by_key.get(key)
+        if entry is not None and entry.state is EntryState.IN_PROGRESS:
+            del self.by_key[key]
+
+    def end(
+        self, key: str, answer: _calls.Answer | None, now_s: float
+    ) -> None:
+        """Remember how a booking that ran has ended."""
+        entry = self.by_key.get(key)
+        if entry is None or entry.state is not EntryState.IN_PROGRESS:
+            return
+        entry.state = EntryState.UNKNOWN
+        self._ended[key] = now_s + const.IDEMPOTENCY_TTL_S
+        key_ms = uuid7_ms(key)
+        if key_ms is not None:
+            self._forgettable[key] = key_ms
+        if answer is None:
+            return
+        entry.state = EntryState.ANSWERED
+        entry.answer = answer
+        self._with_answer[key] = _size_bytes(answer)
+        self.answer_bytes += self._with_answer[key]
+        while self.answer_bytes > self.max_bytes:
+            self._drop_answer(next(iter(self._with_answer)))
+
+    def retry_after_s(self, now_s: float) -> float:
+        """Return when the next place becomes free."""
+        expires_at_s = next(iter(self._ended.values()), now_s)
+        return max(1.0, expires_at_s - now_s)
+
+    def _expire(self, now_s: float) -> None:
+        while self._ended:
+            key, expires_at_s = next(iter(self._ended.items()))
+            if expires_at_s > now_s:
+                return
+            self._remove(key)
+
+    def _forget(self, wall_ms: int) -> bool:
+        """Forget the oldest ended booking with a UUIDv7 that is not new."""
+        if not self._forgettable:
+            return False
+        key, key_ms = next(iter(self._forgettable.items()))
+        if key_ms > wall_ms - _FORGET_AGE_MS:
+            return False
+        self._remove(key)
+        self.forgotten_up_to_ms = max(self.forgotten_up_to_ms, key_ms)
+        return True
+
+    def _remove(self, key: str) -> None:
+        self._drop_answer(key)
+        del self._ended[key]
+        self._forgettable.pop(key, None)
+        del self.by_key[key]
+
+    def _drop_answer(self, key: str) -> None:
+        self.answer_bytes -= self._with_answer.pop(key, 0)
+        self.by_key[key].answer = None
+
+
+def _size_bytes(answer: _calls.Answer) -> int:
+    return len(answer.body) + sum(
+        len(name) + len(value) for name, value in answer.headers
+    )
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -27,6 +27,11 @@
         self.tokens -= 1.0
         return True
 
+    def refund(self, now_s: float) -> None:
+        """Give one token back, up to the share of the burst."""
+        self.tokens += 1.0
+        self._mint(now_s)
+
     def wait_s(self) -> float:
         """Return the time until the next token is minted."""
         rate = self.limit.rate * self.share_ppb / const.SHARE_WHOLE
@@ -93,3 +98,9 @@
         if ledger.take(now_s):
             return None
         return ledger.wait_s()
+
+    def refund(self, service: str, team: str, now_s: float) -> None:
+        """Give back the token of a call that did not run."""
+        ledger = self.by_limit.get((service, team))
+        if ledger is not None:
+            ledger.refund(now_s)
--- /dev/null
+++ b/src/jasminecrank/state/_ramp.py
@@ -0,0 +1,196 @@
+"""What is believed about the capacity of the backend server.
+
+Good news from the health and load endpoints is never believed, because both
+lag: only answers that come in time raise the capacity. Bad news is believed
+at once, unless an answer in time contradicts it.
+"""
+
+from dataclasses import dataclass
+import math
+
+from jasminecrank.state import _calls
+from jasminecrank.state import _rows
+
+_CREDIT_MAX_S = 1.0
+"""Longest time between two answers that counts as time under load."""
+
+_FAILURES_TO_RESET = 3
+_SHED_FACTOR = 0.7
+_SHED_RECOVERY_PER_S = 1.0
+
+_ANSWER_PROOF_S = 1.0
+"""How long an answer in time outweighs a report that health is down."""
+
+_LOAD_BELIEF_S = 5.0
+_DOWN_S = 1.5
+"""How long a server counts as down; longer than one health period."""
+
+
+@dataclass(slots=True)
+class Ramp:
+    """Owns the capacity of one backend server."""
+
+    thread_limit: int
+    reset_at_s: float
+    credited_until_s: float
+    row: _rows.ServiceRow | None = None
+    reserve: int = 0
+    credited_s: float = 0.0
+    answered_at_s: float = -math.inf
+    failures_in_a_row: int = 0
+    started_at_ms: int | None = None
+    draining: bool = False
+    down_until_s: float = -math.inf
+    shed_limit: float = math.inf
+    shed_at_s: float = -math.inf
+    load_limit: int = 0
+    load_until_s: float = -math.inf
+    last_reset: str = "start"
+
+    @classmethod
+    def from_start(cls, thread_limit: int, now_s: float) -> "Ramp":
+        """Return the ramp of a node that starts: the server is cold."""
+        return cls(thread_limit, now_s, now_s)
+
+    def apply_row(self, row: _rows.ServiceRow | None, reserve: int) -> None:
+        """Follow the service row of a new snapshot."""
+        self.row = row
+        self.reserve = reserve if row is not None and row.slots > 1 else 0
+
+    def reset(self, reason: str, now_s: float) -> None:
+        """Treat the server as cold from now on."""
+        self.reset_at_s = now_s
+        self.credited_until_s = now_s
+        self.credited_s = 0.0
+        self.failures_in_a_row = 0
+        self.shed_limit = math.inf
+        self.last_reset = reason
+
+    def capacity(self, now_s: float) -> int:
+        """Return how many calls the server may run at once."""
+        row = self.row
+        if row is None or self.draining:
+            return 0
+        # One connection is left to the health probe.
+        limit = min(
+            self._ramped(row, self.credited_s),
+            self.thread_limit,
+            max(1, row.max_connections - 1),
+        )
+        if self.shed_limit < limit:
+            limit = max(int(self.shed_limit), min(limit, 1 + self.reserve))
+        if now_s < self.load_until_s:
+            limit = min(limit, self.load_limit)
+        return limit
+
+    def bound(self, now_s: float) -> int:
+        """Return what a server that fell cold at the reset bears by now."""
+        if self.row is None:
+            return 0
+        return self._ramped(self.row, now_s - self.reset_at_s)
+
+    def is_down(self, now_s: float) -> bool:
+        """Return whether the server is not expected to answer."""
+        return now_s < self.down_until_s
+
+    def observe(
+        self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
+    ) -> None:
+        """Learn from the outcome of a call."""
+        match outcome.kind:
+            case _calls.OutcomeKind.ANSWERED:
+                self._answered(permit, outcome.duration_s, now_s)
+            case _calls.OutcomeKind.SHED:
+                self.failures_in_a_row = 0
+                self._shed(permit.admitted_at_s, now_s)
+            case _calls.OutcomeKind.NOT_SENT:
+                # A call whose deadline passed was not sent either.
+                if now_s < permit.deadline_at_s:
+                    self.reset("connection refused", now_s)
+                    self.down_until_s = now_s + _DOWN_S
+            case _calls.OutcomeKind.TIMED_OUT | _calls.OutcomeKind.BROKEN:
+                self._failed(permit, now_s)
+            case _calls.OutcomeKind.CANCELLED:
+                return
+
+    def observe_health(
+        self, report: _calls.HealthReport, in_use_peak: int, now_s: float
+    ) -> None:
+        """Learn from the health and load endpoint."""
+        if not report.reachable:
+            if now_s - self.answered_at_s > _ANSWER_PROOF_S:
+                self.reset("health unreachable", now_s)
+                self.down_until_s = now_s + _DOWN_S
+            return
+        if self.started_at_ms not in (None, report.started_at_ms):
+            self.reset("server restarted", now_s)
+        self.started_at_ms = report.started_at_ms
+        if self.draining and not report.draining:
+            self.reset("server ended draining", now_s)
+        self.draining = report.draining
+        self._observe_load(report.load, in_use_peak, now_s)
+        # With a single cold slot, kept for internal checks, no ordinary
+        # answer could ever raise the capacity.
+        if (
+            self.row
+            and self._ramped(self.row, self.credited_s) <= self.reserve
+        ):
+            self._credit(now_s)
+
+    def _answered(
+        self, permit: _calls.Permit, duration_s: float, now_s: float
+    ) -> None:
+        if permit.admitted_at_s < self.reset_at_s:
+            return
+        self.failures_in_a_row = 0
+        if duration_s > permit.route.deadline_ms / 2000:
+            self.credited_until_s = now_s
+            return
+        self.answered_at_s = now_s
+        self.down_until_s = -math.inf
+        self._credit(now_s)
+
+    def _credit(self, now_s: float) -> None:
+        gap_s = min(max(0.0, now_s - self.credited_until_s), _CREDIT_MAX_S)
+        self.credited_until_s = max(now_s, self.credited_until_s)
+        self.credited_s += gap_s
+        self.shed_limit += gap_s * _SHED_RECOVERY_PER_S
+
+    def _failed(self, permit: _calls.Permit, now_s: float) -> None:
+        self.credited_until_s = now_s
+        allowed_s = permit.deadline_at_s - permit.admitted_at_s
+        # A caller's own short deadline says nothing about the server.
+        if (
+            permit.admitted_at_s < self.reset_at_s
+            or allowed_s < permit.route.deadline_ms / 2000
+        ):
+            return
+        self.failures_in_a_row += 1
+        if self.failures_in_a_row >= _FAILURES_TO_RESET:
+            self.reset("time-outs in a row", now_s)
+
+    def _shed(self, admitted_at_s: float, now_s: float) -> None:
+        self.credited_until_s = now_s
+        # Calls admitted before the last decrease tell the same thing again.
+        if admitted_at_s < self.shed_at_s:
+            return
+        self.shed_limit = max(1.0, self.capacity(now_s) * _SHED_FACTOR)
+        self.shed_at_s = now_s
+
+    def _observe_load(
+        self, load: float, in_use_peak: int, now_s: float
+    ) -> None:
+        """Leave room for load that does not come through this node."""
+        if self.row is None or not math.isfinite(load) or load < 0.0:
+            return
+        busy = math.ceil(load * self.row.slots - 1e-9)
+        foreign = max(0, busy - in_use_peak)
+        floor = max(self.row.cold_slots, 1 + self.reserve)
+        self.load_limit = max(floor, self.row.slots - foreign)
+        self.load_until_s = now_s + _LOAD_BELIEF_S
+
+    def _ramped(self, row: _rows.ServiceRow, elapsed_s: float) -> int:
+        if elapsed_s >= row.ramp_s:
+            return row.slots
+        rise = (row.slots - row.cold_slots) * elapsed_s / row.ramp_s
+        return row.cold_slots + int(rise)
--- a/src/jasminecrank/state/_slots.py
+++ b/src/jasminecrank/state/_slots.py
@@ -11,25 +11,57 @@
 class SlotPool:
     """Counts the calls that run on the backend server."""
 
-    capacity: int
-    in_use: int = 0
-
-    def acquire(self, priority: _rows.Priority) -> bool:
-        """Take a slot; the last one is kept for internal checks."""
-        reserve = 0 if priority is _rows.Priority.INTERNAL else 1
-        limit = max(1, self.capacity - reserve)
-        if self.in_use >= min(limit, self.capacity):
+    ordinary_in_use: int = 0
+    internal_in_use: int = 0
+    peak: int = 0
+    earlier_peak: int = 0
+
+    @property
+    def in_use(self) -> int:
+        """Return the number of running calls."""
+        return self.ordinary_in_use + self.internal_in_use
+
+    def has_room(
+        self, priority: _rows.Priority, capacity: int, reserve: int
+    ) -> bool:
+        """Return whether a call may start; reserved slots stay internal."""
+        if self.in_use >= capacity:
             return False
-        self.in_use += 1
+        if priority is _rows.Priority.INTERNAL:
+            return True
+        return self.ordinary_in_use < capacity - reserve
+
+    def acquire(
+        self, priority: _rows.Priority, capacity: int, bound: int
+    ) -> None:
+        """Take a slot."""
+        if priority is _rows.Priority.INTERNAL:
+            self.internal_in_use += 1
+        else:
+            self.ordinary_in_use += 1
+        self.peak = max(self.peak, self.in_use)
         _invariants.check(
             exceptions.ResultCode.INVARIANT_COLD_START_OVERLOAD,
-            self.in_use <= self.capacity,
-            "%d slots in use of %d",
+            self.in_use <= capacity <= bound,
+            "%d slots in use, capacity %d, a cold server bears %d",
             self.in_use,
-            self.capacity,
+            capacity,
+            bound,
         )
-        return True
 
-    def release(self) -> None:
+    def release(self, priority: _rows.Priority) -> None:
         """Give a slot back."""
-        self.in_use -= 1
+        if priority is _rows.Priority.INTERNAL:
+            self.internal_in_use -= 1
+        else:
+            self.ordinary_in_use -= 1
+
+    def take_peak(self) -> int:
+        """Return the most slots in use over the last two calls.
+
+        A load report lags, so it is compared with both periods.
+        """
+        peak = max(self.peak, self.earlier_peak)
+        self.earlier_peak = self.peak
+        self.peak = self.in_use
+        return peak
--- a/src/jasminecrank/transport/_call_server.py
+++ b/src/jasminecrank/transport/_call_server.py
@@ -168,6 +168,17 @@
             ),
             decision.deadline_at_s - now_s,
         )
+        kind = (
+            _outcome_kind(sent)
+            if isinstance(sent, _forwarder.ForwardFailure)
+            else state.OutcomeKind.ANSWERED
+        )
+        self._admission.tell(
+            coordination.ForwardFinished(
+                decision,
+                state.Outcome(kind, self._clock.monotonic_s() - now_s),
+            )
+        )
         match sent:
             case _forwarder.ForwardedAnswer():
                 return _Result(
