Keep worker threads free for internal checks

Calls that wait and calls forwarded to other nodes were bounded apart from each other, so that together they could hold every HTTP worker thread.

One bound now covers both: the threads that are left once four are spared and the slots have theirs. A server that stays down is reported once.

--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -43,7 +43,7 @@
         self._reply_by_ticket: dict[int, _messages.DecisionReply] = {}
         self._tick_due_s = math.inf
         self._await_drained: list[_messages.DrainedReply] = []
-        self._reset_reported_at_s = clock.monotonic_s()
+        self._resets_reported = 0
 
     def connect(self, membership: _messages.Mailbox) -> None:
         """Take the mailboxes of the other actors."""
@@ -131,9 +131,9 @@
 
     def _report_reset(self) -> None:
         ramp = self._admission.dispatcher.server.ramp
-        if ramp.reset_at_s == self._reset_reported_at_s:
+        if ramp.resets == self._resets_reported:
             return
-        self._reset_reported_at_s = ramp.reset_at_s
+        self._resets_reported = ramp.resets
         if self._membership is not None:
             self._membership.tell(
                 _messages.RecordEvent(
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -23,6 +23,9 @@
 _SPARE_THREADS = 4
 """Threads that ordinary calls leave free, so that a check finds one."""
 
+_MIN_WAITING = 8
+"""Threads that slots leave to calls that wait or are forwarded."""
+
 
 @dataclass(slots=True)
 class AdmissionState:
@@ -35,7 +38,6 @@
     host: str
     started_at_s: float
     started_wall_ms: int
-    threads: int
     snapshot: _snapshot.Snapshot
     placement: _placement.PlacementState
     dispatcher: _dispatch.Dispatcher
@@ -52,12 +54,14 @@
         """Return the state of a node that has just started."""
         empty = _snapshot.Snapshot.empty()
         placement = _placement.PlacementState.from_host(host, wall_ms)
-        ramp = _ramp.Ramp.from_start(max(1, threads - _SPARE_THREADS), now_s)
+        usable = max(2, threads - _SPARE_THREADS)
+        ramp = _ramp.Ramp.from_start(
+            max(usable // 2, usable - _MIN_WAITING), now_s
+        )
         return cls(
             host=host,
             started_at_s=now_s,
             started_wall_ms=wall_ms,
-            threads=threads,
             snapshot=empty,
             placement=placement,
             dispatcher=_dispatch.Dispatcher(
@@ -65,6 +69,7 @@
                 _quota.QuotaState.from_host(host, now_s),
                 placement,
                 _backend_server.BackendServer(ramp),
+                threads=usable,
             ),
         )
 
@@ -175,9 +180,7 @@
         self.placement.apply_snapshot(snapshot, self._wall_ms(now_s))
         if self.placement.accepting and not accepted:
             self.dispatcher.server.ramp.reset("host returned", now_s)
-        self.dispatcher.apply_snapshot(
-            snapshot, self.threads - _SPARE_THREADS, now_s
-        )
+        self.dispatcher.apply_snapshot(snapshot, now_s)
         self._recheck_waiting(now_s)
         self.dispatcher.pump(now_s)
 
@@ -269,8 +272,9 @@
         now_s: float,
     ) -> _calls.Decision:
         ordinary = checked.route.priority is _rows.Priority.ORDINARY
+        waiting = self.dispatcher.queue.ordinary
         if ordinary and (
-            self.calls_in_hand(now_s) >= self.threads - _SPARE_THREADS
+            waiting >= self.dispatcher.threads_for_waiting(now_s)
         ):
             return self.dispatcher.refuse_busy(
                 exceptions.ResultCode.QUEUE_FULL, checked, now_s
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -28,12 +28,14 @@
     queue: _fair_queue.FairQueue = field(default_factory=_fair_queue.FairQueue)
     bookings: _bookings.Bookings = field(default_factory=_bookings.Bookings)
     max_in_flight_by_team: dict[str, int] = field(default_factory=dict)
+    threads: int = 0
+    slots: int = 0
     ready: bool = False
     last_ticket: int = 0
     settled: list[_calls.Settled] = field(default_factory=list)
 
     def apply_snapshot(
-        self, snapshot: _snapshot.Snapshot, queue_threads: int, now_s: float
+        self, snapshot: _snapshot.Snapshot, now_s: float
     ) -> None:
         """Follow the limits of the own service in a new snapshot."""
         self.snapshot = snapshot
@@ -47,7 +49,9 @@
             for route in snapshot.routes
         )
         self.server.ramp.apply_row(row, 1 if internal else 0)
-        self.queue.limit = max(0, queue_threads - (row.slots if row else 0))
+        self.slots = (
+            min(row.slots, self.server.ramp.thread_limit) if row else 0
+        )
         limits = [
             limit
             for limit in snapshot.by_limit.values()
@@ -60,6 +64,18 @@
             limit.team: limit.max_in_flight for limit in limits
         }
 
+    def threads_for_waiting(self, now_s: float) -> int:
+        """Return how many calls may wait, here or for another node.
+
+        Slots keep their threads, as far as calls can start on them.
+        """
+        running = self.server.slots.in_use
+        if self.placement.accepting:
+            running = max(running, self.slots)
+        return max(
+            0, self.threads - running - self.placement.chooser.in_hand(now_s)
+        )
+
     def finish(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
     ) -> None:
@@ -120,6 +136,7 @@
             )
         self.last_ticket += 1
         entry = _fair_queue.Waiting(self.last_ticket, checked)
+        self.queue.limit = self.threads_for_waiting(now_s)
         victim = self.queue.offer(entry)
         if victim is entry:
             self.give_up(checked, now_s)
--- a/src/jasminecrank/state/_ramp.py
+++ b/src/jasminecrank/state/_ramp.py
@@ -46,6 +46,7 @@
     load_limit: int = 0
     load_until_s: float = -math.inf
     last_reset: str = "start"
+    resets: int = 0
 
     @classmethod
     def from_start(cls, thread_limit: int, now_s: float) -> "Ramp":
@@ -59,6 +60,8 @@
 
     def reset(self, reason: str, now_s: float) -> None:
         """Treat the server as cold from now on."""
+        if self.credited_s > 0.0 or reason != self.last_reset:
+            self.resets += 1
         self.reset_at_s = now_s
         self.credited_until_s = now_s
         self.credited_s = 0.0
