Test admission with tables and a state machine

Tables cover each rule; a state machine runs calls, ends, reports, versions and time in any order against a model.

--- /dev/null
+++ b/features/steps/admission_actor_steps.py
@@ -0,0 +1,165 @@
+"""Steps on the admission actor, with timers under the test's control."""
+
+import contextlib
+
+from behave import given
+from behave import then
+from behave import when
+from features.steps import admission_world
+import pykka
+
+from jasminecrank import coordination
+from jasminecrank import state
+
+ANSWERED = state.Outcome(state.OutcomeKind.ANSWERED, 0.01)
+
+
+class ManualTimers:
+    """Keeps timer messages until the test lets time pass."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._entries = []
+
+    def call_later(self, delay_s, mailbox, message):
+        """Keep a message."""
+        due_s = self._clock.now_s + delay_s
+        self._entries.append((due_s, mailbox, message))
+
+    def advance(self, seconds):
+        """Move the clock and send what falls due."""
+        end_s = self._clock.now_s + seconds
+        while due := [entry for entry in self._entries if entry[0] <= end_s]:
+            entry = min(due, key=lambda known: known[0])
+            self._entries.remove(entry)
+            self._clock.now_s = max(self._clock.now_s, entry[0])
+            entry[1].tell(entry[2])
+            coordination.ask(entry[1], coordination.GetStatus())
+        self._clock.now_s = end_s
+
+
+def decision_in(reply):
+    """Return the decision a reply has, None if there is none yet."""
+    try:
+        return reply.get(timeout=0)
+    except pykka.Timeout:
+        return None
+
+
+@given("the admission actor of a node with {count:d} calls in hand")
+def step_actor(context, count):
+    context.crashes = []
+
+    class Actor(coordination.AdmissionActor):
+        on_crash = staticmethod(lambda: context.crashes.append(1))
+
+    world = admission_world.World()
+    clock = state.ManualClock(world.now_s)
+    context.timers = ManualTimers(clock)
+    context.actor = Actor.start(
+        coordination.AdmissionSettings("ledger-1", 48), clock, context.timers
+    )
+    context.exit_stack = contextlib.ExitStack()
+    context.exit_stack.callback(context.actor.stop)
+    context.actor.tell(coordination.SnapshotChanged(world.admission.snapshot))
+    context.actor.tell(coordination.ReadinessChanged(True, "test"))
+    sync(context)
+    context.timers.advance(10.0)
+    context.replies = []
+    for index in range(count):
+        reply = pykka.ThreadingFuture()
+        call = state.CallRequest(
+            f"r{index}",
+            "GET",
+            "/lots/1",
+            admission_world.DIGESTS["large"],
+            None,
+            None,
+            None,
+        )
+        context.actor.tell(coordination.AdmitCall(call, reply))
+        context.replies.append(reply)
+    sync(context)
+    context.running = [
+        decision.permit
+        for reply in context.replies
+        if isinstance(decision := decision_in(reply), state.Admitted)
+    ]
+
+
+def sync(context):
+    """Wait until the actor has handled every message sent."""
+    coordination.ask(context.actor, coordination.GetStatus())
+
+
+@when("a stop is requested")
+def step_stop(context):
+    context.drained = pykka.ThreadingFuture()
+    context.actor.tell(coordination.StopRequested())
+    context.actor.tell(coordination.AwaitDrained(context.drained))
+    sync(context)
+
+
+@when("the running calls end")
+def step_end(context):
+    for permit in context.running:
+        context.actor.tell(coordination.CallFinished(permit, ANSWERED))
+    sync(context)
+
+
+@when("the deadlines pass")
+def step_deadlines(context):
+    context.timers.advance(3.0)
+
+
+@when("the caller gives up")
+def step_cancel(context):
+    context.actor.tell(coordination.CancelCall("r2"))
+    sync(context)
+
+
+@when("the running calls end and the {others}")
+def step_end_all(context, others):
+    step_end(context)
+    if others == "deadlines pass":
+        step_deadlines(context)
+        return
+    for reply in context.replies:
+        decision = decision_in(reply)
+        if isinstance(decision, state.ForwardTo):
+            context.actor.tell(
+                coordination.ForwardFinished(decision, ANSWERED)
+            )
+    sync(context)
+
+
+@then("{count:d} waiting calls are forwarded")
+def step_forwarded(context, count):
+    forwarded = [
+        reply
+        for reply in context.replies
+        if isinstance(decision_in(reply), state.ForwardTo)
+    ]
+    assert len(forwarded) == count, forwarded
+
+
+@then("the stop is not answered")
+def step_not_drained(context):
+    assert not context.crashes
+    try:
+        context.drained.get(timeout=0)
+    except pykka.Timeout:
+        return
+    raise AssertionError("answered")
+
+
+@then("the stop is answered")
+def step_drained(context):
+    context.drained.get(timeout=5)
+    assert not context.crashes
+
+
+@then("the last call is decided as {decision}")
+def step_last(context, decision):
+    seen = decision_in(context.replies[-1])
+    assert admission_world.describe(seen) == decision, seen
--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,206 @@
+"""Steps on admission: capacity, queue and placement."""
+
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import when
+from features.steps import admission_world
+
+from jasminecrank import state
+
+
+@given("a node of ledger")
+def step_node(context):
+    context.world = admission_world.World()
+
+
+@given("the node {name}")
+def step_named_node(context, name):
+    context.world = admission_world.World(name)
+
+
+@given(
+    "a node of ledger with {slots:d} slots, {cold:d} cold and "
+    "{connections:d} connections"
+)
+def step_node_with(context, slots, cold, connections):
+    service = state.ServiceRow("ledger", slots, cold, 10.0, connections)
+    context.world = admission_world.World(service=service)
+
+
+@given("a node of ledger whose slots are all in use")
+def step_busy_node(context):
+    context.world = admission_world.World(service=admission_world.WARM)
+    context.world.fill("large", 11)
+
+
+@given("a node of ledger whose teams may have {limit:d} calls in flight")
+def step_bounded_teams(context, limit):
+    limits = [
+        dataclasses.replace(row, max_in_flight=limit)
+        for row in admission_world.LIMITS
+    ]
+    context.world = admission_world.World(
+        service=admission_world.WARM, limits=limits
+    )
+
+
+@given("a {kind} of small that waits")
+def step_waiting(context, kind):
+    context.call, result = context.world.call(kind, "small")
+    assert isinstance(result, state.Queued), result
+
+
+@when("the event {event} happens")
+def step_event(context, event):
+    world = context.world
+    match event:
+        case "a call ends":
+            world.finish()
+        case "its deadline":
+            world.advance(3.0)
+        case "its cancellation":
+            world.admission.cancel(context.call.request_id, world.now_s)
+            world.collect()
+        case _:
+            world.do(event)
+
+
+@when("a call of kind {kind} comes in {way}")
+def step_call(context, kind, way):
+    context.call, _ = context.world.call(
+        kind, **admission_world.way_fields(way)
+    )
+
+
+@when("large and small keep {large:d} and {small:d} calls waiting")
+def step_keep_waiting(context, large, small):
+    context.world = admission_world.World(service=admission_world.WARM)
+    context.world.fill("large", 11)
+    context.wanted = {"large": large, "small": small}
+
+
+@when("{count:d} calls are served one after the other")
+def step_serve(context, count):
+    world = context.world
+    queue = world.admission.dispatcher.queue
+    context.served = {"large": 0, "small": 0}
+    for _ in range(count):
+        for team, wanted in context.wanted.items():
+            while queue.waiting_of(team) < wanted:
+                world.call(team=team)
+        world.finish()
+        context.served[world.permits[-1].team] += 1
+
+
+@when("these events happen: {events}")
+def step_events(context, events):
+    context.world.do(events)
+
+
+@when("large sends {large:d} lookups and small sends {small:d}")
+def step_burst(context, large, small):
+    for team, calls in (("large", large), ("small", small)):
+        for _ in range(calls):
+            context.world.call(team=team)
+
+
+@when("{hand:d} calls are on their way to each near host and {end} there")
+def step_on_their_way(context, hand, end):
+    world = context.world
+    chooser = world.admission.placement.chooser
+    for name in ("ledger-1", "ledger-3"):
+        for index in range(hand):
+            request_id = f"{name}/{index}"
+            chooser.started(request_id, name, world.now_s + 2.0)
+            if end in ("all were answered", "all failed"):
+                failed = end == "all failed"
+                chooser.finished(request_id, name, failed, world.now_s)
+    if end == "all ran out of time":
+        world.advance(2.0)
+
+
+@then("the next lookup is forwarded to {where}")
+def step_next_forward(context, where):
+    call, _ = context.world.call()
+    near = ["ForwardTo ledger-1", "ForwardTo ledger-3"]
+    expected = near if where == "a near host" else [f"ForwardTo {where}"]
+    assert context.world.decisions_on(call)[0] in expected
+
+
+@then("the capacity is {capacity:d}")
+def step_capacity(context, capacity):
+    assert context.world.capacity() == capacity, context.world.server.ramp
+
+
+@then("{ordinary:d} ordinary calls run and {checks:d} checks")
+def step_running(context, ordinary, checks):
+    world = context.world
+    for index in range(40):
+        world.call(team=("large", "small")[index % 2])
+    world.call("check")
+    slots = world.server.slots
+    assert (slots.ordinary_in_use, slots.internal_in_use) == (
+        ordinary,
+        checks,
+    ), slots
+
+
+@then("large got between {least:d} and {most:d} of them")
+def step_share(context, least, most):
+    assert least <= context.served["large"] <= most, context.served
+
+
+@then("its one decision is {decision}")
+def step_decision(context, decision):
+    seen = context.world.decisions_on(context.call)
+    if decision == "none yet":
+        assert seen == [], seen
+        return
+    assert len(seen) == 1, seen
+    assert seen[0] == decision or seen[0].split()[0] == decision, seen
+
+
+@then("its token is {token}")
+def step_token(context, token):
+    spent = context.world.quota.spent_by_team["small"]
+    assert spent == (token == "spent"), spent
+
+
+@then("{count:d} calls of small wait")
+def step_small_wait(context, count):
+    queue = context.world.admission.dispatcher.queue
+    assert queue.waiting_of("small") == count
+
+
+@then("{count:d} calls of large are refused as QUEUE_FULL with Retry-After")
+def step_refused(context, count):
+    refused = [
+        decision
+        for _, decision in context.world.results
+        if isinstance(decision, state.Refused) and decision.team == "large"
+    ]
+    assert len(refused) == count, refused
+    for decision in refused:
+        assert decision.code.name == "QUEUE_FULL", decision
+        assert decision.retry_after_s > 0.0, decision
+
+
+@then("a check of large waits for a slot at most one call long")
+def step_check_waits(context):
+    call, _ = context.world.call("check")
+    context.world.finish()
+    assert context.world.decisions_on(call) == ["Admitted"]
+
+
+@then("{running:d} calls of large run and {waiting:d} wait")
+def step_in_flight(context, running, waiting):
+    dispatcher = context.world.admission.dispatcher
+    assert dispatcher.server.running_by_team["large"] == running
+    assert dispatcher.queue.waiting_of("large") == waiting
+
+
+@then("1 call of small runs")
+def step_small_runs(context):
+    assert context.world.server.running_by_team["small"] == 1
--- /dev/null
+++ b/features/steps/idempotency_steps.py
@@ -0,0 +1,132 @@
+"""Steps on bookings with an idempotency key."""
+
+from behave import given
+from behave import then
+from behave import when
+from features.steps import admission_world
+
+from jasminecrank import state
+
+MADE_MS = admission_world.WALL_MS + 10_000
+LEDGERS = admission_world.HOSTS[:3]
+OUTCOMES = {
+    "was answered": "answered",
+    "was too long": "answered",
+    "timed out": "timed-out",
+    "was cut": "broken",
+    "was cancelled": "cancelled",
+    "was not sent": "not-sent",
+    "was shed": "shed",
+}
+
+
+def find_key(order, made_ms=MADE_MS, plain=False):
+    """Return a key for which the hosts rank in an order."""
+    for tail in range(1000):
+        key = f"order-{tail}"
+        if not plain:
+            key = admission_world.uuid7(made_ms, tail)
+        ranked = state.rendezvous_rank(LEDGERS, key)
+        if [row.host for row in ranked][: len(order)] == order:
+            return key
+    raise AssertionError(order)
+
+
+@given("the owner of a {kind} key")
+def step_owner(context, kind):
+    context.world = admission_world.World()
+    made_ms = MADE_MS - (20_000 if kind == "old" else 0)
+    context.key = find_key(["ledger-1"], made_ms, kind == "plain")
+
+
+@given("a key that {owner} owns")
+def step_key(context, owner):
+    context.key = find_key([owner])
+
+
+@when("the first booking {first}")
+def step_first(context, first):
+    world = context.world
+    memory = world.admission.dispatcher.bookings.memory
+    if first == "never came":
+        return
+    if first == "waits":
+        world.fill("large", 2)
+    if first == "was too long":
+        memory.max_bytes = 1
+    world.call("booking", key=context.key, body_digest="one")
+    if first in OUTCOMES:
+        world.finish(OUTCOMES[first])
+
+
+@when("the booking is repeated with {repeat}")
+def step_repeat(context, repeat):
+    context.call, _ = context.world.call(
+        "booking",
+        "small" if repeat == "another team" else "large",
+        key=context.key,
+        body_digest="two" if repeat == "another body" else "one",
+    )
+
+
+@when("these events happen at {name}: {events}")
+def step_events_at(context, name, events):
+    context.world = admission_world.World(name)
+    context.world.do(events)
+
+
+@when("a booking with the key comes in {way}")
+def step_keyed(context, way):
+    context.call, _ = context.world.call(
+        "booking", key=context.key, **admission_world.way_fields(way)
+    )
+
+
+@given("a key made {made} the host that owns it leaves")
+def step_owner_leaves(context, made):
+    world = context.world = admission_world.World()
+    made_ms = MADE_MS + (2000 if made == "after" else 0)
+    context.key = find_key(["ledger-2", "ledger-1"], made_ms)
+    world.do("wait 1, leaving ledger-2, wait 2")
+
+
+@when("a booking with the key comes to the next owner {way}")
+def step_next_owner(context, way):
+    former = {"forwarded_by": "ledger-2"}
+    context.call, _ = context.world.call(
+        "booking",
+        key=context.key,
+        **(former if way == "from the former owner" else {}),
+    )
+
+
+@given("an owner whose memory is full of {kind} keys made {age:d} s ago")
+def step_full_memory(context, kind, age):
+    world = context.world = admission_world.World(service=admission_world.WARM)
+    world.do("leaving ledger-2, leaving ledger-3, wait 1")
+    world.admission.dispatcher.bookings.memory.max_keys = 4
+    context.keys = [
+        f"order-{index}"
+        if kind == "plain"
+        else admission_world.uuid7(world.wall_ms(), index)
+        for index in range(4)
+    ]
+    for key in context.keys:
+        world.run("answered", kind="booking", key=key)
+    world.advance(age)
+
+
+@when("a booking with a new key comes in from a caller")
+def step_new_key(context):
+    world = context.world
+    key = admission_world.uuid7(world.wall_ms(), 99)
+    context.call, _ = world.call("booking", key=key)
+
+
+@then("the first of the old bookings is not run again")
+def step_not_again(context):
+    call, _ = context.world.call("booking", key=context.keys[0])
+    assert context.world.decisions_on(call)[0] in (
+        "Replay",
+        "REPEAT_OUTCOME_UNKNOWN may-have-run",
+    )
