Find late starts and kept keys with the admission tests

The state machine seldom reached a warm server.

The machine now has late timers, warms the server up, answers calls in series and checks the shares of teams that wait. Tables cover the keys. A call that is shed counts as not run only if the outcome says so, because a server may shed a call it has begun.

--- a/features/state/idempotency.feature
+++ b/features/state/idempotency.feature
@@ -24,7 +24,13 @@
       | new   | was cut       | wait 60             | the same body   | REPEAT_OUTCOME_UNKNOWN may-have-run |
       | new   | was cancelled | nothing             | the same body   | REPEAT_OUTCOME_UNKNOWN may-have-run |
       | new   | was not sent  | wait 2              | the same body   | Admitted                            |
-      | new   | was shed      | nothing             | the same body   | Admitted                            |
+      | new   | was shed      | nothing             | the same body   | REPEAT_OUTCOME_UNKNOWN may-have-run |
+      | new   | was shed unrun | nothing            | the same body   | Admitted                            |
+      | new   | gave up waiting | nothing           | the same body   | none yet                            |
+      | absent | runs         | nothing             | the same body   | REPEAT_IN_PROGRESS may-have-run     |
+      | absent | waits        | nothing             | the same body   | REPEAT_IN_PROGRESS may-have-run     |
+      | absent | gave up waiting | nothing          | the same body   | none yet                            |
+      | absent | was answered | nothing             | the same body   | Admitted                            |
       | new   | was answered  | nothing             | another body    | IDEMPOTENCY_KEY_MISMATCH not-run    |
       | new   | was answered  | nothing             | another team    | IDEMPOTENCY_KEY_MISMATCH not-run    |
       | new   | was answered  | withdraw large      | the same body   | KEY_UNKNOWN not-run                 |
--- a/features/steps/admission_machine_steps.py
+++ b/features/steps/admission_machine_steps.py
@@ -1,5 +1,6 @@
 """Random runs of admission against a model of what it may do."""
 
+import collections
 import dataclasses
 import math
 
@@ -14,7 +15,7 @@
 SERVICE = state.ServiceRow("ledger", 6, 2, 3.0, 20)
 LIMITS = (
     dataclasses.replace(admission_world.LIMITS[0], max_in_flight=4),
-    dataclasses.replace(admission_world.LIMITS[1], max_in_flight=2),
+    dataclasses.replace(admission_world.LIMITS[1], max_in_flight=3),
 )
 THREADS = 18
 SPARED = 4
@@ -40,6 +41,8 @@
         self.calls = []
         self.run_keys = set()
         self.key_by_permit = {}
+        self.both_waited = False
+        self.started_by_team = collections.Counter()
 
     # Events.
 
@@ -70,21 +73,32 @@
             self.calls.append(call)
             self.look()
 
-    @stateful.rule(kind=st.sampled_from(ENDS), index=st.integers(0, 30))
-    def call_ends(self, kind, index):
+    @stateful.rule(
+        kind=st.sampled_from(ENDS),
+        index=st.integers(0, 30),
+        not_run=st.booleans(),
+    )
+    def call_ends(self, kind, index, not_run):
         """Give a permit back."""
         world = self.world
         if not world.permits:
             return
         index %= len(world.permits)
         permit = world.permits[index]
-        if kind in ("not-sent", "shed"):
+        not_run = not_run and kind in ("shed", "cancelled")
+        if kind == "not-sent" or not_run:
             self.run_keys.discard(self.key_by_permit[permit.permit_id])
         if kind == "not-sent" and world.now_s < permit.deadline_at_s:
             self.cold_at_s = world.now_s
-        world.finish(kind, index)
+        world.finish(kind, index, not_run=not_run)
         self.look()
 
+    @stateful.rule(count=st.integers(1, 8))
+    def calls_are_answered(self, count):
+        """Answer the calls that have run longest."""
+        for _ in range(count):
+            self.call_ends("answered", 0, False)
+
     @stateful.rule(index=st.integers(0, 30))
     def call_is_cancelled(self, index):
         """Withdraw a call."""
@@ -144,37 +158,45 @@
         for call in self.world.call_by_ticket.values():
             assert self.key_is_valid(call), call
 
-    @stateful.rule()
-    def keys_return(self):
-        """Issue the withdrawn keys again."""
-        self.world.withdrawn.clear()
-        self.world.publish()
+    @stateful.rule(warm=st.booleans())
+    def all_is_well(self, warm):
+        """Undo what keeps calls out and let the server warm up."""
+        world = self.world
+        before = self.host_takes_work()
+        if world.draining or not before:
+            self.cold_at_s = world.now_s
+        world.withdrawn.clear()
+        world.out.clear()
+        world.hosts.update({row.host: row for row in admission_world.HOSTS})
+        world.publish()
+        world.do("server returns")
+        self.set_ready(True)
         self.look()
+        for index in range(12 if warm and not self.stopped else 0):
+            self.calls_come("lookup", "large", None, None, False, 1)
+            if index > 8:
+                self.calls_come("lookup", "small", None, None, False, 1)
+            world.advance(0.4)
+            self.look()
+            if index < 8:
+                self.call_ends("answered", 0, False)
 
-    @stateful.rule(ready=st.booleans())
-    def readiness_changes(self, ready):
-        """Begin or cease to accept calls."""
-        self.ready = ready
-        self.world.admission.set_ready(ready, self.world.now_s)
-        self.world.collect()
-        self.look()
+    @stateful.rule()
+    def readiness_is_lost(self):
+        """Cease to accept calls."""
+        self.set_ready(False)
 
-    @stateful.rule(seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]))
-    def time_passes(self, seconds):
-        """Let time pass in small steps with answers between them."""
+    @stateful.rule(
+        seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]), late=st.booleans()
+    )
+    def time_passes(self, seconds, late):
+        """Let time pass; timer messages may come late."""
+        if late:
+            self.world.now_s += seconds
+            return
         self.world.advance(seconds)
         self.look()
 
-    @stateful.rule(steps=st.integers(1, 8))
-    def server_answers(self, steps):
-        """Let the server answer what runs, so that it warms up."""
-        for _ in range(steps):
-            self.world.advance(0.5)
-            self.look()
-            if self.world.permits:
-                self.world.finish()
-                self.look()
-
     @stateful.precondition(lambda self: not self.stopped)
     @stateful.rule(really=st.integers(0, 9))
     def stop_comes(self, really):
@@ -184,19 +206,32 @@
             self.world.do("stop")
             self.look()
 
+    def set_ready(self, ready):
+        """Begin or cease to accept calls."""
+        self.ready = ready
+        self.world.admission.set_ready(ready, self.world.now_s)
+        self.world.collect()
+        self.look()
+
     # What must hold.
 
     def look(self):
         """Check the decisions made by the last event."""
         new = self.world.results[self.seen :]
         self.seen = len(self.world.results)
+        self.check_shares(new)
         for call, decision in new:
             match decision:
                 case state.Admitted():
                     self.check_admitted(call, decision.permit)
                 case state.ForwardTo():
                     self.check_forwarded(call, decision)
-        self.check_bounds(any(isinstance(d, state.Admitted) for _, d in new))
+        started = [
+            decision.permit
+            for _, decision in new
+            if isinstance(decision, state.Admitted)
+        ]
+        self.check_bounds(started)
 
     def check_admitted(self, call, permit):
         """Check one permit."""
@@ -223,24 +258,48 @@
         assert decision.host.state is state.HostState.LIVE
         assert decision.host.data_centre not in world.out
 
-    def check_bounds(self, admitted):
-        """Check the slots, after an event that started calls or not."""
+    def check_shares(self, new):
+        """Check that of two teams that both wait, none is passed over."""
+        server = self.world.server
+        queue = self.world.admission.dispatcher.queue
+        both = all(
+            queue.waiting_of(row.team)
+            and server.running_by_team[row.team] < row.max_in_flight
+            for row in LIMITS
+        )
+        if not (both and self.both_waited):
+            self.started_by_team.clear()
+        self.both_waited = both
+        for _, decision in new:
+            if isinstance(decision, state.Admitted) and (
+                decision.permit.route.priority is not INTERNAL
+            ):
+                self.started_by_team[decision.permit.team] += 1
+        if both:
+            large = self.started_by_team["large"]
+            small = self.started_by_team["small"]
+            assert large <= 3 * (small + 2), self.started_by_team
+            assert small <= large / 3 + 2, self.started_by_team
+
+    def check_bounds(self, started):
+        """Check the slots, after an event that may have started calls."""
         world = self.world
         ordinary = [
             permit
             for permit in world.permits
             if permit.route.priority is not INTERNAL
         ]
-        if admitted:
+        if started:
             elapsed_s = min(world.now_s - self.cold_at_s, SERVICE.ramp_s)
             rise = (SERVICE.slots - SERVICE.cold_slots) / SERVICE.ramp_s
             bears = SERVICE.cold_slots + math.floor(rise * elapsed_s)
             assert len(world.permits) <= bears
             assert len(world.permits) <= world.capacity()
+        if any(permit.route.priority is not INTERNAL for permit in started):
+            assert len(ordinary) <= world.capacity() - 1
         for row in LIMITS:
             running = [p for p in ordinary if p.team == row.team]
             assert len(running) <= row.max_in_flight
-        assert len(ordinary) <= SERVICE.slots - 1
         queue = world.admission.dispatcher.queue
         forwards = [
             decision
--- a/features/steps/admission_world.py
+++ b/features/steps/admission_world.py
@@ -243,12 +243,12 @@
             describe(result) for known, result in self.results if known is call
         ]
 
-    def finish(self, kind="answered", index=0, duration_s=0.01, body=b"ok"):
+    def finish(self, kind="answered", index=0, duration_s=0.01, not_run=False):
         """End a running call."""
-        answer = None
-        if kind == "answered":
-            answer = state.Answer(200, (), body)
-        outcome = state.Outcome(state.OutcomeKind(kind), duration_s, answer)
+        answer = state.Answer(200, (), b"ok") if kind == "answered" else None
+        outcome = state.Outcome(
+            state.OutcomeKind(kind), duration_s, answer, not_run
+        )
         permit = self.permits.pop(index)
         self.admission.finish(permit, outcome, self.now_s)
         self.collect()
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -17,6 +17,7 @@
     "was cancelled": "cancelled",
     "was not sent": "not-sent",
     "was shed": "shed",
+    "was shed unrun": "shed",
 }
 
 
@@ -32,11 +33,20 @@
     raise AssertionError(order)
 
 
+def keyed(context):
+    """Return the key, or the request id of a booking without a key."""
+    if context.key is None:
+        return {"request_id": "same"}
+    return {"key": context.key}
+
+
 @given("the owner of a {kind} key")
 def step_owner(context, kind):
     context.world = admission_world.World()
     made_ms = MADE_MS - (20_000 if kind == "old" else 0)
-    context.key = find_key(["ledger-1"], made_ms, kind == "plain")
+    context.key = None
+    if kind != "absent":
+        context.key = find_key(["ledger-1"], made_ms, kind == "plain")
 
 
 @given("a key that {owner} owns")
@@ -50,13 +60,15 @@
     memory = world.admission.dispatcher.bookings.memory
     if first == "never came":
         return
-    if first == "waits":
+    if first in ("waits", "gave up waiting"):
         world.fill("large", 2)
     if first == "was too long":
         memory.max_bytes = 1
-    world.call("booking", key=context.key, body_digest="one")
-    if first in OUTCOMES:
-        world.finish(OUTCOMES[first])
+    call, _ = world.call("booking", **keyed(context), body_digest="one")
+    if first == "gave up waiting":
+        world.admission.cancel(call.request_id, world.now_s)
+    elif first in OUTCOMES:
+        world.finish(OUTCOMES[first], not_run=first == "was shed unrun")
 
 
 @when("the booking is repeated with {repeat}")
@@ -64,7 +76,7 @@
     context.call, _ = context.world.call(
         "booking",
         "small" if repeat == "another team" else "large",
-        key=context.key,
+        **keyed(context),
         body_digest="two" if repeat == "another body" else "one",
     )
 
--- a/src/jasminecrank/state/_calls.py
+++ b/src/jasminecrank/state/_calls.py
@@ -116,16 +116,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Outcome:
-    """How a call ended, with the answer if there is one."""
+    """How a call ended, with the answer if there is one.
+
+    A server may shed a call after it has begun to run it, so `not_run` has
+    to be stated.
+    """
 
     kind: OutcomeKind
     duration_s: float
     answer: Answer | None = None
+    not_run: bool = False
 
     @property
     def did_not_run(self) -> bool:
         """Return whether the backend server certainly did not run it."""
-        return self.kind in (OutcomeKind.NOT_SENT, OutcomeKind.SHED)
+        return self.not_run or self.kind is OutcomeKind.NOT_SENT
 
 
 @dataclass(slots=True, frozen=True)
