Merge admission beside the backend server

Cause: admission and the check for pauses at the point of use changed the same decision.

Change: the dispatcher holds readiness and its last tick, and checks both before it admits a call or starts a waiting one; two result codes are documented.

--- /dev/null
+++ b/features/steps/admission_machine_steps.py
@@ -0,0 +1,355 @@
+"""Random runs of admission against a model of what it may do."""
+
+import collections
+import dataclasses
+import math
+
+from behave import then
+from features.steps import admission_world
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from jasminecrank import state
+
+SERVICE = state.ServiceRow("ledger", 6, 2, 3.0, 20)
+LIMITS = (
+    dataclasses.replace(admission_world.LIMITS[0], max_in_flight=4),
+    dataclasses.replace(admission_world.LIMITS[1], max_in_flight=3),
+)
+THREADS = 18
+SPARED = 4
+INTERNAL = state.Priority.INTERNAL
+TEAMS = st.sampled_from(["large", "small"])
+KEYS = st.sampled_from([None, "plain-1", "plain-2", 1, 2, 3])
+ENDS = [kind.value for kind in state.OutcomeKind]
+
+
+class AdmissionMachine(stateful.RuleBasedStateMachine):
+    """Calls, ends, reports and versions in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = admission_world.World(
+            service=SERVICE, limits=LIMITS, threads=THREADS
+        )
+        self.ready = True
+        self.stopped = False
+        self.cold_at_s = self.world.now_s - 10.0
+        self.seen = 0
+        self.asked = 0
+        self.calls = []
+        self.run_keys = set()
+        self.key_by_permit = {}
+        self.both_waited = False
+        self.started_by_team = collections.Counter()
+
+    # Events.
+
+    @stateful.rule(
+        kind=st.sampled_from(sorted(admission_world.KINDS)),
+        team=TEAMS,
+        key=KEYS,
+        deadline_s=st.sampled_from([None, 0.0, 0.3, 1.0]),
+        forwarded=st.booleans(),
+        burst=st.integers(1, 6),
+    )
+    def calls_come(self, kind, team, key, deadline_s, forwarded, burst):
+        """Ask for decisions on equal calls."""
+        world = self.world
+        deadline_at_s = None
+        if deadline_s is not None:
+            deadline_at_s = world.now_s + deadline_s
+        if isinstance(key, int):
+            key = admission_world.uuid7(admission_world.WALL_MS + 5000, key)
+        for _ in range(burst):
+            call, _ = world.call(
+                kind,
+                team,
+                key=key,
+                deadline_at_s=deadline_at_s,
+                forwarded_by="ledger-3" if forwarded else None,
+            )
+            self.calls.append(call)
+            self.look()
+
+    @stateful.rule(
+        kind=st.sampled_from(ENDS),
+        index=st.integers(0, 30),
+        not_run=st.booleans(),
+    )
+    def call_ends(self, kind, index, not_run):
+        """Give a permit back."""
+        world = self.world
+        if not world.permits:
+            return
+        index %= len(world.permits)
+        permit = world.permits[index]
+        not_run = not_run and kind in ("shed", "cancelled")
+        if kind == "not-sent" or not_run:
+            self.run_keys.discard(self.key_by_permit[permit.permit_id])
+        if kind == "not-sent" and world.now_s < permit.deadline_at_s:
+            self.cold_at_s = world.now_s
+        world.finish(kind, index, not_run=not_run)
+        self.look()
+
+    @stateful.rule(count=st.integers(1, 8))
+    def calls_are_answered(self, count):
+        """Answer the calls that have run longest."""
+        for _ in range(count):
+            self.call_ends("answered", 0, False)
+
+    @stateful.rule(index=st.integers(0, 30))
+    def call_is_cancelled(self, index):
+        """Withdraw a call."""
+        if self.calls:
+            call = self.calls[-1 - index % len(self.calls)]
+            self.world.admission.cancel(call.request_id, self.world.now_s)
+            self.world.collect()
+            self.look()
+
+    @stateful.rule(
+        event=st.sampled_from(
+            [
+                "health lost",
+                "health restarted",
+                "server drains",
+                "server returns",
+                "load 0.0",
+                "load 0.5",
+                "load 2.0",
+            ]
+        )
+    )
+    def health_comes(self, event):
+        """Report health."""
+        world = self.world
+        known = world.server.ramp.started_at_ms is not None
+        if event == "health restarted" and known:
+            self.cold_at_s = world.now_s
+        if event == "server returns" and world.draining:
+            self.cold_at_s = world.now_s
+        world.do(event)
+        self.look()
+
+    @stateful.rule(
+        event=st.sampled_from(
+            [
+                "out north",
+                "in north",
+                "out south",
+                "in south",
+                "leaving ledger-1",
+                "live ledger-1",
+                "leaving ledger-2",
+                "live ledger-2",
+                "withdraw large",
+                "withdraw small",
+            ]
+        )
+    )
+    def version_comes(self, event):
+        """Put a new snapshot in force."""
+        before = self.host_takes_work()
+        self.world.do(event)
+        if self.host_takes_work() and not before:
+            self.cold_at_s = self.world.now_s
+        self.look()
+        for call in self.world.call_by_ticket.values():
+            assert self.key_is_valid(call), call
+
+    @stateful.rule(warm=st.booleans())
+    def all_is_well(self, warm):
+        """Undo what keeps calls out and let the server warm up."""
+        world = self.world
+        before = self.host_takes_work()
+        if world.draining or not before:
+            self.cold_at_s = world.now_s
+        world.withdrawn.clear()
+        world.out.clear()
+        world.hosts.update({row.host: row for row in admission_world.HOSTS})
+        world.publish()
+        world.do("server returns")
+        self.set_ready(True)
+        self.look()
+        for index in range(12 if warm and not self.stopped else 0):
+            self.calls_come("lookup", "large", None, None, False, 1)
+            if index > 8:
+                self.calls_come("lookup", "small", None, None, False, 1)
+            world.advance(0.4)
+            self.look()
+            if index < 8:
+                self.call_ends("answered", 0, False)
+
+    @stateful.rule()
+    def readiness_is_lost(self):
+        """Cease to accept calls."""
+        self.set_ready(False)
+
+    @stateful.rule(
+        seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]), late=st.booleans()
+    )
+    def time_passes(self, seconds, late):
+        """Let time pass; timer messages may come late."""
+        if late:
+            self.world.now_s += seconds
+            return
+        self.world.advance(seconds)
+        self.look()
+
+    @stateful.precondition(lambda self: not self.stopped)
+    @stateful.rule(really=st.integers(0, 9))
+    def stop_comes(self, really):
+        """Begin a planned stop, seldom."""
+        if really == 0:
+            self.stopped = True
+            self.world.do("stop")
+            self.look()
+
+    def set_ready(self, ready):
+        """Begin or cease to accept calls."""
+        self.ready = ready
+        self.world.admission.set_ready(ready, self.world.now_s)
+        self.world.collect()
+        self.look()
+
+    # What must hold.
+
+    def look(self):
+        """Check the decisions made by the last event."""
+        new = self.world.results[self.seen :]
+        self.seen = len(self.world.results)
+        self.check_shares(new)
+        for call, decision in new:
+            match decision:
+                case state.Admitted():
+                    self.check_admitted(call, decision.permit)
+                case state.ForwardTo():
+                    self.check_forwarded(call, decision)
+        started = [
+            decision.permit
+            for _, decision in new
+            if isinstance(decision, state.Admitted)
+        ]
+        self.check_bounds(started)
+
+    def check_admitted(self, call, permit):
+        """Check one permit."""
+        world = self.world
+        assert self.ready
+        assert self.host_takes_work()
+        assert not self.stopped
+        assert not world.draining
+        assert self.key_is_valid(call), call
+        assert world.now_s < permit.deadline_at_s
+        if permit.route.kind is state.RouteKind.BOOKING:
+            key = call.idempotency_key or call.request_id
+            assert key not in self.run_keys, call
+            self.run_keys.add(key)
+            self.key_by_permit[permit.permit_id] = key
+        else:
+            self.key_by_permit[permit.permit_id] = None
+
+    def check_forwarded(self, call, decision):
+        """Check one forwarded call."""
+        world = self.world
+        assert call.forwarded_by is None, call
+        assert decision.host.host != "ledger-1"
+        assert decision.host.state is state.HostState.LIVE
+        assert decision.host.data_centre not in world.out
+
+    def check_shares(self, new):
+        """Check that of two teams that both wait, none is passed over."""
+        server = self.world.server
+        queue = self.world.admission.dispatcher.queue
+        both = all(
+            queue.waiting_of(row.team)
+            and server.running_by_team[row.team] < row.max_in_flight
+            for row in LIMITS
+        )
+        if not (both and self.both_waited):
+            self.started_by_team.clear()
+        self.both_waited = both
+        for _, decision in new:
+            if isinstance(decision, state.Admitted) and (
+                decision.permit.route.priority is not INTERNAL
+            ):
+                self.started_by_team[decision.permit.team] += 1
+        if both:
+            large = self.started_by_team["large"]
+            small = self.started_by_team["small"]
+            assert large <= 3 * (small + 2), self.started_by_team
+            assert small <= large / 3 + 2, self.started_by_team
+
+    def check_bounds(self, started):
+        """Check the slots, after an event that may have started calls."""
+        world = self.world
+        ordinary = [
+            permit
+            for permit in world.permits
+            if permit.route.priority is not INTERNAL
+        ]
+        if started:
+            elapsed_s = min(world.now_s - self.cold_at_s, SERVICE.ramp_s)
+            rise = (SERVICE.slots - SERVICE.cold_slots) / SERVICE.ramp_s
+            bears = SERVICE.cold_slots + math.floor(rise * elapsed_s)
+            assert len(world.permits) <= bears
+            assert len(world.permits) <= world.capacity()
+        if any(permit.route.priority is not INTERNAL for permit in started):
+            assert len(ordinary) <= world.capacity() - 1
+        for row in LIMITS:
+            running = [p for p in ordinary if p.team == row.team]
+            assert len(running) <= row.max_in_flight
+        queue = world.admission.dispatcher.queue
+        forwards = [
+            decision
+            for _, decision in world.results
+            if isinstance(decision, state.ForwardTo)
+            and decision.route.priority is not INTERNAL
+            and decision.deadline_at_s > world.now_s
+        ]
+        assert queue.ordinary + len(forwards) <= THREADS - SPARED
+        if not forwards:
+            assert queue.ordinary + len(ordinary) <= THREADS - SPARED
+        assert len(queue.internal) <= SPARED
+
+    @stateful.invariant()
+    def every_call_has_one_decision_or_waits(self):
+        """Check that no decision is lost or given twice."""
+        decided = [id(call) for call, _ in self.world.results]
+        assert len(decided) == len(set(decided))
+        waiting = {id(call) for call in self.world.call_by_ticket.values()}
+        assert not waiting & set(decided)
+        assert len(waiting) + len(decided) == len(self.calls)
+
+    def teardown(self):
+        """Let all deadlines pass: every call has its decision then."""
+        self.world.advance(10.0)
+        self.look()
+        assert not self.world.call_by_ticket
+        self.every_call_has_one_decision_or_waits()
+
+    def host_takes_work(self):
+        """Return whether the platform lets the host take new work."""
+        row = self.world.hosts["ledger-1"]
+        return (
+            row.state is state.HostState.LIVE and "north" not in self.world.out
+        )
+
+    def key_is_valid(self, call):
+        """Return whether the key of a call is in force."""
+        if call.path == "/board":
+            return True
+        valid = set(admission_world.DIGESTS) - self.world.withdrawn
+        return call.key_digest in {
+            admission_world.DIGESTS[team] for team in valid
+        }
+
+
+@then("the admission machine finds no fault")
+def step_machine(context):
+    del context
+    stateful.run_state_machine_as_test(
+        AdmissionMachine,
+        settings=settings(max_examples=150, stateful_step_count=40),
+    )
--- a/features/steps/page_steps.py
+++ b/features/steps/page_steps.py
@@ -34,7 +34,12 @@
         environment = {**os.environ, "PATH": f"{work}:{os.environ['PATH']}"}
         for command in commands:
             context.statuses[command] = subprocess.run(
-                command, shell=True, cwd=work, env=environment, check=False
+                command,
+                shell=True,
+                cwd=work,
+                env=environment,
+                stdout=subprocess.DEVNULL,
+                check=False,
             ).returncode
 
 
--- a/features/steps/readiness_steps.py
+++ b/features/steps/readiness_steps.py
@@ -54,8 +54,7 @@
 @given("a node that was ready at its last tick, at {now_s:d} s")
 def step_was_ready(context, now_s):
     context.admission = state.AdmissionState.from_host("a", now_s)
-    context.admission.ready = True
-    context.admission.ticked_s = now_s
+    context.admission.set_ready(True, now_s, now_s)
 
 
 @when("a call reaches that node at {now_s:f} s")
--- a/src/jasminecrank/state/_calls.py
+++ b/src/jasminecrank/state/_calls.py
@@ -20,6 +20,7 @@
     idempotency_key: str | None
     forwarded_by: str | None
     tried_hosts: tuple[str, ...] = ()
+    body_digest: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,6 +42,8 @@
     version: _versions.Version
     deadline_at_s: float
     idempotency_key: str | None = None
+    permit_id: int = 0
+    admitted_at_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +62,7 @@
     team: str
     version: _versions.Version
     deadline_at_s: float
+    request_id: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,6 +88,21 @@
 Decision = Admitted | ForwardTo | Replay | Refused
 
 
+@dataclass(slots=True, frozen=True)
+class Queued:
+    """The call waits; its decision follows under the ticket."""
+
+    ticket: int
+
+
+@dataclass(slots=True, frozen=True)
+class Settled:
+    """The decision on a call that waited."""
+
+    ticket: int
+    decision: Decision
+
+
 class OutcomeKind(enum.Enum):
     """How a permitted call ended, as far as the backend server goes."""
 
@@ -97,11 +116,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Outcome:
-    """How a call ended, with the answer if there is one."""
+    """How a call ended, with the answer if there is one.
+
+    A server may shed a call after it has begun to run it, so `not_run` has
+    to be stated.
+    """
 
     kind: OutcomeKind
     duration_s: float
     answer: Answer | None = None
+    not_run: bool = False
+
+    @property
+    def did_not_run(self) -> bool:
+        """Return whether the backend server certainly did not run it."""
+        return self.not_run or self.kind is OutcomeKind.NOT_SENT
 
 
 @dataclass(slots=True, frozen=True)
