Lend shares of quotas between the hosts of a service

Cause: every node only had an equal share of each team's rate and burst, so callers that prefer some hosts were refused while other hosts had tokens, and shares followed a new host list at once, so their sum could exceed the whole while versions differed.

Change: an own share falls with every version that may be in force and rises only when all slots have shown the version and a loan time has passed. Nodes report versions in a message of the quota state itself, because an answer from it proves that the ledgers have changed.

A node now gives out no tokens for about 3 s after a start without running peers; standins.Deployment .await_quotas waits for that.

--- a/features/steps/session_steps.py
+++ b/features/steps/session_steps.py
@@ -30,6 +30,8 @@
     document = deployment.publish_hosts(deployment.hosts())
     ready = deployment.await_versions(document, 30.0)
     assert ready.keys() == deployment.node_by_host.keys(), ready
+    waiting = deployment.await_quotas(30.0)
+    assert not waiting, waiting
 
 
 @when("these calls are sent")
--- a/src/jasminecrank/cli/_node.py
+++ b/src/jasminecrank/cli/_node.py
@@ -5,6 +5,7 @@
 import cyclopts
 
 from jasminecrank import daemon
+from jasminecrank import state
 
 Peers = typing.Annotated[
     tuple[str, ...],
@@ -25,6 +26,7 @@
     server_port: int,
     seed_peers: Peers = (),
     threads: int = 48,
+    quota_policy: state.QuotaPolicy = state.QuotaPolicy.LOANS,
 ) -> None:
     """Run the node beside one backend server until SIGTERM.
 
@@ -52,6 +54,8 @@
         ADDRESS:PORT of nodes to ask before the host list is known.
     threads
         Worker threads for calls, more than slots and queue together.
+    quota_policy
+        Whether nodes lend each other parts of the teams' rates.
     """
     settings = daemon.NodeSettings(
         host=host,
@@ -65,6 +69,7 @@
         source_url=source_url,
         seed_peers=seed_peers,
         threads=threads,
+        quota_policy=quota_policy,
     )
     settings.check()
     daemon.run_node(settings)
--- a/src/jasminecrank/const.py
+++ b/src/jasminecrank/const.py
@@ -29,8 +29,14 @@
 PAUSE_LIMIT_S: Final = 2.0
 START_BOUND_S: Final = 5.0
 LOAN_TTL_S: Final = 2.0
+LOAN_SHORT_TTL_S: Final = 0.25
 LOAN_RETURN_MARGIN: Final = 0.1
 """Extra part of the loan time before the lender takes a share back."""
+LOAN_RETURN_S: Final = LOAN_TTL_S * (1 + LOAN_RETURN_MARGIN)
+QUOTA_TICK_S: Final = 0.25
+LOAN_BYTES_PER_S: Final = 2800
+LOAN_ANSWER_BYTES_PER_S: Final = 900
+"""Asks with their answers, and answers given, out of 4 KB/s for control."""
 
 EVENT_RING_SIZE: Final = 4096
 IDEMPOTENCY_TTL_S: Final = 600.0
--- a/src/jasminecrank/coordination/__init__.py
+++ b/src/jasminecrank/coordination/__init__.py
@@ -5,6 +5,9 @@
 from jasminecrank.coordination._admission import (
     AdmissionActor as AdmissionActor,
 )
+from jasminecrank.coordination._admission import (
+    AdmissionSettings as AdmissionSettings,
+)
 from jasminecrank.coordination._config import ConfigActor as ConfigActor
 from jasminecrank.coordination._config import ConfigSettings as ConfigSettings
 from jasminecrank.coordination._membership import Dial as Dial
@@ -46,6 +49,7 @@
 from jasminecrank.coordination._messages import PeerMessage as PeerMessage
 from jasminecrank.coordination._messages import PeerStatus as PeerStatus
 from jasminecrank.coordination._messages import PeerUp as PeerUp
+from jasminecrank.coordination._messages import QuotaTick as QuotaTick
 from jasminecrank.coordination._messages import (
     ReadinessChanged as ReadinessChanged,
 )
@@ -54,6 +58,7 @@
 from jasminecrank.coordination._messages import RecordEvent as RecordEvent
 from jasminecrank.coordination._messages import SendToPeer as SendToPeer
 from jasminecrank.coordination._messages import ServerHealth as ServerHealth
+from jasminecrank.coordination._messages import ShareNotice as ShareNotice
 from jasminecrank.coordination._messages import (
     SnapshotChanged as SnapshotChanged,
 )
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -97,6 +97,7 @@
             case (
                 _messages.LoanRequest()
                 | _messages.LoanGrant()
+                | _messages.ShareNotice()
                 | _messages.Goodbye()
             ):
                 return
--- /dev/null
+++ b/src/jasminecrank/coordination/_loans.py
@@ -0,0 +1,97 @@
+"""Quota messages between the admission actors of one service."""
+
+import typing
+
+from jasminecrank import const
+from jasminecrank import exceptions
+from jasminecrank import state
+from jasminecrank.coordination import _messages
+from jasminecrank.coordination import _timers
+
+LoanMessage = (
+    _messages.Delivered
+    | _messages.PeerUp
+    | _messages.PeerDown
+    | _messages.QuotaTick
+)
+
+
+class LoanDesk:
+    """Carries messages between the quota state of a node and its peers.
+
+    It belongs to the admission actor and is used from its thread only.
+    """
+
+    __slots__ = ("_membership", "_quota", "_timers")
+
+    def __init__(self, quota: state.QuotaState, timers: _timers.Timers):
+        self._quota = quota
+        self._timers = timers
+        self._membership: _messages.Mailbox | None = None
+
+    def start(
+        self, membership: _messages.Mailbox, owner: _messages.Mailbox
+    ) -> None:
+        """Begin to send messages and ticks."""
+        self._membership = membership
+        self._schedule(owner)
+
+    def handle(
+        self, message: LoanMessage, owner: _messages.Mailbox, now_s: float
+    ) -> None:
+        """Handle one message of the membership actor or the timer."""
+        match message:
+            case _messages.Delivered():
+                self._receive(message.host, message.message, now_s)
+            case _messages.PeerUp():
+                self._quota.peer_up(message.host, now_s)
+            case _messages.PeerDown():
+                self._quota.peer_down(message.host)
+            case _messages.QuotaTick():
+                self._quota.tick(now_s)
+                self._schedule(owner)
+            case _:
+                typing.assert_never(message)
+
+    def flush(self) -> None:
+        """Send what the quota state has for its peers."""
+        for outgoing in self._quota.drain():
+            if self._membership is not None:
+                message = _peer_message(outgoing.message)
+                self._membership.tell(
+                    _messages.SendToPeer(outgoing.host, message)
+                )
+
+    def _receive(
+        self, host: str, message: _messages.PeerMessage, now_s: float
+    ) -> None:
+        match message:
+            case _messages.LoanRequest():
+                self._quota.receive(host, message.ask, now_s)
+            case _messages.LoanGrant():
+                self._quota.receive(host, message.offer, now_s)
+            case _messages.ShareNotice():
+                self._quota.receive(host, message.report, now_s)
+            case _messages.Goodbye():
+                self._quota.peer_down(host)
+            case _:
+                raise exceptions.JasminecrankError(
+                    f"unexpected peer message {message!r}"
+                )
+
+    def _schedule(self, owner: _messages.Mailbox) -> None:
+        self._timers.call_later(
+            const.QUOTA_TICK_S, owner, _messages.QuotaTick()
+        )
+
+
+def _peer_message(message: state.QuotaMessage) -> _messages.PeerMessage:
+    match message:
+        case state.LoanAsk():
+            return _messages.LoanRequest(message)
+        case state.LoanOffer():
+            return _messages.LoanGrant(message)
+        case state.ShareReport():
+            return _messages.ShareNotice(message)
+        case _:
+            typing.assert_never(message)
--- a/src/jasminecrank/coordination/_membership.py
+++ b/src/jasminecrank/coordination/_membership.py
@@ -134,7 +134,11 @@
                 | _messages.FetchDocument()
             ):
                 self._tell(self._config, delivered)
-            case _messages.LoanRequest() | _messages.LoanGrant():
+            case (
+                _messages.LoanRequest()
+                | _messages.LoanGrant()
+                | _messages.ShareNotice()
+            ):
                 self._tell(self._admission, delivered)
             case _messages.Goodbye():
                 self._record("peer-leaving", {"peer": envelope.sender})
@@ -167,10 +171,9 @@
             self._clock.monotonic_s(),
         )
         self._record("peer-up", {"peer": host})
-        self._tell(
-            self._config,
-            _messages.PeerUp(host, message.hello.versions),
-        )
+        peer_up = _messages.PeerUp(host, message.hello.versions)
+        self._tell(self._config, peer_up)
+        self._tell(self._admission, peer_up)
 
     def _link_down(self, message: _messages.LinkDown) -> None:
         self._dialling.discard(message.address)
@@ -183,6 +186,7 @@
         _timers.deliver(link.mailbox, _messages.StopRequested())
         self._record("peer-down", {"peer": host, "reason": reason})
         self._tell(self._config, _messages.PeerDown(host))
+        self._tell(self._admission, _messages.PeerDown(host))
 
     def _tick(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -63,22 +63,21 @@
 class LoanRequest:
     """Ask a peer of the same service for quota."""
 
-    loan_id: int
-    service: str
-    team: str
-    share_ppb: int
+    ask: state.LoanAsk
 
 
 @dataclass(slots=True, frozen=True)
 class LoanGrant:
-    """Hand over part of a share and its tokens for a limited time."""
+    """Hand over parts of shares and their tokens for a limited time."""
 
-    loan_id: int
-    service: str
-    team: str
-    share_ppb: int
-    tokens: float
-    ttl_s: float
+    offer: state.LoanOffer
+
+
+@dataclass(slots=True, frozen=True)
+class ShareNotice:
+    """Show which hosts version the quota shares of a node follow."""
+
+    report: state.ShareReport
 
 
 @dataclass(slots=True, frozen=True)
@@ -96,6 +95,7 @@
     | FetchDocument
     | LoanRequest
     | LoanGrant
+    | ShareNotice
     | Goodbye
 )
 
@@ -117,6 +117,11 @@
     """Periodic timer message."""
 
 
+@dataclass(slots=True, frozen=True)
+class QuotaTick:
+    """Time to renew loans and to repeat reports."""
+
+
 @dataclass(slots=True, frozen=True)
 class SnapshotChanged:
     """A new snapshot is in force on this node."""
@@ -317,3 +322,4 @@
     capacity: int
     queued: int
     by_result: Mapping[exceptions.ResultCode, int]
+    quota_usable: bool
--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -45,7 +45,13 @@
             timers,
             rng,
         )
-        admission = coordination.AdmissionActor.start(settings.host, clock)
+        admission = coordination.AdmissionActor.start(
+            coordination.AdmissionSettings(
+                settings.host, settings.quota_policy
+            ),
+            clock,
+            timers,
+        )
         membership = _start_membership(settings, clock, timers, rng)
         source = transport.SourceReader.start(settings.source_url, config)
         server = transport.Target(
--- a/src/jasminecrank/daemon/_settings.py
+++ b/src/jasminecrank/daemon/_settings.py
@@ -5,6 +5,7 @@
 import re
 
 from jasminecrank import exceptions
+from jasminecrank import state
 
 _PORT_MAX = 65_535
 _NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
@@ -27,6 +28,7 @@
     source_url: str
     seed_peers: tuple[str, ...]
     threads: int
+    quota_policy: state.QuotaPolicy = state.QuotaPolicy.LOANS
 
     def check(self) -> None:
         """Raise SettingError naming the first impossible setting."""
--- a/src/jasminecrank/protocol/_cbor.py
+++ b/src/jasminecrank/protocol/_cbor.py
@@ -10,6 +10,7 @@
 from jasminecrank import coordination
 from jasminecrank import exceptions
 from jasminecrank import state
+from jasminecrank.protocol import _quota_codec
 
 _COMPRESS_ABOVE_BYTES = 1024
 _PLAIN = b"\x00"
@@ -104,23 +105,11 @@
         case coordination.FetchDocument():
             return ["fetch", message.name.value, _encode_version(message.have)]
         case coordination.LoanRequest():
-            return [
-                "loan-request",
-                message.loan_id,
-                message.service,
-                message.team,
-                message.share_ppb,
-            ]
+            return ["loan-request", *_quota_codec.encode_ask(message.ask)]
         case coordination.LoanGrant():
-            return [
-                "loan-grant",
-                message.loan_id,
-                message.service,
-                message.team,
-                message.share_ppb,
-                message.tokens,
-                message.ttl_s,
-            ]
+            return ["loan-grant", *_quota_codec.encode_offer(message.offer)]
+        case coordination.ShareNotice():
+            return ["shares", *_quota_codec.encode_report(message.report)]
         case coordination.Goodbye():
             return ["goodbye", message.reason]
         case _:
@@ -164,19 +153,12 @@
             return coordination.FetchDocument(
                 state.DocumentName(name), _decode_version(have)
             )
-        case "loan-request", [loan_id, service, team, share_ppb]:
-            return coordination.LoanRequest(
-                int(loan_id), str(service), str(team), int(share_ppb)
-            )
-        case "loan-grant", [loan_id, service, team, share_ppb, tokens, ttl_s]:
-            return coordination.LoanGrant(
-                int(loan_id),
-                str(service),
-                str(team),
-                int(share_ppb),
-                float(tokens),
-                float(ttl_s),
-            )
+        case "loan-request", _:
+            return coordination.LoanRequest(_quota_codec.decode_ask(fields))
+        case "loan-grant", _:
+            return coordination.LoanGrant(_quota_codec.decode_offer(fields))
+        case "shares", _:
+            return coordination.ShareNotice(_quota_codec.decode_report(fields))
         case "goodbye", [reason]:
             return coordination.Goodbye(str(reason))
         case _:
--- /dev/null
+++ b/src/jasminecrank/protocol/_quota_codec.py
@@ -0,0 +1,94 @@
+"""Compact CBOR values of the quota messages.
+
+Tokens travel as whole thousandths, rounded down: rounding may lose tokens
+and never makes any.
+"""
+
+import math
+import typing
+
+from jasminecrank import state
+
+_PER_TOKEN = 1000
+
+
+def encode_ask(ask: state.LoanAsk) -> list[object]:
+    """Return the fields of an ask."""
+    return [
+        ask.loan_id,
+        ask.service,
+        round(ask.ttl_s * 1000),
+        [[want.team, want.share_ppb] for want in ask.wants],
+    ]
+
+
+def decode_ask(fields: list[typing.Any]) -> state.LoanAsk:
+    """Return the ask; ValueError or TypeError if there is none."""
+    loan_id, service, ttl_ms, wants = fields
+    return state.LoanAsk(
+        int(loan_id),
+        str(service),
+        int(ttl_ms) / 1000,
+        tuple(
+            state.LoanWant(str(team), int(share_ppb))
+            for team, share_ppb in wants
+        ),
+    )
+
+
+def encode_offer(offer: state.LoanOffer) -> list[object]:
+    """Return the fields of an offer."""
+    return [
+        offer.loan_id,
+        [
+            [part.share_ppb, math.floor(part.tokens * _PER_TOKEN)]
+            for part in offer.parts
+        ],
+    ]
+
+
+def decode_offer(fields: list[typing.Any]) -> state.LoanOffer:
+    """Return the offer; ValueError or TypeError if there is none."""
+    loan_id, parts = fields
+    return state.LoanOffer(
+        int(loan_id),
+        tuple(
+            state.LoanPart(int(share_ppb), int(tokens) / _PER_TOKEN)
+            for share_ppb, tokens in parts
+        ),
+    )
+
+
+def encode_report(report: state.ShareReport) -> list[object]:
+    """Return the fields of a report."""
+    version = report.version
+    return [
+        report.service,
+        [version.number, bytes.fromhex(version.digest)],
+        sorted(report.acked),
+        None if report.base is None else _encode_base(report.base),
+    ]
+
+
+def decode_report(fields: list[typing.Any]) -> state.ShareReport:
+    """Return the report; ValueError or TypeError if there is none."""
+    service, (number, digest), acked, base = fields
+    return state.ShareReport(
+        str(service),
+        state.Version(int(number), bytes(digest).hex()),
+        frozenset(int(slot) for slot in acked),
+        None if base is None else _decode_base(base),
+    )
+
+
+def _encode_base(base: state.ShareBase) -> list[object]:
+    return [base.holders, dict(base.host_by_slot), base.rest_slot]
+
+
+def _decode_base(values: list[typing.Any]) -> state.ShareBase:
+    holders, host_by_slot, rest_slot = values
+    return state.ShareBase(
+        int(holders),
+        {int(slot): str(host) for slot, host in dict(host_by_slot).items()},
+        None if rest_slot is None else int(rest_slot),
+    )
--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -215,6 +215,17 @@
             time.sleep(_POLL_S)
         return by_host
 
+    def await_quotas(self, timeout_s: float) -> set[str]:
+        """Wait for the loan time after a start; return who is not done."""
+        deadline_s = time.monotonic() + timeout_s
+        waiting = set(self.node_by_host)
+        while waiting and time.monotonic() < deadline_s:
+            for host in tuple(waiting):
+                if (self.status(host) or {}).get("quota_usable"):
+                    waiting.discard(host)
+            time.sleep(_POLL_S)
+        return waiting
+
     def _start_server(
         self, row: state.HostRow, service_time_ms: float, ramp_s: float
     ) -> ServerProcess:
--- /dev/null
+++ b/src/jasminecrank/standins/_quota_fleet.py
@@ -0,0 +1,253 @@
+"""A seeded model of the hosts of one service that share quotas.
+
+No sockets and no threads: the states of the nodes, a network that delays,
+loses and repeats messages, and clocks that differ.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+import heapq
+import itertools
+import math
+import random
+
+from jasminecrank import const
+from jasminecrank import state
+
+
+@dataclass(slots=True)
+class WindowAudit:
+    """The largest excess over rate and burst of any window so far.
+
+    Negative while every window from a to b has fewer tokens than the burst
+    at a and the rate from a to b allow.
+    """
+
+    excess: float = 0.0
+    at_s: float = 0.0
+    worst: float = float("-inf")
+
+    def follow(self, rate: float, burst: float, now_s: float) -> None:
+        """Let time pass at this rate; windows may begin at this burst."""
+        elapsed_s = now_s - self.at_s
+        self.at_s = now_s
+        self.excess = max(self.excess - elapsed_s * rate, -burst)
+
+    def count(self, tokens: int) -> None:
+        """Count tokens taken, or put back if negative."""
+        self.excess += tokens
+        self.worst = max(self.worst, self.excess)
+
+
+@dataclass(slots=True)
+class FleetNode:
+    """One node: its state, its clock and what waits while it is paused."""
+
+    quota: state.QuotaState
+    clock_offset_s: float
+    clock_rate: float
+    incarnation: int
+    snapshot: state.Snapshot
+    paused: bool = False
+    waiting: list[tuple[str, state.QuotaMessage]] = field(default_factory=list)
+
+    def local_s(self, now_s: float) -> float:
+        """Return the node's own monotonic time."""
+        return self.clock_offset_s + now_s * self.clock_rate
+
+
+@dataclass(slots=True)
+class Network:
+    """How messages between nodes fare."""
+
+    delay_s: float = 0.001
+    delay_max_s: float = 0.002
+    loss: float = 0.0
+    repeat: float = 0.0
+    side_by_host: dict[str, int] = field(default_factory=dict)
+
+    def connects(self, first: str, second: str) -> bool:
+        """Return whether no partition lies between two hosts."""
+        sides = self.side_by_host
+        return sides.get(first, 0) == sides.get(second, 0)
+
+
+_Flight = tuple[float, int, str, str, int, state.QuotaMessage]
+
+
+@dataclass(slots=True)
+class QuotaFleet:
+    """Nodes of one service on one true time line."""
+
+    service: str
+    policy: state.QuotaPolicy
+    rng: random.Random
+    network: Network = field(default_factory=Network)
+    now_s: float = 0.0
+    by_host: dict[str, FleetNode] = field(default_factory=dict)
+    audit_by_team: dict[str, WindowAudit] = field(default_factory=dict)
+    clock_rate_max: float = 1.0
+    sent: int = 0
+    _flights: list[_Flight] = field(default_factory=list)
+    _sequence: Iterable[int] = field(default_factory=itertools.count)
+    _incarnation: int = 0
+    _next_tick_s: float = 0.0
+
+    def start(
+        self,
+        host: str,
+        snapshot: state.Snapshot,
+        clock_offset_s: float = 0.0,
+        clock_rate: float = 1.0,
+    ) -> None:
+        """Start the process of a host, or start it again."""
+        self._incarnation += 1
+        self.clock_rate_max = max(self.clock_rate_max, clock_rate)
+        local_s = clock_offset_s + self.now_s * clock_rate
+        quota = state.QuotaState.from_host(
+            host, local_s, self.policy, random.Random(self.rng.random())
+        )
+        node = FleetNode(
+            quota, clock_offset_s, clock_rate, self._incarnation, snapshot
+        )
+        self.by_host[host] = node
+        quota.apply_snapshot(snapshot, local_s)
+        for peer, other in self.by_host.items():
+            if peer != host:
+                quota.peer_up(peer, local_s)
+                other.quota.peer_up(host, other.local_s(self.now_s))
+
+    def stop(self, host: str) -> None:
+        """End the process of a host at once."""
+        del self.by_host[host]
+        for node in self.by_host.values():
+            node.quota.peer_down(host)
+
+    def apply(self, host: str, snapshot: state.Snapshot) -> None:
+        """Put a snapshot in force on one node."""
+        self.follow_limits()
+        node = self.by_host[host]
+        node.snapshot = snapshot
+        node.quota.apply_snapshot(snapshot, node.local_s(self.now_s))
+        self._send_from(host)
+        self.follow_limits()
+
+    def take(self, host: str, team: str, repeated: bool = False) -> bool:
+        """Take a token on a node; return whether there was one."""
+        return self.try_take(host, team, repeated) is None
+
+    def try_take(
+        self, host: str, team: str, repeated: bool = False
+    ) -> float | None:
+        """Take a token on a node; return None or the wait it was told."""
+        node = self.by_host[host]
+        local_s = node.local_s(self.now_s)
+        wait_s = node.quota.take(self.service, team, local_s, repeated)
+        if wait_s is None:
+            self.follow_limits((team,))
+            self.audit_by_team[team].count(1)
+        self._send_from(host)
+        return wait_s
+
+    def refund(self, host: str, team: str) -> None:
+        """Put a token back on the node that gave it."""
+        node = self.by_host[host]
+        node.quota.refund(self.service, team, node.local_s(self.now_s))
+        self.audit_by_team[team].count(-1)
+
+    def resume(self, host: str, team: str, calls: int) -> None:
+        """Let a paused process go on: first with calls, then messages."""
+        node = self.by_host[host]
+        node.paused = False
+        for _ in range(calls):
+            self.take(host, team)
+        waiting, node.waiting = node.waiting, []
+        for sender, message in waiting:
+            self._receive(host, sender, message)
+
+    def advance(self, seconds: float) -> None:
+        """Let true time pass; messages arrive and timers fire."""
+        until_s = self.now_s + seconds
+        while True:
+            flight_s = self._flights[0][0] if self._flights else math.inf
+            due_s = min(self._next_tick_s, flight_s)
+            if due_s > until_s:
+                break
+            self.now_s = max(self.now_s, due_s)
+            if due_s == flight_s:
+                self._deliver()
+            else:
+                self._tick()
+        self.now_s = until_s
+
+    def follow_limits(self, teams: Iterable[str] | None = None) -> None:
+        """Tell the audits the largest limits in force on any node."""
+        for team in self.audit_by_team if teams is None else teams:
+            limits = [
+                node.snapshot.by_limit[self.service, team]
+                for node in self.by_host.values()
+                if (self.service, team) in node.snapshot.by_limit
+            ]
+            rate = max((limit.rate for limit in limits), default=0.0)
+            burst = max((limit.burst for limit in limits), default=0)
+            self.audit_by_team[team].follow(
+                rate * self.clock_rate_max, burst, self.now_s
+            )
+
+    def worst_excess(self) -> Mapping[str, float]:
+        """Return the largest excess over rate and burst by team."""
+        return {
+            team: audit.worst for team, audit in self.audit_by_team.items()
+        }
+
+    def _tick(self) -> None:
+        self._next_tick_s += const.QUOTA_TICK_S
+        for host, node in tuple(self.by_host.items()):
+            if not node.paused:
+                node.quota.tick(node.local_s(self.now_s))
+                self._send_from(host)
+
+    def _deliver(self) -> None:
+        flight = heapq.heappop(self._flights)
+        _, _, sender, host, incarnation, message = flight
+        node = self.by_host.get(host)
+        if node is None or node.incarnation != incarnation:
+            return
+        if node.paused:
+            node.waiting.append((sender, message))
+            return
+        self._receive(host, sender, message)
+
+    def _receive(
+        self, host: str, sender: str, message: state.QuotaMessage
+    ) -> None:
+        node = self.by_host[host]
+        node.quota.receive(sender, message, node.local_s(self.now_s))
+        self._send_from(host)
+
+    def _send_from(self, host: str) -> None:
+        for outgoing in self.by_host[host].quota.drain():
+            self.sent += 1
+            target = self.by_host.get(outgoing.host)
+            if target is None or not self.network.connects(
+                host, outgoing.host
+            ):
+                continue
+            copies = 1 + (self.rng.random() < self.network.repeat)
+            for _ in range(copies):
+                if self.rng.random() < self.network.loss:
+                    continue
+                delay_s = self.rng.uniform(
+                    self.network.delay_s, self.network.delay_max_s
+                )
+                flight = (
+                    self.now_s + delay_s,
+                    next(iter(self._sequence)),
+                    host,
+                    outgoing.host,
+                    target.incarnation,
+                    outgoing.message,
+                )
+                heapq.heappush(self._flights, flight)
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -36,6 +36,14 @@
 from jasminecrank.state._journal import Event as Event
 from jasminecrank.state._journal import Journal as Journal
 from jasminecrank.state._journal import Stamp as Stamp
+from jasminecrank.state._quota import QuotaPolicy as QuotaPolicy
+from jasminecrank.state._quota import QuotaState as QuotaState
+from jasminecrank.state._quota_messages import LoanAsk as LoanAsk
+from jasminecrank.state._quota_messages import LoanOffer as LoanOffer
+from jasminecrank.state._quota_messages import LoanPart as LoanPart
+from jasminecrank.state._quota_messages import LoanWant as LoanWant
+from jasminecrank.state._quota_messages import Outgoing as Outgoing
+from jasminecrank.state._quota_messages import QuotaMessage as QuotaMessage
 from jasminecrank.state._row_codec import decode_row as decode_row
 from jasminecrank.state._row_codec import encode_row as encode_row
 from jasminecrank.state._row_codec import parse_cell as parse_cell
@@ -51,6 +59,8 @@
 from jasminecrank.state._rows import RouteRow as RouteRow
 from jasminecrank.state._rows import Row as Row
 from jasminecrank.state._rows import ServiceRow as ServiceRow
+from jasminecrank.state._shares import ShareBase as ShareBase
+from jasminecrank.state._shares import ShareReport as ShareReport
 from jasminecrank.state._snapshot import Snapshot as Snapshot
 from jasminecrank.state._topology import plan_links as plan_links
 from jasminecrank.state._topology import rendezvous_rank as rendezvous_rank
--- /dev/null
+++ b/src/jasminecrank/state/_ledger.py
@@ -0,0 +1,366 @@
+"""The ledger of one team's quota on one node."""
+
+from dataclasses import dataclass
+from dataclasses import field
+import math
+
+from jasminecrank import const
+from jasminecrank import exceptions
+from jasminecrank.state import _invariants
+from jasminecrank.state import _rows
+
+_DEMAND_TIME_S = 1.5
+_DEMAND_FAST_S = 0.2
+_DEMAND_NONE = 0.1
+_ANSWER_S = 0.05
+_ROUNDING = 1e-6
+"""Tokens by which sums of floats may differ."""
+
+
+@dataclass(slots=True)
+class Demand:
+    """Recent requests per second, averaged with exponential decay.
+
+    The fast average counts only by what it exceeds its own chance
+    variation, so that a sudden rise shows at once and noise does not.
+    """
+
+    slow_per_s: float
+    fast_per_s: float
+    at_s: float
+
+    def rate(self, now_s: float) -> float:
+        """Return the recent requests per second."""
+        elapsed_s = max(0.0, now_s - self.at_s)
+        slow = self.slow_per_s * math.exp(-elapsed_s / _DEMAND_TIME_S)
+        fast = self.fast_per_s * math.exp(-elapsed_s / _DEMAND_FAST_S)
+        return max(slow, fast - math.sqrt(fast / _DEMAND_FAST_S))
+
+    def firm_rate(self, now_s: float) -> float:
+        """Return a rate that recent demand exceeds almost certainly."""
+        rate = self.rate(now_s)
+        return max(0.0, rate - 2.0 * math.sqrt(rate / (2 * _DEMAND_TIME_S)))
+
+    def observe(self, now_s: float) -> None:
+        """Count one request."""
+        elapsed_s = max(0.0, now_s - self.at_s)
+        self.slow_per_s *= math.exp(-elapsed_s / _DEMAND_TIME_S)
+        self.slow_per_s += 1.0 / _DEMAND_TIME_S
+        self.fast_per_s *= math.exp(-elapsed_s / _DEMAND_FAST_S)
+        self.fast_per_s += 1.0 / _DEMAND_FAST_S
+        self.at_s = max(self.at_s, now_s)
+
+
+@dataclass(slots=True, frozen=True)
+class Borrowed:
+    """A share on loan from a peer, by one answered ask."""
+
+    loan_id: int
+    share_ppb: int
+    expires_at_s: float
+    lasting: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Lent:
+    """A share that a peer may use until the return time."""
+
+    loan_id: int
+    share_ppb: int
+    returns_at_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Grant:
+    """What a lender has deducted from its ledger for a borrower."""
+
+    share_ppb: int
+    tokens: float
+
+
+@dataclass(slots=True)
+class Audit:
+    """An independent bucket of the whole quota, for invariant 907.
+
+    What one node takes alone must fit in the rate and burst of the team.
+    """
+
+    level: float
+    at_s: float
+
+    def take(self, limit: _rows.LimitRow, now_s: float) -> None:
+        """Count a token and assert that the whole quota has it."""
+        elapsed_s = max(0.0, now_s - self.at_s)
+        self.at_s = max(self.at_s, now_s)
+        self.level = max(0.0, self.level - elapsed_s * limit.rate) + 1.0
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_QUOTA,
+            self.level <= limit.burst + _ROUNDING,
+            "%s at %s took %f tokens in a burst of %d",
+            limit.team,
+            limit.service,
+            self.level,
+            limit.burst,
+        )
+
+
+@dataclass(slots=True)
+class ShareLedger:
+    """Share and tokens of one team; every method takes the time of use."""
+
+    limit: _rows.LimitRow
+    own_ppb: int
+    tokens: float
+    minted_at_s: float
+    quiet_until_s: float
+    demand: Demand
+    audit: Audit
+    borrowed: dict[str, tuple[Borrowed, ...]] = field(default_factory=dict)
+    last_id_by_lender: dict[str, int] = field(default_factory=dict)
+    lent: dict[str, tuple[Lent, ...]] = field(default_factory=dict)
+
+    @classmethod
+    def from_limit(
+        cls,
+        limit: _rows.LimitRow,
+        own_ppb: int,
+        now_s: float,
+        quiet_until_s: float,
+    ) -> "ShareLedger":
+        """Return an empty ledger that mints nothing while it is quiet."""
+        return cls(
+            limit=limit,
+            own_ppb=own_ppb,
+            tokens=0.0,
+            minted_at_s=now_s,
+            quiet_until_s=quiet_until_s,
+            demand=Demand(0.0, 0.0, now_s),
+            audit=Audit(0.0, now_s),
+        )
+
+    def change(
+        self, limit: _rows.LimitRow, own_ppb: int, now_s: float
+    ) -> None:
+        """Follow a new limit or own share; only what fits is kept."""
+        self.mint(now_s)
+        if limit != self.limit:
+            self.audit = Audit(0.0, now_s)
+        self.limit = limit
+        self.own_ppb = own_ppb
+        self._clamp(now_s)
+
+    def take(self, now_s: float) -> bool:
+        """Take one token if there is one."""
+        self.mint(now_s)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        self.audit.take(self.limit, now_s)
+        return True
+
+    def refund(self, now_s: float) -> None:
+        """Put back the token of a request that was not run."""
+        self.mint(now_s)
+        self.tokens += 1.0
+        self.audit.level = max(0.0, self.audit.level - 1.0)
+        self._clamp(now_s)
+
+    def wait_s(self, now_s: float) -> float:
+        """Return the time until the next token is minted."""
+        share = self.share_ppb(now_s) / const.SHARE_WHOLE
+        rate = self.limit.rate * share
+        if rate <= 0.0 or share * self.limit.burst < 1.0:
+            return const.LOAN_TTL_S
+        return min(const.LOAN_TTL_S, max(0.0, (1.0 - self.tokens) / rate))
+
+    def mint(self, now_s: float) -> None:
+        """Add the tokens of the time since the last use.
+
+        A loan that began or ended in between counts as absent for all of
+        it, on both sides, so that the sum of shares is never exceeded.
+        """
+        elapsed_s = max(0.0, now_s - self.minted_at_s)
+        share_ppb = self._kept(self.minted_at_s) + self._held(now_s)
+        self.minted_at_s = max(self.minted_at_s, now_s)
+        share = share_ppb / const.SHARE_WHOLE
+        self.tokens += elapsed_s * self.limit.rate * share
+        self._prune(now_s)
+        self._clamp(now_s)
+
+    def share_ppb(self, now_s: float) -> int:
+        """Return the share by which tokens are minted now."""
+        return self._kept(now_s) + self._held(now_s)
+
+    def free_ppb(self, now_s: float) -> int:
+        """Return the part of the own share that is not on loan."""
+        return self._kept(now_s)
+
+    def borrowed_from(self, lender: str) -> int:
+        """Return the share on loan here from one peer."""
+        loans = self.borrowed.get(lender, ())
+        return max((loan.share_ppb for loan in loans), default=0)
+
+    def lasting_from(self, lender: str) -> Borrowed | None:
+        """Return the lasting loan from a peer that ends last."""
+        loans = [loan for loan in self.borrowed[lender] if loan.lasting]
+        return max(loans, key=lambda loan: loan.expires_at_s, default=None)
+
+    def has_demand(self, now_s: float) -> bool:
+        """Return whether requests came recently."""
+        return self.demand.rate(now_s) >= _DEMAND_NONE
+
+    def reserve(self, now_s: float) -> float:
+        """Return the tokens that even out chance in the next moment."""
+        rate = self.demand.rate(now_s)
+        return 1.0 + 0.5 * math.sqrt(rate)
+
+    def low_water(self, now_s: float) -> float:
+        """Return the tokens below which peers are asked for more.
+
+        They cover the requests that come while an answer is on its way.
+        """
+        spread = 3.0 * math.sqrt(self.demand.rate(now_s) * _ANSWER_S)
+        share = max(self.own_ppb, self.share_ppb(self.minted_at_s))
+        cap = share * self.limit.burst / const.SHARE_WHOLE
+        return 1.0 + min(0.25 * cap, spread)
+
+    def spare_ppb(self, ttl_s: float, now_s: float) -> int:
+        """Return the share this node can do without for a time.
+
+        What is left of the tokens, with those minted until then, has to
+        cover recent demand and its chance variation.
+        """
+        demand = self.demand.rate(now_s)
+        rate, burst = self.limit.rate, self.limit.burst
+        share = self.share_ppb(now_s) / const.SHARE_WHOLE
+        keep = 0.0
+        if demand >= _DEMAND_NONE:
+            keep = 1.0 + 2.0 * math.sqrt(demand * ttl_s)
+        tokens = self.tokens + (share * rate - demand) * ttl_s - keep
+        return int(tokens / (burst + rate * ttl_s) * const.SHARE_WHOLE)
+
+    def lend(
+        self,
+        borrower: str,
+        loan_id: int,
+        want_ppb: int,
+        ttl_s: float,
+        now_s: float,
+        lend_all: bool,
+    ) -> Grant:
+        """Deduct a loan from this ledger and return what the peer gets.
+
+        Tokens move only with a share that was not on loan to the borrower
+        before: tokens in flight are covered by the burst of that share. An
+        ask overtaken by a later one gets nothing, because the borrower
+        would count the tokens of both answers to the same share.
+        """
+        self.mint(now_s)
+        entries = self.lent.get(borrower, ())
+        if any(entry.loan_id >= loan_id for entry in entries):
+            return Grant(0, 0.0)
+        before_ppb = self._lent_to(borrower)
+        free_ppb = self._kept(now_s)
+        spare_ppb = free_ppb if lend_all else self.spare_ppb(ttl_s, now_s)
+        share_ppb = min(
+            want_ppb,
+            before_ppb + min(free_ppb, spare_ppb),
+            self._lendable_to(borrower, now_s),
+        )
+        if share_ppb <= 0:
+            return Grant(0, 0.0)
+        moved_ppb = max(0, share_ppb - before_ppb)
+        burst = moved_ppb * self.limit.burst / const.SHARE_WHOLE
+        tokens = max(0.0, min(burst, self.tokens))
+        self.tokens -= tokens
+        returns_at_s = now_s + ttl_s * (1 + const.LOAN_RETURN_MARGIN)
+        entry = Lent(loan_id, share_ppb, returns_at_s)
+        self.lent[borrower] = (*entries, entry)
+        self._clamp(now_s)
+        self._check(self._kept(now_s) == free_ppb - moved_ppb, "lent")
+        return Grant(share_ppb, tokens)
+
+    def accept(
+        self, lender: str, loan: Borrowed, tokens: float, now_s: float
+    ) -> bool:
+        """Take a loan over; a late or overtaken one changes nothing."""
+        self.mint(now_s)
+        if loan.loan_id <= self.last_id_by_lender.get(lender, -1):
+            return False
+        if loan.expires_at_s <= now_s:
+            return False
+        self.last_id_by_lender[lender] = loan.loan_id
+        self.borrowed[lender] = (*self.borrowed.get(lender, ()), loan)
+        self.tokens += tokens
+        self._clamp(now_s)
+        return True
+
+    def _kept(self, now_s: float) -> int:
+        if now_s < self.quiet_until_s:
+            return 0
+        return max(0, self.own_ppb - sum(map(self._lent_to, self.lent)))
+
+    def _lendable_to(self, borrower: str, now_s: float) -> int:
+        """Return the own share that is not on loan to others.
+
+        A renewal must fit in it too: the own share may have become smaller
+        since the loan was made.
+        """
+        if now_s < self.quiet_until_s:
+            return 0
+        others = (peer for peer in self.lent if peer != borrower)
+        return self.own_ppb - sum(map(self._lent_to, others))
+
+    def _held(self, now_s: float) -> int:
+        return sum(
+            max(
+                (
+                    loan.share_ppb
+                    for loan in loans
+                    if loan.expires_at_s > now_s
+                ),
+                default=0,
+            )
+            for loans in self.borrowed.values()
+        )
+
+    def _lent_to(self, borrower: str) -> int:
+        entries = self.lent.get(borrower, ())
+        return max((entry.share_ppb for entry in entries), default=0)
+
+    def _prune(self, now_s: float) -> None:
+        for lender, loans in tuple(self.borrowed.items()):
+            held = tuple(loan for loan in loans if loan.expires_at_s > now_s)
+            if held:
+                self.borrowed[lender] = held
+            else:
+                del self.borrowed[lender]
+        for borrower, entries in tuple(self.lent.items()):
+            live = tuple(
+                entry for entry in entries if entry.returns_at_s > now_s
+            )
+            if live:
+                self.lent[borrower] = live
+            else:
+                del self.lent[borrower]
+
+    def _clamp(self, now_s: float) -> None:
+        share_ppb = self.share_ppb(now_s)
+        self._check(0 <= share_ppb <= const.SHARE_WHOLE, "share")
+        cap = share_ppb * self.limit.burst / const.SHARE_WHOLE
+        self.tokens = min(cap, self.tokens)
+        self._check(self.tokens >= -_ROUNDING, "tokens")
+
+    def _check(self, holds: bool, what: str) -> None:
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_QUOTA,
+            holds,
+            "%s of %s at %s: own %d ppb, borrowed %s, lent %s, %f tokens",
+            what,
+            self.limit.team,
+            self.limit.service,
+            self.own_ppb,
+            self.borrowed,
+            self.lent,
+            self.tokens,
+        )
--- /dev/null
+++ b/src/jasminecrank/state/_quota_messages.py
@@ -0,0 +1,53 @@
+"""What the quota states of the nodes of one service tell each other."""
+
+from dataclasses import dataclass
+
+from jasminecrank.state import _shares
+
+
+@dataclass(slots=True, frozen=True)
+class LoanWant:
+    """The whole share of one team that a borrower wants from one lender."""
+
+    team: str
+    share_ppb: int
+
+
+@dataclass(slots=True, frozen=True)
+class LoanAsk:
+    """Ask a lender for shares, for ttl_s from now."""
+
+    loan_id: int
+    service: str
+    ttl_s: float
+    wants: tuple[LoanWant, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class LoanPart:
+    """The share of one team now on loan, and tokens that move with it."""
+
+    share_ppb: int
+    tokens: float
+
+
+@dataclass(slots=True, frozen=True)
+class LoanOffer:
+    """Answer an ask, part by part in the order of its wants.
+
+    The borrower knows the team and the end of each loan from its ask.
+    """
+
+    loan_id: int
+    parts: tuple[LoanPart, ...]
+
+
+QuotaMessage = LoanAsk | LoanOffer | _shares.ShareReport
+
+
+@dataclass(slots=True, frozen=True)
+class Outgoing:
+    """A message for the quota state of a peer."""
+
+    host: str
+    message: QuotaMessage
--- a/src/jasminecrank/transport/_admin_server.py
+++ b/src/jasminecrank/transport/_admin_server.py
@@ -101,6 +101,7 @@
             "slots_in_use": admission.slots_in_use,
             "capacity": admission.capacity,
             "queued": admission.queued,
+            "quota_usable": admission.quota_usable,
             "results": {
                 code.name: count
                 for code, count in sorted(admission.by_result.items())
