Test quotas with a model of several hosts

Change: a model of the hosts of one service with lost, doubled, reordered and late messages, clocks that differ, pauses, restarts and new versions; a hypothesis state machine over it checks every window against rate and burst; tables check single faults, also that tokens are not lost for good.

--- /dev/null
+++ b/features/steps/quota_steps.py
@@ -0,0 +1,371 @@
+"""Steps on quotas over all hosts, in a model without sockets."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from jasminecrank import standins
+from jasminecrank import state
+
+SERVICE = "ledger"
+TEAM = "belt"
+ROUNDING = 1e-6
+CLOCK_RATES = (0.97, 1.0, 1.03)
+LIMITS = ((10.0, 6), (10.0, 12), (40.0, 2), (5.0, 1))
+
+
+def host_row(host, slot, data_centre):
+    """Return the row of a host on a share slot."""
+    return state.HostRow(
+        host,
+        SERVICE,
+        data_centre,
+        "savo",
+        "127.0.0.1",
+        1,
+        2,
+        3,
+        4,
+        slot,
+        state.HostState.LIVE,
+    )
+
+
+class Published:
+    """The documents that the platform shows, as a snapshot."""
+
+    def __init__(self, rate, burst):
+        self.numbers = dict.fromkeys(state.DocumentName, 1)
+        self.host_by_slot = {}
+        self.limit = state.LimitRow(SERVICE, TEAM, 1, rate, burst, 9)
+        self.out = frozenset()
+        self.started = 0
+
+    def next_host(self):
+        """Return the name of a host that never existed before."""
+        self.started += 1
+        return f"{SERVICE}-{self.started}"
+
+    def change(self, name):
+        """Give a document its next version."""
+        self.numbers[name] += 1
+
+    def snapshot(self):
+        """Return the newest snapshot."""
+        rows = [state.ServiceRow(SERVICE, 4, 1, 10.0, 20)]
+        if self.limit is not None:
+            rows.append(self.limit)
+        for slot, host in self.host_by_slot.items():
+            centre = "north" if slot % 2 else "south"
+            rows.append(host_row(host, slot, centre))
+        for centre in self.out:
+            rows.append(state.OutageRow(centre, state.OutageState.OUT))
+        versions = state.VersionVector(
+            **{
+                name.value: state.Version(number, f"{number:02x}")
+                for name, number in self.numbers.items()
+            }
+        )
+        return state.Snapshot.from_rows(versions, rows)
+
+
+def start_fleet(hosts, rate, burst, seed=0, policy=state.QuotaPolicy.LOANS):
+    """Return the published documents and the fleet that follows them."""
+    published = Published(rate, burst)
+    for slot in range(hosts):
+        published.host_by_slot[slot] = published.next_host()
+    fleet = standins.QuotaFleet(SERVICE, policy, random.Random(seed))
+    fleet.audit_by_team[TEAM] = standins.WindowAudit()
+    for host in published.host_by_slot.values():
+        fleet.start(host, published.snapshot())
+    return published, fleet
+
+
+class QuotaMachine(stateful.RuleBasedStateMachine):
+    """Hosts of one service under every fault, in any order.
+
+    A host's own row goes only after its process has ended, and a process
+    starts with a version no older than that of the process before it: the
+    platform reports removals late, never early, and does not go back.
+    """
+
+    hosts = strategies.integers(0, 9)
+
+    @stateful.initialize(
+        limit=strategies.sampled_from(LIMITS),
+        count=strategies.integers(1, 4),
+        seed=strategies.integers(0, 999),
+    )
+    def begin(self, limit, count, seed):
+        self.published, self.fleet = start_fleet(count, *limit, seed)
+        self.fleet.advance(5.0)
+
+    def pick(self, number):
+        running = sorted(self.fleet.by_host)
+        return running[number % len(running)] if running else None
+
+    def awake(self, number):
+        host = self.pick(number)
+        if host is None or self.fleet.by_host[host].paused:
+            return None
+        return host
+
+    @stateful.rule(
+        seconds=strategies.sampled_from(
+            (0.001, 0.02, 0.1, 0.3, 0.6, 1.9, 2.3, 5.0)
+        )
+    )
+    def advance(self, seconds):
+        self.fleet.advance(seconds)
+
+    @stateful.rule(number=hosts, calls=strategies.integers(1, 20))
+    def take(self, number, calls):
+        host = self.awake(number)
+        for _ in range(calls if host else 0):
+            self.fleet.take(host, TEAM)
+
+    @stateful.rule(number=hosts, seconds=strategies.sampled_from((0.1, 1.0)))
+    def insist(self, number, seconds):
+        for _ in range(20):
+            self.take(number, 3)
+            self.fleet.advance(seconds / 20)
+
+    @stateful.rule()
+    def take_everything(self):
+        for host, node in self.fleet.by_host.items():
+            while not node.paused and self.fleet.take(host, TEAM):
+                pass
+
+    @stateful.rule(number=hosts)
+    def take_and_refund(self, number):
+        host = self.awake(number)
+        if host and self.fleet.take(host, TEAM):
+            self.fleet.refund(host, TEAM)
+
+    @stateful.rule(number=hosts)
+    def pause(self, number):
+        host = self.pick(number)
+        if host:
+            self.fleet.by_host[host].paused = True
+
+    @stateful.rule(number=hosts, calls=strategies.integers(0, 9))
+    def resume(self, number, calls):
+        host = self.pick(number)
+        if host and self.fleet.by_host[host].paused:
+            self.fleet.resume(host, TEAM, calls)
+
+    @stateful.rule(
+        number=hosts,
+        rate=strategies.sampled_from(CLOCK_RATES),
+        offset=strategies.sampled_from((0.0, 1e6)),
+    )
+    def restart(self, number, rate, offset):
+        host = self.pick(number)
+        if host:
+            snapshot = self.fleet.by_host[host].snapshot
+            self.fleet.stop(host)
+            self.fleet.start(host, snapshot, offset, rate)
+
+    @stateful.rule(
+        loss=strategies.sampled_from((0.0, 0.5)),
+        repeat=strategies.sampled_from((0.0, 0.5)),
+        delay=strategies.sampled_from((0.002, 0.2, 3.0)),
+    )
+    def change_network(self, loss, repeat, delay):
+        network = self.fleet.network
+        network.loss, network.repeat = loss, repeat
+        network.delay_max_s = delay
+
+    @stateful.rule(number=hosts, side=strategies.integers(0, 1))
+    def cut(self, number, side):
+        host = self.pick(number)
+        if host:
+            self.fleet.network.side_by_host[host] = side
+
+    @stateful.rule(number=hosts)
+    def follow(self, number):
+        host = self.awake(number)
+        if host:
+            self.fleet.apply(host, self.published.snapshot())
+
+    @stateful.rule()
+    def follow_all(self):
+        for number in range(len(self.fleet.by_host)):
+            self.follow(number)
+
+    @stateful.rule(slot=strategies.integers(0, 5))
+    def add_or_replace(self, slot):
+        former = self.published.host_by_slot.get(slot)
+        if former in self.fleet.by_host:
+            self.fleet.stop(former)
+        host = self.published.next_host()
+        self.published.host_by_slot[slot] = host
+        self.published.change(state.DocumentName.HOSTS)
+        self.fleet.start(host, self.published.snapshot())
+
+    @stateful.rule(slot=strategies.integers(0, 5))
+    def remove(self, slot):
+        host = self.published.host_by_slot.pop(slot, None)
+        if host in self.fleet.by_host:
+            self.fleet.stop(host)
+        self.published.change(state.DocumentName.HOSTS)
+
+    @stateful.rule(limit=strategies.sampled_from((*LIMITS, None)))
+    def change_limit(self, limit):
+        self.published.limit = (
+            None
+            if limit is None
+            else state.LimitRow(SERVICE, TEAM, 1, *limit, 9)
+        )
+        self.published.change(state.DocumentName.TABLE)
+
+    @stateful.rule(out=strategies.sampled_from(((), ("north",), ("south",))))
+    def change_outages(self, out):
+        self.published.out = frozenset(out)
+        self.published.change(state.DocumentName.OUTAGES)
+
+    @stateful.invariant()
+    def within_rate_and_burst(self):
+        if hasattr(self, "fleet"):
+            worst = self.fleet.worst_excess()[TEAM]
+            assert worst <= ROUNDING, f"{worst} tokens above rate and burst"
+
+
+@given("hosts that share the quota of a team")
+def step_machine(context):
+    context.machine = QuotaMachine
+
+
+@when("messages are lost, doubled and late while hosts come, go and pause")
+def step_run_machine(context):
+    stateful.run_state_machine_as_test(
+        context.machine,
+        settings=settings(max_examples=150, stateful_step_count=50),
+    )
+
+
+@given("{hosts:d} hosts that share rate {rate:g} and burst {burst:d}")
+def step_fleet(context, hosts, rate, burst):
+    context.published, context.fleet = start_fleet(hosts, rate, burst)
+    context.fleet.advance(10.0)
+
+
+@when("nothing fails")
+def step_nothing(context):
+    del context
+
+
+@when("a host stops")
+def step_stop(context):
+    context.fleet.stop(context.published.host_by_slot[0])
+
+
+@when("a host restarts")
+def step_restart(context):
+    host = context.published.host_by_slot[0]
+    context.fleet.stop(host)
+    context.fleet.start(host, context.published.snapshot())
+
+
+@when("all hosts restart")
+def step_restart_all(context):
+    hosts = tuple(context.fleet.by_host)
+    for host in hosts:
+        context.fleet.stop(host)
+    for host in hosts:
+        context.fleet.start(host, context.published.snapshot())
+
+
+def publish_hosts(context, skip=None):
+    """Put a new version of the host list in force on all hosts but one."""
+    context.published.change(state.DocumentName.HOSTS)
+    for host in context.fleet.by_host:
+        if host != skip:
+            context.fleet.apply(host, context.published.snapshot())
+
+
+@when("a host is replaced")
+def step_replace(context):
+    context.fleet.stop(context.published.host_by_slot[0])
+    host = context.published.next_host()
+    context.published.host_by_slot[0] = host
+    publish_hosts(context)
+    context.fleet.start(host, context.published.snapshot())
+
+
+@when("a host is added")
+def step_add(context, skip=None):
+    host = context.published.next_host()
+    context.published.host_by_slot[9] = host
+    publish_hosts(context, skip)
+    context.fleet.start(host, context.published.snapshot())
+
+
+@when("a host misses a version")
+def step_miss(context):
+    step_add(context, context.published.host_by_slot[0])
+
+
+@when("a host is removed")
+def step_remove(context):
+    context.fleet.stop(context.published.host_by_slot.pop(0))
+    publish_hosts(context)
+
+
+@when("a data centre is out")
+def step_out(context):
+    context.published.out = frozenset(("north",))
+    context.published.change(state.DocumentName.OUTAGES)
+    for host in context.fleet.by_host:
+        context.fleet.apply(host, context.published.snapshot())
+
+
+@when("a host drains")
+def step_drain(context):
+    host = context.published.host_by_slot[1]
+    context.fleet.by_host[host].quota.draining = True
+
+
+@when("half of the hosts are cut")
+def step_cut(context):
+    for slot in (2, 3):
+        host = context.published.host_by_slot[slot]
+        context.fleet.network.side_by_host[host] = 1
+
+
+def take_all(context, hosts, seconds):
+    """Take whatever the hosts give, every few milliseconds."""
+    context.taken = 0
+    until_s = context.fleet.now_s + seconds
+    while context.fleet.now_s < until_s:
+        for host in hosts:
+            while context.fleet.take(host, TEAM):
+                context.taken += 1
+        context.fleet.advance(0.005)
+
+
+@when("every host takes all it can for {seconds:g} s")
+def step_take_all(context, seconds):
+    take_all(context, sorted(context.fleet.by_host), seconds)
+
+
+@when("one host takes all it can for {seconds:g} s")
+def step_take_one(context, seconds):
+    take_all(context, [context.published.host_by_slot[0]], seconds)
+
+
+@then("between {least:d} and {most:d} tokens were taken")
+def step_taken(context, least, most):
+    assert least <= context.taken <= most, context.taken
+
+
+@then("no window has more tokens than its rate and burst")
+def step_windows(context):
+    if hasattr(context, "fleet"):
+        worst = context.fleet.worst_excess()[TEAM]
+        assert worst <= ROUNDING, worst
