Merge quotas over all hosts

Change: the actor hands quota messages to the loan desk and keeps its queue, drain and tick handling.

--- a/src/jasminecrank/coordination/__init__.py
+++ b/src/jasminecrank/coordination/__init__.py
@@ -57,6 +57,7 @@
 from jasminecrank.coordination._messages import PeerMessage as PeerMessage
 from jasminecrank.coordination._messages import PeerStatus as PeerStatus
 from jasminecrank.coordination._messages import PeerUp as PeerUp
+from jasminecrank.coordination._messages import QuotaTick as QuotaTick
 from jasminecrank.coordination._messages import (
     ReadinessChanged as ReadinessChanged,
 )
@@ -65,6 +66,7 @@
 from jasminecrank.coordination._messages import RecordEvent as RecordEvent
 from jasminecrank.coordination._messages import SendToPeer as SendToPeer
 from jasminecrank.coordination._messages import ServerHealth as ServerHealth
+from jasminecrank.coordination._messages import ShareNotice as ShareNotice
 from jasminecrank.coordination._messages import (
     SnapshotChanged as SnapshotChanged,
 )
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -6,6 +6,7 @@
 from jasminecrank import exceptions
 from jasminecrank import state
 from jasminecrank.coordination import _actors
+from jasminecrank.coordination import _loans
 from jasminecrank.coordination import _messages
 from jasminecrank.coordination import _timers
 
@@ -15,10 +16,11 @@
 
 @dataclass(slots=True, frozen=True)
 class AdmissionSettings:
-    """Whose calls are decided and how many can be in hand at once."""
+    """Whose calls are decided, how many at once, and whether quotas lend."""
 
     host: str
     threads: int
+    quota_policy: state.QuotaPolicy = state.QuotaPolicy.LOANS
 
 
 class AdmissionActor(_actors.NodeActor):
@@ -39,6 +41,8 @@
             clock.wall_ms(),
             settings.threads,
         )
+        self._admission.quota.policy = settings.quota_policy
+        self._loans = _loans.LoanDesk(self._admission.quota, timers)
         self._membership: _messages.Mailbox | None = None
         self._reply_by_ticket: dict[int, _messages.DecisionReply] = {}
         self._tick_due_s = math.inf
@@ -48,6 +52,7 @@
     def connect(self, membership: _messages.Mailbox) -> None:
         """Take the mailboxes of the other actors."""
         self._membership = membership
+        self._loans.start(membership, self.actor_ref)
 
     def on_receive(self, message: object) -> object:
         """Handle one message."""
@@ -57,6 +62,7 @@
         self._handle(message, now_s)
         for settled in self._admission.take_settled():
             self._reply_by_ticket.pop(settled.ticket).set(settled.decision)
+        self._loans.flush()
         self._schedule_tick(now_s)
         self._report_reset()
         if self._await_drained:
@@ -88,10 +94,16 @@
                 self._admission.tick(now_s)
             case _messages.StopRequested():
                 self._admission.stop(now_s)
+                self._admission.quota.draining = True
             case _messages.AwaitDrained():
                 self._await_drained.append(message.reply)
-            case _messages.Delivered():
-                return
+            case (
+                _messages.Delivered()
+                | _messages.PeerUp()
+                | _messages.PeerDown()
+                | _messages.QuotaTick()
+            ):
+                self._loans.handle(message, self.actor_ref, now_s)
             case _:
                 raise exceptions.JasminecrankError(
                     f"unexpected message {message!r}"
@@ -150,4 +162,7 @@
             capacity=server.ramp.capacity(self._clock.monotonic_s()),
             queued=len(self._admission.dispatcher.queue),
             by_result=dict(self._admission.by_result),
+            quota_usable=self._admission.quota.is_usable(
+                self._clock.monotonic_s()
+            ),
         )
--- a/src/jasminecrank/coordination/_membership.py
+++ b/src/jasminecrank/coordination/_membership.py
@@ -142,7 +142,11 @@
                 | _messages.VersionsReply()
             ):
                 self._tell(self._config, delivered)
-            case _messages.LoanRequest() | _messages.LoanGrant():
+            case (
+                _messages.LoanRequest()
+                | _messages.LoanGrant()
+                | _messages.ShareNotice()
+            ):
                 self._tell(self._admission, delivered)
             case _messages.Goodbye():
                 self._peer_leaves(envelope.sender, link)
@@ -179,10 +183,9 @@
             self._clock.monotonic_s(),
         )
         self._record("peer-up", {"peer": host})
-        self._tell(
-            self._config,
-            _messages.PeerUp(host, message.hello.versions),
-        )
+        peer_up = _messages.PeerUp(host, message.hello.versions)
+        self._tell(self._config, peer_up)
+        self._tell(self._admission, peer_up)
 
     def _link_down(self, message: _messages.LinkDown) -> None:
         if message.address:
@@ -213,6 +216,7 @@
         link.leaving = True
         self._record("peer-leaving", {"peer": host})
         self._tell(self._config, _messages.PeerDown(host))
+        self._tell(self._admission, _messages.PeerDown(host))
 
     def _change_snapshot(self, snapshot: state.Snapshot) -> None:
         changed = snapshot.versions.hosts != self._snapshot.versions.hosts
--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -53,7 +53,9 @@
             rng,
         )
         admission = coordination.AdmissionActor.start(
-            coordination.AdmissionSettings(settings.host, settings.threads),
+            coordination.AdmissionSettings(
+                settings.host, settings.threads, settings.quota_policy
+            ),
             clock,
             timers,
         )
