Count the control bytes of a node

Control traffic is limited to 4 KB/s for each node, but no node could show what it uses.

Before: no figure.

--- a/src/jasminecrank/transport/_links.py
+++ b/src/jasminecrank/transport/_links.py
@@ -14,6 +14,7 @@
 from jasminecrank import exceptions
 from jasminecrank import protocol
 from jasminecrank import state
+from jasminecrank.transport import _metrics
 
 _OPEN_TIMEOUT_S = 2.0
 _CLOSE_TIMEOUT_S = 1.0
@@ -43,6 +44,7 @@
                 f"ws://{self._address}/",
                 compression=None,
                 proxy=None,
+                create_connection=_metrics.CountingClientConnection,
                 ping_interval=None,
                 open_timeout=_OPEN_TIMEOUT_S,
                 close_timeout=_CLOSE_TIMEOUT_S,
@@ -139,6 +141,7 @@
         self._server = server.serve(
             self._handle,
             sock=listener,
+            create_connection=_metrics.CountingServerConnection,
             compression=None,
             ping_interval=None,
             open_timeout=_OPEN_TIMEOUT_S,
--- /dev/null
+++ b/src/jasminecrank/transport/_metrics.py
@@ -0,0 +1,104 @@
+"""Counts of what control traffic costs a node, exported as metrics."""
+
+import socket
+import typing
+
+import prometheus_client
+import urllib3
+import urllib3.connection
+import urllib3.connectionpool
+from websockets.sync import client
+from websockets.sync import server
+
+_control_bytes = prometheus_client.Counter(
+    "jasminecrank_control_bytes",
+    "Bytes on the sockets of peers and of the configuration service.",
+    ("socket", "direction"),
+)
+_peer_sent = _control_bytes.labels("peer", "sent")
+_peer_received = _control_bytes.labels("peer", "received")
+_source_sent = _control_bytes.labels("source", "sent")
+_source_received = _control_bytes.labels("source", "received")
+_source_calls = prometheus_client.Counter(
+    "jasminecrank_source_calls",
+    "Reads and watches sent to the configuration service.",
+)
+
+_STATUS_LINE_BYTES = len("HTTP/1.1 200 OK\r\n\r\n")
+_HEADER_EXTRA_BYTES = len(": \r\n")
+
+
+class _CountingSocket:
+    """A socket that counts what a WebSocket connection moves on it."""
+
+    __slots__ = ("_socket",)
+
+    def __init__(self, counted: socket.socket) -> None:
+        self._socket = counted
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._socket, name)
+
+    def recv(self, size: int) -> bytes:
+        """Receive and count."""
+        data = self._socket.recv(size)
+        _peer_received.inc(len(data))
+        return data
+
+    def sendall(self, data: bytes) -> None:
+        """Send and count."""
+        self._socket.sendall(data)
+        _peer_sent.inc(len(data))
+
+
+class CountingClientConnection(client.ClientConnection):
+    """The dialling side of a peer link, with its bytes counted."""
+
+    def __init__(
+        self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
+    ) -> None:
+        counted = typing.cast(socket.socket, _CountingSocket(sock))
+        super().__init__(counted, *args, **kwargs)
+
+
+class CountingServerConnection(server.ServerConnection):
+    """The accepting side of a peer link, with its bytes counted."""
+
+    def __init__(
+        self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
+    ) -> None:
+        counted = typing.cast(socket.socket, _CountingSocket(sock))
+        super().__init__(counted, *args, **kwargs)
+
+
+class _CountingHttpConnection(urllib3.connection.HTTPConnection):
+    def send(self, data: typing.Any) -> None:
+        super().send(data)
+        _source_sent.inc(len(data))
+
+
+class _CountingHttpPool(urllib3.connectionpool.HTTPConnectionPool):
+    ConnectionCls = _CountingHttpConnection
+
+
+def source_pool() -> urllib3.PoolManager:
+    """Return a pool of one connection that counts its request bytes."""
+    pool = urllib3.PoolManager(num_pools=1, maxsize=1)
+    pool.pool_classes_by_scheme = {"http": _CountingHttpPool}
+    return pool
+
+
+def count_source_call() -> None:
+    """Count one read or watch as the source's limit counts it."""
+    _source_calls.inc()
+
+
+def count_source_answer(response: urllib3.BaseHTTPResponse) -> None:
+    """Count the bytes of a whole answer of the source."""
+    header_bytes = sum(
+        len(name) + len(value) + _HEADER_EXTRA_BYTES
+        for name, value in response.headers.items()
+    )
+    _source_received.inc(
+        _STATUS_LINE_BYTES + header_bytes + len(response.data)
+    )
--- a/src/jasminecrank/transport/_source.py
+++ b/src/jasminecrank/transport/_source.py
@@ -9,6 +9,7 @@
 from jasminecrank import exceptions
 from jasminecrank import protocol
 from jasminecrank import state
+from jasminecrank.transport import _metrics
 
 _READ_TIMEOUT_S = 2.0
 _WATCH_S = 25
@@ -26,7 +27,7 @@
         super().__init__()
         self._url = source_url.rstrip("/")
         self._config = config
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=1)
+        self._pool = _metrics.source_pool()
 
     def on_receive(self, message: object) -> object:
         """Read or watch and send on what the source answered."""
@@ -74,6 +75,7 @@
             self._config.tell(coordination.DocumentRead(document))
 
     def _get(self, path: str, timeout_s: float) -> bytes:
+        _metrics.count_source_call()
         try:
             response = self._pool.request(
                 "GET", self._url + path, timeout=timeout_s, retries=False
@@ -82,6 +84,7 @@
             raise exceptions.SourceError(
                 f"{type(error).__name__} on {path}"
             ) from None
+        _metrics.count_source_answer(response)
         if response.status != _HTTP_OK:
             raise exceptions.SourceError(f"status {response.status} on {path}")
         return response.data
