--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -60,6 +60,8 @@
         )
         self.platform = _platform.PlatformStandIn("127.0.0.1", 0, 96)
         self.platform_port = 0
+        self.name = ""
+        self.node_python_path = ""
         self.server_by_host: dict[str, ServerProcess] = {}
         self.node_by_host: dict[str, NodeProcess] = {}
 
@@ -71,12 +73,19 @@
         work: pathlib.Path,
         service_time_ms: float = 5.0,
         ramp_s: float = 0.0,
+        node_python_path: str = "",
     ) -> Iterator["Deployment"]:
-        """Start everything, and stop it at the end."""
+        """Start everything, and stop it at the end.
+
+        A node_python_path makes the nodes run the package found there,
+        which may be that of an earlier commit.
+        """
         files = operators.TableFiles.from_directory(directory)
         if files.problems:
             raise exceptions.TableError(str(files.problems[0]))
         deployment = cls(files, work)
+        deployment.name = directory.name
+        deployment.node_python_path = node_python_path
         try:
             deployment.start(service_time_ms, ramp_s)
             yield deployment
@@ -96,7 +105,7 @@
                 self.publish(name, self.rows_by_name[name])
         hosts = self.hosts()
         for row in hosts:
-            self.server_by_host[row.host] = self._start_server(
+            self.server_by_host[row.host] = self.start_server(
                 row, service_time_ms, ramp_s
             )
         for row in hosts:
@@ -176,6 +185,8 @@
             ]
         environment = dict(os.environ)
         environment[const.FATAL_INVARIANTS_VARIABLE] = "1"
+        if self.node_python_path:
+            environment["PYTHONPATH"] = self.node_python_path
         with log_path.open("a") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", "jasminecrank.cli", *arguments],
@@ -215,9 +226,10 @@
             time.sleep(_POLL_S)
         return by_host
 
-    def _start_server(
+    def start_server(
         self, row: state.HostRow, service_time_ms: float, ramp_s: float
     ) -> ServerProcess:
+        """Start a stand-in with the slots of a host's service."""
         service = next(
             candidate
             for candidate in self.rows_by_name[state.DocumentName.TABLE]
--- /dev/null
+++ b/src/jasminecrank/standins/_scenarios.py
@@ -0,0 +1,190 @@
+"""Scenarios of measures: traffic and what happens to the deployment."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from jasminecrank import state
+from jasminecrank.standins import _deployment
+from jasminecrank.standins import _traffic
+
+_LOAD_PART = 0.5
+_ONE_HOST_PART = 0.25
+_DURATION_S = 14.0
+_EXCESS_FACTOR = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class PublishChange:
+    """Accept a table with another weight."""
+
+    at_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class SetOutage:
+    """Take a data centre out of service, or back in."""
+
+    at_s: float
+    data_centre: str
+    state: state.OutageState
+
+
+@dataclass(slots=True, frozen=True)
+class KillNode:
+    """End a node without notice."""
+
+    at_s: float
+    host: str
+
+
+@dataclass(slots=True, frozen=True)
+class StartNode:
+    """Start a killed node again on its ports."""
+
+    at_s: float
+    host: str
+
+
+@dataclass(slots=True, frozen=True)
+class PauseNodes:
+    """Stop the nodes of a data centre from running, as a long pause does."""
+
+    at_s: float
+    data_centre: str
+
+
+@dataclass(slots=True, frozen=True)
+class ResumeNodes:
+    """Let the paused nodes of a data centre run again."""
+
+    at_s: float
+    data_centre: str
+
+
+@dataclass(slots=True, frozen=True)
+class SetSource:
+    """Begin or end an outage of the configuration service."""
+
+    at_s: float
+    available: bool
+
+
+Action = (
+    PublishChange
+    | SetOutage
+    | KillNode
+    | StartNode
+    | PauseNodes
+    | ResumeNodes
+    | SetSource
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Scenario:
+    """Traffic for a time, and actions at times since its start.
+
+    Actions after the duration run when traffic has ended and the use of
+    the nodes has been read.
+    """
+
+    name: str
+    load: _traffic.Load | None
+    duration_s: float
+    actions: tuple[Action, ...]
+
+
+def build_scenarios(
+    deployment: _deployment.Deployment,
+) -> tuple[Scenario, ...]:
+    """Return all scenarios for the hosts and teams of a deployment."""
+    hosts = deployment.hosts()
+    data_centre = hosts[0].data_centre
+    victims = (hosts[0].host, hosts[-1].host)
+    even = _traffic.Load(_LOAD_PART)
+    out = state.OutageState.OUT
+    back = state.OutageState.IN
+    return (
+        _scenario("idle", None, _changes(15.0, 15.5, 16.0, 16.5)),
+        _scenario("even", even, _changes(3, 5, 7, 9)),
+        _scenario(
+            "data-centre-departure",
+            even,
+            (SetOutage(4, data_centre, out), *_changes(3, 6, 8)),
+        ),
+        _scenario(
+            "data-centre-return",
+            even,
+            (
+                SetOutage(-4, data_centre, out),
+                SetOutage(4, data_centre, back),
+                *_changes(3, 6, 8),
+            ),
+        ),
+        _scenario(
+            "one-team-five-times",
+            _traffic.Load(
+                _LOAD_PART,
+                excess_team=_middle_team(deployment),
+                excess_factor=_EXCESS_FACTOR,
+            ),
+            _changes(3, 6, 8),
+        ),
+        _scenario(
+            "one-host-callers",
+            _traffic.Load(_ONE_HOST_PART, _traffic.OnOneHost()),
+            _changes(3, 6, 8),
+        ),
+        _scenario(
+            "source-outage",
+            even,
+            (
+                SetSource(2, False),
+                KillNode(4, victims[0]),
+                StartNode(5, victims[0]),
+                SetSource(9, True),
+                *_changes(9.1, 10, 11),
+            ),
+        ),
+        _scenario(
+            "node-kills",
+            even,
+            (
+                KillNode(3, victims[0]),
+                KillNode(5, victims[1]),
+                StartNode(6, victims[0]),
+                StartNode(8, victims[1]),
+                *_changes(4, 7, 9),
+            ),
+        ),
+        _scenario(
+            "partition",
+            even,
+            (
+                PauseNodes(3, data_centre),
+                ResumeNodes(8, data_centre),
+                *_changes(5, 9, 10),
+            ),
+        ),
+    )
+
+
+def _scenario(
+    name: str, load: _traffic.Load | None, actions: Iterable[Action]
+) -> Scenario:
+    ordered = tuple(sorted(actions, key=lambda action: action.at_s))
+    return Scenario(name, load, _DURATION_S, ordered)
+
+
+def _changes(*times_s: float) -> tuple[Action, ...]:
+    return tuple(PublishChange(at_s) for at_s in times_s)
+
+
+def _middle_team(deployment: _deployment.Deployment) -> str:
+    limits = [
+        row
+        for row in deployment.rows_by_name[state.DocumentName.TABLE]
+        if isinstance(row, state.LimitRow)
+    ]
+    by_rate = sorted(limits, key=lambda row: (row.rate, row.team))
+    return by_rate[len(by_rate) // 2].team
