--- a/script/run_measure.py
+++ b/script/run_measure.py
@@ -21,6 +21,7 @@
     "data-centre-return",
     "one-team-five-times",
     "one-host-callers",
+    "one-node-latency",
     "source-outage",
     "node-kills",
     "partition",
--- a/src/jasminecrank/standins/_backend_server.py
+++ b/src/jasminecrank/standins/_backend_server.py
@@ -91,6 +91,8 @@
                 answer = self._health()
             case "/audit":
                 answer = self._audit()
+            case "/runs":
+                answer = self._runs()
             case "/control/fall-cold":
                 self.fall_cold()
                 answer = {}
@@ -135,6 +137,10 @@
                 "load": self._in_use / max(1, self._settings.slots),
             }
 
+    def _runs(self) -> dict[str, object]:
+        with self._condition:
+            return dict(self._runs_by_request)
+
     def _audit(self) -> dict[str, object]:
         with self._condition:
             return {
--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -25,6 +26,7 @@
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 35.0
 _POLL_S = 0.02
+_PORTS_PER_NODE = 3
 
 
 @dataclass(slots=True)
@@ -41,6 +43,7 @@
 
     process: subprocess.Popen[str]
     log_path: pathlib.Path
+    log_offset: int
     call_port: int
     peer_port: int
     admin_port: int
@@ -64,6 +67,7 @@
         self.node_python_path = ""
         self.server_by_host: dict[str, ServerProcess] = {}
         self.node_by_host: dict[str, NodeProcess] = {}
+        self._reserved: list[socket.socket] = []
 
     @classmethod
     @contextlib.contextmanager
@@ -129,6 +133,8 @@
                 process.kill()
                 process.wait()
         self.platform.stop()
+        for reserved in self._reserved:
+            reserved.close()
 
     def publish(
         self, name: state.DocumentName, rows: tuple[state.Row, ...]
@@ -157,6 +163,20 @@
             )
         return self.publish(state.DocumentName.HOSTS, tuple(bound))
 
+    def publish_invalid_table(self) -> int:
+        """Publish a table whose limits name services it does not have."""
+        name = state.DocumentName.TABLE
+        self._numbers[name] += 1
+        by_key = {
+            state.row_key(row): state.encode_row(row)
+            for row in self.rows_by_name[name]
+            if not isinstance(row, state.ServiceRow)
+        }
+        self.platform.publish(
+            state.build_document(name, self._numbers[name], by_key)
+        )
+        return self._numbers[name]
+
     def restart_node(self, host: str) -> None:
         """Start a node again on the ports it had."""
         old = self.node_by_host[host]
@@ -177,17 +197,23 @@
             f"--source-url=http://127.0.0.1:{self.platform_port}",
             f"--server-port={self.server_by_host[row.host].port}",
         ]
-        if ports is not None:
-            arguments += [
-                f"--call-port={ports.call_port}",
-                f"--peer-port={ports.peer_port}",
-                f"--admin-port={ports.admin_port}",
-            ]
+        if ports is None:
+            call_port, peer_port, admin_port = self._reserve_ports()
+        else:
+            call_port = ports.call_port
+            peer_port = ports.peer_port
+            admin_port = ports.admin_port
+        arguments += [
+            f"--call-port={call_port}",
+            f"--peer-port={peer_port}",
+            f"--admin-port={admin_port}",
+        ]
         environment = dict(os.environ)
         environment[const.FATAL_INVARIANTS_VARIABLE] = "1"
         if self.node_python_path:
             environment["PYTHONPATH"] = self.node_python_path
         with log_path.open("a") as log:
+            offset = log.tell()
             process = subprocess.Popen(
                 [sys.executable, "-m", "jasminecrank.cli", *arguments],
                 stdout=subprocess.DEVNULL,
@@ -195,7 +221,7 @@
                 text=True,
                 env=environment,
             )
-        return NodeProcess(process, log_path, 0, 0, 0)
+        return NodeProcess(process, log_path, offset, 0, 0, 0)
 
     def status(self, host: str) -> Mapping[str, typing.Any] | None:
         """Return what a node's admin endpoint shows."""
@@ -207,6 +233,11 @@
         port = self.server_by_host[host].port
         return _get_json(f"http://127.0.0.1:{port}/audit") or {}
 
+    def runs(self, host: str) -> Mapping[str, int]:
+        """Return how often a backend server has run each request."""
+        port = self.server_by_host[host].port
+        return _get_json(f"http://127.0.0.1:{port}/runs") or {}
+
     def await_versions(
         self, document: state.Document, timeout_s: float
     ) -> dict[str, float]:
@@ -226,6 +257,23 @@
             time.sleep(_POLL_S)
         return by_host
 
+    def _reserve_ports(self) -> tuple[int, ...]:
+        """Return ports that a node can bind now and after a restart.
+
+        A port of a killed node stays unusable for a minute unless its
+        listener had SO_REUSEADDR, which cheroot sets only on a port that it
+        is given. Bound sockets that do not listen keep the ports from
+        others meanwhile.
+        """
+        ports = []
+        for _ in range(_PORTS_PER_NODE):
+            reserved = socket.socket()
+            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            reserved.bind(("127.0.0.1", 0))
+            self._reserved.append(reserved)
+            ports.append(reserved.getsockname()[1])
+        return tuple(ports)
+
     def start_server(
         self, row: state.HostRow, service_time_ms: float, ramp_s: float
     ) -> ServerProcess:
@@ -259,7 +307,7 @@
     def _await_ports(self, node: NodeProcess) -> None:
         deadline_s = time.monotonic() + _START_TIMEOUT_S
         while time.monotonic() < deadline_s:
-            ports = _read_ports(node.log_path)
+            ports = _read_ports(node)
             if ports.keys() >= {"calls", "peers", "admin"}:
                 node.call_port = ports["calls"]
                 node.peer_port = ports["peers"]
@@ -273,9 +321,10 @@
         )
 
 
-def _read_ports(log_path: pathlib.Path) -> dict[str, int]:
+def _read_ports(node: NodeProcess) -> dict[str, int]:
     ports: dict[str, int] = {}
-    for line in log_path.read_text().splitlines():
+    text = node.log_path.read_text()[node.log_offset :]
+    for line in text.splitlines():
         with contextlib.suppress(ValueError):
             values = json.loads(line)
             if values.get("event") == "listening":
--- a/src/jasminecrank/standins/_run.py
+++ b/src/jasminecrank/standins/_run.py
@@ -1,5 +1,6 @@
 """Runs one scenario against a running deployment."""
 
+from collections import Counter
 from collections.abc import Iterable
 import contextlib
 import dataclasses
@@ -230,16 +231,21 @@
     return (*rows[:index], changed, *rows[index + 1 :])
 
 
+def runs_by_request(deployment: _deployment.Deployment) -> Counter[str]:
+    """Return how often each request ran on all backend servers together."""
+    runs: Counter[str] = Counter()
+    for host in deployment.server_by_host:
+        runs.update(deployment.runs(host))
+    return runs
+
+
 def audit(deployment: _deployment.Deployment, bookings: set[str]) -> Audit:
     """Return what backend servers and nodes have found wrong."""
     audits = [deployment.audit(host) for host in deployment.server_by_host]
+    runs = runs_by_request(deployment)
     statuses = [deployment.status(host) for host in deployment.node_by_host]
     return Audit(
-        booked_twice=sum(
-            request_id in bookings
-            for one in audits
-            for request_id in one.get("run_more_than_once", ())
-        ),
+        booked_twice=sum(runs[request_id] > 1 for request_id in bookings),
         overloads=sum(one.get("overloads", 0) for one in audits),
         keys_seen=sum(one.get("keys_seen", 0) for one in audits),
         violations=sum(
--- a/src/jasminecrank/standins/_scenarios.py
+++ b/src/jasminecrank/standins/_scenarios.py
@@ -11,6 +11,8 @@
 _ONE_HOST_PART = 0.25
 _DURATION_S = 14.0
 _EXCESS_FACTOR = 5.0
+_NODE_RATE = 118.0
+"""Calls/s on one node at the size to design for."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,6 +137,13 @@
             _traffic.Load(_ONE_HOST_PART, _traffic.OnOneHost()),
             _changes(3, 6, 8),
         ),
+        _scenario(
+            "one-node-latency",
+            _traffic.Load(
+                _NODE_RATE / _service_rate(deployment), _traffic.OnOneHost()
+            ),
+            _changes(3, 6, 8),
+        ),
         _scenario(
             "source-outage",
             even,
@@ -180,6 +189,16 @@
     return tuple(PublishChange(at_s) for at_s in times_s)
 
 
+def _service_rate(deployment: _deployment.Deployment) -> float:
+    """Return the rate of all teams together at the first service."""
+    service = deployment.hosts()[0].service
+    return sum(
+        row.rate
+        for row in deployment.rows_by_name[state.DocumentName.TABLE]
+        if isinstance(row, state.LimitRow) and row.service == service
+    )
+
+
 def _middle_team(deployment: _deployment.Deployment) -> str:
     limits = [
         row
