--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -85,10 +85,32 @@
         which may be that of an earlier commit.
         """
         files = operators.TableFiles.from_directory(directory)
+        with cls.from_files(
+            files,
+            directory.name,
+            work,
+            service_time_ms,
+            ramp_s,
+            node_python_path,
+        ) as deployment:
+            yield deployment
+
+    @classmethod
+    @contextlib.contextmanager
+    def from_files(
+        cls,
+        files: operators.TableFiles,
+        name: str,
+        work: pathlib.Path,
+        service_time_ms: float = 5.0,
+        ramp_s: float = 0.0,
+        node_python_path: str = "",
+    ) -> Iterator["Deployment"]:
+        """Start everything that table files name, and stop it at the end."""
         if files.problems:
             raise exceptions.TableError(str(files.problems[0]))
         deployment = cls(files, work)
-        deployment.name = directory.name
+        deployment.name = name
         deployment.node_python_path = node_python_path
         try:
             deployment.start(service_time_ms, ramp_s)
--- /dev/null
+++ b/src/jasminecrank/standins/_slopes.py
@@ -0,0 +1,65 @@
+"""Slopes: a figure measured at several sizes, fitted by a line."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+import statistics
+import time
+
+_REPEATS = 5
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """What one more unit of a size costs, and what is spent at size zero."""
+
+    size: str
+    figure: str
+    unit: str
+    points: tuple[tuple[float, float], ...]
+    per_size: float
+    fixed: float
+
+    @classmethod
+    def from_points(
+        cls,
+        size: str,
+        figure: str,
+        unit: str,
+        points: Iterable[tuple[float, float]],
+    ) -> "Slope":
+        """Return the least-squares line through at least three points."""
+        known = tuple(points)
+        fit = statistics.linear_regression(
+            [x for x, _ in known], [y for _, y in known]
+        )
+        return cls(size, figure, unit, known, fit.slope, fit.intercept)
+
+    def at(self, size: float) -> float:
+        """Return the figure at a size, by the line."""
+        return max(0.0, self.fixed + self.per_size * size)
+
+
+def processor_ms(work: Callable[[], object]) -> float:
+    """Return the median processor time of some work on this thread."""
+    times_s = []
+    for _ in range(_REPEATS):
+        started_s = time.thread_time()
+        work()
+        times_s.append(time.thread_time() - started_s)
+    return statistics.median(times_s) * 1000
+
+
+def format_slopes(slopes: Iterable[Slope]) -> Iterator[str]:
+    """Yield the lines of a table of slopes."""
+    yield (
+        f"{'size':<22} {'figure':<34} {'unit':<10} "
+        f"{'per size':>12} {'fixed':>12}  points"
+    )
+    for slope in slopes:
+        points = ", ".join(f"{x:g}: {y:.4g}" for x, y in slope.points)
+        yield (
+            f"{slope.size:<22} {slope.figure:<34} {slope.unit:<10} "
+            f"{slope.per_size:>12.5g} {slope.fixed:>12.5g}  {points}"
+        )
