--- a/script/run_soak.py
+++ b/script/run_soak.py
@@ -19,7 +19,7 @@
 
 def find_machines() -> Iterator[type[stateful.RuleBasedStateMachine]]:
     """Yield the classes named *Machine of the features' steps."""
-    sys.path.insert(0, str(STEPS))
+    sys.path[:0] = [str(STEPS), str(ROOT)]
     for path in sorted(STEPS.glob("*.py")):
         if "Machine" not in path.read_text():
             continue
--- a/src/jasminecrank/standins/_document_slopes.py
+++ b/src/jasminecrank/standins/_document_slopes.py
@@ -1,6 +1,5 @@
 """What documents and decisions cost by their size, in this process."""
 
-from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import tracemalloc
@@ -15,6 +14,7 @@
 _PARTS = (0.1, 0.5, 1.0)
 _TEAMS = (8, 64, 512)
 _CALLS = 200
+_ROUNDS = 5
 _RATE_PROOF_S = 100.0
 _TABLE = state.DocumentName.TABLE
 _HOSTS = state.DocumentName.HOSTS
@@ -23,10 +23,15 @@
 def measure() -> Iterator[_slopes.Slope]:
     """Yield the slopes of documents, of a change and of teams."""
     sizes = [_part_of_fleet(part) for part in _PARTS]
-    yield from _document_slopes(_TABLE, sizes)
-    yield from _document_slopes(_HOSTS, sizes)
-    yield from _change_slopes(sizes)
-    yield from _team_slopes()
+    for name in (_TABLE, _HOSTS):
+        documents = [_synthetic.build_documents(size)[name] for size in sizes]
+        yield from _slopes.fit_figures(
+            f"{name.value} rows", _ROUNDS, documents, _document_figures
+        )
+    yield from _slopes.fit_figures(
+        "rows of all documents", _ROUNDS, sizes, _change_figures
+    )
+    yield from _slopes.fit_figures("teams", _ROUNDS, _TEAMS, _team_figures)
 
 
 def _part_of_fleet(part: float) -> _synthetic.FleetSize:
@@ -38,25 +43,9 @@
     )
 
 
-def _document_slopes(
-    name: state.DocumentName, sizes: Iterable[_synthetic.FleetSize]
-) -> Iterator[_slopes.Slope]:
-    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
-    for size in sizes:
-        document = _synthetic.build_documents(size)[name]
-        for figure, unit, value in _document_figures(document):
-            points.setdefault((figure, unit), []).append(
-                (len(document.by_key), value)
-            )
-    for (figure, unit), found in points.items():
-        yield _slopes.Slope.from_points(
-            f"{name.value} rows", figure, unit, found
-        )
-
-
 def _document_figures(
     document: state.Document,
-) -> Iterator[tuple[str, str, float]]:
+) -> Iterator[_slopes.Figure]:
     published = protocol.encode_published(document)
     snapshot = coordination.Envelope(
         "host",
@@ -64,65 +53,62 @@
         coordination.DocumentSnapshot(document),
     )
     frame = protocol.encode_envelope(snapshot)
-    yield "published form", "bytes", len(published)
-    yield "snapshot message", "bytes", len(frame)
-    yield (
+    yield _slopes.Figure(
+        "published form", "bytes", len(document.by_key), len(published)
+    )
+    yield _slopes.Figure(
+        "snapshot message", "bytes", len(document.by_key), len(frame)
+    )
+    yield _slopes.Figure(
         "digest",
         "ms",
+        len(document.by_key),
         _slopes.processor_ms(lambda: state.digest_rows(document.by_key)),
     )
-    yield (
+    yield _slopes.Figure(
         "published decode",
         "ms",
+        len(document.by_key),
         _slopes.processor_ms(
             lambda: protocol.decode_published(document.name, published)
         ),
     )
-    yield (
+    yield _slopes.Figure(
         "snapshot encode",
         "ms",
+        len(document.by_key),
         _slopes.processor_ms(lambda: protocol.encode_envelope(snapshot)),
     )
-    yield (
+    yield _slopes.Figure(
         "snapshot decode",
         "ms",
+        len(document.by_key),
         _slopes.processor_ms(lambda: protocol.decode_envelope(frame)),
     )
-    yield (
+    yield _slopes.Figure(
         "offer of a first version",
         "ms",
+        len(document.by_key),
         _slopes.processor_ms(
             lambda: state.ConfigState.empty().offer(document)
         ),
     )
 
 
-def _change_slopes(
-    sizes: Iterable[_synthetic.FleetSize],
-) -> Iterator[_slopes.Slope]:
-    """Yield what one changed row costs a node that holds all documents."""
-    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
-    for size in sizes:
-        rows = sum(len(one) for one in _synthetic.build_rows(size).values())
-        for figure, unit, value in _change_figures(size):
-            points.setdefault((figure, unit), []).append((rows, value))
-    for (figure, unit), found in points.items():
-        yield _slopes.Slope.from_points(
-            "rows of all documents", figure, unit, found
-        )
-
-
 def _change_figures(
     size: _synthetic.FleetSize,
-) -> Iterator[tuple[str, str, float]]:
+) -> Iterator[_slopes.Figure]:
     tracemalloc.start()
     documents = _synthetic.build_documents(size)
     config = state.ConfigState.empty()
     for document in documents.values():
         config.offer(document)
+    rows_held = sum(len(one.by_key) for one in documents.values())
     held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    yield "memory of documents and snapshot", "MB", held_bytes / 1e6
+    yield _slopes.Figure(
+        "memory of documents and snapshot", "MB", rows_held, held_bytes / 1e6
+    )
     table = documents[_TABLE]
     rows = _run.change_weight(_synthetic.build_rows(size)[_TABLE], 7)
     numbers = iter(range(2, 1000))
@@ -142,36 +128,36 @@
         "host", state.Stamp(0, 0, "host"), coordination.DocumentDelta(delta)
     )
     frame = protocol.encode_envelope(envelope)
-    yield "delta message of one row", "bytes", len(frame)
-    yield (
+    yield _slopes.Figure(
+        "delta message of one row", "bytes", rows_held, len(frame)
+    )
+    yield _slopes.Figure(
         "delta encode and decode",
         "ms",
+        rows_held,
         _slopes.processor_ms(
             lambda: protocol.decode_envelope(
                 protocol.encode_envelope(envelope)
             )
         ),
     )
-    yield (
+    yield _slopes.Figure(
         "delta make and apply",
         "ms",
+        rows_held,
         _slopes.processor_ms(
             lambda: state.apply_delta(table, state.make_delta(table, changed))
         ),
     )
-    yield "offer of one changed row", "ms", _slopes.processor_ms(offer_next)
-
-
-def _team_slopes() -> Iterator[_slopes.Slope]:
-    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
-    for teams in _TEAMS:
-        for figure, unit, value in _team_figures(teams):
-            points.setdefault((figure, unit), []).append((teams, value))
-    for (figure, unit), found in points.items():
-        yield _slopes.Slope.from_points("teams", figure, unit, found)
+    yield _slopes.Figure(
+        "offer of one changed row",
+        "ms",
+        rows_held,
+        _slopes.processor_ms(offer_next),
+    )
 
 
-def _team_figures(teams: int) -> Iterator[tuple[str, str, float]]:
+def _team_figures(teams: int) -> Iterator[_slopes.Figure]:
     size = _synthetic.FleetSize(
         hosts=12, services=1, teams=teams, data_centres=3, regions=1
     )
@@ -186,9 +172,10 @@
     call = state.CallRequest(
         "id", "GET", "/service-000/0", key, None, None, None
     )
-    yield (
+    yield _slopes.Figure(
         "quota follows a new table",
         "ms",
+        teams,
         _slopes.processor_ms(
             lambda: admission.quota.apply_snapshot(
                 config.snapshot, _RATE_PROOF_S
@@ -200,8 +187,9 @@
         for _ in range(_CALLS):
             admission.admit(call, _RATE_PROOF_S)
 
-    yield (
+    yield _slopes.Figure(
         "decision on a call",
         "us",
+        teams,
         1000 * _slopes.processor_ms(admit_calls) / _CALLS,
     )
--- a/src/jasminecrank/standins/_slopes.py
+++ b/src/jasminecrank/standins/_slopes.py
@@ -1,15 +1,30 @@
 """Slopes: a figure measured at several sizes, fitted by a line."""
 
+from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
 import statistics
 import time
+import typing
 
 _REPEATS = 5
 
 
+SizeT = typing.TypeVar("SizeT")
+
+
+@dataclass(slots=True, frozen=True)
+class Figure:
+    """One measured value at one size."""
+
+    name: str
+    unit: str
+    size: float
+    value: float
+
+
 @dataclass(slots=True, frozen=True)
 class Slope:
     """What one more unit of a size costs, and what is spent at size zero."""
@@ -51,6 +66,32 @@
     return statistics.median(times_s) * 1000
 
 
+def fit_figures(
+    size: str,
+    rounds: int,
+    sizes: Iterable[SizeT],
+    figures: Callable[[SizeT], Iterable[Figure]],
+) -> Iterator[Slope]:
+    """Yield a slope for each figure, from the medians of several rounds.
+
+    Each round measures every size, because the machine's speed changes
+    within seconds.
+    """
+    ordered = tuple(sizes)
+    values: defaultdict[tuple[str, str, int], list[Figure]] = defaultdict(list)
+    for _ in range(rounds):
+        for index, one in enumerate(ordered):
+            for figure in figures(one):
+                values[figure.name, figure.unit, index].append(figure)
+    points: defaultdict[tuple[str, str], list[tuple[float, float]]]
+    points = defaultdict(list)
+    for (name, unit, _), found in values.items():
+        median = statistics.median(figure.value for figure in found)
+        points[name, unit].append((found[0].size, median))
+    for (name, unit), known in points.items():
+        yield Slope.from_points(size, name, unit, known)
+
+
 def format_slopes(slopes: Iterable[Slope]) -> Iterator[str]:
     """Yield the lines of a table of slopes."""
     yield (
