--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -25,6 +26,7 @@
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 35.0
 _POLL_S = 0.02
+_PORTS_PER_NODE = 3
 
 
 @dataclass(slots=True)
@@ -41,6 +43,7 @@
 
     process: subprocess.Popen[str]
     log_path: pathlib.Path
+    log_offset: int
     call_port: int
     peer_port: int
     admin_port: int
@@ -60,8 +63,11 @@
         )
         self.platform = _platform.PlatformStandIn("127.0.0.1", 0, 96)
         self.platform_port = 0
+        self.name = ""
+        self.node_python_path = ""
         self.server_by_host: dict[str, ServerProcess] = {}
         self.node_by_host: dict[str, NodeProcess] = {}
+        self._reserved: list[socket.socket] = []
 
     @classmethod
     @contextlib.contextmanager
@@ -71,12 +77,41 @@
         work: pathlib.Path,
         service_time_ms: float = 5.0,
         ramp_s: float = 0.0,
+        node_python_path: str = "",
     ) -> Iterator["Deployment"]:
-        """Start everything, and stop it at the end."""
+        """Start everything, and stop it at the end.
+
+        A node_python_path makes the nodes run the package found there,
+        which may be that of an earlier commit.
+        """
         files = operators.TableFiles.from_directory(directory)
+        with cls.from_files(
+            files,
+            directory.name,
+            work,
+            service_time_ms,
+            ramp_s,
+            node_python_path,
+        ) as deployment:
+            yield deployment
+
+    @classmethod
+    @contextlib.contextmanager
+    def from_files(
+        cls,
+        files: operators.TableFiles,
+        name: str,
+        work: pathlib.Path,
+        service_time_ms: float = 5.0,
+        ramp_s: float = 0.0,
+        node_python_path: str = "",
+    ) -> Iterator["Deployment"]:
+        """Start everything that table files name, and stop it at the end."""
         if files.problems:
             raise exceptions.TableError(str(files.problems[0]))
         deployment = cls(files, work)
+        deployment.name = name
+        deployment.node_python_path = node_python_path
         try:
             deployment.start(service_time_ms, ramp_s)
             yield deployment
@@ -96,7 +131,7 @@
                 self.publish(name, self.rows_by_name[name])
         hosts = self.hosts()
         for row in hosts:
-            self.server_by_host[row.host] = self._start_server(
+            self.server_by_host[row.host] = self.start_server(
                 row, service_time_ms, ramp_s
             )
         for row in hosts:
@@ -120,6 +155,8 @@
                 process.kill()
                 process.wait()
         self.platform.stop()
+        for reserved in self._reserved:
+            reserved.close()
 
     def publish(
         self, name: state.DocumentName, rows: tuple[state.Row, ...]
@@ -148,6 +185,20 @@
             )
         return self.publish(state.DocumentName.HOSTS, tuple(bound))
 
+    def publish_invalid_table(self) -> int:
+        """Publish a table whose limits name services it does not have."""
+        name = state.DocumentName.TABLE
+        self._numbers[name] += 1
+        by_key = {
+            state.row_key(row): state.encode_row(row)
+            for row in self.rows_by_name[name]
+            if not isinstance(row, state.ServiceRow)
+        }
+        self.platform.publish(
+            state.build_document(name, self._numbers[name], by_key)
+        )
+        return self._numbers[name]
+
     def restart_node(self, host: str) -> None:
         """Start a node again on the ports it had."""
         old = self.node_by_host[host]
@@ -168,15 +219,23 @@
             f"--source-url=http://127.0.0.1:{self.platform_port}",
             f"--server-port={self.server_by_host[row.host].port}",
         ]
-        if ports is not None:
-            arguments += [
-                f"--call-port={ports.call_port}",
-                f"--peer-port={ports.peer_port}",
-                f"--admin-port={ports.admin_port}",
-            ]
+        if ports is None:
+            call_port, peer_port, admin_port = self._reserve_ports()
+        else:
+            call_port = ports.call_port
+            peer_port = ports.peer_port
+            admin_port = ports.admin_port
+        arguments += [
+            f"--call-port={call_port}",
+            f"--peer-port={peer_port}",
+            f"--admin-port={admin_port}",
+        ]
         environment = dict(os.environ)
         environment[const.FATAL_INVARIANTS_VARIABLE] = "1"
+        if self.node_python_path:
+            environment["PYTHONPATH"] = self.node_python_path
         with log_path.open("a") as log:
+            offset = log.tell()
             process = subprocess.Popen(
                 [sys.executable, "-m", "jasminecrank.cli", *arguments],
                 stdout=subprocess.DEVNULL,
@@ -184,7 +243,7 @@
                 text=True,
                 env=environment,
             )
-        return NodeProcess(process, log_path, 0, 0, 0)
+        return NodeProcess(process, log_path, offset, 0, 0, 0)
 
     def status(self, host: str) -> Mapping[str, typing.Any] | None:
         """Return what a node's admin endpoint shows."""
@@ -196,6 +255,11 @@
         port = self.server_by_host[host].port
         return _get_json(f"http://127.0.0.1:{port}/audit") or {}
 
+    def runs(self, host: str) -> Mapping[str, int]:
+        """Return how often a backend server has run each request."""
+        port = self.server_by_host[host].port
+        return _get_json(f"http://127.0.0.1:{port}/runs") or {}
+
     def await_versions(
         self, document: state.Document, timeout_s: float
     ) -> dict[str, float]:
@@ -226,9 +290,27 @@
             time.sleep(_POLL_S)
         return waiting
 
-    def _start_server(
+    def _reserve_ports(self) -> tuple[int, ...]:
+        """Return ports that a node can bind now and after a restart.
+
+        A port of a killed node stays unusable for a minute unless its
+        listener had SO_REUSEADDR, which cheroot sets only on a port that it
+        is given. Bound sockets that do not listen keep the ports from
+        others meanwhile.
+        """
+        ports = []
+        for _ in range(_PORTS_PER_NODE):
+            reserved = socket.socket()
+            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            reserved.bind(("127.0.0.1", 0))
+            self._reserved.append(reserved)
+            ports.append(reserved.getsockname()[1])
+        return tuple(ports)
+
+    def start_server(
         self, row: state.HostRow, service_time_ms: float, ramp_s: float
     ) -> ServerProcess:
+        """Start a stand-in with the slots of a host's service."""
         service = next(
             candidate
             for candidate in self.rows_by_name[state.DocumentName.TABLE]
@@ -258,7 +340,7 @@
     def _await_ports(self, node: NodeProcess) -> None:
         deadline_s = time.monotonic() + _START_TIMEOUT_S
         while time.monotonic() < deadline_s:
-            ports = _read_ports(node.log_path)
+            ports = _read_ports(node)
             if ports.keys() >= {"calls", "peers", "admin"}:
                 node.call_port = ports["calls"]
                 node.peer_port = ports["peers"]
@@ -272,9 +354,10 @@
         )
 
 
-def _read_ports(log_path: pathlib.Path) -> dict[str, int]:
+def _read_ports(node: NodeProcess) -> dict[str, int]:
     ports: dict[str, int] = {}
-    for line in log_path.read_text().splitlines():
+    text = node.log_path.read_text()[node.log_offset :]
+    for line in text.splitlines():
         with contextlib.suppress(ValueError):
             values = json.loads(line)
             if values.get("event") == "listening":
