Let both teams wait for long in the admission runs

The state machine seldom had calls of both teams waiting and seldom ended calls before a timer message that was due, so that ignored weights and late starts went unnoticed by it.

Two rules produce these states. In trials with deliberate faults the machine now finds ignored weights and a start after the deadline.

--- a/features/steps/admission_machine_steps.py
+++ b/features/steps/admission_machine_steps.py
@@ -99,6 +99,22 @@
         for _ in range(count):
             self.call_ends("answered", 0, False)
 
+    @stateful.rule(count=st.integers(1, 16))
+    def both_teams_keep_calling(self, count):
+        """Answer calls one by one while both teams send more."""
+        for _ in range(count):
+            for team in ("large", "small"):
+                self.calls_come("lookup", team, None, None, False, 1)
+            self.call_ends("answered", 0, False)
+
+    @stateful.rule(
+        seconds=st.sampled_from([0.5, 2.5]), count=st.integers(1, 4)
+    )
+    def calls_are_answered_late(self, seconds, count):
+        """Answer calls before a timer message that is due."""
+        self.world.now_s += seconds
+        self.calls_are_answered(count)
+
     @stateful.rule(index=st.integers(0, 30))
     def call_is_cancelled(self, index):
         """Withdraw a call."""
@@ -186,14 +202,9 @@
         """Cease to accept calls."""
         self.set_ready(False)
 
-    @stateful.rule(
-        seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]), late=st.booleans()
-    )
-    def time_passes(self, seconds, late):
-        """Let time pass; timer messages may come late."""
-        if late:
-            self.world.now_s += seconds
-            return
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]))
+    def time_passes(self, seconds):
+        """Let time pass, with timer messages when they are due."""
         self.world.advance(seconds)
         self.look()
 
