Let a call wait for a token that a peer may lend

A call without a token was refused at once, although a host of the same service that was just asked lends one within some milliseconds.

--- a/features/state/admission.feature
+++ b/features/state/admission.feature
@@ -43,6 +43,28 @@
       | lookup  | out north, in north            | ForwardTo                   | refunded |
       | lookup  | out south                      | none yet                    | spent    |
 
+  Scenario Outline: A call short of a token waits for it
+    Guards against a refusal inside a team's rate, when the token is with a
+    host of the same service that is about to lend it.
+
+    Given a node of ledger
+    And a <kind> of small that is told to wait <waits> s for a token
+    When these events happen: <events>
+    Then its one decision is <decision>
+    And its token is <token>
+
+    Examples:
+      | kind    | waits                  | events                | decision              | token    |
+      | lookup  | 0.02                   | nothing               | none yet              | refunded |
+      | lookup  | 0.02                   | wait 0.02             | Admitted              | spent    |
+      | booking | 0.02, 0.02, 0.02       | wait 0.07             | Admitted              | spent    |
+      | check   | 0.04, 0.04, 0.04       | wait 0.1              | RATE_EXCEEDED not-run | refunded |
+      | lookup  | 0.5                    | nothing               | RATE_EXCEEDED not-run | refunded |
+      | lookup  | 0.02                   | withdraw small        | KEY_UNKNOWN not-run   | refunded |
+      | booking | 0.02                   | out north             | ForwardTo             | refunded |
+      | lookup  | 0.02                   | stop                  | ForwardTo             | refunded |
+      | booking | 0.02                   | out south, wait 0.02  | Admitted              | spent    |
+
   Scenario Outline: The queue is bounded
     Guards against a burst that takes every worker thread, and against a large
     team that pushes a small one out of the queue.
--- a/features/steps/admission_machine_steps.py
+++ b/features/steps/admission_machine_steps.py
@@ -42,6 +42,8 @@
         self.run_keys = set()
         self.key_by_permit = {}
         self.both_waited = False
+        self.spent = 0
+        self.forward_deadlines_s = []
         self.started_by_team = collections.Counter()
 
     # Events.
@@ -53,10 +55,14 @@
         deadline_s=st.sampled_from([None, 0.0, 0.3, 1.0]),
         forwarded=st.booleans(),
         burst=st.integers(1, 6),
+        waits=st.lists(st.sampled_from([0.01, 0.05, 0.2]), max_size=3),
     )
-    def calls_come(self, kind, team, key, deadline_s, forwarded, burst):
+    def calls_come(
+        self, kind, team, key, deadline_s, forwarded, burst, waits=()
+    ):
         """Ask for decisions on equal calls."""
         world = self.world
+        world.quota.waits_by_team[team] = list(waits)
         deadline_at_s = None
         if deadline_s is not None:
             deadline_at_s = world.now_s + deadline_s
@@ -88,6 +94,7 @@
         not_run = not_run and kind in ("shed", "cancelled")
         if kind == "not-sent" or not_run:
             self.run_keys.discard(self.key_by_permit[permit.permit_id])
+            self.spent -= permit.team in admission_world.DIGESTS
         if kind == "not-sent" and world.now_s < permit.deadline_at_s:
             self.cold_at_s = world.now_s
         world.finish(kind, index, not_run=not_run)
@@ -192,7 +199,7 @@
             self.calls_come("lookup", "large", None, None, False, 1)
             if index > 8:
                 self.calls_come("lookup", "small", None, None, False, 1)
-            world.advance(0.4)
+            world.advance(0.4, self.look)
             self.look()
             if index < 8:
                 self.call_ends("answered", 0, False)
@@ -205,7 +212,7 @@
     @stateful.rule(seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]))
     def time_passes(self, seconds):
         """Let time pass, with timer messages when they are due."""
-        self.world.advance(seconds)
+        self.world.advance(seconds, self.look)
         self.look()
 
     @stateful.precondition(lambda self: not self.stopped)
@@ -247,6 +254,7 @@
     def check_admitted(self, call, permit):
         """Check one permit."""
         world = self.world
+        self.spent += permit.team in admission_world.DIGESTS
         assert self.ready
         assert self.host_takes_work()
         assert not self.stopped
@@ -264,6 +272,8 @@
     def check_forwarded(self, call, decision):
         """Check one forwarded call."""
         world = self.world
+        if decision.route.priority is not INTERNAL:
+            self.forward_deadlines_s.append(decision.deadline_at_s)
         assert call.forwarded_by is None, call
         assert decision.host.host != "ledger-1"
         assert decision.host.state is state.HostState.LIVE
@@ -312,30 +322,36 @@
             running = [p for p in ordinary if p.team == row.team]
             assert len(running) <= row.max_in_flight
         queue = world.admission.dispatcher.queue
-        forwards = [
-            decision
-            for _, decision in world.results
-            if isinstance(decision, state.ForwardTo)
-            and decision.route.priority is not INTERNAL
-            and decision.deadline_at_s > world.now_s
+        forwards = self.forward_deadlines_s = [
+            deadline_at_s
+            for deadline_at_s in self.forward_deadlines_s
+            if deadline_at_s > world.now_s
         ]
-        assert queue.ordinary + len(forwards) <= THREADS - SPARED
+        waiting = queue.ordinary + len(world.admission.dispatcher.tokens)
+        assert waiting + len(forwards) <= THREADS - SPARED
         if not forwards:
-            assert queue.ordinary + len(ordinary) <= THREADS - SPARED
+            assert waiting + len(ordinary) <= THREADS - SPARED
+        spent = sum(world.quota.spent_by_team.values())
+        held = sum(
+            entry.checked.team in admission_world.DIGESTS for entry in queue
+        )
+        assert spent == self.spent + held
         assert len(queue.internal) <= SPARED
 
     @stateful.invariant()
     def every_call_has_one_decision_or_waits(self):
         """Check that no decision is lost or given twice."""
-        decided = [id(call) for call, _ in self.world.results]
+        decided = [call.request_id for call, _ in self.world.results]
         assert len(decided) == len(set(decided))
-        waiting = {id(call) for call in self.world.call_by_ticket.values()}
+        waiting = {
+            call.request_id for call in self.world.call_by_ticket.values()
+        }
         assert not waiting & set(decided)
         assert len(waiting) + len(decided) == len(self.calls)
 
     def teardown(self):
         """Let all deadlines pass: every call has its decision then."""
-        self.world.advance(10.0)
+        self.world.advance(10.0, self.look)
         self.look()
         assert not self.world.call_by_ticket
         self.every_call_has_one_decision_or_waits()
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -52,6 +52,15 @@
     assert isinstance(result, state.Queued), result
 
 
+@given("a {kind} of small that is told to wait {waits} s for a token")
+def step_short(context, kind, waits):
+    world = context.world
+    world.quota.waits_by_team["small"] = [
+        float(wait) for wait in waits.split(", ")
+    ]
+    context.call, _ = world.call(kind, "small")
+
+
 @when("the event {event} happens")
 def step_event(context, event):
     world = context.world
--- a/features/steps/admission_world.py
+++ b/features/steps/admission_world.py
@@ -103,25 +103,25 @@
             return type(decision).__name__
 
 
-class CountingQuota:
-    """Counts tokens taken and given back."""
+class QuotaStub:
+    """Counts tokens and tells teams to wait as the test wants."""
 
-    def __init__(self, quota):
-        self._quota = quota
+    def __init__(self):
         self.spent_by_team = collections.Counter()
+        self.waits_by_team = collections.defaultdict(list)
 
-    def __getattr__(self, name):
-        return getattr(self._quota, name)
+    def apply_snapshot(self, snapshot, now_s):
+        """Follow a snapshot."""
 
-    def take(self, service, team, now_s):
-        """Take a token."""
-        wait_s = self._quota.take(service, team, now_s)
-        self.spent_by_team[team] += wait_s is None
-        return wait_s
+    def take(self, service, team, now_s, repeated=False):
+        """Take a token, or return the next wait of the team."""
+        if self.waits_by_team[team]:
+            return self.waits_by_team[team].pop(0)
+        self.spent_by_team[team] += 1
+        return None
 
     def refund(self, service, team, now_s):
         """Give a token back."""
-        self._quota.refund(service, team, now_s)
         self.spent_by_team[team] -= 1
 
 
@@ -148,11 +148,10 @@
         self.admission = state.AdmissionState.from_host(
             name, self.now_s, WALL_MS, threads
         )
-        self.quota = CountingQuota(self.admission.quota)
+        self.quota = QuotaStub()
         self.admission.dispatcher.quota = self.quota
         self.publish()
         self.admission.set_ready(True, self.now_s)
-        # A new ledger has no tokens at first.
         self.now_s += 10.0
 
     @property
@@ -262,15 +261,17 @@
         self.admission.observe_health(report, self.now_s)
         self.collect()
 
-    def advance(self, seconds):
+    def advance(self, seconds, look=None):
         """Let time pass, with the timer messages that fall due."""
         end_s = self.now_s + seconds
-        while (due_s := self.admission.next_deadline_s()) is not None:
+        while (due_s := self.admission.next_due_s()) is not None:
             if due_s > end_s:
                 break
             self.now_s = max(self.now_s, due_s)
             self.admission.tick(self.now_s)
             self.collect()
+            if look is not None:
+                look()
         self.now_s = end_s
 
     def run(self, end, count=1, duration_s=0.01, **fields):
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -104,7 +104,7 @@
 
     def _schedule_tick(self, now_s: float) -> None:
         """Send one timer message for the next call that expires."""
-        due_s = self._admission.next_deadline_s()
+        due_s = self._admission.next_due_s()
         if self._await_drained:
             due_s = min(due_s or math.inf, now_s + _DRAIN_POLL_S)
         if due_s is None or due_s >= self._tick_due_s:
@@ -146,6 +146,6 @@
         return _messages.AdmissionStatus(
             slots_in_use=server.slots.in_use,
             capacity=server.ramp.capacity(self._clock.monotonic_s()),
-            queued=len(self._admission.dispatcher.queue),
+            queued=self._admission.waiting(),
             by_result=dict(self._admission.by_result),
         )
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -130,17 +130,18 @@
         )
 
     def tick(self, now_s: float) -> None:
-        """Refuse the calls whose deadline passed while they waited."""
+        """Let waiting calls expire or try again for a token."""
         self.dispatcher.withdraw(
             lambda waiting: waiting.checked.deadline_at_s <= now_s,
             exceptions.ResultCode.DEADLINE_EXCEEDED,
             now_s,
         )
+        self.dispatcher.retry_tokens(now_s)
         self.dispatcher.pump(now_s)
 
-    def next_deadline_s(self) -> float | None:
-        """Return when a waiting call expires and `tick` is due."""
-        return self.dispatcher.queue.next_deadline_s()
+    def next_due_s(self) -> float | None:
+        """Return when `tick` is due for a waiting call."""
+        return self.dispatcher.next_due_s()
 
     def observe_health(
         self, report: _calls.HealthReport, now_s: float
@@ -163,10 +164,14 @@
         self.placement.stopping = True
         self._placement_changed(now_s)
 
+    def waiting(self) -> int:
+        """Return how many calls wait for a slot or a token."""
+        return len(self.dispatcher.waiting())
+
     def calls_in_hand(self, now_s: float) -> int:
         """Return how many calls wait, run or are on their way elsewhere."""
         return (
-            len(self.dispatcher.queue)
+            self.waiting()
             + self.dispatcher.server.slots.in_use
             + self.placement.chooser.in_hand(now_s)
         )
@@ -219,36 +224,48 @@
 
     def _recheck_waiting(self, now_s: float) -> None:
         """Decide anew on the calls that wait, after a change."""
-        for entry in self.dispatcher.queue.remove(lambda waiting: True):
-            old = entry.checked
-            checked = _call_checks.check_call(self.snapshot, old.call, now_s)
+        kept: dict[int, _fair_queue.Waiting] = {}
+        refused: list[tuple[_fair_queue.Waiting, _calls.Refused]] = []
+        leaving: list[_fair_queue.Waiting] = []
+        for entry in self.dispatcher.waiting():
+            checked = self._recheck(entry.checked, now_s)
             if isinstance(checked, _calls.Refused):
-                self.dispatcher.give_up(old, now_s)
-                self.dispatcher.settle(entry, checked)
-            elif checked.team != old.team:
-                self.dispatcher.release(
-                    entry, exceptions.ResultCode.KEY_UNKNOWN, now_s
-                )
-            elif (checked.route.service, checked.route.kind) != (
-                old.route.service,
-                old.route.kind,
-            ):
-                self.dispatcher.release(
-                    entry, exceptions.ResultCode.NO_ROUTE, now_s
+                refused.append((entry, checked))
+            elif self.placement.runs_here(checked.route):
+                kept[entry.ticket] = dataclasses.replace(
+                    entry, checked=checked
                 )
-            elif not self.placement.runs_here(checked.route):
-                self._send_away(entry, now_s)
             else:
-                kept = dataclasses.replace(
-                    checked, deadline_at_s=old.deadline_at_s
-                )
-                self.dispatcher.keep_waiting(
-                    dataclasses.replace(entry, checked=kept), now_s
-                )
+                leaving.append(entry)
+        self.dispatcher.retain(kept)
+        for entry, refusal in refused:
+            self.dispatcher.give_up(entry, now_s)
+            self.dispatcher.settle(entry, refusal)
+        for entry in leaving:
+            self._send_away(entry, now_s)
+
+    def _recheck(
+        self, old: _fair_queue.CheckedCall, now_s: float
+    ) -> _fair_queue.CheckedCall | _calls.Refused:
+        checked = _call_checks.check_call(self.snapshot, old.call, now_s)
+        if isinstance(checked, _calls.Refused):
+            return checked
+        if checked.team != old.team:
+            return self.dispatcher.refuse(
+                exceptions.ResultCode.KEY_UNKNOWN, old
+            )
+        route = checked.route
+        if (route.service, route.kind, route.priority) != (
+            old.route.service,
+            old.route.kind,
+            old.route.priority,
+        ):
+            return self.dispatcher.refuse(exceptions.ResultCode.NO_ROUTE, old)
+        return dataclasses.replace(checked, deadline_at_s=old.deadline_at_s)
 
     def _send_away(self, entry: _fair_queue.Waiting, now_s: float) -> None:
         checked = entry.checked
-        self.dispatcher.give_up(checked, now_s)
+        self.dispatcher.give_up(entry, now_s)
         place = self.placement.place(checked, True, now_s)
         match place:
             case _placement.There():
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -1,6 +1,7 @@
 """Calls that wait for a slot and calls that start."""
 
 from collections.abc import Callable
+import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -15,6 +16,9 @@
 from jasminecrank.state import _quota
 from jasminecrank.state import _rows
 from jasminecrank.state import _snapshot
+from jasminecrank.state import _token_wait
+
+_NOT_READY_WAIT_S = 0.02
 
 
 @dataclass(slots=True)
@@ -26,6 +30,9 @@
     placement: _placement.PlacementState
     server: _backend_server.BackendServer
     queue: _fair_queue.FairQueue = field(default_factory=_fair_queue.FairQueue)
+    tokens: _token_wait.TokenWait = field(
+        default_factory=_token_wait.TokenWait
+    )
     bookings: _bookings.Bookings = field(default_factory=_bookings.Bookings)
     max_in_flight_by_team: dict[str, int] = field(default_factory=dict)
     threads: int = 0
@@ -72,8 +79,21 @@
         running = self.server.slots.in_use
         if self.placement.accepting:
             running = max(running, self.slots)
-        return max(
-            0, self.threads - running - self.placement.chooser.in_hand(now_s)
+        elsewhere = len(self.tokens) + self.placement.chooser.in_hand(now_s)
+        return max(0, self.threads - running - elsewhere)
+
+    def next_due_s(self) -> float | None:
+        """Return when a waiting call expires or tries for a token."""
+        return min(
+            (
+                due_s
+                for due_s in (
+                    self.queue.next_deadline_s(),
+                    self.tokens.next_retry_s(),
+                )
+                if due_s is not None
+            ),
+            default=None,
         )
 
     def finish(
@@ -95,14 +115,22 @@
         now_s: float,
     ) -> None:
         """Refuse the waiting calls that meet a condition."""
-        for entry in self.queue.remove(condition):
+        removed = self.tokens.remove(condition) + self.queue.remove(condition)
+        for entry in removed:
             self.release(entry, code, now_s)
 
-    def keep_waiting(self, entry: _fair_queue.Waiting, now_s: float) -> None:
-        """Put a call back into the queue after a change."""
-        victim = self.queue.offer(entry)
-        if victim is not None:
-            self._push_out(victim, now_s)
+    def waiting(self) -> list[_fair_queue.Waiting]:
+        """Return the calls that wait for a token or a slot."""
+        return [*self.tokens.by_ticket.values(), *self.queue]
+
+    def retain(self, by_ticket: dict[int, _fair_queue.Waiting]) -> None:
+        """Keep these waiting calls only, each in its place."""
+        self.queue.retain(by_ticket)
+        self.tokens.by_ticket = {
+            ticket: by_ticket[ticket]
+            for ticket in self.tokens.by_ticket
+            if ticket in by_ticket
+        }
 
     def submit(
         self, checked: _fair_queue.CheckedCall, now_s: float, wall_ms: int
@@ -115,41 +143,81 @@
             return self.reject(rejected, checked)
         wait_s = self._take_token(checked, now_s)
         if wait_s is not None:
-            return self.refuse(
-                exceptions.ResultCode.RATE_EXCEEDED, checked, wait_s
-            )
+            return self._wait_for_token(checked, wait_s, now_s)
         self.bookings.begin(checked)
         if not len(self.queue) and self._may_start(checked, now_s):
             return _calls.Admitted(self._start(checked, now_s))
-        return self._wait(checked, now_s)
+        entry = self._new_entry(checked)
+        refused = self._enqueue(entry, now_s)
+        if refused is not None:
+            return refused
+        self.pump(now_s)
+        for index, settled in enumerate(self.settled):
+            if settled.ticket == entry.ticket:
+                return self.settled.pop(index).decision
+        return _calls.Queued(entry.ticket)
 
-    def _wait(
-        self, checked: _fair_queue.CheckedCall, now_s: float
+    def retry_tokens(self, now_s: float) -> None:
+        """Let calls that are short of a token try again."""
+        for entry in self.tokens.take_due(now_s):
+            wait_s: float | None = _NOT_READY_WAIT_S
+            code = exceptions.ResultCode.NODE_NOT_READY
+            if self.ready:
+                wait_s = self._take_token(entry.checked, now_s, True)
+                code = exceptions.ResultCode.RATE_EXCEEDED
+            if wait_s is None:
+                held = dataclasses.replace(entry, retry_at_s=None)
+                refused = self._enqueue(held, now_s)
+                if refused is not None:
+                    self.settle(entry, refused)
+            elif not self.tokens.keep(entry, wait_s, now_s):
+                self.give_up(entry, now_s)
+                self.settle(entry, self.refuse(code, entry.checked, wait_s))
+
+    def _wait_for_token(
+        self,
+        checked: _fair_queue.CheckedCall,
+        wait_s: float,
+        now_s: float,
     ) -> _calls.Decision | _calls.Queued:
+        entry = self._new_entry(checked)
+        limit = self.threads_for_waiting(now_s) // 2
+        if not self.tokens.offer(entry, wait_s, limit, now_s):
+            return self.refuse(
+                exceptions.ResultCode.RATE_EXCEEDED, checked, wait_s
+            )
+        self.bookings.begin(checked)
+        return _calls.Queued(entry.ticket)
+
+    def _new_entry(
+        self, checked: _fair_queue.CheckedCall
+    ) -> _fair_queue.Waiting:
+        self.last_ticket += 1
+        return _fair_queue.Waiting(self.last_ticket, checked)
+
+    def _enqueue(
+        self, entry: _fair_queue.Waiting, now_s: float
+    ) -> _calls.Refused | None:
+        """Let a call that has a token wait for a slot, or refuse it."""
+        checked = entry.checked
         limit = self._max_in_flight(checked)
         if limit is not None and (
             self.queue.waiting_of(checked.team) >= limit
         ):
-            self.give_up(checked, now_s)
+            self.give_up(entry, now_s)
             return self.refuse_busy(
                 exceptions.ResultCode.TOO_MANY_IN_FLIGHT, checked, now_s
             )
-        self.last_ticket += 1
-        entry = _fair_queue.Waiting(self.last_ticket, checked)
         self.queue.limit = self.threads_for_waiting(now_s)
         victim = self.queue.offer(entry)
         if victim is entry:
-            self.give_up(checked, now_s)
+            self.give_up(entry, now_s)
             return self.refuse_busy(
                 exceptions.ResultCode.QUEUE_FULL, checked, now_s
             )
         if victim is not None:
             self._push_out(victim, now_s)
-        self.pump(now_s)
-        for index, settled in enumerate(self.settled):
-            if settled.ticket == entry.ticket:
-                return self.settled.pop(index).decision
-        return _calls.Queued(entry.ticket)
+        return None
 
     def pump(self, now_s: float) -> None:
         """Start waiting calls while there are slots."""
@@ -229,21 +297,26 @@
         )
 
     def _take_token(
-        self, checked: _fair_queue.CheckedCall, now_s: float
+        self,
+        checked: _fair_queue.CheckedCall,
+        now_s: float,
+        repeated: bool = False,
     ) -> float | None:
         """Take a token; teams without a limit use open routes only."""
         service = checked.route.service
         if (service, checked.team) not in self.snapshot.by_limit:
             return None
-        return self.quota.take(service, checked.team, now_s)
+        return self.quota.take(service, checked.team, now_s, repeated)
 
     def _refund(self, route: _rows.RouteRow, team: str, now_s: float) -> None:
         if (route.service, team) in self.snapshot.by_limit:
             self.quota.refund(route.service, team, now_s)
 
-    def give_up(self, checked: _fair_queue.CheckedCall, now_s: float) -> None:
+    def give_up(self, entry: _fair_queue.Waiting, now_s: float) -> None:
         """Undo what was noted for a call that will not run here."""
-        self._refund(checked.route, checked.team, now_s)
+        checked = entry.checked
+        if entry.retry_at_s is None:
+            self._refund(checked.route, checked.team, now_s)
         self.bookings.withdraw(checked)
 
     def release(
@@ -253,11 +326,11 @@
         now_s: float,
     ) -> None:
         """Refuse a call that waited."""
-        self.give_up(entry.checked, now_s)
+        self.give_up(entry, now_s)
         self.settle(entry, self.refuse(code, entry.checked))
 
     def _push_out(self, victim: _fair_queue.Waiting, now_s: float) -> None:
-        self.give_up(victim.checked, now_s)
+        self.give_up(victim, now_s)
         self.settle(
             victim,
             self.refuse_busy(
--- a/src/jasminecrank/state/_fair_queue.py
+++ b/src/jasminecrank/state/_fair_queue.py
@@ -23,10 +23,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Waiting:
-    """A call in the queue and the ticket its decision is given under."""
+    """A call that waits and the ticket its decision is given under.
+
+    A call without a token has a time at which it tries to get one.
+    """
 
     ticket: int
     checked: CheckedCall
+    retry_at_s: float | None = None
+    give_up_at_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -111,23 +116,28 @@
     def remove(self, condition: Callable[[Waiting], bool]) -> list[Waiting]:
         """Take out all calls that meet a condition, oldest first."""
         removed = [entry for entry in self if condition(entry)]
-        tickets = {entry.ticket for entry in removed}
-        if not tickets:
-            return []
-        self.internal = deque(
-            entry for entry in self.internal if entry.ticket not in tickets
-        )
+        if removed:
+            tickets = {entry.ticket for entry in removed}
+            self.retain(
+                {
+                    entry.ticket: entry
+                    for entry in self
+                    if entry.ticket not in tickets
+                }
+            )
+        removed.sort(key=lambda entry: entry.ticket)
+        return removed
+
+    def retain(self, by_ticket: Mapping[int, Waiting]) -> None:
+        """Keep these calls only, each in its place and for its team."""
+        self.internal = _retained(self.internal, by_ticket)
         for team in tuple(self.lane_by_team):
             lane = self.lane_by_team[team]
-            lane.entries = deque(
-                entry for entry in lane.entries if entry.ticket not in tickets
-            )
+            lane.entries = _retained(lane.entries, by_ticket)
             self._drop_if_empty(team)
         self.ordinary = sum(
             len(lane.entries) for lane in self.lane_by_team.values()
         )
-        removed.sort(key=lambda entry: entry.ticket)
-        return removed
 
     def next_deadline_s(self) -> float | None:
         """Return when the next waiting call expires."""
@@ -163,3 +173,13 @@
 
     def _weight(self, team: str) -> int:
         return self.weight_by_team.get(team, 1)
+
+
+def _retained(
+    entries: deque[Waiting], by_ticket: Mapping[int, Waiting]
+) -> deque[Waiting]:
+    return deque(
+        by_ticket[entry.ticket]
+        for entry in entries
+        if entry.ticket in by_ticket
+    )
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -90,8 +90,14 @@
             by_limit[key] = ShareLedger(limit, share_ppb, tokens, since_s)
         self.by_limit = by_limit
 
-    def take(self, service: str, team: str, now_s: float) -> float | None:
-        """Take a token; return None on success, else the wait in seconds."""
+    def take(
+        self, service: str, team: str, now_s: float, repeated: bool = False
+    ) -> float | None:
+        """Take a token; return None on success, else the wait in seconds.
+
+        A request that waited and tries again says so; it is no new demand.
+        """
+        del repeated
         ledger = self.by_limit.get((service, team))
         if ledger is None:
             return const.LOAN_TTL_S
