--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -11,7 +11,6 @@
 from jasminecrank.state import _call_checks
 from jasminecrank.state import _calls
 from jasminecrank.state import _fair_queue
-from jasminecrank.state import _invariants
 from jasminecrank.state import _placement
 from jasminecrank.state import _quota
 from jasminecrank.state import _rows
@@ -262,40 +261,10 @@
     def _start(
         self, checked: _fair_queue.CheckedCall, now_s: float
     ) -> _calls.Permit:
-        self._check_target(checked)
+        self.placement.check_start(checked)
         self.bookings.start(checked)
         return self.server.start(checked, self.snapshot.versions.table, now_s)
 
-    def _check_target(self, checked: _fair_queue.CheckedCall) -> None:
-        own = self.placement.own
-        _invariants.check(
-            exceptions.ResultCode.INVARIANT_DATA_CENTRE_OUT,
-            own is not None
-            and own.data_centre not in self.snapshot.data_centres_out,
-            "call admitted on host %s, whose data centre is out",
-            self.placement.host,
-        )
-        _invariants.check(
-            exceptions.ResultCode.INVARIANT_HOST_LEAVING,
-            own is not None
-            and own.state is _rows.HostState.LIVE
-            and not self.placement.stopping
-            and not self.server.ramp.draining,
-            "call admitted on host %s, which is leaving",
-            self.placement.host,
-        )
-        digest = checked.call.key_digest
-        _invariants.check(
-            exceptions.ResultCode.INVARIANT_KEY,
-            checked.route.open_to_all
-            or (
-                digest is not None
-                and self.snapshot.team_of(digest) == checked.team
-            ),
-            "call admitted for team %s without a valid key",
-            checked.team,
-        )
-
     def _take_token(
         self,
         checked: _fair_queue.CheckedCall,
--- a/src/jasminecrank/state/_placement.py
+++ b/src/jasminecrank/state/_placement.py
@@ -6,6 +6,7 @@
 from jasminecrank.state import _call_checks
 from jasminecrank.state import _fair_queue
 from jasminecrank.state import _host_choice
+from jasminecrank.state import _invariants
 from jasminecrank.state import _rows
 from jasminecrank.state import _snapshot
 
@@ -109,6 +110,37 @@
             return There(host)
         return Here() if here else Nowhere(self._reason(checked.route))
 
+    def check_start(self, checked: _fair_queue.CheckedCall) -> None:
+        """Assert that a call may start on this host for its team."""
+        own = self.own
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_DATA_CENTRE_OUT,
+            own is not None
+            and own.data_centre not in self.snapshot.data_centres_out,
+            "call admitted on host %s, whose data centre is out",
+            self.host,
+        )
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_HOST_LEAVING,
+            own is not None
+            and own.state is _rows.HostState.LIVE
+            and not self.stopping
+            and not self.server_draining,
+            "call admitted on host %s, which is leaving",
+            self.host,
+        )
+        digest = checked.call.key_digest
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_KEY,
+            checked.route.open_to_all
+            or (
+                digest is not None
+                and self.snapshot.team_of(digest) == checked.team
+            ),
+            "call admitted for team %s without a valid key",
+            checked.team,
+        )
+
     def _place_keyed(
         self, checked: _fair_queue.CheckedCall, key: str
     ) -> Place:
