Keep timer messages of waiting calls from piling up

A timer message that an earlier one had overtaken scheduled another one when it arrived, so that their number grew for as long as any call waited.

Only the message that is due schedules the next. The new scenario, 20 s with two calls every half second, allows 8 messages under way; it failed before the change and passes after it.

--- a/features/coordination/admission.feature
+++ b/features/coordination/admission.feature
@@ -32,3 +32,8 @@
       | the running calls end | Admitted                  |
       | the deadlines pass    | DEADLINE_EXCEEDED not-run |
       | the caller gives up   | CALL_CANCELLED not-run    |
+
+  Scenario: Timer messages do not pile up while calls wait
+    Given the admission actor of a node with 2 calls in hand
+    When for 20 s a long and a short call come every half second
+    Then at most 8 timer messages are under way
--- a/features/steps/admission_actor_steps.py
+++ b/features/steps/admission_actor_steps.py
@@ -19,19 +19,19 @@
 
     def __init__(self, clock):
         self._clock = clock
-        self._entries = []
+        self.entries = []
 
     def call_later(self, delay_s, mailbox, message):
         """Keep a message."""
         due_s = self._clock.now_s + delay_s
-        self._entries.append((due_s, mailbox, message))
+        self.entries.append((due_s, mailbox, message))
 
     def advance(self, seconds):
         """Move the clock and send what falls due."""
         end_s = self._clock.now_s + seconds
-        while due := [entry for entry in self._entries if entry[0] <= end_s]:
+        while due := [entry for entry in self.entries if entry[0] <= end_s]:
             entry = min(due, key=lambda known: known[0])
-            self._entries.remove(entry)
+            self.entries.remove(entry)
             self._clock.now_s = max(self._clock.now_s, entry[0])
             entry[1].tell(entry[2])
             coordination.ask(entry[1], coordination.GetStatus())
@@ -65,20 +65,10 @@
     context.actor.tell(coordination.ReadinessChanged(True, "test"))
     sync(context)
     context.timers.advance(10.0)
+    context.clock = clock
     context.replies = []
-    for index in range(count):
-        reply = pykka.ThreadingFuture()
-        call = state.CallRequest(
-            f"r{index}",
-            "GET",
-            "/lots/1",
-            admission_world.DIGESTS["large"],
-            None,
-            None,
-            None,
-        )
-        context.actor.tell(coordination.AdmitCall(call, reply))
-        context.replies.append(reply)
+    for _ in range(count):
+        ask_for(context, None)
     sync(context)
     context.running = [
         decision.permit
@@ -87,6 +77,37 @@
     ]
 
 
+def ask_for(context, deadline_at_s):
+    """Ask the actor for a decision on a lookup."""
+    reply = pykka.ThreadingFuture()
+    call = state.CallRequest(
+        f"r{len(context.replies)}",
+        "GET",
+        "/lots/1",
+        admission_world.DIGESTS["large"],
+        deadline_at_s,
+        None,
+        None,
+    )
+    context.actor.tell(coordination.AdmitCall(call, reply))
+    context.replies.append(reply)
+
+
+@when("for {seconds:d} s a long and a short call come every half second")
+def step_long_and_short(context, seconds):
+    for _ in range(2 * seconds):
+        ask_for(context, None)
+        ask_for(context, context.clock.now_s + 0.4)
+        sync(context)
+        context.timers.advance(0.5)
+
+
+@then("at most {count:d} timer messages are under way")
+def step_timers(context, count):
+    assert not context.crashes
+    assert len(context.timers.entries) <= count, context.timers.entries
+
+
 def sync(context):
     """Wait until the actor has handled every message sent."""
     coordination.ask(context.actor, coordination.GetStatus())
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -82,8 +82,7 @@
             case _messages.ReadinessChanged():
                 self._admission.set_ready(message.ready, now_s)
             case _messages.Tick():
-                self._tick_due_s = math.inf
-                self._admission.tick(now_s)
+                self._tick(now_s)
             case _messages.StopRequested():
                 self._admission.stop(now_s)
             case _messages.AwaitDrained():
@@ -102,6 +101,13 @@
             return
         message.reply.set(result)
 
+    def _tick(self, now_s: float) -> None:
+        # A message that an earlier one has overtaken schedules no other, or
+        # they would pile up while calls wait.
+        if now_s >= self._tick_due_s:
+            self._tick_due_s = math.inf
+        self._admission.tick(now_s)
+
     def _schedule_tick(self, now_s: float) -> None:
         """Send one timer message for the next call that expires."""
         due_s = self._admission.next_due_s()
