--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -90,8 +90,7 @@
                     message.ready, now_s, message.ticked_s
                 )
             case _messages.Tick():
-                self._tick_due_s = math.inf
-                self._admission.tick(now_s)
+                self._tick(now_s)
             case _messages.StopRequested():
                 self._admission.stop(now_s)
                 self._admission.quota.draining = True
@@ -116,9 +115,16 @@
             return
         message.reply.set(result)
 
+    def _tick(self, now_s: float) -> None:
+        # A message that an earlier one has overtaken schedules no other, or
+        # they would pile up while calls wait.
+        if now_s >= self._tick_due_s:
+            self._tick_due_s = math.inf
+        self._admission.tick(now_s)
+
     def _schedule_tick(self, now_s: float) -> None:
         """Send one timer message for the next call that expires."""
-        due_s = self._admission.next_deadline_s()
+        due_s = self._admission.next_due_s()
         if self._await_drained:
             due_s = min(due_s or math.inf, now_s + _DRAIN_POLL_S)
         if due_s is None or due_s >= self._tick_due_s:
@@ -160,7 +166,7 @@
         return _messages.AdmissionStatus(
             slots_in_use=server.slots.in_use,
             capacity=server.ramp.capacity(self._clock.monotonic_s()),
-            queued=len(self._admission.dispatcher.queue),
+            queued=self._admission.waiting(),
             by_result=dict(self._admission.by_result),
             quota_usable=self._admission.quota.is_usable(
                 self._clock.monotonic_s()
