--- a/src/jasminecrank/state/_source.py
+++ b/src/jasminecrank/state/_source.py
@@ -12,6 +12,8 @@
 _BACK_OFF_MAX_S = 8.0
 _WATCHER_BURST = 10
 """A watch and all four documents, twice."""
+_TAKEOVER_S = 3.0
+"""Time for a lost link to a watcher to be dialled anew."""
 
 
 @dataclass(slots=True)
@@ -80,7 +82,7 @@
     """Decides whether a node watches the source.
 
     The candidates of a data centre are linked to each other. One without a
-    link for the silence limit counts as down, and the next one watches.
+    link for some seconds counts as down, and the next one watches.
     """
 
     host: str
@@ -105,7 +107,7 @@
         down = {
             host
             for host, since_s in self.unlinked_since_s.items()
-            if now_s - since_s >= const.PEER_SILENCE_LIMIT_S
+            if now_s - since_s >= _TAKEOVER_S
         }
         chosen = topology.watchers(self.data_centre, down)
         self.watching = any(row.host == self.host for row in chosen)
