Test config and membership actors in virtual time

Cause: no test ran several actors together without sockets, so take-over of a watcher, pauses, cuts and dialling were unproved.

--- /dev/null
+++ b/features/steps/world.py
@@ -0,0 +1,278 @@
+"""Config and membership actors of several nodes in virtual time."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+import exchange_machine
+import topology_steps
+
+from jasminecrank import coordination
+from jasminecrank import protocol
+from jasminecrank import state
+
+
+class Box:
+    """A mailbox whose messages are delivered by the world."""
+
+    def __init__(self, node, actor):
+        self.node = node
+        self.actor = actor
+
+    def tell(self, message):
+        """Queue a message."""
+        self.node.world.after(0.0, self.node, self.actor, message)
+
+
+class LinkBox:
+    """One end of a link; envelopes pass through the real encoding."""
+
+    def __init__(self, node, address):
+        self.node = node
+        self.address = address
+        self.other = None
+        self.is_open = True
+
+    def tell(self, message):
+        """Send an envelope or close the link."""
+        world = self.node.world
+        if isinstance(message, coordination.StopRequested):
+            self.close()
+        elif self.is_open and world.reachable(self.node, self.other.node):
+            frame = protocol.encode_envelope(message)
+            envelope = protocol.decode_envelope(frame)
+            received = coordination.Received(envelope)
+            peer = self.other.node
+            world.after(0.002, peer, peer.membership, received)
+
+    def close(self):
+        """Close both ends, as TCP does when a process ends."""
+        for end in (self, self.other):
+            if end.is_open:
+                end.is_open = False
+                down = coordination.LinkDown(end.address, end, "closed")
+                node = end.node
+                node.world.after(0.002, node, node.membership, down)
+
+
+class SourceBox:
+    """The source reader of one node."""
+
+    def __init__(self, node):
+        self.node = node
+
+    def tell(self, call):
+        """Answer from the world's source."""
+        self.node.world.answer(self.node, call)
+
+
+class SimulatedNode:
+    """The actors of one node without threads."""
+
+    def __init__(self, world, row, incarnation):
+        self.world = world
+        self.row = row
+        self.paused = False
+        self.alive = True
+        self.waiting = []
+        self.ready = False
+        self.events = []
+        rng = random.Random(f"{row.host}/{incarnation}")
+        self.config = coordination.ConfigActor(
+            coordination.ConfigSettings(row.host, row.data_centre),
+            world.clock,
+            world,
+            rng,
+        )
+        self.membership = coordination.MembershipActor(
+            coordination.MembershipSettings(
+                row.host, row.data_centre, incarnation, ()
+            ),
+            world.clock,
+            world,
+            rng,
+            self.dial,
+            self.events.append,
+        )
+        for actor in (self.config, self.membership):
+            actor._actor_ref = Box(self, actor)
+        config, membership = self.config.actor_ref, self.membership.actor_ref
+        self.membership.connect(config, Box(self, None))
+        self.config.connect(
+            membership, SourceBox(self), (membership, Box(self, None))
+        )
+
+    def dial(self, address, hello, mailbox):
+        """Open a link to the node at an address."""
+        del mailbox
+        self.world.open(self, address, hello)
+
+    def status(self):
+        """Return what the node's status page shows."""
+        return self.config.on_receive(coordination.GetStatus())
+
+    def peers(self):
+        """Return the hosts this node is linked with."""
+        shown = self.membership.on_receive(coordination.GetStatus())
+        return {peer.host for peer in shown}
+
+
+class World:
+    """The clock, the queue, the source and all nodes."""
+
+    def __init__(self, rows):
+        self.clock = state.ManualClock(1000.0)
+        self.queue = []
+        self.sequence = itertools.count()
+        self.documents = {}
+        self.watches = []
+        self.source_up = True
+        self.cut_off = set()
+        self.dials = 0
+        self.by_address = {}
+        hosts = state.DocumentName.HOSTS
+        rows_by_key = {state.row_key(r): state.encode_row(r) for r in rows}
+        self.publish(state.build_document(hosts, 1, rows_by_key))
+        for name in state.DocumentName:
+            if name is not hosts:
+                self.publish(exchange_machine.make_document(name, 1))
+        self.nodes = {row.host: self.start(row, 1) for row in rows}
+
+    def start(self, row, incarnation):
+        """Start a node."""
+        node = SimulatedNode(self, row, incarnation)
+        self.by_address[f"{row.address}:{row.peer_port}"] = node
+        return node
+
+    def after(self, delay_s, node, actor, message):
+        """Deliver a message to an actor later."""
+        due_s = self.clock.now_s + delay_s
+        entry = (due_s, next(self.sequence), node, actor, message)
+        heapq.heappush(self.queue, entry)
+
+    def call_later(self, delay_s, mailbox, message):
+        """Stand in for the timers of a node."""
+        self.after(delay_s, mailbox.node, mailbox.actor, message)
+
+    def run(self, seconds):
+        """Let time pass."""
+        end_s = self.clock.now_s + seconds
+        while self.queue and self.queue[0][0] <= end_s:
+            due_s, _, node, actor, message = heapq.heappop(self.queue)
+            self.clock.now_s = max(self.clock.now_s, due_s)
+            self.dispatch(node, actor, message)
+        self.clock.now_s = end_s
+
+    def dispatch(self, node, actor, message):
+        """Hand a message over unless its node is paused or dead."""
+        if node.paused:
+            node.waiting.append((actor, message))
+        elif actor is not None and node.alive:
+            actor.on_receive(message)
+        elif isinstance(message, coordination.ReadinessChanged):
+            node.ready = message.ready and node.alive
+
+    def reachable(self, one, other):
+        """Return whether messages pass between two nodes."""
+        centres = {one.row.data_centre, other.row.data_centre}
+        parted = len(centres) > 1 and centres & self.cut_off
+        return one.alive and other.alive and not parted
+
+    def open(self, node, address, hello):
+        """Open a link, or report that it can't be opened."""
+        self.dials += 1
+        peer = self.by_address.get(address)
+        near, far = LinkBox(node, address), LinkBox(peer or node, "")
+        near.other, far.other = far, near
+        if peer is None or peer.paused or not self.reachable(node, peer):
+            near.is_open = far.is_open = False
+            down = coordination.LinkDown(address, near, "refused")
+            self.after(0.01, node, node.membership, down)
+            return
+        answer = peer.membership.on_receive(coordination.GetHello())
+        host = node.row.host
+        up = coordination.LinkUp(answer, near, host, address)
+        self.after(0.4, node, node.membership, up)
+        up = coordination.LinkUp(hello, far, host)
+        self.after(0.2, peer, peer.membership, up)
+
+    def publish(self, document):
+        """Publish at the source and end the watches that wait for it."""
+        self.documents[document.name] = document
+        watches, self.watches = self.watches, []
+        for node, call in watches:
+            self.answer(node, call)
+
+    def changed(self, call):
+        """Return the names that a watch reports."""
+        return tuple(
+            name
+            for name, document in self.documents.items()
+            if document.version.number > call.have.get(name).number
+        )
+
+    def answer(self, node, call):
+        """Answer a call to the source, or keep a watch."""
+        parted = node.row.data_centre in self.cut_off
+        answer, delay_s = coordination.SourceFailed("refused"), 0.005
+        if self.source_up and not parted:
+            if isinstance(call, coordination.ReadSource):
+                document = self.documents[call.name]
+                answer = coordination.DocumentRead(document)
+            elif names := self.changed(call):
+                answer = coordination.SourceChanged(names)
+            else:
+                self.watches.append((node, call))
+                end = (self.clock.now_s + call.wait_s, next(self.sequence))
+                message = _WatchEnds(node, call)
+                heapq.heappush(self.queue, (*end, self, self, message))
+                return
+        self.after(delay_s, node, node.config, answer)
+
+    # The world is the receiver of the ends of watches.
+    paused = False
+    alive = True
+
+    def on_receive(self, message):
+        """End a watch without a change."""
+        if (message.node, message.call) in self.watches:
+            self.watches.remove((message.node, message.call))
+            node = message.node
+            node.config.actor_ref.tell(coordination.SourceChanged(()))
+
+    def kill(self, host):
+        """End a process; its links close."""
+        node = self.nodes[host]
+        ends = [link.mailbox for link in node.membership._by_host.values()]
+        for end in ends:
+            end.close()
+        node.alive = node.ready = False
+
+    def resume(self, host):
+        """Let a paused node handle what has waited."""
+        node = self.nodes[host]
+        node.paused = False
+        for actor, message in node.waiting:
+            self.after(0.0, node, actor, message)
+        node.waiting.clear()
+
+
+class _WatchEnds:
+    def __init__(self, node, call):
+        self.node = node
+        self.call = call
+
+
+def make_world(hosts, data_centres):
+    """Return a world whose nodes have distinct addresses."""
+
+    rows = topology_steps.make_hosts(hosts, 2, data_centres)
+    return World(
+        [
+            dataclasses.replace(
+                row, service="ledger", share_slot=one, peer_port=1000 + one
+            )
+            for one, row in enumerate(rows)
+        ]
+    )
