Lend tokens only between nodes with the same limit

The sum over all hosts was within the larger limit, so the window check allowed it, but the node's own limit was exceeded.

Change: a want carries a checksum of rate and burst; lender and borrower ignore it when theirs differs. A decreased limit starts from an empty ledger. The node's own audit allows for clocks that differ by the 10% that the loan time allows for. The state machine empties buckets by one host or by all, swaps share slots, and withdraws a limit on one host only.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -16,7 +16,17 @@
 TEAM = "belt"
 ROUNDING = 1e-6
 CLOCK_RATES = (0.97, 1.0, 1.03)
-LIMITS = ((10.0, 6), (10.0, 12), (40.0, 2), (5.0, 1))
+LIMITS = ((10.0, 6), (10.0, 12), (40.0, 40), (5.0, 1))
+TIMES = strategies.sampled_from((0.01, 0.2, 1.0, 1.9, 2.3, 5.0))
+STEPS = strategies.sampled_from((0.001, 0.004, 0.03, 0.2))
+NETWORKS = (  # loss, repeat, longest delay in seconds
+    (0.0, 0.0, 0.002),
+    (0.0, 1.0, 0.01),
+    (0.0, 1.0, 0.1),
+    (0.0, 0.0, 0.2),
+    (0.5, 0.5, 0.2),
+    (0.2, 0.5, 3.0),
+)
 
 
 def host_row(host, slot, data_centre):
@@ -115,11 +125,7 @@
             return None
         return host
 
-    @stateful.rule(
-        seconds=strategies.sampled_from(
-            (0.001, 0.02, 0.1, 0.3, 0.6, 1.9, 2.3, 5.0)
-        )
-    )
+    @stateful.rule(seconds=TIMES)
     def advance(self, seconds):
         self.fleet.advance(seconds)
 
@@ -129,11 +135,21 @@
         for _ in range(calls if host else 0):
             self.fleet.take(host, TEAM)
 
-    @stateful.rule(number=hosts, seconds=strategies.sampled_from((0.1, 1.0)))
-    def insist(self, number, seconds):
-        for _ in range(20):
-            self.take(number, 3)
-            self.fleet.advance(seconds / 20)
+    @stateful.rule(number=hosts, rest=TIMES, step=STEPS)
+    def lean_on_one_host(self, number, rest, step):
+        """Let buckets fill, empty them by one host, then by all."""
+        self.fleet.advance(rest)
+        for _ in range(25):
+            self.take(number, 12)
+            self.fleet.advance(step)
+        self.take_everything()
+
+    @stateful.rule(rest=TIMES, step=STEPS)
+    def lean_on_all_hosts(self, rest, step):
+        self.fleet.advance(rest)
+        for _ in range(15):
+            self.take_everything()
+            self.fleet.advance(step)
 
     @stateful.rule()
     def take_everything(self):
@@ -153,11 +169,11 @@
         if host:
             self.fleet.by_host[host].paused = True
 
-    @stateful.rule(number=hosts, calls=strategies.integers(0, 9))
-    def resume(self, number, calls):
-        host = self.pick(number)
-        if host and self.fleet.by_host[host].paused:
-            self.fleet.resume(host, TEAM, calls)
+    @stateful.rule(calls=strategies.integers(0, 9))
+    def resume_all(self, calls):
+        for host, node in self.fleet.by_host.items():
+            if node.paused:
+                self.fleet.resume(host, TEAM, calls)
 
     @stateful.rule(
         number=hosts,
@@ -171,15 +187,11 @@
             self.fleet.stop(host)
             self.fleet.start(host, snapshot, offset, rate)
 
-    @stateful.rule(
-        loss=strategies.sampled_from((0.0, 0.5)),
-        repeat=strategies.sampled_from((0.0, 0.5)),
-        delay=strategies.sampled_from((0.002, 0.2, 3.0)),
-    )
-    def change_network(self, loss, repeat, delay):
-        network = self.fleet.network
-        network.loss, network.repeat = loss, repeat
-        network.delay_max_s = delay
+    @stateful.rule(network=strategies.sampled_from(NETWORKS))
+    def change_network(self, network):
+        ours = self.fleet.network
+        ours.loss, ours.repeat, ours.delay_max_s = network
+        ours.side_by_host.clear()
 
     @stateful.rule(number=hosts, side=strategies.integers(0, 1))
     def cut(self, number, side):
@@ -215,14 +227,30 @@
             self.fleet.stop(host)
         self.published.change(state.DocumentName.HOSTS)
 
-    @stateful.rule(limit=strategies.sampled_from((*LIMITS, None)))
+    @stateful.rule(first=hosts, second=hosts)
+    def swap_slots(self, first, second):
+        slots = sorted(self.published.host_by_slot)
+        if slots:
+            first, second = (slots[n % len(slots)] for n in (first, second))
+            hosts = self.published.host_by_slot
+            hosts[first], hosts[second] = hosts[second], hosts[first]
+            self.published.change(state.DocumentName.HOSTS)
+
+    @stateful.rule(limit=strategies.sampled_from(LIMITS))
     def change_limit(self, limit):
-        self.published.limit = (
-            None
-            if limit is None
-            else state.LimitRow(SERVICE, TEAM, 1, *limit, 9)
-        )
+        self.published.limit = state.LimitRow(SERVICE, TEAM, 1, *limit, 9)
+        self.published.change(state.DocumentName.TABLE)
+
+    @stateful.rule(number=hosts, seconds=TIMES)
+    def withdraw_limit_on_one_host(self, number, seconds):
+        """Take the limit away and back, while the others keep it."""
+        limit, self.published.limit = self.published.limit, None
+        self.published.change(state.DocumentName.TABLE)
+        self.follow(number)
+        self.fleet.advance(seconds)
+        self.published.limit = limit
         self.published.change(state.DocumentName.TABLE)
+        self.follow(number)
 
     @stateful.rule(out=strategies.sampled_from(((), ("north",), ("south",))))
     def change_outages(self, out):
--- a/src/jasminecrank/protocol/_quota_codec.py
+++ b/src/jasminecrank/protocol/_quota_codec.py
@@ -18,7 +18,7 @@
         ask.loan_id,
         ask.service,
         round(ask.ttl_s * 1000),
-        [[want.team, want.share_ppb] for want in ask.wants],
+        [[want.team, want.share_ppb, want.limit_crc] for want in ask.wants],
     ]
 
 
@@ -30,8 +30,8 @@
         str(service),
         int(ttl_ms) / 1000,
         tuple(
-            state.LoanWant(str(team), int(share_ppb))
-            for team, share_ppb in wants
+            state.LoanWant(str(team), int(share_ppb), int(limit_crc))
+            for team, share_ppb, limit_crc in wants
         ),
     )
 
--- a/src/jasminecrank/state/_borrowing.py
+++ b/src/jasminecrank/state/_borrowing.py
@@ -24,7 +24,7 @@
 _SMALLEST_PART = 0.02
 _BUDGET_TIME_S = 2.0
 _PAIR_BYTES = 190
-_TEAM_BYTES = 16
+_TEAM_BYTES = 22
 
 
 def pair_bytes(teams: Iterable[str]) -> int:
--- a/src/jasminecrank/state/_ledger.py
+++ b/src/jasminecrank/state/_ledger.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import math
+import zlib
 
 from jasminecrank import const
 from jasminecrank import exceptions
@@ -83,6 +84,8 @@
     """An independent bucket of the whole quota, for invariant 907.
 
     What one node takes alone must fit in the rate and burst of the team.
+    Its tokens may come from peers whose clocks run faster by as much as the
+    loan time allows for.
     """
 
     level: float
@@ -92,7 +95,8 @@
         """Count a token and assert that the whole quota has it."""
         elapsed_s = max(0.0, now_s - self.at_s)
         self.at_s = max(self.at_s, now_s)
-        self.level = max(0.0, self.level - elapsed_s * limit.rate) + 1.0
+        rate = limit.rate * (1 + const.LOAN_RETURN_MARGIN)
+        self.level = max(0.0, self.level - elapsed_s * rate) + 1.0
         _invariants.check(
             exceptions.ResultCode.INVARIANT_QUOTA,
             self.level <= limit.burst + _ROUNDING,
@@ -141,10 +145,16 @@
     def change(
         self, limit: _rows.LimitRow, own_ppb: int, now_s: float
     ) -> None:
-        """Follow a new limit or own share; only what fits is kept."""
+        """Follow a new limit or own share; only what fits is kept.
+
+        After a decrease the ledger starts from empty: tokens minted under
+        the larger limit must not go to peers that never had it.
+        """
         self.mint(now_s)
         if limit != self.limit:
             self.audit = Audit(0.0, now_s)
+        if limit.rate < self.limit.rate or limit.burst < self.limit.burst:
+            self.tokens = 0.0
         self.limit = limit
         self.own_ppb = own_ppb
         self._clamp(now_s)
@@ -165,6 +175,10 @@
         self.audit.level = max(0.0, self.audit.level - 1.0)
         self._clamp(now_s)
 
+    def limit_crc(self) -> int:
+        """Return a checksum of the rate and burst in force."""
+        return zlib.crc32(f"{self.limit.rate}/{self.limit.burst}".encode())
+
     def wait_s(self, now_s: float) -> float:
         """Return the time until the next token is minted."""
         share = self.share_ppb(now_s) / const.SHARE_WHOLE
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -35,7 +35,7 @@
     asked_at_s: float
     service: str
     ttl_s: float
-    teams: tuple[str, ...]
+    wants: tuple[_quota_messages.LoanWant, ...]
 
 
 @dataclass(slots=True)
@@ -252,7 +252,11 @@
         now_s: float,
     ) -> _quota_messages.LoanPart:
         ledger = self.by_limit.get((ask.service, want.team))
-        if ledger is None or host not in self.service_hosts:
+        if (
+            ledger is None
+            or host not in self.service_hosts
+            or want.limit_crc != ledger.limit_crc()
+        ):
             return _quota_messages.LoanPart(0, 0.0)
         grant = ledger.lend(
             host,
@@ -281,9 +285,10 @@
         if ask is None or ask.peer != host:
             return
         del self.pending_by_id[offer.loan_id]
-        for team, part in zip(ask.teams, offer.parts, strict=False):
+        for want, part in zip(ask.wants, offer.parts, strict=False):
+            team = want.team
             ledger = self.by_limit.get((ask.service, team))
-            if ledger is None:
+            if ledger is None or want.limit_crc != ledger.limit_crc():
                 continue
             gained = part.share_ppb > ledger.borrowed_from(host)
             self._asks(team).answered(host, gained, now_s)
@@ -385,17 +390,23 @@
             self.shares.service,
             ttl_s,
             tuple(
-                _quota_messages.LoanWant(team, wants[team]) for team in teams
+                _quota_messages.LoanWant(
+                    team, wants[team], self._limit_crc(team)
+                )
+                for team in teams
             ),
         )
         self.next_id += 1
         self.pending_by_id[ask.loan_id] = _PendingAsk(
-            peer, now_s, ask.service, ttl_s, teams
+            peer, now_s, ask.service, ttl_s, ask.wants
         )
         for team in teams:
             self._asks(team).asked(peer, now_s)
         self._send(peer, ask)
 
+    def _limit_crc(self, team: str) -> int:
+        return self.by_limit[self.shares.service, team].limit_crc()
+
     def _asks(self, team: str) -> _borrowing.TeamAsks:
         return self.asks_by_team.setdefault(team, _borrowing.TeamAsks())
 
--- a/src/jasminecrank/state/_quota_messages.py
+++ b/src/jasminecrank/state/_quota_messages.py
@@ -7,10 +7,15 @@
 
 @dataclass(slots=True, frozen=True)
 class LoanWant:
-    """The whole share of one team that a borrower wants from one lender."""
+    """The whole share of one team that a borrower wants from one lender.
+
+    The checksum of rate and burst keeps tokens that were minted under
+    another limit from moving while table versions differ.
+    """
 
     team: str
     share_ppb: int
+    limit_crc: int
 
 
 @dataclass(slots=True, frozen=True)
