--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -1,5 +1,6 @@
 """Steps on quotas over all hosts, in a model without sockets."""
 
+import dataclasses
 import random
 
 from behave import given
@@ -9,6 +10,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from jasminecrank import const
 from jasminecrank import standins
 from jasminecrank import state
 
@@ -16,7 +18,17 @@
 TEAM = "belt"
 ROUNDING = 1e-6
 CLOCK_RATES = (0.97, 1.0, 1.03)
-LIMITS = ((10.0, 6), (10.0, 12), (40.0, 2), (5.0, 1))
+LIMITS = ((10.0, 6), (10.0, 12), (40.0, 40), (5.0, 1))
+TIMES = strategies.sampled_from((0.01, 0.2, 1.0, 1.9, 2.3, 5.0))
+STEPS = strategies.sampled_from((0.001, 0.004, 0.03, 0.2))
+NETWORKS = (  # loss, repeat, longest delay in seconds
+    (0.0, 0.0, 0.002),
+    (0.0, 1.0, 0.01),
+    (0.0, 1.0, 0.1),
+    (0.0, 0.0, 0.2),
+    (0.5, 0.5, 0.2),
+    (0.2, 0.5, 3.0),
+)
 
 
 def host_row(host, slot, data_centre):
@@ -115,11 +127,7 @@
             return None
         return host
 
-    @stateful.rule(
-        seconds=strategies.sampled_from(
-            (0.001, 0.02, 0.1, 0.3, 0.6, 1.9, 2.3, 5.0)
-        )
-    )
+    @stateful.rule(seconds=TIMES)
     def advance(self, seconds):
         self.fleet.advance(seconds)
 
@@ -129,11 +137,21 @@
         for _ in range(calls if host else 0):
             self.fleet.take(host, TEAM)
 
-    @stateful.rule(number=hosts, seconds=strategies.sampled_from((0.1, 1.0)))
-    def insist(self, number, seconds):
-        for _ in range(20):
-            self.take(number, 3)
-            self.fleet.advance(seconds / 20)
+    @stateful.rule(number=hosts, rest=TIMES, step=STEPS)
+    def lean_on_one_host(self, number, rest, step):
+        """Let buckets fill, empty them by one host, then by all."""
+        self.fleet.advance(rest)
+        for _ in range(25):
+            self.take(number, 12)
+            self.fleet.advance(step)
+        self.take_everything()
+
+    @stateful.rule(rest=TIMES, step=STEPS)
+    def lean_on_all_hosts(self, rest, step):
+        self.fleet.advance(rest)
+        for _ in range(15):
+            self.take_everything()
+            self.fleet.advance(step)
 
     @stateful.rule()
     def take_everything(self):
@@ -153,11 +171,11 @@
         if host:
             self.fleet.by_host[host].paused = True
 
-    @stateful.rule(number=hosts, calls=strategies.integers(0, 9))
-    def resume(self, number, calls):
-        host = self.pick(number)
-        if host and self.fleet.by_host[host].paused:
-            self.fleet.resume(host, TEAM, calls)
+    @stateful.rule(calls=strategies.integers(0, 9))
+    def resume_all(self, calls):
+        for host, node in self.fleet.by_host.items():
+            if node.paused:
+                self.fleet.resume(host, TEAM, calls)
 
     @stateful.rule(
         number=hosts,
@@ -171,15 +189,11 @@
             self.fleet.stop(host)
             self.fleet.start(host, snapshot, offset, rate)
 
-    @stateful.rule(
-        loss=strategies.sampled_from((0.0, 0.5)),
-        repeat=strategies.sampled_from((0.0, 0.5)),
-        delay=strategies.sampled_from((0.002, 0.2, 3.0)),
-    )
-    def change_network(self, loss, repeat, delay):
-        network = self.fleet.network
-        network.loss, network.repeat = loss, repeat
-        network.delay_max_s = delay
+    @stateful.rule(network=strategies.sampled_from(NETWORKS))
+    def change_network(self, network):
+        ours = self.fleet.network
+        ours.loss, ours.repeat, ours.delay_max_s = network
+        ours.side_by_host.clear()
 
     @stateful.rule(number=hosts, side=strategies.integers(0, 1))
     def cut(self, number, side):
@@ -215,14 +229,30 @@
             self.fleet.stop(host)
         self.published.change(state.DocumentName.HOSTS)
 
-    @stateful.rule(limit=strategies.sampled_from((*LIMITS, None)))
+    @stateful.rule(first=hosts, second=hosts)
+    def swap_slots(self, first, second):
+        slots = sorted(self.published.host_by_slot)
+        if slots:
+            first, second = (slots[n % len(slots)] for n in (first, second))
+            hosts = self.published.host_by_slot
+            hosts[first], hosts[second] = hosts[second], hosts[first]
+            self.published.change(state.DocumentName.HOSTS)
+
+    @stateful.rule(limit=strategies.sampled_from(LIMITS))
     def change_limit(self, limit):
-        self.published.limit = (
-            None
-            if limit is None
-            else state.LimitRow(SERVICE, TEAM, 1, *limit, 9)
-        )
+        self.published.limit = state.LimitRow(SERVICE, TEAM, 1, *limit, 9)
+        self.published.change(state.DocumentName.TABLE)
+
+    @stateful.rule(number=hosts, seconds=TIMES)
+    def withdraw_limit_on_one_host(self, number, seconds):
+        """Take the limit away and back, while the others keep it."""
+        limit, self.published.limit = self.published.limit, None
+        self.published.change(state.DocumentName.TABLE)
+        self.follow(number)
+        self.fleet.advance(seconds)
+        self.published.limit = limit
         self.published.change(state.DocumentName.TABLE)
+        self.follow(number)
 
     @stateful.rule(out=strategies.sampled_from(((), ("north",), ("south",))))
     def change_outages(self, out):
@@ -369,3 +399,178 @@
     if hasattr(context, "fleet"):
         worst = context.fleet.worst_excess()[TEAM]
         assert worst <= ROUNDING, worst
+
+
+@given("a host that asks another twice for tokens")
+def step_two_asks(context):
+    context.published = start_fleet(2, 40.0, 40)[0]
+    snapshot = context.published.snapshot()
+    lender, borrower = (f"{SERVICE}-{number}" for number in (1, 2))
+    context.names = (lender, borrower)
+    context.pair = tuple(
+        state.QuotaState.from_host(host, 0.0, rng=random.Random(7))
+        for host in context.names
+    )
+    for quota, peer in zip(context.pair, (borrower, lender), strict=True):
+        quota.peer_up(peer, 0.0)
+        quota.apply_snapshot(snapshot, 0.0)
+    context.now_s = 0.0
+    while context.now_s < 10.0:
+        context.now_s += 0.1
+        for quota in context.pair:
+            quota.tick(context.now_s)
+        exchange(context)
+    context.asks = [ask_again(context)]
+    context.now_s += 0.1
+    context.asks.append(ask_again(context))
+    context.ledger = context.pair[1].by_limit[SERVICE, TEAM]
+    while context.ledger.take(context.now_s):
+        pass
+
+
+def ask_again(context):
+    """Return the borrower's next ask, as if none were under way."""
+    quota = context.pair[1]
+    quota.asks_by_team.clear()
+    for _ in range(100):
+        quota.take(SERVICE, TEAM, context.now_s)
+        outgoing = quota.drain()
+        if outgoing:
+            return outgoing[0].message
+    raise AssertionError("no ask")
+
+
+def exchange(context):
+    """Deliver all messages between the two hosts."""
+    for number in (0, 1, 0, 1):
+        for outgoing in context.pair[number].drain():
+            context.pair[1 - number].receive(
+                context.names[number], outgoing.message, context.now_s
+            )
+
+
+def grant(context, ask):
+    """Return the lender's answer to an ask."""
+    context.pair[0].receive(context.names[1], ask, context.now_s)
+    return context.pair[0].drain()[0].message
+
+
+def arrive(context, offer):
+    """Let an answer reach the borrower."""
+    context.pair[1].receive(context.names[0], offer, context.now_s)
+
+
+@when("the answers arrive {how}")
+def step_answers_arrive(context, how):
+    first, second = context.asks
+    context.before = context.ledger.tokens
+    match how:
+        case "once":
+            offers = [grant(context, second)]
+        case "twice":
+            offers = [grant(context, second)] * 2
+        case "1.99 s after the ask" | "2.01 s after the ask":
+            offers = [grant(context, second)]
+            context.now_s += float(how.split()[0])
+        case "to asks that overtook each other":
+            offers = [grant(context, second), grant(context, first)]
+            offers.reverse()
+        case "after that of the later ask":
+            late, offer = grant(context, first), grant(context, second)
+            arrive(context, offer)
+            offers = [late]
+        case "after the process started again":
+            offers = [grant(context, second)]
+            context.pair = (
+                context.pair[0],
+                state.QuotaState.from_host(context.names[1], context.now_s),
+            )
+    context.ledger.mint(context.now_s)
+    context.before = context.ledger.tokens
+    for offer in offers:
+        arrive(context, offer)
+    context.granted = [part.tokens for offer in offers for part in offer.parts]
+
+
+@then("the borrower gained the tokens of one grant")
+def step_gained(context):
+    gained = context.ledger.tokens - context.before
+    most = max(context.granted)
+    assert most > 1.0 and abs(gained - most) < ROUNDING, (gained, most)
+
+
+@then("the borrower gained nothing")
+def step_gained_nothing(context):
+    assert context.ledger.tokens == context.before, context.granted
+
+
+@when("the lender grants a loan and {seconds:g} s pass")
+def step_grant(context, seconds):
+    offer = grant(context, context.asks[1])
+    assert offer.parts[0].share_ppb > 0, offer
+    context.now_s += seconds
+
+
+@then("the lender owns {part} of its share")
+def step_lender_owns(context, part):
+    ledger = context.pair[0].by_limit[SERVICE, TEAM]
+    ledger.mint(context.now_s)
+    owned = ledger.share_ppb(context.now_s)
+    whole = const.SHARE_WHOLE // 2
+    assert (owned < whole) == (part == "less"), owned
+
+
+@when("the lender grants the second ask and gets {ask}")
+def step_ask_after_grant(context, ask):
+    first, second = (
+        dataclasses.replace(
+            ask,
+            wants=(dataclasses.replace(ask.wants[0], share_ppb=200_000_000),),
+        )
+        for ask in context.asks
+    )
+    offer = grant(context, second)
+    assert context.pair[0].by_limit[SERVICE, TEAM].tokens > 1.0
+    context.shares = {"no share": 0, "the share": offer.parts[0].share_ppb}
+    context.now_s += 0.1
+    asks = {
+        "the first ask": first,
+        "the second ask": second,
+        "an ask for as much again": dataclasses.replace(
+            second, loan_id=second.loan_id + 1
+        ),
+    }
+    context.part = grant(context, asks[ask]).parts[0]
+
+
+@then("the answer has {share} and no tokens")
+def step_answer(context, share):
+    assert context.part.share_ppb == context.shares[share], context.part
+    assert context.part.tokens == 0.0, context.part
+
+
+@when("the lender grants a loan and its limit goes and comes back")
+def step_limit_returns(context):
+    step_grant(context, 0.0)
+    limit = context.published.limit
+    for shown in (None, limit):
+        context.published.limit = shown
+        context.published.change(state.DocumentName.TABLE)
+        context.pair[0].apply_snapshot(
+            context.published.snapshot(), context.now_s
+        )
+
+
+@when("the lender grants a loan and two live hosts swap slots")
+def step_swap(context):
+    step_grant(context, 0.0)
+    slots = context.published.host_by_slot
+    slots[0], slots[1] = slots[1], slots[0]
+    context.published.change(state.DocumentName.HOSTS)
+    for quota in context.pair:
+        quota.apply_snapshot(context.published.snapshot(), context.now_s)
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.now_s += seconds
