Prove what reached a server before a call is repeated

A failure after the request was written and one before it were told apart by a flag that each error path set by hand; requests were read through WSGI, which folds headers and skips chunked bodies.

state/_retry.py now classifies the evidence of each attempt, asserts 909 and 910 over all attempts of a call, and holds the retry budget, which RetryActor owns. The forwarder reads and writes within one deadline, closes the connection after each failure, and takes a kept connection that was closed before the request as proof that nothing arrived (the closing segment acknowledges no byte of it). The HTTP server rejects ambiguous framing and headers, reads chunked bodies, answers with one write and logs after the answer is sent.

--- a/src/jasminecrank/coordination/__init__.py
+++ b/src/jasminecrank/coordination/__init__.py
@@ -62,7 +62,9 @@
 )
 from jasminecrank.coordination._messages import SourceFailed as SourceFailed
 from jasminecrank.coordination._messages import StopRequested as StopRequested
+from jasminecrank.coordination._messages import TakeRetry as TakeRetry
 from jasminecrank.coordination._messages import Tick as Tick
 from jasminecrank.coordination._messages import WatchSource as WatchSource
+from jasminecrank.coordination._retries import RetryActor as RetryActor
 from jasminecrank.coordination._timers import deliver as deliver
 from jasminecrank.coordination._timers import Timers as Timers
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -264,6 +264,13 @@
     outcome: state.Outcome
 
 
+@dataclass(slots=True, frozen=True)
+class TakeRetry:
+    """Ask for one retry, given how many calls the node has seen."""
+
+    calls_seen: int
+
+
 @dataclass(slots=True, frozen=True)
 class ServerHealth:
     """What the backend server's health endpoint shows."""
--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -117,7 +117,9 @@
         server=transport.Target(settings.server_address, settings.server_port),
         threads=settings.threads,
     )
-    application = transport.CallApplication(call_settings, admission, clock)
+    application = transport.CallApplication.from_settings(
+        call_settings, admission, coordination.RetryActor.start(), clock
+    )
     server = transport.CallServer(call_settings, application)
     port = server.start()
     transport.log_fields("listening", {"socket": "calls", "port": port})
--- a/src/jasminecrank/protocol/_http.py
+++ b/src/jasminecrank/protocol/_http.py
@@ -1,48 +1,64 @@
-"""HTTP form of calls, answers and refusals."""
+"""HTTP form of calls as they come from callers and go on."""
 
 from collections.abc import Iterable
-from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 import hashlib
-import json
+import re
+import urllib.parse
 import uuid
 
 from jasminecrank import const
 from jasminecrank import exceptions
 from jasminecrank import state
 
-_HOP_BY_HOP = frozenset(
+Headers = tuple[tuple[str, str], ...]
+
+_AUTHORIZATION = const.HEADER_AUTHORIZATION.lower()
+_DEADLINE_MS = const.HEADER_DEADLINE_MS.lower()
+_FORWARDED_BY = const.HEADER_FORWARDED_BY.lower()
+_IDEMPOTENCY_KEY = const.HEADER_IDEMPOTENCY_KEY.lower()
+_REQUEST_ID = const.HEADER_REQUEST_ID.lower()
+_TEAM = const.HEADER_TEAM.lower()
+
+HOP_BY_HOP = frozenset(
     {
         "connection",
         "content-length",
+        "expect",
         "host",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
+        "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
         "upgrade",
     }
 )
-_STATUS_BY_CODE = {
-    exceptions.ResultCode.NO_ROUTE: 404,
-    exceptions.ResultCode.KEY_MISSING: 401,
-    exceptions.ResultCode.KEY_UNKNOWN: 401,
-    exceptions.ResultCode.TEAM_NOT_ALLOWED: 403,
-    exceptions.ResultCode.RATE_EXCEEDED: 429,
-    exceptions.ResultCode.TOO_MANY_IN_FLIGHT: 429,
-    exceptions.ResultCode.DEADLINE_EXCEEDED: 504,
-    exceptions.ResultCode.REPEAT_IN_PROGRESS: 409,
-    exceptions.ResultCode.BODY_TOO_LARGE: 413,
-    exceptions.ResultCode.REQUEST_INVALID: 400,
-    exceptions.ResultCode.BACKEND_UNREACHABLE: 502,
-    exceptions.ResultCode.BACKEND_TIMEOUT: 504,
-    exceptions.ResultCode.ANSWER_CUT: 502,
-    exceptions.ResultCode.ANSWER_CROSSED: 502,
-    exceptions.ResultCode.ANSWER_TOO_LARGE: 502,
-}
-_DEFAULT_STATUS = 503
+_OWN = frozenset({_DEADLINE_MS, _FORWARDED_BY, _REQUEST_ID, _TEAM})
+_SINGLE = frozenset(
+    {
+        _AUTHORIZATION,
+        _DEADLINE_MS,
+        _FORWARDED_BY,
+        _IDEMPOTENCY_KEY,
+        _REQUEST_ID,
+    }
+)
+_ID = re.compile(r"[!-~]{1,200}")
+_DEADLINE = re.compile(r"[0-9]{1,9}")
+
+
+@dataclass(slots=True, frozen=True)
+class HttpRequest:
+    """A whole HTTP request; header names are lower case."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,37 +67,28 @@
 
     request: state.CallRequest
     target: str
-    headers: tuple[tuple[str, str], ...]
+    headers: Headers
     body: bytes
 
 
-def decode_call(
-    method: str,
-    target: str,
-    headers: Mapping[str, str],
-    body: bytes,
-    now_s: float,
-) -> HttpCall:
-    """Return a call from an HTTP request with lower-case header names.
+def decode_call(http: HttpRequest, now_s: float) -> HttpCall:
+    """Return the call of an HTTP request.
 
-    Raises JasminecrankError with REQUEST_INVALID for unusable headers.
+    Raises JasminecrankError with REQUEST_INVALID for an unusable request.
     """
-    request_id = headers.get(const.HEADER_REQUEST_ID.lower())
+    single = _single_headers(http.headers)
+    path = http.target.partition("?")[0]
+    _check_path(path)
     request = state.CallRequest(
-        request_id=request_id or str(uuid.uuid4()),
-        method=method,
-        path=target.partition("?")[0],
-        key_digest=_key_digest(headers),
-        deadline_at_s=_deadline_at_s(headers, now_s),
-        idempotency_key=headers.get(const.HEADER_IDEMPOTENCY_KEY.lower()),
-        forwarded_by=headers.get(const.HEADER_FORWARDED_BY.lower()),
-    )
-    forwarded = tuple(
-        (name, value)
-        for name, value in headers.items()
-        if name not in _HOP_BY_HOP
+        request_id=single.get(_REQUEST_ID) or str(uuid.uuid4()),
+        method=http.method,
+        path=path,
+        key_digest=_key_digest(single.get(_AUTHORIZATION)),
+        deadline_at_s=_deadline_at_s(single.get(_DEADLINE_MS), now_s),
+        idempotency_key=single.get(_IDEMPOTENCY_KEY),
+        forwarded_by=single.get(_FORWARDED_BY),
     )
-    return HttpCall(request, target, forwarded, body)
+    return HttpCall(request, http.target, _end_to_end(http.headers), http.body)
 
 
 def digest_key(key: str) -> str:
@@ -89,8 +96,39 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def _key_digest(headers: Mapping[str, str]) -> str | None:
-    value = headers.get(const.HEADER_AUTHORIZATION.lower())
+def _invalid(message: str) -> exceptions.JasminecrankError:
+    return exceptions.JasminecrankError(
+        message, exceptions.ResultCode.REQUEST_INVALID
+    )
+
+
+def _single_headers(headers: Headers) -> dict[str, str]:
+    single: dict[str, str] = {}
+    for name, value in headers:
+        if name not in _SINGLE:
+            continue
+        # Which of two values counts would differ between implementations.
+        if name in single:
+            raise _invalid(f"header {name}: given more than once")
+        if name != _AUTHORIZATION and not _ID.fullmatch(value):
+            raise _invalid(
+                f"header {name}: not 1 to 200 printable ASCII characters"
+            )
+        single[name] = value
+    return single
+
+
+def _check_path(path: str) -> None:
+    # A backend server that resolves dot segments would answer for another
+    # route than the one by which the key was checked.
+    if "/." not in path and "%" not in path and "\\" not in path:
+        return
+    plain = urllib.parse.unquote(path).replace("\\", "/")
+    if not {".", ".."}.isdisjoint(plain.split("/")):
+        raise _invalid("path with a dot segment")
+
+
+def _key_digest(value: str | None) -> str | None:
     if value is None:
         return None
     scheme, _, key = value.partition(" ")
@@ -99,40 +137,45 @@
     return digest_key(key.strip())
 
 
-def _deadline_at_s(headers: Mapping[str, str], now_s: float) -> float | None:
-    value = headers.get(const.HEADER_DEADLINE_MS.lower())
+def _deadline_at_s(value: str | None, now_s: float) -> float | None:
     if value is None:
         return None
-    if not value.isascii() or not value.isdigit():
-        raise exceptions.JasminecrankError(
+    if not _DEADLINE.fullmatch(value):
+        raise _invalid(
             f"header {const.HEADER_DEADLINE_MS}: {value!r} is not a whole "
-            "number of milliseconds",
-            exceptions.ResultCode.REQUEST_INVALID,
+            "number of milliseconds"
         )
     return now_s + int(value) / 1000
 
 
+def _end_to_end(headers: Headers) -> Headers:
+    dropped: frozenset[str] | set[str] = HOP_BY_HOP
+    for name, value in headers:
+        if name == "connection":
+            dropped = dropped | {
+                token.strip().lower() for token in value.split(",")
+            }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        # Servers that map "-" and "_" alike would take X_Team for X-Team.
+        if name not in dropped and "_" not in name
+    )
+
+
 def server_headers(
     call: HttpCall, permit: state.Permit, now_s: float
-) -> dict[str, str]:
+) -> Headers:
     """Return the headers for the backend server, without the key."""
-    headers = {
-        name: value
-        for name, value in call.headers
-        if name
-        not in (
-            const.HEADER_AUTHORIZATION.lower(),
-            const.HEADER_FORWARDED_BY.lower(),
-            const.HEADER_TEAM.lower(),
-        )
-    }
-    headers[const.HEADER_REQUEST_ID.lower()] = permit.request_id
-    headers[const.HEADER_TEAM.lower()] = permit.team
-    remaining_ms = max(0, int((permit.deadline_at_s - now_s) * 1000))
-    headers[const.HEADER_DEADLINE_MS.lower()] = str(remaining_ms)
+    headers = (
+        *_forwarded(call.headers, _OWN | {_AUTHORIZATION}),
+        (const.HEADER_REQUEST_ID, permit.request_id),
+        (const.HEADER_TEAM, permit.team),
+        (const.HEADER_DEADLINE_MS, _remaining_ms(permit.deadline_at_s, now_s)),
+    )
     state.check(
         exceptions.ResultCode.INVARIANT_KEY,
-        const.HEADER_AUTHORIZATION.lower() not in headers,
+        all(name.lower() != _AUTHORIZATION for name, _ in headers),
         "request %s would carry its key to the backend server",
         permit.request_id,
     )
@@ -141,44 +184,21 @@
 
 def node_headers(
     call: HttpCall, host: str, deadline_at_s: float, now_s: float
-) -> dict[str, str]:
+) -> Headers:
     """Return the headers for another node, which checks the key itself."""
-    headers = dict(call.headers)
-    headers[const.HEADER_REQUEST_ID.lower()] = call.request.request_id
-    headers[const.HEADER_FORWARDED_BY.lower()] = host
-    remaining_ms = max(0, int((deadline_at_s - now_s) * 1000))
-    headers[const.HEADER_DEADLINE_MS.lower()] = str(remaining_ms)
-    return headers
+    return (
+        *_forwarded(call.headers, _OWN),
+        (const.HEADER_REQUEST_ID, call.request.request_id),
+        (const.HEADER_FORWARDED_BY, host),
+        (const.HEADER_DEADLINE_MS, _remaining_ms(deadline_at_s, now_s)),
+    )
 
 
-def answer_headers(
-    headers: Iterable[tuple[str, str]],
-) -> tuple[tuple[str, str], ...]:
-    """Return the end-to-end headers of an answer."""
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_BY_HOP
-    )
+def _forwarded(
+    headers: Headers, dropped: Iterable[str]
+) -> Sequence[tuple[str, str]]:
+    return [pair for pair in headers if pair[0] not in dropped]
 
 
-def encode_refusal(refused: state.Refused, request_id: str) -> state.Answer:
-    """Return the HTTP answer of a refusal."""
-    body = {
-        "code": refused.code.value,
-        "name": refused.code.name,
-        "request_id": request_id,
-        "run_state": refused.run_state.value,
-        "table_version": str(refused.version),
-    }
-    headers = [
-        ("Content-Type", "application/json"),
-        (const.HEADER_RESULT_CODE, str(refused.code.value)),
-        (const.HEADER_RUN_STATE, refused.run_state.value),
-    ]
-    if refused.retry_after_s > 0:
-        headers.append(("Retry-After", str(int(refused.retry_after_s) + 1)))
-    status = _STATUS_BY_CODE.get(refused.code, _DEFAULT_STATUS)
-    return state.Answer(
-        status, tuple(headers), json.dumps(body, sort_keys=True).encode()
-    )
+def _remaining_ms(deadline_at_s: float, now_s: float) -> str:
+    return str(max(0, int((deadline_at_s - now_s) * 1000)))
--- /dev/null
+++ b/src/jasminecrank/protocol/_http_answers.py
@@ -0,0 +1,119 @@
+"""HTTP form of answers and refusals, and what an answer proves."""
+
+from collections.abc import Iterable
+import json
+
+from jasminecrank import const
+from jasminecrank import exceptions
+from jasminecrank import state
+from jasminecrank.protocol import _http
+
+_RESULT_CODE = const.HEADER_RESULT_CODE.lower()
+_RUN_STATE = const.HEADER_RUN_STATE.lower()
+_REQUEST_ID = const.HEADER_REQUEST_ID.lower()
+_TABLE_VERSION = const.HEADER_TABLE_VERSION.lower()
+_UNAVAILABLE = 503
+
+_STATUS_BY_CODE = {
+    exceptions.ResultCode.NO_ROUTE: 404,
+    exceptions.ResultCode.KEY_MISSING: 401,
+    exceptions.ResultCode.KEY_UNKNOWN: 401,
+    exceptions.ResultCode.TEAM_NOT_ALLOWED: 403,
+    exceptions.ResultCode.RATE_EXCEEDED: 429,
+    exceptions.ResultCode.TOO_MANY_IN_FLIGHT: 429,
+    exceptions.ResultCode.DEADLINE_EXCEEDED: 504,
+    exceptions.ResultCode.REPEAT_IN_PROGRESS: 409,
+    exceptions.ResultCode.BODY_TOO_LARGE: 413,
+    exceptions.ResultCode.REQUEST_INVALID: 400,
+    exceptions.ResultCode.BACKEND_UNREACHABLE: 502,
+    exceptions.ResultCode.BACKEND_TIMEOUT: 504,
+    exceptions.ResultCode.ANSWER_CUT: 502,
+    exceptions.ResultCode.ANSWER_CROSSED: 502,
+    exceptions.ResultCode.ANSWER_TOO_LARGE: 502,
+}
+
+
+def server_evidence(
+    status: int, headers: _http.Headers, body: bytes
+) -> state.Answered | state.Shed:
+    """Return what the whole answer of a backend server proves.
+
+    Headers by which nodes describe refusals are removed, so that a backend
+    server can't pass for a node.
+    """
+    by_name = {name.lower(): value for name, value in headers}
+    shed = status == _UNAVAILABLE
+    says_not_run = (
+        shed and by_name.get(_RUN_STATE) == exceptions.RunState.NOT_RUN.value
+    )
+    dropped = {_RESULT_CODE, _TABLE_VERSION, _REQUEST_ID}
+    if not says_not_run:
+        dropped.add(_RUN_STATE)
+    answer = state.Answer(status, _kept(headers, dropped), body)
+    if shed and (says_not_run or "retry-after" in by_name):
+        return state.Shed(answer, says_not_run)
+    return state.Answered(answer)
+
+
+def node_evidence(
+    status: int, headers: _http.Headers, body: bytes
+) -> state.Answered | state.Shed | state.NodeRefused:
+    """Return what the whole answer of another node proves."""
+    by_name = {name.lower(): value for name, value in headers}
+    answer = state.Answer(status, _kept(headers, {_REQUEST_ID}), body)
+    if _RESULT_CODE in by_name:
+        try:
+            code = exceptions.ResultCode(int(by_name[_RESULT_CODE]))
+            run_state = exceptions.RunState(by_name.get(_RUN_STATE))
+        except ValueError:
+            code = exceptions.ResultCode.ANSWER_CUT
+            run_state = exceptions.RunState.MAY_HAVE_RUN
+        return state.NodeRefused(answer, code, run_state)
+    says_not_run = by_name.get(_RUN_STATE) == exceptions.RunState.NOT_RUN.value
+    if status == _UNAVAILABLE and (says_not_run or "retry-after" in by_name):
+        return state.Shed(answer, says_not_run)
+    return state.Answered(answer)
+
+
+def _kept(headers: _http.Headers, dropped: Iterable[str]) -> _http.Headers:
+    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
+
+
+def answer_headers(
+    headers: Iterable[tuple[str, str]], without_body: bool
+) -> _http.Headers:
+    """Return the end-to-end headers of an answer.
+
+    An answer without a body keeps its Content-Length, which then tells the
+    length that a GET would get.
+    """
+    seen = tuple(headers)
+    dropped = set(_http.HOP_BY_HOP)
+    if without_body:
+        dropped.discard("content-length")
+    for name, value in seen:
+        if name.lower() == "connection":
+            dropped.update(part.strip().lower() for part in value.split(","))
+    return _kept(seen, dropped)
+
+
+def encode_refusal(refused: state.Refused, request_id: str) -> state.Answer:
+    """Return the HTTP answer of a refusal."""
+    body = {
+        "code": refused.code.value,
+        "name": refused.code.name,
+        "request_id": request_id,
+        "run_state": refused.run_state.value,
+        "table_version": str(refused.version),
+    }
+    headers = [
+        ("Content-Type", "application/json"),
+        (const.HEADER_RESULT_CODE, str(refused.code.value)),
+        (const.HEADER_RUN_STATE, refused.run_state.value),
+    ]
+    if refused.retry_after_s > 0:
+        headers.append(("Retry-After", str(int(refused.retry_after_s) + 1)))
+    status = _STATUS_BY_CODE.get(refused.code, _UNAVAILABLE)
+    return state.Answer(
+        status, tuple(headers), json.dumps(body, sort_keys=True).encode()
+    )
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -36,6 +36,22 @@
 from jasminecrank.state._journal import Event as Event
 from jasminecrank.state._journal import Journal as Journal
 from jasminecrank.state._journal import Stamp as Stamp
+from jasminecrank.state._retry import Answered as Answered
+from jasminecrank.state._retry import AnswerLost as AnswerLost
+from jasminecrank.state._retry import Attempts as Attempts
+from jasminecrank.state._retry import (
+    ClosedBeforeRequest as ClosedBeforeRequest,
+)
+from jasminecrank.state._retry import Deliver as Deliver
+from jasminecrank.state._retry import Evidence as Evidence
+from jasminecrank.state._retry import NextStep as NextStep
+from jasminecrank.state._retry import NodeRefused as NodeRefused
+from jasminecrank.state._retry import NothingSent as NothingSent
+from jasminecrank.state._retry import outcome_kind as outcome_kind
+from jasminecrank.state._retry import Refuse as Refuse
+from jasminecrank.state._retry import RetryBudget as RetryBudget
+from jasminecrank.state._retry import Shed as Shed
+from jasminecrank.state._retry import TryElsewhere as TryElsewhere
 from jasminecrank.state._row_codec import decode_row as decode_row
 from jasminecrank.state._row_codec import encode_row as encode_row
 from jasminecrank.state._row_codec import parse_cell as parse_cell
--- /dev/null
+++ b/src/jasminecrank/state/_retry.py
@@ -0,0 +1,284 @@
+"""What is proved about the attempts of a call, and what follows from it."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import typing
+
+from jasminecrank import exceptions
+from jasminecrank.state import _calls
+from jasminecrank.state import _invariants
+from jasminecrank.state import _rows
+
+_BUDGET_PART = 0.1
+_BUDGET_BURST = 10.0
+
+_HOST_CODES = frozenset(
+    {
+        exceptions.ResultCode.QUEUE_FULL,
+        exceptions.ResultCode.NODE_NOT_READY,
+        exceptions.ResultCode.DATA_CENTRE_OUT,
+        exceptions.ResultCode.HOST_LEAVING,
+        exceptions.ResultCode.NO_HOST_AVAILABLE,
+        exceptions.ResultCode.BACKEND_UNREACHABLE,
+        exceptions.ResultCode.ANSWER_CUT,
+        exceptions.ResultCode.ANSWER_CROSSED,
+        exceptions.ResultCode.ANSWER_TOO_LARGE,
+    }
+)
+"""Refusals caused by one host; the others would be repeated elsewhere."""
+
+
+@dataclass(slots=True, frozen=True)
+class NothingSent:
+    """No byte of the request was written to a connection."""
+
+    code: exceptions.ResultCode
+
+
+@dataclass(slots=True, frozen=True)
+class ClosedBeforeRequest:
+    """A kept connection was closed before any byte was acknowledged."""
+
+    code: exceptions.ResultCode
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerLost:
+    """Part of the request was written and no whole answer came back."""
+
+    code: exceptions.ResultCode
+
+
+@dataclass(slots=True, frozen=True)
+class Shed:
+    """A backend server answered that it is overloaded."""
+
+    answer: _calls.Answer
+    says_not_run: bool
+
+
+@dataclass(slots=True, frozen=True)
+class NodeRefused:
+    """Another node refused the call."""
+
+    answer: _calls.Answer
+    code: exceptions.ResultCode
+    run_state: exceptions.RunState
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """The whole answer of a backend server came back."""
+
+    answer: _calls.Answer
+
+
+Evidence = (
+    NothingSent
+    | ClosedBeforeRequest
+    | AnswerLost
+    | Shed
+    | NodeRefused
+    | Answered
+)
+
+
+@dataclass(slots=True, frozen=True)
+class TryElsewhere:
+    """The call may be sent to another host."""
+
+
+@dataclass(slots=True, frozen=True)
+class Deliver:
+    """The caller gets an answer as it came."""
+
+    answer: _calls.Answer
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """The caller gets a refusal."""
+
+    code: exceptions.ResultCode
+    run_state: exceptions.RunState
+
+
+NextStep = TryElsewhere | Deliver | Refuse
+
+
+def run_state(evidence: Evidence) -> exceptions.RunState:
+    """Return what an attempt proves about the call having run."""
+    match evidence:
+        case NothingSent() | ClosedBeforeRequest():
+            return exceptions.RunState.NOT_RUN
+        case AnswerLost():
+            return exceptions.RunState.MAY_HAVE_RUN
+        case Shed():
+            if evidence.says_not_run:
+                return exceptions.RunState.NOT_RUN
+            return exceptions.RunState.MAY_HAVE_RUN
+        case NodeRefused():
+            return evidence.run_state
+        case Answered():
+            return exceptions.RunState.RAN
+        case _:
+            typing.assert_never(evidence)
+
+
+def outcome_kind(evidence: Evidence) -> _calls.OutcomeKind:
+    """Return what an attempt says about the backend server."""
+    match evidence:
+        case Answered():
+            return _calls.OutcomeKind.ANSWERED
+        case Shed() | NodeRefused():
+            return _calls.OutcomeKind.SHED
+        case NothingSent() | ClosedBeforeRequest():
+            # A late or unusable request says nothing about the server.
+            if evidence.code is exceptions.ResultCode.BACKEND_UNREACHABLE:
+                return _calls.OutcomeKind.NOT_SENT
+            return _calls.OutcomeKind.CANCELLED
+        case AnswerLost():
+            if evidence.code is exceptions.ResultCode.BACKEND_TIMEOUT:
+                return _calls.OutcomeKind.TIMED_OUT
+            return _calls.OutcomeKind.BROKEN
+        case _:
+            typing.assert_never(evidence)
+
+
+def _reached_no_server(evidence: Evidence) -> bool:
+    # Stated apart from run_state, so that the invariants can find it wrong.
+    match evidence:
+        case NothingSent() | ClosedBeforeRequest():
+            return True
+        case Shed(says_not_run=True):
+            return True
+        case NodeRefused(run_state=exceptions.RunState.NOT_RUN):
+            return True
+        case _:
+            return False
+
+
+@dataclass(slots=True)
+class Attempts:
+    """The attempts of one call; a call on its second node has only one."""
+
+    request_id: str
+    may_retry: bool
+    hosts: list[str] = field(default_factory=list)
+    seen: list[Evidence] = field(default_factory=list)
+
+    def begin(self, host: str, kind: _rows.RouteKind) -> None:
+        """Note that the call is about to be sent to a host."""
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
+            kind is _rows.RouteKind.LOOKUP
+            or all(_reached_no_server(evidence) for evidence in self.seen),
+            "booking %s sent again to %s after %s",
+            self.request_id,
+            host,
+            self.seen,
+        )
+        self.hosts.append(host)
+
+    def end(self, kind: _rows.RouteKind, evidence: Evidence) -> NextStep:
+        """Take the evidence of the last attempt and return what follows."""
+        self.seen.append(evidence)
+        if self.may_retry and _may_follow(kind, evidence):
+            return TryElsewhere()
+        return self.conclude()
+
+    def conclude(
+        self, code: exceptions.ResultCode | None = None
+    ) -> Deliver | Refuse:
+        """Return how the call ends when no attempt follows.
+
+        A code given here replaces the code of the last failure.
+        """
+        last = self.seen[-1]
+        match last:
+            case Answered() | Shed():
+                return Deliver(last.answer)
+            case NodeRefused():
+                if self.run_state() is last.run_state:
+                    return Deliver(last.answer)
+                return self.refuse(last.code)
+            case NothingSent() | ClosedBeforeRequest() | AnswerLost():
+                return self.refuse(code or last.code)
+            case _:
+                typing.assert_never(last)
+
+    def refuse(
+        self,
+        code: exceptions.ResultCode,
+        decided: exceptions.RunState = exceptions.RunState.NOT_RUN,
+    ) -> Refuse:
+        """Return a refusal whose run state covers every attempt.
+
+        What the decision on a further attempt said is covered as well.
+        """
+        refusal = Refuse(code, _worst((self.run_state(), decided)))
+        _invariants.check(
+            exceptions.ResultCode.INVARIANT_NOT_RUN,
+            refusal.run_state is not exceptions.RunState.NOT_RUN
+            or all(_reached_no_server(evidence) for evidence in self.seen),
+            "call %s refused as not run after %s",
+            self.request_id,
+            self.seen,
+        )
+        return refusal
+
+    def run_state(self) -> exceptions.RunState:
+        """Return what all attempts together prove."""
+        return _worst(run_state(evidence) for evidence in self.seen)
+
+
+def _worst(
+    states: Iterable[exceptions.RunState],
+) -> exceptions.RunState:
+    seen = set(states)
+    if exceptions.RunState.RAN in seen:
+        return exceptions.RunState.RAN
+    if exceptions.RunState.MAY_HAVE_RUN in seen:
+        return exceptions.RunState.MAY_HAVE_RUN
+    return exceptions.RunState.NOT_RUN
+
+
+def _may_follow(kind: _rows.RouteKind, evidence: Evidence) -> bool:
+    match evidence:
+        case NothingSent() | ClosedBeforeRequest():
+            return evidence.code is exceptions.ResultCode.BACKEND_UNREACHABLE
+        case AnswerLost():
+            return (
+                kind is _rows.RouteKind.LOOKUP
+                and evidence.code is not exceptions.ResultCode.BACKEND_TIMEOUT
+            )
+        case Shed():
+            return kind is _rows.RouteKind.LOOKUP or evidence.says_not_run
+        case NodeRefused():
+            return evidence.code in _HOST_CODES and (
+                kind is _rows.RouteKind.LOOKUP
+                or evidence.run_state is exceptions.RunState.NOT_RUN
+            )
+        case Answered():
+            return False
+        case _:
+            typing.assert_never(evidence)
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Limits repeated calls to a part of all calls."""
+
+    tokens: float = _BUDGET_BURST
+    calls_seen: int = 0
+
+    def take(self, calls_seen: int) -> bool:
+        """Take one retry, given how many calls the node has seen."""
+        new = max(0, calls_seen - self.calls_seen)
+        self.calls_seen += new
+        self.tokens = min(_BUDGET_BURST, self.tokens + new * _BUDGET_PART)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/src/jasminecrank/transport/_call_http.py
@@ -0,0 +1,305 @@
+"""HTTP server of calls: limits, deadlines and a stop that cuts no request.
+
+cheroot parses requests and frames answers; this module adds what the
+invariants need. It reads and writes within one deadline for each request,
+rejects ambiguous framing, and sends each answer with one write.
+"""
+
+from collections.abc import Callable
+import http
+import io
+import re
+import socket
+import time
+import typing
+
+from cheroot import errors
+from cheroot import server as cheroot_server
+
+from jasminecrank import const
+from jasminecrank import exceptions
+from jasminecrank import protocol
+from jasminecrank import state
+from jasminecrank.transport import _sockets
+
+_KEEP_ALIVE_S = 30
+_KEPT_MAX = 1024
+_SHUTDOWN_S = 30
+_ACCEPT_BACKLOG = 256
+_HEADER_BYTES_MAX = 65_536
+_READ_S = 5.0
+_WRITE_S = 10.0
+_BUFFER_BYTES = 65_536
+_DISCARD_BYTES_MAX = 4 * const.MAX_BODY_BYTES
+_CHUNKED_BYTES_MAX = 2 * const.MAX_BODY_BYTES
+"""Limit of a chunked body with the lines between its chunks."""
+
+_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
+
+class CallHandler(typing.Protocol):
+    """What decides on requests; independent of this server."""
+
+    def answer(self, request: protocol.HttpRequest) -> "Handled":
+        """Return the answer to a request."""
+
+    def refuse_body(self, method: str, target: str) -> "Handled":
+        """Return the refusal of a request whose body is too large."""
+
+
+class Handled(typing.NamedTuple):
+    """An answer, and what is left to do once it is sent."""
+
+    answer: state.Answer
+    after: Callable[[], None]
+
+
+class _Headers(dict[bytes, bytes]):
+    """Headers as cheroot needs them, and every one as it came."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pairs: list[tuple[str, str]] = []
+
+
+class _HeaderReader(cheroot_server.HeaderReader):
+    def __call__(
+        self, rfile: typing.Any, hdict: _Headers | None = None
+    ) -> _Headers:
+        headers = _Headers() if hdict is None else hdict
+        while (line := rfile.readline()) != b"\r\n":
+            name, colon, value = line.partition(b":")
+            # Covers folded lines and blanks before the colon, which servers
+            # read in different ways.
+            if not colon or not _TOKEN.fullmatch(name):
+                raise ValueError("Illegal header line.")
+            if not line.endswith(b"\r\n"):
+                raise ValueError("HTTP requires CRLF terminators")
+            value = value.strip()
+            headers.pairs.append(
+                (name.decode().lower(), value.decode("latin-1"))
+            )
+            name = name.title()
+            known = headers.get(name)
+            headers[name] = value if known is None else known + b", " + value
+        return headers
+
+
+class _Request(cheroot_server.HTTPRequest):
+    header_reader = _HeaderReader()
+    status: typing.Any
+
+    def __init__(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
+        super().__init__(*arguments, **keywords)
+        self.inheaders = _Headers()
+        self.handed_over = False
+
+    def read_request_headers(self) -> bool:
+        read: Callable[[], bool] = super().read_request_headers
+        if not read():
+            return False
+        self.conn.wfile.flush()  # an interim answer to Expect
+        length = self.inheaders.get(b"Content-Length")
+        if length is not None and (
+            not length.isdigit() or b"Transfer-Encoding" in self.inheaders
+        ):
+            self.simple_response("400 Bad Request")
+            return False
+        tokens = self.inheaders.get(b"Connection", b"").lower().split(b",")
+        if b"close" in [token.strip() for token in tokens]:
+            self.close_connection = True
+        return True
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuse a request that can't be read; msg is not sent."""
+        del msg
+        refused = state.Refused(
+            exceptions.ResultCode.REQUEST_INVALID,
+            exceptions.RunState.NOT_RUN,
+            state.NO_VERSION,
+        )
+        if self.handed_over:
+            refused = state.Refused(
+                exceptions.ResultCode.ANSWER_CUT,
+                exceptions.RunState.MAY_HAVE_RUN,
+                state.NO_VERSION,
+            )
+        answer = protocol.encode_refusal(refused, "")
+        self.close_connection = True
+        self.ready = False
+        self.rfile = None
+        self.send_answer(status, answer)
+
+    def send_answer(self, status: str, answer: state.Answer) -> None:
+        """Send a whole answer with one write."""
+        self.conn.socket.deadline_at_s = time.monotonic() + _WRITE_S
+        self.status = status.encode("latin-1")
+        self.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in answer.headers
+        ]
+        self.ensure_headers_sent()
+        if answer.body and getattr(self, "method", b"") != b"HEAD":
+            self.conn.wfile.write(answer.body)
+        self.conn.wfile.flush()
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+    def __init__(
+        self, server: "CallHttpServer", sock: socket.socket, makefile: object
+    ) -> None:
+        del makefile
+        super().__init__(
+            server, _sockets.DeadlineSocket.from_socket(sock), _make_file
+        )
+
+    def communicate(self) -> bool:
+        """Read one request and answer it."""
+        self.socket.deadline_at_s = time.monotonic() + _READ_S
+        communicate: Callable[[], bool] = super().communicate
+        return communicate()
+
+
+def _make_file(
+    source: _sockets.DeadlineSocket, mode: str, size: int
+) -> io.BufferedReader | io.BufferedWriter:
+    del size
+    if "r" in mode:
+        return _sockets.DeadlineReader(source, _BUFFER_BYTES)
+    return io.BufferedWriter(socket.SocketIO(source, "w"), _BUFFER_BYTES)
+
+
+class _Gateway(cheroot_server.Gateway):
+    def respond(self) -> None:
+        """Answer the current request."""
+        request = self.req
+        handler: CallHandler = request.server.handler
+        method = request.method.decode("latin-1")
+        target = request.uri.decode("latin-1")
+        body = self._read_body()
+        if body is None:
+            request.close_connection = True
+            handled = handler.refuse_body(method, target)
+        else:
+            request.handed_over = True
+            handled = handler.answer(
+                protocol.HttpRequest(
+                    method, target, tuple(request.inheaders.pairs), body
+                )
+            )
+        try:
+            request.send_answer(
+                _status_line(handled.answer.status), handled.answer
+            )
+        finally:
+            handled.after()
+
+    def _read_body(self) -> bytes | None:
+        """Return the whole body, or None if it is too large."""
+        request = self.req
+        if request.chunked_read:
+            # A malformed last chunk must not begin another request.
+            request.close_connection = True
+            return self._read_chunks()
+        length = int(request.inheaders.get(b"Content-Length", 0))
+        if length > const.MAX_BODY_BYTES:
+            # Closing with unread data would reset the connection before
+            # the caller has read the answer.
+            request.rfile.read(min(length, _DISCARD_BYTES_MAX))
+            request.rfile.remaining = 0
+            return None
+        body: bytes = request.rfile.read(length) if length else b""
+        if len(body) != length:
+            raise ConnectionError("request cut within its body")
+        return body
+
+    def _read_chunks(self) -> bytes | None:
+        chunks: typing.Any = cheroot_server.ChunkedRFile(
+            self.req.conn.rfile, _CHUNKED_BYTES_MAX
+        )
+        try:
+            body: bytes = chunks.read(const.MAX_BODY_BYTES + 1)
+        except TimeoutError:
+            raise
+        except (OSError, errors.MaxSizeExceeded):
+            return None
+        if len(body) > const.MAX_BODY_BYTES:
+            return None
+        if not chunks.closed:
+            raise ConnectionError("request cut within its body")
+        for _ in chunks.read_trailer_lines():
+            pass
+        return body
+
+
+class CallHttpServer(cheroot_server.HTTPServer):
+    """Owns the listening socket and the worker threads."""
+
+    _connections: typing.Any
+    ConnectionClass = _Connection
+    timeout = _KEEP_ALIVE_S
+    shutdown_timeout = _SHUTDOWN_S
+    request_queue_size = _ACCEPT_BACKLOG
+    keep_alive_conn_limit = _KEPT_MAX
+    max_request_header_size = _HEADER_BYTES_MAX
+
+    def __init__(
+        self, address: str, port: int, threads: int, handler: CallHandler
+    ) -> None:
+        super().__init__(
+            (address, port), _Gateway, minthreads=threads, maxthreads=threads
+        )
+        self.handler = handler
+        self.draining = False
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Whether a connection may be kept after its answer."""
+        return not self.draining and bool(super().can_add_keepalive_connection)
+
+    def process_conn(self, conn: typing.Any) -> None:
+        """Give a connection to a worker once it has something to read."""
+        if conn.last_used is None:
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
+    def put_conn(self, conn: typing.Any) -> None:
+        """Keep a connection, or serve what it has received and close it."""
+        if self.ready:
+            super().put_conn(conn)
+        elif conn.rfile.has_data():
+            self.requests.put(conn)
+        else:
+            conn.close()
+
+    def stop(self) -> None:
+        """Serve every request received so far, then close everything."""
+        if self.ready:
+            self._connections.stop()
+            self._serve_received()
+        super().stop()
+
+    def _serve_received(self) -> None:
+        # The listening socket is read first, so that a connection accepted
+        # here is still looked at.
+        selector = self._connections._selector
+        for _ in range(_ACCEPT_BACKLOG):
+            if not any(conn is self for _, conn in selector.select(0)):
+                break
+            conn = self._connections._from_server_socket(self.socket)
+            if conn is not None:
+                self.put_conn(conn)
+        for number, conn in tuple(selector.select(0)):
+            if conn is not self:
+                selector.unregister(number)
+                self.requests.put(conn)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- a/src/jasminecrank/transport/_call_server.py
+++ b/src/jasminecrank/transport/_call_server.py
@@ -1,13 +1,9 @@
 """HTTP server for calls."""
 
-from collections.abc import Callable
-from collections.abc import Iterable
 from dataclasses import dataclass
-import http
 import threading
 import typing
 
-from cheroot import wsgi
 import pykka
 
 from jasminecrank import const
@@ -15,16 +11,13 @@
 from jasminecrank import exceptions
 from jasminecrank import protocol
 from jasminecrank import state
+from jasminecrank.transport import _call_http
+from jasminecrank.transport import _call_runner
 from jasminecrank.transport import _forwarder
 from jasminecrank.transport import _logs
 
-_DECISION_MARGIN_S = 1.0
-_KEEP_ALIVE_S = 30
-_SHUTDOWN_S = 30
-_ACCEPT_BACKLOG = 256
-
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
-Environ = dict[str, typing.Any]
+_DRAIN_S = 0.5
+"""How long callers learn by Connection: close that this node stops."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,175 +31,80 @@
     threads: int
 
 
-@dataclass(slots=True, frozen=True)
-class _Result:
-    answer: state.Answer
-    version: state.Version
-    fields: dict[str, object]
-
-
+@dataclass(slots=True)
 class CallApplication:
-    """Answers calls by the decisions of the admission actor."""
+    """Answers requests by running calls, and logs each once."""
 
-    __slots__ = ("_admission", "_clock", "_server_client", "_settings")
+    runner: _call_runner.CallRunner
+    clock: state.Clock
 
-    def __init__(
-        self,
+    @classmethod
+    def from_settings(
+        cls,
         settings: CallServerSettings,
         admission: pykka.ActorRef[coordination.AdmissionActor],
+        retries: pykka.ActorRef[coordination.RetryActor],
         clock: state.Clock,
-    ) -> None:
-        self._settings = settings
-        self._admission = admission
-        self._clock = clock
-        self._server_client = _forwarder.ServerClient(max_idle_s=4.0)
+    ) -> typing.Self:
+        """Return an application without open connections."""
+        runner = _call_runner.CallRunner.from_actors(
+            settings.host, settings.server, admission, retries, clock
+        )
+        return cls(runner, clock)
 
-    def __call__(
-        self, environ: Environ, start_response: StartResponse
-    ) -> Iterable[bytes]:
-        """Answer one HTTP request."""
-        started_s = self._clock.monotonic_s()
+    def answer(self, request: protocol.HttpRequest) -> _call_http.Handled:
+        """Return the answer to a request."""
+        started_s = self.clock.monotonic_s()
         try:
-            call = self._decode(environ, started_s)
+            call = protocol.decode_call(request, started_s)
         except exceptions.JasminecrankError as error:
-            refused = state.Refused(
-                error.code, exceptions.RunState.NOT_RUN, state.NO_VERSION
+            return self._refuse(
+                error.code, request.method, request.target, started_s
             )
-            answer = protocol.encode_refusal(refused, "")
-            return _respond(answer, "", state.NO_VERSION, start_response)
-        result = self._answer(call)
-        request_id = call.request.request_id
-        self._log(call, result, self._clock.monotonic_s() - started_s)
-        return _respond(
-            result.answer, request_id, result.version, start_response
+        try:
+            record = self.runner.run(call)
+        except exceptions.InvariantError:
+            coordination.NodeActor.on_crash()
+            raise
+        return self._handled(call.request, record, started_s)
+
+    def refuse_body(self, method: str, target: str) -> _call_http.Handled:
+        """Return the refusal of a request whose body is too large."""
+        return self._refuse(
+            exceptions.ResultCode.BODY_TOO_LARGE,
+            method,
+            target,
+            self.clock.monotonic_s(),
         )
 
-    def _decode(self, environ: Environ, now_s: float) -> protocol.HttpCall:
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        if length > const.MAX_BODY_BYTES:
-            raise exceptions.JasminecrankError(
-                f"body of {length} bytes; at most {const.MAX_BODY_BYTES}",
-                exceptions.ResultCode.BODY_TOO_LARGE,
-            )
-        body = environ["wsgi.input"].read(length) if length else b""
-        if len(body) != length:
-            raise exceptions.JasminecrankError(
-                f"body of {len(body)} bytes instead of {length}",
-                exceptions.ResultCode.REQUEST_INVALID,
-            )
-        return protocol.decode_call(
-            environ["REQUEST_METHOD"],
-            environ["REQUEST_URI"],
-            _headers(environ),
-            body,
-            now_s,
+    def _refuse(
+        self,
+        code: exceptions.ResultCode,
+        method: str,
+        target: str,
+        started_s: float,
+    ) -> _call_http.Handled:
+        refused = state.Refused(
+            code, exceptions.RunState.NOT_RUN, state.NO_VERSION
         )
-
-    def _answer(self, call: protocol.HttpCall) -> _Result:
-        decision = self._decide(call.request)
-        match decision:
-            case state.Admitted():
-                return self._run(call, decision.permit)
-            case state.ForwardTo():
-                return self._forward(call, decision)
-            case state.Replay():
-                return _Result(
-                    decision.answer, decision.version, {"result": "replay"}
-                )
-            case state.Refused():
-                return _refusal(decision, call.request.request_id)
-            case _:
-                typing.assert_never(decision)
-
-    def _decide(self, request: state.CallRequest) -> state.Decision:
-        reply: pykka.ThreadingFuture[state.Decision] = pykka.ThreadingFuture()
-        self._admission.tell(coordination.AdmitCall(request, reply))
-        decision: state.Decision = reply.get()
-        return decision
-
-    def _run(self, call: protocol.HttpCall, permit: state.Permit) -> _Result:
-        started_s = self._clock.monotonic_s()
-        sent = self._server_client.send(
-            self._settings.server,
-            call,
-            protocol.server_headers(call, permit, started_s),
-            permit.deadline_at_s - started_s,
+        path = target.partition("?")[0]
+        request = state.CallRequest("", method, path, None, None, None, None)
+        return self._handled(
+            request, _call_runner.refusal_record(refused, ""), started_s
         )
-        duration_s = self._clock.monotonic_s() - started_s
-        match sent:
-            case _forwarder.ForwardedAnswer():
-                outcome = state.Outcome(
-                    state.OutcomeKind.ANSWERED, duration_s, sent.answer
-                )
-                self._admission.tell(
-                    coordination.CallFinished(permit, outcome)
-                )
-                return _Result(
-                    sent.answer,
-                    permit.version,
-                    _fields(permit, {"result": "answered"}),
-                )
-            case _forwarder.ForwardFailure():
-                outcome = state.Outcome(_outcome_kind(sent), duration_s)
-                self._admission.tell(
-                    coordination.CallFinished(permit, outcome)
-                )
-                return _failure(sent, permit)
-            case _:
-                typing.assert_never(sent)
 
-    def _forward(
-        self, call: protocol.HttpCall, decision: state.ForwardTo
-    ) -> _Result:
-        now_s = self._clock.monotonic_s()
-        client = _forwarder.ServerClient(max_idle_s=0.0)
-        sent = client.send(
-            _forwarder.Target(decision.host.address, decision.host.call_port),
-            call,
-            protocol.node_headers(
-                call, self._settings.host, decision.deadline_at_s, now_s
-            ),
-            decision.deadline_at_s - now_s,
-        )
-        match sent:
-            case _forwarder.ForwardedAnswer():
-                return _Result(
-                    sent.answer,
-                    decision.version,
-                    {
-                        "result": "forwarded",
-                        "to_host": decision.host.host,
-                        "team": decision.team,
-                        "service": decision.route.service,
-                    },
-                )
-            case _forwarder.ForwardFailure():
-                refused = state.Refused(
-                    sent.code,
-                    _run_state(sent),
-                    decision.version,
-                    decision.team,
-                    decision.route.service,
-                )
-                return _refusal(refused, call.request.request_id)
-            case _:
-                typing.assert_never(sent)
+    def _handled(
+        self,
+        request: state.CallRequest,
+        record: _call_runner.CallRecord,
+        started_s: float,
+    ) -> _call_http.Handled:
+        duration_s = self.clock.monotonic_s() - started_s
 
-    def _log(
-        self, call: protocol.HttpCall, result: _Result, duration_s: float
-    ) -> None:
-        _logs.log_fields(
-            "call",
-            {
-                "request_id": call.request.request_id,
-                "method": call.request.method,
-                "path": call.request.path,
-                "status": result.answer.status,
-                "duration_ms": round(duration_s * 1000, 3),
-                "table_version": str(result.version),
-                **result.fields,
-            },
-        )
+        def log() -> None:
+            _logs.log_fields("call", _fields(request, record, duration_s))
+
+        return _call_http.Handled(_with_own_headers(request, record), log)
 
 
 class CallServer:
@@ -217,13 +115,8 @@
     def __init__(
         self, settings: CallServerSettings, application: CallApplication
     ) -> None:
-        self._server = wsgi.Server(
-            (settings.address, settings.port),
-            application,
-            numthreads=settings.threads,
-            request_queue_size=_ACCEPT_BACKLOG,
-            timeout=_KEEP_ALIVE_S,
-            shutdown_timeout=_SHUTDOWN_S,
+        self._server = _call_http.CallHttpServer(
+            settings.address, settings.port, settings.threads, application
         )
         self._thread = threading.Thread(
             target=self._server.serve, name="call-accept", daemon=True
@@ -237,93 +130,57 @@
         return port
 
     def stop(self) -> None:
-        """Stop accepting and wait for the calls in hand."""
+        """Let callers go elsewhere, then answer what was received."""
+        self._server.draining = True
+        threading.Event().wait(_DRAIN_S)
         self._server.stop()
         self._thread.join()
 
 
-def _headers(environ: Environ) -> dict[str, str]:
-    headers = {
-        name[5:].replace("_", "-").lower(): str(value)
-        for name, value in environ.items()
-        if name.startswith("HTTP_")
-    }
-    if environ.get("CONTENT_TYPE"):
-        headers["content-type"] = str(environ["CONTENT_TYPE"])
-    return headers
-
-
-def _respond(
-    answer: state.Answer,
-    request_id: str,
-    version: state.Version,
-    start_response: StartResponse,
-) -> Iterable[bytes]:
-    own = {
-        const.HEADER_REQUEST_ID.lower(): request_id,
-        const.HEADER_TABLE_VERSION.lower(): str(version),
-    }
+def _with_own_headers(
+    request: state.CallRequest, record: _call_runner.CallRecord
+) -> state.Answer:
+    answer = record.answer
+    names = {name.lower() for name, _ in answer.headers}
     headers = [
-        (name, value)
-        for name, value in answer.headers
-        if name.lower() not in own
+        *answer.headers,
+        (const.HEADER_REQUEST_ID, request.request_id),
     ]
-    headers.append((const.HEADER_REQUEST_ID, request_id))
-    headers.append((const.HEADER_TABLE_VERSION, str(version)))
-    headers.append(("Content-Length", str(len(answer.body))))
-    try:
-        phrase = http.HTTPStatus(answer.status).phrase
-    except ValueError:
-        phrase = "Unknown"
-    start_response(f"{answer.status} {phrase}", headers)
-    return [answer.body]
-
-
-def _refusal(refused: state.Refused, request_id: str) -> _Result:
-    return _Result(
-        protocol.encode_refusal(refused, request_id),
-        refused.version,
-        {
-            "result": "refused",
-            "result_code": refused.code.value,
-            "run_state": refused.run_state.value,
-            "team": refused.team,
-            "service": refused.service,
-        },
-    )
-
-
-def _failure(sent: _forwarder.ForwardFailure, permit: state.Permit) -> _Result:
-    refused = state.Refused(
-        sent.code,
-        _run_state(sent),
-        permit.version,
-        permit.team,
-        permit.route.service,
-    )
-    return _refusal(refused, permit.request_id)
+    # A forwarded answer names the version by which the other node ran it.
+    if const.HEADER_TABLE_VERSION.lower() not in names:
+        headers.append((const.HEADER_TABLE_VERSION, str(record.version)))
+    if "content-length" not in names and answer.status not in (204, 304):
+        headers.append(("Content-Length", str(len(answer.body))))
+    return state.Answer(answer.status, tuple(headers), answer.body)
 
 
 def _fields(
-    permit: state.Permit, extra: dict[str, object]
+    request: state.CallRequest,
+    record: _call_runner.CallRecord,
+    duration_s: float,
 ) -> dict[str, object]:
-    return {
-        "team": permit.team,
-        "service": permit.route.service,
-        "route": permit.route.route,
-        **extra,
+    fields: dict[str, object] = {
+        "request_id": request.request_id,
+        "method": request.method,
+        "path": request.path,
     }
-
-
-def _run_state(sent: _forwarder.ForwardFailure) -> exceptions.RunState:
-    if sent.sent:
-        return exceptions.RunState.MAY_HAVE_RUN
-    return exceptions.RunState.NOT_RUN
-
-
-def _outcome_kind(sent: _forwarder.ForwardFailure) -> state.OutcomeKind:
-    if not sent.sent:
-        return state.OutcomeKind.NOT_SENT
-    if sent.code is exceptions.ResultCode.BACKEND_TIMEOUT:
-        return state.OutcomeKind.TIMED_OUT
-    return state.OutcomeKind.BROKEN
+    if record.route is not None:
+        fields["route"] = record.route.route
+        fields["kind"] = record.route.kind.value
+    fields |= {
+        "team": record.team,
+        "service": record.service,
+        "status": record.answer.status,
+        "result": record.result,
+    }
+    if record.code is not None and record.run_state is not None:
+        fields["result_code"] = record.code.value
+        fields["run_state"] = record.run_state.value
+    if record.to_host:
+        fields["to_host"] = record.to_host
+    fields |= {
+        "attempts": record.attempts,
+        "duration_ms": round(duration_s * 1000, 3),
+        "table_version": str(record.version),
+    }
+    return fields
