Test calls over a scripted faulty backend server

The fault classes of a call were only covered by reading the code.

A small TCP server plays one fault for each row of a table; the rows give method, expected status, result code, run state, number of runs and the outcome that the admission actor is told. Further scenarios cover a close that crosses a booking, the retry budget and a stop with calls in hand.

--- /dev/null
+++ b/features/steps/faults_steps.py
@@ -0,0 +1,257 @@
+"""Steps on calls over faulty backend servers, on real sockets."""
+
+import contextlib
+import http.client
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import scripted_server
+
+from jasminecrank import coordination
+from jasminecrank import exceptions
+from jasminecrank import state
+from jasminecrank import transport
+
+VERSION = state.Version(7, "ab" * 32)
+LIMIT_S = 15.0
+
+
+def route(kind):
+    """Return a route of a kind."""
+    return state.RouteRow(
+        kind.value,
+        "ledger",
+        "GET",
+        "/",
+        kind,
+        state.Priority.ORDINARY,
+        False,
+        1000,
+    )
+
+
+def host_row(host, port):
+    """Return the row of a live host."""
+    return state.HostRow(
+        host,
+        "ledger",
+        "north",
+        "savo",
+        "127.0.0.1",
+        port,
+        2,
+        3,
+        4,
+        0,
+        state.HostState.LIVE,
+    )
+
+
+class ScriptedAdmission:
+    """Admits each call here first and then forwards it to other hosts."""
+
+    def __init__(self):
+        self.others = {}
+        self.own = True
+        self.deadline_s = LIMIT_S
+        self.outcomes = []
+        self.calls = []
+        self.held = None
+
+    def tell(self, message):
+        """Answer one message at once."""
+        match message:
+            case coordination.AdmitCall():
+                self.calls.append(message.call)
+                if self.held is not None:
+                    self.held.wait(LIMIT_S)
+                message.reply.set(self._decide(message.call))
+            case coordination.CallFinished():
+                self.outcomes.append(message.outcome.kind)
+
+    def _decide(self, call):
+        kind = (
+            state.RouteKind.BOOKING
+            if call.method == "POST"
+            else state.RouteKind.LOOKUP
+        )
+        deadline_at_s = time.monotonic() + self.deadline_s
+        if self.own and "own" not in call.tried_hosts:
+            return state.Admitted(
+                state.Permit(
+                    call.request_id,
+                    route(kind),
+                    "belt",
+                    VERSION,
+                    deadline_at_s,
+                )
+            )
+        for host, port in self.others.items():
+            if host not in call.tried_hosts:
+                return state.ForwardTo(
+                    host_row(host, port),
+                    route(kind),
+                    "belt",
+                    VERSION,
+                    deadline_at_s,
+                )
+        return state.Refused(
+            exceptions.ResultCode.NO_HOST_AVAILABLE,
+            exceptions.RunState.NOT_RUN,
+            VERSION,
+        )
+
+
+@given("a call server with a scripted admission")
+def step_call_server(context):
+    context.exit_stack = contextlib.ExitStack()
+    context.admission = ScriptedAdmission()
+    retries = coordination.RetryActor.start()
+    context.exit_stack.callback(retries.stop)
+    settings = transport.CallServerSettings(
+        "own", "127.0.0.1", 0, transport.Target("127.0.0.1", 1), 16
+    )
+    context.application = transport.CallApplication.from_settings(
+        settings, context.admission, retries, state.SystemClock()
+    )
+    context.call_server = transport.CallServer(settings, context.application)
+    context.port = context.call_server.start()
+    context.exit_stack.callback(context.call_server.stop)
+
+
+def call(context, method):
+    """Send one call and return its answer as a table row shows it."""
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", context.port, timeout=LIMIT_S
+    )
+    with contextlib.closing(connection):
+        connection.request(method, "/lots", headers={"Connection": "close"})
+        response = connection.getresponse()
+        response.read()
+        return (
+            str(response.status),
+            response.headers.get("X-Result-Code", ""),
+            response.headers.get("X-Run-State", ""),
+        )
+
+
+def run_row(context, row):
+    """Set up the servers of a row, send its calls and return what is seen."""
+    servers = [scripted_server.ScriptedServer(row["fault"])]
+    if row["second host"]:
+        servers.append(scripted_server.ScriptedServer(row["second host"]))
+    admission = context.admission
+    admission.outcomes.clear()
+    admission.own = not row["fault"].startswith("refuses as")
+    ports = [server.port for server in servers]
+    context.application.runner.server = transport.Target("127.0.0.1", ports[0])
+    others = ports[1:] if admission.own else ports
+    admission.others = {f"other-{port}": port for port in others}
+    ends_late = row["result code"] == "302"
+    admission.deadline_s = 0.3 if ends_late else LIMIT_S
+    try:
+        seen = []
+        for _ in range(int(row["calls"])):
+            seen = call(context, row["method"])
+            if servers[0].fault == "closes after its first answer":
+                assert servers[0].idle_closed.wait(LIMIT_S)
+        runs = sum(server.runs for server in servers)
+    finally:
+        for server in servers:
+            server.close()
+    outcome = admission.outcomes[-1].value if admission.outcomes else ""
+    return (*seen, str(runs), outcome)
+
+
+@when("calls meet these faults")
+def step_faults(context):
+    names = ("status", "result code", "run state", "runs", "outcome")
+    context.failures = []
+    for row in context.table:
+        seen = run_row(context, row)
+        wanted = tuple(row[name] for name in names)
+        if any(a not in ("*", b) for a, b in zip(wanted, seen, strict=True)):
+            context.failures.append(f"{row} gave {seen}")
+
+
+@when("the node sees closed connections too late and calls meet these faults")
+def step_late_faults(context):
+    # The peer's close crosses the request, as far as the node can tell.
+    channel = transport.DeadlineSocket
+    original = channel.is_quiet
+    channel.is_quiet = lambda self: True
+    try:
+        step_faults(context)
+    finally:
+        channel.is_quiet = original
+
+
+@then("every outcome is as listed")
+def step_outcomes(context):
+    assert not context.failures, "\n".join(context.failures)
+
+
+@when("lookups fail {count:d} times in a row")
+def step_budget(context, count):
+    faulty = scripted_server.ScriptedServer("closes without an answer")
+    good = scripted_server.ScriptedServer("none")
+    context.exit_stack.callback(faulty.close)
+    context.exit_stack.callback(good.close)
+    context.application.runner.server = transport.Target(
+        "127.0.0.1", faulty.port
+    )
+    context.admission.others = {"other": good.port}
+    context.seen = [call(context, "GET") for _ in range(count)]
+
+
+@then("{good:d} are answered and the others are refused with {code}")
+def step_budget_seen(context, good, code):
+    answered = [seen for seen in context.seen if seen[0] == "200"]
+    refused = {seen[1:] for seen in context.seen if seen[0] != "200"}
+    assert len(answered) == good, context.seen
+    assert refused == {(code, "may-have-run")}, context.seen
+
+
+@when("a call is in hand, one is sent and the server stops")
+def step_stop(context):
+    context.admission.held = threading.Event()
+    server = scripted_server.ScriptedServer("none")
+    context.exit_stack.callback(server.close)
+    context.application.runner.server = transport.Target(
+        "127.0.0.1", server.port
+    )
+    idle, busy, late = (
+        http.client.HTTPConnection("127.0.0.1", context.port, timeout=LIMIT_S)
+        for _ in range(3)
+    )
+    context.admission.held.set()
+    for connection in (idle, busy, late):
+        connection.request("GET", "/warm")
+        connection.getresponse().read()
+    context.admission.held.clear()
+    busy.request("GET", "/busy")
+    while len(context.admission.calls) < 4:
+        assert not context.admission.held.wait(0.01)
+    stopping = threading.Thread(target=context.call_server.stop)
+    context.started_s = time.monotonic()
+    stopping.start()
+    late.request("POST", "/late")
+    context.admission.held.set()
+    context.seen = []
+    for connection in (busy, late):
+        response = connection.getresponse()
+        response.read()
+        context.seen.append((response.status, response.will_close))
+    stopping.join(LIMIT_S)
+    context.stop_s = time.monotonic() - context.started_s
+    context.idle_socket = idle.sock
+
+
+@then("both calls are answered, and idle connections don't delay the stop")
+def step_stopped(context):
+    assert context.seen == [(200, True), (200, True)], context.seen
+    assert context.stop_s < LIMIT_S, context.stop_s
+    assert context.idle_socket.recv(1) == b""
--- /dev/null
+++ b/features/transport/faults.feature
@@ -0,0 +1,66 @@
+Feature: Calls over faulty backend servers
+
+  Guards against a booking that runs twice, a refusal whose run state is
+  untrue, a part of an answer passed on as the whole, and a call that
+  outlives its deadline.
+
+  Scenario: Each fault ends in a true refusal or one retry
+    Given a call server with a scripted admission
+    When calls meet these faults
+      | fault                            | second host | method | calls | status | result code | run state    | runs | outcome   |
+      | none                             |             | POST   | 3     | 200    |             |              | 3    | answered  |
+      | refuses                          |             | GET    | 1     | 502    | 301         | not-run      | 0    | not-sent  |
+      | refuses                          |             | POST   | 1     | 502    | 301         | not-run      | 0    | not-sent  |
+      | refuses                          | none        | POST   | 1     | 200    |             |              | 1    | not-sent  |
+      | closes unread                    | none        | GET    | 1     | 200    |             |              | 1    | *         |
+      | resets within the request        |             | POST   | 1     | 502    | 303         | may-have-run | 0    | broken    |
+      | resets within the request        | none        | GET    | 1     | 200    |             |              | 1    | broken    |
+      | closes without an answer         | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | closes without an answer         | none        | GET    | 1     | 200    |             |              | 2    | broken    |
+      | resets without an answer         | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | never answers                    | none        | POST   | 1     | 504    | 302         | may-have-run | 1    | timed-out |
+      | sends a byte at a time           | none        | GET    | 1     | 504    | 302         | may-have-run | 1    | timed-out |
+      | cuts its body                    | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | cuts its body                    | none        | GET    | 1     | 200    |             |              | 2    | broken    |
+      | cuts its headers                 | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | cuts its chunks                  | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | breaks its chunks                | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | ends with its connection         | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | names two lengths                | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | sends an interim answer          | none        | POST   | 1     | 502    | 303         | may-have-run | 1    | broken    |
+      | answers another call             | none        | POST   | 1     | 502    | 304         | may-have-run | 1    | broken    |
+      | answers another call             | none        | GET    | 1     | 200    |             |              | 2    | broken    |
+      | answers twice                    |             | POST   | 3     | 200    |             |              | 3    | answered  |
+      | answers at length                | none        | POST   | 1     | 502    | 305         | may-have-run | 1    | broken    |
+      | answers at length in chunks      | none        | POST   | 1     | 502    | 305         | may-have-run | 1    | broken    |
+      | sheds, not run                   |             | POST   | 1     | 503    |             | not-run      | 0    | shed      |
+      | sheds, not run                   | none        | POST   | 1     | 200    |             |              | 1    | shed      |
+      | sheds, no run state              | none        | POST   | 1     | 503    |             |              | 0    | shed      |
+      | sheds, no run state              | none        | GET    | 1     | 200    |             |              | 1    | shed      |
+      | answers 503                      | none        | GET    | 1     | 503    |             |              | 1    | answered  |
+      | poses as a node                  | none        | POST   | 1     | 200    |             |              | 1    | answered  |
+      | refuses as a node, queue full    | none        | POST   | 1     | 200    |             |              | 1    |           |
+      | refuses as a node, rate exceeded | none        | POST   | 1     | 503    | 205         | not-run      | 0    |           |
+      | refuses as a node, answer cut    | none        | POST   | 1     | 503    | 303         | may-have-run | 1    |           |
+      | refuses as a node, answer cut    | none        | GET    | 1     | 200    |             |              | 2    |           |
+      | closes after its first answer    |             | POST   | 3     | 200    |             |              | 3    | answered  |
+      | closes after the second request  |             | POST   | 2     | 502    | 303         | may-have-run | 2    | broken    |
+    Then every outcome is as listed
+
+  Scenario: A kept connection that closes while a booking is sent loses none
+    Given a call server with a scripted admission
+    When the node sees closed connections too late and calls meet these faults
+      | fault                           | second host | method | calls | status | result code | run state    | runs | outcome  |
+      | closes after its first answer   |             | POST   | 3     | 200    |             |              | 3    | answered |
+      | closes after the second request |             | POST   | 2     | 502    | 303         | may-have-run | 2    | broken   |
+    Then every outcome is as listed
+
+  Scenario: Retries stop at their budget
+    Given a call server with a scripted admission
+    When lookups fail 14 times in a row
+    Then 11 are answered and the others are refused with 218
+
+  Scenario: A stop cuts no call
+    Given a call server with a scripted admission
+    When a call is in hand, one is sent and the server stops
+    Then both calls are answered, and idle connections don't delay the stop
--- a/src/jasminecrank/state/_retry.py
+++ b/src/jasminecrank/state/_retry.py
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ClosedBeforeRequest:
-    """A kept connection was closed before any byte was acknowledged."""
+    """The peer closed the connection and acknowledged no byte."""
 
     code: exceptions.ResultCode
 
--- a/src/jasminecrank/transport/__init__.py
+++ b/src/jasminecrank/transport/__init__.py
@@ -23,4 +23,5 @@
 )
 from jasminecrank.transport._logs import log_event as log_event
 from jasminecrank.transport._logs import log_fields as log_fields
+from jasminecrank.transport._sockets import DeadlineSocket as DeadlineSocket
 from jasminecrank.transport._source import SourceReader as SourceReader
--- a/src/jasminecrank/transport/_forwarder.py
+++ b/src/jasminecrank/transport/_forwarder.py
@@ -82,7 +82,6 @@
 class _Exchange:
     """What has happened to one request on one connection."""
 
-    kept: bool
     acked_before: int | None
     sent_bytes: int = 0
     answer_began: bool = False
@@ -111,8 +110,7 @@
             case _:
                 closed = False
         return (
-            self.kept
-            and closed
+            closed
             and self.acked_before is not None
             and connection.channel.bytes_acked() == self.acked_before
         )
@@ -139,7 +137,7 @@
         """Send a call and return what its whole answer or failure proves."""
         connection = self._take(target)
         if connection is not None:
-            evidence = self._try(connection, target, outgoing, decode, True)
+            evidence = self._try(connection, target, outgoing, decode)
             match evidence:
                 case (
                     state.ClosedBeforeRequest()
@@ -161,7 +159,7 @@
             )
         except OSError:
             return state.NothingSent(exceptions.ResultCode.BACKEND_UNREACHABLE)
-        return self._try(connection, target, outgoing, decode, False)
+        return self._try(connection, target, outgoing, decode)
 
     def _try(
         self,
@@ -169,11 +167,10 @@
         target: Target,
         outgoing: OutgoingCall,
         decode: Decode,
-        kept: bool,
     ) -> state.Evidence:
         channel = connection.channel
         channel.deadline_at_s = outgoing.deadline_at_s
-        exchange = _Exchange(kept, channel.bytes_acked() if kept else None)
+        exchange = _Exchange(channel.bytes_acked())
         try:
             _write(connection, outgoing, exchange)
             evidence, reusable = _read(connection, outgoing, decode, exchange)
