Refuse ambiguous requests with a result code

Requests that cheroot rejects were answered without result code and run state, a chunked body was not read at all, and a header given twice was folded or lost. An overload answer that says "not run" was delivered for a lookup whose earlier attempt may have run.

All refusals of the HTTP server now carry result code and run state; a table of raw requests covers framing, headers, keys, bodies and limits. The health probe uses the forwarder, so that its deadline is total.

--- /dev/null
+++ b/features/steps/requests_steps.py
@@ -0,0 +1,150 @@
+"""Steps on raw requests to a call server."""
+
+import http.client
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+import scripted_server
+
+from jasminecrank import transport
+
+LIMIT_S = 15.0
+EXTRAS = {
+    "body": (["Content-Length: 4"], b"abcd"),
+    "chunked body": (
+        ["Transfer-Encoding: chunked"],
+        b"4\r\nabcd\r\n4;a=b\r\nefgh\r\n0\r\nX-Trailer: a\r\n\r\n",
+    ),
+    "body of 1000000": (["Content-Length: 1000000"], b"x" * 1_000_000),
+    "body of 1000001": (["Content-Length: 1000001"], b"x" * 1_000_001),
+    "chunks of 1000001": (
+        ["Transfer-Encoding: chunked"],
+        b"F4241\r\n" + b"x" * 1_000_001 + b"\r\n0\r\n\r\n",
+    ),
+    "bad chunk": (["Transfer-Encoding: chunked"], b"xyz\r\nabc\r\n"),
+    "two lengths": (["Content-Length: 4", "Content-Length: 5"], b"abcd"),
+    "length and chunks": (
+        ["Content-Length: 4", "Transfer-Encoding: chunked"],
+        b"0\r\n\r\n",
+    ),
+    "twice": (["X-A: 1", "X-A: 2"], b""),
+    "Connection: X-Gone": (["Connection: X-Gone", "X-Gone: a"], b""),
+    "two keys": (["Authorization: Bearer a", "AUTHORIZATION: Bearer b"], b""),
+    "two request ids": (["X-Request-Id: a", "X-Request-Id: b"], b""),
+}
+
+
+def encode(text):
+    """Return the bytes of a request from its table cell."""
+    line, _, extra = text.partition(";")
+    extra = extra.removeprefix(" ")
+    headers, body = EXTRAS.get(extra, ([extra] if extra else [], b""))
+    head = [f"{line} HTTP/1.1", "Host: node", *headers, "", ""]
+    return "\r\n".join(head).encode() + body
+
+
+def exchange(context, method, data):
+    """Send bytes and return the answer's status and result code."""
+    with socket.create_connection(
+        ("127.0.0.1", context.port), timeout=LIMIT_S
+    ) as caller:
+        caller.sendall(data)
+        response = http.client.HTTPResponse(caller, method=method)
+        response.begin()
+        response.read()
+        code = response.headers.get("X-Result-Code", "")
+        run_state = response.headers.get("X-Run-State", "")
+        assert (run_state == "not-run") == bool(code), response.headers
+        return str(response.status), code
+
+
+def received(server, wanted):
+    """Return whether the last request to the server is as listed."""
+    request = server.requests[-1]
+    kind, _, value = wanted.partition(" ")
+    match kind:
+        case "no":
+            return f"\r\n{value}:".encode() not in request.lower()
+        case "body:":
+            return request.endswith(b"\r\n\r\n" + value.encode())
+        case "length:":
+            return len(request.partition(b"\r\n\r\n")[2]) == int(value)
+    return wanted.replace("\\r\\n", "\r\n").encode() in request
+
+
+@given("a backend server that answers")
+def step_backend(context):
+    context.server = scripted_server.ScriptedServer("none")
+    context.exit_stack.callback(context.server.close)
+    context.application.runner.server = transport.Target(
+        "127.0.0.1", context.server.port
+    )
+
+
+@when("these requests are sent as they are")
+def step_requests(context):
+    context.failures = []
+    for row in context.table:
+        before = context.server.runs
+        text = row["request"]
+        seen = exchange(context, text.split(" ")[0], encode(text))
+        runs = context.server.runs - before
+        good = seen == (row["status"], row["code"])
+        good = good and runs == (row["status"] == "200")
+        if not good or (
+            runs and not received(context.server, row["server gets"])
+        ):
+            context.failures.append(
+                f"{text} gave {seen}, {runs} runs, "
+                f"{context.server.requests[-1][:400]!r}"
+            )
+
+
+@then("each is answered as listed")
+def step_as_listed(context):
+    assert not context.failures, "\n".join(context.failures)
+
+
+@when("{count:d} requests are sent in one piece")
+def step_pipelined(context, count):
+    with socket.create_connection(
+        ("127.0.0.1", context.port), timeout=LIMIT_S
+    ) as caller:
+        caller.sendall(
+            b"".join(
+                encode(f"GET /lots/{number}; X-Request-Id: {number}")
+                for number in range(count)
+            )
+        )
+        caller.shutdown(socket.SHUT_WR)
+        data = b""
+        while part := caller.recv(65536):
+            data += part
+    context.seen = [
+        line.split(b": ")[1]
+        for line in data.split(b"\r\n")
+        if line.lower().startswith(b"x-request-id")
+    ]
+
+
+@then("{count:d} answers come in the order of the requests")
+def step_in_order(context, count):
+    wanted = [str(number).encode() for number in range(count)]
+    assert context.seen == wanted, context.seen
+
+
+@when("{count:d} callers connect and send nothing")
+def step_silent_callers(context, count):
+    for _ in range(count):
+        caller = socket.create_connection(
+            ("127.0.0.1", context.port), timeout=LIMIT_S
+        )
+        context.exit_stack.callback(caller.close)
+
+
+@then("another call is answered")
+def step_another(context):
+    seen = exchange(context, "GET", encode("GET /lots"))
+    assert seen == ("200", ""), seen
--- a/src/jasminecrank/state/_retry.py
+++ b/src/jasminecrank/state/_retry.py
@@ -197,17 +197,27 @@
         """
         last = self.seen[-1]
         match last:
-            case Answered() | Shed():
+            case Answered():
                 return Deliver(last.answer)
-            case NodeRefused():
-                if self.run_state() is last.run_state:
+            case Shed() | NodeRefused():
+                # An answer that says "not run" speaks of its own attempt.
+                if run_state(last) is self.run_state():
                     return Deliver(last.answer)
-                return self.refuse(last.code)
+                return self.refuse(code or self._lost_code())
             case NothingSent() | ClosedBeforeRequest() | AnswerLost():
                 return self.refuse(code or last.code)
             case _:
                 typing.assert_never(last)
 
+    def _lost_code(self) -> exceptions.ResultCode:
+        for evidence in self.seen:
+            match evidence:
+                case AnswerLost():
+                    return evidence.code
+                case _:
+                    continue
+        return exceptions.ResultCode.ANSWER_CUT
+
     def refuse(
         self,
         code: exceptions.ResultCode,
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -8,11 +8,13 @@
 from collections.abc import Callable
 import http
 import io
+import logging as std_logging
 import re
 import socket
 import time
 import typing
 
+from absl import logging
 from cheroot import errors
 from cheroot import server as cheroot_server
 
@@ -126,9 +128,14 @@
             )
         answer = protocol.encode_refusal(refused, "")
         self.close_connection = True
-        self.ready = False
-        self.rfile = None
-        self.send_answer(status, answer)
+        self.rfile = None  # what is left of the request is not read
+        length = ("Content-Length", str(len(answer.body)))
+        self.send_answer(
+            status,
+            state.Answer(
+                answer.status, (*answer.headers, length), answer.body
+            ),
+        )
 
     def send_answer(self, status: str, answer: state.Answer) -> None:
         """Send a whole answer with one write."""
@@ -178,7 +185,11 @@
         handler: CallHandler = request.server.handler
         method = request.method.decode("latin-1")
         target = request.uri.decode("latin-1")
-        body = self._read_body()
+        try:
+            body = self._read_body()
+        except ValueError:
+            request.simple_response("400 Bad Request")
+            return
         if body is None:
             request.close_connection = True
             handled = handler.refuse_body(method, target)
@@ -197,7 +208,10 @@
             handled.after()
 
     def _read_body(self) -> bytes | None:
-        """Return the whole body, or None if it is too large."""
+        """Return the whole body, or None if it is too large.
+
+        Raises ValueError for a body that is cut or malformed.
+        """
         request = self.req
         if request.chunked_read:
             # A malformed last chunk must not begin another request.
@@ -212,7 +226,7 @@
             return None
         body: bytes = request.rfile.read(length) if length else b""
         if len(body) != length:
-            raise ConnectionError("request cut within its body")
+            raise ValueError("request cut within its body")
         return body
 
     def _read_chunks(self) -> bytes | None:
@@ -228,7 +242,7 @@
         if len(body) > const.MAX_BODY_BYTES:
             return None
         if not chunks.closed:
-            raise ConnectionError("request cut within its body")
+            raise ValueError("request cut within its body")
         for _ in chunks.read_trailer_lines():
             pass
         return body
@@ -275,6 +289,16 @@
         else:
             conn.close()
 
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Log what the library reports."""
+        del traceback
+        if level >= std_logging.ERROR:
+            logging.error("call server: %s", msg)
+        else:
+            logging.info("call server: %s", msg)
+
     def stop(self) -> None:
         """Serve every request received so far, then close everything."""
         if self.ready:
--- a/src/jasminecrank/transport/_health.py
+++ b/src/jasminecrank/transport/_health.py
@@ -1,16 +1,25 @@
 """Probe of the backend server's health endpoint."""
 
 import json
+import time
 
 import pykka
-import urllib3
 
 from jasminecrank import coordination
+from jasminecrank import protocol
 from jasminecrank import state
 from jasminecrank.transport import _forwarder
 
 _PROBE_PERIOD_S = 1.0
 _PROBE_TIMEOUT_S = 0.5
+_IDLE_S = 4.0
+_PROBE = protocol.HttpCall(
+    state.CallRequest("health", "GET", "/health", None, None, None, None),
+    "/health",
+    (),
+    b"",
+)
+_UNREACHABLE = state.HealthReport(False, 0, False, 0.0)
 
 
 class HealthProbe(coordination.NodeActor):
@@ -25,9 +34,8 @@
         super().__init__()
         self._timers = timers
         self._admission = admission
-        self._pool = urllib3.HTTPConnectionPool(
-            target.address, target.port, maxsize=1
-        )
+        self._target = target
+        self._client = _forwarder.ServerClient(_IDLE_S)
 
     def on_start(self) -> None:
         """Schedule the first probe."""
@@ -44,21 +52,30 @@
         return None
 
     def _probe(self) -> state.HealthReport:
-        try:
-            response = self._pool.request(
-                "GET", "/health", timeout=_PROBE_TIMEOUT_S, retries=False
-            )
-            values = json.loads(response.data)
-            return state.HealthReport(
-                reachable=True,
-                started_at_ms=int(values["started_at_ms"]),
-                draining=bool(values.get("draining", False)),
-                load=float(values.get("load", 0.0)),
-            )
-        except (
-            urllib3.exceptions.HTTPError,
-            ValueError,
-            KeyError,
-            TypeError,
-        ):
-            return state.HealthReport(False, 0, False, 0.0)
+        outgoing = _forwarder.OutgoingCall(
+            _PROBE, (), time.monotonic() + _PROBE_TIMEOUT_S
+        )
+        evidence = self._client.send(
+            self._target, outgoing, protocol.server_evidence
+        )
+        match evidence:
+            case state.Answered():
+                return _decode_health(evidence.answer.body)
+            case state.Shed():
+                # A server that sheds load is there, and as busy as it can be.
+                return state.HealthReport(True, 0, False, 1.0)
+            case _:
+                return _UNREACHABLE
+
+
+def _decode_health(body: bytes) -> state.HealthReport:
+    try:
+        values = json.loads(body)
+        return state.HealthReport(
+            reachable=True,
+            started_at_ms=int(values["started_at_ms"]),
+            draining=bool(values.get("draining", False)),
+            load=float(values.get("load", 0.0)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return _UNREACHABLE
