Let a worker wait a little for its caller's next request

Each request on a kept connection went through the selector thread: two changes of the epoll set, a queue and a wake-up before a worker read it.

A worker now stays with its connection for up to 0.25 s, at most one in four workers at a time and only while no other connection waits.

--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -11,6 +11,7 @@
 import logging as std_logging
 import queue
 import socket
+import threading
 import time
 import typing
 
@@ -32,6 +33,9 @@
 _HEADER_BYTES_MAX = 65_536
 _READ_S = 5.0
 _WRITE_S = 10.0
+_STAY_S = 0.25
+_STAYING_PART = 4
+"""One worker in so many may wait for the next request of its caller."""
 _BUFFER_BYTES = 65_536
 _DISCARD_BYTES_MAX = 4 * const.MAX_BODY_BYTES
 _CHUNKED_BYTES_MAX = 2 * const.MAX_BODY_BYTES
@@ -155,10 +159,14 @@
         )
 
     def communicate(self) -> bool:
-        """Read one request and answer it."""
-        self.socket.deadline_at_s = time.monotonic() + _READ_S
+        """Answer requests; True leaves the connection to the selector."""
         communicate: Callable[[], bool] = super().communicate
-        return communicate()
+        while True:
+            self.socket.deadline_at_s = time.monotonic() + _READ_S
+            if not communicate():
+                return False
+            if not self.server.await_next(self):
+                return True
 
 
 def _make_file(
@@ -260,6 +268,9 @@
         )
         self.handler = handler
         self.draining = False
+        self._staying = threading.BoundedSemaphore(
+            max(1, threads // _STAYING_PART)
+        )
         # queue.Queue hands over under a condition written in Python.
         handover: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
         self.requests._queue = handover
@@ -286,6 +297,24 @@
         else:
             conn.close()
 
+    def await_next(self, conn: _Connection) -> bool:
+        """Wait a little for the next request on a connection.
+
+        A worker that stays with its connection saves two hand-overs between
+        threads for a caller that sends often.
+        """
+        if self.draining or not self.ready or self.requests.qsize:
+            return False
+        if conn.rfile.has_data():  # others come before a pipelined request
+            return False
+        if not self._staying.acquire(blocking=False):
+            return False
+        try:
+            readable: bool = conn.socket.is_readable(_STAY_S)
+        finally:
+            self._staying.release()
+        return readable
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -67,6 +67,12 @@
             except BlockingIOError:
                 self._wait(select.POLLOUT)
 
+    def is_readable(self, timeout_s: float) -> bool:
+        """Return whether data or the peer's close comes within a time."""
+        poll = select.poll()
+        poll.register(self.fileno(), select.POLLIN)
+        return bool(poll.poll(timeout_s * 1000))
+
     def is_quiet(self) -> bool:
         """Return whether the peer has neither sent nor closed."""
         poll = select.poll()
