Withdraw a waiting call whose caller has gone

A call stayed in the queue, and then took a slot, after its caller had closed the connection.

A worker whose decision does not come within 20 ms registers the caller's connection with an epoll set that one thread sleeps on; a close sends CancelCall. Prompt decisions pay nothing.

--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -60,15 +60,32 @@
         self.outcomes = []
         self.calls = []
         self.held = None
+        self.waiting = None
+        self.cancel_seen = threading.Event()
 
     def tell(self, message):
         """Answer one message at once."""
         match message:
             case coordination.AdmitCall():
                 self.calls.append(message.call)
+                if message.call.path == "/waits":
+                    self.waiting = message
+                    self.cancel_seen.clear()
+                    return
                 if self.held is not None:
                     self.held.wait(LIMIT_S)
                 message.reply.set(self._decide(message.call))
+            case coordination.CancelCall():
+                waiting = self.waiting
+                assert message.request_id == waiting.call.request_id
+                waiting.reply.set(
+                    state.Refused(
+                        exceptions.ResultCode.CALL_CANCELLED,
+                        exceptions.RunState.NOT_RUN,
+                        VERSION,
+                    )
+                )
+                self.cancel_seen.set()
             case coordination.CallFinished():
                 self.outcomes.append(message.outcome.kind)
 
@@ -255,3 +272,18 @@
     assert context.seen == [(200, True), (200, True)], context.seen
     assert context.stop_s < LIMIT_S, context.stop_s
     assert context.idle_socket.recv(1) == b""
+
+
+@when("a caller closes its connection while its call waits")
+def step_caller_gone(context):
+    caller = http.client.HTTPConnection(
+        "127.0.0.1", context.port, timeout=LIMIT_S
+    )
+    caller.request("GET", "/waits")
+    caller.close()
+
+
+@then("the call is withdrawn")
+def step_withdrawn(context):
+    assert context.admission.cancel_seen.wait(LIMIT_S)
+    assert context.admission.outcomes == []
--- a/features/transport/faults.feature
+++ b/features/transport/faults.feature
@@ -64,3 +64,8 @@
     Given a call server with a scripted admission
     When a call is in hand, one is sent and the server stops
     Then both calls are answered, and idle connections don't delay the stop
+
+  Scenario: A call whose caller has gone leaves the queue
+    Given a call server with a scripted admission
+    When a caller closes its connection while its call waits
+    Then the call is withdrawn
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -23,6 +23,7 @@
 from jasminecrank import exceptions
 from jasminecrank import protocol
 from jasminecrank import state
+from jasminecrank.transport import _caller_watch
 from jasminecrank.transport import _header_lines
 from jasminecrank.transport import _sockets
 
@@ -45,7 +46,9 @@
 class CallHandler(typing.Protocol):
     """What decides on requests; independent of this server."""
 
-    def answer(self, request: protocol.HttpRequest) -> "Handled":
+    def answer(
+        self, request: protocol.HttpRequest, caller: _caller_watch.Caller
+    ) -> "Handled":
         """Return the answer to a request."""
 
     def refuse_body(self, method: str, target: str) -> "Handled":
@@ -198,7 +201,10 @@
             handled = handler.answer(
                 protocol.HttpRequest(
                     method, target, request.inheaders.pairs, body
-                )
+                ),
+                _caller_watch.Caller(
+                    request.conn.socket, request.server.caller_watch
+                ),
             )
         try:
             request.send_answer(
@@ -267,6 +273,7 @@
             (address, port), _Gateway, minthreads=threads, maxthreads=threads
         )
         self.handler = handler
+        self.caller_watch = _caller_watch.CallerWatch.start()
         self.draining = False
         self._staying = threading.BoundedSemaphore(
             max(1, threads // _STAYING_PART)
@@ -331,6 +338,7 @@
             self._connections.stop()
             self._serve_received()
         super().stop()
+        self.caller_watch.stop()
 
     def _serve_received(self) -> None:
         # The listening socket is read first, so that a connection accepted
--- a/src/jasminecrank/transport/_call_runner.py
+++ b/src/jasminecrank/transport/_call_runner.py
@@ -13,8 +13,10 @@
 from jasminecrank import exceptions
 from jasminecrank import protocol
 from jasminecrank import state
+from jasminecrank.transport import _caller_watch
 from jasminecrank.transport import _forwarder
 
+_PROMPT_S = 0.02
 _SERVER_IDLE_S = 4.0
 _NODE_IDLE_S = 20.0  # below the keep-alive time of the nodes' call servers
 
@@ -52,6 +54,13 @@
         """Return the decision when it comes."""
         return self._queue.get()
 
+    def wait_promptly(self) -> state.Decision | None:
+        """Return the decision, or None if the call waits in the queue."""
+        try:
+            return self._queue.get(timeout=_PROMPT_S)
+        except queue.Empty:
+            return None
+
 
 @dataclass(slots=True)
 class CallRunner:
@@ -87,7 +96,9 @@
             call_numbers=itertools.count(1),
         )
 
-    def run(self, call: protocol.HttpCall) -> CallRecord:
+    def run(
+        self, call: protocol.HttpCall, caller: _caller_watch.Caller
+    ) -> CallRecord:
         """Return how a call ends, after as many attempts as it may have."""
         request = call.request
         attempts = state.Attempts(
@@ -96,7 +107,7 @@
         calls_seen = next(self.call_numbers)
         last: CallRecord | None = None
         while True:
-            decision = self._decide(request)
+            decision = self._decide(request, caller)
             match decision:
                 case state.Admitted():
                     step = self._run_here(call, decision.permit, attempts)
@@ -124,10 +135,17 @@
                     typing.assert_never(step)
             return _concluded(step, request, last)
 
-    def _decide(self, request: state.CallRequest) -> state.Decision:
+    def _decide(
+        self, request: state.CallRequest, caller: _caller_watch.Caller
+    ) -> state.Decision:
         slot = DecisionSlot()
         self.admission.tell(coordination.AdmitCall(request, slot))
-        return slot.wait()
+        decision = slot.wait_promptly()
+        if decision is not None:
+            return decision
+        cancel = coordination.CancelCall(request.request_id)
+        with caller.watching(lambda: self.admission.tell(cancel)):
+            return slot.wait()
 
     def _take_retry(self, calls_seen: int) -> bool:
         taken: bool = coordination.ask(
--- a/src/jasminecrank/transport/_call_server.py
+++ b/src/jasminecrank/transport/_call_server.py
@@ -13,6 +13,7 @@
 from jasminecrank import state
 from jasminecrank.transport import _call_http
 from jasminecrank.transport import _call_runner
+from jasminecrank.transport import _caller_watch
 from jasminecrank.transport import _forwarder
 from jasminecrank.transport import _logs
 
@@ -52,7 +53,9 @@
         )
         return cls(runner, clock)
 
-    def answer(self, request: protocol.HttpRequest) -> _call_http.Handled:
+    def answer(
+        self, request: protocol.HttpRequest, caller: _caller_watch.Caller
+    ) -> _call_http.Handled:
         """Return the answer to a request."""
         started_s = self.clock.monotonic_s()
         try:
@@ -62,7 +65,7 @@
                 error.code, request.method, request.target, started_s
             )
         try:
-            record = self.runner.run(call)
+            record = self.runner.run(call, caller)
         except exceptions.InvariantError:
             coordination.NodeActor.on_crash()
             raise
