--- a/src/jasminecrank/state/_retry.py
+++ b/src/jasminecrank/state/_retry.py
@@ -127,12 +127,16 @@
 
 
 def outcome_kind(evidence: Evidence) -> _calls.OutcomeKind:
-    """Return what an attempt says about the backend server."""
+    """Return what an attempt says about the host it was sent to."""
     match evidence:
         case Answered():
             return _calls.OutcomeKind.ANSWERED
-        case Shed() | NodeRefused():
+        case Shed():
             return _calls.OutcomeKind.SHED
+        case NodeRefused():
+            if evidence.code in _HOST_CODES:
+                return _calls.OutcomeKind.SHED
+            return _calls.OutcomeKind.ANSWERED
         case NothingSent() | ClosedBeforeRequest():
             # A late or unusable request says nothing about the server.
             if evidence.code is exceptions.ResultCode.BACKEND_UNREACHABLE:
