Split the loans from the quota state

Change: LoanBook asks for, gives and takes over loans; Demand and Audit have a module of their own. quota_usable in the status is true once there is a token for every team.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -358,7 +358,7 @@
 @when("a host drains")
 def step_drain(context):
     host = context.published.host_by_slot[1]
-    context.fleet.by_host[host].quota.draining = True
+    context.fleet.by_host[host].quota.start_draining()
 
 
 @when("half of the hosts are cut")
@@ -431,7 +431,7 @@
 def ask_again(context):
     """Return the borrower's next ask, as if none were under way."""
     quota = context.pair[1]
-    quota.asks_by_team.clear()
+    quota.loans.asks_by_team.clear()
     for _ in range(100):
         quota.take(SERVICE, TEAM, context.now_s)
         outgoing = quota.drain()
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -32,7 +32,7 @@
         self._admission = state.AdmissionState.from_host(
             settings.host, clock.monotonic_s()
         )
-        self._admission.quota.policy = settings.quota_policy
+        self._admission.quota.loans.policy = settings.quota_policy
         self._loans = _loans.LoanDesk(self._admission.quota, timers)
         self._membership: _messages.Mailbox | None = None
 
@@ -59,7 +59,7 @@
                 self._admission.ready = message.ready
             case _messages.StopRequested():
                 self._admission.draining = True
-                self._admission.quota.draining = True
+                self._admission.quota.start_draining()
             case _messages.ServerHealth() | _messages.CancelCall():
                 return None
             case (
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -36,7 +36,7 @@
 from jasminecrank.state._journal import Event as Event
 from jasminecrank.state._journal import Journal as Journal
 from jasminecrank.state._journal import Stamp as Stamp
-from jasminecrank.state._quota import QuotaPolicy as QuotaPolicy
+from jasminecrank.state._loan_book import QuotaPolicy as QuotaPolicy
 from jasminecrank.state._quota import QuotaState as QuotaState
 from jasminecrank.state._quota_messages import LoanAsk as LoanAsk
 from jasminecrank.state._quota_messages import LoanOffer as LoanOffer
--- a/src/jasminecrank/state/_ledger.py
+++ b/src/jasminecrank/state/_ledger.py
@@ -7,51 +7,16 @@
 
 from jasminecrank import const
 from jasminecrank import exceptions
+from jasminecrank.state import _demand
 from jasminecrank.state import _invariants
 from jasminecrank.state import _rows
 
-_DEMAND_TIME_S = 1.5
-_DEMAND_FAST_S = 0.2
 _DEMAND_NONE = 0.1
 _ANSWER_S = 0.05
 _ROUNDING = 1e-6
 """Tokens by which sums of floats may differ."""
 
 
-@dataclass(slots=True)
-class Demand:
-    """Recent requests per second, averaged with exponential decay.
-
-    The fast average counts only by what it exceeds its own chance
-    variation, so that a sudden rise shows at once and noise does not.
-    """
-
-    slow_per_s: float
-    fast_per_s: float
-    at_s: float
-
-    def rate(self, now_s: float) -> float:
-        """Return the recent requests per second."""
-        elapsed_s = max(0.0, now_s - self.at_s)
-        slow = self.slow_per_s * math.exp(-elapsed_s / _DEMAND_TIME_S)
-        fast = self.fast_per_s * math.exp(-elapsed_s / _DEMAND_FAST_S)
-        return max(slow, fast - math.sqrt(fast / _DEMAND_FAST_S))
-
-    def firm_rate(self, now_s: float) -> float:
-        """Return a rate that recent demand exceeds almost certainly."""
-        rate = self.rate(now_s)
-        return max(0.0, rate - 2.0 * math.sqrt(rate / (2 * _DEMAND_TIME_S)))
-
-    def observe(self, now_s: float) -> None:
-        """Count one request."""
-        elapsed_s = max(0.0, now_s - self.at_s)
-        self.slow_per_s *= math.exp(-elapsed_s / _DEMAND_TIME_S)
-        self.slow_per_s += 1.0 / _DEMAND_TIME_S
-        self.fast_per_s *= math.exp(-elapsed_s / _DEMAND_FAST_S)
-        self.fast_per_s += 1.0 / _DEMAND_FAST_S
-        self.at_s = max(self.at_s, now_s)
-
-
 @dataclass(slots=True, frozen=True)
 class Borrowed:
     """A share on loan from a peer, by one answered ask."""
@@ -79,35 +44,6 @@
     tokens: float
 
 
-@dataclass(slots=True)
-class Audit:
-    """An independent bucket of the whole quota, for invariant 907.
-
-    What one node takes alone must fit in the rate and burst of the team.
-    Its tokens may come from peers whose clocks run faster by as much as the
-    loan time allows for.
-    """
-
-    level: float
-    at_s: float
-
-    def take(self, limit: _rows.LimitRow, now_s: float) -> None:
-        """Count a token and assert that the whole quota has it."""
-        elapsed_s = max(0.0, now_s - self.at_s)
-        self.at_s = max(self.at_s, now_s)
-        rate = limit.rate * (1 + const.LOAN_RETURN_MARGIN)
-        self.level = max(0.0, self.level - elapsed_s * rate) + 1.0
-        _invariants.check(
-            exceptions.ResultCode.INVARIANT_QUOTA,
-            self.level <= limit.burst + _ROUNDING,
-            "%s at %s took %f tokens in a burst of %d",
-            limit.team,
-            limit.service,
-            self.level,
-            limit.burst,
-        )
-
-
 @dataclass(slots=True)
 class ShareLedger:
     """Share and tokens of one team; every method takes the time of use."""
@@ -117,8 +53,8 @@
     tokens: float
     minted_at_s: float
     quiet_until_s: float
-    demand: Demand
-    audit: Audit
+    demand: _demand.Demand
+    audit: _demand.Audit
     borrowed: dict[str, tuple[Borrowed, ...]] = field(default_factory=dict)
     last_id_by_lender: dict[str, int] = field(default_factory=dict)
     lent: dict[str, tuple[Lent, ...]] = field(default_factory=dict)
@@ -138,8 +74,8 @@
             tokens=0.0,
             minted_at_s=now_s,
             quiet_until_s=quiet_until_s,
-            demand=Demand(0.0, 0.0, now_s),
-            audit=Audit(0.0, now_s),
+            demand=_demand.Demand(0.0, 0.0, now_s),
+            audit=_demand.Audit(0.0, now_s),
         )
 
     def change(
@@ -152,7 +88,7 @@
         """
         self.mint(now_s)
         if limit != self.limit:
-            self.audit = Audit(0.0, now_s)
+            self.audit = _demand.Audit(0.0, now_s)
         if limit.rate < self.limit.rate or limit.burst < self.limit.burst:
             self.tokens = 0.0
         self.limit = limit
@@ -175,6 +111,15 @@
         self.audit.level = max(0.0, self.audit.level - 1.0)
         self._clamp(now_s)
 
+    def holds_token(self, now_s: float) -> bool:
+        """Return whether there is a token, or the share is too small."""
+        self.mint(now_s)
+        share_ppb = self.share_ppb(now_s)
+        return (
+            self.tokens >= 1.0
+            or share_ppb * self.limit.burst < const.SHARE_WHOLE
+        )
+
     def limit_crc(self) -> int:
         """Return a checksum of the rate and burst in force."""
         return zlib.crc32(f"{self.limit.rate}/{self.limit.burst}".encode())
