--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -41,7 +41,7 @@
             clock.wall_ms(),
             settings.threads,
         )
-        self._admission.quota.policy = settings.quota_policy
+        self._admission.quota.loans.policy = settings.quota_policy
         self._loans = _loans.LoanDesk(self._admission.quota, timers)
         self._membership: _messages.Mailbox | None = None
         self._reply_by_ticket: dict[int, _messages.DecisionReply] = {}
@@ -93,7 +93,7 @@
                 self._tick(now_s)
             case _messages.StopRequested():
                 self._admission.stop(now_s)
-                self._admission.quota.draining = True
+                self._admission.quota.start_draining()
             case _messages.AwaitDrained():
                 self._await_drained.append(message.reply)
             case (
