Fit features of several parts to each other

Cause: two features had one step text, and the admission actor owned no share in its feature.

Change: the quota step is renamed; the actor's feature reports the shares of the other hosts, as peers do.

--- a/features/state/quota.feature
+++ b/features/state/quota.feature
@@ -84,7 +84,7 @@
   Scenario Outline: What may still be on loan is not minted
     Given a host that asks another twice for tokens
     When the lender grants a loan and <change>
-    And <time> s pass
+    And the hosts wait for <time> s
     Then the lender owns <part> of its share
 
     Examples: the borrower may use the loan for its time
--- a/features/steps/admission_actor_steps.py
+++ b/features/steps/admission_actor_steps.py
@@ -63,6 +63,12 @@
     context.exit_stack.callback(context.actor.stop)
     context.actor.tell(coordination.SnapshotChanged(world.admission.snapshot))
     context.actor.tell(coordination.ReadinessChanged(True, "test"))
+    # The node owns its share once the other hosts have shown the version.
+    version = world.admission.snapshot.versions.hosts
+    for slot, peer in ((1, "ledger-2"), (2, "ledger-3")):
+        report = state.ShareReport("ledger", version, frozenset({slot}), None)
+        notice = coordination.ShareNotice(report)
+        context.actor.tell(coordination.Delivered(peer, notice))
     sync(context)
     context.timers.advance(10.0)
     context.clock = clock
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -571,6 +571,6 @@
         quota.apply_snapshot(context.published.snapshot(), context.now_s)
 
 
-@when("{seconds:g} s pass")
+@when("the hosts wait for {seconds:g} s")
 def step_pass(context, seconds):
     context.now_s += seconds
