--- a/src/jasminecrank/standins/_traffic.py
+++ b/src/jasminecrank/standins/_traffic.py
@@ -14,7 +14,7 @@
 DIRECT_LABEL = "direct"
 OPEN_LABEL = "open"
 _PROCESSES = 4
-_MAX_STREAM_RATE = 40.0
+MAX_STREAM_RATE = 40.0
 _DIRECT_RATE = 10.0
 _OPEN_RATE = 4.0
 _MAX_CALLS = 4000
@@ -131,7 +131,7 @@
             rate = limit.rate * load.excess_factor
         kinds = tuple(_kinds(table, limit.service))
         ports = ports_by_service[limit.service]
-        for first, stream_rate in _split(load.spread, len(ports), rate):
+        for first, stream_rate in split_rate(load.spread, len(ports), rate):
             seed += 1
             yield _callers.Stream(
                 label=limit.service,
@@ -178,7 +178,7 @@
     )
 
 
-def _split(
+def split_rate(
     spread: Spread, hosts: int, rate: float
 ) -> Iterator[tuple[int, float]]:
     """Yield the first host and the rate of each stream."""
@@ -188,7 +188,7 @@
         case OnOneHost():
             firsts = (0,)
     host_rate = rate / len(firsts)
-    streams = int(host_rate // _MAX_STREAM_RATE) + 1
+    streams = int(host_rate // MAX_STREAM_RATE) + 1
     for first in firsts:
         for _ in range(streams):
             yield first, host_rate / streams
