--- a/script/run_capacity.py
+++ b/script/run_capacity.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import typing
 
 import cyclopts
@@ -35,6 +36,8 @@
     from_json
         Take the slopes of an earlier run instead of measuring.
     """
+    # A killed process would leave its deployments running.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     if from_json is not None:
         slopes = [
             _slopes.Slope(**values)
--- a/script/run_demo.py
+++ b/script/run_demo.py
@@ -21,7 +21,8 @@
 
 def main() -> int:
     """Return 0 if every check held."""
-    # An alarm without a handler would leave the deployment running.
+    # Without handlers these signals would leave the deployment running.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     signal.signal(signal.SIGALRM, signal.default_int_handler)
     signal.alarm(TIME_LIMIT_S)
     started_s = time.monotonic()
--- a/script/run_measure.py
+++ b/script/run_measure.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import subprocess
 import tempfile
 import typing
@@ -23,6 +24,7 @@
     "one-host-callers",
     "one-node-latency",
     "source-outage",
+    "bad-version",
     "node-kills",
     "partition",
 )
@@ -59,6 +61,8 @@
     directory = ROOT / "examples" / deployment
     if not directory.is_dir():
         raise SystemExit(f"--deployment: {deployment!r} is not in examples")
+    # A killed process would leave its deployment running.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     names = (scenario,) if scenario else SCENARIOS
     written = []
     with earlier_commit(compare) as earlier:
--- a/src/jasminecrank/standins/_run.py
+++ b/src/jasminecrank/standins/_run.py
@@ -138,6 +138,8 @@
         match action:
             case _scenarios.PublishChange():
                 self._publish_change()
+            case _scenarios.PublishInvalid():
+                deployment.publish_invalid_table()
             case _scenarios.SetOutage():
                 self._set_outage(action)
             case _scenarios.KillNode():
--- a/src/jasminecrank/standins/_scenarios.py
+++ b/src/jasminecrank/standins/_scenarios.py
@@ -22,6 +22,13 @@
     at_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class PublishInvalid:
+    """Publish a table that every node has to refuse."""
+
+    at_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class SetOutage:
     """Take a data centre out of service, or back in."""
@@ -73,6 +80,7 @@
 
 Action = (
     PublishChange
+    | PublishInvalid
     | SetOutage
     | KillNode
     | StartNode
@@ -155,6 +163,7 @@
                 *_changes(9.1, 10, 11),
             ),
         ),
+        _scenario("bad-version", even, (PublishInvalid(3), *_changes(8, 10))),
         _scenario(
             "node-kills",
             even,
