Take the fleet's size as a setting until the host list is known

Cause: without a host list a node spread its first calls to the source as for 2,200 hosts, 2.2 s apart, also in a deployment of ten.

The stand-in deployment passes its own size.

--- a/src/jasminecrank/cli/_node.py
+++ b/src/jasminecrank/cli/_node.py
@@ -4,6 +4,7 @@
 
 import cyclopts
 
+from jasminecrank import const
 from jasminecrank import daemon
 
 Peers = typing.Annotated[
@@ -25,6 +26,7 @@
     server_port: int,
     seed_peers: Peers = (),
     threads: int = 48,
+    fleet_hosts: int = const.FLEET_HOSTS_MAX,
 ) -> None:
     """Run the node beside one backend server until SIGTERM.
 
@@ -52,6 +54,9 @@
         ADDRESS:PORT of nodes to ask before the host list is known.
     threads
         Worker threads for calls, more than slots and queue together.
+    fleet_hosts
+        Most hosts that may start at once; spreads the first calls to the
+        configuration service until the host list is known.
     """
     settings = daemon.NodeSettings(
         host=host,
@@ -65,6 +70,7 @@
         source_url=source_url,
         seed_peers=seed_peers,
         threads=threads,
+        fleet_hosts=fleet_hosts,
     )
     settings.check()
     daemon.run_node(settings)
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -21,6 +21,7 @@
     host: str
     data_centre: str
     asks_peers_first: bool = False
+    fleet_hosts: int = const.FLEET_HOSTS_MAX
 
 
 class ConfigActor(_actors.NodeActor):
@@ -46,6 +47,7 @@
             now_s,
             rng,
             settings.asks_peers_first,
+            settings.fleet_hosts,
         )
         self._published = state.VersionVector()
         self._decided = state.Readiness(False, "starting", now_s)
--- a/src/jasminecrank/coordination/_source_client.py
+++ b/src/jasminecrank/coordination/_source_client.py
@@ -54,13 +54,14 @@
         data_centre: str,
         now_s: float,
         rng: random.Random,
-        asks_peers_first: bool,
+        asks_peers_first: bool = False,
+        fleet_hosts: int = const.FLEET_HOSTS_MAX,
     ) -> "SourceClient":
         """Return the client of a node that has just started."""
         delay_s = _ASK_PEERS_S if asks_peers_first else 0.0
         return cls(
             rng,
-            state.SourceSchedule.from_start(now_s, rng, delay_s),
+            state.SourceSchedule.from_start(now_s, rng, fleet_hosts, delay_s),
             state.WatchDuty(host, data_centre),
             state.Topology.from_snapshot(state.Snapshot.empty()),
             now_s,
--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -45,6 +45,7 @@
                 settings.host,
                 settings.data_centre,
                 asks_peers_first=bool(settings.seed_peers),
+                fleet_hosts=settings.fleet_hosts,
             ),
             clock,
             timers,
--- a/src/jasminecrank/daemon/_settings.py
+++ b/src/jasminecrank/daemon/_settings.py
@@ -4,6 +4,7 @@
 import ipaddress
 import re
 
+from jasminecrank import const
 from jasminecrank import exceptions
 
 _PORT_MAX = 65_535
@@ -27,6 +28,7 @@
     source_url: str
     seed_peers: tuple[str, ...]
     threads: int
+    fleet_hosts: int = const.FLEET_HOSTS_MAX
 
     def check(self) -> None:
         """Raise SettingError naming the first impossible setting."""
@@ -44,6 +46,10 @@
             )
         for peer in self.seed_peers:
             _check_endpoint("seed-peer", peer)
+        if self.fleet_hosts < 1:
+            raise _error(
+                "fleet-hosts", self.fleet_hosts, "a number of at least 1"
+            )
         if not _THREADS_MIN <= self.threads <= _THREADS_MAX:
             raise _error(
                 "threads",
--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -167,6 +167,7 @@
             f"--data-centre={row.data_centre}",
             f"--source-url=http://127.0.0.1:{self.platform_port}",
             f"--server-port={self.server_by_host[row.host].port}",
+            f"--fleet-hosts={len(self.hosts())}",
         ]
         if ports is not None:
             arguments += [
--- a/src/jasminecrank/state/_source.py
+++ b/src/jasminecrank/state/_source.py
@@ -32,14 +32,18 @@
 
     @classmethod
     def from_start(
-        cls, now_s: float, rng: random.Random, delay_s: float = 0.0
+        cls,
+        now_s: float,
+        rng: random.Random,
+        fleet_hosts: int,
+        delay_s: float = 0.0,
     ) -> "SourceSchedule":
         """Return the schedule of a node that knows no host list yet.
 
         The first call is spread over the time in which the whole fleet
         may call once.
         """
-        rate = _rate(const.FLEET_HOSTS_MAX)
+        rate = _rate(fleet_hosts)
         first_s = now_s + delay_s + rng.uniform(0, 1 / rate)
         return cls(rate, 1, first_s, first_s)
 
