--- a/src/jasminecrank/cli/_node.py
+++ b/src/jasminecrank/cli/_node.py
@@ -4,6 +4,7 @@
 
 import cyclopts
 
+from jasminecrank import const
 from jasminecrank import daemon
 from jasminecrank import state
 
@@ -27,6 +28,7 @@
     seed_peers: Peers = (),
     threads: int = 48,
     quota_policy: state.QuotaPolicy = state.QuotaPolicy.LOANS,
+    fleet_hosts: int = const.FLEET_HOSTS_MAX,
 ) -> None:
     """Run the node beside one backend server until SIGTERM.
 
@@ -61,6 +63,9 @@
         Worker threads for calls, more than slots and queue together.
     quota_policy
         Whether nodes lend each other parts of the teams' rates.
+    fleet_hosts
+        Most hosts that may start at once; spreads the first calls to the
+        configuration service until the host list is known.
     """
     settings = daemon.NodeSettings(
         host=host,
@@ -75,6 +80,7 @@
         seed_peers=seed_peers,
         threads=threads,
         quota_policy=quota_policy,
+        fleet_hosts=fleet_hosts,
     )
     settings.check()
     daemon.run_node(settings)
--- a/src/jasminecrank/daemon/_settings.py
+++ b/src/jasminecrank/daemon/_settings.py
@@ -4,6 +4,7 @@
 import ipaddress
 import re
 
+from jasminecrank import const
 from jasminecrank import exceptions
 from jasminecrank import state
 
@@ -29,6 +30,7 @@
     seed_peers: tuple[str, ...]
     threads: int
     quota_policy: state.QuotaPolicy = state.QuotaPolicy.LOANS
+    fleet_hosts: int = const.FLEET_HOSTS_MAX
 
     def check(self) -> None:
         """Raise SettingError naming the first impossible setting."""
@@ -46,6 +48,10 @@
             )
         for peer in self.seed_peers:
             _check_endpoint("seed-peer", peer)
+        if self.fleet_hosts < 1:
+            raise _error(
+                "fleet-hosts", self.fleet_hosts, "a number of at least 1"
+            )
         if not _THREADS_MIN <= self.threads <= _THREADS_MAX:
             raise _error(
                 "threads",
