Cut no caller that connects while a node stops

With 16 callers that reconnect after each answer, a stop reset 8 of 369 calls: connections accepted last were closed before their request had arrived, and the library worked on between the last accept and the close of the listening socket. A node also began to say Connection: close only after it had waited for the calls in hand.

The listening socket is closed right after the last accept, a connection that was never answered gets 0.2 s for its request, and callers are sent away as soon as the stop begins. What connects within the microseconds between the last accept and the close is still reset.

--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -75,6 +75,7 @@
         """Stop as planned: finish the calls in hand, then close."""
         self.admission.tell(coordination.StopRequested())
         self.membership.tell(coordination.StopRequested())
+        self.call_server.drain()
         self.call_server.stop()
         self.admin_server.stop()
         self.peer_server.stop()
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -33,6 +33,8 @@
 _ACCEPT_BACKLOG = 256
 _HEADER_BYTES_MAX = 65_536
 _READ_S = 5.0
+_LAST_READ_S = 0.2
+"""How long a stop waits for the request of a caller just connected."""
 _WRITE_S = 10.0
 _STAY_S = 0.25
 _STAYING_PART = 4
@@ -152,6 +154,7 @@
 
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
+    used = False
 
     def __init__(
         self, server: "CallHttpServer", sock: socket.socket, makefile: object
@@ -165,7 +168,9 @@
         """Answer requests; True leaves the connection to the selector."""
         communicate: Callable[[], bool] = super().communicate
         while True:
-            self.socket.deadline_at_s = time.monotonic() + _READ_S
+            limit_s = _READ_S if self.server.ready else _LAST_READ_S
+            self.socket.deadline_at_s = time.monotonic() + limit_s
+            self.used = True
             if not communicate():
                 return False
             if not self.server.await_next(self):
@@ -259,6 +264,7 @@
 
     _connections: typing.Any
     requests: typing.Any
+    socket: typing.Any
     ConnectionClass = _Connection
     timeout = _KEEP_ALIVE_S
     shutdown_timeout = _SHUTDOWN_S
@@ -341,19 +347,26 @@
         self.caller_watch.stop()
 
     def _serve_received(self) -> None:
-        # The listening socket is read first, so that a connection accepted
-        # here is still looked at.
+        # A caller that has connected and not been answered yet is about to
+        # send; an idle caller that was answered is not waited for.
         selector = self._connections._selector
         for _ in range(_ACCEPT_BACKLOG):
             if not any(conn is self for _, conn in selector.select(0)):
                 break
             conn = self._connections._from_server_socket(self.socket)
             if conn is not None:
-                self.put_conn(conn)
-        for number, conn in tuple(selector.select(0)):
-            if conn is not self:
-                selector.unregister(number)
                 self.requests.put(conn)
+        # Closed at once: what connects between the last accept and the close
+        # is reset, and the library does more work before it closes.
+        selector.unregister(self.socket.fileno())
+        self.socket.close()
+        self.socket = None
+        readable = {number for number, _ in selector.select(0)}
+        for number, conn in tuple(selector.connections):
+            if conn is self or (conn.used and number not in readable):
+                continue
+            selector.unregister(number)
+            self.requests.put(conn)
 
 
 def _status_line(status: int) -> str:
--- a/src/jasminecrank/transport/_call_server.py
+++ b/src/jasminecrank/transport/_call_server.py
@@ -132,9 +132,13 @@
         port: int = self._server.bind_addr[1]
         return port
 
+    def drain(self) -> None:
+        """Close each connection after its next answer from now on."""
+        self._server.draining = True
+
     def stop(self) -> None:
         """Let callers go elsewhere, then answer what was received."""
-        self._server.draining = True
+        self.drain()
         threading.Event().wait(_DRAIN_S)
         self._server.stop()
         self._thread.join()
