--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -89,6 +89,7 @@
         """Stop as planned: finish the calls in hand, then close."""
         self.admission.tell(coordination.StopRequested())
         self.membership.tell(coordination.StopRequested())
+        self.call_server.drain()
         drained: pykka.ThreadingFuture[None] = pykka.ThreadingFuture()
         self.admission.tell(coordination.AwaitDrained(drained))
         with contextlib.suppress(pykka.Timeout):
