Tick quotas once a second while no loan is active

Cause: four quota ticks a second were part of the cost of an idle node.

Change: the loan desk ticks every 0.25 s only while shares are unproved, asks are under way or loans are borrowed, otherwise every second, which is below half a lasting loan.

--- a/src/jasminecrank/const.py
+++ b/src/jasminecrank/const.py
@@ -51,6 +51,8 @@
 """Extra part of the loan time before the lender takes a share back."""
 LOAN_RETURN_S: Final = LOAN_TTL_S * (1 + LOAN_RETURN_MARGIN)
 QUOTA_TICK_S: Final = 0.25
+QUOTA_IDLE_TICK_S: Final = 1.0
+"""Below half a lasting loan, so that none ends between two ticks."""
 LOAN_BYTES_PER_S: Final = 2800
 LOAN_ANSWER_BYTES_PER_S: Final = 900
 """Asks with their answers, and answers given, out of 4 KB/s for control."""
--- a/src/jasminecrank/coordination/_loans.py
+++ b/src/jasminecrank/coordination/_loans.py
@@ -2,7 +2,6 @@
 
 import typing
 
-from jasminecrank import const
 from jasminecrank import exceptions
 from jasminecrank import state
 from jasminecrank.coordination import _messages
@@ -81,7 +80,7 @@
 
     def _schedule(self, owner: _messages.Mailbox) -> None:
         self._timers.call_later(
-            const.QUOTA_TICK_S, owner, _messages.QuotaTick()
+            self._quota.next_tick_s(), owner, _messages.QuotaTick()
         )
 
 
--- a/src/jasminecrank/state/_loan_book.py
+++ b/src/jasminecrank/state/_loan_book.py
@@ -90,6 +90,12 @@
         asks = self.asks_by_team.get(team)
         return asks is not None and asks.is_waiting(now_s)
 
+    def is_active(self) -> bool:
+        """Return whether asks are under way or loans may need renewal."""
+        return bool(self.pending_by_id) or any(
+            ledger.borrowed for ledger in self.by_limit.values()
+        )
+
     def tick(self, now_s: float) -> None:
         """Forget asks that cannot be answered any more; renew loans."""
         self.rotation = self.rng.getrandbits(16)
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -122,6 +122,11 @@
             )
         self.loans.tick(now_s)
 
+    def next_tick_s(self) -> float:
+        """Return the time until the next tick, longer while idle."""
+        busy = self.shares.is_pending() or self.loans.is_active()
+        return const.QUOTA_TICK_S if busy else const.QUOTA_IDLE_TICK_S
+
     def drain(self) -> tuple[_quota_messages.Outgoing, ...]:
         """Return the messages to send and forget them."""
         messages = tuple(self.outbox)
