Refuse to start with a port that is in use

Cause: a node whose admin port could not be bound logged an error and went on without that port, because the threads of the other servers kept the process alive.

Change: address and ports are bound on trial before any thread starts; an impossible one is a setting error with exit status 2.

Conclusion: a node starts whole or not at all.

--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -15,6 +15,7 @@
 import pykka
 
 from jasminecrank import coordination
+from jasminecrank import exceptions
 from jasminecrank import state
 from jasminecrank import transport
 from jasminecrank.daemon import _settings
@@ -170,8 +171,31 @@
     return listener
 
 
+def _check_sockets(settings: _settings.NodeSettings) -> None:
+    """Raise SettingError for an address or port that cannot be bound.
+
+    Checked before any thread starts, because threads of a half started node
+    would keep the process alive.
+    """
+    _check_socket("address", settings.address, 0)
+    _check_socket("call-port", settings.address, settings.call_port)
+    _check_socket("peer-port", settings.address, settings.peer_port)
+    _check_socket("admin-port", settings.address, settings.admin_port)
+
+
+def _check_socket(setting: str, address: str, port: int) -> None:
+    try:
+        socket.create_server((address, port)).close()
+    except OSError as error:
+        raise exceptions.SettingError(
+            f"--{setting}: port {port} of {address} cannot be bound: "
+            f"{error.strerror}"
+        ) from None
+
+
 def run_node(settings: _settings.NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
+    _check_sockets(settings)
     transport.install_json_lines(settings.host, settings.data_centre)
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
     stopping = threading.Event()
