--- a/features/mesh/budgets.feature
+++ b/features/mesh/budgets.feature
@@ -20,6 +20,13 @@
       | 12    | 27   | 1.1  | evenly                  | 0.90     |
       | 10    | 149  | 5.0  | evenly, two nodes dying | 0.85     |
       | 10    | 149  | 5.0  | evenly, cut in halves   | 0.80     |
+      | 10    | 149  | 5.0  | evenly, each alone      | 0.80     |
+      | 10    | 149  | 0.6  | evenly, cut in halves   | 0.995    |
+      | 91    | 12   | 0.6  | evenly                  | 0.995    |
+      | 91    | 12   | 8.0  | evenly                  | 0.90     |
+      | 91    | 12   | 8.0  | from one node           | 0.90     |
+      | 91    | 12   | 8.0  | evenly, cut in halves   | 0.80     |
+      | 91    | 149  | 0.6  | half moving every 5 s   | 0.995    |
 
   Scenario Outline: Repeats stay inside the fleet's budget
     Given <hosts> nodes with a retry budget of 0.2 and 56 in 10 s
--- /dev/null
+++ b/features/mesh/exchange.feature
@@ -0,0 +1,54 @@
+Feature: Entries that nodes pass on to each other
+
+  Guards against a node that misses an entry which others know, and against
+  control traffic that grows with the square of the fleet.
+
+  Scenario Outline: A change reaches every node
+    Given <hosts> nodes with a table of <rows> rows
+    When one of <readers> readers reads a change of <changed> rows<fault>
+    Then every node has it within <within> s
+    And each node has been sent at most <bytes> bytes for it
+
+    Examples:
+      | hosts | rows | changed | readers | fault                              | within | bytes  |
+      | 10    | 300  | 1       | 3       |                                    | 0.1    | 2000   |
+      | 91    | 1000 | 1       | 3       |                                    | 0.1    | 2000   |
+      | 91    | 1000 | 400     | 3       |                                    | 1.0    | 70000  |
+      | 10    | 300  | 1       | 3       | , unheard by a third of the nodes  | 1.5    | 2500   |
+      | 91    | 1000 | 1       | 3       | , unheard by a third of the nodes  | 1.5    | 12000  |
+      | 10    | 300  | 1       | 3       | , after a change that was unheard by a third of the nodes | 1.5 | 4000 |
+
+  Scenario Outline: An entry that only some know
+    Given <hosts> nodes with a table of 10 rows
+    When a reader reads <what>, unheard by a third of the nodes
+    Then every node knows that within 1.5 s
+
+    Examples:
+      | hosts | what                |
+      | 10    | a new server        |
+      | 10    | a server's removal  |
+      | 40    | a new server        |
+      | 40    | a server's removal  |
+
+  Scenario: A node that starts while the source is away
+    Given 10 nodes with a table of 300 rows
+    When a node starts anew and hears only its peers
+    Then every node has it within 0.5 s
+
+  Scenario: Nodes that know the same say nothing
+    Given 91 nodes with a table of 1000 rows
+    When nothing changes for 5 s
+    Then no listing and no entry has been sent
+
+  Scenario Outline: A patch makes the new value or none
+    Given a value of <rows> records
+    When records <changed> change and a node applies the patch to <base>
+    Then it has <result>
+
+    Examples:
+      | rows | changed | base      | result         |
+      | 20   | 0       | the same  | the new value  |
+      | 300  | 7       | the same  | the new value  |
+      | 300  | none    | the same  | the new value  |
+      | 300  | 0, 299  | the same  | the new value  |
+      | 300  | 7       | another   | nothing        |
--- a/features/steps/mesh_budget_steps.py
+++ b/features/steps/mesh_budget_steps.py
@@ -9,14 +9,18 @@
 from jasminecrank.mesh import state
 
 BOUNDS = state.QuotaBounds(5.0, 0.25, 20.0)
-REPORT_S = 0.8
+FAULT_AT_S = 8.0
+"""When nodes die or the fleet is cut, in scenarios with a fault."""
+WARM_UP_S = 10.0
+"""Time for which nodes run before callers come, as on the platform."""
 
 
 @given("{hosts:d} nodes and a team with rate {rate:g} and burst {burst:g}")
 def step_nodes(context, hosts, rate, burst):
     context.team = state.Team("team", None, rate, burst)
-    context.shares = [
-        state.QuotaShares(BOUNDS, hosts=hosts) for _ in range(hosts)
+    context.arbiters = [
+        state.QuotaArbiter(str(number), BOUNDS, hosts=hosts)
+        for number in range(hosts)
     ]
 
 
@@ -31,36 +35,54 @@
     return rng.randrange(hosts)
 
 
-def tell_demand(shares, spread, now_s):
-    """Let the nodes that reach each other exchange their demand."""
-    half = len(shares) // 2
-    for number, share in enumerate(shares):
-        report = share.measure(now_s)
-        if "dying" in spread and number < 2 and now_s > 8.0:
-            continue
-        for other, told in enumerate(shares):
-            cut = "halves" in spread and (number < half) != (other < half)
-            if other != number and not (cut and now_s > 8.0):
-                told.reported(str(number), report, now_s)
+def sides(hosts, spread, now_s):
+    """Return the sets of nodes that reach each other."""
+    everyone = list(range(hosts))
+    if now_s <= FAULT_AT_S:
+        return [everyone]
+    if "dying" in spread:
+        return [everyone[2:]]
+    if "halves" in spread:
+        return [everyone[: hosts // 2], everyone[hosts // 2 :]]
+    if "alone" in spread:
+        return [[number] for number in everyone]
+    return [everyone]
+
+
+def show_presence(context, spread, now_s):
+    """Let the nodes that reach each other tell which arbiters they reach."""
+    hosts = len(context.arbiters)
+    chosen = [str(number) for number in range(min(hosts, state.ARBITERS))]
+    context.reachable = {}
+    for side in sides(hosts, spread, now_s):
+        reachable = tuple(sorted(set(chosen) & set(map(str, side))))
+        for number in side:
+            context.reachable[number] = reachable
+            for other in side:
+                arbiter = context.arbiters[other]
+                arbiter.present(str(number), reachable, now_s)
+    for arbiter in context.arbiters:
+        arbiter.refill([context.team], now_s)
 
 
 @when("callers send {load:g} times the rate for 20 s, {spread}")
 def step_send(context, load, spread):
     rng = random.Random(7)
     team = context.team
-    hosts = len(context.shares)
+    hosts = len(context.arbiters)
     context.admitted_at_s = []
+    shown_s = -WARM_UP_S
     now_s = 0.0
-    reported_s = 0.0
     while now_s < 20.0:
         now_s += rng.expovariate(team.rate_per_s * load)
-        while reported_s < now_s:
-            reported_s += REPORT_S
-            tell_demand(context.shares, spread, reported_s)
+        while shown_s + state.PRESENCE_S <= now_s:
+            shown_s += state.PRESENCE_S
+            show_presence(context, spread, shown_s)
         node = pick_node(rng, hosts, spread, now_s)
-        if "dying" in spread and node < 2 and now_s > 8.0:
+        if node not in context.reachable:
             node = 2 + rng.randrange(hosts - 2)
-        if context.shares[node].take(team, now_s) is None:
+        asked = state.arbiter_of(team.name, context.reachable[node], str(node))
+        if context.arbiters[int(asked)].take(team, 1, now_s).granted:
             context.admitted_at_s.append(now_s)
     offered = team.rate_per_s * load * 20.0
     context.ideal = min(offered, team.rate_per_s * 20.0 + team.burst)
--- /dev/null
+++ b/features/steps/mesh_exchange_steps.py
@@ -0,0 +1,310 @@
+"""Steps on entries passed between nodes, as a model in virtual time."""
+
+from dataclasses import dataclass
+from dataclasses import field
+import heapq
+import itertools
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import mesh_directory_steps
+import mesh_state_steps
+
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+
+DELAY_S = 0.002
+TICK_S = 0.05
+TELL_S = 0.4
+LINKS = 12
+"""Hosts that each node dials besides the readers, in a large fleet."""
+
+
+def decode(key, value):
+    """Decode tables by their first number, other entries as usual."""
+    if key != "table":
+        return mesh_directory_steps.decode(key, value)
+    version = int(value.split(b";")[0])
+    return state.TablePublished(mesh_state_steps.make_table(version))
+
+
+def table_value(version, rows, changed=()):
+    """Return an entry of records that are unlike each other."""
+    rng = random.Random(rows)
+    records = [b"%d;" % version]
+    for number in range(rows):
+        word = rng.randbytes(100).hex()
+        mark = version if number in changed else 0
+        records.append(
+            b'{"row":%d,"is":"%s-%d"}' % (number, word.encode(), mark)
+        )
+    return b"".join(records)
+
+
+@dataclass
+class Host:
+    """A node's directory and exchange, and its links."""
+
+    number: int
+    directory: state.Directory
+    exchange: coordination.EntryExchange
+    accepted: list = field(default_factory=list)
+    received_bytes: int = 0
+    received: list = field(default_factory=list)
+
+
+class Net:
+    """Delivers messages between hosts after a delay."""
+
+    def __init__(self, hosts):
+        self.now_s = 0.0
+        self.hosts = [self.make_host(number) for number in range(hosts)]
+        self.deaf_pairs = set()
+        self._queue = []
+        self._order = itertools.count()
+        self._sends = {}
+        rng = random.Random(5)
+        for host in self.hosts:
+            others = [other for other in range(hosts) if other != host.number]
+            chosen = set(rng.sample(others, min(len(others), LINKS)))
+            chosen |= {0, 1, 2} - {host.number}
+            for other in chosen:
+                self.hosts[other].accepted.append(host.number)
+
+    def make_host(self, number):
+        """Return an empty host."""
+        directory = state.Directory(decode)
+        exchange = coordination.EntryExchange(directory, random.Random(number))
+        return Host(number, directory, exchange)
+
+    def send_to(self, sender, receiver):
+        """Return what sends messages from one host to another."""
+        key = (sender, receiver)
+        if key not in self._sends:
+
+            def send(message):
+                if key not in self.deaf_pairs:
+                    entry = (self.now_s + DELAY_S, next(self._order))
+                    heapq.heappush(self._queue, (*entry, key, message))
+
+            self._sends[key] = send
+        return self._sends[key]
+
+    def read(self, number, items):
+        """Let a host read entries from the source, and pass them on."""
+        host = self.hosts[number]
+        revision = max(item.revision for item in items)
+        fresh = host.directory.offer_changes(items, revision, self.now_s)
+        host.exchange.push(
+            fresh, [self.send_to(number, other) for other in host.accepted]
+        )
+
+    def run(self, for_s, until=None):
+        """Let time pass; return when something held, or None."""
+        end_s = self.now_s + for_s
+        ticks = round(self.now_s / TICK_S)
+        while self.now_s < end_s:
+            if until is not None and until():
+                return self.now_s
+            tick_s = (ticks + 1) * TICK_S
+            if self._queue and self._queue[0][0] <= tick_s:
+                self._deliver()
+                continue
+            ticks += 1
+            self.now_s = tick_s
+            for host in self.hosts:
+                self._tick(host, ticks)
+        return None
+
+    def _tick(self, host, ticks):
+        host.exchange.ask_wanted(self.now_s)
+        host.exchange.look_for_gaps(self.now_s)
+        if (ticks + host.number) % round(TELL_S / TICK_S) == 0:
+            load = state.Load("i", 0, 0, 1, 0.1, 0.0, True)
+            told = coordination.LoadTold.from_load(
+                load, 0.0, host.directory.revision, host.directory.digest
+            )
+            for other in host.accepted:
+                self.send_to(host.number, other)(told)
+
+    def _deliver(self):
+        at_s, _, (sender, receiver), message = heapq.heappop(self._queue)
+        self.now_s = max(self.now_s, at_s)
+        host = self.hosts[receiver]
+        if not isinstance(message, coordination.LoadTold):
+            host.received.append(message)
+            host.received_bytes += len(protocol.encode(message))
+        back = self.send_to(receiver, sender)
+        learned = []
+        match message:
+            case coordination.LoadTold():
+                host.exchange.peer_told(back, message.revision, message.digest)
+            case coordination.ItemsTold(items):
+                learned = [state.Item(*item) for item in items]
+            case coordination.ItemPatched():
+                learned = host.exchange.patched(message, back, self.now_s)
+            case coordination.ItemsAnnounced():
+                learned = host.exchange.announced(
+                    message, back, receiver < 3, self.now_s
+                )
+            case coordination.ItemsWanted():
+                host.exchange.answer_wanted(message, back)
+            case coordination.ListingWanted():
+                host.exchange.answer_listing(back)
+        fresh = host.directory.offer(learned, self.now_s)
+        host.exchange.arrived(fresh)
+
+
+def item(key, revision, value):
+    """Return an entry."""
+    return state.Item(key, revision, value)
+
+
+@given("{hosts:d} nodes with a table of {rows:d} rows")
+def step_nodes(context, hosts, rows):
+    context.net = Net(hosts)
+    context.rows = rows
+    first = [
+        item("table", 1, table_value(1, rows)),
+        *(
+            item(f"i-{number}", 2 + number, b"server ready")
+            for number in range(hosts)
+        ),
+    ]
+    for host in context.net.hosts:
+        host.directory.offer_listing(first, hosts + 2, 0.0)
+    context.revision = hosts + 2
+    context.net.run(1.0)
+
+
+def third(context):
+    """Return the pairs by which a third of the nodes hear the readers."""
+    hosts = len(context.net.hosts)
+    deaf = [number for number in range(3, hosts) if number % 3 == 0]
+    return {(reader, number) for reader in range(3) for number in deaf}
+
+
+def change_table(context, rows):
+    """Let all readers read a new table; return whether a host has it."""
+    context.revision += 1
+    revision = context.revision
+    value = table_value(revision, context.rows, range(rows))
+    for reader in range(3):
+        context.net.read(reader, [item("table", revision, value)])
+
+    def has_it(host):
+        return host.directory.table.version == revision
+
+    context.has_it = has_it
+
+
+@when("one of 3 readers reads a change of {rows:d} rows")
+def step_change(context, rows):
+    change_table(context, rows)
+
+
+@when(
+    "one of 3 readers reads a change of {rows:d} rows, "
+    "unheard by a third of the nodes"
+)
+def step_change_unheard(context, rows):
+    context.net.deaf_pairs = third(context)
+    change_table(context, rows)
+
+
+@when(
+    "one of 3 readers reads a change of {rows:d} rows, "
+    "after a change that was unheard by a third of the nodes"
+)
+def step_change_after_unheard(context, rows):
+    context.net.deaf_pairs = third(context)
+    change_table(context, rows)
+    context.net.deaf_pairs = set()
+    change_table(context, rows)
+
+
+@when("a reader reads {what}, unheard by a third of the nodes")
+def step_entry_unheard(context, what):
+    context.net.deaf_pairs = third(context)
+    context.revision += 1
+    match what:
+        case "a new server":
+            news = item("i-new", context.revision, b"server ready")
+        case "a server's removal":
+            news = item("i-1", context.revision, None)
+    for reader in range(3):
+        context.net.read(reader, [news])
+
+    def has_it(host):
+        there = news.key in host.directory.fleet().server_by_id
+        return there == (news.value is not None)
+
+    context.has_it = has_it
+
+
+@when("a node starts anew and hears only its peers")
+def step_starts(context):
+    net = context.net
+    fresh = net.make_host(5)
+    fresh.accepted = net.hosts[5].accepted
+    net.hosts[5] = fresh
+    for other in fresh.accepted:
+        net.send_to(5, other)(coordination.ListingWanted())
+    context.has_it = lambda host: host.directory.table is not None
+
+
+@when("nothing changes for {seconds:g} s")
+def step_nothing(context, seconds):
+    context.net.run(seconds)
+
+
+@then("every node has it within {within:g} s")
+@then("every node knows that within {within:g} s")
+def step_all_have(context, within):
+    net = context.net
+    begun_s = net.now_s
+    at_s = net.run(within, lambda: all(map(context.has_it, net.hosts)))
+    late = [host.number for host in net.hosts if not context.has_it(host)]
+    assert at_s is not None, (begun_s, net.now_s, late)
+
+
+@then("each node has been sent at most {most:d} bytes for it")
+def step_bytes(context, most):
+    context.net.run(1.0)
+    sent = [host.received_bytes for host in context.net.hosts]
+    assert max(sent) <= most, sorted(sent)[-5:]
+
+
+@then("no listing and no entry has been sent")
+def step_silent(context):
+    received = [host.received for host in context.net.hosts if host.received]
+    assert not received, received[0][:3]
+
+
+@given("a value of {rows:d} records")
+def step_value(context, rows):
+    context.rows = rows
+    context.base = table_value(1, rows)
+
+
+@when("records {changed} change and a node applies the patch to {base}")
+def step_patch(context, changed, base):
+    numbers = () if changed == "none" else map(int, changed.split(", "))
+    context.target = table_value(2, context.rows, tuple(numbers))
+    directories = [state.Directory(decode), state.Directory(decode)]
+    directories[0].offer([item("table", 1, context.base)], 0.0)
+    other = context.base if base == "the same" else table_value(3, 200)
+    directories[1].offer([item("table", 1, other)], 0.0)
+    patch = directories[0].patch_from(item("table", 2, context.target), 1)
+    context.result = (
+        None if patch is None else directories[1].patched("table", 1, patch)
+    )
+
+
+@then("it has {result}")
+def step_patched(context, result):
+    wanted = context.target if result == "the new value" else None
+    assert context.result == wanted
--- /dev/null
+++ b/features/steps/mesh_quota_task_steps.py
@@ -0,0 +1,249 @@
+"""Steps on the tasks that get and grant tokens, in virtual time."""
+
+import heapq
+import itertools
+
+from behave import given
+from behave import then
+from behave import when
+import mesh_budget_steps
+import mesh_directory_steps
+import mesh_state_steps
+
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import state
+
+DELAY_S = 0.002
+LATE_S = 0.4
+"""Delay of an arbiter that answers late."""
+TICK_S = 0.1
+SILENT_AFTER_S = 1.0
+"""Time after which nodes notice that another says nothing."""
+
+
+class SilentLog:
+    """A log that drops everything."""
+
+    def decision(self, event, **fields):
+        """Drop a line."""
+
+
+class Nodes:
+    """Quota tasks of several nodes and the messages between them."""
+
+    def __init__(self, hosts, team):
+        self.now = 0.0
+        self.team = team
+        self.queue = []
+        self.order = itertools.count()
+        self.delay_by_host = {}
+        self.answers = {}
+        self.asked_at_s = {}
+        self.messages = 0
+        self.cut = set()
+        self.names = [f"10.0.0.{number}" for number in range(hosts)]
+        servers = {
+            f"i-{name}": mesh_directory_steps.make_server(
+                f"i-{name}", host=name
+            )
+            for name in self.names
+        }
+        table = mesh_state_steps.make_table(1, teams=[(team, ())])
+        self.fleet = state.Fleet(table, servers, {}, frozenset())
+        self.task_by_name = {name: self.make(name) for name in self.names}
+        for name in self.names:
+            self.join(name)
+        self.run(10.0)
+
+    def now_s(self):
+        """Return the virtual time."""
+        return self.now
+
+    def make(self, name):
+        """Return a new task."""
+
+        def answer(message):
+            self.answers[message.number] = (message, self.now)
+
+        arbiter = state.QuotaArbiter(name, mesh_budget_steps.BOUNDS)
+        return coordination.QuotaTask(name, arbiter, answer, self, SilentLog())
+
+    def join(self, name):
+        """Link a node to all others, both ways."""
+        self.cut.discard(name)
+        for other in self.names:
+            if other != name:
+                self.tell(
+                    name, coordination.PeerUp(other, self.send(name, other))
+                )
+                self.tell(
+                    other, coordination.PeerUp(name, self.send(other, name))
+                )
+        self.tell(name, coordination.FleetChanged(self.fleet))
+
+    def tell(self, name, message):
+        """Give a message to a task."""
+        self.task_by_name[name].handle(message)
+
+    def send(self, sender, receiver):
+        """Return what sends from one node to another."""
+
+        def send(message):
+            self.messages += 1
+            delay_s = self.delay_by_host.get(sender, DELAY_S)
+            delay_s = max(delay_s, self.delay_by_host.get(receiver, DELAY_S))
+            heapq.heappush(
+                self.queue,
+                (
+                    self.now + delay_s,
+                    next(self.order),
+                    sender,
+                    receiver,
+                    message,
+                ),
+            )
+
+        return send
+
+    def deliver(self):
+        """Deliver the next message."""
+        self.now, _, sender, receiver, message = heapq.heappop(self.queue)
+        if self.cut & {sender, receiver}:
+            return
+        match message:
+            case coordination.TokensGranted():
+                told = coordination.PeerGranted(sender, message)
+            case _:
+                back = self.send(receiver, sender)
+                told = coordination.PeerAsked(sender, message, back)
+        self.tell(receiver, told)
+
+    def run(self, for_s):
+        """Let time pass."""
+        end_s = self.now + for_s
+        while True:
+            tick_s = (int(self.now / TICK_S + 1e-6) + 1) * TICK_S
+            if self.queue and self.queue[0][0] <= min(end_s, tick_s):
+                self.deliver()
+                continue
+            self.now = min(end_s, tick_s)
+            if self.now >= end_s:
+                return
+            for name in self.names:
+                self.tell(name, coordination.QuotaTick())
+
+    def ask(self, name, number):
+        """Let a call of a node ask for a token."""
+        self.asked_at_s[number] = self.now
+        self.tell(name, coordination.QuotaAsked(number, self.team))
+
+    def arbiter(self):
+        """Return the team's arbiter while all nodes reach each other."""
+        chosen = state.arbiters(self.fleet)
+        return state.arbiter_of(self.team.name, chosen, "")
+
+    def lose(self, name):
+        """Close the links of a node."""
+        self.cut.add(name)
+        for other in self.names:
+            if other != name:
+                self.tell(other, coordination.PeerDown(name))
+                self.tell(other, coordination.CallersLost(name))
+                self.tell(name, coordination.PeerDown(other))
+                self.tell(name, coordination.CallersLost(other))
+
+
+@given(
+    "{hosts:d} linked nodes and a team with rate {rate:d} and burst {burst:d}"
+)
+def step_nodes(context, hosts, rate, burst):
+    context.nodes = Nodes(hosts, state.Team("team-a", None, rate, burst))
+
+
+def cause(nodes, fault):
+    """Bring a fault about; return the nodes that have no calls."""
+    arbiter = nodes.arbiter()
+    match fault:
+        case "nothing fails":
+            return ()
+        case "the team's arbiter falls silent":
+            nodes.delay_by_host[arbiter] = 1e9
+        case "the team's arbiter answers late":
+            nodes.delay_by_host[arbiter] = LATE_S
+        case "the team's arbiter loses its links":
+            nodes.lose(arbiter)
+        case "three arbiters lose their links":
+            lost = {arbiter, *state.arbiters(nodes.fleet)[:3]}
+            for name in lost:
+                nodes.lose(name)
+            return tuple(lost)
+        case "an arbiter starts anew":
+            nodes.lose(arbiter)
+            nodes.task_by_name[arbiter] = nodes.make(arbiter)
+            nodes.join(arbiter)
+        case "every node is alone":
+            for name in nodes.names:
+                nodes.lose(name)
+    return (arbiter,)
+
+
+@when("{fault} and then each node has {calls:d} calls in a second")
+def step_calls(context, fault, calls):
+    nodes = context.nodes
+    absent = cause(nodes, fault)
+    if fault == "every node is alone":
+        absent = ()
+    number = 0
+    for _ in range(calls):
+        for name in nodes.names:
+            number += 1
+            if name not in absent:
+                nodes.ask(name, number)
+        nodes.run(1.0 / calls)
+    nodes.run(2.0)
+
+
+@then("every call gets a token within {within:g} s")
+def step_all(context, within):
+    nodes = context.nodes
+    for number, at_s in nodes.asked_at_s.items():
+        assert number in nodes.answers, (number, at_s)
+        message, answered_s = nodes.answers[number]
+        assert message.granted, (number, at_s, message)
+        assert answered_s - at_s <= within, (number, at_s, answered_s)
+
+
+@then("at most {most:d} calls get a token")
+def step_most(context, most):
+    answers = [message for message, _ in context.nodes.answers.values()]
+    granted = sum(message.granted for message in answers)
+    assert granted <= most, granted
+    assert len(answers) == len(context.nodes.asked_at_s)
+
+
+@then("the others are told to wait at most {wait:g} s")
+def step_wait(context, wait):
+    waits = [
+        message.wait_s
+        for message, _ in context.nodes.answers.values()
+        if not message.granted
+    ]
+    assert max(waits) <= wait, max(waits)
+
+
+@when("a node's call has a token and does not use it")
+def step_unused(context):
+    nodes = context.nodes
+    context.node = next(n for n in nodes.names if n != nodes.arbiter())
+    nodes.ask(context.node, 1)
+    nodes.run(0.05)
+    nodes.tell(context.node, coordination.QuotaUnused("team-a"))
+
+
+@then("its next call gets one without a message")
+def step_spare(context):
+    nodes = context.nodes
+    sent = nodes.messages
+    nodes.ask(context.node, 2)
+    assert nodes.answers[2][0].granted
+    assert nodes.messages == sent
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -10,7 +10,6 @@
 
 ROUNDS = 2_000
 SERVERS = 32
-TEAMS = 8
 
 
 def measure_us(action: Callable[[], object]) -> float:
@@ -37,10 +36,14 @@
         (b"Deadline-Ms", b"2000"),
     )
     return {
-        "load report": coordination.LoadTold.from_load(make_load(1), 0.5),
-        f"demand report, {TEAMS} teams": coordination.DemandTold(
-            tuple((f"huka{number}", 1234) for number in range(TEAMS))
+        "load report": coordination.LoadTold.from_load(
+            make_load(1), 0.5, 1234, 2**47
         ),
+        f"presence, {state.ARBITERS} arbiters": coordination.Presence(
+            tuple(f"10.1.0.{number}" for number in range(state.ARBITERS))
+        ),
+        "request for tokens": coordination.TokensAsked("huka270", 1),
+        "answer to it": coordination.TokensGranted("huka270", 1, 0),
         "call, no body": coordination.CallSent(
             1,
             "9c41d07be2a35f68",
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -5,6 +5,10 @@
 )
 from jasminecrank.mesh.coordination._entry import EntryTask as EntryTask
 from jasminecrank.mesh.coordination._entry import LocalGate as LocalGate
+from jasminecrank.mesh.coordination._entry import LocalQuota as LocalQuota
+from jasminecrank.mesh.coordination._exchange import (
+    EntryExchange as EntryExchange,
+)
 from jasminecrank.mesh.coordination._fleet import Closable as Closable
 from jasminecrank.mesh.coordination._fleet import FleetPorts as FleetPorts
 from jasminecrank.mesh.coordination._fleet import FleetTask as FleetTask
@@ -29,6 +33,7 @@
     CallCancelled as CallCancelled,
 )
 from jasminecrank.mesh.coordination._messages import CallerLeft as CallerLeft
+from jasminecrank.mesh.coordination._messages import CallersLost as CallersLost
 from jasminecrank.mesh.coordination._messages import (
     CallMayHaveRun as CallMayHaveRun,
 )
@@ -37,11 +42,6 @@
 from jasminecrank.mesh.coordination._messages import CallServed as CallServed
 from jasminecrank.mesh.coordination._messages import CallTimeUp as CallTimeUp
 from jasminecrank.mesh.coordination._messages import ChangesRead as ChangesRead
-from jasminecrank.mesh.coordination._messages import DemandDue as DemandDue
-from jasminecrank.mesh.coordination._messages import (
-    DemandLearned as DemandLearned,
-)
-from jasminecrank.mesh.coordination._messages import DemandTold as DemandTold
 from jasminecrank.mesh.coordination._messages import (
     EntryMessage as EntryMessage,
 )
@@ -59,6 +59,7 @@
     HealthLearned as HealthLearned,
 )
 from jasminecrank.mesh.coordination._messages import Hello as Hello
+from jasminecrank.mesh.coordination._messages import ItemPatched as ItemPatched
 from jasminecrank.mesh.coordination._messages import (
     ItemsAnnounced as ItemsAnnounced,
 )
@@ -68,14 +69,28 @@
 from jasminecrank.mesh.coordination._messages import LinkEnded as LinkEnded
 from jasminecrank.mesh.coordination._messages import LinkOpened as LinkOpened
 from jasminecrank.mesh.coordination._messages import ListingRead as ListingRead
+from jasminecrank.mesh.coordination._messages import (
+    ListingWanted as ListingWanted,
+)
 from jasminecrank.mesh.coordination._messages import LoadLearned as LoadLearned
 from jasminecrank.mesh.coordination._messages import LoadTold as LoadTold
+from jasminecrank.mesh.coordination._messages import PeerAsked as PeerAsked
 from jasminecrank.mesh.coordination._messages import PeerDown as PeerDown
+from jasminecrank.mesh.coordination._messages import PeerGranted as PeerGranted
 from jasminecrank.mesh.coordination._messages import PeerMessage as PeerMessage
 from jasminecrank.mesh.coordination._messages import PeerSaid as PeerSaid
 from jasminecrank.mesh.coordination._messages import PeerSilent as PeerSilent
 from jasminecrank.mesh.coordination._messages import PeerUp as PeerUp
-from jasminecrank.mesh.coordination._messages import QuotaWaited as QuotaWaited
+from jasminecrank.mesh.coordination._messages import Presence as Presence
+from jasminecrank.mesh.coordination._messages import (
+    QuotaAnswered as QuotaAnswered,
+)
+from jasminecrank.mesh.coordination._messages import QuotaAsked as QuotaAsked
+from jasminecrank.mesh.coordination._messages import (
+    QuotaMessage as QuotaMessage,
+)
+from jasminecrank.mesh.coordination._messages import QuotaTick as QuotaTick
+from jasminecrank.mesh.coordination._messages import QuotaUnused as QuotaUnused
 from jasminecrank.mesh.coordination._messages import RunCall as RunCall
 from jasminecrank.mesh.coordination._messages import RunEnded as RunEnded
 from jasminecrank.mesh.coordination._messages import SendToPeer as SendToPeer
@@ -84,9 +99,14 @@
     SourceReturned as SourceReturned,
 )
 from jasminecrank.mesh.coordination._messages import Stopping as Stopping
+from jasminecrank.mesh.coordination._messages import TokensAsked as TokensAsked
+from jasminecrank.mesh.coordination._messages import (
+    TokensGranted as TokensGranted,
+)
 from jasminecrank.mesh.coordination._messages import (
     WithdrawCall as WithdrawCall,
 )
+from jasminecrank.mesh.coordination._quota import QuotaTask as QuotaTask
 from jasminecrank.mesh.coordination._source import Changes as Changes
 from jasminecrank.mesh.coordination._source import HistoryGone as HistoryGone
 from jasminecrank.mesh.coordination._source import Page as Page
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -39,6 +39,13 @@
         """Put a message into the gate's mailbox."""
 
 
+class LocalQuota(typing.Protocol):
+    """The quota task's mailbox, as far as the entry uses it."""
+
+    def tell(self, message: _messages.QuotaMessage) -> None:
+        """Put a message into the quota task's mailbox."""
+
+
 @dataclass(slots=True)
 class _Call:
     number: int
@@ -54,6 +61,9 @@
     """Where the current attempt is."""
     timer: asyncio.TimerHandle | None = None
     charged: bool = False
+    """Whether it holds a token of its team's rate."""
+    has_waited: bool = False
+    """Whether it has waited for a token once."""
     servers: list[str] = field(default_factory=list)
 
 
@@ -66,9 +76,9 @@
         own_service: str,
         region_by_data_centre: typing.Mapping[str, str],
         placement: state.Placement,
-        quotas: state.QuotaShares,
         budget: state.RetryBudget,
         gate: LocalGate,
+        quota: LocalQuota,
         clock: _mailbox.Clock,
         rng: random.Random,
         log: _mailbox.Log,
@@ -78,9 +88,9 @@
         self._own_service = own_service
         self._region_by_data_centre = region_by_data_centre
         self._placement = placement
-        self._quotas = quotas
         self._budget = budget
         self._gate = gate
+        self._quota = quota
         self._clock = clock
         self._rng = rng
         self._split = state.SplitChooser()
@@ -112,10 +122,8 @@
                 self._caller_left(number)
             case _messages.CallTimeUp(number):
                 self._time_up(number)
-            case _messages.QuotaWaited(number):
-                call = self._call_by_number.get(number)
-                if call is not None:
-                    self._admit(call, may_wait=False)
+            case _messages.QuotaAnswered():
+                self._quota_answered(message)
             case _messages.AttemptEnded(number, host, result, busy):
                 if busy is not None:
                     self._placement.answered(host, busy)
@@ -124,8 +132,6 @@
                 self._fleet_changed(fleet)
             case _messages.LoadLearned(host, load):
                 self._placement.told(host, load, self._clock.now_s())
-            case _messages.DemandLearned(host, report):
-                self._quotas.reported(host, report, self._clock.now_s())
             case _messages.PeerUp(host, send):
                 self._send_by_host[host] = send
                 self._placement.reachable(host)
@@ -133,16 +139,8 @@
                 self._peer_silent(host)
             case _messages.PeerDown(host):
                 self._peer_down(host)
-            case _messages.BoundsChanged(quota, retries):
-                self._quotas.bounds = quota
+            case _messages.BoundsChanged(_, retries):
                 self._budget.bounds = retries
-            case _messages.DemandDue(send_all):
-                report = self._quotas.measure(self._clock.now_s())
-                rates = tuple(
-                    (team, round(100 * rate))
-                    for team, rate in report.rate_by_team.items()
-                )
-                send_all(_messages.DemandTold(rates))
             case _:
                 typing.assert_never(message)
 
@@ -183,7 +181,10 @@
             self.mailbox.tell,
             _messages.CallTimeUp(call.number),
         )
-        self._admit(call, may_wait=True)
+        if team is not None and team.rate_per_s > 0.0:
+            self._quota.tell(_messages.QuotaAsked(call.number, team))
+        else:
+            self._admit(call)
 
     def _patience_s(
         self, request: state.CallRequest, route: state.Route
@@ -212,27 +213,34 @@
         self._log_refusal(message.request.request_id, kind, "", version)
         message.reply(state.Refusal(kind))
 
-    def _admit(self, call: _Call, may_wait: bool) -> None:
-        now_s = self._clock.now_s()
-        if call.team is not None:
-            wait_s = self._quotas.take(call.team, now_s)
-            if wait_s is not None:
-                if may_wait and wait_s <= QUOTA_WAIT_S:
-                    asyncio.get_running_loop().call_later(
-                        wait_s,
-                        self.mailbox.tell,
-                        _messages.QuotaWaited(call.number),
-                    )
-                    return
-                retry_after_s = self._retry_after_s(call, wait_s)
-                self._finish(
-                    call,
-                    state.Refusal(
-                        state.RefusalKind.OVER_QUOTA, "", retry_after_s
-                    ),
-                )
-                return
+    def _quota_answered(self, message: _messages.QuotaAnswered) -> None:
+        call = self._call_by_number.get(message.number)
+        if call is None:
+            return
+        if message.granted:
             call.charged = True
+            self._admit(call)
+            return
+        if not call.has_waited and message.wait_s <= QUOTA_WAIT_S:
+            call.has_waited = True
+            assert call.team is not None
+            asyncio.get_running_loop().call_later(
+                message.wait_s,
+                self._quota.tell,
+                _messages.QuotaAsked(call.number, call.team),
+            )
+            return
+        self._finish(
+            call,
+            state.Refusal(
+                state.RefusalKind.OVER_QUOTA,
+                "",
+                self._retry_after_s(call, message.wait_s),
+            ),
+        )
+
+    def _admit(self, call: _Call) -> None:
+        now_s = self._clock.now_s()
         call.service = self._split.choose(call.attempts.route)
         self._budget.first(call.service, now_s)
         self._place(
@@ -379,7 +387,7 @@
                     and call.attempts.reached == 0
                     and call.host is None
                 ):
-                    self._quotas.give_back(call.team)
+                    self._quota.tell(_messages.QuotaUnused(call.team.name))
                 self._log_refusal(
                     call.request.request_id,
                     kind,
@@ -482,7 +490,6 @@
     def _peer_down(self, host: str) -> None:
         self._send_by_host.pop(host, None)
         self._placement.unreachable(host)
-        self._quotas.forget(host)
         for call in list(self._call_by_number.values()):
             if call.host == host:
                 self._attempt_ended(
@@ -492,8 +499,7 @@
     def _fleet_changed(self, fleet: state.Fleet) -> None:
         self._fleet = fleet
         hosts = {server.host for server in fleet.server_by_id.values()}
-        self._quotas.hosts = max(1, len(hosts | {self._own_host}))
-        self._budget.hosts = self._quotas.hosts
+        self._budget.hosts = len(hosts | {self._own_host})
 
     def _retry_after_s(self, call: _Call, wait_s: float) -> float:
         """Return when a caller should come back, spread over callers."""
--- /dev/null
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -0,0 +1,240 @@
+"""How the nodes pass entries of the source on to each other."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import random
+
+from jasminecrank.mesh import state
+from jasminecrank.mesh.coordination import _messages
+
+INLINE_BYTES = 2_048
+"""Largest entry or patch that is sent without being asked for."""
+REFETCH_S = 0.3
+"""Time for an announced entry to arrive before it is asked for again."""
+SMALL_FLEET = 16
+"""Servers up to which every node asks a watcher at once."""
+SPREAD_S = 0.4
+"""Time over which the nodes of a large fleet ask for a large entry."""
+GAP_S = 0.3
+"""Time for pushed entries to arrive before a listing is asked for.
+
+With the period of load reports it leaves a second of the 2 s in which a table
+has to be in force.
+"""
+ASK_AGAIN_S = 0.6
+"""Time between two requests for a listing, which is tens of kilobytes."""
+
+
+@dataclass(slots=True)
+class _Wanted:
+    revision: int
+    announcers: list[_messages.SendToPeer] = field(default_factory=list)
+    ask_at_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Told:
+    revision: int
+    digest: int
+
+
+class EntryExchange:
+    """Decides which entries go to which peers, and which to ask for.
+
+    A node that reads an entry from the source pushes it to the nodes that
+    have dialled it. All nodes tell a digest of what they know with their
+    load; a node whose digest differs for a while asks for the difference.
+    """
+
+    def __init__(self, directory: state.Directory, rng: random.Random) -> None:
+        self._directory = directory
+        self._rng = rng
+        self._wanted_by_key: dict[str, _Wanted] = {}
+        self._told_by_send: dict[_messages.SendToPeer, _Told] = {}
+        self._differs_since_s: float | None = None
+        self._listing_at_s = -1e9
+
+    def push(
+        self,
+        items: Iterable[state.Item],
+        peers: Iterable[_messages.SendToPeer],
+    ) -> None:
+        """Send entries that were read from the source to other nodes."""
+        told = []
+        announced = []
+        messages: list[_messages.PeerMessage] = []
+        for item in items:
+            if item.value is None or len(item.value) <= INLINE_BYTES:
+                told.append((item.key, item.revision, item.value))
+                continue
+            patched = self._patch(item, self._newest_base(item), INLINE_BYTES)
+            if patched is None:
+                announced.append((item.key, item.revision))
+            else:
+                messages.append(patched)
+        if told:
+            messages.append(_messages.ItemsTold(tuple(told)))
+        if announced:
+            messages.append(_messages.ItemsAnnounced(tuple(announced)))
+        for send in peers:
+            for message in messages:
+                send(message)
+
+    def peer_told(
+        self, send: _messages.SendToPeer, revision: int, digest: int
+    ) -> None:
+        """Take what a peer says of its entries."""
+        self._told_by_send[send] = _Told(revision, digest)
+
+    def peer_gone(self, send: _messages.SendToPeer) -> None:
+        """Forget a peer."""
+        self._told_by_send.pop(send, None)
+
+    def announced(
+        self,
+        message: _messages.ItemsAnnounced,
+        send: _messages.SendToPeer,
+        at_once: bool,
+        now_s: float,
+    ) -> list[state.Item]:
+        """Ask for what a peer has; return the removals that it implies."""
+        for key, revision in message.revisions:
+            known = self._directory.item_by_key.get(key)
+            if known is not None and known.revision >= revision:
+                continue
+            wanted = self._wanted_by_key.get(key)
+            if wanted is None or wanted.revision < revision:
+                delay_s = 0.0 if at_once else self._spread_s()
+                wanted = _Wanted(revision, [], now_s + delay_s)
+                self._wanted_by_key[key] = wanted
+            wanted.announcers.append(send)
+        self.ask_wanted(now_s)
+        if not message.complete_revision:
+            return []
+        keys = {key for key, _ in message.revisions}
+        return self._directory.missing_in(keys, message.complete_revision)
+
+    def patched(
+        self,
+        message: _messages.ItemPatched,
+        send: _messages.SendToPeer,
+        now_s: float,
+    ) -> list[state.Item]:
+        """Return the entry that a patch makes, or ask for all of it."""
+        known = self._directory.item_by_key.get(message.key)
+        if known is not None and known.revision >= message.revision:
+            return []
+        value = self._directory.patched(
+            message.key,
+            message.base_revision,
+            state.Patch(message.pieces, message.digest),
+        )
+        if value is not None:
+            return [state.Item(message.key, message.revision, value)]
+        revisions = ((message.key, message.revision),)
+        self.announced(_messages.ItemsAnnounced(revisions), send, True, now_s)
+        return []
+
+    def arrived(self, items: Iterable[state.Item]) -> None:
+        """Ask no more for entries that are there."""
+        for item in items:
+            wanted = self._wanted_by_key.get(item.key)
+            if wanted is not None and wanted.revision <= item.revision:
+                del self._wanted_by_key[item.key]
+
+    def answer_wanted(
+        self, message: _messages.ItemsWanted, send: _messages.SendToPeer
+    ) -> None:
+        """Send entries to a node that has asked for them."""
+        whole = []
+        for key, revision in message.keys:
+            item = self._directory.item_by_key.get(key)
+            if item is None or item.revision <= revision:
+                continue
+            most_bytes = len(item.value or b"") // 2
+            patched = self._patch(item, revision, most_bytes)
+            if patched is None:
+                whole.append((item.key, item.revision, item.value))
+            else:
+                send(patched)
+        if whole:
+            send(_messages.ItemsTold(tuple(whole)))
+
+    def answer_listing(self, send: _messages.SendToPeer) -> None:
+        """Tell a node which entries there are."""
+        items = self._directory.item_by_key.values()
+        send(
+            _messages.ItemsAnnounced(
+                tuple((item.key, item.revision) for item in items),
+                self._directory.complete_revision,
+            )
+        )
+
+    def ask_wanted(self, now_s: float) -> None:
+        """Ask for announced entries that are not there yet."""
+        keys_by_send: dict[_messages.SendToPeer, list[tuple[str, int]]] = {}
+        for key, wanted in list(self._wanted_by_key.items()):
+            if wanted.ask_at_s > now_s:
+                continue
+            if not wanted.announcers:
+                del self._wanted_by_key[key]
+                continue
+            chosen = self._rng.randrange(len(wanted.announcers))
+            send = wanted.announcers.pop(chosen)
+            wanted.ask_at_s = now_s + REFETCH_S
+            known = self._directory.item_by_key.get(key)
+            revision = 0 if known is None else known.revision
+            keys_by_send.setdefault(send, []).append((key, revision))
+        for send, keys in keys_by_send.items():
+            send(_messages.ItemsWanted(tuple(keys)))
+
+    def look_for_gaps(self, now_s: float) -> None:
+        """Ask a peer for its listing if it knows what this node does not."""
+        ahead = [
+            send
+            for send, told in self._told_by_send.items()
+            if told.digest != self._directory.digest
+            and told.revision >= self._directory.revision
+        ]
+        if not ahead:
+            self._differs_since_s = None
+            return
+        if self._differs_since_s is None:
+            self._differs_since_s = now_s
+        empty = self._directory.revision == 0
+        if not empty and now_s - self._differs_since_s < GAP_S:
+            return
+        if now_s - self._listing_at_s < ASK_AGAIN_S:
+            return
+        self._listing_at_s = now_s
+        send = ahead[self._rng.randrange(len(ahead))]
+        send(_messages.ListingWanted())
+
+    def _newest_base(self, item: state.Item) -> int:
+        bases = self._directory.bases_by_key.get(item.key, {})
+        older = [revision for revision in bases if revision < item.revision]
+        return max(older, default=0)
+
+    def _patch(
+        self, item: state.Item, base_revision: int, most_bytes: int
+    ) -> _messages.ItemPatched | None:
+        patch = self._directory.patch_from(item, base_revision)
+        if patch is None or patch.literal_bytes > most_bytes:
+            return None
+        return _messages.ItemPatched(
+            item.key,
+            base_revision,
+            item.revision,
+            patch.pieces,
+            patch.digest,
+        )
+
+    def _spread_s(self) -> float:
+        """Return how long to wait before asking for an entry.
+
+        In a large fleet most nodes then ask one another, not the watchers.
+        """
+        if len(self._directory.item_by_key) <= SMALL_FLEET:
+            return 0.0
+        return SPREAD_S * self._rng.random()
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -95,9 +95,19 @@
     accepting: bool
     confirmed_age_ms: int
     """Time since the source confirmed what the sender knows."""
+    revision: int
+    """Newest revision that the sender knows."""
+    digest: int
+    """Digest of all entries that the sender knows."""
 
     @classmethod
-    def from_load(cls, load: state.Load, confirmed_age_s: float) -> "LoadTold":
+    def from_load(
+        cls,
+        load: state.Load,
+        confirmed_age_s: float,
+        revision: int,
+        digest: int,
+    ) -> "LoadTold":
         """Return a load in whole numbers, which take fewer bytes."""
         return cls(
             load.server_id,
@@ -108,6 +118,8 @@
             round(100 * load.failure_rate),
             load.accepting,
             min(MAX_AGE_MS, round(1000 * confirmed_age_s)),
+            revision,
+            digest,
         )
 
     def load(self) -> state.Load:
@@ -124,10 +136,28 @@
 
 
 @dataclass(slots=True, frozen=True)
-class DemandTold:
-    """Requests in 100 s at the sender, by team."""
+class Presence:
+    """The sender is there, and which arbiters it can reach."""
 
-    rates: tuple[tuple[str, int], ...]
+    arbiters: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class TokensAsked:
+    """A node has calls of a team that need a token of its rate each."""
+
+    team: str
+    count: int
+
+
+@dataclass(slots=True, frozen=True)
+class TokensGranted:
+    """Answer to the oldest open request for tokens of a team."""
+
+    team: str
+    granted: int
+    wait_ms: int
+    """Time until there is another token."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,18 +167,36 @@
     items: tuple[tuple[str, int, bytes | None], ...]
 
 
+@dataclass(slots=True, frozen=True)
+class ItemPatched:
+    """A new revision of an entry, as a patch of an older one."""
+
+    key: str
+    base_revision: int
+    revision: int
+    pieces: tuple[bytes | tuple[int, int], ...]
+    digest: bytes
+
+
 @dataclass(slots=True, frozen=True)
 class ItemsAnnounced:
     """Keys and revisions that the sender has."""
 
     revisions: tuple[tuple[str, int], ...]
+    complete_revision: int = 0
+    """Above 0: these are all keys there were at this revision."""
 
 
 @dataclass(slots=True, frozen=True)
 class ItemsWanted:
-    """Keys that the sender asks for."""
+    """Keys that the sender asks for, with the revision that it has."""
+
+    keys: tuple[tuple[str, int], ...]
 
-    keys: tuple[str, ...]
+
+@dataclass(slots=True, frozen=True)
+class ListingWanted:
+    """The sender asks which entries there are."""
 
 
 PeerMessage = (
@@ -159,10 +207,14 @@
     | CallNotRun
     | CallMayHaveRun
     | LoadTold
-    | DemandTold
+    | Presence
+    | TokensAsked
+    | TokensGranted
     | ItemsTold
+    | ItemPatched
     | ItemsAnnounced
     | ItemsWanted
+    | ListingWanted
 )
 
 SendToPeer = Callable[[PeerMessage], None]
@@ -195,10 +247,12 @@
 
 
 @dataclass(slots=True, frozen=True)
-class QuotaWaited:
-    """A call has waited for a token of its team's rate."""
+class QuotaAnswered:
+    """A call has a token of its team's rate, or there is none for a while."""
 
     number: int
+    granted: bool
+    wait_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -227,14 +281,6 @@
     load: state.Load
 
 
-@dataclass(slots=True, frozen=True)
-class DemandLearned:
-    """A host told its demand."""
-
-    host: str
-    report: state.DemandReport
-
-
 @dataclass(slots=True, frozen=True)
 class PeerUp:
     """A link to a host can be used."""
@@ -257,13 +303,6 @@
     host: str
 
 
-@dataclass(slots=True, frozen=True)
-class DemandDue:
-    """It is time to tell this node's demand."""
-
-    send_all: Callable[[PeerMessage], None]
-
-
 @dataclass(slots=True, frozen=True)
 class BoundsChanged:
     """The settings have new bounds of the fleet's budgets."""
@@ -272,6 +311,50 @@
     retries: state.RetryBounds
 
 
+@dataclass(slots=True, frozen=True)
+class QuotaAsked:
+    """A call needs a token of its team's rate."""
+
+    number: int
+    team: state.Team
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaUnused:
+    """A call had a token and reached no backend server."""
+
+    team: str
+
+
+@dataclass(slots=True, frozen=True)
+class PeerAsked:
+    """A node asks this one for tokens, or says that it is there."""
+
+    host: str
+    message: Presence | TokensAsked
+    send: SendToPeer
+
+
+@dataclass(slots=True, frozen=True)
+class PeerGranted:
+    """An arbiter answers."""
+
+    host: str
+    message: TokensGranted
+
+
+@dataclass(slots=True, frozen=True)
+class CallersLost:
+    """The link by which a node asks for tokens has ended."""
+
+    host: str
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaTick:
+    """It is time to look for requests without an answer."""
+
+
 @dataclass(slots=True, frozen=True)
 class RunCall:
     """A call for the own backend server, from a link or from this node."""
@@ -341,9 +424,10 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangesRead:
-    """Entries that changed in the source."""
+    """All entries that changed in the source up to a revision."""
 
     items: tuple[state.Item, ...]
+    revision: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -364,7 +448,7 @@
 
     link: object
     host: str
-    message: LoadTold | DemandTold | ItemsTold | ItemsAnnounced | ItemsWanted
+    message: "FleetSaid"
     send: SendToPeer
 
 
@@ -392,21 +476,40 @@
     """It is time to tell loads and to look for silence."""
 
 
+FleetSaid = (
+    LoadTold
+    | ItemsTold
+    | ItemPatched
+    | ItemsAnnounced
+    | ItemsWanted
+    | ListingWanted
+)
 EntryMessage = (
     CallArrived
     | CallerLeft
     | CallTimeUp
-    | QuotaWaited
+    | QuotaAnswered
     | AttemptEnded
     | FleetChanged
     | LoadLearned
-    | DemandLearned
     | PeerUp
     | PeerSilent
     | PeerDown
-    | DemandDue
     | BoundsChanged
 )
+QuotaMessage = (
+    QuotaAsked
+    | QuotaUnused
+    | PeerAsked
+    | PeerGranted
+    | CallersLost
+    | FleetChanged
+    | PeerUp
+    | PeerSilent
+    | PeerDown
+    | BoundsChanged
+    | QuotaTick
+)
 GateMessage = (
     RunCall
     | WithdrawCall
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -110,7 +110,7 @@
             case Changes(items, revision):
                 self._answered()
                 self._revision = max(self._revision, revision)
-                self._tell(_messages.ChangesRead(items))
+                self._tell(_messages.ChangesRead(items, revision))
                 await asyncio.sleep(WATCH_GAP_S)
             case HistoryGone():
                 self._log.decision("history-gone", revision=self._revision)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -67,14 +67,21 @@
         self.gate = coordination.GateTask(
             state.Gate(), self._server, server, self._clock, log
         )
+        self.quota = coordination.QuotaTask(
+            config.host,
+            state.QuotaArbiter(config.host, config.quota),
+            self._to_entry,
+            self._clock,
+            log,
+        )
         self.entry = coordination.EntryTask(
             config.host,
             config.service,
             config.region_by_data_centre,
             state.Placement(config.host, config.data_centre, rng),
-            state.QuotaShares(config.quota),
             state.RetryBudget(config.retries),
             self.gate.mailbox,
+            self.quota.mailbox,
             self._clock,
             rng,
             log,
@@ -92,6 +99,7 @@
             coordination.FleetPorts(
                 self._to_entry,
                 self.gate.mailbox.tell,
+                self.quota.mailbox.tell,
                 self._dialler.dial,
                 self._source.set_wanted,
                 self.gate.load,
@@ -155,6 +163,8 @@
         self._tasks = [
             loop.create_task(self.entry.run()),
             loop.create_task(self.gate.run()),
+            loop.create_task(self.quota.run()),
+            loop.create_task(self.quota.run_ticks()),
             loop.create_task(self.fleet.run()),
             loop.create_task(self._source.run()),
             loop.create_task(self._tick()),
@@ -221,6 +231,14 @@
                 | coordination.CallMayHaveRun()
             ):
                 self.entry.peer_reply(link.peer_host, message)
+            case coordination.Presence() | coordination.TokensAsked():
+                self.quota.mailbox.tell(
+                    coordination.PeerAsked(link.peer_host, message, link.send)
+                )
+            case coordination.TokensGranted():
+                self.quota.mailbox.tell(
+                    coordination.PeerGranted(link.peer_host, message)
+                )
             case coordination.Hello():
                 pass
             case _:
@@ -265,9 +283,9 @@
             return
         self._config = config
         self._log.decision("reload")
-        self.entry.mailbox.tell(
-            coordination.BoundsChanged(config.quota, config.retries)
-        )
+        changed = coordination.BoundsChanged(config.quota, config.retries)
+        self.entry.mailbox.tell(changed)
+        self.quota.mailbox.tell(changed)
 
     async def _watch_settings(self) -> None:
         while True:
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -1,6 +1,7 @@
 """CBOR frames of the messages between nodes."""
 
 import dataclasses
+import functools
 import struct
 import typing
 import zlib
@@ -14,6 +15,8 @@
 """Above the largest body that a table may allow, 64 MiB."""
 COMPRESS_BYTES = 1_024
 """Entries of the source above this size are compressed."""
+PACKED_KEPT = 8
+"""Compressed entries kept, since many nodes ask for the same ones."""
 
 _TYPES: tuple[type[coordination.PeerMessage], ...] = (
     coordination.Hello,
@@ -23,10 +26,14 @@
     coordination.CallNotRun,
     coordination.CallMayHaveRun,
     coordination.LoadTold,
-    coordination.DemandTold,
+    coordination.Presence,
+    coordination.TokensAsked,
+    coordination.TokensGranted,
     coordination.ItemsTold,
+    coordination.ItemPatched,
     coordination.ItemsAnnounced,
     coordination.ItemsWanted,
+    coordination.ListingWanted,
 )
 _TAG_BY_TYPE = {kind: tag for tag, kind in enumerate(_TYPES)}
 _NAMES_BY_TYPE = {
@@ -34,6 +41,8 @@
     for kind in _TYPES
 }
 
+_Items = tuple[tuple[str, int, bytes | None], ...]
+
 
 class LinkError(Exception):
     """A peer sent something that is not a message."""
@@ -41,12 +50,17 @@
 
 def encode(message: coordination.PeerMessage) -> bytes:
     """Return the frame of a message."""
-    if isinstance(message, coordination.ItemsTold):
-        message = coordination.ItemsTold(
-            tuple(
-                (key, rev, _pack(value)) for key, rev, value in message.items
+    match message:
+        case coordination.ItemsTold(items):
+            message = coordination.ItemsTold(_pack_items(items))
+        case coordination.ItemPatched(pieces=pieces):
+            packed = tuple(
+                _pack(piece) if isinstance(piece, bytes) else piece
+                for piece in pieces
             )
-        )
+            message = dataclasses.replace(message, pieces=packed)
+        case _:
+            pass
     kind = type(message)
     fields = [getattr(message, name) for name in _NAMES_BY_TYPE[kind]]
     body = cbor2.dumps([_TAG_BY_TYPE[kind], *fields])
@@ -63,12 +77,17 @@
         message: coordination.PeerMessage = kind(
             *(_freeze(field) for field in fields)
         )
-        if isinstance(message, coordination.ItemsTold):
-            return coordination.ItemsTold(
-                tuple(
-                    (k, rev, _unpack(value)) for k, rev, value in message.items
+        match message:
+            case coordination.ItemsTold(items):
+                return coordination.ItemsTold(_unpack_items(items))
+            case coordination.ItemPatched(pieces=pieces):
+                unpacked = tuple(
+                    _unpack(piece) if isinstance(piece, bytes) else piece
+                    for piece in pieces
                 )
-            )
+                return dataclasses.replace(message, pieces=unpacked)
+            case _:
+                pass
     except LinkError:
         raise
     except Exception as error:
@@ -82,15 +101,30 @@
     return value
 
 
-def _pack(value: bytes | None) -> bytes | None:
-    if value is None:
-        return None
+def _pack(value: bytes) -> bytes:
     if len(value) < COMPRESS_BYTES:
         return b"\0" + value
+    return _compress(value)
+
+
+@functools.lru_cache(maxsize=PACKED_KEPT)
+def _compress(value: bytes) -> bytes:
     return b"\1" + zlib.compress(value, 1)
 
 
-def _unpack(value: bytes | None) -> bytes | None:
-    if value is None:
-        return None
+def _unpack(value: bytes) -> bytes:
     return zlib.decompress(value[1:]) if value[:1] == b"\1" else value[1:]
+
+
+def _pack_items(items: _Items) -> _Items:
+    return tuple(
+        (key, revision, None if value is None else _pack(value))
+        for key, revision, value in items
+    )
+
+
+def _unpack_items(items: _Items) -> _Items:
+    return tuple(
+        (key, revision, None if value is None else _unpack(value))
+        for key, revision, value in items
+    )
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -2,13 +2,11 @@
 
 from jasminecrank.mesh.state._attempts import Attempts as Attempts
 from jasminecrank.mesh.state._attempts import Deliver as Deliver
+from jasminecrank.mesh.state._attempts import MAX_PLACES as MAX_PLACES
 from jasminecrank.mesh.state._attempts import NextStep as NextStep
 from jasminecrank.mesh.state._attempts import Progress as Progress
 from jasminecrank.mesh.state._attempts import Refuse as Refuse
 from jasminecrank.mesh.state._attempts import TryElsewhere as TryElsewhere
-from jasminecrank.mesh.state._budgets import DemandReport as DemandReport
-from jasminecrank.mesh.state._budgets import QuotaBounds as QuotaBounds
-from jasminecrank.mesh.state._budgets import QuotaShares as QuotaShares
 from jasminecrank.mesh.state._budgets import RetryBounds as RetryBounds
 from jasminecrank.mesh.state._budgets import RetryBudget as RetryBudget
 from jasminecrank.mesh.state._budgets import UNSERVED_PART as UNSERVED_PART
@@ -47,9 +45,17 @@
 from jasminecrank.mesh.state._links import link_targets as link_targets
 from jasminecrank.mesh.state._links import rank as rank
 from jasminecrank.mesh.state._links import watchers as watchers
+from jasminecrank.mesh.state._patches import Patch as Patch
 from jasminecrank.mesh.state._placement import Place as Place
 from jasminecrank.mesh.state._placement import Placement as Placement
 from jasminecrank.mesh.state._placement import SplitChooser as SplitChooser
+from jasminecrank.mesh.state._quota import arbiter_of as arbiter_of
+from jasminecrank.mesh.state._quota import ARBITERS as ARBITERS
+from jasminecrank.mesh.state._quota import arbiters as arbiters
+from jasminecrank.mesh.state._quota import Grant as Grant
+from jasminecrank.mesh.state._quota import PRESENCE_S as PRESENCE_S
+from jasminecrank.mesh.state._quota import QuotaArbiter as QuotaArbiter
+from jasminecrank.mesh.state._quota import QuotaBounds as QuotaBounds
 from jasminecrank.mesh.state._table import CallerLimits as CallerLimits
 from jasminecrank.mesh.state._table import Route as Route
 from jasminecrank.mesh.state._table import Service as Service
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -1,12 +1,15 @@
 """Which backend servers exist, and what is to be done with them."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 import enum
+import hashlib
 
+from jasminecrank.mesh.state import _patches
 from jasminecrank.mesh.state import _table
 
 LAPSE_GRACE_S = 1.8
@@ -15,6 +18,14 @@
 The platform states about 2 s, and allows 2 s after a removal is confirmed.
 """
 
+BASES_KEPT = 4
+"""Older values of an entry that patches may refer to.
+
+A watcher that reads several changes at once skips the values between them.
+"""
+MIN_BASE_BYTES = 2_048
+"""Smallest value that is worth a patch."""
+
 
 class ServerState(enum.Enum):
     """What a backend server says of itself."""
@@ -117,6 +128,12 @@
     lapse_until_s: float = 0.0
     rejected: list[str] = field(default_factory=list)
     """What was unreadable since the last call of `take_rejected`."""
+    digest: int = 0
+    """Equal in two directories that hold the same entries."""
+    complete_revision: int = 0
+    """Revision up to which the source itself has shown all changes."""
+    bases_by_key: dict[str, dict[int, bytes]] = field(default_factory=dict)
+    """The last values of large entries, by revision."""
 
     def offer(self, items: Iterable[Item], now_s: float) -> list[Item]:
         """Take newer items in; return those that were new."""
@@ -127,6 +144,8 @@
                 continue
             self.item_by_key[item.key] = item
             self.revision = max(self.revision, item.revision)
+            self.digest ^= _item_digest(known) ^ _item_digest(item)
+            self._keep_base(item)
             self._apply(item, now_s)
             fresh.append(item)
         return fresh
@@ -140,15 +159,46 @@
         first page at the latest.
         """
         listed = list(items)
-        keys = {item.key for item in listed}
-        gone = [
-            Item(key, start_revision, None)
+        gone = self.missing_in({item.key for item in listed}, start_revision)
+        fresh = self.offer([*listed, *gone], now_s)
+        self.complete_revision = max(self.complete_revision, start_revision)
+        return fresh
+
+    def offer_changes(
+        self, items: Iterable[Item], revision: int, now_s: float
+    ) -> list[Item]:
+        """Take all changes up to a revision in, as the source showed them."""
+        fresh = self.offer(items, now_s)
+        self.complete_revision = max(self.complete_revision, revision)
+        return fresh
+
+    def missing_in(
+        self, keys: Collection[str], complete_revision: int
+    ) -> list[Item]:
+        """Return the removals that a complete list of keys implies."""
+        return [
+            Item(key, complete_revision, None)
             for key, known in self.item_by_key.items()
             if key not in keys
             and known.value is not None
-            and known.revision < start_revision
+            and known.revision < complete_revision
         ]
-        return self.offer([*listed, *gone], now_s)
+
+    def patch_from(
+        self, item: Item, base_revision: int
+    ) -> _patches.Patch | None:
+        """Return a patch of an entry, if the older value is still known."""
+        base = self.bases_by_key.get(item.key, {}).get(base_revision)
+        if base is None or item.value is None:
+            return None
+        return _patches.make_patch(base, item.value)
+
+    def patched(
+        self, key: str, base_revision: int, patch: _patches.Patch
+    ) -> bytes | None:
+        """Return the patched value of an entry, or None without its base."""
+        base = self.bases_by_key.get(key, {}).get(base_revision)
+        return None if base is None else _patches.apply_patch(base, patch)
 
     def source_returned(self, now_s: float) -> None:
         """Keep removed servers for a while after an outage."""
@@ -215,6 +265,14 @@
                 pass
         self.published_by_key[item.key] = published
 
+    def _keep_base(self, item: Item) -> None:
+        if item.value is None or len(item.value) < MIN_BASE_BYTES:
+            return
+        bases = self.bases_by_key.setdefault(item.key, {})
+        bases[item.revision] = item.value
+        while len(bases) > BASES_KEPT:
+            del bases[min(bases)]
+
     def _remove(self, key: str, now_s: float) -> None:
         published = self.published_by_key.get(key)
         match published:
@@ -229,3 +287,14 @@
             case DataCentreOut() | Unreadable() | None:
                 pass
         self.published_by_key.pop(key, None)
+
+
+def _item_digest(item: Item | None) -> int:
+    """Return an entry's part of the directory's digest.
+
+    Removed entries have none, since a node that starts later never sees them.
+    """
+    if item is None or item.value is None:
+        return 0
+    name = f"{item.key}@{item.revision}".encode()
+    return int.from_bytes(hashlib.blake2b(name, digest_size=6).digest())
--- a/src/jasminecrank/mesh/state/_links.py
+++ b/src/jasminecrank/mesh/state/_links.py
@@ -34,13 +34,16 @@
 
 
 def link_targets(
-    fleet: _directory.Fleet, own_host: str, own_data_centre: str
+    fleet: _directory.Fleet,
+    arbiters: Iterable[str],
+    own_host: str,
+    own_data_centre: str,
 ) -> set[str]:
     """Return the hosts whose nodes a node keeps links to."""
     servers_by_service: dict[str, list[_directory.BackendServer]] = {}
     for server in fleet.server_by_id.values():
         servers_by_service.setdefault(server.service, []).append(server)
-    targets = set(watchers(fleet))
+    targets = {*watchers(fleet), *arbiters}
     for servers in servers_by_service.values():
         targets |= _service_targets(servers, own_host, own_data_centre)
     targets.discard(own_host)
