Name every refused request in the log under load

Cause: above 400 lines a second the log left lines out, refusals and failures among them, with a count only. An engineer on call could not find such a request.

Ruled out: writing each on its own line, which does not bound the volume.

Change: above the limit one line names up to 50 requests with the same outcome, reason and version. Lines about beliefs don't count against the limit.

Conclusion: left out are only lines while standard output takes none.

--- /dev/null
+++ b/features/steps/mesh_log_steps.py
@@ -0,0 +1,116 @@
+"""Steps on the node's log."""
+
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from jasminecrank.mesh import transport
+
+
+class Clock:
+    """A clock that a step sets."""
+
+    def __init__(self):
+        self.at_s = 100.0
+
+    def now_s(self):
+        """Return the set time."""
+        return self.at_s
+
+
+@given("a log that takes {lines:d} lines a second")
+def step_log(context, lines):
+    assert lines == transport.LINES_PER_S
+    context.output = []
+    context.clock = Clock()
+
+    def write(data):
+        context.output.append(data)
+        return len(data)
+
+    context.log = transport.JsonLog("host", context.clock, write)
+
+
+@given("a log whose output {does}")
+def step_blocked(context, does):
+    context.output = []
+    context.clock = Clock()
+    context.open = False
+
+    def write(data):
+        if not context.open and does == "is blocked":
+            raise BlockingIOError
+        size = len(data) if context.open else len(data) // 2
+        context.output.append(data[:size])
+        return size
+
+    context.log = transport.JsonLog("host", context.clock, write)
+
+
+@when("{count:d} requests are refused within {seconds:g} s")
+def step_refuse(context, count, seconds):
+    context.ids = [f"{number:016x}" for number in range(count)]
+    for number, request_id in enumerate(context.ids):
+        context.clock.at_s += seconds / count
+        context.log.decision(
+            "call",
+            request_id=request_id,
+            outcome="overloaded" if number % 3 else "over-quota",
+            reason="busy",
+            version=7,
+        )
+        if number % 50 == 0:
+            context.log.flush()
+    context.clock.at_s += 0.1
+    context.log.flush()
+
+
+@when("a table comes into force")
+def step_table(context):
+    context.log.decision("table-in-force", version=8)
+
+
+def lines_of(context):
+    """Return what has been written."""
+    return [json.loads(line) for line in b"".join(context.output).splitlines()]
+
+
+@then("each of them is in the log with its outcome and reason")
+def step_named(context):
+    outcome_by_id = {}
+    for line in lines_of(context):
+        assert line["reason"] == "busy"
+        assert line["version"] == 7
+        for request_id in line.get("request_ids", [line.get("request_id")]):
+            outcome_by_id[request_id] = line["outcome"]
+    for number, request_id in enumerate(context.ids):
+        wanted = "overloaded" if number % 3 else "over-quota"
+        assert outcome_by_id.get(request_id) == wanted, number
+
+
+@then("at most {most:d} lines have been written")
+def step_most(context, most):
+    assert len(lines_of(context)) <= most, len(lines_of(context))
+
+
+@then("the log says so")
+def step_says(context):
+    events = [line["event"] for line in lines_of(context)]
+    assert events[-1] == "table-in-force", events[-3:]
+
+
+@then("the log holds at most {most:d} lines and says what it left out")
+def step_holds(context, most):
+    before = len(b"".join(context.output).splitlines())
+    context.open = True
+    context.clock.at_s += 1.0
+    context.log.flush()
+    context.log.decision("table-in-force", version=8)
+    written = b"".join(context.output).splitlines()
+    assert len(written) - before <= most + 2
+    lines = [json.loads(line) for line in written]
+    named = sum(len(line.get("request_ids", "1")) for line in lines[:-1])
+    left_out = sum(line.get("left_out", 0) for line in lines)
+    assert named + left_out >= len(context.ids), (named, left_out)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -270,6 +270,7 @@
     async def _tick(self) -> None:
         while True:
             self._tell_fleet(coordination.FleetTick())
+            self._log.flush()
             await asyncio.sleep(coordination.TICK_S)
 
     def _reload(self) -> None:
--- a/src/jasminecrank/mesh/transport/__init__.py
+++ b/src/jasminecrank/mesh/transport/__init__.py
@@ -16,6 +16,7 @@
 )
 from jasminecrank.mesh.transport._log import HISTOGRAM_S as HISTOGRAM_S
 from jasminecrank.mesh.transport._log import JsonLog as JsonLog
+from jasminecrank.mesh.transport._log import LINES_PER_S as LINES_PER_S
 from jasminecrank.mesh.transport._server_connections import (
     ServerConnections as ServerConnections,
 )
--- a/src/jasminecrank/mesh/transport/_log.py
+++ b/src/jasminecrank/mesh/transport/_log.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
 import json
 import os
 import time
@@ -11,7 +13,12 @@
 from jasminecrank.mesh.transport import _clock
 
 LINES_PER_S = 400
-"""Lines written per second; more are counted and left out."""
+"""Lines on requests that are written per second, each on its own.
+
+Above it one line names all requests with the same outcome and reason.
+"""
+MERGED_IDS = 50
+"""Requests that one line names at most."""
 SAMPLED_EACH = 50
 """One in so many successful calls is written."""
 BACKLOG_LINES = 2_000
@@ -19,6 +26,16 @@
 HISTOGRAM_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
+@dataclass(slots=True, frozen=True)
+class _Alike:
+    """What the requests that one line names have in common."""
+
+    event: str
+    outcome: str
+    reason: str
+    version: str
+
+
 class JsonLog:
     """Writes decisions as JSON lines and keeps the node's counters."""
 
@@ -29,6 +46,7 @@
         "_filled_at_s",
         "_host",
         "_left_out",
+        "_merged",
         "_sampled",
         "_sequence",
         "_write",
@@ -49,6 +67,7 @@
         self._budget = float(LINES_PER_S)
         self._filled_at_s = clock.now_s()
         self._left_out = 0
+        self._merged: dict[_Alike, list[str]] = {}
         self._sampled = 0
         self._sequence = 0
         self._backlog: deque[bytes] = deque()
@@ -65,29 +84,36 @@
     def decision(self, event: str, **fields: object) -> None:
         """Write a decision or a change of belief."""
         now_s = self._clock.now_s()
+        request_id = fields.get("request_id")
+        if request_id is None:
+            self._write_line(event, now_s, fields)
+            return
         passed_s = now_s - self._filled_at_s
         self._filled_at_s = now_s
         self._budget = min(
             float(LINES_PER_S), self._budget + passed_s * LINES_PER_S
         )
-        if self._budget < 1.0:
-            self._left_out += 1
-            self.count("log_lines", "left-out")
+        if self._budget >= 1.0:
+            self._budget -= 1.0
+            self._write_line(event, now_s, fields)
             return
-        self._budget -= 1.0
-        self._sequence += 1
-        line: dict[str, object] = {
-            "time": round(time.time(), 3),
-            "up_s": round(now_s, 3),
-            "host": self._host,
-            "sequence": self._sequence,
-            "event": event,
-        }
-        if self._left_out:
-            line["left_out"] = self._left_out
-            self._left_out = 0
-        line.update(fields)
-        self._emit(json.dumps(line, default=str).encode() + b"\n")
+        alike = _Alike(
+            event,
+            str(fields.get("outcome", "")),
+            str(fields.get("reason", "")),
+            str(fields.get("version", "")),
+        )
+        ids = self._merged.setdefault(alike, [])
+        ids.append(str(request_id))
+        if len(ids) >= MERGED_IDS:
+            self._write_merged(alike, now_s)
+
+    def flush(self) -> None:
+        """Write the lines that name several requests, and the backlog."""
+        now_s = self._clock.now_s()
+        for alike in list(self._merged):
+            self._write_merged(alike, now_s)
+        self._write_backlog()
 
     def sampled(self, event: str, **fields: object) -> None:
         """Write one in fifty events with the number left out."""
@@ -121,11 +147,41 @@
             buckets[-1] += 1
         self.sum_by_name[name] = self.sum_by_name.get(name, 0.0) + seconds
 
-    def _emit(self, line: bytes) -> None:
+    def _write_merged(self, alike: "_Alike", now_s: float) -> None:
+        ids = self._merged.pop(alike)
+        fields: dict[str, object] = {
+            "request_ids": ids,
+            "outcome": alike.outcome,
+            "reason": alike.reason,
+        }
+        if alike.version:
+            fields["version"] = int(alike.version)
+        self._write_line(alike.event, now_s, fields)
+
+    def _write_line(
+        self, event: str, now_s: float, fields: Mapping[str, object]
+    ) -> None:
+        self._sequence += 1
+        line: dict[str, object] = {
+            "time": round(time.time(), 3),
+            "up_s": round(now_s, 3),
+            "host": self._host,
+            "sequence": self._sequence,
+            "event": event,
+        }
         if len(self._backlog) >= BACKLOG_LINES:
-            self._left_out += 1
+            ids = fields.get("request_ids")
+            self._left_out += len(ids) if isinstance(ids, list) else 1
+            self.count("log_lines", "left-out")
             return
-        self._backlog.append(line)
+        if self._left_out:
+            line["left_out"] = self._left_out
+            self._left_out = 0
+        line.update(fields)
+        self._backlog.append(json.dumps(line, default=str).encode() + b"\n")
+        self._write_backlog()
+
+    def _write_backlog(self) -> None:
         while self._backlog:
             line = self._backlog[0]
             try:
