Serve before the registry lists a server that has just started

Change: for 3 s after its start a gate runs calls for a listed server at its address under the id that health shows, if the entry names the service of the node's settings. A gate whose server turns out to be another one refuses its queue at once. The feature's row with new ids failed before; the one with another service keeps addresses that are used again safe.

--- a/features/mesh/whole_path.feature
+++ b/features/mesh/whole_path.feature
@@ -129,6 +129,17 @@
       | has restarted unlisted | 1200     | 0.3   | 0.4  |
       | is draining            | 3000     | 0.1   | 1.0  |
 
+  Scenario Outline: Hosts that have lost power serve before they are listed
+    Given a deployment of 2 hosts
+    When all hosts lose power and their servers come back <unlisted>
+    And a caller sends POST /book/1 with key k1
+    Then it gets <status> and the request has run <runs> times
+
+    Examples:
+      | unlisted                 | status | runs |
+      | with new ids             | 200    | 1    |
+      | as servers of no service | 503    | 0    |
+
   Scenario: Changed settings are taken over without a restart
     Given a deployment of 1 hosts
     When the settings get a retry ratio of 0.5
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -11,6 +11,7 @@
 from behave import then
 from behave import when
 
+from jasminecrank.mesh import coordination
 from jasminecrank.standins import fleet
 
 PROMISES = (429, 503)
@@ -351,6 +352,31 @@
                 server.server_id = f"new-{number}"
         await asyncio.sleep(0.5)
 
+    if event == "has restarted unlisted":
+        # A node that has just started takes its server's word.
+        context.runner.run(asyncio.sleep(coordination.UNLISTED_S))
+    context.runner.run(act())
+
+
+@when("all hosts lose power and their servers come back {unlisted}")
+def step_power(context, unlisted):
+    async def act():
+        deployment = context.fleet
+        if unlisted == "as servers of no service":
+            deployment.service = "another"
+        for number, server in enumerate(deployment.servers):
+            deployment.nodes[number].abort()
+            server.server_id = f"new-{number}"
+            deployment.nodes[number] = deployment.make_node(number)
+        for node in deployment.nodes:
+            await node.start()
+        await deployment.until(
+            lambda: all(
+                node.ready and node.linked_hosts for node in deployment.nodes
+            )
+        )
+        await asyncio.sleep(0.3)
+
     context.runner.run(act())
 
 
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -18,6 +18,7 @@
 )
 from jasminecrank.mesh.coordination._gate import GateTask as GateTask
 from jasminecrank.mesh.coordination._gate import MOVED as MOVED
+from jasminecrank.mesh.coordination._gate import UNLISTED_S as UNLISTED_S
 from jasminecrank.mesh.coordination._mailbox import Clock as Clock
 from jasminecrank.mesh.coordination._mailbox import Log as Log
 from jasminecrank.mesh.coordination._mailbox import Mailbox as Mailbox
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -1,6 +1,7 @@
 """The task that admits calls to the backend server of its host."""
 
 import asyncio
+import dataclasses
 from dataclasses import dataclass
 import typing
 
@@ -17,6 +18,12 @@
 
 Half of the interval at which servers renew their entries.
 """
+UNLISTED_S = 3.0
+"""Time after the node's start in which its server may not be listed yet.
+
+A server lists itself within one interval of its entries, about 1.5 s; the
+settings that name its service were written at the node's start.
+"""
 MOVED = "server-gone"
 """Reason given for calls that belong to another incarnation."""
 
@@ -49,10 +56,13 @@
         gate: state.Gate,
         port: BackendServerPort,
         address: tuple[str, int],
+        service: str,
         clock: _mailbox.Clock,
         log: _mailbox.Log,
     ) -> None:
         super().__init__(log)
+        self._service = service
+        self._started_at_s = clock.now_s()
         self._gate = gate
         self._port = port
         self._address = address
@@ -141,13 +151,35 @@
                 return "data-centre-out"
         if self._gate.phase is state.Phase.UP and (
             self._gate.server_id not in ("", server_id)
+            and not self._is_successor(server)
         ):
             return MOVED
         return None
 
+    def _is_successor(self, server: state.BackendServer | None) -> bool:
+        """Return whether the running server takes a listed one's calls.
+
+        After a loss of power host, node and server start together, and the
+        new incarnation is not listed yet. The settings say that it is of the
+        same service.
+        """
+        return (
+            server is not None
+            and server.service == self._service
+            and self._clock.now_s() - self._started_at_s < UNLISTED_S
+            and self._gate.server_id not in self._fleet.server_by_id
+        )
+
     def _start(
         self, link_id: int, running: _Running, deadline_at_s: float
     ) -> None:
+        call = running.call
+        if call.server_id != self._gate.server_id and self._is_successor(
+            self._fleet.server_by_id.get(call.server_id)
+        ):
+            running.call = dataclasses.replace(
+                call, server_id=self._gate.server_id
+            )
         running.task = asyncio.get_running_loop().create_task(
             self._exchange(link_id, running, deadline_at_s)
         )
@@ -363,6 +395,8 @@
             server=health.server_id,
             cold_left_s=round(health.cold_left_s, 3),
         )
+        if self._own is not None and self._closed_to(self._own.server_id):
+            self._empty_queue()
         self._release()
 
 
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -65,7 +65,12 @@
             server, codec, self._clock, log
         )
         self.gate = coordination.GateTask(
-            state.Gate(), self._server, server, self._clock, log
+            state.Gate(),
+            self._server,
+            server,
+            config.service,
+            self._clock,
+            log,
         )
         self.quota = coordination.QuotaTask(
             config.host,
