--- /dev/null
+++ b/features/standins/fault_soak.feature
@@ -0,0 +1,55 @@
+Feature: The fault soak
+
+  Guards against a check that finds nothing, and plays short seeded runs of
+  real processes under faults.
+
+  Scenario Outline: Each check finds what it is for
+    Given a run in which <what>
+    Then <check> finds <found>
+
+    Examples:
+      | what                                           | check           | found   |
+      | a booking runs once                            | at_most_once    | nothing |
+      | a booking runs twice                           | at_most_once    | a fault |
+      | a lookup runs twice                            | at_most_once    | nothing |
+      | a booking is refused and does not run          | true_refusals   | nothing |
+      | a booking is refused and runs                  | true_refusals   | a fault |
+      | a booking is answered 502 and runs             | true_refusals   | nothing |
+      | an answer is cut                               | whole_answers   | a fault |
+      | a request runs that nobody sent                | known_callers   | a fault |
+      | a request runs for another team                | known_callers   | a fault |
+      | a server sees a key                            | known_callers   | a fault |
+      | a withdrawn key is served at once              | withdrawn_keys  | nothing |
+      | a withdrawn key is served 3 s later            | withdrawn_keys  | a fault |
+      | a withdrawn key is served 3 s later in a fault | withdrawn_keys  | nothing |
+      | a withdrawn key is refused and served again    | withdrawn_keys  | a fault |
+      | a leaving server gets a late request           | no_new_work     | a fault |
+      | a leaving server gets a late request in a fault | no_new_work    | nothing |
+      | a cold server gets 20 requests in a second     | cold_servers    | nothing |
+      | a cold server gets 21 requests in a second     | cold_servers    | a fault |
+      | a team runs 470 requests in 5 s                | quotas          | nothing |
+      | a team runs 471 requests in 5 s                | quotas          | a fault |
+      | a planned stop cuts a request that ran         | planned_stops   | a fault |
+      | a planned stop cuts a request that did not run | planned_stops   | nothing |
+      | a kill cuts a request that ran                 | planned_stops   | nothing |
+      | nothing is served at the end                   | recovery        | a fault |
+
+  Scenario Outline: A seed plays the same faults each time
+    Given the plan of seed <seed> for 8 hosts and 30 s
+    Then it is the same when it is drawn again
+    And its faults overlap and leave 8 s at the end
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario Outline: A short run of real processes
+    When seed <seed> is played on 5 hosts for 18 s
+    Then every promise has held
+
+    Examples:
+      | seed |
+      | 1    |
+      | 11   |
--- /dev/null
+++ b/features/steps/fault_soak_steps.py
@@ -0,0 +1,193 @@
+"""Steps on the fault soak and its checks."""
+
+import asyncio
+import pathlib
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from jasminecrank.standins import soak
+from jasminecrank.standins.soak import checks
+from jasminecrank.standins.soak import observed
+
+RATE_PER_S = 60
+END_S = 30.0
+CHECK_BY_NAME = {
+    "at_most_once": checks.at_most_once,
+    "true_refusals": checks.true_refusals,
+    "whole_answers": checks.whole_answers,
+    "known_callers": checks.known_callers,
+    "withdrawn_keys": checks.withdrawn_keys,
+    "no_new_work": checks.no_new_work,
+    "cold_servers": checks.cold_servers,
+    "quotas": checks.quotas(RATE_PER_S),
+    "planned_stops": checks.planned_stops,
+    "recovery": checks.recovery(END_S),
+}
+
+
+def attempt(request_id="r1", method="POST", key="k1", sent_s=10.0, status=200):
+    """Return a request as a caller saw it."""
+    ended_s = sent_s + 0.3
+    return observed.Attempt(
+        request_id, 0, 1, method, key, sent_s, ended_s, status
+    )
+
+
+def arrival(request_id="r1", at_s=10.1, team="team-0", cold=False):
+    """Return a request as a server saw it."""
+    return observed.Arrival(request_id, 0, at_s, team, "ledger", False, cold)
+
+
+def many(count, over_s, cold):
+    """Return requests that arrive evenly in a time, its end left out."""
+    step_s = over_s / (count + 1)
+    return [
+        arrival(f"r{number}", 10.0 + number * step_s, "team-0", cold)
+        for number in range(count)
+    ]
+
+
+def seen(attempts=(), arrivals=(), fault=None, planned=False):
+    """Return records with what was seen, and a fault from a time on."""
+    records = observed.Records()
+    records.team_by_key = {"k1": "team-0"}
+    records.attempts.extend(attempts)
+    records.arrivals.extend(arrivals)
+    if fault is not None:
+        records.begin(fault, (0,), planned)
+    return records
+
+
+def withdrawn(*attempts, fault=None):
+    """Return records in which the key was withdrawn at 9 s."""
+    records = seen(attempts, fault=fault)
+    records.withdrawn_s_by_key["k1"] = 9.0
+    return records
+
+
+def leaving(fault=None):
+    """Return records in which a server got a request after it left."""
+    records = seen([attempt()], [arrival()], fault)
+    records.no_new_work.append(observed.Promise(0, 9.0, 11.0))
+    return records
+
+
+def stopped(*arrivals, fault=None):
+    """Return records in which a stop at 10 s cut a request."""
+    cut = attempt(status=0)
+    cut.ended_s = 10.1
+    records = seen([cut], arrivals, fault)
+    records.terminated.append((0, 10.0))
+    records.begin(10.0, (0,), planned=True)
+    return records
+
+
+def shown_key():
+    """Return records of a server that was shown a key."""
+    record = observed.Arrival("r1", 0, 10.1, "team-0", "ledger", True, False)
+    return seen([attempt()], [record])
+
+
+def cut_answer():
+    """Return records of an answer that is not whole."""
+    cut = attempt()
+    cut.whole = False
+    return seen([cut])
+
+
+RECORDS_BY_CASE = {
+    "a booking runs once": lambda: seen([attempt()], [arrival()]),
+    "a booking runs twice": lambda: seen([attempt()], [arrival(), arrival()]),
+    "a lookup runs twice": lambda: seen(
+        [attempt(method="GET")], [arrival(), arrival()]
+    ),
+    "a booking is refused and does not run": lambda: seen(
+        [attempt(status=503)]
+    ),
+    "a booking is refused and runs": lambda: seen(
+        [attempt(status=503)], [arrival()]
+    ),
+    "a booking is answered 502 and runs": lambda: seen(
+        [attempt(status=502)], [arrival()]
+    ),
+    "an answer is cut": cut_answer,
+    "a request runs that nobody sent": lambda: seen([], [arrival()]),
+    "a request runs for another team": lambda: seen(
+        [attempt()], [arrival(team="team-1")]
+    ),
+    "a server sees a key": shown_key,
+    "a withdrawn key is served at once": lambda: withdrawn(attempt()),
+    "a withdrawn key is served 3 s later": lambda: withdrawn(
+        attempt(sent_s=12.0)
+    ),
+    "a withdrawn key is served 3 s later in a fault": lambda: withdrawn(
+        attempt(sent_s=12.0), fault=11.0
+    ),
+    "a withdrawn key is refused and served again": lambda: withdrawn(
+        attempt(sent_s=9.5, status=401), attempt("r2", sent_s=10.5)
+    ),
+    "a leaving server gets a late request": leaving,
+    "a leaving server gets a late request in a fault": lambda: leaving(8.0),
+    "a cold server gets 20 requests in a second": lambda: seen(
+        [], many(20, 1.0, True)
+    ),
+    "a cold server gets 21 requests in a second": lambda: seen(
+        [], many(21, 1.0, True)
+    ),
+    "a team runs 470 requests in 5 s": lambda: seen([], many(470, 5.0, False)),
+    "a team runs 471 requests in 5 s": lambda: seen([], many(471, 5.0, False)),
+    "a planned stop cuts a request that ran": lambda: stopped(arrival()),
+    "a planned stop cuts a request that did not run": stopped,
+    "a kill cuts a request that ran": lambda: stopped(arrival(), fault=9.0),
+    "nothing is served at the end": lambda: seen(
+        [attempt(sent_s=29.0, status=503)]
+    ),
+}
+
+
+@given("a run in which {case}")
+def step_records(context, case):
+    context.records = RECORDS_BY_CASE[case]()
+
+
+@then("{name} finds {found}")
+def step_finds(context, name, found):
+    lines = list(CHECK_BY_NAME[name](context.records))
+    assert bool(lines) == (found == "a fault"), lines
+
+
+@given("the plan of seed {seed:d} for {hosts:d} hosts and {seconds:d} s")
+def step_plan(context, seed, hosts, seconds):
+    context.arguments = (seed, hosts, float(seconds))
+    context.plan = soak.make_plan(*context.arguments)
+
+
+@then("it is the same when it is drawn again")
+def step_same(context):
+    assert context.plan == soak.make_plan(*context.arguments)
+
+
+@then("its faults overlap and leave {seconds:d} s at the end")
+def step_overlap(context, seconds):
+    times = [planned.at_s for planned in context.plan]
+    gaps = [
+        later - at_s for at_s, later in zip(times, times[1:], strict=False)
+    ]
+    assert min(gaps) < 0.3
+    assert times[-1] <= context.arguments[2] - seconds
+
+
+@when("seed {seed:d} is played on {hosts:d} hosts for {seconds:d} s")
+def step_play(context, seed, hosts, seconds):
+    with tempfile.TemporaryDirectory() as folder:
+        run = soak.Soak(seed, hosts, float(seconds), pathlib.Path(folder))
+        context.result = asyncio.run(run.run())
+
+
+@then("every promise has held")
+def step_held(context):
+    assert not context.result.broken, context.result.broken[:5]
+    assert context.result.served > 0
--- /dev/null
+++ b/script/run_fault_soak.py
@@ -0,0 +1,74 @@
+"""Run the fault soak: real nodes as processes, faults drawn from a seed."""
+
+import asyncio
+import pathlib
+import random
+import shutil
+import tempfile
+import time
+
+import cyclopts
+
+from jasminecrank.standins import soak
+
+app = cyclopts.App(help=__doc__, version_flags=())
+
+
+def run_seed(seed: int, hosts: int, duration_s: float) -> bool:
+    """Run one seed; return whether all promises held."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    run = soak.Soak(seed, hosts, duration_s, folder)
+    result = asyncio.run(run.run())
+    verdict = "FAILED" if result.broken else "ok"
+    print(
+        f"{verdict:6} --seed {seed} --hosts {hosts} --duration-s "
+        f"{duration_s:g}: {result.requests} requests, {result.served} "
+        f"served, {result.faults} faults",
+        flush=True,
+    )
+    for line in result.broken[:10]:
+        print(f"       {line}", flush=True)
+    if result.broken:
+        print(f"       logs: {folder}", flush=True)
+        return False
+    shutil.rmtree(folder)
+    return True
+
+
+@app.default
+def main(
+    *,
+    seed: int | None = None,
+    seeds: int = 1,
+    minutes: float = 0.0,
+    hosts: int = 8,
+    duration_s: float = 30.0,
+) -> int:
+    """Run seeds one after the other; return 1 if a promise did not hold.
+
+    Parameters
+    ----------
+    seed
+        First seed; a fresh one without it.
+    seeds
+        Number of seeds, each one above the last.
+    minutes
+        Go on with further seeds for so long.
+    hosts
+        Hosts of the deployment; each is one process and one server.
+    duration_s
+        Seconds that a seed is played.
+    """
+    first = random.SystemRandom().randrange(10**6) if seed is None else seed
+    begun_s = time.monotonic()
+    failed = 0
+    number = first
+    while number < first + seeds or time.monotonic() - begun_s < 60 * minutes:
+        failed += not run_seed(number, hosts, duration_s)
+        number += 1
+    print(f"{number - first - failed} seeds passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(app())
--- a/src/jasminecrank/standins/fleet/__init__.py
+++ b/src/jasminecrank/standins/fleet/__init__.py
@@ -2,6 +2,11 @@
 
 from jasminecrank.standins.fleet._caller import Caller as Caller
 from jasminecrank.standins.fleet._deployment import Deployment as Deployment
+from jasminecrank.standins.fleet._deployment import free_ports as free_ports
+from jasminecrank.standins.fleet._entries import server_entry as server_entry
+from jasminecrank.standins.fleet._entries import table_entry as table_entry
+from jasminecrank.standins.fleet._entries import TeamRow as TeamRow
+from jasminecrank.standins.fleet._http import Response as Response
 from jasminecrank.standins.fleet._load_model import Kind as Kind
 from jasminecrank.standins.fleet._load_model import LoadModel as LoadModel
 from jasminecrank.standins.fleet._load_model import Outcome as Outcome
--- /dev/null
+++ b/src/jasminecrank/standins/fleet/_entries.py
@@ -0,0 +1,91 @@
+"""Entries that operators and servers write to the store."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+import time
+import typing
+
+ROUTES = (
+    ("lots", "/lots/", "safe", "ledger", False),
+    ("book", "/book/", "unsafe", "ledger", False),
+    ("open", "/open/", "safe", "ledger", True),
+)
+
+
+@dataclass(slots=True, frozen=True)
+class TeamRow:
+    """Keys and rate of a team."""
+
+    keys: Sequence[str]
+    rate_per_s: int
+
+
+def table_entry(
+    version: int, timeout_ms: int, team_by_name: Mapping[str, TeamRow]
+) -> dict[str, typing.Any]:
+    """Return a table with the routes of the stand-ins."""
+    resources: list[dict[str, typing.Any]] = [
+        {
+            "typeUrl": "routes",
+            "metadata": {"name": name},
+            "spec": {
+                "host": "a.example",
+                "prefix": prefix,
+                "kind": kind,
+                "timeoutMs": timeout_ms,
+                "targetLatencyMs": 300,
+                "priority": 1,
+                "service": service,
+                "maxAttempts": 2,
+                "public": is_open,
+            },
+        }
+        for name, prefix, kind, service, is_open in ROUTES
+    ]
+    resources.append(
+        {
+            "typeUrl": "services",
+            "metadata": {"name": "ledger"},
+            "spec": {
+                "healthPath": "/healthz",
+                "maxConns": 110,
+                "coldStartS": 3.0,
+                "coldPerS": 10.0,
+            },
+        }
+    )
+    resources.extend(
+        {
+            "typeUrl": "tenants",
+            "metadata": {"name": name},
+            "spec": {
+                "apiKeys": list(team.keys),
+                "ratePerS": team.rate_per_s,
+                "burst": team.rate_per_s,
+            },
+        }
+        for name, team in team_by_name.items()
+    )
+    return {"version": version, "resources": resources}
+
+
+def server_entry(
+    address: str,
+    data_centre: str,
+    slots: int,
+    server_state: str,
+    cold_ms: int,
+) -> dict[str, typing.Any]:
+    """Return what a server writes of itself."""
+    return {
+        "address": address,
+        "born": int(time.time() * 1000),
+        "info": {
+            "service": "ledger",
+            "version": "v1",
+            "zone": data_centre,
+            "slots": slots,
+        },
+        "status": {"state": server_state, "seq": 1, "coldLeftMs": cold_ms},
+    }
--- /dev/null
+++ b/src/jasminecrank/standins/soak/__init__.py
@@ -0,0 +1,6 @@
+"""A fault soak: real nodes as processes, with faults from outside them."""
+
+from jasminecrank.standins.soak._plan import Fault as Fault
+from jasminecrank.standins.soak._plan import make_plan as make_plan
+from jasminecrank.standins.soak._run import Soak as Soak
+from jasminecrank.standins.soak._run import SoakResult as SoakResult
--- /dev/null
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -0,0 +1,249 @@
+"""The deployment of a run: store, servers and proxies here, node processes."""
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+import pathlib
+import random
+import typing
+
+from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _processes
+from jasminecrank.standins.soak import _proxy
+from jasminecrank.standins.soak import observed
+
+DATA_CENTRES = ("belt-a", "belt-b")
+TEAM_RATE_PER_S = 60
+COLD_S = 3.0
+START_S = 15.0
+"""Time in which all nodes have to be ready at the start."""
+
+
+class SoakDeployment:
+    """Owns everything that callers and faults act on."""
+
+    def __init__(
+        self, rng: random.Random, hosts: int, folder: pathlib.Path
+    ) -> None:
+        self.rng = rng
+        self.hosts = range(hosts)
+        self.store = fleet.Store()
+        self.servers = [
+            SoakServer(number, f"i-{number}-0", self._see_arrival)
+            for number in self.hosts
+        ]
+        self.nodes: list[_processes.NodeProcess] = []
+        self.link_proxies: dict[tuple[int, int], _proxy.Proxy] = {}
+        """Proxies by the hosts that dial and that listen."""
+        self.store_proxies: list[_proxy.Proxy] = []
+        self.keys_by_team: dict[str, list[str]] = {}
+        self.ports: dict[str, int] = {}
+        self.leaving: set[int] = set()
+        """Hosts whose servers are being replaced or restarted."""
+        self.records = observed.Records()
+        self._folder = folder
+        self._version = 0
+        self._generation = 0
+        self._begun_s = 0.0
+
+    @contextlib.contextmanager
+    def disturbed(
+        self, hosts: Iterable[int] | None, planned: bool = False
+    ) -> Iterator[None]:
+        """Note that a fault lasts, at some hosts or at all."""
+        disturbance = self.records.begin(self.now_s(), hosts, planned)
+        try:
+            yield
+        finally:
+            disturbance.end_s = self.now_s()
+
+    def now_s(self) -> float:
+        return asyncio.get_running_loop().time() - self._begun_s
+
+    def host(self, number: int) -> str:
+        return f"127.0.2.{number + 1}"
+
+    async def start(self) -> None:
+        names = ["callers", "ready", "server", "metrics"]
+        names.extend(f"links-{number}" for number in self.hosts)
+        addresses = [self.host(number) for number in self.hosts]
+        self.ports = fleet.free_ports(addresses, names)
+        store = ("127.0.0.1", await self.store.listen("127.0.0.1"))
+        for team in ("team-0", "team-1"):
+            self.keys_by_team[team] = []
+            self.issue_key(team)
+        await self.publish()
+        for number in self.hosts:
+            await self._listen(number, store)
+            await self.register(number, "ready")
+        for number in self.hosts:
+            node = _processes.NodeProcess(
+                f"host-{number}",
+                self.write_settings(number, 20),
+                self._folder / f"host-{number}.log",
+            )
+            self.nodes.append(node)
+            node.start()
+        await self._until_ready()
+        self._begun_s = asyncio.get_running_loop().time()
+
+    async def _listen(self, number: int, store: tuple[str, int]) -> None:
+        host = self.host(number)
+        await self.servers[number].listen(host, self.ports["server"])
+        proxy = _proxy.Proxy(store)
+        await proxy.listen(host, self.ports["metrics"] + 1)
+        self.store_proxies.append(proxy)
+        for dialler in self.hosts:
+            if dialler != number:
+                link = _proxy.Proxy((host, self.ports[f"links-{number}"]))
+                await link.listen(host, self.ports[f"links-{dialler}"])
+                self.link_proxies[dialler, number] = link
+
+    def write_settings(self, number: int, slack: int) -> pathlib.Path:
+        host = self.host(number)
+        links = self.ports[f"links-{number}"]
+        zones = "\n".join(f'{name} = "savo"' for name in DATA_CENTRES)
+        text = f"""
+node = "host-{number}"
+service = "ledger"
+ip = "{host}"
+zone = "{DATA_CENTRES[number % 2]}"
+region = "savo"
+appAddr = "{host}:{self.ports["server"]}"
+innerPorts = [{links}, {links + 1}]
+bounds = ["drainMs=2000", "graceS=6", "retryBudgetRatio=0.2",
+  "budgetWindowS=10", "budgetSlack={slack}", "quotaWindowS=5",
+  "quotaOvershoot=0.25", "quotaSlack=20"]
+[zones]
+{zones}
+[listen]
+outbound = "{host}:{self.ports["callers"]}"
+ready = "{host}:{self.ports["ready"]}"
+[platform]
+address = "{host}:{self.ports["metrics"] + 1}"
+"""
+        path = self._folder / f"host-{number}.toml"
+        path.write_text(text)
+        return path
+
+    async def _until_ready(self) -> None:
+        async with asyncio.timeout(START_S):
+            for number in self.hosts:
+                while not await self._answers(number):
+                    await asyncio.sleep(0.1)
+
+    async def _answers(self, number: int) -> bool:
+        caller = fleet.Caller(self.host(number), self.ports["callers"])
+        try:
+            answer = await caller.ask("GET", "/open/ready", None)
+        except OSError:
+            return False
+        caller.leave()
+        return answer.status == 200
+
+    async def close(self) -> None:
+        await asyncio.gather(*(node.close() for node in self.nodes))
+        for server in self.servers:
+            server.close()
+        for proxy in [*self.link_proxies.values(), *self.store_proxies]:
+            proxy.close()
+        self.store.close()
+
+    def _see_arrival(
+        self, host: int, headers: dict[str, str], cold: bool
+    ) -> None:
+        if not self._begun_s:
+            return
+        self.records.arrivals.append(
+            observed.Arrival(
+                headers.get("request-id", ""),
+                host,
+                self.now_s(),
+                headers.get("tenant", ""),
+                headers.get("caller-service", ""),
+                "authorization" in headers,
+                cold,
+            )
+        )
+
+    # Operators and servers.
+
+    def issue_key(self, team: str) -> None:
+        self._generation += 1
+        key = f"key-{team}-{self._generation}"
+        self.keys_by_team[team].append(key)
+        self.records.team_by_key[key] = team
+
+    async def publish(self) -> None:
+        self._version += 1
+        rows = {
+            team: fleet.TeamRow(tuple(keys), TEAM_RATE_PER_S)
+            for team, keys in self.keys_by_team.items()
+        }
+        entry = fleet.table_entry(self._version, 1000, rows)
+        await self.store.put("op/config", entry)
+
+    async def register(
+        self, number: int, server_state: str, cold_s: float = 0.0
+    ) -> None:
+        server = self.servers[number]
+        await self.store.put(
+            f"servers/{server.server_id}",
+            fleet.server_entry(
+                f"{self.host(number)}:{self.ports['server']}",
+                DATA_CENTRES[number % 2],
+                server.slots,
+                server_state,
+                round(1000 * cold_s),
+            ),
+        )
+
+    async def restart_server(self, number: int, down_s: float) -> None:
+        server = self.servers[number]
+        old = server.server_id
+        server.close()
+        await asyncio.sleep(down_s)
+        self._generation += 1
+        server.restart(f"i-{number}-{self._generation}", COLD_S)
+        await server.listen(self.host(number), self.ports["server"])
+        await asyncio.sleep(self.rng.uniform(0.0, 1.5))
+        await self.register(number, "ready", server.cold_left_s)
+        await self.store.delete(f"servers/{old}")
+
+
+class SoakServer(fleet.Server):
+    """A stand-in that reports each request which it begins to run."""
+
+    def __init__(
+        self,
+        number: int,
+        server_id: str,
+        see: typing.Callable[[int, dict[str, str], bool], None],
+    ) -> None:
+        super().__init__(server_id)
+        self._number = number
+        self._see = see
+        self._cold_until_s = 0.0
+
+    @property
+    def cold_left_s(self) -> float:
+        """Return how long the server stays cold."""
+        now_s = asyncio.get_running_loop().time()
+        return max(0.0, self._cold_until_s - now_s)
+
+    def restart(self, server_id: str, cold_s: float) -> None:
+        """Become another incarnation."""
+        self.server_id = server_id
+        self._cold_until_s = asyncio.get_running_loop().time() + cold_s
+
+    def _health(self) -> bytes:
+        self.cold_s = self.cold_left_s
+        return super()._health()
+
+    async def _run(
+        self, request: typing.Any, behaviour: fleet.Behaviour
+    ) -> None:
+        if behaviour is not fleet.Behaviour.HANG:
+            self._see(self._number, request.headers, self.cold_left_s > 0.0)
+        await super()._run(request, behaviour)
--- /dev/null
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -0,0 +1,82 @@
+"""One run of the fault soak."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+import pathlib
+import random
+
+from jasminecrank.standins.soak import _callers
+from jasminecrank.standins.soak import _deployment
+from jasminecrank.standins.soak import _faults
+from jasminecrank.standins.soak import _plan
+from jasminecrank.standins.soak import checks
+
+
+@dataclass(slots=True, frozen=True)
+class SoakResult:
+    """What a run found."""
+
+    seed: int
+    requests: int
+    served: int
+    faults: int
+    broken: tuple[str, ...]
+    """One line for each promise that did not hold."""
+
+
+class Soak:
+    """Plays the plan of a seed on a deployment of its own."""
+
+    def __init__(
+        self, seed: int, hosts: int, duration_s: float, folder: pathlib.Path
+    ) -> None:
+        self._seed = seed
+        self._duration_s = duration_s
+        self._plan = _plan.make_plan(seed, hosts, duration_s)
+        self._deployment = _deployment.SoakDeployment(
+            random.Random(seed), hosts, folder
+        )
+
+    async def run(self) -> SoakResult:
+        """Start all, play the plan, and check the promises."""
+        deployment = self._deployment
+        callers = _callers.Callers(deployment)
+        player = _faults.FaultPlayer(deployment)
+        try:
+            await deployment.start()
+            callers.start()
+            faults = [
+                asyncio.create_task(player.play(planned))
+                for planned in self._plan
+            ]
+            await asyncio.sleep(self._duration_s)
+            await callers.stop()
+            await asyncio.gather(*faults)
+        finally:
+            await deployment.close()
+        return self._result()
+
+    def _result(self) -> SoakResult:
+        records = self._deployment.records
+        all_checks: Sequence[checks.Check] = (
+            checks.at_most_once,
+            checks.true_refusals,
+            checks.whole_answers,
+            checks.known_callers,
+            checks.withdrawn_keys,
+            checks.no_new_work,
+            checks.cold_servers,
+            checks.quotas(_deployment.TEAM_RATE_PER_S),
+            checks.planned_stops,
+            checks.recovery(self._duration_s),
+        )
+        broken = tuple(line for check in all_checks for line in check(records))
+        served = sum(one.status == 200 for one in records.attempts)
+        return SoakResult(
+            self._seed,
+            len(records.attempts),
+            served,
+            len(self._plan),
+            broken,
+        )
