Send fewer control bytes in a large fleet

Ruled out: calls placed in other data centres (calls and answers together are a third of the bytes), requests for tokens (0.1 KB/s).

Change: in a large fleet one reader, by rendezvous hash, pushes to a node and the others only announce; a load that moves is told to nodes of the same data centre at once and to others with the next periodic report, which names the server only when it has changed; presence is empty while nothing changes; pieces above 256 bytes are compressed.

--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -13,9 +13,14 @@
 REFETCH_S = 0.3
 """Time for an announced entry to arrive before it is asked for again."""
 SMALL_FLEET = 16
-"""Servers up to which every node asks a watcher at once."""
+"""Entries up to which each reader pushes to all nodes.
+
+In a larger fleet one reader pushes to a node and the others announce.
+"""
+PUSH_WAIT_S = 0.15
+"""Time for a push to arrive before an announced entry is asked for."""
 SPREAD_S = 0.4
-"""Time over which the nodes of a large fleet ask for a large entry."""
+"""Time over which the nodes of a large fleet ask for an announced entry."""
 GAP_S = 0.3
 """Time for pushed entries to arrive before a listing is asked for.
 
@@ -58,12 +63,14 @@
     def push(
         self,
         items: Iterable[state.Item],
-        peers: Iterable[_messages.SendToPeer],
+        pushed_to: Iterable[_messages.SendToPeer],
+        announced_to: Iterable[_messages.SendToPeer] = (),
     ) -> None:
         """Send entries that were read from the source to other nodes."""
         told = []
         announced = []
         messages: list[_messages.PeerMessage] = []
+        items = list(items)
         for item in items:
             if item.value is None or len(item.value) <= INLINE_BYTES:
                 told.append((item.key, item.revision, item.value))
@@ -77,9 +84,17 @@
             messages.append(_messages.ItemsTold(tuple(told)))
         if announced:
             messages.append(_messages.ItemsAnnounced(tuple(announced)))
-        for send in peers:
+        for send in pushed_to:
             for message in messages:
                 send(message)
+        revisions = tuple((item.key, item.revision) for item in items)
+        for send in announced_to:
+            send(_messages.ItemsAnnounced(revisions))
+
+    @property
+    def in_large_fleet(self) -> bool:
+        """Return whether entries are pushed to a node by one reader only."""
+        return len(self._directory.item_by_key) > SMALL_FLEET
 
     def peer_told(
         self, send: _messages.SendToPeer, revision: int, digest: int
@@ -233,8 +248,8 @@
     def _spread_s(self) -> float:
         """Return how long to wait before asking for an entry.
 
-        In a large fleet most nodes then ask one another, not the watchers.
+        In a large fleet the requests are spread over the readers' links.
         """
-        if len(self._directory.item_by_key) <= SMALL_FLEET:
+        if not self.in_large_fleet:
             return 0.0
-        return SPREAD_S * self._rng.random()
+        return PUSH_WAIT_S + SPREAD_S * self._rng.random()
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -42,6 +42,8 @@
     heard_at_s: float
     confirmed_at_s: float = -1e9
     silent: bool = False
+    server_id: str = ""
+    """Its server's incarnation, as last told."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,6 +84,7 @@
         self._accepted_by_link: dict[int, _Peer] = {}
         self._exchange = _exchange.EntryExchange(directory, rng)
         self._watchers: tuple[str, ...] = ()
+        self._data_centre_by_host: dict[str, str] = {}
         self._confirmed_at_s = -1e9
         self._watching = True
         self._told: state.Load | None = None
@@ -139,9 +142,23 @@
     def _read(self, fresh: list[state.Item]) -> None:
         """Use entries that came from the source, and pass them on."""
         self._take(fresh)
-        if fresh:
-            peers = self._accepted_by_link.values()
-            self._exchange.push(fresh, [peer.send for peer in peers])
+        if not fresh:
+            return
+        pushed_to = []
+        announced_to = []
+        for peer in self._accepted_by_link.values():
+            if self._pushes_to(peer.host):
+                pushed_to.append(peer.send)
+            else:
+                announced_to.append(peer.send)
+        self._exchange.push(fresh, pushed_to, announced_to)
+
+    def _pushes_to(self, host: str) -> bool:
+        """Return whether this reader pushes to a node, or only announces."""
+        if not self._exchange.in_large_fleet:
+            return True
+        first = state.rank(host, self._watchers)[:1]
+        return first == [self._own_host]
 
     def _learn(self, items: list[state.Item], now_s: float) -> None:
         """Use entries that came from a peer."""
@@ -175,6 +192,10 @@
         self._ports.to_gate(changed)
         self._ports.to_quota(changed)
         self._watchers = state.watchers(self._fleet)
+        self._data_centre_by_host = {
+            server.host: server.data_centre
+            for server in self._fleet.server_by_id.values()
+        }
         self._ports.dial(
             state.link_targets(
                 self._fleet, self._own_host, self._own_data_centre
@@ -226,7 +247,9 @@
             return
         peer.confirmed_at_s = now_s - told.confirmed_age_ms / 1000
         self._exchange.peer_told(peer.send, told.revision, told.digest)
-        self._ports.to_entry(_messages.LoadLearned(peer.host, told.load()))
+        peer.server_id = told.server_id or peer.server_id
+        load = told.load(peer.server_id)
+        self._ports.to_entry(_messages.LoadLearned(peer.host, load))
 
     def _link_opened(
         self, message: _messages.LinkOpened, now_s: float
@@ -277,24 +300,47 @@
         self._look_for_silence(now_s)
         self._decide_watch(now_s)
         load = self._ports.load()
-        if (
-            self._told is None
-            or load.differs(self._told)
-            or now_s - self._told_at_s >= IDLE_TELL_S
-        ):
-            self._tell_load(load, now_s, self._accepted_by_link.values())
-            self._told = load
-            self._told_at_s = now_s
         self._ports.to_entry(_messages.LoadLearned(self._own_host, load))
+        self._tell_changes(load, now_s)
+
+    def _tell_changes(self, load: state.Load, now_s: float) -> None:
+        """Tell the peers that place calls by it how the load has changed."""
+        told = self._told
+        peers = list(self._accepted_by_link.values())
+        if told is None or load.is_other_server(told):
+            self._tell_load(load, now_s, peers)
+        elif now_s - self._told_at_s >= IDLE_TELL_S:
+            self._tell_load(load, now_s, peers, with_server=False)
+        elif load.differs(told):
+            near = [peer for peer in peers if self._is_near(peer.host)]
+            self._tell_load(load, now_s, near, with_server=False)
+            self._told = load
+            return
+        else:
+            return
+        self._told = load
+        self._told_at_s = now_s
+
+    def _is_near(self, host: str) -> bool:
+        """Return whether a host's calls come here in the first place."""
+        if not self._exchange.in_large_fleet:
+            return True
+        data_centre = self._data_centre_by_host.get(host)
+        return data_centre == self._own_data_centre
 
     def _tell_load(
-        self, load: state.Load, now_s: float, peers: typing.Iterable[_Peer]
+        self,
+        load: state.Load,
+        now_s: float,
+        peers: typing.Iterable[_Peer],
+        with_server: bool = True,
     ) -> None:
         told = _messages.LoadTold.from_load(
             load,
             self.confirmed_age_s(now_s),
             self._directory.revision,
             self._directory.digest,
+            with_server,
         )
         for peer in peers:
             peer.send(told)
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -87,6 +87,7 @@
     """Load of the sender's backend server, and age of its beliefs."""
 
     server_id: str
+    """Empty if it is the same as told before."""
     in_flight: int
     queued: int
     limit: int
@@ -107,10 +108,11 @@
         confirmed_age_s: float,
         revision: int,
         digest: int,
+        with_server: bool = True,
     ) -> "LoadTold":
         """Return a load in whole numbers, which take fewer bytes."""
         return cls(
-            load.server_id,
+            load.server_id if with_server else "",
             load.in_flight,
             load.queued,
             load.limit,
@@ -122,10 +124,10 @@
             digest,
         )
 
-    def load(self) -> state.Load:
-        """Return the told load."""
+    def load(self, server_id: str) -> state.Load:
+        """Return the told load of a server."""
         return state.Load(
-            self.server_id,
+            server_id,
             self.in_flight,
             self.queued,
             self.limit,
@@ -139,7 +141,8 @@
 class Presence:
     """The sender is there, and which arbiters it can reach."""
 
-    arbiters: tuple[str, ...]
+    arbiters: tuple[str, ...] | None
+    """None if nothing has changed since it last told them."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -22,6 +22,8 @@
 """
 TICK_S = 0.1
 """Period at which open requests are looked at."""
+WHOLE_PRESENCE_EACH = 5
+"""One in so many periodic messages names the arbiters that can be reached."""
 SPARE_S = 1.0
 """Time for which a token that was not used serves another call."""
 
@@ -66,6 +68,7 @@
         self._suspect_until_by_host: dict[str, float] = {}
         self._asking_by_team: dict[str, _Asking] = {}
         self._shown_at_s = -1e9
+        self._periods = 0
         self._changed_at_s = -1e9
 
     async def run_ticks(self) -> None:
@@ -174,7 +177,10 @@
     ) -> None:
         match asked:
             case _messages.Presence(arbiters):
-                self._arbiter.present(host, arbiters, now_s)
+                if arbiters is None:
+                    self._arbiter.still_present(host, now_s)
+                else:
+                    self._arbiter.present(host, arbiters, now_s)
             case _messages.TokensAsked(name, count):
                 grant = state.Grant(0, 0.5)
                 if self._table is not None:
@@ -227,13 +233,14 @@
                 asking.arbiter = None
                 self._ask(asking, now_s)
 
-    def _show_presence(self, now_s: float) -> None:
+    def _show_presence(self, now_s: float, whole: bool = True) -> None:
         self._shown_at_s = now_s
         self._arbiter.present(self._own_host, self._reachable, now_s)
+        shown = _messages.Presence(self._reachable if whole else None)
         for host in self._arbiters:
             send = self._send_by_host.get(host)
             if send is not None:
-                send(_messages.Presence(self._reachable))
+                send(shown)
 
     def _tick(self, now_s: float) -> None:
         for asking in list(self._asking_by_team.values()):
@@ -246,7 +253,9 @@
             if asking.waiting and asking.arbiter is None:
                 self._ask(asking, now_s)
         if now_s - self._shown_at_s >= state.PRESENCE_S:
-            self._show_presence(now_s)
+            self._periods += 1
+            whole = self._periods % WHOLE_PRESENCE_EACH == 0
+            self._show_presence(now_s, whole)
             arbitrates = (
                 self._own_host in self._arbiters or not self._reachable
             )
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -13,7 +13,7 @@
 LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Above the largest body that a table may allow, 64 MiB."""
-COMPRESS_BYTES = 1_024
+COMPRESS_BYTES = 256
 """Entries of the source above this size are compressed."""
 PACKED_KEPT = 8
 """Compressed entries kept, since many nodes ask for the same ones."""
--- a/src/jasminecrank/mesh/state/_gate.py
+++ b/src/jasminecrank/mesh/state/_gate.py
@@ -90,14 +90,16 @@
     failure_rate: float
     accepting: bool
 
-    def differs(self, other: "Load") -> bool:
-        """Return whether placement would treat two loads differently."""
-        if (self.server_id, self.limit, self.accepting) != (
+    def is_other_server(self, other: "Load") -> bool:
+        """Return whether a server began, ended or got another limit."""
+        return (self.server_id, self.limit, self.accepting) != (
             other.server_id,
             other.limit,
             other.accepting,
-        ):
-            return True
+        )
+
+    def differs(self, other: "Load") -> bool:
+        """Return whether placement would treat two loads differently."""
         moved = self.in_flight + self.queued - other.in_flight - other.queued
         return abs(moved) > max(1.0, LOAD_STEP * self.limit)
 
--- a/src/jasminecrank/mesh/state/_quota.py
+++ b/src/jasminecrank/mesh/state/_quota.py
@@ -94,6 +94,12 @@
         """Take a node's word on which arbiters it reaches."""
         self._presence_by_host[host] = _Presence(now_s, reachable)
 
+    def still_present(self, host: str, now_s: float) -> None:
+        """Take a node's word that nothing has changed."""
+        known = self._presence_by_host.get(host)
+        if known is not None:
+            self.present(host, known.arbiters, now_s)
+
     def absent(self, host: str) -> None:
         """Forget a node."""
         self._presence_by_host.pop(host, None)
--- a/src/jasminecrank/standins/fleet/_load_model.py
+++ b/src/jasminecrank/standins/fleet/_load_model.py
@@ -326,7 +326,10 @@
             load = server.gate.load(now_s, self._is_there(server))
             known = server.told
             due = now_s - server.told_at_s >= TELL_S
-            if known is None or due or load.differs(known):
+            changed = known is None or (
+                load.is_other_server(known) or load.differs(known)
+            )
+            if due or changed:
                 server.told, server.told_at_s = load, now_s
                 for entry in self._knowing[server.number]:
                     self._placements[entry].told(
