--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -1,8 +1,5 @@
 """Tasks of a node and the messages between them and between nodes."""
 
-from jasminecrank.mesh.coordination._entry import (
-    attempt_ended as attempt_ended,
-)
 from jasminecrank.mesh.coordination._entry import EntryTask as EntryTask
 from jasminecrank.mesh.coordination._entry import LocalGate as LocalGate
 from jasminecrank.mesh.coordination._entry import LocalQuota as LocalQuota
@@ -107,6 +104,9 @@
 from jasminecrank.mesh.coordination._messages import (
     WithdrawCall as WithdrawCall,
 )
+from jasminecrank.mesh.coordination._open_calls import (
+    attempt_ended as attempt_ended,
+)
 from jasminecrank.mesh.coordination._quota import QuotaTask as QuotaTask
 from jasminecrank.mesh.coordination._source import Changes as Changes
 from jasminecrank.mesh.coordination._source import HistoryGone as HistoryGone
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -1,35 +1,23 @@
 """The task that takes callers' requests to backend servers."""
 
 import asyncio
-from dataclasses import dataclass
-from dataclasses import field
 import random
 import typing
 
 from jasminecrank.mesh import state
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
+from jasminecrank.mesh.coordination import _open_calls
 
-DEFAULT_PATIENCE_S = 10.0
-"""Time given to a request that names no deadline and whose route has none."""
-DEFAULT_TARGET_S = 1.0
 QUOTA_WAIT_S = 0.08
 """Longest wait for a token, well inside the shortest objective."""
 MIN_REPEAT_S = 0.03
 """Time left below which another attempt is pointless."""
 REFUSE_WAIT_TARGETS = 2.0
 """Expected wait, in objectives, at which a call is refused unsent."""
-RETRY_AFTER_MIN_S = 0.1
-RETRY_AFTER_PART = 0.32
-"""Longest Retry-After, as a part of the caller's remaining time.
-
-Callers wait for a third of it at most.
-"""
 NO_TABLE_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 0.5
 """About the time for a restarted server to be listed or found healthy."""
-TEAM_RANKS = 100
-"""Distance between two team priorities, above any route's priority."""
 
 
 class LocalGate(typing.Protocol):
@@ -46,27 +34,6 @@
         """Put a message into the quota task's mailbox."""
 
 
-@dataclass(slots=True)
-class _Call:
-    number: int
-    request: state.CallRequest
-    reply: typing.Callable[[state.Reply], None]
-    arrived_at_s: float
-    deadline_at_s: float
-    attempts: state.Attempts
-    service: str = ""
-    team: state.Team | None = None
-    rank: int = 0
-    host: str | None = None
-    """Where the current attempt is."""
-    timer: asyncio.TimerHandle | None = None
-    charged: bool = False
-    """Whether it holds a token of its team's rate."""
-    has_waited: bool = False
-    """Whether it has waited for a token once."""
-    servers: list[str] = field(default_factory=list)
-
-
 class EntryTask(_mailbox.MailboxTask[_messages.EntryMessage]):
     """Owns the calls of this node's callers and all that decides on them."""
 
@@ -95,7 +62,7 @@
         self._rng = rng
         self._split = state.SplitChooser()
         self._fleet = state.Fleet(None, {}, {}, frozenset())
-        self._call_by_number: dict[int, _Call] = {}
+        self._call_by_number: dict[int, _open_calls.OpenCall] = {}
         self._send_by_host: dict[str, _messages.SendToPeer] = {}
 
     @property
@@ -164,16 +131,7 @@
                     message, state.RefusalKind.KEY_UNKNOWN, table.version
                 )
                 return
-        call = _Call(
-            message.number,
-            request,
-            message.reply,
-            message.arrived_at_s,
-            message.arrived_at_s + self._patience_s(request, route),
-            state.Attempts(route),
-        )
-        call.team = team
-        call.rank = self._rank(route, team)
+        call = _open_calls.OpenCall.from_arrival(message, route, team)
         self._call_by_number[call.number] = call
         left_s = call.deadline_at_s - self._clock.now_s()
         call.timer = asyncio.get_running_loop().call_later(
@@ -186,24 +144,6 @@
         else:
             self._admit(call)
 
-    def _patience_s(
-        self, request: state.CallRequest, route: state.Route
-    ) -> float:
-        patience_s = DEFAULT_PATIENCE_S
-        if request.patience_s is not None:
-            patience_s = request.patience_s
-        if route.timeout_s is not None:
-            patience_s = min(patience_s, route.timeout_s)
-        return patience_s
-
-    def _rank(self, route: state.Route, team: state.Team | None) -> int:
-        # Calls of backend servers hold a slot elsewhere while they wait.
-        if route.open_to_all and team is None:
-            return -1
-        if team is not None and team.priority is not None:
-            return TEAM_RANKS * team.priority + route.priority
-        return route.priority
-
     def _reject(
         self,
         message: _messages.CallArrived,
@@ -239,7 +179,7 @@
             ),
         )
 
-    def _admit(self, call: _Call) -> None:
+    def _admit(self, call: _open_calls.OpenCall) -> None:
         now_s = self._clock.now_s()
         call.service = self._split.choose(call.attempts.route)
         self._budget.first(call.service, now_s)
@@ -255,7 +195,9 @@
         )
 
     def _place(
-        self, call: _Call, otherwise: state.Deliver | state.Refuse
+        self,
+        call: _open_calls.OpenCall,
+        otherwise: state.Deliver | state.Refuse,
     ) -> None:
         now_s = self._clock.now_s()
         place = None
@@ -280,7 +222,9 @@
             return
         self._send(call, place.server, now_s)
 
-    def _candidates(self, call: _Call) -> list[state.BackendServer]:
+    def _candidates(
+        self, call: _open_calls.OpenCall
+    ) -> list[state.BackendServer]:
         homes = call.attempts.route.home_regions
         team_homes = (
             frozenset() if call.team is None else call.team.home_regions
@@ -299,28 +243,12 @@
         return servers
 
     def _send(
-        self, call: _Call, server: state.BackendServer, now_s: float
+        self,
+        call: _open_calls.OpenCall,
+        server: state.BackendServer,
+        now_s: float,
     ) -> None:
-        route = call.attempts.route
-        call.attempts.tried.add(server.server_id)
-        call.servers.append(server.server_id)
-        call.host = server.host
-        sent = _messages.CallSent(
-            call.number,
-            call.request.request_id,
-            server.server_id,
-            route.name,
-            call.request.method,
-            call.request.target,
-            call.request.headers,
-            call.request.body,
-            call.rank,
-            route.kind is state.RouteKind.IDEMPOTENT,
-            call.deadline_at_s - now_s,
-            call.arrived_at_s + route.target_s - now_s,
-            self._own_service,
-            "" if call.team is None else call.team.name,
-        )
+        sent = call.send_to(server, self._own_service, now_s)
         self._placement.sent(server.host)
         if server.host == self._own_host:
             self._gate.tell(_messages.RunCall(0, sent, self.local_reply))
@@ -333,7 +261,7 @@
 
     def peer_reply(self, host: str, message: _messages.PeerMessage) -> None:
         """Take a gate's answer on a call."""
-        ended = attempt_ended(host, message)
+        ended = _open_calls.attempt_ended(host, message)
         if ended is not None:
             self.mailbox.tell(ended)
 
@@ -359,7 +287,9 @@
             case _:
                 typing.assert_never(step)
 
-    def _settle(self, call: _Call, step: state.Deliver | state.Refuse) -> None:
+    def _settle(
+        self, call: _open_calls.OpenCall, step: state.Deliver | state.Refuse
+    ) -> None:
         match step:
             case state.Deliver(answer):
                 self._finish(call, answer)
@@ -374,19 +304,13 @@
             case _:
                 typing.assert_never(step)
 
-    def _finish(self, call: _Call, reply: state.Reply) -> None:
+    def _finish(self, call: _open_calls.OpenCall, reply: state.Reply) -> None:
         del self._call_by_number[call.number]
         if call.timer is not None:
             call.timer.cancel()
         match reply:
             case state.Refusal(kind, detail):
-                if (
-                    call.charged
-                    and call.team is not None
-                    and call.attempts.progress is state.Progress.UNSENT
-                    and call.attempts.reached == 0
-                    and call.host is None
-                ):
+                if call.holds_unused_token and call.team is not None:
                     self._quota.tell(_messages.QuotaUnused(call.team.name))
                 self._log_refusal(
                     call.request.request_id,
@@ -421,7 +345,7 @@
         kind: state.RefusalKind,
         detail: str,
         version: int,
-        call: _Call | None = None,
+        call: _open_calls.OpenCall | None = None,
     ) -> None:
         self.log.count("calls", kind.value)
         fields: dict[str, object] = {}
@@ -466,7 +390,7 @@
         self._cancel_attempt(call)
         self._finish(call, call.attempts.timed_out(call.host is not None))
 
-    def _cancel_attempt(self, call: _Call) -> None:
+    def _cancel_attempt(self, call: _open_calls.OpenCall) -> None:
         if call.host is None:
             return
         if call.host == self._own_host:
@@ -501,34 +425,7 @@
         hosts = {server.host for server in fleet.server_by_id.values()}
         self._budget.hosts = len(hosts | {self._own_host})
 
-    def _retry_after_s(self, call: _Call, wait_s: float) -> float:
-        """Return when a caller should come back, spread over callers."""
-        spread = 0.8 + 0.6 * self._rng.random()
-        patience_s = call.request.patience_s or DEFAULT_PATIENCE_S
-        spent_s = self._clock.now_s() - call.arrived_at_s
-        most_s = RETRY_AFTER_PART * max(0.0, patience_s - spent_s)
-        return min(most_s, max(RETRY_AFTER_MIN_S, wait_s) * spread)
-
-
-def attempt_ended(
-    host: str, message: _messages.PeerMessage
-) -> _messages.AttemptEnded | None:
-    """Return what a gate's message says of a call, if it speaks of one."""
-    result: state.AttemptResult
-    busy = None
-    match message:
-        case _messages.CallServed():
-            busy = message.busy
-            answer = state.Answer(
-                message.status, message.reason, message.headers, message.body
-            )
-            result = state.Served(answer, message.run_s)
-        case _messages.CallNotRun():
-            result = state.NotRun(
-                message.reason, message.retry_after_s, message.reached_server
-            )
-        case _messages.CallMayHaveRun():
-            result = state.MayHaveRun(message.reason)
-        case _:
-            return None
-    return _messages.AttemptEnded(message.call_id, host, result, busy)
+    def _retry_after_s(
+        self, call: _open_calls.OpenCall, wait_s: float
+    ) -> float:
+        return call.retry_after_s(wait_s, self._clock.now_s(), self._rng)
--- /dev/null
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -0,0 +1,147 @@
+"""A call between its arrival and its answer."""
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+import random
+import typing
+
+from jasminecrank.mesh import state
+from jasminecrank.mesh.coordination import _messages
+
+DEFAULT_PATIENCE_S = 10.0
+"""Time given to a request that names no deadline and whose route has none."""
+RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_PART = 0.32
+"""Longest Retry-After, as a part of the caller's remaining time.
+
+Callers wait for a third of it at most.
+"""
+TEAM_RANKS = 100
+"""Distance between two team priorities, above any route's priority."""
+BACKEND_SERVER_RANK = -1
+"""Calls of backend servers hold a slot elsewhere while they wait."""
+
+
+@dataclass(slots=True)
+class OpenCall:
+    """A call of this node's callers that has no answer yet."""
+
+    number: int
+    request: state.CallRequest
+    reply: typing.Callable[[state.Reply], None]
+    arrived_at_s: float
+    deadline_at_s: float
+    attempts: state.Attempts
+    team: state.Team | None
+    rank: int
+    service: str = ""
+    host: str | None = None
+    """Where the current attempt is."""
+    timer: asyncio.TimerHandle | None = None
+    charged: bool = False
+    """Whether it holds a token of its team's rate."""
+    has_waited: bool = False
+    """Whether it has waited for a token once."""
+    servers: list[str] = field(default_factory=list)
+
+    @classmethod
+    def from_arrival(
+        cls,
+        message: _messages.CallArrived,
+        route: state.Route,
+        team: state.Team | None,
+    ) -> "OpenCall":
+        """Return the call that a request on a route begins."""
+        patience_s = message.request.patience_s
+        if patience_s is None:
+            patience_s = DEFAULT_PATIENCE_S
+        if route.timeout_s is not None:
+            patience_s = min(patience_s, route.timeout_s)
+        return cls(
+            message.number,
+            message.request,
+            message.reply,
+            message.arrived_at_s,
+            message.arrived_at_s + patience_s,
+            state.Attempts(route),
+            team,
+            _rank(route, team),
+        )
+
+    @property
+    def holds_unused_token(self) -> bool:
+        """Return whether its token can serve another call."""
+        return (
+            self.charged
+            and self.attempts.progress is state.Progress.UNSENT
+            and self.attempts.reached == 0
+            and self.host is None
+        )
+
+    def send_to(
+        self, server: state.BackendServer, caller_service: str, now_s: float
+    ) -> _messages.CallSent:
+        """Begin an attempt and return its message."""
+        route = self.attempts.route
+        self.attempts.tried.add(server.server_id)
+        self.servers.append(server.server_id)
+        self.host = server.host
+        return _messages.CallSent(
+            self.number,
+            self.request.request_id,
+            server.server_id,
+            route.name,
+            self.request.method,
+            self.request.target,
+            self.request.headers,
+            self.request.body,
+            self.rank,
+            route.kind is state.RouteKind.IDEMPOTENT,
+            self.deadline_at_s - now_s,
+            self.arrived_at_s + route.target_s - now_s,
+            caller_service,
+            "" if self.team is None else self.team.name,
+        )
+
+    def retry_after_s(
+        self, wait_s: float, now_s: float, rng: random.Random
+    ) -> float:
+        """Return when its caller should come back, spread over callers."""
+        spread = 0.8 + 0.6 * rng.random()
+        patience_s = self.request.patience_s or DEFAULT_PATIENCE_S
+        spent_s = now_s - self.arrived_at_s
+        most_s = RETRY_AFTER_PART * max(0.0, patience_s - spent_s)
+        return min(most_s, max(RETRY_AFTER_MIN_S, wait_s) * spread)
+
+
+def attempt_ended(
+    host: str, message: _messages.PeerMessage
+) -> _messages.AttemptEnded | None:
+    """Return what a gate's message says of a call, if it speaks of one."""
+    result: state.AttemptResult
+    busy = None
+    match message:
+        case _messages.CallServed():
+            busy = message.busy
+            answer = state.Answer(
+                message.status, message.reason, message.headers, message.body
+            )
+            result = state.Served(answer, message.run_s)
+        case _messages.CallNotRun():
+            result = state.NotRun(
+                message.reason, message.retry_after_s, message.reached_server
+            )
+        case _messages.CallMayHaveRun():
+            result = state.MayHaveRun(message.reason)
+        case _:
+            return None
+    return _messages.AttemptEnded(message.call_id, host, result, busy)
+
+
+def _rank(route: state.Route, team: state.Team | None) -> int:
+    if route.open_to_all and team is None:
+        return BACKEND_SERVER_RANK
+    if team is not None and team.priority is not None:
+        return TEAM_RANKS * team.priority + route.priority
+    return route.priority
