Explain a request of the platform, and check its settings

Cause: jasminecrank explain read only the lines of the product's own interface; on the platform an engineer on call had to search and know the reasons by heart. A settings file could be checked by starting a node only.

Change: explain reads the lines of the platform's nodes as well: gates first, then the entry node's decision, with what each was decided from and what the outcome and the reason mean. jasminecrank settings check FILE prints what a node would use, or one line and status 2.

features/mesh/explain.feature plays six kinds of failed request over real sockets, and fails if the code has an outcome or a reason without explanation.

--- /dev/null
+++ b/features/mesh/explain.feature
@@ -0,0 +1,33 @@
+Feature: From a request's id to its cause on the platform
+
+  Guards against a refused or failed request whose lines don't tell why, and
+  against an outcome or a reason that the command does not know.
+
+  Scenario Outline: Why a request failed
+    Given a deployment of 3 hosts
+    When every server always will <fault>
+    And a caller sends <method> <target> with key <key>
+    Then explain names <outcome> and says "<because>"
+
+    Examples:
+      | fault   | method | target  | key | outcome      | because                                    |
+      | serve   | GET    | /lots/1 | bad | key-unknown  | this version holds no such key; not run    |
+      | serve   | GET    | /gone/1 | k1  | no-route     | no route of this version matches           |
+      | shed    | POST   | /book/1 | k1  | overloaded   | no server would have run it in time        |
+      | cut     | POST   | /book/1 | k1  | may-have-run | the server ended its answer before it was whole |
+      | garbled | POST   | /book/1 | k1  | may-have-run | the server sent bytes that are no answer   |
+      | hang    | POST   | /book/1 | k1  | timed-out    | no answer in time; it may have run         |
+
+  Scenario: Every outcome and reason of the code is explained
+    Then the command explains every outcome and reason that a node logs
+
+  Scenario Outline: Settings of the platform
+    Given a settings file in which <what>
+    When its settings are checked
+    Then the status is <status> and the output says "<says>"
+
+    Examples:
+      | what                      | status | says                            |
+      | everything is right       | 0      | ok: node                        |
+      | ip is missing             | 2      | ip: None is not a str           |
+      | appAddr is nonsense       | 2      | appAddr: 'nonsense' is not IP:PORT |
--- /dev/null
+++ b/features/steps/mesh_explain_steps.py
@@ -0,0 +1,104 @@
+"""Steps on the command that explains a request of the platform."""
+
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from jasminecrank import operators
+from jasminecrank.mesh import state
+
+SOURCES = pathlib.Path("src/jasminecrank/mesh")
+LINES = {
+    "ip": 'ip = "10.1.0.5"',
+    "appAddr": 'appAddr = "10.1.0.5:8403"',
+}
+REST = """
+node = "side-1"
+service = "s"
+zone = "a"
+innerPorts = [7660, 7675]
+[zones]
+a = "savo"
+[listen]
+outbound = "10.1.0.5:8402"
+ready = "10.1.0.5:8406"
+[platform]
+address = "10.200.1.7:8408"
+"""
+
+
+def run(*arguments):
+    """Run the command line and return its result."""
+    return subprocess.run(
+        [sys.executable, "-m", "jasminecrank.cli", *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then('explain names {outcome} and says "{because}"')
+def step_explain(context, outcome, because):
+    with tempfile.NamedTemporaryFile(suffix=".log") as file:
+        path = pathlib.Path(file.name)
+        path.write_bytes(b"".join(context.fleet.lines))
+        result = run("explain", context.request_id, str(path))
+    assert result.returncode == 0, result.stderr
+    assert re.search(rf"entry node \S+: {outcome}\n", result.stdout), (
+        result.stdout
+    )
+    assert because in result.stdout, result.stdout
+
+
+@then("the command explains every outcome and reason that a node logs")
+def step_every(context):
+    del context
+    known = {kind.value for kind in state.RefusalKind}
+    assert known - operators.OUTCOMES.keys() <= {
+        "request-invalid",
+        "too-large",
+    }
+    text = "".join(path.read_text() for path in sorted(SOURCES.rglob("*.py")))
+    for pattern in (
+        r'Reject\("([^"]+)"',
+        r'MayHaveRun\("([^"]+)"\)',
+        r'_refuse\([^)"]*"([^"]+)"',
+        r'^(?:RESET|GARBLED|CUT|MOVED) = "([^"]+)"',
+    ):
+        found = set(re.findall(pattern, text, re.MULTILINE))
+        assert found, pattern
+        missing = found - operators.REASONS.keys() - {"cancelled"}
+        missing -= {"upgrade", "headers", "body"}
+        assert not missing, (pattern, missing)
+
+
+@given("a settings file in which {what}")
+def step_settings(context, what):
+    lines = dict(LINES)
+    match what:
+        case "ip is missing":
+            del lines["ip"]
+        case "appAddr is nonsense":
+            lines["appAddr"] = 'appAddr = "nonsense"'
+    context.settings = "\n".join([*lines.values(), REST])
+
+
+@when("its settings are checked")
+def step_check(context):
+    with tempfile.NamedTemporaryFile(suffix=".toml") as file:
+        path = pathlib.Path(file.name)
+        path.write_text(context.settings)
+        context.result = run("settings", "check", str(path))
+
+
+@then('the status is {status:d} and the output says "{says}"')
+def step_status(context, status, says):
+    result = context.result
+    assert result.returncode == status, result
+    assert says in result.stdout + result.stderr, result
--- a/src/jasminecrank/cli/_audit.py
+++ b/src/jasminecrank/cli/_audit.py
@@ -53,12 +53,16 @@
     Parameters
     ----------
     request_id
-        The X-Request-Id of the call.
+        The X-Request-Id of the call, or its Request-Id on the platform.
     logs
-        Log files of all nodes.
+        Log files of all nodes, of one kind.
     table
         Compiled tables, among which the version in force is looked up.
     """
+    if any(operators.is_node_log(log) for log in logs):
+        found = operators.NodeTrace.from_logs(request_id, logs)
+        _print(operators.explain_node_call(found))
+        return 0
     trace = operators.CallTrace.from_logs(request_id, logs)
     tables = operators.read_tables(table or ())
     _print(operators.explain_call(trace, tables))
--- a/src/jasminecrank/cli/_main.py
+++ b/src/jasminecrank/cli/_main.py
@@ -9,6 +9,7 @@
 from jasminecrank.cli import _audit
 from jasminecrank.cli import _key
 from jasminecrank.cli import _node
+from jasminecrank.cli import _settings
 from jasminecrank.cli import _standin
 from jasminecrank.cli import _status
 from jasminecrank.cli import _table
@@ -24,6 +25,7 @@
 )
 app.command(_table.app)
 app.command(_key.app)
+app.command(_settings.app)
 app.command(_standin.app)
 app.command(_node.node)
 app.command(_status.status)
--- a/src/jasminecrank/operators/__init__.py
+++ b/src/jasminecrank/operators/__init__.py
@@ -9,6 +9,13 @@
 from jasminecrank.operators._fleet import format_fleet as format_fleet
 from jasminecrank.operators._fleet import NodeView as NodeView
 from jasminecrank.operators._fleet import read_fleet as read_fleet
+from jasminecrank.operators._node_explain import (
+    explain_node_call as explain_node_call,
+)
+from jasminecrank.operators._node_explain import is_node_log as is_node_log
+from jasminecrank.operators._node_explain import NodeTrace as NodeTrace
+from jasminecrank.operators._node_explain import OUTCOMES as OUTCOMES
+from jasminecrank.operators._node_explain import REASONS as REASONS
 from jasminecrank.operators._report import MonthlyReport as MonthlyReport
 from jasminecrank.operators._report_format import format_csv as format_csv
 from jasminecrank.operators._report_format import format_text as format_text
--- /dev/null
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -0,0 +1,132 @@
+"""Why a call on the platform was answered or refused, from nodes' lines."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+import json
+import pathlib
+import typing
+
+from jasminecrank import exceptions
+
+OUTCOMES = {
+    "answered": "answered with the server's status",
+    "no-table": "503: the node knew no table yet; not run",
+    "no-route": "404: no route of this version matches host and path; not run",
+    "key-unknown": "401: this version holds no such key; not run",
+    "over-quota": "429: no token of the team's rate was left; not run",
+    "no-server": "503: no server of the service could be used; not run",
+    "overloaded": "503: no server would have run it in time; not run",
+    "expired": "503: its time was over before a server had room; not run",
+    "may-have-run": "502: it was sent to a server and may have run",
+    "timed-out": "504: no answer in time; it may have run",
+    "caller-left": "no answer: the caller closed its connection",
+}
+REASONS = {
+    "busy": "the wait for a slot was too long for its latency objective",
+    "deadline": "it could not have ended before its deadline",
+    "queue full": "too many calls waited already",
+    "server-gone": "another incarnation of the server was there, or none",
+    "draining": "the server was leaving",
+    "data-centre-out": "operators had taken the data centre out of service",
+    "closed": "the server left while the call waited",
+    "expected wait": "all servers were told to be full for long",
+    "no usable server": "none was listed, reachable and accepting",
+    "link-lost": "the node beside the server ended, or its link was cut",
+    "peer-silent": "the node beside the server said nothing for a second",
+    "answer-cut": "the server ended its answer before it was whole",
+    "garbled-answer": "the server sent bytes that are no answer",
+    "connection-reset": "the server reset the connection",
+    "no answer by the deadline": "the server was still at work",
+}
+
+
+@dataclass(slots=True, frozen=True)
+class NodeTrace:
+    """The lines about one call, those of gates before the entry node's."""
+
+    request_id: str
+    lines: tuple[dict[str, typing.Any], ...]
+
+    @classmethod
+    def from_logs(
+        cls, request_id: str, paths: Iterable[pathlib.Path]
+    ) -> "NodeTrace":
+        """Return the trace; raise NOT_FOUND if no line names the request."""
+        found = [
+            line
+            for path in paths
+            for line in _read_lines(path)
+            if request_id == line.get("request_id")
+            or request_id in line.get("request_ids", ())
+        ]
+        if not found:
+            raise exceptions.JasminecrankError(
+                f"no log line names the request {request_id!r}; one in 50"
+                " answered requests is logged",
+                exceptions.ResultCode.NOT_FOUND,
+            )
+        found.sort(key=lambda line: (line["event"] == "call", line["time"]))
+        return cls(request_id, tuple(found))
+
+
+def is_node_log(path: pathlib.Path) -> bool:
+    """Return whether a log was written by a node on the platform."""
+    return any("up_s" in line for line in _read_lines(path))
+
+
+def explain_node_call(trace: NodeTrace) -> Iterator[str]:
+    """Yield the lines of the explanation."""
+    yield f"request {trace.request_id}"
+    for line in trace.lines:
+        yield ""
+        outcome = str(line.get("outcome", ""))
+        reason = str(line.get("reason", ""))
+        if line["event"] == "gate-call":
+            yield f"gate of host {line['host']}: {outcome}, {reason}"
+            yield f"  server {line.get('server', 'not logged under load')}"
+        else:
+            yield f"entry node {line['host']}: {outcome}"
+            yield f"  {OUTCOMES.get(outcome, 'unknown outcome')}"
+        if reason:
+            yield f"  {reason}: {REASONS.get(reason, 'no explanation')}"
+        yield from _inputs(line)
+
+
+def _inputs(line: dict[str, typing.Any]) -> Iterator[str]:
+    """Yield what the decision was made from."""
+    names = (
+        ("version", "table version in force"),
+        ("route", "route"),
+        ("team", "team"),
+        ("status", "status"),
+        ("in_flight", "calls at the server"),
+        ("queued", "calls waiting there"),
+        ("progress", "progress"),
+        ("waited_ms", "time until the refusal, ms"),
+        ("duration_ms", "time until the answer, ms"),
+    )
+    for name, meaning in names:
+        value = line.get(name)
+        if value not in (None, ""):
+            yield f"  {meaning}: {value}"
+    if line.get("servers"):
+        yield f"  servers asked, in order: {', '.join(line['servers'])}"
+
+
+def _read_lines(path: pathlib.Path) -> Iterator[dict[str, typing.Any]]:
+    try:
+        text = path.read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise exceptions.JasminecrankError(
+            f"{path} cannot be read: {error.strerror}",
+            exceptions.ResultCode.LOG_LINE_INVALID,
+        ) from None
+    for raw in text.splitlines():
+        try:
+            line = json.loads(raw)
+        except ValueError:
+            # A process that was killed may have left half a line.
+            continue
+        if isinstance(line, dict) and {"event", "host", "time"} <= line.keys():
+            yield line
