Give the soak's nodes ports that no other socket takes

Change: chosen ports are even, the odd ones belong to the port before; the store's proxy has a name of its own. Public methods of the deployment have a line each. No decision of a node changes.

--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -17,8 +17,11 @@
 from jasminecrank.standins.fleet import _server
 from jasminecrank.standins.fleet import _store
 
-PORTS = range(20_000, 32_000)
-"""Below the ports that the kernel gives to outgoing connections."""
+PORTS = range(20_000, 32_000, 2)
+"""Below the ports that the kernel gives to outgoing connections.
+
+The odd ones serve the metrics of nodes, next to their ports for links.
+"""
 TOLD_S = 0.15
 """Time in which nodes tell each other that their servers are well."""
 DATA_CENTRES = ("belt-a", "belt-b")
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -59,13 +59,16 @@
             disturbance.end_s = self.now_s()
 
     def now_s(self) -> float:
+        """Return the seconds since callers began."""
         return asyncio.get_running_loop().time() - self._begun_s
 
     def host(self, number: int) -> str:
+        """Return the address of a host."""
         return f"127.0.2.{number + 1}"
 
     async def start(self) -> None:
-        names = ["callers", "ready", "server", "metrics"]
+        """Start all, and wait until each node answers."""
+        names = ["callers", "ready", "server", "store"]
         names.extend(f"links-{number}" for number in self.hosts)
         addresses = [self.host(number) for number in self.hosts]
         self.ports = fleet.free_ports(addresses, names)
@@ -92,7 +95,7 @@
         host = self.host(number)
         await self.servers[number].listen(host, self.ports["server"])
         proxy = _proxy.Proxy(store)
-        await proxy.listen(host, self.ports["metrics"] + 1)
+        await proxy.listen(host, self.ports["store"])
         self.store_proxies.append(proxy)
         for dialler in self.hosts:
             if dialler != number:
@@ -101,6 +104,7 @@
                 self.link_proxies[dialler, number] = link
 
     def write_settings(self, number: int, slack: int) -> pathlib.Path:
+        """Write the settings of a host's node."""
         host = self.host(number)
         links = self.ports[f"links-{number}"]
         zones = "\n".join(f'{name} = "savo"' for name in DATA_CENTRES)
@@ -121,7 +125,7 @@
 outbound = "{host}:{self.ports["callers"]}"
 ready = "{host}:{self.ports["ready"]}"
 [platform]
-address = "{host}:{self.ports["metrics"] + 1}"
+address = "{host}:{self.ports["store"]}"
 """
         path = self._folder / f"host-{number}.toml"
         path.write_text(text)
@@ -143,6 +147,7 @@
         return answer.status == 200
 
     async def close(self) -> None:
+        """End all processes and sockets of the run."""
         await asyncio.gather(*(node.close() for node in self.nodes))
         for server in self.servers:
             server.close()
@@ -170,12 +175,14 @@
     # Operators and servers.
 
     def issue_key(self, team: str) -> None:
+        """Give a team a new key, in force with the next table."""
         self._generation += 1
         key = f"key-{team}-{self._generation}"
         self.keys_by_team[team].append(key)
         self.records.team_by_key[key] = team
 
     async def publish(self) -> None:
+        """Publish the table as a new version."""
         self._version += 1
         rows = {
             team: fleet.TeamRow(tuple(keys), TEAM_RATE_PER_S)
@@ -187,6 +194,7 @@
     async def register(
         self, number: int, server_state: str, cold_s: float = 0.0
     ) -> None:
+        """Write the entry of a host's server."""
         server = self.servers[number]
         await self.store.put(
             f"servers/{server.server_id}",
@@ -200,6 +208,7 @@
         )
 
     async def restart_server(self, number: int, down_s: float) -> None:
+        """End a server, and start another one in its place."""
         server = self.servers[number]
         old = server.server_id
         server.close()
