Free the slot of a call that ends with an error in the node

Cause: a gate ended a run only after an answer, a time-out or a cancel. Any other error in the connections left the call in the gate for good, with its slot, and a stopping node waited for it until SIGKILL. Found by reading, while the processes killed at the end of their grace time were traced; it was not their cause.

Change: the error is logged as run-failed with the request's id and the call is answered as one that may have run. The new scenario of whole_path.feature failed before (504 for each call).

--- a/features/mesh/whole_path.feature
+++ b/features/mesh/whole_path.feature
@@ -129,6 +129,12 @@
       | has restarted unlisted | 1200     | 0.3   | 0.4  |
       | is draining            | 3000     | 0.1   | 1.0  |
 
+  Scenario: An error in the node while a call runs frees its slot
+    Given a deployment of 1 hosts
+    When the node fails with an error on the next 8 calls
+    And a caller sends POST /book/1 with key k1
+    Then it gets 200 and the request has run 1 times
+
   Scenario Outline: Hosts that have lost power serve before they are listed
     Given a deployment of 2 hosts
     When all hosts lose power and their servers come back <unlisted>
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -358,6 +358,24 @@
     context.runner.run(act())
 
 
+@when("the node fails with an error on the next {count:d} calls")
+def step_node_error(context, count):
+    async def fail(call, left_s):
+        raise ValueError("a fault of the program")
+
+    async def act():
+        port = context.fleet.nodes[0].gate.port
+        exchange = port.exchange
+        port.exchange = fail
+        caller = context.fleet.caller(0)
+        for _ in range(count):
+            answer = await caller.ask("POST", "/book/1")
+            assert answer.status == 502, answer
+        port.exchange = exchange
+
+    context.runner.run(act())
+
+
 @when("all hosts lose power and their servers come back {unlisted}")
 def step_power(context, unlisted):
     async def act():
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -64,7 +64,7 @@
         self._service = service
         self._started_at_s = clock.now_s()
         self._gate = gate
-        self._port = port
+        self.port = port
         self._address = address
         self._clock = clock
         self._fleet = state.Fleet(None, {}, {}, frozenset())
@@ -192,11 +192,15 @@
         result: state.AttemptResult
         try:
             async with asyncio.timeout(left_s + RUN_TIMEOUT_MARGIN_S):
-                result = await self._port.exchange(call, left_s)
+                result = await self.port.exchange(call, left_s)
         except TimeoutError:
             result = state.MayHaveRun("no answer by the deadline")
         except asyncio.CancelledError:
             result = state.MayHaveRun("cancelled")
+        except Exception as error:
+            # A call that is never ended would hold its slot for good.
+            self.log.failure("run-failed", error, request_id=call.request_id)
+            result = state.MayHaveRun("error in the node")
         self.mailbox.tell(
             _messages.RunEnded(
                 link_id, call.call_id, result, _server_failed(result)
@@ -371,7 +375,7 @@
 
     async def _check(self) -> None:
         path = self._health_path()
-        health = await self._port.check_health(path) if path else None
+        health = await self.port.check_health(path) if path else None
         if health is None:
             await asyncio.sleep(PROBE_PERIOD_S)
         self.mailbox.tell(_messages.HealthLearned(health))
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -38,6 +38,7 @@
     "garbled-answer": "the server sent bytes that are no answer",
     "connection-reset": "the server reset the connection",
     "no answer by the deadline": "the server was still at work",
+    "error in the node": "a fault of the node; see its line run-failed",
 }
 
 
