Split the messages between nodes from those between tasks

Cause: coordination/_messages.py had 535 lines and two subjects: what goes over links, which the codec knows, and what the tasks of one node tell each other.

Change: _peer_messages.py holds the former. Names are qualified anew; no class, field or decision changes. Lint, mypy strict and the features of quota task, exchange and gate pass as before.

--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -27,17 +27,8 @@
     BoundsChanged as BoundsChanged,
 )
 from jasminecrank.mesh.coordination._messages import CallArrived as CallArrived
-from jasminecrank.mesh.coordination._messages import (
-    CallCancelled as CallCancelled,
-)
 from jasminecrank.mesh.coordination._messages import CallerLeft as CallerLeft
 from jasminecrank.mesh.coordination._messages import CallersLost as CallersLost
-from jasminecrank.mesh.coordination._messages import (
-    CallMayHaveRun as CallMayHaveRun,
-)
-from jasminecrank.mesh.coordination._messages import CallNotRun as CallNotRun
-from jasminecrank.mesh.coordination._messages import CallSent as CallSent
-from jasminecrank.mesh.coordination._messages import CallServed as CallServed
 from jasminecrank.mesh.coordination._messages import CallTimeUp as CallTimeUp
 from jasminecrank.mesh.coordination._messages import ChangesRead as ChangesRead
 from jasminecrank.mesh.coordination._messages import (
@@ -56,30 +47,17 @@
 from jasminecrank.mesh.coordination._messages import (
     HealthLearned as HealthLearned,
 )
-from jasminecrank.mesh.coordination._messages import Hello as Hello
-from jasminecrank.mesh.coordination._messages import ItemPatched as ItemPatched
-from jasminecrank.mesh.coordination._messages import (
-    ItemsAnnounced as ItemsAnnounced,
-)
-from jasminecrank.mesh.coordination._messages import ItemsTold as ItemsTold
-from jasminecrank.mesh.coordination._messages import ItemsWanted as ItemsWanted
 from jasminecrank.mesh.coordination._messages import LinkClosed as LinkClosed
 from jasminecrank.mesh.coordination._messages import LinkEnded as LinkEnded
 from jasminecrank.mesh.coordination._messages import LinkOpened as LinkOpened
 from jasminecrank.mesh.coordination._messages import ListingRead as ListingRead
-from jasminecrank.mesh.coordination._messages import (
-    ListingWanted as ListingWanted,
-)
 from jasminecrank.mesh.coordination._messages import LoadLearned as LoadLearned
-from jasminecrank.mesh.coordination._messages import LoadTold as LoadTold
 from jasminecrank.mesh.coordination._messages import PeerAsked as PeerAsked
 from jasminecrank.mesh.coordination._messages import PeerDown as PeerDown
 from jasminecrank.mesh.coordination._messages import PeerGranted as PeerGranted
-from jasminecrank.mesh.coordination._messages import PeerMessage as PeerMessage
 from jasminecrank.mesh.coordination._messages import PeerSaid as PeerSaid
 from jasminecrank.mesh.coordination._messages import PeerSilent as PeerSilent
 from jasminecrank.mesh.coordination._messages import PeerUp as PeerUp
-from jasminecrank.mesh.coordination._messages import Presence as Presence
 from jasminecrank.mesh.coordination._messages import (
     QuotaAnswered as QuotaAnswered,
 )
@@ -91,22 +69,60 @@
 from jasminecrank.mesh.coordination._messages import QuotaUnused as QuotaUnused
 from jasminecrank.mesh.coordination._messages import RunCall as RunCall
 from jasminecrank.mesh.coordination._messages import RunEnded as RunEnded
-from jasminecrank.mesh.coordination._messages import SendToPeer as SendToPeer
 from jasminecrank.mesh.coordination._messages import SourceLost as SourceLost
 from jasminecrank.mesh.coordination._messages import (
     SourceReturned as SourceReturned,
 )
 from jasminecrank.mesh.coordination._messages import Stopping as Stopping
-from jasminecrank.mesh.coordination._messages import TokensAsked as TokensAsked
-from jasminecrank.mesh.coordination._messages import (
-    TokensGranted as TokensGranted,
-)
 from jasminecrank.mesh.coordination._messages import (
     WithdrawCall as WithdrawCall,
 )
 from jasminecrank.mesh.coordination._open_calls import (
     attempt_ended as attempt_ended,
 )
+from jasminecrank.mesh.coordination._peer_messages import (
+    CallCancelled as CallCancelled,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    CallMayHaveRun as CallMayHaveRun,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    CallNotRun as CallNotRun,
+)
+from jasminecrank.mesh.coordination._peer_messages import CallSent as CallSent
+from jasminecrank.mesh.coordination._peer_messages import (
+    CallServed as CallServed,
+)
+from jasminecrank.mesh.coordination._peer_messages import Hello as Hello
+from jasminecrank.mesh.coordination._peer_messages import (
+    ItemPatched as ItemPatched,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    ItemsAnnounced as ItemsAnnounced,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    ItemsTold as ItemsTold,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    ItemsWanted as ItemsWanted,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    ListingWanted as ListingWanted,
+)
+from jasminecrank.mesh.coordination._peer_messages import LoadTold as LoadTold
+from jasminecrank.mesh.coordination._peer_messages import (
+    PeerMessage as PeerMessage,
+)
+from jasminecrank.mesh.coordination._peer_messages import Presence as Presence
+from jasminecrank.mesh.coordination._peer_messages import (
+    SendToPeer as SendToPeer,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    TokensAsked as TokensAsked,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    TokensGranted as TokensGranted,
+)
 from jasminecrank.mesh.coordination._quota import QuotaTask as QuotaTask
 from jasminecrank.mesh.coordination._source import Changes as Changes
 from jasminecrank.mesh.coordination._source import HistoryGone as HistoryGone
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -8,6 +8,7 @@
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
 from jasminecrank.mesh.coordination import _open_calls
+from jasminecrank.mesh.coordination import _peer_messages
 
 QUOTA_WAIT_S = 0.08
 """Longest wait for a token, well inside the shortest objective."""
@@ -63,7 +64,7 @@
         self._split = state.SplitChooser()
         self._fleet = state.Fleet(None, {}, {}, frozenset())
         self._call_by_number: dict[int, _open_calls.OpenCall] = {}
-        self._send_by_host: dict[str, _messages.SendToPeer] = {}
+        self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
 
     @property
     def busy(self) -> int:
@@ -255,11 +256,13 @@
             return
         self._send_by_host[server.host](sent)
 
-    def local_reply(self, message: _messages.PeerMessage) -> None:
+    def local_reply(self, message: _peer_messages.PeerMessage) -> None:
         """Take the own gate's answer on a call."""
         self.peer_reply(self._own_host, message)
 
-    def peer_reply(self, host: str, message: _messages.PeerMessage) -> None:
+    def peer_reply(
+        self, host: str, message: _peer_messages.PeerMessage
+    ) -> None:
         """Take a gate's answer on a call."""
         ended = _open_calls.attempt_ended(host, message)
         if ended is not None:
@@ -398,7 +401,7 @@
             return
         send = self._send_by_host.get(call.host)
         if send is not None:
-            send(_messages.CallCancelled(call.number))
+            send(_peer_messages.CallCancelled(call.number))
 
     def _peer_silent(self, host: str) -> None:
         self._placement.unreachable(host)
--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -6,7 +6,7 @@
 import random
 
 from jasminecrank.mesh import state
-from jasminecrank.mesh.coordination import _messages
+from jasminecrank.mesh.coordination import _peer_messages
 
 INLINE_BYTES = 2_048
 """Largest entry or patch that is sent without being asked for."""
@@ -34,7 +34,7 @@
 @dataclass(slots=True)
 class _Wanted:
     revision: int
-    announcers: list[_messages.SendToPeer] = field(default_factory=list)
+    announcers: list[_peer_messages.SendToPeer] = field(default_factory=list)
     ask_at_s: float = 0.0
 
 
@@ -56,20 +56,20 @@
         self._directory = directory
         self._rng = rng
         self._wanted_by_key: dict[str, _Wanted] = {}
-        self._told_by_send: dict[_messages.SendToPeer, _Told] = {}
+        self._told_by_send: dict[_peer_messages.SendToPeer, _Told] = {}
         self._differs_since_s: float | None = None
         self._listing_at_s = -1e9
 
     def push(
         self,
         items: Iterable[state.Item],
-        pushed_to: Iterable[_messages.SendToPeer],
-        announced_to: Iterable[_messages.SendToPeer] = (),
+        pushed_to: Iterable[_peer_messages.SendToPeer],
+        announced_to: Iterable[_peer_messages.SendToPeer] = (),
     ) -> None:
         """Send entries that were read from the source to other nodes."""
         told = []
         announced = []
-        messages: list[_messages.PeerMessage] = []
+        messages: list[_peer_messages.PeerMessage] = []
         items = list(items)
         for item in items:
             if item.value is None or len(item.value) <= INLINE_BYTES:
@@ -81,15 +81,15 @@
             else:
                 messages.append(patched)
         if told:
-            messages.append(_messages.ItemsTold(tuple(told)))
+            messages.append(_peer_messages.ItemsTold(tuple(told)))
         if announced:
-            messages.append(_messages.ItemsAnnounced(tuple(announced)))
+            messages.append(_peer_messages.ItemsAnnounced(tuple(announced)))
         for send in pushed_to:
             for message in messages:
                 send(message)
         revisions = tuple((item.key, item.revision) for item in items)
         for send in announced_to:
-            send(_messages.ItemsAnnounced(revisions))
+            send(_peer_messages.ItemsAnnounced(revisions))
 
     @property
     def in_large_fleet(self) -> bool:
@@ -97,19 +97,19 @@
         return len(self._directory.item_by_key) > SMALL_FLEET
 
     def peer_told(
-        self, send: _messages.SendToPeer, revision: int, digest: int
+        self, send: _peer_messages.SendToPeer, revision: int, digest: int
     ) -> None:
         """Take what a peer says of its entries."""
         self._told_by_send[send] = _Told(revision, digest)
 
-    def peer_gone(self, send: _messages.SendToPeer) -> None:
+    def peer_gone(self, send: _peer_messages.SendToPeer) -> None:
         """Forget a peer."""
         self._told_by_send.pop(send, None)
 
     def announced(
         self,
-        message: _messages.ItemsAnnounced,
-        send: _messages.SendToPeer,
+        message: _peer_messages.ItemsAnnounced,
+        send: _peer_messages.SendToPeer,
         at_once: bool,
         now_s: float,
     ) -> list[state.Item]:
@@ -132,8 +132,8 @@
 
     def patched(
         self,
-        message: _messages.ItemPatched,
-        send: _messages.SendToPeer,
+        message: _peer_messages.ItemPatched,
+        send: _peer_messages.SendToPeer,
         now_s: float,
     ) -> list[state.Item]:
         """Return the entry that a patch makes, or ask for all of it."""
@@ -148,7 +148,9 @@
         if value is not None:
             return [state.Item(message.key, message.revision, value)]
         revisions = ((message.key, message.revision),)
-        self.announced(_messages.ItemsAnnounced(revisions), send, True, now_s)
+        self.announced(
+            _peer_messages.ItemsAnnounced(revisions), send, True, now_s
+        )
         return []
 
     def arrived(self, items: Iterable[state.Item]) -> None:
@@ -159,7 +161,9 @@
                 del self._wanted_by_key[item.key]
 
     def answer_wanted(
-        self, message: _messages.ItemsWanted, send: _messages.SendToPeer
+        self,
+        message: _peer_messages.ItemsWanted,
+        send: _peer_messages.SendToPeer,
     ) -> None:
         """Send entries to a node that has asked for them."""
         whole = []
@@ -174,13 +178,13 @@
             else:
                 send(patched)
         if whole:
-            send(_messages.ItemsTold(tuple(whole)))
+            send(_peer_messages.ItemsTold(tuple(whole)))
 
-    def answer_listing(self, send: _messages.SendToPeer) -> None:
+    def answer_listing(self, send: _peer_messages.SendToPeer) -> None:
         """Tell a node which entries there are."""
         items = self._directory.item_by_key.values()
         send(
-            _messages.ItemsAnnounced(
+            _peer_messages.ItemsAnnounced(
                 tuple((item.key, item.revision) for item in items),
                 self._directory.complete_revision,
             )
@@ -188,7 +192,9 @@
 
     def ask_wanted(self, now_s: float) -> None:
         """Ask for announced entries that are not there yet."""
-        keys_by_send: dict[_messages.SendToPeer, list[tuple[str, int]]] = {}
+        keys_by_send: dict[
+            _peer_messages.SendToPeer, list[tuple[str, int]]
+        ] = {}
         for key, wanted in list(self._wanted_by_key.items()):
             if wanted.ask_at_s > now_s:
                 continue
@@ -202,7 +208,7 @@
             revision = 0 if known is None else known.revision
             keys_by_send.setdefault(send, []).append((key, revision))
         for send, keys in keys_by_send.items():
-            send(_messages.ItemsWanted(tuple(keys)))
+            send(_peer_messages.ItemsWanted(tuple(keys)))
 
     def look_for_gaps(self, now_s: float) -> None:
         """Ask a peer for its listing if it knows what this node does not."""
@@ -224,7 +230,7 @@
             return
         self._listing_at_s = now_s
         send = ahead[self._rng.randrange(len(ahead))]
-        send(_messages.ListingWanted())
+        send(_peer_messages.ListingWanted())
 
     def _newest_base(self, item: state.Item) -> int:
         bases = self._directory.bases_by_key.get(item.key, {})
@@ -233,11 +239,11 @@
 
     def _patch(
         self, item: state.Item, base_revision: int, most_bytes: int
-    ) -> _messages.ItemPatched | None:
+    ) -> _peer_messages.ItemPatched | None:
         patch = self._directory.patch_from(item, base_revision)
         if patch is None or patch.literal_bytes > most_bytes:
             return None
-        return _messages.ItemPatched(
+        return _peer_messages.ItemPatched(
             item.key,
             base_revision,
             item.revision,
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -9,6 +9,7 @@
 from jasminecrank.mesh.coordination import _exchange
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
+from jasminecrank.mesh.coordination import _peer_messages
 
 TICK_S = 0.05
 """Period of load reports, below the shortest run times."""
@@ -39,7 +40,7 @@
 @dataclass(slots=True)
 class _Peer:
     host: str
-    send: _messages.SendToPeer
+    send: _peer_messages.SendToPeer
     link: Closable
     heard_at_s: float
     confirmed_at_s: float = -1e9
@@ -213,27 +214,27 @@
                 peer.silent = False
                 self._peer_up(peer)
         match message.message:
-            case _messages.LoadTold():
+            case _peer_messages.LoadTold():
                 self._load_told(peer, message.message, now_s)
-            case _messages.ItemsTold(items):
+            case _peer_messages.ItemsTold(items):
                 self._learn([state.Item(*item) for item in items], now_s)
-            case _messages.ItemPatched():
+            case _peer_messages.ItemPatched():
                 self._learn(
                     self._exchange.patched(
                         message.message, message.send, now_s
                     ),
                     now_s,
                 )
-            case _messages.ItemsAnnounced():
+            case _peer_messages.ItemsAnnounced():
                 self._learn(
                     self._exchange.announced(
                         message.message, message.send, self._watching, now_s
                     ),
                     now_s,
                 )
-            case _messages.ItemsWanted():
+            case _peer_messages.ItemsWanted():
                 self._exchange.answer_wanted(message.message, message.send)
-            case _messages.ListingWanted():
+            case _peer_messages.ListingWanted():
                 self._exchange.answer_listing(message.send)
             case _:
                 typing.assert_never(message.message)
@@ -244,7 +245,7 @@
         self._ports.to_quota(up)
 
     def _load_told(
-        self, peer: _Peer | None, told: _messages.LoadTold, now_s: float
+        self, peer: _Peer | None, told: _peer_messages.LoadTold, now_s: float
     ) -> None:
         if peer is None:
             return
@@ -271,7 +272,7 @@
             self._tell_load(self._ports.load(), now_s, [peer])
             if self._fleet.table is None:
                 # A node without entries has dialled nobody yet.
-                peer.send(_messages.ListingWanted())
+                peer.send(_peer_messages.ListingWanted())
         self.log.decision(
             "link-up", peer=message.host, dialled=message.dialled
         )
@@ -340,7 +341,7 @@
         peers: typing.Iterable[_Peer],
         with_server: bool = True,
     ) -> None:
-        told = _messages.LoadTold.from_load(
+        told = _peer_messages.LoadTold.from_load(
             load,
             self.confirmed_age_s(now_s),
             self._directory.revision,
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -8,6 +8,7 @@
 from jasminecrank.mesh import state
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
+from jasminecrank.mesh.coordination import _peer_messages
 
 RUN_TIMEOUT_MARGIN_S = 0.1
 """Time for a server's own answer at the deadline to arrive."""
@@ -32,7 +33,7 @@
     """The connections to the backend server, owned by a transport."""
 
     async def exchange(
-        self, call: _messages.CallSent, left_s: float
+        self, call: _peer_messages.CallSent, left_s: float
     ) -> state.AttemptResult:
         """Send a call and return what is known about it."""
 
@@ -42,8 +43,8 @@
 
 @dataclass(slots=True)
 class _Running:
-    call: _messages.CallSent
-    send: _messages.SendToPeer
+    call: _peer_messages.CallSent
+    send: _peer_messages.SendToPeer
     task: asyncio.Task[None] | None = None
     cancelled: bool = False
 
@@ -216,7 +217,7 @@
                 self._gate.finished(
                     call.route, run_s, message.server_failed, now_s
                 )
-                reply: _messages.PeerMessage = _messages.CallServed(
+                reply: _peer_messages.PeerMessage = _peer_messages.CallServed(
                     call.call_id,
                     answer.status,
                     answer.reason,
@@ -233,7 +234,7 @@
                     retry_after_s = max(retry_after_s, CLOSED_RETRY_S)
                     self._doubt(reason)
                 self._log_ended(call, "not-run", reason)
-                reply = _messages.CallNotRun(
+                reply = _peer_messages.CallNotRun(
                     call.call_id, reason, retry_after_s, reached_server
                 )
             case state.MayHaveRun(reason):
@@ -243,7 +244,7 @@
                     self._log_ended(call, "may-have-run", reason)
                     if reason == "connection-reset":
                         self._doubt(reason)
-                reply = _messages.CallMayHaveRun(call.call_id, reason)
+                reply = _peer_messages.CallMayHaveRun(call.call_id, reason)
             case _:
                 typing.assert_never(message.result)
         if not running.cancelled:
@@ -292,16 +293,20 @@
 
     def _refuse(
         self,
-        call: _messages.CallSent,
-        send: _messages.SendToPeer,
+        call: _peer_messages.CallSent,
+        send: _peer_messages.SendToPeer,
         reason: str,
         retry_after_s: float,
     ) -> None:
         self._log_ended(call, "not-run", reason)
-        send(_messages.CallNotRun(call.call_id, reason, retry_after_s, False))
+        send(
+            _peer_messages.CallNotRun(
+                call.call_id, reason, retry_after_s, False
+            )
+        )
 
     def _log_ended(
-        self, call: _messages.CallSent, outcome: str, reason: str
+        self, call: _peer_messages.CallSent, outcome: str, reason: str
     ) -> None:
         self.log.count("gate_calls", outcome)
         self.log.decision(
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -8,6 +8,7 @@
 
 from jasminecrank.mesh import state
 from jasminecrank.mesh.coordination import _messages
+from jasminecrank.mesh.coordination import _peer_messages
 
 DEFAULT_PATIENCE_S = 10.0
 """Time given to a request that names no deadline and whose route has none."""
@@ -81,13 +82,13 @@
 
     def send_to(
         self, server: state.BackendServer, caller_service: str, now_s: float
-    ) -> _messages.CallSent:
+    ) -> _peer_messages.CallSent:
         """Begin an attempt and return its message."""
         route = self.attempts.route
         self.attempts.tried.add(server.server_id)
         self.servers.append(server.server_id)
         self.host = server.host
-        return _messages.CallSent(
+        return _peer_messages.CallSent(
             self.number,
             self.request.request_id,
             server.server_id,
@@ -116,23 +117,23 @@
 
 
 def attempt_ended(
-    host: str, message: _messages.PeerMessage
+    host: str, message: _peer_messages.PeerMessage
 ) -> _messages.AttemptEnded | None:
     """Return what a gate's message says of a call, if it speaks of one."""
     result: state.AttemptResult
     busy = None
     match message:
-        case _messages.CallServed():
+        case _peer_messages.CallServed():
             busy = message.busy
             answer = state.Answer(
                 message.status, message.reason, message.headers, message.body
             )
             result = state.Served(answer, message.run_s)
-        case _messages.CallNotRun():
+        case _peer_messages.CallNotRun():
             result = state.NotRun(
                 message.reason, message.retry_after_s, message.reached_server
             )
-        case _messages.CallMayHaveRun():
+        case _peer_messages.CallMayHaveRun():
             result = state.MayHaveRun(message.reason)
         case _:
             return None
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -10,6 +10,7 @@
 from jasminecrank.mesh import state
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
+from jasminecrank.mesh.coordination import _peer_messages
 
 ASK_TIMEOUT_S = 0.25
 """Time for an arbiter's answer, which usually takes a few milliseconds."""
@@ -63,7 +64,7 @@
         self._table: state.Table | None = None
         self._arbiters: tuple[str, ...] = ()
         self._reachable: tuple[str, ...] = ()
-        self._send_by_host: dict[str, _messages.SendToPeer] = {}
+        self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
         self._silent: set[str] = set()
         self._suspect_until_by_host: dict[str, float] = {}
         self._asking_by_team: dict[str, _Asking] = {}
@@ -137,7 +138,7 @@
             self._settle(asking, grant.granted, grant.wait_s, now_s)
             return
         asking.arbiter = arbiter
-        self._send_by_host[arbiter](_messages.TokensAsked(name, count))
+        self._send_by_host[arbiter](_peer_messages.TokensAsked(name, count))
 
     def _settle(
         self, asking: _Asking, granted: int, wait_s: float, now_s: float
@@ -171,24 +172,24 @@
     def _peer_asked(
         self,
         host: str,
-        asked: _messages.Presence | _messages.TokensAsked,
-        send: _messages.SendToPeer,
+        asked: _peer_messages.Presence | _peer_messages.TokensAsked,
+        send: _peer_messages.SendToPeer,
         now_s: float,
     ) -> None:
         match asked:
-            case _messages.Presence(arbiters):
+            case _peer_messages.Presence(arbiters):
                 if arbiters is None:
                     self._arbiter.still_present(host, now_s)
                 else:
                     self._arbiter.present(host, arbiters, now_s)
-            case _messages.TokensAsked(name, count):
+            case _peer_messages.TokensAsked(name, count):
                 grant = state.Grant(0, 0.5)
                 if self._table is not None:
                     team = self._table.team_by_name.get(name)
                     if team is not None:
                         grant = self._arbiter.take(team, count, now_s)
                 send(
-                    _messages.TokensGranted(
+                    _peer_messages.TokensGranted(
                         name, grant.granted, round(1000 * grant.wait_s)
                     )
                 )
@@ -196,7 +197,7 @@
                 typing.assert_never(asked)
 
     def _granted(
-        self, host: str, message: _messages.TokensGranted, now_s: float
+        self, host: str, message: _peer_messages.TokensGranted, now_s: float
     ) -> None:
         asking = self._asking_by_team.get(message.team)
         if asking is None or asking.arbiter != host:
@@ -236,7 +237,7 @@
     def _show_presence(self, now_s: float, whole: bool = True) -> None:
         self._shown_at_s = now_s
         self._arbiter.present(self._own_host, self._reachable, now_s)
-        shown = _messages.Presence(self._reachable if whole else None)
+        shown = _peer_messages.Presence(self._reachable if whole else None)
         for host in self._arbiters:
             send = self._send_by_host.get(host)
             if send is not None:
