--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -46,10 +46,11 @@
       | 3    |
 
   Scenario Outline: A short run of real processes
-    When seed <seed> is played on 5 hosts for 18 s
+    When seed <seed> is played on <hosts> hosts for <seconds> s
     Then every promise has held
 
     Examples:
-      | seed |
-      | 1    |
-      | 11   |
+      | seed | hosts | seconds | why                                        |
+      | 1    | 5     | 18      | a short run                                |
+      | 11   | 5     | 18      | a short run                                |
+      | 8    | 8     | 30      | failed: two plans for one data centre met  |
