Trust only a server that has started with its node

Cause: for 3 s after its start a node took its server's word on which incarnation it is. Addresses are used again by other services from 2 s on, while the entry of the former server is still listed; a node that is killed in that time would have given the former service's calls to the new server.

Change: the server must have begun within 0.7 s of the node's start, worked out from the cold time left in its health answer. Two new rows of whole_path.feature (a server that begins a second later, a warm one) were answered 200 before.

--- a/features/mesh/whole_path.feature
+++ b/features/mesh/whole_path.feature
@@ -145,6 +145,8 @@
       | unlisted                 | status | runs |
       | with new ids             | 200    | 1    |
       | as servers of no service | 503    | 0    |
+      | a second later           | 503    | 0    |
+      | and are warm             | 503    | 0    |
 
   Scenario: Changed settings are taken over without a restart
     Given a deployment of 1 hosts
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -382,9 +382,12 @@
         deployment = context.fleet
         if unlisted == "as servers of no service":
             deployment.service = "another"
+        # A cold start takes 3 s in the table; 2.95 s of it are left.
+        cold_s = {"a second later": 4.0, "and are warm": 0.0}
         for number, server in enumerate(deployment.servers):
             deployment.nodes[number].abort()
             server.server_id = f"new-{number}"
+            server.cold_s = cold_s.get(unlisted, 2.95)
             deployment.nodes[number] = deployment.make_node(number)
         for node in deployment.nodes:
             await node.start()
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -25,6 +25,11 @@
 A server lists itself within one interval of its entries, about 1.5 s; the
 settings that name its service were written at the node's start.
 """
+SAME_START_S = 0.7
+"""Most time between the starts of a host's node and server after a power loss.
+
+A server of another service may start at the address at any time.
+"""
 MOVED = "server-gone"
 """Reason given for calls that belong to another incarnation."""
 
@@ -64,6 +69,8 @@
         super().__init__(log)
         self._service = service
         self._started_at_s = clock.now_s()
+        self._server_started_at_s = -1e9
+        """Worked out from its cold start; long ago if it is warm."""
         self._gate = gate
         self.port = port
         self._address = address
@@ -160,14 +167,17 @@
     def _is_successor(self, server: state.BackendServer | None) -> bool:
         """Return whether the running server takes a listed one's calls.
 
-        After a loss of power host, node and server start together, and the
-        new incarnation is not listed yet. The settings say that it is of the
-        same service.
+        After a loss of power node and server start together, and the new
+        incarnation is not listed yet. The settings say that it is of the same
+        service. Addresses are used again by other services, so a server that
+        has not started with the node is not trusted.
         """
         return (
             server is not None
             and server.service == self._service
             and self._clock.now_s() - self._started_at_s < UNLISTED_S
+            and abs(self._server_started_at_s - self._started_at_s)
+            < SAME_START_S
             and self._gate.server_id not in self._fleet.server_by_id
         )
 
@@ -385,12 +395,19 @@
             await asyncio.sleep(PROBE_PERIOD_S)
         self.mailbox.tell(_messages.HealthLearned(health))
 
-    def _health_path(self) -> str | None:
+    def _own_service(self) -> state.Service | None:
         if self._own is None or self._fleet.table is None:
             return None
-        service = self._fleet.table.service_by_name.get(self._own.service)
+        return self._fleet.table.service_by_name.get(self._own.service)
+
+    def _health_path(self) -> str | None:
+        service = self._own_service()
         return None if service is None else service.health_path
 
+    def _cold_start_s(self) -> float:
+        service = self._own_service()
+        return 0.0 if service is None else service.cold_start_s
+
     def _health_learned(self, health: _messages.Health | None) -> None:
         self._probe = None
         if health is None:
@@ -399,6 +416,9 @@
             return
         now_s = self._clock.now_s()
         self._gate.server_up(health.server_id, health.cold_left_s, now_s)
+        if health.cold_left_s > 0.0:
+            cold_s = self._cold_start_s()
+            self._server_started_at_s = now_s - cold_s + health.cold_left_s
         self.log.decision(
             "server-up",
             server=health.server_id,
