End the soak's nodes when the soak is stopped

Cause: SIGTERM ended the soak at once and left its node processes running.

Change: SIGTERM ends the soak as Ctrl-C does, with its nodes. The new scenario of fault_soak.feature failed before (three nodes left) and passes now.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -54,3 +54,8 @@
       | 1    | 5     | 18      | a short run                                |
       | 11   | 5     | 18      | a short run                                |
       | 8    | 8     | 30      | failed: two plans for one data centre met  |
+
+  Scenario: A soak that is stopped leaves no process
+    Given a running soak of 3 hosts
+    When it is asked to stop
+    Then none of its 3 nodes is there after 5 s
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -1,8 +1,12 @@
 """Steps on the fault soak and its checks."""
 
 import asyncio
+import contextlib
 import pathlib
+import subprocess
+import sys
 import tempfile
+import time
 
 from behave import given
 from behave import then
@@ -191,3 +195,50 @@
 def step_held(context):
     assert not context.result.broken, context.result.broken[:5]
     assert context.result.served > 0
+
+
+def nodes_of(pid):
+    """Return the ids of a process's children."""
+    children = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
+    return [int(child) for child in children.read_text().split()]
+
+
+def wait_until(holds, limit_s):
+    """Return whether something holds within a time."""
+    end_s = time.monotonic() + limit_s
+    while not holds() and time.monotonic() < end_s:
+        time.sleep(0.05)
+    return holds()
+
+
+@given("a running soak of {hosts:d} hosts")
+def step_running(context, hosts):
+    command = [sys.executable, "script/run_fault_soak.py", "--seed", "1"]
+    context.soak = subprocess.Popen(
+        [*command, "--hosts", str(hosts)],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    context.exit_stack = contextlib.ExitStack()
+    context.exit_stack.callback(context.soak.kill)
+    pid = context.soak.pid
+    assert wait_until(lambda: len(nodes_of(pid)) == hosts, 20.0)
+    context.nodes = nodes_of(pid)
+
+
+@when("it is asked to stop")
+def step_stop_soak(context):
+    context.soak.terminate()
+
+
+@then("none of its {count:d} nodes is there after {seconds:g} s")
+def step_none_left(context, count, seconds):
+    assert len(context.nodes) == count
+
+    def all_gone():
+        return not any(
+            pathlib.Path(f"/proc/{pid}").exists() for pid in context.nodes
+        )
+
+    assert wait_until(all_gone, seconds), context.nodes
+    context.soak.wait(timeout=seconds)
--- a/script/run_fault_soak.py
+++ b/script/run_fault_soak.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import tempfile
 import time
 
@@ -59,6 +60,8 @@
     duration_s
         Seconds that a seed is played.
     """
+    # A stopped soak ends its node processes, as after Ctrl-C.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first = random.SystemRandom().randrange(10**6) if seed is None else seed
     begun_s = time.monotonic()
     failed = 0
