--- a/features/steps/mesh_attempts_steps.py
+++ b/features/steps/mesh_attempts_steps.py
@@ -11,8 +11,8 @@
 
 # Evidence by name, with how often the backend server can have run the call.
 EVIDENCE = {
-    "served 200": (state.Served(state.Answer(200, b"", (), b""), 0.1), (1,)),
-    "served 500": (state.Served(state.Answer(500, b"", (), b""), 0.1), (1,)),
+    "served 200": (state.Served(state.Response(200, b"", (), b""), 0.1), (1,)),
+    "served 500": (state.Served(state.Response(500, b"", (), b""), 0.1), (1,)),
     "lost": (state.MayHaveRun("lost"), (0, 1)),
     "rejected": (state.NotRun("server-rejected", 0.1, True), (0,)),
     "busy": (state.NotRun("busy", 0.1, False), (0,)),
@@ -23,13 +23,13 @@
 @given("a call on a route of kind {kind} with {attempts:d} attempts")
 def step_call(context, kind, attempts):
     route = make_route(kind=state.RouteKind(kind), max_attempts=attempts)
-    context.attempts = state.Attempts(route)
+    context.attempts = state.CallAttempts(route)
 
 
 @when("its attempts end with {names}")
 def step_end(context, names):
     for number, name in enumerate(names.split(", ")):
-        context.attempts.tried.add(f"i-{number}")
+        context.attempts.tried_server_ids.add(f"i-{number}")
         context.step = context.attempts.next_step(EVIDENCE[name][0])
 
 
@@ -38,7 +38,7 @@
     match context.step:
         case state.Deliver():
             found = "deliver"
-        case state.TryElsewhere():
+        case state.TryAnotherServer():
             found = "try elsewhere"
         case state.Refuse(refusal):
             found = f"refuse {refusal.kind.value}"
@@ -47,7 +47,7 @@
 
 @when("its time is over while it is {where}")
 def step_time_up(context, where):
-    context.refusal = context.attempts.timed_out(where == "at a node")
+    context.refusal = context.attempts.timeout_refusal(where == "at a node")
 
 
 @then("the refusal is {wanted}")
@@ -70,22 +70,22 @@
         kind=strategies.sampled_from(list(state.RouteKind)), script=names
     )
     def play(kind, script):
-        attempts = state.Attempts(make_route(kind=kind, max_attempts=3))
+        attempts = state.CallAttempts(make_route(kind=kind, max_attempts=3))
         runs = 0
         for number, (name, ran) in enumerate(script):
-            attempts.tried.add(f"i-{number}")
+            attempts.tried_server_ids.add(f"i-{number}")
             step = attempts.next_step(EVIDENCE[name][0])
             runs += ran
-            if not isinstance(step, state.TryElsewhere):
+            if not isinstance(step, state.TryAnotherServer):
                 break
         end = step
-        if isinstance(step, state.TryElsewhere):
-            end = step.otherwise
+        if isinstance(step, state.TryAnotherServer):
+            end = step.fallback
         if kind is state.RouteKind.AT_MOST_ONCE:
             assert runs <= 1, script
         if isinstance(end, state.Refuse) and end.refusal.kind in PROMISES:
             assert runs == 0, script
-        assert attempts.reached <= 3, script
+        assert attempts.servers_reached <= 3, script
 
     context.play = play
 
--- a/features/steps/mesh_budget_steps.py
+++ b/features/steps/mesh_budget_steps.py
@@ -19,7 +19,7 @@
 def step_nodes(context, hosts, rate, burst):
     context.team = state.Team("team", None, rate, burst)
     context.arbiters = [
-        state.QuotaArbiter(str(number), BOUNDS, hosts=hosts)
+        state.QuotaArbiter(str(number), BOUNDS, host_count=hosts)
         for number in range(hosts)
     ]
 
@@ -52,7 +52,7 @@
 def show_presence(context, spread, now_s):
     """Let the nodes that reach each other tell which arbiters they reach."""
     hosts = len(context.arbiters)
-    chosen = [str(number) for number in range(min(hosts, state.ARBITERS))]
+    chosen = [str(number) for number in range(min(hosts, state.ARBITER_COUNT))]
     context.reachable = {}
     for side in sides(hosts, spread, now_s):
         reachable = tuple(sorted(set(chosen) & set(map(str, side))))
@@ -60,9 +60,9 @@
             context.reachable[number] = reachable
             for other in side:
                 arbiter = context.arbiters[other]
-                arbiter.present(str(number), reachable, now_s)
+                arbiter.record_presence(str(number), reachable, now_s)
     for arbiter in context.arbiters:
-        arbiter.refill([context.team], now_s)
+        arbiter.refill_buckets([context.team], now_s)
 
 
 @when("callers send {load:g} times the rate for 20 s, {spread}")
@@ -75,14 +75,16 @@
     now_s = 0.0
     while now_s < 20.0:
         now_s += rng.expovariate(team.rate_per_s * load)
-        while shown_s + state.PRESENCE_S <= now_s:
-            shown_s += state.PRESENCE_S
+        while shown_s + state.PRESENCE_INTERVAL_S <= now_s:
+            shown_s += state.PRESENCE_INTERVAL_S
             show_presence(context, spread, shown_s)
         node = pick_node(rng, hosts, spread, now_s)
         if node not in context.reachable:
             node = 2 + rng.randrange(hosts - 2)
-        asked = state.arbiter_of(team.name, context.reachable[node], str(node))
-        if context.arbiters[int(asked)].take(team, 1, now_s).granted:
+        asked = state.choose_arbiter(
+            team.name, context.reachable[node], str(node)
+        )
+        if context.arbiters[int(asked)].acquire(team, 1, now_s).granted:
             context.admitted_at_s.append(now_s)
     offered = team.rate_per_s * load * 20.0
     context.ideal = min(offered, team.rate_per_s * 20.0 + team.burst)
@@ -110,10 +112,10 @@
     "{hosts:d} nodes with a retry budget of {ratio:g} and {slack:g} in 10 s"
 )
 def step_budget(context, hosts, ratio, slack):
-    bounds = state.RetryBounds(ratio, 10.0, slack)
+    bounds = state.RetryBudgetBounds(ratio, 10.0, slack)
     context.bounds = bounds
     context.budgets = [
-        state.RetryBudget(bounds, hosts=hosts) for _ in range(hosts)
+        state.RetryBudget(bounds, host_count=hosts) for _ in range(hosts)
     ]
 
 
@@ -128,9 +130,9 @@
         for budget in context.budgets:
             if calls and step % 10 == 0:
                 for _ in range(calls):
-                    budget.first("s", now_s)
+                    budget.record_first_attempt("s", now_s)
                     context.firsts.append(now_s)
-            while budget.try_repeat("s", state.UNSERVED_PART, now_s):
+            while budget.try_retry("s", state.UNANSWERED_RETRY_SHARE, now_s):
                 context.repeats.append(now_s)
 
 
--- a/features/steps/mesh_directory_steps.py
+++ b/features/steps/mesh_directory_steps.py
@@ -18,7 +18,7 @@
         "slots": 12,
         "state": state.ServerState.READY,
         "cold_left_s": 0.0,
-        "born_ms": 0,
+        "created_at_ms": 0,
     }
     fields.update(changes)
     return state.BackendServer(server_id=server_id, **fields)
@@ -29,69 +29,75 @@
     kind, _, word = value.decode().partition(" ")
     match kind:
         case "table":
-            return state.TablePublished(make_table(int(word)))
+            return state.TableEntry(make_table(int(word)))
         case "server":
-            return state.ServerPublished(
+            return state.ServerEntry(
                 make_server(key, state=state.ServerState(word))
             )
         case "out":
-            return state.DataCentreOut(word)
-    return state.Unreadable(kind)
+            return state.DataCentreOutEntry(word)
+    return state.InvalidEntry(kind)
 
 
 def item(key, revision, value):
     """Return an entry."""
     encoded = None if value is None else value.encode()
-    return state.Item(key, revision, encoded)
+    return state.SourceItem(key, revision, encoded)
 
 
 @given("a directory with table version {version:d} at revision {revision:d}")
 def step_table(context, version, revision):
     context.directory = state.Directory(decode)
-    context.directory.offer([item("t", revision, f"table {version}")], 0.0)
+    context.directory.apply_items(
+        [item("t", revision, f"table {version}")], 0.0
+    )
 
 
 @when("table version {version:d} arrives at revision {revision:d}")
 def step_newer(context, version, revision):
-    context.directory.offer([item("t", revision, f"table {version}")], 1.0)
+    context.directory.apply_items(
+        [item("t", revision, f"table {version}")], 1.0
+    )
 
 
 @then("the table in force has version {version:d}")
 def step_in_force(context, version):
-    assert context.directory.fleet().table.version == version
+    assert context.directory.snapshot().table.version == version
 
 
 @given("a directory with server i-1 in state {word}")
 def step_server(context, word):
     context.now_s = 100.0
     context.directory = state.Directory(decode)
-    context.directory.offer([item("i-1", 10, f"server {word}")], 90.0)
+    context.directory.apply_items([item("i-1", 10, f"server {word}")], 90.0)
 
 
 @when("the source has returned {ago:g} s ago and the entry is removed")
 def step_removed(context, ago):
-    context.directory.source_returned(context.now_s - ago)
-    context.directory.offer([item("i-1", 11, None)], context.now_s)
+    context.directory.start_expiry_grace(context.now_s - ago)
+    context.directory.apply_items([item("i-1", 11, None)], context.now_s)
 
 
 @when("the entry comes back")
 def step_back(context):
     entry = item("i-1", 12, "server ready")
-    context.directory.offer([entry], context.now_s)
+    context.directory.apply_items([entry], context.now_s)
 
 
 def decode_born(key, value):
     """Decode STATE BORN as a server's entry."""
     word, born = value.decode().split()
-    return state.ServerPublished(
-        make_server(key, state=state.ServerState(word), born_ms=int(born))
+    return state.ServerEntry(
+        make_server(
+            key, state=state.ServerState(word), created_at_ms=int(born)
+        )
     )
 
 
 @given("a directory with server i-1 born at {born:d}")
 def step_born(context, born):
     context.directory = state.Directory(decode_born)
-    context.directory.offer([item("i-1", 10, f"ready {born}")], 0.0)
+    context.directory.apply_items([item("i-1", 10, f"ready {born}")], 0.0)
 
 
 @when(
@@ -99,24 +105,24 @@
     "says it was born at {born:d}"
 )
 def step_second(context, word, born):
-    context.directory.offer([item("i-2", 11, f"{word} {born}")], 1.0)
+    context.directory.apply_items([item("i-2", 11, f"{word} {born}")], 1.0)
 
 
 @then("only {server_id} is in the fleet")
 def step_only(context, server_id):
-    assert list(context.directory.fleet().server_by_id) == [server_id]
+    assert list(context.directory.snapshot().server_by_id) == [server_id]
 
 
 @when("a listing from revision {revision:d} arrives without it")
 def step_listing(context, revision):
-    context.directory.offer_listing([], revision, context.now_s)
+    context.directory.apply_listing([], revision, context.now_s)
 
 
 @then("the server is {now} now and {later} after 2 s")
 def step_there(context, now, later):
     for at_s, wanted in ((0.0, now), (2.0, later)):
-        context.directory.expire_lapsed(context.now_s + at_s)
-        there = "i-1" in context.directory.fleet().server_by_id
+        context.directory.remove_expired(context.now_s + at_s)
+        there = "i-1" in context.directory.snapshot().server_by_id
         assert there == (wanted == "there"), (at_s, there)
 
 
@@ -135,10 +141,14 @@
 
 @when("data centre {out} is out of service")
 def step_out(context, out):
-    context.fleet = state.Fleet(None, context.servers, {}, frozenset((out,)))
+    context.fleet = state.FleetSnapshot(
+        None, context.servers, {}, frozenset((out,))
+    )
 
 
 @then("{usable} get work of ledger")
 def step_usable(context, usable):
-    found = [server.server_id for server in context.fleet.usable("ledger")]
+    found = [
+        server.server_id for server in context.fleet.usable_servers("ledger")
+    ]
     assert found == usable.split(", "), found
--- a/features/steps/mesh_exchange_steps.py
+++ b/features/steps/mesh_exchange_steps.py
@@ -28,7 +28,7 @@
     if key != "table":
         return mesh_directory_steps.decode(key, value)
     version = int(value.split(b";")[0])
-    return state.TablePublished(mesh_state_steps.make_table(version))
+    return state.TableEntry(mesh_state_steps.make_table(version))
 
 
 def table_value(version, rows, changed=()):
@@ -97,7 +97,7 @@
         """Let a host read entries from the source, and pass them on."""
         host = self.hosts[number]
         revision = max(item.revision for item in items)
-        fresh = host.directory.offer_changes(items, revision, self.now_s)
+        fresh = host.directory.apply_changes(items, revision, self.now_s)
         host.exchange.push(
             fresh, [self.send_to(number, other) for other in host.accepted]
         )
@@ -123,7 +123,7 @@
         host.exchange.ask_wanted(self.now_s)
         host.exchange.look_for_gaps(self.now_s)
         if (ticks + host.number) % round(TELL_S / TICK_S) == 0:
-            load = state.Load("i", 0, 0, 1, 0.1, 0.0, True)
+            load = state.ServerLoad("i", 0, 0, 1, 0.1, 0.0, True)
             told = coordination.LoadTold.from_load(
                 load, 0.0, host.directory.revision, host.directory.digest
             )
@@ -143,7 +143,7 @@
             case coordination.LoadTold():
                 host.exchange.peer_told(back, message.revision, message.digest)
             case coordination.ItemsTold(items):
-                learned = [state.Item(*item) for item in items]
+                learned = [state.SourceItem(*item) for item in items]
             case coordination.ItemPatched():
                 learned = host.exchange.patched(message, back, self.now_s)
             case coordination.ItemsAnnounced():
@@ -154,13 +154,13 @@
                 host.exchange.answer_wanted(message, back)
             case coordination.ListingWanted():
                 host.exchange.answer_listing(back)
-        fresh = host.directory.offer(learned, self.now_s)
+        fresh = host.directory.apply_items(learned, self.now_s)
         host.exchange.arrived(fresh)
 
 
 def item(key, revision, value):
     """Return an entry."""
-    return state.Item(key, revision, value)
+    return state.SourceItem(key, revision, value)
 
 
 @given("{hosts:d} nodes with a table of {rows:d} rows")
@@ -175,7 +175,7 @@
         ),
     ]
     for host in context.net.hosts:
-        host.directory.offer_listing(first, hosts + 2, 0.0)
+        host.directory.apply_listing(first, hosts + 2, 0.0)
     context.revision = hosts + 2
     context.net.run(1.0)
 
@@ -239,7 +239,7 @@
         context.net.read(reader, [news])
 
     def has_it(host):
-        there = news.key in host.directory.fleet().server_by_id
+        there = news.key in host.directory.snapshot().server_by_id
         return there == (news.value is not None)
 
     context.has_it = has_it
@@ -295,12 +295,14 @@
     numbers = () if changed == "none" else map(int, changed.split(", "))
     context.target = table_value(2, context.rows, tuple(numbers))
     directories = [state.Directory(decode), state.Directory(decode)]
-    directories[0].offer([item("table", 1, context.base)], 0.0)
+    directories[0].apply_items([item("table", 1, context.base)], 0.0)
     other = context.base if base == "the same" else table_value(3, 200)
-    directories[1].offer([item("table", 1, other)], 0.0)
-    patch = directories[0].patch_from(item("table", 2, context.target), 1)
+    directories[1].apply_items([item("table", 1, other)], 0.0)
+    patch = directories[0].create_patch(item("table", 2, context.target), 1)
     context.result = (
-        None if patch is None else directories[1].patched("table", 1, patch)
+        None
+        if patch is None
+        else directories[1].apply_patch("table", 1, patch)
     )
 
 
--- a/features/steps/mesh_placement_steps.py
+++ b/features/steps/mesh_placement_steps.py
@@ -12,14 +12,16 @@
 from jasminecrank.mesh import state
 
 
-def make_load(server_id, busy=0, limit=12, run_s=0.1, failing=0.0, open_=True):
+def make_load(
+    server_id, busy=0, limit=12, run_time_s=0.1, failing=0.0, open_=True
+):
     """Return a told load; what exceeds the limit waits."""
-    return state.Load(
+    return state.ServerLoad(
         server_id,
         min(busy, limit),
         max(0, busy - limit),
         limit,
-        run_s,
+        run_time_s,
         failing,
         open_,
     )
@@ -43,7 +45,7 @@
             float(row["run"]),
             float(row["failing"]),
         )
-        context.placement.told(host, load, 0.0)
+        context.placement.record_load(host, load, 0.0)
         context.loads[host] = load
 
 
@@ -53,10 +55,10 @@
         case "tried":
             context.tried.add("a")
         case "unreachable":
-            context.placement.unreachable("10.0.0.0")
+            context.placement.mark_unreachable("10.0.0.0")
         case "closed":
             load = make_load("a", open_=False)
-            context.placement.told("10.0.0.0", load, 0.0)
+            context.placement.record_load("10.0.0.0", load, 0.0)
 
 
 @when("their last run was {ago:g} s ago")
@@ -64,7 +66,7 @@
     # A host whose load stays the same has had no run in between.
     context.now_s = ago
     for host, load in context.loads.items():
-        context.placement.told(host, load, ago)
+        context.placement.record_load(host, load, ago)
 
 
 @when("{count:d} calls are placed one by one from belt-a")
@@ -75,7 +77,7 @@
         place = context.placement.choose(context.servers, context.tried, now_s)
         context.chosen[place.server.server_id] += 1
         if count < 100:
-            context.placement.sent(place.server.host)
+            context.placement.record_sent(place.server.host)
 
 
 @then("most go to {wanted}")
@@ -99,16 +101,16 @@
 @given("a route split {first:d} to {second:d}")
 def step_split(context, first, second):
     context.route = make_route(
-        parts=(
-            state.SplitPart("first", float(first)),
-            state.SplitPart("second", float(second)),
+        weighted_services=(
+            state.WeightedService("first", float(first)),
+            state.WeightedService("second", float(second)),
         )
     )
 
 
 @when("{count:d} requests choose a part")
 def step_choose(context, count):
-    chooser = state.SplitChooser()
+    chooser = state.WeightedRoundRobin()
     context.parts = Counter(
         chooser.choose(context.route) for _ in range(count)
     )
--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -49,7 +49,7 @@
             for name in self.names
         }
         table = mesh_state_steps.make_table(1, teams=[(team, ())])
-        self.fleet = state.Fleet(table, servers, {}, frozenset())
+        self.fleet = state.FleetSnapshot(table, servers, {}, frozenset())
         self.task_by_name = {name: self.make(name) for name in self.names}
         for name in self.names:
             self.join(name)
@@ -139,8 +139,8 @@
 
     def arbiter(self):
         """Return the team's arbiter while all nodes reach each other."""
-        chosen = state.arbiters(self.fleet)
-        return state.arbiter_of(self.team.name, chosen, "")
+        chosen = state.arbiter_hosts(self.fleet)
+        return state.choose_arbiter(self.team.name, chosen, "")
 
     def lose(self, name):
         """Close the links of a node."""
@@ -173,7 +173,7 @@
         case "the team's arbiter loses its links":
             nodes.lose(arbiter)
         case "three arbiters lose their links":
-            lost = {arbiter, *state.arbiters(nodes.fleet)[:3]}
+            lost = {arbiter, *state.arbiter_hosts(nodes.fleet)[:3]}
             for name in lost:
                 nodes.lose(name)
             return tuple(lost)
--- a/features/steps/mesh_state_steps.py
+++ b/features/steps/mesh_state_steps.py
@@ -16,7 +16,7 @@
         "timeout_s": 1.0,
         "target_s": 0.3,
         "priority": 2,
-        "parts": (state.SplitPart("ledger", 1.0),),
+        "weighted_services": (state.WeightedService("ledger", 1.0),),
         "max_attempts": 2,
         "open_to_all": False,
     }
@@ -59,8 +59,8 @@
     try:
         match fault:
             case "an unknown service":
-                part = state.SplitPart("absent", 1.0)
-                make_table(routes=[make_route(parts=(part,))])
+                weighted = state.WeightedService("absent", 1.0)
+                make_table(routes=[make_route(weighted_services=(weighted,))])
             case "a shared key":
                 make_table(teams=[(team, ("k",)), (other, ("k",))])
         context.error = ""
@@ -73,21 +73,25 @@
     assert reason in context.error, context.error
 
 
-def ticket(number, rank=0, deadline_at_s=2.0, target_at_s=1.0):
+def make_request(number, rank=0, deadline_at_s=2.0, target_at_s=1.0):
     """Return a call that asks for a slot."""
-    return state.Ticket(number, 1, rank, "r", deadline_at_s, target_at_s)
+    return state.AdmissionRequest(
+        number, 1, rank, "r", deadline_at_s, target_at_s
+    )
 
 
 @given("a warm gate with {slots:d} slots")
 def step_gate(context, slots):
-    context.gate = state.Gate(slots=slots, phase=state.Phase.UP)
+    context.gate = state.AdmissionController(
+        slots=slots, health=state.ServerHealth.UP
+    )
     context.decisions = []
 
 
 @when("{count:d} calls with {left:g} s until their deadline arrive at once")
 def step_calls(context, count, left):
     context.decisions = [
-        context.gate.offer(ticket(number, 0, left), 0.0)
+        context.gate.submit(make_request(number, 0, left), 0.0)
         for number in range(count)
     ]
 
@@ -96,7 +100,8 @@
 def step_decisions(context, start, wait, reject):
     kinds = [type(decision) for decision in context.decisions]
     found = [
-        kinds.count(kind) for kind in (state.Start, state.Wait, state.Reject)
+        kinds.count(kind)
+        for kind in (state.Admit, state.Enqueue, state.Reject)
     ]
     assert found == [start, wait, reject], found
 
@@ -105,25 +110,25 @@
 def step_ranks(context):
     context.starts = []
     for number, row in enumerate(context.table):
-        call = ticket(number, int(row["rank"]), 60.0, 60.0)
-        if isinstance(context.gate.offer(call, 0.0), state.Start):
+        call = make_request(number, int(row["rank"]), 60.0, 60.0)
+        if isinstance(context.gate.submit(call, 0.0), state.Admit):
             context.starts.append(number)
 
 
 @then("they start in this order")
 def step_order(context):
     for _ in context.table.rows[1:]:
-        context.gate.finished("r", 0.1, False, 0.1)
-        released = context.gate.release(0.1)
-        context.starts.extend(one.call_id for one in released.start)
+        context.gate.record_completion("r", 0.1, False, 0.1)
+        released = context.gate.release_queued(0.1)
+        context.starts.extend(one.call_id for one in released.admitted)
     wanted = [int(row["call"]) for row in context.table]
     assert context.starts == wanted, context.starts
 
 
 @given("a gate whose server bears {rate:g} calls a second while cold")
 def step_cold(context, rate):
-    context.gate = state.Gate(slots=12, cold_per_s=rate)
-    context.gate.server_up("i-1", 60.0, 0.0)
+    context.gate = state.AdmissionController(slots=12, cold_rate_per_s=rate)
+    context.gate.mark_server_up("i-1", 60.0, 0.0)
 
 
 @when("calls arrive every {gap:g} s for 3 s")
@@ -131,12 +136,12 @@
     context.starts = []
     for number in range(round(3 / gap)):
         now_s = number * gap
-        call = ticket(number, 0, now_s + 2.0, now_s + 1.0)
-        started = isinstance(context.gate.offer(call, now_s), state.Start)
-        started += len(context.gate.release(now_s).start)
+        call = make_request(number, 0, now_s + 2.0, now_s + 1.0)
+        started = isinstance(context.gate.submit(call, now_s), state.Admit)
+        started += len(context.gate.release_queued(now_s).admitted)
         for _ in range(started):
             context.starts.append(now_s)
-            context.gate.finished("r", 0.01, False, now_s)
+            context.gate.record_completion("r", 0.01, False, now_s)
 
 
 @then(
@@ -152,14 +157,14 @@
 
 @when("the server becomes doubtful")
 def step_doubtful(context):
-    context.gate.server_doubtful()
+    context.gate.mark_server_unknown()
 
 
 @then("the waiting call is given up between {least:g} and {most:g} s")
 def step_given_up(context, least, most):
     for step in range(1, 100):
         now_s = step / 100
-        if context.gate.release(now_s).expired:
+        if context.gate.release_queued(now_s).expired:
             assert least <= now_s <= most, now_s
             return
     raise AssertionError("the call is never given up")
@@ -167,11 +172,13 @@
 
 @when("the waiting call {number:d} is withdrawn")
 def step_withdrawn(context, number):
-    assert context.gate.withdraw(1, number)
+    assert context.gate.cancel(1, number)
 
 
 @then("only call {number:d} starts when the slot is free")
 def step_only(context, number):
-    context.gate.finished("r", 0.1, False, 0.1)
-    started = [one.call_id for one in context.gate.release(0.1).start]
+    context.gate.record_completion("r", 0.1, False, 0.1)
+    started = [
+        one.call_id for one in context.gate.release_queued(0.1).admitted
+    ]
     assert started == [number], started
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -131,13 +131,13 @@
 @then("the entry is {result}")
 def step_result(context, result):
     match context.published:
-        case state.ServerPublished():
+        case state.ServerEntry():
             found = "a server"
-        case state.TablePublished():
+        case state.TableEntry():
             found = "a table"
-        case state.DataCentreOut("belt-a"):
+        case state.DataCentreOutEntry("belt-a"):
             found = "a data centre out of service"
-        case state.Unreadable():
+        case state.InvalidEntry():
             found = "unreadable"
     assert found == result, context.published
 
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -23,9 +23,9 @@
     return sorted(samples)[len(samples) // 2]
 
 
-def make_load(number: int) -> state.Load:
+def make_load(number: int) -> state.ServerLoad:
     """Return a usual load."""
-    return state.Load(f"i-{number:010x}", 7, 0, 12, 0.09, 0.01, True)
+    return state.ServerLoad(f"i-{number:010x}", 7, 0, 12, 0.09, 0.01, True)
 
 
 def make_messages() -> dict[str, coordination.PeerMessage]:
@@ -39,8 +39,8 @@
         "load report": coordination.LoadTold.from_load(
             make_load(1), 0.5, 1234, 2**47
         ),
-        f"presence, {state.ARBITERS} arbiters": coordination.Presence(
-            tuple(f"10.1.0.{number}" for number in range(state.ARBITERS))
+        f"presence, {state.ARBITER_COUNT} arbiters": coordination.Presence(
+            tuple(f"10.1.0.{number}" for number in range(state.ARBITER_COUNT))
         ),
         "request for tokens": coordination.TokensAsked("huka270", 1),
         "answer to it": coordination.TokensGranted("huka270", 1, 0),
@@ -85,7 +85,7 @@
                 0,
             )
         )
-        placement.told(host, make_load(number), 0.0)
+        placement.record_load(host, make_load(number), 0.0)
     return placement, servers
 
 
@@ -100,12 +100,12 @@
         print(f"| {name} | {len(frame)} | {encode_us:.1f} | {decode_us:.1f} |")
     placement, servers = make_placement()
     place_us = measure_us(lambda: placement.choose(servers, (), 0.1))
-    gate = state.Gate(slots=12, phase=state.Phase.UP)
-    ticket = state.Ticket(1, 1, 1, "r", 9.0, 9.0)
+    gate = state.AdmissionController(slots=12, health=state.ServerHealth.UP)
+    ticket = state.AdmissionRequest(1, 1, 1, "r", 9.0, 9.0)
 
     def admit() -> None:
-        gate.offer(ticket, 0.0)
-        gate.finished("r", 0.09, False, 0.0)
+        gate.submit(ticket, 0.0)
+        gate.record_completion("r", 0.09, False, 0.0)
 
     print("\n| decision | us |\n|---|---|")
     print(f"| placement among {SERVERS} servers | {place_us:.1f} |")
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -61,8 +61,8 @@
         self._quota = quota
         self._clock = clock
         self._rng = rng
-        self._split = state.SplitChooser()
-        self._fleet = state.Fleet(None, {}, {}, frozenset())
+        self._split = state.WeightedRoundRobin()
+        self._fleet = state.FleetSnapshot(None, {}, {}, frozenset())
         self._call_by_number: dict[int, _open_calls.OpenCall] = {}
         self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
 
@@ -72,7 +72,7 @@
         return len(self._call_by_number)
 
     @property
-    def retry_bounds(self) -> state.RetryBounds:
+    def retry_bounds(self) -> state.RetryBudgetBounds:
         """Return the bounds of the fleet's retry budget in force."""
         return self._budget.bounds
 
@@ -94,15 +94,15 @@
                 self._quota_answered(message)
             case _messages.AttemptEnded(number, host, result, busy):
                 if busy is not None:
-                    self._placement.answered(host, busy)
+                    self._placement.record_response(host, busy)
                 self._attempt_ended(number, host, result)
             case _messages.FleetChanged(fleet):
                 self._fleet_changed(fleet)
             case _messages.LoadLearned(host, load):
-                self._placement.told(host, load, self._clock.now_s())
+                self._placement.record_load(host, load, self._clock.now_s())
             case _messages.PeerUp(host, send):
                 self._send_by_host[host] = send
-                self._placement.reachable(host)
+                self._placement.mark_reachable(host)
             case _messages.PeerSilent(host):
                 self._peer_silent(host)
             case _messages.PeerDown(host):
@@ -183,7 +183,7 @@
     def _admit(self, call: _open_calls.OpenCall) -> None:
         now_s = self._clock.now_s()
         call.service = self._split.choose(call.attempts.route)
-        self._budget.first(call.service, now_s)
+        self._budget.record_first_attempt(call.service, now_s)
         self._place(
             call,
             state.Refuse(
@@ -204,7 +204,9 @@
         place = None
         if call.deadline_at_s - now_s > MIN_REPEAT_S:
             servers = self._candidates(call)
-            place = self._placement.choose(servers, call.attempts.tried, now_s)
+            place = self._placement.choose(
+                servers, call.attempts.tried_server_ids, now_s
+            )
         if place is None:
             self._settle(call, otherwise)
             return
@@ -231,7 +233,7 @@
             frozenset() if call.team is None else call.team.home_regions
         )
         servers = []
-        for server in self._fleet.usable(call.service):
+        for server in self._fleet.usable_servers(call.service):
             region = self._region_by_data_centre.get(server.data_centre, "")
             if (homes and region not in homes) or (
                 team_homes and region not in team_homes
@@ -250,7 +252,7 @@
         now_s: float,
     ) -> None:
         sent = call.send_to(server, self._own_service, now_s)
-        self._placement.sent(server.host)
+        self._placement.record_sent(server.host)
         if server.host == self._own_host:
             self._gate.tell(_messages.RunCall(0, sent, self.local_reply))
             return
@@ -277,9 +279,9 @@
         call.host = None
         step = call.attempts.next_step(result)
         match step:
-            case state.TryElsewhere(is_repeat, otherwise, budget_part):
+            case state.TryAnotherServer(is_repeat, otherwise, budget_part):
                 now_s = self._clock.now_s()
-                if is_repeat and not self._budget.try_repeat(
+                if is_repeat and not self._budget.try_retry(
                     call.service, budget_part, now_s
                 ):
                     self._settle(call, otherwise)
@@ -324,7 +326,7 @@
                     else (self._fleet.table.version),
                     call,
                 )
-            case state.Answer(status=status):
+            case state.Response(status=status):
                 duration_s = self._clock.now_s() - call.arrived_at_s
                 self.log.count("calls", f"answered-{status // 100}xx")
                 self.log.observe("call", duration_s)
@@ -391,7 +393,9 @@
         if call is None:
             return
         self._cancel_attempt(call)
-        self._finish(call, call.attempts.timed_out(call.host is not None))
+        self._finish(
+            call, call.attempts.timeout_refusal(call.host is not None)
+        )
 
     def _cancel_attempt(self, call: _open_calls.OpenCall) -> None:
         if call.host is None:
@@ -404,7 +408,7 @@
             send(_peer_messages.CallCancelled(call.number))
 
     def _peer_silent(self, host: str) -> None:
-        self._placement.unreachable(host)
+        self._placement.mark_unreachable(host)
         for call in list(self._call_by_number.values()):
             if call.host == host and (
                 call.attempts.route.kind is state.RouteKind.IDEMPOTENT
@@ -416,17 +420,17 @@
 
     def _peer_down(self, host: str) -> None:
         self._send_by_host.pop(host, None)
-        self._placement.unreachable(host)
+        self._placement.mark_unreachable(host)
         for call in list(self._call_by_number.values()):
             if call.host == host:
                 self._attempt_ended(
                     call.number, host, state.MayHaveRun("link-lost")
                 )
 
-    def _fleet_changed(self, fleet: state.Fleet) -> None:
+    def _fleet_changed(self, fleet: state.FleetSnapshot) -> None:
         self._fleet = fleet
         hosts = {server.host for server in fleet.server_by_id.values()}
-        self._budget.hosts = len(hosts | {self._own_host})
+        self._budget.host_count = len(hosts | {self._own_host})
 
     def _retry_after_s(
         self, call: _open_calls.OpenCall, wait_s: float
--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -62,7 +62,7 @@
 
     def push(
         self,
-        items: Iterable[state.Item],
+        items: Iterable[state.SourceItem],
         pushed_to: Iterable[_peer_messages.SendToPeer],
         announced_to: Iterable[_peer_messages.SendToPeer] = (),
     ) -> None:
@@ -112,7 +112,7 @@
         send: _peer_messages.SendToPeer,
         at_once: bool,
         now_s: float,
-    ) -> list[state.Item]:
+    ) -> list[state.SourceItem]:
         """Ask for what a peer has; return the removals that it implies."""
         for key, revision in message.revisions:
             known = self._directory.item_by_key.get(key)
@@ -128,32 +128,34 @@
         if not message.complete_revision:
             return []
         keys = {key for key, _ in message.revisions}
-        return self._directory.missing_in(keys, message.complete_revision)
+        return self._directory.implied_removals(
+            keys, message.complete_revision
+        )
 
     def patched(
         self,
         message: _peer_messages.ItemPatched,
         send: _peer_messages.SendToPeer,
         now_s: float,
-    ) -> list[state.Item]:
+    ) -> list[state.SourceItem]:
         """Return the entry that a patch makes, or ask for all of it."""
         known = self._directory.item_by_key.get(message.key)
         if known is not None and known.revision >= message.revision:
             return []
-        value = self._directory.patched(
+        value = self._directory.apply_patch(
             message.key,
             message.base_revision,
             state.Patch(message.pieces, message.digest),
         )
         if value is not None:
-            return [state.Item(message.key, message.revision, value)]
+            return [state.SourceItem(message.key, message.revision, value)]
         revisions = ((message.key, message.revision),)
         self.announced(
             _peer_messages.ItemsAnnounced(revisions), send, True, now_s
         )
         return []
 
-    def arrived(self, items: Iterable[state.Item]) -> None:
+    def arrived(self, items: Iterable[state.SourceItem]) -> None:
         """Ask no more for entries that are there."""
         for item in items:
             wanted = self._wanted_by_key.get(item.key)
@@ -232,15 +234,15 @@
         send = ahead[self._rng.randrange(len(ahead))]
         send(_peer_messages.ListingWanted())
 
-    def _newest_base(self, item: state.Item) -> int:
+    def _newest_base(self, item: state.SourceItem) -> int:
         bases = self._directory.bases_by_key.get(item.key, {})
         older = [revision for revision in bases if revision < item.revision]
         return max(older, default=0)
 
     def _patch(
-        self, item: state.Item, base_revision: int, most_bytes: int
+        self, item: state.SourceItem, base_revision: int, most_bytes: int
     ) -> _peer_messages.ItemPatched | None:
-        patch = self._directory.patch_from(item, base_revision)
+        patch = self._directory.create_patch(item, base_revision)
         if patch is None or patch.literal_bytes > most_bytes:
             return None
         return _peer_messages.ItemPatched(
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -60,7 +60,7 @@
     """Keep links to exactly these hosts."""
     watch: Callable[[bool], None]
     """Watch the source, or leave it to others."""
-    load: Callable[[], state.Load]
+    load: Callable[[], state.ServerLoad]
 
 
 class FleetTask(_mailbox.MailboxTask[_messages.FleetMessage]):
@@ -82,7 +82,7 @@
         self._directory = directory
         self._ports = ports
         self._clock = clock
-        self._fleet = directory.fleet()
+        self._fleet = directory.snapshot()
         self._dialled_by_link: dict[int, _Peer] = {}
         self._accepted_by_link: dict[int, _Peer] = {}
         self._exchange = _exchange.EntryExchange(directory, rng)
@@ -90,7 +90,7 @@
         self._data_centre_by_host: dict[str, str] = {}
         self._confirmed_at_s = -1e9
         self._watching = True
-        self._told: state.Load | None = None
+        self._told: state.ServerLoad | None = None
         self._told_at_s = 0.0
         self._ticked_at_s = clock.now_s()
         self._ticks = 0
@@ -113,17 +113,17 @@
             case _messages.ListingRead(items, start_revision):
                 self._confirmed_at_s = now_s
                 self._read(
-                    self._directory.offer_listing(items, start_revision, now_s)
+                    self._directory.apply_listing(items, start_revision, now_s)
                 )
             case _messages.ChangesRead(items, revision):
                 self._confirmed_at_s = now_s
                 self._read(
-                    self._directory.offer_changes(items, revision, now_s)
+                    self._directory.apply_changes(items, revision, now_s)
                 )
             case _messages.SourceLost(reason):
                 self.log.decision("source-lost", reason=reason)
             case _messages.SourceReturned():
-                self._directory.source_returned(now_s)
+                self._directory.start_expiry_grace(now_s)
                 self.log.decision("source-returned")
             case _messages.PeerSaid():
                 self._peer_said(message, now_s)
@@ -143,7 +143,7 @@
             best_s = max(best_s, peer.confirmed_at_s)
         return now_s - best_s
 
-    def _read(self, fresh: list[state.Item]) -> None:
+    def _read(self, fresh: list[state.SourceItem]) -> None:
         """Use entries that came from the source, and pass them on."""
         self._take(fresh)
         if not fresh:
@@ -161,16 +161,16 @@
         """Return whether this reader pushes to a node, or only announces."""
         if not self._exchange.in_large_fleet:
             return True
-        first = state.rank(host, self._watchers)[:1]
+        first = state.rank_hosts(host, self._watchers)[:1]
         return first == [self._own_host]
 
-    def _learn(self, items: list[state.Item], now_s: float) -> None:
+    def _learn(self, items: list[state.SourceItem], now_s: float) -> None:
         """Use entries that came from a peer."""
         if items:
-            self._take(self._directory.offer(items, now_s))
+            self._take(self._directory.apply_items(items, now_s))
 
-    def _take(self, fresh: list[state.Item]) -> None:
-        for reason in self._directory.take_rejected():
+    def _take(self, fresh: list[state.SourceItem]) -> None:
+        for reason in self._directory.pop_rejected():
             self.log.decision("entry-rejected", reason=reason)
         if not fresh:
             return
@@ -186,7 +186,7 @@
 
     def _publish(self) -> None:
         before = self._fleet
-        self._fleet = self._directory.fleet()
+        self._fleet = self._directory.snapshot()
         if self._fleet.table is not before.table and self._fleet.table:
             self.log.decision(
                 "table-in-force", version=self._fleet.table.version
@@ -195,7 +195,7 @@
         self._ports.to_entry(changed)
         self._ports.to_gate(changed)
         self._ports.to_quota(changed)
-        self._watchers = state.watchers(self._fleet)
+        self._watchers = state.watcher_hosts(self._fleet)
         self._data_centre_by_host = {
             server.host: server.data_centre
             for server in self._fleet.server_by_id.values()
@@ -217,7 +217,7 @@
             case _peer_messages.LoadTold():
                 self._load_told(peer, message.message, now_s)
             case _peer_messages.ItemsTold(items):
-                self._learn([state.Item(*item) for item in items], now_s)
+                self._learn([state.SourceItem(*item) for item in items], now_s)
             case _peer_messages.ItemPatched():
                 self._learn(
                     self._exchange.patched(
@@ -297,7 +297,7 @@
             self.log.decision("woke-up")
             for peer in self._dialled_by_link.values():
                 peer.heard_at_s = now_s
-        if self._directory.expire_lapsed(now_s):
+        if self._directory.remove_expired(now_s):
             self._publish()
         self._exchange.ask_wanted(now_s)
         self._ticks += 1
@@ -309,15 +309,15 @@
         self._ports.to_entry(_messages.LoadLearned(self._own_host, load))
         self._tell_changes(load, now_s)
 
-    def _tell_changes(self, load: state.Load, now_s: float) -> None:
+    def _tell_changes(self, load: state.ServerLoad, now_s: float) -> None:
         """Tell the peers that place calls by it how the load has changed."""
         told = self._told
         peers = list(self._accepted_by_link.values())
-        if told is None or load.is_other_server(told):
+        if told is None or load.server_changed(told):
             self._tell_load(load, now_s, peers)
         elif now_s - self._told_at_s >= IDLE_TELL_S:
             self._tell_load(load, now_s, peers, with_server=False)
-        elif load.differs(told):
+        elif load.load_changed(told):
             near = [peer for peer in peers if self._is_near(peer.host)]
             self._tell_load(load, now_s, near, with_server=False)
             self._told = load
@@ -336,7 +336,7 @@
 
     def _tell_load(
         self,
-        load: state.Load,
+        load: state.ServerLoad,
         now_s: float,
         peers: typing.Iterable[_Peer],
         with_server: bool = True,
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        gate: state.Gate,
+        gate: state.AdmissionController,
         port: BackendServerPort,
         address: tuple[str, int],
         service: str,
@@ -75,7 +75,7 @@
         self.port = port
         self._address = address
         self._clock = clock
-        self._fleet = state.Fleet(None, {}, {}, frozenset())
+        self._fleet = state.FleetSnapshot(None, {}, {}, frozenset())
         self._own: state.BackendServer | None = None
         self._gone_ids: set[str] = set()
         self._call_by_key: dict[tuple[int, int], _Running] = {}
@@ -88,7 +88,7 @@
         """Return how many calls run or wait."""
         return len(self._call_by_key)
 
-    def load(self) -> state.Load:
+    def load(self) -> state.ServerLoad:
         """Return what other nodes are told about this server."""
         return self._gate.load(self._clock.now_s(), self._accepting_work())
 
@@ -122,7 +122,7 @@
         if reason is not None:
             self._refuse(call, message.send, reason, CLOSED_RETRY_S)
             return
-        ticket = state.Ticket(
+        ticket = state.AdmissionRequest(
             call.call_id,
             message.link_id,
             call.rank,
@@ -131,12 +131,12 @@
             now_s + call.target_left_s,
         )
         running = _Running(call, message.send)
-        decision = self._gate.offer(ticket, now_s)
+        decision = self._gate.submit(ticket, now_s)
         match decision:
-            case state.Start():
+            case state.Admit():
                 self._call_by_key[message.link_id, call.call_id] = running
                 self._start(message.link_id, running, ticket.deadline_at_s)
-            case state.Wait():
+            case state.Enqueue():
                 self._call_by_key[message.link_id, call.call_id] = running
                 self._ensure_probe()
                 self._plan_tick()
@@ -157,7 +157,7 @@
                 return "draining"
             if server.data_centre in self._fleet.data_centres_out:
                 return "data-centre-out"
-        if self._gate.phase is state.Phase.UP and (
+        if self._gate.health is state.ServerHealth.UP and (
             self._gate.server_id not in ("", server_id)
             and not self._is_successor(server)
         ):
@@ -224,7 +224,7 @@
         now_s = self._clock.now_s()
         match message.result:
             case state.Served(answer, run_s):
-                self._gate.finished(
+                self._gate.record_completion(
                     call.route, run_s, message.server_failed, now_s
                 )
                 reply: _peer_messages.PeerMessage = _peer_messages.CallServed(
@@ -237,7 +237,7 @@
                     self._gate.in_flight + self._gate.queued,
                 )
             case state.NotRun(reason, retry_after_s, reached_server):
-                self._gate.finished(
+                self._gate.record_completion(
                     call.route, None, message.server_failed, now_s
                 )
                 if not reached_server or reason == MOVED:
@@ -249,7 +249,7 @@
                 )
             case state.MayHaveRun(reason):
                 failed = not running.cancelled and message.server_failed
-                self._gate.finished(call.route, None, failed, now_s)
+                self._gate.record_completion(call.route, None, failed, now_s)
                 if not running.cancelled:
                     self._log_ended(call, "may-have-run", reason)
                     if reason == "connection-reset":
@@ -265,7 +265,7 @@
         running = self._call_by_key.get(key)
         if running is None:
             return
-        if self._gate.withdraw(*key):
+        if self._gate.cancel(*key):
             del self._call_by_key[key]
             return
         running.cancelled = True
@@ -278,12 +278,12 @@
 
     def _release(self) -> None:
         now_s = self._clock.now_s()
-        released = self._gate.release(now_s)
+        released = self._gate.release_queued(now_s)
         for ticket in released.expired:
             key = (ticket.link_id, ticket.call_id)
             running = self._call_by_key.pop(key)
             self._refuse(running.call, running.send, "deadline", 0.0)
-        for ticket in released.start:
+        for ticket in released.admitted:
             running = self._call_by_key[ticket.link_id, ticket.call_id]
             self._start(ticket.link_id, running, ticket.deadline_at_s)
         if self._gate.queued:
@@ -295,7 +295,8 @@
         self._tick_due = True
         now_s = self._clock.now_s()
         delay_s = min(
-            0.05, max(0.002, self._gate.cold_room_at_s(now_s) - now_s)
+            0.05,
+            max(0.002, self._gate.next_cold_admission_at_s(now_s) - now_s),
         )
         asyncio.get_running_loop().call_later(
             delay_s, self.mailbox.tell, _messages.GateTick()
@@ -329,7 +330,7 @@
             queued=self._gate.queued,
         )
 
-    def _fleet_changed(self, fleet: state.Fleet) -> None:
+    def _fleet_changed(self, fleet: state.FleetSnapshot) -> None:
         for server_id, server in self._fleet.server_by_id.items():
             if (server.host, server.port) == self._address and (
                 server_id not in fleet.server_by_id
@@ -342,7 +343,9 @@
             if (server.host, server.port) == self._address
         ]
         self._gone_ids.difference_update(server.server_id for server in own)
-        newest = max(own, key=lambda server: server.born_ms, default=None)
+        newest = max(
+            own, key=lambda server: server.created_at_ms, default=None
+        )
         before, self._own = self._own, newest
         if newest is not None:
             self._gate.slots = newest.slots
@@ -350,14 +353,14 @@
                 newest.service
             )
             if service:
-                self._gate.cold_per_s = service.cold_per_s
+                self._gate.cold_rate_per_s = service.cold_rate_per_s
             self._gate.cold_until_s = max(
                 self._gate.cold_until_s,
                 fleet.cold_until_by_id.get(newest.server_id, 0.0),
             )
-            if before is None or (before.server_id, before.born_ms) != (
+            if before is None or (before.server_id, before.created_at_ms) != (
                 newest.server_id,
-                newest.born_ms,
+                newest.created_at_ms,
             ):
                 self._doubt("new-incarnation")
         if newest is None or self._closed_to(newest.server_id):
@@ -378,13 +381,16 @@
         )
 
     def _doubt(self, reason: str) -> None:
-        if self._gate.phase is state.Phase.UP:
+        if self._gate.health is state.ServerHealth.UP:
             self.log.decision("server-doubtful", reason=reason)
-        self._gate.server_doubtful()
+        self._gate.mark_server_unknown()
         self._ensure_probe()
 
     def _ensure_probe(self) -> None:
-        if self._gate.phase is state.Phase.UP or self._probe is not None:
+        if (
+            self._gate.health is state.ServerHealth.UP
+            or self._probe is not None
+        ):
             return
         self._probe = asyncio.get_running_loop().create_task(self._check())
 
@@ -415,7 +421,7 @@
                 self._ensure_probe()
             return
         now_s = self._clock.now_s()
-        self._gate.server_up(health.server_id, health.cold_left_s, now_s)
+        self._gate.mark_server_up(health.server_id, health.cold_left_s, now_s)
         if health.cold_left_s > 0.0:
             cold_s = self._cold_start_s()
             self._server_started_at_s = now_s - cold_s + health.cold_left_s
@@ -431,7 +437,7 @@
 
 def _server_failed(result: state.AttemptResult) -> bool:
     match result:
-        case state.Served(answer=answer):
+        case state.Served(response=answer):
             return answer.status >= 500 and answer.status != 504
         case state.NotRun():
             return True
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -55,7 +55,7 @@
 class FleetChanged:
     """The node's beliefs about the fleet changed."""
 
-    fleet: state.Fleet
+    fleet: state.FleetSnapshot
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,7 +63,7 @@
     """A host told its load."""
 
     host: str
-    load: state.Load
+    load: state.ServerLoad
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,7 +93,7 @@
     """The settings have new bounds of the fleet's budgets."""
 
     quota: state.QuotaBounds
-    retries: state.RetryBounds
+    retries: state.RetryBudgetBounds
 
 
 @dataclass(slots=True, frozen=True)
@@ -203,7 +203,7 @@
 class ListingRead:
     """All entries of the source, begun at a revision."""
 
-    items: tuple[state.Item, ...]
+    items: tuple[state.SourceItem, ...]
     start_revision: int
 
 
@@ -211,7 +211,7 @@
 class ChangesRead:
     """All entries that changed in the source up to a revision."""
 
-    items: tuple[state.Item, ...]
+    items: tuple[state.SourceItem, ...]
     revision: int
 
 
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -33,7 +33,7 @@
     reply: typing.Callable[[state.Reply], None]
     arrived_at_s: float
     deadline_at_s: float
-    attempts: state.Attempts
+    attempts: state.CallAttempts
     team: state.Team | None
     rank: int
     service: str = ""
@@ -54,7 +54,7 @@
         team: state.Team | None,
     ) -> "OpenCall":
         """Return the call that a request on a route begins."""
-        patience_s = message.request.patience_s
+        patience_s = message.request.caller_timeout_s
         if patience_s is None:
             patience_s = DEFAULT_PATIENCE_S
         if route.timeout_s is not None:
@@ -65,7 +65,7 @@
             message.reply,
             message.arrived_at_s,
             message.arrived_at_s + patience_s,
-            state.Attempts(route),
+            state.CallAttempts(route),
             team,
             _rank(route, team),
         )
@@ -76,7 +76,7 @@
         return (
             self.charged
             and self.attempts.progress is state.Progress.UNSENT
-            and self.attempts.reached == 0
+            and self.attempts.servers_reached == 0
             and self.host is None
         )
 
@@ -85,7 +85,7 @@
     ) -> _peer_messages.CallSent:
         """Begin an attempt and return its message."""
         route = self.attempts.route
-        self.attempts.tried.add(server.server_id)
+        self.attempts.tried_server_ids.add(server.server_id)
         self.servers.append(server.server_id)
         self.host = server.host
         return _peer_messages.CallSent(
@@ -110,7 +110,7 @@
     ) -> float:
         """Return when its caller should come back, spread over callers."""
         spread = 0.8 + 0.6 * rng.random()
-        patience_s = self.request.patience_s or DEFAULT_PATIENCE_S
+        patience_s = self.request.caller_timeout_s or DEFAULT_PATIENCE_S
         spent_s = now_s - self.arrived_at_s
         most_s = RETRY_AFTER_PART * max(0.0, patience_s - spent_s)
         return min(most_s, max(RETRY_AFTER_MIN_S, wait_s) * spread)
@@ -125,7 +125,7 @@
     match message:
         case _peer_messages.CallServed():
             busy = message.busy
-            answer = state.Answer(
+            answer = state.Response(
                 message.status, message.reason, message.headers, message.body
             )
             result = state.Served(answer, message.run_s)
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -105,7 +105,7 @@
     @classmethod
     def from_load(
         cls,
-        load: state.Load,
+        load: state.ServerLoad,
         confirmed_age_s: float,
         revision: int,
         digest: int,
@@ -117,7 +117,7 @@
             load.in_flight,
             load.queued,
             load.limit,
-            round(1000 * load.run_s),
+            round(1000 * load.run_time_s),
             round(100 * load.failure_rate),
             load.accepting,
             min(MAX_AGE_MS, round(1000 * confirmed_age_s)),
@@ -125,9 +125,9 @@
             digest,
         )
 
-    def load(self, server_id: str) -> state.Load:
+    def load(self, server_id: str) -> state.ServerLoad:
         """Return the told load of a server."""
-        return state.Load(
+        return state.ServerLoad(
             server_id,
             self.in_flight,
             self.queued,
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -91,7 +91,7 @@
             case _messages.PeerGranted(host, granted):
                 self._granted(host, granted, now_s)
             case _messages.CallersLost(host):
-                self._arbiter.absent(host)
+                self._arbiter.remove_host(host)
             case _messages.FleetChanged(fleet):
                 self._fleet_changed(fleet, now_s)
             case _messages.PeerUp(host, send):
@@ -130,11 +130,11 @@
         """Ask for a token for each waiting call."""
         count = len(asking.waiting)
         name = asking.team.name
-        arbiter = state.arbiter_of(name, self._reachable, self._own_host)
+        arbiter = state.choose_arbiter(name, self._reachable, self._own_host)
         asking.asked = count
         asking.asked_at_s = now_s
         if arbiter == self._own_host:
-            grant = self._arbiter.take(asking.team, count, now_s)
+            grant = self._arbiter.acquire(asking.team, count, now_s)
             self._settle(asking, grant.granted, grant.wait_s, now_s)
             return
         asking.arbiter = arbiter
@@ -179,15 +179,15 @@
         match asked:
             case _peer_messages.Presence(arbiters):
                 if arbiters is None:
-                    self._arbiter.still_present(host, now_s)
+                    self._arbiter.refresh_presence(host, now_s)
                 else:
-                    self._arbiter.present(host, arbiters, now_s)
+                    self._arbiter.record_presence(host, arbiters, now_s)
             case _peer_messages.TokensAsked(name, count):
                 grant = state.Grant(0, 0.5)
                 if self._table is not None:
                     team = self._table.team_by_name.get(name)
                     if team is not None:
-                        grant = self._arbiter.take(team, count, now_s)
+                        grant = self._arbiter.acquire(team, count, now_s)
                 send(
                     _peer_messages.TokensGranted(
                         name, grant.granted, round(1000 * grant.wait_s)
@@ -204,11 +204,11 @@
             return
         self._settle(asking, message.granted, message.wait_ms / 1000, now_s)
 
-    def _fleet_changed(self, fleet: state.Fleet, now_s: float) -> None:
+    def _fleet_changed(self, fleet: state.FleetSnapshot, now_s: float) -> None:
         self._table = fleet.table
         hosts = {server.host for server in fleet.server_by_id.values()}
-        self._arbiter.hosts = len(hosts | {self._own_host})
-        self._arbiters = state.arbiters(fleet)
+        self._arbiter.host_count = len(hosts | {self._own_host})
+        self._arbiters = state.arbiter_hosts(fleet)
         self._choose_arbiters(now_s)
 
     def _choose_arbiters(self, now_s: float) -> None:
@@ -236,7 +236,7 @@
 
     def _show_presence(self, now_s: float, whole: bool = True) -> None:
         self._shown_at_s = now_s
-        self._arbiter.present(self._own_host, self._reachable, now_s)
+        self._arbiter.record_presence(self._own_host, self._reachable, now_s)
         shown = _peer_messages.Presence(self._reachable if whole else None)
         for host in self._arbiters:
             send = self._send_by_host.get(host)
@@ -253,7 +253,7 @@
         for asking in self._asking_by_team.values():
             if asking.waiting and asking.arbiter is None:
                 self._ask(asking, now_s)
-        if now_s - self._shown_at_s >= state.PRESENCE_S:
+        if now_s - self._shown_at_s >= state.PRESENCE_INTERVAL_S:
             self._periods += 1
             whole = self._periods % WHOLE_PRESENCE_EACH == 0
             self._show_presence(now_s, whole)
@@ -261,4 +261,6 @@
                 self._own_host in self._arbiters or not self._reachable
             )
             if arbitrates and self._table is not None:
-                self._arbiter.refill(self._table.team_by_name.values(), now_s)
+                self._arbiter.refill_buckets(
+                    self._table.team_by_name.values(), now_s
+                )
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -27,7 +27,7 @@
 class Page:
     """Some entries of the source, in the order of their keys."""
 
-    items: tuple[state.Item, ...]
+    items: tuple[state.SourceItem, ...]
     has_more: bool
     revision: int
 
@@ -36,7 +36,7 @@
 class Changes:
     """What changed after a revision, up to another."""
 
-    items: tuple[state.Item, ...]
+    items: tuple[state.SourceItem, ...]
     revision: int
 
 
@@ -121,7 +121,7 @@
                 typing.assert_never(result)
 
     async def _read_all(self) -> None:
-        items: list[state.Item] = []
+        items: list[state.SourceItem] = []
         start_revision = None
         after_key = ""
         while True:
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -68,7 +68,7 @@
             server, codec, self._clock, log
         )
         self.gate = coordination.GateTask(
-            state.Gate(),
+            state.AdmissionController(),
             self._server,
             server,
             config.service,
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -1,16 +1,23 @@
 """Beliefs and decisions of a node, free of sockets, tasks and encodings."""
 
-from jasminecrank.mesh.state._attempts import Attempts as Attempts
+from jasminecrank.mesh.state._attempts import CallAttempts as CallAttempts
 from jasminecrank.mesh.state._attempts import Deliver as Deliver
-from jasminecrank.mesh.state._attempts import MAX_PLACES as MAX_PLACES
+from jasminecrank.mesh.state._attempts import (
+    MAX_SERVERS_TRIED as MAX_SERVERS_TRIED,
+)
 from jasminecrank.mesh.state._attempts import NextStep as NextStep
 from jasminecrank.mesh.state._attempts import Progress as Progress
 from jasminecrank.mesh.state._attempts import Refuse as Refuse
-from jasminecrank.mesh.state._attempts import TryElsewhere as TryElsewhere
-from jasminecrank.mesh.state._budgets import RetryBounds as RetryBounds
+from jasminecrank.mesh.state._attempts import (
+    TryAnotherServer as TryAnotherServer,
+)
 from jasminecrank.mesh.state._budgets import RetryBudget as RetryBudget
-from jasminecrank.mesh.state._budgets import UNSERVED_PART as UNSERVED_PART
-from jasminecrank.mesh.state._calls import Answer as Answer
+from jasminecrank.mesh.state._budgets import (
+    RetryBudgetBounds as RetryBudgetBounds,
+)
+from jasminecrank.mesh.state._budgets import (
+    UNANSWERED_RETRY_SHARE as UNANSWERED_RETRY_SHARE,
+)
 from jasminecrank.mesh.state._calls import AttemptResult as AttemptResult
 from jasminecrank.mesh.state._calls import CallRequest as CallRequest
 from jasminecrank.mesh.state._calls import Headers as Headers
@@ -19,46 +26,55 @@
 from jasminecrank.mesh.state._calls import Refusal as Refusal
 from jasminecrank.mesh.state._calls import RefusalKind as RefusalKind
 from jasminecrank.mesh.state._calls import Reply as Reply
+from jasminecrank.mesh.state._calls import Response as Response
 from jasminecrank.mesh.state._calls import RouteKind as RouteKind
 from jasminecrank.mesh.state._calls import Served as Served
 from jasminecrank.mesh.state._directory import BackendServer as BackendServer
-from jasminecrank.mesh.state._directory import DataCentreOut as DataCentreOut
-from jasminecrank.mesh.state._directory import Decoder as Decoder
-from jasminecrank.mesh.state._directory import Directory as Directory
-from jasminecrank.mesh.state._directory import Fleet as Fleet
-from jasminecrank.mesh.state._directory import Item as Item
-from jasminecrank.mesh.state._directory import Published as Published
 from jasminecrank.mesh.state._directory import (
-    ServerPublished as ServerPublished,
+    DataCentreOutEntry as DataCentreOutEntry,
 )
+from jasminecrank.mesh.state._directory import Decoder as Decoder
+from jasminecrank.mesh.state._directory import Directory as Directory
+from jasminecrank.mesh.state._directory import FleetSnapshot as FleetSnapshot
+from jasminecrank.mesh.state._directory import InvalidEntry as InvalidEntry
+from jasminecrank.mesh.state._directory import PublishedEntry as PublishedEntry
+from jasminecrank.mesh.state._directory import ServerEntry as ServerEntry
 from jasminecrank.mesh.state._directory import ServerState as ServerState
-from jasminecrank.mesh.state._directory import TablePublished as TablePublished
-from jasminecrank.mesh.state._directory import Unreadable as Unreadable
-from jasminecrank.mesh.state._gate import Gate as Gate
-from jasminecrank.mesh.state._gate import Load as Load
-from jasminecrank.mesh.state._gate import Phase as Phase
+from jasminecrank.mesh.state._directory import SourceItem as SourceItem
+from jasminecrank.mesh.state._directory import TableEntry as TableEntry
+from jasminecrank.mesh.state._gate import (
+    AdmissionController as AdmissionController,
+)
+from jasminecrank.mesh.state._gate import AdmissionRequest as AdmissionRequest
+from jasminecrank.mesh.state._gate import Admit as Admit
+from jasminecrank.mesh.state._gate import Enqueue as Enqueue
 from jasminecrank.mesh.state._gate import Reject as Reject
-from jasminecrank.mesh.state._gate import Released as Released
-from jasminecrank.mesh.state._gate import Start as Start
-from jasminecrank.mesh.state._gate import Ticket as Ticket
-from jasminecrank.mesh.state._gate import Wait as Wait
-from jasminecrank.mesh.state._links import ARBITERS as ARBITERS
-from jasminecrank.mesh.state._links import arbiters as arbiters
+from jasminecrank.mesh.state._gate import ReleasedCalls as ReleasedCalls
+from jasminecrank.mesh.state._gate import ServerHealth as ServerHealth
+from jasminecrank.mesh.state._gate import ServerLoad as ServerLoad
+from jasminecrank.mesh.state._links import ARBITER_COUNT as ARBITER_COUNT
+from jasminecrank.mesh.state._links import arbiter_hosts as arbiter_hosts
 from jasminecrank.mesh.state._links import link_targets as link_targets
-from jasminecrank.mesh.state._links import rank as rank
-from jasminecrank.mesh.state._links import watchers as watchers
+from jasminecrank.mesh.state._links import rank_hosts as rank_hosts
+from jasminecrank.mesh.state._links import watcher_hosts as watcher_hosts
 from jasminecrank.mesh.state._patches import Patch as Patch
-from jasminecrank.mesh.state._placement import Place as Place
 from jasminecrank.mesh.state._placement import Placement as Placement
-from jasminecrank.mesh.state._placement import SplitChooser as SplitChooser
-from jasminecrank.mesh.state._quota import arbiter_of as arbiter_of
+from jasminecrank.mesh.state._placement import (
+    PlacementDecision as PlacementDecision,
+)
+from jasminecrank.mesh.state._placement import (
+    WeightedRoundRobin as WeightedRoundRobin,
+)
+from jasminecrank.mesh.state._quota import choose_arbiter as choose_arbiter
 from jasminecrank.mesh.state._quota import Grant as Grant
-from jasminecrank.mesh.state._quota import PRESENCE_S as PRESENCE_S
+from jasminecrank.mesh.state._quota import (
+    PRESENCE_INTERVAL_S as PRESENCE_INTERVAL_S,
+)
 from jasminecrank.mesh.state._quota import QuotaArbiter as QuotaArbiter
 from jasminecrank.mesh.state._quota import QuotaBounds as QuotaBounds
 from jasminecrank.mesh.state._table import CallerLimits as CallerLimits
 from jasminecrank.mesh.state._table import Route as Route
 from jasminecrank.mesh.state._table import Service as Service
-from jasminecrank.mesh.state._table import SplitPart as SplitPart
 from jasminecrank.mesh.state._table import Table as Table
 from jasminecrank.mesh.state._table import Team as Team
+from jasminecrank.mesh.state._table import WeightedService as WeightedService
--- a/src/jasminecrank/mesh/state/_calls.py
+++ b/src/jasminecrank/mesh/state/_calls.py
@@ -25,12 +25,12 @@
     headers: Headers
     body: bytes
     key: str | None
-    patience_s: float | None
+    caller_timeout_s: float | None
     """How long the caller waits; None if it did not say."""
 
 
 @dataclass(slots=True, frozen=True)
-class Answer:
+class Response:
     """A whole answer of a backend server."""
 
     status: int
@@ -43,8 +43,8 @@
 class Served:
     """A backend server ran the call and answered."""
 
-    answer: Answer
-    run_s: float
+    response: Response
+    run_time_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,4 +92,4 @@
     retry_after_s: float = 0.0
 
 
-Reply = Answer | Refusal
+Reply = Response | Refusal
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -12,18 +12,18 @@
 from jasminecrank.mesh.state import _patches
 from jasminecrank.mesh.state import _table
 
-LAPSE_GRACE_S = 1.8
+EXPIRY_GRACE_S = 1.8
 """Time after an outage of the source in which lapsed entries come back.
 
 The platform states about 2 s, and allows 2 s after a removal is confirmed.
 """
 
-BASES_KEPT = 4
+MAX_PATCH_BASES = 4
 """Older values of an entry that patches may refer to.
 
 A watcher that reads several changes at once skips the values between them.
 """
-MIN_BASE_BYTES = 2_048
+MIN_PATCH_BASE_BYTES = 2_048
 """Smallest value that is worth a patch."""
 
 
@@ -48,42 +48,42 @@
     state: ServerState
     cold_left_s: float
     """Time left of its cold start when the entry was written."""
-    born_ms: int
+    created_at_ms: int
 
 
 @dataclass(slots=True, frozen=True)
-class TablePublished:
+class TableEntry:
     """The operators accepted a table."""
 
     table: _table.Table
 
 
 @dataclass(slots=True, frozen=True)
-class ServerPublished:
+class ServerEntry:
     """A backend server registered itself or changed its entry."""
 
     server: BackendServer
 
 
 @dataclass(slots=True, frozen=True)
-class DataCentreOut:
+class DataCentreOutEntry:
     """Operators took a data centre out of service."""
 
     data_centre: str
 
 
 @dataclass(slots=True, frozen=True)
-class Unreadable:
+class InvalidEntry:
     """An entry that names nothing usable, and why."""
 
     reason: str
 
 
-Published = TablePublished | ServerPublished | DataCentreOut | Unreadable
+PublishedEntry = TableEntry | ServerEntry | DataCentreOutEntry | InvalidEntry
 
 
 @dataclass(slots=True, frozen=True)
-class Item:
+class SourceItem:
     """One key of the source at one revision; no value once removed."""
 
     key: str
@@ -91,11 +91,11 @@
     value: bytes | None
 
 
-Decoder = Callable[[str, bytes], Published]
+Decoder = Callable[[str, bytes], PublishedEntry]
 
 
 @dataclass(slots=True, frozen=True)
-class Fleet:
+class FleetSnapshot:
     """What a node believes at one moment, replaced as a whole."""
 
     table: _table.Table | None
@@ -103,7 +103,7 @@
     cold_until_by_id: Mapping[str, float]
     data_centres_out: frozenset[str]
 
-    def usable(self, service: str) -> list[BackendServer]:
+    def usable_servers(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that may be given new work."""
         return [
             server
@@ -119,13 +119,13 @@
     """The node's copy of what the platform publishes."""
 
     decode: Decoder
-    item_by_key: dict[str, Item] = field(default_factory=dict)
-    published_by_key: dict[str, Published] = field(default_factory=dict)
+    item_by_key: dict[str, SourceItem] = field(default_factory=dict)
+    entry_by_key: dict[str, PublishedEntry] = field(default_factory=dict)
     cold_until_by_id: dict[str, float] = field(default_factory=dict)
-    lapsed_at_by_key: dict[str, float] = field(default_factory=dict)
+    removal_at_by_key: dict[str, float] = field(default_factory=dict)
     table: _table.Table | None = None
     revision: int = 0
-    lapse_until_s: float = 0.0
+    grace_until_s: float = 0.0
     rejected: list[str] = field(default_factory=list)
     """What was unreadable since the last call of `take_rejected`."""
     digest: int = 0
@@ -135,7 +135,9 @@
     bases_by_key: dict[str, dict[int, bytes]] = field(default_factory=dict)
     """The last values of large entries, by revision."""
 
-    def offer(self, items: Iterable[Item], now_s: float) -> list[Item]:
+    def apply_items(
+        self, items: Iterable[SourceItem], now_s: float
+    ) -> list[SourceItem]:
         """Take newer items in; return those that were new."""
         fresh = []
         for item in items:
@@ -145,47 +147,49 @@
             self.item_by_key[item.key] = item
             self.revision = max(self.revision, item.revision)
             self.digest ^= _item_digest(known) ^ _item_digest(item)
-            self._keep_base(item)
-            self._apply(item, now_s)
+            self._keep_patch_base(item)
+            self._apply_item(item, now_s)
             fresh.append(item)
         return fresh
 
-    def offer_listing(
-        self, items: Iterable[Item], start_revision: int, now_s: float
-    ) -> list[Item]:
+    def apply_listing(
+        self, items: Iterable[SourceItem], start_revision: int, now_s: float
+    ) -> list[SourceItem]:
         """Take a whole listing in, which also shows what is gone.
 
         A key that is missing was removed at the revision of the listing's
         first page at the latest.
         """
         listed = list(items)
-        gone = self.missing_in({item.key for item in listed}, start_revision)
-        fresh = self.offer([*listed, *gone], now_s)
+        removals = self.implied_removals(
+            {item.key for item in listed}, start_revision
+        )
+        fresh = self.apply_items([*listed, *removals], now_s)
         self.complete_revision = max(self.complete_revision, start_revision)
         return fresh
 
-    def offer_changes(
-        self, items: Iterable[Item], revision: int, now_s: float
-    ) -> list[Item]:
+    def apply_changes(
+        self, items: Iterable[SourceItem], revision: int, now_s: float
+    ) -> list[SourceItem]:
         """Take all changes up to a revision in, as the source showed them."""
-        fresh = self.offer(items, now_s)
+        fresh = self.apply_items(items, now_s)
         self.complete_revision = max(self.complete_revision, revision)
         return fresh
 
-    def missing_in(
+    def implied_removals(
         self, keys: Collection[str], complete_revision: int
-    ) -> list[Item]:
+    ) -> list[SourceItem]:
         """Return the removals that a complete list of keys implies."""
         return [
-            Item(key, complete_revision, None)
+            SourceItem(key, complete_revision, None)
             for key, known in self.item_by_key.items()
             if key not in keys
             and known.value is not None
             and known.revision < complete_revision
         ]
 
-    def patch_from(
-        self, item: Item, base_revision: int
+    def create_patch(
+        self, item: SourceItem, base_revision: int
     ) -> _patches.Patch | None:
         """Return a patch of an entry, if the older value is still known."""
         base = self.bases_by_key.get(item.key, {}).get(base_revision)
@@ -193,67 +197,70 @@
             return None
         return _patches.make_patch(base, item.value)
 
-    def patched(
+    def apply_patch(
         self, key: str, base_revision: int, patch: _patches.Patch
     ) -> bytes | None:
         """Return the patched value of an entry, or None without its base."""
         base = self.bases_by_key.get(key, {}).get(base_revision)
         return None if base is None else _patches.apply_patch(base, patch)
 
-    def source_returned(self, now_s: float) -> None:
+    def start_expiry_grace(self, now_s: float) -> None:
         """Keep removed servers for a while after an outage."""
-        self.lapse_until_s = now_s + LAPSE_GRACE_S
+        self.grace_until_s = now_s + EXPIRY_GRACE_S
 
-    def expire_lapsed(self, now_s: float) -> bool:
+    def remove_expired(self, now_s: float) -> bool:
         """Drop the lapsed servers whose grace is over."""
-        over = [
-            key for key, at in self.lapsed_at_by_key.items() if at <= now_s
+        expired = [
+            key for key, at in self.removal_at_by_key.items() if at <= now_s
         ]
-        for key in over:
-            del self.lapsed_at_by_key[key]
-            self.published_by_key.pop(key, None)
-        return bool(over)
+        for key in expired:
+            del self.removal_at_by_key[key]
+            self.entry_by_key.pop(key, None)
+        return bool(expired)
 
-    def take_rejected(self) -> list[str]:
+    def pop_rejected(self) -> list[str]:
         """Return and forget the reasons of unreadable entries."""
         rejected, self.rejected = self.rejected, []
         return rejected
 
-    def fleet(self) -> Fleet:
+    def snapshot(self) -> FleetSnapshot:
         """Return what the published entries say together."""
         newest_by_address: dict[tuple[str, int], BackendServer] = {}
-        out = set()
-        for published in self.published_by_key.values():
-            match published:
-                case ServerPublished(server):
+        data_centres_out = set()
+        for entry in self.entry_by_key.values():
+            match entry:
+                case ServerEntry(server):
                     address = (server.host, server.port)
                     other = newest_by_address.get(address)
-                    if other is None or other.born_ms <= server.born_ms:
+                    if (
+                        other is None
+                        or other.created_at_ms <= server.created_at_ms
+                    ):
                         newest_by_address[address] = server
-                case DataCentreOut(data_centre):
-                    out.add(data_centre)
-                case TablePublished() | Unreadable():
+                case DataCentreOutEntry(data_centre):
+                    data_centres_out.add(data_centre)
+                case TableEntry() | InvalidEntry():
                     pass
         # A crashed server's entry stays for some heartbeats, beside that of
         # the next server at its address.
         servers = {
             server.server_id: server for server in newest_by_address.values()
         }
-        return Fleet(
+        return FleetSnapshot(
             self.table,
             servers,
             dict(self.cold_until_by_id),
-            frozenset(out),
+            frozenset(data_centres_out),
         )
 
-    def _apply(self, item: Item, now_s: float) -> None:
+    def _apply_item(self, item: SourceItem, now_s: float) -> None:
         if item.value is None:
             self._remove(item.key, now_s)
             return
-        self.lapsed_at_by_key.pop(item.key, None)
-        published = self.decode(item.key, item.value)
-        match published:
-            case TablePublished(table):
+        self.removal_at_by_key.pop(item.key, None)
+        entry = self.decode(item.key, item.value)
+        match entry:
+            case TableEntry(table):
                 if self.table is not None and (
                     table.version <= self.table.version
                 ):
@@ -263,41 +270,41 @@
                     )
                     return
                 self.table = table
-            case ServerPublished(server):
+            case ServerEntry(server):
                 self.cold_until_by_id[server.server_id] = (
                     now_s + server.cold_left_s
                 )
-            case Unreadable(reason):
+            case InvalidEntry(reason):
                 self.rejected.append(f"{item.key}: {reason}")
-            case DataCentreOut():
+            case DataCentreOutEntry():
                 pass
-        self.published_by_key[item.key] = published
+        self.entry_by_key[item.key] = entry
 
-    def _keep_base(self, item: Item) -> None:
-        if item.value is None or len(item.value) < MIN_BASE_BYTES:
+    def _keep_patch_base(self, item: SourceItem) -> None:
+        if item.value is None or len(item.value) < MIN_PATCH_BASE_BYTES:
             return
         bases = self.bases_by_key.setdefault(item.key, {})
         bases[item.revision] = item.value
-        while len(bases) > BASES_KEPT:
+        while len(bases) > MAX_PATCH_BASES:
             del bases[min(bases)]
 
     def _remove(self, key: str, now_s: float) -> None:
-        published = self.published_by_key.get(key)
-        match published:
-            case ServerPublished(server):
+        entry = self.entry_by_key.get(key)
+        match entry:
+            case ServerEntry(server):
                 ready = server.state is ServerState.READY
-                if ready and now_s < self.lapse_until_s:
-                    self.lapsed_at_by_key[key] = self.lapse_until_s
+                if ready and now_s < self.grace_until_s:
+                    self.removal_at_by_key[key] = self.grace_until_s
                     return
                 self.cold_until_by_id.pop(server.server_id, None)
-            case TablePublished():
+            case TableEntry():
                 return
-            case DataCentreOut() | Unreadable() | None:
+            case DataCentreOutEntry() | InvalidEntry() | None:
                 pass
-        self.published_by_key.pop(key, None)
+        self.entry_by_key.pop(key, None)
 
 
-def _item_digest(item: Item | None) -> int:
+def _item_digest(item: SourceItem | None) -> int:
     """Return an entry's part of the directory's digest.
 
     Removed entries have none, since a node that starts later never sees them.
--- a/src/jasminecrank/mesh/state/_gate.py
+++ b/src/jasminecrank/mesh/state/_gate.py
@@ -8,26 +8,26 @@
 
 COLD_WINDOW_S = 1.0
 """Window in which a cold server bears its rate, from the table's unit."""
-COLD_RATE_PART = 0.9
+COLD_RATE_FRACTION = 0.9
 """Part of the cold rate that is used, for requests that arrive in bunches."""
 RUN_TIME_WEIGHT = 0.1
 """Weight of the newest run time in the moving average."""
-FIRST_RUN_S = 0.1
+DEFAULT_RUN_TIME_S = 0.1
 """Run time assumed before any call has ended."""
 FAILURE_WEIGHT = 0.08
 """Weight of the newest outcome in the failure rate."""
-WAIT_PART_OF_TARGET = 0.7
+MAX_WAIT_FRACTION = 0.7
 """Longest expected wait as a part of the time left until the objective."""
-MIN_WAIT_S = 0.03
+ALWAYS_ACCEPTED_WAIT_S = 0.03
 """Expected wait that is always accepted, about one short run."""
-LOAD_STEP = 0.2
+LOAD_CHANGE_FRACTION = 0.2
 """Change of a load, in parts of the limit, that others are told at once."""
-MAX_QUEUED = 512
+MAX_QUEUED_CALLS = 512
 """Bound on the memory of waiting calls."""
 
 
 @dataclass(slots=True, frozen=True)
-class Ticket:
+class AdmissionRequest:
     """A call that asks for a slot, as far as the decision needs it."""
 
     call_id: int
@@ -40,7 +40,7 @@
     target_at_s: float
 
 
-class Phase(enum.Enum):
+class ServerHealth(enum.Enum):
     """What the node knows about its backend server."""
 
     UNKNOWN = "unknown"
@@ -49,12 +49,12 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Start:
+class Admit:
     """The call may be sent to the backend server now."""
 
 
 @dataclass(slots=True, frozen=True)
-class Wait:
+class Enqueue:
     """The call waits for a slot."""
 
 
@@ -66,31 +66,31 @@
     retry_after_s: float
 
 
-Decision = Start | Wait | Reject
+Decision = Admit | Enqueue | Reject
 
 
 @dataclass(slots=True, frozen=True)
-class Released:
+class ReleasedCalls:
     """Calls that leave the queue, to run or because it is too late."""
 
-    start: tuple[Ticket, ...]
-    expired: tuple[Ticket, ...]
+    admitted: tuple[AdmissionRequest, ...]
+    expired: tuple[AdmissionRequest, ...]
 
 
 @dataclass(slots=True, frozen=True)
-class Load:
+class ServerLoad:
     """What a node tells others about its backend server."""
 
     server_id: str
     in_flight: int
     queued: int
     limit: int
-    run_s: float
+    run_time_s: float
     """0 until a call has ended outside the cold start."""
     failure_rate: float
     accepting: bool
 
-    def is_other_server(self, other: "Load") -> bool:
+    def server_changed(self, other: "ServerLoad") -> bool:
         """Return whether a server began, ended or got another limit."""
         return (self.server_id, self.limit, self.accepting) != (
             other.server_id,
@@ -98,100 +98,104 @@
             other.accepting,
         )
 
-    def differs(self, other: "Load") -> bool:
+    def load_changed(self, other: "ServerLoad") -> bool:
         """Return whether placement would treat two loads differently."""
-        moved = self.in_flight + self.queued - other.in_flight - other.queued
-        return abs(moved) > max(1.0, LOAD_STEP * self.limit)
+        change = self.in_flight + self.queued - other.in_flight - other.queued
+        return abs(change) > max(1.0, LOAD_CHANGE_FRACTION * self.limit)
 
 
 @dataclass(slots=True)
-class Gate:
+class AdmissionController:
     """Slots, queue and cold-start rate of one backend server."""
 
     slots: int = 1
     server_id: str = ""
-    phase: Phase = Phase.UNKNOWN
+    health: ServerHealth = ServerHealth.UNKNOWN
     cold_until_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_rate_per_s: float = 0.0
     in_flight: int = 0
-    run_s: float = 0.0
+    run_time_s: float = 0.0
     """Usual run time of a call; 0 until one has ended."""
     failure_rate: float = 0.0
-    run_s_by_route: dict[str, float] = field(default_factory=dict)
-    _queue: list[tuple[int, int, Ticket]] = field(default_factory=list)
+    run_time_s_by_route: dict[str, float] = field(default_factory=dict)
+    _queue: list[tuple[int, int, AdmissionRequest]] = field(
+        default_factory=list
+    )
     _waiting: set[tuple[int, int]] = field(default_factory=set)
     _sequence: int = 0
-    _cold_starts: deque[float] = field(default_factory=deque)
+    _cold_admissions_at_s: deque[float] = field(default_factory=deque)
 
     @property
     def queued(self) -> int:
         """Return how many calls wait."""
         return len(self._waiting)
 
-    def offer(self, ticket: Ticket, now_s: float) -> Decision:
+    def submit(self, request: AdmissionRequest, now_s: float) -> Decision:
         """Decide on a new call."""
-        idle = self.phase is Phase.UP and not self._waiting
-        if idle and self._has_room(now_s):
-            self._take_slot(now_s)
-            return Start()
-        run_s = self.expected_run_s(ticket.route)
-        wait_s = self.expected_wait_s(ticket.rank, now_s)
-        if now_s + wait_s + run_s > ticket.deadline_at_s:
+        idle = self.health is ServerHealth.UP and not self._waiting
+        if idle and self._has_capacity(now_s):
+            self._occupy_slot(now_s)
+            return Admit()
+        run_time_s = self.expected_run_time_s(request.route)
+        wait_s = self.expected_wait_s(request.rank, now_s)
+        if now_s + wait_s + run_time_s > request.deadline_at_s:
             return Reject("deadline", wait_s)
-        left_s = ticket.target_at_s - now_s - run_s
-        if wait_s > max(MIN_WAIT_S, WAIT_PART_OF_TARGET * left_s):
+        left_s = request.target_at_s - now_s - run_time_s
+        if wait_s > max(ALWAYS_ACCEPTED_WAIT_S, MAX_WAIT_FRACTION * left_s):
             return Reject("busy", wait_s)
-        if len(self._waiting) >= MAX_QUEUED:
+        if len(self._waiting) >= MAX_QUEUED_CALLS:
             return Reject("queue full", wait_s)
         self._sequence += 1
-        heapq.heappush(self._queue, (ticket.rank, self._sequence, ticket))
-        self._waiting.add((ticket.link_id, ticket.call_id))
-        return Wait()
+        heapq.heappush(self._queue, (request.rank, self._sequence, request))
+        self._waiting.add((request.link_id, request.call_id))
+        return Enqueue()
 
-    def release(self, now_s: float) -> Released:
+    def release_queued(self, now_s: float) -> ReleasedCalls:
         """Return the waiting calls that may start now, or never will."""
-        start = []
+        admitted = []
         expired = []
         while self._queue:
-            ticket = self._queue[0][2]
-            key = (ticket.link_id, ticket.call_id)
+            request = self._queue[0][2]
+            key = (request.link_id, request.call_id)
             if key not in self._waiting:
                 heapq.heappop(self._queue)
                 continue
-            if self._too_late(ticket, now_s):
+            if self._misses_deadline(request, now_s):
                 heapq.heappop(self._queue)
                 self._waiting.discard(key)
-                expired.append(ticket)
+                expired.append(request)
                 continue
-            if self.phase is not Phase.UP or not self._has_room(now_s):
+            if self.health is not ServerHealth.UP or not self._has_capacity(
+                now_s
+            ):
                 break
             heapq.heappop(self._queue)
             self._waiting.discard(key)
-            self._take_slot(now_s)
-            start.append(ticket)
-        expired.extend(self._take_expired(now_s))
-        return Released(tuple(start), tuple(expired))
+            self._occupy_slot(now_s)
+            admitted.append(request)
+        expired.extend(self._remove_expired(now_s))
+        return ReleasedCalls(tuple(admitted), tuple(expired))
 
-    def withdraw(self, link_id: int, call_id: int) -> bool:
+    def cancel(self, link_id: int, call_id: int) -> bool:
         """Forget a waiting call; return whether it was waiting."""
         if (link_id, call_id) not in self._waiting:
             return False
         self._waiting.discard((link_id, call_id))
         return True
 
-    def drain_queue(self) -> tuple[Ticket, ...]:
+    def drain_queue(self) -> tuple[AdmissionRequest, ...]:
         """Return all waiting calls, which won't be run here."""
-        tickets = tuple(
+        requests = tuple(
             entry[2]
             for entry in sorted(self._queue, key=lambda entry: entry[:2])
             if (entry[2].link_id, entry[2].call_id) in self._waiting
         )
         self._queue.clear()
         self._waiting.clear()
-        return tickets
+        return requests
 
-    def finished(
-        self, route: str, run_s: float | None, failed: bool, now_s: float
+    def record_completion(
+        self, route: str, run_time_s: float | None, failed: bool, now_s: float
     ) -> None:
         """Free the slot of a call that ended, with its run time if known.
 
@@ -199,35 +203,37 @@
         """
         self.in_flight -= 1
         self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
-        if run_s is None or failed or self.is_cold(now_s):
+        if run_time_s is None or failed or self.is_cold(now_s):
             return
-        self.run_s = self.run_s or run_s
-        self.run_s += RUN_TIME_WEIGHT * (run_s - self.run_s)
-        known_s = self.run_s_by_route.get(route, run_s)
-        self.run_s_by_route[route] = known_s + RUN_TIME_WEIGHT * (
-            run_s - known_s
+        self.run_time_s = self.run_time_s or run_time_s
+        self.run_time_s += RUN_TIME_WEIGHT * (run_time_s - self.run_time_s)
+        average_s = self.run_time_s_by_route.get(route, run_time_s)
+        self.run_time_s_by_route[route] = average_s + RUN_TIME_WEIGHT * (
+            run_time_s - average_s
         )
 
-    def server_up(
+    def mark_server_up(
         self, server_id: str, cold_left_s: float, now_s: float
     ) -> None:
         """Record a good health answer."""
         if server_id != self.server_id:
             self.server_id = server_id
             self.failure_rate = 0.0
-            self.run_s = 0.0
-            self.run_s_by_route.clear()
-        self.phase = Phase.UP
+            self.run_time_s = 0.0
+            self.run_time_s_by_route.clear()
+        self.health = ServerHealth.UP
         self.cold_until_s = max(self.cold_until_s, now_s + cold_left_s)
 
-    def server_doubtful(self) -> None:
+    def mark_server_unknown(self) -> None:
         """Require a health answer before the next call."""
-        self.phase = Phase.UNKNOWN
+        self.health = ServerHealth.UNKNOWN
         self.cold_until_s = 0.0
 
-    def expected_run_s(self, route: str) -> float:
+    def expected_run_time_s(self, route: str) -> float:
         """Return the run time to expect of a route's calls."""
-        return self.run_s_by_route.get(route, self.run_s or FIRST_RUN_S)
+        return self.run_time_s_by_route.get(
+            route, self.run_time_s or DEFAULT_RUN_TIME_S
+        )
 
     def expected_wait_s(self, rank: int, now_s: float) -> float:
         """Return how long a new call of a rank would wait."""
@@ -238,65 +244,74 @@
             and (entry[2].link_id, entry[2].call_id) in self._waiting
         )
         limit = self.limit(now_s)
-        over = ahead + self.in_flight - limit + 1
-        return max(0.0, over * (self.run_s or FIRST_RUN_S) / limit)
+        excess = ahead + self.in_flight - limit + 1
+        return max(
+            0.0, excess * (self.run_time_s or DEFAULT_RUN_TIME_S) / limit
+        )
 
     def limit(self, now_s: float) -> int:
         """Return how many calls may run at once."""
         if self.is_cold(now_s):
-            run_s = self.run_s or FIRST_RUN_S
-            at_rate = self.cold_per_s * COLD_RATE_PART * run_s
-            return max(1, min(self.slots, round(at_rate)))
+            run_time_s = self.run_time_s or DEFAULT_RUN_TIME_S
+            slots_at_rate = (
+                self.cold_rate_per_s * COLD_RATE_FRACTION * run_time_s
+            )
+            return max(1, min(self.slots, round(slots_at_rate)))
         return max(1, self.slots)
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is in its cold start."""
         return now_s < self.cold_until_s
 
-    def cold_room_at_s(self, now_s: float) -> float:
+    def next_cold_admission_at_s(self, now_s: float) -> float:
         """Return when the cold rate admits a call again."""
-        if not self.is_cold(now_s) or not self._cold_starts:
+        if not self.is_cold(now_s) or not self._cold_admissions_at_s:
             return now_s
-        return min(self.cold_until_s, self._cold_starts[0] + COLD_WINDOW_S)
+        return min(
+            self.cold_until_s, self._cold_admissions_at_s[0] + COLD_WINDOW_S
+        )
 
-    def load(self, now_s: float, accepting: bool) -> Load:
+    def load(self, now_s: float, accepting: bool) -> ServerLoad:
         """Return what other nodes are told."""
-        return Load(
+        return ServerLoad(
             self.server_id,
             self.in_flight,
             self.queued,
             self.limit(now_s),
-            self.run_s,
+            self.run_time_s,
             self.failure_rate,
-            accepting and self.phase is Phase.UP,
+            accepting and self.health is ServerHealth.UP,
         )
 
-    def _has_room(self, now_s: float) -> bool:
+    def _has_capacity(self, now_s: float) -> bool:
         if self.in_flight >= max(1, self.slots):
             return False
         if not self.is_cold(now_s):
             return True
         while (
-            self._cold_starts and self._cold_starts[0] <= now_s - COLD_WINDOW_S
+            self._cold_admissions_at_s
+            and self._cold_admissions_at_s[0] <= now_s - COLD_WINDOW_S
         ):
-            self._cold_starts.popleft()
-        allowed = max(1, int(self.cold_per_s * COLD_RATE_PART))
-        return len(self._cold_starts) < allowed
+            self._cold_admissions_at_s.popleft()
+        allowed = max(1, int(self.cold_rate_per_s * COLD_RATE_FRACTION))
+        return len(self._cold_admissions_at_s) < allowed
 
-    def _take_slot(self, now_s: float) -> None:
+    def _occupy_slot(self, now_s: float) -> None:
         self.in_flight += 1
         if self.is_cold(now_s):
-            self._cold_starts.append(now_s)
+            self._cold_admissions_at_s.append(now_s)
 
-    def _too_late(self, ticket: Ticket, now_s: float) -> bool:
-        run_s = 0.5 * self.expected_run_s(ticket.route)
-        return now_s + run_s > ticket.deadline_at_s
+    def _misses_deadline(
+        self, request: AdmissionRequest, now_s: float
+    ) -> bool:
+        run_time_s = 0.5 * self.expected_run_time_s(request.route)
+        return now_s + run_time_s > request.deadline_at_s
 
-    def _take_expired(self, now_s: float) -> list[Ticket]:
+    def _remove_expired(self, now_s: float) -> list[AdmissionRequest]:
         expired = []
-        for _, _, ticket in self._queue:
-            key = (ticket.link_id, ticket.call_id)
-            if key in self._waiting and self._too_late(ticket, now_s):
+        for _, _, request in self._queue:
+            key = (request.link_id, request.call_id)
+            if key in self._waiting and self._misses_deadline(request, now_s):
                 self._waiting.discard(key)
-                expired.append(ticket)
+                expired.append(request)
         return expired
--- a/src/jasminecrank/mesh/state/_links.py
+++ b/src/jasminecrank/mesh/state/_links.py
@@ -5,21 +5,21 @@
 
 from jasminecrank.mesh.state import _directory
 
-WATCHERS = 3
+WATCHER_COUNT = 3
 """Nodes that watch the source for all others; two may fail at once."""
-ARBITERS = 5
+ARBITER_COUNT = 5
 """Nodes that grant the tokens of teams; each team has one at a time.
 
 The watchers are among them, so that a node needs few links besides those to
 servers.
 """
-LINKS_PER_SERVICE = 12
+MAX_LINKS_PER_SERVICE = 12
 """Servers of a service that a node sends calls to in a large fleet."""
-OWN_DATA_CENTRE_LINKS = 8
+MAX_LOCAL_LINKS_PER_SERVICE = 8
 """Of these, servers of the node's own data centre."""
 
 
-def rank(seed: str, hosts: Iterable[str]) -> list[str]:
+def rank_hosts(seed: str, hosts: Iterable[str]) -> list[str]:
     """Return hosts by falling rendezvous hash under a seed."""
     return sorted(
         hosts,
@@ -29,27 +29,27 @@
     )
 
 
-def watchers(fleet: _directory.Fleet) -> tuple[str, ...]:
+def watcher_hosts(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
     """Return the hosts whose nodes watch the source."""
-    return _coordinators(fleet)[:WATCHERS]
+    return _coordinators(fleet)[:WATCHER_COUNT]
 
 
-def arbiters(fleet: _directory.Fleet) -> tuple[str, ...]:
+def arbiter_hosts(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
     """Return the hosts whose nodes grant tokens, in a fixed order."""
     return tuple(sorted(_coordinators(fleet)))
 
 
-def _coordinators(fleet: _directory.Fleet) -> tuple[str, ...]:
+def _coordinators(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
     hosts = {
         server.host
         for server in fleet.server_by_id.values()
         if server.state is _directory.ServerState.READY
     }
-    return tuple(rank("watch", hosts)[:ARBITERS])
+    return tuple(rank_hosts("watch", hosts)[:ARBITER_COUNT])
 
 
 def link_targets(
-    fleet: _directory.Fleet, own_host: str, own_data_centre: str
+    fleet: _directory.FleetSnapshot, own_host: str, own_data_centre: str
 ) -> set[str]:
     """Return the hosts whose nodes a node keeps links to."""
     servers_by_service: dict[str, list[_directory.BackendServer]] = {}
@@ -68,13 +68,13 @@
     own_data_centre: str,
 ) -> set[str]:
     hosts = {server.host for server in servers}
-    if len(hosts) <= LINKS_PER_SERVICE:
+    if len(hosts) <= MAX_LINKS_PER_SERVICE:
         return hosts
-    near = {
+    local = {
         server.host
         for server in servers
         if server.data_centre == own_data_centre
     }
-    chosen = rank(own_host, near)[:OWN_DATA_CENTRE_LINKS]
-    far = rank(own_host, hosts - set(chosen))
-    return {*chosen, *far[: LINKS_PER_SERVICE - len(chosen)]}
+    chosen = rank_hosts(own_host, local)[:MAX_LOCAL_LINKS_PER_SERVICE]
+    remote = rank_hosts(own_host, hosts - set(chosen))
+    return {*chosen, *remote[: MAX_LINKS_PER_SERVICE - len(chosen)]}
--- a/src/jasminecrank/mesh/state/_patches.py
+++ b/src/jasminecrank/mesh/state/_patches.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 import hashlib
 
-RECORD_END = b"}"
+RECORD_DELIMITER = b"}"
 """Byte after which a value is cut into records.
 
 Entries are JSON, where an object is what changes as a whole.
@@ -39,17 +39,17 @@
     """Return a patch that makes a value from an older one."""
     start_by_record: dict[bytes, int] = {}
     offset = 0
-    for record in base.split(RECORD_END):
+    for record in base.split(RECORD_DELIMITER):
         start_by_record.setdefault(record, offset)
         offset += len(record) + 1
     pieces: list[bytes | tuple[int, int]] = []
     copy: tuple[int, int] | None = None
     literal = bytearray()
-    records = target.split(RECORD_END)
+    records = target.split(RECORD_DELIMITER)
     last = len(records) - 1
     for index, body in enumerate(records):
-        record = body if index == last else body + RECORD_END
-        start = _find(base, record, body, copy, start_by_record)
+        record = body if index == last else body + RECORD_DELIMITER
+        start = _find_record(base, record, body, copy, start_by_record)
         if start is None:
             if copy is not None:
                 pieces.append(copy)
@@ -82,7 +82,7 @@
     return value if digest(value) == patch.digest else None
 
 
-def _find(
+def _find_record(
     base: bytes,
     record: bytes,
     body: bytes,
--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -11,13 +11,13 @@
 from jasminecrank.mesh.state import _gate
 from jasminecrank.mesh.state import _table
 
-OTHER_DATA_CENTRE_RUNS = 1.2
+REMOTE_DATA_CENTRE_COST_RUNS = 1.2
 """Run times that a server of another data centre has to save.
 
 Bytes between data centres are scarce, so calls leave their own only when it
-is busy.
+is outstanding.
 """
-OTHER_HOST_S = 0.002
+REMOTE_HOST_COST_S = 0.002
 """Two hops between hosts of one data centre, with their processor time."""
 FAILURE_COST_RUNS = 6.0
 """Run times that a failed attempt costs its caller.
@@ -25,32 +25,32 @@
 Only failures beyond those of the usual server count: where all fail alike, the
 cause is elsewhere, and the server with the best luck must not get all calls.
 """
-FULL_COST_RUNS = 1.2
+FULL_SERVER_COST_RUNS = 1.2
 """Run times that are added at a full server.
 
 Servers slow down when they are nearly full, and calls that other nodes send
 meanwhile have to wait.
 """
-UNKNOWN_RUNS = 0.6
+UNMEASURED_RUN_TIME_FACTOR = 0.6
 """Run time of a server without recent runs, in usual run times.
 
 Below 1, so that each server gets a call now and then that shows its speed.
 """
-RELAX_S = 4.0
+ESTIMATE_HALF_LIFE_S = 4.0
 """Time after which half of what is known of a server is forgotten.
 
 A server that looked bad gets no calls that could show it has recovered.
 """
-SCORE_NOISE = 0.2
+SCORE_JITTER = 0.2
 """Random part of a score, so that nodes don't choose alike."""
-UNTOLD_S = 1.5
+LOAD_MAX_AGE_S = 1.5
 """Age at which a told load is no longer used: three idle tellings."""
-FIRST_LIMIT = 2
+INITIAL_LIMIT = 2
 """Calls at once to a server that has told no load yet."""
 
 
 @dataclass(slots=True, frozen=True)
-class Place:
+class PlacementDecision:
     """The chosen server and the time the call is expected to wait."""
 
     server: _directory.BackendServer
@@ -58,19 +58,19 @@
 
 
 @dataclass(slots=True)
-class _Seen:
-    load: _gate.Load
-    told_at_s: float
+class _ReportedLoad:
+    load: _gate.ServerLoad
+    reported_at_s: float
     changed_at_s: float
     """When a run there last changed its run time or its failure rate."""
-    sent_since: int = 0
+    sent_since_report: int = 0
 
 
 @dataclass(slots=True, frozen=True)
-class _Quality:
+class _Estimate:
     """Run time and failure rate of a server, or of the usual one."""
 
-    run_s: float
+    run_time_s: float
     failure_rate: float
 
 
@@ -81,163 +81,186 @@
     own_host: str
     own_data_centre: str
     rng: random.Random
-    _seen_by_host: dict[str, _Seen] = field(default_factory=dict)
+    _reported_load_by_host: dict[str, _ReportedLoad] = field(
+        default_factory=dict
+    )
     _unreachable: set[str] = field(default_factory=set)
 
-    def told(self, host: str, load: _gate.Load, now_s: float) -> None:
+    def record_load(
+        self, host: str, load: _gate.ServerLoad, now_s: float
+    ) -> None:
         """Take a node's word on its server's load."""
         self._unreachable.discard(host)
-        known = self._seen_by_host.get(host)
+        known = self._reported_load_by_host.get(host)
         changed_at_s = now_s
         if known is not None and (
-            (known.load.run_s, known.load.failure_rate)
-            == (load.run_s, load.failure_rate)
+            (known.load.run_time_s, known.load.failure_rate)
+            == (load.run_time_s, load.failure_rate)
         ):
             changed_at_s = known.changed_at_s
-        self._seen_by_host[host] = _Seen(load, now_s, changed_at_s)
+        self._reported_load_by_host[host] = _ReportedLoad(
+            load, now_s, changed_at_s
+        )
 
-    def unreachable(self, host: str) -> None:
+    def mark_unreachable(self, host: str) -> None:
         """Choose a host only if there is no other."""
         self._unreachable.add(host)
-        self._seen_by_host.pop(host, None)
+        self._reported_load_by_host.pop(host, None)
 
-    def reachable(self, host: str) -> None:
+    def mark_reachable(self, host: str) -> None:
         """Choose a host again."""
         self._unreachable.discard(host)
 
-    def sent(self, host: str) -> None:
+    def record_sent(self, host: str) -> None:
         """Count a call that the told load does not contain yet."""
-        seen = self._seen_by_host.get(host)
-        if seen is not None:
-            seen.sent_since += 1
+        report = self._reported_load_by_host.get(host)
+        if report is not None:
+            report.sent_since_report += 1
 
-    def answered(self, host: str, busy: int) -> None:
+    def record_response(self, host: str, outstanding: int) -> None:
         """Take the load that came with an answer."""
-        seen = self._seen_by_host.get(host)
-        if seen is None:
+        report = self._reported_load_by_host.get(host)
+        if report is None:
             return
-        limit = seen.load.limit
-        seen.load = dataclasses.replace(
-            seen.load,
-            in_flight=min(busy, limit),
-            queued=max(0, busy - limit),
+        limit = report.load.limit
+        report.load = dataclasses.replace(
+            report.load,
+            in_flight=min(outstanding, limit),
+            queued=max(0, outstanding - limit),
         )
-        seen.sent_since = 0
+        report.sent_since_report = 0
 
     def choose(
         self,
         servers: Iterable[_directory.BackendServer],
         tried: Collection[str],
         now_s: float,
-    ) -> Place | None:
+    ) -> PlacementDecision | None:
         """Return the server at which a call is expected to end first."""
-        best: Place | None = None
+        best: PlacementDecision | None = None
         best_score = 0.0
         servers = tuple(servers)
-        usual = self._usual(servers)
+        typical = self._typical_estimate(servers)
         for server in servers:
             if server.server_id in tried or server.host in self._unreachable:
                 continue
-            seen = self._current(server, now_s)
-            if seen is not None and not seen.load.accepting:
+            report = self._fresh_report(server, now_s)
+            if report is not None and not report.load.accepting:
                 continue
-            expected = _expected(seen, usual, now_s)
-            place = Place(server, _expected_wait_s(seen, expected.run_s))
-            score = self._score(place, seen, expected, usual) * (
-                1.0 + SCORE_NOISE * self.rng.random()
+            estimate = _estimate(report, typical, now_s)
+            candidate = PlacementDecision(
+                server, _expected_wait_s(report, estimate.run_time_s)
+            )
+            score = self._score(candidate, report, estimate, typical) * (
+                1.0 + SCORE_JITTER * self.rng.random()
             )
             if best is None or score < best_score:
-                best, best_score = place, score
+                best, best_score = candidate, score
         return best
 
-    def _usual(
+    def _typical_estimate(
         self, servers: tuple[_directory.BackendServer, ...]
-    ) -> "_Quality":
+    ) -> "_Estimate":
         """Return the medians of what is known of servers."""
         loads = [
-            seen.load
+            report.load
             for server in servers
-            if (seen := self._seen_by_host.get(server.host)) is not None
+            if (report := self._reported_load_by_host.get(server.host))
+            is not None
         ]
-        runs_s = sorted(load.run_s for load in loads if load.run_s > 0.0)
-        failures = sorted(load.failure_rate for load in loads)
-        return _Quality(
-            runs_s[len(runs_s) // 2] if runs_s else _gate.FIRST_RUN_S,
-            failures[(len(failures) - 1) // 2] if failures else 0.0,
+        run_times_s = sorted(
+            load.run_time_s for load in loads if load.run_time_s > 0.0
+        )
+        failure_rates = sorted(load.failure_rate for load in loads)
+        return _Estimate(
+            run_times_s[len(run_times_s) // 2]
+            if run_times_s
+            else _gate.DEFAULT_RUN_TIME_S,
+            failure_rates[(len(failure_rates) - 1) // 2]
+            if failure_rates
+            else 0.0,
         )
 
     def _score(
         self,
-        place: Place,
-        seen: _Seen | None,
-        expected: "_Quality",
-        usual: "_Quality",
+        candidate: PlacementDecision,
+        report: _ReportedLoad | None,
+        estimate: "_Estimate",
+        typical: "_Estimate",
     ) -> float:
-        run_s = expected.run_s
-        score = place.wait_s + run_s
-        if seen is not None:
-            busy = seen.load.in_flight + seen.sent_since
-            fullness = min(1.0, busy / max(1, seen.load.limit))
-            score += run_s * FULL_COST_RUNS * fullness * fullness
-        excess = max(0.0, expected.failure_rate - usual.failure_rate)
-        score += run_s * FAILURE_COST_RUNS * excess
-        if place.server.host != self.own_host:
-            score += OTHER_HOST_S
-        if place.server.data_centre != self.own_data_centre:
-            score += usual.run_s * OTHER_DATA_CENTRE_RUNS
+        run_time_s = estimate.run_time_s
+        score = candidate.wait_s + run_time_s
+        if report is not None:
+            outstanding = report.load.in_flight + report.sent_since_report
+            utilization = min(1.0, outstanding / max(1, report.load.limit))
+            score += (
+                run_time_s * FULL_SERVER_COST_RUNS * utilization * utilization
+            )
+        excess = max(0.0, estimate.failure_rate - typical.failure_rate)
+        score += run_time_s * FAILURE_COST_RUNS * excess
+        if candidate.server.host != self.own_host:
+            score += REMOTE_HOST_COST_S
+        if candidate.server.data_centre != self.own_data_centre:
+            score += typical.run_time_s * REMOTE_DATA_CENTRE_COST_RUNS
         return score
 
-    def _current(
+    def _fresh_report(
         self, server: _directory.BackendServer, now_s: float
-    ) -> _Seen | None:
-        seen = self._seen_by_host.get(server.host)
-        if seen is None or now_s - seen.told_at_s > UNTOLD_S:
+    ) -> _ReportedLoad | None:
+        report = self._reported_load_by_host.get(server.host)
+        if report is None or now_s - report.reported_at_s > LOAD_MAX_AGE_S:
             return None
-        if seen.load.server_id not in ("", server.server_id):
+        if report.load.server_id not in ("", server.server_id):
             return None
-        return seen
+        return report
 
 
-def _expected(seen: _Seen | None, usual: _Quality, now_s: float) -> _Quality:
+def _estimate(
+    report: _ReportedLoad | None, typical: _Estimate, now_s: float
+) -> _Estimate:
     """Return what to expect of a server, the less known the older."""
-    unknown_s = UNKNOWN_RUNS * usual.run_s
-    if seen is None:
-        return _Quality(unknown_s, 0.0)
-    kept: float = 0.5 ** ((now_s - seen.changed_at_s) / RELAX_S)
-    run_s = seen.load.run_s or unknown_s
-    return _Quality(
-        unknown_s + kept * (run_s - unknown_s),
-        kept * seen.load.failure_rate,
+    unmeasured_s = UNMEASURED_RUN_TIME_FACTOR * typical.run_time_s
+    if report is None:
+        return _Estimate(unmeasured_s, 0.0)
+    retained: float = 0.5 ** (
+        (now_s - report.changed_at_s) / ESTIMATE_HALF_LIFE_S
+    )
+    run_time_s = report.load.run_time_s or unmeasured_s
+    return _Estimate(
+        unmeasured_s + retained * (run_time_s - unmeasured_s),
+        retained * report.load.failure_rate,
     )
 
 
-def _expected_wait_s(seen: _Seen | None, run_s: float) -> float:
-    if seen is None:
+def _expected_wait_s(report: _ReportedLoad | None, run_time_s: float) -> float:
+    if report is None:
         return 0.0
-    limit = max(1, seen.load.limit)
-    busy = seen.load.in_flight + seen.load.queued + seen.sent_since
-    return max(0.0, (busy - limit + 1) * run_s / limit)
+    limit = max(1, report.load.limit)
+    outstanding = (
+        report.load.in_flight + report.load.queued + report.sent_since_report
+    )
+    return max(0.0, (outstanding - limit + 1) * run_time_s / limit)
 
 
 @dataclass(slots=True)
-class SplitChooser:
+class WeightedRoundRobin:
     """Smooth weighted round robin over the parts of each route."""
 
     _credit_by_route: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def choose(self, route: _table.Route) -> str:
         """Return the service that the next request of a route goes to."""
-        if len(route.parts) == 1:
-            return route.parts[0].service
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
         credit = self._credit_by_route.setdefault(route.name, {})
-        services = {part.service for part in route.parts}
+        services = {weighted.service for weighted in route.weighted_services}
         if credit.keys() != services:
             credit.clear()
             credit.update(dict.fromkeys(services, 0.0))
         total = 0.0
-        for part in route.parts:
-            credit[part.service] += part.weight
-            total += part.weight
+        for weighted in route.weighted_services:
+            credit[weighted.service] += weighted.weight
+            total += weighted.weight
         chosen = max(credit, key=lambda name: credit[name])
         credit[chosen] -= total
         return chosen
--- a/src/jasminecrank/mesh/state/_quota.py
+++ b/src/jasminecrank/mesh/state/_quota.py
@@ -8,9 +8,9 @@
 from jasminecrank.mesh.state import _links
 from jasminecrank.mesh.state import _table
 
-PRESENCE_S = 0.4
+PRESENCE_INTERVAL_S = 0.4
 """Period at which a node shows an arbiter that it is there."""
-PRESENCE_AGE_S = 1.3
+PRESENCE_TIMEOUT_S = 1.3
 """Age at which a node counts as gone: three periods and a delay."""
 RATE_MARGIN = 1.03
 """Rate that is granted, in rates.
@@ -18,13 +18,13 @@
 It makes up for tokens whose calls leave before they are sent, well inside the
 overshoot that the platform allows.
 """
-TAKEOVER_S = 0.25
+TAKEOVER_CREDIT_S = 0.25
 """Time whose tokens an arbiter has at once for nodes that it takes over.
 
 About the time in which the nodes notice that the former one is gone; four
 takeovers in a window stay inside the allowed overshoot.
 """
-OVERSHOOT_PART = 0.8
+OVERSHOOT_FRACTION = 0.8
 """Part of the allowed overshoot that is used while hosts are missing."""
 
 
@@ -49,24 +49,26 @@
 class _Bucket:
     tokens: float
     filled_at_s: float
-    part: float
+    rate_share: float
     """Part of the rate when it was filled last."""
 
 
 @dataclass(slots=True, frozen=True)
 class _Presence:
-    shown_at_s: float
+    received_at_s: float
     arbiters: tuple[str, ...]
 
 
-def arbiter_of(team: str, reachable: tuple[str, ...], own_host: str) -> str:
+def choose_arbiter(
+    team: str, reachable: tuple[str, ...], own_host: str
+) -> str:
     """Return the node that a node asks for tokens of a team.
 
     A node that reaches no arbiter decides for itself.
     """
     if not reachable:
         return own_host
-    return _links.rank(team, reachable)[0]
+    return _links.rank_hosts(team, reachable)[0]
 
 
 @dataclass(slots=True)
@@ -74,92 +76,102 @@
     """Buckets of the teams' rates, for the nodes that ask this one.
 
     Each node asks one arbiter for a team, and an arbiter grants no more than
-    the part of the rate that belongs to the nodes that ask it. So the parts
+    the share of the rate that belongs to the nodes that ask it. So the shares
     sum to no more than the allowed overshoot, however the fleet is split.
     """
 
     own_host: str
     bounds: QuotaBounds
-    hosts: int = 1
+    host_count: int = 1
     """Hosts of the whole fleet, whether they can be reached or not."""
     _bucket_by_team: dict[str, _Bucket] = field(default_factory=dict)
     _presence_by_host: dict[str, _Presence] = field(default_factory=dict)
-    _arbiter_by_choice: dict[tuple[str, tuple[str, ...]], str] = field(
+    _arbiter_by_query: dict[tuple[str, tuple[str, ...]], str] = field(
         default_factory=dict
     )
 
-    def present(
+    def record_presence(
         self, host: str, reachable: tuple[str, ...], now_s: float
     ) -> None:
         """Take a node's word on which arbiters it reaches."""
         self._presence_by_host[host] = _Presence(now_s, reachable)
 
-    def still_present(self, host: str, now_s: float) -> None:
+    def refresh_presence(self, host: str, now_s: float) -> None:
         """Take a node's word that nothing has changed."""
         known = self._presence_by_host.get(host)
         if known is not None:
-            self.present(host, known.arbiters, now_s)
+            self.record_presence(host, known.arbiters, now_s)
 
-    def absent(self, host: str) -> None:
+    def remove_host(self, host: str) -> None:
         """Forget a node."""
         self._presence_by_host.pop(host, None)
 
-    def take(self, team: _table.Team, count: int, now_s: float) -> Grant:
+    def acquire(self, team: _table.Team, count: int, now_s: float) -> Grant:
         """Take up to a number of tokens of a team."""
         if team.rate_per_s <= 0.0:
             return Grant(count, 0.0)
-        part = self.part(team.name, now_s)
-        bucket = self._fill(team, part, now_s)
+        share = self.rate_share(team.name, now_s)
+        bucket = self._refill_bucket(team, share, now_s)
         granted = min(count, int(bucket.tokens))
         bucket.tokens -= granted
         if granted == count:
             return Grant(granted, 0.0)
-        rate = max(0.01, RATE_MARGIN * team.rate_per_s * part)
+        rate = max(0.01, RATE_MARGIN * team.rate_per_s * share)
         return Grant(granted, max(0.0, 1.0 - bucket.tokens) / rate)
 
-    def refill(self, teams: Iterable[_table.Team], now_s: float) -> None:
+    def refill_buckets(
+        self, teams: Iterable[_table.Team], now_s: float
+    ) -> None:
         """Mint tokens while nobody asks, or void them where others grant."""
         for team in teams:
             if team.rate_per_s > 0.0:
-                self._fill(team, self.part(team.name, now_s), now_s)
+                self._refill_bucket(
+                    team, self.rate_share(team.name, now_s), now_s
+                )
 
-    def part(self, team: str, now_s: float) -> float:
-        """Return the part of a team's rate that this node grants."""
+    def rate_share(self, team: str, now_s: float) -> float:
+        """Return the share of a team's rate that this node grants."""
         # A node that reaches no arbiter asks nobody but itself.
-        asking = Counter(
+        host_count_by_arbiters = Counter(
             presence.arbiters
             for host, presence in self._presence_by_host.items()
-            if now_s - presence.shown_at_s <= PRESENCE_AGE_S
+            if now_s - presence.received_at_s <= PRESENCE_TIMEOUT_S
             and (presence.arbiters or host == self.own_host)
         )
-        covered = sum(
+        covered_hosts = sum(
             count
-            for reachable, count in asking.items()
+            for reachable, count in host_count_by_arbiters.items()
             if self._arbiter_of(team, reachable) == self.own_host
         )
-        gain = 1.0 + OVERSHOOT_PART * self.bounds.overshoot
-        return min(1.0, gain * covered / max(1, self.hosts))
+        overshoot_factor = 1.0 + OVERSHOOT_FRACTION * self.bounds.overshoot
+        return min(
+            1.0, overshoot_factor * covered_hosts / max(1, self.host_count)
+        )
 
     def _arbiter_of(self, team: str, reachable: tuple[str, ...]) -> str:
-        choice = (team, reachable)
-        chosen = self._arbiter_by_choice.get(choice)
+        query = (team, reachable)
+        chosen = self._arbiter_by_query.get(query)
         if chosen is None:
-            if len(self._arbiter_by_choice) > 4096:
-                self._arbiter_by_choice.clear()
-            chosen = arbiter_of(team, reachable, self.own_host)
-            self._arbiter_by_choice[choice] = chosen
+            if len(self._arbiter_by_query) > 4096:
+                self._arbiter_by_query.clear()
+            chosen = choose_arbiter(team, reachable, self.own_host)
+            self._arbiter_by_query[query] = chosen
         return chosen
 
-    def _fill(self, team: _table.Team, part: float, now_s: float) -> _Bucket:
+    def _refill_bucket(
+        self, team: _table.Team, share: float, now_s: float
+    ) -> _Bucket:
         bucket = self._bucket_by_team.setdefault(
             team.name, _Bucket(0.0, now_s, 0.0)
         )
-        rate = RATE_MARGIN * team.rate_per_s * part
-        minted = rate * max(0.0, now_s - bucket.filled_at_s)
-        gained = max(0.0, part - bucket.part)
-        minted += RATE_MARGIN * team.rate_per_s * gained * TAKEOVER_S
-        size = max(1.0, team.burst * part) if part > 0.0 else 0.0
-        bucket.tokens = min(size, bucket.tokens + minted)
+        rate = RATE_MARGIN * team.rate_per_s * share
+        added = rate * max(0.0, now_s - bucket.filled_at_s)
+        gained_share = max(0.0, share - bucket.rate_share)
+        added += (
+            RATE_MARGIN * team.rate_per_s * gained_share * TAKEOVER_CREDIT_S
+        )
+        capacity = max(1.0, team.burst * share) if share > 0.0 else 0.0
+        bucket.tokens = min(capacity, bucket.tokens + added)
         bucket.filled_at_s = max(bucket.filled_at_s, now_s)
-        bucket.part = part
+        bucket.rate_share = share
         return bucket
--- a/src/jasminecrank/mesh/state/_table.py
+++ b/src/jasminecrank/mesh/state/_table.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class SplitPart:
+class WeightedService:
     """A service and its weight in a route."""
 
     service: str
@@ -29,7 +29,7 @@
     """Latency objective, from the caller's first attempt."""
     priority: int
     """0 is the most urgent."""
-    parts: tuple[SplitPart, ...]
+    weighted_services: tuple[WeightedService, ...]
     max_attempts: int
     """Backend servers that one request may be sent to."""
     open_to_all: bool
@@ -44,7 +44,7 @@
     health_path: str
     max_connections: int
     cold_start_s: float
-    cold_per_s: float
+    cold_rate_per_s: float
     """Requests per second that a cold backend server bears."""
 
 
@@ -103,11 +103,11 @@
                     raise ValueError(f"team {team.name!r} shares a key")
         routes_by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
-            for part in route.parts:
-                if part.service not in service_by_name:
+            for weighted in route.weighted_services:
+                if weighted.service not in service_by_name:
                     raise ValueError(
                         f"route {route.name!r} names service "
-                        f"{part.service!r}, which is not in the table"
+                        f"{weighted.service!r}, which is not in the table"
                     )
             by_prefix = routes_by_host.setdefault(route.host, {})
             by_prefix[route.prefix] = route
--- a/src/jasminecrank/platform/_entries.py
+++ b/src/jasminecrank/platform/_entries.py
@@ -21,18 +21,18 @@
     def __init__(self) -> None:
         self._known_by_name: dict[str, tuple[_Fields, state.Route]] = {}
 
-    def decode(self, key: str, value: bytes) -> state.Published:
+    def decode(self, key: str, value: bytes) -> state.PublishedEntry:
         """Return what an entry says; Unreadable if it can't be used."""
         try:
             if key.startswith(EVACUATE_PREFIX):
-                return state.DataCentreOut(key.removeprefix(EVACUATE_PREFIX))
+                return state.DataCentreOutEntry(
+                    key.removeprefix(EVACUATE_PREFIX)
+                )
             if key == CONFIG_KEY:
-                return state.TablePublished(self._table(json.loads(value)))
+                return state.TableEntry(self._table(json.loads(value)))
             if key.startswith(SERVERS_PREFIX):
                 server_id = key.removeprefix(SERVERS_PREFIX)
-                return state.ServerPublished(
-                    _server(server_id, json.loads(value))
-                )
+                return state.ServerEntry(_server(server_id, json.loads(value)))
         except (
             ValueError,
             KeyError,
@@ -40,8 +40,8 @@
             AttributeError,
             RecursionError,
         ) as error:
-            return state.Unreadable(f"{type(error).__name__}: {error}")
-        return state.Unreadable("unknown key")
+            return state.InvalidEntry(f"{type(error).__name__}: {error}")
+        return state.InvalidEntry("unknown key")
 
     def _table(self, config: _Fields) -> state.Table:
         specs_by_kind: dict[str, list[_Fields]] = {}
@@ -87,17 +87,17 @@
         slots=_whole(info, "slots", least=1),
         state=state.ServerState(_text(status, "state")),
         cold_left_s=max(0, _whole(status, "coldLeftMs")) / 1000,
-        born_ms=_whole(entry, "born") if "born" in entry else 0,
+        created_at_ms=_whole(entry, "born") if "born" in entry else 0,
     )
 
 
 def _route(spec: _Fields) -> state.Route:
     parts = [
-        state.SplitPart(_text(part, "service"), _number(part, "weight"))
+        state.WeightedService(_text(part, "service"), _number(part, "weight"))
         for part in spec.get("split") or []
     ]
     if not parts:
-        parts = [state.SplitPart(_text(spec, "service"), 1.0)]
+        parts = [state.WeightedService(_text(spec, "service"), 1.0)]
     # "safe" is the only kind that promises that repeats do no harm.
     kind = state.RouteKind.AT_MOST_ONCE
     if spec.get("kind") == "safe":
@@ -111,7 +111,7 @@
         timeout_s=float(timeout_ms) / 1000 if timeout_ms > 0 else None,
         target_s=float(spec.get("targetLatencyMs") or 1000) / 1000,
         priority=int(spec.get("priority") or 0),
-        parts=tuple(part for part in parts if part.weight > 0),
+        weighted_services=tuple(part for part in parts if part.weight > 0),
         max_attempts=max(1, int(spec.get("maxAttempts") or 1)),
         open_to_all=bool(spec.get("public", False)),
         home_regions=frozenset(spec.get("homeRegions") or ()),
@@ -124,7 +124,7 @@
         health_path=_text(spec, "healthPath"),
         max_connections=int(spec.get("maxConns") or 0),
         cold_start_s=float(spec.get("coldStartS") or 0),
-        cold_per_s=float(spec.get("coldPerS") or 0),
+        cold_rate_per_s=float(spec.get("coldPerS") or 0),
     )
 
 
--- a/src/jasminecrank/platform/_headers.py
+++ b/src/jasminecrank/platform/_headers.py
@@ -53,14 +53,16 @@
             headers=raw.headers,
             body=raw.body,
             key=_key(protocol.header(raw.headers, b"authorization")),
-            patience_s=_seconds(protocol.header(raw.headers, b"deadline-ms")),
+            caller_timeout_s=_seconds(
+                protocol.header(raw.headers, b"deadline-ms")
+            ),
         )
 
     def write_reply(
         self, reply: state.Reply, request: state.CallRequest | None
     ) -> protocol.RawAnswer:
         """Return the answer that a caller gets."""
-        if isinstance(reply, state.Answer):
+        if isinstance(reply, state.Response):
             return protocol.RawAnswer(
                 reply.status,
                 reply.reason,
@@ -117,7 +119,7 @@
                 True,
             )
         return state.Served(
-            state.Answer(raw.status, raw.reason, raw.headers, raw.body),
+            state.Response(raw.status, raw.reason, raw.headers, raw.body),
             run_s,
         )
 
--- a/src/jasminecrank/platform/_settings.py
+++ b/src/jasminecrank/platform/_settings.py
@@ -44,7 +44,7 @@
             _number(bounds, "quotaOvershoot", 0.25),
             _number(bounds, "quotaSlack", 20.0),
         ),
-        retries=state.RetryBounds(
+        retries=state.RetryBudgetBounds(
             _number(bounds, "retryBudgetRatio", 0.2),
             _number(bounds, "budgetWindowS", 10.0),
             _number(bounds, "budgetSlack", 20.0),
--- a/src/jasminecrank/platform/_store.py
+++ b/src/jasminecrank/platform/_store.py
@@ -108,10 +108,10 @@
 )
 
 
-def _item(entry: dict[str, typing.Any]) -> state.Item:
+def _item(entry: dict[str, typing.Any]) -> state.SourceItem:
     if entry.get("tombstone"):
-        return state.Item(str(entry["key"]), int(entry["rev"]), None)
-    return state.Item(
+        return state.SourceItem(str(entry["key"]), int(entry["rev"]), None)
+    return state.SourceItem(
         str(entry["key"]),
         int(entry["rev"]),
         base64.b64decode(entry["value"]),
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -106,7 +106,7 @@
             backend_server=settings.Endpoint(host, self._ports["server"]),
             source=settings.Endpoint("127.0.0.1", self._store_port),
             quota=state.QuotaBounds(5.0, 0.25, 20.0),
-            retries=state.RetryBounds(0.2, 10.0, 56.0),
+            retries=state.RetryBudgetBounds(0.2, 10.0, 56.0),
             stop_grace_s=6.0,
             drain_s=2.0,
         )
--- a/src/jasminecrank/standins/fleet/_load_model.py
+++ b/src/jasminecrank/standins/fleet/_load_model.py
@@ -115,9 +115,9 @@
 class _Server:
     number: int
     entry: state.BackendServer
-    gate: state.Gate
+    gate: state.AdmissionController
     speed: float
-    told: state.Load | None = None
+    told: state.ServerLoad | None = None
     told_at_s: float = -1.0
     request_by_call: dict[int, _Request] = field(default_factory=dict)
 
@@ -176,14 +176,14 @@
             0.0,
             0,
         )
-        gate = state.Gate(slots=scenario.slots)
-        gate.server_up(entry.server_id, 0.0, 0.0)
+        gate = state.AdmissionController(slots=scenario.slots)
+        gate.mark_server_up(entry.server_id, 0.0, 0.0)
         speed = scenario.speeds[number % len(scenario.speeds)]
         return _Server(number, entry, gate, speed)
 
     def _choose_known(self, number: int) -> list[_Server]:
         own = self._servers[number].entry
-        fleet = state.Fleet(
+        fleet = state.FleetSnapshot(
             None,
             {server.entry.server_id: server.entry for server in self._servers},
             {},
@@ -223,11 +223,11 @@
 
     def _place(self, request: _Request) -> None:
         server = self._choose(request)
-        if server is None or len(request.tried) >= state.MAX_PLACES:
+        if server is None or len(request.tried) >= state.MAX_SERVERS_TRIED:
             self._refuse(request, 0.1)
             return
         request.tried.add(server.entry.server_id)
-        self._placements[request.entry].sent(server.entry.host)
+        self._placements[request.entry].record_sent(server.entry.host)
         self._at(self._now_s + HOP_S, lambda: self._offer(request, server))
 
     def _choose(self, request: _Request) -> _Server | None:
@@ -260,7 +260,7 @@
     def _offer(self, request: _Request, server: _Server) -> None:
         call_id = next(self._calls)
         kind = request.kind
-        ticket = state.Ticket(
+        ticket = state.AdmissionRequest(
             call_id,
             0,
             kind.rank,
@@ -268,12 +268,12 @@
             request.begun_s + kind.deadline_s,
             request.begun_s + kind.target_s,
         )
-        decision = server.gate.offer(ticket, self._now_s)
+        decision = server.gate.submit(ticket, self._now_s)
         match decision:
-            case state.Start():
+            case state.Admit():
                 server.request_by_call[call_id] = request
                 self._start(server, call_id)
-            case state.Wait():
+            case state.Enqueue():
                 server.request_by_call[call_id] = request
             case state.Reject():
                 self._at(self._now_s + HOP_S, lambda: self._place(request))
@@ -294,20 +294,22 @@
     def _end(self, server: _Server, call_id: int, run_s: float) -> None:
         request = server.request_by_call.pop(call_id)
         now_s = self._now_s
-        server.gate.finished(request.kind.name, run_s, False, now_s)
+        server.gate.record_completion(request.kind.name, run_s, False, now_s)
         busy = server.gate.in_flight + server.gate.queued
-        self._placements[request.entry].answered(server.entry.host, busy)
+        self._placements[request.entry].record_response(
+            server.entry.host, busy
+        )
         own = self._servers[request.entry].entry.data_centre
         self.outcome.other_data_centre += own != server.entry.data_centre
         if now_s + HOP_S - request.begun_s <= request.kind.target_s:
             self.outcome.in_target += 1
         else:
             self.outcome.late += 1
-        released = server.gate.release(now_s)
+        released = server.gate.release_queued(now_s)
         for ticket in released.expired:
             expired = server.request_by_call.pop(ticket.call_id)
             self._refuse(expired, 0.1)
-        for ticket in released.start:
+        for ticket in released.admitted:
             self._start(server, ticket.call_id)
 
     def _refuse(self, request: _Request, retry_after_s: float) -> None:
@@ -327,12 +329,12 @@
             known = server.told
             due = now_s - server.told_at_s >= TELL_S
             changed = known is None or (
-                load.is_other_server(known) or load.differs(known)
+                load.server_changed(known) or load.load_changed(known)
             )
             if due or changed:
                 server.told, server.told_at_s = load, now_s
                 for entry in self._knowing[server.number]:
-                    self._placements[entry].told(
+                    self._placements[entry].record_load(
                         server.entry.host, load, now_s
                     )
         if now_s < self._scenario.duration_s:
