--- a/features/steps/mesh_exchange_steps.py
+++ b/features/steps/mesh_exchange_steps.py
@@ -18,8 +18,8 @@
 
 DELAY_S = 0.002
 TICK_S = 0.05
-TELL_S = 0.4
-LINKS = 12
+REPORT_PERIOD_S = 0.4
+LINKS_PER_NODE = 12
 """Hosts that each node dials besides the readers, in a large fleet."""
 
 
@@ -56,20 +56,20 @@
     received: list = field(default_factory=list)
 
 
-class Net:
+class Network:
     """Delivers messages between hosts after a delay."""
 
     def __init__(self, hosts):
         self.now_s = 0.0
         self.hosts = [self.make_host(number) for number in range(hosts)]
-        self.deaf_pairs = set()
+        self.dropped_pairs = set()
         self._queue = []
         self._order = itertools.count()
         self._sends = {}
         rng = random.Random(5)
         for host in self.hosts:
             others = [other for other in range(hosts) if other != host.number]
-            chosen = set(rng.sample(others, min(len(others), LINKS)))
+            chosen = set(rng.sample(others, min(len(others), LINKS_PER_NODE)))
             chosen |= {0, 1, 2} - {host.number}
             for other in chosen:
                 self.hosts[other].accepted.append(host.number)
@@ -86,7 +86,7 @@
         if key not in self._sends:
 
             def send(message):
-                if key not in self.deaf_pairs:
+                if key not in self.dropped_pairs:
                     entry = (self.now_s + DELAY_S, next(self._order))
                     heapq.heappush(self._queue, (*entry, key, message))
 
@@ -120,42 +120,46 @@
         return None
 
     def _tick(self, host, ticks):
-        host.exchange.ask_wanted(self.now_s)
-        host.exchange.look_for_gaps(self.now_s)
-        if (ticks + host.number) % round(TELL_S / TICK_S) == 0:
+        host.exchange.request_pending(self.now_s)
+        host.exchange.check_gaps(self.now_s)
+        if (ticks + host.number) % round(REPORT_PERIOD_S / TICK_S) == 0:
             load = state.Load("i", 0, 0, 1, 0.1, 0.0, True)
-            told = coordination.LoadTold.from_load(
+            report = coordination.LoadReported.from_load(
                 load, 0.0, host.directory.revision, host.directory.digest
             )
             for other in host.accepted:
-                self.send_to(host.number, other)(told)
+                self.send_to(host.number, other)(report)
 
     def _deliver(self):
         at_s, _, (sender, receiver), message = heapq.heappop(self._queue)
         self.now_s = max(self.now_s, at_s)
         host = self.hosts[receiver]
-        if not isinstance(message, coordination.LoadTold):
+        if not isinstance(message, coordination.LoadReported):
             host.received.append(message)
             host.received_bytes += len(protocol.encode(message))
-        back = self.send_to(receiver, sender)
+        reply = self.send_to(receiver, sender)
         learned = []
         match message:
-            case coordination.LoadTold():
-                host.exchange.peer_told(back, message.revision, message.digest)
-            case coordination.ItemsTold(items):
+            case coordination.LoadReported():
+                host.exchange.peer_reported(
+                    reply, message.revision, message.digest
+                )
+            case coordination.ItemsSent(items):
                 learned = [state.Item(*item) for item in items]
             case coordination.ItemPatched():
-                learned = host.exchange.patched(message, back, self.now_s)
+                learned = host.exchange.handle_patched(
+                    message, reply, self.now_s
+                )
             case coordination.ItemsAnnounced():
-                learned = host.exchange.announced(
-                    message, back, receiver < 3, self.now_s
+                learned = host.exchange.handle_announced(
+                    message, reply, receiver < 3, self.now_s
                 )
-            case coordination.ItemsWanted():
-                host.exchange.answer_wanted(message, back)
-            case coordination.ListingWanted():
-                host.exchange.answer_listing(back)
+            case coordination.ItemsRequested():
+                host.exchange.send_requested(message, reply)
+            case coordination.ListingRequested():
+                host.exchange.send_listing(reply)
         fresh = host.directory.offer(learned, self.now_s)
-        host.exchange.arrived(fresh)
+        host.exchange.mark_received(fresh)
 
 
 def item(key, revision, value):
@@ -165,7 +169,7 @@
 
 @given("{hosts:d} nodes with a table of {rows:d} rows")
 def step_nodes(context, hosts, rows):
-    context.net = Net(hosts)
+    context.net = Network(hosts)
     context.rows = rows
     first = [
         item("table", 1, table_value(1, rows)),
@@ -180,11 +184,11 @@
     context.net.run(1.0)
 
 
-def third(context):
+def third_of_links(context):
     """Return the pairs by which a third of the nodes hear the readers."""
     hosts = len(context.net.hosts)
-    deaf = [number for number in range(3, hosts) if number % 3 == 0]
-    return {(reader, number) for reader in range(3) for number in deaf}
+    cut_off = [number for number in range(3, hosts) if number % 3 == 0]
+    return {(reader, number) for reader in range(3) for number in cut_off}
 
 
 def change_table(context, rows):
@@ -195,10 +199,10 @@
     for reader in range(3):
         context.net.read(reader, [item("table", revision, value)])
 
-    def has_it(host):
+    def has_change(host):
         return host.directory.table.version == revision
 
-    context.has_it = has_it
+    context.has_change = has_change
 
 
 @when("one of 3 readers reads a change of {rows:d} rows")
@@ -211,7 +215,7 @@
     "unheard by a third of the nodes"
 )
 def step_change_unheard(context, rows):
-    context.net.deaf_pairs = third(context)
+    context.net.dropped_pairs = third_of_links(context)
     change_table(context, rows)
 
 
@@ -220,29 +224,29 @@
     "after a change that was unheard by a third of the nodes"
 )
 def step_change_after_unheard(context, rows):
-    context.net.deaf_pairs = third(context)
+    context.net.dropped_pairs = third_of_links(context)
     change_table(context, rows)
-    context.net.deaf_pairs = set()
+    context.net.dropped_pairs = set()
     change_table(context, rows)
 
 
 @when("a reader reads {what}, unheard by a third of the nodes")
 def step_entry_unheard(context, what):
-    context.net.deaf_pairs = third(context)
+    context.net.dropped_pairs = third_of_links(context)
     context.revision += 1
     match what:
         case "a new server":
-            news = item("i-new", context.revision, b"server ready")
+            changed = item("i-new", context.revision, b"server ready")
         case "a server's removal":
-            news = item("i-1", context.revision, None)
+            changed = item("i-1", context.revision, None)
     for reader in range(3):
-        context.net.read(reader, [news])
+        context.net.read(reader, [changed])
 
-    def has_it(host):
-        there = news.key in host.directory.fleet().server_by_id
-        return there == (news.value is not None)
+    def has_change(host):
+        there = changed.key in host.directory.fleet().server_by_id
+        return there == (changed.value is not None)
 
-    context.has_it = has_it
+    context.has_change = has_change
 
 
 @when("a node starts anew and hears only its peers")
@@ -252,8 +256,8 @@
     fresh.accepted = net.hosts[5].accepted
     net.hosts[5] = fresh
     for other in fresh.accepted:
-        net.send_to(5, other)(coordination.ListingWanted())
-    context.has_it = lambda host: host.directory.table is not None
+        net.send_to(5, other)(coordination.ListingRequested())
+    context.has_change = lambda host: host.directory.table is not None
 
 
 @when("nothing changes for {seconds:g} s")
@@ -265,10 +269,10 @@
 @then("every node knows that within {within:g} s")
 def step_all_have(context, within):
     net = context.net
-    begun_s = net.now_s
-    at_s = net.run(within, lambda: all(map(context.has_it, net.hosts)))
-    late = [host.number for host in net.hosts if not context.has_it(host)]
-    assert at_s is not None, (begun_s, net.now_s, late)
+    started_s = net.now_s
+    at_s = net.run(within, lambda: all(map(context.has_change, net.hosts)))
+    late = [host.number for host in net.hosts if not context.has_change(host)]
+    assert at_s is not None, (started_s, net.now_s, late)
 
 
 @then("each node has been sent at most {most:d} bytes for it")
--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -69,7 +69,7 @@
         r'Reject\("([^"]+)"',
         r'MayHaveRun\("([^"]+)"\)',
         r'_refuse\([^)"]*"([^"]+)"',
-        r'^(?:RESET|GARBLED|CUT|MOVED) = "([^"]+)"',
+        r'^(?:RESET|GARBLED|CUT|SERVER_GONE) = "([^"]+)"',
     ):
         found = set(re.findall(pattern, text, re.MULTILINE))
         assert found, pattern
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -354,7 +354,7 @@
 
     if event == "has restarted unlisted":
         # A node that has just started takes its server's word.
-        context.runner.run(asyncio.sleep(coordination.UNLISTED_S))
+        context.runner.run(asyncio.sleep(coordination.LISTING_GRACE_S))
     context.runner.run(act())
 
 
--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -14,14 +14,14 @@
 from jasminecrank.mesh import state
 
 DELAY_S = 0.002
-LATE_S = 0.4
+LATE_DELAY_S = 0.4
 """Delay of an arbiter that answers late."""
 TICK_S = 0.1
 SILENT_AFTER_S = 1.0
 """Time after which nodes notice that another says nothing."""
 
 
-class SilentLog:
+class NullLog:
     """A log that drops everything."""
 
     def decision(self, event, **fields):
@@ -40,7 +40,7 @@
         self.answers = {}
         self.asked_at_s = {}
         self.messages = 0
-        self.cut = set()
+        self.disconnected = set()
         self.names = [f"10.0.0.{number}" for number in range(hosts)]
         servers = {
             f"i-{name}": mesh_directory_steps.make_server(
@@ -50,27 +50,27 @@
         }
         table = mesh_state_steps.make_table(1, teams=[(team, ())])
         self.fleet = state.Fleet(table, servers, {}, frozenset())
-        self.task_by_name = {name: self.make(name) for name in self.names}
+        self.task_by_name = {name: self.make_task(name) for name in self.names}
         for name in self.names:
-            self.join(name)
+            self.connect(name)
         self.run(10.0)
 
     def now_s(self):
         """Return the virtual time."""
         return self.now
 
-    def make(self, name):
+    def make_task(self, name):
         """Return a new task."""
 
         def answer(message):
             self.answers[message.number] = (message, self.now)
 
         arbiter = state.QuotaArbiter(name, mesh_budget_steps.BOUNDS)
-        return coordination.QuotaTask(name, arbiter, answer, self, SilentLog())
+        return coordination.QuotaTask(name, arbiter, answer, self, NullLog())
 
-    def join(self, name):
+    def connect(self, name):
         """Link a node to all others, both ways."""
-        self.cut.discard(name)
+        self.disconnected.discard(name)
         for other in self.names:
             if other != name:
                 self.tell(
@@ -108,14 +108,16 @@
     def deliver(self):
         """Deliver the next message."""
         self.now, _, sender, receiver, message = heapq.heappop(self.queue)
-        if self.cut & {sender, receiver}:
+        if self.disconnected & {sender, receiver}:
             return
         match message:
             case coordination.TokensGranted():
-                told = coordination.PeerGranted(sender, message)
+                told = coordination.ArbiterGranted(sender, message)
             case _:
-                back = self.send(receiver, sender)
-                told = coordination.PeerAsked(sender, message, back)
+                reply = self.send(receiver, sender)
+                told = coordination.RequesterMessageReceived(
+                    sender, message, reply
+                )
         self.tell(receiver, told)
 
     def run(self, for_s):
@@ -135,22 +137,22 @@
     def ask(self, name, number):
         """Let a call of a node ask for a token."""
         self.asked_at_s[number] = self.now
-        self.tell(name, coordination.QuotaAsked(number, self.team))
+        self.tell(name, coordination.QuotaRequested(number, self.team))
 
     def arbiter(self):
         """Return the team's arbiter while all nodes reach each other."""
         chosen = state.arbiters(self.fleet)
         return state.arbiter_of(self.team.name, chosen, "")
 
-    def lose(self, name):
+    def disconnect(self, name):
         """Close the links of a node."""
-        self.cut.add(name)
+        self.disconnected.add(name)
         for other in self.names:
             if other != name:
                 self.tell(other, coordination.PeerDown(name))
-                self.tell(other, coordination.CallersLost(name))
+                self.tell(other, coordination.RequesterDisconnected(name))
                 self.tell(name, coordination.PeerDown(other))
-                self.tell(name, coordination.CallersLost(other))
+                self.tell(name, coordination.RequesterDisconnected(other))
 
 
 @given(
@@ -160,7 +162,7 @@
     context.nodes = Nodes(hosts, state.Team("team-a", None, rate, burst))
 
 
-def cause(nodes, fault):
+def inject_fault(nodes, fault):
     """Bring a fault about; return the nodes that have no calls."""
     arbiter = nodes.arbiter()
     match fault:
@@ -169,28 +171,28 @@
         case "the team's arbiter falls silent":
             nodes.delay_by_host[arbiter] = 1e9
         case "the team's arbiter answers late":
-            nodes.delay_by_host[arbiter] = LATE_S
+            nodes.delay_by_host[arbiter] = LATE_DELAY_S
         case "the team's arbiter loses its links":
-            nodes.lose(arbiter)
+            nodes.disconnect(arbiter)
         case "three arbiters lose their links":
-            lost = {arbiter, *state.arbiters(nodes.fleet)[:3]}
-            for name in lost:
-                nodes.lose(name)
-            return tuple(lost)
+            disconnected_names = {arbiter, *state.arbiters(nodes.fleet)[:3]}
+            for name in disconnected_names:
+                nodes.disconnect(name)
+            return tuple(disconnected_names)
         case "an arbiter starts anew":
-            nodes.lose(arbiter)
-            nodes.task_by_name[arbiter] = nodes.make(arbiter)
-            nodes.join(arbiter)
+            nodes.disconnect(arbiter)
+            nodes.task_by_name[arbiter] = nodes.make_task(arbiter)
+            nodes.connect(arbiter)
         case "every node is alone":
             for name in nodes.names:
-                nodes.lose(name)
+                nodes.disconnect(name)
     return (arbiter,)
 
 
 @when("{fault} and then each node has {calls:d} calls in a second")
 def step_calls(context, fault, calls):
     nodes = context.nodes
-    absent = cause(nodes, fault)
+    absent = inject_fault(nodes, fault)
     if fault == "every node is alone":
         absent = ()
     number = 0
--- a/features/steps/platform_header_steps.py
+++ b/features/steps/platform_header_steps.py
@@ -25,8 +25,8 @@
         body=b"",
         rank=0,
         idempotent=True,
-        left_s=0.5,
-        target_left_s=0.3,
+        remaining_s=0.5,
+        target_remaining_s=0.3,
         caller_service="ledger",
         team="huka270",
     )
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -36,13 +36,13 @@
         (b"Deadline-Ms", b"2000"),
     )
     return {
-        "load report": coordination.LoadTold.from_load(
+        "load report": coordination.LoadReported.from_load(
             make_load(1), 0.5, 1234, 2**47
         ),
         f"presence, {state.ARBITERS} arbiters": coordination.Presence(
             tuple(f"10.1.0.{number}" for number in range(state.ARBITERS))
         ),
-        "request for tokens": coordination.TokensAsked("huka270", 1),
+        "request for tokens": coordination.TokensRequested("huka270", 1),
         "answer to it": coordination.TokensGranted("huka270", 1, 0),
         "call, no body": coordination.CallSent(
             1,
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -7,19 +7,24 @@
     EntryExchange as EntryExchange,
 )
 from jasminecrank.mesh.coordination._fleet import Closable as Closable
+from jasminecrank.mesh.coordination._fleet import FLEET_TICK_S as FLEET_TICK_S
 from jasminecrank.mesh.coordination._fleet import FleetPorts as FleetPorts
 from jasminecrank.mesh.coordination._fleet import FleetTask as FleetTask
-from jasminecrank.mesh.coordination._fleet import TICK_S as TICK_S
 from jasminecrank.mesh.coordination._gate import (
     BackendServerPort as BackendServerPort,
 )
 from jasminecrank.mesh.coordination._gate import GateTask as GateTask
-from jasminecrank.mesh.coordination._gate import MOVED as MOVED
-from jasminecrank.mesh.coordination._gate import UNLISTED_S as UNLISTED_S
+from jasminecrank.mesh.coordination._gate import (
+    LISTING_GRACE_S as LISTING_GRACE_S,
+)
+from jasminecrank.mesh.coordination._gate import SERVER_GONE as SERVER_GONE
 from jasminecrank.mesh.coordination._mailbox import Clock as Clock
 from jasminecrank.mesh.coordination._mailbox import Log as Log
 from jasminecrank.mesh.coordination._mailbox import Mailbox as Mailbox
 from jasminecrank.mesh.coordination._mailbox import MailboxTask as MailboxTask
+from jasminecrank.mesh.coordination._messages import (
+    ArbiterGranted as ArbiterGranted,
+)
 from jasminecrank.mesh.coordination._messages import (
     AttemptEnded as AttemptEnded,
 )
@@ -27,9 +32,13 @@
     BoundsChanged as BoundsChanged,
 )
 from jasminecrank.mesh.coordination._messages import CallArrived as CallArrived
-from jasminecrank.mesh.coordination._messages import CallerLeft as CallerLeft
-from jasminecrank.mesh.coordination._messages import CallersLost as CallersLost
-from jasminecrank.mesh.coordination._messages import CallTimeUp as CallTimeUp
+from jasminecrank.mesh.coordination._messages import (
+    CallDeadlineReached as CallDeadlineReached,
+)
+from jasminecrank.mesh.coordination._messages import (
+    CallerDisconnected as CallerDisconnected,
+)
+from jasminecrank.mesh.coordination._messages import CancelCall as CancelCall
 from jasminecrank.mesh.coordination._messages import ChangesRead as ChangesRead
 from jasminecrank.mesh.coordination._messages import (
     EntryMessage as EntryMessage,
@@ -45,37 +54,44 @@
 from jasminecrank.mesh.coordination._messages import GateTick as GateTick
 from jasminecrank.mesh.coordination._messages import Health as Health
 from jasminecrank.mesh.coordination._messages import (
-    HealthLearned as HealthLearned,
+    HealthChecked as HealthChecked,
 )
 from jasminecrank.mesh.coordination._messages import LinkClosed as LinkClosed
 from jasminecrank.mesh.coordination._messages import LinkEnded as LinkEnded
 from jasminecrank.mesh.coordination._messages import LinkOpened as LinkOpened
 from jasminecrank.mesh.coordination._messages import ListingRead as ListingRead
-from jasminecrank.mesh.coordination._messages import LoadLearned as LoadLearned
-from jasminecrank.mesh.coordination._messages import PeerAsked as PeerAsked
+from jasminecrank.mesh.coordination._messages import LoadUpdated as LoadUpdated
 from jasminecrank.mesh.coordination._messages import PeerDown as PeerDown
-from jasminecrank.mesh.coordination._messages import PeerGranted as PeerGranted
-from jasminecrank.mesh.coordination._messages import PeerSaid as PeerSaid
+from jasminecrank.mesh.coordination._messages import (
+    PeerMessageReceived as PeerMessageReceived,
+)
 from jasminecrank.mesh.coordination._messages import PeerSilent as PeerSilent
 from jasminecrank.mesh.coordination._messages import PeerUp as PeerUp
 from jasminecrank.mesh.coordination._messages import (
-    QuotaAnswered as QuotaAnswered,
+    QuotaDecided as QuotaDecided,
 )
-from jasminecrank.mesh.coordination._messages import QuotaAsked as QuotaAsked
 from jasminecrank.mesh.coordination._messages import (
     QuotaMessage as QuotaMessage,
 )
+from jasminecrank.mesh.coordination._messages import (
+    QuotaRequested as QuotaRequested,
+)
 from jasminecrank.mesh.coordination._messages import QuotaTick as QuotaTick
 from jasminecrank.mesh.coordination._messages import QuotaUnused as QuotaUnused
+from jasminecrank.mesh.coordination._messages import (
+    RequesterDisconnected as RequesterDisconnected,
+)
+from jasminecrank.mesh.coordination._messages import (
+    RequesterMessageReceived as RequesterMessageReceived,
+)
 from jasminecrank.mesh.coordination._messages import RunCall as RunCall
 from jasminecrank.mesh.coordination._messages import RunEnded as RunEnded
 from jasminecrank.mesh.coordination._messages import SourceLost as SourceLost
 from jasminecrank.mesh.coordination._messages import (
-    SourceReturned as SourceReturned,
+    SourceRecovered as SourceRecovered,
 )
-from jasminecrank.mesh.coordination._messages import Stopping as Stopping
 from jasminecrank.mesh.coordination._messages import (
-    WithdrawCall as WithdrawCall,
+    StopRequested as StopRequested,
 )
 from jasminecrank.mesh.coordination._open_calls import (
     attempt_ended as attempt_ended,
@@ -101,15 +117,17 @@
     ItemsAnnounced as ItemsAnnounced,
 )
 from jasminecrank.mesh.coordination._peer_messages import (
-    ItemsTold as ItemsTold,
+    ItemsRequested as ItemsRequested,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    ItemsSent as ItemsSent,
 )
 from jasminecrank.mesh.coordination._peer_messages import (
-    ItemsWanted as ItemsWanted,
+    ListingRequested as ListingRequested,
 )
 from jasminecrank.mesh.coordination._peer_messages import (
-    ListingWanted as ListingWanted,
+    LoadReported as LoadReported,
 )
-from jasminecrank.mesh.coordination._peer_messages import LoadTold as LoadTold
 from jasminecrank.mesh.coordination._peer_messages import (
     PeerMessage as PeerMessage,
 )
@@ -118,10 +136,10 @@
     SendToPeer as SendToPeer,
 )
 from jasminecrank.mesh.coordination._peer_messages import (
-    TokensAsked as TokensAsked,
+    TokensGranted as TokensGranted,
 )
 from jasminecrank.mesh.coordination._peer_messages import (
-    TokensGranted as TokensGranted,
+    TokensRequested as TokensRequested,
 )
 from jasminecrank.mesh.coordination._quota import QuotaTask as QuotaTask
 from jasminecrank.mesh.coordination._source import Changes as Changes
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -10,9 +10,9 @@
 from jasminecrank.mesh.coordination import _open_calls
 from jasminecrank.mesh.coordination import _peer_messages
 
-QUOTA_WAIT_S = 0.08
+QUOTA_WAIT_MAX_S = 0.08
 """Longest wait for a token, well inside the shortest objective."""
-MIN_REPEAT_S = 0.03
+MIN_ATTEMPT_S = 0.03
 """Time left below which another attempt is pointless."""
 REFUSE_WAIT_TARGETS = 2.0
 """Expected wait, in objectives, at which a call is refused unsent."""
@@ -61,13 +61,13 @@
         self._quota = quota
         self._clock = clock
         self._rng = rng
-        self._split = state.SplitChooser()
+        self._split_chooser = state.SplitChooser()
         self._fleet = state.Fleet(None, {}, {}, frozenset())
         self._call_by_number: dict[int, _open_calls.OpenCall] = {}
         self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
 
     @property
-    def busy(self) -> int:
+    def open_calls(self) -> int:
         """Return how many calls have no answer yet."""
         return len(self._call_by_number)
 
@@ -77,7 +77,7 @@
         return self._budget.bounds
 
     @property
-    def peers(self) -> int:
+    def peer_count(self) -> int:
         """Return how many other hosts calls can be sent to."""
         return len(self._send_by_host)
 
@@ -85,20 +85,20 @@
         """Act on one message."""
         match message:
             case _messages.CallArrived():
-                self._arrived(message)
-            case _messages.CallerLeft(number):
-                self._caller_left(number)
-            case _messages.CallTimeUp(number):
-                self._time_up(number)
-            case _messages.QuotaAnswered():
-                self._quota_answered(message)
-            case _messages.AttemptEnded(number, host, result, busy):
-                if busy is not None:
-                    self._placement.answered(host, busy)
+                self._call_arrived(message)
+            case _messages.CallerDisconnected(number):
+                self._caller_disconnected(number)
+            case _messages.CallDeadlineReached(number):
+                self._deadline_reached(number)
+            case _messages.QuotaDecided():
+                self._quota_decided(message)
+            case _messages.AttemptEnded(number, host, result, active_calls):
+                if active_calls is not None:
+                    self._placement.answered(host, active_calls)
                 self._attempt_ended(number, host, result)
             case _messages.FleetChanged(fleet):
                 self._fleet_changed(fleet)
-            case _messages.LoadLearned(host, load):
+            case _messages.LoadUpdated(host, load):
                 self._placement.told(host, load, self._clock.now_s())
             case _messages.PeerUp(host, send):
                 self._send_by_host[host] = send
@@ -112,7 +112,7 @@
             case _:
                 typing.assert_never(message)
 
-    def _arrived(self, message: _messages.CallArrived) -> None:
+    def _call_arrived(self, message: _messages.CallArrived) -> None:
         request = message.request
         table = self._fleet.table
         if table is None:
@@ -134,14 +134,14 @@
                 return
         call = _open_calls.OpenCall.from_arrival(message, route, team)
         self._call_by_number[call.number] = call
-        left_s = call.deadline_at_s - self._clock.now_s()
+        remaining_s = call.deadline_at_s - self._clock.now_s()
         call.timer = asyncio.get_running_loop().call_later(
-            max(0.0, left_s),
+            max(0.0, remaining_s),
             self.mailbox.tell,
-            _messages.CallTimeUp(call.number),
+            _messages.CallDeadlineReached(call.number),
         )
         if team is not None and team.rate_per_s > 0.0:
-            self._quota.tell(_messages.QuotaAsked(call.number, team))
+            self._quota.tell(_messages.QuotaRequested(call.number, team))
         else:
             self._admit(call)
 
@@ -154,21 +154,24 @@
         self._log_refusal(message.request.request_id, kind, "", version)
         message.reply(state.Refusal(kind))
 
-    def _quota_answered(self, message: _messages.QuotaAnswered) -> None:
+    def _quota_decided(self, message: _messages.QuotaDecided) -> None:
         call = self._call_by_number.get(message.number)
         if call is None:
             return
         if message.granted:
-            call.charged = True
+            call.has_token = True
             self._admit(call)
             return
-        if not call.has_waited and message.wait_s <= QUOTA_WAIT_S:
-            call.has_waited = True
+        if (
+            not call.has_waited_for_token
+            and message.wait_s <= QUOTA_WAIT_MAX_S
+        ):
+            call.has_waited_for_token = True
             assert call.team is not None
             asyncio.get_running_loop().call_later(
                 message.wait_s,
                 self._quota.tell,
-                _messages.QuotaAsked(call.number, call.team),
+                _messages.QuotaRequested(call.number, call.team),
             )
             return
         self._finish(
@@ -182,9 +185,9 @@
 
     def _admit(self, call: _open_calls.OpenCall) -> None:
         now_s = self._clock.now_s()
-        call.service = self._split.choose(call.attempts.route)
+        call.service = self._split_chooser.choose(call.attempts.route)
         self._budget.first(call.service, now_s)
-        self._place(
+        self._dispatch(
             call,
             state.Refuse(
                 state.Refusal(
@@ -195,21 +198,23 @@
             ),
         )
 
-    def _place(
+    def _dispatch(
         self,
         call: _open_calls.OpenCall,
-        otherwise: state.Deliver | state.Refuse,
+        fallback: state.Deliver | state.Refuse,
     ) -> None:
         now_s = self._clock.now_s()
-        place = None
-        if call.deadline_at_s - now_s > MIN_REPEAT_S:
+        choice = None
+        if call.deadline_at_s - now_s > MIN_ATTEMPT_S:
             servers = self._candidates(call)
-            place = self._placement.choose(servers, call.attempts.tried, now_s)
-        if place is None:
-            self._settle(call, otherwise)
+            choice = self._placement.choose(
+                servers, call.attempts.tried, now_s
+            )
+        if choice is None:
+            self._conclude(call, fallback)
             return
         route = call.attempts.route
-        if place.wait_s > REFUSE_WAIT_TARGETS * route.target_s and (
+        if choice.wait_s > REFUSE_WAIT_TARGETS * route.target_s and (
             call.attempts.progress is state.Progress.UNSENT
         ):
             self._finish(
@@ -217,24 +222,24 @@
                 state.Refusal(
                     state.RefusalKind.OVERLOADED,
                     "expected wait",
-                    self._retry_after_s(call, place.wait_s),
+                    self._retry_after_s(call, choice.wait_s),
                 ),
             )
             return
-        self._send(call, place.server, now_s)
+        self._send(call, choice.server, now_s)
 
     def _candidates(
         self, call: _open_calls.OpenCall
     ) -> list[state.BackendServer]:
-        homes = call.attempts.route.home_regions
-        team_homes = (
+        route_regions = call.attempts.route.home_regions
+        team_regions = (
             frozenset() if call.team is None else call.team.home_regions
         )
         servers = []
         for server in self._fleet.usable(call.service):
             region = self._region_by_data_centre.get(server.data_centre, "")
-            if (homes and region not in homes) or (
-                team_homes and region not in team_homes
+            if (route_regions and region not in route_regions) or (
+                team_regions and region not in team_regions
             ):
                 continue
             if server.host == self._own_host or (
@@ -249,18 +254,20 @@
         server: state.BackendServer,
         now_s: float,
     ) -> None:
-        sent = call.send_to(server, self._own_service, now_s)
+        sent = call.start_attempt(server, self._own_service, now_s)
         self._placement.sent(server.host)
         if server.host == self._own_host:
-            self._gate.tell(_messages.RunCall(0, sent, self.local_reply))
+            self._gate.tell(
+                _messages.RunCall(0, sent, self.handle_local_reply)
+            )
             return
         self._send_by_host[server.host](sent)
 
-    def local_reply(self, message: _peer_messages.PeerMessage) -> None:
+    def handle_local_reply(self, message: _peer_messages.PeerMessage) -> None:
         """Take the own gate's answer on a call."""
-        self.peer_reply(self._own_host, message)
+        self.handle_peer_reply(self._own_host, message)
 
-    def peer_reply(
+    def handle_peer_reply(
         self, host: str, message: _peer_messages.PeerMessage
     ) -> None:
         """Take a gate's answer on a call."""
@@ -277,20 +284,20 @@
         call.host = None
         step = call.attempts.next_step(result)
         match step:
-            case state.TryElsewhere(is_repeat, otherwise, budget_part):
+            case state.TryElsewhere(is_repeat, fallback, budget_fraction):
                 now_s = self._clock.now_s()
                 if is_repeat and not self._budget.try_repeat(
-                    call.service, budget_part, now_s
+                    call.service, budget_fraction, now_s
                 ):
-                    self._settle(call, otherwise)
+                    self._conclude(call, fallback)
                     return
-                self._place(call, otherwise)
+                self._dispatch(call, fallback)
             case state.Deliver() | state.Refuse():
-                self._settle(call, step)
+                self._conclude(call, step)
             case _:
                 typing.assert_never(step)
 
-    def _settle(
+    def _conclude(
         self, call: _open_calls.OpenCall, step: state.Deliver | state.Refuse
     ) -> None:
         match step:
@@ -371,7 +378,7 @@
             **fields,
         )
 
-    def _caller_left(self, number: int) -> None:
+    def _caller_disconnected(self, number: int) -> None:
         call = self._call_by_number.pop(number, None)
         if call is None:
             return
@@ -386,7 +393,7 @@
             servers=call.servers,
         )
 
-    def _time_up(self, number: int) -> None:
+    def _deadline_reached(self, number: int) -> None:
         call = self._call_by_number.get(number)
         if call is None:
             return
@@ -397,7 +404,7 @@
         if call.host is None:
             return
         if call.host == self._own_host:
-            self._gate.tell(_messages.WithdrawCall(0, call.number))
+            self._gate.tell(_messages.CancelCall(0, call.number))
             return
         send = self._send_by_host.get(call.host)
         if send is not None:
--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -8,38 +8,38 @@
 from jasminecrank.mesh import state
 from jasminecrank.mesh.coordination import _peer_messages
 
-INLINE_BYTES = 2_048
+INLINE_MAX_BYTES = 2_048
 """Largest entry or patch that is sent without being asked for."""
-REFETCH_S = 0.3
+REFETCH_AFTER_S = 0.3
 """Time for an announced entry to arrive before it is asked for again."""
-SMALL_FLEET = 16
+SMALL_FLEET_MAX_ENTRIES = 16
 """Entries up to which each reader pushes to all nodes.
 
 In a larger fleet one reader pushes to a node and the others announce.
 """
 PUSH_WAIT_S = 0.15
 """Time for a push to arrive before an announced entry is asked for."""
-SPREAD_S = 0.4
+REQUEST_SPREAD_S = 0.4
 """Time over which the nodes of a large fleet ask for an announced entry."""
-GAP_S = 0.3
+GAP_TIMEOUT_S = 0.3
 """Time for pushed entries to arrive before a listing is asked for.
 
 With the period of load reports it leaves a second of the 2 s in which a table
 has to be in force.
 """
-ASK_AGAIN_S = 0.6
+LISTING_RETRY_S = 0.6
 """Time between two requests for a listing, which is tens of kilobytes."""
 
 
 @dataclass(slots=True)
-class _Wanted:
+class _PendingItem:
     revision: int
     announcers: list[_peer_messages.SendToPeer] = field(default_factory=list)
-    ask_at_s: float = 0.0
+    request_at_s: float = 0.0
 
 
 @dataclass(slots=True)
-class _Told:
+class _PeerState:
     revision: int
     digest: int
 
@@ -55,10 +55,10 @@
     def __init__(self, directory: state.Directory, rng: random.Random) -> None:
         self._directory = directory
         self._rng = rng
-        self._wanted_by_key: dict[str, _Wanted] = {}
-        self._told_by_send: dict[_peer_messages.SendToPeer, _Told] = {}
+        self._pending_by_key: dict[str, _PendingItem] = {}
+        self._state_by_send: dict[_peer_messages.SendToPeer, _PeerState] = {}
         self._differs_since_s: float | None = None
-        self._listing_at_s = -1e9
+        self._listing_requested_at_s = -1e9
 
     def push(
         self,
@@ -67,21 +67,23 @@
         announced_to: Iterable[_peer_messages.SendToPeer] = (),
     ) -> None:
         """Send entries that were read from the source to other nodes."""
-        told = []
+        inline = []
         announced = []
         messages: list[_peer_messages.PeerMessage] = []
         items = list(items)
         for item in items:
-            if item.value is None or len(item.value) <= INLINE_BYTES:
-                told.append((item.key, item.revision, item.value))
+            if item.value is None or len(item.value) <= INLINE_MAX_BYTES:
+                inline.append((item.key, item.revision, item.value))
                 continue
-            patched = self._patch(item, self._newest_base(item), INLINE_BYTES)
-            if patched is None:
+            patch = self._patch(
+                item, self._newest_base(item), INLINE_MAX_BYTES
+            )
+            if patch is None:
                 announced.append((item.key, item.revision))
             else:
-                messages.append(patched)
-        if told:
-            messages.append(_peer_messages.ItemsTold(tuple(told)))
+                messages.append(patch)
+        if inline:
+            messages.append(_peer_messages.ItemsSent(tuple(inline)))
         if announced:
             messages.append(_peer_messages.ItemsAnnounced(tuple(announced)))
         for send in pushed_to:
@@ -94,19 +96,19 @@
     @property
     def in_large_fleet(self) -> bool:
         """Return whether entries are pushed to a node by one reader only."""
-        return len(self._directory.item_by_key) > SMALL_FLEET
+        return len(self._directory.item_by_key) > SMALL_FLEET_MAX_ENTRIES
 
-    def peer_told(
+    def peer_reported(
         self, send: _peer_messages.SendToPeer, revision: int, digest: int
     ) -> None:
         """Take what a peer says of its entries."""
-        self._told_by_send[send] = _Told(revision, digest)
+        self._state_by_send[send] = _PeerState(revision, digest)
 
-    def peer_gone(self, send: _peer_messages.SendToPeer) -> None:
+    def remove_peer(self, send: _peer_messages.SendToPeer) -> None:
         """Forget a peer."""
-        self._told_by_send.pop(send, None)
+        self._state_by_send.pop(send, None)
 
-    def announced(
+    def handle_announced(
         self,
         message: _peer_messages.ItemsAnnounced,
         send: _peer_messages.SendToPeer,
@@ -118,19 +120,19 @@
             known = self._directory.item_by_key.get(key)
             if known is not None and known.revision >= revision:
                 continue
-            wanted = self._wanted_by_key.get(key)
-            if wanted is None or wanted.revision < revision:
-                delay_s = 0.0 if at_once else self._spread_s()
-                wanted = _Wanted(revision, [], now_s + delay_s)
-                self._wanted_by_key[key] = wanted
-            wanted.announcers.append(send)
-        self.ask_wanted(now_s)
+            pending = self._pending_by_key.get(key)
+            if pending is None or pending.revision < revision:
+                delay_s = 0.0 if at_once else self._request_delay_s()
+                pending = _PendingItem(revision, [], now_s + delay_s)
+                self._pending_by_key[key] = pending
+            pending.announcers.append(send)
+        self.request_pending(now_s)
         if not message.complete_revision:
             return []
         keys = {key for key, _ in message.revisions}
         return self._directory.missing_in(keys, message.complete_revision)
 
-    def patched(
+    def handle_patched(
         self,
         message: _peer_messages.ItemPatched,
         send: _peer_messages.SendToPeer,
@@ -148,39 +150,39 @@
         if value is not None:
             return [state.Item(message.key, message.revision, value)]
         revisions = ((message.key, message.revision),)
-        self.announced(
+        self.handle_announced(
             _peer_messages.ItemsAnnounced(revisions), send, True, now_s
         )
         return []
 
-    def arrived(self, items: Iterable[state.Item]) -> None:
+    def mark_received(self, items: Iterable[state.Item]) -> None:
         """Ask no more for entries that are there."""
         for item in items:
-            wanted = self._wanted_by_key.get(item.key)
-            if wanted is not None and wanted.revision <= item.revision:
-                del self._wanted_by_key[item.key]
+            pending = self._pending_by_key.get(item.key)
+            if pending is not None and pending.revision <= item.revision:
+                del self._pending_by_key[item.key]
 
-    def answer_wanted(
+    def send_requested(
         self,
-        message: _peer_messages.ItemsWanted,
+        message: _peer_messages.ItemsRequested,
         send: _peer_messages.SendToPeer,
     ) -> None:
         """Send entries to a node that has asked for them."""
-        whole = []
+        full_items = []
         for key, revision in message.keys:
             item = self._directory.item_by_key.get(key)
             if item is None or item.revision <= revision:
                 continue
-            most_bytes = len(item.value or b"") // 2
-            patched = self._patch(item, revision, most_bytes)
-            if patched is None:
-                whole.append((item.key, item.revision, item.value))
+            max_bytes = len(item.value or b"") // 2
+            patch = self._patch(item, revision, max_bytes)
+            if patch is None:
+                full_items.append((item.key, item.revision, item.value))
             else:
-                send(patched)
-        if whole:
-            send(_peer_messages.ItemsTold(tuple(whole)))
+                send(patch)
+        if full_items:
+            send(_peer_messages.ItemsSent(tuple(full_items)))
 
-    def answer_listing(self, send: _peer_messages.SendToPeer) -> None:
+    def send_listing(self, send: _peer_messages.SendToPeer) -> None:
         """Tell a node which entries there are."""
         items = self._directory.item_by_key.values()
         send(
@@ -190,33 +192,33 @@
             )
         )
 
-    def ask_wanted(self, now_s: float) -> None:
+    def request_pending(self, now_s: float) -> None:
         """Ask for announced entries that are not there yet."""
         keys_by_send: dict[
             _peer_messages.SendToPeer, list[tuple[str, int]]
         ] = {}
-        for key, wanted in list(self._wanted_by_key.items()):
-            if wanted.ask_at_s > now_s:
+        for key, pending in list(self._pending_by_key.items()):
+            if pending.request_at_s > now_s:
                 continue
-            if not wanted.announcers:
-                del self._wanted_by_key[key]
+            if not pending.announcers:
+                del self._pending_by_key[key]
                 continue
-            chosen = self._rng.randrange(len(wanted.announcers))
-            send = wanted.announcers.pop(chosen)
-            wanted.ask_at_s = now_s + REFETCH_S
+            chosen = self._rng.randrange(len(pending.announcers))
+            send = pending.announcers.pop(chosen)
+            pending.request_at_s = now_s + REFETCH_AFTER_S
             known = self._directory.item_by_key.get(key)
             revision = 0 if known is None else known.revision
             keys_by_send.setdefault(send, []).append((key, revision))
         for send, keys in keys_by_send.items():
-            send(_peer_messages.ItemsWanted(tuple(keys)))
+            send(_peer_messages.ItemsRequested(tuple(keys)))
 
-    def look_for_gaps(self, now_s: float) -> None:
+    def check_gaps(self, now_s: float) -> None:
         """Ask a peer for its listing if it knows what this node does not."""
         ahead = [
             send
-            for send, told in self._told_by_send.items()
-            if told.digest != self._directory.digest
-            and told.revision >= self._directory.revision
+            for send, peer in self._state_by_send.items()
+            if peer.digest != self._directory.digest
+            and peer.revision >= self._directory.revision
         ]
         if not ahead:
             self._differs_since_s = None
@@ -224,13 +226,13 @@
         if self._differs_since_s is None:
             self._differs_since_s = now_s
         empty = self._directory.revision == 0
-        if not empty and now_s - self._differs_since_s < GAP_S:
+        if not empty and now_s - self._differs_since_s < GAP_TIMEOUT_S:
             return
-        if now_s - self._listing_at_s < ASK_AGAIN_S:
+        if now_s - self._listing_requested_at_s < LISTING_RETRY_S:
             return
-        self._listing_at_s = now_s
+        self._listing_requested_at_s = now_s
         send = ahead[self._rng.randrange(len(ahead))]
-        send(_peer_messages.ListingWanted())
+        send(_peer_messages.ListingRequested())
 
     def _newest_base(self, item: state.Item) -> int:
         bases = self._directory.bases_by_key.get(item.key, {})
@@ -238,10 +240,10 @@
         return max(older, default=0)
 
     def _patch(
-        self, item: state.Item, base_revision: int, most_bytes: int
+        self, item: state.Item, base_revision: int, max_bytes: int
     ) -> _peer_messages.ItemPatched | None:
         patch = self._directory.patch_from(item, base_revision)
-        if patch is None or patch.literal_bytes > most_bytes:
+        if patch is None or patch.literal_bytes > max_bytes:
             return None
         return _peer_messages.ItemPatched(
             item.key,
@@ -251,11 +253,11 @@
             patch.digest,
         )
 
-    def _spread_s(self) -> float:
+    def _request_delay_s(self) -> float:
         """Return how long to wait before asking for an entry.
 
         In a large fleet the requests are spread over the readers' links.
         """
         if not self.in_large_fleet:
             return 0.0
-        return PUSH_WAIT_S + SPREAD_S * self._rng.random()
+        return PUSH_WAIT_S + REQUEST_SPREAD_S * self._rng.random()
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -11,11 +11,11 @@
 from jasminecrank.mesh.coordination import _messages
 from jasminecrank.mesh.coordination import _peer_messages
 
-TICK_S = 0.05
+FLEET_TICK_S = 0.05
 """Period of load reports, below the shortest run times."""
-TICKS_PER_LOOK = 2
+TICKS_PER_CHECK = 2
 """Ticks after which peers' silence and the duty to watch are looked at."""
-IDLE_TELL_S = 0.45
+IDLE_REPORT_S = 0.45
 """Period of load reports that say nothing new."""
 SILENT_AFTER_S = 1.0
 """Silence of a peer after which its host gets no calls."""
@@ -26,7 +26,7 @@
 
 It leaves time to read within the 2 s in which a table has to be in force.
 """
-REFRESH_LIMIT_S = 1.0
+SUSPENDED_AFTER_S = 1.0
 """Time without a tick after which the node has been asleep."""
 
 
@@ -42,7 +42,7 @@
     host: str
     send: _peer_messages.SendToPeer
     link: Closable
-    heard_at_s: float
+    received_at_s: float
     confirmed_at_s: float = -1e9
     silent: bool = False
     server_id: str = ""
@@ -90,8 +90,8 @@
         self._data_centre_by_host: dict[str, str] = {}
         self._confirmed_at_s = -1e9
         self._watching = True
-        self._told: state.Load | None = None
-        self._told_at_s = 0.0
+        self._reported_load: state.Load | None = None
+        self._reported_at_s = 0.0
         self._ticked_at_s = clock.now_s()
         self._ticks = 0
 
@@ -112,21 +112,21 @@
         match message:
             case _messages.ListingRead(items, start_revision):
                 self._confirmed_at_s = now_s
-                self._read(
+                self._apply_source_items(
                     self._directory.offer_listing(items, start_revision, now_s)
                 )
             case _messages.ChangesRead(items, revision):
                 self._confirmed_at_s = now_s
-                self._read(
+                self._apply_source_items(
                     self._directory.offer_changes(items, revision, now_s)
                 )
             case _messages.SourceLost(reason):
                 self.log.decision("source-lost", reason=reason)
-            case _messages.SourceReturned():
+            case _messages.SourceRecovered():
                 self._directory.source_returned(now_s)
                 self.log.decision("source-returned")
-            case _messages.PeerSaid():
-                self._peer_said(message, now_s)
+            case _messages.PeerMessageReceived():
+                self._peer_message_received(message, now_s)
             case _messages.LinkOpened():
                 self._link_opened(message, now_s)
             case _messages.LinkEnded():
@@ -138,14 +138,14 @@
 
     def confirmed_age_s(self, now_s: float) -> float:
         """Return the age of the newest confirmation by the source."""
-        best_s = self._confirmed_at_s
+        newest_s = self._confirmed_at_s
         for peer in self._dialled_by_link.values():
-            best_s = max(best_s, peer.confirmed_at_s)
-        return now_s - best_s
+            newest_s = max(newest_s, peer.confirmed_at_s)
+        return now_s - newest_s
 
-    def _read(self, fresh: list[state.Item]) -> None:
+    def _apply_source_items(self, fresh: list[state.Item]) -> None:
         """Use entries that came from the source, and pass them on."""
-        self._take(fresh)
+        self._apply_fresh(fresh)
         if not fresh:
             return
         pushed_to = []
@@ -164,17 +164,17 @@
         first = state.rank(host, self._watchers)[:1]
         return first == [self._own_host]
 
-    def _learn(self, items: list[state.Item], now_s: float) -> None:
+    def _apply_peer_items(self, items: list[state.Item], now_s: float) -> None:
         """Use entries that came from a peer."""
         if items:
-            self._take(self._directory.offer(items, now_s))
+            self._apply_fresh(self._directory.offer(items, now_s))
 
-    def _take(self, fresh: list[state.Item]) -> None:
+    def _apply_fresh(self, fresh: list[state.Item]) -> None:
         for reason in self._directory.take_rejected():
             self.log.decision("entry-rejected", reason=reason)
         if not fresh:
             return
-        self._exchange.arrived(fresh)
+        self._exchange.mark_received(fresh)
         for item in fresh:
             self.log.decision(
                 "entry",
@@ -206,36 +206,40 @@
             )
         )
 
-    def _peer_said(self, message: _messages.PeerSaid, now_s: float) -> None:
+    def _peer_message_received(
+        self, message: _messages.PeerMessageReceived, now_s: float
+    ) -> None:
         peer = self._dialled_by_link.get(id(message.link))
         if peer is not None:
-            peer.heard_at_s = now_s
+            peer.received_at_s = now_s
             if peer.silent:
                 peer.silent = False
                 self._peer_up(peer)
         match message.message:
-            case _peer_messages.LoadTold():
-                self._load_told(peer, message.message, now_s)
-            case _peer_messages.ItemsTold(items):
-                self._learn([state.Item(*item) for item in items], now_s)
+            case _peer_messages.LoadReported():
+                self._load_reported(peer, message.message, now_s)
+            case _peer_messages.ItemsSent(items):
+                self._apply_peer_items(
+                    [state.Item(*item) for item in items], now_s
+                )
             case _peer_messages.ItemPatched():
-                self._learn(
-                    self._exchange.patched(
+                self._apply_peer_items(
+                    self._exchange.handle_patched(
                         message.message, message.send, now_s
                     ),
                     now_s,
                 )
             case _peer_messages.ItemsAnnounced():
-                self._learn(
-                    self._exchange.announced(
+                self._apply_peer_items(
+                    self._exchange.handle_announced(
                         message.message, message.send, self._watching, now_s
                     ),
                     now_s,
                 )
-            case _peer_messages.ItemsWanted():
-                self._exchange.answer_wanted(message.message, message.send)
-            case _peer_messages.ListingWanted():
-                self._exchange.answer_listing(message.send)
+            case _peer_messages.ItemsRequested():
+                self._exchange.send_requested(message.message, message.send)
+            case _peer_messages.ListingRequested():
+                self._exchange.send_listing(message.send)
             case _:
                 typing.assert_never(message.message)
 
@@ -244,16 +248,19 @@
         self._ports.to_entry(up)
         self._ports.to_quota(up)
 
-    def _load_told(
-        self, peer: _Peer | None, told: _peer_messages.LoadTold, now_s: float
+    def _load_reported(
+        self,
+        peer: _Peer | None,
+        report: _peer_messages.LoadReported,
+        now_s: float,
     ) -> None:
         if peer is None:
             return
-        peer.confirmed_at_s = now_s - told.confirmed_age_ms / 1000
-        self._exchange.peer_told(peer.send, told.revision, told.digest)
-        peer.server_id = told.server_id or peer.server_id
-        load = told.load(peer.server_id)
-        self._ports.to_entry(_messages.LoadLearned(peer.host, load))
+        peer.confirmed_at_s = now_s - report.confirmed_age_ms / 1000
+        self._exchange.peer_reported(peer.send, report.revision, report.digest)
+        peer.server_id = report.server_id or peer.server_id
+        load = report.load(peer.server_id)
+        self._ports.to_entry(_messages.LoadUpdated(peer.host, load))
 
     def _link_opened(
         self, message: _messages.LinkOpened, now_s: float
@@ -269,63 +276,65 @@
             self._peer_up(peer)
         else:
             self._accepted_by_link[id(message.link)] = peer
-            self._tell_load(self._ports.load(), now_s, [peer])
+            self._send_load(self._ports.load(), now_s, [peer])
             if self._fleet.table is None:
                 # A node without entries has dialled nobody yet.
-                peer.send(_peer_messages.ListingWanted())
+                peer.send(_peer_messages.ListingRequested())
         self.log.decision(
             "link-up", peer=message.host, dialled=message.dialled
         )
 
     def _link_ended(self, message: _messages.LinkEnded) -> None:
-        caller = self._accepted_by_link.pop(id(message.link), None)
-        if caller is not None:
-            self._ports.to_quota(_messages.CallersLost(caller.host))
+        requester = self._accepted_by_link.pop(id(message.link), None)
+        if requester is not None:
+            self._ports.to_quota(
+                _messages.RequesterDisconnected(requester.host)
+            )
         peer = self._dialled_by_link.pop(id(message.link), None)
         if peer is None:
             return
-        self._exchange.peer_gone(peer.send)
+        self._exchange.remove_peer(peer.send)
         down = _messages.PeerDown(peer.host)
         self._ports.to_entry(down)
         self._ports.to_quota(down)
         self.log.decision("link-down", peer=peer.host)
 
     def _tick(self, now_s: float) -> None:
-        asleep = now_s - self._ticked_at_s > REFRESH_LIMIT_S
+        was_suspended = now_s - self._ticked_at_s > SUSPENDED_AFTER_S
         self._ticked_at_s = now_s
-        if asleep:
+        if was_suspended:
             self.log.decision("woke-up")
             for peer in self._dialled_by_link.values():
-                peer.heard_at_s = now_s
+                peer.received_at_s = now_s
         if self._directory.expire_lapsed(now_s):
             self._publish()
-        self._exchange.ask_wanted(now_s)
+        self._exchange.request_pending(now_s)
         self._ticks += 1
-        if self._ticks % TICKS_PER_LOOK == 0:
-            self._exchange.look_for_gaps(now_s)
-            self._look_for_silence(now_s)
-            self._decide_watch(now_s)
+        if self._ticks % TICKS_PER_CHECK == 0:
+            self._exchange.check_gaps(now_s)
+            self._check_silence(now_s)
+            self._update_watch_duty(now_s)
         load = self._ports.load()
-        self._ports.to_entry(_messages.LoadLearned(self._own_host, load))
-        self._tell_changes(load, now_s)
+        self._ports.to_entry(_messages.LoadUpdated(self._own_host, load))
+        self._report_load_changes(load, now_s)
 
-    def _tell_changes(self, load: state.Load, now_s: float) -> None:
+    def _report_load_changes(self, load: state.Load, now_s: float) -> None:
         """Tell the peers that place calls by it how the load has changed."""
-        told = self._told
+        last_load = self._reported_load
         peers = list(self._accepted_by_link.values())
-        if told is None or load.is_other_server(told):
-            self._tell_load(load, now_s, peers)
-        elif now_s - self._told_at_s >= IDLE_TELL_S:
-            self._tell_load(load, now_s, peers, with_server=False)
-        elif load.differs(told):
+        if last_load is None or load.is_other_server(last_load):
+            self._send_load(load, now_s, peers)
+        elif now_s - self._reported_at_s >= IDLE_REPORT_S:
+            self._send_load(load, now_s, peers, with_server=False)
+        elif load.differs(last_load):
             near = [peer for peer in peers if self._is_near(peer.host)]
-            self._tell_load(load, now_s, near, with_server=False)
-            self._told = load
+            self._send_load(load, now_s, near, with_server=False)
+            self._reported_load = load
             return
         else:
             return
-        self._told = load
-        self._told_at_s = now_s
+        self._reported_load = load
+        self._reported_at_s = now_s
 
     def _is_near(self, host: str) -> bool:
         """Return whether a host's calls come here in the first place."""
@@ -334,14 +343,14 @@
         data_centre = self._data_centre_by_host.get(host)
         return data_centre == self._own_data_centre
 
-    def _tell_load(
+    def _send_load(
         self,
         load: state.Load,
         now_s: float,
         peers: typing.Iterable[_Peer],
         with_server: bool = True,
     ) -> None:
-        told = _peer_messages.LoadTold.from_load(
+        report = _peer_messages.LoadReported.from_load(
             load,
             self.confirmed_age_s(now_s),
             self._directory.revision,
@@ -349,11 +358,11 @@
             with_server,
         )
         for peer in peers:
-            peer.send(told)
+            peer.send(report)
 
-    def _look_for_silence(self, now_s: float) -> None:
+    def _check_silence(self, now_s: float) -> None:
         for peer in list(self._dialled_by_link.values()):
-            silence_s = now_s - peer.heard_at_s
+            silence_s = now_s - peer.received_at_s
             if silence_s > DEAD_AFTER_S:
                 peer.link.abort()
             elif silence_s > SILENT_AFTER_S and not peer.silent:
@@ -363,7 +372,7 @@
                 self._ports.to_entry(silent)
                 self._ports.to_quota(silent)
 
-    def _decide_watch(self, now_s: float) -> None:
+    def _update_watch_duty(self, now_s: float) -> None:
         watch = self._should_watch(now_s)
         if watch != self._watching:
             self._watching = watch
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -19,18 +19,18 @@
 
 Half of the interval at which servers renew their entries.
 """
-UNLISTED_S = 3.0
+LISTING_GRACE_S = 3.0
 """Time after the node's start in which its server may not be listed yet.
 
 A server lists itself within one interval of its entries, about 1.5 s; the
 settings that name its service were written at the node's start.
 """
-SAME_START_S = 0.7
+SAME_START_MAX_S = 0.7
 """Most time between the starts of a host's node and server after a power loss.
 
 A server of another service may start at the address at any time.
 """
-MOVED = "server-gone"
+SERVER_GONE = "server-gone"
 """Reason given for calls that belong to another incarnation."""
 
 
@@ -38,7 +38,7 @@
     """The connections to the backend server, owned by a transport."""
 
     async def exchange(
-        self, call: _peer_messages.CallSent, left_s: float
+        self, call: _peer_messages.CallSent, remaining_s: float
     ) -> state.AttemptResult:
         """Send a call and return what is known about it."""
 
@@ -47,7 +47,7 @@
 
 
 @dataclass(slots=True)
-class _Running:
+class _ActiveCall:
     call: _peer_messages.CallSent
     send: _peer_messages.SendToPeer
     task: asyncio.Task[None] | None = None
@@ -76,15 +76,15 @@
         self._address = address
         self._clock = clock
         self._fleet = state.Fleet(None, {}, {}, frozenset())
-        self._own: state.BackendServer | None = None
-        self._gone_ids: set[str] = set()
-        self._call_by_key: dict[tuple[int, int], _Running] = {}
+        self._own_server: state.BackendServer | None = None
+        self._gone_server_ids: set[str] = set()
+        self._call_by_key: dict[tuple[int, int], _ActiveCall] = {}
         self._accepting = True
         self._probe: asyncio.Task[None] | None = None
-        self._tick_due = False
+        self._tick_scheduled = False
 
     @property
-    def busy(self) -> int:
+    def active_calls(self) -> int:
         """Return how many calls run or wait."""
         return len(self._call_by_key)
 
@@ -96,29 +96,29 @@
         """Act on one message."""
         match message:
             case _messages.RunCall():
-                self._offer(message)
-            case _messages.WithdrawCall(link_id, call_id):
-                self._withdraw((link_id, call_id))
+                self._admit(message)
+            case _messages.CancelCall(link_id, call_id):
+                self._cancel((link_id, call_id))
             case _messages.LinkClosed(link_id):
                 self._link_closed(link_id)
             case _messages.RunEnded():
-                self._ended(message)
-            case _messages.HealthLearned(health):
-                self._health_learned(health)
+                self._run_ended(message)
+            case _messages.HealthChecked(health):
+                self._health_checked(health)
             case _messages.FleetChanged(fleet):
                 self._fleet_changed(fleet)
             case _messages.GateTick():
-                self._tick_due = False
+                self._tick_scheduled = False
                 self._release()
-            case _messages.Stopping():
+            case _messages.StopRequested():
                 self._accepting = False
             case _:
                 typing.assert_never(message)
 
-    def _offer(self, message: _messages.RunCall) -> None:
+    def _admit(self, message: _messages.RunCall) -> None:
         call = message.call
         now_s = self._clock.now_s()
-        reason = self._closed_to(call.server_id)
+        reason = self._rejection_reason(call.server_id)
         if reason is not None:
             self._refuse(call, message.send, reason, CLOSED_RETRY_S)
             return
@@ -127,32 +127,32 @@
             message.link_id,
             call.rank,
             call.route,
-            now_s + call.left_s,
-            now_s + call.target_left_s,
+            now_s + call.remaining_s,
+            now_s + call.target_remaining_s,
         )
-        running = _Running(call, message.send)
+        active = _ActiveCall(call, message.send)
         decision = self._gate.offer(ticket, now_s)
         match decision:
             case state.Start():
-                self._call_by_key[message.link_id, call.call_id] = running
-                self._start(message.link_id, running, ticket.deadline_at_s)
+                self._call_by_key[message.link_id, call.call_id] = active
+                self._start(message.link_id, active, ticket.deadline_at_s)
             case state.Wait():
-                self._call_by_key[message.link_id, call.call_id] = running
+                self._call_by_key[message.link_id, call.call_id] = active
                 self._ensure_probe()
-                self._plan_tick()
+                self._schedule_tick()
             case state.Reject(reason, retry_after_s):
                 self._refuse(call, message.send, reason, retry_after_s)
             case _:
                 typing.assert_never(decision)
 
-    def _closed_to(self, server_id: str) -> str | None:
+    def _rejection_reason(self, server_id: str) -> str | None:
         """Return why no call for a server may start, or None."""
-        if server_id in self._gone_ids:
-            return MOVED
+        if server_id in self._gone_server_ids:
+            return SERVER_GONE
         server = self._fleet.server_by_id.get(server_id)
         if server is not None:
             if (server.host, server.port) != self._address:
-                return MOVED
+                return SERVER_GONE
             if server.state is not state.ServerState.READY:
                 return "draining"
             if server.data_centre in self._fleet.data_centres_out:
@@ -161,7 +161,7 @@
             self._gate.server_id not in ("", server_id)
             and not self._is_successor(server)
         ):
-            return MOVED
+            return SERVER_GONE
         return None
 
     def _is_successor(self, server: state.BackendServer | None) -> bool:
@@ -175,35 +175,35 @@
         return (
             server is not None
             and server.service == self._service
-            and self._clock.now_s() - self._started_at_s < UNLISTED_S
+            and self._clock.now_s() - self._started_at_s < LISTING_GRACE_S
             and abs(self._server_started_at_s - self._started_at_s)
-            < SAME_START_S
+            < SAME_START_MAX_S
             and self._gate.server_id not in self._fleet.server_by_id
         )
 
     def _start(
-        self, link_id: int, running: _Running, deadline_at_s: float
+        self, link_id: int, active: _ActiveCall, deadline_at_s: float
     ) -> None:
-        call = running.call
+        call = active.call
         if call.server_id != self._gate.server_id and self._is_successor(
             self._fleet.server_by_id.get(call.server_id)
         ):
-            running.call = dataclasses.replace(
+            active.call = dataclasses.replace(
                 call, server_id=self._gate.server_id
             )
-        running.task = asyncio.get_running_loop().create_task(
-            self._exchange(link_id, running, deadline_at_s)
+        active.task = asyncio.get_running_loop().create_task(
+            self._exchange(link_id, active, deadline_at_s)
         )
 
     async def _exchange(
-        self, link_id: int, running: _Running, deadline_at_s: float
+        self, link_id: int, active: _ActiveCall, deadline_at_s: float
     ) -> None:
-        call = running.call
-        left_s = max(0.001, deadline_at_s - self._clock.now_s())
+        call = active.call
+        remaining_s = max(0.001, deadline_at_s - self._clock.now_s())
         result: state.AttemptResult
         try:
-            async with asyncio.timeout(left_s + RUN_TIMEOUT_MARGIN_S):
-                result = await self.port.exchange(call, left_s)
+            async with asyncio.timeout(remaining_s + RUN_TIMEOUT_MARGIN_S):
+                result = await self.port.exchange(call, remaining_s)
         except TimeoutError:
             result = state.MayHaveRun("no answer by the deadline")
         except asyncio.CancelledError:
@@ -218,9 +218,9 @@
             )
         )
 
-    def _ended(self, message: _messages.RunEnded) -> None:
-        running = self._call_by_key.pop((message.link_id, message.call_id))
-        call = running.call
+    def _run_ended(self, message: _messages.RunEnded) -> None:
+        active = self._call_by_key.pop((message.link_id, message.call_id))
+        call = active.call
         now_s = self._clock.now_s()
         match message.result:
             case state.Served(answer, run_s):
@@ -240,59 +240,59 @@
                 self._gate.finished(
                     call.route, None, message.server_failed, now_s
                 )
-                if not reached_server or reason == MOVED:
+                if not reached_server or reason == SERVER_GONE:
                     retry_after_s = max(retry_after_s, CLOSED_RETRY_S)
-                    self._doubt(reason)
+                    self._mark_doubtful(reason)
                 self._log_ended(call, "not-run", reason)
                 reply = _peer_messages.CallNotRun(
                     call.call_id, reason, retry_after_s, reached_server
                 )
             case state.MayHaveRun(reason):
-                failed = not running.cancelled and message.server_failed
+                failed = not active.cancelled and message.server_failed
                 self._gate.finished(call.route, None, failed, now_s)
-                if not running.cancelled:
+                if not active.cancelled:
                     self._log_ended(call, "may-have-run", reason)
                     if reason == "connection-reset":
-                        self._doubt(reason)
+                        self._mark_doubtful(reason)
                 reply = _peer_messages.CallMayHaveRun(call.call_id, reason)
             case _:
                 typing.assert_never(message.result)
-        if not running.cancelled:
-            running.send(reply)
+        if not active.cancelled:
+            active.send(reply)
         self._release()
 
-    def _withdraw(self, key: tuple[int, int]) -> None:
-        running = self._call_by_key.get(key)
-        if running is None:
+    def _cancel(self, key: tuple[int, int]) -> None:
+        active = self._call_by_key.get(key)
+        if active is None:
             return
         if self._gate.withdraw(*key):
             del self._call_by_key[key]
             return
-        running.cancelled = True
-        if running.call.idempotent and running.task is not None:
-            running.task.cancel()
+        active.cancelled = True
+        if active.call.idempotent and active.task is not None:
+            active.task.cancel()
 
     def _link_closed(self, link_id: int) -> None:
         for key in [key for key in self._call_by_key if key[0] == link_id]:
-            self._withdraw(key)
+            self._cancel(key)
 
     def _release(self) -> None:
         now_s = self._clock.now_s()
         released = self._gate.release(now_s)
         for ticket in released.expired:
             key = (ticket.link_id, ticket.call_id)
-            running = self._call_by_key.pop(key)
-            self._refuse(running.call, running.send, "deadline", 0.0)
+            active = self._call_by_key.pop(key)
+            self._refuse(active.call, active.send, "deadline", 0.0)
         for ticket in released.start:
-            running = self._call_by_key[ticket.link_id, ticket.call_id]
-            self._start(ticket.link_id, running, ticket.deadline_at_s)
+            active = self._call_by_key[ticket.link_id, ticket.call_id]
+            self._start(ticket.link_id, active, ticket.deadline_at_s)
         if self._gate.queued:
-            self._plan_tick()
+            self._schedule_tick()
 
-    def _plan_tick(self) -> None:
-        if self._tick_due:
+    def _schedule_tick(self) -> None:
+        if self._tick_scheduled:
             return
-        self._tick_due = True
+        self._tick_scheduled = True
         now_s = self._clock.now_s()
         delay_s = min(
             0.05, max(0.002, self._gate.cold_room_at_s(now_s) - now_s)
@@ -334,16 +334,18 @@
             if (server.host, server.port) == self._address and (
                 server_id not in fleet.server_by_id
             ):
-                self._gone_ids.add(server_id)
+                self._gone_server_ids.add(server_id)
         self._fleet = fleet
         own = [
             server
             for server in fleet.server_by_id.values()
             if (server.host, server.port) == self._address
         ]
-        self._gone_ids.difference_update(server.server_id for server in own)
+        self._gone_server_ids.difference_update(
+            server.server_id for server in own
+        )
         newest = max(own, key=lambda server: server.born_ms, default=None)
-        before, self._own = self._own, newest
+        before, self._own_server = self._own_server, newest
         if newest is not None:
             self._gate.slots = newest.slots
             service = fleet.table and fleet.table.service_by_name.get(
@@ -359,25 +361,25 @@
                 newest.server_id,
                 newest.born_ms,
             ):
-                self._doubt("new-incarnation")
-        if newest is None or self._closed_to(newest.server_id):
-            self._empty_queue()
+                self._mark_doubtful("new-incarnation")
+        if newest is None or self._rejection_reason(newest.server_id):
+            self._refuse_queued()
         self._release()
 
-    def _empty_queue(self) -> None:
+    def _refuse_queued(self) -> None:
         for ticket in self._gate.drain_queue():
             key = (ticket.link_id, ticket.call_id)
-            running = self._call_by_key.pop(key)
-            self._refuse(running.call, running.send, "closed", CLOSED_RETRY_S)
+            active = self._call_by_key.pop(key)
+            self._refuse(active.call, active.send, "closed", CLOSED_RETRY_S)
 
     def _accepting_work(self) -> bool:
         return (
             self._accepting
-            and self._own is not None
-            and self._closed_to(self._own.server_id) is None
+            and self._own_server is not None
+            and self._rejection_reason(self._own_server.server_id) is None
         )
 
-    def _doubt(self, reason: str) -> None:
+    def _mark_doubtful(self, reason: str) -> None:
         if self._gate.phase is state.Phase.UP:
             self.log.decision("server-doubtful", reason=reason)
         self._gate.server_doubtful()
@@ -386,19 +388,21 @@
     def _ensure_probe(self) -> None:
         if self._gate.phase is state.Phase.UP or self._probe is not None:
             return
-        self._probe = asyncio.get_running_loop().create_task(self._check())
+        self._probe = asyncio.get_running_loop().create_task(
+            self._check_health()
+        )
 
-    async def _check(self) -> None:
+    async def _check_health(self) -> None:
         path = self._health_path()
         health = await self.port.check_health(path) if path else None
         if health is None:
             await asyncio.sleep(PROBE_PERIOD_S)
-        self.mailbox.tell(_messages.HealthLearned(health))
+        self.mailbox.tell(_messages.HealthChecked(health))
 
     def _own_service(self) -> state.Service | None:
-        if self._own is None or self._fleet.table is None:
+        if self._own_server is None or self._fleet.table is None:
             return None
-        return self._fleet.table.service_by_name.get(self._own.service)
+        return self._fleet.table.service_by_name.get(self._own_server.service)
 
     def _health_path(self) -> str | None:
         service = self._own_service()
@@ -408,10 +412,10 @@
         service = self._own_service()
         return 0.0 if service is None else service.cold_start_s
 
-    def _health_learned(self, health: _messages.Health | None) -> None:
+    def _health_checked(self, health: _messages.Health | None) -> None:
         self._probe = None
         if health is None:
-            if self._own is not None:
+            if self._own_server is not None:
                 self._ensure_probe()
             return
         now_s = self._clock.now_s()
@@ -424,8 +428,10 @@
             server=health.server_id,
             cold_left_s=round(health.cold_left_s, 3),
         )
-        if self._own is not None and self._closed_to(self._own.server_id):
-            self._empty_queue()
+        if self._own_server is not None and self._rejection_reason(
+            self._own_server.server_id
+        ):
+            self._refuse_queued()
         self._release()
 
 
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -18,21 +18,21 @@
 
 
 @dataclass(slots=True, frozen=True)
-class CallerLeft:
+class CallerDisconnected:
     """The caller closed its connection before it had its answer."""
 
     number: int
 
 
 @dataclass(slots=True, frozen=True)
-class CallTimeUp:
+class CallDeadlineReached:
     """The time of a call is over."""
 
     number: int
 
 
 @dataclass(slots=True, frozen=True)
-class QuotaAnswered:
+class QuotaDecided:
     """A call has a token of its team's rate, or there is none for a while."""
 
     number: int
@@ -47,7 +47,7 @@
     number: int
     host: str
     result: state.AttemptResult
-    busy: int | None = None
+    active_calls: int | None = None
     """Calls that still run or wait at the host, if it said so."""
 
 
@@ -59,7 +59,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LoadLearned:
+class LoadUpdated:
     """A host told its load."""
 
     host: str
@@ -97,7 +97,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class QuotaAsked:
+class QuotaRequested:
     """A call needs a token of its team's rate."""
 
     number: int
@@ -112,16 +112,16 @@
 
 
 @dataclass(slots=True, frozen=True)
-class PeerAsked:
+class RequesterMessageReceived:
     """A node asks this one for tokens, or says that it is there."""
 
     host: str
-    message: _peer_messages.Presence | _peer_messages.TokensAsked
+    message: _peer_messages.Presence | _peer_messages.TokensRequested
     send: _peer_messages.SendToPeer
 
 
 @dataclass(slots=True, frozen=True)
-class PeerGranted:
+class ArbiterGranted:
     """An arbiter answers."""
 
     host: str
@@ -129,7 +129,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class CallersLost:
+class RequesterDisconnected:
     """The link by which a node asks for tokens has ended."""
 
     host: str
@@ -150,7 +150,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class WithdrawCall:
+class CancelCall:
     """A call that is no longer wanted."""
 
     link_id: int
@@ -175,7 +175,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class HealthLearned:
+class HealthChecked:
     """The backend server's answer to a health check; None if there is none."""
 
     health: "Health | None"
@@ -195,7 +195,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Stopping:
+class StopRequested:
     """The node has been asked to stop."""
 
 
@@ -223,17 +223,17 @@
 
 
 @dataclass(slots=True, frozen=True)
-class SourceReturned:
+class SourceRecovered:
     """The source answers this node again."""
 
 
 @dataclass(slots=True, frozen=True)
-class PeerSaid:
+class PeerMessageReceived:
     """A message about the fleet came by a link."""
 
     link: object
     host: str
-    message: _peer_messages.FleetSaid
+    message: _peer_messages.FleetPeerMessage
     send: _peer_messages.SendToPeer
 
 
@@ -263,23 +263,23 @@
 
 EntryMessage = (
     CallArrived
-    | CallerLeft
-    | CallTimeUp
-    | QuotaAnswered
+    | CallerDisconnected
+    | CallDeadlineReached
+    | QuotaDecided
     | AttemptEnded
     | FleetChanged
-    | LoadLearned
+    | LoadUpdated
     | PeerUp
     | PeerSilent
     | PeerDown
     | BoundsChanged
 )
 QuotaMessage = (
-    QuotaAsked
+    QuotaRequested
     | QuotaUnused
-    | PeerAsked
-    | PeerGranted
-    | CallersLost
+    | RequesterMessageReceived
+    | ArbiterGranted
+    | RequesterDisconnected
     | FleetChanged
     | PeerUp
     | PeerSilent
@@ -289,20 +289,20 @@
 )
 GateMessage = (
     RunCall
-    | WithdrawCall
+    | CancelCall
     | LinkClosed
     | RunEnded
-    | HealthLearned
+    | HealthChecked
     | FleetChanged
     | GateTick
-    | Stopping
+    | StopRequested
 )
 FleetMessage = (
     ListingRead
     | ChangesRead
     | SourceLost
-    | SourceReturned
-    | PeerSaid
+    | SourceRecovered
+    | PeerMessageReceived
     | LinkOpened
     | LinkEnded
     | FleetTick
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -10,15 +10,15 @@
 from jasminecrank.mesh.coordination import _messages
 from jasminecrank.mesh.coordination import _peer_messages
 
-DEFAULT_PATIENCE_S = 10.0
+DEFAULT_TIME_LIMIT_S = 10.0
 """Time given to a request that names no deadline and whose route has none."""
 RETRY_AFTER_MIN_S = 0.1
-RETRY_AFTER_PART = 0.32
+RETRY_AFTER_MAX_FRACTION = 0.32
 """Longest Retry-After, as a part of the caller's remaining time.
 
 Callers wait for a third of it at most.
 """
-TEAM_RANKS = 100
+TEAM_RANK_STEP = 100
 """Distance between two team priorities, above any route's priority."""
 BACKEND_SERVER_RANK = -1
 """Calls of backend servers hold a slot elsewhere while they wait."""
@@ -40,9 +40,9 @@
     host: str | None = None
     """Where the current attempt is."""
     timer: asyncio.TimerHandle | None = None
-    charged: bool = False
+    has_token: bool = False
     """Whether it holds a token of its team's rate."""
-    has_waited: bool = False
+    has_waited_for_token: bool = False
     """Whether it has waited for a token once."""
     servers: list[str] = field(default_factory=list)
 
@@ -54,17 +54,17 @@
         team: state.Team | None,
     ) -> "OpenCall":
         """Return the call that a request on a route begins."""
-        patience_s = message.request.patience_s
-        if patience_s is None:
-            patience_s = DEFAULT_PATIENCE_S
+        time_limit_s = message.request.patience_s
+        if time_limit_s is None:
+            time_limit_s = DEFAULT_TIME_LIMIT_S
         if route.timeout_s is not None:
-            patience_s = min(patience_s, route.timeout_s)
+            time_limit_s = min(time_limit_s, route.timeout_s)
         return cls(
             message.number,
             message.request,
             message.reply,
             message.arrived_at_s,
-            message.arrived_at_s + patience_s,
+            message.arrived_at_s + time_limit_s,
             state.Attempts(route),
             team,
             _rank(route, team),
@@ -74,13 +74,13 @@
     def holds_unused_token(self) -> bool:
         """Return whether its token can serve another call."""
         return (
-            self.charged
+            self.has_token
             and self.attempts.progress is state.Progress.UNSENT
             and self.attempts.reached == 0
             and self.host is None
         )
 
-    def send_to(
+    def start_attempt(
         self, server: state.BackendServer, caller_service: str, now_s: float
     ) -> _peer_messages.CallSent:
         """Begin an attempt and return its message."""
@@ -109,11 +109,11 @@
         self, wait_s: float, now_s: float, rng: random.Random
     ) -> float:
         """Return when its caller should come back, spread over callers."""
-        spread = 0.8 + 0.6 * rng.random()
-        patience_s = self.request.patience_s or DEFAULT_PATIENCE_S
-        spent_s = now_s - self.arrived_at_s
-        most_s = RETRY_AFTER_PART * max(0.0, patience_s - spent_s)
-        return min(most_s, max(RETRY_AFTER_MIN_S, wait_s) * spread)
+        jitter = 0.8 + 0.6 * rng.random()
+        time_limit_s = self.request.patience_s or DEFAULT_TIME_LIMIT_S
+        elapsed_s = now_s - self.arrived_at_s
+        max_s = RETRY_AFTER_MAX_FRACTION * max(0.0, time_limit_s - elapsed_s)
+        return min(max_s, max(RETRY_AFTER_MIN_S, wait_s) * jitter)
 
 
 def attempt_ended(
@@ -121,10 +121,10 @@
 ) -> _messages.AttemptEnded | None:
     """Return what a gate's message says of a call, if it speaks of one."""
     result: state.AttemptResult
-    busy = None
+    active_calls = None
     match message:
         case _peer_messages.CallServed():
-            busy = message.busy
+            active_calls = message.active_calls
             answer = state.Answer(
                 message.status, message.reason, message.headers, message.body
             )
@@ -137,12 +137,12 @@
             result = state.MayHaveRun(message.reason)
         case _:
             return None
-    return _messages.AttemptEnded(message.call_id, host, result, busy)
+    return _messages.AttemptEnded(message.call_id, host, result, active_calls)
 
 
 def _rank(route: state.Route, team: state.Team | None) -> int:
     if route.open_to_all and team is None:
         return BACKEND_SERVER_RANK
     if team is not None and team.priority is not None:
-        return TEAM_RANKS * team.priority + route.priority
+        return TEAM_RANK_STEP * team.priority + route.priority
     return route.priority
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -35,9 +35,9 @@
     body: bytes
     rank: int
     idempotent: bool
-    left_s: float
+    remaining_s: float
     """Time until the caller must have its answer."""
-    target_left_s: float
+    target_remaining_s: float
     """Time until the latency objective is missed."""
     caller_service: str
     team: str
@@ -61,7 +61,7 @@
     headers: state.Headers
     body: bytes
     run_s: float
-    busy: int
+    active_calls: int
     """Calls that still run or wait there."""
 
 
@@ -84,7 +84,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LoadTold:
+class LoadReported:
     """Load of the sender's backend server, and age of its beliefs."""
 
     server_id: str
@@ -110,7 +110,7 @@
         revision: int,
         digest: int,
         with_server: bool = True,
-    ) -> "LoadTold":
+    ) -> "LoadReported":
         """Return a load in whole numbers, which take fewer bytes."""
         return cls(
             load.server_id if with_server else "",
@@ -147,7 +147,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class TokensAsked:
+class TokensRequested:
     """A node has calls of a team that need a token of its rate each."""
 
     team: str
@@ -165,7 +165,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ItemsTold:
+class ItemsSent:
     """Entries of the source: key, revision and value, None if removed."""
 
     items: tuple[tuple[str, int, bytes | None], ...]
@@ -192,14 +192,14 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ItemsWanted:
+class ItemsRequested:
     """Keys that the sender asks for, with the revision that it has."""
 
     keys: tuple[tuple[str, int], ...]
 
 
 @dataclass(slots=True, frozen=True)
-class ListingWanted:
+class ListingRequested:
     """The sender asks which entries there are."""
 
 
@@ -210,23 +210,23 @@
     | CallServed
     | CallNotRun
     | CallMayHaveRun
-    | LoadTold
+    | LoadReported
     | Presence
-    | TokensAsked
+    | TokensRequested
     | TokensGranted
-    | ItemsTold
+    | ItemsSent
     | ItemPatched
     | ItemsAnnounced
-    | ItemsWanted
-    | ListingWanted
+    | ItemsRequested
+    | ListingRequested
 )
-FleetSaid = (
-    LoadTold
-    | ItemsTold
+FleetPeerMessage = (
+    LoadReported
+    | ItemsSent
     | ItemPatched
     | ItemsAnnounced
-    | ItemsWanted
-    | ListingWanted
+    | ItemsRequested
+    | ListingRequested
 )
 
 SendToPeer = Callable[[PeerMessage], None]
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -10,13 +10,13 @@
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
 
-WATCH_S = 1.0
+WATCH_TIMEOUT_S = 1.0
 """Longest wait of a watch; its end shows that the source is reachable.
 
 Peers judge a watcher by it, so it stays below the age at which they watch
 for themselves.
 """
-WATCH_GAP_S = 0.2
+WATCH_INTERVAL_S = 0.2
 """Least time between two watches, so that changes are read together."""
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.8
@@ -78,45 +78,45 @@
         self._tell = tell
         self._rng = rng
         self._log = log
-        self._wanted = asyncio.Event()
-        self._wanted.set()
+        self._enabled = asyncio.Event()
+        self._enabled.set()
         self._revision: int | None = None
         self._failures = 0
 
-    def set_wanted(self, wanted: bool) -> None:
+    def set_watching(self, watching: bool) -> None:
         """Begin or stop to watch."""
-        if wanted:
-            self._wanted.set()
+        if watching:
+            self._enabled.set()
         else:
-            self._wanted.clear()
+            self._enabled.clear()
 
     async def run(self) -> None:
         """Read and watch until the task is cancelled."""
         while True:
-            await self._wanted.wait()
+            await self._enabled.wait()
             try:
-                await self._step()
+                await self._read_once()
             except Exception as error:
                 self._log.failure("source-failed", error)
-                await self._failed("unexpected answer")
+                await self._back_off("unexpected answer")
 
-    async def _step(self) -> None:
+    async def _read_once(self) -> None:
         if self._revision is None:
             await self._read_all()
             return
         self._log.count("source_calls", "watch")
-        result = await self._port.watch(self._revision, WATCH_S)
+        result = await self._port.watch(self._revision, WATCH_TIMEOUT_S)
         match result:
             case Changes(items, revision):
-                self._answered()
+                self._record_success()
                 self._revision = max(self._revision, revision)
                 self._tell(_messages.ChangesRead(items, revision))
-                await asyncio.sleep(WATCH_GAP_S)
+                await asyncio.sleep(WATCH_INTERVAL_S)
             case HistoryGone():
                 self._log.decision("history-gone", revision=self._revision)
                 self._revision = None
             case Unavailable(reason):
-                await self._failed(reason)
+                await self._back_off(reason)
             case _:
                 typing.assert_never(result)
 
@@ -129,7 +129,7 @@
             page = await self._port.read_page(after_key)
             match page:
                 case Unavailable(reason):
-                    await self._failed(reason)
+                    await self._back_off(reason)
                     return
                 case Page():
                     pass
@@ -141,16 +141,16 @@
             if not page.has_more or not page.items:
                 break
             after_key = page.items[-1].key
-        self._answered()
+        self._record_success()
         self._revision = start_revision
         self._tell(_messages.ListingRead(tuple(items), start_revision))
 
-    def _answered(self) -> None:
+    def _record_success(self) -> None:
         if self._failures:
-            self._tell(_messages.SourceReturned())
+            self._tell(_messages.SourceRecovered())
         self._failures = 0
 
-    async def _failed(self, reason: str) -> None:
+    async def _back_off(self, reason: str) -> None:
         if self._failures == 0:
             self._tell(_messages.SourceLost(reason))
         self._failures += 1
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -109,7 +109,7 @@
                 self.gate.mailbox.tell,
                 self.quota.mailbox.tell,
                 self._dialler.dial,
-                self._source.set_wanted,
+                self._source.set_watching,
                 self.gate.load,
             ),
             self._clock,
@@ -130,7 +130,7 @@
     @property
     def linked_hosts(self) -> int:
         """Return how many hosts this node can send calls to."""
-        return self.entry.peers
+        return self.entry.peer_count
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what was begun."""
@@ -183,8 +183,10 @@
         """Finish what was begun, within the time until SIGKILL."""
         self._stopping = True
         begun_s = self._clock.now_s()
-        self._log.decision("stopping", calls=self.entry.busy + self.gate.busy)
-        self.gate.mailbox.tell(coordination.Stopping())
+        self._log.decision(
+            "stopping", calls=self.entry.open_calls + self.gate.active_calls
+        )
+        self.gate.mailbox.tell(coordination.StopRequested())
         self._callers.start_closing()
         await asyncio.sleep(UNREADY_NOTICE_S)
         end_s = begun_s + self._config.stop_grace_s - STOP_MARGIN_S
@@ -192,11 +194,13 @@
         self._callers.stop_listening()
         self._callers.close_idle()
         while self._clock.now_s() < end_s and (
-            self.entry.busy or self.gate.busy
+            self.entry.open_calls or self.gate.active_calls
         ):
             await asyncio.sleep(STOP_CHECK_S)
             self._callers.close_idle()
-        self._log.decision("stop", calls=self.entry.busy + self.gate.busy)
+        self._log.decision(
+            "stop", calls=self.entry.open_calls + self.gate.active_calls
+        )
         self.abort()
 
     def abort(self) -> None:
@@ -231,27 +235,29 @@
                 )
             case coordination.CallCancelled(call_id):
                 self.gate.mailbox.tell(
-                    coordination.WithdrawCall(link.link_id, call_id)
+                    coordination.CancelCall(link.link_id, call_id)
                 )
             case (
                 coordination.CallServed()
                 | coordination.CallNotRun()
                 | coordination.CallMayHaveRun()
             ):
-                self.entry.peer_reply(link.peer_host, message)
-            case coordination.Presence() | coordination.TokensAsked():
+                self.entry.handle_peer_reply(link.peer_host, message)
+            case coordination.Presence() | coordination.TokensRequested():
                 self.quota.mailbox.tell(
-                    coordination.PeerAsked(link.peer_host, message, link.send)
+                    coordination.RequesterMessageReceived(
+                        link.peer_host, message, link.send
+                    )
                 )
             case coordination.TokensGranted():
                 self.quota.mailbox.tell(
-                    coordination.PeerGranted(link.peer_host, message)
+                    coordination.ArbiterGranted(link.peer_host, message)
                 )
             case coordination.Hello():
                 pass
             case _:
                 self._tell_fleet(
-                    coordination.PeerSaid(
+                    coordination.PeerMessageReceived(
                         link, link.peer_host, message, link.send
                     )
                 )
@@ -279,7 +285,7 @@
         while True:
             self._tell_fleet(coordination.FleetTick())
             self._log.flush()
-            await asyncio.sleep(coordination.TICK_S)
+            await asyncio.sleep(coordination.FLEET_TICK_S)
 
     def _reload(self) -> None:
         """Take changed bounds over; other settings need a restart."""
@@ -317,7 +323,7 @@
             "confirmed_age_seconds": self.fleet.confirmed_age_s(
                 self._clock.now_s()
             ),
-            "calls_open": self.entry.busy,
+            "calls_open": self.entry.open_calls,
             "gate_in_flight": load.in_flight,
             "gate_queued": load.queued,
         }
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -25,15 +25,15 @@
     coordination.CallServed,
     coordination.CallNotRun,
     coordination.CallMayHaveRun,
-    coordination.LoadTold,
+    coordination.LoadReported,
     coordination.Presence,
-    coordination.TokensAsked,
+    coordination.TokensRequested,
     coordination.TokensGranted,
-    coordination.ItemsTold,
+    coordination.ItemsSent,
     coordination.ItemPatched,
     coordination.ItemsAnnounced,
-    coordination.ItemsWanted,
-    coordination.ListingWanted,
+    coordination.ItemsRequested,
+    coordination.ListingRequested,
 )
 _TAG_BY_TYPE = {kind: tag for tag, kind in enumerate(_TYPES)}
 _NAMES_BY_TYPE = {
@@ -51,8 +51,8 @@
 def encode(message: coordination.PeerMessage) -> bytes:
     """Return the frame of a message."""
     match message:
-        case coordination.ItemsTold(items):
-            message = coordination.ItemsTold(_pack_items(items))
+        case coordination.ItemsSent(items):
+            message = coordination.ItemsSent(_pack_items(items))
         case coordination.ItemPatched(pieces=pieces):
             packed = tuple(
                 _pack(piece) if isinstance(piece, bytes) else piece
@@ -78,8 +78,8 @@
             *(_freeze(field) for field in fields)
         )
         match message:
-            case coordination.ItemsTold(items):
-                return coordination.ItemsTold(_unpack_items(items))
+            case coordination.ItemsSent(items):
+                return coordination.ItemsSent(_unpack_items(items))
             case coordination.ItemPatched(pieces=pieces):
                 unpacked = tuple(
                     _unpack(piece) if isinstance(piece, bytes) else piece
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -117,7 +117,7 @@
         self._disarm()
         self._requests.clear()
         if self._current is not None:
-            self._server.tell(coordination.CallerLeft(self._current))
+            self._server.tell(coordination.CallerDisconnected(self._current))
             self._current = None
 
     def on_message_begin(self) -> None:
--- a/src/jasminecrank/platform/_headers.py
+++ b/src/jasminecrank/platform/_headers.py
@@ -108,7 +108,7 @@
     ) -> state.AttemptResult:
         """Return what an answer says of the call."""
         if raw.status == 421:
-            return state.NotRun(coordination.MOVED, 0.0, True)
+            return state.NotRun(coordination.SERVER_GONE, 0.0, True)
         if _not_executed(raw):
             retry = protocol.header(raw.headers, b"retry-after")
             return state.NotRun(
