--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -16,7 +16,7 @@
 
 SERVICE = "ledger"
 TEAM = "belt"
-ROUNDING = 1e-6
+TOKEN_TOLERANCE = 1e-6
 CLOCK_RATES = (0.97, 1.0, 1.03)
 LIMITS = ((10.0, 6), (10.0, 12), (40.0, 40), (5.0, 1))
 TIMES = strategies.sampled_from((0.01, 0.2, 1.0, 1.9, 2.3, 5.0))
@@ -48,22 +48,22 @@
     )
 
 
-class Published:
+class PublishedDocuments:
     """The documents that the platform shows, as a snapshot."""
 
     def __init__(self, rate, burst):
         self.numbers = dict.fromkeys(state.DocumentName, 1)
         self.host_by_slot = {}
         self.limit = state.LimitRow(SERVICE, TEAM, 1, rate, burst, 9)
-        self.out = frozenset()
-        self.started = 0
+        self.outages = frozenset()
+        self.started_hosts = 0
 
     def next_host(self):
         """Return the name of a host that never existed before."""
-        self.started += 1
-        return f"{SERVICE}-{self.started}"
+        self.started_hosts += 1
+        return f"{SERVICE}-{self.started_hosts}"
 
-    def change(self, name):
+    def bump_version(self, name):
         """Give a document its next version."""
         self.numbers[name] += 1
 
@@ -75,7 +75,7 @@
         for slot, host in self.host_by_slot.items():
             centre = "north" if slot % 2 else "south"
             rows.append(host_row(host, slot, centre))
-        for centre in self.out:
+        for centre in self.outages:
             rows.append(state.OutageRow(centre, state.OutageState.OUT))
         versions = state.VersionVector(
             **{
@@ -88,7 +88,7 @@
 
 def start_fleet(hosts, rate, burst, seed=0, policy=state.QuotaPolicy.LOANS):
     """Return the published documents and the fleet that follows them."""
-    published = Published(rate, burst)
+    published = PublishedDocuments(rate, burst)
     for slot in range(hosts):
         published.host_by_slot[slot] = published.next_host()
     fleet = standins.QuotaFleet(SERVICE, policy, random.Random(seed))
@@ -113,16 +113,16 @@
         count=strategies.integers(1, 4),
         seed=strategies.integers(0, 999),
     )
-    def begin(self, limit, count, seed):
+    def start(self, limit, count, seed):
         self.published, self.fleet = start_fleet(count, *limit, seed)
         self.fleet.advance(5.0)
 
-    def pick(self, number):
+    def running_host(self, number):
         running = sorted(self.fleet.by_host)
         return running[number % len(running)] if running else None
 
-    def awake(self, number):
-        host = self.pick(number)
+    def active_host(self, number):
+        host = self.running_host(number)
         if host is None or self.fleet.by_host[host].paused:
             return None
         return host
@@ -133,41 +133,41 @@
 
     @stateful.rule(number=hosts, calls=strategies.integers(1, 20))
     def take(self, number, calls):
-        host = self.awake(number)
+        host = self.active_host(number)
         for _ in range(calls if host else 0):
             self.fleet.take(host, TEAM)
 
     @stateful.rule(number=hosts, rest=TIMES, step=STEPS)
-    def lean_on_one_host(self, number, rest, step):
+    def load_one_host(self, number, rest, step):
         """Let buckets fill, empty them by one host, then by all."""
         self.fleet.advance(rest)
         for _ in range(25):
             self.take(number, 12)
             self.fleet.advance(step)
-        self.take_everything()
+        self.take_all_tokens()
 
     @stateful.rule(rest=TIMES, step=STEPS)
-    def lean_on_all_hosts(self, rest, step):
+    def load_all_hosts(self, rest, step):
         self.fleet.advance(rest)
         for _ in range(15):
-            self.take_everything()
+            self.take_all_tokens()
             self.fleet.advance(step)
 
     @stateful.rule()
-    def take_everything(self):
+    def take_all_tokens(self):
         for host, node in self.fleet.by_host.items():
             while not node.paused and self.fleet.take(host, TEAM):
                 pass
 
     @stateful.rule(number=hosts)
     def take_and_refund(self, number):
-        host = self.awake(number)
+        host = self.active_host(number)
         if host and self.fleet.take(host, TEAM):
             self.fleet.refund(host, TEAM)
 
     @stateful.rule(number=hosts)
     def pause(self, number):
-        host = self.pick(number)
+        host = self.running_host(number)
         if host:
             self.fleet.by_host[host].paused = True
 
@@ -183,7 +183,7 @@
         offset=strategies.sampled_from((0.0, 1e6)),
     )
     def restart(self, number, rate, offset):
-        host = self.pick(number)
+        host = self.running_host(number)
         if host:
             snapshot = self.fleet.by_host[host].snapshot
             self.fleet.stop(host)
@@ -191,26 +191,28 @@
 
     @stateful.rule(network=strategies.sampled_from(NETWORKS))
     def change_network(self, network):
-        ours = self.fleet.network
-        ours.loss, ours.repeat, ours.delay_max_s = network
-        ours.side_by_host.clear()
+        fleet_network = self.fleet.network
+        fleet_network.loss, fleet_network.repeat, fleet_network.delay_max_s = (
+            network
+        )
+        fleet_network.side_by_host.clear()
 
     @stateful.rule(number=hosts, side=strategies.integers(0, 1))
     def cut(self, number, side):
-        host = self.pick(number)
+        host = self.running_host(number)
         if host:
             self.fleet.network.side_by_host[host] = side
 
     @stateful.rule(number=hosts)
-    def follow(self, number):
-        host = self.awake(number)
+    def apply_snapshot_on(self, number):
+        host = self.active_host(number)
         if host:
             self.fleet.apply(host, self.published.snapshot())
 
     @stateful.rule()
-    def follow_all(self):
+    def apply_snapshot_on_all(self):
         for number in range(len(self.fleet.by_host)):
-            self.follow(number)
+            self.apply_snapshot_on(number)
 
     @stateful.rule(slot=strategies.integers(0, 5))
     def add_or_replace(self, slot):
@@ -219,7 +221,7 @@
             self.fleet.stop(former)
         host = self.published.next_host()
         self.published.host_by_slot[slot] = host
-        self.published.change(state.DocumentName.HOSTS)
+        self.published.bump_version(state.DocumentName.HOSTS)
         self.fleet.start(host, self.published.snapshot())
 
     @stateful.rule(slot=strategies.integers(0, 5))
@@ -227,7 +229,7 @@
         host = self.published.host_by_slot.pop(slot, None)
         if host in self.fleet.by_host:
             self.fleet.stop(host)
-        self.published.change(state.DocumentName.HOSTS)
+        self.published.bump_version(state.DocumentName.HOSTS)
 
     @stateful.rule(first=hosts, second=hosts)
     def swap_slots(self, first, second):
@@ -236,34 +238,36 @@
             first, second = (slots[n % len(slots)] for n in (first, second))
             hosts = self.published.host_by_slot
             hosts[first], hosts[second] = hosts[second], hosts[first]
-            self.published.change(state.DocumentName.HOSTS)
+            self.published.bump_version(state.DocumentName.HOSTS)
 
     @stateful.rule(limit=strategies.sampled_from(LIMITS))
     def change_limit(self, limit):
         self.published.limit = state.LimitRow(SERVICE, TEAM, 1, *limit, 9)
-        self.published.change(state.DocumentName.TABLE)
+        self.published.bump_version(state.DocumentName.TABLE)
 
     @stateful.rule(number=hosts, seconds=TIMES)
     def withdraw_limit_on_one_host(self, number, seconds):
         """Take the limit away and back, while the others keep it."""
         limit, self.published.limit = self.published.limit, None
-        self.published.change(state.DocumentName.TABLE)
-        self.follow(number)
+        self.published.bump_version(state.DocumentName.TABLE)
+        self.apply_snapshot_on(number)
         self.fleet.advance(seconds)
         self.published.limit = limit
-        self.published.change(state.DocumentName.TABLE)
-        self.follow(number)
+        self.published.bump_version(state.DocumentName.TABLE)
+        self.apply_snapshot_on(number)
 
     @stateful.rule(out=strategies.sampled_from(((), ("north",), ("south",))))
     def change_outages(self, out):
-        self.published.out = frozenset(out)
-        self.published.change(state.DocumentName.OUTAGES)
+        self.published.outages = frozenset(out)
+        self.published.bump_version(state.DocumentName.OUTAGES)
 
     @stateful.invariant()
     def within_rate_and_burst(self):
         if hasattr(self, "fleet"):
             worst = self.fleet.worst_excess()[TEAM]
-            assert worst <= ROUNDING, f"{worst} tokens above rate and burst"
+            assert worst <= TOKEN_TOLERANCE, (
+                f"{worst} tokens above rate and burst"
+            )
 
 
 @given("hosts that share the quota of a team")
@@ -313,7 +317,7 @@
 
 def publish_hosts(context, skip=None):
     """Put a new version of the host list in force on all hosts but one."""
-    context.published.change(state.DocumentName.HOSTS)
+    context.published.bump_version(state.DocumentName.HOSTS)
     for host in context.fleet.by_host:
         if host != skip:
             context.fleet.apply(host, context.published.snapshot())
@@ -349,8 +353,8 @@
 
 @when("a data centre is out")
 def step_out(context):
-    context.published.out = frozenset(("north",))
-    context.published.change(state.DocumentName.OUTAGES)
+    context.published.outages = frozenset(("north",))
+    context.published.bump_version(state.DocumentName.OUTAGES)
     for host in context.fleet.by_host:
         context.fleet.apply(host, context.published.snapshot())
 
@@ -398,165 +402,185 @@
 def step_windows(context):
     if hasattr(context, "fleet"):
         worst = context.fleet.worst_excess()[TEAM]
-        assert worst <= ROUNDING, worst
+        assert worst <= TOKEN_TOLERANCE, worst
 
 
 @given("a host that asks another twice for tokens")
-def step_two_asks(context):
+def step_two_requests(context):
     context.published = start_fleet(2, 40.0, 40)[0]
     snapshot = context.published.snapshot()
     lender, borrower = (f"{SERVICE}-{number}" for number in (1, 2))
-    context.names = (lender, borrower)
-    context.pair = tuple(
+    context.hosts = (lender, borrower)
+    context.quotas = tuple(
         state.QuotaState.from_host(host, 0.0, rng=random.Random(7))
-        for host in context.names
+        for host in context.hosts
     )
-    for quota, peer in zip(context.pair, (borrower, lender), strict=True):
+    for quota, peer in zip(context.quotas, (borrower, lender), strict=True):
         quota.peer_up(peer, 0.0)
         quota.apply_snapshot(snapshot, 0.0)
     context.now_s = 0.0
     while context.now_s < 10.0:
         context.now_s += 0.1
-        for quota in context.pair:
+        for quota in context.quotas:
             quota.tick(context.now_s)
-        exchange(context)
-    context.asks = [ask_again(context)]
+        deliver_all(context)
+    context.requests = [next_request(context)]
     context.now_s += 0.1
-    context.asks.append(ask_again(context))
-    context.ledger = context.pair[1].by_limit[SERVICE, TEAM]
+    context.requests.append(next_request(context))
+    context.ledger = context.quotas[1].by_limit[SERVICE, TEAM]
     while context.ledger.take(context.now_s):
         pass
 
 
-def ask_again(context):
+def next_request(context):
     """Return the borrower's next ask, as if none were under way."""
-    quota = context.pair[1]
-    quota.loans.asks_by_team.clear()
+    quota = context.quotas[1]
+    quota.loans.tracker_by_team.clear()
     for _ in range(100):
         quota.take(SERVICE, TEAM, context.now_s)
-        outgoing = quota.drain()
+        outgoing = quota.drain_outbox()
         if outgoing:
             return outgoing[0].message
     raise AssertionError("no ask")
 
 
-def exchange(context):
+def deliver_all(context):
     """Deliver all messages between the two hosts."""
     for number in (0, 1, 0, 1):
-        for outgoing in context.pair[number].drain():
-            context.pair[1 - number].receive(
-                context.names[number], outgoing.message, context.now_s
+        for outgoing in context.quotas[number].drain_outbox():
+            context.quotas[1 - number].receive(
+                context.hosts[number], outgoing.message, context.now_s
             )
 
 
-def grant(context, ask):
+def send_request(context, request):
     """Return the lender's answer to an ask."""
-    context.pair[0].receive(context.names[1], ask, context.now_s)
-    return context.pair[0].drain()[0].message
+    context.quotas[0].receive(context.hosts[1], request, context.now_s)
+    return context.quotas[0].drain_outbox()[0].message
 
 
-def arrive(context, offer):
+def deliver_grant(context, loan_grant):
     """Let an answer reach the borrower."""
-    context.pair[1].receive(context.names[0], offer, context.now_s)
+    context.quotas[1].receive(context.hosts[0], loan_grant, context.now_s)
 
 
 @when("the answers arrive {how}")
 def step_answers_arrive(context, how):
-    first, second = context.asks
-    context.before = context.ledger.tokens
+    first, second = context.requests
+    context.tokens_before = context.ledger.tokens
     match how:
         case "once":
-            offers = [grant(context, second)]
+            grants = [send_request(context, second)]
         case "twice":
-            offers = [grant(context, second)] * 2
+            grants = [send_request(context, second)] * 2
         case "1.99 s after the ask" | "2.01 s after the ask":
-            offers = [grant(context, second)]
+            grants = [send_request(context, second)]
             context.now_s += float(how.split()[0])
         case "to asks that overtook each other":
-            offers = [grant(context, second), grant(context, first)]
-            offers.reverse()
+            grants = [
+                send_request(context, second),
+                send_request(context, first),
+            ]
+            grants.reverse()
         case "after that of the later ask":
-            late, offer = grant(context, first), grant(context, second)
-            arrive(context, offer)
-            offers = [late]
+            late, loan_grant = (
+                send_request(context, first),
+                send_request(context, second),
+            )
+            deliver_grant(context, loan_grant)
+            grants = [late]
         case "after the process started again":
-            offers = [grant(context, second)]
-            context.pair = (
-                context.pair[0],
-                state.QuotaState.from_host(context.names[1], context.now_s),
+            grants = [send_request(context, second)]
+            context.quotas = (
+                context.quotas[0],
+                state.QuotaState.from_host(context.hosts[1], context.now_s),
             )
-    context.ledger.mint(context.now_s)
-    context.before = context.ledger.tokens
-    for offer in offers:
-        arrive(context, offer)
-    context.granted = [part.tokens for offer in offers for part in offer.parts]
+    context.ledger.refill(context.now_s)
+    context.tokens_before = context.ledger.tokens
+    for loan_grant in grants:
+        deliver_grant(context, loan_grant)
+    context.granted_tokens = [
+        share.tokens for loan_grant in grants for share in loan_grant.shares
+    ]
 
 
 @then("the borrower gained the tokens of one grant")
 def step_gained(context):
-    gained = context.ledger.tokens - context.before
-    most = max(context.granted)
-    assert most > 1.0 and abs(gained - most) < ROUNDING, (gained, most)
+    gained = context.ledger.tokens - context.tokens_before
+    expected = max(context.granted_tokens)
+    assert expected > 1.0 and abs(gained - expected) < TOKEN_TOLERANCE, (
+        gained,
+        expected,
+    )
 
 
 @then("the borrower gained nothing")
 def step_gained_nothing(context):
-    assert context.ledger.tokens == context.before, context.granted
+    assert context.ledger.tokens == context.tokens_before, (
+        context.granted_tokens
+    )
 
 
 @when("the lender grants a loan and {seconds:g} s pass")
 def step_grant(context, seconds):
-    offer = grant(context, context.asks[1])
-    assert offer.parts[0].share_ppb > 0, offer
+    loan_grant = send_request(context, context.requests[1])
+    assert loan_grant.shares[0].share_ppb > 0, loan_grant
     context.now_s += seconds
 
 
 @then("the lender owns {part} of its share")
 def step_lender_owns(context, part):
-    ledger = context.pair[0].by_limit[SERVICE, TEAM]
-    ledger.mint(context.now_s)
-    owned = ledger.share_ppb(context.now_s)
-    whole = const.SHARE_WHOLE // 2
-    assert (owned < whole) == (part == "less"), owned
+    ledger = context.quotas[0].by_limit[SERVICE, TEAM]
+    ledger.refill(context.now_s)
+    unlent_ppb = ledger.share_ppb(context.now_s)
+    own_share_ppb = const.SHARE_WHOLE // 2
+    assert (unlent_ppb < own_share_ppb) == (part == "less"), unlent_ppb
 
 
 @when("the lender grants the second ask and gets {ask}")
-def step_ask_after_grant(context, ask):
+def step_request_after_grant(context, ask):
     first, second = (
         dataclasses.replace(
-            ask,
-            wants=(dataclasses.replace(ask.wants[0], share_ppb=200_000_000),),
+            request,
+            shares=(
+                dataclasses.replace(request.shares[0], share_ppb=200_000_000),
+            ),
         )
-        for ask in context.asks
+        for request in context.requests
     )
-    offer = grant(context, second)
-    assert context.pair[0].by_limit[SERVICE, TEAM].tokens > 1.0
-    context.shares = {"no share": 0, "the share": offer.parts[0].share_ppb}
+    loan_grant = send_request(context, second)
+    assert context.quotas[0].by_limit[SERVICE, TEAM].tokens > 1.0
+    context.share_by_name = {
+        "no share": 0,
+        "the share": loan_grant.shares[0].share_ppb,
+    }
     context.now_s += 0.1
-    asks = {
+    requests = {
         "the first ask": first,
         "the second ask": second,
         "an ask for as much again": dataclasses.replace(
             second, loan_id=second.loan_id + 1
         ),
     }
-    context.part = grant(context, asks[ask]).parts[0]
+    context.granted_share = send_request(context, requests[ask]).shares[0]
 
 
 @then("the answer has {share} and no tokens")
 def step_answer(context, share):
-    assert context.part.share_ppb == context.shares[share], context.part
-    assert context.part.tokens == 0.0, context.part
+    assert context.granted_share.share_ppb == context.share_by_name[share], (
+        context.granted_share
+    )
+    assert context.granted_share.tokens == 0.0, context.granted_share
 
 
 @when("the lender grants a loan and its limit goes and comes back")
 def step_limit_returns(context):
     step_grant(context, 0.0)
     limit = context.published.limit
-    for shown in (None, limit):
-        context.published.limit = shown
-        context.published.change(state.DocumentName.TABLE)
-        context.pair[0].apply_snapshot(
+    for limit_row in (None, limit):
+        context.published.limit = limit_row
+        context.published.bump_version(state.DocumentName.TABLE)
+        context.quotas[0].apply_snapshot(
             context.published.snapshot(), context.now_s
         )
 
@@ -566,8 +590,8 @@
     step_grant(context, 0.0)
     slots = context.published.host_by_slot
     slots[0], slots[1] = slots[1], slots[0]
-    context.published.change(state.DocumentName.HOSTS)
-    for quota in context.pair:
+    context.published.bump_version(state.DocumentName.HOSTS)
+    for quota in context.quotas:
         quota.apply_snapshot(context.published.snapshot(), context.now_s)
 
 
--- a/script/compare_quotas.py
+++ b/script/compare_quotas.py
@@ -170,9 +170,9 @@
 def frame_bytes(host, message):
     """Return the size of a message as a frame of a peer link."""
     match message:
-        case state.LoanAsk():
+        case state.LoanRequest():
             peer_message = coordination.LoanRequest(message)
-        case state.LoanOffer():
+        case state.LoanGrant():
             peer_message = coordination.LoanGrant(message)
         case state.ShareReport():
             peer_message = coordination.ShareNotice(message)
--- a/src/jasminecrank/coordination/_loans.py
+++ b/src/jasminecrank/coordination/_loans.py
@@ -54,7 +54,7 @@
 
     def flush(self) -> None:
         """Send what the quota state has for its peers."""
-        for outgoing in self._quota.drain():
+        for outgoing in self._quota.drain_outbox():
             if self._membership is not None:
                 message = _peer_message(outgoing.message)
                 self._membership.tell(
@@ -80,15 +80,15 @@
 
     def _schedule(self, owner: _messages.Mailbox) -> None:
         self._timers.call_later(
-            self._quota.next_tick_s(), owner, _messages.QuotaTick()
+            self._quota.tick_interval_s(), owner, _messages.QuotaTick()
         )
 
 
 def _peer_message(message: state.QuotaMessage) -> _messages.PeerMessage:
     match message:
-        case state.LoanAsk():
+        case state.LoanRequest():
             return _messages.LoanRequest(message)
-        case state.LoanOffer():
+        case state.LoanGrant():
             return _messages.LoanGrant(message)
         case state.ShareReport():
             return _messages.ShareNotice(message)
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -81,14 +81,14 @@
 class LoanRequest:
     """Ask a peer of the same service for quota."""
 
-    ask: state.LoanAsk
+    ask: state.LoanRequest
 
 
 @dataclass(slots=True, frozen=True)
 class LoanGrant:
     """Hand over parts of shares and their tokens for a limited time."""
 
-    offer: state.LoanOffer
+    offer: state.LoanGrant
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/standins/_quota_fleet.py
+++ b/src/jasminecrank/standins/_quota_fleet.py
@@ -232,7 +232,7 @@
         self._send_from(host)
 
     def _send_from(self, host: str) -> None:
-        for outgoing in self.by_host[host].quota.drain():
+        for outgoing in self.by_host[host].quota.drain_outbox():
             self.sent += 1
             if self.size_of is not None:
                 size_bytes = self.size_of(host, outgoing.message)
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -50,12 +50,14 @@
 from jasminecrank.state._journal import Stamp as Stamp
 from jasminecrank.state._loan_book import QuotaPolicy as QuotaPolicy
 from jasminecrank.state._quota import QuotaState as QuotaState
-from jasminecrank.state._quota_messages import LoanAsk as LoanAsk
-from jasminecrank.state._quota_messages import LoanOffer as LoanOffer
-from jasminecrank.state._quota_messages import LoanPart as LoanPart
-from jasminecrank.state._quota_messages import LoanWant as LoanWant
-from jasminecrank.state._quota_messages import Outgoing as Outgoing
+from jasminecrank.state._quota_messages import LoanGrant as LoanGrant
+from jasminecrank.state._quota_messages import LoanRequest as LoanRequest
+from jasminecrank.state._quota_messages import (
+    OutgoingMessage as OutgoingMessage,
+)
 from jasminecrank.state._quota_messages import QuotaMessage as QuotaMessage
+from jasminecrank.state._quota_messages import ShareGrant as ShareGrant
+from jasminecrank.state._quota_messages import ShareRequest as ShareRequest
 from jasminecrank.state._readiness import Readiness as Readiness
 from jasminecrank.state._readiness import ReadinessState as ReadinessState
 from jasminecrank.state._retry import Answered as Answered
@@ -90,7 +92,7 @@
 from jasminecrank.state._rows import RouteRow as RouteRow
 from jasminecrank.state._rows import Row as Row
 from jasminecrank.state._rows import ServiceRow as ServiceRow
-from jasminecrank.state._shares import ShareBase as ShareBase
+from jasminecrank.state._shares import ShareAllocation as ShareAllocation
 from jasminecrank.state._shares import ShareReport as ShareReport
 from jasminecrank.state._snapshot import Snapshot as Snapshot
 from jasminecrank.state._source import SourceSchedule as SourceSchedule
--- a/src/jasminecrank/state/_borrowing.py
+++ b/src/jasminecrank/state/_borrowing.py
@@ -11,89 +11,94 @@
 
 _RENEW_AHEAD_S = 0.15 + const.QUOTA_TICK_S
 """Time left of a loan at which it is asked for again."""
-_RENEW_WITH_S = 1.4
+_RENEW_BATCH_S = 1.4
 """Time left at which a loan is renewed along with others, in one ask."""
-_ASK_GAP_S = 0.01
-_ANSWER_WAIT_S = 0.25
-_DENIED_S = 0.125
-_DENIED_MAX_S = 4.0
-_PEERS_AT_ONCE = 2
-_KEEP_FACTOR = 1.5
-_RISE = 1.4
+_MIN_REQUEST_INTERVAL_S = 0.01
+_GRANT_TIMEOUT_S = 0.25
+_DENIAL_BACKOFF_S = 0.125
+_DENIAL_BACKOFF_MAX_S = 4.0
+_MIN_LENDERS = 2
+_DEMAND_HEADROOM = 1.5
+_SKEW_THRESHOLD = 1.4
 """Demand in equal shares above which callers are not spread evenly."""
-_SMALLEST_PART = 0.02
-_BUDGET_TIME_S = 2.0
-_PAIR_BYTES = 190
+_MIN_RENEWAL_RATIO = 0.02
+_BUDGET_BURST_S = 2.0
+_EXCHANGE_BYTES = 190
 _TEAM_BYTES = 22
 
 
-def pair_bytes(teams: Iterable[str]) -> int:
+def exchange_bytes(teams: Iterable[str]) -> int:
     """Return the size of an ask and its answer as frames of a link."""
-    return _PAIR_BYTES + sum(_TEAM_BYTES + len(team) for team in teams)
+    return _EXCHANGE_BYTES + sum(_TEAM_BYTES + len(team) for team in teams)
 
 
 @dataclass(slots=True)
 class ByteBudget:
     """Bounds the bytes of loan messages with a token bucket."""
 
-    rate: float
-    left_bytes: float
-    at_s: float
+    bytes_per_s: float
+    available_bytes: float
+    updated_at_s: float
 
-    def spend(
-        self, size_bytes: int, now_s: float, keep_bytes: int = 0
+    def try_spend(
+        self, size_bytes: int, now_s: float, reserve_bytes: int = 0
     ) -> bool:
         """Return whether a message of this size may be sent."""
-        elapsed_s = max(0.0, now_s - self.at_s)
-        self.at_s = max(self.at_s, now_s)
-        self.left_bytes = min(
-            _BUDGET_TIME_S * self.rate,
-            self.left_bytes + elapsed_s * self.rate,
+        elapsed_s = max(0.0, now_s - self.updated_at_s)
+        self.updated_at_s = max(self.updated_at_s, now_s)
+        self.available_bytes = min(
+            _BUDGET_BURST_S * self.bytes_per_s,
+            self.available_bytes + elapsed_s * self.bytes_per_s,
         )
-        if self.left_bytes < size_bytes + keep_bytes:
+        if self.available_bytes < size_bytes + reserve_bytes:
             return False
-        self.left_bytes -= size_bytes
+        self.available_bytes -= size_bytes
         return True
 
 
 @dataclass(slots=True)
-class TeamAsks:
+class RequestTracker:
     """The asks of one team that are under way or were turned down."""
 
-    asked_at_by_peer: dict[str, float] = field(default_factory=dict)
+    requested_at_by_peer: dict[str, float] = field(default_factory=dict)
     denials_by_peer: dict[str, int] = field(default_factory=dict)
-    free_at_by_peer: dict[str, float] = field(default_factory=dict)
-    last_at_s: float = -math.inf
+    retry_at_by_peer: dict[str, float] = field(default_factory=dict)
+    last_request_at_s: float = -math.inf
 
-    def asked(self, peer: str, now_s: float) -> None:
+    def record_request(self, peer: str, now_s: float) -> None:
         """Note an ask."""
-        self.asked_at_by_peer[peer] = now_s
-        self.last_at_s = now_s
+        self.requested_at_by_peer[peer] = now_s
+        self.last_request_at_s = now_s
 
-    def answered(self, peer: str, gained: bool, now_s: float) -> None:
+    def record_grant(self, peer: str, gained: bool, now_s: float) -> None:
         """Note an answer and whether it brought anything."""
-        self.asked_at_by_peer.pop(peer, None)
+        self.requested_at_by_peer.pop(peer, None)
         if not gained:
             denials = self.denials_by_peer.get(peer, 0)
             self.denials_by_peer[peer] = denials + 1
-            delay_s = min(_DENIED_MAX_S, _DENIED_S * 2.0 ** min(denials, 8))
-            self.free_at_by_peer[peer] = now_s + delay_s
+            delay_s = min(
+                _DENIAL_BACKOFF_MAX_S,
+                _DENIAL_BACKOFF_S * 2.0 ** min(denials, 8),
+            )
+            self.retry_at_by_peer[peer] = now_s + delay_s
         else:
             self.denials_by_peer.pop(peer, None)
-            self.free_at_by_peer.pop(peer, None)
+            self.retry_at_by_peer.pop(peer, None)
 
-    def is_waiting(self, now_s: float) -> bool:
+    def awaits_grant(self, now_s: float) -> bool:
         """Return whether an answer may still come."""
         return any(
-            now_s - at_s < _ANSWER_WAIT_S
-            for at_s in self.asked_at_by_peer.values()
+            now_s - at_s < _GRANT_TIMEOUT_S
+            for at_s in self.requested_at_by_peer.values()
         )
 
-    def may_ask(self, peer: str, now_s: float) -> bool:
+    def may_request(self, peer: str, now_s: float) -> bool:
         """Return whether the peer is free to be asked."""
-        asked_at_s = self.asked_at_by_peer.get(peer, -math.inf)
-        free_at_s = self.free_at_by_peer.get(peer, -math.inf)
-        return now_s - asked_at_s >= _ANSWER_WAIT_S and now_s >= free_at_s
+        requested_at_s = self.requested_at_by_peer.get(peer, -math.inf)
+        retry_at_s = self.retry_at_by_peer.get(peer, -math.inf)
+        return (
+            now_s - requested_at_s >= _GRANT_TIMEOUT_S and now_s >= retry_at_s
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,45 +110,49 @@
     the borrower keeps the tokens that fit its own share.
     """
 
-    lasting: bool
+    long_term: bool
     share_by_peer: dict[str, int]
 
 
 _NO_LOANS = LoanPlan(False, {})
 
 
-def is_ending(ledger: _ledger.ShareLedger, lender: str, now_s: float) -> bool:
+def is_renewal_due(
+    ledger: _ledger.ShareLedger, lender: str, now_s: float
+) -> bool:
     """Return whether a lasting loan ends so soon that it is renewed."""
-    loan = ledger.lasting_from(lender)
+    loan = ledger.long_term_loan_from(lender)
     return loan is not None and loan.expires_at_s - now_s <= _RENEW_AHEAD_S
 
 
 def plan_renewals(
-    ledger: _ledger.ShareLedger, usual_ppb: int, now_s: float
+    ledger: _ledger.ShareLedger, equal_share_ppb: int, now_s: float
 ) -> dict[str, int]:
     """Return the shares to keep by lender, for loans worth renewing."""
     loan_by_lender = {
         lender: loan
-        for lender in ledger.borrowed
-        if (loan := ledger.lasting_from(lender)) is not None
+        for lender in ledger.borrowed_by_lender
+        if (loan := ledger.long_term_loan_from(lender)) is not None
     }
     total_ppb = sum(loan.share_ppb for loan in loan_by_lender.values())
     if total_ppb == 0:
         return {}
-    keep_ppb = rise_ppb(ledger, usual_ppb, now_s) - ledger.free_ppb(now_s)
-    ratio = min(1.0, keep_ppb / total_ppb)
-    if ratio < _SMALLEST_PART:
+    needed_ppb = target_share_ppb(
+        ledger, equal_share_ppb, now_s
+    ) - ledger.free_ppb(now_s)
+    ratio = min(1.0, needed_ppb / total_ppb)
+    if ratio < _MIN_RENEWAL_RATIO:
         return {}
     return {
         lender: int(loan.share_ppb * ratio)
         for lender, loan in loan_by_lender.items()
-        if loan.expires_at_s - now_s <= _RENEW_WITH_S
+        if loan.expires_at_s - now_s <= _RENEW_BATCH_S
     }
 
 
 def plan_loans(
     ledger: _ledger.ShareLedger,
-    asks: TeamAsks,
+    tracker: RequestTracker,
     peers: Sequence[str],
     now_s: float,
 ) -> LoanPlan:
@@ -152,45 +161,60 @@
     Several peers are asked at once, each for more than its part, because
     one that is busy itself gives nothing. The first ones are preferred.
     """
-    if now_s - asks.last_at_s < _ASK_GAP_S or not peers:
+    if (
+        now_s - tracker.last_request_at_s < _MIN_REQUEST_INTERVAL_S
+        or not peers
+    ):
         return _NO_LOANS
-    low = ledger.low_water(now_s)
-    if ledger.tokens >= low or not ledger.has_demand(now_s):
+    watermark = ledger.low_watermark(now_s)
+    if ledger.tokens >= watermark or not ledger.has_demand(now_s):
         return _NO_LOANS
-    usual_ppb = math.ceil(const.SHARE_WHOLE / (len(peers) + 1))
+    equal_share_ppb = math.ceil(const.SHARE_WHOLE / (len(peers) + 1))
     share_ppb = ledger.share_ppb(now_s)
-    lacking_ppb = rise_ppb(ledger, usual_ppb, now_s) - share_ppb
-    lasting = lacking_ppb > 0
-    if not lasting:
-        tokens = 2.0 * low - ledger.tokens
-        lacking_ppb = int(tokens / ledger.limit.burst * const.SHARE_WHOLE)
-    lacking_ppb = min(lacking_ppb, const.SHARE_WHOLE - share_ppb)
+    missing_ppb = target_share_ppb(ledger, equal_share_ppb, now_s) - share_ppb
+    long_term = missing_ppb > 0
+    if not long_term:
+        tokens = 2.0 * watermark - ledger.tokens
+        missing_ppb = int(tokens / ledger.limit.burst * const.SHARE_WHOLE)
+    missing_ppb = min(missing_ppb, const.SHARE_WHOLE - share_ppb)
     room_by_peer = {
-        peer: usual_ppb - ledger.borrowed_from(peer)
+        peer: equal_share_ppb - ledger.borrowed_from_ppb(peer)
         for peer in peers
-        if asks.may_ask(peer, now_s)
+        if tracker.may_request(peer, now_s)
     }
-    free = [peer for peer, ppb in room_by_peer.items() if ppb > usual_ppb // 8]
-    if lacking_ppb <= 0 or not free:
+    lenders = [
+        peer
+        for peer, ppb in room_by_peer.items()
+        if ppb > equal_share_ppb // 8
+    ]
+    if missing_ppb <= 0 or not lenders:
         return _NO_LOANS
-    count = max(_PEERS_AT_ONCE, math.ceil(1.5 * lacking_ppb / usual_ppb))
-    chosen = free[:count]
-    part_ppb = int(1.5 * lacking_ppb / len(chosen)) + 1
+    count = max(_MIN_LENDERS, math.ceil(1.5 * missing_ppb / equal_share_ppb))
+    chosen = lenders[:count]
+    part_ppb = int(1.5 * missing_ppb / len(chosen)) + 1
     return LoanPlan(
-        lasting,
+        long_term,
         {
-            peer: ledger.borrowed_from(peer)
+            peer: ledger.borrowed_from_ppb(peer)
             + min(room_by_peer[peer], part_ppb)
             for peer in chosen
         },
     )
 
 
-def rise_ppb(ledger: _ledger.ShareLedger, usual_ppb: int, now_s: float) -> int:
+def target_share_ppb(
+    ledger: _ledger.ShareLedger, equal_share_ppb: int, now_s: float
+) -> int:
     """Return the whole share for callers that come mostly here, else 0."""
     whole, rate = const.SHARE_WHOLE, ledger.limit.rate
-    if ledger.demand.firm_rate(now_s) * whole < _RISE * usual_ppb * rate:
+    if (
+        ledger.demand.rate_lower_bound(now_s) * whole
+        < _SKEW_THRESHOLD * equal_share_ppb * rate
+    ):
         return 0
     demand = ledger.demand.rate(now_s) / rate
-    share = _KEEP_FACTOR * demand + ledger.reserve(now_s) / ledger.limit.burst
+    share = (
+        _DEMAND_HEADROOM * demand
+        + ledger.reserve_tokens(now_s) / ledger.limit.burst
+    )
     return min(whole, int(share * whole))
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -30,8 +30,8 @@
     placement: _placement.PlacementState
     server: _backend_server.BackendServer
     queue: _fair_queue.FairQueue = field(default_factory=_fair_queue.FairQueue)
-    tokens: _token_wait.TokenWait = field(
-        default_factory=_token_wait.TokenWait
+    tokens: _token_wait.TokenWaitList = field(
+        default_factory=_token_wait.TokenWaitList
     )
     bookings: _bookings.Bookings = field(default_factory=_bookings.Bookings)
     max_in_flight_by_team: dict[str, int] = field(default_factory=dict)
@@ -97,7 +97,7 @@
                 due_s
                 for due_s in (
                     self.queue.next_deadline_s(),
-                    self.tokens.next_retry_s(),
+                    self.tokens.next_retry_at_s(),
                 )
                 if due_s is not None
             ),
@@ -167,7 +167,7 @@
 
     def retry_tokens(self, now_s: float) -> None:
         """Let calls that are short of a token try again."""
-        for entry in self.tokens.take_due(now_s):
+        for entry in self.tokens.pop_due(now_s):
             wait_s: float | None = _NOT_READY_WAIT_S
             code = exceptions.ResultCode.NODE_NOT_READY
             if self.accepts_calls(now_s):
@@ -178,7 +178,7 @@
                 refused = self._enqueue(held, now_s)
                 if refused is not None:
                     self.settle(entry, refused)
-            elif not self.tokens.keep(entry, wait_s, now_s):
+            elif not self.tokens.schedule_retry(entry, wait_s, now_s):
                 self.give_up(entry, now_s)
                 self.settle(entry, self.refuse(code, entry.checked, wait_s))
 
@@ -190,7 +190,7 @@
     ) -> _calls.Decision | _calls.Queued:
         entry = self._new_entry(checked)
         limit = self.threads_for_waiting(now_s) // 2
-        if not self.tokens.offer(entry, wait_s, limit, now_s):
+        if not self.tokens.add(entry, wait_s, limit, now_s):
             return self.refuse(
                 exceptions.ResultCode.RATE_EXCEEDED, checked, wait_s
             )
--- a/src/jasminecrank/state/_ledger.py
+++ b/src/jasminecrank/state/_ledger.py
@@ -11,24 +11,24 @@
 from jasminecrank.state import _invariants
 from jasminecrank.state import _rows
 
-_DEMAND_NONE = 0.1
-_ANSWER_S = 0.05
-_ROUNDING = 1e-6
+_MIN_DEMAND_PER_S = 0.1
+_GRANT_LATENCY_S = 0.05
+_TOKEN_TOLERANCE = 1e-6
 """Tokens by which sums of floats may differ."""
 
 
 @dataclass(slots=True, frozen=True)
-class Borrowed:
+class BorrowedShare:
     """A share on loan from a peer, by one answered ask."""
 
     loan_id: int
     share_ppb: int
     expires_at_s: float
-    lasting: bool
+    long_term: bool
 
 
 @dataclass(slots=True, frozen=True)
-class Lent:
+class LentShare:
     """A share that a peer may use until the return time."""
 
     loan_id: int
@@ -51,13 +51,17 @@
     limit: _rows.LimitRow
     own_ppb: int
     tokens: float
-    minted_at_s: float
-    quiet_until_s: float
-    demand: _demand.Demand
-    audit: _demand.Audit
-    borrowed: dict[str, tuple[Borrowed, ...]] = field(default_factory=dict)
+    refilled_at_s: float
+    share_withheld_until_s: float
+    demand: _demand.DemandEstimate
+    audit: _demand.QuotaAudit
+    borrowed_by_lender: dict[str, tuple[BorrowedShare, ...]] = field(
+        default_factory=dict
+    )
     last_id_by_lender: dict[str, int] = field(default_factory=dict)
-    lent: dict[str, tuple[Lent, ...]] = field(default_factory=dict)
+    lent_by_borrower: dict[str, tuple[LentShare, ...]] = field(
+        default_factory=dict
+    )
 
     @classmethod
     def from_limit(
@@ -65,20 +69,20 @@
         limit: _rows.LimitRow,
         own_ppb: int,
         now_s: float,
-        quiet_until_s: float,
+        share_withheld_until_s: float,
     ) -> "ShareLedger":
         """Return an empty ledger that mints nothing while it is quiet."""
         return cls(
             limit=limit,
             own_ppb=own_ppb,
             tokens=0.0,
-            minted_at_s=now_s,
-            quiet_until_s=quiet_until_s,
-            demand=_demand.Demand(0.0, 0.0, now_s),
-            audit=_demand.Audit(0.0, now_s),
+            refilled_at_s=now_s,
+            share_withheld_until_s=share_withheld_until_s,
+            demand=_demand.DemandEstimate(0.0, 0.0, now_s),
+            audit=_demand.QuotaAudit(0.0, now_s),
         )
 
-    def change(
+    def update(
         self, limit: _rows.LimitRow, own_ppb: int, now_s: float
     ) -> None:
         """Follow a new limit or own share; only what fits is kept.
@@ -86,9 +90,9 @@
         After a decrease the ledger starts from empty: tokens minted under
         the larger limit must not go to peers that never had it.
         """
-        self.mint(now_s)
+        self.refill(now_s)
         if limit != self.limit:
-            self.audit = _demand.Audit(0.0, now_s)
+            self.audit = _demand.QuotaAudit(0.0, now_s)
         if limit.rate < self.limit.rate or limit.burst < self.limit.burst:
             self.tokens = 0.0
         self.limit = limit
@@ -97,23 +101,23 @@
 
     def take(self, now_s: float) -> bool:
         """Take one token if there is one."""
-        self.mint(now_s)
+        self.refill(now_s)
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
-        self.audit.take(self.limit, now_s)
+        self.audit.count_token(self.limit, now_s)
         return True
 
     def refund(self, now_s: float) -> None:
         """Put back the token of a request that was not run."""
-        self.mint(now_s)
+        self.refill(now_s)
         self.tokens += 1.0
         self.audit.level = max(0.0, self.audit.level - 1.0)
         self._clamp(now_s)
 
     def holds_token(self, now_s: float) -> bool:
         """Return whether there is a token, or the share is too small."""
-        self.mint(now_s)
+        self.refill(now_s)
         share_ppb = self.share_ppb(now_s)
         return (
             self.tokens >= 1.0
@@ -132,56 +136,60 @@
             return const.LOAN_TTL_S
         return min(const.LOAN_TTL_S, max(0.0, (1.0 - self.tokens) / rate))
 
-    def mint(self, now_s: float) -> None:
+    def refill(self, now_s: float) -> None:
         """Add the tokens of the time since the last use.
 
         A loan that began or ended in between counts as absent for all of
         it, on both sides, so that the sum of shares is never exceeded.
         """
-        elapsed_s = max(0.0, now_s - self.minted_at_s)
-        share_ppb = self._kept(self.minted_at_s) + self._held(now_s)
-        self.minted_at_s = max(self.minted_at_s, now_s)
+        elapsed_s = max(0.0, now_s - self.refilled_at_s)
+        share_ppb = self._unlent_ppb(self.refilled_at_s) + self._borrowed_ppb(
+            now_s
+        )
+        self.refilled_at_s = max(self.refilled_at_s, now_s)
         share = share_ppb / const.SHARE_WHOLE
         self.tokens += elapsed_s * self.limit.rate * share
-        self._prune(now_s)
+        self._drop_expired(now_s)
         self._clamp(now_s)
 
     def share_ppb(self, now_s: float) -> int:
         """Return the share by which tokens are minted now."""
-        return self._kept(now_s) + self._held(now_s)
+        return self._unlent_ppb(now_s) + self._borrowed_ppb(now_s)
 
     def free_ppb(self, now_s: float) -> int:
         """Return the part of the own share that is not on loan."""
-        return self._kept(now_s)
+        return self._unlent_ppb(now_s)
 
-    def borrowed_from(self, lender: str) -> int:
+    def borrowed_from_ppb(self, lender: str) -> int:
         """Return the share on loan here from one peer."""
-        loans = self.borrowed.get(lender, ())
+        loans = self.borrowed_by_lender.get(lender, ())
         return max((loan.share_ppb for loan in loans), default=0)
 
-    def lasting_from(self, lender: str) -> Borrowed | None:
+    def long_term_loan_from(self, lender: str) -> BorrowedShare | None:
         """Return the lasting loan from a peer that ends last."""
-        loans = [loan for loan in self.borrowed[lender] if loan.lasting]
+        loans = [
+            loan for loan in self.borrowed_by_lender[lender] if loan.long_term
+        ]
         return max(loans, key=lambda loan: loan.expires_at_s, default=None)
 
     def has_demand(self, now_s: float) -> bool:
         """Return whether requests came recently."""
-        return self.demand.rate(now_s) >= _DEMAND_NONE
+        return self.demand.rate(now_s) >= _MIN_DEMAND_PER_S
 
-    def reserve(self, now_s: float) -> float:
+    def reserve_tokens(self, now_s: float) -> float:
         """Return the tokens that even out chance in the next moment."""
         rate = self.demand.rate(now_s)
         return 1.0 + 0.5 * math.sqrt(rate)
 
-    def low_water(self, now_s: float) -> float:
+    def low_watermark(self, now_s: float) -> float:
         """Return the tokens below which peers are asked for more.
 
         They cover the requests that come while an answer is on its way.
         """
-        spread = 3.0 * math.sqrt(self.demand.rate(now_s) * _ANSWER_S)
-        share = max(self.own_ppb, self.share_ppb(self.minted_at_s))
+        margin = 3.0 * math.sqrt(self.demand.rate(now_s) * _GRANT_LATENCY_S)
+        share = max(self.own_ppb, self.share_ppb(self.refilled_at_s))
         cap = share * self.limit.burst / const.SHARE_WHOLE
-        return 1.0 + min(0.25 * cap, spread)
+        return 1.0 + min(0.25 * cap, margin)
 
     def spare_ppb(self, ttl_s: float, now_s: float) -> int:
         """Return the share this node can do without for a time.
@@ -192,17 +200,17 @@
         demand = self.demand.rate(now_s)
         rate, burst = self.limit.rate, self.limit.burst
         share = self.share_ppb(now_s) / const.SHARE_WHOLE
-        keep = 0.0
-        if demand >= _DEMAND_NONE:
-            keep = 1.0 + 2.0 * math.sqrt(demand * ttl_s)
-        tokens = self.tokens + (share * rate - demand) * ttl_s - keep
+        reserved = 0.0
+        if demand >= _MIN_DEMAND_PER_S:
+            reserved = 1.0 + 2.0 * math.sqrt(demand * ttl_s)
+        tokens = self.tokens + (share * rate - demand) * ttl_s - reserved
         return int(tokens / (burst + rate * ttl_s) * const.SHARE_WHOLE)
 
     def lend(
         self,
         borrower: str,
         loan_id: int,
-        want_ppb: int,
+        wanted_ppb: int,
         ttl_s: float,
         now_s: float,
         lend_all: bool,
@@ -214,17 +222,17 @@
         ask overtaken by a later one gets nothing, because the borrower
         would count the tokens of both answers to the same share.
         """
-        self.mint(now_s)
-        entries = self.lent.get(borrower, ())
+        self.refill(now_s)
+        entries = self.lent_by_borrower.get(borrower, ())
         if any(entry.loan_id >= loan_id for entry in entries):
             return Grant(0, 0.0)
-        before_ppb = self._lent_to(borrower)
-        free_ppb = self._kept(now_s)
+        before_ppb = self._lent_ppb(borrower)
+        free_ppb = self._unlent_ppb(now_s)
         spare_ppb = free_ppb if lend_all else self.spare_ppb(ttl_s, now_s)
         share_ppb = min(
-            want_ppb,
+            wanted_ppb,
             before_ppb + min(free_ppb, spare_ppb),
-            self._lendable_to(borrower, now_s),
+            self._lendable_ppb(borrower, now_s),
         )
         if share_ppb <= 0:
             return Grant(0, 0.0)
@@ -233,44 +241,49 @@
         tokens = max(0.0, min(burst, self.tokens))
         self.tokens -= tokens
         returns_at_s = now_s + ttl_s * (1 + const.LOAN_RETURN_MARGIN)
-        entry = Lent(loan_id, share_ppb, returns_at_s)
-        self.lent[borrower] = (*entries, entry)
+        entry = LentShare(loan_id, share_ppb, returns_at_s)
+        self.lent_by_borrower[borrower] = (*entries, entry)
         self._clamp(now_s)
-        self._check(self._kept(now_s) == free_ppb - moved_ppb, "lent")
+        self._check(self._unlent_ppb(now_s) == free_ppb - moved_ppb, "lent")
         return Grant(share_ppb, tokens)
 
     def accept(
-        self, lender: str, loan: Borrowed, tokens: float, now_s: float
+        self, lender: str, loan: BorrowedShare, tokens: float, now_s: float
     ) -> bool:
         """Take a loan over; a late or overtaken one changes nothing."""
-        self.mint(now_s)
+        self.refill(now_s)
         if loan.loan_id <= self.last_id_by_lender.get(lender, -1):
             return False
         if loan.expires_at_s <= now_s:
             return False
         self.last_id_by_lender[lender] = loan.loan_id
-        self.borrowed[lender] = (*self.borrowed.get(lender, ()), loan)
+        self.borrowed_by_lender[lender] = (
+            *self.borrowed_by_lender.get(lender, ()),
+            loan,
+        )
         self.tokens += tokens
         self._clamp(now_s)
         return True
 
-    def _kept(self, now_s: float) -> int:
-        if now_s < self.quiet_until_s:
+    def _unlent_ppb(self, now_s: float) -> int:
+        if now_s < self.share_withheld_until_s:
             return 0
-        return max(0, self.own_ppb - sum(map(self._lent_to, self.lent)))
+        return max(
+            0, self.own_ppb - sum(map(self._lent_ppb, self.lent_by_borrower))
+        )
 
-    def _lendable_to(self, borrower: str, now_s: float) -> int:
+    def _lendable_ppb(self, borrower: str, now_s: float) -> int:
         """Return the own share that is not on loan to others.
 
         A renewal must fit in it too: the own share may have become smaller
         since the loan was made.
         """
-        if now_s < self.quiet_until_s:
+        if now_s < self.share_withheld_until_s:
             return 0
-        others = (peer for peer in self.lent if peer != borrower)
-        return self.own_ppb - sum(map(self._lent_to, others))
+        others = (peer for peer in self.lent_by_borrower if peer != borrower)
+        return self.own_ppb - sum(map(self._lent_ppb, others))
 
-    def _held(self, now_s: float) -> int:
+    def _borrowed_ppb(self, now_s: float) -> int:
         return sum(
             max(
                 (
@@ -280,35 +293,37 @@
                 ),
                 default=0,
             )
-            for loans in self.borrowed.values()
+            for loans in self.borrowed_by_lender.values()
         )
 
-    def _lent_to(self, borrower: str) -> int:
-        entries = self.lent.get(borrower, ())
+    def _lent_ppb(self, borrower: str) -> int:
+        entries = self.lent_by_borrower.get(borrower, ())
         return max((entry.share_ppb for entry in entries), default=0)
 
-    def _prune(self, now_s: float) -> None:
-        for lender, loans in tuple(self.borrowed.items()):
-            held = tuple(loan for loan in loans if loan.expires_at_s > now_s)
-            if held:
-                self.borrowed[lender] = held
+    def _drop_expired(self, now_s: float) -> None:
+        for lender, loans in tuple(self.borrowed_by_lender.items()):
+            active_loans = tuple(
+                loan for loan in loans if loan.expires_at_s > now_s
+            )
+            if active_loans:
+                self.borrowed_by_lender[lender] = active_loans
             else:
-                del self.borrowed[lender]
-        for borrower, entries in tuple(self.lent.items()):
-            live = tuple(
+                del self.borrowed_by_lender[lender]
+        for borrower, entries in tuple(self.lent_by_borrower.items()):
+            active_entries = tuple(
                 entry for entry in entries if entry.returns_at_s > now_s
             )
-            if live:
-                self.lent[borrower] = live
+            if active_entries:
+                self.lent_by_borrower[borrower] = active_entries
             else:
-                del self.lent[borrower]
+                del self.lent_by_borrower[borrower]
 
     def _clamp(self, now_s: float) -> None:
         share_ppb = self.share_ppb(now_s)
         self._check(0 <= share_ppb <= const.SHARE_WHOLE, "share")
         cap = share_ppb * self.limit.burst / const.SHARE_WHOLE
         self.tokens = min(cap, self.tokens)
-        self._check(self.tokens >= -_ROUNDING, "tokens")
+        self._check(self.tokens >= -_TOKEN_TOLERANCE, "tokens")
 
     def _check(self, holds: bool, what: str) -> None:
         _invariants.check(
@@ -319,7 +334,7 @@
             self.limit.team,
             self.limit.service,
             self.own_ppb,
-            self.borrowed,
-            self.lent,
+            self.borrowed_by_lender,
+            self.lent_by_borrower,
             self.tokens,
         )
--- a/src/jasminecrank/state/_loan_book.py
+++ b/src/jasminecrank/state/_loan_book.py
@@ -12,7 +12,7 @@
 from jasminecrank.state import _ledger
 from jasminecrank.state import _quota_messages
 
-_ID_BITS = 31
+_LOAN_ID_BITS = 31
 
 
 class QuotaPolicy(enum.Enum):
@@ -23,16 +23,16 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _PendingAsk:
+class _PendingRequest:
     peer: str
-    asked_at_s: float
+    requested_at_s: float
     service: str
     ttl_s: float
-    wants: tuple[_quota_messages.LoanWant, ...]
+    shares: tuple[_quota_messages.ShareRequest, ...]
 
 
 @dataclass(slots=True)
-class LoanBook:
+class LoanManager:
     """Decides whom to ask for loans, and answers the asks of peers.
 
     The ledgers and the outbox are those of the quota state it belongs to.
@@ -42,17 +42,19 @@
     policy: QuotaPolicy
     rng: random.Random
     by_limit: dict[tuple[str, str], _ledger.ShareLedger]
-    outbox: list[_quota_messages.Outgoing]
-    budget: _borrowing.ByteBudget
+    outbox: list[_quota_messages.OutgoingMessage]
+    request_budget: _borrowing.ByteBudget
     answer_budget: _borrowing.ByteBudget
-    next_id: int
+    next_loan_id: int
     service: str = ""
     service_hosts: frozenset[str] = frozenset()
     peers: set[str] = field(default_factory=set)
     lend_all: bool = False
-    asks_by_team: dict[str, _borrowing.TeamAsks] = field(default_factory=dict)
-    pending_by_id: dict[int, _PendingAsk] = field(default_factory=dict)
-    rotation: int = 0
+    tracker_by_team: dict[str, _borrowing.RequestTracker] = field(
+        default_factory=dict
+    )
+    pending_by_id: dict[int, _PendingRequest] = field(default_factory=dict)
+    peer_offset: int = 0
 
     @classmethod
     def from_ledgers(
@@ -61,9 +63,9 @@
         policy: QuotaPolicy,
         rng: random.Random,
         by_limit: dict[tuple[str, str], _ledger.ShareLedger],
-        outbox: list[_quota_messages.Outgoing],
+        outbox: list[_quota_messages.OutgoingMessage],
         now_s: float,
-    ) -> "LoanBook":
+    ) -> "LoanManager":
         """Return the book of a process that has just started."""
         return cls(
             host=host,
@@ -71,77 +73,80 @@
             rng=rng,
             by_limit=by_limit,
             outbox=outbox,
-            budget=_borrowing.ByteBudget(const.LOAN_BYTES_PER_S, 0.0, now_s),
+            request_budget=_borrowing.ByteBudget(
+                const.LOAN_BYTES_PER_S, 0.0, now_s
+            ),
             answer_budget=_borrowing.ByteBudget(
                 const.LOAN_ANSWER_BYTES_PER_S, 0.0, now_s
             ),
             # A former process of this host may have asks under way.
-            next_id=rng.getrandbits(_ID_BITS),
+            next_loan_id=rng.getrandbits(_LOAN_ID_BITS),
         )
 
     def change_service(self, service: str) -> None:
         """Forget the loans of another service."""
         self.service = service
-        self.asks_by_team.clear()
+        self.tracker_by_team.clear()
         self.pending_by_id.clear()
 
-    def is_waiting(self, team: str, now_s: float) -> bool:
+    def awaits_grant(self, team: str, now_s: float) -> bool:
         """Return whether an answer for a team may still come."""
-        asks = self.asks_by_team.get(team)
-        return asks is not None and asks.is_waiting(now_s)
+        tracker = self.tracker_by_team.get(team)
+        return tracker is not None and tracker.awaits_grant(now_s)
 
     def is_active(self) -> bool:
         """Return whether asks are under way or loans may need renewal."""
         return bool(self.pending_by_id) or any(
-            ledger.borrowed for ledger in self.by_limit.values()
+            ledger.borrowed_by_lender for ledger in self.by_limit.values()
         )
 
     def tick(self, now_s: float) -> None:
         """Forget asks that cannot be answered any more; renew loans."""
-        self.rotation = self.rng.getrandbits(16)
-        for loan_id, ask in tuple(self.pending_by_id.items()):
-            if now_s - ask.asked_at_s >= const.LOAN_TTL_S:
+        self.peer_offset = self.rng.getrandbits(16)
+        for loan_id, request in tuple(self.pending_by_id.items()):
+            if now_s - request.requested_at_s >= const.LOAN_TTL_S:
                 del self.pending_by_id[loan_id]
         self._renew(now_s)
 
     def lend(
-        self, host: str, ask: _quota_messages.LoanAsk, now_s: float
+        self, host: str, request: _quota_messages.LoanRequest, now_s: float
     ) -> None:
         """Answer the ask of a peer."""
         if self.policy is not QuotaPolicy.LOANS:
             return
-        teams = [want.team for want in ask.wants]
-        size_bytes = _borrowing.pair_bytes(teams) // 2
-        if not self.answer_budget.spend(size_bytes, now_s):
+        teams = [wanted.team for wanted in request.shares]
+        size_bytes = _borrowing.exchange_bytes(teams) // 2
+        if not self.answer_budget.try_spend(size_bytes, now_s):
             return
-        parts = tuple(
-            self._lend_part(host, ask, want, now_s) for want in ask.wants
+        shares = tuple(
+            self._lend_share(host, request, wanted, now_s)
+            for wanted in request.shares
         )
-        self._send(host, _quota_messages.LoanOffer(ask.loan_id, parts))
+        self._send(host, _quota_messages.LoanGrant(request.loan_id, shares))
 
-    def _lend_part(
+    def _lend_share(
         self,
         host: str,
-        ask: _quota_messages.LoanAsk,
-        want: _quota_messages.LoanWant,
+        request: _quota_messages.LoanRequest,
+        wanted: _quota_messages.ShareRequest,
         now_s: float,
-    ) -> _quota_messages.LoanPart:
-        ledger = self.by_limit.get((ask.service, want.team))
+    ) -> _quota_messages.ShareGrant:
+        ledger = self.by_limit.get((request.service, wanted.team))
         if (
             ledger is None
             or host not in self.service_hosts
-            or want.limit_crc != ledger.limit_crc()
+            or wanted.limit_crc != ledger.limit_crc()
         ):
-            return _quota_messages.LoanPart(0, 0.0)
+            return _quota_messages.ShareGrant(0, 0.0)
         grant = ledger.lend(
             host,
-            ask.loan_id,
-            want.share_ppb,
-            min(ask.ttl_s, const.LOAN_TTL_S),
+            request.loan_id,
+            wanted.share_ppb,
+            min(request.ttl_s, const.LOAN_TTL_S),
             now_s,
             self._lends_all(ledger, host),
         )
-        return _quota_messages.LoanPart(grant.share_ppb, grant.tokens)
+        return _quota_messages.ShareGrant(grant.share_ppb, grant.tokens)
 
     def _lends_all(self, ledger: _ledger.ShareLedger, host: str) -> bool:
         """Return whether the own demand counts for nothing here.
@@ -149,33 +154,33 @@
         A burst so small that the own share holds no whole token is of use
         to one host at a time only; the lowest one that has calls gets it.
         """
-        own = ledger.own_ppb * ledger.limit.burst
-        useless = own < const.SHARE_WHOLE and host < self.host
-        return self.lend_all or useless
+        own_burst_ppb = ledger.own_ppb * ledger.limit.burst
+        yields_share = own_burst_ppb < const.SHARE_WHOLE and host < self.host
+        return self.lend_all or yields_share
 
     def accept(
-        self, host: str, offer: _quota_messages.LoanOffer, now_s: float
+        self, host: str, grant: _quota_messages.LoanGrant, now_s: float
     ) -> None:
         """Take over what a peer has granted."""
-        ask = self.pending_by_id.get(offer.loan_id)
-        if ask is None or ask.peer != host:
+        request = self.pending_by_id.get(grant.loan_id)
+        if request is None or request.peer != host:
             return
-        del self.pending_by_id[offer.loan_id]
-        for want, part in zip(ask.wants, offer.parts, strict=False):
-            team = want.team
-            ledger = self.by_limit.get((ask.service, team))
-            if ledger is None or want.limit_crc != ledger.limit_crc():
+        del self.pending_by_id[grant.loan_id]
+        for wanted, granted in zip(request.shares, grant.shares, strict=False):
+            team = wanted.team
+            ledger = self.by_limit.get((request.service, team))
+            if ledger is None or wanted.limit_crc != ledger.limit_crc():
                 continue
-            gained = part.share_ppb > ledger.borrowed_from(host)
-            self._asks(team).answered(host, gained, now_s)
-            if part.share_ppb > 0:
-                loan = _ledger.Borrowed(
-                    offer.loan_id,
-                    part.share_ppb,
-                    ask.asked_at_s + ask.ttl_s,
-                    ask.ttl_s == const.LOAN_TTL_S,
+            gained = granted.share_ppb > ledger.borrowed_from_ppb(host)
+            self._tracker(team).record_grant(host, gained, now_s)
+            if granted.share_ppb > 0:
+                loan = _ledger.BorrowedShare(
+                    grant.loan_id,
+                    granted.share_ppb,
+                    request.requested_at_s + request.ttl_s,
+                    request.ttl_s == const.LOAN_TTL_S,
                 )
-                ledger.accept(host, loan, part.tokens, now_s)
+                ledger.accept(host, loan, granted.tokens, now_s)
             self.borrow(ledger, now_s)
 
     def borrow(self, ledger: _ledger.ShareLedger, now_s: float) -> None:
@@ -183,26 +188,32 @@
         if self.policy is not QuotaPolicy.LOANS:
             return
         peers = self._rotated_peers()
-        first = self._plan(ledger, peers, now_s)
-        if not first.share_by_peer:
+        first_plan = self._plan(ledger, peers, now_s)
+        if not first_plan.share_by_peer:
             return
-        wants_by_peer = {
+        shares_by_peer = {
             peer: {ledger.limit.team: share_ppb}
-            for peer, share_ppb in first.share_by_peer.items()
+            for peer, share_ppb in first_plan.share_by_peer.items()
         }
         for other in self.by_limit.values():
             if other is ledger:
                 continue
-            other.mint(now_s)
+            other.refill(now_s)
             plan = self._plan(other, peers, now_s)
-            if plan.lasting != first.lasting:
+            if plan.long_term != first_plan.long_term:
                 continue
             for peer, share_ppb in plan.share_by_peer.items():
-                wants = wants_by_peer.setdefault(peer, {})
-                wants[other.limit.team] = share_ppb
-        ttl_s = const.LOAN_TTL_S if first.lasting else const.LOAN_SHORT_TTL_S
-        for peer, wants in wants_by_peer.items():
-            self._ask(peer, wants, ttl_s, now_s, const.LOAN_BYTES_PER_S // 2)
+                share_by_team = shares_by_peer.setdefault(peer, {})
+                share_by_team[other.limit.team] = share_ppb
+        ttl_s = (
+            const.LOAN_TTL_S
+            if first_plan.long_term
+            else const.LOAN_SHORT_TTL_S
+        )
+        for peer, share_by_team in shares_by_peer.items():
+            self._request_shares(
+                peer, share_by_team, ttl_s, now_s, const.LOAN_BYTES_PER_S // 2
+            )
 
     def _plan(
         self,
@@ -210,70 +221,74 @@
         peers: Sequence[str],
         now_s: float,
     ) -> _borrowing.LoanPlan:
-        asks = self._asks(ledger.limit.team)
-        return _borrowing.plan_loans(ledger, asks, peers, now_s)
+        tracker = self._tracker(ledger.limit.team)
+        return _borrowing.plan_loans(ledger, tracker, peers, now_s)
 
     def _rotated_peers(self) -> list[str]:
         """Return the peers in an order that differs by node and time."""
         peers = sorted(self.peers & self.service_hosts)
-        start = self.rotation % len(peers) if peers else 0
+        start = self.peer_offset % len(peers) if peers else 0
         return peers[start:] + peers[:start]
 
     def _renew(self, now_s: float) -> None:
         """Renew loans that end soon, and others of the same lenders."""
-        wants_by_peer: dict[str, dict[str, int]] = {}
-        ending: set[str] = set()
-        usual_ppb = const.SHARE_WHOLE // max(1, len(self.service_hosts))
+        shares_by_peer: dict[str, dict[str, int]] = {}
+        due_peers: set[str] = set()
+        equal_share_ppb = const.SHARE_WHOLE // max(1, len(self.service_hosts))
         for ledger in self.by_limit.values():
-            ledger.mint(now_s)
+            ledger.refill(now_s)
             team = ledger.limit.team
-            renewals = _borrowing.plan_renewals(ledger, usual_ppb, now_s)
+            renewals = _borrowing.plan_renewals(ledger, equal_share_ppb, now_s)
             for peer, share_ppb in renewals.items():
                 if peer not in self.peers:
                     continue
-                wants_by_peer.setdefault(peer, {})[team] = share_ppb
-                if _borrowing.is_ending(ledger, peer, now_s):
-                    ending.add(peer)
-        for peer in sorted(ending):
-            wants = wants_by_peer[peer]
-            self._ask(peer, wants, const.LOAN_TTL_S, now_s, 0)
+                shares_by_peer.setdefault(peer, {})[team] = share_ppb
+                if _borrowing.is_renewal_due(ledger, peer, now_s):
+                    due_peers.add(peer)
+        for peer in sorted(due_peers):
+            share_by_team = shares_by_peer[peer]
+            self._request_shares(
+                peer, share_by_team, const.LOAN_TTL_S, now_s, 0
+            )
 
-    def _ask(
+    def _request_shares(
         self,
         peer: str,
-        wants: Mapping[str, int],
+        share_by_team: Mapping[str, int],
         ttl_s: float,
         now_s: float,
-        keep_bytes: int,
+        reserve_bytes: int,
     ) -> None:
-        size_bytes = _borrowing.pair_bytes(wants)
-        if not self.budget.spend(size_bytes, now_s, keep_bytes):
+        size_bytes = _borrowing.exchange_bytes(share_by_team)
+        if not self.request_budget.try_spend(size_bytes, now_s, reserve_bytes):
             return
-        teams = tuple(sorted(wants))
-        ask = _quota_messages.LoanAsk(
-            self.next_id,
+        teams = tuple(sorted(share_by_team))
+        request = _quota_messages.LoanRequest(
+            self.next_loan_id,
             self.service,
             ttl_s,
             tuple(
-                _quota_messages.LoanWant(
-                    team, wants[team], self._limit_crc(team)
+                _quota_messages.ShareRequest(
+                    team, share_by_team[team], self._limit_crc(team)
                 )
                 for team in teams
             ),
         )
-        self.next_id += 1
-        self.pending_by_id[ask.loan_id] = _PendingAsk(
-            peer, now_s, ask.service, ttl_s, ask.wants
+        self.next_loan_id += 1
+        self.pending_by_id[request.loan_id] = _PendingRequest(
+            peer, now_s, request.service, ttl_s, request.shares
         )
         for team in teams:
-            self._asks(team).asked(peer, now_s)
-        self._send(peer, ask)
+            self._tracker(team).record_request(peer, now_s)
+        self._send(peer, request)
 
     def _limit_crc(self, team: str) -> int:
         return self.by_limit[self.service, team].limit_crc()
 
-    def _asks(self, team: str) -> _borrowing.TeamAsks:
-        return self.asks_by_team.setdefault(team, _borrowing.TeamAsks())
+    def _tracker(self, team: str) -> _borrowing.RequestTracker:
+        return self.tracker_by_team.setdefault(
+            team, _borrowing.RequestTracker()
+        )
 
     def _send(self, host: str, message: _quota_messages.QuotaMessage) -> None:
-        self.outbox.append(_quota_messages.Outgoing(host, message))
+        self.outbox.append(_quota_messages.OutgoingMessage(host, message))
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -26,14 +26,16 @@
     """
 
     host: str
-    quiet_until_s: float
+    share_withheld_until_s: float
     shares: _shares.ShareTracker
-    loans: _loan_book.LoanBook
+    loans: _loan_book.LoanManager
     by_limit: dict[tuple[str, str], _ledger.ShareLedger]
-    outbox: list[_quota_messages.Outgoing]
+    outbox: list[_quota_messages.OutgoingMessage]
     draining: bool = False
-    retired_at_s: dict[tuple[str, str], float] = field(default_factory=dict)
-    report_at_s: float = 0.0
+    removed_at_by_limit: dict[tuple[str, str], float] = field(
+        default_factory=dict
+    )
+    next_report_at_s: float = 0.0
     report_period_s: float = _REPORT_PERIOD_S
 
     @classmethod
@@ -46,13 +48,13 @@
     ) -> "QuotaState":
         """Return the state of a process that has just started."""
         by_limit: dict[tuple[str, str], _ledger.ShareLedger] = {}
-        outbox: list[_quota_messages.Outgoing] = []
-        loans = _loan_book.LoanBook.from_ledgers(
+        outbox: list[_quota_messages.OutgoingMessage] = []
+        loans = _loan_book.LoanManager.from_ledgers(
             host, policy, rng or random.Random(), by_limit, outbox, now_s
         )
         return cls(
             host=host,
-            quiet_until_s=now_s + const.LOAN_RETURN_S,
+            share_withheld_until_s=now_s + const.LOAN_RETURN_S,
             shares=_shares.ShareTracker(host),
             loans=loans,
             by_limit=by_limit,
@@ -77,8 +79,8 @@
                 snapshot.versions.hosts,
                 {host.share_slot: host.host for host in hosts},
             )
-        self._follow_limits(snapshot, now_s)
-        self._report_soon(now_s)
+        self._apply_limits(snapshot, now_s)
+        self._schedule_report(now_s)
 
     def take(
         self, service: str, team: str, now_s: float, repeated: bool = False
@@ -97,7 +99,7 @@
         if taken:
             return None
         wait_s = ledger.wait_s(now_s)
-        if self.loans.is_waiting(team, now_s):
+        if self.loans.awaits_grant(team, now_s):
             wait_s = min(wait_s, _LOAN_WAIT_S)
         return wait_s
 
@@ -109,25 +111,25 @@
 
     def tick(self, now_s: float) -> None:
         """Renew loans, raise proved shares and repeat reports."""
-        self._forget(now_s)
+        self._expire_removed_limits(now_s)
         if self.shares.advance(now_s):
             for ledger in self.by_limit.values():
-                ledger.change(ledger.limit, self.shares.share_ppb(), now_s)
-        if self.shares.is_pending() and now_s >= self.report_at_s:
+                ledger.update(ledger.limit, self.shares.share_ppb(), now_s)
+        if self.shares.is_pending() and now_s >= self.next_report_at_s:
             for peer in sorted(self.loans.peers & self.loans.service_hosts):
                 self._send(peer, self.shares.report())
-            self.report_at_s = now_s + self.report_period_s
+            self.next_report_at_s = now_s + self.report_period_s
             self.report_period_s = min(
                 _REPORT_PERIOD_MAX_S, 1.5 * self.report_period_s
             )
         self.loans.tick(now_s)
 
-    def next_tick_s(self) -> float:
+    def tick_interval_s(self) -> float:
         """Return the time until the next tick, longer while idle."""
         busy = self.shares.is_pending() or self.loans.is_active()
         return const.QUOTA_TICK_S if busy else const.QUOTA_IDLE_TICK_S
 
-    def drain(self) -> tuple[_quota_messages.Outgoing, ...]:
+    def drain_outbox(self) -> tuple[_quota_messages.OutgoingMessage, ...]:
         """Return the messages to send and forget them."""
         messages = tuple(self.outbox)
         self.outbox.clear()
@@ -141,7 +143,7 @@
     def peer_up(self, host: str, now_s: float) -> None:
         """Note that a peer can be asked."""
         self.loans.peers.add(host)
-        self._report_soon(now_s)
+        self._schedule_report(now_s)
 
     def peer_down(self, host: str) -> None:
         """Note that a peer cannot be asked."""
@@ -152,12 +154,12 @@
     ) -> None:
         """Handle the message of a peer."""
         match message:
-            case _quota_messages.LoanAsk():
+            case _quota_messages.LoanRequest():
                 self.loans.lend(host, message, now_s)
-            case _quota_messages.LoanOffer():
+            case _quota_messages.LoanGrant():
                 self.loans.accept(host, message, now_s)
             case _shares.ShareReport():
-                self._learn(host, message, now_s)
+                self._receive_report(host, message, now_s)
             case _:
                 typing.assert_never(message)
 
@@ -167,8 +169,11 @@
         After a start the first token of a small share takes longer than the
         loan time alone.
         """
-        mints = now_s >= self.quiet_until_s and self.shares.share_ppb() > 0
-        return mints and all(
+        owns_share = (
+            now_s >= self.share_withheld_until_s
+            and self.shares.share_ppb() > 0
+        )
+        return owns_share and all(
             ledger.holds_token(now_s) for ledger in self.by_limit.values()
         )
 
@@ -178,13 +183,13 @@
         Quiet, because the former host on the same share slot may have lent
         just before it was lost.
         """
-        self.quiet_until_s = now_s + const.LOAN_RETURN_S
+        self.share_withheld_until_s = now_s + const.LOAN_RETURN_S
         self.shares = _shares.ShareTracker(self.host, service)
         self.by_limit.clear()
-        self.retired_at_s.clear()
+        self.removed_at_by_limit.clear()
         self.loans.change_service(service)
 
-    def _follow_limits(
+    def _apply_limits(
         self, snapshot: _snapshot.Snapshot, now_s: float
     ) -> None:
         own_ppb = self.shares.share_ppb()
@@ -196,43 +201,43 @@
         }
         for key in self.by_limit.keys() - limits.keys():
             del self.by_limit[key]
-            self.retired_at_s[key] = now_s
+            self.removed_at_by_limit[key] = now_s
         for key, limit in limits.items():
             ledger = self.by_limit.get(key)
             if ledger is not None:
-                ledger.change(limit, own_ppb, now_s)
+                ledger.update(limit, own_ppb, now_s)
                 continue
             # A limit that comes back may still be on loan.
-            retired_at_s = self.retired_at_s.pop(key, None)
-            quiet_until_s = self.quiet_until_s
-            if retired_at_s is not None:
-                quiet_until_s = max(
-                    quiet_until_s, retired_at_s + const.LOAN_RETURN_S
+            removed_at_s = self.removed_at_by_limit.pop(key, None)
+            share_withheld_until_s = self.share_withheld_until_s
+            if removed_at_s is not None:
+                share_withheld_until_s = max(
+                    share_withheld_until_s, removed_at_s + const.LOAN_RETURN_S
                 )
             self.by_limit[key] = _ledger.ShareLedger.from_limit(
-                limit, own_ppb, now_s, quiet_until_s
+                limit, own_ppb, now_s, share_withheld_until_s
             )
 
-    def _learn(
+    def _receive_report(
         self, host: str, report: _shares.ShareReport, now_s: float
     ) -> None:
         before_ppb = self.shares.share_ppb()
-        lacks = self.shares.receive(report)
+        peer_is_behind = self.shares.receive(report)
         if self.shares.share_ppb() != before_ppb:
             for ledger in self.by_limit.values():
-                ledger.change(ledger.limit, self.shares.share_ppb(), now_s)
-        if lacks:
+                ledger.update(ledger.limit, self.shares.share_ppb(), now_s)
+        if peer_is_behind:
             self._send(host, self.shares.report())
 
-    def _forget(self, now_s: float) -> None:
-        for key, retired_at_s in tuple(self.retired_at_s.items()):
-            if now_s - retired_at_s >= const.LOAN_RETURN_S:
-                del self.retired_at_s[key]
-                self.loans.asks_by_team.pop(key[1], None)
+    def _expire_removed_limits(self, now_s: float) -> None:
+        for key, removed_at_s in tuple(self.removed_at_by_limit.items()):
+            if now_s - removed_at_s >= const.LOAN_RETURN_S:
+                del self.removed_at_by_limit[key]
+                self.loans.tracker_by_team.pop(key[1], None)
 
-    def _report_soon(self, now_s: float) -> None:
-        self.report_at_s = now_s
+    def _schedule_report(self, now_s: float) -> None:
+        self.next_report_at_s = now_s
         self.report_period_s = _REPORT_PERIOD_S
 
     def _send(self, host: str, message: _quota_messages.QuotaMessage) -> None:
-        self.outbox.append(_quota_messages.Outgoing(host, message))
+        self.outbox.append(_quota_messages.OutgoingMessage(host, message))
--- a/src/jasminecrank/state/_quota_messages.py
+++ b/src/jasminecrank/state/_quota_messages.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LoanWant:
+class ShareRequest:
     """The whole share of one team that a borrower wants from one lender.
 
     The checksum of rate and burst keeps tokens that were minted under
@@ -19,17 +19,17 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LoanAsk:
+class LoanRequest:
     """Ask a lender for shares, for ttl_s from now."""
 
     loan_id: int
     service: str
     ttl_s: float
-    wants: tuple[LoanWant, ...]
+    shares: tuple[ShareRequest, ...]
 
 
 @dataclass(slots=True, frozen=True)
-class LoanPart:
+class ShareGrant:
     """The share of one team now on loan, and tokens that move with it."""
 
     share_ppb: int
@@ -37,21 +37,21 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LoanOffer:
+class LoanGrant:
     """Answer an ask, part by part in the order of its wants.
 
     The borrower knows the team and the end of each loan from its ask.
     """
 
     loan_id: int
-    parts: tuple[LoanPart, ...]
+    shares: tuple[ShareGrant, ...]
 
 
-QuotaMessage = LoanAsk | LoanOffer | _shares.ShareReport
+QuotaMessage = LoanRequest | LoanGrant | _shares.ShareReport
 
 
 @dataclass(slots=True, frozen=True)
-class Outgoing:
+class OutgoingMessage:
     """A message for the quota state of a peer."""
 
     host: str
--- a/src/jasminecrank/state/_shares.py
+++ b/src/jasminecrank/state/_shares.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ShareBase:
+class ShareAllocation:
     """The smallest shares over a run of versions of the host list.
 
     A host owns one part in `holders` if its slot is listed, else nothing.
@@ -17,17 +17,17 @@
     versions agree on it, so that a lone borrower can hold the whole.
     """
 
-    holders: int
+    host_count: int
     host_by_slot: Mapping[int, str]
-    rest_slot: int | None
+    remainder_slot: int | None
 
     @classmethod
-    def from_hosts(cls, host_by_slot: Mapping[int, str]) -> "ShareBase":
+    def from_hosts(cls, host_by_slot: Mapping[int, str]) -> "ShareAllocation":
         """Return the shares of one version."""
-        rest_slot = min(host_by_slot, default=None)
-        return cls(len(host_by_slot), dict(host_by_slot), rest_slot)
+        remainder_slot = min(host_by_slot, default=None)
+        return cls(len(host_by_slot), dict(host_by_slot), remainder_slot)
 
-    def fold(self, host_by_slot: Mapping[int, str]) -> "ShareBase":
+    def merge(self, host_by_slot: Mapping[int, str]) -> "ShareAllocation":
         """Return the smallest shares when one more version is possible.
 
         A slot passes to another host only if the former one has left the
@@ -43,21 +43,24 @@
                 or self.host_by_slot[slot] not in listed
             )
         }
-        same = len(host_by_slot) == self.holders
-        same = same and min(host_by_slot, default=None) == self.rest_slot
-        return ShareBase(
-            max(self.holders, len(host_by_slot)),
+        same_remainder = len(host_by_slot) == self.host_count
+        same_remainder = (
+            same_remainder
+            and min(host_by_slot, default=None) == self.remainder_slot
+        )
+        return ShareAllocation(
+            max(self.host_count, len(host_by_slot)),
             kept,
-            self.rest_slot if same else None,
+            self.remainder_slot if same_remainder else None,
         )
 
     def share_ppb(self, slot: int | None) -> int:
         """Return the share of the host on a slot."""
         if slot is None or slot not in self.host_by_slot:
             return 0
-        rest = const.SHARE_WHOLE % self.holders
-        part = const.SHARE_WHOLE // self.holders
-        return part + rest if slot == self.rest_slot else part
+        remainder = const.SHARE_WHOLE % self.host_count
+        part = const.SHARE_WHOLE // self.host_count
+        return part + remainder if slot == self.remainder_slot else part
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,11 +73,11 @@
 
     service: str
     version: _versions.Version
-    acked: frozenset[int]
-    base: ShareBase | None
+    acked_slots: frozenset[int]
+    effective: ShareAllocation | None
 
 
-_NO_HOSTS = ShareBase.from_hosts({})
+_NO_HOSTS = ShareAllocation.from_hosts({})
 
 
 @dataclass(slots=True)
@@ -91,11 +94,11 @@
     service: str = ""
     version: _versions.Version = _versions.NO_VERSION
     slot: int | None = None
-    current: ShareBase = _NO_HOSTS
-    seen: ShareBase | None = None
-    base: ShareBase | None = None
-    acked: frozenset[int] = frozenset()
-    proved_at_s: float | None = None
+    latest: ShareAllocation = _NO_HOSTS
+    observed: ShareAllocation | None = None
+    effective: ShareAllocation | None = None
+    acked_slots: frozenset[int] = frozenset()
+    all_acked_at_s: float | None = None
     host_by_slot: Mapping[int, str] = field(default_factory=dict)
 
     def apply(
@@ -110,66 +113,88 @@
             (slot for slot, host in host_by_slot.items() if host == self.host),
             None,
         )
-        self.current = ShareBase.from_hosts(host_by_slot)
-        self.seen = (
-            self.current
-            if self.seen is None
-            else self.seen.fold(self.host_by_slot)
+        self.latest = ShareAllocation.from_hosts(host_by_slot)
+        self.observed = (
+            self.latest
+            if self.observed is None
+            else self.observed.merge(self.host_by_slot)
         )
-        if self.base is not None:
-            self.base = self.base.fold(self.host_by_slot)
-        self.acked = frozenset(() if self.slot is None else (self.slot,))
-        self.proved_at_s = None
+        if self.effective is not None:
+            self.effective = self.effective.merge(self.host_by_slot)
+        self.acked_slots = frozenset(() if self.slot is None else (self.slot,))
+        self.all_acked_at_s = None
 
     def share_ppb(self) -> int:
         """Return the own share of every quota of the service."""
-        return 0 if self.base is None else self.base.share_ppb(self.slot)
+        return (
+            0
+            if self.effective is None
+            else self.effective.share_ppb(self.slot)
+        )
 
     def is_pending(self) -> bool:
         """Return whether the shares of the version in force are unproved."""
-        return self.slot is not None and self.base != self.current
+        return self.slot is not None and self.effective != self.latest
 
     def advance(self, now_s: float) -> bool:
         """Return whether the own share has been proved just now."""
-        if not self.is_pending() or not self.acked >= set(self.host_by_slot):
+        if not self.is_pending() or not self.acked_slots >= set(
+            self.host_by_slot
+        ):
             return False
-        if self.proved_at_s is None:
-            self.proved_at_s = now_s
-        if now_s - self.proved_at_s < const.LOAN_RETURN_S:
+        if self.all_acked_at_s is None:
+            self.all_acked_at_s = now_s
+        if now_s - self.all_acked_at_s < const.LOAN_RETURN_S:
             return False
-        self.base = self.current
-        self.seen = self.current
+        self.effective = self.latest
+        self.observed = self.latest
         return True
 
     def report(self) -> ShareReport:
         """Return what peers have to know."""
-        return ShareReport(self.service, self.version, self.acked, self.base)
+        return ShareReport(
+            self.service, self.version, self.acked_slots, self.effective
+        )
 
     def receive(self, report: ShareReport) -> bool:
         """Learn from a peer's report; return whether it lacks something."""
         if report.service != self.service or self.slot is None:
             return False
-        lacks = report.base is None and self.base is not None
-        if self.base is None and self.seen is not None and report.base:
-            self.base = _combine(report.base, self.seen, self.host_by_slot)
+        peer_is_behind = (
+            report.effective is None and self.effective is not None
+        )
+        if (
+            self.effective is None
+            and self.observed is not None
+            and report.effective
+        ):
+            self.effective = _combine(
+                report.effective, self.observed, self.host_by_slot
+            )
         if report.version == self.version:
-            self.acked |= report.acked
-            lacks = lacks or not report.acked >= self.acked
-        return lacks
+            self.acked_slots |= report.acked_slots
+            peer_is_behind = (
+                peer_is_behind or not report.acked_slots >= self.acked_slots
+            )
+        return peer_is_behind
 
 
 def _combine(
-    told: ShareBase, seen: ShareBase, host_by_slot: Mapping[int, str]
-) -> ShareBase:
-    folded = told.fold(host_by_slot)
-    same = folded.holders == seen.holders
-    same = same and folded.rest_slot == seen.rest_slot
-    return ShareBase(
-        max(folded.holders, seen.holders),
+    reported: ShareAllocation,
+    observed: ShareAllocation,
+    host_by_slot: Mapping[int, str],
+) -> ShareAllocation:
+    merged = reported.merge(host_by_slot)
+    same_remainder = merged.host_count == observed.host_count
+    same_remainder = (
+        same_remainder and merged.remainder_slot == observed.remainder_slot
+    )
+    return ShareAllocation(
+        max(merged.host_count, observed.host_count),
         {
             slot: host
-            for slot, host in folded.host_by_slot.items()
-            if slot in seen.host_by_slot
+            for slot, host in merged.host_by_slot.items()
+            if slot in observed.host_by_slot
         },
-        folded.rest_slot if same else None,
+        merged.remainder_slot if same_remainder else None,
     )
--- a/src/jasminecrank/state/_token_wait.py
+++ b/src/jasminecrank/state/_token_wait.py
@@ -11,12 +11,12 @@
 """Longest wait for a token, by when an asked peer has lent one."""
 
 _RETRY_MIN_S = 0.0005
-_MAX_PER_TEAM = 8
+_MAX_WAITING_PER_TEAM = 8
 """Calls of one team that wait; a team above its rate always has some."""
 
 
 @dataclass(slots=True)
-class TokenWait:
+class TokenWaitList:
     """Holds calls for as long as a token may still come in time."""
 
     by_ticket: dict[int, _fair_queue.Waiting] = field(default_factory=dict)
@@ -24,24 +24,29 @@
     def __len__(self) -> int:
         return len(self.by_ticket)
 
-    def offer(
+    def add(
         self,
         entry: _fair_queue.Waiting,
         wait_s: float,
-        limit: int,
+        max_waiting: int,
         now_s: float,
     ) -> bool:
         """Keep a new call that is short of a token, if it may wait."""
         team = entry.checked.team
         waiting = sum(
-            known.checked.team == team for known in self.by_ticket.values()
+            other.checked.team == team for other in self.by_ticket.values()
         )
-        if len(self.by_ticket) >= limit or waiting >= _MAX_PER_TEAM:
+        if (
+            len(self.by_ticket) >= max_waiting
+            or waiting >= _MAX_WAITING_PER_TEAM
+        ):
             return False
-        first = dataclasses.replace(entry, give_up_at_s=now_s + _WAIT_MAX_S)
-        return self.keep(first, wait_s, now_s)
+        first_attempt = dataclasses.replace(
+            entry, give_up_at_s=now_s + _WAIT_MAX_S
+        )
+        return self.schedule_retry(first_attempt, wait_s, now_s)
 
-    def keep(
+    def schedule_retry(
         self, entry: _fair_queue.Waiting, wait_s: float, now_s: float
     ) -> bool:
         """Keep a call until its next try; return False if it is too late."""
@@ -53,7 +58,7 @@
         )
         return True
 
-    def take_due(self, now_s: float) -> list[_fair_queue.Waiting]:
+    def pop_due(self, now_s: float) -> list[_fair_queue.Waiting]:
         """Take out the calls that are to try again, oldest first."""
         return self.remove(
             lambda entry: (
@@ -73,7 +78,7 @@
         removed.sort(key=lambda entry: entry.ticket)
         return removed
 
-    def next_retry_s(self) -> float | None:
+    def next_retry_at_s(self) -> float | None:
         """Return when the next call is to try again."""
         return min(
             (
