--- a/features/steps/admission_machine_steps.py
+++ b/features/steps/admission_machine_steps.py
@@ -18,7 +18,7 @@
     dataclasses.replace(admission_world.LIMITS[1], max_in_flight=3),
 )
 THREADS = 18
-SPARED = 4
+RESERVED_THREADS = 4
 INTERNAL = state.Priority.INTERNAL
 TEAMS = st.sampled_from(["large", "small"])
 KEYS = st.sampled_from([None, "plain-1", "plain-2", 1, 2, 3])
@@ -36,13 +36,13 @@
         self.ready = True
         self.stopped = False
         self.cold_at_s = self.world.now_s - 10.0
-        self.seen = 0
+        self.checked_results = 0
         self.asked = 0
         self.calls = []
-        self.run_keys = set()
+        self.keys_run = set()
         self.key_by_permit = {}
         self.both_waited = False
-        self.spent = 0
+        self.spent_tokens = 0
         self.forward_deadlines_s = []
         self.started_by_team = collections.Counter()
 
@@ -77,7 +77,7 @@
                 forwarded_by="ledger-3" if forwarded else None,
             )
             self.calls.append(call)
-            self.look()
+            self.check_new_results()
 
     @stateful.rule(
         kind=st.sampled_from(ENDS),
@@ -93,12 +93,12 @@
         permit = world.permits[index]
         not_run = not_run and kind in ("shed", "cancelled")
         if kind == "not-sent" or not_run:
-            self.run_keys.discard(self.key_by_permit[permit.permit_id])
-            self.spent -= permit.team in admission_world.DIGESTS
+            self.keys_run.discard(self.key_by_permit[permit.permit_id])
+            self.spent_tokens -= permit.team in admission_world.DIGESTS
         if kind == "not-sent" and world.now_s < permit.deadline_at_s:
             self.cold_at_s = world.now_s
         world.finish(kind, index, not_run=not_run)
-        self.look()
+        self.check_new_results()
 
     @stateful.rule(count=st.integers(1, 8))
     def calls_are_answered(self, count):
@@ -129,7 +129,7 @@
             call = self.calls[-1 - index % len(self.calls)]
             self.world.admission.cancel(call.request_id, self.world.now_s)
             self.world.collect()
-            self.look()
+            self.check_new_results()
 
     @stateful.rule(
         event=st.sampled_from(
@@ -152,8 +152,8 @@
             self.cold_at_s = world.now_s
         if event == "server returns" and world.draining:
             self.cold_at_s = world.now_s
-        world.do(event)
-        self.look()
+        world.run_actions(event)
+        self.check_new_results()
 
     @stateful.rule(
         event=st.sampled_from(
@@ -173,34 +173,34 @@
     )
     def version_comes(self, event):
         """Put a new snapshot in force."""
-        before = self.host_takes_work()
-        self.world.do(event)
-        if self.host_takes_work() and not before:
+        before = self.host_accepts_calls()
+        self.world.run_actions(event)
+        if self.host_accepts_calls() and not before:
             self.cold_at_s = self.world.now_s
-        self.look()
+        self.check_new_results()
         for call in self.world.call_by_ticket.values():
             assert self.key_is_valid(call), call
 
     @stateful.rule(warm=st.booleans())
-    def all_is_well(self, warm):
+    def host_recovers(self, warm):
         """Undo what keeps calls out and let the server warm up."""
         world = self.world
-        before = self.host_takes_work()
+        before = self.host_accepts_calls()
         if world.draining or not before:
             self.cold_at_s = world.now_s
         world.withdrawn.clear()
         world.out.clear()
         world.hosts.update({row.host: row for row in admission_world.HOSTS})
         world.publish()
-        world.do("server returns")
+        world.run_actions("server returns")
         self.set_ready(True)
-        self.look()
+        self.check_new_results()
         for index in range(12 if warm and not self.stopped else 0):
             self.calls_come("lookup", "large", None, None, False, 1)
             if index > 8:
                 self.calls_come("lookup", "small", None, None, False, 1)
-            world.advance(0.4, self.look)
-            self.look()
+            world.advance(0.4, self.check_new_results)
+            self.check_new_results()
             if index < 8:
                 self.call_ends("answered", 0, False)
 
@@ -212,8 +212,8 @@
     @stateful.rule(seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]))
     def time_passes(self, seconds):
         """Let time pass, with timer messages when they are due."""
-        self.world.advance(seconds, self.look)
-        self.look()
+        self.world.advance(seconds, self.check_new_results)
+        self.check_new_results()
 
     @stateful.precondition(lambda self: not self.stopped)
     @stateful.rule(really=st.integers(0, 9))
@@ -221,22 +221,22 @@
         """Begin a planned stop, seldom."""
         if really == 0:
             self.stopped = True
-            self.world.do("stop")
-            self.look()
+            self.world.run_actions("stop")
+            self.check_new_results()
 
     def set_ready(self, ready):
         """Begin or cease to accept calls."""
         self.ready = ready
         self.world.admission.set_ready(ready, self.world.now_s)
         self.world.collect()
-        self.look()
+        self.check_new_results()
 
     # What must hold.
 
-    def look(self):
+    def check_new_results(self):
         """Check the decisions made by the last event."""
-        new = self.world.results[self.seen :]
-        self.seen = len(self.world.results)
+        new = self.world.results[self.checked_results :]
+        self.checked_results = len(self.world.results)
         self.check_shares(new)
         for call, decision in new:
             match decision:
@@ -254,17 +254,17 @@
     def check_admitted(self, call, permit):
         """Check one permit."""
         world = self.world
-        self.spent += permit.team in admission_world.DIGESTS
+        self.spent_tokens += permit.team in admission_world.DIGESTS
         assert self.ready
-        assert self.host_takes_work()
+        assert self.host_accepts_calls()
         assert not self.stopped
         assert not world.draining
         assert self.key_is_valid(call), call
         assert world.now_s < permit.deadline_at_s
         if permit.route.kind is state.RouteKind.BOOKING:
             key = call.idempotency_key or call.request_id
-            assert key not in self.run_keys, call
-            self.run_keys.add(key)
+            assert key not in self.keys_run, call
+            self.keys_run.add(key)
             self.key_by_permit[permit.permit_id] = key
         else:
             self.key_by_permit[permit.permit_id] = None
@@ -284,7 +284,7 @@
         server = self.world.server
         queue = self.world.admission.dispatcher.queue
         both = all(
-            queue.waiting_of(row.team)
+            queue.waiting_count(row.team)
             and server.running_by_team[row.team] < row.max_in_flight
             for row in LIMITS
         )
@@ -313,8 +313,8 @@
         if started:
             elapsed_s = min(world.now_s - self.cold_at_s, SERVICE.ramp_s)
             rise = (SERVICE.slots - SERVICE.cold_slots) / SERVICE.ramp_s
-            bears = SERVICE.cold_slots + math.floor(rise * elapsed_s)
-            assert len(world.permits) <= bears
+            cold_limit = SERVICE.cold_slots + math.floor(rise * elapsed_s)
+            assert len(world.permits) <= cold_limit
             assert len(world.permits) <= world.capacity()
         if any(permit.route.priority is not INTERNAL for permit in started):
             assert len(ordinary) <= world.capacity() - 1
@@ -327,16 +327,18 @@
             for deadline_at_s in self.forward_deadlines_s
             if deadline_at_s > world.now_s
         ]
-        waiting = queue.ordinary + len(world.admission.dispatcher.tokens)
-        assert waiting + len(forwards) <= THREADS - SPARED
+        waiting = queue.ordinary_count + len(
+            world.admission.dispatcher.token_wait
+        )
+        assert waiting + len(forwards) <= THREADS - RESERVED_THREADS
         if not forwards:
-            assert waiting + len(ordinary) <= THREADS - SPARED
+            assert waiting + len(ordinary) <= THREADS - RESERVED_THREADS
         spent = sum(world.quota.spent_by_team.values())
-        held = sum(
+        queued = sum(
             entry.checked.team in admission_world.DIGESTS for entry in queue
         )
-        assert spent == self.spent + held
-        assert len(queue.internal) <= SPARED
+        assert spent == self.spent_tokens + queued
+        assert len(queue.internal) <= RESERVED_THREADS
 
     @stateful.invariant()
     def every_call_has_one_decision_or_waits(self):
@@ -351,12 +353,12 @@
 
     def teardown(self):
         """Let all deadlines pass: every call has its decision then."""
-        self.world.advance(10.0, self.look)
-        self.look()
+        self.world.advance(10.0, self.check_new_results)
+        self.check_new_results()
         assert not self.world.call_by_ticket
         self.every_call_has_one_decision_or_waits()
 
-    def host_takes_work(self):
+    def host_accepts_calls(self):
         """Return whether the platform lets the host take new work."""
         row = self.world.hosts["ledger-1"]
         return (
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -31,8 +31,8 @@
 
 @given("a node of ledger whose slots are all in use")
 def step_busy_node(context):
-    context.world = admission_world.World(service=admission_world.WARM)
-    context.world.fill("large", 11)
+    context.world = admission_world.World(service=admission_world.WARM_SERVICE)
+    context.world.start_calls("large", 11)
 
 
 @given("a node of ledger whose teams may have {limit:d} calls in flight")
@@ -42,7 +42,7 @@
         for row in admission_world.LIMITS
     ]
     context.world = admission_world.World(
-        service=admission_world.WARM, limits=limits
+        service=admission_world.WARM_SERVICE, limits=limits
     )
 
 
@@ -73,7 +73,7 @@
             world.admission.cancel(context.call.request_id, world.now_s)
             world.collect()
         case _:
-            world.do(event)
+            world.run_actions(event)
 
 
 @when("a call of kind {kind} comes in {way}")
@@ -85,8 +85,8 @@
 
 @when("large and small keep {large:d} and {small:d} calls waiting")
 def step_keep_waiting(context, large, small):
-    context.world = admission_world.World(service=admission_world.WARM)
-    context.world.fill("large", 11)
+    context.world = admission_world.World(service=admission_world.WARM_SERVICE)
+    context.world.start_calls("large", 11)
     context.wanted = {"large": large, "small": small}
 
 
@@ -97,7 +97,7 @@
     context.served = {"large": 0, "small": 0}
     for _ in range(count):
         for team, wanted in context.wanted.items():
-            while queue.waiting_of(team) < wanted:
+            while queue.waiting_count(team) < wanted:
                 world.call(team=team)
         world.finish()
         context.served[world.permits[-1].team] += 1
@@ -105,7 +105,7 @@
 
 @when("these events happen: {events}")
 def step_events(context, events):
-    context.world.do(events)
+    context.world.run_actions(events)
 
 
 @when("large sends {large:d} lookups and small sends {small:d}")
@@ -180,7 +180,7 @@
 @then("{count:d} calls of small wait")
 def step_small_wait(context, count):
     queue = context.world.admission.dispatcher.queue
-    assert queue.waiting_of("small") == count
+    assert queue.waiting_count("small") == count
 
 
 @then("{count:d} calls of large are refused as QUEUE_FULL with Retry-After")
@@ -207,7 +207,7 @@
 def step_in_flight(context, running, waiting):
     dispatcher = context.world.admission.dispatcher
     assert dispatcher.server.running_by_team["large"] == running
-    assert dispatcher.queue.waiting_of("large") == waiting
+    assert dispatcher.queue.waiting_count("large") == waiting
 
 
 @then("1 call of small runs")
--- a/features/steps/admission_world.py
+++ b/features/steps/admission_world.py
@@ -42,7 +42,7 @@
     state.LimitRow("ledger", "small", 1, 1e6, 10**6, 30),
 )
 DIGESTS = {"large": "aa" * 32, "small": "bb" * 32}
-WARM = dataclasses.replace(SERVICE, ramp_s=0.0)
+WARM_SERVICE = dataclasses.replace(SERVICE, ramp_s=0.0)
 WAYS = {
     "from a caller": {},
     "from another node": {"forwarded_by": "silo-9"},
@@ -138,8 +138,8 @@
         self.hosts = {row.host: row for row in HOSTS}
         self.out = set()
         self.withdrawn = set()
-        self.number = 0
-        self.request = 0
+        self.version_number = 0
+        self.call_count = 0
         self.started_at_ms = 1
         self.draining = False
         self.call_by_ticket = {}
@@ -169,8 +169,8 @@
 
     def publish(self):
         """Put the rows in force."""
-        self.number += 1
-        version = state.Version(self.number, str(self.number))
+        self.version_number += 1
+        version = state.Version(self.version_number, str(self.version_number))
         rows = [
             self.service,
             state.ServiceRow("silo", 4, 2, 10.0, 110),
@@ -194,7 +194,7 @@
         )
         self.collect()
 
-    def fill(self, team, calls):
+    def start_calls(self, team, calls):
         """Start calls and one check."""
         for _ in range(calls):
             self.call(team=team)
@@ -203,10 +203,10 @@
 
     def call(self, kind="lookup", team="large", **fields):
         """Ask for a decision; return the call and the immediate result."""
-        self.request += 1
+        self.call_count += 1
         method, path = KINDS[kind]
         request = state.CallRequest(
-            fields.pop("request_id", f"r{self.request}"),
+            fields.pop("request_id", f"r{self.call_count}"),
             method,
             path,
             fields.pop("digest", DIGESTS.get(team)),
@@ -220,17 +220,17 @@
             assert result.ticket not in self.call_by_ticket
             self.call_by_ticket[result.ticket] = request
         else:
-            self.decided(request, result)
+            self.record_decision(request, result)
         self.collect()
         return request, result
 
     def collect(self):
         """Take the decisions on calls that waited."""
-        for settled in self.admission.take_settled():
-            call = self.call_by_ticket.pop(settled.ticket)
-            self.decided(call, settled.decision)
+        for deferred in self.admission.take_deferred():
+            call = self.call_by_ticket.pop(deferred.ticket)
+            self.record_decision(call, deferred.decision)
 
-    def decided(self, call, decision):
+    def record_decision(self, call, decision):
         """Note the decision on a call."""
         self.results.append((call, decision))
         if isinstance(decision, state.Admitted):
@@ -253,7 +253,7 @@
         self.collect()
         return permit
 
-    def health(self, reachable=True, load=0.0):
+    def report_health(self, reachable=True, load=0.0):
         """Report what the health endpoint shows."""
         report = state.HealthReport(
             reachable, self.started_at_ms, self.draining, load
@@ -261,7 +261,7 @@
         self.admission.observe_health(report, self.now_s)
         self.collect()
 
-    def advance(self, seconds, look=None):
+    def advance(self, seconds, on_tick=None):
         """Let time pass, with the timer messages that fall due."""
         end_s = self.now_s + seconds
         while (due_s := self.admission.next_due_s()) is not None:
@@ -270,23 +270,23 @@
             self.now_s = max(self.now_s, due_s)
             self.admission.tick(self.now_s)
             self.collect()
-            if look is not None:
-                look()
+            if on_tick is not None:
+                on_tick()
         self.now_s = end_s
 
-    def run(self, end, count=1, duration_s=0.01, **fields):
+    def run_calls(self, end, count=1, duration_s=0.01, **fields):
         """Run calls that end alike, one after the other."""
         for _ in range(count):
             _, result = self.call(**fields)
             assert isinstance(result, state.Admitted), result
             self.finish(end, duration_s=duration_s)
 
-    def do(self, text):
+    def run_actions(self, text):
         """Carry out actions separated by commas."""
         for action in text.split(", "):
-            self._do(action.split())
+            self._run_action(action.split())
 
-    def _do(self, words):
+    def _run_action(self, words):
         match words:
             case ["nothing"]:
                 return
@@ -300,41 +300,41 @@
             case ["load" | "health" | "server", event]:
                 self._report(words[0], event)
             case _:
-                self._run_calls(words)
+                self._run_call_action(words)
 
-    def _run_calls(self, words):
+    def _run_call_action(self, words):
         match words:
             case ["answers", seconds]:
                 for _ in range(int(seconds) * 2):
-                    self.run("answered")
+                    self.run_calls("answered")
                     self.advance(0.5)
             case ["slow", "answers", seconds]:
                 for _ in range(int(seconds) * 2):
-                    self.run("answered", duration_s=1.5)
+                    self.run_calls("answered", duration_s=1.5)
                     self.advance(0.5)
             case ["hasty", "time-outs", count]:
                 for _ in range(int(count)):
                     soon_s = self.now_s + 0.1
-                    self.run("timed-out", deadline_at_s=soon_s)
+                    self.run_calls("timed-out", deadline_at_s=soon_s)
             case ["time-outs", count]:
-                self.run("timed-out", int(count))
+                self.run_calls("timed-out", int(count))
             case ["sheds", count]:
-                self.run("shed", int(count))
+                self.run_calls("shed", int(count))
             case ["refused"]:
-                self.run("not-sent")
+                self.run_calls("not-sent")
             case _:
                 raise AssertionError(words)
 
     def _report(self, subject, event):
         match subject, event:
             case "health", "lost":
-                self.health(reachable=False)
+                self.report_health(reachable=False)
                 return
             case "health", "restarted":
                 self.started_at_ms += 1
             case "server", _:
                 self.draining = event == "drains"
-        self.health(load=float(event) if subject == "load" else 0.0)
+        self.report_health(load=float(event) if subject == "load" else 0.0)
 
     def _publish_change(self, change, name):
         match change:
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -7,8 +7,8 @@
 
 from jasminecrank import state
 
-MADE_MS = admission_world.WALL_MS + 10_000
-LEDGERS = admission_world.HOSTS[:3]
+KEY_MADE_MS = admission_world.WALL_MS + 10_000
+LEDGER_HOSTS = admission_world.HOSTS[:3]
 OUTCOMES = {
     "was answered": "answered",
     "was too long": "answered",
@@ -21,19 +21,19 @@
 }
 
 
-def find_key(order, made_ms=MADE_MS, plain=False):
+def find_key(order, made_ms=KEY_MADE_MS, plain=False):
     """Return a key for which the hosts rank in an order."""
     for tail in range(1000):
         key = f"order-{tail}"
         if not plain:
             key = admission_world.uuid7(made_ms, tail)
-        ranked = state.rendezvous_rank(LEDGERS, key)
+        ranked = state.rendezvous_rank(LEDGER_HOSTS, key)
         if [row.host for row in ranked][: len(order)] == order:
             return key
     raise AssertionError(order)
 
 
-def keyed(context):
+def key_fields(context):
     """Return the key, or the request id of a booking without a key."""
     if context.key is None:
         return {"request_id": "same"}
@@ -43,7 +43,7 @@
 @given("the owner of a {kind} key")
 def step_owner(context, kind):
     context.world = admission_world.World()
-    made_ms = MADE_MS - (20_000 if kind == "old" else 0)
+    made_ms = KEY_MADE_MS - (20_000 if kind == "old" else 0)
     context.key = None
     if kind != "absent":
         context.key = find_key(["ledger-1"], made_ms, kind == "plain")
@@ -57,14 +57,14 @@
 @when("the first booking {first}")
 def step_first(context, first):
     world = context.world
-    memory = world.admission.dispatcher.bookings.memory
+    store = world.admission.dispatcher.bookings.store
     if first == "never came":
         return
     if first in ("waits", "gave up waiting"):
-        world.fill("large", 2)
+        world.start_calls("large", 2)
     if first == "was too long":
-        memory.max_bytes = 1
-    call, _ = world.call("booking", **keyed(context), body_digest="one")
+        store.max_answer_bytes = 1
+    call, _ = world.call("booking", **key_fields(context), body_digest="one")
     if first == "gave up waiting":
         world.admission.cancel(call.request_id, world.now_s)
     elif first in OUTCOMES:
@@ -76,7 +76,7 @@
     context.call, _ = context.world.call(
         "booking",
         "small" if repeat == "another team" else "large",
-        **keyed(context),
+        **key_fields(context),
         body_digest="two" if repeat == "another body" else "one",
     )
 
@@ -84,7 +84,7 @@
 @when("these events happen at {name}: {events}")
 def step_events_at(context, name, events):
     context.world = admission_world.World(name)
-    context.world.do(events)
+    context.world.run_actions(events)
 
 
 @when("a booking with the key comes in {way}")
@@ -97,9 +97,9 @@
 @given("a key made {made} the host that owns it leaves")
 def step_owner_leaves(context, made):
     world = context.world = admission_world.World()
-    made_ms = MADE_MS + (2000 if made == "after" else 0)
+    made_ms = KEY_MADE_MS + (2000 if made == "after" else 0)
     context.key = find_key(["ledger-2", "ledger-1"], made_ms)
-    world.do("wait 1, leaving ledger-2, wait 2")
+    world.run_actions("wait 1, leaving ledger-2, wait 2")
 
 
 @when("a booking with the key comes to the next owner {way}")
@@ -114,9 +114,11 @@
 
 @given("an owner whose memory is full of {kind} keys made {age:d} s ago")
 def step_full_memory(context, kind, age):
-    world = context.world = admission_world.World(service=admission_world.WARM)
-    world.do("leaving ledger-2, leaving ledger-3, wait 1")
-    world.admission.dispatcher.bookings.memory.max_keys = 4
+    world = context.world = admission_world.World(
+        service=admission_world.WARM_SERVICE
+    )
+    world.run_actions("leaving ledger-2, leaving ledger-3, wait 1")
+    world.admission.dispatcher.bookings.store.max_keys = 4
     context.keys = [
         f"order-{index}"
         if kind == "plain"
@@ -124,7 +126,7 @@
         for index in range(4)
     ]
     for key in context.keys:
-        world.run("answered", kind="booking", key=key)
+        world.run_calls("answered", kind="booking", key=key)
     world.advance(age)
 
 
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -9,50 +9,67 @@
 from jasminecrank import exceptions
 from jasminecrank import state
 
-Code = exceptions.ResultCode
+ResultCode = exceptions.ResultCode
 RunState = exceptions.RunState
-SERVER = state.Answer(200, (), b"")
-NOT_RUN = state.Answer(503, (("x-run-state", "not-run"),), b"")
+SERVER_ANSWER = state.Answer(200, (), b"")
+NOT_RUN_ANSWER = state.Answer(503, (("x-run-state", "not-run"),), b"")
 
 # Each entry: what the caller's node sees, and how often the call can have run.
-TRUTHS = (
-    (state.NothingSent(Code.BACKEND_UNREACHABLE), (0,)),
-    (state.ClosedBeforeRequest(Code.BACKEND_UNREACHABLE), (0,)),
-    (state.AnswerLost(Code.ANSWER_CUT), (0, 1)),
-    (state.AnswerLost(Code.BACKEND_TIMEOUT), (0, 1)),
-    (state.Shed(NOT_RUN, True), (0,)),
+RESULTS_AND_RUNS = (
+    (state.NothingSent(ResultCode.BACKEND_UNREACHABLE), (0,)),
+    (state.ClosedBeforeRequest(ResultCode.BACKEND_UNREACHABLE), (0,)),
+    (state.AnswerLost(ResultCode.ANSWER_CUT), (0, 1)),
+    (state.AnswerLost(ResultCode.BACKEND_TIMEOUT), (0, 1)),
+    (state.Shed(NOT_RUN_ANSWER, True), (0,)),
     (state.Shed(state.Answer(503, (), b""), False), (0, 1)),
-    (state.NodeRefused(NOT_RUN, Code.QUEUE_FULL, RunState.NOT_RUN), (0,)),
     (
-        state.NodeRefused(SERVER, Code.ANSWER_CUT, RunState.MAY_HAVE_RUN),
+        state.NodeRefused(
+            NOT_RUN_ANSWER, ResultCode.QUEUE_FULL, RunState.NOT_RUN
+        ),
+        (0,),
+    ),
+    (
+        state.NodeRefused(
+            SERVER_ANSWER, ResultCode.ANSWER_CUT, RunState.MAY_HAVE_RUN
+        ),
         (0, 1),
     ),
-    (state.Answered(SERVER), (1,)),
+    (state.Answered(SERVER_ANSWER), (1,)),
 )
 ATTEMPT = strategies.sampled_from(
-    [(evidence, runs) for evidence, all_runs in TRUTHS for runs in all_runs]
+    [
+        (result, runs)
+        for result, run_counts in RESULTS_AND_RUNS
+        for runs in run_counts
+    ]
 )
 
 
-def check_call(kind, script, decided):
+def check_call(kind, attempt_results, refusal_code):
     """Play one call and compare its end with what has really run."""
     attempts = state.Attempts("call", may_retry=True)
     runs = 0
     step = None
-    for number, (evidence, ran) in enumerate(script):
+    for number, (result, ran) in enumerate(attempt_results):
         attempts.begin(f"host-{number}", kind)
         runs += ran
-        step = attempts.end(kind, evidence)
+        step = attempts.end(kind, result)
         if not isinstance(step, state.TryElsewhere):
             break
     if isinstance(step, state.TryElsewhere):
-        step = attempts.refuse(decided) if decided else attempts.conclude()
-    assert kind is state.RouteKind.LOOKUP or runs <= 1, script
+        step = (
+            attempts.refuse(refusal_code)
+            if refusal_code
+            else attempts.conclude()
+        )
+    assert kind is state.RouteKind.LOOKUP or runs <= 1, attempt_results
     match step:
         case state.Refuse(run_state=RunState.NOT_RUN):
-            assert runs == 0, script
+            assert runs == 0, attempt_results
         case state.Deliver():
-            assert step.answer is not NOT_RUN or runs == 0, script
+            assert step.answer is not NOT_RUN_ANSWER or runs == 0, (
+                attempt_results
+            )
 
 
 @when("{count:d} calls with random faults are made")
@@ -61,16 +78,16 @@
     @hypothesis.given(
         strategies.sampled_from(state.RouteKind),
         strategies.lists(ATTEMPT, min_size=1, max_size=4),
-        strategies.sampled_from([None, Code.QUEUE_FULL]),
+        strategies.sampled_from([None, ResultCode.QUEUE_FULL]),
     )
-    def run(kind, script, decided):
-        check_call(kind, script, decided)
+    def run(kind, attempt_results, refusal_code):
+        check_call(kind, attempt_results, refusal_code)
 
     context.run_random = run
 
 
 @then("no booking has run twice and every refusal is true")
-def step_truth(context):
+def step_check_runs(context):
     context.run_random()
 
 
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -60,8 +60,8 @@
         if isinstance(message, _messages.GetStatus):
             return self._status()
         self._handle(message, now_s)
-        for settled in self._admission.take_settled():
-            self._reply_by_ticket.pop(settled.ticket).set(settled.decision)
+        for deferred in self._admission.take_deferred():
+            self._reply_by_ticket.pop(deferred.ticket).set(deferred.decision)
         self._loans.flush()
         self._schedule_tick(now_s)
         self._report_reset()
@@ -136,14 +136,15 @@
 
     def _answer_drained(self, now_s: float) -> None:
         """Answer a planned stop once no call is in hand."""
-        if self._admission.calls_in_hand(now_s):
+        if self._admission.open_calls(now_s):
             return
         state.check(
             exceptions.ResultCode.INVARIANT_GRACEFUL_STOP,
-            not self._reply_by_ticket and not self._admission.permits_out(),
+            not self._reply_by_ticket
+            and not self._admission.outstanding_permits(),
             "stopped with %d calls waiting and %d running",
             len(self._reply_by_ticket),
-            self._admission.permits_out(),
+            self._admission.outstanding_permits(),
         )
         for reply in self._await_drained:
             reply.set(None)
@@ -157,7 +158,7 @@
         if self._membership is not None:
             self._membership.tell(
                 _messages.RecordEvent(
-                    "server-cold", {"reason": ramp.last_reset}
+                    "server-cold", {"reason": ramp.last_reset_reason}
                 )
             )
 
@@ -166,7 +167,7 @@
         return _messages.AdmissionStatus(
             slots_in_use=server.slots.in_use,
             capacity=server.ramp.capacity(self._clock.monotonic_s()),
-            queued=self._admission.waiting(),
+            queued=self._admission.waiting_count(),
             by_result=dict(self._admission.by_result),
             quota_usable=self._admission.quota.is_usable(
                 self._clock.monotonic_s()
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -5,6 +5,7 @@
 from jasminecrank.state._calls import Answer as Answer
 from jasminecrank.state._calls import CallRequest as CallRequest
 from jasminecrank.state._calls import Decision as Decision
+from jasminecrank.state._calls import DeferredDecision as DeferredDecision
 from jasminecrank.state._calls import ForwardTo as ForwardTo
 from jasminecrank.state._calls import HealthReport as HealthReport
 from jasminecrank.state._calls import Outcome as Outcome
@@ -13,7 +14,6 @@
 from jasminecrank.state._calls import Queued as Queued
 from jasminecrank.state._calls import Refused as Refused
 from jasminecrank.state._calls import Replay as Replay
-from jasminecrank.state._calls import Settled as Settled
 from jasminecrank.state._clock import Clock as Clock
 from jasminecrank.state._clock import ManualClock as ManualClock
 from jasminecrank.state._clock import SystemClock as SystemClock
@@ -60,12 +60,12 @@
 from jasminecrank.state._readiness import ReadinessState as ReadinessState
 from jasminecrank.state._retry import Answered as Answered
 from jasminecrank.state._retry import AnswerLost as AnswerLost
+from jasminecrank.state._retry import AttemptResult as AttemptResult
 from jasminecrank.state._retry import Attempts as Attempts
 from jasminecrank.state._retry import (
     ClosedBeforeRequest as ClosedBeforeRequest,
 )
 from jasminecrank.state._retry import Deliver as Deliver
-from jasminecrank.state._retry import Evidence as Evidence
 from jasminecrank.state._retry import NextStep as NextStep
 from jasminecrank.state._retry import NodeRefused as NodeRefused
 from jasminecrank.state._retry import NothingSent as NothingSent
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -19,11 +19,11 @@
 from jasminecrank.state import _rows
 from jasminecrank.state import _snapshot
 
-_THREADS = 48
-_SPARE_THREADS = 4
+_WORKER_THREADS = 48
+_RESERVED_THREADS = 4
 """Threads that ordinary calls leave free, so that a check finds one."""
 
-_MIN_WAITING = 8
+_MIN_QUEUE_THREADS = 8
 """Threads that slots leave to calls that wait or are forwarded."""
 
 
@@ -31,7 +31,7 @@
 class AdmissionState:
     """Owns what the decisions on calls of one node depend on.
 
-    A call gets its decision from `admit`, or later from `take_settled`
+    A call gets its decision from `admit`, or later from `take_deferred`
     under the ticket that `admit` returned; never from both.
     """
 
@@ -49,14 +49,14 @@
         host: str,
         now_s: float,
         wall_ms: int = 0,
-        threads: int = _THREADS,
+        threads: int = _WORKER_THREADS,
     ) -> "AdmissionState":
         """Return the state of a node that has just started."""
         empty = _snapshot.Snapshot.empty()
         placement = _placement.PlacementState.from_host(host, wall_ms)
-        usable = max(2, threads - _SPARE_THREADS)
+        usable = max(2, threads - _RESERVED_THREADS)
         ramp = _ramp.Ramp.from_start(
-            max(usable // 2, usable - _MIN_WAITING), now_s
+            max(usable // 2, usable - _MIN_QUEUE_THREADS), now_s
         )
         return cls(
             host=host,
@@ -87,15 +87,15 @@
             self._count(result)
         return result
 
-    def take_settled(self) -> list[_calls.Settled]:
+    def take_deferred(self) -> list[_calls.DeferredDecision]:
         """Return the decisions on waiting calls made since the last time."""
-        settled = self.dispatcher.settled
-        if not settled:
+        deferred = self.dispatcher.deferred
+        if not deferred:
             return []
-        self.dispatcher.settled = []
-        for entry in settled:
+        self.dispatcher.deferred = []
+        for entry in deferred:
             self._count(entry.decision)
-        return settled
+        return deferred
 
     def finish(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
@@ -117,27 +117,27 @@
             now_s,
         )
 
-    def permits_out(self) -> int:
+    def outstanding_permits(self) -> int:
         """Return how many permits have not been taken back."""
         return len(self.dispatcher.server.permit_by_id)
 
     def cancel(self, request_id: str, now_s: float) -> None:
         """Withdraw a call that waits."""
-        self.dispatcher.withdraw(
-            lambda waiting: waiting.checked.call.request_id == request_id,
+        self.dispatcher.refuse_waiting_if(
+            lambda entry: entry.checked.call.request_id == request_id,
             exceptions.ResultCode.CALL_CANCELLED,
             now_s,
         )
 
     def tick(self, now_s: float) -> None:
         """Let waiting calls expire or try again for a token."""
-        self.dispatcher.withdraw(
-            lambda waiting: waiting.checked.deadline_at_s <= now_s,
+        self.dispatcher.refuse_waiting_if(
+            lambda entry: entry.checked.deadline_at_s <= now_s,
             exceptions.ResultCode.DEADLINE_EXCEEDED,
             now_s,
         )
         self.dispatcher.retry_tokens(now_s)
-        self.dispatcher.pump(now_s)
+        self.dispatcher.start_waiting(now_s)
 
     def next_due_s(self) -> float | None:
         """Return when `tick` is due for a waiting call."""
@@ -151,8 +151,8 @@
         server.observe_health(report, now_s)
         if self.placement.server_draining != server.ramp.draining:
             self.placement.server_draining = server.ramp.draining
-            self._placement_changed(now_s)
-        self.dispatcher.pump(now_s)
+            self._update_placement(now_s)
+        self.dispatcher.start_waiting(now_s)
 
     def set_ready(
         self, ready: bool, now_s: float, ticked_s: float | None = None
@@ -163,21 +163,21 @@
         """
         self.dispatcher.ready = ready
         self.dispatcher.ticked_s = ticked_s
-        self.dispatcher.pump(now_s)
+        self.dispatcher.start_waiting(now_s)
 
     def stop(self, now_s: float) -> None:
         """Forward all new calls and those that wait from now on."""
         self.placement.stopping = True
-        self._placement_changed(now_s)
+        self._update_placement(now_s)
 
-    def waiting(self) -> int:
+    def waiting_count(self) -> int:
         """Return how many calls wait for a slot or a token."""
-        return len(self.dispatcher.waiting())
+        return len(self.dispatcher.waiting_calls())
 
-    def calls_in_hand(self, now_s: float) -> int:
+    def open_calls(self, now_s: float) -> int:
         """Return how many calls wait, run or are on their way elsewhere."""
         return (
-            self.waiting()
+            self.waiting_count()
             + self.dispatcher.server.slots.in_use
             + self.placement.chooser.in_hand(now_s)
         )
@@ -193,7 +193,7 @@
             self.dispatcher.server.ramp.reset("host returned", now_s)
         self.dispatcher.apply_snapshot(snapshot, now_s)
         self._recheck_waiting(now_s)
-        self.dispatcher.pump(now_s)
+        self.dispatcher.start_waiting(now_s)
 
     def _decide(
         self, call: _calls.CallRequest, now_s: float
@@ -205,14 +205,14 @@
         checked = _call_checks.check_call(self.snapshot, call, now_s)
         if isinstance(checked, _calls.Refused):
             return checked
-        known = self.dispatcher.bookings.find(checked, now_s)
-        match known:
-            case _bookings.Known():
+        repeat = self.dispatcher.bookings.find(checked, now_s)
+        match repeat:
+            case _bookings.StoredAnswer():
                 return _calls.Replay(
-                    known.answer, self.snapshot.versions.table
+                    repeat.answer, self.snapshot.versions.table
                 )
             case _bookings.Rejected():
-                return self.dispatcher.reject(known, checked)
+                return self.dispatcher.reject(repeat, checked)
         place = self.placement.place(
             checked, self.dispatcher.server.ramp.is_down(now_s), now_s
         )
@@ -230,10 +230,10 @@
 
     def _recheck_waiting(self, now_s: float) -> None:
         """Decide anew on the calls that wait, after a change."""
-        kept: dict[int, _fair_queue.Waiting] = {}
-        refused: list[tuple[_fair_queue.Waiting, _calls.Refused]] = []
-        leaving: list[_fair_queue.Waiting] = []
-        for entry in self.dispatcher.waiting():
+        kept: dict[int, _fair_queue.WaitingCall] = {}
+        refused: list[tuple[_fair_queue.WaitingCall, _calls.Refused]] = []
+        rerouted: list[_fair_queue.WaitingCall] = []
+        for entry in self.dispatcher.waiting_calls():
             checked = self._recheck(entry.checked, now_s)
             if isinstance(checked, _calls.Refused):
                 refused.append((entry, checked))
@@ -242,13 +242,13 @@
                     entry, checked=checked
                 )
             else:
-                leaving.append(entry)
+                rerouted.append(entry)
         self.dispatcher.retain(kept)
         for entry, refusal in refused:
-            self.dispatcher.give_up(entry, now_s)
-            self.dispatcher.settle(entry, refusal)
-        for entry in leaving:
-            self._send_away(entry, now_s)
+            self.dispatcher.roll_back(entry, now_s)
+            self.dispatcher.add_deferred(entry, refusal)
+        for entry in rerouted:
+            self._reroute(entry, now_s)
 
     def _recheck(
         self, old: _fair_queue.CheckedCall, now_s: float
@@ -269,9 +269,9 @@
             return self.dispatcher.refuse(exceptions.ResultCode.NO_ROUTE, old)
         return dataclasses.replace(checked, deadline_at_s=old.deadline_at_s)
 
-    def _send_away(self, entry: _fair_queue.Waiting, now_s: float) -> None:
+    def _reroute(self, entry: _fair_queue.WaitingCall, now_s: float) -> None:
         checked = entry.checked
-        self.dispatcher.give_up(entry, now_s)
+        self.dispatcher.roll_back(entry, now_s)
         place = self.placement.place(checked, True, now_s)
         match place:
             case _placement.There():
@@ -286,7 +286,7 @@
                 )
             case _:
                 typing.assert_never(place)
-        self.dispatcher.settle(entry, decision)
+        self.dispatcher.add_deferred(entry, decision)
 
     def _forward(
         self,
@@ -295,7 +295,7 @@
         now_s: float,
     ) -> _calls.Decision:
         ordinary = checked.route.priority is _rows.Priority.ORDINARY
-        waiting = self.dispatcher.queue.ordinary
+        waiting = self.dispatcher.queue.ordinary_count
         if ordinary and (
             waiting >= self.dispatcher.threads_for_waiting(now_s)
         ):
@@ -315,7 +315,7 @@
             call.request_id,
         )
 
-    def _placement_changed(self, now_s: float) -> None:
+    def _update_placement(self, now_s: float) -> None:
         self.placement.update(self._wall_ms(now_s))
         self._recheck_waiting(now_s)
 
--- a/src/jasminecrank/state/_backend_server.py
+++ b/src/jasminecrank/state/_backend_server.py
@@ -11,9 +11,9 @@
 from jasminecrank.state import _slots
 from jasminecrank.state import _versions
 
-_MEAN_WEIGHT = 0.1
-_RETRY_MIN_S = 0.05
-_RETRY_MAX_S = 5.0
+_DURATION_EWMA_WEIGHT = 0.1
+_RETRY_AFTER_MIN_S = 0.05
+_RETRY_AFTER_MAX_S = 5.0
 
 
 @dataclass(slots=True)
@@ -30,7 +30,7 @@
     def has_room(self, priority: _rows.Priority, now_s: float) -> bool:
         """Return whether a call may start now."""
         return self.slots.has_room(
-            priority, self.ramp.capacity(now_s), self.ramp.reserve
+            priority, self.ramp.capacity(now_s), self.ramp.reserved_slots
         )
 
     def start(
@@ -44,7 +44,7 @@
         self.slots.acquire(
             route.priority,
             self.ramp.capacity(now_s),
-            self.ramp.bound(now_s),
+            self.ramp.cold_limit(now_s),
         )
         if route.priority is _rows.Priority.ORDINARY:
             self.running_by_team[checked.team] += 1
@@ -73,7 +73,7 @@
             self.running_by_team[permit.team] -= 1
             if not self.running_by_team[permit.team]:
                 del self.running_by_team[permit.team]
-        self.mean_duration_s += _MEAN_WEIGHT * (
+        self.mean_duration_s += _DURATION_EWMA_WEIGHT * (
             outcome.duration_s - self.mean_duration_s
         )
         self.ramp.observe(permit, outcome, now_s)
@@ -85,9 +85,10 @@
         """Learn from the health and load endpoint."""
         self.ramp.observe_health(report, self.slots.take_peak(), now_s)
 
-    def retry_after_s(self, waiting: int, now_s: float) -> float:
+    def retry_after_s(self, queue_length: int, now_s: float) -> float:
         """Return when a queue of this length will have been served."""
-        turns = (waiting + 1) / max(1, self.ramp.capacity(now_s))
+        rounds = (queue_length + 1) / max(1, self.ramp.capacity(now_s))
         return min(
-            _RETRY_MAX_S, max(_RETRY_MIN_S, turns * self.mean_duration_s)
+            _RETRY_AFTER_MAX_S,
+            max(_RETRY_AFTER_MIN_S, rounds * self.mean_duration_s),
         )
--- a/src/jasminecrank/state/_bookings.py
+++ b/src/jasminecrank/state/_bookings.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Known:
+class StoredAnswer:
     """The booking was run before and its answer is remembered."""
 
     answer: _calls.Answer
@@ -36,23 +36,23 @@
 class Bookings:
     """Owns the memory of keyed bookings and the others in hand."""
 
-    memory: _idempotency.IdempotencyMemory = field(
-        default_factory=_idempotency.IdempotencyMemory
+    store: _idempotency.IdempotencyStore = field(
+        default_factory=_idempotency.IdempotencyStore
     )
-    permitted_by_request: dict[str, bool] = field(default_factory=dict)
+    permitted_by_request_id: dict[str, bool] = field(default_factory=dict)
 
     def find(
         self, checked: _fair_queue.CheckedCall, now_s: float
-    ) -> Known | Rejected | None:
+    ) -> StoredAnswer | Rejected | None:
         """Return what to say to a repeat; None if the call is none."""
         if checked.route.kind is _rows.RouteKind.LOOKUP:
             return None
         key = _call_checks.booking_key(checked)
         if key is None:
-            if checked.call.request_id in self.permitted_by_request:
+            if checked.call.request_id in self.permitted_by_request_id:
                 return _in_progress()
             return None
-        entry = self.memory.find(key, now_s)
+        entry = self.store.find(key, now_s)
         if entry is None:
             return None
         if entry.fingerprint != _fingerprint(checked):
@@ -60,7 +60,7 @@
                 exceptions.ResultCode.IDEMPOTENCY_KEY_MISMATCH,
                 exceptions.RunState.NOT_RUN,
             )
-        return _describe(entry)
+        return _repeat_result(entry)
 
     def check_new(
         self,
@@ -78,53 +78,53 @@
             key, key_ms, checked.call.forwarded_by
         ):
             return _outcome_unknown(_MAY_HAVE_RUN)
-        match self.memory.check_new(key_ms, wall_ms):
-            case _idempotency.NewKey.FREE:
+        match self.store.check_new(key_ms, wall_ms):
+            case _idempotency.KeyAvailability.FREE:
                 return None
-            case _idempotency.NewKey.FORGOTTEN:
+            case _idempotency.KeyAvailability.EVICTED:
                 return _outcome_unknown(_MAY_HAVE_RUN)
-            case _idempotency.NewKey.FULL:
+            case _idempotency.KeyAvailability.FULL:
                 return Rejected(
                     exceptions.ResultCode.IDEMPOTENCY_MEMORY_FULL,
                     exceptions.RunState.NOT_RUN,
-                    self.memory.retry_after_s(now_s),
+                    self.store.retry_after_s(now_s),
                 )
 
-    def begin(self, checked: _fair_queue.CheckedCall) -> None:
+    def reserve(self, checked: _fair_queue.CheckedCall) -> None:
         """Note a booking that waits or is about to run."""
         if checked.route.kind is _rows.RouteKind.LOOKUP:
             return
         key = _call_checks.booking_key(checked)
         if key is None:
-            self.permitted_by_request[checked.call.request_id] = False
+            self.permitted_by_request_id[checked.call.request_id] = False
         else:
-            self.memory.begin(key, _fingerprint(checked))
+            self.store.reserve(key, _fingerprint(checked))
 
-    def start(self, checked: _fair_queue.CheckedCall) -> None:
+    def mark_permitted(self, checked: _fair_queue.CheckedCall) -> None:
         """Note that a booking gets its permit."""
         if checked.route.kind is _rows.RouteKind.LOOKUP:
             return
         key = _call_checks.booking_key(checked)
         if key is not None:
-            self.memory.start(key)
+            self.store.mark_permitted(key)
             return
         request_id = checked.call.request_id
         _invariants.check(
             exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
-            self.permitted_by_request.get(request_id) is False,
+            self.permitted_by_request_id.get(request_id) is False,
             "booking %s gets a second permit",
             request_id,
         )
-        self.permitted_by_request[request_id] = True
+        self.permitted_by_request_id[request_id] = True
 
-    def withdraw(self, checked: _fair_queue.CheckedCall) -> None:
+    def cancel(self, checked: _fair_queue.CheckedCall) -> None:
         """Forget a booking that got no permit."""
         if checked.route.kind is _rows.RouteKind.BOOKING:
-            self._forget(
+            self._remove(
                 checked.call.request_id, _call_checks.booking_key(checked)
             )
 
-    def end(
+    def complete(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
     ) -> None:
         """Remember how a booking with a permit has ended."""
@@ -132,16 +132,16 @@
             return
         key = permit.idempotency_key or None
         if outcome.did_not_run or key is None:
-            self._forget(permit.request_id, key)
+            self._remove(permit.request_id, key)
             return
         answered = outcome.kind is _calls.OutcomeKind.ANSWERED
-        self.memory.end(key, outcome.answer if answered else None, now_s)
+        self.store.complete(key, outcome.answer if answered else None, now_s)
 
-    def _forget(self, request_id: str, key: str | None) -> None:
+    def _remove(self, request_id: str, key: str | None) -> None:
         if key is None:
-            self.permitted_by_request.pop(request_id, None)
+            self.permitted_by_request_id.pop(request_id, None)
         else:
-            self.memory.cancel(key)
+            self.store.cancel(key)
 
 
 def _fingerprint(
@@ -153,7 +153,7 @@
     )
 
 
-def _describe(entry: _idempotency.Entry) -> Known | Rejected:
+def _repeat_result(entry: _idempotency.Entry) -> StoredAnswer | Rejected:
     match entry.state:
         case _idempotency.EntryState.IN_PROGRESS:
             return _in_progress()
@@ -162,7 +162,7 @@
         case _idempotency.EntryState.ANSWERED:
             if entry.answer is None:
                 return _outcome_unknown(exceptions.RunState.RAN)
-            return Known(entry.answer)
+            return StoredAnswer(entry.answer)
         case _:
             typing.assert_never(entry.state)
 
--- a/src/jasminecrank/state/_calls.py
+++ b/src/jasminecrank/state/_calls.py
@@ -96,7 +96,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Settled:
+class DeferredDecision:
     """The decision on a call that waited."""
 
     ticket: int
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -18,7 +18,7 @@
 from jasminecrank.state import _snapshot
 from jasminecrank.state import _token_wait
 
-_NOT_READY_WAIT_S = 0.02
+_NOT_READY_RETRY_S = 0.02
 
 
 @dataclass(slots=True)
@@ -30,17 +30,17 @@
     placement: _placement.PlacementState
     server: _backend_server.BackendServer
     queue: _fair_queue.FairQueue = field(default_factory=_fair_queue.FairQueue)
-    tokens: _token_wait.TokenWait = field(
+    token_wait: _token_wait.TokenWait = field(
         default_factory=_token_wait.TokenWait
     )
     bookings: _bookings.Bookings = field(default_factory=_bookings.Bookings)
     max_in_flight_by_team: dict[str, int] = field(default_factory=dict)
     threads: int = 0
-    slots: int = 0
+    slot_limit: int = 0
     ready: bool = False
     ticked_s: float | None = None
     last_ticket: int = 0
-    settled: list[_calls.Settled] = field(default_factory=list)
+    deferred: list[_calls.DeferredDecision] = field(default_factory=list)
 
     def apply_snapshot(
         self, snapshot: _snapshot.Snapshot, now_s: float
@@ -57,7 +57,7 @@
             for route in snapshot.routes
         )
         self.server.ramp.apply_row(row, 1 if internal else 0)
-        self.slots = (
+        self.slot_limit = (
             min(row.slots, self.server.ramp.thread_limit) if row else 0
         )
         limits = [
@@ -86,9 +86,11 @@
         """
         running = self.server.slots.in_use
         if self.placement.accepting:
-            running = max(running, self.slots)
-        elsewhere = len(self.tokens) + self.placement.chooser.in_hand(now_s)
-        return max(0, self.threads - running - elsewhere)
+            running = max(running, self.slot_limit)
+        not_queued = len(self.token_wait) + self.placement.chooser.in_hand(
+            now_s
+        )
+        return max(0, self.threads - running - not_queued)
 
     def next_due_s(self) -> float | None:
         """Return when a waiting call expires or tries for a token."""
@@ -97,7 +99,7 @@
                 due_s
                 for due_s in (
                     self.queue.next_deadline_s(),
-                    self.tokens.next_retry_s(),
+                    self.token_wait.next_retry_s(),
                 )
                 if due_s is not None
             ),
@@ -112,31 +114,33 @@
             return
         if outcome.did_not_run:
             self._refund(permit.route, permit.team, now_s)
-        self.bookings.end(permit, outcome, now_s)
+        self.bookings.complete(permit, outcome, now_s)
         if len(self.queue):
-            self.pump(now_s)
+            self.start_waiting(now_s)
 
-    def withdraw(
+    def refuse_waiting_if(
         self,
-        condition: Callable[[_fair_queue.Waiting], bool],
+        condition: Callable[[_fair_queue.WaitingCall], bool],
         code: exceptions.ResultCode,
         now_s: float,
     ) -> None:
         """Refuse the waiting calls that meet a condition."""
-        removed = self.tokens.remove(condition) + self.queue.remove(condition)
+        removed = self.token_wait.remove(condition) + self.queue.remove(
+            condition
+        )
         for entry in removed:
-            self.release(entry, code, now_s)
+            self.refuse_waiting(entry, code, now_s)
 
-    def waiting(self) -> list[_fair_queue.Waiting]:
+    def waiting_calls(self) -> list[_fair_queue.WaitingCall]:
         """Return the calls that wait for a token or a slot."""
-        return [*self.tokens.by_ticket.values(), *self.queue]
+        return [*self.token_wait.by_ticket.values(), *self.queue]
 
-    def retain(self, by_ticket: dict[int, _fair_queue.Waiting]) -> None:
+    def retain(self, by_ticket: dict[int, _fair_queue.WaitingCall]) -> None:
         """Keep these waiting calls only, each in its place."""
         self.queue.retain(by_ticket)
-        self.tokens.by_ticket = {
+        self.token_wait.by_ticket = {
             ticket: by_ticket[ticket]
-            for ticket in self.tokens.by_ticket
+            for ticket in self.token_wait.by_ticket
             if ticket in by_ticket
         }
 
@@ -152,35 +156,37 @@
         wait_s = self._take_token(checked, now_s)
         if wait_s is not None:
             return self._wait_for_token(checked, wait_s, now_s)
-        self.bookings.begin(checked)
+        self.bookings.reserve(checked)
         if not len(self.queue) and self._may_start(checked, now_s):
             return _calls.Admitted(self._start(checked, now_s))
         entry = self._new_entry(checked)
         refused = self._enqueue(entry, now_s)
         if refused is not None:
             return refused
-        self.pump(now_s)
-        for index, settled in enumerate(self.settled):
-            if settled.ticket == entry.ticket:
-                return self.settled.pop(index).decision
+        self.start_waiting(now_s)
+        for index, decided in enumerate(self.deferred):
+            if decided.ticket == entry.ticket:
+                return self.deferred.pop(index).decision
         return _calls.Queued(entry.ticket)
 
     def retry_tokens(self, now_s: float) -> None:
         """Let calls that are short of a token try again."""
-        for entry in self.tokens.take_due(now_s):
-            wait_s: float | None = _NOT_READY_WAIT_S
+        for entry in self.token_wait.take_due(now_s):
+            wait_s: float | None = _NOT_READY_RETRY_S
             code = exceptions.ResultCode.NODE_NOT_READY
             if self.accepts_calls(now_s):
                 wait_s = self._take_token(entry.checked, now_s, True)
                 code = exceptions.ResultCode.RATE_EXCEEDED
             if wait_s is None:
-                held = dataclasses.replace(entry, retry_at_s=None)
-                refused = self._enqueue(held, now_s)
+                with_token = dataclasses.replace(entry, retry_at_s=None)
+                refused = self._enqueue(with_token, now_s)
                 if refused is not None:
-                    self.settle(entry, refused)
-            elif not self.tokens.keep(entry, wait_s, now_s):
-                self.give_up(entry, now_s)
-                self.settle(entry, self.refuse(code, entry.checked, wait_s))
+                    self.add_deferred(entry, refused)
+            elif not self.token_wait.keep(entry, wait_s, now_s):
+                self.roll_back(entry, now_s)
+                self.add_deferred(
+                    entry, self.refuse(code, entry.checked, wait_s)
+                )
 
     def _wait_for_token(
         self,
@@ -190,58 +196,58 @@
     ) -> _calls.Decision | _calls.Queued:
         entry = self._new_entry(checked)
         limit = self.threads_for_waiting(now_s) // 2
-        if not self.tokens.offer(entry, wait_s, limit, now_s):
+        if not self.token_wait.offer(entry, wait_s, limit, now_s):
             return self.refuse(
                 exceptions.ResultCode.RATE_EXCEEDED, checked, wait_s
             )
-        self.bookings.begin(checked)
+        self.bookings.reserve(checked)
         return _calls.Queued(entry.ticket)
 
     def _new_entry(
         self, checked: _fair_queue.CheckedCall
-    ) -> _fair_queue.Waiting:
+    ) -> _fair_queue.WaitingCall:
         self.last_ticket += 1
-        return _fair_queue.Waiting(self.last_ticket, checked)
+        return _fair_queue.WaitingCall(self.last_ticket, checked)
 
     def _enqueue(
-        self, entry: _fair_queue.Waiting, now_s: float
+        self, entry: _fair_queue.WaitingCall, now_s: float
     ) -> _calls.Refused | None:
         """Let a call that has a token wait for a slot, or refuse it."""
         checked = entry.checked
         limit = self._max_in_flight(checked)
         if limit is not None and (
-            self.queue.waiting_of(checked.team) >= limit
+            self.queue.waiting_count(checked.team) >= limit
         ):
-            self.give_up(entry, now_s)
+            self.roll_back(entry, now_s)
             return self.refuse_busy(
                 exceptions.ResultCode.TOO_MANY_IN_FLIGHT, checked, now_s
             )
         self.queue.limit = self.threads_for_waiting(now_s)
-        victim = self.queue.offer(entry)
-        if victim is entry:
-            self.give_up(entry, now_s)
+        evicted = self.queue.offer(entry)
+        if evicted is entry:
+            self.roll_back(entry, now_s)
             return self.refuse_busy(
                 exceptions.ResultCode.QUEUE_FULL, checked, now_s
             )
-        if victim is not None:
-            self._push_out(victim, now_s)
+        if evicted is not None:
+            self._refuse_evicted(evicted, now_s)
         return None
 
-    def pump(self, now_s: float) -> None:
+    def start_waiting(self, now_s: float) -> None:
         """Start waiting calls while there are slots."""
         while (
             self.accepts_calls(now_s)
-            and (entry := self._next(now_s)) is not None
+            and (entry := self._next_startable(now_s)) is not None
         ):
             if entry.checked.deadline_at_s <= now_s:
-                self.release(
+                self.refuse_waiting(
                     entry, exceptions.ResultCode.DEADLINE_EXCEEDED, now_s
                 )
                 continue
             permit = self._start(entry.checked, now_s)
-            self.settle(entry, _calls.Admitted(permit))
+            self.add_deferred(entry, _calls.Admitted(permit))
 
-    def _next(self, now_s: float) -> _fair_queue.Waiting | None:
+    def _next_startable(self, now_s: float) -> _fair_queue.WaitingCall | None:
         if not len(self.queue):
             return None
         if self.server.has_room(_rows.Priority.INTERNAL, now_s):
@@ -274,7 +280,7 @@
         self, checked: _fair_queue.CheckedCall, now_s: float
     ) -> _calls.Permit:
         self.placement.check_start(checked)
-        self.bookings.start(checked)
+        self.bookings.mark_permitted(checked)
         return self.server.start(checked, self.snapshot.versions.table, now_s)
 
     def _take_token(
@@ -293,37 +299,39 @@
         if (route.service, team) in self.snapshot.by_limit:
             self.quota.refund(route.service, team, now_s)
 
-    def give_up(self, entry: _fair_queue.Waiting, now_s: float) -> None:
+    def roll_back(self, entry: _fair_queue.WaitingCall, now_s: float) -> None:
         """Undo what was noted for a call that will not run here."""
         checked = entry.checked
         if entry.retry_at_s is None:
             self._refund(checked.route, checked.team, now_s)
-        self.bookings.withdraw(checked)
+        self.bookings.cancel(checked)
 
-    def release(
+    def refuse_waiting(
         self,
-        entry: _fair_queue.Waiting,
+        entry: _fair_queue.WaitingCall,
         code: exceptions.ResultCode,
         now_s: float,
     ) -> None:
         """Refuse a call that waited."""
-        self.give_up(entry, now_s)
-        self.settle(entry, self.refuse(code, entry.checked))
+        self.roll_back(entry, now_s)
+        self.add_deferred(entry, self.refuse(code, entry.checked))
 
-    def _push_out(self, victim: _fair_queue.Waiting, now_s: float) -> None:
-        self.give_up(victim, now_s)
-        self.settle(
-            victim,
+    def _refuse_evicted(
+        self, evicted: _fair_queue.WaitingCall, now_s: float
+    ) -> None:
+        self.roll_back(evicted, now_s)
+        self.add_deferred(
+            evicted,
             self.refuse_busy(
-                exceptions.ResultCode.QUEUE_FULL, victim.checked, now_s
+                exceptions.ResultCode.QUEUE_FULL, evicted.checked, now_s
             ),
         )
 
-    def settle(
-        self, entry: _fair_queue.Waiting, decision: _calls.Decision
+    def add_deferred(
+        self, entry: _fair_queue.WaitingCall, decision: _calls.Decision
     ) -> None:
         """Note the one decision on a call that waited."""
-        self.settled.append(_calls.Settled(entry.ticket, decision))
+        self.deferred.append(_calls.DeferredDecision(entry.ticket, decision))
 
     def refuse_busy(
         self,
--- a/src/jasminecrank/state/_fair_queue.py
+++ b/src/jasminecrank/state/_fair_queue.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Waiting:
+class WaitingCall:
     """A call that waits and the ticket its decision is given under.
 
     A call without a token has a time at which it tries to get one.
@@ -31,12 +31,12 @@
     ticket: int
     checked: CheckedCall
     retry_at_s: float | None = None
-    give_up_at_s: float = 0.0
+    retry_until_s: float = 0.0
 
 
 @dataclass(slots=True)
-class _Lane:
-    entries: deque[Waiting] = field(default_factory=deque)
+class _TeamQueue:
+    entries: deque[WaitingCall] = field(default_factory=deque)
     deficit: int = 0
 
 
@@ -51,69 +51,71 @@
     limit: int = 0
     internal_limit: int = 4
     weight_by_team: Mapping[str, int] = field(default_factory=dict)
-    internal: deque[Waiting] = field(default_factory=deque)
-    lane_by_team: dict[str, _Lane] = field(default_factory=dict)
-    ring: deque[str] = field(default_factory=deque)
-    ordinary: int = 0
+    internal: deque[WaitingCall] = field(default_factory=deque)
+    queue_by_team: dict[str, _TeamQueue] = field(default_factory=dict)
+    active_teams: deque[str] = field(default_factory=deque)
+    ordinary_count: int = 0
 
     def __len__(self) -> int:
-        return self.ordinary + len(self.internal)
+        return self.ordinary_count + len(self.internal)
 
-    def __iter__(self) -> Iterator[Waiting]:
+    def __iter__(self) -> Iterator[WaitingCall]:
         yield from self.internal
-        for lane in self.lane_by_team.values():
-            yield from lane.entries
+        for queue in self.queue_by_team.values():
+            yield from queue.entries
 
-    def waiting_of(self, team: str) -> int:
+    def waiting_count(self, team: str) -> int:
         """Return how many ordinary calls of a team wait."""
-        lane = self.lane_by_team.get(team)
-        return len(lane.entries) if lane else 0
+        queue = self.queue_by_team.get(team)
+        return len(queue.entries) if queue else 0
 
-    def offer(self, entry: Waiting) -> Waiting | None:
+    def offer(self, entry: WaitingCall) -> WaitingCall | None:
         """Add a call; return the one that has no place, if any."""
         if entry.checked.route.priority is _rows.Priority.INTERNAL:
             if len(self.internal) >= self.internal_limit:
                 return entry
             self.internal.append(entry)
             return None
-        if self.ordinary < self.limit:
+        if self.ordinary_count < self.limit:
             self._append(entry)
             return None
-        team = self._most_served()
-        if team is None or self._fill(team, 0) <= self._fill(
-            entry.checked.team, 1
-        ):
+        team = self._most_overweight_team()
+        if team is None or self._weighted_length(
+            team, 0
+        ) <= self._weighted_length(entry.checked.team, 1):
             return entry
-        victim = self.lane_by_team[team].entries.pop()
-        self.ordinary -= 1
+        evicted = self.queue_by_team[team].entries.pop()
+        self.ordinary_count -= 1
         self._drop_if_empty(team)
         self._append(entry)
-        return victim
+        return evicted
 
-    def pop_internal(self) -> Waiting | None:
+    def pop_internal(self) -> WaitingCall | None:
         """Return the next internal check."""
         return self.internal.popleft() if self.internal else None
 
-    def pop(self, may_start: Callable[[str], bool]) -> Waiting | None:
+    def pop(self, may_start: Callable[[str], bool]) -> WaitingCall | None:
         """Return the next ordinary call of a team that may start one."""
-        for _ in range(len(self.ring)):
-            team = self.ring[0]
-            lane = self.lane_by_team[team]
+        for _ in range(len(self.active_teams)):
+            team = self.active_teams[0]
+            queue = self.queue_by_team[team]
             if not may_start(team):
-                lane.deficit = 0
-                self.ring.rotate(-1)
+                queue.deficit = 0
+                self.active_teams.rotate(-1)
                 continue
-            if lane.deficit < 1:
-                lane.deficit += self._weight(team)
-            lane.deficit -= 1
-            entry = lane.entries.popleft()
-            self.ordinary -= 1
-            if not self._drop_if_empty(team) and lane.deficit < 1:
-                self.ring.rotate(-1)
+            if queue.deficit < 1:
+                queue.deficit += self._weight(team)
+            queue.deficit -= 1
+            entry = queue.entries.popleft()
+            self.ordinary_count -= 1
+            if not self._drop_if_empty(team) and queue.deficit < 1:
+                self.active_teams.rotate(-1)
             return entry
         return None
 
-    def remove(self, condition: Callable[[Waiting], bool]) -> list[Waiting]:
+    def remove(
+        self, condition: Callable[[WaitingCall], bool]
+    ) -> list[WaitingCall]:
         """Take out all calls that meet a condition, oldest first."""
         removed = [entry for entry in self if condition(entry)]
         if removed:
@@ -128,15 +130,15 @@
         removed.sort(key=lambda entry: entry.ticket)
         return removed
 
-    def retain(self, by_ticket: Mapping[int, Waiting]) -> None:
+    def retain(self, by_ticket: Mapping[int, WaitingCall]) -> None:
         """Keep these calls only, each in its place and for its team."""
-        self.internal = _retained(self.internal, by_ticket)
-        for team in tuple(self.lane_by_team):
-            lane = self.lane_by_team[team]
-            lane.entries = _retained(lane.entries, by_ticket)
+        self.internal = _filter_entries(self.internal, by_ticket)
+        for team in tuple(self.queue_by_team):
+            queue = self.queue_by_team[team]
+            queue.entries = _filter_entries(queue.entries, by_ticket)
             self._drop_if_empty(team)
-        self.ordinary = sum(
-            len(lane.entries) for lane in self.lane_by_team.values()
+        self.ordinary_count = sum(
+            len(queue.entries) for queue in self.queue_by_team.values()
         )
 
     def next_deadline_s(self) -> float | None:
@@ -145,39 +147,39 @@
             (entry.checked.deadline_at_s for entry in self), default=None
         )
 
-    def _append(self, entry: Waiting) -> None:
+    def _append(self, entry: WaitingCall) -> None:
         team = entry.checked.team
-        lane = self.lane_by_team.get(team)
-        if lane is None:
-            lane = self.lane_by_team[team] = _Lane()
-            self.ring.append(team)
-        lane.entries.append(entry)
-        self.ordinary += 1
+        queue = self.queue_by_team.get(team)
+        if queue is None:
+            queue = self.queue_by_team[team] = _TeamQueue()
+            self.active_teams.append(team)
+        queue.entries.append(entry)
+        self.ordinary_count += 1
 
     def _drop_if_empty(self, team: str) -> bool:
-        if self.lane_by_team[team].entries:
+        if self.queue_by_team[team].entries:
             return False
-        del self.lane_by_team[team]
-        self.ring.remove(team)
+        del self.queue_by_team[team]
+        self.active_teams.remove(team)
         return True
 
-    def _most_served(self) -> str | None:
+    def _most_overweight_team(self) -> str | None:
         return max(
-            self.lane_by_team,
-            key=lambda team: (self._fill(team, 0), team),
+            self.queue_by_team,
+            key=lambda team: (self._weighted_length(team, 0), team),
             default=None,
         )
 
-    def _fill(self, team: str, more: int) -> float:
-        return (self.waiting_of(team) + more) / self._weight(team)
+    def _weighted_length(self, team: str, added: int) -> float:
+        return (self.waiting_count(team) + added) / self._weight(team)
 
     def _weight(self, team: str) -> int:
         return self.weight_by_team.get(team, 1)
 
 
-def _retained(
-    entries: deque[Waiting], by_ticket: Mapping[int, Waiting]
-) -> deque[Waiting]:
+def _filter_entries(
+    entries: deque[WaitingCall], by_ticket: Mapping[int, WaitingCall]
+) -> deque[WaitingCall]:
     return deque(
         by_ticket[entry.ticket]
         for entry in entries
--- a/src/jasminecrank/state/_idempotency.py
+++ b/src/jasminecrank/state/_idempotency.py
@@ -11,13 +11,13 @@
 from jasminecrank.state import _calls
 from jasminecrank.state import _invariants
 
-_MAX_BYTES = 32_000_000
+_MAX_ANSWER_BYTES = 32_000_000
 """Answers kept; a node has 256 MB and an answer up to 1 MB."""
 
-_FORGET_AGE_MS = 5_000
+_MIN_EVICTION_AGE_MS = 5_000
 """Youngest key that may be forgotten early, when the memory is full."""
 
-_VERSION_7 = 7
+_UUID_VERSION = 7
 
 
 class EntryState(enum.Enum):
@@ -48,12 +48,12 @@
     permitted: bool = False
 
 
-class NewKey(enum.Enum):
+class KeyAvailability(enum.Enum):
     """Whether a booking with a key not remembered may begin."""
 
     FREE = "free"
     FULL = "full"
-    FORGOTTEN = "forgotten"
+    EVICTED = "evicted"
 
 
 def uuid7_ms(key: str) -> int | None:
@@ -62,11 +62,11 @@
         value = uuid.UUID(key)
     except ValueError:
         return None
-    return value.int >> 80 if value.version == _VERSION_7 else None
+    return value.int >> 80 if value.version == _UUID_VERSION else None
 
 
 @dataclass(slots=True)
-class IdempotencyMemory:
+class IdempotencyStore:
     """Remembers bookings by key for a limited time.
 
     An ended booking is forgotten early only if its key is a UUIDv7: every
@@ -76,28 +76,36 @@
     """
 
     max_keys: int = const.IDEMPOTENCY_MAX_KEYS
-    max_bytes: int = _MAX_BYTES
+    max_answer_bytes: int = _MAX_ANSWER_BYTES
     by_key: dict[str, Entry] = field(default_factory=dict)
     answer_bytes: int = 0
-    forgotten_up_to_ms: int = -1
-    _ended: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    _forgettable: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    _with_answer: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    evicted_up_to_ms: int = -1
+    _expires_at_s_by_key: OrderedDict[str, float] = field(
+        default_factory=OrderedDict
+    )
+    _evictable_ms_by_key: OrderedDict[str, int] = field(
+        default_factory=OrderedDict
+    )
+    _answer_bytes_by_key: OrderedDict[str, int] = field(
+        default_factory=OrderedDict
+    )
 
     def find(self, key: str, now_s: float) -> Entry | None:
         """Return what is remembered of a key."""
         self._expire(now_s)
         return self.by_key.get(key)
 
-    def check_new(self, key_ms: int | None, wall_ms: int) -> NewKey:
+    def check_new(self, key_ms: int | None, wall_ms: int) -> KeyAvailability:
         """Return whether a booking with a key not remembered may begin."""
-        if key_ms is not None and key_ms <= self.forgotten_up_to_ms:
-            return NewKey.FORGOTTEN
-        if len(self.by_key) >= self.max_keys and not self._forget(wall_ms):
-            return NewKey.FULL
-        return NewKey.FREE
-
-    def begin(self, key: str, fingerprint: Fingerprint) -> None:
+        if key_ms is not None and key_ms <= self.evicted_up_to_ms:
+            return KeyAvailability.EVICTED
+        if len(self.by_key) >= self.max_keys and not self._evict_oldest(
+            wall_ms
+        ):
+            return KeyAvailability.FULL
+        return KeyAvailability.FREE
+
+    def reserve(self, key: str, fingerprint: Fingerprint) -> None:
         """Remember a booking that waits or is about to run."""
         _invariants.check(
             exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
@@ -106,7 +114,7 @@
         )
         self.by_key[key] = Entry(fingerprint)
 
-    def start(self, key: str) -> None:
+    def mark_permitted(self, key: str) -> None:
         """Note that a booking gets its permit."""
         entry = self.by_key.get(key)
         _invariants.check(
@@ -125,7 +133,7 @@
         if entry is not None and entry.state is EntryState.IN_PROGRESS:
             del self.by_key[key]
 
-    def end(
+    def complete(
         self, key: str, answer: _calls.Answer | None, now_s: float
     ) -> None:
         """Remember how a booking that ran has ended."""
@@ -133,50 +141,50 @@
         if entry is None or entry.state is not EntryState.IN_PROGRESS:
             return
         entry.state = EntryState.UNKNOWN
-        self._ended[key] = now_s + const.IDEMPOTENCY_TTL_S
+        self._expires_at_s_by_key[key] = now_s + const.IDEMPOTENCY_TTL_S
         key_ms = uuid7_ms(key)
         if key_ms is not None:
-            self._forgettable[key] = key_ms
+            self._evictable_ms_by_key[key] = key_ms
         if answer is None:
             return
         entry.state = EntryState.ANSWERED
         entry.answer = answer
-        self._with_answer[key] = _size_bytes(answer)
-        self.answer_bytes += self._with_answer[key]
-        while self.answer_bytes > self.max_bytes:
-            self._drop_answer(next(iter(self._with_answer)))
+        self._answer_bytes_by_key[key] = _size_bytes(answer)
+        self.answer_bytes += self._answer_bytes_by_key[key]
+        while self.answer_bytes > self.max_answer_bytes:
+            self._drop_answer(next(iter(self._answer_bytes_by_key)))
 
     def retry_after_s(self, now_s: float) -> float:
         """Return when the next place becomes free."""
-        expires_at_s = next(iter(self._ended.values()), now_s)
+        expires_at_s = next(iter(self._expires_at_s_by_key.values()), now_s)
         return max(1.0, expires_at_s - now_s)
 
     def _expire(self, now_s: float) -> None:
-        while self._ended:
-            key, expires_at_s = next(iter(self._ended.items()))
+        while self._expires_at_s_by_key:
+            key, expires_at_s = next(iter(self._expires_at_s_by_key.items()))
             if expires_at_s > now_s:
                 return
             self._remove(key)
 
-    def _forget(self, wall_ms: int) -> bool:
+    def _evict_oldest(self, wall_ms: int) -> bool:
         """Forget the oldest ended booking with a UUIDv7 that is not new."""
-        if not self._forgettable:
+        if not self._evictable_ms_by_key:
             return False
-        key, key_ms = next(iter(self._forgettable.items()))
-        if key_ms > wall_ms - _FORGET_AGE_MS:
+        key, key_ms = next(iter(self._evictable_ms_by_key.items()))
+        if key_ms > wall_ms - _MIN_EVICTION_AGE_MS:
             return False
         self._remove(key)
-        self.forgotten_up_to_ms = max(self.forgotten_up_to_ms, key_ms)
+        self.evicted_up_to_ms = max(self.evicted_up_to_ms, key_ms)
         return True
 
     def _remove(self, key: str) -> None:
         self._drop_answer(key)
-        del self._ended[key]
-        self._forgettable.pop(key, None)
+        del self._expires_at_s_by_key[key]
+        self._evictable_ms_by_key.pop(key, None)
         del self.by_key[key]
 
     def _drop_answer(self, key: str) -> None:
-        self.answer_bytes -= self._with_answer.pop(key, 0)
+        self.answer_bytes -= self._answer_bytes_by_key.pop(key, 0)
         self.by_key[key].answer = None
 
 
--- a/src/jasminecrank/state/_ramp.py
+++ b/src/jasminecrank/state/_ramp.py
@@ -11,18 +11,18 @@
 from jasminecrank.state import _calls
 from jasminecrank.state import _rows
 
-_CREDIT_MAX_S = 1.0
+_MAX_WARMUP_GAP_S = 1.0
 """Longest time between two answers that counts as time under load."""
 
 _FAILURES_TO_RESET = 3
-_SHED_FACTOR = 0.7
+_SHED_DECREASE_FACTOR = 0.7
 _SHED_RECOVERY_PER_S = 1.0
 
-_ANSWER_PROOF_S = 1.0
+_ANSWER_VALID_S = 1.0
 """How long an answer in time outweighs a report that health is down."""
 
-_LOAD_BELIEF_S = 5.0
-_DOWN_S = 1.5
+_LOAD_REPORT_TTL_S = 5.0
+_DOWN_PERIOD_S = 1.5
 """How long a server counts as down; longer than one health period."""
 
 
@@ -32,10 +32,10 @@
 
     thread_limit: int
     reset_at_s: float
-    credited_until_s: float
+    warmup_counted_until_s: float
     row: _rows.ServiceRow | None = None
-    reserve: int = 0
-    credited_s: float = 0.0
+    reserved_slots: int = 0
+    warmup_s: float = 0.0
     answered_at_s: float = -math.inf
     failures_in_a_row: int = 0
     started_at_ms: int | None = None
@@ -44,8 +44,8 @@
     shed_limit: float = math.inf
     shed_at_s: float = -math.inf
     load_limit: int = 0
-    load_until_s: float = -math.inf
-    last_reset: str = "start"
+    load_limit_until_s: float = -math.inf
+    last_reset_reason: str = "start"
     resets: int = 0
 
     @classmethod
@@ -53,21 +53,25 @@
         """Return the ramp of a node that starts: the server is cold."""
         return cls(thread_limit, now_s, now_s)
 
-    def apply_row(self, row: _rows.ServiceRow | None, reserve: int) -> None:
+    def apply_row(
+        self, row: _rows.ServiceRow | None, reserved_slots: int
+    ) -> None:
         """Follow the service row of a new snapshot."""
         self.row = row
-        self.reserve = reserve if row is not None and row.slots > 1 else 0
+        self.reserved_slots = (
+            reserved_slots if row is not None and row.slots > 1 else 0
+        )
 
     def reset(self, reason: str, now_s: float) -> None:
         """Treat the server as cold from now on."""
-        if self.credited_s > 0.0 or reason != self.last_reset:
+        if self.warmup_s > 0.0 or reason != self.last_reset_reason:
             self.resets += 1
         self.reset_at_s = now_s
-        self.credited_until_s = now_s
-        self.credited_s = 0.0
+        self.warmup_counted_until_s = now_s
+        self.warmup_s = 0.0
         self.failures_in_a_row = 0
         self.shed_limit = math.inf
-        self.last_reset = reason
+        self.last_reset_reason = reason
 
     def capacity(self, now_s: float) -> int:
         """Return how many calls the server may run at once."""
@@ -76,21 +80,23 @@
             return 0
         # One connection is left to the health probe.
         limit = min(
-            self._ramped(row, self.credited_s),
+            self._slots_after(row, self.warmup_s),
             self.thread_limit,
             max(1, row.max_connections - 1),
         )
         if self.shed_limit < limit:
-            limit = max(int(self.shed_limit), min(limit, 1 + self.reserve))
-        if now_s < self.load_until_s:
+            limit = max(
+                int(self.shed_limit), min(limit, 1 + self.reserved_slots)
+            )
+        if now_s < self.load_limit_until_s:
             limit = min(limit, self.load_limit)
         return limit
 
-    def bound(self, now_s: float) -> int:
+    def cold_limit(self, now_s: float) -> int:
         """Return what a server that fell cold at the reset bears by now."""
         if self.row is None:
             return 0
-        return self._ramped(self.row, now_s - self.reset_at_s)
+        return self._slots_after(self.row, now_s - self.reset_at_s)
 
     def is_down(self, now_s: float) -> bool:
         """Return whether the server is not expected to answer."""
@@ -102,17 +108,17 @@
         """Learn from the outcome of a call."""
         match outcome.kind:
             case _calls.OutcomeKind.ANSWERED:
-                self._answered(permit, outcome.duration_s, now_s)
+                self._observe_answer(permit, outcome.duration_s, now_s)
             case _calls.OutcomeKind.SHED:
                 self.failures_in_a_row = 0
-                self._shed(permit.admitted_at_s, now_s)
+                self._observe_shed(permit.admitted_at_s, now_s)
             case _calls.OutcomeKind.NOT_SENT:
                 # A call whose deadline passed was not sent either.
                 if now_s < permit.deadline_at_s:
                     self.reset("connection refused", now_s)
-                    self.down_until_s = now_s + _DOWN_S
+                    self.down_until_s = now_s + _DOWN_PERIOD_S
             case _calls.OutcomeKind.TIMED_OUT | _calls.OutcomeKind.BROKEN:
-                self._failed(permit, now_s)
+                self._observe_failure(permit, now_s)
             case _calls.OutcomeKind.CANCELLED:
                 return
 
@@ -121,9 +127,9 @@
     ) -> None:
         """Learn from the health and load endpoint."""
         if not report.reachable:
-            if now_s - self.answered_at_s > _ANSWER_PROOF_S:
+            if now_s - self.answered_at_s > _ANSWER_VALID_S:
                 self.reset("health unreachable", now_s)
-                self.down_until_s = now_s + _DOWN_S
+                self.down_until_s = now_s + _DOWN_PERIOD_S
             return
         if self.started_at_ms not in (None, report.started_at_ms):
             self.reset("server restarted", now_s)
@@ -136,31 +142,34 @@
         # answer could ever raise the capacity.
         if (
             self.row
-            and self._ramped(self.row, self.credited_s) <= self.reserve
+            and self._slots_after(self.row, self.warmup_s)
+            <= self.reserved_slots
         ):
-            self._credit(now_s)
+            self._add_warmup(now_s)
 
-    def _answered(
+    def _observe_answer(
         self, permit: _calls.Permit, duration_s: float, now_s: float
     ) -> None:
         if permit.admitted_at_s < self.reset_at_s:
             return
         self.failures_in_a_row = 0
         if duration_s > permit.route.deadline_ms / 2000:
-            self.credited_until_s = now_s
+            self.warmup_counted_until_s = now_s
             return
         self.answered_at_s = now_s
         self.down_until_s = -math.inf
-        self._credit(now_s)
+        self._add_warmup(now_s)
 
-    def _credit(self, now_s: float) -> None:
-        gap_s = min(max(0.0, now_s - self.credited_until_s), _CREDIT_MAX_S)
-        self.credited_until_s = max(now_s, self.credited_until_s)
-        self.credited_s += gap_s
+    def _add_warmup(self, now_s: float) -> None:
+        gap_s = min(
+            max(0.0, now_s - self.warmup_counted_until_s), _MAX_WARMUP_GAP_S
+        )
+        self.warmup_counted_until_s = max(now_s, self.warmup_counted_until_s)
+        self.warmup_s += gap_s
         self.shed_limit += gap_s * _SHED_RECOVERY_PER_S
 
-    def _failed(self, permit: _calls.Permit, now_s: float) -> None:
-        self.credited_until_s = now_s
+    def _observe_failure(self, permit: _calls.Permit, now_s: float) -> None:
+        self.warmup_counted_until_s = now_s
         allowed_s = permit.deadline_at_s - permit.admitted_at_s
         # A caller's own short deadline says nothing about the server.
         if (
@@ -172,12 +181,14 @@
         if self.failures_in_a_row >= _FAILURES_TO_RESET:
             self.reset("time-outs in a row", now_s)
 
-    def _shed(self, admitted_at_s: float, now_s: float) -> None:
-        self.credited_until_s = now_s
+    def _observe_shed(self, admitted_at_s: float, now_s: float) -> None:
+        self.warmup_counted_until_s = now_s
         # Calls admitted before the last decrease tell the same thing again.
         if admitted_at_s < self.shed_at_s:
             return
-        self.shed_limit = max(1.0, self.capacity(now_s) * _SHED_FACTOR)
+        self.shed_limit = max(
+            1.0, self.capacity(now_s) * _SHED_DECREASE_FACTOR
+        )
         self.shed_at_s = now_s
 
     def _observe_load(
@@ -187,12 +198,12 @@
         if self.row is None or not math.isfinite(load) or load < 0.0:
             return
         busy = math.ceil(load * self.row.slots - 1e-9)
-        foreign = max(0, busy - in_use_peak)
-        floor = max(self.row.cold_slots, 1 + self.reserve)
-        self.load_limit = max(floor, self.row.slots - foreign)
-        self.load_until_s = now_s + _LOAD_BELIEF_S
+        external = max(0, busy - in_use_peak)
+        floor = max(self.row.cold_slots, 1 + self.reserved_slots)
+        self.load_limit = max(floor, self.row.slots - external)
+        self.load_limit_until_s = now_s + _LOAD_REPORT_TTL_S
 
-    def _ramped(self, row: _rows.ServiceRow, elapsed_s: float) -> int:
+    def _slots_after(self, row: _rows.ServiceRow, elapsed_s: float) -> int:
         if elapsed_s >= row.ramp_s:
             return row.slots
         rise = (row.slots - row.cold_slots) * elapsed_s / row.ramp_s
--- a/src/jasminecrank/state/_retry.py
+++ b/src/jasminecrank/state/_retry.py
@@ -10,10 +10,10 @@
 from jasminecrank.state import _invariants
 from jasminecrank.state import _rows
 
-_BUDGET_PART = 0.1
+_BUDGET_RATIO = 0.1
 _BUDGET_BURST = 10.0
 
-_HOST_CODES = frozenset(
+_HOST_SPECIFIC_CODES = frozenset(
     {
         exceptions.ResultCode.QUEUE_FULL,
         exceptions.ResultCode.NODE_NOT_READY,
@@ -74,7 +74,7 @@
     answer: _calls.Answer
 
 
-Evidence = (
+AttemptResult = (
     NothingSent
     | ClosedBeforeRequest
     | AnswerLost
@@ -107,52 +107,52 @@
 NextStep = TryElsewhere | Deliver | Refuse
 
 
-def run_state(evidence: Evidence) -> exceptions.RunState:
+def run_state(result: AttemptResult) -> exceptions.RunState:
     """Return what an attempt proves about the call having run."""
-    match evidence:
+    match result:
         case NothingSent() | ClosedBeforeRequest():
             return exceptions.RunState.NOT_RUN
         case AnswerLost():
             return exceptions.RunState.MAY_HAVE_RUN
         case Shed():
-            if evidence.says_not_run:
+            if result.says_not_run:
                 return exceptions.RunState.NOT_RUN
             return exceptions.RunState.MAY_HAVE_RUN
         case NodeRefused():
-            return evidence.run_state
+            return result.run_state
         case Answered():
             return exceptions.RunState.RAN
         case _:
-            typing.assert_never(evidence)
+            typing.assert_never(result)
 
 
-def outcome_kind(evidence: Evidence) -> _calls.OutcomeKind:
+def outcome_kind(result: AttemptResult) -> _calls.OutcomeKind:
     """Return what an attempt says about the host it was sent to."""
-    match evidence:
+    match result:
         case Answered():
             return _calls.OutcomeKind.ANSWERED
         case Shed():
             return _calls.OutcomeKind.SHED
         case NodeRefused():
-            if evidence.code in _HOST_CODES:
+            if result.code in _HOST_SPECIFIC_CODES:
                 return _calls.OutcomeKind.SHED
             return _calls.OutcomeKind.ANSWERED
         case NothingSent() | ClosedBeforeRequest():
             # A late or unusable request says nothing about the server.
-            if evidence.code is exceptions.ResultCode.BACKEND_UNREACHABLE:
+            if result.code is exceptions.ResultCode.BACKEND_UNREACHABLE:
                 return _calls.OutcomeKind.NOT_SENT
             return _calls.OutcomeKind.CANCELLED
         case AnswerLost():
-            if evidence.code is exceptions.ResultCode.BACKEND_TIMEOUT:
+            if result.code is exceptions.ResultCode.BACKEND_TIMEOUT:
                 return _calls.OutcomeKind.TIMED_OUT
             return _calls.OutcomeKind.BROKEN
         case _:
-            typing.assert_never(evidence)
+            typing.assert_never(result)
 
 
-def _reached_no_server(evidence: Evidence) -> bool:
+def _reached_no_server(result: AttemptResult) -> bool:
     # Stated apart from run_state, so that the invariants can find it wrong.
-    match evidence:
+    match result:
         case NothingSent() | ClosedBeforeRequest():
             return True
         case Shed(says_not_run=True):
@@ -170,25 +170,25 @@
     request_id: str
     may_retry: bool
     hosts: list[str] = field(default_factory=list)
-    seen: list[Evidence] = field(default_factory=list)
+    results: list[AttemptResult] = field(default_factory=list)
 
     def begin(self, host: str, kind: _rows.RouteKind) -> None:
         """Note that the call is about to be sent to a host."""
         _invariants.check(
             exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
             kind is _rows.RouteKind.LOOKUP
-            or all(_reached_no_server(evidence) for evidence in self.seen),
+            or all(_reached_no_server(result) for result in self.results),
             "booking %s sent again to %s after %s",
             self.request_id,
             host,
-            self.seen,
+            self.results,
         )
         self.hosts.append(host)
 
-    def end(self, kind: _rows.RouteKind, evidence: Evidence) -> NextStep:
-        """Take the evidence of the last attempt and return what follows."""
-        self.seen.append(evidence)
-        if self.may_retry and _may_follow(kind, evidence):
+    def end(self, kind: _rows.RouteKind, result: AttemptResult) -> NextStep:
+        """Take the result of the last attempt and return what follows."""
+        self.results.append(result)
+        if self.may_retry and _may_retry(kind, result):
             return TryElsewhere()
         return self.conclude()
 
@@ -199,25 +199,25 @@
 
         A code given here replaces the code of the last failure.
         """
-        last = self.seen[-1]
-        match last:
+        last_result = self.results[-1]
+        match last_result:
             case Answered():
-                return Deliver(last.answer)
+                return Deliver(last_result.answer)
             case Shed() | NodeRefused():
                 # An answer that says "not run" speaks of its own attempt.
-                if run_state(last) is self.run_state():
-                    return Deliver(last.answer)
-                return self.refuse(code or self._lost_code())
+                if run_state(last_result) is self.run_state():
+                    return Deliver(last_result.answer)
+                return self.refuse(code or self._lost_answer_code())
             case NothingSent() | ClosedBeforeRequest() | AnswerLost():
-                return self.refuse(code or last.code)
+                return self.refuse(code or last_result.code)
             case _:
-                typing.assert_never(last)
+                typing.assert_never(last_result)
 
-    def _lost_code(self) -> exceptions.ResultCode:
-        for evidence in self.seen:
-            match evidence:
+    def _lost_answer_code(self) -> exceptions.ResultCode:
+        for result in self.results:
+            match result:
                 case AnswerLost():
-                    return evidence.code
+                    return result.code
                 case _:
                     continue
         return exceptions.ResultCode.ANSWER_CUT
@@ -225,29 +225,33 @@
     def refuse(
         self,
         code: exceptions.ResultCode,
-        decided: exceptions.RunState = exceptions.RunState.NOT_RUN,
+        decision_state: exceptions.RunState = exceptions.RunState.NOT_RUN,
     ) -> Refuse:
         """Return a refusal whose run state covers every attempt.
 
         What the decision on a further attempt said is covered as well.
         """
-        refusal = Refuse(code, _worst((self.run_state(), decided)))
+        refusal = Refuse(
+            code, _combine_run_states((self.run_state(), decision_state))
+        )
         _invariants.check(
             exceptions.ResultCode.INVARIANT_NOT_RUN,
             refusal.run_state is not exceptions.RunState.NOT_RUN
-            or all(_reached_no_server(evidence) for evidence in self.seen),
+            or all(_reached_no_server(result) for result in self.results),
             "call %s refused as not run after %s",
             self.request_id,
-            self.seen,
+            self.results,
         )
         return refusal
 
     def run_state(self) -> exceptions.RunState:
         """Return what all attempts together prove."""
-        return _worst(run_state(evidence) for evidence in self.seen)
+        return _combine_run_states(
+            run_state(result) for result in self.results
+        )
 
 
-def _worst(
+def _combine_run_states(
     states: Iterable[exceptions.RunState],
 ) -> exceptions.RunState:
     seen = set(states)
@@ -258,26 +262,26 @@
     return exceptions.RunState.NOT_RUN
 
 
-def _may_follow(kind: _rows.RouteKind, evidence: Evidence) -> bool:
-    match evidence:
+def _may_retry(kind: _rows.RouteKind, result: AttemptResult) -> bool:
+    match result:
         case NothingSent() | ClosedBeforeRequest():
-            return evidence.code is exceptions.ResultCode.BACKEND_UNREACHABLE
+            return result.code is exceptions.ResultCode.BACKEND_UNREACHABLE
         case AnswerLost():
             return (
                 kind is _rows.RouteKind.LOOKUP
-                and evidence.code is not exceptions.ResultCode.BACKEND_TIMEOUT
+                and result.code is not exceptions.ResultCode.BACKEND_TIMEOUT
             )
         case Shed():
-            return kind is _rows.RouteKind.LOOKUP or evidence.says_not_run
+            return kind is _rows.RouteKind.LOOKUP or result.says_not_run
         case NodeRefused():
-            return evidence.code in _HOST_CODES and (
+            return result.code in _HOST_SPECIFIC_CODES and (
                 kind is _rows.RouteKind.LOOKUP
-                or evidence.run_state is exceptions.RunState.NOT_RUN
+                or result.run_state is exceptions.RunState.NOT_RUN
             )
         case Answered():
             return False
         case _:
-            typing.assert_never(evidence)
+            typing.assert_never(result)
 
 
 @dataclass(slots=True)
@@ -291,7 +295,7 @@
         """Take one retry, given how many calls the node has seen."""
         new = max(0, calls_seen - self.calls_seen)
         self.calls_seen += new
-        self.tokens = min(_BUDGET_BURST, self.tokens + new * _BUDGET_PART)
+        self.tokens = min(_BUDGET_BURST, self.tokens + new * _BUDGET_RATIO)
         if self.tokens < 1:
             return False
         self.tokens -= 1
--- a/src/jasminecrank/state/_slots.py
+++ b/src/jasminecrank/state/_slots.py
@@ -14,7 +14,7 @@
     ordinary_in_use: int = 0
     internal_in_use: int = 0
     peak: int = 0
-    earlier_peak: int = 0
+    previous_peak: int = 0
 
     @property
     def in_use(self) -> int:
@@ -22,17 +22,17 @@
         return self.ordinary_in_use + self.internal_in_use
 
     def has_room(
-        self, priority: _rows.Priority, capacity: int, reserve: int
+        self, priority: _rows.Priority, capacity: int, reserved_slots: int
     ) -> bool:
         """Return whether a call may start; reserved slots stay internal."""
         if self.in_use >= capacity:
             return False
         if priority is _rows.Priority.INTERNAL:
             return True
-        return self.ordinary_in_use < capacity - reserve
+        return self.ordinary_in_use < capacity - reserved_slots
 
     def acquire(
-        self, priority: _rows.Priority, capacity: int, bound: int
+        self, priority: _rows.Priority, capacity: int, cold_limit: int
     ) -> None:
         """Take a slot."""
         if priority is _rows.Priority.INTERNAL:
@@ -42,11 +42,11 @@
         self.peak = max(self.peak, self.in_use)
         _invariants.check(
             exceptions.ResultCode.INVARIANT_COLD_START_OVERLOAD,
-            self.in_use <= capacity <= bound,
+            self.in_use <= capacity <= cold_limit,
             "%d slots in use, capacity %d, a cold server bears %d",
             self.in_use,
             capacity,
-            bound,
+            cold_limit,
         )
 
     def release(self, priority: _rows.Priority) -> None:
@@ -61,7 +61,7 @@
 
         A load report lags, so it is compared with both periods.
         """
-        peak = max(self.peak, self.earlier_peak)
-        self.earlier_peak = self.peak
+        peak = max(self.peak, self.previous_peak)
+        self.previous_peak = self.peak
         self.peak = self.in_use
         return peak
--- a/src/jasminecrank/state/_token_wait.py
+++ b/src/jasminecrank/state/_token_wait.py
@@ -19,14 +19,14 @@
 class TokenWait:
     """Holds calls for as long as a token may still come in time."""
 
-    by_ticket: dict[int, _fair_queue.Waiting] = field(default_factory=dict)
+    by_ticket: dict[int, _fair_queue.WaitingCall] = field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self.by_ticket)
 
     def offer(
         self,
-        entry: _fair_queue.Waiting,
+        entry: _fair_queue.WaitingCall,
         wait_s: float,
         limit: int,
         now_s: float,
@@ -38,22 +38,22 @@
         )
         if len(self.by_ticket) >= limit or waiting >= _MAX_PER_TEAM:
             return False
-        first = dataclasses.replace(entry, give_up_at_s=now_s + _WAIT_MAX_S)
+        first = dataclasses.replace(entry, retry_until_s=now_s + _WAIT_MAX_S)
         return self.keep(first, wait_s, now_s)
 
     def keep(
-        self, entry: _fair_queue.Waiting, wait_s: float, now_s: float
+        self, entry: _fair_queue.WaitingCall, wait_s: float, now_s: float
     ) -> bool:
         """Keep a call until its next try; return False if it is too late."""
         retry_at_s = now_s + max(_RETRY_MIN_S, wait_s)
-        if retry_at_s > entry.give_up_at_s:
+        if retry_at_s > entry.retry_until_s:
             return False
         self.by_ticket[entry.ticket] = dataclasses.replace(
             entry, retry_at_s=retry_at_s
         )
         return True
 
-    def take_due(self, now_s: float) -> list[_fair_queue.Waiting]:
+    def take_due(self, now_s: float) -> list[_fair_queue.WaitingCall]:
         """Take out the calls that are to try again, oldest first."""
         return self.remove(
             lambda entry: (
@@ -62,8 +62,8 @@
         )
 
     def remove(
-        self, condition: Callable[[_fair_queue.Waiting], bool]
-    ) -> list[_fair_queue.Waiting]:
+        self, condition: Callable[[_fair_queue.WaitingCall], bool]
+    ) -> list[_fair_queue.WaitingCall]:
         """Take out all calls that meet a condition, oldest first."""
         removed = [
             entry for entry in self.by_ticket.values() if condition(entry)
--- a/src/jasminecrank/transport/_call_runner.py
+++ b/src/jasminecrank/transport/_call_runner.py
@@ -207,7 +207,7 @@
             )
 
     def _outcome(
-        self, evidence: state.Evidence, started_s: float
+        self, evidence: state.AttemptResult, started_s: float
     ) -> state.Outcome:
         proved = state.run_state(evidence)
         return state.Outcome(
@@ -218,7 +218,7 @@
         )
 
 
-def _answer_of(evidence: state.Evidence) -> state.Answer | None:
+def _answer_of(evidence: state.AttemptResult) -> state.Answer | None:
     match evidence:
         case state.Answered() | state.Shed() | state.NodeRefused():
             return evidence.answer
--- a/src/jasminecrank/transport/_forwarder.py
+++ b/src/jasminecrank/transport/_forwarder.py
@@ -133,7 +133,7 @@
 
     def failure(
         self, connection: ServerConnection, error: Exception
-    ) -> state.Evidence:
+    ) -> state.AttemptResult:
         """Return what is proved after an error."""
         if self.sent_bytes == 0:
             return state.NothingSent(_unsent_code(error))
@@ -178,7 +178,7 @@
 
     def send(
         self, target: Target, outgoing: OutgoingCall, decode: Decode
-    ) -> state.Evidence:
+    ) -> state.AttemptResult:
         """Send a call and return what its whole answer or failure proves."""
         connection = self._take(target)
         if connection is not None:
@@ -212,7 +212,7 @@
         target: Target,
         outgoing: OutgoingCall,
         decode: Decode,
-    ) -> state.Evidence:
+    ) -> state.AttemptResult:
         channel = connection.channel
         channel.deadline_at_s = outgoing.deadline_at_s
         exchange = _Exchange(channel.bytes_acked())
@@ -277,7 +277,7 @@
     outgoing: OutgoingCall,
     decode: Decode,
     exchange: _Exchange,
-) -> tuple[state.Evidence, bool]:
+) -> tuple[state.AttemptResult, bool]:
     method = outgoing.call.request.method
     with _Response(connection.channel, method=method) as response:
         if not response.fp.peek(1):
@@ -289,7 +289,7 @@
 
 def _read_answer(
     response: _Response, outgoing: OutgoingCall, decode: Decode
-) -> tuple[state.Evidence, bool]:
+) -> tuple[state.AttemptResult, bool]:
     without_body = (
         outgoing.call.request.method == "HEAD"
         or response.status in _BODYLESS_STATUSES
