--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -118,14 +118,14 @@
 @when("{hand:d} calls are on their way to each near host and {end} there")
 def step_on_their_way(context, hand, end):
     world = context.world
-    chooser = world.admission.placement.chooser
+    chooser = world.admission.placement.host_chooser
     for name in ("ledger-1", "ledger-3"):
         for index in range(hand):
             request_id = f"{name}/{index}"
-            chooser.started(request_id, name, world.now_s + 2.0)
+            chooser.record_start(request_id, name, world.now_s + 2.0)
             if end in ("all were answered", "all failed"):
                 failed = end == "all failed"
-                chooser.finished(request_id, name, failed, world.now_s)
+                chooser.record_end(request_id, name, failed, world.now_s)
     if end == "all ran out of time":
         world.advance(2.0)
 
--- a/features/steps/admission_world.py
+++ b/features/steps/admission_world.py
@@ -184,7 +184,8 @@
             if team not in self.withdrawn
         ]
         rows += [
-            state.OutageRow(name, state.OutageState.OUT) for name in self.out
+            state.OutageRow(name, state.OutageState.OUT_OF_SERVICE)
+            for name in self.out
         ]
         self.admission.apply_snapshot(
             state.Snapshot.from_rows(
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -34,7 +34,7 @@
     0,
     state.HostState.LIVE,
 )
-OUTAGE = state.OutageRow("north", state.OutageState.IN)
+OUTAGE = state.OutageRow("north", state.OutageState.IN_SERVICE)
 KEY = state.KeyRow("ab" * 32, "belt")
 ROWS = {
     "table": (SERVICE, ROUTE, LIMIT),
@@ -44,28 +44,28 @@
 }
 
 
-def document(name, number, rows):
+def make_document(name, number, rows):
     """Return a document of typed rows."""
     by_key = {state.row_key(row): state.encode_row(row) for row in rows}
     return state.build_document(state.DocumentName(name), number, by_key)
 
 
-def table_with(content, number):
+def make_table(content, number):
     """Return a table version with the named content."""
     rows = (SERVICE, ROUTE, dataclasses.replace(LIMIT, burst=11))
-    good = document("table", number, rows)
+    good = make_document("table", number, rows)
     by_key = dict(good.by_key)
     match content:
         case "the same rows":
-            return document("table", number, ROWS["table"])
+            return make_document("table", number, ROWS["table"])
         case "another limit":
             return good
         case "a dangling route":
             route = dataclasses.replace(ROUTE, service="absent")
-            return document("table", number, (SERVICE, route))
+            return make_document("table", number, (SERVICE, route))
         case "a negative rate":
             limit = dataclasses.replace(LIMIT, rate=-1.0)
-            return document("table", number, (SERVICE, limit))
+            return make_document("table", number, (SERVICE, limit))
         case "an unknown field":
             values = json.loads(by_key["route/lookup"])
             by_key["route/lookup"] = json.dumps({**values, "extra": 1})
@@ -80,13 +80,13 @@
 def step_node_with_version(context, number):
     context.state = state.ConfigState.empty()
     for name in ("hosts", "keys", "outages"):
-        context.state.offer(document(name, 1, ROWS[name]))
-    context.state.offer(document("table", number, ROWS["table"]))
+        context.state.offer(make_document(name, 1, ROWS[name]))
+    context.state.offer(make_document("table", number, ROWS["table"]))
 
 
 @when("table version {number:d} with {content} is offered")
 def step_offer(context, number, content):
-    context.result = context.state.offer(table_with(content, number))
+    context.result = context.state.offer(make_table(content, number))
 
 
 @then("the offer is {result}")
@@ -107,7 +107,7 @@
     config = state.ConfigState.empty()
     context.usable_after = None
     for name in order.split(", "):
-        config.offer(document(name, 1, ROWS[name]))
+        config.offer(make_document(name, 1, ROWS[name]))
         if context.usable_after is None and config.snapshot.routes:
             context.usable_after = name
 
--- a/features/steps/exchange_machine.py
+++ b/features/steps/exchange_machine.py
@@ -7,8 +7,8 @@
 
 from jasminecrank import state
 
-NODES = 5
-HOSTS = {
+NODE_COUNT = 5
+HOST_BY_NUMBER = {
     number: state.HostRow(
         f"n{number}",
         "ledger",
@@ -22,7 +22,7 @@
         number,
         state.HostState.LIVE,
     )
-    for number in range(NODES)
+    for number in range(NODE_COUNT)
 }
 
 
@@ -52,10 +52,16 @@
                 for one in range(number % 2 + 1)
             ]
         case state.DocumentName.HOSTS:
-            return [HOSTS[one] for one in range(number % NODES + 1)]
+            return [
+                HOST_BY_NUMBER[one] for one in range(number % NODE_COUNT + 1)
+            ]
         case state.DocumentName.OUTAGES:
-            outage = state.OutageState.OUT if number % 2 else None
-            return [state.OutageRow("north", outage or state.OutageState.IN)]
+            outage = state.OutageState.OUT_OF_SERVICE if number % 2 else None
+            return [
+                state.OutageRow(
+                    "north", outage or state.OutageState.IN_SERVICE
+                )
+            ]
 
 
 def make_document(name, number):
@@ -75,11 +81,11 @@
         self.nodes = [self.make_node(one) for one in range(count)]
         self.in_flight = []
         self.links = {frozenset(link) for link in links}
-        self.cut = set()
+        self.cut_links = set()
         self.pushed = set()
-        self.repeated = []
+        self.repeated_pushes = []
         for one, other in itertools.permutations(range(count), 2):
-            self.greet(one, other)
+            self.announce_versions(one, other)
 
     @staticmethod
     def make_node(number):
@@ -89,9 +95,9 @@
     def linked(self, one, other):
         """Return whether messages pass between two nodes."""
         pair = frozenset((one, other))
-        return pair in self.links and pair not in self.cut
+        return pair in self.links and pair not in self.cut_links
 
-    def greet(self, one, other):
+    def announce_versions(self, one, other):
         """Let one node show its versions on a new link."""
         if self.linked(one, other):
             versions = self.nodes[one].config.versions()
@@ -102,14 +108,14 @@
         """Put messages on their links."""
         for send in sends:
             if isinstance(send, state.SendDelta):
-                self.note_push(origin, send)
+                self.record_push(origin, send)
             self.in_flight.append((origin, int(send.host[1:]), send))
 
-    def note_push(self, origin, send):
+    def record_push(self, origin, send):
         """Find a version sent twice on a link or to one that showed it."""
         key = (origin, send.host, send.delta.name, send.delta.target)
         if key in self.pushed:
-            self.repeated.append(key)
+            self.repeated_pushes.append(key)
         self.pushed.add(key)
 
     def offer(self, number, document):
@@ -118,7 +124,7 @@
             None, document, self.now_s
         )
         self.send(number, offered.sends)
-        return offered.result
+        return offered.offer_result
 
     def deliver(self, index):
         """Deliver one message, whichever its place in the queue."""
@@ -139,45 +145,45 @@
                 sends = node.receive_fetch(host, send.name, send.have)
                 self.send(target, sends)
             case state.SendVersions():
-                self.show(origin, target)
+                self.send_heartbeat(origin, target)
 
-    def show(self, origin, target):
+    def send_heartbeat(self, origin, target):
         """Let one node see another's versions, as a heartbeat does."""
         if self.linked(origin, target):
             versions = self.nodes[origin].config.versions()
-            sends = self.nodes[target].peer_shows(
+            sends = self.nodes[target].receive_versions(
                 f"n{origin}", versions, self.now_s
             )
             self.send(target, sends)
 
-    def flow(self):
+    def deliver_all(self):
         """Deliver everything in order."""
         while self.in_flight:
             self.deliver(0)
 
-    def settle(self):
+    def converge(self):
         """Let heartbeats and time-outs pass until nothing is missing."""
         for _ in range(2 * len(self.nodes)):
             self.now_s += 5.0
             for one, other in itertools.permutations(
                 range(len(self.nodes)), 2
             ):
-                self.show(one, other)
-            self.flow()
+                self.send_heartbeat(one, other)
+            self.deliver_all()
 
 
 class ExchangeMachine(stateful.RuleBasedStateMachine):
     """Random faults; the newest version must win everywhere at the end."""
 
     names = strategies.sampled_from(list(state.DocumentName))
-    nodes = strategies.integers(0, NODES - 1)
+    nodes = strategies.integers(0, NODE_COUNT - 1)
 
     def __init__(self):
         super().__init__()
-        ring = [(one, (one + 1) % NODES) for one in range(NODES)]
-        self.network = Network(NODES, [*ring, (0, 2)])
+        ring = [(one, (one + 1) % NODE_COUNT) for one in range(NODE_COUNT)]
+        self.network = Network(NODE_COUNT, [*ring, (0, 2)])
         self.published = dict.fromkeys(state.DocumentName, 0)
-        self.highest = [dict(self.published) for _ in range(NODES)]
+        self.highest = [dict(self.published) for _ in range(NODE_COUNT)]
         self.offered = {}
 
     @stateful.rule(name=names, node=nodes, lag=strategies.integers(0, 3))
@@ -234,10 +240,10 @@
         network.in_flight = [
             one for one in network.in_flight if node not in one[:2]
         ]
-        for other in set(range(NODES)) - {node}:
+        for other in set(range(NODE_COUNT)) - {node}:
             network.nodes[other].peer_down(f"n{node}", network.now_s)
-            network.greet(node, other)
-            network.greet(other, node)
+            network.announce_versions(node, other)
+            network.announce_versions(other, node)
 
     @stateful.rule(one=nodes, other=nodes)
     def cut_or_join(self, one, other):
@@ -246,12 +252,12 @@
         network = self.network
         if pair not in network.links:
             return
-        if pair in network.cut:
-            network.cut.discard(pair)
-            network.greet(one, other)
-            network.greet(other, one)
+        if pair in network.cut_links:
+            network.cut_links.discard(pair)
+            network.announce_versions(one, other)
+            network.announce_versions(other, one)
             return
-        network.cut.add(pair)
+        network.cut_links.add(pair)
         for here, there in ((one, other), (other, one)):
             node = network.nodes[here]
             network.send(here, node.peer_down(f"n{there}", network.now_s))
@@ -260,7 +266,7 @@
     def heartbeat(self, one, other):
         """Let one node see another's versions."""
         self.network.now_s += 1.0
-        self.network.show(one, other)
+        self.network.send_heartbeat(one, other)
 
     @stateful.invariant()
     def versions_never_decrease(self):
@@ -284,17 +290,17 @@
     def teardown(self):
         """Heal everything; all nodes must reach the newest versions."""
         network = self.network
-        for pair in sorted(map(sorted, network.cut)):
-            network.cut.discard(frozenset(pair))
-            network.greet(*pair)
-            network.greet(*reversed(pair))
+        for pair in sorted(map(sorted, network.cut_links)):
+            network.cut_links.discard(frozenset(pair))
+            network.announce_versions(*pair)
+            network.announce_versions(*reversed(pair))
         newest = dict.fromkeys(state.DocumentName, 0)
         for node in network.nodes:
             for name in newest:
                 number = node.config.versions().get(name).number
                 newest[name] = max(newest[name], number)
-        network.flow()
-        network.settle()
+        network.deliver_all()
+        network.converge()
         for node in network.nodes:
             versions = node.config.versions()
             for name, number in newest.items():
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -10,12 +10,12 @@
 from jasminecrank import state
 
 TABLE = state.DocumentName.TABLE
-NONE = state.VersionVector()
+NO_VERSIONS = state.VersionVector()
 
 
 @when("{runs:d} random runs of {nodes:d} nodes are made")
 def step_runs(context, runs, nodes):
-    assert nodes == exchange_machine.NODES
+    assert nodes == exchange_machine.NODE_COUNT
     stateful.run_state_machine_as_test(
         exchange_machine.ExchangeMachine,
         settings=settings(max_examples=runs, stateful_step_count=40),
@@ -32,29 +32,31 @@
     context.exchange = state.ExchangeState.from_host("self")
     context.documents = []
     for number in range(1, count + 1):
-        accept(context, number)
+        accept_version(context, number)
 
 
-def accept(context, number):
+def accept_version(context, number):
     """Offer the next table version, return what is sent."""
     document = exchange_machine.make_document(TABLE, number)
     context.documents.append(document)
     offered = context.exchange.receive_document(None, document, 0.0)
-    assert isinstance(offered.result, state.Accepted), offered.result
+    assert isinstance(offered.offer_result, state.Accepted), (
+        offered.offer_result
+    )
     return offered.sends
 
 
-def shown(context, number):
+def reported_versions(context, number):
     """Return a vector with one table version."""
     if number == 0:
-        return NONE
-    return NONE.replace(TABLE, context.documents[number - 1].version)
+        return NO_VERSIONS
+    return NO_VERSIONS.replace(TABLE, context.documents[number - 1].version)
 
 
 @when("a peer shows table version {number:d} and the next version is accepted")
 def step_next(context, number):
-    context.exchange.peer_up("peer", shown(context, number), 0.0)
-    context.sends = accept(context, len(context.documents) + 1)
+    context.exchange.peer_up("peer", reported_versions(context, number), 0.0)
+    context.sends = accept_version(context, len(context.documents) + 1)
 
 
 @then("the node sends {sent}")
@@ -71,14 +73,14 @@
 @then("nothing when the same peer shows the newest version first")
 def step_nothing(context):
     newest = exchange_machine.make_document(TABLE, len(context.documents) + 1)
-    versions = NONE.replace(TABLE, newest.version)
-    context.exchange.peer_shows("peer", versions, 1.0)
-    assert accept(context, newest.version.number) == ()
+    versions = NO_VERSIONS.replace(TABLE, newest.version)
+    context.exchange.receive_versions("peer", versions, 1.0)
+    assert accept_version(context, newest.version.number) == ()
 
 
 @when("a peer with table version {have:d} fetches it")
 def step_fetch(context, have):
-    versions = shown(context, have)
+    versions = reported_versions(context, have)
     context.exchange.peer_up("peer", versions, 0.0)
     context.sends = context.exchange.receive_fetch(
         "peer", TABLE, versions.get(TABLE)
@@ -98,15 +100,15 @@
 @when("the first node of each accepts a version of every document")
 def step_first_accepts(context):
     for network in context.networks:
-        network.flow()
+        network.deliver_all()
         network.pushed.clear()
         for name in state.DocumentName:
             network.offer(0, exchange_machine.make_document(name, 1))
-        network.flow()
+        network.deliver_all()
         # Every node holds a base now, so this one is pushed as deltas.
         for name in reversed(state.SEND_ORDER):
             network.offer(0, exchange_machine.make_document(name, 2))
-        network.flow()
+        network.deliver_all()
 
 
 @then("every node holds it")
@@ -124,7 +126,7 @@
 def step_no_repeat(context):
     for network in context.networks:
         assert network.pushed, "nothing was pushed"
-        assert not network.repeated, network.repeated
+        assert not network.repeated_pushes, network.repeated_pushes
 
 
 @then("keys arrive ahead of the other documents")
@@ -142,7 +144,9 @@
     context.documents = [exchange_machine.make_document(TABLE, 1)]
     context.asked = []
     for host in "abc":
-        sends = context.exchange.peer_up(host, shown(context, 1), 0.0)
+        sends = context.exchange.peer_up(
+            host, reported_versions(context, 1), 0.0
+        )
         context.asked += [send.host for send in sends]
     assert len(context.asked) == 1, context.asked
 
@@ -175,12 +179,12 @@
     "a linked peer shows table version {number:d} every {period:d} s "
     "for {total:d} s"
 )
-def step_keeps_showing(context, number, period, total):
-    versions = shown(context, number)
+def step_keeps_reporting(context, number, period, total):
+    versions = reported_versions(context, number)
     context.exchange.peer_up("peer", versions, 0.0)
     for now_s in range(period, total + 1, period):
-        context.exchange.peer_shows("peer", versions, float(now_s))
-    context.lagging = context.exchange.lagging(float(total))
+        context.exchange.receive_versions("peer", versions, float(now_s))
+    context.lagging = context.exchange.lagging_peers(float(total))
 
 
 @then("the peer is {expected}")
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -76,7 +76,9 @@
             centre = "north" if slot % 2 else "south"
             rows.append(host_row(host, slot, centre))
         for centre in self.out:
-            rows.append(state.OutageRow(centre, state.OutageState.OUT))
+            rows.append(
+                state.OutageRow(centre, state.OutageState.OUT_OF_SERVICE)
+            )
         versions = state.VersionVector(
             **{
                 name.value: state.Version(number, f"{number:02x}")
--- a/features/steps/readiness_steps.py
+++ b/features/steps/readiness_steps.py
@@ -7,7 +7,7 @@
 from jasminecrank import state
 
 
-def versions(number):
+def uniform_versions(number):
     """Return the same number for every document."""
     version = state.Version(number, "00")
     return state.VersionVector(version, version, version, version)
@@ -16,7 +16,7 @@
 @given("a node that starts at {now_s:d} s")
 def step_starts(context, now_s):
     context.readiness = state.ReadinessState.from_start(now_s)
-    context.own = versions(0)
+    context.own = uniform_versions(0)
 
 
 @when("the node goes through {events}")
@@ -34,9 +34,11 @@
                 apply_event(context, step.split())
             assert context.decided.ready
         case ["hold", number]:
-            context.own = versions(int(number))
-        case ["answer", inquiry, number, now_s]:
-            readiness.answer(int(inquiry), versions(int(number)), float(now_s))
+            context.own = uniform_versions(int(number))
+        case ["answer", query_id, number, now_s]:
+            readiness.record_answer(
+                int(query_id), uniform_versions(int(number)), float(now_s)
+            )
         case ["tick", now_s]:
             readiness.detect_pause(float(now_s))
             readiness.tick(float(now_s))
--- a/features/steps/source_steps.py
+++ b/features/steps/source_steps.py
@@ -32,7 +32,7 @@
     def __init__(self, rows, source, links):
         self.source = source
         self.links = links
-        self.topology = topology_steps.topology(rows)
+        self.topology = topology_steps.build_topology(rows)
         self.rng = random.Random(7)
         self.calls_s = []
         self.queue = []
@@ -142,7 +142,7 @@
     context.client = _source_client.SourceClient.from_start(
         rows[0].host, "dc-0", 0.0, random.Random(1), False
     )
-    context.client.topology = topology_steps.topology(rows)
+    context.client.topology = topology_steps.build_topology(rows)
     context.versions = vector(number)
     context.linked = {row.host for row in rows}
     context.now_s = 10.0
--- a/features/steps/topology_steps.py
+++ b/features/steps/topology_steps.py
@@ -31,7 +31,7 @@
     )
 
 
-def topology(rows):
+def build_topology(rows):
     """Return the topology of a host list."""
     snapshot = state.Snapshot.from_rows(state.VersionVector(), rows)
     return state.Topology.from_snapshot(snapshot)
@@ -40,17 +40,17 @@
 def reachable(graph, start):
     """Return the hosts that a start host reaches."""
     seen = {start}
-    waiting = [start]
-    while waiting:
-        for peer in graph[waiting.pop()] - seen:
+    pending = [start]
+    while pending:
+        for peer in graph[pending.pop()] - seen:
             seen.add(peer)
-            waiting.append(peer)
+            pending.append(peer)
     return seen
 
 
-def cut_hosts(graph, start):
+def articulation_hosts(graph, start):
     """Return the hosts without which the graph falls apart (Tarjan)."""
-    order, low, cuts, roots = {start: 0}, {start: 0}, set(), 0
+    order, low, articulations, roots = {start: 0}, {start: 0}, set(), 0
     path = [(start, None, iter(sorted(graph[start])))]
     while path:
         host, parent, peers = path[-1]
@@ -69,8 +69,8 @@
             if parent == start:
                 roots += 1
             elif low[host] >= order[parent]:
-                cuts.add(parent)
-    return cuts | ({start} if roots > 1 else set())
+                articulations.add(parent)
+    return articulations | ({start} if roots > 1 else set())
 
 
 @given(
@@ -82,9 +82,9 @@
 
 @when("every host plans its links")
 def step_plan(context):
-    plan = topology(context.rows)
+    topology = build_topology(context.rows)
     context.graph = {
-        row.host: {peer.host for peer in plan.links(row.host)}
+        row.host: {peer.host for peer in topology.links(row.host)}
         for row in context.rows
     }
 
@@ -105,7 +105,9 @@
     graph = context.graph
     start = min(graph)
     assert reachable(graph, start) == set(graph)
-    assert not cut_hosts(graph, start), cut_hosts(graph, start)
+    assert not articulation_hosts(graph, start), articulation_hosts(
+        graph, start
+    )
 
 
 @then("no host plans more than {most:d} links")
@@ -122,9 +124,9 @@
     graph = {row.host: set() for row in context.rows}
     for row in context.rows:
         others = [other for other in context.rows if other is not row]
-        lacking = rng.sample(others, rng.randint(0, missing))
-        own_list = [one for one in context.rows if one not in lacking]
-        for peer in topology(own_list).links(row.host):
+        missing_rows = rng.sample(others, rng.randint(0, missing))
+        own_list = [one for one in context.rows if one not in missing_rows]
+        for peer in build_topology(own_list).links(row.host):
             graph[row.host].add(peer.host)
             graph[peer.host].add(row.host)
     context.graph = graph
@@ -138,7 +140,7 @@
 
 @when("the watchers of rank {ranks} are down")
 def step_watchers_down(context, ranks):
-    context.topology = topology(context.rows)
+    context.topology = build_topology(context.rows)
     context.candidates = context.topology.watch_candidates("dc-0")
     down = [] if ranks == "none" else [int(one) for one in ranks.split(",")]
     context.watchers = context.topology.watchers(
--- a/script/measure_admission.py
+++ b/script/measure_admission.py
@@ -38,7 +38,7 @@
         state.HostState.LIVE,
     ),
     state.KeyRow("ab" * 32, "belt"),
-    state.OutageRow("north", state.OutageState.IN),
+    state.OutageRow("north", state.OutageState.IN_SERVICE),
 )
 CALL = state.CallRequest("r", "GET", "/lots/1", "ab" * 32, None, None, None)
 OUTCOME = state.Outcome(state.OutcomeKind.ANSWERED, 0.001)
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -102,7 +102,7 @@
     def _tick(self, now_s: float) -> None:
         self._readiness.tick(now_s)
         self._send(self._exchange.fetch_due(now_s))
-        lagging = self._exchange.lagging(now_s)
+        lagging = self._exchange.lagging_peers(now_s)
         state.check(
             exceptions.ResultCode.INVARIANT_REVERTED,
             not lagging,
@@ -126,17 +126,17 @@
         self._decide(now_s)
 
     def _ask_versions(self, host: str) -> None:
-        request = _messages.VersionsRequest(self._readiness.inquiry)
+        request = _messages.VersionsRequest(self._readiness.query_id)
         self._tell_peer(host, request)
 
     def _peer_up(self, message: _messages.PeerUp, now_s: float) -> None:
         self._send(
             self._exchange.peer_up(message.host, message.versions, now_s)
         )
-        if self._readiness.inquiry > 0:
+        if self._readiness.query_id > 0:
             self._ask_versions(message.host)
         else:
-            self._readiness.answer(0, message.versions, now_s)
+            self._readiness.record_answer(0, message.versions, now_s)
         self._note_conflicts(message.host, message.versions)
         self._decide(now_s)
 
@@ -156,7 +156,7 @@
                 self._tell_peer(host, self._versions_reply(message.inquiry))
             case _messages.VersionsReply():
                 self._peer_shows(host, message.versions, now_s)
-                self._readiness.answer(
+                self._readiness.record_answer(
                     message.inquiry, message.versions, now_s
                 )
                 self._decide(now_s)
@@ -194,7 +194,7 @@
     def _peer_shows(
         self, host: str, versions: state.VersionVector, now_s: float
     ) -> None:
-        self._send(self._exchange.peer_shows(host, versions, now_s))
+        self._send(self._exchange.receive_versions(host, versions, now_s))
         self._note_conflicts(host, versions)
 
     def _versions_reply(self, inquiry: int) -> _messages.VersionsReply:
@@ -209,7 +209,7 @@
             document = message.document
             offered = self._exchange.receive_document(None, document, now_s)
             self._offered(offered, document.name, document.version, None)
-            events = self._source.read(document, offered.result, now_s)
+            events = self._source.read(document, offered.offer_result, now_s)
         else:
             events = self._source.handle(message, now_s)
         for event in events:
@@ -217,7 +217,7 @@
         own = self._exchange.config.versions()
         if not isinstance(message, _messages.SourceFailed):
             shown = _shown_by_source(message, own)
-            self._readiness.answer(self._source.inquiry, shown, now_s)
+            self._readiness.record_answer(self._source.inquiry, shown, now_s)
         if self._source.caught_up:
             self._confirm(now_s)
         self._decide(now_s)
@@ -229,7 +229,7 @@
         call = self._source.next_call(
             self._exchange.config.versions(),
             self._exchange.by_peer.keys(),
-            self._readiness.inquiry,
+            self._readiness.query_id,
             now_s,
         )
         if call is not None:
@@ -237,7 +237,7 @@
 
     def _offered(
         self,
-        offered: state.Offered,
+        offered: state.ReceiveResult,
         name: state.DocumentName,
         version: state.Version,
         origin: str | None,
@@ -245,9 +245,9 @@
         # Peers come first: a heartbeat sent after the snapshot has changed
         # shows the new version, and a peer would fetch what is on its way.
         self._send(offered.sends)
-        match offered.result:
+        match offered.offer_result:
             case state.Accepted():
-                self._publish(offered.result, version, origin)
+                self._publish(offered.offer_result, version, origin)
             case state.Conflict():
                 self._note_conflict(name, version, origin or "source")
             case state.Invalid() if origin is not None:
@@ -257,13 +257,13 @@
                         "document": name.value,
                         "version": str(version),
                         "origin": origin,
-                        "reason": offered.result.reason,
+                        "reason": offered.offer_result.reason,
                     },
                 )
             case state.Stale() | state.Invalid() | None:
                 return
             case _:
-                typing.assert_never(offered.result)
+                typing.assert_never(offered.offer_result)
 
     def _publish(
         self,
@@ -275,7 +275,9 @@
         state.check(
             exceptions.ResultCode.INVARIANT_REVERTED,
             snapshot.versions.covers(self._published)
-            and not state.conflicts(self._published, snapshot.versions),
+            and not state.conflicting_documents(
+                self._published, snapshot.versions
+            ),
             "versions in force would revert from %s to %s",
             self._published,
             snapshot.versions,
@@ -337,7 +339,7 @@
         self, host: str, versions: state.VersionVector
     ) -> None:
         own = self._exchange.config.versions()
-        for name in state.conflicts(own, versions):
+        for name in state.conflicting_documents(own, versions):
             self._note_conflict(name, versions.get(name), host)
 
     def _note_conflict(
--- a/src/jasminecrank/coordination/_membership.py
+++ b/src/jasminecrank/coordination/_membership.py
@@ -165,7 +165,7 @@
     def _link_up(self, message: _messages.LinkUp) -> None:
         host = message.hello.host
         if message.address:
-            self._dialling.opened(message.address)
+            self._dialling.record_success(message.address)
         known = self._by_host.get(host)
         if host == self._settings.host or (
             known is not None and _keeps(known, message)
@@ -189,7 +189,7 @@
 
     def _link_down(self, message: _messages.LinkDown) -> None:
         if message.address:
-            self._dialling.failed(
+            self._dialling.record_failure(
                 message.address, self._clock.monotonic_s(), self._rng
             )
         for host, link in tuple(self._by_host.items()):
@@ -204,7 +204,7 @@
         if link.leaving:
             self._dialling.defer(link.address, now_s)
         elif link.address:
-            self._dialling.failed(link.address, now_s, self._rng)
+            self._dialling.record_failure(link.address, now_s, self._rng)
         self._record("peer-down", {"peer": host, "reason": reason})
         if not link.leaving:
             self._tell(self._config, _messages.PeerDown(host))
--- a/src/jasminecrank/coordination/_source_client.py
+++ b/src/jasminecrank/coordination/_source_client.py
@@ -33,7 +33,7 @@
 
     rng: random.Random
     schedule: state.SourceSchedule
-    duty: state.WatchDuty
+    duty: state.WatcherRole
     topology: state.Topology
     isolated_since_s: float
     waiting: list[state.DocumentName] = field(default_factory=list)
@@ -62,7 +62,7 @@
         return cls(
             rng,
             state.SourceSchedule.from_start(now_s, rng, fleet_hosts, delay_s),
-            state.WatchDuty(host, data_centre),
+            state.WatcherRole(host, data_centre),
             state.Topology.from_snapshot(state.Snapshot.empty()),
             now_s,
         )
@@ -86,7 +86,7 @@
         """Return the call to make now, if any."""
         if versions.hosts.number > 0:
             self.duty.update(self.topology, linked, now_s)
-            self.schedule.set_part(self.topology, self.watching)
+            self.schedule.update_rate(self.topology, self.watching)
         if linked:
             self.isolated_since_s = now_s
         if self.busy or not self.schedule.may_call(now_s):
@@ -95,7 +95,7 @@
         if call is not None:
             self.busy = True
             self.inquiry = inquiry
-            self.schedule.called(now_s)
+            self.schedule.record_call(now_s)
         return call
 
     def _choose(
@@ -197,14 +197,14 @@
                 self.rejected[document.name] = document.version
                 fields["reason"] = result.reason
                 return self._report("version-invalid", fields)
-            case state.Stale() if document.version == result.in_force:
+            case state.Stale() if document.version == result.current:
                 # A watch that shows a newer version than the read gives
                 # would otherwise repeat at once.
-                self.schedule.failed(now_s, self.rng)
+                self.schedule.record_failure(now_s, self.rng)
                 return ()
             case state.Stale():
                 self._back_off("source serves older versions", now_s)
-                fields["in_force"] = str(result.in_force)
+                fields["in_force"] = str(result.current)
                 return self._report("source-stale", fields)
             case state.Conflict() | None:
                 self._back_off("source serves another digest", now_s)
@@ -213,11 +213,11 @@
                 typing.assert_never(result)
 
     def _answered(self) -> None:
-        self.schedule.answered()
+        self.schedule.record_success()
         self.error = ""
 
     def _back_off(self, reason: str, now_s: float) -> None:
-        self.schedule.failed(now_s, self.rng)
+        self.schedule.record_failure(now_s, self.rng)
         self.error = reason
 
     def _report(self, name: str, fields: dict[str, str]) -> Events:
--- a/src/jasminecrank/standins/_demo.py
+++ b/src/jasminecrank/standins/_demo.py
@@ -126,7 +126,7 @@
 
     def _take_out_data_centre(self) -> None:
         data_centre = self._deployment.hosts()[0].data_centre
-        self._set_outage(data_centre, state.OutageState.OUT)
+        self._set_outage(data_centre, state.OutageState.OUT_OF_SERVICE)
         self._wait(_FEW_SECONDS_S)
         before = self._runs_in(data_centre)
         self._wait(_OUT_S)
@@ -137,7 +137,7 @@
             f"{after - before} calls run in {_OUT_S:.0f} s, from "
             f"{_FEW_SECONDS_S:.0f} s after it went out",
         )
-        self._set_outage(data_centre, state.OutageState.IN)
+        self._set_outage(data_centre, state.OutageState.IN_SERVICE)
         self._wait(_FEW_SECONDS_S)
         returned = self._runs_in(data_centre)
         self._check(
--- a/src/jasminecrank/standins/_scenarios.py
+++ b/src/jasminecrank/standins/_scenarios.py
@@ -112,8 +112,8 @@
     data_centre = hosts[0].data_centre
     victims = (hosts[0].host, hosts[-1].host)
     even = _traffic.Load(_LOAD_PART)
-    out = state.OutageState.OUT
-    back = state.OutageState.IN
+    out = state.OutageState.OUT_OF_SERVICE
+    back = state.OutageState.IN_SERVICE
     return (
         _scenario("idle", None, _changes(15.0, 15.5, 16.0, 16.5)),
         _scenario("even", even, _changes(3, 5, 7, 9)),
--- a/src/jasminecrank/standins/_synthetic.py
+++ b/src/jasminecrank/standins/_synthetic.py
@@ -49,7 +49,7 @@
         for index in range(size.hosts)
     )
     outages = tuple(
-        state.OutageRow(f"data-centre-{index}", state.OutageState.IN)
+        state.OutageRow(f"data-centre-{index}", state.OutageState.IN_SERVICE)
         for index in range(size.data_centres)
     )
     return {
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -32,9 +32,11 @@
 from jasminecrank.state._documents import digest_rows as digest_rows
 from jasminecrank.state._documents import Document as Document
 from jasminecrank.state._documents import make_delta as make_delta
-from jasminecrank.state._exchange import conflicts as conflicts
+from jasminecrank.state._exchange import (
+    conflicting_documents as conflicting_documents,
+)
 from jasminecrank.state._exchange import ExchangeState as ExchangeState
-from jasminecrank.state._exchange import Offered as Offered
+from jasminecrank.state._exchange import ReceiveResult as ReceiveResult
 from jasminecrank.state._exchange import Send as Send
 from jasminecrank.state._exchange import SEND_ORDER as SEND_ORDER
 from jasminecrank.state._exchange import SendDelta as SendDelta
@@ -94,7 +96,7 @@
 from jasminecrank.state._shares import ShareReport as ShareReport
 from jasminecrank.state._snapshot import Snapshot as Snapshot
 from jasminecrank.state._source import SourceSchedule as SourceSchedule
-from jasminecrank.state._source import WatchDuty as WatchDuty
+from jasminecrank.state._source import WatcherRole as WatcherRole
 from jasminecrank.state._topology import plan_links as plan_links
 from jasminecrank.state._topology import rendezvous_rank as rendezvous_rank
 from jasminecrank.state._topology import Topology as Topology
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -110,7 +110,7 @@
         now_s: float,
     ) -> None:
         """Note how a call sent to another node has ended."""
-        self.placement.chooser.finished(
+        self.placement.host_chooser.record_end(
             forward.request_id,
             forward.host.host,
             outcome.kind is not _calls.OutcomeKind.ANSWERED,
@@ -179,7 +179,7 @@
         return (
             self.waiting()
             + self.dispatcher.server.slots.in_use
-            + self.placement.chooser.in_hand(now_s)
+            + self.placement.host_chooser.count_in_flight(now_s)
         )
 
     def apply_snapshot(
@@ -217,13 +217,13 @@
             checked, self.dispatcher.server.ramp.is_down(now_s), now_s
         )
         match place:
-            case _placement.Here():
+            case _placement.LocalPlacement():
                 return self.dispatcher.submit(
                     checked, now_s, self._wall_ms(now_s)
                 )
-            case _placement.There():
+            case _placement.RemotePlacement():
                 return self._forward(checked, place.host, now_s)
-            case _placement.Nowhere():
+            case _placement.NoPlacement():
                 return self.dispatcher.refuse(place.code, checked)
             case _:
                 typing.assert_never(place)
@@ -237,7 +237,7 @@
             checked = self._recheck(entry.checked, now_s)
             if isinstance(checked, _calls.Refused):
                 refused.append((entry, checked))
-            elif self.placement.runs_here(checked.route):
+            elif self.placement.accepts_locally(checked.route):
                 kept[entry.ticket] = dataclasses.replace(
                     entry, checked=checked
                 )
@@ -274,13 +274,13 @@
         self.dispatcher.give_up(entry, now_s)
         place = self.placement.place(checked, True, now_s)
         match place:
-            case _placement.There():
+            case _placement.RemotePlacement():
                 decision: _calls.Decision = self._forward(
                     checked, place.host, now_s
                 )
-            case _placement.Nowhere():
+            case _placement.NoPlacement():
                 decision = self.dispatcher.refuse(place.code, checked)
-            case _placement.Here():
+            case _placement.LocalPlacement():
                 decision = self.dispatcher.refuse(
                     exceptions.ResultCode.NO_HOST_AVAILABLE, checked
                 )
@@ -303,7 +303,7 @@
                 exceptions.ResultCode.QUEUE_FULL, checked, now_s
             )
         call = checked.call
-        self.placement.chooser.started(
+        self.placement.host_chooser.record_start(
             call.request_id, host.host, checked.deadline_at_s
         )
         return _calls.ForwardTo(
@@ -316,7 +316,7 @@
         )
 
     def _placement_changed(self, now_s: float) -> None:
-        self.placement.update(self._wall_ms(now_s))
+        self.placement.update_accepting(self._wall_ms(now_s))
         self._recheck_waiting(now_s)
 
     def _count(self, decision: _calls.Decision) -> None:
--- a/src/jasminecrank/state/_bookings.py
+++ b/src/jasminecrank/state/_bookings.py
@@ -65,7 +65,7 @@
     def check_new(
         self,
         checked: _fair_queue.CheckedCall,
-        owners: _host_choice.KeyOwners,
+        owners: _host_choice.KeyOwnerHistory,
         now_s: float,
         wall_ms: int,
     ) -> Rejected | None:
--- a/src/jasminecrank/state/_call_checks.py
+++ b/src/jasminecrank/state/_call_checks.py
@@ -75,7 +75,7 @@
         if route.open_to_all:
             return ""
         return refuse(snapshot, exceptions.ResultCode.KEY_MISSING, "", route)
-    team = snapshot.team_of(call.key_digest)
+    team = snapshot.find_team(call.key_digest)
     if team is None and not route.open_to_all:
         return refuse(snapshot, exceptions.ResultCode.KEY_UNKNOWN, "", route)
     return team or ""
--- a/src/jasminecrank/state/_config.py
+++ b/src/jasminecrank/state/_config.py
@@ -27,14 +27,14 @@
 class Stale:
     """The document is not newer than the one in force."""
 
-    in_force: _versions.Version
+    current: _versions.Version
 
 
 @dataclass(slots=True, frozen=True)
 class Conflict:
     """The document has the number in force but another digest."""
 
-    in_force: _versions.Version
+    current: _versions.Version
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,9 +89,9 @@
             _check_references(delta, rows)
         except exceptions.DocumentError as error:
             return Invalid(str(error))
-        return self._swap(document, delta, rows)
+        return self._activate(document, delta, rows)
 
-    def _swap(
+    def _activate(
         self,
         document: _documents.Document,
         delta: _documents.Delta,
@@ -129,7 +129,7 @@
 
 
 def _check_digest(document: _documents.Document) -> None:
-    joined = _documents.join_rows(document.by_key)
+    joined = _documents.serialize_rows(document.by_key)
     if len(joined) > const.MAX_DOCUMENT_BYTES:
         raise exceptions.DocumentError(
             f"document {document.name.value!r} has {len(joined)} bytes of "
--- a/src/jasminecrank/state/_dialling.py
+++ b/src/jasminecrank/state/_dialling.py
@@ -6,10 +6,10 @@
 from dataclasses import field
 import random
 
-_FIRST_SPREAD_S = 0.25
-_SECOND_WAIT_S = 4.0
+_INITIAL_JITTER_MAX_S = 0.25
+_HIGHER_ID_DELAY_S = 4.0
 """Time for the lower host id to dial, above its longest open time-out."""
-_REDIAL_FIRST_S = 1.0
+_REDIAL_INITIAL_S = 1.0
 _REDIAL_MAX_S = 8.0
 
 
@@ -25,7 +25,7 @@
 class _Attempt:
     due_s: float
     failures: int = 0
-    running: bool = False
+    in_progress: bool = False
 
 
 @dataclass(slots=True)
@@ -47,24 +47,26 @@
         rng: random.Random,
     ) -> tuple[DialTarget, ...]:
         """Return the targets to dial now and note that they are dialled."""
-        wanted = [one for one in targets if one.host not in linked]
-        addresses = {one.address for one in wanted}
+        unlinked = [target for target in targets if target.host not in linked]
+        addresses = {target.address for target in unlinked}
         self.by_address = {
             address: attempt
             for address, attempt in self.by_address.items()
-            if address in addresses or attempt.running
+            if address in addresses or attempt.in_progress
         }
         due = []
-        for target in wanted:
+        for target in unlinked:
             attempt = self.by_address.get(target.address)
             if attempt is None:
-                wait_s = rng.uniform(0, _FIRST_SPREAD_S)
+                wait_s = rng.uniform(0, _INITIAL_JITTER_MAX_S)
                 if target.host < self.host and target.host:
-                    wait_s += rng.uniform(_SECOND_WAIT_S, 2 * _SECOND_WAIT_S)
+                    wait_s += rng.uniform(
+                        _HIGHER_ID_DELAY_S, 2 * _HIGHER_ID_DELAY_S
+                    )
                 attempt = _Attempt(now_s + wait_s)
                 self.by_address[target.address] = attempt
-            if not attempt.running and attempt.due_s <= now_s:
-                attempt.running = True
+            if not attempt.in_progress and attempt.due_s <= now_s:
+                attempt.in_progress = True
                 due.append(target)
         return tuple(due)
 
@@ -74,21 +76,23 @@
             (
                 attempt.due_s
                 for attempt in self.by_address.values()
-                if not attempt.running
+                if not attempt.in_progress
             ),
             default=None,
         )
 
-    def opened(self, address: str) -> None:
+    def record_success(self, address: str) -> None:
         """Note that a dial has led to a link."""
         self.by_address.pop(address, None)
 
-    def failed(self, address: str, now_s: float, rng: random.Random) -> None:
+    def record_failure(
+        self, address: str, now_s: float, rng: random.Random
+    ) -> None:
         """Back off after a failed dial or a lost link, with jitter."""
         attempt = self.by_address.setdefault(address, _Attempt(now_s))
-        limit_s = min(_REDIAL_MAX_S, _REDIAL_FIRST_S * 2**attempt.failures)
+        limit_s = min(_REDIAL_MAX_S, _REDIAL_INITIAL_S * 2**attempt.failures)
         attempt.failures = min(attempt.failures + 1, 8)
-        attempt.running = False
+        attempt.in_progress = False
         attempt.due_s = now_s + rng.uniform(limit_s / 2, limit_s)
 
     def defer(self, address: str, now_s: float) -> None:
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -48,7 +48,7 @@
         """Follow the limits of the own service in a new snapshot."""
         self.snapshot = snapshot
         self.quota.apply_snapshot(snapshot, now_s)
-        own = self.placement.own
+        own = self.placement.own_host
         service = own.service if own else ""
         row = snapshot.by_service.get(service)
         internal = any(
@@ -87,7 +87,9 @@
         running = self.server.slots.in_use
         if self.placement.accepting:
             running = max(running, self.slots)
-        elsewhere = len(self.tokens) + self.placement.chooser.in_hand(now_s)
+        elsewhere = len(
+            self.tokens
+        ) + self.placement.host_chooser.count_in_flight(now_s)
         return max(0, self.threads - running - elsewhere)
 
     def next_due_s(self) -> float | None:
@@ -145,7 +147,7 @@
     ) -> _calls.Decision | _calls.Queued:
         """Start a call, let it wait or refuse it."""
         rejected = self.bookings.check_new(
-            checked, self.placement.owners, now_s, wall_ms
+            checked, self.placement.key_owners, now_s, wall_ms
         )
         if rejected is not None:
             return self.reject(rejected, checked)
@@ -273,7 +275,7 @@
     def _start(
         self, checked: _fair_queue.CheckedCall, now_s: float
     ) -> _calls.Permit:
-        self.placement.check_start(checked)
+        self.placement.check_start_invariants(checked)
         self.bookings.start(checked)
         return self.server.start(checked, self.snapshot.versions.table, now_s)
 
--- a/src/jasminecrank/state/_documents.py
+++ b/src/jasminecrank/state/_documents.py
@@ -27,7 +27,7 @@
     removed: tuple[str, ...]
 
 
-def join_rows(by_key: Mapping[str, str]) -> bytes:
+def serialize_rows(by_key: Mapping[str, str]) -> bytes:
     """Return the bytes over which the digest of a document is taken."""
     return "".join(
         [f"{key}\0{by_key[key]}\n" for key in sorted(by_key)]
@@ -36,7 +36,7 @@
 
 def digest_rows(by_key: Mapping[str, str]) -> str:
     """Return the SHA-256 digest over the sorted rows."""
-    return hashlib.sha256(join_rows(by_key)).hexdigest()
+    return hashlib.sha256(serialize_rows(by_key)).hexdigest()
 
 
 def build_document(
--- a/src/jasminecrank/state/_exchange.py
+++ b/src/jasminecrank/state/_exchange.py
@@ -18,9 +18,9 @@
     _versions.DocumentName.TABLE,
 )
 """Keys first, because a withdrawal is the most urgent change."""
-_HISTORY = 8
+_HISTORY_VERSIONS = 8
 _FETCH_TIMEOUT_S = 2.0
-_REJECTED_S = 5.0
+_REJECTED_RETRY_S = 5.0
 _HEARTBEAT_GAP_MAX_S = 1.5 * const.HEARTBEAT_PERIOD_S
 
 
@@ -60,20 +60,20 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Offered:
+class ReceiveResult:
     """The result of a document and what has to be sent because of it."""
 
-    result: _config.OfferResult | None
+    offer_result: _config.OfferResult | None
     sends: tuple[Send, ...]
 
 
 @dataclass(slots=True)
 class _Peer:
-    shown: _versions.VersionVector
-    held: _versions.VersionVector
+    reported: _versions.VersionVector
+    known: _versions.VersionVector
     """The versions shown, or sent later on the same link."""
-    shown_s: float
-    lag_since_s: dict[_versions.DocumentName, float] = field(
+    reported_at_s: float
+    lagging_since_s_by_name: dict[_versions.DocumentName, float] = field(
         default_factory=dict
     )
 
@@ -81,7 +81,7 @@
 @dataclass(slots=True, frozen=True)
 class _Fetch:
     host: str
-    asked_s: float
+    requested_at_s: float
 
 
 @dataclass(slots=True)
@@ -97,9 +97,9 @@
     rejected_until_s: dict[tuple[_versions.DocumentName, str], float] = field(
         default_factory=dict
     )
-    history: dict[_versions.DocumentName, deque[_documents.Document]] = field(
-        default_factory=dict
-    )
+    history_by_name: dict[
+        _versions.DocumentName, deque[_documents.Document]
+    ] = field(default_factory=dict)
 
     @classmethod
     def from_host(cls, host: str) -> "ExchangeState":
@@ -118,7 +118,7 @@
         self.by_peer.pop(host, None)
         return self.fetch_due(now_s)
 
-    def peer_shows(
+    def receive_versions(
         self, host: str, versions: _versions.VersionVector, now_s: float
     ) -> tuple[Send, ...]:
         """Take the versions that a linked peer has in force."""
@@ -126,53 +126,55 @@
         if peer is None:
             return ()
         own = self.config.versions()
-        gap = now_s - peer.shown_s > _HEARTBEAT_GAP_MAX_S
-        peer.lag_since_s = {
-            name: now_s if gap else peer.lag_since_s.get(name, now_s)
+        gap = now_s - peer.reported_at_s > _HEARTBEAT_GAP_MAX_S
+        peer.lagging_since_s_by_name = {
+            name: now_s
+            if gap
+            else peer.lagging_since_s_by_name.get(name, now_s)
             for name in _versions.DocumentName
             if versions.get(name).number < own.get(name).number
         }
-        peer.shown = versions
-        peer.shown_s = now_s
-        peer.held = peer.held.merge(versions)
+        peer.reported = versions
+        peer.reported_at_s = now_s
+        peer.known = peer.known.merge(versions)
         return self.fetch_due(now_s)
 
     def receive_delta(
         self, host: str, delta: _documents.Delta, now_s: float
-    ) -> Offered:
+    ) -> ReceiveResult:
         """Apply a peer's delta, or fetch when its base is not in force."""
-        self._note_held(host, delta.name, delta.target)
+        self._record_known_version(host, delta.name, delta.target)
         base = self.config.by_name[delta.name]
         if delta.target.number <= base.version.number:
-            return Offered(None, ())
+            return ReceiveResult(None, ())
         document = _documents.apply_delta(base, delta)
         if document is None:
-            return Offered(None, self.fetch_due(now_s))
+            return ReceiveResult(None, self.fetch_due(now_s))
         return self.receive_document(host, document, now_s)
 
     def receive_document(
         self, host: str | None, document: _documents.Document, now_s: float
-    ) -> Offered:
+    ) -> ReceiveResult:
         """Offer a document from a peer or, without a host, the source."""
         if host is not None:
-            self._note_held(host, document.name, document.version)
+            self._record_known_version(host, document.name, document.version)
         base = self.config.by_name[document.name]
         result = self.config.offer(document)
         match result:
             case _config.Accepted():
                 self.fetch_by_name.pop(document.name, None)
-                history = self.history.setdefault(
-                    document.name, deque(maxlen=_HISTORY)
+                history = self.history_by_name.setdefault(
+                    document.name, deque(maxlen=_HISTORY_VERSIONS)
                 )
                 history.append(base)
                 sends = self._push(document)
-                return Offered(result, sends + self.fetch_due(now_s))
+                return ReceiveResult(result, sends + self.fetch_due(now_s))
             case _config.Invalid() | _config.Conflict() if host is not None:
-                self._reject(document, now_s)
+                self._record_rejection(document, now_s)
                 self.fetch_by_name.pop(document.name, None)
-                return Offered(result, self.fetch_due(now_s))
+                return ReceiveResult(result, self.fetch_due(now_s))
             case _:
-                return Offered(result, ())
+                return ReceiveResult(result, ())
 
     def receive_fetch(
         self, host: str, name: _versions.DocumentName, have: _versions.Version
@@ -181,8 +183,8 @@
         document = self.config.by_name[name]
         if document.version.number <= have.number:
             return ()
-        self._note_held(host, name, document.version)
-        base = self._find(name, have)
+        self._record_known_version(host, name, document.version)
+        base = self._find_base(name, have)
         if base is None:
             return (SendDocument(host, document),)
         return (SendDelta(host, _documents.make_delta(base, document)),)
@@ -195,10 +197,10 @@
             if (
                 running is not None
                 and running.host in self.by_peer
-                and now_s - running.asked_s < _FETCH_TIMEOUT_S
+                and now_s - running.requested_at_s < _FETCH_TIMEOUT_S
             ):
                 continue
-            host = self._best_peer(name, now_s, running)
+            host = self._choose_fetch_peer(name, now_s, running)
             if host is None:
                 self.fetch_by_name.pop(name, None)
                 continue
@@ -207,7 +209,7 @@
             sends.append(SendFetch(host, name, have))
         return tuple(sends)
 
-    def lagging(self, now_s: float) -> tuple[tuple[str, str], ...]:
+    def lagging_peers(self, now_s: float) -> tuple[tuple[str, str], ...]:
         """Return peers that keep showing an older version for too long.
 
         A silent peer is not among them: it may be paused or unreachable.
@@ -215,12 +217,14 @@
         return tuple(
             (host, name.value)
             for host, peer in self.by_peer.items()
-            for name, since_s in peer.lag_since_s.items()
-            if now_s - peer.shown_s <= _HEARTBEAT_GAP_MAX_S
-            and peer.shown_s - since_s > const.CONVERGENCE_LIMIT_S
+            for name, since_s in peer.lagging_since_s_by_name.items()
+            if now_s - peer.reported_at_s <= _HEARTBEAT_GAP_MAX_S
+            and peer.reported_at_s - since_s > const.CONVERGENCE_LIMIT_S
         )
 
-    def _reject(self, document: _documents.Document, now_s: float) -> None:
+    def _record_rejection(
+        self, document: _documents.Document, now_s: float
+    ) -> None:
         """Fetch no peer's copy of a rejected version for some time."""
         self.rejected_until_s = {
             key: until_s
@@ -228,37 +232,37 @@
             if until_s > now_s
         }
         key = (document.name, document.version.digest)
-        self.rejected_until_s[key] = now_s + _REJECTED_S
+        self.rejected_until_s[key] = now_s + _REJECTED_RETRY_S
 
     def _push(self, document: _documents.Document) -> tuple[Send, ...]:
         """Send an accepted version to each peer that does not hold it."""
         delta_by_base: dict[_versions.Version, _documents.Delta] = {}
         sends: list[Send] = []
         for host in sorted(self.by_peer):
-            held = self.by_peer[host].held.get(document.name)
-            if held.number >= document.version.number:
+            known = self.by_peer[host].known.get(document.name)
+            if known.number >= document.version.number:
                 continue
-            if held not in delta_by_base:
-                base = self._find(document.name, held)
+            if known not in delta_by_base:
+                base = self._find_base(document.name, known)
                 if base is None:
                     sends.append(SendVersions(host))
                     continue
-                delta_by_base[held] = _documents.make_delta(base, document)
-            self._note_held(host, document.name, document.version)
-            sends.append(SendDelta(host, delta_by_base[held]))
+                delta_by_base[known] = _documents.make_delta(base, document)
+            self._record_known_version(host, document.name, document.version)
+            sends.append(SendDelta(host, delta_by_base[known]))
         return tuple(sends)
 
-    def _find(
+    def _find_base(
         self, name: _versions.DocumentName, version: _versions.Version
     ) -> _documents.Document | None:
         if version.number == 0:
             return None
-        for document in self.history.get(name, ()):
+        for document in self.history_by_name.get(name, ()):
             if document.version == version:
                 return document
         return None
 
-    def _note_held(
+    def _record_known_version(
         self,
         host: str,
         name: _versions.DocumentName,
@@ -267,10 +271,10 @@
         peer = self.by_peer.get(host)
         if peer is None:
             return
-        if version.number > peer.held.get(name).number:
-            peer.held = peer.held.replace(name, version)
+        if version.number > peer.known.get(name).number:
+            peer.known = peer.known.replace(name, version)
 
-    def _best_peer(
+    def _choose_fetch_peer(
         self,
         name: _versions.DocumentName,
         now_s: float,
@@ -279,10 +283,10 @@
         """Return a peer with the highest version, another one if possible."""
         own = self.config.by_name[name].version.number
         number_by_host = {
-            host: peer.held.get(name).number
+            host: peer.known.get(name).number
             for host, peer in self.by_peer.items()
-            if peer.held.get(name).number > own
-            and self._wanted(name, peer.held.get(name), now_s)
+            if peer.known.get(name).number > own
+            and self._is_fetch_allowed(name, peer.known.get(name), now_s)
         }
         if not number_by_host:
             return None
@@ -294,9 +298,9 @@
         ]
         if running is not None and len(hosts) > 1:
             hosts = [host for host in hosts if host != running.host]
-        return min(hosts, key=lambda host: _spread(self.host, host))
+        return min(hosts, key=lambda host: _peer_order_key(self.host, host))
 
-    def _wanted(
+    def _is_fetch_allowed(
         self,
         name: _versions.DocumentName,
         version: _versions.Version,
@@ -306,18 +310,18 @@
         return until_s is None or now_s >= until_s
 
 
-def _spread(host: str, peer: str) -> bytes:
+def _peer_order_key(host: str, peer: str) -> bytes:
     """Order peers differently on each host, to spread the fetches."""
     return hashlib.blake2b(f"{host}/{peer}".encode(), digest_size=8).digest()
 
 
-def conflicts(
-    own: _versions.VersionVector, shown: _versions.VersionVector
+def conflicting_documents(
+    own: _versions.VersionVector, reported: _versions.VersionVector
 ) -> Iterable[_versions.DocumentName]:
     """Return the documents with the same number but another digest."""
     return [
         name
         for name in _versions.DocumentName
-        if own.get(name).number == shown.get(name).number
-        and own.get(name).digest != shown.get(name).digest
+        if own.get(name).number == reported.get(name).number
+        and own.get(name).digest != reported.get(name).digest
     ]
--- a/src/jasminecrank/state/_host_choice.py
+++ b/src/jasminecrank/state/_host_choice.py
@@ -11,25 +11,27 @@
 from jasminecrank.state import _snapshot
 from jasminecrank.state import _topology
 
-_REMOTE_COST = 2
+_REMOTE_PENALTY_CALLS = 2
 """Calls in hand that a host of the own data centre may have more."""
 
-_FAILED_COST = 8
-_FAILED_S = 1.0
-_MAX_CHANGES = 32
+_FAILURE_PENALTY_CALLS = 8
+_FAILURE_PENALTY_S = 1.0
+_MAX_OWNER_CHANGES = 32
 
 
 @dataclass(slots=True)
-class SeenLoad:
+class ObservedLoad:
     """What this node has seen of another node's load."""
 
-    deadline_by_request: dict[str, float] = field(default_factory=dict)
+    deadline_at_s_by_request: dict[str, float] = field(default_factory=dict)
     failed_until_s: float = 0.0
 
     def cost(self, now_s: float) -> int:
         """Return the calls in hand there, more after a failure."""
-        cost = len(self.deadline_by_request)
-        return cost + (_FAILED_COST if now_s < self.failed_until_s else 0)
+        cost = len(self.deadline_at_s_by_request)
+        return cost + (
+            _FAILURE_PENALTY_CALLS if now_s < self.failed_until_s else 0
+        )
 
 
 @dataclass(slots=True)
@@ -37,7 +39,7 @@
     """Chooses among the hosts of a service that accept new work."""
 
     host: str
-    load_by_host: dict[str, SeenLoad] = field(default_factory=dict)
+    load_by_host: dict[str, ObservedLoad] = field(default_factory=dict)
 
     def choose(
         self,
@@ -56,45 +58,53 @@
         if not hosts:
             return None
         own = snapshot.by_host.get(self.host)
-        home = own.data_centre if own else None
+        own_data_centre = own.data_centre if own else None
         ranked = _topology.rendezvous_rank(hosts, call.request_id)
-        near = [host for host in ranked if host.data_centre == home]
-        far = [host for host in ranked if host.data_centre != home]
-        candidates = [*near[:2], *far[: 1 if near else 2]]
+        local = [
+            host for host in ranked if host.data_centre == own_data_centre
+        ]
+        remote = [
+            host for host in ranked if host.data_centre != own_data_centre
+        ]
+        candidates = [*local[:2], *remote[: 1 if local else 2]]
         return min(
             candidates,
             key=lambda host: (
                 self._cost(host.host, now_s)
-                + (_REMOTE_COST if near and host.data_centre != home else 0)
+                + (
+                    _REMOTE_PENALTY_CALLS
+                    if local and host.data_centre != own_data_centre
+                    else 0
+                )
             ),
         )
 
-    def started(
+    def record_start(
         self, request_id: str, host: str, deadline_at_s: float
     ) -> None:
         """Note a call that is on its way to a host."""
-        load = self.load_by_host.setdefault(host, SeenLoad())
-        load.deadline_by_request[request_id] = deadline_at_s
+        load = self.load_by_host.setdefault(host, ObservedLoad())
+        load.deadline_at_s_by_request[request_id] = deadline_at_s
 
-    def finished(
+    def record_end(
         self, request_id: str, host: str, failed: bool, now_s: float
     ) -> None:
         """Note how a forwarded call has ended."""
         load = self.load_by_host.get(host)
         if load is None:
             return
-        load.deadline_by_request.pop(request_id, None)
+        load.deadline_at_s_by_request.pop(request_id, None)
         if failed:
-            load.failed_until_s = now_s + _FAILED_S
+            load.failed_until_s = now_s + _FAILURE_PENALTY_S
 
-    def in_hand(self, now_s: float) -> int:
+    def count_in_flight(self, now_s: float) -> int:
         """Return how many forwarded calls have not ended."""
         return sum(
             self._drop_expired(load, now_s)
             for load in self.load_by_host.values()
         )
 
-    def keep_hosts(self, snapshot: _snapshot.Snapshot) -> None:
+    def drop_absent_hosts(self, snapshot: _snapshot.Snapshot) -> None:
         """Forget hosts that a snapshot no longer has."""
         for host in self.load_by_host.keys() - snapshot.by_host.keys():
             del self.load_by_host[host]
@@ -106,9 +116,9 @@
         self._drop_expired(load, now_s)
         return load.cost(now_s)
 
-    def _drop_expired(self, load: SeenLoad, now_s: float) -> int:
+    def _drop_expired(self, load: ObservedLoad, now_s: float) -> int:
         """Drop calls past their deadline, whose end was never reported."""
-        pending = load.deadline_by_request
+        pending = load.deadline_at_s_by_request
         for request_id in [
             request_id
             for request_id, deadline_at_s in pending.items()
@@ -139,13 +149,13 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Change:
+class _OwnerChange:
     until_ms: int
     hosts: tuple[_rows.HostRow, ...]
 
 
 @dataclass(slots=True)
-class KeyOwners:
+class KeyOwnerHistory:
     """Which hosts owned the keys of the own service, and until when.
 
     A key that another host owned after the key was made may have run there,
@@ -154,28 +164,28 @@
 
     host: str
     hosts: tuple[_rows.HostRow, ...] = ()
-    changes: deque[_Change] = field(default_factory=deque)
-    unknown_up_to_ms: int = 0
+    changes: deque[_OwnerChange] = field(default_factory=deque)
+    unknown_before_ms: int = 0
 
     @classmethod
-    def from_start(cls, host: str, wall_ms: int) -> "KeyOwners":
+    def from_start(cls, host: str, wall_ms: int) -> "KeyOwnerHistory":
         """Return the history of a node that remembers nothing."""
-        return cls(host, unknown_up_to_ms=wall_ms)
+        return cls(host, unknown_before_ms=wall_ms)
 
-    def apply_hosts(
+    def update_hosts(
         self, hosts: tuple[_rows.HostRow, ...], wall_ms: int
     ) -> None:
         """Follow the hosts of the own service that accept new work."""
         if [row.host for row in hosts] == [row.host for row in self.hosts]:
             return
         if self.hosts:
-            self.changes.append(_Change(wall_ms, self.hosts))
+            self.changes.append(_OwnerChange(wall_ms, self.hosts))
         self.hosts = hosts
         oldest_ms = wall_ms - int(const.IDEMPOTENCY_TTL_S * 1000)
         while self.changes and self.changes[0].until_ms < oldest_ms:
             self.changes.popleft()
-        if len(self.changes) > _MAX_CHANGES:
-            self.unknown_up_to_ms = self.changes.popleft().until_ms
+        if len(self.changes) > _MAX_OWNER_CHANGES:
+            self.unknown_before_ms = self.changes.popleft().until_ms
 
     def may_have_run_elsewhere(
         self, key: str, key_ms: int, forwarded_by: str | None
@@ -184,7 +194,7 @@
 
         A former owner that forwards a call has not run it.
         """
-        if key_ms < self.unknown_up_to_ms:
+        if key_ms < self.unknown_before_ms:
             return True
         for change in self.changes:
             if key_ms >= change.until_ms:
--- a/src/jasminecrank/state/_journal.py
+++ b/src/jasminecrank/state/_journal.py
@@ -31,7 +31,7 @@
     """Owns the logical clock and the last events of one process."""
 
     host: str
-    last: Stamp
+    last_stamp: Stamp
     events: deque[Event] = field(
         default_factory=lambda: deque(maxlen=const.EVENT_RING_SIZE)
     )
@@ -43,21 +43,21 @@
 
     def stamp(self, wall_ms: int) -> Stamp:
         """Return a stamp later than every stamp given or observed."""
-        if wall_ms > self.last.wall_ms:
-            self.last = Stamp(wall_ms, 0, self.host)
+        if wall_ms > self.last_stamp.wall_ms:
+            self.last_stamp = Stamp(wall_ms, 0, self.host)
         else:
-            self.last = Stamp(
-                self.last.wall_ms, self.last.counter + 1, self.host
+            self.last_stamp = Stamp(
+                self.last_stamp.wall_ms, self.last_stamp.counter + 1, self.host
             )
-        return self.last
+        return self.last_stamp
 
     def observe(self, stamp: Stamp, wall_ms: int) -> None:
         """Move past a stamp that came with a peer message."""
         if (stamp.wall_ms, stamp.counter) > (
-            self.last.wall_ms,
-            self.last.counter,
+            self.last_stamp.wall_ms,
+            self.last_stamp.counter,
         ):
-            self.last = Stamp(stamp.wall_ms, stamp.counter, self.host)
+            self.last_stamp = Stamp(stamp.wall_ms, stamp.counter, self.host)
         self.stamp(wall_ms)
 
     def record(
--- a/src/jasminecrank/state/_placement.py
+++ b/src/jasminecrank/state/_placement.py
@@ -12,25 +12,25 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Here:
+class LocalPlacement:
     """The call runs on this node's backend server."""
 
 
 @dataclass(slots=True, frozen=True)
-class There:
+class RemotePlacement:
     """The call is forwarded to another node."""
 
     host: _rows.HostRow
 
 
 @dataclass(slots=True, frozen=True)
-class Nowhere:
+class NoPlacement:
     """The call can't run; the code says why."""
 
     code: exceptions.ResultCode
 
 
-Place = Here | There | Nowhere
+Placement = LocalPlacement | RemotePlacement | NoPlacement
 
 
 @dataclass(slots=True)
@@ -39,9 +39,9 @@
 
     host: str
     snapshot: _snapshot.Snapshot
-    chooser: _host_choice.HostChooser
-    owners: _host_choice.KeyOwners
-    own: _rows.HostRow | None = None
+    host_chooser: _host_choice.HostChooser
+    key_owners: _host_choice.KeyOwnerHistory
+    own_host: _rows.HostRow | None = None
     stopping: bool = False
     server_draining: bool = False
     accepting: bool = False
@@ -53,7 +53,7 @@
             host,
             _snapshot.Snapshot.empty(),
             _host_choice.HostChooser(host),
-            _host_choice.KeyOwners.from_start(host, wall_ms),
+            _host_choice.KeyOwnerHistory.from_start(host, wall_ms),
         )
 
     def apply_snapshot(
@@ -61,28 +61,30 @@
     ) -> None:
         """Follow the hosts and outages of a new snapshot."""
         self.snapshot = snapshot
-        self.own = snapshot.by_host.get(self.host)
-        self.chooser.keep_hosts(snapshot)
-        self.update(wall_ms)
+        self.own_host = snapshot.by_host.get(self.host)
+        self.host_chooser.drop_absent_hosts(snapshot)
+        self.update_accepting(wall_ms)
 
-    def update(self, wall_ms: int) -> None:
+    def update_accepting(self, wall_ms: int) -> None:
         """Recompute whether this node accepts new work."""
-        own = self.own
+        own_host = self.own_host
         self.accepting = (
-            own is not None
-            and self.snapshot.accepts_new_work(own)
+            own_host is not None
+            and self.snapshot.accepts_new_work(own_host)
             and not self.stopping
             and not self.server_draining
         )
-        if own is not None:
-            self.owners.apply_hosts(self._hosts(own.service), wall_ms)
+        if own_host is not None:
+            self.key_owners.update_hosts(
+                self._accepting_hosts(own_host.service), wall_ms
+            )
 
-    def runs_here(self, route: _rows.RouteRow) -> bool:
+    def accepts_locally(self, route: _rows.RouteRow) -> bool:
         """Return whether this node takes new calls of a route."""
         return (
             self.accepting
-            and self.own is not None
-            and self.own.service == route.service
+            and self.own_host is not None
+            and self.own_host.service == route.service
         )
 
     def place(
@@ -90,40 +92,47 @@
         checked: _fair_queue.CheckedCall,
         server_down: bool,
         now_s: float,
-    ) -> Place:
+    ) -> Placement:
         """Return where a call runs."""
         key = _call_checks.booking_key(checked)
         if key is not None:
-            return self._place_keyed(checked, key)
+            return self._place_keyed_booking(checked, key)
         call = checked.call
-        here = (
-            self.runs_here(checked.route) and self.host not in call.tried_hosts
+        accepted_here = (
+            self.accepts_locally(checked.route)
+            and self.host not in call.tried_hosts
         )
-        if here and (not server_down or call.forwarded_by is not None):
-            return Here()
+        if accepted_here and (
+            not server_down or call.forwarded_by is not None
+        ):
+            return LocalPlacement()
         if call.forwarded_by is not None:
-            return Nowhere(self._reason(checked.route))
-        host = self.chooser.choose(
+            return NoPlacement(self._refusal_code(checked.route))
+        host = self.host_chooser.choose(
             self.snapshot, call, checked.route.service, now_s
         )
         if host is not None:
-            return There(host)
-        return Here() if here else Nowhere(self._reason(checked.route))
+            return RemotePlacement(host)
+        return (
+            LocalPlacement()
+            if accepted_here
+            else NoPlacement(self._refusal_code(checked.route))
+        )
 
-    def check_start(self, checked: _fair_queue.CheckedCall) -> None:
+    def check_start_invariants(self, checked: _fair_queue.CheckedCall) -> None:
         """Assert that a call may start on this host for its team."""
-        own = self.own
+        own_host = self.own_host
         _invariants.check(
             exceptions.ResultCode.INVARIANT_DATA_CENTRE_OUT,
-            own is not None
-            and own.data_centre not in self.snapshot.data_centres_out,
+            own_host is not None
+            and own_host.data_centre not in self.snapshot.data_centres_out,
             "call admitted on host %s, whose data centre is out",
             self.host,
         )
         _invariants.check(
             exceptions.ResultCode.INVARIANT_HOST_LEAVING,
-            own is not None
-            and own.state is _rows.HostState.LIVE
+            own_host is not None
+            and own_host.state is _rows.HostState.LIVE
             and not self.stopping
             and not self.server_draining,
             "call admitted on host %s, which is leaving",
@@ -135,15 +144,15 @@
             checked.route.open_to_all
             or (
                 digest is not None
-                and self.snapshot.team_of(digest) == checked.team
+                and self.snapshot.find_team(digest) == checked.team
             ),
             "call admitted for team %s without a valid key",
             checked.team,
         )
 
-    def _place_keyed(
+    def _place_keyed_booking(
         self, checked: _fair_queue.CheckedCall, key: str
-    ) -> Place:
+    ) -> Placement:
         """Return the place of a booking that only one node may run.
 
         A node that forwards a key of its own accepts no new work and has
@@ -152,30 +161,38 @@
         call = checked.call
         hosts = [
             host
-            for host in self._hosts(checked.route.service)
+            for host in self._accepting_hosts(checked.route.service)
             if host.host != call.forwarded_by
         ]
         owner = _host_choice.key_owner(hosts, key)
         if owner is None:
-            return Nowhere(self._reason(checked.route))
+            return NoPlacement(self._refusal_code(checked.route))
         if owner.host in call.tried_hosts:
-            return Nowhere(exceptions.ResultCode.IDEMPOTENCY_HOST_UNREACHABLE)
+            return NoPlacement(
+                exceptions.ResultCode.IDEMPOTENCY_HOST_UNREACHABLE
+            )
         if owner.host == self.host:
-            return Here()
+            return LocalPlacement()
         if call.forwarded_by is not None:
-            return Nowhere(exceptions.ResultCode.IDEMPOTENCY_HOST_UNREACHABLE)
-        return There(owner)
+            return NoPlacement(
+                exceptions.ResultCode.IDEMPOTENCY_HOST_UNREACHABLE
+            )
+        return RemotePlacement(owner)
 
-    def _hosts(self, service: str) -> tuple[_rows.HostRow, ...]:
+    def _accepting_hosts(self, service: str) -> tuple[_rows.HostRow, ...]:
         hosts = _host_choice.accepting_hosts(self.snapshot, service)
         if self.accepting:
             return hosts
         return tuple(host for host in hosts if host.host != self.host)
 
-    def _reason(self, route: _rows.RouteRow) -> exceptions.ResultCode:
-        own = self.own
-        if own is None or own.service != route.service or self.accepting:
+    def _refusal_code(self, route: _rows.RouteRow) -> exceptions.ResultCode:
+        own_host = self.own_host
+        if (
+            own_host is None
+            or own_host.service != route.service
+            or self.accepting
+        ):
             return exceptions.ResultCode.NO_HOST_AVAILABLE
-        if own.data_centre in self.snapshot.data_centres_out:
+        if own_host.data_centre in self.snapshot.data_centres_out:
             return exceptions.ResultCode.DATA_CENTRE_OUT
         return exceptions.ResultCode.HOST_LEAVING
--- a/src/jasminecrank/state/_readiness.py
+++ b/src/jasminecrank/state/_readiness.py
@@ -17,9 +17,9 @@
     """
 
     reason: str
-    inquiry: int
+    query_id: int
     settle_s: float
-    highest: _versions.VersionVector = _versions.VersionVector()
+    highest_reported: _versions.VersionVector = _versions.VersionVector()
     first_answer_s: float | None = None
 
 
@@ -27,7 +27,7 @@
 class Confirmed:
     """The versions in force were confirmed since the last start or pause."""
 
-    inquiry: int
+    query_id: int
     reason: str
 
 
@@ -61,15 +61,15 @@
         return cls(Unconfirmed("starting", 0, const.START_SETTLE_S), now_s)
 
     @property
-    def inquiry(self) -> int:
+    def query_id(self) -> int:
         """Return the number by which peers and source are now asked."""
-        return self.phase.inquiry
+        return self.phase.query_id
 
     def detect_pause(self, now_s: float) -> bool:
         """Return whether a pause has passed; nothing is confirmed then."""
         if is_current(self.ticked_s, now_s):
             return False
-        self.phase = Unconfirmed("paused", self.inquiry + 1, 0.0)
+        self.phase = Unconfirmed("paused", self.query_id + 1, 0.0)
         self.ticked_s = now_s
         return True
 
@@ -77,16 +77,16 @@
         """Note that the node is running."""
         self.ticked_s = max(self.ticked_s, now_s)
 
-    def answer(
-        self, inquiry: int, versions: _versions.VersionVector, now_s: float
+    def record_answer(
+        self, query_id: int, versions: _versions.VersionVector, now_s: float
     ) -> None:
         """Take versions that a peer or the source shows."""
         match self.phase:
-            case Unconfirmed() as phase if inquiry == phase.inquiry:
+            case Unconfirmed() as phase if query_id == phase.query_id:
                 first_s = phase.first_answer_s
                 self.phase = dataclasses.replace(
                     phase,
-                    highest=phase.highest.merge(versions),
+                    highest_reported=phase.highest_reported.merge(versions),
                     first_answer_s=now_s if first_s is None else first_s,
                 )
             case Unconfirmed() | Confirmed():
@@ -98,13 +98,13 @@
         """Return whether the node accepts calls with these versions."""
         match self.phase:
             case Unconfirmed():
-                reason = _missing(self.phase, own, now_s)
+                reason = _pending_reason(self.phase, own, now_s)
                 if reason is not None:
                     return Readiness(False, reason, self.ticked_s)
                 reason = "confirmed"
-                if not own.covers(self.phase.highest):
+                if not own.covers(self.phase.highest_reported):
                     reason = "start bound reached with older versions"
-                self.phase = Confirmed(self.phase.inquiry, reason)
+                self.phase = Confirmed(self.phase.query_id, reason)
                 return Readiness(True, reason, self.ticked_s)
             case Confirmed():
                 return Readiness(True, self.phase.reason, self.ticked_s)
@@ -112,7 +112,7 @@
                 typing.assert_never(self.phase)
 
 
-def _missing(
+def _pending_reason(
     phase: Unconfirmed, own: _versions.VersionVector, now_s: float
 ) -> str | None:
     """Return what the node still waits for, None if for nothing."""
@@ -123,7 +123,7 @@
     waited_s = now_s - phase.first_answer_s
     if waited_s >= const.START_BOUND_S:
         return None
-    if not own.covers(phase.highest):
+    if not own.covers(phase.highest_reported):
         return f"{phase.reason}: newer versions not yet received"
     if waited_s < phase.settle_s:
         return f"{phase.reason}: waiting for further answers"
--- a/src/jasminecrank/state/_row_codec.py
+++ b/src/jasminecrank/state/_row_codec.py
@@ -10,13 +10,13 @@
 from jasminecrank.state import _rows
 from jasminecrank.state import _versions
 
-_PREFIXES = {
+_PREFIXES_BY_DOCUMENT = {
     _versions.DocumentName.TABLE: frozenset({"service", "route", "limit"}),
     _versions.DocumentName.KEYS: frozenset({"key"}),
     _versions.DocumentName.HOSTS: frozenset({"host"}),
     _versions.DocumentName.OUTAGES: frozenset({"data_centre"}),
 }
-_POSITIVE = frozenset(
+_POSITIVE_FIELDS = frozenset(
     {
         "slots",
         "cold_slots",
@@ -31,7 +31,7 @@
         "server_port",
     }
 )
-_NOT_NEGATIVE = frozenset({"rate", "ramp_s", "share_slot"})
+_NON_NEGATIVE_FIELDS = frozenset({"rate", "ramp_s", "share_slot"})
 
 
 def row_key(row: _rows.Row) -> str:
@@ -56,13 +56,13 @@
 def encode_row(row: _rows.Row) -> str:
     """Return the canonical JSON text of a row."""
     values = {
-        field.name: _plain(getattr(row, field.name))
+        field.name: _json_value(getattr(row, field.name))
         for field in dataclasses.fields(row)
     }
     return json.dumps(values, sort_keys=True, separators=(",", ":"))
 
 
-def _plain(value: object) -> object:
+def _json_value(value: object) -> object:
     return value.value if isinstance(value, enum.Enum) else value
 
 
@@ -75,11 +75,11 @@
     those of the version before.
     """
     prefix = key.partition("/")[0]
-    if prefix not in _PREFIXES[name]:
+    if prefix not in _PREFIXES_BY_DOCUMENT[name]:
         raise exceptions.DocumentError(
             f"row {key!r} does not belong in document {name.value!r}"
         )
-    row_type = _rows.type_by_prefix[prefix]
+    row_type = _rows.ROW_TYPE_BY_PREFIX[prefix]
     try:
         values = json.loads(text)
     except ValueError as error:
@@ -88,7 +88,7 @@
         ) from None
     if not isinstance(values, dict):
         raise exceptions.DocumentError(f"row {key!r} is not a JSON object")
-    row = _build(row_type, key, values)
+    row = _build_row(row_type, key, values)
     if row_key(row) != key:
         raise exceptions.DocumentError(
             f"row {key!r} describes {row_key(row)!r}; both must agree"
@@ -108,18 +108,18 @@
             raise exceptions.DocumentError("yes or no")
     elif column_type is int or column_type is float:
         value = _parse_number(column_type, text)
-    return _convert(column, column_type, value)
+    return _convert_value(column, column_type, value)
 
 
 def _parse_number(column_type: type, text: str) -> object:
     try:
         return int(text) if column_type is int else float(text)
     except ValueError:
-        wanted = "a whole number" if column_type is int else "a number"
-        raise exceptions.DocumentError(wanted) from None
+        expected = "a whole number" if column_type is int else "a number"
+        raise exceptions.DocumentError(expected) from None
 
 
-def _build(
+def _build_row(
     row_type: type, key: str, values: dict[str, typing.Any]
 ) -> _rows.Row:
     fields = _field_types(row_type)
@@ -135,7 +135,7 @@
                 f"row {key!r} lacks the field {field!r}"
             )
         try:
-            arguments[field] = _convert(field, field_type, values[field])
+            arguments[field] = _convert_value(field, field_type, values[field])
         except exceptions.DocumentError as error:
             raise exceptions.DocumentError(
                 f"row {key!r}, field {field!r}: {values[field]!r} is not "
@@ -150,7 +150,7 @@
     return typing.get_type_hints(row_type)
 
 
-def _convert(field: str, field_type: type, value: typing.Any) -> object:
+def _convert_value(field: str, field_type: type, value: typing.Any) -> object:
     if issubclass(field_type, enum.Enum):
         allowed = [member.value for member in field_type]
         if value not in allowed:
@@ -172,9 +172,9 @@
         raise exceptions.DocumentError("a number")
     if field_type is int and not isinstance(value, int):
         raise exceptions.DocumentError("a whole number")
-    if field in _POSITIVE and value <= 0:
+    if field in _POSITIVE_FIELDS and value <= 0:
         raise exceptions.DocumentError("a number above 0")
-    if field in _NOT_NEGATIVE and not 0 <= value < float("inf"):
+    if field in _NON_NEGATIVE_FIELDS and not 0 <= value < float("inf"):
         raise exceptions.DocumentError("a number of at least 0")
     converted: object = field_type(value)
     return converted
--- a/src/jasminecrank/state/_rows.py
+++ b/src/jasminecrank/state/_rows.py
@@ -28,8 +28,8 @@
 class OutageState(enum.Enum):
     """Whether a data centre is in service."""
 
-    IN = "in"
-    OUT = "out"
+    IN_SERVICE = "in"
+    OUT_OF_SERVICE = "out"
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,7 +102,7 @@
     state: OutageState
 
 
-type_by_prefix: dict[str, type] = {
+ROW_TYPE_BY_PREFIX: dict[str, type] = {
     "service": ServiceRow,
     "route": RouteRow,
     "limit": LimitRow,
--- a/src/jasminecrank/state/_snapshot.py
+++ b/src/jasminecrank/state/_snapshot.py
@@ -12,7 +12,7 @@
 from jasminecrank.state import _rows
 from jasminecrank.state import _versions
 
-_TYPES_BY_DOCUMENT: Mapping[_versions.DocumentName, tuple[type, ...]] = {
+_ROW_TYPES_BY_DOCUMENT: Mapping[_versions.DocumentName, tuple[type, ...]] = {
     _versions.DocumentName.TABLE: (
         _rows.ServiceRow,
         _rows.RouteRow,
@@ -55,9 +55,11 @@
             versions, {}, (), (), {}, {}, {}, {}, {}, {}, frozenset()
         )
         for name in _versions.DocumentName:
-            types = _TYPES_BY_DOCUMENT[name]
-            own_rows = [row for row in rows if isinstance(row, types)]
-            snapshot = snapshot.with_rows(name, versions.get(name), own_rows)
+            types = _ROW_TYPES_BY_DOCUMENT[name]
+            document_rows = [row for row in rows if isinstance(row, types)]
+            snapshot = snapshot.with_rows(
+                name, versions.get(name), document_rows
+            )
         return snapshot
 
     def with_rows(
@@ -138,7 +140,7 @@
         out = {
             data_centre
             for data_centre, outage_state in by_data_centre.items()
-            if outage_state is _rows.OutageState.OUT
+            if outage_state is _rows.OutageState.OUT_OF_SERVICE
         }
         return dataclasses.replace(
             self,
@@ -180,7 +182,7 @@
                 return route
         return None
 
-    def team_of(self, key_digest: str) -> str | None:
+    def find_team(self, key_digest: str) -> str | None:
         """Return the team a key was issued to, None if it is unknown."""
         row = self.by_key_digest.get(key_digest)
         if row is None or not hmac.compare_digest(row.digest, key_digest):
@@ -196,12 +198,12 @@
 
 
 def _group_hosts(
-    by_host: Mapping[str, _rows.HostRow], field: str
+    by_host: Mapping[str, _rows.HostRow], attribute: str
 ) -> dict[str, tuple[_rows.HostRow, ...]]:
     grouped: defaultdict[str, list[_rows.HostRow]] = defaultdict(list)
     for host_id in sorted(by_host):
         host = by_host[host_id]
-        grouped[getattr(host, field)].append(host)
+        grouped[getattr(host, attribute)].append(host)
     return {key: tuple(hosts) for key, hosts in grouped.items()}
 
 
--- a/src/jasminecrank/state/_source.py
+++ b/src/jasminecrank/state/_source.py
@@ -8,11 +8,11 @@
 from jasminecrank import const
 from jasminecrank.state import _topology
 
-_BACK_OFF_FIRST_S = 0.5
-_BACK_OFF_MAX_S = 8.0
-_WATCHER_BURST = 10
+_BACKOFF_INITIAL_S = 0.5
+_BACKOFF_MAX_S = 8.0
+_WATCHER_BURST_CALLS = 10
 """A watch and all four documents, twice."""
-_TAKEOVER_S = 3.0
+_TAKEOVER_DELAY_S = 3.0
 """Time for a lost link to a watcher to be dialled anew."""
 
 
@@ -24,8 +24,8 @@
     source's capacity, all other nodes the other half.
     """
 
-    rate: float
-    burst: int
+    rate_per_s: float
+    burst_calls: int
     due_s: float
     not_before_s: float
     failures: int = 0
@@ -43,46 +43,48 @@
         The first call is spread over the time in which the whole fleet
         may call once.
         """
-        rate = _rate(fleet_hosts)
-        first_s = now_s + delay_s + rng.uniform(0, 1 / rate)
-        return cls(rate, 1, first_s, first_s)
+        rate_per_s = _rate_per_caller(fleet_hosts)
+        first_s = now_s + delay_s + rng.uniform(0, 1 / rate_per_s)
+        return cls(rate_per_s, 1, first_s, first_s)
 
-    def set_part(self, topology: _topology.Topology, watching: bool) -> None:
+    def update_rate(
+        self, topology: _topology.Topology, watching: bool
+    ) -> None:
         """Take the part of the budget that the host list gives."""
         if watching:
-            self.rate = _rate(topology.watcher_count())
-            self.burst = _WATCHER_BURST
+            self.rate_per_s = _rate_per_caller(topology.watcher_count())
+            self.burst_calls = _WATCHER_BURST_CALLS
         else:
-            self.rate = _rate(len(topology.by_host))
-            self.burst = 1
+            self.rate_per_s = _rate_per_caller(len(topology.by_host))
+            self.burst_calls = 1
 
     def may_call(self, now_s: float) -> bool:
         """Return whether a call now is within the budget."""
-        allowed_s = self.due_s - (self.burst - 1) / self.rate
+        allowed_s = self.due_s - (self.burst_calls - 1) / self.rate_per_s
         return now_s >= max(allowed_s, self.not_before_s)
 
-    def called(self, now_s: float) -> None:
+    def record_call(self, now_s: float) -> None:
         """Count one call."""
-        self.due_s = max(self.due_s, now_s) + 1 / self.rate
+        self.due_s = max(self.due_s, now_s) + 1 / self.rate_per_s
 
-    def answered(self) -> None:
+    def record_success(self) -> None:
         """End the back-off."""
         self.failures = 0
 
-    def failed(self, now_s: float, rng: random.Random) -> None:
+    def record_failure(self, now_s: float, rng: random.Random) -> None:
         """Back off exponentially with jitter."""
-        limit_s = min(_BACK_OFF_MAX_S, _BACK_OFF_FIRST_S * 2**self.failures)
+        limit_s = min(_BACKOFF_MAX_S, _BACKOFF_INITIAL_S * 2**self.failures)
         self.failures = min(self.failures + 1, 8)
         self.not_before_s = now_s + rng.uniform(limit_s / 2, limit_s)
 
 
-def _rate(callers: int) -> float:
+def _rate_per_caller(callers: int) -> float:
     share = const.SOURCE_CALLS_SHARE * const.SOURCE_CALLS_PER_S
     return share / max(1, callers)
 
 
 @dataclass(slots=True)
-class WatchDuty:
+class WatcherRole:
     """Decides whether a node watches the source.
 
     The candidates of a data centre are linked to each other. One without a
@@ -91,7 +93,7 @@
 
     host: str
     data_centre: str
-    unlinked_since_s: dict[str, float] = field(default_factory=dict)
+    unlinked_since_s_by_host: dict[str, float] = field(default_factory=dict)
     watching: bool = False
 
     def update(
@@ -103,15 +105,15 @@
         """Decide by the present host list and links."""
         candidates = topology.watch_candidates(self.data_centre)
         others = {row.host for row in candidates} - {self.host}
-        self.unlinked_since_s = {
-            host: self.unlinked_since_s.get(host, now_s)
+        self.unlinked_since_s_by_host = {
+            host: self.unlinked_since_s_by_host.get(host, now_s)
             for host in others
             if host not in linked
         }
         down = {
             host
-            for host, since_s in self.unlinked_since_s.items()
-            if now_s - since_s >= _TAKEOVER_S
+            for host, since_s in self.unlinked_since_s_by_host.items()
+            if now_s - since_s >= _TAKEOVER_DELAY_S
         }
         chosen = topology.watchers(self.data_centre, down)
         self.watching = any(row.host == self.host for row in chosen)
--- a/src/jasminecrank/state/_topology.py
+++ b/src/jasminecrank/state/_topology.py
@@ -18,24 +18,26 @@
 # Offsets in the ring of a large service; both directions give 8 links. The
 # offset 1 alone already keeps the service connected without any one host.
 _SERVICE_OFFSETS = (1, 2, 4, 8)
-_HostRank = tuple[_rows.HostRow, ...]
+_RankedHosts = tuple[_rows.HostRow, ...]
 
 
 def rendezvous_rank(
     hosts: Iterable[_rows.HostRow], seed: str
 ) -> tuple[_rows.HostRow, ...]:
     """Return the hosts by falling rendezvous hash under a seed."""
-    return tuple(sorted(hosts, key=lambda host: _score(seed, host.host)))
+    return tuple(
+        sorted(hosts, key=lambda host: _rendezvous_hash(seed, host.host))
+    )
 
 
-def _score(seed: str, host_id: str) -> bytes:
+def _rendezvous_hash(seed: str, host_id: str) -> bytes:
     return hashlib.blake2b(
         f"{seed}/{host_id}".encode(), digest_size=8
     ).digest()
 
 
 # Seeds of the topology are few and fixed, those of calls are not.
-_fixed_score = functools.lru_cache(maxsize=32_768)(_score)
+_cached_rendezvous_hash = functools.lru_cache(maxsize=32_768)(_rendezvous_hash)
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,9 +48,9 @@
     """
 
     by_host: Mapping[str, _rows.HostRow]
-    watch_rank_by_data_centre: Mapping[str, _HostRank]
-    trees_by_data_centre: Mapping[str, tuple[_HostRank, ...]]
-    rank_by_service: Mapping[str, _HostRank]
+    watch_rank_by_data_centre: Mapping[str, _RankedHosts]
+    trees_by_data_centre: Mapping[str, tuple[_RankedHosts, ...]]
+    rank_by_service: Mapping[str, _RankedHosts]
 
     @classmethod
     def from_snapshot(cls, snapshot: _snapshot.Snapshot) -> "Topology":
@@ -57,7 +59,7 @@
         return cls(
             by_host=snapshot.by_host,
             watch_rank_by_data_centre={
-                data_centre: _rank_watchers(hosts)
+                data_centre: _rank_watch_candidates(hosts)
                 for data_centre, hosts in by_data_centre.items()
             },
             trees_by_data_centre={
@@ -65,20 +67,20 @@
                 for data_centre, hosts in by_data_centre.items()
             },
             rank_by_service={
-                service: _rank(hosts, service)
+                service: _rank_hosts(hosts, service)
                 for service, hosts in snapshot.hosts_by_service.items()
             },
         )
 
     def watchers(
         self, data_centre: str, down: Collection[str] = ()
-    ) -> _HostRank:
+    ) -> _RankedHosts:
         """Return the hosts of a data centre that watch the source."""
         rank = self.watch_rank_by_data_centre.get(data_centre, ())
         present = (host for host in rank if host.host not in down)
         return tuple(itertools.islice(present, const.WATCHERS_PER_DATA_CENTRE))
 
-    def watch_candidates(self, data_centre: str) -> _HostRank:
+    def watch_candidates(self, data_centre: str) -> _RankedHosts:
         """Return the watchers and those who replace them, by rank."""
         rank = self.watch_rank_by_data_centre.get(data_centre, ())
         return rank[: const.WATCHERS_PER_DATA_CENTRE + const.WATCH_STANDBYS]
@@ -148,27 +150,31 @@
             yield rank[(position - offset) % len(rank)]
 
 
-def _rank(hosts: Iterable[_rows.HostRow], seed: str) -> _HostRank:
-    return tuple(sorted(hosts, key=lambda host: _fixed_score(seed, host.host)))
+def _rank_hosts(hosts: Iterable[_rows.HostRow], seed: str) -> _RankedHosts:
+    return tuple(
+        sorted(
+            hosts, key=lambda host: _cached_rendezvous_hash(seed, host.host)
+        )
+    )
 
 
-def _rank_watchers(hosts: Iterable[_rows.HostRow]) -> _HostRank:
-    rank = _rank(hosts, _WATCH_SEED)
+def _rank_watch_candidates(hosts: Iterable[_rows.HostRow]) -> _RankedHosts:
+    rank = _rank_hosts(hosts, _WATCH_SEED)
     return tuple(
         sorted(rank, key=lambda host: host.state is _rows.HostState.LEAVING)
     )
 
 
-def _rank_trees(hosts: tuple[_rows.HostRow, ...]) -> tuple[_HostRank, ...]:
+def _rank_trees(hosts: tuple[_rows.HostRow, ...]) -> tuple[_RankedHosts, ...]:
     """Return the breadth-first orders of the two trees.
 
     Inner hosts of the first tree come last in the second, so that they are
     leaves of it: without any one host, one of the trees is still whole.
     """
-    first = _rank(hosts, _TREE_SEEDS[0])
+    first = _rank_hosts(hosts, _TREE_SEEDS[0])
     inner_count = -(-(len(first) - 1) // const.TREE_FAN_OUT)
     inner = {host.host for host in first[:inner_count]}
-    second = _rank(hosts, _TREE_SEEDS[1])
+    second = _rank_hosts(hosts, _TREE_SEEDS[1])
     return first, tuple(sorted(second, key=lambda host: host.host in inner))
 
 
