Format the code after joining the renames

Change: ruff format on the joined tree, no other edit. Checks: formatter, linters, mypy strict and layer check pass on the joined tree. Conclusion: the joined renames type-check as one.

--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -175,7 +175,10 @@
         case "the team's arbiter loses its links":
             nodes.disconnect(arbiter)
         case "three arbiters lose their links":
-            disconnected_names = {arbiter, *state.arbiter_hosts(nodes.fleet)[:3]}
+            disconnected_names = {
+                arbiter,
+                *state.arbiter_hosts(nodes.fleet)[:3],
+            }
             for name in disconnected_names:
                 nodes.disconnect(name)
             return tuple(disconnected_names)
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -164,7 +164,9 @@
         first = state.rank_hosts(host, self._watchers)[:1]
         return first == [self._own_host]
 
-    def _apply_peer_items(self, items: list[state.SourceItem], now_s: float) -> None:
+    def _apply_peer_items(
+        self, items: list[state.SourceItem], now_s: float
+    ) -> None:
         """Use entries that came from a peer."""
         if items:
             self._apply_fresh(self._directory.apply_items(items, now_s))
@@ -318,7 +320,9 @@
         self._ports.to_entry(_messages.LoadUpdated(self._own_host, load))
         self._report_load_changes(load, now_s)
 
-    def _report_load_changes(self, load: state.ServerLoad, now_s: float) -> None:
+    def _report_load_changes(
+        self, load: state.ServerLoad, now_s: float
+    ) -> None:
         """Tell the peers that place calls by it how the load has changed."""
         last_load = self._reported_load
         peers = list(self._accepted_by_link.values())
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -88,9 +88,8 @@
         if self.placement.accepting:
             running = max(running, self.slot_limit)
         not_queued = len(
-            self.token_wait) + self.placement.host_chooser.count_in_flight(
-            now_s
-        )
+            self.token_wait
+        ) + self.placement.host_chooser.count_in_flight(now_s)
         return max(0, self.threads - running - not_queued)
 
     def next_due_s(self) -> float | None:
