Reword the texts of the mesh's coordination tasks

Docstrings and comments spoke of nodes that tell, ask, know and believe, and several only restated a name.

They now say in plain terms what a task or a message does and why a limit has its value. Reasons and figures behind constants are kept. WATCH_INTERVAL_S is now WATCH_PAUSE_S, as it is a pause after a watch. Log events, fields, outcomes and reasons are unchanged.

No behaviour changes.

--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -1,4 +1,4 @@
-"""Tasks of a node and the messages between them and between nodes."""
+"""Asynchronous tasks of a node, and the messages they exchange."""
 
 from jasminecrank.mesh.coordination._entry import EntryTask as EntryTask
 from jasminecrank.mesh.coordination._entry import LocalGate as LocalGate
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -1,4 +1,4 @@
-"""The task that takes callers' requests to backend servers."""
+"""Task that routes callers' requests to backend servers."""
 
 import asyncio
 import random
@@ -11,32 +11,39 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 QUOTA_WAIT_MAX_S = 0.08
-"""Longest wait for a token, well inside the shortest objective."""
+"""Longest wait for a token, well below the shortest latency objective."""
 MIN_ATTEMPT_S = 0.03
-"""Time left below which another attempt is pointless."""
+"""Remaining time up to which an attempt is not worthwhile."""
 REFUSE_WAIT_TARGETS = 2.0
-"""Expected wait, in objectives, at which a call is refused unsent."""
+"""Expected wait above which a call is refused before it is sent.
+
+As a multiple of the route's latency objective.
+"""
 NO_TABLE_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 0.5
-"""About the time for a restarted server to be listed or found healthy."""
+"""About the time until a restarted server is listed or found healthy."""
 
 
 class LocalGate(typing.Protocol):
-    """The own gate's mailbox, as far as the entry uses it."""
+    """Mailbox of the local gate, as used by the entry task."""
 
     def tell(self, message: _messages.GateMessage) -> None:
-        """Put a message into the gate's mailbox."""
+        """Append a message to the gate's mailbox."""
 
 
 class LocalQuota(typing.Protocol):
-    """The quota task's mailbox, as far as the entry uses it."""
+    """Mailbox of the quota task, as used by the entry task."""
 
     def tell(self, message: _messages.QuotaMessage) -> None:
-        """Put a message into the quota task's mailbox."""
+        """Append a message to the quota task's mailbox."""
 
 
 class EntryTask(_mailbox.MailboxTask[_messages.EntryMessage]):
-    """Owns the calls of this node's callers and all that decides on them."""
+    """Owns the open calls of this node's callers and routes them.
+
+    It also owns the state for this: server placement, the retry budget and
+    the links to peers.
+    """
 
     def __init__(
         self,
@@ -68,21 +75,21 @@
 
     @property
     def open_calls(self) -> int:
-        """Return how many calls have no answer yet."""
+        """Return the number of calls that have not been answered yet."""
         return len(self._call_by_number)
 
     @property
     def retry_bounds(self) -> state.RetryBounds:
-        """Return the bounds of the fleet's retry budget in force."""
+        """Return the current bounds of the fleet's retry budget."""
         return self._budget.bounds
 
     @property
     def peer_count(self) -> int:
-        """Return how many other hosts calls can be sent to."""
+        """Return the number of other hosts that calls can be sent to."""
         return len(self._send_by_host)
 
     def handle(self, message: _messages.EntryMessage) -> None:
-        """Act on one message."""
+        """Process one message."""
         match message:
             case _messages.CallArrived():
                 self._call_arrived(message)
@@ -264,13 +271,16 @@
         self._send_by_host[server.host](sent)
 
     def handle_local_reply(self, message: _peer_messages.PeerMessage) -> None:
-        """Take the own gate's answer on a call."""
+        """Process the local gate's answer to a call."""
         self.handle_peer_reply(self._own_host, message)
 
     def handle_peer_reply(
         self, host: str, message: _peer_messages.PeerMessage
     ) -> None:
-        """Take a gate's answer on a call."""
+        """Process a gate's answer to a call.
+
+        Messages that do not end an attempt are ignored.
+        """
         ended = _open_calls.attempt_ended(host, message)
         if ended is not None:
             self.mailbox.tell(ended)
--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -1,4 +1,4 @@
-"""How the nodes pass entries of the source on to each other."""
+"""Exchange of source entries between nodes."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -9,26 +9,26 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 INLINE_MAX_BYTES = 2_048
-"""Largest entry or patch that is sent without being asked for."""
+"""Largest entry or patch that is pushed without a request."""
 REFETCH_AFTER_S = 0.3
-"""Time for an announced entry to arrive before it is asked for again."""
+"""Time after which a requested entry is requested again, from another peer."""
 SMALL_FLEET_MAX_ENTRIES = 16
-"""Entries up to which each reader pushes to all nodes.
+"""Number of entries up to which each reader pushes to all nodes.
 
-In a larger fleet one reader pushes to a node and the others announce.
+In a larger fleet, one reader pushes to each node and the others announce.
 """
 PUSH_WAIT_S = 0.15
-"""Time for a push to arrive before an announced entry is asked for."""
+"""Time for a push to arrive before an announced entry is requested."""
 REQUEST_SPREAD_S = 0.4
-"""Time over which the nodes of a large fleet ask for an announced entry."""
+"""Time over which nodes of a large fleet spread requests for an entry."""
 GAP_TIMEOUT_S = 0.3
-"""Time for pushed entries to arrive before a listing is asked for.
+"""Time for pushed entries to arrive before a listing is requested.
 
-With the period of load reports it leaves a second of the 2 s in which a table
-has to be in force.
+Together with the period of load reports, it leaves one second of the 2 s
+within which a table has to be in force.
 """
 LISTING_RETRY_S = 0.6
-"""Time between two requests for a listing, which is tens of kilobytes."""
+"""Time between two listing requests; a listing is tens of kilobytes."""
 
 
 @dataclass(slots=True)
@@ -45,11 +45,12 @@
 
 
 class EntryExchange:
-    """Decides which entries go to which peers, and which to ask for.
+    """Decides which entries to send to peers and which to request.
 
     A node that reads an entry from the source pushes it to the nodes that
-    have dialled it. All nodes tell a digest of what they know with their
-    load; a node whose digest differs for a while asks for the difference.
+    have opened a link to it. Load reports carry a digest of the sender's
+    entries; a node whose digest keeps differing from a peer's requests the
+    difference.
     """
 
     def __init__(self, directory: state.Directory, rng: random.Random) -> None:
@@ -66,7 +67,10 @@
         pushed_to: Iterable[_peer_messages.SendToPeer],
         announced_to: Iterable[_peer_messages.SendToPeer] = (),
     ) -> None:
-        """Send entries that were read from the source to other nodes."""
+        """Send entries read from the source to other nodes.
+
+        Entries that are too large to push, even as a patch, are announced.
+        """
         inline = []
         announced = []
         messages: list[_peer_messages.PeerMessage] = []
@@ -95,17 +99,17 @@
 
     @property
     def in_large_fleet(self) -> bool:
-        """Return whether entries are pushed to a node by one reader only."""
+        """Return whether only one reader pushes entries to each node."""
         return len(self._directory.item_by_key) > SMALL_FLEET_MAX_ENTRIES
 
     def peer_reported(
         self, send: _peer_messages.SendToPeer, revision: int, digest: int
     ) -> None:
-        """Take what a peer says of its entries."""
+        """Store the revision and digest that a peer has reported."""
         self._state_by_send[send] = _PeerState(revision, digest)
 
     def remove_peer(self, send: _peer_messages.SendToPeer) -> None:
-        """Forget a peer."""
+        """Discard what a peer has reported, since its link has ended."""
         self._state_by_send.pop(send, None)
 
     def handle_announced(
@@ -115,7 +119,10 @@
         at_once: bool,
         now_s: float,
     ) -> list[state.Item]:
-        """Ask for what a peer has; return the removals that it implies."""
+        """Request announced entries that are newer than the known ones.
+
+        Return the removals that a complete announcement implies.
+        """
         for key, revision in message.revisions:
             known = self._directory.item_by_key.get(key)
             if known is not None and known.revision >= revision:
@@ -138,7 +145,11 @@
         send: _peer_messages.SendToPeer,
         now_s: float,
     ) -> list[state.Item]:
-        """Return the entry that a patch makes, or ask for all of it."""
+        """Return the patched entry, or request all of it.
+
+        It is requested if the patch does not apply. The result is empty if
+        it was requested or is already known.
+        """
         known = self._directory.item_by_key.get(message.key)
         if known is not None and known.revision >= message.revision:
             return []
@@ -156,7 +167,7 @@
         return []
 
     def mark_received(self, items: Iterable[state.Item]) -> None:
-        """Ask no more for entries that are there."""
+        """Cancel requests for entries that have been received."""
         for item in items:
             pending = self._pending_by_key.get(item.key)
             if pending is not None and pending.revision <= item.revision:
@@ -167,7 +178,7 @@
         message: _peer_messages.ItemsRequested,
         send: _peer_messages.SendToPeer,
     ) -> None:
-        """Send entries to a node that has asked for them."""
+        """Send requested entries, as patches where these are small enough."""
         full_items = []
         for key, revision in message.keys:
             item = self._directory.item_by_key.get(key)
@@ -183,7 +194,7 @@
             send(_peer_messages.ItemsSent(tuple(full_items)))
 
     def send_listing(self, send: _peer_messages.SendToPeer) -> None:
-        """Tell a node which entries there are."""
+        """Send the keys and revisions of all entries."""
         items = self._directory.item_by_key.values()
         send(
             _peer_messages.ItemsAnnounced(
@@ -193,7 +204,7 @@
         )
 
     def request_pending(self, now_s: float) -> None:
-        """Ask for announced entries that are not there yet."""
+        """Request each pending entry that is due from a random announcer."""
         keys_by_send: dict[
             _peer_messages.SendToPeer, list[tuple[str, int]]
         ] = {}
@@ -213,7 +224,10 @@
             send(_peer_messages.ItemsRequested(tuple(keys)))
 
     def check_gaps(self, now_s: float) -> None:
-        """Ask a peer for its listing if it knows what this node does not."""
+        """Request the listing of a peer whose entries differ from this node's.
+
+        Peers with an older revision are ignored.
+        """
         ahead = [
             send
             for send, peer in self._state_by_send.items()
@@ -254,9 +268,10 @@
         )
 
     def _request_delay_s(self) -> float:
-        """Return how long to wait before asking for an entry.
+        """Return the delay before an announced entry is requested.
 
-        In a large fleet the requests are spread over the readers' links.
+        In a large fleet, the delay gives a push time to arrive and spreads
+        the requests over the readers' links.
         """
         if not self.in_large_fleet:
             return 0.0
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -1,4 +1,4 @@
-"""The task that keeps the node's beliefs and talks of them to its peers."""
+"""Task that keeps the node's view of the fleet and shares it with peers."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,29 +12,30 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 FLEET_TICK_S = 0.05
-"""Period of load reports, below the shortest run times."""
+"""Period of checks for a changed load; below the shortest run times."""
 TICKS_PER_CHECK = 2
-"""Ticks after which peers' silence and the duty to watch are looked at."""
+"""Number of ticks between checks for silent peers and for the watch duty."""
 IDLE_REPORT_S = 0.45
-"""Period of load reports that say nothing new."""
+"""Period of load reports that are sent even without a change."""
 SILENT_AFTER_S = 1.0
-"""Silence of a peer after which its host gets no calls."""
+"""Silence of a peer after which no calls are sent to its host."""
 DEAD_AFTER_S = 2.2
-"""Silence of a peer after which its link is closed."""
+"""Silence of a peer after which the link to it is closed."""
 STALE_AFTER_S = 1.6
-"""Age of the watchers' news at which a node watches the source itself.
+"""Age of the watchers' confirmations at which a node starts to watch itself.
 
-It leaves time to read within the 2 s in which a table has to be in force.
+It leaves time to read the source within the 2 s in which a table has to be in
+force.
 """
 SUSPENDED_AFTER_S = 1.0
-"""Time without a tick after which the node has been asleep."""
+"""Time without a tick that shows that the node was suspended."""
 
 
 class Closable(typing.Protocol):
     """A link that can be closed."""
 
     def abort(self) -> None:
-        """Close the link at once."""
+        """Close the link at once, discarding unsent messages."""
 
 
 @dataclass(slots=True)
@@ -46,25 +47,29 @@
     confirmed_at_s: float = -1e9
     silent: bool = False
     server_id: str = ""
-    """Its server's incarnation, as last told."""
+    """Incarnation of its backend server, as last reported."""
 
 
 @dataclass(slots=True, frozen=True)
 class FleetPorts:
-    """Where the fleet task's messages go."""
+    """Outputs of the fleet task, and the source of its load."""
 
     to_entry: Callable[[_messages.EntryMessage], None]
     to_gate: Callable[[_messages.GateMessage], None]
     to_quota: Callable[[_messages.QuotaMessage], None]
     dial: Callable[[set[str]], None]
-    """Keep links to exactly these hosts."""
+    """Keep open links to exactly these hosts."""
     watch: Callable[[bool], None]
-    """Watch the source, or leave it to others."""
+    """Start or stop watching the source."""
     load: Callable[[], state.Load]
 
 
 class FleetTask(_mailbox.MailboxTask[_messages.FleetMessage]):
-    """Owns the directory, the peers' liveness and the duty to watch."""
+    """Owns the directory, the liveness of peers and the watch duty.
+
+    A few nodes, the watchers, watch the source for the fleet. Another node
+    watches it too while it gets no recent confirmations from them.
+    """
 
     def __init__(
         self,
@@ -97,17 +102,17 @@
 
     @property
     def ready(self) -> bool:
-        """Return whether the node knows a table."""
+        """Return whether the node has a table and can route calls."""
         return self._fleet.table is not None
 
     @property
     def version(self) -> int:
-        """Return the version of the table in force, 0 without one."""
+        """Return the version of the table in force, or 0 if there is none."""
         table = self._fleet.table
         return 0 if table is None else table.version
 
     def handle(self, message: _messages.FleetMessage) -> None:
-        """Act on one message."""
+        """Process one message."""
         now_s = self._clock.now_s()
         match message:
             case _messages.ListingRead(items, start_revision):
@@ -137,14 +142,17 @@
                 typing.assert_never(message)
 
     def confirmed_age_s(self, now_s: float) -> float:
-        """Return the age of the newest confirmation by the source."""
+        """Return the age of the source's last confirmation.
+
+        It may have been this node or a peer that received it.
+        """
         newest_s = self._confirmed_at_s
         for peer in self._dialled_by_link.values():
             newest_s = max(newest_s, peer.confirmed_at_s)
         return now_s - newest_s
 
     def _apply_source_items(self, fresh: list[state.Item]) -> None:
-        """Use entries that came from the source, and pass them on."""
+        """Apply entries read from the source, and pass them on to peers."""
         self._apply_fresh(fresh)
         if not fresh:
             return
@@ -158,14 +166,14 @@
         self._exchange.push(fresh, pushed_to, announced_to)
 
     def _pushes_to(self, host: str) -> bool:
-        """Return whether this reader pushes to a node, or only announces."""
+        """Return whether this reader pushes to a host, or only announces."""
         if not self._exchange.in_large_fleet:
             return True
         first = state.rank(host, self._watchers)[:1]
         return first == [self._own_host]
 
     def _apply_peer_items(self, items: list[state.Item], now_s: float) -> None:
-        """Use entries that came from a peer."""
+        """Apply entries received from a peer."""
         if items:
             self._apply_fresh(self._directory.offer(items, now_s))
 
@@ -278,7 +286,8 @@
             self._accepted_by_link[id(message.link)] = peer
             self._send_load(self._ports.load(), now_s, [peer])
             if self._fleet.table is None:
-                # A node without entries has dialled nobody yet.
+                # Without entries this node opens no links of its own, so it
+                # requests a listing on a link that a peer has opened.
                 peer.send(_peer_messages.ListingRequested())
         self.log.decision(
             "link-up", peer=message.host, dialled=message.dialled
@@ -319,7 +328,10 @@
         self._report_load_changes(load, now_s)
 
     def _report_load_changes(self, load: state.Load, now_s: float) -> None:
-        """Tell the peers that place calls by it how the load has changed."""
+        """Send the load to peers if it has changed or a report is due.
+
+        Changes go only to the peers that prefer this host for their calls.
+        """
         last_load = self._reported_load
         peers = list(self._accepted_by_link.values())
         if last_load is None or load.is_other_server(last_load):
@@ -337,7 +349,7 @@
         self._reported_at_s = now_s
 
     def _is_near(self, host: str) -> bool:
-        """Return whether a host's calls come here in the first place."""
+        """Return whether a host prefers this one for its calls."""
         if not self._exchange.in_large_fleet:
             return True
         data_centre = self._data_centre_by_host.get(host)
@@ -386,6 +398,7 @@
             now_s - peer.confirmed_at_s
             for peer in self._dialled_by_link.values()
         ]
-        # A node that watches keeps on until the watchers are well again.
+        # The lower limit keeps a node that has taken over watching until the
+        # watchers' confirmations are recent again.
         limit_s = 0.5 * STALE_AFTER_S if self._watching else STALE_AFTER_S
         return not ages or min(ages) > limit_s
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -1,4 +1,4 @@
-"""The task that admits calls to the backend server of its host."""
+"""Task that admits calls to the local backend server."""
 
 import asyncio
 import dataclasses
@@ -11,39 +11,39 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 RUN_TIMEOUT_MARGIN_S = 0.1
-"""Time for a server's own answer at the deadline to arrive."""
+"""Time for an answer that the server sends at the deadline to arrive."""
 PROBE_PERIOD_S = 0.3
-"""Time between health checks of a server that does not answer."""
+"""Pause between health checks of a server that is not healthy."""
 CLOSED_RETRY_S = 0.8
-"""Time after which another server, or a new entry, may be there.
+"""Retry delay of refused calls; by then another server may be listed.
 
 Half of the interval at which servers renew their entries.
 """
 LISTING_GRACE_S = 3.0
 """Time after the node's start in which its server may not be listed yet.
 
-A server lists itself within one interval of its entries, about 1.5 s; the
-settings that name its service were written at the node's start.
+A server lists itself within one renewal interval, about 1.5 s. The settings
+that name its service were written when the node started.
 """
 SAME_START_MAX_S = 0.7
-"""Most time between the starts of a host's node and server after a power loss.
+"""Longest time between the starts of node and server after a power loss.
 
-A server of another service may start at the address at any time.
+A server that starts at the address later may belong to another service.
 """
 SERVER_GONE = "server-gone"
-"""Reason given for calls that belong to another incarnation."""
+"""Reason for refusing calls to another incarnation of the server."""
 
 
 class BackendServerPort(typing.Protocol):
-    """The connections to the backend server, owned by a transport."""
+    """Connections to the backend server, owned by the transport layer."""
 
     async def exchange(
         self, call: _peer_messages.CallSent, remaining_s: float
     ) -> state.AttemptResult:
-        """Send a call and return what is known about it."""
+        """Send a call and return its outcome, as far as it is known."""
 
     async def check_health(self, path: str) -> _messages.Health | None:
-        """Ask for the server's health; None unless it is good."""
+        """Return the result of a health check, or None if it fails."""
 
 
 @dataclass(slots=True)
@@ -55,7 +55,7 @@
 
 
 class GateTask(_mailbox.MailboxTask[_messages.GateMessage]):
-    """Owns slots, queue and cold start of the own backend server."""
+    """Owns the slots, queue and cold start of the local backend server."""
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         self._service = service
         self._started_at_s = clock.now_s()
         self._server_started_at_s = -1e9
-        """Worked out from its cold start; long ago if it is warm."""
+        """Derived from the remaining cold start; long ago if it is warm."""
         self._gate = gate
         self.port = port
         self._address = address
@@ -85,15 +85,15 @@
 
     @property
     def active_calls(self) -> int:
-        """Return how many calls run or wait."""
+        """Return the number of calls that run or wait in the queue."""
         return len(self._call_by_key)
 
     def load(self) -> state.Load:
-        """Return what other nodes are told about this server."""
+        """Return the load of this server as reported to other nodes."""
         return self._gate.load(self._clock.now_s(), self._accepting_work())
 
     def handle(self, message: _messages.GateMessage) -> None:
-        """Act on one message."""
+        """Process one message."""
         match message:
             case _messages.RunCall():
                 self._admit(message)
@@ -146,7 +146,7 @@
                 typing.assert_never(decision)
 
     def _rejection_reason(self, server_id: str) -> str | None:
-        """Return why no call for a server may start, or None."""
+        """Return why calls to a server must not start, or None if they may."""
         if server_id in self._gone_server_ids:
             return SERVER_GONE
         server = self._fleet.server_by_id.get(server_id)
@@ -165,12 +165,12 @@
         return None
 
     def _is_successor(self, server: state.BackendServer | None) -> bool:
-        """Return whether the running server takes a listed one's calls.
+        """Return whether the running server can take calls to a listed one.
 
-        After a loss of power node and server start together, and the new
-        incarnation is not listed yet. The settings say that it is of the same
-        service. Addresses are used again by other services, so a server that
-        has not started with the node is not trusted.
+        After a power loss, node and server start together, and the new
+        incarnation is not listed yet. The settings name its service, which
+        has to be the same. Other services reuse addresses, so a server that
+        did not start together with the node is not accepted.
         """
         return (
             server is not None
@@ -209,7 +209,7 @@
         except asyncio.CancelledError:
             result = state.MayHaveRun("cancelled")
         except Exception as error:
-            # A call that is never ended would hold its slot for good.
+            # Without a RunEnded message, the call would hold its slot forever.
             self.log.failure("run-failed", error, request_id=call.request_id)
             result = state.MayHaveRun("error in the node")
         self.mailbox.tell(
--- a/src/jasminecrank/mesh/coordination/_mailbox.py
+++ b/src/jasminecrank/mesh/coordination/_mailbox.py
@@ -1,4 +1,4 @@
-"""Tasks that own their state and talk by messages."""
+"""Base classes of tasks that own their state and exchange messages."""
 
 import asyncio
 from collections import deque
@@ -26,11 +26,11 @@
     "StopRequested": "Stopping",
     "TokensRequested": "TokensAsked",
 }
-"""Logged names of message classes whose names differ from them."""
+"""Names in `message-failed` log lines, where they differ from the class."""
 
 
 class Mailbox(typing.Generic[MessageT]):
-    """An unbounded queue with one reader on the event loop."""
+    """An unbounded queue with a single reader on the event loop."""
 
     __slots__ = ("_messages", "_waiter")
 
@@ -39,13 +39,13 @@
         self._waiter: asyncio.Future[None] | None = None
 
     def tell(self, message: MessageT) -> None:
-        """Put a message in; the reader gets it in order."""
+        """Append a message; messages are received in order."""
         self._messages.append(message)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
     async def receive(self) -> MessageT:
-        """Wait for the next message."""
+        """Remove and return the next message, waiting for one if needed."""
         while not self._messages:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
@@ -53,7 +53,7 @@
 
 
 class MailboxTask(typing.Generic[MessageT]):
-    """A task that handles the messages of its mailbox one by one."""
+    """A task that handles the messages of its mailbox one at a time."""
 
     def __init__(self, log: "Log") -> None:
         self.mailbox: Mailbox[MessageT] = Mailbox()
@@ -66,7 +66,8 @@
             try:
                 self.handle(message)
             except Exception as error:
-                # One bad message must not end the task for all calls.
+                # An error in one message must not stop the task, which
+                # serves all calls.
                 name = type(message).__name__
                 self.log.failure(
                     "message-failed",
@@ -75,33 +76,33 @@
                 )
 
     def handle(self, message: MessageT) -> None:
-        """Act on one message."""
+        """Process one message."""
         raise NotImplementedError
 
 
 class Log(typing.Protocol):
-    """Where tasks write their decisions."""
+    """Log lines and metrics that tasks write."""
 
     def decision(self, event: str, **fields: object) -> None:
-        """Write a decision or a change of belief."""
+        """Log a decision or a change in what the node knows."""
 
     def sampled(self, event: str, **fields: object) -> None:
-        """Write a frequent event, or count it as left out."""
+        """Log a frequent event, or count it as omitted by sampling."""
 
     def failure(
         self, event: str, error: BaseException, **fields: object
     ) -> None:
-        """Write an unexpected error with its traceback."""
+        """Log an unexpected error with its traceback."""
 
     def count(self, name: str, label: str = "") -> None:
         """Increase a counter."""
 
     def observe(self, name: str, seconds: float) -> None:
-        """Record a duration."""
+        """Record a duration in a histogram."""
 
 
 class Clock(typing.Protocol):
-    """A clock that never goes back and counts time asleep."""
+    """A monotonic clock that includes time in which the host is suspended."""
 
     def now_s(self) -> float:
-        """Return seconds since some fixed moment."""
+        """Return seconds since an arbitrary fixed time."""
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallArrived:
-    """A caller sent a whole request."""
+    """A caller has sent a complete request."""
 
     number: int
     request: state.CallRequest
@@ -19,21 +19,24 @@
 
 @dataclass(slots=True, frozen=True)
 class CallerDisconnected:
-    """The caller closed its connection before it had its answer."""
+    """The caller closed its connection before it received an answer."""
 
     number: int
 
 
 @dataclass(slots=True, frozen=True)
 class CallDeadlineReached:
-    """The time of a call is over."""
+    """The deadline of a call has passed."""
 
     number: int
 
 
 @dataclass(slots=True, frozen=True)
 class QuotaDecided:
-    """A call has a token of its team's rate, or there is none for a while."""
+    """A call was granted a token of its team's rate, or denied one.
+
+    `wait_s` is the time until another token is expected.
+    """
 
     number: int
     granted: bool
@@ -42,25 +45,25 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
-    """An attempt of a call ended at a host."""
+    """An attempt to run a call at a host has ended."""
 
     number: int
     host: str
     result: state.AttemptResult
     active_calls: int | None = None
-    """Calls that still run or wait at the host, if it said so."""
+    """Calls that still run or wait at the host, if it reported them."""
 
 
 @dataclass(slots=True, frozen=True)
 class FleetChanged:
-    """The node's beliefs about the fleet changed."""
+    """The node's view of the fleet has changed."""
 
     fleet: state.Fleet
 
 
 @dataclass(slots=True, frozen=True)
 class LoadUpdated:
-    """A host told its load."""
+    """A host has reported its load."""
 
     host: str
     load: state.Load
@@ -68,7 +71,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerUp:
-    """A link to a host can be used."""
+    """A link to a host is usable, for the first time or again."""
 
     host: str
     send: _peer_messages.SendToPeer
@@ -76,21 +79,21 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerSilent:
-    """A host has told nothing for a while."""
+    """A host has sent nothing for longer than the silence limit."""
 
     host: str
 
 
 @dataclass(slots=True, frozen=True)
 class PeerDown:
-    """The link to a host is lost."""
+    """The link to a host has ended."""
 
     host: str
 
 
 @dataclass(slots=True, frozen=True)
 class BoundsChanged:
-    """The settings have new bounds of the fleet's budgets."""
+    """The settings have new bounds for the fleet's quota and retries."""
 
     quota: state.QuotaBounds
     retries: state.RetryBounds
@@ -98,7 +101,7 @@
 
 @dataclass(slots=True, frozen=True)
 class QuotaRequested:
-    """A call needs a token of its team's rate."""
+    """A call requests a token of its team's rate."""
 
     number: int
     team: state.Team
@@ -106,14 +109,17 @@
 
 @dataclass(slots=True, frozen=True)
 class QuotaUnused:
-    """A call had a token and reached no backend server."""
+    """A call with a token ended without reaching a backend server.
+
+    Its token can serve another call of the team.
+    """
 
     team: str
 
 
 @dataclass(slots=True, frozen=True)
 class RequesterMessageReceived:
-    """A node asks this one for tokens, or says that it is there."""
+    """A node that gets tokens here requests some or reports its presence."""
 
     host: str
     message: _peer_messages.Presence | _peer_messages.TokensRequested
@@ -122,7 +128,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ArbiterGranted:
-    """An arbiter answers."""
+    """An arbiter has answered a request for tokens."""
 
     host: str
     message: _peer_messages.TokensGranted
@@ -130,19 +136,22 @@
 
 @dataclass(slots=True, frozen=True)
 class RequesterDisconnected:
-    """The link by which a node asks for tokens has ended."""
+    """The link on which a node requests tokens has ended."""
 
     host: str
 
 
 @dataclass(slots=True, frozen=True)
 class QuotaTick:
-    """It is time to look for requests without an answer."""
+    """Triggers the check for unanswered requests."""
 
 
 @dataclass(slots=True, frozen=True)
 class RunCall:
-    """A call for the own backend server, from a link or from this node."""
+    """A call to run at the local backend server.
+
+    It comes from a link, or from this node's entry task with link 0.
+    """
 
     link_id: int
     call: _peer_messages.CallSent
@@ -151,7 +160,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CancelCall:
-    """A call that is no longer wanted."""
+    """A call whose result is no longer needed."""
 
     link_id: int
     call_id: int
@@ -159,14 +168,14 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkClosed:
-    """A link by which calls came has ended."""
+    """A link on which calls arrive has ended."""
 
     link_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class RunEnded:
-    """A call that ran at the own backend server ended."""
+    """A call has ended at the local backend server."""
 
     link_id: int
     call_id: int
@@ -176,14 +185,14 @@
 
 @dataclass(slots=True, frozen=True)
 class HealthChecked:
-    """The backend server's answer to a health check; None if there is none."""
+    """The result of a health check; None if it did not succeed."""
 
     health: "Health | None"
 
 
 @dataclass(slots=True, frozen=True)
 class Health:
-    """A good health answer."""
+    """A successful response to a health check."""
 
     server_id: str
     cold_left_s: float
@@ -191,17 +200,17 @@
 
 @dataclass(slots=True, frozen=True)
 class GateTick:
-    """It is time to look for calls that have waited too long."""
+    """Triggers the release of queued calls, and the expiry of late ones."""
 
 
 @dataclass(slots=True, frozen=True)
 class StopRequested:
-    """The node has been asked to stop."""
+    """The node was asked to stop; its load reports then refuse new calls."""
 
 
 @dataclass(slots=True, frozen=True)
 class ListingRead:
-    """All entries of the source, begun at a revision."""
+    """All entries of the source, at least as new as a revision."""
 
     items: tuple[state.Item, ...]
     start_revision: int
@@ -209,7 +218,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangesRead:
-    """All entries that changed in the source up to a revision."""
+    """All entries of the source that changed, up to a revision."""
 
     items: tuple[state.Item, ...]
     revision: int
@@ -217,7 +226,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SourceLost:
-    """The source does not answer this node."""
+    """The source has stopped answering this node."""
 
     reason: str
 
@@ -229,7 +238,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerMessageReceived:
-    """A message about the fleet came by a link."""
+    """A link has received a message about the fleet."""
 
     link: object
     host: str
@@ -239,7 +248,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkOpened:
-    """A link is ready; `dialled` if this node has dialled it."""
+    """A link is ready; `dialled` if this node has opened it."""
 
     link: object
     host: str
@@ -249,7 +258,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkEnded:
-    """A link has ended."""
+    """A link has ended; `dialled` if this node had opened it."""
 
     link: object
     host: str
@@ -258,7 +267,7 @@
 
 @dataclass(slots=True, frozen=True)
 class FleetTick:
-    """It is time to tell loads and to look for silence."""
+    """Triggers load reports and the check for silent peers."""
 
 
 EntryMessage = (
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -1,4 +1,4 @@
-"""A call between its arrival and its answer."""
+"""State of a call from its arrival until its answer."""
 
 import asyncio
 from dataclasses import dataclass
@@ -11,22 +11,22 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 DEFAULT_TIME_LIMIT_S = 10.0
-"""Time given to a request that names no deadline and whose route has none."""
+"""Time limit of a request without a deadline on a route without a timeout."""
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_FRACTION = 0.32
-"""Longest Retry-After, as a part of the caller's remaining time.
+"""Longest Retry-After, as a fraction of the caller's remaining time.
 
-Callers wait for a third of it at most.
+Callers wait for at most a third of their remaining time.
 """
 TEAM_RANK_STEP = 100
-"""Distance between two team priorities, above any route's priority."""
+"""Difference in rank between two team priorities; exceeds route priorities."""
 BACKEND_SERVER_RANK = -1
-"""Calls of backend servers hold a slot elsewhere while they wait."""
+"""Ranks first, since a backend server's call holds a slot while it waits."""
 
 
 @dataclass(slots=True)
 class OpenCall:
-    """A call of this node's callers that has no answer yet."""
+    """A call from a caller of this node that has not been answered yet."""
 
     number: int
     request: state.CallRequest
@@ -38,12 +38,12 @@
     rank: int
     service: str = ""
     host: str | None = None
-    """Where the current attempt is."""
+    """Host of the current attempt; None between attempts."""
     timer: asyncio.TimerHandle | None = None
     has_token: bool = False
     """Whether it holds a token of its team's rate."""
     has_waited_for_token: bool = False
-    """Whether it has waited for a token once."""
+    """Whether it has already waited once for a token."""
     servers: list[str] = field(default_factory=list)
 
     @classmethod
@@ -53,7 +53,7 @@
         route: state.Route,
         team: state.Team | None,
     ) -> "OpenCall":
-        """Return the call that a request on a route begins."""
+        """Return a new call for a request on a route."""
         time_limit_s = message.request.patience_s
         if time_limit_s is None:
             time_limit_s = DEFAULT_TIME_LIMIT_S
@@ -72,7 +72,7 @@
 
     @property
     def holds_unused_token(self) -> bool:
-        """Return whether its token can serve another call."""
+        """Return whether its token can be used by another call."""
         return (
             self.has_token
             and self.attempts.progress is state.Progress.UNSENT
@@ -83,7 +83,7 @@
     def start_attempt(
         self, server: state.BackendServer, caller_service: str, now_s: float
     ) -> _peer_messages.CallSent:
-        """Begin an attempt and return its message."""
+        """Record an attempt at a server and return the message to send."""
         route = self.attempts.route
         self.attempts.tried.add(server.server_id)
         self.servers.append(server.server_id)
@@ -108,7 +108,10 @@
     def retry_after_s(
         self, wait_s: float, now_s: float, rng: random.Random
     ) -> float:
-        """Return when its caller should come back, spread over callers."""
+        """Return the delay after which the caller should retry.
+
+        A random factor prevents callers from retrying at the same time.
+        """
         jitter = 0.8 + 0.6 * rng.random()
         time_limit_s = self.request.patience_s or DEFAULT_TIME_LIMIT_S
         elapsed_s = now_s - self.arrived_at_s
@@ -119,7 +122,7 @@
 def attempt_ended(
     host: str, message: _peer_messages.PeerMessage
 ) -> _messages.AttemptEnded | None:
-    """Return what a gate's message says of a call, if it speaks of one."""
+    """Return the end of an attempt that a gate's message reports, or None."""
     result: state.AttemptResult
     active_calls = None
     match message:
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -1,6 +1,6 @@
 """Messages between nodes.
 
-Durations are relative, since clocks differ between hosts.
+Durations are relative because the clocks of hosts differ.
 """
 
 from collections.abc import Callable
@@ -9,12 +9,12 @@
 from jasminecrank.mesh import state
 
 MAX_AGE_MS = 60_000
-"""Largest age that is told; anything older is as good as unknown."""
+"""Largest age that is reported; older information is treated the same."""
 
 
 @dataclass(slots=True, frozen=True)
 class Hello:
-    """The first message on a link, from both sides."""
+    """First message on a link, sent by both sides to identify themselves."""
 
     host: str
     incarnation: int
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallSent:
-    """A call for the backend server beside the receiving node."""
+    """A call to run at the backend server on the receiver's host."""
 
     call_id: int
     request_id: str
@@ -36,24 +36,24 @@
     rank: int
     idempotent: bool
     remaining_s: float
-    """Time until the caller must have its answer."""
+    """Time until the caller's deadline."""
     target_remaining_s: float
-    """Time until the latency objective is missed."""
+    """Time until the call misses its latency objective."""
     caller_service: str
     team: str
-    """Empty on routes that are open to all."""
+    """Empty on routes that are open to all callers."""
 
 
 @dataclass(slots=True, frozen=True)
 class CallCancelled:
-    """The caller has left or its time is over."""
+    """The caller has disconnected or its deadline has passed."""
 
     call_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class CallServed:
-    """The backend server's whole answer."""
+    """The complete answer of the backend server."""
 
     call_id: int
     status: int
@@ -62,12 +62,12 @@
     body: bytes
     run_s: float
     active_calls: int
-    """Calls that still run or wait there."""
+    """Calls that still run or wait at the sender's backend server."""
 
 
 @dataclass(slots=True, frozen=True)
 class CallNotRun:
-    """The call has not run here and never will."""
+    """The call has not run at the sender's backend server and never will."""
 
     call_id: int
     reason: str
@@ -77,7 +77,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallMayHaveRun:
-    """The call was sent to the backend server; its outcome is unknown."""
+    """The call was sent to the backend server, but its outcome is unknown."""
 
     call_id: int
     reason: str
@@ -85,10 +85,10 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadReported:
-    """Load of the sender's backend server, and age of its beliefs."""
+    """Load of the sender's backend server, and the state of its entries."""
 
     server_id: str
-    """Empty if it is the same as told before."""
+    """Empty if unchanged since the last report that named it."""
     in_flight: int
     queued: int
     limit: int
@@ -96,11 +96,11 @@
     failures_percent: int
     accepting: bool
     confirmed_age_ms: int
-    """Time since the source confirmed what the sender knows."""
+    """Time since the source last confirmed the sender's entries."""
     revision: int
-    """Newest revision that the sender knows."""
+    """Newest revision among the sender's entries."""
     digest: int
-    """Digest of all entries that the sender knows."""
+    """Digest of all entries that the sender has."""
 
     @classmethod
     def from_load(
@@ -111,7 +111,7 @@
         digest: int,
         with_server: bool = True,
     ) -> "LoadReported":
-        """Return a load in whole numbers, which take fewer bytes."""
+        """Return a report in whole numbers, which encode in fewer bytes."""
         return cls(
             load.server_id if with_server else "",
             load.in_flight,
@@ -126,7 +126,7 @@
         )
 
     def load(self, server_id: str) -> state.Load:
-        """Return the told load of a server."""
+        """Return the reported load as that of a server."""
         return state.Load(
             server_id,
             self.in_flight,
@@ -140,15 +140,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Presence:
-    """The sender is there, and which arbiters it can reach."""
+    """Reports that the sender is running, and the arbiters it can reach."""
 
     arbiters: tuple[str, ...] | None
-    """None if nothing has changed since it last told them."""
+    """None if unchanged since the last report."""
 
 
 @dataclass(slots=True, frozen=True)
 class TokensRequested:
-    """A node has calls of a team that need a token of its rate each."""
+    """Requests tokens of a team's rate, one for each waiting call."""
 
     team: str
     count: int
@@ -156,24 +156,24 @@
 
 @dataclass(slots=True, frozen=True)
 class TokensGranted:
-    """Answer to the oldest open request for tokens of a team."""
+    """Answers the oldest pending request for tokens of a team."""
 
     team: str
     granted: int
     wait_ms: int
-    """Time until there is another token."""
+    """Time until the next token is available."""
 
 
 @dataclass(slots=True, frozen=True)
 class ItemsSent:
-    """Entries of the source: key, revision and value, None if removed."""
+    """Entries of the source: key, revision and value (None if removed)."""
 
     items: tuple[tuple[str, int, bytes | None], ...]
 
 
 @dataclass(slots=True, frozen=True)
 class ItemPatched:
-    """A new revision of an entry, as a patch of an older one."""
+    """A new revision of an entry, as a patch against an older one."""
 
     key: str
     base_revision: int
@@ -184,23 +184,23 @@
 
 @dataclass(slots=True, frozen=True)
 class ItemsAnnounced:
-    """Keys and revisions that the sender has."""
+    """Keys and revisions of entries that the sender has."""
 
     revisions: tuple[tuple[str, int], ...]
     complete_revision: int = 0
-    """Above 0: these are all keys there were at this revision."""
+    """If above 0, the list has all keys that existed at this revision."""
 
 
 @dataclass(slots=True, frozen=True)
 class ItemsRequested:
-    """Keys that the sender asks for, with the revision that it has."""
+    """Requests entries by key, with the revision that the sender has."""
 
     keys: tuple[tuple[str, int], ...]
 
 
 @dataclass(slots=True, frozen=True)
 class ListingRequested:
-    """The sender asks which entries there are."""
+    """Requests the keys and revisions of all entries."""
 
 
 PeerMessage = (
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -1,4 +1,4 @@
-"""The task that gets tokens of the teams' rates, and grants them."""
+"""Task that requests quota tokens of teams' rates, and grants them."""
 
 import asyncio
 from collections import deque
@@ -13,40 +13,44 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 REQUEST_TIMEOUT_S = 0.25
-"""Time for an arbiter's answer, which usually takes a few milliseconds."""
+"""Time limit for an arbiter's answer, which usually takes milliseconds."""
 SUSPECT_S = 1.0
-"""Time for which an arbiter that did not answer is not asked."""
+"""Time for which an arbiter that did not answer gets no requests."""
 ARBITER_CHANGE_WAIT_S = 0.6
-"""Time after a change of arbiters in which calls without a token wait.
+"""Time after a change of arbiters in which calls wait instead of being denied.
 
-The new arbiter grants in full once all nodes have told it of the change.
+The new arbiter grants its full rate once all nodes have reported the change
+to it.
 """
 TICK_S = 0.1
-"""Period at which open requests are looked at."""
+"""Period of the check for unanswered requests."""
 FULL_PRESENCE_EVERY = 5
-"""One in so many periodic messages names the arbiters that can be reached."""
+"""One in this many periodic presence reports lists the reachable arbiters."""
 SPARE_TOKEN_TTL_S = 1.0
-"""Time for which a token that was not used serves another call."""
+"""Time for which an unused token can be used by another call."""
 
 
 @dataclass(slots=True)
 class _TeamRequests:
-    """Calls of a team that wait for tokens."""
+    """Calls of a team that wait for tokens, and the pending request."""
 
     team: state.Team
     waiting: deque[int] = field(default_factory=deque)
     arbiter: str | None = None
-    """Whom the open request went to."""
+    """Arbiter of the pending request; None if there is none."""
     requested: int = 0
     requested_at_s: float = 0.0
     no_token_until_s: float = -1e9
-    """Time of the next token, as the arbiter has said."""
+    """Time of the next token, as reported by the arbiter."""
     spare_tokens: int = 0
     spare_added_at_s: float = 0.0
 
 
 class QuotaTask(_mailbox.MailboxTask[_messages.QuotaMessage]):
-    """Owns the requests for tokens, and the buckets this node grants from."""
+    """Owns this node's token requests, and the token buckets it grants from.
+
+    Each team has one arbiter, chosen among those that this node can reach.
+    """
 
     def __init__(
         self,
@@ -73,13 +77,13 @@
         self._arbiters_changed_at_s = -1e9
 
     async def run_ticks(self) -> None:
-        """Put a tick into the mailbox until the task is cancelled."""
+        """Send periodic ticks to the mailbox until the task is cancelled."""
         while True:
             self.mailbox.tell(_messages.QuotaTick())
             await asyncio.sleep(TICK_S)
 
     def handle(self, message: _messages.QuotaMessage) -> None:
-        """Act on one message."""
+        """Process one message."""
         now_s = self._clock.now_s()
         match message:
             case _messages.QuotaRequested(number, team):
@@ -134,7 +138,7 @@
             self._request_tokens(requests, now_s)
 
     def _request_tokens(self, requests: _TeamRequests, now_s: float) -> None:
-        """Ask for a token for each waiting call."""
+        """Request one token for each waiting call."""
         count = len(requests.waiting)
         name = requests.team.name
         arbiter = state.arbiter_of(name, self._reachable, self._own_host)
@@ -156,7 +160,7 @@
         wait_s: float,
         now_s: float,
     ) -> None:
-        """Answer the calls for which tokens were asked."""
+        """Answer the calls for which tokens were requested."""
         requests.arbiter = None
         requested, requests.requested = requests.requested, 0
         for _ in range(granted):
@@ -227,7 +231,7 @@
         self._update_reachable(now_s)
 
     def _update_reachable(self, now_s: float) -> None:
-        """Find out which arbiters can be asked, and tell them."""
+        """Update the set of reachable arbiters, and report it to them."""
         reachable = tuple(
             host
             for host in self._arbiters
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -1,4 +1,4 @@
-"""The task that reads and watches the source."""
+"""Task that reads and watches the configuration source."""
 
 import asyncio
 from collections.abc import Callable
@@ -11,21 +11,24 @@
 from jasminecrank.mesh.coordination import _messages
 
 WATCH_TIMEOUT_S = 1.0
-"""Longest wait of a watch; its end shows that the source is reachable.
+"""Longest duration of one watch request.
 
-Peers judge a watcher by it, so it stays below the age at which they watch
-for themselves.
+Its end confirms that the source is reachable. Peers rely on this, so it must
+be below the age at which they start to watch the source themselves.
 """
-WATCH_INTERVAL_S = 0.2
-"""Least time between two watches, so that changes are read together."""
+WATCH_PAUSE_S = 0.2
+"""Pause after a successful watch, so that changes are read in batches."""
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.8
-"""Back-off after a failed read, within the 2 s for a new table."""
+"""Longest back-off after a failed read.
+
+It leaves room in the 2 s within which a new table has to be in force.
+"""
 
 
 @dataclass(slots=True, frozen=True)
 class Page:
-    """Some entries of the source, in the order of their keys."""
+    """One page of the source's entries, ordered by key."""
 
     items: tuple[state.Item, ...]
     has_more: bool
@@ -34,7 +37,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Changes:
-    """What changed after a revision, up to another."""
+    """Entries that changed after one revision, up to another."""
 
     items: tuple[state.Item, ...]
     revision: int
@@ -42,21 +45,21 @@
 
 @dataclass(slots=True, frozen=True)
 class HistoryGone:
-    """The source has dropped the history after the asked revision."""
+    """The source no longer has the changes after the requested revision."""
 
 
 @dataclass(slots=True, frozen=True)
 class Unavailable:
-    """The source gave no usable answer."""
+    """The source could not be reached or sent no usable answer."""
 
     reason: str
 
 
 class SourcePort(typing.Protocol):
-    """Reading calls of the source."""
+    """Read operations of the source."""
 
     async def read_page(self, after_key: str) -> Page | Unavailable:
-        """Return the entries that follow a key."""
+        """Return a page of the entries that follow a key."""
 
     async def watch(
         self, after_revision: int, wait_s: float
@@ -65,7 +68,11 @@
 
 
 class SourceTask:
-    """Owns the reading position in the source."""
+    """Keeps the revision up to which the source has been read.
+
+    It lists all entries first, then watches for changes. It lists them again
+    if the source no longer has the changes.
+    """
 
     def __init__(
         self,
@@ -84,7 +91,7 @@
         self._failures = 0
 
     def set_watching(self, watching: bool) -> None:
-        """Begin or stop to watch."""
+        """Start or stop watching the source."""
         if watching:
             self._enabled.set()
         else:
@@ -111,7 +118,7 @@
                 self._record_success()
                 self._revision = max(self._revision, revision)
                 self._tell(_messages.ChangesRead(items, revision))
-                await asyncio.sleep(WATCH_INTERVAL_S)
+                await asyncio.sleep(WATCH_PAUSE_S)
             case HistoryGone():
                 self._log.decision("history-gone", revision=self._revision)
                 self._revision = None
