Reword the features of the entry exchange and the quota task

The step texts spoke of nodes that hear, know and are alone, and the heads told less plainly what each feature guards against.

Heads, scenario titles, step texts and docstrings use the usual terms: messages that are not delivered, nodes that restart, an arbiter that stops responding. Step texts and the words in table cells that they are made of change together with the step functions, among them "an arbiter starts anew", which always restarted the team's arbiter. Scenarios, figures, seeds and bounds are the same.

Each fault of a table has its case in the step function.

The features check as much as before.

--- a/features/mesh/exchange.feature
+++ b/features/mesh/exchange.feature
@@ -1,27 +1,27 @@
-Feature: Entries that nodes pass on to each other
+Feature: Exchange of source entries between nodes
 
-  Guards against a node that misses an entry which others know, and against
-  control traffic that grows with the square of the fleet.
+  Guards against a node that misses an entry other nodes have, and against
+  control traffic that grows with the square of the fleet's size.
 
   Scenario Outline: A change reaches every node
     Given <hosts> nodes with a table of <rows> rows
     When one of <readers> readers reads a change of <changed> rows<fault>
     Then every node has it within <within> s
-    And each node has been sent at most <bytes> bytes for it
+    And each node has received at most <bytes> bytes for it
 
     Examples:
-      | hosts | rows | changed | readers | fault                              | within | bytes  |
-      | 10    | 300  | 1       | 3       |                                    | 0.1    | 2000   |
-      | 91    | 1000 | 1       | 3       |                                    | 0.1    | 2000   |
-      | 91    | 1000 | 400     | 3       |                                    | 1.0    | 70000  |
-      | 10    | 300  | 1       | 3       | , unheard by a third of the nodes  | 1.5    | 2500   |
-      | 91    | 1000 | 1       | 3       | , unheard by a third of the nodes  | 1.5    | 12000  |
-      | 10    | 300  | 1       | 3       | , after a change that was unheard by a third of the nodes | 1.5 | 4000 |
-
-  Scenario Outline: An entry that only some know
+      | hosts | rows | changed | readers | fault                                    | within | bytes  |
+      | 10    | 300  | 1       | 3       |                                          | 0.1    | 2000   |
+      | 91    | 1000 | 1       | 3       |                                          | 0.1    | 2000   |
+      | 91    | 1000 | 400     | 3       |                                          | 1.0    | 70000  |
+      | 10    | 300  | 1       | 3       | , not delivered to a third of the nodes  | 1.5    | 2500   |
+      | 91    | 1000 | 1       | 3       | , not delivered to a third of the nodes  | 1.5    | 12000  |
+      | 10    | 300  | 1       | 3       | , after a change that was not delivered to a third of the nodes | 1.5 | 4000 |
+
+  Scenario Outline: An entry that only some nodes have received
     Given <hosts> nodes with a table of 10 rows
-    When a reader reads <what>, unheard by a third of the nodes
-    Then every node knows that within 1.5 s
+    When the readers read <what>, not delivered to a third of the nodes
+    Then every node has applied it within 1.5 s
 
     Examples:
       | hosts | what                |
@@ -30,20 +30,20 @@
       | 40    | a new server        |
       | 40    | a server's removal  |
 
-  Scenario: A node that starts while the source is away
+  Scenario: A node that starts while the source is unavailable
     Given 10 nodes with a table of 300 rows
-    When a node starts anew and hears only its peers
+    When a node restarts and can reach only its peers
     Then every node has it within 0.5 s
 
-  Scenario: Nodes that know the same say nothing
+  Scenario: Nodes with equal entries send none
     Given 91 nodes with a table of 1000 rows
     When nothing changes for 5 s
     Then no listing and no entry has been sent
 
-  Scenario Outline: A patch makes the new value or none
+  Scenario Outline: A patch yields the new value or nothing
     Given a value of <rows> records
     When records <changed> change and a node applies the patch to <base>
-    Then it has <result>
+    Then the result is <result>
 
     Examples:
       | rows | changed | base      | result         |
--- a/features/steps/mesh_exchange_steps.py
+++ b/features/steps/mesh_exchange_steps.py
@@ -1,4 +1,4 @@
-"""Steps on entries passed between nodes, as a model in virtual time."""
+"""Steps for the exchange of entries between nodes, in virtual time."""
 
 from dataclasses import dataclass
 from dataclasses import field
@@ -20,11 +20,11 @@
 TICK_S = 0.05
 REPORT_PERIOD_S = 0.4
 LINKS_PER_NODE = 12
-"""Hosts that each node dials besides the readers, in a large fleet."""
+"""Hosts to which a node of a large fleet opens links besides the readers."""
 
 
 def decode(key, value):
-    """Decode tables by their first number, other entries as usual."""
+    """Decode a table to its version only, and other entries as usual."""
     if key != "table":
         return mesh_directory_steps.decode(key, value)
     version = int(value.split(b";")[0])
@@ -32,7 +32,10 @@
 
 
 def table_value(version, rows, changed=()):
-    """Return an entry of records that are unlike each other."""
+    """Return a table value whose records all differ from each other.
+
+    Only the records of the rows in `changed` depend on the version.
+    """
     rng = random.Random(rows)
     records = [b"%d;" % version]
     for number in range(rows):
@@ -46,7 +49,7 @@
 
 @dataclass
 class Host:
-    """A node's directory and exchange, and its links."""
+    """A node's directory, exchange and incoming links."""
 
     number: int
     directory: state.Directory
@@ -75,13 +78,16 @@
                 self.hosts[other].accepted.append(host.number)
 
     def make_host(self, number):
-        """Return an empty host."""
+        """Return a host without entries."""
         directory = state.Directory(decode)
         exchange = coordination.EntryExchange(directory, random.Random(number))
         return Host(number, directory, exchange)
 
     def send_to(self, sender, receiver):
-        """Return what sends messages from one host to another."""
+        """Return the function that sends messages from one host to another.
+
+        It is always the same one, since the exchange uses it as a key.
+        """
         key = (sender, receiver)
         if key not in self._sends:
 
@@ -94,7 +100,7 @@
         return self._sends[key]
 
     def read(self, number, items):
-        """Let a host read entries from the source, and pass them on."""
+        """Let a host read entries from the source and push them to others."""
         host = self.hosts[number]
         revision = max(item.revision for item in items)
         fresh = host.directory.offer_changes(items, revision, self.now_s)
@@ -103,7 +109,7 @@
         )
 
     def run(self, for_s, until=None):
-        """Let time pass; return when something held, or None."""
+        """Advance time; return when `until` first held, or None."""
         end_s = self.now_s + for_s
         ticks = round(self.now_s / TICK_S)
         while self.now_s < end_s:
@@ -185,14 +191,14 @@
 
 
 def third_of_links(context):
-    """Return the pairs by which a third of the nodes hear the readers."""
+    """Return the pairs of each reader with a third of the other nodes."""
     hosts = len(context.net.hosts)
     cut_off = [number for number in range(3, hosts) if number % 3 == 0]
     return {(reader, number) for reader in range(3) for number in cut_off}
 
 
 def change_table(context, rows):
-    """Let all readers read a new table; return whether a host has it."""
+    """Let all readers read a new table; set `has_change` to check for it."""
     context.revision += 1
     revision = context.revision
     value = table_value(revision, context.rows, range(rows))
@@ -212,26 +218,26 @@
 
 @when(
     "one of 3 readers reads a change of {rows:d} rows, "
-    "unheard by a third of the nodes"
+    "not delivered to a third of the nodes"
 )
-def step_change_unheard(context, rows):
+def step_change_undelivered(context, rows):
     context.net.dropped_pairs = third_of_links(context)
     change_table(context, rows)
 
 
 @when(
     "one of 3 readers reads a change of {rows:d} rows, "
-    "after a change that was unheard by a third of the nodes"
+    "after a change that was not delivered to a third of the nodes"
 )
-def step_change_after_unheard(context, rows):
+def step_change_after_undelivered(context, rows):
     context.net.dropped_pairs = third_of_links(context)
     change_table(context, rows)
     context.net.dropped_pairs = set()
     change_table(context, rows)
 
 
-@when("a reader reads {what}, unheard by a third of the nodes")
-def step_entry_unheard(context, what):
+@when("the readers read {what}, not delivered to a third of the nodes")
+def step_entry_undelivered(context, what):
     context.net.dropped_pairs = third_of_links(context)
     context.revision += 1
     match what:
@@ -243,14 +249,14 @@
         context.net.read(reader, [changed])
 
     def has_change(host):
-        there = changed.key in host.directory.fleet().server_by_id
-        return there == (changed.value is not None)
+        present = changed.key in host.directory.fleet().server_by_id
+        return present == (changed.value is not None)
 
     context.has_change = has_change
 
 
-@when("a node starts anew and hears only its peers")
-def step_starts(context):
+@when("a node restarts and can reach only its peers")
+def step_restarts(context):
     net = context.net
     fresh = net.make_host(5)
     fresh.accepted = net.hosts[5].accepted
@@ -266,7 +272,7 @@
 
 
 @then("every node has it within {within:g} s")
-@then("every node knows that within {within:g} s")
+@then("every node has applied it within {within:g} s")
 def step_all_have(context, within):
     net = context.net
     started_s = net.now_s
@@ -275,11 +281,11 @@
     assert at_s is not None, (started_s, net.now_s, late)
 
 
-@then("each node has been sent at most {most:d} bytes for it")
+@then("each node has received at most {most:d} bytes for it")
 def step_bytes(context, most):
     context.net.run(1.0)
-    sent = [host.received_bytes for host in context.net.hosts]
-    assert max(sent) <= most, sorted(sent)[-5:]
+    received = [host.received_bytes for host in context.net.hosts]
+    assert max(received) <= most, sorted(received)[-5:]
 
 
 @then("no listing and no entry has been sent")
@@ -308,7 +314,7 @@
     )
 
 
-@then("it has {result}")
+@then("the result is {result}")
 def step_patched(context, result):
-    wanted = context.target if result == "the new value" else None
-    assert context.result == wanted
+    expected = context.target if result == "the new value" else None
+    assert context.result == expected
--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the tasks that get and grant tokens, in virtual time."""
+"""Steps for the tasks that request and grant tokens, in virtual time."""
 
 import heapq
 import itertools
@@ -15,21 +15,21 @@
 
 DELAY_S = 0.002
 LATE_DELAY_S = 0.4
-"""Delay of an arbiter that answers late."""
+"""Message delay of an arbiter that answers late."""
 TICK_S = 0.1
 SILENT_AFTER_S = 1.0
-"""Time after which nodes notice that another says nothing."""
+"""Silence after which nodes regard another node as unreachable."""
 
 
 class NullLog:
-    """A log that drops everything."""
+    """A log that discards all lines."""
 
     def decision(self, event, **fields):
-        """Drop a line."""
+        """Discard a line."""
 
 
 class Nodes:
-    """Quota tasks of several nodes and the messages between them."""
+    """Quota tasks of several nodes and the network between them."""
 
     def __init__(self, hosts, team):
         self.now = 0.0
@@ -38,7 +38,7 @@
         self.order = itertools.count()
         self.delay_by_host = {}
         self.answers = {}
-        self.asked_at_s = {}
+        self.requested_at_s = {}
         self.messages = 0
         self.disconnected = set()
         self.names = [f"10.0.0.{number}" for number in range(hosts)]
@@ -60,7 +60,7 @@
         return self.now
 
     def make_task(self, name):
-        """Return a new task."""
+        """Return a new quota task that records its answers."""
 
         def answer(message):
             self.answers[message.number] = (message, self.now)
@@ -69,7 +69,7 @@
         return coordination.QuotaTask(name, arbiter, answer, self, NullLog())
 
     def connect(self, name):
-        """Link a node to all others, both ways."""
+        """Open links between a node and all others, in both directions."""
         self.disconnected.discard(name)
         for other in self.names:
             if other != name:
@@ -82,11 +82,11 @@
         self.tell(name, coordination.FleetChanged(self.fleet))
 
     def tell(self, name, message):
-        """Give a message to a task."""
+        """Let a task handle a message."""
         self.task_by_name[name].handle(message)
 
     def send(self, sender, receiver):
-        """Return what sends from one node to another."""
+        """Return a function that sends messages from one node to another."""
 
         def send(message):
             self.messages += 1
@@ -106,22 +106,22 @@
         return send
 
     def deliver(self):
-        """Deliver the next message."""
+        """Deliver the next message, or drop it if a side is disconnected."""
         self.now, _, sender, receiver, message = heapq.heappop(self.queue)
         if self.disconnected & {sender, receiver}:
             return
         match message:
             case coordination.TokensGranted():
-                told = coordination.ArbiterGranted(sender, message)
+                received = coordination.ArbiterGranted(sender, message)
             case _:
                 reply = self.send(receiver, sender)
-                told = coordination.RequesterMessageReceived(
+                received = coordination.RequesterMessageReceived(
                     sender, message, reply
                 )
-        self.tell(receiver, told)
+        self.tell(receiver, received)
 
     def run(self, for_s):
-        """Let time pass."""
+        """Advance time, delivering messages and ticks."""
         end_s = self.now + for_s
         while True:
             tick_s = (int(self.now / TICK_S + 1e-6) + 1) * TICK_S
@@ -134,13 +134,13 @@
             for name in self.names:
                 self.tell(name, coordination.QuotaTick())
 
-    def ask(self, name, number):
-        """Let a call of a node ask for a token."""
-        self.asked_at_s[number] = self.now
+    def request_token(self, name, number):
+        """Let a call of a node request a token."""
+        self.requested_at_s[number] = self.now
         self.tell(name, coordination.QuotaRequested(number, self.team))
 
     def arbiter(self):
-        """Return the team's arbiter while all nodes reach each other."""
+        """Return the team's arbiter while all nodes are connected."""
         chosen = state.arbiters(self.fleet)
         return state.arbiter_of(self.team.name, chosen, "")
 
@@ -163,12 +163,12 @@
 
 
 def inject_fault(nodes, fault):
-    """Bring a fault about; return the nodes that have no calls."""
+    """Inject a fault; return the nodes that get no calls."""
     arbiter = nodes.arbiter()
     match fault:
         case "nothing fails":
             return ()
-        case "the team's arbiter falls silent":
+        case "the team's arbiter stops responding":
             nodes.delay_by_host[arbiter] = 1e9
         case "the team's arbiter answers late":
             nodes.delay_by_host[arbiter] = LATE_DELAY_S
@@ -179,11 +179,11 @@
             for name in disconnected_names:
                 nodes.disconnect(name)
             return tuple(disconnected_names)
-        case "an arbiter starts anew":
+        case "the team's arbiter restarts":
             nodes.disconnect(arbiter)
             nodes.task_by_name[arbiter] = nodes.make_task(arbiter)
             nodes.connect(arbiter)
-        case "every node is alone":
+        case "every node loses its links":
             for name in nodes.names:
                 nodes.disconnect(name)
     return (arbiter,)
@@ -193,14 +193,14 @@
 def step_calls(context, fault, calls):
     nodes = context.nodes
     absent = inject_fault(nodes, fault)
-    if fault == "every node is alone":
+    if fault == "every node loses its links":
         absent = ()
     number = 0
     for _ in range(calls):
         for name in nodes.names:
             number += 1
             if name not in absent:
-                nodes.ask(name, number)
+                nodes.request_token(name, number)
         nodes.run(1.0 / calls)
     nodes.run(2.0)
 
@@ -208,7 +208,7 @@
 @then("every call gets a token within {within:g} s")
 def step_all(context, within):
     nodes = context.nodes
-    for number, at_s in nodes.asked_at_s.items():
+    for number, at_s in nodes.requested_at_s.items():
         assert number in nodes.answers, (number, at_s)
         message, answered_s = nodes.answers[number]
         assert message.granted, (number, at_s, message)
@@ -220,10 +220,10 @@
     answers = [message for message, _ in context.nodes.answers.values()]
     granted = sum(message.granted for message in answers)
     assert granted <= most, granted
-    assert len(answers) == len(context.nodes.asked_at_s)
+    assert len(answers) == len(context.nodes.requested_at_s)
 
 
-@then("the others are told to wait at most {wait:g} s")
+@then("the other calls get a retry delay of at most {wait:g} s")
 def step_wait(context, wait):
     waits = [
         message.wait_s
@@ -233,19 +233,19 @@
     assert max(waits) <= wait, max(waits)
 
 
-@when("a node's call has a token and does not use it")
+@when("a node's call leaves its token unused")
 def step_unused(context):
     nodes = context.nodes
     context.node = next(n for n in nodes.names if n != nodes.arbiter())
-    nodes.ask(context.node, 1)
+    nodes.request_token(context.node, 1)
     nodes.run(0.05)
     nodes.tell(context.node, coordination.QuotaUnused("team-a"))
 
 
-@then("its next call gets one without a message")
+@then("its next call gets a token without a message")
 def step_spare(context):
     nodes = context.nodes
     sent = nodes.messages
-    nodes.ask(context.node, 2)
+    nodes.request_token(context.node, 2)
     assert nodes.answers[2][0].granted
     assert nodes.messages == sent
