Name the fleet task's table version and clarify two docstrings

FleetTask.version did not say of what, and two docstrings could be misread: one as if a node watched itself, one as if reports refused calls.

The property is now table_version, as the gauge that shows it, and the docstrings of STALE_AFTER_S and StopRequested say what happens.

No behaviour changes.

--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -22,7 +22,7 @@
 DEAD_AFTER_S = 2.2
 """Silence of a peer after which the link to it is closed."""
 STALE_AFTER_S = 1.6
-"""Age of the watchers' confirmations at which a node starts to watch itself.
+"""Age of the watchers' confirmations at which a node watches the source too.
 
 It leaves time to read the source within the 2 s in which a table has to be in
 force.
@@ -106,7 +106,7 @@
         return self._fleet.table is not None
 
     @property
-    def version(self) -> int:
+    def table_version(self) -> int:
         """Return the version of the table in force, or 0 if there is none."""
         table = self._fleet.table
         return 0 if table is None else table.version
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -205,7 +205,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StopRequested:
-    """The node was asked to stop; its load reports then refuse new calls."""
+    """The node was asked to stop; it then reports that it accepts no calls."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -319,7 +319,7 @@
             return protocol.RawAnswer(404, b"", (), b"not found\n")
         load = self.gate.load()
         gauges: dict[str, float] = {
-            "table_version": self.fleet.version,
+            "table_version": self.fleet.table_version,
             "confirmed_age_seconds": self.fleet.confirmed_age_s(
                 self._clock.now_s()
             ),
