Reword the texts of admission, queue, ramp and retry

Docstrings, comments and invariant messages of the admission, dispatch, queue, slot, ramp, booking, idempotency and retry modules used figurative phrases and words private to the project.

They now say in usual terms what the code does and why. Every reason and figure is kept. The reset reasons of the ramp stay, because they are written into the server-cold event.

--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -1,4 +1,4 @@
-"""The decision on a call."""
+"""Admission control: the decision on each call."""
 
 from collections import Counter
 import dataclasses
@@ -21,18 +21,18 @@
 
 _WORKER_THREADS = 48
 _RESERVED_THREADS = 4
-"""Threads that ordinary calls leave free, so that a check finds one."""
+"""Worker threads kept free of ordinary calls, for internal checks."""
 
 _MIN_QUEUE_THREADS = 8
-"""Threads that slots leave to calls that wait or are forwarded."""
+"""Worker threads that slots leave to waiting and forwarded calls."""
 
 
 @dataclass(slots=True)
 class AdmissionState:
-    """Owns what the decisions on calls of one node depend on.
+    """Owns the state that the admission decisions of one node depend on.
 
-    A call gets its decision from `admit`, or later from `take_deferred`
-    under the ticket that `admit` returned; never from both.
+    A call gets exactly one decision: from `admit`, or later from
+    `take_deferred` under the ticket that `admit` returned.
     """
 
     host: str
@@ -51,7 +51,7 @@
         wall_ms: int = 0,
         threads: int = _WORKER_THREADS,
     ) -> "AdmissionState":
-        """Return the state of a node that has just started."""
+        """Return the state of a newly started node."""
         empty = _snapshot.Snapshot.empty()
         placement = _placement.PlacementState.from_host(host, wall_ms)
         usable = max(2, threads - _RESERVED_THREADS)
@@ -75,20 +75,20 @@
 
     @property
     def quota(self) -> _quota.QuotaState:
-        """Return the ledgers that tokens are taken from."""
+        """Return the quota state that grants the tokens."""
         return self.dispatcher.quota
 
     def admit(
         self, call: _calls.CallRequest, now_s: float
     ) -> _calls.Decision | _calls.Queued:
-        """Return the one decision on a call, or the ticket it waits under."""
+        """Decide on a call, or queue it and return its ticket."""
         result = self._decide(call, now_s)
         if not isinstance(result, _calls.Queued):
             self._count(result)
         return result
 
     def take_deferred(self) -> list[_calls.DeferredDecision]:
-        """Return the decisions on waiting calls made since the last time."""
+        """Return and clear the decisions made on waiting calls."""
         deferred = self.dispatcher.deferred
         if not deferred:
             return []
@@ -100,7 +100,7 @@
     def finish(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
     ) -> None:
-        """Take back the permit of a call that has ended."""
+        """Release the permit of a call that has ended."""
         self.dispatcher.finish(permit, outcome, now_s)
 
     def finish_forward(
@@ -109,7 +109,7 @@
         outcome: _calls.Outcome,
         now_s: float,
     ) -> None:
-        """Note how a call sent to another node has ended."""
+        """Record the outcome of a forwarded call."""
         self.placement.chooser.finished(
             forward.request_id,
             forward.host.host,
@@ -118,11 +118,11 @@
         )
 
     def outstanding_permits(self) -> int:
-        """Return how many permits have not been taken back."""
+        """Return the number of permits not yet released."""
         return len(self.dispatcher.server.permit_by_id)
 
     def cancel(self, request_id: str, now_s: float) -> None:
-        """Withdraw a call that waits."""
+        """Cancel a waiting call."""
         self.dispatcher.refuse_waiting_if(
             lambda entry: entry.checked.call.request_id == request_id,
             exceptions.ResultCode.CALL_CANCELLED,
@@ -130,7 +130,7 @@
         )
 
     def tick(self, now_s: float) -> None:
-        """Let waiting calls expire or try again for a token."""
+        """Expire overdue calls and retry those that wait for a token."""
         self.dispatcher.refuse_waiting_if(
             lambda entry: entry.checked.deadline_at_s <= now_s,
             exceptions.ResultCode.DEADLINE_EXCEEDED,
@@ -140,13 +140,13 @@
         self.dispatcher.start_waiting(now_s)
 
     def next_due_s(self) -> float | None:
-        """Return when `tick` is due for a waiting call."""
+        """Return when `tick` is next due for a waiting call, if at all."""
         return self.dispatcher.next_due_s()
 
     def observe_health(
         self, report: _calls.HealthReport, now_s: float
     ) -> None:
-        """Learn from the health and load endpoint of the server."""
+        """Apply a report of the server's health and load endpoint."""
         server = self.dispatcher.server
         server.observe_health(report, now_s)
         if self.placement.server_draining != server.ramp.draining:
@@ -157,25 +157,25 @@
     def set_ready(
         self, ready: bool, now_s: float, ticked_s: float | None = None
     ) -> None:
-        """Begin or cease to accept calls; waiting calls go on waiting.
+        """Start or stop accepting calls; waiting calls stay queued.
 
-        The readiness holds only while no pause has passed since its tick.
+        Readiness expires if the process is paused after `ticked_s`.
         """
         self.dispatcher.ready = ready
         self.dispatcher.ticked_s = ticked_s
         self.dispatcher.start_waiting(now_s)
 
     def stop(self, now_s: float) -> None:
-        """Forward all new calls and those that wait from now on."""
+        """Forward new and waiting calls to other nodes from now on."""
         self.placement.stopping = True
         self._update_placement(now_s)
 
     def waiting_count(self) -> int:
-        """Return how many calls wait for a slot or a token."""
+        """Return the number of calls that wait for a slot or a token."""
         return len(self.dispatcher.waiting_calls())
 
     def open_calls(self, now_s: float) -> int:
-        """Return how many calls wait, run or are on their way elsewhere."""
+        """Return the number of waiting, running and forwarded calls."""
         return (
             self.waiting_count()
             + self.dispatcher.server.slots.in_use
@@ -185,7 +185,7 @@
     def apply_snapshot(
         self, snapshot: _snapshot.Snapshot, now_s: float
     ) -> None:
-        """Decide by a new snapshot from now on."""
+        """Apply a new snapshot, also to the waiting calls."""
         self.snapshot = snapshot
         accepted = self.placement.accepting
         self.placement.apply_snapshot(snapshot, self._wall_ms(now_s))
@@ -229,7 +229,7 @@
                 typing.assert_never(place)
 
     def _recheck_waiting(self, now_s: float) -> None:
-        """Decide anew on the calls that wait, after a change."""
+        """Check the waiting calls again after a change of configuration."""
         kept: dict[int, _fair_queue.WaitingCall] = {}
         refused: list[tuple[_fair_queue.WaitingCall, _calls.Refused]] = []
         rerouted: list[_fair_queue.WaitingCall] = []
@@ -327,6 +327,6 @@
                 self.by_result[exceptions.ResultCode.OK] += 1
 
     def _wall_ms(self, now_s: float) -> int:
-        """Return the wall time, on a clock that never goes back."""
+        """Return the wall-clock time, which never decreases."""
         elapsed_ms = (now_s - self.started_at_s) * 1000
         return self.started_wall_ms + int(elapsed_ms)
--- a/src/jasminecrank/state/_backend_server.py
+++ b/src/jasminecrank/state/_backend_server.py
@@ -1,4 +1,4 @@
-"""The calls that run on the backend server beside this node."""
+"""Calls that run on this node's backend server."""
 
 from collections import Counter
 from dataclasses import dataclass
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class BackendServer:
-    """Owns the slots and the permits of one backend server."""
+    """Owns the slots and permits of one backend server."""
 
     ramp: _ramp.Ramp
     slots: _slots.SlotPool = field(default_factory=_slots.SlotPool)
@@ -65,7 +65,7 @@
     def finish(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
     ) -> bool:
-        """Take a permit back; return False if it was not out."""
+        """Release a permit; return False if it was not outstanding."""
         if self.permit_by_id.pop(permit.permit_id, None) is None:
             return False
         self.slots.release(permit.route.priority)
@@ -82,11 +82,11 @@
     def observe_health(
         self, report: _calls.HealthReport, now_s: float
     ) -> None:
-        """Learn from the health and load endpoint."""
+        """Adjust the capacity to a report of the health and load endpoint."""
         self.ramp.observe_health(report, self.slots.take_peak(), now_s)
 
     def retry_after_s(self, queue_length: int, now_s: float) -> float:
-        """Return when a queue of this length will have been served."""
+        """Estimate how long a queue of this length takes to be served."""
         rounds = (queue_length + 1) / max(1, self.ramp.capacity(now_s))
         return min(
             _RETRY_AFTER_MAX_S,
--- a/src/jasminecrank/state/_bookings.py
+++ b/src/jasminecrank/state/_bookings.py
@@ -1,4 +1,4 @@
-"""Bookings that wait, run or are remembered, each run at most once."""
+"""Waiting, running and ended bookings, each run at most once."""
 
 from dataclasses import dataclass
 from dataclasses import field
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredAnswer:
-    """The booking was run before and its answer is remembered."""
+    """The booking has already run and its answer is stored."""
 
     answer: _calls.Answer
 
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class Bookings:
-    """Owns the memory of keyed bookings and the others in hand."""
+    """Owns the stored keyed bookings and the open ones without a key."""
 
     store: _idempotency.IdempotencyStore = field(
         default_factory=_idempotency.IdempotencyStore
@@ -44,7 +44,7 @@
     def find(
         self, checked: _fair_queue.CheckedCall, now_s: float
     ) -> StoredAnswer | Rejected | None:
-        """Return what to say to a repeat; None if the call is none."""
+        """Return the result of a repeated booking, None for other calls."""
         if checked.route.kind is _rows.RouteKind.LOOKUP:
             return None
         key = _call_checks.booking_key(checked)
@@ -69,7 +69,7 @@
         now_s: float,
         wall_ms: int,
     ) -> Rejected | None:
-        """Return why a booking that is not remembered can't begin."""
+        """Return why a booking that is not stored can't run, if so."""
         key = _call_checks.booking_key(checked)
         if key is None:
             return None
@@ -91,7 +91,7 @@
                 )
 
     def reserve(self, checked: _fair_queue.CheckedCall) -> None:
-        """Note a booking that waits or is about to run."""
+        """Record a booking that waits or is about to run."""
         if checked.route.kind is _rows.RouteKind.LOOKUP:
             return
         key = _call_checks.booking_key(checked)
@@ -101,7 +101,7 @@
             self.store.reserve(key, _fingerprint(checked))
 
     def mark_permitted(self, checked: _fair_queue.CheckedCall) -> None:
-        """Note that a booking gets its permit."""
+        """Record that a booking gets its permit."""
         if checked.route.kind is _rows.RouteKind.LOOKUP:
             return
         key = _call_checks.booking_key(checked)
@@ -112,13 +112,13 @@
         _invariants.check(
             exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
             self.permitted_by_request_id.get(request_id) is False,
-            "booking %s gets a second permit",
+            "booking %s was given a second permit",
             request_id,
         )
         self.permitted_by_request_id[request_id] = True
 
     def cancel(self, checked: _fair_queue.CheckedCall) -> None:
-        """Forget a booking that got no permit."""
+        """Remove a booking that got no permit."""
         if checked.route.kind is _rows.RouteKind.BOOKING:
             self._remove(
                 checked.call.request_id, _call_checks.booking_key(checked)
@@ -127,7 +127,7 @@
     def complete(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
     ) -> None:
-        """Remember how a booking with a permit has ended."""
+        """Record the outcome of a booking with a permit."""
         if permit.route.kind is _rows.RouteKind.LOOKUP:
             return
         key = permit.idempotency_key or None
@@ -168,7 +168,7 @@
 
 
 def _in_progress() -> Rejected:
-    # The first of the equal requests may be running.
+    # The first of the duplicate requests may be running.
     return Rejected(
         exceptions.ResultCode.REPEAT_IN_PROGRESS, _MAY_HAVE_RUN, 1.0
     )
--- a/src/jasminecrank/state/_call_checks.py
+++ b/src/jasminecrank/state/_call_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a call that depend on the snapshot alone."""
+"""Checks of a call that need only the snapshot."""
 
 from jasminecrank import exceptions
 from jasminecrank.state import _calls
@@ -7,7 +7,7 @@
 from jasminecrank.state import _snapshot
 
 _MAX_KEY_CHARS = 255
-"""Longest idempotency key; the memory keeps up to 4,096 of them."""
+"""Longest idempotency key; up to 4,096 of them are stored."""
 
 
 def refuse(
@@ -18,7 +18,7 @@
     retry_after_s: float = 0.0,
     run_state: exceptions.RunState = exceptions.RunState.NOT_RUN,
 ) -> _calls.Refused:
-    """Return a refusal by the versions of a snapshot."""
+    """Return a refusal that carries a snapshot's table version."""
     return _calls.Refused(
         code=code,
         run_state=run_state,
@@ -32,7 +32,7 @@
 def check_call(
     snapshot: _snapshot.Snapshot, call: _calls.CallRequest, now_s: float
 ) -> _fair_queue.CheckedCall | _calls.Refused:
-    """Find the route, the team and the deadline of a call."""
+    """Resolve the route, team and deadline of a call, or refuse it."""
     route = snapshot.find_route(call.method, call.path)
     if route is None:
         return refuse(snapshot, exceptions.ResultCode.NO_ROUTE)
@@ -60,7 +60,7 @@
 
 
 def booking_key(checked: _fair_queue.CheckedCall) -> str | None:
-    """Return the idempotency key of a booking; lookups need none."""
+    """Return the idempotency key of a booking, None for lookups."""
     if checked.route.kind is _rows.RouteKind.BOOKING:
         return checked.call.idempotency_key or None
     return None
--- a/src/jasminecrank/state/_calls.py
+++ b/src/jasminecrank/state/_calls.py
@@ -1,4 +1,4 @@
-"""Calls, the decisions on them and their outcomes."""
+"""Calls, admission decisions and call outcomes."""
 
 from dataclasses import dataclass
 import enum
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallRequest:
-    """What the decision on a call depends on."""
+    """The parts of a request that its admission depends on."""
 
     request_id: str
     method: str
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
-    """A whole answer of a backend server."""
+    """A complete answer of a backend server."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Permit:
-    """The right to run one call on this node's backend server."""
+    """Permission to run one call on this node's backend server."""
 
     request_id: str
     route: _rows.RouteRow
@@ -55,7 +55,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ForwardTo:
-    """The call belongs to another node."""
+    """The call has to be forwarded to another node."""
 
     host: _rows.HostRow
     route: _rows.RouteRow
@@ -67,7 +67,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Replay:
-    """The call repeats one whose answer is remembered."""
+    """The call repeats a booking whose answer is stored."""
 
     answer: Answer
     version: _versions.Version
@@ -75,7 +75,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Refused:
-    """The call is refused; the run state says what may have happened."""
+    """The call is refused; the run state says whether it may have run."""
 
     code: exceptions.ResultCode
     run_state: exceptions.RunState
@@ -90,21 +90,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Queued:
-    """The call waits; its decision follows under the ticket."""
+    """The call is queued; its decision follows under the ticket."""
 
     ticket: int
 
 
 @dataclass(slots=True, frozen=True)
 class DeferredDecision:
-    """The decision on a call that waited."""
+    """The decision on a call that was queued."""
 
     ticket: int
     decision: Decision
 
 
 class OutcomeKind(enum.Enum):
-    """How a permitted call ended, as far as the backend server goes."""
+    """How a call with a permit ended on the backend server."""
 
     ANSWERED = "answered"
     SHED = "shed"
@@ -116,10 +116,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Outcome:
-    """How a call ended, with the answer if there is one.
+    """Outcome of a call, with the answer if there is one.
 
-    A server may shed a call after it has begun to run it, so `not_run` has
-    to be stated.
+    A server may shed a call after it has started to run it, so `not_run` is
+    set explicitly.
     """
 
     kind: OutcomeKind
@@ -129,13 +129,13 @@
 
     @property
     def did_not_run(self) -> bool:
-        """Return whether the backend server certainly did not run it."""
+        """Return whether the backend server is known not to have run it."""
         return self.not_run or self.kind is OutcomeKind.NOT_SENT
 
 
 @dataclass(slots=True, frozen=True)
 class HealthReport:
-    """What a backend server's health and load endpoint shows."""
+    """A report of a backend server's health and load endpoint."""
 
     reachable: bool
     started_at_ms: int
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -1,4 +1,4 @@
-"""Calls that wait for a slot and calls that start."""
+"""Queueing of calls and their start on the backend server."""
 
 from collections.abc import Callable
 import dataclasses
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True)
 class Dispatcher:
-    """Owns the calls that this node takes for its backend server."""
+    """Queues calls and starts them on this node's backend server."""
 
     snapshot: _snapshot.Snapshot
     quota: _quota.QuotaState
@@ -45,7 +45,7 @@
     def apply_snapshot(
         self, snapshot: _snapshot.Snapshot, now_s: float
     ) -> None:
-        """Follow the limits of the own service in a new snapshot."""
+        """Apply the limits of this node's service from a new snapshot."""
         self.snapshot = snapshot
         self.quota.apply_snapshot(snapshot, now_s)
         own = self.placement.own
@@ -73,16 +73,17 @@
         }
 
     def accepts_calls(self, now_s: float) -> bool:
-        """Return whether the node is ready and was not paused since then."""
+        """Return whether the node is ready and was not paused since."""
         return self.ready and (
             self.ticked_s is None
             or _readiness.is_current(self.ticked_s, now_s)
         )
 
     def threads_for_waiting(self, now_s: float) -> int:
-        """Return how many calls may wait, here or for another node.
+        """Return how many worker threads are left for waiting calls.
 
-        Slots keep their threads, as far as calls can start on them.
+        Every slot keeps its thread while this node accepts calls. Calls that
+        wait for a token or for another node occupy one thread each.
         """
         running = self.server.slots.in_use
         if self.placement.accepting:
@@ -93,7 +94,7 @@
         return max(0, self.threads - running - not_queued)
 
     def next_due_s(self) -> float | None:
-        """Return when a waiting call expires or tries for a token."""
+        """Return when the next call expires or retries its token, if any."""
         return min(
             (
                 due_s
@@ -109,7 +110,7 @@
     def finish(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
     ) -> None:
-        """Take back the permit of a call that has ended."""
+        """Release the permit of a call that has ended."""
         if not self.server.finish(permit, outcome, now_s):
             return
         if outcome.did_not_run:
@@ -136,7 +137,7 @@
         return [*self.token_wait.by_ticket.values(), *self.queue]
 
     def retain(self, by_ticket: dict[int, _fair_queue.WaitingCall]) -> None:
-        """Keep these waiting calls only, each in its place."""
+        """Keep only the given waiting calls, in their present order."""
         self.queue.retain(by_ticket)
         self.token_wait.by_ticket = {
             ticket: by_ticket[ticket]
@@ -147,7 +148,7 @@
     def submit(
         self, checked: _fair_queue.CheckedCall, now_s: float, wall_ms: int
     ) -> _calls.Decision | _calls.Queued:
-        """Start a call, let it wait or refuse it."""
+        """Start, queue or refuse a call."""
         rejected = self.bookings.check_new(
             checked, self.placement.owners, now_s, wall_ms
         )
@@ -170,7 +171,7 @@
         return _calls.Queued(entry.ticket)
 
     def retry_tokens(self, now_s: float) -> None:
-        """Let calls that are short of a token try again."""
+        """Retry the calls whose next attempt to take a token is due."""
         for entry in self.token_wait.take_due(now_s):
             wait_s: float | None = _NOT_READY_RETRY_S
             code = exceptions.ResultCode.NODE_NOT_READY
@@ -212,7 +213,7 @@
     def _enqueue(
         self, entry: _fair_queue.WaitingCall, now_s: float
     ) -> _calls.Refused | None:
-        """Let a call that has a token wait for a slot, or refuse it."""
+        """Queue a call that has a token until a slot is free, or refuse it."""
         checked = entry.checked
         limit = self._max_in_flight(checked)
         if limit is not None and (
@@ -234,7 +235,7 @@
         return None
 
     def start_waiting(self, now_s: float) -> None:
-        """Start waiting calls while there are slots."""
+        """Start waiting calls while slots are free."""
         while (
             self.accepts_calls(now_s)
             and (entry := self._next_startable(now_s)) is not None
@@ -289,7 +290,10 @@
         now_s: float,
         repeated: bool = False,
     ) -> float | None:
-        """Take a token; teams without a limit use open routes only."""
+        """Take a token, or return how long to wait before the next try.
+
+        A team without a limit can only use open routes and needs no token.
+        """
         service = checked.route.service
         if (service, checked.team) not in self.snapshot.by_limit:
             return None
@@ -300,7 +304,7 @@
             self.quota.refund(route.service, team, now_s)
 
     def roll_back(self, entry: _fair_queue.WaitingCall, now_s: float) -> None:
-        """Undo what was noted for a call that will not run here."""
+        """Refund any token of a call not run here and drop its booking."""
         checked = entry.checked
         if entry.retry_at_s is None:
             self._refund(checked.route, checked.team, now_s)
@@ -312,7 +316,7 @@
         code: exceptions.ResultCode,
         now_s: float,
     ) -> None:
-        """Refuse a call that waited."""
+        """Refuse a waiting call."""
         self.roll_back(entry, now_s)
         self.add_deferred(entry, self.refuse(code, entry.checked))
 
@@ -330,7 +334,7 @@
     def add_deferred(
         self, entry: _fair_queue.WaitingCall, decision: _calls.Decision
     ) -> None:
-        """Note the one decision on a call that waited."""
+        """Record the one decision on a waiting call."""
         self.deferred.append(_calls.DeferredDecision(entry.ticket, decision))
 
     def refuse_busy(
@@ -339,7 +343,7 @@
         checked: _fair_queue.CheckedCall,
         now_s: float,
     ) -> _calls.Refused:
-        """Refuse a call because others are served first."""
+        """Refuse a call for lack of capacity, with a time to retry after."""
         wait_s = self.server.retry_after_s(len(self.queue), now_s)
         return self.refuse(code, checked, wait_s)
 
@@ -348,7 +352,7 @@
         rejected: _bookings.Rejected,
         checked: _fair_queue.CheckedCall,
     ) -> _calls.Refused:
-        """Refuse a booking that can't run now."""
+        """Return the refusal of a booking that can't run now."""
         return _call_checks.refuse(
             self.snapshot,
             rejected.code,
@@ -364,7 +368,7 @@
         checked: _fair_queue.CheckedCall,
         retry_after_s: float = 0.0,
     ) -> _calls.Refused:
-        """Refuse a call that did not run."""
+        """Return the refusal of a call that did not run."""
         return _call_checks.refuse(
             self.snapshot, code, checked.team, checked.route, retry_after_s
         )
--- a/src/jasminecrank/state/_fair_queue.py
+++ b/src/jasminecrank/state/_fair_queue.py
@@ -1,4 +1,4 @@
-"""Bounded queue of calls that wait for a slot, served by weight."""
+"""Bounded, weighted fair queue of calls that wait for a slot."""
 
 from collections import deque
 from collections.abc import Callable
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CheckedCall:
-    """A call whose route, team and deadline are known."""
+    """A call with its resolved route, team and deadline."""
 
     call: _calls.CallRequest
     route: _rows.RouteRow
@@ -23,9 +23,10 @@
 
 @dataclass(slots=True, frozen=True)
 class WaitingCall:
-    """A call that waits and the ticket its decision is given under.
+    """A waiting call and the ticket that identifies its decision.
 
-    A call without a token has a time at which it tries to get one.
+    `retry_at_s` is set while the call has no token: the time of its next
+    attempt to take one.
     """
 
     ticket: int
@@ -42,10 +43,12 @@
 
 @dataclass(slots=True)
 class FairQueue:
-    """Serves teams by deficit round robin, internal checks before them.
+    """Serves internal checks first, then teams by deficit round robin.
 
-    Any team may use the whole ordinary part while it is free. Once it is
-    full, the newest call of the team furthest above its weight gives way.
+    A single team may fill the ordinary part of the queue. Once that part is
+    full, a new call evicts the newest call of the team whose queue is longest
+    relative to its weight. It is refused if the queue of its own team would
+    become at least as long.
     """
 
     limit: int = 0
@@ -65,12 +68,12 @@
             yield from queue.entries
 
     def waiting_count(self, team: str) -> int:
-        """Return how many ordinary calls of a team wait."""
+        """Return the number of waiting ordinary calls of a team."""
         queue = self.queue_by_team.get(team)
         return len(queue.entries) if queue else 0
 
     def offer(self, entry: WaitingCall) -> WaitingCall | None:
-        """Add a call; return the one that has no place, if any."""
+        """Add a call; return the call that is evicted or refused, if any."""
         if entry.checked.route.priority is _rows.Priority.INTERNAL:
             if len(self.internal) >= self.internal_limit:
                 return entry
@@ -91,11 +94,11 @@
         return evicted
 
     def pop_internal(self) -> WaitingCall | None:
-        """Return the next internal check."""
+        """Remove and return the next internal check, if any."""
         return self.internal.popleft() if self.internal else None
 
     def pop(self, may_start: Callable[[str], bool]) -> WaitingCall | None:
-        """Return the next ordinary call of a team that may start one."""
+        """Remove and return the next call of a team that may start one."""
         for _ in range(len(self.active_teams)):
             team = self.active_teams[0]
             queue = self.queue_by_team[team]
@@ -116,7 +119,7 @@
     def remove(
         self, condition: Callable[[WaitingCall], bool]
     ) -> list[WaitingCall]:
-        """Take out all calls that meet a condition, oldest first."""
+        """Remove and return calls that meet a condition, oldest first."""
         removed = [entry for entry in self if condition(entry)]
         if removed:
             tickets = {entry.ticket for entry in removed}
@@ -131,7 +134,7 @@
         return removed
 
     def retain(self, by_ticket: Mapping[int, WaitingCall]) -> None:
-        """Keep these calls only, each in its place and for its team."""
+        """Keep only the given calls, in their present order and team."""
         self.internal = _filter_entries(self.internal, by_ticket)
         for team in tuple(self.queue_by_team):
             queue = self.queue_by_team[team]
@@ -142,7 +145,7 @@
         )
 
     def next_deadline_s(self) -> float | None:
-        """Return when the next waiting call expires."""
+        """Return the earliest deadline of a waiting call, if any."""
         return min(
             (entry.checked.deadline_at_s for entry in self), default=None
         )
--- a/src/jasminecrank/state/_idempotency.py
+++ b/src/jasminecrank/state/_idempotency.py
@@ -1,4 +1,4 @@
-"""Memory of bookings that came with an idempotency key."""
+"""Store of bookings with an idempotency key."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -12,16 +12,16 @@
 from jasminecrank.state import _invariants
 
 _MAX_ANSWER_BYTES = 32_000_000
-"""Answers kept; a node has 256 MB and an answer up to 1 MB."""
+"""Size of all stored answers; a node has 256 MB, an answer up to 1 MB."""
 
 _MIN_EVICTION_AGE_MS = 5_000
-"""Youngest key that may be forgotten early, when the memory is full."""
+"""Minimum age of a key to be evicted when the store is full."""
 
 _UUID_VERSION = 7
 
 
 class EntryState(enum.Enum):
-    """What is known about the booking of a key."""
+    """State of the booking with a key."""
 
     IN_PROGRESS = "in-progress"
     ANSWERED = "answered"
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Fingerprint:
-    """What has to be equal in a repeat of the same booking."""
+    """The fields that must be equal in a repeat of the same booking."""
 
     team: str
     method: str
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True)
 class Entry:
-    """One remembered booking."""
+    """A stored booking."""
 
     fingerprint: Fingerprint
     state: EntryState = EntryState.IN_PROGRESS
@@ -49,7 +49,7 @@
 
 
 class KeyAvailability(enum.Enum):
-    """Whether a booking with a key not remembered may begin."""
+    """Whether a booking with a key that is not stored may run."""
 
     FREE = "free"
     FULL = "full"
@@ -57,7 +57,7 @@
 
 
 def uuid7_ms(key: str) -> int | None:
-    """Return the time in a UUIDv7 key, None for any other key."""
+    """Return the timestamp of a UUIDv7 key, None for any other key."""
     try:
         value = uuid.UUID(key)
     except ValueError:
@@ -67,12 +67,12 @@
 
 @dataclass(slots=True)
 class IdempotencyStore:
-    """Remembers bookings by key for a limited time.
+    """Stores bookings by key for a limited time.
 
-    An ended booking is forgotten early only if its key is a UUIDv7: every
-    key not younger than the youngest forgotten one is then refused, so that
-    none of them can run twice. Other keys fill the memory, which then takes
-    no new bookings.
+    A full store evicts an ended booking only if its key is a UUIDv7. Every
+    UUIDv7 no newer than the newest evicted one is then refused, so that none
+    of them can run twice. Other keys are never evicted; a store full of them
+    takes no new bookings until they expire.
     """
 
     max_keys: int = const.IDEMPOTENCY_MAX_KEYS
@@ -91,12 +91,12 @@
     )
 
     def find(self, key: str, now_s: float) -> Entry | None:
-        """Return what is remembered of a key."""
+        """Return the stored booking with a key, if any."""
         self._expire(now_s)
         return self.by_key.get(key)
 
     def check_new(self, key_ms: int | None, wall_ms: int) -> KeyAvailability:
-        """Return whether a booking with a key not remembered may begin."""
+        """Return whether a booking with a key that is not stored may run."""
         if key_ms is not None and key_ms <= self.evicted_up_to_ms:
             return KeyAvailability.EVICTED
         if len(self.by_key) >= self.max_keys and not self._evict_oldest(
@@ -106,29 +106,29 @@
         return KeyAvailability.FREE
 
     def reserve(self, key: str, fingerprint: Fingerprint) -> None:
-        """Remember a booking that waits or is about to run."""
+        """Store a booking that waits or is about to run."""
         _invariants.check(
             exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
             key not in self.by_key,
-            "a booking with a remembered key begins again",
+            "a booking with a stored key was stored again",
         )
         self.by_key[key] = Entry(fingerprint)
 
     def mark_permitted(self, key: str) -> None:
-        """Note that a booking gets its permit."""
+        """Record that a booking gets its permit."""
         entry = self.by_key.get(key)
         _invariants.check(
             exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
             entry is not None
             and entry.state is EntryState.IN_PROGRESS
             and not entry.permitted,
-            "a booking gets a second permit",
+            "a booking was given a second permit",
         )
         if entry is not None:
             entry.permitted = True
 
     def cancel(self, key: str) -> None:
-        """Forget a booking that did not run."""
+        """Remove a booking that did not run."""
         entry = self.by_key.get(key)
         if entry is not None and entry.state is EntryState.IN_PROGRESS:
             del self.by_key[key]
@@ -136,7 +136,7 @@
     def complete(
         self, key: str, answer: _calls.Answer | None, now_s: float
     ) -> None:
-        """Remember how a booking that ran has ended."""
+        """Record the outcome of a booking that ran."""
         entry = self.by_key.get(key)
         if entry is None or entry.state is not EntryState.IN_PROGRESS:
             return
@@ -155,7 +155,7 @@
             self._drop_answer(next(iter(self._answer_bytes_by_key)))
 
     def retry_after_s(self, now_s: float) -> float:
-        """Return when the next place becomes free."""
+        """Return the time until the next stored booking expires."""
         expires_at_s = next(iter(self._expires_at_s_by_key.values()), now_s)
         return max(1.0, expires_at_s - now_s)
 
@@ -167,7 +167,7 @@
             self._remove(key)
 
     def _evict_oldest(self, wall_ms: int) -> bool:
-        """Forget the oldest ended booking with a UUIDv7 that is not new."""
+        """Evict the first ended booking with a UUIDv7, if it is old enough."""
         if not self._evictable_ms_by_key:
             return False
         key, key_ms = next(iter(self._evictable_ms_by_key.items()))
--- a/src/jasminecrank/state/_ramp.py
+++ b/src/jasminecrank/state/_ramp.py
@@ -1,8 +1,8 @@
-"""What is believed about the capacity of the backend server.
+"""Capacity of the backend server, which ramps up after a cold start.
 
-Good news from the health and load endpoints is never believed, because both
-lag: only answers that come in time raise the capacity. Bad news is believed
-at once, unless an answer in time contradicts it.
+The health and load endpoints both lag, so a good report never raises the
+capacity: only timely answers to calls do. A bad report lowers it at once,
+unless a recent timely answer contradicts the report.
 """
 
 from dataclasses import dataclass
@@ -12,23 +12,23 @@
 from jasminecrank.state import _rows
 
 _MAX_WARMUP_GAP_S = 1.0
-"""Longest time between two answers that counts as time under load."""
+"""Longest gap between two answers that counts as warm-up under load."""
 
 _FAILURES_TO_RESET = 3
 _SHED_DECREASE_FACTOR = 0.7
 _SHED_RECOVERY_PER_S = 1.0
 
 _ANSWER_VALID_S = 1.0
-"""How long an answer in time outweighs a report that health is down."""
+"""How long a timely answer overrides a failed health check."""
 
 _LOAD_REPORT_TTL_S = 5.0
 _DOWN_PERIOD_S = 1.5
-"""How long a server counts as down; longer than one health period."""
+"""How long a server counts as down; above one health check period."""
 
 
 @dataclass(slots=True)
 class Ramp:
-    """Owns the capacity of one backend server."""
+    """Tracks the warm-up and the capacity of one backend server."""
 
     thread_limit: int
     reset_at_s: float
@@ -50,13 +50,13 @@
 
     @classmethod
     def from_start(cls, thread_limit: int, now_s: float) -> "Ramp":
-        """Return the ramp of a node that starts: the server is cold."""
+        """Return the ramp of a newly started node, whose server is cold."""
         return cls(thread_limit, now_s, now_s)
 
     def apply_row(
         self, row: _rows.ServiceRow | None, reserved_slots: int
     ) -> None:
-        """Follow the service row of a new snapshot."""
+        """Apply the service row of a new snapshot."""
         self.row = row
         self.reserved_slots = (
             reserved_slots if row is not None and row.slots > 1 else 0
@@ -74,11 +74,11 @@
         self.last_reset_reason = reason
 
     def capacity(self, now_s: float) -> int:
-        """Return how many calls the server may run at once."""
+        """Return how many calls may run on the server at once."""
         row = self.row
         if row is None or self.draining:
             return 0
-        # One connection is left to the health probe.
+        # One connection is reserved for the health check.
         limit = min(
             self._slots_after(row, self.warmup_s),
             self.thread_limit,
@@ -93,19 +93,19 @@
         return limit
 
     def cold_limit(self, now_s: float) -> int:
-        """Return what a server that fell cold at the reset bears by now."""
+        """Return the slots that a server cold at the last reset can take."""
         if self.row is None:
             return 0
         return self._slots_after(self.row, now_s - self.reset_at_s)
 
     def is_down(self, now_s: float) -> bool:
-        """Return whether the server is not expected to answer."""
+        """Return whether the server is presumed unreachable."""
         return now_s < self.down_until_s
 
     def observe(
         self, permit: _calls.Permit, outcome: _calls.Outcome, now_s: float
     ) -> None:
-        """Learn from the outcome of a call."""
+        """Adjust the capacity to the outcome of a call."""
         match outcome.kind:
             case _calls.OutcomeKind.ANSWERED:
                 self._observe_answer(permit, outcome.duration_s, now_s)
@@ -113,7 +113,7 @@
                 self.failures_in_a_row = 0
                 self._observe_shed(permit.admitted_at_s, now_s)
             case _calls.OutcomeKind.NOT_SENT:
-                # A call whose deadline passed was not sent either.
+                # Calls whose deadline has passed are not sent either.
                 if now_s < permit.deadline_at_s:
                     self.reset("connection refused", now_s)
                     self.down_until_s = now_s + _DOWN_PERIOD_S
@@ -125,7 +125,7 @@
     def observe_health(
         self, report: _calls.HealthReport, in_use_peak: int, now_s: float
     ) -> None:
-        """Learn from the health and load endpoint."""
+        """Adjust the capacity to a report of the health and load endpoint."""
         if not report.reachable:
             if now_s - self.answered_at_s > _ANSWER_VALID_S:
                 self.reset("health unreachable", now_s)
@@ -138,8 +138,8 @@
             self.reset("server ended draining", now_s)
         self.draining = report.draining
         self._observe_load(report.load, in_use_peak, now_s)
-        # With a single cold slot, kept for internal checks, no ordinary
-        # answer could ever raise the capacity.
+        # With a single cold slot, reserved for internal checks, no ordinary
+        # call could start and warm up the server.
         if (
             self.row
             and self._slots_after(self.row, self.warmup_s)
@@ -171,7 +171,7 @@
     def _observe_failure(self, permit: _calls.Permit, now_s: float) -> None:
         self.warmup_counted_until_s = now_s
         allowed_s = permit.deadline_at_s - permit.admitted_at_s
-        # A caller's own short deadline says nothing about the server.
+        # A short deadline set by the caller is no sign of a slow server.
         if (
             permit.admitted_at_s < self.reset_at_s
             or allowed_s < permit.route.deadline_ms / 2000
@@ -183,7 +183,7 @@
 
     def _observe_shed(self, admitted_at_s: float, now_s: float) -> None:
         self.warmup_counted_until_s = now_s
-        # Calls admitted before the last decrease tell the same thing again.
+        # Calls admitted before the last decrease report the same overload.
         if admitted_at_s < self.shed_at_s:
             return
         self.shed_limit = max(
@@ -194,7 +194,7 @@
     def _observe_load(
         self, load: float, in_use_peak: int, now_s: float
     ) -> None:
-        """Leave room for load that does not come through this node."""
+        """Lower the capacity by the load that bypasses this node."""
         if self.row is None or not math.isfinite(load) or load < 0.0:
             return
         busy = math.ceil(load * self.row.slots - 1e-9)
--- a/src/jasminecrank/state/_retry.py
+++ b/src/jasminecrank/state/_retry.py
@@ -1,4 +1,4 @@
-"""What is proved about the attempts of a call, and what follows from it."""
+"""Results of the attempts of a call, and whether another may follow."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -26,7 +26,7 @@
         exceptions.ResultCode.ANSWER_TOO_LARGE,
     }
 )
-"""Refusals caused by one host; the others would be repeated elsewhere."""
+"""Refusals specific to one host; others would recur on any host."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,7 +45,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AnswerLost:
-    """Part of the request was written and no whole answer came back."""
+    """Part of the request was written; no complete answer was received."""
 
     code: exceptions.ResultCode
 
@@ -69,7 +69,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Answered:
-    """The whole answer of a backend server came back."""
+    """The complete answer of a backend server was received."""
 
     answer: _calls.Answer
 
@@ -91,7 +91,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Deliver:
-    """The caller gets an answer as it came."""
+    """The caller gets an answer unchanged."""
 
     answer: _calls.Answer
 
@@ -108,7 +108,7 @@
 
 
 def run_state(result: AttemptResult) -> exceptions.RunState:
-    """Return what an attempt proves about the call having run."""
+    """Return whether an attempt may have run the call."""
     match result:
         case NothingSent() | ClosedBeforeRequest():
             return exceptions.RunState.NOT_RUN
@@ -127,7 +127,7 @@
 
 
 def outcome_kind(result: AttemptResult) -> _calls.OutcomeKind:
-    """Return what an attempt says about the host it was sent to."""
+    """Return the outcome of an attempt for the host it was sent to."""
     match result:
         case Answered():
             return _calls.OutcomeKind.ANSWERED
@@ -138,7 +138,7 @@
                 return _calls.OutcomeKind.SHED
             return _calls.OutcomeKind.ANSWERED
         case NothingSent() | ClosedBeforeRequest():
-            # A late or unusable request says nothing about the server.
+            # A late or invalid request is no sign of a faulty server.
             if result.code is exceptions.ResultCode.BACKEND_UNREACHABLE:
                 return _calls.OutcomeKind.NOT_SENT
             return _calls.OutcomeKind.CANCELLED
@@ -151,7 +151,7 @@
 
 
 def _reached_no_server(result: AttemptResult) -> bool:
-    # Stated apart from run_state, so that the invariants can find it wrong.
+    # Independent of run_state, so that the invariants detect an error there.
     match result:
         case NothingSent() | ClosedBeforeRequest():
             return True
@@ -165,7 +165,7 @@
 
 @dataclass(slots=True)
 class Attempts:
-    """The attempts of one call; a call on its second node has only one."""
+    """The attempts of one call; a forwarded call has only one."""
 
     request_id: str
     may_retry: bool
@@ -173,12 +173,12 @@
     results: list[AttemptResult] = field(default_factory=list)
 
     def begin(self, host: str, kind: _rows.RouteKind) -> None:
-        """Note that the call is about to be sent to a host."""
+        """Record that the call is about to be sent to a host."""
         _invariants.check(
             exceptions.ResultCode.INVARIANT_AT_MOST_ONCE,
             kind is _rows.RouteKind.LOOKUP
             or all(_reached_no_server(result) for result in self.results),
-            "booking %s sent again to %s after %s",
+            "booking %s retried on host %s after %s",
             self.request_id,
             host,
             self.results,
@@ -186,7 +186,7 @@
         self.hosts.append(host)
 
     def end(self, kind: _rows.RouteKind, result: AttemptResult) -> NextStep:
-        """Take the result of the last attempt and return what follows."""
+        """Record the result of the last attempt; return the next step."""
         self.results.append(result)
         if self.may_retry and _may_retry(kind, result):
             return TryElsewhere()
@@ -195,16 +195,16 @@
     def conclude(
         self, code: exceptions.ResultCode | None = None
     ) -> Deliver | Refuse:
-        """Return how the call ends when no attempt follows.
+        """Return the final step of a call that is not retried.
 
-        A code given here replaces the code of the last failure.
+        `code` replaces the code of the last failure.
         """
         last_result = self.results[-1]
         match last_result:
             case Answered():
                 return Deliver(last_result.answer)
             case Shed() | NodeRefused():
-                # An answer that says "not run" speaks of its own attempt.
+                # The run state in an answer covers only its own attempt.
                 if run_state(last_result) is self.run_state():
                     return Deliver(last_result.answer)
                 return self.refuse(code or self._lost_answer_code())
@@ -229,7 +229,8 @@
     ) -> Refuse:
         """Return a refusal whose run state covers every attempt.
 
-        What the decision on a further attempt said is covered as well.
+        `decision_state` adds the run state of the decision that prevented
+        a further attempt.
         """
         refusal = Refuse(
             code, _combine_run_states((self.run_state(), decision_state))
@@ -238,14 +239,14 @@
             exceptions.ResultCode.INVARIANT_NOT_RUN,
             refusal.run_state is not exceptions.RunState.NOT_RUN
             or all(_reached_no_server(result) for result in self.results),
-            "call %s refused as not run after %s",
+            "call %s refused as not run after attempts %s",
             self.request_id,
             self.results,
         )
         return refusal
 
     def run_state(self) -> exceptions.RunState:
-        """Return what all attempts together prove."""
+        """Return the combined run state of all attempts."""
         return _combine_run_states(
             run_state(result) for result in self.results
         )
@@ -286,13 +287,13 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Limits repeated calls to a part of all calls."""
+    """Limits retries to a fraction of all calls."""
 
     tokens: float = _BUDGET_BURST
     calls_seen: int = 0
 
     def take(self, calls_seen: int) -> bool:
-        """Take one retry, given how many calls the node has seen."""
+        """Take one retry, given the total number of calls on the node."""
         new = max(0, calls_seen - self.calls_seen)
         self.calls_seen += new
         self.tokens = min(_BUDGET_BURST, self.tokens + new * _BUDGET_RATIO)
--- a/src/jasminecrank/state/_slots.py
+++ b/src/jasminecrank/state/_slots.py
@@ -1,4 +1,4 @@
-"""Slots of the backend server beside this node."""
+"""Slots of this node's backend server."""
 
 from dataclasses import dataclass
 
@@ -24,7 +24,7 @@
     def has_room(
         self, priority: _rows.Priority, capacity: int, reserved_slots: int
     ) -> bool:
-        """Return whether a call may start; reserved slots stay internal."""
+        """Return whether a slot is free; reserved ones are for checks."""
         if self.in_use >= capacity:
             return False
         if priority is _rows.Priority.INTERNAL:
@@ -34,7 +34,7 @@
     def acquire(
         self, priority: _rows.Priority, capacity: int, cold_limit: int
     ) -> None:
-        """Take a slot."""
+        """Take a slot; assert that the capacity allows it."""
         if priority is _rows.Priority.INTERNAL:
             self.internal_in_use += 1
         else:
@@ -43,23 +43,24 @@
         _invariants.check(
             exceptions.ResultCode.INVARIANT_COLD_START_OVERLOAD,
             self.in_use <= capacity <= cold_limit,
-            "%d slots in use, capacity %d, a cold server bears %d",
+            "%d slots in use, capacity %d, cold-start limit %d",
             self.in_use,
             capacity,
             cold_limit,
         )
 
     def release(self, priority: _rows.Priority) -> None:
-        """Give a slot back."""
+        """Release the slot of a call that has ended."""
         if priority is _rows.Priority.INTERNAL:
             self.internal_in_use -= 1
         else:
             self.ordinary_in_use -= 1
 
     def take_peak(self) -> int:
-        """Return the most slots in use over the last two calls.
+        """Return the peak number of slots in use in the last two periods.
 
-        A load report lags, so it is compared with both periods.
+        Reading the peak ends a period. A load report lags, so it is compared
+        with the peak of both periods.
         """
         peak = max(self.peak, self.previous_peak)
         self.previous_peak = self.peak
