Name the byte limit of the idempotency store and the test rules

max_answer_bytes read like a limit on one answer, but limits the sum of all stored answers; it is max_stored_bytes now.

The state machine test derives its examples from its source, so it tries other examples than before; counts and bounds of the test are unchanged.

--- a/features/steps/admission_machine_steps.py
+++ b/features/steps/admission_machine_steps.py
@@ -41,7 +41,7 @@
         self.calls = []
         self.keys_run = set()
         self.key_by_permit = {}
-        self.both_waited = False
+        self.both_waited_before = False
         self.spent_tokens = 0
         self.forward_deadlines_s = []
         self.started_by_team = collections.Counter()
@@ -57,7 +57,7 @@
         burst=st.integers(1, 6),
         waits=st.lists(st.sampled_from([0.01, 0.05, 0.2]), max_size=3),
     )
-    def calls_come(
+    def calls_arrive(
         self, kind, team, key, deadline_s, forwarded, burst, waits=()
     ):
         """Ask for decisions on equal calls."""
@@ -111,7 +111,7 @@
         """Answer calls one by one while both teams send more."""
         for _ in range(count):
             for team in ("large", "small"):
-                self.calls_come("lookup", team, None, None, False, 1)
+                self.calls_arrive("lookup", team, None, None, False, 1)
             self.call_ends("answered", 0, False)
 
     @stateful.rule(
@@ -144,7 +144,7 @@
             ]
         )
     )
-    def health_comes(self, event):
+    def health_is_reported(self, event):
         """Report health."""
         world = self.world
         known = world.server.ramp.started_at_ms is not None
@@ -171,7 +171,7 @@
             ]
         )
     )
-    def version_comes(self, event):
+    def snapshot_changes(self, event):
         """Put a new snapshot in force."""
         before = self.host_accepts_calls()
         self.world.run_actions(event)
@@ -179,7 +179,7 @@
             self.cold_at_s = self.world.now_s
         self.check_new_results()
         for call in self.world.call_by_ticket.values():
-            assert self.key_is_valid(call), call
+            assert self.is_key_valid(call), call
 
     @stateful.rule(warm=st.booleans())
     def host_recovers(self, warm):
@@ -196,9 +196,9 @@
         self.set_ready(True)
         self.check_new_results()
         for index in range(12 if warm and not self.stopped else 0):
-            self.calls_come("lookup", "large", None, None, False, 1)
+            self.calls_arrive("lookup", "large", None, None, False, 1)
             if index > 8:
-                self.calls_come("lookup", "small", None, None, False, 1)
+                self.calls_arrive("lookup", "small", None, None, False, 1)
             world.advance(0.4, self.check_new_results)
             self.check_new_results()
             if index < 8:
@@ -217,7 +217,7 @@
 
     @stateful.precondition(lambda self: not self.stopped)
     @stateful.rule(really=st.integers(0, 9))
-    def stop_comes(self, really):
+    def planned_stop_begins(self, really):
         """Begin a planned stop, seldom."""
         if really == 0:
             self.stopped = True
@@ -259,7 +259,7 @@
         assert self.host_accepts_calls()
         assert not self.stopped
         assert not world.draining
-        assert self.key_is_valid(call), call
+        assert self.is_key_valid(call), call
         assert world.now_s < permit.deadline_at_s
         if permit.route.kind is state.RouteKind.BOOKING:
             key = call.idempotency_key or call.request_id
@@ -288,9 +288,9 @@
             and server.running_by_team[row.team] < row.max_in_flight
             for row in LIMITS
         )
-        if not (both and self.both_waited):
+        if not (both and self.both_waited_before):
             self.started_by_team.clear()
-        self.both_waited = both
+        self.both_waited_before = both
         for _, decision in new:
             if isinstance(decision, state.Admitted) and (
                 decision.permit.route.priority is not INTERNAL
@@ -365,7 +365,7 @@
             row.state is state.HostState.LIVE and "north" not in self.world.out
         )
 
-    def key_is_valid(self, call):
+    def is_key_valid(self, call):
         """Return whether the key of a call is in force."""
         if call.path == "/board":
             return True
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -63,7 +63,7 @@
     if first in ("waits", "gave up waiting"):
         world.start_calls("large", 2)
     if first == "was too long":
-        store.max_answer_bytes = 1
+        store.max_stored_bytes = 1
     call, _ = world.call("booking", **key_fields(context), body_digest="one")
     if first == "gave up waiting":
         world.admission.cancel(call.request_id, world.now_s)
--- a/src/jasminecrank/state/_idempotency.py
+++ b/src/jasminecrank/state/_idempotency.py
@@ -11,7 +11,7 @@
 from jasminecrank.state import _calls
 from jasminecrank.state import _invariants
 
-_MAX_ANSWER_BYTES = 32_000_000
+_MAX_STORED_BYTES = 32_000_000
 """Size of all stored answers; a node has 256 MB, an answer up to 1 MB."""
 
 _MIN_EVICTION_AGE_MS = 5_000
@@ -76,9 +76,9 @@
     """
 
     max_keys: int = const.IDEMPOTENCY_MAX_KEYS
-    max_answer_bytes: int = _MAX_ANSWER_BYTES
+    max_stored_bytes: int = _MAX_STORED_BYTES
     by_key: dict[str, Entry] = field(default_factory=dict)
-    answer_bytes: int = 0
+    stored_bytes: int = 0
     evicted_up_to_ms: int = -1
     _expires_at_s_by_key: OrderedDict[str, float] = field(
         default_factory=OrderedDict
@@ -150,8 +150,8 @@
         entry.state = EntryState.ANSWERED
         entry.answer = answer
         self._answer_bytes_by_key[key] = _size_bytes(answer)
-        self.answer_bytes += self._answer_bytes_by_key[key]
-        while self.answer_bytes > self.max_answer_bytes:
+        self.stored_bytes += self._answer_bytes_by_key[key]
+        while self.stored_bytes > self.max_stored_bytes:
             self._drop_answer(next(iter(self._answer_bytes_by_key)))
 
     def retry_after_s(self, now_s: float) -> float:
@@ -184,7 +184,7 @@
         del self.by_key[key]
 
     def _drop_answer(self, key: str) -> None:
-        self.answer_bytes -= self._answer_bytes_by_key.pop(key, 0)
+        self.stored_bytes -= self._answer_bytes_by_key.pop(key, 0)
         self.by_key[key].answer = None
 
 
