Reword the tests of admission, queue, ramp and retry

Step texts, scenario titles and the docstrings of the steps spoke of large and small without saying that these are teams, and used figurative phrases.

The steps name teams and services, and titles and heads say which failure a test guards against. Step texts change together with their functions.

--- a/features/state/admission.feature
+++ b/features/state/admission.feature
@@ -1,12 +1,12 @@
-Feature: Queue, slots and placement of calls
+Feature: Queueing, slots and placement of calls
 
   Scenario Outline: Teams share the slots by weight
-    Guards against a large team that starves a small one.
+    Guards against a small team that is starved by a large one.
 
-    Given a node of ledger
-    When large and small keep <large> and <small> calls waiting
-    And <count> calls are served one after the other
-    Then large got between <least> and <most> of them
+    Given a node of service ledger
+    When teams large and small keep <large> and <small> calls waiting
+    And <count> calls are served in sequence
+    Then team large gets between <least> and <most> of them
 
     Examples: Weights are 3 and 1
       | large | small | count | least | most |
@@ -15,14 +15,14 @@
       | 10    | 0     | 50    | 50    | 50   |
       | 0     | 10    | 50    | 0     | 0    |
 
-  Scenario Outline: A call that waits gets one decision
-    Guards against a waiting call that is lost, starts after its deadline, or
-    keeps the token or the idempotency key of a call that never ran.
+  Scenario Outline: A waiting call gets exactly one decision
+    Guards against a waiting call that is lost or starts after its deadline, or
+    that never ran but keeps its token or its idempotency key.
 
-    Given a node of ledger whose slots are all in use
-    And a <kind> of small that waits
+    Given a node of service ledger whose slots are all in use
+    And a waiting <kind> of team small
     When the event <event> happens
-    Then its one decision is <decision>
+    Then its only decision is <decision>
     And its token is <token>
 
     Examples:
@@ -43,14 +43,14 @@
       | lookup  | out north, in north            | ForwardTo                   | refunded |
       | lookup  | out south                      | none yet                    | spent    |
 
-  Scenario Outline: A call short of a token waits for it
-    Guards against a refusal inside a team's rate, when the token is with a
-    host of the same service that is about to lend it.
+  Scenario Outline: A call without a token waits for one
+    Guards against the refusal of a call within its team's rate while another
+    host of the service holds the token and is about to lend it.
 
-    Given a node of ledger
-    And a <kind> of small that is told to wait <waits> s for a token
+    Given a node of service ledger
+    And a <kind> of team small that has to wait <waits> s for a token
     When these events happen: <events>
-    Then its one decision is <decision>
+    Then its only decision is <decision>
     And its token is <token>
 
     Examples:
@@ -66,27 +66,27 @@
       | booking | 0.02                   | out south, wait 0.02  | Admitted              | spent    |
 
   Scenario Outline: The queue is bounded
-    Guards against a burst that takes every worker thread, and against a large
-    team that pushes a small one out of the queue.
+    Guards against a burst that occupies all worker threads, and against a
+    large team that fills the queue at the expense of a small one.
 
-    Given a node of ledger whose slots are all in use
-    When large sends <large> lookups and small sends <small>
-    Then <waiting> calls of small wait
-    And <refused> calls of large are refused as QUEUE_FULL with Retry-After
-    And a check of large waits for a slot at most one call long
+    Given a node of service ledger whose slots are all in use
+    When team large sends <large> lookups and team small sends <small>
+    Then <waiting> calls of team small wait
+    And <refused> calls of team large get QUEUE_FULL with Retry-After
+    And a check of team large starts once one call has ended
 
-    Examples: 48 threads, 4 of them spared, 12 slots
+    Examples: 48 threads, 4 of them reserved, 12 slots
       | large | small | waiting | refused |
       | 30    | 0     | 0       | 0       |
       | 30    | 2     | 2       | 0       |
       | 30    | 8     | 8       | 6       |
       | 30    | 20    | 8       | 6       |
 
-  Scenario Outline: A team is bounded in flight
-    Given a node of ledger whose teams may have 2 calls in flight
-    When large sends <calls> lookups and small sends 1
-    Then <running> calls of large run and <waiting> wait
-    And 1 call of small runs
+  Scenario Outline: The calls in flight of a team are bounded
+    Given a node of service ledger whose teams may have 2 calls in flight
+    When team large sends <calls> lookups and team small sends 1
+    Then <running> calls of team large run and <waiting> wait
+    And 1 call of team small runs
 
     Examples:
       | calls | running | waiting |
@@ -94,16 +94,16 @@
       | 4     | 2       | 2       |
       | 6     | 2       | 2       |
 
-  Scenario Outline: A call finds its place
-    Guards against new work in a data centre that is out or on a leaving
+  Scenario Outline: A call is placed on a host
+    Guards against new calls in a data centre that is out or on a leaving
     host, and against a call that is forwarded twice.
 
     Given the node <host>
     When these events happen: <events>
-    And a call of kind <kind> comes in <way>
-    Then its one decision is <decision>
+    And a call of kind <kind> arrives <way>
+    Then its only decision is <decision>
 
-    Examples: Own node and others
+    Examples: Nodes of the call's service and of another one
       | host     | events                  | kind    | way                          | decision                       |
       | ledger-1 | nothing                 | lookup  | from a caller                | Admitted                       |
       | ledger-1 | nothing                 | board   | without a key                | Admitted                       |
@@ -127,13 +127,13 @@
       | ledger-1 | nothing                 | lookup  | after trying ledger-1        | ForwardTo ledger-3             |
       | ledger-1 | nothing                 | lookup  | after trying all hosts       | NO_HOST_AVAILABLE not-run      |
 
-  Scenario Outline: Load decides between other nodes
+  Scenario Outline: A call is forwarded to the less loaded host
     Given the node silo-1
-    When <hand> calls are on their way to each near host and <end> there
+    When <open> calls are forwarded to each near host and <end>
     Then the next lookup is forwarded to <where>
 
-    Examples: A near host may have 2 calls more in hand than a far one
-      | hand | end                  | where          |
+    Examples: A near host may have 2 more open calls than a far one
+      | open | end                  | where          |
       | 0    | none have ended      | a near host    |
       | 2    | none have ended      | a near host    |
       | 3    | none have ended      | ledger-2       |
@@ -141,8 +141,5 @@
       | 1    | all failed           | ledger-2       |
       | 9    | all ran out of time  | a near host    |
 
-
-
-
-  Scenario: Admission holds its invariants under any order of events
-    Then the admission machine finds no fault
+  Scenario: Admission keeps its invariants under any order of events
+    Then the state machine test of admission finds no violation
--- a/features/state/backend_server.feature
+++ b/features/state/backend_server.feature
@@ -1,17 +1,17 @@
 Feature: Capacity of the backend server
 
-  Guards against a backend server in cold start that gets more than it bears,
-  and against health and load endpoints that lag or mislead.
+  Guards against the overload of a cold backend server, and against health and
+  load endpoints that lag or report wrong values.
 
   The server has 12 slots, 3 of them when cold, and a ramp of 10 s. The node
-  has a route for internal checks, so one slot is kept for them.
+  has a route for internal checks, so one slot is reserved for them.
 
-  Scenario Outline: Capacity follows what is believed
-    Given a node of ledger
+  Scenario Outline: Capacity follows answers and reports
+    Given a node of service ledger
     When these events happen: <events>
     Then the capacity is <capacity>
 
-    Examples: Only answers in time raise the capacity
+    Examples: Only timely answers raise the capacity
       | events                                 | capacity |
       | nothing                                | 3        |
       | answers 5                              | 7        |
@@ -20,7 +20,7 @@
       | load 0.0, wait 5, load 0.0, wait 5     | 3        |
       | slow answers 10                        | 3        |
 
-    Examples: What makes the server cold
+    Examples: Events after which the server counts as cold
       | events                                                | capacity |
       | answers 10, refused                                   | 3        |
       | answers 10, time-outs 3                               | 3        |
@@ -33,7 +33,7 @@
       | answers 10, server drains                             | 0        |
       | answers 10, server drains, server returns             | 3        |
 
-    Examples: What is not believed
+    Examples: Reports that are invalid, contradicted or expired
       | events                                                | capacity |
       | answers 10, health lost                               | 12       |
       | answers 10, load -1                                   | 12       |
@@ -49,11 +49,11 @@
       | answers 10, sheds 1, answers 3                        | 10       |
       | answers 10, sheds 1, answers 9                        | 12       |
 
-  Scenario Outline: A table bounds the slots
-    Given a node of ledger with <slots> slots, <cold> cold and <connections> connections
+  Scenario Outline: The service table limits the slots
+    Given a node of service ledger with <slots> slots, <cold> cold and <connections> connections
     When these events happen: <events>
     Then the capacity is <capacity>
-    And <ordinary> ordinary calls run and <check> checks
+    And <ordinary> ordinary calls and <check> checks run
 
     Examples:
       | slots | cold | connections | events     | capacity | ordinary | check |
--- a/features/state/idempotency.feature
+++ b/features/state/idempotency.feature
@@ -1,14 +1,14 @@
 Feature: Bookings with an idempotency key
 
-  Guards against a booking that runs twice, and against a refusal that says
-  a booking was not run although it may have been.
+  Guards against a booking that runs twice, and against a refusal that claims
+  that a booking did not run although it may have run.
 
   Scenario Outline: A booking is repeated
     Given the owner of a <key> key
     When the first booking <first>
     And these events happen: <events>
     And the booking is repeated with <repeat>
-    Then its one decision is <decision>
+    Then its only decision is <decision>
 
     Examples:
       | key   | first         | events              | repeat          | decision                            |
@@ -41,8 +41,8 @@
   Scenario Outline: A key has one owner
     Given a key that <owner> owns
     When these events happen at <node>: <events>
-    And a booking with the key comes in <way>
-    Then its one decision is <decision>
+    And a booking with the key arrives <way>
+    Then its only decision is <decision>
 
     Examples:
       | owner    | node     | events           | way                    | decision                              |
@@ -55,13 +55,13 @@
       | ledger-1 | ledger-1 | nothing          | after trying ledger-1  | IDEMPOTENCY_HOST_UNREACHABLE not-run  |
       | ledger-1 | ledger-1 | refused          | from a caller          | Admitted                              |
 
-  Scenario Outline: A key changes its owner
-    Guards against a repeat that reaches the new owner after the former one
-    has run the booking.
+  Scenario Outline: A key gets a new owner
+    Guards against a repeat that the new owner runs after the former owner has
+    already run the booking.
 
-    Given a key made <made> the host that owns it leaves
-    When a booking with the key comes to the next owner <way>
-    Then its one decision is <decision>
+    Given a key created <made> its owner leaves
+    When the next owner gets a booking with the key <way>
+    Then its only decision is <decision>
 
     Examples:
       | made   | way                   | decision                            |
@@ -69,11 +69,11 @@
       | before | from the former owner | Admitted                            |
       | after  | from a caller         | Admitted                            |
 
-  Scenario Outline: The memory is full
-    Given an owner whose memory is full of <keys> keys made <age> s ago
-    When a booking with a new key comes in from a caller
-    Then its one decision is <decision>
-    And the first of the old bookings is not run again
+  Scenario Outline: The store of bookings is full
+    Given an owner whose store is full of <keys> keys created <age> s ago
+    When a booking with a new key arrives from a caller
+    Then its only decision is <decision>
+    And the first of the stored bookings is not run again
 
     Examples:
       | keys  | age | decision                        |
--- a/features/state/retry.feature
+++ b/features/state/retry.feature
@@ -1,16 +1,16 @@
-Feature: What follows an attempt
+Feature: Retries after a failed attempt
 
-  Guards against a booking that runs twice and a refusal whose run state is
-  untrue, whatever mixture of faults the attempts of one call meet.
+  Guards against a booking that runs twice and a refusal with a wrong run
+  state, for any combination of faults in the attempts of one call.
 
-  Scenario: Random faults never make a booking run twice or a refusal untrue
+  Scenario: Random faults never cause a double run or a wrong run state
     When 400 calls with random faults are made
-    Then no booking has run twice and every refusal is true
+    Then no booking has run twice and every refusal is correct
 
-  Scenario Outline: The retry budget is a tenth of the calls
+  Scenario Outline: The retry budget is a tenth of all calls
     Given a retry budget
-    When <calls> calls are seen and <wanted> retries wanted
-    Then <taken> retries are taken
+    When <calls> calls are counted and <wanted> retries requested
+    Then <taken> retries are granted
 
     Examples:
       | calls | wanted | taken |
--- a/features/steps/admission_machine_steps.py
+++ b/features/steps/admission_machine_steps.py
@@ -1,4 +1,4 @@
-"""Random runs of admission against a model of what it may do."""
+"""State machine test that compares admission with a model."""
 
 import collections
 import dataclasses
@@ -26,7 +26,7 @@
 
 
 class AdmissionMachine(stateful.RuleBasedStateMachine):
-    """Calls, ends, reports and versions in any order."""
+    """Submits calls, outcomes, reports and snapshots in any order."""
 
     def __init__(self):
         super().__init__()
@@ -60,7 +60,7 @@
     def calls_arrive(
         self, kind, team, key, deadline_s, forwarded, burst, waits=()
     ):
-        """Ask for decisions on equal calls."""
+        """Submit equal calls."""
         world = self.world
         world.quota.waits_by_team[team] = list(waits)
         deadline_at_s = None
@@ -85,7 +85,7 @@
         not_run=st.booleans(),
     )
     def call_ends(self, kind, index, not_run):
-        """Give a permit back."""
+        """Release a permit."""
         world = self.world
         if not world.permits:
             return
@@ -102,7 +102,7 @@
 
     @stateful.rule(count=st.integers(1, 8))
     def calls_are_answered(self, count):
-        """Answer the calls that have run longest."""
+        """Answer the calls that have been running longest."""
         for _ in range(count):
             self.call_ends("answered", 0, False)
 
@@ -118,13 +118,13 @@
         seconds=st.sampled_from([0.5, 2.5]), count=st.integers(1, 4)
     )
     def calls_are_answered_late(self, seconds, count):
-        """Answer calls before a timer message that is due."""
+        """Answer calls before a due timer message is handled."""
         self.world.now_s += seconds
         self.calls_are_answered(count)
 
     @stateful.rule(index=st.integers(0, 30))
     def call_is_cancelled(self, index):
-        """Withdraw a call."""
+        """Cancel a call."""
         if self.calls:
             call = self.calls[-1 - index % len(self.calls)]
             self.world.admission.cancel(call.request_id, self.world.now_s)
@@ -145,7 +145,7 @@
         )
     )
     def health_is_reported(self, event):
-        """Report health."""
+        """Submit a health report."""
         world = self.world
         known = world.server.ramp.started_at_ms is not None
         if event == "health restarted" and known:
@@ -172,7 +172,7 @@
         )
     )
     def snapshot_changes(self, event):
-        """Put a new snapshot in force."""
+        """Apply a new snapshot."""
         before = self.host_accepts_calls()
         self.world.run_actions(event)
         if self.host_accepts_calls() and not before:
@@ -183,7 +183,7 @@
 
     @stateful.rule(warm=st.booleans())
     def host_recovers(self, warm):
-        """Undo what keeps calls out and let the server warm up."""
+        """Undo all that blocks calls and let the server warm up."""
         world = self.world
         before = self.host_accepts_calls()
         if world.draining or not before:
@@ -206,35 +206,35 @@
 
     @stateful.rule()
     def readiness_is_lost(self):
-        """Cease to accept calls."""
+        """Stop accepting calls."""
         self.set_ready(False)
 
     @stateful.rule(seconds=st.sampled_from([0.1, 0.4, 1.0, 5.0]))
     def time_passes(self, seconds):
-        """Let time pass, with timer messages when they are due."""
+        """Advance the clock and handle the timer messages that are due."""
         self.world.advance(seconds, self.check_new_results)
         self.check_new_results()
 
     @stateful.precondition(lambda self: not self.stopped)
     @stateful.rule(really=st.integers(0, 9))
     def planned_stop_begins(self, really):
-        """Begin a planned stop, seldom."""
+        """Begin a planned stop in a small part of the runs."""
         if really == 0:
             self.stopped = True
             self.world.run_actions("stop")
             self.check_new_results()
 
     def set_ready(self, ready):
-        """Begin or cease to accept calls."""
+        """Start or stop accepting calls."""
         self.ready = ready
         self.world.admission.set_ready(ready, self.world.now_s)
         self.world.collect()
         self.check_new_results()
 
-    # What must hold.
+    # Checks.
 
     def check_new_results(self):
-        """Check the decisions made by the last event."""
+        """Check the decisions that the last event caused."""
         new = self.world.results[self.checked_results :]
         self.checked_results = len(self.world.results)
         self.check_shares(new)
@@ -252,7 +252,7 @@
         self.check_bounds(started)
 
     def check_admitted(self, call, permit):
-        """Check one permit."""
+        """Check an admitted call."""
         world = self.world
         self.spent_tokens += permit.team in admission_world.DIGESTS
         assert self.ready
@@ -270,7 +270,7 @@
             self.key_by_permit[permit.permit_id] = None
 
     def check_forwarded(self, call, decision):
-        """Check one forwarded call."""
+        """Check a forwarded call."""
         world = self.world
         if decision.route.priority is not INTERNAL:
             self.forward_deadlines_s.append(decision.deadline_at_s)
@@ -280,7 +280,7 @@
         assert decision.host.data_centre not in world.out
 
     def check_shares(self, new):
-        """Check that of two teams that both wait, none is passed over."""
+        """Check that two waiting teams are served by their weights."""
         server = self.world.server
         queue = self.world.admission.dispatcher.queue
         both = all(
@@ -303,7 +303,7 @@
             assert small <= large / 3 + 2, self.started_by_team
 
     def check_bounds(self, started):
-        """Check the slots, after an event that may have started calls."""
+        """Check the limits after an event that may have started calls."""
         world = self.world
         ordinary = [
             permit
@@ -342,7 +342,7 @@
 
     @stateful.invariant()
     def every_call_has_one_decision_or_waits(self):
-        """Check that no decision is lost or given twice."""
+        """Check that no decision is lost or made twice."""
         decided = [call.request_id for call, _ in self.world.results]
         assert len(decided) == len(set(decided))
         waiting = {
@@ -352,21 +352,21 @@
         assert len(waiting) + len(decided) == len(self.calls)
 
     def teardown(self):
-        """Let all deadlines pass: every call has its decision then."""
+        """Let all deadlines pass; every call must have a decision by then."""
         self.world.advance(10.0, self.check_new_results)
         self.check_new_results()
         assert not self.world.call_by_ticket
         self.every_call_has_one_decision_or_waits()
 
     def host_accepts_calls(self):
-        """Return whether the platform lets the host take new work."""
+        """Return whether the tables let the host accept new calls."""
         row = self.world.hosts["ledger-1"]
         return (
             row.state is state.HostState.LIVE and "north" not in self.world.out
         )
 
     def is_key_valid(self, call):
-        """Return whether the key of a call is in force."""
+        """Return whether the API key of a call is valid."""
         if call.path == "/board":
             return True
         valid = set(admission_world.DIGESTS) - self.world.withdrawn
@@ -375,7 +375,7 @@
         }
 
 
-@then("the admission machine finds no fault")
+@then("the state machine test of admission finds no violation")
 def step_machine(context):
     del context
     stateful.run_state_machine_as_test(
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,4 +1,4 @@
-"""Steps on admission: capacity, queue and placement."""
+"""Steps for admission: capacity, queueing and placement."""
 
 import dataclasses
 
@@ -10,7 +10,7 @@
 from jasminecrank import state
 
 
-@given("a node of ledger")
+@given("a node of service ledger")
 def step_node(context):
     context.world = admission_world.World()
 
@@ -21,7 +21,7 @@
 
 
 @given(
-    "a node of ledger with {slots:d} slots, {cold:d} cold and "
+    "a node of service ledger with {slots:d} slots, {cold:d} cold and "
     "{connections:d} connections"
 )
 def step_node_with(context, slots, cold, connections):
@@ -29,13 +29,15 @@
     context.world = admission_world.World(service=service)
 
 
-@given("a node of ledger whose slots are all in use")
+@given("a node of service ledger whose slots are all in use")
 def step_busy_node(context):
     context.world = admission_world.World(service=admission_world.WARM_SERVICE)
     context.world.start_calls("large", 11)
 
 
-@given("a node of ledger whose teams may have {limit:d} calls in flight")
+@given(
+    "a node of service ledger whose teams may have {limit:d} calls in flight"
+)
 def step_bounded_teams(context, limit):
     limits = [
         dataclasses.replace(row, max_in_flight=limit)
@@ -46,14 +48,14 @@
     )
 
 
-@given("a {kind} of small that waits")
+@given("a waiting {kind} of team small")
 def step_waiting(context, kind):
     context.call, result = context.world.call(kind, "small")
     assert isinstance(result, state.Queued), result
 
 
-@given("a {kind} of small that is told to wait {waits} s for a token")
-def step_short(context, kind, waits):
+@given("a {kind} of team small that has to wait {waits} s for a token")
+def step_waiting_for_token(context, kind, waits):
     world = context.world
     world.quota.waits_by_team["small"] = [
         float(wait) for wait in waits.split(", ")
@@ -76,21 +78,21 @@
             world.run_actions(event)
 
 
-@when("a call of kind {kind} comes in {way}")
+@when("a call of kind {kind} arrives {way}")
 def step_call(context, kind, way):
     context.call, _ = context.world.call(
         kind, **admission_world.way_fields(way)
     )
 
 
-@when("large and small keep {large:d} and {small:d} calls waiting")
+@when("teams large and small keep {large:d} and {small:d} calls waiting")
 def step_keep_waiting(context, large, small):
     context.world = admission_world.World(service=admission_world.WARM_SERVICE)
     context.world.start_calls("large", 11)
     context.wanted = {"large": large, "small": small}
 
 
-@when("{count:d} calls are served one after the other")
+@when("{count:d} calls are served in sequence")
 def step_serve(context, count):
     world = context.world
     queue = world.admission.dispatcher.queue
@@ -108,19 +110,19 @@
     context.world.run_actions(events)
 
 
-@when("large sends {large:d} lookups and small sends {small:d}")
+@when("team large sends {large:d} lookups and team small sends {small:d}")
 def step_burst(context, large, small):
     for team, calls in (("large", large), ("small", small)):
         for _ in range(calls):
             context.world.call(team=team)
 
 
-@when("{hand:d} calls are on their way to each near host and {end} there")
-def step_on_their_way(context, hand, end):
+@when("{open_calls:d} calls are forwarded to each near host and {end}")
+def step_forwarded(context, open_calls, end):
     world = context.world
     chooser = world.admission.placement.chooser
     for name in ("ledger-1", "ledger-3"):
-        for index in range(hand):
+        for index in range(open_calls):
             request_id = f"{name}/{index}"
             chooser.started(request_id, name, world.now_s + 2.0)
             if end in ("all were answered", "all failed"):
@@ -143,7 +145,7 @@
     assert context.world.capacity() == capacity, context.world.server.ramp
 
 
-@then("{ordinary:d} ordinary calls run and {checks:d} checks")
+@then("{ordinary:d} ordinary calls and {checks:d} checks run")
 def step_running(context, ordinary, checks):
     world = context.world
     for index in range(40):
@@ -156,12 +158,12 @@
     ), slots
 
 
-@then("large got between {least:d} and {most:d} of them")
+@then("team large gets between {least:d} and {most:d} of them")
 def step_share(context, least, most):
     assert least <= context.served["large"] <= most, context.served
 
 
-@then("its one decision is {decision}")
+@then("its only decision is {decision}")
 def step_decision(context, decision):
     seen = context.world.decisions_on(context.call)
     if decision == "none yet":
@@ -177,13 +179,13 @@
     assert spent == (token == "spent"), spent
 
 
-@then("{count:d} calls of small wait")
+@then("{count:d} calls of team small wait")
 def step_small_wait(context, count):
     queue = context.world.admission.dispatcher.queue
     assert queue.waiting_count("small") == count
 
 
-@then("{count:d} calls of large are refused as QUEUE_FULL with Retry-After")
+@then("{count:d} calls of team large get QUEUE_FULL with Retry-After")
 def step_refused(context, count):
     refused = [
         decision
@@ -196,20 +198,20 @@
         assert decision.retry_after_s > 0.0, decision
 
 
-@then("a check of large waits for a slot at most one call long")
-def step_check_waits(context):
+@then("a check of team large starts once one call has ended")
+def step_check_starts(context):
     call, _ = context.world.call("check")
     context.world.finish()
     assert context.world.decisions_on(call) == ["Admitted"]
 
 
-@then("{running:d} calls of large run and {waiting:d} wait")
+@then("{running:d} calls of team large run and {waiting:d} wait")
 def step_in_flight(context, running, waiting):
     dispatcher = context.world.admission.dispatcher
     assert dispatcher.server.running_by_team["large"] == running
     assert dispatcher.queue.waiting_count("large") == waiting
 
 
-@then("1 call of small runs")
+@then("1 call of team small runs")
 def step_small_runs(context):
     assert context.world.server.running_by_team["small"] == 1
--- a/features/steps/admission_world.py
+++ b/features/steps/admission_world.py
@@ -1,4 +1,4 @@
-"""A node's admission state with its surroundings, driven by short texts."""
+"""Admission state of one node, driven by actions in short texts."""
 
 import collections
 import dataclasses
@@ -80,14 +80,14 @@
 
 
 def way_fields(way):
-    """Return the fields of a call that comes in some way."""
+    """Return the fields of a call that arrives in a given way."""
     if way.startswith("after trying ledger"):
         return {"tried_hosts": (way.removeprefix("after trying "),)}
     return WAYS[way]
 
 
 def uuid7(wall_ms, tail=0):
-    """Return a UUIDv7 key made at a time."""
+    """Return a UUIDv7 key with a given timestamp."""
     value = wall_ms << 80 | 7 << 76 | 2 << 62 | tail
     return str(uuid.UUID(int=value))
 
@@ -104,29 +104,29 @@
 
 
 class QuotaStub:
-    """Counts tokens and tells teams to wait as the test wants."""
+    """Counts tokens; returns the waits that a test has set for a team."""
 
     def __init__(self):
         self.spent_by_team = collections.Counter()
         self.waits_by_team = collections.defaultdict(list)
 
     def apply_snapshot(self, snapshot, now_s):
-        """Follow a snapshot."""
+        """Ignore a snapshot."""
 
     def take(self, service, team, now_s, repeated=False):
-        """Take a token, or return the next wait of the team."""
+        """Take a token, or return the next wait set for the team."""
         if self.waits_by_team[team]:
             return self.waits_by_team[team].pop(0)
         self.spent_by_team[team] += 1
         return None
 
     def refund(self, service, team, now_s):
-        """Give a token back."""
+        """Return a token."""
         self.spent_by_team[team] -= 1
 
 
 class World:
-    """One node, its snapshot and every call it was given."""
+    """One node, its snapshot and every call submitted to it."""
 
     def __init__(
         self, name="ledger-1", service=SERVICE, limits=LIMITS, threads=48
@@ -160,15 +160,15 @@
         return self.admission.dispatcher.server
 
     def capacity(self):
-        """Return the slots that may be in use."""
+        """Return the number of slots that may be in use."""
         return self.server.ramp.capacity(self.now_s)
 
     def wall_ms(self):
-        """Return the wall time."""
+        """Return the wall-clock time."""
         return WALL_MS + int((self.now_s - self.started_s) * 1000)
 
     def publish(self):
-        """Put the rows in force."""
+        """Apply a snapshot of the current rows."""
         self.version_number += 1
         version = state.Version(self.version_number, str(self.version_number))
         rows = [
@@ -195,14 +195,14 @@
         self.collect()
 
     def start_calls(self, team, calls):
-        """Start calls and one check."""
+        """Start ordinary calls and one check."""
         for _ in range(calls):
             self.call(team=team)
         self.call("check", team)
         assert len(self.permits) == calls + 1, self.results
 
     def call(self, kind="lookup", team="large", **fields):
-        """Ask for a decision; return the call and the immediate result."""
+        """Submit a call; return it with the immediate result."""
         self.call_count += 1
         method, path = KINDS[kind]
         request = state.CallRequest(
@@ -225,13 +225,13 @@
         return request, result
 
     def collect(self):
-        """Take the decisions on calls that waited."""
+        """Collect the decisions on waiting calls."""
         for deferred in self.admission.take_deferred():
             call = self.call_by_ticket.pop(deferred.ticket)
             self.record_decision(call, deferred.decision)
 
     def record_decision(self, call, decision):
-        """Note the decision on a call."""
+        """Record the decision on a call."""
         self.results.append((call, decision))
         if isinstance(decision, state.Admitted):
             self.permits.append(decision.permit)
@@ -254,7 +254,7 @@
         return permit
 
     def report_health(self, reachable=True, load=0.0):
-        """Report what the health endpoint shows."""
+        """Submit a report of the health and load endpoint."""
         report = state.HealthReport(
             reachable, self.started_at_ms, self.draining, load
         )
@@ -262,7 +262,7 @@
         self.collect()
 
     def advance(self, seconds, on_tick=None):
-        """Let time pass, with the timer messages that fall due."""
+        """Advance the clock and handle the timers that are due."""
         end_s = self.now_s + seconds
         while (due_s := self.admission.next_due_s()) is not None:
             if due_s > end_s:
@@ -275,14 +275,14 @@
         self.now_s = end_s
 
     def run_calls(self, end, count=1, duration_s=0.01, **fields):
-        """Run calls that end alike, one after the other."""
+        """Run calls in sequence, all with the same outcome."""
         for _ in range(count):
             _, result = self.call(**fields)
             assert isinstance(result, state.Admitted), result
             self.finish(end, duration_s=duration_s)
 
     def run_actions(self, text):
-        """Carry out actions separated by commas."""
+        """Perform actions separated by commas."""
         for action in text.split(", "):
             self._run_action(action.split())
 
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -1,4 +1,4 @@
-"""Steps on bookings with an idempotency key."""
+"""Steps for bookings with an idempotency key."""
 
 from behave import given
 from behave import then
@@ -22,7 +22,7 @@
 
 
 def find_key(order, made_ms=KEY_MADE_MS, plain=False):
-    """Return a key for which the hosts rank in an order."""
+    """Return a key whose owners rank in the given order."""
     for tail in range(1000):
         key = f"order-{tail}"
         if not plain:
@@ -34,7 +34,7 @@
 
 
 def key_fields(context):
-    """Return the key, or the request id of a booking without a key."""
+    """Return the key, or a fixed request id for a booking without one."""
     if context.key is None:
         return {"request_id": "same"}
     return {"key": context.key}
@@ -87,14 +87,14 @@
     context.world.run_actions(events)
 
 
-@when("a booking with the key comes in {way}")
+@when("a booking with the key arrives {way}")
 def step_keyed(context, way):
     context.call, _ = context.world.call(
         "booking", key=context.key, **admission_world.way_fields(way)
     )
 
 
-@given("a key made {made} the host that owns it leaves")
+@given("a key created {made} its owner leaves")
 def step_owner_leaves(context, made):
     world = context.world = admission_world.World()
     made_ms = KEY_MADE_MS + (2000 if made == "after" else 0)
@@ -102,7 +102,7 @@
     world.run_actions("wait 1, leaving ledger-2, wait 2")
 
 
-@when("a booking with the key comes to the next owner {way}")
+@when("the next owner gets a booking with the key {way}")
 def step_next_owner(context, way):
     former = {"forwarded_by": "ledger-2"}
     context.call, _ = context.world.call(
@@ -112,8 +112,8 @@
     )
 
 
-@given("an owner whose memory is full of {kind} keys made {age:d} s ago")
-def step_full_memory(context, kind, age):
+@given("an owner whose store is full of {kind} keys created {age:d} s ago")
+def step_full_store(context, kind, age):
     world = context.world = admission_world.World(
         service=admission_world.WARM_SERVICE
     )
@@ -130,14 +130,14 @@
     world.advance(age)
 
 
-@when("a booking with a new key comes in from a caller")
+@when("a booking with a new key arrives from a caller")
 def step_new_key(context):
     world = context.world
     key = admission_world.uuid7(world.wall_ms(), 99)
     context.call, _ = world.call("booking", key=key)
 
 
-@then("the first of the old bookings is not run again")
+@then("the first of the stored bookings is not run again")
 def step_not_again(context):
     call, _ = context.world.call("booking", key=context.keys[0])
     assert context.world.decisions_on(call)[0] in (
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the attempts of a call and on the retry budget."""
+"""Steps for the attempts of a call and for the retry budget."""
 
 from behave import given
 from behave import then
@@ -14,7 +14,7 @@
 SERVER_ANSWER = state.Answer(200, (), b"")
 NOT_RUN_ANSWER = state.Answer(503, (("x-run-state", "not-run"),), b"")
 
-# Each entry: what the caller's node sees, and how often the call can have run.
+# The result that the caller's node sees, with the possible numbers of runs.
 RESULTS_AND_RUNS = (
     (state.NothingSent(ResultCode.BACKEND_UNREACHABLE), (0,)),
     (state.ClosedBeforeRequest(ResultCode.BACKEND_UNREACHABLE), (0,)),
@@ -46,7 +46,7 @@
 
 
 def check_call(kind, attempt_results, refusal_code):
-    """Play one call and compare its end with what has really run."""
+    """Replay one call and compare its final step with the actual runs."""
     attempts = state.Attempts("call", may_retry=True)
     runs = 0
     step = None
@@ -86,7 +86,7 @@
     context.run_random = run
 
 
-@then("no booking has run twice and every refusal is true")
+@then("no booking has run twice and every refusal is correct")
 def step_check_runs(context):
     context.run_random()
 
@@ -96,11 +96,11 @@
     context.budget = state.RetryBudget()
 
 
-@when("{calls:d} calls are seen and {wanted:d} retries wanted")
+@when("{calls:d} calls are counted and {wanted:d} retries requested")
 def step_wanted(context, calls, wanted):
     context.taken = sum(context.budget.take(calls) for _ in range(wanted))
 
 
-@then("{taken:d} retries are taken")
+@then("{taken:d} retries are granted")
 def step_taken(context, taken):
     assert context.taken == taken, context.taken
