State three limits of dispatch, ramp and store more exactly

Three reworded texts left out what they refer to: the tick after which a pause counts, the reports that warm up a server with a single cold slot, and that the stored answers are bounded in sum.

--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -73,7 +73,7 @@
         }
 
     def accepts_calls(self, now_s: float) -> bool:
-        """Return whether the node is ready and was not paused since."""
+        """Return whether the node is ready, with no pause since its tick."""
         return self.ready and (
             self.ticked_s is None
             or _readiness.is_current(self.ticked_s, now_s)
--- a/src/jasminecrank/state/_idempotency.py
+++ b/src/jasminecrank/state/_idempotency.py
@@ -12,7 +12,7 @@
 from jasminecrank.state import _invariants
 
 _MAX_STORED_BYTES = 32_000_000
-"""Size of all stored answers; a node has 256 MB, an answer up to 1 MB."""
+"""Bound on stored answers; a node has 256 MB, an answer up to 1 MB."""
 
 _MIN_EVICTION_AGE_MS = 5_000
 """Minimum age of a key to be evicted when the store is full."""
--- a/src/jasminecrank/state/_ramp.py
+++ b/src/jasminecrank/state/_ramp.py
@@ -139,7 +139,7 @@
         self.draining = report.draining
         self._observe_load(report.load, in_use_peak, now_s)
         # With a single cold slot, reserved for internal checks, no ordinary
-        # call could start and warm up the server.
+        # call could start and warm up the server, so health reports do.
         if (
             self.row
             and self._slots_after(self.row, self.warmup_s)
