Reword comments, messages and steps of the quota state

Docstrings used figurative terms such as mint, quiet and overtaken asks. They now use the usual terms: refill, withheld share, request and grant. Each reason and number stays. The two texts of invariant 907 name team and service; nothing in the source or tests matches them.

Feature and step texts change together.

Only words differ.

--- a/features/state/quota.feature
+++ b/features/state/quota.feature
@@ -1,21 +1,21 @@
-Feature: Quotas over all hosts
+Feature: Quotas shared by all hosts
 
-  Guards against hosts that together exceed a team's rate and burst, and
-  against refusals of requests that are inside them.
+  Guards against hosts that together exceed the rate and burst of a team, and
+  against rejecting requests that are within both.
 
-  Scenario: No window exceeds rate and burst, whatever happens
+  Scenario: No time window exceeds rate and burst under random faults
     Given hosts that share the quota of a team
-    When messages are lost, doubled and late while hosts come, go and pause
-    Then no window has more tokens than its rate and burst
+    When messages are lost, repeated and late while hosts start, stop and pause
+    Then no time window has more tokens than rate and burst allow
 
   Scenario Outline: One fault at a time
     Given <hosts> hosts that share rate <rate> and burst <burst>
     When <fault>
-    And every host takes all it can for <time> s
+    And every host takes all available tokens for <time> s
     Then between <least> and <most> tokens were taken
-    And no window has more tokens than its rate and burst
+    And no time window has more tokens than rate and burst allow
 
-    Examples: the burst is there after a warm-up, the rate follows
+    Examples: the burst is available after a warm-up, then the rate applies
       | hosts | rate | burst | fault                   | time | least | most |
       | 4     | 40   | 40    | nothing fails           | 2    | 115   | 120  |
       | 4     | 40   | 40    | a host stops            | 2    | 86    | 90   |
@@ -29,14 +29,14 @@
       | 4     | 40   | 40    | all hosts restart       | 20   | 600   | 720  |
       | 3     | 1    | 1     | nothing fails           | 20   | 15    | 21   |
 
-  Scenario Outline: Callers use one host only
+  Scenario Outline: All callers use one host
     Given <hosts> hosts that share rate <rate> and burst <burst>
     When <fault>
-    And one host takes all it can for <time> s
+    And one host takes all available tokens for <time> s
     Then between <least> and <most> tokens were taken
-    And no window has more tokens than its rate and burst
+    And no time window has more tokens than rate and burst allow
 
-    Examples: a host that takes no calls lends what it has
+    Examples: a host without calls lends all it has
       | hosts | rate | burst | fault                     | time | least | most |
       | 4     | 40   | 40    | nothing fails             | 10   | 400   | 440  |
       | 4     | 40   | 40    | a data centre is out      | 10   | 400   | 440  |
@@ -44,12 +44,12 @@
       | 4     | 40   | 40    | half of the hosts are cut | 10   | 190   | 220  |
       | 3     | 2    | 1     | nothing fails             | 10   | 15    | 21   |
 
-  Scenario Outline: Answers that go astray
-    Given a host that asks another twice for tokens
-    When the answers arrive <how>
+  Scenario Outline: Repeated, late and reordered grants
+    Given a host that requests tokens from a peer twice
+    When the grants arrive <how>
     Then the borrower gained <gain>
 
-    Examples: tokens count once, and only within the time of the ask
+    Examples: tokens count once, and only until the loan expires
       | how                                | gain                    |
       | once                               | the tokens of one grant |
       | twice                              | the tokens of one grant |
@@ -59,35 +59,35 @@
       | after that of the later ask        | nothing                 |
       | after the process started again    | nothing                 |
 
-  Scenario Outline: The lender takes a loan back
-    Given a host that asks another twice for tokens
+  Scenario Outline: A lent share returns to the lender
+    Given a host that requests tokens from a peer twice
     When the lender grants a loan and <time> s pass
     Then the lender owns <part> of its share
 
-    Examples: not before the borrower has stopped to use it
+    Examples: only after the borrower has stopped using it
       | time  | part |
       | 0.0   | less |
       | 2.199 | less |
       | 2.201 | all  |
 
-  Scenario Outline: A lender is asked again
-    Given a host that asks another twice for tokens
-    When the lender grants the second ask and gets <ask>
-    Then the answer has <share> and <tokens>
+  Scenario Outline: A lender receives another request
+    Given a host that requests tokens from a peer twice
+    When the lender grants the second request and receives <ask>
+    Then the grant has <share> and <tokens>
 
-    Examples: tokens in flight stay covered by a share of their own
+    Examples: a share of their own covers tokens in transit
       | ask                      | share     | tokens    |
       | the first ask            | no share  | no tokens |
       | the second ask           | no share  | no tokens |
       | an ask for as much again | the share | no tokens |
 
-  Scenario Outline: What may still be on loan is not minted
-    Given a host that asks another twice for tokens
+  Scenario Outline: A share that may still be lent generates no tokens
+    Given a host that requests tokens from a peer twice
     When the lender grants a loan and <change>
     And the hosts wait for <time> s
     Then the lender owns <part> of its share
 
-    Examples: the borrower may use the loan for its time
+    Examples: the borrower may use the loan until it expires
       | change                        | time | part |
       | its limit goes and comes back | 2.1  | less |
       | its limit goes and comes back | 2.3  | all  |
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -1,4 +1,4 @@
-"""Steps on quotas over all hosts, in a model without sockets."""
+"""Steps for quotas shared by all hosts, in a model without sockets."""
 
 import dataclasses
 import random
@@ -21,7 +21,7 @@
 LIMITS = ((10.0, 6), (10.0, 12), (40.0, 40), (5.0, 1))
 TIMES = strategies.sampled_from((0.01, 0.2, 1.0, 1.9, 2.3, 5.0))
 STEPS = strategies.sampled_from((0.001, 0.004, 0.03, 0.2))
-NETWORKS = (  # loss, repeat, longest delay in seconds
+NETWORKS = (  # loss, repetition, maximum delay in seconds
     (0.0, 0.0, 0.002),
     (0.0, 1.0, 0.01),
     (0.0, 1.0, 0.1),
@@ -49,7 +49,7 @@
 
 
 class PublishedDocuments:
-    """The documents that the platform shows, as a snapshot."""
+    """The documents that the platform publishes, as snapshots."""
 
     def __init__(self, rate, burst):
         self.numbers = dict.fromkeys(state.DocumentName, 1)
@@ -59,16 +59,16 @@
         self.started_hosts = 0
 
     def next_host(self):
-        """Return the name of a host that never existed before."""
+        """Return a host name that was not used before."""
         self.started_hosts += 1
         return f"{SERVICE}-{self.started_hosts}"
 
     def bump_version(self, name):
-        """Give a document its next version."""
+        """Increase the version of a document."""
         self.numbers[name] += 1
 
     def snapshot(self):
-        """Return the newest snapshot."""
+        """Return a snapshot of the latest versions."""
         rows = [state.ServiceRow(SERVICE, 4, 1, 10.0, 20)]
         if self.limit is not None:
             rows.append(self.limit)
@@ -87,7 +87,7 @@
 
 
 def start_fleet(hosts, rate, burst, seed=0, policy=state.QuotaPolicy.LOANS):
-    """Return the published documents and the fleet that follows them."""
+    """Return the published documents and a fleet that applies them."""
     published = PublishedDocuments(rate, burst)
     for slot in range(hosts):
         published.host_by_slot[slot] = published.next_host()
@@ -99,11 +99,12 @@
 
 
 class QuotaMachine(stateful.RuleBasedStateMachine):
-    """Hosts of one service under every fault, in any order.
+    """Hosts of one service under random sequences of faults.
 
-    A host's own row goes only after its process has ended, and a process
-    starts with a version no older than that of the process before it: the
-    platform reports removals late, never early, and does not go back.
+    The row of a host is removed only after its process has ended, and a
+    process starts with a version at least as new as that of its
+    predecessor: the platform may report a removal late but never early,
+    and versions never decrease.
     """
 
     hosts = strategies.integers(0, 9)
@@ -139,7 +140,7 @@
 
     @stateful.rule(number=hosts, rest=TIMES, step=STEPS)
     def load_one_host(self, number, rest, step):
-        """Let buckets fill, empty them by one host, then by all."""
+        """Let buckets fill, then empty them from one host and from all."""
         self.fleet.advance(rest)
         for _ in range(25):
             self.take(number, 12)
@@ -247,7 +248,7 @@
 
     @stateful.rule(number=hosts, seconds=TIMES)
     def withdraw_limit_on_one_host(self, number, seconds):
-        """Take the limit away and back, while the others keep it."""
+        """Remove the limit and add it again while other hosts keep it."""
         limit, self.published.limit = self.published.limit, None
         self.published.bump_version(state.DocumentName.TABLE)
         self.apply_snapshot_on(number)
@@ -275,7 +276,7 @@
     context.machine = QuotaMachine
 
 
-@when("messages are lost, doubled and late while hosts come, go and pause")
+@when("messages are lost, repeated and late while hosts start, stop and pause")
 def step_run_machine(context):
     stateful.run_state_machine_as_test(
         context.machine,
@@ -316,7 +317,7 @@
 
 
 def publish_hosts(context, skip=None):
-    """Put a new version of the host list in force on all hosts but one."""
+    """Apply a new version of the host list on all hosts except `skip`."""
     context.published.bump_version(state.DocumentName.HOSTS)
     for host in context.fleet.by_host:
         if host != skip:
@@ -373,7 +374,7 @@
 
 
 def take_all(context, hosts, seconds):
-    """Take whatever the hosts give, every few milliseconds."""
+    """Take all available tokens of the hosts every few milliseconds."""
     context.taken = 0
     until_s = context.fleet.now_s + seconds
     while context.fleet.now_s < until_s:
@@ -383,12 +384,12 @@
         context.fleet.advance(0.005)
 
 
-@when("every host takes all it can for {seconds:g} s")
+@when("every host takes all available tokens for {seconds:g} s")
 def step_take_all(context, seconds):
     take_all(context, sorted(context.fleet.by_host), seconds)
 
 
-@when("one host takes all it can for {seconds:g} s")
+@when("one host takes all available tokens for {seconds:g} s")
 def step_take_one(context, seconds):
     take_all(context, [context.published.host_by_slot[0]], seconds)
 
@@ -398,14 +399,14 @@
     assert least <= context.taken <= most, context.taken
 
 
-@then("no window has more tokens than its rate and burst")
+@then("no time window has more tokens than rate and burst allow")
 def step_windows(context):
     if hasattr(context, "fleet"):
         worst = context.fleet.worst_excess()[TEAM]
         assert worst <= TOKEN_TOLERANCE, worst
 
 
-@given("a host that asks another twice for tokens")
+@given("a host that requests tokens from a peer twice")
 def step_two_requests(context):
     context.published = start_fleet(2, 40.0, 40)[0]
     snapshot = context.published.snapshot()
@@ -433,7 +434,7 @@
 
 
 def next_request(context):
-    """Return the borrower's next ask, as if none were under way."""
+    """Return the borrower's next request, as if none were pending."""
     quota = context.quotas[1]
     quota.loans.tracker_by_team.clear()
     for _ in range(100):
@@ -441,11 +442,11 @@
         outgoing = quota.drain_outbox()
         if outgoing:
             return outgoing[0].message
-    raise AssertionError("no ask")
+    raise AssertionError("the borrower sent no loan request")
 
 
 def deliver_all(context):
-    """Deliver all messages between the two hosts."""
+    """Deliver all messages between lender and borrower."""
     for number in (0, 1, 0, 1):
         for outgoing in context.quotas[number].drain_outbox():
             context.quotas[1 - number].receive(
@@ -454,18 +455,18 @@
 
 
 def send_request(context, request):
-    """Return the lender's answer to an ask."""
+    """Return the lender's grant for a request."""
     context.quotas[0].receive(context.hosts[1], request, context.now_s)
     return context.quotas[0].drain_outbox()[0].message
 
 
 def deliver_grant(context, loan_grant):
-    """Let an answer reach the borrower."""
+    """Deliver a grant to the borrower."""
     context.quotas[1].receive(context.hosts[0], loan_grant, context.now_s)
 
 
-@when("the answers arrive {how}")
-def step_answers_arrive(context, how):
+@when("the grants arrive {how}")
+def step_grants_arrive(context, how):
     first, second = context.requests
     context.tokens_before = context.ledger.tokens
     match how:
@@ -537,7 +538,7 @@
     assert (unlent_ppb < own_share_ppb) == (part == "less"), unlent_ppb
 
 
-@when("the lender grants the second ask and gets {ask}")
+@when("the lender grants the second request and receives {ask}")
 def step_request_after_grant(context, ask):
     first, second = (
         dataclasses.replace(
@@ -565,8 +566,8 @@
     context.granted_share = send_request(context, requests[ask]).shares[0]
 
 
-@then("the answer has {share} and no tokens")
-def step_answer(context, share):
+@then("the grant has {share} and no tokens")
+def step_granted_share(context, share):
     assert context.granted_share.share_ppb == context.share_by_name[share], (
         context.granted_share
     )
--- a/src/jasminecrank/state/_borrowing.py
+++ b/src/jasminecrank/state/_borrowing.py
@@ -1,4 +1,4 @@
-"""How much to borrow, from whom, and how often to ask."""
+"""Decisions on how much to borrow, from which peers and when."""
 
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -10,9 +10,9 @@
 from jasminecrank.state import _ledger
 
 _RENEW_AHEAD_S = 0.15 + const.QUOTA_TICK_S
-"""Time left of a loan at which it is asked for again."""
+"""Remaining time at which a loan is due for renewal."""
 _RENEW_BATCH_S = 1.4
-"""Time left at which a loan is renewed along with others, in one ask."""
+"""Remaining time at which a loan is renewed along with others."""
 _MIN_REQUEST_INTERVAL_S = 0.01
 _GRANT_TIMEOUT_S = 0.25
 _DENIAL_BACKOFF_S = 0.125
@@ -20,7 +20,7 @@
 _MIN_LENDERS = 2
 _DEMAND_HEADROOM = 1.5
 _SKEW_THRESHOLD = 1.4
-"""Demand in equal shares above which callers are not spread evenly."""
+"""Demand, in equal shares, above which load is considered uneven."""
 _MIN_RENEWAL_RATIO = 0.02
 _BUDGET_BURST_S = 2.0
 _EXCHANGE_BYTES = 190
@@ -28,13 +28,13 @@
 
 
 def exchange_bytes(teams: Iterable[str]) -> int:
-    """Return the size of an ask and its answer as frames of a link."""
+    """Return the size of a request and its grant as link frames."""
     return _EXCHANGE_BYTES + sum(_TEAM_BYTES + len(team) for team in teams)
 
 
 @dataclass(slots=True)
 class ByteBudget:
-    """Bounds the bytes of loan messages with a token bucket."""
+    """Token bucket that limits the bytes of loan messages."""
 
     bytes_per_s: float
     available_bytes: float
@@ -43,7 +43,7 @@
     def try_spend(
         self, size_bytes: int, now_s: float, reserve_bytes: int = 0
     ) -> bool:
-        """Return whether a message of this size may be sent."""
+        """Deduct a message from the budget; return whether it fits."""
         elapsed_s = max(0.0, now_s - self.updated_at_s)
         self.updated_at_s = max(self.updated_at_s, now_s)
         self.available_bytes = min(
@@ -58,7 +58,7 @@
 
 @dataclass(slots=True)
 class RequestTracker:
-    """The asks of one team that are under way or were turned down."""
+    """Pending and denied loan requests of one team."""
 
     requested_at_by_peer: dict[str, float] = field(default_factory=dict)
     denials_by_peer: dict[str, int] = field(default_factory=dict)
@@ -66,12 +66,12 @@
     last_request_at_s: float = -math.inf
 
     def record_request(self, peer: str, now_s: float) -> None:
-        """Note an ask."""
+        """Record a request, which blocks others to the peer for a time."""
         self.requested_at_by_peer[peer] = now_s
         self.last_request_at_s = now_s
 
     def record_grant(self, peer: str, gained: bool, now_s: float) -> None:
-        """Note an answer and whether it brought anything."""
+        """Record a grant; one that adds nothing delays the next request."""
         self.requested_at_by_peer.pop(peer, None)
         if not gained:
             denials = self.denials_by_peer.get(peer, 0)
@@ -86,14 +86,14 @@
             self.retry_at_by_peer.pop(peer, None)
 
     def awaits_grant(self, now_s: float) -> bool:
-        """Return whether an answer may still come."""
+        """Return whether a grant may still arrive."""
         return any(
             now_s - at_s < _GRANT_TIMEOUT_S
             for at_s in self.requested_at_by_peer.values()
         )
 
     def may_request(self, peer: str, now_s: float) -> bool:
-        """Return whether the peer is free to be asked."""
+        """Return whether a request may be sent to the peer."""
         requested_at_s = self.requested_at_by_peer.get(peer, -math.inf)
         retry_at_s = self.retry_at_by_peer.get(peer, -math.inf)
         return (
@@ -103,11 +103,12 @@
 
 @dataclass(slots=True, frozen=True)
 class LoanPlan:
-    """The whole shares to ask for by peer.
+    """Total shares to request from each peer.
 
-    A lasting loan follows callers that come mostly here. A short one moves
-    tokens: it ends before the lender has lost much of what it mints, and
-    the borrower keeps the tokens that fit its own share.
+    A long-term loan serves load that is concentrated on this host. A
+    short-term loan transfers tokens: it expires before the lender has lost
+    many newly generated tokens, and the borrower keeps the tokens that fit
+    its own share.
     """
 
     long_term: bool
@@ -120,7 +121,7 @@
 def is_renewal_due(
     ledger: _ledger.ShareLedger, lender: str, now_s: float
 ) -> bool:
-    """Return whether a lasting loan ends so soon that it is renewed."""
+    """Return whether a long-term loan expires soon and needs renewal."""
     loan = ledger.long_term_loan_from(lender)
     return loan is not None and loan.expires_at_s - now_s <= _RENEW_AHEAD_S
 
@@ -128,7 +129,7 @@
 def plan_renewals(
     ledger: _ledger.ShareLedger, equal_share_ppb: int, now_s: float
 ) -> dict[str, int]:
-    """Return the shares to keep by lender, for loans worth renewing."""
+    """Return the shares to renew by lender, for loans still needed."""
     loan_by_lender = {
         lender: loan
         for lender in ledger.borrowed_by_lender
@@ -156,10 +157,10 @@
     peers: Sequence[str],
     now_s: float,
 ) -> LoanPlan:
-    """Return what to ask for, if demand calls for more than is held.
+    """Return the shares to request if demand needs more than is held.
 
-    Several peers are asked at once, each for more than its part, because
-    one that is busy itself gives nothing. The first ones are preferred.
+    Several peers are asked at once, each for more than its part, because a
+    busy peer grants nothing. Peers at the start of `peers` are preferred.
     """
     if (
         now_s - tracker.last_request_at_s < _MIN_REQUEST_INTERVAL_S
@@ -205,7 +206,7 @@
 def target_share_ppb(
     ledger: _ledger.ShareLedger, equal_share_ppb: int, now_s: float
 ) -> int:
-    """Return the whole share for callers that come mostly here, else 0."""
+    """Return the total share needed if load is concentrated here, else 0."""
     whole, rate = const.SHARE_WHOLE, ledger.limit.rate
     if (
         ledger.demand.rate_lower_bound(now_s) * whole
--- a/src/jasminecrank/state/_ledger.py
+++ b/src/jasminecrank/state/_ledger.py
@@ -1,4 +1,4 @@
-"""The ledger of one team's quota on one node."""
+"""Ledger of one team's quota on one node."""
 
 from dataclasses import dataclass
 from dataclasses import field
@@ -14,12 +14,12 @@
 _MIN_DEMAND_PER_S = 0.1
 _GRANT_LATENCY_S = 0.05
 _TOKEN_TOLERANCE = 1e-6
-"""Tokens by which sums of floats may differ."""
+"""Rounding error of sums of floating-point tokens."""
 
 
 @dataclass(slots=True, frozen=True)
 class BorrowedShare:
-    """A share on loan from a peer, by one answered ask."""
+    """Share borrowed from a peer by one granted request."""
 
     loan_id: int
     share_ppb: int
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LentShare:
-    """A share that a peer may use until the return time."""
+    """Share that a borrower may use and that returns at a given time."""
 
     loan_id: int
     share_ppb: int
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Grant:
-    """What a lender has deducted from its ledger for a borrower."""
+    """Share and tokens that a lender deducted for a borrower."""
 
     share_ppb: int
     tokens: float
@@ -46,7 +46,10 @@
 
 @dataclass(slots=True)
 class ShareLedger:
-    """Share and tokens of one team; every method takes the time of use."""
+    """Share and token bucket of one team on one node.
+
+    Callers pass the current time to every method that depends on it.
+    """
 
     limit: _rows.LimitRow
     own_ppb: int
@@ -71,7 +74,7 @@
         now_s: float,
         share_withheld_until_s: float,
     ) -> "ShareLedger":
-        """Return an empty ledger that mints nothing while it is quiet."""
+        """Return an empty ledger that withholds its own share at first."""
         return cls(
             limit=limit,
             own_ppb=own_ppb,
@@ -85,10 +88,10 @@
     def update(
         self, limit: _rows.LimitRow, own_ppb: int, now_s: float
     ) -> None:
-        """Follow a new limit or own share; only what fits is kept.
+        """Apply a new limit or own share and drop the tokens above it.
 
-        After a decrease the ledger starts from empty: tokens minted under
-        the larger limit must not go to peers that never had it.
+        A lower limit empties the ledger: tokens generated under the higher
+        limit must not be lent to peers that never used it.
         """
         self.refill(now_s)
         if limit != self.limit:
@@ -100,7 +103,7 @@
         self._clamp(now_s)
 
     def take(self, now_s: float) -> bool:
-        """Take one token if there is one."""
+        """Take one token if available; return whether it was."""
         self.refill(now_s)
         if self.tokens < 1.0:
             return False
@@ -109,14 +112,14 @@
         return True
 
     def refund(self, now_s: float) -> None:
-        """Put back the token of a request that was not run."""
+        """Return the token of a request that did not run."""
         self.refill(now_s)
         self.tokens += 1.0
         self.audit.level = max(0.0, self.audit.level - 1.0)
         self._clamp(now_s)
 
     def holds_token(self, now_s: float) -> bool:
-        """Return whether there is a token, or the share is too small."""
+        """Return whether a token is available or the share cannot hold one."""
         self.refill(now_s)
         share_ppb = self.share_ppb(now_s)
         return (
@@ -125,11 +128,11 @@
         )
 
     def limit_crc(self) -> int:
-        """Return a checksum of the rate and burst in force."""
+        """Return a checksum of the current rate and burst."""
         return zlib.crc32(f"{self.limit.rate}/{self.limit.burst}".encode())
 
     def wait_s(self, now_s: float) -> float:
-        """Return the time until the next token is minted."""
+        """Return the time until the next token is available."""
         share = self.share_ppb(now_s) / const.SHARE_WHOLE
         rate = self.limit.rate * share
         if rate <= 0.0 or share * self.limit.burst < 1.0:
@@ -137,10 +140,11 @@
         return min(const.LOAN_TTL_S, max(0.0, (1.0 - self.tokens) / rate))
 
     def refill(self, now_s: float) -> None:
-        """Add the tokens of the time since the last use.
+        """Add the tokens generated since the last refill.
 
-        A loan that began or ended in between counts as absent for all of
-        it, on both sides, so that the sum of shares is never exceeded.
+        A loan that began or ended in this period counts for neither lender
+        nor borrower for the whole period, so that the shares of all hosts
+        never add up to more than the quota.
         """
         elapsed_s = max(0.0, now_s - self.refilled_at_s)
         share_ppb = self._unlent_ppb(self.refilled_at_s) + self._borrowed_ppb(
@@ -153,38 +157,38 @@
         self._clamp(now_s)
 
     def share_ppb(self, now_s: float) -> int:
-        """Return the share by which tokens are minted now."""
+        """Return the share that generates tokens now."""
         return self._unlent_ppb(now_s) + self._borrowed_ppb(now_s)
 
     def free_ppb(self, now_s: float) -> int:
-        """Return the part of the own share that is not on loan."""
+        """Return the part of the own share that is not lent."""
         return self._unlent_ppb(now_s)
 
     def borrowed_from_ppb(self, lender: str) -> int:
-        """Return the share on loan here from one peer."""
+        """Return the share borrowed from one peer."""
         loans = self.borrowed_by_lender.get(lender, ())
         return max((loan.share_ppb for loan in loans), default=0)
 
     def long_term_loan_from(self, lender: str) -> BorrowedShare | None:
-        """Return the lasting loan from a peer that ends last."""
+        """Return the long-term loan from a peer that expires last."""
         loans = [
             loan for loan in self.borrowed_by_lender[lender] if loan.long_term
         ]
         return max(loans, key=lambda loan: loan.expires_at_s, default=None)
 
     def has_demand(self, now_s: float) -> bool:
-        """Return whether requests came recently."""
+        """Return whether recent demand is above the minimum."""
         return self.demand.rate(now_s) >= _MIN_DEMAND_PER_S
 
     def reserve_tokens(self, now_s: float) -> float:
-        """Return the tokens that even out chance in the next moment."""
+        """Return the tokens that absorb short-term variation of demand."""
         rate = self.demand.rate(now_s)
         return 1.0 + 0.5 * math.sqrt(rate)
 
     def low_watermark(self, now_s: float) -> float:
-        """Return the tokens below which peers are asked for more.
+        """Return the tokens below which more are requested from peers.
 
-        They cover the requests that come while an answer is on its way.
+        They cover the requests that arrive while a grant is in transit.
         """
         margin = 3.0 * math.sqrt(self.demand.rate(now_s) * _GRANT_LATENCY_S)
         share = max(self.own_ppb, self.share_ppb(self.refilled_at_s))
@@ -192,10 +196,10 @@
         return 1.0 + min(0.25 * cap, margin)
 
     def spare_ppb(self, ttl_s: float, now_s: float) -> int:
-        """Return the share this node can do without for a time.
+        """Return the share that this node can lend for a time.
 
-        What is left of the tokens, with those minted until then, has to
-        cover recent demand and its chance variation.
+        The remaining tokens and those generated in this time must cover
+        recent demand and its statistical variation.
         """
         demand = self.demand.rate(now_s)
         rate, burst = self.limit.rate, self.limit.burst
@@ -215,12 +219,12 @@
         now_s: float,
         lend_all: bool,
     ) -> Grant:
-        """Deduct a loan from this ledger and return what the peer gets.
+        """Deduct a loan from this ledger and return what is granted.
 
-        Tokens move only with a share that was not on loan to the borrower
-        before: tokens in flight are covered by the burst of that share. An
-        ask overtaken by a later one gets nothing, because the borrower
-        would count the tokens of both answers to the same share.
+        Tokens are lent only with a share that was not lent to the borrower
+        before, because the burst of that share covers tokens in transit. A
+        request that arrives after a later one gets nothing, because the
+        borrower would count the tokens of both grants for the same share.
         """
         self.refill(now_s)
         entries = self.lent_by_borrower.get(borrower, ())
@@ -244,13 +248,15 @@
         entry = LentShare(loan_id, share_ppb, returns_at_s)
         self.lent_by_borrower[borrower] = (*entries, entry)
         self._clamp(now_s)
-        self._check(self._unlent_ppb(now_s) == free_ppb - moved_ppb, "lent")
+        self._check(
+            self._unlent_ppb(now_s) == free_ppb - moved_ppb, "lent share"
+        )
         return Grant(share_ppb, tokens)
 
     def accept(
         self, lender: str, loan: BorrowedShare, tokens: float, now_s: float
     ) -> bool:
-        """Take a loan over; a late or overtaken one changes nothing."""
+        """Add a loan; return False if it is expired or superseded."""
         self.refill(now_s)
         if loan.loan_id <= self.last_id_by_lender.get(lender, -1):
             return False
@@ -273,10 +279,10 @@
         )
 
     def _lendable_ppb(self, borrower: str, now_s: float) -> int:
-        """Return the own share that is not on loan to others.
+        """Return the own share that is not lent to other borrowers.
 
-        A renewal must fit in it too: the own share may have become smaller
-        since the loan was made.
+        It limits renewals too, because the own share may have become
+        smaller since the loan was granted.
         """
         if now_s < self.share_withheld_until_s:
             return 0
@@ -329,7 +335,8 @@
         _invariants.check(
             exceptions.ResultCode.INVARIANT_QUOTA,
             holds,
-            "%s of %s at %s: own %d ppb, borrowed %s, lent %s, %f tokens",
+            "invalid %s for team %s of service %s: "
+            "own share %d ppb, borrowed %s, lent %s, %f tokens",
             what,
             self.limit.team,
             self.limit.service,
--- a/src/jasminecrank/state/_loan_book.py
+++ b/src/jasminecrank/state/_loan_book.py
@@ -1,4 +1,4 @@
-"""The loans of one node: asked for, given and taken over."""
+"""Loans of one node: requested, granted and accepted."""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -16,7 +16,7 @@
 
 
 class QuotaPolicy(enum.Enum):
-    """Whether nodes lend each other shares."""
+    """Whether hosts keep equal shares or lend them to each other."""
 
     EQUAL_SHARES = "equal-shares"
     LOANS = "loans"
@@ -33,9 +33,9 @@
 
 @dataclass(slots=True)
 class LoanManager:
-    """Decides whom to ask for loans, and answers the asks of peers.
+    """Requests loans from peers and answers the requests of peers.
 
-    The ledgers and the outbox are those of the quota state it belongs to.
+    It shares the ledgers and the outbox with its quota state.
     """
 
     host: str
@@ -66,7 +66,7 @@
         outbox: list[_quota_messages.OutgoingMessage],
         now_s: float,
     ) -> "LoanManager":
-        """Return the book of a process that has just started."""
+        """Return the manager of a process that has just started."""
         return cls(
             host=host,
             policy=policy,
@@ -79,29 +79,30 @@
             answer_budget=_borrowing.ByteBudget(
                 const.LOAN_ANSWER_BYTES_PER_S, 0.0, now_s
             ),
-            # A former process of this host may have asks under way.
+            # The previous process of this host may have requests in transit,
+            # so a random start keeps its loan IDs apart.
             next_loan_id=rng.getrandbits(_LOAN_ID_BITS),
         )
 
     def change_service(self, service: str) -> None:
-        """Forget the loans of another service."""
+        """Drop the requests to hosts of the previous service."""
         self.service = service
         self.tracker_by_team.clear()
         self.pending_by_id.clear()
 
     def awaits_grant(self, team: str, now_s: float) -> bool:
-        """Return whether an answer for a team may still come."""
+        """Return whether a grant for a team may still arrive."""
         tracker = self.tracker_by_team.get(team)
         return tracker is not None and tracker.awaits_grant(now_s)
 
     def is_active(self) -> bool:
-        """Return whether asks are under way or loans may need renewal."""
+        """Return whether requests are pending or loans may need renewal."""
         return bool(self.pending_by_id) or any(
             ledger.borrowed_by_lender for ledger in self.by_limit.values()
         )
 
     def tick(self, now_s: float) -> None:
-        """Forget asks that cannot be answered any more; renew loans."""
+        """Drop requests whose grant would be expired, and renew loans."""
         self.peer_offset = self.rng.getrandbits(16)
         for loan_id, request in tuple(self.pending_by_id.items()):
             if now_s - request.requested_at_s >= const.LOAN_TTL_S:
@@ -111,7 +112,7 @@
     def lend(
         self, host: str, request: _quota_messages.LoanRequest, now_s: float
     ) -> None:
-        """Answer the ask of a peer."""
+        """Answer the request of a peer, within the byte budget."""
         if self.policy is not QuotaPolicy.LOANS:
             return
         teams = [wanted.team for wanted in request.shares]
@@ -149,10 +150,11 @@
         return _quota_messages.ShareGrant(grant.share_ppb, grant.tokens)
 
     def _lends_all(self, ledger: _ledger.ShareLedger, host: str) -> bool:
-        """Return whether the own demand counts for nothing here.
+        """Return whether to lend the share regardless of own demand.
 
-        A burst so small that the own share holds no whole token is of use
-        to one host at a time only; the lowest one that has calls gets it.
+        If the burst is so small that the own share holds no whole token,
+        only one host at a time can use it: the host with the lowest name
+        that has calls gets it.
         """
         own_burst_ppb = ledger.own_ppb * ledger.limit.burst
         yields_share = own_burst_ppb < const.SHARE_WHOLE and host < self.host
@@ -161,7 +163,7 @@
     def accept(
         self, host: str, grant: _quota_messages.LoanGrant, now_s: float
     ) -> None:
-        """Take over what a peer has granted."""
+        """Add the loans that a peer has granted."""
         request = self.pending_by_id.get(grant.loan_id)
         if request is None or request.peer != host:
             return
@@ -184,7 +186,7 @@
             self.borrow(ledger, now_s)
 
     def borrow(self, ledger: _ledger.ShareLedger, now_s: float) -> None:
-        """Ask for a team that is short, and for others in the same asks."""
+        """Request loans for a team, and for others in the same requests."""
         if self.policy is not QuotaPolicy.LOANS:
             return
         peers = self._rotated_peers()
@@ -225,13 +227,13 @@
         return _borrowing.plan_loans(ledger, tracker, peers, now_s)
 
     def _rotated_peers(self) -> list[str]:
-        """Return the peers in an order that differs by node and time."""
+        """Return the peers from an offset that differs by node and time."""
         peers = sorted(self.peers & self.service_hosts)
         start = self.peer_offset % len(peers) if peers else 0
         return peers[start:] + peers[:start]
 
     def _renew(self, now_s: float) -> None:
-        """Renew loans that end soon, and others of the same lenders."""
+        """Renew loans that expire soon, with others of the same lenders."""
         shares_by_peer: dict[str, dict[str, int]] = {}
         due_peers: set[str] = set()
         equal_share_ppb = const.SHARE_WHOLE // max(1, len(self.service_hosts))
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -1,4 +1,4 @@
-"""Quotas over all hosts: own shares, loans and the ledgers they feed."""
+"""Quotas shared by all hosts: own shares, loans and their ledgers."""
 
 from dataclasses import dataclass
 from dataclasses import field
@@ -13,16 +13,16 @@
 from jasminecrank.state import _snapshot
 
 _LOAN_WAIT_S = 0.02
-"""Wait told to a request whose node has just asked peers for tokens."""
+"""Maximum wait reported while a loan request is pending."""
 _REPORT_PERIOD_S = 1.0
 _REPORT_PERIOD_MAX_S = 5.0
 
 
 @dataclass(slots=True)
 class QuotaState:
-    """Owns the ledgers of one node and decides whom to ask for loans.
+    """Quota state of one node: its shares, loans and ledgers.
 
-    Messages for peers are collected until `drain` is called.
+    Messages to peers are collected until `drain_outbox` is called.
     """
 
     host: str
@@ -64,7 +64,7 @@
     def apply_snapshot(
         self, snapshot: _snapshot.Snapshot, now_s: float
     ) -> None:
-        """Follow the limits, hosts and outages of a new snapshot."""
+        """Apply the limits, hosts and outages of a new snapshot."""
         own = snapshot.by_host.get(self.host)
         service = "" if own is None else own.service
         if service != self.shares.service:
@@ -87,7 +87,8 @@
     ) -> float | None:
         """Take a token; return None on success, else the wait in seconds.
 
-        A request that waited and tries again says so; it is no new demand.
+        With `repeated`, a request that waited before is not counted as new
+        demand.
         """
         ledger = self.by_limit.get((service, team))
         if ledger is None:
@@ -104,13 +105,13 @@
         return wait_s
 
     def refund(self, service: str, team: str, now_s: float) -> None:
-        """Put back the token of a request that was not run."""
+        """Return the token of a request that did not run."""
         ledger = self.by_limit.get((service, team))
         if ledger is not None:
             ledger.refund(now_s)
 
     def tick(self, now_s: float) -> None:
-        """Renew loans, raise proved shares and repeat reports."""
+        """Renew loans, raise confirmed shares and repeat reports."""
         self._expire_removed_limits(now_s)
         if self.shares.advance(now_s):
             for ledger in self.by_limit.values():
@@ -125,34 +126,34 @@
         self.loans.tick(now_s)
 
     def tick_interval_s(self) -> float:
-        """Return the time until the next tick, longer while idle."""
+        """Return the time until the next tick, which is longer while idle."""
         busy = self.shares.is_pending() or self.loans.is_active()
         return const.QUOTA_TICK_S if busy else const.QUOTA_IDLE_TICK_S
 
     def drain_outbox(self) -> tuple[_quota_messages.OutgoingMessage, ...]:
-        """Return the messages to send and forget them."""
+        """Return the messages to send and clear the outbox."""
         messages = tuple(self.outbox)
         self.outbox.clear()
         return messages
 
     def start_draining(self) -> None:
-        """Lend everything from now on."""
+        """Lend the whole share from now on."""
         self.draining = True
         self.loans.lend_all = True
 
     def peer_up(self, host: str, now_s: float) -> None:
-        """Note that a peer can be asked."""
+        """Add a peer that can lend, and report shares at the next tick."""
         self.loans.peers.add(host)
         self._schedule_report(now_s)
 
     def peer_down(self, host: str) -> None:
-        """Note that a peer cannot be asked."""
+        """Remove a peer that can no longer lend."""
         self.loans.peers.discard(host)
 
     def receive(
         self, host: str, message: _quota_messages.QuotaMessage, now_s: float
     ) -> None:
-        """Handle the message of a peer."""
+        """Handle a quota message of a peer."""
         match message:
             case _quota_messages.LoanRequest():
                 self.loans.lend(host, message, now_s)
@@ -164,10 +165,10 @@
                 typing.assert_never(message)
 
     def is_usable(self, now_s: float) -> bool:
-        """Return whether this node mints and has a token for every team.
+        """Return whether this node owns a share and a token of every team.
 
-        After a start the first token of a small share takes longer than the
-        loan time alone.
+        After a start, the first token of a small share takes longer than
+        the loan return time alone.
         """
         owns_share = (
             now_s >= self.share_withheld_until_s
@@ -178,10 +179,11 @@
         )
 
     def _change_service(self, service: str, now_s: float) -> None:
-        """Start anew: nothing of another service carries over.
+        """Reset the state, because nothing carries over between services.
 
-        Quiet, because the former host on the same share slot may have lent
-        just before it was lost.
+        The own share is withheld for the loan return time, because the
+        previous host of the share slot may have lent it just before it was
+        lost.
         """
         self.share_withheld_until_s = now_s + const.LOAN_RETURN_S
         self.shares = _shares.ShareTracker(self.host, service)
@@ -207,7 +209,8 @@
             if ledger is not None:
                 ledger.update(limit, own_ppb, now_s)
                 continue
-            # A limit that comes back may still be on loan.
+            # The share of a limit that was removed and added again may still
+            # be lent.
             removed_at_s = self.removed_at_by_limit.pop(key, None)
             share_withheld_until_s = self.share_withheld_until_s
             if removed_at_s is not None:
--- a/src/jasminecrank/state/_quota_messages.py
+++ b/src/jasminecrank/state/_quota_messages.py
@@ -1,4 +1,4 @@
-"""What the quota states of the nodes of one service tell each other."""
+"""Quota messages between the nodes of one service."""
 
 from dataclasses import dataclass
 
@@ -7,10 +7,11 @@
 
 @dataclass(slots=True, frozen=True)
 class ShareRequest:
-    """The whole share of one team that a borrower wants from one lender.
+    """Total share of one team that a borrower requests from one lender.
 
-    The checksum of rate and burst keeps tokens that were minted under
-    another limit from moving while table versions differ.
+    The checksum covers rate and burst. While nodes use different table
+    versions, it prevents tokens generated under one limit from being used
+    under another.
     """
 
     team: str
@@ -20,7 +21,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LoanRequest:
-    """Ask a lender for shares, for ttl_s from now."""
+    """Request shares from a lender for `ttl_s` from now."""
 
     loan_id: int
     service: str
@@ -30,7 +31,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ShareGrant:
-    """The share of one team now on loan, and tokens that move with it."""
+    """Share of one team that is lent, and the tokens lent with it."""
 
     share_ppb: int
     tokens: float
@@ -38,9 +39,9 @@
 
 @dataclass(slots=True, frozen=True)
 class LoanGrant:
-    """Answer an ask, part by part in the order of its wants.
+    """Answer to a loan request, with its shares in the same order.
 
-    The borrower knows the team and the end of each loan from its ask.
+    The borrower knows the team and expiry of each share from its request.
     """
 
     loan_id: int
@@ -52,7 +53,7 @@
 
 @dataclass(slots=True, frozen=True)
 class OutgoingMessage:
-    """A message for the quota state of a peer."""
+    """Message addressed to the quota state of a peer."""
 
     host: str
     message: QuotaMessage
--- a/src/jasminecrank/state/_shares.py
+++ b/src/jasminecrank/state/_shares.py
@@ -1,4 +1,4 @@
-"""Which part of every quota a host owns while host lists differ."""
+"""Quota shares that hosts own while their host list versions differ."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -10,11 +10,12 @@
 
 @dataclass(slots=True, frozen=True)
 class ShareAllocation:
-    """The smallest shares over a run of versions of the host list.
+    """The smallest shares over consecutive versions of the host list.
 
-    A host owns one part in `holders` if its slot is listed, else nothing.
-    What the division leaves over goes to the lowest slot, while all
-    versions agree on it, so that a lone borrower can hold the whole.
+    A host owns one part in `host_count` if its slot is listed, else
+    nothing. The remainder of the division goes to the lowest slot as long
+    as all versions agree on it, so that a single borrower can hold the
+    whole quota.
     """
 
     host_count: int
@@ -23,15 +24,15 @@
 
     @classmethod
     def from_hosts(cls, host_by_slot: Mapping[int, str]) -> "ShareAllocation":
-        """Return the shares of one version."""
+        """Return the shares of one host list version."""
         remainder_slot = min(host_by_slot, default=None)
         return cls(len(host_by_slot), dict(host_by_slot), remainder_slot)
 
     def merge(self, host_by_slot: Mapping[int, str]) -> "ShareAllocation":
-        """Return the smallest shares when one more version is possible.
+        """Return the smallest shares including one more version.
 
-        A slot passes to another host only if the former one has left the
-        list, because the platform reports a removal late, never early.
+        A slot moves to another host only if its previous host is no longer
+        listed: the platform may report a removal late, but never early.
         """
         listed = set(host_by_slot.values())
         kept = {
@@ -55,7 +56,7 @@
         )
 
     def share_ppb(self, slot: int | None) -> int:
-        """Return the share of the host on a slot."""
+        """Return the share of a slot, or 0 if it is not listed."""
         if slot is None or slot not in self.host_by_slot:
             return 0
         remainder = const.SHARE_WHOLE % self.host_count
@@ -65,10 +66,11 @@
 
 @dataclass(slots=True, frozen=True)
 class ShareReport:
-    """What a node knows about the hosts version and who holds it.
+    """Host list version of a node and the slots that confirmed it.
 
-    `acked` are the slots known to have this version in force. `base` is
-    None in a process that does not know its share yet.
+    `acked_slots` are the slots known to have this version in force.
+    `effective` holds the shares in use; it is None in a process that does
+    not know its share yet.
     """
 
     service: str
@@ -82,12 +84,13 @@
 
 @dataclass(slots=True)
 class ShareTracker:
-    """Lowers the own share at once and raises it only when proved.
+    """Lowers the own share at once and raises it only after confirmation.
 
-    Proved means that every slot of the host list has shown the version in
-    force here, and that a loan time has passed since, so that no loan is
-    left from the shares before. A process that has just started owns
-    nothing until it is proved or a peer tells it the shares in use.
+    A share is confirmed once every slot of the host list has reported the
+    version in force here and a loan return time has passed since then, so
+    that no loan of the previous shares remains. A process that has just
+    started owns nothing until its share is confirmed or a peer reports the
+    shares in use.
     """
 
     host: str
@@ -104,7 +107,7 @@
     def apply(
         self, version: _versions.Version, host_by_slot: Mapping[int, str]
     ) -> None:
-        """Take a newer version of the host list into account."""
+        """Apply a newer version of the host list; ignore an older one."""
         if version.number <= self.version.number:
             return
         self.version = version
@@ -125,7 +128,7 @@
         self.all_acked_at_s = None
 
     def share_ppb(self) -> int:
-        """Return the own share of every quota of the service."""
+        """Return the own share, the same for every quota of the service."""
         return (
             0
             if self.effective is None
@@ -133,11 +136,11 @@
         )
 
     def is_pending(self) -> bool:
-        """Return whether the shares of the version in force are unproved."""
+        """Return whether the latest shares are still unconfirmed."""
         return self.slot is not None and self.effective != self.latest
 
     def advance(self, now_s: float) -> bool:
-        """Return whether the own share has been proved just now."""
+        """Put confirmed shares in use; return whether there were any."""
         if not self.is_pending() or not self.acked_slots >= set(
             self.host_by_slot
         ):
@@ -151,13 +154,13 @@
         return True
 
     def report(self) -> ShareReport:
-        """Return what peers have to know."""
+        """Return the report to send to peers."""
         return ShareReport(
             self.service, self.version, self.acked_slots, self.effective
         )
 
     def receive(self, report: ShareReport) -> bool:
-        """Learn from a peer's report; return whether it lacks something."""
+        """Apply a peer's report; return whether the peer needs ours."""
         if report.service != self.service or self.slot is None:
             return False
         peer_is_behind = (
--- a/src/jasminecrank/state/_token_wait.py
+++ b/src/jasminecrank/state/_token_wait.py
@@ -1,4 +1,4 @@
-"""Calls that found no token and try again a little later."""
+"""Calls that wait for a quota token and retry."""
 
 from collections.abc import Callable
 import dataclasses
@@ -8,16 +8,16 @@
 from jasminecrank.state import _fair_queue
 
 _WAIT_MAX_S = 0.1
-"""Longest wait for a token, by when an asked peer has lent one."""
+"""Maximum wait for a token, within which a lending peer answers."""
 
 _RETRY_MIN_S = 0.0005
 _MAX_WAITING_PER_TEAM = 8
-"""Calls of one team that wait; a team above its rate always has some."""
+"""Limit of waiting calls; a team above its rate always has some."""
 
 
 @dataclass(slots=True)
 class TokenWaitList:
-    """Holds calls for as long as a token may still come in time."""
+    """Calls that may still get a token before their wait ends."""
 
     by_ticket: dict[int, _fair_queue.Waiting] = field(default_factory=dict)
 
@@ -31,7 +31,7 @@
         max_waiting: int,
         now_s: float,
     ) -> bool:
-        """Keep a new call that is short of a token, if it may wait."""
+        """Add a call that got no token; return False if there is no room."""
         team = entry.checked.team
         waiting = sum(
             other.checked.team == team for other in self.by_ticket.values()
@@ -49,7 +49,7 @@
     def schedule_retry(
         self, entry: _fair_queue.Waiting, wait_s: float, now_s: float
     ) -> bool:
-        """Keep a call until its next try; return False if it is too late."""
+        """Keep a call until its retry; return False if that is too late."""
         retry_at_s = now_s + max(_RETRY_MIN_S, wait_s)
         if retry_at_s > entry.give_up_at_s:
             return False
@@ -59,7 +59,7 @@
         return True
 
     def pop_due(self, now_s: float) -> list[_fair_queue.Waiting]:
-        """Take out the calls that are to try again, oldest first."""
+        """Remove and return the calls due for a retry, oldest first."""
         return self.remove(
             lambda entry: (
                 entry.retry_at_s is not None and entry.retry_at_s <= now_s
@@ -69,7 +69,7 @@
     def remove(
         self, condition: Callable[[_fair_queue.Waiting], bool]
     ) -> list[_fair_queue.Waiting]:
-        """Take out all calls that meet a condition, oldest first."""
+        """Remove and return the calls that meet a condition, oldest first."""
         removed = [
             entry for entry in self.by_ticket.values() if condition(entry)
         ]
@@ -79,7 +79,7 @@
         return removed
 
     def next_retry_at_s(self) -> float | None:
-        """Return when the next call is to try again."""
+        """Return the time of the next retry, or None without waiting calls."""
         return min(
             (
                 entry.retry_at_s
