--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -1,13 +1,13 @@
-Feature: Accepting documents
+Feature: Validating and activating documents
 
-  Guards against a node that returns to an older version, applies a bad
-  version in part or guesses between two versions with the same number.
+  Guards against a node that reverts to an older version, applies part of an
+  invalid version, or picks one of two versions with the same number.
 
   Scenario Outline: A document is offered to a node with version 2
-    Given a node with table version 2 in force
+    Given a node with active table version 2
     When table version <number> with <content> is offered
     Then the offer is <result>
-    And table version <in force> is in force
+    And table version <in force> is active
 
     Examples:
       | number | content           | result   | in force |
@@ -21,9 +21,9 @@
       | 3      | an unknown field  | Invalid  | 2        |
       | 3      | a wrong digest    | Invalid  | 2        |
 
-  Scenario Outline: Documents cross in flight
+  Scenario Outline: Documents arrive in any order
     When the documents arrive in the order <order>
-    Then the route is usable after the document <usable after>
+    Then the route becomes usable with the document <usable after>
 
     Examples:
       | order                       | usable after |
--- a/features/state/exchange.feature
+++ b/features/state/exchange.feature
@@ -1,18 +1,18 @@
-Feature: Distribution between nodes
+Feature: Document distribution between nodes
 
-  Guards against a node that returns to an older version, applies a version
-  in part, or never gets the newest one, when messages are lost, late,
-  doubled or out of order, nodes crash and sources are stale.
+  Guards against a node that reverts to an older version, applies a version
+  in part, or never receives the newest one. Messages are lost, delayed,
+  duplicated or reordered, nodes crash, and sources are stale.
 
-  Scenario: Random runs of several nodes
-    When 150 random runs of 5 nodes are made
+  Scenario: Random simulations of several nodes
+    When 150 random simulations of 5 nodes are run
     Then no run breaks an invariant and all nodes converge
 
-  Scenario Outline: What is sent to a peer
-    Given a node with 12 versions of the table, one after the other
-    When a peer shows table version <shown> and the next version is accepted
+  Scenario Outline: Sending an accepted version to a peer
+    Given a node that has accepted 12 table versions in order
+    When a peer reports table version <shown> and the next version is accepted
     Then the node sends <sent>
-    And nothing when the same peer shows the newest version first
+    And nothing if the peer reports the newest version before it is accepted
 
     Examples:
       | shown | sent         |
@@ -21,9 +21,9 @@
       | 2     | SendVersions |
       | 0     | SendVersions |
 
-  Scenario Outline: What answers a fetch
-    Given a node with 12 versions of the table, one after the other
-    When a peer with table version <have> fetches it
+  Scenario Outline: Replying to a fetch
+    Given a node that has accepted 12 table versions in order
+    When a peer with table version <have> fetches the table
     Then the node sends <sent>
 
     Examples:
@@ -34,23 +34,23 @@
       | 3    | SendDocument |
       | 0    | SendDocument |
 
-  Scenario: A version passes over several hops
+  Scenario: A version propagates over several hops
     Given a chain and a ring of 6 linked nodes each
     When the first node of each accepts a version of every document
-    Then every node holds it
-    And no node was pushed a version that it had shown
-    And keys arrive ahead of the other documents
-
-  Scenario: A peer that was asked and does not answer
-    Given a node whose peers a, b and c show a newer table
-    When 2 s pass without an answer
-    Then one of the other two is asked
-    When that one goes down
-    Then one that is still linked is asked
-
-  Scenario Outline: A peer that keeps showing an older version
-    Given a node with 12 versions of the table, one after the other
-    When a linked peer shows table version 11 every <period> s for <total> s
+    Then every node has it
+    And no node pushed a version twice on a link
+    And keys are fetched before the other documents
+
+  Scenario: A peer does not reply to a fetch
+    Given a node whose peers a, b and c report a newer table
+    When 2 s pass without a reply
+    Then the fetch is sent to another peer
+    When that peer goes down
+    Then the fetch is sent to a peer that is still linked
+
+  Scenario Outline: A peer keeps reporting an older version
+    Given a node that has accepted 12 table versions in order
+    When a linked peer reports table version 11 every <period> s for <total> s
     Then the peer is <lagging>
 
     Examples: a silent peer is not lagging
--- a/features/state/readiness.feature
+++ b/features/state/readiness.feature
@@ -1,11 +1,12 @@
-Feature: When a node accepts calls
+Feature: Readiness of a node
 
-  Guards against a node that serves with versions from before a start or a
-  pause, and against one that refuses calls for ever once peers answer.
+  Guards against a node that accepts calls with outdated versions after a
+  start or a process pause, and against one that never becomes ready although
+  its peers reply.
 
-  Scenario Outline: A sequence of events ends ready or not ready
+  Scenario Outline: Readiness after a sequence of events
     Given a node that starts at 100 s
-    When the node goes through <events>
+    When the events <events> occur
     Then the readiness is <state>
 
     Examples: start
@@ -31,10 +32,10 @@
       | serve, tick 110, tick 113, answer 1 1 113.1, tick 113.5   | not ready |
       | serve, tick 110, tick 113, answer 2 1 113.1, tick 113.5   | ready     |
 
-  Scenario Outline: A call right after a pause is refused before any tick
-    Given a node that was ready at its last tick, at 100 s
-    When a call reaches that node at <call> s
-    Then that node has <result>
+  Scenario Outline: A call after a pause is refused before the next tick
+    Given a node that was ready at its last tick at 100 s
+    When the node receives a call at <call> s
+    Then the call is <result>
 
     Examples:
       | call  | result                     |
--- a/features/state/topology.feature
+++ b/features/state/topology.feature
@@ -1,14 +1,14 @@
 Feature: Planned links between nodes
 
-  Guards against a version that cannot reach a part of the fleet, because
-  the planned links leave it unconnected, and against hosts with so many
-  links that a large fleet costs more than its budget.
+  Guards against planned links that leave a part of the fleet disconnected,
+  where new versions cannot reach it, and against hosts with so many links
+  that the traffic of a large fleet exceeds its budget.
 
-  Scenario Outline: Every host list gives one connected graph
+  Scenario Outline: Every host list results in one connected graph
     Given <hosts> hosts of <services> services in <data centres> data centres
     When every host plans its links
     Then both hosts of each pair plan the link
-    And the links connect all hosts, also without any one host
+    And the links connect all hosts, also if any one host is down
     And no host plans more than <most links> links
 
     Examples:
@@ -26,10 +26,10 @@
       | 1000  | 3        | 4            | 36         |
       | 2200  | 180      | 10           | 36         |
 
-  Scenario Outline: Hosts with different lists still form one graph
+  Scenario Outline: Hosts with different lists still form a connected graph
     Given <hosts> hosts of <services> services in <data centres> data centres
-    When each host lacks up to <missing> random hosts of the list, seed <seed>
-    Then the links that either side plans connect all hosts
+    When up to <missing> random hosts are missing per host list, seed <seed>
+    Then the links planned by either side connect all hosts
 
     Examples:
       | hosts | services | data centres | missing | seed |
@@ -41,8 +41,8 @@
 
   Scenario Outline: A watcher that is down is replaced
     Given 40 hosts of 4 services in 2 data centres
-    When the watchers of rank <down> are down
-    Then the watchers are those of rank <watching>
+    When the watchers with the ranks <down> are down
+    Then the watchers have the ranks <watching>
     And all candidates of a data centre plan links with each other
 
     Examples:
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -1,4 +1,4 @@
-"""Steps on accepting documents."""
+"""Steps for validating and activating documents."""
 
 import dataclasses
 import json
@@ -45,13 +45,13 @@
 
 
 def make_document(name, number, rows):
-    """Return a document of typed rows."""
+    """Build a document from typed rows."""
     by_key = {state.row_key(row): state.encode_row(row) for row in rows}
     return state.build_document(state.DocumentName(name), number, by_key)
 
 
 def make_table(content, number):
-    """Return a table version with the named content."""
+    """Build a table version with the content that a step names."""
     rows = (SERVICE, ROUTE, dataclasses.replace(LIMIT, burst=11))
     good = make_document("table", number, rows)
     by_key = dict(good.by_key)
@@ -76,7 +76,7 @@
     raise AssertionError(content)
 
 
-@given("a node with table version {number:d} in force")
+@given("a node with active table version {number:d}")
 def step_node_with_version(context, number):
     context.state = state.ConfigState.empty()
     for name in ("hosts", "keys", "outages"):
@@ -94,8 +94,8 @@
     assert type(context.result).__name__ == result, context.result
 
 
-@then("table version {number:d} is in force")
-def step_in_force(context, number):
+@then("table version {number:d} is active")
+def step_active(context, number):
     assert context.state.versions().table.number == number
     snapshot = context.state.snapshot
     expected = 11 if type(context.result) is state.Accepted else 10
@@ -112,6 +112,6 @@
             context.usable_after = name
 
 
-@then("the route is usable after the document {name}")
+@then("the route becomes usable with the document {name}")
 def step_usable_after(context, name):
     assert context.usable_after == name, context.usable_after
--- a/features/steps/exchange_machine.py
+++ b/features/steps/exchange_machine.py
@@ -1,4 +1,4 @@
-"""Several nodes without actors, and random runs of them."""
+"""Simulates the document exchange of several nodes without actors."""
 
 import itertools
 
@@ -27,7 +27,7 @@
 
 
 def make_rows(name, number):
-    """Return rows that differ in every version, and their count as well."""
+    """Return rows that differ in content and number between versions."""
     match name:
         case state.DocumentName.TABLE:
             service = state.ServiceRow("ledger", 4, 1, float(number), 20)
@@ -65,7 +65,7 @@
 
 
 def make_document(name, number):
-    """Return the one good version with a number."""
+    """Build the only valid version with a number."""
     by_key = {
         state.row_key(row): state.encode_row(row)
         for row in make_rows(name, number)
@@ -74,7 +74,7 @@
 
 
 class Network:
-    """Nodes and the messages between them, in order on each link."""
+    """Nodes and the messages in flight, in order on each link."""
 
     def __init__(self, count, links):
         self.now_s = 0.0
@@ -89,37 +89,37 @@
 
     @staticmethod
     def make_node(number):
-        """Return a node that has received nothing."""
+        """Return a node without any documents."""
         return state.ExchangeState.from_host(f"n{number}")
 
     def linked(self, one, other):
-        """Return whether messages pass between two nodes."""
+        """Return whether two nodes have a working link."""
         pair = frozenset((one, other))
         return pair in self.links and pair not in self.cut_links
 
     def announce_versions(self, one, other):
-        """Let one node show its versions on a new link."""
+        """Report the versions of one node to another on a new link."""
         if self.linked(one, other):
             versions = self.nodes[one].config.versions()
             sends = self.nodes[other].peer_up(f"n{one}", versions, self.now_s)
             self.send(other, sends)
 
     def send(self, origin, sends):
-        """Put messages on their links."""
+        """Add messages to those in flight."""
         for send in sends:
             if isinstance(send, state.SendDelta):
                 self.record_push(origin, send)
             self.in_flight.append((origin, int(send.host[1:]), send))
 
     def record_push(self, origin, send):
-        """Find a version sent twice on a link or to one that showed it."""
+        """Record a push and detect a version pushed twice on a link."""
         key = (origin, send.host, send.delta.name, send.delta.target)
         if key in self.pushed:
             self.repeated_pushes.append(key)
         self.pushed.add(key)
 
     def offer(self, number, document):
-        """Offer a document of the source to one node."""
+        """Pass a document from the source to one node."""
         offered = self.nodes[number].receive_document(
             None, document, self.now_s
         )
@@ -127,7 +127,7 @@
         return offered.offer_result
 
     def deliver(self, index):
-        """Deliver one message, whichever its place in the queue."""
+        """Deliver the message at an index, dropping it if the link is cut."""
         origin, target, send = self.in_flight.pop(index)
         if not self.linked(origin, target):
             return
@@ -148,7 +148,7 @@
                 self.send_heartbeat(origin, target)
 
     def send_heartbeat(self, origin, target):
-        """Let one node see another's versions, as a heartbeat does."""
+        """Report the versions of one node to another."""
         if self.linked(origin, target):
             versions = self.nodes[origin].config.versions()
             sends = self.nodes[target].receive_versions(
@@ -157,12 +157,12 @@
             self.send(target, sends)
 
     def deliver_all(self):
-        """Deliver everything in order."""
+        """Deliver all messages in order."""
         while self.in_flight:
             self.deliver(0)
 
     def converge(self):
-        """Let heartbeats and time-outs pass until nothing is missing."""
+        """Send heartbeats and let timeouts expire until all nodes converge."""
         for _ in range(2 * len(self.nodes)):
             self.now_s += 5.0
             for one, other in itertools.permutations(
@@ -173,7 +173,7 @@
 
 
 class ExchangeMachine(stateful.RuleBasedStateMachine):
-    """Random faults; the newest version must win everywhere at the end."""
+    """Injects random faults; all nodes must reach the newest versions."""
 
     names = strategies.sampled_from(list(state.DocumentName))
     nodes = strategies.integers(0, NODE_COUNT - 1)
@@ -188,7 +188,7 @@
 
     @stateful.rule(name=names, node=nodes, lag=strategies.integers(0, 3))
     def source_serves(self, name, node, lag):
-        """One node reads the source, or a replica that lags."""
+        """Let one node read the source or a lagging replica."""
         if lag == 0:
             self.published[name] += 1
         number = self.published[name] - lag
@@ -199,7 +199,7 @@
 
     @stateful.rule(name=names, node=nodes, bad=strategies.integers(0, 2))
     def source_serves_bad(self, name, node, bad):
-        """One node reads a version that must be refused whole."""
+        """Let one node read a version that must be rejected as a whole."""
         number = self.published[name] + 1
         good = make_document(name, number)
         rows = dict(good.by_key)
@@ -219,7 +219,7 @@
     @stateful.precondition(lambda self: self.network.in_flight)
     @stateful.rule(data=strategies.data(), fault=strategies.integers(0, 4))
     def message(self, data, fault):
-        """Deliver, lose or double a message, not always the oldest."""
+        """Deliver, lose or duplicate any message in flight."""
         flight = self.network.in_flight
         index = data.draw(strategies.integers(0, len(flight) - 1))
         match fault:
@@ -233,7 +233,7 @@
 
     @stateful.rule(node=nodes)
     def crash(self, node):
-        """Lose all state; the links open anew."""
+        """Restart a node without state; its links are opened again."""
         network = self.network
         network.nodes[node] = network.make_node(node)
         self.highest[node] = dict.fromkeys(state.DocumentName, 0)
@@ -247,7 +247,7 @@
 
     @stateful.rule(one=nodes, other=nodes)
     def cut_or_join(self, one, other):
-        """Cut a link, or open it again."""
+        """Cut a link, or restore it if it is cut."""
         pair = frozenset((one, other))
         network = self.network
         if pair not in network.links:
@@ -264,13 +264,13 @@
 
     @stateful.rule(one=nodes, other=nodes)
     def heartbeat(self, one, other):
-        """Let one node see another's versions."""
+        """Send a heartbeat between two nodes."""
         self.network.now_s += 1.0
         self.network.send_heartbeat(one, other)
 
     @stateful.invariant()
     def versions_never_decrease(self):
-        """Versions only grow, and each is one that was offered, whole."""
+        """Check that versions only increase and match offered documents."""
         for node, highest in zip(
             self.network.nodes, self.highest, strict=True
         ):
@@ -288,7 +288,7 @@
             assert node.config.snapshot == whole
 
     def teardown(self):
-        """Heal everything; all nodes must reach the newest versions."""
+        """Restore all links; all nodes must reach the newest versions."""
         network = self.network
         for pair in sorted(map(sorted, network.cut_links)):
             network.cut_links.discard(frozenset(pair))
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -1,4 +1,4 @@
-"""Steps on what nodes send each other."""
+"""Steps for the distribution of documents between nodes."""
 
 from behave import given
 from behave import then
@@ -13,7 +13,7 @@
 NO_VERSIONS = state.VersionVector()
 
 
-@when("{runs:d} random runs of {nodes:d} nodes are made")
+@when("{runs:d} random simulations of {nodes:d} nodes are run")
 def step_runs(context, runs, nodes):
     assert nodes == exchange_machine.NODE_COUNT
     stateful.run_state_machine_as_test(
@@ -27,7 +27,7 @@
     assert not state.violations_by_code, state.violations_by_code
 
 
-@given("a node with {count:d} versions of the table, one after the other")
+@given("a node that has accepted {count:d} table versions in order")
 def step_versions(context, count):
     context.exchange = state.ExchangeState.from_host("self")
     context.documents = []
@@ -36,7 +36,7 @@
 
 
 def accept_version(context, number):
-    """Offer the next table version, return what is sent."""
+    """Offer the next table version and return the messages sent."""
     document = exchange_machine.make_document(TABLE, number)
     context.documents.append(document)
     offered = context.exchange.receive_document(None, document, 0.0)
@@ -47,13 +47,15 @@
 
 
 def reported_versions(context, number):
-    """Return a vector with one table version."""
+    """Return the versions of a peer with one table version."""
     if number == 0:
         return NO_VERSIONS
     return NO_VERSIONS.replace(TABLE, context.documents[number - 1].version)
 
 
-@when("a peer shows table version {number:d} and the next version is accepted")
+@when(
+    "a peer reports table version {number:d} and the next version is accepted"
+)
 def step_next(context, number):
     context.exchange.peer_up("peer", reported_versions(context, number), 0.0)
     context.sends = accept_version(context, len(context.documents) + 1)
@@ -70,7 +72,7 @@
             assert applied == context.documents[-1]
 
 
-@then("nothing when the same peer shows the newest version first")
+@then("nothing if the peer reports the newest version before it is accepted")
 def step_nothing(context):
     newest = exchange_machine.make_document(TABLE, len(context.documents) + 1)
     versions = NO_VERSIONS.replace(TABLE, newest.version)
@@ -78,7 +80,7 @@
     assert accept_version(context, newest.version.number) == ()
 
 
-@when("a peer with table version {have:d} fetches it")
+@when("a peer with table version {have:d} fetches the table")
 def step_fetch(context, have):
     versions = reported_versions(context, have)
     context.exchange.peer_up("peer", versions, 0.0)
@@ -105,13 +107,13 @@
         for name in state.DocumentName:
             network.offer(0, exchange_machine.make_document(name, 1))
         network.deliver_all()
-        # Every node holds a base now, so this one is pushed as deltas.
+        # Every node has a base version now, so this version is sent as deltas.
         for name in reversed(state.SEND_ORDER):
             network.offer(0, exchange_machine.make_document(name, 2))
         network.deliver_all()
 
 
-@then("every node holds it")
+@then("every node has it")
 def step_every_node(context):
     for network in context.networks:
         for node in network.nodes:
@@ -122,14 +124,14 @@
             assert numbers == {2}, numbers
 
 
-@then("no node was pushed a version that it had shown")
+@then("no node pushed a version twice on a link")
 def step_no_repeat(context):
     for network in context.networks:
         assert network.pushed, "nothing was pushed"
         assert not network.repeated_pushes, network.repeated_pushes
 
 
-@then("keys arrive ahead of the other documents")
+@then("keys are fetched before the other documents")
 def step_keys_first(context):
     exchange = state.ExchangeState.from_host("late")
     full = context.networks[0].nodes[0].config.versions()
@@ -138,7 +140,7 @@
     assert sends[0].name is state.DocumentName.KEYS
 
 
-@given("a node whose peers a, b and c show a newer table")
+@given("a node whose peers a, b and c report a newer table")
 def step_three_peers(context):
     context.exchange = state.ExchangeState.from_host("self")
     context.documents = [exchange_machine.make_document(TABLE, 1)]
@@ -151,32 +153,32 @@
     assert len(context.asked) == 1, context.asked
 
 
-@when("{seconds:d} s pass without an answer")
+@when("{seconds:d} s pass without a reply")
 def step_pass(context, seconds):
     assert not context.exchange.fetch_due(seconds - 0.1)
     context.sends = context.exchange.fetch_due(float(seconds))
 
 
-@then("one of the other two is asked")
+@then("the fetch is sent to another peer")
 def step_other(context):
     (send,) = context.sends
     assert send.host not in context.asked
     context.asked.append(send.host)
 
 
-@when("that one goes down")
+@when("that peer goes down")
 def step_down(context):
     context.sends = context.exchange.peer_down(context.asked[-1], 2.5)
 
 
-@then("one that is still linked is asked")
+@then("the fetch is sent to a peer that is still linked")
 def step_still(context):
     (send,) = context.sends
     assert send.host != context.asked[-1]
 
 
 @when(
-    "a linked peer shows table version {number:d} every {period:d} s "
+    "a linked peer reports table version {number:d} every {period:d} s "
     "for {total:d} s"
 )
 def step_keeps_reporting(context, number, period, total):
--- a/features/steps/readiness_steps.py
+++ b/features/steps/readiness_steps.py
@@ -1,4 +1,4 @@
-"""Steps on readiness after a start and after a pause."""
+"""Steps for readiness after a start and after a process pause."""
 
 from behave import given
 from behave import then
@@ -8,7 +8,7 @@
 
 
 def uniform_versions(number):
-    """Return the same number for every document."""
+    """Return a version vector with one number for all documents."""
     version = state.Version(number, "00")
     return state.VersionVector(version, version, version, version)
 
@@ -19,14 +19,14 @@
     context.own = uniform_versions(0)
 
 
-@when("the node goes through {events}")
+@when("the events {events} occur")
 def step_events(context, events):
     for event in events.split(", "):
         apply_event(context, event.split())
 
 
 def apply_event(context, event):
-    """Apply one event of an example table."""
+    """Apply one event of a scenario."""
     readiness = context.readiness
     match event:
         case ["serve"]:
@@ -53,18 +53,18 @@
     assert context.decided.ready == (expected == "ready"), context.decided
 
 
-@given("a node that was ready at its last tick, at {now_s:d} s")
+@given("a node that was ready at its last tick at {now_s:d} s")
 def step_was_ready(context, now_s):
     context.admission = state.AdmissionState.from_host("a", now_s)
     context.admission.set_ready(True, now_s, now_s)
 
 
-@when("a call reaches that node at {now_s:f} s")
+@when("the node receives a call at {now_s:f} s")
 def step_call(context, now_s):
     call = state.CallRequest("r", "GET", "/", None, None, None, None)
     context.decision = context.admission.admit(call, now_s)
 
 
-@then("that node has refused with {code}")
+@then("the call is refused with {code}")
 def step_refused(context, code):
     assert context.decision.code.name == code, context.decision
--- a/features/steps/topology_steps.py
+++ b/features/steps/topology_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the links that hosts plan."""
+"""Steps for the planned links between hosts."""
 
 import random
 
@@ -10,7 +10,7 @@
 
 
 def make_hosts(hosts, services, data_centres):
-    """Return host rows spread evenly over services and data centres."""
+    """Return host rows distributed over services and data centres."""
     return tuple(
         state.HostRow(
             f"host-{number:04d}",
@@ -32,13 +32,13 @@
 
 
 def build_topology(rows):
-    """Return the topology of a host list."""
+    """Build the topology of a host list."""
     snapshot = state.Snapshot.from_rows(state.VersionVector(), rows)
     return state.Topology.from_snapshot(snapshot)
 
 
 def reachable(graph, start):
-    """Return the hosts that a start host reaches."""
+    """Return the hosts reachable from a start host."""
     seen = {start}
     pending = [start]
     while pending:
@@ -49,7 +49,7 @@
 
 
 def articulation_hosts(graph, start):
-    """Return the hosts without which the graph falls apart (Tarjan)."""
+    """Return the articulation points of a graph (Tarjan)."""
     order, low, articulations, roots = {start: 0}, {start: 0}, set(), 0
     path = [(start, None, iter(sorted(graph[start])))]
     while path:
@@ -100,7 +100,7 @@
     assert not one_sided, one_sided[:5]
 
 
-@then("the links connect all hosts, also without any one host")
+@then("the links connect all hosts, also if any one host is down")
 def step_connected(context):
     graph = context.graph
     start = min(graph)
@@ -117,9 +117,9 @@
 
 
 @when(
-    "each host lacks up to {missing:d} random hosts of the list, seed {seed:d}"
+    "up to {missing:d} random hosts are missing per host list, seed {seed:d}"
 )
-def step_lacking(context, missing, seed):
+def step_missing_hosts(context, missing, seed):
     rng = random.Random(seed)
     graph = {row.host: set() for row in context.rows}
     for row in context.rows:
@@ -132,13 +132,13 @@
     context.graph = graph
 
 
-@then("the links that either side plans connect all hosts")
+@then("the links planned by either side connect all hosts")
 def step_union_connected(context):
     start = next(iter(context.graph))
     assert reachable(context.graph, start) == set(context.graph)
 
 
-@when("the watchers of rank {ranks} are down")
+@when("the watchers with the ranks {ranks} are down")
 def step_watchers_down(context, ranks):
     context.topology = build_topology(context.rows)
     context.candidates = context.topology.watch_candidates("dc-0")
@@ -148,7 +148,7 @@
     )
 
 
-@then("the watchers are those of rank {ranks}")
+@then("the watchers have the ranks {ranks}")
 def step_watching(context, ranks):
     expected = [context.candidates[int(rank)] for rank in ranks.split(",")]
     assert list(context.watchers) == expected, context.watchers
--- a/src/jasminecrank/state/__init__.py
+++ b/src/jasminecrank/state/__init__.py
@@ -1,4 +1,4 @@
-"""Tables, versions, ledgers and decisions, free of sockets and threads."""
+"""Configuration, quota and routing state, without sockets and threads."""
 
 from jasminecrank.state._admission import AdmissionState as AdmissionState
 from jasminecrank.state._calls import Admitted as Admitted
--- a/src/jasminecrank/state/_clock.py
+++ b/src/jasminecrank/state/_clock.py
@@ -1,35 +1,35 @@
-"""Clocks, passed in so that a run can be repeated."""
+"""Clocks, injected to make tests and simulations reproducible."""
 
 import time
 import typing
 
 
 class Clock(typing.Protocol):
-    """Source of monotonic and wall time."""
+    """Provides monotonic time and wall clock time."""
 
     def monotonic_s(self) -> float:
-        """Return seconds on a clock that never goes back."""
+        """Return seconds on a clock that never goes backwards."""
 
     def wall_ms(self) -> int:
-        """Return milliseconds since the epoch."""
+        """Return milliseconds since the Unix epoch."""
 
 
 class SystemClock:
-    """The clocks of the host."""
+    """Reads the clocks of the operating system."""
 
     __slots__ = ()
 
     def monotonic_s(self) -> float:
-        """Return seconds on the host's monotonic clock."""
+        """Return the monotonic time of the host in seconds."""
         return time.monotonic()
 
     def wall_ms(self) -> int:
-        """Return milliseconds on the host's wall clock."""
+        """Return the wall clock time of the host in milliseconds."""
         return time.time_ns() // 1_000_000
 
 
 class ManualClock:
-    """A clock that only moves when told to."""
+    """A clock that is advanced explicitly, for tests and simulations."""
 
     __slots__ = ("now_s",)
 
@@ -45,5 +45,5 @@
         return int(self.now_s * 1000)
 
     def advance(self, seconds: float) -> None:
-        """Move the clock forward."""
+        """Advance the clock."""
         self.now_s += seconds
--- a/src/jasminecrank/state/_config.py
+++ b/src/jasminecrank/state/_config.py
@@ -1,4 +1,4 @@
-"""The accepted documents and the rule by which newer ones replace them."""
+"""Validates published documents and activates newer versions."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Accepted:
-    """The document is in force; the delta leads from the former version."""
+    """The document is active; the delta is against the previous version."""
 
     delta: _documents.Delta
     snapshot: _snapshot.Snapshot
@@ -25,21 +25,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Stale:
-    """The document is not newer than the one in force."""
+    """The document is not newer than the active version."""
 
     current: _versions.Version
 
 
 @dataclass(slots=True, frozen=True)
 class Conflict:
-    """The document has the number in force but another digest."""
+    """The document has the active number but a different digest."""
 
     current: _versions.Version
 
 
 @dataclass(slots=True, frozen=True)
 class Invalid:
-    """The document was refused whole."""
+    """The document failed validation; no part of it was applied."""
 
     reason: str
 
@@ -48,13 +48,13 @@
 
 
 def empty_document(name: _versions.DocumentName) -> _documents.Document:
-    """Return the document that stands for nothing received yet."""
+    """Return the placeholder for a document not yet received."""
     return _documents.Document(name, _versions.NO_VERSION, {})
 
 
 @dataclass(slots=True)
 class ConfigState:
-    """Owns the documents in force and the snapshot derived from them."""
+    """Owns the active documents and the snapshot derived from them."""
 
     by_name: dict[_versions.DocumentName, _documents.Document]
     rows_by_name: dict[_versions.DocumentName, Mapping[str, _rows.Row]]
@@ -62,7 +62,7 @@
 
     @classmethod
     def empty(cls) -> "ConfigState":
-        """Return the state of a node that has received nothing yet."""
+        """Return the state of a node without any documents."""
         return cls(
             {name: empty_document(name) for name in _versions.DocumentName},
             {name: {} for name in _versions.DocumentName},
@@ -70,11 +70,11 @@
         )
 
     def versions(self) -> _versions.VersionVector:
-        """Return the versions in force."""
+        """Return the active versions."""
         return self.snapshot.versions
 
     def offer(self, document: _documents.Document) -> OfferResult:
-        """Put a newer valid document in force as a whole."""
+        """Activate a document as a whole if it is newer and valid."""
         current = self.by_name[document.name]
         if document.version == current.version:
             return Stale(current.version)
@@ -104,7 +104,7 @@
         _invariants.check(
             exceptions.ResultCode.INVARIANT_VERSION_DECREASED,
             document.version.number > current.version.number,
-            "%s would go from %s to %s",
+            "version of %s would decrease from %s to %s",
             document.name.value,
             current.version,
             document.version,
@@ -116,12 +116,12 @@
             and rows.keys() == document.by_key.keys()
             and snapshot.versions.get(document.name) == document.version
             and snapshot.row_count(document.name) == len(document.by_key),
-            "%s %s differs from the rows put in force",
+            "%s %s differs from the rows being activated",
             document.name.value,
             document.version,
         )
-        # The applied copy shares the texts of unchanged rows with the
-        # version before, which stays in memory as a base of deltas.
+        # The applied copy shares the strings of unchanged rows with the
+        # previous version, which stays in memory as a base for deltas.
         self.by_name = {**self.by_name, document.name: applied or document}
         self.rows_by_name = {**self.rows_by_name, document.name: rows}
         self.snapshot = snapshot
@@ -133,23 +133,24 @@
     if len(joined) > const.MAX_DOCUMENT_BYTES:
         raise exceptions.DocumentError(
             f"document {document.name.value!r} has {len(joined)} bytes of "
-            f"rows; at most {const.MAX_DOCUMENT_BYTES} are allowed"
+            f"rows; the limit is {const.MAX_DOCUMENT_BYTES}"
         )
     digest = hashlib.sha256(joined).hexdigest()
     if digest != document.version.digest:
         raise exceptions.DocumentError(
             f"document {document.name.value!r} {document.version.number} "
-            f"has digest {document.version.digest!r} but its rows have "
-            f"{digest!r}"
+            f"has digest {document.version.digest!r}, but the digest of its "
+            f"rows is {digest!r}"
         )
 
 
 def _decode_changes(
     rows: Mapping[str, _rows.Row], delta: _documents.Delta
 ) -> dict[str, _rows.Row]:
-    """Return the typed rows of a newer version, or raise DocumentError.
+    """Return the typed rows of a newer version.
 
-    Only changed rows are decoded, because a change is mostly one row.
+    Decodes only the changed rows because most updates change one row.
+    Raises DocumentError if a row is invalid.
     """
     changed = dict(rows)
     for key in delta.removed:
@@ -182,14 +183,14 @@
             case _rows.RouteRow() | _rows.LimitRow():
                 if f"service/{row.service}" not in rows:
                     raise exceptions.DocumentError(
-                        f"row {_row_codec.row_key(row)!r} names the service "
-                        f"{row.service!r}, which the table does not have"
+                        f"row {_row_codec.row_key(row)!r} refers to service "
+                        f"{row.service!r}, which is not in the table"
                     )
             case _rows.ServiceRow():
                 if row.cold_slots > row.slots:
                     raise exceptions.DocumentError(
                         f"row 'service/{row.service}', field 'cold_slots': "
-                        f"{row.cold_slots} is above slots, {row.slots}"
+                        f"{row.cold_slots} exceeds slots ({row.slots})"
                     )
             case _:
                 continue
@@ -205,5 +206,6 @@
         if other != row.host:
             raise exceptions.DocumentError(
                 f"row 'host/{row.host}', field 'share_slot': "
-                f"{row.share_slot} of {row.service!r} belongs to {other!r}"
+                f"{row.share_slot} of {row.service!r} is already used by "
+                f"{other!r}"
             )
--- a/src/jasminecrank/state/_dialling.py
+++ b/src/jasminecrank/state/_dialling.py
@@ -1,4 +1,4 @@
-"""When a node dials a peer that it has no link with."""
+"""Schedules connection attempts to peers without a link."""
 
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -8,14 +8,14 @@
 
 _INITIAL_JITTER_MAX_S = 0.25
 _HIGHER_ID_DELAY_S = 4.0
-"""Time for the lower host id to dial, above its longest open time-out."""
+"""Time for the lower host id to dial, above its longest open timeout."""
 _REDIAL_INITIAL_S = 1.0
 _REDIAL_MAX_S = 8.0
 
 
 @dataclass(slots=True, frozen=True)
 class DialTarget:
-    """A peer that a link is planned with."""
+    """A peer that should have a link."""
 
     host: str
     address: str
@@ -30,10 +30,10 @@
 
 @dataclass(slots=True)
 class DialSchedule:
-    """Spaces the dials of one node.
+    """Schedules the connection attempts of one node.
 
-    The lower host id of a pair dials. The higher one waits, and dials only
-    if no link has come, because the lower may have an older host list.
+    The lower host id of a pair dials. The higher one waits and dials only if
+    no link was opened, because the lower one may have an older host list.
     """
 
     host: str
@@ -46,7 +46,7 @@
         now_s: float,
         rng: random.Random,
     ) -> tuple[DialTarget, ...]:
-        """Return the targets to dial now and note that they are dialled."""
+        """Return the targets to dial now and mark them as in progress."""
         unlinked = [target for target in targets if target.host not in linked]
         addresses = {target.address for target in unlinked}
         self.by_address = {
@@ -71,7 +71,7 @@
         return tuple(due)
 
     def next_due_s(self) -> float | None:
-        """Return when the next dial is due."""
+        """Return when the next attempt is due, or None without any."""
         return min(
             (
                 attempt.due_s
@@ -82,13 +82,13 @@
         )
 
     def record_success(self, address: str) -> None:
-        """Note that a dial has led to a link."""
+        """Reset the backoff of an address after a link was opened."""
         self.by_address.pop(address, None)
 
     def record_failure(
         self, address: str, now_s: float, rng: random.Random
     ) -> None:
-        """Back off after a failed dial or a lost link, with jitter."""
+        """Back off with jitter after a failed attempt or a lost link."""
         attempt = self.by_address.setdefault(address, _Attempt(now_s))
         limit_s = min(_REDIAL_MAX_S, _REDIAL_INITIAL_S * 2**attempt.failures)
         attempt.failures = min(attempt.failures + 1, 8)
@@ -96,5 +96,5 @@
         attempt.due_s = now_s + rng.uniform(limit_s / 2, limit_s)
 
     def defer(self, address: str, now_s: float) -> None:
-        """Leave a peer that stops as planned time to come back itself."""
+        """Delay dialling a peer in planned shutdown, which will reconnect."""
         self.by_address[address] = _Attempt(now_s + _REDIAL_MAX_S)
--- a/src/jasminecrank/state/_documents.py
+++ b/src/jasminecrank/state/_documents.py
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Document:
-    """One published document: rows of canonical JSON text by row key."""
+    """A published document, with its rows as canonical JSON by row key."""
 
     name: _versions.DocumentName
     version: _versions.Version
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Delta:
-    """The row changes that lead from one version to another."""
+    """The row changes between two versions of a document."""
 
     name: _versions.DocumentName
     base: _versions.Version
@@ -28,21 +28,21 @@
 
 
 def serialize_rows(by_key: Mapping[str, str]) -> bytes:
-    """Return the bytes over which the digest of a document is taken."""
+    """Return the input of the digest of a document."""
     return "".join(
         [f"{key}\0{by_key[key]}\n" for key in sorted(by_key)]
     ).encode()
 
 
 def digest_rows(by_key: Mapping[str, str]) -> str:
-    """Return the SHA-256 digest over the sorted rows."""
+    """Return the SHA-256 digest of the sorted rows."""
     return hashlib.sha256(serialize_rows(by_key)).hexdigest()
 
 
 def build_document(
     name: _versions.DocumentName, number: int, by_key: Mapping[str, str]
 ) -> Document:
-    """Return a document whose version carries the digest of its rows."""
+    """Build a document with the digest of its rows in the version."""
     version = _versions.Version(number, digest_rows(by_key))
     return Document(name, version, dict(by_key))
 
@@ -61,8 +61,8 @@
 def apply_delta(base: Document, delta: Delta) -> Document | None:
     """Return the resulting document, or None if the base does not match.
 
-    The digest is not checked here: the receiver checks every offered
-    document in the same place, whichever way it arrived.
+    Does not verify the digest. ConfigState.offer verifies it for every
+    document, however the document was received.
     """
     if base.version != delta.base:
         return None
--- a/src/jasminecrank/state/_exchange.py
+++ b/src/jasminecrank/state/_exchange.py
@@ -1,4 +1,4 @@
-"""What a node sends to which peer so that all hold the newest versions."""
+"""Distributes document versions among peers until all have the newest."""
 
 from collections import deque
 from collections.abc import Iterable
@@ -17,7 +17,7 @@
     _versions.DocumentName.HOSTS,
     _versions.DocumentName.TABLE,
 )
-"""Keys first, because a withdrawal is the most urgent change."""
+"""Keys come first because revoking a key is the most urgent change."""
 _HISTORY_VERSIONS = 8
 _FETCH_TIMEOUT_S = 2.0
 _REJECTED_RETRY_S = 5.0
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SendDelta:
-    """Push the changes since the version that a peer holds."""
+    """Send the changes since a version that the peer has."""
 
     host: str
     delta: _documents.Delta
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SendDocument:
-    """Send a whole document to a peer without a usable base."""
+    """Send a full document to a peer that has no usable base version."""
 
     host: str
     document: _documents.Document
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SendFetch:
-    """Ask a peer for a document that it holds in a newer version."""
+    """Request a document from a peer that has a newer version of it."""
 
     host: str
     name: _versions.DocumentName
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SendVersions:
-    """Show the versions in force, so that the peer fetches what it lacks."""
+    """Report the active versions so that the peer fetches newer ones."""
 
     host: str
 
@@ -61,7 +61,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ReceiveResult:
-    """The result of a document and what has to be sent because of it."""
+    """The outcome of a received document and the messages to send."""
 
     offer_result: _config.OfferResult | None
     sends: tuple[Send, ...]
@@ -71,7 +71,7 @@
 class _Peer:
     reported: _versions.VersionVector
     known: _versions.VersionVector
-    """The versions shown, or sent later on the same link."""
+    """The highest versions reported by the peer or sent to it on this link."""
     reported_at_s: float
     lagging_since_s_by_name: dict[_versions.DocumentName, float] = field(
         default_factory=dict
@@ -86,7 +86,7 @@
 
 @dataclass(slots=True)
 class ExchangeState:
-    """Owns the documents of a node and what its peers hold of them."""
+    """Owns the documents of a node and the versions known of its peers."""
 
     host: str
     config: _config.ConfigState
@@ -103,25 +103,25 @@
 
     @classmethod
     def from_host(cls, host: str) -> "ExchangeState":
-        """Return the state of a node that has received nothing."""
+        """Return the state of a node without any documents."""
         return cls(host, _config.ConfigState.empty())
 
     def peer_up(
         self, host: str, versions: _versions.VersionVector, now_s: float
     ) -> tuple[Send, ...]:
-        """Begin with what a peer shows on a new link."""
+        """Add a peer with the versions that it reports on a new link."""
         self.by_peer[host] = _Peer(versions, versions, now_s)
         return self.fetch_due(now_s)
 
     def peer_down(self, host: str, now_s: float) -> tuple[Send, ...]:
-        """Forget a peer, and ask another one for what it was asked for."""
+        """Remove a peer and move its pending fetches to other peers."""
         self.by_peer.pop(host, None)
         return self.fetch_due(now_s)
 
     def receive_versions(
         self, host: str, versions: _versions.VersionVector, now_s: float
     ) -> tuple[Send, ...]:
-        """Take the versions that a linked peer has in force."""
+        """Update the versions that a linked peer reports as active."""
         peer = self.by_peer.get(host)
         if peer is None:
             return ()
@@ -142,7 +142,7 @@
     def receive_delta(
         self, host: str, delta: _documents.Delta, now_s: float
     ) -> ReceiveResult:
-        """Apply a peer's delta, or fetch when its base is not in force."""
+        """Apply a peer's delta, or fetch if its base version is not active."""
         self._record_known_version(host, delta.name, delta.target)
         base = self.config.by_name[delta.name]
         if delta.target.number <= base.version.number:
@@ -155,7 +155,7 @@
     def receive_document(
         self, host: str | None, document: _documents.Document, now_s: float
     ) -> ReceiveResult:
-        """Offer a document from a peer or, without a host, the source."""
+        """Process a document from a peer or, without a host, the source."""
         if host is not None:
             self._record_known_version(host, document.name, document.version)
         base = self.config.by_name[document.name]
@@ -179,7 +179,11 @@
     def receive_fetch(
         self, host: str, name: _versions.DocumentName, have: _versions.Version
     ) -> tuple[Send, ...]:
-        """Answer a peer with a delta if its version is a known base."""
+        """Reply with a delta if the peer's version is in the history.
+
+        Otherwise replies with the full document, and with nothing if the peer
+        is up to date.
+        """
         document = self.config.by_name[name]
         if document.version.number <= have.number:
             return ()
@@ -190,7 +194,11 @@
         return (SendDelta(host, _documents.make_delta(base, document)),)
 
     def fetch_due(self, now_s: float) -> tuple[Send, ...]:
-        """Return the fetches that no running one covers."""
+        """Start the fetches that are due and return them.
+
+        A pending fetch is repeated, if possible from another peer, once it
+        times out or its peer is gone.
+        """
         sends = []
         for name in SEND_ORDER:
             running = self.fetch_by_name.get(name)
@@ -210,9 +218,10 @@
         return tuple(sends)
 
     def lagging_peers(self, now_s: float) -> tuple[tuple[str, str], ...]:
-        """Return peers that keep showing an older version for too long.
+        """Return peers that have reported an older version for too long.
 
-        A silent peer is not among them: it may be paused or unreachable.
+        Peers that have stopped reporting are left out because they may be
+        paused or unreachable.
         """
         return tuple(
             (host, name.value)
@@ -225,7 +234,7 @@
     def _record_rejection(
         self, document: _documents.Document, now_s: float
     ) -> None:
-        """Fetch no peer's copy of a rejected version for some time."""
+        """Suspend fetches of a rejected version for some time."""
         self.rejected_until_s = {
             key: until_s
             for key, until_s in self.rejected_until_s.items()
@@ -235,7 +244,7 @@
         self.rejected_until_s[key] = now_s + _REJECTED_RETRY_S
 
     def _push(self, document: _documents.Document) -> tuple[Send, ...]:
-        """Send an accepted version to each peer that does not hold it."""
+        """Send an accepted version to each peer not known to have it."""
         delta_by_base: dict[_versions.Version, _documents.Delta] = {}
         sends: list[Send] = []
         for host in sorted(self.by_peer):
@@ -280,7 +289,10 @@
         now_s: float,
         running: _Fetch | None,
     ) -> str | None:
-        """Return a peer with the highest version, another one if possible."""
+        """Return a peer with the highest version.
+
+        Prefers a peer other than that of the last fetch.
+        """
         own = self.config.by_name[name].version.number
         number_by_host = {
             host: peer.known.get(name).number
@@ -311,14 +323,14 @@
 
 
 def _peer_order_key(host: str, peer: str) -> bytes:
-    """Order peers differently on each host, to spread the fetches."""
+    """Return a sort key that differs by host, to distribute the fetches."""
     return hashlib.blake2b(f"{host}/{peer}".encode(), digest_size=8).digest()
 
 
 def conflicting_documents(
     own: _versions.VersionVector, reported: _versions.VersionVector
 ) -> Iterable[_versions.DocumentName]:
-    """Return the documents with the same number but another digest."""
+    """Return the documents with equal numbers but different digests."""
     return [
         name
         for name in _versions.DocumentName
--- a/src/jasminecrank/state/_host_choice.py
+++ b/src/jasminecrank/state/_host_choice.py
@@ -1,4 +1,4 @@
-"""Which other node a call is forwarded to."""
+"""Selects the node that a call is forwarded to."""
 
 from collections import deque
 from collections.abc import Sequence
@@ -12,7 +12,7 @@
 from jasminecrank.state import _topology
 
 _REMOTE_PENALTY_CALLS = 2
-"""Calls in hand that a host of the own data centre may have more."""
+"""Extra calls in flight at which a local host is still preferred."""
 
 _FAILURE_PENALTY_CALLS = 8
 _FAILURE_PENALTY_S = 1.0
@@ -21,13 +21,13 @@
 
 @dataclass(slots=True)
 class ObservedLoad:
-    """What this node has seen of another node's load."""
+    """The load of another node as observed by this node."""
 
     deadline_at_s_by_request: dict[str, float] = field(default_factory=dict)
     failed_until_s: float = 0.0
 
     def cost(self, now_s: float) -> int:
-        """Return the calls in hand there, more after a failure."""
+        """Return the calls in flight, plus a penalty after a failure."""
         cost = len(self.deadline_at_s_by_request)
         return cost + (
             _FAILURE_PENALTY_CALLS if now_s < self.failed_until_s else 0
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True)
 class HostChooser:
-    """Chooses among the hosts of a service that accept new work."""
+    """Selects among the hosts of a service that accept new calls."""
 
     host: str
     load_by_host: dict[str, ObservedLoad] = field(default_factory=dict)
@@ -48,7 +48,11 @@
         service: str,
         now_s: float,
     ) -> _rows.HostRow | None:
-        """Return the less loaded of two hosts, near ones preferred."""
+        """Return the least loaded of a few candidates.
+
+        Hosts in the data centre of this node are preferred. Returns None if
+        no other host accepts new calls.
+        """
         excluded = {self.host, *call.tried_hosts}
         hosts = [
             host
@@ -82,14 +86,14 @@
     def record_start(
         self, request_id: str, host: str, deadline_at_s: float
     ) -> None:
-        """Note a call that is on its way to a host."""
+        """Record a call forwarded to a host."""
         load = self.load_by_host.setdefault(host, ObservedLoad())
         load.deadline_at_s_by_request[request_id] = deadline_at_s
 
     def record_end(
         self, request_id: str, host: str, failed: bool, now_s: float
     ) -> None:
-        """Note how a forwarded call has ended."""
+        """Record the end of a forwarded call."""
         load = self.load_by_host.get(host)
         if load is None:
             return
@@ -98,14 +102,14 @@
             load.failed_until_s = now_s + _FAILURE_PENALTY_S
 
     def count_in_flight(self, now_s: float) -> int:
-        """Return how many forwarded calls have not ended."""
+        """Return the number of forwarded calls in flight."""
         return sum(
             self._drop_expired(load, now_s)
             for load in self.load_by_host.values()
         )
 
     def drop_absent_hosts(self, snapshot: _snapshot.Snapshot) -> None:
-        """Forget hosts that a snapshot no longer has."""
+        """Remove hosts that are not in a snapshot."""
         for host in self.load_by_host.keys() - snapshot.by_host.keys():
             del self.load_by_host[host]
 
@@ -117,7 +121,10 @@
         return load.cost(now_s)
 
     def _drop_expired(self, load: ObservedLoad, now_s: float) -> int:
-        """Drop calls past their deadline, whose end was never reported."""
+        """Remove calls past their deadline and return the number left.
+
+        Their end was never reported.
+        """
         pending = load.deadline_at_s_by_request
         for request_id in [
             request_id
@@ -131,7 +138,7 @@
 def accepting_hosts(
     snapshot: _snapshot.Snapshot, service: str
 ) -> tuple[_rows.HostRow, ...]:
-    """Return the hosts of a service that may be given new work."""
+    """Return the hosts of a service that accept new calls."""
     return tuple(
         host
         for host in snapshot.hosts_by_service.get(service, ())
@@ -142,7 +149,7 @@
 def key_owner(
     hosts: Sequence[_rows.HostRow], key: str
 ) -> _rows.HostRow | None:
-    """Return the one host that runs bookings with an idempotency key."""
+    """Return the host that owns an idempotency key."""
     if not hosts:
         return None
     return _topology.rendezvous_rank(hosts, key)[0]
@@ -156,10 +163,10 @@
 
 @dataclass(slots=True)
 class KeyOwnerHistory:
-    """Which hosts owned the keys of the own service, and until when.
+    """The hosts that shared the keys of this host's service over time.
 
-    A key that another host owned after the key was made may have run there,
-    and only that host remembers it.
+    If another host owned a key after the key was created, the booking may have
+    run there, and only that host has a record of it.
     """
 
     host: str
@@ -169,13 +176,13 @@
 
     @classmethod
     def from_start(cls, host: str, wall_ms: int) -> "KeyOwnerHistory":
-        """Return the history of a node that remembers nothing."""
+        """Return the history of a node that has just started."""
         return cls(host, unknown_before_ms=wall_ms)
 
     def update_hosts(
         self, hosts: tuple[_rows.HostRow, ...], wall_ms: int
     ) -> None:
-        """Follow the hosts of the own service that accept new work."""
+        """Update the hosts of this service that accept new calls."""
         if [row.host for row in hosts] == [row.host for row in self.hosts]:
             return
         if self.hosts:
@@ -190,7 +197,7 @@
     def may_have_run_elsewhere(
         self, key: str, key_ms: int, forwarded_by: str | None
     ) -> bool:
-        """Return whether a key not remembered here may have run before.
+        """Return whether a key without a record here may have run before.
 
         A former owner that forwards a call has not run it.
         """
--- a/src/jasminecrank/state/_invariants.py
+++ b/src/jasminecrank/state/_invariants.py
@@ -1,4 +1,4 @@
-"""Invariants asserted inside the program."""
+"""Runtime checks of invariants."""
 
 from collections import Counter
 import os
@@ -14,7 +14,10 @@
 def check(
     code: exceptions.ResultCode, holds: bool, detail: str, *values: object
 ) -> None:
-    """Assert an invariant: count and log a violation, raise under test."""
+    """Check an invariant; log and count a violation.
+
+    Raises InvariantError if FATAL_INVARIANTS_VARIABLE is set to 1.
+    """
     if holds:
         return
     violations_by_code[code] += 1
--- a/src/jasminecrank/state/_journal.py
+++ b/src/jasminecrank/state/_journal.py
@@ -1,4 +1,4 @@
-"""Hybrid logical clock and the bounded ring of events."""
+"""Hybrid logical clock and a bounded event log."""
 
 from collections import deque
 from collections.abc import Mapping
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class Stamp:
-    """A hybrid logical timestamp; comparing two gives a causal order."""
+    """A hybrid logical timestamp; comparison follows causal order."""
 
     wall_ms: int
     counter: int
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True)
 class Journal:
-    """Owns the logical clock and the last events of one process."""
+    """Owns the logical clock and the most recent events of one process."""
 
     host: str
     last_stamp: Stamp
@@ -42,7 +42,7 @@
         return cls(host, Stamp(0, 0, host))
 
     def stamp(self, wall_ms: int) -> Stamp:
-        """Return a stamp later than every stamp given or observed."""
+        """Return a timestamp later than all issued or observed ones."""
         if wall_ms > self.last_stamp.wall_ms:
             self.last_stamp = Stamp(wall_ms, 0, self.host)
         else:
@@ -52,7 +52,7 @@
         return self.last_stamp
 
     def observe(self, stamp: Stamp, wall_ms: int) -> None:
-        """Move past a stamp that came with a peer message."""
+        """Advance the clock past the timestamp of a peer's message."""
         if (stamp.wall_ms, stamp.counter) > (
             self.last_stamp.wall_ms,
             self.last_stamp.counter,
@@ -63,7 +63,7 @@
     def record(
         self, name: str, fields: Mapping[str, str], wall_ms: int
     ) -> Event:
-        """Append an event to the ring and return it."""
+        """Append an event, discarding the oldest if the log is full."""
         event = Event(self.stamp(wall_ms), name, dict(fields))
         self.events.append(event)
         return event
--- a/src/jasminecrank/state/_placement.py
+++ b/src/jasminecrank/state/_placement.py
@@ -1,4 +1,4 @@
-"""Whether a call runs on this node, on another one or on none."""
+"""Decides whether a call runs on this node, on another or on none."""
 
 from dataclasses import dataclass
 
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NoPlacement:
-    """The call can't run; the code says why."""
+    """The call cannot run, for the reason in the code."""
 
     code: exceptions.ResultCode
 
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True)
 class PlacementState:
-    """Owns what decides where a call runs."""
+    """Owns the state that determines where a call runs."""
 
     host: str
     snapshot: _snapshot.Snapshot
@@ -59,14 +59,14 @@
     def apply_snapshot(
         self, snapshot: _snapshot.Snapshot, wall_ms: int
     ) -> None:
-        """Follow the hosts and outages of a new snapshot."""
+        """Update the hosts and outages from a new snapshot."""
         self.snapshot = snapshot
         self.own_host = snapshot.by_host.get(self.host)
         self.host_chooser.drop_absent_hosts(snapshot)
         self.update_accepting(wall_ms)
 
     def update_accepting(self, wall_ms: int) -> None:
-        """Recompute whether this node accepts new work."""
+        """Recompute whether this node accepts new calls."""
         own_host = self.own_host
         self.accepting = (
             own_host is not None
@@ -80,7 +80,7 @@
             )
 
     def accepts_locally(self, route: _rows.RouteRow) -> bool:
-        """Return whether this node takes new calls of a route."""
+        """Return whether this node accepts new calls of a route."""
         return (
             self.accepting
             and self.own_host is not None
@@ -120,13 +120,13 @@
         )
 
     def check_start_invariants(self, checked: _fair_queue.CheckedCall) -> None:
-        """Assert that a call may start on this host for its team."""
+        """Check the invariants of a call that is about to start."""
         own_host = self.own_host
         _invariants.check(
             exceptions.ResultCode.INVARIANT_DATA_CENTRE_OUT,
             own_host is not None
             and own_host.data_centre not in self.snapshot.data_centres_out,
-            "call admitted on host %s, whose data centre is out",
+            "call admitted on host %s, whose data centre is out of service",
             self.host,
         )
         _invariants.check(
@@ -153,10 +153,11 @@
     def _place_keyed_booking(
         self, checked: _fair_queue.CheckedCall, key: str
     ) -> Placement:
-        """Return the place of a booking that only one node may run.
+        """Return the placement of a booking with an idempotency key.
 
-        A node that forwards a key of its own accepts no new work and has
-        not run it, so the next node in the order takes the key over.
+        Only the owner of the key may run it. An owner that forwards such a
+        booking accepts no new calls and has not run it, so the next node in
+        rank becomes the owner.
         """
         call = checked.call
         hosts = [
--- a/src/jasminecrank/state/_readiness.py
+++ b/src/jasminecrank/state/_readiness.py
@@ -1,4 +1,4 @@
-"""When a node may accept calls: after a start, and after a pause."""
+"""Decides when a node accepts calls after a start or a process pause."""
 
 import dataclasses
 from dataclasses import dataclass
@@ -10,10 +10,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Unconfirmed:
-    """The versions in force may be outdated; no call is accepted.
+    """The active versions may be outdated; calls are not accepted.
 
-    Only answers to this inquiry count, because messages from before a
-    pause may still wait in a socket.
+    Only replies to the current query count because messages from before a
+    pause may still be in a socket buffer.
     """
 
     reason: str
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Confirmed:
-    """The versions in force were confirmed since the last start or pause."""
+    """The active versions were confirmed since the last start or pause."""
 
     query_id: int
     reason: str
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Readiness:
-    """Whether a node accepts calls, as of its last tick."""
+    """Whether a node accepts calls, as of its last tick, and why."""
 
     ready: bool
     reason: str
@@ -44,13 +44,13 @@
 
 
 def is_current(ticked_s: float, now_s: float) -> bool:
-    """Return whether no pause has passed since the last tick."""
+    """Return whether the process has not been paused since a tick."""
     return now_s - ticked_s <= const.PAUSE_LIMIT_S
 
 
 @dataclass(slots=True)
 class ReadinessState:
-    """Owns the decision whether a node accepts calls."""
+    """Tracks whether the active versions of a node are confirmed."""
 
     phase: Phase
     ticked_s: float
@@ -62,11 +62,11 @@
 
     @property
     def query_id(self) -> int:
-        """Return the number by which peers and source are now asked."""
+        """Return the id of the current query to peers and source."""
         return self.phase.query_id
 
     def detect_pause(self, now_s: float) -> bool:
-        """Return whether a pause has passed; nothing is confirmed then."""
+        """Return whether the process was paused; if so, start a new query."""
         if is_current(self.ticked_s, now_s):
             return False
         self.phase = Unconfirmed("paused", self.query_id + 1, 0.0)
@@ -74,13 +74,17 @@
         return True
 
     def tick(self, now_s: float) -> None:
-        """Note that the node is running."""
+        """Record that the process is running."""
         self.ticked_s = max(self.ticked_s, now_s)
 
     def record_answer(
         self, query_id: int, versions: _versions.VersionVector, now_s: float
     ) -> None:
-        """Take versions that a peer or the source shows."""
+        """Record the versions in a reply of a peer or the source.
+
+        Replies to earlier queries and replies after the confirmation are
+        ignored.
+        """
         match self.phase:
             case Unconfirmed() as phase if query_id == phase.query_id:
                 first_s = phase.first_answer_s
@@ -95,7 +99,7 @@
                 typing.assert_never(self.phase)
 
     def decide(self, own: _versions.VersionVector, now_s: float) -> Readiness:
-        """Return whether the node accepts calls with these versions."""
+        """Return whether the node accepts calls with its active versions."""
         match self.phase:
             case Unconfirmed():
                 reason = _pending_reason(self.phase, own, now_s)
@@ -103,7 +107,9 @@
                     return Readiness(False, reason, self.ticked_s)
                 reason = "confirmed"
                 if not own.covers(self.phase.highest_reported):
-                    reason = "start bound reached with older versions"
+                    reason = (
+                        "confirmation timed out; newer versions not received"
+                    )
                 self.phase = Confirmed(self.phase.query_id, reason)
                 return Readiness(True, reason, self.ticked_s)
             case Confirmed():
@@ -115,16 +121,16 @@
 def _pending_reason(
     phase: Unconfirmed, own: _versions.VersionVector, now_s: float
 ) -> str | None:
-    """Return what the node still waits for, None if for nothing."""
+    """Return what the node is still waiting for, or None if it is ready."""
     if phase.first_answer_s is None:
-        return f"{phase.reason}: no peer and no source has answered"
+        return f"{phase.reason}: no reply from peers or source"
     if own.table.number == 0 or own.hosts.number == 0:
-        return f"{phase.reason}: no table or no host list received"
+        return f"{phase.reason}: table or host list not received"
     waited_s = now_s - phase.first_answer_s
     if waited_s >= const.START_BOUND_S:
         return None
     if not own.covers(phase.highest_reported):
-        return f"{phase.reason}: newer versions not yet received"
+        return f"{phase.reason}: newer versions not received yet"
     if waited_s < phase.settle_s:
-        return f"{phase.reason}: waiting for further answers"
+        return f"{phase.reason}: waiting for more replies"
     return None
--- a/src/jasminecrank/state/_row_codec.py
+++ b/src/jasminecrank/state/_row_codec.py
@@ -1,4 +1,4 @@
-"""Canonical text of typed rows, and its checked inverse."""
+"""Encodes rows as canonical JSON and decodes them with validation."""
 
 import dataclasses
 import enum
@@ -35,7 +35,7 @@
 
 
 def row_key(row: _rows.Row) -> str:
-    """Return the key under which a row is published."""
+    """Return the key of a row in its published document."""
     match row:
         case _rows.ServiceRow():
             return f"service/{row.service}"
@@ -54,7 +54,7 @@
 
 
 def encode_row(row: _rows.Row) -> str:
-    """Return the canonical JSON text of a row."""
+    """Encode a row as canonical JSON."""
     values = {
         field.name: _json_value(getattr(row, field.name))
         for field in dataclasses.fields(row)
@@ -68,38 +68,38 @@
 
 @functools.lru_cache(maxsize=65_536)
 def decode_row(name: _versions.DocumentName, key: str, text: str) -> _rows.Row:
-    """Return the typed row.
+    """Decode and validate a row.
 
-    Raises DocumentError naming row, field, value and what would be right.
-    Rows are cached by their text because most rows of a new version are
-    those of the version before.
+    Raises DocumentError with the row, the field, its value and the expected
+    value. Results are cached by text because most rows of a new version are
+    unchanged.
     """
     prefix = key.partition("/")[0]
     if prefix not in _PREFIXES_BY_DOCUMENT[name]:
         raise exceptions.DocumentError(
-            f"row {key!r} does not belong in document {name.value!r}"
+            f"row {key!r} is not allowed in document {name.value!r}"
         )
     row_type = _rows.ROW_TYPE_BY_PREFIX[prefix]
     try:
         values = json.loads(text)
     except ValueError as error:
         raise exceptions.DocumentError(
-            f"row {key!r} is not JSON: {error}"
+            f"row {key!r} is not valid JSON: {error}"
         ) from None
     if not isinstance(values, dict):
         raise exceptions.DocumentError(f"row {key!r} is not a JSON object")
     row = _build_row(row_type, key, values)
     if row_key(row) != key:
         raise exceptions.DocumentError(
-            f"row {key!r} describes {row_key(row)!r}; both must agree"
+            f"row {key!r} contains the fields of row {row_key(row)!r}"
         )
     return row
 
 
 def parse_cell(column: str, column_type: type, text: str) -> object:
-    """Return the typed value of a table cell.
+    """Parse a cell of a CSV table.
 
-    Raises DocumentError whose text says what would be right.
+    Raises DocumentError with a description of the expected value.
     """
     value: object = text
     if column_type is bool:
@@ -126,13 +126,13 @@
     unknown = sorted(values.keys() - fields.keys())
     if unknown:
         raise exceptions.DocumentError(
-            f"row {key!r} has the unknown field {unknown[0]!r}"
+            f"row {key!r} has an unknown field {unknown[0]!r}"
         )
     arguments = {}
     for field, field_type in fields.items():
         if field not in values:
             raise exceptions.DocumentError(
-                f"row {key!r} lacks the field {field!r}"
+                f"row {key!r} is missing field {field!r}"
             )
         try:
             arguments[field] = _convert_value(field, field_type, values[field])
@@ -162,7 +162,7 @@
         return value
     if field_type is str:
         if not isinstance(value, str) or not value:
-            raise exceptions.DocumentError("a non-empty text")
+            raise exceptions.DocumentError("a non-empty string")
         return value
     return _convert_number(field, field_type, value)
 
--- a/src/jasminecrank/state/_rows.py
+++ b/src/jasminecrank/state/_rows.py
@@ -5,14 +5,14 @@
 
 
 class RouteKind(enum.Enum):
-    """Whether a request may be repeated."""
+    """Whether requests of a route can be repeated safely."""
 
     LOOKUP = "lookup"
     BOOKING = "booking"
 
 
 class Priority(enum.Enum):
-    """The admission class of a route."""
+    """The admission priority of a route."""
 
     ORDINARY = "ordinary"
     INTERNAL = "internal"
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ServiceRow:
-    """A service and what one of its backend servers can take."""
+    """A service and the capacity of each of its backend servers."""
 
     service: str
     slots: int
@@ -59,7 +59,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LimitRow:
-    """What one team may send to one service over all hosts together."""
+    """The fleet-wide limits of one team for one service."""
 
     service: str
     team: str
@@ -79,7 +79,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HostRow:
-    """A host with its backend server and the node beside it."""
+    """A host that runs a backend server and a node."""
 
     host: str
     service: str
@@ -96,7 +96,7 @@
 
 @dataclass(slots=True, frozen=True)
 class OutageRow:
-    """The service state of a data centre."""
+    """The outage state of a data centre."""
 
     data_centre: str
     state: OutageState
--- a/src/jasminecrank/state/_snapshot.py
+++ b/src/jasminecrank/state/_snapshot.py
@@ -1,4 +1,4 @@
-"""The one derived view by which calls are decided."""
+"""Immutable view of all active documents, used to decide calls."""
 
 from collections import defaultdict
 from collections.abc import Iterable
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Snapshot:
-    """Everything a node enforces, derived from one set of versions."""
+    """The configuration that a node enforces, from one set of versions."""
 
     versions: _versions.VersionVector
     by_service: Mapping[str, _rows.ServiceRow]
@@ -42,14 +42,14 @@
 
     @classmethod
     def empty(cls) -> "Snapshot":
-        """Return the snapshot of a node that has received nothing."""
+        """Return the snapshot of a node without any documents."""
         return cls.from_rows(_versions.VersionVector(), ())
 
     @classmethod
     def from_rows(
         cls, versions: _versions.VersionVector, rows: Iterable[_rows.Row]
     ) -> "Snapshot":
-        """Return the snapshot that valid rows define."""
+        """Build a snapshot from validated rows."""
         rows = tuple(rows)
         snapshot = cls(
             versions, {}, (), (), {}, {}, {}, {}, {}, {}, frozenset()
@@ -70,8 +70,8 @@
     ) -> "Snapshot":
         """Return the snapshot with one document replaced as a whole.
 
-        A route is left out until its service and a host of it are known,
-        because table and hosts arrive separately and may cross.
+        Routes are left out until their service and a host for it are known
+        because the table and the host list arrive in any order.
         """
         versions = self.versions.replace(name, version)
         match name:
@@ -149,7 +149,7 @@
         )
 
     def row_count(self, name: _versions.DocumentName) -> int:
-        """Return how many rows of a document are in force."""
+        """Return the number of active rows of a document."""
         match name:
             case _versions.DocumentName.TABLE:
                 return (
@@ -170,7 +170,8 @@
                 exceptions.ResultCode.INVARIANT_DANGLING_ROUTE,
                 route.service in self.by_service
                 and bool(self.hosts_by_service.get(route.service)),
-                "route %s points at %s, which is absent",
+                "route %s refers to service %s, which is missing or "
+                "has no hosts",
                 route.route,
                 route.service,
             )
@@ -183,14 +184,14 @@
         return None
 
     def find_team(self, key_digest: str) -> str | None:
-        """Return the team a key was issued to, None if it is unknown."""
+        """Return the team that a key was issued to, or None if unknown."""
         row = self.by_key_digest.get(key_digest)
         if row is None or not hmac.compare_digest(row.digest, key_digest):
             return None
         return row.team
 
     def accepts_new_work(self, host: _rows.HostRow) -> bool:
-        """Return whether the host may be given new work."""
+        """Return whether new calls may be sent to the host."""
         return (
             host.state is _rows.HostState.LIVE
             and host.data_centre not in self.data_centres_out
--- a/src/jasminecrank/state/_source.py
+++ b/src/jasminecrank/state/_source.py
@@ -1,4 +1,4 @@
-"""When a node calls the configuration service."""
+"""Schedules the calls of a node to the configuration service."""
 
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -11,17 +11,17 @@
 _BACKOFF_INITIAL_S = 0.5
 _BACKOFF_MAX_S = 8.0
 _WATCHER_BURST_CALLS = 10
-"""A watch and all four documents, twice."""
+"""Enough for a watch and a read of all four documents, twice."""
 _TAKEOVER_DELAY_S = 3.0
-"""Time for a lost link to a watcher to be dialled anew."""
+"""Time to reconnect a lost link before a watcher counts as down."""
 
 
 @dataclass(slots=True)
 class SourceSchedule:
-    """Spaces the calls of one node so that the fleet keeps to its budget.
+    """Limits the call rate of one node to its part of the fleet's budget.
 
     Every watch and every read is one call. Watchers share one half of the
-    source's capacity, all other nodes the other half.
+    source's capacity, and all other nodes share the other half.
     """
 
     rate_per_s: float
@@ -38,10 +38,10 @@
         fleet_hosts: int,
         delay_s: float = 0.0,
     ) -> "SourceSchedule":
-        """Return the schedule of a node that knows no host list yet.
+        """Return the schedule of a node without a host list.
 
-        The first call is spread over the time in which the whole fleet
-        may call once.
+        The first call is delayed at random within the time in which every
+        node of the fleet may call once.
         """
         rate_per_s = _rate_per_caller(fleet_hosts)
         first_s = now_s + delay_s + rng.uniform(0, 1 / rate_per_s)
@@ -50,7 +50,7 @@
     def update_rate(
         self, topology: _topology.Topology, watching: bool
     ) -> None:
-        """Take the part of the budget that the host list gives."""
+        """Update the rate limit from the host list."""
         if watching:
             self.rate_per_s = _rate_per_caller(topology.watcher_count())
             self.burst_calls = _WATCHER_BURST_CALLS
@@ -59,20 +59,20 @@
             self.burst_calls = 1
 
     def may_call(self, now_s: float) -> bool:
-        """Return whether a call now is within the budget."""
+        """Return whether the rate limit and the backoff allow a call now."""
         allowed_s = self.due_s - (self.burst_calls - 1) / self.rate_per_s
         return now_s >= max(allowed_s, self.not_before_s)
 
     def record_call(self, now_s: float) -> None:
-        """Count one call."""
+        """Count a call against the rate limit."""
         self.due_s = max(self.due_s, now_s) + 1 / self.rate_per_s
 
     def record_success(self) -> None:
-        """End the back-off."""
+        """Reset the backoff."""
         self.failures = 0
 
     def record_failure(self, now_s: float, rng: random.Random) -> None:
-        """Back off exponentially with jitter."""
+        """Delay the next call by an exponential backoff with jitter."""
         limit_s = min(_BACKOFF_MAX_S, _BACKOFF_INITIAL_S * 2**self.failures)
         self.failures = min(self.failures + 1, 8)
         self.not_before_s = now_s + rng.uniform(limit_s / 2, limit_s)
@@ -87,8 +87,9 @@
 class WatcherRole:
     """Decides whether a node watches the source.
 
-    The candidates of a data centre are linked to each other. One without a
-    link for some seconds counts as down, and the next one watches.
+    The candidates of a data centre are linked to each other. A candidate
+    without a link for several seconds counts as down, and the candidate with
+    the next rank takes over.
     """
 
     host: str
@@ -102,7 +103,7 @@
         linked: Collection[str],
         now_s: float,
     ) -> None:
-        """Decide by the present host list and links."""
+        """Reevaluate the role from the current host list and links."""
         candidates = topology.watch_candidates(self.data_centre)
         others = {row.host for row in candidates} - {self.host}
         self.unlinked_since_s_by_host = {
--- a/src/jasminecrank/state/_topology.py
+++ b/src/jasminecrank/state/_topology.py
@@ -1,4 +1,4 @@
-"""Which hosts watch the source and which hosts link to each other."""
+"""Selects the hosts that watch the source and the links between hosts."""
 
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -15,8 +15,8 @@
 
 _WATCH_SEED = "watch"
 _TREE_SEEDS = ("tree-1", "tree-2")
-# Offsets in the ring of a large service; both directions give 8 links. The
-# offset 1 alone already keeps the service connected without any one host.
+# Ring offsets for large services; both directions give 8 links per host. The
+# offset 1 alone keeps the service connected if any one host fails.
 _SERVICE_OFFSETS = (1, 2, 4, 8)
 _RankedHosts = tuple[_rows.HostRow, ...]
 
@@ -24,7 +24,7 @@
 def rendezvous_rank(
     hosts: Iterable[_rows.HostRow], seed: str
 ) -> tuple[_rows.HostRow, ...]:
-    """Return the hosts by falling rendezvous hash under a seed."""
+    """Return the hosts in the order of their rendezvous hash with a seed."""
     return tuple(
         sorted(hosts, key=lambda host: _rendezvous_hash(seed, host.host))
     )
@@ -36,15 +36,16 @@
     ).digest()
 
 
-# Seeds of the topology are few and fixed, those of calls are not.
+# Only for seeds of the topology, which are few and fixed; a cache for calls
+# would not help because each call has its own seed.
 _cached_rendezvous_hash = functools.lru_cache(maxsize=32_768)(_rendezvous_hash)
 
 
 @dataclass(slots=True, frozen=True)
 class Topology:
-    """The rank of every host, from which all links follow.
+    """The ranking of all hosts, which determines the links between them.
 
-    Both hosts of a pair derive the same links from the same host list.
+    Hosts with the same host list compute the same links.
     """
 
     by_host: Mapping[str, _rows.HostRow]
@@ -54,7 +55,7 @@
 
     @classmethod
     def from_snapshot(cls, snapshot: _snapshot.Snapshot) -> "Topology":
-        """Return the topology that a host list defines."""
+        """Build the topology from the host list of a snapshot."""
         by_data_centre = snapshot.hosts_by_data_centre
         return cls(
             by_host=snapshot.by_host,
@@ -81,12 +82,12 @@
         return tuple(itertools.islice(present, const.WATCHERS_PER_DATA_CENTRE))
 
     def watch_candidates(self, data_centre: str) -> _RankedHosts:
-        """Return the watchers and those who replace them, by rank."""
+        """Return the watchers and their standbys, by rank."""
         rank = self.watch_rank_by_data_centre.get(data_centre, ())
         return rank[: const.WATCHERS_PER_DATA_CENTRE + const.WATCH_STANDBYS]
 
     def watcher_count(self) -> int:
-        """Return how many hosts of the fleet watch the source."""
+        """Return the number of hosts in the fleet that watch the source."""
         return sum(
             min(len(rank), const.WATCHERS_PER_DATA_CENTRE)
             for rank in self.watch_rank_by_data_centre.values()
@@ -95,10 +96,10 @@
     def links(
         self, host_id: str, data_centre: str = ""
     ) -> tuple[_rows.HostRow, ...]:
-        """Return the hosts that a host keeps links with, sorted by id.
+        """Return the peers that a host keeps links with, sorted by id.
 
-        A host that the list lacks, because the list lags, keeps links with
-        the watchers of its data centre.
+        A host missing from an outdated host list keeps links with the
+        watchers of its data centre.
         """
         own = self.by_host.get(host_id)
         if own is None:
@@ -168,8 +169,9 @@
 def _rank_trees(hosts: tuple[_rows.HostRow, ...]) -> tuple[_RankedHosts, ...]:
     """Return the breadth-first orders of the two trees.
 
-    Inner hosts of the first tree come last in the second, so that they are
-    leaves of it: without any one host, one of the trees is still whole.
+    Inner hosts of the first tree come last in the second one, which makes
+    them leaves there. If any one host fails, one of the trees still connects
+    all others.
     """
     first = _rank_hosts(hosts, _TREE_SEEDS[0])
     inner_count = -(-(len(first) - 1) // const.TREE_FAN_OUT)
@@ -188,5 +190,5 @@
 def plan_links(
     snapshot: _snapshot.Snapshot, host_id: str
 ) -> tuple[_rows.HostRow, ...]:
-    """Return the hosts that a host keeps peer links with, sorted by id."""
+    """Return the peers that a host keeps links with, sorted by id."""
     return Topology.from_snapshot(snapshot).links(host_id)
--- a/src/jasminecrank/state/_versions.py
+++ b/src/jasminecrank/state/_versions.py
@@ -1,4 +1,4 @@
-"""Versions of published documents."""
+"""Version numbers of the published documents."""
 
 import dataclasses
 from dataclasses import dataclass
@@ -6,7 +6,7 @@
 
 
 class DocumentName(enum.Enum):
-    """The documents that the platform publishes."""
+    """Names of the published documents."""
 
     TABLE = "table"
     KEYS = "keys"
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Version:
-    """A document's number and the digest of its rows."""
+    """The number of a document and the digest of its rows."""
 
     number: int
     digest: str
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True, frozen=True)
 class VersionVector:
-    """The versions of all four documents that one node has in force."""
+    """The active versions of all four documents on one node."""
 
     table: Version = NO_VERSION
     keys: Version = NO_VERSION
@@ -50,11 +50,11 @@
                 return self.outages
 
     def replace(self, name: DocumentName, version: Version) -> "VersionVector":
-        """Return the vector with the version of one document changed."""
+        """Return a copy with another version of one document."""
         return dataclasses.replace(self, **{name.value: version})
 
     def merge(self, other: "VersionVector") -> "VersionVector":
-        """Return the version with the higher number of each document."""
+        """Return the higher version of each document."""
         merged = self
         for name in DocumentName:
             if other.get(name).number > self.get(name).number:
@@ -62,7 +62,7 @@
         return merged
 
     def covers(self, other: "VersionVector") -> bool:
-        """Return whether no document of the other has a higher number."""
+        """Return whether every document is at least as new as the other's."""
         return all(
             self.get(name).number >= other.get(name).number
             for name in DocumentName
