Name own hosts, versions and pending fetches explicitly

"own" stood for a host row, a version vector or a version number, and "running" for a pending or a previous fetch. The local names now say which it is. No behaviour changes.

Checks: script/lint passes; the features config, exchange, readiness and topology pass (66 scenarios).

--- a/src/jasminecrank/state/_exchange.py
+++ b/src/jasminecrank/state/_exchange.py
@@ -125,14 +125,14 @@
         peer = self.by_peer.get(host)
         if peer is None:
             return ()
-        own = self.config.versions()
-        gap = now_s - peer.reported_at_s > _HEARTBEAT_GAP_MAX_S
+        own_versions = self.config.versions()
+        missed_heartbeat = now_s - peer.reported_at_s > _HEARTBEAT_GAP_MAX_S
         peer.lagging_since_s_by_name = {
             name: now_s
-            if gap
+            if missed_heartbeat
             else peer.lagging_since_s_by_name.get(name, now_s)
             for name in _versions.DocumentName
-            if versions.get(name).number < own.get(name).number
+            if versions.get(name).number < own_versions.get(name).number
         }
         peer.reported = versions
         peer.reported_at_s = now_s
@@ -201,14 +201,14 @@
         """
         sends = []
         for name in SEND_ORDER:
-            running = self.fetch_by_name.get(name)
+            pending = self.fetch_by_name.get(name)
             if (
-                running is not None
-                and running.host in self.by_peer
-                and now_s - running.requested_at_s < _FETCH_TIMEOUT_S
+                pending is not None
+                and pending.host in self.by_peer
+                and now_s - pending.requested_at_s < _FETCH_TIMEOUT_S
             ):
                 continue
-            host = self._choose_fetch_peer(name, now_s, running)
+            host = self._choose_fetch_peer(name, now_s, pending)
             if host is None:
                 self.fetch_by_name.pop(name, None)
                 continue
@@ -287,17 +287,17 @@
         self,
         name: _versions.DocumentName,
         now_s: float,
-        running: _Fetch | None,
+        previous: _Fetch | None,
     ) -> str | None:
         """Return a peer with the highest version.
 
         Prefers a peer other than that of the last fetch.
         """
-        own = self.config.by_name[name].version.number
+        own_number = self.config.by_name[name].version.number
         number_by_host = {
             host: peer.known.get(name).number
             for host, peer in self.by_peer.items()
-            if peer.known.get(name).number > own
+            if peer.known.get(name).number > own_number
             and self._is_fetch_allowed(name, peer.known.get(name), now_s)
         }
         if not number_by_host:
@@ -308,8 +308,8 @@
             for host, number in number_by_host.items()
             if number == highest
         ]
-        if running is not None and len(hosts) > 1:
-            hosts = [host for host in hosts if host != running.host]
+        if previous is not None and len(hosts) > 1:
+            hosts = [host for host in hosts if host != previous.host]
         return min(hosts, key=lambda host: _peer_order_key(self.host, host))
 
     def _is_fetch_allowed(
@@ -328,12 +328,12 @@
 
 
 def conflicting_documents(
-    own: _versions.VersionVector, reported: _versions.VersionVector
+    own_versions: _versions.VersionVector, reported: _versions.VersionVector
 ) -> Iterable[_versions.DocumentName]:
     """Return the documents with equal numbers but different digests."""
     return [
         name
         for name in _versions.DocumentName
-        if own.get(name).number == reported.get(name).number
-        and own.get(name).digest != reported.get(name).digest
+        if own_versions.get(name).number == reported.get(name).number
+        and own_versions.get(name).digest != reported.get(name).digest
     ]
--- a/src/jasminecrank/state/_host_choice.py
+++ b/src/jasminecrank/state/_host_choice.py
@@ -12,7 +12,7 @@
 from jasminecrank.state import _topology
 
 _REMOTE_PENALTY_CALLS = 2
-"""Extra calls in flight at which a local host is still preferred."""
+"""Extra calls in flight up to which a local host is preferred."""
 
 _FAILURE_PENALTY_CALLS = 8
 _FAILURE_PENALTY_S = 1.0
@@ -61,8 +61,8 @@
         ]
         if not hosts:
             return None
-        own = snapshot.by_host.get(self.host)
-        own_data_centre = own.data_centre if own else None
+        own_host = snapshot.by_host.get(self.host)
+        own_data_centre = own_host.data_centre if own_host else None
         ranked = _topology.rendezvous_rank(hosts, call.request_id)
         local = [
             host for host in ranked if host.data_centre == own_data_centre
--- a/src/jasminecrank/state/_readiness.py
+++ b/src/jasminecrank/state/_readiness.py
@@ -98,15 +98,17 @@
             case _:
                 typing.assert_never(self.phase)
 
-    def decide(self, own: _versions.VersionVector, now_s: float) -> Readiness:
+    def decide(
+        self, own_versions: _versions.VersionVector, now_s: float
+    ) -> Readiness:
         """Return whether the node accepts calls with its active versions."""
         match self.phase:
             case Unconfirmed():
-                reason = _pending_reason(self.phase, own, now_s)
+                reason = _pending_reason(self.phase, own_versions, now_s)
                 if reason is not None:
                     return Readiness(False, reason, self.ticked_s)
                 reason = "confirmed"
-                if not own.covers(self.phase.highest_reported):
+                if not own_versions.covers(self.phase.highest_reported):
                     reason = (
                         "confirmation timed out; newer versions not received"
                     )
@@ -119,17 +121,17 @@
 
 
 def _pending_reason(
-    phase: Unconfirmed, own: _versions.VersionVector, now_s: float
+    phase: Unconfirmed, own_versions: _versions.VersionVector, now_s: float
 ) -> str | None:
     """Return what the node is still waiting for, or None if it is ready."""
     if phase.first_answer_s is None:
         return f"{phase.reason}: no reply from peers or source"
-    if own.table.number == 0 or own.hosts.number == 0:
+    if own_versions.table.number == 0 or own_versions.hosts.number == 0:
         return f"{phase.reason}: table or host list not received"
     waited_s = now_s - phase.first_answer_s
     if waited_s >= const.START_BOUND_S:
         return None
-    if not own.covers(phase.highest_reported):
+    if not own_versions.covers(phase.highest_reported):
         return f"{phase.reason}: newer versions not received yet"
     if waited_s < phase.settle_s:
         return f"{phase.reason}: waiting for more replies"
--- a/src/jasminecrank/state/_topology.py
+++ b/src/jasminecrank/state/_topology.py
@@ -101,37 +101,37 @@
         A host missing from an outdated host list keeps links with the
         watchers of its data centre.
         """
-        own = self.by_host.get(host_id)
-        if own is None:
+        own_host = self.by_host.get(host_id)
+        if own_host is None:
             peers = set(self.watchers(data_centre))
         else:
             peers = {
-                *self._tree_peers(own),
-                *self._watch_peers(own),
-                *self._service_peers(own),
+                *self._tree_peers(own_host),
+                *self._watch_peers(own_host),
+                *self._service_peers(own_host),
             }
-            peers.discard(own)
+            peers.discard(own_host)
         return tuple(sorted(peers, key=lambda host: host.host))
 
-    def _tree_peers(self, own: _rows.HostRow) -> Iterator[_rows.HostRow]:
-        for rank in self.trees_by_data_centre[own.data_centre]:
-            position = rank.index(own)
+    def _tree_peers(self, own_host: _rows.HostRow) -> Iterator[_rows.HostRow]:
+        for rank in self.trees_by_data_centre[own_host.data_centre]:
+            position = rank.index(own_host)
             if position > 0:
                 yield rank[(position - 1) // const.TREE_FAN_OUT]
             first = position * const.TREE_FAN_OUT + 1
             yield from rank[first : first + const.TREE_FAN_OUT]
 
-    def _watch_peers(self, own: _rows.HostRow) -> Iterator[_rows.HostRow]:
-        candidates = self.watch_candidates(own.data_centre)
-        if own not in candidates:
+    def _watch_peers(self, own_host: _rows.HostRow) -> Iterator[_rows.HostRow]:
+        candidates = self.watch_candidates(own_host.data_centre)
+        if own_host not in candidates:
             return
         yield from candidates
-        local = self.watchers(own.data_centre)
-        if own not in local:
+        local = self.watchers(own_host.data_centre)
+        if own_host not in local:
             return
-        position = local.index(own)
+        position = local.index(own_host)
         for data_centre in self.watch_rank_by_data_centre:
-            if data_centre == own.data_centre:
+            if data_centre == own_host.data_centre:
                 continue
             remote = self.watchers(data_centre)
             for remote_position, host in enumerate(remote):
@@ -140,12 +140,14 @@
                 ) or position == remote_position % len(local):
                     yield host
 
-    def _service_peers(self, own: _rows.HostRow) -> Iterator[_rows.HostRow]:
-        rank = self.rank_by_service[own.service]
+    def _service_peers(
+        self, own_host: _rows.HostRow
+    ) -> Iterator[_rows.HostRow]:
+        rank = self.rank_by_service[own_host.service]
         if len(rank) <= const.SERVICE_PEERS_FULL_MESH:
             yield from rank
             return
-        position = rank.index(own)
+        position = rank.index(own_host)
         for offset in _SERVICE_OFFSETS:
             yield rank[(position + offset) % len(rank)]
             yield rank[(position - offset) % len(rank)]
