Name the message format of invariant checks

The parameter "detail" of check() holds a format string, which its name did not say. All callers pass it by position.

--- a/src/jasminecrank/state/_invariants.py
+++ b/src/jasminecrank/state/_invariants.py
@@ -12,7 +12,10 @@
 
 
 def check(
-    code: exceptions.ResultCode, holds: bool, detail: str, *values: object
+    code: exceptions.ResultCode,
+    holds: bool,
+    message_format: str,
+    *values: object,
 ) -> None:
     """Check an invariant; log and count a violation.
 
@@ -21,7 +24,7 @@
     if holds:
         return
     violations_by_code[code] += 1
-    message = detail % values
+    message = message_format % values
     logging.error("invariant %d violated: %s", code.value, message)
     if os.environ.get(const.FATAL_INVARIANTS_VARIABLE) == "1":
         raise exceptions.InvariantError(message, code)
