Reword the docstrings and comments of the node's state

Docstrings used figurative or private wording, such as a node's word or beliefs. They now say in the usual terms what the code does and why. Reasons and figures behind constants are kept. One line changes what it claims: the one on Placement.mark_unreachable said that such a host is chosen if there is no other, but choose() skips it in every case, and the text now says so. One local name follows the renames.

Conclusion: texts only; behaviour is unchanged.

--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -1,4 +1,4 @@
-"""Beliefs and decisions of a node, free of sockets, tasks and encodings."""
+"""State and decisions of a node, free of sockets, tasks and encodings."""
 
 from jasminecrank.mesh.state._attempts import CallAttempts as CallAttempts
 from jasminecrank.mesh.state._attempts import Deliver as Deliver
--- a/src/jasminecrank/mesh/state/_budgets.py
+++ b/src/jasminecrank/mesh/state/_budgets.py
@@ -1,25 +1,25 @@
-"""What a node may spend of the fleet's retry budget."""
+"""Limits a node's retries to its part of the fleet's retry budget."""
 
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 
 UNANSWERED_RETRY_SHARE = 0.6
-"""Part of the fleet's retry budget for calls that no server has answered.
+"""Share of the fleet's retry budget for calls that no server has answered.
 
-The rest covers nodes that disagree about the size of the fleet, and calls
-that backend servers make again because they run again.
+The rest covers nodes that disagree about the fleet size, and the downstream
+calls that backend servers repeat when they run a retried call.
 """
 FAILED_RETRY_SHARE = 0.1
-"""Part for idempotent calls that a server answered with a failure.
+"""Share for idempotent calls to which a server responded with a failure.
 
-Each repeat also retries the calls that the backend server makes.
+Each retry also repeats the downstream calls of the backend server.
 """
 
 
 @dataclass(slots=True, frozen=True)
 class RetryBudgetBounds:
-    """The fleet's retry budget, from the platform's bounds."""
+    """The fleet-wide retry budget, as bounded by the platform."""
 
     ratio: float
     window_s: float
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Repeats to a service that a node may send in a sliding window."""
+    """Counts first attempts and retries per service in a sliding window."""
 
     bounds: RetryBudgetBounds
     host_count: int = 1
@@ -38,14 +38,14 @@
     _retries_by_service: dict[str, deque[float]] = field(default_factory=dict)
 
     def record_first_attempt(self, service: str, now_s: float) -> None:
-        """Count the first attempt of a call."""
+        """Add a first attempt, which raises the number of allowed retries."""
         self._first_attempts_by_service.setdefault(service, deque()).append(
             now_s
         )
         self._discard_expired(self._first_attempts_by_service[service], now_s)
 
     def try_retry(self, service: str, share: float, now_s: float) -> bool:
-        """Count a repeat unless a share of the budget is used up."""
+        """Count a retry and return True unless the budget share is used up."""
         first_attempts = self._first_attempts_by_service.setdefault(
             service, deque()
         )
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -1,4 +1,4 @@
-"""Which backend servers exist, and what is to be done with them."""
+"""Directory of the table and the backend servers that the source lists."""
 
 from collections.abc import Callable
 from collections.abc import Collection
@@ -13,22 +13,24 @@
 from jasminecrank.mesh.state import _table
 
 EXPIRY_GRACE_S = 1.8
-"""Time after an outage of the source in which lapsed entries come back.
+"""Grace period after a source outage, in which expired entries may come back.
 
-The platform states about 2 s, and allows 2 s after a removal is confirmed.
+The platform specifies about 2 s for this, and allows nodes 2 s to act on a
+confirmed removal.
 """
 
 MAX_PATCH_BASES = 4
-"""Older values of an entry that patches may refer to.
+"""Earlier values kept per entry as bases for patches.
 
-A watcher that reads several changes at once skips the values between them.
+More than one is needed, because a watcher that reads several changes at once
+never sees the intermediate values.
 """
 MIN_PATCH_BASE_BYTES = 2_048
-"""Smallest value that is worth a patch."""
+"""Smaller values are sent whole, as a patch would save little."""
 
 
 class ServerState(enum.Enum):
-    """What a backend server says of itself."""
+    """Lifecycle state that a backend server publishes about itself."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -41,40 +43,40 @@
     server_id: str
     service: str
     host: str
-    """IP address of its host, at which its node listens too."""
+    """IP address of its host; the node of the host listens on it as well."""
     port: int
     data_centre: str
     slots: int
     state: ServerState
     cold_left_s: float
-    """Time left of its cold start when the entry was written."""
+    """Remaining cold start time when the entry was written."""
     created_at_ms: int
 
 
 @dataclass(slots=True, frozen=True)
 class TableEntry:
-    """The operators accepted a table."""
+    """An entry with a table that the operators accepted."""
 
     table: _table.Table
 
 
 @dataclass(slots=True, frozen=True)
 class ServerEntry:
-    """A backend server registered itself or changed its entry."""
+    """An entry in which a backend server registers itself."""
 
     server: BackendServer
 
 
 @dataclass(slots=True, frozen=True)
 class DataCentreOutEntry:
-    """Operators took a data centre out of service."""
+    """An entry by which operators take a data centre out of service."""
 
     data_centre: str
 
 
 @dataclass(slots=True, frozen=True)
 class InvalidEntry:
-    """An entry that names nothing usable, and why."""
+    """An entry that can't be used, and why."""
 
     reason: str
 
@@ -84,7 +86,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SourceItem:
-    """One key of the source at one revision; no value once removed."""
+    """A key of the source at one revision; its value is None once removed."""
 
     key: str
     revision: int
@@ -96,7 +98,7 @@
 
 @dataclass(slots=True, frozen=True)
 class FleetSnapshot:
-    """What a node believes at one moment, replaced as a whole."""
+    """An immutable view of the fleet, replaced as a whole on each change."""
 
     table: _table.Table | None
     server_by_id: Mapping[str, BackendServer]
@@ -104,7 +106,7 @@
     data_centres_out: frozenset[str]
 
     def usable_servers(self, service: str) -> list[BackendServer]:
-        """Return the servers of a service that may be given new work."""
+        """Return the servers of a service that may receive new calls."""
         return [
             server
             for server in self.server_by_id.values()
@@ -116,7 +118,7 @@
 
 @dataclass(slots=True)
 class Directory:
-    """The node's copy of what the platform publishes."""
+    """The node's replica of the entries that the platform publishes."""
 
     decode: Decoder
     item_by_key: dict[str, SourceItem] = field(default_factory=dict)
@@ -127,19 +129,19 @@
     revision: int = 0
     grace_until_s: float = 0.0
     rejected: list[str] = field(default_factory=list)
-    """What was unreadable since the last call of `take_rejected`."""
+    """Reasons of the entries rejected since the last `pop_rejected` call."""
     digest: int = 0
-    """Equal in two directories that hold the same entries."""
+    """Equal for two directories that hold the same entries."""
     complete_revision: int = 0
-    """Revision up to which the source itself has shown all changes."""
+    """Revision up to which the source itself has reported all changes."""
     bases_by_key: dict[str, dict[int, bytes]] = field(default_factory=dict)
-    """The last values of large entries, by revision."""
+    """Recent values of large entries, by key and revision."""
 
     def apply_items(
         self, items: Iterable[SourceItem], now_s: float
     ) -> list[SourceItem]:
-        """Take newer items in; return those that were new."""
-        fresh = []
+        """Apply items with a newer revision and return the applied ones."""
+        applied = []
         for item in items:
             known = self.item_by_key.get(item.key)
             if known is not None and known.revision >= item.revision:
@@ -149,37 +151,37 @@
             self.digest ^= _item_digest(known) ^ _item_digest(item)
             self._keep_patch_base(item)
             self._apply_item(item, now_s)
-            fresh.append(item)
-        return fresh
+            applied.append(item)
+        return applied
 
     def apply_listing(
         self, items: Iterable[SourceItem], start_revision: int, now_s: float
     ) -> list[SourceItem]:
-        """Take a whole listing in, which also shows what is gone.
+        """Apply a complete listing and remove the entries missing from it.
 
-        A key that is missing was removed at the revision of the listing's
-        first page at the latest.
+        A missing key was removed at the revision of the listing's first page
+        or earlier.
         """
         listed = list(items)
         removals = self.implied_removals(
             {item.key for item in listed}, start_revision
         )
-        fresh = self.apply_items([*listed, *removals], now_s)
+        applied = self.apply_items([*listed, *removals], now_s)
         self.complete_revision = max(self.complete_revision, start_revision)
-        return fresh
+        return applied
 
     def apply_changes(
         self, items: Iterable[SourceItem], revision: int, now_s: float
     ) -> list[SourceItem]:
-        """Take all changes up to a revision in, as the source showed them."""
-        fresh = self.apply_items(items, now_s)
+        """Apply all changes that the source reported up to a revision."""
+        applied = self.apply_items(items, now_s)
         self.complete_revision = max(self.complete_revision, revision)
-        return fresh
+        return applied
 
     def implied_removals(
         self, keys: Collection[str], complete_revision: int
     ) -> list[SourceItem]:
-        """Return the removals that a complete list of keys implies."""
+        """Return removals of the known keys missing from a complete list."""
         return [
             SourceItem(key, complete_revision, None)
             for key, known in self.item_by_key.items()
@@ -191,7 +193,7 @@
     def create_patch(
         self, item: SourceItem, base_revision: int
     ) -> _patches.Patch | None:
-        """Return a patch of an entry, if the older value is still known."""
+        """Return a patch from an earlier value, or None if it is not kept."""
         base = self.bases_by_key.get(item.key, {}).get(base_revision)
         if base is None or item.value is None:
             return None
@@ -200,16 +202,19 @@
     def apply_patch(
         self, key: str, base_revision: int, patch: _patches.Patch
     ) -> bytes | None:
-        """Return the patched value of an entry, or None without its base."""
+        """Return the patched value of an entry.
+
+        Returns None if the base is not kept or the patch does not match it.
+        """
         base = self.bases_by_key.get(key, {}).get(base_revision)
         return None if base is None else _patches.apply_patch(base, patch)
 
     def start_expiry_grace(self, now_s: float) -> None:
-        """Keep removed servers for a while after an outage."""
+        """Keep removed servers for a grace period after a source outage."""
         self.grace_until_s = now_s + EXPIRY_GRACE_S
 
     def remove_expired(self, now_s: float) -> bool:
-        """Drop the lapsed servers whose grace is over."""
+        """Drop servers whose grace period is over; return whether any were."""
         expired = [
             key for key, at in self.removal_at_by_key.items() if at <= now_s
         ]
@@ -219,12 +224,12 @@
         return bool(expired)
 
     def pop_rejected(self) -> list[str]:
-        """Return and forget the reasons of unreadable entries."""
+        """Return and clear the reasons of rejected entries."""
         rejected, self.rejected = self.rejected, []
         return rejected
 
     def snapshot(self) -> FleetSnapshot:
-        """Return what the published entries say together."""
+        """Return the fleet that the published entries describe."""
         newest_by_address: dict[tuple[str, int], BackendServer] = {}
         data_centres_out = set()
         for entry in self.entry_by_key.values():
@@ -241,8 +246,8 @@
                     data_centres_out.add(data_centre)
                 case TableEntry() | InvalidEntry():
                     pass
-        # A crashed server's entry stays for some heartbeats, beside that of
-        # the next server at its address.
+        # The entry of a crashed server remains for a few heartbeats, alongside
+        # that of its successor at the same address.
         servers = {
             server.server_id: server for server in newest_by_address.values()
         }
@@ -305,9 +310,10 @@
 
 
 def _item_digest(item: SourceItem | None) -> int:
-    """Return an entry's part of the directory's digest.
+    """Return an entry's contribution to the directory's digest.
 
-    Removed entries have none, since a node that starts later never sees them.
+    Removed entries contribute nothing, since a node that starts later never
+    sees them.
     """
     if item is None or item.value is None:
         return 0
--- a/src/jasminecrank/mesh/state/_gate.py
+++ b/src/jasminecrank/mesh/state/_gate.py
@@ -1,4 +1,4 @@
-"""Which calls a backend server gets, decided by the node beside it."""
+"""Admission control of a backend server, run by the node on its host."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -7,41 +7,41 @@
 import heapq
 
 COLD_WINDOW_S = 1.0
-"""Window in which a cold server bears its rate, from the table's unit."""
+"""Window of the cold-start rate, which the table states per second."""
 COLD_RATE_FRACTION = 0.9
-"""Part of the cold rate that is used, for requests that arrive in bunches."""
+"""Fraction of the cold-start rate used, as requests arrive in bursts."""
 RUN_TIME_WEIGHT = 0.1
-"""Weight of the newest run time in the moving average."""
+"""Weight of the latest run time in the exponential moving average."""
 DEFAULT_RUN_TIME_S = 0.1
-"""Run time assumed before any call has ended."""
+"""Run time assumed until a call has completed."""
 FAILURE_WEIGHT = 0.08
-"""Weight of the newest outcome in the failure rate."""
+"""Weight of the latest outcome in the failure rate's moving average."""
 MAX_WAIT_FRACTION = 0.7
-"""Longest expected wait as a part of the time left until the objective."""
+"""Longest accepted wait, as a fraction of the time left to the objective."""
 ALWAYS_ACCEPTED_WAIT_S = 0.03
-"""Expected wait that is always accepted, about one short run."""
+"""Expected wait that is always accepted: about one short run."""
 LOAD_CHANGE_FRACTION = 0.2
-"""Change of a load, in parts of the limit, that others are told at once."""
+"""Change of the load, relative to the limit, that is reported at once."""
 MAX_QUEUED_CALLS = 512
-"""Bound on the memory of waiting calls."""
+"""Bounds the memory used by queued calls."""
 
 
 @dataclass(slots=True, frozen=True)
 class AdmissionRequest:
-    """A call that asks for a slot, as far as the decision needs it."""
+    """The data of a call that the admission decision depends on."""
 
     call_id: int
     link_id: int
-    """The link the call came by; with `call_id` it names the call."""
+    """The link the call arrived on; with `call_id` it identifies the call."""
     rank: int
-    """0 is served first."""
+    """Priority rank; lower ranks are served first, starting at 0."""
     route: str
     deadline_at_s: float
     target_at_s: float
 
 
 class ServerHealth(enum.Enum):
-    """What the node knows about its backend server."""
+    """Health of the backend server, as known to its node."""
 
     UNKNOWN = "unknown"
     PROBING = "probing"
@@ -50,17 +50,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Admit:
-    """The call may be sent to the backend server now."""
+    """The call has a slot and may be sent to the backend server now."""
 
 
 @dataclass(slots=True, frozen=True)
 class Enqueue:
-    """The call waits for a slot."""
+    """The call is queued until a slot is free."""
 
 
 @dataclass(slots=True, frozen=True)
 class Reject:
-    """The call won't be run; there is room again after a while."""
+    """The call will not run; retry after the expected wait."""
 
     reason: str
     retry_after_s: float
@@ -71,7 +71,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ReleasedCalls:
-    """Calls that leave the queue, to run or because it is too late."""
+    """Calls removed from the queue, either admitted or expired."""
 
     admitted: tuple[AdmissionRequest, ...]
     expired: tuple[AdmissionRequest, ...]
@@ -79,19 +79,19 @@
 
 @dataclass(slots=True, frozen=True)
 class ServerLoad:
-    """What a node tells others about its backend server."""
+    """The load of a backend server, as its node reports it to other nodes."""
 
     server_id: str
     in_flight: int
     queued: int
     limit: int
     run_time_s: float
-    """0 until a call has ended outside the cold start."""
+    """Average run time; 0 until a call has completed outside a cold start."""
     failure_rate: float
     accepting: bool
 
     def server_changed(self, other: "ServerLoad") -> bool:
-        """Return whether a server began, ended or got another limit."""
+        """Return whether the server, its limit or its acceptance changed."""
         return (self.server_id, self.limit, self.accepting) != (
             other.server_id,
             other.limit,
@@ -99,14 +99,14 @@
         )
 
     def load_changed(self, other: "ServerLoad") -> bool:
-        """Return whether placement would treat two loads differently."""
+        """Return whether the loads differ enough to affect placement."""
         change = self.in_flight + self.queued - other.in_flight - other.queued
         return abs(change) > max(1.0, LOAD_CHANGE_FRACTION * self.limit)
 
 
 @dataclass(slots=True)
 class AdmissionController:
-    """Slots, queue and cold-start rate of one backend server."""
+    """Manages slots, queue and cold-start rate of one backend server."""
 
     slots: int = 1
     server_id: str = ""
@@ -115,7 +115,7 @@
     cold_rate_per_s: float = 0.0
     in_flight: int = 0
     run_time_s: float = 0.0
-    """Usual run time of a call; 0 until one has ended."""
+    """Moving average of run times; 0 until a call has completed."""
     failure_rate: float = 0.0
     run_time_s_by_route: dict[str, float] = field(default_factory=dict)
     _queue: list[tuple[int, int, AdmissionRequest]] = field(
@@ -127,11 +127,11 @@
 
     @property
     def queued(self) -> int:
-        """Return how many calls wait."""
+        """Return the number of queued calls, without cancelled ones."""
         return len(self._waiting)
 
     def submit(self, request: AdmissionRequest, now_s: float) -> Decision:
-        """Decide on a new call."""
+        """Admit, enqueue or reject a new call."""
         idle = self.health is ServerHealth.UP and not self._waiting
         if idle and self._has_capacity(now_s):
             self._occupy_slot(now_s)
@@ -151,7 +151,7 @@
         return Enqueue()
 
     def release_queued(self, now_s: float) -> ReleasedCalls:
-        """Return the waiting calls that may start now, or never will."""
+        """Dequeue the calls that may start now and those that have expired."""
         admitted = []
         expired = []
         while self._queue:
@@ -177,14 +177,14 @@
         return ReleasedCalls(tuple(admitted), tuple(expired))
 
     def cancel(self, link_id: int, call_id: int) -> bool:
-        """Forget a waiting call; return whether it was waiting."""
+        """Cancel a queued call; return whether it was queued."""
         if (link_id, call_id) not in self._waiting:
             return False
         self._waiting.discard((link_id, call_id))
         return True
 
     def drain_queue(self) -> tuple[AdmissionRequest, ...]:
-        """Return all waiting calls, which won't be run here."""
+        """Remove and return all queued calls without running them."""
         requests = tuple(
             entry[2]
             for entry in sorted(self._queue, key=lambda entry: entry[:2])
@@ -197,9 +197,10 @@
     def record_completion(
         self, route: str, run_time_s: float | None, failed: bool, now_s: float
     ) -> None:
-        """Free the slot of a call that ended, with its run time if known.
+        """Free the slot of a completed call and update the statistics.
 
-        Runs of a cold start say nothing about the time after it.
+        Run times from a cold start are ignored, since they say nothing about
+        the time after it.
         """
         self.in_flight -= 1
         self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
@@ -215,7 +216,7 @@
     def mark_server_up(
         self, server_id: str, cold_left_s: float, now_s: float
     ) -> None:
-        """Record a good health answer."""
+        """Record a successful health check."""
         if server_id != self.server_id:
             self.server_id = server_id
             self.failure_rate = 0.0
@@ -225,18 +226,18 @@
         self.cold_until_s = max(self.cold_until_s, now_s + cold_left_s)
 
     def mark_server_unknown(self) -> None:
-        """Require a health answer before the next call."""
+        """Require a successful health check before the next call."""
         self.health = ServerHealth.UNKNOWN
         self.cold_until_s = 0.0
 
     def expected_run_time_s(self, route: str) -> float:
-        """Return the run time to expect of a route's calls."""
+        """Return the expected run time of a route's calls."""
         return self.run_time_s_by_route.get(
             route, self.run_time_s or DEFAULT_RUN_TIME_S
         )
 
     def expected_wait_s(self, rank: int, now_s: float) -> float:
-        """Return how long a new call of a rank would wait."""
+        """Return how long a new call of a rank would wait for a slot."""
         ahead = sum(
             1
             for entry in self._queue
@@ -250,7 +251,7 @@
         )
 
     def limit(self, now_s: float) -> int:
-        """Return how many calls may run at once."""
+        """Return how many calls may run concurrently."""
         if self.is_cold(now_s):
             run_time_s = self.run_time_s or DEFAULT_RUN_TIME_S
             slots_at_rate = (
@@ -260,11 +261,11 @@
         return max(1, self.slots)
 
     def is_cold(self, now_s: float) -> bool:
-        """Return whether the server is in its cold start."""
+        """Return whether the server is still in its cold start."""
         return now_s < self.cold_until_s
 
     def next_cold_admission_at_s(self, now_s: float) -> float:
-        """Return when the cold rate admits a call again."""
+        """Return when the cold-start rate admits the next call."""
         if not self.is_cold(now_s) or not self._cold_admissions_at_s:
             return now_s
         return min(
@@ -272,7 +273,7 @@
         )
 
     def load(self, now_s: float, accepting: bool) -> ServerLoad:
-        """Return what other nodes are told."""
+        """Return the load to report to other nodes."""
         return ServerLoad(
             self.server_id,
             self.in_flight,
--- a/src/jasminecrank/mesh/state/_links.py
+++ b/src/jasminecrank/mesh/state/_links.py
@@ -1,4 +1,4 @@
-"""Which nodes a node keeps links to, and which nodes watch the source."""
+"""Selects the hosts to link to, source watchers and quota arbiters."""
 
 from collections.abc import Iterable
 import hashlib
@@ -6,21 +6,21 @@
 from jasminecrank.mesh.state import _directory
 
 WATCHER_COUNT = 3
-"""Nodes that watch the source for all others; two may fail at once."""
+"""Nodes that watch the source for the fleet; two may fail at once."""
 ARBITER_COUNT = 5
-"""Nodes that grant the tokens of teams; each team has one at a time.
+"""Nodes that grant rate tokens; each team has one arbiter at a time.
 
-The watchers are among them, so that a node needs few links besides those to
+The watchers are among them, so that a node needs few links beyond those to
 servers.
 """
 MAX_LINKS_PER_SERVICE = 12
-"""Servers of a service that a node sends calls to in a large fleet."""
+"""Hosts per service that a node sends calls to in a large fleet."""
 MAX_LOCAL_LINKS_PER_SERVICE = 8
-"""Of these, servers of the node's own data centre."""
+"""How many of these are chosen from the node's own data centre first."""
 
 
 def rank_hosts(seed: str, hosts: Iterable[str]) -> list[str]:
-    """Return hosts by falling rendezvous hash under a seed."""
+    """Return hosts ordered by their rendezvous hash for a seed."""
     return sorted(
         hosts,
         key=lambda host: hashlib.blake2b(
@@ -30,12 +30,12 @@
 
 
 def watcher_hosts(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
-    """Return the hosts whose nodes watch the source."""
+    """Return the hosts whose nodes watch the source for the fleet."""
     return _coordinators(fleet)[:WATCHER_COUNT]
 
 
 def arbiter_hosts(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
-    """Return the hosts whose nodes grant tokens, in a fixed order."""
+    """Return the hosts whose nodes grant rate tokens, sorted."""
     return tuple(sorted(_coordinators(fleet)))
 
 
@@ -51,7 +51,7 @@
 def link_targets(
     fleet: _directory.FleetSnapshot, own_host: str, own_data_centre: str
 ) -> set[str]:
-    """Return the hosts whose nodes a node keeps links to."""
+    """Return the hosts that a node keeps links to."""
     servers_by_service: dict[str, list[_directory.BackendServer]] = {}
     for server in fleet.server_by_id.values():
         servers_by_service.setdefault(server.service, []).append(server)
--- a/src/jasminecrank/mesh/state/_patches.py
+++ b/src/jasminecrank/mesh/state/_patches.py
@@ -1,22 +1,23 @@
-"""Differences between two values of an entry, found by their records."""
+"""Record-based patches between two values of an entry."""
 
 from dataclasses import dataclass
 import hashlib
 
 RECORD_DELIMITER = b"}"
-"""Byte after which a value is cut into records.
+"""Byte after which a value is split into records.
 
-Entries are JSON, where an object is what changes as a whole.
+Entries are JSON, in which objects usually change as a whole.
 """
 MIN_COPY_BYTES = 16
-"""Shorter runs are sent as they are; a reference takes about as much."""
+"""Shorter records are sent literally; a reference is about as large."""
 
 
 @dataclass(slots=True, frozen=True)
 class Patch:
-    """How to make a value from an older one.
+    """Instructions to build a value from an earlier one.
 
-    A piece is either bytes, or start and end of a run in the older value.
+    A piece is either literal bytes or the start and end offsets of a range in
+    the earlier value.
     """
 
     pieces: tuple[bytes | tuple[int, int], ...]
@@ -24,19 +25,19 @@
 
     @property
     def literal_bytes(self) -> int:
-        """Return how many bytes don't stand in the older value."""
+        """Return the number of bytes not copied from the earlier value."""
         return sum(
             len(piece) for piece in self.pieces if isinstance(piece, bytes)
         )
 
 
 def digest(value: bytes) -> bytes:
-    """Return the digest by which a patched value is checked."""
+    """Return the digest used to verify a patched value."""
     return hashlib.blake2b(value, digest_size=8).digest()
 
 
 def make_patch(base: bytes, target: bytes) -> Patch:
-    """Return a patch that makes a value from an older one."""
+    """Return a patch that turns the base value into the target value."""
     start_by_record: dict[bytes, int] = {}
     offset = 0
     for record in base.split(RECORD_DELIMITER):
@@ -74,7 +75,7 @@
 
 
 def apply_patch(base: bytes, patch: Patch) -> bytes | None:
-    """Return the patched value; None if the base is not the right one."""
+    """Return the patched value, or None if its digest does not match."""
     value = b"".join(
         piece if isinstance(piece, bytes) else base[piece[0] : piece[1]]
         for piece in patch.pieces
@@ -89,7 +90,7 @@
     copy: tuple[int, int] | None,
     start_by_record: dict[bytes, int],
 ) -> int | None:
-    """Return where a record stands in the older value."""
+    """Return the offset of a record in the earlier value, or None."""
     if copy is not None and base.startswith(record, copy[1]):
         return copy[1]
     if len(record) < MIN_COPY_BYTES:
--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -1,4 +1,4 @@
-"""Which backend server a call goes to."""
+"""Selects the backend server for a call."""
 
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -12,46 +12,48 @@
 from jasminecrank.mesh.state import _table
 
 REMOTE_DATA_CENTRE_COST_RUNS = 1.2
-"""Run times that a server of another data centre has to save.
+"""Cost of a server in another data centre, in typical run times.
 
-Bytes between data centres are scarce, so calls leave their own only when it
-is outstanding.
+Bandwidth between data centres is scarce, so calls leave their own data centre
+only when it is busy.
 """
 REMOTE_HOST_COST_S = 0.002
-"""Two hops between hosts of one data centre, with their processor time."""
+"""Cost of another host: two hops in the data centre and their CPU time."""
 FAILURE_COST_RUNS = 6.0
-"""Run times that a failed attempt costs its caller.
+"""Cost of a failed attempt to its caller, in run times.
 
-Only failures beyond those of the usual server count: where all fail alike, the
-cause is elsewhere, and the server with the best luck must not get all calls.
+Only failures above the typical rate count: if all servers fail alike, the
+cause is elsewhere, and the server that happened to fail least must not get all
+calls.
 """
 FULL_SERVER_COST_RUNS = 1.2
-"""Run times that are added at a full server.
+"""Cost of a fully loaded server, in run times.
 
-Servers slow down when they are nearly full, and calls that other nodes send
-meanwhile have to wait.
+Servers slow down when nearly full, and calls that other nodes send in the
+meantime add to the wait.
 """
 UNMEASURED_RUN_TIME_FACTOR = 0.6
-"""Run time of a server without recent runs, in usual run times.
+"""Assumed run time of a server without recent runs, in typical run times.
 
-Below 1, so that each server gets a call now and then that shows its speed.
+Below 1, so that each server occasionally gets a call that shows its speed.
 """
 ESTIMATE_HALF_LIFE_S = 4.0
-"""Time after which half of what is known of a server is forgotten.
+"""Half-life of the measured run time and failure rate of a server.
 
-A server that looked bad gets no calls that could show it has recovered.
+Without decay, a server with a bad estimate would get no calls that could show
+that it has recovered.
 """
 SCORE_JITTER = 0.2
-"""Random part of a score, so that nodes don't choose alike."""
+"""Random fraction added to a score, so that nodes choose differently."""
 LOAD_MAX_AGE_S = 1.5
-"""Age at which a told load is no longer used: three idle tellings."""
+"""Age above which a load report is ignored: three idle report intervals."""
 INITIAL_LIMIT = 2
-"""Calls at once to a server that has told no load yet."""
+"""Concurrent calls to a server that has not reported a load yet."""
 
 
 @dataclass(slots=True, frozen=True)
 class PlacementDecision:
-    """The chosen server and the time the call is expected to wait."""
+    """The selected server and the expected wait for a slot there."""
 
     server: _directory.BackendServer
     wait_s: float
@@ -62,13 +64,13 @@
     load: _gate.ServerLoad
     reported_at_s: float
     changed_at_s: float
-    """When a run there last changed its run time or its failure rate."""
+    """When the reported run time or failure rate last changed."""
     sent_since_report: int = 0
 
 
 @dataclass(slots=True, frozen=True)
 class _Estimate:
-    """Run time and failure rate of a server, or of the usual one."""
+    """Run time and failure rate of a server, or typical values of several."""
 
     run_time_s: float
     failure_rate: float
@@ -76,7 +78,7 @@
 
 @dataclass(slots=True)
 class Placement:
-    """Loads of the servers as told by their nodes."""
+    """Selects servers by the loads that their nodes report."""
 
     own_host: str
     own_data_centre: str
@@ -89,7 +91,7 @@
     def record_load(
         self, host: str, load: _gate.ServerLoad, now_s: float
     ) -> None:
-        """Take a node's word on its server's load."""
+        """Record a load report, which proves that the host is reachable."""
         self._unreachable.discard(host)
         known = self._reported_load_by_host.get(host)
         changed_at_s = now_s
@@ -103,22 +105,22 @@
         )
 
     def mark_unreachable(self, host: str) -> None:
-        """Choose a host only if there is no other."""
+        """Exclude a host until it is reachable and drop its load report."""
         self._unreachable.add(host)
         self._reported_load_by_host.pop(host, None)
 
     def mark_reachable(self, host: str) -> None:
-        """Choose a host again."""
+        """Allow a host to be selected again."""
         self._unreachable.discard(host)
 
     def record_sent(self, host: str) -> None:
-        """Count a call that the told load does not contain yet."""
+        """Count a call that the latest load report does not include yet."""
         report = self._reported_load_by_host.get(host)
         if report is not None:
             report.sent_since_report += 1
 
     def record_response(self, host: str, outstanding: int) -> None:
-        """Take the load that came with an answer."""
+        """Update the load of a host with the outstanding calls it stated."""
         report = self._reported_load_by_host.get(host)
         if report is None:
             return
@@ -136,7 +138,7 @@
         tried: Collection[str],
         now_s: float,
     ) -> PlacementDecision | None:
-        """Return the server at which a call is expected to end first."""
+        """Return the server at which a call is expected to complete first."""
         best: PlacementDecision | None = None
         best_score = 0.0
         servers = tuple(servers)
@@ -161,7 +163,7 @@
     def _typical_estimate(
         self, servers: tuple[_directory.BackendServer, ...]
     ) -> "_Estimate":
-        """Return the medians of what is known of servers."""
+        """Return the medians of the reported run times and failure rates."""
         loads = [
             report.load
             for server in servers
@@ -218,7 +220,7 @@
 def _estimate(
     report: _ReportedLoad | None, typical: _Estimate, now_s: float
 ) -> _Estimate:
-    """Return what to expect of a server, the less known the older."""
+    """Return the estimate of a server, decayed by the age of its values."""
     unmeasured_s = UNMEASURED_RUN_TIME_FACTOR * typical.run_time_s
     if report is None:
         return _Estimate(unmeasured_s, 0.0)
@@ -244,12 +246,12 @@
 
 @dataclass(slots=True)
 class WeightedRoundRobin:
-    """Smooth weighted round robin over the parts of each route."""
+    """Smooth weighted round robin over the services of each route."""
 
     _credit_by_route: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def choose(self, route: _table.Route) -> str:
-        """Return the service that the next request of a route goes to."""
+        """Return the service for the next request of a route."""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
         credit = self._credit_by_route.setdefault(route.name, {})
--- a/src/jasminecrank/mesh/state/_quota.py
+++ b/src/jasminecrank/mesh/state/_quota.py
@@ -1,4 +1,4 @@
-"""Which node grants tokens of a team's rate, and how many."""
+"""Distributes the fleet-wide rate of each team among quota arbiters."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -9,28 +9,28 @@
 from jasminecrank.mesh.state import _table
 
 PRESENCE_INTERVAL_S = 0.4
-"""Period at which a node shows an arbiter that it is there."""
+"""Interval at which a node reports its presence to an arbiter."""
 PRESENCE_TIMEOUT_S = 1.3
-"""Age at which a node counts as gone: three periods and a delay."""
+"""Age at which a node counts as gone: three intervals plus a delay."""
 RATE_MARGIN = 1.03
-"""Rate that is granted, in rates.
+"""Granted rate as a multiple of the team's rate.
 
-It makes up for tokens whose calls leave before they are sent, well inside the
-overshoot that the platform allows.
+It compensates for tokens of calls that are abandoned before they are sent, and
+stays well within the overshoot that the platform allows.
 """
 TAKEOVER_CREDIT_S = 0.25
-"""Time whose tokens an arbiter has at once for nodes that it takes over.
+"""Seconds of tokens credited at once for nodes that an arbiter takes over.
 
-About the time in which the nodes notice that the former one is gone; four
-takeovers in a window stay inside the allowed overshoot.
+About the time that the nodes need to notice that the previous arbiter is gone;
+four takeovers in a window stay within the allowed overshoot.
 """
 OVERSHOOT_FRACTION = 0.8
-"""Part of the allowed overshoot that is used while hosts are missing."""
+"""Fraction of the allowed overshoot used while hosts are missing."""
 
 
 @dataclass(slots=True, frozen=True)
 class QuotaBounds:
-    """How far the fleet may exceed a rate, from the platform's bounds."""
+    """The platform's bounds on how far the fleet may exceed a rate."""
 
     window_s: float
     overshoot: float
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Grant:
-    """Tokens that were granted, and the time until there is another."""
+    """The number of granted tokens and the time until the next one."""
 
     granted: int
     wait_s: float
@@ -50,7 +50,7 @@
     tokens: float
     filled_at_s: float
     rate_share: float
-    """Part of the rate when it was filled last."""
+    """Share of the team's rate at the last refill."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,9 +62,9 @@
 def choose_arbiter(
     team: str, reachable: tuple[str, ...], own_host: str
 ) -> str:
-    """Return the node that a node asks for tokens of a team.
+    """Return the host whose node grants tokens of a team.
 
-    A node that reaches no arbiter decides for itself.
+    A node that reaches no arbiter grants its own tokens.
     """
     if not reachable:
         return own_host
@@ -73,17 +73,18 @@
 
 @dataclass(slots=True)
 class QuotaArbiter:
-    """Buckets of the teams' rates, for the nodes that ask this one.
+    """Token buckets of the teams, for the nodes that ask this one.
 
-    Each node asks one arbiter for a team, and an arbiter grants no more than
-    the share of the rate that belongs to the nodes that ask it. So the shares
-    sum to no more than the allowed overshoot, however the fleet is split.
+    Each node asks one arbiter per team, and an arbiter grants no more than the
+    share of the rate that belongs to the nodes that ask it. The sum of the
+    shares therefore stays within the allowed overshoot, however the network is
+    partitioned.
     """
 
     own_host: str
     bounds: QuotaBounds
     host_count: int = 1
-    """Hosts of the whole fleet, whether they can be reached or not."""
+    """Hosts in the whole fleet, reachable or not."""
     _bucket_by_team: dict[str, _Bucket] = field(default_factory=dict)
     _presence_by_host: dict[str, _Presence] = field(default_factory=dict)
     _arbiter_by_query: dict[tuple[str, tuple[str, ...]], str] = field(
@@ -93,21 +94,21 @@
     def record_presence(
         self, host: str, reachable: tuple[str, ...], now_s: float
     ) -> None:
-        """Take a node's word on which arbiters it reaches."""
+        """Record that a node is present and which arbiters it reaches."""
         self._presence_by_host[host] = _Presence(now_s, reachable)
 
     def refresh_presence(self, host: str, now_s: float) -> None:
-        """Take a node's word that nothing has changed."""
+        """Record that a node is present and reaches the same arbiters."""
         known = self._presence_by_host.get(host)
         if known is not None:
             self.record_presence(host, known.arbiters, now_s)
 
     def remove_host(self, host: str) -> None:
-        """Forget a node."""
+        """Stop granting the share of a host's node."""
         self._presence_by_host.pop(host, None)
 
     def acquire(self, team: _table.Team, count: int, now_s: float) -> Grant:
-        """Take up to a number of tokens of a team."""
+        """Take up to `count` tokens from the bucket of a team."""
         if team.rate_per_s <= 0.0:
             return Grant(count, 0.0)
         share = self.rate_share(team.name, now_s)
@@ -122,7 +123,7 @@
     def refill_buckets(
         self, teams: Iterable[_table.Team], now_s: float
     ) -> None:
-        """Mint tokens while nobody asks, or void them where others grant."""
+        """Refill idle buckets; empty those that other arbiters now grant."""
         for team in teams:
             if team.rate_per_s > 0.0:
                 self._refill_bucket(
@@ -130,7 +131,7 @@
                 )
 
     def rate_share(self, team: str, now_s: float) -> float:
-        """Return the share of a team's rate that this node grants."""
+        """Return the share of a team's rate that this node may grant."""
         # A node that reaches no arbiter asks nobody but itself.
         host_count_by_arbiters = Counter(
             presence.arbiters
--- a/src/jasminecrank/mesh/state/_table.py
+++ b/src/jasminecrank/mesh/state/_table.py
@@ -1,4 +1,4 @@
-"""The accepted table: routes, services, teams, keys and limits."""
+"""The table in force: routes, services, teams, API keys and limits."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True, frozen=True)
 class WeightedService:
-    """A service and its weight in a route."""
+    """A service and its traffic weight in a route."""
 
     service: str
     weight: float
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Route:
-    """Where the requests of a host and path prefix go, and how."""
+    """Routing rule for the requests of a host and path prefix."""
 
     name: str
     host: str
@@ -26,43 +26,43 @@
     kind: _calls.RouteKind
     timeout_s: float | None
     target_s: float
-    """Latency objective, from the caller's first attempt."""
+    """Latency objective, measured from the caller's first attempt."""
     priority: int
-    """0 is the most urgent."""
+    """0 is the highest priority."""
     weighted_services: tuple[WeightedService, ...]
     max_attempts: int
-    """Backend servers that one request may be sent to."""
+    """Maximum number of backend servers that a request may be sent to."""
     open_to_all: bool
     home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """What all backend servers of a service have in common."""
+    """Settings shared by all backend servers of a service."""
 
     name: str
     health_path: str
     max_connections: int
     cold_start_s: float
     cold_rate_per_s: float
-    """Requests per second that a cold backend server bears."""
+    """Requests per second that a server can take during its cold start."""
 
 
 @dataclass(slots=True, frozen=True)
 class Team:
-    """A team, its rate over all hosts and its rank."""
+    """A team with its priority and its rate over all hosts."""
 
     name: str
     priority: int | None
     rate_per_s: float
-    """0 means no limit."""
+    """0 means unlimited."""
     burst: float
     home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
 class CallerLimits:
-    """Bounds on what a caller may send, and on its connections."""
+    """Limits on callers' requests and connections."""
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 1_048_576
@@ -72,7 +72,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Table:
-    """One accepted version of the table, never changed once built."""
+    """An immutable version of the table."""
 
     version: int
     service_by_name: Mapping[str, Service]
@@ -92,7 +92,7 @@
         teams: Iterable[tuple[Team, tuple[str, ...]]],
         limits: CallerLimits,
     ) -> "Table":
-        """Build a table, or raise ValueError naming what is wrong."""
+        """Build a table; raise ValueError if its rows are inconsistent."""
         service_by_name = {service.name: service for service in services}
         team_by_name: dict[str, Team] = {}
         team_by_key: dict[str, Team] = {}
@@ -121,7 +121,7 @@
         )
 
     def match(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of a path."""
+        """Return the route with the longest matching path prefix."""
         by_prefix = self.routes_by_host.get(host)
         if by_prefix is None:
             return None
