Reword the features of the node's state

Step texts and heads used private wording, such as a gate that bears calls or a promise that is untrue. They now use the terms of the code, and the heads say which failure each feature guards against. Step functions and their names change with the texts. Table rows, figures, seeds and assertions are unchanged; the column titles stay with the rows.

Conclusion: texts and names of the tests only; they are as strict as before.

--- a/features/mesh/attempts.feature
+++ b/features/mesh/attempts.feature
@@ -1,9 +1,10 @@
-Feature: What follows an attempt of a call
+Feature: Retry decisions after an attempt
 
-  Guards against a booking that runs twice, a refusal whose promise is untrue
-  and a request that goes to more servers than its route allows.
+  Guards against a booking that runs twice, a refusal that wrongly states that
+  a call has not run, and a request that is sent to more servers than its route
+  allows.
 
-  Scenario Outline: Evidence decides what is done next
+  Scenario Outline: The results of the attempts decide the next step
     Given a call on a route of kind <kind> with 2 attempts
     When its attempts end with <evidence>
     Then the next step is <step>
@@ -23,9 +24,9 @@
       | at-most-once | rejected, rejected         | refuse overloaded |
       | at-most-once | busy, busy, busy, busy     | refuse overloaded |
 
-  Scenario Outline: A call whose time is over gets a true answer
+  Scenario Outline: A call that times out gets an accurate refusal
     Given a call on a route of kind at-most-once with 2 attempts
-    When its time is over while it is <where>
+    When it times out while it is <where>
     Then the refusal is <refusal>
 
     Examples:
@@ -33,6 +34,6 @@
       | unsent    | expired   |
       | at a node | timed-out |
 
-  Scenario: Random evidence never makes a booking run twice or a refusal untrue
-    When 500 calls meet random evidence
-    Then no booking has run twice and every promise is true
+  Scenario: Random results never run a booking twice or make a refusal inaccurate
+    When 500 calls have random attempt results
+    Then no booking has run twice and every refusal is accurate
--- a/features/mesh/budgets.feature
+++ b/features/mesh/budgets.feature
@@ -1,13 +1,14 @@
-Feature: Quotas and retry budget over all nodes
+Feature: Fleet-wide quotas and retry budget
 
-  Guards against a team that exceeds its rate over all hosts together, against
-  refusals inside the rate, and against repeats that overrun a failing service.
+  Guards against a team that exceeds its rate summed over all hosts, against
+  refusals within the rate, and against retries that overload a failing
+  service.
 
-  Scenario Outline: A fleet's quota in a model of its nodes
+  Scenario Outline: Quota of a team in a model of the fleet
     Given <hosts> nodes and a team with rate <rate> and burst <rate>
     When callers send <load> times the rate for 20 s, <spread>
-    Then no 5 s admit more than the platform's bound
-    And at least <answered> of what an ideal bucket admits is admitted
+    Then admissions in any 5 s stay within the platform's bound
+    And at least <answered> of the admissions of an ideal bucket are made
 
     Examples:
       | hosts | rate | load | spread                  | answered |
@@ -28,10 +29,10 @@
       | 91    | 12   | 8.0  | evenly, cut in halves   | 0.80     |
       | 91    | 149  | 0.6  | half moving every 5 s   | 0.995    |
 
-  Scenario Outline: Repeats stay inside the fleet's budget
+  Scenario Outline: Retries stay within the fleet's budget
     Given <hosts> nodes with a retry budget of 0.2 and 56 in 10 s
-    When each node sends <calls> calls a second and repeats all it may for 30 s
-    Then no 10 s have more repeats than the platform's bound
+    When each node sends <calls> calls a second and all allowed retries for 30 s
+    Then retries in any 10 s stay within the platform's bound
 
     Examples:
       | hosts | calls |
--- a/features/mesh/directory.feature
+++ b/features/mesh/directory.feature
@@ -1,9 +1,9 @@
-Feature: The node's copy of what the platform publishes
+Feature: The node's replica of the published entries
 
-  Guards against a node that goes back to an older version, that uses an
-  entry it can't read, or that drops servers which only lapsed in an outage.
+  Guards against a node that reverts to an older version, uses an invalid
+  entry, or drops servers whose entries merely expired in a source outage.
 
-  Scenario Outline: Only newer revisions and versions are taken
+  Scenario Outline: Only newer revisions and versions are applied
     Given a directory with table version 5 at revision 50
     When table version <version> arrives at revision <revision>
     Then the table in force has version <wanted>
@@ -15,9 +15,9 @@
       | 5       | 52       | 5      |
       | 6       | 49       | 5      |
 
-  Scenario Outline: What a removal means
+  Scenario Outline: Effect of a removed entry
     Given a directory with server i-1 in state <state>
-    When the source has returned <ago> s ago and the entry is removed
+    When the source recovered <ago> s ago and the entry is removed
     Then the server is <then> now and <later> after 2 s
 
     Examples:
@@ -26,15 +26,15 @@
       | ready    | 0.1 | there | gone  |
       | draining | 0.1 | gone  | gone  |
 
-  Scenario: A lapsed server that comes back stays
+  Scenario: A server whose entry reappears in the grace period stays
     Given a directory with server i-1 in state ready
-    When the source has returned 0.1 s ago and the entry is removed
-    And the entry comes back
+    When the source recovered 0.1 s ago and the entry is removed
+    And the entry reappears
     Then the server is there now and there after 2 s
 
-  Scenario Outline: Two entries for one address
-    Given a directory with server i-1 born at 1000
-    When server i-2 of the same address and state <state> says it was born at <born>
+  Scenario Outline: The latest incarnation at an address wins
+    Given a directory with server i-1 created at 1000
+    When server i-2 at the same address in state <state> is created at <born>
     Then only <there> is in the fleet
 
     Examples:
@@ -43,25 +43,25 @@
       | draining | 2000 | i-2   |
       | ready    | 500  | i-1   |
 
-  Scenario: A listing shows what is gone
+  Scenario: A listing removes missing entries
     Given a directory with server i-1 in state ready
-    When a listing from revision 20 arrives without it
+    When a listing at revision 20 without the entry arrives
     Then the server is gone now and gone after 2 s
 
-  Scenario: A listing that is older than an entry removes nothing
+  Scenario: A listing older than an entry does not remove it
     Given a directory with server i-1 in state ready
-    When a listing from revision 5 arrives without it
+    When a listing at revision 5 without the entry arrives
     Then the server is there now and there after 2 s
 
-  Scenario Outline: Servers that get new work
-    Given a fleet with the servers
+  Scenario Outline: Servers that receive new calls
+    Given a fleet with these servers
       | id  | service | data centre | state    |
       | i-1 | ledger  | belt-a      | ready    |
       | i-2 | ledger  | belt-b      | draining |
       | i-3 | ledger  | dryer       | ready    |
       | i-4 | silo    | belt-a      | ready    |
     When data centre <out> is out of service
-    Then <usable> get work of ledger
+    Then <usable> receive calls to ledger
 
     Examples:
       | out    | usable   |
--- a/features/mesh/gate.feature
+++ b/features/mesh/gate.feature
@@ -1,12 +1,12 @@
-Feature: Admission to a backend server
+Feature: Admission control for a backend server
 
-  Guards against a backend server that is overrun, in its cold start or not,
-  and against calls that wait for nothing.
+  Guards against overloading a backend server, during its cold start or after
+  it, and against queueing calls that can't complete in time.
 
-  Scenario Outline: Slots and queue
-    Given a warm gate with <slots> slots
+  Scenario Outline: Calls are admitted, queued or rejected
+    Given an admission controller for a warm server with <slots> slots
     When <calls> calls with <left> s until their deadline arrive at once
-    Then <start> start, <wait> wait and <reject> are rejected
+    Then <start> are admitted, <wait> are queued and <reject> are rejected
 
     Examples:
       | slots | calls | left | start | wait | reject |
@@ -15,9 +15,9 @@
       | 2     | 40    | 2.0  | 2     | 12   | 26     |
       | 4     | 6     | 0.05 | 4     | 0    | 2      |
 
-  Scenario: More urgent calls start first
-    Given a warm gate with 1 slots
-    When calls of these ranks arrive
+  Scenario: Calls of a lower rank start first
+    Given an admission controller for a warm server with 1 slots
+    When calls with these ranks arrive
       | rank |
       | 5    |
       | 201  |
@@ -32,10 +32,10 @@
       | 4    |
       | 1    |
 
-  Scenario Outline: A cold server gets its rate in every second
-    Given a gate whose server bears <rate> calls a second while cold
+  Scenario Outline: The cold-start rate holds in every second
+    Given a server that takes <rate> calls per second during its cold start
     When calls arrive every <gap> s for 3 s
-    Then no second has more than <most> starts and 3 s have at least <least>
+    Then at most <most> calls start in any second and at least <least> in 3 s
 
     Examples:
       | rate | gap   | most | least |
@@ -43,19 +43,19 @@
       | 6.2  | 0.01  | 6    | 12    |
       | 0.5  | 0.05  | 1    | 2     |
 
-  Scenario: Nothing starts before the server has answered a health check
-    Given a warm gate with 4 slots
-    When the server becomes doubtful
+  Scenario: No call starts before a successful health check
+    Given an admission controller for a warm server with 4 slots
+    When the health of the server becomes unknown
     And 3 calls with 2.0 s until their deadline arrive at once
-    Then 0 start, 3 wait and 0 are rejected
+    Then 0 are admitted, 3 are queued and 0 are rejected
 
-  Scenario: A call that waits too long is given up before its deadline
-    Given a warm gate with 1 slots
+  Scenario: A queued call that can't meet its deadline expires early
+    Given an admission controller for a warm server with 1 slots
     When 2 calls with 0.5 s until their deadline arrive at once
-    Then the waiting call is given up between 0.4 and 0.5 s
+    Then the queued call expires between 0.4 and 0.5 s
 
-  Scenario: A withdrawn call never starts
-    Given a warm gate with 1 slots
+  Scenario: A cancelled call never starts
+    Given an admission controller for a warm server with 1 slots
     When 3 calls with 2.0 s until their deadline arrive at once
-    And the waiting call 1 is withdrawn
-    Then only call 2 starts when the slot is free
+    And queued call 1 is cancelled
+    Then only call 2 starts when the slot becomes free
--- a/features/mesh/placement.feature
+++ b/features/mesh/placement.feature
@@ -1,15 +1,16 @@
-Feature: The server that a call is placed on
+Feature: Server selection for a call
 
-  Guards against herds, against queues beside idle servers, and against bytes
-  between data centres that save nothing.
+  Guards against nodes that all select the same server, against calls that
+  queue while other servers are idle, and against traffic between data centres
+  that saves no time.
 
-  Scenario Outline: The server at which a call ends first is chosen
-    Given servers with these loads
+  Scenario Outline: The server expected to complete a call first is selected
+    Given servers with these reported loads
       | id   | data centre | busy | limit | run  | failing |
       | near | belt-a      | <nb> | 12    | 0.1  | <nf>    |
       | far  | belt-b      | <fb> | 12    | 0.1  | 0.0     |
-    When 100 calls are placed one by one from belt-a
-    Then most go to <wanted>
+    When 100 calls are placed one at a time from belt-a
+    Then most calls go to <wanted>
 
     Examples:
       | nb | fb | nf  | wanted |
@@ -19,15 +20,15 @@
       | 30 | 40 | 0.0 | near   |
       | 0  | 0  | 0.5 | far    |
 
-  Scenario Outline: Failures count against a server that has more than others
-    Given servers with these loads
+  Scenario Outline: Only failures above the typical rate count against a server
+    Given servers with these reported loads
       | id   | data centre | busy | limit | run  | failing |
       | near | belt-a      | 0    | 12    | 0.1  | <nf>    |
       | far  | belt-b      | 0    | 12    | 0.1  | <ff>    |
       | last | belt-b      | 11   | 12    | 0.1  | <ff>    |
-    When their last run was <ago> s ago
-    And 100 calls are placed one by one from belt-a
-    Then most go to <wanted>
+    When their last run completed <ago> s ago
+    And 100 calls are placed one at a time from belt-a
+    Then most calls go to <wanted>
 
     Examples:
       | nf  | ff  | ago  | wanted |
@@ -35,30 +36,30 @@
       | 0.5 | 0.4 | 0.1  | near   |
       | 0.5 | 0.0 | 20.0 | near   |
 
-  Scenario: A server whose run time is not known yet gets its part
-    Given servers with these loads
+  Scenario: A server with an unknown run time receives its share
+    Given servers with these reported loads
       | id  | data centre | busy | limit | run  | failing |
       | old | belt-a      | 0    | 12    | 0.04 | 0.0     |
       | new | belt-a      | 0    | 12    | 0.0  | 0.0     |
-    When 24 calls are placed one by one from belt-a
-    Then each server gets between 8 and 16
+    When 24 calls are placed one at a time from belt-a
+    Then each server receives between 8 and 16 calls
 
-  Scenario: Calls sent since the last report count
-    Given servers with these loads
+  Scenario: Calls sent since the last load report count as load
+    Given servers with these reported loads
       | id | data centre | busy | limit | run | failing |
       | a  | belt-a      | 0    | 12    | 0.1 | 0.0     |
       | b  | belt-a      | 0    | 12    | 0.1 | 0.0     |
-    When 24 calls are placed one by one from belt-a
-    Then each server gets between 8 and 16
+    When 24 calls are placed one at a time from belt-a
+    Then each server receives between 8 and 16 calls
 
-  Scenario Outline: Servers that can't be used are left out
-    Given servers with these loads
+  Scenario Outline: Unavailable servers are excluded
+    Given servers with these reported loads
       | id | data centre | busy | limit | run | failing |
       | a  | belt-a      | 0    | 12    | 0.1 | 0.0     |
       | b  | belt-b      | 0    | 12    | 0.1 | 0.0     |
     When server a is <state>
-    And 20 calls are placed one by one from belt-a
-    Then all go to b
+    And 20 calls are placed one at a time from belt-a
+    Then all calls go to b
 
     Examples:
       | state       |
@@ -66,10 +67,10 @@
       | unreachable |
       | closed      |
 
-  Scenario Outline: Split weights hold in every hundred requests
-    Given a route split <first> to <second>
-    When 100 requests choose a part
-    Then the first part gets <first>
+  Scenario Outline: Split weights are exact over a hundred requests
+    Given a route with split weights <first> and <second>
+    When 100 requests are distributed
+    Then the first service receives <first>
 
     Examples:
       | first | second |
--- a/features/mesh/table.feature
+++ b/features/mesh/table.feature
@@ -1,16 +1,17 @@
-Feature: Routes of the accepted table
+Feature: Route lookup in the table
 
-  Guards against a request that runs for a route it does not belong to.
+  Guards against requests that are matched to the wrong route, and against
+  inconsistent tables.
 
-  Scenario Outline: The longest prefix of a host decides
-    Given a table with the routes
+  Scenario Outline: The longest matching prefix of a host wins
+    Given a table with these routes
       | route | host      | prefix   |
       | all   | a.example | /        |
       | lots  | a.example | /lots/   |
       | old   | a.example | /lots/o/ |
       | other | b.example | /lots/   |
     When a request for <host> and <path> arrives
-    Then it takes route <route>
+    Then it matches route <route>
 
     Examples:
       | host      | path       | route |
@@ -23,9 +24,9 @@
       | b.example | /lots      | none  |
       | c.example | /lots/1    | none  |
 
-  Scenario Outline: A table that contradicts itself is refused whole
+  Scenario Outline: An inconsistent table is rejected as a whole
     When a table with <fault> is built
-    Then it is refused because of <reason>
+    Then it is rejected because of <reason>
 
     Examples:
       | fault              | reason      |
--- a/features/steps/mesh_attempts_steps.py
+++ b/features/steps/mesh_attempts_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the attempts of a call of the event-loop node."""
+"""Steps for the attempts of a call in the event-loop node."""
 
 from behave import given
 from behave import then
@@ -9,15 +9,15 @@
 
 from jasminecrank.mesh import state
 
-# Evidence by name, with how often the backend server can have run the call.
-EVIDENCE = {
+# Attempt results by name, with the possible numbers of runs at the server.
+OUTCOME_BY_NAME = {
     "served 200": (state.Served(state.Response(200, b"", (), b""), 0.1), (1,)),
     "served 500": (state.Served(state.Response(500, b"", (), b""), 0.1), (1,)),
     "lost": (state.MayHaveRun("lost"), (0, 1)),
     "rejected": (state.NotRun("server-rejected", 0.1, True), (0,)),
     "busy": (state.NotRun("busy", 0.1, False), (0,)),
 }
-PROMISES = (state.RefusalKind.OVERLOADED, state.RefusalKind.EXPIRED)
+NOT_RUN_REFUSALS = (state.RefusalKind.OVERLOADED, state.RefusalKind.EXPIRED)
 
 
 @given("a call on a route of kind {kind} with {attempts:d} attempts")
@@ -27,10 +27,10 @@
 
 
 @when("its attempts end with {names}")
-def step_end(context, names):
+def step_attempts_end(context, names):
     for number, name in enumerate(names.split(", ")):
         context.attempts.tried_server_ids.add(f"i-{number}")
-        context.step = context.attempts.next_step(EVIDENCE[name][0])
+        context.step = context.attempts.next_step(OUTCOME_BY_NAME[name][0])
 
 
 @then("the next step is {wanted}")
@@ -45,8 +45,8 @@
     assert found == wanted, found
 
 
-@when("its time is over while it is {where}")
-def step_time_up(context, where):
+@when("it times out while it is {where}")
+def step_times_out(context, where):
     context.refusal = context.attempts.timeout_refusal(where == "at a node")
 
 
@@ -55,11 +55,15 @@
     assert context.refusal.kind.value == wanted, context.refusal
 
 
-@when("{count:d} calls meet random evidence")
-def step_random(context, count):
+@when("{count:d} calls have random attempt results")
+def step_random_results(context, count):
     names = strategies.lists(
         strategies.sampled_from(
-            [(name, ran) for name in EVIDENCE for ran in EVIDENCE[name][1]]
+            [
+                (name, ran)
+                for name in OUTCOME_BY_NAME
+                for ran in OUTCOME_BY_NAME[name][1]
+            ]
         ),
         min_size=1,
         max_size=6,
@@ -69,12 +73,12 @@
     @hypothesis.given(
         kind=strategies.sampled_from(list(state.RouteKind)), script=names
     )
-    def play(kind, script):
+    def check_results(kind, script):
         attempts = state.CallAttempts(make_route(kind=kind, max_attempts=3))
         runs = 0
         for number, (name, ran) in enumerate(script):
             attempts.tried_server_ids.add(f"i-{number}")
-            step = attempts.next_step(EVIDENCE[name][0])
+            step = attempts.next_step(OUTCOME_BY_NAME[name][0])
             runs += ran
             if not isinstance(step, state.TryAnotherServer):
                 break
@@ -83,13 +87,16 @@
             end = step.fallback
         if kind is state.RouteKind.AT_MOST_ONCE:
             assert runs <= 1, script
-        if isinstance(end, state.Refuse) and end.refusal.kind in PROMISES:
+        if (
+            isinstance(end, state.Refuse)
+            and end.refusal.kind in NOT_RUN_REFUSALS
+        ):
             assert runs == 0, script
         assert attempts.servers_reached <= 3, script
 
-    context.play = play
+    context.check_results = check_results
 
 
-@then("no booking has run twice and every promise is true")
-def step_hold(context):
-    context.play()
+@then("no booking has run twice and every refusal is accurate")
+def step_refusals_accurate(context):
+    context.check_results()
--- a/features/steps/mesh_budget_steps.py
+++ b/features/steps/mesh_budget_steps.py
@@ -1,4 +1,4 @@
-"""Steps on quotas and the retry budget, as models of several nodes."""
+"""Steps for quotas and the retry budget, as models of several nodes."""
 
 import random
 
@@ -10,9 +10,9 @@
 
 BOUNDS = state.QuotaBounds(5.0, 0.25, 20.0)
 FAULT_AT_S = 8.0
-"""When nodes die or the fleet is cut, in scenarios with a fault."""
+"""When nodes fail or the network is partitioned, if the scenario says so."""
 WARM_UP_S = 10.0
-"""Time for which nodes run before callers come, as on the platform."""
+"""How long nodes run before the first call, as on the platform."""
 
 
 @given("{hosts:d} nodes and a team with rate {rate:g} and burst {burst:g}")
@@ -25,7 +25,7 @@
 
 
 def pick_node(rng, hosts, spread, now_s):
-    """Return the node that the next request goes to."""
+    """Return the number of the node that the next request is sent to."""
     match spread:
         case "from one node":
             return 0
@@ -35,30 +35,32 @@
     return rng.randrange(hosts)
 
 
-def sides(hosts, spread, now_s):
-    """Return the sets of nodes that reach each other."""
-    everyone = list(range(hosts))
+def partitions(hosts, spread, now_s):
+    """Return the groups of nodes that can reach each other."""
+    all_nodes = list(range(hosts))
     if now_s <= FAULT_AT_S:
-        return [everyone]
+        return [all_nodes]
     if "dying" in spread:
-        return [everyone[2:]]
+        return [all_nodes[2:]]
     if "halves" in spread:
-        return [everyone[: hosts // 2], everyone[hosts // 2 :]]
+        return [all_nodes[: hosts // 2], all_nodes[hosts // 2 :]]
     if "alone" in spread:
-        return [[number] for number in everyone]
-    return [everyone]
+        return [[number] for number in all_nodes]
+    return [all_nodes]
 
 
-def show_presence(context, spread, now_s):
-    """Let the nodes that reach each other tell which arbiters they reach."""
+def report_presence(context, spread, now_s):
+    """Report each node's reachable arbiters to the nodes of its partition."""
     hosts = len(context.arbiters)
-    chosen = [str(number) for number in range(min(hosts, state.ARBITER_COUNT))]
+    arbiter_hosts = [
+        str(number) for number in range(min(hosts, state.ARBITER_COUNT))
+    ]
     context.reachable = {}
-    for side in sides(hosts, spread, now_s):
-        reachable = tuple(sorted(set(chosen) & set(map(str, side))))
-        for number in side:
+    for members in partitions(hosts, spread, now_s):
+        reachable = tuple(sorted(set(arbiter_hosts) & set(map(str, members))))
+        for number in members:
             context.reachable[number] = reachable
-            for other in side:
+            for other in members:
                 arbiter = context.arbiters[other]
                 arbiter.record_presence(str(number), reachable, now_s)
     for arbiter in context.arbiters:
@@ -71,27 +73,27 @@
     team = context.team
     hosts = len(context.arbiters)
     context.admitted_at_s = []
-    shown_s = -WARM_UP_S
+    reported_at_s = -WARM_UP_S
     now_s = 0.0
     while now_s < 20.0:
         now_s += rng.expovariate(team.rate_per_s * load)
-        while shown_s + state.PRESENCE_INTERVAL_S <= now_s:
-            shown_s += state.PRESENCE_INTERVAL_S
-            show_presence(context, spread, shown_s)
+        while reported_at_s + state.PRESENCE_INTERVAL_S <= now_s:
+            reported_at_s += state.PRESENCE_INTERVAL_S
+            report_presence(context, spread, reported_at_s)
         node = pick_node(rng, hosts, spread, now_s)
         if node not in context.reachable:
             node = 2 + rng.randrange(hosts - 2)
-        asked = state.choose_arbiter(
+        arbiter = state.choose_arbiter(
             team.name, context.reachable[node], str(node)
         )
-        if context.arbiters[int(asked)].acquire(team, 1, now_s).granted:
+        if context.arbiters[int(arbiter)].acquire(team, 1, now_s).granted:
             context.admitted_at_s.append(now_s)
     offered = team.rate_per_s * load * 20.0
     context.ideal = min(offered, team.rate_per_s * 20.0 + team.burst)
 
 
-@then("no 5 s admit more than the platform's bound")
-def step_bound(context):
+@then("admissions in any 5 s stay within the platform's bound")
+def step_quota_bound(context):
     team = context.team
     bound = (team.rate_per_s * 5.0 + team.burst) * 1.25 + 20.0
     times = context.admitted_at_s
@@ -102,10 +104,10 @@
         assert last - first + 1 <= bound, (at_s, last - first + 1, bound)
 
 
-@then("at least {part:g} of what an ideal bucket admits is admitted")
-def step_answered(context, part):
+@then("at least {fraction:g} of the admissions of an ideal bucket are made")
+def step_admitted(context, fraction):
     admitted = len(context.admitted_at_s)
-    assert admitted >= part * context.ideal, (admitted, context.ideal)
+    assert admitted >= fraction * context.ideal, (admitted, context.ideal)
 
 
 @given(
@@ -120,29 +122,29 @@
 
 
 @when(
-    "each node sends {calls:d} calls a second and repeats all it may for 30 s"
+    "each node sends {calls:d} calls a second and all allowed retries for 30 s"
 )
-def step_repeat(context, calls):
-    context.repeats = []
-    context.firsts = []
-    for step in range(300):
-        now_s = step / 10
+def step_retry(context, calls):
+    context.retries = []
+    context.first_attempts = []
+    for tick in range(300):
+        now_s = tick / 10
         for budget in context.budgets:
-            if calls and step % 10 == 0:
+            if calls and tick % 10 == 0:
                 for _ in range(calls):
                     budget.record_first_attempt("s", now_s)
-                    context.firsts.append(now_s)
+                    context.first_attempts.append(now_s)
             while budget.try_retry("s", state.UNANSWERED_RETRY_SHARE, now_s):
-                context.repeats.append(now_s)
+                context.retries.append(now_s)
 
 
-@then("no 10 s have more repeats than the platform's bound")
-def step_repeat_bound(context):
-    for step in range(201):
-        begin_s = step / 10
-        inside = [
-            sum(begin_s <= at_s < begin_s + 10.0 for at_s in times)
-            for times in (context.repeats, context.firsts)
+@then("retries in any 10 s stay within the platform's bound")
+def step_retry_bound(context):
+    for tick in range(201):
+        start_s = tick / 10
+        counts = [
+            sum(start_s <= at_s < start_s + 10.0 for at_s in times)
+            for times in (context.retries, context.first_attempts)
         ]
-        bound = context.bounds.ratio * inside[1] + context.bounds.slack
-        assert inside[0] <= bound, (begin_s, inside, bound)
+        bound = context.bounds.ratio * counts[1] + context.bounds.slack
+        assert counts[0] <= bound, (start_s, counts, bound)
--- a/features/steps/mesh_directory_steps.py
+++ b/features/steps/mesh_directory_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the directory of published entries."""
+"""Steps for the directory of published entries."""
 
 from behave import given
 from behave import then
@@ -9,7 +9,7 @@
 
 
 def make_server(server_id="i-1", **changes):
-    """Return a backend server with usual values."""
+    """Return a backend server with default values."""
     fields = {
         "service": "ledger",
         "host": "10.0.0.1",
@@ -25,22 +25,22 @@
 
 
 def decode(key, value):
-    """Decode the small language of these steps: KIND WORD."""
-    kind, _, word = value.decode().partition(" ")
+    """Decode the test format of these steps: KIND ARGUMENT."""
+    kind, _, argument = value.decode().partition(" ")
     match kind:
         case "table":
-            return state.TableEntry(make_table(int(word)))
+            return state.TableEntry(make_table(int(argument)))
         case "server":
             return state.ServerEntry(
-                make_server(key, state=state.ServerState(word))
+                make_server(key, state=state.ServerState(argument))
             )
         case "out":
-            return state.DataCentreOutEntry(word)
+            return state.DataCentreOutEntry(argument)
     return state.InvalidEntry(kind)
 
 
-def item(key, revision, value):
-    """Return an entry."""
+def make_item(key, revision, value):
+    """Return a source item with an encoded value."""
     encoded = None if value is None else value.encode()
     return state.SourceItem(key, revision, encoded)
 
@@ -49,14 +49,14 @@
 def step_table(context, version, revision):
     context.directory = state.Directory(decode)
     context.directory.apply_items(
-        [item("t", revision, f"table {version}")], 0.0
+        [make_item("t", revision, f"table {version}")], 0.0
     )
 
 
 @when("table version {version:d} arrives at revision {revision:d}")
-def step_newer(context, version, revision):
+def step_table_arrives(context, version, revision):
     context.directory.apply_items(
-        [item("t", revision, f"table {version}")], 1.0
+        [make_item("t", revision, f"table {version}")], 1.0
     )
 
 
@@ -65,47 +65,55 @@
     assert context.directory.snapshot().table.version == version
 
 
-@given("a directory with server i-1 in state {word}")
-def step_server(context, word):
+@given("a directory with server i-1 in state {state_name}")
+def step_server(context, state_name):
     context.now_s = 100.0
     context.directory = state.Directory(decode)
-    context.directory.apply_items([item("i-1", 10, f"server {word}")], 90.0)
+    context.directory.apply_items(
+        [make_item("i-1", 10, f"server {state_name}")], 90.0
+    )
 
 
-@when("the source has returned {ago:g} s ago and the entry is removed")
+@when("the source recovered {ago:g} s ago and the entry is removed")
 def step_removed(context, ago):
     context.directory.start_expiry_grace(context.now_s - ago)
-    context.directory.apply_items([item("i-1", 11, None)], context.now_s)
+    context.directory.apply_items([make_item("i-1", 11, None)], context.now_s)
 
 
-@when("the entry comes back")
-def step_back(context):
-    entry = item("i-1", 12, "server ready")
+@when("the entry reappears")
+def step_reappears(context):
+    entry = make_item("i-1", 12, "server ready")
     context.directory.apply_items([entry], context.now_s)
 
 
-def decode_born(key, value):
-    """Decode STATE BORN as a server's entry."""
-    word, born = value.decode().split()
+def decode_created(key, value):
+    """Decode STATE CREATED as a server entry."""
+    state_name, created = value.decode().split()
     return state.ServerEntry(
         make_server(
-            key, state=state.ServerState(word), created_at_ms=int(born)
+            key,
+            state=state.ServerState(state_name),
+            created_at_ms=int(created),
         )
     )
 
 
-@given("a directory with server i-1 born at {born:d}")
-def step_born(context, born):
-    context.directory = state.Directory(decode_born)
-    context.directory.apply_items([item("i-1", 10, f"ready {born}")], 0.0)
+@given("a directory with server i-1 created at {created_at_ms:d}")
+def step_created(context, created_at_ms):
+    context.directory = state.Directory(decode_created)
+    context.directory.apply_items(
+        [make_item("i-1", 10, f"ready {created_at_ms}")], 0.0
+    )
 
 
 @when(
-    "server i-2 of the same address and state {word} "
-    "says it was born at {born:d}"
+    "server i-2 at the same address in state {state_name} "
+    "is created at {created_at_ms:d}"
 )
-def step_second(context, word, born):
-    context.directory.apply_items([item("i-2", 11, f"{word} {born}")], 1.0)
+def step_second(context, state_name, created_at_ms):
+    context.directory.apply_items(
+        [make_item("i-2", 11, f"{state_name} {created_at_ms}")], 1.0
+    )
 
 
 @then("only {server_id} is in the fleet")
@@ -113,20 +121,20 @@
     assert list(context.directory.snapshot().server_by_id) == [server_id]
 
 
-@when("a listing from revision {revision:d} arrives without it")
+@when("a listing at revision {revision:d} without the entry arrives")
 def step_listing(context, revision):
     context.directory.apply_listing([], revision, context.now_s)
 
 
 @then("the server is {now} now and {later} after 2 s")
-def step_there(context, now, later):
+def step_server_present(context, now, later):
     for at_s, wanted in ((0.0, now), (2.0, later)):
         context.directory.remove_expired(context.now_s + at_s)
-        there = "i-1" in context.directory.snapshot().server_by_id
-        assert there == (wanted == "there"), (at_s, there)
+        present = "i-1" in context.directory.snapshot().server_by_id
+        assert present == (wanted == "there"), (at_s, present)
 
 
-@given("a fleet with the servers")
+@given("a fleet with these servers")
 def step_fleet(context):
     context.servers = {
         row["id"]: make_server(
@@ -146,7 +154,7 @@
     )
 
 
-@then("{usable} get work of ledger")
+@then("{usable} receive calls to ledger")
 def step_usable(context, usable):
     found = [
         server.server_id for server in context.fleet.usable_servers("ledger")
--- a/features/steps/mesh_placement_steps.py
+++ b/features/steps/mesh_placement_steps.py
@@ -1,4 +1,4 @@
-"""Steps on placement and split weights."""
+"""Steps for server selection and split weights."""
 
 from collections import Counter
 import random
@@ -13,21 +13,26 @@
 
 
 def make_load(
-    server_id, busy=0, limit=12, run_time_s=0.1, failing=0.0, open_=True
+    server_id,
+    outstanding=0,
+    limit=12,
+    run_time_s=0.1,
+    failure_rate=0.0,
+    accepting=True,
 ):
-    """Return a told load; what exceeds the limit waits."""
+    """Return a load report; calls above the limit are queued."""
     return state.ServerLoad(
         server_id,
-        min(busy, limit),
-        max(0, busy - limit),
+        min(outstanding, limit),
+        max(0, outstanding - limit),
         limit,
         run_time_s,
-        failing,
-        open_,
+        failure_rate,
+        accepting,
     )
 
 
-@given("servers with these loads")
+@given("servers with these reported loads")
 def step_loads(context):
     context.placement = state.Placement("10.0.9.9", "belt-a", random.Random(1))
     context.servers = []
@@ -49,56 +54,58 @@
         context.loads[host] = load
 
 
-@when("server a is {word}")
-def step_unusable(context, word):
-    match word:
+@when("server a is {condition}")
+def step_unavailable(context, condition):
+    match condition:
         case "tried":
             context.tried.add("a")
         case "unreachable":
             context.placement.mark_unreachable("10.0.0.0")
         case "closed":
-            load = make_load("a", open_=False)
+            load = make_load("a", accepting=False)
             context.placement.record_load("10.0.0.0", load, 0.0)
 
 
-@when("their last run was {ago:g} s ago")
+@when("their last run completed {ago:g} s ago")
 def step_last_run(context, ago):
-    # A host whose load stays the same has had no run in between.
+    # An unchanged load report means that no run has completed since.
     context.now_s = ago
     for host, load in context.loads.items():
         context.placement.record_load(host, load, ago)
 
 
-@when("{count:d} calls are placed one by one from belt-a")
+@when("{count:d} calls are placed one at a time from belt-a")
 def step_place(context, count):
     now_s = getattr(context, "now_s", 0.1)
     context.chosen = Counter()
     for _ in range(count):
-        place = context.placement.choose(context.servers, context.tried, now_s)
-        context.chosen[place.server.server_id] += 1
+        decision = context.placement.choose(
+            context.servers, context.tried, now_s
+        )
+        context.chosen[decision.server.server_id] += 1
         if count < 100:
-            context.placement.record_sent(place.server.host)
+            context.placement.record_sent(decision.server.host)
 
 
-@then("most go to {wanted}")
+@then("most calls go to {wanted}")
 def step_most(context, wanted):
     assert context.chosen.most_common(1)[0][0] == wanted, context.chosen
 
 
-@then("each server gets between {least:d} and {most:d}")
-def step_even(context, least, most):
+@then("each server receives between {least:d} and {most:d} calls")
+def step_each_between(context, least, most):
     for server in context.servers:
         assert least <= context.chosen[server.server_id] <= most, (
             context.chosen
         )
 
 
-@then("all go to {wanted}")
+@then("all calls go to {wanted}")
 def step_all(context, wanted):
     assert set(context.chosen) == {wanted}, context.chosen
 
 
-@given("a route split {first:d} to {second:d}")
+@given("a route with split weights {first:d} and {second:d}")
 def step_split(context, first, second):
     context.route = make_route(
         weighted_services=(
@@ -108,14 +115,16 @@
     )
 
 
-@when("{count:d} requests choose a part")
-def step_choose(context, count):
-    chooser = state.WeightedRoundRobin()
-    context.parts = Counter(
-        chooser.choose(context.route) for _ in range(count)
+@when("{count:d} requests are distributed")
+def step_distribute(context, count):
+    balancer = state.WeightedRoundRobin()
+    context.count_by_service = Counter(
+        balancer.choose(context.route) for _ in range(count)
     )
 
 
-@then("the first part gets {wanted:d}")
-def step_part(context, wanted):
-    assert context.parts["first"] == wanted, context.parts
+@then("the first service receives {wanted:d}")
+def step_first_service(context, wanted):
+    assert context.count_by_service["first"] == wanted, (
+        context.count_by_service
+    )
