Restore the value of an evicted idempotency key

Cause: the value of KeyAvailability.EVICTED had become "evicted", but the old value "forgotten" is on the list of names that stay letter for letter. Change: the member keeps its new name and has its old value again.

--- a/src/jasminecrank/state/_idempotency.py
+++ b/src/jasminecrank/state/_idempotency.py
@@ -53,7 +53,7 @@
 
     FREE = "free"
     FULL = "full"
-    EVICTED = "evicted"
+    EVICTED = "forgotten"
 
 
 def uuid7_ms(key: str) -> int | None:
