--- a/features/steps/mesh_log_steps.py
+++ b/features/steps/mesh_log_steps.py
@@ -13,16 +13,16 @@
     """A clock that a step sets."""
 
     def __init__(self):
-        self.at_s = 100.0
+        self.current_s = 100.0
 
     def now_s(self):
         """Return the set time."""
-        return self.at_s
+        return self.current_s
 
 
 @given("a log that takes {lines:d} lines a second")
 def step_log(context, lines):
-    assert lines == transport.LINES_PER_S
+    assert lines == transport.REQUEST_LINES_PER_S
     context.output = []
     context.clock = Clock()
 
@@ -37,12 +37,12 @@
 def step_blocked(context, does):
     context.output = []
     context.clock = Clock()
-    context.open = False
+    context.output_open = False
 
     def write(data):
-        if not context.open and does == "is blocked":
+        if not context.output_open and does == "is blocked":
             raise BlockingIOError
-        size = len(data) if context.open else len(data) // 2
+        size = len(data) if context.output_open else len(data) // 2
         context.output.append(data[:size])
         return size
 
@@ -53,7 +53,7 @@
 def step_refuse(context, count, seconds):
     context.ids = [f"{number:016x}" for number in range(count)]
     for number, request_id in enumerate(context.ids):
-        context.clock.at_s += seconds / count
+        context.clock.current_s += seconds / count
         context.log.decision(
             "call",
             request_id=request_id,
@@ -63,7 +63,7 @@
         )
         if number % 50 == 0:
             context.log.flush()
-    context.clock.at_s += 0.1
+    context.clock.current_s += 0.1
     context.log.flush()
 
 
@@ -72,7 +72,7 @@
     context.log.decision("table-in-force", version=8)
 
 
-def lines_of(context):
+def read_lines(context):
     """Return what has been written."""
     return [json.loads(line) for line in b"".join(context.output).splitlines()]
 
@@ -80,7 +80,7 @@
 @then("each of them is in the log with its outcome and reason")
 def step_named(context):
     outcome_by_id = {}
-    for line in lines_of(context):
+    for line in read_lines(context):
         assert line["reason"] == "busy"
         assert line["version"] == 7
         for request_id in line.get("request_ids", [line.get("request_id")]):
@@ -92,20 +92,20 @@
 
 @then("at most {most:d} lines have been written")
 def step_most(context, most):
-    assert len(lines_of(context)) <= most, len(lines_of(context))
+    assert len(read_lines(context)) <= most, len(read_lines(context))
 
 
 @then("the log says so")
 def step_says(context):
-    events = [line["event"] for line in lines_of(context)]
+    events = [line["event"] for line in read_lines(context)]
     assert events[-1] == "table-in-force", events[-3:]
 
 
 @then("the log holds at most {most:d} lines and says what it left out")
 def step_holds(context, most):
     before = len(b"".join(context.output).splitlines())
-    context.open = True
-    context.clock.at_s += 1.0
+    context.output_open = True
+    context.clock.current_s += 1.0
     context.log.flush()
     context.log.decision("table-in-force", version=8)
     written = b"".join(context.output).splitlines()
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -393,7 +393,8 @@
             await node.start()
         await deployment.until(
             lambda: all(
-                node.ready and node.linked_hosts for node in deployment.nodes
+                node.ready and node.linked_host_count
+                for node in deployment.nodes
             )
         )
         await asyncio.sleep(0.3)
@@ -447,16 +448,16 @@
 @when("the settings get a retry ratio of {ratio:g}")
 def step_settings(context, ratio):
     node = context.fleet.nodes[0]
-    retries = dataclasses.replace(node.config.retries, ratio=ratio)
+    retry_budget = dataclasses.replace(node.config.retry_budget, ratio=ratio)
     context.fleet.changed_settings = dataclasses.replace(
-        node.config, retries=retries
+        node.config, retry_budget=retry_budget
     )
 
 
 @then("the node uses it within {limit:g} s")
 def step_uses(context, limit):
     node = context.fleet.nodes[0]
-    wanted = context.fleet.changed_settings.retries
+    wanted = context.fleet.changed_settings.retry_budget
     context.runner.run(
         context.fleet.until(lambda: node.entry.retry_bounds == wanted, limit)
     )
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -111,7 +111,7 @@
 @when("the store shows a server entry with {change}")
 def step_server(context, change):
     value = change_server(copy.deepcopy(SERVER), change)
-    context.published = platform.EntryDecoder().decode("servers/i-1", value)
+    context.entry = platform.EntryDecoder().decode("servers/i-1", value)
 
 
 @when("the store shows a configuration with {change}")
@@ -120,17 +120,17 @@
     decoder = platform.EntryDecoder()
     # What the decoder remembers of the last version must not show.
     decoder.decode("op/config", json.dumps(CONFIG).encode())
-    context.published = decoder.decode("op/config", value)
+    context.entry = decoder.decode("op/config", value)
 
 
 @when("the store shows the key {key}")
 def step_key(context, key):
-    context.published = platform.EntryDecoder().decode(key, b"{}")
+    context.entry = platform.EntryDecoder().decode(key, b"{}")
 
 
 @then("the entry is {result}")
 def step_result(context, result):
-    match context.published:
+    match context.entry:
         case state.ServerEntry():
             found = "a server"
         case state.TableEntry():
@@ -139,11 +139,11 @@
             found = "a data centre out of service"
         case state.InvalidEntry():
             found = "unreadable"
-    assert found == result, context.published
+    assert found == result, context.entry
 
 
 @then("its first route has {field} {value}")
 def step_route(context, field, value):
-    table = context.published.table
+    table = context.entry.table
     route = table.match("ficu95.example", "/lohu930/2f")
     assert str(getattr(route, field)) == value, getattr(route, field)
--- a/features/steps/platform_header_steps.py
+++ b/features/steps/platform_header_steps.py
@@ -9,7 +9,7 @@
 from jasminecrank.mesh import state
 
 CODEC = platform.PlatformCodec()
-USUAL = {"Host": "a.example", "Request-Id": "9c41"}
+DEFAULT_HEADERS = {"Host": "a.example", "Request-Id": "9c41"}
 
 
 def make_call(headers):
@@ -41,8 +41,10 @@
 
 def send(context, headers):
     """Take a caller's headers to the backend server."""
-    raw = CODEC.write_request(make_call(encode({**USUAL, **headers})), 0.5)
-    context.got = {
+    raw = CODEC.write_request(
+        make_call(encode({**DEFAULT_HEADERS, **headers})), 0.5
+    )
+    context.server_headers = {
         name.decode().lower(): value.decode() for name, value in raw.headers
     }
 
@@ -59,12 +61,14 @@
 
 @then("the backend server gets {name} with {got}")
 def step_got(context, name, got):
-    assert context.got.get(name.lower(), "nothing") == got, context.got
+    assert context.server_headers.get(name.lower(), "nothing") == got, (
+        context.server_headers
+    )
 
 
 @when("a caller shows {header}")
 def step_key(context, header):
-    headers = encode({**USUAL, "Authorization": header})
+    headers = encode({**DEFAULT_HEADERS, "Authorization": header})
     raw = protocol.RawRequest(b"GET", b"/lots/1", headers, b"")
     context.request = CODEC.read_request(raw)
 
@@ -77,10 +81,12 @@
 @when("the backend server answers {status:d} with {header}")
 def step_answer(context, status, header):
     name, _, value = header.partition(": ")
-    raw = protocol.RawAnswer(status, b"", encode({name: value}), b"")
+    raw = protocol.RawResponse(status, b"", encode({name: value}), b"")
     call = make_call(())
     context.result = (
-        CODEC.read_answer(raw, 0.1) if CODEC.belongs(call, raw) else None
+        CODEC.read_response(raw, 0.1)
+        if CODEC.matches_call(call, raw)
+        else None
     )
 
 
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -28,7 +28,7 @@
 [platform]
 address = "10.200.1.7:8408"
 """
-REPLACED = {
+REPLACEMENT_BY_CHANGE = {
     "nothing changed": ("", ""),
     "an unknown field": ("[zones]", "more = 1\n[zones]"),
     "no bounds": (
@@ -47,7 +47,7 @@
 def write_settings(directory, change):
     """Write a settings file with a change; return its path."""
     path = pathlib.Path(directory) / "boot.toml"
-    path.write_text(SETTINGS.replace(*REPLACED[change]))
+    path.write_text(SETTINGS.replace(*REPLACEMENT_BY_CHANGE[change]))
     return path
 
 
@@ -72,9 +72,9 @@
         path = pathlib.Path(directory) / "absent.toml"
         if file == "a bad bound":
             path = write_settings(directory, "a bound that is text")
-        context.ended = subprocess.run(
+        context.completed = subprocess.run(
             [sys.executable, "-m", "jasminecrank.mesh.daemon"],
-            env={**os.environ, platform.PATH_VARIABLE: str(path)},
+            env={**os.environ, platform.CONFIG_PATH_VARIABLE: str(path)},
             capture_output=True,
             text=True,
             timeout=20,
@@ -84,6 +84,6 @@
 
 @then("it ends with status {status:d} and one line that names {named}")
 def step_status(context, status, named):
-    assert context.ended.returncode == status, context.ended
-    lines = context.ended.stderr.splitlines()
+    assert context.completed.returncode == status, context.completed
+    lines = context.completed.stderr.splitlines()
     assert len(lines) == 1 and named in lines[0], lines
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -94,7 +94,7 @@
     print("| message | bytes | encode us | decode us |\n|---|---|---|---|")
     for name, message in make_messages().items():
         frame = protocol.encode(message)
-        body = frame[protocol.LENGTH.size :]
+        body = frame[protocol.FRAME_LENGTH.size :]
         encode_us = measure_us(lambda one=message: protocol.encode(one))
         decode_us = measure_us(lambda one=body: protocol.decode(one))
         print(f"| {name} | {len(frame)} | {encode_us:.1f} | {decode_us:.1f} |")
--- a/src/jasminecrank/mesh/daemon/__main__.py
+++ b/src/jasminecrank/mesh/daemon/__main__.py
@@ -14,7 +14,7 @@
 
 def main() -> int:
     """Run the node; return 2 if a setting is wrong."""
-    path = os.environ.get(platform.PATH_VARIABLE, "")
+    path = os.environ.get(platform.CONFIG_PATH_VARIABLE, "")
     try:
         config = platform.read_settings(path)
     except exceptions.SettingError as error:
--- a/src/jasminecrank/mesh/daemon/_metrics.py
+++ b/src/jasminecrank/mesh/daemon/_metrics.py
@@ -14,7 +14,7 @@
     for name, buckets in sorted(log.buckets_by_name.items()):
         metric = f"jasminecrank_{name}_duration_seconds"
         total = 0
-        bounds = [str(bound_s) for bound_s in transport.HISTOGRAM_S]
+        bounds = [str(bound_s) for bound_s in transport.HISTOGRAM_BOUNDS_S]
         for bound, count in zip([*bounds, "+Inf"], buckets, strict=True):
             total += count
             lines.append(f'{metric}_bucket{{le="{bound}"}} {total}')
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -15,13 +15,13 @@
 from jasminecrank.mesh import transport
 from jasminecrank.mesh.daemon import _metrics
 
-UNREADY_NOTICE_S = 2.3
+UNREADY_DELAY_S = 2.3
 """Time until the platform has missed two readiness checks, one a second."""
 STOP_MARGIN_S = 0.4
 """Time left before SIGKILL when a stopping node ends in any case."""
-STOP_CHECK_S = 0.05
+STOP_CHECK_PERIOD_S = 0.05
 """Period at which a stopping node looks whether its calls are over."""
-SETTINGS_PERIOD_S = 5.0
+SETTINGS_READ_PERIOD_S = 5.0
 """Period at which the settings file is read again.
 
 It may change without a signal, and file notifications are not available.
@@ -63,14 +63,17 @@
         self._dialler = transport.Dialler(
             self, hello, config.links.port, rng, log
         )
-        server = (config.backend_server.host, config.backend_server.port)
-        self._server = transport.ServerConnections(
-            server, codec, self._clock, log
+        server_address = (
+            config.backend_server.host,
+            config.backend_server.port,
+        )
+        self._server_connections = transport.ServerConnectionPool(
+            server_address, codec, self._clock, log
         )
         self.gate = coordination.GateTask(
             state.AdmissionController(),
-            self._server,
-            server,
+            self._server_connections,
+            server_address,
             config.service,
             self._clock,
             log,
@@ -78,7 +81,7 @@
         self.quota = coordination.QuotaTask(
             config.host,
             state.QuotaArbiter(config.host, config.quota),
-            self._to_entry,
+            self._tell_entry,
             self._clock,
             log,
         )
@@ -87,14 +90,14 @@
             config.service,
             config.region_by_data_centre,
             state.Placement(config.host, config.data_centre, rng),
-            state.RetryBudget(config.retries),
+            state.RetryBudget(config.retry_budget),
             self.gate.mailbox,
             self.quota.mailbox,
             self._clock,
             rng,
             log,
         )
-        self._callers = transport.CallerServer(
+        self._caller_server = transport.CallerServer(
             codec, self.entry.mailbox.tell, self._clock, log
         )
         self._source = coordination.SourceTask(
@@ -105,10 +108,10 @@
             config.data_centre,
             state.Directory(decode),
             coordination.FleetPorts(
-                self._to_entry,
+                self._tell_entry,
                 self.gate.mailbox.tell,
                 self.quota.mailbox.tell,
-                self._dialler.dial,
+                self._dialler.set_hosts,
                 self._source.set_watching,
                 self.gate.load,
             ),
@@ -128,7 +131,7 @@
         return self._config
 
     @property
-    def linked_hosts(self) -> int:
+    def linked_host_count(self) -> int:
         """Return how many hosts this node can send calls to."""
         return self.entry.peer_count
 
@@ -154,13 +157,15 @@
                 self._log,
             ),
             await transport.listen_for_status(
-                self._status, config.status.host, config.status.port
+                self._read_status, config.status.host, config.status.port
             ),
             await transport.listen_for_status(
                 self.read_metrics, config.metrics.host, config.metrics.port
             ),
         ]
-        await self._callers.listen(config.callers.host, config.callers.port)
+        await self._caller_server.listen(
+            config.callers.host, config.callers.port
+        )
         self._log.decision(
             "start",
             name=config.name,
@@ -175,29 +180,29 @@
             loop.create_task(self.quota.run_ticks()),
             loop.create_task(self.fleet.run()),
             loop.create_task(self._source.run()),
-            loop.create_task(self._tick()),
+            loop.create_task(self._run_ticks()),
             loop.create_task(self._watch_settings()),
         ]
 
     async def stop(self) -> None:
         """Finish what was begun, within the time until SIGKILL."""
         self._stopping = True
-        begun_s = self._clock.now_s()
+        started_s = self._clock.now_s()
         self._log.decision(
             "stopping", calls=self.entry.open_calls + self.gate.active_calls
         )
         self.gate.mailbox.tell(coordination.StopRequested())
-        self._callers.start_closing()
-        await asyncio.sleep(UNREADY_NOTICE_S)
-        end_s = begun_s + self._config.stop_grace_s - STOP_MARGIN_S
+        self._caller_server.start_closing()
+        await asyncio.sleep(UNREADY_DELAY_S)
+        stop_by_s = started_s + self._config.stop_grace_s - STOP_MARGIN_S
         # A request that is taken later might not end before SIGKILL.
-        self._callers.stop_listening()
-        self._callers.close_idle()
-        while self._clock.now_s() < end_s and (
+        self._caller_server.stop_listening()
+        self._caller_server.close_idle()
+        while self._clock.now_s() < stop_by_s and (
             self.entry.open_calls or self.gate.active_calls
         ):
-            await asyncio.sleep(STOP_CHECK_S)
-            self._callers.close_idle()
+            await asyncio.sleep(STOP_CHECK_PERIOD_S)
+            self._caller_server.close_idle()
         self._log.decision(
             "stop", calls=self.entry.open_calls + self.gate.active_calls
         )
@@ -207,24 +212,26 @@
         """End all tasks and connections at once."""
         for task in self._tasks:
             task.cancel()
-        self._dialler.dial(set())
-        self._callers.abort()
-        self._server.close()
+        self._dialler.set_hosts(set())
+        self._caller_server.abort()
+        self._server_connections.close()
         for listener in self._listeners:
             listener.close()
         for link in list(self._links):
             link.abort()
 
-    def opened(self, link: transport.Link, hello: coordination.Hello) -> None:
+    def on_link_opened(
+        self, link: transport.Link, hello: coordination.Hello
+    ) -> None:
         """Use a link whose peer has said who it is."""
         self._links.add(link)
         if not link.dialled:
-            self._dialler.hurry(hello.host)
+            self._dialler.redial_now(hello.host)
         self._tell_fleet(
             coordination.LinkOpened(link, hello.host, link.dialled, link.send)
         )
 
-    def received(
+    def on_message(
         self, link: transport.Link, message: coordination.PeerMessage
     ) -> None:
         """Give a peer's message to the task that owns its subject."""
@@ -262,7 +269,7 @@
                     )
                 )
 
-    def ended(self, link: transport.Link) -> None:
+    def on_link_ended(self, link: transport.Link) -> None:
         """Forget a link."""
         self._links.discard(link)
         if not link.dialled:
@@ -274,14 +281,14 @@
     def _tell_fleet(self, message: coordination.FleetMessage) -> None:
         self.fleet.mailbox.tell(message)
 
-    def _to_entry(self, message: coordination.EntryMessage) -> None:
+    def _tell_entry(self, message: coordination.EntryMessage) -> None:
         if isinstance(message, coordination.FleetChanged):
             table = message.fleet.table
             if table is not None:
-                self._callers.limits = table.limits
+                self._caller_server.limits = table.limits
         self.entry.mailbox.tell(message)
 
-    async def _tick(self) -> None:
+    async def _run_ticks(self) -> None:
         while True:
             self._tell_fleet(coordination.FleetTick())
             self._log.flush()
@@ -298,25 +305,25 @@
             return
         self._config = config
         self._log.decision("reload")
-        changed = coordination.BoundsChanged(config.quota, config.retries)
+        changed = coordination.BoundsChanged(config.quota, config.retry_budget)
         self.entry.mailbox.tell(changed)
         self.quota.mailbox.tell(changed)
 
     async def _watch_settings(self) -> None:
         while True:
-            await asyncio.sleep(SETTINGS_PERIOD_S)
+            await asyncio.sleep(SETTINGS_READ_PERIOD_S)
             self._reload()
 
-    def _status(self, target: bytes) -> protocol.RawAnswer:
+    def _read_status(self, target: bytes) -> protocol.RawResponse:
         if target.partition(b"?")[0] != READY_PATH:
-            return protocol.RawAnswer(404, b"", (), b"not found\n")
+            return protocol.RawResponse(404, b"", (), b"not found\n")
         status = 200 if self.ready else 503
-        return protocol.RawAnswer(status, b"", (), b"")
+        return protocol.RawResponse(status, b"", (), b"")
 
-    def read_metrics(self, target: bytes) -> protocol.RawAnswer:
+    def read_metrics(self, target: bytes) -> protocol.RawResponse:
         """Return the answer to a request for metrics."""
         if target.partition(b"?")[0] != b"/metrics":
-            return protocol.RawAnswer(404, b"", (), b"not found\n")
+            return protocol.RawResponse(404, b"", (), b"not found\n")
         load = self.gate.load()
         gauges: dict[str, float] = {
             "table_version": self.fleet.table_version,
@@ -329,10 +336,10 @@
         }
         body = _metrics.render(self._log, gauges)
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
-        return protocol.RawAnswer(200, b"", headers, body)
+        return protocol.RawResponse(200, b"", headers, body)
 
 
-def run_node(make: Callable[[], Node]) -> None:
+def run_node(create_node: Callable[[], Node]) -> None:
     """Run a node on uvloop."""
     import uvloop
 
@@ -341,6 +348,6 @@
     gc.set_threshold(GC_THRESHOLD)
 
     async def main() -> None:
-        await make().run()
+        await create_node().run()
 
     uvloop.run(main())
--- a/src/jasminecrank/mesh/protocol/_codecs.py
+++ b/src/jasminecrank/mesh/protocol/_codecs.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class RawAnswer:
+class RawResponse:
     """An HTTP answer as it was framed."""
 
     status: int
@@ -37,7 +37,7 @@
 
     def write_reply(
         self, reply: state.Reply, request: state.CallRequest | None
-    ) -> RawAnswer:
+    ) -> RawResponse:
         """Return the answer that a caller gets."""
 
 
@@ -45,18 +45,24 @@
     """Translates between calls and a backend server's HTTP."""
 
     def write_request(
-        self, call: coordination.CallSent, left_s: float
+        self, call: coordination.CallSent, remaining_s: float
     ) -> RawRequest:
         """Return the request that the backend server gets."""
 
-    def belongs(self, call: coordination.CallSent, raw: RawAnswer) -> bool:
+    def matches_call(
+        self, call: coordination.CallSent, raw: RawResponse
+    ) -> bool:
         """Return whether an answer is the one to this call."""
 
-    def read_answer(self, raw: RawAnswer, run_s: float) -> state.AttemptResult:
+    def read_response(
+        self, raw: RawResponse, run_time_s: float
+    ) -> state.AttemptResult:
         """Return what an answer says of the call."""
 
-    def write_health(self, path: str) -> RawRequest:
+    def write_health_check(self, path: str) -> RawRequest:
         """Return a health check."""
 
-    def read_health(self, raw: RawAnswer) -> coordination.Health | None:
+    def read_health_response(
+        self, raw: RawResponse
+    ) -> coordination.Health | None:
         """Return a good health answer, or None."""
--- a/src/jasminecrank/mesh/protocol/_http1.py
+++ b/src/jasminecrank/mesh/protocol/_http1.py
@@ -35,7 +35,7 @@
 }
 
 
-def header(
+def find_header(
     headers: Iterable[tuple[bytes, bytes]], name: bytes
 ) -> bytes | None:
     """Return the first value of a header, by its lower-case name."""
@@ -45,7 +45,7 @@
     return None
 
 
-def end_to_end(headers: state.Headers) -> list[tuple[bytes, bytes]]:
+def end_to_end_headers(headers: state.Headers) -> list[tuple[bytes, bytes]]:
     """Return the headers that concern more than one connection."""
     named: set[bytes] = set()
     for key, value in headers:
@@ -67,7 +67,9 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + raw.body
 
 
-def encode_answer(raw: _codecs.RawAnswer, method: bytes, close: bool) -> bytes:
+def encode_response(
+    raw: _codecs.RawResponse, method: bytes, close: bool
+) -> bytes:
     """Return the bytes of an answer."""
     reason = raw.reason or _REASON_BY_STATUS.get(raw.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (raw.status, reason)]
@@ -83,9 +85,9 @@
     return head + raw.body
 
 
-def keep_alive_s(headers: state.Headers) -> float | None:
+def keep_alive_timeout_s(headers: state.Headers) -> float | None:
     """Return the idle timeout that a server states."""
-    value = header(headers, b"keep-alive")
+    value = find_header(headers, b"keep-alive")
     if value is None:
         return None
     for part in value.split(b","):
@@ -95,7 +97,7 @@
     return None
 
 
-def says_close(headers: state.Headers) -> bool:
+def has_connection_close(headers: state.Headers) -> bool:
     """Return whether a message ends its connection."""
-    value = header(headers, b"connection")
+    value = find_header(headers, b"connection")
     return value is not None and b"close" in value.lower()
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -10,15 +10,15 @@
 
 from jasminecrank.mesh import coordination
 
-LENGTH = struct.Struct("!I")
+FRAME_LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Above the largest body that a table may allow, 64 MiB."""
-COMPRESS_BYTES = 256
+COMPRESS_MIN_BYTES = 256
 """Entries of the source above this size are compressed."""
-PACKED_KEPT = 8
+COMPRESSED_CACHE_SIZE = 8
 """Compressed entries kept, since many nodes ask for the same ones."""
 
-_TYPES: tuple[type[coordination.PeerMessage], ...] = (
+_MESSAGE_TYPES: tuple[type[coordination.PeerMessage], ...] = (
     coordination.Hello,
     coordination.CallSent,
     coordination.CallCancelled,
@@ -35,10 +35,14 @@
     coordination.ItemsRequested,
     coordination.ListingRequested,
 )
-_TAG_BY_TYPE = {kind: tag for tag, kind in enumerate(_TYPES)}
-_NAMES_BY_TYPE = {
-    kind: tuple(field.name for field in dataclasses.fields(kind))
-    for kind in _TYPES
+_TAG_BY_TYPE = {
+    message_type: tag for tag, message_type in enumerate(_MESSAGE_TYPES)
+}
+_FIELD_NAMES_BY_TYPE = {
+    message_type: tuple(
+        field.name for field in dataclasses.fields(message_type)
+    )
+    for message_type in _MESSAGE_TYPES
 }
 
 _Items = tuple[tuple[str, int, bytes | None], ...]
@@ -61,21 +65,25 @@
             message = dataclasses.replace(message, pieces=packed)
         case _:
             pass
-    kind = type(message)
-    fields = [getattr(message, name) for name in _NAMES_BY_TYPE[kind]]
-    body = cbor2.dumps([_TAG_BY_TYPE[kind], *fields])
-    return LENGTH.pack(len(body)) + body
+    message_type = type(message)
+    fields = [
+        getattr(message, name) for name in _FIELD_NAMES_BY_TYPE[message_type]
+    ]
+    body = cbor2.dumps([_TAG_BY_TYPE[message_type], *fields])
+    return FRAME_LENGTH.pack(len(body)) + body
 
 
 def decode(body: bytes) -> coordination.PeerMessage:
     """Return the message of a frame without its length."""
     try:
         tag, *fields = cbor2.loads(body)
-        kind = _TYPES[tag]
-        if len(fields) != len(_NAMES_BY_TYPE[kind]):
-            raise LinkError(f"{kind.__name__} has {len(fields)} fields")
-        message: coordination.PeerMessage = kind(
-            *(_freeze(field) for field in fields)
+        message_type = _MESSAGE_TYPES[tag]
+        if len(fields) != len(_FIELD_NAMES_BY_TYPE[message_type]):
+            raise LinkError(
+                f"{message_type.__name__} has {len(fields)} fields"
+            )
+        message: coordination.PeerMessage = message_type(
+            *(_to_tuples(field) for field in fields)
         )
         match message:
             case coordination.ItemsSent(items):
@@ -95,19 +103,19 @@
     return message
 
 
-def _freeze(value: typing.Any) -> typing.Any:
+def _to_tuples(value: typing.Any) -> typing.Any:
     if isinstance(value, list):
-        return tuple(_freeze(part) for part in value)
+        return tuple(_to_tuples(part) for part in value)
     return value
 
 
 def _pack(value: bytes) -> bytes:
-    if len(value) < COMPRESS_BYTES:
+    if len(value) < COMPRESS_MIN_BYTES:
         return b"\0" + value
     return _compress(value)
 
 
-@functools.lru_cache(maxsize=PACKED_KEPT)
+@functools.lru_cache(maxsize=COMPRESSED_CACHE_SIZE)
 def _compress(value: bytes) -> bytes:
     return b"\1" + zlib.compress(value, 1)
 
--- a/src/jasminecrank/mesh/settings.py
+++ b/src/jasminecrank/mesh/settings.py
@@ -34,7 +34,7 @@
     backend_server: Endpoint
     source: Endpoint
     quota: state.QuotaBounds
-    retries: state.RetryBudgetBounds
+    retry_budget: state.RetryBudgetBounds
     stop_grace_s: float
     """Time between SIGTERM and SIGKILL."""
     drain_s: float
--- a/src/jasminecrank/mesh/transport/__init__.py
+++ b/src/jasminecrank/mesh/transport/__init__.py
@@ -14,11 +14,15 @@
 from jasminecrank.mesh.transport._links import (
     listen_for_links as listen_for_links,
 )
-from jasminecrank.mesh.transport._log import HISTOGRAM_S as HISTOGRAM_S
+from jasminecrank.mesh.transport._log import (
+    HISTOGRAM_BOUNDS_S as HISTOGRAM_BOUNDS_S,
+)
 from jasminecrank.mesh.transport._log import JsonLog as JsonLog
-from jasminecrank.mesh.transport._log import LINES_PER_S as LINES_PER_S
+from jasminecrank.mesh.transport._log import (
+    REQUEST_LINES_PER_S as REQUEST_LINES_PER_S,
+)
 from jasminecrank.mesh.transport._server_connections import (
-    ServerConnections as ServerConnections,
+    ServerConnectionPool as ServerConnectionPool,
 )
 from jasminecrank.mesh.transport._status_server import (
     listen_for_status as listen_for_status,
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -13,9 +13,9 @@
 from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _sockets
 
-PIPELINED_MAX = 16
+MAX_PIPELINED_REQUESTS = 16
 """Requests that may wait behind one another on a connection."""
-BACKLOG = 1_024
+LISTEN_BACKLOG = 1_024
 """Connections that may wait to be accepted, for callers that come at once."""
 
 
@@ -35,7 +35,7 @@
         self.log = log
         self.limits = state.CallerLimits()
         self.closing = False
-        self.numbers = itertools.count(1)
+        self.request_numbers = itertools.count(1)
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -43,7 +43,7 @@
         """Accept callers at an address."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=BACKLOG
+            lambda: CallerConnection(self), host, port, backlog=LISTEN_BACKLOG
         )
 
     def start_closing(self) -> None:
@@ -75,9 +75,9 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._requests: deque[protocol.RawRequest] = deque()
-        self._current: int | None = None
+        self._current_number: int | None = None
         self._current_method = b""
-        self._close_after = False
+        self._close_after_last = False
         self._refused = False
         self._timer: asyncio.TimerHandle | None = None
         self._reset_message()
@@ -86,16 +86,16 @@
         """Keep the transport."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
-        _sockets.tune(transport)
+        _sockets.set_socket_options(transport)
         self._server.connections.add(self)
-        self._arm(self._server.limits.idle_timeout_s)
+        self._start_timer(self._server.limits.idle_timeout_s)
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent."""
         if self._refused:
             return
-        if not self._in_message and self._current is None:
-            self._arm(self._server.limits.header_timeout_s)
+        if not self._in_message and self._current_number is None:
+            self._start_timer(self._server.limits.header_timeout_s)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -114,11 +114,13 @@
         """Withdraw the request whose caller has left."""
         del exc
         self._server.connections.discard(self)
-        self._disarm()
+        self._cancel_timer()
         self._requests.clear()
-        if self._current is not None:
-            self._server.tell(coordination.CallerDisconnected(self._current))
-            self._current = None
+        if self._current_number is not None:
+            self._server.tell(
+                coordination.CallerDisconnected(self._current_number)
+            )
+            self._current_number = None
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -139,7 +141,7 @@
         """Answer an expectation and stop the header timer."""
         self._method = self._parser.get_method()
         self._keep_alive = self._parser.should_keep_alive()
-        expect = protocol.header(self._headers, b"expect")
+        expect = protocol.find_header(self._headers, b"expect")
         if expect is not None and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -164,11 +166,11 @@
             )
         )
         if not self._keep_alive:
-            self._close_after = True
+            self._close_after_last = True
         self._reset_message()
-        if len(self._requests) > PIPELINED_MAX and self._transport:
+        if len(self._requests) > MAX_PIPELINED_REQUESTS and self._transport:
             self._transport.pause_reading()
-        self._next_request()
+        self._start_next_request()
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -177,16 +179,20 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is under way."""
-        if self._current is None and not self._in_message and self._transport:
+        if (
+            self._current_number is None
+            and not self._in_message
+            and self._transport
+        ):
             self._transport.close()
 
-    def _next_request(self) -> None:
-        if self._current is not None or not self._requests:
+    def _start_next_request(self) -> None:
+        if self._current_number is not None or not self._requests:
             return
-        self._disarm()
+        self._cancel_timer()
         raw = self._requests.popleft()
-        number = next(self._server.numbers)
-        self._current = number
+        number = next(self._server.request_numbers)
+        self._current_number = number
         self._current_method = raw.method
         request = self._server.codec.read_request(raw)
         match request:
@@ -208,22 +214,22 @@
         reply: state.Reply,
         request: state.CallRequest | None,
     ) -> None:
-        if self._current != number or self._transport is None:
+        if self._current_number != number or self._transport is None:
             return
-        self._current = None
+        self._current_number = None
         raw = self._server.codec.write_reply(reply, request)
         close = self._server.closing or (
-            self._close_after and not self._requests
+            self._close_after_last and not self._requests
         )
         self._transport.write(
-            protocol.encode_answer(raw, self._current_method, close)
+            protocol.encode_response(raw, self._current_method, close)
         )
         if close:
             self._transport.close()
             return
-        self._arm(self._server.limits.idle_timeout_s)
+        self._start_timer(self._server.limits.idle_timeout_s)
         self._transport.resume_reading()
-        asyncio.get_running_loop().call_soon(self._next_request)
+        asyncio.get_running_loop().call_soon(self._start_next_request)
 
     def _refuse(self, kind: state.RefusalKind, detail: str) -> None:
         if self._refused or self._transport is None:
@@ -233,23 +239,23 @@
             "request-refused", outcome=kind.value, reason=detail
         )
         raw = self._server.codec.write_reply(state.Refusal(kind, detail), None)
-        if self._current is None:
-            self._transport.write(protocol.encode_answer(raw, b"GET", True))
+        if self._current_number is None:
+            self._transport.write(protocol.encode_response(raw, b"GET", True))
         self._transport.close()
 
-    def _arm(self, timeout_s: float) -> None:
-        self._disarm()
+    def _start_timer(self, timeout_s: float) -> None:
+        self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(
-            timeout_s, self._timed_out
+            timeout_s, self._on_timeout
         )
 
-    def _disarm(self) -> None:
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _timed_out(self) -> None:
-        if self._current is None and self._transport is not None:
+    def _on_timeout(self) -> None:
+        if self._current_number is None and self._transport is not None:
             self._transport.close()
 
     def _reset_message(self) -> None:
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -9,9 +9,9 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh.transport import _sockets
 
-RESET = "connection-reset"
-GARBLED = "garbled-answer"
-CUT = "answer-cut"
+REASON_RESET = "connection-reset"
+REASON_MALFORMED = "garbled-answer"
+REASON_TRUNCATED = "answer-cut"
 
 
 class Broken(Exception):
@@ -24,24 +24,24 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._waiter: asyncio.Future[protocol.RawAnswer] | None = None
-        self._accept: Callable[[protocol.RawAnswer], bool] | None = None
+        self._waiter: asyncio.Future[protocol.RawResponse] | None = None
+        self._matches: Callable[[protocol.RawResponse], bool] | None = None
         self._head_only = False
         self._reset_message()
         self.usable = False
-        self.idle_limit_s: float | None = None
+        self.idle_timeout_s: float | None = None
         self.idle_since_s = 0.0
 
     async def exchange(
         self,
         request: protocol.RawRequest,
-        accept: Callable[[protocol.RawAnswer], bool],
-    ) -> protocol.RawAnswer:
+        matches: Callable[[protocol.RawResponse], bool],
+    ) -> protocol.RawResponse:
         """Send a request and return its answer, or raise Broken."""
         if self._transport is None or not self.usable:
-            raise Broken(RESET)
+            raise Broken(REASON_RESET)
         self._waiter = asyncio.get_running_loop().create_future()
-        self._accept = accept
+        self._matches = matches
         self._head_only = request.method == b"HEAD"
         self._transport.write(protocol.encode_request(request))
         try:
@@ -62,7 +62,7 @@
         """Keep the transport."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
-        _sockets.tune(transport)
+        _sockets.set_socket_options(transport)
         self.usable = True
 
     def data_received(self, data: bytes) -> None:
@@ -74,14 +74,14 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._break(GARBLED)
+            self._fail(REASON_MALFORMED)
         except httptools.HttpParserError:
-            self._break(GARBLED)
+            self._fail(REASON_MALFORMED)
 
     def eof_received(self) -> bool:
         """End an answer whose length is the end of its connection."""
         self.usable = False
-        if self._in_message and self._headers_done and self._until_close:
+        if self._in_message and self._headers_done and self._body_until_close:
             self.on_message_complete()
         return False
 
@@ -89,7 +89,7 @@
         """Tell the exchange that its connection is gone."""
         del exc
         self.usable = False
-        self._break(CUT if self._headers_done else RESET)
+        self._fail(REASON_TRUNCATED if self._headers_done else REASON_RESET)
 
     def on_message_begin(self) -> None:
         """Begin an answer."""
@@ -111,18 +111,18 @@
         self._headers_done = True
         self._status = self._parser.get_status_code()
         headers = tuple(self._headers)
-        self._until_close = (
-            protocol.header(headers, b"content-length") is None
-            and protocol.header(headers, b"transfer-encoding") is None
+        self._body_until_close = (
+            protocol.find_header(headers, b"content-length") is None
+            and protocol.find_header(headers, b"transfer-encoding") is None
         )
         if (
-            protocol.says_close(headers)
+            protocol.has_connection_close(headers)
             or not self._parser.should_keep_alive()
         ):
             self.usable = False
-        idle_limit_s = protocol.keep_alive_s(headers)
-        if idle_limit_s is not None:
-            self.idle_limit_s = idle_limit_s
+        idle_timeout_s = protocol.keep_alive_timeout_s(headers)
+        if idle_timeout_s is not None:
+            self.idle_timeout_s = idle_timeout_s
         if self._head_only:
             self.usable = False
             self._complete()
@@ -138,7 +138,7 @@
 
     def _complete(self) -> None:
         self._in_message = False
-        raw = protocol.RawAnswer(
+        raw = protocol.RawResponse(
             self._status,
             self._reason,
             tuple(self._headers),
@@ -149,12 +149,12 @@
         if self._waiter is None or self._waiter.done():
             self.usable = False
             return
-        if self._accept is not None and not self._accept(raw):
+        if self._matches is not None and not self._matches(raw):
             self.usable = False
             return
         self._waiter.set_result(raw)
 
-    def _break(self, reason: str) -> None:
+    def _fail(self, reason: str) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(Broken(reason))
         self.abort()
@@ -162,7 +162,7 @@
     def _reset_message(self) -> None:
         self._in_message = False
         self._headers_done = False
-        self._until_close = False
+        self._body_until_close = False
         self._status = 0
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -11,7 +11,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 """Time to connect to a host; the farthest is 35 ms away."""
-REDIAL_FIRST_S = 0.05
+REDIAL_MIN_S = 0.05
 REDIAL_MAX_S = 0.6
 """Back-off between attempts, below the time a killed node needs to return."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
@@ -21,15 +21,15 @@
 class LinkOwner(typing.Protocol):
     """What a link tells about itself."""
 
-    def opened(self, link: "Link", hello: coordination.Hello) -> None:
+    def on_link_opened(self, link: "Link", hello: coordination.Hello) -> None:
         """Use a link whose peer has said who it is."""
 
-    def received(
+    def on_message(
         self, link: "Link", message: coordination.PeerMessage
     ) -> None:
         """Act on a message."""
 
-    def ended(self, link: "Link") -> None:
+    def on_link_ended(self, link: "Link") -> None:
         """Forget a link."""
 
 
@@ -79,7 +79,7 @@
         """Say who this node is."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
-        _sockets.tune(transport)
+        _sockets.set_socket_options(transport)
         self.send(self._hello)
 
     def data_received(self, data: bytes) -> None:
@@ -87,22 +87,24 @@
         self._buffer += data
         buffer = self._buffer
         start = 0
-        header = protocol.LENGTH.size
-        while len(buffer) - start >= header:
-            (length,) = protocol.LENGTH.unpack_from(buffer, start)
+        prefix_bytes = protocol.FRAME_LENGTH.size
+        while len(buffer) - start >= prefix_bytes:
+            (length,) = protocol.FRAME_LENGTH.unpack_from(buffer, start)
             if length > protocol.MAX_FRAME_BYTES:
                 self._log.decision("link-garbled", peer=self.peer_host)
                 self.abort()
                 return
-            if len(buffer) - start - header < length:
+            if len(buffer) - start - prefix_bytes < length:
                 break
-            body = bytes(buffer[start + header : start + header + length])
-            start += header + length
-            if not self._handle(body):
+            body = bytes(
+                buffer[start + prefix_bytes : start + prefix_bytes + length]
+            )
+            start += prefix_bytes + length
+            if not self._handle_frame(body):
                 return
         del buffer[:start]
 
-    def _handle(self, body: bytes) -> bool:
+    def _handle_frame(self, body: bytes) -> bool:
         try:
             message = protocol.decode(body)
         except protocol.LinkError as error:
@@ -112,16 +114,16 @@
         if isinstance(message, coordination.Hello):
             if self.peer is None:
                 self.peer = message
-                self._owner.opened(self, message)
+                self._owner.on_link_opened(self, message)
         elif self.peer is not None:
-            self._owner.received(self, message)
+            self._owner.on_message(self, message)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the owner, and whoever waits for the end."""
         del exc
         if self.peer is not None:
-            self._owner.ended(self)
+            self._owner.on_link_ended(self)
         if not self.closed.done():
             self.closed.set_result(None)
 
@@ -145,7 +147,7 @@
         self._task_by_host: dict[str, asyncio.Task[None]] = {}
         self._link_by_host: dict[str, Link] = {}
 
-    def dial(self, hosts: set[str]) -> None:
+    def set_hosts(self, hosts: set[str]) -> None:
         """Keep links to exactly these hosts.
 
         A link to a host that has left stays until its calls are over.
@@ -154,23 +156,25 @@
             self._task_by_host.pop(host).cancel()
         for host in hosts - self._task_by_host.keys():
             self._task_by_host[host] = asyncio.create_task(
-                self._keep_link(host)
+                self._maintain_link(host)
             )
 
-    def hurry(self, host: str) -> None:
+    def redial_now(self, host: str) -> None:
         """Dial a host anew that has just dialled this one."""
         task = self._task_by_host.get(host)
         if task is None or host in self._link_by_host:
             return
         task.cancel()
-        self._task_by_host[host] = asyncio.create_task(self._keep_link(host))
+        self._task_by_host[host] = asyncio.create_task(
+            self._maintain_link(host)
+        )
 
-    async def _keep_link(self, host: str) -> None:
-        delay_s = REDIAL_FIRST_S
+    async def _maintain_link(self, host: str) -> None:
+        delay_s = REDIAL_MIN_S
         while True:
             link = await self._connect(host)
             if link is not None:
-                delay_s = REDIAL_FIRST_S
+                delay_s = REDIAL_MIN_S
                 self._link_by_host[host] = link
                 try:
                     await asyncio.shield(link.closed)
--- a/src/jasminecrank/mesh/transport/_log.py
+++ b/src/jasminecrank/mesh/transport/_log.py
@@ -12,22 +12,22 @@
 
 from jasminecrank.mesh.transport import _clock
 
-LINES_PER_S = 400
+REQUEST_LINES_PER_S = 400
 """Lines on requests that are written per second, each on its own.
 
 Above it one line names all requests with the same outcome and reason.
 """
-MERGED_IDS = 50
+MAX_MERGED_IDS = 50
 """Requests that one line names at most."""
-SAMPLED_EACH = 50
+SAMPLE_INTERVAL = 50
 """One in so many successful calls is written."""
-BACKLOG_LINES = 2_000
+MAX_BACKLOG_LINES = 2_000
 """Lines kept while standard output does not take them, about 0.5 MB."""
-HISTOGRAM_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+HISTOGRAM_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
 @dataclass(slots=True, frozen=True)
-class _Alike:
+class _MergeKey:
     """What the requests that one line names have in common."""
 
     event: str
@@ -41,13 +41,13 @@
 
     __slots__ = (
         "_backlog",
-        "_budget",
+        "_line_tokens",
         "_clock",
-        "_filled_at_s",
+        "_refilled_at_s",
         "_host",
-        "_left_out",
-        "_merged",
-        "_sampled",
+        "_dropped_events",
+        "_ids_by_merge_key",
+        "_sampled_events",
         "_sequence",
         "_write",
         "buckets_by_name",
@@ -64,11 +64,11 @@
         self._host = host
         self._clock = clock
         self._write = write
-        self._budget = float(LINES_PER_S)
-        self._filled_at_s = clock.now_s()
-        self._left_out = 0
-        self._merged: dict[_Alike, list[str]] = {}
-        self._sampled = 0
+        self._line_tokens = float(REQUEST_LINES_PER_S)
+        self._refilled_at_s = clock.now_s()
+        self._dropped_events = 0
+        self._ids_by_merge_key: dict[_MergeKey, list[str]] = {}
+        self._sampled_events = 0
         self._sequence = 0
         self._backlog: deque[bytes] = deque()
         self.count_by_name: Counter[tuple[str, str]] = Counter()
@@ -88,39 +88,40 @@
         if request_id is None:
             self._write_line(event, now_s, fields)
             return
-        passed_s = now_s - self._filled_at_s
-        self._filled_at_s = now_s
-        self._budget = min(
-            float(LINES_PER_S), self._budget + passed_s * LINES_PER_S
+        elapsed_s = now_s - self._refilled_at_s
+        self._refilled_at_s = now_s
+        self._line_tokens = min(
+            float(REQUEST_LINES_PER_S),
+            self._line_tokens + elapsed_s * REQUEST_LINES_PER_S,
         )
-        if self._budget >= 1.0:
-            self._budget -= 1.0
+        if self._line_tokens >= 1.0:
+            self._line_tokens -= 1.0
             self._write_line(event, now_s, fields)
             return
-        alike = _Alike(
+        key = _MergeKey(
             event,
             str(fields.get("outcome", "")),
             str(fields.get("reason", "")),
             str(fields.get("version", "")),
         )
-        ids = self._merged.setdefault(alike, [])
+        ids = self._ids_by_merge_key.setdefault(key, [])
         ids.append(str(request_id))
-        if len(ids) >= MERGED_IDS:
-            self._write_merged(alike, now_s)
+        if len(ids) >= MAX_MERGED_IDS:
+            self._write_merged(key, now_s)
 
     def flush(self) -> None:
         """Write the lines that name several requests, and the backlog."""
         now_s = self._clock.now_s()
-        for alike in list(self._merged):
-            self._write_merged(alike, now_s)
+        for key in list(self._ids_by_merge_key):
+            self._write_merged(key, now_s)
         self._write_backlog()
 
     def sampled(self, event: str, **fields: object) -> None:
         """Write one in fifty events with the number left out."""
-        self._sampled += 1
-        if self._sampled >= SAMPLED_EACH:
-            self.decision(event, sampled_of=self._sampled, **fields)
-            self._sampled = 0
+        self._sampled_events += 1
+        if self._sampled_events >= SAMPLE_INTERVAL:
+            self.decision(event, sampled_of=self._sampled_events, **fields)
+            self._sampled_events = 0
 
     def failure(
         self, event: str, error: BaseException, **fields: object
@@ -137,9 +138,9 @@
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram."""
         buckets = self.buckets_by_name.setdefault(
-            name, [0] * (len(HISTOGRAM_S) + 1)
+            name, [0] * (len(HISTOGRAM_BOUNDS_S) + 1)
         )
-        for index, bound_s in enumerate(HISTOGRAM_S):
+        for index, bound_s in enumerate(HISTOGRAM_BOUNDS_S):
             if seconds <= bound_s:
                 buckets[index] += 1
                 break
@@ -147,16 +148,16 @@
             buckets[-1] += 1
         self.sum_by_name[name] = self.sum_by_name.get(name, 0.0) + seconds
 
-    def _write_merged(self, alike: "_Alike", now_s: float) -> None:
-        ids = self._merged.pop(alike)
+    def _write_merged(self, key: "_MergeKey", now_s: float) -> None:
+        ids = self._ids_by_merge_key.pop(key)
         fields: dict[str, object] = {
             "request_ids": ids,
-            "outcome": alike.outcome,
-            "reason": alike.reason,
+            "outcome": key.outcome,
+            "reason": key.reason,
         }
-        if alike.version:
-            fields["version"] = int(alike.version)
-        self._write_line(alike.event, now_s, fields)
+        if key.version:
+            fields["version"] = int(key.version)
+        self._write_line(key.event, now_s, fields)
 
     def _write_line(
         self, event: str, now_s: float, fields: Mapping[str, object]
@@ -169,14 +170,14 @@
             "sequence": self._sequence,
             "event": event,
         }
-        if len(self._backlog) >= BACKLOG_LINES:
+        if len(self._backlog) >= MAX_BACKLOG_LINES:
             ids = fields.get("request_ids")
-            self._left_out += len(ids) if isinstance(ids, list) else 1
+            self._dropped_events += len(ids) if isinstance(ids, list) else 1
             self.count("log_lines", "left-out")
             return
-        if self._left_out:
-            line["left_out"] = self._left_out
-            self._left_out = 0
+        if self._dropped_events:
+            line["left_out"] = self._dropped_events
+            self._dropped_events = 0
         line.update(fields)
         self._backlog.append(json.dumps(line, default=str).encode() + b"\n")
         self._write_backlog()
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -13,11 +13,11 @@
 """Time for a health answer, which waits for a slot of the server."""
 IDLE_MARGIN_S = 1.5
 """Time before the server's idle timeout at which a connection is dropped."""
-IDLE_DEFAULT_S = 4.0
+IDLE_TIMEOUT_DEFAULT_S = 4.0
 """Idle time of a connection whose server states no timeout."""
 
 
-class ServerConnections:
+class ServerConnectionPool:
     """Owns the connections; one call at a time is on each."""
 
     def __init__(
@@ -34,39 +34,42 @@
         self._idle: list[_http_client.ClientConnection] = []
 
     async def exchange(
-        self, call: coordination.CallSent, left_s: float
+        self, call: coordination.CallSent, remaining_s: float
     ) -> state.AttemptResult:
         """Send a call and return what is known about it."""
-        begun_s = self._clock.now_s()
+        started_s = self._clock.now_s()
         try:
-            connection = await self._take()
+            connection = await self._acquire()
         except (OSError, TimeoutError) as error:
             return state.NotRun(f"connect: {type(error).__name__}")
         sent_s = self._clock.now_s()
-        request = self._codec.write_request(call, left_s - (sent_s - begun_s))
+        request = self._codec.write_request(
+            call, remaining_s - (sent_s - started_s)
+        )
         try:
             raw = await connection.exchange(
-                request, lambda answer: self._codec.belongs(call, answer)
+                request,
+                lambda response: self._codec.matches_call(call, response),
             )
         except _http_client.Broken as broken:
             return state.MayHaveRun(str(broken))
-        self._give_back(connection)
-        return self._codec.read_answer(raw, self._clock.now_s() - sent_s)
+        self._release(connection)
+        return self._codec.read_response(raw, self._clock.now_s() - sent_s)
 
     async def check_health(self, path: str) -> coordination.Health | None:
         """Ask for the server's health; None unless it is good."""
         self._log.count("health_checks")
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
-                connection = await self._take()
+                connection = await self._acquire()
                 raw = await connection.exchange(
-                    self._codec.write_health(path), lambda _: True
+                    self._codec.write_health_check(path), lambda _: True
                 )
         except (OSError, TimeoutError, _http_client.Broken) as error:
             self._log.decision("health-check-failed", error=repr(error))
             return None
-        self._give_back(connection)
-        return self._codec.read_health(raw)
+        self._release(connection)
+        return self._codec.read_health_response(raw)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -74,21 +77,21 @@
             connection.abort()
         self._idle.clear()
 
-    async def _take(self) -> _http_client.ClientConnection:
+    async def _acquire(self) -> _http_client.ClientConnection:
         now_s = self._clock.now_s()
         while self._idle:
             connection = self._idle.pop()
-            limit_s = connection.idle_limit_s
-            if limit_s is None:
-                limit_s = IDLE_DEFAULT_S + IDLE_MARGIN_S
+            timeout_s = connection.idle_timeout_s
+            if timeout_s is None:
+                timeout_s = IDLE_TIMEOUT_DEFAULT_S + IDLE_MARGIN_S
             idle_s = now_s - connection.idle_since_s
-            if connection.usable and idle_s < limit_s - IDLE_MARGIN_S:
+            if connection.usable and idle_s < timeout_s - IDLE_MARGIN_S:
                 return connection
             connection.abort()
         self._log.count("server_connections")
         return await _http_client.connect(*self._address, CONNECT_TIMEOUT_S)
 
-    def _give_back(self, connection: _http_client.ClientConnection) -> None:
+    def _release(self, connection: _http_client.ClientConnection) -> None:
         if not connection.usable:
             connection.abort()
             return
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -12,8 +12,10 @@
 class StatusConnection(asyncio.Protocol):
     """Answers small GET requests of the platform and of operators."""
 
-    def __init__(self, answer: Callable[[bytes], protocol.RawAnswer]) -> None:
-        self._answer = answer
+    def __init__(
+        self, respond: Callable[[bytes], protocol.RawResponse]
+    ) -> None:
+        self._respond = respond
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
@@ -37,21 +39,21 @@
 
     def on_message_complete(self) -> None:
         """Answer a whole request."""
-        raw = self._answer(self._url)
+        raw = self._respond(self._url)
         self._url = b""
         if self._transport is None:
             return
         close = not self._parser.should_keep_alive()
-        self._transport.write(protocol.encode_answer(raw, b"GET", close))
+        self._transport.write(protocol.encode_response(raw, b"GET", close))
         if close:
             self._transport.close()
 
 
 async def listen_for_status(
-    answer: Callable[[bytes], protocol.RawAnswer], host: str, port: int
+    respond: Callable[[bytes], protocol.RawResponse], host: str, port: int
 ) -> asyncio.Server:
     """Serve status requests at an address."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: StatusConnection(answer), host, port
+        lambda: StatusConnection(respond), host, port
     )
--- a/src/jasminecrank/platform/__init__.py
+++ b/src/jasminecrank/platform/__init__.py
@@ -2,6 +2,8 @@
 
 from jasminecrank.platform._entries import EntryDecoder as EntryDecoder
 from jasminecrank.platform._headers import PlatformCodec as PlatformCodec
-from jasminecrank.platform._settings import PATH_VARIABLE as PATH_VARIABLE
+from jasminecrank.platform._settings import (
+    CONFIG_PATH_VARIABLE as CONFIG_PATH_VARIABLE,
+)
 from jasminecrank.platform._settings import read_settings as read_settings
 from jasminecrank.platform._store import PlatformStore as PlatformStore
--- a/src/jasminecrank/platform/_entries.py
+++ b/src/jasminecrank/platform/_entries.py
@@ -19,7 +19,7 @@
     """
 
     def __init__(self) -> None:
-        self._known_by_name: dict[str, tuple[_Fields, state.Route]] = {}
+        self._decoded_by_name: dict[str, tuple[_Fields, state.Route]] = {}
 
     def decode(self, key: str, value: bytes) -> state.PublishedEntry:
         """Return what an entry says; Unreadable if it can't be used."""
@@ -29,10 +29,12 @@
                     key.removeprefix(EVACUATE_PREFIX)
                 )
             if key == CONFIG_KEY:
-                return state.TableEntry(self._table(json.loads(value)))
+                return state.TableEntry(self._decode_table(json.loads(value)))
             if key.startswith(SERVERS_PREFIX):
                 server_id = key.removeprefix(SERVERS_PREFIX)
-                return state.ServerEntry(_server(server_id, json.loads(value)))
+                return state.ServerEntry(
+                    _decode_server(server_id, json.loads(value))
+                )
         except (
             ValueError,
             KeyError,
@@ -43,7 +45,7 @@
             return state.InvalidEntry(f"{type(error).__name__}: {error}")
         return state.InvalidEntry("unknown key")
 
-    def _table(self, config: _Fields) -> state.Table:
+    def _decode_table(self, config: _Fields) -> state.Table:
         specs_by_kind: dict[str, list[_Fields]] = {}
         for entry in config["resources"]:
             spec = entry["spec"]
@@ -51,62 +53,67 @@
             specs_by_kind.setdefault(entry["typeUrl"], []).append(spec)
         limits = specs_by_kind.get("limits", [])
         return state.Table.from_rows(
-            _whole(config, "version"),
-            self._routes(specs_by_kind.get("routes", [])),
-            [_service(spec) for spec in specs_by_kind.get("services", [])],
-            [_team(spec) for spec in specs_by_kind.get("tenants", [])],
-            _limits(limits[0]) if limits else state.CallerLimits(),
+            _integer(config, "version"),
+            self._decode_routes(specs_by_kind.get("routes", [])),
+            [
+                _decode_service(spec)
+                for spec in specs_by_kind.get("services", [])
+            ],
+            [_decode_team(spec) for spec in specs_by_kind.get("tenants", [])],
+            _decode_limits(limits[0]) if limits else state.CallerLimits(),
         )
 
-    def _routes(self, specs: list[_Fields]) -> list[state.Route]:
-        known_by_name: dict[str, tuple[_Fields, state.Route]] = {}
+    def _decode_routes(self, specs: list[_Fields]) -> list[state.Route]:
+        decoded_by_name: dict[str, tuple[_Fields, state.Route]] = {}
         routes = []
         for spec in specs:
-            name = _text(spec, "name")
-            known = self._known_by_name.get(name)
-            if known is None or known[0] != spec:
-                known = (spec, _route(spec))
-            known_by_name[name] = known
-            routes.append(known[1])
-        self._known_by_name = known_by_name
+            name = _string(spec, "name")
+            decoded = self._decoded_by_name.get(name)
+            if decoded is None or decoded[0] != spec:
+                decoded = (spec, _decode_route(spec))
+            decoded_by_name[name] = decoded
+            routes.append(decoded[1])
+        self._decoded_by_name = decoded_by_name
         return routes
 
 
-def _server(server_id: str, entry: _Fields) -> state.BackendServer:
+def _decode_server(server_id: str, entry: _Fields) -> state.BackendServer:
     info = entry["info"]
     status = entry["status"]
-    host, _, port = _text(entry, "address").rpartition(":")
+    host, _, port = _string(entry, "address").rpartition(":")
     if not server_id or not host:
         raise ValueError("no id or no host")
     return state.BackendServer(
         server_id=server_id,
-        service=_text(info, "service"),
+        service=_string(info, "service"),
         host=host,
         port=int(port),
-        data_centre=_text(info, "zone"),
-        slots=_whole(info, "slots", least=1),
-        state=state.ServerState(_text(status, "state")),
-        cold_left_s=max(0, _whole(status, "coldLeftMs")) / 1000,
-        created_at_ms=_whole(entry, "born") if "born" in entry else 0,
+        data_centre=_string(info, "zone"),
+        slots=_integer(info, "slots", minimum=1),
+        state=state.ServerState(_string(status, "state")),
+        cold_left_s=max(0, _integer(status, "coldLeftMs")) / 1000,
+        created_at_ms=_integer(entry, "born") if "born" in entry else 0,
     )
 
 
-def _route(spec: _Fields) -> state.Route:
+def _decode_route(spec: _Fields) -> state.Route:
     parts = [
-        state.WeightedService(_text(part, "service"), _number(part, "weight"))
+        state.WeightedService(
+            _string(part, "service"), _number(part, "weight")
+        )
         for part in spec.get("split") or []
     ]
     if not parts:
-        parts = [state.WeightedService(_text(spec, "service"), 1.0)]
+        parts = [state.WeightedService(_string(spec, "service"), 1.0)]
     # "safe" is the only kind that promises that repeats do no harm.
     kind = state.RouteKind.AT_MOST_ONCE
     if spec.get("kind") == "safe":
         kind = state.RouteKind.IDEMPOTENT
     timeout_ms = spec.get("timeoutMs") or 0
     return state.Route(
-        name=_text(spec, "name"),
-        host=_text(spec, "host").lower(),
-        prefix=_text(spec, "prefix"),
+        name=_string(spec, "name"),
+        host=_string(spec, "host").lower(),
+        prefix=_string(spec, "prefix"),
         kind=kind,
         timeout_s=float(timeout_ms) / 1000 if timeout_ms > 0 else None,
         target_s=float(spec.get("targetLatencyMs") or 1000) / 1000,
@@ -118,20 +125,20 @@
     )
 
 
-def _service(spec: _Fields) -> state.Service:
+def _decode_service(spec: _Fields) -> state.Service:
     return state.Service(
-        name=_text(spec, "name"),
-        health_path=_text(spec, "healthPath"),
+        name=_string(spec, "name"),
+        health_path=_string(spec, "healthPath"),
         max_connections=int(spec.get("maxConns") or 0),
         cold_start_s=float(spec.get("coldStartS") or 0),
         cold_rate_per_s=float(spec.get("coldPerS") or 0),
     )
 
 
-def _team(spec: _Fields) -> tuple[state.Team, tuple[str, ...]]:
+def _decode_team(spec: _Fields) -> tuple[state.Team, tuple[str, ...]]:
     priority = spec.get("priority")
     team = state.Team(
-        name=_text(spec, "name"),
+        name=_string(spec, "name"),
         priority=None if priority is None else int(priority),
         rate_per_s=float(spec.get("ratePerS") or 0),
         burst=float(spec.get("burst") or 0),
@@ -140,7 +147,7 @@
     return team, tuple(spec.get("apiKeys") or ())
 
 
-def _limits(spec: _Fields) -> state.CallerLimits:
+def _decode_limits(spec: _Fields) -> state.CallerLimits:
     default = state.CallerLimits()
     return state.CallerLimits(
         int(spec.get("maxHeaderBytes") or default.max_header_bytes),
@@ -150,19 +157,19 @@
     )
 
 
-def _text(fields: _Fields, name: str) -> str:
+def _string(fields: _Fields, name: str) -> str:
     value = fields[name]
     if not isinstance(value, str):
         raise TypeError(f"{name}: {value!r} is not a text")
     return value
 
 
-def _whole(fields: _Fields, name: str, least: int | None = None) -> int:
+def _integer(fields: _Fields, name: str, minimum: int | None = None) -> int:
     value = fields[name]
     if not isinstance(value, int) or isinstance(value, bool):
         raise TypeError(f"{name}: {value!r} is not a whole number")
-    if least is not None and value < least:
-        raise ValueError(f"{name}: {value} is below {least}")
+    if minimum is not None and value < minimum:
+        raise ValueError(f"{name}: {value} is below {minimum}")
     return value
 
 
--- a/src/jasminecrank/platform/_headers.py
+++ b/src/jasminecrank/platform/_headers.py
@@ -4,8 +4,8 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 
-REQUEST_ID = b"request-id"
-_SET_BY_NODE = frozenset(
+REQUEST_ID_HEADER = b"request-id"
+_HEADERS_SET_BY_NODE = frozenset(
     (
         b"deadline-ms",
         b"expect-instance",
@@ -36,37 +36,39 @@
         self, raw: protocol.RawRequest
     ) -> state.CallRequest | state.Refusal:
         """Return the call that a request asks for."""
-        request_id = protocol.header(raw.headers, REQUEST_ID)
-        host = protocol.header(raw.headers, b"host")
+        request_id = protocol.find_header(raw.headers, REQUEST_ID_HEADER)
+        host = protocol.find_header(raw.headers, b"host")
         if not request_id or host is None or not raw.target.startswith(b"/"):
             return state.Refusal(
                 state.RefusalKind.REQUEST_INVALID, "id, host or path missing"
             )
         path = raw.target.partition(b"?")[0]
-        name = host.decode("latin-1").lower()
+        authority = host.decode("latin-1").lower()
         return state.CallRequest(
             request_id=request_id.decode("latin-1"),
             method=raw.method,
             target=raw.target,
-            host=name.partition(":")[0],
+            host=authority.partition(":")[0],
             path=path.decode("latin-1"),
             headers=raw.headers,
             body=raw.body,
-            key=_key(protocol.header(raw.headers, b"authorization")),
-            caller_timeout_s=_seconds(
-                protocol.header(raw.headers, b"deadline-ms")
+            key=_parse_key(
+                protocol.find_header(raw.headers, b"authorization")
+            ),
+            caller_timeout_s=_parse_seconds(
+                protocol.find_header(raw.headers, b"deadline-ms")
             ),
         )
 
     def write_reply(
         self, reply: state.Reply, request: state.CallRequest | None
-    ) -> protocol.RawAnswer:
+    ) -> protocol.RawResponse:
         """Return the answer that a caller gets."""
         if isinstance(reply, state.Response):
-            return protocol.RawAnswer(
+            return protocol.RawResponse(
                 reply.status,
                 reply.reason,
-                tuple(protocol.end_to_end(reply.headers)),
+                tuple(protocol.end_to_end_headers(reply.headers)),
                 reply.body,
             )
         headers = [(b"Content-Type", b"text/plain")]
@@ -76,18 +78,20 @@
         if status in (429, 503) and reply.retry_after_s > 0:
             headers.append((b"Retry-After", b"%.3f" % reply.retry_after_s))
         body = f"{reply.kind.value} {reply.detail}\n".encode()
-        return protocol.RawAnswer(status, b"", tuple(headers), body)
+        return protocol.RawResponse(status, b"", tuple(headers), body)
 
     def write_request(
-        self, call: coordination.CallSent, left_s: float
+        self, call: coordination.CallSent, remaining_s: float
     ) -> protocol.RawRequest:
         """Return the request that the backend server gets."""
         headers = [
             (name, value)
-            for name, value in protocol.end_to_end(call.headers)
-            if name.lower() not in _SET_BY_NODE
+            for name, value in protocol.end_to_end_headers(call.headers)
+            if name.lower() not in _HEADERS_SET_BY_NODE
         ]
-        headers.append((b"Deadline-Ms", b"%d" % max(1, int(left_s * 1000))))
+        headers.append(
+            (b"Deadline-Ms", b"%d" % max(1, int(remaining_s * 1000)))
+        )
         headers.append((b"Expect-Instance", call.server_id.encode()))
         headers.append((b"Caller-Service", call.caller_service.encode()))
         if call.team:
@@ -96,55 +100,59 @@
             call.method, call.target, tuple(headers), call.body
         )
 
-    def belongs(
-        self, call: coordination.CallSent, raw: protocol.RawAnswer
+    def matches_call(
+        self, call: coordination.CallSent, raw: protocol.RawResponse
     ) -> bool:
         """Return whether an answer is the one to this call."""
-        request_id = protocol.header(raw.headers, REQUEST_ID)
+        request_id = protocol.find_header(raw.headers, REQUEST_ID_HEADER)
         if request_id is None:
             return raw.status == 421 or _not_executed(raw)
         return request_id == call.request_id.encode("latin-1")
 
-    def read_answer(
-        self, raw: protocol.RawAnswer, run_s: float
+    def read_response(
+        self, raw: protocol.RawResponse, run_time_s: float
     ) -> state.AttemptResult:
         """Return what an answer says of the call."""
         if raw.status == 421:
             return state.NotRun(coordination.SERVER_GONE, 0.0, True)
         if _not_executed(raw):
-            retry = protocol.header(raw.headers, b"retry-after")
+            retry_after = protocol.find_header(raw.headers, b"retry-after")
             return state.NotRun(
                 f"server-rejected {raw.status}",
-                0.0 if retry is None else _seconds(retry, 1.0) or 0.0,
+                0.0
+                if retry_after is None
+                else _parse_seconds(retry_after, 1.0) or 0.0,
                 True,
             )
         return state.Served(
             state.Response(raw.status, raw.reason, raw.headers, raw.body),
-            run_s,
+            run_time_s,
         )
 
-    def write_health(self, path: str) -> protocol.RawRequest:
+    def write_health_check(self, path: str) -> protocol.RawRequest:
         """Return a health check."""
         return protocol.RawRequest(
             b"GET", path.encode(), ((b"Host", b"health"),), b""
         )
 
-    def read_health(
-        self, raw: protocol.RawAnswer
+    def read_health_response(
+        self, raw: protocol.RawResponse
     ) -> coordination.Health | None:
         """Return a good health answer, or None."""
-        server_id = protocol.header(raw.headers, b"instance-id")
+        server_id = protocol.find_header(raw.headers, b"instance-id")
         if raw.status != 200 or server_id is None:
             return None
-        cold = _seconds(protocol.header(raw.headers, b"cold-ms"))
-        return coordination.Health(server_id.decode(), cold or 0.0)
+        cold_left_s = _parse_seconds(
+            protocol.find_header(raw.headers, b"cold-ms")
+        )
+        return coordination.Health(server_id.decode(), cold_left_s or 0.0)
 
 
-def _not_executed(raw: protocol.RawAnswer) -> bool:
-    return protocol.header(raw.headers, b"not-executed") is not None
+def _not_executed(raw: protocol.RawResponse) -> bool:
+    return protocol.find_header(raw.headers, b"not-executed") is not None
 
 
-def _key(value: bytes | None) -> str | None:
+def _parse_key(value: bytes | None) -> str | None:
     if value is None:
         return None
     scheme, _, key = value.partition(b" ")
@@ -153,7 +161,7 @@
     return key.strip().decode("latin-1")
 
 
-def _seconds(value: bytes | None, unit_s: float = 0.001) -> float | None:
+def _parse_seconds(value: bytes | None, unit_s: float = 0.001) -> float | None:
     if value is None:
         return None
     try:
--- a/src/jasminecrank/platform/_settings.py
+++ b/src/jasminecrank/platform/_settings.py
@@ -8,7 +8,7 @@
 from jasminecrank.mesh import settings
 from jasminecrank.mesh import state
 
-PATH_VARIABLE = "JASMINECRANK_CONFIG"
+CONFIG_PATH_VARIABLE = "JASMINECRANK_CONFIG"
 LINK_PORT_INDEX = 0
 METRICS_PORT_INDEX = 1
 """Which of the ports between nodes serve links and metrics."""
@@ -20,60 +20,62 @@
         fields = tomllib.loads(pathlib.Path(path).read_text())
     except (OSError, ValueError) as error:
         raise exceptions.SettingError(f"{path}: {error}") from error
-    bounds = _bounds(fields)
-    ip = _text(fields, "ip")
-    ports = _field(fields, "innerPorts", list)
+    bounds = _parse_bounds(fields)
+    ip = _string(fields, "ip")
+    ports = _required_field(fields, "innerPorts", list)
     if len(ports) != 2 or ports[1] - ports[0] < METRICS_PORT_INDEX:
         raise exceptions.SettingError(
             f"innerPorts: {ports} is not a range of two ports or more"
         )
     return settings.NodeSettings(
         host=ip,
-        name=_text(fields, "node"),
-        service=_text(fields, "service"),
-        data_centre=_text(fields, "zone"),
-        region_by_data_centre=_field(fields, "zones", dict),
-        callers=_endpoint(fields, "listen", "outbound"),
+        name=_string(fields, "node"),
+        service=_string(fields, "service"),
+        data_centre=_string(fields, "zone"),
+        region_by_data_centre=_required_field(fields, "zones", dict),
+        callers=_read_endpoint(fields, "listen", "outbound"),
         links=settings.Endpoint(ip, ports[0] + LINK_PORT_INDEX),
-        status=_endpoint(fields, "listen", "ready"),
+        status=_read_endpoint(fields, "listen", "ready"),
         metrics=settings.Endpoint(ip, ports[0] + METRICS_PORT_INDEX),
-        backend_server=_parse_endpoint("appAddr", _text(fields, "appAddr")),
-        source=_endpoint(fields, "platform", "address"),
+        backend_server=_parse_endpoint("appAddr", _string(fields, "appAddr")),
+        source=_read_endpoint(fields, "platform", "address"),
         quota=state.QuotaBounds(
-            _number(bounds, "quotaWindowS", 5.0),
-            _number(bounds, "quotaOvershoot", 0.25),
-            _number(bounds, "quotaSlack", 20.0),
+            _parse_number(bounds, "quotaWindowS", 5.0),
+            _parse_number(bounds, "quotaOvershoot", 0.25),
+            _parse_number(bounds, "quotaSlack", 20.0),
         ),
-        retries=state.RetryBudgetBounds(
-            _number(bounds, "retryBudgetRatio", 0.2),
-            _number(bounds, "budgetWindowS", 10.0),
-            _number(bounds, "budgetSlack", 20.0),
+        retry_budget=state.RetryBudgetBounds(
+            _parse_number(bounds, "retryBudgetRatio", 0.2),
+            _parse_number(bounds, "budgetWindowS", 10.0),
+            _parse_number(bounds, "budgetSlack", 20.0),
         ),
-        stop_grace_s=_number(bounds, "graceS", 6.0),
-        drain_s=_number(bounds, "drainMs", 2000.0) / 1000,
+        stop_grace_s=_parse_number(bounds, "graceS", 6.0),
+        drain_s=_parse_number(bounds, "drainMs", 2000.0) / 1000,
     )
 
 
-def _field(fields: dict[str, typing.Any], name: str, kind: type) -> typing.Any:
+def _required_field(
+    fields: dict[str, typing.Any], name: str, expected_type: type
+) -> typing.Any:
     value = fields.get(name)
-    if not isinstance(value, kind):
+    if not isinstance(value, expected_type):
         raise exceptions.SettingError(
-            f"{name}: {value!r} is not a {kind.__name__}"
+            f"{name}: {value!r} is not a {expected_type.__name__}"
         )
     return value
 
 
-def _text(fields: dict[str, typing.Any], name: str) -> str:
-    value: str = _field(fields, name, str)
+def _string(fields: dict[str, typing.Any], name: str) -> str:
+    value: str = _required_field(fields, name, str)
     if not value:
         raise exceptions.SettingError(f"{name}: must not be empty")
     return value
 
 
-def _endpoint(
+def _read_endpoint(
     fields: dict[str, typing.Any], table: str, name: str
 ) -> settings.Endpoint:
-    value = _field(_field(fields, table, dict), name, str)
+    value = _required_field(_required_field(fields, table, dict), name, str)
     return _parse_endpoint(f"{table}.{name}", value)
 
 
@@ -84,7 +86,7 @@
     return settings.Endpoint(host, int(port))
 
 
-def _bounds(fields: dict[str, typing.Any]) -> dict[str, str]:
+def _parse_bounds(fields: dict[str, typing.Any]) -> dict[str, str]:
     bounds = {}
     for text in fields.get("bounds", []):
         name, _, value = str(text).partition("=")
@@ -92,7 +94,7 @@
     return bounds
 
 
-def _number(bounds: dict[str, str], name: str, default: float) -> float:
+def _parse_number(bounds: dict[str, str], name: str, default: float) -> float:
     text = bounds.get(name)
     if text is None:
         return default
--- a/src/jasminecrank/platform/_store.py
+++ b/src/jasminecrank/platform/_store.py
@@ -24,7 +24,7 @@
     ) -> None:
         self._address = address
         self._local_host = local_host
-        self._host = f"{address[0]}:{address[1]}".encode()
+        self._host_header = f"{address[0]}:{address[1]}".encode()
         self._connection: transport.ClientConnection | None = None
 
     async def read_page(
@@ -40,11 +40,11 @@
                 return coordination.Unavailable(f"status {raw.status}")
             body = json.loads(raw.body)
             return coordination.Page(
-                tuple(_item(entry) for entry in body["items"]),
+                tuple(_decode_item(entry) for entry in body["items"]),
                 bool(body["hasMore"]),
                 int(body["currentRev"]),
             )
-        except _FAILURES as error:
+        except _READ_ERRORS as error:
             return self._unavailable(error)
 
     async def watch(
@@ -70,18 +70,18 @@
                 return coordination.Unavailable(f"status {raw.status}")
             body = json.loads(raw.body)
             return coordination.Changes(
-                tuple(_item(entry) for entry in body["events"]),
+                tuple(_decode_item(entry) for entry in body["events"]),
                 int(body["currentRev"]),
             )
-        except _FAILURES as error:
+        except _READ_ERRORS as error:
             return self._unavailable(error)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> protocol.RawAnswer:
+    ) -> protocol.RawResponse:
         target = f"{path}?{urllib.parse.urlencode(query)}".encode()
         request = protocol.RawRequest(
-            b"GET", target, ((b"Host", self._host),), b""
+            b"GET", target, ((b"Host", self._host_header),), b""
         )
         if self._connection is None or not self._connection.usable:
             self._connection = await transport.connect(
@@ -98,7 +98,7 @@
         return coordination.Unavailable(reason)
 
 
-_FAILURES = (
+_READ_ERRORS = (
     OSError,
     TimeoutError,
     transport.Broken,
@@ -108,7 +108,7 @@
 )
 
 
-def _item(entry: dict[str, typing.Any]) -> state.SourceItem:
+def _decode_item(entry: dict[str, typing.Any]) -> state.SourceItem:
     if entry.get("tombstone"):
         return state.SourceItem(str(entry["key"]), int(entry["rev"]), None)
     return state.SourceItem(
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -70,7 +70,7 @@
         return all(
             node.ready
             and node.gate.load().accepting
-            and node.linked_hosts == len(self.nodes) - 1
+            and node.linked_host_count == len(self.nodes) - 1
             for node in self.nodes
         )
 
@@ -106,7 +106,7 @@
             backend_server=settings.Endpoint(host, self._ports["server"]),
             source=settings.Endpoint("127.0.0.1", self._store_port),
             quota=state.QuotaBounds(5.0, 0.25, 20.0),
-            retries=state.RetryBudgetBounds(0.2, 10.0, 56.0),
+            retry_budget=state.RetryBudgetBounds(0.2, 10.0, 56.0),
             stop_grace_s=6.0,
             drain_s=2.0,
         )
