Reword the docs of the transport and protocol packages

Docstrings and comments described sockets, links and the log in private images. They now say in the usual terms what the code does, and keep the reasons and figures of the constants. The docstring of on_headers_complete claimed that it stops the header timer, which it does not; it now names only the 100 Continue response. One link error is worded as a wrong field count; no test or event name depends on its text. The constant for the idle time without a server's timeout is called DEFAULT_MAX_IDLE_S.

script/lint passes; run_features.py on mesh/log, mesh/metrics and the three platform features: 79 scenarios passed. No behaviour changes.

--- a/src/jasminecrank/mesh/protocol/__init__.py
+++ b/src/jasminecrank/mesh/protocol/__init__.py
@@ -1,4 +1,4 @@
-"""Encodings of messages, free of sockets."""
+"""Message encodings, independent of sockets."""
 
 from jasminecrank.mesh.protocol._codecs import CallerCodec as CallerCodec
 from jasminecrank.mesh.protocol._codecs import RawRequest as RawRequest
--- a/src/jasminecrank/mesh/protocol/_codecs.py
+++ b/src/jasminecrank/mesh/protocol/_codecs.py
@@ -1,4 +1,4 @@
-"""What a front end's codec has to translate."""
+"""Interfaces of the codecs for HTTP, and the messages they use."""
 
 from dataclasses import dataclass
 import typing
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RawRequest:
-    """An HTTP request as it was framed."""
+    """HTTP request before decoding or after encoding."""
 
     method: bytes
     target: bytes
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RawResponse:
-    """An HTTP answer as it was framed."""
+    """HTTP response before decoding or after encoding."""
 
     status: int
     reason: bytes
@@ -28,41 +28,41 @@
 
 
 class CallerCodec(typing.Protocol):
-    """Translates between callers' HTTP and calls."""
+    """Converts between the HTTP messages of callers and calls."""
 
     def read_request(
         self, raw: RawRequest
     ) -> state.CallRequest | state.Refusal:
-        """Return the call that a request asks for."""
+        """Return the call in a request, or the reason to refuse it."""
 
     def write_reply(
         self, reply: state.Reply, request: state.CallRequest | None
     ) -> RawResponse:
-        """Return the answer that a caller gets."""
+        """Return the response to send to the caller."""
 
 
 class ServerCodec(typing.Protocol):
-    """Translates between calls and a backend server's HTTP."""
+    """Converts between calls and the HTTP messages of a backend server."""
 
     def write_request(
         self, call: coordination.CallSent, remaining_s: float
     ) -> RawRequest:
-        """Return the request that the backend server gets."""
+        """Return the request to send to the backend server."""
 
     def matches_call(
         self, call: coordination.CallSent, raw: RawResponse
     ) -> bool:
-        """Return whether an answer is the one to this call."""
+        """Return whether a response belongs to this call."""
 
     def read_response(
         self, raw: RawResponse, run_time_s: float
     ) -> state.AttemptResult:
-        """Return what an answer says of the call."""
+        """Return the result of a call according to its response."""
 
     def write_health_check(self, path: str) -> RawRequest:
-        """Return a health check."""
+        """Return the request for a health check."""
 
     def read_health_response(
         self, raw: RawResponse
     ) -> coordination.Health | None:
-        """Return a good health answer, or None."""
+        """Return the reported health, or None if the check failed."""
--- a/src/jasminecrank/mesh/protocol/_http1.py
+++ b/src/jasminecrank/mesh/protocol/_http1.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 framing shared by callers' and servers' connections."""
+"""HTTP/1.1 framing for connections of callers and backend servers."""
 
 from collections.abc import Iterable
 
@@ -38,7 +38,7 @@
 def find_header(
     headers: Iterable[tuple[bytes, bytes]], name: bytes
 ) -> bytes | None:
-    """Return the first value of a header, by its lower-case name."""
+    """Return the first value of a header, given its lower-case name."""
     for key, value in headers:
         if key.lower() == name:
             return value
@@ -46,7 +46,7 @@
 
 
 def end_to_end_headers(headers: state.Headers) -> list[tuple[bytes, bytes]]:
-    """Return the headers that concern more than one connection."""
+    """Return the headers that are not hop-by-hop."""
     named: set[bytes] = set()
     for key, value in headers:
         if key.lower() == b"connection":
@@ -59,7 +59,7 @@
 
 
 def encode_request(raw: _codecs.RawRequest) -> bytes:
-    """Return the bytes of a request on a kept connection."""
+    """Return the bytes of a request on a persistent connection."""
     lines = [raw.method + b" " + raw.target + b" HTTP/1.1"]
     lines.extend(key + b": " + value for key, value in raw.headers)
     if raw.body or raw.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
@@ -70,7 +70,7 @@
 def encode_response(
     raw: _codecs.RawResponse, method: bytes, close: bool
 ) -> bytes:
-    """Return the bytes of an answer."""
+    """Return the bytes of a response to a request of the given method."""
     reason = raw.reason or _REASON_BY_STATUS.get(raw.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (raw.status, reason)]
     lines.extend(key + b": " + value for key, value in raw.headers)
@@ -86,7 +86,7 @@
 
 
 def keep_alive_timeout_s(headers: state.Headers) -> float | None:
-    """Return the idle timeout that a server states."""
+    """Return the timeout parameter of the Keep-Alive header, if any."""
     value = find_header(headers, b"keep-alive")
     if value is None:
         return None
@@ -98,6 +98,6 @@
 
 
 def has_connection_close(headers: state.Headers) -> bool:
-    """Return whether a message ends its connection."""
+    """Return whether the Connection header contains `close`."""
     value = find_header(headers, b"connection")
     return value is not None and b"close" in value.lower()
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -1,4 +1,4 @@
-"""CBOR frames of the messages between nodes."""
+"""CBOR encoding of the messages between nodes."""
 
 import dataclasses
 import functools
@@ -12,12 +12,13 @@
 
 FRAME_LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 80 * 1024 * 1024
-"""Above the largest body that a table may allow, 64 MiB."""
+"""Larger than the largest body that a table can allow, 64 MiB."""
 COMPRESS_MIN_BYTES = 256
-"""Entries of the source above this size are compressed."""
+"""Minimum size of an entry of the source for compression."""
 COMPRESSED_CACHE_SIZE = 8
-"""Compressed entries kept, since many nodes ask for the same ones."""
+"""Compressed entries cached, since many nodes request the same ones."""
 
+# The order of the types, and of the fields in each, is the wire format.
 _MESSAGE_TYPES: tuple[type[coordination.PeerMessage], ...] = (
     coordination.Hello,
     coordination.CallSent,
@@ -49,11 +50,11 @@
 
 
 class LinkError(Exception):
-    """A peer sent something that is not a message."""
+    """A peer sent a frame that isn't a valid message."""
 
 
 def encode(message: coordination.PeerMessage) -> bytes:
-    """Return the frame of a message."""
+    """Return the frame of a message, with its length prefix."""
     match message:
         case coordination.ItemsSent(items):
             message = coordination.ItemsSent(_pack_items(items))
@@ -74,13 +75,13 @@
 
 
 def decode(body: bytes) -> coordination.PeerMessage:
-    """Return the message of a frame without its length."""
+    """Return the message of a frame, given without its length prefix."""
     try:
         tag, *fields = cbor2.loads(body)
         message_type = _MESSAGE_TYPES[tag]
         if len(fields) != len(_FIELD_NAMES_BY_TYPE[message_type]):
             raise LinkError(
-                f"{message_type.__name__} has {len(fields)} fields"
+                f"wrong field count {len(fields)} in {message_type.__name__}"
             )
         message: coordination.PeerMessage = message_type(
             *(_to_tuples(field) for field in fields)
--- a/src/jasminecrank/mesh/transport/__init__.py
+++ b/src/jasminecrank/mesh/transport/__init__.py
@@ -1,4 +1,4 @@
-"""Sockets of a node: callers, backend server, links, status, log."""
+"""Network connections, clock and log of a node."""
 
 from jasminecrank.mesh.transport._caller_server import (
     CallerServer as CallerServer,
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -1,4 +1,4 @@
-"""The HTTP/1.1 server for callers."""
+"""HTTP/1.1 server for callers."""
 
 import asyncio
 from collections import deque
@@ -14,13 +14,13 @@
 from jasminecrank.mesh.transport import _sockets
 
 MAX_PIPELINED_REQUESTS = 16
-"""Requests that may wait behind one another on a connection."""
+"""Waiting requests on a connection above which reading is paused."""
 LISTEN_BACKLOG = 1_024
-"""Connections that may wait to be accepted, for callers that come at once."""
+"""Connections waiting to be accepted, for bursts of new callers."""
 
 
 class CallerServer:
-    """Accepts callers and owns what their connections share."""
+    """Accepts connections from callers and holds their shared state."""
 
     def __init__(
         self,
@@ -40,35 +40,35 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        """Accept callers at an address."""
+        """Accept connections at an address."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(self), host, port, backlog=LISTEN_BACKLOG
         )
 
     def start_closing(self) -> None:
-        """End each connection with its next answer."""
+        """Close each connection after its next response."""
         self.closing = True
 
     def close_idle(self) -> None:
-        """Close the connections on which no request waits."""
+        """Close the connections that have no request in progress."""
         for connection in list(self.connections):
             connection.close_if_idle()
 
     def stop_listening(self) -> None:
-        """Accept no more connections."""
+        """Stop accepting connections."""
         if self._server is not None:
             self._server.close()
 
     def abort(self) -> None:
-        """Close everything at once."""
+        """Stop accepting connections and abort the open ones."""
         self.stop_listening()
         for connection in list(self.connections):
             connection.abort()
 
 
 class CallerConnection(asyncio.Protocol):
-    """Owns one caller's socket; its requests are answered in order."""
+    """Connection of a caller, whose requests are answered in order."""
 
     def __init__(self, server: CallerServer) -> None:
         self._server = server
@@ -83,7 +83,7 @@
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Register the connection and start its idle timer."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
         _sockets.set_socket_options(transport)
@@ -91,7 +91,7 @@
         self._start_timer(self._server.limits.idle_timeout_s)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what the caller sent."""
+        """Parse received bytes and enforce the header limits."""
         if self._refused:
             return
         if not self._in_message and self._current_number is None:
@@ -107,11 +107,11 @@
             self._refuse(state.RefusalKind.TOO_LARGE, "headers")
 
     def eof_received(self) -> bool:
-        """Treat a caller that closes its side as gone."""
+        """Treat a half-closed connection as closed by the caller."""
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Withdraw the request whose caller has left."""
+        """Cancel the current request, since its caller has disconnected."""
         del exc
         self._server.connections.discard(self)
         self._cancel_timer()
@@ -123,22 +123,22 @@
             self._current_number = None
 
     def on_message_begin(self) -> None:
-        """Begin a request."""
+        """Reset the parser state for a new request."""
         self._reset_message()
         self._in_message = True
 
     def on_url(self, url: bytes) -> None:
-        """Keep a piece of the target."""
+        """Append to the request target, which can arrive in parts."""
         self._target += url
         self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
+        """Store a header and count its bytes, 4 of them delimiters."""
         self._headers.append((name, value))
         self._head_bytes += len(name) + len(value) + 4
 
     def on_headers_complete(self) -> None:
-        """Answer an expectation and stop the header timer."""
+        """Send 100 Continue if the request expects it."""
         self._method = self._parser.get_method()
         self._keep_alive = self._parser.should_keep_alive()
         expect = protocol.find_header(self._headers, b"expect")
@@ -146,14 +146,14 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        """Keep a piece of the body."""
+        """Append to the body and refuse a request that is too large."""
         self._body.append(body)
         self._body_bytes += len(body)
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._refuse(state.RefusalKind.TOO_LARGE, "body")
 
     def on_message_complete(self) -> None:
-        """Take a whole request on."""
+        """Queue a complete request; pause reading if too many wait."""
         self._in_message = False
         if self._refused:
             return
@@ -173,12 +173,12 @@
         self._start_next_request()
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Abort the connection without flushing pending data."""
         if self._transport is not None:
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is under way."""
+        """Close the connection unless a request is in progress."""
         if (
             self._current_number is None
             and not self._in_message
--- a/src/jasminecrank/mesh/transport/_clock.py
+++ b/src/jasminecrank/mesh/transport/_clock.py
@@ -1,13 +1,13 @@
-"""The clock of a node."""
+"""Monotonic clock of a node."""
 
 import time
 
 
 class BootClock:
-    """Seconds since boot, including time asleep; never steps."""
+    """Monotonic clock that also counts time in suspend."""
 
     __slots__ = ()
 
     def now_s(self) -> float:
-        """Return the seconds since the host started."""
+        """Return the seconds since the host booted."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -1,4 +1,4 @@
-"""One kept HTTP/1.1 connection to a server."""
+"""Persistent HTTP/1.1 connection to a server."""
 
 import asyncio
 from collections.abc import Callable
@@ -15,11 +15,11 @@
 
 
 class Broken(Exception):
-    """The connection ended without a whole answer; the reason says how."""
+    """The connection failed before a complete response; holds the reason."""
 
 
 class ClientConnection(asyncio.Protocol):
-    """Owns one socket; one request at a time is on it."""
+    """Persistent connection that carries one request at a time."""
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -37,7 +37,11 @@
         request: protocol.RawRequest,
         matches: Callable[[protocol.RawResponse], bool],
     ) -> protocol.RawResponse:
-        """Send a request and return its answer, or raise Broken."""
+        """Send a request and return its response, or raise Broken.
+
+        A response that doesn't match the request is dropped. Cancellation
+        aborts the connection.
+        """
         if self._transport is None or not self.usable:
             raise Broken(REASON_RESET)
         self._waiter = asyncio.get_running_loop().create_future()
@@ -53,22 +57,22 @@
             self._waiter = None
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Abort the connection and mark it as unusable."""
         self.usable = False
         if self._transport is not None:
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Set the socket options and mark the connection as usable."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
         _sockets.set_socket_options(transport)
         self.usable = True
 
     def data_received(self, data: bytes) -> None:
-        """Parse what the server sent."""
+        """Parse received bytes, or abort if no request is pending."""
         if self._waiter is None:
-            # Bytes that no request asked for make the connection unusable.
+            # Unsolicited bytes make the connection unusable.
             self.abort()
             return
         try:
@@ -79,35 +83,35 @@
             self._fail(REASON_MALFORMED)
 
     def eof_received(self) -> bool:
-        """End an answer whose length is the end of its connection."""
+        """Complete a response whose body extends to the end of stream."""
         self.usable = False
         if self._in_message and self._headers_done and self._body_until_close:
             self.on_message_complete()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the exchange that its connection is gone."""
+        """Fail the pending exchange."""
         del exc
         self.usable = False
         self._fail(REASON_TRUNCATED if self._headers_done else REASON_RESET)
 
     def on_message_begin(self) -> None:
-        """Begin an answer."""
+        """Reset the parser state; reject an unsolicited response."""
         self._reset_message()
         self._in_message = True
         if self._waiter is None or self._waiter.done():
             self.usable = False
 
     def on_status(self, reason: bytes) -> None:
-        """Keep the reason phrase."""
+        """Append to the reason phrase, which can arrive in parts."""
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
+        """Store a header until the response is complete."""
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Note how the body is framed."""
+        """Determine the body framing and whether the connection persists."""
         self._headers_done = True
         self._status = self._parser.get_status_code()
         headers = tuple(self._headers)
@@ -128,11 +132,11 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Keep a piece of the body."""
+        """Store a part of the body until the response is complete."""
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Hand a whole answer to its exchange, or drop a stray one."""
+        """Return the response to its exchange, or drop an unsolicited one."""
         if not self._head_only:
             self._complete()
 
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -1,4 +1,4 @@
-"""Kept connections between nodes that carry many calls at once."""
+"""Persistent connections between nodes that multiplex calls."""
 
 import asyncio
 import itertools
@@ -10,31 +10,31 @@
 from jasminecrank.mesh.transport import _sockets
 
 CONNECT_TIMEOUT_S = 0.5
-"""Time to connect to a host; the farthest is 35 ms away."""
+"""Timeout for connecting; the most distant host is 35 ms away."""
 REDIAL_MIN_S = 0.05
 REDIAL_MAX_S = 0.6
-"""Back-off between attempts, below the time a killed node needs to return."""
+"""Maximum backoff, shorter than the restart of a killed node takes."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
-"""Bytes that a peer may leave unread before its link is closed."""
+"""Size of the send buffer above which a link is aborted."""
 
 
 class LinkOwner(typing.Protocol):
-    """What a link tells about itself."""
+    """Callbacks for the events of links."""
 
     def on_link_opened(self, link: "Link", hello: coordination.Hello) -> None:
-        """Use a link whose peer has said who it is."""
+        """Handle a link whose peer has sent its Hello."""
 
     def on_message(
         self, link: "Link", message: coordination.PeerMessage
     ) -> None:
-        """Act on a message."""
+        """Handle a message from the peer."""
 
     def on_link_ended(self, link: "Link") -> None:
-        """Forget a link."""
+        """Handle the end of a link that was reported as opened."""
 
 
 class Link(asyncio.Protocol):
-    """Owns one socket between two nodes."""
+    """Connection between two nodes."""
 
     _ids = itertools.count(1)
 
@@ -56,7 +56,10 @@
         self._buffer = bytearray()
 
     def send(self, message: coordination.PeerMessage) -> None:
-        """Send a message, unless the link has ended."""
+        """Send a message, unless the link is closing.
+
+        Aborts the link if its peer reads too slowly.
+        """
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -67,23 +70,23 @@
 
     @property
     def peer_host(self) -> str:
-        """Return the peer's host, empty before its first message."""
+        """Return the peer's host, or an empty string before its Hello."""
         return "" if self.peer is None else self.peer.host
 
     def abort(self) -> None:
-        """Close the link at once."""
+        """Abort the link without flushing pending data."""
         if self._transport is not None:
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Say who this node is."""
+        """Send the Hello that identifies this node."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
         _sockets.set_socket_options(transport)
         self.send(self._hello)
 
     def data_received(self, data: bytes) -> None:
-        """Cut the stream into frames."""
+        """Split the stream into frames and handle the complete ones."""
         self._buffer += data
         buffer = self._buffer
         start = 0
@@ -120,7 +123,7 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the owner, and whoever waits for the end."""
+        """Notify the owner and complete the `closed` future."""
         del exc
         if self.peer is not None:
             self._owner.on_link_ended(self)
@@ -129,7 +132,7 @@
 
 
 class Dialler:
-    """Keeps a link to each wanted host."""
+    """Keeps a link open to each host of a set."""
 
     def __init__(
         self,
@@ -148,9 +151,9 @@
         self._link_by_host: dict[str, Link] = {}
 
     def set_hosts(self, hosts: set[str]) -> None:
-        """Keep links to exactly these hosts.
+        """Set the hosts to keep links to.
 
-        A link to a host that has left stays until its calls are over.
+        A link to a removed host stays open until its calls have ended.
         """
         for host in self._task_by_host.keys() - hosts:
             self._task_by_host.pop(host).cancel()
@@ -160,7 +163,7 @@
             )
 
     def redial_now(self, host: str) -> None:
-        """Dial a host anew that has just dialled this one."""
+        """Dial a host without backoff, since it has just dialled this one."""
         task = self._task_by_host.get(host)
         if task is None or host in self._link_by_host:
             return
@@ -205,7 +208,7 @@
     address: tuple[str, int],
     log: coordination.Log,
 ) -> asyncio.Server:
-    """Accept links of other nodes."""
+    """Accept links that other nodes open."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
         lambda: Link(owner, hello, False, log), *address, backlog=512
--- a/src/jasminecrank/mesh/transport/_log.py
+++ b/src/jasminecrank/mesh/transport/_log.py
@@ -1,4 +1,4 @@
-"""JSON lines on standard output that never block, and counters."""
+"""Non-blocking JSON log on standard output, and counters."""
 
 from collections import Counter
 from collections import deque
@@ -13,22 +13,23 @@
 from jasminecrank.mesh.transport import _clock
 
 REQUEST_LINES_PER_S = 400
-"""Lines on requests that are written per second, each on its own.
+"""Rate limit of lines that each describe one request.
 
-Above it one line names all requests with the same outcome and reason.
+Above it, requests with the same event, outcome, reason and version share a
+line.
 """
 MAX_MERGED_IDS = 50
-"""Requests that one line names at most."""
+"""Maximum number of requests that share a line."""
 SAMPLE_INTERVAL = 50
-"""One in so many successful calls is written."""
+"""Number of sampled events, such as successful calls, per line."""
 MAX_BACKLOG_LINES = 2_000
-"""Lines kept while standard output does not take them, about 0.5 MB."""
+"""Lines buffered while standard output is blocked, about 0.5 MB."""
 HISTOGRAM_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
 @dataclass(slots=True, frozen=True)
 class _MergeKey:
-    """What the requests that one line names have in common."""
+    """Fields that are equal in all requests of a shared line."""
 
     event: str
     outcome: str
@@ -37,7 +38,7 @@
 
 
 class JsonLog:
-    """Writes decisions as JSON lines and keeps the node's counters."""
+    """Writes JSON log lines and keeps the node's metrics."""
 
     __slots__ = (
         "_backlog",
@@ -77,12 +78,16 @@
 
     @classmethod
     def to_stdout(cls, host: str, clock: _clock.BootClock) -> "JsonLog":
-        """Return a log that never waits for standard output."""
+        """Return a log that writes to standard output without blocking."""
         os.set_blocking(1, False)
         return cls(host, clock)
 
     def decision(self, event: str, **fields: object) -> None:
-        """Write a decision or a change of belief."""
+        """Log a decision or a state change.
+
+        Lines about requests are merged above their rate limit; other lines
+        are always written.
+        """
         now_s = self._clock.now_s()
         request_id = fields.get("request_id")
         if request_id is None:
@@ -110,14 +115,14 @@
             self._write_merged(key, now_s)
 
     def flush(self) -> None:
-        """Write the lines that name several requests, and the backlog."""
+        """Write the merged lines, and as much of the backlog as possible."""
         now_s = self._clock.now_s()
         for key in list(self._ids_by_merge_key):
             self._write_merged(key, now_s)
         self._write_backlog()
 
     def sampled(self, event: str, **fields: object) -> None:
-        """Write one in fifty events with the number left out."""
+        """Log one in SAMPLE_INTERVAL events; `sampled_of` counts them."""
         self._sampled_events += 1
         if self._sampled_events >= SAMPLE_INTERVAL:
             self.decision(event, sampled_of=self._sampled_events, **fields)
@@ -126,17 +131,17 @@
     def failure(
         self, event: str, error: BaseException, **fields: object
     ) -> None:
-        """Write an unexpected error with its traceback."""
+        """Count and log an unexpected error with its traceback."""
         self.count("failures", event)
         trace = traceback.format_exception(error)[-6:]
         self.decision(event, error=repr(error), trace="".join(trace), **fields)
 
     def count(self, name: str, label: str = "") -> None:
-        """Increase a counter."""
+        """Increment a counter, optionally by label."""
         self.count_by_name[name, label] += 1
 
     def observe(self, name: str, seconds: float) -> None:
-        """Record a duration in a histogram."""
+        """Record a duration in the histogram of that name."""
         buckets = self.buckets_by_name.setdefault(
             name, [0] * (len(HISTOGRAM_BOUNDS_S) + 1)
         )
@@ -190,7 +195,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody reads the log; there is nowhere else to say so.
+                # Standard output is closed; the error can't be reported.
                 self._backlog.clear()
                 return
             if written < len(line):
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -1,4 +1,4 @@
-"""The kept connections to the backend server of the own host."""
+"""Connection pool for the backend server on the local host."""
 
 import asyncio
 
@@ -8,17 +8,17 @@
 from jasminecrank.mesh.transport import _http_client
 
 CONNECT_TIMEOUT_S = 0.5
-"""Time to connect on the own host, far above the usual 1 ms."""
+"""Timeout for connecting on the local host, which usually takes 1 ms."""
 HEALTH_TIMEOUT_S = 1.0
-"""Time for a health answer, which waits for a slot of the server."""
+"""Timeout for a health check, which waits for a slot of the server."""
 IDLE_MARGIN_S = 1.5
-"""Time before the server's idle timeout at which a connection is dropped."""
-IDLE_TIMEOUT_DEFAULT_S = 4.0
-"""Idle time of a connection whose server states no timeout."""
+"""Time before the server's idle timeout when a connection is closed."""
+DEFAULT_MAX_IDLE_S = 4.0
+"""Maximum idle time of a connection if the server states no timeout."""
 
 
 class ServerConnectionPool:
-    """Owns the connections; one call at a time is on each."""
+    """Pool of connections that each carry one call at a time."""
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
     async def exchange(
         self, call: coordination.CallSent, remaining_s: float
     ) -> state.AttemptResult:
-        """Send a call and return what is known about it."""
+        """Send a call and return its outcome, as far as it is known."""
         started_s = self._clock.now_s()
         try:
             connection = await self._acquire()
@@ -57,7 +57,7 @@
         return self._codec.read_response(raw, self._clock.now_s() - sent_s)
 
     async def check_health(self, path: str) -> coordination.Health | None:
-        """Ask for the server's health; None unless it is good."""
+        """Return the result of a health check, or None if it fails."""
         self._log.count("health_checks")
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
@@ -72,7 +72,7 @@
         return self._codec.read_health_response(raw)
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Abort the idle connections."""
         for connection in self._idle:
             connection.abort()
         self._idle.clear()
@@ -83,7 +83,7 @@
             connection = self._idle.pop()
             timeout_s = connection.idle_timeout_s
             if timeout_s is None:
-                timeout_s = IDLE_TIMEOUT_DEFAULT_S + IDLE_MARGIN_S
+                timeout_s = DEFAULT_MAX_IDLE_S + IDLE_MARGIN_S
             idle_s = now_s - connection.idle_since_s
             if connection.usable and idle_s < timeout_s - IDLE_MARGIN_S:
                 return connection
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -1,17 +1,17 @@
-"""Socket options that bound how long a dead peer goes unnoticed."""
+"""Socket options that limit the time to detect a dead peer."""
 
 import asyncio
 import socket
 
 TCP_USER_TIMEOUT_MS = 2_500
-"""Unacknowledged bytes after which a connection is dead.
+"""Time without acknowledgement after which TCP closes a connection.
 
-Above the 2.2 s after which a silent node is given up.
+Longer than the 2.2 s after which a silent node is considered dead.
 """
 
 
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
-    """Send at once, and notice a peer that no longer answers."""
+    """Disable Nagle's algorithm and set the TCP user timeout."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -1,4 +1,4 @@
-"""Readiness and metrics over HTTP."""
+"""HTTP server for readiness and metrics."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,7 +10,7 @@
 
 
 class StatusConnection(asyncio.Protocol):
-    """Answers small GET requests of the platform and of operators."""
+    """Connection that answers GET requests of the platform and operators."""
 
     def __init__(
         self, respond: Callable[[bytes], protocol.RawResponse]
@@ -21,12 +21,12 @@
         self._url = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Store the transport for the responses."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Parse a request."""
+        """Parse received bytes; close the connection if they are invalid."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -34,11 +34,11 @@
                 self._transport.close()
 
     def on_url(self, url: bytes) -> None:
-        """Keep a piece of the target."""
+        """Append to the request target, which can arrive in parts."""
         self._url += url
 
     def on_message_complete(self) -> None:
-        """Answer a whole request."""
+        """Send the response to a complete request."""
         raw = self._respond(self._url)
         self._url = b""
         if self._transport is None:
@@ -52,7 +52,7 @@
 async def listen_for_status(
     respond: Callable[[bytes], protocol.RawResponse], host: str, port: int
 ) -> asyncio.Server:
-    """Serve status requests at an address."""
+    """Serve readiness or metrics at an address."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
         lambda: StatusConnection(respond), host, port
