Reword the docs of the daemon, settings and platform packages

Docstrings and comments of the node's process, its settings and the platform adapter used private wording; one named a type that no longer exists, Unreadable for InvalidEntry. They now use the usual terms, and comments say where a name of the platform differs: zone, tenant, born. Reasons why an entry is invalid say string, integer and server id; no test matches their old text. The port indices are offsets now.

No behaviour changes.

--- a/src/jasminecrank/mesh/__init__.py
+++ b/src/jasminecrank/mesh/__init__.py
@@ -1,5 +1,5 @@
-"""The node on one event loop: call path, distribution and quotas.
+"""Node on a single event loop: call path, distribution and quotas.
 
-Layers, each importing only those below it: transport, protocol,
-coordination, state.
+Each layer imports only the layers after it in this list: transport,
+protocol, coordination, state.
 """
--- a/src/jasminecrank/mesh/daemon/__init__.py
+++ b/src/jasminecrank/mesh/daemon/__init__.py
@@ -1,3 +1,3 @@
-"""The node as a process."""
+"""Process that runs a node."""
 
 from jasminecrank.mesh.daemon._node import Node as Node
--- a/src/jasminecrank/mesh/daemon/__main__.py
+++ b/src/jasminecrank/mesh/daemon/__main__.py
@@ -13,7 +13,7 @@
 
 
 def main() -> int:
-    """Run the node; return 2 if a setting is wrong."""
+    """Run the node; return 2 if the settings are invalid."""
     path = os.environ.get(platform.CONFIG_PATH_VARIABLE, "")
     try:
         config = platform.read_settings(path)
--- a/src/jasminecrank/mesh/daemon/_metrics.py
+++ b/src/jasminecrank/mesh/daemon/_metrics.py
@@ -1,4 +1,4 @@
-"""The node's counters in the text format of Prometheus."""
+"""Metrics of a node in the Prometheus text format."""
 
 from collections.abc import Mapping
 
@@ -6,7 +6,7 @@
 
 
 def render(log: transport.JsonLog, gauges: Mapping[str, float]) -> bytes:
-    """Return all counters, histograms and gauges."""
+    """Return all counters, histograms and gauges as exposition text."""
     lines = []
     for (name, label), value in sorted(log.count_by_name.items()):
         labels = f'{{result="{label}"}}' if label else ""
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -1,4 +1,4 @@
-"""Puts the tasks of a node together and runs them until it is stopped."""
+"""Creates the tasks of a node and runs them until it is stopped."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,27 +16,28 @@
 from jasminecrank.mesh.daemon import _metrics
 
 UNREADY_DELAY_S = 2.3
-"""Time until the platform has missed two readiness checks, one a second."""
+"""Time until two readiness checks, sent every second, have failed."""
 STOP_MARGIN_S = 0.4
-"""Time left before SIGKILL when a stopping node ends in any case."""
+"""Time before SIGKILL at which a stopping node exits in any case."""
 STOP_CHECK_PERIOD_S = 0.05
-"""Period at which a stopping node looks whether its calls are over."""
+"""Interval at which a stopping node checks for open calls."""
 SETTINGS_READ_PERIOD_S = 5.0
-"""Period at which the settings file is read again.
+"""Interval at which the settings file is read again.
 
-It may change without a signal, and file notifications are not available.
+The file can change without a signal, and file notifications are not
+available.
 """
 GC_THRESHOLD = 20_000
-"""New objects between two collections; decoding a table makes thousands."""
+"""New objects per garbage collection; decoding a table makes thousands."""
 READY_PATH = b"/-/readyz"
 
 
 class Codec(protocol.CallerCodec, protocol.ServerCodec, typing.Protocol):
-    """Both sides of a front end."""
+    """Codec for callers and for the backend server."""
 
 
 class Node:
-    """Owns the tasks of one node and passes messages between them."""
+    """Owns the tasks of a node and passes messages between them."""
 
     def __init__(
         self,
@@ -122,21 +123,21 @@
 
     @property
     def ready(self) -> bool:
-        """Return whether callers may send requests."""
+        """Return whether the node accepts requests from callers."""
         return self.fleet.ready and not self._stopping
 
     @property
     def config(self) -> settings.NodeSettings:
-        """Return the settings in force."""
+        """Return the current settings."""
         return self._config
 
     @property
     def linked_host_count(self) -> int:
-        """Return how many hosts this node can send calls to."""
+        """Return the number of hosts that this node can send calls to."""
         return self.entry.peer_count
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then finish what was begun."""
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -147,7 +148,7 @@
         await self.stop()
 
     async def start(self) -> None:
-        """Listen, and begin to read the source."""
+        """Open the listeners and start the tasks."""
         config = self._config
         self._listeners = [
             await transport.listen_for_links(
@@ -185,7 +186,7 @@
         ]
 
     async def stop(self) -> None:
-        """Finish what was begun, within the time until SIGKILL."""
+        """Complete the open calls as far as the time before SIGKILL allows."""
         self._stopping = True
         started_s = self._clock.now_s()
         self._log.decision(
@@ -195,7 +196,7 @@
         self._caller_server.start_closing()
         await asyncio.sleep(UNREADY_DELAY_S)
         stop_by_s = started_s + self._config.stop_grace_s - STOP_MARGIN_S
-        # A request that is taken later might not end before SIGKILL.
+        # A request accepted later might not complete before SIGKILL.
         self._caller_server.stop_listening()
         self._caller_server.close_idle()
         while self._clock.now_s() < stop_by_s and (
@@ -209,7 +210,7 @@
         self.abort()
 
     def abort(self) -> None:
-        """End all tasks and connections at once."""
+        """Cancel all tasks and close all connections immediately."""
         for task in self._tasks:
             task.cancel()
         self._dialler.set_hosts(set())
@@ -223,7 +224,7 @@
     def on_link_opened(
         self, link: transport.Link, hello: coordination.Hello
     ) -> None:
-        """Use a link whose peer has said who it is."""
+        """Register a link whose peer has sent its Hello."""
         self._links.add(link)
         if not link.dialled:
             self._dialler.redial_now(hello.host)
@@ -234,7 +235,7 @@
     def on_message(
         self, link: transport.Link, message: coordination.PeerMessage
     ) -> None:
-        """Give a peer's message to the task that owns its subject."""
+        """Pass a peer's message to the task that handles it."""
         match message:
             case coordination.CallSent():
                 self.gate.mailbox.tell(
@@ -270,7 +271,7 @@
                 )
 
     def on_link_ended(self, link: transport.Link) -> None:
-        """Forget a link."""
+        """Remove a link and notify the tasks that use it."""
         self._links.discard(link)
         if not link.dialled:
             self.gate.mailbox.tell(coordination.LinkClosed(link.link_id))
@@ -295,7 +296,7 @@
             await asyncio.sleep(coordination.FLEET_TICK_S)
 
     def _reload(self) -> None:
-        """Take changed bounds over; other settings need a restart."""
+        """Apply changed bounds; other settings require a restart."""
         try:
             config = self._read_settings()
         except exceptions.SettingError as error:
@@ -321,7 +322,7 @@
         return protocol.RawResponse(status, b"", (), b"")
 
     def read_metrics(self, target: bytes) -> protocol.RawResponse:
-        """Return the answer to a request for metrics."""
+        """Return the response to a request for metrics."""
         if target.partition(b"?")[0] != b"/metrics":
             return protocol.RawResponse(404, b"", (), b"not found\n")
         load = self.gate.load()
@@ -343,7 +344,8 @@
     """Run a node on uvloop."""
     import uvloop
 
-    # Modules and their classes live as long as the process.
+    # Modules and their classes live as long as the process, so the
+    # collector need not scan them.
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
 
--- a/src/jasminecrank/mesh/settings.py
+++ b/src/jasminecrank/mesh/settings.py
@@ -1,4 +1,4 @@
-"""Checked settings of a node."""
+"""Validated settings of a node."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -16,19 +16,19 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeSettings:
-    """What a node learns about itself and its surroundings at the start."""
+    """Settings that a node reads at its start."""
 
     host: str
-    """IP address, by which other nodes know this one."""
+    """IP address, which identifies the node to other nodes."""
     name: str
     service: str
     """Service of the backend server on the same host."""
     data_centre: str
     region_by_data_centre: Mapping[str, str]
     callers: Endpoint
-    """Where this host's callers and its backend server send requests."""
+    """Listener for the callers and the backend server on this host."""
     links: Endpoint
-    """Where other nodes connect; the port is the same on all hosts."""
+    """Listener for other nodes; the port is the same on all hosts."""
     status: Endpoint
     metrics: Endpoint
     backend_server: Endpoint
@@ -38,4 +38,4 @@
     stop_grace_s: float
     """Time between SIGTERM and SIGKILL."""
     drain_s: float
-    """Time in which a leaving server may still get requests."""
+    """Time in which a server that is leaving may still get requests."""
--- a/src/jasminecrank/platform/__init__.py
+++ b/src/jasminecrank/platform/__init__.py
@@ -1,4 +1,7 @@
-"""The platform's names, formats and calls; it decides nothing."""
+"""Adapter for the platform's names, formats and calls.
+
+It converts them to the types of the node and makes no decisions.
+"""
 
 from jasminecrank.platform._entries import EntryDecoder as EntryDecoder
 from jasminecrank.platform._headers import PlatformCodec as PlatformCodec
--- a/src/jasminecrank/platform/_entries.py
+++ b/src/jasminecrank/platform/_entries.py
@@ -1,4 +1,4 @@
-"""Entries of the platform's store, decoded into the project's types."""
+"""Decoder for entries of the platform's store."""
 
 import json
 import typing
@@ -13,16 +13,16 @@
 
 
 class EntryDecoder:
-    """Decodes entries, and remembers the routes of the last table.
+    """Decodes entries, and caches the routes of the last table.
 
-    Most versions change a few routes of a thousand or more.
+    Most versions change only a few of a thousand or more routes.
     """
 
     def __init__(self) -> None:
         self._decoded_by_name: dict[str, tuple[_Fields, state.Route]] = {}
 
     def decode(self, key: str, value: bytes) -> state.PublishedEntry:
-        """Return what an entry says; Unreadable if it can't be used."""
+        """Return the decoded entry, or InvalidEntry if it can't be used."""
         try:
             if key.startswith(EVACUATE_PREFIX):
                 return state.DataCentreOutEntry(
@@ -82,16 +82,18 @@
     status = entry["status"]
     host, _, port = _string(entry, "address").rpartition(":")
     if not server_id or not host:
-        raise ValueError("no id or no host")
+        raise ValueError("server id or host is empty")
     return state.BackendServer(
         server_id=server_id,
         service=_string(info, "service"),
         host=host,
         port=int(port),
+        # The platform calls a data centre a zone.
         data_centre=_string(info, "zone"),
         slots=_integer(info, "slots", minimum=1),
         state=state.ServerState(_string(status, "state")),
         cold_left_s=max(0, _integer(status, "coldLeftMs")) / 1000,
+        # A Unix time in milliseconds, which the name does not say.
         created_at_ms=_integer(entry, "born") if "born" in entry else 0,
     )
 
@@ -105,7 +107,7 @@
     ]
     if not parts:
         parts = [state.WeightedService(_string(spec, "service"), 1.0)]
-    # "safe" is the only kind that promises that repeats do no harm.
+    # "safe" is the only kind that guarantees that calls can be repeated.
     kind = state.RouteKind.AT_MOST_ONCE
     if spec.get("kind") == "safe":
         kind = state.RouteKind.IDEMPOTENT
@@ -160,14 +162,14 @@
 def _string(fields: _Fields, name: str) -> str:
     value = fields[name]
     if not isinstance(value, str):
-        raise TypeError(f"{name}: {value!r} is not a text")
+        raise TypeError(f"{name}: {value!r} is not a string")
     return value
 
 
 def _integer(fields: _Fields, name: str, minimum: int | None = None) -> int:
     value = fields[name]
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{name}: {value!r} is not a whole number")
+        raise TypeError(f"{name}: {value!r} is not an integer")
     if minimum is not None and value < minimum:
         raise ValueError(f"{name}: {value} is below {minimum}")
     return value
--- a/src/jasminecrank/platform/_headers.py
+++ b/src/jasminecrank/platform/_headers.py
@@ -1,4 +1,4 @@
-"""The platform's headers and status codes."""
+"""Headers and status codes of the platform."""
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
@@ -30,12 +30,12 @@
 
 
 class PlatformCodec:
-    """Translates callers' and servers' HTTP."""
+    """Converts the HTTP messages of callers and backend servers."""
 
     def read_request(
         self, raw: protocol.RawRequest
     ) -> state.CallRequest | state.Refusal:
-        """Return the call that a request asks for."""
+        """Return the call in a request, or the reason to refuse it."""
         request_id = protocol.find_header(raw.headers, REQUEST_ID_HEADER)
         host = protocol.find_header(raw.headers, b"host")
         if not request_id or host is None or not raw.target.startswith(b"/"):
@@ -63,7 +63,7 @@
     def write_reply(
         self, reply: state.Reply, request: state.CallRequest | None
     ) -> protocol.RawResponse:
-        """Return the answer that a caller gets."""
+        """Return the response to send to the caller."""
         if isinstance(reply, state.Response):
             return protocol.RawResponse(
                 reply.status,
@@ -83,7 +83,7 @@
     def write_request(
         self, call: coordination.CallSent, remaining_s: float
     ) -> protocol.RawRequest:
-        """Return the request that the backend server gets."""
+        """Return the request to send to the backend server."""
         headers = [
             (name, value)
             for name, value in protocol.end_to_end_headers(call.headers)
@@ -95,6 +95,7 @@
         headers.append((b"Expect-Instance", call.server_id.encode()))
         headers.append((b"Caller-Service", call.caller_service.encode()))
         if call.team:
+            # The platform calls a team a tenant.
             headers.append((b"Tenant", call.team.encode()))
         return protocol.RawRequest(
             call.method, call.target, tuple(headers), call.body
@@ -103,7 +104,7 @@
     def matches_call(
         self, call: coordination.CallSent, raw: protocol.RawResponse
     ) -> bool:
-        """Return whether an answer is the one to this call."""
+        """Return whether a response belongs to this call."""
         request_id = protocol.find_header(raw.headers, REQUEST_ID_HEADER)
         if request_id is None:
             return raw.status == 421 or _not_executed(raw)
@@ -112,7 +113,7 @@
     def read_response(
         self, raw: protocol.RawResponse, run_time_s: float
     ) -> state.AttemptResult:
-        """Return what an answer says of the call."""
+        """Return the result of a call according to its response."""
         if raw.status == 421:
             return state.NotRun(coordination.SERVER_GONE, 0.0, True)
         if _not_executed(raw):
@@ -130,7 +131,7 @@
         )
 
     def write_health_check(self, path: str) -> protocol.RawRequest:
-        """Return a health check."""
+        """Return the request for a health check."""
         return protocol.RawRequest(
             b"GET", path.encode(), ((b"Host", b"health"),), b""
         )
@@ -138,7 +139,7 @@
     def read_health_response(
         self, raw: protocol.RawResponse
     ) -> coordination.Health | None:
-        """Return a good health answer, or None."""
+        """Return the reported health, or None if the check failed."""
         server_id = protocol.find_header(raw.headers, b"instance-id")
         if raw.status != 200 or server_id is None:
             return None
--- a/src/jasminecrank/platform/_settings.py
+++ b/src/jasminecrank/platform/_settings.py
@@ -1,4 +1,4 @@
-"""The platform's settings file."""
+"""Reader of the platform's settings file."""
 
 import pathlib
 import tomllib
@@ -9,13 +9,13 @@
 from jasminecrank.mesh import state
 
 CONFIG_PATH_VARIABLE = "JASMINECRANK_CONFIG"
-LINK_PORT_INDEX = 0
-METRICS_PORT_INDEX = 1
-"""Which of the ports between nodes serve links and metrics."""
+LINK_PORT_OFFSET = 0
+METRICS_PORT_OFFSET = 1
+"""Offsets of the link and metrics ports in the range innerPorts."""
 
 
 def read_settings(path: str) -> settings.NodeSettings:
-    """Return the checked settings, or raise SettingError naming the field."""
+    """Return validated settings, or raise SettingError naming the field."""
     try:
         fields = tomllib.loads(pathlib.Path(path).read_text())
     except (OSError, ValueError) as error:
@@ -23,7 +23,7 @@
     bounds = _parse_bounds(fields)
     ip = _string(fields, "ip")
     ports = _required_field(fields, "innerPorts", list)
-    if len(ports) != 2 or ports[1] - ports[0] < METRICS_PORT_INDEX:
+    if len(ports) != 2 or ports[1] - ports[0] < METRICS_PORT_OFFSET:
         raise exceptions.SettingError(
             f"innerPorts: {ports} is not a range of two ports or more"
         )
@@ -31,12 +31,14 @@
         host=ip,
         name=_string(fields, "node"),
         service=_string(fields, "service"),
+        # The platform calls a data centre a zone; `zones` holds the region
+        # of each.
         data_centre=_string(fields, "zone"),
         region_by_data_centre=_required_field(fields, "zones", dict),
         callers=_read_endpoint(fields, "listen", "outbound"),
-        links=settings.Endpoint(ip, ports[0] + LINK_PORT_INDEX),
+        links=settings.Endpoint(ip, ports[0] + LINK_PORT_OFFSET),
         status=_read_endpoint(fields, "listen", "ready"),
-        metrics=settings.Endpoint(ip, ports[0] + METRICS_PORT_INDEX),
+        metrics=settings.Endpoint(ip, ports[0] + METRICS_PORT_OFFSET),
         backend_server=_parse_endpoint("appAddr", _string(fields, "appAddr")),
         source=_read_endpoint(fields, "platform", "address"),
         quota=state.QuotaBounds(
--- a/src/jasminecrank/platform/_store.py
+++ b/src/jasminecrank/platform/_store.py
@@ -1,4 +1,4 @@
-"""Reading calls of the platform's store."""
+"""Client for reading the platform's store."""
 
 import asyncio
 import base64
@@ -13,11 +13,11 @@
 
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 1.0
-"""Time for an answer that the store gives in about 4 ms."""
+"""Timeout for a response, which usually takes about 4 ms."""
 
 
 class PlatformStore:
-    """Owns the connection to the store."""
+    """Reads entries over a persistent connection to the store."""
 
     def __init__(
         self, address: tuple[str, int], local_host: str | None = None
@@ -30,7 +30,7 @@
     async def read_page(
         self, after_key: str
     ) -> coordination.Page | coordination.Unavailable:
-        """Return the entries that follow a key."""
+        """Return a page of the entries after a key."""
         query = {"prefix": "", "after": after_key}
         if not after_key:
             del query["after"]
@@ -54,7 +54,7 @@
         | coordination.HistoryGone
         | coordination.Unavailable
     ):
-        """Wait for changes after a revision."""
+        """Return the changes after a revision, waiting for one if needed."""
         query = {
             "prefix": "",
             "after": str(after_revision),
