Reword the features of the platform adapter and the log

Heads and steps of the log, metrics, settings, headers and entries features used private phrases such as a change of belief or a caller that shows a key. They now state the failure that is guarded against and use the terms of the field. Step functions change with their texts; rows, figures, bounds and assertions are the same.

The tests check as much as before.

--- a/features/mesh/log.feature
+++ b/features/mesh/log.feature
@@ -1,13 +1,13 @@
-Feature: The node's log under load
+Feature: Logging of the node under load
 
-  Guards against a refused or failed request that no line names, against a
-  change of belief that is left out, and against a log that grows without
-  bound or blocks the node.
+  Guards against refused or failed requests that are missing from the log,
+  against state changes that are dropped, and against a log that grows
+  without bound or blocks the node.
 
-  Scenario Outline: Every refused request is named
-    Given a log that takes <lines> lines a second
+  Scenario Outline: Every refused request is logged
+    Given a log limited to <lines> request lines per second
     When <refused> requests are refused within <seconds> s
-    Then each of them is in the log with its outcome and reason
+    Then each request is logged with its outcome and reason
     And at most <most> lines have been written
 
     Examples:
@@ -16,16 +16,16 @@
       | 400   | 3000    | 1.0     | 950  |
       | 400   | 20000   | 4.0     | 2900 |
 
-  Scenario: A change of belief is written under load
-    Given a log that takes 400 lines a second
+  Scenario: A state change is logged under load
+    Given a log limited to 400 request lines per second
     When 3000 requests are refused within 1.0 s
-    And a table comes into force
-    Then the log says so
+    And a table takes effect
+    Then the last log line reports the table
 
-  Scenario Outline: Standard output that does not take the lines
+  Scenario Outline: Standard output is blocked or accepts partial writes
     Given a log whose output <output>
     When 5000 requests are refused within 4.0 s
-    Then the log holds at most 2000 lines and says what it left out
+    Then the log buffers at most 2000 lines and counts the dropped ones
 
     Examples:
       | output     |
--- a/features/mesh/metrics.feature
+++ b/features/mesh/metrics.feature
@@ -1,6 +1,7 @@
 Feature: Metrics of the node on the platform
 
-  Guards against a page that lists other metrics than a node exports.
+  Guards against exported metrics that are missing from the documentation,
+  and against keys or bodies in the log.
 
   Scenario: The page lists every metric that a node exports
     Given a deployment of 2 hosts
--- a/features/platform/entries.feature
+++ b/features/platform/entries.feature
@@ -1,10 +1,10 @@
 Feature: Entries of the platform's store
 
-  Guards against an entry of another writer that is taken for a server, and
-  against a configuration that is read in part.
+  Guards against an entry of another writer that is decoded as a server, and
+  against a configuration that is applied in part.
 
   Scenario Outline: Server entries
-    When the store shows a server entry with <change>
+    When the store holds a server entry with <change>
     Then the entry is <result>
 
     Examples:
@@ -24,7 +24,7 @@
       | a list                | unreadable |
 
   Scenario Outline: Configurations
-    When the store shows a configuration with <change>
+    When the store holds a configuration with <change>
     Then the entry is <result>
 
     Examples:
@@ -36,9 +36,9 @@
       | version as text          | unreadable |
       | broken bytes             | unreadable |
 
-  Scenario Outline: What a route means
-    When the store shows a configuration with <change>
-    Then its first route has <field> <value>
+  Scenario Outline: Decoded fields of a route
+    When the store holds a configuration with <change>
+    Then the first route has <field> <value>
 
     Examples:
       | change               | field        | value                |
@@ -50,5 +50,5 @@
       | nothing changed      | target_s     | 0.3                  |
 
   Scenario: An evacuated data centre
-    When the store shows the key op/evacuate/belt-a
+    When the store holds the key op/evacuate/belt-a
     Then the entry is a data centre out of service
--- a/features/platform/headers.feature
+++ b/features/platform/headers.feature
@@ -1,9 +1,9 @@
-Feature: The platform's headers and status codes
+Feature: Headers and status codes of the platform
 
-  Guards against a key or a forged identity that reaches a backend server,
-  and against a status that promises what is not known.
+  Guards against keys and forged identities that reach a backend server, and
+  against a status code that claims more than the node knows.
 
-  Scenario Outline: Headers at the backend server
+  Scenario Outline: Headers that the backend server receives
     When a caller sends the header <name> with <sent>
     Then the backend server gets <name> with <got>
 
@@ -20,7 +20,7 @@
       | Upgrade         | h2c         | nothing   |
       | Expect          | 100-continue | nothing  |
 
-  Scenario Outline: A header named by Connection goes no further
+  Scenario Outline: A header named by Connection is not forwarded
     When a caller sends the headers Connection: <named> and X-Own: 1
     Then the backend server gets X-Own with <got>
 
@@ -29,8 +29,8 @@
       | close, X-Own | nothing |
       | keep-alive   | 1       |
 
-  Scenario Outline: Keys
-    When a caller shows <header>
+  Scenario Outline: Keys in the Authorization header
+    When a caller sends Authorization: <header>
     Then the key is <key>
 
     Examples:
@@ -40,8 +40,8 @@
       | Bearer abc   | None |
       | Token        | None |
 
-  Scenario Outline: What a server's answer means
-    When the backend server answers <status> with <header>
+  Scenario Outline: Result of a call by the server's response
+    When the backend server responds with status <status> and <header>
     Then the attempt has <result>
 
     Examples:
@@ -55,9 +55,9 @@
       | 200    | Request-Id: 77              | another owner |
       | 200    | X-None: 1                   | another owner |
 
-  Scenario Outline: Refusals of the node's own
+  Scenario Outline: Status codes of refusals by the node
     When a call is refused as <kind>
-    Then the caller gets <status>
+    Then the caller gets status <status>
 
     Examples:
       | kind            | status |
--- a/features/platform/settings.feature
+++ b/features/platform/settings.feature
@@ -1,11 +1,11 @@
-Feature: The platform's settings file
+Feature: Settings file of the platform
 
-  Guards against a node that starts with a setting it can't use, and against
-  one that ends because a file was changed for the worse while it ran.
+  Guards against a node that starts with an invalid setting, and against one
+  that exits because its settings file became invalid while it was running.
 
-  Scenario Outline: Settings are checked at the start
+  Scenario Outline: Settings are validated at the start
     When a node reads settings with <change>
-    Then it says <message>
+    Then it reports <message>
 
     Examples:
       | change               | message                                  |
@@ -19,9 +19,9 @@
       | a bound that is text | bounds: graceS=soon is not a number      |
       | broken TOML          | Expected                                 |
 
-  Scenario Outline: The command ends with a documented status
+  Scenario Outline: The command exits with a documented status
     When the node is started with <file>
-    Then it ends with status 2 and one line that names <named>
+    Then it exits with status 2 and one error line that contains <named>
 
     Examples:
       | file         | named        |
--- a/features/steps/mesh_log_steps.py
+++ b/features/steps/mesh_log_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the node's log."""
+"""Steps for the node's log."""
 
 import json
 
@@ -10,17 +10,17 @@
 
 
 class Clock:
-    """A clock that a step sets."""
+    """Clock whose time is set by the steps."""
 
     def __init__(self):
         self.current_s = 100.0
 
     def now_s(self):
-        """Return the set time."""
+        """Return the time that a step has set."""
         return self.current_s
 
 
-@given("a log that takes {lines:d} lines a second")
+@given("a log limited to {lines:d} request lines per second")
 def step_log(context, lines):
     assert lines == transport.REQUEST_LINES_PER_S
     context.output = []
@@ -33,14 +33,14 @@
     context.log = transport.JsonLog("host", context.clock, write)
 
 
-@given("a log whose output {does}")
-def step_blocked(context, does):
+@given("a log whose output {behaviour}")
+def step_blocked(context, behaviour):
     context.output = []
     context.clock = Clock()
     context.output_open = False
 
     def write(data):
-        if not context.output_open and does == "is blocked":
+        if not context.output_open and behaviour == "is blocked":
             raise BlockingIOError
         size = len(data) if context.output_open else len(data) // 2
         context.output.append(data[:size])
@@ -67,17 +67,17 @@
     context.log.flush()
 
 
-@when("a table comes into force")
+@when("a table takes effect")
 def step_table(context):
     context.log.decision("table-in-force", version=8)
 
 
 def read_lines(context):
-    """Return what has been written."""
+    """Return the decoded lines that have been written."""
     return [json.loads(line) for line in b"".join(context.output).splitlines()]
 
 
-@then("each of them is in the log with its outcome and reason")
+@then("each request is logged with its outcome and reason")
 def step_named(context):
     outcome_by_id = {}
     for line in read_lines(context):
@@ -95,13 +95,13 @@
     assert len(read_lines(context)) <= most, len(read_lines(context))
 
 
-@then("the log says so")
+@then("the last log line reports the table")
 def step_says(context):
     events = [line["event"] for line in read_lines(context)]
     assert events[-1] == "table-in-force", events[-3:]
 
 
-@then("the log holds at most {most:d} lines and says what it left out")
+@then("the log buffers at most {most:d} lines and counts the dropped ones")
 def step_holds(context, most):
     before = len(b"".join(context.output).splitlines())
     context.output_open = True
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the platform's entries, settings and headers."""
+"""Steps for entries of the platform's store."""
 
 import copy
 import json
@@ -62,7 +62,7 @@
 
 
 def change_server(entry, change):
-    """Change a server entry in place, or return other bytes."""
+    """Return the encoded server entry after a change, or invalid bytes."""
     match change:
         case "an unknown field":
             entry["more"] = 1
@@ -86,7 +86,7 @@
 
 
 def change_config(config, change):
-    """Change a configuration in place, or return other bytes."""
+    """Return the encoded configuration after a change, or invalid bytes."""
     route = config["resources"][0]["spec"]
     match change:
         case "an unknown resource":
@@ -108,22 +108,22 @@
     return json.dumps(config).encode()
 
 
-@when("the store shows a server entry with {change}")
+@when("the store holds a server entry with {change}")
 def step_server(context, change):
     value = change_server(copy.deepcopy(SERVER), change)
     context.entry = platform.EntryDecoder().decode("servers/i-1", value)
 
 
-@when("the store shows a configuration with {change}")
+@when("the store holds a configuration with {change}")
 def step_config(context, change):
     value = change_config(copy.deepcopy(CONFIG), change)
     decoder = platform.EntryDecoder()
-    # What the decoder remembers of the last version must not show.
+    # Routes cached from the previous version must not affect the result.
     decoder.decode("op/config", json.dumps(CONFIG).encode())
     context.entry = decoder.decode("op/config", value)
 
 
-@when("the store shows the key {key}")
+@when("the store holds the key {key}")
 def step_key(context, key):
     context.entry = platform.EntryDecoder().decode(key, b"{}")
 
@@ -142,7 +142,7 @@
     assert found == result, context.entry
 
 
-@then("its first route has {field} {value}")
+@then("the first route has {field} {value}")
 def step_route(context, field, value):
     table = context.entry.table
     route = table.match("ficu95.example", "/lohu930/2f")
--- a/features/steps/platform_header_steps.py
+++ b/features/steps/platform_header_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the platform's headers."""
+"""Steps for the platform's headers."""
 
 from behave import then
 from behave import when
@@ -33,14 +33,14 @@
 
 
 def encode(headers):
-    """Return headers as they are on the wire."""
+    """Return headers in their wire encoding."""
     return tuple(
         (name.encode(), value.encode()) for name, value in headers.items()
     )
 
 
 def send(context, headers):
-    """Take a caller's headers to the backend server."""
+    """Set the headers that the backend server gets for a caller's."""
     raw = CODEC.write_request(
         make_call(encode({**DEFAULT_HEADERS, **headers})), 0.5
     )
@@ -66,7 +66,7 @@
     )
 
 
-@when("a caller shows {header}")
+@when("a caller sends Authorization: {header}")
 def step_key(context, header):
     headers = encode({**DEFAULT_HEADERS, "Authorization": header})
     raw = protocol.RawRequest(b"GET", b"/lots/1", headers, b"")
@@ -78,7 +78,7 @@
     assert str(context.request.key or None) == key, context.request.key
 
 
-@when("the backend server answers {status:d} with {header}")
+@when("the backend server responds with status {status:d} and {header}")
 def step_answer(context, status, header):
     name, _, value = header.partition(": ")
     raw = protocol.RawResponse(status, b"", encode({name: value}), b"")
@@ -110,9 +110,9 @@
     context.raw = CODEC.write_reply(refusal, None)
 
 
-@then("the caller gets {status:d}")
+@then("the caller gets status {status:d}")
 def step_status(context, status):
     assert context.raw.status == status, context.raw
-    promises = status in (429, 503)
+    expects_retry = status in (429, 503)
     names = [name for name, _ in context.raw.headers]
-    assert (b"Retry-After" in names) == promises, names
+    assert (b"Retry-After" in names) == expects_retry, names
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the platform's settings file."""
+"""Steps for the platform's settings file."""
 
 import os
 import pathlib
@@ -45,7 +45,7 @@
 
 
 def write_settings(directory, change):
-    """Write a settings file with a change; return its path."""
+    """Write a settings file with a change and return its path."""
     path = pathlib.Path(directory) / "boot.toml"
     path.write_text(SETTINGS.replace(*REPLACEMENT_BY_CHANGE[change]))
     return path
@@ -61,7 +61,7 @@
             context.message = str(error)
 
 
-@then("it says {message}")
+@then("it reports {message}")
 def step_says(context, message):
     assert message in context.message, context.message
 
@@ -82,7 +82,9 @@
         )
 
 
-@then("it ends with status {status:d} and one line that names {named}")
+@then(
+    "it exits with status {status:d} and one error line that contains {named}"
+)
 def step_status(context, status, named):
     assert context.completed.returncode == status, context.completed
     lines = context.completed.stderr.splitlines()
