Keep the shape of the link error on a wrong field count

The wording check showed that the reworded error had its parts in another order. It is back in the old order with the word message added. A comment says why the exception Broken keeps its name.

There are no hits on figures, log fields or features.

No behaviour changes.

--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -81,7 +81,7 @@
         message_type = _MESSAGE_TYPES[tag]
         if len(fields) != len(_FIELD_NAMES_BY_TYPE[message_type]):
             raise LinkError(
-                f"wrong field count {len(fields)} in {message_type.__name__}"
+                f"{message_type.__name__} message has {len(fields)} fields"
             )
         message: coordination.PeerMessage = message_type(
             *(_to_tuples(field) for field in fields)
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -14,6 +14,7 @@
 REASON_TRUNCATED = "answer-cut"
 
 
+# The class name is written out: the event health-check-failed logs the repr.
 class Broken(Exception):
     """The connection failed before a complete response; holds the reason."""
 
