--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -1,4 +1,4 @@
-"""Kept connections between nodes that carry many calls at once."""
+"""Persistent connections between nodes that multiplex calls."""
 
 import asyncio
 import itertools
@@ -10,31 +10,31 @@
 from jasminecrank.mesh.transport import _sockets
 
 CONNECT_TIMEOUT_S = 0.5
-"""Time to connect to a host; the farthest is 35 ms away."""
-REDIAL_FIRST_S = 0.05
+"""Timeout for connecting; the most distant host is 35 ms away."""
+REDIAL_MIN_S = 0.05
 REDIAL_MAX_S = 0.6
-"""Back-off between attempts, below the time a killed node needs to return."""
+"""Maximum backoff, shorter than the restart of a killed node takes."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
-"""Bytes that a peer may leave unread before its link is closed."""
+"""Size of the send buffer above which a link is aborted."""
 
 
 class LinkOwner(typing.Protocol):
-    """What a link tells about itself."""
+    """Callbacks for the events of links."""
 
-    def opened(self, link: "Link", hello: coordination.Hello) -> None:
-        """Use a link whose peer has said who it is."""
+    def on_link_opened(self, link: "Link", hello: coordination.Hello) -> None:
+        """Handle a link whose peer has sent its Hello."""
 
-    def received(
+    def on_message(
         self, link: "Link", message: coordination.PeerMessage
     ) -> None:
-        """Act on a message."""
+        """Handle a message from the peer."""
 
-    def ended(self, link: "Link") -> None:
-        """Forget a link."""
+    def on_link_ended(self, link: "Link") -> None:
+        """Handle the end of a link that was reported as opened."""
 
 
 class Link(asyncio.Protocol):
-    """Owns one socket between two nodes."""
+    """Connection between two nodes."""
 
     _ids = itertools.count(1)
 
@@ -56,7 +56,10 @@
         self._buffer = bytearray()
 
     def send(self, message: coordination.PeerMessage) -> None:
-        """Send a message, unless the link has ended."""
+        """Send a message, unless the link is closing.
+
+        Aborts the link if its peer reads too slowly.
+        """
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -67,42 +70,44 @@
 
     @property
     def peer_host(self) -> str:
-        """Return the peer's host, empty before its first message."""
+        """Return the peer's host, or an empty string before its Hello."""
         return "" if self.peer is None else self.peer.host
 
     def abort(self) -> None:
-        """Close the link at once."""
+        """Abort the link without flushing pending data."""
         if self._transport is not None:
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Say who this node is."""
+        """Send the Hello that identifies this node."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
-        _sockets.tune(transport)
+        _sockets.set_socket_options(transport)
         self.send(self._hello)
 
     def data_received(self, data: bytes) -> None:
-        """Cut the stream into frames."""
+        """Split the stream into frames and handle the complete ones."""
         self._buffer += data
         buffer = self._buffer
         start = 0
-        header = protocol.LENGTH.size
-        while len(buffer) - start >= header:
-            (length,) = protocol.LENGTH.unpack_from(buffer, start)
+        prefix_bytes = protocol.FRAME_LENGTH.size
+        while len(buffer) - start >= prefix_bytes:
+            (length,) = protocol.FRAME_LENGTH.unpack_from(buffer, start)
             if length > protocol.MAX_FRAME_BYTES:
                 self._log.decision("link-garbled", peer=self.peer_host)
                 self.abort()
                 return
-            if len(buffer) - start - header < length:
+            if len(buffer) - start - prefix_bytes < length:
                 break
-            body = bytes(buffer[start + header : start + header + length])
-            start += header + length
-            if not self._handle(body):
+            body = bytes(
+                buffer[start + prefix_bytes : start + prefix_bytes + length]
+            )
+            start += prefix_bytes + length
+            if not self._handle_frame(body):
                 return
         del buffer[:start]
 
-    def _handle(self, body: bytes) -> bool:
+    def _handle_frame(self, body: bytes) -> bool:
         try:
             message = protocol.decode(body)
         except protocol.LinkError as error:
@@ -112,22 +117,22 @@
         if isinstance(message, coordination.Hello):
             if self.peer is None:
                 self.peer = message
-                self._owner.opened(self, message)
+                self._owner.on_link_opened(self, message)
         elif self.peer is not None:
-            self._owner.received(self, message)
+            self._owner.on_message(self, message)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the owner, and whoever waits for the end."""
+        """Notify the owner and complete the `closed` future."""
         del exc
         if self.peer is not None:
-            self._owner.ended(self)
+            self._owner.on_link_ended(self)
         if not self.closed.done():
             self.closed.set_result(None)
 
 
 class Dialler:
-    """Keeps a link to each wanted host."""
+    """Keeps a link open to each host of a set."""
 
     def __init__(
         self,
@@ -145,32 +150,34 @@
         self._task_by_host: dict[str, asyncio.Task[None]] = {}
         self._link_by_host: dict[str, Link] = {}
 
-    def dial(self, hosts: set[str]) -> None:
-        """Keep links to exactly these hosts.
+    def set_hosts(self, hosts: set[str]) -> None:
+        """Set the hosts to keep links to.
 
-        A link to a host that has left stays until its calls are over.
+        A link to a removed host stays open until its calls have ended.
         """
         for host in self._task_by_host.keys() - hosts:
             self._task_by_host.pop(host).cancel()
         for host in hosts - self._task_by_host.keys():
             self._task_by_host[host] = asyncio.create_task(
-                self._keep_link(host)
+                self._maintain_link(host)
             )
 
-    def hurry(self, host: str) -> None:
-        """Dial a host anew that has just dialled this one."""
+    def redial_now(self, host: str) -> None:
+        """Dial a host without backoff, since it has just dialled this one."""
         task = self._task_by_host.get(host)
         if task is None or host in self._link_by_host:
             return
         task.cancel()
-        self._task_by_host[host] = asyncio.create_task(self._keep_link(host))
+        self._task_by_host[host] = asyncio.create_task(
+            self._maintain_link(host)
+        )
 
-    async def _keep_link(self, host: str) -> None:
-        delay_s = REDIAL_FIRST_S
+    async def _maintain_link(self, host: str) -> None:
+        delay_s = REDIAL_MIN_S
         while True:
             link = await self._connect(host)
             if link is not None:
-                delay_s = REDIAL_FIRST_S
+                delay_s = REDIAL_MIN_S
                 self._link_by_host[host] = link
                 try:
                     await asyncio.shield(link.closed)
@@ -201,7 +208,7 @@
     address: tuple[str, int],
     log: coordination.Log,
 ) -> asyncio.Server:
-    """Accept links of other nodes."""
+    """Accept links that other nodes open."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
         lambda: Link(owner, hello, False, log), *address, backlog=512
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -1,21 +1,21 @@
-"""Socket options that bound how long a dead peer goes unnoticed."""
+"""Socket options that limit the time to detect a dead peer."""
 
 import asyncio
 import socket
 
-USER_TIMEOUT_MS = 2_500
-"""Unacknowledged bytes after which a connection is dead.
+TCP_USER_TIMEOUT_MS = 2_500
+"""Time without acknowledgement after which TCP closes a connection.
 
-Above the 2.2 s after which a silent node is given up.
+Longer than the 2.2 s after which a silent node is considered dead.
 """
 
 
-def tune(transport: asyncio.BaseTransport) -> None:
-    """Send at once, and notice a peer that no longer answers."""
+def set_socket_options(transport: asyncio.BaseTransport) -> None:
+    """Disable Nagle's algorithm and set the TCP user timeout."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
