--- a/features/steps/admission_actor_steps.py
+++ b/features/steps/admission_actor_steps.py
@@ -30,7 +30,7 @@
         """Move the clock and send what falls due."""
         end_s = self._clock.now_s + seconds
         while due := [entry for entry in self.entries if entry[0] <= end_s]:
-            entry = min(due, key=lambda known: known[0])
+            entry = min(due, key=lambda item: item[0])
             self.entries.remove(entry)
             self._clock.now_s = max(self._clock.now_s, entry[0])
             entry[1].tell(entry[2])
@@ -38,14 +38,14 @@
         self._clock.now_s = end_s
 
 
-class SilentMailbox:
+class DiscardingMailbox:
     """Stands for the membership actor."""
 
     def tell(self, message):
         """Drop a message."""
 
 
-def decision_in(reply):
+def decision_of(reply):
     """Return the decision a reply has, None if there is none yet."""
     try:
         return reply.get(timeout=0)
@@ -68,30 +68,30 @@
     )
     context.exit_stack = contextlib.ExitStack()
     context.exit_stack.callback(context.actor.stop)
-    context.actor.proxy().connect(SilentMailbox()).get()
+    context.actor.proxy().connect(DiscardingMailbox()).get()
     context.actor.tell(coordination.SnapshotChanged(world.admission.snapshot))
     context.actor.tell(coordination.ReadinessChanged(True, "test"))
     # The node owns its share once the other hosts have shown the version.
     version = world.admission.snapshot.versions.hosts
     for slot, peer in ((1, "ledger-2"), (2, "ledger-3")):
         report = state.ShareReport("ledger", version, frozenset({slot}), None)
-        notice = coordination.ShareNotice(report)
-        context.actor.tell(coordination.Delivered(peer, notice))
-    sync(context)
+        notice = coordination.ShareReportMessage(report)
+        context.actor.tell(coordination.PeerMessageReceived(peer, notice))
+    wait_until_handled(context)
     context.timers.advance(10.0)
     context.clock = clock
     context.replies = []
     for _ in range(count):
-        ask_for(context, None)
-    sync(context)
-    context.running = [
+        request_decision(context, None)
+    wait_until_handled(context)
+    context.running_permits = [
         decision.permit
         for reply in context.replies
-        if isinstance(decision := decision_in(reply), state.Admitted)
+        if isinstance(decision := decision_of(reply), state.Admitted)
     ]
 
 
-def ask_for(context, deadline_at_s):
+def request_decision(context, deadline_at_s):
     """Ask the actor for a decision on a lookup."""
     reply = pykka.ThreadingFuture()
     call = state.CallRequest(
@@ -110,9 +110,9 @@
 @when("for {seconds:d} s a long and a short call come every half second")
 def step_long_and_short(context, seconds):
     for _ in range(2 * seconds):
-        ask_for(context, None)
-        ask_for(context, context.clock.now_s + 0.4)
-        sync(context)
+        request_decision(context, None)
+        request_decision(context, context.clock.now_s + 0.4)
+        wait_until_handled(context)
         context.timers.advance(0.5)
 
 
@@ -122,24 +122,24 @@
     assert len(context.timers.entries) <= count, context.timers.entries
 
 
-def sync(context):
+def wait_until_handled(context):
     """Wait until the actor has handled every message sent."""
     coordination.ask(context.actor, coordination.GetStatus())
 
 
 @when("a stop is requested")
 def step_stop(context):
-    context.drained = pykka.ThreadingFuture()
+    context.drain_reply = pykka.ThreadingFuture()
     context.actor.tell(coordination.StopRequested())
-    context.actor.tell(coordination.AwaitDrained(context.drained))
-    sync(context)
+    context.actor.tell(coordination.AwaitDrained(context.drain_reply))
+    wait_until_handled(context)
 
 
 @when("the running calls end")
 def step_end(context):
-    for permit in context.running:
+    for permit in context.running_permits:
         context.actor.tell(coordination.CallFinished(permit, ANSWERED))
-    sync(context)
+    wait_until_handled(context)
 
 
 @when("the deadlines pass")
@@ -150,7 +150,7 @@
 @when("the caller gives up")
 def step_cancel(context):
     context.actor.tell(coordination.CancelCall("r2"))
-    sync(context)
+    wait_until_handled(context)
 
 
 @when("the running calls end and the {others}")
@@ -160,12 +160,12 @@
         step_deadlines(context)
         return
     for reply in context.replies:
-        decision = decision_in(reply)
+        decision = decision_of(reply)
         if isinstance(decision, state.ForwardTo):
             context.actor.tell(
                 coordination.ForwardFinished(decision, ANSWERED)
             )
-    sync(context)
+    wait_until_handled(context)
 
 
 @then("{count:d} waiting calls are forwarded")
@@ -173,7 +173,7 @@
     forwarded = [
         reply
         for reply in context.replies
-        if isinstance(decision_in(reply), state.ForwardTo)
+        if isinstance(decision_of(reply), state.ForwardTo)
     ]
     assert len(forwarded) == count, forwarded
 
@@ -182,7 +182,7 @@
 def step_not_drained(context):
     assert not context.crashes
     try:
-        context.drained.get(timeout=0)
+        context.drain_reply.get(timeout=0)
     except pykka.Timeout:
         return
     raise AssertionError("answered")
@@ -190,11 +190,11 @@
 
 @then("the stop is answered")
 def step_drained(context):
-    context.drained.get(timeout=5)
+    context.drain_reply.get(timeout=5)
     assert not context.crashes
 
 
 @then("the last call is decided as {decision}")
 def step_last(context, decision):
-    seen = decision_in(context.replies[-1])
+    seen = decision_of(context.replies[-1])
     assert admission_world.describe(seen) == decision, seen
--- a/features/steps/source_steps.py
+++ b/features/steps/source_steps.py
@@ -34,18 +34,20 @@
         self.links = links
         self.topology = topology_steps.build_topology(rows)
         self.rng = random.Random(7)
-        self.calls_s = []
+        self.call_times_s = []
         self.queue = []
         self.sequence = itertools.count()
-        self.versions = {row.host: vector(0) for row in rows}
-        self.clients = {}
+        self.versions_by_host = {row.host: vector(0) for row in rows}
+        self.client_by_host = {}
         for row in rows:
-            self.clients[row.host] = _source_client.SourceClient.from_start(
-                row.host, row.data_centre, 0.0, self.rng, False
+            self.client_by_host[row.host] = (
+                _source_client.SourceClient.from_start(
+                    row.host, row.data_centre, 0.0, self.rng, False
+                )
             )
-            self.push(self.rng.uniform(0, 0.5), row.host, None)
+            self.schedule(self.rng.uniform(0, 0.5), row.host, None)
 
-    def push(self, due_s, host, answer):
+    def schedule(self, due_s, host, answer):
         """Queue a tick or an answer for one node."""
         heapq.heappush(self.queue, (due_s, next(self.sequence), host, answer))
 
@@ -53,55 +55,57 @@
         """Run all nodes up to a time."""
         while self.queue and self.queue[0][0] < until_s:
             now_s, _, host, answer = heapq.heappop(self.queue)
-            client = self.clients[host]
+            client = self.client_by_host[host]
             if answer is None:
-                self.push(now_s + 0.5, host, None)
+                self.schedule(now_s + 0.5, host, None)
             else:
-                self.take(client, host, answer, now_s)
-            linked = ()
+                self.deliver_answer(client, host, answer, now_s)
+            linked_hosts = ()
             if self.links == "come up" and now_s > 4:
-                linked = self.topology.by_host.keys()
+                linked_hosts = self.topology.by_host.keys()
                 if self.source == "answers":
-                    self.versions[host] = vector(2)
-            known = self.versions[host]
-            call = client.next_call(known, linked, 0, now_s)
+                    self.versions_by_host[host] = vector(2)
+            known = self.versions_by_host[host]
+            call = client.next_call(known, linked_hosts, 0, now_s)
             if call is not None:
-                self.calls_s.append(now_s)
-                self.answer(host, call, now_s)
+                self.call_times_s.append(now_s)
+                self.schedule_answer(host, call, now_s)
 
-    def take(self, client, host, answer, now_s):
+    def deliver_answer(self, client, host, answer, now_s):
         """Hand an answer to a node as ConfigActor does."""
         if not isinstance(answer, state.Document):
-            client.handle(answer, now_s)
+            client.handle_answer(answer, now_s)
             return
-        known = self.versions[host].get(answer.name)
+        known = self.versions_by_host[host].get(answer.name)
         if answer.name is not state.DocumentName.HOSTS:
-            bad = {
+            result_by_fault = {
                 "is invalid": state.Invalid("bad row"),
                 "is stale": state.Stale(state.Version(9, "00")),
             }
-            if self.source in bad:
-                client.read(answer, bad[self.source], now_s)
+            if self.source in result_by_fault:
+                client.handle_document(
+                    answer, result_by_fault[self.source], now_s
+                )
                 return
         result = state.Stale(known)
         if answer.version.number > known.number:
-            self.versions[host] = self.versions[host].replace(
+            self.versions_by_host[host] = self.versions_by_host[host].replace(
                 answer.name, answer.version
             )
             client.topology = self.topology
             result = state.Accepted(None, None)
-        client.read(answer, result, now_s)
+        client.handle_document(answer, result, now_s)
 
-    def answer(self, host, call, now_s):
+    def schedule_answer(self, host, call, now_s):
         """Queue what the source answers to a call."""
         if self.source == "fails":
             failed = coordination.SourceFailed("refused")
-            self.push(now_s + 0.01, host, failed)
+            self.schedule(now_s + 0.01, host, failed)
             return
         if isinstance(call, coordination.ReadSource):
             version = state.Version(2, "00")
             document = state.Document(call.name, version, {})
-            self.push(now_s + 0.01, host, document)
+            self.schedule(now_s + 0.01, host, document)
             return
         names = tuple(
             name
@@ -109,7 +113,7 @@
             if call.have.get(name).number < 2
         )
         wait_s = 0.01 if names else call.wait_s
-        self.push(now_s + wait_s, host, coordination.SourceChanged(names))
+        self.schedule(now_s + wait_s, host, coordination.WatchCompleted(names))
 
 
 @when("all of them start and the source {source} and links {links}")
@@ -120,19 +124,22 @@
 
 @then("the source gets at most {most:d} calls in any second of {end:d} s")
 def step_budget(context, most, end):
-    calls_s = context.fleet.calls_s
-    assert calls_s and calls_s[-1] < end
-    window = 0
-    for index, now_s in enumerate(calls_s):
-        while calls_s[window] <= now_s - 1.0:
-            window += 1
-        assert index - window < most, (now_s, index - window)
+    call_times_s = context.fleet.call_times_s
+    assert call_times_s and call_times_s[-1] < end
+    window_start = 0
+    for index, now_s in enumerate(call_times_s):
+        while call_times_s[window_start] <= now_s - 1.0:
+            window_start += 1
+        assert index - window_start < most, (now_s, index - window_start)
 
 
 @then("in the last {last_s:d} s it gets at most {most:d} calls")
 def step_last(context, last_s, most):
     end_s = 40.0
-    count = sum(one > end_s - last_s for one in context.fleet.calls_s)
+    count = sum(
+        call_time_s > end_s - last_s
+        for call_time_s in context.fleet.call_times_s
+    )
     assert count <= most, count
 
 
@@ -144,7 +151,7 @@
     )
     context.client.topology = topology_steps.build_topology(rows)
     context.versions = vector(number)
-    context.linked = {row.host for row in rows}
+    context.linked_hosts = {row.host for row in rows}
     context.now_s = 10.0
     context.events = []
     context.call = next_call(context)
@@ -154,7 +161,7 @@
 def next_call(context):
     """Return the next call of the node under test."""
     return context.client.next_call(
-        context.versions, context.linked, 0, context.now_s
+        context.versions, context.linked_hosts, 0, context.now_s
     )
 
 
@@ -174,12 +181,14 @@
     match answer:
         case ["changed", *names]:
             names = tuple(state.DocumentName(name) for name in names)
-            return client.handle(coordination.SourceChanged(names), now_s)
+            return client.handle_answer(
+                coordination.WatchCompleted(names), now_s
+            )
         case ["failed"]:
-            return client.handle(coordination.SourceFailed("no"), now_s)
+            return client.handle_answer(coordination.SourceFailed("no"), now_s)
         case ["unreadable"]:
             unreadable = coordination.DocumentUnreadable(TABLE, "not JSON")
-            return client.handle(unreadable, now_s)
+            return client.handle_answer(unreadable, now_s)
         case [kind, number]:
             version = state.Version(int(number), "00")
             in_force = context.versions.get(TABLE)
@@ -192,7 +201,7 @@
                 "conflict": state.Conflict(in_force),
             }[kind]
             document = state.Document(TABLE, version, {})
-            return client.read(document, result, now_s)
+            return client.handle_document(document, result, now_s)
     raise AssertionError(answer)
 
 
--- a/features/steps/world.py
+++ b/features/steps/world.py
@@ -13,7 +13,7 @@
 from jasminecrank import state
 
 
-class Box:
+class ActorMailbox:
     """A mailbox whose messages are delivered by the world."""
 
     def __init__(self, node, actor):
@@ -22,41 +22,45 @@
 
     def tell(self, message):
         """Queue a message."""
-        self.node.world.after(0.0, self.node, self.actor, message)
+        self.node.simulation.schedule(0.0, self.node, self.actor, message)
 
 
-class LinkBox:
+class LinkEnd:
     """One end of a link; envelopes pass through the real encoding."""
 
     def __init__(self, node, address):
         self.node = node
         self.address = address
-        self.other = None
+        self.remote_end = None
         self.is_open = True
 
     def tell(self, message):
         """Send an envelope or close the link."""
-        world = self.node.world
+        simulation = self.node.simulation
         if isinstance(message, coordination.StopRequested):
             self.close()
-        elif self.is_open and world.reachable(self.node, self.other.node):
+        elif self.is_open and simulation.reachable(
+            self.node, self.remote_end.node
+        ):
             frame = protocol.encode_envelope(message)
             envelope = protocol.decode_envelope(frame)
-            received = coordination.Received(envelope)
-            peer = self.other.node
-            world.after(0.002, peer, peer.membership, received)
+            received = coordination.EnvelopeReceived(envelope)
+            peer = self.remote_end.node
+            simulation.schedule(0.002, peer, peer.membership, received)
 
     def close(self):
         """Close both ends, as TCP does when a process ends."""
-        for end in (self, self.other):
+        for end in (self, self.remote_end):
             if end.is_open:
                 end.is_open = False
-                down = coordination.LinkDown(end.address, end, "closed")
+                link_down = coordination.LinkDown(end.address, end, "closed")
                 node = end.node
-                node.world.after(0.002, node, node.membership, down)
+                node.simulation.schedule(
+                    0.002, node, node.membership, link_down
+                )
 
 
-class SourceBox:
+class SourceMailbox:
     """The source reader of one node."""
 
     def __init__(self, node):
@@ -64,49 +68,51 @@
 
     def tell(self, call):
         """Answer from the world's source."""
-        self.node.world.answer(self.node, call)
+        self.node.simulation.answer_source_call(self.node, call)
 
 
 class SimulatedNode:
     """The actors of one node without threads."""
 
-    def __init__(self, world, row, incarnation):
-        self.world = world
+    def __init__(self, simulation, row, incarnation):
+        self.simulation = simulation
         self.row = row
         self.paused = False
         self.alive = True
-        self.waiting = []
+        self.deferred = []
         self.ready = False
         self.events = []
         rng = random.Random(f"{row.host}/{incarnation}")
         self.config = coordination.ConfigActor(
             coordination.ConfigSettings(row.host, row.data_centre),
-            world.clock,
-            world,
+            simulation.clock,
+            simulation,
             rng,
         )
         self.membership = coordination.MembershipActor(
             coordination.MembershipSettings(
                 row.host, row.data_centre, incarnation, ()
             ),
-            world.clock,
-            world,
+            simulation.clock,
+            simulation,
             rng,
             self.dial,
             self.events.append,
         )
         for actor in (self.config, self.membership):
-            actor._actor_ref = Box(self, actor)
+            actor._actor_ref = ActorMailbox(self, actor)
         config, membership = self.config.actor_ref, self.membership.actor_ref
-        self.membership.connect(config, Box(self, None))
+        self.membership.connect(config, ActorMailbox(self, None))
         self.config.connect(
-            membership, SourceBox(self), (membership, Box(self, None))
+            membership,
+            SourceMailbox(self),
+            (membership, ActorMailbox(self, None)),
         )
 
     def dial(self, address, hello, mailbox):
         """Open a link to the node at an address."""
         del mailbox
-        self.world.open(self, address, hello)
+        self.simulation.open_link(self, address, hello)
 
     def status(self):
         """Return what the node's status page shows."""
@@ -118,7 +124,7 @@
         return {peer.host for peer in shown}
 
 
-class World:
+class Simulation:
     """The clock, the queue, the source and all nodes."""
 
     def __init__(self, rows):
@@ -129,7 +135,7 @@
         self.watches = []
         self.source_up = True
         self.cut_off = set()
-        self.dials = 0
+        self.dial_count = 0
         self.by_address = {}
         hosts = state.DocumentName.HOSTS
         rows_by_key = {state.row_key(r): state.encode_row(r) for r in rows}
@@ -145,7 +151,7 @@
         self.by_address[f"{row.address}:{row.peer_port}"] = node
         return node
 
-    def after(self, delay_s, node, actor, message):
+    def schedule(self, delay_s, node, actor, message):
         """Deliver a message to an actor later."""
         due_s = self.clock.now_s + delay_s
         entry = (due_s, next(self.sequence), node, actor, message)
@@ -153,7 +159,7 @@
 
     def call_later(self, delay_s, mailbox, message):
         """Stand in for the timers of a node."""
-        self.after(delay_s, mailbox.node, mailbox.actor, message)
+        self.schedule(delay_s, mailbox.node, mailbox.actor, message)
 
     def run(self, seconds):
         """Let time pass."""
@@ -167,44 +173,44 @@
     def dispatch(self, node, actor, message):
         """Hand a message over unless its node is paused or dead."""
         if node.paused:
-            node.waiting.append((actor, message))
+            node.deferred.append((actor, message))
         elif actor is not None and node.alive:
             actor.on_receive(message)
         elif isinstance(message, coordination.ReadinessChanged):
             node.ready = message.ready and node.alive
 
-    def reachable(self, one, other):
+    def reachable(self, node, peer):
         """Return whether messages pass between two nodes."""
-        centres = {one.row.data_centre, other.row.data_centre}
-        parted = len(centres) > 1 and centres & self.cut_off
-        return one.alive and other.alive and not parted
+        data_centres = {node.row.data_centre, peer.row.data_centre}
+        is_cut_off = len(data_centres) > 1 and data_centres & self.cut_off
+        return node.alive and peer.alive and not is_cut_off
 
-    def open(self, node, address, hello):
+    def open_link(self, node, address, hello):
         """Open a link, or report that it can't be opened."""
-        self.dials += 1
+        self.dial_count += 1
         peer = self.by_address.get(address)
-        near, far = LinkBox(node, address), LinkBox(peer or node, "")
-        near.other, far.other = far, near
+        dialler, acceptor = LinkEnd(node, address), LinkEnd(peer or node, "")
+        dialler.remote_end, acceptor.remote_end = acceptor, dialler
         if peer is None or peer.paused or not self.reachable(node, peer):
-            near.is_open = far.is_open = False
-            down = coordination.LinkDown(address, near, "refused")
-            self.after(0.01, node, node.membership, down)
+            dialler.is_open = acceptor.is_open = False
+            link_down = coordination.LinkDown(address, dialler, "refused")
+            self.schedule(0.01, node, node.membership, link_down)
             return
         answer = peer.membership.on_receive(coordination.GetHello())
         host = node.row.host
-        up = coordination.LinkUp(answer, near, host, address)
-        self.after(0.4, node, node.membership, up)
-        up = coordination.LinkUp(hello, far, host)
-        self.after(0.2, peer, peer.membership, up)
+        link_up = coordination.LinkUp(answer, dialler, host, address)
+        self.schedule(0.4, node, node.membership, link_up)
+        link_up = coordination.LinkUp(hello, acceptor, host)
+        self.schedule(0.2, peer, peer.membership, link_up)
 
     def publish(self, document):
         """Publish at the source and end the watches that wait for it."""
         self.documents[document.name] = document
         watches, self.watches = self.watches, []
         for node, call in watches:
-            self.answer(node, call)
+            self.answer_source_call(node, call)
 
-    def changed(self, call):
+    def newer_documents(self, call):
         """Return the names that a watch reports."""
         return tuple(
             name
@@ -212,23 +218,23 @@
             if document.version.number > call.have.get(name).number
         )
 
-    def answer(self, node, call):
+    def answer_source_call(self, node, call):
         """Answer a call to the source, or keep a watch."""
-        parted = node.row.data_centre in self.cut_off
+        is_cut_off = node.row.data_centre in self.cut_off
         answer, delay_s = coordination.SourceFailed("refused"), 0.005
-        if self.source_up and not parted:
+        if self.source_up and not is_cut_off:
             if isinstance(call, coordination.ReadSource):
                 document = self.documents[call.name]
                 answer = coordination.DocumentRead(document)
-            elif names := self.changed(call):
-                answer = coordination.SourceChanged(names)
+            elif names := self.newer_documents(call):
+                answer = coordination.WatchCompleted(names)
             else:
                 self.watches.append((node, call))
                 end = (self.clock.now_s + call.wait_s, next(self.sequence))
-                message = _WatchEnds(node, call)
+                message = _WatchTimeout(node, call)
                 heapq.heappush(self.queue, (*end, self, self, message))
                 return
-        self.after(delay_s, node, node.config, answer)
+        self.schedule(delay_s, node, node.config, answer)
 
     # The world is the receiver of the ends of watches.
     paused = False
@@ -239,12 +245,14 @@
         if (message.node, message.call) in self.watches:
             self.watches.remove((message.node, message.call))
             node = message.node
-            node.config.actor_ref.tell(coordination.SourceChanged(()))
+            node.config.actor_ref.tell(coordination.WatchCompleted(()))
 
     def kill(self, host):
         """End a process; its links close."""
         node = self.nodes[host]
-        ends = [link.mailbox for link in node.membership._by_host.values()]
+        ends = [
+            link.mailbox for link in node.membership._link_by_host.values()
+        ]
         for end in ends:
             end.close()
         node.alive = node.ready = False
@@ -253,26 +261,26 @@
         """Let a paused node handle what has waited."""
         node = self.nodes[host]
         node.paused = False
-        for actor, message in node.waiting:
-            self.after(0.0, node, actor, message)
-        node.waiting.clear()
+        for actor, message in node.deferred:
+            self.schedule(0.0, node, actor, message)
+        node.deferred.clear()
 
 
-class _WatchEnds:
+class _WatchTimeout:
     def __init__(self, node, call):
         self.node = node
         self.call = call
 
 
-def make_world(hosts, data_centres):
+def make_simulation(hosts, data_centres):
     """Return a world whose nodes have distinct addresses."""
 
     rows = topology_steps.make_hosts(hosts, 2, data_centres)
-    return World(
+    return Simulation(
         [
             dataclasses.replace(
-                row, service="ledger", share_slot=one, peer_port=1000 + one
+                row, service="ledger", share_slot=index, peer_port=1000 + index
             )
-            for one, row in enumerate(rows)
+            for index, row in enumerate(rows)
         ]
     )
--- a/script/compare_quotas.py
+++ b/script/compare_quotas.py
@@ -171,11 +171,11 @@
     """Return the size of a message as a frame of a peer link."""
     match message:
         case state.LoanRequest():
-            peer_message = coordination.LoanRequest(message)
+            peer_message = coordination.LoanRequestMessage(message)
         case state.LoanGrant():
-            peer_message = coordination.LoanGrant(message)
+            peer_message = coordination.LoanGrantMessage(message)
         case state.ShareReport():
-            peer_message = coordination.ShareNotice(message)
+            peer_message = coordination.ShareReportMessage(message)
     stamp = state.Stamp(1_796_000_000_000, 1, host)
     envelope = coordination.Envelope(host, stamp, peer_message)
     return len(protocol.encode_envelope(envelope))
--- a/src/jasminecrank/coordination/__init__.py
+++ b/src/jasminecrank/coordination/__init__.py
@@ -27,7 +27,6 @@
 from jasminecrank.coordination._messages import CancelCall as CancelCall
 from jasminecrank.coordination._messages import ConfigStatus as ConfigStatus
 from jasminecrank.coordination._messages import DecisionReply as DecisionReply
-from jasminecrank.coordination._messages import Delivered as Delivered
 from jasminecrank.coordination._messages import DialDue as DialDue
 from jasminecrank.coordination._messages import DocumentDelta as DocumentDelta
 from jasminecrank.coordination._messages import DocumentRead as DocumentRead
@@ -38,6 +37,9 @@
     DocumentUnreadable as DocumentUnreadable,
 )
 from jasminecrank.coordination._messages import Envelope as Envelope
+from jasminecrank.coordination._messages import (
+    EnvelopeReceived as EnvelopeReceived,
+)
 from jasminecrank.coordination._messages import FetchDocument as FetchDocument
 from jasminecrank.coordination._messages import (
     ForwardFinished as ForwardFinished,
@@ -50,11 +52,18 @@
 from jasminecrank.coordination._messages import Hello as Hello
 from jasminecrank.coordination._messages import LinkDown as LinkDown
 from jasminecrank.coordination._messages import LinkUp as LinkUp
-from jasminecrank.coordination._messages import LoanGrant as LoanGrant
-from jasminecrank.coordination._messages import LoanRequest as LoanRequest
+from jasminecrank.coordination._messages import (
+    LoanGrantMessage as LoanGrantMessage,
+)
+from jasminecrank.coordination._messages import (
+    LoanRequestMessage as LoanRequestMessage,
+)
 from jasminecrank.coordination._messages import Mailbox as Mailbox
 from jasminecrank.coordination._messages import PeerDown as PeerDown
 from jasminecrank.coordination._messages import PeerMessage as PeerMessage
+from jasminecrank.coordination._messages import (
+    PeerMessageReceived as PeerMessageReceived,
+)
 from jasminecrank.coordination._messages import PeerStatus as PeerStatus
 from jasminecrank.coordination._messages import PeerUp as PeerUp
 from jasminecrank.coordination._messages import QuotaTick as QuotaTick
@@ -62,15 +71,15 @@
     ReadinessChanged as ReadinessChanged,
 )
 from jasminecrank.coordination._messages import ReadSource as ReadSource
-from jasminecrank.coordination._messages import Received as Received
 from jasminecrank.coordination._messages import RecordEvent as RecordEvent
 from jasminecrank.coordination._messages import SendToPeer as SendToPeer
 from jasminecrank.coordination._messages import ServerHealth as ServerHealth
-from jasminecrank.coordination._messages import ShareNotice as ShareNotice
+from jasminecrank.coordination._messages import (
+    ShareReportMessage as ShareReportMessage,
+)
 from jasminecrank.coordination._messages import (
     SnapshotChanged as SnapshotChanged,
 )
-from jasminecrank.coordination._messages import SourceChanged as SourceChanged
 from jasminecrank.coordination._messages import SourceFailed as SourceFailed
 from jasminecrank.coordination._messages import StopRequested as StopRequested
 from jasminecrank.coordination._messages import TakeRetry as TakeRetry
@@ -79,7 +88,10 @@
 from jasminecrank.coordination._messages import (
     VersionsRequest as VersionsRequest,
 )
+from jasminecrank.coordination._messages import (
+    WatchCompleted as WatchCompleted,
+)
 from jasminecrank.coordination._messages import WatchSource as WatchSource
 from jasminecrank.coordination._retries import RetryActor as RetryActor
-from jasminecrank.coordination._timers import deliver as deliver
+from jasminecrank.coordination._timers import tell_if_alive as tell_if_alive
 from jasminecrank.coordination._timers import Timers as Timers
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -10,7 +10,7 @@
 from jasminecrank.coordination import _messages
 from jasminecrank.coordination import _timers
 
-_DRAIN_POLL_S = 0.5
+_DRAIN_POLL_INTERVAL_S = 0.5
 """Forwarded calls are no longer in hand once their deadline has passed."""
 
 
@@ -42,17 +42,19 @@
             settings.threads,
         )
         self._admission.quota.loans.policy = settings.quota_policy
-        self._loans = _loans.LoanDesk(self._admission.quota, timers)
+        self._quota_messenger = _loans.QuotaMessenger(
+            self._admission.quota, timers
+        )
         self._membership: _messages.Mailbox | None = None
         self._reply_by_ticket: dict[int, _messages.DecisionReply] = {}
         self._tick_due_s = math.inf
-        self._await_drained: list[_messages.DrainedReply] = []
-        self._resets_reported = 0
+        self._drain_replies: list[_messages.DrainedReply] = []
+        self._reported_resets = 0
 
     def connect(self, membership: _messages.Mailbox) -> None:
         """Take the mailboxes of the other actors."""
         self._membership = membership
-        self._loans.start(membership, self.actor_ref)
+        self._quota_messenger.start(membership, self.actor_ref)
 
     def on_receive(self, message: object) -> object:
         """Handle one message."""
@@ -62,11 +64,11 @@
         self._handle(message, now_s)
         for deferred in self._admission.take_deferred():
             self._reply_by_ticket.pop(deferred.ticket).set(deferred.decision)
-        self._loans.flush()
+        self._quota_messenger.flush()
         self._schedule_tick(now_s)
-        self._report_reset()
-        if self._await_drained:
-            self._answer_drained(now_s)
+        self._report_ramp_reset()
+        if self._drain_replies:
+            self._reply_when_drained(now_s)
         return None
 
     def _handle(self, message: object, now_s: float) -> None:
@@ -95,14 +97,14 @@
                 self._admission.stop(now_s)
                 self._admission.quota.start_draining()
             case _messages.AwaitDrained():
-                self._await_drained.append(message.reply)
+                self._drain_replies.append(message.reply)
             case (
-                _messages.Delivered()
+                _messages.PeerMessageReceived()
                 | _messages.PeerUp()
                 | _messages.PeerDown()
                 | _messages.QuotaTick()
             ):
-                self._loans.handle(message, self.actor_ref, now_s)
+                self._quota_messenger.handle(message, self.actor_ref, now_s)
             case _:
                 raise exceptions.JasminecrankError(
                     f"unexpected message {message!r}"
@@ -125,8 +127,8 @@
     def _schedule_tick(self, now_s: float) -> None:
         """Send one timer message for the next call that expires."""
         due_s = self._admission.next_due_s()
-        if self._await_drained:
-            due_s = min(due_s or math.inf, now_s + _DRAIN_POLL_S)
+        if self._drain_replies:
+            due_s = min(due_s or math.inf, now_s + _DRAIN_POLL_INTERVAL_S)
         if due_s is None or due_s >= self._tick_due_s:
             return
         self._tick_due_s = due_s
@@ -134,7 +136,7 @@
             max(0.0, due_s - now_s), self.actor_ref, _messages.Tick()
         )
 
-    def _answer_drained(self, now_s: float) -> None:
+    def _reply_when_drained(self, now_s: float) -> None:
         """Answer a planned stop once no call is in hand."""
         if self._admission.open_calls(now_s):
             return
@@ -146,15 +148,15 @@
             len(self._reply_by_ticket),
             self._admission.outstanding_permits(),
         )
-        for reply in self._await_drained:
+        for reply in self._drain_replies:
             reply.set(None)
-        self._await_drained.clear()
+        self._drain_replies.clear()
 
-    def _report_reset(self) -> None:
+    def _report_ramp_reset(self) -> None:
         ramp = self._admission.dispatcher.server.ramp
-        if ramp.resets == self._resets_reported:
+        if ramp.resets == self._reported_resets:
             return
-        self._resets_reported = ramp.resets
+        self._reported_resets = ramp.resets
         if self._membership is not None:
             self._membership.tell(
                 _messages.RecordEvent(
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -41,7 +41,7 @@
         now_s = clock.monotonic_s()
         self._exchange = state.ExchangeState.from_host(settings.host)
         self._readiness = state.ReadinessState.from_start(now_s)
-        self._source = _source_client.SourceClient.from_start(
+        self._source_client = _source_client.SourceClient.from_start(
             settings.host,
             settings.data_centre,
             now_s,
@@ -49,15 +49,15 @@
             settings.asks_peers_first,
             settings.fleet_hosts,
         )
-        self._published = state.VersionVector()
-        self._decided = state.Readiness(False, "starting", now_s)
+        self._published_versions = state.VersionVector()
+        self._published_readiness = state.Readiness(False, "starting", now_s)
         self._started_s = now_s
         self._confirmed_s: float | None = None
-        self._unconfirmed = False
-        self._conflicts: set[tuple[state.DocumentName, str]] = set()
+        self._unconfirmed_reported = False
+        self._reported_conflicts: set[tuple[state.DocumentName, str]] = set()
         self._subscribers: tuple[_messages.Mailbox, ...] = ()
         self._membership: _messages.Mailbox | None = None
-        self._reader: _messages.Mailbox | None = None
+        self._source_reader: _messages.Mailbox | None = None
 
     def connect(
         self,
@@ -67,7 +67,7 @@
     ) -> None:
         """Take the mailboxes of the other actors and begin."""
         self._membership = membership
-        self._reader = source
+        self._source_reader = source
         self._subscribers = subscribers
         self._tick(self._clock.monotonic_s())
 
@@ -79,18 +79,18 @@
             case _messages.Tick():
                 self._tick(now_s)
             case (
-                _messages.SourceChanged()
+                _messages.WatchCompleted()
                 | _messages.DocumentRead()
                 | _messages.DocumentUnreadable()
                 | _messages.SourceFailed()
             ):
-                self._handle_source(message, now_s)
+                self._handle_source_message(message, now_s)
             case _messages.PeerUp():
-                self._peer_up(message, now_s)
+                self._handle_peer_up(message, now_s)
             case _messages.PeerDown():
                 self._send(self._exchange.peer_down(message.host, now_s))
-            case _messages.Delivered():
-                self._handle_peer(message.host, message.message, now_s)
+            case _messages.PeerMessageReceived():
+                self._handle_peer_message(message.host, message.message, now_s)
             case _messages.GetStatus():
                 return self._status(now_s)
             case _:
@@ -110,8 +110,8 @@
             const.CONVERGENCE_LIMIT_S,
             lagging,
         )
-        self._note_confirmation(now_s)
-        self._decide(now_s)
+        self._report_unconfirmed_versions(now_s)
+        self._publish_readiness(now_s)
         self._call_source(now_s)
         self._timers.call_later(
             const.TICK_PERIOD_S, self.actor_ref, _messages.Tick()
@@ -122,46 +122,48 @@
             return
         self._record("paused", {})
         for host in sorted(self._exchange.by_peer):
-            self._ask_versions(host)
-        self._decide(now_s)
+            self._request_versions(host)
+        self._publish_readiness(now_s)
 
-    def _ask_versions(self, host: str) -> None:
+    def _request_versions(self, host: str) -> None:
         request = _messages.VersionsRequest(self._readiness.query_id)
         self._tell_peer(host, request)
 
-    def _peer_up(self, message: _messages.PeerUp, now_s: float) -> None:
+    def _handle_peer_up(self, message: _messages.PeerUp, now_s: float) -> None:
         self._send(
             self._exchange.peer_up(message.host, message.versions, now_s)
         )
         if self._readiness.query_id > 0:
-            self._ask_versions(message.host)
+            self._request_versions(message.host)
         else:
             self._readiness.record_answer(0, message.versions, now_s)
-        self._note_conflicts(message.host, message.versions)
-        self._decide(now_s)
+        self._report_conflicts(message.host, message.versions)
+        self._publish_readiness(now_s)
 
-    def _handle_peer(
+    def _handle_peer_message(
         self, host: str, message: _messages.PeerMessage, now_s: float
     ) -> None:
         match message:
             case _messages.Hello():
-                self._peer_shows(host, message.versions, now_s)
+                self._receive_versions(host, message.versions, now_s)
             case _messages.Heartbeat():
-                self._peer_shows(host, message.versions, now_s)
-                own = self._exchange.config.versions()
+                self._receive_versions(host, message.versions, now_s)
+                own_versions = self._exchange.config.versions()
                 age_s = message.confirmed_age_s
-                if own.covers(message.versions) and math.isfinite(age_s):
-                    self._confirm(now_s - age_s)
+                if own_versions.covers(message.versions) and math.isfinite(
+                    age_s
+                ):
+                    self._record_confirmation(now_s - age_s)
             case _messages.VersionsRequest():
-                self._tell_peer(host, self._versions_reply(message.inquiry))
+                self._tell_peer(host, self._versions_reply(message.query_id))
             case _messages.VersionsReply():
-                self._peer_shows(host, message.versions, now_s)
+                self._receive_versions(host, message.versions, now_s)
                 self._readiness.record_answer(
-                    message.inquiry, message.versions, now_s
+                    message.query_id, message.versions, now_s
                 )
-                self._decide(now_s)
+                self._publish_readiness(now_s)
             case _messages.DocumentDelta():
-                self._offered(
+                self._process_offer(
                     self._exchange.receive_delta(host, message.delta, now_s),
                     message.delta.name,
                     message.delta.target,
@@ -169,7 +171,7 @@
                 )
             case _messages.DocumentSnapshot():
                 document = message.document
-                self._offered(
+                self._process_offer(
                     self._exchange.receive_document(host, document, now_s),
                     document.name,
                     document.version,
@@ -182,74 +184,78 @@
                     )
                 )
             case (
-                _messages.LoanRequest()
-                | _messages.LoanGrant()
-                | _messages.ShareNotice()
+                _messages.LoanRequestMessage()
+                | _messages.LoanGrantMessage()
+                | _messages.ShareReportMessage()
                 | _messages.Goodbye()
             ):
                 return
             case _:
                 typing.assert_never(message)
 
-    def _peer_shows(
+    def _receive_versions(
         self, host: str, versions: state.VersionVector, now_s: float
     ) -> None:
         self._send(self._exchange.receive_versions(host, versions, now_s))
-        self._note_conflicts(host, versions)
+        self._report_conflicts(host, versions)
 
-    def _versions_reply(self, inquiry: int) -> _messages.VersionsReply:
+    def _versions_reply(self, query_id: int) -> _messages.VersionsReply:
         return _messages.VersionsReply(
-            inquiry, self._exchange.config.versions()
+            query_id, self._exchange.config.versions()
         )
 
-    def _handle_source(
+    def _handle_source_message(
         self, message: _source_client.SourceMessage, now_s: float
     ) -> None:
         if isinstance(message, _messages.DocumentRead):
             document = message.document
-            offered = self._exchange.receive_document(None, document, now_s)
-            self._offered(offered, document.name, document.version, None)
-            events = self._source.read(document, offered.offer_result, now_s)
+            result = self._exchange.receive_document(None, document, now_s)
+            self._process_offer(result, document.name, document.version, None)
+            events = self._source_client.handle_document(
+                document, result.offer_result, now_s
+            )
         else:
-            events = self._source.handle(message, now_s)
+            events = self._source_client.handle_answer(message, now_s)
         for event in events:
             self._tell_membership(event)
-        own = self._exchange.config.versions()
+        own_versions = self._exchange.config.versions()
         if not isinstance(message, _messages.SourceFailed):
-            shown = _shown_by_source(message, own)
-            self._readiness.record_answer(self._source.inquiry, shown, now_s)
-        if self._source.caught_up:
-            self._confirm(now_s)
-        self._decide(now_s)
+            source_versions = _versions_in_answer(message, own_versions)
+            self._readiness.record_answer(
+                self._source_client.query_id, source_versions, now_s
+            )
+        if self._source_client.caught_up:
+            self._record_confirmation(now_s)
+        self._publish_readiness(now_s)
         self._call_source(now_s)
 
     def _call_source(self, now_s: float) -> None:
-        if self._reader is None:
+        if self._source_reader is None:
             return
-        call = self._source.next_call(
+        call = self._source_client.next_call(
             self._exchange.config.versions(),
             self._exchange.by_peer.keys(),
             self._readiness.query_id,
             now_s,
         )
         if call is not None:
-            self._reader.tell(call)
+            self._source_reader.tell(call)
 
-    def _offered(
+    def _process_offer(
         self,
-        offered: state.ReceiveResult,
+        result: state.ReceiveResult,
         name: state.DocumentName,
         version: state.Version,
         origin: str | None,
     ) -> None:
         # Peers come first: a heartbeat sent after the snapshot has changed
         # shows the new version, and a peer would fetch what is on its way.
-        self._send(offered.sends)
-        match offered.offer_result:
+        self._send(result.sends)
+        match result.offer_result:
             case state.Accepted():
-                self._publish(offered.offer_result, version, origin)
+                self._publish(result.offer_result, version, origin)
             case state.Conflict():
-                self._note_conflict(name, version, origin or "source")
+                self._report_conflict(name, version, origin or "source")
             case state.Invalid() if origin is not None:
                 self._record(
                     "version-invalid",
@@ -257,13 +263,13 @@
                         "document": name.value,
                         "version": str(version),
                         "origin": origin,
-                        "reason": offered.offer_result.reason,
+                        "reason": result.offer_result.reason,
                     },
                 )
             case state.Stale() | state.Invalid() | None:
                 return
             case _:
-                typing.assert_never(offered.offer_result)
+                typing.assert_never(result.offer_result)
 
     def _publish(
         self,
@@ -274,15 +280,15 @@
         snapshot = accepted.snapshot
         state.check(
             exceptions.ResultCode.INVARIANT_REVERTED,
-            snapshot.versions.covers(self._published)
+            snapshot.versions.covers(self._published_versions)
             and not state.conflicting_documents(
-                self._published, snapshot.versions
+                self._published_versions, snapshot.versions
             ),
             "versions in force would revert from %s to %s",
-            self._published,
+            self._published_versions,
             snapshot.versions,
         )
-        self._published = snapshot.versions
+        self._published_versions = snapshot.versions
         for subscriber in self._subscribers:
             subscriber.tell(_messages.SnapshotChanged(snapshot))
         self._record(
@@ -294,39 +300,39 @@
             },
         )
         if accepted.delta.name is state.DocumentName.HOSTS:
-            self._source.hosts_changed(snapshot)
-        self._decide(self._clock.monotonic_s())
+            self._source_client.update_topology(snapshot)
+        self._publish_readiness(self._clock.monotonic_s())
 
-    def _decide(self, now_s: float) -> None:
+    def _publish_readiness(self, now_s: float) -> None:
         """Publish the readiness, also unchanged, as a sign of no pause."""
-        decided = self._readiness.decide(
+        readiness = self._readiness.decide(
             self._exchange.config.versions(), now_s
         )
-        if decided == self._decided:
+        if readiness == self._published_readiness:
             return
-        self._decided = decided
+        self._published_readiness = readiness
         message = _messages.ReadinessChanged(
-            self._decided.ready,
-            self._decided.reason,
-            self._decided.ticked_s,
+            self._published_readiness.ready,
+            self._published_readiness.reason,
+            self._published_readiness.ticked_s,
             self._confirmed_s,
         )
         for subscriber in self._subscribers:
             subscriber.tell(message)
 
-    def _confirm(self, confirmed_s: float) -> None:
+    def _record_confirmation(self, confirmed_s: float) -> None:
         if self._confirmed_s is None or confirmed_s > self._confirmed_s:
             self._confirmed_s = confirmed_s
 
-    def _note_confirmation(self, now_s: float) -> None:
+    def _report_unconfirmed_versions(self, now_s: float) -> None:
         """Record when the versions have gone unconfirmed for too long."""
         confirmed_s = self._confirmed_s
         since_s = self._started_s if confirmed_s is None else confirmed_s
         age_s = now_s - since_s
         unconfirmed = age_s > const.UNCONFIRMED_ALARM_S
-        if unconfirmed == self._unconfirmed:
+        if unconfirmed == self._unconfirmed_reported:
             return
-        self._unconfirmed = unconfirmed
+        self._unconfirmed_reported = unconfirmed
         name = "versions-unconfirmed" if unconfirmed else "versions-confirmed"
         self._record(name, {"age_s": f"{age_s:.1f}"})
 
@@ -335,20 +341,20 @@
             return None
         return now_s - self._confirmed_s
 
-    def _note_conflicts(
+    def _report_conflicts(
         self, host: str, versions: state.VersionVector
     ) -> None:
-        own = self._exchange.config.versions()
-        for name in state.conflicting_documents(own, versions):
-            self._note_conflict(name, versions.get(name), host)
+        own_versions = self._exchange.config.versions()
+        for name in state.conflicting_documents(own_versions, versions):
+            self._report_conflict(name, versions.get(name), host)
 
-    def _note_conflict(
+    def _report_conflict(
         self, name: state.DocumentName, version: state.Version, origin: str
     ) -> None:
         """Raise the alarm once for each digest."""
-        if (name, version.digest) in self._conflicts:
+        if (name, version.digest) in self._reported_conflicts:
             return
-        self._conflicts.add((name, version.digest))
+        self._reported_conflicts.add((name, version.digest))
         in_force = self._exchange.config.versions().get(name)
         self._record(
             "version-conflict",
@@ -363,10 +369,10 @@
     def _status(self, now_s: float) -> _messages.ConfigStatus:
         return _messages.ConfigStatus(
             versions=self._exchange.config.versions(),
-            ready=self._decided.ready,
-            reason=self._decided.reason,
-            watching=self._source.watching,
-            source_error=self._source.error,
+            ready=self._published_readiness.ready,
+            reason=self._published_readiness.reason,
+            watching=self._source_client.watching,
+            source_error=self._source_client.error,
             confirmed_age_s=self._confirmed_age_s(now_s),
         )
 
@@ -398,21 +404,23 @@
             self._membership.tell(message)
 
 
-def _shown_by_source(
-    message: _source_client.SourceMessage, own: state.VersionVector
+def _versions_in_answer(
+    message: _source_client.SourceMessage, own_versions: state.VersionVector
 ) -> state.VersionVector:
     """Return the versions that an answer of the source shows."""
-    shown = own
+    source_versions = own_versions
     match message:
-        case _messages.SourceChanged():
+        case _messages.WatchCompleted():
             for name in message.names:
-                newer = state.Version(own.get(name).number + 1, "")
-                shown = shown.replace(name, newer)
+                newer = state.Version(own_versions.get(name).number + 1, "")
+                source_versions = source_versions.replace(name, newer)
         case _messages.DocumentRead():
             document = message.document
-            shown = shown.replace(document.name, document.version)
+            source_versions = source_versions.replace(
+                document.name, document.version
+            )
         case _messages.DocumentUnreadable() | _messages.SourceFailed():
-            return own
+            return own_versions
         case _:
             typing.assert_never(message)
-    return shown
+    return source_versions
--- a/src/jasminecrank/coordination/_loans.py
+++ b/src/jasminecrank/coordination/_loans.py
@@ -7,15 +7,15 @@
 from jasminecrank.coordination import _messages
 from jasminecrank.coordination import _timers
 
-LoanMessage = (
-    _messages.Delivered
+QuotaInput = (
+    _messages.PeerMessageReceived
     | _messages.PeerUp
     | _messages.PeerDown
     | _messages.QuotaTick
 )
 
 
-class LoanDesk:
+class QuotaMessenger:
     """Carries messages between the quota state of a node and its peers.
 
     It belongs to the admission actor and is used from its thread only.
@@ -33,14 +33,14 @@
     ) -> None:
         """Begin to send messages and ticks."""
         self._membership = membership
-        self._schedule(owner)
+        self._schedule_tick(owner)
 
     def handle(
-        self, message: LoanMessage, owner: _messages.Mailbox, now_s: float
+        self, message: QuotaInput, owner: _messages.Mailbox, now_s: float
     ) -> None:
         """Handle one message of the membership actor or the timer."""
         match message:
-            case _messages.Delivered():
+            case _messages.PeerMessageReceived():
                 self._receive(message.host, message.message, now_s)
             case _messages.PeerUp():
                 self._quota.peer_up(message.host, now_s)
@@ -48,7 +48,7 @@
                 self._quota.peer_down(message.host)
             case _messages.QuotaTick():
                 self._quota.tick(now_s)
-                self._schedule(owner)
+                self._schedule_tick(owner)
             case _:
                 typing.assert_never(message)
 
@@ -56,7 +56,7 @@
         """Send what the quota state has for its peers."""
         for outgoing in self._quota.drain_outbox():
             if self._membership is not None:
-                message = _peer_message(outgoing.message)
+                message = _to_peer_message(outgoing.message)
                 self._membership.tell(
                     _messages.SendToPeer(outgoing.host, message)
                 )
@@ -65,11 +65,11 @@
         self, host: str, message: _messages.PeerMessage, now_s: float
     ) -> None:
         match message:
-            case _messages.LoanRequest():
-                self._quota.receive(host, message.ask, now_s)
-            case _messages.LoanGrant():
-                self._quota.receive(host, message.offer, now_s)
-            case _messages.ShareNotice():
+            case _messages.LoanRequestMessage():
+                self._quota.receive(host, message.request, now_s)
+            case _messages.LoanGrantMessage():
+                self._quota.receive(host, message.grant, now_s)
+            case _messages.ShareReportMessage():
                 self._quota.receive(host, message.report, now_s)
             case _messages.Goodbye():
                 self._quota.peer_down(host)
@@ -78,19 +78,19 @@
                     f"unexpected peer message {message!r}"
                 )
 
-    def _schedule(self, owner: _messages.Mailbox) -> None:
+    def _schedule_tick(self, owner: _messages.Mailbox) -> None:
         self._timers.call_later(
             self._quota.tick_interval_s(), owner, _messages.QuotaTick()
         )
 
 
-def _peer_message(message: state.QuotaMessage) -> _messages.PeerMessage:
+def _to_peer_message(message: state.QuotaMessage) -> _messages.PeerMessage:
     match message:
         case state.LoanRequest():
-            return _messages.LoanRequest(message)
+            return _messages.LoanRequestMessage(message)
         case state.LoanGrant():
-            return _messages.LoanGrant(message)
+            return _messages.LoanGrantMessage(message)
         case state.ShareReport():
-            return _messages.ShareNotice(message)
+            return _messages.ShareReportMessage(message)
         case _:
             typing.assert_never(message)
--- a/src/jasminecrank/coordination/_membership.py
+++ b/src/jasminecrank/coordination/_membership.py
@@ -13,7 +13,7 @@
 from jasminecrank.coordination import _messages
 from jasminecrank.coordination import _timers
 
-_UNPLANNED_S = 60.0
+_UNPLANNED_LINK_GRACE_S = 60.0
 """Time for host lists to become equal before an unplanned link is closed."""
 
 
@@ -68,9 +68,9 @@
         self._event_sink = event_sink
         self._journal = state.Journal.from_host(settings.host)
         self._snapshot = state.Snapshot.empty()
-        self._by_host: dict[str, _Link] = {}
+        self._link_by_host: dict[str, _Link] = {}
         self._topology = state.Topology.from_snapshot(self._snapshot)
-        self._dialling = state.DialSchedule(settings.host)
+        self._dial_schedule = state.DialSchedule(settings.host)
         self._dial_due_s = math.inf
         self._readiness: _messages.ReadinessChanged | None = None
         self._draining = False
@@ -83,33 +83,33 @@
         """Take the mailboxes of the other actors and begin."""
         self._config = config
         self._admission = admission
-        self._dial_planned()
+        self._dial_planned_peers()
         self._schedule_tick()
 
     def on_receive(self, message: object) -> object:
         """Handle one message."""
         match message:
-            case _messages.Received():
+            case _messages.EnvelopeReceived():
                 self._receive(message.envelope)
             case _messages.SendToPeer():
                 self._send(message.host, message.message)
             case _messages.RecordEvent():
                 self._record(message.name, dict(message.fields))
             case _messages.LinkUp():
-                self._link_up(message)
+                self._handle_link_up(message)
             case _messages.LinkDown():
-                self._link_down(message)
+                self._handle_link_down(message)
             case _messages.SnapshotChanged():
-                self._change_snapshot(message.snapshot)
+                self._apply_snapshot(message.snapshot)
             case _messages.DialDue():
                 self._dial_due_s = math.inf
-                self._dial_planned()
+                self._dial_planned_peers()
             case _messages.Tick():
                 self._tick()
             case _messages.ReadinessChanged():
-                self._change_readiness(message)
+                self._apply_readiness(message)
             case _messages.StopRequested():
-                self._stop_links()
+                self._announce_stop()
             case _messages.GetStatus():
                 return self._status()
             case _messages.GetHello():
@@ -123,16 +123,18 @@
         return None
 
     def _receive(self, envelope: _messages.Envelope) -> None:
-        link = self._by_host.get(envelope.sender)
+        link = self._link_by_host.get(envelope.sender)
         if link is None:
             return
         self._journal.observe(envelope.stamp, self._clock.wall_ms())
         link.last_heard_s = self._clock.monotonic_s()
-        delivered = _messages.Delivered(envelope.sender, envelope.message)
+        received = _messages.PeerMessageReceived(
+            envelope.sender, envelope.message
+        )
         match envelope.message:
             case _messages.Heartbeat():
                 link.versions = envelope.message.versions
-                self._tell(self._config, delivered)
+                self._tell(self._config, received)
             case (
                 _messages.Hello()
                 | _messages.DocumentDelta()
@@ -141,40 +143,40 @@
                 | _messages.VersionsRequest()
                 | _messages.VersionsReply()
             ):
-                self._tell(self._config, delivered)
+                self._tell(self._config, received)
             case (
-                _messages.LoanRequest()
-                | _messages.LoanGrant()
-                | _messages.ShareNotice()
+                _messages.LoanRequestMessage()
+                | _messages.LoanGrantMessage()
+                | _messages.ShareReportMessage()
             ):
-                self._tell(self._admission, delivered)
+                self._tell(self._admission, received)
             case _messages.Goodbye():
-                self._peer_leaves(envelope.sender, link)
-                self._tell(self._admission, delivered)
+                self._handle_goodbye(envelope.sender, link)
+                self._tell(self._admission, received)
             case _:
                 typing.assert_never(envelope.message)
 
     def _send(self, host: str, message: _messages.PeerMessage) -> None:
-        link = self._by_host.get(host)
+        link = self._link_by_host.get(host)
         if link is None:
             return
         stamp = self._journal.stamp(self._clock.wall_ms())
         envelope = _messages.Envelope(self._settings.host, stamp, message)
-        _timers.deliver(link.mailbox, envelope)
+        _timers.tell_if_alive(link.mailbox, envelope)
 
-    def _link_up(self, message: _messages.LinkUp) -> None:
+    def _handle_link_up(self, message: _messages.LinkUp) -> None:
         host = message.hello.host
         if message.address:
-            self._dialling.record_success(message.address)
-        known = self._by_host.get(host)
+            self._dial_schedule.record_success(message.address)
+        existing = self._link_by_host.get(host)
         if host == self._settings.host or (
-            known is not None and _keeps(known, message)
+            existing is not None and _keeps_existing_link(existing, message)
         ):
-            _timers.deliver(message.mailbox, _messages.StopRequested())
+            _timers.tell_if_alive(message.mailbox, _messages.StopRequested())
             return
-        if known is not None:
-            _timers.deliver(known.mailbox, _messages.StopRequested())
-        self._by_host[host] = _Link(
+        if existing is not None:
+            _timers.tell_if_alive(existing.mailbox, _messages.StopRequested())
+        self._link_by_host[host] = _Link(
             message.mailbox,
             message.dialled_by,
             message.address or self._address_of(host),
@@ -187,29 +189,29 @@
         self._tell(self._config, peer_up)
         self._tell(self._admission, peer_up)
 
-    def _link_down(self, message: _messages.LinkDown) -> None:
+    def _handle_link_down(self, message: _messages.LinkDown) -> None:
         if message.address:
-            self._dialling.record_failure(
+            self._dial_schedule.record_failure(
                 message.address, self._clock.monotonic_s(), self._rng
             )
-        for host, link in tuple(self._by_host.items()):
+        for host, link in tuple(self._link_by_host.items()):
             if link.mailbox == message.mailbox:
-                self._drop(host, message.reason)
-        self._dial_planned()
+                self._close_link(host, message.reason)
+        self._dial_planned_peers()
 
-    def _drop(self, host: str, reason: str) -> None:
-        link = self._by_host.pop(host)
-        _timers.deliver(link.mailbox, _messages.StopRequested())
+    def _close_link(self, host: str, reason: str) -> None:
+        link = self._link_by_host.pop(host)
+        _timers.tell_if_alive(link.mailbox, _messages.StopRequested())
         now_s = self._clock.monotonic_s()
         if link.leaving:
-            self._dialling.defer(link.address, now_s)
+            self._dial_schedule.defer(link.address, now_s)
         elif link.address:
-            self._dialling.record_failure(link.address, now_s, self._rng)
+            self._dial_schedule.record_failure(link.address, now_s, self._rng)
         self._record("peer-down", {"peer": host, "reason": reason})
         if not link.leaving:
             self._tell(self._config, _messages.PeerDown(host))
 
-    def _peer_leaves(self, host: str, link: _Link) -> None:
+    def _handle_goodbye(self, host: str, link: _Link) -> None:
         """Count a peer that stops as planned as gone, before it closes."""
         if link.leaving:
             return
@@ -218,17 +220,19 @@
         self._tell(self._config, _messages.PeerDown(host))
         self._tell(self._admission, _messages.PeerDown(host))
 
-    def _change_snapshot(self, snapshot: state.Snapshot) -> None:
-        changed = snapshot.versions.hosts != self._snapshot.versions.hosts
+    def _apply_snapshot(self, snapshot: state.Snapshot) -> None:
+        hosts_changed = (
+            snapshot.versions.hosts != self._snapshot.versions.hosts
+        )
         self._snapshot = snapshot
-        if changed:
+        if hosts_changed:
             self._topology = state.Topology.from_snapshot(snapshot)
-            self._dial_planned()
+            self._dial_planned_peers()
 
-    def _change_readiness(self, message: _messages.ReadinessChanged) -> None:
-        known = self._readiness
+    def _apply_readiness(self, message: _messages.ReadinessChanged) -> None:
+        previous = self._readiness
         self._readiness = message
-        if known is not None and (known.ready, known.reason) == (
+        if previous is not None and (previous.ready, previous.reason) == (
             message.ready,
             message.reason,
         ):
@@ -240,18 +244,18 @@
 
     def _tick(self) -> None:
         now_s = self._clock.monotonic_s()
-        for host, link in tuple(self._by_host.items()):
+        for host, link in tuple(self._link_by_host.items()):
             if now_s - link.last_heard_s > const.PEER_SILENCE_LIMIT_S:
-                self._drop(host, "silent")
+                self._close_link(host, "silent")
         heartbeat = _messages.Heartbeat(
             self._snapshot.versions,
             self._draining,
             self._confirmed_age_s(now_s),
         )
-        for host in tuple(self._by_host):
+        for host in tuple(self._link_by_host):
             self._send(host, heartbeat)
-        self._close_unplanned(now_s)
-        self._dial_planned()
+        self._close_unplanned_links(now_s)
+        self._dial_planned_peers()
         self._schedule_tick()
 
     def _confirmed_age_s(self, now_s: float) -> float:
@@ -259,36 +263,39 @@
             return math.inf
         return now_s - self._readiness.confirmed_s
 
-    def _close_unplanned(self, now_s: float) -> None:
+    def _close_unplanned_links(self, now_s: float) -> None:
         """Close links that this node dialled and no longer plans.
 
         The other side dials anew if it still plans the link.
         """
-        planned = {peer.host for peer in self._planned()}
-        for host, link in tuple(self._by_host.items()):
+        planned = {peer.host for peer in self._planned_peers()}
+        for host, link in tuple(self._link_by_host.items()):
             if host in planned or link.dialled_by != self._settings.host:
                 link.unplanned_since_s = None
             elif link.unplanned_since_s is None:
                 link.unplanned_since_s = now_s
-            elif planned and now_s - link.unplanned_since_s >= _UNPLANNED_S:
-                self._drop(host, "no longer planned")
+            elif (
+                planned
+                and now_s - link.unplanned_since_s >= _UNPLANNED_LINK_GRACE_S
+            ):
+                self._close_link(host, "no longer planned")
 
     def _schedule_tick(self) -> None:
         period_s = const.HEARTBEAT_PERIOD_S
         delay_s = self._rng.uniform(0.8 * period_s, period_s)
         self._timers.call_later(delay_s, self.actor_ref, _messages.Tick())
 
-    def _planned(self) -> tuple[state.HostRow, ...]:
+    def _planned_peers(self) -> tuple[state.HostRow, ...]:
         return self._topology.links(
             self._settings.host, self._settings.data_centre
         )
 
-    def _dial_planned(self) -> None:
+    def _dial_planned_peers(self) -> None:
         if self._draining:
             return
         targets = [
             state.DialTarget(peer.host, f"{peer.address}:{peer.peer_port}")
-            for peer in self._planned()
+            for peer in self._planned_peers()
         ]
         if not self._topology.by_host:
             targets = [
@@ -296,15 +303,15 @@
                 for address in self._settings.seed_peers
             ]
         now_s = self._clock.monotonic_s()
-        due = self._dialling.take_due(
-            targets, self._by_host.keys(), now_s, self._rng
+        due = self._dial_schedule.take_due(
+            targets, self._link_by_host.keys(), now_s, self._rng
         )
         for target in due:
             self._dial(target.address, self._hello(), self.actor_ref)
         self._schedule_dial(now_s)
 
     def _schedule_dial(self, now_s: float) -> None:
-        due_s = self._dialling.next_due_s()
+        due_s = self._dial_schedule.next_due_s()
         if due_s is None or due_s >= self._dial_due_s:
             return
         self._dial_due_s = due_s
@@ -324,9 +331,9 @@
         row = self._snapshot.by_host.get(host)
         return f"{row.address}:{row.peer_port}" if row else ""
 
-    def _stop_links(self) -> None:
+    def _announce_stop(self) -> None:
         self._draining = True
-        for host in tuple(self._by_host):
+        for host in tuple(self._link_by_host):
             self._send(host, _messages.Goodbye("planned stop"))
 
     def _record(self, name: str, fields: dict[str, str]) -> None:
@@ -339,7 +346,7 @@
             _messages.PeerStatus(
                 host, link.versions, now_s - link.last_heard_s
             )
-            for host, link in sorted(self._by_host.items())
+            for host, link in sorted(self._link_by_host.items())
         )
 
     def _tell(
@@ -349,12 +356,12 @@
             mailbox.tell(message)
 
 
-def _keeps(known: _Link, message: _messages.LinkUp) -> bool:
+def _keeps_existing_link(existing: _Link, message: _messages.LinkUp) -> bool:
     """Return whether a link stays when a second one to its peer opens.
 
     Both sides keep the link to the newer process or else the one that the
     lower host id dialled.
     """
-    if known.incarnation != message.hello.incarnation:
-        return known.incarnation > message.hello.incarnation
-    return known.dialled_by < message.dialled_by
+    if existing.incarnation != message.hello.incarnation:
+        return existing.incarnation > message.hello.incarnation
+    return existing.dialled_by < message.dialled_by
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -66,33 +66,33 @@
 class VersionsRequest:
     """Ask a peer for its versions after a pause."""
 
-    inquiry: int
+    query_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class VersionsReply:
     """Show the versions in force: for an inquiry, or unasked with none."""
 
-    inquiry: int
+    query_id: int
     versions: state.VersionVector
 
 
 @dataclass(slots=True, frozen=True)
-class LoanRequest:
+class LoanRequestMessage:
     """Ask a peer of the same service for quota."""
 
-    ask: state.LoanRequest
+    request: state.LoanRequest
 
 
 @dataclass(slots=True, frozen=True)
-class LoanGrant:
+class LoanGrantMessage:
     """Hand over parts of shares and their tokens for a limited time."""
 
-    offer: state.LoanGrant
+    grant: state.LoanGrant
 
 
 @dataclass(slots=True, frozen=True)
-class ShareNotice:
+class ShareReportMessage:
     """Show which hosts version the quota shares of a node follow."""
 
     report: state.ShareReport
@@ -113,9 +113,9 @@
     | FetchDocument
     | VersionsRequest
     | VersionsReply
-    | LoanRequest
-    | LoanGrant
-    | ShareNotice
+    | LoanRequestMessage
+    | LoanGrantMessage
+    | ShareReportMessage
     | Goodbye
 )
 
@@ -182,7 +182,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class SourceChanged:
+class WatchCompleted:
     """A watch has ended; the source has newer versions of these."""
 
     names: tuple[state.DocumentName, ...]
@@ -246,7 +246,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Delivered:
+class PeerMessageReceived:
     """A peer message for the actor that handles it."""
 
     host: str
@@ -254,7 +254,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Received:
+class EnvelopeReceived:
     """A peer message as it came from a link."""
 
     envelope: Envelope
--- a/src/jasminecrank/coordination/_source_client.py
+++ b/src/jasminecrank/coordination/_source_client.py
@@ -11,15 +11,15 @@
 from jasminecrank.coordination import _messages
 
 SourceMessage = (
-    _messages.SourceChanged
+    _messages.WatchCompleted
     | _messages.DocumentRead
     | _messages.DocumentUnreadable
     | _messages.SourceFailed
 )
 SourceCall = _messages.ReadSource | _messages.WatchSource
 Events = tuple[_messages.RecordEvent, ...]
-_ASK_PEERS_S = 1.0
-_NUMBER_MAX = 2**53 - 1
+_PEERS_FIRST_DELAY_S = 1.0
+_VERSION_NUMBER_MAX = 2**53 - 1
 
 
 @dataclass(slots=True)
@@ -33,16 +33,16 @@
 
     rng: random.Random
     schedule: state.SourceSchedule
-    duty: state.WatcherRole
+    watcher_role: state.WatcherRole
     topology: state.Topology
     isolated_since_s: float
-    waiting: list[state.DocumentName] = field(default_factory=list)
-    rejected: dict[state.DocumentName, state.Version] = field(
+    pending_reads: list[state.DocumentName] = field(default_factory=list)
+    rejected_versions: dict[state.DocumentName, state.Version] = field(
         default_factory=dict
     )
-    reported: set[tuple[str, str, str]] = field(default_factory=set)
-    busy: bool = False
-    inquiry: int = 0
+    reported_events: set[tuple[str, str, str]] = field(default_factory=set)
+    call_in_progress: bool = False
+    query_id: int = 0
     error: str = ""
     caught_up: bool = False
     """Whether the last answer showed nothing newer than is in force."""
@@ -58,7 +58,7 @@
         fleet_hosts: int = const.FLEET_HOSTS_MAX,
     ) -> "SourceClient":
         """Return the client of a node that has just started."""
-        delay_s = _ASK_PEERS_S if asks_peers_first else 0.0
+        delay_s = _PEERS_FIRST_DELAY_S if asks_peers_first else 0.0
         return cls(
             rng,
             state.SourceSchedule.from_start(now_s, rng, fleet_hosts, delay_s),
@@ -70,91 +70,97 @@
     @property
     def watching(self) -> bool:
         """Return whether this node watches the source."""
-        return self.duty.watching
+        return self.watcher_role.watching
 
-    def hosts_changed(self, snapshot: state.Snapshot) -> None:
+    def update_topology(self, snapshot: state.Snapshot) -> None:
         """Take a new host list."""
         self.topology = state.Topology.from_snapshot(snapshot)
 
     def next_call(
         self,
         versions: state.VersionVector,
-        linked: Collection[str],
-        inquiry: int,
+        linked_hosts: Collection[str],
+        query_id: int,
         now_s: float,
     ) -> SourceCall | None:
         """Return the call to make now, if any."""
         if versions.hosts.number > 0:
-            self.duty.update(self.topology, linked, now_s)
+            self.watcher_role.update(self.topology, linked_hosts, now_s)
             self.schedule.update_rate(self.topology, self.watching)
-        if linked:
+        if linked_hosts:
             self.isolated_since_s = now_s
-        if self.busy or not self.schedule.may_call(now_s):
+        if self.call_in_progress or not self.schedule.may_call(now_s):
             return None
-        call = self._choose(versions, now_s)
+        call = self._choose_call(versions, now_s)
         if call is not None:
-            self.busy = True
-            self.inquiry = inquiry
+            self.call_in_progress = True
+            self.query_id = query_id
             self.schedule.record_call(now_s)
         return call
 
-    def _choose(
+    def _choose_call(
         self, versions: state.VersionVector, now_s: float
     ) -> SourceCall | None:
         isolated_s = now_s - self.isolated_since_s
         isolated = isolated_s >= const.ISOLATED_AFTER_S
         if versions.hosts.number == 0:
-            if self.schedule.failures == 0 and not self.waiting:
+            if self.schedule.failures == 0 and not self.pending_reads:
                 return _messages.ReadSource(state.DocumentName.HOSTS)
         elif not self.watching and not isolated:
-            self.waiting.clear()
+            self.pending_reads.clear()
             return None
-        if self.waiting:
-            return _messages.ReadSource(self.waiting.pop(0))
+        if self.pending_reads:
+            return _messages.ReadSource(self.pending_reads.pop(0))
         wait_s = const.SOURCE_WATCH_S
         if isolated:
             wait_s = const.SOURCE_WATCH_ISOLATED_S
-        return _messages.WatchSource(self._watched(versions), wait_s)
+        return _messages.WatchSource(self._versions_to_watch(versions), wait_s)
 
-    def _watched(self, versions: state.VersionVector) -> state.VersionVector:
+    def _versions_to_watch(
+        self, versions: state.VersionVector
+    ) -> state.VersionVector:
         """Return the versions to wait beyond, so that no bad one repeats.
 
         Without a host list only that is awaited: it leads to peers, which
         have the other documents.
         """
         if versions.hosts.number == 0:
-            never = state.Version(_NUMBER_MAX, "")
-            return state.VersionVector(table=never, keys=never, outages=never)
-        for name, version in self.rejected.items():
+            highest_version = state.Version(_VERSION_NUMBER_MAX, "")
+            return state.VersionVector(
+                table=highest_version,
+                keys=highest_version,
+                outages=highest_version,
+            )
+        for name, version in self.rejected_versions.items():
             if version.number > versions.get(name).number:
                 versions = versions.replace(name, version)
         return versions
 
-    def handle(
+    def handle_answer(
         self,
-        message: _messages.SourceChanged
+        message: _messages.WatchCompleted
         | _messages.DocumentUnreadable
         | _messages.SourceFailed,
         now_s: float,
     ) -> Events:
         """Take an answer without a document and return its events."""
-        self.busy = False
+        self.call_in_progress = False
         self.caught_up = False
         match message:
-            case _messages.SourceChanged():
-                self.waiting = [
+            case _messages.WatchCompleted():
+                self.pending_reads = [
                     name for name in state.SEND_ORDER if name in message.names
                 ]
                 if not message.names:
-                    self._answered()
-                    self.caught_up = not self.rejected
+                    self._record_success()
+                    self.caught_up = not self.rejected_versions
                     # A rejected version is read again after each watch, in
                     # case only one replica served it wrongly.
-                    self.rejected.clear()
+                    self.rejected_versions.clear()
                 return ()
             case _messages.DocumentUnreadable():
                 self._back_off(f"document {message.name.value}", now_s)
-                return self._report(
+                return self._report_once(
                     "version-invalid",
                     {
                         "document": message.name.value,
@@ -163,23 +169,23 @@
                     },
                 )
             case _messages.SourceFailed():
-                first = not self.error
+                is_first_failure = not self.error
                 self._back_off(message.reason, now_s)
-                if not first:
+                if not is_first_failure:
                     return ()
                 fields = {"reason": message.reason}
                 return (_messages.RecordEvent("source-failed", fields),)
             case _:
                 typing.assert_never(message)
 
-    def read(
+    def handle_document(
         self,
         document: state.Document,
         result: state.OfferResult | None,
         now_s: float,
     ) -> Events:
         """Take the result of a document that was read."""
-        self.busy = False
+        self.call_in_progress = False
         self.caught_up = False
         fields = {
             "document": document.name.value,
@@ -188,15 +194,17 @@
         }
         match result:
             case state.Accepted():
-                self.rejected.pop(document.name, None)
-                self._answered()
-                self.caught_up = not self.waiting and not self.rejected
+                self.rejected_versions.pop(document.name, None)
+                self._record_success()
+                self.caught_up = (
+                    not self.pending_reads and not self.rejected_versions
+                )
                 return ()
             case state.Invalid():
-                self._answered()
-                self.rejected[document.name] = document.version
+                self._record_success()
+                self.rejected_versions[document.name] = document.version
                 fields["reason"] = result.reason
-                return self._report("version-invalid", fields)
+                return self._report_once("version-invalid", fields)
             case state.Stale() if document.version == result.current:
                 # A watch that shows a newer version than the read gives
                 # would otherwise repeat at once.
@@ -205,14 +213,14 @@
             case state.Stale():
                 self._back_off("source serves older versions", now_s)
                 fields["in_force"] = str(result.current)
-                return self._report("source-stale", fields)
+                return self._report_once("source-stale", fields)
             case state.Conflict() | None:
                 self._back_off("source serves another digest", now_s)
                 return ()
             case _:
                 typing.assert_never(result)
 
-    def _answered(self) -> None:
+    def _record_success(self) -> None:
         self.schedule.record_success()
         self.error = ""
 
@@ -220,10 +228,10 @@
         self.schedule.record_failure(now_s, self.rng)
         self.error = reason
 
-    def _report(self, name: str, fields: dict[str, str]) -> Events:
+    def _report_once(self, name: str, fields: dict[str, str]) -> Events:
         """Return an event the first time, nothing on repeats."""
         key = (name, fields["document"], str(sorted(fields.items())))
-        if key in self.reported:
+        if key in self.reported_events:
             return ()
-        self.reported.add(key)
+        self.reported_events.add(key)
         return (_messages.RecordEvent(name, fields),)
--- a/src/jasminecrank/coordination/_timers.py
+++ b/src/jasminecrank/coordination/_timers.py
@@ -10,7 +10,7 @@
 from jasminecrank import state
 from jasminecrank.coordination import _messages
 
-_Entry = tuple[float, int, _messages.Mailbox, object]
+_TimerEntry = tuple[float, int, _messages.Mailbox, object]
 
 
 class Timers:
@@ -21,7 +21,7 @@
     def __init__(self, clock: state.Clock) -> None:
         self._clock = clock
         self._condition = threading.Condition()
-        self._heap: list[_Entry] = []
+        self._heap: list[_TimerEntry] = []
         self._sequence = itertools.count()
         self._stopped = False
 
@@ -51,11 +51,11 @@
             self._condition.notify()
 
     def _run(self) -> None:
-        while (entry := self._next()) is not None:
+        while (entry := self._wait_for_due_entry()) is not None:
             _, _, mailbox, message = entry
-            deliver(mailbox, message)
+            tell_if_alive(mailbox, message)
 
-    def _next(self) -> _Entry | None:
+    def _wait_for_due_entry(self) -> _TimerEntry | None:
         with self._condition:
             while not self._stopped:
                 if not self._heap:
@@ -68,7 +68,7 @@
             return None
 
 
-def deliver(mailbox: _messages.Mailbox, message: object) -> None:
+def tell_if_alive(mailbox: _messages.Mailbox, message: object) -> None:
     """Send to an actor that may have stopped already."""
     try:
         mailbox.tell(message)
--- a/src/jasminecrank/protocol/_cbor.py
+++ b/src/jasminecrank/protocol/_cbor.py
@@ -106,18 +106,18 @@
         case coordination.FetchDocument():
             return ["fetch", message.name.value, _encode_version(message.have)]
         case coordination.VersionsRequest():
-            return ["versions?", message.inquiry]
+            return ["versions?", message.query_id]
         case coordination.VersionsReply():
             return [
                 "versions",
-                message.inquiry,
+                message.query_id,
                 _encode_vector(message.versions),
             ]
-        case coordination.LoanRequest():
-            return ["loan-request", *_quota_codec.encode_ask(message.ask)]
-        case coordination.LoanGrant():
-            return ["loan-grant", *_quota_codec.encode_offer(message.offer)]
-        case coordination.ShareNotice():
+        case coordination.LoanRequestMessage():
+            return ["loan-request", *_quota_codec.encode_ask(message.request)]
+        case coordination.LoanGrantMessage():
+            return ["loan-grant", *_quota_codec.encode_offer(message.grant)]
+        case coordination.ShareReportMessage():
             return ["shares", *_quota_codec.encode_report(message.report)]
         case coordination.Goodbye():
             return ["goodbye", message.reason]
@@ -142,11 +142,11 @@
                 bool(draining),
                 float(confirmed_age_s),
             )
-        case "versions?", [inquiry]:
-            return coordination.VersionsRequest(int(inquiry))
-        case "versions", [inquiry, versions]:
+        case "versions?", [query_id]:
+            return coordination.VersionsRequest(int(query_id))
+        case "versions", [query_id, versions]:
             return coordination.VersionsReply(
-                int(inquiry), _decode_vector(versions)
+                int(query_id), _decode_vector(versions)
             )
         case "delta", [name, base, target, upserts, removed]:
             return coordination.DocumentDelta(
@@ -171,11 +171,17 @@
                 state.DocumentName(name), _decode_version(have)
             )
         case "loan-request", _:
-            return coordination.LoanRequest(_quota_codec.decode_ask(fields))
+            return coordination.LoanRequestMessage(
+                _quota_codec.decode_ask(fields)
+            )
         case "loan-grant", _:
-            return coordination.LoanGrant(_quota_codec.decode_offer(fields))
+            return coordination.LoanGrantMessage(
+                _quota_codec.decode_offer(fields)
+            )
         case "shares", _:
-            return coordination.ShareNotice(_quota_codec.decode_report(fields))
+            return coordination.ShareReportMessage(
+                _quota_codec.decode_report(fields)
+            )
         case "goodbye", [reason]:
             return coordination.Goodbye(str(reason))
         case _:
--- a/src/jasminecrank/transport/_health.py
+++ b/src/jasminecrank/transport/_health.py
@@ -45,7 +45,7 @@
         """Probe once and schedule the next probe."""
         if isinstance(message, coordination.Tick):
             report = coordination.ServerHealth(self._probe())
-            coordination.deliver(self._admission, report)
+            coordination.tell_if_alive(self._admission, report)
             self._timers.call_later(
                 _PROBE_PERIOD_S, self.actor_ref, coordination.Tick()
             )
--- a/src/jasminecrank/transport/_links.py
+++ b/src/jasminecrank/transport/_links.py
@@ -113,7 +113,7 @@
         try:
             for frame in self._connection:
                 envelope = protocol.decode_envelope(_as_bytes(frame))
-                self._membership.tell(coordination.Received(envelope))
+                self._membership.tell(coordination.EnvelopeReceived(envelope))
         except (
             OSError,
             websocket_exceptions.WebSocketException,
@@ -125,7 +125,7 @@
         self._report_down(reason)
 
     def _report_down(self, reason: str) -> None:
-        coordination.deliver(
+        coordination.tell_if_alive(
             self._membership,
             coordination.LinkDown(self._address, self.actor_ref, reason),
         )
--- a/src/jasminecrank/transport/_source.py
+++ b/src/jasminecrank/transport/_source.py
@@ -42,12 +42,12 @@
                     )
         except exceptions.SourceError as error:
             answer = coordination.SourceFailed(str(error))
-        coordination.deliver(self._config, answer)
+        coordination.tell_if_alive(self._config, answer)
         return None
 
     def _watch(
         self, message: coordination.WatchSource
-    ) -> coordination.SourceChanged:
+    ) -> coordination.WatchCompleted:
         query = "&".join(
             f"{name.value}={message.have.get(name).number}"
             for name in state.DocumentName
@@ -58,7 +58,7 @@
         )
         try:
             names = json.loads(payload)["changed"]
-            return coordination.SourceChanged(
+            return coordination.WatchCompleted(
                 tuple(state.DocumentName(name) for name in names)
             )
         except (ValueError, KeyError, TypeError) as error:
