Reword the docstrings and comments of the coordination package

Docstrings described actors and messages in figures of speech, such as a call "in hand" or a peer that "shows" versions. They now state what is sent, received or owned, and comments give the failure that a rule prevents.

Three texts of invariant checks are reworded; no test or tool matches them, and their arguments and result codes are the same. Reasons and fields of log events are unchanged.

--- a/src/jasminecrank/coordination/__init__.py
+++ b/src/jasminecrank/coordination/__init__.py
@@ -1,4 +1,4 @@
-"""Actors of a node and the messages between actors and nodes."""
+"""Actors of a node and the messages between nodes and actors."""
 
 from jasminecrank.coordination._actors import ask as ask
 from jasminecrank.coordination._actors import NodeActor as NodeActor
--- a/src/jasminecrank/coordination/_actors.py
+++ b/src/jasminecrank/coordination/_actors.py
@@ -1,4 +1,4 @@
-"""The base of all actors of a node."""
+"""Base class of the actors of a node."""
 
 from collections.abc import Callable
 import os
@@ -11,7 +11,7 @@
 
 
 def exit_process() -> None:
-    """End the process at once, because its state can't be trusted."""
+    """Exit without cleanup, because the state may be inconsistent."""
     os._exit(os.EX_SOFTWARE)
 
 
@@ -19,15 +19,18 @@
 
 
 def ask(actor: pykka.ActorRef[typing.Any], message: object) -> typing.Any:
-    """Return an actor's reply, or raise pykka.Timeout."""
+    """Send a message to an actor and return its reply.
+
+    Raises pykka.Timeout if the actor does not reply in time.
+    """
     return actor.ask(message, timeout=_ASK_TIMEOUT_S)
 
 
 class NodeActor(pykka.ThreadingActor):
-    """An actor whose failure ends the process.
+    """Base class of actors whose failure ends the process.
 
-    A node that lost one of its actors would go on deciding with state that
-    nobody updates, so the process ends and is started anew.
+    A node without one of its actors would keep making decisions from state
+    that is no longer updated, so the process exits and is restarted.
     """
 
     use_daemon_thread = True
@@ -35,8 +38,8 @@
 
     @staticmethod
     def _create_actor_inbox() -> typing.Any:
-        # pykka's default, queue.Queue, hands over under a condition that is
-        # written in Python.
+        # The default of pykka, queue.Queue, synchronizes with a condition
+        # variable that is implemented in Python.
         return queue.SimpleQueue()
 
     def on_failure(
@@ -45,7 +48,7 @@
         exception_value: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
-        """Log the error and end the process."""
+        """Log the error and exit the process."""
         del exception_type, traceback
         logging.error(
             "actor %s failed: %r", type(self).__name__, exception_value
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -1,4 +1,4 @@
-"""The actor that decides on calls."""
+"""Actor that admits, queues, forwards or rejects calls."""
 
 from dataclasses import dataclass
 import math
@@ -11,12 +11,12 @@
 from jasminecrank.coordination import _timers
 
 _DRAIN_POLL_INTERVAL_S = 0.5
-"""Forwarded calls are no longer in hand once their deadline has passed."""
+"""Needed because no message reports that a forwarded call has expired."""
 
 
 @dataclass(slots=True, frozen=True)
 class AdmissionSettings:
-    """Whose calls are decided, how many at once, and whether quotas lend."""
+    """Host, number of worker threads and quota policy of a node."""
 
     host: str
     threads: int
@@ -24,7 +24,7 @@
 
 
 class AdmissionActor(_actors.NodeActor):
-    """Owns quotas, slots and the snapshot by which calls are decided."""
+    """Own the quotas, slots and snapshot that admission depends on."""
 
     def __init__(
         self,
@@ -52,12 +52,12 @@
         self._reported_resets = 0
 
     def connect(self, membership: _messages.Mailbox) -> None:
-        """Take the mailboxes of the other actors."""
+        """Set the membership mailbox and start the quota ticks."""
         self._membership = membership
         self._quota_messenger.start(membership, self.actor_ref)
 
     def on_receive(self, message: object) -> object:
-        """Handle one message."""
+        """Handle a message and reply to the queued calls that it decides."""
         now_s = self._clock.monotonic_s()
         if isinstance(message, _messages.GetStatus):
             return self._status()
@@ -118,14 +118,14 @@
         message.reply.set(result)
 
     def _tick(self, now_s: float) -> None:
-        # A message that an earlier one has overtaken schedules no other, or
-        # they would pile up while calls wait.
+        # A tick that was superseded by an earlier one must not schedule
+        # another; otherwise ticks accumulate while calls are queued.
         if now_s >= self._tick_due_s:
             self._tick_due_s = math.inf
         self._admission.tick(now_s)
 
     def _schedule_tick(self, now_s: float) -> None:
-        """Send one timer message for the next call that expires."""
+        """Schedule a tick for the next queued call that expires."""
         due_s = self._admission.next_due_s()
         if self._drain_replies:
             due_s = min(due_s or math.inf, now_s + _DRAIN_POLL_INTERVAL_S)
@@ -137,14 +137,14 @@
         )
 
     def _reply_when_drained(self, now_s: float) -> None:
-        """Answer a planned stop once no call is in hand."""
+        """Reply to a planned stop when no call is open."""
         if self._admission.open_calls(now_s):
             return
         state.check(
             exceptions.ResultCode.INVARIANT_GRACEFUL_STOP,
             not self._reply_by_ticket
             and not self._admission.outstanding_permits(),
-            "stopped with %d calls waiting and %d running",
+            "stopped with %d queued calls and %d running calls",
             len(self._reply_by_ticket),
             self._admission.outstanding_permits(),
         )
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -1,4 +1,4 @@
-"""The actor that owns the documents in force."""
+"""Actor that owns the configuration documents in force."""
 
 from dataclasses import dataclass
 import math
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ConfigSettings:
-    """Who this node is."""
+    """Identity of this node and the pace of its source calls."""
 
     host: str
     data_centre: str
@@ -25,7 +25,7 @@
 
 
 class ConfigActor(_actors.NodeActor):
-    """Accepts documents from source and peers and passes them on."""
+    """Accept documents from the source and peers and distribute them."""
 
     def __init__(
         self,
@@ -65,14 +65,14 @@
         source: _messages.Mailbox,
         subscribers: tuple[_messages.Mailbox, ...],
     ) -> None:
-        """Take the mailboxes of the other actors and begin."""
+        """Set the mailboxes of the other actors and run the first tick."""
         self._membership = membership
         self._source_reader = source
         self._subscribers = subscribers
         self._tick(self._clock.monotonic_s())
 
     def on_receive(self, message: object) -> object:
-        """Handle one message."""
+        """Handle a message, after checking whether the process was paused."""
         now_s = self._clock.monotonic_s()
         self._detect_pause(now_s)
         match message:
@@ -106,7 +106,7 @@
         state.check(
             exceptions.ResultCode.INVARIANT_REVERTED,
             not lagging,
-            "peers still show an older version after %s s: %s",
+            "peers still report older versions after %s s: %s",
             const.CONVERGENCE_LIMIT_S,
             lagging,
         )
@@ -248,8 +248,9 @@
         version: state.Version,
         origin: str | None,
     ) -> None:
-        # Peers come first: a heartbeat sent after the snapshot has changed
-        # shows the new version, and a peer would fetch what is on its way.
+        # Send to peers before publishing the snapshot: heartbeats report the
+        # new version from then on, and a peer that receives one first would
+        # fetch a document that is already being sent.
         self._send(result.sends)
         match result.offer_result:
             case state.Accepted():
@@ -284,7 +285,7 @@
             and not state.conflicting_documents(
                 self._published_versions, snapshot.versions
             ),
-            "versions in force would revert from %s to %s",
+            "versions in force would be reverted from %s to %s",
             self._published_versions,
             snapshot.versions,
         )
@@ -304,7 +305,11 @@
         self._publish_readiness(self._clock.monotonic_s())
 
     def _publish_readiness(self, now_s: float) -> None:
-        """Publish the readiness, also unchanged, as a sign of no pause."""
+        """Send the readiness to the subscribers.
+
+        The time of the last tick is part of it, so that subscribers can tell
+        whether the process was paused even if nothing else has changed.
+        """
         readiness = self._readiness.decide(
             self._exchange.config.versions(), now_s
         )
@@ -325,7 +330,7 @@
             self._confirmed_s = confirmed_s
 
     def _report_unconfirmed_versions(self, now_s: float) -> None:
-        """Record when the versions have gone unconfirmed for too long."""
+        """Record when versions become unconfirmed or confirmed again."""
         confirmed_s = self._confirmed_s
         since_s = self._started_s if confirmed_s is None else confirmed_s
         age_s = now_s - since_s
@@ -351,7 +356,7 @@
     def _report_conflict(
         self, name: state.DocumentName, version: state.Version, origin: str
     ) -> None:
-        """Raise the alarm once for each digest."""
+        """Record a conflict once for each document and digest."""
         if (name, version.digest) in self._reported_conflicts:
             return
         self._reported_conflicts.add((name, version.digest))
@@ -407,7 +412,7 @@
 def _versions_in_answer(
     message: _source_client.SourceMessage, own_versions: state.VersionVector
 ) -> state.VersionVector:
-    """Return the versions that an answer of the source shows."""
+    """Return the versions in force, raised to those that an answer shows."""
     source_versions = own_versions
     match message:
         case _messages.WatchCompleted():
--- a/src/jasminecrank/coordination/_loans.py
+++ b/src/jasminecrank/coordination/_loans.py
@@ -1,4 +1,4 @@
-"""Quota messages between the admission actors of one service."""
+"""Exchange of quota messages between the nodes of a service."""
 
 import typing
 
@@ -16,9 +16,9 @@
 
 
 class QuotaMessenger:
-    """Carries messages between the quota state of a node and its peers.
+    """Exchange messages between the quota state of a node and its peers.
 
-    It belongs to the admission actor and is used from its thread only.
+    Owned by the admission actor and used from its thread only.
     """
 
     __slots__ = ("_membership", "_quota", "_timers")
@@ -31,14 +31,14 @@
     def start(
         self, membership: _messages.Mailbox, owner: _messages.Mailbox
     ) -> None:
-        """Begin to send messages and ticks."""
+        """Set the membership mailbox and schedule the first quota tick."""
         self._membership = membership
         self._schedule_tick(owner)
 
     def handle(
         self, message: QuotaInput, owner: _messages.Mailbox, now_s: float
     ) -> None:
-        """Handle one message of the membership actor or the timer."""
+        """Handle a message from the membership actor or a timer."""
         match message:
             case _messages.PeerMessageReceived():
                 self._receive(message.host, message.message, now_s)
@@ -53,7 +53,7 @@
                 typing.assert_never(message)
 
     def flush(self) -> None:
-        """Send what the quota state has for its peers."""
+        """Send the queued messages of the quota state to the peers."""
         for outgoing in self._quota.drain_outbox():
             if self._membership is not None:
                 message = _to_peer_message(outgoing.message)
--- a/src/jasminecrank/coordination/_membership.py
+++ b/src/jasminecrank/coordination/_membership.py
@@ -1,4 +1,4 @@
-"""The actor that owns peer links, the logical clock and the event ring."""
+"""Actor that owns the peer links, the logical clock and recent events."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,12 +14,12 @@
 from jasminecrank.coordination import _timers
 
 _UNPLANNED_LINK_GRACE_S = 60.0
-"""Time for host lists to become equal before an unplanned link is closed."""
+"""Time for host lists to converge before an unplanned link is closed."""
 
 
 @dataclass(slots=True, frozen=True)
 class MembershipSettings:
-    """Who this node is and whom it may ask before it knows the hosts."""
+    """Identity of this node and the peers to dial without a host list."""
 
     host: str
     data_centre: str
@@ -44,10 +44,10 @@
 
 
 class MembershipActor(_actors.NodeActor):
-    """Keeps links to the planned peers and passes their messages on.
+    """Maintain links to the planned peers and route their messages.
 
     All peer messages and all events of the process pass through this actor,
-    so that one logical clock orders them.
+    so that a single logical clock orders them.
     """
 
     def __init__(
@@ -80,14 +80,14 @@
     def connect(
         self, config: _messages.Mailbox, admission: _messages.Mailbox
     ) -> None:
-        """Take the mailboxes of the other actors and begin."""
+        """Set the mailboxes of the other actors and start dialling."""
         self._config = config
         self._admission = admission
         self._dial_planned_peers()
         self._schedule_tick()
 
     def on_receive(self, message: object) -> object:
-        """Handle one message."""
+        """Handle a message; queries return their result."""
         match message:
             case _messages.EnvelopeReceived():
                 self._receive(message.envelope)
@@ -212,7 +212,10 @@
             self._tell(self._config, _messages.PeerDown(host))
 
     def _handle_goodbye(self, host: str, link: _Link) -> None:
-        """Count a peer that stops as planned as gone, before it closes."""
+        """Report a peer as down once it announces a planned stop.
+
+        The link itself stays open until the peer closes it.
+        """
         if link.leaving:
             return
         link.leaving = True
@@ -264,9 +267,9 @@
         return now_s - self._readiness.confirmed_s
 
     def _close_unplanned_links(self, now_s: float) -> None:
-        """Close links that this node dialled and no longer plans.
+        """Close links that this node dialled and that are no longer planned.
 
-        The other side dials anew if it still plans the link.
+        The peer dials again if it still plans the link.
         """
         planned = {peer.host for peer in self._planned_peers()}
         for host, link in tuple(self._link_by_host.items()):
@@ -357,10 +360,10 @@
 
 
 def _keeps_existing_link(existing: _Link, message: _messages.LinkUp) -> bool:
-    """Return whether a link stays when a second one to its peer opens.
+    """Return whether an existing link is kept when a second one opens.
 
-    Both sides keep the link to the newer process or else the one that the
-    lower host id dialled.
+    Both sides keep the link to the newer process or, between the same two
+    processes, the link that the host with the lower id dialled.
     """
     if existing.incarnation != message.hello.incarnation:
         return existing.incarnation > message.hello.incarnation
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between nodes and between the actors of one node."""
+"""Messages between nodes and between the actors of a node."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -11,10 +11,10 @@
 
 
 class Mailbox(typing.Protocol):
-    """Anything that a message can be sent to."""
+    """Receiver of messages: an actor, or one end of a link."""
 
     def tell(self, message: typing.Any) -> None:
-        """Queue a message without waiting."""
+        """Queue a message without blocking."""
 
 
 # Messages between nodes.
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Hello:
-    """Open a link and show the versions in force."""
+    """Open a link and report the versions in force."""
 
     host: str
     data_centre: str
@@ -32,12 +32,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Heartbeat:
-    """Confirm that a node lives and which versions it has in force."""
+    """Report that a node is alive and which versions it has in force."""
 
     versions: state.VersionVector
     draining: bool
     confirmed_age_s: float = math.inf
-    """Seconds since the source confirmed the versions, through any node."""
+    """Seconds since the source confirmed the versions, to any node."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,14 +49,14 @@
 
 @dataclass(slots=True, frozen=True)
 class DocumentSnapshot:
-    """A whole document, for a peer without a usable base."""
+    """A complete document, for a peer without the base version of a delta."""
 
     document: state.Document
 
 
 @dataclass(slots=True, frozen=True)
 class FetchDocument:
-    """Ask a peer for its version of a document."""
+    """Request the peer's version of a document."""
 
     name: state.DocumentName
     have: state.Version
@@ -64,14 +64,17 @@
 
 @dataclass(slots=True, frozen=True)
 class VersionsRequest:
-    """Ask a peer for its versions after a pause."""
+    """Request the versions of a peer after a pause of this process."""
 
     query_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class VersionsReply:
-    """Show the versions in force: for an inquiry, or unasked with none."""
+    """Report the versions in force, for a query or unsolicited.
+
+    An unsolicited report has -1 as its query_id.
+    """
 
     query_id: int
     versions: state.VersionVector
@@ -79,21 +82,21 @@
 
 @dataclass(slots=True, frozen=True)
 class LoanRequestMessage:
-    """Ask a peer of the same service for quota."""
+    """Request quota from a peer of the same service."""
 
     request: state.LoanRequest
 
 
 @dataclass(slots=True, frozen=True)
 class LoanGrantMessage:
-    """Hand over parts of shares and their tokens for a limited time."""
+    """Lend parts of quota shares and their tokens for a limited time."""
 
     grant: state.LoanGrant
 
 
 @dataclass(slots=True, frozen=True)
 class ShareReportMessage:
-    """Show which hosts version the quota shares of a node follow."""
+    """Report the hosts version that the quota shares of a node follow."""
 
     report: state.ShareReport
 
@@ -122,7 +125,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Envelope:
-    """A peer message with its sender and logical time."""
+    """A peer message with its sender and logical timestamp."""
 
     sender: str
     stamp: state.Stamp
@@ -134,17 +137,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Tick:
-    """Periodic timer message."""
+    """Periodic timer message of the actor that receives it."""
 
 
 @dataclass(slots=True, frozen=True)
 class DialDue:
-    """It is time to dial planned peers."""
+    """Timer message: dial the planned peers that are due."""
 
 
 @dataclass(slots=True, frozen=True)
 class QuotaTick:
-    """Time to renew loans and to repeat reports."""
+    """Timer message: renew loans and repeat share reports."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -156,26 +159,26 @@
 
 @dataclass(slots=True, frozen=True)
 class ReadinessChanged:
-    """The node may or may not accept calls."""
+    """Whether the node accepts calls, as of its last tick."""
 
     ready: bool
     reason: str
     ticked_s: float | None = None
-    """Monotonic time of the last tick, to detect a pause at use."""
+    """Monotonic time of the last tick; the reader detects a pause by it."""
     confirmed_s: float | None = None
     """Monotonic time at which the source last confirmed the versions."""
 
 
 @dataclass(slots=True, frozen=True)
 class DocumentRead:
-    """The source answered with a document."""
+    """The source answered a read with a document."""
 
     document: state.Document
 
 
 @dataclass(slots=True, frozen=True)
 class DocumentUnreadable:
-    """The source answered with something that is not a document."""
+    """The source answered a read with an invalid document."""
 
     name: state.DocumentName
     reason: str
@@ -183,28 +186,31 @@
 
 @dataclass(slots=True, frozen=True)
 class WatchCompleted:
-    """A watch has ended; the source has newer versions of these."""
+    """A watch ended; names has the documents with newer versions.
+
+    It is empty if the watch timed out without a change.
+    """
 
     names: tuple[state.DocumentName, ...]
 
 
 @dataclass(slots=True, frozen=True)
 class SourceFailed:
-    """The source did not answer, or not as documented."""
+    """The source did not answer, or its answer violates the protocol."""
 
     reason: str
 
 
 @dataclass(slots=True, frozen=True)
 class ReadSource:
-    """Read one document; this is one call."""
+    """Read one document from the source, in one call."""
 
     name: state.DocumentName
 
 
 @dataclass(slots=True, frozen=True)
 class WatchSource:
-    """Wait until the source has something newer; this is one call."""
+    """Wait for versions newer than those given, in one call."""
 
     have: state.VersionVector
     wait_s: int
@@ -212,7 +218,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkUp:
-    """A link to a peer is open; the mailbox sends on it."""
+    """A link to a peer is open; its mailbox sends on the link."""
 
     hello: Hello
     mailbox: Mailbox
@@ -223,7 +229,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkDown:
-    """A link to a peer is closed or could not be opened."""
+    """A link to a peer was closed or could not be opened."""
 
     address: str
     mailbox: Mailbox
@@ -232,7 +238,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerUp:
-    """A peer is linked and has these versions in force."""
+    """A peer is linked; versions are those it has in force."""
 
     host: str
     versions: state.VersionVector
@@ -247,7 +253,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerMessageReceived:
-    """A peer message for the actor that handles it."""
+    """A peer message, passed to the actor that handles it."""
 
     host: str
     message: PeerMessage
@@ -255,7 +261,7 @@
 
 @dataclass(slots=True, frozen=True)
 class EnvelopeReceived:
-    """A peer message as it came from a link."""
+    """An envelope that was received on a link."""
 
     envelope: Envelope
 
@@ -270,7 +276,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RecordEvent:
-    """Put a decision into the event ring and the log."""
+    """Add an event to the recent events and to the log."""
 
     name: str
     fields: Mapping[str, str] = field(default_factory=dict)
@@ -283,14 +289,14 @@
 
 @dataclass(slots=True, frozen=True)
 class AdmitCall:
-    """Ask for a decision on a call; the reply gets exactly one Decision."""
+    """Request a decision on a call; reply is set exactly once."""
 
     call: state.CallRequest
     reply: "DecisionReply"
 
 
 class DecisionReply(typing.Protocol):
-    """Where the decision on a call goes."""
+    """Receiver of the decision on a call."""
 
     def set(self, value: state.Decision | None = None) -> None:
         """Deliver the decision."""
@@ -298,14 +304,14 @@
 
 @dataclass(slots=True, frozen=True)
 class CancelCall:
-    """Withdraw a call that waits in the queue."""
+    """Remove a call from the queue."""
 
     request_id: str
 
 
 @dataclass(slots=True, frozen=True)
 class CallFinished:
-    """Give a permit back with the outcome of the call."""
+    """Return a permit and report the outcome of its call."""
 
     permit: state.Permit
     outcome: state.Outcome
@@ -313,36 +319,36 @@
 
 @dataclass(slots=True, frozen=True)
 class ForwardFinished:
-    """Tell how a call sent to another node has ended."""
+    """Report the outcome of a call that was forwarded to another node."""
 
     forward: state.ForwardTo
     outcome: state.Outcome
 
 
 class DrainedReply(typing.Protocol):
-    """Where the end of the last call in hand is announced."""
+    """Receiver of the notification that no call is open."""
 
     def set(self, value: None = None) -> None:
-        """Announce that no call is in hand."""
+        """Notify the receiver that no call is open."""
 
 
 @dataclass(slots=True, frozen=True)
 class AwaitDrained:
-    """Ask for a reply once a stop was requested and no call is in hand."""
+    """Request a reply once a stop was requested and no call is open."""
 
     reply: DrainedReply
 
 
 @dataclass(slots=True, frozen=True)
 class TakeRetry:
-    """Ask for one retry, given how many calls the node has seen."""
+    """Request a retry, given the number of calls the node has received."""
 
     calls_seen: int
 
 
 @dataclass(slots=True, frozen=True)
 class ServerHealth:
-    """What the backend server's health endpoint shows."""
+    """Report of the backend server's health endpoint."""
 
     health: state.HealthReport
 
@@ -352,22 +358,22 @@
 
 @dataclass(slots=True, frozen=True)
 class GetStatus:
-    """Ask an actor for its status."""
+    """Query the status of an actor."""
 
 
 @dataclass(slots=True, frozen=True)
 class GetEvents:
-    """Ask for the event ring."""
+    """Query the recent events."""
 
 
 @dataclass(slots=True, frozen=True)
 class GetHello:
-    """Ask for the message that opens a link."""
+    """Query the message that opens a link."""
 
 
 @dataclass(slots=True, frozen=True)
 class PeerStatus:
-    """One linked peer and the versions it last showed."""
+    """A linked peer and the versions that it last reported."""
 
     host: str
     versions: state.VersionVector
@@ -376,7 +382,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ConfigStatus:
-    """Versions in force and the state of the source."""
+    """Versions in force, readiness and state of the source."""
 
     versions: state.VersionVector
     ready: bool
@@ -389,7 +395,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AdmissionStatus:
-    """Slots, queue and counts of one node."""
+    """Slots in use, queue length and result counts of a node."""
 
     slots_in_use: int
     capacity: int
--- a/src/jasminecrank/coordination/_retries.py
+++ b/src/jasminecrank/coordination/_retries.py
@@ -1,4 +1,4 @@
-"""The actor that owns the retry budget of a node."""
+"""Actor that owns the retry budget of a node."""
 
 from jasminecrank import exceptions
 from jasminecrank import state
@@ -7,14 +7,14 @@
 
 
 class RetryActor(_actors.NodeActor):
-    """Owns the retry budget that all worker threads draw from."""
+    """Own the retry budget that all worker threads share."""
 
     def __init__(self) -> None:
         super().__init__()
         self._budget = state.RetryBudget()
 
     def on_receive(self, message: object) -> object:
-        """Handle one message."""
+        """Return whether the retry budget allows another retry."""
         match message:
             case _messages.TakeRetry():
                 return self._budget.take(message.calls_seen)
--- a/src/jasminecrank/coordination/_source_client.py
+++ b/src/jasminecrank/coordination/_source_client.py
@@ -1,4 +1,4 @@
-"""The order of a node's calls to the configuration service."""
+"""Scheduling of a node's calls to the configuration service."""
 
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -24,11 +24,12 @@
 
 @dataclass(slots=True)
 class SourceClient:
-    """Decides which call to make; ConfigActor owns it and sends the calls.
+    """Choose the next call to the source; ConfigActor sends it.
 
-    Watchers watch and read what has changed. A node without a host list
-    reads that first, because it then knows its peers. A node without links
-    watches for short times within its part of the budget.
+    Watchers watch the source and read the documents that have changed. A
+    node without a host list reads it first, to learn the addresses of its
+    peers. A node without links uses short watches, within its share of the
+    call budget.
     """
 
     rng: random.Random
@@ -45,7 +46,7 @@
     query_id: int = 0
     error: str = ""
     caught_up: bool = False
-    """Whether the last answer showed nothing newer than is in force."""
+    """Whether the last answer reported nothing newer than is in force."""
 
     @classmethod
     def from_start(
@@ -73,7 +74,7 @@
         return self.watcher_role.watching
 
     def update_topology(self, snapshot: state.Snapshot) -> None:
-        """Take a new host list."""
+        """Rebuild the topology from a new host list."""
         self.topology = state.Topology.from_snapshot(snapshot)
 
     def next_call(
@@ -83,7 +84,10 @@
         query_id: int,
         now_s: float,
     ) -> SourceCall | None:
-        """Return the call to make now, if any."""
+        """Return the call to make now, None if there is none.
+
+        Also updates the watcher role and the call rate of this node.
+        """
         if versions.hosts.number > 0:
             self.watcher_role.update(self.topology, linked_hosts, now_s)
             self.schedule.update_rate(self.topology, self.watching)
@@ -119,10 +123,11 @@
     def _versions_to_watch(
         self, versions: state.VersionVector
     ) -> state.VersionVector:
-        """Return the versions to wait beyond, so that no bad one repeats.
+        """Return the versions that a watch waits to be exceeded.
 
-        Without a host list only that is awaited: it leads to peers, which
-        have the other documents.
+        Rejected versions count as known, so that a watch does not report
+        them again. Without a host list, the watch covers the host list only:
+        it gives the addresses of peers, which have the other documents.
         """
         if versions.hosts.number == 0:
             highest_version = state.Version(_VERSION_NUMBER_MAX, "")
@@ -143,7 +148,7 @@
         | _messages.SourceFailed,
         now_s: float,
     ) -> Events:
-        """Take an answer without a document and return its events."""
+        """Process an answer without a document and return its events."""
         self.call_in_progress = False
         self.caught_up = False
         match message:
@@ -154,8 +159,8 @@
                 if not message.names:
                     self._record_success()
                     self.caught_up = not self.rejected_versions
-                    # A rejected version is read again after each watch, in
-                    # case only one replica served it wrongly.
+                    # Read rejected versions again after each watch, in case
+                    # only one replica of the source served invalid content.
                     self.rejected_versions.clear()
                 return ()
             case _messages.DocumentUnreadable():
@@ -184,7 +189,7 @@
         result: state.OfferResult | None,
         now_s: float,
     ) -> Events:
-        """Take the result of a document that was read."""
+        """Process the result of offering a document and return its events."""
         self.call_in_progress = False
         self.caught_up = False
         fields = {
@@ -206,8 +211,8 @@
                 fields["reason"] = result.reason
                 return self._report_once("version-invalid", fields)
             case state.Stale() if document.version == result.current:
-                # A watch that shows a newer version than the read gives
-                # would otherwise repeat at once.
+                # Delay the next call: if a watch reports a newer version
+                # than a read returns, both would repeat without a pause.
                 self.schedule.record_failure(now_s, self.rng)
                 return ()
             case state.Stale():
@@ -229,7 +234,7 @@
         self.error = reason
 
     def _report_once(self, name: str, fields: dict[str, str]) -> Events:
-        """Return an event the first time, nothing on repeats."""
+        """Return an event unless the same one was reported before."""
         key = (name, fields["document"], str(sorted(fields.items())))
         if key in self.reported_events:
             return ()
--- a/src/jasminecrank/coordination/_timers.py
+++ b/src/jasminecrank/coordination/_timers.py
@@ -1,4 +1,4 @@
-"""Timers that are delivered as messages."""
+"""Timers that send messages to actors."""
 
 import heapq
 import itertools
@@ -14,7 +14,7 @@
 
 
 class Timers:
-    """A thread that sends messages at their due times."""
+    """Send messages at their due times, from a thread of its own."""
 
     __slots__ = ("_clock", "_condition", "_heap", "_sequence", "_stopped")
 
@@ -27,7 +27,7 @@
 
     @classmethod
     def start(cls, clock: state.Clock) -> typing.Self:
-        """Return timers with a running thread."""
+        """Return an instance whose thread is running."""
         timers = cls(clock)
         threading.Thread(
             target=timers._run, name="timers", daemon=True
@@ -37,7 +37,7 @@
     def call_later(
         self, delay_s: float, mailbox: _messages.Mailbox, message: object
     ) -> None:
-        """Send a message once after a delay."""
+        """Send a message once, after a delay."""
         due_s = self._clock.monotonic_s() + delay_s
         entry = (due_s, next(self._sequence), mailbox, message)
         with self._condition:
@@ -45,7 +45,7 @@
             self._condition.notify()
 
     def stop(self) -> None:
-        """End the thread; messages not yet due are dropped."""
+        """Stop the thread and drop the messages that are not yet due."""
         with self._condition:
             self._stopped = True
             self._condition.notify()
@@ -69,7 +69,7 @@
 
 
 def tell_if_alive(mailbox: _messages.Mailbox, message: object) -> None:
-    """Send to an actor that may have stopped already."""
+    """Send a message to an actor; drop it if the actor has stopped."""
     try:
         mailbox.tell(message)
     except pykka.ActorDeadError:
