Reword the features of the coordination package

Heads, scenario titles and steps used figures of speech, such as calls "in hand" or messages "under way". They now name the failure that a feature guards against, and use open, queued and pending as the code does.

Step texts changed together with their step functions. Scenarios, example rows, figures, seeds and bounds are the same, and every step checks what it checked before.

--- a/features/coordination/source.feature
+++ b/features/coordination/source.feature
@@ -1,15 +1,16 @@
 Feature: Calls to the configuration service
 
-  Guards against a fleet that overloads the source: after a mass restart,
-  while it fails, or when it serves something that cannot be accepted.
+  Guards against a fleet that overloads the source: after a restart of all
+  nodes, while the source fails, or when it serves documents that the nodes
+  reject.
 
-  Scenario Outline: A whole fleet starts at once
+  Scenario Outline: All nodes of a fleet start at the same time
     Given 2200 hosts of 180 services in 10 data centres
-    When all of them start and the source <source> and links <links>
+    When all hosts start and the source <source> and links <links>
     Then the source gets at most 2000 calls in any second of 40 s
     And in the last 10 s it gets at most <last> calls
 
-    Examples: a pending watch of a linked watcher lasts 25 s, others 5 s
+    Examples: A watch by a linked watcher times out after 25 s, others after 5 s
       | source         | links    | last |
       | answers        | come up  | 90   |
       | answers        | stay cut | 5000 |
--- a/features/steps/admission_actor_steps.py
+++ b/features/steps/admission_actor_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the admission actor, with timers under the test's control."""
+"""Steps for the admission actor, with manually advanced timers."""
 
 import contextlib
 
@@ -15,19 +15,19 @@
 
 
 class ManualTimers:
-    """Keeps timer messages until the test lets time pass."""
+    """Store timer messages until the test advances the clock."""
 
     def __init__(self, clock):
         self._clock = clock
         self.entries = []
 
     def call_later(self, delay_s, mailbox, message):
-        """Keep a message."""
+        """Store a message and its due time."""
         due_s = self._clock.now_s + delay_s
         self.entries.append((due_s, mailbox, message))
 
     def advance(self, seconds):
-        """Move the clock and send what falls due."""
+        """Advance the clock and send the messages that fall due."""
         end_s = self._clock.now_s + seconds
         while due := [entry for entry in self.entries if entry[0] <= end_s]:
             entry = min(due, key=lambda item: item[0])
@@ -39,21 +39,21 @@
 
 
 class DiscardingMailbox:
-    """Stands for the membership actor."""
+    """Replace the membership actor and discard its messages."""
 
     def tell(self, message):
-        """Drop a message."""
+        """Discard a message."""
 
 
 def decision_of(reply):
-    """Return the decision a reply has, None if there is none yet."""
+    """Return the decision of a reply, None while it is pending."""
     try:
         return reply.get(timeout=0)
     except pykka.Timeout:
         return None
 
 
-@given("the admission actor of a node with {count:d} calls in hand")
+@given("the admission actor of a node with {count:d} open calls")
 def step_actor(context, count):
     context.crashes = []
 
@@ -71,7 +71,8 @@
     context.actor.proxy().connect(DiscardingMailbox()).get()
     context.actor.tell(coordination.SnapshotChanged(world.admission.snapshot))
     context.actor.tell(coordination.ReadinessChanged(True, "test"))
-    # The node owns its share once the other hosts have shown the version.
+    # A node may use its quota share once the other hosts have reported the
+    # same hosts version.
     version = world.admission.snapshot.versions.hosts
     for slot, peer in ((1, "ledger-2"), (2, "ledger-3")):
         report = state.ShareReport("ledger", version, frozenset({slot}), None)
@@ -92,7 +93,7 @@
 
 
 def request_decision(context, deadline_at_s):
-    """Ask the actor for a decision on a lookup."""
+    """Request a decision on a GET call."""
     reply = pykka.ThreadingFuture()
     call = state.CallRequest(
         f"r{len(context.replies)}",
@@ -107,8 +108,11 @@
     context.replies.append(reply)
 
 
-@when("for {seconds:d} s a long and a short call come every half second")
-def step_long_and_short(context, seconds):
+@when(
+    "for {seconds:d} s calls with a default and a short deadline arrive "
+    "every half second"
+)
+def step_arriving_calls(context, seconds):
     for _ in range(2 * seconds):
         request_decision(context, None)
         request_decision(context, context.clock.now_s + 0.4)
@@ -116,14 +120,14 @@
         context.timers.advance(0.5)
 
 
-@then("at most {count:d} timer messages are under way")
+@then("at most {count:d} timer messages are pending")
 def step_timers(context, count):
     assert not context.crashes
     assert len(context.timers.entries) <= count, context.timers.entries
 
 
 def wait_until_handled(context):
-    """Wait until the actor has handled every message sent."""
+    """Wait until the actor has handled all messages sent so far."""
     coordination.ask(context.actor, coordination.GetStatus())
 
 
@@ -168,7 +172,7 @@
     wait_until_handled(context)
 
 
-@then("{count:d} waiting calls are forwarded")
+@then("{count:d} queued calls are forwarded")
 def step_forwarded(context, count):
     forwarded = [
         reply
@@ -178,23 +182,23 @@
     assert len(forwarded) == count, forwarded
 
 
-@then("the stop is not answered")
+@then("the stop is not completed")
 def step_not_drained(context):
     assert not context.crashes
     try:
         context.drain_reply.get(timeout=0)
     except pykka.Timeout:
         return
-    raise AssertionError("answered")
+    raise AssertionError("the stop was completed")
 
 
-@then("the stop is answered")
+@then("the stop is completed")
 def step_drained(context):
     context.drain_reply.get(timeout=5)
     assert not context.crashes
 
 
-@then("the last call is decided as {decision}")
+@then("the decision on the last call is {decision}")
 def step_last(context, decision):
     seen = decision_of(context.replies[-1])
     assert admission_world.describe(seen) == decision, seen
--- a/features/steps/source_steps.py
+++ b/features/steps/source_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the calls of nodes to the configuration service."""
+"""Steps for the calls of nodes to the configuration service."""
 
 import heapq
 import itertools
@@ -17,7 +17,7 @@
 
 
 def vector(number, **others):
-    """Return a vector with one number, except for some documents."""
+    """Return a version vector with one number, except for some documents."""
     return state.VersionVector(
         **{
             name.value: state.Version(others.get(name.value, number), "00")
@@ -27,7 +27,7 @@
 
 
 class SimulatedFleet:
-    """Many source clients against a modelled source, in virtual time."""
+    """Source clients that call a simulated source in virtual time."""
 
     def __init__(self, rows, source, links):
         self.source = source
@@ -48,11 +48,11 @@
             self.schedule(self.rng.uniform(0, 0.5), row.host, None)
 
     def schedule(self, due_s, host, answer):
-        """Queue a tick or an answer for one node."""
+        """Schedule a tick (answer is None) or an answer for one node."""
         heapq.heappush(self.queue, (due_s, next(self.sequence), host, answer))
 
     def run(self, until_s):
-        """Run all nodes up to a time."""
+        """Run all nodes until a point in time."""
         while self.queue and self.queue[0][0] < until_s:
             now_s, _, host, answer = heapq.heappop(self.queue)
             client = self.client_by_host[host]
@@ -72,7 +72,7 @@
                 self.schedule_answer(host, call, now_s)
 
     def deliver_answer(self, client, host, answer, now_s):
-        """Hand an answer to a node as ConfigActor does."""
+        """Pass an answer to a client, as ConfigActor does."""
         if not isinstance(answer, state.Document):
             client.handle_answer(answer, now_s)
             return
@@ -97,7 +97,7 @@
         client.handle_document(answer, result, now_s)
 
     def schedule_answer(self, host, call, now_s):
-        """Queue what the source answers to a call."""
+        """Schedule the answer of the source to a call."""
         if self.source == "fails":
             failed = coordination.SourceFailed("refused")
             self.schedule(now_s + 0.01, host, failed)
@@ -116,7 +116,7 @@
         self.schedule(now_s + wait_s, host, coordination.WatchCompleted(names))
 
 
-@when("all of them start and the source {source} and links {links}")
+@when("all hosts start and the source {source} and links {links}")
 def step_mass_start(context, source, links):
     context.fleet = SimulatedFleet(context.rows, source, links)
     context.fleet.run(40.0)
@@ -176,7 +176,7 @@
 
 
 def apply_answer(context, answer):
-    """Hand one answer of an example table to the node."""
+    """Pass an answer of an example table to the node."""
     client, now_s = context.client, context.now_s
     match answer:
         case ["changed", *names]:
--- a/features/steps/world.py
+++ b/features/steps/world.py
@@ -1,4 +1,7 @@
-"""Config and membership actors of several nodes in virtual time."""
+"""Simulation of the config and membership actors of several nodes.
+
+Messages and timers are delivered in virtual time, without threads.
+"""
 
 import dataclasses
 import heapq
@@ -14,7 +17,7 @@
 
 
 class ActorMailbox:
-    """A mailbox whose messages are delivered by the world."""
+    """A mailbox whose messages are delivered by the simulation."""
 
     def __init__(self, node, actor):
         self.node = node
@@ -26,7 +29,7 @@
 
 
 class LinkEnd:
-    """One end of a link; envelopes pass through the real encoding."""
+    """One end of a link; envelopes are encoded and decoded as on the wire."""
 
     def __init__(self, node, address):
         self.node = node
@@ -35,7 +38,7 @@
         self.is_open = True
 
     def tell(self, message):
-        """Send an envelope or close the link."""
+        """Send an envelope, or close the link."""
         simulation = self.node.simulation
         if isinstance(message, coordination.StopRequested):
             self.close()
@@ -61,18 +64,18 @@
 
 
 class SourceMailbox:
-    """The source reader of one node."""
+    """The mailbox of the source reader of one node."""
 
     def __init__(self, node):
         self.node = node
 
     def tell(self, call):
-        """Answer from the world's source."""
+        """Answer a call from the simulated source."""
         self.node.simulation.answer_source_call(self.node, call)
 
 
 class SimulatedNode:
-    """The actors of one node without threads."""
+    """The config and membership actors of one node, without threads."""
 
     def __init__(self, simulation, row, incarnation):
         self.simulation = simulation
@@ -115,7 +118,7 @@
         self.simulation.open_link(self, address, hello)
 
     def status(self):
-        """Return what the node's status page shows."""
+        """Return the status of the config actor."""
         return self.config.on_receive(coordination.GetStatus())
 
     def peers(self):
@@ -125,7 +128,7 @@
 
 
 class Simulation:
-    """The clock, the queue, the source and all nodes."""
+    """The clock, the message queue, the source and all nodes."""
 
     def __init__(self, rows):
         self.clock = state.ManualClock(1000.0)
@@ -146,23 +149,23 @@
         self.nodes = {row.host: self.start(row, 1) for row in rows}
 
     def start(self, row, incarnation):
-        """Start a node."""
+        """Start a node and return it."""
         node = SimulatedNode(self, row, incarnation)
         self.by_address[f"{row.address}:{row.peer_port}"] = node
         return node
 
     def schedule(self, delay_s, node, actor, message):
-        """Deliver a message to an actor later."""
+        """Deliver a message to an actor after a delay."""
         due_s = self.clock.now_s + delay_s
         entry = (due_s, next(self.sequence), node, actor, message)
         heapq.heappush(self.queue, entry)
 
     def call_later(self, delay_s, mailbox, message):
-        """Stand in for the timers of a node."""
+        """Schedule a timer message, in place of the timers of a node."""
         self.schedule(delay_s, mailbox.node, mailbox.actor, message)
 
     def run(self, seconds):
-        """Let time pass."""
+        """Advance the clock and deliver the messages that fall due."""
         end_s = self.clock.now_s + seconds
         while self.queue and self.queue[0][0] <= end_s:
             due_s, _, node, actor, message = heapq.heappop(self.queue)
@@ -171,7 +174,7 @@
         self.clock.now_s = end_s
 
     def dispatch(self, node, actor, message):
-        """Hand a message over unless its node is paused or dead."""
+        """Deliver a message, unless its node is paused or killed."""
         if node.paused:
             node.deferred.append((actor, message))
         elif actor is not None and node.alive:
@@ -186,7 +189,7 @@
         return node.alive and peer.alive and not is_cut_off
 
     def open_link(self, node, address, hello):
-        """Open a link, or report that it can't be opened."""
+        """Open a link, or report that it cannot be opened."""
         self.dial_count += 1
         peer = self.by_address.get(address)
         dialler, acceptor = LinkEnd(node, address), LinkEnd(peer or node, "")
@@ -204,14 +207,14 @@
         self.schedule(0.2, peer, peer.membership, link_up)
 
     def publish(self, document):
-        """Publish at the source and end the watches that wait for it."""
+        """Publish a document at the source and end the watches for it."""
         self.documents[document.name] = document
         watches, self.watches = self.watches, []
         for node, call in watches:
             self.answer_source_call(node, call)
 
     def newer_documents(self, call):
-        """Return the names that a watch reports."""
+        """Return the names of the documents that a watch reports."""
         return tuple(
             name
             for name, document in self.documents.items()
@@ -219,7 +222,7 @@
         )
 
     def answer_source_call(self, node, call):
-        """Answer a call to the source, or keep a watch."""
+        """Answer a call to the source, or register its watch."""
         is_cut_off = node.row.data_centre in self.cut_off
         answer, delay_s = coordination.SourceFailed("refused"), 0.005
         if self.source_up and not is_cut_off:
@@ -236,19 +239,20 @@
                 return
         self.schedule(delay_s, node, node.config, answer)
 
-    # The world is the receiver of the ends of watches.
+    # The simulation itself receives the timeouts of watches, in place of a
+    # node and its actor.
     paused = False
     alive = True
 
     def on_receive(self, message):
-        """End a watch without a change."""
+        """End a watch that timed out without a change."""
         if (message.node, message.call) in self.watches:
             self.watches.remove((message.node, message.call))
             node = message.node
             node.config.actor_ref.tell(coordination.WatchCompleted(()))
 
     def kill(self, host):
-        """End a process; its links close."""
+        """Kill a node; its links are closed."""
         node = self.nodes[host]
         ends = [
             link.mailbox for link in node.membership._link_by_host.values()
@@ -258,7 +262,7 @@
         node.alive = node.ready = False
 
     def resume(self, host):
-        """Let a paused node handle what has waited."""
+        """Resume a paused node and deliver the messages it has missed."""
         node = self.nodes[host]
         node.paused = False
         for actor, message in node.deferred:
@@ -273,7 +277,7 @@
 
 
 def make_simulation(hosts, data_centres):
-    """Return a world whose nodes have distinct addresses."""
+    """Return a simulation whose nodes have distinct addresses."""
 
     rows = topology_steps.make_hosts(hosts, 2, data_centres)
     return Simulation(
--- a/features/steps/world_steps.py
+++ b/features/steps/world_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the distribution between simulated nodes."""
+"""Steps for the distribution of versions between simulated nodes."""
 
 from behave import given
 from behave import then
@@ -28,7 +28,7 @@
 
 
 def host_at(context, position):
-    """Return the host at a place such as dc-0/5 of the watch rank."""
+    """Return the host at a data centre and watch rank such as dc-0/5."""
     data_centre, rank = position.split("/")
     return (
         topology(context)
@@ -38,7 +38,7 @@
 
 
 def topology(context):
-    """Return the topology that all nodes have."""
+    """Return the topology, which is the same on all nodes."""
     node = next(
         node for node in context.simulation.nodes.values() if node.alive
     )
@@ -90,7 +90,7 @@
     context.simulation.cut_off.add(data_centre)
 
 
-@when("the data centre {data_centre} returns")
+@when("the data centre {data_centre} is reconnected")
 def step_return(context, data_centre):
     context.simulation.cut_off.discard(data_centre)
 
@@ -107,7 +107,7 @@
 
 
 def lagging_hosts(context):
-    """Return the running, reachable hosts without the newest table."""
+    """Return the running, reachable hosts that lack the newest table."""
     newest = context.simulation.documents[TABLE].version
     return [
         host
@@ -119,7 +119,7 @@
     ]
 
 
-@then("every running node that can be reached has it within {limit:d} s")
+@then("every running, reachable node has the newest table within {limit:d} s")
 def step_converged(context, limit):
     context.simulation.run(limit)
     assert not lagging_hosts(context), lagging_hosts(context)
@@ -159,7 +159,7 @@
         assert names.count(name) == 1, (host, names)
 
 
-@when("the source comes back with table version {number:d}")
+@when("the source recovers with table version {number:d}")
 def step_source_back(context, number):
     context.simulation.source_up = True
     step_publish(context, number)
