State why the drain of a node is polled

The docstring of the drain interval did not say any more that forwarded calls are open only until their deadline, which is why the node polls.

--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -11,7 +11,7 @@
 from jasminecrank.coordination import _timers
 
 _DRAIN_POLL_INTERVAL_S = 0.5
-"""Needed because no message reports that a forwarded call has expired."""
+"""Forwarded calls stop being open at their deadline, without a message."""
 
 
 @dataclass(slots=True, frozen=True)
