Name operator tools and shared constants precisely

Several names of the operators' tools and of the shared constants were vague or lacked a unit, such as SHARE_WHOLE, START_BOUND_S, NodeView, BrokenLine and the bare number of CountKey.

Rename them to the terms of the field, with their uses in state and in the tests. The column of the report's temporary counts database follows the field version_number; the database is deleted with the report and no output names the column. CLI flags, event names and printed texts are unchanged.

script/lint passes. The features of audit, settings, pages, result codes and explain pass: 54 scenarios. The wording check reports two places in these files: format_timeline's local place became position, the name of the attribute it holds, and step_gaps reads context.duplicates where it read context.doubled. Neither changes what is computed.

The names now state what they hold; behaviour and output are the same.

--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -21,9 +21,11 @@
         "LOG1": "intake-ledger-1.log",
         "LOG2": "intake-ledger-2.log",
     }
-    words = [logs.get(word, word) for word in arguments.split()]
+    command_arguments = [
+        logs.get(argument, argument) for argument in arguments.split()
+    ]
     context.run = subprocess.run(
-        [sys.executable, "-m", "jasminecrank.cli", *words],
+        [sys.executable, "-m", "jasminecrank.cli", *command_arguments],
         cwd=GOLDEN,
         capture_output=True,
         env={**os.environ, "COLUMNS": "200"},
@@ -54,20 +56,20 @@
 
 @when("the sequence numbers {numbers} are seen")
 def step_sequence(context, numbers):
-    context.seen = _sequences.SequenceSet()
-    context.doubled = [
+    context.sequences = _sequences.SequenceSet()
+    context.duplicates = [
         number
         for number in numbers.split()
-        if not context.seen.add(int(number))
+        if not context.sequences.add(int(number))
     ]
 
 
 @then("{doubled} are doubled and {gaps} are missing")
 def step_gaps(context, doubled, gaps):
-    assert (" ".join(context.doubled) or "none") == doubled
+    assert (" ".join(context.duplicates) or "none") == doubled
     found = [
         str(first) if first == last else f"{first}-{last}"
-        for first, last in context.seen.gaps()
+        for first, last in context.sequences.gaps()
     ]
     assert (" ".join(found) or "none") == gaps, found
 
--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -13,12 +13,12 @@
 from jasminecrank import operators
 from jasminecrank.mesh import state
 
-SOURCES = pathlib.Path("src/jasminecrank/mesh")
-LINES = {
+SOURCE_DIRECTORY = pathlib.Path("src/jasminecrank/mesh")
+LINE_BY_SETTING = {
     "ip": 'ip = "10.1.0.5"',
     "appAddr": 'appAddr = "10.1.0.5:8403"',
 }
-REST = """
+OTHER_SETTINGS = """
 node = "side-1"
 service = "s"
 zone = "a"
@@ -64,7 +64,9 @@
         "request-invalid",
         "too-large",
     }
-    text = "".join(path.read_text() for path in sorted(SOURCES.rglob("*.py")))
+    text = "".join(
+        path.read_text() for path in sorted(SOURCE_DIRECTORY.rglob("*.py"))
+    )
     for pattern in (
         r'Reject\("([^"]+)"',
         r'MayHaveRun\("([^"]+)"\)',
@@ -80,13 +82,13 @@
 
 @given("a settings file in which {what}")
 def step_settings(context, what):
-    lines = dict(LINES)
+    line_by_setting = dict(LINE_BY_SETTING)
     match what:
         case "ip is missing":
-            del lines["ip"]
+            del line_by_setting["ip"]
         case "appAddr is nonsense":
-            lines["appAddr"] = 'appAddr = "nonsense"'
-    context.settings = "\n".join([*lines.values(), REST])
+            line_by_setting["appAddr"] = 'appAddr = "nonsense"'
+    context.settings = "\n".join([*line_by_setting.values(), OTHER_SETTINGS])
 
 
 @when("its settings are checked")
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -536,7 +536,7 @@
     ledger = context.quotas[0].by_limit[SERVICE, TEAM]
     ledger.refill(context.now_s)
     unlent_ppb = ledger.share_ppb(context.now_s)
-    own_share_ppb = const.SHARE_WHOLE // 2
+    own_share_ppb = const.FULL_SHARE_PPB // 2
     assert (unlent_ppb < own_share_ppb) == (part == "less"), unlent_ppb
 
 
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -30,9 +30,9 @@
     if value == "IN_USE":
         value = str(context.port_in_use)
     flags = {**VALID, flag: value}
-    words = [f"{name}={text}" for name, text in flags.items()]
+    arguments = [f"{name}={text}" for name, text in flags.items()]
     context.run = subprocess.run(
-        [sys.executable, "-m", "jasminecrank.cli", "node", *words],
+        [sys.executable, "-m", "jasminecrank.cli", "node", *arguments],
         capture_output=True,
         env={**os.environ, "COLUMNS": "200"},
         timeout=60,
--- a/src/jasminecrank/cli/_audit.py
+++ b/src/jasminecrank/cli/_audit.py
@@ -29,13 +29,16 @@
     csv
         Print CSV instead of the text layout.
     """
-    with operators.MonthlyReport.from_logs(month, tuple(logs)) as counted:
+    with operators.MonthlyReport.from_logs(
+        month, tuple(logs)
+    ) as monthly_report:
         if csv:
-            _print(operators.format_csv(counted))
+            _print_lines(operators.format_csv(monthly_report))
         else:
-            _print(operators.format_text(counted))
+            _print_lines(operators.format_text(monthly_report))
         incomplete = any(
-            problem.problem != "other month" for problem in counted.problems()
+            problem.problem != "other month"
+            for problem in monthly_report.problems()
         )
     return _EXIT_INCOMPLETE if incomplete else 0
 
@@ -60,12 +63,12 @@
         Compiled tables, among which the version in force is looked up.
     """
     if any(operators.is_node_log(log) for log in logs):
-        found = operators.NodeTrace.from_logs(request_id, logs)
-        _print(operators.explain_node_call(found))
+        node_trace = operators.NodeTrace.from_logs(request_id, logs)
+        _print_lines(operators.explain_node_call(node_trace))
         return 0
     trace = operators.CallTrace.from_logs(request_id, logs)
     tables = operators.read_tables(table or ())
-    _print(operators.explain_call(trace, tables))
+    _print_lines(operators.explain_call(trace, tables))
     return 0
 
 
@@ -111,15 +114,15 @@
         raise exceptions.SettingError(
             "log files or --compiled are needed; neither is given"
         )
-    wanted = operators.TimelineFilter(
+    entry_filter = operators.TimelineFilter(
         team, service, request_id, table_version, host
     )
-    selected = (entry for entry in entries if wanted.matches(entry))
+    selected = (entry for entry in entries if entry_filter.matches(entry))
     if html is None:
-        _print(operators.format_timeline(selected))
+        _print_lines(operators.format_timeline(selected))
         return 0
-    with html.open("w", encoding="utf-8") as page:
-        page.writelines(
+    with html.open("w", encoding="utf-8") as file:
+        file.writelines(
             f"{line}\n" for line in operators.format_html(selected)
         )
     return 0
@@ -132,6 +135,6 @@
     app.command(timeline)
 
 
-def _print(lines: Iterable[str]) -> None:
+def _print_lines(lines: Iterable[str]) -> None:
     for line in lines:
         sys.stdout.write(f"{line}\n")
--- a/src/jasminecrank/cli/_main.py
+++ b/src/jasminecrank/cli/_main.py
@@ -42,14 +42,14 @@
             result_action="return_value",
         )
     except cyclopts.CycloptsError as error:
-        _fail(str(error).strip().splitlines()[-1], EXIT_USAGE)
+        _exit_with_error(str(error).strip().splitlines()[-1], EXIT_USAGE)
     except exceptions.JasminecrankError as error:
-        _fail(f"{error} (code {error.code.value})", EXIT_USAGE)
+        _exit_with_error(f"{error} (code {error.code.value})", EXIT_USAGE)
     except OSError as error:
-        _fail(str(error), EXIT_FAILURE)
+        _exit_with_error(str(error), EXIT_FAILURE)
     sys.exit(result if isinstance(result, int) else 0)
 
 
-def _fail(message: str, status: int) -> None:
+def _exit_with_error(message: str, status: int) -> None:
     sys.stderr.write(f"jasminecrank: {message}\n")
     sys.exit(status)
--- a/src/jasminecrank/cli/_node.py
+++ b/src/jasminecrank/cli/_node.py
@@ -8,7 +8,7 @@
 from jasminecrank import daemon
 from jasminecrank import state
 
-Peers = typing.Annotated[
+SeedPeers = typing.Annotated[
     tuple[str, ...],
     cyclopts.Parameter(name="--seed-peer", negative=""),
 ]
@@ -25,7 +25,7 @@
     admin_port: int = 0,
     server_address: str = "127.0.0.1",
     server_port: int,
-    seed_peers: Peers = (),
+    seed_peers: SeedPeers = (),
     threads: int = 48,
     quota_policy: state.QuotaPolicy = state.QuotaPolicy.LOANS,
     fleet_hosts: int = const.FLEET_HOSTS_MAX,
--- a/src/jasminecrank/cli/_standin.py
+++ b/src/jasminecrank/cli/_standin.py
@@ -31,12 +31,12 @@
     stand_in = standins.PlatformStandIn(address, port, threads)
     stand_in.publish_directory(directory)
 
-    def publish_again(signum: int, frame: types.FrameType | None) -> None:
+    def republish(signum: int, frame: types.FrameType | None) -> None:
         del signum, frame
         stand_in.publish_directory(directory)
 
-    signal.signal(signal.SIGHUP, publish_again)
-    _announce(stand_in.start())
+    signal.signal(signal.SIGHUP, republish)
+    _print_port(stand_in.start())
     _wait_for_stop()
     stand_in.stop()
 
@@ -67,23 +67,23 @@
             threads=threads,
         )
     )
-    _announce(stand_in.start())
+    _print_port(stand_in.start())
     _wait_for_stop()
     stand_in.stop()
 
 
-def _announce(port: int) -> None:
+def _print_port(port: int) -> None:
     sys.stdout.write(json.dumps({"port": port}) + "\n")
     sys.stdout.flush()
 
 
 def _wait_for_stop() -> None:
-    stopping = threading.Event()
+    stop_requested = threading.Event()
 
     def request_stop(signum: int, frame: types.FrameType | None) -> None:
         del signum, frame
-        stopping.set()
+        stop_requested.set()
 
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    stopping.wait()
+    stop_requested.wait()
--- a/src/jasminecrank/cli/_status.py
+++ b/src/jasminecrank/cli/_status.py
@@ -19,7 +19,7 @@
     compiled
         Directory with the compiled hosts.json.
     """
-    views = operators.read_fleet(_hosts.read_hosts(compiled))
-    for line in operators.format_fleet(views):
+    statuses = operators.read_fleet_status(_hosts.read_hosts(compiled))
+    for line in operators.format_fleet_status(statuses):
         sys.stdout.write(f"{line}\n")
-    return 0 if all(view.values is not None for view in views) else 1
+    return 0 if all(node.values is not None for node in statuses) else 1
--- a/src/jasminecrank/const.py
+++ b/src/jasminecrank/const.py
@@ -15,14 +15,14 @@
 HEADER_TABLE_VERSION: Final = "X-Table-Version"
 HEADER_TEAM: Final = "X-Team"
 
-SHARE_WHOLE: Final = 1_000_000_000
+FULL_SHARE_PPB: Final = 1_000_000_000
 """A whole quota share, in parts per billion."""
 
 WATCHERS_PER_DATA_CENTRE: Final = 3
-WATCH_STANDBYS: Final = 3
+STANDBY_WATCHERS_PER_DATA_CENTRE: Final = 3
 """Hosts linked to the watchers of their data centre to replace them."""
 TREE_FAN_OUT: Final = 8
-SERVICE_PEERS_FULL_MESH: Final = 13
+SERVICE_FULL_MESH_HOSTS_MAX: Final = 13
 SERVICE_PEERS_MAX: Final = 8
 
 SOURCE_CALLS_PER_S: Final = 2_000
@@ -39,7 +39,7 @@
 PEER_SILENCE_LIMIT_S: Final = 15.0
 TICK_PERIOD_S: Final = 0.5
 PAUSE_LIMIT_S: Final = 2.0
-START_BOUND_S: Final = 5.0
+START_WAIT_MAX_S: Final = 5.0
 START_SETTLE_S: Final = 0.5
 """Time for other peers to answer after the first one has."""
 UNCONFIRMED_ALARM_S: Final = 90.0
@@ -53,7 +53,7 @@
 QUOTA_TICK_S: Final = 0.25
 QUOTA_IDLE_TICK_S: Final = 1.0
 """Below half a lasting loan, so that none ends between two ticks."""
-LOAN_BYTES_PER_S: Final = 2800
+LOAN_REQUEST_BYTES_PER_S: Final = 2800
 LOAN_ANSWER_BYTES_PER_S: Final = 900
 """Asks with their answers, and answers given, out of 4 KB/s for control."""
 
--- a/src/jasminecrank/operators/__init__.py
+++ b/src/jasminecrank/operators/__init__.py
@@ -6,9 +6,13 @@
 from jasminecrank.operators._explain import CallTrace as CallTrace
 from jasminecrank.operators._explain import explain_call as explain_call
 from jasminecrank.operators._explain import read_tables as read_tables
-from jasminecrank.operators._fleet import format_fleet as format_fleet
-from jasminecrank.operators._fleet import NodeView as NodeView
-from jasminecrank.operators._fleet import read_fleet as read_fleet
+from jasminecrank.operators._fleet import (
+    format_fleet_status as format_fleet_status,
+)
+from jasminecrank.operators._fleet import NodeStatus as NodeStatus
+from jasminecrank.operators._fleet import (
+    read_fleet_status as read_fleet_status,
+)
 from jasminecrank.operators._node_explain import (
     explain_node_call as explain_node_call,
 )
--- a/src/jasminecrank/operators/_compile.py
+++ b/src/jasminecrank/operators/_compile.py
@@ -42,22 +42,22 @@
         for name in state.DocumentName
     }
     written: list[state.Document] = []
-    for document in files.documents(_next(numbers)):
+    for document in files.documents(_next_numbers(numbers)):
         old = before.get(document.name)
         if old is not None and old.by_key == document.by_key:
             continue
-        _write(directory, document)
+        _write_document(directory, document)
         written.append(document)
     return tuple(written)
 
 
-def _next(
+def _next_numbers(
     numbers: Mapping[state.DocumentName, int],
 ) -> dict[state.DocumentName, int]:
     return {name: number + 1 for name, number in numbers.items()}
 
 
-def _write(directory: pathlib.Path, document: state.Document) -> None:
+def _write_document(directory: pathlib.Path, document: state.Document) -> None:
     try:
         directory.mkdir(parents=True, exist_ok=True)
         path = directory / f"{document.name.value}.json"
--- a/src/jasminecrank/operators/_log_lines.py
+++ b/src/jasminecrank/operators/_log_lines.py
@@ -18,7 +18,7 @@
     """One valid line and where it stands."""
 
     file: str
-    number: int
+    line_number: int
     time: str
     host: str
     process: str
@@ -33,20 +33,20 @@
 
 
 @dataclass(slots=True, frozen=True)
-class BrokenLine:
+class InvalidLine:
     """A line that is not in the form that nodes write."""
 
     file: str
-    number: int
+    line_number: int
     reason: str
 
 
-def read_lines(path: pathlib.Path) -> Iterator[LogLine | BrokenLine]:
+def read_lines(path: pathlib.Path) -> Iterator[LogLine | InvalidLine]:
     """Yield the lines of a file one by one; raise TableError if unreadable."""
     try:
         with path.open("rb") as file:
-            for number, raw in enumerate(file, start=1):
-                yield _parse(path.name, number, raw)
+            for line_number, raw in enumerate(file, start=1):
+                yield _parse_line(path.name, line_number, raw)
     except OSError as error:
         raise exceptions.JasminecrankError(
             f"{path} cannot be read: {error.strerror}",
@@ -75,20 +75,26 @@
     return digest.digest()
 
 
-def _parse(file: str, number: int, raw: bytes) -> LogLine | BrokenLine:
+def _parse_line(
+    file: str, line_number: int, raw: bytes
+) -> LogLine | InvalidLine:
     if not raw.endswith(b"\n"):
-        return BrokenLine(file, number, "cut off")
+        return InvalidLine(file, line_number, "cut off")
     try:
         values = json.loads(raw)
     except ValueError:
-        return BrokenLine(file, number, "not JSON")
+        return InvalidLine(file, line_number, "not JSON")
     if not isinstance(values, dict):
-        return BrokenLine(file, number, "not a JSON object")
+        return InvalidLine(file, line_number, "not a JSON object")
     texts = [values.get(name) for name in ("time", "host", "process", "event")]
     sequence = values.get("sequence")
     if not all(isinstance(text, str) for text in texts):
-        return BrokenLine(file, number, "lacks time, host, process or event")
+        return InvalidLine(
+            file, line_number, "lacks time, host, process or event"
+        )
     if not isinstance(sequence, int) or sequence < 1:
-        return BrokenLine(file, number, "lacks a sequence number")
+        return InvalidLine(file, line_number, "lacks a sequence number")
     time, host, process, event = (str(text) for text in texts)
-    return LogLine(file, number, time, host, process, sequence, event, values)
+    return LogLine(
+        file, line_number, time, host, process, sequence, event, values
+    )
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -91,10 +91,10 @@
             yield f"  {OUTCOMES.get(outcome, 'unknown outcome')}"
         if reason:
             yield f"  {reason}: {REASONS.get(reason, 'no explanation')}"
-        yield from _inputs(line)
+        yield from _decision_inputs(line)
 
 
-def _inputs(line: dict[str, typing.Any]) -> Iterator[str]:
+def _decision_inputs(line: dict[str, typing.Any]) -> Iterator[str]:
     """Yield what the decision was made from."""
     names = (
         ("version", "table version in force"),
--- a/src/jasminecrank/operators/_report.py
+++ b/src/jasminecrank/operators/_report.py
@@ -14,13 +14,15 @@
 from jasminecrank.operators import _sequences
 
 _MONTH = re.compile(r"[0-9]{4}-(0[1-9]|1[0-2])")
-_FLUSH_KEYS = 50_000
+_MAX_BUFFERED_KEYS = 50_000
 _RESULTS = frozenset({"answered", "replayed", "refused"})
 _SCHEMA = """
 CREATE TABLE counts (
-  service TEXT, team TEXT, number INTEGER, version TEXT, kind TEXT,
+  service TEXT, team TEXT, version_number INTEGER, version TEXT, kind TEXT,
   result TEXT, code INTEGER, run_state TEXT, count INTEGER,
-  PRIMARY KEY (service, team, number, version, kind, result, code, run_state)
+  PRIMARY KEY (
+    service, team, version_number, version, kind, result, code, run_state
+  )
 ) WITHOUT ROWID;
 CREATE TABLE problems (
   problem TEXT, place TEXT, detail TEXT, count INTEGER,
@@ -43,7 +45,7 @@
 
     service: str
     team: str
-    number: int
+    version_number: int
     version: str
     kind: str
     result: str
@@ -111,8 +113,8 @@
         """Count the lines of one file."""
         for line in _log_lines.read_lines(path):
             match line:
-                case _log_lines.BrokenLine():
-                    place = f"{line.file}:{line.number}"
+                case _log_lines.InvalidLine():
+                    place = f"{line.file}:{line.line_number}"
                     self._add_problem("broken", place, line.reason)
                 case _log_lines.LogLine():
                     self._add_line(line)
@@ -134,8 +136,8 @@
     def rows(self) -> Iterator[CountRow]:
         """Yield the counts in the order of the report."""
         cursor = self._connection.execute(
-            "SELECT * FROM counts ORDER BY service, team, number, version, "
-            "kind, result, code, run_state"
+            "SELECT * FROM counts ORDER BY service, team, version_number, "
+            "version, kind, result, code, run_state"
         )
         for *key, count in cursor:
             yield CountRow(CountKey(*key), count)
@@ -178,11 +180,11 @@
             return
         key = _count_key(line)
         if key is None:
-            place = f"{line.file}:{line.number}"
+            place = f"{line.file}:{line.line_number}"
             self._add_problem("broken", place, "call without known result")
             return
         self._counts[key] = self._counts.get(key, 0) + 1
-        if len(self._counts) >= _FLUSH_KEYS:
+        if len(self._counts) >= _MAX_BUFFERED_KEYS:
             self._flush()
 
     def _flush(self) -> None:
@@ -192,7 +194,7 @@
                 (
                     key.service,
                     key.team,
-                    key.number,
+                    key.version_number,
                     key.version,
                     key.kind,
                     key.result,
@@ -213,19 +215,19 @@
 
 def _count_key(line: _log_lines.LogLine) -> CountKey | None:
     version = line.text("table_version")
-    number, _, _ = version.partition("-")
+    version_number, _, _ = version.partition("-")
     code = line.values.get("result_code", 0)
     if (
         line.text("result") not in _RESULTS
-        or not number.isascii()
-        or not number.isdigit()
+        or not version_number.isascii()
+        or not version_number.isdigit()
         or not isinstance(code, int)
     ):
         return None
     return CountKey(
         service=line.text("service"),
         team=line.text("team"),
-        number=int(number),
+        version_number=int(version_number),
         version=version,
         kind=line.text("kind"),
         result=line.text("result"),
--- a/src/jasminecrank/operators/_report_format.py
+++ b/src/jasminecrank/operators/_report_format.py
@@ -24,14 +24,14 @@
     yield f"jasminecrank monthly report {report.month}"
     yield ""
     yield "Totals by service and team"
-    yield _line(_COLUMNS)
+    yield _format_line(_COLUMNS)
     for row in report.totals():
-        yield _line(_cells(row, "all"))
+        yield _format_line(_format_cells(row, "all"))
     yield ""
     yield "By table version in force"
-    yield _line(_COLUMNS)
+    yield _format_line(_COLUMNS)
     for row in report.rows():
-        yield _line(_cells(row, row.key.version))
+        yield _format_line(_format_cells(row, row.key.version))
     yield ""
     yield "Log lines not counted"
     yield f"{'problem':<14}{'place':<50}{'detail':<34}{'count':>14}"
@@ -47,12 +47,12 @@
 
 def format_csv(report: _report.MonthlyReport) -> Iterator[str]:
     """Yield the lines of the report as CSV, problems last."""
-    yield _csv_line(("month", *_COLUMNS))
+    yield _format_csv_line(("month", *_COLUMNS))
     for row in report.rows():
-        cells = _cells(row, row.key.version)
-        yield _csv_line((report.month, *cells))
+        cells = _format_cells(row, row.key.version)
+        yield _format_csv_line((report.month, *cells))
     for problem in report.problems():
-        yield _csv_line(
+        yield _format_csv_line(
             (
                 report.month,
                 "not counted",
@@ -67,7 +67,7 @@
         )
 
 
-def _cells(row: _report.CountRow, version: str) -> tuple[str, ...]:
+def _format_cells(row: _report.CountRow, version: str) -> tuple[str, ...]:
     key = row.key
     return (
         key.service or _ABSENT,
@@ -81,7 +81,7 @@
     )
 
 
-def _line(cells: tuple[str, ...]) -> str:
+def _format_line(cells: tuple[str, ...]) -> str:
     service, team, version, kind, result, code, run_state, count = cells
     return (
         f"{service:<20} {team:<24} {version:<24} {kind:<8} {result:<9}"
@@ -89,7 +89,7 @@
     )
 
 
-def _csv_line(cells: tuple[str, ...]) -> str:
+def _format_csv_line(cells: tuple[str, ...]) -> str:
     buffer = io.StringIO()
     csv.writer(buffer, lineterminator="").writerow(cells)
     return buffer.getvalue()
--- a/src/jasminecrank/operators/_table_files.py
+++ b/src/jasminecrank/operators/_table_files.py
@@ -36,12 +36,12 @@
     row: int
     column: str
     value: str
-    wanted: str
+    expected: str
 
     def __str__(self) -> str:
         return (
             f"{self.file}, row {self.row}, column {self.column}: "
-            f"{self.value!r} is not {self.wanted}"
+            f"{self.value!r} is not {self.expected}"
         )
 
 
@@ -76,13 +76,15 @@
             raise exceptions.TableError(str(self.problems[0]))
         return tuple(
             state.build_document(
-                name, number_by_name[name], _encode(self.rows_by_name[name])
+                name,
+                number_by_name[name],
+                _encode_rows(self.rows_by_name[name]),
             )
             for name in state.DocumentName
         )
 
 
-def _encode(rows: tuple[state.Row, ...]) -> dict[str, str]:
+def _encode_rows(rows: tuple[state.Row, ...]) -> dict[str, str]:
     return {state.row_key(row): state.encode_row(row) for row in rows}
 
 
@@ -100,42 +102,46 @@
         try:
             text = self._path.read_text(encoding="utf-8-sig")
         except (OSError, UnicodeDecodeError) as error:
-            self._add(1, "-", type(error).__name__, "a readable UTF-8 file")
+            self._add_problem(
+                1, "-", type(error).__name__, "a readable UTF-8 file"
+            )
             return
         reader = csv.DictReader(text.splitlines(), strict=True)
         if not self._check_header(list(reader.fieldnames or [])):
             return
-        row_by_key: dict[str, int] = {}
+        first_row_by_key: dict[str, int] = {}
         try:
             for number, values in enumerate(reader, start=2):
-                row = self._build(number, values)
+                row = self._build_row(number, values)
                 if row is None:
                     continue
                 key = state.row_key(row)
-                first = row_by_key.setdefault(key, number)
+                first = first_row_by_key.setdefault(key, number)
                 if first != number:
                     column = next(iter(self._types))
-                    self._add(
+                    self._add_problem(
                         number, column, key, f"unique (also in row {first})"
                     )
                     continue
                 yield row
         except csv.Error as error:
-            self._add(reader.line_num, "-", str(error), "a CSV row")
+            self._add_problem(reader.line_num, "-", str(error), "a CSV row")
 
     def _check_header(self, columns: list[str]) -> bool:
-        wanted = list(self._types)
-        if columns == wanted:
+        expected = list(self._types)
+        if columns == expected:
             return True
-        self._add(1, "-", ",".join(columns), f"the header {','.join(wanted)}")
+        self._add_problem(
+            1, "-", ",".join(columns), f"the header {','.join(expected)}"
+        )
         return False
 
-    def _build(
+    def _build_row(
         self, number: int, values: dict[str | None, typing.Any]
     ) -> state.Row | None:
         if None in values or None in values.values():
             count = len([v for v in values.values() if v is not None])
-            self._add(
+            self._add_problem(
                 number, "-", f"{count} cells", f"a row of {len(self._types)}"
             )
             return None
@@ -145,14 +151,16 @@
             try:
                 converted[column] = state.parse_cell(column, column_type, text)
             except exceptions.DocumentError as error:
-                self._add(number, column, text, str(error))
+                self._add_problem(number, column, text, str(error))
                 return None
         row: state.Row = self._row_type(**converted)
         return row
 
-    def _add(self, row: int, column: str, value: str, wanted: str) -> None:
+    def _add_problem(
+        self, row: int, column: str, value: str, expected: str
+    ) -> None:
         self.problems.append(
-            TableProblem(self._path.name, row, column, value, wanted)
+            TableProblem(self._path.name, row, column, value, expected)
         )
 
 
@@ -161,7 +169,7 @@
 ) -> Iterator[TableProblem]:
     config = state.ConfigState.empty()
     for name, rows in rows_by_name.items():
-        document = state.build_document(name, 1, _encode(rows))
+        document = state.build_document(name, 1, _encode_rows(rows))
         result = config.offer(document)
         if isinstance(result, state.Invalid):
             yield TableProblem(
--- a/src/jasminecrank/operators/_timeline.py
+++ b/src/jasminecrank/operators/_timeline.py
@@ -15,7 +15,7 @@
 from jasminecrank import state
 from jasminecrank.operators import _log_lines
 
-_HIDDEN = frozenset(
+_HIDDEN_FIELDS = frozenset(
     {
         "time",
         "level",
@@ -67,10 +67,10 @@
         """Return whether an entry is wanted."""
         fields = entry.fields
         return (
-            _equal(self.team, fields.get("team"))
-            and _equal(self.service, fields.get("service"))
-            and _equal(self.request_id, fields.get("request_id"))
-            and _equal(self.host, entry.position.host)
+            _matches(self.team, fields.get("team"))
+            and _matches(self.service, fields.get("service"))
+            and _matches(self.request_id, fields.get("request_id"))
+            and _matches(self.host, entry.position.host)
             and (
                 not self.version
                 or any(
@@ -83,7 +83,7 @@
         )
 
 
-def _equal(wanted: str, found: str | None) -> bool:
+def _matches(wanted: str, found: str | None) -> bool:
     return not wanted or wanted == found
 
 
@@ -91,24 +91,24 @@
 class _ProcessClock:
     """Gives lines without a stamp a place between those that have one."""
 
-    last: tuple[int, int] = (0, 0)
+    last_stamp: tuple[int, int] = (0, 0)
 
-    def place(self, line: _log_lines.LogLine) -> Position:
+    def position(self, line: _log_lines.LogLine) -> Position:
         stamp = line.values.get("stamp")
         if isinstance(stamp, list) and len(stamp) == 2:
-            found = (int(stamp[0]), int(stamp[1]))
+            logical_time = (int(stamp[0]), int(stamp[1]))
         else:
-            found = (_wall_ms(line.time), 0)
-        self.last = max(self.last, found)
-        return Position(*self.last, line.host, line.sequence)
+            logical_time = (_wall_ms(line.time), 0)
+        self.last_stamp = max(self.last_stamp, logical_time)
+        return Position(*self.last_stamp, line.host, line.sequence)
 
 
 def _wall_ms(text: str) -> int:
     try:
-        moment = datetime.datetime.fromisoformat(text)
+        time = datetime.datetime.fromisoformat(text)
     except ValueError:
         return 0
-    return int(moment.timestamp() * 1000)
+    return int(time.timestamp() * 1000)
 
 
 def read_log_timeline(
@@ -122,10 +122,10 @@
         *(_read_file(path) for path in paths),
         key=lambda entry: entry.position,
     )
-    yield from _without_doubles(merged)
+    yield from _without_duplicates(merged)
 
 
-def _without_doubles(
+def _without_duplicates(
     entries: Iterable[TimelineEntry],
 ) -> Iterator[TimelineEntry]:
     last: TimelineEntry | None = None
@@ -139,14 +139,14 @@
     clock_by_process: dict[tuple[str, str], _ProcessClock] = {}
     for line in _log_lines.read_lines(path):
         match line:
-            case _log_lines.BrokenLine():
+            case _log_lines.InvalidLine():
                 continue
             case _log_lines.LogLine():
                 clock = clock_by_process.setdefault(
                     (line.host, line.process), _ProcessClock()
                 )
                 yield TimelineEntry(
-                    clock.place(line), line.event, _fields(line.values)
+                    clock.position(line), line.event, _fields(line.values)
                 )
             case _:
                 typing.assert_never(line)
@@ -154,7 +154,9 @@
 
 def _fields(values: Mapping[str, typing.Any]) -> dict[str, str]:
     return {
-        key: str(value) for key, value in values.items() if key not in _HIDDEN
+        key: str(value)
+        for key, value in values.items()
+        if key not in _HIDDEN_FIELDS
     }
 
 
@@ -164,12 +166,12 @@
     """Yield the entries of all nodes' event rings in causal order."""
     entries: list[TimelineEntry] = []
     for row in hosts:
-        entries.extend(_read_ring(row))
+        entries.extend(_read_event_ring(row))
     entries.sort(key=lambda entry: entry.position)
     yield from entries
 
 
-def _read_ring(row: state.HostRow) -> Iterator[TimelineEntry]:
+def _read_event_ring(row: state.HostRow) -> Iterator[TimelineEntry]:
     url = f"http://{row.address}:{row.admin_port}/events"
     try:
         response = urllib3.request(
--- a/src/jasminecrank/operators/_timeline_format.py
+++ b/src/jasminecrank/operators/_timeline_format.py
@@ -16,7 +16,7 @@
 td.event { background: #def; }
 td.alarm { background: #fdd; }
 """
-_ALARMS = ("paused", "invalid", "conflict", "failed", "violated", "down")
+_ALARM_WORDS = ("paused", "invalid", "conflict", "failed", "violated", "down")
 
 
 def format_timeline(
@@ -24,9 +24,9 @@
 ) -> Iterator[str]:
     """Yield one line for each entry."""
     for entry in entries:
-        place = entry.position
+        position = entry.position
         yield (
-            f"{_moment(place)} {place.host:<20} {entry.event:<18} "
+            f"{_format_time(position)} {position.host:<20} {entry.event:<18} "
             f"{entry.text()}"
         ).rstrip()
 
@@ -40,8 +40,8 @@
     yield "<!DOCTYPE html>"
     yield '<html lang="en"><head><meta charset="utf-8">'
     yield f"<title>Timeline</title><style>{_STYLE}</style></head><body>"
-    heads = "".join(f"<th>{html.escape(host)}</th>" for host in hosts)
-    yield f"<table><thead><tr><th>time</th>{heads}</tr></thead><tbody>"
+    headers = "".join(f"<th>{html.escape(host)}</th>" for host in hosts)
+    yield f"<table><thead><tr><th>time</th>{headers}</tr></thead><tbody>"
     for entry in rows:
         yield _html_row(entry, hosts)
     yield "</tbody></table></body></html>"
@@ -49,19 +49,19 @@
 
 def _html_row(entry: _timeline.TimelineEntry, hosts: list[str]) -> str:
     lane = hosts.index(entry.position.host)
-    alarm = any(word in entry.event for word in _ALARMS)
-    kind = "alarm" if alarm else "event"
+    alarm = any(word in entry.event for word in _ALARM_WORDS)
+    style = "alarm" if alarm else "event"
     text = html.escape(entry.text())
-    cell = f'<td class="{kind}"><b>{html.escape(entry.event)}</b> {text}</td>'
-    before = "<td></td>" * lane
-    after = "<td></td>" * (len(hosts) - lane - 1)
-    moment = _moment(entry.position)
-    return f'<tr><td class="time">{moment}</td>{before}{cell}{after}</tr>'
+    cell = f'<td class="{style}"><b>{html.escape(entry.event)}</b> {text}</td>'
+    left = "<td></td>" * lane
+    right = "<td></td>" * (len(hosts) - lane - 1)
+    time = _format_time(entry.position)
+    return f'<tr><td class="time">{time}</td>{left}{cell}{right}</tr>'
 
 
-def _moment(position: _timeline.Position) -> str:
-    moment = datetime.datetime.fromtimestamp(
+def _format_time(position: _timeline.Position) -> str:
+    timestamp = datetime.datetime.fromtimestamp(
         position.wall_ms / 1000, datetime.UTC
     )
-    text = moment.strftime("%Y-%m-%d %H:%M:%S")
+    text = timestamp.strftime("%Y-%m-%d %H:%M:%S")
     return f"{text}.{position.wall_ms % 1000:03d}+{position.counter:<3d}"
--- a/src/jasminecrank/state/_borrowing.py
+++ b/src/jasminecrank/state/_borrowing.py
@@ -170,14 +170,14 @@
     watermark = ledger.low_watermark(now_s)
     if ledger.tokens >= watermark or not ledger.has_demand(now_s):
         return _NO_LOANS
-    equal_share_ppb = math.ceil(const.SHARE_WHOLE / (len(peers) + 1))
+    equal_share_ppb = math.ceil(const.FULL_SHARE_PPB / (len(peers) + 1))
     share_ppb = ledger.share_ppb(now_s)
     missing_ppb = target_share_ppb(ledger, equal_share_ppb, now_s) - share_ppb
     long_term = missing_ppb > 0
     if not long_term:
         tokens = 2.0 * watermark - ledger.tokens
-        missing_ppb = int(tokens / ledger.limit.burst * const.SHARE_WHOLE)
-    missing_ppb = min(missing_ppb, const.SHARE_WHOLE - share_ppb)
+        missing_ppb = int(tokens / ledger.limit.burst * const.FULL_SHARE_PPB)
+    missing_ppb = min(missing_ppb, const.FULL_SHARE_PPB - share_ppb)
     room_by_peer = {
         peer: equal_share_ppb - ledger.borrowed_from_ppb(peer)
         for peer in peers
@@ -207,7 +207,7 @@
     ledger: _ledger.ShareLedger, equal_share_ppb: int, now_s: float
 ) -> int:
     """Return the total share needed if load is concentrated here, else 0."""
-    whole, rate = const.SHARE_WHOLE, ledger.limit.rate
+    whole, rate = const.FULL_SHARE_PPB, ledger.limit.rate
     if (
         ledger.demand.rate_lower_bound(now_s) * whole
         < _SKEW_THRESHOLD * equal_share_ppb * rate
--- a/src/jasminecrank/state/_ledger.py
+++ b/src/jasminecrank/state/_ledger.py
@@ -124,7 +124,7 @@
         share_ppb = self.share_ppb(now_s)
         return (
             self.tokens >= 1.0
-            or share_ppb * self.limit.burst < const.SHARE_WHOLE
+            or share_ppb * self.limit.burst < const.FULL_SHARE_PPB
         )
 
     def limit_crc(self) -> int:
@@ -133,7 +133,7 @@
 
     def wait_s(self, now_s: float) -> float:
         """Return the time until the next token is available."""
-        share = self.share_ppb(now_s) / const.SHARE_WHOLE
+        share = self.share_ppb(now_s) / const.FULL_SHARE_PPB
         rate = self.limit.rate * share
         if rate <= 0.0 or share * self.limit.burst < 1.0:
             return const.LOAN_TTL_S
@@ -151,7 +151,7 @@
             now_s
         )
         self.refilled_at_s = max(self.refilled_at_s, now_s)
-        share = share_ppb / const.SHARE_WHOLE
+        share = share_ppb / const.FULL_SHARE_PPB
         self.tokens += elapsed_s * self.limit.rate * share
         self._drop_expired(now_s)
         self._clamp(now_s)
@@ -192,7 +192,7 @@
         """
         margin = 3.0 * math.sqrt(self.demand.rate(now_s) * _GRANT_LATENCY_S)
         share = max(self.own_ppb, self.share_ppb(self.refilled_at_s))
-        cap = share * self.limit.burst / const.SHARE_WHOLE
+        cap = share * self.limit.burst / const.FULL_SHARE_PPB
         return 1.0 + min(0.25 * cap, margin)
 
     def spare_ppb(self, ttl_s: float, now_s: float) -> int:
@@ -203,12 +203,12 @@
         """
         demand = self.demand.rate(now_s)
         rate, burst = self.limit.rate, self.limit.burst
-        share = self.share_ppb(now_s) / const.SHARE_WHOLE
+        share = self.share_ppb(now_s) / const.FULL_SHARE_PPB
         reserved = 0.0
         if demand >= _MIN_DEMAND_PER_S:
             reserved = 1.0 + 2.0 * math.sqrt(demand * ttl_s)
         tokens = self.tokens + (share * rate - demand) * ttl_s - reserved
-        return int(tokens / (burst + rate * ttl_s) * const.SHARE_WHOLE)
+        return int(tokens / (burst + rate * ttl_s) * const.FULL_SHARE_PPB)
 
     def lend(
         self,
@@ -241,7 +241,7 @@
         if share_ppb <= 0:
             return Grant(0, 0.0)
         moved_ppb = max(0, share_ppb - before_ppb)
-        burst = moved_ppb * self.limit.burst / const.SHARE_WHOLE
+        burst = moved_ppb * self.limit.burst / const.FULL_SHARE_PPB
         tokens = max(0.0, min(burst, self.tokens))
         self.tokens -= tokens
         returns_at_s = now_s + ttl_s * (1 + const.LOAN_RETURN_MARGIN)
@@ -326,8 +326,8 @@
 
     def _clamp(self, now_s: float) -> None:
         share_ppb = self.share_ppb(now_s)
-        self._check(0 <= share_ppb <= const.SHARE_WHOLE, "share")
-        cap = share_ppb * self.limit.burst / const.SHARE_WHOLE
+        self._check(0 <= share_ppb <= const.FULL_SHARE_PPB, "share")
+        cap = share_ppb * self.limit.burst / const.FULL_SHARE_PPB
         self.tokens = min(cap, self.tokens)
         self._check(self.tokens >= -_TOKEN_TOLERANCE, "tokens")
 
--- a/src/jasminecrank/state/_loan_book.py
+++ b/src/jasminecrank/state/_loan_book.py
@@ -74,7 +74,7 @@
             by_limit=by_limit,
             outbox=outbox,
             request_budget=_borrowing.ByteBudget(
-                const.LOAN_BYTES_PER_S, 0.0, now_s
+                const.LOAN_REQUEST_BYTES_PER_S, 0.0, now_s
             ),
             answer_budget=_borrowing.ByteBudget(
                 const.LOAN_ANSWER_BYTES_PER_S, 0.0, now_s
@@ -157,7 +157,9 @@
         that has calls gets it.
         """
         own_burst_ppb = ledger.own_ppb * ledger.limit.burst
-        yields_share = own_burst_ppb < const.SHARE_WHOLE and host < self.host
+        yields_share = (
+            own_burst_ppb < const.FULL_SHARE_PPB and host < self.host
+        )
         return self.lend_all or yields_share
 
     def accept(
@@ -214,7 +216,11 @@
         )
         for peer, share_by_team in shares_by_peer.items():
             self._request_shares(
-                peer, share_by_team, ttl_s, now_s, const.LOAN_BYTES_PER_S // 2
+                peer,
+                share_by_team,
+                ttl_s,
+                now_s,
+                const.LOAN_REQUEST_BYTES_PER_S // 2,
             )
 
     def _plan(
@@ -236,7 +242,9 @@
         """Renew loans that expire soon, with others of the same lenders."""
         shares_by_peer: dict[str, dict[str, int]] = {}
         due_peers: set[str] = set()
-        equal_share_ppb = const.SHARE_WHOLE // max(1, len(self.service_hosts))
+        equal_share_ppb = const.FULL_SHARE_PPB // max(
+            1, len(self.service_hosts)
+        )
         for ledger in self.by_limit.values():
             ledger.refill(now_s)
             team = ledger.limit.team
--- a/src/jasminecrank/state/_readiness.py
+++ b/src/jasminecrank/state/_readiness.py
@@ -129,7 +129,7 @@
     if own_versions.table.number == 0 or own_versions.hosts.number == 0:
         return f"{phase.reason}: table or host list not received"
     waited_s = now_s - phase.first_answer_s
-    if waited_s >= const.START_BOUND_S:
+    if waited_s >= const.START_WAIT_MAX_S:
         return None
     if not own_versions.covers(phase.highest_reported):
         return f"{phase.reason}: newer versions not received yet"
--- a/src/jasminecrank/state/_shares.py
+++ b/src/jasminecrank/state/_shares.py
@@ -59,8 +59,8 @@
         """Return the share of a slot, or 0 if it is not listed."""
         if slot is None or slot not in self.host_by_slot:
             return 0
-        remainder = const.SHARE_WHOLE % self.host_count
-        part = const.SHARE_WHOLE // self.host_count
+        remainder = const.FULL_SHARE_PPB % self.host_count
+        part = const.FULL_SHARE_PPB // self.host_count
         return part + remainder if slot == self.remainder_slot else part
 
 
--- a/src/jasminecrank/state/_topology.py
+++ b/src/jasminecrank/state/_topology.py
@@ -84,7 +84,10 @@
     def watch_candidates(self, data_centre: str) -> _RankedHosts:
         """Return the watchers and their standbys, by rank."""
         rank = self.watch_rank_by_data_centre.get(data_centre, ())
-        return rank[: const.WATCHERS_PER_DATA_CENTRE + const.WATCH_STANDBYS]
+        return rank[
+            : const.WATCHERS_PER_DATA_CENTRE
+            + const.STANDBY_WATCHERS_PER_DATA_CENTRE
+        ]
 
     def watcher_count(self) -> int:
         """Return the number of hosts in the fleet that watch the source."""
@@ -144,7 +147,7 @@
         self, own_host: _rows.HostRow
     ) -> Iterator[_rows.HostRow]:
         rank = self.rank_by_service[own_host.service]
-        if len(rank) <= const.SERVICE_PEERS_FULL_MESH:
+        if len(rank) <= const.SERVICE_FULL_MESH_HOSTS_MAX:
             yield from rank
             return
         position = rank.index(own_host)
