Reword the operators' tools, CLI help and shared constants

Docstrings, help texts, some error messages and the heads of the features were figurative or left the reader to guess what they describe.

Reword them in plain terms. Three docstrings were wrong and are corrected: read_lines raises a JasminecrankError with LOG_LINE_INVALID, not a TableError; the HTML timeline has a column for each host, not for each process; and QUOTA_IDLE_TICK_S equals half of LOAN_TTL_S instead of lying below it. The help of the node command showed JASMINECRANK_ without the name, because the help parser drops text in angle brackets. Printed reports, CSV, timelines and explanations keep their texts.

Step texts change together with their step functions; rows and assertions are the same. The step on error output is named after what it checks, the first line, since it never checked that there is only one.

Values, output and flags are unchanged.

--- a/features/mesh/explain.feature
+++ b/features/mesh/explain.feature
@@ -1,13 +1,13 @@
-Feature: From a request's id to its cause on the platform
+Feature: Explanation of a request on the platform
 
-  Guards against a refused or failed request whose lines don't tell why, and
-  against an outcome or a reason that the command does not know.
+  Guards against a refused or failed request whose log lines do not give the
+  reason, and against an outcome or reason that the command does not know.
 
-  Scenario Outline: Why a request failed
+  Scenario Outline: The reason of a failed request
     Given a deployment of 3 hosts
     When every server always will <fault>
     And a caller sends <method> <target> with key <key>
-    Then explain names <outcome> and says "<because>"
+    Then explain prints <outcome> and "<because>"
 
     Examples:
       | fault   | method | target  | key | outcome      | because                                    |
@@ -18,13 +18,13 @@
       | garbled | POST   | /book/1 | k1  | may-have-run | the server sent bytes that are no answer   |
       | hang    | POST   | /book/1 | k1  | timed-out    | no answer in time; it may have run         |
 
-  Scenario: Every outcome and reason of the code is explained
+  Scenario: Every logged outcome and reason has an explanation
     Then the command explains every outcome and reason that a node logs
 
-  Scenario Outline: Settings of the platform
+  Scenario Outline: Check of a settings file
     Given a settings file in which <what>
-    When its settings are checked
-    Then the status is <status> and the output says "<says>"
+    When the settings file is checked
+    Then the status is <status> and the output contains "<says>"
 
     Examples:
       | what                      | status | says                            |
--- a/features/operators/audit.feature
+++ b/features/operators/audit.feature
@@ -1,12 +1,12 @@
 Feature: Reports, explanations and the timeline
 
-  Guards against a report that differs between two runs over the same logs,
-  that drops lines silently, or a timeline that shows an effect before its
-  cause.
+  Guards against a report that differs between runs over the same logs or
+  drops lines silently, and against a timeline that lists an effect before
+  its cause.
 
-  Scenario Outline: Output is the same byte for byte
+  Scenario Outline: Output equals the golden file byte for byte
     When jasminecrank runs with <arguments>
-    Then it ends with status <status>
+    Then it exits with status <status>
     And its output equals the golden file <golden>
 
     Examples:
@@ -20,10 +20,10 @@
       | timeline LOG2 LOG1                                       | 0      | timeline.txt |
       | timeline LOG1 LOG2 --request-id r3                       | 0      | call.txt     |
 
-  Scenario Outline: Bad input gives one clear line
+  Scenario Outline: Invalid input produces a short error message
     When jasminecrank runs with <arguments>
-    Then it ends with status <status>
-    And its error is one line with <text>
+    Then it exits with status <status>
+    And the first line of its error output contains <text>
 
     Examples:
       | arguments                               | status | text                  |
@@ -36,9 +36,9 @@
       | status missing                          | 2      | hosts.json            |
       | nonsense                                | 2      | nonsense              |
 
-  Scenario Outline: Sequence numbers find what is missing or doubled
-    When the sequence numbers <numbers> are seen
-    Then <doubled> are doubled and <gaps> are missing
+  Scenario Outline: Sequence numbers reveal missing and duplicate lines
+    When the sequence numbers <numbers> are recorded
+    Then <doubled> are duplicates and <gaps> are missing
 
     Examples:
       | numbers     | doubled | gaps     |
@@ -47,8 +47,8 @@
       | 2 4 4 7     | 4       | 1 3 5-6  |
       | 1 3 2 2 1   | 2 1     | none     |
 
-  Scenario Outline: Clocks of hosts differ
-    Given host b whose clock is <offset> ms from that of host a
+  Scenario Outline: Events of hosts with different clocks
+    Given host b with a clock <offset> ms ahead of host a
     When a sends a message to b and b answers
     Then the events are in the order sent, received, answered, closed
 
--- a/features/operators/pages.feature
+++ b/features/operators/pages.feature
@@ -1,10 +1,10 @@
-Feature: The operators' pages
+Feature: Commands in the operators' pages
 
-  Guards against a command in a page that does not run as written.
+  Guards against a documented command that does not run as written.
 
-  Scenario Outline: Commands of a page run
+  Scenario Outline: The commands of a page succeed
     When the console commands of docs/operators/<page> are run
-    Then each of them ends with status <statuses>
+    Then each of them exits with status <statuses>
 
     Examples:
       | page           | statuses |
--- a/features/operators/settings.feature
+++ b/features/operators/settings.feature
@@ -1,13 +1,13 @@
 Feature: Settings of a node
 
-  Guards against a node that starts in part with an impossible setting, and
-  against a traceback on an operator's screen.
+  Guards against a node that starts partially with an invalid setting, and
+  against a traceback in place of an error message.
 
-  Scenario Outline: An impossible setting ends the start
+  Scenario Outline: A node does not start with an invalid setting
     Given a port that is in use
     When a node starts with <flag> set to <value>
-    Then it ends with status 2
-    And its error is one line with <flag>
+    Then it exits with status 2
+    And the first line of its error output contains <flag>
 
     Examples:
       | flag             | value            |
--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -1,4 +1,4 @@
-"""Steps on reports, explanations and the timeline."""
+"""Steps for reports, explanations and the timeline."""
 
 import os
 import pathlib
@@ -33,7 +33,7 @@
     )
 
 
-@then("it ends with status {status:d}")
+@then("it exits with status {status:d}")
 def step_status(context, status):
     assert context.run.returncode == status, context.run
 
@@ -46,7 +46,7 @@
     assert context.run.stdout == path.read_bytes(), context.run.stdout
 
 
-@then("its error is one line with {text}")
+@then("the first line of its error output contains {text}")
 def step_error(context, text):
     lines = context.run.stderr.decode().splitlines()
     assert lines, context.run
@@ -54,7 +54,7 @@
     assert "Traceback" not in context.run.stderr.decode()
 
 
-@when("the sequence numbers {numbers} are seen")
+@when("the sequence numbers {numbers} are recorded")
 def step_sequence(context, numbers):
     context.sequences = _sequences.SequenceSet()
     context.duplicates = [
@@ -64,9 +64,9 @@
     ]
 
 
-@then("{doubled} are doubled and {gaps} are missing")
-def step_gaps(context, doubled, gaps):
-    assert (" ".join(context.duplicates) or "none") == doubled
+@then("{duplicates} are duplicates and {gaps} are missing")
+def step_gaps(context, duplicates, gaps):
+    assert (" ".join(context.duplicates) or "none") == duplicates
     found = [
         str(first) if first == last else f"{first}-{last}"
         for first, last in context.sequences.gaps()
@@ -74,7 +74,7 @@
     assert (" ".join(found) or "none") == gaps, found
 
 
-@given("host b whose clock is {offset:d} ms from that of host a")
+@given("host b with a clock {offset:d} ms ahead of host a")
 def step_clocks(context, offset):
     context.offset = offset
     context.journal_by_host = {
--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the command that explains a request of the platform."""
+"""Steps for the commands explain and settings check on the platform."""
 
 import pathlib
 import re
@@ -34,7 +34,7 @@
 
 
 def run(*arguments):
-    """Run the command line and return its result."""
+    """Run the command line and return the completed process."""
     return subprocess.run(
         [sys.executable, "-m", "jasminecrank.cli", *arguments],
         capture_output=True,
@@ -43,7 +43,7 @@
     )
 
 
-@then('explain names {outcome} and says "{because}"')
+@then('explain prints {outcome} and "{because}"')
 def step_explain(context, outcome, because):
     with tempfile.NamedTemporaryFile(suffix=".log") as file:
         path = pathlib.Path(file.name)
@@ -91,7 +91,7 @@
     context.settings = "\n".join([*line_by_setting.values(), OTHER_SETTINGS])
 
 
-@when("its settings are checked")
+@when("the settings file is checked")
 def step_check(context):
     with tempfile.NamedTemporaryFile(suffix=".toml") as file:
         path = pathlib.Path(file.name)
@@ -99,7 +99,7 @@
         context.result = run("settings", "check", str(path))
 
 
-@then('the status is {status:d} and the output says "{says}"')
+@then('the status is {status:d} and the output contains "{says}"')
 def step_status(context, status, says):
     result = context.result
     assert result.returncode == status, result
--- a/features/steps/page_steps.py
+++ b/features/steps/page_steps.py
@@ -43,7 +43,7 @@
             ).returncode
 
 
-@then("each of them ends with status {statuses}")
+@then("each of them exits with status {statuses}")
 def step_statuses(context, statuses):
     allowed = {int(status) for status in statuses.split(" or ")}
     wrong = {
--- a/features/steps/result_code_steps.py
+++ b/features/steps/result_code_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the documented result codes."""
+"""Steps for the documented result codes and invariants."""
 
 import pathlib
 import re
@@ -16,7 +16,7 @@
     context.page = (ROOT / page).read_text()
 
 
-@then("it lists exactly the codes of the program")
+@then("it lists exactly the result codes of the program")
 def step_codes(context):
     rows = re.findall(r"^\| (\d+) \| (\w+) \|", context.page, re.MULTILINE)
     documented = {(int(number), name) for number, name in rows}
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -1,4 +1,4 @@
-"""Steps that start a node with impossible settings."""
+"""Steps that start a node with invalid settings."""
 
 import contextlib
 import os
--- a/src/jasminecrank/cli/__init__.py
+++ b/src/jasminecrank/cli/__init__.py
@@ -1,3 +1,3 @@
-"""The jasminecrank command."""
+"""Command line of jasminecrank."""
 
 from jasminecrank.cli._main import main as main
--- a/src/jasminecrank/cli/_audit.py
+++ b/src/jasminecrank/cli/_audit.py
@@ -1,4 +1,4 @@
-"""Commands that read what nodes have logged."""
+"""Commands that read the logs and events of nodes."""
 
 from collections.abc import Iterable
 import pathlib
@@ -16,7 +16,7 @@
 def report(logs: list[pathlib.Path], *, month: str, csv: bool = False) -> int:
     """Print the monthly report of log files.
 
-    Status 1 if lines were broken, doubled or missing; the report names them.
+    Status 1 if lines are invalid, duplicate or missing; the report lists them.
 
     Example: jasminecrank report --month 2026-12 logs/*.log
 
@@ -60,7 +60,7 @@
     logs
         Log files of all nodes, of one kind.
     table
-        Compiled tables, among which the version in force is looked up.
+        Compiled tables; the version in force is looked up among them.
     """
     if any(operators.is_node_log(log) for log in logs):
         node_trace = operators.NodeTrace.from_logs(request_id, logs)
@@ -90,9 +90,9 @@
     Parameters
     ----------
     logs
-        Log files of nodes; without them the admin endpoints are read.
+        Log files of nodes; if none are given, the admin endpoints are read.
     compiled
-        Directory with the compiled hosts.json, to read admin endpoints.
+        Directory with the compiled hosts.json, which lists the endpoints.
     team
         Only events of this team.
     service
@@ -100,11 +100,11 @@
     request_id
         Only events of this call.
     table_version
-        Only events of this version, as number or as number and digest.
+        Only events of this version, given as number or number-digest.
     host
         Only events of this host.
     html
-        Write a page with a lane for each process to this file instead.
+        Write an HTML page with a column for each host to this file instead.
     """
     if logs:
         entries = operators.read_log_timeline(logs)
@@ -112,7 +112,7 @@
         entries = operators.read_fleet_timeline(_hosts.read_hosts(compiled))
     else:
         raise exceptions.SettingError(
-            "log files or --compiled are needed; neither is given"
+            "no log files given; pass log files or --compiled"
         )
     entry_filter = operators.TimelineFilter(
         team, service, request_id, table_version, host
@@ -129,7 +129,7 @@
 
 
 def add_commands(app: cyclopts.App) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     app.command(report)
     app.command(explain)
     app.command(timeline)
--- a/src/jasminecrank/cli/_hosts.py
+++ b/src/jasminecrank/cli/_hosts.py
@@ -1,4 +1,4 @@
-"""The compiled host list, as commands read it."""
+"""Access to the compiled host list."""
 
 import pathlib
 
@@ -8,7 +8,7 @@
 
 
 def read_hosts(compiled: pathlib.Path) -> tuple[state.HostRow, ...]:
-    """Return the hosts of a compiled directory, sorted by id."""
+    """Return the hosts of a compiled directory, sorted by ID."""
     document = operators.read_compiled(compiled).get(state.DocumentName.HOSTS)
     if document is None:
         raise exceptions.TableError(f"{compiled} has no hosts.json")
--- a/src/jasminecrank/cli/_key.py
+++ b/src/jasminecrank/cli/_key.py
@@ -1,4 +1,4 @@
-"""Commands on tenant keys."""
+"""Commands for tenant keys."""
 
 import secrets
 import sys
@@ -10,12 +10,12 @@
 
 _KEY_BYTES = 32
 
-app = cyclopts.App(name="key", help="Make tenant keys and their digests.")
+app = cyclopts.App(name="key", help="Generate tenant keys and their digests.")
 
 
 @app.command
 def new() -> int:
-    """Print a new random key, and its digest for keys.csv.
+    """Print a new random key and its digest for keys.csv.
 
     Example: jasminecrank key new
     """
@@ -26,14 +26,14 @@
 
 @app.command
 def digest() -> int:
-    """Print the digest of a key that is read from standard input.
+    """Print the digest of a key read from standard input.
 
-    The key is not an argument, because arguments show in process lists.
+    The key is not an argument because arguments are visible in process lists.
 
     Example: jasminecrank key digest < key.txt
     """
     key = sys.stdin.readline().strip()
     if not key:
-        raise exceptions.SettingError("standard input holds no key")
+        raise exceptions.SettingError("no key on standard input")
     sys.stdout.write(f"{protocol.digest_key(key)}\n")
     return 0
--- a/src/jasminecrank/cli/_main.py
+++ b/src/jasminecrank/cli/_main.py
@@ -1,4 +1,4 @@
-"""The command line and its exit statuses."""
+"""Entry point of the command line and its exit statuses."""
 
 import sys
 
@@ -34,7 +34,7 @@
 
 
 def main() -> None:
-    """Run the command and exit with its documented status."""
+    """Run the command and exit with its status."""
     try:
         result = app(
             exit_on_error=False,
--- a/src/jasminecrank/cli/_node.py
+++ b/src/jasminecrank/cli/_node.py
@@ -32,7 +32,7 @@
 ) -> None:
     """Run the node beside one backend server until SIGTERM.
 
-    Each setting is also read from JASMINECRANK_<NAME>.
+    Each setting is also read from JASMINECRANK_ plus its name in capitals.
 
     Example: jasminecrank node --host silo-control-1 --data-centre belt-a
     --source-url http://127.0.0.1:8500 --server-port 8080
@@ -40,7 +40,7 @@
     Parameters
     ----------
     host
-        Id of this host in the published host list.
+        ID of this host in the published host list.
     data_centre
         Data centre of this host.
     source_url
@@ -48,24 +48,24 @@
     address
         IP address to listen on.
     call_port
-        Port for callers; 0 takes a free one.
+        Port for callers; 0 selects a free one.
     peer_port
-        Port for other nodes; 0 takes a free one.
+        Port for other nodes; 0 selects a free one.
     admin_port
-        Port for operators; 0 takes a free one.
+        Port for operators; 0 selects a free one.
     server_address
         IP address of the backend server.
     server_port
         Port of the backend server.
     seed_peers
-        ADDRESS:PORT of nodes to ask before the host list is known.
+        ADDRESS:PORT of nodes to contact before the host list is known.
     threads
-        Worker threads for calls, more than slots and queue together.
+        Worker threads for calls; more than slots and queue together.
     quota_policy
-        Whether nodes lend each other parts of the teams' rates.
+        Whether nodes lend each other shares of the teams' rates.
     fleet_hosts
-        Most hosts that may start at once; spreads the first calls to the
-        configuration service until the host list is known.
+        Largest number of hosts that may start at once; spreads the first
+        calls to the configuration service until the host list is known.
     """
     settings = daemon.NodeSettings(
         host=host,
--- a/src/jasminecrank/cli/_settings.py
+++ b/src/jasminecrank/cli/_settings.py
@@ -1,4 +1,4 @@
-"""Commands on the settings that the platform gives a node."""
+"""Commands for the settings file that the platform gives a node."""
 
 import pathlib
 import sys
@@ -14,8 +14,8 @@
 def check(file: pathlib.Path) -> int:
     """Check a settings file of the platform.
 
-    Status 2 with one line that names the field, its value and what would be
-    right, if a node could not start with it.
+    Status 2 with one line that names the field, its value and the expected
+    value if a node cannot start with the file.
 
     Example: jasminecrank settings check /etc/jasminecrank/boot.toml
 
--- a/src/jasminecrank/cli/_standin.py
+++ b/src/jasminecrank/cli/_standin.py
@@ -1,4 +1,4 @@
-"""Commands that run the stand-ins."""
+"""Commands that run stand-ins for the platform and backend servers."""
 
 import json
 import pathlib
@@ -12,7 +12,7 @@
 from jasminecrank import standins
 
 app = cyclopts.App(
-    name="standin", help="Run small stand-ins of the platform, for trials."
+    name="standin", help="Run stand-ins for the platform and backend servers."
 )
 
 
@@ -24,7 +24,7 @@
     port: int = 0,
     threads: int = 64,
 ) -> None:
-    """Serve compiled documents; SIGHUP reads the directory again.
+    """Serve compiled documents; SIGHUP reloads the directory.
 
     Example: jasminecrank standin platform compiled --port 8500
     """
@@ -52,7 +52,7 @@
     service_time_ms: float = 5.0,
     threads: int = 64,
 ) -> None:
-    """Answer calls as a backend server with slots and cold start.
+    """Answer calls like a backend server with slots and a cold start.
 
     Example: jasminecrank standin backend-server --slots 12 --cold-slots 3
     """
--- a/src/jasminecrank/cli/_status.py
+++ b/src/jasminecrank/cli/_status.py
@@ -8,7 +8,7 @@
 
 
 def status(compiled: pathlib.Path) -> int:
-    """Print the version in force on every host of a compiled host list.
+    """Print the version in force on each host of a compiled host list.
 
     Status 1 if a node does not answer.
 
--- a/src/jasminecrank/cli/_table.py
+++ b/src/jasminecrank/cli/_table.py
@@ -1,4 +1,4 @@
-"""Commands on the operators' table."""
+"""Commands for the operators' table."""
 
 import pathlib
 import sys
@@ -47,7 +47,7 @@
 def compile_(directory: pathlib.Path, output: pathlib.Path) -> int:
     """Compile table files into the documents that the platform publishes.
 
-    Only documents whose rows changed are written, with the next number.
+    Only documents with changed rows are written, with the next version number.
 
     Example: jasminecrank table compile examples/kuopio compiled
     """
--- a/src/jasminecrank/const.py
+++ b/src/jasminecrank/const.py
@@ -1,4 +1,4 @@
-"""Shared names, units and limits."""
+"""Header names, limits and intervals shared by all packages."""
 
 from typing import Final
 
@@ -16,23 +16,23 @@
 HEADER_TEAM: Final = "X-Team"
 
 FULL_SHARE_PPB: Final = 1_000_000_000
-"""A whole quota share, in parts per billion."""
+"""The whole quota of a team, in parts per billion."""
 
 WATCHERS_PER_DATA_CENTRE: Final = 3
 STANDBY_WATCHERS_PER_DATA_CENTRE: Final = 3
-"""Hosts linked to the watchers of their data centre to replace them."""
+"""Hosts linked to the watchers of their data centre, ready to take over."""
 TREE_FAN_OUT: Final = 8
 SERVICE_FULL_MESH_HOSTS_MAX: Final = 13
 SERVICE_PEERS_MAX: Final = 8
 
 SOURCE_CALLS_PER_S: Final = 2_000
 SOURCE_CALLS_SHARE: Final = 0.5
-"""Part of the source's capacity for watchers, and again for all others."""
+"""Fraction of the source's capacity for watchers, and the same for others."""
 FLEET_HOSTS_MAX: Final = 2_200
-"""Size assumed until the host list is known."""
+"""Fleet size assumed until the host list is received."""
 SOURCE_WATCH_S: Final = 25
 SOURCE_WATCH_ISOLATED_S: Final = 5
-"""Watch of a node without links, which waits for nothing else."""
+"""Watch time of a node without links, which has no other input to await."""
 ISOLATED_AFTER_S: Final = 3.0
 
 HEARTBEAT_PERIOD_S: Final = 5.0
@@ -41,21 +41,22 @@
 PAUSE_LIMIT_S: Final = 2.0
 START_WAIT_MAX_S: Final = 5.0
 START_SETTLE_S: Final = 0.5
-"""Time for other peers to answer after the first one has."""
+"""Time to collect further replies after the first one."""
 UNCONFIRMED_ALARM_S: Final = 90.0
-"""Above the longest watch and the heartbeats that pass its answer on."""
+"""Longer than the longest watch plus the heartbeats that relay its answer."""
 CONVERGENCE_LIMIT_S: Final = 14.0
 LOAN_TTL_S: Final = 2.0
 LOAN_SHORT_TTL_S: Final = 0.25
 LOAN_RETURN_MARGIN: Final = 0.1
-"""Extra part of the loan time before the lender takes a share back."""
+"""Fraction of the loan time added before the lender reclaims a share."""
 LOAN_RETURN_S: Final = LOAN_TTL_S * (1 + LOAN_RETURN_MARGIN)
 QUOTA_TICK_S: Final = 0.25
 QUOTA_IDLE_TICK_S: Final = 1.0
-"""Below half a lasting loan, so that none ends between two ticks."""
+"""At most half of LOAN_TTL_S, so that no loan expires between two ticks."""
 LOAN_REQUEST_BYTES_PER_S: Final = 2800
+"""Budget for loan requests and the replies to them."""
 LOAN_ANSWER_BYTES_PER_S: Final = 900
-"""Asks with their answers, and answers given, out of 4 KB/s for control."""
+"""Budget for replies to peers; both are part of 4 KB/s for control."""
 
 EVENT_RING_SIZE: Final = 4096
 IDEMPOTENCY_TTL_S: Final = 600.0
--- a/src/jasminecrank/exceptions.py
+++ b/src/jasminecrank/exceptions.py
@@ -4,7 +4,7 @@
 
 
 class RunState(enum.Enum):
-    """Whether a refused request was run by a backend server."""
+    """Whether a backend server executed a refused request."""
 
     NOT_RUN = "not-run"
     RAN = "ran"
@@ -12,7 +12,7 @@
 
 
 class ResultCode(enum.IntEnum):
-    """Numbered results, documented in docs/result-codes.md."""
+    """Result codes, documented in docs/result-codes.md."""
 
     OK = 0
 
@@ -71,7 +71,7 @@
 
 
 class JasminecrankError(Exception):
-    """Base error, carrying a numbered result code."""
+    """Base class of errors that carry a result code."""
 
     code = ResultCode.USAGE
 
@@ -82,7 +82,7 @@
 
 
 class SettingError(JasminecrankError):
-    """A setting is unknown or impossible."""
+    """A setting is unknown or its value is invalid."""
 
     code = ResultCode.SETTING_INVALID
 
@@ -112,4 +112,4 @@
 
 
 class InvariantError(JasminecrankError):
-    """An invariant asserted inside the program does not hold."""
+    """An internal invariant does not hold."""
--- a/src/jasminecrank/operators/__init__.py
+++ b/src/jasminecrank/operators/__init__.py
@@ -1,4 +1,4 @@
-"""What operators hold: table files, differences and the fleet's status."""
+"""Operator tools: tables, reports, explanations and the fleet's status."""
 
 from jasminecrank.operators._compile import compile_table as compile_table
 from jasminecrank.operators._compile import read_compiled as read_compiled
--- a/src/jasminecrank/operators/_compile.py
+++ b/src/jasminecrank/operators/_compile.py
@@ -1,4 +1,4 @@
-"""Compiled documents on disk."""
+"""Reading and writing of compiled documents on disk."""
 
 from collections.abc import Mapping
 import pathlib
@@ -12,7 +12,7 @@
 def read_compiled(
     directory: pathlib.Path,
 ) -> dict[state.DocumentName, state.Document]:
-    """Return the compiled documents of a directory, absent ones left out."""
+    """Return the compiled documents of a directory, without missing ones."""
     by_name: dict[state.DocumentName, state.Document] = {}
     for name in state.DocumentName:
         path = directory / f"{name.value}.json"
@@ -31,10 +31,10 @@
 def compile_table(
     files: _table_files.TableFiles, directory: pathlib.Path
 ) -> tuple[state.Document, ...]:
-    """Write the documents that changed, each with the next number.
+    """Write each changed document with the next version number.
 
-    A document whose rows are the same keeps its number, so that compiling
-    the same files twice gives the same bytes.
+    A document with unchanged rows keeps its version, so that compiling the
+    same files twice produces identical bytes.
     """
     before = read_compiled(directory)
     numbers = {
--- a/src/jasminecrank/operators/_diff.py
+++ b/src/jasminecrank/operators/_diff.py
@@ -11,7 +11,7 @@
     before: Mapping[state.DocumentName, state.Document],
     after: Mapping[state.DocumentName, state.Document],
 ) -> Iterator[str]:
-    """Yield one line for each row added, removed or changed."""
+    """Yield a line for each added or removed row and each changed field."""
     for name in state.DocumentName:
         old = before[name].by_key if name in before else {}
         new = after[name].by_key if name in after else {}
--- a/src/jasminecrank/operators/_explain.py
+++ b/src/jasminecrank/operators/_explain.py
@@ -1,4 +1,4 @@
-"""From one call's log lines to the rows that decided it."""
+"""Explanation of a call from its log lines and the table rows it used."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallTrace:
-    """The log lines of one call, in the order of their time."""
+    """The log lines of one call, ordered by time."""
 
     request_id: str
     lines: tuple[_log_lines.LogLine, ...]
@@ -22,7 +22,7 @@
     def from_logs(
         cls, request_id: str, paths: Iterable[pathlib.Path]
     ) -> "CallTrace":
-        """Return the trace; raise NOT_FOUND if no line names the request."""
+        """Return the trace; raise NOT_FOUND if no line has the request ID."""
         found = [
             line
             for path in paths
@@ -33,7 +33,7 @@
         ]
         if not found:
             raise exceptions.JasminecrankError(
-                f"no log line names the request {request_id!r}",
+                f"no log line has the request ID {request_id!r}",
                 exceptions.ResultCode.NOT_FOUND,
             )
         found.sort(key=lambda line: (line.time, line.host, line.sequence))
@@ -43,7 +43,7 @@
 def read_tables(
     paths: Iterable[pathlib.Path],
 ) -> dict[str, state.Document]:
-    """Return compiled tables by their version."""
+    """Return the compiled tables by version."""
     by_version: dict[str, state.Document] = {}
     for path in paths:
         try:
@@ -60,7 +60,7 @@
 def explain_call(
     trace: CallTrace, by_version: dict[str, state.Document]
 ) -> Iterator[str]:
-    """Yield the lines of the explanation."""
+    """Yield the outcome of each log line and the rows of its version."""
     yield f"request {trace.request_id}"
     for line in trace.lines:
         yield from _explain_line(line, by_version)
--- a/src/jasminecrank/operators/_fleet.py
+++ b/src/jasminecrank/operators/_fleet.py
@@ -1,4 +1,4 @@
-"""The state of a whole fleet, read from the nodes' admin endpoints."""
+"""Status of the fleet, read from the nodes' admin endpoints."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeStatus:
-    """What one node shows; without values if it did not answer."""
+    """The status reply of a node; values is None if it did not answer."""
 
     host: str
     data_centre: str
@@ -27,7 +27,7 @@
 def read_fleet_status(
     hosts: Iterable[state.HostRow],
 ) -> tuple[NodeStatus, ...]:
-    """Return the status of every host, in the order of the list."""
+    """Return the status of every host, in the order given."""
     with (
         urllib3.PoolManager(num_pools=_MAX_WORKERS) as pool,
         futures.ThreadPoolExecutor(_MAX_WORKERS) as executor,
@@ -46,7 +46,7 @@
 
 
 def format_fleet_status(statuses: Iterable[NodeStatus]) -> Iterator[str]:
-    """Yield the lines of the status screen."""
+    """Yield a header, a line for each host and a summary."""
     ordered = tuple(statuses)
     answered = [
         status.values for status in ordered if status.values is not None
--- a/src/jasminecrank/operators/_log_lines.py
+++ b/src/jasminecrank/operators/_log_lines.py
@@ -1,4 +1,4 @@
-"""Reading the JSON log lines of nodes."""
+"""Parser for the JSON log lines of nodes."""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LogLine:
-    """One valid line and where it stands."""
+    """A valid log line with its position in the file."""
 
     file: str
     line_number: int
@@ -27,14 +27,14 @@
     values: Mapping[str, typing.Any]
 
     def text(self, field: str) -> str:
-        """Return a field as text, empty if the line lacks it."""
+        """Return a field as text, or an empty string if it is absent."""
         value = self.values.get(field, "")
         return "" if value is None else str(value)
 
 
 @dataclass(slots=True, frozen=True)
 class InvalidLine:
-    """A line that is not in the form that nodes write."""
+    """A line that does not have the format of node logs."""
 
     file: str
     line_number: int
@@ -42,7 +42,7 @@
 
 
 def read_lines(path: pathlib.Path) -> Iterator[LogLine | InvalidLine]:
-    """Yield the lines of a file one by one; raise TableError if unreadable."""
+    """Yield the lines of a file; raise LOG_LINE_INVALID if unreadable."""
     try:
         with path.open("rb") as file:
             for line_number, raw in enumerate(file, start=1):
@@ -57,7 +57,7 @@
 def order_by_content(
     paths: tuple[pathlib.Path, ...],
 ) -> tuple[pathlib.Path, ...]:
-    """Return the files in an order that depends on their content only."""
+    """Return the files in an order that depends only on their contents."""
     return tuple(sorted(paths, key=_content_digest))
 
 
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -1,4 +1,4 @@
-"""Why a call on the platform was answered or refused, from nodes' lines."""
+"""Explanation of a call on the platform from the log lines of nodes."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeTrace:
-    """The lines about one call, those of gates before the entry node's."""
+    """The log lines of one call: gates first, then the entry node."""
 
     request_id: str
     lines: tuple[dict[str, typing.Any], ...]
@@ -53,7 +53,7 @@
     def from_logs(
         cls, request_id: str, paths: Iterable[pathlib.Path]
     ) -> "NodeTrace":
-        """Return the trace; raise NOT_FOUND if no line names the request."""
+        """Return the trace; raise NOT_FOUND if no line has the request ID."""
         found = [
             line
             for path in paths
@@ -63,7 +63,7 @@
         ]
         if not found:
             raise exceptions.JasminecrankError(
-                f"no log line names the request {request_id!r}; one in 50"
+                f"no log line has the request ID {request_id!r}; one in 50"
                 " answered requests is logged",
                 exceptions.ResultCode.NOT_FOUND,
             )
@@ -72,12 +72,12 @@
 
 
 def is_node_log(path: pathlib.Path) -> bool:
-    """Return whether a log was written by a node on the platform."""
+    """Return whether the log comes from a node on the platform."""
     return any("up_s" in line for line in _read_lines(path))
 
 
 def explain_node_call(trace: NodeTrace) -> Iterator[str]:
-    """Yield the lines of the explanation."""
+    """Yield the outcome, reason and decision inputs of each log line."""
     yield f"request {trace.request_id}"
     for line in trace.lines:
         yield ""
@@ -95,7 +95,7 @@
 
 
 def _decision_inputs(line: dict[str, typing.Any]) -> Iterator[str]:
-    """Yield what the decision was made from."""
+    """Yield the values on which the decision was based."""
     names = (
         ("version", "table version in force"),
         ("route", "route"),
@@ -127,7 +127,7 @@
         try:
             line = json.loads(raw)
         except ValueError:
-            # A process that was killed may have left half a line.
+            # A killed process may leave a truncated line.
             continue
         if isinstance(line, dict) and {"event", "host", "time"} <= line.keys():
             yield line
--- a/src/jasminecrank/operators/_report.py
+++ b/src/jasminecrank/operators/_report.py
@@ -1,4 +1,4 @@
-"""Counts behind the monthly report."""
+"""Counts of the monthly report."""
 
 from collections.abc import Iterator
 import contextlib
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class CountKey:
-    """What one row of the report counts."""
+    """The values by which the report groups calls."""
 
     service: str
     team: str
@@ -55,7 +55,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CountRow:
-    """One row of the report."""
+    """The number of calls with the same key."""
 
     key: CountKey
     count: int
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ProblemRow:
-    """Log lines that are broken, doubled, missing or left out."""
+    """A count of invalid, duplicate, missing or skipped log lines."""
 
     problem: str
     place: str
@@ -74,8 +74,8 @@
 class MonthlyReport:
     """Counts the calls of one month.
 
-    Counts are kept in a temporary file, so that memory stays the same
-    however many lines and versions there are.
+    Counts are kept in a temporary database, so that memory use does not
+    depend on the number of lines and versions.
     """
 
     def __init__(self, month: str, connection: sqlite3.Connection) -> None:
@@ -91,7 +91,7 @@
     def from_logs(
         cls, month: str, paths: tuple[pathlib.Path, ...]
     ) -> Iterator["MonthlyReport"]:
-        """Count the lines of log files, whose order does not matter."""
+        """Count the lines of log files; their order does not matter."""
         if not _MONTH.fullmatch(month):
             raise exceptions.SettingError(
                 f"--month: {month!r} is not a month in the form YYYY-MM"
@@ -110,7 +110,7 @@
             yield report
 
     def add_file(self, path: pathlib.Path) -> None:
-        """Count the lines of one file."""
+        """Count the calls and record the problems of one file."""
         for line in _log_lines.read_lines(path):
             match line:
                 case _log_lines.InvalidLine():
@@ -122,7 +122,7 @@
                     typing.assert_never(line)
 
     def finish(self) -> None:
-        """Add what is known only after the last line."""
+        """Store the buffered counts and the gaps in sequence numbers."""
         self._flush()
         for (host, process), seen in self._seen_by_process.items():
             for first, last in seen.gaps():
@@ -134,7 +134,7 @@
                 )
 
     def rows(self) -> Iterator[CountRow]:
-        """Yield the counts in the order of the report."""
+        """Yield the counts, ordered by key."""
         cursor = self._connection.execute(
             "SELECT * FROM counts ORDER BY service, team, version_number, "
             "version, kind, result, code, run_state"
@@ -143,7 +143,7 @@
             yield CountRow(CountKey(*key), count)
 
     def totals(self) -> Iterator[CountRow]:
-        """Yield the counts of each service and team over all versions."""
+        """Yield the counts of each service and team, summed over versions."""
         cursor = self._connection.execute(
             "SELECT service, team, 0, '', kind, result, code, run_state, "
             "SUM(count) FROM counts GROUP BY service, team, kind, result, "
@@ -154,7 +154,7 @@
             yield CountRow(CountKey(*key), count)
 
     def problems(self) -> Iterator[ProblemRow]:
-        """Yield what was left out of the counts, by kind and place."""
+        """Yield the lines that are not counted, ordered by kind and place."""
         cursor = self._connection.execute(
             "SELECT * FROM problems ORDER BY problem, place, detail"
         )
--- a/src/jasminecrank/operators/_report_format.py
+++ b/src/jasminecrank/operators/_report_format.py
@@ -1,4 +1,4 @@
-"""Fixed layouts of the monthly report."""
+"""Text and CSV layouts of the monthly report."""
 
 from collections.abc import Iterator
 import csv
@@ -20,7 +20,7 @@
 
 
 def format_text(report: _report.MonthlyReport) -> Iterator[str]:
-    """Yield the lines of the printed report."""
+    """Yield the report as text: totals, counts by version, problems."""
     yield f"jasminecrank monthly report {report.month}"
     yield ""
     yield "Totals by service and team"
@@ -46,7 +46,7 @@
 
 
 def format_csv(report: _report.MonthlyReport) -> Iterator[str]:
-    """Yield the lines of the report as CSV, problems last."""
+    """Yield the report as CSV, with the problems last."""
     yield _format_csv_line(("month", *_COLUMNS))
     for row in report.rows():
         cells = _format_cells(row, row.key.version)
--- a/src/jasminecrank/operators/_sequences.py
+++ b/src/jasminecrank/operators/_sequences.py
@@ -1,4 +1,4 @@
-"""Which sequence numbers of a process were seen."""
+"""Compact set of the sequence numbers seen from a process."""
 
 import bisect
 from collections.abc import Iterator
@@ -10,14 +10,14 @@
 class SequenceSet:
     """Sequence numbers as sorted, disjoint, inclusive ranges.
 
-    The memory grows with the number of gaps, not with that of the lines.
+    Memory use grows with the number of gaps, not with the number of lines.
     """
 
     starts: list[int] = field(default_factory=list)
     ends: list[int] = field(default_factory=list)
 
     def add(self, number: int) -> bool:
-        """Add a number; return False if it was there."""
+        """Add a number; return False if it is already in the set."""
         index = bisect.bisect_right(self.starts, number) - 1
         if index >= 0 and number <= self.ends[index]:
             return False
@@ -39,7 +39,7 @@
         return True
 
     def gaps(self) -> Iterator[tuple[int, int]]:
-        """Yield the first and last number of each gap from 1 on."""
+        """Yield the first and last missing number of each gap, from 1 on."""
         expected = 1
         for start, end in zip(self.starts, self.ends, strict=True):
             if start > expected:
--- a/src/jasminecrank/operators/_table_files.py
+++ b/src/jasminecrank/operators/_table_files.py
@@ -1,4 +1,4 @@
-"""The operators' table as CSV files, checked and compiled."""
+"""Validation and compilation of the operators' table in CSV files."""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TableProblem:
-    """One invalid place in a table file."""
+    """An invalid cell, row or header of a table file."""
 
     file: str
     row: int
@@ -47,14 +47,14 @@
 
 @dataclass(slots=True, frozen=True)
 class TableFiles:
-    """The typed rows of a table directory by document."""
+    """The typed rows of a table directory, grouped by document."""
 
     rows_by_name: Mapping[state.DocumentName, tuple[state.Row, ...]]
     problems: tuple[TableProblem, ...]
 
     @classmethod
     def from_directory(cls, directory: pathlib.Path) -> "TableFiles":
-        """Read and check all files; problems are collected, not raised."""
+        """Read and check all files, collecting problems without raising."""
         rows: dict[state.DocumentName, list[state.Row]] = {
             name: [] for name in state.DocumentName
         }
@@ -71,7 +71,7 @@
     def documents(
         self, number_by_name: Mapping[state.DocumentName, int]
     ) -> tuple[state.Document, ...]:
-        """Return the compiled documents; raise TableError on problems."""
+        """Return the documents; raise TableError if there are problems."""
         if self.problems:
             raise exceptions.TableError(str(self.problems[0]))
         return tuple(
@@ -98,7 +98,7 @@
         self.problems: list[TableProblem] = []
 
     def read(self) -> Iterator[state.Row]:
-        """Yield the valid rows and collect the problems."""
+        """Yield valid rows and collect problems."""
         try:
             text = self._path.read_text(encoding="utf-8-sig")
         except (OSError, UnicodeDecodeError) as error:
--- a/src/jasminecrank/operators/_timeline.py
+++ b/src/jasminecrank/operators/_timeline.py
@@ -1,4 +1,4 @@
-"""The events of all processes in one causal order."""
+"""Timeline of the events of all processes in causal order."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class Position:
-    """Place in the causal order: logical time, then host and sequence."""
+    """Sort key in causal order: logical time, then host and sequence."""
 
     wall_ms: int
     counter: int
@@ -42,20 +42,20 @@
 
 @dataclass(slots=True, frozen=True)
 class TimelineEntry:
-    """One event of one process."""
+    """An event of one process."""
 
     position: Position
     event: str
     fields: Mapping[str, str]
 
     def text(self) -> str:
-        """Return the fields as text."""
+        """Return the fields as space-separated key=value pairs."""
         return " ".join(f"{key}={value}" for key, value in self.fields.items())
 
 
 @dataclass(slots=True, frozen=True)
 class TimelineFilter:
-    """Which entries are wanted; an empty text matches everything."""
+    """Selects entries; an empty string matches everything."""
 
     team: str = ""
     service: str = ""
@@ -64,7 +64,7 @@
     host: str = ""
 
     def matches(self, entry: TimelineEntry) -> bool:
-        """Return whether an entry is wanted."""
+        """Return whether an entry passes all criteria."""
         fields = entry.fields
         return (
             _matches(self.team, fields.get("team"))
@@ -89,7 +89,7 @@
 
 @dataclass(slots=True)
 class _ProcessClock:
-    """Gives lines without a stamp a place between those that have one."""
+    """Orders lines without a stamp among the stamped ones of a process."""
 
     last_stamp: tuple[int, int] = (0, 0)
 
@@ -116,7 +116,7 @@
 ) -> Iterator[TimelineEntry]:
     """Yield the entries of log files in causal order.
 
-    Each file holds the lines of one host in the order they were written.
+    Each file must hold the lines of one host in the order of writing.
     """
     merged = heapq.merge(
         *(_read_file(path) for path in paths),
--- a/src/jasminecrank/operators/_timeline_format.py
+++ b/src/jasminecrank/operators/_timeline_format.py
@@ -1,4 +1,4 @@
-"""Text and HTML forms of the timeline."""
+"""Text and HTML layouts of the timeline."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -22,7 +22,7 @@
 def format_timeline(
     entries: Iterable[_timeline.TimelineEntry],
 ) -> Iterator[str]:
-    """Yield one line for each entry."""
+    """Yield a line of text for each entry."""
     for entry in entries:
         position = entry.position
         yield (
@@ -34,7 +34,7 @@
 def format_html(
     entries: Iterable[_timeline.TimelineEntry],
 ) -> Iterator[str]:
-    """Yield a self-contained page with one lane for each process."""
+    """Yield a self-contained page with a column for each host."""
     rows = tuple(entries)
     hosts = sorted({entry.position.host for entry in rows})
     yield "<!DOCTYPE html>"
@@ -48,13 +48,13 @@
 
 
 def _html_row(entry: _timeline.TimelineEntry, hosts: list[str]) -> str:
-    lane = hosts.index(entry.position.host)
+    column = hosts.index(entry.position.host)
     alarm = any(word in entry.event for word in _ALARM_WORDS)
     style = "alarm" if alarm else "event"
     text = html.escape(entry.text())
     cell = f'<td class="{style}"><b>{html.escape(entry.event)}</b> {text}</td>'
-    left = "<td></td>" * lane
-    right = "<td></td>" * (len(hosts) - lane - 1)
+    left = "<td></td>" * column
+    right = "<td></td>" * (len(hosts) - column - 1)
     time = _format_time(entry.position)
     return f'<tr><td class="time">{time}</td>{left}{cell}{right}</tr>'
 
