--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -1,4 +1,4 @@
-"""Steps on reports, explanations and the timeline."""
+"""Steps for reports, explanations and the timeline."""
 
 import os
 import pathlib
@@ -21,9 +21,11 @@
         "LOG1": "intake-ledger-1.log",
         "LOG2": "intake-ledger-2.log",
     }
-    words = [logs.get(word, word) for word in arguments.split()]
+    command_arguments = [
+        logs.get(argument, argument) for argument in arguments.split()
+    ]
     context.run = subprocess.run(
-        [sys.executable, "-m", "jasminecrank.cli", *words],
+        [sys.executable, "-m", "jasminecrank.cli", *command_arguments],
         cwd=GOLDEN,
         capture_output=True,
         env={**os.environ, "COLUMNS": "200"},
@@ -31,7 +33,7 @@
     )
 
 
-@then("it ends with status {status:d}")
+@then("it exits with status {status:d}")
 def step_status(context, status):
     assert context.run.returncode == status, context.run
 
@@ -44,7 +46,7 @@
     assert context.run.stdout == path.read_bytes(), context.run.stdout
 
 
-@then("its error is one line with {text}")
+@then("the first line of its error output contains {text}")
 def step_error(context, text):
     lines = context.run.stderr.decode().splitlines()
     assert lines, context.run
@@ -52,27 +54,27 @@
     assert "Traceback" not in context.run.stderr.decode()
 
 
-@when("the sequence numbers {numbers} are seen")
+@when("the sequence numbers {numbers} are recorded")
 def step_sequence(context, numbers):
-    context.seen = _sequences.SequenceSet()
-    context.doubled = [
+    context.sequences = _sequences.SequenceSet()
+    context.duplicates = [
         number
         for number in numbers.split()
-        if not context.seen.add(int(number))
+        if not context.sequences.add(int(number))
     ]
 
 
-@then("{doubled} are doubled and {gaps} are missing")
-def step_gaps(context, doubled, gaps):
-    assert (" ".join(context.doubled) or "none") == doubled
+@then("{duplicates} are duplicates and {gaps} are missing")
+def step_gaps(context, duplicates, gaps):
+    assert (" ".join(context.duplicates) or "none") == duplicates
     found = [
         str(first) if first == last else f"{first}-{last}"
-        for first, last in context.seen.gaps()
+        for first, last in context.sequences.gaps()
     ]
     assert (" ".join(found) or "none") == gaps, found
 
 
-@given("host b whose clock is {offset:d} ms from that of host a")
+@given("host b with a clock {offset:d} ms ahead of host a")
 def step_clocks(context, offset):
     context.offset = offset
     context.journal_by_host = {
--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the command that explains a request of the platform."""
+"""Steps for the commands explain and settings check on the platform."""
 
 import pathlib
 import re
@@ -13,12 +13,12 @@
 from jasminecrank import operators
 from jasminecrank.mesh import state
 
-SOURCES = pathlib.Path("src/jasminecrank/mesh")
-LINES = {
+SOURCE_DIRECTORY = pathlib.Path("src/jasminecrank/mesh")
+LINE_BY_SETTING = {
     "ip": 'ip = "10.1.0.5"',
     "appAddr": 'appAddr = "10.1.0.5:8403"',
 }
-REST = """
+OTHER_SETTINGS = """
 node = "side-1"
 service = "s"
 zone = "a"
@@ -34,7 +34,7 @@
 
 
 def run(*arguments):
-    """Run the command line and return its result."""
+    """Run the command line and return the completed process."""
     return subprocess.run(
         [sys.executable, "-m", "jasminecrank.cli", *arguments],
         capture_output=True,
@@ -43,7 +43,7 @@
     )
 
 
-@then('explain names {outcome} and says "{because}"')
+@then('explain prints {outcome} and "{because}"')
 def step_explain(context, outcome, because):
     with tempfile.NamedTemporaryFile(suffix=".log") as file:
         path = pathlib.Path(file.name)
@@ -64,7 +64,9 @@
         "request-invalid",
         "too-large",
     }
-    text = "".join(path.read_text() for path in sorted(SOURCES.rglob("*.py")))
+    text = "".join(
+        path.read_text() for path in sorted(SOURCE_DIRECTORY.rglob("*.py"))
+    )
     for pattern in (
         r'Reject\("([^"]+)"',
         r'MayHaveRun\("([^"]+)"\)',
@@ -80,16 +82,16 @@
 
 @given("a settings file in which {what}")
 def step_settings(context, what):
-    lines = dict(LINES)
+    line_by_setting = dict(LINE_BY_SETTING)
     match what:
         case "ip is missing":
-            del lines["ip"]
+            del line_by_setting["ip"]
         case "appAddr is nonsense":
-            lines["appAddr"] = 'appAddr = "nonsense"'
-    context.settings = "\n".join([*lines.values(), REST])
+            line_by_setting["appAddr"] = 'appAddr = "nonsense"'
+    context.settings = "\n".join([*line_by_setting.values(), OTHER_SETTINGS])
 
 
-@when("its settings are checked")
+@when("the settings file is checked")
 def step_check(context):
     with tempfile.NamedTemporaryFile(suffix=".toml") as file:
         path = pathlib.Path(file.name)
@@ -97,7 +99,7 @@
         context.result = run("settings", "check", str(path))
 
 
-@then('the status is {status:d} and the output says "{says}"')
+@then('the status is {status:d} and the output contains "{says}"')
 def step_status(context, status, says):
     result = context.result
     assert result.returncode == status, result
--- a/src/jasminecrank/cli/_audit.py
+++ b/src/jasminecrank/cli/_audit.py
@@ -1,4 +1,4 @@
-"""Commands that read what nodes have logged."""
+"""Commands that read the logs and events of nodes."""
 
 from collections.abc import Iterable
 import pathlib
@@ -16,7 +16,7 @@
 def report(logs: list[pathlib.Path], *, month: str, csv: bool = False) -> int:
     """Print the monthly report of log files.
 
-    Status 1 if lines were broken, doubled or missing; the report names them.
+    Status 1 if lines are invalid, duplicate or missing; the report lists them.
 
     Example: jasminecrank report --month 2026-12 logs/*.log
 
@@ -29,13 +29,16 @@
     csv
         Print CSV instead of the text layout.
     """
-    with operators.MonthlyReport.from_logs(month, tuple(logs)) as counted:
+    with operators.MonthlyReport.from_logs(
+        month, tuple(logs)
+    ) as monthly_report:
         if csv:
-            _print(operators.format_csv(counted))
+            _print_lines(operators.format_csv(monthly_report))
         else:
-            _print(operators.format_text(counted))
+            _print_lines(operators.format_text(monthly_report))
         incomplete = any(
-            problem.problem != "other month" for problem in counted.problems()
+            problem.problem != "other month"
+            for problem in monthly_report.problems()
         )
     return _EXIT_INCOMPLETE if incomplete else 0
 
@@ -57,15 +60,15 @@
     logs
         Log files of all nodes, of one kind.
     table
-        Compiled tables, among which the version in force is looked up.
+        Compiled tables; the version in force is looked up among them.
     """
     if any(operators.is_node_log(log) for log in logs):
-        found = operators.NodeTrace.from_logs(request_id, logs)
-        _print(operators.explain_node_call(found))
+        node_trace = operators.NodeTrace.from_logs(request_id, logs)
+        _print_lines(operators.explain_node_call(node_trace))
         return 0
     trace = operators.CallTrace.from_logs(request_id, logs)
     tables = operators.read_tables(table or ())
-    _print(operators.explain_call(trace, tables))
+    _print_lines(operators.explain_call(trace, tables))
     return 0
 
 
@@ -87,9 +90,9 @@
     Parameters
     ----------
     logs
-        Log files of nodes; without them the admin endpoints are read.
+        Log files of nodes; if none are given, the admin endpoints are read.
     compiled
-        Directory with the compiled hosts.json, to read admin endpoints.
+        Directory with the compiled hosts.json, which lists the endpoints.
     team
         Only events of this team.
     service
@@ -97,11 +100,11 @@
     request_id
         Only events of this call.
     table_version
-        Only events of this version, as number or as number and digest.
+        Only events of this version, given as number or number-digest.
     host
         Only events of this host.
     html
-        Write a page with a lane for each process to this file instead.
+        Write an HTML page with a column for each host to this file instead.
     """
     if logs:
         entries = operators.read_log_timeline(logs)
@@ -109,29 +112,29 @@
         entries = operators.read_fleet_timeline(_hosts.read_hosts(compiled))
     else:
         raise exceptions.SettingError(
-            "log files or --compiled are needed; neither is given"
+            "no log files given; pass log files or --compiled"
         )
-    wanted = operators.TimelineFilter(
+    entry_filter = operators.TimelineFilter(
         team, service, request_id, table_version, host
     )
-    selected = (entry for entry in entries if wanted.matches(entry))
+    selected = (entry for entry in entries if entry_filter.matches(entry))
     if html is None:
-        _print(operators.format_timeline(selected))
+        _print_lines(operators.format_timeline(selected))
         return 0
-    with html.open("w", encoding="utf-8") as page:
-        page.writelines(
+    with html.open("w", encoding="utf-8") as file:
+        file.writelines(
             f"{line}\n" for line in operators.format_html(selected)
         )
     return 0
 
 
 def add_commands(app: cyclopts.App) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     app.command(report)
     app.command(explain)
     app.command(timeline)
 
 
-def _print(lines: Iterable[str]) -> None:
+def _print_lines(lines: Iterable[str]) -> None:
     for line in lines:
         sys.stdout.write(f"{line}\n")
--- a/src/jasminecrank/cli/_standin.py
+++ b/src/jasminecrank/cli/_standin.py
@@ -1,4 +1,4 @@
-"""Commands that run the stand-ins."""
+"""Commands that run stand-ins for the platform and backend servers."""
 
 import json
 import pathlib
@@ -12,7 +12,7 @@
 from jasminecrank import standins
 
 app = cyclopts.App(
-    name="standin", help="Run small stand-ins of the platform, for trials."
+    name="standin", help="Run stand-ins for the platform and backend servers."
 )
 
 
@@ -24,19 +24,19 @@
     port: int = 0,
     threads: int = 64,
 ) -> None:
-    """Serve compiled documents; SIGHUP reads the directory again.
+    """Serve compiled documents; SIGHUP reloads the directory.
 
     Example: jasminecrank standin platform compiled --port 8500
     """
     stand_in = standins.PlatformStandIn(address, port, threads)
     stand_in.publish_directory(directory)
 
-    def publish_again(signum: int, frame: types.FrameType | None) -> None:
+    def republish(signum: int, frame: types.FrameType | None) -> None:
         del signum, frame
         stand_in.publish_directory(directory)
 
-    signal.signal(signal.SIGHUP, publish_again)
-    _announce(stand_in.start())
+    signal.signal(signal.SIGHUP, republish)
+    _print_port(stand_in.start())
     _wait_for_stop()
     stand_in.stop()
 
@@ -52,7 +52,7 @@
     service_time_ms: float = 5.0,
     threads: int = 64,
 ) -> None:
-    """Answer calls as a backend server with slots and cold start.
+    """Answer calls like a backend server with slots and a cold start.
 
     Example: jasminecrank standin backend-server --slots 12 --cold-slots 3
     """
@@ -67,23 +67,23 @@
             threads=threads,
         )
     )
-    _announce(stand_in.start())
+    _print_port(stand_in.start())
     _wait_for_stop()
     stand_in.stop()
 
 
-def _announce(port: int) -> None:
+def _print_port(port: int) -> None:
     sys.stdout.write(json.dumps({"port": port}) + "\n")
     sys.stdout.flush()
 
 
 def _wait_for_stop() -> None:
-    stopping = threading.Event()
+    stop_requested = threading.Event()
 
     def request_stop(signum: int, frame: types.FrameType | None) -> None:
         del signum, frame
-        stopping.set()
+        stop_requested.set()
 
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    stopping.wait()
+    stop_requested.wait()
--- a/src/jasminecrank/operators/_log_lines.py
+++ b/src/jasminecrank/operators/_log_lines.py
@@ -1,4 +1,4 @@
-"""Reading the JSON log lines of nodes."""
+"""Parser for the JSON log lines of nodes."""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -15,10 +15,10 @@
 
 @dataclass(slots=True, frozen=True)
 class LogLine:
-    """One valid line and where it stands."""
+    """A valid log line with its position in the file."""
 
     file: str
-    number: int
+    line_number: int
     time: str
     host: str
     process: str
@@ -27,26 +27,26 @@
     values: Mapping[str, typing.Any]
 
     def text(self, field: str) -> str:
-        """Return a field as text, empty if the line lacks it."""
+        """Return a field as text, or an empty string if it is absent."""
         value = self.values.get(field, "")
         return "" if value is None else str(value)
 
 
 @dataclass(slots=True, frozen=True)
-class BrokenLine:
-    """A line that is not in the form that nodes write."""
+class InvalidLine:
+    """A line that does not have the format of node logs."""
 
     file: str
-    number: int
+    line_number: int
     reason: str
 
 
-def read_lines(path: pathlib.Path) -> Iterator[LogLine | BrokenLine]:
-    """Yield the lines of a file one by one; raise TableError if unreadable."""
+def read_lines(path: pathlib.Path) -> Iterator[LogLine | InvalidLine]:
+    """Yield the lines of a file; raise LOG_LINE_INVALID if unreadable."""
     try:
         with path.open("rb") as file:
-            for number, raw in enumerate(file, start=1):
-                yield _parse(path.name, number, raw)
+            for line_number, raw in enumerate(file, start=1):
+                yield _parse_line(path.name, line_number, raw)
     except OSError as error:
         raise exceptions.JasminecrankError(
             f"{path} cannot be read: {error.strerror}",
@@ -57,7 +57,7 @@
 def order_by_content(
     paths: tuple[pathlib.Path, ...],
 ) -> tuple[pathlib.Path, ...]:
-    """Return the files in an order that depends on their content only."""
+    """Return the files in an order that depends only on their contents."""
     return tuple(sorted(paths, key=_content_digest))
 
 
@@ -75,20 +75,26 @@
     return digest.digest()
 
 
-def _parse(file: str, number: int, raw: bytes) -> LogLine | BrokenLine:
+def _parse_line(
+    file: str, line_number: int, raw: bytes
+) -> LogLine | InvalidLine:
     if not raw.endswith(b"\n"):
-        return BrokenLine(file, number, "cut off")
+        return InvalidLine(file, line_number, "cut off")
     try:
         values = json.loads(raw)
     except ValueError:
-        return BrokenLine(file, number, "not JSON")
+        return InvalidLine(file, line_number, "not JSON")
     if not isinstance(values, dict):
-        return BrokenLine(file, number, "not a JSON object")
+        return InvalidLine(file, line_number, "not a JSON object")
     texts = [values.get(name) for name in ("time", "host", "process", "event")]
     sequence = values.get("sequence")
     if not all(isinstance(text, str) for text in texts):
-        return BrokenLine(file, number, "lacks time, host, process or event")
+        return InvalidLine(
+            file, line_number, "lacks time, host, process or event"
+        )
     if not isinstance(sequence, int) or sequence < 1:
-        return BrokenLine(file, number, "lacks a sequence number")
+        return InvalidLine(file, line_number, "lacks a sequence number")
     time, host, process, event = (str(text) for text in texts)
-    return LogLine(file, number, time, host, process, sequence, event, values)
+    return LogLine(
+        file, line_number, time, host, process, sequence, event, values
+    )
--- a/src/jasminecrank/operators/_report.py
+++ b/src/jasminecrank/operators/_report.py
@@ -1,4 +1,4 @@
-"""Counts behind the monthly report."""
+"""Counts of the monthly report."""
 
 from collections.abc import Iterator
 import contextlib
@@ -14,13 +14,15 @@
 from jasminecrank.operators import _sequences
 
 _MONTH = re.compile(r"[0-9]{4}-(0[1-9]|1[0-2])")
-_FLUSH_KEYS = 50_000
+_MAX_BUFFERED_KEYS = 50_000
 _RESULTS = frozenset({"answered", "replayed", "refused"})
 _SCHEMA = """
 CREATE TABLE counts (
-  service TEXT, team TEXT, number INTEGER, version TEXT, kind TEXT,
+  service TEXT, team TEXT, version_number INTEGER, version TEXT, kind TEXT,
   result TEXT, code INTEGER, run_state TEXT, count INTEGER,
-  PRIMARY KEY (service, team, number, version, kind, result, code, run_state)
+  PRIMARY KEY (
+    service, team, version_number, version, kind, result, code, run_state
+  )
 ) WITHOUT ROWID;
 CREATE TABLE problems (
   problem TEXT, place TEXT, detail TEXT, count INTEGER,
@@ -39,11 +41,11 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class CountKey:
-    """What one row of the report counts."""
+    """The values by which the report groups calls."""
 
     service: str
     team: str
-    number: int
+    version_number: int
     version: str
     kind: str
     result: str
@@ -53,7 +55,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CountRow:
-    """One row of the report."""
+    """The number of calls with the same key."""
 
     key: CountKey
     count: int
@@ -61,7 +63,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ProblemRow:
-    """Log lines that are broken, doubled, missing or left out."""
+    """A count of invalid, duplicate, missing or skipped log lines."""
 
     problem: str
     place: str
@@ -72,8 +74,8 @@
 class MonthlyReport:
     """Counts the calls of one month.
 
-    Counts are kept in a temporary file, so that memory stays the same
-    however many lines and versions there are.
+    Counts are kept in a temporary database, so that memory use does not
+    depend on the number of lines and versions.
     """
 
     def __init__(self, month: str, connection: sqlite3.Connection) -> None:
@@ -89,7 +91,7 @@
     def from_logs(
         cls, month: str, paths: tuple[pathlib.Path, ...]
     ) -> Iterator["MonthlyReport"]:
-        """Count the lines of log files, whose order does not matter."""
+        """Count the lines of log files; their order does not matter."""
         if not _MONTH.fullmatch(month):
             raise exceptions.SettingError(
                 f"--month: {month!r} is not a month in the form YYYY-MM"
@@ -108,11 +110,11 @@
             yield report
 
     def add_file(self, path: pathlib.Path) -> None:
-        """Count the lines of one file."""
+        """Count the calls and record the problems of one file."""
         for line in _log_lines.read_lines(path):
             match line:
-                case _log_lines.BrokenLine():
-                    place = f"{line.file}:{line.number}"
+                case _log_lines.InvalidLine():
+                    place = f"{line.file}:{line.line_number}"
                     self._add_problem("broken", place, line.reason)
                 case _log_lines.LogLine():
                     self._add_line(line)
@@ -120,7 +122,7 @@
                     typing.assert_never(line)
 
     def finish(self) -> None:
-        """Add what is known only after the last line."""
+        """Store the buffered counts and the gaps in sequence numbers."""
         self._flush()
         for (host, process), seen in self._seen_by_process.items():
             for first, last in seen.gaps():
@@ -132,16 +134,16 @@
                 )
 
     def rows(self) -> Iterator[CountRow]:
-        """Yield the counts in the order of the report."""
+        """Yield the counts, ordered by key."""
         cursor = self._connection.execute(
-            "SELECT * FROM counts ORDER BY service, team, number, version, "
-            "kind, result, code, run_state"
+            "SELECT * FROM counts ORDER BY service, team, version_number, "
+            "version, kind, result, code, run_state"
         )
         for *key, count in cursor:
             yield CountRow(CountKey(*key), count)
 
     def totals(self) -> Iterator[CountRow]:
-        """Yield the counts of each service and team over all versions."""
+        """Yield the counts of each service and team, summed over versions."""
         cursor = self._connection.execute(
             "SELECT service, team, 0, '', kind, result, code, run_state, "
             "SUM(count) FROM counts GROUP BY service, team, kind, result, "
@@ -152,7 +154,7 @@
             yield CountRow(CountKey(*key), count)
 
     def problems(self) -> Iterator[ProblemRow]:
-        """Yield what was left out of the counts, by kind and place."""
+        """Yield the lines that are not counted, ordered by kind and place."""
         cursor = self._connection.execute(
             "SELECT * FROM problems ORDER BY problem, place, detail"
         )
@@ -178,11 +180,11 @@
             return
         key = _count_key(line)
         if key is None:
-            place = f"{line.file}:{line.number}"
+            place = f"{line.file}:{line.line_number}"
             self._add_problem("broken", place, "call without known result")
             return
         self._counts[key] = self._counts.get(key, 0) + 1
-        if len(self._counts) >= _FLUSH_KEYS:
+        if len(self._counts) >= _MAX_BUFFERED_KEYS:
             self._flush()
 
     def _flush(self) -> None:
@@ -192,7 +194,7 @@
                 (
                     key.service,
                     key.team,
-                    key.number,
+                    key.version_number,
                     key.version,
                     key.kind,
                     key.result,
@@ -213,19 +215,19 @@
 
 def _count_key(line: _log_lines.LogLine) -> CountKey | None:
     version = line.text("table_version")
-    number, _, _ = version.partition("-")
+    version_number, _, _ = version.partition("-")
     code = line.values.get("result_code", 0)
     if (
         line.text("result") not in _RESULTS
-        or not number.isascii()
-        or not number.isdigit()
+        or not version_number.isascii()
+        or not version_number.isdigit()
         or not isinstance(code, int)
     ):
         return None
     return CountKey(
         service=line.text("service"),
         team=line.text("team"),
-        number=int(number),
+        version_number=int(version_number),
         version=version,
         kind=line.text("kind"),
         result=line.text("result"),
--- a/src/jasminecrank/operators/_timeline.py
+++ b/src/jasminecrank/operators/_timeline.py
@@ -1,4 +1,4 @@
-"""The events of all processes in one causal order."""
+"""Timeline of the events of all processes in causal order."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -15,7 +15,7 @@
 from jasminecrank import state
 from jasminecrank.operators import _log_lines
 
-_HIDDEN = frozenset(
+_HIDDEN_FIELDS = frozenset(
     {
         "time",
         "level",
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class Position:
-    """Place in the causal order: logical time, then host and sequence."""
+    """Sort key in causal order: logical time, then host and sequence."""
 
     wall_ms: int
     counter: int
@@ -42,20 +42,20 @@
 
 @dataclass(slots=True, frozen=True)
 class TimelineEntry:
-    """One event of one process."""
+    """An event of one process."""
 
     position: Position
     event: str
     fields: Mapping[str, str]
 
     def text(self) -> str:
-        """Return the fields as text."""
+        """Return the fields as space-separated key=value pairs."""
         return " ".join(f"{key}={value}" for key, value in self.fields.items())
 
 
 @dataclass(slots=True, frozen=True)
 class TimelineFilter:
-    """Which entries are wanted; an empty text matches everything."""
+    """Selects entries; an empty string matches everything."""
 
     team: str = ""
     service: str = ""
@@ -64,13 +64,13 @@
     host: str = ""
 
     def matches(self, entry: TimelineEntry) -> bool:
-        """Return whether an entry is wanted."""
+        """Return whether an entry passes all criteria."""
         fields = entry.fields
         return (
-            _equal(self.team, fields.get("team"))
-            and _equal(self.service, fields.get("service"))
-            and _equal(self.request_id, fields.get("request_id"))
-            and _equal(self.host, entry.position.host)
+            _matches(self.team, fields.get("team"))
+            and _matches(self.service, fields.get("service"))
+            and _matches(self.request_id, fields.get("request_id"))
+            and _matches(self.host, entry.position.host)
             and (
                 not self.version
                 or any(
@@ -83,32 +83,32 @@
         )
 
 
-def _equal(wanted: str, found: str | None) -> bool:
+def _matches(wanted: str, found: str | None) -> bool:
     return not wanted or wanted == found
 
 
 @dataclass(slots=True)
 class _ProcessClock:
-    """Gives lines without a stamp a place between those that have one."""
+    """Orders lines without a stamp among the stamped ones of a process."""
 
-    last: tuple[int, int] = (0, 0)
+    last_stamp: tuple[int, int] = (0, 0)
 
-    def place(self, line: _log_lines.LogLine) -> Position:
+    def position(self, line: _log_lines.LogLine) -> Position:
         stamp = line.values.get("stamp")
         if isinstance(stamp, list) and len(stamp) == 2:
-            found = (int(stamp[0]), int(stamp[1]))
+            logical_time = (int(stamp[0]), int(stamp[1]))
         else:
-            found = (_wall_ms(line.time), 0)
-        self.last = max(self.last, found)
-        return Position(*self.last, line.host, line.sequence)
+            logical_time = (_wall_ms(line.time), 0)
+        self.last_stamp = max(self.last_stamp, logical_time)
+        return Position(*self.last_stamp, line.host, line.sequence)
 
 
 def _wall_ms(text: str) -> int:
     try:
-        moment = datetime.datetime.fromisoformat(text)
+        time = datetime.datetime.fromisoformat(text)
     except ValueError:
         return 0
-    return int(moment.timestamp() * 1000)
+    return int(time.timestamp() * 1000)
 
 
 def read_log_timeline(
@@ -116,16 +116,16 @@
 ) -> Iterator[TimelineEntry]:
     """Yield the entries of log files in causal order.
 
-    Each file holds the lines of one host in the order they were written.
+    Each file must hold the lines of one host in the order of writing.
     """
     merged = heapq.merge(
         *(_read_file(path) for path in paths),
         key=lambda entry: entry.position,
     )
-    yield from _without_doubles(merged)
+    yield from _without_duplicates(merged)
 
 
-def _without_doubles(
+def _without_duplicates(
     entries: Iterable[TimelineEntry],
 ) -> Iterator[TimelineEntry]:
     last: TimelineEntry | None = None
@@ -139,14 +139,14 @@
     clock_by_process: dict[tuple[str, str], _ProcessClock] = {}
     for line in _log_lines.read_lines(path):
         match line:
-            case _log_lines.BrokenLine():
+            case _log_lines.InvalidLine():
                 continue
             case _log_lines.LogLine():
                 clock = clock_by_process.setdefault(
                     (line.host, line.process), _ProcessClock()
                 )
                 yield TimelineEntry(
-                    clock.place(line), line.event, _fields(line.values)
+                    clock.position(line), line.event, _fields(line.values)
                 )
             case _:
                 typing.assert_never(line)
@@ -154,7 +154,9 @@
 
 def _fields(values: Mapping[str, typing.Any]) -> dict[str, str]:
     return {
-        key: str(value) for key, value in values.items() if key not in _HIDDEN
+        key: str(value)
+        for key, value in values.items()
+        if key not in _HIDDEN_FIELDS
     }
 
 
@@ -164,12 +166,12 @@
     """Yield the entries of all nodes' event rings in causal order."""
     entries: list[TimelineEntry] = []
     for row in hosts:
-        entries.extend(_read_ring(row))
+        entries.extend(_read_event_ring(row))
     entries.sort(key=lambda entry: entry.position)
     yield from entries
 
 
-def _read_ring(row: state.HostRow) -> Iterator[TimelineEntry]:
+def _read_event_ring(row: state.HostRow) -> Iterator[TimelineEntry]:
     url = f"http://{row.address}:{row.admin_port}/events"
     try:
         response = urllib3.request(
