--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -16,7 +16,7 @@
 from jasminecrank import transport
 
 VERSION = state.Version(7, "ab" * 32)
-LIMIT_S = 15.0
+TIMEOUT_S = 15.0
 
 
 def route(kind):
@@ -54,14 +54,14 @@
     """Admits each call here first and then forwards it to other hosts."""
 
     def __init__(self):
-        self.others = {}
-        self.own = True
-        self.deadline_s = LIMIT_S
+        self.other_port_by_host = {}
+        self.admits_locally = True
+        self.deadline_s = TIMEOUT_S
         self.outcomes = []
         self.calls = []
-        self.held = None
-        self.waiting = None
-        self.cancel_seen = threading.Event()
+        self.admit_gate = None
+        self.queued_message = None
+        self.cancelled = threading.Event()
 
     def tell(self, message):
         """Answer one message at once."""
@@ -69,23 +69,23 @@
             case coordination.AdmitCall():
                 self.calls.append(message.call)
                 if message.call.path == "/waits":
-                    self.waiting = message
-                    self.cancel_seen.clear()
+                    self.queued_message = message
+                    self.cancelled.clear()
                     return
-                if self.held is not None:
-                    self.held.wait(LIMIT_S)
+                if self.admit_gate is not None:
+                    self.admit_gate.wait(TIMEOUT_S)
                 message.reply.set(self._decide(message.call))
             case coordination.CancelCall():
-                waiting = self.waiting
-                assert message.request_id == waiting.call.request_id
-                waiting.reply.set(
+                queued_message = self.queued_message
+                assert message.request_id == queued_message.call.request_id
+                queued_message.reply.set(
                     state.Refused(
                         exceptions.ResultCode.CALL_CANCELLED,
                         exceptions.RunState.NOT_RUN,
                         VERSION,
                     )
                 )
-                self.cancel_seen.set()
+                self.cancelled.set()
             case coordination.CallFinished():
                 self.outcomes.append(message.outcome.kind)
 
@@ -96,7 +96,7 @@
             else state.RouteKind.LOOKUP
         )
         deadline_at_s = time.monotonic() + self.deadline_s
-        if self.own and "own" not in call.tried_hosts:
+        if self.admits_locally and "own" not in call.tried_hosts:
             return state.Admitted(
                 state.Permit(
                     call.request_id,
@@ -106,7 +106,7 @@
                     deadline_at_s,
                 )
             )
-        for host, port in self.others.items():
+        for host, port in self.other_port_by_host.items():
             if host not in call.tried_hosts:
                 return state.ForwardTo(
                     host_row(host, port),
@@ -139,10 +139,10 @@
     context.exit_stack.callback(context.call_server.stop)
 
 
-def call(context, method):
+def send_call(context, method):
     """Send one call and return its answer as a table row shows it."""
     connection = http.client.HTTPConnection(
-        "127.0.0.1", context.port, timeout=LIMIT_S
+        "127.0.0.1", context.port, timeout=TIMEOUT_S
     )
     with contextlib.closing(connection):
         connection.request(method, "/lots", headers={"Connection": "close"})
@@ -162,25 +162,29 @@
         servers.append(scripted_server.ScriptedServer(row["second host"]))
     admission = context.admission
     admission.outcomes.clear()
-    admission.own = not row["fault"].startswith("refuses as")
+    admission.admits_locally = not row["fault"].startswith("refuses as")
     ports = [server.port for server in servers]
-    context.application.runner.server = transport.Target("127.0.0.1", ports[0])
-    others = ports[1:] if admission.own else ports
-    admission.others = {f"other-{port}": port for port in others}
-    ends_late = row["result code"] == "302"
-    admission.deadline_s = 0.3 if ends_late else LIMIT_S
+    context.application.runner.backend_server = transport.Target(
+        "127.0.0.1", ports[0]
+    )
+    other_ports = ports[1:] if admission.admits_locally else ports
+    admission.other_port_by_host = {
+        f"other-{port}": port for port in other_ports
+    }
+    expects_timeout = row["result code"] == "302"
+    admission.deadline_s = 0.3 if expects_timeout else TIMEOUT_S
     try:
-        seen = []
+        actual = []
         for _ in range(int(row["calls"])):
-            seen = call(context, row["method"])
+            actual = send_call(context, row["method"])
             if servers[0].fault == "closes after its first answer":
-                assert servers[0].idle_closed.wait(LIMIT_S)
+                assert servers[0].sending_closed.wait(TIMEOUT_S)
         runs = sum(server.runs for server in servers)
     finally:
         for server in servers:
             server.close()
     outcome = admission.outcomes[-1].value if admission.outcomes else ""
-    return (*seen, str(runs), outcome)
+    return (*actual, str(runs), outcome)
 
 
 @when("calls meet these faults")
@@ -188,22 +192,24 @@
     names = ("status", "result code", "run state", "runs", "outcome")
     context.failures = []
     for row in context.table:
-        seen = run_row(context, row)
-        wanted = tuple(row[name] for name in names)
-        if any(a not in ("*", b) for a, b in zip(wanted, seen, strict=True)):
-            context.failures.append(f"{row} gave {seen}")
+        actual = run_row(context, row)
+        expected = tuple(row[name] for name in names)
+        if any(
+            a not in ("*", b) for a, b in zip(expected, actual, strict=True)
+        ):
+            context.failures.append(f"{row} gave {actual}")
 
 
 @when("the node sees closed connections too late and calls meet these faults")
 def step_late_faults(context):
     # The peer's close crosses the request, as far as the node can tell.
-    channel = transport.DeadlineSocket
-    original = channel.is_quiet
-    channel.is_quiet = lambda self: True
+    socket_class = transport.DeadlineSocket
+    original = socket_class.is_idle
+    socket_class.is_idle = lambda self: True
     try:
         step_faults(context)
     finally:
-        channel.is_quiet = original
+        socket_class.is_idle = original
 
 
 @then("every outcome is as listed")
@@ -217,67 +223,69 @@
     good = scripted_server.ScriptedServer("none")
     context.exit_stack.callback(faulty.close)
     context.exit_stack.callback(good.close)
-    context.application.runner.server = transport.Target(
+    context.application.runner.backend_server = transport.Target(
         "127.0.0.1", faulty.port
     )
-    context.admission.others = {"other": good.port}
-    context.seen = [call(context, "GET") for _ in range(count)]
+    context.admission.other_port_by_host = {"other": good.port}
+    context.actual = [send_call(context, "GET") for _ in range(count)]
 
 
 @then("{good:d} are answered and the others are refused with {code}")
 def step_budget_seen(context, good, code):
-    answered = [seen for seen in context.seen if seen[0] == "200"]
-    refused = {seen[1:] for seen in context.seen if seen[0] != "200"}
-    assert len(answered) == good, context.seen
-    assert refused == {(code, "may-have-run")}, context.seen
+    answered = [actual for actual in context.actual if actual[0] == "200"]
+    refused = {actual[1:] for actual in context.actual if actual[0] != "200"}
+    assert len(answered) == good, context.actual
+    assert refused == {(code, "may-have-run")}, context.actual
 
 
 @when("a call is in hand, one is sent and the server stops")
 def step_stop(context):
-    context.admission.held = threading.Event()
+    context.admission.admit_gate = threading.Event()
     server = scripted_server.ScriptedServer("none")
     context.exit_stack.callback(server.close)
-    context.application.runner.server = transport.Target(
+    context.application.runner.backend_server = transport.Target(
         "127.0.0.1", server.port
     )
     idle, busy, late = (
-        http.client.HTTPConnection("127.0.0.1", context.port, timeout=LIMIT_S)
+        http.client.HTTPConnection(
+            "127.0.0.1", context.port, timeout=TIMEOUT_S
+        )
         for _ in range(3)
     )
-    context.admission.held.set()
+    context.admission.admit_gate.set()
     for connection in (idle, busy, late):
         connection.request("GET", "/warm")
         connection.getresponse().read()
-    context.admission.held.clear()
+    context.admission.admit_gate.clear()
     busy.request("GET", "/busy")
     while len(context.admission.calls) < 4:
-        assert not context.admission.held.wait(0.01)
+        assert not context.admission.admit_gate.wait(0.01)
     stopping = threading.Thread(target=context.call_server.stop)
     context.started_s = time.monotonic()
     stopping.start()
     late.request("POST", "/late")
-    context.admission.held.set()
-    context.seen = []
+    context.admission.admit_gate.set()
+    context.actual = []
     for connection in (busy, late):
         response = connection.getresponse()
         response.read()
-        context.seen.append((response.status, response.will_close))
-    stopping.join(LIMIT_S)
+        context.actual.append((response.status, response.will_close))
+    stopping.join(TIMEOUT_S)
     context.stop_s = time.monotonic() - context.started_s
     context.idle_socket = idle.sock
 
 
 @then("both calls are answered, and idle connections don't delay the stop")
 def step_stopped(context):
-    assert context.seen == [(200, True), (200, True)], context.seen
-    assert context.stop_s < LIMIT_S, context.stop_s
+    assert context.actual == [(200, True), (200, True)], context.actual
+    assert context.stop_s < TIMEOUT_S, context.stop_s
     assert context.idle_socket.recv(1) == b""
 
 
 @when("a caller closes its connection while its call waits")
 def step_caller_gone(context):
     caller = http.client.HTTPConnection(
-        "127.0.0.1", context.port, timeout=LIMIT_S
+        "127.0.0.1", context.port, timeout=TIMEOUT_S
     )
     caller.request("GET", "/waits")
     caller.close()
@@ -285,5 +293,5 @@
 
 @then("the call is withdrawn")
 def step_withdrawn(context):
-    assert context.admission.cancel_seen.wait(LIMIT_S)
+    assert context.admission.cancelled.wait(TIMEOUT_S)
     assert context.admission.outcomes == []
--- a/features/steps/golden_steps.py
+++ b/features/steps/golden_steps.py
@@ -14,7 +14,7 @@
 from jasminecrank import state
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-VOLATILE = (
+VOLATILE_PATTERNS = (
     (re.compile(r"^(< date: ).*$", re.MULTILINE | re.IGNORECASE), r"\1<date>"),
     (
         re.compile(r"^(< server: Cheroot/).*$", re.MULTILINE | re.IGNORECASE),
@@ -74,14 +74,14 @@
 
 @then("the session equals {path}")
 def step_equals(context, path):
-    seen = "\n".join(context.session)
-    for pattern, replacement in VOLATILE:
-        seen = pattern.sub(replacement, seen)
+    actual = "\n".join(context.session)
+    for pattern, replacement in VOLATILE_PATTERNS:
+        actual = pattern.sub(replacement, actual)
     golden = ROOT / path
     if os.environ.get("JASMINECRANK_WRITE_GOLDEN") == "1":
-        golden.write_bytes(seen.encode())
-    wanted = golden.read_bytes().decode()
-    assert seen == wanted, _first_difference(wanted, seen)
+        golden.write_bytes(actual.encode())
+    expected = golden.read_bytes().decode()
+    assert actual == expected, _first_difference(expected, actual)
 
 
 def _exchange(context, row, number):
@@ -100,9 +100,11 @@
     lines.append("Connection: close")
     request = "\r\n".join([*lines, "", row["body"]])
     node = context.deployment.node_by_host[row["host"]]
-    with socket.create_connection(("127.0.0.1", node.call_port), 10) as sent:
-        sent.sendall(request.encode())
-        received = b"".join(iter(lambda: sent.recv(65536), b""))
+    with socket.create_connection(
+        ("127.0.0.1", node.call_port), 10
+    ) as connection:
+        connection.sendall(request.encode())
+        received = b"".join(iter(lambda: connection.recv(65536), b""))
     answer = received.decode().replace("\r\n", "\n")
     return "\n".join(
         [
@@ -114,9 +116,9 @@
     )
 
 
-def _first_difference(wanted, seen):
-    pairs = zip(wanted.split("\n"), seen.split("\n"), strict=False)
+def _first_difference(expected, actual):
+    pairs = zip(expected.split("\n"), actual.split("\n"), strict=False)
     for number, (old, new) in enumerate(pairs, start=1):
         if old != new:
             return f"line {number}: {old!r} is now {new!r}"
-    return f"{len(wanted)} bytes are now {len(seen)}"
+    return f"{len(expected)} bytes are now {len(actual)}"
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -10,8 +10,8 @@
 
 from jasminecrank import transport
 
-LIMIT_S = 15.0
-EXTRAS = {
+TIMEOUT_S = 15.0
+HEADERS_AND_BODY_BY_NAME = {
     "body": (["Content-Length: 4"], b"abcd"),
     "chunked body": (
         ["Transfer-Encoding: chunked"],
@@ -40,15 +40,17 @@
     """Return the bytes of a request from its table cell."""
     line, _, extra = text.partition(";")
     extra = extra.removeprefix(" ")
-    headers, body = EXTRAS.get(extra, ([extra] if extra else [], b""))
+    headers, body = HEADERS_AND_BODY_BY_NAME.get(
+        extra, ([extra] if extra else [], b"")
+    )
     head = [f"{line} HTTP/1.1", "Host: node", *headers, "", ""]
     return "\r\n".join(head).encode() + body
 
 
-def exchange(context, method, data):
+def send_raw(context, method, data):
     """Send bytes and return the answer's status and result code."""
     with socket.create_connection(
-        ("127.0.0.1", context.port), timeout=LIMIT_S
+        ("127.0.0.1", context.port), timeout=TIMEOUT_S
     ) as caller:
         caller.sendall(data)
         response = http.client.HTTPResponse(caller, method=method)
@@ -60,10 +62,10 @@
         return str(response.status), code
 
 
-def received(server, wanted):
+def server_received(server, expected):
     """Return whether the last request to the server is as listed."""
     request = server.requests[-1]
-    kind, _, value = wanted.partition(" ")
+    kind, _, value = expected.partition(" ")
     match kind:
         case "no":
             return f"\r\n{value}:".encode() not in request.lower()
@@ -71,14 +73,14 @@
             return request.endswith(b"\r\n\r\n" + value.encode())
         case "length:":
             return len(request.partition(b"\r\n\r\n")[2]) == int(value)
-    return wanted.replace("\\r\\n", "\r\n").encode() in request
+    return expected.replace("\\r\\n", "\r\n").encode() in request
 
 
 @given("a backend server that answers")
 def step_backend(context):
     context.server = scripted_server.ScriptedServer("none")
     context.exit_stack.callback(context.server.close)
-    context.application.runner.server = transport.Target(
+    context.application.runner.backend_server = transport.Target(
         "127.0.0.1", context.server.port
     )
 
@@ -89,15 +91,15 @@
     for row in context.table:
         before = context.server.runs
         text = row["request"]
-        seen = exchange(context, text.split(" ")[0], encode(text))
+        actual = send_raw(context, text.split(" ")[0], encode(text))
         runs = context.server.runs - before
-        good = seen == (row["status"], row["code"])
-        good = good and runs == (row["status"] == "200")
-        if not good or (
-            runs and not received(context.server, row["server gets"])
+        as_expected = actual == (row["status"], row["code"])
+        as_expected = as_expected and runs == (row["status"] == "200")
+        if not as_expected or (
+            runs and not server_received(context.server, row["server gets"])
         ):
             context.failures.append(
-                f"{text} gave {seen}, {runs} runs, "
+                f"{text} gave {actual}, {runs} runs, "
                 f"{context.server.requests[-1][:400]!r}"
             )
 
@@ -110,7 +112,7 @@
 @when("{count:d} requests are sent in one piece")
 def step_pipelined(context, count):
     with socket.create_connection(
-        ("127.0.0.1", context.port), timeout=LIMIT_S
+        ("127.0.0.1", context.port), timeout=TIMEOUT_S
     ) as caller:
         caller.sendall(
             b"".join(
@@ -122,7 +124,7 @@
         data = b""
         while part := caller.recv(65536):
             data += part
-    context.seen = [
+    context.actual = [
         line.split(b": ")[1]
         for line in data.split(b"\r\n")
         if line.lower().startswith(b"x-request-id")
@@ -131,20 +133,20 @@
 
 @then("{count:d} answers come in the order of the requests")
 def step_in_order(context, count):
-    wanted = [str(number).encode() for number in range(count)]
-    assert context.seen == wanted, context.seen
+    expected = [str(number).encode() for number in range(count)]
+    assert context.actual == expected, context.actual
 
 
 @when("{count:d} callers connect and send nothing")
 def step_silent_callers(context, count):
     for _ in range(count):
         caller = socket.create_connection(
-            ("127.0.0.1", context.port), timeout=LIMIT_S
+            ("127.0.0.1", context.port), timeout=TIMEOUT_S
         )
         context.exit_stack.callback(caller.close)
 
 
 @then("another call is answered")
 def step_another(context):
-    seen = exchange(context, "GET", encode("GET /lots"))
-    assert seen == ("200", ""), seen
+    actual = send_raw(context, "GET", encode("GET /lots"))
+    assert actual == ("200", ""), actual
--- a/features/steps/session_steps.py
+++ b/features/steps/session_steps.py
@@ -49,12 +49,12 @@
             headers=headers,
             retries=False,
         )
-        seen = (
+        actual = (
             str(response.status),
             response.headers.get("X-Result-Code", ""),
         )
-        if seen != (row["status"], row["result code"]):
-            context.failures.append((row, seen))
+        if actual != (row["status"], row["result code"]):
+            context.failures.append((row, actual))
 
 
 @then("every answer is as listed")
--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -22,7 +22,7 @@
 
 _SWITCH_INTERVAL_S = 0.0005  # 0.005, the default, added up to 5 ms to a call
 _LISTEN_BACKLOG = 128
-_DRAIN_S = 20.0  # above every deadline of a route in the examples, 5 s
+_DRAIN_TIMEOUT_S = 20.0  # above every deadline of a route in the examples, 5 s
 
 
 @dataclass(slots=True)
@@ -63,20 +63,20 @@
         )
         membership = _start_membership(settings, clock, timers, rng)
         source = transport.SourceReader.start(settings.source_url, config)
-        server = transport.Target(
+        backend_server = transport.Target(
             settings.server_address, settings.server_port
         )
-        transport.HealthProbe.start(server, timers, admission)
+        transport.HealthProbe.start(backend_server, timers, admission)
         node = cls(
             timers=timers,
             config=config,
             admission=admission,
             membership=membership,
-            call_server=_call_server(settings, admission, clock),
+            call_server=_start_call_server(settings, admission, clock),
             peer_server=transport.PeerServer.start(
-                settings.host, membership, _listen(settings)
+                settings.host, membership, _listen_for_peers(settings)
             ),
-            admin_server=_admin_server(
+            admin_server=_start_admin_server(
                 settings,
                 transport.NodeActors(config, admission, membership),
             ),
@@ -94,7 +94,7 @@
         drained: pykka.ThreadingFuture[None] = pykka.ThreadingFuture()
         self.admission.tell(coordination.AwaitDrained(drained))
         with contextlib.suppress(pykka.Timeout):
-            drained.get(timeout=_DRAIN_S)
+            drained.get(timeout=_DRAIN_TIMEOUT_S)
         self.call_server.stop()
         self.admin_server.stop()
         self.peer_server.stop()
@@ -125,7 +125,7 @@
     )
 
 
-def _call_server(
+def _start_call_server(
     settings: _settings.NodeSettings,
     admission: pykka.ActorRef[coordination.AdmissionActor],
     clock: state.Clock,
@@ -134,7 +134,9 @@
         host=settings.host,
         address=settings.address,
         port=settings.call_port,
-        server=transport.Target(settings.server_address, settings.server_port),
+        backend_server=transport.Target(
+            settings.server_address, settings.server_port
+        ),
         threads=settings.threads,
     )
     application = transport.CallApplication.from_settings(
@@ -146,7 +148,7 @@
     return server
 
 
-def _admin_server(
+def _start_admin_server(
     settings: _settings.NodeSettings, actors: transport.NodeActors
 ) -> transport.AdminServer:
     admin_settings = transport.AdminSettings(
@@ -162,7 +164,7 @@
     return server
 
 
-def _listen(settings: _settings.NodeSettings) -> socket.socket:
+def _listen_for_peers(settings: _settings.NodeSettings) -> socket.socket:
     listener = socket.create_server(
         (settings.address, settings.peer_port), backlog=_LISTEN_BACKLOG
     )
@@ -196,7 +198,7 @@
 def run_node(settings: _settings.NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
     _check_sockets(settings)
-    transport.install_json_lines(settings.host, settings.data_centre)
+    transport.install_json_logging(settings.host, settings.data_centre)
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
     stopping = threading.Event()
 
--- a/src/jasminecrank/daemon/_settings.py
+++ b/src/jasminecrank/daemon/_settings.py
@@ -9,7 +9,7 @@
 from jasminecrank import state
 
 _PORT_MAX = 65_535
-_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+_NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 _THREADS_MIN = 4
 _THREADS_MAX = 512
 
@@ -43,17 +43,17 @@
         _check_port("admin-port", self.admin_port, 0)
         _check_port("server-port", self.server_port, 1)
         if not self.source_url.startswith("http://"):
-            raise _error(
+            raise _setting_error(
                 "source-url", self.source_url, "a URL that starts with http://"
             )
         for peer in self.seed_peers:
             _check_endpoint("seed-peer", peer)
         if self.fleet_hosts < 1:
-            raise _error(
+            raise _setting_error(
                 "fleet-hosts", self.fleet_hosts, "a number of at least 1"
             )
         if not _THREADS_MIN <= self.threads <= _THREADS_MAX:
-            raise _error(
+            raise _setting_error(
                 "threads",
                 self.threads,
                 f"a number from {_THREADS_MIN} to {_THREADS_MAX}",
@@ -61,8 +61,8 @@
 
 
 def _check_name(setting: str, value: str) -> None:
-    if not _NAME.fullmatch(value):
-        raise _error(
+    if not _NAME_PATTERN.fullmatch(value):
+        raise _setting_error(
             setting, value, "a name of lower-case letters, digits, . and -"
         )
 
@@ -71,23 +71,25 @@
     try:
         ipaddress.ip_address(value)
     except ValueError:
-        raise _error(setting, value, "an IP address") from None
+        raise _setting_error(setting, value, "an IP address") from None
 
 
-def _check_port(setting: str, value: int, lowest: int) -> None:
-    if not lowest <= value <= _PORT_MAX:
-        raise _error(setting, value, f"a port from {lowest} to {_PORT_MAX}")
+def _check_port(setting: str, value: int, minimum: int) -> None:
+    if not minimum <= value <= _PORT_MAX:
+        raise _setting_error(
+            setting, value, f"a port from {minimum} to {_PORT_MAX}"
+        )
 
 
 def _check_endpoint(setting: str, value: str) -> None:
     address, _, port = value.rpartition(":")
     if not port.isascii() or not port.isdigit():
-        raise _error(setting, value, "ADDRESS:PORT")
+        raise _setting_error(setting, value, "ADDRESS:PORT")
     _check_address(setting, address)
     _check_port(setting, int(port), 1)
 
 
-def _error(
-    setting: str, value: object, wanted: str
+def _setting_error(
+    setting: str, value: object, expected: str
 ) -> exceptions.SettingError:
-    return exceptions.SettingError(f"--{setting}: {value!r} is not {wanted}")
+    return exceptions.SettingError(f"--{setting}: {value!r} is not {expected}")
--- a/src/jasminecrank/protocol/_cbor.py
+++ b/src/jasminecrank/protocol/_cbor.py
@@ -13,7 +13,7 @@
 from jasminecrank.protocol import _quota_codec
 
 _COMPRESS_ABOVE_BYTES = 1024
-_PLAIN = b"\x00"
+_UNCOMPRESSED = b"\x00"
 _DEFLATED = b"\x01"
 MAX_FRAME_BYTES = 4 * const.MAX_DOCUMENT_BYTES
 
@@ -29,7 +29,7 @@
         ]
     )
     if len(payload) <= _COMPRESS_ABOVE_BYTES:
-        return _PLAIN + payload
+        return _UNCOMPRESSED + payload
     return _DEFLATED + zlib.compress(payload, 6)
 
 
@@ -50,13 +50,13 @@
 
 
 def _inflate(frame: bytes) -> bytes:
-    if frame[:1] == _PLAIN:
+    if frame[:1] == _UNCOMPRESSED:
         return frame[1:]
     if frame[:1] != _DEFLATED:
         raise exceptions.MessageError(f"unknown frame type {frame[:1]!r}")
-    inflater = zlib.decompressobj()
-    payload = inflater.decompress(frame[1:], MAX_FRAME_BYTES)
-    if inflater.unconsumed_tail:
+    decompressor = zlib.decompressobj()
+    payload = decompressor.decompress(frame[1:], MAX_FRAME_BYTES)
+    if decompressor.unconsumed_tail:
         raise exceptions.MessageError(
             f"frame inflates to more than {MAX_FRAME_BYTES} bytes"
         )
@@ -76,12 +76,12 @@
                 message.host,
                 message.data_centre,
                 message.incarnation,
-                _encode_vector(message.versions),
+                _encode_version_vector(message.versions),
             ]
         case coordination.Heartbeat():
             return [
                 "heartbeat",
-                _encode_vector(message.versions),
+                _encode_version_vector(message.versions),
                 message.draining,
                 message.confirmed_age_s,
             ]
@@ -111,14 +111,23 @@
             return [
                 "versions",
                 message.inquiry,
-                _encode_vector(message.versions),
+                _encode_version_vector(message.versions),
             ]
         case coordination.LoanRequest():
-            return ["loan-request", *_quota_codec.encode_ask(message.ask)]
+            return [
+                "loan-request",
+                *_quota_codec.encode_loan_request(message.ask),
+            ]
         case coordination.LoanGrant():
-            return ["loan-grant", *_quota_codec.encode_offer(message.offer)]
+            return [
+                "loan-grant",
+                *_quota_codec.encode_loan_grant(message.offer),
+            ]
         case coordination.ShareNotice():
-            return ["shares", *_quota_codec.encode_report(message.report)]
+            return [
+                "shares",
+                *_quota_codec.encode_share_report(message.report),
+            ]
         case coordination.Goodbye():
             return ["goodbye", message.reason]
         case _:
@@ -134,11 +143,11 @@
                 str(host),
                 str(data_centre),
                 int(incarnation),
-                _decode_vector(versions),
+                _decode_version_vector(versions),
             )
         case "heartbeat", [versions, draining, confirmed_age_s]:
             return coordination.Heartbeat(
-                _decode_vector(versions),
+                _decode_version_vector(versions),
                 bool(draining),
                 float(confirmed_age_s),
             )
@@ -146,7 +155,7 @@
             return coordination.VersionsRequest(int(inquiry))
         case "versions", [inquiry, versions]:
             return coordination.VersionsReply(
-                int(inquiry), _decode_vector(versions)
+                int(inquiry), _decode_version_vector(versions)
             )
         case "delta", [name, base, target, upserts, removed]:
             return coordination.DocumentDelta(
@@ -171,11 +180,17 @@
                 state.DocumentName(name), _decode_version(have)
             )
         case "loan-request", _:
-            return coordination.LoanRequest(_quota_codec.decode_ask(fields))
+            return coordination.LoanRequest(
+                _quota_codec.decode_loan_request(fields)
+            )
         case "loan-grant", _:
-            return coordination.LoanGrant(_quota_codec.decode_offer(fields))
+            return coordination.LoanGrant(
+                _quota_codec.decode_loan_grant(fields)
+            )
         case "shares", _:
-            return coordination.ShareNotice(_quota_codec.decode_report(fields))
+            return coordination.ShareNotice(
+                _quota_codec.decode_share_report(fields)
+            )
         case "goodbye", [reason]:
             return coordination.Goodbye(str(reason))
         case _:
@@ -193,11 +208,11 @@
     return state.Version(int(number), bytes(digest).hex())
 
 
-def _encode_vector(versions: state.VersionVector) -> list[object]:
+def _encode_version_vector(versions: state.VersionVector) -> list[object]:
     return [_encode_version(versions.get(name)) for name in state.DocumentName]
 
 
-def _decode_vector(values: list[typing.Any]) -> state.VersionVector:
+def _decode_version_vector(values: list[typing.Any]) -> state.VersionVector:
     table, keys, hosts, outages = (_decode_version(value) for value in values)
     return state.VersionVector(table, keys, hosts, outages)
 
--- a/src/jasminecrank/protocol/_http.py
+++ b/src/jasminecrank/protocol/_http.py
@@ -21,7 +21,7 @@
 _REQUEST_ID = const.HEADER_REQUEST_ID.lower()
 _TEAM = const.HEADER_TEAM.lower()
 
-HOP_BY_HOP = frozenset(
+HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
         "content-length",
@@ -37,8 +37,8 @@
         "upgrade",
     }
 )
-_OWN = frozenset({_DEADLINE_MS, _FORWARDED_BY, _REQUEST_ID, _TEAM})
-_SINGLE = frozenset(
+_NODE_HEADERS = frozenset({_DEADLINE_MS, _FORWARDED_BY, _REQUEST_ID, _TEAM})
+_SINGLE_VALUE_HEADERS = frozenset(
     {
         _AUTHORIZATION,
         _DEADLINE_MS,
@@ -47,8 +47,8 @@
         _REQUEST_ID,
     }
 )
-_ID = re.compile(r"[!-~]{1,200}")
-_DEADLINE = re.compile(r"[0-9]{1,9}")
+_PRINTABLE_ASCII = re.compile(r"[!-~]{1,200}")
+_DEADLINE_DIGITS = re.compile(r"[0-9]{1,9}")
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,26 +71,31 @@
     body: bytes
 
 
-def decode_call(http: HttpRequest, now_s: float) -> HttpCall:
+def decode_call(http_request: HttpRequest, now_s: float) -> HttpCall:
     """Return the call of an HTTP request.
 
     Raises JasminecrankError with REQUEST_INVALID for an unusable request.
     """
-    single = _single_headers(http.headers)
-    path = http.target.partition("?")[0]
+    value_by_name = _single_value_headers(http_request.headers)
+    path = http_request.target.partition("?")[0]
     _check_path(path)
-    idempotency_key = single.get(_IDEMPOTENCY_KEY)
+    idempotency_key = value_by_name.get(_IDEMPOTENCY_KEY)
     request = state.CallRequest(
-        request_id=single.get(_REQUEST_ID) or str(uuid.uuid4()),
-        method=http.method,
+        request_id=value_by_name.get(_REQUEST_ID) or str(uuid.uuid4()),
+        method=http_request.method,
         path=path,
-        key_digest=_key_digest(single.get(_AUTHORIZATION)),
-        deadline_at_s=_deadline_at_s(single.get(_DEADLINE_MS), now_s),
+        key_digest=_key_digest(value_by_name.get(_AUTHORIZATION)),
+        deadline_at_s=_deadline_at_s(value_by_name.get(_DEADLINE_MS), now_s),
         idempotency_key=idempotency_key,
-        forwarded_by=single.get(_FORWARDED_BY),
-        body_digest=_body_digest(http.body) if idempotency_key else "",
+        forwarded_by=value_by_name.get(_FORWARDED_BY),
+        body_digest=_body_digest(http_request.body) if idempotency_key else "",
+    )
+    return HttpCall(
+        request,
+        http_request.target,
+        _end_to_end_headers(http_request.headers),
+        http_request.body,
     )
-    return HttpCall(request, http.target, _end_to_end(http.headers), http.body)
 
 
 def digest_key(key: str) -> str:
@@ -102,26 +107,26 @@
     return hashlib.sha256(body).hexdigest()
 
 
-def _invalid(message: str) -> exceptions.JasminecrankError:
+def _invalid_request(message: str) -> exceptions.JasminecrankError:
     return exceptions.JasminecrankError(
         message, exceptions.ResultCode.REQUEST_INVALID
     )
 
 
-def _single_headers(headers: Headers) -> dict[str, str]:
-    single: dict[str, str] = {}
+def _single_value_headers(headers: Headers) -> dict[str, str]:
+    value_by_name: dict[str, str] = {}
     for name, value in headers:
-        if name not in _SINGLE:
+        if name not in _SINGLE_VALUE_HEADERS:
             continue
         # Which of two values counts would differ between implementations.
-        if name in single:
-            raise _invalid(f"header {name}: given more than once")
-        if name != _AUTHORIZATION and not _ID.fullmatch(value):
-            raise _invalid(
+        if name in value_by_name:
+            raise _invalid_request(f"header {name}: given more than once")
+        if name != _AUTHORIZATION and not _PRINTABLE_ASCII.fullmatch(value):
+            raise _invalid_request(
                 f"header {name}: not 1 to 200 printable ASCII characters"
             )
-        single[name] = value
-    return single
+        value_by_name[name] = value
+    return value_by_name
 
 
 def _check_path(path: str) -> None:
@@ -129,9 +134,9 @@
     # route than the one by which the key was checked.
     if "/." not in path and "%" not in path and "\\" not in path:
         return
-    plain = urllib.parse.unquote(path).replace("\\", "/")
-    if not {".", ".."}.isdisjoint(plain.split("/")):
-        raise _invalid("path with a dot segment")
+    decoded_path = urllib.parse.unquote(path).replace("\\", "/")
+    if not {".", ".."}.isdisjoint(decoded_path.split("/")):
+        raise _invalid_request("path with a dot segment")
 
 
 def _key_digest(value: str | None) -> str | None:
@@ -146,16 +151,16 @@
 def _deadline_at_s(value: str | None, now_s: float) -> float | None:
     if value is None:
         return None
-    if not _DEADLINE.fullmatch(value):
-        raise _invalid(
+    if not _DEADLINE_DIGITS.fullmatch(value):
+        raise _invalid_request(
             f"header {const.HEADER_DEADLINE_MS}: {value!r} is not a whole "
             "number of milliseconds"
         )
     return now_s + int(value) / 1000
 
 
-def _end_to_end(headers: Headers) -> Headers:
-    dropped: frozenset[str] | set[str] = HOP_BY_HOP
+def _end_to_end_headers(headers: Headers) -> Headers:
+    dropped: frozenset[str] | set[str] = HOP_BY_HOP_HEADERS
     for name, value in headers:
         if name == "connection":
             dropped = dropped | {
@@ -169,12 +174,12 @@
     )
 
 
-def server_headers(
+def backend_server_headers(
     call: HttpCall, permit: state.Permit, now_s: float
 ) -> Headers:
     """Return the headers for the backend server, without the key."""
     headers = (
-        *_forwarded(call.headers, _OWN | {_AUTHORIZATION}),
+        *_without_headers(call.headers, _NODE_HEADERS | {_AUTHORIZATION}),
         (const.HEADER_REQUEST_ID, permit.request_id),
         (const.HEADER_TEAM, permit.team),
         (const.HEADER_DEADLINE_MS, _remaining_ms(permit.deadline_at_s, now_s)),
@@ -193,14 +198,14 @@
 ) -> Headers:
     """Return the headers for another node, which checks the key itself."""
     return (
-        *_forwarded(call.headers, _OWN),
+        *_without_headers(call.headers, _NODE_HEADERS),
         (const.HEADER_REQUEST_ID, call.request.request_id),
         (const.HEADER_FORWARDED_BY, host),
         (const.HEADER_DEADLINE_MS, _remaining_ms(deadline_at_s, now_s)),
     )
 
 
-def _forwarded(
+def _without_headers(
     headers: Headers, dropped: Iterable[str]
 ) -> Sequence[tuple[str, str]]:
     return [pair for pair in headers if pair[0] not in dropped]
--- a/src/jasminecrank/protocol/_http_answers.py
+++ b/src/jasminecrank/protocol/_http_answers.py
@@ -12,7 +12,7 @@
 _RUN_STATE = const.HEADER_RUN_STATE.lower()
 _REQUEST_ID = const.HEADER_REQUEST_ID.lower()
 _TABLE_VERSION = const.HEADER_TABLE_VERSION.lower()
-_UNAVAILABLE = 503
+_SERVICE_UNAVAILABLE = 503
 
 _STATUS_BY_CODE = {
     exceptions.ResultCode.NO_ROUTE: 404,
@@ -35,7 +35,7 @@
 }
 
 
-def server_evidence(
+def decode_server_response(
     status: int, headers: _http.Headers, body: bytes
 ) -> state.Answered | state.Shed:
     """Return what the whole answer of a backend server proves.
@@ -44,25 +44,27 @@
     server can't pass for a node.
     """
     by_name = dict(headers)
-    shed = status == _UNAVAILABLE
-    says_not_run = (
+    shed = status == _SERVICE_UNAVAILABLE
+    reports_not_run = (
         shed and by_name.get(_RUN_STATE) == exceptions.RunState.NOT_RUN.value
     )
     dropped = {_RESULT_CODE, _TABLE_VERSION, _REQUEST_ID}
-    if not says_not_run:
+    if not reports_not_run:
         dropped.add(_RUN_STATE)
-    answer = state.Answer(status, _kept(headers, dropped), body)
-    if shed and (says_not_run or "retry-after" in by_name):
-        return state.Shed(answer, says_not_run)
+    answer = state.Answer(status, _without_headers(headers, dropped), body)
+    if shed and (reports_not_run or "retry-after" in by_name):
+        return state.Shed(answer, reports_not_run)
     return state.Answered(answer)
 
 
-def node_evidence(
+def decode_node_response(
     status: int, headers: _http.Headers, body: bytes
 ) -> state.Answered | state.Shed | state.NodeRefused:
     """Return what the whole answer of another node proves."""
     by_name = dict(headers)
-    answer = state.Answer(status, _kept(headers, {_REQUEST_ID}), body)
+    answer = state.Answer(
+        status, _without_headers(headers, {_REQUEST_ID}), body
+    )
     if _RESULT_CODE in by_name:
         try:
             code = exceptions.ResultCode(int(by_name[_RESULT_CODE]))
@@ -71,17 +73,23 @@
             code = exceptions.ResultCode.ANSWER_CUT
             run_state = exceptions.RunState.MAY_HAVE_RUN
         return state.NodeRefused(answer, code, run_state)
-    says_not_run = by_name.get(_RUN_STATE) == exceptions.RunState.NOT_RUN.value
-    if status == _UNAVAILABLE and (says_not_run or "retry-after" in by_name):
-        return state.Shed(answer, says_not_run)
+    reports_not_run = (
+        by_name.get(_RUN_STATE) == exceptions.RunState.NOT_RUN.value
+    )
+    if status == _SERVICE_UNAVAILABLE and (
+        reports_not_run or "retry-after" in by_name
+    ):
+        return state.Shed(answer, reports_not_run)
     return state.Answered(answer)
 
 
-def _kept(headers: _http.Headers, dropped: Iterable[str]) -> _http.Headers:
+def _without_headers(
+    headers: _http.Headers, dropped: Iterable[str]
+) -> _http.Headers:
     return tuple([pair for pair in headers if pair[0] not in dropped])
 
 
-def answer_headers(
+def end_to_end_headers(
     headers: Iterable[tuple[str, str]], without_body: bool
 ) -> _http.Headers:
     """Return the end-to-end headers of an answer, names in lower case.
@@ -89,16 +97,16 @@
     An answer without a body keeps its Content-Length, which then tells the
     length that a GET would get.
     """
-    seen = tuple(headers)
-    dropped = _http.HOP_BY_HOP
+    received = tuple(headers)
+    dropped = _http.HOP_BY_HOP_HEADERS
     if without_body:
         dropped = dropped - {"content-length"}
-    for name, value in seen:
+    for name, value in received:
         if name == "connection":
             dropped = dropped | {
-                part.strip().lower() for part in value.split(",")
+                option.strip().lower() for option in value.split(",")
             }
-    return _kept(seen, dropped)
+    return _without_headers(received, dropped)
 
 
 def encode_refusal(refused: state.Refused, request_id: str) -> state.Answer:
@@ -117,7 +125,7 @@
     ]
     if refused.retry_after_s > 0:
         headers.append(("Retry-After", str(int(refused.retry_after_s) + 1)))
-    status = _STATUS_BY_CODE.get(refused.code, _UNAVAILABLE)
+    status = _STATUS_BY_CODE.get(refused.code, _SERVICE_UNAVAILABLE)
     return state.Answer(
         status, tuple(headers), json.dumps(body, sort_keys=True).encode()
     )
--- a/src/jasminecrank/protocol/_quota_codec.py
+++ b/src/jasminecrank/protocol/_quota_codec.py
@@ -9,86 +9,100 @@
 
 from jasminecrank import state
 
-_PER_TOKEN = 1000
+_MILLITOKENS_PER_TOKEN = 1000
 
 
-def encode_ask(ask: state.LoanRequest) -> list[object]:
+def encode_loan_request(request: state.LoanRequest) -> list[object]:
     """Return the fields of an ask."""
     return [
-        ask.loan_id,
-        ask.service,
-        round(ask.ttl_s * 1000),
-        [[want.team, want.share_ppb, want.limit_crc] for want in ask.shares],
+        request.loan_id,
+        request.service,
+        round(request.ttl_s * 1000),
+        [
+            [share.team, share.share_ppb, share.limit_crc]
+            for share in request.shares
+        ],
     ]
 
 
-def decode_ask(fields: list[typing.Any]) -> state.LoanRequest:
+def decode_loan_request(fields: list[typing.Any]) -> state.LoanRequest:
     """Return the ask; ValueError or TypeError if there is none."""
-    loan_id, service, ttl_ms, wants = fields
+    loan_id, service, ttl_ms, shares = fields
     return state.LoanRequest(
         int(loan_id),
         str(service),
         int(ttl_ms) / 1000,
         tuple(
             state.ShareRequest(str(team), int(share_ppb), int(limit_crc))
-            for team, share_ppb, limit_crc in wants
+            for team, share_ppb, limit_crc in shares
         ),
     )
 
 
-def encode_offer(offer: state.LoanGrant) -> list[object]:
+def encode_loan_grant(grant: state.LoanGrant) -> list[object]:
     """Return the fields of an offer."""
     return [
-        offer.loan_id,
+        grant.loan_id,
         [
-            [part.share_ppb, math.floor(part.tokens * _PER_TOKEN)]
-            for part in offer.shares
+            [
+                share.share_ppb,
+                math.floor(share.tokens * _MILLITOKENS_PER_TOKEN),
+            ]
+            for share in grant.shares
         ],
     ]
 
 
-def decode_offer(fields: list[typing.Any]) -> state.LoanGrant:
+def decode_loan_grant(fields: list[typing.Any]) -> state.LoanGrant:
     """Return the offer; ValueError or TypeError if there is none."""
-    loan_id, parts = fields
+    loan_id, shares = fields
     return state.LoanGrant(
         int(loan_id),
         tuple(
-            state.ShareGrant(int(share_ppb), int(tokens) / _PER_TOKEN)
-            for share_ppb, tokens in parts
+            state.ShareGrant(
+                int(share_ppb), int(tokens) / _MILLITOKENS_PER_TOKEN
+            )
+            for share_ppb, tokens in shares
         ),
     )
 
 
-def encode_report(report: state.ShareReport) -> list[object]:
+def encode_share_report(report: state.ShareReport) -> list[object]:
     """Return the fields of a report."""
     version = report.version
     return [
         report.service,
         [version.number, bytes.fromhex(version.digest)],
         sorted(report.acked_slots),
-        None if report.effective is None else _encode_base(report.effective),
+        None
+        if report.effective is None
+        else _encode_allocation(report.effective),
     ]
 
 
-def decode_report(fields: list[typing.Any]) -> state.ShareReport:
+def decode_share_report(fields: list[typing.Any]) -> state.ShareReport:
     """Return the report; ValueError or TypeError if there is none."""
-    service, (number, digest), acked, base = fields
+    service, (number, digest), acked_slots, allocation = fields
     return state.ShareReport(
         str(service),
         state.Version(int(number), bytes(digest).hex()),
-        frozenset(int(slot) for slot in acked),
-        None if base is None else _decode_base(base),
+        frozenset(int(slot) for slot in acked_slots),
+        None if allocation is None else _decode_allocation(allocation),
     )
 
 
-def _encode_base(base: state.ShareAllocation) -> list[object]:
-    return [base.host_count, dict(base.host_by_slot), base.remainder_slot]
+def _encode_allocation(allocation: state.ShareAllocation) -> list[object]:
+    return [
+        allocation.host_count,
+        dict(allocation.host_by_slot),
+        allocation.remainder_slot,
+    ]
 
 
-def _decode_base(values: list[typing.Any]) -> state.ShareAllocation:
-    holders, host_by_slot, rest_slot = values
+def _decode_allocation(values: list[typing.Any]) -> state.ShareAllocation:
+    host_count, host_by_slot, remainder_slot = values
     return state.ShareAllocation(
-        int(holders),
+        int(host_count),
         {int(slot): str(host) for slot, host in dict(host_by_slot).items()},
-        None if rest_slot is None else int(rest_slot),
+        None if remainder_slot is None else int(remainder_slot),
     )
--- a/src/jasminecrank/transport/__init__.py
+++ b/src/jasminecrank/transport/__init__.py
@@ -19,7 +19,7 @@
 from jasminecrank.transport._links import PeerServer as PeerServer
 from jasminecrank.transport._links import start_dial as start_dial
 from jasminecrank.transport._logs import (
-    install_json_lines as install_json_lines,
+    install_json_logging as install_json_logging,
 )
 from jasminecrank.transport._logs import log_event as log_event
 from jasminecrank.transport._logs import log_fields as log_fields
--- a/src/jasminecrank/transport/_admin_server.py
+++ b/src/jasminecrank/transport/_admin_server.py
@@ -98,7 +98,7 @@
             "watching": config.watching,
             "source_error": config.source_error,
             "confirmed_age_s": config.confirmed_age_s,
-            "versions": _plain_versions(config.versions),
+            "versions": _version_text_by_name(config.versions),
             "slots_in_use": admission.slots_in_use,
             "capacity": admission.capacity,
             "queued": admission.queued,
@@ -110,7 +110,7 @@
             "peers": {
                 peer.host: {
                     "silence_s": round(peer.silence_s, 3),
-                    "versions": _plain_versions(peer.versions),
+                    "versions": _version_text_by_name(peer.versions),
                 }
                 for peer in peers
             },
@@ -163,5 +163,5 @@
         self._server.stop()
 
 
-def _plain_versions(versions: state.VersionVector) -> dict[str, str]:
+def _version_text_by_name(versions: state.VersionVector) -> dict[str, str]:
     return {name.value: str(versions.get(name)) for name in state.DocumentName}
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -27,17 +27,17 @@
 from jasminecrank.transport import _header_lines
 from jasminecrank.transport import _sockets
 
-_KEEP_ALIVE_S = 30
-_KEPT_MAX = 1024
-_SHUTDOWN_S = 30
+_KEEP_ALIVE_TIMEOUT_S = 30
+_KEEP_ALIVE_CONNECTIONS_MAX = 1024
+_SHUTDOWN_TIMEOUT_S = 30
 _ACCEPT_BACKLOG = 256
 _HEADER_BYTES_MAX = 65_536
-_READ_S = 5.0
-_LAST_READ_S = 0.2
+_READ_TIMEOUT_S = 5.0
+_STOP_READ_TIMEOUT_S = 0.2
 """How long a stop waits for the request of a caller just connected."""
-_WRITE_S = 10.0
-_STAY_S = 0.25
-_STAYING_PART = 4
+_WRITE_TIMEOUT_S = 10.0
+_NEXT_REQUEST_WAIT_S = 0.25
+_WORKERS_PER_WAITER = 4
 """One worker in so many may wait for the next request of its caller."""
 _BUFFER_BYTES = 65_536
 _DISCARD_BYTES_MAX = 4 * const.MAX_BODY_BYTES
@@ -50,18 +50,18 @@
 
     def answer(
         self, request: protocol.HttpRequest, caller: _caller_watch.Caller
-    ) -> "Handled":
+    ) -> "HandledRequest":
         """Return the answer to a request."""
 
-    def refuse_body(self, method: str, target: str) -> "Handled":
+    def refuse_too_large(self, method: str, target: str) -> "HandledRequest":
         """Return the refusal of a request whose body is too large."""
 
 
-class Handled(typing.NamedTuple):
+class HandledRequest(typing.NamedTuple):
     """An answer, and what is left to do once it is sent."""
 
     answer: state.Answer
-    after: Callable[[], None]
+    on_sent: Callable[[], None]
 
 
 class _Headers(dict[bytes, bytes]):
@@ -69,7 +69,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.pairs: protocol.Headers = ()
+        self.header_pairs: protocol.Headers = ()
 
 
 class _HeaderReader(cheroot_server.HeaderReader):
@@ -79,12 +79,14 @@
         headers = _Headers() if hdict is None else hdict
         # The reader inside cheroot's size check, which reads a line in
         # pieces and took a tenth of the time of a call.
-        headers.pairs = _header_lines.read_headers(rfile.rfile.readline)
-        for name, value in headers.pairs:
+        headers.header_pairs = _header_lines.read_headers(rfile.rfile.readline)
+        for name, value in headers.header_pairs:
             key = name.title().encode("ascii")
-            known = headers.get(key)
-            line = value.encode("latin-1")
-            headers[key] = line if known is None else known + b", " + line
+            previous = headers.get(key)
+            encoded = value.encode("latin-1")
+            headers[key] = (
+                encoded if previous is None else previous + b", " + encoded
+            )
         return headers
 
 
@@ -92,10 +94,10 @@
     header_reader = _HeaderReader()
     status: typing.Any
 
-    def __init__(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
-        super().__init__(*arguments, **keywords)
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
         self.inheaders = _Headers()
-        self.handed_over = False
+        self.passed_to_handler = False
 
     def read_request_headers(self) -> bool:
         read: Callable[[], bool] = super().read_request_headers
@@ -121,7 +123,7 @@
             exceptions.RunState.NOT_RUN,
             state.NO_VERSION,
         )
-        if self.handed_over:
+        if self.passed_to_handler:
             refused = state.Refused(
                 exceptions.ResultCode.ANSWER_CUT,
                 exceptions.RunState.MAY_HAVE_RUN,
@@ -140,7 +142,7 @@
 
     def send_answer(self, status: str, answer: state.Answer) -> None:
         """Send a whole answer with one write."""
-        self.conn.socket.deadline_at_s = time.monotonic() + _WRITE_S
+        self.conn.socket.deadline_at_s = time.monotonic() + _WRITE_TIMEOUT_S
         self.status = status.encode("latin-1")
         self.outheaders = [
             (name.encode("latin-1"), value.encode("latin-1"))
@@ -154,7 +156,7 @@
 
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
-    used = False
+    reached_worker = False
 
     def __init__(
         self, server: "CallHttpServer", sock: socket.socket, makefile: object
@@ -168,22 +170,26 @@
         """Answer requests; True leaves the connection to the selector."""
         communicate: Callable[[], bool] = super().communicate
         while True:
-            limit_s = _READ_S if self.server.ready else _LAST_READ_S
+            limit_s = (
+                _READ_TIMEOUT_S if self.server.ready else _STOP_READ_TIMEOUT_S
+            )
             self.socket.deadline_at_s = time.monotonic() + limit_s
-            self.used = True
+            self.reached_worker = True
             if not communicate():
                 return False
-            if not self.server.await_next(self):
+            if not self.server.await_next_request(self):
                 return True
 
 
 def _make_file(
-    source: _sockets.DeadlineSocket, mode: str, size: int
+    deadline_socket: _sockets.DeadlineSocket, mode: str, size: int
 ) -> io.BufferedReader | io.BufferedWriter:
     del size
     if "r" in mode:
-        return _sockets.DeadlineReader(source, _BUFFER_BYTES)
-    return io.BufferedWriter(socket.SocketIO(source, "w"), _BUFFER_BYTES)
+        return _sockets.DeadlineReader(deadline_socket, _BUFFER_BYTES)
+    return io.BufferedWriter(
+        socket.SocketIO(deadline_socket, "w"), _BUFFER_BYTES
+    )
 
 
 class _Gateway(cheroot_server.Gateway):
@@ -200,12 +206,12 @@
             return
         if body is None:
             request.close_connection = True
-            handled = handler.refuse_body(method, target)
+            handled = handler.refuse_too_large(method, target)
         else:
-            request.handed_over = True
+            request.passed_to_handler = True
             handled = handler.answer(
                 protocol.HttpRequest(
-                    method, target, request.inheaders.pairs, body
+                    method, target, request.inheaders.header_pairs, body
                 ),
                 _caller_watch.Caller(
                     request.conn.socket, request.server.caller_watch
@@ -216,7 +222,7 @@
                 _status_line(handled.answer.status), handled.answer
             )
         finally:
-            handled.after()
+            handled.on_sent()
 
     def _read_body(self) -> bytes | None:
         """Return the whole body, or None if it is too large.
@@ -241,20 +247,20 @@
         return body
 
     def _read_chunks(self) -> bytes | None:
-        chunks: typing.Any = cheroot_server.ChunkedRFile(
+        chunk_reader: typing.Any = cheroot_server.ChunkedRFile(
             self.req.conn.rfile, _CHUNKED_BYTES_MAX
         )
         try:
-            body: bytes = chunks.read(const.MAX_BODY_BYTES + 1)
+            body: bytes = chunk_reader.read(const.MAX_BODY_BYTES + 1)
         except TimeoutError:
             raise
         except (OSError, errors.MaxSizeExceeded):
             return None
         if len(body) > const.MAX_BODY_BYTES:
             return None
-        if not chunks.closed:
+        if not chunk_reader.closed:
             raise ValueError("request cut within its body")
-        for _ in chunks.read_trailer_lines():
+        for _ in chunk_reader.read_trailer_lines():
             pass
         return body
 
@@ -266,10 +272,10 @@
     requests: typing.Any
     socket: typing.Any
     ConnectionClass = _Connection
-    timeout = _KEEP_ALIVE_S
-    shutdown_timeout = _SHUTDOWN_S
+    timeout = _KEEP_ALIVE_TIMEOUT_S
+    shutdown_timeout = _SHUTDOWN_TIMEOUT_S
     request_queue_size = _ACCEPT_BACKLOG
-    keep_alive_conn_limit = _KEPT_MAX
+    keep_alive_conn_limit = _KEEP_ALIVE_CONNECTIONS_MAX
     max_request_header_size = _HEADER_BYTES_MAX
 
     def __init__(
@@ -281,13 +287,13 @@
         self.handler = handler
         self.caller_watch = _caller_watch.CallerWatch.start()
         self.draining = False
-        self._staying = threading.BoundedSemaphore(
-            max(1, threads // _STAYING_PART)
+        self._waiting_workers = threading.BoundedSemaphore(
+            max(1, threads // _WORKERS_PER_WAITER)
         )
         # queue.Queue hands over under a condition written in Python.
-        handover: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
-        self.requests._queue = handover
-        self.requests.get = handover.get
+        connection_queue: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+        self.requests._queue = connection_queue
+        self.requests.get = connection_queue.get
 
     @property
     def can_add_keepalive_connection(self) -> bool:
@@ -310,7 +316,7 @@
         else:
             conn.close()
 
-    def await_next(self, conn: _Connection) -> bool:
+    def await_next_request(self, conn: _Connection) -> bool:
         """Wait a little for the next request on a connection.
 
         A worker that stays with its connection saves two hand-overs between
@@ -320,12 +326,12 @@
             return False
         if conn.rfile.has_data():  # others come before a pipelined request
             return False
-        if not self._staying.acquire(blocking=False):
+        if not self._waiting_workers.acquire(blocking=False):
             return False
         try:
-            readable: bool = conn.socket.is_readable(_STAY_S)
+            readable: bool = conn.socket.is_readable(_NEXT_REQUEST_WAIT_S)
         finally:
-            self._staying.release()
+            self._waiting_workers.release()
         return readable
 
     def error_log(
@@ -342,11 +348,11 @@
         """Serve every request received so far, then close everything."""
         if self.ready:
             self._connections.stop()
-            self._serve_received()
+            self._enqueue_received()
         super().stop()
         self.caller_watch.stop()
 
-    def _serve_received(self) -> None:
+    def _enqueue_received(self) -> None:
         # A caller that has connected and not been answered yet is about to
         # send; an idle caller that was answered is not waited for.
         selector = self._connections._selector
@@ -361,11 +367,11 @@
         selector.unregister(self.socket.fileno())
         self.socket.close()
         self.socket = None
-        readable = {number for number, _ in selector.select(0)}
-        for number, conn in tuple(selector.connections):
-            if conn is self or (conn.used and number not in readable):
+        readable = {fd for fd, _ in selector.select(0)}
+        for fd, conn in tuple(selector.connections):
+            if conn is self or (conn.reached_worker and fd not in readable):
                 continue
-            selector.unregister(number)
+            selector.unregister(fd)
             self.requests.put(conn)
 
 
--- a/src/jasminecrank/transport/_call_runner.py
+++ b/src/jasminecrank/transport/_call_runner.py
@@ -16,9 +16,9 @@
 from jasminecrank.transport import _caller_watch
 from jasminecrank.transport import _forwarder
 
-_PROMPT_S = 0.02
-_SERVER_IDLE_S = 4.0
-_NODE_IDLE_S = 20.0  # below the keep-alive time of the nodes' call servers
+_CALLER_WATCH_DELAY_S = 0.02
+_SERVER_MAX_IDLE_S = 4.0
+_NODE_MAX_IDLE_S = 20.0  # below the keep-alive time of the nodes' call servers
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,7 +37,7 @@
     attempts: int = 0
 
 
-class DecisionSlot:
+class DecisionFuture:
     """Where a worker thread waits for the decision on its call."""
 
     __slots__ = ("_queue",)
@@ -54,10 +54,10 @@
         """Return the decision when it comes."""
         return self._queue.get()
 
-    def wait_promptly(self) -> state.Decision | None:
+    def wait_briefly(self) -> state.Decision | None:
         """Return the decision, or None if the call waits in the queue."""
         try:
-            return self._queue.get(timeout=_PROMPT_S)
+            return self._queue.get(timeout=_CALLER_WATCH_DELAY_S)
         except queue.Empty:
             return None
 
@@ -67,19 +67,19 @@
     """Runs calls on the own backend server and on other nodes."""
 
     host: str
-    server: _forwarder.Target
+    backend_server: _forwarder.Target
     admission: pykka.ActorRef[coordination.AdmissionActor]
     retries: pykka.ActorRef[coordination.RetryActor]
     clock: state.Clock
-    server_client: _forwarder.ServerClient
-    node_client: _forwarder.ServerClient
-    call_numbers: Iterator[int]
+    server_client: _forwarder.HttpClient
+    node_client: _forwarder.HttpClient
+    call_counter: Iterator[int]
 
     @classmethod
     def from_actors(
         cls,
         host: str,
-        server: _forwarder.Target,
+        backend_server: _forwarder.Target,
         admission: pykka.ActorRef[coordination.AdmissionActor],
         retries: pykka.ActorRef[coordination.RetryActor],
         clock: state.Clock,
@@ -87,13 +87,13 @@
         """Return a runner without open connections."""
         return cls(
             host=host,
-            server=server,
+            backend_server=backend_server,
             admission=admission,
             retries=retries,
             clock=clock,
-            server_client=_forwarder.ServerClient(_SERVER_IDLE_S),
-            node_client=_forwarder.ServerClient(_NODE_IDLE_S),
-            call_numbers=itertools.count(1),
+            server_client=_forwarder.HttpClient(_SERVER_MAX_IDLE_S),
+            node_client=_forwarder.HttpClient(_NODE_MAX_IDLE_S),
+            call_counter=itertools.count(1),
         )
 
     def run(
@@ -104,56 +104,60 @@
         attempts = state.Attempts(
             request.request_id, may_retry=request.forwarded_by is None
         )
-        calls_seen = next(self.call_numbers)
-        last: CallRecord | None = None
+        calls_seen = next(self.call_counter)
+        last_record: CallRecord | None = None
         while True:
             decision = self._decide(request, caller)
             match decision:
                 case state.Admitted():
-                    step = self._run_here(call, decision.permit, attempts)
-                    last = _admitted(decision.permit, attempts)
+                    next_step = self._run_locally(
+                        call, decision.permit, attempts
+                    )
+                    last_record = _admitted_record(decision.permit, attempts)
                 case state.ForwardTo():
-                    step = self._forward(call, decision, attempts)
-                    last = _forwarded(decision, attempts)
+                    next_step = self._forward(call, decision, attempts)
+                    last_record = _forwarded_record(decision, attempts)
                 case state.Replay() | state.Refused():
-                    return _without_attempt(decision, request, attempts, last)
+                    return _record_without_attempt(
+                        decision, request, attempts, last_record
+                    )
                 case _:
                     typing.assert_never(decision)
-            match step:
+            match next_step:
                 case state.TryElsewhere():
                     if self._take_retry(calls_seen):
                         request = replace(
                             request, tried_hosts=tuple(attempts.hosts)
                         )
                         continue
-                    step = attempts.conclude(
+                    next_step = attempts.conclude(
                         exceptions.ResultCode.RETRY_BUDGET_EXHAUSTED
                     )
                 case state.Deliver() | state.Refuse():
                     pass
                 case _:
-                    typing.assert_never(step)
-            return _concluded(step, request, last)
+                    typing.assert_never(next_step)
+            return _final_record(next_step, request, last_record)
 
     def _decide(
         self, request: state.CallRequest, caller: _caller_watch.Caller
     ) -> state.Decision:
-        slot = DecisionSlot()
-        self.admission.tell(coordination.AdmitCall(request, slot))
-        decision = slot.wait_promptly()
+        future = DecisionFuture()
+        self.admission.tell(coordination.AdmitCall(request, future))
+        decision = future.wait_briefly()
         if decision is not None:
             return decision
         cancel = coordination.CancelCall(request.request_id)
         with caller.watching(lambda: self.admission.tell(cancel)):
-            return slot.wait()
+            return future.wait()
 
     def _take_retry(self, calls_seen: int) -> bool:
-        taken: bool = coordination.ask(
+        granted: bool = coordination.ask(
             self.retries, coordination.TakeRetry(calls_seen)
         )
-        return taken
+        return granted
 
-    def _run_here(
+    def _run_locally(
         self,
         call: protocol.HttpCall,
         permit: state.Permit,
@@ -165,14 +169,14 @@
             attempts.begin(self.host, permit.route.kind)
             outgoing = _forwarder.OutgoingCall(
                 call,
-                protocol.server_headers(call, permit, started_s),
+                protocol.backend_server_headers(call, permit, started_s),
                 permit.deadline_at_s,
             )
-            evidence = self.server_client.send(
-                self.server, outgoing, protocol.server_evidence
+            attempt_result = self.server_client.send(
+                self.backend_server, outgoing, protocol.decode_server_response
             )
-            outcome = self._outcome(evidence, started_s)
-            return attempts.end(permit.route.kind, evidence)
+            outcome = self._outcome(attempt_result, started_s)
+            return attempts.end(permit.route.kind, attempt_result)
         finally:
             self.admission.tell(coordination.CallFinished(permit, outcome))
 
@@ -196,37 +200,39 @@
             target = _forwarder.Target(
                 decision.host.address, decision.host.call_port
             )
-            evidence = self.node_client.send(
-                target, outgoing, protocol.node_evidence
+            attempt_result = self.node_client.send(
+                target, outgoing, protocol.decode_node_response
             )
-            outcome = self._outcome(evidence, started_s)
-            return attempts.end(decision.route.kind, evidence)
+            outcome = self._outcome(attempt_result, started_s)
+            return attempts.end(decision.route.kind, attempt_result)
         finally:
             self.admission.tell(
                 coordination.ForwardFinished(decision, outcome)
             )
 
     def _outcome(
-        self, evidence: state.AttemptResult, started_s: float
+        self, attempt_result: state.AttemptResult, started_s: float
     ) -> state.Outcome:
-        proved = state.run_state(evidence)
+        proven_state = state.run_state(attempt_result)
         return state.Outcome(
-            state.outcome_kind(evidence),
+            state.outcome_kind(attempt_result),
             self.clock.monotonic_s() - started_s,
-            _answer_of(evidence),
-            proved is exceptions.RunState.NOT_RUN,
+            _answer_of(attempt_result),
+            proven_state is exceptions.RunState.NOT_RUN,
         )
 
 
-def _answer_of(evidence: state.AttemptResult) -> state.Answer | None:
-    match evidence:
+def _answer_of(attempt_result: state.AttemptResult) -> state.Answer | None:
+    match attempt_result:
         case state.Answered() | state.Shed() | state.NodeRefused():
-            return evidence.answer
+            return attempt_result.answer
         case _:
             return None
 
 
-def _admitted(permit: state.Permit, attempts: state.Attempts) -> CallRecord:
+def _admitted_record(
+    permit: state.Permit, attempts: state.Attempts
+) -> CallRecord:
     return CallRecord(
         answer=state.Answer(0, (), b""),
         version=permit.version,
@@ -238,7 +244,7 @@
     )
 
 
-def _forwarded(
+def _forwarded_record(
     decision: state.ForwardTo, attempts: state.Attempts
 ) -> CallRecord:
     return CallRecord(
@@ -253,47 +259,47 @@
     )
 
 
-def _concluded(
-    step: state.Deliver | state.Refuse,
+def _final_record(
+    next_step: state.Deliver | state.Refuse,
     request: state.CallRequest,
-    last: CallRecord,
+    last_record: CallRecord,
 ) -> CallRecord:
-    match step:
+    match next_step:
         case state.Deliver():
-            return replace(last, answer=step.answer)
+            return replace(last_record, answer=next_step.answer)
         case state.Refuse():
             refused = state.Refused(
-                step.code,
-                step.run_state,
-                last.version,
-                last.team,
-                last.service,
+                next_step.code,
+                next_step.run_state,
+                last_record.version,
+                last_record.team,
+                last_record.service,
             )
             return replace(
                 refusal_record(refused, request.request_id),
-                route=last.route,
-                attempts=last.attempts,
+                route=last_record.route,
+                attempts=last_record.attempts,
             )
         case _:
-            typing.assert_never(step)
+            typing.assert_never(next_step)
 
 
-def _without_attempt(
+def _record_without_attempt(
     decision: state.Replay | state.Refused,
     request: state.CallRequest,
     attempts: state.Attempts,
-    last: CallRecord | None,
+    last_record: CallRecord | None,
 ) -> CallRecord:
     match decision:
         case state.Replay():
             return CallRecord(decision.answer, decision.version, "replayed")
         case state.Refused():
-            if last is None:
+            if last_record is None:
                 return refusal_record(decision, request.request_id)
             if decision.code is exceptions.ResultCode.NO_HOST_AVAILABLE:
-                return _concluded(attempts.conclude(), request, last)
-            step = attempts.refuse(decision.code, decision.run_state)
-            return _concluded(step, request, last)
+                return _final_record(attempts.conclude(), request, last_record)
+            next_step = attempts.refuse(decision.code, decision.run_state)
+            return _final_record(next_step, request, last_record)
         case _:
             typing.assert_never(decision)
 
--- a/src/jasminecrank/transport/_call_server.py
+++ b/src/jasminecrank/transport/_call_server.py
@@ -17,7 +17,7 @@
 from jasminecrank.transport import _forwarder
 from jasminecrank.transport import _logs
 
-_DRAIN_S = 0.5
+_DRAIN_NOTICE_S = 0.5
 """How long callers learn by Connection: close that this node stops."""
 
 
@@ -28,7 +28,7 @@
     host: str
     address: str
     port: int
-    server: _forwarder.Target
+    backend_server: _forwarder.Target
     threads: int
 
 
@@ -49,13 +49,13 @@
     ) -> typing.Self:
         """Return an application without open connections."""
         runner = _call_runner.CallRunner.from_actors(
-            settings.host, settings.server, admission, retries, clock
+            settings.host, settings.backend_server, admission, retries, clock
         )
         return cls(runner, clock)
 
     def answer(
         self, request: protocol.HttpRequest, caller: _caller_watch.Caller
-    ) -> _call_http.Handled:
+    ) -> _call_http.HandledRequest:
         """Return the answer to a request."""
         started_s = self.clock.monotonic_s()
         try:
@@ -69,9 +69,11 @@
         except exceptions.InvariantError:
             coordination.NodeActor.on_crash()
             raise
-        return self._handled(call.request, record, started_s)
+        return self._handled_request(call.request, record, started_s)
 
-    def refuse_body(self, method: str, target: str) -> _call_http.Handled:
+    def refuse_too_large(
+        self, method: str, target: str
+    ) -> _call_http.HandledRequest:
         """Return the refusal of a request whose body is too large."""
         return self._refuse(
             exceptions.ResultCode.BODY_TOO_LARGE,
@@ -86,28 +88,32 @@
         method: str,
         target: str,
         started_s: float,
-    ) -> _call_http.Handled:
+    ) -> _call_http.HandledRequest:
         refused = state.Refused(
             code, exceptions.RunState.NOT_RUN, state.NO_VERSION
         )
         path = target.partition("?")[0]
         request = state.CallRequest("", method, path, None, None, None, None)
-        return self._handled(
+        return self._handled_request(
             request, _call_runner.refusal_record(refused, ""), started_s
         )
 
-    def _handled(
+    def _handled_request(
         self,
         request: state.CallRequest,
         record: _call_runner.CallRecord,
         started_s: float,
-    ) -> _call_http.Handled:
+    ) -> _call_http.HandledRequest:
         duration_s = self.clock.monotonic_s() - started_s
 
-        def log() -> None:
-            _logs.log_fields("call", _fields(request, record, duration_s))
+        def log_call() -> None:
+            _logs.log_fields(
+                "call", _call_log_fields(request, record, duration_s)
+            )
 
-        return _call_http.Handled(_with_own_headers(request, record), log)
+        return _call_http.HandledRequest(
+            _add_node_headers(request, record), log_call
+        )
 
 
 class CallServer:
@@ -139,29 +145,32 @@
     def stop(self) -> None:
         """Let callers go elsewhere, then answer what was received."""
         self.drain()
-        threading.Event().wait(_DRAIN_S)
+        threading.Event().wait(_DRAIN_NOTICE_S)
         self._server.stop()
         self._thread.join()
 
 
-def _with_own_headers(
+def _add_node_headers(
     request: state.CallRequest, record: _call_runner.CallRecord
 ) -> state.Answer:
     answer = record.answer
-    names = {name.lower() for name, _ in answer.headers}
+    header_names = {name.lower() for name, _ in answer.headers}
     headers = [
         *answer.headers,
         (const.HEADER_REQUEST_ID, request.request_id),
     ]
     # A forwarded answer names the version by which the other node ran it.
-    if const.HEADER_TABLE_VERSION.lower() not in names:
+    if const.HEADER_TABLE_VERSION.lower() not in header_names:
         headers.append((const.HEADER_TABLE_VERSION, str(record.version)))
-    if "content-length" not in names and answer.status not in (204, 304):
+    if "content-length" not in header_names and answer.status not in (
+        204,
+        304,
+    ):
         headers.append(("Content-Length", str(len(answer.body))))
     return state.Answer(answer.status, tuple(headers), answer.body)
 
 
-def _fields(
+def _call_log_fields(
     request: state.CallRequest,
     record: _call_runner.CallRecord,
     duration_s: float,
--- a/src/jasminecrank/transport/_caller_watch.py
+++ b/src/jasminecrank/transport/_caller_watch.py
@@ -21,14 +21,14 @@
     """
 
     epoll: select.epoll
-    wake_number: int
-    gone_by_number: dict[int, Callable[[], None]]
+    wake_fd: int
+    on_close_by_fd: dict[int, Callable[[], None]]
 
     @classmethod
     def start(cls) -> typing.Self:
         """Return a watch with a running thread."""
         watch = cls(select.epoll(), os.eventfd(0), {})
-        watch.epoll.register(watch.wake_number, select.EPOLLIN)
+        watch.epoll.register(watch.wake_fd, select.EPOLLIN)
         threading.Thread(
             target=watch._run, name="caller-watch", daemon=True
         ).start()
@@ -36,41 +36,43 @@
 
     def stop(self) -> None:
         """End the thread."""
-        os.eventfd_write(self.wake_number, 1)
+        os.eventfd_write(self.wake_fd, 1)
 
     @contextlib.contextmanager
     def watching(
-        self, channel: _sockets.DeadlineSocket, gone: Callable[[], None]
+        self,
+        deadline_socket: _sockets.DeadlineSocket,
+        on_close: Callable[[], None],
     ) -> Iterator[None]:
-        """Call `gone` once if the peer closes its side meanwhile."""
-        number = channel.fileno()
-        self.gone_by_number[number] = gone
-        self.epoll.register(number, select.EPOLLRDHUP | select.EPOLLONESHOT)
+        """Call `on_close` once if the peer closes its side meanwhile."""
+        fd = deadline_socket.fileno()
+        self.on_close_by_fd[fd] = on_close
+        self.epoll.register(fd, select.EPOLLRDHUP | select.EPOLLONESHOT)
         try:
             yield
         finally:
-            self.epoll.unregister(number)
-            self.gone_by_number.pop(number, None)
+            self.epoll.unregister(fd)
+            self.on_close_by_fd.pop(fd, None)
 
     def _run(self) -> None:
         while True:
-            for number, _ in self.epoll.poll():
-                if number == self.wake_number:
+            for fd, _ in self.epoll.poll():
+                if fd == self.wake_fd:
                     return
-                gone = self.gone_by_number.pop(number, None)
-                if gone is not None:
-                    gone()
+                on_close = self.on_close_by_fd.pop(fd, None)
+                if on_close is not None:
+                    on_close()
 
 
 @dataclass(slots=True, frozen=True)
 class Caller:
     """The connection that a call came over."""
 
-    channel: _sockets.DeadlineSocket
+    deadline_socket: _sockets.DeadlineSocket
     watch: CallerWatch
 
     def watching(
-        self, gone: Callable[[], None]
+        self, on_close: Callable[[], None]
     ) -> contextlib.AbstractContextManager[None]:
-        """Call `gone` once if the caller closes its side meanwhile."""
-        return self.watch.watching(self.channel, gone)
+        """Call `on_close` once if the caller closes its side meanwhile."""
+        return self.watch.watching(self.deadline_socket, on_close)
--- a/src/jasminecrank/transport/_forwarder.py
+++ b/src/jasminecrank/transport/_forwarder.py
@@ -17,16 +17,16 @@
 from jasminecrank.transport import _header_lines
 from jasminecrank.transport import _sockets
 
-_CONNECT_S = 1.0
+_CONNECT_TIMEOUT_S = 1.0
 _TARGETS_MAX = 64
-_IDLE_MAX = 64
+_IDLE_CONNECTIONS_MAX = 64
 _BODYLESS_STATUSES = frozenset({204, 304})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _REQUEST_ID = const.HEADER_REQUEST_ID.lower()
-_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-_BLANK = re.compile(r"[\t ]")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_SPACE_OR_TAB = re.compile(r"[\t ]")
 
-Decode = Callable[
+ResponseDecoder = Callable[
     [int, protocol.Headers, bytes],
     state.Answered | state.Shed | state.NodeRefused,
 ]
@@ -58,7 +58,7 @@
     fp: io.BufferedReader
     _method: str
     _read_status: Callable[[], tuple[str, int, str]]
-    pairs: protocol.Headers = ()
+    header_pairs: protocol.Headers = ()
 
     def begin(self) -> None:
         """Read the status line and the headers."""
@@ -68,8 +68,8 @@
         self.code = self.status = status
         self.reason = reason.strip()
         self.version = 10 if version == "HTTP/1.0" else 11
-        self.pairs = _header_lines.read_headers(self.fp.readline)
-        by_name = dict(self.pairs)
+        self.header_pairs = _header_lines.read_headers(self.fp.readline)
+        by_name = dict(self.header_pairs)
         encoding = by_name.get("transfer-encoding", "")
         self.chunked = encoding.lower() == "chunked"
         self.chunk_left = None
@@ -84,27 +84,27 @@
 
 
 @dataclass(slots=True)
-class ServerConnection:
+class PooledConnection:
     """A connection that is owned by one worker thread or idle."""
 
     target: Target
-    channel: _sockets.DeadlineSocket
+    deadline_socket: _sockets.DeadlineSocket
     idle_since_s: float = 0.0
 
     @classmethod
     def connect(cls, target: Target, deadline_at_s: float) -> typing.Self:
         """Return a new connection, opened before a deadline."""
-        channel = _sockets.DeadlineSocket.connected(
+        deadline_socket = _sockets.DeadlineSocket.open_connection(
             target.address, target.port, deadline_at_s
         )
-        return cls(target, channel)
+        return cls(target, deadline_socket)
 
     def close(self) -> None:
         """Close the socket."""
-        self.channel.close()
+        self.deadline_socket.close()
 
 
-def _encode(target: Target, outgoing: OutgoingCall) -> bytes:
+def _encode_request(target: Target, outgoing: OutgoingCall) -> bytes:
     """Return the bytes of a request.
 
     Raises ValueError for a request that HTTP can't carry.
@@ -118,7 +118,9 @@
     ]
     if call.body or method in _METHODS_WITH_BODY:
         lines.append(f"Content-Length: {len(call.body)}")
-    if _CONTROL.search("".join(lines)) or _BLANK.search(call.target):
+    if _CONTROL_CHARACTER.search("".join(lines)) or _SPACE_OR_TAB.search(
+        call.target
+    ):
         raise ValueError("control character in a request")
     return "\r\n".join((*lines, "", "")).encode("latin-1") + call.body
 
@@ -127,24 +129,26 @@
 class _Exchange:
     """What has happened to one request on one connection."""
 
-    acked_before: int | None
+    acked_bytes_before: int | None
     sent_bytes: int = 0
-    answer_began: bool = False
+    response_started: bool = False
 
-    def failure(
-        self, connection: ServerConnection, error: Exception
+    def failure_result(
+        self, connection: PooledConnection, error: Exception
     ) -> state.AttemptResult:
         """Return what is proved after an error."""
         if self.sent_bytes == 0:
             return state.NothingSent(_unsent_code(error))
-        if not self.answer_began and self._closed_before(connection, error):
+        if not self.response_started and self._closed_before_request(
+            connection, error
+        ):
             return state.ClosedBeforeRequest(
                 exceptions.ResultCode.BACKEND_UNREACHABLE
             )
-        return state.AnswerLost(_lost_code(error))
+        return state.AnswerLost(_lost_answer_code(error))
 
-    def _closed_before(
-        self, connection: ServerConnection, error: Exception
+    def _closed_before_request(
+        self, connection: PooledConnection, error: Exception
     ) -> bool:
         # A peer that had received the request acknowledges it in the segment
         # that closes the connection. After a reset without that segment
@@ -156,13 +160,14 @@
                 closed = False
         return (
             closed
-            and self.acked_before is not None
-            and connection.channel.bytes_acked() == self.acked_before
+            and self.acked_bytes_before is not None
+            and connection.deadline_socket.bytes_acked()
+            == self.acked_bytes_before
         )
 
 
 @dataclass(slots=True)
-class ServerClient:
+class HttpClient:
     """Sends calls over kept connections.
 
     An idle connection is in the stack of its target and belongs to nobody; a
@@ -172,18 +177,20 @@
     """
 
     max_idle_s: float
-    idle_by_target: dict[Target, deque[ServerConnection]] = field(
+    idle_by_target: dict[Target, deque[PooledConnection]] = field(
         default_factory=dict
     )
 
     def send(
-        self, target: Target, outgoing: OutgoingCall, decode: Decode
+        self, target: Target, outgoing: OutgoingCall, decode: ResponseDecoder
     ) -> state.AttemptResult:
         """Send a call and return what its whole answer or failure proves."""
-        connection = self._take(target)
+        connection = self._pop_idle(target)
         if connection is not None:
-            evidence = self._try(connection, target, outgoing, decode)
-            match evidence:
+            attempt_result = self._attempt(
+                connection, target, outgoing, decode
+            )
+            match attempt_result:
                 case (
                     state.ClosedBeforeRequest()
                     | state.NothingSent(
@@ -193,45 +200,47 @@
                     # The peer closed the kept connection while it was idle.
                     pass
                 case _:
-                    return evidence
+                    return attempt_result
         now_s = time.monotonic()
         remaining_s = outgoing.deadline_at_s - now_s
         if remaining_s <= 0:
             return state.NothingSent(exceptions.ResultCode.DEADLINE_EXCEEDED)
         try:
-            connection = ServerConnection.connect(
-                target, now_s + min(_CONNECT_S, remaining_s)
+            connection = PooledConnection.connect(
+                target, now_s + min(_CONNECT_TIMEOUT_S, remaining_s)
             )
         except OSError:
             return state.NothingSent(exceptions.ResultCode.BACKEND_UNREACHABLE)
-        return self._try(connection, target, outgoing, decode)
+        return self._attempt(connection, target, outgoing, decode)
 
-    def _try(
+    def _attempt(
         self,
-        connection: ServerConnection,
+        connection: PooledConnection,
         target: Target,
         outgoing: OutgoingCall,
-        decode: Decode,
+        decode: ResponseDecoder,
     ) -> state.AttemptResult:
-        channel = connection.channel
-        channel.deadline_at_s = outgoing.deadline_at_s
-        exchange = _Exchange(channel.bytes_acked())
+        deadline_socket = connection.deadline_socket
+        deadline_socket.deadline_at_s = outgoing.deadline_at_s
+        exchange = _Exchange(deadline_socket.bytes_acked())
         try:
-            _write(connection, outgoing, exchange)
-            evidence, reusable = _read(connection, outgoing, decode, exchange)
+            _write_request(connection, outgoing, exchange)
+            attempt_result, reusable = _read_response(
+                connection, outgoing, decode, exchange
+            )
         except (OSError, http.client.HTTPException, ValueError) as error:
-            evidence = exchange.failure(connection, error)
+            attempt_result = exchange.failure_result(connection, error)
             reusable = False
         except BaseException:
             connection.close()
             raise
         if reusable:
-            self._put(target, connection)
+            self._return_idle(target, connection)
         else:
             connection.close()
-        return evidence
+        return attempt_result
 
-    def _take(self, target: Target) -> ServerConnection | None:
+    def _pop_idle(self, target: Target) -> PooledConnection | None:
         idle = self.idle_by_target.get(target)
         while idle:
             try:
@@ -240,15 +249,17 @@
                 return None
             # A server that closes an idle connection while a request is on
             # its way would leave a booking with an unknown outcome.
-            fresh = (
+            recently_used = (
                 time.monotonic() - connection.idle_since_s <= self.max_idle_s
             )
-            if fresh and connection.channel.is_quiet():
+            if recently_used and connection.deadline_socket.is_idle():
                 return connection
             connection.close()
         return None
 
-    def _put(self, target: Target, connection: ServerConnection) -> None:
+    def _return_idle(
+        self, target: Target, connection: PooledConnection
+    ) -> None:
         connection.idle_since_s = time.monotonic()
         idle = self.idle_by_target.get(target)
         if idle is None:
@@ -256,39 +267,39 @@
                 oldest = next(iter(tuple(self.idle_by_target)))
                 self.idle_by_target.pop(oldest, None)
             idle = self.idle_by_target.setdefault(target, deque())
-        if len(idle) >= _IDLE_MAX:
+        if len(idle) >= _IDLE_CONNECTIONS_MAX:
             connection.close()
             return
         idle.append(connection)
 
 
-def _write(
-    connection: ServerConnection, outgoing: OutgoingCall, exchange: _Exchange
+def _write_request(
+    connection: PooledConnection, outgoing: OutgoingCall, exchange: _Exchange
 ) -> None:
-    view = memoryview(_encode(connection.target, outgoing))
-    while view:
-        count = connection.channel.send(view)
+    unsent = memoryview(_encode_request(connection.target, outgoing))
+    while unsent:
+        count = connection.deadline_socket.send(unsent)
         exchange.sent_bytes += count
-        view = view[count:]
+        unsent = unsent[count:]
 
 
-def _read(
-    connection: ServerConnection,
+def _read_response(
+    connection: PooledConnection,
     outgoing: OutgoingCall,
-    decode: Decode,
+    decode: ResponseDecoder,
     exchange: _Exchange,
 ) -> tuple[state.AttemptResult, bool]:
     method = outgoing.call.request.method
-    with _Response(connection.channel, method=method) as response:
+    with _Response(connection.deadline_socket, method=method) as response:
         if not response.fp.peek(1):
             raise http.client.RemoteDisconnected("closed without an answer")
-        exchange.answer_began = True
+        exchange.response_started = True
         response.begin()
-        return _read_answer(response, outgoing, decode)
+        return _decode_response(response, outgoing, decode)
 
 
-def _read_answer(
-    response: _Response, outgoing: OutgoingCall, decode: Decode
+def _decode_response(
+    response: _Response, outgoing: OutgoingCall, decode: ResponseDecoder
 ) -> tuple[state.AttemptResult, bool]:
     without_body = (
         outgoing.call.request.method == "HEAD"
@@ -303,21 +314,21 @@
         return state.AnswerLost(exceptions.ResultCode.ANSWER_TOO_LARGE), False
     if response.length:
         return state.AnswerLost(exceptions.ResultCode.ANSWER_CUT), False
-    by_name = dict(response.pairs)
-    declared = by_name.get("content-length")
-    echoed = by_name.get(_REQUEST_ID)
+    by_name = dict(response.header_pairs)
+    declared_length = by_name.get("content-length")
+    echoed_id = by_name.get(_REQUEST_ID)
     request_id = outgoing.call.request.request_id
-    if echoed is not None and echoed != request_id:
+    if echoed_id is not None and echoed_id != request_id:
         return state.AnswerLost(exceptions.ResultCode.ANSWER_CROSSED), False
-    _check_answer(
+    _check_response(
         request_id,
-        echoed,
+        echoed_id,
         len(body),
-        None if response.chunked or without_body else declared,
+        None if response.chunked or without_body else declared_length,
     )
-    headers = protocol.answer_headers(response.pairs, without_body)
-    evidence = decode(response.status, headers, body)
-    return evidence, not response.will_close
+    headers = protocol.end_to_end_headers(response.header_pairs, without_body)
+    attempt_result = decode(response.status, headers, body)
+    return attempt_result, not response.will_close
 
 
 def _has_known_length(response: _Response, without_body: bool) -> bool:
@@ -326,25 +337,30 @@
     if response.status < http.HTTPStatus.OK:
         return False
     lengths = {
-        value for name, value in response.pairs if name == "content-length"
+        value
+        for name, value in response.header_pairs
+        if name == "content-length"
     }
     if len(lengths) > 1:
         return False
     return without_body or response.chunked or response.length is not None
 
 
-def _check_answer(
-    request_id: str, echoed: str | None, size: int, declared: str | None
+def _check_response(
+    request_id: str,
+    echoed_id: str | None,
+    body_bytes: int,
+    declared_length: str | None,
 ) -> None:
     state.check(
         exceptions.ResultCode.INVARIANT_ANSWER,
-        (declared is None or size == int(declared))
-        and echoed in (None, request_id),
+        (declared_length is None or body_bytes == int(declared_length))
+        and echoed_id in (None, request_id),
         "answer to %s has %d of %s bytes and belongs to %s",
         request_id,
-        size,
-        declared,
-        echoed,
+        body_bytes,
+        declared_length,
+        echoed_id,
     )
 
 
@@ -358,7 +374,7 @@
             return exceptions.ResultCode.REQUEST_INVALID
 
 
-def _lost_code(error: Exception) -> exceptions.ResultCode:
+def _lost_answer_code(error: Exception) -> exceptions.ResultCode:
     match error:
         case TimeoutError():
             return exceptions.ResultCode.BACKEND_TIMEOUT
--- a/src/jasminecrank/transport/_health.py
+++ b/src/jasminecrank/transport/_health.py
@@ -12,14 +12,14 @@
 
 _PROBE_PERIOD_S = 1.0
 _PROBE_TIMEOUT_S = 0.5
-_IDLE_S = 4.0
-_PROBE = protocol.HttpCall(
+_MAX_IDLE_S = 4.0
+_HEALTH_CALL = protocol.HttpCall(
     state.CallRequest("health", "GET", "/health", None, None, None, None),
     "/health",
     (),
     b"",
 )
-_UNREACHABLE = state.HealthReport(False, 0, False, 0.0)
+_UNREACHABLE_REPORT = state.HealthReport(False, 0, False, 0.0)
 
 
 class HealthProbe(coordination.NodeActor):
@@ -35,7 +35,7 @@
         self._timers = timers
         self._admission = admission
         self._target = target
-        self._client = _forwarder.ServerClient(_IDLE_S)
+        self._client = _forwarder.HttpClient(_MAX_IDLE_S)
 
     def on_start(self) -> None:
         """Schedule the first probe."""
@@ -53,19 +53,19 @@
 
     def _probe(self) -> state.HealthReport:
         outgoing = _forwarder.OutgoingCall(
-            _PROBE, (), time.monotonic() + _PROBE_TIMEOUT_S
+            _HEALTH_CALL, (), time.monotonic() + _PROBE_TIMEOUT_S
         )
-        evidence = self._client.send(
-            self._target, outgoing, protocol.server_evidence
+        attempt_result = self._client.send(
+            self._target, outgoing, protocol.decode_server_response
         )
-        match evidence:
+        match attempt_result:
             case state.Answered():
-                return _decode_health(evidence.answer.body)
+                return _decode_health(attempt_result.answer.body)
             case state.Shed():
                 # A server that sheds load is there, and as busy as it can be.
                 return state.HealthReport(True, 0, False, 1.0)
             case _:
-                return _UNREACHABLE
+                return _UNREACHABLE_REPORT
 
 
 def _decode_health(body: bytes) -> state.HealthReport:
@@ -78,4 +78,4 @@
             load=float(values.get("load", 0.0)),
         )
     except (AttributeError, KeyError, TypeError, ValueError):
-        return _UNREACHABLE
+        return _UNREACHABLE_REPORT
--- a/src/jasminecrank/transport/_links.py
+++ b/src/jasminecrank/transport/_links.py
@@ -31,13 +31,13 @@
         own_host: str,
         address: str,
         membership: coordination.Mailbox,
-        socket_connection: connection.Connection | None,
+        peer_connection: connection.Connection | None,
     ) -> None:
         super().__init__()
         self._own_host = own_host
         self._address = address
         self._membership = membership
-        self._connection = socket_connection
+        self._connection = peer_connection
 
     def open(self, hello: coordination.Hello) -> None:
         """Dial the peer and exchange greetings."""
@@ -64,12 +64,14 @@
             self._report_down(f"{type(error).__name__}: {error}")
             self.stop()
             return
-        self.begin(peer_hello, self._own_host)
+        self.start_reading(peer_hello, self._own_host)
 
-    def begin(self, peer_hello: coordination.Hello, dialled_by: str) -> None:
+    def start_reading(
+        self, peer_hello: coordination.Hello, dialled_by: str
+    ) -> None:
         """Announce the open link and start reading from it."""
         if self._connection is not None:
-            _limit_sends(self._connection.socket)
+            _set_send_timeout(self._connection.socket)
         self._membership.tell(
             coordination.LinkUp(
                 peer_hello, self.actor_ref, dialled_by, self._address
@@ -192,14 +194,16 @@
             logging.warning("peer link refused: %s", error)
             return
         link = PeerLink.start(self._own_host, "", self._membership, accepted)
-        link.proxy().begin(peer_hello, peer_hello.host)
+        link.proxy().start_reading(peer_hello, peer_hello.host)
         # The connection is closed when this handler returns.
         link.actor_stopped.wait()
 
 
-def receive_hello(accepted: connection.Connection) -> coordination.Hello:
+def receive_hello(
+    peer_connection: connection.Connection,
+) -> coordination.Hello:
     """Return the greeting that opens a link."""
-    frame = accepted.recv(timeout=_HELLO_TIMEOUT_S)
+    frame = peer_connection.recv(timeout=_HELLO_TIMEOUT_S)
     message = protocol.decode_envelope(_as_bytes(frame)).message
     if not isinstance(message, coordination.Hello):
         raise exceptions.MessageError(
@@ -225,7 +229,7 @@
     )
 
 
-def _limit_sends(peer_socket: socket.socket) -> None:
+def _set_send_timeout(peer_socket: socket.socket) -> None:
     """Let a send to a peer that no longer reads fail.
 
     Without the limit a paused peer would block the link's actor, which then
--- a/src/jasminecrank/transport/_logs.py
+++ b/src/jasminecrank/transport/_logs.py
@@ -27,20 +27,20 @@
         super().__init__()
         self._host = host
         self._data_centre = data_centre
-        self._process = f"{os.getpid():x}-{time.time_ns():x}"
+        self._process_id = f"{os.getpid():x}-{time.time_ns():x}"
         self._sequence = itertools.count(1)
 
     def format(self, record: std_logging.LogRecord) -> str:
         """Return the line of a record."""
         milliseconds = int(record.created * 1000)
-        moment = time.gmtime(milliseconds // 1000)
+        utc_time = time.gmtime(milliseconds // 1000)
         line: dict[str, object] = {
-            "time": time.strftime("%Y-%m-%dT%H:%M:%S", moment)
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", utc_time)
             + f".{milliseconds % 1000:03d}Z",
             "level": record.levelname.lower(),
             "host": self._host,
             "data_centre": self._data_centre,
-            "process": self._process,
+            "process": self._process_id,
             "sequence": next(self._sequence),
         }
         fields = getattr(record, _FIELDS_ATTRIBUTE, None)
@@ -53,7 +53,7 @@
         return json.dumps(line)
 
 
-def install_json_lines(host: str, data_centre: str) -> None:
+def install_json_logging(host: str, data_centre: str) -> None:
     """Write all log records of the process as JSON lines to stderr."""
     # absl writes a plain warning line until its flags are parsed.
     flags.FLAGS(sys.argv[:1])
--- a/src/jasminecrank/transport/_metrics.py
+++ b/src/jasminecrank/transport/_metrics.py
@@ -25,7 +25,7 @@
 )
 
 _STATUS_LINE_BYTES = len("HTTP/1.1 200 OK\r\n\r\n")
-_HEADER_EXTRA_BYTES = len(": \r\n")
+_HEADER_SEPARATOR_BYTES = len(": \r\n")
 
 
 class _CountingSocket:
@@ -33,8 +33,8 @@
 
     __slots__ = ("_socket",)
 
-    def __init__(self, counted: socket.socket) -> None:
-        self._socket = counted
+    def __init__(self, wrapped_socket: socket.socket) -> None:
+        self._socket = wrapped_socket
 
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._socket, name)
@@ -57,8 +57,8 @@
     def __init__(
         self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
     ) -> None:
-        counted = typing.cast(socket.socket, _CountingSocket(sock))
-        super().__init__(counted, *args, **kwargs)
+        counting_socket = typing.cast(socket.socket, _CountingSocket(sock))
+        super().__init__(counting_socket, *args, **kwargs)
 
 
 class CountingServerConnection(server.ServerConnection):
@@ -67,8 +67,8 @@
     def __init__(
         self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
     ) -> None:
-        counted = typing.cast(socket.socket, _CountingSocket(sock))
-        super().__init__(counted, *args, **kwargs)
+        counting_socket = typing.cast(socket.socket, _CountingSocket(sock))
+        super().__init__(counting_socket, *args, **kwargs)
 
 
 class _CountingHttpConnection(urllib3.connection.HTTPConnection):
@@ -81,7 +81,7 @@
     ConnectionCls = _CountingHttpConnection
 
 
-def source_pool() -> urllib3.PoolManager:
+def create_source_pool() -> urllib3.PoolManager:
     """Return a pool of one connection that counts its request bytes."""
     pool = urllib3.PoolManager(num_pools=1, maxsize=1)
     pool.pool_classes_by_scheme = {"http": _CountingHttpPool}
@@ -93,10 +93,10 @@
     _source_calls.inc()
 
 
-def count_source_answer(response: urllib3.BaseHTTPResponse) -> None:
+def count_source_response(response: urllib3.BaseHTTPResponse) -> None:
     """Count the bytes of a whole answer of the source."""
     header_bytes = sum(
-        len(name) + len(value) + _HEADER_EXTRA_BYTES
+        len(name) + len(value) + _HEADER_SEPARATOR_BYTES
         for name, value in response.headers.items()
     )
     _source_received.inc(
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -28,44 +28,44 @@
     @classmethod
     def from_socket(cls, accepted: socket.socket) -> typing.Self:
         """Take over an open socket."""
-        taken = cls(fileno=accepted.detach())
-        taken.deadline_at_s = None
-        taken.setblocking(False)
-        return taken
+        wrapped = cls(fileno=accepted.detach())
+        wrapped.deadline_at_s = None
+        wrapped.setblocking(False)
+        return wrapped
 
     @classmethod
-    def connected(
+    def open_connection(
         cls, address: str, port: int, deadline_at_s: float
     ) -> typing.Self:
         """Return a socket connected before a deadline."""
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
-        opened = cls(family, socket.SOCK_STREAM)
-        opened.deadline_at_s = deadline_at_s
+        connection = cls(family, socket.SOCK_STREAM)
+        connection.deadline_at_s = deadline_at_s
         try:
-            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            opened.settimeout(max(0.001, deadline_at_s - time.monotonic()))
-            opened.connect((address, port))
-            opened.setblocking(False)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.settimeout(max(0.001, deadline_at_s - time.monotonic()))
+            connection.connect((address, port))
+            connection.setblocking(False)
         except BaseException:
-            opened.close()
+            connection.close()
             raise
-        return opened
+        return connection
 
-    def recv_into(self, *arguments: typing.Any, **keywords: typing.Any) -> int:
+    def recv_into(self, *args: typing.Any, **kwargs: typing.Any) -> int:
         """Read into a buffer, waiting until the deadline."""
         while True:
             try:
-                return super().recv_into(*arguments, **keywords)
+                return super().recv_into(*args, **kwargs)
             except BlockingIOError:
-                self._wait(select.POLLIN)
+                self._wait_until_ready(select.POLLIN)
 
-    def send(self, *arguments: typing.Any, **keywords: typing.Any) -> int:
+    def send(self, *args: typing.Any, **kwargs: typing.Any) -> int:
         """Write, waiting until the deadline."""
         while True:
             try:
-                return super().send(*arguments, **keywords)
+                return super().send(*args, **kwargs)
             except BlockingIOError:
-                self._wait(select.POLLOUT)
+                self._wait_until_ready(select.POLLOUT)
 
     def is_readable(self, timeout_s: float) -> bool:
         """Return whether data or the peer's close comes within a time."""
@@ -73,7 +73,7 @@
         poll.register(self.fileno(), select.POLLIN)
         return bool(poll.poll(timeout_s * 1000))
 
-    def is_quiet(self) -> bool:
+    def is_idle(self) -> bool:
         """Return whether the peer has neither sent nor closed."""
         poll = select.poll()
         poll.register(self.fileno(), select.POLLIN | select.POLLRDHUP)
@@ -89,7 +89,7 @@
         acked: int = _BYTES_ACKED.unpack_from(info, _BYTES_ACKED_OFFSET)[0]
         return acked
 
-    def _wait(self, event: int) -> None:
+    def _wait_until_ready(self, event: int) -> None:
         if self.deadline_at_s is None:
             raise BlockingIOError(errno.EAGAIN, "nothing at hand")
         remaining_s = self.deadline_at_s - time.monotonic()
@@ -102,12 +102,12 @@
 class DeadlineReader(io.BufferedReader):
     """Buffered reader that can tell whether data is at hand."""
 
-    def __init__(self, source: DeadlineSocket, size: int) -> None:
-        super().__init__(socket.SocketIO(source, "r"), size)
-        self._source = source
+    def __init__(self, deadline_socket: DeadlineSocket, size: int) -> None:
+        super().__init__(socket.SocketIO(deadline_socket, "r"), size)
+        self._deadline_socket = deadline_socket
         self.bytes_read = 0
 
     def has_data(self) -> bool:
         """Return whether more data can be read without waiting."""
-        self._source.deadline_at_s = None
+        self._deadline_socket.deadline_at_s = None
         return bool(self.peek(1))
--- a/src/jasminecrank/transport/_source.py
+++ b/src/jasminecrank/transport/_source.py
@@ -26,26 +26,26 @@
         super().__init__()
         self._url = source_url.rstrip("/")
         self._config = config
-        self._pool = _metrics.source_pool()
+        self._pool = _metrics.create_source_pool()
 
     def on_receive(self, message: object) -> object:
         """Make one call and send on what the source answered."""
         try:
             match message:
                 case coordination.ReadSource():
-                    answer: object = self._read(message.name)
+                    reply: object = self._read_document(message.name)
                 case coordination.WatchSource():
-                    answer = self._watch(message)
+                    reply = self._watch_documents(message)
                 case _:
                     raise exceptions.JasminecrankError(
                         f"unexpected message {message!r}"
                     )
         except exceptions.SourceError as error:
-            answer = coordination.SourceFailed(str(error))
-        coordination.deliver(self._config, answer)
+            reply = coordination.SourceFailed(str(error))
+        coordination.deliver(self._config, reply)
         return None
 
-    def _watch(
+    def _watch_documents(
         self, message: coordination.WatchSource
     ) -> coordination.SourceChanged:
         query = "&".join(
@@ -66,7 +66,7 @@
                 f"watch answer is not as documented: {error!r}"
             ) from None
 
-    def _read(
+    def _read_document(
         self, name: state.DocumentName
     ) -> coordination.DocumentRead | coordination.DocumentUnreadable:
         payload = self._get(f"/v1/documents/{name.value}", _READ_TIMEOUT_S)
@@ -86,7 +86,7 @@
             raise exceptions.SourceError(
                 f"{type(error).__name__} on {path}"
             ) from None
-        _metrics.count_source_answer(response)
+        _metrics.count_source_response(response)
         if response.status != _HTTP_OK:
             raise exceptions.SourceError(f"status {response.status} on {path}")
         return response.data
