--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -1,4 +1,4 @@
-"""Assembly of the node process."""
+"""Setup and shutdown of the node process."""
 
 import contextlib
 from dataclasses import dataclass
@@ -20,9 +20,9 @@
 from jasminecrank import transport
 from jasminecrank.daemon import _settings
 
-_SWITCH_INTERVAL_S = 0.0005  # 0.005, the default, added up to 5 ms to a call
+_SWITCH_INTERVAL_S = 0.0005  # the default of 0.005 adds up to 5 ms to a call
 _LISTEN_BACKLOG = 128
-_DRAIN_TIMEOUT_S = 20.0  # above every deadline of a route in the examples, 5 s
+_DRAIN_TIMEOUT_S = 20.0  # exceeds the 5 s deadlines of the example routes
 
 
 @dataclass(slots=True)
@@ -39,7 +39,7 @@
 
     @classmethod
     def from_config(cls, settings: _settings.NodeSettings) -> "Node":
-        """Return a node whose actors and servers run."""
+        """Start the actors and servers of a node."""
         clock = state.SystemClock()
         timers = coordination.Timers.start(clock)
         rng = random.Random(f"{settings.host}/{os.getpid()}/{time.time_ns()}")
@@ -87,7 +87,7 @@
         return node
 
     def stop(self) -> None:
-        """Stop as planned: finish the calls in hand, then close."""
+        """Shut down gracefully: finish calls in progress, then close."""
         self.admission.tell(coordination.StopRequested())
         self.membership.tell(coordination.StopRequested())
         self.call_server.drain()
@@ -176,8 +176,8 @@
 def _check_sockets(settings: _settings.NodeSettings) -> None:
     """Raise SettingError for an address or port that cannot be bound.
 
-    Checked before any thread starts, because threads of a half started node
-    would keep the process alive.
+    Runs before any thread is started, because the threads of a partially
+    started node would keep the process alive.
     """
     _check_socket("address", settings.address, 0)
     _check_socket("call-port", settings.address, settings.call_port)
@@ -209,7 +209,7 @@
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
     node = Node.from_config(settings)
-    # Objects that live as long as the process need no further collection.
+    # Excludes objects that live as long as the process from collection.
     gc.freeze()
     stopping.wait()
     node.stop()
--- a/src/jasminecrank/daemon/_settings.py
+++ b/src/jasminecrank/daemon/_settings.py
@@ -1,4 +1,4 @@
-"""Checked settings of a node."""
+"""Validated settings of a node."""
 
 from dataclasses import dataclass
 import ipaddress
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeSettings:
-    """Everything that a node learns from flags and environment."""
+    """Settings of a node from command line flags and environment."""
 
     host: str
     data_centre: str
@@ -33,7 +33,7 @@
     fleet_hosts: int = const.FLEET_HOSTS_MAX
 
     def check(self) -> None:
-        """Raise SettingError naming the first impossible setting."""
+        """Raise SettingError for the first invalid setting."""
         _check_name("host", self.host)
         _check_name("data-centre", self.data_centre)
         _check_address("address", self.address)
--- a/src/jasminecrank/protocol/__init__.py
+++ b/src/jasminecrank/protocol/__init__.py
@@ -1,4 +1,4 @@
-"""Encodings of messages, documents and calls."""
+"""Wire formats of peer messages, documents and calls."""
 
 from jasminecrank.protocol._cbor import decode_envelope as decode_envelope
 from jasminecrank.protocol._cbor import encode_envelope as encode_envelope
--- a/src/jasminecrank/protocol/_cbor.py
+++ b/src/jasminecrank/protocol/_cbor.py
@@ -1,4 +1,4 @@
-"""CBOR encoding of the messages between nodes."""
+"""CBOR codec of the peer messages."""
 
 from collections.abc import Mapping
 import typing
@@ -19,7 +19,7 @@
 
 
 def encode_envelope(envelope: coordination.Envelope) -> bytes:
-    """Return the frame of a message."""
+    """Encode a message as a frame, compressed if it is large."""
     stamp = envelope.stamp
     payload = cbor2.dumps(
         [
@@ -34,7 +34,7 @@
 
 
 def decode_envelope(frame: bytes) -> coordination.Envelope:
-    """Return the message of a frame; raise MessageError if it has none."""
+    """Decode a frame; raise MessageError if it is malformed."""
     try:
         values = cbor2.loads(_inflate(frame))
         sender, stamp, kind, *fields = values
@@ -58,7 +58,7 @@
     payload = decompressor.decompress(frame[1:], MAX_FRAME_BYTES)
     if decompressor.unconsumed_tail:
         raise exceptions.MessageError(
-            f"frame inflates to more than {MAX_FRAME_BYTES} bytes"
+            f"decompressed frame exceeds {MAX_FRAME_BYTES} bytes"
         )
     return payload
 
@@ -195,7 +195,7 @@
             return coordination.Goodbye(str(reason))
         case _:
             raise exceptions.MessageError(
-                f"unknown message {kind!r} with {len(fields)} fields"
+                f"unknown message type {kind!r} with {len(fields)} fields"
             )
 
 
--- a/src/jasminecrank/protocol/_http.py
+++ b/src/jasminecrank/protocol/_http.py
@@ -1,4 +1,4 @@
-"""HTTP form of calls as they come from callers and go on."""
+"""Conversion of calls from and to HTTP requests."""
 
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HttpRequest:
-    """A whole HTTP request; header names are lower case."""
+    """Complete HTTP request; header names are lower case."""
 
     method: str
     target: str
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HttpCall:
-    """A call as it came, with what has to be forwarded."""
+    """Decoded call with the parts of the request to be forwarded."""
 
     request: state.CallRequest
     target: str
@@ -72,9 +72,9 @@
 
 
 def decode_call(http_request: HttpRequest, now_s: float) -> HttpCall:
-    """Return the call of an HTTP request.
+    """Decode an HTTP request.
 
-    Raises JasminecrankError with REQUEST_INVALID for an unusable request.
+    Raises JasminecrankError with REQUEST_INVALID for an invalid request.
     """
     value_by_name = _single_value_headers(http_request.headers)
     path = http_request.target.partition("?")[0]
@@ -99,7 +99,7 @@
 
 
 def digest_key(key: str) -> str:
-    """Return the digest by which a tenant key is distributed."""
+    """Return the digest under which a team's key is distributed."""
     return hashlib.sha256(key.encode()).hexdigest()
 
 
@@ -118,25 +118,25 @@
     for name, value in headers:
         if name not in _SINGLE_VALUE_HEADERS:
             continue
-        # Which of two values counts would differ between implementations.
+        # Implementations differ in which of two values they use.
         if name in value_by_name:
-            raise _invalid_request(f"header {name}: given more than once")
+            raise _invalid_request(f"header {name}: more than one value")
         if name != _AUTHORIZATION and not _PRINTABLE_ASCII.fullmatch(value):
             raise _invalid_request(
-                f"header {name}: not 1 to 200 printable ASCII characters"
+                f"header {name}: must be 1 to 200 printable ASCII characters"
             )
         value_by_name[name] = value
     return value_by_name
 
 
 def _check_path(path: str) -> None:
-    # A backend server that resolves dot segments would answer for another
-    # route than the one by which the key was checked.
+    # A backend server that resolves dot segments would serve a different
+    # route than the one for which the key was authorized.
     if "/." not in path and "%" not in path and "\\" not in path:
         return
     decoded_path = urllib.parse.unquote(path).replace("\\", "/")
     if not {".", ".."}.isdisjoint(decoded_path.split("/")):
-        raise _invalid_request("path with a dot segment")
+        raise _invalid_request("path contains a dot segment")
 
 
 def _key_digest(value: str | None) -> str | None:
@@ -169,7 +169,7 @@
     return tuple(
         (name, value)
         for name, value in headers
-        # Servers that map "-" and "_" alike would take X_Team for X-Team.
+        # Servers that treat "-" and "_" alike would read X_Team as X-Team.
         if name not in dropped and "_" not in name
     )
 
@@ -177,7 +177,7 @@
 def backend_server_headers(
     call: HttpCall, permit: state.Permit, now_s: float
 ) -> Headers:
-    """Return the headers for the backend server, without the key."""
+    """Return the headers for the backend server, without the API key."""
     headers = (
         *_without_headers(call.headers, _NODE_HEADERS | {_AUTHORIZATION}),
         (const.HEADER_REQUEST_ID, permit.request_id),
@@ -187,7 +187,7 @@
     state.check(
         exceptions.ResultCode.INVARIANT_KEY,
         all(name.lower() != _AUTHORIZATION for name, _ in headers),
-        "request %s would carry its key to the backend server",
+        "request %s would pass its API key to the backend server",
         permit.request_id,
     )
     return headers
@@ -196,7 +196,7 @@
 def node_headers(
     call: HttpCall, host: str, deadline_at_s: float, now_s: float
 ) -> Headers:
-    """Return the headers for another node, which checks the key itself."""
+    """Return the headers for another node, which checks the API key."""
     return (
         *_without_headers(call.headers, _NODE_HEADERS),
         (const.HEADER_REQUEST_ID, call.request.request_id),
--- a/src/jasminecrank/protocol/_http_answers.py
+++ b/src/jasminecrank/protocol/_http_answers.py
@@ -1,4 +1,4 @@
-"""HTTP form of answers and refusals, and what an answer proves."""
+"""Conversion of answers and refusals from and to HTTP responses."""
 
 from collections.abc import Iterable
 import json
@@ -38,10 +38,10 @@
 def decode_server_response(
     status: int, headers: _http.Headers, body: bytes
 ) -> state.Answered | state.Shed:
-    """Return what the whole answer of a backend server proves.
+    """Classify the complete response of a backend server.
 
-    Headers by which nodes describe refusals are removed, so that a backend
-    server can't pass for a node.
+    Removes the headers with which nodes describe refusals, so that a backend
+    server can't impersonate a node.
     """
     by_name = dict(headers)
     shed = status == _SERVICE_UNAVAILABLE
@@ -60,7 +60,7 @@
 def decode_node_response(
     status: int, headers: _http.Headers, body: bytes
 ) -> state.Answered | state.Shed | state.NodeRefused:
-    """Return what the whole answer of another node proves."""
+    """Classify the complete response of another node."""
     by_name = dict(headers)
     answer = state.Answer(
         status, _without_headers(headers, {_REQUEST_ID}), body
@@ -92,10 +92,10 @@
 def end_to_end_headers(
     headers: Iterable[tuple[str, str]], without_body: bool
 ) -> _http.Headers:
-    """Return the end-to-end headers of an answer, names in lower case.
+    """Return the end-to-end headers of a response, names in lower case.
 
-    An answer without a body keeps its Content-Length, which then tells the
-    length that a GET would get.
+    A response without a body keeps its Content-Length, which is the length
+    of the body that a GET would return.
     """
     received = tuple(headers)
     dropped = _http.HOP_BY_HOP_HEADERS
@@ -110,7 +110,7 @@
 
 
 def encode_refusal(refused: state.Refused, request_id: str) -> state.Answer:
-    """Return the HTTP answer of a refusal."""
+    """Encode a refusal as an HTTP answer with a JSON body."""
     body = {
         "code": refused.code.value,
         "name": refused.code.name,
--- a/src/jasminecrank/protocol/_published.py
+++ b/src/jasminecrank/protocol/_published.py
@@ -1,4 +1,4 @@
-"""JSON form of the documents that the platform publishes."""
+"""JSON codec of the documents published by the platform."""
 
 import json
 
@@ -7,7 +7,7 @@
 
 
 def encode_published(document: state.Document) -> bytes:
-    """Return a document in the published form."""
+    """Encode a document in the published JSON format."""
     values = {
         "name": document.name.value,
         "number": document.version.number,
@@ -20,14 +20,14 @@
 def decode_published(
     name: state.DocumentName, payload: bytes
 ) -> state.Document:
-    """Return a published document, or raise DocumentError."""
+    """Decode a published document; raise DocumentError if invalid."""
     try:
         values = json.loads(payload)
         number, digest = values["number"], values["digest"]
         rows = values["rows"]
     except (ValueError, KeyError, TypeError) as error:
         raise exceptions.DocumentError(
-            f"document {name.value!r} is not in the published form: {error!r}"
+            f"document {name.value!r} has an invalid format: {error!r}"
         ) from None
     if isinstance(number, bool) or not isinstance(number, int) or number < 1:
         raise exceptions.DocumentError(
--- a/src/jasminecrank/protocol/_quota_codec.py
+++ b/src/jasminecrank/protocol/_quota_codec.py
@@ -1,7 +1,7 @@
-"""Compact CBOR values of the quota messages.
+"""Codec of the compact CBOR values in quota messages.
 
-Tokens travel as whole thousandths, rounded down: rounding may lose tokens
-and never makes any.
+Tokens are encoded as whole thousandths, rounded down, so that rounding can
+lose tokens but never create any.
 """
 
 import math
@@ -13,7 +13,7 @@
 
 
 def encode_loan_request(request: state.LoanRequest) -> list[object]:
-    """Return the fields of an ask."""
+    """Encode a loan request as message fields."""
     return [
         request.loan_id,
         request.service,
@@ -26,7 +26,7 @@
 
 
 def decode_loan_request(fields: list[typing.Any]) -> state.LoanRequest:
-    """Return the ask; ValueError or TypeError if there is none."""
+    """Decode a loan request; raise ValueError or TypeError if invalid."""
     loan_id, service, ttl_ms, shares = fields
     return state.LoanRequest(
         int(loan_id),
@@ -40,7 +40,7 @@
 
 
 def encode_loan_grant(grant: state.LoanGrant) -> list[object]:
-    """Return the fields of an offer."""
+    """Encode a loan grant as message fields."""
     return [
         grant.loan_id,
         [
@@ -54,7 +54,7 @@
 
 
 def decode_loan_grant(fields: list[typing.Any]) -> state.LoanGrant:
-    """Return the offer; ValueError or TypeError if there is none."""
+    """Decode a loan grant; raise ValueError or TypeError if invalid."""
     loan_id, shares = fields
     return state.LoanGrant(
         int(loan_id),
@@ -68,7 +68,7 @@
 
 
 def encode_share_report(report: state.ShareReport) -> list[object]:
-    """Return the fields of a report."""
+    """Encode a share report as message fields."""
     version = report.version
     return [
         report.service,
@@ -81,7 +81,7 @@
 
 
 def decode_share_report(fields: list[typing.Any]) -> state.ShareReport:
-    """Return the report; ValueError or TypeError if there is none."""
+    """Decode a share report; raise ValueError or TypeError if invalid."""
     service, (number, digest), acked_slots, allocation = fields
     return state.ShareReport(
         str(service),
--- a/src/jasminecrank/transport/__init__.py
+++ b/src/jasminecrank/transport/__init__.py
@@ -1,4 +1,4 @@
-"""Sockets: calls, peer links, the source, health and the admin endpoint."""
+"""Network I/O: calls, peer links, configuration, health and admin."""
 
 from jasminecrank.transport._admin_server import (
     AdminApplication as AdminApplication,
--- a/src/jasminecrank/transport/_admin_server.py
+++ b/src/jasminecrank/transport/_admin_server.py
@@ -1,4 +1,4 @@
-"""HTTP server for operators: status, events, readiness and metrics."""
+"""Admin HTTP server: status, events, readiness and metrics."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AdminSettings:
-    """Who this node is and where operators reach it."""
+    """Identity of the node and listen address of the admin server."""
 
     host: str
     data_centre: str
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeActors:
-    """The actors that answer status queries."""
+    """Actors that the admin server queries for their status."""
 
     config: pykka.ActorRef[coordination.ConfigActor]
     admission: pykka.ActorRef[coordination.AdmissionActor]
@@ -37,7 +37,7 @@
 
 
 class AdminApplication:
-    """Answers the queries of operators."""
+    """WSGI application of the admin endpoints."""
 
     __slots__ = ("_actors", "_settings")
 
@@ -48,7 +48,7 @@
     def __call__(
         self, environ: dict[str, typing.Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one query."""
+        """Handle one admin request."""
         status, content_type, body = self._route(environ["PATH_INFO"])
         headers = [
             ("Content-Type", content_type),
@@ -138,7 +138,7 @@
 
 
 class AdminServer:
-    """Owns the listening socket for operators."""
+    """Owns the listening socket of the admin endpoints."""
 
     __slots__ = ("_server",)
 
@@ -150,7 +150,7 @@
         )
 
     def start(self) -> int:
-        """Begin to serve and return the bound port."""
+        """Start serving and return the bound port."""
         self._server.prepare()
         threading.Thread(
             target=self._server.serve, name="admin-accept", daemon=True
@@ -159,7 +159,7 @@
         return port
 
     def stop(self) -> None:
-        """Stop serving."""
+        """Close the listening socket and stop the worker threads."""
         self._server.stop()
 
 
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -1,8 +1,8 @@
-"""HTTP server of calls: limits, deadlines and a stop that cuts no request.
+"""HTTP server for calls, with limits, deadlines and graceful shutdown.
 
-cheroot parses requests and frames answers; this module adds what the
-invariants need. It reads and writes within one deadline for each request,
-rejects ambiguous framing, and sends each answer with one write.
+cheroot parses requests and frames responses. This module adds what the
+invariants require: it reads and writes each request within one deadline,
+rejects ambiguous message framing and sends each response with one write.
 """
 
 from collections.abc import Callable
@@ -34,38 +34,38 @@
 _HEADER_BYTES_MAX = 65_536
 _READ_TIMEOUT_S = 5.0
 _STOP_READ_TIMEOUT_S = 0.2
-"""How long a stop waits for the request of a caller just connected."""
+"""Wait at shutdown for the request of a new connection."""
 _WRITE_TIMEOUT_S = 10.0
 _NEXT_REQUEST_WAIT_S = 0.25
 _WORKERS_PER_WAITER = 4
-"""One worker in so many may wait for the next request of its caller."""
+"""One worker out of this number may wait on a keep-alive connection."""
 _BUFFER_BYTES = 65_536
 _DISCARD_BYTES_MAX = 4 * const.MAX_BODY_BYTES
 _CHUNKED_BYTES_MAX = 2 * const.MAX_BODY_BYTES
-"""Limit of a chunked body with the lines between its chunks."""
+"""Size limit of a chunked body including the chunk headers."""
 
 
 class CallHandler(typing.Protocol):
-    """What decides on requests; independent of this server."""
+    """Interface of the application that handles requests."""
 
     def answer(
         self, request: protocol.HttpRequest, caller: _caller_watch.Caller
     ) -> "HandledRequest":
-        """Return the answer to a request."""
+        """Handle a request and return its answer."""
 
     def refuse_too_large(self, method: str, target: str) -> "HandledRequest":
-        """Return the refusal of a request whose body is too large."""
+        """Return the answer to a request whose body is too large."""
 
 
 class HandledRequest(typing.NamedTuple):
-    """An answer, and what is left to do once it is sent."""
+    """Answer to a request, and a callback for after it is sent."""
 
     answer: state.Answer
     on_sent: Callable[[], None]
 
 
 class _Headers(dict[bytes, bytes]):
-    """Headers as cheroot needs them, and every one as it came."""
+    """Headers merged by name for cheroot, and the original list."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -77,8 +77,8 @@
         self, rfile: typing.Any, hdict: _Headers | None = None
     ) -> _Headers:
         headers = _Headers() if hdict is None else hdict
-        # The reader inside cheroot's size check, which reads a line in
-        # pieces and took a tenth of the time of a call.
+        # Bypasses cheroot's size check, which reads a line in pieces and
+        # accounts for a tenth of the time of a call.
         headers.header_pairs = _header_lines.read_headers(rfile.rfile.readline)
         for name, value in headers.header_pairs:
             key = name.title().encode("ascii")
@@ -103,7 +103,7 @@
         read: Callable[[], bool] = super().read_request_headers
         if not read():
             return False
-        self.conn.wfile.flush()  # an interim answer to Expect
+        self.conn.wfile.flush()  # 100 Continue response to Expect
         length = self.inheaders.get(b"Content-Length")
         if length is not None and (
             not length.isdigit() or b"Transfer-Encoding" in self.inheaders
@@ -116,7 +116,7 @@
         return True
 
     def simple_response(self, status: str, msg: str = "") -> None:
-        """Refuse a request that can't be read; msg is not sent."""
+        """Reject a request that can't be parsed; msg is not sent."""
         del msg
         refused = state.Refused(
             exceptions.ResultCode.REQUEST_INVALID,
@@ -131,7 +131,7 @@
             )
         answer = protocol.encode_refusal(refused, "")
         self.close_connection = True
-        self.rfile = None  # what is left of the request is not read
+        self.rfile = None  # leaves the rest of the request unread
         length = ("Content-Length", str(len(answer.body)))
         self.send_answer(
             status,
@@ -141,7 +141,7 @@
         )
 
     def send_answer(self, status: str, answer: state.Answer) -> None:
-        """Send a whole answer with one write."""
+        """Send the complete response with one write."""
         self.conn.socket.deadline_at_s = time.monotonic() + _WRITE_TIMEOUT_S
         self.status = status.encode("latin-1")
         self.outheaders = [
@@ -167,7 +167,7 @@
         )
 
     def communicate(self) -> bool:
-        """Answer requests; True leaves the connection to the selector."""
+        """Handle requests; return True to keep the connection open."""
         communicate: Callable[[], bool] = super().communicate
         while True:
             limit_s = (
@@ -194,7 +194,7 @@
 
 class _Gateway(cheroot_server.Gateway):
     def respond(self) -> None:
-        """Answer the current request."""
+        """Read the request body, run the handler and send its answer."""
         request = self.req
         handler: CallHandler = request.server.handler
         method = request.method.decode("latin-1")
@@ -225,25 +225,25 @@
             handled.on_sent()
 
     def _read_body(self) -> bytes | None:
-        """Return the whole body, or None if it is too large.
+        """Return the complete body, or None if it is too large.
 
-        Raises ValueError for a body that is cut or malformed.
+        Raises ValueError for a truncated or malformed body.
         """
         request = self.req
         if request.chunked_read:
-            # A malformed last chunk must not begin another request.
+            # A malformed last chunk must not be parsed as another request.
             request.close_connection = True
             return self._read_chunks()
         length = int(request.inheaders.get(b"Content-Length", 0))
         if length > const.MAX_BODY_BYTES:
-            # Closing with unread data would reset the connection before
-            # the caller has read the answer.
+            # Closing a socket with unread data resets the connection, and
+            # the caller might not receive the response.
             request.rfile.read(min(length, _DISCARD_BYTES_MAX))
             request.rfile.remaining = 0
             return None
         body: bytes = request.rfile.read(length) if length else b""
         if len(body) != length:
-            raise ValueError("request cut within its body")
+            raise ValueError("request body is truncated")
         return body
 
     def _read_chunks(self) -> bytes | None:
@@ -259,14 +259,14 @@
         if len(body) > const.MAX_BODY_BYTES:
             return None
         if not chunk_reader.closed:
-            raise ValueError("request cut within its body")
+            raise ValueError("request body is truncated")
         for _ in chunk_reader.read_trailer_lines():
             pass
         return body
 
 
 class CallHttpServer(cheroot_server.HTTPServer):
-    """Owns the listening socket and the worker threads."""
+    """HTTP server that owns the listening socket and worker threads."""
 
     _connections: typing.Any
     requests: typing.Any
@@ -290,25 +290,25 @@
         self._waiting_workers = threading.BoundedSemaphore(
             max(1, threads // _WORKERS_PER_WAITER)
         )
-        # queue.Queue hands over under a condition written in Python.
+        # SimpleQueue is implemented in C, unlike the condition of queue.Queue.
         connection_queue: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
         self.requests._queue = connection_queue
         self.requests.get = connection_queue.get
 
     @property
     def can_add_keepalive_connection(self) -> bool:
-        """Whether a connection may be kept after its answer."""
+        """Whether a connection may stay open after its response."""
         return not self.draining and bool(super().can_add_keepalive_connection)
 
     def process_conn(self, conn: typing.Any) -> None:
-        """Give a connection to a worker once it has something to read."""
+        """Pass a connection to a worker once it has data to read."""
         if conn.last_used is None:
             self.put_conn(conn)
         else:
             super().process_conn(conn)
 
     def put_conn(self, conn: typing.Any) -> None:
-        """Keep a connection, or serve what it has received and close it."""
+        """Keep a connection, or at shutdown serve its data and close it."""
         if self.ready:
             super().put_conn(conn)
         elif conn.rfile.has_data():
@@ -317,14 +317,14 @@
             conn.close()
 
     def await_next_request(self, conn: _Connection) -> bool:
-        """Wait a little for the next request on a connection.
+        """Wait briefly for the next request on a connection.
 
-        A worker that stays with its connection saves two hand-overs between
-        threads for a caller that sends often.
+        A worker that keeps its connection saves two handoffs between threads
+        for each request of a frequent caller.
         """
         if self.draining or not self.ready or self.requests.qsize:
             return False
-        if conn.rfile.has_data():  # others come before a pipelined request
+        if conn.rfile.has_data():  # other connections go before pipelining
             return False
         if not self._waiting_workers.acquire(blocking=False):
             return False
@@ -337,7 +337,7 @@
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
-        """Log what the library reports."""
+        """Log a message of the cheroot library."""
         del traceback
         if level >= std_logging.ERROR:
             logging.error("call server: %s", msg)
@@ -345,7 +345,7 @@
             logging.info("call server: %s", msg)
 
     def stop(self) -> None:
-        """Serve every request received so far, then close everything."""
+        """Serve all requests received so far, then close the server."""
         if self.ready:
             self._connections.stop()
             self._enqueue_received()
@@ -353,8 +353,8 @@
         self.caller_watch.stop()
 
     def _enqueue_received(self) -> None:
-        # A caller that has connected and not been answered yet is about to
-        # send; an idle caller that was answered is not waited for.
+        # A connection that hasn't reached a worker yet is about to send its
+        # first request. Idle keep-alive connections are not waited for.
         selector = self._connections._selector
         for _ in range(_ACCEPT_BACKLOG):
             if not any(conn is self for _, conn in selector.select(0)):
@@ -362,8 +362,9 @@
             conn = self._connections._from_server_socket(self.socket)
             if conn is not None:
                 self.requests.put(conn)
-        # Closed at once: what connects between the last accept and the close
-        # is reset, and the library does more work before it closes.
+        # Connections made between the last accept and the close are reset.
+        # Closing here keeps that window short, because the library does more
+        # work before it closes the socket.
         selector.unregister(self.socket.fileno())
         self.socket.close()
         self.socket = None
--- a/src/jasminecrank/transport/_call_runner.py
+++ b/src/jasminecrank/transport/_call_runner.py
@@ -1,4 +1,4 @@
-"""Runs one call: decisions, attempts and the answer that follows."""
+"""Execution of a call: admission, attempts, retries and the answer."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -18,12 +18,12 @@
 
 _CALLER_WATCH_DELAY_S = 0.02
 _SERVER_MAX_IDLE_S = 4.0
-_NODE_MAX_IDLE_S = 20.0  # below the keep-alive time of the nodes' call servers
+_NODE_MAX_IDLE_S = 20.0  # below the keep-alive timeout of the call server
 
 
 @dataclass(slots=True, frozen=True)
 class CallRecord:
-    """How a call ended, for the caller and for the log."""
+    """Result of a call, for the caller and for the log."""
 
     answer: state.Answer
     version: state.Version
@@ -38,7 +38,7 @@
 
 
 class DecisionFuture:
-    """Where a worker thread waits for the decision on its call."""
+    """Future of the admission decision that a worker thread waits for."""
 
     __slots__ = ("_queue",)
 
@@ -46,16 +46,16 @@
         self._queue: queue.SimpleQueue[state.Decision] = queue.SimpleQueue()
 
     def set(self, value: state.Decision | None = None) -> None:
-        """Deliver the decision."""
+        """Pass the decision to the waiting thread; ignore None."""
         if value is not None:
             self._queue.put(value)
 
     def wait(self) -> state.Decision:
-        """Return the decision when it comes."""
+        """Block until the decision arrives."""
         return self._queue.get()
 
     def wait_briefly(self) -> state.Decision | None:
-        """Return the decision, or None if the call waits in the queue."""
+        """Return the decision, or None while the call is still queued."""
         try:
             return self._queue.get(timeout=_CALLER_WATCH_DELAY_S)
         except queue.Empty:
@@ -64,7 +64,7 @@
 
 @dataclass(slots=True)
 class CallRunner:
-    """Runs calls on the own backend server and on other nodes."""
+    """Runs calls on the local backend server or forwards them to nodes."""
 
     host: str
     backend_server: _forwarder.Target
@@ -84,7 +84,7 @@
         retries: pykka.ActorRef[coordination.RetryActor],
         clock: state.Clock,
     ) -> typing.Self:
-        """Return a runner without open connections."""
+        """Return a runner with empty connection pools."""
         return cls(
             host=host,
             backend_server=backend_server,
@@ -99,7 +99,7 @@
     def run(
         self, call: protocol.HttpCall, caller: _caller_watch.Caller
     ) -> CallRecord:
-        """Return how a call ends, after as many attempts as it may have."""
+        """Run a call, retrying within its limits, and return its result."""
         request = call.request
         attempts = state.Attempts(
             request.request_id, may_retry=request.forwarded_by is None
@@ -305,7 +305,7 @@
 
 
 def refusal_record(refused: state.Refused, request_id: str) -> CallRecord:
-    """Return the record of a refused call."""
+    """Return the record of a refused call, with its encoded answer."""
     return CallRecord(
         answer=protocol.encode_refusal(refused, request_id),
         version=refused.version,
--- a/src/jasminecrank/transport/_call_server.py
+++ b/src/jasminecrank/transport/_call_server.py
@@ -1,4 +1,4 @@
-"""HTTP server for calls."""
+"""Call server: request handling, logging and shutdown."""
 
 from dataclasses import dataclass
 import threading
@@ -18,12 +18,12 @@
 from jasminecrank.transport import _logs
 
 _DRAIN_NOTICE_S = 0.5
-"""How long callers learn by Connection: close that this node stops."""
+"""Time before a stop in which responses carry Connection: close."""
 
 
 @dataclass(slots=True, frozen=True)
 class CallServerSettings:
-    """Where calls come in and where the backend server is."""
+    """Listen address of the call server and its backend server."""
 
     host: str
     address: str
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class CallApplication:
-    """Answers requests by running calls, and logs each once."""
+    """Request handler that runs calls and logs each of them once."""
 
     runner: _call_runner.CallRunner
     clock: state.Clock
@@ -47,7 +47,7 @@
         retries: pykka.ActorRef[coordination.RetryActor],
         clock: state.Clock,
     ) -> typing.Self:
-        """Return an application without open connections."""
+        """Return an application with empty connection pools."""
         runner = _call_runner.CallRunner.from_actors(
             settings.host, settings.backend_server, admission, retries, clock
         )
@@ -56,7 +56,7 @@
     def answer(
         self, request: protocol.HttpRequest, caller: _caller_watch.Caller
     ) -> _call_http.HandledRequest:
-        """Return the answer to a request."""
+        """Decode and run a call; refuse a request that can't be decoded."""
         started_s = self.clock.monotonic_s()
         try:
             call = protocol.decode_call(request, started_s)
@@ -74,7 +74,7 @@
     def refuse_too_large(
         self, method: str, target: str
     ) -> _call_http.HandledRequest:
-        """Return the refusal of a request whose body is too large."""
+        """Return and log the refusal of an oversized request."""
         return self._refuse(
             exceptions.ResultCode.BODY_TOO_LARGE,
             method,
@@ -117,7 +117,7 @@
 
 
 class CallServer:
-    """Owns the listening socket for calls and its worker threads."""
+    """Runs the HTTP server for calls in a thread of its own."""
 
     __slots__ = ("_server", "_thread")
 
@@ -132,18 +132,18 @@
         )
 
     def start(self) -> int:
-        """Begin to serve and return the bound port."""
+        """Start serving and return the bound port."""
         self._server.prepare()
         self._thread.start()
         port: int = self._server.bind_addr[1]
         return port
 
     def drain(self) -> None:
-        """Close each connection after its next answer from now on."""
+        """Start closing each connection after its next response."""
         self._server.draining = True
 
     def stop(self) -> None:
-        """Let callers go elsewhere, then answer what was received."""
+        """Let callers disconnect, then serve received requests and stop."""
         self.drain()
         threading.Event().wait(_DRAIN_NOTICE_S)
         self._server.stop()
@@ -159,7 +159,7 @@
         *answer.headers,
         (const.HEADER_REQUEST_ID, request.request_id),
     ]
-    # A forwarded answer names the version by which the other node ran it.
+    # A forwarded answer already has the table version of the other node.
     if const.HEADER_TABLE_VERSION.lower() not in header_names:
         headers.append((const.HEADER_TABLE_VERSION, str(record.version)))
     if "content-length" not in header_names and answer.status not in (
--- a/src/jasminecrank/transport/_caller_watch.py
+++ b/src/jasminecrank/transport/_caller_watch.py
@@ -1,4 +1,4 @@
-"""Notices callers that close their connection while their call waits."""
+"""Detects callers that disconnect while their call is queued."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -14,10 +14,10 @@
 
 @dataclass(slots=True)
 class CallerWatch:
-    """A thread that sleeps until a watched connection is closed.
+    """Thread that waits for watched connections to be closed.
 
-    A caller that closes only its sending side counts as gone, because the
-    two can't be told apart before something is written.
+    A half-closed connection counts as disconnected, because it can't be
+    distinguished from a closed one until data is written to it.
     """
 
     epoll: select.epoll
@@ -26,7 +26,7 @@
 
     @classmethod
     def start(cls) -> typing.Self:
-        """Return a watch with a running thread."""
+        """Start the thread and return its watch."""
         watch = cls(select.epoll(), os.eventfd(0), {})
         watch.epoll.register(watch.wake_fd, select.EPOLLIN)
         threading.Thread(
@@ -35,7 +35,7 @@
         return watch
 
     def stop(self) -> None:
-        """End the thread."""
+        """Wake the thread so that it exits."""
         os.eventfd_write(self.wake_fd, 1)
 
     @contextlib.contextmanager
@@ -44,7 +44,7 @@
         deadline_socket: _sockets.DeadlineSocket,
         on_close: Callable[[], None],
     ) -> Iterator[None]:
-        """Call `on_close` once if the peer closes its side meanwhile."""
+        """Call `on_close` once if the peer closes within the context."""
         fd = deadline_socket.fileno()
         self.on_close_by_fd[fd] = on_close
         self.epoll.register(fd, select.EPOLLRDHUP | select.EPOLLONESHOT)
@@ -66,7 +66,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Caller:
-    """The connection that a call came over."""
+    """Connection over which a call was received."""
 
     deadline_socket: _sockets.DeadlineSocket
     watch: CallerWatch
@@ -74,5 +74,5 @@
     def watching(
         self, on_close: Callable[[], None]
     ) -> contextlib.AbstractContextManager[None]:
-        """Call `on_close` once if the caller closes its side meanwhile."""
+        """Call `on_close` once if the caller closes within the context."""
         return self.watch.watching(self.deadline_socket, on_close)
--- a/src/jasminecrank/transport/_forwarder.py
+++ b/src/jasminecrank/transport/_forwarder.py
@@ -1,4 +1,4 @@
-"""Clients that pass calls on to backend servers and other nodes."""
+"""HTTP client that forwards calls to backend servers and nodes."""
 
 from collections import deque
 from collections.abc import Callable
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Target:
-    """Where a call is sent."""
+    """Address and port to which a call is sent."""
 
     address: str
     port: int
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True, frozen=True)
 class OutgoingCall:
-    """A call as it is sent to one target."""
+    """Call with the headers and deadline for one target."""
 
     call: protocol.HttpCall
     headers: protocol.Headers
@@ -50,9 +50,10 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """An answer whose headers are read without the parser for mail.
+    """HTTP response that doesn't use the email parser for its headers.
 
-    That parser took a quarter of the processor time of a call.
+    With the email parser of http.client, header parsing accounts for a
+    quarter of the processor time of a call.
     """
 
     fp: io.BufferedReader
@@ -61,7 +62,7 @@
     header_pairs: protocol.Headers = ()
 
     def begin(self) -> None:
-        """Read the status line and the headers."""
+        """Parse the status line and the headers."""
         version, status, reason = self._read_status()
         if not version.startswith("HTTP/1."):
             raise http.client.UnknownProtocol(version)
@@ -85,7 +86,7 @@
 
 @dataclass(slots=True)
 class PooledConnection:
-    """A connection that is owned by one worker thread or idle."""
+    """Connection that is idle or owned by one worker thread."""
 
     target: Target
     deadline_socket: _sockets.DeadlineSocket
@@ -93,21 +94,21 @@
 
     @classmethod
     def connect(cls, target: Target, deadline_at_s: float) -> typing.Self:
-        """Return a new connection, opened before a deadline."""
+        """Open a connection before the deadline."""
         deadline_socket = _sockets.DeadlineSocket.open_connection(
             target.address, target.port, deadline_at_s
         )
         return cls(target, deadline_socket)
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the socket; the connection can't be reused."""
         self.deadline_socket.close()
 
 
 def _encode_request(target: Target, outgoing: OutgoingCall) -> bytes:
-    """Return the bytes of a request.
+    """Return the encoded request.
 
-    Raises ValueError for a request that HTTP can't carry.
+    Raises ValueError for a request that can't be represented in HTTP.
     """
     call = outgoing.call
     method = call.request.method
@@ -121,13 +122,13 @@
     if _CONTROL_CHARACTER.search("".join(lines)) or _SPACE_OR_TAB.search(
         call.target
     ):
-        raise ValueError("control character in a request")
+        raise ValueError("request contains a control character or a blank")
     return "\r\n".join((*lines, "", "")).encode("latin-1") + call.body
 
 
 @dataclass(slots=True)
 class _Exchange:
-    """What has happened to one request on one connection."""
+    """Progress of one request on one connection."""
 
     acked_bytes_before: int | None
     sent_bytes: int = 0
@@ -136,7 +137,7 @@
     def failure_result(
         self, connection: PooledConnection, error: Exception
     ) -> state.AttemptResult:
-        """Return what is proved after an error."""
+        """Classify an error by whether the request may have run."""
         if self.sent_bytes == 0:
             return state.NothingSent(_unsent_code(error))
         if not self.response_started and self._closed_before_request(
@@ -150,9 +151,9 @@
     def _closed_before_request(
         self, connection: PooledConnection, error: Exception
     ) -> bool:
-        # A peer that had received the request acknowledges it in the segment
-        # that closes the connection. After a reset without that segment
-        # nothing is proved: Linux doesn't read a reset's acknowledgement.
+        # A peer that has received the request acknowledges it in its FIN
+        # segment. A reset without a FIN proves nothing, because Linux
+        # ignores the acknowledgement number of an RST segment.
         match error:
             case http.client.RemoteDisconnected() | BrokenPipeError():
                 closed = True
@@ -168,12 +169,11 @@
 
 @dataclass(slots=True)
 class HttpClient:
-    """Sends calls over kept connections.
+    """HTTP client with a pool of persistent connections per target.
 
-    An idle connection is in the stack of its target and belongs to nobody; a
-    worker thread that takes it owns it until it puts it back. The connection
-    used last is taken first, so few connections serve a low rate and none
-    gets old.
+    A worker thread that removes a connection from the pool owns it until it
+    returns it. The pool is last in, first out, so that a low call rate uses
+    few connections and none of them stays idle for long.
     """
 
     max_idle_s: float
@@ -184,7 +184,7 @@
     def send(
         self, target: Target, outgoing: OutgoingCall, decode: ResponseDecoder
     ) -> state.AttemptResult:
-        """Send a call and return what its whole answer or failure proves."""
+        """Send a call and return its answer or what its failure proves."""
         connection = self._pop_idle(target)
         if connection is not None:
             attempt_result = self._attempt(
@@ -197,7 +197,7 @@
                         code=exceptions.ResultCode.BACKEND_UNREACHABLE
                     )
                 ):
-                    # The peer closed the kept connection while it was idle.
+                    # The peer closed the connection while it was idle.
                     pass
                 case _:
                     return attempt_result
@@ -247,8 +247,8 @@
                 connection = idle.pop()
             except IndexError:
                 return None
-            # A server that closes an idle connection while a request is on
-            # its way would leave a booking with an unknown outcome.
+            # If the server closes an idle connection while a request is in
+            # transit, the outcome of a booking is unknown.
             recently_used = (
                 time.monotonic() - connection.idle_since_s <= self.max_idle_s
             )
@@ -292,7 +292,9 @@
     method = outgoing.call.request.method
     with _Response(connection.deadline_socket, method=method) as response:
         if not response.fp.peek(1):
-            raise http.client.RemoteDisconnected("closed without an answer")
+            raise http.client.RemoteDisconnected(
+                "connection closed without a response"
+            )
         exchange.response_started = True
         response.begin()
         return _decode_response(response, outgoing, decode)
@@ -332,8 +334,9 @@
 
 
 def _has_known_length(response: _Response, without_body: bool) -> bool:
-    # An answer that ends with its connection can't be told from a cut one,
-    # and an interim answer is followed by another.
+    # A response delimited by the end of its connection can't be
+    # distinguished from a truncated one, and an interim (1xx) response is
+    # followed by another response.
     if response.status < http.HTTPStatus.OK:
         return False
     lengths = {
@@ -356,7 +359,7 @@
         exceptions.ResultCode.INVARIANT_ANSWER,
         (declared_length is None or body_bytes == int(declared_length))
         and echoed_id in (None, request_id),
-        "answer to %s has %d of %s bytes and belongs to %s",
+        "response to request %s has %d of %s bytes and request ID %s",
         request_id,
         body_bytes,
         declared_length,
--- a/src/jasminecrank/transport/_header_lines.py
+++ b/src/jasminecrank/transport/_header_lines.py
@@ -1,4 +1,4 @@
-"""Reads header lines, the same way for requests and answers."""
+"""Header parser shared by requests and responses."""
 
 from collections.abc import Callable
 import re
@@ -13,8 +13,8 @@
 def read_headers(readline: Callable[[int], bytes]) -> protocol.Headers:
     """Return the headers up to the empty line, with lower-case names.
 
-    Raises ValueError for lines that servers read in different ways: folded
-    lines, blanks before the colon, and line ends without a carriage return.
+    Raises ValueError for lines that HTTP implementations parse differently:
+    folded lines, whitespace before the colon and bare line feeds.
     """
     headers: list[tuple[str, str]] = []
     remaining_bytes = _HEADERS_BYTES_MAX
@@ -27,7 +27,7 @@
             or not line.endswith(b"\r\n")
             or not _HEADER_NAME.fullmatch(name)
         ):
-            raise ValueError(f"illegal header line {name[:40]!r}")
+            raise ValueError(f"malformed header line {name[:40]!r}")
         headers.append(
             (name.decode("ascii").lower(), value.strip().decode("latin-1"))
         )
--- a/src/jasminecrank/transport/_health.py
+++ b/src/jasminecrank/transport/_health.py
@@ -1,4 +1,4 @@
-"""Probe of the backend server's health endpoint."""
+"""Periodic health check of the backend server."""
 
 import json
 import time
@@ -23,7 +23,7 @@
 
 
 class HealthProbe(coordination.NodeActor):
-    """Owns the connection that reads health and load."""
+    """Actor that polls the health and load of the backend server."""
 
     def __init__(
         self,
@@ -38,11 +38,11 @@
         self._client = _forwarder.HttpClient(_MAX_IDLE_S)
 
     def on_start(self) -> None:
-        """Schedule the first probe."""
+        """Schedule the first health check."""
         self._timers.call_later(0.0, self.actor_ref, coordination.Tick())
 
     def on_receive(self, message: object) -> object:
-        """Probe once and schedule the next probe."""
+        """Run one health check and schedule the next."""
         if isinstance(message, coordination.Tick):
             report = coordination.ServerHealth(self._probe())
             coordination.deliver(self._admission, report)
@@ -62,7 +62,7 @@
             case state.Answered():
                 return _decode_health(attempt_result.answer.body)
             case state.Shed():
-                # A server that sheds load is there, and as busy as it can be.
+                # A server that sheds load is reachable and fully loaded.
                 return state.HealthReport(True, 0, False, 1.0)
             case _:
                 return _UNREACHABLE_REPORT
--- a/src/jasminecrank/transport/_links.py
+++ b/src/jasminecrank/transport/_links.py
@@ -1,4 +1,4 @@
-"""WebSocket links between nodes."""
+"""WebSocket connections between nodes."""
 
 import socket
 import struct
@@ -24,7 +24,7 @@
 
 
 class PeerLink(coordination.NodeActor):
-    """Owns the sending side of one link; a thread reads the other side."""
+    """Actor that sends on one peer link, with a thread that receives."""
 
     def __init__(
         self,
@@ -40,7 +40,7 @@
         self._connection = peer_connection
 
     def open(self, hello: coordination.Hello) -> None:
-        """Dial the peer and exchange greetings."""
+        """Connect to the peer and perform the Hello handshake."""
         try:
             dialled = client.connect(
                 f"ws://{self._address}/",
@@ -69,7 +69,7 @@
     def start_reading(
         self, peer_hello: coordination.Hello, dialled_by: str
     ) -> None:
-        """Announce the open link and start reading from it."""
+        """Report the link as up and start its receive thread."""
         if self._connection is not None:
             _set_send_timeout(self._connection.socket)
         self._membership.tell(
@@ -82,7 +82,7 @@
         ).start()
 
     def on_receive(self, message: object) -> object:
-        """Send one message or close the link."""
+        """Send a message, or close the link on StopRequested."""
         match message:
             case coordination.Envelope():
                 self._send(message)
@@ -95,7 +95,7 @@
         return None
 
     def on_stop(self) -> None:
-        """Close the socket, which also ends the reading thread."""
+        """Close the connection, which also ends the receive thread."""
         if self._connection is not None:
             self._connection.close()
 
@@ -134,7 +134,7 @@
 
 
 class PeerServer:
-    """Accepts links from other nodes."""
+    """Accepts peer links from other nodes."""
 
     __slots__ = ("_membership", "_own_host", "_server")
 
@@ -165,7 +165,7 @@
         membership: pykka.ActorRef[coordination.MembershipActor],
         listener: socket.socket,
     ) -> "PeerServer":
-        """Return a server with a running accept thread."""
+        """Start the accept thread and return the server."""
         peer_server = cls(own_host, membership, listener)
         threading.Thread(
             target=peer_server._server.serve_forever,
@@ -175,7 +175,7 @@
         return peer_server
 
     def stop(self) -> None:
-        """Stop accepting links."""
+        """Shut down the accept loop."""
         self._server.shutdown()
 
     def _handle(self, accepted: server.ServerConnection) -> None:
@@ -191,23 +191,23 @@
             pykka.ActorDeadError,
             pykka.Timeout,
         ) as error:
-            logging.warning("peer link refused: %s", error)
+            logging.warning("rejected incoming peer link: %s", error)
             return
         link = PeerLink.start(self._own_host, "", self._membership, accepted)
         link.proxy().start_reading(peer_hello, peer_hello.host)
-        # The connection is closed when this handler returns.
+        # The library closes the connection when this handler returns.
         link.actor_stopped.wait()
 
 
 def receive_hello(
     peer_connection: connection.Connection,
 ) -> coordination.Hello:
-    """Return the greeting that opens a link."""
+    """Receive the Hello message that opens a link."""
     frame = peer_connection.recv(timeout=_HELLO_TIMEOUT_S)
     message = protocol.decode_envelope(_as_bytes(frame)).message
     if not isinstance(message, coordination.Hello):
         raise exceptions.MessageError(
-            f"link opened with {type(message).__name__}, not with Hello"
+            f"first message is {type(message).__name__}, expected Hello"
         )
     return message
 
@@ -217,7 +217,7 @@
     address: str,
     membership: coordination.Mailbox,
 ) -> None:
-    """Begin to open a link to a peer."""
+    """Start an actor that connects to a peer."""
     link = PeerLink.start(hello.host, address, membership, None)
     link.proxy().open(hello)
 
@@ -230,10 +230,10 @@
 
 
 def _set_send_timeout(peer_socket: socket.socket) -> None:
-    """Let a send to a peer that no longer reads fail.
+    """Make sends fail when the peer stops reading.
 
-    Without the limit a paused peer would block the link's actor, which then
-    could not be stopped.
+    Without a send timeout, a paused peer would block the link's actor, which
+    then could not be stopped.
     """
     peer_socket.setsockopt(
         socket.SOL_SOCKET,
--- a/src/jasminecrank/transport/_logs.py
+++ b/src/jasminecrank/transport/_logs.py
@@ -1,4 +1,4 @@
-"""JSON log lines."""
+"""Structured logging as JSON lines."""
 
 from collections.abc import Mapping
 import itertools
@@ -17,10 +17,10 @@
 
 
 class JsonLinesFormatter(std_logging.Formatter):
-    """Formats each record as one JSON object.
+    """Formats each log record as one JSON object.
 
-    Lines carry the process and a sequence number from 1, by which a reader
-    finds lines that are missing or doubled.
+    Each line carries a process ID and a sequence number that starts at 1, so
+    that log consumers can detect missing and duplicate lines.
     """
 
     def __init__(self, host: str, data_centre: str) -> None:
@@ -31,7 +31,7 @@
         self._sequence = itertools.count(1)
 
     def format(self, record: std_logging.LogRecord) -> str:
-        """Return the line of a record."""
+        """Return the JSON line of a record."""
         milliseconds = int(record.created * 1000)
         utc_time = time.gmtime(milliseconds // 1000)
         line: dict[str, object] = {
@@ -54,8 +54,8 @@
 
 
 def install_json_logging(host: str, data_centre: str) -> None:
-    """Write all log records of the process as JSON lines to stderr."""
-    # absl writes a plain warning line until its flags are parsed.
+    """Send all log records of the process to stderr as JSON lines."""
+    # absl logs a plain-text warning until its flags are parsed.
     flags.FLAGS(sys.argv[:1])
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
@@ -68,9 +68,9 @@
 
 
 def log_fields(event: str, fields: Mapping[str, object]) -> None:
-    """Write one event with its fields."""
-    # A record made here saves the search for the caller's line, which no
-    # JSON line shows.
+    """Log an event with its fields."""
+    # Building the record directly skips the stack walk for the caller's
+    # file and line, which the JSON lines don't contain.
     record = std_logging.LogRecord(
         "absl", std_logging.INFO, "", 0, event, None, None
     )
@@ -79,7 +79,7 @@
 
 
 def log_event(event: state.Event) -> None:
-    """Write an event of the event ring."""
+    """Log an event that the event ring buffer has recorded."""
     stamp = event.stamp
     log_fields(
         event.name,
--- a/src/jasminecrank/transport/_metrics.py
+++ b/src/jasminecrank/transport/_metrics.py
@@ -1,4 +1,4 @@
-"""Counts of what control traffic costs a node, exported as metrics."""
+"""Prometheus counters of the control traffic of a node."""
 
 import socket
 import typing
@@ -29,7 +29,7 @@
 
 
 class _CountingSocket:
-    """A socket that counts what a WebSocket connection moves on it."""
+    """Socket wrapper that counts the bytes of a WebSocket connection."""
 
     __slots__ = ("_socket",)
 
@@ -40,19 +40,19 @@
         return getattr(self._socket, name)
 
     def recv(self, size: int) -> bytes:
-        """Receive and count."""
+        """Receive data and add its size to the metric."""
         data = self._socket.recv(size)
         _peer_received.inc(len(data))
         return data
 
     def sendall(self, data: bytes) -> None:
-        """Send and count."""
+        """Send data and add its size to the metric."""
         self._socket.sendall(data)
         _peer_sent.inc(len(data))
 
 
 class CountingClientConnection(client.ClientConnection):
-    """The dialling side of a peer link, with its bytes counted."""
+    """Client side of a peer link that counts its bytes."""
 
     def __init__(
         self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
@@ -62,7 +62,7 @@
 
 
 class CountingServerConnection(server.ServerConnection):
-    """The accepting side of a peer link, with its bytes counted."""
+    """Server side of a peer link that counts its bytes."""
 
     def __init__(
         self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
@@ -82,19 +82,19 @@
 
 
 def create_source_pool() -> urllib3.PoolManager:
-    """Return a pool of one connection that counts its request bytes."""
+    """Return a single-connection pool that counts request bytes."""
     pool = urllib3.PoolManager(num_pools=1, maxsize=1)
     pool.pool_classes_by_scheme = {"http": _CountingHttpPool}
     return pool
 
 
 def count_source_call() -> None:
-    """Count one read or watch as the source's limit counts it."""
+    """Count one read or watch, the unit of the service's call limit."""
     _source_calls.inc()
 
 
 def count_source_response(response: urllib3.BaseHTTPResponse) -> None:
-    """Count the bytes of a whole answer of the source."""
+    """Count the bytes of a response of the configuration service."""
     header_bytes = sum(
         len(name) + len(value) + _HEADER_SEPARATOR_BYTES
         for name, value in response.headers.items()
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -1,4 +1,4 @@
-"""Sockets whose reads and writes end at one deadline."""
+"""Sockets whose reads and writes share one deadline."""
 
 import errno
 import io
@@ -14,11 +14,12 @@
 
 
 class DeadlineSocket(socket.socket):
-    """A socket whose reads and writes share one deadline.
+    """Socket whose reads and writes share one deadline.
 
-    A timeout of the socket module limits each read alone, so that a peer
-    sending one byte a second could go on for ever. The socket itself is
-    non-blocking, because one with a timeout polls before each system call.
+    A timeout of the socket module applies to each read separately, so a
+    peer that sends one byte a second could hold the connection for ever.
+    The underlying socket is non-blocking, because a socket with a timeout
+    polls before each system call.
     """
 
     __slots__ = ("deadline_at_s",)
@@ -27,7 +28,7 @@
 
     @classmethod
     def from_socket(cls, accepted: socket.socket) -> typing.Self:
-        """Take over an open socket."""
+        """Take ownership of an open socket."""
         wrapped = cls(fileno=accepted.detach())
         wrapped.deadline_at_s = None
         wrapped.setblocking(False)
@@ -37,7 +38,7 @@
     def open_connection(
         cls, address: str, port: int, deadline_at_s: float
     ) -> typing.Self:
-        """Return a socket connected before a deadline."""
+        """Return a socket connected before the deadline."""
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
         connection = cls(family, socket.SOCK_STREAM)
         connection.deadline_at_s = deadline_at_s
@@ -52,7 +53,7 @@
         return connection
 
     def recv_into(self, *args: typing.Any, **kwargs: typing.Any) -> int:
-        """Read into a buffer, waiting until the deadline."""
+        """Read into a buffer, waiting until the deadline at most."""
         while True:
             try:
                 return super().recv_into(*args, **kwargs)
@@ -60,7 +61,7 @@
                 self._wait_until_ready(select.POLLIN)
 
     def send(self, *args: typing.Any, **kwargs: typing.Any) -> int:
-        """Write, waiting until the deadline."""
+        """Write data, waiting until the deadline at most."""
         while True:
             try:
                 return super().send(*args, **kwargs)
@@ -68,19 +69,19 @@
                 self._wait_until_ready(select.POLLOUT)
 
     def is_readable(self, timeout_s: float) -> bool:
-        """Return whether data or the peer's close comes within a time."""
+        """Return whether data or end of file arrives within a timeout."""
         poll = select.poll()
         poll.register(self.fileno(), select.POLLIN)
         return bool(poll.poll(timeout_s * 1000))
 
     def is_idle(self) -> bool:
-        """Return whether the peer has neither sent nor closed."""
+        """Return whether the peer has neither sent data nor closed."""
         poll = select.poll()
         poll.register(self.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
     def bytes_acked(self) -> int | None:
-        """Return how many bytes the peer has acknowledged, if known."""
+        """Return the number of bytes acknowledged by the peer, if known."""
         info = self.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
         )
@@ -91,7 +92,7 @@
 
     def _wait_until_ready(self, event: int) -> None:
         if self.deadline_at_s is None:
-            raise BlockingIOError(errno.EAGAIN, "nothing at hand")
+            raise BlockingIOError(errno.EAGAIN, "no data available")
         remaining_s = self.deadline_at_s - time.monotonic()
         poll = select.poll()
         poll.register(self.fileno(), event)
@@ -100,7 +101,7 @@
 
 
 class DeadlineReader(io.BufferedReader):
-    """Buffered reader that can tell whether data is at hand."""
+    """Buffered reader that reports whether data is available."""
 
     def __init__(self, deadline_socket: DeadlineSocket, size: int) -> None:
         super().__init__(socket.SocketIO(deadline_socket, "r"), size)
@@ -108,6 +109,6 @@
         self.bytes_read = 0
 
     def has_data(self) -> bool:
-        """Return whether more data can be read without waiting."""
+        """Return whether more data can be read without blocking."""
         self._deadline_socket.deadline_at_s = None
         return bool(self.peek(1))
--- a/src/jasminecrank/transport/_source.py
+++ b/src/jasminecrank/transport/_source.py
@@ -1,4 +1,4 @@
-"""Reader of the platform's configuration service."""
+"""HTTP client of the platform's configuration service."""
 
 import json
 
@@ -16,7 +16,7 @@
 
 
 class SourceReader(coordination.NodeActor):
-    """Owns the connection to the configuration service."""
+    """Actor that owns the connection to the configuration service."""
 
     def __init__(
         self,
@@ -29,7 +29,7 @@
         self._pool = _metrics.create_source_pool()
 
     def on_receive(self, message: object) -> object:
-        """Make one call and send on what the source answered."""
+        """Send one request and report its result to the config actor."""
         try:
             match message:
                 case coordination.ReadSource():
@@ -63,7 +63,7 @@
             )
         except (ValueError, KeyError, TypeError) as error:
             raise exceptions.SourceError(
-                f"watch answer is not as documented: {error!r}"
+                f"malformed watch response: {error!r}"
             ) from None
 
     def _read_document(
@@ -84,9 +84,11 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise exceptions.SourceError(
-                f"{type(error).__name__} on {path}"
+                f"{type(error).__name__} on GET {path}"
             ) from None
         _metrics.count_source_response(response)
         if response.status != _HTTP_OK:
-            raise exceptions.SourceError(f"status {response.status} on {path}")
+            raise exceptions.SourceError(
+                f"HTTP status {response.status} on GET {path}"
+            )
         return response.data
