Reword transport features and their steps

Step texts, scenario names and feature heads used figurative wording.

Name the failure that each feature guards against and use the usual terms of HTTP. Step functions change with their texts; table rows, figures, bounds and assertions stay, as do the steps of measure_steps.

The tests check the same as before.

--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -1,4 +1,4 @@
-"""A TCP server that answers requests with scripted faults."""
+"""TCP server that responds to requests with scripted faults."""
 
 import collections.abc
 import contextlib
@@ -12,7 +12,7 @@
 
 
 def encode_response(request_id, status="200 OK", headers=(), body=b"done"):
-    """Return the bytes of a whole answer."""
+    """Return an encoded HTTP response."""
     lines = [f"HTTP/1.1 {status}", *headers]
     if request_id:
         lines.append(f"X-Request-Id: {request_id}")
@@ -22,7 +22,7 @@
 
 
 class ConnectionEnd(enum.Enum):
-    """What happens to the connection after an answer."""
+    """What the server does with the connection after a response."""
 
     KEEP = 0
     CLOSE = 1
@@ -35,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ScriptedResponse:
-    """What a server sends for each request, and whether it runs it."""
+    """Response to each request, and whether the request counts as run."""
 
     encode: collections.abc.Callable[[str], bytes] = encode_response
     end: ConnectionEnd = ConnectionEnd.KEEP
@@ -43,13 +43,13 @@
 
 
 def no_response(request_id):
-    """Return no answer."""
+    """Return an empty response."""
     del request_id
     return b""
 
 
 def chunked_response(body):
-    """Return what sends a chunked body."""
+    """Return an encoder of responses with a chunked body."""
     headers = ["Transfer-Encoding: chunked"]
     return lambda request_id: encode_response(
         request_id, "200 OK", headers, body
@@ -57,14 +57,14 @@
 
 
 def response_with_headers(status, *headers):
-    """Return what sends an answer with these headers."""
+    """Return an encoder of responses with these headers."""
     return lambda request_id: encode_response(
         request_id, status, headers, b"done"
     )
 
 
 def node_refusal(code, run_state):
-    """Return what sends the refusal of a node."""
+    """Return an encoder of refusals as a node sends them."""
     return response_with_headers(
         "503 Refused", f"X-Result-Code: {code}", f"X-Run-State: {run_state}"
     )
@@ -150,7 +150,7 @@
 
 
 class ScriptedServer:
-    """Serves one connection after another; counts the requests it runs."""
+    """Serves each connection in a thread and counts the requests run."""
 
     def __init__(self, fault):
         self.fault = fault
@@ -168,7 +168,7 @@
         self.thread.start()
 
     def close(self):
-        """Stop serving."""
+        """Stop the threads and close the listening socket."""
         self.stopped.set()
         with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)
--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -1,4 +1,4 @@
-"""Steps on calls over faulty backend servers, on real sockets."""
+"""Steps for calls to faulty backend servers over real sockets."""
 
 import contextlib
 import http.client
@@ -20,7 +20,7 @@
 
 
 def route(kind):
-    """Return a route of a kind."""
+    """Return a route of the given kind."""
     return state.RouteRow(
         kind.value,
         "ledger",
@@ -34,7 +34,7 @@
 
 
 def host_row(host, port):
-    """Return the row of a live host."""
+    """Return the host table row of a live host."""
     return state.HostRow(
         host,
         "ledger",
@@ -51,7 +51,7 @@
 
 
 class ScriptedAdmission:
-    """Admits each call here first and then forwards it to other hosts."""
+    """Admission stub that admits calls locally, then forwards retries."""
 
     def __init__(self):
         self.other_port_by_host = {}
@@ -64,7 +64,7 @@
         self.cancelled = threading.Event()
 
     def tell(self, message):
-        """Answer one message at once."""
+        """Process one message synchronously."""
         match message:
             case coordination.AdmitCall():
                 self.calls.append(message.call)
@@ -122,7 +122,7 @@
         )
 
 
-@given("a call server with a scripted admission")
+@given("a call server with scripted admission decisions")
 def step_call_server(context):
     context.exit_stack = contextlib.ExitStack()
     context.admission = ScriptedAdmission()
@@ -140,7 +140,7 @@
 
 
 def send_call(context, method):
-    """Send one call and return its answer as a table row shows it."""
+    """Send one call and return its status, result code and run state."""
     connection = http.client.HTTPConnection(
         "127.0.0.1", context.port, timeout=TIMEOUT_S
     )
@@ -156,7 +156,7 @@
 
 
 def run_row(context, row):
-    """Set up the servers of a row, send its calls and return what is seen."""
+    """Start the servers of a row, send its calls and return the outcome."""
     servers = [scripted_server.ScriptedServer(row["fault"])]
     if row["second host"]:
         servers.append(scripted_server.ScriptedServer(row["second host"]))
@@ -187,7 +187,7 @@
     return (*actual, str(runs), outcome)
 
 
-@when("calls meet these faults")
+@when("calls are sent to servers with these faults")
 def step_faults(context):
     names = ("status", "result code", "run state", "runs", "outcome")
     context.failures = []
@@ -200,9 +200,12 @@
             context.failures.append(f"{row} gave {actual}")
 
 
-@when("the node sees closed connections too late and calls meet these faults")
+@when(
+    "closed connections go undetected and calls are sent to servers with "
+    "these faults"
+)
 def step_late_faults(context):
-    # The peer's close crosses the request, as far as the node can tell.
+    # Simulates a FIN that arrives only after the request has been sent.
     socket_class = transport.DeadlineSocket
     original = socket_class.is_idle
     socket_class.is_idle = lambda self: True
@@ -212,7 +215,7 @@
         socket_class.is_idle = original
 
 
-@then("every outcome is as listed")
+@then("every call has the expected outcome")
 def step_outcomes(context):
     assert not context.failures, "\n".join(context.failures)
 
@@ -230,7 +233,7 @@
     context.actual = [send_call(context, "GET") for _ in range(count)]
 
 
-@then("{good:d} are answered and the others are refused with {code}")
+@then("{good:d} succeed and the others are refused with {code}")
 def step_budget_seen(context, good, code):
     answered = [actual for actual in context.actual if actual[0] == "200"]
     refused = {actual[1:] for actual in context.actual if actual[0] != "200"}
@@ -238,7 +241,7 @@
     assert refused == {(code, "may-have-run")}, context.actual
 
 
-@when("a call is in hand, one is sent and the server stops")
+@when("the server stops with a call in progress and another being sent")
 def step_stop(context):
     context.admission.admit_gate = threading.Event()
     server = scripted_server.ScriptedServer("none")
@@ -275,14 +278,14 @@
     context.idle_socket = idle.sock
 
 
-@then("both calls are answered, and idle connections don't delay the stop")
+@then("both calls succeed and idle connections do not delay the stop")
 def step_stopped(context):
     assert context.actual == [(200, True), (200, True)], context.actual
     assert context.stop_s < TIMEOUT_S, context.stop_s
     assert context.idle_socket.recv(1) == b""
 
 
-@when("a caller closes its connection while its call waits")
+@when("a caller closes its connection while its call is queued")
 def step_caller_gone(context):
     caller = http.client.HTTPConnection(
         "127.0.0.1", context.port, timeout=TIMEOUT_S
@@ -291,7 +294,7 @@
     caller.close()
 
 
-@then("the call is withdrawn")
-def step_withdrawn(context):
+@then("the call is cancelled")
+def step_call_cancelled(context):
     assert context.admission.cancelled.wait(TIMEOUT_S)
     assert context.admission.outcomes == []
--- a/features/steps/golden_steps.py
+++ b/features/steps/golden_steps.py
@@ -1,4 +1,4 @@
-"""Steps that record a session on raw sockets."""
+"""Steps that record a session over raw sockets."""
 
 import os
 import pathlib
@@ -28,9 +28,9 @@
 )
 
 
-@given("callers of every team are answered")
-def step_answered(context):
-    # A started node generates no tokens for one loan time.
+@given("calls of every team succeed on every host")
+def step_calls_succeed(context):
+    # A node generates no tokens for one loan period after its start.
     deployment = context.deployment
     teams = {
         row.team for row in deployment.rows_by_name[state.DocumentName.KEYS]
@@ -52,7 +52,7 @@
                 assert time.monotonic() < deadline_s, (row.host, team, status)
 
 
-@when("this part of a session is recorded")
+@when("these requests are added to the session")
 def step_record(context):
     if not hasattr(context, "session"):
         context.session = []
@@ -61,8 +61,8 @@
         context.session.append(_exchange(context, row, number))
 
 
-@when("the key of {team} is withdrawn")
-def step_withdraw(context, team):
+@when("the key of {team} is revoked")
+def step_revoke(context, team):
     name = state.DocumentName.KEYS
     rows = tuple(
         row
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -1,4 +1,4 @@
-"""Steps on raw requests to a call server."""
+"""Steps for raw requests to a call server."""
 
 import http.client
 import socket
@@ -37,7 +37,7 @@
 
 
 def encode(text):
-    """Return the bytes of a request from its table cell."""
+    """Encode the request described by a table cell."""
     line, _, extra = text.partition(";")
     extra = extra.removeprefix(" ")
     headers, body = HEADERS_AND_BODY_BY_NAME.get(
@@ -48,7 +48,7 @@
 
 
 def send_raw(context, method, data):
-    """Send bytes and return the answer's status and result code."""
+    """Send raw bytes and return the response status and result code."""
     with socket.create_connection(
         ("127.0.0.1", context.port), timeout=TIMEOUT_S
     ) as caller:
@@ -63,7 +63,7 @@
 
 
 def server_received(server, expected):
-    """Return whether the last request to the server is as listed."""
+    """Return whether the server's last request matches a table cell."""
     request = server.requests[-1]
     kind, _, value = expected.partition(" ")
     match kind:
@@ -76,7 +76,7 @@
     return expected.replace("\\r\\n", "\r\n").encode() in request
 
 
-@given("a backend server that answers")
+@given("a backend server without faults")
 def step_backend(context):
     context.server = scripted_server.ScriptedServer("none")
     context.exit_stack.callback(context.server.close)
@@ -85,7 +85,7 @@
     )
 
 
-@when("these requests are sent as they are")
+@when("these raw requests are sent")
 def step_requests(context):
     context.failures = []
     for row in context.table:
@@ -104,12 +104,12 @@
             )
 
 
-@then("each is answered as listed")
+@then("every request has the listed result")
 def step_as_listed(context):
     assert not context.failures, "\n".join(context.failures)
 
 
-@when("{count:d} requests are sent in one piece")
+@when("{count:d} pipelined requests are sent")
 def step_pipelined(context, count):
     with socket.create_connection(
         ("127.0.0.1", context.port), timeout=TIMEOUT_S
@@ -131,7 +131,7 @@
     ]
 
 
-@then("{count:d} answers come in the order of the requests")
+@then("{count:d} responses arrive in the order of the requests")
 def step_in_order(context, count):
     expected = [str(number).encode() for number in range(count)]
     assert context.actual == expected, context.actual
@@ -146,7 +146,7 @@
         context.exit_stack.callback(caller.close)
 
 
-@then("another call is answered")
+@then("another call succeeds")
 def step_another(context):
     actual = send_raw(context, "GET", encode("GET /lots"))
     assert actual == ("200", ""), actual
--- a/features/steps/session_steps.py
+++ b/features/steps/session_steps.py
@@ -1,4 +1,4 @@
-"""Steps on whole deployments over real sockets."""
+"""Steps for complete deployments over real sockets."""
 
 import contextlib
 import pathlib
@@ -57,12 +57,12 @@
             context.failures.append((row, actual))
 
 
-@then("every answer is as listed")
+@then("every response has the listed status and result code")
 def step_answers(context):
     assert not context.failures, context.failures
 
 
-@when("a table without the team {team} is accepted")
+@when("a table without the team {team} is published")
 def step_table_without(context, team):
     name = state.DocumentName.TABLE
     rows = tuple(
@@ -73,14 +73,14 @@
     context.document = context.deployment.publish(name, rows)
 
 
-@then("it is in force on every node")
+@then("the document is in force on every node")
 def step_in_force_everywhere(context):
     by_host = context.deployment.await_versions(context.document, 14.0)
     missing = context.deployment.node_by_host.keys() - by_host.keys()
     assert not missing, missing
 
 
-@then("no backend server has seen a key or run a request twice")
+@then("no backend server has received a key or run a request twice")
 def step_audit(context):
     for host in context.deployment.server_by_host:
         audit = context.deployment.audit(host)
@@ -88,7 +88,7 @@
         assert audit["run_more_than_once"] == [], (host, audit)
 
 
-@then("every node stops with status {status:d}")
+@then("every node exits with status {status:d}")
 def step_stop(context, status):
     nodes = context.deployment.node_by_host
     for node in nodes.values():
--- a/features/transport/faults.feature
+++ b/features/transport/faults.feature
@@ -1,12 +1,12 @@
 Feature: Calls over faulty backend servers
 
-  Guards against a booking that runs twice, a refusal whose run state is
-  untrue, a part of an answer passed on as the whole, and a call that
-  outlives its deadline.
+  Guards against bookings that run twice, refusals with a wrong run state,
+  truncated responses that are forwarded as complete, and calls that exceed
+  their deadline.
 
-  Scenario: Each fault ends in a true refusal or one retry
-    Given a call server with a scripted admission
-    When calls meet these faults
+  Scenario: Each fault leads to a correct refusal or one retry
+    Given a call server with scripted admission decisions
+    When calls are sent to servers with these faults
       | fault                            | second host | method | calls | status | result code | run state    | runs | outcome   |
       | none                             |             | POST   | 3     | 200    |             |              | 3    | answered  |
       | refuses                          |             | GET    | 1     | 502    | 301         | not-run      | 0    | not-sent  |
@@ -45,27 +45,27 @@
       | refuses as a node, answer cut    | none        | GET    | 1     | 200    |             |              | 2    |           |
       | closes after its first answer    |             | POST   | 3     | 200    |             |              | 3    | answered  |
       | closes after the second request  |             | POST   | 2     | 502    | 303         | may-have-run | 2    | broken    |
-    Then every outcome is as listed
+    Then every call has the expected outcome
 
-  Scenario: A kept connection that closes while a booking is sent loses none
-    Given a call server with a scripted admission
-    When the node sees closed connections too late and calls meet these faults
+  Scenario: No booking is lost when a persistent connection closes
+    Given a call server with scripted admission decisions
+    When closed connections go undetected and calls are sent to servers with these faults
       | fault                           | second host | method | calls | status | result code | run state    | runs | outcome  |
       | closes after its first answer   |             | POST   | 3     | 200    |             |              | 3    | answered |
       | closes after the second request |             | POST   | 2     | 502    | 303         | may-have-run | 2    | broken   |
-    Then every outcome is as listed
+    Then every call has the expected outcome
 
-  Scenario: Retries stop at their budget
-    Given a call server with a scripted admission
+  Scenario: Retries stop when the retry budget is exhausted
+    Given a call server with scripted admission decisions
     When lookups fail 14 times in a row
-    Then 11 are answered and the others are refused with 218
+    Then 11 succeed and the others are refused with 218
 
-  Scenario: A stop cuts no call
-    Given a call server with a scripted admission
-    When a call is in hand, one is sent and the server stops
-    Then both calls are answered, and idle connections don't delay the stop
+  Scenario: A graceful stop completes all calls
+    Given a call server with scripted admission decisions
+    When the server stops with a call in progress and another being sent
+    Then both calls succeed and idle connections do not delay the stop
 
-  Scenario: A call whose caller has gone leaves the queue
-    Given a call server with a scripted admission
-    When a caller closes its connection while its call waits
-    Then the call is withdrawn
+  Scenario: A queued call is cancelled when its caller disconnects
+    Given a call server with scripted admission decisions
+    When a caller closes its connection while its call is queued
+    Then the call is cancelled
--- a/features/transport/golden.feature
+++ b/features/transport/golden.feature
@@ -1,13 +1,14 @@
-Feature: Whole sessions byte for byte
+Feature: Golden recording of a session
 
-  Guards against any change of what callers see, in a header, a body or a
-  refusal, that nobody meant to make. JASMINECRANK_WRITE_GOLDEN=1 writes the
-  file anew; its difference is then read like code.
+  Guards against unintended changes of response headers, bodies and refusals,
+  by comparing a session with a golden file byte for byte. With
+  JASMINECRANK_WRITE_GOLDEN=1 the file is rewritten; review its diff like
+  code.
 
   Scenario: A session of callers in kuopio
     Given the deployment kuopio runs
-    And callers of every team are answered
-    When this part of a session is recorded
+    And calls of every team succeed on every host
+    When these requests are added to the session
       | host            | method | path            | team     | header                | body    |
       | intake-ledger-1 | GET    | /lots/1         | belt-ops |                       |         |
       | intake-ledger-1 | GET    | /lots/1?grade=2 | belt-ops | X-Deadline-Ms: 1500   |         |
@@ -23,17 +24,17 @@
       | intake-ledger-1 | DELETE | /lots/1         | belt-ops |                       |         |
       | intake-ledger-1 | GET    | /lots/1         | belt-ops | X-Deadline-Ms: soon   |         |
       | intake-ledger-1 | GET    | /lots/1         | belt-ops | X-Deadline-Ms: 0      |         |
-    And the key of accounts is withdrawn
-    Then it is in force on every node
-    When this part of a session is recorded
+    And the key of accounts is revoked
+    Then the document is in force on every node
+    When these requests are added to the session
       | host            | method | path            | team     | header                | body    |
       | intake-ledger-1 | GET    | /lots/2         | accounts |                       |         |
       | intake-ledger-1 | GET    | /lots/2         | belt-ops |                       |         |
-    And a table without the team haulage is accepted
-    Then it is in force on every node
-    When this part of a session is recorded
+    And a table without the team haulage is published
+    Then the document is in force on every node
+    When these requests are added to the session
       | host            | method | path            | team     | header                | body    |
       | intake-ledger-1 | GET    | /lots/3         | belt-ops |                       |         |
       | intake-ledger-6 | GET    | /board          | belt-ops |                       |         |
     Then the session equals features/golden/kuopio_session.txt
-    And no backend server has seen a key or run a request twice
+    And no backend server has received a key or run a request twice
--- a/features/transport/metrics.feature
+++ b/features/transport/metrics.feature
@@ -1,9 +1,9 @@
 Feature: Metrics of a node
 
-  Guards against a metric that no page lists, a listed one that no node has,
-  and control traffic that is not counted.
+  Guards against undocumented metrics, documented metrics that are not
+  exported, and control traffic that is not counted.
 
-  Scenario: The page lists what a node exports
+  Scenario: The documentation lists every exported metric
     Given the deployment kuopio runs
     When the metrics of intake-ledger-1 are read
     Then docs/metrics.md lists every jasminecrank metric and no other
--- a/features/transport/requests.feature
+++ b/features/transport/requests.feature
@@ -1,13 +1,13 @@
-Feature: Requests as callers send them
+Feature: Raw HTTP requests
 
-  Guards against a request that another implementation would read in another
-  way, a key or a header of the node that reaches a backend server from
-  outside, and bodies above the limit.
+  Guards against requests that HTTP implementations parse differently, API
+  keys and spoofed node headers that reach a backend server, and bodies above
+  the size limit.
 
-  Scenario: Ambiguous requests are refused and the others go on unchanged
-    Given a call server with a scripted admission
-    And a backend server that answers
-    When these requests are sent as they are
+  Scenario: Ambiguous requests are refused and others are forwarded intact
+    Given a call server with scripted admission decisions
+    And a backend server without faults
+    When these raw requests are sent
       | request                        | status | code | server gets                |
       | GET /lots?a=%20b               | 200    |      | GET /lots?a=%20b           |
       | HEAD /lots                     | 200    |      | HEAD /lots                 |
@@ -38,16 +38,16 @@
       | GET /board/../lots             | 400    | 215  |                            |
       | GET /board/%2e%2E/lots         | 400    | 215  |                            |
       | GET lots                       | 400    | 215  |                            |
-    Then each is answered as listed
+    Then every request has the listed result
 
-  Scenario: Requests sent together are answered in order
-    Given a call server with a scripted admission
-    And a backend server that answers
-    When 20 requests are sent in one piece
-    Then 20 answers come in the order of the requests
+  Scenario: Pipelined requests are answered in order
+    Given a call server with scripted admission decisions
+    And a backend server without faults
+    When 20 pipelined requests are sent
+    Then 20 responses arrive in the order of the requests
 
-  Scenario: Callers that send nothing hold no worker thread
-    Given a call server with a scripted admission
-    And a backend server that answers
+  Scenario: Idle connections occupy no worker thread
+    Given a call server with scripted admission decisions
+    And a backend server without faults
     When 40 callers connect and send nothing
-    Then another call is answered
+    Then another call succeeds
--- a/features/transport/session.feature
+++ b/features/transport/session.feature
@@ -1,9 +1,9 @@
-Feature: Calls through real processes
+Feature: Calls through node processes
 
-  Guards against a path that only works in parts: every node runs as a
-  process of its own, on real sockets.
+  Guards against components that work separately but not together: every
+  node runs in its own process and uses real sockets.
 
-  Scenario: A small deployment serves calls and follows the table
+  Scenario: A small deployment serves calls and applies a new table
     Given the deployment kuopio runs
     When these calls are sent
       | host            | method | path       | team     | status | result code |
@@ -14,8 +14,8 @@
       | intake-ledger-1 | GET    | /lots/1    |          | 401    | 202         |
       | intake-ledger-1 | GET    | /lots/1    | stranger | 401    | 203         |
       | intake-ledger-1 | GET    | /nowhere   | belt-ops | 404    | 201         |
-    Then every answer is as listed
-    When a table without the team accounts is accepted
-    Then it is in force on every node
-    And no backend server has seen a key or run a request twice
-    And every node stops with status 0
+    Then every response has the listed status and result code
+    When a table without the team accounts is published
+    Then the document is in force on every node
+    And no backend server has received a key or run a request twice
+    And every node exits with status 0
