--- a/src/jasminecrank/daemon/_node.py
+++ b/src/jasminecrank/daemon/_node.py
@@ -1,4 +1,4 @@
-"""Assembly of the node process."""
+"""Setup and shutdown of the node process."""
 
 import contextlib
 from dataclasses import dataclass
@@ -20,9 +20,9 @@
 from jasminecrank import transport
 from jasminecrank.daemon import _settings
 
-_SWITCH_INTERVAL_S = 0.0005  # 0.005, the default, added up to 5 ms to a call
+_SWITCH_INTERVAL_S = 0.0005  # the default of 0.005 adds up to 5 ms to a call
 _LISTEN_BACKLOG = 128
-_DRAIN_S = 20.0  # above every deadline of a route in the examples, 5 s
+_DRAIN_TIMEOUT_S = 20.0  # exceeds the 5 s deadlines of the example routes
 
 
 @dataclass(slots=True)
@@ -39,7 +39,7 @@
 
     @classmethod
     def from_config(cls, settings: _settings.NodeSettings) -> "Node":
-        """Return a node whose actors and servers run."""
+        """Start the actors and servers of a node."""
         clock = state.SystemClock()
         timers = coordination.Timers.start(clock)
         rng = random.Random(f"{settings.host}/{os.getpid()}/{time.time_ns()}")
@@ -63,20 +63,20 @@
         )
         membership = _start_membership(settings, clock, timers, rng)
         source = transport.SourceReader.start(settings.source_url, config)
-        server = transport.Target(
+        backend_server = transport.Target(
             settings.server_address, settings.server_port
         )
-        transport.HealthProbe.start(server, timers, admission)
+        transport.HealthProbe.start(backend_server, timers, admission)
         node = cls(
             timers=timers,
             config=config,
             admission=admission,
             membership=membership,
-            call_server=_call_server(settings, admission, clock),
+            call_server=_start_call_server(settings, admission, clock),
             peer_server=transport.PeerServer.start(
-                settings.host, membership, _listen(settings)
+                settings.host, membership, _listen_for_peers(settings)
             ),
-            admin_server=_admin_server(
+            admin_server=_start_admin_server(
                 settings,
                 transport.NodeActors(config, admission, membership),
             ),
@@ -87,14 +87,14 @@
         return node
 
     def stop(self) -> None:
-        """Stop as planned: finish the calls in hand, then close."""
+        """Shut down gracefully: finish calls in progress, then close."""
         self.admission.tell(coordination.StopRequested())
         self.membership.tell(coordination.StopRequested())
         self.call_server.drain()
         drained: pykka.ThreadingFuture[None] = pykka.ThreadingFuture()
         self.admission.tell(coordination.AwaitDrained(drained))
         with contextlib.suppress(pykka.Timeout):
-            drained.get(timeout=_DRAIN_S)
+            drained.get(timeout=_DRAIN_TIMEOUT_S)
         self.call_server.stop()
         self.admin_server.stop()
         self.peer_server.stop()
@@ -125,7 +125,7 @@
     )
 
 
-def _call_server(
+def _start_call_server(
     settings: _settings.NodeSettings,
     admission: pykka.ActorRef[coordination.AdmissionActor],
     clock: state.Clock,
@@ -134,7 +134,9 @@
         host=settings.host,
         address=settings.address,
         port=settings.call_port,
-        server=transport.Target(settings.server_address, settings.server_port),
+        backend_server=transport.Target(
+            settings.server_address, settings.server_port
+        ),
         threads=settings.threads,
     )
     application = transport.CallApplication.from_settings(
@@ -146,7 +148,7 @@
     return server
 
 
-def _admin_server(
+def _start_admin_server(
     settings: _settings.NodeSettings, actors: transport.NodeActors
 ) -> transport.AdminServer:
     admin_settings = transport.AdminSettings(
@@ -162,7 +164,7 @@
     return server
 
 
-def _listen(settings: _settings.NodeSettings) -> socket.socket:
+def _listen_for_peers(settings: _settings.NodeSettings) -> socket.socket:
     listener = socket.create_server(
         (settings.address, settings.peer_port), backlog=_LISTEN_BACKLOG
     )
@@ -174,8 +176,8 @@
 def _check_sockets(settings: _settings.NodeSettings) -> None:
     """Raise SettingError for an address or port that cannot be bound.
 
-    Checked before any thread starts, because threads of a half started node
-    would keep the process alive.
+    Runs before any thread is started, because the threads of a partially
+    started node would keep the process alive.
     """
     _check_socket("address", settings.address, 0)
     _check_socket("call-port", settings.address, settings.call_port)
@@ -196,7 +198,7 @@
 def run_node(settings: _settings.NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
     _check_sockets(settings)
-    transport.install_json_lines(settings.host, settings.data_centre)
+    transport.install_json_logging(settings.host, settings.data_centre)
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
     stopping = threading.Event()
 
@@ -207,7 +209,7 @@
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
     node = Node.from_config(settings)
-    # Objects that live as long as the process need no further collection.
+    # Excludes objects that live as long as the process from collection.
     gc.freeze()
     stopping.wait()
     node.stop()
--- a/src/jasminecrank/protocol/_cbor.py
+++ b/src/jasminecrank/protocol/_cbor.py
@@ -1,4 +1,4 @@
-"""CBOR encoding of the messages between nodes."""
+"""CBOR codec of the peer messages."""
 
 from collections.abc import Mapping
 import typing
@@ -13,13 +13,13 @@
 from jasminecrank.protocol import _quota_codec
 
 _COMPRESS_ABOVE_BYTES = 1024
-_PLAIN = b"\x00"
+_UNCOMPRESSED = b"\x00"
 _DEFLATED = b"\x01"
 MAX_FRAME_BYTES = 4 * const.MAX_DOCUMENT_BYTES
 
 
 def encode_envelope(envelope: coordination.Envelope) -> bytes:
-    """Return the frame of a message."""
+    """Encode a message as a frame, compressed if it is large."""
     stamp = envelope.stamp
     payload = cbor2.dumps(
         [
@@ -29,12 +29,12 @@
         ]
     )
     if len(payload) <= _COMPRESS_ABOVE_BYTES:
-        return _PLAIN + payload
+        return _UNCOMPRESSED + payload
     return _DEFLATED + zlib.compress(payload, 6)
 
 
 def decode_envelope(frame: bytes) -> coordination.Envelope:
-    """Return the message of a frame; raise MessageError if it has none."""
+    """Decode a frame; raise MessageError if it is malformed."""
     try:
         values = cbor2.loads(_inflate(frame))
         sender, stamp, kind, *fields = values
@@ -50,15 +50,15 @@
 
 
 def _inflate(frame: bytes) -> bytes:
-    if frame[:1] == _PLAIN:
+    if frame[:1] == _UNCOMPRESSED:
         return frame[1:]
     if frame[:1] != _DEFLATED:
         raise exceptions.MessageError(f"unknown frame type {frame[:1]!r}")
-    inflater = zlib.decompressobj()
-    payload = inflater.decompress(frame[1:], MAX_FRAME_BYTES)
-    if inflater.unconsumed_tail:
+    decompressor = zlib.decompressobj()
+    payload = decompressor.decompress(frame[1:], MAX_FRAME_BYTES)
+    if decompressor.unconsumed_tail:
         raise exceptions.MessageError(
-            f"frame inflates to more than {MAX_FRAME_BYTES} bytes"
+            f"decompressed frame exceeds {MAX_FRAME_BYTES} bytes"
         )
     return payload
 
@@ -76,12 +76,12 @@
                 message.host,
                 message.data_centre,
                 message.incarnation,
-                _encode_vector(message.versions),
+                _encode_version_vector(message.versions),
             ]
         case coordination.Heartbeat():
             return [
                 "heartbeat",
-                _encode_vector(message.versions),
+                _encode_version_vector(message.versions),
                 message.draining,
                 message.confirmed_age_s,
             ]
@@ -111,14 +111,23 @@
             return [
                 "versions",
                 message.query_id,
-                _encode_vector(message.versions),
+                _encode_version_vector(message.versions),
             ]
         case coordination.LoanRequestMessage():
-            return ["loan-request", *_quota_codec.encode_ask(message.request)]
+            return [
+                "loan-request",
+                *_quota_codec.encode_loan_request(message.request),
+            ]
         case coordination.LoanGrantMessage():
-            return ["loan-grant", *_quota_codec.encode_offer(message.grant)]
+            return [
+                "loan-grant",
+                *_quota_codec.encode_loan_grant(message.grant),
+            ]
         case coordination.ShareReportMessage():
-            return ["shares", *_quota_codec.encode_report(message.report)]
+            return [
+                "shares",
+                *_quota_codec.encode_share_report(message.report),
+            ]
         case coordination.Goodbye():
             return ["goodbye", message.reason]
         case _:
@@ -134,11 +143,11 @@
                 str(host),
                 str(data_centre),
                 int(incarnation),
-                _decode_vector(versions),
+                _decode_version_vector(versions),
             )
         case "heartbeat", [versions, draining, confirmed_age_s]:
             return coordination.Heartbeat(
-                _decode_vector(versions),
+                _decode_version_vector(versions),
                 bool(draining),
                 float(confirmed_age_s),
             )
@@ -146,7 +155,7 @@
             return coordination.VersionsRequest(int(query_id))
         case "versions", [query_id, versions]:
             return coordination.VersionsReply(
-                int(query_id), _decode_vector(versions)
+                int(query_id), _decode_version_vector(versions)
             )
         case "delta", [name, base, target, upserts, removed]:
             return coordination.DocumentDelta(
@@ -172,21 +181,21 @@
             )
         case "loan-request", _:
             return coordination.LoanRequestMessage(
-                _quota_codec.decode_ask(fields)
+                _quota_codec.decode_loan_request(fields)
             )
         case "loan-grant", _:
             return coordination.LoanGrantMessage(
-                _quota_codec.decode_offer(fields)
+                _quota_codec.decode_loan_grant(fields)
             )
         case "shares", _:
             return coordination.ShareReportMessage(
-                _quota_codec.decode_report(fields)
+                _quota_codec.decode_share_report(fields)
             )
         case "goodbye", [reason]:
             return coordination.Goodbye(str(reason))
         case _:
             raise exceptions.MessageError(
-                f"unknown message {kind!r} with {len(fields)} fields"
+                f"unknown message type {kind!r} with {len(fields)} fields"
             )
 
 
@@ -199,11 +208,11 @@
     return state.Version(int(number), bytes(digest).hex())
 
 
-def _encode_vector(versions: state.VersionVector) -> list[object]:
+def _encode_version_vector(versions: state.VersionVector) -> list[object]:
     return [_encode_version(versions.get(name)) for name in state.DocumentName]
 
 
-def _decode_vector(values: list[typing.Any]) -> state.VersionVector:
+def _decode_version_vector(values: list[typing.Any]) -> state.VersionVector:
     table, keys, hosts, outages = (_decode_version(value) for value in values)
     return state.VersionVector(table, keys, hosts, outages)
 
--- a/src/jasminecrank/transport/_call_runner.py
+++ b/src/jasminecrank/transport/_call_runner.py
@@ -1,4 +1,4 @@
-"""Runs one call: decisions, attempts and the answer that follows."""
+"""Execution of a call: admission, attempts, retries and the answer."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -16,14 +16,14 @@
 from jasminecrank.transport import _caller_watch
 from jasminecrank.transport import _forwarder
 
-_PROMPT_S = 0.02
-_SERVER_IDLE_S = 4.0
-_NODE_IDLE_S = 20.0  # below the keep-alive time of the nodes' call servers
+_CALLER_WATCH_DELAY_S = 0.02
+_SERVER_MAX_IDLE_S = 4.0
+_NODE_MAX_IDLE_S = 20.0  # below the keep-alive timeout of the call server
 
 
 @dataclass(slots=True, frozen=True)
 class CallRecord:
-    """How a call ended, for the caller and for the log."""
+    """Result of a call, for the caller and for the log."""
 
     answer: state.Answer
     version: state.Version
@@ -37,8 +37,8 @@
     attempts: int = 0
 
 
-class DecisionSlot:
-    """Where a worker thread waits for the decision on its call."""
+class DecisionFuture:
+    """Future of the admission decision that a worker thread waits for."""
 
     __slots__ = ("_queue",)
 
@@ -46,114 +46,118 @@
         self._queue: queue.SimpleQueue[state.Decision] = queue.SimpleQueue()
 
     def set(self, value: state.Decision | None = None) -> None:
-        """Deliver the decision."""
+        """Pass the decision to the waiting thread; ignore None."""
         if value is not None:
             self._queue.put(value)
 
     def wait(self) -> state.Decision:
-        """Return the decision when it comes."""
+        """Block until the decision arrives."""
         return self._queue.get()
 
-    def wait_promptly(self) -> state.Decision | None:
-        """Return the decision, or None if the call waits in the queue."""
+    def wait_briefly(self) -> state.Decision | None:
+        """Return the decision, or None while the call is still queued."""
         try:
-            return self._queue.get(timeout=_PROMPT_S)
+            return self._queue.get(timeout=_CALLER_WATCH_DELAY_S)
         except queue.Empty:
             return None
 
 
 @dataclass(slots=True)
 class CallRunner:
-    """Runs calls on the own backend server and on other nodes."""
+    """Runs calls on the local backend server or forwards them to nodes."""
 
     host: str
-    server: _forwarder.Target
+    backend_server: _forwarder.Target
     admission: pykka.ActorRef[coordination.AdmissionActor]
     retries: pykka.ActorRef[coordination.RetryActor]
     clock: state.Clock
-    server_client: _forwarder.ServerClient
-    node_client: _forwarder.ServerClient
-    call_numbers: Iterator[int]
+    server_client: _forwarder.HttpClient
+    node_client: _forwarder.HttpClient
+    call_counter: Iterator[int]
 
     @classmethod
     def from_actors(
         cls,
         host: str,
-        server: _forwarder.Target,
+        backend_server: _forwarder.Target,
         admission: pykka.ActorRef[coordination.AdmissionActor],
         retries: pykka.ActorRef[coordination.RetryActor],
         clock: state.Clock,
     ) -> typing.Self:
-        """Return a runner without open connections."""
+        """Return a runner with empty connection pools."""
         return cls(
             host=host,
-            server=server,
+            backend_server=backend_server,
             admission=admission,
             retries=retries,
             clock=clock,
-            server_client=_forwarder.ServerClient(_SERVER_IDLE_S),
-            node_client=_forwarder.ServerClient(_NODE_IDLE_S),
-            call_numbers=itertools.count(1),
+            server_client=_forwarder.HttpClient(_SERVER_MAX_IDLE_S),
+            node_client=_forwarder.HttpClient(_NODE_MAX_IDLE_S),
+            call_counter=itertools.count(1),
         )
 
     def run(
         self, call: protocol.HttpCall, caller: _caller_watch.Caller
     ) -> CallRecord:
-        """Return how a call ends, after as many attempts as it may have."""
+        """Run a call, retrying within its limits, and return its result."""
         request = call.request
         attempts = state.Attempts(
             request.request_id, may_retry=request.forwarded_by is None
         )
-        calls_seen = next(self.call_numbers)
-        last: CallRecord | None = None
+        calls_seen = next(self.call_counter)
+        last_record: CallRecord | None = None
         while True:
             decision = self._decide(request, caller)
             match decision:
                 case state.Admitted():
-                    step = self._run_here(call, decision.permit, attempts)
-                    last = _admitted(decision.permit, attempts)
+                    next_step = self._run_locally(
+                        call, decision.permit, attempts
+                    )
+                    last_record = _admitted_record(decision.permit, attempts)
                 case state.ForwardTo():
-                    step = self._forward(call, decision, attempts)
-                    last = _forwarded(decision, attempts)
+                    next_step = self._forward(call, decision, attempts)
+                    last_record = _forwarded_record(decision, attempts)
                 case state.Replay() | state.Refused():
-                    return _without_attempt(decision, request, attempts, last)
+                    return _record_without_attempt(
+                        decision, request, attempts, last_record
+                    )
                 case _:
                     typing.assert_never(decision)
-            match step:
+            match next_step:
                 case state.TryElsewhere():
                     if self._take_retry(calls_seen):
                         request = replace(
                             request, tried_hosts=tuple(attempts.hosts)
                         )
                         continue
-                    step = attempts.conclude(
+                    next_step = attempts.conclude(
                         exceptions.ResultCode.RETRY_BUDGET_EXHAUSTED
                     )
                 case state.Deliver() | state.Refuse():
                     pass
                 case _:
-                    typing.assert_never(step)
-            return _concluded(step, request, last)
+                    typing.assert_never(next_step)
+            return _final_record(next_step, request, last_record)
 
     def _decide(
         self, request: state.CallRequest, caller: _caller_watch.Caller
     ) -> state.Decision:
-        slot = DecisionSlot()
-        self.admission.tell(coordination.AdmitCall(request, slot))
-        decision = slot.wait_promptly()
+        future = DecisionFuture()
+        self.admission.tell(coordination.AdmitCall(request, future))
+        decision = future.wait_briefly()
         if decision is not None:
             return decision
         cancel = coordination.CancelCall(request.request_id)
         with caller.watching(lambda: self.admission.tell(cancel)):
-            return slot.wait()
+            return future.wait()
 
     def _take_retry(self, calls_seen: int) -> bool:
-        taken: bool = coordination.ask(
+        granted: bool = coordination.ask(
             self.retries, coordination.TakeRetry(calls_seen)
         )
-        return taken
+        return granted
 
-    def _run_here(
+    def _run_locally(
         self,
         call: protocol.HttpCall,
         permit: state.Permit,
@@ -165,14 +169,14 @@
             attempts.begin(self.host, permit.route.kind)
             outgoing = _forwarder.OutgoingCall(
                 call,
-                protocol.server_headers(call, permit, started_s),
+                protocol.backend_server_headers(call, permit, started_s),
                 permit.deadline_at_s,
             )
-            evidence = self.server_client.send(
-                self.server, outgoing, protocol.server_evidence
+            attempt_result = self.server_client.send(
+                self.backend_server, outgoing, protocol.decode_server_response
             )
-            outcome = self._outcome(evidence, started_s)
-            return attempts.end(permit.route.kind, evidence)
+            outcome = self._outcome(attempt_result, started_s)
+            return attempts.end(permit.route.kind, attempt_result)
         finally:
             self.admission.tell(coordination.CallFinished(permit, outcome))
 
@@ -196,37 +200,39 @@
             target = _forwarder.Target(
                 decision.host.address, decision.host.call_port
             )
-            evidence = self.node_client.send(
-                target, outgoing, protocol.node_evidence
+            attempt_result = self.node_client.send(
+                target, outgoing, protocol.decode_node_response
             )
-            outcome = self._outcome(evidence, started_s)
-            return attempts.end(decision.route.kind, evidence)
+            outcome = self._outcome(attempt_result, started_s)
+            return attempts.end(decision.route.kind, attempt_result)
         finally:
             self.admission.tell(
                 coordination.ForwardFinished(decision, outcome)
             )
 
     def _outcome(
-        self, evidence: state.AttemptResult, started_s: float
+        self, attempt_result: state.AttemptResult, started_s: float
     ) -> state.Outcome:
-        proved = state.run_state(evidence)
+        proven_state = state.run_state(attempt_result)
         return state.Outcome(
-            state.outcome_kind(evidence),
+            state.outcome_kind(attempt_result),
             self.clock.monotonic_s() - started_s,
-            _answer_of(evidence),
-            proved is exceptions.RunState.NOT_RUN,
+            _answer_of(attempt_result),
+            proven_state is exceptions.RunState.NOT_RUN,
         )
 
 
-def _answer_of(evidence: state.AttemptResult) -> state.Answer | None:
-    match evidence:
+def _answer_of(attempt_result: state.AttemptResult) -> state.Answer | None:
+    match attempt_result:
         case state.Answered() | state.Shed() | state.NodeRefused():
-            return evidence.answer
+            return attempt_result.answer
         case _:
             return None
 
 
-def _admitted(permit: state.Permit, attempts: state.Attempts) -> CallRecord:
+def _admitted_record(
+    permit: state.Permit, attempts: state.Attempts
+) -> CallRecord:
     return CallRecord(
         answer=state.Answer(0, (), b""),
         version=permit.version,
@@ -238,7 +244,7 @@
     )
 
 
-def _forwarded(
+def _forwarded_record(
     decision: state.ForwardTo, attempts: state.Attempts
 ) -> CallRecord:
     return CallRecord(
@@ -253,53 +259,53 @@
     )
 
 
-def _concluded(
-    step: state.Deliver | state.Refuse,
+def _final_record(
+    next_step: state.Deliver | state.Refuse,
     request: state.CallRequest,
-    last: CallRecord,
+    last_record: CallRecord,
 ) -> CallRecord:
-    match step:
+    match next_step:
         case state.Deliver():
-            return replace(last, answer=step.answer)
+            return replace(last_record, answer=next_step.answer)
         case state.Refuse():
             refused = state.Refused(
-                step.code,
-                step.run_state,
-                last.version,
-                last.team,
-                last.service,
+                next_step.code,
+                next_step.run_state,
+                last_record.version,
+                last_record.team,
+                last_record.service,
             )
             return replace(
                 refusal_record(refused, request.request_id),
-                route=last.route,
-                attempts=last.attempts,
+                route=last_record.route,
+                attempts=last_record.attempts,
             )
         case _:
-            typing.assert_never(step)
+            typing.assert_never(next_step)
 
 
-def _without_attempt(
+def _record_without_attempt(
     decision: state.Replay | state.Refused,
     request: state.CallRequest,
     attempts: state.Attempts,
-    last: CallRecord | None,
+    last_record: CallRecord | None,
 ) -> CallRecord:
     match decision:
         case state.Replay():
             return CallRecord(decision.answer, decision.version, "replayed")
         case state.Refused():
-            if last is None:
+            if last_record is None:
                 return refusal_record(decision, request.request_id)
             if decision.code is exceptions.ResultCode.NO_HOST_AVAILABLE:
-                return _concluded(attempts.conclude(), request, last)
-            step = attempts.refuse(decision.code, decision.run_state)
-            return _concluded(step, request, last)
+                return _final_record(attempts.conclude(), request, last_record)
+            next_step = attempts.refuse(decision.code, decision.run_state)
+            return _final_record(next_step, request, last_record)
         case _:
             typing.assert_never(decision)
 
 
 def refusal_record(refused: state.Refused, request_id: str) -> CallRecord:
-    """Return the record of a refused call."""
+    """Return the record of a refused call, with its encoded answer."""
     return CallRecord(
         answer=protocol.encode_refusal(refused, request_id),
         version=refused.version,
--- a/src/jasminecrank/transport/_call_server.py
+++ b/src/jasminecrank/transport/_call_server.py
@@ -1,4 +1,4 @@
-"""HTTP server for calls."""
+"""Call server: request handling, logging and shutdown."""
 
 from dataclasses import dataclass
 import threading
@@ -17,24 +17,24 @@
 from jasminecrank.transport import _forwarder
 from jasminecrank.transport import _logs
 
-_DRAIN_S = 0.5
-"""How long callers learn by Connection: close that this node stops."""
+_DRAIN_NOTICE_S = 0.5
+"""Time before a stop in which responses carry Connection: close."""
 
 
 @dataclass(slots=True, frozen=True)
 class CallServerSettings:
-    """Where calls come in and where the backend server is."""
+    """Listen address of the call server and its backend server."""
 
     host: str
     address: str
     port: int
-    server: _forwarder.Target
+    backend_server: _forwarder.Target
     threads: int
 
 
 @dataclass(slots=True)
 class CallApplication:
-    """Answers requests by running calls, and logs each once."""
+    """Request handler that runs calls and logs each of them once."""
 
     runner: _call_runner.CallRunner
     clock: state.Clock
@@ -47,16 +47,16 @@
         retries: pykka.ActorRef[coordination.RetryActor],
         clock: state.Clock,
     ) -> typing.Self:
-        """Return an application without open connections."""
+        """Return an application with empty connection pools."""
         runner = _call_runner.CallRunner.from_actors(
-            settings.host, settings.server, admission, retries, clock
+            settings.host, settings.backend_server, admission, retries, clock
         )
         return cls(runner, clock)
 
     def answer(
         self, request: protocol.HttpRequest, caller: _caller_watch.Caller
-    ) -> _call_http.Handled:
-        """Return the answer to a request."""
+    ) -> _call_http.HandledRequest:
+        """Decode and run a call; refuse a request that can't be decoded."""
         started_s = self.clock.monotonic_s()
         try:
             call = protocol.decode_call(request, started_s)
@@ -69,10 +69,12 @@
         except exceptions.InvariantError:
             coordination.NodeActor.on_crash()
             raise
-        return self._handled(call.request, record, started_s)
+        return self._handled_request(call.request, record, started_s)
 
-    def refuse_body(self, method: str, target: str) -> _call_http.Handled:
-        """Return the refusal of a request whose body is too large."""
+    def refuse_too_large(
+        self, method: str, target: str
+    ) -> _call_http.HandledRequest:
+        """Return and log the refusal of an oversized request."""
         return self._refuse(
             exceptions.ResultCode.BODY_TOO_LARGE,
             method,
@@ -86,32 +88,36 @@
         method: str,
         target: str,
         started_s: float,
-    ) -> _call_http.Handled:
+    ) -> _call_http.HandledRequest:
         refused = state.Refused(
             code, exceptions.RunState.NOT_RUN, state.NO_VERSION
         )
         path = target.partition("?")[0]
         request = state.CallRequest("", method, path, None, None, None, None)
-        return self._handled(
+        return self._handled_request(
             request, _call_runner.refusal_record(refused, ""), started_s
         )
 
-    def _handled(
+    def _handled_request(
         self,
         request: state.CallRequest,
         record: _call_runner.CallRecord,
         started_s: float,
-    ) -> _call_http.Handled:
+    ) -> _call_http.HandledRequest:
         duration_s = self.clock.monotonic_s() - started_s
 
-        def log() -> None:
-            _logs.log_fields("call", _fields(request, record, duration_s))
+        def log_call() -> None:
+            _logs.log_fields(
+                "call", _call_log_fields(request, record, duration_s)
+            )
 
-        return _call_http.Handled(_with_own_headers(request, record), log)
+        return _call_http.HandledRequest(
+            _add_node_headers(request, record), log_call
+        )
 
 
 class CallServer:
-    """Owns the listening socket for calls and its worker threads."""
+    """Runs the HTTP server for calls in a thread of its own."""
 
     __slots__ = ("_server", "_thread")
 
@@ -126,42 +132,45 @@
         )
 
     def start(self) -> int:
-        """Begin to serve and return the bound port."""
+        """Start serving and return the bound port."""
         self._server.prepare()
         self._thread.start()
         port: int = self._server.bind_addr[1]
         return port
 
     def drain(self) -> None:
-        """Close each connection after its next answer from now on."""
+        """Start closing each connection after its next response."""
         self._server.draining = True
 
     def stop(self) -> None:
-        """Let callers go elsewhere, then answer what was received."""
+        """Let callers disconnect, then serve received requests and stop."""
         self.drain()
-        threading.Event().wait(_DRAIN_S)
+        threading.Event().wait(_DRAIN_NOTICE_S)
         self._server.stop()
         self._thread.join()
 
 
-def _with_own_headers(
+def _add_node_headers(
     request: state.CallRequest, record: _call_runner.CallRecord
 ) -> state.Answer:
     answer = record.answer
-    names = {name.lower() for name, _ in answer.headers}
+    header_names = {name.lower() for name, _ in answer.headers}
     headers = [
         *answer.headers,
         (const.HEADER_REQUEST_ID, request.request_id),
     ]
-    # A forwarded answer names the version by which the other node ran it.
-    if const.HEADER_TABLE_VERSION.lower() not in names:
+    # A forwarded answer already has the table version of the other node.
+    if const.HEADER_TABLE_VERSION.lower() not in header_names:
         headers.append((const.HEADER_TABLE_VERSION, str(record.version)))
-    if "content-length" not in names and answer.status not in (204, 304):
+    if "content-length" not in header_names and answer.status not in (
+        204,
+        304,
+    ):
         headers.append(("Content-Length", str(len(answer.body))))
     return state.Answer(answer.status, tuple(headers), answer.body)
 
 
-def _fields(
+def _call_log_fields(
     request: state.CallRequest,
     record: _call_runner.CallRecord,
     duration_s: float,
--- a/src/jasminecrank/transport/_metrics.py
+++ b/src/jasminecrank/transport/_metrics.py
@@ -1,4 +1,4 @@
-"""Counts of what control traffic costs a node, exported as metrics."""
+"""Prometheus counters of the control traffic of a node."""
 
 import socket
 import typing
@@ -25,50 +25,50 @@
 )
 
 _STATUS_LINE_BYTES = len("HTTP/1.1 200 OK\r\n\r\n")
-_HEADER_EXTRA_BYTES = len(": \r\n")
+_HEADER_SEPARATOR_BYTES = len(": \r\n")
 
 
 class _CountingSocket:
-    """A socket that counts what a WebSocket connection moves on it."""
+    """Socket wrapper that counts the bytes of a WebSocket connection."""
 
     __slots__ = ("_socket",)
 
-    def __init__(self, counted: socket.socket) -> None:
-        self._socket = counted
+    def __init__(self, wrapped_socket: socket.socket) -> None:
+        self._socket = wrapped_socket
 
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._socket, name)
 
     def recv(self, size: int) -> bytes:
-        """Receive and count."""
+        """Receive data and add its size to the metric."""
         data = self._socket.recv(size)
         _peer_received.inc(len(data))
         return data
 
     def sendall(self, data: bytes) -> None:
-        """Send and count."""
+        """Send data and add its size to the metric."""
         self._socket.sendall(data)
         _peer_sent.inc(len(data))
 
 
 class CountingClientConnection(client.ClientConnection):
-    """The dialling side of a peer link, with its bytes counted."""
+    """Client side of a peer link that counts its bytes."""
 
     def __init__(
         self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
     ) -> None:
-        counted = typing.cast(socket.socket, _CountingSocket(sock))
-        super().__init__(counted, *args, **kwargs)
+        counting_socket = typing.cast(socket.socket, _CountingSocket(sock))
+        super().__init__(counting_socket, *args, **kwargs)
 
 
 class CountingServerConnection(server.ServerConnection):
-    """The accepting side of a peer link, with its bytes counted."""
+    """Server side of a peer link that counts its bytes."""
 
     def __init__(
         self, sock: socket.socket, *args: typing.Any, **kwargs: typing.Any
     ) -> None:
-        counted = typing.cast(socket.socket, _CountingSocket(sock))
-        super().__init__(counted, *args, **kwargs)
+        counting_socket = typing.cast(socket.socket, _CountingSocket(sock))
+        super().__init__(counting_socket, *args, **kwargs)
 
 
 class _CountingHttpConnection(urllib3.connection.HTTPConnection):
@@ -81,22 +81,22 @@
     ConnectionCls = _CountingHttpConnection
 
 
-def source_pool() -> urllib3.PoolManager:
-    """Return a pool of one connection that counts its request bytes."""
+def create_source_pool() -> urllib3.PoolManager:
+    """Return a single-connection pool that counts request bytes."""
     pool = urllib3.PoolManager(num_pools=1, maxsize=1)
     pool.pool_classes_by_scheme = {"http": _CountingHttpPool}
     return pool
 
 
 def count_source_call() -> None:
-    """Count one read or watch as the source's limit counts it."""
+    """Count one read or watch, the unit of the service's call limit."""
     _source_calls.inc()
 
 
-def count_source_answer(response: urllib3.BaseHTTPResponse) -> None:
-    """Count the bytes of a whole answer of the source."""
+def count_source_response(response: urllib3.BaseHTTPResponse) -> None:
+    """Count the bytes of a response of the configuration service."""
     header_bytes = sum(
-        len(name) + len(value) + _HEADER_EXTRA_BYTES
+        len(name) + len(value) + _HEADER_SEPARATOR_BYTES
         for name, value in response.headers.items()
     )
     _source_received.inc(
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -1,4 +1,4 @@
-"""Sockets whose reads and writes end at one deadline."""
+"""Sockets whose reads and writes share one deadline."""
 
 import errno
 import io
@@ -14,11 +14,12 @@
 
 
 class DeadlineSocket(socket.socket):
-    """A socket whose reads and writes share one deadline.
+    """Socket whose reads and writes share one deadline.
 
-    A timeout of the socket module limits each read alone, so that a peer
-    sending one byte a second could go on for ever. The socket itself is
-    non-blocking, because one with a timeout polls before each system call.
+    A timeout of the socket module applies to each read separately, so a
+    peer that sends one byte a second could hold the connection for ever.
+    The underlying socket is non-blocking, because a socket with a timeout
+    polls before each system call.
     """
 
     __slots__ = ("deadline_at_s",)
@@ -27,60 +28,60 @@
 
     @classmethod
     def from_socket(cls, accepted: socket.socket) -> typing.Self:
-        """Take over an open socket."""
-        taken = cls(fileno=accepted.detach())
-        taken.deadline_at_s = None
-        taken.setblocking(False)
-        return taken
+        """Take ownership of an open socket."""
+        wrapped = cls(fileno=accepted.detach())
+        wrapped.deadline_at_s = None
+        wrapped.setblocking(False)
+        return wrapped
 
     @classmethod
-    def connected(
+    def open_connection(
         cls, address: str, port: int, deadline_at_s: float
     ) -> typing.Self:
-        """Return a socket connected before a deadline."""
+        """Return a socket connected before the deadline."""
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
-        opened = cls(family, socket.SOCK_STREAM)
-        opened.deadline_at_s = deadline_at_s
+        connection = cls(family, socket.SOCK_STREAM)
+        connection.deadline_at_s = deadline_at_s
         try:
-            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            opened.settimeout(max(0.001, deadline_at_s - time.monotonic()))
-            opened.connect((address, port))
-            opened.setblocking(False)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.settimeout(max(0.001, deadline_at_s - time.monotonic()))
+            connection.connect((address, port))
+            connection.setblocking(False)
         except BaseException:
-            opened.close()
+            connection.close()
             raise
-        return opened
+        return connection
 
-    def recv_into(self, *arguments: typing.Any, **keywords: typing.Any) -> int:
-        """Read into a buffer, waiting until the deadline."""
+    def recv_into(self, *args: typing.Any, **kwargs: typing.Any) -> int:
+        """Read into a buffer, waiting until the deadline at most."""
         while True:
             try:
-                return super().recv_into(*arguments, **keywords)
+                return super().recv_into(*args, **kwargs)
             except BlockingIOError:
-                self._wait(select.POLLIN)
+                self._wait_until_ready(select.POLLIN)
 
-    def send(self, *arguments: typing.Any, **keywords: typing.Any) -> int:
-        """Write, waiting until the deadline."""
+    def send(self, *args: typing.Any, **kwargs: typing.Any) -> int:
+        """Write data, waiting until the deadline at most."""
         while True:
             try:
-                return super().send(*arguments, **keywords)
+                return super().send(*args, **kwargs)
             except BlockingIOError:
-                self._wait(select.POLLOUT)
+                self._wait_until_ready(select.POLLOUT)
 
     def is_readable(self, timeout_s: float) -> bool:
-        """Return whether data or the peer's close comes within a time."""
+        """Return whether data or end of file arrives within a timeout."""
         poll = select.poll()
         poll.register(self.fileno(), select.POLLIN)
         return bool(poll.poll(timeout_s * 1000))
 
-    def is_quiet(self) -> bool:
-        """Return whether the peer has neither sent nor closed."""
+    def is_idle(self) -> bool:
+        """Return whether the peer has neither sent data nor closed."""
         poll = select.poll()
         poll.register(self.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
     def bytes_acked(self) -> int | None:
-        """Return how many bytes the peer has acknowledged, if known."""
+        """Return the number of bytes acknowledged by the peer, if known."""
         info = self.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
         )
@@ -89,9 +90,9 @@
         acked: int = _BYTES_ACKED.unpack_from(info, _BYTES_ACKED_OFFSET)[0]
         return acked
 
-    def _wait(self, event: int) -> None:
+    def _wait_until_ready(self, event: int) -> None:
         if self.deadline_at_s is None:
-            raise BlockingIOError(errno.EAGAIN, "nothing at hand")
+            raise BlockingIOError(errno.EAGAIN, "no data available")
         remaining_s = self.deadline_at_s - time.monotonic()
         poll = select.poll()
         poll.register(self.fileno(), event)
@@ -100,14 +101,14 @@
 
 
 class DeadlineReader(io.BufferedReader):
-    """Buffered reader that can tell whether data is at hand."""
+    """Buffered reader that reports whether data is available."""
 
-    def __init__(self, source: DeadlineSocket, size: int) -> None:
-        super().__init__(socket.SocketIO(source, "r"), size)
-        self._source = source
+    def __init__(self, deadline_socket: DeadlineSocket, size: int) -> None:
+        super().__init__(socket.SocketIO(deadline_socket, "r"), size)
+        self._deadline_socket = deadline_socket
         self.bytes_read = 0
 
     def has_data(self) -> bool:
-        """Return whether more data can be read without waiting."""
-        self._source.deadline_at_s = None
+        """Return whether more data can be read without blocking."""
+        self._deadline_socket.deadline_at_s = None
         return bool(self.peek(1))
--- a/src/jasminecrank/transport/_source.py
+++ b/src/jasminecrank/transport/_source.py
@@ -1,4 +1,4 @@
-"""Reader of the platform's configuration service."""
+"""HTTP client of the platform's configuration service."""
 
 import json
 
@@ -16,7 +16,7 @@
 
 
 class SourceReader(coordination.NodeActor):
-    """Owns the connection to the configuration service."""
+    """Actor that owns the connection to the configuration service."""
 
     def __init__(
         self,
@@ -26,26 +26,26 @@
         super().__init__()
         self._url = source_url.rstrip("/")
         self._config = config
-        self._pool = _metrics.source_pool()
+        self._pool = _metrics.create_source_pool()
 
     def on_receive(self, message: object) -> object:
-        """Make one call and send on what the source answered."""
+        """Send one request and report its result to the config actor."""
         try:
             match message:
                 case coordination.ReadSource():
-                    answer: object = self._read(message.name)
+                    reply: object = self._read_document(message.name)
                 case coordination.WatchSource():
-                    answer = self._watch(message)
+                    reply = self._watch_documents(message)
                 case _:
                     raise exceptions.JasminecrankError(
                         f"unexpected message {message!r}"
                     )
         except exceptions.SourceError as error:
-            answer = coordination.SourceFailed(str(error))
-        coordination.tell_if_alive(self._config, answer)
+            reply = coordination.SourceFailed(str(error))
+        coordination.tell_if_alive(self._config, reply)
         return None
 
-    def _watch(
+    def _watch_documents(
         self, message: coordination.WatchSource
     ) -> coordination.WatchCompleted:
         query = "&".join(
@@ -63,10 +63,10 @@
             )
         except (ValueError, KeyError, TypeError) as error:
             raise exceptions.SourceError(
-                f"watch answer is not as documented: {error!r}"
+                f"malformed watch response: {error!r}"
             ) from None
 
-    def _read(
+    def _read_document(
         self, name: state.DocumentName
     ) -> coordination.DocumentRead | coordination.DocumentUnreadable:
         payload = self._get(f"/v1/documents/{name.value}", _READ_TIMEOUT_S)
@@ -84,9 +84,11 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise exceptions.SourceError(
-                f"{type(error).__name__} on {path}"
+                f"{type(error).__name__} on GET {path}"
             ) from None
-        _metrics.count_source_answer(response)
+        _metrics.count_source_response(response)
         if response.status != _HTTP_OK:
-            raise exceptions.SourceError(f"status {response.status} on {path}")
+            raise exceptions.SourceError(
+                f"HTTP status {response.status} on GET {path}"
+            )
         return response.data
