--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -32,7 +32,9 @@
 }
 
 
-def attempt(request_id="r1", method="POST", key="k1", sent_s=10.0, status=200):
+def make_attempt(
+    request_id="r1", method="POST", key="k1", sent_s=10.0, status=200
+):
     """Return a request as a caller saw it."""
     ended_s = sent_s + 0.3
     return observed.Attempt(
@@ -40,114 +42,137 @@
     )
 
 
-def arrival(request_id="r1", at_s=10.1, team="team-0", cold=False):
+def make_arrival(request_id="r1", at_s=10.1, team="team-0", cold=False):
     """Return a request as a server saw it."""
     return observed.Arrival(request_id, 0, at_s, team, "ledger", False, cold)
 
 
-def many(count, over_s, cold):
+def make_arrivals(count, over_s, cold):
     """Return requests that arrive evenly in a time, its end left out."""
     step_s = over_s / (count + 1)
     return [
-        arrival(f"r{number}", 10.0 + number * step_s, "team-0", cold)
+        make_arrival(f"r{number}", 10.0 + number * step_s, "team-0", cold)
         for number in range(count)
     ]
 
 
-def seen(attempts=(), arrivals=(), fault=None, planned=False):
+def make_records(attempts=(), arrivals=(), fault=None, planned=False):
     """Return records with what was seen, and a fault from a time on."""
     records = observed.Records()
     records.team_by_key = {"k1": "team-0"}
     records.attempts.extend(attempts)
     records.arrivals.extend(arrivals)
     if fault is not None:
-        records.begin(fault, (0,), planned)
+        records.begin_disturbance(fault, (0,), planned)
     return records
 
 
-def withdrawn(*attempts, fault=None):
+def records_with_withdrawn_key(*attempts, fault=None):
     """Return records in which the key was withdrawn at 9 s."""
-    records = seen(attempts, fault=fault)
+    records = make_records(attempts, fault=fault)
     records.withdrawn_s_by_key["k1"] = 9.0
     return records
 
 
-def leaving(fault=None):
+def records_with_leaving_server(fault=None):
     """Return records in which a server got a request after it left."""
-    records = seen([attempt()], [arrival()], fault)
-    records.no_new_work.append(observed.Promise(0, 9.0, 11.0))
+    records = make_records([make_attempt()], [make_arrival()], fault)
+    records.out_of_service_periods.append(
+        observed.OutOfServicePeriod(0, 9.0, 11.0)
+    )
     return records
 
 
-def stopped(*arrivals, fault=None):
+def records_with_stop(*arrivals, fault=None):
     """Return records in which a stop at 10 s cut a request."""
-    cut = attempt(status=0)
+    cut = make_attempt(status=0)
     cut.ended_s = 10.1
-    records = seen([cut], arrivals, fault)
-    records.terminated.append((0, 10.0))
-    records.begin(10.0, (0,), planned=True)
+    records = make_records([cut], arrivals, fault)
+    records.terminations.append((0, 10.0))
+    records.begin_disturbance(10.0, (0,), planned=True)
     return records
 
 
-def shown_key():
+def records_with_exposed_key():
     """Return records of a server that was shown a key."""
     record = observed.Arrival("r1", 0, 10.1, "team-0", "ledger", True, False)
-    return seen([attempt()], [record])
+    return make_records([make_attempt()], [record])
 
 
-def cut_answer():
+def records_with_cut_response():
     """Return records of an answer that is not whole."""
-    cut = attempt()
-    cut.whole = False
-    return seen([cut])
+    cut = make_attempt()
+    cut.response_intact = False
+    return make_records([cut])
 
 
 RECORDS_BY_CASE = {
-    "a booking runs once": lambda: seen([attempt()], [arrival()]),
-    "a booking runs twice": lambda: seen([attempt()], [arrival(), arrival()]),
-    "a lookup runs twice": lambda: seen(
-        [attempt(method="GET")], [arrival(), arrival()]
+    "a booking runs once": lambda: make_records(
+        [make_attempt()], [make_arrival()]
+    ),
+    "a booking runs twice": lambda: make_records(
+        [make_attempt()], [make_arrival(), make_arrival()]
+    ),
+    "a lookup runs twice": lambda: make_records(
+        [make_attempt(method="GET")], [make_arrival(), make_arrival()]
+    ),
+    "a booking is refused and does not run": lambda: make_records(
+        [make_attempt(status=503)]
+    ),
+    "a booking is refused and runs": lambda: make_records(
+        [make_attempt(status=503)], [make_arrival()]
+    ),
+    "a booking is answered 502 and runs": lambda: make_records(
+        [make_attempt(status=502)], [make_arrival()]
     ),
-    "a booking is refused and does not run": lambda: seen(
-        [attempt(status=503)]
+    "an answer is cut": records_with_cut_response,
+    "a request runs that nobody sent": lambda: make_records(
+        [], [make_arrival()]
     ),
-    "a booking is refused and runs": lambda: seen(
-        [attempt(status=503)], [arrival()]
+    "a request runs for another team": lambda: make_records(
+        [make_attempt()], [make_arrival(team="team-1")]
+    ),
+    "a server sees a key": records_with_exposed_key,
+    "a withdrawn key is served at once": lambda: records_with_withdrawn_key(
+        make_attempt()
+    ),
+    "a withdrawn key is served 3 s later": lambda: records_with_withdrawn_key(
+        make_attempt(sent_s=12.0)
+    ),
+    "a withdrawn key is served 3 s later in a fault": lambda: (
+        records_with_withdrawn_key(make_attempt(sent_s=12.0), fault=11.0)
+    ),
+    "a withdrawn key is refused and served again": lambda: (
+        records_with_withdrawn_key(
+            make_attempt(sent_s=9.5, status=401),
+            make_attempt("r2", sent_s=10.5),
+        )
     ),
-    "a booking is answered 502 and runs": lambda: seen(
-        [attempt(status=502)], [arrival()]
+    "a leaving server gets a late request": records_with_leaving_server,
+    "a leaving server gets a late request in a fault": lambda: (
+        records_with_leaving_server(8.0)
     ),
-    "an answer is cut": cut_answer,
-    "a request runs that nobody sent": lambda: seen([], [arrival()]),
-    "a request runs for another team": lambda: seen(
-        [attempt()], [arrival(team="team-1")]
+    "a cold server gets 20 requests in a second": lambda: make_records(
+        [], make_arrivals(20, 1.0, True)
     ),
-    "a server sees a key": shown_key,
-    "a withdrawn key is served at once": lambda: withdrawn(attempt()),
-    "a withdrawn key is served 3 s later": lambda: withdrawn(
-        attempt(sent_s=12.0)
+    "a cold server gets 21 requests in a second": lambda: make_records(
+        [], make_arrivals(21, 1.0, True)
     ),
-    "a withdrawn key is served 3 s later in a fault": lambda: withdrawn(
-        attempt(sent_s=12.0), fault=11.0
+    "a team runs 470 requests in 5 s": lambda: make_records(
+        [], make_arrivals(470, 5.0, False)
     ),
-    "a withdrawn key is refused and served again": lambda: withdrawn(
-        attempt(sent_s=9.5, status=401), attempt("r2", sent_s=10.5)
+    "a team runs 471 requests in 5 s": lambda: make_records(
+        [], make_arrivals(471, 5.0, False)
     ),
-    "a leaving server gets a late request": leaving,
-    "a leaving server gets a late request in a fault": lambda: leaving(8.0),
-    "a cold server gets 20 requests in a second": lambda: seen(
-        [], many(20, 1.0, True)
+    "a planned stop cuts a request that ran": lambda: records_with_stop(
+        make_arrival()
     ),
-    "a cold server gets 21 requests in a second": lambda: seen(
-        [], many(21, 1.0, True)
+    "a planned stop cuts a request that did not run": records_with_stop,
+    "a kill cuts a request that ran": lambda: records_with_stop(
+        make_arrival(), fault=9.0
     ),
-    "a team runs 470 requests in 5 s": lambda: seen([], many(470, 5.0, False)),
-    "a team runs 471 requests in 5 s": lambda: seen([], many(471, 5.0, False)),
-    "a planned stop cuts a request that ran": lambda: stopped(arrival()),
-    "a planned stop cuts a request that did not run": stopped,
-    "a kill cuts a request that ran": lambda: stopped(arrival(), fault=9.0),
-    "nothing is served at the end": lambda: seen(
-        [attempt(sent_s=29.0, status=503)]
+    "nothing is served at the end": lambda: make_records(
+        [make_attempt(sent_s=29.0, status=503)]
     ),
 }
 
@@ -193,22 +218,22 @@
 
 @then("every promise has held")
 def step_held(context):
-    assert not context.result.broken, context.result.broken[:5]
+    assert not context.result.violations, context.result.violations[:5]
     assert context.result.served > 0
 
 
-def nodes_of(pid):
+def child_pids(pid):
     """Return the ids of a process's children."""
     children = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
     return [int(child) for child in children.read_text().split()]
 
 
-def wait_until(holds, limit_s):
+def wait_until(condition, timeout_s):
     """Return whether something holds within a time."""
-    end_s = time.monotonic() + limit_s
-    while not holds() and time.monotonic() < end_s:
+    end_s = time.monotonic() + timeout_s
+    while not condition() and time.monotonic() < end_s:
         time.sleep(0.05)
-    return holds()
+    return condition()
 
 
 @given("a running soak of {hosts:d} hosts")
@@ -222,8 +247,8 @@
     context.exit_stack = contextlib.ExitStack()
     context.exit_stack.callback(context.soak.kill)
     pid = context.soak.pid
-    assert wait_until(lambda: len(nodes_of(pid)) == hosts, 20.0)
-    context.nodes = nodes_of(pid)
+    assert wait_until(lambda: len(child_pids(pid)) == hosts, 20.0)
+    context.nodes = child_pids(pid)
 
 
 @when("it is asked to stop")
--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -47,7 +47,7 @@
 def step_explain(context, outcome, because):
     with tempfile.NamedTemporaryFile(suffix=".log") as file:
         path = pathlib.Path(file.name)
-        path.write_bytes(b"".join(context.fleet.lines))
+        path.write_bytes(b"".join(context.fleet.log_lines))
         result = run("explain", context.request_id, str(path))
     assert result.returncode == 0, result.stderr
     assert re.search(rf"entry node \S+: {outcome}\n", result.stdout), (
--- a/features/steps/mesh_load_steps.py
+++ b/features/steps/mesh_load_steps.py
@@ -15,9 +15,9 @@
     servers=6,
     slots=12,
     data_centres=4,
-    kinds=(
-        fleet.Kind("lookup", 252, 0.09, 0.3, 2.0, 2),
-        fleet.Kind("booking", 126, 0.12, 0.4, 2.5, 1),
+    request_classes=(
+        fleet.RequestClass("lookup", 252, 0.09, 0.3, 2.0, 2),
+        fleet.RequestClass("booking", 126, 0.12, 0.4, 2.5, 1),
     ),
 )
 LANDESAMT = fleet.Scenario(
@@ -25,9 +25,9 @@
     servers=9,
     slots=6,
     data_centres=3,
-    kinds=(
-        fleet.Kind("search", 66, 0.22, 0.6, 4.0, 2),
-        fleet.Kind("dedication", 35, 0.29, 0.8, 5.0, 1),
+    request_classes=(
+        fleet.RequestClass("search", 66, 0.22, 0.6, 4.0, 2),
+        fleet.RequestClass("dedication", 35, 0.29, 0.8, 5.0, 1),
     ),
 )
 KUOPIO_GROWN = fleet.Scenario(
@@ -35,9 +35,9 @@
     servers=72,
     slots=6,
     data_centres=4,
-    kinds=(
-        fleet.Kind("lookup", 345, 0.26, 0.8, 5.0, 2),
-        fleet.Kind("booking", 173, 0.34, 1.0, 6.0, 1),
+    request_classes=(
+        fleet.RequestClass("lookup", 345, 0.26, 0.8, 5.0, 2),
+        fleet.RequestClass("booking", 173, 0.34, 1.0, 6.0, 1),
     ),
 )
 LANDESAMT_GROWN = fleet.Scenario(
@@ -45,9 +45,9 @@
     servers=55,
     slots=3,
     data_centres=4,
-    kinds=(
-        fleet.Kind("search", 153, 0.22, 0.6, 4.0, 2),
-        fleet.Kind("dedication", 82, 0.29, 1.0, 6.0, 1),
+    request_classes=(
+        fleet.RequestClass("search", 153, 0.22, 0.6, 4.0, 2),
+        fleet.RequestClass("dedication", 82, 0.29, 1.0, 6.0, 1),
     ),
 )
 SCENARIO_BY_SITE = {
@@ -65,7 +65,7 @@
     changes = {"duration_s": float(seconds)}
     match trouble:
         case "a burst":
-            changes["burst"] = 1.7
+            changes["burst_factor"] = 1.7
         case "a server slow":
             changes["slow_servers"] = 1
         case "a sixth slow":
@@ -77,48 +77,54 @@
 
 @when("it is played with each rule")
 def step_play(context):
-    context.outcome_by_rule = {
-        rule: fleet.LoadModel(context.load, rule, SEED).run()
-        for rule in fleet.Rule
+    context.outcome_by_policy = {
+        policy: fleet.LoadModel(context.load, policy, SEED).run()
+        for policy in fleet.PlacementPolicy
     }
-    for rule, outcome in context.outcome_by_rule.items():
+    for policy, outcome in context.outcome_by_policy.items():
         sys.stdout.write(
-            f"{rule.value}: in time {outcome.in_target_part:.3f}, "
+            f"{policy.value}: in time {outcome.in_target_ratio:.3f}, "
             f"late {outcome.late}, refused {outcome.refused}, "
-            f"busiest server {outcome.busiest:.2f}\n"
+            f"busiest server {outcome.peak_to_mean_calls:.2f}\n"
         )
 
 
 @when("it is played with the chosen rule")
 def step_play_chosen(context):
-    model = fleet.LoadModel(context.load, fleet.Rule.CHOSEN, SEED)
-    context.outcome_by_rule = {fleet.Rule.CHOSEN: model.run()}
+    model = fleet.LoadModel(context.load, fleet.PlacementPolicy.MESH, SEED)
+    context.outcome_by_policy = {fleet.PlacementPolicy.MESH: model.run()}
 
 
 @then("the chosen rule answers {least:g} or more within the objective")
 def step_in_target(context, least):
-    outcome = context.outcome_by_rule[fleet.Rule.CHOSEN]
-    assert outcome.in_target_part >= least, outcome.in_target_part
+    outcome = context.outcome_by_policy[fleet.PlacementPolicy.MESH]
+    assert outcome.in_target_ratio >= least, outcome.in_target_ratio
 
 
 @then("that is {gain:g} or more above random placing")
 def step_gain(context, gain):
-    chosen = context.outcome_by_rule[fleet.Rule.CHOSEN].in_target_part
-    other = context.outcome_by_rule[fleet.Rule.RANDOM].in_target_part
+    chosen = context.outcome_by_policy[
+        fleet.PlacementPolicy.MESH
+    ].in_target_ratio
+    other = context.outcome_by_policy[
+        fleet.PlacementPolicy.RANDOM
+    ].in_target_ratio
     assert chosen >= other + gain, (chosen, other)
 
 
 @then("no more than {far:g} of the runs are in another data centre")
 def step_far(context, far):
-    outcome = context.outcome_by_rule[fleet.Rule.CHOSEN]
+    outcome = context.outcome_by_policy[fleet.PlacementPolicy.MESH]
     runs = sum(outcome.calls_by_server.values())
-    assert outcome.other_data_centre <= far * runs
+    assert outcome.cross_data_centre_calls <= far * runs
 
 
 @then("each server that joins gets a call within {seconds:g} s")
 def step_joins(context, seconds):
     load = context.load
-    first_s = context.outcome_by_rule[fleet.Rule.CHOSEN].first_call_at_s
+    first_s = context.outcome_by_policy[
+        fleet.PlacementPolicy.MESH
+    ].first_call_s_by_server
     for server in range(load.servers - load.joining_servers, load.servers):
         assert server in first_s, server
-        assert first_s[server] <= load.middle_s[0] + seconds
+        assert first_s[server] <= load.middle_third_s[0] + seconds
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -14,7 +14,7 @@
 from jasminecrank.mesh import coordination
 from jasminecrank.standins import fleet
 
-PROMISES = (429, 503)
+NOT_EXECUTED_STATUSES = (429, 503)
 
 
 @given("a deployment of {hosts:d} hosts")
@@ -33,41 +33,41 @@
 
     context.exit_stack.callback(lambda: context.runner.run(close()))
     context.runner.run(start())
-    context.answers = []
+    context.responses = []
 
 
-def runs_of(context, request_id):
+def count_runs(context, request_id):
     """Return how often a request has run anywhere."""
     servers = context.fleet.servers
-    return sum(server.runs_by_request[request_id] for server in servers)
+    return sum(server.runs_by_request_id[request_id] for server in servers)
 
 
 @when("a caller sends {method} {target} with key {key}")
 def step_send(context, method, target, key):
     async def send():
         caller = context.fleet.caller(0)
-        begun_s = time.monotonic()
+        started_s = time.monotonic()
         shown = None if key == "none" else key
-        context.answer = await caller.ask(method, target, shown)
-        context.took_s = time.monotonic() - begun_s
-        context.request_id = caller.last_id
+        context.response = await caller.request(method, target, shown)
+        context.elapsed_s = time.monotonic() - started_s
+        context.request_id = caller.last_request_id
 
     context.runner.run(send())
 
 
 @then("it gets {status:d} and the request has run {runs:d} times")
 def step_gets(context, status, runs):
-    found = (context.answer.status, runs_of(context, context.request_id))
-    assert found == (status, runs), (found, context.fleet.lines[-5:])
+    found = (context.response.status, count_runs(context, context.request_id))
+    assert found == (status, runs), (found, context.fleet.log_lines[-5:])
     if status == 200:
-        check_whole(context.answer, context.request_id)
+        check_response(context.response, context.request_id)
 
 
-def check_whole(answer, request_id):
+def check_response(response, request_id):
     """Check that an answer is the server's own to this request."""
-    assert answer.status == 200, answer
-    assert answer.headers["server-stamp"] == f"stamp-{request_id}", answer
-    assert answer.body == f"body of {request_id}".encode(), answer
+    assert response.status == 200, response
+    assert response.headers["server-stamp"] == f"stamp-{request_id}", response
+    assert response.body == f"body of {request_id}".encode(), response
 
 
 @when("every server will once {fault}")
@@ -79,12 +79,12 @@
 @when("every server always will {fault}")
 def step_always(context, fault):
     for server in context.fleet.servers:
-        server.always = fleet.Behaviour(fault)
+        server.default_behaviour = fleet.Behaviour(fault)
 
 
 @when("server {number:d} always will {fault}")
 def step_one_always(context, number, fault):
-    context.fleet.servers[number].always = fleet.Behaviour(fault)
+    context.fleet.servers[number].default_behaviour = fleet.Behaviour(fault)
 
 
 @when("{count:d} requests are sent one after the other")
@@ -92,8 +92,8 @@
     async def send():
         caller = context.fleet.caller(0)
         for _ in range(count):
-            answer = await caller.ask()
-            context.answers.append((caller.last_id, answer))
+            response = await caller.request()
+            context.responses.append((caller.last_request_id, response))
             await asyncio.sleep(0.01)
 
     context.runner.run(send())
@@ -101,12 +101,12 @@
 
 @then("each gets its own whole answer")
 def step_each(context):
-    assert context.answers
-    for request_id, answer in context.answers:
-        check_whole(answer, request_id)
+    assert context.responses
+    for request_id, response in context.responses:
+        check_response(response, request_id)
 
 
-def leave(context, run_s, after_s, method, target):
+def abandon_request(context, run_s, after_s, method, target):
     """Let a caller leave while its request runs."""
 
     async def play():
@@ -115,7 +115,7 @@
         caller = context.fleet.caller(0)
         await caller.send(method, target)
         await asyncio.sleep(after_s)
-        caller.leave()
+        caller.close()
         await asyncio.sleep(0.5)
 
     context.runner.run(play())
@@ -123,28 +123,28 @@
 
 @when("servers take {run_s:g} s and a caller leaves after {after_s:g} s")
 def step_leave(context, run_s, after_s):
-    leave(context, run_s, after_s, "GET", "/lots/1")
+    abandon_request(context, run_s, after_s, "GET", "/lots/1")
 
 
 @when("servers take {run_s:g} s and a booker leaves after {after:g} s")
 def step_leave_booking(context, run_s, after):
-    leave(context, run_s, after, "POST", "/book/1")
+    abandon_request(context, run_s, after, "POST", "/book/1")
 
 
 @then("a server is rid of the run within 0.5 s")
 def step_dropped(context):
-    assert sum(server.cancelled for server in context.fleet.servers) == 1
+    assert sum(server.cancelled_runs for server in context.fleet.servers) == 1
 
 
 @then("no server has dropped a run")
 def step_none_dropped(context):
-    assert not any(server.cancelled for server in context.fleet.servers)
+    assert not any(server.cancelled_runs for server in context.fleet.servers)
 
 
 @then("it gets {status:d} after {least:g} to {most:g} s")
 def step_time(context, status, least, most):
-    assert context.answer.status == status, context.answer
-    assert least <= context.took_s <= most, context.took_s
+    assert context.response.status == status, context.response
+    assert least <= context.elapsed_s <= most, context.elapsed_s
 
 
 @when("{count:d} callers send at once")
@@ -154,9 +154,9 @@
             context.fleet.caller(number % len(context.fleet.servers))
             for number in range(count)
         ]
-        found = await asyncio.gather(*(caller.ask() for caller in callers))
-        for caller, answer in zip(callers, found, strict=True):
-            context.answers.append((caller.last_id, answer))
+        found = await asyncio.gather(*(caller.request() for caller in callers))
+        for caller, response in zip(callers, found, strict=True):
+            context.responses.append((caller.last_request_id, response))
 
     context.runner.run(send())
 
@@ -164,16 +164,16 @@
 @then("no server has had more than {most:d} requests at once")
 def step_most(context, most):
     for server in context.fleet.servers:
-        assert server.most_at_once <= most, server.most_at_once
+        assert server.peak_concurrency <= most, server.peak_concurrency
 
 
 @then("all answers are whole or say that nothing has run")
 def step_true(context):
-    for request_id, answer in context.answers:
-        if answer.status in PROMISES:
-            assert runs_of(context, request_id) == 0, answer
+    for request_id, response in context.responses:
+        if response.status in NOT_EXECUTED_STATUSES:
+            assert count_runs(context, request_id) == 0, response
         else:
-            check_whole(answer, request_id)
+            check_response(response, request_id)
 
 
 @when("server {number:d} {leaves}")
@@ -190,7 +190,7 @@
                 await deployment.store.put("op/evacuate/belt-a", {})
             case "crashes":
                 server.close()
-        context.left = server
+        context.leaving_server = server
 
     context.runner.run(act())
 
@@ -201,8 +201,8 @@
     async def ask(number, end_s):
         caller = context.fleet.caller(number)
         while time.monotonic() < end_s:
-            answer = await caller.ask()
-            context.answers.append((caller.last_id, answer))
+            response = await caller.request()
+            context.responses.append((caller.last_request_id, response))
             await asyncio.sleep(0.02)
 
     async def play():
@@ -216,17 +216,19 @@
 @then("it gets no request from {after:g} s later on")
 def step_no_request(context, after):
     ask_all(context, after)
-    before = len(context.left.requests)
-    context.answers.clear()
+    before = len(context.leaving_server.requests)
+    context.responses.clear()
     ask_all(context, 0.5)
-    assert len(context.left.requests) == before, context.left.requests
+    assert len(context.leaving_server.requests) == before, (
+        context.leaving_server.requests
+    )
 
 
 @then("callers on both hosts are served")
 def step_served(context):
-    assert len(context.answers) > 10
-    for request_id, answer in context.answers:
-        check_whole(answer, request_id)
+    assert len(context.responses) > 10
+    for request_id, response in context.responses:
+        check_response(response, request_id)
 
 
 @when("the store is {fault} and key k1 is withdrawn")
@@ -250,12 +252,12 @@
 @then("every host refuses k1 within {limit:g} s")
 def step_refused(context, limit):
     async def check():
-        begun_s = time.monotonic()
+        started_s = time.monotonic()
         waiting = set(range(len(context.fleet.servers)))
-        while waiting and time.monotonic() - begun_s < limit:
+        while waiting and time.monotonic() - started_s < limit:
             for number in list(waiting):
-                answer = await context.fleet.caller(number).ask()
-                if answer.status == 401:
+                response = await context.fleet.caller(number).request()
+                if response.status == 401:
                     waiting.discard(number)
             await asyncio.sleep(0.02)
         assert not waiting, waiting
@@ -282,7 +284,9 @@
 
 @then("the restarted node is ready within {limit:g} s")
 def step_ready(context, limit):
-    context.runner.run(context.fleet.until(lambda: context.node.ready, limit))
+    context.runner.run(
+        context.fleet.wait_until(lambda: context.node.ready, limit)
+    )
 
 
 @when("servers take {run_s:g} s and node 0 stops while requests run")
@@ -296,8 +300,8 @@
         await asyncio.sleep(0.1)
         stopping = asyncio.create_task(context.fleet.nodes[0].stop())
         for caller in callers:
-            answer = await caller.receive()
-            context.answers.append((caller.last_id, answer))
+            response = await caller.receive()
+            context.responses.append((caller.last_request_id, response))
         await stopping
 
     context.runner.run(act())
@@ -305,41 +309,43 @@
 
 @when("servers take {run_s:g} s and callers of node 0 go on while it stops")
 def step_go_on(context, run_s):
-    async def ask(begun_s):
+    async def ask(started_s):
         caller = context.fleet.caller(0)
-        while time.monotonic() - begun_s < 6.5:
-            sent_s = time.monotonic() - begun_s
+        while time.monotonic() - started_s < 6.5:
+            sent_s = time.monotonic() - started_s
             try:
-                answer = await caller.ask()
+                response = await caller.request()
             except OSError:
                 # The node takes no more connections.
                 await asyncio.sleep(0.1)
                 continue
-            context.answers.append((sent_s, caller.last_id, answer))
-            caller.leave()
+            context.responses.append(
+                (sent_s, caller.last_request_id, response)
+            )
+            caller.close()
 
     async def act():
         for server in context.fleet.servers:
             server.run_s = run_s
-        begun_s = time.monotonic()
-        asking = [asyncio.create_task(ask(begun_s)) for _ in range(3)]
+        started_s = time.monotonic()
+        callers = [asyncio.create_task(ask(started_s)) for _ in range(3)]
         await context.fleet.nodes[0].stop()
-        await asyncio.gather(*asking)
+        await asyncio.gather(*callers)
 
     context.runner.run(act())
 
 
 @then("no request sent later than {limit:g} s after that is taken")
 def step_none_taken(context, limit):
-    late = [one for one in context.answers if one[0] > limit]
-    assert not any(runs_of(context, one[1]) for one in late), late
+    late = [item for item in context.responses if item[0] > limit]
+    assert not any(count_runs(context, item[1]) for item in late), late
 
 
 @then("each request that is taken gets an answer")
 def step_all_answered(context):
-    for sent_s, request_id, answer in context.answers:
-        if runs_of(context, request_id):
-            assert answer.status, (sent_s, request_id)
+    for sent_s, request_id, response in context.responses:
+        if count_runs(context, request_id):
+            assert response.status, (sent_s, request_id)
 
 
 @when("every server {event}")
@@ -369,8 +375,8 @@
         port.exchange = fail
         caller = context.fleet.caller(0)
         for _ in range(count):
-            answer = await caller.ask("POST", "/book/1")
-            assert answer.status == 502, answer
+            response = await caller.request("POST", "/book/1")
+            assert response.status == 502, response
         port.exchange = exchange
 
     context.runner.run(act())
@@ -391,7 +397,7 @@
             deployment.nodes[number] = deployment.make_node(number)
         for node in deployment.nodes:
             await node.start()
-        await deployment.until(
+        await deployment.wait_until(
             lambda: all(
                 node.ready and node.linked_hosts for node in deployment.nodes
             )
@@ -405,15 +411,15 @@
 def step_patience(context, deadline):
     async def ask():
         caller = context.fleet.caller(0)
-        context.answer = await caller.ask(deadline_ms=deadline)
+        context.response = await caller.request(deadline_ms=deadline)
 
     context.runner.run(ask())
 
 
 @then("it is told to come back after {least:g} to {most:g} s")
 def step_come_back(context, least, most):
-    assert context.answer.status == 503, context.answer
-    after_s = float(context.answer.headers["retry-after"])
+    assert context.response.status == 503, context.response
+    after_s = float(context.response.headers["retry-after"])
     assert least <= after_s <= most, after_s
 
 
@@ -435,10 +441,10 @@
 
 @then("no key or body is in the log")
 def step_no_secret(context):
-    written = b"".join(context.fleet.lines)
-    assert context.answers and written
-    for _, answer in context.answers:
-        assert answer.body not in written
+    written = b"".join(context.fleet.log_lines)
+    assert context.responses and written
+    for _, response in context.responses:
+        assert response.body not in written
     for key in context.fleet.keys:
         assert b'"' + key.encode() + b'"' not in written, key
         assert b"Token " + key.encode() not in written, key
@@ -458,17 +464,19 @@
     node = context.fleet.nodes[0]
     wanted = context.fleet.changed_settings.retries
     context.runner.run(
-        context.fleet.until(lambda: node.entry.retry_bounds == wanted, limit)
+        context.fleet.wait_until(
+            lambda: node.entry.retry_bounds == wanted, limit
+        )
     )
 
 
 @when("nothing happens for {seconds:g} s")
 def step_nothing(context, seconds):
-    context.calls = context.fleet.store.calls
+    context.store_requests_before = context.fleet.store.request_count
     context.runner.run(asyncio.sleep(seconds))
 
 
 @then("the store has had fewer than {most:d} calls")
-def step_few(context, most):
-    calls = context.fleet.store.calls - context.calls
+def step_store_requests(context, most):
+    calls = context.fleet.store.request_count - context.store_requests_before
     assert calls < most, calls
--- a/script/run_fault_soak.py
+++ b/script/run_fault_soak.py
@@ -20,16 +20,16 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     run = soak.Soak(seed, hosts, duration_s, folder)
     result = asyncio.run(run.run())
-    verdict = "FAILED" if result.broken else "ok"
+    verdict = "FAILED" if result.violations else "ok"
     print(
         f"{verdict:6} --seed {seed} --hosts {hosts} --duration-s "
         f"{duration_s:g}: {result.requests} requests, {result.served} "
         f"served, {result.faults} faults",
         flush=True,
     )
-    for line in result.broken[:10]:
+    for line in result.violations[:10]:
         print(f"       {line}", flush=True)
-    if result.broken:
+    if result.violations:
         print(f"       logs: {folder}", flush=True)
         return False
     shutil.rmtree(folder)
@@ -63,10 +63,10 @@
     # A stopped soak ends its node processes, as after Ctrl-C.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     first = random.SystemRandom().randrange(10**6) if seed is None else seed
-    begun_s = time.monotonic()
+    start_s = time.monotonic()
     failed = 0
     number = first
-    while number < first + seeds or time.monotonic() - begun_s < 60 * minutes:
+    while number < first + seeds or time.monotonic() - start_s < 60 * minutes:
         failed += not run_seed(number, hosts, duration_s)
         number += 1
     print(f"{number - first - failed} seeds passed, {failed} failed")
--- a/src/jasminecrank/standins/fleet/__init__.py
+++ b/src/jasminecrank/standins/fleet/__init__.py
@@ -7,10 +7,14 @@
 from jasminecrank.standins.fleet._entries import table_entry as table_entry
 from jasminecrank.standins.fleet._entries import TeamRow as TeamRow
 from jasminecrank.standins.fleet._http import Response as Response
-from jasminecrank.standins.fleet._load_model import Kind as Kind
 from jasminecrank.standins.fleet._load_model import LoadModel as LoadModel
 from jasminecrank.standins.fleet._load_model import Outcome as Outcome
-from jasminecrank.standins.fleet._load_model import Rule as Rule
+from jasminecrank.standins.fleet._load_model import (
+    PlacementPolicy as PlacementPolicy,
+)
+from jasminecrank.standins.fleet._load_model import (
+    RequestClass as RequestClass,
+)
 from jasminecrank.standins.fleet._load_model import Scenario as Scenario
 from jasminecrank.standins.fleet._server import Behaviour as Behaviour
 from jasminecrank.standins.fleet._server import Server as Server
--- a/src/jasminecrank/standins/fleet/_caller.py
+++ b/src/jasminecrank/standins/fleet/_caller.py
@@ -6,20 +6,20 @@
 
 from jasminecrank.standins.fleet import _http
 
-ANSWER_LIMIT_S = 5.0
+RESPONSE_TIMEOUT_S = 5.0
 """Time after which a caller gives up, above every deadline it sends."""
 
 
 class Caller:
     """Sends requests one after the other."""
 
-    _numbers = itertools.count(1)
+    _request_numbers = itertools.count(1)
 
     def __init__(self, host: str, port: int) -> None:
         self._address = (host, port)
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
-        self.last_id = ""
+        self.last_request_id = ""
 
     async def send(
         self,
@@ -34,10 +34,10 @@
             self._reader, self._writer = await asyncio.open_connection(
                 *self._address
             )
-        self.last_id = f"{next(self._numbers):016x}"
+        self.last_request_id = f"{next(self._request_numbers):016x}"
         fields = {
             "Host": "a.example",
-            "Request-Id": self.last_id,
+            "Request-Id": self.last_request_id,
             "Deadline-Ms": str(deadline_ms),
             **({} if key is None else {"Authorization": f"Token {key}"}),
             **({} if method == "GET" else {"Content-Length": "0"}),
@@ -52,15 +52,15 @@
         assert self._reader is not None
         response = _http.Response(0, {}, b"")
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(ANSWER_LIMIT_S):
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 response = await _http.read_response(self._reader)
         if response.status == 0 or (
             response.headers.get("connection") == "close"
         ):
-            self.leave()
+            self.close()
         return response
 
-    async def ask(
+    async def request(
         self,
         method: str = "GET",
         target: str = "/lots/1",
@@ -71,7 +71,7 @@
         await self.send(method, target, key, deadline_ms)
         return await self.receive()
 
-    def leave(self) -> None:
+    def close(self) -> None:
         """Close the connection."""
         if self._writer is not None:
             self._writer.transport.abort()
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -22,7 +22,7 @@
 
 The odd ones serve the metrics of nodes, next to their ports for links.
 """
-TOLD_S = 0.15
+HEALTH_PROPAGATION_S = 0.15
 """Time in which nodes tell each other that their servers are well."""
 DATA_CENTRES = ("belt-a", "belt-b")
 
@@ -36,7 +36,7 @@
             _server.Server(f"i-{number}", slots) for number in range(hosts)
         ]
         self.nodes: list[daemon.Node] = []
-        self.lines: list[bytes] = []
+        self.log_lines: list[bytes] = []
         self.version = 1
         self.timeout_ms = 1000
         self.keys = ["k1", "k2"]
@@ -62,8 +62,8 @@
         for number in range(len(self.servers)):
             self.nodes.append(self.make_node(number))
             await self.nodes[number].start()
-        await self.until(self.connected)
-        await asyncio.sleep(TOLD_S)
+        await self.wait_until(self.connected)
+        await asyncio.sleep(HEALTH_PROPAGATION_S)
 
     def connected(self) -> bool:
         """Return whether every node is ready and linked to all others."""
@@ -118,7 +118,9 @@
             platform.PlatformCodec(),
             source,
             platform.EntryDecoder().decode,
-            transport.JsonLog(config.name, transport.BootClock(), self._write),
+            transport.JsonLog(
+                config.name, transport.BootClock(), self._write_log
+            ),
             random.Random(number),
             lambda: self.changed_settings or config,
         )
@@ -148,19 +150,21 @@
             ),
         )
 
-    async def until(
-        self, holds: Callable[[], bool], limit_s: float = 10.0
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout_s: float = 10.0
     ) -> float:
         """Wait until something holds; return the time it took."""
-        begun_s = time.monotonic()
-        while not holds():
-            if time.monotonic() - begun_s > limit_s:
-                raise TimeoutError(f"{holds} does not hold in {limit_s} s")
+        started_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - started_s > timeout_s:
+                raise TimeoutError(
+                    f"{condition} does not hold in {timeout_s} s"
+                )
             await asyncio.sleep(0.01)
-        return time.monotonic() - begun_s
+        return time.monotonic() - started_s
 
-    def _write(self, data: bytes) -> int:
-        self.lines.append(data)
+    def _write_log(self, data: bytes) -> int:
+        self.log_lines.append(data)
         return len(data)
 
 
@@ -170,12 +174,14 @@
     candidates = random.sample(PORTS, len(PORTS))
     for name in names:
         ports[name] = next(
-            port for port in iter(candidates.pop, None) if _free(hosts, port)
+            port
+            for port in iter(candidates.pop, None)
+            if _is_free(hosts, port)
         )
     return ports
 
 
-def _free(hosts: list[str], port: int) -> bool:
+def _is_free(hosts: list[str], port: int) -> bool:
     for host in hosts:
         with socket.socket() as probe:
             try:
--- a/src/jasminecrank/standins/fleet/_entries.py
+++ b/src/jasminecrank/standins/fleet/_entries.py
@@ -38,10 +38,10 @@
                 "priority": 1,
                 "service": service,
                 "maxAttempts": 2,
-                "public": is_open,
+                "public": is_public,
             },
         }
-        for name, prefix, kind, service, is_open in ROUTES
+        for name, prefix, kind, service, is_public in ROUTES
     ]
     resources.append(
         {
--- a/src/jasminecrank/standins/fleet/_http.py
+++ b/src/jasminecrank/standins/fleet/_http.py
@@ -29,7 +29,7 @@
     if head is None:
         return None
     method, target, _ = head[0].split(" ", 2)
-    headers = _headers(head[1:])
+    headers = _parse_headers(head[1:])
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return Request(method, target, headers, body)
 
@@ -40,14 +40,14 @@
         head = await _read_head(reader)
         if head is None:
             return Response(0, {}, b"")
-        headers = _headers(head[1:])
+        headers = _parse_headers(head[1:])
         body = await reader.readexactly(int(headers["content-length"]))
     except (OSError, asyncio.IncompleteReadError):
         return Response(0, {}, b"")
     return Response(int(head[0].split(" ")[1]), headers, body)
 
 
-def encode(
+def encode_response(
     status: int, body: bytes, headers: dict[str, str] | None = None
 ) -> bytes:
     """Return the bytes of an answer with a length."""
@@ -64,6 +64,6 @@
     return block.decode("latin-1").rstrip("\r\n").split("\r\n")
 
 
-def _headers(lines: list[str]) -> dict[str, str]:
+def _parse_headers(lines: list[str]) -> dict[str, str]:
     pairs = (line.partition(":") for line in lines)
     return {name.lower(): value.strip() for name, _, value in pairs}
--- a/src/jasminecrank/standins/fleet/_load_model.py
+++ b/src/jasminecrank/standins/fleet/_load_model.py
@@ -15,35 +15,35 @@
 
 from jasminecrank.mesh import state
 
-HOP_S = 0.001
+HOP_LATENCY_S = 0.001
 """Time of a message between nodes."""
-TICK_S = 0.05
-TELL_S = 0.4
+LOAD_CHECK_INTERVAL_S = 0.05
+LOAD_REPORT_INTERVAL_S = 0.4
 """Periods of load reports, as nodes have them."""
-CALLER_TRIES = 3
+CALLER_ATTEMPTS = 3
 """A caller's first attempt and its retries."""
-NEARLY_FULL = 0.75
+SLOWDOWN_OCCUPANCY = 0.75
 """Part of its slots from which a server slows down."""
-SLOW_DOWN = 0.6
+FULL_OCCUPANCY_SLOWDOWN = 0.6
 """What is added to run times at a full server, in run times."""
 
 
-class Rule(enum.Enum):
+class PlacementPolicy(enum.Enum):
     """How an entry node chooses a server."""
 
-    CHOSEN = "chosen"
+    MESH = "chosen"
     RANDOM = "random"
     FEWEST_CALLS = "fewest-calls"
 
 
 @dataclass(slots=True, frozen=True)
-class Kind:
+class RequestClass:
     """Requests of one route."""
 
     name: str
-    per_s: float
-    work_s: float
-    target_s: float
+    rate_per_s: float
+    service_time_s: float
+    target_latency_s: float
     deadline_s: float
     rank: int
 
@@ -57,9 +57,9 @@
     servers: int
     slots: int
     data_centres: int
-    kinds: tuple[Kind, ...]
+    request_classes: tuple[RequestClass, ...]
     duration_s: float = 20.0
-    burst: float = 1.0
+    burst_factor: float = 1.0
     """Factor of the load in the middle third of the run."""
     slow_servers: int = 0
     """Servers that take five times as long in the middle third."""
@@ -67,7 +67,7 @@
     """Servers that are there from the middle third on only."""
 
     @property
-    def middle_s(self) -> tuple[float, float]:
+    def middle_third_s(self) -> tuple[float, float]:
         """Return begin and end of the middle third."""
         return self.duration_s / 3, 2 * self.duration_s / 3
 
@@ -76,39 +76,39 @@
 class Outcome:
     """What callers got."""
 
-    asked: int = 0
+    requests: int = 0
     in_target: int = 0
     late: int = 0
     refused: int = 0
-    other_data_centre: int = 0
+    cross_data_centre_calls: int = 0
     calls_by_server: dict[int, int] = field(default_factory=dict)
-    first_call_at_s: dict[int, float] = field(default_factory=dict)
+    first_call_s_by_server: dict[int, float] = field(default_factory=dict)
     """When each server was given its first call."""
 
     @property
-    def in_target_part(self) -> float:
+    def in_target_ratio(self) -> float:
         """Return the part of requests answered within their objective."""
-        return self.in_target / max(1, self.asked)
+        return self.in_target / max(1, self.requests)
 
     @property
-    def busiest(self) -> float:
+    def peak_to_mean_calls(self) -> float:
         """Return the calls of the busiest server, in those of the mean."""
         counts = self.calls_by_server.values()
         return max(counts) * len(counts) / max(1, sum(counts))
 
-    def started(self, server: int, now_s: float) -> None:
+    def record_start(self, server: int, now_s: float) -> None:
         """Count a call that a server begins to run."""
         self.calls_by_server[server] += 1
-        self.first_call_at_s.setdefault(server, now_s)
+        self.first_call_s_by_server.setdefault(server, now_s)
 
 
 @dataclass(slots=True)
 class _Request:
-    kind: Kind
-    entry: int
-    begun_s: float
-    tries: int = 0
-    tried: set[str] = field(default_factory=set)
+    request_class: RequestClass
+    entry_node: int
+    started_s: float
+    attempts: int = 0
+    tried_ids: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -117,23 +117,25 @@
     entry: state.BackendServer
     gate: state.AdmissionController
     speed: float
-    told: state.ServerLoad | None = None
-    told_at_s: float = -1.0
-    request_by_call: dict[int, _Request] = field(default_factory=dict)
+    reported_load: state.ServerLoad | None = None
+    reported_at_s: float = -1.0
+    request_by_call_id: dict[int, _Request] = field(default_factory=dict)
 
 
 class LoadModel:
     """One run of a scenario under a rule."""
 
-    def __init__(self, scenario: Scenario, rule: Rule, seed: int) -> None:
+    def __init__(
+        self, scenario: Scenario, policy: PlacementPolicy, seed: int
+    ) -> None:
         self.outcome = Outcome()
         self._scenario = scenario
-        self._rule = rule
+        self._policy = policy
         self._rng = random.Random(seed)
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
-        self._calls = itertools.count(1)
+        self._event_numbers = itertools.count()
+        self._call_ids = itertools.count(1)
         self._servers = [self._make_server(n) for n in range(scenario.servers)]
         self._placements = [
             state.Placement(
@@ -143,20 +145,22 @@
             )
             for server in self._servers
         ]
-        self._known = [self._choose_known(n) for n in range(scenario.servers)]
-        self._knowing: list[list[int]] = [[] for _ in self._servers]
-        for entry, known in enumerate(self._known):
-            for server in known:
-                self._knowing[server.number].append(entry)
+        self._linked_servers = [
+            self._select_linked_servers(n) for n in range(scenario.servers)
+        ]
+        self._linked_nodes: list[list[int]] = [[] for _ in self._servers]
+        for entry_node, linked in enumerate(self._linked_servers):
+            for server in linked:
+                self._linked_nodes[server.number].append(entry_node)
         self.outcome.calls_by_server = dict.fromkeys(
             range(scenario.servers), 0
         )
 
     def run(self) -> Outcome:
         """Play the scenario and return what callers got."""
-        for kind in self._scenario.kinds:
-            self._plan_arrival(kind)
-        self._at(0.0, self._tick)
+        for request_class in self._scenario.request_classes:
+            self._schedule_arrival(request_class)
+        self._schedule(0.0, self._report_loads)
         while self._events:
             self._now_s, _, action = heapq.heappop(self._events)
             action()
@@ -181,161 +185,191 @@
         speed = scenario.speeds[number % len(scenario.speeds)]
         return _Server(number, entry, gate, speed)
 
-    def _choose_known(self, number: int) -> list[_Server]:
-        own = self._servers[number].entry
-        fleet = state.FleetSnapshot(
+    def _select_linked_servers(self, number: int) -> list[_Server]:
+        own_server = self._servers[number].entry
+        snapshot = state.FleetSnapshot(
             None,
             {server.entry.server_id: server.entry for server in self._servers},
             {},
             frozenset(),
         )
-        hosts = state.link_targets(fleet, own.host, own.data_centre)
-        hosts.add(own.host)
+        hosts = state.link_targets(
+            snapshot, own_server.host, own_server.data_centre
+        )
+        hosts.add(own_server.host)
         return [
             server for server in self._servers if server.entry.host in hosts
         ]
 
-    def _at(self, at_s: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (at_s, next(self._order), action))
+    def _schedule(self, at_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._event_numbers), action))
 
     def _in_middle(self) -> bool:
-        begin_s, end_s = self._scenario.middle_s
+        begin_s, end_s = self._scenario.middle_third_s
         return begin_s <= self._now_s < end_s
 
-    def _is_there(self, server: _Server) -> bool:
+    def _has_joined(self, server: _Server) -> bool:
         scenario = self._scenario
         joined = scenario.servers - scenario.joining_servers
-        return server.number < joined or self._now_s >= scenario.middle_s[0]
+        return (
+            server.number < joined or self._now_s >= scenario.middle_third_s[0]
+        )
 
-    def _plan_arrival(self, kind: Kind) -> None:
-        rate = kind.per_s
+    def _schedule_arrival(self, request_class: RequestClass) -> None:
+        rate = request_class.rate_per_s
         if self._in_middle():
-            rate *= self._scenario.burst
+            rate *= self._scenario.burst_factor
         at_s = self._now_s + self._rng.expovariate(rate)
         if at_s < self._scenario.duration_s:
-            self._at(at_s, lambda: self._arrive(kind))
+            self._schedule(at_s, lambda: self._handle_arrival(request_class))
 
-    def _arrive(self, kind: Kind) -> None:
-        self._plan_arrival(kind)
-        self.outcome.asked += 1
-        entry = self._rng.randrange(len(self._servers))
-        self._place(_Request(kind, entry, self._now_s))
+    def _handle_arrival(self, request_class: RequestClass) -> None:
+        self._schedule_arrival(request_class)
+        self.outcome.requests += 1
+        entry_node = self._rng.randrange(len(self._servers))
+        self._place(_Request(request_class, entry_node, self._now_s))
 
     def _place(self, request: _Request) -> None:
-        server = self._choose(request)
-        if server is None or len(request.tried) >= state.MAX_SERVERS_TRIED:
-            self._refuse(request, 0.1)
+        server = self._choose_server(request)
+        if server is None or len(request.tried_ids) >= state.MAX_SERVERS_TRIED:
+            self._retry_or_reject(request, 0.1)
             return
-        request.tried.add(server.entry.server_id)
-        self._placements[request.entry].record_sent(server.entry.host)
-        self._at(self._now_s + HOP_S, lambda: self._offer(request, server))
+        request.tried_ids.add(server.entry.server_id)
+        self._placements[request.entry_node].record_sent(server.entry.host)
+        self._schedule(
+            self._now_s + HOP_LATENCY_S, lambda: self._submit(request, server)
+        )
 
-    def _choose(self, request: _Request) -> _Server | None:
-        known = [
+    def _choose_server(self, request: _Request) -> _Server | None:
+        linked = [
             server
-            for server in self._known[request.entry]
-            if server.entry.server_id not in request.tried
+            for server in self._linked_servers[request.entry_node]
+            if server.entry.server_id not in request.tried_ids
         ]
-        if not known:
+        if not linked:
             return None
-        match self._rule:
-            case Rule.RANDOM:
-                return self._rng.choice(known)
-            case Rule.FEWEST_CALLS:
+        match self._policy:
+            case PlacementPolicy.RANDOM:
+                return self._rng.choice(linked)
+            case PlacementPolicy.FEWEST_CALLS:
                 return min(
-                    known,
+                    linked,
                     key=lambda server: (
                         server.gate.in_flight + server.gate.queued,
                         self._rng.random(),
                     ),
                 )
-            case Rule.CHOSEN:
-                place = self._placements[request.entry].choose(
-                    [server.entry for server in known], (), self._now_s
+            case PlacementPolicy.MESH:
+                place = self._placements[request.entry_node].choose(
+                    [server.entry for server in linked], (), self._now_s
                 )
                 if place is None:
                     return None
                 return self._servers[int(place.server.server_id[2:])]
 
-    def _offer(self, request: _Request, server: _Server) -> None:
-        call_id = next(self._calls)
-        kind = request.kind
-        ticket = state.AdmissionRequest(
+    def _submit(self, request: _Request, server: _Server) -> None:
+        call_id = next(self._call_ids)
+        request_class = request.request_class
+        admission_request = state.AdmissionRequest(
             call_id,
             0,
-            kind.rank,
-            kind.name,
-            request.begun_s + kind.deadline_s,
-            request.begun_s + kind.target_s,
+            request_class.rank,
+            request_class.name,
+            request.started_s + request_class.deadline_s,
+            request.started_s + request_class.target_latency_s,
         )
-        decision = server.gate.submit(ticket, self._now_s)
+        decision = server.gate.submit(admission_request, self._now_s)
         match decision:
             case state.Admit():
-                server.request_by_call[call_id] = request
-                self._start(server, call_id)
+                server.request_by_call_id[call_id] = request
+                self._start_call(server, call_id)
             case state.Enqueue():
-                server.request_by_call[call_id] = request
+                server.request_by_call_id[call_id] = request
             case state.Reject():
-                self._at(self._now_s + HOP_S, lambda: self._place(request))
-
-    def _start(self, server: _Server, call_id: int) -> None:
-        request = server.request_by_call[call_id]
-        fullness = server.gate.in_flight / server.gate.slots
-        over = max(0.0, fullness - NEARLY_FULL) / (1.0 - NEARLY_FULL)
-        run_s = request.kind.work_s * self._rng.lognormvariate(-0.1, 0.45)
-        run_s *= (1.0 + SLOW_DOWN * over) / server.speed
+                self._schedule(
+                    self._now_s + HOP_LATENCY_S, lambda: self._place(request)
+                )
+
+    def _start_call(self, server: _Server, call_id: int) -> None:
+        request = server.request_by_call_id[call_id]
+        occupancy = server.gate.in_flight / server.gate.slots
+        overload = max(0.0, occupancy - SLOWDOWN_OCCUPANCY) / (
+            1.0 - SLOWDOWN_OCCUPANCY
+        )
+        run_s = (
+            request.request_class.service_time_s
+            * self._rng.lognormvariate(-0.1, 0.45)
+        )
+        run_s *= (1.0 + FULL_OCCUPANCY_SLOWDOWN * overload) / server.speed
         if server.number < self._scenario.slow_servers and self._in_middle():
             run_s *= 5.0
-        self.outcome.started(server.number, self._now_s)
-        self._at(
-            self._now_s + run_s, lambda: self._end(server, call_id, run_s)
+        self.outcome.record_start(server.number, self._now_s)
+        self._schedule(
+            self._now_s + run_s,
+            lambda: self._finish_call(server, call_id, run_s),
         )
 
-    def _end(self, server: _Server, call_id: int, run_s: float) -> None:
-        request = server.request_by_call.pop(call_id)
+    def _finish_call(
+        self, server: _Server, call_id: int, run_s: float
+    ) -> None:
+        request = server.request_by_call_id.pop(call_id)
         now_s = self._now_s
-        server.gate.record_completion(request.kind.name, run_s, False, now_s)
-        busy = server.gate.in_flight + server.gate.queued
-        self._placements[request.entry].record_response(
-            server.entry.host, busy
+        server.gate.record_completion(
+            request.request_class.name, run_s, False, now_s
+        )
+        calls = server.gate.in_flight + server.gate.queued
+        self._placements[request.entry_node].record_response(
+            server.entry.host, calls
         )
-        own = self._servers[request.entry].entry.data_centre
-        self.outcome.other_data_centre += own != server.entry.data_centre
-        if now_s + HOP_S - request.begun_s <= request.kind.target_s:
+        own_data_centre = self._servers[request.entry_node].entry.data_centre
+        self.outcome.cross_data_centre_calls += (
+            own_data_centre != server.entry.data_centre
+        )
+        if (
+            now_s + HOP_LATENCY_S - request.started_s
+            <= request.request_class.target_latency_s
+        ):
             self.outcome.in_target += 1
         else:
             self.outcome.late += 1
         released = server.gate.release_queued(now_s)
-        for ticket in released.expired:
-            expired = server.request_by_call.pop(ticket.call_id)
-            self._refuse(expired, 0.1)
-        for ticket in released.admitted:
-            self._start(server, ticket.call_id)
-
-    def _refuse(self, request: _Request, retry_after_s: float) -> None:
-        request.tries += 1
-        left_s = request.begun_s + request.kind.deadline_s - self._now_s
-        if request.tries >= CALLER_TRIES or left_s < 2 * retry_after_s:
+        for admission_request in released.expired:
+            expired = server.request_by_call_id.pop(admission_request.call_id)
+            self._retry_or_reject(expired, 0.1)
+        for admission_request in released.admitted:
+            self._start_call(server, admission_request.call_id)
+
+    def _retry_or_reject(
+        self, request: _Request, retry_after_s: float
+    ) -> None:
+        request.attempts += 1
+        remaining_s = (
+            request.started_s + request.request_class.deadline_s - self._now_s
+        )
+        if (
+            request.attempts >= CALLER_ATTEMPTS
+            or remaining_s < 2 * retry_after_s
+        ):
             self.outcome.refused += 1
             return
-        request.tried = set()
-        again_s = self._now_s + retry_after_s * (1.0 + self._rng.random())
-        self._at(again_s, lambda: self._place(request))
+        request.tried_ids = set()
+        retry_at_s = self._now_s + retry_after_s * (1.0 + self._rng.random())
+        self._schedule(retry_at_s, lambda: self._place(request))
 
-    def _tick(self) -> None:
+    def _report_loads(self) -> None:
         now_s = self._now_s
         for server in self._servers:
-            load = server.gate.load(now_s, self._is_there(server))
-            known = server.told
-            due = now_s - server.told_at_s >= TELL_S
-            changed = known is None or (
-                load.server_changed(known) or load.load_changed(known)
+            load = server.gate.load(now_s, self._has_joined(server))
+            previous = server.reported_load
+            due = now_s - server.reported_at_s >= LOAD_REPORT_INTERVAL_S
+            changed = previous is None or (
+                load.server_changed(previous) or load.load_changed(previous)
             )
             if due or changed:
-                server.told, server.told_at_s = load, now_s
-                for entry in self._knowing[server.number]:
-                    self._placements[entry].record_load(
+                server.reported_load, server.reported_at_s = load, now_s
+                for entry_node in self._linked_nodes[server.number]:
+                    self._placements[entry_node].record_load(
                         server.entry.host, load, now_s
                     )
         if now_s < self._scenario.duration_s:
-            self._at(now_s + TICK_S, self._tick)
+            self._schedule(now_s + LOAD_CHECK_INTERVAL_S, self._report_loads)
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -7,7 +7,7 @@
 
 from jasminecrank.standins.fleet import _http
 
-QUEUE = 4
+QUEUE_SIZE = 4
 """Requests that wait beyond the slots; more are never answered."""
 
 
@@ -37,15 +37,15 @@
         self.cold_s = 0.0
         self.behaviours: list[Behaviour] = []
         """Faults of the next requests, in order; then SERVE."""
-        self.always = Behaviour.SERVE
-        self.runs_by_request: Counter[str] = Counter()
-        self.run_at_s: list[float] = []
+        self.default_behaviour = Behaviour.SERVE
+        self.runs_by_request_id: Counter[str] = Counter()
+        self.run_times_s: list[float] = []
         self.requests: list[_http.Request] = []
-        self.most_at_once = 0
-        self.cancelled = 0
-        self.connections = 0
-        self._at_once = 0
-        self._late: bytes = b""
+        self.peak_concurrency = 0
+        self.cancelled_runs = 0
+        self.connection_count = 0
+        self._concurrency = 0
+        self._deferred_response: bytes = b""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -64,14 +64,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
-        self.connections += 1
+        self.connection_count += 1
         try:
             while (request := await _http.read_request(reader)) is not None:
                 if request.target == "/healthz":
-                    writer.write(self._health())
+                    writer.write(self._encode_health())
                     continue
-                answer = asyncio.ensure_future(self._handle(request, writer))
-                if not await self._finish(answer, reader):
+                response = asyncio.ensure_future(self._handle(request, writer))
+                if not await self._wait_for_response(response, reader):
                     return
         except (
             OSError,
@@ -83,77 +83,90 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _finish(
-        self, answer: "asyncio.Future[bool]", reader: asyncio.StreamReader
+    async def _wait_for_response(
+        self, response: "asyncio.Future[bool]", reader: asyncio.StreamReader
     ) -> bool:
         """Wait for an answer, or drop the run when its caller leaves."""
-        while not answer.done():
-            await asyncio.wait([answer], timeout=0.01)
+        while not response.done():
+            await asyncio.wait([response], timeout=0.01)
             if reader.at_eof() or reader.exception() is not None:
-                answer.cancel()
-                self.cancelled += 1
+                response.cancel()
+                self.cancelled_runs += 1
                 return False
-        return answer.result()
+        return response.result()
 
-    def _health(self) -> bytes:
+    def _encode_health(self) -> bytes:
         headers = {"Instance-Id": self.server_id}
         if self.cold_s > 0:
             headers["Cold-Ms"] = str(round(self.cold_s * 1000))
-        return _http.encode(200, b"", headers)
+        return _http.encode_response(200, b"", headers)
 
     async def _handle(
         self, request: _http.Request, writer: asyncio.StreamWriter
     ) -> bool:
         request_id = request.headers.get("request-id", "")
-        echo = {"Request-Id": request_id}
-        expected = request.headers.get("expect-instance", self.server_id)
-        if expected != self.server_id:
+        echoed_headers = {"Request-Id": request_id}
+        expected_id = request.headers.get("expect-instance", self.server_id)
+        if expected_id != self.server_id:
             writer.write(
-                _http.encode(421, b"", {**echo, "Instance-Id": self.server_id})
+                _http.encode_response(
+                    421, b"", {**echoed_headers, "Instance-Id": self.server_id}
+                )
             )
             return True
-        behaviour = self.behaviours.pop(0) if self.behaviours else self.always
+        behaviour = (
+            self.behaviours.pop(0)
+            if self.behaviours
+            else self.default_behaviour
+        )
         if behaviour is Behaviour.SHED:
-            writer.write(_http.encode(503, b"", {**echo, "Not-Executed": "1"}))
+            writer.write(
+                _http.encode_response(
+                    503, b"", {**echoed_headers, "Not-Executed": "1"}
+                )
+            )
             return True
         await self._run(request, behaviour)
-        stamped = {**echo, "Server-Stamp": f"stamp-{request_id}"}
+        headers = {**echoed_headers, "Server-Stamp": f"stamp-{request_id}"}
         body = f"body of {request_id}".encode()
-        whole = _http.encode(200, body, stamped)
-        return self._send(writer, behaviour, whole, stamped, body)
+        response = _http.encode_response(200, body, headers)
+        return self._send(writer, behaviour, response, headers, body)
 
     async def _run(self, request: _http.Request, behaviour: Behaviour) -> None:
-        if self._at_once >= self.slots + QUEUE or behaviour is Behaviour.HANG:
+        if (
+            self._concurrency >= self.slots + QUEUE_SIZE
+            or behaviour is Behaviour.HANG
+        ):
             await asyncio.sleep(60.0)
-        self._at_once += 1
-        self.most_at_once = max(self.most_at_once, self._at_once)
+        self._concurrency += 1
+        self.peak_concurrency = max(self.peak_concurrency, self._concurrency)
         self.requests.append(request)
-        self.runs_by_request[request.headers.get("request-id", "")] += 1
-        self.run_at_s.append(asyncio.get_running_loop().time())
+        self.runs_by_request_id[request.headers.get("request-id", "")] += 1
+        self.run_times_s.append(asyncio.get_running_loop().time())
         try:
             await asyncio.sleep(self.run_s)
         finally:
-            self._at_once -= 1
+            self._concurrency -= 1
 
     def _send(
         self,
         writer: asyncio.StreamWriter,
         behaviour: Behaviour,
-        whole: bytes,
+        response: bytes,
         headers: dict[str, str],
         body: bytes,
     ) -> bool:
-        late, self._late = self._late, b""
+        deferred, self._deferred_response = self._deferred_response, b""
         match behaviour:
             case Behaviour.SERVE:
-                writer.write(late + whole)
+                writer.write(deferred + response)
             case Behaviour.FAIL:
-                writer.write(_http.encode(500, b"failed", headers))
+                writer.write(_http.encode_response(500, b"failed", headers))
             case Behaviour.RESET_AFTER_RUN:
                 writer.transport.abort()
                 return False
             case Behaviour.CUT:
-                writer.write(whole[:-3])
+                writer.write(response[:-3])
                 return False
             case Behaviour.GARBLED:
                 writer.write(b"\x00\x01 this is no answer\r\n\r\n")
@@ -168,10 +181,10 @@
                     _reset(writer)
                 return False
             case Behaviour.EXTRA:
-                writer.write(whole + whole)
+                writer.write(response + response)
             case Behaviour.LATE_EXTRA:
-                writer.write(whole)
-                self._late = whole
+                writer.write(response)
+                self._deferred_response = response
             case Behaviour.SHED | Behaviour.HANG:
                 pass
             case _:
--- a/src/jasminecrank/standins/fleet/_store.py
+++ b/src/jasminecrank/standins/fleet/_store.py
@@ -9,7 +9,7 @@
 
 from jasminecrank.standins.fleet import _http
 
-PAGE_ITEMS = 3
+PAGE_SIZE = 3
 """Items a page, small so that paging is used."""
 
 
@@ -19,7 +19,7 @@
     NONE = "none"
     SILENT = "silent"
     BUSY = "busy"
-    MANY = "many"
+    THROTTLED = "many"
     RESET = "reset"
 
 
@@ -30,11 +30,11 @@
         self.outage = Outage.NONE
         self.refused_hosts: set[str] = set()
         """Hosts that are answered 503 while others are served."""
-        self.calls = 0
+        self.request_count = 0
         self._revision = 10
         self._item_by_key: dict[str, dict[str, typing.Any]] = {}
         self._events: list[dict[str, typing.Any]] = []
-        self._oldest = 10
+        self._oldest_revision = 10
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -63,26 +63,26 @@
             "lease": 0,
         }
         self._item_by_key[key] = item
-        await self._announce(item)
+        await self._publish_event(item)
         return self._revision
 
     async def delete(self, key: str) -> int:
         """Remove an item; return the revision of that."""
         self._revision += 1
         self._item_by_key.pop(key, None)
-        await self._announce(
+        await self._publish_event(
             {"key": key, "rev": self._revision, "tombstone": True}
         )
         return self._revision
 
     async def compact(self) -> None:
         """Drop the history, and cut the watches."""
-        self._oldest = self._revision + 1
+        self._oldest_revision = self._revision + 1
         self._revision += 1
         async with self._changed:
             self._changed.notify_all()
 
-    async def _announce(self, event: dict[str, typing.Any]) -> None:
+    async def _publish_event(self, event: dict[str, typing.Any]) -> None:
         self._events.append(event)
         async with self._changed:
             self._changed.notify_all()
@@ -93,12 +93,12 @@
         self._writers.add(writer)
         try:
             while (request := await _http.read_request(reader)) is not None:
-                self.calls += 1
-                answer = await self._answer(request, writer)
-                if answer is None:
+                self.request_count += 1
+                response = await self._respond(request, writer)
+                if response is None:
                     writer.transport.abort()
                     return
-                writer.write(answer)
+                writer.write(response)
                 await writer.drain()
         except (
             OSError,
@@ -110,20 +110,20 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(
+    async def _respond(
         self, request: _http.Request, writer: asyncio.StreamWriter
     ) -> bytes | None:
         host = writer.get_extra_info("peername")[0]
         if host in self.refused_hosts:
-            return _http.encode(503, b"")
+            return _http.encode_response(503, b"")
         match self.outage:
             case Outage.SILENT:
                 await asyncio.sleep(60.0)
                 return None
             case Outage.BUSY:
-                return _http.encode(503, b"")
-            case Outage.MANY:
-                return _http.encode(429, b"")
+                return _http.encode_response(503, b"")
+            case Outage.THROTTLED:
+                return _http.encode_response(429, b"")
             case Outage.RESET:
                 return None
             case Outage.NONE:
@@ -131,43 +131,48 @@
             case _:
                 typing.assert_never(self.outage)
         path, _, query = request.target.partition("?")
-        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        parameters = dict(
+            urllib.parse.parse_qsl(query, keep_blank_values=True)
+        )
         if path == "/-/kv-range":
-            return self._range(fields)
-        return await self._watch(fields)
+            return self._read_range(parameters)
+        return await self._wait_for_events(parameters)
 
-    def _range(self, fields: dict[str, str]) -> bytes:
+    def _read_range(self, parameters: dict[str, str]) -> bytes:
         keys = sorted(
             key
             for key in self._item_by_key
-            if key.startswith(fields["prefix"])
-            and key > fields.get("after", "")
+            if key.startswith(parameters["prefix"])
+            and key > parameters.get("after", "")
         )
-        page = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
+        page = [self._item_by_key[key] for key in keys[:PAGE_SIZE]]
         body = {
             "items": page,
-            "hasMore": len(keys) > PAGE_ITEMS,
+            "hasMore": len(keys) > PAGE_SIZE,
             "currentRev": self._revision,
         }
-        return _http.encode(200, json.dumps(body).encode())
+        return _http.encode_response(200, json.dumps(body).encode())
 
-    async def _watch(self, fields: dict[str, str]) -> bytes:
-        after = int(fields["after"])
+    async def _wait_for_events(self, parameters: dict[str, str]) -> bytes:
+        after_revision = int(parameters["after"])
         try:
-            async with asyncio.timeout(int(fields["waitMs"]) / 1000):
+            async with asyncio.timeout(int(parameters["waitMs"]) / 1000):
                 async with self._changed:
                     await self._changed.wait_for(
                         lambda: (
-                            after < self._oldest - 1
+                            after_revision < self._oldest_revision - 1
                             or any(
-                                event["rev"] > after for event in self._events
+                                event["rev"] > after_revision
+                                for event in self._events
                             )
                         )
                     )
         except TimeoutError:
             pass  # No change in time is an answer too.
-        if after < self._oldest - 1:
-            return _http.encode(410, b"")
-        events = [event for event in self._events if event["rev"] > after]
+        if after_revision < self._oldest_revision - 1:
+            return _http.encode_response(410, b"")
+        events = [
+            event for event in self._events if event["rev"] > after_revision
+        ]
         body = {"events": events, "currentRev": self._revision}
-        return _http.encode(200, json.dumps(body).encode())
+        return _http.encode_response(200, json.dumps(body).encode())
--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -8,28 +8,28 @@
 from jasminecrank.standins.soak import observed
 
 CALLERS_PER_HOST = 4
-CALLER_PAUSE_S = 0.12
+CALLER_MEAN_PAUSE_S = 0.12
 """Mean pause of a caller between two requests."""
-LEAVE_PART = 0.02
+ABANDON_RATIO = 0.02
 """Part of the requests whose callers go away at once."""
-OLD_KEY_PART = 0.1
+OLD_KEY_RATIO = 0.1
 """Part of the requests that show any key there ever was."""
 
 
-class Callers:
+class CallerPool:
     """Owns the callers' connections."""
 
-    def __init__(self, site: _deployment.SoakDeployment) -> None:
-        self._site = site
+    def __init__(self, deployment: _deployment.SoakDeployment) -> None:
+        self._deployment = deployment
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Begin to send requests on every host."""
-        for number in self._site.hosts:
+        for number in self._deployment.hosts:
             for index in range(CALLERS_PER_HOST):
                 rng = random.Random(f"{number}/{index}")
                 self._tasks.append(
-                    asyncio.create_task(self._call(number, rng))
+                    asyncio.create_task(self._run_caller(number, rng))
                 )
 
     async def stop(self) -> None:
@@ -38,25 +38,25 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _call(self, number: int, rng: random.Random) -> None:
+    async def _run_caller(self, number: int, rng: random.Random) -> None:
         caller = fleet.Caller(
-            self._site.host(number), self._site.ports["callers"]
+            self._deployment.host(number), self._deployment.ports["callers"]
         )
         while True:
-            await asyncio.sleep(rng.expovariate(1.0 / CALLER_PAUSE_S))
+            await asyncio.sleep(rng.expovariate(1.0 / CALLER_MEAN_PAUSE_S))
             method, target = rng.choice(
                 (("GET", "/lots/1"), ("POST", "/book/1"), ("GET", "/open/1"))
             )
-            key = None if target == "/open/1" else self._some_key(rng)
-            await self._ask(caller, number, method, target, key, rng)
+            key = None if target == "/open/1" else self._pick_key(rng)
+            await self._send_request(caller, number, method, target, key, rng)
 
-    def _some_key(self, rng: random.Random) -> str:
+    def _pick_key(self, rng: random.Random) -> str:
         """Return a key in force, or now and then one that was withdrawn."""
-        if rng.random() < OLD_KEY_PART:
-            return rng.choice(sorted(self._site.records.team_by_key))
-        return rng.choice(list(self._site.keys_by_team.values()))[-1]
+        if rng.random() < OLD_KEY_RATIO:
+            return rng.choice(sorted(self._deployment.records.team_by_key))
+        return rng.choice(list(self._deployment.keys_by_team.values()))[-1]
 
-    async def _ask(
+    async def _send_request(
         self,
         caller: fleet.Caller,
         number: int,
@@ -65,35 +65,35 @@
         key: str | None,
         rng: random.Random,
     ) -> None:
-        incarnation = self._site.nodes[number].incarnation
+        incarnation = self._deployment.nodes[number].incarnation
         try:
             await caller.send(method, target, key)
         except OSError:
             # The node is not there; nothing was sent.
-            caller.leave()
+            caller.close()
             return
         attempt = observed.Attempt(
-            caller.last_id,
+            caller.last_request_id,
             number,
             incarnation,
             method,
             key,
-            self._site.now_s(),
+            self._deployment.now_s(),
         )
-        self._site.records.attempts.append(attempt)
-        if rng.random() < LEAVE_PART:
-            attempt.left = True
-            caller.leave()
+        self._deployment.records.attempts.append(attempt)
+        if rng.random() < ABANDON_RATIO:
+            attempt.abandoned = True
+            caller.close()
             return
         try:
-            answer = await caller.receive()
+            response = await caller.receive()
         except asyncio.CancelledError:
-            attempt.left = True
+            attempt.abandoned = True
             raise
-        attempt.ended_s = self._site.now_s()
-        attempt.status = answer.status
-        attempt.whole = answer.status != 200 or (
-            answer.body == f"body of {attempt.request_id}".encode()
-            and answer.headers.get("server-stamp")
+        attempt.ended_s = self._deployment.now_s()
+        attempt.status = response.status
+        attempt.response_intact = response.status != 200 or (
+            response.body == f"body of {attempt.request_id}".encode()
+            and response.headers.get("server-stamp")
             == f"stamp-{attempt.request_id}"
         )
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -15,8 +15,8 @@
 
 DATA_CENTRES = ("belt-a", "belt-b")
 TEAM_RATE_PER_S = 60
-COLD_S = 3.0
-START_S = 15.0
+COLD_START_S = 3.0
+START_TIMEOUT_S = 15.0
 """Time in which all nodes have to be ready at the start."""
 
 
@@ -30,29 +30,31 @@
         self.hosts = range(hosts)
         self.store = fleet.Store()
         self.servers = [
-            SoakServer(number, f"i-{number}-0", self._see_arrival)
+            SoakServer(number, f"i-{number}-0", self._record_arrival)
             for number in self.hosts
         ]
         self.nodes: list[_processes.NodeProcess] = []
-        self.link_proxies: dict[tuple[int, int], _proxy.Proxy] = {}
+        self.link_proxy_by_hosts: dict[tuple[int, int], _proxy.Proxy] = {}
         """Proxies by the hosts that dial and that listen."""
         self.store_proxies: list[_proxy.Proxy] = []
         self.keys_by_team: dict[str, list[str]] = {}
         self.ports: dict[str, int] = {}
-        self.leaving: set[int] = set()
+        self.restarting_hosts: set[int] = set()
         """Hosts whose servers are being replaced or restarted."""
         self.records = observed.Records()
         self._folder = folder
         self._version = 0
         self._generation = 0
-        self._begun_s = 0.0
+        self._started_s = 0.0
 
     @contextlib.contextmanager
-    def disturbed(
+    def record_disturbance(
         self, hosts: Iterable[int] | None, planned: bool = False
     ) -> Iterator[None]:
         """Note that a fault lasts, at some hosts or at all."""
-        disturbance = self.records.begin(self.now_s(), hosts, planned)
+        disturbance = self.records.begin_disturbance(
+            self.now_s(), hosts, planned
+        )
         try:
             yield
         finally:
@@ -60,7 +62,7 @@
 
     def now_s(self) -> float:
         """Return the seconds since callers began."""
-        return asyncio.get_running_loop().time() - self._begun_s
+        return asyncio.get_running_loop().time() - self._started_s
 
     def host(self, number: int) -> str:
         """Return the address of a host."""
@@ -78,7 +80,7 @@
             self.issue_key(team)
         await self.publish()
         for number in self.hosts:
-            await self._listen(number, store)
+            await self._start_listeners(number, store)
             await self.register(number, "ready")
         for number in self.hosts:
             node = _processes.NodeProcess(
@@ -88,22 +90,24 @@
             )
             self.nodes.append(node)
             node.start()
-        await self._until_ready()
-        self._begun_s = asyncio.get_running_loop().time()
+        await self._wait_until_ready()
+        self._started_s = asyncio.get_running_loop().time()
 
-    async def _listen(self, number: int, store: tuple[str, int]) -> None:
+    async def _start_listeners(
+        self, number: int, store: tuple[str, int]
+    ) -> None:
         host = self.host(number)
         await self.servers[number].listen(host, self.ports["server"])
         proxy = _proxy.Proxy(store)
         await proxy.listen(host, self.ports["store"])
         self.store_proxies.append(proxy)
-        for dialler in self.hosts:
-            if dialler != number:
+        for client in self.hosts:
+            if client != number:
                 link = _proxy.Proxy((host, self.ports[f"links-{number}"]))
-                await link.listen(host, self.ports[f"links-{dialler}"])
-                self.link_proxies[dialler, number] = link
+                await link.listen(host, self.ports[f"links-{client}"])
+                self.link_proxy_by_hosts[client, number] = link
 
-    def write_settings(self, number: int, slack: int) -> pathlib.Path:
+    def write_settings(self, number: int, retry_slack: int) -> pathlib.Path:
         """Write the settings of a host's node."""
         host = self.host(number)
         links = self.ports[f"links-{number}"]
@@ -117,7 +121,7 @@
 appAddr = "{host}:{self.ports["server"]}"
 innerPorts = [{links}, {links + 1}]
 bounds = ["drainMs=2000", "graceS=6", "retryBudgetRatio=0.2",
-  "budgetWindowS=10", "budgetSlack={slack}", "quotaWindowS=5",
+  "budgetWindowS=10", "budgetSlack={retry_slack}", "quotaWindowS=5",
   "quotaOvershoot=0.25", "quotaSlack=20"]
 [zones]
 {zones}
@@ -131,34 +135,34 @@
         path.write_text(text)
         return path
 
-    async def _until_ready(self) -> None:
-        async with asyncio.timeout(START_S):
+    async def _wait_until_ready(self) -> None:
+        async with asyncio.timeout(START_TIMEOUT_S):
             for number in self.hosts:
-                while not await self._answers(number):
+                while not await self._is_serving(number):
                     await asyncio.sleep(0.1)
 
-    async def _answers(self, number: int) -> bool:
+    async def _is_serving(self, number: int) -> bool:
         caller = fleet.Caller(self.host(number), self.ports["callers"])
         try:
-            answer = await caller.ask("GET", "/open/ready", None)
+            response = await caller.request("GET", "/open/ready", None)
         except OSError:
             return False
-        caller.leave()
-        return answer.status == 200
+        caller.close()
+        return response.status == 200
 
     async def close(self) -> None:
         """End all processes and sockets of the run."""
         await asyncio.gather(*(node.close() for node in self.nodes))
         for server in self.servers:
             server.close()
-        for proxy in [*self.link_proxies.values(), *self.store_proxies]:
+        for proxy in [*self.link_proxy_by_hosts.values(), *self.store_proxies]:
             proxy.close()
         self.store.close()
 
-    def _see_arrival(
+    def _record_arrival(
         self, host: int, headers: dict[str, str], cold: bool
     ) -> None:
-        if not self._begun_s:
+        if not self._started_s:
             return
         self.records.arrivals.append(
             observed.Arrival(
@@ -210,15 +214,15 @@
     async def restart_server(self, number: int, down_s: float) -> None:
         """End a server, and start another one in its place."""
         server = self.servers[number]
-        old = server.server_id
+        old_id = server.server_id
         server.close()
         await asyncio.sleep(down_s)
         self._generation += 1
-        server.restart(f"i-{number}-{self._generation}", COLD_S)
+        server.restart(f"i-{number}-{self._generation}", COLD_START_S)
         await server.listen(self.host(number), self.ports["server"])
         await asyncio.sleep(self.rng.uniform(0.0, 1.5))
         await self.register(number, "ready", server.cold_left_s)
-        await self.store.delete(f"servers/{old}")
+        await self.store.delete(f"servers/{old_id}")
 
 
 class SoakServer(fleet.Server):
@@ -228,11 +232,11 @@
         self,
         number: int,
         server_id: str,
-        see: typing.Callable[[int, dict[str, str], bool], None],
+        record_arrival: typing.Callable[[int, dict[str, str], bool], None],
     ) -> None:
         super().__init__(server_id)
         self._number = number
-        self._see = see
+        self._record_arrival = record_arrival
         self._cold_until_s = 0.0
 
     @property
@@ -246,13 +250,15 @@
         self.server_id = server_id
         self._cold_until_s = asyncio.get_running_loop().time() + cold_s
 
-    def _health(self) -> bytes:
+    def _encode_health(self) -> bytes:
         self.cold_s = self.cold_left_s
-        return super()._health()
+        return super()._encode_health()
 
     async def _run(
         self, request: typing.Any, behaviour: fleet.Behaviour
     ) -> None:
         if behaviour is not fleet.Behaviour.HANG:
-            self._see(self._number, request.headers, self.cold_left_s > 0.0)
+            self._record_arrival(
+                self._number, request.headers, self.cold_left_s > 0.0
+            )
         await super()._run(request, behaviour)
--- a/src/jasminecrank/standins/soak/_faults.py
+++ b/src/jasminecrank/standins/soak/_faults.py
@@ -12,26 +12,26 @@
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import observed
 
-DRAIN_S = 2.0
-EVACUATE_S = 5.0
+DRAIN_TIMEOUT_S = 2.0
+EVACUATION_TIMEOUT_S = 5.0
 """Bounds of the platform on servers that leave and on data centres."""
-APPLIED_S = 0.3
+SCHEDULING_SLACK_S = 0.3
 """Delays of this machine on top of a bound."""
-KILLED_S = 2.0
-TERMINATED_S = 8.0
+KILL_RECOVERY_S = 2.0
+TERMINATION_RECOVERY_S = 8.0
 """Time in which a node is back that was killed or asked to stop."""
 POWER_OFF_S = 0.5
-STORM_GAP_S = 0.1
+UPDATE_INTERVAL_S = 0.1
 
 
-class FaultPlayer:
+class FaultInjector:
     """Acts on a deployment from outside its nodes."""
 
-    def __init__(self, site: _deployment.SoakDeployment) -> None:
-        self._site = site
+    def __init__(self, deployment: _deployment.SoakDeployment) -> None:
+        self._deployment = deployment
         self._data_centres_out: set[int] = set()
 
-    async def play(self, planned: _plan.Planned) -> None:
+    async def inject(self, planned: _plan.PlannedFault) -> None:
         """Wait for the time of a fault, and play it to its end."""
         await asyncio.sleep(planned.at_s)
         fault = planned.fault
@@ -42,171 +42,182 @@
                 | _plan.NodeTerminated()
                 | _plan.SettingsChanged()
             ):
-                await self._harm_process(fault)
+                await self._inject_process_fault(fault)
             case (
-                _plan.LinksHarmed()
-                | _plan.StoreHarmed()
-                | _plan.StoreCut()
+                _plan.LinksDegraded()
+                | _plan.StoreOutage()
+                | _plan.StoreUnreachable()
                 | _plan.StoreCompacted()
             ):
-                await self._harm_network(fault)
+                await self._inject_network_fault(fault)
             case (
                 _plan.ServerCrashed()
                 | _plan.ServerReplaced()
                 | _plan.ServerMisbehaves()
             ):
-                await self._harm_server(fault)
+                await self._inject_server_fault(fault)
             case (
                 _plan.KeyWithdrawn()
-                | _plan.TableStorm()
+                | _plan.TableUpdateBurst()
                 | _plan.DataCentreOut()
             ):
-                await self._change(fault)
+                await self._apply_change(fault)
             case _:
                 typing.assert_never(fault)
 
-    async def _harm_process(self, fault: _plan.ProcessFault) -> None:
-        nodes = self._site.nodes
+    async def _inject_process_fault(self, fault: _plan.ProcessFault) -> None:
+        nodes = self._deployment.nodes
         match fault:
             case _plan.NodesKilled(hosts, with_servers):
-                with self._site.disturbed(hosts):
+                with self._deployment.record_disturbance(hosts):
                     for host in hosts:
-                        nodes[host].send(signal.SIGKILL)
+                        nodes[host].send_signal(signal.SIGKILL)
                     if with_servers:
                         await self._restart_servers(hosts)
-                    await asyncio.sleep(KILLED_S)
-            case _plan.NodePaused(host, for_s):
-                with self._site.disturbed((host,)):
-                    nodes[host].send(signal.SIGSTOP)
-                    await asyncio.sleep(for_s)
-                    nodes[host].send(signal.SIGCONT)
+                    await asyncio.sleep(KILL_RECOVERY_S)
+            case _plan.NodePaused(host, duration_s):
+                with self._deployment.record_disturbance((host,)):
+                    nodes[host].send_signal(signal.SIGSTOP)
+                    await asyncio.sleep(duration_s)
+                    nodes[host].send_signal(signal.SIGCONT)
             case _plan.NodeTerminated(host):
-                with self._site.disturbed((host,), planned=True):
-                    now_s = self._site.now_s()
-                    self._site.records.terminated.append((host, now_s))
-                    nodes[host].send(signal.SIGTERM)
-                    await asyncio.sleep(TERMINATED_S)
+                with self._deployment.record_disturbance(
+                    (host,), planned=True
+                ):
+                    now_s = self._deployment.now_s()
+                    self._deployment.records.terminations.append((host, now_s))
+                    nodes[host].send_signal(signal.SIGTERM)
+                    await asyncio.sleep(TERMINATION_RECOVERY_S)
             case _plan.SettingsChanged(host, retry_slack):
-                self._site.write_settings(host, retry_slack)
-                nodes[host].send(signal.SIGHUP)
+                self._deployment.write_settings(host, retry_slack)
+                nodes[host].send_signal(signal.SIGHUP)
             case _:
                 typing.assert_never(fault)
 
-    async def _harm_network(self, fault: _plan.NetworkFault) -> None:
-        site = self._site
+    async def _inject_network_fault(self, fault: _plan.NetworkFault) -> None:
+        deployment = self._deployment
         match fault:
-            case _plan.LinksHarmed(hosts, condition, for_s):
-                inside = set(hosts)
-                harmed = [
+            case _plan.LinksDegraded(hosts, condition, duration_s):
+                group = set(hosts)
+                affected = [
                     proxy
-                    for pair, proxy in site.link_proxies.items()
-                    if len(inside.intersection(pair)) == 1
+                    for pair, proxy in deployment.link_proxy_by_hosts.items()
+                    if len(group.intersection(pair)) == 1
                 ]
                 # A call takes a second host, so all callers may notice.
-                with site.disturbed(None):
-                    await _harm(harmed, condition, for_s)
-            case _plan.StoreHarmed(outage, for_s):
-                with site.disturbed(None):
-                    site.store.outage = outage
-                    await asyncio.sleep(for_s)
-                    site.store.outage = fleet.Outage.NONE
-            case _plan.StoreCut(hosts, condition, for_s):
-                proxies = [site.store_proxies[host] for host in hosts]
-                with site.disturbed(hosts):
-                    await _harm(proxies, condition, for_s)
+                with deployment.record_disturbance(None):
+                    await _apply_condition(affected, condition, duration_s)
+            case _plan.StoreOutage(outage, duration_s):
+                with deployment.record_disturbance(None):
+                    deployment.store.outage = outage
+                    await asyncio.sleep(duration_s)
+                    deployment.store.outage = fleet.Outage.NONE
+            case _plan.StoreUnreachable(hosts, condition, duration_s):
+                proxies = [deployment.store_proxies[host] for host in hosts]
+                with deployment.record_disturbance(hosts):
+                    await _apply_condition(proxies, condition, duration_s)
             case _plan.StoreCompacted():
-                await site.store.compact()
+                await deployment.store.compact()
             case _:
                 typing.assert_never(fault)
 
-    async def _harm_server(self, fault: _plan.ServerFault) -> None:
+    async def _inject_server_fault(self, fault: _plan.ServerFault) -> None:
         match fault:
-            case _plan.ServerCrashed(host, for_s):
-                await self._restart_servers((host,), for_s)
+            case _plan.ServerCrashed(host, duration_s):
+                await self._restart_servers((host,), duration_s)
             case _plan.ServerReplaced(host):
                 await self._replace(host)
-            case _plan.ServerMisbehaves(host, behaviour, for_s):
-                server = self._site.servers[host]
-                server.always = behaviour
-                await asyncio.sleep(for_s)
-                server.always = fleet.Behaviour.SERVE
+            case _plan.ServerMisbehaves(host, behaviour, duration_s):
+                server = self._deployment.servers[host]
+                server.default_behaviour = behaviour
+                await asyncio.sleep(duration_s)
+                server.default_behaviour = fleet.Behaviour.SERVE
             case _:
                 typing.assert_never(fault)
 
-    async def _change(self, change: _plan.OperatorChange) -> None:
+    async def _apply_change(self, change: _plan.OperatorChange) -> None:
         match change:
             case _plan.KeyWithdrawn(team):
                 await self._withdraw_key(f"team-{team}")
-            case _plan.TableStorm(versions):
+            case _plan.TableUpdateBurst(versions):
                 for _ in range(versions):
-                    await self._site.publish()
-                    await asyncio.sleep(STORM_GAP_S)
-            case _plan.DataCentreOut(number, for_s):
-                await self._evacuate(number, for_s)
+                    await self._deployment.publish()
+                    await asyncio.sleep(UPDATE_INTERVAL_S)
+            case _plan.DataCentreOut(number, duration_s):
+                await self._take_out_data_centre(number, duration_s)
             case _:
                 typing.assert_never(change)
 
     async def _restart_servers(
         self, hosts: Sequence[int], down_s: float = POWER_OFF_S
     ) -> None:
-        leaving = self._site.leaving
-        free = [host for host in hosts if host not in leaving]
-        leaving.update(free)
+        restarting_hosts = self._deployment.restarting_hosts
+        available = [host for host in hosts if host not in restarting_hosts]
+        restarting_hosts.update(available)
         await asyncio.gather(
-            *(self._site.restart_server(host, down_s) for host in free)
+            *(
+                self._deployment.restart_server(host, down_s)
+                for host in available
+            )
         )
-        leaving.difference_update(free)
+        restarting_hosts.difference_update(available)
 
     async def _replace(self, host: int) -> None:
-        site = self._site
-        if host in site.leaving:
+        deployment = self._deployment
+        if host in deployment.restarting_hosts:
             return
-        site.leaving.add(host)
-        await site.register(host, "draining")
-        promise = observed.Promise(host, site.now_s() + DRAIN_S + APPLIED_S)
-        site.records.no_new_work.append(promise)
-        await asyncio.sleep(DRAIN_S + 1.0)
-        promise.until_s = site.now_s()
-        await site.restart_server(host, 0.2)
-        site.leaving.discard(host)
+        deployment.restarting_hosts.add(host)
+        await deployment.register(host, "draining")
+        period = observed.OutOfServicePeriod(
+            host, deployment.now_s() + DRAIN_TIMEOUT_S + SCHEDULING_SLACK_S
+        )
+        deployment.records.out_of_service_periods.append(period)
+        await asyncio.sleep(DRAIN_TIMEOUT_S + 1.0)
+        period.until_s = deployment.now_s()
+        await deployment.restart_server(host, 0.2)
+        deployment.restarting_hosts.discard(host)
 
     async def _withdraw_key(self, team: str) -> None:
-        site = self._site
-        site.issue_key(team)
-        await site.publish()
+        deployment = self._deployment
+        deployment.issue_key(team)
+        await deployment.publish()
         # Callers learn of a new key before the old one goes.
-        await asyncio.sleep(checks.APPLY_S)
-        key = site.keys_by_team[team].pop(0)
-        await site.publish()
-        site.records.withdrawn_s_by_key[key] = site.now_s()
+        await asyncio.sleep(checks.CONFIG_APPLY_S)
+        key = deployment.keys_by_team[team].pop(0)
+        await deployment.publish()
+        deployment.records.withdrawn_s_by_key[key] = deployment.now_s()
 
-    async def _evacuate(self, number: int, for_s: float) -> None:
+    async def _take_out_data_centre(
+        self, number: int, duration_s: float
+    ) -> None:
         if number in self._data_centres_out:
             return
         self._data_centres_out.add(number)
-        site = self._site
+        deployment = self._deployment
         key = f"op/evacuate/{_deployment.DATA_CENTRES[number]}"
-        await site.store.put(key, {})
-        promises = [
-            observed.Promise(host, site.now_s() + EVACUATE_S)
-            for host in site.hosts
+        await deployment.store.put(key, {})
+        periods = [
+            observed.OutOfServicePeriod(
+                host, deployment.now_s() + EVACUATION_TIMEOUT_S
+            )
+            for host in deployment.hosts
             if host % 2 == number
         ]
-        site.records.no_new_work.extend(promises)
-        await asyncio.sleep(for_s)
-        for promise in promises:
-            promise.until_s = site.now_s()
-        await site.store.delete(key)
+        deployment.records.out_of_service_periods.extend(periods)
+        await asyncio.sleep(duration_s)
+        for period in periods:
+            period.until_s = deployment.now_s()
+        await deployment.store.delete(key)
         self._data_centres_out.discard(number)
 
 
-async def _harm(
+async def _apply_condition(
     proxies: Sequence[_proxy.Proxy],
-    condition: _proxy.Condition,
-    for_s: float,
+    condition: _proxy.LinkCondition,
+    duration_s: float,
 ) -> None:
     for proxy in proxies:
-        proxy.set(condition)
-    await asyncio.sleep(for_s)
+        proxy.set_condition(condition)
+    await asyncio.sleep(duration_s)
     for proxy in proxies:
-        proxy.set(_proxy.Condition.WELL)
+        proxy.set_condition(_proxy.LinkCondition.NORMAL)
--- a/src/jasminecrank/standins/soak/_plan.py
+++ b/src/jasminecrank/standins/soak/_plan.py
@@ -8,9 +8,9 @@
 from jasminecrank.standins.soak import _proxy
 
 FIRST_FAULT_S = 2.0
-MEAN_GAP_S = 0.7
+MEAN_FAULT_INTERVAL_S = 0.7
 """Mean time between faults, so that several overlap."""
-HEAL_S = 8.0
+RECOVERY_S = 8.0
 """Time at the end in which no fault begins."""
 
 
@@ -28,7 +28,7 @@
     """A process is stopped for a while and goes on."""
 
     host: int
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,29 +47,29 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LinksHarmed:
+class LinksDegraded:
     """Links between two groups of hosts fail for a while."""
 
     hosts: tuple[int, ...]
-    condition: _proxy.Condition
-    for_s: float
+    condition: _proxy.LinkCondition
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
-class StoreHarmed:
+class StoreOutage:
     """The store fails all hosts for a while."""
 
     outage: fleet.Outage
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
-class StoreCut:
+class StoreUnreachable:
     """Some hosts do not reach the store for a while."""
 
     hosts: tuple[int, ...]
-    condition: _proxy.Condition
-    for_s: float
+    condition: _proxy.LinkCondition
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,7 +82,7 @@
     """A server ends and comes back with another id, cold."""
 
     host: int
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -98,7 +98,7 @@
 
     host: int
     behaviour: fleet.Behaviour
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,7 +109,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class TableStorm:
+class TableUpdateBurst:
     """Versions come in quick succession."""
 
     versions: int
@@ -120,20 +120,20 @@
     """A data centre is taken out of service, and back."""
 
     number: int
-    for_s: float
+    duration_s: float
 
 
 ProcessFault = NodesKilled | NodePaused | NodeTerminated | SettingsChanged
-NetworkFault = LinksHarmed | StoreHarmed | StoreCut | StoreCompacted
+NetworkFault = LinksDegraded | StoreOutage | StoreUnreachable | StoreCompacted
 ServerFault = ServerCrashed | ServerReplaced | ServerMisbehaves
-OperatorChange = KeyWithdrawn | TableStorm | DataCentreOut
+OperatorChange = KeyWithdrawn | TableUpdateBurst | DataCentreOut
 Fault = ProcessFault | NetworkFault | ServerFault | OperatorChange
 
-_BAD_LINKS = (
-    _proxy.Condition.SLOW,
-    _proxy.Condition.RESET,
-    _proxy.Condition.SILENT,
-    _proxy.Condition.ONE_WAY,
+_LINK_FAULTS = (
+    _proxy.LinkCondition.SLOW,
+    _proxy.LinkCondition.RESET,
+    _proxy.LinkCondition.SILENT,
+    _proxy.LinkCondition.ONE_WAY,
 )
 _OUTAGES = tuple(
     outage for outage in fleet.Outage if outage is not fleet.Outage.NONE
@@ -146,60 +146,70 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Planned:
+class PlannedFault:
     """A fault and the second of the run at which it begins."""
 
     at_s: float
     fault: Fault
 
 
-def make_plan(seed: int, hosts: int, duration_s: float) -> list[Planned]:
+def make_plan(seed: int, hosts: int, duration_s: float) -> list[PlannedFault]:
     """Return the faults of a run, in order."""
     rng = random.Random(seed)
     plan = []
     at_s = FIRST_FAULT_S
-    while at_s < duration_s - HEAL_S:
-        draw = rng.choice(_DRAWS)
-        plan.append(Planned(at_s, draw(rng, hosts)))
+    while at_s < duration_s - RECOVERY_S:
+        generate_fault = rng.choice(_FAULT_GENERATORS)
+        plan.append(PlannedFault(at_s, generate_fault(rng, hosts)))
         # Series and overlaps: half of the gaps are much shorter.
-        gap_s = MEAN_GAP_S * (0.1 if rng.random() < 0.5 else 1.9)
-        at_s += rng.expovariate(1.0 / gap_s)
+        interval_s = MEAN_FAULT_INTERVAL_S * (
+            0.1 if rng.random() < 0.5 else 1.9
+        )
+        at_s += rng.expovariate(1.0 / interval_s)
     return plan
 
 
-def _some(rng: random.Random, hosts: int, part: float) -> tuple[int, ...]:
-    count = max(1, round(part * hosts))
+def _sample_hosts(
+    rng: random.Random, hosts: int, fraction: float
+) -> tuple[int, ...]:
+    count = max(1, round(fraction * hosts))
     return tuple(sorted(rng.sample(range(hosts), count)))
 
 
-def _time_s(rng: random.Random) -> float:
+def _draw_duration_s(rng: random.Random) -> float:
     return rng.uniform(0.3, 4.0)
 
 
-_DRAWS: tuple[Callable[[random.Random, int], Fault], ...] = (
+_FAULT_GENERATORS: tuple[Callable[[random.Random, int], Fault], ...] = (
     lambda rng, n: NodesKilled((rng.randrange(n),), False),
-    lambda rng, n: NodesKilled(_some(rng, n, rng.choice((0.3, 1.0))), False),
-    lambda rng, n: NodesKilled(_some(rng, n, rng.choice((0.3, 1.0))), True),
-    lambda rng, n: NodePaused(rng.randrange(n), _time_s(rng)),
+    lambda rng, n: NodesKilled(
+        _sample_hosts(rng, n, rng.choice((0.3, 1.0))), False
+    ),
+    lambda rng, n: NodesKilled(
+        _sample_hosts(rng, n, rng.choice((0.3, 1.0))), True
+    ),
+    lambda rng, n: NodePaused(rng.randrange(n), _draw_duration_s(rng)),
     lambda rng, n: NodeTerminated(rng.randrange(n)),
     lambda rng, n: NodeTerminated(rng.randrange(n)),
     lambda rng, n: SettingsChanged(rng.randrange(n), rng.randrange(10, 40)),
-    lambda rng, n: LinksHarmed(
-        _some(rng, n, rng.choice((0.1, 0.5))),
-        rng.choice(_BAD_LINKS),
-        _time_s(rng),
+    lambda rng, n: LinksDegraded(
+        _sample_hosts(rng, n, rng.choice((0.1, 0.5))),
+        rng.choice(_LINK_FAULTS),
+        _draw_duration_s(rng),
     ),
-    lambda rng, n: StoreHarmed(rng.choice(_OUTAGES), _time_s(rng)),
-    lambda rng, n: StoreCut(
-        _some(rng, n, 0.35), rng.choice(_BAD_LINKS), _time_s(rng)
+    lambda rng, n: StoreOutage(rng.choice(_OUTAGES), _draw_duration_s(rng)),
+    lambda rng, n: StoreUnreachable(
+        _sample_hosts(rng, n, 0.35),
+        rng.choice(_LINK_FAULTS),
+        _draw_duration_s(rng),
     ),
     lambda rng, n: StoreCompacted(),
-    lambda rng, n: ServerCrashed(rng.randrange(n), _time_s(rng)),
+    lambda rng, n: ServerCrashed(rng.randrange(n), _draw_duration_s(rng)),
     lambda rng, n: ServerReplaced(rng.randrange(n)),
     lambda rng, n: ServerMisbehaves(
-        rng.randrange(n), rng.choice(_BEHAVIOURS), _time_s(rng)
+        rng.randrange(n), rng.choice(_BEHAVIOURS), _draw_duration_s(rng)
     ),
     lambda rng, n: KeyWithdrawn(rng.randrange(2)),
-    lambda rng, n: TableStorm(rng.randint(3, 10)),
+    lambda rng, n: TableUpdateBurst(rng.randint(3, 10)),
     lambda rng, n: DataCentreOut(rng.randrange(2), rng.uniform(2.0, 6.0)),
 )
--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 
-RESTART_S = 0.3
+RESTART_DELAY_S = 0.3
 """Time until the platform starts a process again."""
 
 
@@ -14,21 +14,21 @@
     """Owns one node's process, by its id."""
 
     def __init__(
-        self, name: str, settings: pathlib.Path, log: pathlib.Path
+        self, name: str, settings_path: pathlib.Path, log_path: pathlib.Path
     ) -> None:
         self.name = name
         self.incarnation = 0
-        self._settings = settings
-        self._log = log
+        self._settings_path = settings_path
+        self._log_path = log_path
         self._process: asyncio.subprocess.Process | None = None
-        self._ended = False
+        self._closed = False
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start the process, and again whenever it ends."""
-        self._task = asyncio.create_task(self._keep_running())
+        self._task = asyncio.create_task(self._supervise())
 
-    def send(self, signal_number: int) -> None:
+    def send_signal(self, signal_number: int) -> None:
         """Send a signal, unless the process has ended."""
         process = self._process
         if process is not None and process.returncode is None:
@@ -36,20 +36,20 @@
 
     async def close(self) -> None:
         """End the process for good."""
-        self._ended = True
-        self.send(signal.SIGKILL)
+        self._closed = True
+        self.send_signal(signal.SIGKILL)
         if self._task is not None:
             await self._task
 
-    async def _keep_running(self) -> None:
+    async def _supervise(self) -> None:
         environment = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": os.pathsep.join(sys.path),
-            "JASMINECRANK_CONFIG": str(self._settings),
+            "JASMINECRANK_CONFIG": str(self._settings_path),
         }
-        while not self._ended:
+        while not self._closed:
             self.incarnation += 1
-            with self._log.open("ab") as output:
+            with self._log_path.open("ab") as output:
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
@@ -59,7 +59,7 @@
                     stdout=output,
                     stderr=output,
                 )
-            if self._ended:
-                self.send(signal.SIGKILL)
+            if self._closed:
+                self.send_signal(signal.SIGKILL)
             await self._process.wait()
-            await asyncio.sleep(0.0 if self._ended else RESTART_S)
+            await asyncio.sleep(0.0 if self._closed else RESTART_DELAY_S)
--- a/src/jasminecrank/standins/soak/_proxy.py
+++ b/src/jasminecrank/standins/soak/_proxy.py
@@ -4,14 +4,14 @@
 import enum
 
 CHUNK_BYTES = 65_536
-DELAY_S = 0.15
+SLOW_LINK_DELAY_S = 0.15
 """Delay of a slow link, each way."""
 
 
-class Condition(enum.Enum):
+class LinkCondition(enum.Enum):
     """What happens to bytes on a link."""
 
-    WELL = "well"
+    NORMAL = "well"
     SLOW = "slow"
     RESET = "reset"
     SILENT = "silent"
@@ -24,7 +24,7 @@
 
     def __init__(self, target: tuple[str, int]) -> None:
         self._target = target
-        self._condition = Condition.WELL
+        self._condition = LinkCondition.NORMAL
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -32,24 +32,24 @@
         """Accept connections at an address."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
-    def set(self, condition: Condition) -> None:
+    def set_condition(self, condition: LinkCondition) -> None:
         """Change what happens to bytes from now on.
 
         Bytes that a silent link swallowed are lost, so its connections end
         with the silence.
         """
-        was, self._condition = self._condition, condition
-        lossy = (Condition.SILENT, Condition.ONE_WAY)
-        if condition is Condition.RESET or was in lossy:
-            self._abort()
+        previous, self._condition = self._condition, condition
+        lossy = (LinkCondition.SILENT, LinkCondition.ONE_WAY)
+        if condition is LinkCondition.RESET or previous in lossy:
+            self._abort_connections()
 
     def close(self) -> None:
         """Stop forwarding."""
         if self._server is not None:
             self._server.close()
-        self._abort()
+        self._abort_connections()
 
-    def _abort(self) -> None:
+    def _abort_connections(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -58,36 +58,42 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            if self._condition is Condition.RESET:
+            if self._condition is LinkCondition.RESET:
                 return
-            ahead_reader, ahead = await asyncio.open_connection(*self._target)
-            self._writers.add(ahead)
+            upstream_reader, upstream_writer = await asyncio.open_connection(
+                *self._target
+            )
+            self._writers.add(upstream_writer)
             try:
                 async with asyncio.TaskGroup() as group:
-                    group.create_task(self._pump(reader, ahead, True))
-                    group.create_task(self._pump(ahead_reader, writer, False))
+                    group.create_task(
+                        self._relay(reader, upstream_writer, True)
+                    )
+                    group.create_task(
+                        self._relay(upstream_reader, writer, False)
+                    )
             finally:
-                self._writers.discard(ahead)
-                ahead.transport.abort()
+                self._writers.discard(upstream_writer)
+                upstream_writer.transport.abort()
         except (OSError, ExceptionGroup):
             pass  # Either side has left; the other one is closed below.
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def _pump(
+    async def _relay(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        forward: bool,
+        from_client: bool,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             match self._condition:
-                case Condition.SLOW:
-                    await asyncio.sleep(DELAY_S)
-                case Condition.SILENT:
+                case LinkCondition.SLOW:
+                    await asyncio.sleep(SLOW_LINK_DELAY_S)
+                case LinkCondition.SILENT:
                     continue
-                case Condition.ONE_WAY if forward:
+                case LinkCondition.ONE_WAY if from_client:
                     continue
                 case _:
                     pass
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -21,7 +21,7 @@
     requests: int
     served: int
     faults: int
-    broken: tuple[str, ...]
+    violations: tuple[str, ...]
     """One line for each promise that did not hold."""
 
 
@@ -41,14 +41,14 @@
     async def run(self) -> SoakResult:
         """Start all, play the plan, and check the promises."""
         deployment = self._deployment
-        callers = _callers.Callers(deployment)
-        player = _faults.FaultPlayer(deployment)
+        callers = _callers.CallerPool(deployment)
+        injector = _faults.FaultInjector(deployment)
         try:
             await deployment.start()
             callers.start()
             faults = [
-                asyncio.create_task(player.play(planned))
-                for planned in self._plan
+                asyncio.create_task(injector.inject(planned_fault))
+                for planned_fault in self._plan
             ]
             await asyncio.sleep(self._duration_s)
             await callers.stop()
@@ -71,12 +71,14 @@
             checks.planned_stops,
             checks.recovery(self._duration_s),
         )
-        broken = tuple(line for check in all_checks for line in check(records))
-        served = sum(one.status == 200 for one in records.attempts)
+        violations = tuple(
+            line for check in all_checks for line in check(records)
+        )
+        served = sum(attempt.status == 200 for attempt in records.attempts)
         return SoakResult(
             self._seed,
             len(records.attempts),
             served,
             len(self._plan),
-            broken,
+            violations,
         )
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -6,7 +6,7 @@
 
 from jasminecrank.standins.soak import observed
 
-APPLY_S = 2.0
+CONFIG_APPLY_S = 2.0
 """Time for a table to be in force, the platform's configApplyMs."""
 LOSS_SLACK_S = 0.2
 """The platform's lossSlackMs."""
@@ -17,9 +17,9 @@
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5.0
 """The platform's bounds on rates and on cold servers."""
-RECOVERED_PART = 0.25
+RECOVERED_RATIO = 0.25
 """Part of the requests that is served again after all faults."""
-PROMISES_NOT_RUN = (408, 421, 429, 503)
+NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 Check = Callable[[observed.Records], Iterator[str]]
 
@@ -38,7 +38,7 @@
     for attempt in records.attempts:
         if (
             attempt.method != "GET"
-            and attempt.status in PROMISES_NOT_RUN
+            and attempt.status in NOT_EXECUTED_STATUSES
             and runs[attempt.request_id]
         ):
             yield f"{attempt.request_id} got {attempt.status} and ran"
@@ -47,57 +47,67 @@
 def whole_answers(records: observed.Records) -> Iterator[str]:
     """A success is the server's whole answer to this request."""
     for attempt in records.attempts:
-        if not attempt.whole:
+        if not attempt.response_intact:
             yield f"{attempt.request_id} got another or a cut answer"
 
 
 def known_callers(records: observed.Records) -> Iterator[str]:
     """A request runs as its caller sent it, for the team of its key."""
-    by_id = {attempt.request_id: attempt for attempt in records.attempts}
+    attempt_by_id = {
+        attempt.request_id: attempt for attempt in records.attempts
+    }
     for arrival in records.arrivals:
-        attempt = by_id.get(arrival.request_id)
+        attempt = attempt_by_id.get(arrival.request_id)
         if attempt is None:
             yield f"{arrival.request_id} ran and nobody sent it"
             continue
         team = records.team_by_key.get(attempt.key or "", "")
         if (arrival.team, arrival.caller_service) != (team, "ledger"):
             yield f"{arrival.request_id} ran for team {arrival.team!r}"
-        if arrival.showed_key:
+        if arrival.has_key:
             yield f"{arrival.request_id} showed its key to the server"
 
 
 def withdrawn_keys(records: observed.Records) -> Iterator[str]:
     """A withdrawn key stops working, and never works again at a node."""
-    refused_s: dict[tuple[int, int, str], float] = {}
-    for attempt in sorted(records.attempts, key=lambda one: one.sent_s):
+    refused_s_by_node_and_key: dict[tuple[int, int, str], float] = {}
+    for attempt in sorted(
+        records.attempts, key=lambda attempt: attempt.sent_s
+    ):
         withdrawn_s = records.withdrawn_s_by_key.get(attempt.key or "")
         if withdrawn_s is None or attempt.sent_s < withdrawn_s:
             continue
-        place = (attempt.host, attempt.incarnation, attempt.key or "")
+        node_and_key = (attempt.host, attempt.incarnation, attempt.key or "")
         if attempt.status == 401:
-            refused_s.setdefault(place, attempt.ended_s)
+            refused_s_by_node_and_key.setdefault(node_and_key, attempt.ended_s)
         if attempt.status != 200:
             continue
-        if refused_s.get(place, attempt.sent_s) < attempt.sent_s:
+        if (
+            refused_s_by_node_and_key.get(node_and_key, attempt.sent_s)
+            < attempt.sent_s
+        ):
             yield f"{attempt.request_id} went back to an older table"
-        if attempt.sent_s > withdrawn_s + APPLY_S and records.calm(
-            attempt.host, withdrawn_s, attempt.sent_s, True
+        if (
+            attempt.sent_s > withdrawn_s + CONFIG_APPLY_S
+            and records.is_undisturbed(
+                attempt.host, withdrawn_s, attempt.sent_s, True
+            )
         ):
             yield f"{attempt.request_id} was served with a withdrawn key"
 
 
 def no_new_work(records: observed.Records) -> Iterator[str]:
     """A leaving server, or one of a closed data centre, gets no requests."""
-    for promise in records.no_new_work:
+    for period in records.out_of_service_periods:
         for arrival in records.arrivals:
             if (
-                arrival.host == promise.host
-                and promise.from_s < arrival.at_s < promise.until_s
-                and records.calm(
-                    arrival.host, promise.from_s, arrival.at_s, True
+                arrival.host == period.host
+                and period.from_s < arrival.at_s < period.until_s
+                and records.is_undisturbed(
+                    arrival.host, period.from_s, arrival.at_s, True
                 )
             ):
-                late_s = arrival.at_s - promise.from_s
+                late_s = arrival.at_s - period.from_s
                 yield (
                     f"{arrival.request_id} reached host {arrival.host} "
                     f"{late_s:.2f} s too late"
@@ -107,28 +117,28 @@
 def cold_servers(records: observed.Records) -> Iterator[str]:
     """A cold server gets no more than it bears in any second."""
     limit = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
-    by_host: dict[int, list[float]] = {}
+    times_by_host: dict[int, list[float]] = {}
     for arrival in records.arrivals:
         if arrival.cold:
-            by_host.setdefault(arrival.host, []).append(arrival.at_s)
-    for host, times in by_host.items():
-        count = _most_in(sorted(times), 1.0)
+            times_by_host.setdefault(arrival.host, []).append(arrival.at_s)
+    for host, times in times_by_host.items():
+        count = _max_in_window(sorted(times), 1.0)
         if count > limit:
             yield f"cold server {host} got {count} requests in a second"
 
 
 def quotas(rate_per_s: float) -> Check:
     """Return a check that no team exceeds its rate and burst."""
-    whole = rate_per_s * QUOTA_WINDOW_S + rate_per_s
-    limit = whole * (1.0 + QUOTA_OVERSHOOT) + QUOTA_SLACK
+    allowed = rate_per_s * QUOTA_WINDOW_S + rate_per_s
+    limit = allowed * (1.0 + QUOTA_OVERSHOOT) + QUOTA_SLACK
 
     def check(records: observed.Records) -> Iterator[str]:
-        by_team: dict[str, list[float]] = {}
+        times_by_team: dict[str, list[float]] = {}
         for arrival in records.arrivals:
             if arrival.team:
-                by_team.setdefault(arrival.team, []).append(arrival.at_s)
-        for team, times in by_team.items():
-            count = _most_in(sorted(times), QUOTA_WINDOW_S)
+                times_by_team.setdefault(arrival.team, []).append(arrival.at_s)
+        for team, times in times_by_team.items():
+            count = _max_in_window(sorted(times), QUOTA_WINDOW_S)
             if count > limit:
                 yield f"{team} ran {count} in {QUOTA_WINDOW_S} s, not {limit}"
 
@@ -138,18 +148,20 @@
 def planned_stops(records: observed.Records) -> Iterator[str]:
     """A stop that was asked for cuts no request that was read."""
     ran = {arrival.request_id for arrival in records.arrivals}
-    for host, at_s in records.terminated:
+    for host, at_s in records.terminations:
         for attempt in records.attempts:
             if (
                 attempt.host == host
                 and attempt.status == 0
-                and not attempt.left
+                and not attempt.abandoned
                 and at_s <= attempt.ended_s <= at_s + 7.0
                 and (
                     attempt.request_id in ran
                     or attempt.ended_s - attempt.sent_s > LOSS_SLACK_S
                 )
-                and records.calm(None, attempt.sent_s, attempt.ended_s, False)
+                and records.is_undisturbed(
+                    None, attempt.sent_s, attempt.ended_s, False
+                )
             ):
                 yield f"{attempt.request_id} was cut by a planned stop"
 
@@ -158,19 +170,19 @@
     """Return a check that requests are served again at the end."""
 
     def check(records: observed.Records) -> Iterator[str]:
-        last = [
+        final = [
             attempt
             for attempt in records.attempts
-            if attempt.sent_s > end_s - 3.0 and not attempt.left
+            if attempt.sent_s > end_s - 3.0 and not attempt.abandoned
         ]
-        served = sum(attempt.status == 200 for attempt in last)
-        if not last or served < RECOVERED_PART * len(last):
-            yield f"{served} of {len(last)} requests served at the end"
+        served = sum(attempt.status == 200 for attempt in final)
+        if not final or served < RECOVERED_RATIO * len(final):
+            yield f"{served} of {len(final)} requests served at the end"
 
     return check
 
 
-def _most_in(times: list[float], window_s: float) -> int:
+def _max_in_window(times: list[float], window_s: float) -> int:
     """Return the most entries of a sorted list in any window."""
     most = first = 0
     for last, at_s in enumerate(times):
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -5,7 +5,7 @@
 from dataclasses import field
 import math
 
-TOUCH_S = 3.0
+SETTLE_S = 3.0
 """Time without a fault after which bounds hold, the platform's contactMs."""
 
 
@@ -23,8 +23,8 @@
     ended_s: float = math.inf
     status: int = 0
     """0 for a connection that ended without an answer."""
-    whole: bool = True
-    left: bool = False
+    response_intact: bool = True
+    abandoned: bool = False
     """Whether the caller went away."""
 
 
@@ -37,7 +37,7 @@
     at_s: float
     team: str
     caller_service: str
-    showed_key: bool
+    has_key: bool
     cold: bool
 
 
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True)
-class Promise:
+class OutOfServicePeriod:
     """Something that holds from a moment on, until another one."""
 
     host: int
@@ -69,30 +69,36 @@
     attempts: list[Attempt] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
-    no_new_work: list[Promise] = field(default_factory=list)
+    out_of_service_periods: list[OutOfServicePeriod] = field(
+        default_factory=list
+    )
     """Servers that leave, or whose data centre is out of service."""
     withdrawn_s_by_key: dict[str, float] = field(default_factory=dict)
     team_by_key: dict[str, str] = field(default_factory=dict)
-    terminated: list[tuple[int, float]] = field(default_factory=list)
+    terminations: list[tuple[int, float]] = field(default_factory=list)
     """Hosts whose nodes were asked to stop, and when."""
 
-    def begin(
+    def begin_disturbance(
         self, now_s: float, hosts: Iterable[int] | None, planned: bool = False
     ) -> Disturbance:
         """Note that a fault begins."""
-        chosen = None if hosts is None else frozenset(hosts)
-        disturbance = Disturbance(now_s, chosen, planned)
+        affected_hosts = None if hosts is None else frozenset(hosts)
+        disturbance = Disturbance(now_s, affected_hosts, planned)
         self.disturbances.append(disturbance)
         return disturbance
 
-    def calm(
-        self, host: int | None, from_s: float, to_s: float, planned_too: bool
+    def is_undisturbed(
+        self,
+        host: int | None,
+        from_s: float,
+        to_s: float,
+        include_planned: bool,
     ) -> bool:
         """Return whether no fault touched a host, or any host if None."""
         return not any(
             disturbance.begin_s <= to_s
-            and disturbance.end_s >= from_s - TOUCH_S
-            and (planned_too or not disturbance.planned)
+            and disturbance.end_s >= from_s - SETTLE_S
+            and (include_planned or not disturbance.planned)
             and (
                 host is None
                 or disturbance.hosts is None
