Reword the texts of the fleet stand-ins and the soak

The docstrings and comments describe the stand-ins and the faults in figurative words, such as dropped promises or servers that are told.

States in the usual terms what each part does and why, keeps the reasons behind the constants, and says what the code does where the text was looser: watches of older revisions get 410 on a compaction, listed behaviours are followed by the default one, and the load model draws retry delays rather than message times. Two error messages name the cause. StoreUnreachable becomes StoreLinksDegraded, as its links may also be slow. The help and the output of the soak stay.

No behaviour changes.

--- a/script/run_fault_soak.py
+++ b/script/run_fault_soak.py
@@ -16,7 +16,7 @@
 
 
 def run_seed(seed: int, hosts: int, duration_s: float) -> bool:
-    """Run one seed; return whether all promises held."""
+    """Run one seed and return whether all guarantees held."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     run = soak.Soak(seed, hosts, duration_s, folder)
     result = asyncio.run(run.run())
@@ -60,7 +60,7 @@
     duration_s
         Seconds that a seed is played.
     """
-    # A stopped soak ends its node processes, as after Ctrl-C.
+    # Handle SIGTERM like Ctrl-C, so that the node processes are stopped.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     first = random.SystemRandom().randrange(10**6) if seed is None else seed
     start_s = time.monotonic()
--- a/src/jasminecrank/standins/fleet/__init__.py
+++ b/src/jasminecrank/standins/fleet/__init__.py
@@ -1,4 +1,4 @@
-"""Small stand-ins of the platform, its servers and callers, for tests."""
+"""Stand-ins for the platform, backend servers and callers, for tests."""
 
 from jasminecrank.standins.fleet._caller import Caller as Caller
 from jasminecrank.standins.fleet._deployment import Deployment as Deployment
--- a/src/jasminecrank/standins/fleet/_caller.py
+++ b/src/jasminecrank/standins/fleet/_caller.py
@@ -1,4 +1,4 @@
-"""A stand-in of a caller with one kept connection."""
+"""HTTP client that reuses one connection, for tests."""
 
 import asyncio
 import contextlib
@@ -7,11 +7,11 @@
 from jasminecrank.standins.fleet import _http
 
 RESPONSE_TIMEOUT_S = 5.0
-"""Time after which a caller gives up, above every deadline it sends."""
+"""Client-side timeout; longer than any deadline that a test sends."""
 
 
 class Caller:
-    """Sends requests one after the other."""
+    """Client of a node that sends one request at a time."""
 
     _request_numbers = itertools.count(1)
 
@@ -29,7 +29,7 @@
         deadline_ms: int = 2000,
         headers: dict[str, str] | None = None,
     ) -> None:
-        """Send a request without waiting for its answer."""
+        """Send a request without waiting for its response."""
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection(
                 *self._address
@@ -48,7 +48,7 @@
         self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
 
     async def receive(self) -> _http.Response:
-        """Wait for the answer."""
+        """Return the next response, with status 0 if none arrives in time."""
         assert self._reader is not None
         response = _http.Response(0, {}, b"")
         with contextlib.suppress(TimeoutError):
@@ -67,12 +67,12 @@
         key: str | None = "k1",
         deadline_ms: int = 2000,
     ) -> _http.Response:
-        """Send a request and return its answer."""
+        """Send a request and return its response."""
         await self.send(method, target, key, deadline_ms)
         return await self.receive()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Abort the connection; the next request opens a new one."""
         if self._writer is not None:
             self._writer.transport.abort()
         self._reader = None
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -1,4 +1,4 @@
-"""A whole deployment in one process, each host at its own loopback address."""
+"""Deployment in one process, with a loopback address for each host."""
 
 import asyncio
 from collections.abc import Callable
@@ -18,17 +18,18 @@
 from jasminecrank.standins.fleet import _store
 
 PORTS = range(20_000, 32_000, 2)
-"""Below the ports that the kernel gives to outgoing connections.
+"""Candidate ports, below the ephemeral port range of the kernel.
 
-The odd ones serve the metrics of nodes, next to their ports for links.
+All are even: the odd port after the link port of a node is left for its
+metrics.
 """
 HEALTH_PROPAGATION_S = 0.15
-"""Time in which nodes tell each other that their servers are well."""
+"""Time in which nodes report to each other that their servers are healthy."""
 DATA_CENTRES = ("belt-a", "belt-b")
 
 
 class Deployment:
-    """Store, servers and nodes; hosts are numbered from 0."""
+    """Store, backend servers and nodes; hosts are numbered from 0."""
 
     def __init__(self, hosts: int, slots: int = 4) -> None:
         self.store = _store.Store()
@@ -42,14 +43,14 @@
         self.keys = ["k1", "k2"]
         self.rate_per_s = 0
         self.service = "ledger"
-        """What the settings of new nodes name."""
+        """Service named in the settings of nodes created from now on."""
         self.changed_settings: settings.NodeSettings | None = None
-        """What nodes read when their settings file has changed."""
+        """Settings that nodes get on a reload; None for unchanged ones."""
         self._ports: dict[str, int] = {}
         self._store_port = 0
 
     async def start(self) -> None:
-        """Start all, and wait until each node is ready."""
+        """Start everything and wait until all nodes are ready and linked."""
         self._store_port = await self.store.listen("127.0.0.1")
         self._ports = free_ports(
             [self.host(number) for number in range(len(self.servers))],
@@ -66,7 +67,7 @@
         await asyncio.sleep(HEALTH_PROPAGATION_S)
 
     def connected(self) -> bool:
-        """Return whether every node is ready and linked to all others."""
+        """Return whether all nodes are ready, accept calls and are linked."""
         return all(
             node.ready
             and node.gate.load().accepting
@@ -75,7 +76,7 @@
         )
 
     def close(self) -> None:
-        """End all at once."""
+        """Abort all nodes and close the servers and the store."""
         for node in self.nodes:
             node.abort()
         for server in self.servers:
@@ -83,15 +84,15 @@
         self.store.close()
 
     def host(self, number: int) -> str:
-        """Return the address of a host."""
+        """Return the IP address of a host."""
         return f"127.0.1.{number + 1}"
 
     def caller(self, number: int) -> _caller.Caller:
-        """Return a caller on a host."""
+        """Return a client of the node on a host."""
         return _caller.Caller(self.host(number), self._ports["callers"])
 
     def make_node(self, number: int) -> daemon.Node:
-        """Return a new node for a host."""
+        """Return a node for a host, not yet started."""
         host = self.host(number)
         config = settings.NodeSettings(
             host=host,
@@ -126,7 +127,7 @@
         )
 
     async def publish(self) -> None:
-        """Publish the table anew."""
+        """Publish the table as a new version."""
         self.version += 1
         team = _entries.TeamRow(self.keys, self.rate_per_s)
         config = _entries.table_entry(
@@ -137,7 +138,7 @@
     async def register(
         self, number: int, server_state: str = "ready", cold_ms: int = 0
     ) -> None:
-        """Write a server's entry."""
+        """Write the store entry of a host's backend server."""
         server = self.servers[number]
         await self.store.put(
             f"servers/{server.server_id}",
@@ -153,12 +154,12 @@
     async def wait_until(
         self, condition: Callable[[], bool], timeout_s: float = 10.0
     ) -> float:
-        """Wait until something holds; return the time it took."""
+        """Poll until a condition is met and return the seconds it took."""
         started_s = time.monotonic()
         while not condition():
             if time.monotonic() - started_s > timeout_s:
                 raise TimeoutError(
-                    f"{condition} does not hold in {timeout_s} s"
+                    f"{condition} was not met within {timeout_s} s"
                 )
             await asyncio.sleep(0.01)
         return time.monotonic() - started_s
@@ -169,7 +170,7 @@
 
 
 def free_ports(hosts: list[str], names: Sequence[str]) -> dict[str, int]:
-    """Return ports that are free on all hosts, which use the same ones."""
+    """Return a port by name that is free on all of the hosts."""
     ports: dict[str, int] = {}
     candidates = random.sample(PORTS, len(PORTS))
     for name in names:
--- a/src/jasminecrank/standins/fleet/_entries.py
+++ b/src/jasminecrank/standins/fleet/_entries.py
@@ -1,4 +1,4 @@
-"""Entries that operators and servers write to the store."""
+"""Store entries as operators and backend servers write them."""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TeamRow:
-    """Keys and rate of a team."""
+    """API keys and rate limit of a team."""
 
     keys: Sequence[str]
     rate_per_s: int
@@ -24,7 +24,7 @@
 def table_entry(
     version: int, timeout_ms: int, team_by_name: Mapping[str, TeamRow]
 ) -> dict[str, typing.Any]:
-    """Return a table with the routes of the stand-ins."""
+    """Return a table entry with the stand-ins' routes and service."""
     resources: list[dict[str, typing.Any]] = [
         {
             "typeUrl": "routes",
@@ -77,7 +77,7 @@
     server_state: str,
     cold_ms: int,
 ) -> dict[str, typing.Any]:
-    """Return what a server writes of itself."""
+    """Return the entry with which a backend server registers itself."""
     return {
         "address": address,
         "born": int(time.time() * 1000),
--- a/src/jasminecrank/standins/fleet/_http.py
+++ b/src/jasminecrank/standins/fleet/_http.py
@@ -1,4 +1,4 @@
-"""Just enough HTTP/1.1 for stand-ins."""
+"""Minimal HTTP/1.1 parsing and encoding for stand-ins."""
 
 import asyncio
 from dataclasses import dataclass
@@ -6,7 +6,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Request:
-    """A request with lower-case header names."""
+    """Parsed request with lower-case header names."""
 
     method: str
     target: str
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Response:
-    """An answer; status 0 if the connection ended without one."""
+    """Parsed response; status 0 if none was received."""
 
     status: int
     headers: dict[str, str]
@@ -24,7 +24,7 @@
 
 
 async def read_request(reader: asyncio.StreamReader) -> Request | None:
-    """Return the next request, or None at the end of the connection."""
+    """Return the next request, or None when the connection is closed."""
     head = await _read_head(reader)
     if head is None:
         return None
@@ -35,7 +35,7 @@
 
 
 async def read_response(reader: asyncio.StreamReader) -> Response:
-    """Return the next answer."""
+    """Return the next response, with status 0 if the connection ends."""
     try:
         head = await _read_head(reader)
         if head is None:
@@ -50,7 +50,7 @@
 def encode_response(
     status: int, body: bytes, headers: dict[str, str] | None = None
 ) -> bytes:
-    """Return the bytes of an answer with a length."""
+    """Return an encoded response with a Content-Length."""
     lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
     lines.extend(f"{name}: {value}" for name, value in (headers or {}).items())
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/src/jasminecrank/standins/fleet/_load_model.py
+++ b/src/jasminecrank/standins/fleet/_load_model.py
@@ -1,8 +1,8 @@
-"""Callers, entry nodes, gates and servers as a model in virtual time.
+"""Simulation of callers, entry nodes, admission and servers in virtual time.
 
-The decisions are those of `mesh.state`; arrivals, run times and the time that
-messages take are drawn from a seeded generator. It shows what callers get from
-a rule for placing and admitting calls, without a network.
+Placement and admission decisions are those of `mesh.state`; arrivals, run
+times and retry delays are drawn from a seeded generator. The outcome shows how
+a placement policy serves callers, without a network.
 """
 
 from collections.abc import Callable
@@ -16,29 +16,31 @@
 from jasminecrank.mesh import state
 
 HOP_LATENCY_S = 0.001
-"""Time of a message between nodes."""
+"""Latency of a message between nodes."""
 LOAD_CHECK_INTERVAL_S = 0.05
 LOAD_REPORT_INTERVAL_S = 0.4
-"""Periods of load reports, as nodes have them."""
+"""Intervals of load checks and of unchanged reports, modelled on nodes."""
 CALLER_ATTEMPTS = 3
-"""A caller's first attempt and its retries."""
+"""Attempts of a caller per request, including the first one."""
 SLOWDOWN_OCCUPANCY = 0.75
-"""Part of its slots from which a server slows down."""
+"""Fraction of occupied slots above which a server slows down."""
 FULL_OCCUPANCY_SLOWDOWN = 0.6
-"""What is added to run times at a full server, in run times."""
+"""Relative increase of run times when all slots are occupied."""
 
 
 class PlacementPolicy(enum.Enum):
-    """How an entry node chooses a server."""
+    """How an entry node chooses a backend server."""
 
     MESH = "chosen"
+    """The policy of `mesh.state.Placement`, which nodes use."""
     RANDOM = "random"
     FEWEST_CALLS = "fewest-calls"
+    """The least loaded server, with call counts that are never out of date."""
 
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
-    """Requests of one route."""
+    """Rate, service time and latency limits of the requests of a route."""
 
     name: str
     rate_per_s: float
@@ -50,31 +52,31 @@
 
 @dataclass(slots=True, frozen=True)
 class Scenario:
-    """Servers and load of a run."""
+    """Servers and load of a simulation run."""
 
     speeds: tuple[float, ...]
-    """Of each server in turn; 2.0 takes half the time."""
+    """Assigned to the servers in rotation; 2.0 halves the run times."""
     servers: int
     slots: int
     data_centres: int
     request_classes: tuple[RequestClass, ...]
     duration_s: float = 20.0
     burst_factor: float = 1.0
-    """Factor of the load in the middle third of the run."""
+    """Load multiplier in the middle third of the run."""
     slow_servers: int = 0
-    """Servers that take five times as long in the middle third."""
+    """Servers whose runs take five times as long in the middle third."""
     joining_servers: int = 0
-    """Servers that are there from the middle third on only."""
+    """Servers that join at the start of the middle third."""
 
     @property
     def middle_third_s(self) -> tuple[float, float]:
-        """Return begin and end of the middle third."""
+        """Return start and end of the middle third of the run."""
         return self.duration_s / 3, 2 * self.duration_s / 3
 
 
 @dataclass(slots=True)
 class Outcome:
-    """What callers got."""
+    """Counts of requests by result and of calls by server."""
 
     requests: int = 0
     in_target: int = 0
@@ -83,21 +85,21 @@
     cross_data_centre_calls: int = 0
     calls_by_server: dict[int, int] = field(default_factory=dict)
     first_call_s_by_server: dict[int, float] = field(default_factory=dict)
-    """When each server was given its first call."""
+    """Time at which each server started its first call."""
 
     @property
     def in_target_ratio(self) -> float:
-        """Return the part of requests answered within their objective."""
+        """Return the fraction of requests answered within their objective."""
         return self.in_target / max(1, self.requests)
 
     @property
     def peak_to_mean_calls(self) -> float:
-        """Return the calls of the busiest server, in those of the mean."""
+        """Return the ratio of the busiest server's calls to the mean."""
         counts = self.calls_by_server.values()
         return max(counts) * len(counts) / max(1, sum(counts))
 
     def record_start(self, server: int, now_s: float) -> None:
-        """Count a call that a server begins to run."""
+        """Count a call that a server starts to run."""
         self.calls_by_server[server] += 1
         self.first_call_s_by_server.setdefault(server, now_s)
 
@@ -123,7 +125,7 @@
 
 
 class LoadModel:
-    """One run of a scenario under a rule."""
+    """Simulation of one scenario under one placement policy."""
 
     def __init__(
         self, scenario: Scenario, policy: PlacementPolicy, seed: int
@@ -157,7 +159,7 @@
         )
 
     def run(self) -> Outcome:
-        """Play the scenario and return what callers got."""
+        """Simulate the scenario and return its outcome."""
         for request_class in self._scenario.request_classes:
             self._schedule_arrival(request_class)
         self._schedule(0.0, self._report_loads)
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -1,4 +1,4 @@
-"""A stand-in of an application server."""
+"""Stand-in for a backend server."""
 
 import asyncio
 from collections import Counter
@@ -8,11 +8,11 @@
 from jasminecrank.standins.fleet import _http
 
 QUEUE_SIZE = 4
-"""Requests that wait beyond the slots; more are never answered."""
+"""Requests accepted beyond the slots; further ones hang."""
 
 
 class Behaviour(enum.Enum):
-    """What a server does with a request."""
+    """How a server handles a request."""
 
     SERVE = "serve"
     FAIL = "fail"
@@ -28,7 +28,7 @@
 
 
 class Server:
-    """Slots, a short queue that hangs when full, and scripted faults."""
+    """Server with slots, a short queue and faults; hangs when it is full."""
 
     def __init__(self, server_id: str, slots: int = 4) -> None:
         self.server_id = server_id
@@ -36,7 +36,7 @@
         self.run_s = 0.02
         self.cold_s = 0.0
         self.behaviours: list[Behaviour] = []
-        """Faults of the next requests, in order; then SERVE."""
+        """For the next requests, in order; then `default_behaviour`."""
         self.default_behaviour = Behaviour.SERVE
         self.runs_by_request_id: Counter[str] = Counter()
         self.run_times_s: list[float] = []
@@ -50,11 +50,11 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, host: str, port: int) -> None:
-        """Listen at an address."""
+        """Accept connections on an address."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
     def close(self) -> None:
-        """Crash: close all connections and listen no more."""
+        """Simulate a crash: abort all connections and stop listening."""
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -78,7 +78,7 @@
             asyncio.IncompleteReadError,
             asyncio.CancelledError,
         ):
-            pass  # The caller has left.
+            pass  # The client has disconnected.
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -86,7 +86,7 @@
     async def _wait_for_response(
         self, response: "asyncio.Future[bool]", reader: asyncio.StreamReader
     ) -> bool:
-        """Wait for an answer, or drop the run when its caller leaves."""
+        """Wait for a response; cancel the run if its client disconnects."""
         while not response.done():
             await asyncio.wait([response], timeout=0.01)
             if reader.at_eof() or reader.exception() is not None:
@@ -193,7 +193,7 @@
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
-    """End a connection with a reset, after what was written."""
+    """Close a connection with a TCP reset after the data written so far."""
     import socket
     import struct
 
--- a/src/jasminecrank/standins/fleet/_store.py
+++ b/src/jasminecrank/standins/fleet/_store.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform's store."""
+"""Stand-in for the platform's key-value store."""
 
 import asyncio
 import base64
@@ -10,11 +10,11 @@
 from jasminecrank.standins.fleet import _http
 
 PAGE_SIZE = 3
-"""Items a page, small so that paging is used."""
+"""Items per page; small, so that tests exercise paging."""
 
 
 class Outage(enum.Enum):
-    """How the store fails."""
+    """Failure mode of the store."""
 
     NONE = "none"
     SILENT = "silent"
@@ -24,12 +24,12 @@
 
 
 class Store:
-    """Items with revisions, read by pages and watches."""
+    """Items with revisions, served as pages and as watches."""
 
     def __init__(self) -> None:
         self.outage = Outage.NONE
         self.refused_hosts: set[str] = set()
-        """Hosts that are answered 503 while others are served."""
+        """Hosts that get status 503 while other hosts are served."""
         self.request_count = 0
         self._revision = 10
         self._item_by_key: dict[str, dict[str, typing.Any]] = {}
@@ -40,20 +40,20 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, host: str) -> int:
-        """Listen at a host; return the port."""
+        """Listen on a free port of an address and return the port."""
         self._server = await asyncio.start_server(self._serve, host, 0)
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
     def close(self) -> None:
-        """Stop, and close all connections."""
+        """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
             writer.close()
 
     async def put(self, key: str, value: object) -> int:
-        """Write an item; return its revision."""
+        """Write an item and return its revision."""
         self._revision += 1
         item = {
             "key": key,
@@ -67,7 +67,7 @@
         return self._revision
 
     async def delete(self, key: str) -> int:
-        """Remove an item; return the revision of that."""
+        """Delete an item and return the revision of the deletion."""
         self._revision += 1
         self._item_by_key.pop(key, None)
         await self._publish_event(
@@ -76,7 +76,7 @@
         return self._revision
 
     async def compact(self) -> None:
-        """Drop the history, and cut the watches."""
+        """Discard the history; watches of older revisions get status 410."""
         self._oldest_revision = self._revision + 1
         self._revision += 1
         async with self._changed:
@@ -105,7 +105,7 @@
             asyncio.IncompleteReadError,
             asyncio.CancelledError,
         ):
-            pass  # The reader has left.
+            pass  # The client has disconnected.
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -168,7 +168,7 @@
                         )
                     )
         except TimeoutError:
-            pass  # No change in time is an answer too.
+            pass  # A watch without changes returns an empty list of events.
         if after_revision < self._oldest_revision - 1:
             return _http.encode_response(410, b"")
         events = [
--- a/src/jasminecrank/standins/soak/__init__.py
+++ b/src/jasminecrank/standins/soak/__init__.py
@@ -1,4 +1,4 @@
-"""A fault soak: real nodes as processes, with faults from outside them."""
+"""Fault soak: runs nodes as processes and injects faults from outside."""
 
 from jasminecrank.standins.soak._plan import Fault as Fault
 from jasminecrank.standins.soak._plan import make_plan as make_plan
--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -1,4 +1,4 @@
-"""The callers of a run, and what they see."""
+"""Callers that put load on a deployment and record the responses."""
 
 import asyncio
 import random
@@ -11,20 +11,20 @@
 CALLER_MEAN_PAUSE_S = 0.12
 """Mean pause of a caller between two requests."""
 ABANDON_RATIO = 0.02
-"""Part of the requests whose callers go away at once."""
+"""Fraction of requests whose callers disconnect right after sending."""
 OLD_KEY_RATIO = 0.1
-"""Part of the requests that show any key there ever was."""
+"""Fraction of requests with a key drawn from all keys ever issued."""
 
 
 class CallerPool:
-    """Owns the callers' connections."""
+    """Owns the callers of all hosts and their connections."""
 
     def __init__(self, deployment: _deployment.SoakDeployment) -> None:
         self._deployment = deployment
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
-        """Begin to send requests on every host."""
+        """Start sending requests to the nodes of all hosts."""
         for number in self._deployment.hosts:
             for index in range(CALLERS_PER_HOST):
                 rng = random.Random(f"{number}/{index}")
@@ -33,7 +33,7 @@
                 )
 
     async def stop(self) -> None:
-        """Send no more requests."""
+        """Stop sending requests and wait until all callers have ended."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -51,7 +51,7 @@
             await self._send_request(caller, number, method, target, key, rng)
 
     def _pick_key(self, rng: random.Random) -> str:
-        """Return a key in force, or now and then one that was withdrawn."""
+        """Return a current key or, sometimes, any key that was ever issued."""
         if rng.random() < OLD_KEY_RATIO:
             return rng.choice(sorted(self._deployment.records.team_by_key))
         return rng.choice(list(self._deployment.keys_by_team.values()))[-1]
@@ -69,7 +69,7 @@
         try:
             await caller.send(method, target, key)
         except OSError:
-            # The node is not there; nothing was sent.
+            # The node is down; no request was sent.
             caller.close()
             return
         attempt = observed.Attempt(
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -1,4 +1,4 @@
-"""The deployment of a run: store, servers and proxies here, node processes."""
+"""Deployment of a run: nodes are processes, the rest is in this process."""
 
 import asyncio
 from collections.abc import Iterable
@@ -17,11 +17,11 @@
 TEAM_RATE_PER_S = 60
 COLD_START_S = 3.0
 START_TIMEOUT_S = 15.0
-"""Time in which all nodes have to be ready at the start."""
+"""Time limit for all nodes to become ready at the start."""
 
 
 class SoakDeployment:
-    """Owns everything that callers and faults act on."""
+    """Owns the store, servers, proxies and node processes of a run."""
 
     def __init__(
         self, rng: random.Random, hosts: int, folder: pathlib.Path
@@ -35,7 +35,7 @@
         ]
         self.nodes: list[_processes.NodeProcess] = []
         self.link_proxy_by_hosts: dict[tuple[int, int], _proxy.Proxy] = {}
-        """Proxies by the hosts that dial and that listen."""
+        """By the connecting and the accepting host of a link."""
         self.store_proxies: list[_proxy.Proxy] = []
         self.keys_by_team: dict[str, list[str]] = {}
         self.ports: dict[str, int] = {}
@@ -51,7 +51,7 @@
     def record_disturbance(
         self, hosts: Iterable[int] | None, planned: bool = False
     ) -> Iterator[None]:
-        """Note that a fault lasts, at some hosts or at all."""
+        """Record that some hosts, or all, are disturbed inside the block."""
         disturbance = self.records.begin_disturbance(
             self.now_s(), hosts, planned
         )
@@ -61,15 +61,15 @@
             disturbance.end_s = self.now_s()
 
     def now_s(self) -> float:
-        """Return the seconds since callers began."""
+        """Return the seconds since the end of the start."""
         return asyncio.get_running_loop().time() - self._started_s
 
     def host(self, number: int) -> str:
-        """Return the address of a host."""
+        """Return the IP address of a host."""
         return f"127.0.2.{number + 1}"
 
     async def start(self) -> None:
-        """Start all, and wait until each node answers."""
+        """Start everything and wait until each node serves a request."""
         names = ["callers", "ready", "server", "store"]
         names.extend(f"links-{number}" for number in self.hosts)
         addresses = [self.host(number) for number in self.hosts]
@@ -108,7 +108,7 @@
                 self.link_proxy_by_hosts[client, number] = link
 
     def write_settings(self, number: int, retry_slack: int) -> pathlib.Path:
-        """Write the settings of a host's node."""
+        """Write the settings file of a host's node and return its path."""
         host = self.host(number)
         links = self.ports[f"links-{number}"]
         zones = "\n".join(f'{name} = "savo"' for name in DATA_CENTRES)
@@ -151,7 +151,7 @@
         return response.status == 200
 
     async def close(self) -> None:
-        """End all processes and sockets of the run."""
+        """Stop all processes and close all sockets of the run."""
         await asyncio.gather(*(node.close() for node in self.nodes))
         for server in self.servers:
             server.close()
@@ -176,10 +176,10 @@
             )
         )
 
-    # Operators and servers.
+    # Changes by operators and by servers.
 
     def issue_key(self, team: str) -> None:
-        """Give a team a new key, in force with the next table."""
+        """Issue a new key for a team, effective with the next table."""
         self._generation += 1
         key = f"key-{team}-{self._generation}"
         self.keys_by_team[team].append(key)
@@ -198,7 +198,7 @@
     async def register(
         self, number: int, server_state: str, cold_s: float = 0.0
     ) -> None:
-        """Write the entry of a host's server."""
+        """Write the store entry of a host's server."""
         server = self.servers[number]
         await self.store.put(
             f"servers/{server.server_id}",
@@ -212,7 +212,7 @@
         )
 
     async def restart_server(self, number: int, down_s: float) -> None:
-        """End a server, and start another one in its place."""
+        """Stop a server and start a cold one with a new id in its place."""
         server = self.servers[number]
         old_id = server.server_id
         server.close()
@@ -226,7 +226,7 @@
 
 
 class SoakServer(fleet.Server):
-    """A stand-in that reports each request which it begins to run."""
+    """Backend server that reports each request it starts to run."""
 
     def __init__(
         self,
@@ -241,12 +241,12 @@
 
     @property
     def cold_left_s(self) -> float:
-        """Return how long the server stays cold."""
+        """Return the seconds for which the server stays cold."""
         now_s = asyncio.get_running_loop().time()
         return max(0.0, self._cold_until_s - now_s)
 
     def restart(self, server_id: str, cold_s: float) -> None:
-        """Become another incarnation."""
+        """Take on a new server id and start cold."""
         self.server_id = server_id
         self._cold_until_s = asyncio.get_running_loop().time() + cold_s
 
--- a/src/jasminecrank/standins/soak/_faults.py
+++ b/src/jasminecrank/standins/soak/_faults.py
@@ -1,4 +1,4 @@
-"""Brings the planned faults about."""
+"""Injects the planned faults into a deployment."""
 
 import asyncio
 from collections.abc import Sequence
@@ -14,25 +14,25 @@
 
 DRAIN_TIMEOUT_S = 2.0
 EVACUATION_TIMEOUT_S = 5.0
-"""Bounds of the platform on servers that leave and on data centres."""
+"""Platform limits for draining a server and evacuating a data centre."""
 SCHEDULING_SLACK_S = 0.3
-"""Delays of this machine on top of a bound."""
+"""Allowance for delays of the test machine on top of a limit."""
 KILL_RECOVERY_S = 2.0
 TERMINATION_RECOVERY_S = 8.0
-"""Time in which a node is back that was killed or asked to stop."""
+"""Time in which a node is back after a SIGKILL or a SIGTERM."""
 POWER_OFF_S = 0.5
 UPDATE_INTERVAL_S = 0.1
 
 
 class FaultInjector:
-    """Acts on a deployment from outside its nodes."""
+    """Injects faults into a deployment from outside its nodes."""
 
     def __init__(self, deployment: _deployment.SoakDeployment) -> None:
         self._deployment = deployment
         self._data_centres_out: set[int] = set()
 
     async def inject(self, planned: _plan.PlannedFault) -> None:
-        """Wait for the time of a fault, and play it to its end."""
+        """Wait until a fault is due, inject it and wait until it has ended."""
         await asyncio.sleep(planned.at_s)
         fault = planned.fault
         match fault:
@@ -46,7 +46,7 @@
             case (
                 _plan.LinksDegraded()
                 | _plan.StoreOutage()
-                | _plan.StoreUnreachable()
+                | _plan.StoreLinksDegraded()
                 | _plan.StoreCompacted()
             ):
                 await self._inject_network_fault(fault)
@@ -104,7 +104,7 @@
                     for pair, proxy in deployment.link_proxy_by_hosts.items()
                     if len(group.intersection(pair)) == 1
                 ]
-                # A call takes a second host, so all callers may notice.
+                # Calls pass through a second host: any caller may be affected.
                 with deployment.record_disturbance(None):
                     await _apply_condition(affected, condition, duration_s)
             case _plan.StoreOutage(outage, duration_s):
@@ -112,7 +112,7 @@
                     deployment.store.outage = outage
                     await asyncio.sleep(duration_s)
                     deployment.store.outage = fleet.Outage.NONE
-            case _plan.StoreUnreachable(hosts, condition, duration_s):
+            case _plan.StoreLinksDegraded(hosts, condition, duration_s):
                 proxies = [deployment.store_proxies[host] for host in hosts]
                 with deployment.record_disturbance(hosts):
                     await _apply_condition(proxies, condition, duration_s)
@@ -181,7 +181,7 @@
         deployment = self._deployment
         deployment.issue_key(team)
         await deployment.publish()
-        # Callers learn of a new key before the old one goes.
+        # Callers get the new key before the old one is withdrawn.
         await asyncio.sleep(checks.CONFIG_APPLY_S)
         key = deployment.keys_by_team[team].pop(0)
         await deployment.publish()
--- a/src/jasminecrank/standins/soak/_plan.py
+++ b/src/jasminecrank/standins/soak/_plan.py
@@ -1,4 +1,4 @@
-"""The faults of a run, drawn from its seed."""
+"""Fault plans, generated from a seed."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,23 +9,23 @@
 
 FIRST_FAULT_S = 2.0
 MEAN_FAULT_INTERVAL_S = 0.7
-"""Mean time between faults, so that several overlap."""
+"""Mean time between faults, short enough for several to overlap."""
 RECOVERY_S = 8.0
-"""Time at the end in which no fault begins."""
+"""Time at the end of a run in which no fault starts."""
 
 
 @dataclass(slots=True, frozen=True)
 class NodesKilled:
-    """Processes end at once, and are started again."""
+    """Node processes are killed and restarted."""
 
     hosts: tuple[int, ...]
     with_servers: bool
-    """The hosts lose power: their servers come back with new ids, cold."""
+    """Power loss: the servers of the hosts restart too, cold, with new ids."""
 
 
 @dataclass(slots=True, frozen=True)
 class NodePaused:
-    """A process is stopped for a while and goes on."""
+    """A node process is suspended for a while and resumed."""
 
     host: int
     duration_s: float
@@ -33,14 +33,14 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeTerminated:
-    """A process is asked to stop, and is started again."""
+    """A node process gets a SIGTERM and is restarted."""
 
     host: int
 
 
 @dataclass(slots=True, frozen=True)
 class SettingsChanged:
-    """The settings file gets another retry slack; SIGHUP follows."""
+    """A settings file gets another retry slack, and its node a SIGHUP."""
 
     host: int
     retry_slack: int
@@ -48,7 +48,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LinksDegraded:
-    """Links between two groups of hosts fail for a while."""
+    """Links between two groups of hosts are impaired for a while."""
 
     hosts: tuple[int, ...]
     condition: _proxy.LinkCondition
@@ -57,15 +57,15 @@
 
 @dataclass(slots=True, frozen=True)
 class StoreOutage:
-    """The store fails all hosts for a while."""
+    """The store fails for all hosts for a while."""
 
     outage: fleet.Outage
     duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
-class StoreUnreachable:
-    """Some hosts do not reach the store for a while."""
+class StoreLinksDegraded:
+    """The connections of some hosts to the store are impaired for a while."""
 
     hosts: tuple[int, ...]
     condition: _proxy.LinkCondition
@@ -74,12 +74,12 @@
 
 @dataclass(slots=True, frozen=True)
 class StoreCompacted:
-    """The store drops its history."""
+    """The store discards its history."""
 
 
 @dataclass(slots=True, frozen=True)
 class ServerCrashed:
-    """A server ends and comes back with another id, cold."""
+    """A server crashes and restarts cold with a new id."""
 
     host: int
     duration_s: float
@@ -87,14 +87,14 @@
 
 @dataclass(slots=True, frozen=True)
 class ServerReplaced:
-    """A server drains, and another one follows at its address."""
+    """A server drains and another one starts at its address."""
 
     host: int
 
 
 @dataclass(slots=True, frozen=True)
 class ServerMisbehaves:
-    """A server answers all requests badly for a while."""
+    """A server fails all requests in one way for a while."""
 
     host: int
     behaviour: fleet.Behaviour
@@ -103,28 +103,30 @@
 
 @dataclass(slots=True, frozen=True)
 class KeyWithdrawn:
-    """A team gets a new key and loses its oldest one."""
+    """A team gets a new key and its oldest one is withdrawn."""
 
     team: int
 
 
 @dataclass(slots=True, frozen=True)
 class TableUpdateBurst:
-    """Versions come in quick succession."""
+    """Table versions are published in quick succession."""
 
     versions: int
 
 
 @dataclass(slots=True, frozen=True)
 class DataCentreOut:
-    """A data centre is taken out of service, and back."""
+    """A data centre is taken out of service and restored."""
 
     number: int
     duration_s: float
 
 
 ProcessFault = NodesKilled | NodePaused | NodeTerminated | SettingsChanged
-NetworkFault = LinksDegraded | StoreOutage | StoreUnreachable | StoreCompacted
+NetworkFault = (
+    LinksDegraded | StoreOutage | StoreLinksDegraded | StoreCompacted
+)
 ServerFault = ServerCrashed | ServerReplaced | ServerMisbehaves
 OperatorChange = KeyWithdrawn | TableUpdateBurst | DataCentreOut
 Fault = ProcessFault | NetworkFault | ServerFault | OperatorChange
@@ -147,21 +149,21 @@
 
 @dataclass(slots=True, frozen=True)
 class PlannedFault:
-    """A fault and the second of the run at which it begins."""
+    """A fault and the time in the run at which it starts."""
 
     at_s: float
     fault: Fault
 
 
 def make_plan(seed: int, hosts: int, duration_s: float) -> list[PlannedFault]:
-    """Return the faults of a run, in order."""
+    """Return the faults of a run in order of start time."""
     rng = random.Random(seed)
     plan = []
     at_s = FIRST_FAULT_S
     while at_s < duration_s - RECOVERY_S:
         generate_fault = rng.choice(_FAULT_GENERATORS)
         plan.append(PlannedFault(at_s, generate_fault(rng, hosts)))
-        # Series and overlaps: half of the gaps are much shorter.
+        # Half of the intervals are much shorter, for bursts and overlaps.
         interval_s = MEAN_FAULT_INTERVAL_S * (
             0.1 if rng.random() < 0.5 else 1.9
         )
@@ -198,7 +200,7 @@
         _draw_duration_s(rng),
     ),
     lambda rng, n: StoreOutage(rng.choice(_OUTAGES), _draw_duration_s(rng)),
-    lambda rng, n: StoreUnreachable(
+    lambda rng, n: StoreLinksDegraded(
         _sample_hosts(rng, n, 0.35),
         rng.choice(_LINK_FAULTS),
         _draw_duration_s(rng),
--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -1,4 +1,4 @@
-"""A node as a process that is started again when it ends."""
+"""Node process that is restarted whenever it exits."""
 
 import asyncio
 import os
@@ -7,11 +7,11 @@
 import sys
 
 RESTART_DELAY_S = 0.3
-"""Time until the platform starts a process again."""
+"""Delay until the platform restarts a process."""
 
 
 class NodeProcess:
-    """Owns one node's process, by its id."""
+    """Owns and supervises the process of one node."""
 
     def __init__(
         self, name: str, settings_path: pathlib.Path, log_path: pathlib.Path
@@ -25,17 +25,17 @@
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Start the process, and again whenever it ends."""
+        """Start the process and restart it whenever it exits."""
         self._task = asyncio.create_task(self._supervise())
 
     def send_signal(self, signal_number: int) -> None:
-        """Send a signal, unless the process has ended."""
+        """Send a signal unless the process has exited."""
         process = self._process
         if process is not None and process.returncode is None:
             process.send_signal(signal_number)
 
     async def close(self) -> None:
-        """End the process for good."""
+        """Kill the process without a restart."""
         self._closed = True
         self.send_signal(signal.SIGKILL)
         if self._task is not None:
--- a/src/jasminecrank/standins/soak/_proxy.py
+++ b/src/jasminecrank/standins/soak/_proxy.py
@@ -1,26 +1,26 @@
-"""A loopback proxy that delays, resets, cuts one way or silences."""
+"""Loopback TCP proxy that delays, resets or discards traffic."""
 
 import asyncio
 import enum
 
 CHUNK_BYTES = 65_536
 SLOW_LINK_DELAY_S = 0.15
-"""Delay of a slow link, each way."""
+"""Delay of each chunk on a slow link, per direction."""
 
 
 class LinkCondition(enum.Enum):
-    """What happens to bytes on a link."""
+    """How a link treats traffic."""
 
     NORMAL = "well"
     SLOW = "slow"
     RESET = "reset"
     SILENT = "silent"
     ONE_WAY = "one-way"
-    """Only bytes from the listener's side back to the dialler pass."""
+    """Only traffic from the accepting to the connecting side passes."""
 
 
 class Proxy:
-    """Forwards the connections of one dialler to one listener."""
+    """Forwards connections of one host to one target."""
 
     def __init__(self, target: tuple[str, int]) -> None:
         self._target = target
@@ -29,14 +29,14 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        """Accept connections at an address."""
+        """Accept connections on an address."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
     def set_condition(self, condition: LinkCondition) -> None:
-        """Change what happens to bytes from now on.
+        """Change how traffic is treated from now on.
 
-        Bytes that a silent link swallowed are lost, so its connections end
-        with the silence.
+        Bytes that a link discarded are lost to its connections, so these are
+        aborted when the condition ends.
         """
         previous, self._condition = self._condition, condition
         lossy = (LinkCondition.SILENT, LinkCondition.ONE_WAY)
@@ -44,7 +44,7 @@
             self._abort_connections()
 
     def close(self) -> None:
-        """Stop forwarding."""
+        """Stop accepting connections and abort the open ones."""
         if self._server is not None:
             self._server.close()
         self._abort_connections()
@@ -76,7 +76,7 @@
                 self._writers.discard(upstream_writer)
                 upstream_writer.transport.abort()
         except (OSError, ExceptionGroup):
-            pass  # Either side has left; the other one is closed below.
+            pass  # One side has disconnected; the other is closed below.
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
@@ -99,4 +99,4 @@
                     pass
             writer.write(data)
             await writer.drain()
-        raise ConnectionError("one side has closed")
+        raise ConnectionError("peer closed the connection")
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -1,4 +1,4 @@
-"""One run of the fault soak."""
+"""Run of the fault soak with one seed."""
 
 import asyncio
 from collections.abc import Sequence
@@ -15,18 +15,18 @@
 
 @dataclass(slots=True, frozen=True)
 class SoakResult:
-    """What a run found."""
+    """Counts of a run and the violations found."""
 
     seed: int
     requests: int
     served: int
     faults: int
     violations: tuple[str, ...]
-    """One line for each promise that did not hold."""
+    """One line for each violation of a guarantee."""
 
 
 class Soak:
-    """Plays the plan of a seed on a deployment of its own."""
+    """Runs the fault plan of a seed on its own deployment."""
 
     def __init__(
         self, seed: int, hosts: int, duration_s: float, folder: pathlib.Path
@@ -39,7 +39,7 @@
         )
 
     async def run(self) -> SoakResult:
-        """Start all, play the plan, and check the promises."""
+        """Start the deployment, inject the faults and check the guarantees."""
         deployment = self._deployment
         callers = _callers.CallerPool(deployment)
         injector = _faults.FaultInjector(deployment)
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -1,4 +1,4 @@
-"""The promises to callers and servers, checked on what they saw."""
+"""Checks of the guarantees to callers and servers on recorded observations."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -7,7 +7,7 @@
 from jasminecrank.standins.soak import observed
 
 CONFIG_APPLY_S = 2.0
-"""Time for a table to be in force, the platform's configApplyMs."""
+"""Time limit for a table to take effect, the platform's configApplyMs."""
 LOSS_SLACK_S = 0.2
 """The platform's lossSlackMs."""
 QUOTA_WINDOW_S = 5.0
@@ -16,16 +16,16 @@
 COLD_PER_S = 10.0
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5.0
-"""The platform's bounds on rates and on cold servers."""
+"""Platform limits for team rates and for cold servers."""
 RECOVERED_RATIO = 0.25
-"""Part of the requests that is served again after all faults."""
+"""Minimum fraction of requests served after the last fault."""
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 Check = Callable[[observed.Records], Iterator[str]]
 
 
 def at_most_once(records: observed.Records) -> Iterator[str]:
-    """A booking runs once at most."""
+    """Check that no booking runs more than once."""
     runs = Counter(arrival.request_id for arrival in records.arrivals)
     for attempt in records.attempts:
         if attempt.method != "GET" and runs[attempt.request_id] > 1:
@@ -33,7 +33,7 @@
 
 
 def true_refusals(records: observed.Records) -> Iterator[str]:
-    """A booking that was refused as not run has not run."""
+    """Check that no booking ran that was rejected as not executed."""
     runs = Counter(arrival.request_id for arrival in records.arrivals)
     for attempt in records.attempts:
         if (
@@ -45,14 +45,14 @@
 
 
 def whole_answers(records: observed.Records) -> Iterator[str]:
-    """A success is the server's whole answer to this request."""
+    """Check that successful responses are complete and match the request."""
     for attempt in records.attempts:
         if not attempt.response_intact:
             yield f"{attempt.request_id} got another or a cut answer"
 
 
 def known_callers(records: observed.Records) -> Iterator[str]:
-    """A request runs as its caller sent it, for the team of its key."""
+    """Check that requests run as sent, for the team of their key."""
     attempt_by_id = {
         attempt.request_id: attempt for attempt in records.attempts
     }
@@ -69,7 +69,7 @@
 
 
 def withdrawn_keys(records: observed.Records) -> Iterator[str]:
-    """A withdrawn key stops working, and never works again at a node."""
+    """Check that nodes reject withdrawn keys and never accept them again."""
     refused_s_by_node_and_key: dict[tuple[int, int, str], float] = {}
     for attempt in sorted(
         records.attempts, key=lambda attempt: attempt.sent_s
@@ -97,7 +97,7 @@
 
 
 def no_new_work(records: observed.Records) -> Iterator[str]:
-    """A leaving server, or one of a closed data centre, gets no requests."""
+    """Check that draining or evacuated servers get no new requests."""
     for period in records.out_of_service_periods:
         for arrival in records.arrivals:
             if (
@@ -115,7 +115,7 @@
 
 
 def cold_servers(records: observed.Records) -> Iterator[str]:
-    """A cold server gets no more than it bears in any second."""
+    """Check that no cold server exceeds its request limit in any second."""
     limit = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
     times_by_host: dict[int, list[float]] = {}
     for arrival in records.arrivals:
@@ -146,7 +146,7 @@
 
 
 def planned_stops(records: observed.Records) -> Iterator[str]:
-    """A stop that was asked for cuts no request that was read."""
+    """Check that a planned stop drops no request that the node had read."""
     ran = {arrival.request_id for arrival in records.arrivals}
     for host, at_s in records.terminations:
         for attempt in records.attempts:
@@ -167,7 +167,7 @@
 
 
 def recovery(end_s: float) -> Check:
-    """Return a check that requests are served again at the end."""
+    """Return a check that requests are served at the end of the run."""
 
     def check(records: observed.Records) -> Iterator[str]:
         final = [
@@ -183,7 +183,7 @@
 
 
 def _max_in_window(times: list[float], window_s: float) -> int:
-    """Return the most entries of a sorted list in any window."""
+    """Return the maximum number of sorted times within any window."""
     most = first = 0
     for last, at_s in enumerate(times):
         while times[first] <= at_s - window_s:
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -1,4 +1,4 @@
-"""What callers and servers saw, and what was done to the deployment."""
+"""Observations of callers and servers, and the faults injected."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -6,31 +6,31 @@
 import math
 
 SETTLE_S = 3.0
-"""Time without a fault after which bounds hold, the platform's contactMs."""
+"""Time without a fault after which limits apply, the platform's contactMs."""
 
 
 @dataclass(slots=True)
 class Attempt:
-    """A request as its caller saw it."""
+    """A request as observed by its caller."""
 
     request_id: str
     host: int
     incarnation: int
-    """Of the node, when the request was sent."""
+    """Incarnation of the node when the request was sent."""
     method: str
     key: str | None
     sent_s: float
     ended_s: float = math.inf
     status: int = 0
-    """0 for a connection that ended without an answer."""
+    """0 if no response was received."""
     response_intact: bool = True
     abandoned: bool = False
-    """Whether the caller went away."""
+    """Whether the caller disconnected without waiting for the response."""
 
 
 @dataclass(slots=True, frozen=True)
 class Arrival:
-    """A request that a server began to run."""
+    """A request that a server started to run."""
 
     request_id: str
     host: int
@@ -43,19 +43,19 @@
 
 @dataclass(slots=True)
 class Disturbance:
-    """A time in which bounds don't hold at some hosts."""
+    """A period in which limits do not apply to some hosts."""
 
     begin_s: float
     hosts: frozenset[int] | None
     """None for all hosts."""
     planned: bool = False
-    """A SIGTERM or a change by operators, which must lose nothing."""
+    """A SIGTERM or an operator change, which must not lose any request."""
     end_s: float = math.inf
 
 
 @dataclass(slots=True)
 class OutOfServicePeriod:
-    """Something that holds from a moment on, until another one."""
+    """A period in which a host's server must not get new requests."""
 
     host: int
     from_s: float
@@ -64,7 +64,7 @@
 
 @dataclass(slots=True)
 class Records:
-    """Everything that the checks look at."""
+    """All observations that the checks evaluate."""
 
     attempts: list[Attempt] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
@@ -72,16 +72,16 @@
     out_of_service_periods: list[OutOfServicePeriod] = field(
         default_factory=list
     )
-    """Servers that leave, or whose data centre is out of service."""
+    """Of draining servers and of servers in an evacuated data centre."""
     withdrawn_s_by_key: dict[str, float] = field(default_factory=dict)
     team_by_key: dict[str, str] = field(default_factory=dict)
     terminations: list[tuple[int, float]] = field(default_factory=list)
-    """Hosts whose nodes were asked to stop, and when."""
+    """Hosts whose nodes got a SIGTERM, each with its time."""
 
     def begin_disturbance(
         self, now_s: float, hosts: Iterable[int] | None, planned: bool = False
     ) -> Disturbance:
-        """Note that a fault begins."""
+        """Record the start of a disturbance."""
         affected_hosts = None if hosts is None else frozenset(hosts)
         disturbance = Disturbance(now_s, affected_hosts, planned)
         self.disturbances.append(disturbance)
@@ -94,7 +94,7 @@
         to_s: float,
         include_planned: bool,
     ) -> bool:
-        """Return whether no fault touched a host, or any host if None."""
+        """Return whether a host, or every host if None, was undisturbed."""
         return not any(
             disturbance.begin_s <= to_s
             and disturbance.end_s >= from_s - SETTLE_S
