Reword the features and steps of the fleet and the soak

Step texts and heads speak of callers that leave, bookers, whole answers, drawn plans and promises that hold.

Rewords step texts with their functions: requests that run, callers that disconnect, complete responses, guarantees that are violated. Rows, figures, seeds and bounds stay, as do the steps that other features use. Step functions and their parameters are named after what they do. The error that a step injects reads "internal error"; no test matches its text.

--- a/features/mesh/load.feature
+++ b/features/mesh/load.feature
@@ -1,14 +1,14 @@
-Feature: What callers get under load
+Feature: Response times under load
 
-  Plays the decisions on placing and admitting calls in virtual time, with the
-  users' load, against choosing at random and against knowing at once how many
-  calls each server has.
+  Simulates placement and admission in virtual time under the users' load, and
+  compares the policy of the nodes with random placement and with one that
+  always knows the current number of calls of each server.
 
   Scenario Outline: Requests answered within their objective
     Given the load of <site> for 12 s, <trouble>
-    When it is played with each rule
-    Then the chosen rule answers <least> or more within the objective
-    And that is <gain> or more above random placing
+    When it is simulated with each policy
+    Then the nodes answer <least> or more within the objective
+    And that is <gain> or more above random placement
     And no more than <far> of the runs are in another data centre
 
     Examples:
@@ -24,10 +24,10 @@
       | Landesamt grown | calm               | 0.95  | 0.04  | 0.05 |
       | Landesamt grown | a burst            | 0.90  | 0.04  | 0.10 |
 
-  Scenario Outline: Servers that join get calls soon
+  Scenario Outline: Joining servers soon get calls
     Given the load of <site> for 24 s, servers joining
-    When it is played with the chosen rule
-    Then each server that joins gets a call within 4 s
+    When it is simulated with the policy of the nodes
+    Then each joining server gets a call within 4 s
 
     Examples:
       | site            |
--- a/features/mesh/whole_path.feature
+++ b/features/mesh/whole_path.feature
@@ -1,9 +1,10 @@
-Feature: The whole path of a call over real sockets
+Feature: Calls through a whole deployment over real sockets
 
-  Guards the promises to callers: the whole answer to their own request, at
-  most one run of a booking, refusals that are true, and the table in force.
+  Guards the guarantees to callers: a complete response to their own request,
+  at most one run of a booking, rejections that are true, and use of the
+  current table.
 
-  Scenario Outline: Answers of the node
+  Scenario Outline: Responses of the node
     Given a deployment of 3 hosts
     When a caller sends <method> <target> with key <key>
     Then it gets <status> and the request has run <runs> times
@@ -17,7 +18,7 @@
       | GET    | /lots/1 | none | 401    | 0    |
       | GET    | /gone/1 | k1   | 404    | 0    |
 
-  Scenario Outline: A server that misbehaves once
+  Scenario Outline: A server with a single fault
     Given a deployment of 3 hosts
     When every server will once <fault>
     And a caller sends <method> <target> with key k1
@@ -37,49 +38,49 @@
       | unframed-reset  | POST   | /book/1 | 502    | 1    |
       | hang            | POST   | /book/1 | 504    | 0    |
 
-  Scenario Outline: Answers that no request asked for
+  Scenario Outline: Unsolicited responses
     Given a deployment of 1 hosts
     When every server always will <fault>
     And 10 requests are sent one after the other
-    Then each gets its own whole answer
+    Then each request gets its own complete response
 
     Examples:
       | fault      |
       | extra      |
       | late-extra |
 
-  Scenario: One server that sheds is not seen by callers
+  Scenario: Callers do not notice that one server sheds load
     Given a deployment of 3 hosts
     When server 0 always will shed
     And 10 requests are sent one after the other
-    Then each gets its own whole answer
+    Then each request gets its own complete response
 
-  Scenario: A caller that leaves ends the run of its request
+  Scenario: A run is cancelled when its caller disconnects
     Given a deployment of 2 hosts
-    When servers take 2.0 s and a caller leaves after 0.1 s
-    Then a server is rid of the run within 0.5 s
+    When requests take 2.0 s and a caller disconnects after 0.1 s
+    Then a server has cancelled the run within 0.5 s
 
-  Scenario: A booking whose caller leaves runs to its end
+  Scenario: A booking runs to its end when its caller disconnects
     Given a deployment of 1 hosts
-    When servers take 0.4 s and a booker leaves after 0.1 s
-    Then no server has dropped a run
+    When bookings take 0.4 s and a caller disconnects after 0.1 s
+    Then no server has cancelled a run
 
-  Scenario: A request is answered at its route's time limit
+  Scenario: A request times out at the time limit of its route
     Given a deployment of 2 hosts
     When every server always will hang
     And a caller sends POST /book/1 with key k1
     Then it gets 504 after 1.0 to 1.3 s
 
-  Scenario: A server is never given more than its slots
+  Scenario: A server never gets more concurrent requests than slots
     Given a deployment of 2 hosts
-    When 40 callers send at once
-    Then no server has had more than 4 requests at once
-    And all answers are whole or say that nothing has run
+    When 40 callers send requests concurrently
+    Then no server has run more than 4 requests concurrently
+    And all responses are complete or report that nothing has run
 
-  Scenario Outline: Work stops soon for a server that leaves
+  Scenario Outline: A server out of service soon gets no requests
     Given a deployment of 2 hosts
     When server 0 <leaves>
-    Then it gets no request from 0.5 s later on
+    Then it gets no request after 0.5 s
     And callers on both hosts are served
 
     Examples:
@@ -89,10 +90,10 @@
       | is in a data centre out of service |
       | crashes                          |
 
-  Scenario Outline: A table is in force on every host
+  Scenario Outline: A new table takes effect on every host
     Given a deployment of 5 hosts
     When the store is <fault> and key k1 is withdrawn
-    Then every host refuses k1 within 2.0 s
+    Then every host rejects k1 within 2.0 s
 
     Examples:
       | fault                     |
@@ -100,28 +101,28 @@
       | busy for hosts 0, 1 and 2 |
       | compacted                 |
 
-  Scenario: A restarted node takes the table from its peers
+  Scenario: A restarted node gets the table from its peers
     Given a deployment of 3 hosts
-    When the store is silent for all
-    And the node of host 1 is killed and started again
+    When the store responds to no host
+    And the node of host 1 is killed and restarted
     Then the restarted node is ready within 3.0 s
 
-  Scenario: A node that stops finishes what others sent it
+  Scenario: A stopping node completes calls from its peers
     Given a deployment of 2 hosts
-    When servers take 0.5 s and node 0 stops while requests run
-    Then each gets its own whole answer
+    When requests take 0.5 s and node 0 stops while they run
+    Then each request gets its own complete response
 
-  Scenario: A node that stops takes nothing that it can't finish
+  Scenario: A stopping node accepts no request that it can't complete
     Given a deployment of 2 hosts
-    When servers take 0.2 s and callers of node 0 go on while it stops
-    Then no request sent later than 3.0 s after that is taken
-    And each request that is taken gets an answer
+    When requests take 0.2 s and node 0 stops while callers keep sending
+    Then no request is run that was sent more than 3.0 s after that
+    And each request that is run gets a response
 
-  Scenario Outline: Callers are told when to come back
+  Scenario Outline: Rejections say when to retry
     Given a deployment of 2 hosts
     When every server <event>
-    And a caller with <deadline> ms left asks
-    Then it is told to come back after <least> to <most> s
+    And a caller sends a request with <deadline> ms left
+    Then it is rejected and may retry after <least> to <most> s
 
     Examples:
       | event                  | deadline | least | most |
@@ -129,15 +130,15 @@
       | has restarted unlisted | 1200     | 0.3   | 0.4  |
       | is draining            | 3000     | 0.1   | 1.0  |
 
-  Scenario: An error in the node while a call runs frees its slot
+  Scenario: An internal error during a call releases its slot
     Given a deployment of 1 hosts
-    When the node fails with an error on the next 8 calls
+    When the node raises an error on the next 8 calls
     And a caller sends POST /book/1 with key k1
     Then it gets 200 and the request has run 1 times
 
-  Scenario Outline: Hosts that have lost power serve before they are listed
+  Scenario Outline: Hosts serve after a power loss before they are listed
     Given a deployment of 2 hosts
-    When all hosts lose power and their servers come back <unlisted>
+    When all hosts lose power and their servers restart <unlisted>
     And a caller sends POST /book/1 with key k1
     Then it gets <status> and the request has run <runs> times
 
@@ -148,12 +149,12 @@
       | a second later           | 503    | 0    |
       | and are warm             | 503    | 0    |
 
-  Scenario: Changed settings are taken over without a restart
+  Scenario: Changed settings take effect without a restart
     Given a deployment of 1 hosts
     When the settings get a retry ratio of 0.5
-    Then the node uses it within 6.0 s
+    Then the node applies it within 6.0 s
 
-  Scenario: Few calls to the store
+  Scenario: An idle deployment calls the store rarely
     Given a deployment of 5 hosts
-    When nothing happens for 3 s
-    Then the store has had fewer than 25 calls
+    When the deployment is idle for 3 s
+    Then the store has received fewer than 25 requests
--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -1,9 +1,9 @@
 Feature: The fault soak
 
-  Guards against a check that finds nothing, and plays short seeded runs of
-  real processes under faults.
+  Guards against checks that miss a violation, and runs nodes as processes
+  under short seeded plans of faults.
 
-  Scenario Outline: Each check finds what it is for
+  Scenario Outline: Each check detects its violation
     Given a run in which <what>
     Then <check> finds <found>
 
@@ -34,9 +34,9 @@
       | a kill cuts a request that ran                 | planned_stops   | nothing |
       | nothing is served at the end                   | recovery        | a fault |
 
-  Scenario Outline: A seed plays the same faults each time
+  Scenario Outline: A seed always gives the same faults
     Given the plan of seed <seed> for 8 hosts and 30 s
-    Then it is the same when it is drawn again
+    Then it is the same when it is generated again
     And its faults overlap and leave 8 s at the end
 
     Examples:
@@ -45,9 +45,9 @@
       | 2    |
       | 3    |
 
-  Scenario Outline: A short run of real processes
-    When seed <seed> is played on <hosts> hosts for <seconds> s
-    Then every promise has held
+  Scenario Outline: A short run of node processes
+    When seed <seed> is run on <hosts> hosts for <seconds> s
+    Then no guarantee is violated
 
     Examples:
       | seed | hosts | seconds | why                                        |
@@ -55,7 +55,7 @@
       | 11   | 5     | 18      | a short run                                |
       | 8    | 8     | 30      | failed: two plans for one data centre met  |
 
-  Scenario: A soak that is stopped leaves no process
+  Scenario: A stopped soak leaves no process
     Given a running soak of 3 hosts
-    When it is asked to stop
-    Then none of its 3 nodes is there after 5 s
+    When it gets a SIGTERM
+    Then none of its 3 node processes exists after 5 s
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the fault soak and its checks."""
+"""Steps for the fault soak and its checks."""
 
 import asyncio
 import contextlib
@@ -35,7 +35,7 @@
 def make_attempt(
     request_id="r1", method="POST", key="k1", sent_s=10.0, status=200
 ):
-    """Return a request as a caller saw it."""
+    """Return a request as observed by its caller."""
     ended_s = sent_s + 0.3
     return observed.Attempt(
         request_id, 0, 1, method, key, sent_s, ended_s, status
@@ -43,12 +43,12 @@
 
 
 def make_arrival(request_id="r1", at_s=10.1, team="team-0", cold=False):
-    """Return a request as a server saw it."""
+    """Return a request as observed by a server."""
     return observed.Arrival(request_id, 0, at_s, team, "ledger", False, cold)
 
 
 def make_arrivals(count, over_s, cold):
-    """Return requests that arrive evenly in a time, its end left out."""
+    """Return evenly spaced arrivals in a period that excludes its end."""
     step_s = over_s / (count + 1)
     return [
         make_arrival(f"r{number}", 10.0 + number * step_s, "team-0", cold)
@@ -57,7 +57,7 @@
 
 
 def make_records(attempts=(), arrivals=(), fault=None, planned=False):
-    """Return records with what was seen, and a fault from a time on."""
+    """Return records of observations and of a fault from a time on."""
     records = observed.Records()
     records.team_by_key = {"k1": "team-0"}
     records.attempts.extend(attempts)
@@ -75,7 +75,7 @@
 
 
 def records_with_leaving_server(fault=None):
-    """Return records in which a server got a request after it left."""
+    """Return records in which a server gets a request when out of service."""
     records = make_records([make_attempt()], [make_arrival()], fault)
     records.out_of_service_periods.append(
         observed.OutOfServicePeriod(0, 9.0, 11.0)
@@ -94,13 +94,13 @@
 
 
 def records_with_exposed_key():
-    """Return records of a server that was shown a key."""
+    """Return records in which a server received a key."""
     record = observed.Arrival("r1", 0, 10.1, "team-0", "ledger", True, False)
     return make_records([make_attempt()], [record])
 
 
 def records_with_cut_response():
-    """Return records of an answer that is not whole."""
+    """Return records of an incomplete response."""
     cut = make_attempt()
     cut.response_intact = False
     return make_records([cut])
@@ -183,7 +183,7 @@
 
 
 @then("{name} finds {found}")
-def step_finds(context, name, found):
+def step_check_finds(context, name, found):
     lines = list(CHECK_BY_NAME[name](context.records))
     assert bool(lines) == (found == "a fault"), lines
 
@@ -194,13 +194,13 @@
     context.plan = soak.make_plan(*context.arguments)
 
 
-@then("it is the same when it is drawn again")
-def step_same(context):
+@then("it is the same when it is generated again")
+def step_same_plan(context):
     assert context.plan == soak.make_plan(*context.arguments)
 
 
 @then("its faults overlap and leave {seconds:d} s at the end")
-def step_overlap(context, seconds):
+def step_plan_overlaps(context, seconds):
     times = [planned.at_s for planned in context.plan]
     gaps = [
         later - at_s for at_s, later in zip(times, times[1:], strict=False)
@@ -209,27 +209,27 @@
     assert times[-1] <= context.arguments[2] - seconds
 
 
-@when("seed {seed:d} is played on {hosts:d} hosts for {seconds:d} s")
-def step_play(context, seed, hosts, seconds):
+@when("seed {seed:d} is run on {hosts:d} hosts for {seconds:d} s")
+def step_run_seed(context, seed, hosts, seconds):
     with tempfile.TemporaryDirectory() as folder:
         run = soak.Soak(seed, hosts, float(seconds), pathlib.Path(folder))
         context.result = asyncio.run(run.run())
 
 
-@then("every promise has held")
-def step_held(context):
+@then("no guarantee is violated")
+def step_no_violation(context):
     assert not context.result.violations, context.result.violations[:5]
     assert context.result.served > 0
 
 
 def child_pids(pid):
-    """Return the ids of a process's children."""
+    """Return the process ids of a process's children."""
     children = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
     return [int(child) for child in children.read_text().split()]
 
 
 def wait_until(condition, timeout_s):
-    """Return whether something holds within a time."""
+    """Return whether a condition is met within a time limit."""
     end_s = time.monotonic() + timeout_s
     while not condition() and time.monotonic() < end_s:
         time.sleep(0.05)
@@ -237,7 +237,7 @@
 
 
 @given("a running soak of {hosts:d} hosts")
-def step_running(context, hosts):
+def step_running_soak(context, hosts):
     command = [sys.executable, "script/run_fault_soak.py", "--seed", "1"]
     context.soak = subprocess.Popen(
         [*command, "--hosts", str(hosts)],
@@ -251,13 +251,13 @@
     context.nodes = child_pids(pid)
 
 
-@when("it is asked to stop")
+@when("it gets a SIGTERM")
 def step_stop_soak(context):
     context.soak.terminate()
 
 
-@then("none of its {count:d} nodes is there after {seconds:g} s")
-def step_none_left(context, count, seconds):
+@then("none of its {count:d} node processes exists after {seconds:g} s")
+def step_no_process(context, count, seconds):
     assert len(context.nodes) == count
 
     def all_gone():
--- a/features/steps/mesh_load_steps.py
+++ b/features/steps/mesh_load_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the load model."""
+"""Steps for the load model."""
 
 import dataclasses
 import sys
@@ -75,8 +75,8 @@
     context.load = dataclasses.replace(scenario, **changes)
 
 
-@when("it is played with each rule")
-def step_play(context):
+@when("it is simulated with each policy")
+def step_simulate_all(context):
     context.outcome_by_policy = {
         policy: fleet.LoadModel(context.load, policy, SEED).run()
         for policy in fleet.PlacementPolicy
@@ -89,38 +89,38 @@
         )
 
 
-@when("it is played with the chosen rule")
-def step_play_chosen(context):
+@when("it is simulated with the policy of the nodes")
+def step_simulate_mesh(context):
     model = fleet.LoadModel(context.load, fleet.PlacementPolicy.MESH, SEED)
     context.outcome_by_policy = {fleet.PlacementPolicy.MESH: model.run()}
 
 
-@then("the chosen rule answers {least:g} or more within the objective")
+@then("the nodes answer {least:g} or more within the objective")
 def step_in_target(context, least):
     outcome = context.outcome_by_policy[fleet.PlacementPolicy.MESH]
     assert outcome.in_target_ratio >= least, outcome.in_target_ratio
 
 
-@then("that is {gain:g} or more above random placing")
+@then("that is {gain:g} or more above random placement")
 def step_gain(context, gain):
-    chosen = context.outcome_by_policy[
+    mesh = context.outcome_by_policy[
         fleet.PlacementPolicy.MESH
     ].in_target_ratio
-    other = context.outcome_by_policy[
+    random = context.outcome_by_policy[
         fleet.PlacementPolicy.RANDOM
     ].in_target_ratio
-    assert chosen >= other + gain, (chosen, other)
+    assert mesh >= random + gain, (mesh, random)
 
 
 @then("no more than {far:g} of the runs are in another data centre")
-def step_far(context, far):
+def step_cross_data_centre(context, far):
     outcome = context.outcome_by_policy[fleet.PlacementPolicy.MESH]
     runs = sum(outcome.calls_by_server.values())
     assert outcome.cross_data_centre_calls <= far * runs
 
 
-@then("each server that joins gets a call within {seconds:g} s")
-def step_joins(context, seconds):
+@then("each joining server gets a call within {seconds:g} s")
+def step_joining(context, seconds):
     load = context.load
     first_s = context.outcome_by_policy[
         fleet.PlacementPolicy.MESH
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -1,4 +1,4 @@
-"""Steps on whole deployments of stand-ins and nodes in one process."""
+"""Steps for deployments of stand-ins and nodes in one process."""
 
 import asyncio
 import contextlib
@@ -37,7 +37,7 @@
 
 
 def count_runs(context, request_id):
-    """Return how often a request has run anywhere."""
+    """Return how often a request has run on all servers."""
     servers = context.fleet.servers
     return sum(server.runs_by_request_id[request_id] for server in servers)
 
@@ -56,7 +56,7 @@
 
 
 @then("it gets {status:d} and the request has run {runs:d} times")
-def step_gets(context, status, runs):
+def step_status_and_runs(context, status, runs):
     found = (context.response.status, count_runs(context, context.request_id))
     assert found == (status, runs), (found, context.fleet.log_lines[-5:])
     if status == 200:
@@ -64,31 +64,31 @@
 
 
 def check_response(response, request_id):
-    """Check that an answer is the server's own to this request."""
+    """Check that a response is complete and belongs to the request."""
     assert response.status == 200, response
     assert response.headers["server-stamp"] == f"stamp-{request_id}", response
     assert response.body == f"body of {request_id}".encode(), response
 
 
 @when("every server will once {fault}")
-def step_once(context, fault):
+def step_fault_once(context, fault):
     for server in context.fleet.servers:
         server.behaviours.append(fleet.Behaviour(fault))
 
 
 @when("every server always will {fault}")
-def step_always(context, fault):
+def step_fault_always(context, fault):
     for server in context.fleet.servers:
         server.default_behaviour = fleet.Behaviour(fault)
 
 
 @when("server {number:d} always will {fault}")
-def step_one_always(context, number, fault):
+def step_server_fault(context, number, fault):
     context.fleet.servers[number].default_behaviour = fleet.Behaviour(fault)
 
 
 @when("{count:d} requests are sent one after the other")
-def step_many(context, count):
+def step_send_many(context, count):
     async def send():
         caller = context.fleet.caller(0)
         for _ in range(count):
@@ -99,15 +99,15 @@
     context.runner.run(send())
 
 
-@then("each gets its own whole answer")
-def step_each(context):
+@then("each request gets its own complete response")
+def step_all_complete(context):
     assert context.responses
     for request_id, response in context.responses:
         check_response(response, request_id)
 
 
 def abandon_request(context, run_s, after_s, method, target):
-    """Let a caller leave while its request runs."""
+    """Send a request and disconnect while it runs."""
 
     async def play():
         for server in context.fleet.servers:
@@ -121,34 +121,34 @@
     context.runner.run(play())
 
 
-@when("servers take {run_s:g} s and a caller leaves after {after_s:g} s")
-def step_leave(context, run_s, after_s):
+@when("requests take {run_s:g} s and a caller disconnects after {after_s:g} s")
+def step_abandon(context, run_s, after_s):
     abandon_request(context, run_s, after_s, "GET", "/lots/1")
 
 
-@when("servers take {run_s:g} s and a booker leaves after {after:g} s")
-def step_leave_booking(context, run_s, after):
-    abandon_request(context, run_s, after, "POST", "/book/1")
+@when("bookings take {run_s:g} s and a caller disconnects after {after_s:g} s")
+def step_abandon_booking(context, run_s, after_s):
+    abandon_request(context, run_s, after_s, "POST", "/book/1")
 
 
-@then("a server is rid of the run within 0.5 s")
-def step_dropped(context):
+@then("a server has cancelled the run within 0.5 s")
+def step_cancelled(context):
     assert sum(server.cancelled_runs for server in context.fleet.servers) == 1
 
 
-@then("no server has dropped a run")
-def step_none_dropped(context):
+@then("no server has cancelled a run")
+def step_none_cancelled(context):
     assert not any(server.cancelled_runs for server in context.fleet.servers)
 
 
 @then("it gets {status:d} after {least:g} to {most:g} s")
-def step_time(context, status, least, most):
+def step_status_in_time(context, status, least, most):
     assert context.response.status == status, context.response
     assert least <= context.elapsed_s <= most, context.elapsed_s
 
 
-@when("{count:d} callers send at once")
-def step_at_once(context, count):
+@when("{count:d} callers send requests concurrently")
+def step_send_concurrently(context, count):
     async def send():
         callers = [
             context.fleet.caller(number % len(context.fleet.servers))
@@ -161,14 +161,14 @@
     context.runner.run(send())
 
 
-@then("no server has had more than {most:d} requests at once")
-def step_most(context, most):
+@then("no server has run more than {most:d} requests concurrently")
+def step_concurrency(context, most):
     for server in context.fleet.servers:
         assert server.peak_concurrency <= most, server.peak_concurrency
 
 
-@then("all answers are whole or say that nothing has run")
-def step_true(context):
+@then("all responses are complete or report that nothing has run")
+def step_complete_or_not_run(context):
     for request_id, response in context.responses:
         if response.status in NOT_EXECUTED_STATUSES:
             assert count_runs(context, request_id) == 0, response
@@ -176,12 +176,12 @@
             check_response(response, request_id)
 
 
-@when("server {number:d} {leaves}")
-def step_leaves(context, number, leaves):
+@when("server {number:d} {event}")
+def step_out_of_service(context, number, event):
     async def act():
         deployment = context.fleet
         server = deployment.servers[number]
-        match leaves:
+        match event:
             case "is draining":
                 await deployment.register(number, "draining")
             case "is removed":
@@ -195,10 +195,10 @@
     context.runner.run(act())
 
 
-def ask_all(context, seconds):
-    """Send requests on all hosts for some time; keep the answers."""
+def send_from_all_hosts(context, seconds):
+    """Send requests to the nodes of all hosts and record the responses."""
 
-    async def ask(number, end_s):
+    async def send(number, end_s):
         caller = context.fleet.caller(number)
         while time.monotonic() < end_s:
             response = await caller.request()
@@ -208,17 +208,17 @@
     async def play():
         end_s = time.monotonic() + seconds
         hosts = range(len(context.fleet.servers))
-        await asyncio.gather(*(ask(number, end_s) for number in hosts))
+        await asyncio.gather(*(send(number, end_s) for number in hosts))
 
     context.runner.run(play())
 
 
-@then("it gets no request from {after:g} s later on")
-def step_no_request(context, after):
-    ask_all(context, after)
+@then("it gets no request after {after_s:g} s")
+def step_no_request(context, after_s):
+    send_from_all_hosts(context, after_s)
     before = len(context.leaving_server.requests)
     context.responses.clear()
-    ask_all(context, 0.5)
+    send_from_all_hosts(context, 0.5)
     assert len(context.leaving_server.requests) == before, (
         context.leaving_server.requests
     )
@@ -249,8 +249,8 @@
     context.runner.run(act())
 
 
-@then("every host refuses k1 within {limit:g} s")
-def step_refused(context, limit):
+@then("every host rejects k1 within {limit:g} s")
+def step_rejected(context, limit):
     async def check():
         started_s = time.monotonic()
         waiting = set(range(len(context.fleet.servers)))
@@ -265,12 +265,12 @@
     context.runner.run(check())
 
 
-@when("the store is silent for all")
-def step_silent(context):
+@when("the store responds to no host")
+def step_store_unresponsive(context):
     context.fleet.store.outage = fleet.Outage.SILENT
 
 
-@when("the node of host {number:d} is killed and started again")
+@when("the node of host {number:d} is killed and restarted")
 def step_restart(context, number):
     async def act():
         context.fleet.nodes[number].abort()
@@ -289,7 +289,7 @@
     )
 
 
-@when("servers take {run_s:g} s and node 0 stops while requests run")
+@when("requests take {run_s:g} s and node 0 stops while they run")
 def step_stop(context, run_s):
     async def act():
         for server in context.fleet.servers:
@@ -307,16 +307,16 @@
     context.runner.run(act())
 
 
-@when("servers take {run_s:g} s and callers of node 0 go on while it stops")
-def step_go_on(context, run_s):
-    async def ask(started_s):
+@when("requests take {run_s:g} s and node 0 stops while callers keep sending")
+def step_stop_under_load(context, run_s):
+    async def keep_sending(started_s):
         caller = context.fleet.caller(0)
         while time.monotonic() - started_s < 6.5:
             sent_s = time.monotonic() - started_s
             try:
                 response = await caller.request()
             except OSError:
-                # The node takes no more connections.
+                # The node accepts no more connections.
                 await asyncio.sleep(0.1)
                 continue
             context.responses.append(
@@ -328,28 +328,30 @@
         for server in context.fleet.servers:
             server.run_s = run_s
         started_s = time.monotonic()
-        callers = [asyncio.create_task(ask(started_s)) for _ in range(3)]
+        callers = [
+            asyncio.create_task(keep_sending(started_s)) for _ in range(3)
+        ]
         await context.fleet.nodes[0].stop()
         await asyncio.gather(*callers)
 
     context.runner.run(act())
 
 
-@then("no request sent later than {limit:g} s after that is taken")
-def step_none_taken(context, limit):
+@then("no request is run that was sent more than {limit:g} s after that")
+def step_none_run(context, limit):
     late = [item for item in context.responses if item[0] > limit]
     assert not any(count_runs(context, item[1]) for item in late), late
 
 
-@then("each request that is taken gets an answer")
-def step_all_answered(context):
+@then("each request that is run gets a response")
+def step_all_get_responses(context):
     for sent_s, request_id, response in context.responses:
         if count_runs(context, request_id):
             assert response.status, (sent_s, request_id)
 
 
 @when("every server {event}")
-def step_every(context, event):
+def step_all_servers(context, event):
     async def act():
         for number, server in enumerate(context.fleet.servers):
             if event == "is draining":
@@ -359,15 +361,15 @@
         await asyncio.sleep(0.5)
 
     if event == "has restarted unlisted":
-        # A node that has just started takes its server's word.
+        # A node that has just started trusts the id that its server reports.
         context.runner.run(asyncio.sleep(coordination.LISTING_GRACE_S))
     context.runner.run(act())
 
 
-@when("the node fails with an error on the next {count:d} calls")
+@when("the node raises an error on the next {count:d} calls")
 def step_node_error(context, count):
     async def fail(call, left_s):
-        raise ValueError("a fault of the program")
+        raise ValueError("internal error")
 
     async def act():
         port = context.fleet.nodes[0].gate.port
@@ -382,13 +384,13 @@
     context.runner.run(act())
 
 
-@when("all hosts lose power and their servers come back {unlisted}")
-def step_power(context, unlisted):
+@when("all hosts lose power and their servers restart {unlisted}")
+def step_power_loss(context, unlisted):
     async def act():
         deployment = context.fleet
         if unlisted == "as servers of no service":
             deployment.service = "another"
-        # A cold start takes 3 s in the table; 2.95 s of it are left.
+        # The table sets a cold start of 3 s, of which 2.95 s are left.
         cold_s = {"a second later": 4.0, "and are warm": 0.0}
         for number, server in enumerate(deployment.servers):
             deployment.nodes[number].abort()
@@ -407,17 +409,17 @@
     context.runner.run(act())
 
 
-@when("a caller with {deadline:d} ms left asks")
-def step_patience(context, deadline):
-    async def ask():
+@when("a caller sends a request with {deadline:d} ms left")
+def step_send_with_deadline(context, deadline):
+    async def send():
         caller = context.fleet.caller(0)
         context.response = await caller.request(deadline_ms=deadline)
 
-    context.runner.run(ask())
+    context.runner.run(send())
 
 
-@then("it is told to come back after {least:g} to {most:g} s")
-def step_come_back(context, least, most):
+@then("it is rejected and may retry after {least:g} to {most:g} s")
+def step_retry_after(context, least, most):
     assert context.response.status == 503, context.response
     after_s = float(context.response.headers["retry-after"])
     assert least <= after_s <= most, after_s
@@ -451,7 +453,7 @@
 
 
 @when("the settings get a retry ratio of {ratio:g}")
-def step_settings(context, ratio):
+def step_change_settings(context, ratio):
     node = context.fleet.nodes[0]
     retries = dataclasses.replace(node.config.retries, ratio=ratio)
     context.fleet.changed_settings = dataclasses.replace(
@@ -459,8 +461,8 @@
     )
 
 
-@then("the node uses it within {limit:g} s")
-def step_uses(context, limit):
+@then("the node applies it within {limit:g} s")
+def step_settings_applied(context, limit):
     node = context.fleet.nodes[0]
     wanted = context.fleet.changed_settings.retries
     context.runner.run(
@@ -470,13 +472,13 @@
     )
 
 
-@when("nothing happens for {seconds:g} s")
-def step_nothing(context, seconds):
+@when("the deployment is idle for {seconds:g} s")
+def step_idle(context, seconds):
     context.store_requests_before = context.fleet.store.request_count
     context.runner.run(asyncio.sleep(seconds))
 
 
-@then("the store has had fewer than {most:d} calls")
+@then("the store has received fewer than {most:d} requests")
 def step_store_requests(context, most):
     calls = context.fleet.store.request_count - context.store_requests_before
     assert calls < most, calls
