--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -109,7 +109,7 @@
 def abandon_request(context, run_s, after_s, method, target):
     """Send a request and disconnect while it runs."""
 
-    async def play():
+    async def act():
         for server in context.fleet.servers:
             server.run_s = run_s
         caller = context.fleet.caller(0)
@@ -118,7 +118,7 @@
         caller.close()
         await asyncio.sleep(0.5)
 
-    context.runner.run(play())
+    context.runner.run(act())
 
 
 @when("requests take {run_s:g} s and a caller disconnects after {after_s:g} s")
@@ -205,12 +205,12 @@
             context.responses.append((caller.last_request_id, response))
             await asyncio.sleep(0.02)
 
-    async def play():
+    async def act():
         end_s = time.monotonic() + seconds
         hosts = range(len(context.fleet.servers))
         await asyncio.gather(*(send(number, end_s) for number in hosts))
 
-    context.runner.run(play())
+    context.runner.run(act())
 
 
 @then("it gets no request after {after_s:g} s")
