--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -1,4 +1,4 @@
-"""Steps on whole deployments of stand-ins and nodes in one process."""
+"""Steps for deployments of stand-ins and nodes in one process."""
 
 import asyncio
 import contextlib
@@ -14,7 +14,7 @@
 from jasminecrank.mesh import coordination
 from jasminecrank.standins import fleet
 
-PROMISES = (429, 503)
+NOT_EXECUTED_STATUSES = (429, 503)
 
 
 @given("a deployment of {hosts:d} hosts")
@@ -33,155 +33,155 @@
 
     context.exit_stack.callback(lambda: context.runner.run(close()))
     context.runner.run(start())
-    context.answers = []
+    context.responses = []
 
 
-def runs_of(context, request_id):
-    """Return how often a request has run anywhere."""
+def count_runs(context, request_id):
+    """Return how often a request has run on all servers."""
     servers = context.fleet.servers
-    return sum(server.runs_by_request[request_id] for server in servers)
+    return sum(server.runs_by_request_id[request_id] for server in servers)
 
 
 @when("a caller sends {method} {target} with key {key}")
 def step_send(context, method, target, key):
     async def send():
         caller = context.fleet.caller(0)
-        begun_s = time.monotonic()
+        started_s = time.monotonic()
         shown = None if key == "none" else key
-        context.answer = await caller.ask(method, target, shown)
-        context.took_s = time.monotonic() - begun_s
-        context.request_id = caller.last_id
+        context.response = await caller.request(method, target, shown)
+        context.elapsed_s = time.monotonic() - started_s
+        context.request_id = caller.last_request_id
 
     context.runner.run(send())
 
 
 @then("it gets {status:d} and the request has run {runs:d} times")
-def step_gets(context, status, runs):
-    found = (context.answer.status, runs_of(context, context.request_id))
-    assert found == (status, runs), (found, context.fleet.lines[-5:])
+def step_status_and_runs(context, status, runs):
+    found = (context.response.status, count_runs(context, context.request_id))
+    assert found == (status, runs), (found, context.fleet.log_lines[-5:])
     if status == 200:
-        check_whole(context.answer, context.request_id)
+        check_response(context.response, context.request_id)
 
 
-def check_whole(answer, request_id):
-    """Check that an answer is the server's own to this request."""
-    assert answer.status == 200, answer
-    assert answer.headers["server-stamp"] == f"stamp-{request_id}", answer
-    assert answer.body == f"body of {request_id}".encode(), answer
+def check_response(response, request_id):
+    """Check that a response is complete and belongs to the request."""
+    assert response.status == 200, response
+    assert response.headers["server-stamp"] == f"stamp-{request_id}", response
+    assert response.body == f"body of {request_id}".encode(), response
 
 
 @when("every server will once {fault}")
-def step_once(context, fault):
+def step_fault_once(context, fault):
     for server in context.fleet.servers:
         server.behaviours.append(fleet.Behaviour(fault))
 
 
 @when("every server always will {fault}")
-def step_always(context, fault):
+def step_fault_always(context, fault):
     for server in context.fleet.servers:
-        server.always = fleet.Behaviour(fault)
+        server.default_behaviour = fleet.Behaviour(fault)
 
 
 @when("server {number:d} always will {fault}")
-def step_one_always(context, number, fault):
-    context.fleet.servers[number].always = fleet.Behaviour(fault)
+def step_server_fault(context, number, fault):
+    context.fleet.servers[number].default_behaviour = fleet.Behaviour(fault)
 
 
 @when("{count:d} requests are sent one after the other")
-def step_many(context, count):
+def step_send_many(context, count):
     async def send():
         caller = context.fleet.caller(0)
         for _ in range(count):
-            answer = await caller.ask()
-            context.answers.append((caller.last_id, answer))
+            response = await caller.request()
+            context.responses.append((caller.last_request_id, response))
             await asyncio.sleep(0.01)
 
     context.runner.run(send())
 
 
-@then("each gets its own whole answer")
-def step_each(context):
-    assert context.answers
-    for request_id, answer in context.answers:
-        check_whole(answer, request_id)
+@then("each request gets its own complete response")
+def step_all_complete(context):
+    assert context.responses
+    for request_id, response in context.responses:
+        check_response(response, request_id)
 
 
-def leave(context, run_s, after_s, method, target):
-    """Let a caller leave while its request runs."""
+def abandon_request(context, run_s, after_s, method, target):
+    """Send a request and disconnect while it runs."""
 
-    async def play():
+    async def act():
         for server in context.fleet.servers:
             server.run_s = run_s
         caller = context.fleet.caller(0)
         await caller.send(method, target)
         await asyncio.sleep(after_s)
-        caller.leave()
+        caller.close()
         await asyncio.sleep(0.5)
 
-    context.runner.run(play())
+    context.runner.run(act())
 
 
-@when("servers take {run_s:g} s and a caller leaves after {after_s:g} s")
-def step_leave(context, run_s, after_s):
-    leave(context, run_s, after_s, "GET", "/lots/1")
+@when("requests take {run_s:g} s and a caller disconnects after {after_s:g} s")
+def step_abandon(context, run_s, after_s):
+    abandon_request(context, run_s, after_s, "GET", "/lots/1")
 
 
-@when("servers take {run_s:g} s and a booker leaves after {after:g} s")
-def step_leave_booking(context, run_s, after):
-    leave(context, run_s, after, "POST", "/book/1")
+@when("bookings take {run_s:g} s and a caller disconnects after {after_s:g} s")
+def step_abandon_booking(context, run_s, after_s):
+    abandon_request(context, run_s, after_s, "POST", "/book/1")
 
 
-@then("a server is rid of the run within 0.5 s")
-def step_dropped(context):
-    assert sum(server.cancelled for server in context.fleet.servers) == 1
+@then("a server has cancelled the run within 0.5 s")
+def step_cancelled(context):
+    assert sum(server.cancelled_runs for server in context.fleet.servers) == 1
 
 
-@then("no server has dropped a run")
-def step_none_dropped(context):
-    assert not any(server.cancelled for server in context.fleet.servers)
+@then("no server has cancelled a run")
+def step_none_cancelled(context):
+    assert not any(server.cancelled_runs for server in context.fleet.servers)
 
 
 @then("it gets {status:d} after {least:g} to {most:g} s")
-def step_time(context, status, least, most):
-    assert context.answer.status == status, context.answer
-    assert least <= context.took_s <= most, context.took_s
+def step_status_in_time(context, status, least, most):
+    assert context.response.status == status, context.response
+    assert least <= context.elapsed_s <= most, context.elapsed_s
 
 
-@when("{count:d} callers send at once")
-def step_at_once(context, count):
+@when("{count:d} callers send requests concurrently")
+def step_send_concurrently(context, count):
     async def send():
         callers = [
             context.fleet.caller(number % len(context.fleet.servers))
             for number in range(count)
         ]
-        found = await asyncio.gather(*(caller.ask() for caller in callers))
-        for caller, answer in zip(callers, found, strict=True):
-            context.answers.append((caller.last_id, answer))
+        found = await asyncio.gather(*(caller.request() for caller in callers))
+        for caller, response in zip(callers, found, strict=True):
+            context.responses.append((caller.last_request_id, response))
 
     context.runner.run(send())
 
 
-@then("no server has had more than {most:d} requests at once")
-def step_most(context, most):
+@then("no server has run more than {most:d} requests concurrently")
+def step_concurrency(context, most):
     for server in context.fleet.servers:
-        assert server.most_at_once <= most, server.most_at_once
+        assert server.peak_concurrency <= most, server.peak_concurrency
 
 
-@then("all answers are whole or say that nothing has run")
-def step_true(context):
-    for request_id, answer in context.answers:
-        if answer.status in PROMISES:
-            assert runs_of(context, request_id) == 0, answer
+@then("all responses are complete or report that nothing has run")
+def step_complete_or_not_run(context):
+    for request_id, response in context.responses:
+        if response.status in NOT_EXECUTED_STATUSES:
+            assert count_runs(context, request_id) == 0, response
         else:
-            check_whole(answer, request_id)
+            check_response(response, request_id)
 
 
-@when("server {number:d} {leaves}")
-def step_leaves(context, number, leaves):
+@when("server {number:d} {event}")
+def step_out_of_service(context, number, event):
     async def act():
         deployment = context.fleet
         server = deployment.servers[number]
-        match leaves:
+        match event:
             case "is draining":
                 await deployment.register(number, "draining")
             case "is removed":
@@ -190,43 +190,45 @@
                 await deployment.store.put("op/evacuate/belt-a", {})
             case "crashes":
                 server.close()
-        context.left = server
+        context.leaving_server = server
 
     context.runner.run(act())
 
 
-def ask_all(context, seconds):
-    """Send requests on all hosts for some time; keep the answers."""
+def send_from_all_hosts(context, seconds):
+    """Send requests to the nodes of all hosts and record the responses."""
 
-    async def ask(number, end_s):
+    async def send(number, end_s):
         caller = context.fleet.caller(number)
         while time.monotonic() < end_s:
-            answer = await caller.ask()
-            context.answers.append((caller.last_id, answer))
+            response = await caller.request()
+            context.responses.append((caller.last_request_id, response))
             await asyncio.sleep(0.02)
 
-    async def play():
+    async def act():
         end_s = time.monotonic() + seconds
         hosts = range(len(context.fleet.servers))
-        await asyncio.gather(*(ask(number, end_s) for number in hosts))
+        await asyncio.gather(*(send(number, end_s) for number in hosts))
 
-    context.runner.run(play())
+    context.runner.run(act())
 
 
-@then("it gets no request from {after:g} s later on")
-def step_no_request(context, after):
-    ask_all(context, after)
-    before = len(context.left.requests)
-    context.answers.clear()
-    ask_all(context, 0.5)
-    assert len(context.left.requests) == before, context.left.requests
+@then("it gets no request after {after_s:g} s")
+def step_no_request(context, after_s):
+    send_from_all_hosts(context, after_s)
+    before = len(context.leaving_server.requests)
+    context.responses.clear()
+    send_from_all_hosts(context, 0.5)
+    assert len(context.leaving_server.requests) == before, (
+        context.leaving_server.requests
+    )
 
 
 @then("callers on both hosts are served")
 def step_served(context):
-    assert len(context.answers) > 10
-    for request_id, answer in context.answers:
-        check_whole(answer, request_id)
+    assert len(context.responses) > 10
+    for request_id, response in context.responses:
+        check_response(response, request_id)
 
 
 @when("the store is {fault} and key k1 is withdrawn")
@@ -247,15 +249,15 @@
     context.runner.run(act())
 
 
-@then("every host refuses k1 within {limit:g} s")
-def step_refused(context, limit):
+@then("every host rejects k1 within {limit:g} s")
+def step_rejected(context, limit):
     async def check():
-        begun_s = time.monotonic()
+        started_s = time.monotonic()
         waiting = set(range(len(context.fleet.servers)))
-        while waiting and time.monotonic() - begun_s < limit:
+        while waiting and time.monotonic() - started_s < limit:
             for number in list(waiting):
-                answer = await context.fleet.caller(number).ask()
-                if answer.status == 401:
+                response = await context.fleet.caller(number).request()
+                if response.status == 401:
                     waiting.discard(number)
             await asyncio.sleep(0.02)
         assert not waiting, waiting
@@ -263,12 +265,12 @@
     context.runner.run(check())
 
 
-@when("the store is silent for all")
-def step_silent(context):
+@when("the store responds to no host")
+def step_store_unresponsive(context):
     context.fleet.store.outage = fleet.Outage.SILENT
 
 
-@when("the node of host {number:d} is killed and started again")
+@when("the node of host {number:d} is killed and restarted")
 def step_restart(context, number):
     async def act():
         context.fleet.nodes[number].abort()
@@ -282,10 +284,12 @@
 
 @then("the restarted node is ready within {limit:g} s")
 def step_ready(context, limit):
-    context.runner.run(context.fleet.until(lambda: context.node.ready, limit))
+    context.runner.run(
+        context.fleet.wait_until(lambda: context.node.ready, limit)
+    )
 
 
-@when("servers take {run_s:g} s and node 0 stops while requests run")
+@when("requests take {run_s:g} s and node 0 stops while they run")
 def step_stop(context, run_s):
     async def act():
         for server in context.fleet.servers:
@@ -296,54 +300,58 @@
         await asyncio.sleep(0.1)
         stopping = asyncio.create_task(context.fleet.nodes[0].stop())
         for caller in callers:
-            answer = await caller.receive()
-            context.answers.append((caller.last_id, answer))
+            response = await caller.receive()
+            context.responses.append((caller.last_request_id, response))
         await stopping
 
     context.runner.run(act())
 
 
-@when("servers take {run_s:g} s and callers of node 0 go on while it stops")
-def step_go_on(context, run_s):
-    async def ask(begun_s):
+@when("requests take {run_s:g} s and node 0 stops while callers keep sending")
+def step_stop_under_load(context, run_s):
+    async def keep_sending(started_s):
         caller = context.fleet.caller(0)
-        while time.monotonic() - begun_s < 6.5:
-            sent_s = time.monotonic() - begun_s
+        while time.monotonic() - started_s < 6.5:
+            sent_s = time.monotonic() - started_s
             try:
-                answer = await caller.ask()
+                response = await caller.request()
             except OSError:
-                # The node takes no more connections.
+                # The node accepts no more connections.
                 await asyncio.sleep(0.1)
                 continue
-            context.answers.append((sent_s, caller.last_id, answer))
-            caller.leave()
+            context.responses.append(
+                (sent_s, caller.last_request_id, response)
+            )
+            caller.close()
 
     async def act():
         for server in context.fleet.servers:
             server.run_s = run_s
-        begun_s = time.monotonic()
-        asking = [asyncio.create_task(ask(begun_s)) for _ in range(3)]
+        started_s = time.monotonic()
+        callers = [
+            asyncio.create_task(keep_sending(started_s)) for _ in range(3)
+        ]
         await context.fleet.nodes[0].stop()
-        await asyncio.gather(*asking)
+        await asyncio.gather(*callers)
 
     context.runner.run(act())
 
 
-@then("no request sent later than {limit:g} s after that is taken")
-def step_none_taken(context, limit):
-    late = [one for one in context.answers if one[0] > limit]
-    assert not any(runs_of(context, one[1]) for one in late), late
+@then("no request is run that was sent more than {limit:g} s after that")
+def step_none_run(context, limit):
+    late = [item for item in context.responses if item[0] > limit]
+    assert not any(count_runs(context, item[1]) for item in late), late
 
 
-@then("each request that is taken gets an answer")
-def step_all_answered(context):
-    for sent_s, request_id, answer in context.answers:
-        if runs_of(context, request_id):
-            assert answer.status, (sent_s, request_id)
+@then("each request that is run gets a response")
+def step_all_get_responses(context):
+    for sent_s, request_id, response in context.responses:
+        if count_runs(context, request_id):
+            assert response.status, (sent_s, request_id)
 
 
 @when("every server {event}")
-def step_every(context, event):
+def step_all_servers(context, event):
     async def act():
         for number, server in enumerate(context.fleet.servers):
             if event == "is draining":
@@ -353,15 +361,15 @@
         await asyncio.sleep(0.5)
 
     if event == "has restarted unlisted":
-        # A node that has just started takes its server's word.
+        # A node that has just started trusts the id that its server reports.
         context.runner.run(asyncio.sleep(coordination.LISTING_GRACE_S))
     context.runner.run(act())
 
 
-@when("the node fails with an error on the next {count:d} calls")
+@when("the node raises an error on the next {count:d} calls")
 def step_node_error(context, count):
     async def fail(call, left_s):
-        raise ValueError("a fault of the program")
+        raise ValueError("internal error")
 
     async def act():
         port = context.fleet.nodes[0].gate.port
@@ -369,20 +377,20 @@
         port.exchange = fail
         caller = context.fleet.caller(0)
         for _ in range(count):
-            answer = await caller.ask("POST", "/book/1")
-            assert answer.status == 502, answer
+            response = await caller.request("POST", "/book/1")
+            assert response.status == 502, response
         port.exchange = exchange
 
     context.runner.run(act())
 
 
-@when("all hosts lose power and their servers come back {unlisted}")
-def step_power(context, unlisted):
+@when("all hosts lose power and their servers restart {unlisted}")
+def step_power_loss(context, unlisted):
     async def act():
         deployment = context.fleet
         if unlisted == "as servers of no service":
             deployment.service = "another"
-        # A cold start takes 3 s in the table; 2.95 s of it are left.
+        # The table sets a cold start of 3 s, of which 2.95 s are left.
         cold_s = {"a second later": 4.0, "and are warm": 0.0}
         for number, server in enumerate(deployment.servers):
             deployment.nodes[number].abort()
@@ -391,7 +399,7 @@
             deployment.nodes[number] = deployment.make_node(number)
         for node in deployment.nodes:
             await node.start()
-        await deployment.until(
+        await deployment.wait_until(
             lambda: all(
                 node.ready and node.linked_host_count
                 for node in deployment.nodes
@@ -402,19 +410,19 @@
     context.runner.run(act())
 
 
-@when("a caller with {deadline:d} ms left asks")
-def step_patience(context, deadline):
-    async def ask():
+@when("a caller sends a request with {deadline:d} ms left")
+def step_send_with_deadline(context, deadline):
+    async def send():
         caller = context.fleet.caller(0)
-        context.answer = await caller.ask(deadline_ms=deadline)
+        context.response = await caller.request(deadline_ms=deadline)
 
-    context.runner.run(ask())
+    context.runner.run(send())
 
 
-@then("it is told to come back after {least:g} to {most:g} s")
-def step_come_back(context, least, most):
-    assert context.answer.status == 503, context.answer
-    after_s = float(context.answer.headers["retry-after"])
+@then("it is rejected and may retry after {least:g} to {most:g} s")
+def step_retry_after(context, least, most):
+    assert context.response.status == 503, context.response
+    after_s = float(context.response.headers["retry-after"])
     assert least <= after_s <= most, after_s
 
 
@@ -436,17 +444,17 @@
 
 @then("no key or body is in the log")
 def step_no_secret(context):
-    written = b"".join(context.fleet.lines)
-    assert context.answers and written
-    for _, answer in context.answers:
-        assert answer.body not in written
+    written = b"".join(context.fleet.log_lines)
+    assert context.responses and written
+    for _, response in context.responses:
+        assert response.body not in written
     for key in context.fleet.keys:
         assert b'"' + key.encode() + b'"' not in written, key
         assert b"Token " + key.encode() not in written, key
 
 
 @when("the settings get a retry ratio of {ratio:g}")
-def step_settings(context, ratio):
+def step_change_settings(context, ratio):
     node = context.fleet.nodes[0]
     retry_budget = dataclasses.replace(node.config.retry_budget, ratio=ratio)
     context.fleet.changed_settings = dataclasses.replace(
@@ -454,22 +462,24 @@
     )
 
 
-@then("the node uses it within {limit:g} s")
-def step_uses(context, limit):
+@then("the node applies it within {limit:g} s")
+def step_settings_applied(context, limit):
     node = context.fleet.nodes[0]
     wanted = context.fleet.changed_settings.retry_budget
     context.runner.run(
-        context.fleet.until(lambda: node.entry.retry_bounds == wanted, limit)
+        context.fleet.wait_until(
+            lambda: node.entry.retry_bounds == wanted, limit
+        )
     )
 
 
-@when("nothing happens for {seconds:g} s")
-def step_nothing(context, seconds):
-    context.calls = context.fleet.store.calls
+@when("the deployment is idle for {seconds:g} s")
+def step_idle(context, seconds):
+    context.store_requests_before = context.fleet.store.request_count
     context.runner.run(asyncio.sleep(seconds))
 
 
-@then("the store has had fewer than {most:d} calls")
-def step_few(context, most):
-    calls = context.fleet.store.calls - context.calls
+@then("the store has received fewer than {most:d} requests")
+def step_store_requests(context, most):
+    calls = context.fleet.store.request_count - context.store_requests_before
     assert calls < most, calls
--- a/src/jasminecrank/standins/fleet/_store.py
+++ b/src/jasminecrank/standins/fleet/_store.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform's store."""
+"""Stand-in for the platform's key-value store."""
 
 import asyncio
 import base64
@@ -9,51 +9,51 @@
 
 from jasminecrank.standins.fleet import _http
 
-PAGE_ITEMS = 3
-"""Items a page, small so that paging is used."""
+PAGE_SIZE = 3
+"""Items per page; small, so that tests exercise paging."""
 
 
 class Outage(enum.Enum):
-    """How the store fails."""
+    """Failure mode of the store."""
 
     NONE = "none"
     SILENT = "silent"
     BUSY = "busy"
-    MANY = "many"
+    THROTTLED = "many"
     RESET = "reset"
 
 
 class Store:
-    """Items with revisions, read by pages and watches."""
+    """Items with revisions, served as pages and as watches."""
 
     def __init__(self) -> None:
         self.outage = Outage.NONE
         self.refused_hosts: set[str] = set()
-        """Hosts that are answered 503 while others are served."""
-        self.calls = 0
+        """Hosts that get status 503 while other hosts are served."""
+        self.request_count = 0
         self._revision = 10
         self._item_by_key: dict[str, dict[str, typing.Any]] = {}
         self._events: list[dict[str, typing.Any]] = []
-        self._oldest = 10
+        self._oldest_revision = 10
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, host: str) -> int:
-        """Listen at a host; return the port."""
+        """Listen on a free port of an address and return the port."""
         self._server = await asyncio.start_server(self._serve, host, 0)
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
     def close(self) -> None:
-        """Stop, and close all connections."""
+        """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
             writer.close()
 
     async def put(self, key: str, value: object) -> int:
-        """Write an item; return its revision."""
+        """Write an item and return its revision."""
         self._revision += 1
         item = {
             "key": key,
@@ -63,26 +63,26 @@
             "lease": 0,
         }
         self._item_by_key[key] = item
-        await self._announce(item)
+        await self._publish_event(item)
         return self._revision
 
     async def delete(self, key: str) -> int:
-        """Remove an item; return the revision of that."""
+        """Delete an item and return the revision of the deletion."""
         self._revision += 1
         self._item_by_key.pop(key, None)
-        await self._announce(
+        await self._publish_event(
             {"key": key, "rev": self._revision, "tombstone": True}
         )
         return self._revision
 
     async def compact(self) -> None:
-        """Drop the history, and cut the watches."""
-        self._oldest = self._revision + 1
+        """Discard the history; watches of older revisions get status 410."""
+        self._oldest_revision = self._revision + 1
         self._revision += 1
         async with self._changed:
             self._changed.notify_all()
 
-    async def _announce(self, event: dict[str, typing.Any]) -> None:
+    async def _publish_event(self, event: dict[str, typing.Any]) -> None:
         self._events.append(event)
         async with self._changed:
             self._changed.notify_all()
@@ -93,37 +93,37 @@
         self._writers.add(writer)
         try:
             while (request := await _http.read_request(reader)) is not None:
-                self.calls += 1
-                answer = await self._answer(request, writer)
-                if answer is None:
+                self.request_count += 1
+                response = await self._respond(request, writer)
+                if response is None:
                     writer.transport.abort()
                     return
-                writer.write(answer)
+                writer.write(response)
                 await writer.drain()
         except (
             OSError,
             asyncio.IncompleteReadError,
             asyncio.CancelledError,
         ):
-            pass  # The reader has left.
+            pass  # The client has disconnected.
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(
+    async def _respond(
         self, request: _http.Request, writer: asyncio.StreamWriter
     ) -> bytes | None:
         host = writer.get_extra_info("peername")[0]
         if host in self.refused_hosts:
-            return _http.encode(503, b"")
+            return _http.encode_response(503, b"")
         match self.outage:
             case Outage.SILENT:
                 await asyncio.sleep(60.0)
                 return None
             case Outage.BUSY:
-                return _http.encode(503, b"")
-            case Outage.MANY:
-                return _http.encode(429, b"")
+                return _http.encode_response(503, b"")
+            case Outage.THROTTLED:
+                return _http.encode_response(429, b"")
             case Outage.RESET:
                 return None
             case Outage.NONE:
@@ -131,43 +131,48 @@
             case _:
                 typing.assert_never(self.outage)
         path, _, query = request.target.partition("?")
-        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        parameters = dict(
+            urllib.parse.parse_qsl(query, keep_blank_values=True)
+        )
         if path == "/-/kv-range":
-            return self._range(fields)
-        return await self._watch(fields)
+            return self._read_range(parameters)
+        return await self._wait_for_events(parameters)
 
-    def _range(self, fields: dict[str, str]) -> bytes:
+    def _read_range(self, parameters: dict[str, str]) -> bytes:
         keys = sorted(
             key
             for key in self._item_by_key
-            if key.startswith(fields["prefix"])
-            and key > fields.get("after", "")
+            if key.startswith(parameters["prefix"])
+            and key > parameters.get("after", "")
         )
-        page = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
+        page = [self._item_by_key[key] for key in keys[:PAGE_SIZE]]
         body = {
             "items": page,
-            "hasMore": len(keys) > PAGE_ITEMS,
+            "hasMore": len(keys) > PAGE_SIZE,
             "currentRev": self._revision,
         }
-        return _http.encode(200, json.dumps(body).encode())
+        return _http.encode_response(200, json.dumps(body).encode())
 
-    async def _watch(self, fields: dict[str, str]) -> bytes:
-        after = int(fields["after"])
+    async def _wait_for_events(self, parameters: dict[str, str]) -> bytes:
+        after_revision = int(parameters["after"])
         try:
-            async with asyncio.timeout(int(fields["waitMs"]) / 1000):
+            async with asyncio.timeout(int(parameters["waitMs"]) / 1000):
                 async with self._changed:
                     await self._changed.wait_for(
                         lambda: (
-                            after < self._oldest - 1
+                            after_revision < self._oldest_revision - 1
                             or any(
-                                event["rev"] > after for event in self._events
+                                event["rev"] > after_revision
+                                for event in self._events
                             )
                         )
                     )
         except TimeoutError:
-            pass  # No change in time is an answer too.
-        if after < self._oldest - 1:
-            return _http.encode(410, b"")
-        events = [event for event in self._events if event["rev"] > after]
+            pass  # A watch without changes returns an empty list of events.
+        if after_revision < self._oldest_revision - 1:
+            return _http.encode_response(410, b"")
+        events = [
+            event for event in self._events if event["rev"] > after_revision
+        ]
         body = {"events": events, "currentRev": self._revision}
-        return _http.encode(200, json.dumps(body).encode())
+        return _http.encode_response(200, json.dumps(body).encode())
--- a/src/jasminecrank/standins/soak/_plan.py
+++ b/src/jasminecrank/standins/soak/_plan.py
@@ -1,4 +1,4 @@
-"""The faults of a run, drawn from its seed."""
+"""Fault plans, generated from a seed."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -8,132 +8,134 @@
 from jasminecrank.standins.soak import _proxy
 
 FIRST_FAULT_S = 2.0
-MEAN_GAP_S = 0.7
-"""Mean time between faults, so that several overlap."""
-HEAL_S = 8.0
-"""Time at the end in which no fault begins."""
+MEAN_FAULT_INTERVAL_S = 0.7
+"""Mean time between faults, short enough for several to overlap."""
+RECOVERY_S = 8.0
+"""Time at the end of a run in which no fault starts."""
 
 
 @dataclass(slots=True, frozen=True)
 class NodesKilled:
-    """Processes end at once, and are started again."""
+    """Node processes are killed and restarted."""
 
     hosts: tuple[int, ...]
     with_servers: bool
-    """The hosts lose power: their servers come back with new ids, cold."""
+    """Power loss: the servers of the hosts restart too, cold, with new ids."""
 
 
 @dataclass(slots=True, frozen=True)
 class NodePaused:
-    """A process is stopped for a while and goes on."""
+    """A node process is suspended for a while and resumed."""
 
     host: int
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
 class NodeTerminated:
-    """A process is asked to stop, and is started again."""
+    """A node process gets a SIGTERM and is restarted."""
 
     host: int
 
 
 @dataclass(slots=True, frozen=True)
 class SettingsChanged:
-    """The settings file gets another retry slack; SIGHUP follows."""
+    """A settings file gets another retry slack, and its node a SIGHUP."""
 
     host: int
     retry_slack: int
 
 
 @dataclass(slots=True, frozen=True)
-class LinksHarmed:
-    """Links between two groups of hosts fail for a while."""
+class LinksDegraded:
+    """Links between two groups of hosts are impaired for a while."""
 
     hosts: tuple[int, ...]
-    condition: _proxy.Condition
-    for_s: float
+    condition: _proxy.LinkCondition
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
-class StoreHarmed:
-    """The store fails all hosts for a while."""
+class StoreOutage:
+    """The store fails for all hosts for a while."""
 
     outage: fleet.Outage
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
-class StoreCut:
-    """Some hosts do not reach the store for a while."""
+class StoreLinksDegraded:
+    """The connections of some hosts to the store are impaired for a while."""
 
     hosts: tuple[int, ...]
-    condition: _proxy.Condition
-    for_s: float
+    condition: _proxy.LinkCondition
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
 class StoreCompacted:
-    """The store drops its history."""
+    """The store discards its history."""
 
 
 @dataclass(slots=True, frozen=True)
 class ServerCrashed:
-    """A server ends and comes back with another id, cold."""
+    """A server crashes and restarts cold with a new id."""
 
     host: int
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
 class ServerReplaced:
-    """A server drains, and another one follows at its address."""
+    """A server drains and another one starts at its address."""
 
     host: int
 
 
 @dataclass(slots=True, frozen=True)
 class ServerMisbehaves:
-    """A server answers all requests badly for a while."""
+    """A server fails all requests in one way for a while."""
 
     host: int
     behaviour: fleet.Behaviour
-    for_s: float
+    duration_s: float
 
 
 @dataclass(slots=True, frozen=True)
 class KeyWithdrawn:
-    """A team gets a new key and loses its oldest one."""
+    """A team gets a new key and its oldest one is withdrawn."""
 
     team: int
 
 
 @dataclass(slots=True, frozen=True)
-class TableStorm:
-    """Versions come in quick succession."""
+class TableUpdateBurst:
+    """Table versions are published in quick succession."""
 
     versions: int
 
 
 @dataclass(slots=True, frozen=True)
 class DataCentreOut:
-    """A data centre is taken out of service, and back."""
+    """A data centre is taken out of service and restored."""
 
     number: int
-    for_s: float
+    duration_s: float
 
 
 ProcessFault = NodesKilled | NodePaused | NodeTerminated | SettingsChanged
-NetworkFault = LinksHarmed | StoreHarmed | StoreCut | StoreCompacted
+NetworkFault = (
+    LinksDegraded | StoreOutage | StoreLinksDegraded | StoreCompacted
+)
 ServerFault = ServerCrashed | ServerReplaced | ServerMisbehaves
-OperatorChange = KeyWithdrawn | TableStorm | DataCentreOut
+OperatorChange = KeyWithdrawn | TableUpdateBurst | DataCentreOut
 Fault = ProcessFault | NetworkFault | ServerFault | OperatorChange
 
-_BAD_LINKS = (
-    _proxy.Condition.SLOW,
-    _proxy.Condition.RESET,
-    _proxy.Condition.SILENT,
-    _proxy.Condition.ONE_WAY,
+_LINK_FAULTS = (
+    _proxy.LinkCondition.SLOW,
+    _proxy.LinkCondition.RESET,
+    _proxy.LinkCondition.SILENT,
+    _proxy.LinkCondition.ONE_WAY,
 )
 _OUTAGES = tuple(
     outage for outage in fleet.Outage if outage is not fleet.Outage.NONE
@@ -146,60 +148,70 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Planned:
-    """A fault and the second of the run at which it begins."""
+class PlannedFault:
+    """A fault and the time in the run at which it starts."""
 
     at_s: float
     fault: Fault
 
 
-def make_plan(seed: int, hosts: int, duration_s: float) -> list[Planned]:
-    """Return the faults of a run, in order."""
+def make_plan(seed: int, hosts: int, duration_s: float) -> list[PlannedFault]:
+    """Return the faults of a run in order of start time."""
     rng = random.Random(seed)
     plan = []
     at_s = FIRST_FAULT_S
-    while at_s < duration_s - HEAL_S:
-        draw = rng.choice(_DRAWS)
-        plan.append(Planned(at_s, draw(rng, hosts)))
-        # Series and overlaps: half of the gaps are much shorter.
-        gap_s = MEAN_GAP_S * (0.1 if rng.random() < 0.5 else 1.9)
-        at_s += rng.expovariate(1.0 / gap_s)
+    while at_s < duration_s - RECOVERY_S:
+        generate_fault = rng.choice(_FAULT_GENERATORS)
+        plan.append(PlannedFault(at_s, generate_fault(rng, hosts)))
+        # Half of the intervals are much shorter, for bursts and overlaps.
+        interval_s = MEAN_FAULT_INTERVAL_S * (
+            0.1 if rng.random() < 0.5 else 1.9
+        )
+        at_s += rng.expovariate(1.0 / interval_s)
     return plan
 
 
-def _some(rng: random.Random, hosts: int, part: float) -> tuple[int, ...]:
-    count = max(1, round(part * hosts))
+def _sample_hosts(
+    rng: random.Random, hosts: int, fraction: float
+) -> tuple[int, ...]:
+    count = max(1, round(fraction * hosts))
     return tuple(sorted(rng.sample(range(hosts), count)))
 
 
-def _time_s(rng: random.Random) -> float:
+def _draw_duration_s(rng: random.Random) -> float:
     return rng.uniform(0.3, 4.0)
 
 
-_DRAWS: tuple[Callable[[random.Random, int], Fault], ...] = (
+_FAULT_GENERATORS: tuple[Callable[[random.Random, int], Fault], ...] = (
     lambda rng, n: NodesKilled((rng.randrange(n),), False),
-    lambda rng, n: NodesKilled(_some(rng, n, rng.choice((0.3, 1.0))), False),
-    lambda rng, n: NodesKilled(_some(rng, n, rng.choice((0.3, 1.0))), True),
-    lambda rng, n: NodePaused(rng.randrange(n), _time_s(rng)),
+    lambda rng, n: NodesKilled(
+        _sample_hosts(rng, n, rng.choice((0.3, 1.0))), False
+    ),
+    lambda rng, n: NodesKilled(
+        _sample_hosts(rng, n, rng.choice((0.3, 1.0))), True
+    ),
+    lambda rng, n: NodePaused(rng.randrange(n), _draw_duration_s(rng)),
     lambda rng, n: NodeTerminated(rng.randrange(n)),
     lambda rng, n: NodeTerminated(rng.randrange(n)),
     lambda rng, n: SettingsChanged(rng.randrange(n), rng.randrange(10, 40)),
-    lambda rng, n: LinksHarmed(
-        _some(rng, n, rng.choice((0.1, 0.5))),
-        rng.choice(_BAD_LINKS),
-        _time_s(rng),
+    lambda rng, n: LinksDegraded(
+        _sample_hosts(rng, n, rng.choice((0.1, 0.5))),
+        rng.choice(_LINK_FAULTS),
+        _draw_duration_s(rng),
     ),
-    lambda rng, n: StoreHarmed(rng.choice(_OUTAGES), _time_s(rng)),
-    lambda rng, n: StoreCut(
-        _some(rng, n, 0.35), rng.choice(_BAD_LINKS), _time_s(rng)
+    lambda rng, n: StoreOutage(rng.choice(_OUTAGES), _draw_duration_s(rng)),
+    lambda rng, n: StoreLinksDegraded(
+        _sample_hosts(rng, n, 0.35),
+        rng.choice(_LINK_FAULTS),
+        _draw_duration_s(rng),
     ),
     lambda rng, n: StoreCompacted(),
-    lambda rng, n: ServerCrashed(rng.randrange(n), _time_s(rng)),
+    lambda rng, n: ServerCrashed(rng.randrange(n), _draw_duration_s(rng)),
     lambda rng, n: ServerReplaced(rng.randrange(n)),
     lambda rng, n: ServerMisbehaves(
-        rng.randrange(n), rng.choice(_BEHAVIOURS), _time_s(rng)
+        rng.randrange(n), rng.choice(_BEHAVIOURS), _draw_duration_s(rng)
     ),
     lambda rng, n: KeyWithdrawn(rng.randrange(2)),
-    lambda rng, n: TableStorm(rng.randint(3, 10)),
+    lambda rng, n: TableUpdateBurst(rng.randint(3, 10)),
     lambda rng, n: DataCentreOut(rng.randrange(2), rng.uniform(2.0, 6.0)),
 )
--- a/src/jasminecrank/standins/soak/_proxy.py
+++ b/src/jasminecrank/standins/soak/_proxy.py
@@ -1,55 +1,55 @@
-"""A loopback proxy that delays, resets, cuts one way or silences."""
+"""Loopback TCP proxy that delays, resets or discards traffic."""
 
 import asyncio
 import enum
 
 CHUNK_BYTES = 65_536
-DELAY_S = 0.15
-"""Delay of a slow link, each way."""
+SLOW_LINK_DELAY_S = 0.15
+"""Delay of each chunk on a slow link, per direction."""
 
 
-class Condition(enum.Enum):
-    """What happens to bytes on a link."""
+class LinkCondition(enum.Enum):
+    """How a link treats traffic."""
 
-    WELL = "well"
+    NORMAL = "well"
     SLOW = "slow"
     RESET = "reset"
     SILENT = "silent"
     ONE_WAY = "one-way"
-    """Only bytes from the listener's side back to the dialler pass."""
+    """Only traffic from the accepting to the connecting side passes."""
 
 
 class Proxy:
-    """Forwards the connections of one dialler to one listener."""
+    """Forwards connections of one host to one target."""
 
     def __init__(self, target: tuple[str, int]) -> None:
         self._target = target
-        self._condition = Condition.WELL
+        self._condition = LinkCondition.NORMAL
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        """Accept connections at an address."""
+        """Accept connections on an address."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
-    def set(self, condition: Condition) -> None:
-        """Change what happens to bytes from now on.
+    def set_condition(self, condition: LinkCondition) -> None:
+        """Change how traffic is treated from now on.
 
-        Bytes that a silent link swallowed are lost, so its connections end
-        with the silence.
+        Bytes that a link discarded are lost to its connections, so these are
+        aborted when the condition ends.
         """
-        was, self._condition = self._condition, condition
-        lossy = (Condition.SILENT, Condition.ONE_WAY)
-        if condition is Condition.RESET or was in lossy:
-            self._abort()
+        previous, self._condition = self._condition, condition
+        lossy = (LinkCondition.SILENT, LinkCondition.ONE_WAY)
+        if condition is LinkCondition.RESET or previous in lossy:
+            self._abort_connections()
 
     def close(self) -> None:
-        """Stop forwarding."""
+        """Stop accepting connections and abort the open ones."""
         if self._server is not None:
             self._server.close()
-        self._abort()
+        self._abort_connections()
 
-    def _abort(self) -> None:
+    def _abort_connections(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -58,39 +58,45 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            if self._condition is Condition.RESET:
+            if self._condition is LinkCondition.RESET:
                 return
-            ahead_reader, ahead = await asyncio.open_connection(*self._target)
-            self._writers.add(ahead)
+            upstream_reader, upstream_writer = await asyncio.open_connection(
+                *self._target
+            )
+            self._writers.add(upstream_writer)
             try:
                 async with asyncio.TaskGroup() as group:
-                    group.create_task(self._pump(reader, ahead, True))
-                    group.create_task(self._pump(ahead_reader, writer, False))
+                    group.create_task(
+                        self._relay(reader, upstream_writer, True)
+                    )
+                    group.create_task(
+                        self._relay(upstream_reader, writer, False)
+                    )
             finally:
-                self._writers.discard(ahead)
-                ahead.transport.abort()
+                self._writers.discard(upstream_writer)
+                upstream_writer.transport.abort()
         except (OSError, ExceptionGroup):
-            pass  # Either side has left; the other one is closed below.
+            pass  # One side has disconnected; the other is closed below.
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def _pump(
+    async def _relay(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        forward: bool,
+        from_client: bool,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             match self._condition:
-                case Condition.SLOW:
-                    await asyncio.sleep(DELAY_S)
-                case Condition.SILENT:
+                case LinkCondition.SLOW:
+                    await asyncio.sleep(SLOW_LINK_DELAY_S)
+                case LinkCondition.SILENT:
                     continue
-                case Condition.ONE_WAY if forward:
+                case LinkCondition.ONE_WAY if from_client:
                     continue
                 case _:
                     pass
             writer.write(data)
             await writer.drain()
-        raise ConnectionError("one side has closed")
+        raise ConnectionError("peer closed the connection")
