Check every named reason constant in the explain feature

The pattern for reason constants still listed former names, so it found only SERVER_GONE and the other three reasons went unchecked. Each constant now has a pattern of its own, which fails if it is not found.

script/lint passes; features/mesh/explain.feature: 10 scenarios passed. With a misspelled constant the scenario of logged outcomes fails (trial). All four reasons are checked again.

--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -14,6 +14,12 @@
 from jasminecrank.mesh import state
 
 SOURCE_DIRECTORY = pathlib.Path("src/jasminecrank/mesh")
+REASON_CONSTANTS = (
+    "REASON_RESET",
+    "REASON_MALFORMED",
+    "REASON_TRUNCATED",
+    "SERVER_GONE",
+)
 LINE_BY_SETTING = {
     "ip": 'ip = "10.1.0.5"',
     "appAddr": 'appAddr = "10.1.0.5:8403"',
@@ -71,7 +77,7 @@
         r'Reject\("([^"]+)"',
         r'MayHaveRun\("([^"]+)"\)',
         r'_refuse\([^)"]*"([^"]+)"',
-        r'^(?:RESET|GARBLED|CUT|SERVER_GONE) = "([^"]+)"',
+        *(rf'^{name} = "([^"]+)"' for name in REASON_CONSTANTS),
     ):
         found = set(re.findall(pattern, text, re.MULTILINE))
         assert found, pattern
