Use one name per thing in decisions and tasks

Locals and attributes kept former names of classes and methods: a gate for the AdmissionController, tickets for admission requests, answers for responses. Times of events ended in _s beside _at_s, and readiness took answers where its texts and messages say replies. They now follow the classes and the other folders; HostChooser counts forwarded calls as forwarded_count, and both retry budgets have try_retry.

Names only, no behaviour.

--- a/features/steps/readiness_steps.py
+++ b/features/steps/readiness_steps.py
@@ -36,7 +36,7 @@
         case ["hold", number]:
             context.own = uniform_versions(int(number))
         case ["answer", query_id, number, now_s]:
-            readiness.record_answer(
+            readiness.record_reply(
                 int(query_id), uniform_versions(int(number)), float(now_s)
             )
         case ["tick", now_s]:
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -98,7 +98,7 @@
 
 @when("{calls:d} calls are counted and {wanted:d} retries requested")
 def step_wanted(context, calls, wanted):
-    context.taken = sum(context.budget.take(calls) for _ in range(wanted))
+    context.taken = sum(context.budget.try_retry(calls) for _ in range(wanted))
 
 
 @then("{taken:d} retries are granted")
--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -89,7 +89,7 @@
                 self._admission.apply_snapshot(message.snapshot, now_s)
             case _messages.ReadinessChanged():
                 self._admission.set_ready(
-                    message.ready, now_s, message.ticked_s
+                    message.ready, now_s, message.ticked_at_s
                 )
             case _messages.Tick():
                 self._tick(now_s)
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -51,8 +51,8 @@
         )
         self._published_versions = state.VersionVector()
         self._published_readiness = state.Readiness(False, "starting", now_s)
-        self._started_s = now_s
-        self._confirmed_s: float | None = None
+        self._started_at_s = now_s
+        self._confirmed_at_s: float | None = None
         self._unconfirmed_reported = False
         self._reported_conflicts: set[tuple[state.DocumentName, str]] = set()
         self._subscribers: tuple[_messages.Mailbox, ...] = ()
@@ -102,13 +102,13 @@
     def _tick(self, now_s: float) -> None:
         self._readiness.tick(now_s)
         self._send(self._exchange.fetch_due(now_s))
-        lagging = self._exchange.lagging_peers(now_s)
+        lagging_peers = self._exchange.lagging_peers(now_s)
         state.check(
             exceptions.ResultCode.INVARIANT_REVERTED,
-            not lagging,
+            not lagging_peers,
             "peers still report older versions after %s s: %s",
             const.CONVERGENCE_LIMIT_S,
-            lagging,
+            lagging_peers,
         )
         self._report_unconfirmed_versions(now_s)
         self._publish_readiness(now_s)
@@ -136,7 +136,7 @@
         if self._readiness.query_id > 0:
             self._request_versions(message.host)
         else:
-            self._readiness.record_answer(0, message.versions, now_s)
+            self._readiness.record_reply(0, message.versions, now_s)
         self._report_conflicts(message.host, message.versions)
         self._publish_readiness(now_s)
 
@@ -158,7 +158,7 @@
                 self._tell_peer(host, self._versions_reply(message.query_id))
             case _messages.VersionsReply():
                 self._receive_versions(host, message.versions, now_s)
-                self._readiness.record_answer(
+                self._readiness.record_reply(
                     message.query_id, message.versions, now_s
                 )
                 self._publish_readiness(now_s)
@@ -221,7 +221,7 @@
         own_versions = self._exchange.config.versions()
         if not isinstance(message, _messages.SourceFailed):
             source_versions = _versions_in_answer(message, own_versions)
-            self._readiness.record_answer(
+            self._readiness.record_reply(
                 self._source_client.query_id, source_versions, now_s
             )
         if self._source_client.caught_up:
@@ -319,20 +319,25 @@
         message = _messages.ReadinessChanged(
             self._published_readiness.ready,
             self._published_readiness.reason,
-            self._published_readiness.ticked_s,
-            self._confirmed_s,
+            self._published_readiness.ticked_at_s,
+            self._confirmed_at_s,
         )
         for subscriber in self._subscribers:
             subscriber.tell(message)
 
-    def _record_confirmation(self, confirmed_s: float) -> None:
-        if self._confirmed_s is None or confirmed_s > self._confirmed_s:
-            self._confirmed_s = confirmed_s
+    def _record_confirmation(self, confirmed_at_s: float) -> None:
+        if (
+            self._confirmed_at_s is None
+            or confirmed_at_s > self._confirmed_at_s
+        ):
+            self._confirmed_at_s = confirmed_at_s
 
     def _report_unconfirmed_versions(self, now_s: float) -> None:
         """Record when versions become unconfirmed or confirmed again."""
-        confirmed_s = self._confirmed_s
-        since_s = self._started_s if confirmed_s is None else confirmed_s
+        confirmed_at_s = self._confirmed_at_s
+        since_s = (
+            self._started_at_s if confirmed_at_s is None else confirmed_at_s
+        )
         age_s = now_s - since_s
         unconfirmed = age_s > const.UNCONFIRMED_ALARM_S
         if unconfirmed == self._unconfirmed_reported:
@@ -342,9 +347,9 @@
         self._record(name, {"age_s": f"{age_s:.1f}"})
 
     def _confirmed_age_s(self, now_s: float) -> float | None:
-        if self._confirmed_s is None:
+        if self._confirmed_at_s is None:
             return None
-        return now_s - self._confirmed_s
+        return now_s - self._confirmed_at_s
 
     def _report_conflicts(
         self, host: str, versions: state.VersionVector
@@ -360,13 +365,13 @@
         if (name, version.digest) in self._reported_conflicts:
             return
         self._reported_conflicts.add((name, version.digest))
-        in_force = self._exchange.config.versions().get(name)
+        own_version = self._exchange.config.versions().get(name)
         self._record(
             "version-conflict",
             {
                 "document": name.value,
                 "version": str(version),
-                "in_force": str(in_force),
+                "in_force": str(own_version),
                 "origin": origin,
             },
         )
--- a/src/jasminecrank/coordination/_membership.py
+++ b/src/jasminecrank/coordination/_membership.py
@@ -34,7 +34,7 @@
     address: str
     incarnation: int
     versions: state.VersionVector
-    last_heard_s: float
+    received_at_s: float
     unplanned_since_s: float | None = None
     leaving: bool = False
 
@@ -127,7 +127,7 @@
         if link is None:
             return
         self._journal.observe(envelope.stamp, self._clock.wall_ms())
-        link.last_heard_s = self._clock.monotonic_s()
+        link.received_at_s = self._clock.monotonic_s()
         received = _messages.PeerMessageReceived(
             envelope.sender, envelope.message
         )
@@ -248,7 +248,7 @@
     def _tick(self) -> None:
         now_s = self._clock.monotonic_s()
         for host, link in tuple(self._link_by_host.items()):
-            if now_s - link.last_heard_s > const.PEER_SILENCE_LIMIT_S:
+            if now_s - link.received_at_s > const.PEER_SILENCE_LIMIT_S:
                 self._close_link(host, "silent")
         heartbeat = _messages.Heartbeat(
             self._snapshot.versions,
@@ -262,9 +262,9 @@
         self._schedule_tick()
 
     def _confirmed_age_s(self, now_s: float) -> float:
-        if self._readiness is None or self._readiness.confirmed_s is None:
+        if self._readiness is None or self._readiness.confirmed_at_s is None:
             return math.inf
-        return now_s - self._readiness.confirmed_s
+        return now_s - self._readiness.confirmed_at_s
 
     def _close_unplanned_links(self, now_s: float) -> None:
         """Close links that this node dialled and that are no longer planned.
@@ -347,7 +347,7 @@
         now_s = self._clock.monotonic_s()
         return tuple(
             _messages.PeerStatus(
-                host, link.versions, now_s - link.last_heard_s
+                host, link.versions, now_s - link.received_at_s
             )
             for host, link in sorted(self._link_by_host.items())
         )
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -163,9 +163,9 @@
 
     ready: bool
     reason: str
-    ticked_s: float | None = None
+    ticked_at_s: float | None = None
     """Monotonic time of the last tick; the reader detects a pause by it."""
-    confirmed_s: float | None = None
+    confirmed_at_s: float | None = None
     """Monotonic time at which the source last confirmed the versions."""
 
 
--- a/src/jasminecrank/coordination/_retries.py
+++ b/src/jasminecrank/coordination/_retries.py
@@ -17,7 +17,7 @@
         """Return whether the retry budget allows another retry."""
         match message:
             case _messages.TakeRetry():
-                return self._budget.take(message.calls_seen)
+                return self._budget.try_retry(message.calls_seen)
             case _:
                 raise exceptions.JasminecrankError(
                     f"unexpected message {message!r}"
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -68,7 +68,7 @@
         self._quota = quota
         self._clock = clock
         self._rng = rng
-        self._split_chooser = state.WeightedRoundRobin()
+        self._service_chooser = state.WeightedRoundRobin()
         self._fleet = state.FleetSnapshot(None, {}, {}, frozenset())
         self._call_by_number: dict[int, _open_calls.OpenCall] = {}
         self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
@@ -192,7 +192,7 @@
 
     def _admit(self, call: _open_calls.OpenCall) -> None:
         now_s = self._clock.now_s()
-        call.service = self._split_chooser.choose(call.attempts.route)
+        call.service = self._service_chooser.choose(call.attempts.route)
         self._budget.record_first_attempt(call.service, now_s)
         self._dispatch(
             call,
@@ -294,10 +294,10 @@
         call.host = None
         step = call.attempts.next_step(result)
         match step:
-            case state.TryAnotherServer(is_repeat, fallback, budget_fraction):
+            case state.TryAnotherServer(is_retry, fallback, budget_share):
                 now_s = self._clock.now_s()
-                if is_repeat and not self._budget.try_retry(
-                    call.service, budget_fraction, now_s
+                if is_retry and not self._budget.try_retry(
+                    call.service, budget_share, now_s
                 ):
                     self._conclude(call, fallback)
                     return
@@ -311,8 +311,8 @@
         self, call: _open_calls.OpenCall, step: state.Deliver | state.Refuse
     ) -> None:
         match step:
-            case state.Deliver(answer):
-                self._finish(call, answer)
+            case state.Deliver(response):
+                self._finish(call, response)
             case state.Refuse(refusal):
                 if refusal.kind is state.RefusalKind.OVERLOADED:
                     refusal = state.Refusal(
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        gate: state.AdmissionController,
+        admission: state.AdmissionController,
         port: BackendServerPort,
         address: tuple[str, int],
         service: str,
@@ -71,7 +71,7 @@
         self._started_at_s = clock.now_s()
         self._server_started_at_s = -1e9
         """Derived from the remaining cold start; long ago if it is warm."""
-        self._gate = gate
+        self._admission = admission
         self.port = port
         self._address = address
         self._clock = clock
@@ -90,7 +90,9 @@
 
     def load(self) -> state.ServerLoad:
         """Return the load of this server as reported to other nodes."""
-        return self._gate.load(self._clock.now_s(), self._accepting_work())
+        return self._admission.load(
+            self._clock.now_s(), self._accepting_work()
+        )
 
     def handle(self, message: _messages.GateMessage) -> None:
         """Process one message."""
@@ -122,7 +124,7 @@
         if reason is not None:
             self._refuse(call, message.send, reason, CLOSED_RETRY_S)
             return
-        ticket = state.AdmissionRequest(
+        request = state.AdmissionRequest(
             call.call_id,
             message.link_id,
             call.rank,
@@ -131,11 +133,11 @@
             now_s + call.target_remaining_s,
         )
         active = _ActiveCall(call, message.send)
-        decision = self._gate.submit(ticket, now_s)
+        decision = self._admission.submit(request, now_s)
         match decision:
             case state.Admit():
                 self._call_by_key[message.link_id, call.call_id] = active
-                self._start(message.link_id, active, ticket.deadline_at_s)
+                self._start(message.link_id, active, request.deadline_at_s)
             case state.Enqueue():
                 self._call_by_key[message.link_id, call.call_id] = active
                 self._ensure_probe()
@@ -157,8 +159,8 @@
                 return "draining"
             if server.data_centre in self._fleet.data_centres_out:
                 return "data-centre-out"
-        if self._gate.health is state.ServerHealth.UP and (
-            self._gate.server_id not in ("", server_id)
+        if self._admission.health is state.ServerHealth.UP and (
+            self._admission.server_id not in ("", server_id)
             and not self._is_successor(server)
         ):
             return SERVER_GONE
@@ -178,18 +180,18 @@
             and self._clock.now_s() - self._started_at_s < LISTING_GRACE_S
             and abs(self._server_started_at_s - self._started_at_s)
             < SAME_START_MAX_S
-            and self._gate.server_id not in self._fleet.server_by_id
+            and self._admission.server_id not in self._fleet.server_by_id
         )
 
     def _start(
         self, link_id: int, active: _ActiveCall, deadline_at_s: float
     ) -> None:
         call = active.call
-        if call.server_id != self._gate.server_id and self._is_successor(
+        if call.server_id != self._admission.server_id and self._is_successor(
             self._fleet.server_by_id.get(call.server_id)
         ):
             active.call = dataclasses.replace(
-                call, server_id=self._gate.server_id
+                call, server_id=self._admission.server_id
             )
         active.task = asyncio.get_running_loop().create_task(
             self._exchange(link_id, active, deadline_at_s)
@@ -223,37 +225,39 @@
         call = active.call
         now_s = self._clock.now_s()
         match message.result:
-            case state.Served(answer, run_s):
-                self._gate.record_completion(
-                    call.route, run_s, message.server_failed, now_s
+            case state.Served(response, run_time_s):
+                self._admission.record_completion(
+                    call.route, run_time_s, message.server_failed, now_s
                 )
                 reply: _peer_messages.PeerMessage = _peer_messages.CallServed(
                     call.call_id,
-                    answer.status,
-                    answer.reason,
-                    answer.headers,
-                    answer.body,
-                    run_s,
-                    self._gate.in_flight + self._gate.queued,
+                    response.status,
+                    response.reason,
+                    response.headers,
+                    response.body,
+                    run_time_s,
+                    self._admission.in_flight + self._admission.queued,
                 )
             case state.NotRun(reason, retry_after_s, reached_server):
-                self._gate.record_completion(
+                self._admission.record_completion(
                     call.route, None, message.server_failed, now_s
                 )
                 if not reached_server or reason == SERVER_GONE:
                     retry_after_s = max(retry_after_s, CLOSED_RETRY_S)
-                    self._mark_doubtful(reason)
+                    self._mark_server_unknown(reason)
                 self._log_ended(call, "not-run", reason)
                 reply = _peer_messages.CallNotRun(
                     call.call_id, reason, retry_after_s, reached_server
                 )
             case state.MayHaveRun(reason):
                 failed = not active.cancelled and message.server_failed
-                self._gate.record_completion(call.route, None, failed, now_s)
+                self._admission.record_completion(
+                    call.route, None, failed, now_s
+                )
                 if not active.cancelled:
                     self._log_ended(call, "may-have-run", reason)
                     if reason == "connection-reset":
-                        self._mark_doubtful(reason)
+                        self._mark_server_unknown(reason)
                 reply = _peer_messages.CallMayHaveRun(call.call_id, reason)
             case _:
                 typing.assert_never(message.result)
@@ -265,7 +269,7 @@
         active = self._call_by_key.get(key)
         if active is None:
             return
-        if self._gate.cancel(*key):
+        if self._admission.cancel(*key):
             del self._call_by_key[key]
             return
         active.cancelled = True
@@ -278,15 +282,15 @@
 
     def _release(self) -> None:
         now_s = self._clock.now_s()
-        released = self._gate.release_queued(now_s)
-        for ticket in released.expired:
-            key = (ticket.link_id, ticket.call_id)
+        released = self._admission.release_queued(now_s)
+        for request in released.expired:
+            key = (request.link_id, request.call_id)
             active = self._call_by_key.pop(key)
             self._refuse(active.call, active.send, "deadline", 0.0)
-        for ticket in released.admitted:
-            active = self._call_by_key[ticket.link_id, ticket.call_id]
-            self._start(ticket.link_id, active, ticket.deadline_at_s)
-        if self._gate.queued:
+        for request in released.admitted:
+            active = self._call_by_key[request.link_id, request.call_id]
+            self._start(request.link_id, active, request.deadline_at_s)
+        if self._admission.queued:
             self._schedule_tick()
 
     def _schedule_tick(self) -> None:
@@ -296,7 +300,9 @@
         now_s = self._clock.now_s()
         delay_s = min(
             0.05,
-            max(0.002, self._gate.next_cold_admission_at_s(now_s) - now_s),
+            max(
+                0.002, self._admission.next_cold_admission_at_s(now_s) - now_s
+            ),
         )
         asyncio.get_running_loop().call_later(
             delay_s, self.mailbox.tell, _messages.GateTick()
@@ -326,8 +332,8 @@
             server=call.server_id,
             outcome=outcome,
             reason=reason,
-            in_flight=self._gate.in_flight,
-            queued=self._gate.queued,
+            in_flight=self._admission.in_flight,
+            queued=self._admission.queued,
         )
 
     def _fleet_changed(self, fleet: state.FleetSnapshot) -> None:
@@ -337,41 +343,41 @@
             ):
                 self._gone_server_ids.add(server_id)
         self._fleet = fleet
-        own = [
+        own_servers = [
             server
             for server in fleet.server_by_id.values()
             if (server.host, server.port) == self._address
         ]
         self._gone_server_ids.difference_update(
-            server.server_id for server in own
+            server.server_id for server in own_servers
         )
         newest = max(
-            own, key=lambda server: server.created_at_ms, default=None
+            own_servers, key=lambda server: server.created_at_ms, default=None
         )
         before, self._own_server = self._own_server, newest
         if newest is not None:
-            self._gate.slots = newest.slots
+            self._admission.slots = newest.slots
             service = fleet.table and fleet.table.service_by_name.get(
                 newest.service
             )
             if service:
-                self._gate.cold_rate_per_s = service.cold_rate_per_s
-            self._gate.cold_until_s = max(
-                self._gate.cold_until_s,
+                self._admission.cold_rate_per_s = service.cold_rate_per_s
+            self._admission.cold_until_s = max(
+                self._admission.cold_until_s,
                 fleet.cold_until_by_id.get(newest.server_id, 0.0),
             )
             if before is None or (before.server_id, before.created_at_ms) != (
                 newest.server_id,
                 newest.created_at_ms,
             ):
-                self._mark_doubtful("new-incarnation")
+                self._mark_server_unknown("new-incarnation")
         if newest is None or self._rejection_reason(newest.server_id):
             self._refuse_queued()
         self._release()
 
     def _refuse_queued(self) -> None:
-        for ticket in self._gate.drain_queue():
-            key = (ticket.link_id, ticket.call_id)
+        for request in self._admission.drain_queue():
+            key = (request.link_id, request.call_id)
             active = self._call_by_key.pop(key)
             self._refuse(active.call, active.send, "closed", CLOSED_RETRY_S)
 
@@ -382,15 +388,15 @@
             and self._rejection_reason(self._own_server.server_id) is None
         )
 
-    def _mark_doubtful(self, reason: str) -> None:
-        if self._gate.health is state.ServerHealth.UP:
+    def _mark_server_unknown(self, reason: str) -> None:
+        if self._admission.health is state.ServerHealth.UP:
             self.log.decision("server-doubtful", reason=reason)
-        self._gate.mark_server_unknown()
+        self._admission.mark_server_unknown()
         self._ensure_probe()
 
     def _ensure_probe(self) -> None:
         if (
-            self._gate.health is state.ServerHealth.UP
+            self._admission.health is state.ServerHealth.UP
             or self._probe is not None
         ):
             return
@@ -425,7 +431,9 @@
                 self._ensure_probe()
             return
         now_s = self._clock.now_s()
-        self._gate.mark_server_up(health.server_id, health.cold_left_s, now_s)
+        self._admission.mark_server_up(
+            health.server_id, health.cold_left_s, now_s
+        )
         if health.cold_left_s > 0.0:
             cold_s = self._cold_start_s()
             self._server_started_at_s = now_s - cold_s + health.cold_left_s
@@ -443,8 +451,8 @@
 
 def _server_failed(result: state.AttemptResult) -> bool:
     match result:
-        case state.Served(response=answer):
-            return answer.status >= 500 and answer.status != 504
+        case state.Served(response=response):
+            return response.status >= 500 and response.status != 504
         case state.NotRun():
             return True
         case state.MayHaveRun():
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -128,10 +128,10 @@
     match message:
         case _peer_messages.CallServed():
             active_calls = message.active_calls
-            answer = state.Response(
+            response = state.Response(
                 message.status, message.reason, message.headers, message.body
             )
-            result = state.Served(answer, message.run_s)
+            result = state.Served(response, message.run_time_s)
         case _peer_messages.CallNotRun():
             result = state.NotRun(
                 message.reason, message.retry_after_s, message.reached_server
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -60,7 +60,7 @@
     reason: bytes
     headers: state.Headers
     body: bytes
-    run_s: float
+    run_time_s: float
     active_calls: int
     """Calls that still run or wait at the sender's backend server."""
 
--- a/src/jasminecrank/mesh/state/_gate.py
+++ b/src/jasminecrank/mesh/state/_gate.py
@@ -121,18 +121,18 @@
     _queue: list[tuple[int, int, AdmissionRequest]] = field(
         default_factory=list
     )
-    _waiting: set[tuple[int, int]] = field(default_factory=set)
+    _queued_keys: set[tuple[int, int]] = field(default_factory=set)
     _sequence: int = 0
     _cold_admissions_at_s: deque[float] = field(default_factory=deque)
 
     @property
     def queued(self) -> int:
         """Return the number of queued calls, without cancelled ones."""
-        return len(self._waiting)
+        return len(self._queued_keys)
 
     def submit(self, request: AdmissionRequest, now_s: float) -> Decision:
         """Admit, enqueue or reject a new call."""
-        idle = self.health is ServerHealth.UP and not self._waiting
+        idle = self.health is ServerHealth.UP and not self._queued_keys
         if idle and self._has_capacity(now_s):
             self._occupy_slot(now_s)
             return Admit()
@@ -143,11 +143,11 @@
         left_s = request.target_at_s - now_s - run_time_s
         if wait_s > max(ALWAYS_ACCEPTED_WAIT_S, MAX_WAIT_FRACTION * left_s):
             return Reject("busy", wait_s)
-        if len(self._waiting) >= MAX_QUEUED_CALLS:
+        if len(self._queued_keys) >= MAX_QUEUED_CALLS:
             return Reject("queue full", wait_s)
         self._sequence += 1
         heapq.heappush(self._queue, (request.rank, self._sequence, request))
-        self._waiting.add((request.link_id, request.call_id))
+        self._queued_keys.add((request.link_id, request.call_id))
         return Enqueue()
 
     def release_queued(self, now_s: float) -> ReleasedCalls:
@@ -157,12 +157,12 @@
         while self._queue:
             request = self._queue[0][2]
             key = (request.link_id, request.call_id)
-            if key not in self._waiting:
+            if key not in self._queued_keys:
                 heapq.heappop(self._queue)
                 continue
             if self._misses_deadline(request, now_s):
                 heapq.heappop(self._queue)
-                self._waiting.discard(key)
+                self._queued_keys.discard(key)
                 expired.append(request)
                 continue
             if self.health is not ServerHealth.UP or not self._has_capacity(
@@ -170,7 +170,7 @@
             ):
                 break
             heapq.heappop(self._queue)
-            self._waiting.discard(key)
+            self._queued_keys.discard(key)
             self._occupy_slot(now_s)
             admitted.append(request)
         expired.extend(self._remove_expired(now_s))
@@ -178,9 +178,9 @@
 
     def cancel(self, link_id: int, call_id: int) -> bool:
         """Cancel a queued call; return whether it was queued."""
-        if (link_id, call_id) not in self._waiting:
+        if (link_id, call_id) not in self._queued_keys:
             return False
-        self._waiting.discard((link_id, call_id))
+        self._queued_keys.discard((link_id, call_id))
         return True
 
     def drain_queue(self) -> tuple[AdmissionRequest, ...]:
@@ -188,10 +188,10 @@
         requests = tuple(
             entry[2]
             for entry in sorted(self._queue, key=lambda entry: entry[:2])
-            if (entry[2].link_id, entry[2].call_id) in self._waiting
+            if (entry[2].link_id, entry[2].call_id) in self._queued_keys
         )
         self._queue.clear()
-        self._waiting.clear()
+        self._queued_keys.clear()
         return requests
 
     def record_completion(
@@ -242,7 +242,7 @@
             1
             for entry in self._queue
             if entry[0] <= rank
-            and (entry[2].link_id, entry[2].call_id) in self._waiting
+            and (entry[2].link_id, entry[2].call_id) in self._queued_keys
         )
         limit = self.limit(now_s)
         excess = ahead + self.in_flight - limit + 1
@@ -312,7 +312,9 @@
         expired = []
         for _, _, request in self._queue:
             key = (request.link_id, request.call_id)
-            if key in self._waiting and self._misses_deadline(request, now_s):
-                self._waiting.discard(key)
+            if key in self._queued_keys and self._misses_deadline(
+                request, now_s
+            ):
+                self._queued_keys.discard(key)
                 expired.append(request)
         return expired
--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -119,16 +119,16 @@
         if report is not None:
             report.sent_since_report += 1
 
-    def record_response(self, host: str, outstanding: int) -> None:
-        """Update the load of a host with the outstanding calls it stated."""
+    def record_response(self, host: str, active_calls: int) -> None:
+        """Update the load of a host with the active calls it reported."""
         report = self._reported_load_by_host.get(host)
         if report is None:
             return
         limit = report.load.limit
         report.load = dataclasses.replace(
             report.load,
-            in_flight=min(outstanding, limit),
-            queued=max(0, outstanding - limit),
+            in_flight=min(active_calls, limit),
+            queued=max(0, active_calls - limit),
         )
         report.sent_since_report = 0
 
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -155,14 +155,14 @@
         self.dispatcher.start_waiting(now_s)
 
     def set_ready(
-        self, ready: bool, now_s: float, ticked_s: float | None = None
+        self, ready: bool, now_s: float, ticked_at_s: float | None = None
     ) -> None:
         """Start or stop accepting calls; waiting calls stay queued.
 
-        Readiness expires if the process is paused after `ticked_s`.
+        Readiness expires if the process is paused after `ticked_at_s`.
         """
         self.dispatcher.ready = ready
-        self.dispatcher.ticked_s = ticked_s
+        self.dispatcher.ticked_at_s = ticked_at_s
         self.dispatcher.start_waiting(now_s)
 
     def stop(self, now_s: float) -> None:
@@ -179,7 +179,7 @@
         return (
             self.waiting_count()
             + self.dispatcher.server.slots.in_use
-            + self.placement.host_chooser.count_in_flight(now_s)
+            + self.placement.host_chooser.forwarded_count(now_s)
         )
 
     def apply_snapshot(
@@ -213,20 +213,20 @@
                 )
             case _bookings.Rejected():
                 return self.dispatcher.reject(repeat, checked)
-        place = self.placement.place(
+        placement = self.placement.place(
             checked, self.dispatcher.server.ramp.is_down(now_s), now_s
         )
-        match place:
+        match placement:
             case _placement.LocalPlacement():
                 return self.dispatcher.submit(
                     checked, now_s, self._wall_ms(now_s)
                 )
             case _placement.RemotePlacement():
-                return self._forward(checked, place.host, now_s)
+                return self._forward(checked, placement.host, now_s)
             case _placement.NoPlacement():
-                return self.dispatcher.refuse(place.code, checked)
+                return self.dispatcher.refuse(placement.code, checked)
             case _:
-                typing.assert_never(place)
+                typing.assert_never(placement)
 
     def _recheck_waiting(self, now_s: float) -> None:
         """Check the waiting calls again after a change of configuration."""
@@ -272,20 +272,20 @@
     def _reroute(self, entry: _fair_queue.WaitingCall, now_s: float) -> None:
         checked = entry.checked
         self.dispatcher.roll_back(entry, now_s)
-        place = self.placement.place(checked, True, now_s)
-        match place:
+        placement = self.placement.place(checked, True, now_s)
+        match placement:
             case _placement.RemotePlacement():
                 decision: _calls.Decision = self._forward(
-                    checked, place.host, now_s
+                    checked, placement.host, now_s
                 )
             case _placement.NoPlacement():
-                decision = self.dispatcher.refuse(place.code, checked)
+                decision = self.dispatcher.refuse(placement.code, checked)
             case _placement.LocalPlacement():
                 decision = self.dispatcher.refuse(
                     exceptions.ResultCode.NO_HOST_AVAILABLE, checked
                 )
             case _:
-                typing.assert_never(place)
+                typing.assert_never(placement)
         self.dispatcher.add_deferred(entry, decision)
 
     def _forward(
--- a/src/jasminecrank/state/_dispatch.py
+++ b/src/jasminecrank/state/_dispatch.py
@@ -38,7 +38,7 @@
     threads: int = 0
     slot_limit: int = 0
     ready: bool = False
-    ticked_s: float | None = None
+    ticked_at_s: float | None = None
     last_ticket: int = 0
     deferred: list[_calls.DeferredDecision] = field(default_factory=list)
 
@@ -48,8 +48,8 @@
         """Apply the limits of this node's service from a new snapshot."""
         self.snapshot = snapshot
         self.quota.apply_snapshot(snapshot, now_s)
-        own = self.placement.own_host
-        service = own.service if own else ""
+        own_host = self.placement.own_host
+        service = own_host.service if own_host else ""
         row = snapshot.by_service.get(service)
         internal = any(
             route.service == service
@@ -75,8 +75,8 @@
     def accepts_calls(self, now_s: float) -> bool:
         """Return whether the node is ready, with no pause since its tick."""
         return self.ready and (
-            self.ticked_s is None
-            or _readiness.is_current(self.ticked_s, now_s)
+            self.ticked_at_s is None
+            or _readiness.is_current(self.ticked_at_s, now_s)
         )
 
     def threads_for_waiting(self, now_s: float) -> int:
@@ -90,7 +90,7 @@
             running = max(running, self.slot_limit)
         not_queued = len(
             self.token_wait
-        ) + self.placement.host_chooser.count_in_flight(now_s)
+        ) + self.placement.host_chooser.forwarded_count(now_s)
         return max(0, self.threads - running - not_queued)
 
     def next_due_s(self) -> float | None:
--- a/src/jasminecrank/state/_host_choice.py
+++ b/src/jasminecrank/state/_host_choice.py
@@ -101,7 +101,7 @@
         if failed:
             load.failed_until_s = now_s + _FAILURE_PENALTY_S
 
-    def count_in_flight(self, now_s: float) -> int:
+    def forwarded_count(self, now_s: float) -> int:
         """Return the number of forwarded calls in flight."""
         return sum(
             self._drop_expired(load, now_s)
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -65,16 +65,16 @@
         self, snapshot: _snapshot.Snapshot, now_s: float
     ) -> None:
         """Apply the limits, hosts and outages of a new snapshot."""
-        own = snapshot.by_host.get(self.host)
-        service = "" if own is None else own.service
+        own_host = snapshot.by_host.get(self.host)
+        service = "" if own_host is None else own_host.service
         if service != self.shares.service:
             self._change_service(service, now_s)
         hosts = snapshot.hosts_by_service.get(service, ())
         self.loans.service_hosts = frozenset(host.host for host in hosts)
         self.loans.lend_all = self.draining or (
-            own is not None and not snapshot.accepts_new_work(own)
+            own_host is not None and not snapshot.accepts_new_work(own_host)
         )
-        if own is not None:
+        if own_host is not None:
             self.shares.apply(
                 snapshot.versions.hosts,
                 {host.share_slot: host.host for host in hosts},
--- a/src/jasminecrank/state/_readiness.py
+++ b/src/jasminecrank/state/_readiness.py
@@ -20,7 +20,7 @@
     query_id: int
     settle_s: float
     highest_reported: _versions.VersionVector = _versions.VersionVector()
-    first_answer_s: float | None = None
+    first_reply_at_s: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,12 +40,12 @@
 
     ready: bool
     reason: str
-    ticked_s: float
+    ticked_at_s: float
 
 
-def is_current(ticked_s: float, now_s: float) -> bool:
+def is_current(ticked_at_s: float, now_s: float) -> bool:
     """Return whether the process has not been paused since a tick."""
-    return now_s - ticked_s <= const.PAUSE_LIMIT_S
+    return now_s - ticked_at_s <= const.PAUSE_LIMIT_S
 
 
 @dataclass(slots=True)
@@ -53,7 +53,7 @@
     """Tracks whether the active versions of a node are confirmed."""
 
     phase: Phase
-    ticked_s: float
+    ticked_at_s: float
 
     @classmethod
     def from_start(cls, now_s: float) -> "ReadinessState":
@@ -67,17 +67,17 @@
 
     def detect_pause(self, now_s: float) -> bool:
         """Return whether the process was paused; if so, start a new query."""
-        if is_current(self.ticked_s, now_s):
+        if is_current(self.ticked_at_s, now_s):
             return False
         self.phase = Unconfirmed("paused", self.query_id + 1, 0.0)
-        self.ticked_s = now_s
+        self.ticked_at_s = now_s
         return True
 
     def tick(self, now_s: float) -> None:
         """Record that the process is running."""
-        self.ticked_s = max(self.ticked_s, now_s)
+        self.ticked_at_s = max(self.ticked_at_s, now_s)
 
-    def record_answer(
+    def record_reply(
         self, query_id: int, versions: _versions.VersionVector, now_s: float
     ) -> None:
         """Record the versions in a reply of a peer or the source.
@@ -87,11 +87,13 @@
         """
         match self.phase:
             case Unconfirmed() as phase if query_id == phase.query_id:
-                first_s = phase.first_answer_s
+                first_reply_at_s = phase.first_reply_at_s
                 self.phase = dataclasses.replace(
                     phase,
                     highest_reported=phase.highest_reported.merge(versions),
-                    first_answer_s=now_s if first_s is None else first_s,
+                    first_reply_at_s=now_s
+                    if first_reply_at_s is None
+                    else first_reply_at_s,
                 )
             case Unconfirmed() | Confirmed():
                 return
@@ -106,16 +108,16 @@
             case Unconfirmed():
                 reason = _pending_reason(self.phase, own_versions, now_s)
                 if reason is not None:
-                    return Readiness(False, reason, self.ticked_s)
+                    return Readiness(False, reason, self.ticked_at_s)
                 reason = "confirmed"
                 if not own_versions.covers(self.phase.highest_reported):
                     reason = (
                         "confirmation timed out; newer versions not received"
                     )
                 self.phase = Confirmed(self.phase.query_id, reason)
-                return Readiness(True, reason, self.ticked_s)
+                return Readiness(True, reason, self.ticked_at_s)
             case Confirmed():
-                return Readiness(True, self.phase.reason, self.ticked_s)
+                return Readiness(True, self.phase.reason, self.ticked_at_s)
             case _:
                 typing.assert_never(self.phase)
 
@@ -124,11 +126,11 @@
     phase: Unconfirmed, own_versions: _versions.VersionVector, now_s: float
 ) -> str | None:
     """Return what the node is still waiting for, or None if it is ready."""
-    if phase.first_answer_s is None:
+    if phase.first_reply_at_s is None:
         return f"{phase.reason}: no reply from peers or source"
     if own_versions.table.number == 0 or own_versions.hosts.number == 0:
         return f"{phase.reason}: table or host list not received"
-    waited_s = now_s - phase.first_answer_s
+    waited_s = now_s - phase.first_reply_at_s
     if waited_s >= const.START_WAIT_MAX_S:
         return None
     if not own_versions.covers(phase.highest_reported):
--- a/src/jasminecrank/state/_retry.py
+++ b/src/jasminecrank/state/_retry.py
@@ -292,8 +292,11 @@
     tokens: float = _BUDGET_BURST
     calls_seen: int = 0
 
-    def take(self, calls_seen: int) -> bool:
-        """Take one retry, given the total number of calls on the node."""
+    def try_retry(self, calls_seen: int) -> bool:
+        """Count a retry and return True unless the budget is used up.
+
+        `calls_seen` is the total number of calls on the node.
+        """
         new = max(0, calls_seen - self.calls_seen)
         self.calls_seen += new
         self.tokens = min(_BUDGET_BURST, self.tokens + new * _BUDGET_RATIO)
