Call what the source sends a reply, as for peers

Readiness records replies of peers and of the source, while the source client named the same messages answers. handle_reply and _versions_in_reply now use that word.

--- a/features/steps/source_steps.py
+++ b/features/steps/source_steps.py
@@ -74,7 +74,7 @@
     def deliver_answer(self, client, host, answer, now_s):
         """Pass an answer to a client, as ConfigActor does."""
         if not isinstance(answer, state.Document):
-            client.handle_answer(answer, now_s)
+            client.handle_reply(answer, now_s)
             return
         known = self.versions_by_host[host].get(answer.name)
         if answer.name is not state.DocumentName.HOSTS:
@@ -181,14 +181,14 @@
     match answer:
         case ["changed", *names]:
             names = tuple(state.DocumentName(name) for name in names)
-            return client.handle_answer(
+            return client.handle_reply(
                 coordination.WatchCompleted(names), now_s
             )
         case ["failed"]:
-            return client.handle_answer(coordination.SourceFailed("no"), now_s)
+            return client.handle_reply(coordination.SourceFailed("no"), now_s)
         case ["unreadable"]:
             unreadable = coordination.DocumentUnreadable(TABLE, "not JSON")
-            return client.handle_answer(unreadable, now_s)
+            return client.handle_reply(unreadable, now_s)
         case [kind, number]:
             version = state.Version(int(number), "00")
             in_force = context.versions.get(TABLE)
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -215,12 +215,12 @@
                 document, result.offer_result, now_s
             )
         else:
-            events = self._source_client.handle_answer(message, now_s)
+            events = self._source_client.handle_reply(message, now_s)
         for event in events:
             self._tell_membership(event)
         own_versions = self._exchange.config.versions()
         if not isinstance(message, _messages.SourceFailed):
-            source_versions = _versions_in_answer(message, own_versions)
+            source_versions = _versions_in_reply(message, own_versions)
             self._readiness.record_reply(
                 self._source_client.query_id, source_versions, now_s
             )
@@ -414,7 +414,7 @@
             self._membership.tell(message)
 
 
-def _versions_in_answer(
+def _versions_in_reply(
     message: _source_client.SourceMessage, own_versions: state.VersionVector
 ) -> state.VersionVector:
     """Return the versions in force, raised to those that an answer shows."""
--- a/src/jasminecrank/coordination/_source_client.py
+++ b/src/jasminecrank/coordination/_source_client.py
@@ -141,7 +141,7 @@
                 versions = versions.replace(name, version)
         return versions
 
-    def handle_answer(
+    def handle_reply(
         self,
         message: _messages.WatchCompleted
         | _messages.DocumentUnreadable
