Use one word for replies, responses and active versions

Texts of the four folders said answer, reply and response for the same messages, active and in force for the same versions, and queued for calls that wait for a token too. Backend servers now send responses where the class is Response, nodes and the source send replies, versions are active, and calls that have no decision yet are waiting.

--- a/src/jasminecrank/coordination/_admission.py
+++ b/src/jasminecrank/coordination/_admission.py
@@ -57,7 +57,7 @@
         self._quota_messenger.start(membership, self.actor_ref)
 
     def on_receive(self, message: object) -> object:
-        """Handle a message and reply to the queued calls that it decides."""
+        """Handle a message and reply to the waiting calls that it decides."""
         now_s = self._clock.monotonic_s()
         if isinstance(message, _messages.GetStatus):
             return self._status()
@@ -119,13 +119,13 @@
 
     def _tick(self, now_s: float) -> None:
         # A tick that was superseded by an earlier one must not schedule
-        # another; otherwise ticks accumulate while calls are queued.
+        # another; otherwise ticks accumulate while calls wait.
         if now_s >= self._tick_due_s:
             self._tick_due_s = math.inf
         self._admission.tick(now_s)
 
     def _schedule_tick(self, now_s: float) -> None:
-        """Schedule a tick for the next queued call that expires."""
+        """Schedule a tick for the next waiting call that is due."""
         due_s = self._admission.next_due_s()
         if self._drain_replies:
             due_s = min(due_s or math.inf, now_s + _DRAIN_POLL_INTERVAL_S)
--- a/src/jasminecrank/coordination/_config.py
+++ b/src/jasminecrank/coordination/_config.py
@@ -1,4 +1,4 @@
-"""Actor that owns the configuration documents in force."""
+"""Actor that owns the active configuration documents."""
 
 from dataclasses import dataclass
 import math
@@ -417,7 +417,7 @@
 def _versions_in_reply(
     message: _source_client.SourceMessage, own_versions: state.VersionVector
 ) -> state.VersionVector:
-    """Return the versions in force, raised to those that an answer shows."""
+    """Return the active versions, raised to those that a reply shows."""
     source_versions = own_versions
     match message:
         case _messages.WatchCompleted():
--- a/src/jasminecrank/coordination/_messages.py
+++ b/src/jasminecrank/coordination/_messages.py
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Hello:
-    """Open a link and report the versions in force."""
+    """Open a link and report the active versions."""
 
     host: str
     data_centre: str
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Heartbeat:
-    """Report that a node is alive and which versions it has in force."""
+    """Report that a node is alive and its active versions."""
 
     versions: state.VersionVector
     draining: bool
@@ -71,7 +71,7 @@
 
 @dataclass(slots=True, frozen=True)
 class VersionsReply:
-    """Report the versions in force, for a query or unsolicited.
+    """Report the active versions, for a query or unsolicited.
 
     An unsolicited report has -1 as its query_id.
     """
@@ -152,7 +152,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SnapshotChanged:
-    """A new snapshot is in force on this node."""
+    """A new snapshot is active on this node."""
 
     snapshot: state.Snapshot
 
@@ -171,14 +171,14 @@
 
 @dataclass(slots=True, frozen=True)
 class DocumentRead:
-    """The source answered a read with a document."""
+    """The source replied to a read with a document."""
 
     document: state.Document
 
 
 @dataclass(slots=True, frozen=True)
 class DocumentUnreadable:
-    """The source answered a read with an invalid document."""
+    """The source replied to a read with an invalid document."""
 
     name: state.DocumentName
     reason: str
@@ -196,7 +196,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SourceFailed:
-    """The source did not answer, or its answer violates the protocol."""
+    """The source did not reply, or its reply violates the protocol."""
 
     reason: str
 
@@ -238,7 +238,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerUp:
-    """A peer is linked; versions are those it has in force."""
+    """A peer is linked; versions are its active ones."""
 
     host: str
     versions: state.VersionVector
@@ -304,7 +304,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CancelCall:
-    """Remove a call from the queue."""
+    """Cancel a waiting call."""
 
     request_id: str
 
@@ -382,7 +382,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ConfigStatus:
-    """Versions in force, readiness and state of the source."""
+    """Active versions, readiness and state of the source."""
 
     versions: state.VersionVector
     ready: bool
--- a/src/jasminecrank/coordination/_source_client.py
+++ b/src/jasminecrank/coordination/_source_client.py
@@ -46,7 +46,7 @@
     query_id: int = 0
     error: str = ""
     caught_up: bool = False
-    """Whether the last answer reported nothing newer than is in force."""
+    """Whether the last reply had nothing newer than the active versions."""
 
     @classmethod
     def from_start(
@@ -148,7 +148,7 @@
         | _messages.SourceFailed,
         now_s: float,
     ) -> Events:
-        """Process an answer without a document and return its events."""
+        """Process a reply without a document and return its events."""
         self.call_in_progress = False
         self.caught_up = False
         match message:
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -25,10 +25,10 @@
 
 
 class LocalGate(typing.Protocol):
-    """Mailbox of the local gate, as used by the entry task."""
+    """Mailbox of the gate task, as used by the entry task."""
 
     def tell(self, message: _messages.GateMessage) -> None:
-        """Append a message to the gate's mailbox."""
+        """Append a message to the gate task's mailbox."""
 
 
 class LocalQuota(typing.Protocol):
@@ -75,7 +75,7 @@
 
     @property
     def open_calls(self) -> int:
-        """Return the number of calls that have not been answered yet."""
+        """Return the number of calls that have not been replied to yet."""
         return len(self._call_by_number)
 
     @property
@@ -271,13 +271,13 @@
         self._send_by_host[server.host](sent)
 
     def handle_local_reply(self, message: _peer_messages.PeerMessage) -> None:
-        """Process the local gate's answer to a call."""
+        """Process the local gate task's reply to a call."""
         self.handle_peer_reply(self._own_host, message)
 
     def handle_peer_reply(
         self, host: str, message: _peer_messages.PeerMessage
     ) -> None:
-        """Process a gate's answer to a call.
+        """Process a gate task's reply to a call.
 
         Messages that do not end an attempt are ignored.
         """
--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -25,7 +25,7 @@
 """Time for pushed entries to arrive before a listing is requested.
 
 Together with the period of load reports, it leaves one second of the 2 s
-within which a table has to be in force.
+within which a table has to be active.
 """
 LISTING_RETRY_S = 0.6
 """Time between two listing requests; a listing is tens of kilobytes."""
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -107,7 +107,7 @@
 
     @property
     def table_version(self) -> int:
-        """Return the version of the table in force, or 0 if there is none."""
+        """Return the version of the active table, or 0 if there is none."""
         table = self._fleet.table
         return 0 if table is None else table.version
 
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -11,7 +11,7 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 RUN_TIMEOUT_MARGIN_S = 0.1
-"""Time for an answer that the server sends at the deadline to arrive."""
+"""Time for a response that the server sends at the deadline to arrive."""
 PROBE_PERIOD_S = 0.3
 """Pause between health checks of a server that is not healthy."""
 CLOSED_RETRY_S = 0.8
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallerDisconnected:
-    """The caller closed its connection before it received an answer."""
+    """The caller closed its connection before it received a reply."""
 
     number: int
 
@@ -128,7 +128,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ArbiterGranted:
-    """An arbiter has answered a request for tokens."""
+    """An arbiter has replied to a request for tokens."""
 
     host: str
     message: _peer_messages.TokensGranted
@@ -143,7 +143,7 @@
 
 @dataclass(slots=True, frozen=True)
 class QuotaTick:
-    """Triggers the check for unanswered requests."""
+    """Triggers the check for requests without a reply."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -226,14 +226,14 @@
 
 @dataclass(slots=True, frozen=True)
 class SourceLost:
-    """The source has stopped answering this node."""
+    """The source has stopped replying to this node."""
 
     reason: str
 
 
 @dataclass(slots=True, frozen=True)
 class SourceRecovered:
-    """The source answers this node again."""
+    """The source replies to this node again."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -1,4 +1,4 @@
-"""State of a call from its arrival until its answer."""
+"""State of a call from its arrival until its reply."""
 
 import asyncio
 from dataclasses import dataclass
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class OpenCall:
-    """A call from a caller of this node that has not been answered yet."""
+    """A call from a caller of this node that has not been replied to yet."""
 
     number: int
     request: state.CallRequest
@@ -122,7 +122,7 @@
 def attempt_ended(
     host: str, message: _peer_messages.PeerMessage
 ) -> _messages.AttemptEnded | None:
-    """Return the end of an attempt that a gate's message reports, or None."""
+    """Return the end of an attempt that a gate task reports, or None."""
     result: state.AttemptResult
     active_calls = None
     match message:
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallServed:
-    """The complete answer of the backend server."""
+    """The complete response of the backend server."""
 
     call_id: int
     status: int
@@ -156,7 +156,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TokensGranted:
-    """Answers the oldest pending request for tokens of a team."""
+    """Replies to the oldest pending request for tokens of a team."""
 
     team: str
     granted: int
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -13,9 +13,9 @@
 from jasminecrank.mesh.coordination import _peer_messages
 
 REQUEST_TIMEOUT_S = 0.25
-"""Time limit for an arbiter's answer, which usually takes milliseconds."""
+"""Time limit for an arbiter's reply, which usually takes milliseconds."""
 SUSPECT_S = 1.0
-"""Time for which an arbiter that did not answer gets no requests."""
+"""Time for which an arbiter that did not reply gets no requests."""
 ARBITER_CHANGE_WAIT_S = 0.6
 """Time after a change of arbiters in which calls wait instead of being denied.
 
@@ -23,7 +23,7 @@
 to it.
 """
 TICK_S = 0.1
-"""Period of the check for unanswered requests."""
+"""Period of the check for requests without a reply."""
 FULL_PRESENCE_EVERY = 5
 """One in this many periodic presence reports lists the reachable arbiters."""
 SPARE_TOKEN_TTL_S = 1.0
@@ -160,7 +160,7 @@
         wait_s: float,
         now_s: float,
     ) -> None:
-        """Answer the calls for which tokens were requested."""
+        """Reply to the calls for which tokens were requested."""
         requests.arbiter = None
         requested, requests.requested = requests.requested, 0
         for _ in range(granted):
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -22,7 +22,7 @@
 RETRY_MAX_S = 0.8
 """Longest back-off after a failed read.
 
-It leaves room in the 2 s within which a new table has to be in force.
+It leaves room in the 2 s within which a new table has to be active.
 """
 
 
@@ -50,7 +50,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Unavailable:
-    """The source could not be reached or sent no usable answer."""
+    """The source could not be reached or sent no usable reply."""
 
     reason: str
 
--- a/src/jasminecrank/mesh/state/_budgets.py
+++ b/src/jasminecrank/mesh/state/_budgets.py
@@ -5,7 +5,7 @@
 from dataclasses import field
 
 UNANSWERED_RETRY_SHARE = 0.6
-"""Share of the fleet's retry budget for calls that no server has answered.
+"""Share of the fleet's retry budget for calls without a server response.
 
 The rest covers nodes that disagree about the fleet size, and the downstream
 calls that backend servers repeat when they run a retried call.
--- a/src/jasminecrank/mesh/state/_table.py
+++ b/src/jasminecrank/mesh/state/_table.py
@@ -1,4 +1,4 @@
-"""The table in force: routes, services, teams, API keys and limits."""
+"""The active table: routes, services, teams, API keys and limits."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
--- a/src/jasminecrank/state/_admission.py
+++ b/src/jasminecrank/state/_admission.py
@@ -81,7 +81,7 @@
     def admit(
         self, call: _calls.CallRequest, now_s: float
     ) -> _calls.Decision | _calls.Queued:
-        """Decide on a call, or queue it and return its ticket."""
+        """Decide on a call, or let it wait and return its ticket."""
         result = self._decide(call, now_s)
         if not isinstance(result, _calls.Queued):
             self._count(result)
@@ -157,7 +157,7 @@
     def set_ready(
         self, ready: bool, now_s: float, ticked_at_s: float | None = None
     ) -> None:
-        """Start or stop accepting calls; waiting calls stay queued.
+        """Start or stop accepting calls; waiting calls keep waiting.
 
         Readiness expires if the process is paused after `ticked_at_s`.
         """
--- a/src/jasminecrank/state/_calls.py
+++ b/src/jasminecrank/state/_calls.py
@@ -90,14 +90,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Queued:
-    """The call is queued; its decision follows under the ticket."""
+    """The call waits; its decision follows under the ticket."""
 
     ticket: int
 
 
 @dataclass(slots=True, frozen=True)
 class DeferredDecision:
-    """The decision on a call that was queued."""
+    """The decision on a waiting call."""
 
     ticket: int
     decision: Decision
--- a/src/jasminecrank/state/_shares.py
+++ b/src/jasminecrank/state/_shares.py
@@ -68,7 +68,7 @@
 class ShareReport:
     """Host list version of a node and the slots that confirmed it.
 
-    `acked_slots` are the slots known to have this version in force.
+    `acked_slots` are the slots known to have this version active.
     `effective` holds the shares in use; it is None in a process that does
     not know its share yet.
     """
@@ -87,7 +87,7 @@
     """Lowers the own share at once and raises it only after confirmation.
 
     A share is confirmed once every slot of the host list has reported the
-    version in force here and a loan return time has passed since then, so
+    version active here and a loan return time has passed since then, so
     that no loan of the previous shares remains. A process that has just
     started owns nothing until its share is confirmed or a peer reports the
     shares in use.
