Name units and health checks alike in state and mesh

Some times by key lacked the unit that others carry, such as cold_until_by_id beside unlinked_since_s_by_host. The gate task called its health check a probe, and hid what it releases. The names now follow the other folders.

Names only, no behaviour.

--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -12,7 +12,7 @@
 
 RUN_TIMEOUT_MARGIN_S = 0.1
 """Time for a response that the server sends at the deadline to arrive."""
-PROBE_PERIOD_S = 0.3
+HEALTH_CHECK_PAUSE_S = 0.3
 """Pause between health checks of a server that is not healthy."""
 CLOSED_RETRY_S = 0.8
 """Retry delay of refused calls; by then another server may be listed.
@@ -80,7 +80,7 @@
         self._gone_server_ids: set[str] = set()
         self._call_by_key: dict[tuple[int, int], _ActiveCall] = {}
         self._accepting = True
-        self._probe: asyncio.Task[None] | None = None
+        self._health_check: asyncio.Task[None] | None = None
         self._tick_scheduled = False
 
     @property
@@ -111,7 +111,7 @@
                 self._fleet_changed(fleet)
             case _messages.GateTick():
                 self._tick_scheduled = False
-                self._release()
+                self._release_queued()
             case _messages.StopRequested():
                 self._accepting = False
             case _:
@@ -140,7 +140,7 @@
                 self._start(message.link_id, active, request.deadline_at_s)
             case state.Enqueue():
                 self._call_by_key[message.link_id, call.call_id] = active
-                self._ensure_probe()
+                self._ensure_health_check()
                 self._schedule_tick()
             case state.Reject(reason, retry_after_s):
                 self._refuse(call, message.send, reason, retry_after_s)
@@ -263,7 +263,7 @@
                 typing.assert_never(message.result)
         if not active.cancelled:
             active.send(reply)
-        self._release()
+        self._release_queued()
 
     def _cancel(self, key: tuple[int, int]) -> None:
         active = self._call_by_key.get(key)
@@ -280,7 +280,7 @@
         for key in [key for key in self._call_by_key if key[0] == link_id]:
             self._cancel(key)
 
-    def _release(self) -> None:
+    def _release_queued(self) -> None:
         now_s = self._clock.now_s()
         released = self._admission.release_queued(now_s)
         for request in released.expired:
@@ -364,7 +364,7 @@
                 self._admission.cold_rate_per_s = service.cold_rate_per_s
             self._admission.cold_until_s = max(
                 self._admission.cold_until_s,
-                fleet.cold_until_by_id.get(newest.server_id, 0.0),
+                fleet.cold_until_s_by_id.get(newest.server_id, 0.0),
             )
             if before is None or (before.server_id, before.created_at_ms) != (
                 newest.server_id,
@@ -373,7 +373,7 @@
                 self._mark_server_unknown("new-incarnation")
         if newest is None or self._rejection_reason(newest.server_id):
             self._refuse_queued()
-        self._release()
+        self._release_queued()
 
     def _refuse_queued(self) -> None:
         for request in self._admission.drain_queue():
@@ -392,15 +392,15 @@
         if self._admission.health is state.ServerHealth.UP:
             self.log.decision("server-doubtful", reason=reason)
         self._admission.mark_server_unknown()
-        self._ensure_probe()
+        self._ensure_health_check()
 
-    def _ensure_probe(self) -> None:
+    def _ensure_health_check(self) -> None:
         if (
             self._admission.health is state.ServerHealth.UP
-            or self._probe is not None
+            or self._health_check is not None
         ):
             return
-        self._probe = asyncio.get_running_loop().create_task(
+        self._health_check = asyncio.get_running_loop().create_task(
             self._check_health()
         )
 
@@ -408,7 +408,7 @@
         path = self._health_path()
         health = await self.port.check_health(path) if path else None
         if health is None:
-            await asyncio.sleep(PROBE_PERIOD_S)
+            await asyncio.sleep(HEALTH_CHECK_PAUSE_S)
         self.mailbox.tell(_messages.HealthChecked(health))
 
     def _own_service(self) -> state.Service | None:
@@ -425,10 +425,10 @@
         return 0.0 if service is None else service.cold_start_s
 
     def _health_checked(self, health: _messages.Health | None) -> None:
-        self._probe = None
+        self._health_check = None
         if health is None:
             if self._own_server is not None:
-                self._ensure_probe()
+                self._ensure_health_check()
             return
         now_s = self._clock.now_s()
         self._admission.mark_server_up(
@@ -446,7 +446,7 @@
             self._own_server.server_id
         ):
             self._refuse_queued()
-        self._release()
+        self._release_queued()
 
 
 def _server_failed(result: state.AttemptResult) -> bool:
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -69,8 +69,8 @@
         self._arbiters: tuple[str, ...] = ()
         self._reachable: tuple[str, ...] = ()
         self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
-        self._silent: set[str] = set()
-        self._suspect_until_by_host: dict[str, float] = {}
+        self._silent_hosts: set[str] = set()
+        self._suspect_until_s_by_host: dict[str, float] = {}
         self._requests_by_team: dict[str, _TeamRequests] = {}
         self._presence_sent_at_s = -1e9
         self._presence_periods = 0
@@ -100,11 +100,11 @@
                 self._fleet_changed(fleet, now_s)
             case _messages.PeerUp(host, send):
                 self._send_by_host[host] = send
-                self._silent.discard(host)
-                self._suspect_until_by_host.pop(host, None)
+                self._silent_hosts.discard(host)
+                self._suspect_until_s_by_host.pop(host, None)
                 self._update_reachable(now_s)
             case _messages.PeerSilent(host):
-                self._silent.add(host)
+                self._silent_hosts.add(host)
                 self._update_reachable(now_s)
             case _messages.PeerDown(host):
                 self._send_by_host.pop(host, None)
@@ -238,8 +238,8 @@
             if host == self._own_host
             or (
                 host in self._send_by_host
-                and host not in self._silent
-                and self._suspect_until_by_host.get(host, 0.0) <= now_s
+                and host not in self._silent_hosts
+                and self._suspect_until_s_by_host.get(host, 0.0) <= now_s
             )
         )
         if reachable == self._reachable:
@@ -270,7 +270,7 @@
             if requests.arbiter is not None and (
                 now_s - requests.requested_at_s > REQUEST_TIMEOUT_S
             ):
-                self._suspect_until_by_host[requests.arbiter] = (
+                self._suspect_until_s_by_host[requests.arbiter] = (
                     now_s + SUSPECT_S
                 )
         self._update_reachable(now_s)
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -102,7 +102,7 @@
 
     table: _table.Table | None
     server_by_id: Mapping[str, BackendServer]
-    cold_until_by_id: Mapping[str, float]
+    cold_until_s_by_id: Mapping[str, float]
     data_centres_out: frozenset[str]
 
     def usable_servers(self, service: str) -> list[BackendServer]:
@@ -123,8 +123,8 @@
     decode: Decoder
     item_by_key: dict[str, SourceItem] = field(default_factory=dict)
     entry_by_key: dict[str, PublishedEntry] = field(default_factory=dict)
-    cold_until_by_id: dict[str, float] = field(default_factory=dict)
-    removal_at_by_key: dict[str, float] = field(default_factory=dict)
+    cold_until_s_by_id: dict[str, float] = field(default_factory=dict)
+    removal_at_s_by_key: dict[str, float] = field(default_factory=dict)
     table: _table.Table | None = None
     revision: int = 0
     grace_until_s: float = 0.0
@@ -216,10 +216,12 @@
     def remove_expired(self, now_s: float) -> bool:
         """Drop servers whose grace period is over; return whether any were."""
         expired = [
-            key for key, at in self.removal_at_by_key.items() if at <= now_s
+            key
+            for key, at_s in self.removal_at_s_by_key.items()
+            if at_s <= now_s
         ]
         for key in expired:
-            del self.removal_at_by_key[key]
+            del self.removal_at_s_by_key[key]
             self.entry_by_key.pop(key, None)
         return bool(expired)
 
@@ -254,7 +256,7 @@
         return FleetSnapshot(
             self.table,
             servers,
-            dict(self.cold_until_by_id),
+            dict(self.cold_until_s_by_id),
             frozenset(data_centres_out),
         )
 
@@ -262,7 +264,7 @@
         if item.value is None:
             self._remove(item.key, now_s)
             return
-        self.removal_at_by_key.pop(item.key, None)
+        self.removal_at_s_by_key.pop(item.key, None)
         entry = self.decode(item.key, item.value)
         match entry:
             case TableEntry(table):
@@ -276,7 +278,7 @@
                     return
                 self.table = table
             case ServerEntry(server):
-                self.cold_until_by_id[server.server_id] = (
+                self.cold_until_s_by_id[server.server_id] = (
                     now_s + server.cold_left_s
                 )
             case InvalidEntry(reason):
@@ -299,9 +301,9 @@
             case ServerEntry(server):
                 ready = server.state is ServerState.READY
                 if ready and now_s < self.grace_until_s:
-                    self.removal_at_by_key[key] = self.grace_until_s
+                    self.removal_at_s_by_key[key] = self.grace_until_s
                     return
-                self.cold_until_by_id.pop(server.server_id, None)
+                self.cold_until_s_by_id.pop(server.server_id, None)
             case TableEntry():
                 return
             case DataCentreOutEntry() | InvalidEntry() | None:
--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -86,13 +86,13 @@
     _reported_load_by_host: dict[str, _ReportedLoad] = field(
         default_factory=dict
     )
-    _unreachable: set[str] = field(default_factory=set)
+    _unreachable_hosts: set[str] = field(default_factory=set)
 
     def record_load(
         self, host: str, load: _gate.ServerLoad, now_s: float
     ) -> None:
         """Record a load report, which proves that the host is reachable."""
-        self._unreachable.discard(host)
+        self._unreachable_hosts.discard(host)
         known = self._reported_load_by_host.get(host)
         changed_at_s = now_s
         if known is not None and (
@@ -106,12 +106,12 @@
 
     def mark_unreachable(self, host: str) -> None:
         """Exclude a host until it is reachable and drop its load report."""
-        self._unreachable.add(host)
+        self._unreachable_hosts.add(host)
         self._reported_load_by_host.pop(host, None)
 
     def mark_reachable(self, host: str) -> None:
         """Allow a host to be selected again."""
-        self._unreachable.discard(host)
+        self._unreachable_hosts.discard(host)
 
     def record_sent(self, host: str) -> None:
         """Count a call that the latest load report does not include yet."""
@@ -144,7 +144,10 @@
         servers = tuple(servers)
         typical = self._typical_estimate(servers)
         for server in servers:
-            if server.server_id in tried or server.host in self._unreachable:
+            if (
+                server.server_id in tried
+                or server.host in self._unreachable_hosts
+            ):
                 continue
             report = self._fresh_report(server, now_s)
             if report is not None and not report.load.accepting:
--- a/src/jasminecrank/state/_borrowing.py
+++ b/src/jasminecrank/state/_borrowing.py
@@ -60,19 +60,19 @@
 class RequestTracker:
     """Pending and denied loan requests of one team."""
 
-    requested_at_by_peer: dict[str, float] = field(default_factory=dict)
+    requested_at_s_by_peer: dict[str, float] = field(default_factory=dict)
     denials_by_peer: dict[str, int] = field(default_factory=dict)
-    retry_at_by_peer: dict[str, float] = field(default_factory=dict)
+    retry_at_s_by_peer: dict[str, float] = field(default_factory=dict)
     last_request_at_s: float = -math.inf
 
     def record_request(self, peer: str, now_s: float) -> None:
         """Record a request, which blocks others to the peer for a time."""
-        self.requested_at_by_peer[peer] = now_s
+        self.requested_at_s_by_peer[peer] = now_s
         self.last_request_at_s = now_s
 
     def record_grant(self, peer: str, gained: bool, now_s: float) -> None:
         """Record a grant; one that adds nothing delays the next request."""
-        self.requested_at_by_peer.pop(peer, None)
+        self.requested_at_s_by_peer.pop(peer, None)
         if not gained:
             denials = self.denials_by_peer.get(peer, 0)
             self.denials_by_peer[peer] = denials + 1
@@ -80,22 +80,22 @@
                 _DENIAL_BACKOFF_MAX_S,
                 _DENIAL_BACKOFF_S * 2.0 ** min(denials, 8),
             )
-            self.retry_at_by_peer[peer] = now_s + delay_s
+            self.retry_at_s_by_peer[peer] = now_s + delay_s
         else:
             self.denials_by_peer.pop(peer, None)
-            self.retry_at_by_peer.pop(peer, None)
+            self.retry_at_s_by_peer.pop(peer, None)
 
     def awaits_grant(self, now_s: float) -> bool:
         """Return whether a grant may still arrive."""
         return any(
             now_s - at_s < _GRANT_TIMEOUT_S
-            for at_s in self.requested_at_by_peer.values()
+            for at_s in self.requested_at_s_by_peer.values()
         )
 
     def may_request(self, peer: str, now_s: float) -> bool:
         """Return whether a request may be sent to the peer."""
-        requested_at_s = self.requested_at_by_peer.get(peer, -math.inf)
-        retry_at_s = self.retry_at_by_peer.get(peer, -math.inf)
+        requested_at_s = self.requested_at_s_by_peer.get(peer, -math.inf)
+        retry_at_s = self.retry_at_s_by_peer.get(peer, -math.inf)
         return (
             now_s - requested_at_s >= _GRANT_TIMEOUT_S and now_s >= retry_at_s
         )
--- a/src/jasminecrank/state/_quota.py
+++ b/src/jasminecrank/state/_quota.py
@@ -32,7 +32,7 @@
     by_limit: dict[tuple[str, str], _ledger.ShareLedger]
     outbox: list[_quota_messages.OutgoingMessage]
     draining: bool = False
-    removed_at_by_limit: dict[tuple[str, str], float] = field(
+    removed_at_s_by_limit: dict[tuple[str, str], float] = field(
         default_factory=dict
     )
     next_report_at_s: float = 0.0
@@ -188,7 +188,7 @@
         self.share_withheld_until_s = now_s + const.LOAN_RETURN_S
         self.shares = _shares.ShareTracker(self.host, service)
         self.by_limit.clear()
-        self.removed_at_by_limit.clear()
+        self.removed_at_s_by_limit.clear()
         self.loans.change_service(service)
 
     def _apply_limits(
@@ -203,7 +203,7 @@
         }
         for key in self.by_limit.keys() - limits.keys():
             del self.by_limit[key]
-            self.removed_at_by_limit[key] = now_s
+            self.removed_at_s_by_limit[key] = now_s
         for key, limit in limits.items():
             ledger = self.by_limit.get(key)
             if ledger is not None:
@@ -211,7 +211,7 @@
                 continue
             # The share of a limit that was removed and added again may still
             # be lent.
-            removed_at_s = self.removed_at_by_limit.pop(key, None)
+            removed_at_s = self.removed_at_s_by_limit.pop(key, None)
             share_withheld_until_s = self.share_withheld_until_s
             if removed_at_s is not None:
                 share_withheld_until_s = max(
@@ -233,9 +233,9 @@
             self._send(host, self.shares.report())
 
     def _expire_removed_limits(self, now_s: float) -> None:
-        for key, removed_at_s in tuple(self.removed_at_by_limit.items()):
+        for key, removed_at_s in tuple(self.removed_at_s_by_limit.items()):
             if now_s - removed_at_s >= const.LOAN_RETURN_S:
-                del self.removed_at_by_limit[key]
+                del self.removed_at_s_by_limit[key]
                 self.loans.tracker_by_team.pop(key[1], None)
 
     def _schedule_report(self, now_s: float) -> None:
