Say which peers are kept by link and which calls are open

_dialled_by_link read as if a link had dialled; the fleet task now keeps _dialled_peer_by_link and _accepted_peer_by_link. The host chooser counts open calls, as admission and its feature do.

Names and docstrings only.

--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -88,8 +88,8 @@
         self._ports = ports
         self._clock = clock
         self._fleet = directory.snapshot()
-        self._dialled_by_link: dict[int, _Peer] = {}
-        self._accepted_by_link: dict[int, _Peer] = {}
+        self._dialled_peer_by_link: dict[int, _Peer] = {}
+        self._accepted_peer_by_link: dict[int, _Peer] = {}
         self._exchange = _exchange.EntryExchange(directory, rng)
         self._watchers: tuple[str, ...] = ()
         self._data_centre_by_host: dict[str, str] = {}
@@ -147,7 +147,7 @@
         It may have been this node or a peer that received it.
         """
         newest_s = self._confirmed_at_s
-        for peer in self._dialled_by_link.values():
+        for peer in self._dialled_peer_by_link.values():
             newest_s = max(newest_s, peer.confirmed_at_s)
         return now_s - newest_s
 
@@ -158,7 +158,7 @@
             return
         pushed_to = []
         announced_to = []
-        for peer in self._accepted_by_link.values():
+        for peer in self._accepted_peer_by_link.values():
             if self._pushes_to(peer.host):
                 pushed_to.append(peer.send)
             else:
@@ -219,7 +219,7 @@
     def _peer_message_received(
         self, message: _messages.PeerMessageReceived, now_s: float
     ) -> None:
-        peer = self._dialled_by_link.get(id(message.link))
+        peer = self._dialled_peer_by_link.get(id(message.link))
         if peer is not None:
             peer.received_at_s = now_s
             if peer.silent:
@@ -282,10 +282,10 @@
             now_s,
         )
         if message.dialled:
-            self._dialled_by_link[id(message.link)] = peer
+            self._dialled_peer_by_link[id(message.link)] = peer
             self._peer_up(peer)
         else:
-            self._accepted_by_link[id(message.link)] = peer
+            self._accepted_peer_by_link[id(message.link)] = peer
             self._send_load(self._ports.load(), now_s, [peer])
             if self._fleet.table is None:
                 # Without entries this node opens no links of its own, so it
@@ -296,12 +296,12 @@
         )
 
     def _link_ended(self, message: _messages.LinkEnded) -> None:
-        requester = self._accepted_by_link.pop(id(message.link), None)
+        requester = self._accepted_peer_by_link.pop(id(message.link), None)
         if requester is not None:
             self._ports.to_quota(
                 _messages.RequesterDisconnected(requester.host)
             )
-        peer = self._dialled_by_link.pop(id(message.link), None)
+        peer = self._dialled_peer_by_link.pop(id(message.link), None)
         if peer is None:
             return
         self._exchange.remove_peer(peer.send)
@@ -315,7 +315,7 @@
         self._ticked_at_s = now_s
         if was_suspended:
             self.log.decision("woke-up")
-            for peer in self._dialled_by_link.values():
+            for peer in self._dialled_peer_by_link.values():
                 peer.received_at_s = now_s
         if self._directory.remove_expired(now_s):
             self._publish()
@@ -337,7 +337,7 @@
         Changes go only to the peers that prefer this host for their calls.
         """
         last_load = self._reported_load
-        peers = list(self._accepted_by_link.values())
+        peers = list(self._accepted_peer_by_link.values())
         if last_load is None or load.server_changed(last_load):
             self._send_load(load, now_s, peers)
         elif now_s - self._reported_at_s >= IDLE_REPORT_S:
@@ -377,7 +377,7 @@
             peer.send(report)
 
     def _check_silence(self, now_s: float) -> None:
-        for peer in list(self._dialled_by_link.values()):
+        for peer in list(self._dialled_peer_by_link.values()):
             silence_s = now_s - peer.received_at_s
             if silence_s > DEAD_AFTER_S:
                 peer.link.abort()
@@ -400,7 +400,7 @@
             return True
         ages = [
             now_s - peer.confirmed_at_s
-            for peer in self._dialled_by_link.values()
+            for peer in self._dialled_peer_by_link.values()
         ]
         # The lower limit keeps a node that has taken over watching until the
         # watchers' confirmations are recent again.
--- a/src/jasminecrank/state/_host_choice.py
+++ b/src/jasminecrank/state/_host_choice.py
@@ -12,7 +12,7 @@
 from jasminecrank.state import _topology
 
 _REMOTE_PENALTY_CALLS = 2
-"""Extra calls in flight up to which a local host is preferred."""
+"""Extra open calls up to which a local host is preferred."""
 
 _FAILURE_PENALTY_CALLS = 8
 _FAILURE_PENALTY_S = 1.0
@@ -27,7 +27,7 @@
     failed_until_s: float = 0.0
 
     def cost(self, now_s: float) -> int:
-        """Return the calls in flight, plus a penalty after a failure."""
+        """Return the open calls, plus a penalty after a failure."""
         cost = len(self.deadline_at_s_by_request)
         return cost + (
             _FAILURE_PENALTY_CALLS if now_s < self.failed_until_s else 0
@@ -102,7 +102,7 @@
             load.failed_until_s = now_s + _FAILURE_PENALTY_S
 
     def forwarded_count(self, now_s: float) -> int:
-        """Return the number of forwarded calls in flight."""
+        """Return the number of forwarded calls that are still open."""
         return sum(
             self._drop_expired(load, now_s)
             for load in self.load_by_host.values()
