--- a/src/jasminecrank/state/_loan_book.py
+++ b/src/jasminecrank/state/_loan_book.py
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class LoanManager:
-    """Requests loans from peers and answers the requests of peers.
+    """Requests loans from peers and replies to their requests.
 
     It shares the ledgers and the outbox with its quota state.
     """
@@ -112,7 +112,7 @@
     def lend(
         self, host: str, request: _quota_messages.LoanRequest, now_s: float
     ) -> None:
-        """Answer the request of a peer, within the byte budget."""
+        """Reply to the request of a peer, within the byte budget."""
         if self.policy is not QuotaPolicy.LOANS:
             return
         teams = [wanted.team for wanted in request.shares]
--- a/src/jasminecrank/state/_quota_messages.py
+++ b/src/jasminecrank/state/_quota_messages.py
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LoanGrant:
-    """Answer to a loan request, with its shares in the same order.
+    """Reply to a loan request, with its shares in the same order.
 
     The borrower knows the team and expiry of each share from its request.
     """
--- a/src/jasminecrank/state/_token_wait.py
+++ b/src/jasminecrank/state/_token_wait.py
@@ -8,7 +8,7 @@
 from jasminecrank.state import _fair_queue
 
 _WAIT_MAX_S = 0.1
-"""Maximum wait for a token, within which a lending peer answers."""
+"""Maximum wait for a token, within which a lending peer replies."""
 
 _RETRY_MIN_S = 0.0005
 _MAX_WAITING_PER_TEAM = 8
