--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -25,10 +25,10 @@
 
 
 class LocalGate(typing.Protocol):
-    """Mailbox of the local gate, as used by the entry task."""
+    """Mailbox of the gate task, as used by the entry task."""
 
     def tell(self, message: _messages.GateMessage) -> None:
-        """Append a message to the gate's mailbox."""
+        """Append a message to the gate task's mailbox."""
 
 
 class LocalQuota(typing.Protocol):
@@ -68,14 +68,14 @@
         self._quota = quota
         self._clock = clock
         self._rng = rng
-        self._split_chooser = state.WeightedRoundRobin()
+        self._service_chooser = state.WeightedRoundRobin()
         self._fleet = state.FleetSnapshot(None, {}, {}, frozenset())
         self._call_by_number: dict[int, _open_calls.OpenCall] = {}
         self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
 
     @property
     def open_calls(self) -> int:
-        """Return the number of calls that have not been answered yet."""
+        """Return the number of calls that have not been replied to yet."""
         return len(self._call_by_number)
 
     @property
@@ -192,7 +192,7 @@
 
     def _admit(self, call: _open_calls.OpenCall) -> None:
         now_s = self._clock.now_s()
-        call.service = self._split_chooser.choose(call.attempts.route)
+        call.service = self._service_chooser.choose(call.attempts.route)
         self._budget.record_first_attempt(call.service, now_s)
         self._dispatch(
             call,
@@ -271,13 +271,13 @@
         self._send_by_host[server.host](sent)
 
     def handle_local_reply(self, message: _peer_messages.PeerMessage) -> None:
-        """Process the local gate's answer to a call."""
+        """Process the local gate task's reply to a call."""
         self.handle_peer_reply(self._own_host, message)
 
     def handle_peer_reply(
         self, host: str, message: _peer_messages.PeerMessage
     ) -> None:
-        """Process a gate's answer to a call.
+        """Process a gate task's reply to a call.
 
         Messages that do not end an attempt are ignored.
         """
@@ -294,10 +294,10 @@
         call.host = None
         step = call.attempts.next_step(result)
         match step:
-            case state.TryAnotherServer(is_repeat, fallback, budget_fraction):
+            case state.TryAnotherServer(is_retry, fallback, budget_share):
                 now_s = self._clock.now_s()
-                if is_repeat and not self._budget.try_retry(
-                    call.service, budget_fraction, now_s
+                if is_retry and not self._budget.try_retry(
+                    call.service, budget_share, now_s
                 ):
                     self._conclude(call, fallback)
                     return
@@ -311,8 +311,8 @@
         self, call: _open_calls.OpenCall, step: state.Deliver | state.Refuse
     ) -> None:
         match step:
-            case state.Deliver(answer):
-                self._finish(call, answer)
+            case state.Deliver(response):
+                self._finish(call, response)
             case state.Refuse(refusal):
                 if refusal.kind is state.RefusalKind.OVERLOADED:
                     refusal = state.Refusal(
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -1,4 +1,4 @@
-"""State of a call from its arrival until its answer."""
+"""State of a call from its arrival until its reply."""
 
 import asyncio
 from dataclasses import dataclass
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class OpenCall:
-    """A call from a caller of this node that has not been answered yet."""
+    """A call from a caller of this node that has not been replied to yet."""
 
     number: int
     request: state.CallRequest
@@ -122,16 +122,16 @@
 def attempt_ended(
     host: str, message: _peer_messages.PeerMessage
 ) -> _messages.AttemptEnded | None:
-    """Return the end of an attempt that a gate's message reports, or None."""
+    """Return the end of an attempt that a gate task reports, or None."""
     result: state.AttemptResult
     active_calls = None
     match message:
         case _peer_messages.CallServed():
             active_calls = message.active_calls
-            answer = state.Response(
+            response = state.Response(
                 message.status, message.reason, message.headers, message.body
             )
-            result = state.Served(answer, message.run_s)
+            result = state.Served(response, message.run_time_s)
         case _peer_messages.CallNotRun():
             result = state.NotRun(
                 message.reason, message.retry_after_s, message.reached_server
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -53,14 +53,14 @@
 
 @dataclass(slots=True, frozen=True)
 class CallServed:
-    """The complete answer of the backend server."""
+    """The complete response of the backend server."""
 
     call_id: int
     status: int
     reason: bytes
     headers: state.Headers
     body: bytes
-    run_s: float
+    run_time_s: float
     active_calls: int
     """Calls that still run or wait at the sender's backend server."""
 
@@ -156,7 +156,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TokensGranted:
-    """Answers the oldest pending request for tokens of a team."""
+    """Replies to the oldest pending request for tokens of a team."""
 
     team: str
     granted: int
