Rename figurative names of the stand-ins and scripts

Several names of the stand-ins and scripts were figurative or vague, such as bearable, fall_cold, victims, loud_team and follow_limits. They now use the usual terms: concurrency_limit, restart_cold_start, killed_hosts, excess_team and update_audit_limits. Names that are written out, such as the plan of the caller processes and the measures, stay.

The demo, the measures and the capacity run were not run. No behaviour changes.

--- a/features/steps/measure_steps.py
+++ b/features/steps/measure_steps.py
@@ -61,7 +61,7 @@
 @then("the slope is {slope:f} with {fixed:f} at size zero")
 def step_slope(context, slope, fixed):
     assert abs(context.slope.per_size - slope) < 1e-9, context.slope
-    assert abs(context.slope.at(0) - fixed) < 1e-9, context.slope
+    assert abs(context.slope.value_at(0) - fixed) < 1e-9, context.slope
 
 
 @then("the quantile {part:f} of {values} is {result:d}")
@@ -84,8 +84,8 @@
 )
 def step_split(context, hosts, spread, rate, used):
     spread_by_name = {
-        "evenly": _traffic.Evenly(),
-        "on one host": _traffic.OnOneHost(),
+        "evenly": _traffic.EvenSpread(),
+        "on one host": _traffic.SingleHostSpread(),
     }
     parts = list(_traffic.split_rate(spread_by_name[spread], hosts, rate))
     assert {first for first, _ in parts} == set(range(used)), parts
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -195,9 +195,11 @@
     @stateful.rule(network=strategies.sampled_from(NETWORKS))
     def change_network(self, network):
         fleet_network = self.fleet.network
-        fleet_network.loss, fleet_network.repeat, fleet_network.delay_max_s = (
-            network
-        )
+        (
+            fleet_network.loss_probability,
+            fleet_network.duplicate_probability,
+            fleet_network.delay_max_s,
+        ) = network
         fleet_network.side_by_host.clear()
 
     @stateful.rule(number=hosts, side=strategies.integers(0, 1))
--- a/script/compare_quotas.py
+++ b/script/compare_quotas.py
@@ -61,7 +61,7 @@
             return max(0, self.inside - self.answered)
         return self.refused_inside
 
-    def part(self):
+    def refused_fraction(self):
         """Return the refused part."""
         return self.refused / self.inside if self.inside else 0.0
 
@@ -96,7 +96,7 @@
         faults = [(begin_s + third_s, 1), (begin_s + 2 * third_s, 2)]
         sequence = len(heap)
         while heap:
-            at_s, _, team, host, asked_s, inside = heapq.heappop(heap)
+            at_s, _, team, host, requested_s, inside = heapq.heappop(heap)
             if faults and at_s >= faults[0][0]:
                 self.fault(faults.pop(0)[1])
             fleet.advance(max(0.0, at_s - fleet.now_s))
@@ -109,16 +109,17 @@
                     )
                 inside = self.bucket_by_team[team].take(at_s)
                 self.count_by_team[team].inside += inside
-                asked_s = at_s
-            retry_s = self.offer(team, host, at_s, asked_s, inside)
+                requested_s = at_s
+            retry_s = self.offer(team, host, at_s, requested_s, inside)
             if retry_s is not None:
                 sequence += 1
                 target = host or self.last_host
                 heapq.heappush(
-                    heap, (retry_s, sequence, team, target, asked_s, inside)
+                    heap,
+                    (retry_s, sequence, team, target, requested_s, inside),
                 )
 
-    def offer(self, team, host, at_s, asked_s, inside):
+    def offer(self, team, host, at_s, requested_s, inside):
         """Offer a request to a node; return when it is to try again."""
         repeated = host is not None
         if host is None or host not in self.fleet.by_host:
@@ -126,11 +127,11 @@
         self.last_host = host
         wait_s = self.fleet.try_take(host, team, repeated)
         if wait_s is None:
-            self.waits_s.append(at_s - asked_s)
+            self.waits_s.append(at_s - requested_s)
             self.count_by_team[team].answered += 1
             return None
         retry_s = at_s + max(wait_s, 0.0005)
-        if retry_s - asked_s <= self.options.wait_ms / 1000:
+        if retry_s - requested_s <= self.options.wait_ms / 1000:
             return retry_s
         self.count_by_team[team].refused_inside += inside
         return None
@@ -138,11 +139,11 @@
     def rate(self, team):
         """Return the requests per second that a team sends."""
         rate = self.bucket_by_team[team].limit.rate
-        if self.scenario == "five times" and team == self.loud_team():
+        if self.scenario == "five times" and team == self.excess_team():
             return 5.0 * rate
         return self.options.load * rate
 
-    def loud_team(self):
+    def excess_team(self):
         """Return the team that exceeds its rate: the first large one."""
         by_rate = sorted(
             self.bucket_by_team,
@@ -205,8 +206,8 @@
             run.bucket_by_team[team] = Bucket(limit, limit.burst, 0.0)
             fleet.audit_by_team[team] = standins.WindowAudit()
     for team in run.bucket_by_team:
-        loud = scenario == "five times" and team == run.loud_team()
-        run.count_by_team[team] = Count(loud)
+        above_rate = scenario == "five times" and team == run.excess_team()
+        run.count_by_team[team] = Count(above_rate)
     for host in snapshot.hosts_by_service[service]:
         fleet.start(host.host, snapshot)
         run.hosts.append(host.host)
@@ -219,7 +220,9 @@
     inside = sum(c.inside for r in runs for c in r.count_by_team.values())
     refused = sum(c.refused for r in runs for c in r.count_by_team.values())
     worst = min(
-        1.0 - count.part() for r in runs for count in r.count_by_team.values()
+        1.0 - count.refused_fraction()
+        for r in runs
+        for count in r.count_by_team.values()
     )
     excess = max(
         max(r.fleet.worst_excess().values(), default=0.0) for r in runs
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -16,10 +16,10 @@
     """Return the median processor time of an action in microseconds."""
     samples = []
     for _ in range(9):
-        begun_ns = time.process_time_ns()
+        started_ns = time.process_time_ns()
         for _ in range(ROUNDS):
             action()
-        samples.append((time.process_time_ns() - begun_ns) / ROUNDS / 1000)
+        samples.append((time.process_time_ns() - started_ns) / ROUNDS / 1000)
     return sorted(samples)[len(samples) // 2]
 
 
@@ -100,12 +100,14 @@
         print(f"| {name} | {len(frame)} | {encode_us:.1f} | {decode_us:.1f} |")
     placement, servers = make_placement()
     place_us = measure_us(lambda: placement.choose(servers, (), 0.1))
-    gate = state.AdmissionController(slots=12, health=state.ServerHealth.UP)
-    ticket = state.AdmissionRequest(1, 1, 1, "r", 9.0, 9.0)
+    admission = state.AdmissionController(
+        slots=12, health=state.ServerHealth.UP
+    )
+    request = state.AdmissionRequest(1, 1, 1, "r", 9.0, 9.0)
 
     def admit() -> None:
-        gate.submit(ticket, 0.0)
-        gate.record_completion("r", 0.09, False, 0.0)
+        admission.submit(request, 0.0)
+        admission.record_completion("r", 0.09, False, 0.0)
 
     print("\n| decision | us |\n|---|---|")
     print(f"| placement among {SERVERS} servers | {place_us:.1f} |")
--- a/src/jasminecrank/standins/_backend_server.py
+++ b/src/jasminecrank/standins/_backend_server.py
@@ -63,21 +63,21 @@
         """Stop serving."""
         self._server.stop()
 
-    def fall_cold(self) -> None:
+    def restart_cold_start(self) -> None:
         """Return to cold start without warning."""
         with self._condition:
             self._started_s = time.monotonic()
             self._started_at_ms = time.time_ns() // 1_000_000
 
-    def bearable(self) -> int:
+    def concurrency_limit(self) -> int:
         """Return how many calls the server can run now."""
         settings = self._settings
-        warm = 1.0
+        warm_fraction = 1.0
         if settings.ramp_s > 0:
             age_s = time.monotonic() - self._started_s
-            warm = min(1.0, age_s / settings.ramp_s)
-        extra = (settings.slots - settings.cold_slots) * warm
-        return settings.cold_slots + int(extra)
+            warm_fraction = min(1.0, age_s / settings.ramp_s)
+        warm_slots = (settings.slots - settings.cold_slots) * warm_fraction
+        return settings.cold_slots + int(warm_slots)
 
     def _answer(
         self, environ: dict[str, typing.Any], start_response: StartResponse
@@ -94,7 +94,7 @@
             case "/runs":
                 answer = self._runs()
             case "/control/fall-cold":
-                self.fall_cold()
+                self.restart_cold_start()
                 answer = {}
             case _:
                 answer = self._run(environ, request_id, body)
@@ -114,7 +114,7 @@
         with self._condition:
             self._in_use += 1
             self._runs_by_request[request_id] += 1
-            if self._in_use > self.bearable():
+            if self._in_use > self.concurrency_limit():
                 self._overloads += 1
             if "HTTP_AUTHORIZATION" in environ:
                 self._keys_seen += 1
--- a/src/jasminecrank/standins/_capacity.py
+++ b/src/jasminecrank/standins/_capacity.py
@@ -19,12 +19,12 @@
 SOURCE_CALLS_LIMIT = 2_000
 CONVERGENCE_LIMIT_S = 14.0
 _DAY_S = 86_400
-_WATCH_S = 25
+_WATCH_RENEWAL_S = 25
 _HOST_CHANGES_PER_RESTART = 2
 """A host shows as leaving and then as live."""
 
 _RACK_HOSTS = 44
-_RACK_S = 60
+_RACK_LOSS_S = 60
 _DATA_CENTRE_LOSS_S = 300
 _SOURCE_RETRY_S = 6.0
 """The mean of the back-off at its limit, 4 to 8 s."""
@@ -167,17 +167,19 @@
         measured_peers = float(peers.split()[1])
         per_link = change_bytes.per_size / measured_peers
         changes = self.changes_per_s()
-        control = self.slope("peers", "heartbeat bytes").at(role.links)
+        control = self.slope("peers", "heartbeat bytes").value_at(role.links)
         control += changes * per_link * role.links
-        offer_ms = self.slope("rows of all", "offer of one").at(self.all_rows)
-        processor = self.slope("peers", "processor time").at(role.links)
+        offer_ms = self.slope("rows of all", "offer of one").value_at(
+            self.all_rows
+        )
+        processor = self.slope("peers", "processor time").value_at(role.links)
         processor += changes * self.slope("changes/s", "processor").per_size
         processor += changes * offer_ms / 10
-        memory = self.slope("peers", "peak memory").at(role.links)
-        memory += self.slope("rows of all", "memory").at(self.all_rows)
+        memory = self.slope("peers", "peak memory").value_at(role.links)
+        memory += self.slope("rows of all", "memory").value_at(self.all_rows)
         if role.reads_source:
             control += self.source_bytes_per_s()
-            decode_ms = self.slope("table rows", "published decode").at(
+            decode_ms = self.slope("table rows", "published decode").value_at(
                 self.table_rows
             )
             processor += changes * decode_ms / 10
@@ -212,14 +214,18 @@
         levels = math.ceil(
             math.log(self.data_centre_hosts, const.TREE_FAN_OUT)
         )
-        offer_ms = self.slope("rows of all", "offer of one").at(self.all_rows)
-        decode_ms = self.slope("hosts rows", "published decode").at(self.hosts)
+        offer_ms = self.slope("rows of all", "offer of one").value_at(
+            self.all_rows
+        )
+        decode_ms = self.slope("hosts rows", "published decode").value_at(
+            self.hosts
+        )
         return (decode_ms + (levels + 2) * offer_ms) / 1000
 
     def source_loads(self) -> Iterator[SourceLoad]:
         """Yield the calls of the source in each situation."""
         size = _synthetic.DESIGN_SIZE
-        renewals = self.watchers / _WATCH_S
+        renewals = self.watchers / _WATCH_RENEWAL_S
         yield SourceLoad(
             "ordinary day",
             self.watchers,
@@ -229,15 +235,16 @@
         yield SourceLoad(
             "loss of a rack",
             self.watchers,
-            renewals + 2 * self.watchers * _RACK_HOSTS / _RACK_S,
-            f"{_RACK_HOSTS} versions of the host list in {_RACK_S} s",
+            renewals + 2 * self.watchers * _RACK_HOSTS / _RACK_LOSS_S,
+            f"{_RACK_HOSTS} versions of the host list in {_RACK_LOSS_S} s",
         )
         left = self.watchers - const.WATCHERS_PER_DATA_CENTRE
         versions = self.data_centre_hosts + 1
         yield SourceLoad(
             "loss of a data centre",
             left,
-            left / _WATCH_S + 2 * left * versions / _DATA_CENTRE_LOSS_S,
+            left / _WATCH_RENEWAL_S
+            + 2 * left * versions / _DATA_CENTRE_LOSS_S,
             f"{versions} versions in {_DATA_CENTRE_LOSS_S} s",
         )
         cut = self.watchers * (size.regions - 1) // size.regions
@@ -262,10 +269,12 @@
         )
 
     def _table_bytes(self) -> float:
-        return self.slope("table rows", "published form").at(self.table_rows)
+        return self.slope("table rows", "published form").value_at(
+            self.table_rows
+        )
 
     def _hosts_bytes(self) -> float:
-        return self.slope("hosts rows", "published form").at(self.hosts)
+        return self.slope("hosts rows", "published form").value_at(self.hosts)
 
 
 def _table_rows(size: _synthetic.FleetSize) -> Iterator[object]:
--- a/src/jasminecrank/standins/_capacity_page.py
+++ b/src/jasminecrank/standins/_capacity_page.py
@@ -165,7 +165,9 @@
         offer=_offer_ms(capacity),
         offer_row=1000
         * capacity.slope("rows of all", "offer of one").per_size,
-        digest=capacity.slope("table rows", "digest").at(capacity.table_rows),
+        digest=capacity.slope("table rows", "digest").value_at(
+            capacity.table_rows
+        ),
         peer=capacity.slope("peers", "processor time").per_size,
         path=capacity.convergence_s(),
     )
@@ -186,7 +188,7 @@
         total=capacity.hosts * capacity.published_bytes() / 1e9,
         hosts=capacity.hosts,
         budget=budget / capacity.hosts,
-        delta=capacity.slope("rows of all", "delta message").at(0),
+        delta=capacity.slope("rows of all", "delta message").value_at(0),
         offer=_offer_ms(capacity),
         rack=44 * _offer_ms(capacity) / 60 / 10,
         share=100 * capacity.data_centre_hosts / capacity.hosts,
@@ -198,7 +200,9 @@
 
 
 def _offer_ms(capacity: _capacity.Capacity) -> float:
-    return capacity.slope("rows of all", "offer of one").at(capacity.all_rows)
+    return capacity.slope("rows of all", "offer of one").value_at(
+        capacity.all_rows
+    )
 
 
 def _fits(one: _capacity.RoleFigures) -> str:
--- a/src/jasminecrank/standins/_demo.py
+++ b/src/jasminecrank/standins/_demo.py
@@ -18,13 +18,13 @@
 from jasminecrank.standins import _run
 from jasminecrank.standins import _traffic
 
-_LOAD = _traffic.Load(part_of_rate=0.15, repeat_part=0.2)
+_LOAD = _traffic.Load(rate_fraction=0.15, repeat_part=0.2)
 _TRAFFIC_S = 60.0
-_IN_FORCE_S = 14.0
-_FEW_SECONDS_S = 4.0
-_OUT_S = 4.0
-_READY_S = 30.0
-_STOP_S = 35.0
+_IN_FORCE_TIMEOUT_S = 14.0
+_PROPAGATION_WAIT_S = 4.0
+_OUTAGE_OBSERVATION_S = 4.0
+_READY_TIMEOUT_S = 30.0
+_STOP_TIMEOUT_S = 35.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +59,7 @@
         """Run everything and return whether every check held."""
         deployment = self._deployment
         document = deployment.publish_hosts(deployment.hosts())
-        self._check_in_force("all nodes are ready", document, _READY_S)
+        self._check_in_force("all nodes are ready", document, _READY_TIMEOUT_S)
         traffic = _traffic.Traffic.start(deployment, _LOAD, _TRAFFIC_S, None)
         try:
             self._wait(3.0)
@@ -82,7 +82,9 @@
         rows = _run.change_weight(self._deployment.rows_by_name[name], 3)
         document = self._deployment.publish(name, rows)
         self._check_in_force(
-            "a changed table is in force on every node", document, _IN_FORCE_S
+            "a changed table is in force on every node",
+            document,
+            _IN_FORCE_TIMEOUT_S,
         )
 
     def _refuse_bad_version(self) -> None:
@@ -108,42 +110,46 @@
         rows = _run.change_weight(deployment.rows_by_name[name], 4)
         document = deployment.publish(name, rows)
         self._check_in_force(
-            "the next good version is in force", document, _IN_FORCE_S
+            "the next good version is in force", document, _IN_FORCE_TIMEOUT_S
         )
 
     def _withdraw_key(self) -> None:
         name = state.DocumentName.KEYS
-        *kept, gone = self._deployment.rows_by_name[name]
+        *kept, withdrawn_row = self._deployment.rows_by_name[name]
         document = self._deployment.publish(name, tuple(kept))
-        team = gone.team if isinstance(gone, state.KeyRow) else ""
+        team = (
+            withdrawn_row.team
+            if isinstance(withdrawn_row, state.KeyRow)
+            else ""
+        )
         self._withdrawn = _Withdrawal(team, time.monotonic())
         self._check_in_force(
             f"the key of {team} is withdrawn on every node",
             document,
-            _IN_FORCE_S,
+            _IN_FORCE_TIMEOUT_S,
         )
-        self._wait(_FEW_SECONDS_S)
+        self._wait(_PROPAGATION_WAIT_S)
 
     def _take_out_data_centre(self) -> None:
         data_centre = self._deployment.hosts()[0].data_centre
         self._set_outage(data_centre, state.OutageState.OUT_OF_SERVICE)
-        self._wait(_FEW_SECONDS_S)
+        self._wait(_PROPAGATION_WAIT_S)
         before = self._runs_in(data_centre)
-        self._wait(_OUT_S)
+        self._wait(_OUTAGE_OBSERVATION_S)
         after = self._runs_in(data_centre)
         self._check(
             f"{data_centre} gets no new work while it is out",
             before == after,
-            f"{after - before} calls run in {_OUT_S:.0f} s, from "
-            f"{_FEW_SECONDS_S:.0f} s after it went out",
+            f"{after - before} calls run in {_OUTAGE_OBSERVATION_S:.0f} s, "
+            f"from {_PROPAGATION_WAIT_S:.0f} s after it went out",
         )
         self._set_outage(data_centre, state.OutageState.IN_SERVICE)
-        self._wait(_FEW_SECONDS_S)
+        self._wait(_PROPAGATION_WAIT_S)
         returned = self._runs_in(data_centre)
         self._check(
             f"{data_centre} works again after its return",
             returned > after,
-            f"{returned - after} calls run in {_FEW_SECONDS_S:.0f} s",
+            f"{returned - after} calls run in {_PROPAGATION_WAIT_S:.0f} s",
         )
 
     def _set_outage(self, data_centre: str, outage: state.OutageState) -> None:
@@ -159,7 +165,7 @@
         self._check_in_force(
             f"{data_centre} is {outage.value} on every node",
             document,
-            _IN_FORCE_S,
+            _IN_FORCE_TIMEOUT_S,
         )
 
     def _kill_node(self) -> None:
@@ -174,7 +180,7 @@
         self._check_in_force(
             f"{host} was killed, is back and has the newest version",
             document,
-            _IN_FORCE_S,
+            _IN_FORCE_TIMEOUT_S,
         )
 
     def _check_traffic(self, samples: tuple[_callers.Sample, ...]) -> None:
@@ -183,11 +189,11 @@
             sample
             for sample in samples
             if sample.team == withdrawn.team
-            and sample.at_s > withdrawn.at_s + _FEW_SECONDS_S
+            and sample.at_s > withdrawn.at_s + _PROPAGATION_WAIT_S
         ]
         self._check(
             f"no request with the key of {withdrawn.team} is answered after "
-            f"{_FEW_SECONDS_S:.0f} s",
+            f"{_PROPAGATION_WAIT_S:.0f} s",
             bool(late) and not any(one.answered for one in late),
             f"{sum(one.answered for one in late)} of {len(late)} answered",
         )
@@ -230,18 +236,18 @@
         states: defaultdict[str, set[str]] = defaultdict(set)
         for sample in samples:
             states[sample.request_id].add(sample.run_state)
-        untrue = sum(
+        false_refusals = sum(
             seen == {exceptions.RunState.NOT_RUN.value} and runs[one] > 0
             for one, seen in states.items()
         )
         self._check(
             "every refusal that says not-run is true",
-            untrue == 0,
-            f"{untrue} refused requests ran",
+            false_refusals == 0,
+            f"{false_refusals} refused requests ran",
         )
 
     def _check_versions(self) -> None:
-        wanted = {
+        newest_by_name = {
             name: max(
                 _number(status["versions"][name.value])
                 for status in self._statuses()
@@ -251,7 +257,7 @@
         behind = [
             status["host"]
             for status in self._statuses()
-            for name, number in wanted.items()
+            for name, number in newest_by_name.items()
             if _number(status["versions"][name.value]) < number
         ]
         decreases = sum(
@@ -291,7 +297,9 @@
         nodes = self._deployment.node_by_host
         for node in nodes.values():
             node.process.send_signal(signal.SIGTERM)
-        statuses = [node.process.wait(_STOP_S) for node in nodes.values()]
+        statuses = [
+            node.process.wait(_STOP_TIMEOUT_S) for node in nodes.values()
+        ]
         self._check(
             "all nodes stop with status 0",
             set(statuses) == {0},
--- a/src/jasminecrank/standins/_document_slopes.py
+++ b/src/jasminecrank/standins/_document_slopes.py
@@ -11,18 +11,18 @@
 from jasminecrank.standins import _slopes
 from jasminecrank.standins import _synthetic
 
-_PARTS = (0.1, 0.5, 1.0)
+_FLEET_FRACTIONS = (0.1, 0.5, 1.0)
 _TEAMS = (8, 64, 512)
 _CALLS = 200
 _ROUNDS = 5
-_RATE_PROOF_S = 100.0
+_NOW_S = 100.0
 _TABLE = state.DocumentName.TABLE
 _HOSTS = state.DocumentName.HOSTS
 
 
 def measure() -> Iterator[_slopes.Slope]:
     """Yield the slopes of documents, of a change and of teams."""
-    sizes = [_part_of_fleet(part) for part in _PARTS]
+    sizes = [_scale_fleet(fraction) for fraction in _FLEET_FRACTIONS]
     for name in (_TABLE, _HOSTS):
         documents = [_synthetic.build_documents(size)[name] for size in sizes]
         yield from _slopes.fit_figures(
@@ -34,12 +34,12 @@
     yield from _slopes.fit_figures("teams", _ROUNDS, _TEAMS, _team_figures)
 
 
-def _part_of_fleet(part: float) -> _synthetic.FleetSize:
+def _scale_fleet(fraction: float) -> _synthetic.FleetSize:
     size = _synthetic.DESIGN_SIZE
     return dataclasses.replace(
         size,
-        hosts=int(size.hosts * part),
-        services=int(size.services * part),
+        hosts=int(size.hosts * fraction),
+        services=int(size.services * fraction),
     )
 
 
@@ -177,15 +177,13 @@
         "ms",
         teams,
         _slopes.processor_ms(
-            lambda: admission.quota.apply_snapshot(
-                config.snapshot, _RATE_PROOF_S
-            )
+            lambda: admission.quota.apply_snapshot(config.snapshot, _NOW_S)
         ),
     )
 
     def admit_calls() -> None:
         for _ in range(_CALLS):
-            admission.admit(call, _RATE_PROOF_S)
+            admission.admit(call, _NOW_S)
 
     yield _slopes.Figure(
         "decision on a call",
--- a/src/jasminecrank/standins/_measures.py
+++ b/src/jasminecrank/standins/_measures.py
@@ -97,7 +97,7 @@
     in_rate = [one for one in calls if not excess or one.team != excess]
     failed = [one for one in in_rate if not one.answered]
     refused = [one for one in failed if one.result_code in _REFUSAL_CODES]
-    worst_team, worst_percent = _worst_team(in_rate)
+    worst_team, worst_percent = _find_worst_team(in_rate)
     direct = [
         sample.duration_ms
         for sample in result.samples
@@ -117,14 +117,14 @@
         processor_percent_max=use.processor_percent_max,
         served=len(in_rate) - len(failed),
         failed=len(failed),
-        failed_by_reason=_reasons(failed),
+        failed_by_reason=_count_reasons(failed),
         worst_team=worst_team,
         worst_team_answered_percent=worst_percent,
         refused_in_rate_percent=(
             100 * len(refused) / len(in_rate) if in_rate else None
         ),
-        added_p50_ms=_difference(answered, direct, 0.5),
-        added_p99_ms=_difference(answered, direct, 0.99),
+        added_p50_ms=_quantile_difference(answered, direct, 0.5),
+        added_p99_ms=_quantile_difference(answered, direct, 0.99),
         peak_memory_mb=use.peak_memory_mb_max,
         threads=use.threads_max,
         source_calls_per_s=use.source_calls_per_s,
@@ -142,14 +142,16 @@
     return cuts[min(998, int(part * 1000) - 1)]
 
 
-def _difference(
+def _quantile_difference(
     calls: Sequence[float], direct: Sequence[float], part: float
 ) -> float | None:
-    ours, theirs = quantile(calls, part), quantile(direct, part)
-    return None if ours is None or theirs is None else ours - theirs
+    call_ms, direct_ms = quantile(calls, part), quantile(direct, part)
+    return (
+        None if call_ms is None or direct_ms is None else call_ms - direct_ms
+    )
 
 
-def _worst_team(
+def _find_worst_team(
     calls: Iterable[_callers.Sample],
 ) -> tuple[str, float | None]:
     answered_by_team: defaultdict[str, list[bool]] = defaultdict(list)
@@ -166,7 +168,7 @@
     return worst, share_by_team[worst]
 
 
-def _reasons(failed: Iterable[_callers.Sample]) -> dict[str, int]:
+def _count_reasons(failed: Iterable[_callers.Sample]) -> dict[str, int]:
     counts = Counter(
         f"status {one.status}, code {one.result_code}" for one in failed
     )
@@ -181,7 +183,7 @@
     for field in dataclasses.fields(Measures):
         if field.name in ("scenario", "failed_by_reason"):
             continue
-        cells = [_cell(getattr(one, field.name)) for _, one in columns]
+        cells = [_format_cell(getattr(one, field.name)) for _, one in columns]
         yield f"{field.name:<30}" + "".join(
             f"{cell:>{width}}" for cell in cells
         )
@@ -190,7 +192,7 @@
             yield f"failed in {label}: {count} with {reason}"
 
 
-def _cell(value: object) -> str:
+def _format_cell(value: object) -> str:
     if value is None:
         return "-"
     return f"{value:.2f}" if isinstance(value, float) else str(value)
--- a/src/jasminecrank/standins/_node_slopes.py
+++ b/src/jasminecrank/standins/_node_slopes.py
@@ -102,7 +102,7 @@
         host = deployment.hosts()[0].host
         for calls_per_s in _CALLS_PER_S:
             load = _traffic.Load(
-                calls_per_s / (8 * _TEAM_RATE), _traffic.OnOneHost()
+                calls_per_s / (8 * _TEAM_RATE), _traffic.SingleHostSpread()
             )
             traffic = _traffic.Traffic.start(
                 deployment, load, _TRAFFIC_S, None
--- a/src/jasminecrank/standins/_quota_fleet.py
+++ b/src/jasminecrank/standins/_quota_fleet.py
@@ -29,9 +29,9 @@
 
     excess: float = 0.0
     at_s: float = 0.0
-    worst: float = float("-inf")
+    max_excess: float = float("-inf")
 
-    def follow(self, rate: float, burst: float, now_s: float) -> None:
+    def advance_to(self, rate: float, burst: float, now_s: float) -> None:
         """Let time pass at this rate; windows may begin at this burst."""
         elapsed_s = now_s - self.at_s
         self.at_s = now_s
@@ -40,7 +40,7 @@
     def count(self, tokens: int) -> None:
         """Count tokens taken, or put back if negative."""
         self.excess += tokens
-        self.worst = max(self.worst, self.excess)
+        self.max_excess = max(self.max_excess, self.excess)
 
 
 @dataclass(slots=True)
@@ -66,8 +66,8 @@
 
     delay_s: float = 0.001
     delay_max_s: float = 0.002
-    loss: float = 0.0
-    repeat: float = 0.0
+    loss_probability: float = 0.0
+    duplicate_probability: float = 0.0
     side_by_host: dict[str, int] = field(default_factory=dict)
 
     def connects(self, first: str, second: str) -> bool:
@@ -76,7 +76,7 @@
         return sides.get(first, 0) == sides.get(second, 0)
 
 
-_Flight = tuple[float, int, str, str, int, state.QuotaMessage]
+_Delivery = tuple[float, int, str, str, int, state.QuotaMessage]
 
 
 @dataclass(slots=True)
@@ -94,7 +94,7 @@
     sent: int = 0
     sent_by_host: Counter[str] = field(default_factory=Counter)
     size_of: Callable[[str, state.QuotaMessage], int] | None = None
-    _flights: list[_Flight] = field(default_factory=list)
+    _deliveries: list[_Delivery] = field(default_factory=list)
     _sequence: Iterable[int] = field(default_factory=itertools.count)
     _incarnation: int = 0
     _next_tick_s: float = 0.0
@@ -131,12 +131,12 @@
 
     def apply(self, host: str, snapshot: state.Snapshot) -> None:
         """Put a snapshot in force on one node."""
-        self.follow_limits()
+        self.update_audit_limits()
         node = self.by_host[host]
         node.snapshot = snapshot
         node.quota.apply_snapshot(snapshot, node.local_s(self.now_s))
         self._send_from(host)
-        self.follow_limits()
+        self.update_audit_limits()
 
     def take(self, host: str, team: str, repeated: bool = False) -> bool:
         """Take a token on a node; return whether there was one."""
@@ -150,7 +150,7 @@
         local_s = node.local_s(self.now_s)
         wait_s = node.quota.take(self.service, team, local_s, repeated)
         if wait_s is None:
-            self.follow_limits((team,))
+            self.update_audit_limits((team,))
             self.audit_by_team[team].count(1)
         self._send_from(host)
         return wait_s
@@ -175,18 +175,20 @@
         """Let true time pass; messages arrive and timers fire."""
         until_s = self.now_s + seconds
         while True:
-            flight_s = self._flights[0][0] if self._flights else math.inf
-            due_s = min(self._next_tick_s, flight_s)
+            delivery_s = (
+                self._deliveries[0][0] if self._deliveries else math.inf
+            )
+            due_s = min(self._next_tick_s, delivery_s)
             if due_s > until_s:
                 break
             self.now_s = max(self.now_s, due_s)
-            if due_s == flight_s:
+            if due_s == delivery_s:
                 self._deliver()
             else:
                 self._tick()
         self.now_s = until_s
 
-    def follow_limits(self, teams: Iterable[str] | None = None) -> None:
+    def update_audit_limits(self, teams: Iterable[str] | None = None) -> None:
         """Tell the audits the largest limits in force on any node."""
         for team in self.audit_by_team if teams is None else teams:
             limits = [
@@ -196,14 +198,15 @@
             ]
             rate = max((limit.rate for limit in limits), default=0.0)
             burst = max((limit.burst for limit in limits), default=0)
-            self.audit_by_team[team].follow(
+            self.audit_by_team[team].advance_to(
                 rate * self.clock_rate_max, burst, self.now_s
             )
 
     def worst_excess(self) -> Mapping[str, float]:
         """Return the largest excess over rate and burst by team."""
         return {
-            team: audit.worst for team, audit in self.audit_by_team.items()
+            team: audit.max_excess
+            for team, audit in self.audit_by_team.items()
         }
 
     def _tick(self) -> None:
@@ -214,8 +217,8 @@
                 self._send_from(host)
 
     def _deliver(self) -> None:
-        flight = heapq.heappop(self._flights)
-        _, _, sender, host, incarnation, message = flight
+        delivery = heapq.heappop(self._deliveries)
+        _, _, sender, host, incarnation, message = delivery
         node = self.by_host.get(host)
         if node is None or node.incarnation != incarnation:
             return
@@ -242,14 +245,16 @@
                 host, outgoing.host
             ):
                 continue
-            copies = 1 + (self.rng.random() < self.network.repeat)
+            copies = 1 + (
+                self.rng.random() < self.network.duplicate_probability
+            )
             for _ in range(copies):
-                if self.rng.random() < self.network.loss:
+                if self.rng.random() < self.network.loss_probability:
                     continue
                 delay_s = self.rng.uniform(
                     self.network.delay_s, self.network.delay_max_s
                 )
-                flight = (
+                delivery = (
                     self.now_s + delay_s,
                     next(iter(self._sequence)),
                     host,
@@ -257,4 +262,4 @@
                     target.incarnation,
                     outgoing.message,
                 )
-                heapq.heappush(self._flights, flight)
+                heapq.heappush(self._deliveries, delivery)
--- a/src/jasminecrank/standins/_scenarios.py
+++ b/src/jasminecrank/standins/_scenarios.py
@@ -7,11 +7,11 @@
 from jasminecrank.standins import _deployment
 from jasminecrank.standins import _traffic
 
-_LOAD_PART = 0.5
-_ONE_HOST_PART = 0.25
+_LOAD_FRACTION = 0.5
+_SINGLE_HOST_LOAD_FRACTION = 0.25
 _DURATION_S = 14.0
 _EXCESS_FACTOR = 5.0
-_NODE_RATE = 118.0
+_NODE_CALLS_PER_S = 118.0
 """Calls/s on one node at the size to design for."""
 
 
@@ -110,8 +110,8 @@
     """Return all scenarios for the hosts and teams of a deployment."""
     hosts = deployment.hosts()
     data_centre = hosts[0].data_centre
-    victims = (hosts[0].host, hosts[-1].host)
-    even = _traffic.Load(_LOAD_PART)
+    killed_hosts = (hosts[0].host, hosts[-1].host)
+    even = _traffic.Load(_LOAD_FRACTION)
     out = state.OutageState.OUT_OF_SERVICE
     back = state.OutageState.IN_SERVICE
     return (
@@ -134,21 +134,24 @@
         _scenario(
             "one-team-five-times",
             _traffic.Load(
-                _LOAD_PART,
-                excess_team=_middle_team(deployment),
+                _LOAD_FRACTION,
+                excess_team=_median_team(deployment),
                 excess_factor=_EXCESS_FACTOR,
             ),
             _changes(3, 6, 8),
         ),
         _scenario(
             "one-host-callers",
-            _traffic.Load(_ONE_HOST_PART, _traffic.OnOneHost()),
+            _traffic.Load(
+                _SINGLE_HOST_LOAD_FRACTION, _traffic.SingleHostSpread()
+            ),
             _changes(3, 6, 8),
         ),
         _scenario(
             "one-node-latency",
             _traffic.Load(
-                _NODE_RATE / _service_rate(deployment), _traffic.OnOneHost()
+                _NODE_CALLS_PER_S / _service_rate(deployment),
+                _traffic.SingleHostSpread(),
             ),
             _changes(3, 6, 8),
         ),
@@ -157,8 +160,8 @@
             even,
             (
                 SetSource(2, False),
-                KillNode(4, victims[0]),
-                StartNode(5, victims[0]),
+                KillNode(4, killed_hosts[0]),
+                StartNode(5, killed_hosts[0]),
                 SetSource(9, True),
                 *_changes(9.1, 10, 11),
             ),
@@ -168,10 +171,10 @@
             "node-kills",
             even,
             (
-                KillNode(3, victims[0]),
-                KillNode(5, victims[1]),
-                StartNode(6, victims[0]),
-                StartNode(8, victims[1]),
+                KillNode(3, killed_hosts[0]),
+                KillNode(5, killed_hosts[1]),
+                StartNode(6, killed_hosts[0]),
+                StartNode(8, killed_hosts[1]),
                 *_changes(4, 7, 9),
             ),
         ),
@@ -208,7 +211,7 @@
     )
 
 
-def _middle_team(deployment: _deployment.Deployment) -> str:
+def _median_team(deployment: _deployment.Deployment) -> str:
     limits = [
         row
         for row in deployment.rows_by_name[state.DocumentName.TABLE]
--- a/src/jasminecrank/standins/_slopes.py
+++ b/src/jasminecrank/standins/_slopes.py
@@ -51,7 +51,7 @@
         )
         return cls(size, figure, unit, known, fit.slope, fit.intercept)
 
-    def at(self, size: float) -> float:
+    def value_at(self, size: float) -> float:
         """Return the figure at a size, by the line."""
         return max(0.0, self.fixed + self.per_size * size)
 
--- a/src/jasminecrank/standins/_traffic.py
+++ b/src/jasminecrank/standins/_traffic.py
@@ -19,31 +19,31 @@
 _OPEN_RATE = 4.0
 _MAX_CALLS = 4000
 _START_DELAY_S = 1.0
-_FINISH_S = 30.0
+_FINISH_TIMEOUT_S = 30.0
 _LOOKUP_WEIGHT = 7
 _BOOKING_WEIGHT = 2
 _INTERNAL_WEIGHT = 1
 
 
 @dataclass(slots=True, frozen=True)
-class Evenly:
+class EvenSpread:
     """Each team's callers address every host of a service alike."""
 
 
 @dataclass(slots=True, frozen=True)
-class OnOneHost:
+class SingleHostSpread:
     """All callers address the first host of a service."""
 
 
-Spread = Evenly | OnOneHost
+Spread = EvenSpread | SingleHostSpread
 
 
 @dataclass(slots=True, frozen=True)
 class Load:
     """How much of its rate each team sends, and to which hosts."""
 
-    part_of_rate: float
-    spread: Spread = Evenly()
+    rate_fraction: float
+    spread: Spread = EvenSpread()
     excess_team: str = ""
     excess_factor: float = 1.0
     repeat_part: float = 0.0
@@ -73,15 +73,17 @@
         traffic = cls([], start_s + duration_s)
         traffic.start_s = start_s
         for index in range(_PROCESSES):
-            own = streams[index::_PROCESSES]
+            process_streams = streams[index::_PROCESSES]
             if direct_port is not None:
-                own += (_direct_stream(deployment, direct_port, index),)
+                process_streams += (
+                    _direct_stream(deployment, direct_port, index),
+                )
             plan = _callers.Plan(
                 start_s,
                 start_s + duration_s,
                 _MAX_CALLS,
                 load.repeat_part,
-                own,
+                process_streams,
             )
             traffic._processes.append(_start_process(plan))
         return traffic
@@ -91,7 +93,9 @@
         samples: list[_callers.Sample] = []
         for process in self._processes:
             remaining_s = max(0.0, self._end_s - time.monotonic())
-            output, _ = process.communicate(timeout=remaining_s + _FINISH_S)
+            output, _ = process.communicate(
+                timeout=remaining_s + _FINISH_TIMEOUT_S
+            )
             samples.extend(_callers.decode_samples(output))
         return tuple(sorted(samples, key=lambda sample: sample.at_s))
 
@@ -126,10 +130,10 @@
     for limit in table:
         if not isinstance(limit, state.LimitRow):
             continue
-        rate = limit.rate * load.part_of_rate
+        rate = limit.rate * load.rate_fraction
         if limit.team == load.excess_team:
             rate = limit.rate * load.excess_factor
-        kinds = tuple(_kinds(table, limit.service))
+        kinds = tuple(_weighted_call_kinds(table, limit.service))
         ports = ports_by_service[limit.service]
         for first, stream_rate in split_rate(load.spread, len(ports), rate):
             seed += 1
@@ -155,7 +159,7 @@
                 label=OPEN_LABEL,
                 team="",
                 key="",
-                kinds=(_kind(route),),
+                kinds=(_call_kind(route),),
                 ports=ports_by_service[route.service],
                 rate=_OPEN_RATE,
                 seed=10_000 + seed,
@@ -171,7 +175,7 @@
         label=DIRECT_LABEL,
         team="",
         key="",
-        kinds=tuple(_kinds(table, service)),
+        kinds=tuple(_weighted_call_kinds(table, service)),
         ports=(port,),
         rate=_DIRECT_RATE,
         seed=20_000 + index,
@@ -183,18 +187,18 @@
 ) -> Iterator[tuple[int, float]]:
     """Yield the first host and the rate of each stream."""
     match spread:
-        case Evenly():
-            firsts = tuple(range(hosts))
-        case OnOneHost():
-            firsts = (0,)
-    host_rate = rate / len(firsts)
+        case EvenSpread():
+            first_hosts = tuple(range(hosts))
+        case SingleHostSpread():
+            first_hosts = (0,)
+    host_rate = rate / len(first_hosts)
     streams = int(host_rate // MAX_STREAM_RATE) + 1
-    for first in firsts:
+    for first in first_hosts:
         for _ in range(streams):
             yield first, host_rate / streams
 
 
-def _kinds(
+def _weighted_call_kinds(
     table: tuple[state.Row, ...], service: str
 ) -> Iterator[_callers.CallKind]:
     for route in table:
@@ -208,10 +212,10 @@
             weight = _BOOKING_WEIGHT
         else:
             weight = _LOOKUP_WEIGHT
-        yield from [_kind(route)] * weight
+        yield from [_call_kind(route)] * weight
 
 
-def _kind(route: state.RouteRow) -> _callers.CallKind:
+def _call_kind(route: state.RouteRow) -> _callers.CallKind:
     return _callers.CallKind(
         route.method,
         route.path_prefix,
