Reword the docs of the stand-ins and measurements

Docstrings and comments of the stand-in servers, callers, scenarios, fits and measurements were in loose wording. They now say what the code does or why; reasons and figures behind constants are kept.

--- a/src/jasminecrank/standins/__init__.py
+++ b/src/jasminecrank/standins/__init__.py
@@ -1,4 +1,4 @@
-"""Small stand-ins of the platform and of backend servers, for tests."""
+"""Stand-ins for the platform and backend servers, for use in tests."""
 
 from jasminecrank.standins._backend_server import (
     BackendServerSettings as BackendServerSettings,
--- a/src/jasminecrank/standins/_backend_server.py
+++ b/src/jasminecrank/standins/_backend_server.py
@@ -1,4 +1,4 @@
-"""Stand-in of a backend server with slots, cold start and a run count."""
+"""Stand-in backend server with slots, cold start and run counts."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BackendServerSettings:
-    """What the stand-in can take."""
+    """Listening address, capacity and service time of the stand-in."""
 
     address: str
     port: int
@@ -30,7 +30,7 @@
 
 
 class BackendServerStandIn:
-    """Answers calls and records what a real server would suffer from."""
+    """Answers calls and records overloads, duplicate runs and leaked keys."""
 
     def __init__(self, settings: BackendServerSettings) -> None:
         self._settings = settings
@@ -51,7 +51,7 @@
         )
 
     def start(self) -> int:
-        """Begin to serve and return the bound port."""
+        """Start serving on a background thread and return the bound port."""
         self._server.prepare()
         threading.Thread(
             target=self._server.serve, name="backend", daemon=True
@@ -60,17 +60,20 @@
         return port
 
     def stop(self) -> None:
-        """Stop serving."""
+        """Shut the HTTP server down."""
         self._server.stop()
 
     def restart_cold_start(self) -> None:
-        """Return to cold start without warning."""
+        """Begin a new cold start, as a restarted server would."""
         with self._condition:
             self._started_s = time.monotonic()
             self._started_at_ms = time.time_ns() // 1_000_000
 
     def concurrency_limit(self) -> int:
-        """Return how many calls the server can run now."""
+        """Return how many concurrent calls the server can run now.
+
+        The limit rises linearly from cold_slots to slots during the ramp.
+        """
         settings = self._settings
         warm_fraction = 1.0
         if settings.ramp_s > 0:
--- a/src/jasminecrank/standins/_callers.py
+++ b/src/jasminecrank/standins/_callers.py
@@ -1,7 +1,7 @@
-"""A process of callers: paced calls over kept connections.
+"""Load generator process: paced calls over persistent connections.
 
-Run as a module, it reads one JSON plan from standard input and writes one
-JSON list of samples to standard output.
+Run as a module, it reads a JSON plan from standard input and writes a JSON
+list of samples to standard output.
 """
 
 from collections.abc import Iterator
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallKind:
-    """One kind of call that a stream repeats."""
+    """Method and path prefix of the calls that a stream sends."""
 
     method: str
     path_prefix: str
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Stream:
-    """Calls of one team, paced at a rate, to an ordered list of ports."""
+    """Calls of one team at a given rate; ports are in order of preference."""
 
     label: str
     team: str
@@ -54,7 +54,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Plan:
-    """What one process of callers does between two monotonic times."""
+    """Streams that one process sends between two monotonic times."""
 
     start_s: float
     end_s: float
@@ -65,7 +65,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Sample:
-    """One call and its final result."""
+    """Timing and final result of one call."""
 
     label: str
     team: str
@@ -81,19 +81,19 @@
 
     @property
     def answered(self) -> bool:
-        """Return whether the caller got the backend server's answer."""
+        """Return whether the call was answered with status 200."""
         return self.status == _HTTP_OK
 
 
 def uuid7(now_ms: int) -> str:
-    """Return a UUIDv7, which the standard library here does not have."""
+    """Return a UUIDv7, which this version of the standard library lacks."""
     value = now_ms << 80 | 0x7 << 76 | secrets.randbits(12) << 64
     value |= 0b10 << 62 | secrets.randbits(62)
     return str(uuid.UUID(int=value))
 
 
 class Caller:
-    """Owns the connections of one stream and sends its calls in order."""
+    """Sends the calls of one stream in order over its own connections."""
 
     __slots__ = ("_by_port", "_plan", "_random", "_stream", "samples")
 
@@ -105,7 +105,7 @@
         self.samples: list[Sample] = []
 
     def run(self) -> list[Sample]:
-        """Send calls at exponential gaps until the end or the count."""
+        """Send calls at exponential intervals until end_s or max_calls."""
         waiting = threading.Event()
         due_s = self._plan.start_s
         while len(self.samples) < self._plan.max_calls:
@@ -137,8 +137,8 @@
             or self._random.random() < self._plan.repeat_part
         )
         if repeats:
-            # The same request id lets the backend server count a second
-            # run of the booking.
+            # The backend server detects a duplicate run of the booking by the
+            # same request id.
             repeat = self._send(kind, headers, request_id)
             self.samples.append(
                 dataclasses.replace(repeat, label=f"{repeat.label} repeat")
@@ -209,7 +209,7 @@
 
 
 def run_plan(plan: Plan) -> Iterator[Sample]:
-    """Run every stream on a thread of its own and yield all samples."""
+    """Run each stream on a separate thread and yield all samples."""
     with futures.ThreadPoolExecutor(max(1, len(plan.streams))) as executor:
         callers = [Caller(plan, stream) for stream in plan.streams]
         for samples in executor.map(Caller.run, callers):
@@ -217,12 +217,12 @@
 
 
 def encode_plan(plan: Plan) -> str:
-    """Return the JSON text of a plan."""
+    """Encode a plan as JSON."""
     return json.dumps(dataclasses.asdict(plan))
 
 
 def decode_plan(text: str) -> Plan:
-    """Return the plan of a JSON text written by encode_plan."""
+    """Decode a plan from the JSON that encode_plan returns."""
     values = json.loads(text)
     streams = tuple(_decode_stream(item) for item in values.pop("streams"))
     return Plan(**values, streams=streams)
@@ -235,13 +235,14 @@
 
 
 def decode_samples(text: str) -> tuple[Sample, ...]:
-    """Return the samples that a process of callers has written."""
+    """Decode the samples from the output of a caller process."""
     return tuple(Sample(*values) for values in json.loads(text))
 
 
 def main() -> None:
-    """Run the plan of standard input."""
-    # The default of 0.005 would add up to 5 ms to the callers' own times.
+    """Run the plan from standard input and write the samples as JSON."""
+    # The default interval of 0.005 s would add up to 5 ms to the latencies
+    # that the callers measure.
     sys.setswitchinterval(0.0005)
     plan = decode_plan(sys.stdin.read())
     samples = [dataclasses.astuple(sample) for sample in run_plan(plan)]
--- a/src/jasminecrank/standins/_document_slopes.py
+++ b/src/jasminecrank/standins/_document_slopes.py
@@ -1,4 +1,4 @@
-"""What documents and decisions cost by their size, in this process."""
+"""Cost of documents and decisions by size, measured in this process."""
 
 from collections.abc import Iterator
 import dataclasses
@@ -21,7 +21,7 @@
 
 
 def measure() -> Iterator[_slopes.Slope]:
-    """Yield the slopes of documents, of a change and of teams."""
+    """Yield the slopes by document rows, by total rows and by teams."""
     sizes = [_scale_fleet(fraction) for fraction in _FLEET_FRACTIONS]
     for name in (_TABLE, _HOSTS):
         documents = [_synthetic.build_documents(size)[name] for size in sizes]
--- a/src/jasminecrank/standins/_measures.py
+++ b/src/jasminecrank/standins/_measures.py
@@ -1,4 +1,4 @@
-"""The measures of a run, as one row of a table."""
+"""Summary of the measurements of a scenario run."""
 
 from collections import Counter
 from collections import defaultdict
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Measures:
-    """One row: what the brief asks to be measured of one scenario."""
+    """Measurements of one scenario; the field names are printed."""
 
     scenario: str
     convergence_p50_ms: float | None
@@ -56,7 +56,7 @@
 def measure(
     directory: pathlib.Path, scenario_name: str, node_python_path: str
 ) -> Measures:
-    """Start a deployment, run one scenario and return its measures."""
+    """Start a deployment, run a scenario and return its measurements."""
     with (
         tempfile.TemporaryDirectory() as work,
         _deployment.Deployment.from_directory(
@@ -86,7 +86,10 @@
 def summarise(
     scenario: _scenarios.Scenario, result: _run.RunResult
 ) -> Measures:
-    """Return the measures of a run."""
+    """Compute the measurements of a finished run.
+
+    A team that exceeds its rate by design does not count as in rate.
+    """
     excess = scenario.load.excess_team if scenario.load else ""
     calls = [
         sample
@@ -133,7 +136,7 @@
 
 
 def quantile(values: Sequence[float], part: float) -> float | None:
-    """Return the value below which a part of the values lies."""
+    """Return an interpolated quantile, or None without values."""
     if not values:
         return None
     if len(values) == 1:
@@ -176,7 +179,7 @@
 
 
 def format_table(columns: Sequence[tuple[str, Measures]]) -> Iterator[str]:
-    """Yield the lines of a table with one column for each run."""
+    """Yield the lines of a plain-text table with a column for each run."""
     heads = [f"{label}" for label, _ in columns]
     width = max(12, *(len(head) for head in heads)) + 2
     yield f"{'measure':<30}" + "".join(f"{head:>{width}}" for head in heads)
--- a/src/jasminecrank/standins/_node_slopes.py
+++ b/src/jasminecrank/standins/_node_slopes.py
@@ -1,4 +1,4 @@
-"""What real node processes use by peers, calls and changes."""
+"""Resource usage of node processes by peers, calls and changes."""
 
 from collections.abc import Iterator
 import pathlib
@@ -34,7 +34,7 @@
 
 
 class _Fleet:
-    """A running synthetic deployment that has settled."""
+    """Context manager of a synthetic deployment in a steady state."""
 
     def __init__(self, nodes: int, data_centres: int) -> None:
         self._work = tempfile.TemporaryDirectory()
--- a/src/jasminecrank/standins/_platform.py
+++ b/src/jasminecrank/standins/_platform.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's read-and-watch configuration service."""
+"""Stand-in for the platform's configuration service: read and watch."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -18,7 +18,7 @@
 
 
 class PlatformStandIn:
-    """Serves published documents; nothing can be written through it."""
+    """Serves published documents over a read-only HTTP interface."""
 
     def __init__(self, address: str, port: int, threads: int) -> None:
         self._condition = threading.Condition()
@@ -34,7 +34,7 @@
         )
 
     def start(self) -> int:
-        """Begin to serve and return the bound port."""
+        """Start serving on a background thread and return the bound port."""
         self._server.prepare()
         threading.Thread(
             target=self._server.serve, name="platform", daemon=True
@@ -43,12 +43,12 @@
         return port
 
     def stop(self) -> None:
-        """Stop serving and release waiting watches."""
+        """Stop serving and end pending watches."""
         self.set_available(False)
         self._server.stop()
 
     def publish(self, document: state.Document) -> None:
-        """Publish a document, as the platform's operators do."""
+        """Publish a document in the form that the platform serves."""
         self.publish_bytes(
             document.name,
             document.version.number,
@@ -58,7 +58,7 @@
     def publish_bytes(
         self, name: state.DocumentName, number: int, payload: bytes
     ) -> None:
-        """Publish a payload as it is, which may be invalid."""
+        """Publish a payload without validation."""
         with self._condition:
             self._by_name[name] = payload
             self._number_by_name[name] = number
@@ -74,7 +74,7 @@
                 self.publish_bytes(name, number, payload)
 
     def set_available(self, available: bool) -> None:
-        """Begin or end an outage of the service."""
+        """Start or end an outage; requests get status 503 during one."""
         with self._condition:
             self._available = available
             self._condition.notify_all()
--- a/src/jasminecrank/standins/_readings.py
+++ b/src/jasminecrank/standins/_readings.py
@@ -1,4 +1,4 @@
-"""Readings of what a node process has used, and their differences."""
+"""Resource usage of node processes, from their metrics and /proc."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Reading:
-    """What one node process has used since it started."""
+    """Cumulative resource usage of a node process since its start."""
 
     at_s: float
     process_id: int
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Usage:
-    """What the nodes of a deployment used in a window, per second."""
+    """Resource usage of the nodes of a deployment between two readings."""
 
     nodes: int
     processor_percent_median: float
@@ -47,7 +47,7 @@
 def read_nodes(
     deployment: _deployment.Deployment,
 ) -> dict[str, Reading]:
-    """Return a reading of every node that answers."""
+    """Return a reading by host, leaving out nodes that do not answer."""
     by_host = {}
     for host, node in deployment.node_by_host.items():
         reading = _read(node)
@@ -59,7 +59,10 @@
 def usage(
     before: Mapping[str, Reading], after: Mapping[str, Reading]
 ) -> Usage:
-    """Return the use between two readings of the same processes."""
+    """Return the usage between two readings.
+
+    The rates leave out hosts whose process was restarted in between.
+    """
     pairs = [
         (before[host], reading)
         for host, reading in after.items()
--- a/src/jasminecrank/standins/_run.py
+++ b/src/jasminecrank/standins/_run.py
@@ -1,4 +1,4 @@
-"""Runs one scenario against a running deployment."""
+"""Run a scenario against a running deployment."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -21,7 +21,7 @@
 from jasminecrank.standins import _scenarios
 from jasminecrank.standins import _traffic
 
-# A started node generates no tokens for one loan time.
+# A node generates no tokens for one loan duration after its start.
 _WARM_UP_S = 3.0
 _READY_S = 30.0
 _SETTLE_S = 3.0
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Change:
-    """A published version and the hosts that can learn of it."""
+    """A published version and the hosts that were reachable at that time."""
 
     document: state.DocumentName
     number: int
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Audit:
-    """What the backend servers and the nodes have found wrong."""
+    """Faults that the backend servers and the nodes have counted."""
 
     booked_twice: int
     overloads: int
@@ -50,7 +50,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RunResult:
-    """What one run of a scenario has shown."""
+    """Samples, resource usage, convergence and faults of a run."""
 
     samples: tuple[_callers.Sample, ...]
     usage: _readings.Usage
@@ -60,7 +60,7 @@
 
 
 class ScenarioRun:
-    """Owns the callers and the course of one scenario."""
+    """Runs the traffic and the actions of one scenario."""
 
     def __init__(
         self,
@@ -76,7 +76,7 @@
         self._weight = 0
 
     def run(self) -> RunResult:
-        """Run the scenario and return what it has shown."""
+        """Run the scenario once and collect its results."""
         deployment = self._deployment
         hosts = deployment.publish_hosts(deployment.hosts())
         ready = deployment.await_versions(hosts, _READY_S)
@@ -198,7 +198,7 @@
         )
 
     def _convergence(self) -> tuple[tuple[float, ...], int]:
-        """Return each delay from publication to force, and the missing."""
+        """Return the delays until nodes accepted, and the number missing."""
         delays: list[float] = []
         missing = 0
         accepted_by_host = {
@@ -223,7 +223,7 @@
 def change_weight(
     rows: tuple[state.Row, ...], weight: int
 ) -> tuple[state.Row, ...]:
-    """Return a table in which the first limit has another weight."""
+    """Return the rows with the weight of the first limit replaced."""
     index, limit = next(
         (index, row)
         for index, row in enumerate(rows)
@@ -234,7 +234,7 @@
 
 
 def runs_by_request(deployment: _deployment.Deployment) -> Counter[str]:
-    """Return how often each request ran on all backend servers together."""
+    """Return the number of runs by request id over all backend servers."""
     runs: Counter[str] = Counter()
     for host in deployment.server_by_host:
         runs.update(deployment.runs(host))
@@ -242,7 +242,7 @@
 
 
 def audit(deployment: _deployment.Deployment, bookings: set[str]) -> Audit:
-    """Return what backend servers and nodes have found wrong."""
+    """Collect the faults counted by the backend servers and the nodes."""
     audits = [deployment.audit(host) for host in deployment.server_by_host]
     runs = runs_by_request(deployment)
     statuses = [deployment.status(host) for host in deployment.node_by_host]
@@ -261,7 +261,7 @@
 def _accepted(
     node: _deployment.NodeProcess,
 ) -> tuple[tuple[str, int, int], ...]:
-    """Return document, number and time of each version a node accepted."""
+    """Return document, number and time of each accepted version."""
     events: list[dict[str, typing.Any]] = []
     with contextlib.suppress(urllib3.exceptions.HTTPError, ValueError):
         response = urllib3.request(
--- a/src/jasminecrank/standins/_scenarios.py
+++ b/src/jasminecrank/standins/_scenarios.py
@@ -1,4 +1,4 @@
-"""Scenarios of measures: traffic and what happens to the deployment."""
+"""Measurement scenarios: traffic and scheduled faults and changes."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -12,26 +12,26 @@
 _DURATION_S = 14.0
 _EXCESS_FACTOR = 5.0
 _NODE_CALLS_PER_S = 118.0
-"""Calls/s on one node at the size to design for."""
+"""Calls/s on one node at the design size."""
 
 
 @dataclass(slots=True, frozen=True)
 class PublishChange:
-    """Accept a table with another weight."""
+    """Publish a valid table in which one weight differs."""
 
     at_s: float
 
 
 @dataclass(slots=True, frozen=True)
 class PublishInvalid:
-    """Publish a table that every node has to refuse."""
+    """Publish a table that every node must reject."""
 
     at_s: float
 
 
 @dataclass(slots=True, frozen=True)
 class SetOutage:
-    """Take a data centre out of service, or back in."""
+    """Take a data centre out of service or return it to service."""
 
     at_s: float
     data_centre: str
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True, frozen=True)
 class KillNode:
-    """End a node without notice."""
+    """Kill a node process with SIGKILL."""
 
     at_s: float
     host: str
@@ -48,7 +48,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StartNode:
-    """Start a killed node again on its ports."""
+    """Restart a killed node on the same ports."""
 
     at_s: float
     host: str
@@ -56,7 +56,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PauseNodes:
-    """Stop the nodes of a data centre from running, as a long pause does."""
+    """Suspend the nodes of a data centre with SIGSTOP, like a long pause."""
 
     at_s: float
     data_centre: str
@@ -64,7 +64,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ResumeNodes:
-    """Let the paused nodes of a data centre run again."""
+    """Resume the suspended nodes of a data centre with SIGCONT."""
 
     at_s: float
     data_centre: str
@@ -72,7 +72,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SetSource:
-    """Begin or end an outage of the configuration service."""
+    """Start or end an outage of the configuration service."""
 
     at_s: float
     available: bool
@@ -92,10 +92,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Scenario:
-    """Traffic for a time, and actions at times since its start.
+    """Traffic of a given duration and actions at offsets from its start.
 
-    Actions after the duration run when traffic has ended and the use of
-    the nodes has been read.
+    Actions later than the duration run after the traffic has ended and the
+    resource usage of the nodes has been read.
     """
 
     name: str
@@ -107,7 +107,7 @@
 def build_scenarios(
     deployment: _deployment.Deployment,
 ) -> tuple[Scenario, ...]:
-    """Return all scenarios for the hosts and teams of a deployment."""
+    """Build all scenarios for the hosts and teams of a deployment."""
     hosts = deployment.hosts()
     data_centre = hosts[0].data_centre
     killed_hosts = (hosts[0].host, hosts[-1].host)
@@ -202,7 +202,7 @@
 
 
 def _service_rate(deployment: _deployment.Deployment) -> float:
-    """Return the rate of all teams together at the first service."""
+    """Return the sum of the team rates of the first service."""
     service = deployment.hosts()[0].service
     return sum(
         row.rate
--- a/src/jasminecrank/standins/_slopes.py
+++ b/src/jasminecrank/standins/_slopes.py
@@ -1,4 +1,4 @@
-"""Slopes: a figure measured at several sizes, fitted by a line."""
+"""Linear fits of figures that are measured at several sizes."""
 
 from collections import defaultdict
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Figure:
-    """One measured value at one size."""
+    """A value measured at one size."""
 
     name: str
     unit: str
@@ -27,7 +27,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Slope:
-    """What one more unit of a size costs, and what is spent at size zero."""
+    """Linear fit of a figure: cost per unit of size and fixed cost."""
 
     size: str
     figure: str
@@ -44,7 +44,7 @@
         unit: str,
         points: Iterable[tuple[float, float]],
     ) -> "Slope":
-        """Return the least-squares line through at least three points."""
+        """Fit a least-squares line to at least three points."""
         known = tuple(points)
         fit = statistics.linear_regression(
             [x for x, _ in known], [y for _, y in known]
@@ -52,12 +52,12 @@
         return cls(size, figure, unit, known, fit.slope, fit.intercept)
 
     def value_at(self, size: float) -> float:
-        """Return the figure at a size, by the line."""
+        """Return the fitted value at a size, at least 0."""
         return max(0.0, self.fixed + self.per_size * size)
 
 
 def processor_ms(work: Callable[[], object]) -> float:
-    """Return the median processor time of some work on this thread."""
+    """Return the median processor time of a callable on this thread."""
     times_s = []
     for _ in range(_REPEATS):
         started_s = time.thread_time()
@@ -72,10 +72,10 @@
     sizes: Iterable[SizeT],
     figures: Callable[[SizeT], Iterable[Figure]],
 ) -> Iterator[Slope]:
-    """Yield a slope for each figure, from the medians of several rounds.
+    """Yield the slope of each figure, fitted to medians over several rounds.
 
-    Each round measures every size, because the machine's speed changes
-    within seconds.
+    Each round measures every size, because the speed of a shared machine
+    varies within seconds.
     """
     ordered = tuple(sizes)
     values: defaultdict[tuple[str, str, int], list[Figure]] = defaultdict(list)
@@ -93,7 +93,7 @@
 
 
 def format_slopes(slopes: Iterable[Slope]) -> Iterator[str]:
-    """Yield the lines of a table of slopes."""
+    """Yield the lines of a plain-text table of slopes."""
     yield (
         f"{'size':<22} {'figure':<34} {'unit':<10} "
         f"{'per size':>12} {'fixed':>12}  points"
--- a/src/jasminecrank/standins/_synthetic.py
+++ b/src/jasminecrank/standins/_synthetic.py
@@ -1,4 +1,4 @@
-"""Documents of any size, in the proportions of the size to design for."""
+"""Synthetic documents of any size, in proportion to the design size."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True, frozen=True)
 class FleetSize:
-    """How many of everything a fleet has."""
+    """Number of hosts, services, teams, data centres and regions."""
 
     hosts: int
     services: int
@@ -30,7 +30,7 @@
 def build_rows(
     size: FleetSize,
 ) -> Mapping[state.DocumentName, tuple[state.Row, ...]]:
-    """Return the rows of all documents of a fleet."""
+    """Build the rows of all documents of a synthetic fleet."""
     services = [f"service-{number:03}" for number in range(size.services)]
     teams = [f"team-{number:03}" for number in range(size.teams)]
     table: list[state.Row] = []
@@ -61,19 +61,19 @@
 
 
 def key_of(team: str) -> str:
-    """Return the tenant key of a team of a synthetic fleet."""
+    """Return the key of a team of a synthetic fleet."""
     return f"synthetic-key-{team}"
 
 
 def build_files(size: FleetSize) -> operators.TableFiles:
-    """Return the rows in the form in which a deployment takes them."""
+    """Build table files without problems, as a deployment expects them."""
     return operators.TableFiles(build_rows(size), ())
 
 
 def build_documents(
     size: FleetSize,
 ) -> Mapping[state.DocumentName, state.Document]:
-    """Return the first version of all documents of a fleet."""
+    """Build version 1 of all documents of a synthetic fleet."""
     return {
         name: encode_document(name, 1, rows)
         for name, rows in build_rows(size).items()
@@ -83,7 +83,7 @@
 def encode_document(
     name: state.DocumentName, number: int, rows: tuple[state.Row, ...]
 ) -> state.Document:
-    """Return rows as a version of a document."""
+    """Build a version of a document from its rows."""
     by_key = {state.row_key(row): state.encode_row(row) for row in rows}
     return state.build_document(name, number, by_key)
 
--- a/src/jasminecrank/standins/_traffic.py
+++ b/src/jasminecrank/standins/_traffic.py
@@ -1,4 +1,4 @@
-"""Traffic of all teams: streams from a table, sent by caller processes."""
+"""Traffic of all teams, derived from the table, in caller processes."""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -27,12 +27,12 @@
 
 @dataclass(slots=True, frozen=True)
 class EvenSpread:
-    """Each team's callers address every host of a service alike."""
+    """The calls of each team are split equally over the hosts of a service."""
 
 
 @dataclass(slots=True, frozen=True)
 class SingleHostSpread:
-    """All callers address the first host of a service."""
+    """All calls go to the first host of a service."""
 
 
 Spread = EvenSpread | SingleHostSpread
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Load:
-    """How much of its rate each team sends, and to which hosts."""
+    """Fraction of its rate that each team sends, and the choice of hosts."""
 
     rate_fraction: float
     spread: Spread = EvenSpread()
@@ -50,7 +50,7 @@
 
 
 class Traffic:
-    """Owns the caller processes of one run."""
+    """Starts and stops the caller processes of one run."""
 
     def __init__(
         self, processes: list[subprocess.Popen[str]], end_s: float
@@ -67,7 +67,7 @@
         duration_s: float,
         direct_port: int | None,
     ) -> "Traffic":
-        """Start callers for a bounded time."""
+        """Start the caller processes, which send calls for duration_s."""
         streams = tuple(_streams(deployment, load))
         start_s = time.monotonic() + _START_DELAY_S
         traffic = cls([], start_s + duration_s)
@@ -89,7 +89,7 @@
         return traffic
 
     def finish(self) -> tuple[_callers.Sample, ...]:
-        """Wait for the callers to stop by themselves; return all samples."""
+        """Wait until the callers exit and return all samples by start time."""
         samples: list[_callers.Sample] = []
         for process in self._processes:
             remaining_s = max(0.0, self._end_s - time.monotonic())
@@ -100,7 +100,7 @@
         return tuple(sorted(samples, key=lambda sample: sample.at_s))
 
     def stop(self) -> None:
-        """End callers that are still running."""
+        """Kill the caller processes that are still running."""
         for process in self._processes:
             if process.poll() is None:
                 process.kill()
@@ -185,7 +185,7 @@
 def split_rate(
     spread: Spread, hosts: int, rate: float
 ) -> Iterator[tuple[int, float]]:
-    """Yield the first host and the rate of each stream."""
+    """Yield the index of the first host and the rate of each stream."""
     match spread:
         case EvenSpread():
             first_hosts = tuple(range(hosts))
@@ -226,7 +226,7 @@
 def call_ports(
     deployment: _deployment.Deployment,
 ) -> dict[str, tuple[int, ...]]:
-    """Return the call ports of each service's hosts, in list order."""
+    """Return the call ports by service, in the order of the host list."""
     by_service: dict[str, tuple[int, ...]] = {}
     for row in deployment.hosts():
         port = deployment.node_by_host[row.host].call_port
