Reword the docs of the deployment, capacity and scripts

Docstrings and comments of the deployment, the demonstration, the quota simulation, the capacity figures and the scripts were in loose wording. They now use the usual terms; figures and reasons are kept. The text of docs/CAPACITY.md and everything that is printed stays.

--- a/script/compare_quotas.py
+++ b/script/compare_quotas.py
@@ -28,14 +28,14 @@
 
 @dataclass(slots=True)
 class Bucket:
-    """A whole quota in one place."""
+    """Ideal token bucket with the whole quota of a team."""
 
     limit: state.LimitRow
     tokens: float
     at_s: float
 
     def take(self, now_s):
-        """Take a token if there is one."""
+        """Take a token and return whether one was available."""
         minted = (now_s - self.at_s) * self.limit.rate
         self.tokens = min(self.limit.burst, self.tokens + minted)
         self.at_s = now_s
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class Count:
-    """Requests inside rate and burst, and those of them refused."""
+    """Number of requests within rate and burst, answered and refused."""
 
     above_rate: bool
     inside: int = 0
@@ -56,19 +56,19 @@
 
     @property
     def refused(self):
-        """Return the wrongful refusals."""
+        """Return the number of wrongful refusals."""
         if self.above_rate:
             return max(0, self.inside - self.answered)
         return self.refused_inside
 
     def refused_fraction(self):
-        """Return the refused part."""
+        """Return the fraction of requests that were wrongly refused."""
         return self.refused / self.inside if self.inside else 0.0
 
 
 @dataclass(slots=True)
 class Run:
-    """One service under one policy in one scenario."""
+    """Simulation of one service with one policy in one scenario."""
 
     scenario: str
     fleet: standins.QuotaFleet
@@ -120,7 +120,7 @@
                 )
 
     def offer(self, team, host, at_s, requested_s, inside):
-        """Offer a request to a node; return when it is to try again."""
+        """Offer a request to a node; return the time of a retry, or None."""
         repeated = host is not None
         if host is None or host not in self.fleet.by_host:
             host = self.pick_host(team)
@@ -144,7 +144,7 @@
         return self.options.load * rate
 
     def excess_team(self):
-        """Return the team that exceeds its rate: the first large one."""
+        """Return the team that exceeds its rate: the one with the highest."""
         by_rate = sorted(
             self.bucket_by_team,
             key=lambda team: (-self.bucket_by_team[team].limit.rate, team),
@@ -159,7 +159,7 @@
         return self.rng.choice(self.hosts)
 
     def fault(self, number):
-        """Begin (1) or end (2) what the scenario is named after."""
+        """Begin (1) or end (2) the fault of the scenario."""
         if self.scenario == "host lost" and number == 1:
             self.fleet.stop(self.hosts.pop())
         if self.scenario == "partition":
@@ -169,7 +169,7 @@
 
 
 def frame_bytes(host, message):
-    """Return the size of a message as a frame of a peer link."""
+    """Return the size of a message as encoded for a peer link."""
     match message:
         case state.LoanRequest():
             peer_message = coordination.LoanRequestMessage(message)
@@ -183,7 +183,7 @@
 
 
 def snapshot_of(example):
-    """Return the snapshot that the table files of an example define."""
+    """Return the snapshot from the table files of an example."""
     files = operators.TableFiles.from_directory(ROOT / "examples" / example)
     rows = [row for rows in files.rows_by_name.values() for row in rows]
     versions = state.VersionVector(
--- a/script/measure_admission.py
+++ b/script/measure_admission.py
@@ -1,6 +1,7 @@
-"""Measure the cost of one admit and finish, in microseconds.
+"""Measure the time of one admit and finish, in microseconds.
 
-The runs are bounded in count; quote the median of runs taken side by side.
+The number of rounds is fixed. To compare versions, run them side by side and
+quote the median.
 """
 
 import statistics
@@ -45,7 +46,7 @@
 
 
 def run(admission: state.AdmissionState, start_s: float) -> float:
-    """Return the mean cost of one call over one round."""
+    """Return the mean time of a call over one round."""
     started_s = time.perf_counter()
     for index in range(CALLS):
         now_s = start_s + index * 0.001
@@ -55,12 +56,12 @@
 
 
 def main() -> None:
-    """Print the median and the least cost."""
+    """Print the median and the minimum time."""
     admission = state.AdmissionState.from_host("ledger-1", 0.0)
     versions = state.VersionVector(VERSION, VERSION, VERSION, VERSION)
     admission.apply_snapshot(state.Snapshot.from_rows(versions, ROWS), 0.0)
     admission.set_ready(True, 0.0)
-    # The only host owns its share once a loan time has passed.
+    # The only host can use its share after one loan duration.
     admission.quota.tick(0.0)
     admission.quota.tick(5.0)
     run(admission, 10.0)
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -1,4 +1,4 @@
-"""Size and processor time of the messages and decisions of the mesh node."""
+"""Measure message sizes and processor times of the mesh node."""
 
 from collections.abc import Callable
 import random
@@ -24,12 +24,12 @@
 
 
 def make_load(number: int) -> state.ServerLoad:
-    """Return a usual load."""
+    """Return a typical load report of a server."""
     return state.ServerLoad(f"i-{number:010x}", 7, 0, 12, 0.09, 0.01, True)
 
 
 def make_messages() -> dict[str, coordination.PeerMessage]:
-    """Return one message of each frequent kind."""
+    """Return one message of each frequent type."""
     headers = (
         (b"Host", b"ficu95.example"),
         (b"Request-Id", b"9c41d07be2a35f68"),
@@ -67,7 +67,7 @@
 
 
 def make_placement() -> tuple[state.Placement, list[state.BackendServer]]:
-    """Return a placement that knows the loads of some servers."""
+    """Return a placement with the recorded loads of its servers."""
     placement = state.Placement("10.9.9.9", "a", random.Random(1))
     servers = []
     for number in range(SERVERS):
@@ -90,7 +90,7 @@
 
 
 def main() -> None:
-    """Print a table of sizes and times."""
+    """Print tables of message sizes and processor times."""
     print("| message | bytes | encode us | decode us |\n|---|---|---|---|")
     for name, message in make_messages().items():
         frame = protocol.encode(message)
--- a/script/run_capacity.py
+++ b/script/run_capacity.py
@@ -36,7 +36,7 @@
     from_json
         Take the slopes of an earlier run instead of measuring.
     """
-    # A killed process would leave its deployments running.
+    # Without this handler SIGTERM would leave the deployments running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     if from_json is not None:
         slopes = [
--- a/script/run_demo.py
+++ b/script/run_demo.py
@@ -14,14 +14,14 @@
 
 
 def show(check: _demo.Check) -> None:
-    """Print a check."""
+    """Print the result of a check immediately."""
     mark = "ok    " if check.held else "FAILED"
     print(f"{mark} {check.name} ({check.detail})", flush=True)
 
 
 def main() -> int:
-    """Return 0 if every check held."""
-    # Without handlers these signals would leave the deployment running.
+    """Run the demonstration; return 0 if every check passed."""
+    # Without these handlers the signals would leave the deployment running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     signal.signal(signal.SIGALRM, signal.default_int_handler)
     signal.alarm(TIME_LIMIT_S)
--- a/script/run_measure.py
+++ b/script/run_measure.py
@@ -61,7 +61,7 @@
     directory = ROOT / "examples" / deployment
     if not directory.is_dir():
         raise SystemExit(f"--deployment: {deployment!r} is not in examples")
-    # A killed process would leave its deployment running.
+    # Without this handler SIGTERM would leave the deployment running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     names = (scenario,) if scenario else SCENARIOS
     written = []
@@ -83,7 +83,7 @@
 
 @contextlib.contextmanager
 def earlier_commit(reference: str | None) -> Iterator[str | None]:
-    """Check a commit out beside this tree and yield its package path."""
+    """Check out a commit in a temporary work tree; yield its src path."""
     if reference is None:
         yield None
         return
--- a/src/jasminecrank/standins/_capacity.py
+++ b/src/jasminecrank/standins/_capacity.py
@@ -1,4 +1,4 @@
-"""Figures of each role at the size to design for, worked out from slopes."""
+"""Capacity of each role at the design size, computed from slopes."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -21,21 +21,21 @@
 _DAY_S = 86_400
 _WATCH_RENEWAL_S = 25
 _HOST_CHANGES_PER_RESTART = 2
-"""A host shows as leaving and then as live."""
+"""The host list shows the host first as leaving and then as live."""
 
 _RACK_HOSTS = 44
 _RACK_LOSS_S = 60
 _DATA_CENTRE_LOSS_S = 300
 _SOURCE_RETRY_S = 6.0
-"""The mean of the back-off at its limit, 4 to 8 s."""
+"""Mean of the retry back-off at its maximum, 4 to 8 s."""
 
 _START_CALLS = 5
-"""One watch that answers at once, and four documents."""
+"""One watch, which is answered immediately, and four documents."""
 
 
 @dataclass(slots=True, frozen=True)
 class Role:
-    """What a node does beside its own calls, and the links it keeps."""
+    """Tasks of a node in addition to its own calls, and its links."""
 
     name: str
     links: int
@@ -48,7 +48,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RoleFigures:
-    """What a role uses on an ordinary day."""
+    """Resource usage of a role on an ordinary day."""
 
     role: Role
     control_bytes_per_s: float
@@ -59,7 +59,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SourceLoad:
-    """The calls of the configuration service in one situation."""
+    """Load on the configuration service in one situation."""
 
     situation: str
     pending_watches: int
@@ -68,7 +68,7 @@
 
 
 class Capacity:
-    """Works figures out from slopes that were measured together."""
+    """Computes capacity figures from slopes measured in the same run."""
 
     def __init__(self, slopes: Iterable[_slopes.Slope]) -> None:
         self._slopes = tuple(slopes)
@@ -83,7 +83,7 @@
         self.watchers = size.data_centres * const.WATCHERS_PER_DATA_CENTRE
 
     def slope(self, size: str, figure: str) -> _slopes.Slope:
-        """Return the slope whose size and figure begin like this."""
+        """Return the first slope whose size and figure have these prefixes."""
         return next(
             one
             for one in self._slopes
@@ -91,20 +91,20 @@
         )
 
     def host_changes_per_s(self) -> float:
-        """Return the versions of the host list per second."""
+        """Return the number of host list versions per second."""
         hosts = FAILED_HOSTS_PER_DAY + RESTARTS_PER_DAY
         return _HOST_CHANGES_PER_RESTART * hosts / _DAY_S
 
     def table_changes_per_s(self) -> float:
-        """Return the versions of the table per second."""
+        """Return the number of table versions per second."""
         return TABLE_CHANGES_PER_DAY / _DAY_S
 
     def changes_per_s(self) -> float:
-        """Return the versions of all documents per second."""
+        """Return the number of table and host list versions per second."""
         return self.table_changes_per_s() + self.host_changes_per_s()
 
     def roles(self) -> tuple[Role, ...]:
-        """Return the roles with their links by the design page."""
+        """Return the roles with the number of links from the design page."""
         size = _synthetic.DESIGN_SIZE
         service = math.ceil(self.service_hosts)
         leaf = 2 + service
@@ -161,7 +161,7 @@
         )
 
     def figures(self, role: Role) -> RoleFigures:
-        """Return what a role uses on an ordinary day."""
+        """Compute the resource usage of a role on an ordinary day."""
         change_bytes = self.slope("changes/s", "control bytes, median")
         peers = self.slope("changes/s", "control bytes, median").size
         measured_peers = float(peers.split()[1])
@@ -194,23 +194,23 @@
         )
 
     def published_bytes(self) -> float:
-        """Return the bytes of table and host list in published form."""
+        """Return the size of the table and host list in published form."""
         return self._table_bytes() + self._hosts_bytes()
 
     def source_bytes_per_s(self) -> float:
-        """Return what a watcher reads when every change is a document."""
+        """Return the read rate of a watcher that fetches whole documents."""
         return (
             self.table_changes_per_s() * self._table_bytes()
             + self.host_changes_per_s() * self._hosts_bytes()
         )
 
     def split_source_bytes_per_s(self) -> float:
-        """Return what it would read if a value held one service only."""
+        """Return the read rate if each value held only one service."""
         services = _synthetic.DESIGN_SIZE.services
         return self.source_bytes_per_s() / services
 
     def convergence_s(self) -> float:
-        """Return the processor time on the longest path of one change."""
+        """Return the processor time on the longest path of a change."""
         levels = math.ceil(
             math.log(self.data_centre_hosts, const.TREE_FAN_OUT)
         )
@@ -223,7 +223,7 @@
         return (decode_ms + (levels + 2) * offer_ms) / 1000
 
     def source_loads(self) -> Iterator[SourceLoad]:
-        """Yield the calls of the source in each situation."""
+        """Yield the load on the configuration service in each situation."""
         size = _synthetic.DESIGN_SIZE
         renewals = self.watchers / _WATCH_RENEWAL_S
         yield SourceLoad(
--- a/src/jasminecrank/standins/_capacity_page.py
+++ b/src/jasminecrank/standins/_capacity_page.py
@@ -1,4 +1,4 @@
-"""The text of docs/CAPACITY.md."""
+"""Generator of the page docs/CAPACITY.md."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -107,7 +107,7 @@
 
 
 def write_page(slopes: Iterable[_slopes.Slope]) -> Iterator[str]:
-    """Yield the lines of the page."""
+    """Yield the page in Markdown, in blocks of one or more lines."""
     measured = tuple(slopes)
     capacity = _capacity.Capacity(measured)
     yield _INTRODUCTION.format(
--- a/src/jasminecrank/standins/_demo.py
+++ b/src/jasminecrank/standins/_demo.py
@@ -1,4 +1,4 @@
-"""The demonstration: the main job of the system, with every check made."""
+"""Demonstration of the main functions, with a check of each result."""
 
 from collections import defaultdict
 from collections.abc import Callable
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Check:
-    """One statement about the run and whether it held."""
+    """Name, result and details of one check of the run."""
 
     name: str
     held: bool
@@ -43,7 +43,7 @@
 
 
 class Demo:
-    """Owns the course of the demonstration on a running deployment."""
+    """Runs the steps and checks on a running deployment."""
 
     def __init__(
         self,
@@ -56,7 +56,7 @@
         self.checks: list[Check] = []
 
     def run(self) -> bool:
-        """Run everything and return whether every check held."""
+        """Run all steps and return whether every check passed."""
         deployment = self._deployment
         document = deployment.publish_hosts(deployment.hosts())
         self._check_in_force("all nodes are ready", document, _READY_TIMEOUT_S)
@@ -342,7 +342,7 @@
             try:
                 values = json.loads(line)
             except ValueError:
-                # A traceback on standard error is no JSON line.
+                # A traceback on standard error is not in JSON.
                 values = {"message": line}
             yield values
 
--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -1,4 +1,4 @@
-"""A whole deployment on loopback: stand-ins and real node processes."""
+"""Deployment on loopback of stand-ins and real node processes."""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True)
 class ServerProcess:
-    """A stand-in backend server."""
+    """Process and port of a stand-in backend server."""
 
     process: subprocess.Popen[str]
     port: int
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True)
 class NodeProcess:
-    """A node and the ports it has bound."""
+    """Process, log file and bound ports of a node."""
 
     process: subprocess.Popen[str]
     log_path: pathlib.Path
@@ -50,7 +50,7 @@
 
 
 class Deployment:
-    """Owns the processes of one deployment and publishes its documents."""
+    """Starts and stops the processes and publishes the documents."""
 
     def __init__(
         self, files: operators.TableFiles, work: pathlib.Path
@@ -79,10 +79,10 @@
         ramp_s: float = 0.0,
         node_python_path: str = "",
     ) -> Iterator["Deployment"]:
-        """Start everything, and stop it at the end.
+        """Start a deployment from table files and stop it on exit.
 
-        A node_python_path makes the nodes run the package found there,
-        which may be that of an earlier commit.
+        With node_python_path the nodes import the package from that path,
+        for example the package of an earlier commit.
         """
         files = operators.TableFiles.from_directory(directory)
         with cls.from_files(
@@ -106,7 +106,7 @@
         ramp_s: float = 0.0,
         node_python_path: str = "",
     ) -> Iterator["Deployment"]:
-        """Start everything that table files name, and stop it at the end."""
+        """Start a deployment from parsed table files and stop it on exit."""
         if files.problems:
             raise exceptions.TableError(str(files.problems[0]))
         deployment = cls(files, work)
@@ -119,12 +119,15 @@
             deployment.stop()
 
     def hosts(self) -> tuple[state.HostRow, ...]:
-        """Return the rows of the host list as published now."""
+        """Return the rows of the current host list."""
         rows = self.rows_by_name[state.DocumentName.HOSTS]
         return tuple(row for row in rows if isinstance(row, state.HostRow))
 
     def start(self, service_time_ms: float, ramp_s: float) -> None:
-        """Start stand-ins and nodes and publish all documents."""
+        """Start the stand-ins and nodes and publish all documents.
+
+        The host list comes last because it holds the bound ports.
+        """
         self.platform_port = self.platform.start()
         for name in state.DocumentName:
             if name is not state.DocumentName.HOSTS:
@@ -141,7 +144,7 @@
         self.publish_hosts(hosts)
 
     def stop(self) -> None:
-        """Stop every process that this deployment started."""
+        """Terminate all processes; kill those that exceed the timeout."""
         processes = [node.process for node in self.node_by_host.values()]
         processes += [one.process for one in self.server_by_host.values()]
         for process in processes:
@@ -161,7 +164,7 @@
     def publish(
         self, name: state.DocumentName, rows: tuple[state.Row, ...]
     ) -> state.Document:
-        """Accept rows as the next version of a document."""
+        """Publish rows as the next version of a document."""
         self.rows_by_name[name] = rows
         self._numbers[name] += 1
         by_key = {state.row_key(row): state.encode_row(row) for row in rows}
@@ -170,7 +173,7 @@
         return document
 
     def publish_hosts(self, rows: tuple[state.HostRow, ...]) -> state.Document:
-        """Publish the host list with the ports that are bound now."""
+        """Publish the host list with the currently bound ports."""
         bound = []
         for row in rows:
             node = self.node_by_host[row.host]
@@ -186,7 +189,7 @@
         return self.publish(state.DocumentName.HOSTS, tuple(bound))
 
     def publish_invalid_table(self) -> int:
-        """Publish a table whose limits name services it does not have."""
+        """Publish a table whose limits refer to missing services."""
         name = state.DocumentName.TABLE
         self._numbers[name] += 1
         by_key = {
@@ -200,7 +203,7 @@
         return self._numbers[name]
 
     def restart_node(self, host: str) -> None:
-        """Start a node again on the ports it had."""
+        """Wait for a node to exit and restart it on the same ports."""
         old = self.node_by_host[host]
         old.process.wait(_STOP_TIMEOUT_S)
         row = next(row for row in self.hosts() if row.host == host)
@@ -210,7 +213,7 @@
     def spawn_node(
         self, row: state.HostRow, ports: NodeProcess | None = None
     ) -> NodeProcess:
-        """Start the node process of a host, without waiting for it."""
+        """Start the node process of a host without waiting for its ports."""
         log_path = self._work / f"{row.host}.log"
         arguments = [
             "node",
@@ -247,24 +250,27 @@
         return NodeProcess(process, log_path, offset, 0, 0, 0)
 
     def status(self, host: str) -> Mapping[str, typing.Any] | None:
-        """Return what a node's admin endpoint shows."""
+        """Return the status of a node, or None if it does not answer."""
         node = self.node_by_host[host]
         return _get_json(f"http://127.0.0.1:{node.admin_port}/status")
 
     def audit(self, host: str) -> Mapping[str, typing.Any]:
-        """Return what a backend server has recorded."""
+        """Return the counters that a stand-in backend server has recorded."""
         port = self.server_by_host[host].port
         return _get_json(f"http://127.0.0.1:{port}/audit") or {}
 
     def runs(self, host: str) -> Mapping[str, int]:
-        """Return how often a backend server has run each request."""
+        """Return the number of runs by request id on a backend server."""
         port = self.server_by_host[host].port
         return _get_json(f"http://127.0.0.1:{port}/runs") or {}
 
     def await_versions(
         self, document: state.Document, timeout_s: float
     ) -> dict[str, float]:
-        """Return for each host the seconds until a version is in force."""
+        """Wait for a version; return the seconds until it took effect by host.
+
+        Hosts that miss the timeout are left out.
+        """
         started_s = time.monotonic()
         waiting = set(self.node_by_host)
         by_host: dict[str, float] = {}
@@ -281,7 +287,7 @@
         return by_host
 
     def await_quotas(self, timeout_s: float) -> set[str]:
-        """Wait for the loan time after a start; return who is not done."""
+        """Wait until quotas are usable; return hosts that miss the timeout."""
         deadline_s = time.monotonic() + timeout_s
         waiting = set(self.node_by_host)
         while waiting and time.monotonic() < deadline_s:
@@ -292,12 +298,12 @@
         return waiting
 
     def _reserve_ports(self) -> tuple[int, ...]:
-        """Return ports that a node can bind now and after a restart.
+        """Reserve ports that a node can bind now and after a restart.
 
-        A port of a killed node stays unusable for a minute unless its
-        listener had SO_REUSEADDR, which cheroot sets only on a port that it
-        is given. Bound sockets that do not listen keep the ports from
-        others meanwhile.
+        The port of a killed node cannot be bound for a minute unless its
+        listener had SO_REUSEADDR, which cheroot sets only if the port is
+        given explicitly. Bound sockets that do not listen keep other
+        processes from using the ports in the meantime.
         """
         ports = []
         for _ in range(_PORTS_PER_NODE):
@@ -311,7 +317,7 @@
     def start_server(
         self, row: state.HostRow, service_time_ms: float, ramp_s: float
     ) -> ServerProcess:
-        """Start a stand-in with the slots of a host's service."""
+        """Start a stand-in backend server with the slots of its service."""
         service = next(
             candidate
             for candidate in self.rows_by_name[state.DocumentName.TABLE]
--- a/src/jasminecrank/standins/_quota_fleet.py
+++ b/src/jasminecrank/standins/_quota_fleet.py
@@ -1,7 +1,7 @@
-"""A seeded model of the hosts of one service that share quotas.
+"""Seeded simulation of the hosts of one service that share quotas.
 
-No sockets and no threads: the states of the nodes, a network that delays,
-loses and repeats messages, and clocks that differ.
+It uses no sockets and no threads. It simulates the quota state of the nodes,
+a network that delays, loses and duplicates messages, and clocks that differ.
 """
 
 from collections import Counter
@@ -21,10 +21,10 @@
 
 @dataclass(slots=True)
 class WindowAudit:
-    """The largest excess over rate and burst of any window so far.
+    """Tracks the largest excess over rate and burst in any time window.
 
-    Negative while every window from a to b has fewer tokens than the burst
-    at a and the rate from a to b allow.
+    max_excess is negative while every window from a to b uses fewer tokens
+    than the burst at a and the rate from a to b allow.
     """
 
     excess: float = 0.0
@@ -32,20 +32,20 @@
     max_excess: float = float("-inf")
 
     def advance_to(self, rate: float, burst: float, now_s: float) -> None:
-        """Let time pass at this rate; windows may begin at this burst."""
+        """Advance to a time at a rate; new windows start with the burst."""
         elapsed_s = now_s - self.at_s
         self.at_s = now_s
         self.excess = max(self.excess - elapsed_s * rate, -burst)
 
     def count(self, tokens: int) -> None:
-        """Count tokens taken, or put back if negative."""
+        """Add taken tokens, or refunded tokens if negative."""
         self.excess += tokens
         self.max_excess = max(self.max_excess, self.excess)
 
 
 @dataclass(slots=True)
 class FleetNode:
-    """One node: its state, its clock and what waits while it is paused."""
+    """State and clock of a node and the messages queued during a pause."""
 
     quota: state.QuotaState
     clock_offset_s: float
@@ -56,13 +56,13 @@
     waiting: list[tuple[str, state.QuotaMessage]] = field(default_factory=list)
 
     def local_s(self, now_s: float) -> float:
-        """Return the node's own monotonic time."""
+        """Convert simulation time to the monotonic clock of the node."""
         return self.clock_offset_s + now_s * self.clock_rate
 
 
 @dataclass(slots=True)
 class Network:
-    """How messages between nodes fare."""
+    """Delay, loss, duplication and partitions of messages."""
 
     delay_s: float = 0.001
     delay_max_s: float = 0.002
@@ -71,7 +71,7 @@
     side_by_host: dict[str, int] = field(default_factory=dict)
 
     def connects(self, first: str, second: str) -> bool:
-        """Return whether no partition lies between two hosts."""
+        """Return whether two hosts are on the same side of a partition."""
         sides = self.side_by_host
         return sides.get(first, 0) == sides.get(second, 0)
 
@@ -81,7 +81,7 @@
 
 @dataclass(slots=True)
 class QuotaFleet:
-    """Nodes of one service on one true time line."""
+    """Simulated nodes of one service on a common time line."""
 
     service: str
     policy: state.QuotaPolicy
@@ -106,7 +106,7 @@
         clock_offset_s: float = 0.0,
         clock_rate: float = 1.0,
     ) -> None:
-        """Start the process of a host, or start it again."""
+        """Start or restart the node of a host."""
         self._incarnation += 1
         self.clock_rate_max = max(self.clock_rate_max, clock_rate)
         local_s = clock_offset_s + self.now_s * clock_rate
@@ -124,13 +124,13 @@
                 other.quota.peer_up(host, other.local_s(self.now_s))
 
     def stop(self, host: str) -> None:
-        """End the process of a host at once."""
+        """Stop the node of a host; its peers see the link go down."""
         del self.by_host[host]
         for node in self.by_host.values():
             node.quota.peer_down(host)
 
     def apply(self, host: str, snapshot: state.Snapshot) -> None:
-        """Put a snapshot in force on one node."""
+        """Apply a configuration snapshot on one node."""
         self.update_audit_limits()
         node = self.by_host[host]
         node.snapshot = snapshot
@@ -139,13 +139,13 @@
         self.update_audit_limits()
 
     def take(self, host: str, team: str, repeated: bool = False) -> bool:
-        """Take a token on a node; return whether there was one."""
+        """Take a token on a node; return whether one was available."""
         return self.try_take(host, team, repeated) is None
 
     def try_take(
         self, host: str, team: str, repeated: bool = False
     ) -> float | None:
-        """Take a token on a node; return None or the wait it was told."""
+        """Take a token; return None, or the suggested wait in seconds."""
         node = self.by_host[host]
         local_s = node.local_s(self.now_s)
         wait_s = node.quota.take(self.service, team, local_s, repeated)
@@ -156,13 +156,13 @@
         return wait_s
 
     def refund(self, host: str, team: str) -> None:
-        """Put a token back on the node that gave it."""
+        """Return a token to the node that granted it."""
         node = self.by_host[host]
         node.quota.refund(self.service, team, node.local_s(self.now_s))
         self.audit_by_team[team].count(-1)
 
     def resume(self, host: str, team: str, calls: int) -> None:
-        """Let a paused process go on: first with calls, then messages."""
+        """Resume a paused node, which handles calls before queued messages."""
         node = self.by_host[host]
         node.paused = False
         for _ in range(calls):
@@ -172,7 +172,7 @@
             self._receive(host, sender, message)
 
     def advance(self, seconds: float) -> None:
-        """Let true time pass; messages arrive and timers fire."""
+        """Advance the simulation; deliver messages and run timers on time."""
         until_s = self.now_s + seconds
         while True:
             delivery_s = (
@@ -189,7 +189,7 @@
         self.now_s = until_s
 
     def update_audit_limits(self, teams: Iterable[str] | None = None) -> None:
-        """Tell the audits the largest limits in force on any node."""
+        """Update the audits with the largest limits in force on any node."""
         for team in self.audit_by_team if teams is None else teams:
             limits = [
                 node.snapshot.by_limit[self.service, team]
@@ -203,7 +203,7 @@
             )
 
     def worst_excess(self) -> Mapping[str, float]:
-        """Return the largest excess over rate and burst by team."""
+        """Return the largest excess over rate and burst, by team."""
         return {
             team: audit.max_excess
             for team, audit in self.audit_by_team.items()
