Reword slopes.feature, its steps and the scripts

The titles and two steps of slopes.feature and the comments of the scripts were in loose wording, and measure_latency called a caller a load. They now use the usual terms. Rows, figures and assertions are unchanged.

No behaviour changes.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,4 @@
-"""Set-up shared by all features."""
+"""Settings and hooks of behave for all features."""
 
 import os
 
@@ -10,7 +10,7 @@
 
 
 def after_scenario(context, scenario):
-    """Close what a scenario left open."""
+    """Close the resources that the scenario has opened."""
     del scenario
     stack = getattr(context, "exit_stack", None)
     if stack is not None:
--- a/features/standins/slopes.feature
+++ b/features/standins/slopes.feature
@@ -1,11 +1,11 @@
-Feature: Figures of measures
+Feature: Calculations of the measurements
 
   Guards against a wrong fit or quantile, which would put wrong figures on
-  the capacity page without any other sign.
+  the capacity page without any other symptom.
 
-  Scenario Outline: A line through points
+  Scenario Outline: Fit a line to points
     Given the points <points>
-    Then the slope is <slope> with <fixed> at size zero
+    Then the fitted slope is <slope> with an intercept of <fixed>
 
     Examples:
       | points              | slope | fixed |
@@ -13,7 +13,7 @@
       | 10:4, 20:4, 30:4    | 0.0   | 4.0   |
       | 0:0, 1:1, 2:0, 3:1  | 0.2   | 0.2   |
 
-  Scenario Outline: A quantile
+  Scenario Outline: Compute a quantile
     Then the quantile <part> of <values> is <result>
 
     Examples:
@@ -22,10 +22,10 @@
       | 1, 2, 3, 4, 5   | 0.5  | 3      |
       | 0, 100          | 0.99 | 99     |
 
-  Scenario: A plan survives its encoding
-    Then a plan of callers is the same after encoding and decoding
+  Scenario: Encode and decode a caller plan
+    Then a caller plan is unchanged after encoding and decoding
 
-  Scenario Outline: The table's teams keep their rates in the streams
+  Scenario Outline: Split the rate of a team into streams
     Then traffic split over <hosts> hosts <spread> at <rate> calls/s keeps its rate on <used> hosts
 
     Examples:
--- a/features/steps/measure_steps.py
+++ b/features/steps/measure_steps.py
@@ -1,4 +1,4 @@
-"""Steps on metrics, slopes and the plans of callers."""
+"""Steps for metrics, linear fits and caller plans."""
 
 import pathlib
 import re
@@ -22,7 +22,9 @@
     port = context.deployment.node_by_host[host].admin_port
     response = urllib3.request("GET", f"http://127.0.0.1:{port}/metrics")
     families = parser.text_string_to_metric_families(response.data.decode())
-    context.samples = [one for family in families for one in family.samples]
+    context.samples = [
+        sample for family in families for sample in family.samples
+    ]
 
 
 @then("docs/metrics.md lists every jasminecrank metric and no other")
@@ -58,7 +60,7 @@
     )
 
 
-@then("the slope is {slope:f} with {fixed:f} at size zero")
+@then("the fitted slope is {slope:f} with an intercept of {fixed:f}")
 def step_slope(context, slope, fixed):
     assert abs(context.slope.per_size - slope) < 1e-9, context.slope
     assert abs(context.slope.value_at(0) - fixed) < 1e-9, context.slope
@@ -66,11 +68,11 @@
 
 @then("the quantile {part:f} of {values} is {result:d}")
 def step_quantile(context, part, values, result):
-    known = [float(value) for value in values.split(",")]
-    assert abs(_measures.quantile(known, part) - result) < 0.2
+    numbers = [float(value) for value in values.split(",")]
+    assert abs(_measures.quantile(numbers, part) - result) < 0.2
 
 
-@then("a plan of callers is the same after encoding and decoding")
+@then("a caller plan is unchanged after encoding and decoding")
 def step_plan(context):
     kind = _callers.CallKind("GET", "/lots", False)
     stream = _callers.Stream("lots", "team", "key", (kind,), (1, 2), 2.5, 7)
--- a/script/measure_latency.py
+++ b/script/measure_latency.py
@@ -40,8 +40,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Load:
-    """One caller's connection and the latencies it saw."""
+class PacedCaller:
+    """Connection of one caller and its measured latencies."""
 
     port: int
     start_s: float
@@ -51,7 +51,7 @@
     failures: int = 0
 
     def run(self) -> None:
-        """Send the calls at their due times."""
+        """Send the calls at their scheduled times."""
         connection = http.client.HTTPConnection(
             "127.0.0.1", self.port, timeout=5
         )
@@ -76,12 +76,12 @@
         connection.close()
 
 
-def run_load(arguments: argparse.Namespace, port: int) -> list[float]:
-    """Send one round of calls and return the latencies."""
+def run_callers(arguments: argparse.Namespace, port: int) -> list[float]:
+    """Send one round of calls and return the sorted latencies."""
     period_s = arguments.connections / arguments.rate
     started_s = time.monotonic() + 0.05
-    loads = [
-        Load(
+    callers = [
+        PacedCaller(
             port,
             started_s + number / arguments.rate,
             period_s,
@@ -89,23 +89,23 @@
         )
         for number in range(arguments.connections)
     ]
-    threads = [threading.Thread(target=load.run) for load in loads]
+    threads = [threading.Thread(target=caller.run) for caller in callers]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    if any(load.failures for load in loads):
+    if any(caller.failures for caller in callers):
         raise SystemExit("a call was not answered with 200")
-    return sorted(ms for load in loads for ms in load.latencies_ms)
+    return sorted(ms for caller in callers for ms in caller.latencies_ms)
 
 
 def quantile(ordered: list[float], part: float) -> float:
-    """Return a quantile of an ordered list."""
+    """Return a quantile of a sorted list."""
     return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
 
 
 def processor_s(process_id: int) -> float:
-    """Return the processor time that a process has used."""
+    """Return the processor time used by a process so far."""
     stat = pathlib.Path(f"/proc/{process_id}/stat").read_text()
     fields = stat.rpartition(")")[2].split()
     ticks = int(fields[11]) + int(fields[12])
@@ -130,7 +130,7 @@
         seen = {}
         for name in names:
             before_s = processor_s(node)
-            seen[name] = run_load(arguments, ports[name])
+            seen[name] = run_callers(arguments, ports[name])
             if name == "one_hop":
                 busy_s.append(processor_s(node) - before_s)
         rounds.append(seen)
--- a/script/run_features.py
+++ b/script/run_features.py
@@ -1,8 +1,8 @@
 """Run the behave features and count the scenarios.
 
 Scenarios listed in KNOWN-RED.txt may fail; they are printed and do not
-change the exit status. One that is listed but passes fails the run, so that
-the list stays true.
+affect the exit status. A listed scenario that passes fails the run, so that
+the list stays up to date.
 """
 
 import json
@@ -15,7 +15,7 @@
 
 
 def known_red() -> set[str]:
-    """Return the scenario names of KNOWN-RED.txt."""
+    """Return the scenario names listed in KNOWN-RED.txt."""
     path = ROOT / "KNOWN-RED.txt"
     if not path.exists():
         return set()
@@ -73,8 +73,8 @@
             print(f"KNOWN RED {name}")
     for name in stale:
         print(f"LISTED IN KNOWN-RED.txt BUT PASSING {name}")
-    good = sum(ok for _, ok in results)
-    print(f"{good} passed, {len(results) - good} failed")
+    passed_count = sum(ok for _, ok in results)
+    print(f"{passed_count} passed, {len(results) - passed_count} failed")
     return 0 if results and not unexpected and not stale else 1
 
 
--- a/script/run_soak.py
+++ b/script/run_soak.py
@@ -18,7 +18,7 @@
 
 
 def find_machines() -> Iterator[type[stateful.RuleBasedStateMachine]]:
-    """Yield the classes named *Machine of the features' steps."""
+    """Yield the state machine classes named *Machine in the steps."""
     sys.path[:0] = [str(STEPS), str(ROOT)]
     for path in sorted(STEPS.glob("*.py")):
         if "Machine" not in path.read_text():
@@ -37,7 +37,7 @@
 def run_machine(
     machine: type[stateful.RuleBasedStateMachine], seed: int, steps: int
 ) -> bool:
-    """Run one machine; return whether it found no fault."""
+    """Run one state machine; return whether it passed."""
     settings = hypothesis.settings(
         max_examples=max(1, steps // STEPS_PER_EXAMPLE),
         stateful_step_count=STEPS_PER_EXAMPLE,
--- a/src/jasminecrank/standins/_deployment.py
+++ b/src/jasminecrank/standins/_deployment.py
@@ -340,7 +340,7 @@
             text=True,
         )
         if process.stdout is None:
-            raise exceptions.JasminecrankError("stand-in without output")
+            raise exceptions.JasminecrankError("stand-in has no output pipe")
         line = process.stdout.readline()
         return ServerProcess(process, int(json.loads(line)["port"]))
 
