--- a/script/compare_quotas.py
+++ b/script/compare_quotas.py
@@ -28,14 +28,14 @@
 
 @dataclass(slots=True)
 class Bucket:
-    """A whole quota in one place."""
+    """Ideal token bucket with the whole quota of a team."""
 
     limit: state.LimitRow
     tokens: float
     at_s: float
 
     def take(self, now_s):
-        """Take a token if there is one."""
+        """Take a token and return whether one was available."""
         minted = (now_s - self.at_s) * self.limit.rate
         self.tokens = min(self.limit.burst, self.tokens + minted)
         self.at_s = now_s
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class Count:
-    """Requests inside rate and burst, and those of them refused."""
+    """Number of requests within rate and burst, answered and refused."""
 
     above_rate: bool
     inside: int = 0
@@ -56,19 +56,19 @@
 
     @property
     def refused(self):
-        """Return the wrongful refusals."""
+        """Return the number of wrongful refusals."""
         if self.above_rate:
             return max(0, self.inside - self.answered)
         return self.refused_inside
 
-    def part(self):
-        """Return the refused part."""
+    def refused_fraction(self):
+        """Return the fraction of requests that were wrongly refused."""
         return self.refused / self.inside if self.inside else 0.0
 
 
 @dataclass(slots=True)
 class Run:
-    """One service under one policy in one scenario."""
+    """Simulation of one service with one policy in one scenario."""
 
     scenario: str
     fleet: standins.QuotaFleet
@@ -96,7 +96,7 @@
         faults = [(begin_s + third_s, 1), (begin_s + 2 * third_s, 2)]
         sequence = len(heap)
         while heap:
-            at_s, _, team, host, asked_s, inside = heapq.heappop(heap)
+            at_s, _, team, host, requested_s, inside = heapq.heappop(heap)
             if faults and at_s >= faults[0][0]:
                 self.fault(faults.pop(0)[1])
             fleet.advance(max(0.0, at_s - fleet.now_s))
@@ -109,28 +109,29 @@
                     )
                 inside = self.bucket_by_team[team].take(at_s)
                 self.count_by_team[team].inside += inside
-                asked_s = at_s
-            retry_s = self.offer(team, host, at_s, asked_s, inside)
+                requested_s = at_s
+            retry_s = self.offer(team, host, at_s, requested_s, inside)
             if retry_s is not None:
                 sequence += 1
                 target = host or self.last_host
                 heapq.heappush(
-                    heap, (retry_s, sequence, team, target, asked_s, inside)
+                    heap,
+                    (retry_s, sequence, team, target, requested_s, inside),
                 )
 
-    def offer(self, team, host, at_s, asked_s, inside):
-        """Offer a request to a node; return when it is to try again."""
+    def offer(self, team, host, at_s, requested_s, inside):
+        """Offer a request to a node; return the time of a retry, or None."""
         repeated = host is not None
         if host is None or host not in self.fleet.by_host:
             host = self.pick_host(team)
         self.last_host = host
         wait_s = self.fleet.try_take(host, team, repeated)
         if wait_s is None:
-            self.waits_s.append(at_s - asked_s)
+            self.waits_s.append(at_s - requested_s)
             self.count_by_team[team].answered += 1
             return None
         retry_s = at_s + max(wait_s, 0.0005)
-        if retry_s - asked_s <= self.options.wait_ms / 1000:
+        if retry_s - requested_s <= self.options.wait_ms / 1000:
             return retry_s
         self.count_by_team[team].refused_inside += inside
         return None
@@ -138,12 +139,12 @@
     def rate(self, team):
         """Return the requests per second that a team sends."""
         rate = self.bucket_by_team[team].limit.rate
-        if self.scenario == "five times" and team == self.loud_team():
+        if self.scenario == "five times" and team == self.excess_team():
             return 5.0 * rate
         return self.options.load * rate
 
-    def loud_team(self):
-        """Return the team that exceeds its rate: the first large one."""
+    def excess_team(self):
+        """Return the team that exceeds its rate: the one with the highest."""
         by_rate = sorted(
             self.bucket_by_team,
             key=lambda team: (-self.bucket_by_team[team].limit.rate, team),
@@ -158,7 +159,7 @@
         return self.rng.choice(self.hosts)
 
     def fault(self, number):
-        """Begin (1) or end (2) what the scenario is named after."""
+        """Begin (1) or end (2) the fault of the scenario."""
         if self.scenario == "host lost" and number == 1:
             self.fleet.stop(self.hosts.pop())
         if self.scenario == "partition":
@@ -168,7 +169,7 @@
 
 
 def frame_bytes(host, message):
-    """Return the size of a message as a frame of a peer link."""
+    """Return the size of a message as encoded for a peer link."""
     match message:
         case state.LoanRequest():
             peer_message = coordination.LoanRequestMessage(message)
@@ -182,7 +183,7 @@
 
 
 def snapshot_of(example):
-    """Return the snapshot that the table files of an example define."""
+    """Return the snapshot from the table files of an example."""
     files = operators.TableFiles.from_directory(ROOT / "examples" / example)
     rows = [row for rows in files.rows_by_name.values() for row in rows]
     versions = state.VersionVector(
@@ -205,8 +206,8 @@
             run.bucket_by_team[team] = Bucket(limit, limit.burst, 0.0)
             fleet.audit_by_team[team] = standins.WindowAudit()
     for team in run.bucket_by_team:
-        loud = scenario == "five times" and team == run.loud_team()
-        run.count_by_team[team] = Count(loud)
+        above_rate = scenario == "five times" and team == run.excess_team()
+        run.count_by_team[team] = Count(above_rate)
     for host in snapshot.hosts_by_service[service]:
         fleet.start(host.host, snapshot)
         run.hosts.append(host.host)
@@ -219,7 +220,9 @@
     inside = sum(c.inside for r in runs for c in r.count_by_team.values())
     refused = sum(c.refused for r in runs for c in r.count_by_team.values())
     worst = min(
-        1.0 - count.part() for r in runs for count in r.count_by_team.values()
+        1.0 - count.refused_fraction()
+        for r in runs
+        for count in r.count_by_team.values()
     )
     excess = max(
         max(r.fleet.worst_excess().values(), default=0.0) for r in runs
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -1,4 +1,4 @@
-"""Size and processor time of the messages and decisions of the mesh node."""
+"""Measure message sizes and processor times of the mesh node."""
 
 from collections.abc import Callable
 import random
@@ -16,20 +16,20 @@
     """Return the median processor time of an action in microseconds."""
     samples = []
     for _ in range(9):
-        begun_ns = time.process_time_ns()
+        started_ns = time.process_time_ns()
         for _ in range(ROUNDS):
             action()
-        samples.append((time.process_time_ns() - begun_ns) / ROUNDS / 1000)
+        samples.append((time.process_time_ns() - started_ns) / ROUNDS / 1000)
     return sorted(samples)[len(samples) // 2]
 
 
 def make_load(number: int) -> state.ServerLoad:
-    """Return a usual load."""
+    """Return a typical load report of a server."""
     return state.ServerLoad(f"i-{number:010x}", 7, 0, 12, 0.09, 0.01, True)
 
 
 def make_messages() -> dict[str, coordination.PeerMessage]:
-    """Return one message of each frequent kind."""
+    """Return one message of each frequent type."""
     headers = (
         (b"Host", b"ficu95.example"),
         (b"Request-Id", b"9c41d07be2a35f68"),
@@ -67,7 +67,7 @@
 
 
 def make_placement() -> tuple[state.Placement, list[state.BackendServer]]:
-    """Return a placement that knows the loads of some servers."""
+    """Return a placement with the recorded loads of its servers."""
     placement = state.Placement("10.9.9.9", "a", random.Random(1))
     servers = []
     for number in range(SERVERS):
@@ -90,7 +90,7 @@
 
 
 def main() -> None:
-    """Print a table of sizes and times."""
+    """Print tables of message sizes and processor times."""
     print("| message | bytes | encode us | decode us |\n|---|---|---|---|")
     for name, message in make_messages().items():
         frame = protocol.encode(message)
@@ -100,12 +100,14 @@
         print(f"| {name} | {len(frame)} | {encode_us:.1f} | {decode_us:.1f} |")
     placement, servers = make_placement()
     place_us = measure_us(lambda: placement.choose(servers, (), 0.1))
-    gate = state.AdmissionController(slots=12, health=state.ServerHealth.UP)
-    ticket = state.AdmissionRequest(1, 1, 1, "r", 9.0, 9.0)
+    admission = state.AdmissionController(
+        slots=12, health=state.ServerHealth.UP
+    )
+    request = state.AdmissionRequest(1, 1, 1, "r", 9.0, 9.0)
 
     def admit() -> None:
-        gate.submit(ticket, 0.0)
-        gate.record_completion("r", 0.09, False, 0.0)
+        admission.submit(request, 0.0)
+        admission.record_completion("r", 0.09, False, 0.0)
 
     print("\n| decision | us |\n|---|---|")
     print(f"| placement among {SERVERS} servers | {place_us:.1f} |")
--- a/src/jasminecrank/standins/_backend_server.py
+++ b/src/jasminecrank/standins/_backend_server.py
@@ -1,4 +1,4 @@
-"""Stand-in of a backend server with slots, cold start and a run count."""
+"""Stand-in backend server with slots, cold start and run counts."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BackendServerSettings:
-    """What the stand-in can take."""
+    """Listening address, capacity and service time of the stand-in."""
 
     address: str
     port: int
@@ -30,7 +30,7 @@
 
 
 class BackendServerStandIn:
-    """Answers calls and records what a real server would suffer from."""
+    """Answers calls and records overloads, duplicate runs and leaked keys."""
 
     def __init__(self, settings: BackendServerSettings) -> None:
         self._settings = settings
@@ -51,7 +51,7 @@
         )
 
     def start(self) -> int:
-        """Begin to serve and return the bound port."""
+        """Start serving on a background thread and return the bound port."""
         self._server.prepare()
         threading.Thread(
             target=self._server.serve, name="backend", daemon=True
@@ -60,24 +60,27 @@
         return port
 
     def stop(self) -> None:
-        """Stop serving."""
+        """Shut the HTTP server down."""
         self._server.stop()
 
-    def fall_cold(self) -> None:
-        """Return to cold start without warning."""
+    def restart_cold_start(self) -> None:
+        """Begin a new cold start, as a restarted server would."""
         with self._condition:
             self._started_s = time.monotonic()
             self._started_at_ms = time.time_ns() // 1_000_000
 
-    def bearable(self) -> int:
-        """Return how many calls the server can run now."""
+    def concurrency_limit(self) -> int:
+        """Return how many concurrent calls the server can run now.
+
+        The limit rises linearly from cold_slots to slots during the ramp.
+        """
         settings = self._settings
-        warm = 1.0
+        warm_fraction = 1.0
         if settings.ramp_s > 0:
             age_s = time.monotonic() - self._started_s
-            warm = min(1.0, age_s / settings.ramp_s)
-        extra = (settings.slots - settings.cold_slots) * warm
-        return settings.cold_slots + int(extra)
+            warm_fraction = min(1.0, age_s / settings.ramp_s)
+        warm_slots = (settings.slots - settings.cold_slots) * warm_fraction
+        return settings.cold_slots + int(warm_slots)
 
     def _answer(
         self, environ: dict[str, typing.Any], start_response: StartResponse
@@ -94,7 +97,7 @@
             case "/runs":
                 answer = self._runs()
             case "/control/fall-cold":
-                self.fall_cold()
+                self.restart_cold_start()
                 answer = {}
             case _:
                 answer = self._run(environ, request_id, body)
@@ -114,7 +117,7 @@
         with self._condition:
             self._in_use += 1
             self._runs_by_request[request_id] += 1
-            if self._in_use > self.bearable():
+            if self._in_use > self.concurrency_limit():
                 self._overloads += 1
             if "HTTP_AUTHORIZATION" in environ:
                 self._keys_seen += 1
--- a/src/jasminecrank/standins/_measures.py
+++ b/src/jasminecrank/standins/_measures.py
@@ -1,4 +1,4 @@
-"""The measures of a run, as one row of a table."""
+"""Summary of the measurements of a scenario run."""
 
 from collections import Counter
 from collections import defaultdict
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Measures:
-    """One row: what the brief asks to be measured of one scenario."""
+    """Measurements of one scenario; the field names are printed."""
 
     scenario: str
     convergence_p50_ms: float | None
@@ -56,7 +56,7 @@
 def measure(
     directory: pathlib.Path, scenario_name: str, node_python_path: str
 ) -> Measures:
-    """Start a deployment, run one scenario and return its measures."""
+    """Start a deployment, run a scenario and return its measurements."""
     with (
         tempfile.TemporaryDirectory() as work,
         _deployment.Deployment.from_directory(
@@ -86,7 +86,10 @@
 def summarise(
     scenario: _scenarios.Scenario, result: _run.RunResult
 ) -> Measures:
-    """Return the measures of a run."""
+    """Compute the measurements of a finished run.
+
+    A team that exceeds its rate by design does not count as in rate.
+    """
     excess = scenario.load.excess_team if scenario.load else ""
     calls = [
         sample
@@ -97,7 +100,7 @@
     in_rate = [one for one in calls if not excess or one.team != excess]
     failed = [one for one in in_rate if not one.answered]
     refused = [one for one in failed if one.result_code in _REFUSAL_CODES]
-    worst_team, worst_percent = _worst_team(in_rate)
+    worst_team, worst_percent = _find_worst_team(in_rate)
     direct = [
         sample.duration_ms
         for sample in result.samples
@@ -117,14 +120,14 @@
         processor_percent_max=use.processor_percent_max,
         served=len(in_rate) - len(failed),
         failed=len(failed),
-        failed_by_reason=_reasons(failed),
+        failed_by_reason=_count_reasons(failed),
         worst_team=worst_team,
         worst_team_answered_percent=worst_percent,
         refused_in_rate_percent=(
             100 * len(refused) / len(in_rate) if in_rate else None
         ),
-        added_p50_ms=_difference(answered, direct, 0.5),
-        added_p99_ms=_difference(answered, direct, 0.99),
+        added_p50_ms=_quantile_difference(answered, direct, 0.5),
+        added_p99_ms=_quantile_difference(answered, direct, 0.99),
         peak_memory_mb=use.peak_memory_mb_max,
         threads=use.threads_max,
         source_calls_per_s=use.source_calls_per_s,
@@ -133,7 +136,7 @@
 
 
 def quantile(values: Sequence[float], part: float) -> float | None:
-    """Return the value below which a part of the values lies."""
+    """Return an interpolated quantile, or None without values."""
     if not values:
         return None
     if len(values) == 1:
@@ -142,14 +145,16 @@
     return cuts[min(998, int(part * 1000) - 1)]
 
 
-def _difference(
+def _quantile_difference(
     calls: Sequence[float], direct: Sequence[float], part: float
 ) -> float | None:
-    ours, theirs = quantile(calls, part), quantile(direct, part)
-    return None if ours is None or theirs is None else ours - theirs
+    call_ms, direct_ms = quantile(calls, part), quantile(direct, part)
+    return (
+        None if call_ms is None or direct_ms is None else call_ms - direct_ms
+    )
 
 
-def _worst_team(
+def _find_worst_team(
     calls: Iterable[_callers.Sample],
 ) -> tuple[str, float | None]:
     answered_by_team: defaultdict[str, list[bool]] = defaultdict(list)
@@ -166,7 +171,7 @@
     return worst, share_by_team[worst]
 
 
-def _reasons(failed: Iterable[_callers.Sample]) -> dict[str, int]:
+def _count_reasons(failed: Iterable[_callers.Sample]) -> dict[str, int]:
     counts = Counter(
         f"status {one.status}, code {one.result_code}" for one in failed
     )
@@ -174,14 +179,14 @@
 
 
 def format_table(columns: Sequence[tuple[str, Measures]]) -> Iterator[str]:
-    """Yield the lines of a table with one column for each run."""
+    """Yield the lines of a plain-text table with a column for each run."""
     heads = [f"{label}" for label, _ in columns]
     width = max(12, *(len(head) for head in heads)) + 2
     yield f"{'measure':<30}" + "".join(f"{head:>{width}}" for head in heads)
     for field in dataclasses.fields(Measures):
         if field.name in ("scenario", "failed_by_reason"):
             continue
-        cells = [_cell(getattr(one, field.name)) for _, one in columns]
+        cells = [_format_cell(getattr(one, field.name)) for _, one in columns]
         yield f"{field.name:<30}" + "".join(
             f"{cell:>{width}}" for cell in cells
         )
@@ -190,7 +195,7 @@
             yield f"failed in {label}: {count} with {reason}"
 
 
-def _cell(value: object) -> str:
+def _format_cell(value: object) -> str:
     if value is None:
         return "-"
     return f"{value:.2f}" if isinstance(value, float) else str(value)
--- a/src/jasminecrank/standins/_node_slopes.py
+++ b/src/jasminecrank/standins/_node_slopes.py
@@ -1,4 +1,4 @@
-"""What real node processes use by peers, calls and changes."""
+"""Resource usage of node processes by peers, calls and changes."""
 
 from collections.abc import Iterator
 import pathlib
@@ -34,7 +34,7 @@
 
 
 class _Fleet:
-    """A running synthetic deployment that has settled."""
+    """Context manager of a synthetic deployment in a steady state."""
 
     def __init__(self, nodes: int, data_centres: int) -> None:
         self._work = tempfile.TemporaryDirectory()
@@ -102,7 +102,7 @@
         host = deployment.hosts()[0].host
         for calls_per_s in _CALLS_PER_S:
             load = _traffic.Load(
-                calls_per_s / (8 * _TEAM_RATE), _traffic.OnOneHost()
+                calls_per_s / (8 * _TEAM_RATE), _traffic.SingleHostSpread()
             )
             traffic = _traffic.Traffic.start(
                 deployment, load, _TRAFFIC_S, None
