--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -29,6 +29,8 @@
 GRACE_S = 6.0
 MEMORY_MB = 300
 LONGEST_CASE_S = 100.0
+OTHER_WRITER_DELAY_S = 0.5
+"""Time after the servers' start in which another writer starts."""
 
 
 def free_ports(hosts, count):
@@ -482,6 +484,8 @@
         ports = free_ports(self.hosts, 6)
         self.callers, self.ready, self.app, self.links = ports[:4]
         self.store_port, self.spare = ports[4:]
+        self.other_entries = {}
+        """Entries of other writers, in the store before the nodes start."""
         self._timeout_ms = timeout_ms
         self._link_mbit = link_mbit
 
@@ -504,6 +508,11 @@
                     "status": {"state": "ready", "seq": 1, "coldLeftMs": 0},
                 },
             )
+        if self.other_entries:
+            await asyncio.sleep(OTHER_WRITER_DELAY_S)
+        for key, value in self.other_entries.items():
+            born_ms = int(time.time() * 1000)
+            await self.store.put(key, {**value, "born": born_ms})
         for number, host in enumerate(self.hosts):
             settings = self.work / f"host-{number}.toml"
             settings.write_text(self._settings(number, host))
@@ -514,12 +523,14 @@
             self.nodes.append(node)
         async with asyncio.timeout(20.0):
             for number in range(len(self.hosts)):
-                while not await self._serves(number):
+                while not await self._is_started(number):
                     await asyncio.sleep(0.1)
         await asyncio.sleep(1.0)
-        self.record.write("all nodes serve")
+        self.record.write("all nodes are ready")
 
-    async def _serves(self, number):
+    async def _is_started(self, number):
+        if self.other_entries:
+            return await self.is_ready(number)
         client = Client(f"start-{number}", self.caller(number), self.record)
         status = (await client.request("/lots/1?work=5"))[1]
         client.close()
@@ -656,9 +667,10 @@
 """
 
 
-async def _run(deployment, scenario):
+async def _run(deployment, scenario, prepare):
     try:
         async with asyncio.timeout(LONGEST_CASE_S):
+            prepare(deployment)
             await deployment.start()
             return await scenario(deployment)
     except Exception as error:
@@ -669,14 +681,18 @@
         await deployment.close()
 
 
-def run_case(folder, scenario, hosts=3, **options):
+def run_case(
+    folder, scenario, prepare=lambda deployment: None, hosts=3, **options
+):
     """Run a scenario on a new deployment and exit with its result.
 
-    0: the rule held; 1: it was broken; 2: the case did not run.
+    0: the rule held; 1: it was broken; 2: the case did not run. `prepare` is
+    called with the deployment before anything is started.
     """
 
     async def main():
-        return await _run(Deployment(hosts, folder, **options), scenario)
+        deployment = Deployment(hosts, folder, **options)
+        return await _run(deployment, scenario, prepare)
 
     sys.exit(asyncio.run(main()))
 
