--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -673,7 +673,7 @@
             prepare(deployment)
             await deployment.start()
             return await scenario(deployment)
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         # An error of the script says nothing about the rule.
         deployment.record.write(f"the case did not run: {error!r}")
         return 2
@@ -691,6 +691,11 @@
     """
 
     async def main():
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # The nodes are ended before the script is.
+            loop.add_signal_handler(number, task.cancel)
         deployment = Deployment(hosts, folder, **options)
         return await _run(deployment, scenario, prepare)
 
