Log what a node owes when a connection or the process ends

Callers saw requests end without an answer, and no log line told a stop that forgot them from a crash or a lost peer.

Cause: ends of connections and links were not logged, nor the begin of a start, the end of a process, or its memory. Change: the events caller-connection-cut, link-ended, starting and stopped, and the metrics caller_unsent_bytes and peak_memory_bytes; no change of behaviour.

--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import gc
+import os
 import random
+import resource
 import signal
 import typing
 
@@ -148,6 +150,7 @@
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._log.decision("starting", process_id=os.getpid())
         await self.start()
         await stop.wait()
         await self.stop()
@@ -220,12 +223,24 @@
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
             self._caller_server.close_idle()
         await self._end_calls()
+        self._log.decision(
+            "stopped",
+            unanswered=self._caller_server.unanswered,
+            unsent_bytes=self._caller_server.unsent_bytes,
+            peak_memory_bytes=_peak_memory_bytes(),
+        )
         self.abort()
+        self._log.flush()
 
     async def _end_calls(self) -> None:
         """Answer what is left, as far as the outcome is known."""
         calls = self.entry.open_calls + self.gate.active_calls
-        self._log.decision("stop", calls=calls)
+        self._log.decision(
+            "stop",
+            calls=calls,
+            unanswered=self._caller_server.unanswered,
+            unsent_bytes=self._caller_server.unsent_bytes,
+        )
         self._caller_server.stop_listening()
         self._caller_server.refuse_incomplete()
         closed = coordination.StopWindowClosed()
@@ -369,12 +384,19 @@
             "calls_open": self.entry.open_calls,
             "gate_in_flight": load.in_flight,
             "gate_queued": load.queued,
+            "caller_unsent_bytes": self._caller_server.unsent_bytes,
+            "peak_memory_bytes": _peak_memory_bytes(),
         }
         body = _metrics.render(self._log, gauges)
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         return protocol.RawResponse(200, b"", headers, body)
 
 
+def _peak_memory_bytes() -> int:
+    """Return the largest resident size of the process so far."""
+    return 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
 def run_node(create_node: Callable[[], Node]) -> None:
     """Run a node on uvloop."""
     import uvloop
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -60,6 +60,16 @@
         """Return whether a part of a request has been received."""
         return any(connection.receiving for connection in self.connections)
 
+    @property
+    def unanswered(self) -> int:
+        """Return the number of complete requests without a response."""
+        return sum(connection.unanswered for connection in self.connections)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that have not left the process."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
     def refuse_incomplete(self) -> None:
         """Refuse the requests of which only a part has been received."""
         for connection in list(self.connections):
@@ -91,6 +101,8 @@
         self._close_after_last = False
         self._refused = False
         self._timer: asyncio.TimerHandle | None = None
+        self._closed_by_node = False
+        self._unsent_at_end_bytes = 0
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -123,8 +135,16 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request, since its caller has disconnected."""
-        del exc
         self._server.connections.discard(self)
+        if self.unanswered or self._unsent_at_end_bytes:
+            self._server.log.count("caller_connections", "cut")
+            self._server.log.decision(
+                "caller-connection-cut",
+                closed_by="node" if self._closed_by_node else "caller",
+                error=None if exc is None else repr(exc),
+                unanswered=self.unanswered,
+                unsent_bytes=self._unsent_at_end_bytes,
+            )
         self._cancel_timer()
         self._requests.clear()
         if self._current_number is not None:
@@ -186,6 +206,8 @@
     def abort(self) -> None:
         """Abort the connection without flushing pending data."""
         if self._transport is not None:
+            self._closed_by_node = True
+            self._unsent_at_end_bytes = self.unsent_bytes
             self._transport.abort()
 
     @property
@@ -193,6 +215,18 @@
         """Return whether a part of a request has been received."""
         return self._in_message
 
+    @property
+    def unanswered(self) -> int:
+        """Return the number of complete requests without a response."""
+        return len(self._requests) + (self._current_number is not None)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that have not left the process."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def refuse_incomplete(self) -> None:
         """Refuse the request that is being received, which has not run."""
         self._refuse(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
@@ -204,7 +238,7 @@
             and not self._in_message
             and self._transport
         ):
-            self._transport.close()
+            self._close()
 
     def _start_next_request(self) -> None:
         if self._current_number is not None or not self._requests:
@@ -245,7 +279,7 @@
             protocol.encode_response(raw, self._current_method, close)
         )
         if close:
-            self._transport.close()
+            self._close()
             return
         self._start_timer(self._server.limits.idle_timeout_s)
         self._transport.resume_reading()
@@ -261,7 +295,13 @@
         raw = self._server.codec.write_reply(state.Refusal(kind, detail), None)
         if self._current_number is None:
             self._transport.write(protocol.encode_response(raw, b"GET", True))
-        self._transport.close()
+        self._close()
+
+    def _close(self) -> None:
+        """Close the connection once the bytes written so far are sent."""
+        if self._transport is not None:
+            self._closed_by_node = True
+            self._transport.close()
 
     def _start_timer(self, timeout_s: float) -> None:
         self._cancel_timer()
@@ -276,7 +316,7 @@
 
     def _on_timeout(self) -> None:
         if self._current_number is None and self._transport is not None:
-            self._transport.close()
+            self._close()
 
     def _reset_message(self) -> None:
         self._in_message = False
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -134,7 +134,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner and complete the `closed` future."""
-        del exc
+        self._log.decision(
+            "link-ended",
+            peer=self.peer_host,
+            dialled=self.dialled,
+            error=None if exc is None else repr(exc),
+        )
         # A closed transport of uvloop raises an error on each use.
         self._transport = None
         if self.peer is not None:
