Let a host's node decide which server runs there

Callers got 503 for every request while an entry of another writer named a server's address: the entry with the newest time of creation displaced the server on all nodes, even with a service that no table has, and its host then had no server to run calls on.

Cause: what a host runs was inferred from entries alone. Change: an entry of an unconfigured service ranks below all others at its address, and the server that the host's node has found by a health check, and reports with its load, goes before every other entry of that host. A new listed incarnation still makes the node check. Entries set aside are logged as entry-displaced.

--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -294,8 +294,24 @@
                 confirmed_age_ms=self._confirmed_age_ms(now_s),
             )
 
+    def _set_running(self, host: str, server_id: str) -> None:
+        if self._directory.set_running(host, server_id):
+            self._publish()
+
     def _publish(self) -> None:
+        displaced_ids = self._fleet.displaced_by_id.keys()
         self._fleet = self._directory.snapshot()
+        for server_id, server in self._fleet.displaced_by_id.items():
+            if server_id not in displaced_ids:
+                self.log.decision(
+                    "entry-displaced",
+                    server=server_id,
+                    server_host=server.host,
+                    service=server.service,
+                    running=self._directory.running_id_by_host.get(
+                        server.host
+                    ),
+                )
         changed = _messages.FleetChanged(self._fleet)
         self._ports.to_entry(changed)
         self._ports.to_gate(changed)
@@ -371,6 +387,7 @@
         ):
             self._ports.skip_to(report.complete_revision)
         peer.server_id = report.server_id or peer.server_id
+        self._set_running(peer.host, peer.server_id)
         load = report.load(peer.server_id)
         self._ports.to_entry(_messages.LoadUpdated(peer.host, load))
 
@@ -409,6 +426,7 @@
         if peer is None:
             return
         self._exchange.remove_peer(peer.send)
+        self._set_running(peer.host, "")
         down = _messages.PeerDown(peer.host)
         self._ports.to_entry(down)
         self._ports.to_quota(down)
@@ -434,6 +452,7 @@
             self._check_silence(now_s)
             self._update_watch_duty(now_s)
         load = self._ports.load()
+        self._set_running(self._own_host, load.server_id)
         self._ports.to_entry(_messages.LoadUpdated(self._own_host, load))
         self._reporter.report_changes(
             load, self._accepted_peer_by_link.values(), now_s
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -80,6 +80,8 @@
         self._clock = clock
         self._fleet = state.FleetSnapshot(None, {}, {}, frozenset())
         self._own_server: state.BackendServer | None = None
+        self._listed_incarnations: set[tuple[str, int]] = set()
+        """Ids and times of creation listed at the server's address."""
         self._gone_server_ids: set[str] = set()
         self._call_by_key: dict[tuple[int, int], _ActiveCall] = {}
         self._accepting = True
@@ -379,7 +381,15 @@
         newest = max(
             own_servers, key=lambda server: server.created_at_ms, default=None
         )
-        before, self._own_server = self._own_server, newest
+        self._own_server = newest
+        listed = {
+            (server.server_id, server.created_at_ms)
+            for server in fleet.listed_at(*self._address)
+        }
+        if listed - self._listed_incarnations:
+            # One of them may have replaced the server that ran before.
+            self._mark_server_unknown("new-incarnation")
+        self._listed_incarnations = listed
         if newest is not None:
             self._admission.slots = newest.slots
             service = fleet.table and fleet.table.service_by_name.get(
@@ -391,11 +401,6 @@
                 self._admission.cold_until_s,
                 fleet.cold_until_s_by_id.get(newest.server_id, 0.0),
             )
-            if before is None or (before.server_id, before.created_at_ms) != (
-                newest.server_id,
-                newest.created_at_ms,
-            ):
-                self._mark_server_unknown("new-incarnation")
         if newest is None or self._rejection_reason(newest.server_id):
             self._refuse_queued()
         self._release_queued()
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -120,6 +120,24 @@
     server_by_id: Mapping[str, BackendServer]
     cold_until_s_by_id: Mapping[str, float]
     data_centres_out: frozenset[str]
+    displaced_by_id: Mapping[str, BackendServer] = field(default_factory=dict)
+    """Listed servers that another one is preferred to on the same host."""
+
+    def listed_at(self, host: str, port: int) -> list[BackendServer]:
+        """Return all servers listed at an address, displaced ones too.
+
+        Those of services that the table does not have are left out.
+        """
+        return [
+            server
+            for server in (
+                *self.server_by_id.values(),
+                *self.displaced_by_id.values(),
+            )
+            if (server.host, server.port) == (host, port)
+            and self.table is not None
+            and server.service in self.table.service_by_name
+        ]
 
     def usable_servers(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that may receive new calls."""
@@ -154,6 +172,8 @@
     """Revision up to which the directory has all changes of the source."""
     bases_by_key: dict[str, dict[int, bytes]] = field(default_factory=dict)
     """Recent values of large entries, by key and revision."""
+    running_id_by_host: dict[str, str] = field(default_factory=dict)
+    """Server that each host's node has found to be running there."""
 
     def apply_items(
         self, items: Iterable[SourceItem], now_s: float
@@ -274,33 +294,84 @@
 
     def snapshot(self) -> FleetSnapshot:
         """Return the fleet that the published entries describe."""
-        newest_by_address: dict[tuple[str, int], BackendServer] = {}
-        data_centres_out = set()
-        for entry in self.entry_by_key.values():
-            match entry:
-                case ServerEntry(server):
-                    address = (server.host, server.port)
-                    other = newest_by_address.get(address)
-                    if (
-                        other is None
-                        or other.created_at_ms <= server.created_at_ms
-                    ):
-                        newest_by_address[address] = server
-                case DataCentreOutEntry(data_centre):
-                    data_centres_out.add(data_centre)
-                case TableEntry() | InvalidEntry():
-                    pass
-        # The entry of a crashed server remains for a few heartbeats, alongside
-        # that of its successor at the same address.
-        servers = {
-            server.server_id: server for server in newest_by_address.values()
+        data_centres_out = frozenset(
+            entry.data_centre
+            for entry in self.entry_by_key.values()
+            if isinstance(entry, DataCentreOutEntry)
+        )
+        listed_by_id = {
+            server.server_id: server for server in self._listed_servers()
+        }
+        server_by_id = {
+            server.server_id: server
+            for server in self._preferred_servers(listed_by_id)
         }
         return FleetSnapshot(
             self.table,
-            servers,
+            server_by_id,
             dict(self.cold_until_s_by_id),
-            frozenset(data_centres_out),
+            data_centres_out,
+            {
+                server_id: server
+                for server_id, server in listed_by_id.items()
+                if server_id not in server_by_id
+            },
+        )
+
+    def set_running(self, host: str, server_id: str) -> bool:
+        """Store which server runs on a host; empty if that is unknown.
+
+        Return whether this may change which of its listed servers is used.
+        """
+        if self.running_id_by_host.get(host, "") == server_id:
+            return False
+        if server_id:
+            self.running_id_by_host[host] = server_id
+        else:
+            del self.running_id_by_host[host]
+        return (
+            sum(server.host == host for server in self._listed_servers()) > 1
+        )
+
+    def _listed_servers(self) -> list[BackendServer]:
+        return [
+            entry.server
+            for entry in self.entry_by_key.values()
+            if isinstance(entry, ServerEntry)
+        ]
+
+    def _preferred_servers(
+        self, listed_by_id: Mapping[str, BackendServer]
+    ) -> list[BackendServer]:
+        """Return one server for each address.
+
+        The entry of a crashed server remains for a few heartbeats, alongside
+        that of its successor, and other writers can add entries too. What
+        runs on a host is known to its node, so that its word decides.
+        """
+        preferred_by_address: dict[tuple[str, int], BackendServer] = {}
+        for server in listed_by_id.values():
+            running = listed_by_id.get(
+                self.running_id_by_host.get(server.host, "")
+            )
+            if (
+                running is not None
+                and running is not server
+                and running.host == server.host
+            ):
+                continue
+            address = (server.host, server.port)
+            other = preferred_by_address.get(address)
+            if other is None or self._rank(other) <= self._rank(server):
+                preferred_by_address[address] = server
+        return list(preferred_by_address.values())
+
+    def _rank(self, server: BackendServer) -> tuple[bool, int]:
+        """Return the rank of an entry among those at its address."""
+        configured = self.table is not None and (
+            server.service in self.table.service_by_name
         )
+        return configured, server.created_at_ms
 
     def _apply_item(self, item: SourceItem, now_s: float) -> None:
         if item.value is None:
