Count removed hosts for the shares of a rate for a minute

Cause: an arbiter took the hosts that the store lists for the whole fleet. The entries of hosts that are cut off expire, so that the others granted the whole rate while those granted their part. Change: a host whose entry is removed counts for 60 s more, unless its server was draining; a part without the source that covers half of its hosts or less stops granting after 60 s by its own clock.

--- /dev/null
+++ b/features/mesh/quota_cut.feature
@@ -0,0 +1,67 @@
+Feature: Quotas while hosts are cut off
+
+  Guards against a rate that is granted twice: by hosts that are cut off, and
+  by the others once the entries of those hosts have expired.
+
+  Scenario Outline: The parts of a cut fleet stay within the bound together
+    Given 10 linked nodes and a team with rate 200 and burst 200
+    When <cut> of them are cut off <how>, entries expire <where> after <expire> s, and each node gets 160 calls a second
+    Then the tokens of any 5 s stay within the platform's bound
+
+    Examples:
+      | cut | how       | where             | expire |
+      | 4   | one by one | at the others    | 4.5    |
+      | 4   | together  | at the others     | 4.5    |
+      | 1   | together  | at the others     | 4.5    |
+      | 5   | together  | on both sides     | 4.5    |
+      | 6   | one by one | at the others    | 4.5    |
+      | 6   | together  | at the others     | 4.5    |
+      | 6   | together  | at the cut ones   | 4.5    |
+      | 9   | one by one | at the others    | 3.0    |
+
+  Scenario Outline: Cuts that are drawn from a seed
+    Given 10 linked nodes and a team with rate 200 and burst 200
+    When cuts, expired entries and returns are drawn from seed <seed>
+    Then the tokens of any 5 s stay within the platform's bound
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+
+  Scenario Outline: Calls within the rate are not refused after hosts are lost
+    Given 10 linked nodes and a team with rate 200 and burst 200
+    When <cut> of them are lost, their entries expire after 4.5 s, and the others get <calls> calls a second
+    Then under 1 in 100 of the calls are refused
+
+    Examples:
+      | cut | calls |
+      | 1   | 180   |
+      | 4   | 130   |
+      | 5   | 110   |
+
+  Scenario Outline: Which hosts count for the shares
+    Given a census of 10 hosts, one of them <state>
+    When its entry is removed
+    Then <now> hosts count now and <later> after 60 s
+
+    Examples:
+      | state    | now | later |
+      | ready    | 10  | 9     |
+      | draining | 9   | 9     |
+
+  Scenario Outline: A part without the source stops when others stop counting it
+    Given an arbiter of 10 hosts that grants for <covered> of them
+    When the source confirmed its entries <age> s ago
+    Then the arbiter <grants>
+
+    Examples:
+      | covered | age  | grants         |
+      | 4       | 59.0 | grants         |
+      | 4       | 61.0 | grants nothing |
+      | 5       | 61.0 | grants nothing |
+      | 6       | 61.0 | grants         |
--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -41,6 +41,7 @@
         self.requested_at_s = {}
         self.messages = 0
         self.disconnected = set()
+        self.is_cut = lambda sender, receiver: False
         self.names = [f"10.0.0.{number}" for number in range(hosts)]
         servers = {
             f"i-{name}": mesh_directory_steps.make_server(
@@ -108,7 +109,9 @@
     def deliver(self):
         """Deliver the next message, or drop it if a side is disconnected."""
         self.now, _, sender, receiver, message = heapq.heappop(self.queue)
-        if self.disconnected & {sender, receiver}:
+        if self.disconnected & {sender, receiver} or self.is_cut(
+            sender, receiver
+        ):
             return
         match message:
             case coordination.TokensGranted():
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -89,6 +89,9 @@
 )
 from jasminecrank.mesh.coordination._messages import RunCall as RunCall
 from jasminecrank.mesh.coordination._messages import RunEnded as RunEnded
+from jasminecrank.mesh.coordination._messages import (
+    SourceConfirmed as SourceConfirmed,
+)
 from jasminecrank.mesh.coordination._messages import SourceLost as SourceLost
 from jasminecrank.mesh.coordination._messages import (
     SourceRecovered as SourceRecovered,
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -141,6 +141,13 @@
     host: str
 
 
+@dataclass(slots=True, frozen=True)
+class SourceConfirmed:
+    """The source last confirmed this node's entries at a time."""
+
+    at_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class QuotaTick:
     """Triggers the check for requests without a reply."""
@@ -308,6 +315,7 @@
     | PeerSilent
     | PeerDown
     | BoundsChanged
+    | SourceConfirmed
     | QuotaTick
 )
 GateMessage = (
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -75,6 +75,7 @@
         self._presence_sent_at_s = -1e9
         self._presence_periods = 0
         self._arbiters_changed_at_s = -1e9
+        self._census = state.HostCensus()
 
     async def run_ticks(self) -> None:
         """Send periodic ticks to the mailbox until the task is cancelled."""
@@ -109,6 +110,8 @@
             case _messages.PeerDown(host):
                 self._send_by_host.pop(host, None)
                 self._update_reachable(now_s)
+            case _messages.SourceConfirmed(at_s):
+                self._arbiter.confirmed_at_s = at_s
             case _messages.BoundsChanged(quota):
                 self._arbiter.bounds = quota
             case _messages.QuotaTick():
@@ -225,11 +228,17 @@
 
     def _fleet_changed(self, fleet: state.FleetSnapshot, now_s: float) -> None:
         self._table = fleet.table
-        hosts = {server.host for server in fleet.server_by_id.values()}
-        self._arbiter.host_count = len(hosts | {self._own_host})
+        self._census.update(fleet.server_by_id.values(), now_s)
+        self._count_hosts(now_s)
         self._arbiters = state.arbiter_hosts(fleet)
         self._update_reachable(now_s)
 
+    def _count_hosts(self, now_s: float) -> None:
+        host_count = self._census.count(self._own_host, now_s)
+        if host_count != self._arbiter.host_count:
+            self._arbiter.host_count = host_count
+            self.log.decision("quota-hosts", hosts=host_count)
+
     def _update_reachable(self, now_s: float) -> None:
         """Update the set of reachable arbiters, and report it to them."""
         reachable = tuple(
@@ -266,6 +275,7 @@
                 send(presence)
 
     def _tick(self, now_s: float) -> None:
+        self._count_hosts(now_s)
         for requests in list(self._requests_by_team.values()):
             if requests.arbiter is not None and (
                 now_s - requests.requested_at_s > REQUEST_TIMEOUT_S
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -55,6 +55,10 @@
 from jasminecrank.mesh.state._gate import ServerHealth as ServerHealth
 from jasminecrank.mesh.state._gate import ServerLoad as ServerLoad
 from jasminecrank.mesh.state._gate import STOPPING_REASON as STOPPING_REASON
+from jasminecrank.mesh.state._host_census import (
+    ABSENT_GRANTS_S as ABSENT_GRANTS_S,
+)
+from jasminecrank.mesh.state._host_census import HostCensus as HostCensus
 from jasminecrank.mesh.state._links import ARBITER_COUNT as ARBITER_COUNT
 from jasminecrank.mesh.state._links import arbiter_hosts as arbiter_hosts
 from jasminecrank.mesh.state._links import link_targets as link_targets
--- /dev/null
+++ b/src/jasminecrank/mesh/state/_host_census.py
@@ -0,0 +1,49 @@
+"""Hosts that may grant tokens of a rate, heard of or not."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+
+from jasminecrank.mesh.state import _directory
+
+ABSENT_GRANTS_S = 60.0
+"""Time for which hosts that are cut off may go on granting tokens.
+
+They measure it from their last contact to the source, the others from the
+removal of their entries, which is later.
+"""
+
+
+@dataclass(slots=True)
+class HostCensus:
+    """Counts the hosts among which the rates are shared.
+
+    The entry of a host that is cut off expires, but its node still grants its
+    share. Only a server that was draining is known to have left.
+    """
+
+    _is_draining_by_host: dict[str, bool] = field(default_factory=dict)
+    _removed_at_s_by_host: dict[str, float] = field(default_factory=dict)
+
+    def update(
+        self, servers: Iterable[_directory.BackendServer], now_s: float
+    ) -> None:
+        """Record the hosts of the servers that are listed now."""
+        is_draining_by_host = {
+            server.host: server.state is _directory.ServerState.DRAINING
+            for server in servers
+        }
+        for host, is_draining in self._is_draining_by_host.items():
+            if host not in is_draining_by_host and not is_draining:
+                self._removed_at_s_by_host[host] = now_s
+        for host in is_draining_by_host:
+            self._removed_at_s_by_host.pop(host, None)
+        self._is_draining_by_host = is_draining_by_host
+
+    def count(self, own_host: str, now_s: float) -> int:
+        """Return the number of hosts, this one and absent ones included."""
+        for host, removed_at_s in list(self._removed_at_s_by_host.items()):
+            if now_s - removed_at_s >= ABSENT_GRANTS_S:
+                del self._removed_at_s_by_host[host]
+        hosts = self._is_draining_by_host.keys() | {own_host}
+        return len(hosts | self._removed_at_s_by_host.keys())
--- a/src/jasminecrank/mesh/state/_quota.py
+++ b/src/jasminecrank/mesh/state/_quota.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from jasminecrank.mesh.state import _host_census
 from jasminecrank.mesh.state import _links
 from jasminecrank.mesh.state import _table
 
@@ -85,6 +86,8 @@
     bounds: QuotaBounds
     host_count: int = 1
     """Hosts in the whole fleet, reachable or not."""
+    confirmed_at_s: float | None = None
+    """When the source last confirmed the entries; None if not known."""
     _bucket_by_team: dict[str, _Bucket] = field(default_factory=dict)
     _presence_by_host: dict[str, _Presence] = field(default_factory=dict)
     _arbiter_by_query: dict[tuple[str, tuple[str, ...]], str] = field(
@@ -144,11 +147,24 @@
             for reachable, count in host_count_by_arbiters.items()
             if self._arbiter_of(team, reachable) == self.own_host
         )
+        if self._is_left_behind(covered_hosts, now_s):
+            return 0.0
         overshoot_factor = 1.0 + OVERSHOOT_FRACTION * self.bounds.overshoot
         return min(
             1.0, overshoot_factor * covered_hosts / max(1, self.host_count)
         )
 
+    def _is_left_behind(self, covered_hosts: int, now_s: float) -> bool:
+        """Return whether the rest of the fleet may no longer count this part.
+
+        A part without the source can't know whether its entries still exist.
+        """
+        return (
+            self.confirmed_at_s is not None
+            and now_s - self.confirmed_at_s > _host_census.ABSENT_GRANTS_S
+            and 2 * covered_hosts <= self.host_count
+        )
+
     def _arbiter_of(self, team: str, reachable: tuple[str, ...]) -> str:
         query = (team, reachable)
         chosen = self._arbiter_by_query.get(query)
