Handle signals from the first import until the end

An operator's or the platform's signal in the first 250 ms of a node ended the process with status -1 or -15, and one that came while the loop closed ended a node that had stopped gracefully with -15 instead of 0.

Cause: the handlers were installed by the loop, after imports that take 0.25 s, and removed with the loop. The interpreter also restores the default effect of handled signals before it ends.

Now `__main__` installs handlers that stay until the process ends. Signals before the loop are kept and passed to it; SIGTERM before the settings are read ends the process with status 0, and one while the ports are being opened cancels the start. At the end signals are ignored. Each signal has a line `signal`.

--- /dev/null
+++ b/features/mesh/process_start.feature
@@ -0,0 +1,51 @@
+Feature: Start and end of a node process
+
+  Guards against a process that ends by itself because of what passes by
+  itself: signals in series, a port that is still held, a settings file that
+  is being written.
+
+  Scenario Outline: A signal during the imports does not kill the process
+    Given a node process that is not started yet
+    When it gets <signals> while it imports <module>
+    Then it <outcome>
+
+    Examples:
+      | signals               | module         | outcome                                     |
+      | SIGHUP                | asyncio        | serves, and ends with status 0 after SIGTERM |
+      | SIGHUP SIGHUP         | msgspec        | serves, and ends with status 0 after SIGTERM |
+      | SIGHUP                | uvloop         | serves, and ends with status 0 after SIGTERM |
+      | SIGTERM               | asyncio        | ends with status 0 within 5.0 s             |
+      | SIGINT                | httptools      | ends with status 0 within 5.0 s             |
+      | SIGTERM               | uvloop         | ends with status 0 within 5.0 s             |
+      | SIGHUP SIGTERM SIGHUP | uvloop         | ends with status 0 within 5.0 s             |
+
+  Scenario Outline: A signal during the start does not kill the process
+    Given a node process that is not started yet
+    When it gets <signals> <after> ms after it handles signals
+    Then it <outcome>
+
+    Examples:
+      | signals                              | after | outcome                                      |
+      | SIGHUP                               | 0     | serves, and ends with status 0 after SIGTERM |
+      | SIGHUP                               | 150   | serves, and ends with status 0 after SIGTERM |
+      | SIGTERM                              | 0     | ends with status 0 within 5.0 s              |
+      | SIGTERM                              | 60    | ends with status 0 within 5.0 s              |
+      | SIGTERM                              | 200   | ends with status 0 within 5.0 s              |
+      | SIGTERM                              | 300   | ends with status 0 within 5.0 s              |
+      | SIGHUP SIGHUP SIGTERM SIGTERM SIGHUP | 30    | ends with status 0 within 5.0 s              |
+      | SIGHUP SIGHUP SIGTERM SIGTERM SIGHUP | 250   | ends with status 0 within 5.0 s              |
+
+  Scenario: Drawn series of signals during start and stop do not kill a process
+    Given a node process that is not started yet
+    Then any series of signals after that ends a node with status 0
+
+  Scenario Outline: Signals in series until the end cut no call
+    Given a node process that serves a call of 0.8 s
+    When it gets <signals>, and again until it has ended
+    Then the call gets 200
+    And it ends with status 0 within 5.0 s
+
+    Examples:
+      | signals                              |
+      | SIGTERM                              |
+      | SIGHUP SIGHUP SIGTERM SIGTERM SIGHUP |
--- /dev/null
+++ b/features/steps/process_start_steps.py
@@ -0,0 +1,312 @@
+"""Steps for a node process under odd conditions at its start and end."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from jasminecrank.standins import fleet
+
+HOST = "127.0.5.1"
+START_TIMEOUT_S = 10.0
+STOP_TIMEOUT_S = 10.0
+CHECK_PERIOD_S = 0.02
+LONG_RUN_S = 0.8
+SERIES_COUNT = 8
+SIGNAL_HOOK = """
+import os
+import signal
+import sys
+
+
+class SignalAtImport:
+    def find_spec(self, name, path=None, target=None):
+        if name == os.environ.get("SIGNAL_AT_IMPORT"):
+            for number in os.environ["SIGNALS"].split():
+                os.kill(os.getpid(), getattr(signal, number))
+        return None
+
+
+sys.meta_path.insert(0, SignalAtImport())
+"""
+"""A `sitecustomize` module that sends signals when a module is imported."""
+SETTINGS = """
+node = "host-0"
+service = "ledger"
+ip = "{host}"
+zone = "belt-a"
+appAddr = "{host}:{server}"
+innerPorts = [{links}, {metrics}]
+bounds = ["drainMs=2000", "graceS={grace}"]
+[zones]
+belt-a = "savo"
+[listen]
+outbound = "{host}:{callers}"
+ready = "{host}:{ready}"
+[platform]
+address = "{host}:{store}"
+"""
+
+
+class NodeProcess:
+    """A node process with a store and a backend server in this process."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.settings_path = folder / "boot.toml"
+        self.log_path = folder / "node.log"
+        self.ports = fleet.free_ports(
+            [HOST], ["callers", "ready", "server", "links", "store"]
+        )
+        self.ports["metrics"] = self.ports["links"] + 1
+        self.environment: dict[str, str] = {}
+        self.store = fleet.Store()
+        self.server = fleet.Server("i-0")
+        self.process = None
+
+    async def open_fleet(self):
+        """Start a store with a table and a server."""
+        self.ports["store"] = await self.store.listen(HOST)
+        await self.server.listen(HOST, self.ports["server"])
+        rows = {"team-0": fleet.TeamRow(("k1",), 100)}
+        await self.store.put("op/config", fleet.table_entry(1, 5000, rows))
+        await self.store.put(
+            "servers/i-0",
+            fleet.server_entry(
+                f"{HOST}:{self.ports['server']}", "belt-a", 4, "ready", 0
+            ),
+        )
+
+    def settings(self, grace="6"):
+        """Return the text of the settings file."""
+        return SETTINGS.format(host=HOST, grace=grace, **self.ports)
+
+    async def start(self, arguments=("-m", "jasminecrank.mesh.daemon")):
+        """Start the process."""
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": os.pathsep.join([str(self.folder), *sys.path]),
+            "JASMINECRANK_CONFIG": str(self.settings_path),
+            **self.environment,
+        }
+        with self.log_path.open("wb") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    def send(self, number):
+        """Send a signal unless the process has ended."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def handles_signals(self):
+        """Return whether the process has installed its handlers."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        caught = next(
+            line.split()[1]
+            for line in status.splitlines()
+            if line.startswith("SigCgt:")
+        )
+        return bool(int(caught, 16) >> (signal.SIGTERM - 1) & 1)
+
+    async def until(self, condition, timeout_s=START_TIMEOUT_S):
+        """Wait until a condition holds; fail if the process ends before."""
+        async with asyncio.timeout(timeout_s):
+            while not await condition():
+                assert self.process.returncode is None, self.describe()
+                await asyncio.sleep(CHECK_PERIOD_S)
+
+    async def is_open(self, port="ready"):
+        """Return whether one of the ports accepts connections."""
+        try:
+            _, writer = await asyncio.open_connection(HOST, self.ports[port])
+        except OSError:
+            return False
+        writer.transport.abort()
+        return True
+
+    async def is_serving(self):
+        """Return whether a request gets the answer of the server."""
+        caller = fleet.Caller(HOST, self.ports["callers"])
+        try:
+            response = await caller.request("GET", "/open/1", None)
+        except OSError:
+            return False
+        caller.close()
+        return response.status == 200
+
+    async def ended(self, timeout_s=STOP_TIMEOUT_S):
+        """Return the status with which the process ends."""
+        async with asyncio.timeout(timeout_s):
+            return await self.process.wait()
+
+    def describe(self):
+        """Return the status and the output, for messages of failures."""
+        return f"{self.process.returncode}: {self.log_path.read_text()}"
+
+    async def close(self):
+        """Kill the process if it runs and close the sockets."""
+        if self.process is not None:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+        self.server.close()
+        self.store.close()
+
+
+def open_node(context):
+    """Create a node process that is ended with the scenario."""
+    context.exit_stack = contextlib.ExitStack()
+    folder = context.exit_stack.enter_context(tempfile.TemporaryDirectory())
+    context.runner = context.exit_stack.enter_context(asyncio.Runner())
+    context.node = NodeProcess(pathlib.Path(folder))
+
+    async def close():
+        await context.node.close()
+        await asyncio.sleep(0)
+
+    context.exit_stack.callback(lambda: context.runner.run(close()))
+
+
+@given("a node process that is not started yet")
+def step_node(context):
+    open_node(context)
+    context.node.settings_path.write_text(context.node.settings())
+
+
+@given("a node process that serves a call of {run_s:g} s")
+def step_serving(context, run_s):
+    open_node(context)
+    node = context.node
+
+    async def act():
+        await node.open_fleet()
+        node.settings_path.write_text(node.settings())
+        await node.start()
+        await node.until(node.is_serving)
+        node.server.run_s = run_s
+        caller = fleet.Caller(HOST, node.ports["callers"])
+        await caller.send("POST", "/book/1", deadline_ms=4000)
+        runs = node.server.runs_by_request_id
+        while not runs[caller.last_request_id]:
+            await asyncio.sleep(CHECK_PERIOD_S)
+        return caller
+
+    context.caller = context.runner.run(act())
+
+
+@when("it gets {names} while it imports {module}")
+def step_signal_at_import(context, names, module):
+    node = context.node
+    (node.folder / "sitecustomize.py").write_text(SIGNAL_HOOK)
+    node.environment = {"SIGNAL_AT_IMPORT": module, "SIGNALS": names}
+    context.runner.run(node.start())
+
+
+@when("it gets {names} {after_ms:d} ms after it handles signals")
+def step_signal_after(context, names, after_ms):
+    node = context.node
+
+    async def act():
+        await node.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not node.handles_signals():
+                await asyncio.sleep(0.001)
+        await asyncio.sleep(after_ms / 1000)
+        for name in names.split():
+            node.send(getattr(signal, name))
+
+    context.runner.run(act())
+
+
+@when("it gets {names}, and again until it has ended")
+def step_series(context, names):
+    node = context.node
+
+    async def repeat():
+        while node.process.returncode is None:
+            for name in names.split():
+                node.send(getattr(signal, name))
+                await asyncio.sleep(0.001)
+
+    async def act():
+        series = asyncio.create_task(repeat())
+        context.response = await context.caller.receive()
+        await node.ended()
+        await series
+
+    context.runner.run(act())
+
+
+@then("it serves, and ends with status {status:d} after SIGTERM")
+def step_serves(context, status):
+    node = context.node
+
+    async def act():
+        await node.until(node.is_open)
+        node.send(signal.SIGTERM)
+        return await node.ended()
+
+    ended = context.runner.run(act())
+    assert ended == status, node.describe()
+
+
+@then("it ends with status {status:d} within {within_s:g} s")
+def step_ends(context, status, within_s):
+    started_s = time.monotonic()
+    ended = context.runner.run(context.node.ended())
+    elapsed_s = time.monotonic() - started_s
+    assert ended == status, context.node.describe()
+    assert elapsed_s < within_s, elapsed_s
+
+
+@then("the call gets {status:d}")
+def step_call_gets(context, status):
+    assert context.response.status == status, (
+        context.response.status,
+        context.node.describe(),
+    )
+
+
+@then("any series of signals after that ends a node with status {status:d}")
+def step_drawn_series(context, status):
+    signals = strategies.sampled_from((signal.SIGHUP, signal.SIGTERM))
+    gaps_ms = strategies.integers(0, 120)
+
+    @hypothesis.settings(max_examples=SERIES_COUNT)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(signals, gaps_ms), min_size=4, max_size=12
+        )
+    )
+    def play(series):
+        context.runner.run(_play_series(context.node, series, status))
+
+    play()
+
+
+async def _play_series(node, series, status):
+    await node.start()
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while not node.handles_signals():
+            await asyncio.sleep(0.001)
+    for number, gap_ms in series:
+        await asyncio.sleep(gap_ms / 1000)
+        node.send(number)
+    node.send(signal.SIGTERM)
+    ended = await node.ended()
+    assert ended == status, (series, node.describe())
--- a/src/jasminecrank/mesh/daemon/__main__.py
+++ b/src/jasminecrank/mesh/daemon/__main__.py
@@ -1,39 +1,20 @@
 """Run a node on the platform: python3 -m jasminecrank.mesh.daemon."""
 
-import os
-import random
 import sys
 
-from jasminecrank import exceptions
-from jasminecrank import platform
-from jasminecrank.mesh import transport
-from jasminecrank.mesh.daemon import _node
-
-EXIT_USAGE = 2
+from jasminecrank.mesh.daemon import _signals
 
 
 def main() -> int:
-    """Run the node; return 2 if the settings are invalid."""
-    path = os.environ.get(platform.CONFIG_PATH_VARIABLE, "")
+    """Run the node and return its exit status."""
+    signals = _signals.Signals.install()
     try:
-        config = platform.read_settings(path)
-    except exceptions.SettingError as error:
-        sys.stderr.write(f"jasminecrank: {error}\n")
-        return EXIT_USAGE
-    source = (config.source.host, config.source.port)
-    clock = transport.BootClock()
-    _node.run_node(
-        lambda: _node.Node(
-            config,
-            platform.PlatformCodec(),
-            platform.PlatformStore(source),
-            platform.EntryDecoder().decode,
-            transport.JsonLog.to_stdout(config.name, clock),
-            random.Random(),
-            lambda: platform.read_settings(path),
-        )
-    )
-    return 0
+        # Takes most of the start, in which signals must be handled.
+        from jasminecrank.mesh.daemon import _process
+
+        return _process.run(signals)
+    finally:
+        signals.ignore()
 
 
 if __name__ == "__main__":
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import gc
 import os
 import random
 import resource
@@ -17,6 +16,7 @@
 from jasminecrank.mesh import state
 from jasminecrank.mesh import transport
 from jasminecrank.mesh.daemon import _metrics
+from jasminecrank.mesh.daemon import _signals
 
 STOP_MARGIN_S = 0.4
 """Time before SIGKILL at which a stopping node ends all calls."""
@@ -30,8 +30,6 @@
 The file can change without a signal, and file notifications are not
 available.
 """
-GC_THRESHOLD = 20_000
-"""New objects per garbage collection; decoding a table makes thousands."""
 TASK_RESTART_S = 0.1
 """Time after which a task that ended with an error runs again."""
 READY_PATH = b"/-/readyz"
@@ -143,18 +141,46 @@
         """Return the number of hosts that this node can send calls to."""
         return self.entry.peer_count
 
-    async def run(self) -> None:
+    async def run(self, signals: _signals.Signals) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGINT, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+        def on_signal(received: signal.Signals) -> None:
+            self._log.decision("signal", signal=received.name)
+            if received is signal.SIGHUP:
+                self._reload()
+            else:
+                stop.set()
+
         self._log.decision("starting", process_id=os.getpid())
-        await self.start()
+        signals.attach(loop, on_signal)
+        if not await self._start_unless(stop):
+            self.abort()
+            self._log.decision("stopped", reason="signal before the start")
+            self._log.flush()
+            return
         await stop.wait()
         await self.stop()
 
+    async def _start_unless(self, stop: asyncio.Event) -> bool:
+        """Start, and return whether it was not cancelled by a stop."""
+        starting = asyncio.create_task(self.start())
+        stopping = asyncio.create_task(stop.wait())
+        try:
+            await asyncio.wait(
+                (starting, stopping), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not starting.done():
+                starting.cancel()
+                await asyncio.wait((starting,))
+            if starting.cancelled():
+                return False
+            starting.result()
+            return True
+        finally:
+            stopping.cancel()
+
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         config = self._config
@@ -395,18 +421,3 @@
 def _peak_memory_bytes() -> int:
     """Return the largest resident size of the process so far."""
     return 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-
-
-def run_node(create_node: Callable[[], Node]) -> None:
-    """Run a node on uvloop."""
-    import uvloop
-
-    # Modules and their classes live as long as the process, so the
-    # collector need not scan them.
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-
-    async def main() -> None:
-        await create_node().run()
-
-    uvloop.run(main())
