Limit what a link keeps before its peer's Hello

A connection to the port of links that was no node could announce a frame of 80 MB and have it kept, send frames that are ignored without end (the loop decoded 64 MB of them for 51 s), or stay open for ever without a Hello.

A frame before the Hello may have 4,096 bytes, has to be the Hello, and has to be complete 2 s after the connection was opened. Otherwise the link is aborted, logged as link-rejected and counted. The limit is checked on the length prefix, before the frame is kept.

script/run_features.py features/mesh/endless_bytes.feature, on: 0 of 4 rows pass (64.0 MB accepted in two, two connections left open); now 4 of 4.

--- /dev/null
+++ b/features/mesh/endless_bytes.feature
@@ -0,0 +1,19 @@
+Feature: Peers that send bytes without end
+
+  Guards against bytes that are kept before they are counted: the process runs
+  out of memory, and the requests of other callers are lost with it.
+
+  Scenario Outline: A stray connection does not fill the memory
+    Given a deployment of 1 hosts
+    When a stray connection to the <port> port sends <what> up to <most> MB
+    Then it has been ended within <limit> s and the node has accepted less than 16 MB
+    And the node holds less than 4 MB more than before
+    And its log has <event> with the reason <reason>
+    And a caller is served
+
+    Examples: each port
+      | port    | what                        | most | limit | event                     | reason             |
+      | links   | a frame of 80 MB            | 64   | 3     | link-rejected             | frame-before-hello |
+      | links   | frames without a Hello      | 64   | 3     | link-rejected             | frame-before-hello |
+      | links   | nothing                     | 64   | 3     | link-rejected             | no-hello           |
+      | links   | half a Hello and no more    | 64   | 3     | link-rejected             | no-hello           |
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -16,6 +16,10 @@
 """Maximum backoff, shorter than the restart of a killed node takes."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 """Size of the send buffer above which a link is aborted."""
+HELLO_TIMEOUT_S = 2.0
+"""Time within which the peer has to identify itself with its Hello."""
+MAX_HELLO_BYTES = 4_096
+"""Largest frame of a peer that has not sent its Hello."""
 
 
 class LinkOwner(typing.Protocol):
@@ -54,6 +58,7 @@
         self._log = log
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._hello_timer: asyncio.TimerHandle | None = None
 
     def send(self, message: coordination.PeerMessage) -> None:
         """Send a message, unless the link is closing.
@@ -93,6 +98,9 @@
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
         _sockets.set_socket_options(transport)
+        self._hello_timer = asyncio.get_running_loop().call_later(
+            HELLO_TIMEOUT_S, self._reject_peer, "no-hello"
+        )
         self.send(self._hello)
 
     def data_received(self, data: bytes) -> None:
@@ -103,6 +111,9 @@
         prefix_bytes = protocol.FRAME_LENGTH.size
         while len(buffer) - start >= prefix_bytes:
             (length,) = protocol.FRAME_LENGTH.unpack_from(buffer, start)
+            if self.peer is None and length > MAX_HELLO_BYTES:
+                self._reject_peer("frame-before-hello")
+                return
             if length > protocol.MAX_FRAME_BYTES:
                 self._log.decision("link-garbled", peer=self.peer_host)
                 self.abort()
@@ -126,14 +137,30 @@
             return False
         if isinstance(message, coordination.Hello):
             if self.peer is None:
+                self._cancel_hello_timer()
                 self.peer = message
                 self._owner.on_link_opened(self, message)
-        elif self.peer is not None:
-            self._owner.on_message(self, message)
+            return True
+        if self.peer is None:
+            self._reject_peer("frame-before-hello")
+            return False
+        self._owner.on_message(self, message)
         return True
 
+    def _reject_peer(self, reason: str) -> None:
+        """Abort the link of a peer that has not identified itself."""
+        self._log.count("links", reason)
+        self._log.decision("link-rejected", reason=reason)
+        self.abort()
+
+    def _cancel_hello_timer(self) -> None:
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
+            self._hello_timer = None
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner and complete the `closed` future."""
+        self._cancel_hello_timer()
         self._log.decision(
             "link-ended",
             peer=self.peer_host,
