Limit requests on the ports of readiness and metrics

A request target without end was kept, and copied with each part: 64 MB of it held the loop, and with it all calls, for 7.4 s. Requests whose responses were not read left these in the send buffer without limit. Nothing had a time limit.

The server counts the bytes of a request as they arrive, up to 16 KiB, gives it 5 s, aborts a connection with over 1 MiB of unread responses, and one without a request for 120 s. Each is logged as status-connection-aborted and counted.

script/run_features.py features/mesh/endless_bytes.feature, rows of the ports status and metrics: on 0 of 9 pass, now 9 of 9.

A header value or body without end was read, but not kept, before.

--- a/features/mesh/endless_bytes.feature
+++ b/features/mesh/endless_bytes.feature
@@ -13,6 +13,15 @@
 
     Examples: each port
       | port    | what                        | most | limit | event                     | reason             |
+      | status  | a request line              | 64   | 3     | status-connection-aborted | request-too-large  |
+      | status  | a header value              | 64   | 3     | status-connection-aborted | request-too-large  |
+      | status  | header lines                | 64   | 3     | status-connection-aborted | request-too-large  |
+      | status  | blank lines                 | 64   | 3     | status-connection-aborted | request-too-large  |
+      | status  | a body                      | 64   | 3     | status-connection-aborted | request-too-large  |
+      | status  | a trailer                   | 64   | 3     | status-connection-aborted | request-too-large  |
+      | status  | half a request and no more  | 64   | 7     | status-connection-aborted | request-timeout    |
+      | metrics | a request line              | 64   | 3     | status-connection-aborted | request-too-large  |
+      | metrics | requests and reads nothing  | 1    | 3     | status-connection-aborted | responses-unread   |
       | links   | a frame of 80 MB            | 64   | 3     | link-rejected             | frame-before-hello |
       | links   | frames without a Hello      | 64   | 3     | link-rejected             | frame-before-hello |
       | links   | nothing                     | 64   | 3     | link-rejected             | no-hello           |
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -166,10 +166,16 @@
                 self._log,
             ),
             await transport.listen_for_status(
-                self._read_status, config.status.host, config.status.port
+                self._read_status,
+                config.status.host,
+                config.status.port,
+                self._log,
             ),
             await transport.listen_for_status(
-                self.read_metrics, config.metrics.host, config.metrics.port
+                self.read_metrics,
+                config.metrics.host,
+                config.metrics.port,
+                self._log,
             ),
         ]
         await self._caller_server.listen(
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -6,32 +6,62 @@
 
 import httptools
 
+from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
+from jasminecrank.mesh.transport import _sockets
+
+REQUEST_TIMEOUT_S = 5.0
+"""Time from the first byte of a request to its last."""
+IDLE_TIMEOUT_S = 120.0
+"""Time without a request after which a connection is closed."""
+MAX_REQUEST_BYTES = 16_384
+"""Largest request, its body and framing included."""
+MAX_UNSENT_BYTES = 1024 * 1024
+"""Size of the send buffer above which a connection is aborted."""
 
 
 class StatusConnection(asyncio.Protocol):
     """Connection that answers GET requests of the platform and operators."""
 
     def __init__(
-        self, respond: Callable[[bytes], protocol.RawResponse]
+        self,
+        respond: Callable[[bytes], protocol.RawResponse],
+        log: coordination.Log,
     ) -> None:
         self._respond = respond
+        self._log = log
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
+        self._request_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for the responses."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
+        _sockets.set_socket_options(transport)
+        self._start_timer(IDLE_TIMEOUT_S, "idle")
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; close the connection if they are invalid."""
+        """Parse received bytes; end the connection if they are invalid."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._request_bytes == 0:
+            self._start_timer(REQUEST_TIMEOUT_S, "request-timeout")
+        self._request_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self._transport is not None:
-                self._transport.close()
+            self._transport.close()
+            return
+        if self._request_bytes > MAX_REQUEST_BYTES:
+            self._abort("request-too-large")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the timer."""
+        del exc
+        self._cancel_timer()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target, which can arrive in parts."""
@@ -39,21 +69,49 @@
 
     def on_message_complete(self) -> None:
         """Send the response to a complete request."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
         raw = self._respond(self._url)
         self._url = b""
-        if self._transport is None:
-            return
+        self._request_bytes = 0
+        self._start_timer(IDLE_TIMEOUT_S, "idle")
         close = not self._parser.should_keep_alive()
-        self._transport.write(protocol.encode_response(raw, b"GET", close))
-        if close:
-            self._transport.close()
+        transport.write(protocol.encode_response(raw, b"GET", close))
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._abort("responses-unread")
+        elif close:
+            transport.close()
+
+    def _abort(self, reason: str) -> None:
+        """Abort the connection without flushing pending data."""
+        transport = self._transport
+        if transport is None:
+            return
+        self._log.count("status_connections", reason)
+        self._log.decision("status-connection-aborted", reason=reason)
+        transport.abort()
+
+    def _start_timer(self, timeout_s: float, reason: str) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            timeout_s, self._abort, reason
+        )
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
 
 async def listen_for_status(
-    respond: Callable[[bytes], protocol.RawResponse], host: str, port: int
+    respond: Callable[[bytes], protocol.RawResponse],
+    host: str,
+    port: int,
+    log: coordination.Log,
 ) -> asyncio.Server:
     """Serve readiness or metrics at an address."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: StatusConnection(respond), host, port
+        lambda: StatusConnection(respond, log), host, port
     )
