Count the bytes of a caller's head as they arrive

A header name, header value or trailer without end was kept by the parser until the header timeout of 5 s: only complete headers were counted. Blank lines and chunk extensions without end were read for ever.

The connection counts the bytes since the latest start, head, body part or end of a message, which only the parser holds, and refuses the request with 413 above the limit on headers and 1 KiB.

Heads just below the limit in parts of 1 to 20,000 bytes and pipelined requests are served as before.

--- a/features/mesh/endless_bytes.feature
+++ b/features/mesh/endless_bytes.feature
@@ -13,6 +13,16 @@
 
     Examples: each port
       | port    | what                        | most | limit | event                     | reason             |
+      | callers | a request line              | 64   | 3     | request-refused           | headers            |
+      | callers | a header name               | 64   | 3     | request-refused           | headers            |
+      | callers | a header value              | 64   | 3     | request-refused           | headers            |
+      | callers | header lines                | 64   | 3     | request-refused           | headers            |
+      | callers | blank lines                 | 64   | 3     | request-refused           | headers            |
+      | callers | a body                      | 64   | 3     | request-refused           | body               |
+      | callers | chunks                      | 64   | 3     | request-refused           | body               |
+      | callers | a chunk extension           | 64   | 3     | request-refused           | headers            |
+      | callers | a trailer                   | 64   | 3     | request-refused           | headers            |
+      | callers | trailers                    | 64   | 3     | request-refused           | headers            |
       | status  | a request line              | 64   | 3     | status-connection-aborted | request-too-large  |
       | status  | a header value              | 64   | 3     | status-connection-aborted | request-too-large  |
       | status  | header lines                | 64   | 3     | status-connection-aborted | request-too-large  |
@@ -26,3 +36,8 @@
       | links   | frames without a Hello      | 64   | 3     | link-rejected             | frame-before-hello |
       | links   | nothing                     | 64   | 3     | link-rejected             | no-hello           |
       | links   | half a Hello and no more    | 64   | 3     | link-rejected             | no-hello           |
+
+  Scenario: Heads at the limit are accepted however they are split
+    Given a deployment of 1 hosts
+    Then a head of 16000 bytes is served in parts of 1, 100, 4000 and 20000 bytes
+    And 200 pipelined requests of 1000 bytes are served in parts of 30000 bytes
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -17,6 +17,8 @@
 """Waiting requests on a connection above which reading is paused."""
 LISTEN_BACKLOG = 1_024
 """Connections waiting to be accepted, for bursts of new callers."""
+HEAD_MARGIN_BYTES = 1_024
+"""Bytes of a head besides its target and headers, such as the method."""
 
 
 class CallerServer:
@@ -119,6 +121,7 @@
             return
         if not self._in_message and self._current_number is None:
             self._start_timer(self._server.limits.header_timeout_s)
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -126,7 +129,12 @@
         except httptools.HttpParserError as error:
             self._refuse(state.RefusalKind.REQUEST_INVALID, str(error))
         limits = self._server.limits
-        if self._head_bytes > limits.max_header_bytes:
+        max_unparsed_bytes = limits.max_header_bytes + HEAD_MARGIN_BYTES
+        if (
+            self._head_bytes > limits.max_header_bytes
+            or self._unparsed_bytes > max_unparsed_bytes
+        ):
+            self._server.log.count("caller_heads", "too-large")
             self._refuse(state.RefusalKind.TOO_LARGE, "headers")
 
     def eof_received(self) -> bool:
@@ -170,6 +178,7 @@
 
     def on_headers_complete(self) -> None:
         """Send 100 Continue if the request expects it."""
+        self._unparsed_bytes = 0
         self._method = self._parser.get_method()
         self._keep_alive = self._parser.should_keep_alive()
         expect = protocol.find_header(self._headers, b"expect")
@@ -178,6 +187,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and refuse a request that is too large."""
+        self._unparsed_bytes = 0
         self._body.append(body)
         self._body_bytes += len(body)
         if self._body_bytes > self._server.limits.max_body_bytes:
@@ -326,4 +336,9 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._unparsed_bytes = 0
+        """Bytes since the latest start, head, body part or end of a message.
+
+        They are those of a line without end, which only the parser holds.
+        """
         self._keep_alive = True
