--- a/features/steps/mesh_endless_steps.py
+++ b/features/steps/mesh_endless_steps.py
@@ -160,7 +160,8 @@
 
 def _request(number, head_bytes):
     head = (
-        f"GET /lots/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {number:016x}\r\n"
+        "GET /lots/1 HTTP/1.1\r\nHost: a.example\r\n"
+        f"Request-Id: {number:016x}\r\n"
         "Deadline-Ms: 4000\r\nAuthorization: Token k1\r\nA: "
     ).encode()
     return head + b"a" * (head_bytes - len(head) - 4) + b"\r\n\r\n"
