Keep a host while another dialled link to it works

Two dialled links to a host exist for a moment when one is replaced. When one of them was reset, the entry and quota tasks dropped the host, and the fleet task forgot which server runs there, although the other link worked: the host got no calls until that link ended too.

After PeerDown, which ends the calls on the lost link, the fleet task tells PeerUp for a remaining link, preferably one that isn't silent, and keeps the server id that was reported on it. The line link-down has a new field, linked.

--- /dev/null
+++ b/features/steps/mesh_peer_steps.py
@@ -0,0 +1,204 @@
+"""Steps for peers and the links to them."""
+
+import asyncio
+import contextlib
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import fleet_model
+
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+from jasminecrank.mesh import transport
+
+HOST = "10.0.0.1"
+PEER = "10.0.0.2"
+CHECK_S = 0.1
+SILENT_FOR_S = 1.5
+
+
+class Clock:
+    """A clock that is set by hand."""
+
+    def __init__(self):
+        self.at_s = 100.0
+
+    def now_s(self):
+        """Return the time that was set."""
+        return self.at_s
+
+
+class Log(fleet_model.NullLog):
+    """A log that needs no event loop."""
+
+    def decision(self, event, **fields):
+        """Keep an event."""
+        self.lines.append((event, fields))
+
+    sampled = decision
+
+
+class FakeTransport:
+    """A transport that notes whether it was aborted."""
+
+    def __init__(self):
+        self.aborted = False
+
+    def is_closing(self):
+        """Return whether it was aborted."""
+        return self.aborted
+
+    def write(self, data):
+        """Drop what is sent."""
+
+    def get_write_buffer_size(self):
+        """Nothing waits."""
+        return 0
+
+    def get_extra_info(self, name):
+        """There is no socket."""
+        del name
+
+    def abort(self):
+        """Note that."""
+        self.aborted = True
+
+
+class Owner:
+    """An owner of links to which nothing happens."""
+
+    def on_link_opened(self, link, hello):
+        """Ignore it."""
+
+    def on_message(self, link, message):
+        """Ignore it."""
+
+
+def first_report(now_s):
+    """Return the load report with which a link begins."""
+    sent = []
+
+    class Receiver:
+        host = HOST
+        send = staticmethod(sent.append)
+
+    coordination.LoadReporter(
+        state.Directory(fleet_model.decode),
+        state.SourceContact(PEER),
+        lambda host: True,
+    ).send(
+        state.ServerLoad("i-1", 0, 0, 4, 0.1, 0.0, True), [Receiver()], now_s
+    )
+    return sent[0]
+
+
+def _tick(context, seconds, each=lambda: None):
+    for _ in range(round(seconds / CHECK_S)):
+        each()
+        for _ in range(2):
+            context.clock.at_s += CHECK_S / 2
+            context.task.handle(coordination.FleetTick())
+
+
+@given("a node that has dialled a host with {links}")
+def step_dialled(context, links):
+    context.exit_stack = contextlib.ExitStack()
+    runner = context.exit_stack.enter_context(asyncio.Runner())
+    context.clock = Clock()
+    context.to_entry = []
+    context.to_quota = []
+    context.directory = state.Directory(fleet_model.decode)
+    load = state.ServerLoad("i-0", 0, 0, 4, 0.1, 0.0, True)
+    context.task = coordination.FleetTask(
+        HOST,
+        "a",
+        context.directory,
+        state.UploadLimiter(0.0),
+        coordination.FleetPorts(
+            context.to_entry.append,
+            lambda message: None,
+            context.to_quota.append,
+            lambda hosts: None,
+            lambda watching: None,
+            lambda revision: None,
+            lambda: load,
+        ),
+        context.clock,
+        random.Random(1),
+        Log(),
+    )
+
+    async def make_link():
+        hello = coordination.Hello(HOST, 1, "ledger")
+        link = transport.Link(Owner(), hello, True, Log())
+        link.connection_made(FakeTransport())
+        peer_hello = coordination.Hello(PEER, 1, "ledger")
+        link.data_received(protocol.encode(peer_hello))
+        return link
+
+    count = 1 if links == "one link" else 2
+    context.links = [runner.run(make_link()) for _ in range(count)]
+    for link in context.links:
+        context.task.handle(
+            coordination.LinkOpened(link, PEER, True, link.send)
+        )
+        context.task.handle(
+            coordination.PeerMessageReceived(
+                link, PEER, first_report(context.clock.now_s()), link.send
+            )
+        )
+    if links.endswith("silent"):
+        _tick(context, SILENT_FOR_S)
+
+
+def taken_as(messages):
+    """Return what a task takes the peer as after the messages to it."""
+    taken = "unreachable"
+    for message in messages:
+        match message:
+            case coordination.PeerUp():
+                taken = "reachable"
+            case coordination.PeerSilent():
+                taken = "silent"
+            case coordination.PeerDown():
+                taken = "unreachable"
+    return taken
+
+
+@when("{which} of them is reset")
+def step_reset(context, which):
+    link = context.links[0 if which == "the first" else -1]
+    context.task.handle(coordination.LinkEnded(link, PEER, True))
+
+
+@then("its entry task takes the host as {taken}, and its quota task too")
+def step_taken(context, taken):
+    assert taken_as(context.to_entry) == taken, context.to_entry
+    assert taken_as(context.to_quota) == taken, context.to_quota
+
+
+@then("the server that is known to run there is {running}")
+def step_running(context, running):
+    found = context.directory.running_id_by_host.get(PEER) or "unknown"
+    assert found == running, found
+
+
+@when(
+    "for {seconds:g} s {count:d} bytes of one message arrive on it each 0.1 s"
+)
+def step_arrive(context, seconds, count):
+    link = context.links[0]
+    link.data_received(
+        protocol.FRAME_LENGTH.pack(protocol.MAX_FRAME_BYTES - 1)
+    )
+    _tick(context, seconds, lambda: link.data_received(b"a" * count))
+
+
+@then("the link is {link_state}, and the entry task takes the host as {taken}")
+def step_link_state(context, link_state, taken):
+    aborted = context.links[0]._transport.aborted
+    assert aborted == (link_state == "aborted"), aborted
+    assert taken_as(context.to_entry) == taken, context.to_entry
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -371,6 +371,11 @@
         self._ports.to_entry(up)
         self._ports.to_quota(up)
 
+    def _peer_silent(self, peer: _Peer) -> None:
+        silent = _messages.PeerSilent(peer.host)
+        self._ports.to_entry(silent)
+        self._ports.to_quota(silent)
+
     def _load_reported(
         self,
         peer: _Peer | None,
@@ -426,11 +431,30 @@
         if peer is None:
             return
         self._exchange.remove_peer(peer.send)
-        self._set_running(peer.host, "")
+        remaining = self._dialled_peer(peer.host)
+        self._set_running(
+            peer.host, "" if remaining is None else remaining.server_id
+        )
+        # The calls on the ended link are lost, whether or not others remain.
         down = _messages.PeerDown(peer.host)
         self._ports.to_entry(down)
         self._ports.to_quota(down)
-        self.log.decision("link-down", peer=peer.host)
+        self.log.decision(
+            "link-down", peer=peer.host, linked=remaining is not None
+        )
+        if remaining is not None:
+            self._peer_up(remaining)
+            if remaining.silent:
+                self._peer_silent(remaining)
+
+    def _dialled_peer(self, host: str) -> _Peer | None:
+        """Return the peer of a dialled link to a host, preferably alive."""
+        peers = [
+            peer
+            for peer in self._dialled_peer_by_link.values()
+            if peer.host == host
+        ]
+        return min(peers, key=lambda peer: peer.silent, default=None)
 
     def _tick(self, now_s: float) -> None:
         since_tick_s = now_s - self._ticked_at_s
@@ -473,9 +497,7 @@
             elif silence_s > SILENT_AFTER_S and not peer.silent:
                 peer.silent = True
                 self.log.decision("peer-silent", peer=peer.host)
-                silent = _messages.PeerSilent(peer.host)
-                self._ports.to_entry(silent)
-                self._ports.to_quota(silent)
+                self._peer_silent(peer)
 
     def _update_watch_duty(self, now_s: float) -> None:
         watch = self._should_watch(now_s)
