Count parts of a message as a sign of a peer's life

A message that takes over 2.2 s on a link, such as a large answer or a large listing on a slow one, ended that link with all calls on it: only whole messages counted as a sign of life, and the load reports wait behind it. After 1 s the host got no more calls.

A link counts the bytes it has received. The fleet task takes 4,096 bytes since the last sign of life for another, at its check each 0.1 s. A peer that sends less, such as one byte at a time, is silent as before.

--- a/features/mesh/peers.feature
+++ b/features/mesh/peers.feature
@@ -15,3 +15,17 @@
       | two links              | the last  | reachable   | i-1     |
       | two links, both silent | the first | silent      | i-1     |
       | two links, both silent | the last  | silent      | i-1     |
+
+  Scenario Outline: A peer is alive while a message of it arrives
+    Given a node that has dialled a host with one link
+    When for <time> s <bytes> bytes of one message arrive on it each 0.1 s
+    Then the link is <link>, and the entry task takes the host as <state>
+
+    Examples:
+      | time | bytes | link    | state       |
+      | 6.0  | 60000 | open    | reachable   |
+      | 6.0  | 2000  | open    | reachable   |
+      | 6.0  | 1     | aborted | silent      |
+      | 1.5  | 1     | open    | silent      |
+      | 1.5  | 0     | open    | silent      |
+      | 6.0  | 0     | aborted | silent      |
--- a/features/steps/fleet_model.py
+++ b/features/steps/fleet_model.py
@@ -207,6 +207,7 @@
     dialled: bool
     other: "LinkEnd | None" = None
     closed: bool = False
+    received_bytes: int = 0
 
     def send(self, message):
         """Deliver a message after the bytes queued before it."""
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -6,10 +6,10 @@
 from jasminecrank.mesh.coordination._exchange import (
     EntryExchange as EntryExchange,
 )
-from jasminecrank.mesh.coordination._fleet import Closable as Closable
 from jasminecrank.mesh.coordination._fleet import FLEET_TICK_S as FLEET_TICK_S
 from jasminecrank.mesh.coordination._fleet import FleetPorts as FleetPorts
 from jasminecrank.mesh.coordination._fleet import FleetTask as FleetTask
+from jasminecrank.mesh.coordination._fleet import PeerLink as PeerLink
 from jasminecrank.mesh.coordination._gate import (
     BackendServerPort as BackendServerPort,
 )
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -21,6 +21,8 @@
 """Silence of a peer after which no calls are sent to its host."""
 DEAD_AFTER_S = 2.2
 """Silence of a peer after which the link to it is closed."""
+MIN_PROGRESS_BYTES = 4_096
+"""Bytes of a partial message that show that its peer is alive."""
 SUSPENDED_AFTER_S = 1.0
 """Time without a tick that shows that the node was suspended."""
 LATE_TICK_AFTER_S = 0.25
@@ -35,8 +37,12 @@
 START_PAUSE_MAX_S = 2.4
 
 
-class Closable(typing.Protocol):
-    """A link that can be closed."""
+class PeerLink(typing.Protocol):
+    """What the fleet task needs of a link."""
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received so far, those of partial messages too."""
 
     def abort(self) -> None:
         """Close the link at once, discarding unsent messages."""
@@ -46,10 +52,12 @@
 class _Peer:
     host: str
     send: _peer_messages.SendToPeer
-    link: Closable
+    link: PeerLink
     received_at_s: float
     contact: state.SourceContact
     silent: bool = False
+    progress_bytes: int = 0
+    """Bytes received on the link when they last counted as a sign of life."""
     server_id: str = ""
     """Incarnation of its backend server, as last reported."""
 
@@ -334,10 +342,7 @@
     ) -> None:
         peer = self._dialled_peer_by_link.get(id(message.link))
         if peer is not None:
-            peer.received_at_s = now_s
-            if peer.silent:
-                peer.silent = False
-                self._peer_up(peer)
+            self._mark_alive(peer, now_s)
         match message.message:
             case _peer_messages.LoadReported():
                 self._load_reported(peer, message.message, now_s)
@@ -366,6 +371,12 @@
             case _:
                 typing.assert_never(message.message)
 
+    def _mark_alive(self, peer: _Peer, now_s: float) -> None:
+        peer.received_at_s = now_s
+        if peer.silent:
+            peer.silent = False
+            self._peer_up(peer)
+
     def _peer_up(self, peer: _Peer) -> None:
         up = _messages.PeerUp(peer.host, peer.send)
         self._ports.to_entry(up)
@@ -402,7 +413,7 @@
         peer = _Peer(
             message.host,
             message.send,
-            typing.cast(Closable, message.link),
+            typing.cast(PeerLink, message.link),
             now_s,
             state.SourceContact(message.host),
         )
@@ -491,6 +502,10 @@
 
     def _check_silence(self, now_s: float) -> None:
         for peer in list(self._dialled_peer_by_link.values()):
+            received_bytes = peer.link.received_bytes
+            if received_bytes - peer.progress_bytes >= MIN_PROGRESS_BYTES:
+                peer.progress_bytes = received_bytes
+                self._mark_alive(peer, now_s)
             silence_s = now_s - peer.received_at_s
             if silence_s > DEAD_AFTER_S:
                 peer.link.abort()
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -52,6 +52,7 @@
         self.link_id = next(self._ids)
         self.dialled = dialled
         self.peer: coordination.Hello | None = None
+        self.received_bytes = 0
         self.closed = asyncio.get_running_loop().create_future()
         self._owner = owner
         self._hello = hello
@@ -105,6 +106,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Split the stream into frames and handle the complete ones."""
+        self.received_bytes += len(data)
         self._buffer += data
         buffer = self._buffer
         start = 0
