End a read of the store that goes on too slowly

A store that sent one byte at a time kept a read open as long as the declared body lasted, or for ever in chunks: each byte gave it another second. The node learned no newer table from it meanwhile.

A response may take 5 s and the time for its bytes at 16 KiB/s.

Endless headers, bodies, chunks, trailers, interim answers and garbage were cut off before, for pages and watches.

--- a/features/mesh/endless_bytes.feature
+++ b/features/mesh/endless_bytes.feature
@@ -41,3 +41,23 @@
     Given a deployment of 1 hosts
     Then a head of 16000 bytes is served in parts of 1, 100, 4000 and 20000 bytes
     And 200 pipelined requests of 1000 bytes are served in parts of 30000 bytes
+
+  Scenario Outline: A store that sends without end is given up
+    Given a store that answers with <what> up to 64 MB
+    When the node sends it a <kind>
+    Then the read has failed within <limit> s and the store has sent less than 16 MB
+
+    Examples:
+      | kind  | what                 | limit |
+      | page  | a header value       | 3     |
+      | page  | interim answers      | 3     |
+      | page  | a body               | 3     |
+      | page  | chunks               | 3     |
+      | page  | a trailer            | 3     |
+      | page  | garbage              | 3     |
+      | watch | a header value       | 3     |
+      | watch | interim answers      | 3     |
+      | watch | a body               | 3     |
+      | watch | chunks               | 3     |
+      | page  | a byte each 0.1 s    | 7     |
+      | watch | a byte each 0.1 s    | 7     |
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -38,7 +38,8 @@
         self._exchanges = 0
         self._head_only = False
         self._max_body_bytes = MAX_BODY_BYTES
-        self._received_bytes = 0
+        self.received_bytes = 0
+        """Bytes received for the current exchange, framing included."""
         self._on_progress: Callable[[], None] | None = None
         self._reset_message()
         self.usable = False
@@ -72,7 +73,7 @@
         self._exchanges += 1
         self._head_only = request.method == b"HEAD"
         self._max_body_bytes = max_body_bytes
-        self._received_bytes = 0
+        self.received_bytes = 0
         self._on_progress = on_progress
         self._transport.write(protocol.encode_request(request))
         try:
@@ -102,7 +103,7 @@
             # Unsolicited bytes make the connection unusable.
             self.abort()
             return
-        self._received_bytes += len(data)
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -112,7 +113,7 @@
         max_bytes = MAX_HEAD_BYTES
         if self._headers_done:
             max_bytes += self._max_body_bytes
-        if self._received_bytes > max_bytes:
+        if self.received_bytes > max_bytes:
             self._fail(REASON_TOO_LARGE)
         if self._on_progress is not None:
             self._on_progress()
--- a/src/jasminecrank/platform/_store.py
+++ b/src/jasminecrank/platform/_store.py
@@ -22,6 +22,10 @@
 It is also the longest pause between its parts. The whole response may take
 longer: a megabyte takes 2 s on a link of 5 Mbit/s.
 """
+TRANSFER_GRACE_S = 5.0
+"""Time that a response may take beyond that at the slowest rate."""
+MIN_TRANSFER_BYTES_PER_S = 16_384
+"""Slowest rate at which a response is received to its end."""
 
 
 class PlatformStore:
@@ -112,10 +116,20 @@
         connection = self._connection
         loop = asyncio.get_running_loop()
         replied = False
+        began_at_s: float | None = None
 
         def on_progress() -> None:
-            nonlocal replied
-            timeout.reschedule(loop.time() + READ_TIMEOUT_S)
+            nonlocal replied, began_at_s
+            now_s = loop.time()
+            if began_at_s is None:
+                began_at_s = now_s
+            transfer_s = connection.received_bytes / MIN_TRANSFER_BYTES_PER_S
+            timeout.reschedule(
+                min(
+                    now_s + READ_TIMEOUT_S,
+                    began_at_s + TRANSFER_GRACE_S + transfer_s,
+                )
+            )
             if not replied and connection.response_status == 200:
                 replied = True
                 on_reply()
