--- a/features/mesh/endless_bytes.feature
+++ b/features/mesh/endless_bytes.feature
@@ -61,3 +61,14 @@
       | watch | chunks               | 3     |
       | page  | a byte each 0.1 s    | 7     |
       | watch | a byte each 0.1 s    | 7     |
+
+  Scenario Outline: A listing without end is given up
+    Given a store whose pages hold <items> entries of <bytes> bytes and never end
+    When a node reads them
+    Then it takes less than <limit> MB and <pages> pages, and loses the store
+
+    Examples:
+      | items | bytes   | limit | pages |
+      | 1     | 1000000 | 80    | 100   |
+      | 100   | 0       | 80    | 10001 |
+      | 0     | 0       | 1     | 10001 |
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -30,6 +30,12 @@
 """Size of changes up to which a listing is never preferred."""
 CHANGES_TO_LISTING_RATIO = 1.5
 """Size of changes, relative to a listing, above which a listing is read."""
+MAX_LISTING_BYTES = 64 * 1024 * 1024
+"""Size of a listing above which it is given up."""
+MAX_LISTING_PAGES = 10_000
+ITEM_OVERHEAD_BYTES = 256
+"""Size of an entry in memory besides its key and value."""
+REASON_LISTING_TOO_LARGE = "listing-too-large"
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.8
 """Longest back-off after a failed read.
@@ -188,6 +194,8 @@
         start_revision = None
         transfer_s = 0.0
         after_key = ""
+        pages = 0
+        held_bytes = 0
         while True:
             self._log.count("source_calls", "list")
             page = await self._port.read_page(after_key, self._replied)
@@ -206,6 +214,12 @@
             self._log_rejected(page.rejected, page.revision)
             if not page.has_more:
                 break
+            pages += 1
+            held_bytes += _held_bytes(page.items)
+            if pages >= MAX_LISTING_PAGES or held_bytes > MAX_LISTING_BYTES:
+                self._log.count("source_calls", REASON_LISTING_TOO_LARGE)
+                await self._back_off(REASON_LISTING_TOO_LARGE)
+                return
             if page.last_key <= after_key:
                 await self._back_off("a page does not advance")
                 return
@@ -274,6 +288,14 @@
         await asyncio.sleep(delay_s * (0.5 + self._rng.random()))
 
 
+def _held_bytes(items: Sequence[state.SourceItem]) -> int:
+    """Return the size of entries in memory."""
+    return sum(
+        len(item.key) + len(item.value or b"") + ITEM_OVERHEAD_BYTES
+        for item in items
+    )
+
+
 def _wire_bytes(items: Sequence[state.SourceItem]) -> int:
     """Return the size of entries in a reply, in which values are base64."""
     return sum(
