Give callers that pause reading more than 2.5 s

Callers that read nothing for over 2.5 s, though alive, got their answer cut.

Cause: the TCP user timeout of 2.5 s, meant for nodes and servers that died, counts a closed receive window as well and was set on callers' connections too. Change: 30 s for callers, 2.5 s for nodes and servers.

Why it works: a caller that is gone is noticed by its reset or the end of its connection; the timeout only ends those that vanish without either.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -63,6 +63,12 @@
     When a caller of host 1 is served by host 0, which stops, and host 1 pauses reading for 1.0 s
     Then it gets 1 complete answers
 
+  Scenario: A caller that pauses reading is not taken for dead
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.02 s and answer with 4000 kB
+    When a caller sends 1 requests and reads nothing for 6.0 s
+    Then it gets 1 complete answers
+
   Scenario Outline: What is due on a connection decides the next step
     Given a connection on which <due> is due
     When the decision is taken in the phase <phase>
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -256,6 +256,21 @@
     context.runner.run(act())
 
 
+@when("a caller sends {count:d} requests and reads nothing for {pause_s:g} s")
+def step_pause(context, count, pause_s):
+    async def act():
+        caller = await _open(context)
+        for _ in range(count):
+            await caller.send()
+        await asyncio.sleep(pause_s)
+        reading = asyncio.create_task(_receive(context, [caller]))
+        # The node closes the connection once it is idle.
+        await _stop_node(context)
+        await reading
+
+    context.runner.run(act())
+
+
 def _make_debts(due):
     refusal = state.Refusal(state.RefusalKind.TOO_LARGE)
     parts = due.split(", ")
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -62,7 +62,9 @@
         """Register the connection and start its idle timer."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
-        _sockets.set_socket_options(transport)
+        _sockets.set_socket_options(
+            transport, _sockets.CALLER_TCP_USER_TIMEOUT_MS
+        )
         self._context.connections.add(self)
         self._debts.opened_at_s = self._context.clock.now_s()
         self._start_timer(self._context.limits.idle_timeout_s)
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -11,16 +11,21 @@
 
 Longer than the 2.2 s after which a silent node is considered dead.
 """
+CALLER_TCP_USER_TIMEOUT_MS = 30_000
+"""The same for callers, which may pause reading while they are alive."""
 
 
-def set_socket_options(transport: asyncio.BaseTransport) -> None:
+def set_socket_options(
+    transport: asyncio.BaseTransport,
+    user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
+) -> None:
     """Disable Nagle's algorithm and set the TCP user timeout."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
     )
 
 
