Hold back requests of a caller that does not read

A caller that pipelines requests and reads nothing made a node keep all their answers.

Cause: the next request of a connection started as soon as its answer had been written, whatever the caller had taken. Change: while the transport reports that writing is paused, no further request starts and nothing is read.

Why it works: at most one answer is written beyond the high-water mark.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -69,6 +69,13 @@
     When a caller sends 1 requests and reads nothing for 6.0 s
     Then it gets 1 complete answers
 
+  Scenario: Answers to a caller that reads nothing do not pile up
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.02 s and answer with 1000 kB
+    When a caller sends 16 requests and reads nothing for 1.5 s
+    Then node 0 held at most 1100 kB that were not sent
+    And it gets 16 complete answers
+
   Scenario Outline: What is due on a connection decides the next step
     Given a connection on which <due> is due
     When the decision is taken in the phase <phase>
@@ -88,6 +95,8 @@
       | a waiting request, refusal  | closing       | start-request  | not last |
       | a waiting request, refusal  | window-closed | refuse-request | not last |
       | a request in progress       | window-closed | wait           | not last |
+      | a waiting request, blocked  | closing       | wait           | not last |
+      | a refusal, blocked          | closing       | wait           | not last |
       | nothing after a close       | serving       | wait           | last     |
 
   Scenario Outline: An idle connection is closed once it owes nothing
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -1,6 +1,7 @@
 """Steps for the answers that a node owes on its connections."""
 
 import asyncio
+import re
 import time
 
 from behave import given
@@ -256,6 +257,13 @@
     context.runner.run(act())
 
 
+def _unsent_bytes(context):
+    body = context.fleet.nodes[0].read_metrics(b"/metrics").body.decode()
+    found = re.search(r"caller_unsent_bytes\S* (\S+)", body)
+    assert found is not None, body
+    return float(found[1])
+
+
 @when("a caller sends {count:d} requests and reads nothing for {pause_s:g} s")
 def step_pause(context, count, pause_s):
     async def act():
@@ -263,6 +271,7 @@
         for _ in range(count):
             await caller.send()
         await asyncio.sleep(pause_s)
+        context.unsent_bytes = _unsent_bytes(context)
         reading = asyncio.create_task(_receive(context, [caller]))
         # The node closes the connection once it is idle.
         await _stop_node(context)
@@ -271,6 +280,11 @@
     context.runner.run(act())
 
 
+@then("node 0 held at most {kbytes:d} kB that were not sent")
+def step_held(context, kbytes):
+    assert context.unsent_bytes <= 1_000 * kbytes, context.unsent_bytes
+
+
 def _make_debts(due):
     refusal = state.Refusal(state.RefusalKind.TOO_LARGE)
     parts = due.split(", ")
@@ -280,6 +294,7 @@
         receiving="a part of a request" in parts,
         refusal=refusal if due.find("refusal") >= 0 else None,
         last_request_read="refusal" in due or "after a close" in due,
+        write_blocked="blocked" in parts,
     )
 
 
--- a/src/jasminecrank/mesh/state/_connection_debts.py
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -49,6 +49,8 @@
     """Answer to a request that will not be read, due after all others."""
     last_request_read: bool = False
     """Whether nothing that follows will be read."""
+    write_blocked: bool = False
+    """Whether the caller takes answers more slowly than they are written."""
     opened_at_s: float = 0.0
     unused: bool = True
     """Whether nothing has been read yet."""
@@ -71,7 +73,7 @@
     @property
     def reads(self) -> bool:
         """Return whether further requests are read."""
-        return self.waiting <= MAX_WAITING_REQUESTS
+        return not self.write_blocked and self.waiting <= MAX_WAITING_REQUESTS
 
     def is_last_answer(self, phase: StopPhase) -> bool:
         """Return whether the answer about to be written ends the connection.
@@ -83,7 +85,7 @@
 
     def next_step(self, phase: StopPhase) -> ConnectionStep:
         """Return what to do after a request or an answer has ended."""
-        if self.in_progress:
+        if self.in_progress or self.write_blocked:
             return ConnectionStep.WAIT
         if self.waiting:
             if phase is StopPhase.WINDOW_CLOSED:
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -88,6 +88,17 @@
         """Treat a half-closed connection as closed by the caller."""
         return False
 
+    def pause_writing(self) -> None:
+        """Start no further request until the caller takes the answers."""
+        self._debts.write_blocked = True
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Continue with the next request."""
+        self._debts.write_blocked = False
+        self._update_reading()
+        self._continue()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request, since its caller has disconnected."""
         self._context.connections.discard(self)
