End a stop in time when little time is left before SIGKILL

A node with 1 s to stop was killed with its calls unanswered.

Cause: it waited the 2.3 s in which callers leave, whatever its time was. Change: it waits until the window closes at most.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -40,6 +40,19 @@
     Then it gets the statuses 502 503 503 503, only the last of which closes
     And node 0 has stopped within 6.0 s
 
+  Scenario Outline: A stop ends before the process is killed
+    Given a deployment of 2 hosts on the event loop of a process with <grace> s to stop
+    And servers run for 9.0 s and answer with 0 kB
+    When a caller sends 1 requests and a part of another, and node 0 stops
+    Then it gets the statuses 502 503, only the last of which closes
+    And node 0 has stopped within <grace> s
+
+    Examples:
+      | grace |
+      | 1.0   |
+      | 2.5   |
+      | 4.0   |
+
   Scenario: Bytes after the last request do not cut its answer
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 0.1 s and answer with 1000 kB
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -13,6 +13,7 @@
 from jasminecrank.mesh import state
 
 READ_TIMEOUT_S = 12.0
+STOP_GRACE_S = 6.0
 REFUSED_BODY_BYTES = 3_000_000
 REFUSED_HEADER_BYTES = 70_000
 TRAILING_BYTES = 200_000
@@ -20,8 +21,21 @@
 
 @given("a deployment of {hosts:d} hosts on the event loop of a process")
 def step_deployment(context, hosts):
+    _start_deployment(context, hosts, STOP_GRACE_S)
+
+
+@given(
+    "a deployment of {hosts:d} hosts on the event loop of a process "
+    "with {grace_s:g} s to stop"
+)
+def step_deployment_grace(context, hosts, grace_s):
+    _start_deployment(context, hosts, grace_s)
+
+
+def _start_deployment(context, hosts, grace_s):
     def prepare(deployment):
         deployment.timeout_ms = 20_000
+        deployment.stop_grace_s = grace_s
 
     mesh_path_steps.start_deployment(
         context, hosts, prepare, uvloop.new_event_loop
@@ -173,7 +187,8 @@
         reading = asyncio.create_task(_receive(context, [caller]))
         await asyncio.sleep(0.1)
         stopping = asyncio.create_task(_stop_node(context))
-        await asyncio.sleep(4.0)
+        # The rest is read before the window closes.
+        await asyncio.sleep(min(4.0, 0.3 * context.fleet.stop_grace_s))
         await caller.send("POST", "/book/1", {"Content-Length": "4"})
         await stopping
         await reading
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -213,7 +213,9 @@
         self.gate.mailbox.tell(stop_requested)
         self.entry.mailbox.tell(stop_requested)
         self._caller_server.start_closing()
-        await asyncio.sleep(state.CALLERS_LEAVE_S)
+        await asyncio.sleep(
+            min(state.CALLERS_LEAVE_S, window.closes_at_s - started_s)
+        )
         self._caller_server.close_idle()
         await self._wait_until_settled(window.closes_at_s)
         # A later connection is refused, so that its request is not lost.
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -44,6 +44,7 @@
         self.timeout_ms = 1000
         self.keys = ["k1", "k2"]
         self.rate_per_s = 0
+        self.stop_grace_s = 6.0
         self.idle_routes = 0
         self.service = "ledger"
         """Service named in the settings of nodes created from now on."""
@@ -120,7 +121,7 @@
             quota=state.QuotaBounds(5.0, 0.25, 20.0),
             retry_budget=state.RetryBudgetBounds(0.2, 10.0, 56.0),
             heartbeat_s=1.5,
-            stop_grace_s=6.0,
+            stop_grace_s=self.stop_grace_s,
             drain_s=2.0,
         )
         source = platform.PlatformStore(
