--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -15,6 +15,7 @@
 from jasminecrank.mesh import transport
 from jasminecrank.standins.fleet import _caller
 from jasminecrank.standins.fleet import _entries
+from jasminecrank.standins.fleet import _pipelining_caller
 from jasminecrank.standins.fleet import _server
 from jasminecrank.standins.fleet import _store
 
@@ -43,6 +44,7 @@
         self.timeout_ms = 1000
         self.keys = ["k1", "k2"]
         self.rate_per_s = 0
+        self.stop_grace_s = 6.0
         self.idle_routes = 0
         self.service = "ledger"
         """Service named in the settings of nodes created from now on."""
@@ -93,6 +95,13 @@
         """Return a client of the node on a host."""
         return _caller.Caller(self.host(number), self._ports["callers"])
 
+    def pipelining_caller(
+        self, number: int, mbit_per_s: float = 0.0
+    ) -> _pipelining_caller.PipeliningCaller:
+        """Return a client of the node on a host that reads at a rate."""
+        address = (self.host(number), self._ports["callers"])
+        return _pipelining_caller.PipeliningCaller(address, mbit_per_s)
+
     def make_node(self, number: int) -> daemon.Node:
         """Return a node for a host, not yet started."""
         host = self.host(number)
@@ -112,7 +121,7 @@
             quota=state.QuotaBounds(5.0, 0.25, 20.0),
             retry_budget=state.RetryBudgetBounds(0.2, 10.0, 56.0),
             heartbeat_s=1.5,
-            stop_grace_s=6.0,
+            stop_grace_s=self.stop_grace_s,
             drain_s=2.0,
         )
         source = platform.PlatformStore(
