Keep signals back while the loop of a node closes

A signal between the end of the stop and the end of the process raised "Event loop is closed" in the handler, so that a node that had stopped gracefully ended with a traceback and status 1.

Cause: passes signals to the loop until the process ends, also when the loop has been closed. Now the handlers leave the loop before it closes.

Also in the test: a process of asyncio that gets a signal at its end may be reaped by send_signal, after which the watcher reports 255. The steps use subprocess.Popen, which waits under a lock.

--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -100,19 +101,19 @@
             **self.environment,
         }
         with self.log_path.open("wb") as output:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *arguments,
+            # A process of asyncio may lose its status when it gets a signal
+            # at its end: both the signal and the watcher wait for it.
+            self.process = subprocess.Popen(
+                [sys.executable, *arguments],
                 env=environment,
-                stdin=asyncio.subprocess.DEVNULL,
+                stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
             )
 
     def send(self, number):
         """Send a signal unless the process has ended."""
-        if self.process.returncode is None:
-            self.process.send_signal(number)
+        self.process.send_signal(number)
 
     def handles_signals(self):
         """Return whether the process has installed its handlers."""
@@ -128,10 +129,10 @@
         """Wait until a condition holds; fail if the process ends before."""
         async with asyncio.timeout(timeout_s):
             while not await condition():
-                assert self.process.returncode is None, self.describe()
+                assert self.process.poll() is None, self.describe()
                 await asyncio.sleep(CHECK_PERIOD_S)
 
-    async def is_open(self, port="ready"):
+    async def is_open(self, port="callers"):
         """Return whether one of the ports accepts connections."""
         try:
             _, writer = await asyncio.open_connection(HOST, self.ports[port])
@@ -152,8 +153,7 @@
 
     async def ended(self, timeout_s=STOP_TIMEOUT_S):
         """Return the status with which the process ends."""
-        async with asyncio.timeout(timeout_s):
-            return await self.process.wait()
+        return await asyncio.to_thread(self.process.wait, timeout_s)
 
     def describe(self):
         """Return the status and the output, for messages of failures."""
@@ -163,7 +163,7 @@
         """Kill the process if it runs and close the sockets."""
         if self.process is not None:
             self.send(signal.SIGKILL)
-            await self.process.wait()
+            self.process.wait()
         self.server.close()
         self.store.close()
 
@@ -238,7 +238,7 @@
     node = context.node
 
     async def repeat():
-        while node.process.returncode is None:
+        while node.process.poll() is None:
             for name in names.split():
                 node.send(getattr(signal, name))
                 await asyncio.sleep(0.001)
--- a/src/jasminecrank/mesh/daemon/_process.py
+++ b/src/jasminecrank/mesh/daemon/_process.py
@@ -50,4 +50,7 @@
         random.Random(),
         lambda: platform.read_settings(path),
     )
-    await node.run(signals)
+    try:
+        await node.run(signals)
+    finally:
+        signals.detach()
--- a/src/jasminecrank/mesh/daemon/_signals.py
+++ b/src/jasminecrank/mesh/daemon/_signals.py
@@ -50,6 +50,10 @@
         for number in pending:
             loop.call_soon_threadsafe(on_signal, number)
 
+    def detach(self) -> None:
+        """Keep signals from now on, since the loop will be closed."""
+        self._loop = None
+
     def ignore(self) -> None:
         """Ignore signals until the process has ended.
 
@@ -58,7 +62,6 @@
         """
         for number in HANDLED_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
-        self._loop = None
 
     def _receive(self, number: int, frame: object) -> None:
         received = signal.Signals(number)
