Bound the bytes that a lingering connection drops

Cause: lingering was limited in time only. Change: after 4 MiB nothing more is read, and the connection closes.

--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -24,6 +24,8 @@
 Closing with unread bytes makes the kernel send a reset, which can discard
 the answer.
 """
+LINGER_MAX_BYTES = 4 * 1024 * 1024
+"""Bytes read and dropped on a connection whose last request is known."""
 
 
 @dataclass(slots=True)
@@ -58,6 +60,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closed_by_node = False
         self._unsent_at_end_bytes = 0
+        self._dropped_bytes = 0
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -75,6 +78,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, up to the last request that is read."""
         if self._ended or self._debts.last_request_read:
+            self._drop(len(data))
             return
         self._debts.unused = False
         if self._debts.idle:
@@ -90,6 +94,16 @@
         if self._unparsed_bytes > limit_bytes + HEAD_MARGIN_BYTES:
             self._refuse_head()
 
+    def _drop(self, dropped_bytes: int) -> None:
+        """Count bytes that nobody reads, and stop at a limit."""
+        self._dropped_bytes += dropped_bytes
+        if self._dropped_bytes <= LINGER_MAX_BYTES:
+            return
+        if self._ended:
+            self._close()
+        else:
+            self._update_reading()
+
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the caller."""
         return False
@@ -360,7 +374,9 @@
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        if self._ended or self._debts.reads:
+        if self._dropped_bytes <= LINGER_MAX_BYTES and (
+            self._ended or self._debts.reads
+        ):
             self._transport.resume_reading()
         else:
             self._transport.pause_reading()
