Read requests in a class of their own

RequestReader now turns bytes into requests and refusals; the connection answers them. No change of behaviour.

--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -9,11 +9,10 @@
 import itertools
 import typing
 
-import httptools
-
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _request_reader
 from jasminecrank.mesh.transport import _sockets
 
 LINGER_S = 1.0
@@ -46,7 +45,7 @@
     def __init__(self, context: ConnectionContext) -> None:
         self._context = context
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = _request_reader.RequestReader(self)
         self._debts = state.ConnectionDebts()
         self._requests: deque[protocol.RawRequest] = deque()
         self._current_number = 0
@@ -56,7 +55,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closed_by_node = False
         self._unsent_at_end_bytes = 0
-        self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timer."""
@@ -77,12 +75,7 @@
         self._debts.unused = False
         if self._debts.idle:
             self._start_timer(self._context.limits.header_timeout_s)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
-        except httptools.HttpParserError as error:
-            self._refuse(state.RefusalKind.REQUEST_INVALID, str(error))
+        self._reader.feed(data, self._context.limits)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the caller."""
@@ -120,63 +113,36 @@
             )
         self._debts = state.ConnectionDebts(unused=False)
 
-    def on_message_begin(self) -> None:
-        """Reset the parser state for a new request."""
-        self._reset_message()
-        if not self._debts.last_request_read:
-            self._debts.receiving = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target, which can arrive in parts."""
-        self._target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and count its bytes, 4 of them delimiters."""
-        self._headers.append((name, value))
-        self._count_head(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        """Send 100 Continue if the request expects it."""
-        if self._debts.last_request_read:
-            return
-        if self._parser.should_upgrade():
-            self._refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
-            return
-        self._method = self._parser.get_method()
-        self._keep_alive = self._parser.should_keep_alive()
-        expect = protocol.find_header(self._headers, b"expect")
-        if expect is not None and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    def on_request_begin(self) -> None:
+        """Note that a part of a request has been received."""
+        self._debts.receiving = True
 
-    def on_body(self, body: bytes) -> None:
-        """Append to the body and refuse a request that is too large."""
-        if self._debts.last_request_read:
-            return
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._context.limits.max_body_bytes:
-            self._refuse(state.RefusalKind.TOO_LARGE, "body")
+    def on_expect_continue(self) -> None:
+        """Send 100 Continue."""
+        if self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_message_complete(self) -> None:
+    def on_request(self, raw: protocol.RawRequest, keep_alive: bool) -> None:
         """Queue a complete request; pause reading if too many wait."""
-        if self._debts.last_request_read:
-            return
         self._debts.receiving = False
-        self._requests.append(
-            protocol.RawRequest(
-                self._method,
-                self._target,
-                tuple(self._headers),
-                b"".join(self._body),
-            )
-        )
+        self._requests.append(raw)
         self._debts.waiting += 1
-        self._debts.last_request_read = not self._keep_alive
-        self._reset_message()
+        self._debts.last_request_read = not keep_alive
         self._update_reading()
         self._continue()
 
+    def on_invalid(self, kind: state.RefusalKind, detail: str) -> None:
+        """Read nothing more, and refuse after the answers that are due."""
+        if self._transport is None:
+            return
+        self._context.log.decision(
+            "request-refused", outcome=kind.value, reason=detail
+        )
+        self._debts.last_request_read = True
+        self._debts.receiving = False
+        self._debts.refusal = state.Refusal(kind, detail)
+        self._continue()
+
     def abort(self) -> None:
         """Abort the connection without flushing pending data."""
         if self._transport is not None:
@@ -210,7 +176,9 @@
     def refuse_unstarted(self) -> None:
         """Refuse the requests that wait or were received in part."""
         if self._debts.receiving:
-            self._refuse(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
+            self._reader.refuse(
+                state.RefusalKind.OVERLOADED, state.STOPPING_REASON
+            )
         self._continue()
 
     def close_if_idle(self) -> None:
@@ -310,19 +278,6 @@
         self._update_reading()
         asyncio.get_running_loop().call_soon(self._continue)
 
-    def _refuse(self, kind: state.RefusalKind, detail: str) -> None:
-        """Read nothing more, and refuse after the answers that are due."""
-        if self._debts.last_request_read or self._transport is None:
-            return
-        self._context.log.decision(
-            "request-refused", outcome=kind.value, reason=detail
-        )
-        self._debts.last_request_read = True
-        self._debts.receiving = False
-        self._debts.refusal = state.Refusal(kind, detail)
-        self._reset_message()
-        self._continue()
-
     def _end(self) -> None:
         """Shut down the sending side and read until the caller closes."""
         if self._transport is None:
@@ -339,11 +294,6 @@
             self._closed_by_node = True
             self._transport.close()
 
-    def _count_head(self, added_bytes: int) -> None:
-        self._head_bytes += added_bytes
-        if self._head_bytes > self._context.limits.max_header_bytes:
-            self._refuse(state.RefusalKind.TOO_LARGE, "headers")
-
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -370,14 +320,5 @@
         else:
             self._start_timer(timeout_s)
 
-    def _reset_message(self) -> None:
-        self._method = b""
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._keep_alive = True
-
 
 _STOPPING = state.Refusal(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
