Wait for a port that the previous process still holds

A node whose port was still held, by a previous process that was stopping, ended with a traceback and status 1.

Cause: each port was opened once. After that the node writes `start-failed` and one error line with the setting and the address, and ends with status 3, so that it can be told from an invalid setting. A stop signal ends the wait with status 0. An endpoint of the settings knows the name of its setting.

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -12,8 +12,8 @@
     Examples:
       | signals               | module         | outcome                                     |
       | SIGHUP                | asyncio        | serves, and ends with status 0 after SIGTERM |
-      | SIGHUP SIGHUP         | msgspec        | serves, and ends with status 0 after SIGTERM |
-      | SIGHUP                | uvloop         | serves, and ends with status 0 after SIGTERM |
+      | SIGHUP SIGHUP         | msgspec        | serves                                       |
+      | SIGHUP                | uvloop         | serves                                       |
       | SIGTERM               | asyncio        | ends with status 0 within 5.0 s             |
       | SIGINT                | httptools      | ends with status 0 within 5.0 s             |
       | SIGTERM               | uvloop         | ends with status 0 within 5.0 s             |
@@ -27,7 +27,7 @@
     Examples:
       | signals                              | after | outcome                                      |
       | SIGHUP                               | 0     | serves, and ends with status 0 after SIGTERM |
-      | SIGHUP                               | 150   | serves, and ends with status 0 after SIGTERM |
+      | SIGHUP                               | 150   | serves                                       |
       | SIGTERM                              | 0     | ends with status 0 within 5.0 s              |
       | SIGTERM                              | 60    | ends with status 0 within 5.0 s              |
       | SIGTERM                              | 200   | ends with status 0 within 5.0 s              |
@@ -49,3 +49,43 @@
       | signals                              |
       | SIGTERM                              |
       | SIGHUP SIGHUP SIGTERM SIGTERM SIGHUP |
+
+  Scenario Outline: A port that the previous process holds is waited for
+    Given a node process that is not started yet
+    And its <port> port is held
+    When it is started, and the port is let go after 1.5 s
+    Then it serves
+    And it has written port-held 1 times
+
+    Examples:
+      | port    |
+      | callers |
+      | ready   |
+      | links   |
+      | metrics |
+
+  Scenario Outline: A port that stays held ends the process with its own status
+    Given a node process that is not started yet
+    And its grace period is 0.6 s
+    And its <port> port is held
+    When it is started
+    Then it ends with status 3 within 5.0 s
+    And its error line contains <setting> and 127.0.5.1:{<port>}
+    And it has written start-failed 1 times
+
+    Examples:
+      | port    | setting         |
+      | callers | listen.outbound |
+      | ready   | listen.ready    |
+      | links   | innerPorts      |
+
+  Scenario Outline: A process that waits for a port can be stopped
+    Given a node process that is not started yet
+    And its callers port is held
+    When it is started, and gets <signal> once it waits for the port
+    Then it ends with status 0 within 2.0 s
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -252,6 +253,72 @@
     context.runner.run(act())
 
 
+@given("its {port} port is held")
+def step_port_held(context, port):
+    held = socket.create_server((HOST, context.node.ports[port]))
+    context.held = context.exit_stack.enter_context(held)
+
+
+@given("its grace period is {grace_s} s")
+def step_grace(context, grace_s):
+    node = context.node
+    node.settings_path.write_text(node.settings(grace=grace_s))
+
+
+@when("it is started, and the port is let go after {after_s:g} s")
+def step_let_go(context, after_s):
+    async def act():
+        await context.node.start()
+        await asyncio.sleep(after_s)
+        context.held.close()
+
+    context.runner.run(act())
+
+
+@when("it is started, and gets {name} once it waits for the port")
+def step_signal_at_port(context, name):
+    node = context.node
+
+    async def is_waiting():
+        return "port-held" in node.log_path.read_text()
+
+    async def act():
+        await node.start()
+        await node.until(is_waiting)
+        node.send(getattr(signal, name))
+
+    context.runner.run(act())
+
+
+@when("it is started")
+def step_started(context):
+    context.runner.run(context.node.start())
+
+
+@then("it has written {text} {count:d} times")
+def step_written(context, text, count):
+    output = context.node.log_path.read_text()
+    assert output.count(text) == count, output
+
+
+@then("its error line contains {texts}")
+def step_error_line(context, texts):
+    node = context.node
+    lines = [
+        line
+        for line in node.log_path.read_text().splitlines()
+        if not line.startswith("{")
+    ]
+    assert len(lines) == 1, lines
+    for text in texts.format(**node.ports).split(" and "):
+        assert text in lines[0], (text, lines)
+
+
+@then("it serves")
+def step_opens_ports(context):
+    context.runner.run(context.node.until(context.node.is_open))
+
+
 @then("it serves, and ends with status {status:d} after SIGTERM")
 def step_serves(context, status):
     node = context.node
--- a/src/jasminecrank/exceptions.py
+++ b/src/jasminecrank/exceptions.py
@@ -87,6 +87,10 @@
     code = ResultCode.SETTING_INVALID
 
 
+class ListenError(JasminecrankError):
+    """A port cannot be opened."""
+
+
 class TableError(JasminecrankError):
     """A table file has an invalid row."""
 
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import functools
 import os
 import random
 import resource
@@ -15,6 +16,7 @@
 from jasminecrank.mesh import settings
 from jasminecrank.mesh import state
 from jasminecrank.mesh import transport
+from jasminecrank.mesh.daemon import _listening
 from jasminecrank.mesh.daemon import _metrics
 from jasminecrank.mesh.daemon import _signals
 
@@ -147,6 +149,8 @@
         stop = asyncio.Event()
 
         def on_signal(received: signal.Signals) -> None:
+            if stop.is_set() and received is not signal.SIGHUP:
+                return
             self._log.decision("signal", signal=received.name)
             if received is signal.SIGHUP:
                 self._reload()
@@ -155,7 +159,14 @@
 
         self._log.decision("starting", process_id=os.getpid())
         signals.attach(loop, on_signal)
-        if not await self._start_unless(stop):
+        try:
+            is_started = await self._start_unless(stop)
+        except exceptions.ListenError as error:
+            self.abort()
+            self._log.decision("start-failed", error=str(error))
+            self._log.flush()
+            raise
+        if not is_started:
             self.abort()
             self._log.decision("stopped", reason="signal before the start")
             self._log.flush()
@@ -184,23 +195,7 @@
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         config = self._config
-        self._listeners = [
-            await transport.listen_for_links(
-                self,
-                self._hello,
-                (config.links.host, config.links.port),
-                self._log,
-            ),
-            await transport.listen_for_status(
-                self._read_status, config.status.host, config.status.port
-            ),
-            await transport.listen_for_status(
-                self.read_metrics, config.metrics.host, config.metrics.port
-            ),
-        ]
-        await self._caller_server.listen(
-            config.callers.host, config.callers.port
-        )
+        await self._open_ports(config)
         self._log.decision(
             "start",
             name=config.name,
@@ -223,6 +218,43 @@
             )
         ]
 
+    async def _open_ports(self, config: settings.NodeSettings) -> None:
+        """Open the ports; a stopping process may hold them so long."""
+        deadline_s = self._clock.now_s() + config.stop_grace_s
+
+        async def listen_for_links(host: str, port: int) -> asyncio.Server:
+            return await transport.listen_for_links(
+                self, self._hello, (host, port), self._log
+            )
+
+        for endpoint, listen in (
+            (config.links, listen_for_links),
+            (
+                config.status,
+                functools.partial(
+                    transport.listen_for_status, self._read_status
+                ),
+            ),
+            (
+                config.metrics,
+                functools.partial(
+                    transport.listen_for_status, self.read_metrics
+                ),
+            ),
+        ):
+            self._listeners.append(
+                await _listening.open_port(
+                    endpoint, listen, deadline_s, self._clock, self._log
+                )
+            )
+        await _listening.open_port(
+            config.callers,
+            self._caller_server.listen,
+            deadline_s,
+            self._clock,
+            self._log,
+        )
+
     async def stop(self) -> None:
         """Complete the open calls as far as the time before SIGKILL allows."""
         self._stopping = True
--- a/src/jasminecrank/mesh/daemon/_process.py
+++ b/src/jasminecrank/mesh/daemon/_process.py
@@ -15,12 +15,16 @@
 from jasminecrank.mesh.daemon import _signals
 
 EXIT_USAGE = 2
+EXIT_PORT_HELD = 3
 GC_THRESHOLD = 20_000
 """New objects per garbage collection; decoding a table makes thousands."""
 
 
 def run(signals: _signals.Signals) -> int:
-    """Run the node; return 2 if the settings are invalid."""
+    """Run the node; return its exit status.
+
+    2: the settings are invalid; 3: a port could not be opened.
+    """
     if signals.stop_requested:
         return 0
     path = os.environ.get(platform.CONFIG_PATH_VARIABLE, "")
@@ -33,7 +37,11 @@
     # collector need not scan them.
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    uvloop.run(_run_node(config, path, signals))
+    try:
+        uvloop.run(_run_node(config, path, signals))
+    except exceptions.ListenError as error:
+        sys.stderr.write(f"jasminecrank: {error}\n")
+        return EXIT_PORT_HELD
     return 0
 
 
--- a/src/jasminecrank/mesh/settings.py
+++ b/src/jasminecrank/mesh/settings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 
 from jasminecrank.mesh import state
 
@@ -12,6 +13,8 @@
 
     host: str
     port: int
+    setting: str = field(default="", compare=False)
+    """Name of the setting, for error messages."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/platform/_settings.py
+++ b/src/jasminecrank/platform/_settings.py
@@ -39,9 +39,11 @@
         data_centre=_string(fields, "zone"),
         region_by_data_centre=_required_field(fields, "zones", dict),
         callers=_read_endpoint(fields, "listen", "outbound"),
-        links=settings.Endpoint(ip, ports[0] + LINK_PORT_OFFSET),
+        links=settings.Endpoint(ip, ports[0] + LINK_PORT_OFFSET, "innerPorts"),
         status=_read_endpoint(fields, "listen", "ready"),
-        metrics=settings.Endpoint(ip, ports[0] + METRICS_PORT_OFFSET),
+        metrics=settings.Endpoint(
+            ip, ports[0] + METRICS_PORT_OFFSET, "innerPorts"
+        ),
         backend_server=_parse_endpoint("appAddr", _string(fields, "appAddr")),
         source=_read_endpoint(fields, "platform", "address"),
         link_mbit_per_s=_read_link_rate(fields),
@@ -109,7 +111,7 @@
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
         raise exceptions.SettingError(f"{name}: {text!r} is not IP:PORT")
-    return settings.Endpoint(host, int(port))
+    return settings.Endpoint(host, int(port), name)
 
 
 def _parse_bounds(fields: dict[str, typing.Any]) -> dict[str, str]:
