--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -89,3 +89,40 @@
       | signal  |
       | SIGTERM |
       | SIGINT  |
+
+  Scenario Outline: A settings file that is being written is read again
+    Given a node process that is not started yet
+    And its settings file is <state>
+    When it is started, and the file is complete after 0.7 s
+    Then it serves
+
+    Examples:
+      | state        |
+      | missing      |
+      | empty        |
+      | half written |
+
+  Scenario Outline: Invalid settings end the process with one line
+    Given a node process that is not started yet
+    And its settings file is <state>
+    When it is started
+    Then it ends with status 2 within 4.0 s
+    And its error line contains <named>
+
+    Examples:
+      | state        | named           |
+      | missing      | boot.toml       |
+      | empty        | ip: None        |
+      | half written | boot.toml       |
+      | limits = 3   | limits: 3       |
+
+  Scenario Outline: A bad value in a reload does not cut the stop
+    Given a node process that serves a call of 0.8 s
+    When its bound of the grace period becomes <value> and it gets SIGHUP SIGTERM
+    Then the call gets 200
+    And it ends with status 0 within 5.0 s
+
+    Examples:
+      | value |
+      | nan   |
+      | 1e300 |
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -253,6 +253,50 @@
     context.runner.run(act())
 
 
+@given("its settings file is {state}")
+def step_settings_file(context, state):
+    path = context.node.settings_path
+    whole = context.node.settings()
+    match state:
+        case "missing":
+            path.unlink()
+        case "empty":
+            path.write_text("")
+        case "half written":
+            path.write_text(whole[: len(whole) // 2])
+        case _:
+            path.write_text(f"{state}\n{whole}")
+
+
+@when("it is started, and the file is complete after {after_s:g} s")
+def step_file_complete(context, after_s):
+    node = context.node
+
+    async def act():
+        await node.start()
+        await asyncio.sleep(after_s)
+        node.settings_path.write_text(node.settings())
+
+    context.runner.run(act())
+
+
+@when(
+    "its bound of the grace period becomes {value} and it gets SIGHUP SIGTERM"
+)
+def step_bad_reload(context, value):
+    node = context.node
+    node.settings_path.write_text(node.settings(grace=value))
+
+    async def act():
+        node.send(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        node.send(signal.SIGTERM)
+        context.response = await context.caller.receive()
+        await node.ended()
+
+    context.runner.run(act())
+
+
 @given("its {port} port is held")
 def step_port_held(context, port):
     held = socket.create_server((HOST, context.node.ports[port]))
--- a/src/jasminecrank/mesh/daemon/_process.py
+++ b/src/jasminecrank/mesh/daemon/_process.py
@@ -1,9 +1,10 @@
 """Reads the settings and runs a node until the process is stopped."""
 
+import contextlib
 import gc
 import os
 import random
-import sys
+import time
 
 import uvloop
 
@@ -14,6 +15,9 @@
 from jasminecrank.mesh.daemon import _node
 from jasminecrank.mesh.daemon import _signals
 
+SETTINGS_WAIT_S = 1.0
+"""Time for a settings file that is being written to become complete."""
+SETTINGS_RETRY_S = 0.05
 EXIT_USAGE = 2
 EXIT_PORT_HELD = 3
 GC_THRESHOLD = 20_000
@@ -25,14 +29,14 @@
 
     2: the settings are invalid; 3: a port could not be opened.
     """
-    if signals.stop_requested:
-        return 0
     path = os.environ.get(platform.CONFIG_PATH_VARIABLE, "")
     try:
-        config = platform.read_settings(path)
+        config = _read_settings(path, signals)
     except exceptions.SettingError as error:
-        sys.stderr.write(f"jasminecrank: {error}\n")
+        _report(error)
         return EXIT_USAGE
+    if config is None:
+        return 0
     # Modules and their classes live as long as the process, so the
     # collector need not scan them.
     gc.freeze()
@@ -40,11 +44,33 @@
     try:
         uvloop.run(_run_node(config, path, signals))
     except exceptions.ListenError as error:
-        sys.stderr.write(f"jasminecrank: {error}\n")
+        _report(error)
         return EXIT_PORT_HELD
     return 0
 
 
+def _read_settings(
+    path: str, signals: _signals.Signals
+) -> settings.NodeSettings | None:
+    """Return the settings, or None if the process is stopped before."""
+    deadline_s = time.monotonic() + SETTINGS_WAIT_S
+    while not signals.stop_requested:
+        try:
+            return platform.read_settings(path)
+        except exceptions.SettingError:
+            if time.monotonic() >= deadline_s:
+                raise
+        time.sleep(SETTINGS_RETRY_S)
+    return None
+
+
+def _report(error: exceptions.JasminecrankError) -> None:
+    """Write a line to standard error, which may be closed."""
+    line = " ".join(str(error).splitlines())
+    with contextlib.suppress(OSError):
+        os.write(2, f"jasminecrank: {line}\n".encode())
+
+
 async def _run_node(
     config: settings.NodeSettings, path: str, signals: _signals.Signals
 ) -> None:
