Let open calls end if the stop of a node fails

An error in Node.stop ended the process at once with status 1 and a traceback, and cut every call that was open.

Cause: run() let the error through. Now it is logged as `stop-failed`; the node waits until its calls have ended and their bytes are sent, or until the end of the grace period, answers what is left and ends with status 0. Errors in callbacks of the loop are logged as `callback-failed` instead of being written to standard error only; tasks were restarted already.

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -126,3 +126,15 @@
       | value |
       | nan   |
       | 1e300 |
+
+  Scenario Outline: An error in the stop does not cut a call
+    Given a node process whose <part> fails serves a call of 0.8 s
+    When it gets SIGTERM during the call
+    Then the call gets 200
+    And it ends with status 0 within 5.0 s
+    And it has written made to fail <lines> times
+
+    Examples:
+      | part                                   | lines |
+      | transport.CallerServer.start_closing   | 2     |
+      | transport.CallerServer.close_idle      | 2     |
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -42,6 +42,20 @@
 sys.meta_path.insert(0, SignalAtImport())
 """
 """A `sitecustomize` module that sends signals when a module is imported."""
+FAILING_PART = """
+import sys
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import transport
+from jasminecrank.mesh.daemon import __main__
+
+
+def fail(*arguments):
+    raise RuntimeError("made to fail")
+
+
+{part} = fail
+sys.exit(__main__.main())
+"""
 SETTINGS = """
 node = "host-0"
 service = "ledger"
@@ -191,13 +205,24 @@
 
 @given("a node process that serves a call of {run_s:g} s")
 def step_serving(context, run_s):
+    start_serving(context, run_s, ("-m", "jasminecrank.mesh.daemon"))
+
+
+@given("a node process whose {part} fails serves a call of {run_s:g} s")
+def step_failing(context, part, run_s):
+    script = FAILING_PART.format(part=part)
+    start_serving(context, run_s, ("-c", script))
+
+
+def start_serving(context, run_s, arguments):
+    """Start a node and send it a call that is running when this returns."""
     open_node(context)
     node = context.node
 
     async def act():
         await node.open_fleet()
         node.settings_path.write_text(node.settings())
-        await node.start()
+        await node.start(arguments)
         await node.until(node.is_serving)
         node.server.run_s = run_s
         caller = fleet.Caller(HOST, node.ports["callers"])
@@ -208,6 +233,16 @@
         return caller
 
     context.caller = context.runner.run(act())
+    context.exit_stack.callback(context.caller.close)
+
+
+@when("it gets {name} during the call")
+def step_signal_in_call(context, name):
+    async def act():
+        context.node.send(getattr(signal, name))
+        context.response = await context.caller.receive()
+
+    context.runner.run(act())
 
 
 @when("it gets {names} while it imports {module}")
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -157,6 +157,7 @@
             else:
                 stop.set()
 
+        loop.set_exception_handler(self._log_callback_error)
         self._log.decision("starting", process_id=os.getpid())
         signals.attach(loop, on_signal)
         try:
@@ -172,7 +173,41 @@
             self._log.flush()
             return
         await stop.wait()
-        await self.stop()
+        closes_at_s = (
+            self._clock.now_s() + self._config.stop_grace_s - STOP_MARGIN_S
+        )
+        try:
+            await self.stop()
+        except Exception as error:
+            self._log.failure("stop-failed", error)
+            await self._stop_after_failure(closes_at_s)
+
+    async def _stop_after_failure(self, closes_at_s: float) -> None:
+        """Let the open calls end, whichever part of the stop has failed."""
+        while self._clock.now_s() < closes_at_s and (
+            self.entry.open_calls
+            or self.gate.active_calls
+            or self._caller_server.unanswered
+            or self._caller_server.unsent_bytes
+        ):
+            await asyncio.sleep(STOP_CHECK_PERIOD_S)
+        try:
+            await self._end_calls()
+        except Exception as error:
+            self._log.failure("stop-failed", error)
+        self._log.decision("stopped", reason="stop failed")
+        self._log.flush()
+
+    def _log_callback_error(
+        self, loop: asyncio.AbstractEventLoop, fields: dict[str, typing.Any]
+    ) -> None:
+        """Log an error that no task handles; the loop goes on."""
+        message = str(fields.get("message", ""))
+        error = fields.get("exception")
+        if isinstance(error, BaseException):
+            self._log.failure("callback-failed", error, message=message)
+        else:
+            self._log.decision("callback-failed", error=message)
 
     async def _start_unless(self, stop: asyncio.Event) -> bool:
         """Start, and return whether it was not cancelled by a stop."""
