--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -138,3 +138,16 @@
       | part                                   | lines |
       | transport.CallerServer.start_closing   | 2     |
       | transport.CallerServer.close_idle      | 2     |
+
+  Scenario Outline: A node serves without a working standard output
+    Given a node process that is not started yet
+    When it is started with a standard output that is <state>
+    Then it serves
+    And its standard output is no socket of its own
+
+    Examples:
+      | state                   |
+      | closed                  |
+      | closed, like the others |
+      | a pipe without a reader |
+      | a full pipe             |
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -107,7 +107,12 @@
         """Return the text of the settings file."""
         return SETTINGS.format(host=HOST, grace=grace, **self.ports)
 
-    async def start(self, arguments=("-m", "jasminecrank.mesh.daemon")):
+    async def start(
+        self,
+        arguments=("-m", "jasminecrank.mesh.daemon"),
+        program=sys.executable,
+        pass_fds=(),
+    ):
         """Start the process."""
         environment = {
             "PATH": os.environ["PATH"],
@@ -119,7 +124,8 @@
             # A process of asyncio may lose its status when it gets a signal
             # at its end: both the signal and the watcher wait for it.
             self.process = subprocess.Popen(
-                [sys.executable, *arguments],
+                [program, *arguments],
+                pass_fds=pass_fds,
                 env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
@@ -369,6 +375,39 @@
     context.runner.run(act())
 
 
+@when("it is started with a standard output that is {state}")
+def step_odd_output(context, state):
+    node = context.node
+    reader, writer = os.pipe()
+    context.exit_stack.callback(os.close, writer)
+    redirect = f">&{writer}"
+    match state:
+        case "closed":
+            os.close(reader)
+            redirect = ">&-"
+        case "closed, like the others":
+            os.close(reader)
+            redirect = "<&- >&- 2>&-"
+        case "a pipe without a reader":
+            os.close(reader)
+        case "a full pipe":
+            context.exit_stack.callback(os.close, reader)
+            os.set_blocking(writer, False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    os.write(writer, bytes(4096))
+    command = f"exec {sys.executable} -m jasminecrank.mesh.daemon {redirect}"
+    context.runner.run(
+        node.start(("-c", command), program="/bin/sh", pass_fds=(writer,))
+    )
+
+
+@then("its standard output is no socket of its own")
+def step_output_kind(context):
+    target = os.readlink(f"/proc/{context.node.process.pid}/fd/1")
+    assert target == os.devnull or target.startswith("pipe:"), target
+
+
 @when("it is started")
 def step_started(context):
     context.runner.run(context.node.start())
