--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -12,8 +12,8 @@
     Examples:
       | signals               | module         | outcome                                     |
       | SIGHUP                | asyncio        | serves, and ends with status 0 after SIGTERM |
-      | SIGHUP SIGHUP         | msgspec        | serves, and ends with status 0 after SIGTERM |
-      | SIGHUP                | uvloop         | serves, and ends with status 0 after SIGTERM |
+      | SIGHUP SIGHUP         | msgspec        | serves                                       |
+      | SIGHUP                | uvloop         | serves                                       |
       | SIGTERM               | asyncio        | ends with status 0 within 5.0 s             |
       | SIGINT                | httptools      | ends with status 0 within 5.0 s             |
       | SIGTERM               | uvloop         | ends with status 0 within 5.0 s             |
@@ -27,7 +27,7 @@
     Examples:
       | signals                              | after | outcome                                      |
       | SIGHUP                               | 0     | serves, and ends with status 0 after SIGTERM |
-      | SIGHUP                               | 150   | serves, and ends with status 0 after SIGTERM |
+      | SIGHUP                               | 150   | serves                                       |
       | SIGTERM                              | 0     | ends with status 0 within 5.0 s              |
       | SIGTERM                              | 60    | ends with status 0 within 5.0 s              |
       | SIGTERM                              | 200   | ends with status 0 within 5.0 s              |
@@ -49,3 +49,105 @@
       | signals                              |
       | SIGTERM                              |
       | SIGHUP SIGHUP SIGTERM SIGTERM SIGHUP |
+
+  Scenario Outline: A port that the previous process holds is waited for
+    Given a node process that is not started yet
+    And its <port> port is held
+    When it is started, and the port is let go after 1.5 s
+    Then it serves
+    And it has written port-held 1 times
+
+    Examples:
+      | port    |
+      | callers |
+      | ready   |
+      | links   |
+      | metrics |
+
+  Scenario Outline: A port that stays held ends the process with its own status
+    Given a node process that is not started yet
+    And its grace period is 0.6 s
+    And its <port> port is held
+    When it is started
+    Then it ends with status 3 within 5.0 s
+    And its error line contains <setting> and 127.0.5.1:{<port>}
+    And it has written start-failed 1 times
+
+    Examples:
+      | port    | setting         |
+      | callers | listen.outbound |
+      | ready   | listen.ready    |
+      | links   | innerPorts      |
+
+  Scenario Outline: A process that waits for a port can be stopped
+    Given a node process that is not started yet
+    And its callers port is held
+    When it is started, and gets <signal> once it waits for the port
+    Then it ends with status 0 within 2.0 s
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
+
+  Scenario Outline: A settings file that is being written is read again
+    Given a node process that is not started yet
+    And its settings file is <state>
+    When it is started, and the file is complete after 0.7 s
+    Then it serves
+
+    Examples:
+      | state        |
+      | missing      |
+      | empty        |
+      | half written |
+
+  Scenario Outline: Invalid settings end the process with one line
+    Given a node process that is not started yet
+    And its settings file is <state>
+    When it is started
+    Then it ends with status 2 within 4.0 s
+    And its error line contains <named>
+
+    Examples:
+      | state        | named           |
+      | missing      | boot.toml       |
+      | empty        | ip: None        |
+      | half written | boot.toml       |
+      | limits = 3   | limits: 3       |
+
+  Scenario Outline: A bad value in a reload does not cut the stop
+    Given a node process that serves a call of 0.8 s
+    When its bound of the grace period becomes <value> and it gets SIGHUP SIGTERM
+    Then the call gets 200
+    And it ends with status 0 within 5.0 s
+
+    Examples:
+      | value |
+      | nan   |
+      | 1e300 |
+
+  Scenario Outline: An error in the stop does not cut a call
+    Given a node process whose <part> fails serves a call of 0.8 s
+    When it gets SIGTERM during the call
+    Then the call gets 200
+    And it ends with status 0 within 5.0 s
+    And it has written made to fail <lines> times
+
+    Examples:
+      | part                                   | lines |
+      | transport.CallerServer.start_closing   | 2     |
+      | transport.CallerServer.close_idle      | 2     |
+
+  Scenario Outline: A node serves without a working standard output
+    Given a node process that is not started yet
+    When it is started with a standard output that is <state>
+    Then it serves
+    And its standard output is no socket of its own
+
+    Examples:
+      | state                   |
+      | closed                  |
+      | closed, like the others |
+      | a pipe without a reader |
+      | a full pipe             |
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -41,6 +42,20 @@
 sys.meta_path.insert(0, SignalAtImport())
 """
 """A `sitecustomize` module that sends signals when a module is imported."""
+FAILING_PART = """
+import sys
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import transport
+from jasminecrank.mesh.daemon import __main__
+
+
+def fail(*arguments):
+    raise RuntimeError("made to fail")
+
+
+{part} = fail
+sys.exit(__main__.main())
+"""
 SETTINGS = """
 node = "host-0"
 service = "ledger"
@@ -92,7 +107,12 @@
         """Return the text of the settings file."""
         return SETTINGS.format(host=HOST, grace=grace, **self.ports)
 
-    async def start(self, arguments=("-m", "jasminecrank.mesh.daemon")):
+    async def start(
+        self,
+        arguments=("-m", "jasminecrank.mesh.daemon"),
+        program=sys.executable,
+        pass_fds=(),
+    ):
         """Start the process."""
         environment = {
             "PATH": os.environ["PATH"],
@@ -104,7 +124,8 @@
             # A process of asyncio may lose its status when it gets a signal
             # at its end: both the signal and the watcher wait for it.
             self.process = subprocess.Popen(
-                [sys.executable, *arguments],
+                [program, *arguments],
+                pass_fds=pass_fds,
                 env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
@@ -190,13 +211,24 @@
 
 @given("a node process that serves a call of {run_s:g} s")
 def step_serving(context, run_s):
+    start_serving(context, run_s, ("-m", "jasminecrank.mesh.daemon"))
+
+
+@given("a node process whose {part} fails serves a call of {run_s:g} s")
+def step_failing(context, part, run_s):
+    script = FAILING_PART.format(part=part)
+    start_serving(context, run_s, ("-c", script))
+
+
+def start_serving(context, run_s, arguments):
+    """Start a node and send it a call that is running when this returns."""
     open_node(context)
     node = context.node
 
     async def act():
         await node.open_fleet()
         node.settings_path.write_text(node.settings())
-        await node.start()
+        await node.start(arguments)
         await node.until(node.is_serving)
         node.server.run_s = run_s
         caller = fleet.Caller(HOST, node.ports["callers"])
@@ -207,6 +239,16 @@
         return caller
 
     context.caller = context.runner.run(act())
+    context.exit_stack.callback(context.caller.close)
+
+
+@when("it gets {name} during the call")
+def step_signal_in_call(context, name):
+    async def act():
+        context.node.send(getattr(signal, name))
+        context.response = await context.caller.receive()
+
+    context.runner.run(act())
 
 
 @when("it gets {names} while it imports {module}")
@@ -252,6 +294,149 @@
     context.runner.run(act())
 
 
+@given("its settings file is {state}")
+def step_settings_file(context, state):
+    path = context.node.settings_path
+    whole = context.node.settings()
+    match state:
+        case "missing":
+            path.unlink()
+        case "empty":
+            path.write_text("")
+        case "half written":
+            path.write_text(whole[: len(whole) // 2])
+        case _:
+            path.write_text(f"{state}\n{whole}")
+
+
+@when("it is started, and the file is complete after {after_s:g} s")
+def step_file_complete(context, after_s):
+    node = context.node
+
+    async def act():
+        await node.start()
+        await asyncio.sleep(after_s)
+        node.settings_path.write_text(node.settings())
+
+    context.runner.run(act())
+
+
+@when(
+    "its bound of the grace period becomes {value} and it gets SIGHUP SIGTERM"
+)
+def step_bad_reload(context, value):
+    node = context.node
+    node.settings_path.write_text(node.settings(grace=value))
+
+    async def act():
+        node.send(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        node.send(signal.SIGTERM)
+        context.response = await context.caller.receive()
+        await node.ended()
+
+    context.runner.run(act())
+
+
+@given("its {port} port is held")
+def step_port_held(context, port):
+    held = socket.create_server((HOST, context.node.ports[port]))
+    context.held = context.exit_stack.enter_context(held)
+
+
+@given("its grace period is {grace_s} s")
+def step_grace(context, grace_s):
+    node = context.node
+    node.settings_path.write_text(node.settings(grace=grace_s))
+
+
+@when("it is started, and the port is let go after {after_s:g} s")
+def step_let_go(context, after_s):
+    async def act():
+        await context.node.start()
+        await asyncio.sleep(after_s)
+        context.held.close()
+
+    context.runner.run(act())
+
+
+@when("it is started, and gets {name} once it waits for the port")
+def step_signal_at_port(context, name):
+    node = context.node
+
+    async def is_waiting():
+        return "port-held" in node.log_path.read_text()
+
+    async def act():
+        await node.start()
+        await node.until(is_waiting)
+        node.send(getattr(signal, name))
+
+    context.runner.run(act())
+
+
+@when("it is started with a standard output that is {state}")
+def step_odd_output(context, state):
+    node = context.node
+    reader, writer = os.pipe()
+    context.exit_stack.callback(os.close, writer)
+    redirect = f">&{writer}"
+    match state:
+        case "closed":
+            os.close(reader)
+            redirect = ">&-"
+        case "closed, like the others":
+            os.close(reader)
+            redirect = "<&- >&- 2>&-"
+        case "a pipe without a reader":
+            os.close(reader)
+        case "a full pipe":
+            context.exit_stack.callback(os.close, reader)
+            os.set_blocking(writer, False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    os.write(writer, bytes(4096))
+    command = f"exec {sys.executable} -m jasminecrank.mesh.daemon {redirect}"
+    context.runner.run(
+        node.start(("-c", command), program="/bin/sh", pass_fds=(writer,))
+    )
+
+
+@then("its standard output is no socket of its own")
+def step_output_kind(context):
+    target = os.readlink(f"/proc/{context.node.process.pid}/fd/1")
+    assert target == os.devnull or target.startswith("pipe:"), target
+
+
+@when("it is started")
+def step_started(context):
+    context.runner.run(context.node.start())
+
+
+@then("it has written {text} {count:d} times")
+def step_written(context, text, count):
+    output = context.node.log_path.read_text()
+    assert output.count(text) == count, output
+
+
+@then("its error line contains {texts}")
+def step_error_line(context, texts):
+    node = context.node
+    lines = [
+        line
+        for line in node.log_path.read_text().splitlines()
+        if not line.startswith("{")
+    ]
+    assert len(lines) == 1, lines
+    for text in texts.format(**node.ports).split(" and "):
+        assert text in lines[0], (text, lines)
+
+
+@then("it serves")
+def step_opens_ports(context):
+    context.runner.run(context.node.until(context.node.is_open))
+
+
 @then("it serves, and ends with status {status:d} after SIGTERM")
 def step_serves(context, status):
     node = context.node
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import functools
 import os
 import random
 import resource
@@ -15,6 +16,7 @@
 from jasminecrank.mesh import settings
 from jasminecrank.mesh import state
 from jasminecrank.mesh import transport
+from jasminecrank.mesh.daemon import _listening
 from jasminecrank.mesh.daemon import _metrics
 from jasminecrank.mesh.daemon import _signals
 
@@ -147,21 +149,65 @@
         stop = asyncio.Event()
 
         def on_signal(received: signal.Signals) -> None:
+            if stop.is_set() and received is not signal.SIGHUP:
+                return
             self._log.decision("signal", signal=received.name)
             if received is signal.SIGHUP:
                 self._reload()
             else:
                 stop.set()
 
+        loop.set_exception_handler(self._log_callback_error)
         self._log.decision("starting", process_id=os.getpid())
         signals.attach(loop, on_signal)
-        if not await self._start_unless(stop):
+        try:
+            is_started = await self._start_unless(stop)
+        except exceptions.ListenError as error:
+            self.abort()
+            self._log.decision("start-failed", error=str(error))
+            self._log.flush()
+            raise
+        if not is_started:
             self.abort()
             self._log.decision("stopped", reason="signal before the start")
             self._log.flush()
             return
         await stop.wait()
-        await self.stop()
+        closes_at_s = (
+            self._clock.now_s() + self._config.stop_grace_s - STOP_MARGIN_S
+        )
+        try:
+            await self.stop()
+        except Exception as error:
+            self._log.failure("stop-failed", error)
+            await self._stop_after_failure(closes_at_s)
+
+    async def _stop_after_failure(self, closes_at_s: float) -> None:
+        """Let the open calls end, whichever part of the stop has failed."""
+        while self._clock.now_s() < closes_at_s and (
+            self.entry.open_calls
+            or self.gate.active_calls
+            or self._caller_server.unanswered
+            or self._caller_server.unsent_bytes
+        ):
+            await asyncio.sleep(STOP_CHECK_PERIOD_S)
+        try:
+            await self._end_calls()
+        except Exception as error:
+            self._log.failure("stop-failed", error)
+        self._log.decision("stopped", reason="stop failed")
+        self._log.flush()
+
+    def _log_callback_error(
+        self, loop: asyncio.AbstractEventLoop, fields: dict[str, typing.Any]
+    ) -> None:
+        """Log an error that no task handles; the loop goes on."""
+        message = str(fields.get("message", ""))
+        error = fields.get("exception")
+        if isinstance(error, BaseException):
+            self._log.failure("callback-failed", error, message=message)
+        else:
+            self._log.decision("callback-failed", error=message)
 
     async def _start_unless(self, stop: asyncio.Event) -> bool:
         """Start, and return whether it was not cancelled by a stop."""
@@ -184,29 +230,7 @@
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         config = self._config
-        self._listeners = [
-            await transport.listen_for_links(
-                self,
-                self._hello,
-                (config.links.host, config.links.port),
-                self._log,
-            ),
-            await transport.listen_for_status(
-                self._read_status,
-                config.status.host,
-                config.status.port,
-                self._log,
-            ),
-            await transport.listen_for_status(
-                self.read_metrics,
-                config.metrics.host,
-                config.metrics.port,
-                self._log,
-            ),
-        ]
-        await self._caller_server.listen(
-            config.callers.host, config.callers.port
-        )
+        await self._open_ports(config)
         self._log.decision(
             "start",
             name=config.name,
@@ -229,6 +253,47 @@
             )
         ]
 
+    async def _open_ports(self, config: settings.NodeSettings) -> None:
+        """Open the ports; a stopping process may hold them so long."""
+        deadline_s = self._clock.now_s() + config.stop_grace_s
+
+        async def listen_for_links(host: str, port: int) -> asyncio.Server:
+            return await transport.listen_for_links(
+                self, self._hello, (host, port), self._log
+            )
+
+        for endpoint, listen in (
+            (config.links, listen_for_links),
+            (
+                config.status,
+                functools.partial(
+                    transport.listen_for_status,
+                    self._read_status,
+                    log=self._log,
+                ),
+            ),
+            (
+                config.metrics,
+                functools.partial(
+                    transport.listen_for_status,
+                    self.read_metrics,
+                    log=self._log,
+                ),
+            ),
+        ):
+            self._listeners.append(
+                await _listening.open_port(
+                    endpoint, listen, deadline_s, self._clock, self._log
+                )
+            )
+        await _listening.open_port(
+            config.callers,
+            self._caller_server.listen,
+            deadline_s,
+            self._clock,
+            self._log,
+        )
+
     async def stop(self) -> None:
         """Complete the open calls as far as the time before SIGKILL allows."""
         self._stopping = True
