Limit the responses of the configuration service

The node with the product's own interface kept a body without end of the configuration service, and read chunks, trailers and interim responses without end: urllib3 has no limits on them, and its timeout applies to each read. The reader was occupied meanwhile, so no newer table arrived.

Endless status lines, headers and a chunk extension ended the read before. The scripted server stops after 64 MB, so that a failing run does not fill the memory.

--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -9,6 +9,7 @@
 import threading
 
 _TIMEOUT_S = 20.0
+_MAX_FILLER_BYTES = 64_000_000
 
 
 def encode_response(request_id, status="200 OK", headers=(), body=b"done"):
@@ -44,6 +45,8 @@
     """Refusal of a connection's first request, sent again before others."""
     filler: bytes = b""
     """Bytes that follow the response until the node closes."""
+    filler_pause_s: float = 0.0
+    """Pause after each part of the filler."""
 
 
 def no_response(request_id):
@@ -181,9 +184,17 @@
     "endless interim responses": ScriptedResponse(
         lambda r: b"", filler=b"HTTP/1.1 103 Early Hints\r\n\r\n" * 300
     ),
+    "endless 100 responses": ScriptedResponse(
+        lambda r: b"", filler=b"HTTP/1.1 100 Continue\r\n\r\n" * 300
+    ),
     "endless body, no length": ScriptedResponse(
         lambda r: b"HTTP/1.1 200 OK\r\n\r\n", filler=b"x" * 8000
     ),
+    "endless body, slowly": ScriptedResponse(
+        lambda r: b"HTTP/1.1 200 OK\r\n\r\n",
+        filler=b"x",
+        filler_pause_s=0.02,
+    ),
     "endless chunks": ScriptedResponse(
         chunked_response(b""), filler=b"1000\r\n" + b"x" * 0x1000 + b"\r\n"
     ),
@@ -311,8 +322,14 @@
         if response.end is ConnectionEnd.CLOSE_SECOND and request_index == 1:
             return False
         connection.sendall(response.encode(request_id))
-        while response.filler and not self.stopped.is_set():
+        while (
+            response.filler
+            and not self.stopped.is_set()
+            and self.filler_bytes < _MAX_FILLER_BYTES
+        ):
             self.filler_bytes += connection.send(response.filler)
+            if response.filler_pause_s:
+                self.stopped.wait(response.filler_pause_s)
         if response.end is ConnectionEnd.RESET:
             _reset(connection)
         if response.end is ConnectionEnd.CLOSE_IDLE:
--- a/src/jasminecrank/transport/_metrics.py
+++ b/src/jasminecrank/transport/_metrics.py
@@ -10,6 +10,8 @@
 from websockets.sync import client
 from websockets.sync import server
 
+from jasminecrank.transport import _source_limits
+
 _control_bytes = prometheus_client.Counter(
     "jasminecrank_control_bytes",
     "Bytes on the sockets of peers and of the configuration service.",
@@ -72,6 +74,8 @@
 
 
 class _CountingHttpConnection(urllib3.connection.HTTPConnection):
+    response_class = _source_limits.LimitedResponse
+
     def send(self, data: typing.Any) -> None:
         super().send(data)
         _source_sent.inc(len(data))
