End the link of a dial that is cancelled while it opens

When a host dialled this node while this node was dialling it, the dial was cancelled and made anew. If the first link had just opened, uvloop closed its connection without telling the link: the owner was told of its start, but never of its end, so the fleet task kept a peer that could not be reached, and tried to close its link at each check.

The dialler creates the link before it dials, and ends it itself when the dial is cancelled or fails. A link reports its end once, and takes no connection or bytes after that. Cancelled dials are counted.

--- a/features/mesh/links.feature
+++ b/features/mesh/links.feature
@@ -18,3 +18,7 @@
       | 127.0.0.255    |
       | a..b           |
       | a host of 300 characters |
+
+  Scenario: A dial that is given up while its link opens leaves no link
+    When a host is dialled anew after each of 0 to 29 turns of the event loop
+    Then the dialling and the dialled host have one link each
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -6,6 +6,7 @@
 from behave import given
 from behave import then
 from behave import when
+import uvloop
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import transport
@@ -92,3 +93,64 @@
 def step_tried(context):
     dials = context.log.count_by_name["dials", "failed"]
     assert dials > 1, dials
+
+
+class CountingOwner:
+    """An owner that keeps its open links."""
+
+    def __init__(self):
+        self.links = set()
+
+    def on_link_opened(self, link, hello):
+        """Keep a link."""
+        self.links.add(link)
+
+    def on_link_ended(self, link):
+        """Drop a link."""
+        self.links.discard(link)
+
+
+async def _redial(turns):
+    """Dial, redial after some turns, and return the links at both ends."""
+    dialled, accepted = CountingOwner(), CountingOwner()
+    log = transport.JsonLog("host-1", transport.BootClock(), _keep([]))
+    server = await transport.listen_for_links(
+        accepted, HELLO, ("127.0.0.1", 0), log
+    )
+    port = server.sockets[0].getsockname()[1]
+    dialler = transport.Dialler(dialled, HELLO, port, random.Random(1), log)
+    dialler.set_hosts({"127.0.0.1"})
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    dialler.redial_now("127.0.0.1")
+    await asyncio.sleep(0.15)
+    counts = (len(dialled.links), len(accepted.links))
+    dialler.set_hosts(set())
+    server.close()
+    for link in dialled.links | accepted.links:
+        link.abort()
+    await asyncio.sleep(0.01)
+    return counts
+
+
+@when(
+    "a host is dialled anew after each of {least:d} to {most:d} turns of "
+    "the event loop"
+)
+def step_redial(context, least, most):
+    async def act():
+        return {
+            turns: await _redial(turns) for turns in range(least, most + 1)
+        }
+
+    context.counts_by_turns = uvloop.run(act())
+
+
+@then("the dialling and the dialled host have one link each")
+def step_one_link(context):
+    wrong = {
+        turns: counts
+        for turns, counts in context.counts_by_turns.items()
+        if counts != (1, 1)
+    }
+    assert not wrong, wrong
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -97,6 +97,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the Hello that identifies this node."""
         transport = typing.cast(asyncio.Transport, transport)
+        if self.closed.done():
+            transport.abort()
+            return
         self._transport = transport
         _sockets.set_socket_options(transport)
         self._hello_timer = asyncio.get_running_loop().call_later(
@@ -106,6 +109,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Split the stream into frames and handle the complete ones."""
+        if self.closed.done():
+            return
         self.received_bytes += len(data)
         self._buffer += data
         buffer = self._buffer
@@ -162,6 +167,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner and complete the `closed` future."""
+        if self.closed.done():
+            return
         self._cancel_hello_timer()
         self._log.decision(
             "link-ended",
@@ -173,8 +180,20 @@
         self._transport = None
         if self.peer is not None:
             self._owner.on_link_ended(self)
-        if not self.closed.done():
+        self.closed.set_result(None)
+
+    def abandon(self) -> None:
+        """End the link of a dial that was given up.
+
+        uvloop does not report the end of such a connection to the link.
+        """
+        if self.closed.done():
+            return
+        if self._transport is None:
             self.closed.set_result(None)
+            return
+        self._transport.abort()
+        self.connection_lost(None)
 
 
 class Dialler:
@@ -234,15 +253,17 @@
 
     async def _connect(self, host: str) -> Link | None:
         loop = asyncio.get_running_loop()
+        link = Link(self._owner, self._hello, True, self._log)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, link = await loop.create_connection(
-                    lambda: Link(self._owner, self._hello, True, self._log),
-                    host,
-                    self._port,
-                )
+                await loop.create_connection(lambda: link, host, self._port)
+        except asyncio.CancelledError:
+            self._log.count("dials", "cancelled")
+            link.abandon()
+            raise
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             self._log.count("dials", "failed")
+            link.abandon()
             if not isinstance(error, OSError | TimeoutError):
                 self._log.failure("dial-failed", error, peer=host)
             return None
