--- a/features/platform/settings.feature
+++ b/features/platform/settings.feature
@@ -20,6 +20,8 @@
       | a link rate          | nothing                                  |
       | a heartbeat of text  | heartbeatMs: 'often' is not a number     |
       | a link rate of text  | limits.linkMbps: 'fast' is not a number  |
+      | a memory limit       | nothing                                  |
+      | a memory limit of text | limits.memoryMb: 'much' is not a number |
       | broken TOML          | Expected                                 |
 
   Scenario Outline: The command exits with a documented status
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -46,6 +46,11 @@
         "[zones]",
         "[limits]\nlinkMbps = 'fast'\n[zones]",
     ),
+    "a memory limit": ("[zones]", "[limits]\nmemoryMb = 300\n[zones]"),
+    "a memory limit of text": (
+        "[zones]",
+        "[limits]\nmemoryMb = 'much'\n[zones]",
+    ),
     "broken TOML": ("[zones]", "[zones"),
 }
 
--- a/src/jasminecrank/mesh/settings.py
+++ b/src/jasminecrank/mesh/settings.py
@@ -35,6 +35,8 @@
     source: Endpoint
     link_mbit_per_s: float
     """Rate of the host's network link."""
+    memory_limit_bytes: int
+    """Memory above which the platform ends the process."""
     quota: state.QuotaBounds
     retry_budget: state.RetryBudgetBounds
     heartbeat_s: float
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -60,6 +60,17 @@
 from jasminecrank.mesh.state._links import link_targets as link_targets
 from jasminecrank.mesh.state._links import outranks as outranks
 from jasminecrank.mesh.state._links import watcher_hosts as watcher_hosts
+from jasminecrank.mesh.state._memory_budget import BodyUse as BodyUse
+from jasminecrank.mesh.state._memory_budget import (
+    ClaimDecision as ClaimDecision,
+)
+from jasminecrank.mesh.state._memory_budget import Denied as Denied
+from jasminecrank.mesh.state._memory_budget import Granted as Granted
+from jasminecrank.mesh.state._memory_budget import MemoryBudget as MemoryBudget
+from jasminecrank.mesh.state._memory_budget import (
+    SMALL_BODY_BYTES as SMALL_BODY_BYTES,
+)
+from jasminecrank.mesh.state._memory_budget import Waiting as Waiting
 from jasminecrank.mesh.state._patches import Patch as Patch
 from jasminecrank.mesh.state._placement import Placement as Placement
 from jasminecrank.mesh.state._placement import (
--- a/src/jasminecrank/platform/_settings.py
+++ b/src/jasminecrank/platform/_settings.py
@@ -16,6 +16,10 @@
 DEFAULT_LINK_MBIT_PER_S = 5.0
 """Link rate of a host whose settings state none: the lowest known."""
 
+DEFAULT_MEMORY_MB = 256
+"""Memory limit of a node whose settings state none."""
+BYTES_PER_MB = 1_000_000
+
 
 def read_settings(path: str) -> settings.NodeSettings:
     """Return validated settings, or raise SettingError naming the field."""
@@ -45,6 +49,7 @@
         backend_server=_parse_endpoint("appAddr", _string(fields, "appAddr")),
         source=_read_endpoint(fields, "platform", "address"),
         link_mbit_per_s=_read_link_rate(fields),
+        memory_limit_bytes=_read_memory_limit(fields),
         quota=state.QuotaBounds(
             _parse_number(bounds, "quotaWindowS", 5.0),
             _parse_number(bounds, "quotaOvershoot", 0.25),
@@ -71,6 +76,15 @@
     return float(rate) if rate > 0 else DEFAULT_LINK_MBIT_PER_S
 
 
+def _read_memory_limit(fields: dict[str, typing.Any]) -> int:
+    value = fields.get("limits", {}).get("memoryMb", DEFAULT_MEMORY_MB)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise exceptions.SettingError(
+            f"limits.memoryMb: {value!r} is not a number"
+        )
+    return int((value if value > 0 else DEFAULT_MEMORY_MB) * BYTES_PER_MB)
+
+
 def _read_heartbeat_s(fields: dict[str, typing.Any]) -> float:
     value = fields.get("heartbeatMs", DEFAULT_HEARTBEAT_MS)
     if isinstance(value, bool) or not isinstance(value, int | float):
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -41,6 +41,7 @@
         self.log_lines: list[bytes] = []
         self.version = 1
         self.timeout_ms = 1000
+        self.memory_limit_bytes = 300_000_000
         self.keys = ["k1", "k2"]
         self.rate_per_s = 0
         self.idle_routes = 0
@@ -109,6 +110,7 @@
             backend_server=settings.Endpoint(host, self._ports["server"]),
             source=settings.Endpoint("127.0.0.1", self._store_port),
             link_mbit_per_s=1000.0,
+            memory_limit_bytes=self.memory_limit_bytes,
             quota=state.QuotaBounds(5.0, 0.25, 20.0),
             retry_budget=state.RetryBudgetBounds(0.2, 10.0, 56.0),
             heartbeat_s=1.5,
