Send large bodies over links in parts, as memory allows

What callers saw: a body of 64 MB to a server on another host was answered 502, and the link was aborted with all calls on it, since more than 16 MB waited in its send buffer. On the way the body was copied five times at the sender and three times at the receiver.

Bodies above 64 KiB follow their message in parts of 64 KiB, one for each turn of the loop and only while the send buffer has room; other messages go between them. At most 128 KiB wait in the socket. The receiver claims memory for the announced length first and answers CallNotRun, reason memory, if there is none; the entry node then tries another server. A body is kept in one mapped buffer, passed along as a view and written to the server without being joined to its head. The claim is released when the last view goes, so that it also covers calls that go on without their caller. Two references that kept a body past its call are gone: that of an idle connection to the server, and that of a task to its last message. Messages with smaller bodies are sent as before.

features/mesh/memory_budget.feature, 14 new scenarios.

Bodies of responses are sent in parts too, but not counted yet.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -41,3 +41,55 @@
   Scenario: Random claims keep to the budget and none waits forever
     When 300 random sequences of claims and releases are played
     Then the budget was never exceeded and every claim was granted in the end
+
+  Scenario Outline: A body on a link delays no other call on it
+    Given a link between two nodes with 300 MB
+    When a call with a body of <size> MB is sent, and <small> small calls after it
+    Then all arrive whole, and <early> small calls before the large one
+
+    Examples:
+      | size  | small | early |
+      | 0.06  | 20    | 0     |
+      | 16    | 20    | 20    |
+      | 64    | 20    | 20    |
+      | 67.1  | 20    | 20    |
+
+  Scenario: A body without memory for it is refused as not run
+    Given a link between two nodes with 300 MB
+    When two calls with a body of 64 MB and one of 4 MB are sent
+    Then the first and the last arrive, and the second is refused for memory
+    And no bytes are held once the calls have been dropped
+
+  Scenario: The body of a cancelled call frees its memory
+    Given a link between two nodes with 300 MB
+    When a call with a body of 64 MB is cancelled after its first part
+    Then no bytes are held at the receiver, and a call of 64 MB arrives
+
+  Scenario: Large answers beside each other keep a link open
+    Given a link between two nodes with 300 MB
+    When 12 answers of 4 MB are sent at the same time
+    Then all 12 arrive whole on the link
+
+  Scenario Outline: A body that breaks its announcement closes the link
+    Given a link between two nodes with 300 MB
+    When a peer sends <frames>
+    Then the link is closed and no bytes are held
+
+    Examples:
+      | frames                              |
+      | more bytes than announced           |
+      | a body of 0 bytes                   |
+      | a body of 90 MB                     |
+      | a body that belongs to a heartbeat  |
+
+  Scenario Outline: A body to a server on another host keeps the link open
+    Given two hosts with bodies up to 67 MB and a server on the second only
+    When a caller of the first host sends a body of <size> MB
+    Then it gets 200, the server has the whole body, and no link has ended
+    And both nodes soon hold no bytes
+
+    Examples:
+      | size |
+      | 0.1  |
+      | 20   |
+      | 64   |
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -1,6 +1,9 @@
 """Steps for the budget of bodies in memory."""
 
+import asyncio
 import contextlib
+import dataclasses
+import random
 import re
 
 from behave import given
@@ -9,10 +12,17 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import mesh_path_steps
+import uvloop
 
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
+from jasminecrank.mesh import transport
 
 MB = 1_000_000
+DELISTED_S = 0.3
+"""Time in which nodes learn that a server has left the store."""
 USE_BY_NAME = {use.value: use for use in state.BodyUse}
 
 
@@ -193,3 +203,344 @@
 @then("the budget was never exceeded and every claim was granted in the end")
 def step_machine_passed(context):
     del context
+
+
+HELLO = coordination.Hello("127.0.0.1", 1, "ledger")
+ARRIVAL_TIMEOUT_S = 20.0
+
+
+class LinkOwner:
+    """Keeps the messages that arrive on the links of one node."""
+
+    def __init__(self):
+        self.links = []
+        self.messages = []
+        self.ended = 0
+        self._changed = asyncio.Event()
+
+    def on_link_opened(self, link, hello):
+        """Keep a link."""
+        del hello
+        self.links.append(link)
+        self._changed.set()
+
+    def on_message(self, link, message):
+        """Keep a message."""
+        del link
+        self.messages.append(message)
+        self._changed.set()
+
+    def on_link_ended(self, link):
+        """Count the end of a link."""
+        del link
+        self.ended += 1
+        self._changed.set()
+
+    async def wait_until(self, condition):
+        """Wait until a condition holds after an event."""
+        async with asyncio.timeout(ARRIVAL_TIMEOUT_S):
+            while not condition():
+                self._changed.clear()
+                await self._changed.wait()
+
+
+class LinkedNodes:
+    """Two ends of a link, with the budget of the accepting one."""
+
+    def __init__(self):
+        self.sender = LinkOwner()
+        self.receiver = LinkOwner()
+        self.budget = state.MemoryBudget.from_memory_limit(300 * MB)
+        self.log = transport.JsonLog(
+            "host-1", transport.BootClock(), lambda data: len(data)
+        )
+
+    async def play(self, act):
+        """Open the link and play an act with its dialling end."""
+        port = random.randrange(20_000, 30_000)
+        server = await transport.listen_for_links(
+            self.receiver, HELLO, ("127.0.0.1", port), self.log, self.budget
+        )
+        dialler = transport.Dialler(
+            self.sender,
+            dataclasses.replace(HELLO, incarnation=2),
+            port,
+            random.Random(1),
+            self.log,
+            state.MemoryBudget.from_memory_limit(300 * MB),
+        )
+        dialler.set_hosts({"127.0.0.1"})
+        try:
+            await self.sender.wait_until(lambda: self.sender.links)
+            await self.receiver.wait_until(lambda: self.receiver.links)
+            await act(self.sender.links[0])
+        finally:
+            dialler.set_hosts(set())
+            server.close()
+            for owner in (self.sender, self.receiver):
+                for link in owner.links:
+                    link.abort()
+            await asyncio.sleep(0)
+
+
+def make_call(call_id, size_bytes):
+    """Return a call whose body shows misplaced parts."""
+    block = bytes(call_id + number & 0xFF for number in range(251))
+    body = (block * (size_bytes // len(block) + 1))[:size_bytes]
+    return coordination.CallSent(
+        call_id,
+        f"id-{call_id}",
+        "i-1",
+        "lots",
+        b"POST",
+        b"/book/1",
+        (),
+        body,
+        1,
+        True,
+        5.0,
+        2.0,
+        "ledger",
+        "team-1",
+    )
+
+
+@given("a link between two nodes with 300 MB")
+def step_link(context):
+    context.nodes = LinkedNodes()
+
+
+def play(context, act):
+    """Play an act on the link of the scenario, on the loop of the nodes."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(context.nodes.play(act))
+
+
+@when(
+    "a call with a body of {size:g} MB is sent, and {count:d} small calls"
+    " after it"
+)
+def step_large_and_small(context, size, count):
+    context.sent = [
+        make_call(1, round(size * MB)),
+        *(make_call(number, 200) for number in range(2, count + 2)),
+    ]
+    receiver = context.nodes.receiver
+
+    async def act(link):
+        for call in context.sent:
+            link.send(call)
+            await asyncio.sleep(0)
+        await receiver.wait_until(
+            lambda: (
+                len(receiver.messages) == len(context.sent) or receiver.ended
+            )
+        )
+        context.order = [message.call_id for message in receiver.messages]
+        context.wrong = [
+            message.call_id
+            for message, sent in zip(
+                sorted(receiver.messages, key=lambda call: call.call_id),
+                context.sent,
+                strict=False,
+            )
+            if message.body != sent.body
+        ]
+
+    play(context, act)
+
+
+@then("all arrive whole, and {early:d} small calls before the large one")
+def step_all_whole(context, early):
+    assert len(context.order) == len(context.sent), context.order
+    assert not context.wrong, context.wrong
+    assert context.order.index(1) == early, context.order
+    assert context.nodes.sender.ended <= 1
+
+
+@when("two calls with a body of 64 MB and one of 4 MB are sent")
+def step_two_large(context):
+    nodes = context.nodes
+
+    async def act(link):
+        for call in (
+            make_call(1, 64 * MB),
+            make_call(2, 64 * MB),
+            make_call(3, 4 * MB),
+        ):
+            link.send(call)
+        await nodes.receiver.wait_until(
+            lambda: len(nodes.receiver.messages) == 2
+        )
+        await nodes.sender.wait_until(lambda: nodes.sender.messages)
+        context.arrived = {
+            message.call_id: len(message.body)
+            for message in nodes.receiver.messages
+        }
+        context.held_bytes = nodes.budget.held_bytes
+        nodes.receiver.messages.clear()
+        context.held_after_bytes = nodes.budget.held_bytes
+
+    play(context, act)
+
+
+@then("the first and the last arrive, and the second is refused for memory")
+def step_second_refused(context):
+    assert context.arrived == {1: 64 * MB, 3: 4 * MB}, context.arrived
+    assert context.held_bytes == 68 * MB, context.held_bytes
+    (refusal,) = context.nodes.sender.messages
+    assert isinstance(refusal, coordination.CallNotRun), refusal
+    assert (refusal.call_id, refusal.reason) == (2, "memory"), refusal
+    log = context.nodes.log
+    assert log.count_by_name["memory_refusals", "link"] == 1
+
+
+@then("no bytes are held once the calls have been dropped")
+def step_none_held(context):
+    assert context.held_after_bytes == 0, context.held_after_bytes
+
+
+@when("a call with a body of 64 MB is cancelled after its first part")
+def step_cancelled(context):
+    nodes = context.nodes
+
+    async def act(link):
+        link.send(make_call(1, 64 * MB))
+        while not nodes.budget.held_bytes:
+            await asyncio.sleep(0)
+        link.send(coordination.CallCancelled(1))
+        await nodes.receiver.wait_until(lambda: nodes.receiver.messages)
+        context.held_bytes = nodes.budget.held_bytes
+        link.send(make_call(2, 64 * MB))
+        await nodes.receiver.wait_until(
+            lambda: len(nodes.receiver.messages) == 2
+        )
+
+    play(context, act)
+
+
+@then("no bytes are held at the receiver, and a call of 64 MB arrives")
+def step_cancel_freed(context):
+    cancelled, call = context.nodes.receiver.messages
+    assert cancelled == coordination.CallCancelled(1), cancelled
+    assert context.held_bytes == 0, context.held_bytes
+    assert (call.call_id, len(call.body)) == (2, 64 * MB)
+
+
+@when("{count:d} answers of {size:d} MB are sent at the same time")
+def step_answers(context, count, size):
+    receiver = context.nodes.receiver
+
+    async def act(link):
+        for number in range(count):
+            link.send(
+                coordination.CallServed(
+                    number, 200, b"", (), bytes([number]) * size * MB, 0.1, 0
+                )
+            )
+        await receiver.wait_until(
+            lambda: len(receiver.messages) == count or receiver.ended
+        )
+        context.bodies = {
+            message.call_id: (bytes(message.body[:1]), len(message.body))
+            for message in receiver.messages
+        }
+        context.expected = {
+            number: (bytes([number]), size * MB) for number in range(count)
+        }
+
+    play(context, act)
+
+
+@then("all {count:d} arrive whole on the link")
+def step_answers_whole(context, count):
+    assert len(context.expected) == count
+    assert context.bodies == context.expected, list(context.bodies)
+
+
+@when("a peer sends {frames}")
+def step_frames(context, frames):
+    head = protocol.encode_unframed(make_call(1, 0))
+    messages = [coordination.BodyFollows(1, 100_000, head)]
+    match frames:
+        case "more bytes than announced":
+            part = coordination.BodyPart(1, b"x" * 60_000)
+            messages.extend([part, part])
+        case "a body of 0 bytes":
+            messages = [coordination.BodyFollows(1, 0, head)]
+        case "a body of 90 MB":
+            messages = [coordination.BodyFollows(1, 90 * MB, head)]
+        case "a body that belongs to a heartbeat":
+            presence = protocol.encode_unframed(coordination.Presence(()))
+            messages = [coordination.BodyFollows(1, 100_000, presence)]
+    receiver = context.nodes.receiver
+
+    async def act(link):
+        for message in messages:
+            link.send(message)
+        await receiver.wait_until(lambda: receiver.ended)
+
+    play(context, act)
+
+
+@then("the link is closed and no bytes are held")
+def step_link_closed(context):
+    assert context.nodes.receiver.ended == 1
+    assert context.nodes.budget.held_bytes == 0
+
+
+@given("two hosts with bodies up to 67 MB and a server on the second only")
+def step_two_hosts(context):
+    def prepare(deployment):
+        deployment.max_body_bytes = 67_108_864
+        deployment.timeout_ms = 10_000
+
+    mesh_path_steps.start_deployment(context, 2, prepare)
+
+    async def delist():
+        await context.fleet.store.delete("servers/i-0")
+        await asyncio.sleep(DELISTED_S)
+
+    context.runner.run(delist())
+
+
+@when("a caller of the first host sends a body of {size:g} MB")
+def step_upload(context, size):
+    async def upload():
+        caller = context.fleet.caller(0)
+        await caller.send(
+            "POST",
+            "/book/1",
+            deadline_ms=10_000,
+            headers={"Content-Length": str(round(size * MB))},
+        )
+        caller.write(b"x" * round(size * MB))
+        context.response = await caller.receive(10.0)
+        context.request_id = caller.last_request_id
+        context.size_bytes = round(size * MB)
+
+    context.runner.run(upload())
+
+
+@then("it gets 200, the server has the whole body, and no link has ended")
+def step_uploaded(context):
+    lines = context.fleet.log_lines
+    ends = [line for line in lines if b'"link-' in line and b"-up" not in line]
+    assert not ends, ends
+    mesh_path_steps.check_response(context.response, context.request_id)
+    (request,) = context.fleet.servers[1].requests
+    assert request.body == b"x" * context.size_bytes, len(request.body)
+
+
+@then("both nodes soon hold no bytes")
+def step_nodes_hold_none(context):
+    context.runner.run(
+        context.fleet.wait_until(
+            lambda: (
+                not any(
+                    node.memory_budget.held_bytes
+                    for node in context.fleet.nodes
+                )
+            )
+        )
+    )
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -105,6 +105,13 @@
 from jasminecrank.mesh.coordination._open_calls import (
     attempt_ended as attempt_ended,
 )
+from jasminecrank.mesh.coordination._peer_messages import (
+    BodyAbandoned as BodyAbandoned,
+)
+from jasminecrank.mesh.coordination._peer_messages import (
+    BodyFollows as BodyFollows,
+)
+from jasminecrank.mesh.coordination._peer_messages import BodyPart as BodyPart
 from jasminecrank.mesh.coordination._peer_messages import (
     CallCancelled as CallCancelled,
 )
--- a/src/jasminecrank/mesh/coordination/_mailbox.py
+++ b/src/jasminecrank/mesh/coordination/_mailbox.py
@@ -74,6 +74,8 @@
                     error,
                     message=_LOGGED_NAME_BY_CLASS.get(name, name),
                 )
+            # It may hold a large body until the next message comes.
+            del message
 
     def handle(self, message: MessageT) -> None:
         """Process one message."""
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -32,7 +32,7 @@
     method: bytes
     target: bytes
     headers: state.Headers
-    body: bytes
+    body: state.Body
     rank: int
     idempotent: bool
     remaining_s: float
@@ -59,7 +59,7 @@
     status: int
     reason: bytes
     headers: state.Headers
-    body: bytes
+    body: state.Body
     run_time_s: float
     active_calls: int
     """Calls that still run or wait at the sender's backend server."""
@@ -241,6 +241,31 @@
     keys: tuple[str, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class BodyFollows:
+    """A message whose large body follows in parts."""
+
+    transfer_id: int
+    body_bytes: int
+    message: bytes
+    """The message without its body, encoded."""
+
+
+@dataclass(slots=True, frozen=True)
+class BodyPart:
+    """The next bytes of a body."""
+
+    transfer_id: int
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class BodyAbandoned:
+    """No more parts of a body will follow."""
+
+    transfer_id: int
+
+
 PeerMessage = (
     Hello
     | CallSent
@@ -259,6 +284,9 @@
     | ListingRequested
     | UploadConfirmed
     | UploadDeferred
+    | BodyFollows
+    | BodyPart
+    | BodyAbandoned
 )
 FleetPeerMessage = (
     LoadReported
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -66,8 +66,11 @@
             config.host, rng.getrandbits(48), config.service
         )
         self._hello = hello
+        self.memory_budget = state.MemoryBudget.from_memory_limit(
+            config.memory_limit_bytes
+        )
         self._dialler = transport.Dialler(
-            self, hello, config.links.port, rng, log
+            self, hello, config.links.port, rng, log, self.memory_budget
         )
         server_address = (
             config.backend_server.host,
@@ -164,6 +167,7 @@
                 self._hello,
                 (config.links.host, config.links.port),
                 self._log,
+                self.memory_budget,
             ),
             await transport.listen_for_status(
                 self._read_status, config.status.host, config.status.port
@@ -300,7 +304,12 @@
                 self.quota.mailbox.tell(
                     coordination.ArbiterGranted(link.peer_host, message)
                 )
-            case coordination.Hello():
+            case (
+                coordination.Hello()
+                | coordination.BodyFollows()
+                | coordination.BodyPart()
+                | coordination.BodyAbandoned()
+            ):
                 pass
             case _:
                 self._tell_fleet(
@@ -385,6 +394,7 @@
             "gate_in_flight": load.in_flight,
             "gate_queued": load.queued,
             "caller_unsent_bytes": self._caller_server.unsent_bytes,
+            "body_memory_bytes": self.memory_budget.held_bytes,
             "peak_memory_bytes": _peak_memory_bytes(),
         }
         body = _metrics.render(self._log, gauges)
--- a/src/jasminecrank/mesh/protocol/__init__.py
+++ b/src/jasminecrank/mesh/protocol/__init__.py
@@ -21,6 +21,9 @@
 )
 from jasminecrank.mesh.protocol._link_codec import decode as decode
 from jasminecrank.mesh.protocol._link_codec import encode as encode
+from jasminecrank.mesh.protocol._link_codec import (
+    encode_unframed as encode_unframed,
+)
 from jasminecrank.mesh.protocol._link_codec import FRAME_LENGTH as FRAME_LENGTH
 from jasminecrank.mesh.protocol._link_codec import LinkError as LinkError
 from jasminecrank.mesh.protocol._link_codec import (
--- a/src/jasminecrank/mesh/protocol/_codecs.py
+++ b/src/jasminecrank/mesh/protocol/_codecs.py
@@ -15,7 +15,7 @@
     method: bytes
     target: bytes
     headers: state.Headers
-    body: bytes
+    body: state.Body
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,7 +25,7 @@
     status: int
     reason: bytes
     headers: state.Headers
-    body: bytes
+    body: state.Body
 
 
 class ResponseOwner(enum.Enum):
--- a/src/jasminecrank/mesh/protocol/_http1.py
+++ b/src/jasminecrank/mesh/protocol/_http1.py
@@ -58,19 +58,22 @@
     ]
 
 
-def encode_request(raw: _codecs.RawRequest) -> bytes:
-    """Return the bytes of a request on a persistent connection."""
+def encode_request(raw: _codecs.RawRequest) -> tuple[state.Body, ...]:
+    """Return the bytes of a request, a large body apart from its head."""
     lines = [raw.method + b" " + raw.target + b" HTTP/1.1"]
     lines.extend(key + b": " + value for key, value in raw.headers)
     if raw.body or raw.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(raw.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + raw.body
+    return _join(b"\r\n".join(lines) + b"\r\n\r\n", raw.body)
 
 
 def encode_response(
     raw: _codecs.RawResponse, method: bytes, close: bool
-) -> bytes:
-    """Return the bytes of a response to a request of the given method."""
+) -> tuple[state.Body, ...]:
+    """Return the bytes of a response to a request of the given method.
+
+    A large body is apart from its head.
+    """
     reason = raw.reason or _REASON_BY_STATUS.get(raw.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (raw.status, reason)]
     lines.extend(key + b": " + value for key, value in raw.headers)
@@ -81,8 +84,14 @@
         lines.append(b"Connection: close")
     head = b"\r\n".join(lines) + b"\r\n\r\n"
     if bodyless or method == b"HEAD":
-        return head
-    return head + raw.body
+        return (head,)
+    return _join(head, raw.body)
+
+
+def _join(head: bytes, body: state.Body) -> tuple[state.Body, ...]:
+    if len(body) > state.SMALL_BODY_BYTES:
+        return (head, body)
+    return (head + body,)
 
 
 def keep_alive_timeout_s(headers: state.Headers) -> float | None:
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from jasminecrank.mesh import coordination
+from jasminecrank.mesh import state
 
 FRAME_LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -41,6 +42,9 @@
     coordination.ListingRequested,
     coordination.UploadConfirmed,
     coordination.UploadDeferred,
+    coordination.BodyFollows,
+    coordination.BodyPart,
+    coordination.BodyAbandoned,
 )
 _TAG_BY_TYPE = {
     message_type: tag for tag, message_type in enumerate(_MESSAGE_TYPES)
@@ -59,6 +63,8 @@
 def _field_types(message_type: type) -> types.GenericAlias:
     """Return the type of the tuple of a message's fields."""
     hints = typing.get_type_hints(message_type)
+    if hints.get("body") == state.Body:
+        hints["body"] = bytes
     names = (field.name for field in dataclasses.fields(message_type))
     return types.GenericAlias(tuple, tuple(hints[name] for name in names))
 
@@ -84,13 +90,13 @@
         ):
             return _encode_entries(message)
         case _:
-            return _frame(_encode_body(message))
+            return _frame(encode_unframed(message))
 
 
 @functools.lru_cache(maxsize=ENCODED_CACHE_SIZE)
 def _encode_report(message: coordination.LoadReported) -> bytes:
     """Return the frame of a load report, which goes to all peers alike."""
-    return _frame(_encode_body(message))
+    return _frame(encode_unframed(message))
 
 
 @functools.lru_cache(maxsize=ENCODED_CACHE_SIZE)
@@ -105,13 +111,14 @@
 
     Entries resemble each other more than the parts of one entry do.
     """
-    body = _encode_body(message)
+    body = encode_unframed(message)
     if len(body) >= COMPRESS_MIN_BYTES:
         body = zlib.compress(body, 1)
     return _frame(body)
 
 
-def _encode_body(message: coordination.PeerMessage) -> bytes:
+def encode_unframed(message: coordination.PeerMessage) -> bytes:
+    """Return an uncompressed message without its length prefix."""
     message_type = type(message)
     fields = [
         getattr(message, name) for name in _FIELD_NAMES_BY_TYPE[message_type]
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -26,6 +26,7 @@
     UNANSWERED_RETRY_SHARE as UNANSWERED_RETRY_SHARE,
 )
 from jasminecrank.mesh.state._calls import AttemptResult as AttemptResult
+from jasminecrank.mesh.state._calls import Body as Body
 from jasminecrank.mesh.state._calls import CallRequest as CallRequest
 from jasminecrank.mesh.state._calls import Headers as Headers
 from jasminecrank.mesh.state._calls import MayHaveRun as MayHaveRun
--- a/src/jasminecrank/mesh/state/_calls.py
+++ b/src/jasminecrank/mesh/state/_calls.py
@@ -4,6 +4,8 @@
 import enum
 
 Headers = tuple[tuple[bytes, bytes], ...]
+Body = bytes | memoryview
+"""A view if the body is large, so that it is never copied."""
 
 
 class RouteKind(enum.Enum):
@@ -23,7 +25,7 @@
     host: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     key: str | None
     caller_timeout_s: float | None
     """How long the caller waits; None if it stated no timeout."""
@@ -36,7 +38,7 @@
     status: int
     reason: bytes
     headers: Headers
-    body: bytes
+    body: Body
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/src/jasminecrank/mesh/transport/_body_buffer.py
@@ -0,0 +1,56 @@
+"""Memory of large bodies, counted against the budget."""
+
+import mmap
+import weakref
+
+from jasminecrank.mesh import state
+
+
+class BodyBuffer:
+    """Body of bounded size, kept once for all its users.
+
+    Its memory and its claim on the budget are released when the last view of
+    it is. The memory is mapped, so that it is resident only once bytes arrive
+    and goes back to the system at once.
+    """
+
+    def __init__(self, size_bytes: int) -> None:
+        self.received_bytes = 0
+        self._size_bytes = size_bytes
+        self._map = mmap.mmap(
+            -1, size_bytes, flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS
+        )
+
+    @classmethod
+    def from_claim(
+        cls, size_bytes: int, budget: state.MemoryBudget, claim_id: int
+    ) -> "BodyBuffer":
+        """Return a buffer that releases a claim when it is freed."""
+        buffer = cls(size_bytes)
+        finalizer = weakref.finalize(buffer._map, budget.release, claim_id)
+        finalizer.atexit = False
+        return buffer
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all bytes have been received."""
+        return self.received_bytes == self._size_bytes
+
+    def has_room(self, size_bytes: int) -> bool:
+        """Return whether more bytes fit."""
+        return self.received_bytes + size_bytes <= self._size_bytes
+
+    def enlarge(self, size_bytes: int) -> None:
+        """Change the size to a larger one, before there is any view."""
+        self._map.resize(size_bytes)
+        self._size_bytes = size_bytes
+
+    def append(self, data: bytes) -> None:
+        """Append bytes for which there is room."""
+        end = self.received_bytes + len(data)
+        self._map[self.received_bytes : end] = data
+        self.received_bytes = end
+
+    def view(self) -> memoryview:
+        """Return the bytes received so far, without a copy."""
+        return memoryview(self._map)[: self.received_bytes]
--- /dev/null
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -0,0 +1,212 @@
+"""Large bodies on a link, in parts between which other messages pass."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+import dataclasses
+from dataclasses import dataclass
+import itertools
+
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _body_buffer
+
+PART_BYTES = 65_536
+MEMORY_REASON = "memory"
+"""Reason for refusing a call whose body the node has no memory for."""
+MEMORY_RETRY_S = 0.5
+"""About the time in which a large body has been received and run."""
+
+_Carrier = coordination.CallSent | coordination.CallServed
+"""A message whose body can be large."""
+_SendMessage = Callable[[coordination.PeerMessage], None]
+
+
+@dataclass(slots=True)
+class _Outgoing:
+    transfer_id: int
+    carrier: _Carrier
+    sent_bytes: int = 0
+
+    def next_part(self) -> coordination.BodyPart:
+        start = self.sent_bytes
+        data = memoryview(self.carrier.body)[start : start + PART_BYTES]
+        self.sent_bytes += len(data)
+        return coordination.BodyPart(self.transfer_id, bytes(data))
+
+    @property
+    def is_sent(self) -> bool:
+        return self.sent_bytes == len(self.carrier.body)
+
+
+class BodySender:
+    """Sends the large bodies of a link part by part, in turn."""
+
+    def __init__(self, send: _SendMessage) -> None:
+        self._send = send
+        self._transfers: deque[_Outgoing] = deque()
+        self._ids = itertools.count(1)
+        self._paused = False
+        self._turn: asyncio.Handle | None = None
+
+    def start(self, carrier: _Carrier) -> None:
+        """Send a message; its body follows as the link has room."""
+        transfer = _Outgoing(next(self._ids), carrier)
+        head = protocol.encode_unframed(dataclasses.replace(carrier, body=b""))
+        self._send(
+            coordination.BodyFollows(
+                transfer.transfer_id, len(carrier.body), head
+            )
+        )
+        self._transfers.append(transfer)
+        self._schedule_turn()
+
+    def cancel_call(self, call_id: int) -> None:
+        """Stop sending the body of a call that is no longer to run."""
+        for transfer in list(self._transfers):
+            carrier = transfer.carrier
+            if (
+                isinstance(carrier, coordination.CallSent)
+                and carrier.call_id == call_id
+            ):
+                self._transfers.remove(transfer)
+                self._send(coordination.BodyAbandoned(transfer.transfer_id))
+
+    def pause(self) -> None:
+        """Stop while the link's send buffer is full."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Continue once the link's send buffer has room."""
+        self._paused = False
+        self._schedule_turn()
+
+    def close(self) -> None:
+        """Drop all transfers."""
+        self._transfers.clear()
+        if self._turn is not None:
+            self._turn.cancel()
+
+    def _schedule_turn(self) -> None:
+        if self._transfers and not self._paused and self._turn is None:
+            self._turn = asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Send one part; other messages can be sent before the next."""
+        self._turn = None
+        if self._paused or not self._transfers:
+            return
+        transfer = self._transfers.popleft()
+        self._send(transfer.next_part())
+        if not transfer.is_sent:
+            self._transfers.append(transfer)
+        self._schedule_turn()
+
+
+@dataclass(slots=True)
+class _Incoming:
+    carrier: _Carrier
+    buffer: _body_buffer.BodyBuffer
+    started_at_s: float
+
+    def complete(self, now_s: float) -> _Carrier:
+        """Return the message with its body and the time that is left."""
+        body = self.buffer.view()
+        match self.carrier:
+            case coordination.CallSent():
+                elapsed_s = now_s - self.started_at_s
+                return dataclasses.replace(
+                    self.carrier,
+                    body=body,
+                    remaining_s=self.carrier.remaining_s - elapsed_s,
+                    target_remaining_s=(
+                        self.carrier.target_remaining_s - elapsed_s
+                    ),
+                )
+            case coordination.CallServed():
+                return dataclasses.replace(self.carrier, body=body)
+
+
+class BodyReceiver:
+    """Puts the large bodies of a link together, as memory allows."""
+
+    def __init__(
+        self,
+        budget: state.MemoryBudget,
+        log: coordination.Log,
+        send: _SendMessage,
+    ) -> None:
+        self._budget = budget
+        self._log = log
+        self._send = send
+        self._incoming_by_id: dict[int, _Incoming] = {}
+
+    def begin(self, message: coordination.BodyFollows) -> None:
+        """Start to receive a body, or refuse its call.
+
+        Raises LinkError if the message is invalid.
+        """
+        carrier = protocol.decode(message.message)
+        if not 0 < message.body_bytes <= protocol.MAX_FRAME_BYTES:
+            raise protocol.LinkError(f"body of {message.body_bytes} bytes")
+        match carrier:
+            case coordination.CallSent():
+                buffer = self._allocate(carrier, message.body_bytes)
+            case coordination.CallServed():
+                # The call has run, so its response is taken in any case.
+                buffer = _body_buffer.BodyBuffer(message.body_bytes)
+            case _:
+                raise protocol.LinkError("body of a message without a body")
+        if buffer is not None:
+            self._incoming_by_id[message.transfer_id] = _Incoming(
+                carrier, buffer, asyncio.get_running_loop().time()
+            )
+
+    def add(self, part: coordination.BodyPart) -> _Carrier | None:
+        """Return the whole message with the last part of its body.
+
+        Parts of a refused body are discarded.
+        """
+        incoming = self._incoming_by_id.get(part.transfer_id)
+        if incoming is None:
+            return None
+        if not incoming.buffer.has_room(len(part.data)):
+            raise protocol.LinkError("body exceeds its length")
+        incoming.buffer.append(part.data)
+        if not incoming.buffer.is_complete:
+            return None
+        del self._incoming_by_id[part.transfer_id]
+        return incoming.complete(asyncio.get_running_loop().time())
+
+    def abandon(self, message: coordination.BodyAbandoned) -> None:
+        """Discard what has been received of a body."""
+        self._incoming_by_id.pop(message.transfer_id, None)
+
+    def close(self) -> None:
+        """Discard all incomplete bodies."""
+        self._incoming_by_id.clear()
+
+    def _allocate(
+        self, call: coordination.CallSent, size_bytes: int
+    ) -> _body_buffer.BodyBuffer | None:
+        decision = self._budget.claim(state.BodyUse.LINK, size_bytes)
+        if isinstance(decision, state.Granted):
+            return _body_buffer.BodyBuffer.from_claim(
+                size_bytes, self._budget, decision.claim_id
+            )
+        self._log.count("memory_refusals", "link")
+        self._log.decision(
+            "memory-refused",
+            request_id=call.request_id,
+            use=state.BodyUse.LINK.value,
+            body_bytes=size_bytes,
+            held_bytes=self._budget.held_bytes,
+            limit_bytes=self._budget.limit_bytes,
+        )
+        self._send(
+            coordination.CallNotRun(
+                call.call_id, MEMORY_REASON, MEMORY_RETRY_S, False
+            )
+        )
+        return None
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -275,7 +275,7 @@
         close = self._server.closing or (
             self._close_after_last and not self._requests
         )
-        self._transport.write(
+        self._transport.writelines(
             protocol.encode_response(raw, self._current_method, close)
         )
         if close:
@@ -294,7 +294,9 @@
         )
         raw = self._server.codec.write_reply(state.Refusal(kind, detail), None)
         if self._current_number is None:
-            self._transport.write(protocol.encode_response(raw, b"GET", True))
+            self._transport.writelines(
+                protocol.encode_response(raw, b"GET", True)
+            )
         self._close()
 
     def _close(self) -> None:
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -74,7 +74,7 @@
         self._max_body_bytes = max_body_bytes
         self._received_bytes = 0
         self._on_progress = on_progress
-        self._transport.write(protocol.encode_request(request))
+        self._transport.writelines(protocol.encode_request(request))
         try:
             return await self._waiter
         except asyncio.CancelledError:
@@ -82,6 +82,8 @@
             raise
         finally:
             self._waiter = None
+            # It may refer to the request, whose body can be large.
+            self._find_owner = None
 
     def abort(self) -> None:
         """Abort the connection and mark it as unusable."""
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -7,6 +7,8 @@
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _body_transfers
 from jasminecrank.mesh.transport import _sockets
 
 CONNECT_TIMEOUT_S = 0.5
@@ -44,6 +46,7 @@
         hello: coordination.Hello,
         dialled: bool,
         log: coordination.Log,
+        budget: state.MemoryBudget | None = None,
     ) -> None:
         self.link_id = next(self._ids)
         self.dialled = dialled
@@ -54,12 +57,41 @@
         self._log = log
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._body_sender = _body_transfers.BodySender(self._write)
+        self._body_receiver = _body_transfers.BodyReceiver(
+            budget or state.MemoryBudget.from_memory_limit(0),
+            log,
+            self._write,
+        )
 
     def send(self, message: coordination.PeerMessage) -> None:
         """Send a message, unless the link is closing.
 
-        Aborts the link if its peer reads too slowly.
+        A large body follows in parts as the peer takes them.
         """
+        match message:
+            case coordination.CallSent() | coordination.CallServed() if (
+                len(message.body) > state.SMALL_BODY_BYTES
+            ):
+                if self._transport is not None:
+                    self._body_sender.start(message)
+                return
+            case coordination.CallCancelled(call_id):
+                self._body_sender.cancel_call(call_id)
+            case _:
+                pass
+        self._write(message)
+
+    def pause_writing(self) -> None:
+        """Stop sending bodies while the send buffer is full."""
+        self._body_sender.pause()
+
+    def resume_writing(self) -> None:
+        """Continue to send bodies."""
+        self._body_sender.resume()
+
+    def _write(self, message: coordination.PeerMessage) -> None:
+        """Write a message; abort the link if its peer reads too slowly."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -93,6 +125,7 @@
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
         _sockets.set_socket_options(transport)
+        _sockets.limit_unsent_bytes(transport)
         self.send(self._hello)
 
     def data_received(self, data: bytes) -> None:
@@ -119,11 +152,13 @@
 
     def _handle_frame(self, body: bytes) -> bool:
         try:
-            message = protocol.decode(body)
+            message = self._join_bodies(protocol.decode(body))
         except protocol.LinkError as error:
             self._log.failure("link-garbled", error, peer=self.peer_host)
             self.abort()
             return False
+        if message is None:
+            return True
         if isinstance(message, coordination.Hello):
             if self.peer is None:
                 self.peer = message
@@ -132,6 +167,26 @@
             self._owner.on_message(self, message)
         return True
 
+    def _join_bodies(
+        self, message: coordination.PeerMessage
+    ) -> coordination.PeerMessage | None:
+        """Return a whole message, or None while its body is incomplete."""
+        match message:
+            case coordination.BodyPart():
+                return self._body_receiver.add(message)
+            case coordination.BodyFollows():
+                if self.peer is not None:
+                    self._body_receiver.begin(message)
+                return None
+            case coordination.BodyAbandoned():
+                self._body_receiver.abandon(message)
+                return None
+            case coordination.CallNotRun(call_id):
+                self._body_sender.cancel_call(call_id)
+            case _:
+                pass
+        return message
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner and complete the `closed` future."""
         self._log.decision(
@@ -142,6 +197,8 @@
         )
         # A closed transport of uvloop raises an error on each use.
         self._transport = None
+        self._body_sender.close()
+        self._body_receiver.close()
         if self.peer is not None:
             self._owner.on_link_ended(self)
         if not self.closed.done():
@@ -158,9 +215,11 @@
         port: int,
         rng: random.Random,
         log: coordination.Log,
+        budget: state.MemoryBudget | None = None,
     ) -> None:
         self._owner = owner
         self._hello = hello
+        self._budget = budget
         self._port = port
         self._rng = rng
         self._log = log
@@ -208,7 +267,13 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
-                    lambda: Link(self._owner, self._hello, True, self._log),
+                    lambda: Link(
+                        self._owner,
+                        self._hello,
+                        True,
+                        self._log,
+                        self._budget,
+                    ),
                     host,
                     self._port,
                 )
@@ -226,9 +291,10 @@
     hello: coordination.Hello,
     address: tuple[str, int],
     log: coordination.Log,
+    budget: state.MemoryBudget | None = None,
 ) -> asyncio.Server:
     """Accept links that other nodes open."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: Link(owner, hello, False, log), *address, backlog=512
+        lambda: Link(owner, hello, False, log, budget), *address, backlog=512
     )
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -44,7 +44,9 @@
         if self._transport is None:
             return
         close = not self._parser.should_keep_alive()
-        self._transport.write(protocol.encode_response(raw, b"GET", close))
+        self._transport.writelines(
+            protocol.encode_response(raw, b"GET", close)
+        )
         if close:
             self._transport.close()
 
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -31,6 +31,7 @@
     "data-centre-out": "operators had taken the data centre out of service",
     "closed": "the server left while the call waited",
     "stopping": "the node was being stopped and the call would outlast it",
+    "memory": "the node beside the server had no memory for the body",
     "expected wait": "all servers were told to be full for long",
     "no usable server": "none was listed, reachable and accepting",
     "link-lost": "the node beside the server ended, or its link was cut",
--- a/src/jasminecrank/platform/_store.py
+++ b/src/jasminecrank/platform/_store.py
@@ -48,7 +48,7 @@
             )
             if raw.status != 200:
                 return coordination.Unavailable(f"status {raw.status}")
-            return decode_page(raw.body, self._transfer_s)
+            return decode_page(bytes(raw.body), self._transfer_s)
         except _READ_ERRORS as error:
             return self._unavailable(error)
 
@@ -82,7 +82,7 @@
                 return coordination.HistoryGone()
             if raw.status != 200:
                 return coordination.Unavailable(f"status {raw.status}")
-            return decode_changes(raw.body, self._transfer_s)
+            return decode_changes(bytes(raw.body), self._transfer_s)
         except _READ_ERRORS as error:
             unavailable = self._unavailable(error)
             if unavailable.reason == transport.REASON_TOO_LARGE:
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -42,6 +42,8 @@
         self.version = 1
         self.timeout_ms = 1000
         self.memory_limit_bytes = 300_000_000
+        self.max_body_bytes: int | None = None
+        """Limit of the table; None for the node's own."""
         self.keys = ["k1", "k2"]
         self.rate_per_s = 0
         self.idle_routes = 0
@@ -141,6 +143,7 @@
             self.timeout_ms,
             {"team-1": team},
             self.idle_routes,
+            self.max_body_bytes,
         )
         await self.store.put("op/config", config)
 
--- a/src/jasminecrank/standins/fleet/_entries.py
+++ b/src/jasminecrank/standins/fleet/_entries.py
@@ -26,10 +26,12 @@
     timeout_ms: int,
     team_by_name: Mapping[str, TeamRow],
     idle_routes: int = 0,
+    max_body_bytes: int | None = None,
 ) -> dict[str, typing.Any]:
     """Return a table entry with the stand-ins' routes and service.
 
-    No caller uses the idle routes; they make the entry large.
+    No caller uses the idle routes; they make the entry large. Without
+    `max_body_bytes`, the node's own limits hold.
     """
     routes = [
         *ROUTES,
@@ -80,6 +82,19 @@
         }
         for name, team in team_by_name.items()
     )
+    if max_body_bytes is not None:
+        resources.append(
+            {
+                "typeUrl": "limits",
+                "metadata": {},
+                "spec": {
+                    "maxHeaderBytes": 16_384,
+                    "maxBodyBytes": max_body_bytes,
+                    "headerTimeoutMs": 3_000,
+                    "idleTimeoutMs": 15_000,
+                },
+            }
+        )
     return {"version": version, "resources": resources}
 
 
