Close a caller's connection only when it owes nothing

Callers saw, after a SIGTERM, answers cut that were on their way, and pipelined requests dropped; without one, the answers before an invalid or too large request lost with the connection.

Cause: a stop counted open calls only, then waited 0.15 s and aborted what was in send buffers; every answer during a stop closed its connection; a refusal closed it at once, which cancelled the call in progress; closing with unread bytes made the kernel reset the connection and discard its send buffer; a connection younger than 50 ms was closed as idle; replies in the buffers of links were not looked at. A head over the limit that came in one read passed, and a request with Upgrade was started before it was refused.

Change: state.ConnectionDebts holds what a connection owes and decides the next step, for answers, refusals, the time limits and the stop. Connection: close goes with the last answer; then the sending side is shut down and received bytes are discarded until the caller closes. A stop waits until everything written is acknowledged, on callers' connections and links (SIOCOUTQ). Requests that have not started when the window closes are refused as not run.

Why it works: a process may end once the peer's kernel has acknowledged all bytes; no timer stands for that any more, only for giving up.

--- /dev/null
+++ b/features/mesh/owed_answers.feature
@@ -0,0 +1,103 @@
+Feature: Answers that a node owes when it closes a connection
+
+  Scenario Outline: A stop cuts no answer and drops no request that was read
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for <run> s and answer with <kB> kB
+    When <callers> callers send <requests> requests each, read at <mbit> Mbit/s, and node 0 stops after <at> s
+    Then each caller gets <requests> complete answers, only the last of which closes
+    And node 0 has stopped within 6.0 s
+
+    Examples: Guards against cut answers
+      | callers | requests | run | kB   | mbit | at  |
+      | 3       | 1        | 2.5 | 4000 | 20   | 0.5 |
+      | 1       | 1        | 2.5 | 2000 | 8    | 0.2 |
+
+    Examples: Guards against dropped pipelined requests
+      | callers | requests | run | kB   | mbit | at  |
+      | 4       | 4        | 0.6 | 0    | 0    | 0.3 |
+      | 1       | 8        | 0.2 | 0    | 0    | 0.1 |
+      | 1       | 3        | 0.2 | 1000 | 40   | 0.1 |
+
+  Scenario Outline: A refusal comes after the answers that were due before it
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    When a caller sends <before> requests and then <refused>
+    Then it gets <before> complete answers, then <status>, and the connection ends
+
+    Examples:
+      | before | refused               | status |
+      | 0      | a body of 3 MB        | 413    |
+      | 1      | a body of 3 MB        | 413    |
+      | 3      | a body of 3 MB        | 413    |
+      | 1      | a header of 70 kB     | 413    |
+      | 1      | a line without method | 400    |
+      | 3      | an upgrade            | 400    |
+
+  Scenario: Requests that wait when the time of a stop ends are refused
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 9.0 s and answer with 0 kB
+    When a caller sends 3 requests and a part of another, and node 0 stops
+    Then it gets the statuses 502 503 503 503, only the last of which closes
+    And node 0 has stopped within 6.0 s
+
+  Scenario: Bytes after the last request do not cut its answer
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.1 s and answer with 1000 kB
+    When a caller sends a request that closes, and 200 kB after it, and reads at 20 Mbit/s
+    Then it gets 1 complete answers
+
+  Scenario Outline: A connection that opens late in a stop is answered
+    Given a deployment of 2 hosts on the event loop of a process
+    When node 0 stops, and <opened> s later a connection opens that sends a request after <wait> s
+    Then it gets the statuses 503, only the last of which closes
+
+    Examples:
+      | opened | wait |
+      | 2.4    | 0.0  |
+      | 2.4    | 0.3  |
+      | 2.25   | 0.2  |
+
+  Scenario: A reply to another node is sent before the process ends
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 2.5 s and answer with 4000 kB
+    When a caller of host 1 is served by host 0, which stops, and host 1 pauses reading for 1.0 s
+    Then it gets 1 complete answers
+
+  Scenario Outline: What is due on a connection decides the next step
+    Given a connection on which <due> is due
+    When the decision is taken in the phase <phase>
+    Then its next step is <step>, and the answer being written is <answer>
+
+    Examples:
+      | due                         | phase         | step           | answer   |
+      | nothing                     | serving       | wait           | not last |
+      | nothing                     | closing       | wait           | last     |
+      | a waiting request           | serving       | start-request  | not last |
+      | a waiting request           | closing       | start-request  | not last |
+      | a waiting request           | callers-left  | start-request  | not last |
+      | a waiting request           | window-closed | refuse-request | not last |
+      | a part of a request         | closing       | wait           | not last |
+      | a refusal                   | serving       | send-refusal   | not last |
+      | a refusal                   | closing       | send-refusal   | not last |
+      | a waiting request, refusal  | closing       | start-request  | not last |
+      | a waiting request, refusal  | window-closed | refuse-request | not last |
+      | a request in progress       | window-closed | wait           | not last |
+      | nothing after a close       | serving       | wait           | last     |
+
+  Scenario Outline: An idle connection is closed once it owes nothing
+    Given a connection on which <due> is due
+    When it is found <age> s after it opened, <phase>, with <bytes> bytes undelivered
+    Then a stop says <stop>, and a time limit says <limit>
+
+    Examples:
+      | due                   | age | phase         | bytes | stop  | limit |
+      | nothing               | 9.0 | serving       | 0     | wait  | close |
+      | nothing               | 9.0 | closing       | 0     | wait  | close |
+      | nothing               | 9.0 | callers-left  | 0     | close | close |
+      | nothing               | 0.1 | callers-left  | 0     | wait  | close |
+      | nothing               | 0.6 | callers-left  | 0     | close | close |
+      | nothing               | 9.0 | callers-left  | 1     | wait  | wait  |
+      | a waiting request     | 9.0 | callers-left  | 0     | wait  | wait  |
+      | a request in progress | 9.0 | window-closed | 0     | wait  | wait  |
+      | a part of a request   | 9.0 | callers-left  | 0     | wait  | close |
+      | a refusal             | 9.0 | callers-left  | 0     | wait  | wait  |
--- /dev/null
+++ b/features/steps/mesh_owed_steps.py
@@ -0,0 +1,301 @@
+"""Steps for the answers that a node owes on its connections."""
+
+import asyncio
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import mesh_path_steps
+import uvloop
+
+from jasminecrank.mesh import state
+
+READ_TIMEOUT_S = 12.0
+REFUSED_BODY_BYTES = 3_000_000
+REFUSED_HEADER_BYTES = 70_000
+TRAILING_BYTES = 200_000
+
+
+@given("a deployment of {hosts:d} hosts on the event loop of a process")
+def step_deployment(context, hosts):
+    def prepare(deployment):
+        deployment.timeout_ms = 20_000
+
+    mesh_path_steps.start_deployment(
+        context, hosts, prepare, uvloop.new_event_loop
+    )
+
+
+@given("servers run for {run_s:g} s and answer with {kbytes:d} kB")
+def step_servers(context, run_s, kbytes):
+    for server in context.fleet.servers:
+        server.run_s = run_s
+        server.min_body_bytes = 1_000 * kbytes
+
+
+async def _open(context, number=0, mbit_per_s=0.0):
+    caller = context.fleet.pipelining_caller(number, mbit_per_s)
+    context.exit_stack.callback(caller.close)
+    await caller.connect()
+    return caller
+
+
+async def _stop_node(context):
+    """Stop node 0 and note the time that it takes."""
+    started_s = time.monotonic()
+    await context.fleet.nodes[0].stop()
+    context.elapsed_s = time.monotonic() - started_s
+
+
+async def _receive(context, callers):
+    context.callers = callers
+    context.answers = await asyncio.gather(
+        *(caller.receive_all(READ_TIMEOUT_S) for caller in callers)
+    )
+
+
+@when(
+    "{callers:d} callers send {requests:d} requests each, "
+    "read at {mbit:g} Mbit/s, and node 0 stops after {at_s:g} s"
+)
+def step_stop(context, callers, requests, mbit, at_s):
+    async def act():
+        opened = [await _open(context, 0, mbit) for _ in range(callers)]
+        for caller in opened:
+            for _ in range(requests):
+                await caller.send()
+        reading = asyncio.create_task(_receive(context, opened))
+        await asyncio.sleep(at_s)
+        await _stop_node(context)
+        await reading
+
+    context.runner.run(act())
+
+
+def _check_answer(answer, request_id, context):
+    start = f"body of {request_id}".encode()
+    assert answer.status == 200, answer.status
+    assert answer.body.startswith(start), answer.body[:40]
+    least = max(server.min_body_bytes for server in context.fleet.servers)
+    assert len(answer.body) >= least, len(answer.body)
+
+
+def _check_closing(answers):
+    closing = [
+        answer.headers.get("connection") == "close" for answer in answers
+    ]
+    expected = [False] * (len(answers) - 1) + [True]
+    assert closing == expected, closing
+
+
+def _check_complete(context, count):
+    assert context.answers
+    for caller, answers in zip(context.callers, context.answers, strict=True):
+        found = [answer.status for answer in answers]
+        assert len(answers) == count, found
+        for answer, request_id in zip(
+            answers, caller.request_ids, strict=False
+        ):
+            _check_answer(answer, request_id, context)
+
+
+@then(
+    "each caller gets {count:d} complete answers, "
+    "only the last of which closes"
+)
+def step_all_answered(context, count):
+    _check_complete(context, count)
+    for answers in context.answers:
+        _check_closing(answers)
+
+
+@then("it gets {count:d} complete answers")
+def step_answered(context, count):
+    _check_complete(context, count)
+
+
+@when("a caller sends {before:d} requests and then {refused}")
+def step_refused(context, before, refused):
+    async def act():
+        caller = await _open(context)
+        for _ in range(before):
+            await caller.send()
+        # The first of them is in progress when the last is refused.
+        await asyncio.sleep(0.1)
+        reading = asyncio.create_task(_receive(context, [caller]))
+        match refused:
+            case "a body of 3 MB":
+                length = {"Content-Length": str(REFUSED_BODY_BYTES)}
+                await caller.send("POST", "/book/1", length)
+                await caller.write(b"x" * REFUSED_BODY_BYTES)
+            case "a header of 70 kB":
+                await caller.send(headers={"X": "x" * REFUSED_HEADER_BYTES})
+            case "a line without method":
+                await caller.write(b"/lots/1\r\n\r\n")
+            case "an upgrade":
+                await caller.send(
+                    headers={"Connection": "Upgrade", "Upgrade": "other"}
+                )
+            case _:
+                raise ValueError(refused)
+        started_s = time.monotonic()
+        await reading
+        context.elapsed_s = time.monotonic() - started_s
+
+    context.runner.run(act())
+
+
+@then(
+    "it gets {before:d} complete answers, then {status:d}, "
+    "and the connection ends"
+)
+def step_refusal_last(context, before, status):
+    (answers,) = context.answers
+    found = [answer.status for answer in answers]
+    assert found == [200] * before + [status], found
+    request_ids = context.callers[0].request_ids[:before]
+    for answer, request_id in zip(answers, request_ids, strict=False):
+        _check_answer(answer, request_id, context)
+    _check_closing(answers)
+    assert context.elapsed_s < READ_TIMEOUT_S, context.elapsed_s
+
+
+@when(
+    "a caller sends {count:d} requests and a part of another, and node 0 stops"
+)
+def step_window(context, count):
+    async def act():
+        caller = await _open(context)
+        for _ in range(count):
+            await caller.send("POST", "/book/1")
+        reading = asyncio.create_task(_receive(context, [caller]))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(_stop_node(context))
+        await asyncio.sleep(4.0)
+        await caller.send("POST", "/book/1", {"Content-Length": "4"})
+        await stopping
+        await reading
+
+    context.runner.run(act())
+
+
+@then("it gets the statuses {statuses}, only the last of which closes")
+def step_statuses(context, statuses):
+    (answers,) = context.answers
+    found = " ".join(str(answer.status) for answer in answers)
+    assert found == statuses, found
+    _check_closing(answers)
+
+
+@when(
+    "a caller sends a request that closes, and 200 kB after it, "
+    "and reads at {mbit:g} Mbit/s"
+)
+def step_trailing(context, mbit):
+    async def act():
+        caller = await _open(context, 0, mbit)
+        await caller.send(headers={"Connection": "close"})
+        writing = asyncio.create_task(caller.write(b"x" * TRAILING_BYTES))
+        await _receive(context, [caller])
+        await writing
+
+    context.runner.run(act())
+
+
+@when(
+    "node 0 stops, and {opened_s:g} s later a connection opens that sends "
+    "a request after {wait_s:g} s"
+)
+def step_late_connection(context, opened_s, wait_s):
+    async def act():
+        # A node that owes nothing ends early, so an upload keeps it busy.
+        busy = await _open(context)
+        await busy.send("POST", "/book/1", {"Content-Length": "4"})
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(_stop_node(context))
+        await asyncio.sleep(opened_s)
+        caller = await _open(context)
+        await asyncio.sleep(wait_s)
+        await caller.send()
+        await _receive(context, [caller])
+        await stopping
+
+    context.runner.run(act())
+
+
+@when(
+    "a caller of host 1 is served by host 0, which stops, "
+    "and host 1 pauses reading for {pause_s:g} s"
+)
+def step_link(context, pause_s):
+    async def act():
+        deployment = context.fleet
+        await deployment.register(1, "draining")
+        await asyncio.sleep(0.5)
+        caller = await _open(context, 1)
+        await caller.send("POST", "/book/1")
+        await asyncio.sleep(0.1)
+        reading = asyncio.create_task(_receive(context, [caller]))
+        stopping = asyncio.create_task(_stop_node(context))
+        await asyncio.sleep(2.3)
+        links = [
+            link._transport
+            for link in deployment.nodes[1]._links
+            if link.dialled
+        ]
+        assert links
+        for transport in links:
+            transport.pause_reading()
+        await asyncio.sleep(pause_s)
+        for transport in links:
+            transport.resume_reading()
+        await stopping
+        await reading
+
+    context.runner.run(act())
+
+
+def _make_debts(due):
+    refusal = state.Refusal(state.RefusalKind.TOO_LARGE)
+    parts = due.split(", ")
+    return state.ConnectionDebts(
+        waiting=int("a waiting request" in parts),
+        in_progress="a request in progress" in parts,
+        receiving="a part of a request" in parts,
+        refusal=refusal if due.find("refusal") >= 0 else None,
+        last_request_read="refusal" in due or "after a close" in due,
+    )
+
+
+@given("a connection on which {due} is due")
+def step_due(context, due):
+    context.debts = _make_debts(due)
+
+
+@when("the decision is taken in the phase {phase}")
+def step_phase(context, phase):
+    context.phase = state.StopPhase(phase)
+
+
+@then("its next step is {step}, and the answer being written is {answer}")
+def step_next(context, step, answer):
+    assert context.debts.next_step(context.phase).value == step
+    last = context.debts.is_last_answer(context.phase)
+    assert last == (answer == "last"), last
+
+
+@when(
+    "it is found {age_s:g} s after it opened, {phase}, "
+    "with {count:d} bytes undelivered"
+)
+def step_found(context, age_s, phase, count):
+    debts = context.debts
+    context.stop_step = debts.idle_step(state.StopPhase(phase), age_s, count)
+    context.limit_step = debts.timeout_step(count)
+
+
+@then("a stop says {stop}, and a time limit says {limit}")
+def step_says(context, stop, limit):
+    assert context.stop_step.value == stop, context.stop_step
+    assert context.limit_step.value == limit, context.limit_step
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -22,10 +22,14 @@
     start_deployment(context, hosts)
 
 
-def start_deployment(context, hosts, prepare=lambda deployment: None):
+def start_deployment(
+    context, hosts, prepare=lambda deployment: None, loop_factory=None
+):
     """Start a deployment, after changes to it that `prepare` makes."""
     context.exit_stack = contextlib.ExitStack()
-    context.runner = context.exit_stack.enter_context(asyncio.Runner())
+    context.runner = context.exit_stack.enter_context(
+        asyncio.Runner(loop_factory=loop_factory)
+    )
     context.fleet = None
 
     async def start():
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -21,9 +21,9 @@
 STOP_MARGIN_S = 0.4
 """Time before SIGKILL at which a stopping node ends all calls."""
 STOP_FLUSH_S = 0.15
-"""Time for the last responses to be sent."""
+"""Longest time after that for the last responses to be taken."""
 STOP_CHECK_PERIOD_S = 0.05
-"""Interval at which a stopping node checks for open calls."""
+"""Interval at which a stopping node checks what it owes."""
 SETTINGS_READ_PERIOD_S = 5.0
 """Interval at which the settings file is read again.
 
@@ -215,13 +215,15 @@
         self._caller_server.start_closing()
         await asyncio.sleep(state.CALLERS_LEAVE_S)
         self._caller_server.close_idle()
-        while self._clock.now_s() < window.closes_at_s and (
-            self.entry.open_calls
-            or self.gate.active_calls
-            or self._caller_server.receiving
+        await self._wait_until_settled(window.closes_at_s)
+        # A later connection is refused, so that its request is not lost.
+        self._caller_server.stop_listening()
+        while (
+            self._clock.now_s() < window.closes_at_s
+            and self._caller_server.awaits_first_requests
         ):
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
-            self._caller_server.close_idle()
+        await self._wait_until_settled(window.closes_at_s)
         await self._end_calls()
         self._log.decision(
             "stopped",
@@ -232,6 +234,21 @@
         self.abort()
         self._log.flush()
 
+    async def _wait_until_settled(self, until_s: float) -> None:
+        """Wait until no call is open and all answers are delivered."""
+        owing_links = set(self._links)
+        while self._clock.now_s() < until_s:
+            if self.entry.open_calls or self.gate.active_calls:
+                owing_links = set(self._links)
+            else:
+                # Reports go on, so a link need not be empty twice.
+                owing_links = {
+                    link for link in owing_links if link.unsent_bytes
+                }
+                if not owing_links and not self._caller_server.owes:
+                    return
+            await asyncio.sleep(STOP_CHECK_PERIOD_S)
+
     async def _end_calls(self) -> None:
         """Answer what is left, as far as the outcome is known."""
         calls = self.entry.open_calls + self.gate.active_calls
@@ -241,12 +258,12 @@
             unanswered=self._caller_server.unanswered,
             unsent_bytes=self._caller_server.unsent_bytes,
         )
-        self._caller_server.stop_listening()
-        self._caller_server.refuse_incomplete()
+        self._caller_server.refuse_unstarted()
         closed = coordination.StopWindowClosed()
         self.gate.mailbox.tell(closed)
         self.entry.mailbox.tell(closed)
-        await asyncio.sleep(STOP_FLUSH_S)
+        await asyncio.sleep(0)
+        await self._wait_until_settled(self._clock.now_s() + STOP_FLUSH_S)
 
     def abort(self) -> None:
         """Cancel all tasks and close all connections immediately."""
@@ -325,7 +342,7 @@
         if isinstance(message, coordination.FleetChanged):
             table = message.fleet.table
             if table is not None:
-                self._caller_server.limits = table.limits
+                self._caller_server.set_limits(table.limits)
         self.entry.mailbox.tell(message)
 
     async def _keep_running(
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -36,6 +36,16 @@
 from jasminecrank.mesh.state._calls import Response as Response
 from jasminecrank.mesh.state._calls import RouteKind as RouteKind
 from jasminecrank.mesh.state._calls import Served as Served
+from jasminecrank.mesh.state._connection_debts import (
+    ConnectionDebts as ConnectionDebts,
+)
+from jasminecrank.mesh.state._connection_debts import (
+    ConnectionStep as ConnectionStep,
+)
+from jasminecrank.mesh.state._connection_debts import (
+    FIRST_REQUEST_S as FIRST_REQUEST_S,
+)
+from jasminecrank.mesh.state._connection_debts import StopPhase as StopPhase
 from jasminecrank.mesh.state._directory import BackendServer as BackendServer
 from jasminecrank.mesh.state._directory import (
     DataCentreOutEntry as DataCentreOutEntry,
--- /dev/null
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -0,0 +1,125 @@
+"""What a node owes on a connection of a caller, and when it may close it."""
+
+from dataclasses import dataclass
+import enum
+import typing
+
+from jasminecrank.mesh.state import _calls
+
+MAX_WAITING_REQUESTS = 16
+"""Waiting requests on a connection above which reading is paused."""
+FIRST_REQUEST_S = 0.5
+"""Time for the first request on a connection that opens during a stop."""
+
+
+class StopPhase(enum.Enum):
+    """How far the node has stopped, as far as connections are concerned."""
+
+    SERVING = "serving"
+    CLOSING = "closing"
+    """A connection is closed after its last answer."""
+    CALLERS_LEFT = "callers-left"
+    """Idle connections are closed as well."""
+    WINDOW_CLOSED = "window-closed"
+    """Requests that have not started are refused."""
+
+
+class ConnectionStep(enum.Enum):
+    """What to do next on a connection."""
+
+    START_REQUEST = "start-request"
+    REFUSE_REQUEST = "refuse-request"
+    """Refuse the first waiting request, which has not run."""
+    SEND_REFUSAL = "send-refusal"
+    """Send the refusal of the request that could not be read."""
+    CLOSE = "close"
+    WAIT = "wait"
+
+
+@dataclass(slots=True)
+class ConnectionDebts:
+    """Requests that were read and answers that were not taken yet."""
+
+    waiting: int = 0
+    """Complete requests that have not started."""
+    in_progress: bool = False
+    receiving: bool = False
+    """Whether a part of a request has been read."""
+    refusal: _calls.Refusal | None = None
+    """Answer to a request that will not be read, due after all others."""
+    last_request_read: bool = False
+    """Whether nothing that follows will be read."""
+    opened_at_s: float = 0.0
+    unused: bool = True
+    """Whether nothing has been read yet."""
+
+    @property
+    def unanswered(self) -> int:
+        """Return the number of complete requests without an answer."""
+        return self.waiting + self.in_progress
+
+    @property
+    def answers_due(self) -> bool:
+        """Return whether an answer has to be written."""
+        return self.unanswered > 0 or self.refusal is not None
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no part of a request is left to be answered."""
+        return not self.answers_due and not self.receiving
+
+    @property
+    def reads(self) -> bool:
+        """Return whether further requests are read."""
+        return self.waiting <= MAX_WAITING_REQUESTS
+
+    def is_last_answer(self, phase: StopPhase) -> bool:
+        """Return whether the answer about to be written ends the connection.
+
+        Its request counts neither as waiting nor as in progress any more.
+        """
+        ends = self.last_request_read or phase is not StopPhase.SERVING
+        return ends and self.idle
+
+    def next_step(self, phase: StopPhase) -> ConnectionStep:
+        """Return what to do after a request or an answer has ended."""
+        if self.in_progress:
+            return ConnectionStep.WAIT
+        if self.waiting:
+            if phase is StopPhase.WINDOW_CLOSED:
+                return ConnectionStep.REFUSE_REQUEST
+            return ConnectionStep.START_REQUEST
+        if self.refusal is not None:
+            return ConnectionStep.SEND_REFUSAL
+        return ConnectionStep.WAIT
+
+    def idle_step(
+        self, phase: StopPhase, now_s: float, undelivered_bytes: int
+    ) -> ConnectionStep:
+        """Return whether to close a connection that a stop finds idle."""
+        if not self.idle or undelivered_bytes:
+            return ConnectionStep.WAIT
+        match phase:
+            case StopPhase.SERVING | StopPhase.CLOSING:
+                return ConnectionStep.WAIT
+            case StopPhase.CALLERS_LEFT | StopPhase.WINDOW_CLOSED:
+                if self.first_request_wait_s(now_s) > 0.0:
+                    return ConnectionStep.WAIT
+                return ConnectionStep.CLOSE
+            case _:
+                typing.assert_never(phase)
+
+    def timeout_step(self, undelivered_bytes: int) -> ConnectionStep:
+        """Return whether to close after the idle or the header time limit.
+
+        A request that has not arrived in time is given up.
+        """
+        if self.answers_due or undelivered_bytes:
+            return ConnectionStep.WAIT
+        return ConnectionStep.CLOSE
+
+    def first_request_wait_s(self, now_s: float) -> float:
+        """Return the time left for the first request to arrive."""
+        if not self.unused:
+            return 0.0
+        return max(0.0, self.opened_at_s + FIRST_REQUEST_S - now_s)
--- /dev/null
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -0,0 +1,370 @@
+"""HTTP/1.1 connection of a caller."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+import itertools
+import typing
+
+import httptools
+
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _sockets
+
+LINGER_S = 1.0
+"""Time for a caller to close its side after the last answer.
+
+Closing with unread bytes makes the kernel send a reset, which can discard
+the answer.
+"""
+
+
+@dataclass(slots=True)
+class ConnectionContext:
+    """State that the connections of a server share."""
+
+    codec: protocol.CallerCodec
+    tell: Callable[[coordination.EntryMessage], None]
+    clock: coordination.Clock
+    log: coordination.Log
+    limits: state.CallerLimits = field(default_factory=state.CallerLimits)
+    phase: state.StopPhase = state.StopPhase.SERVING
+    request_numbers: Iterator[int] = field(
+        default_factory=lambda: itertools.count(1)
+    )
+    connections: set["CallerConnection"] = field(default_factory=set)
+
+
+class CallerConnection(asyncio.Protocol):
+    """Connection of a caller, whose requests are answered in order."""
+
+    def __init__(self, context: ConnectionContext) -> None:
+        self._context = context
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._debts = state.ConnectionDebts()
+        self._requests: deque[protocol.RawRequest] = deque()
+        self._current_number = 0
+        self._current_method = b""
+        self._ended = False
+        """Whether the last answer has been written."""
+        self._timer: asyncio.TimerHandle | None = None
+        self._closed_by_node = False
+        self._unsent_at_end_bytes = 0
+        self._reset_message()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection and start its idle timer."""
+        transport = typing.cast(asyncio.Transport, transport)
+        self._transport = transport
+        _sockets.set_socket_options(transport)
+        self._context.connections.add(self)
+        self._debts.opened_at_s = self._context.clock.now_s()
+        self._start_timer(self._context.limits.idle_timeout_s)
+        self.close_if_idle()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, up to the last request that is read."""
+        if self._ended or self._debts.last_request_read:
+            return
+        self._debts.unused = False
+        if self._debts.idle:
+            self._start_timer(self._context.limits.header_timeout_s)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
+        except httptools.HttpParserError as error:
+            self._refuse(state.RefusalKind.REQUEST_INVALID, str(error))
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as closed by the caller."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the current request, since its caller has disconnected."""
+        self._context.connections.discard(self)
+        if self.unanswered or self._unsent_at_end_bytes:
+            self._context.log.count("caller_connections", "cut")
+            self._context.log.decision(
+                "caller-connection-cut",
+                closed_by="node" if self._closed_by_node else "caller",
+                error=None if exc is None else repr(exc),
+                unanswered=self.unanswered,
+                unsent_bytes=self._unsent_at_end_bytes,
+            )
+        self._cancel_timer()
+        self._transport = None
+        self._requests.clear()
+        if self._debts.in_progress:
+            self._context.tell(
+                coordination.CallerDisconnected(self._current_number)
+            )
+        self._debts = state.ConnectionDebts(unused=False)
+
+    def on_message_begin(self) -> None:
+        """Reset the parser state for a new request."""
+        self._reset_message()
+        if not self._debts.last_request_read:
+            self._debts.receiving = True
+
+    def on_url(self, url: bytes) -> None:
+        """Append to the request target, which can arrive in parts."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header and count its bytes, 4 of them delimiters."""
+        self._headers.append((name, value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Send 100 Continue if the request expects it."""
+        if self._debts.last_request_read:
+            return
+        if self._parser.should_upgrade():
+            self._refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
+            return
+        self._method = self._parser.get_method()
+        self._keep_alive = self._parser.should_keep_alive()
+        expect = protocol.find_header(self._headers, b"expect")
+        if expect is not None and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Append to the body and refuse a request that is too large."""
+        if self._debts.last_request_read:
+            return
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._context.limits.max_body_bytes:
+            self._refuse(state.RefusalKind.TOO_LARGE, "body")
+
+    def on_message_complete(self) -> None:
+        """Queue a complete request; pause reading if too many wait."""
+        if self._debts.last_request_read:
+            return
+        self._debts.receiving = False
+        self._requests.append(
+            protocol.RawRequest(
+                self._method,
+                self._target,
+                tuple(self._headers),
+                b"".join(self._body),
+            )
+        )
+        self._debts.waiting += 1
+        self._debts.last_request_read = not self._keep_alive
+        self._reset_message()
+        self._update_reading()
+        self._continue()
+
+    def abort(self) -> None:
+        """Abort the connection without flushing pending data."""
+        if self._transport is not None:
+            self._closed_by_node = True
+            self._unsent_at_end_bytes = self.unsent_bytes
+            self._transport.abort()
+
+    @property
+    def unanswered(self) -> int:
+        """Return the number of complete requests without a response."""
+        return self._debts.unanswered
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that have not left the process."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def owes(self) -> bool:
+        """Return whether an answer is due or has not been delivered."""
+        return not self._debts.idle or self._undelivered_bytes > 0
+
+    @property
+    def awaits_first_request(self) -> bool:
+        """Return whether the connection is new and may carry a request."""
+        now_s = self._context.clock.now_s()
+        return self._debts.first_request_wait_s(now_s) > 0.0
+
+    def refuse_unstarted(self) -> None:
+        """Refuse the requests that wait or were received in part."""
+        if self._debts.receiving:
+            self._refuse(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
+        self._continue()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if the phase of the stop allows it."""
+        now_s = self._context.clock.now_s()
+        phase = self._context.phase
+        if phase in (state.StopPhase.SERVING, state.StopPhase.CLOSING):
+            return
+        step = self._debts.idle_step(phase, now_s, self._undelivered_bytes)
+        if step is state.ConnectionStep.CLOSE:
+            self._close()
+        elif self._debts.unused:
+            self._start_timer(self._debts.first_request_wait_s(now_s))
+
+    @property
+    def _undelivered_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return _sockets.undelivered_bytes(self._transport)
+
+    def _continue(self) -> None:
+        """Take the next step on the debts, in the order of the requests."""
+        if self._ended or self._transport is None:
+            return
+        step = self._debts.next_step(self._context.phase)
+        match step:
+            case state.ConnectionStep.START_REQUEST:
+                self._start_request()
+            case state.ConnectionStep.REFUSE_REQUEST:
+                number = self._take_request()[0]
+                self._reply(number, _STOPPING, None)
+            case state.ConnectionStep.SEND_REFUSAL:
+                refusal, self._debts.refusal = self._debts.refusal, None
+                if refusal is not None:
+                    raw = self._context.codec.write_reply(refusal, None)
+                    self._write(raw, b"GET")
+            case state.ConnectionStep.CLOSE:
+                self._close()
+            case state.ConnectionStep.WAIT:
+                pass
+            case _:
+                typing.assert_never(step)
+
+    def _take_request(self) -> tuple[int, protocol.RawRequest]:
+        self._cancel_timer()
+        raw = self._requests.popleft()
+        self._debts.waiting -= 1
+        self._debts.in_progress = True
+        self._current_number = next(self._context.request_numbers)
+        self._current_method = raw.method
+        return self._current_number, raw
+
+    def _start_request(self) -> None:
+        number, raw = self._take_request()
+        request = self._context.codec.read_request(raw)
+        match request:
+            case state.Refusal():
+                self._reply(number, request, None)
+            case state.CallRequest():
+                self._context.tell(
+                    coordination.CallArrived(
+                        number,
+                        request,
+                        self._context.clock.now_s(),
+                        lambda reply: self._reply(number, reply, request),
+                    )
+                )
+
+    def _reply(
+        self,
+        number: int,
+        reply: state.Reply,
+        request: state.CallRequest | None,
+    ) -> None:
+        if not self._debts.in_progress or self._current_number != number:
+            return
+        self._debts.in_progress = False
+        raw = self._context.codec.write_reply(reply, request)
+        self._write(raw, self._current_method)
+
+    def _write(self, raw: protocol.RawResponse, method: bytes) -> None:
+        """Write an answer, and end the connection with the last one."""
+        if self._transport is None:
+            return
+        last = self._debts.is_last_answer(self._context.phase)
+        self._ended = last
+        self._transport.write(protocol.encode_response(raw, method, last))
+        if last:
+            self._end()
+            return
+        limits = self._context.limits
+        self._start_timer(
+            limits.header_timeout_s
+            if self._debts.receiving
+            else limits.idle_timeout_s
+        )
+        self._update_reading()
+        asyncio.get_running_loop().call_soon(self._continue)
+
+    def _refuse(self, kind: state.RefusalKind, detail: str) -> None:
+        """Read nothing more, and refuse after the answers that are due."""
+        if self._debts.last_request_read or self._transport is None:
+            return
+        self._context.log.decision(
+            "request-refused", outcome=kind.value, reason=detail
+        )
+        self._debts.last_request_read = True
+        self._debts.receiving = False
+        self._debts.refusal = state.Refusal(kind, detail)
+        self._reset_message()
+        self._continue()
+
+    def _end(self) -> None:
+        """Shut down the sending side and read until the caller closes."""
+        if self._transport is None:
+            return
+        self._closed_by_node = True
+        self._transport.write_eof()
+        self._update_reading()
+        self._start_timer(LINGER_S)
+
+    def _close(self) -> None:
+        """Close the connection once the bytes written so far are sent."""
+        if self._transport is not None:
+            self._ended = True
+            self._closed_by_node = True
+            self._transport.close()
+
+    def _count_head(self, added_bytes: int) -> None:
+        self._head_bytes += added_bytes
+        if self._head_bytes > self._context.limits.max_header_bytes:
+            self._refuse(state.RefusalKind.TOO_LARGE, "headers")
+
+    def _update_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._ended or self._debts.reads:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def _start_timer(self, timeout_s: float) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            timeout_s, self._on_timeout, timeout_s
+        )
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timeout(self, timeout_s: float) -> None:
+        step = self._debts.timeout_step(self._undelivered_bytes)
+        if step is state.ConnectionStep.CLOSE:
+            self._close()
+        else:
+            self._start_timer(timeout_s)
+
+    def _reset_message(self) -> None:
+        self._method = b""
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._keep_alive = True
+
+
+_STOPPING = state.Refusal(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -78,6 +78,13 @@
             self._log.decision("link-blocked", peer=self.peer_host)
             transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the peer has not acknowledged."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return _sockets.undelivered_bytes(self._transport)
+
     @property
     def peer_host(self) -> str:
         """Return the peer's host, or an empty string before its Hello."""
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -1,7 +1,10 @@
 """Socket options that limit the time to detect a dead peer."""
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 TCP_USER_TIMEOUT_MS = 2_500
 """Time without acknowledgement after which TCP closes a connection.
@@ -19,3 +22,23 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
+
+
+def undelivered_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the written bytes that the peer has not acknowledged.
+
+    Until then a reset, as after closing with unread bytes, discards them.
+    """
+    if transport.is_closing():
+        return transport.get_write_buffer_size()
+    return transport.get_write_buffer_size() + _kernel_unsent_bytes(transport)
+
+
+def _kernel_unsent_bytes(transport: asyncio.BaseTransport) -> int:
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    # On a socket, TIOCOUTQ is SIOCOUTQ.
+    found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    (unsent_bytes,) = struct.unpack("i", found)
+    return int(unsent_bytes)
--- a/src/jasminecrank/standins/fleet/__init__.py
+++ b/src/jasminecrank/standins/fleet/__init__.py
@@ -16,6 +16,9 @@
     RequestClass as RequestClass,
 )
 from jasminecrank.standins.fleet._load_model import Scenario as Scenario
+from jasminecrank.standins.fleet._pipelining_caller import (
+    PipeliningCaller as PipeliningCaller,
+)
 from jasminecrank.standins.fleet._server import Behaviour as Behaviour
 from jasminecrank.standins.fleet._server import Server as Server
 from jasminecrank.standins.fleet._store import Outage as Outage
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -15,6 +15,7 @@
 from jasminecrank.mesh import transport
 from jasminecrank.standins.fleet import _caller
 from jasminecrank.standins.fleet import _entries
+from jasminecrank.standins.fleet import _pipelining_caller
 from jasminecrank.standins.fleet import _server
 from jasminecrank.standins.fleet import _store
 
@@ -93,6 +94,13 @@
         """Return a client of the node on a host."""
         return _caller.Caller(self.host(number), self._ports["callers"])
 
+    def pipelining_caller(
+        self, number: int, mbit_per_s: float = 0.0
+    ) -> _pipelining_caller.PipeliningCaller:
+        """Return a client of the node on a host that reads at a rate."""
+        address = (self.host(number), self._ports["callers"])
+        return _pipelining_caller.PipeliningCaller(address, mbit_per_s)
+
     def make_node(self, number: int) -> daemon.Node:
         """Return a node for a host, not yet started."""
         host = self.host(number)
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -79,6 +79,8 @@
         self.server_id = server_id
         self.slots = slots
         self.run_s = 0.02
+        self.min_body_bytes = 0
+        """Bytes to which shorter bodies of responses are filled up."""
         self.cold_s = 0.0
         self.behaviours: list[Behaviour] = []
         """For the next requests, in order; then `default_behaviour`."""
@@ -189,6 +191,7 @@
         await self._run(request, behaviour)
         headers = {**echoed_headers, "Server-Stamp": f"stamp-{request_id}"}
         body = f"body of {request_id}".encode()
+        body = body.ljust(self.min_body_bytes, b".")
         response = _http.encode_response(200, body, headers)
         if behaviour in _ENDLESS_BY_BEHAVIOUR:
             await self._send_endlessly(writer, behaviour, headers)
