--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -50,6 +50,14 @@
         self._paused = False
         self._turn: asyncio.Handle | None = None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of bodies that are still to be written."""
+        return sum(
+            len(transfer.carrier.body) - transfer.sent_bytes
+            for transfer in self._transfers
+        )
+
     def start(self, carrier: _Carrier) -> None:
         """Send a message; its body follows as the link has room."""
         transfer = _Outgoing(next(self._ids), carrier)
