Read callers' bodies as the memory budget allows

Cause: a body was kept as it came, whatever else the node held, and copied on its way.

A request claims memory for its body with its head. Without it, the connection is not read and 100 Continue is not sent; after the time limit of a request it is refused, not run, with 503 and Retry-After (memory-refused in the log). A body of unknown length enlarges its claim as it grows and is refused at once if there is no room. A body above the table's limit is refused with its head. Claims of small bodies are released with their answer, those of large ones with their memory. Small bodies have their own part of the budget and never wait for large ones.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -93,3 +93,30 @@
       | 0.1  |
       | 20   |
       | 64   |
+
+  Scenario Outline: A caller's body waits for memory, or is refused as not run
+    Given a node with 20 MB of memory that receives a body of <held> MB
+    When another caller sends <body>, and the first body is <end>
+    Then the other caller gets <status> and the first one <first>
+    And the node soon holds no bytes
+
+    Examples: there is room, or soon will be
+      | held | body                       | end      | status | first |
+      | 4    | 0.5 MB                     | complete | 200    | 200   |
+      | 4    | 4 MB                       | complete | 200    | 200   |
+      | 4    | 4 MB                       | cut      | 200    | none  |
+      | 4    | 4 MB after 100 Continue    | complete | 200    | 200   |
+      | 4    | 200 bytes                  | held     | 200    | none  |
+      | 4    | 0.5 MB in chunks           | complete | 200    | 200   |
+
+    Examples: there is no room
+      | held | body             | end      | status                       | first |
+      | 4    | 4 MB             | running  | 503 after 3 s                | 200   |
+      | 4    | 4 MB in chunks   | held     | 503 at once                  | none  |
+      | 4    | 5 MB             | complete | 413 at once                  | 200   |
+
+  Scenario: Four bodies of 64 MB at a time leave a node within its memory
+    Given a node as a process with 300 MB, and six callers that book
+    When four callers send bodies of 64 MB each at the same time, twice
+    Then the process has never had more than 300 MB and is still the first
+    And each booking is answered 200, each body 200 or 503 if it has not run
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -1,10 +1,14 @@
 """Steps for the budget of bodies in memory."""
 
 import asyncio
+from collections import Counter
 import contextlib
 import dataclasses
+import pathlib
 import random
 import re
+import tempfile
+import time
 
 from behave import given
 from behave import then
@@ -19,8 +23,13 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 from jasminecrank.mesh import transport
+from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _deployment as soak_deployment
 
 MB = 1_000_000
+LONG_RUN_S = 5.0
+"""Longer than a body may wait for memory."""
+SERVER_SLOTS = 12
 DELISTED_S = 0.3
 """Time in which nodes learn that a server has left the store."""
 USE_BY_NAME = {use.value: use for use in state.BodyUse}
@@ -544,3 +553,218 @@
             )
         )
     )
+
+
+@given(
+    "a node with {limit:d} MB of memory that receives a body of {size:g} MB"
+)
+def step_held_body(context, limit, size):
+    def prepare(deployment):
+        deployment.memory_limit_bytes = limit * MB
+        deployment.max_body_bytes = 67_108_864
+        deployment.timeout_ms = 10_000
+
+    mesh_path_steps.start_deployment(context, 1, prepare)
+    context.size_bytes = round(size * MB)
+    context.first = context.fleet.caller(0)
+
+    async def hold():
+        await start_body(context.first, context.size_bytes)
+        context.first.write(b"x" * (context.size_bytes - 1))
+        node = context.fleet.nodes[0]
+        await context.fleet.wait_until(
+            lambda: node.memory_budget.held_bytes == context.size_bytes
+        )
+
+    context.runner.run(hold())
+
+
+async def start_body(caller, size_bytes, **headers):
+    """Send the head of an unsafe request with a body."""
+    await caller.send(
+        "POST",
+        "/book/1",
+        deadline_ms=10_000,
+        headers={
+            **({} if headers else {"Content-Length": str(size_bytes)}),
+            **{name.replace("_", "-"): text for name, text in headers.items()},
+        },
+    )
+
+
+@when("another caller sends {body}, and the first body is {end}")
+def step_other_body(context, body, end):
+    size, unit, *form = body.split(" ", 2)
+    size_bytes = round(float(size) * (MB if unit == "MB" else 1))
+    context.other = context.fleet.caller(0)
+
+    async def act():
+        if end == "running":
+            context.fleet.servers[0].run_s = LONG_RUN_S
+            context.first.write(b"x")
+            await asyncio.sleep(0.1)
+        if form == ["in chunks"]:
+            await send_chunked(context.other, size_bytes)
+        elif form == ["after 100 Continue"]:
+            await start_body(
+                context.other,
+                size_bytes,
+                Expect="100-continue",
+                Content_Length=str(size_bytes),
+            )
+        else:
+            await start_body(context.other, size_bytes)
+            context.other.write(b"y" * size_bytes)
+        await asyncio.sleep(0.1)
+        if end == "complete":
+            context.first.write(b"x")
+        elif end == "cut":
+            context.first.close()
+        if form == ["after 100 Continue"]:
+            context.interim = await context.other.receive_interim()
+            context.other.write(b"y" * size_bytes)
+        started_s = time.monotonic()
+        context.response = await context.other.receive(10.0)
+        context.elapsed_s = time.monotonic() - started_s
+        context.first_status = "none"
+        if end in ("complete", "running"):
+            response = await context.first.receive(10.0)
+            context.first_status = str(response.status)
+
+    context.runner.run(act())
+
+
+async def send_chunked(caller, size_bytes):
+    """Send a body in chunks of 64 KB, without its length."""
+    await caller.send(
+        "POST",
+        "/book/1",
+        deadline_ms=10_000,
+        headers={"Transfer-Encoding": "chunked"},
+        has_length=False,
+    )
+    for start in range(0, size_bytes, 64_000):
+        count = min(64_000, size_bytes - start)
+        caller.write(b"%x\r\n" % count + b"y" * count + b"\r\n")
+    caller.write(b"0\r\n\r\n")
+
+
+@then("the other caller gets {status} and the first one {first}")
+def step_other_status(context, status, first):
+    code, *when_text = status.split(" ", 1)
+    lines = context.fleet.log_lines[-5:]
+    assert context.response.status == int(code), (context.response, lines)
+    assert context.first_status == first, context.first_status
+    runs = mesh_path_steps.count_runs(context, context.other.last_request_id)
+    assert runs == (1 if code == "200" else 0), runs
+    if code == "503":
+        assert float(context.response.headers["retry-after"]) > 0
+        assert any(b'"memory-refused"' in line for line in lines), lines
+        waited = context.elapsed_s > 2.0
+        assert waited == (when_text == ["after 3 s"]), context.elapsed_s
+
+
+@then("the node soon holds no bytes")
+def step_node_holds_none(context):
+    context.first.close()
+    context.other.close()
+    step_nodes_hold_none(context)
+
+
+class UploadDeployment(soak_deployment.SoakDeployment):
+    """Deployment of node processes that take bodies of 67 MB."""
+
+    async def publish(self):
+        """Publish a table with long timeouts and large bodies."""
+        rows = {
+            team: fleet.TeamRow(tuple(keys), 0)
+            for team, keys in self.keys_by_team.items()
+        }
+        await self.store.put(
+            "op/config",
+            fleet.table_entry(2, 10_000, rows, max_body_bytes=67_108_864),
+        )
+
+    def write_settings(self, number, retry_slack):
+        """Add the memory limit to the settings."""
+        path = super().write_settings(number, retry_slack)
+        path.write_text(f"{path.read_text()}[limits]\nmemoryMb = 300\n")
+        return path
+
+    def peak_memory_bytes(self, number):
+        """Return the largest resident size of a node so far."""
+        status = pathlib.Path(f"/proc/{self.nodes[number].process_id}/status")
+        (line,) = re.findall(r"VmHWM:\s*(\d+) kB", status.read_text())
+        return 1024 * int(line)
+
+
+@given("a node as a process with {limit:d} MB, and six callers that book")
+def step_process(context, limit):
+    context.limit_bytes = limit * MB
+    context.statuses = []
+    context.status_by_upload = {}
+
+
+@when("four callers send bodies of 64 MB each at the same time, twice")
+def step_four_uploads(context):
+    async def book(deployment, stop):
+        caller = fleet.Caller(deployment.host(0), deployment.ports["callers"])
+        key = deployment.keys_by_team["team-0"][0]
+        while not stop.is_set():
+            response = await caller.request("POST", "/book/1", key)
+            context.statuses.append(response.status)
+            await asyncio.sleep(0.05)
+        caller.close()
+
+    async def upload(deployment):
+        caller = fleet.Caller(deployment.host(0), deployment.ports["callers"])
+        key = deployment.keys_by_team["team-0"][0]
+        size = {"Content-Length": str(64 * MB)}
+        await caller.send("POST", "/book/1", key, 10_000, size)
+        caller.write(b"x" * 64 * MB)
+        response = await caller.receive(10.0)
+        context.status_by_upload[caller.last_request_id] = response.status
+        caller.close()
+
+    async def act():
+        with tempfile.TemporaryDirectory() as folder:
+            deployment = UploadDeployment(
+                random.Random(1), 1, pathlib.Path(folder)
+            )
+            deployment.servers[0].slots = SERVER_SLOTS
+            stop = asyncio.Event()
+            await deployment.start()
+            try:
+                bookings = [
+                    asyncio.ensure_future(book(deployment, stop))
+                    for _ in range(6)
+                ]
+                for _ in range(2):
+                    await asyncio.gather(
+                        *(upload(deployment) for _ in range(4))
+                    )
+                stop.set()
+                await asyncio.gather(*bookings)
+                context.peak_bytes = deployment.peak_memory_bytes(0)
+                context.runs_by_id = deployment.servers[0].runs_by_request_id
+                context.incarnation = deployment.nodes[0].incarnation
+            finally:
+                await deployment.close()
+
+    asyncio.run(act())
+
+
+@then("the process has never had more than 300 MB and is still the first")
+def step_peak(context):
+    assert context.peak_bytes < context.limit_bytes, context.peak_bytes
+    assert context.incarnation == 1
+
+
+@then("each booking is answered 200, each body 200 or 503 if it has not run")
+def step_all_answered(context):
+    assert set(context.statuses) == {200}, Counter(context.statuses)
+    assert len(context.status_by_upload) == 8
+    runs_by_status = {200: 1, 503: 0}
+    for request_id, status in context.status_by_upload.items():
+        runs = context.runs_by_id[request_id]
+        assert runs == runs_by_status[status], (request_id, status, runs)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -107,7 +107,11 @@
             log,
         )
         self._caller_server = transport.CallerServer(
-            codec, self.entry.mailbox.tell, self._clock, log
+            codec,
+            self.entry.mailbox.tell,
+            self._clock,
+            log,
+            self.memory_budget,
         )
         self._source = coordination.SourceTask(
             source, self._tell_fleet, rng, log
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -77,6 +77,12 @@
 )
 from jasminecrank.mesh.state._memory_budget import Denied as Denied
 from jasminecrank.mesh.state._memory_budget import Granted as Granted
+from jasminecrank.mesh.state._memory_budget import (
+    MEMORY_REASON as MEMORY_REASON,
+)
+from jasminecrank.mesh.state._memory_budget import (
+    MEMORY_RETRY_S as MEMORY_RETRY_S,
+)
 from jasminecrank.mesh.state._memory_budget import MemoryBudget as MemoryBudget
 from jasminecrank.mesh.state._memory_budget import (
     SMALL_BODY_BYTES as SMALL_BODY_BYTES,
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -12,6 +12,10 @@
 """Share of the memory limit for bodies; the rest is for everything else."""
 SMALL_SHARE = 0.125
 """Share of the budget for small bodies."""
+MEMORY_REASON = "memory"
+"""Reason for refusing a request whose body the node has no memory for."""
+MEMORY_RETRY_S = 0.5
+"""About the time in which a large body has been received and run."""
 
 
 class BodyUse(enum.Enum):
@@ -75,6 +79,7 @@
     size_bytes: int
     part: BudgetPart
     on_granted: Callable[[], None] | None
+    """Set while the claim waits; it may refer to the body."""
 
 
 @dataclass(slots=True)
@@ -148,10 +153,11 @@
             return Denied(False)
         self._last_id += 1
         claim_id = self._last_id
-        self._claim_by_id[claim_id] = _Claim(size_bytes, kind, on_granted)
         if can_start:
+            self._claim_by_id[claim_id] = _Claim(size_bytes, kind, None)
             part.held_bytes += size_bytes
             return Granted(claim_id)
+        self._claim_by_id[claim_id] = _Claim(size_bytes, kind, on_granted)
         part.size_by_waiting_id[claim_id] = size_bytes
         return Waiting(claim_id)
 
@@ -200,4 +206,5 @@
         for claim_id in granted:
             claim = self._claim_by_id.get(claim_id)
             if claim is not None and claim.on_granted is not None:
-                claim.on_granted()
+                on_granted, claim.on_granted = claim.on_granted, None
+                on_granted()
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -13,10 +13,6 @@
 from jasminecrank.mesh.transport import _body_buffer
 
 PART_BYTES = 65_536
-MEMORY_REASON = "memory"
-"""Reason for refusing a call whose body the node has no memory for."""
-MEMORY_RETRY_S = 0.5
-"""About the time in which a large body has been received and run."""
 
 _Carrier = coordination.CallSent | coordination.CallServed
 """A message whose body can be large."""
@@ -214,7 +210,10 @@
         )
         self._send(
             coordination.CallNotRun(
-                call.call_id, MEMORY_REASON, MEMORY_RETRY_S, False
+                call.call_id,
+                state.MEMORY_REASON,
+                state.MEMORY_RETRY_S,
+                False,
             )
         )
         return None
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
+import functools
 import itertools
 import typing
 
@@ -14,6 +15,7 @@
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _body_intake
 from jasminecrank.mesh.transport import _sockets
 
 LINGER_S = 1.0
@@ -32,6 +34,7 @@
     tell: Callable[[coordination.EntryMessage], None]
     clock: coordination.Clock
     log: coordination.Log
+    budget: state.MemoryBudget
     limits: state.CallerLimits = field(default_factory=state.CallerLimits)
     phase: state.StopPhase = state.StopPhase.SERVING
     request_numbers: Iterator[int] = field(
@@ -56,6 +59,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closed_by_node = False
         self._unsent_at_end_bytes = 0
+        self._claim_ids: deque[int | None] = deque()
+        """Claims of small bodies: of the current and the waiting requests."""
+        self._intake: _body_intake.BodyIntake | None = None
+        """The body that is being received, if the request has one."""
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -101,6 +108,9 @@
         self._cancel_timer()
         self._transport = None
         self._requests.clear()
+        while self._claim_ids:
+            self._release_claim()
+        self._drop_intake()
         if self._debts.in_progress:
             self._context.tell(
                 coordination.CallerDisconnected(self._current_number)
@@ -124,7 +134,7 @@
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Send 100 Continue if the request expects it."""
+        """Claim memory for the body, if there is one."""
         if self._debts.last_request_read:
             return
         if self._parser.should_upgrade():
@@ -132,38 +142,124 @@
             return
         self._method = self._parser.get_method()
         self._keep_alive = self._parser.should_keep_alive()
-        expect = protocol.find_header(self._headers, b"expect")
-        if expect is not None and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._begin_body()
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and refuse a request that is too large."""
-        if self._debts.last_request_read:
+        if self._debts.last_request_read or self._intake is None:
             return
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._context.limits.max_body_bytes:
-            self._refuse(state.RefusalKind.TOO_LARGE, "body")
+        self._follow_intake(self._intake.add(body))
 
     def on_message_complete(self) -> None:
         """Queue a complete request; pause reading if too many wait."""
         if self._debts.last_request_read:
             return
         self._debts.receiving = False
+        body: state.Body = b""
+        claim_id = None
+        if self._intake is not None:
+            self._intake.stop_waiting()
+            body = self._intake.finish()
+            claim_id = self._intake.take_claim()
         self._requests.append(
             protocol.RawRequest(
-                self._method,
-                self._target,
-                tuple(self._headers),
-                b"".join(self._body),
+                self._method, self._target, tuple(self._headers), body
             )
         )
+        self._claim_ids.append(claim_id)
         self._debts.waiting += 1
         self._debts.last_request_read = not self._keep_alive
         self._reset_message()
         self._update_reading()
         self._continue()
 
+    def _begin_body(self) -> None:
+        length = _body_intake.body_length(self._headers)
+        if length == 0:
+            self._send_continue()
+            return
+        intake = _body_intake.BodyIntake(
+            self._context.budget, self._context.limits.max_body_bytes
+        )
+        self._intake = intake
+        step = intake.begin(
+            length, functools.partial(self._schedule_body, intake)
+        )
+        self._follow_intake(step)
+        if step is _body_intake.IntakeStep.READ:
+            self._send_continue()
+
+    def _follow_intake(self, step: _body_intake.IntakeStep) -> None:
+        match step:
+            case _body_intake.IntakeStep.READ:
+                pass
+            case _body_intake.IntakeStep.WAIT:
+                self._context.log.count("memory_waits")
+                self._update_reading()
+            case _body_intake.IntakeStep.REFUSE_MEMORY:
+                self._refuse_for_memory()
+            case _body_intake.IntakeStep.REFUSE_SIZE:
+                self._refuse(state.RefusalKind.TOO_LARGE, "body")
+            case _:
+                typing.assert_never(step)
+
+    def _schedule_body(self, intake: _body_intake.BodyIntake) -> None:
+        """Read the body soon; its claim can be granted at any point."""
+        asyncio.get_running_loop().call_soon(self._resume_body, intake)
+
+    def _resume_body(self, intake: _body_intake.BodyIntake) -> None:
+        """Read the body, in the time limit of a request from now on."""
+        if self._intake is not intake or not intake.is_waiting:
+            return
+        intake.resume()
+        self._send_continue()
+        if not self._debts.answers_due:
+            self._start_timer(self._context.limits.header_timeout_s)
+        self._update_reading()
+
+    def _send_continue(self) -> None:
+        """Send 100 Continue if the request expects it."""
+        expect = protocol.find_header(self._headers, b"expect")
+        if expect is not None and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _refuse_for_memory(self) -> None:
+        """Refuse the request that is being received, which has not run."""
+        context = self._context
+        request = context.codec.read_request(
+            protocol.RawRequest(
+                self._method, self._target, tuple(self._headers), b""
+            )
+        )
+        request_id = None
+        if isinstance(request, state.CallRequest):
+            request_id = request.request_id
+        context.log.count("memory_refusals", "caller")
+        context.log.decision(
+            "memory-refused",
+            request_id=request_id,
+            use=state.BodyUse.CALLER.value,
+            body_bytes=self._intake.size_bytes if self._intake else None,
+            held_bytes=context.budget.held_bytes,
+            limit_bytes=context.budget.limit_bytes,
+        )
+        self._refuse(
+            state.RefusalKind.OVERLOADED,
+            state.MEMORY_REASON,
+            state.MEMORY_RETRY_S,
+        )
+
+    def _release_claim(self) -> None:
+        """Release the claim of the first request that is unanswered."""
+        claim_id = self._claim_ids.popleft()
+        if claim_id is not None:
+            self._context.budget.release(claim_id)
+
+    def _drop_intake(self) -> None:
+        if self._intake is not None:
+            self._intake.drop()
+            self._intake = None
+
     def abort(self) -> None:
         """Abort the connection without flushing pending data."""
         if self._transport is not None:
@@ -275,6 +371,7 @@
         if not self._debts.in_progress or self._current_number != number:
             return
         self._debts.in_progress = False
+        self._release_claim()
         raw = self._context.codec.write_reply(reply, request)
         self._write(raw, self._current_method)
 
@@ -297,7 +394,12 @@
         self._update_reading()
         asyncio.get_running_loop().call_soon(self._continue)
 
-    def _refuse(self, kind: state.RefusalKind, detail: str) -> None:
+    def _refuse(
+        self,
+        kind: state.RefusalKind,
+        detail: str,
+        retry_after_s: float = 0.0,
+    ) -> None:
         """Read nothing more, and refuse after the answers that are due."""
         if self._debts.last_request_read or self._transport is None:
             return
@@ -306,7 +408,8 @@
         )
         self._debts.last_request_read = True
         self._debts.receiving = False
-        self._debts.refusal = state.Refusal(kind, detail)
+        self._debts.refusal = state.Refusal(kind, detail, retry_after_s)
+        self._drop_intake()
         self._reset_message()
         self._continue()
 
@@ -334,7 +437,8 @@
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        if self._ended or self._debts.reads:
+        waits = self._intake is not None and self._intake.is_waiting
+        if self._ended or (self._debts.reads and not waits):
             self._transport.resume_reading()
         else:
             self._transport.pause_reading()
@@ -351,6 +455,9 @@
             self._timer = None
 
     def _on_timeout(self, timeout_s: float) -> None:
+        if self._intake is not None and self._intake.is_waiting:
+            self._refuse_for_memory()
+            return
         step = self._debts.timeout_step(self._undelivered_bytes)
         if step is state.ConnectionStep.CLOSE:
             self._close()
@@ -361,8 +468,7 @@
         self._method = b""
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._intake = None
         self._head_bytes = 0
         self._keep_alive = True
 
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -21,9 +21,10 @@
         tell: Callable[[coordination.EntryMessage], None],
         clock: coordination.Clock,
         log: coordination.Log,
+        budget: state.MemoryBudget,
     ) -> None:
         self._context = _caller_connection.ConnectionContext(
-            codec, tell, clock, log
+            codec, tell, clock, log, budget
         )
         self._server: asyncio.Server | None = None
 
--- a/src/jasminecrank/standins/fleet/_caller.py
+++ b/src/jasminecrank/standins/fleet/_caller.py
@@ -28,6 +28,7 @@
         key: str | None = "k1",
         deadline_ms: int = 2000,
         headers: dict[str, str] | None = None,
+        has_length: bool = True,
     ) -> None:
         """Send a request without waiting for its response."""
         if self._writer is None:
@@ -35,12 +36,15 @@
                 *self._address
             )
         self.last_request_id = f"{next(self._request_numbers):016x}"
+        framing = {"Content-Length": "0"}
+        if method == "GET" or not has_length:
+            framing = {}
         fields = {
             "Host": "a.example",
             "Request-Id": self.last_request_id,
             "Deadline-Ms": str(deadline_ms),
             **({} if key is None else {"Authorization": f"Token {key}"}),
-            **({} if method == "GET" else {"Content-Length": "0"}),
+            **framing,
             **(headers or {}),
         }
         lines = [f"{method} {target} HTTP/1.1"]
@@ -52,6 +56,11 @@
         assert self._writer is not None
         self._writer.write(data)
 
+    async def receive_interim(self) -> bytes:
+        """Return an interim response."""
+        assert self._reader is not None
+        return await self._reader.readuntil(b"\r\n\r\n")
+
     async def receive(
         self, timeout_s: float = RESPONSE_TIMEOUT_S
     ) -> _http.Response:
--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -24,6 +24,12 @@
         self._closed = False
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def process_id(self) -> int:
+        """Return the id of the running process."""
+        assert self._process is not None
+        return self._process.pid
+
     def start(self) -> None:
         """Start the process and restart it whenever it exits."""
         self._task = asyncio.create_task(self._supervise())
