--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -40,6 +40,19 @@
     Then it gets the statuses 502 503 503 503, only the last of which closes
     And node 0 has stopped within 6.0 s
 
+  Scenario Outline: A stop ends before the process is killed
+    Given a deployment of 2 hosts on the event loop of a process with <grace> s to stop
+    And servers run for 9.0 s and answer with 0 kB
+    When a caller sends 1 requests and a part of another, and node 0 stops
+    Then it gets the statuses 502 503, only the last of which closes
+    And node 0 has stopped within <grace> s
+
+    Examples:
+      | grace |
+      | 1.0   |
+      | 2.5   |
+      | 4.0   |
+
   Scenario: Bytes after the last request do not cut its answer
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 0.1 s and answer with 1000 kB
@@ -63,6 +76,19 @@
     When a caller of host 1 is served by host 0, which stops, and host 1 pauses reading for 1.0 s
     Then it gets 1 complete answers
 
+  Scenario: A caller that pauses reading is not taken for dead
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.02 s and answer with 4000 kB
+    When a caller sends 1 requests and reads nothing for 6.0 s
+    Then it gets 1 complete answers
+
+  Scenario: Answers to a caller that reads nothing do not pile up
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.02 s and answer with 1000 kB
+    When a caller sends 16 requests and reads nothing for 1.5 s
+    Then node 0 held at most 1100 kB that were not sent
+    And it gets 16 complete answers
+
   Scenario Outline: What is due on a connection decides the next step
     Given a connection on which <due> is due
     When the decision is taken in the phase <phase>
@@ -82,6 +108,8 @@
       | a waiting request, refusal  | closing       | start-request  | not last |
       | a waiting request, refusal  | window-closed | refuse-request | not last |
       | a request in progress       | window-closed | wait           | not last |
+      | a waiting request, blocked  | closing       | wait           | not last |
+      | a refusal, blocked          | closing       | wait           | not last |
       | nothing after a close       | serving       | wait           | last     |
 
   Scenario Outline: An idle connection is closed once it owes nothing
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -1,6 +1,7 @@
 """Steps for the answers that a node owes on its connections."""
 
 import asyncio
+import re
 import time
 
 from behave import given
@@ -12,6 +13,7 @@
 from jasminecrank.mesh import state
 
 READ_TIMEOUT_S = 12.0
+STOP_GRACE_S = 6.0
 REFUSED_BODY_BYTES = 3_000_000
 REFUSED_HEADER_BYTES = 70_000
 TRAILING_BYTES = 200_000
@@ -19,8 +21,21 @@
 
 @given("a deployment of {hosts:d} hosts on the event loop of a process")
 def step_deployment(context, hosts):
+    _start_deployment(context, hosts, STOP_GRACE_S)
+
+
+@given(
+    "a deployment of {hosts:d} hosts on the event loop of a process "
+    "with {grace_s:g} s to stop"
+)
+def step_deployment_grace(context, hosts, grace_s):
+    _start_deployment(context, hosts, grace_s)
+
+
+def _start_deployment(context, hosts, grace_s):
     def prepare(deployment):
         deployment.timeout_ms = 20_000
+        deployment.stop_grace_s = grace_s
 
     mesh_path_steps.start_deployment(
         context, hosts, prepare, uvloop.new_event_loop
@@ -172,7 +187,8 @@
         reading = asyncio.create_task(_receive(context, [caller]))
         await asyncio.sleep(0.1)
         stopping = asyncio.create_task(_stop_node(context))
-        await asyncio.sleep(4.0)
+        # The rest is read before the window closes.
+        await asyncio.sleep(min(4.0, 0.3 * context.fleet.stop_grace_s))
         await caller.send("POST", "/book/1", {"Content-Length": "4"})
         await stopping
         await reading
@@ -256,6 +272,34 @@
     context.runner.run(act())
 
 
+def _unsent_bytes(context):
+    body = context.fleet.nodes[0].read_metrics(b"/metrics").body.decode()
+    found = re.search(r"caller_unsent_bytes\S* (\S+)", body)
+    assert found is not None, body
+    return float(found[1])
+
+
+@when("a caller sends {count:d} requests and reads nothing for {pause_s:g} s")
+def step_pause(context, count, pause_s):
+    async def act():
+        caller = await _open(context)
+        for _ in range(count):
+            await caller.send()
+        await asyncio.sleep(pause_s)
+        context.unsent_bytes = _unsent_bytes(context)
+        reading = asyncio.create_task(_receive(context, [caller]))
+        # The node closes the connection once it is idle.
+        await _stop_node(context)
+        await reading
+
+    context.runner.run(act())
+
+
+@then("node 0 held at most {kbytes:d} kB that were not sent")
+def step_held(context, kbytes):
+    assert context.unsent_bytes <= 1_000 * kbytes, context.unsent_bytes
+
+
 def _make_debts(due):
     refusal = state.Refusal(state.RefusalKind.TOO_LARGE)
     parts = due.split(", ")
@@ -265,6 +309,7 @@
         receiving="a part of a request" in parts,
         refusal=refusal if due.find("refusal") >= 0 else None,
         last_request_read="refusal" in due or "after a close" in due,
+        write_blocked="blocked" in parts,
     )
 
 
--- a/src/jasminecrank/mesh/transport/_body_intake.py
+++ b/src/jasminecrank/mesh/transport/_body_intake.py
@@ -31,6 +31,8 @@
 class IntakeStep(enum.Enum):
     """What to do after the head or a part of a request."""
 
+    BEGIN = "begin"
+    """Read the body, or ask for it."""
     READ = "read"
     WAIT = "wait"
     """Read no more until the claim is granted."""
@@ -75,7 +77,7 @@
             case state.Granted(claim_id):
                 self._claim_id = claim_id
                 self._allocate()
-                return IntakeStep.READ
+                return IntakeStep.BEGIN
             case state.Waiting(claim_id):
                 self._claim_id = claim_id
                 self.is_waiting = True
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -6,16 +6,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
-import functools
 import itertools
 import typing
 
-import httptools
-
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
-from jasminecrank.mesh.transport import _body_intake
+from jasminecrank.mesh.transport import _request_reader
 from jasminecrank.mesh.transport import _sockets
 
 LINGER_S = 1.0
@@ -49,7 +46,7 @@
     def __init__(self, context: ConnectionContext) -> None:
         self._context = context
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = _request_reader.RequestReader(self, context.budget)
         self._debts = state.ConnectionDebts()
         self._requests: deque[protocol.RawRequest] = deque()
         self._current_number = 0
@@ -61,15 +58,14 @@
         self._unsent_at_end_bytes = 0
         self._claim_ids: deque[int | None] = deque()
         """Claims of small bodies: of the current and the waiting requests."""
-        self._intake: _body_intake.BodyIntake | None = None
-        """The body that is being received, if the request has one."""
-        self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timer."""
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
-        _sockets.set_socket_options(transport)
+        _sockets.set_socket_options(
+            transport, _sockets.CALLER_TCP_USER_TIMEOUT_MS
+        )
         self._context.connections.add(self)
         self._debts.opened_at_s = self._context.clock.now_s()
         self._start_timer(self._context.limits.idle_timeout_s)
@@ -82,17 +78,23 @@
         self._debts.unused = False
         if self._debts.idle:
             self._start_timer(self._context.limits.header_timeout_s)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
-        except httptools.HttpParserError as error:
-            self._refuse(state.RefusalKind.REQUEST_INVALID, str(error))
+        self._reader.feed(data, self._context.limits)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the caller."""
         return False
 
+    def pause_writing(self) -> None:
+        """Start no further request until the caller takes the answers."""
+        self._debts.write_blocked = True
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Continue with the next request."""
+        self._debts.write_blocked = False
+        self._update_reading()
+        self._continue()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request, since its caller has disconnected."""
         self._context.connections.discard(self)
@@ -110,127 +112,39 @@
         self._requests.clear()
         while self._claim_ids:
             self._release_claim()
-        self._drop_intake()
+        self._reader.drop_body()
         if self._debts.in_progress:
             self._context.tell(
                 coordination.CallerDisconnected(self._current_number)
             )
         self._debts = state.ConnectionDebts(unused=False)
 
-    def on_message_begin(self) -> None:
-        """Reset the parser state for a new request."""
-        self._reset_message()
-        if not self._debts.last_request_read:
-            self._debts.receiving = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target, which can arrive in parts."""
-        self._target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and count its bytes, 4 of them delimiters."""
-        self._headers.append((name, value))
-        self._count_head(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        """Claim memory for the body, if there is one."""
-        if self._debts.last_request_read:
-            return
-        if self._parser.should_upgrade():
-            self._refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
-            return
-        self._method = self._parser.get_method()
-        self._keep_alive = self._parser.should_keep_alive()
-        self._begin_body()
+    def on_request_begin(self) -> None:
+        """Note that a part of a request has been received."""
+        self._debts.receiving = True
 
-    def on_body(self, body: bytes) -> None:
-        """Append to the body and refuse a request that is too large."""
-        if self._debts.last_request_read or self._intake is None:
-            return
-        self._follow_intake(self._intake.add(body))
+    def on_expect_continue(self) -> None:
+        """Send 100 Continue."""
+        if self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_message_complete(self) -> None:
-        """Queue a complete request; pause reading if too many wait."""
-        if self._debts.last_request_read:
-            return
-        self._debts.receiving = False
-        body: state.Body = b""
-        claim_id = None
-        if self._intake is not None:
-            self._intake.stop_waiting()
-            body = self._intake.finish()
-            claim_id = self._intake.take_claim()
-        self._requests.append(
-            protocol.RawRequest(
-                self._method, self._target, tuple(self._headers), body
-            )
-        )
-        self._claim_ids.append(claim_id)
-        self._debts.waiting += 1
-        self._debts.last_request_read = not self._keep_alive
-        self._reset_message()
+    def on_memory_wait(self) -> None:
+        """Read no more of a body until there is memory for it."""
+        self._context.log.count("memory_waits")
         self._update_reading()
-        self._continue()
-
-    def _begin_body(self) -> None:
-        length = _body_intake.body_length(self._headers)
-        if length == 0:
-            self._send_continue()
-            return
-        intake = _body_intake.BodyIntake(
-            self._context.budget, self._context.limits.max_body_bytes
-        )
-        self._intake = intake
-        step = intake.begin(
-            length, functools.partial(self._schedule_body, intake)
-        )
-        self._follow_intake(step)
-        if step is _body_intake.IntakeStep.READ:
-            self._send_continue()
-
-    def _follow_intake(self, step: _body_intake.IntakeStep) -> None:
-        match step:
-            case _body_intake.IntakeStep.READ:
-                pass
-            case _body_intake.IntakeStep.WAIT:
-                self._context.log.count("memory_waits")
-                self._update_reading()
-            case _body_intake.IntakeStep.REFUSE_MEMORY:
-                self._refuse_for_memory()
-            case _body_intake.IntakeStep.REFUSE_SIZE:
-                self._refuse(state.RefusalKind.TOO_LARGE, "body")
-            case _:
-                typing.assert_never(step)
 
-    def _schedule_body(self, intake: _body_intake.BodyIntake) -> None:
-        """Read the body soon; its claim can be granted at any point."""
-        asyncio.get_running_loop().call_soon(self._resume_body, intake)
-
-    def _resume_body(self, intake: _body_intake.BodyIntake) -> None:
+    def on_memory_granted(self) -> None:
         """Read the body, in the time limit of a request from now on."""
-        if self._intake is not intake or not intake.is_waiting:
-            return
-        intake.resume()
-        self._send_continue()
         if not self._debts.answers_due:
             self._start_timer(self._context.limits.header_timeout_s)
         self._update_reading()
 
-    def _send_continue(self) -> None:
-        """Send 100 Continue if the request expects it."""
-        expect = protocol.find_header(self._headers, b"expect")
-        if expect is not None and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def _refuse_for_memory(self) -> None:
-        """Refuse the request that is being received, which has not run."""
+    def on_memory_refused(
+        self, head: protocol.RawRequest, body_bytes: int
+    ) -> None:
+        """Log a refusal for memory with the request's id."""
         context = self._context
-        request = context.codec.read_request(
-            protocol.RawRequest(
-                self._method, self._target, tuple(self._headers), b""
-            )
-        )
+        request = context.codec.read_request(head)
         request_id = None
         if isinstance(request, state.CallRequest):
             request_id = request.request_id
@@ -239,26 +153,39 @@
             "memory-refused",
             request_id=request_id,
             use=state.BodyUse.CALLER.value,
-            body_bytes=self._intake.size_bytes if self._intake else None,
+            body_bytes=body_bytes,
             held_bytes=context.budget.held_bytes,
             limit_bytes=context.budget.limit_bytes,
         )
-        self._refuse(
-            state.RefusalKind.OVERLOADED,
-            state.MEMORY_REASON,
-            state.MEMORY_RETRY_S,
-        )
 
-    def _release_claim(self) -> None:
-        """Release the claim of the first request that is unanswered."""
-        claim_id = self._claim_ids.popleft()
-        if claim_id is not None:
-            self._context.budget.release(claim_id)
+    def on_request(
+        self,
+        raw: protocol.RawRequest,
+        keep_alive: bool,
+        claim_id: int | None,
+    ) -> None:
+        """Queue a complete request; pause reading if too many wait."""
+        self._debts.receiving = False
+        self._requests.append(raw)
+        self._claim_ids.append(claim_id)
+        self._debts.waiting += 1
+        self._debts.last_request_read = not keep_alive
+        self._update_reading()
+        self._continue()
 
-    def _drop_intake(self) -> None:
-        if self._intake is not None:
-            self._intake.drop()
-            self._intake = None
+    def on_invalid(self, refusal: state.Refusal) -> None:
+        """Read nothing more, and refuse after the answers that are due."""
+        if self._transport is None:
+            return
+        self._context.log.decision(
+            "request-refused",
+            outcome=refusal.kind.value,
+            reason=refusal.detail,
+        )
+        self._debts.last_request_read = True
+        self._debts.receiving = False
+        self._debts.refusal = refusal
+        self._continue()
 
     def abort(self) -> None:
         """Abort the connection without flushing pending data."""
@@ -293,7 +220,9 @@
     def refuse_unstarted(self) -> None:
         """Refuse the requests that wait or were received in part."""
         if self._debts.receiving:
-            self._refuse(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
+            self._reader.refuse(
+                state.RefusalKind.OVERLOADED, state.STOPPING_REASON
+            )
         self._continue()
 
     def close_if_idle(self) -> None:
@@ -394,24 +323,11 @@
         self._update_reading()
         asyncio.get_running_loop().call_soon(self._continue)
 
-    def _refuse(
-        self,
-        kind: state.RefusalKind,
-        detail: str,
-        retry_after_s: float = 0.0,
-    ) -> None:
-        """Read nothing more, and refuse after the answers that are due."""
-        if self._debts.last_request_read or self._transport is None:
-            return
-        self._context.log.decision(
-            "request-refused", outcome=kind.value, reason=detail
-        )
-        self._debts.last_request_read = True
-        self._debts.receiving = False
-        self._debts.refusal = state.Refusal(kind, detail, retry_after_s)
-        self._drop_intake()
-        self._reset_message()
-        self._continue()
+    def _release_claim(self) -> None:
+        """Release the claim of the first request that is unanswered."""
+        claim_id = self._claim_ids.popleft()
+        if claim_id is not None:
+            self._context.budget.release(claim_id)
 
     def _end(self) -> None:
         """Shut down the sending side and read until the caller closes."""
@@ -429,15 +345,10 @@
             self._closed_by_node = True
             self._transport.close()
 
-    def _count_head(self, added_bytes: int) -> None:
-        self._head_bytes += added_bytes
-        if self._head_bytes > self._context.limits.max_header_bytes:
-            self._refuse(state.RefusalKind.TOO_LARGE, "headers")
-
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        waits = self._intake is not None and self._intake.is_waiting
+        waits = self._reader.waits_for_memory
         if self._ended or (self._debts.reads and not waits):
             self._transport.resume_reading()
         else:
@@ -455,8 +366,8 @@
             self._timer = None
 
     def _on_timeout(self, timeout_s: float) -> None:
-        if self._intake is not None and self._intake.is_waiting:
-            self._refuse_for_memory()
+        if self._reader.waits_for_memory:
+            self._reader.refuse_for_memory()
             return
         step = self._debts.timeout_step(self._undelivered_bytes)
         if step is state.ConnectionStep.CLOSE:
@@ -464,13 +375,5 @@
         else:
             self._start_timer(timeout_s)
 
-    def _reset_message(self) -> None:
-        self._method = b""
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._intake = None
-        self._head_bytes = 0
-        self._keep_alive = True
-
 
 _STOPPING = state.Refusal(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
--- /dev/null
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -0,0 +1,217 @@
+"""Reads HTTP/1.1 requests from the bytes of a connection."""
+
+import asyncio
+import functools
+import typing
+
+import httptools
+
+from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _body_intake
+
+
+class RequestOwner(typing.Protocol):
+    """Callbacks for what has been read."""
+
+    def on_request_begin(self) -> None:
+        """Handle the first bytes of a request."""
+
+    def on_expect_continue(self) -> None:
+        """Handle a request whose body waits for 100 Continue."""
+
+    def on_memory_wait(self) -> None:
+        """Handle a request whose body waits for memory."""
+
+    def on_memory_granted(self) -> None:
+        """Handle the end of that wait."""
+
+    def on_memory_refused(
+        self, head: protocol.RawRequest, body_bytes: int
+    ) -> None:
+        """Handle a request that is about to be refused for its memory."""
+
+    def on_request(
+        self,
+        raw: protocol.RawRequest,
+        keep_alive: bool,
+        claim_id: int | None,
+    ) -> None:
+        """Handle a complete request; release its claim with its answer."""
+
+    def on_invalid(self, refusal: state.Refusal) -> None:
+        """Handle a request that is not read to its end."""
+
+
+class RequestReader:
+    """Reads requests up to the last one, or to one that is refused."""
+
+    def __init__(
+        self, owner: RequestOwner, budget: state.MemoryBudget
+    ) -> None:
+        self._owner = owner
+        self._budget = budget
+        self._intake: _body_intake.BodyIntake | None = None
+        """The body that is being received, if the request has one."""
+        self._parser = httptools.HttpRequestParser(self)
+        self._limits = state.CallerLimits()
+        self._ended = False
+        """Whether the last request has been read or refused."""
+        self._reset()
+
+    def feed(self, data: bytes, limits: state.CallerLimits) -> None:
+        """Read further bytes."""
+        if self._ended:
+            return
+        self._limits = limits
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
+        except httptools.HttpParserError as error:
+            self.refuse(state.RefusalKind.REQUEST_INVALID, str(error))
+
+    @property
+    def waits_for_memory(self) -> bool:
+        """Return whether a body must not be read yet."""
+        return self._intake is not None and self._intake.is_waiting
+
+    def refuse(
+        self,
+        kind: state.RefusalKind,
+        detail: str,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Refuse the request that is being read, and read nothing more."""
+        if self._ended:
+            return
+        self._ended = True
+        self.drop_body()
+        self._reset()
+        self._owner.on_invalid(state.Refusal(kind, detail, retry_after_s))
+
+    def refuse_for_memory(self) -> None:
+        """Refuse a request for whose body there is no memory; not run."""
+        if self._intake is None:
+            return
+        head = protocol.RawRequest(
+            self._method, self._target, tuple(self._headers), b""
+        )
+        self._owner.on_memory_refused(head, self._intake.size_bytes)
+        self.refuse(
+            state.RefusalKind.OVERLOADED,
+            state.MEMORY_REASON,
+            state.MEMORY_RETRY_S,
+        )
+
+    def drop_body(self) -> None:
+        """Give up the body that is being received, with its memory."""
+        if self._intake is not None:
+            self._intake.drop()
+            self._intake = None
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._reset()
+        if not self._ended:
+            self._owner.on_request_begin()
+
+    def on_url(self, url: bytes) -> None:
+        """Append to the request target, which can arrive in parts."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header and count its bytes, 4 of them delimiters."""
+        self._headers.append((name, value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Refuse an upgrade, and claim memory for the body."""
+        if self._ended:
+            return
+        if self._parser.should_upgrade():
+            self.refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
+            return
+        self._method = self._parser.get_method()
+        self._keep_alive = self._parser.should_keep_alive()
+        self._begin_body()
+
+    def on_body(self, body: bytes) -> None:
+        """Append to the body and refuse a request that is too large."""
+        if not self._ended and self._intake is not None:
+            self._follow_intake(self._intake.add(body))
+
+    def on_message_complete(self) -> None:
+        """Hand over a complete request."""
+        if self._ended:
+            return
+        body: state.Body = b""
+        claim_id = None
+        if self._intake is not None:
+            self._intake.stop_waiting()
+            body = self._intake.finish()
+            claim_id = self._intake.take_claim()
+        raw = protocol.RawRequest(
+            self._method, self._target, tuple(self._headers), body
+        )
+        self._ended = not self._keep_alive
+        keep_alive = self._keep_alive
+        self._reset()
+        self._owner.on_request(raw, keep_alive, claim_id)
+
+    def _begin_body(self) -> None:
+        length = _body_intake.body_length(self._headers)
+        if length == 0:
+            self._ask_for_body()
+            return
+        intake = _body_intake.BodyIntake(
+            self._budget, self._limits.max_body_bytes
+        )
+        self._intake = intake
+        step = intake.begin(
+            length, functools.partial(self._schedule_body, intake)
+        )
+        self._follow_intake(step)
+
+    def _follow_intake(self, step: _body_intake.IntakeStep) -> None:
+        match step:
+            case _body_intake.IntakeStep.BEGIN:
+                self._ask_for_body()
+            case _body_intake.IntakeStep.READ:
+                pass
+            case _body_intake.IntakeStep.WAIT:
+                self._owner.on_memory_wait()
+            case _body_intake.IntakeStep.REFUSE_MEMORY:
+                self.refuse_for_memory()
+            case _body_intake.IntakeStep.REFUSE_SIZE:
+                self.refuse(state.RefusalKind.TOO_LARGE, "body")
+            case _:
+                typing.assert_never(step)
+
+    def _schedule_body(self, intake: _body_intake.BodyIntake) -> None:
+        """Read the body soon; its claim can be granted at any point."""
+        asyncio.get_running_loop().call_soon(self._resume_body, intake)
+
+    def _resume_body(self, intake: _body_intake.BodyIntake) -> None:
+        if self._intake is intake and intake.is_waiting:
+            intake.resume()
+            self._ask_for_body()
+            self._owner.on_memory_granted()
+
+    def _ask_for_body(self) -> None:
+        if protocol.find_header(self._headers, b"expect") is not None:
+            self._owner.on_expect_continue()
+
+    def _count_head(self, added_bytes: int) -> None:
+        self._head_bytes += added_bytes
+        if self._head_bytes > self._limits.max_header_bytes:
+            self.refuse(state.RefusalKind.TOO_LARGE, "headers")
+
+    def _reset(self) -> None:
+        self._method = b""
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._intake = None
+        self._head_bytes = 0
+        self._keep_alive = True
