--- /dev/null
+++ b/features/mesh/memory_budget.feature
@@ -0,0 +1,122 @@
+Feature: Bodies in a budget of memory
+
+  Guards against a node that holds more bodies than its memory limit allows,
+  so that the platform ends it with all requests that it serves, and against
+  large bodies that delay small requests.
+
+  Scenario Outline: A claim is granted, waits or is denied
+    Given the budget of a node with 300 MB that holds <held>
+    When <claimed> is claimed for a <use>
+    Then the claim is <decision>
+
+    Examples:
+      | held                              | claimed     | use    | decision     |
+      | nothing                           | 64 MB       | caller | granted      |
+      | nothing                           | 67.108864 MB | caller | granted     |
+      | nothing                           | 80 MB       | caller | denied forever |
+      | 64 MB for a caller                | 64 MB       | caller | waiting      |
+      | 64 MB for a caller                | 8 MB        | caller | granted      |
+      | 64 MB for a caller, 8 MB waiting behind 64 MB | 1 MB | caller | waiting |
+      | 64 MB for a caller, 64 MB for a link | 0.0002 MB | caller | granted     |
+      | 64 MB for a caller                | 64 MB       | link   | granted      |
+      | 64 MB for a link                  | 64 MB       | link   | denied       |
+
+  Scenario: Claims are granted in order of arrival
+    Given the budget of a node with 300 MB that holds 64 MB for a caller
+    When callers claim 40 MB, 20 MB, 30 MB and 1 MB and the first is released
+    Then those of 40 MB and 20 MB are granted, and the others wait
+
+  Scenario Outline: A body of unknown length grows its claim without a wait
+    Given the budget of a node with 300 MB that holds <held>
+    When a claim of 0.05 MB grows to <size>
+    Then the claim has <outcome>
+
+    Examples:
+      | held               | size   | outcome |
+      | nothing            | 1 MB   | grown   |
+      | nothing            | 72 MB  | grown   |
+      | nothing            | 73 MB  | stayed  |
+      | 64 MB for a caller | 9 MB   | stayed  |
+
+  Scenario: Random claims keep to the budget and none waits forever
+    When 300 random sequences of claims and releases are played
+    Then the budget was never exceeded and every claim was granted in the end
+
+  Scenario Outline: A body on a link delays no other call on it
+    Given a link between two nodes with 300 MB
+    When a call with a body of <size> MB is sent, and <small> small calls after it
+    Then all arrive whole, and <early> small calls before the large one
+
+    Examples:
+      | size  | small | early |
+      | 0.06  | 20    | 0     |
+      | 16    | 20    | 20    |
+      | 64    | 20    | 20    |
+      | 67.1  | 20    | 20    |
+
+  Scenario: A body without memory for it is refused as not run
+    Given a link between two nodes with 300 MB
+    When two calls with a body of 64 MB and one of 4 MB are sent
+    Then the first and the last arrive, and the second is refused for memory
+    And no bytes are held once the calls have been dropped
+
+  Scenario: The body of a cancelled call frees its memory
+    Given a link between two nodes with 300 MB
+    When a call with a body of 64 MB is cancelled after its first part
+    Then no bytes are held at the receiver, and a call of 64 MB arrives
+
+  Scenario: Large answers beside each other keep a link open
+    Given a link between two nodes with 300 MB
+    When 12 answers of 4 MB are sent at the same time
+    Then all 12 arrive whole on the link
+
+  Scenario Outline: A body that breaks its announcement closes the link
+    Given a link between two nodes with 300 MB
+    When a peer sends <frames>
+    Then the link is closed and no bytes are held
+
+    Examples:
+      | frames                              |
+      | more bytes than announced           |
+      | a body of 0 bytes                   |
+      | a body of 90 MB                     |
+      | a body that belongs to a heartbeat  |
+
+  Scenario Outline: A body to a server on another host keeps the link open
+    Given two hosts with bodies up to 67 MB and a server on the second only
+    When a caller of the first host sends a body of <size> MB
+    Then it gets 200, the server has the whole body, and no link has ended
+    And both nodes soon hold no bytes
+
+    Examples:
+      | size |
+      | 0.1  |
+      | 20   |
+      | 64   |
+
+  Scenario Outline: A caller's body waits for memory, or is refused as not run
+    Given a node with 20 MB of memory that receives a body of <held> MB
+    When another caller sends <body>, and the first body is <end>
+    Then the other caller gets <status> and the first one <first>
+    And the node soon holds no bytes
+
+    Examples: there is room, or soon will be
+      | held | body                       | end      | status | first |
+      | 4    | 0.5 MB                     | complete | 200    | 200   |
+      | 4    | 4 MB                       | complete | 200    | 200   |
+      | 4    | 4 MB                       | cut      | 200    | none  |
+      | 4    | 4 MB after 100 Continue    | complete | 200    | 200   |
+      | 4    | 200 bytes                  | held     | 200    | none  |
+      | 4    | 0.5 MB in chunks           | complete | 200    | 200   |
+
+    Examples: there is no room
+      | held | body             | end      | status                       | first |
+      | 4    | 4 MB             | running  | 503 after 3 s                | 200   |
+      | 4    | 4 MB in chunks   | held     | 503 at once                  | none  |
+      | 4    | 5 MB             | complete | 413 at once                  | 200   |
+
+  Scenario: Four bodies of 64 MB at a time leave a node within its memory
+    Given a node as a process with 300 MB, and six callers that book
+    When four callers send bodies of 64 MB each at the same time, twice
+    Then the process has never had more than 300 MB and is still the first
+    And each booking is answered 200, each body 200 or 503 if it has not run
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -82,6 +82,11 @@
     "a link rate of nan": ("[zones]", "[limits]\nlinkMbps = nan\n[zones]"),
     "an unknown bound of nan": ("graceS=6", "more=nan"),
     "deeply nested lists": ("[zones]", f"more = {5000 * '['}\n[zones]"),
+    "a memory limit": ("[zones]", "[limits]\nmemoryMb = 300\n[zones]"),
+    "a memory limit of text": (
+        "[zones]",
+        "[limits]\nmemoryMb = 'much'\n[zones]",
+    ),
     "broken TOML": ("[zones]", "[zones"),
 }
 
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -66,8 +66,11 @@
             config.host, rng.getrandbits(48), config.service
         )
         self._hello = hello
+        self.memory_budget = state.MemoryBudget.from_memory_limit(
+            config.memory_limit_bytes
+        )
         self._dialler = transport.Dialler(
-            self, hello, config.links.port, rng, log
+            self, hello, config.links.port, rng, log, self.memory_budget
         )
         server_address = (
             config.backend_server.host,
@@ -104,7 +107,11 @@
             log,
         )
         self._caller_server = transport.CallerServer(
-            codec, self.entry.mailbox.tell, self._clock, log
+            codec,
+            self.entry.mailbox.tell,
+            self._clock,
+            log,
+            self.memory_budget,
         )
         self._source = coordination.SourceTask(
             source, self._tell_fleet, rng, log
@@ -259,7 +266,11 @@
 
         async def listen_for_links(host: str, port: int) -> asyncio.Server:
             return await transport.listen_for_links(
-                self, self._hello, (host, port), self._log
+                self,
+                self._hello,
+                (host, port),
+                self._log,
+                self.memory_budget,
             )
 
         for endpoint, listen in (
@@ -416,7 +427,12 @@
                 self.quota.mailbox.tell(
                     coordination.ArbiterGranted(link.peer_host, message)
                 )
-            case coordination.Hello():
+            case (
+                coordination.Hello()
+                | coordination.BodyFollows()
+                | coordination.BodyPart()
+                | coordination.BodyAbandoned()
+            ):
                 pass
             case _:
                 self._tell_fleet(
@@ -501,6 +517,7 @@
             "gate_in_flight": load.in_flight,
             "gate_queued": load.queued,
             "caller_unsent_bytes": self._caller_server.unsent_bytes,
+            "body_memory_bytes": self.memory_budget.held_bytes,
             "peak_memory_bytes": _peak_memory_bytes(),
         }
         body = _metrics.render(self._log, gauges)
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -33,6 +33,7 @@
     tell: Callable[[coordination.EntryMessage], None]
     clock: coordination.Clock
     log: coordination.Log
+    budget: state.MemoryBudget
     limits: state.CallerLimits = field(default_factory=state.CallerLimits)
     phase: state.StopPhase = state.StopPhase.SERVING
     request_numbers: Iterator[int] = field(
@@ -47,7 +48,7 @@
     def __init__(self, context: ConnectionContext) -> None:
         self._context = context
         self._transport: asyncio.Transport | None = None
-        self._reader = _request_reader.RequestReader(self)
+        self._reader = _request_reader.RequestReader(self, context.budget)
         self._debts = state.ConnectionDebts()
         self._requests: deque[protocol.RawRequest] = deque()
         self._current_number = 0
@@ -58,6 +59,8 @@
         self._closed_by_node = False
         self._unsent_at_end_bytes = 0
         self._dropped_bytes = 0
+        self._claim_ids: deque[int | None] = deque()
+        """Claims of small bodies: of the current and the waiting requests."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timer."""
@@ -121,6 +124,9 @@
         self._cancel_timer()
         self._transport = None
         self._requests.clear()
+        while self._claim_ids:
+            self._release_claim()
+        self._reader.drop_body()
         if self._debts.in_progress:
             self._context.tell(
                 coordination.CallerDisconnected(self._current_number)
@@ -136,27 +142,65 @@
         if self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_request(self, raw: protocol.RawRequest, keep_alive: bool) -> None:
+    def on_memory_wait(self) -> None:
+        """Read no more of a body until there is memory for it."""
+        self._context.log.count("memory_waits")
+        self._update_reading()
+
+    def on_memory_granted(self) -> None:
+        """Read the body, in the time limit of a request from now on."""
+        if not self._debts.answers_due:
+            self._start_timer(self._context.limits.header_timeout_s)
+        self._update_reading()
+
+    def on_memory_refused(
+        self, head: protocol.RawRequest, body_bytes: int
+    ) -> None:
+        """Log a refusal for memory with the request's id."""
+        context = self._context
+        request = context.codec.read_request(head)
+        request_id = None
+        if isinstance(request, state.CallRequest):
+            request_id = request.request_id
+        context.log.count("memory_refusals", "caller")
+        context.log.decision(
+            "memory-refused",
+            request_id=request_id,
+            use=state.BodyUse.CALLER.value,
+            body_bytes=body_bytes,
+            held_bytes=context.budget.held_bytes,
+            limit_bytes=context.budget.limit_bytes,
+        )
+
+    def on_request(
+        self,
+        raw: protocol.RawRequest,
+        keep_alive: bool,
+        claim_id: int | None,
+    ) -> None:
         """Queue a complete request; pause reading if too many wait."""
         self._debts.receiving = False
         self._requests.append(raw)
+        self._claim_ids.append(claim_id)
         self._debts.waiting += 1
         self._debts.last_request_read = not keep_alive
         self._update_reading()
         self._continue()
 
-    def on_invalid(self, kind: state.RefusalKind, detail: str) -> None:
+    def on_invalid(self, refusal: state.Refusal) -> None:
         """Read nothing more, and refuse after the answers that are due."""
         if self._transport is None:
             return
-        if detail == _request_reader.HEAD_TOO_LARGE:
+        if refusal.detail == _request_reader.HEAD_TOO_LARGE:
             self._context.log.count("caller_heads", "too-large")
         self._context.log.decision(
-            "request-refused", outcome=kind.value, reason=detail
+            "request-refused",
+            outcome=refusal.kind.value,
+            reason=refusal.detail,
         )
         self._debts.last_request_read = True
         self._debts.receiving = False
-        self._debts.refusal = state.Refusal(kind, detail)
+        self._debts.refusal = refusal
         self._continue()
 
     def abort(self) -> None:
@@ -272,6 +316,7 @@
         if not self._debts.in_progress or self._current_number != number:
             return
         self._debts.in_progress = False
+        self._release_claim()
         raw = self._context.codec.write_reply(reply, request)
         self._write(raw, self._current_method)
 
@@ -281,7 +326,7 @@
             return
         last = self._debts.is_last_answer(self._context.phase)
         self._ended = last
-        self._transport.write(protocol.encode_response(raw, method, last))
+        self._transport.writelines(protocol.encode_response(raw, method, last))
         if last:
             self._end()
             return
@@ -294,6 +339,12 @@
         self._update_reading()
         asyncio.get_running_loop().call_soon(self._continue)
 
+    def _release_claim(self) -> None:
+        """Release the claim of the first request that is unanswered."""
+        claim_id = self._claim_ids.popleft()
+        if claim_id is not None:
+            self._context.budget.release(claim_id)
+
     def _end(self) -> None:
         """Shut down the sending side and read until the caller closes."""
         if self._transport is None:
@@ -313,9 +364,8 @@
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        if self._dropped_bytes <= LINGER_MAX_BYTES and (
-            self._ended or self._debts.reads
-        ):
+        reads = self._debts.reads and not self._reader.waits_for_memory
+        if self._dropped_bytes <= LINGER_MAX_BYTES and (self._ended or reads):
             self._transport.resume_reading()
         else:
             self._transport.pause_reading()
@@ -332,6 +382,9 @@
             self._timer = None
 
     def _on_timeout(self, timeout_s: float) -> None:
+        if self._reader.waits_for_memory:
+            self._reader.refuse_for_memory()
+            return
         step = self._debts.timeout_step(self._undelivered_bytes)
         if step is state.ConnectionStep.CLOSE:
             self._close()
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -7,6 +7,8 @@
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _body_transfers
 from jasminecrank.mesh.transport import _sockets
 
 CONNECT_TIMEOUT_S = 0.5
@@ -48,6 +50,7 @@
         hello: coordination.Hello,
         dialled: bool,
         log: coordination.Log,
+        budget: state.MemoryBudget | None = None,
     ) -> None:
         self.link_id = next(self._ids)
         self.dialled = dialled
@@ -60,12 +63,41 @@
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._hello_timer: asyncio.TimerHandle | None = None
+        self._body_sender = _body_transfers.BodySender(self._write)
+        self._body_receiver = _body_transfers.BodyReceiver(
+            budget or state.MemoryBudget.from_memory_limit(0),
+            log,
+            self._write,
+        )
 
     def send(self, message: coordination.PeerMessage) -> None:
         """Send a message, unless the link is closing.
 
-        Aborts the link if its peer reads too slowly.
+        A large body follows in parts as the peer takes them.
         """
+        match message:
+            case coordination.CallSent() | coordination.CallServed() if (
+                len(message.body) > state.SMALL_BODY_BYTES
+            ):
+                if self._transport is not None:
+                    self._body_sender.start(message)
+                return
+            case coordination.CallCancelled(call_id):
+                self._body_sender.cancel_call(call_id)
+            case _:
+                pass
+        self._write(message)
+
+    def pause_writing(self) -> None:
+        """Stop sending bodies while the send buffer is full."""
+        self._body_sender.pause()
+
+    def resume_writing(self) -> None:
+        """Continue to send bodies."""
+        self._body_sender.resume()
+
+    def _write(self, message: coordination.PeerMessage) -> None:
+        """Write a message; abort the link if its peer reads too slowly."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -89,7 +121,10 @@
         """Return the bytes that the peer has not acknowledged."""
         if self._transport is None or self._transport.is_closing():
             return 0
-        return _sockets.undelivered_bytes(self._transport)
+        return (
+            _sockets.undelivered_bytes(self._transport)
+            + self._body_sender.unsent_bytes
+        )
 
     @property
     def peer_host(self) -> str:
@@ -109,6 +144,7 @@
             return
         self._transport = transport
         _sockets.set_socket_options(transport)
+        _sockets.limit_unsent_bytes(transport)
         self._hello_timer = asyncio.get_running_loop().call_later(
             HELLO_TIMEOUT_S, self._reject_peer, "no-hello"
         )
@@ -145,22 +181,27 @@
     def _handle_frame(self, body: bytes) -> bool:
         try:
             message = protocol.decode(body)
+            if isinstance(message, coordination.Hello):
+                self._hello_received(message)
+                return True
+            if self.peer is None:
+                self._reject_peer("frame-before-hello")
+                return False
+            whole = self._join_bodies(message)
         except protocol.LinkError as error:
             self._log.failure("link-garbled", error, peer=self.peer_host)
             self.abort()
             return False
-        if isinstance(message, coordination.Hello):
-            if self.peer is None:
-                self._cancel_hello_timer()
-                self.peer = message
-                self._owner.on_link_opened(self, message)
-            return True
-        if self.peer is None:
-            self._reject_peer("frame-before-hello")
-            return False
-        self._owner.on_message(self, message)
+        if whole is not None:
+            self._owner.on_message(self, whole)
         return True
 
+    def _hello_received(self, hello: coordination.Hello) -> None:
+        if self.peer is None:
+            self._cancel_hello_timer()
+            self.peer = hello
+            self._owner.on_link_opened(self, hello)
+
     def _reject_peer(self, reason: str) -> None:
         """Abort the link of a peer that has not identified itself."""
         self._log.count("links", reason)
@@ -172,6 +213,25 @@
             self._hello_timer.cancel()
             self._hello_timer = None
 
+    def _join_bodies(
+        self, message: coordination.PeerMessage
+    ) -> coordination.PeerMessage | None:
+        """Return a whole message, or None while its body is incomplete."""
+        match message:
+            case coordination.BodyPart():
+                return self._body_receiver.add(message)
+            case coordination.BodyFollows():
+                self._body_receiver.begin(message)
+                return None
+            case coordination.BodyAbandoned():
+                self._body_receiver.abandon(message)
+                return None
+            case coordination.CallNotRun(call_id):
+                self._body_sender.cancel_call(call_id)
+            case _:
+                pass
+        return message
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner and complete the `closed` future."""
         if self.closed.done():
@@ -185,6 +245,8 @@
         )
         # A closed transport of uvloop raises an error on each use.
         self._transport = None
+        self._body_sender.close()
+        self._body_receiver.close()
         if self.peer is not None:
             self._owner.on_link_ended(self)
         self.closed.set_result(None)
@@ -213,9 +275,11 @@
         port: int,
         rng: random.Random,
         log: coordination.Log,
+        budget: state.MemoryBudget | None = None,
     ) -> None:
         self._owner = owner
         self._hello = hello
+        self._budget = budget
         self._port = port
         self._rng = rng
         self._log = log
@@ -260,7 +324,7 @@
 
     async def _connect(self, host: str) -> Link | None:
         loop = asyncio.get_running_loop()
-        link = Link(self._owner, self._hello, True, self._log)
+        link = Link(self._owner, self._hello, True, self._log, self._budget)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: link, host, self._port)
@@ -283,9 +347,10 @@
     hello: coordination.Hello,
     address: tuple[str, int],
     log: coordination.Log,
+    budget: state.MemoryBudget | None = None,
 ) -> asyncio.Server:
     """Accept links that other nodes open."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: Link(owner, hello, False, log), *address, backlog=512
+        lambda: Link(owner, hello, False, log, budget), *address, backlog=512
     )
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -11,6 +11,11 @@
 
 Longer than the 2.2 s after which a silent node is considered dead.
 """
+MAX_UNSENT_KERNEL_BYTES = 131_072
+"""Bytes in a link's socket that wait for their first transmission.
+
+Other messages on the link wait behind them.
+"""
 CALLER_TCP_USER_TIMEOUT_MS = 30_000
 """The same for callers, which may pause reading while they are alive."""
 
@@ -29,6 +34,17 @@
     )
 
 
+def limit_unsent_bytes(transport: asyncio.BaseTransport) -> None:
+    """Keep the queue of a socket short, so that messages can overtake."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_NOTSENT_LOWAT,
+            MAX_UNSENT_KERNEL_BYTES,
+        )
+
+
 def undelivered_bytes(transport: asyncio.WriteTransport) -> int:
     """Return the written bytes that the peer has not acknowledged.
 
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -77,7 +77,7 @@
         self._request_bytes = 0
         self._start_timer(IDLE_TIMEOUT_S, "idle")
         close = not self._parser.should_keep_alive()
-        transport.write(protocol.encode_response(raw, b"GET", close))
+        transport.writelines(protocol.encode_response(raw, b"GET", close))
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self._abort("responses-unread")
         elif close:
