Play slow callers and overlapping signals in the soak

Not seen: users ran nodes as real processes and saw lost requests and processes that ended by themselves. The soak had shown neither.

Cause: its callers sent one small request at a time, a node got one signal at a time and never during its start, no successor met the ports of its predecessor, and nothing recorded how a process ended. Where other faults run, a lost request is hardly ever judged, since any unplanned fault within 3 s excuses it.

Change: three more callers a host pipeline requests, send bodies in parts and read answers slowly, until connecting fails. Series of SIGHUP and SIGTERM in the first 0.5 s of a process and while it stops, restarts beside the stopping process, half written settings and entries of other writers are drawn from the seed with their own generator, so that the other faults of a seed stay as they were.

It excuses a slow reader whose answer can't be read 1 s before the end of the grace period; callers of the kinds so far are judged as before.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -32,8 +32,36 @@
       | a planned stop cuts a request that ran         | planned_stops   | a fault |
       | a planned stop cuts a request that did not run | planned_stops   | nothing |
       | a kill cuts a request that ran                 | planned_stops   | nothing |
+      | a planned stop cuts an answer of a slow reader | planned_stops   | a fault |
+      | a reader is too slow for the grace period      | planned_stops   | nothing |
+      | a planned stop cuts a request that was sent whole | planned_stops | a fault |
+      | a planned stop cuts a request before its last byte | planned_stops | nothing |
+      | a SIGHUP cuts a request that was sent whole    | reloads         | a fault |
+      | a SIGHUP cuts a request before its last byte   | reloads         | nothing |
+      | a process is killed                            | process_ends    | nothing |
+      | a process is killed by another                 | process_ends    | a fault |
+      | a process ends well after a SIGTERM            | process_ends    | nothing |
+      | a process ends well after a SIGHUP             | process_ends    | a fault |
+      | a process ends with status 1 after a SIGTERM   | process_ends    | a fault |
+      | a process ends with status 2                   | process_ends    | a fault |
+      | a SIGHUP ends a process that starts            | process_ends    | a fault |
+      | a SIGTERM ends a process that starts           | process_ends    | a fault |
+      | a SIGHUP ends an interpreter that starts       | process_ends    | nothing |
+      | a process takes 300 MiB                        | memory          | nothing |
+      | a process takes 301 MiB                        | memory          | a fault |
+      | a node writes a traceback                      | tracebacks      | a fault |
       | nothing is served at the end                   | recovery        | a fault |
 
+  Scenario Outline: The soak finds its own errors
+    When the soak <leaves>
+    Then its own errors are <found>
+
+    Examples:
+      | leaves                        | found     |
+      | leaves nothing                | not found |
+      | leaves a stream open          | found     |
+      | leaves an error in a callback | found     |
+
   Scenario Outline: A seed always gives the same faults
     Given the plan of seed <seed> for 8 hosts and 30 s
     Then it is the same when it is generated again
@@ -46,15 +74,15 @@
       | 3    |
 
   Scenario Outline: A short run of node processes
-    When seed <seed> is run on <hosts> hosts for <seconds> s
+    When <faults> of seed <seed> are run on <hosts> hosts for <seconds> s
     Then no guarantee is violated
 
     Examples:
-      | seed | hosts | seconds | why                                        |
-      | 1    | 5     | 18      | a short run                                |
-      | 11   | 5     | 18      | a short run                                |
-      | 8    | 8     | 30      | failed: two plans for one data centre met  |
-      | 302  | 6     | 30      | failed: a new connection repeated a rejection |
+      | faults       | seed | hosts | seconds | why                                        |
+      | all faults   | 1    | 5     | 18      | a short run                                |
+      | all faults   | 11   | 5     | 18      | a short run                                |
+      | all faults   | 8    | 8     | 30      | failed: two plans for one data centre met  |
+      | all faults   | 302  | 6     | 30      | failed: a new connection repeated a rejection |
 
   Scenario: A stopped soak leaves no process
     Given a running soak of 3 hosts
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import math
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -13,6 +15,7 @@
 from behave import when
 
 from jasminecrank.standins import soak
+from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import observed
 
@@ -28,6 +31,10 @@
     "cold_servers": checks.cold_servers,
     "quotas": checks.quotas(RATE_PER_S),
     "planned_stops": checks.planned_stops,
+    "reloads": checks.reloads,
+    "process_ends": checks.process_ends,
+    "memory": checks.memory,
+    "tracebacks": checks.tracebacks,
     "recovery": checks.recovery(END_S),
 }
 
@@ -93,6 +100,50 @@
     return records
 
 
+def records_with_slow_caller(reload=False, upload_s=0.0, reading_s=0.0):
+    """Return records in which a stop or SIGHUP at 10 s cut a slow request."""
+    cut = make_attempt(sent_s=9.0, status=0)
+    cut.ended_s = 12.0
+    cut.upload_s = upload_s
+    cut.reading_s = reading_s
+    records = make_records([cut])
+    events = records.reloads if reload else records.terminations
+    events.append((0, 10.0))
+    return records
+
+
+def records_with_end(status, *signals):
+    """Return records of the end of a process and its signals."""
+    records = make_records()
+    sent = tuple(
+        observed.SentSignal(number, 1.0, cpu_s) for number, cpu_s in signals
+    )
+    records.process_ends.append(observed.ProcessEnd(0, 1, 10.0, status, sent))
+    return records
+
+
+def records_with_memory(mib):
+    """Return records of a process of a size."""
+    records = make_records()
+    records.peak_bytes_by_process[0, 1] = mib * 1024 * 1024
+    return records
+
+
+def records_with_traceback():
+    """Return records of a traceback that was read from a node's log."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "host-0.log"
+        path.write_text(
+            '{"event": "starting"}\nTraceback (most recent call last):\n'
+            '  File "x.py", line 1, in <module>\nOSError: in use\n'
+        )
+        records = make_records()
+        records.tracebacks.extend(
+            (0, line) for line in _tracebacks.read_tracebacks(path)
+        )
+        return records
+
+
 def records_with_exposed_key():
     """Return records in which a server received a key."""
     record = observed.Arrival("r1", 0, 10.1, "team-0", "ledger", True, False)
@@ -171,6 +222,52 @@
     "a kill cuts a request that ran": lambda: records_with_stop(
         make_arrival(), fault=9.0
     ),
+    "a planned stop cuts an answer of a slow reader": lambda: (
+        records_with_slow_caller(reading_s=4.0)
+    ),
+    "a reader is too slow for the grace period": lambda: (
+        records_with_slow_caller(reading_s=6.5)
+    ),
+    "a planned stop cuts a request that was sent whole": (
+        records_with_slow_caller
+    ),
+    "a planned stop cuts a request before its last byte": lambda: (
+        records_with_slow_caller(upload_s=math.inf)
+    ),
+    "a SIGHUP cuts a request that was sent whole": lambda: (
+        records_with_slow_caller(reload=True)
+    ),
+    "a SIGHUP cuts a request before its last byte": lambda: (
+        records_with_slow_caller(reload=True, upload_s=math.inf)
+    ),
+    "a process is killed": lambda: records_with_end(
+        -signal.SIGKILL, (signal.SIGKILL, 1.0)
+    ),
+    "a process is killed by another": lambda: records_with_end(
+        -signal.SIGKILL, (signal.SIGTERM, 1.0)
+    ),
+    "a process ends well after a SIGTERM": lambda: records_with_end(
+        0, (signal.SIGHUP, 0.1), (signal.SIGTERM, 1.0)
+    ),
+    "a process ends well after a SIGHUP": lambda: records_with_end(
+        0, (signal.SIGHUP, 1.0)
+    ),
+    "a process ends with status 1 after a SIGTERM": lambda: records_with_end(
+        1, (signal.SIGTERM, 1.0)
+    ),
+    "a process ends with status 2": lambda: records_with_end(2),
+    "a SIGHUP ends a process that starts": lambda: records_with_end(
+        -signal.SIGHUP, (signal.SIGHUP, 0.06)
+    ),
+    "a SIGTERM ends a process that starts": lambda: records_with_end(
+        -signal.SIGTERM, (signal.SIGTERM, 0.06)
+    ),
+    "a SIGHUP ends an interpreter that starts": lambda: records_with_end(
+        -signal.SIGHUP, (signal.SIGHUP, 0.04)
+    ),
+    "a process takes 300 MiB": lambda: records_with_memory(300),
+    "a process takes 301 MiB": lambda: records_with_memory(301),
+    "a node writes a traceback": records_with_traceback,
     "nothing is served at the end": lambda: make_records(
         [make_attempt(sent_s=29.0, status=503)]
     ),
@@ -209,11 +306,14 @@
     assert times[-1] <= context.arguments[2] - seconds
 
 
-@when("seed {seed:d} is run on {hosts:d} hosts for {seconds:d} s")
-def step_run_seed(context, seed, hosts, seconds):
+@when("{faults} of seed {seed:d} are run on {hosts:d} hosts for {seconds:d} s")
+def step_run_seed(context, faults, seed, hosts, seconds):
+    planned_only = faults == "planned work"
     with tempfile.TemporaryDirectory() as folder:
-        run = soak.Soak(seed, hosts, float(seconds), pathlib.Path(folder))
-        context.result = asyncio.run(run.run())
+        run = soak.Soak(
+            seed, hosts, float(seconds), pathlib.Path(folder), planned_only
+        )
+        context.result = run.run()
 
 
 @then("no guarantee is violated")
@@ -222,6 +322,33 @@
     assert context.result.served > 0
 
 
+@when("the soak {leaves}")
+def step_own_error(context, leaves):
+    async def leave():
+        _tracebacks.handle_loop_errors(context.errors)
+        loop = asyncio.get_running_loop()
+        if leaves == "leaves a stream open":
+            server = await asyncio.start_server(
+                lambda reader, writer: None, "127.0.0.1", 0
+            )
+            address = server.sockets[0].getsockname()
+            _, writer = await asyncio.open_connection(*address)
+            loop.call_later(0.0, writer.write, b"x")
+            server.close()
+        elif leaves == "leaves an error in a callback":
+            loop.call_soon(int, "none")
+        await asyncio.sleep(0.05)
+
+    context.errors = []
+    with _tracebacks.collect_unraisable(context.errors):
+        asyncio.run(leave())
+
+
+@then("its own errors are {found}")
+def step_own_errors(context, found):
+    assert bool(context.errors) == (found == "found"), context.errors
+
+
 def child_pids(pid):
     """Return the process ids of a process's children."""
     children = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
--- a/script/run_fault_soak.py
+++ b/script/run_fault_soak.py
@@ -1,6 +1,5 @@
 """Run the fault soak: real nodes as processes, faults drawn from a seed."""
 
-import asyncio
 import pathlib
 import random
 import shutil
@@ -15,21 +14,32 @@
 app = cyclopts.App(help=__doc__, version_flags=())
 
 
-def run_seed(seed: int, hosts: int, duration_s: float) -> bool:
+def run_seed(
+    seed: int,
+    hosts: int,
+    duration_s: float,
+    planned_only: bool,
+    node_path: pathlib.Path | None,
+) -> bool:
     """Run one seed and return whether all guarantees held."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    run = soak.Soak(seed, hosts, duration_s, folder)
-    result = asyncio.run(run.run())
+    run = soak.Soak(seed, hosts, duration_s, folder, planned_only, node_path)
+    result = run.run()
     verdict = "FAILED" if result.violations else "ok"
     print(
         f"{verdict:6} --seed {seed} --hosts {hosts} --duration-s "
-        f"{duration_s:g}: {result.requests} requests, {result.served} "
+        f"{duration_s:g}{' --planned-only' if planned_only else ''}: "
+        f"{result.requests} requests, {result.served} "
         f"served, {result.faults} faults",
         flush=True,
     )
-    for line in result.violations[:10]:
+    for name, count in result.count_by_check.items():
+        if count:
+            print(f"       {name}: {count}", flush=True)
+    for line in result.violations[:20]:
         print(f"       {line}", flush=True)
     if result.violations:
+        (folder / "violations").write_text("\n".join(result.violations))
         print(f"       logs: {folder}", flush=True)
         return False
     shutil.rmtree(folder)
@@ -44,6 +54,8 @@
     minutes: float = 0.0,
     hosts: int = 8,
     duration_s: float = 30.0,
+    planned_only: bool = False,
+    node_path: pathlib.Path | None = None,
 ) -> int:
     """Run seeds one after the other; return 1 if a promise did not hold.
 
@@ -59,6 +71,10 @@
         Hosts of the deployment; each is one process and one server.
     duration_s
         Seconds that a seed is played.
+    planned_only
+        Leave out kills, pauses and faults of the network and the store.
+    node_path
+        Source folder from which the nodes run, for other revisions.
     """
     # Handle SIGTERM like Ctrl-C, so that the node processes are stopped.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -67,7 +83,9 @@
     failed = 0
     number = first
     while number < first + seeds or time.monotonic() - start_s < 60 * minutes:
-        failed += not run_seed(number, hosts, duration_s)
+        failed += not run_seed(
+            number, hosts, duration_s, planned_only, node_path
+        )
         number += 1
     print(f"{number - first - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
--- a/src/jasminecrank/standins/fleet/__init__.py
+++ b/src/jasminecrank/standins/fleet/__init__.py
@@ -6,6 +6,7 @@
 from jasminecrank.standins.fleet._entries import server_entry as server_entry
 from jasminecrank.standins.fleet._entries import table_entry as table_entry
 from jasminecrank.standins.fleet._entries import TeamRow as TeamRow
+from jasminecrank.standins.fleet._http import parse_head as parse_head
 from jasminecrank.standins.fleet._http import Response as Response
 from jasminecrank.standins.fleet._load_model import LoadModel as LoadModel
 from jasminecrank.standins.fleet._load_model import Outcome as Outcome
--- a/src/jasminecrank/standins/fleet/_http.py
+++ b/src/jasminecrank/standins/fleet/_http.py
@@ -56,6 +56,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def parse_head(block: bytes) -> tuple[int, dict[str, str]]:
+    """Return the status and the lower-case headers of a response's head."""
+    lines = block.decode("latin-1").rstrip("\r\n").split("\r\n")
+    return int(lines[0].split(" ")[1]), _parse_headers(lines[1:])
+
+
 async def _read_head(reader: asyncio.StreamReader) -> list[str] | None:
     try:
         block = await reader.readuntil(b"\r\n\r\n")
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -146,6 +146,9 @@
                 return False
         return response.result()
 
+    def _answer_body(self, request_id: str, request: _http.Request) -> bytes:
+        return f"body of {request_id}".encode()
+
     def _encode_health(self) -> bytes:
         headers = {"Instance-Id": self.server_id}
         if self.cold_s > 0:
@@ -188,7 +191,7 @@
                 pass
         await self._run(request, behaviour)
         headers = {**echoed_headers, "Server-Stamp": f"stamp-{request_id}"}
-        body = f"body of {request_id}".encode()
+        body = self._answer_body(request_id, request)
         response = _http.encode_response(200, body, headers)
         if behaviour in _ENDLESS_BY_BEHAVIOUR:
             await self._send_endlessly(writer, behaviour, headers)
--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -1,13 +1,16 @@
 """Callers that put load on a deployment and record the responses."""
 
 import asyncio
+import contextlib
 import random
 
 from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _demanding
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import observed
 
 CALLERS_PER_HOST = 4
+DEMANDING_CALLERS_PER_HOST = 3
 CALLER_MEAN_PAUSE_S = 0.12
 """Mean pause of a caller between two requests."""
 ABANDON_RATIO = 0.02
@@ -15,12 +18,17 @@
 OLD_KEY_RATIO = 0.1
 """Fraction of requests with a key drawn from all keys ever issued."""
 
+_TARGETS = (("GET", "/lots/1"), ("POST", "/book/1"), ("GET", "/open/1"))
+
 
 class CallerPool:
     """Owns the callers of all hosts and their connections."""
 
-    def __init__(self, deployment: _deployment.SoakDeployment) -> None:
+    def __init__(
+        self, deployment: _deployment.SoakDeployment, seed: int
+    ) -> None:
         self._deployment = deployment
+        self._seed = seed
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -31,24 +39,35 @@
                 self._tasks.append(
                     asyncio.create_task(self._run_caller(number, rng))
                 )
+            for index in range(DEMANDING_CALLERS_PER_HOST):
+                rng = random.Random(f"{self._seed}/{number}/{index}")
+                caller = _demanding.DemandingCaller(
+                    self._deployment, number, rng
+                )
+                self._tasks.append(asyncio.create_task(caller.run()))
 
     async def stop(self) -> None:
         """Stop sending requests and wait until all callers have ended."""
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for task in self._tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
 
     async def _run_caller(self, number: int, rng: random.Random) -> None:
         caller = fleet.Caller(
             self._deployment.host(number), self._deployment.ports["callers"]
         )
-        while True:
-            await asyncio.sleep(rng.expovariate(1.0 / CALLER_MEAN_PAUSE_S))
-            method, target = rng.choice(
-                (("GET", "/lots/1"), ("POST", "/book/1"), ("GET", "/open/1"))
-            )
-            key = None if target == "/open/1" else self._pick_key(rng)
-            await self._send_request(caller, number, method, target, key, rng)
+        try:
+            while True:
+                await asyncio.sleep(rng.expovariate(1.0 / CALLER_MEAN_PAUSE_S))
+                method, target = rng.choice(_TARGETS)
+                key = None if target == "/open/1" else self._pick_key(rng)
+                await self._send_request(
+                    caller, number, method, target, key, rng
+                )
+        finally:
+            caller.close()
 
     def _pick_key(self, rng: random.Random) -> str:
         """Return a current key or, sometimes, any key that was ever issued."""
--- /dev/null
+++ b/src/jasminecrank/standins/soak/_demanding.py
@@ -0,0 +1,249 @@
+"""Callers that pipeline requests, and that send and read slowly."""
+
+import asyncio
+from dataclasses import dataclass
+import itertools
+import math
+import random
+import socket
+
+from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _deployment
+from jasminecrank.standins.soak import _server
+from jasminecrank.standins.soak import observed
+
+DEADLINE_S = 15.0
+RESPONSE_TIMEOUT_S = 20.0
+RECONNECT_DELAY_S = 0.05
+MAX_PAUSE_S = 0.3
+"""Longest pause of a caller between two loads."""
+KIB = 1024
+MAX_BODY_BYTES = 2 * KIB * KIB
+MAX_ANSWER_BYTES = 3 * KIB * KIB
+MAX_READING_S = 4.5
+MAX_READING_PAUSE_S = 4.0
+MAX_UPLOAD_S = 1.5
+READ_BYTES = 16 * KIB
+"""Size of the read buffer; a slow reader holds no more."""
+RECEIVE_BUFFERS_BYTES = (4 * KIB, 64 * KIB, None)
+"""SO_RCVBUF of connections; None for the default."""
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """Requests sent in a row on one connection."""
+
+    method: str
+    target: str
+    requests: int
+    body_bytes: int = 0
+    upload_s: float = 0.0
+    """Time over which the parts of the bodies are sent."""
+    reading_s: float = 0.0
+    """Time over which the answers are read, with the pause."""
+    pause_s: float = 0.0
+    """Pause in the middle of an answer."""
+
+
+def draw_load(rng: random.Random) -> Load:
+    """Return pipelined small requests, slow uploads or slow downloads."""
+    kind = rng.randrange(4)
+    if kind == 0:
+        method, target = rng.choice(
+            (("GET", "/open/1"), ("GET", "/files/2000"), ("POST", "/upload/9"))
+        )
+        return Load(method, target, rng.randint(2, 8))
+    if kind == 1:
+        body_bytes = round(math.exp(rng.uniform(*map(math.log, _BODIES))))
+        return Load(
+            "POST",
+            f"/upload/{body_bytes}",
+            1,
+            body_bytes,
+            rng.uniform(0.0, MAX_UPLOAD_S),
+        )
+    answer_bytes = rng.randint(100 * KIB, MAX_ANSWER_BYTES)
+    requests = 1 if kind == 2 else rng.randint(2, 4)
+    pause_s = rng.choice((0.0, rng.uniform(0.0, MAX_READING_PAUSE_S)))
+    method, path = rng.choice((("GET", "files"), ("POST", "upload")))
+    return Load(
+        method,
+        f"/{path}/{answer_bytes // requests}",
+        requests,
+        reading_s=pause_s + rng.uniform(0.1, MAX_READING_S - pause_s),
+        pause_s=pause_s,
+    )
+
+
+_BODIES = (KIB, MAX_BODY_BYTES)
+
+
+class DemandingCaller:
+    """Keeps a connection until it ends, then opens the next one."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(
+        self,
+        deployment: _deployment.SoakDeployment,
+        number: int,
+        rng: random.Random,
+    ) -> None:
+        self._deployment = deployment
+        self._number = number
+        self._rng = rng
+        self._streams: (
+            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+        ) = None
+
+    async def run(self) -> None:
+        """Send loads until the task is cancelled."""
+        try:
+            while True:
+                if self._streams is None:
+                    await self._connect()
+                    continue
+                await asyncio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
+                await self._play(*self._streams, draw_load(self._rng))
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+        self._streams = None
+
+    async def _connect(self) -> None:
+        sock = socket.socket()
+        sock.setblocking(False)
+        buffer_bytes = self._rng.choice(RECEIVE_BUFFERS_BYTES)
+        if buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        address = (
+            self._deployment.host(self._number),
+            self._deployment.ports["callers"],
+        )
+        try:
+            await asyncio.get_running_loop().sock_connect(sock, address)
+            self._streams = await asyncio.open_connection(
+                sock=sock, limit=READ_BYTES
+            )
+        except OSError:
+            # The node is down.
+            sock.close()
+            await asyncio.sleep(RECONNECT_DELAY_S)
+        except asyncio.CancelledError:
+            sock.close()
+            raise
+
+    async def _play(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        load: Load,
+    ) -> None:
+        # A flushed buffer means that the kernel has taken the last byte.
+        writer.transport.set_write_buffer_limits(0)
+        attempts: list[observed.Attempt] = []
+        is_open = True
+        try:
+            try:
+                for _ in range(load.requests):
+                    await self._send(writer, load, attempts)
+            except OSError:
+                pass  # The node closed the connection; read what it sent.
+            for attempt in attempts:
+                is_open = is_open and await self._receive(
+                    reader, load, attempt
+                )
+                attempt.ended_s = self._deployment.now_s()
+        except asyncio.CancelledError:
+            for attempt in attempts:
+                attempt.abandoned = attempt.status == 0
+            raise
+        if not is_open or len(attempts) < load.requests:
+            self._close()
+
+    async def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        load: Load,
+        attempts: list[observed.Attempt],
+    ) -> None:
+        attempt = observed.Attempt(
+            f"d{next(self._numbers):015x}",
+            self._number,
+            self._deployment.nodes[self._number].incarnation,
+            load.method,
+            None,
+            self._deployment.now_s(),
+            upload_s=math.inf,
+            reading_s=load.reading_s,
+        )
+        self._deployment.records.attempts.append(attempt)
+        attempts.append(attempt)
+        writer.write(
+            (
+                f"{load.method} {load.target} HTTP/1.1\r\nHost: a.example\r\n"
+                f"Request-Id: {attempt.request_id}\r\n"
+                f"Deadline-Ms: {round(1000 * DEADLINE_S)}\r\n"
+                f"Content-Length: {load.body_bytes}\r\n\r\n"
+            ).encode()
+        )
+        await writer.drain()
+        parts = min(20, 1 + load.body_bytes // KIB) if load.body_bytes else 0
+        for part in range(parts):
+            await asyncio.sleep(load.upload_s / parts)
+            begin, end = (
+                load.body_bytes * index // parts for index in (part, part + 1)
+            )
+            writer.write(bytes(end - begin))
+            await writer.drain()
+        attempt.upload_s = self._deployment.now_s() - attempt.sent_s
+
+    async def _receive(
+        self,
+        reader: asyncio.StreamReader,
+        load: Load,
+        attempt: observed.Attempt,
+    ) -> bool:
+        """Read a response; return whether the connection is still usable."""
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                status, headers = fleet.parse_head(
+                    await reader.readuntil(b"\r\n\r\n")
+                )
+                body = await _read_slowly(
+                    reader, int(headers["content-length"]), load
+                )
+        except TimeoutError:
+            attempt.abandoned = True
+            return False
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+        attempt.status = status
+        attempt.response_intact = status != 200 or (
+            body == _server.encode_answer(attempt.request_id, load.target)
+            and headers.get("server-stamp") == f"stamp-{attempt.request_id}"
+        )
+        return headers.get("connection") != "close"
+
+
+async def _read_slowly(
+    reader: asyncio.StreamReader, length: int, load: Load
+) -> bytes:
+    """Read a body at the load's rate, with its pause in the middle."""
+    body = bytearray()
+    pause_s = load.pause_s / load.requests
+    reading_s = load.reading_s / load.requests - pause_s
+    while len(body) < length:
+        part = await reader.read(min(READ_BYTES, length - len(body)))
+        if not part:
+            raise asyncio.IncompleteReadError(bytes(body), length)
+        if pause_s and len(body) + len(part) >= length // 2:
+            await asyncio.sleep(pause_s)
+            pause_s = 0.0
+        body += part
+        if reading_s:
+            await asyncio.sleep(reading_s * len(part) / length)
+    return bytes(body)
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -4,18 +4,23 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+import functools
 import pathlib
 import random
-import typing
 
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _processes
 from jasminecrank.standins.soak import _proxy
+from jasminecrank.standins.soak import _server
+from jasminecrank.standins.soak import _tracebacks
+from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import observed
 
 DATA_CENTRES = ("belt-a", "belt-b")
 TEAM_RATE_PER_S = 60
+FOREIGN_BORN_AHEAD_MS = 3_600_000
 COLD_START_S = 3.0
+MEMORY_INTERVAL_S = 0.2
 START_TIMEOUT_S = 15.0
 """Time limit for all nodes to become ready at the start."""
 
@@ -24,13 +29,17 @@
     """Owns the store, servers, proxies and node processes of a run."""
 
     def __init__(
-        self, rng: random.Random, hosts: int, folder: pathlib.Path
+        self,
+        rng: random.Random,
+        hosts: int,
+        folder: pathlib.Path,
+        node_path: pathlib.Path | None = None,
     ) -> None:
         self.rng = rng
         self.hosts = range(hosts)
         self.store = fleet.Store()
         self.servers = [
-            SoakServer(number, f"i-{number}-0", self._record_arrival)
+            _server.SoakServer(number, f"i-{number}-0", self._record_arrival)
             for number in self.hosts
         ]
         self.nodes: list[_processes.NodeProcess] = []
@@ -43,6 +52,8 @@
         """Hosts whose servers are being replaced or restarted."""
         self.records = observed.Records()
         self._folder = folder
+        self._node_path = node_path
+        self._memory_task: asyncio.Task[None] | None = None
         self._version = 0
         self._generation = 0
         self._started_s = 0.0
@@ -87,9 +98,12 @@
                 f"host-{number}",
                 self.write_settings(number, 20),
                 self._folder / f"host-{number}.log",
+                self._node_path,
+                functools.partial(self._record_end, number),
             )
             self.nodes.append(node)
             node.start()
+        self._memory_task = asyncio.create_task(self._watch_memory())
         await self._wait_until_ready()
         self._started_s = asyncio.get_running_loop().time()
 
@@ -107,8 +121,10 @@
                 await link.listen(host, self.ports[f"links-{client}"])
                 self.link_proxy_by_hosts[client, number] = link
 
-    def write_settings(self, number: int, retry_slack: int) -> pathlib.Path:
-        """Write the settings file of a host's node and return its path."""
+    def write_settings(
+        self, number: int, retry_slack: int, written_ratio: float = 1.0
+    ) -> pathlib.Path:
+        """Write a host's settings file, or its first part; return its path."""
         host = self.host(number)
         links = self.ports[f"links-{number}"]
         zones = "\n".join(f'{name} = "savo"' for name in DATA_CENTRES)
@@ -120,7 +136,7 @@
 region = "savo"
 appAddr = "{host}:{self.ports["server"]}"
 innerPorts = [{links}, {links + 1}]
-bounds = ["drainMs=2000", "graceS=6", "retryBudgetRatio=0.2",
+bounds = ["drainMs=2000", "graceS={checks.GRACE_S:g}", "retryBudgetRatio=0.2",
   "budgetWindowS=10", "budgetSlack={retry_slack}", "quotaWindowS=5",
   "quotaOvershoot=0.25", "quotaSlack=20"]
 [zones]
@@ -132,7 +148,7 @@
 address = "{host}:{self.ports["store"]}"
 """
         path = self._folder / f"host-{number}.toml"
-        path.write_text(text)
+        path.write_text(text[: round(len(text) * written_ratio)])
         return path
 
     async def _wait_until_ready(self) -> None:
@@ -147,18 +163,50 @@
             response = await caller.request("GET", "/open/ready", None)
         except OSError:
             return False
-        caller.close()
+        finally:
+            caller.close()
         return response.status == 200
 
     async def close(self) -> None:
         """Stop all processes and close all sockets of the run."""
         await asyncio.gather(*(node.close() for node in self.nodes))
+        if self._memory_task is not None:
+            self._memory_task.cancel()
+        for number in self.hosts[: len(self.nodes)]:
+            path = self._folder / f"host-{number}.log"
+            self.records.tracebacks.extend(
+                (number, line) for line in _tracebacks.read_tracebacks(path)
+            )
         for server in self.servers:
             server.close()
         for proxy in [*self.link_proxy_by_hosts.values(), *self.store_proxies]:
             proxy.close()
         self.store.close()
 
+    def _record_end(self, host: int, run: _processes.ProcessRun) -> None:
+        status = run.process.returncode
+        assert status is not None
+        self.records.process_ends.append(
+            observed.ProcessEnd(
+                host,
+                run.incarnation,
+                self.now_s(),
+                status,
+                tuple(run.signals),
+            )
+        )
+
+    async def _watch_memory(self) -> None:
+        peak_bytes = self.records.peak_bytes_by_process
+        while True:
+            for number, node in enumerate(self.nodes):
+                for run in node.runs:
+                    process = (number, run.incarnation)
+                    peak_bytes[process] = max(
+                        peak_bytes.get(process, 0), run.resident_bytes()
+                    )
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+
     def _record_arrival(
         self, host: int, headers: dict[str, str], cold: bool
     ) -> None:
@@ -193,6 +241,7 @@
             for team, keys in self.keys_by_team.items()
         }
         entry = fleet.table_entry(self._version, 1000, rows)
+        entry["resources"].extend(_server.bulk_routes(entry["resources"][0]))
         await self.store.put("op/config", entry)
 
     async def register(
@@ -211,6 +260,25 @@
             ),
         )
 
+    async def put_foreign_entries(self, hosts: Iterable[int]) -> None:
+        """Write entries of another writer at the addresses of servers."""
+        for number in hosts:
+            entry = fleet.server_entry(
+                f"{self.host(number)}:{self.ports['server']}",
+                DATA_CENTRES[number % 2],
+                4,
+                "ready",
+                0,
+            )
+            entry["born"] += FOREIGN_BORN_AHEAD_MS
+            entry["info"]["service"] = "unknown"
+            await self.store.put(f"servers/foreign-{number}", entry)
+
+    async def delete_foreign_entries(self, hosts: Iterable[int]) -> None:
+        """Delete the entries of another writer."""
+        for number in hosts:
+            await self.store.delete(f"servers/foreign-{number}")
+
     async def restart_server(self, number: int, down_s: float) -> None:
         """Stop a server and start a cold one with a new id in its place."""
         server = self.servers[number]
@@ -223,42 +291,3 @@
         await asyncio.sleep(self.rng.uniform(0.0, 1.5))
         await self.register(number, "ready", server.cold_left_s)
         await self.store.delete(f"servers/{old_id}")
-
-
-class SoakServer(fleet.Server):
-    """Backend server that reports each request it starts to run."""
-
-    def __init__(
-        self,
-        number: int,
-        server_id: str,
-        record_arrival: typing.Callable[[int, dict[str, str], bool], None],
-    ) -> None:
-        super().__init__(server_id)
-        self._number = number
-        self._record_arrival = record_arrival
-        self._cold_until_s = 0.0
-
-    @property
-    def cold_left_s(self) -> float:
-        """Return the seconds for which the server stays cold."""
-        now_s = asyncio.get_running_loop().time()
-        return max(0.0, self._cold_until_s - now_s)
-
-    def restart(self, server_id: str, cold_s: float) -> None:
-        """Take on a new server id and start cold."""
-        self.server_id = server_id
-        self._cold_until_s = asyncio.get_running_loop().time() + cold_s
-
-    def _encode_health(self) -> bytes:
-        self.cold_s = self.cold_left_s
-        return super()._encode_health()
-
-    async def _run(
-        self, request: typing.Any, behaviour: fleet.Behaviour
-    ) -> None:
-        if behaviour is not fleet.Behaviour.HANG:
-            self._record_arrival(
-                self._number, request.headers, self.cold_left_s > 0.0
-            )
-        await super()._run(request, behaviour)
--- a/src/jasminecrank/standins/soak/_faults.py
+++ b/src/jasminecrank/standins/soak/_faults.py
@@ -9,6 +9,8 @@
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _plan
 from jasminecrank.standins.soak import _proxy
+from jasminecrank.standins.soak import _series
+from jasminecrank.standins.soak import _series_injector
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import observed
 
@@ -62,6 +64,13 @@
                 | _plan.DataCentreOut()
             ):
                 await self._apply_change(fault)
+            case (
+                _series.StartSignals()
+                | _series.StopSignals()
+                | _series.RestartOverlapped()
+                | _series.ForeignEntries()
+            ):
+                await _series_injector.inject(self._deployment, fault)
             case _:
                 typing.assert_never(fault)
 
@@ -84,13 +93,15 @@
                 with self._deployment.record_disturbance(
                     (host,), planned=True
                 ):
-                    now_s = self._deployment.now_s()
-                    self._deployment.records.terminations.append((host, now_s))
-                    nodes[host].send_signal(signal.SIGTERM)
+                    _series_injector.send_to_newest(
+                        self._deployment, host, signal.SIGTERM
+                    )
                     await asyncio.sleep(TERMINATION_RECOVERY_S)
             case _plan.SettingsChanged(host, retry_slack):
                 self._deployment.write_settings(host, retry_slack)
-                nodes[host].send_signal(signal.SIGHUP)
+                _series_injector.send_to_newest(
+                    self._deployment, host, signal.SIGHUP
+                )
             case _:
                 typing.assert_never(fault)
 
--- a/src/jasminecrank/standins/soak/_plan.py
+++ b/src/jasminecrank/standins/soak/_plan.py
@@ -6,6 +6,7 @@
 
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _proxy
+from jasminecrank.standins.soak import _series
 
 FIRST_FAULT_S = 2.0
 MEAN_FAULT_INTERVAL_S = 0.7
@@ -129,7 +130,17 @@
 )
 ServerFault = ServerCrashed | ServerReplaced | ServerMisbehaves
 OperatorChange = KeyWithdrawn | TableUpdateBurst | DataCentreOut
-Fault = ProcessFault | NetworkFault | ServerFault | OperatorChange
+Fault = (
+    ProcessFault | NetworkFault | ServerFault | OperatorChange | _series.Series
+)
+PLANNED_WORK = (
+    NodeTerminated,
+    SettingsChanged,
+    StoreCompacted,
+    ServerReplaced,
+    KeyWithdrawn,
+    TableUpdateBurst,
+)
 
 _LINK_FAULTS = (
     _proxy.LinkCondition.SLOW,
@@ -155,8 +166,14 @@
     fault: Fault
 
 
-def make_plan(seed: int, hosts: int, duration_s: float) -> list[PlannedFault]:
-    """Return the faults of a run in order of start time."""
+def make_plan(
+    seed: int, hosts: int, duration_s: float, planned_only: bool = False
+) -> list[PlannedFault]:
+    """Return the faults of a run in order of start time.
+
+    With planned work only, each lost request is a violation; beside other
+    faults, few are judged.
+    """
     rng = random.Random(seed)
     plan = []
     at_s = FIRST_FAULT_S
@@ -168,7 +185,12 @@
             0.1 if rng.random() < 0.5 else 1.9
         )
         at_s += rng.expovariate(1.0 / interval_s)
-    return plan
+    if planned_only:
+        plan = [item for item in plan if isinstance(item.fault, PLANNED_WORK)]
+    # Own draws, so that the other faults of a seed stay the same.
+    series = _series.make_series(seed, hosts, duration_s - RECOVERY_S)
+    plan.extend(PlannedFault(at_s, fault) for at_s, fault in series)
+    return sorted(plan, key=lambda item: item.at_s)
 
 
 def _sample_hosts(
--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -1,65 +1,178 @@
 """Node process that is restarted whenever it exits."""
 
 import asyncio
+from collections.abc import Callable
+import contextlib
+from dataclasses import dataclass
+from dataclasses import field
+import math
 import os
 import pathlib
 import signal
 import sys
 
+from jasminecrank.standins.soak import observed
+
 RESTART_DELAY_S = 0.3
 """Delay until the platform restarts a process."""
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclass(slots=True)
+class ProcessRun:
+    """One process and the signals that it got."""
+
+    incarnation: int
+    process: asyncio.subprocess.Process
+    started_s: float
+    pidfd: int
+    signals: list[observed.SentSignal] = field(default_factory=list)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not been seen to exit."""
+        return self.process.returncode is None
+
+    def send_signal(self, signal_number: int) -> bool:
+        """Send a signal; return False if the process has exited."""
+        if not self.is_running:
+            return False
+        age_s = asyncio.get_running_loop().time() - self.started_s
+        self.signals.append(
+            observed.SentSignal(signal_number, age_s, self._cpu_s())
+        )
+        # Popen.send_signal would reap the process and lose its exit status.
+        with contextlib.suppress(ProcessLookupError):
+            signal.pidfd_send_signal(self.pidfd, signal_number)
+        return True
+
+    def _cpu_s(self) -> float:
+        """Return the processor time of the main thread."""
+        try:
+            path = pathlib.Path(f"/proc/{self.process.pid}/schedstat")
+            return int(path.read_text().split()[0]) / 1e9
+        except OSError:
+            return math.inf
+
+    def resident_bytes(self) -> int:
+        """Return the resident size, 0 if the process has exited."""
+        try:
+            statm = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text()
+        except OSError:
+            return 0
+        return int(statm.split()[1]) * PAGE_BYTES
 
 
 class NodeProcess:
-    """Owns and supervises the process of one node."""
+    """Owns and supervises the processes of one node."""
 
     def __init__(
-        self, name: str, settings_path: pathlib.Path, log_path: pathlib.Path
+        self,
+        name: str,
+        settings_path: pathlib.Path,
+        log_path: pathlib.Path,
+        node_path: pathlib.Path | None,
+        report_end: Callable[[ProcessRun], None],
     ) -> None:
         self.name = name
         self.incarnation = 0
         self._settings_path = settings_path
         self._log_path = log_path
-        self._process: asyncio.subprocess.Process | None = None
+        self._node_path = node_path
+        self._report_end = report_end
+        self._runs: list[ProcessRun] = []
+        """Running processes; two while a stopping one has a successor."""
+        self._started = asyncio.Condition()
+        self._replaced = asyncio.Event()
         self._closed = False
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def runs(self) -> tuple[ProcessRun, ...]:
+        """The running processes, the newest last."""
+        return tuple(self._runs)
 
     def start(self) -> None:
         """Start the process and restart it whenever it exits."""
-        self._task = asyncio.create_task(self._supervise())
+        self._create_task(self._supervise())
 
     def send_signal(self, signal_number: int) -> None:
-        """Send a signal unless the process has exited."""
-        process = self._process
-        if process is not None and process.returncode is None:
-            process.send_signal(signal_number)
+        """Send a signal to the newest process unless it has exited."""
+        if self._runs:
+            self._runs[-1].send_signal(signal_number)
+
+    def replace(self, run: ProcessRun) -> None:
+        """Start a successor beside a process unless it has one already."""
+        if self._runs and self._runs[-1] is run:
+            self._replaced.set()
+
+    async def next_run(self, incarnation: int) -> ProcessRun:
+        """Wait for a process that is newer than an incarnation."""
+        async with self._started:
+            await self._started.wait_for(
+                lambda: self._runs and self._runs[-1].incarnation > incarnation
+            )
+        return self._runs[-1]
 
     async def close(self) -> None:
-        """Kill the process without a restart."""
+        """Kill all processes without a restart."""
         self._closed = True
-        self.send_signal(signal.SIGKILL)
-        if self._task is not None:
-            await self._task
+        for run in self._runs:
+            run.send_signal(signal.SIGKILL)
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+
+    def _create_task(
+        self, coroutine: "asyncio._CoroutineLike[None]"
+    ) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _supervise(self) -> None:
+        while not self._closed:
+            self._replaced.clear()
+            run = await self._spawn()
+            ended = self._create_task(self._watch(run))
+            replaced = asyncio.create_task(self._replaced.wait())
+            await asyncio.wait(
+                {ended, replaced}, return_when=asyncio.FIRST_COMPLETED
+            )
+            replaced.cancel()
+            if ended.done():
+                await asyncio.sleep(0.0 if self._closed else RESTART_DELAY_S)
+
+    async def _spawn(self) -> ProcessRun:
+        paths = [str(self._node_path)] if self._node_path else []
         environment = {
             "PATH": os.environ["PATH"],
-            "PYTHONPATH": os.pathsep.join(sys.path),
+            "PYTHONPATH": os.pathsep.join([*paths, *sys.path]),
             "JASMINECRANK_CONFIG": str(self._settings_path),
         }
-        while not self._closed:
-            self.incarnation += 1
-            with self._log_path.open("ab") as output:
-                self._process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    "-m",
-                    "jasminecrank.mesh.daemon",
-                    env=environment,
-                    stdin=asyncio.subprocess.DEVNULL,
-                    stdout=output,
-                    stderr=output,
-                )
-            if self._closed:
-                self.send_signal(signal.SIGKILL)
-            await self._process.wait()
-            await asyncio.sleep(0.0 if self._closed else RESTART_DELAY_S)
+        self.incarnation += 1
+        with self._log_path.open("ab") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "jasminecrank.mesh.daemon",
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        now_s = asyncio.get_running_loop().time()
+        pidfd = os.pidfd_open(process.pid)
+        run = ProcessRun(self.incarnation, process, now_s, pidfd)
+        self._runs.append(run)
+        async with self._started:
+            self._started.notify_all()
+        if self._closed:
+            run.send_signal(signal.SIGKILL)
+        return run
+
+    async def _watch(self, run: ProcessRun) -> None:
+        await run.process.wait()
+        os.close(run.pidfd)
+        self._runs.remove(run)
+        self._report_end(run)
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -10,6 +10,7 @@
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _faults
 from jasminecrank.standins.soak import _plan
+from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
 
 
@@ -21,6 +22,8 @@
     requests: int
     served: int
     faults: int
+    count_by_check: dict[str, int]
+    """Number of violations by the name of the check."""
     violations: tuple[str, ...]
     """One line for each violation of a guarantee."""
 
@@ -29,19 +32,32 @@
     """Runs the fault plan of a seed on its own deployment."""
 
     def __init__(
-        self, seed: int, hosts: int, duration_s: float, folder: pathlib.Path
+        self,
+        seed: int,
+        hosts: int,
+        duration_s: float,
+        folder: pathlib.Path,
+        planned_only: bool = False,
+        node_path: pathlib.Path | None = None,
     ) -> None:
         self._seed = seed
         self._duration_s = duration_s
-        self._plan = _plan.make_plan(seed, hosts, duration_s)
+        self._plan = _plan.make_plan(seed, hosts, duration_s, planned_only)
+        self._errors: list[str] = []
         self._deployment = _deployment.SoakDeployment(
-            random.Random(seed), hosts, folder
+            random.Random(seed), hosts, folder, node_path
         )
 
-    async def run(self) -> SoakResult:
+    def run(self) -> SoakResult:
         """Start the deployment, inject the faults and check the guarantees."""
+        with _tracebacks.collect_unraisable(self._errors):
+            asyncio.run(self._play())
+        return self._result()
+
+    async def _play(self) -> None:
+        _tracebacks.handle_loop_errors(self._errors)
         deployment = self._deployment
-        callers = _callers.CallerPool(deployment)
+        callers = _callers.CallerPool(deployment, self._seed)
         injector = _faults.FaultInjector(deployment)
         try:
             await deployment.start()
@@ -54,8 +70,8 @@
             await callers.stop()
             await asyncio.gather(*faults)
         finally:
+            await callers.stop()
             await deployment.close()
-        return self._result()
 
     def _result(self) -> SoakResult:
         records = self._deployment.records
@@ -69,16 +85,25 @@
             checks.cold_servers,
             checks.quotas(_deployment.TEAM_RATE_PER_S),
             checks.planned_stops,
+            checks.reloads,
+            checks.process_ends,
+            checks.memory,
+            checks.tracebacks,
             checks.recovery(self._duration_s),
         )
-        violations = tuple(
-            line for check in all_checks for line in check(records)
-        )
+        lines_by_check = {
+            getattr(check, "__qualname__", "").partition(".")[0]: list(
+                check(records)
+            )
+            for check in all_checks
+        }
+        lines_by_check["own_tracebacks"] = self._errors
         served = sum(attempt.status == 200 for attempt in records.attempts)
         return SoakResult(
             self._seed,
             len(records.attempts),
             served,
             len(self._plan),
-            violations,
+            {name: len(lines) for name, lines in lines_by_check.items()},
+            tuple(line for lines in lines_by_check.values() for line in lines),
         )
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -26,6 +26,15 @@
     response_intact: bool = True
     abandoned: bool = False
     """Whether the caller disconnected without waiting for the response."""
+    upload_s: float = 0.0
+    """Time until the last byte was sent, infinite if it never was."""
+    reading_s: float = 0.0
+    """Least time in which the caller reads this response and earlier ones."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection ended without a complete response."""
+        return self.status == 0 and not self.abandoned
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +71,28 @@
     until_s: float = math.inf
 
 
+@dataclass(slots=True, frozen=True)
+class SentSignal:
+    """A signal that the soak sent to a process."""
+
+    number: int
+    age_s: float
+    cpu_s: float
+    """Processor time that the process had used."""
+
+
+@dataclass(slots=True, frozen=True)
+class ProcessEnd:
+    """The end of a node process."""
+
+    host: int
+    incarnation: int
+    at_s: float
+    status: int
+    """Exit status, or the negated number of the signal that ended it."""
+    signals: tuple[SentSignal, ...] = ()
+
+
 @dataclass(slots=True)
 class Records:
     """All observations that the checks evaluate."""
@@ -77,6 +108,15 @@
     team_by_key: dict[str, str] = field(default_factory=dict)
     terminations: list[tuple[int, float]] = field(default_factory=list)
     """Hosts whose nodes got a SIGTERM, each with its time."""
+    reloads: list[tuple[int, float]] = field(default_factory=list)
+    """Hosts whose nodes got a SIGHUP, each with its time."""
+    process_ends: list[ProcessEnd] = field(default_factory=list)
+    peak_bytes_by_process: dict[tuple[int, int], int] = field(
+        default_factory=dict
+    )
+    """Largest resident size by host and incarnation."""
+    tracebacks: list[tuple[int, str]] = field(default_factory=list)
+    """Last lines of the tracebacks in the nodes' logs, by host."""
 
     def begin_disturbance(
         self, now_s: float, hosts: Iterable[int] | None, planned: bool = False
