Excuse a request that a server never finished in a stop

A server of the soak hangs by draw or when its queue is full, and the new routes allow 15 s. A node can't answer such a request in its grace period of 6 s; the platform excuses it if the server was still at work in the last sixth of that period and the request was sent at most 3 s after the SIGTERM. The servers record when they give up a request, and planned_stops applies exactly this. A node that leaves the server earlier, or a request sent later, remains a violation: three rows.

The checks of lost requests move to a module of their own.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -36,6 +36,9 @@
       | a reader is too slow for the grace period      | planned_stops   | nothing |
       | a planned stop cuts a request that was sent whole | planned_stops | a fault |
       | a planned stop cuts a request before its last byte | planned_stops | nothing |
+      | a server is at work until the end of the grace period | planned_stops | nothing |
+      | a node leaves a server early                   | planned_stops   | a fault |
+      | a server is at work on a request sent late     | planned_stops   | a fault |
       | a SIGHUP cuts a request that was sent whole    | reloads         | a fault |
       | a SIGHUP cuts a request before its last byte   | reloads         | nothing |
       | a process is killed                            | process_ends    | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -17,6 +17,7 @@
 from jasminecrank.standins import soak
 from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
+from jasminecrank.standins.soak import losses
 from jasminecrank.standins.soak import observed
 
 RATE_PER_S = 60
@@ -30,8 +31,8 @@
     "no_new_work": checks.no_new_work,
     "cold_servers": checks.cold_servers,
     "quotas": checks.quotas(RATE_PER_S),
-    "planned_stops": checks.planned_stops,
-    "reloads": checks.reloads,
+    "planned_stops": losses.planned_stops,
+    "reloads": losses.reloads,
     "process_ends": checks.process_ends,
     "memory": checks.memory,
     "tracebacks": checks.tracebacks,
@@ -112,6 +113,16 @@
     return records
 
 
+def records_with_late_server(unfinished_s, sent_s=12.0):
+    """Return records in which a stop at 10 s cut a request in its server."""
+    cut = make_attempt(sent_s=sent_s, status=0)
+    cut.ended_s = 15.6
+    records = make_records([cut], [make_arrival()])
+    records.terminations.append((0, 10.0))
+    records.unfinished_s_by_id["r1"] = unfinished_s
+    return records
+
+
 def records_with_end(status, *signals):
     """Return records of the end of a process and its signals."""
     records = make_records()
@@ -234,6 +245,13 @@
     "a planned stop cuts a request before its last byte": lambda: (
         records_with_slow_caller(upload_s=math.inf)
     ),
+    "a server is at work until the end of the grace period": lambda: (
+        records_with_late_server(15.5)
+    ),
+    "a node leaves a server early": lambda: records_with_late_server(14.9),
+    "a server is at work on a request sent late": lambda: (
+        records_with_late_server(15.5, 13.1)
+    ),
     "a SIGHUP cuts a request that was sent whole": lambda: (
         records_with_slow_caller(reload=True)
     ),
--- a/src/jasminecrank/standins/soak/_server.py
+++ b/src/jasminecrank/standins/soak/_server.py
@@ -46,10 +46,12 @@
         number: int,
         server_id: str,
         record_arrival: typing.Callable[[int, dict[str, str], bool], None],
+        record_unfinished: typing.Callable[[str], None],
     ) -> None:
         super().__init__(server_id)
         self._number = number
         self._record_arrival = record_arrival
+        self._record_unfinished = record_unfinished
         self._cold_until_s = 0.0
 
     @property
@@ -77,5 +79,9 @@
             self._record_arrival(
                 self._number, request.headers, self.cold_left_s > 0.0
             )
-        await super()._run(request, behaviour)
+        try:
+            await super()._run(request, behaviour)
+        except asyncio.CancelledError:
+            self._record_unfinished(request.headers.get("request-id", ""))
+            raise
         self.requests.clear()
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -108,6 +108,8 @@
     team_by_key: dict[str, str] = field(default_factory=dict)
     terminations: list[tuple[int, float]] = field(default_factory=list)
     """Hosts whose nodes got a SIGTERM, each with its time."""
+    unfinished_s_by_id: dict[str, float] = field(default_factory=dict)
+    """When servers gave up requests whose nodes had disconnected."""
     reloads: list[tuple[int, float]] = field(default_factory=list)
     """Hosts whose nodes got a SIGHUP, each with its time."""
     process_ends: list[ProcessEnd] = field(default_factory=list)
