--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -44,7 +44,8 @@
 def _describe(attempt: observed.Attempt) -> str:
     return (
         f"{attempt.request_id}, sent to host {attempt.host} at "
-        f"{attempt.sent_s:.2f} s, was cut at {attempt.ended_s:.2f} s"
+        f"{attempt.sent_s:.2f} s, was cut at {attempt.ended_s:.2f} s "
+        f"({attempt.load}: {attempt.end})"
     )
 
 
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -26,6 +26,10 @@
     response_intact: bool = True
     abandoned: bool = False
     """Whether the caller disconnected without waiting for the response."""
+    load: str = ""
+    """Type, number and size of the requests sent in a row."""
+    end: str = ""
+    """How the connection ended, if no response was received."""
     upload_s: float = 0.0
     """Time until the last byte was sent, infinite if it never was."""
     reading_s: float = 0.0
