--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -79,6 +79,8 @@
         self.server_id = server_id
         self.slots = slots
         self.run_s = 0.02
+        self.min_body_bytes = 0
+        """Bytes to which shorter bodies of responses are filled up."""
         self.cold_s = 0.0
         self.behaviours: list[Behaviour] = []
         """For the next requests, in order; then `default_behaviour`."""
@@ -147,7 +149,8 @@
         return response.result()
 
     def _answer_body(self, request_id: str, request: _http.Request) -> bytes:
-        return f"body of {request_id}".encode()
+        body = f"body of {request_id}".encode()
+        return body.ljust(self.min_body_bytes, b".")
 
     def _encode_health(self) -> bytes:
         headers = {"Instance-Id": self.server_id}
