--- a/src/jasminecrank/standins/soak/_demanding.py
+++ b/src/jasminecrank/standins/soak/_demanding.py
@@ -242,17 +242,22 @@
     reader: asyncio.StreamReader, length: int, load: Load
 ) -> bytes:
     """Read a body at the load's rate, with its pause in the middle."""
+    now_s = asyncio.get_running_loop().time
     body = bytearray()
     pause_s = load.pause_s / load.requests
     reading_s = load.reading_s / load.requests - pause_s
+    start_s = now_s()
     while len(body) < length:
         part = await reader.read(min(READ_BYTES, length - len(body)))
         if not part:
             raise asyncio.IncompleteReadError(bytes(body), length)
         if pause_s and len(body) + len(part) >= length // 2:
             await asyncio.sleep(pause_s)
+            start_s += pause_s
             pause_s = 0.0
         body += part
-        if reading_s:
-            await asyncio.sleep(reading_s * len(part) / length)
+        # Late parts don't add up: the answer is read in the planned time.
+        due_s = start_s + reading_s * len(body) / length
+        if due_s > now_s():
+            await asyncio.sleep(due_s - now_s())
     return bytes(body)
