--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -41,6 +41,9 @@
       | a server is at work on a request sent late     | planned_stops   | a fault |
       | a SIGHUP cuts a request that was sent whole    | reloads         | a fault |
       | a SIGHUP cuts a request before its last byte   | reloads         | nothing |
+      | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
+      | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
+      | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
       | a process is killed                            | process_ends    | nothing |
       | a process is killed by another                 | process_ends    | a fault |
       | a process ends well after a SIGTERM            | process_ends    | nothing |
@@ -82,6 +85,8 @@
 
     Examples:
       | faults       | seed | hosts | seconds | why                                        |
+      | planned work | 4    | 6     | 16      | failed: signals, ports, settings and answers in stops |
+      | planned work | 5    | 6     | 16      | failed: entries of an unknown service at all servers  |
       | all faults   | 1    | 5     | 18      | a short run                                |
       | all faults   | 11   | 5     | 18      | a short run                                |
       | all faults   | 8    | 8     | 30      | failed: two plans for one data centre met  |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -33,6 +33,7 @@
     "quotas": checks.quotas(RATE_PER_S),
     "planned_stops": losses.planned_stops,
     "reloads": losses.reloads,
+    "foreign_entries": checks.foreign_entries,
     "process_ends": checks.process_ends,
     "memory": checks.memory,
     "tracebacks": checks.tracebacks,
@@ -123,6 +124,20 @@
     return records
 
 
+def records_with_foreign_entries(served, planned=True):
+    """Return 20 requests with entries of another writer, some served."""
+    records = make_records(
+        [
+            make_attempt(sent_s=13.0, status=200 if number < served else 503)
+            for number in range(20)
+        ],
+        fault=11.0,
+        planned=planned,
+    )
+    records.foreign_entry_periods.append((10.0, 14.0))
+    return records
+
+
 def records_with_end(status, *signals):
     """Return records of the end of a process and its signals."""
     records = make_records()
@@ -258,6 +273,15 @@
     "a SIGHUP cuts a request before its last byte": lambda: (
         records_with_slow_caller(reload=True, upload_s=math.inf)
     ),
+    "4 of 20 are served with foreign entries": lambda: (
+        records_with_foreign_entries(4)
+    ),
+    "5 of 20 are served with foreign entries": lambda: (
+        records_with_foreign_entries(5)
+    ),
+    "4 of 20 are served with foreign entries in a fault": lambda: (
+        records_with_foreign_entries(4, planned=False)
+    ),
     "a process is killed": lambda: records_with_end(
         -signal.SIGKILL, (signal.SIGKILL, 1.0)
     ),
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -87,6 +87,7 @@
             checks.quotas(_deployment.TEAM_RATE_PER_S),
             losses.planned_stops,
             losses.reloads,
+            checks.foreign_entries,
             checks.process_ends,
             checks.memory,
             checks.tracebacks,
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -21,6 +21,7 @@
 MAX_RESIDENT_BYTES = 300 * 1024 * 1024
 RECOVERED_RATIO = 0.25
 """Minimum fraction of requests served after the last fault."""
+MIN_JUDGED_REQUESTS = 20
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 Check = Callable[[observed.Records], Iterator[str]]
@@ -189,6 +190,27 @@
         yield f"host {host} wrote a traceback: {line}"
 
 
+def foreign_entries(records: observed.Records) -> Iterator[str]:
+    """Check that entries of other writers do not take servers out of use."""
+    for begin_s, end_s in records.foreign_entry_periods:
+        requests = [
+            attempt
+            for attempt in records.attempts
+            if begin_s + CONFIG_APPLY_S < attempt.sent_s
+            and attempt.ended_s < end_s
+        ]
+        served = sum(attempt.status == 200 for attempt in requests)
+        if (
+            len(requests) >= MIN_JUDGED_REQUESTS
+            and served < RECOVERED_RATIO * len(requests)
+            and records.is_undisturbed(None, begin_s, end_s, False)
+        ):
+            yield (
+                f"{served} of {len(requests)} requests served with entries "
+                f"of another writer from {begin_s:.2f} to {end_s:.2f} s"
+            )
+
+
 def recovery(end_s: float) -> Check:
     """Return a check that requests are served at the end of the run."""
 
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -116,6 +116,10 @@
     """When servers gave up requests whose nodes had disconnected."""
     reloads: list[tuple[int, float]] = field(default_factory=list)
     """Hosts whose nodes got a SIGHUP, each with its time."""
+    foreign_entry_periods: list[tuple[float, float]] = field(
+        default_factory=list
+    )
+    """Begin and end of times with entries of other writers."""
     process_ends: list[ProcessEnd] = field(default_factory=list)
     peak_bytes_by_process: dict[tuple[int, int], int] = field(
         default_factory=dict
