--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -42,6 +42,20 @@
 sys.meta_path.insert(0, SignalAtImport())
 """
 """A `sitecustomize` module that sends signals when a module is imported."""
+FAILING_PART = """
+import sys
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import transport
+from jasminecrank.mesh.daemon import __main__
+
+
+def fail(*arguments):
+    raise RuntimeError("made to fail")
+
+
+{part} = fail
+sys.exit(__main__.main())
+"""
 SETTINGS = """
 node = "host-0"
 service = "ledger"
@@ -191,13 +205,24 @@
 
 @given("a node process that serves a call of {run_s:g} s")
 def step_serving(context, run_s):
+    start_serving(context, run_s, ("-m", "jasminecrank.mesh.daemon"))
+
+
+@given("a node process whose {part} fails serves a call of {run_s:g} s")
+def step_failing(context, part, run_s):
+    script = FAILING_PART.format(part=part)
+    start_serving(context, run_s, ("-c", script))
+
+
+def start_serving(context, run_s, arguments):
+    """Start a node and send it a call that is running when this returns."""
     open_node(context)
     node = context.node
 
     async def act():
         await node.open_fleet()
         node.settings_path.write_text(node.settings())
-        await node.start()
+        await node.start(arguments)
         await node.until(node.is_serving)
         node.server.run_s = run_s
         caller = fleet.Caller(HOST, node.ports["callers"])
@@ -208,6 +233,16 @@
         return caller
 
     context.caller = context.runner.run(act())
+    context.exit_stack.callback(context.caller.close)
+
+
+@when("it gets {name} during the call")
+def step_signal_in_call(context, name):
+    async def act():
+        context.node.send(getattr(signal, name))
+        context.response = await context.caller.receive()
+
+    context.runner.run(act())
 
 
 @when("it gets {names} while it imports {module}")
@@ -253,6 +288,50 @@
     context.runner.run(act())
 
 
+@given("its settings file is {state}")
+def step_settings_file(context, state):
+    path = context.node.settings_path
+    whole = context.node.settings()
+    match state:
+        case "missing":
+            path.unlink()
+        case "empty":
+            path.write_text("")
+        case "half written":
+            path.write_text(whole[: len(whole) // 2])
+        case _:
+            path.write_text(f"{state}\n{whole}")
+
+
+@when("it is started, and the file is complete after {after_s:g} s")
+def step_file_complete(context, after_s):
+    node = context.node
+
+    async def act():
+        await node.start()
+        await asyncio.sleep(after_s)
+        node.settings_path.write_text(node.settings())
+
+    context.runner.run(act())
+
+
+@when(
+    "its bound of the grace period becomes {value} and it gets SIGHUP SIGTERM"
+)
+def step_bad_reload(context, value):
+    node = context.node
+    node.settings_path.write_text(node.settings(grace=value))
+
+    async def act():
+        node.send(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        node.send(signal.SIGTERM)
+        context.response = await context.caller.receive()
+        await node.ended()
+
+    context.runner.run(act())
+
+
 @given("its {port} port is held")
 def step_port_held(context, port):
     held = socket.create_server((HOST, context.node.ports[port]))
