--- a/src/jasminecrank/standins/soak/_faults.py
+++ b/src/jasminecrank/standins/soak/_faults.py
@@ -86,9 +86,13 @@
                     await asyncio.sleep(KILL_RECOVERY_S)
             case _plan.NodePaused(host, duration_s):
                 with self._deployment.record_disturbance((host,)):
-                    nodes[host].send_signal(signal.SIGSTOP)
+                    # A successor may be the newest process at the end.
+                    paused = nodes[host].runs[-1:]
+                    for run in paused:
+                        run.send_signal(signal.SIGSTOP)
                     await asyncio.sleep(duration_s)
-                    nodes[host].send_signal(signal.SIGCONT)
+                    for run in paused:
+                        run.send_signal(signal.SIGCONT)
             case _plan.NodeTerminated(host):
                 with self._deployment.record_disturbance(
                     (host,), planned=True
