--- a/features/steps/mesh_exchange_steps.py
+++ b/features/steps/mesh_exchange_steps.py
@@ -399,7 +399,8 @@
 def step_closed_link(context):
     async def connect():
         hello = coordination.Hello("10.0.0.1", 1, "ledger")
-        link = transport.Link(None, hello, True, None)
+        log = transport.JsonLog("10.0.0.1", transport.BootClock(), len)
+        link = transport.Link(None, hello, True, log)
         link.connection_made(context.transport)
         return link
 
--- a/src/jasminecrank/mesh/daemon/_process.py
+++ b/src/jasminecrank/mesh/daemon/_process.py
@@ -15,7 +15,7 @@
 from jasminecrank.mesh.daemon import _node
 from jasminecrank.mesh.daemon import _signals
 
-SETTINGS_WAIT_S = 1.0
+SETTINGS_WAIT_S = 2.0
 """Time for a settings file that is being written to become complete."""
 SETTINGS_RETRY_S = 0.05
 EXIT_USAGE = 2
