--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -94,9 +94,8 @@
 
     @property
     def process_id(self) -> int:
-        """Return the id of the running process."""
-        assert self._process is not None
-        return self._process.pid
+        """Return the id of the newest running process."""
+        return self._runs[-1].process.pid
 
     def start(self) -> None:
         """Start the process and restart it whenever it exits."""
