Count the items of a large frame before it is decoded

A stray peer could fill a node's memory with one frame: 78 KB that unpack to 80 MB of small numbers took 4.3 s and 1.5 GB in the decoder, and every request of the process would have been lost with it.

Cause: a frame was limited in bytes, not in items. Change: frames hold 20 MiB at most, since bodies travel in parts, and above 256 KiB their items are counted first; over 200,000 or of indefinite length they are refused. One run of the decoder on 80 MB of numbers before: 4.3 s and 1,491 MB resident. Why it works: what a message decodes to is bounded by its items.

--- a/features/mesh/link_codec.feature
+++ b/features/mesh/link_codec.feature
@@ -28,3 +28,19 @@
       | an unknown tag | -1                    | refused   |
       | an unknown tag | 99                    | refused   |
       | an unknown tag | text                  | refused   |
+
+  Scenario Outline: A frame of very many items does not fill the memory
+    When a frame of <size> MB holds <what>, <form>
+    Then it is <result> within 1.0 s, with less than <peak> MB at its peak
+
+    Examples:
+      | size | what               | form       | result    | peak |
+      | 19   | small numbers      | plain      | refused   | 8    |
+      | 19   | small numbers      | compressed | refused   | 45   |
+      | 19   | empty lists        | compressed | refused   | 45   |
+      | 19   | empty texts        | compressed | refused   | 45   |
+      | 19   | lists without end  | compressed | refused   | 45   |
+      | 79   | small numbers      | compressed | refused   | 90   |
+      | 15   | one large entry    | plain      | a message | 60   |
+      | 15   | one large entry    | compressed | a message | 60   |
+      | 2    | 9000 entries       | compressed | a message | 30   |
--- a/features/steps/mesh_link_codec_steps.py
+++ b/features/steps/mesh_link_codec_steps.py
@@ -1,5 +1,10 @@
 """Steps for the encoding of messages between nodes."""
 
+import struct
+import time
+import tracemalloc
+import zlib
+
 from behave import then
 from behave import when
 import cbor2
@@ -87,3 +92,59 @@
 @then("it is refused")
 def step_refused(context):
     assert context.decoded is None, context.decoded
+
+
+MB = 1_000_000
+ITEMS_SENT_TAG = 10
+REPEATED_BY_WHAT = {
+    "small numbers": b"\x01",
+    "empty lists": b"\x80",
+    "empty texts": b"\x60",
+    "lists without end": b"\x9f",
+}
+
+
+def _large_frame(size, what):
+    match what:
+        case "one large entry":
+            items = (("op/config", 1, b"x" * size),)
+        case "9000 entries":
+            value = b"x" * (size // 9000)
+            items = tuple((f"servers/{n}", n, value) for n in range(1, 9001))
+        case _:
+            head = bytes([0x82, ITEMS_SENT_TAG, 0x9A])
+            count = struct.pack("!I", size)
+            return head + count + REPEATED_BY_WHAT[what] * size
+    frame = protocol.encode(coordination.ItemsSent(items))
+    return zlib.decompress(frame[protocol.FRAME_LENGTH.size :])
+
+
+@when("a frame of {size:d} MB holds {what}, {form}")
+def step_large_frame(context, size, what, form):
+    frame = _large_frame(size * MB, what)
+    context.frame = zlib.compress(frame) if form == "compressed" else frame
+
+
+@then(
+    "it is {result} within {limit_s:g} s, with less than {peak:d} MB "
+    "at its peak"
+)
+def step_large_result(context, result, limit_s, peak):
+    started_s = time.monotonic()
+    found = _decode(context.frame)
+    elapsed_s = time.monotonic() - started_s
+    tracemalloc.start()
+    _decode(context.frame)
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert found == result, found
+    assert elapsed_s < limit_s, elapsed_s
+    assert peak_bytes < peak * MB, peak_bytes
+
+
+def _decode(frame):
+    try:
+        protocol.decode(frame)
+    except protocol.LinkError:
+        return "refused"
+    return "a message"
--- a/src/jasminecrank/mesh/protocol/__init__.py
+++ b/src/jasminecrank/mesh/protocol/__init__.py
@@ -26,6 +26,9 @@
 )
 from jasminecrank.mesh.protocol._link_codec import FRAME_LENGTH as FRAME_LENGTH
 from jasminecrank.mesh.protocol._link_codec import LinkError as LinkError
+from jasminecrank.mesh.protocol._link_codec import (
+    MAX_BODY_BYTES as MAX_BODY_BYTES,
+)
 from jasminecrank.mesh.protocol._link_codec import (
     MAX_FRAME_BYTES as MAX_FRAME_BYTES,
 )
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -14,8 +14,14 @@
 from jasminecrank.mesh import state
 
 FRAME_LENGTH = struct.Struct("!I")
-MAX_FRAME_BYTES = 80 * 1024 * 1024
+MAX_BODY_BYTES = 80 * 1024 * 1024
 """Larger than the largest body that a table can allow, 64 MiB."""
+MAX_FRAME_BYTES = 20 * 1024 * 1024
+"""Larger than the largest table; large bodies are sent in parts."""
+LARGE_FRAME_BYTES = 256 * 1024
+"""Size above which the items of a frame are counted before it is decoded."""
+MAX_FRAME_ITEMS = 200_000
+"""Each item takes up to a hundred bytes once it is decoded."""
 COMPRESS_MIN_BYTES = 256
 """Minimum size of a message with entries of the source for compression."""
 ENCODED_CACHE_SIZE = 8
@@ -23,6 +29,9 @@
 _COMPRESSED_FIRST_BYTE = 0x78
 """First byte of zlib data; that of an uncompressed frame is a CBOR array."""
 
+_STRING_TYPES = (2, 3)
+"""Major types of CBOR items whose value is the number of bytes after them."""
+
 # The order of the types, and of the fields in each, is the wire format.
 _MESSAGE_TYPES: tuple[type[coordination.PeerMessage], ...] = (
     coordination.Hello,
@@ -135,6 +144,8 @@
     try:
         if body[0] == _COMPRESSED_FIRST_BYTE:
             body = _decompress(body)
+        if len(body) > LARGE_FRAME_BYTES:
+            _limit_items(body)
         tag, *fields = cbor2.loads(body)
         message_type = _TYPE_BY_TAG[tag]
         message: coordination.PeerMessage = message_type(
@@ -157,3 +168,23 @@
     if not decompressor.eof:
         raise LinkError(f"a frame holds more than {MAX_FRAME_BYTES} bytes")
     return data
+
+
+def _limit_items(body: bytes) -> None:
+    """Raise LinkError if a frame holds more items than any message does."""
+    position = 0
+    for _ in range(MAX_FRAME_ITEMS):
+        if position >= len(body):
+            return
+        major_type, size_code = divmod(body[position], 32)
+        position += 1
+        value = size_code
+        if size_code >= 24:
+            if size_code > 27:
+                raise LinkError("a frame has an item of indefinite length")
+            value_bytes = 1 << (size_code - 24)
+            value = int.from_bytes(body[position : position + value_bytes])
+            position += value_bytes
+        if major_type in _STRING_TYPES:
+            position += value
+    raise LinkError(f"a frame holds more than {MAX_FRAME_ITEMS} items")
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -152,7 +152,7 @@
         Raises LinkError if the message is invalid.
         """
         carrier = protocol.decode(message.message)
-        if not 0 < message.body_bytes <= protocol.MAX_FRAME_BYTES:
+        if not 0 < message.body_bytes <= protocol.MAX_BODY_BYTES:
             raise protocol.LinkError(f"body of {message.body_bytes} bytes")
         match carrier:
             case coordination.CallSent():
