Match a call with the link that carries it

Cause: calls were matched with links by host. Change: an open call keeps the function that sends on its link; a cancel goes there, and PeerDown names the link that has ended. Evidence: features/mesh/peers.feature, the two new rows fail before and pass now.

--- a/features/mesh/peers.feature
+++ b/features/mesh/peers.feature
@@ -29,3 +29,13 @@
       | 1.5  | 1     | open    | silent      |
       | 1.5  | 0     | open    | silent      |
       | 6.0  | 0     | aborted | silent      |
+
+  Scenario Outline: A call stays on its link while another one to the host opens or ends
+    Given a deployment of 2 hosts
+    When a call runs over the <link> of two links to host 1, and <event>
+    Then <result>
+
+    Examples: Guards against calls that are taken for those of another link
+      | link   | event                 | result                  |
+      | second | the first link ends   | the call on it gets 200 |
+      | first  | its caller leaves     | its run is cancelled    |
--- a/features/steps/mesh_peer_steps.py
+++ b/features/steps/mesh_peer_steps.py
@@ -202,3 +202,62 @@
     aborted = context.links[0]._transport.aborted
     assert aborted == (link_state == "aborted"), aborted
     assert taken_as(context.to_entry) == taken, context.to_entry
+
+
+LONG_RUN_S = 1.5
+SETTLE_S = 0.4
+
+
+async def _open_second_link(context):
+    node = context.fleet.nodes[0]
+    dialler = node._dialler
+    hosts = set(dialler._task_by_host)
+    dialler.set_hosts(set())
+    await asyncio.sleep(0.05)
+    dialler.set_hosts(hosts)
+    await asyncio.sleep(SETTLE_S)
+
+
+async def _start_call(context, method):
+    context.caller = context.fleet.caller(0)
+    await context.caller.send(
+        method, "/book/1" if method == "POST" else "/lots/1"
+    )
+    await asyncio.sleep(SETTLE_S)
+
+
+@when("a call runs over the {which} of two links to host 1, and {event}")
+def step_two_links(context, which, event):
+    async def act():
+        deployment = context.fleet
+        deployment.timeout_ms = 10_000
+        await deployment.publish()
+        await deployment.register(0, "draining")
+        await asyncio.sleep(SETTLE_S)
+        deployment.servers[1].run_s = LONG_RUN_S
+        first = next(
+            link for link in deployment.nodes[0]._links if link.dialled
+        )
+        if which == "second":
+            await _open_second_link(context)
+            await _start_call(context, "POST")
+            first.abort()
+            context.response = await context.caller.receive()
+        else:
+            await _start_call(context, "GET")
+            await _open_second_link(context)
+            context.caller.close()
+            await asyncio.sleep(SETTLE_S)
+
+    context.runner.run(act())
+
+
+@then("the call on it gets {status:d}")
+def step_call_status(context, status):
+    assert context.response.status == status, context.response
+
+
+@then("its run is cancelled")
+def step_run_cancelled(context):
+    assert context.fleet.servers[1].cancelled_runs == 1
+    assert context.fleet.nodes[1].gate.active_calls == 0
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -115,8 +115,8 @@
                 self._placement.mark_reachable(host)
             case _messages.PeerSilent(host):
                 self._peer_silent(host)
-            case _messages.PeerDown(host):
-                self._peer_down(host)
+            case _messages.PeerDown(host, send):
+                self._peer_down(host, send)
             case _messages.BoundsChanged(_, retries):
                 self._budget.bounds = retries
             case _messages.StopRequested(window):
@@ -319,11 +319,13 @@
         sent = call.start_attempt(server, self._own_service, now_s)
         self._placement.record_sent(server.host)
         if server.host == self._own_host:
+            call.send = None
             self._gate.tell(
                 _messages.RunCall(0, sent, self.handle_local_reply)
             )
             return
-        self._send_by_host[server.host](sent)
+        call.send = self._send_by_host[server.host]
+        call.send(sent)
 
     def handle_local_reply(self, message: _peer_messages.PeerMessage) -> None:
         """Process the local gate task's reply to a call."""
@@ -477,9 +479,8 @@
         if call.host == self._own_host:
             self._gate.tell(_messages.CancelCall(0, call.number))
             return
-        send = self._send_by_host.get(call.host)
-        if send is not None:
-            send(_peer_messages.CallCancelled(call.number))
+        if call.send is not None:
+            call.send(_peer_messages.CallCancelled(call.number))
 
     def _peer_silent(self, host: str) -> None:
         self._placement.mark_unreachable(host)
@@ -492,11 +493,14 @@
                     call.number, host, state.MayHaveRun("peer-silent")
                 )
 
-    def _peer_down(self, host: str) -> None:
+    def _peer_down(
+        self, host: str, send: _peer_messages.SendToPeer | None
+    ) -> None:
+        """End the calls on a link; those on another to the host go on."""
         self._send_by_host.pop(host, None)
         self._placement.mark_unreachable(host)
         for call in list(self._call_by_number.values()):
-            if call.host == host:
+            if call.host == host and send in (None, call.send):
                 self._attempt_ended(
                     call.number, host, state.MayHaveRun("link-lost")
                 )
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -446,8 +446,7 @@
         self._set_running(
             peer.host, "" if remaining is None else remaining.server_id
         )
-        # The calls on the ended link are lost, whether or not others remain.
-        down = _messages.PeerDown(peer.host)
+        down = _messages.PeerDown(peer.host, peer.send)
         self._ports.to_entry(down)
         self._ports.to_quota(down)
         self.log.decision(
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -86,9 +86,11 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerDown:
-    """The link to a host has ended."""
+    """A link to a host has ended."""
 
     host: str
+    send: _peer_messages.SendToPeer | None = None
+    """The link that has ended; None if no link to the host is left."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -40,6 +40,8 @@
     service: str = ""
     host: str | None = None
     """Host of the current attempt; None between attempts."""
+    send: _peer_messages.SendToPeer | None = None
+    """Link of the current attempt; None if it is on this host."""
     sent_at_s: float = 0.0
     """When the current attempt was sent."""
     timer: asyncio.TimerHandle | None = None
