Give servers that pause reading a long body more than 2.5 s

Cause: the TCP user timeout of 2.5 s also ends connections whose peer lives and has a full buffer. Change: 30 s while a body over 64 KiB is sent; other requests fit the server's buffer, and keep the 2.5 s that detect a silent path.

--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -7,6 +7,7 @@
 import httptools
 
 from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _sockets
 
 REASON_RESET = "connection-reset"
@@ -75,6 +76,11 @@
         self._max_body_bytes = max_body_bytes
         self.received_bytes = 0
         self._on_progress = on_progress
+        is_large = len(request.body) > state.SMALL_BODY_BYTES
+        if is_large:
+            _sockets.set_user_timeout(
+                self._transport, _sockets.SLOW_TCP_USER_TIMEOUT_MS
+            )
         self._transport.writelines(protocol.encode_request(request))
         try:
             return await self._waiter
@@ -83,6 +89,10 @@
             raise
         finally:
             self._waiter = None
+            if is_large and self._transport is not None:
+                _sockets.set_user_timeout(
+                    self._transport, _sockets.TCP_USER_TIMEOUT_MS
+                )
             # It may refer to the request, whose body can be large.
             self._find_owner = None
 
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -16,8 +16,11 @@
 
 Other messages on the link wait behind them.
 """
-CALLER_TCP_USER_TIMEOUT_MS = 30_000
-"""The same for callers, which may pause reading while they are alive."""
+SLOW_TCP_USER_TIMEOUT_MS = 30_000
+"""The same for peers that may pause reading while they are alive.
+
+These are callers, and servers that receive a body larger than their buffers.
+"""
 
 
 def set_socket_options(
@@ -34,6 +37,17 @@
     )
 
 
+def set_user_timeout(
+    transport: asyncio.BaseTransport, user_timeout_ms: int
+) -> None:
+    """Change the TCP user timeout of a connection."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
+        )
+
+
 def limit_unsent_bytes(transport: asyncio.BaseTransport) -> None:
     """Keep the queue of a socket short, so that messages can overtake."""
     sock = transport.get_extra_info("socket")
