Answer all requests of one read, and bound unread answers

A good request behind a refused one in one read was dropped in a stop, and the stop lasted 5.8 s: the refusal was answered inside the parser, before the rest was known. 90 callers that read nothing held 294 MB of answers: since callers may pause 30 s, nothing bounded them. Each caller that left wrote a log line.

Change: the next step follows the read; above a fifth of the memory limit the callers that have taken nothing for longest are disconnected; lines of callers that leave are sampled. Why it works: a last answer is known to be the last one only when all that was read is queued.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -129,3 +129,49 @@
       | a request in progress | 9.0 | window-closed | 0     | wait  | wait  |
       | a part of a request   | 9.0 | callers-left  | 0     | wait  | close |
       | a refusal             | 9.0 | callers-left  | 0     | wait  | wait  |
+
+  Scenario Outline: Requests of one read are all answered in a stop
+    Given a deployment of 2 hosts on the event loop of a process
+    When node 0 stops, and 0.3 s later a caller sends at once <what>
+    Then it gets the statuses <statuses>, only the last of which closes
+    And node 0 has stopped within 4.0 s
+
+    Examples: Guards against requests that are dropped behind a refused one
+      | what                                   | statuses |
+      | a refused request and a good one       | 400 503  |
+      | two refused requests                   | 400 400  |
+      | a refused request and two good ones    | 400 503 503 |
+
+  Scenario: Answers that callers do not take do not fill the memory
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.01 s and answer with 4000 kB
+    When 30 callers each get an answer and read nothing of it
+    Then node 0 held at most 60000 kB that were not sent
+    And another caller is served
+
+  Scenario Outline: A server that pauses reading a body is not taken for dead
+    Given a server that reads nothing of a body for <pause> s
+    When a request with a body of <size> MB is sent to it
+    Then its response arrives after <pause> s
+
+    Examples:
+      | size | pause |
+      | 8    | 1.0   |
+      | 8    | 4.0   |
+
+  Scenario: Callers that leave do not fill the log
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.5 s and answer with 0 kB
+    When 60 callers leave without waiting for their answers
+    Then at most 2 lines say that their connections were cut
+
+  Scenario Outline: Callers that take nothing for longest are disconnected first
+    Given callers that have not taken <unsent> bytes, in order of time
+    Then with a limit of 100 bytes, <dropped> of them are disconnected
+
+    Examples:
+      | unsent     | dropped |
+      | 100        | 0       |
+      | 60, 41     | 1       |
+      | 1, 60, 60  | 2       |
+      | 200        | 1       |
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -1,6 +1,7 @@
 """Steps for the answers that a node owes on its connections."""
 
 import asyncio
+import contextlib
 import re
 import time
 
@@ -10,7 +11,9 @@
 import mesh_path_steps
 import uvloop
 
+from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
+from jasminecrank.mesh import transport
 
 READ_TIMEOUT_S = 12.0
 STOP_GRACE_S = 6.0
@@ -261,11 +264,11 @@
             if link.dialled
         ]
         assert links
-        for transport in links:
-            transport.pause_reading()
+        for link in links:
+            link.pause_reading()
         await asyncio.sleep(pause_s)
-        for transport in links:
-            transport.resume_reading()
+        for link in links:
+            link.resume_reading()
         await stopping
         await reading
 
@@ -344,3 +347,140 @@
 def step_says(context, stop, limit):
     assert context.stop_step.value == stop, context.stop_step
     assert context.limit_step.value == limit, context.limit_step
+
+
+GOOD_REQUEST = (
+    b"GET /lots/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
+    b"Deadline-Ms: 20000\r\nAuthorization: Token k1\r\n\r\n"
+)
+REFUSED_REQUEST = b"GET /lots/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"
+AT_ONCE_BY_WHAT = {
+    "a refused request and a good one": (1, 1),
+    "two refused requests": (2, 0),
+    "a refused request and two good ones": (1, 2),
+}
+
+
+@when("node 0 stops, and 0.3 s later a caller sends at once {what}")
+def step_at_once(context, what):
+    refused, good = AT_ONCE_BY_WHAT[what]
+    data = REFUSED_REQUEST * refused
+    data += b"".join(GOOD_REQUEST % b"g%d" % n for n in range(good))
+
+    async def act():
+        caller = await _open(context)
+        stopping = asyncio.create_task(_stop_node(context))
+        await asyncio.sleep(0.3)
+        await caller.write(data)
+        await _receive(context, [caller])
+        await stopping
+
+    context.runner.run(act())
+
+
+@when("{count:d} callers each get an answer and read nothing of it")
+def step_unread(context, count):
+    async def act():
+        context.unsent_bytes = 0.0
+        for _ in range(count):
+            caller = await _open(context)
+            await caller.send()
+            await asyncio.sleep(0.1)
+            context.unsent_bytes = max(
+                context.unsent_bytes, _unsent_bytes(context)
+            )
+
+    context.runner.run(act())
+
+
+@then("another caller is served")
+def step_other_served(context):
+    async def act():
+        for server in context.fleet.servers:
+            server.min_body_bytes = 0
+        return await context.fleet.caller(0).request()
+
+    response = context.runner.run(act())
+    assert response.status == 200, response
+
+
+@given("a server that reads nothing of a body for {pause_s:g} s")
+def step_pausing_server(context, pause_s):
+    context.exit_stack = contextlib.ExitStack()
+    context.runner = context.exit_stack.enter_context(
+        asyncio.Runner(loop_factory=uvloop.new_event_loop)
+    )
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.transport.pause_reading()
+        await asyncio.sleep(pause_s)
+        writer.transport.resume_reading()
+        length = int(re.search(rb"Content-Length: (\d+)", head)[1])
+        await reader.readexactly(length)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def listen():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        context.exit_stack.callback(server.close)
+        return server.sockets[0].getsockname()
+
+    context.address = context.runner.run(listen())
+
+
+@when("a request with a body of {size:d} MB is sent to it")
+def step_send_body(context, size):
+    async def act():
+        connection = await transport.connect(*context.address, 1.0)
+        request = protocol.RawRequest(
+            b"POST", b"/book/1", (), b"x" * (1_000_000 * size)
+        )
+        started_s = time.monotonic()
+        context.response = await connection.exchange(request)
+        context.elapsed_s = time.monotonic() - started_s
+        connection.abort()
+
+    context.runner.run(act())
+
+
+@then("its response arrives after {pause_s:g} s")
+def step_late_response(context, pause_s):
+    assert context.response.body == b"ok", context.response
+    assert context.elapsed_s >= pause_s, context.elapsed_s
+
+
+@when("{count:d} callers leave without waiting for their answers")
+def step_leave(context, count):
+    async def act():
+        callers = [context.fleet.caller(0) for _ in range(count)]
+        for caller in callers:
+            await caller.send()
+        await asyncio.sleep(0.1)
+        for caller in callers:
+            caller.close()
+        await asyncio.sleep(0.5)
+
+    context.runner.run(act())
+
+
+@then("at most {most:d} lines say that their connections were cut")
+def step_few_lines(context, most):
+    found = [
+        line
+        for line in context.fleet.log_lines
+        if b'"caller-connection-cut"' in line
+    ]
+    assert len(found) <= most, len(found)
+
+
+@given("callers that have not taken {unsent} bytes, in order of time")
+def step_unsent(context, unsent):
+    context.unsent_by_caller = {
+        number: int(size) for number, size in enumerate(unsent.split(", "))
+    }
+
+
+@then("with a limit of {limit:d} bytes, {count:d} of them are disconnected")
+def step_dropped(context, limit, count):
+    dropped = state.connections_to_drop(context.unsent_by_caller, limit)
+    assert dropped == list(range(count)), dropped
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -40,6 +40,9 @@
 from jasminecrank.mesh.state._connection_debts import (
     ConnectionDebts as ConnectionDebts,
 )
+from jasminecrank.mesh.state._connection_debts import (
+    connections_to_drop as connections_to_drop,
+)
 from jasminecrank.mesh.state._connection_debts import (
     ConnectionStep as ConnectionStep,
 )
--- a/src/jasminecrank/mesh/state/_connection_debts.py
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -1,5 +1,6 @@
 """What a node owes on a connection of a caller, and when it may close it."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 import enum
 import typing
@@ -125,3 +126,23 @@
         if not self.unused:
             return 0.0
         return max(0.0, self.opened_at_s + FIRST_REQUEST_S - now_s)
+
+
+_Connection = typing.TypeVar("_Connection")
+
+
+def connections_to_drop(
+    unsent_by_connection: Mapping[_Connection, int], limit_bytes: int
+) -> list[_Connection]:
+    """Return the connections to abort so that less than a limit is unsent.
+
+    They are in the order since when their callers have taken nothing.
+    """
+    excess_bytes = sum(unsent_by_connection.values()) - limit_bytes
+    dropped = []
+    for connection, unsent_bytes in unsent_by_connection.items():
+        if excess_bytes <= 0:
+            break
+        dropped.append(connection)
+        excess_bytes -= unsent_bytes
+    return dropped
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -10,6 +10,8 @@
 """Size up to which bodies have a part of the budget to themselves."""
 BODY_SHARE = 0.55
 """Share of the memory limit for bodies; the rest is for everything else."""
+UNSENT_SHARE = 0.2
+"""Share of the memory limit for answers that callers do not take."""
 SMALL_SHARE = 0.125
 """Share of the budget for small bodies."""
 MEMORY_REASON = "memory"
@@ -98,6 +100,8 @@
     """Grants claims in order of arrival within each part of the budget."""
 
     _part_by_kind: dict[BudgetPart, _Part]
+    unsent_limit_bytes: int = 0
+    """Bytes of answers above which the slowest callers are disconnected."""
     _claim_by_id: dict[int, _Claim] = field(default_factory=dict)
     _last_id: int = 0
 
@@ -112,7 +116,8 @@
                 BudgetPart.SMALL: _Part(small_bytes),
                 BudgetPart.CALLERS: _Part(large_bytes),
                 BudgetPart.LINKS: _Part(large_bytes),
-            }
+            },
+            int(UNSENT_SHARE * limit_bytes),
         )
 
     @property
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -40,6 +40,19 @@
         default_factory=lambda: itertools.count(1)
     )
     connections: set["CallerConnection"] = field(default_factory=set)
+    blocked: dict["CallerConnection", None] = field(default_factory=dict)
+    """Connections whose callers do not take answers, longest first."""
+
+    def limit_unsent(self) -> None:
+        """Abort the longest blocked connections while too much is unsent."""
+        unsent_by_connection = {
+            connection: connection.unsent_bytes for connection in self.blocked
+        }
+        for connection in state.connections_to_drop(
+            unsent_by_connection, self.budget.unsent_limit_bytes
+        ):
+            self.log.count("caller_connections", "unread")
+            connection.abort()
 
 
 class CallerConnection(asyncio.Protocol):
@@ -67,7 +80,7 @@
         transport = typing.cast(asyncio.Transport, transport)
         self._transport = transport
         _sockets.set_socket_options(
-            transport, _sockets.CALLER_TCP_USER_TIMEOUT_MS
+            transport, _sockets.SLOW_TCP_USER_TIMEOUT_MS
         )
         self._context.connections.add(self)
         self._debts.opened_at_s = self._context.clock.now_s()
@@ -101,20 +114,27 @@
     def pause_writing(self) -> None:
         """Start no further request until the caller takes the answers."""
         self._debts.write_blocked = True
+        self._context.blocked[self] = None
         self._update_reading()
+        asyncio.get_running_loop().call_soon(self._context.limit_unsent)
 
     def resume_writing(self) -> None:
         """Continue with the next request."""
         self._debts.write_blocked = False
+        self._context.blocked.pop(self, None)
         self._update_reading()
         self._continue()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request, since its caller has disconnected."""
         self._context.connections.discard(self)
+        self._context.blocked.pop(self, None)
         if self.unanswered or self._unsent_at_end_bytes:
             self._context.log.count("caller_connections", "cut")
-            self._context.log.decision(
+            # Callers that leave are many, and each call of theirs is logged.
+            log = self._context.log
+            write = log.decision if self._closed_by_node else log.sampled
+            write(
                 "caller-connection-cut",
                 closed_by="node" if self._closed_by_node else "caller",
                 error=None if exc is None else repr(exc),
@@ -139,7 +159,7 @@
 
     def on_expect_continue(self) -> None:
         """Send 100 Continue."""
-        if self._transport is not None:
+        if self._transport is not None and not self._ended:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_memory_wait(self) -> None:
@@ -185,7 +205,7 @@
         self._debts.waiting += 1
         self._debts.last_request_read = not keep_alive
         self._update_reading()
-        self._continue()
+        self._continue_soon()
 
     def on_invalid(self, refusal: state.Refusal) -> None:
         """Read nothing more, and refuse after the answers that are due."""
@@ -201,7 +221,7 @@
         self._debts.last_request_read = True
         self._debts.receiving = False
         self._debts.refusal = refusal
-        self._continue()
+        self._continue_soon()
 
     def abort(self) -> None:
         """Abort the connection without flushing pending data."""
@@ -259,6 +279,10 @@
             return 0
         return _sockets.undelivered_bytes(self._transport)
 
+    def _continue_soon(self) -> None:
+        """Continue once all requests of a read are known."""
+        asyncio.get_running_loop().call_soon(self._continue)
+
     def _continue(self) -> None:
         """Take the next step on the debts, in the order of the requests."""
         if self._ended or self._transport is None:
