--- a/features/mesh/quota_cut.feature
+++ b/features/mesh/quota_cut.feature
@@ -33,6 +33,11 @@
       | 5    |
       | 6    |
 
+  Scenario: Nodes that restart during a cut do not grant a rate twice
+    Given 10 linked nodes and a team with rate 200 and burst 200
+    When 4 of them are cut off, their entries expire, and the others restart
+    Then the tokens of any 5 s stay within the platform's bound
+
   Scenario Outline: Calls within the rate are not refused after hosts are lost
     Given 10 linked nodes and a team with rate 200 and burst 200
     When <cut> of them are lost, their entries expire after 4.5 s, and the others get <calls> calls a second
--- a/features/steps/mesh_quota_cut_steps.py
+++ b/features/steps/mesh_quota_cut_steps.py
@@ -61,6 +61,18 @@
         )
         for name in seen_by:
             self.nodes.tell(name, coordination.FleetChanged(fleet))
+        return fleet
+
+    def restart(self, names, fleet):
+        """Start new tasks for nodes that reach each other."""
+        for name in names:
+            self.nodes.task_by_name[name] = self.nodes.make_task(name)
+        for name in names:
+            for other in names:
+                if other != name:
+                    send = self.nodes.send(name, other)
+                    self.nodes.tell(name, coordination.PeerUp(other, send))
+            self.nodes.tell(name, coordination.FleetChanged(fleet))
 
     def heal(self):
         """Connect all nodes again and list all their entries."""
@@ -108,6 +120,22 @@
     fleet.call(nodes.names, 5.0)
 
 
+@when(
+    "{cut:d} of them are cut off, their entries expire, and the others restart"
+)
+def step_restart(context, cut):
+    nodes = context.nodes
+    fleet = CutFleet(nodes)
+    away, rest = nodes.names[:cut], nodes.names[cut:]
+    fleet.call(nodes.names, 2.0)
+    fleet.cut(away, True)
+    fleet.call(nodes.names, 4.5)
+    seen = fleet.expire(away, rest)
+    fleet.call(nodes.names, 1.0)
+    fleet.restart(rest, seen)
+    fleet.call(nodes.names, CUT_S)
+
+
 @when("cuts, expired entries and returns are drawn from seed {seed:d}")
 def step_drawn(context, seed):
     rng = random.Random(seed)
