Redirect the output of a started node without a shell

Cause: after many features the pipe has a descriptor above 9, to which the shell of the step can't redirect; the node was never started. Change: the step redirects in Python; what is checked is unchanged.

--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -380,14 +380,14 @@
     node = context.node
     reader, writer = os.pipe()
     context.exit_stack.callback(os.close, writer)
-    redirect = f">&{writer}"
+    redirect = f"os.dup2({writer}, 1)"
     match state:
         case "closed":
             os.close(reader)
-            redirect = ">&-"
+            redirect = "os.close(1)"
         case "closed, like the others":
             os.close(reader)
-            redirect = "<&- >&- 2>&-"
+            redirect = "os.close(0); os.close(1); os.close(2)"
         case "a pipe without a reader":
             os.close(reader)
         case "a full pipe":
@@ -396,9 +396,11 @@
             with contextlib.suppress(BlockingIOError):
                 while True:
                     os.write(writer, bytes(4096))
-    command = f"exec {sys.executable} -m jasminecrank.mesh.daemon {redirect}"
+    arguments = [sys.executable, "-m", "jasminecrank.mesh.daemon"]
+    # A shell can't redirect to descriptors above 9.
+    code = f"import os; {redirect}; os.execv({arguments[0]!r}, {arguments!r})"
     context.runner.run(
-        node.start(("-c", command), program="/bin/sh", pass_fds=(writer,))
+        node.start(("-c", code), program=sys.executable, pass_fds=(writer,))
     )
 
 
