--- a/script/run_features.py
+++ b/script/run_features.py
@@ -12,6 +12,7 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+MAX_FAILURE_CHARACTERS = 4000
 
 
 def known_red() -> set[str]:
@@ -27,8 +28,8 @@
     }
 
 
-def run(arguments: list[str]) -> list[tuple[str, bool]]:
-    """Run behave and return the name and success of each scenario."""
+def run(arguments: list[str]) -> list[tuple[str, list[str]]]:
+    """Run behave; return the name and the failures of each scenario."""
     with tempfile.TemporaryDirectory() as directory:
         report = pathlib.Path(directory) / "report.json"
         command = [
@@ -45,36 +46,45 @@
         subprocess.run(command, cwd=ROOT, check=False)
         features = json.loads(report.read_text() or "[]")
     return [
-        (f"{feature['name']}: {element['name']}", passed(element))
+        (f"{feature['name']}: {element['name'].strip()}", failures(element))
         for feature in features
         for element in feature["elements"]
         if element["type"] == "scenario"
     ]
 
 
-def passed(element: dict) -> bool:
-    """Return whether every step of a scenario ran and passed."""
-    return bool(element["steps"]) and all(
-        step.get("result", {}).get("status") == "passed"
-        for step in element["steps"]
-    )
+def failures(element: dict) -> list[str]:
+    """Return a line for each step of a scenario that did not pass."""
+    if not element["steps"]:
+        return ["no steps"]
+    lines = []
+    for step in element["steps"]:
+        result = step.get("result", {"status": "not run"})
+        if result["status"] != "passed":
+            message = result.get("error_message", "")
+            if not isinstance(message, str):
+                message = "\n".join(message)
+            lines.append(f"{step['name']}: {result['status']}: {message}")
+    return lines
 
 
 def main() -> int:
     """Print the counts and return the exit status."""
     results = run(sys.argv[1:])
     red = known_red()
-    unexpected = [name for name, ok in results if not ok and name not in red]
-    stale = [name for name, ok in results if ok and name in red]
-    for name in unexpected:
+    failed = [(name, lines) for name, lines in results if lines]
+    unexpected = [(name, lines) for name, lines in failed if name not in red]
+    stale = [name for name, lines in results if not lines and name in red]
+    for name, lines in unexpected:
         print(f"FAILED {name}")
-    for name, ok in results:
-        if not ok and name in red:
+        for line in lines:
+            print(line[:MAX_FAILURE_CHARACTERS])
+    for name, _ in failed:
+        if name in red:
             print(f"KNOWN RED {name}")
     for name in stale:
         print(f"LISTED IN KNOWN-RED.txt BUT PASSING {name}")
-    passed_count = sum(ok for _, ok in results)
-    print(f"{passed_count} passed, {len(results) - passed_count} failed")
+    print(f"{len(results) - len(failed)} passed, {len(failed)} failed")
     return 0 if results and not unexpected and not stale else 1
 
 
