Tell arbiters that restart of removed hosts

Callers of a team with a rate got more than their quota while hosts were cut off and the others were restarted, as in a planned update.

Cause: hosts whose entries were removed count for the shares for a minute more, but only in the memory of the nodes that saw the removal. An arbiter that started later counted the listed hosts alone and granted their whole rate, beside the share that the cut-off hosts still grant.

Now nodes tell an arbiter that they reach anew which hosts were removed and how long ago.

The scenario in which all hosts restart at once stays red: nobody is left who knows, and nothing outlives a process.

--- a/features/mesh/quota_cut.feature
+++ b/features/mesh/quota_cut.feature
@@ -38,6 +38,18 @@
     When 4 of them are cut off, their entries expire, and the others restart
     Then the tokens of any 5 s stay within the platform's bound
 
+  Scenario Outline: Nodes that restart in turn learn of removed hosts
+    Given 10 linked nodes and a team with rate 200 and burst 200
+    When <cut> of them are cut off, their entries expire, and the others restart one by one every <interval> s
+    Then the tokens of any 5 s stay within the platform's bound
+
+    Examples:
+      | cut | interval |
+      | 4   | 0.3      |
+      | 4   | 2.0      |
+      | 6   | 1.0      |
+      | 8   | 1.0      |
+
   Scenario Outline: Calls within the rate are not refused after hosts are lost
     Given 10 linked nodes and a team with rate 200 and burst 200
     When <cut> of them are lost, their entries expire after 4.5 s, and the others get <calls> calls a second
@@ -59,6 +71,20 @@
       | ready    | 10  | 9     |
       | draining | 9   | 9     |
 
+  Scenario Outline: What a new node learns of a removed host
+    Given a census of 10 hosts, one of them <state>
+    When its entry is removed
+    And a new census lists <listed> hosts and hears of it after <age> s
+    Then it counts <now> hosts now and <later> after <wait> s
+
+    Examples:
+      | state    | listed    | age | now | later | wait |
+      | ready    | the other | 5   | 10  | 9     | 55   |
+      | ready    | the other | 5   | 10  | 10    | 54   |
+      | ready    | all       | 5   | 10  | 10    | 55   |
+      | ready    | the other | 60  | 9   | 9     | 1    |
+      | draining | the other | 5   | 9   | 9     | 55   |
+
   Scenario Outline: A part without the source stops when others stop counting it
     Given an arbiter of 10 hosts that grants for <covered> of them
     When the source confirmed its entries <age> s ago
--- a/features/steps/mesh_quota_cut_steps.py
+++ b/features/steps/mesh_quota_cut_steps.py
@@ -74,6 +74,23 @@
                     self.nodes.tell(name, coordination.PeerUp(other, send))
             self.nodes.tell(name, coordination.FleetChanged(fleet))
 
+    def restart_in_turn(self, names, fleet, interval_s):
+        """Restart nodes one by one; the others get their calls meanwhile."""
+        for name in names:
+            others = [other for other in names if other != name]
+            for other in others:
+                self.nodes.tell(other, coordination.PeerDown(name))
+                self.nodes.tell(
+                    other, coordination.RequesterDisconnected(name)
+                )
+            self.nodes.task_by_name[name] = self.nodes.make_task(name)
+            self.nodes.tell(name, coordination.FleetChanged(fleet))
+            for other in others:
+                for near, far in ((name, other), (other, name)):
+                    send = self.nodes.send(near, far)
+                    self.nodes.tell(near, coordination.PeerUp(far, send))
+            self.call(self.nodes.names, interval_s)
+
     def heal(self):
         """Connect all nodes again and list all their entries."""
         pairs = []
@@ -136,6 +153,23 @@
     fleet.call(nodes.names, CUT_S)
 
 
+@when(
+    "{cut:d} of them are cut off, their entries expire, and the others "
+    "restart one by one every {interval_s:g} s"
+)
+def step_restart_in_turn(context, cut, interval_s):
+    nodes = context.nodes
+    fleet = CutFleet(nodes)
+    away, rest = nodes.names[:cut], nodes.names[cut:]
+    fleet.call(nodes.names, 2.0)
+    fleet.cut(away, True)
+    fleet.call(nodes.names, 4.5)
+    seen = fleet.expire(away, rest)
+    fleet.call(nodes.names, 1.0)
+    fleet.restart_in_turn(rest, seen, interval_s)
+    fleet.call(nodes.names, CUT_S)
+
+
 @when("cuts, expired entries and returns are drawn from seed {seed:d}")
 def step_drawn(context, seed):
     rng = random.Random(seed)
@@ -224,6 +258,32 @@
     assert found == [now, later], found
 
 
+@when("a new census lists {listed} hosts and hears of it after {age_s:g} s")
+def step_heard(context, listed, age_s):
+    heard_at_s = 10.0 + age_s
+    age_s_by_host = context.census.removed_age_s_by_host(heard_at_s)
+    context.census = state.HostCensus()
+    match listed:
+        case "no":
+            pass
+        case "the other":
+            context.census.update(context.listed, heard_at_s)
+        case "all":
+            last = mesh_directory_steps.make_server("i-9", host="10.0.0.9")
+            context.census.update([*context.listed, last], heard_at_s)
+    context.census.add_removed(age_s_by_host, heard_at_s)
+    context.heard_at_s = heard_at_s
+
+
+@then("it counts {now:d} hosts now and {later:d} after {wait_s:g} s")
+def step_heard_count(context, now, later, wait_s):
+    found = [
+        context.census.count("10.0.0.0", context.heard_at_s + after_s)
+        for after_s in (0.0, wait_s)
+    ]
+    assert found == [now, later], found
+
+
 @given("an arbiter of 10 hosts that grants for {covered:d} of them")
 def step_arbiter(context, covered):
     context.arbiter = state.QuotaArbiter(
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -129,6 +129,9 @@
     CallServed as CallServed,
 )
 from jasminecrank.mesh.coordination._peer_messages import Hello as Hello
+from jasminecrank.mesh.coordination._peer_messages import (
+    HostsRemoved as HostsRemoved,
+)
 from jasminecrank.mesh.coordination._peer_messages import (
     ItemPatched as ItemPatched,
 )
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -121,10 +121,10 @@
 
 @dataclass(slots=True, frozen=True)
 class RequesterMessageReceived:
-    """A node that gets tokens here requests some or reports its presence."""
+    """A node that gets tokens here requests some or reports what it sees."""
 
     host: str
-    message: _peer_messages.Presence | _peer_messages.TokensRequested
+    message: _peer_messages.QuotaPeerMessage
     send: _peer_messages.SendToPeer
 
 
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -158,6 +158,14 @@
     """None if unchanged since the last report."""
 
 
+@dataclass(slots=True, frozen=True)
+class HostsRemoved:
+    """Hosts whose entries were removed, but which may still grant tokens."""
+
+    age_ms_by_host: tuple[tuple[str, int], ...]
+    """Time since the removal."""
+
+
 @dataclass(slots=True, frozen=True)
 class TokensRequested:
     """Requests tokens of a team's rate, one for each waiting call."""
@@ -287,7 +295,9 @@
     | BodyFollows
     | BodyPart
     | BodyAbandoned
+    | HostsRemoved
 )
+QuotaPeerMessage = Presence | TokensRequested | HostsRemoved
 FleetPeerMessage = (
     LoadReported
     | ItemsSent
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -192,7 +192,7 @@
     def _requester_message(
         self,
         host: str,
-        request: _peer_messages.Presence | _peer_messages.TokensRequested,
+        request: _peer_messages.QuotaPeerMessage,
         send: _peer_messages.SendToPeer,
         now_s: float,
     ) -> None:
@@ -213,6 +213,11 @@
                         name, grant.granted, round(1000 * grant.wait_s)
                     )
                 )
+            case _peer_messages.HostsRemoved(age_ms_by_host):
+                self._census.add_removed(
+                    {name: age / 1000 for name, age in age_ms_by_host}, now_s
+                )
+                self._count_hosts(now_s)
             case _:
                 typing.assert_never(request)
 
@@ -253,6 +258,8 @@
         )
         if reachable == self._reachable:
             return
+        for host in set(reachable) - {self._own_host, *self._reachable}:
+            self._report_removed(host, now_s)
         self._reachable = reachable
         self._arbiters_changed_at_s = now_s
         self.log.decision("quota-arbiters", reachable=reachable)
@@ -265,6 +272,19 @@
                 requests.arbiter = None
                 self._request_tokens(requests, now_s)
 
+    def _report_removed(self, arbiter: str, now_s: float) -> None:
+        """Tell an arbiter, which may have started later, of removed hosts."""
+        age_s_by_host = self._census.removed_age_s_by_host(now_s)
+        if age_s_by_host and self._census.reports_to(arbiter, self._own_host):
+            self._send_by_host[arbiter](
+                _peer_messages.HostsRemoved(
+                    tuple(
+                        (host, round(1000 * age_s))
+                        for host, age_s in age_s_by_host.items()
+                    )
+                )
+            )
+
     def _send_presence(self, now_s: float, full: bool = True) -> None:
         self._presence_sent_at_s = now_s
         self._arbiter.record_presence(self._own_host, self._reachable, now_s)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -417,7 +417,11 @@
                 | coordination.CallMayHaveRun()
             ):
                 self.entry.handle_peer_reply(link.peer_host, message)
-            case coordination.Presence() | coordination.TokensRequested():
+            case (
+                coordination.Presence()
+                | coordination.TokensRequested()
+                | coordination.HostsRemoved()
+            ):
                 self.quota.mailbox.tell(
                     coordination.RequesterMessageReceived(
                         link.peer_host, message, link.send
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -54,6 +54,7 @@
     coordination.BodyFollows,
     coordination.BodyPart,
     coordination.BodyAbandoned,
+    coordination.HostsRemoved,
 )
 _TAG_BY_TYPE = {
     message_type: tag for tag, message_type in enumerate(_MESSAGE_TYPES)
