Serve no port before all ports of a node are bound

While a previous process held one port, the new one already accepted calls of peers and connections of callers at the others. Nothing handled them until the last port was free, up to the grace period later: calls of other hosts waited until their deadline although they had not run.

Cause: the ports were opened one after the other, each accepting at once, and the tasks were started after the last one. Now all ports are bound first, then the tasks start, then all ports accept. A connection to a node that waits is refused, and its peer or caller turns to another host.

features/mesh/process_start.feature: three of four new rows fail before (with the callers' port held, the ports for links, readiness and metrics accept).

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -64,6 +64,20 @@
       | links   |
       | metrics |
 
+  Scenario Outline: No port takes connections while another one is held
+    Given a node process that is not started yet
+    And its <held> port is held
+    When it is started, and waits for the port
+    Then its ports <others> are closed
+    And they are open once the port is let go
+
+    Examples:
+      | held    | others                |
+      | callers | links, ready, metrics |
+      | ready   | callers, links        |
+      | links   | callers, ready        |
+      | metrics | callers, links, ready |
+
   Scenario Outline: A port that stays held ends the process with its own status
     Given a node process that is not started yet
     And its grace period is 0.6 s
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -362,6 +362,12 @@
 
 @when("it is started, and gets {name} once it waits for the port")
 def step_signal_at_port(context, name):
+    step_waits_for_port(context)
+    context.node.send(getattr(signal, name))
+
+
+@when("it is started, and waits for the port")
+def step_waits_for_port(context):
     node = context.node
 
     async def is_waiting():
@@ -370,7 +376,32 @@
     async def act():
         await node.start()
         await node.until(is_waiting)
-        node.send(getattr(signal, name))
+
+    context.runner.run(act())
+
+
+@then("its ports {names} are closed")
+def step_ports_closed(context, names):
+    context.others = names.split(", ")
+
+    async def act():
+        return [
+            name for name in context.others if await context.node.is_open(name)
+        ]
+
+    opened = context.runner.run(act())
+    assert not opened, opened
+
+
+@then("they are open once the port is let go")
+def step_ports_open(context):
+    context.held.close()
+
+    async def act():
+        for name in context.others:
+            await context.node.until(
+                lambda name=name: context.node.is_open(name)
+            )
 
     context.runner.run(act())
 
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -235,9 +235,15 @@
             stopping.cancel()
 
     async def start(self) -> None:
-        """Open the listeners and start the tasks."""
+        """Bind the ports, start the tasks and then accept connections."""
         config = self._config
-        await self._open_ports(config)
+        ports = self._ports(config)
+        # A stopping process may hold them so long.
+        deadline_s = self._clock.now_s() + config.stop_grace_s
+        for port in ports:
+            self._listeners.append(
+                await _listening.bind(port, deadline_s, self._clock, self._log)
+            )
         self._log.decision(
             "start",
             name=config.name,
@@ -259,11 +265,11 @@
                 self._watch_settings,
             )
         ]
+        await _listening.start_serving(ports, self._listeners)
 
-    async def _open_ports(self, config: settings.NodeSettings) -> None:
-        """Open the ports; a stopping process may hold them so long."""
-        deadline_s = self._clock.now_s() + config.stop_grace_s
-
+    def _ports(
+        self, config: settings.NodeSettings
+    ) -> tuple[_listening.Port, ...]:
         async def listen_for_links(host: str, port: int) -> asyncio.Server:
             return await transport.listen_for_links(
                 self,
@@ -271,38 +277,25 @@
                 (host, port),
                 self._log,
                 self.memory_budget,
+                start_serving=False,
+            )
+
+        def listen_for_status(
+            respond: Callable[[bytes], protocol.RawResponse],
+        ) -> Callable[[str, int], Coroutine[None, None, asyncio.Server]]:
+            return functools.partial(
+                transport.listen_for_status, respond, log=self._log
             )
 
-        for endpoint, listen in (
-            (config.links, listen_for_links),
-            (
-                config.status,
-                functools.partial(
-                    transport.listen_for_status,
-                    self._read_status,
-                    log=self._log,
-                ),
+        return (
+            _listening.Port(config.links, listen_for_links),
+            _listening.Port(
+                config.status, listen_for_status(self._read_status)
             ),
-            (
-                config.metrics,
-                functools.partial(
-                    transport.listen_for_status,
-                    self.read_metrics,
-                    log=self._log,
-                ),
+            _listening.Port(
+                config.metrics, listen_for_status(self.read_metrics)
             ),
-        ):
-            self._listeners.append(
-                await _listening.open_port(
-                    endpoint, listen, deadline_s, self._clock, self._log
-                )
-            )
-        await _listening.open_port(
-            config.callers,
-            self._caller_server.listen,
-            deadline_s,
-            self._clock,
-            self._log,
+            _listening.Port(config.callers, self._caller_server.listen),
         )
 
     async def stop(self) -> None:
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -28,15 +28,17 @@
         )
         self._server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
-        """Accept connections at an address."""
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        """Return a server of connections that doesn't serve yet."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _caller_connection.CallerConnection(self._context),
             host,
             port,
             backlog=LISTEN_BACKLOG,
+            start_serving=False,
         )
+        return self._server
 
     def set_limits(self, limits: state.CallerLimits) -> None:
         """Set the limits of requests and connections."""
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -348,9 +348,13 @@
     address: tuple[str, int],
     log: coordination.Log,
     budget: state.MemoryBudget | None = None,
+    start_serving: bool = True,
 ) -> asyncio.Server:
-    """Accept links that other nodes open."""
+    """Accept links that other nodes open, at once or once it serves."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: Link(owner, hello, False, log, budget), *address, backlog=512
+        lambda: Link(owner, hello, False, log, budget),
+        *address,
+        backlog=512,
+        start_serving=start_serving,
     )
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -110,8 +110,11 @@
     port: int,
     log: coordination.Log,
 ) -> asyncio.Server:
-    """Serve readiness or metrics at an address."""
+    """Return a server of readiness or metrics that doesn't serve yet."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: StatusConnection(respond, log), host, port
+        lambda: StatusConnection(respond, log),
+        host,
+        port,
+        start_serving=False,
     )
