--- a/src/jasminecrank/standins/fleet/_store.py
+++ b/src/jasminecrank/standins/fleet/_store.py
@@ -123,6 +123,8 @@
         rate = self.bytes_per_s
         part_bytes = len(response) if rate is None else round(rate * PART_S)
         for start in range(0, len(response), part_bytes):
+            if writer.is_closing():
+                raise ConnectionResetError  # uvloop raises another error.
             writer.write(response[start : start + part_bytes])
             await writer.drain()
             if rate is not None:
