--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import math
 import pathlib
 import signal
@@ -401,6 +402,19 @@
     assert result.returncode == 0, result.stdout + result.stderr
 
 
+@contextlib.contextmanager
+def quiet_errors():
+    """Print no traceback of errors that a test makes on purpose."""
+    logger = logging.getLogger("asyncio")
+    previous, sys.unraisablehook = sys.unraisablehook, lambda unraisable: None
+    logger.disabled = True
+    try:
+        yield
+    finally:
+        logger.disabled = False
+        sys.unraisablehook = previous
+
+
 @when("the soak {leaves}")
 def step_own_error(context, leaves):
     async def leave():
@@ -419,7 +433,7 @@
         await asyncio.sleep(0.05)
 
     context.errors = []
-    with _tracebacks.collect_unraisable(context.errors):
+    with quiet_errors(), _tracebacks.collect_unraisable(context.errors):
         asyncio.run(leave())
 
 
