Give the links to peers a class of their own

The fleet task had grown to 550 lines. Liveness of peers, and which link to a host is used, move to Peers; the entries and the watch duty stay. No change of behaviour.

--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -9,7 +9,6 @@
 from jasminecrank.mesh.coordination._fleet import FLEET_TICK_S as FLEET_TICK_S
 from jasminecrank.mesh.coordination._fleet import FleetPorts as FleetPorts
 from jasminecrank.mesh.coordination._fleet import FleetTask as FleetTask
-from jasminecrank.mesh.coordination._fleet import PeerLink as PeerLink
 from jasminecrank.mesh.coordination._gate import (
     BackendServerPort as BackendServerPort,
 )
@@ -169,6 +168,7 @@
 from jasminecrank.mesh.coordination._peer_messages import (
     UploadDeferred as UploadDeferred,
 )
+from jasminecrank.mesh.coordination._peers import PeerLink as PeerLink
 from jasminecrank.mesh.coordination._quota import QuotaTask as QuotaTask
 from jasminecrank.mesh.coordination._source import Changes as Changes
 from jasminecrank.mesh.coordination._source import (
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -11,18 +11,13 @@
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
 from jasminecrank.mesh.coordination import _peer_messages
+from jasminecrank.mesh.coordination import _peers
 from jasminecrank.mesh.coordination import _source
 
 FLEET_TICK_S = 0.05
 """Period of checks for a changed load; below the shortest run times."""
 TICKS_PER_CHECK = 2
 """Number of ticks between checks for silent peers and for the watch duty."""
-SILENT_AFTER_S = 1.0
-"""Silence of a peer after which no calls are sent to its host."""
-DEAD_AFTER_S = 2.2
-"""Silence of a peer after which the link to it is closed."""
-MIN_PROGRESS_BYTES = 4_096
-"""Bytes of a partial message that show that its peer is alive."""
 SUSPENDED_AFTER_S = 1.0
 """Time without a tick that shows that the node was suspended."""
 LATE_TICK_AFTER_S = 0.25
@@ -37,31 +32,6 @@
 START_PAUSE_MAX_S = 2.4
 
 
-class PeerLink(typing.Protocol):
-    """What the fleet task needs of a link."""
-
-    @property
-    def received_bytes(self) -> int:
-        """Return the bytes received so far, those of partial messages too."""
-
-    def abort(self) -> None:
-        """Close the link at once, discarding unsent messages."""
-
-
-@dataclass(slots=True)
-class _Peer:
-    host: str
-    send: _peer_messages.SendToPeer
-    link: PeerLink
-    received_at_s: float
-    contact: state.SourceContact
-    silent: bool = False
-    progress_bytes: int = 0
-    """Bytes received on the link when they last counted as a sign of life."""
-    server_id: str = ""
-    """Incarnation of its backend server, as last reported."""
-
-
 @dataclass(slots=True, frozen=True)
 class FleetPorts:
     """Outputs of the fleet task, and the source of its load."""
@@ -104,8 +74,7 @@
         self._ports = ports
         self._clock = clock
         self._fleet = directory.snapshot()
-        self._dialled_peer_by_link: dict[int, _Peer] = {}
-        self._accepted_peer_by_link: dict[int, _Peer] = {}
+        self._peers = _peers.Peers(self._report_peer, log)
         self._exchange = _exchange.EntryExchange(directory, uploads, rng)
         self._readers = state.SourceReaders(own_host)
         self._data_centre_by_host: dict[str, str] = {}
@@ -187,7 +156,7 @@
     def confirmed_age_s(self, now_s: float) -> float:
         """Return the age of the source's last reply to this node or a peer."""
         newest_s = self._contact.confirmed_at_s
-        for peer in self._dialled_peer_by_link.values():
+        for peer in self._peers.dialled:
             newest_s = max(newest_s, peer.contact.confirmed_at_s)
         return now_s - newest_s
 
@@ -204,7 +173,7 @@
             return
         pushed_to = []
         announced_to = []
-        for peer in self._accepted_peer_by_link.values():
+        for peer in self._peers.accepted:
             if (
                 not self._exchange.in_large_fleet
                 or self._readers.pushes_read_to(peer.host)
@@ -224,7 +193,7 @@
             fresh,
             [
                 peer.send
-                for peer in self._accepted_peer_by_link.values()
+                for peer in self._peers.accepted
                 if self._readers.relays_to(peer.host)
             ],
         )
@@ -265,7 +234,7 @@
         else:
             self._exchange.announce_upload(
                 fresh,
-                [peer.send for peer in self._accepted_peer_by_link.values()],
+                [peer.send for peer in self._peers.accepted],
             )
 
     def _apply_fresh(
@@ -340,9 +309,7 @@
     def _peer_message_received(
         self, message: _messages.PeerMessageReceived, now_s: float
     ) -> None:
-        peer = self._dialled_peer_by_link.get(id(message.link))
-        if peer is not None:
-            self._mark_alive(peer, now_s)
+        peer = self._peers.mark_received(message.link, now_s)
         match message.message:
             case _peer_messages.LoadReported():
                 self._load_reported(peer, message.message, now_s)
@@ -371,25 +338,9 @@
             case _:
                 typing.assert_never(message.message)
 
-    def _mark_alive(self, peer: _Peer, now_s: float) -> None:
-        peer.received_at_s = now_s
-        if peer.silent:
-            peer.silent = False
-            self._peer_up(peer)
-
-    def _peer_up(self, peer: _Peer) -> None:
-        up = _messages.PeerUp(peer.host, peer.send)
-        self._ports.to_entry(up)
-        self._ports.to_quota(up)
-
-    def _peer_silent(self, peer: _Peer) -> None:
-        silent = _messages.PeerSilent(peer.host)
-        self._ports.to_entry(silent)
-        self._ports.to_quota(silent)
-
     def _load_reported(
         self,
-        peer: _Peer | None,
+        peer: _peers.Peer | None,
         report: _peer_messages.LoadReported,
         now_s: float,
     ) -> None:
@@ -410,18 +361,8 @@
     def _link_opened(
         self, message: _messages.LinkOpened, now_s: float
     ) -> None:
-        peer = _Peer(
-            message.host,
-            message.send,
-            typing.cast(PeerLink, message.link),
-            now_s,
-            state.SourceContact(message.host),
-        )
-        if message.dialled:
-            self._dialled_peer_by_link[id(message.link)] = peer
-            self._peer_up(peer)
-        else:
-            self._accepted_peer_by_link[id(message.link)] = peer
+        peer = self._peers.open(message, now_s)
+        if not message.dialled:
             self._reporter.send(self._ports.load(), [peer], now_s)
             if self._fleet.table is None:
                 # Without entries this node opens no links of its own, so it
@@ -432,39 +373,25 @@
         )
 
     def _link_ended(self, message: _messages.LinkEnded) -> None:
-        requester = self._accepted_peer_by_link.pop(id(message.link), None)
+        requester = self._peers.remove_accepted(message.link)
         if requester is not None:
             self._exchange.remove_peer(requester.send)
             self._ports.to_quota(
                 _messages.RequesterDisconnected(requester.host)
             )
-        peer = self._dialled_peer_by_link.pop(id(message.link), None)
+        peer = self._peers.remove_dialled(message.link)
         if peer is None:
             return
         self._exchange.remove_peer(peer.send)
-        remaining = self._dialled_peer(peer.host)
+        remaining = self._peers.dialled_to(peer.host)
         self._set_running(
             peer.host, "" if remaining is None else remaining.server_id
         )
-        down = _messages.PeerDown(peer.host, peer.send)
-        self._ports.to_entry(down)
-        self._ports.to_quota(down)
-        self.log.decision(
-            "link-down", peer=peer.host, linked=remaining is not None
-        )
-        if remaining is not None:
-            self._peer_up(remaining)
-            if remaining.silent:
-                self._peer_silent(remaining)
-
-    def _dialled_peer(self, host: str) -> _Peer | None:
-        """Return the peer of a dialled link to a host, preferably alive."""
-        peers = [
-            peer
-            for peer in self._dialled_peer_by_link.values()
-            if peer.host == host
-        ]
-        return min(peers, key=lambda peer: peer.silent, default=None)
+        self._peers.report_down(peer, remaining)
+
+    def _report_peer(self, event: _peers.PeerEvent) -> None:
+        self._ports.to_entry(event)
+        self._ports.to_quota(event)
 
     def _tick(self, now_s: float) -> None:
         since_tick_s = now_s - self._ticked_at_s
@@ -475,15 +402,14 @@
             self.log.decision("late-tick", delay_ms=round(1000 * delay_s))
         if since_tick_s > SUSPENDED_AFTER_S:
             self.log.decision("woke-up")
-            for peer in self._dialled_peer_by_link.values():
-                peer.received_at_s = now_s
+            self._peers.restart_silence(now_s)
         if self._directory.remove_expired(now_s):
             self._publish()
         self._exchange.request_pending(now_s)
         self._ticks += 1
         if self._ticks % TICKS_PER_CHECK == 0:
             self._exchange.check_gaps(now_s)
-            self._check_silence(now_s)
+            self._peers.check_silence(now_s)
             self._ports.to_quota(
                 _messages.SourceConfirmed(now_s - self.confirmed_age_s(now_s))
             )
@@ -491,9 +417,7 @@
         load = self._ports.load()
         self._set_running(self._own_host, load.server_id)
         self._ports.to_entry(_messages.LoadUpdated(self._own_host, load))
-        self._reporter.report_changes(
-            load, self._accepted_peer_by_link.values(), now_s
-        )
+        self._reporter.report_changes(load, self._peers.accepted, now_s)
 
     def _is_near(self, host: str) -> bool:
         """Return whether a host prefers this one for its calls."""
@@ -502,20 +426,6 @@
         data_centre = self._data_centre_by_host.get(host)
         return data_centre == self._own_data_centre
 
-    def _check_silence(self, now_s: float) -> None:
-        for peer in list(self._dialled_peer_by_link.values()):
-            received_bytes = peer.link.received_bytes
-            if received_bytes - peer.progress_bytes >= MIN_PROGRESS_BYTES:
-                peer.progress_bytes = received_bytes
-                self._mark_alive(peer, now_s)
-            silence_s = now_s - peer.received_at_s
-            if silence_s > DEAD_AFTER_S:
-                peer.link.abort()
-            elif silence_s > SILENT_AFTER_S and not peer.silent:
-                peer.silent = True
-                self.log.decision("peer-silent", peer=peer.host)
-                self._peer_silent(peer)
-
     def _update_watch_duty(self, now_s: float) -> None:
         watch = self._should_watch(now_s)
         if watch != self._watching:
@@ -538,9 +448,7 @@
             return True
         if self._exchange.is_overdue(now_s):
             return True
-        contacts = [
-            peer.contact for peer in self._dialled_peer_by_link.values()
-        ]
+        contacts = [peer.contact for peer in self._peers.dialled]
         if self._watching and self._has_left_watch:
             return state.keeps_watching(contacts, self._own_host, now_s)
         # What this node has read itself counts too: a node that has just
--- /dev/null
+++ b/src/jasminecrank/mesh/coordination/_peers.py
@@ -0,0 +1,155 @@
+"""Links to other nodes, and whether the nodes at their ends answer."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from dataclasses import dataclass
+import typing
+
+from jasminecrank.mesh import state
+from jasminecrank.mesh.coordination import _mailbox
+from jasminecrank.mesh.coordination import _messages
+from jasminecrank.mesh.coordination import _peer_messages
+
+SILENT_AFTER_S = 1.0
+"""Silence of a peer after which no calls are sent to its host."""
+DEAD_AFTER_S = 2.2
+"""Silence of a peer after which the link to it is closed."""
+MIN_PROGRESS_BYTES = 4_096
+"""Bytes of a partial message that show that its peer is alive."""
+
+PeerEvent = _messages.PeerUp | _messages.PeerSilent | _messages.PeerDown
+
+
+class PeerLink(typing.Protocol):
+    """What the fleet task needs of a link."""
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received so far, those of partial messages too."""
+
+    def abort(self) -> None:
+        """Close the link at once, discarding unsent messages."""
+
+
+@dataclass(slots=True)
+class Peer:
+    """A node at the other end of a link."""
+
+    host: str
+    send: _peer_messages.SendToPeer
+    link: PeerLink
+    received_at_s: float
+    contact: state.SourceContact
+    silent: bool = False
+    progress_bytes: int = 0
+    """Bytes received on the link when they last counted as a sign of life."""
+    server_id: str = ""
+    """Incarnation of its backend server, as last reported."""
+
+    @classmethod
+    def from_link(
+        cls, message: _messages.LinkOpened, now_s: float
+    ) -> typing.Self:
+        """Return the peer of a link that has just opened."""
+        return cls(
+            message.host,
+            message.send,
+            typing.cast(PeerLink, message.link),
+            now_s,
+            state.SourceContact(message.host),
+        )
+
+
+class Peers:
+    """The peers that this node has dialled, and those that have dialled it.
+
+    Calls are sent to the former; the latter get load reports and entries.
+    """
+
+    def __init__(
+        self, report: Callable[[PeerEvent], None], log: _mailbox.Log
+    ) -> None:
+        self._report = report
+        self._log = log
+        self._dialled_by_link: dict[int, Peer] = {}
+        self._accepted_by_link: dict[int, Peer] = {}
+
+    @property
+    def dialled(self) -> Collection[Peer]:
+        """Return the peers that this node has dialled."""
+        return self._dialled_by_link.values()
+
+    @property
+    def accepted(self) -> Collection[Peer]:
+        """Return the peers that have dialled this node."""
+        return self._accepted_by_link.values()
+
+    def open(self, message: _messages.LinkOpened, now_s: float) -> Peer:
+        """Add the peer of a link."""
+        peer = Peer.from_link(message, now_s)
+        if message.dialled:
+            self._dialled_by_link[id(message.link)] = peer
+            self._report_up(peer)
+        else:
+            self._accepted_by_link[id(message.link)] = peer
+        return peer
+
+    def remove_accepted(self, link: object) -> Peer | None:
+        """Remove and return the peer that has dialled this node."""
+        return self._accepted_by_link.pop(id(link), None)
+
+    def remove_dialled(self, link: object) -> Peer | None:
+        """Remove and return the peer that this node has dialled."""
+        return self._dialled_by_link.pop(id(link), None)
+
+    def dialled_to(self, host: str) -> Peer | None:
+        """Return the peer of a dialled link to a host, preferably alive."""
+        peers = [peer for peer in self.dialled if peer.host == host]
+        return min(peers, key=lambda peer: peer.silent, default=None)
+
+    def report_down(self, peer: Peer, remaining: Peer | None) -> None:
+        """Report the end of a dialled link, and the one that replaces it."""
+        self._report(_messages.PeerDown(peer.host, peer.send))
+        self._log.decision(
+            "link-down", peer=peer.host, linked=remaining is not None
+        )
+        if remaining is not None:
+            self._report_up(remaining)
+            if remaining.silent:
+                self._report(_messages.PeerSilent(remaining.host))
+
+    def mark_received(self, link: object, now_s: float) -> Peer | None:
+        """Record a message on a link; return its peer if it is dialled."""
+        peer = self._dialled_by_link.get(id(link))
+        if peer is not None:
+            self._mark_alive(peer, now_s)
+        return peer
+
+    def restart_silence(self, now_s: float) -> None:
+        """Count silence from now on, since this node was suspended."""
+        for peer in self.dialled:
+            peer.received_at_s = now_s
+
+    def check_silence(self, now_s: float) -> None:
+        """Report peers that are silent, and end the links of dead ones."""
+        for peer in list(self.dialled):
+            received_bytes = peer.link.received_bytes
+            if received_bytes - peer.progress_bytes >= MIN_PROGRESS_BYTES:
+                peer.progress_bytes = received_bytes
+                self._mark_alive(peer, now_s)
+            silence_s = now_s - peer.received_at_s
+            if silence_s > DEAD_AFTER_S:
+                peer.link.abort()
+            elif silence_s > SILENT_AFTER_S and not peer.silent:
+                peer.silent = True
+                self._log.decision("peer-silent", peer=peer.host)
+                self._report(_messages.PeerSilent(peer.host))
+
+    def _mark_alive(self, peer: Peer, now_s: float) -> None:
+        peer.received_at_s = now_s
+        if peer.silent:
+            peer.silent = False
+            self._report_up(peer)
+
+    def _report_up(self, peer: Peer) -> None:
+        self._report(_messages.PeerUp(peer.host, peer.send))
