--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -53,6 +53,7 @@
         """Service named in the settings of nodes created from now on."""
         self.changed_settings: settings.NodeSettings | None = None
         """Settings that nodes get on a reload; None for unchanged ones."""
+        self._callers: list[_caller.Caller] = []
         self._ports: dict[str, int] = {}
         self._store_port = 0
 
@@ -83,7 +84,9 @@
         )
 
     def close(self) -> None:
-        """Abort all nodes and close the servers and the store."""
+        """Close all callers, nodes, servers and the store."""
+        for caller in self._callers:
+            caller.close()
         for node in self.nodes:
             node.abort()
         for server in self.servers:
@@ -96,7 +99,9 @@
 
     def caller(self, number: int) -> _caller.Caller:
         """Return a client of the node on a host."""
-        return _caller.Caller(self.host(number), self._ports["callers"])
+        caller = _caller.Caller(self.host(number), self._ports["callers"])
+        self._callers.append(caller)
+        return caller
 
     def pipelining_caller(
         self, number: int, mbit_per_s: float = 0.0
