Limit the log lines that anybody can cause by connecting

Each refused request head, rejected link, stray connection and aborted status connection wrote a line of its own, without a limit. Now 20 lines a second are written, and one line a second for each reason with the number of the others.

features/mesh/log.feature: 20,000 connections in 4 s take at most 110 lines, and each is logged or counted.

--- a/features/mesh/log.feature
+++ b/features/mesh/log.feature
@@ -16,6 +16,18 @@
       | 400   | 3000    | 1.0     | 950  |
       | 400   | 20000   | 4.0     | 2900 |
 
+  Scenario Outline: Connections without a request do not fill the log
+    Given a log limited to 400 request lines per second
+    When <ended> connections are ended within <seconds> s for 2 reasons
+    Then each of them is logged or counted with its reason
+    And at most <most> lines have been written
+
+    Examples:
+      | ended | seconds | most |
+      | 20    | 0.1     | 20   |
+      | 3000  | 1.0     | 44   |
+      | 20000 | 4.0     | 110  |
+
   Scenario: A state change is logged under load
     Given a log limited to 400 request lines per second
     When 3000 requests are refused within 1.0 s
--- a/features/steps/mesh_log_steps.py
+++ b/features/steps/mesh_log_steps.py
@@ -1,5 +1,6 @@
 """Steps for the node's log."""
 
+import collections
 import json
 
 from behave import given
@@ -67,6 +68,28 @@
     context.log.flush()
 
 
+@when("{count:d} connections are ended within {seconds:g} s for 2 reasons")
+def step_end_connections(context, count, seconds):
+    context.reasons = []
+    for number in range(count):
+        context.clock.current_s += seconds / count
+        reason = "no-hello" if number % 3 else "frame-before-hello"
+        context.reasons.append(reason)
+        context.log.connection("link-rejected", reason=reason)
+        if number % 50 == 0:
+            context.log.flush()
+    context.clock.current_s += 1.0
+    context.log.flush()
+
+
+@then("each of them is logged or counted with its reason")
+def step_connections(context):
+    found = collections.Counter()
+    for line in read_lines(context):
+        found[line["reason"]] += line.get("connections", 1)
+    assert found == collections.Counter(context.reasons), found
+
+
 @when("a table takes effect")
 def step_table(context):
     context.log.decision("table-in-force", version=8)
--- a/src/jasminecrank/mesh/coordination/_mailbox.py
+++ b/src/jasminecrank/mesh/coordination/_mailbox.py
@@ -88,6 +88,9 @@
     def decision(self, event: str, **fields: object) -> None:
         """Log a decision or a change in what the node knows."""
 
+    def connection(self, event: str, **fields: object) -> None:
+        """Log an event of a connection, perhaps with others in one line."""
+
     def sampled(self, event: str, **fields: object) -> None:
         """Log a frequent event, or count it as omitted by sampling."""
 
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -213,7 +213,7 @@
             return
         if refusal.detail == _request_reader.HEAD_TOO_LARGE:
             self._context.log.count("caller_heads", "too-large")
-        self._context.log.decision(
+        self._context.log.connection(
             "request-refused",
             outcome=refusal.kind.value,
             reason=refusal.detail,
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -205,7 +205,7 @@
     def _reject_peer(self, reason: str) -> None:
         """Abort the link of a peer that has not identified itself."""
         self._log.count("links", reason)
-        self._log.decision("link-rejected", reason=reason)
+        self._log.connection("link-rejected", reason=reason)
         self.abort()
 
     def _cancel_hello_timer(self) -> None:
@@ -237,7 +237,10 @@
         if self.closed.done():
             return
         self._cancel_hello_timer()
-        self._log.decision(
+        # Anybody can open a connection that ends without a Hello.
+        known = self.peer is not None
+        log = self._log.decision if known else self._log.connection
+        log(
             "link-ended",
             peer=self.peer_host,
             dialled=self.dialled,
--- a/src/jasminecrank/mesh/transport/_log.py
+++ b/src/jasminecrank/mesh/transport/_log.py
@@ -9,6 +9,7 @@
 import os
 import time
 import traceback
+import typing
 
 from jasminecrank.mesh.transport import _clock
 
@@ -18,6 +19,10 @@
 Above it, requests with the same event, outcome, reason and version share a
 line.
 """
+CONNECTION_LINES_PER_S = 20
+"""Rate limit of lines about connections that anybody can open."""
+MERGED_CONNECTIONS_S = 1.0
+"""Interval at which connections above that limit are logged together."""
 MAX_MERGED_IDS = 50
 """Maximum number of requests that share a line."""
 SAMPLE_INTERVAL = 50
@@ -36,18 +41,56 @@
     reason: str
     version: str
 
+    @classmethod
+    def from_fields(
+        cls, event: str, fields: Mapping[str, object]
+    ) -> typing.Self:
+        """Return the fields of a line that others can share."""
+        return cls(
+            event,
+            str(fields.get("outcome", "")),
+            str(fields.get("reason", "")),
+            str(fields.get("version", "")),
+        )
+
+
+@dataclass(slots=True)
+class _RateLimit:
+    """Token bucket that holds the lines of one second."""
+
+    per_s: float
+    tokens: float
+    refilled_at_s: float
+
+    @classmethod
+    def full(cls, per_s: float, now_s: float) -> typing.Self:
+        """Return a bucket without lines so far."""
+        return cls(per_s, per_s, now_s)
+
+    def take(self, now_s: float) -> bool:
+        """Return whether another line may be written."""
+        elapsed_s = now_s - self.refilled_at_s
+        self.refilled_at_s = now_s
+        self.tokens = min(self.per_s, self.tokens + elapsed_s * self.per_s)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
 
 class JsonLog:
     """Writes JSON log lines and keeps the node's metrics."""
 
     __slots__ = (
         "_backlog",
-        "_line_tokens",
         "_clock",
-        "_refilled_at_s",
+        "_connection_limit",
+        "_connections_by_merge_key",
+        "_connections_written_at_s",
         "_host",
         "_dropped_events",
         "_ids_by_merge_key",
+        "_request_limit",
         "_sampled_events",
         "_sequence",
         "_write",
@@ -65,8 +108,11 @@
         self._host = host
         self._clock = clock
         self._write = write
-        self._line_tokens = float(REQUEST_LINES_PER_S)
-        self._refilled_at_s = clock.now_s()
+        now_s = clock.now_s()
+        self._request_limit = _RateLimit.full(REQUEST_LINES_PER_S, now_s)
+        self._connection_limit = _RateLimit.full(CONNECTION_LINES_PER_S, now_s)
+        self._connections_by_merge_key: Counter[_MergeKey] = Counter()
+        self._connections_written_at_s = now_s
         self._dropped_events = 0
         self._ids_by_merge_key: dict[_MergeKey, list[str]] = {}
         self._sampled_events = 0
@@ -93,32 +139,36 @@
         if request_id is None:
             self._write_line(event, now_s, fields)
             return
-        elapsed_s = now_s - self._refilled_at_s
-        self._refilled_at_s = now_s
-        self._line_tokens = min(
-            float(REQUEST_LINES_PER_S),
-            self._line_tokens + elapsed_s * REQUEST_LINES_PER_S,
-        )
-        if self._line_tokens >= 1.0:
-            self._line_tokens -= 1.0
+        if self._request_limit.take(now_s):
             self._write_line(event, now_s, fields)
             return
-        key = _MergeKey(
-            event,
-            str(fields.get("outcome", "")),
-            str(fields.get("reason", "")),
-            str(fields.get("version", "")),
-        )
+        key = _MergeKey.from_fields(event, fields)
         ids = self._ids_by_merge_key.setdefault(key, [])
         ids.append(str(request_id))
         if len(ids) >= MAX_MERGED_IDS:
             self._write_merged(key, now_s)
 
+    def connection(self, event: str, **fields: object) -> None:
+        """Log an event of a connection that anybody can open.
+
+        Above their rate limit, events with the same outcome and reason share
+        a line with their number.
+        """
+        now_s = self._clock.now_s()
+        if self._connection_limit.take(now_s):
+            self._write_line(event, now_s, fields)
+            return
+        key = _MergeKey.from_fields(event, fields)
+        self._connections_by_merge_key[key] += 1
+
     def flush(self) -> None:
         """Write the merged lines, and as much of the backlog as possible."""
         now_s = self._clock.now_s()
         for key in list(self._ids_by_merge_key):
             self._write_merged(key, now_s)
+        if now_s - self._connections_written_at_s >= MERGED_CONNECTIONS_S:
+            self._connections_written_at_s = now_s
+            self._write_merged_connections(now_s)
         self._write_backlog()
 
     def sampled(self, event: str, **fields: object) -> None:
@@ -164,6 +214,19 @@
             fields["version"] = int(key.version)
         self._write_line(key.event, now_s, fields)
 
+    def _write_merged_connections(self, now_s: float) -> None:
+        for key, count in self._connections_by_merge_key.items():
+            self._write_line(
+                key.event,
+                now_s,
+                {
+                    "connections": count,
+                    "outcome": key.outcome,
+                    "reason": key.reason,
+                },
+            )
+        self._connections_by_merge_key.clear()
+
     def _write_line(
         self, event: str, now_s: float, fields: Mapping[str, object]
     ) -> None:
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -89,7 +89,7 @@
         if transport is None:
             return
         self._log.count("status_connections", reason)
-        self._log.decision("status-connection-aborted", reason=reason)
+        self._log.connection("status-connection-aborted", reason=reason)
         transport.abort()
 
     def _start_timer(self, timeout_s: float, reason: str) -> None:
