Listen at the ports of a node before its tasks start

If another process took a port between the bind and the listen of a node, the node served on without that port and without a log line: with uvloop, a failed listen of start_serving is silent.

The sockets are now made, bound and set to listen here; if one of them fails, all are closed and opened again until the deadline.

features/mesh/process_start.feature: three new rows, in which another socket listens first, fail before (no port is waited for) and pass now. The scenario with two processes passed before as well in three runs, since it needs the two to bind within the same moment.

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -78,6 +78,25 @@
       | links   | callers, ready        |
       | metrics | callers, links, ready |
 
+  Scenario: Of two processes that wait for a port, one takes all ports
+    Given a node process that is not started yet
+    And its callers port is held
+    When it is started twice, and the port is let go
+    Then one process serves
+    And after a SIGTERM to it the other one has opened all ports
+
+  Scenario Outline: A port that another process takes once it is bound is waited for
+    Given a node process that is not started yet
+    When it is started, and its <port> port is taken for 1.0 s once it is bound
+    Then it serves
+    And it has written port-held 1 times
+
+    Examples:
+      | port    |
+      | callers |
+      | links   |
+      | metrics |
+
   Scenario Outline: A port that stays held ends the process with its own status
     Given a node process that is not started yet
     And its grace period is 0.6 s
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 from behave import given
 from behave import then
@@ -114,10 +115,9 @@
     """Dial, redial after some turns, and return the links at both ends."""
     dialled, accepted = CountingOwner(), CountingOwner()
     log = transport.JsonLog("host-1", transport.BootClock(), _keep([]))
-    server = await transport.listen_for_links(
-        accepted, HELLO, ("127.0.0.1", 0), log
-    )
-    port = server.sockets[0].getsockname()[1]
+    sock = socket.create_server(("127.0.0.1", 0))
+    port = sock.getsockname()[1]
+    server = await transport.listen_for_links(accepted, HELLO, sock, log)
     dialler = transport.Dialler(dialled, HELLO, port, random.Random(1), log)
     dialler.set_hosts({"127.0.0.1"})
     for _ in range(turns):
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import re
+import socket
 import tempfile
 import time
 
@@ -266,9 +267,10 @@
 
     async def play(self, act):
         """Open the link and play an act with its dialling end."""
-        port = random.randrange(20_000, 30_000)
+        sock = socket.create_server(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
         server = await transport.listen_for_links(
-            self.receiver, HELLO, ("127.0.0.1", port), self.log, self.budget
+            self.receiver, HELLO, sock, self.log, self.budget
         )
         dialler = transport.Dialler(
             self.sender,
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import os
 import pathlib
 import signal
@@ -56,6 +57,29 @@
 {part} = fail
 sys.exit(__main__.main())
 """
+TAKEN_PORT = """
+import socket
+import sys
+import threading
+
+
+class Socket(socket.socket):
+    taken = False
+
+    def listen(self, *arguments):
+        address = self.getsockname()
+        if address[1] == {port} and not Socket.taken:
+            Socket.taken = True
+            other = socket.create_server(address)
+            threading.Timer({held_s}, other.close).start()
+        super().listen(*arguments)
+
+
+from jasminecrank.mesh.daemon import __main__
+socket.socket = Socket
+sys.exit(__main__.main())
+"""
+"""A program in which another socket listens at a port first, for a time."""
 SETTINGS = """
 node = "host-0"
 service = "ledger"
@@ -380,6 +404,70 @@
     context.runner.run(act())
 
 
+@when(
+    "it is started, and its {port} port is taken for {held_s:g} s once it is "
+    "bound"
+)
+def step_port_taken(context, port, held_s):
+    node = context.node
+    script = TAKEN_PORT.format(port=node.ports[port], held_s=held_s)
+    context.runner.run(node.start(("-c", script)))
+
+
+@when("it is started twice, and the port is let go")
+def step_started_twice(context):
+    node = context.node
+    other = copy.copy(node)
+    other.log_path = node.folder / "other.log"
+    context.processes = [node, other]
+
+    async def is_waiting(process):
+        return "port-held" in process.log_path.read_text()
+
+    async def act():
+        for process in context.processes:
+            await process.start()
+            context.exit_stack.callback(process.process.wait)
+            context.exit_stack.callback(process.process.kill)
+            await process.until(lambda process=process: is_waiting(process))
+
+    context.runner.run(act())
+    context.held.close()
+
+
+@then("one process serves")
+def step_one_serves(context):
+    async def act():
+        await context.node.until(context.node.is_open)
+        # The other one tries several times in this time.
+        await asyncio.sleep(0.5)
+
+    context.runner.run(act())
+    started = [
+        process
+        for process in context.processes
+        if '"event": "start"' in process.log_path.read_text()
+    ]
+    assert len(started) == 1, [
+        process.describe() for process in context.processes
+    ]
+    context.serving = started[0]
+
+
+@then("after a SIGTERM to it the other one has opened all ports")
+def step_other_serves(context):
+    context.processes.remove(context.serving)
+    other = context.processes[0]
+
+    async def act():
+        context.serving.send(signal.SIGTERM)
+        await context.serving.ended()
+        for port in ("callers", "links", "ready", "metrics"):
+            await other.until(lambda port=port: other.is_open(port))
+
+    context.runner.run(act())
+
+
 @then("its ports {names} are closed")
 def step_ports_closed(context, names):
     context.others = names.split(", ")
--- a/src/jasminecrank/mesh/daemon/_listening.py
+++ b/src/jasminecrank/mesh/daemon/_listening.py
@@ -1,15 +1,17 @@
 """Opens the ports of a node, also while a previous process holds them.
 
-The ports are bound first and serve together: a connection that one of them
-took while another is held would get no answer.
+All ports are opened together: a connection that one of them took while another
+is held would get no answer.
 """
 
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 from dataclasses import dataclass
 import errno
+import socket
 
 from jasminecrank import exceptions
 from jasminecrank.mesh import coordination
@@ -18,61 +20,109 @@
 RETRY_PERIOD_S = 0.05
 """Interval at which a port that is held is tried again."""
 TEMPORARY_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+BACKLOG = 512
+"""Connections waiting to be accepted until a server sets its own number."""
 
 
 @dataclass(slots=True, frozen=True)
 class Port:
-    """An address and the function that makes a server there."""
+    """An address and the function that serves a socket there."""
 
     endpoint: settings.Endpoint
-    listen: Callable[[str, int], Awaitable[asyncio.Server]]
-
-    def error(self, error: OSError) -> exceptions.ListenError:
-        """Return an error that names the setting and the address."""
-        endpoint = self.endpoint
-        return exceptions.ListenError(
-            f"{endpoint.setting}: cannot listen at "
-            f"{endpoint.host}:{endpoint.port}: {error}"
-        )
-
-
-async def start_serving(
-    ports: Sequence[Port], servers: Sequence[asyncio.Server]
-) -> None:
-    """Accept connections at ports that were bound."""
-    for port, server in zip(ports, servers, strict=True):
-        try:
-            await server.start_serving()
-        except OSError as error:
-            raise port.error(error) from error
+    serve: Callable[[socket.socket], Awaitable[asyncio.Server]]
+
+    @property
+    def address(self) -> str:
+        """Return the host and port number."""
+        return f"{self.endpoint.host}:{self.endpoint.port}"
+
+
+@dataclass(slots=True, frozen=True)
+class OpenPort:
+    """A socket that listens at a port."""
+
+    port: Port
+    sock: socket.socket
 
 
-async def bind(
-    port: Port,
+async def open_ports(
+    ports: Sequence[Port],
     deadline_s: float,
     clock: coordination.Clock,
     log: coordination.Log,
-) -> asyncio.Server:
-    """Bind a port, or raise ListenError at the deadline.
+) -> list[OpenPort]:
+    """Return listening sockets, or raise ListenError at the deadline.
 
-    A previous process that is still stopping may hold the port.
+    A previous process that is still stopping may hold a port.
     """
-    endpoint = port.endpoint
-    is_waiting = False
+    waited_for: set[str] = set()
     while True:
         try:
-            return await port.listen(endpoint.host, endpoint.port)
-        except OSError as error:
+            return await _try_open(ports)
+        except _PortError as failed:
             left_s = deadline_s - clock.now_s()
-            if error.errno not in TEMPORARY_ERRORS or left_s <= 0.0:
-                raise port.error(error) from error
-            if not is_waiting:
-                is_waiting = True
+            endpoint = failed.port.endpoint
+            if failed.error.errno not in TEMPORARY_ERRORS or left_s <= 0.0:
+                raise exceptions.ListenError(
+                    f"{endpoint.setting}: cannot listen at "
+                    f"{failed.port.address}: {failed.error}"
+                ) from failed.error
+            if endpoint.setting not in waited_for:
+                waited_for.add(endpoint.setting)
                 log.decision(
                     "port-held",
                     setting=endpoint.setting,
-                    address=f"{endpoint.host}:{endpoint.port}",
+                    address=failed.port.address,
                     waits_s=round(left_s, 1),
-                    error=str(error),
+                    error=str(failed.error),
                 )
         await asyncio.sleep(min(RETRY_PERIOD_S, max(0.0, left_s)))
+
+
+class _PortError(Exception):
+    def __init__(self, port: Port, error: OSError) -> None:
+        super().__init__(str(error))
+        self.port = port
+        self.error = error
+
+
+async def _try_open(ports: Sequence[Port]) -> list[OpenPort]:
+    """Bind all ports and then listen, or raise an error and open none."""
+    with contextlib.ExitStack() as stack:
+        opened = []
+        for port in ports:
+            try:
+                for sock in await _bind(port.endpoint, stack):
+                    opened.append(OpenPort(port, sock))
+            except OSError as error:
+                raise _PortError(port, error) from error
+        for item in opened:
+            # Two processes can bind a port, but only one can listen.
+            try:
+                item.sock.listen(BACKLOG)
+            except OSError as error:
+                raise _PortError(item.port, error) from error
+        stack.pop_all()
+        return opened
+
+
+async def _bind(
+    endpoint: settings.Endpoint, stack: contextlib.ExitStack
+) -> list[socket.socket]:
+    """Return sockets bound to the addresses of a host, closed by the stack."""
+    found = await asyncio.get_running_loop().getaddrinfo(
+        endpoint.host,
+        endpoint.port,
+        type=socket.SOCK_STREAM,
+        flags=socket.AI_PASSIVE,
+    )
+    sockets = []
+    for family, kind, protocol, _, address in dict.fromkeys(found):
+        sock = stack.enter_context(socket.socket(family, kind, protocol))
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        sock.bind(address)
+        sockets.append(sock)
+    return sockets
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -8,6 +8,7 @@
 import random
 import resource
 import signal
+import socket
 import typing
 
 from jasminecrank import exceptions
@@ -235,15 +236,15 @@
             stopping.cancel()
 
     async def start(self) -> None:
-        """Bind the ports, start the tasks and then accept connections."""
+        """Open the ports, start the tasks and accept connections."""
         config = self._config
-        ports = self._ports(config)
-        # A stopping process may hold them so long.
-        deadline_s = self._clock.now_s() + config.stop_grace_s
-        for port in ports:
-            self._listeners.append(
-                await _listening.bind(port, deadline_s, self._clock, self._log)
-            )
+        opened = await _listening.open_ports(
+            self._ports(config),
+            # A stopping process may hold them so long.
+            self._clock.now_s() + config.stop_grace_s,
+            self._clock,
+            self._log,
+        )
         self._log.decision(
             "start",
             name=config.name,
@@ -265,37 +266,31 @@
                 self._watch_settings,
             )
         ]
-        await _listening.start_serving(ports, self._listeners)
+        for item in opened:
+            self._listeners.append(await item.port.serve(item.sock))
 
     def _ports(
         self, config: settings.NodeSettings
     ) -> tuple[_listening.Port, ...]:
-        async def listen_for_links(host: str, port: int) -> asyncio.Server:
-            return await transport.listen_for_links(
-                self,
-                self._hello,
-                (host, port),
-                self._log,
-                self.memory_budget,
-                start_serving=False,
+        def serve_links(
+            sock: socket.socket,
+        ) -> Coroutine[None, None, asyncio.Server]:
+            return transport.listen_for_links(
+                self, self._hello, sock, self._log, self.memory_budget
             )
 
-        def listen_for_status(
+        def serve_status(
             respond: Callable[[bytes], protocol.RawResponse],
-        ) -> Callable[[str, int], Coroutine[None, None, asyncio.Server]]:
+        ) -> Callable[[socket.socket], Coroutine[None, None, asyncio.Server]]:
             return functools.partial(
                 transport.listen_for_status, respond, log=self._log
             )
 
         return (
-            _listening.Port(config.links, listen_for_links),
-            _listening.Port(
-                config.status, listen_for_status(self._read_status)
-            ),
-            _listening.Port(
-                config.metrics, listen_for_status(self.read_metrics)
-            ),
-            _listening.Port(config.callers, self._caller_server.listen),
+            _listening.Port(config.links, serve_links),
+            _listening.Port(config.status, serve_status(self._read_status)),
+            _listening.Port(config.metrics, serve_status(self.read_metrics)),
+            _listening.Port(config.callers, self._caller_server.serve),
         )
 
     async def stop(self) -> None:
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
@@ -26,19 +27,18 @@
         self._context = _caller_connection.ConnectionContext(
             codec, tell, clock, log, budget
         )
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
 
-    async def listen(self, host: str, port: int) -> asyncio.Server:
-        """Return a server of connections that doesn't serve yet."""
+    async def serve(self, sock: socket.socket) -> asyncio.Server:
+        """Accept connections on a listening socket."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        server = await loop.create_server(
             lambda: _caller_connection.CallerConnection(self._context),
-            host,
-            port,
+            sock=sock,
             backlog=LISTEN_BACKLOG,
-            start_serving=False,
         )
-        return self._server
+        self._servers.append(server)
+        return server
 
     def set_limits(self, limits: state.CallerLimits) -> None:
         """Set the limits of requests and connections."""
@@ -89,8 +89,8 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     def abort(self) -> None:
         """Stop accepting connections and abort the open ones."""
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import socket
 import typing
 
 from jasminecrank.mesh import coordination
@@ -20,6 +21,8 @@
 """Size of the send buffer above which a link is aborted."""
 HELLO_TIMEOUT_S = 2.0
 """Time within which the peer has to identify itself with its Hello."""
+LISTEN_BACKLOG = 512
+"""Links waiting to be accepted, as after a restart in a large fleet."""
 MAX_HELLO_BYTES = 4_096
 """Largest frame of a peer that has not sent its Hello."""
 
@@ -348,16 +351,14 @@
 async def listen_for_links(
     owner: LinkOwner,
     hello: coordination.Hello,
-    address: tuple[str, int],
+    sock: socket.socket,
     log: coordination.Log,
     budget: state.MemoryBudget | None = None,
-    start_serving: bool = True,
 ) -> asyncio.Server:
-    """Accept links that other nodes open, at once or once it serves."""
+    """Accept links that other nodes open to a listening socket."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
         lambda: Link(owner, hello, False, log, budget),
-        *address,
-        backlog=512,
-        start_serving=start_serving,
+        sock=sock,
+        backlog=LISTEN_BACKLOG,
     )
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
 import typing
 
 import httptools
@@ -106,15 +107,11 @@
 
 async def listen_for_status(
     respond: Callable[[bytes], protocol.RawResponse],
-    host: str,
-    port: int,
+    sock: socket.socket,
     log: coordination.Log,
 ) -> asyncio.Server:
-    """Return a server of readiness or metrics that doesn't serve yet."""
+    """Serve readiness or metrics on a listening socket."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: StatusConnection(respond, log),
-        host,
-        port,
-        start_serving=False,
+        lambda: StatusConnection(respond, log), sock=sock
     )
