Send removed hosts only to nodes that know the message

While a fleet was updated to, a node of the version before ended each link on which it got HostsRemoved, and the message was sent again after each redial.

Cause: a node refuses unknown messages and fields, so that neither a new message nor a new field of the Hello can be announced. The bits above the 48 random ones of the Hello's incarnation, which older nodes accept, now hold the version of the protocol, and HostsRemoved is sent from version 1 on.

features/mesh/links.feature has a row for each version.

--- a/features/mesh/links.feature
+++ b/features/mesh/links.feature
@@ -22,3 +22,13 @@
   Scenario: A dial that is given up while its link opens leaves no link
     When a host is dialled anew after each of 0 to 29 turns of the event loop
     Then the dialling and the dialled host have one link each
+
+  Scenario Outline: A node of an older version gets no message that it does not know
+    Given a link to a node of protocol version <version>
+    When it is to tell which hosts were removed
+    Then <messages> messages are sent on it
+
+    Examples: Guards against links that end again and again during an update
+      | version | messages |
+      | 0       | 0        |
+      | 1       | 1        |
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from jasminecrank.mesh import coordination
+from jasminecrank.mesh import protocol
 from jasminecrank.mesh import transport
 
 UNUSED_PORT = 9
@@ -154,3 +155,73 @@
         if counts != (1, 1)
     }
     assert not wrong, wrong
+
+
+class KeepingTransport(asyncio.Transport):
+    """A transport that keeps what is written."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = []
+
+    def is_closing(self):
+        """Always open."""
+        return False
+
+    def get_extra_info(self, name, default=None):
+        """There is no socket."""
+        del name, default
+
+    def write(self, data):
+        """Keep a frame."""
+        self.written.append(data)
+
+    def get_write_buffer_size(self):
+        """Nothing waits."""
+        return 0
+
+    def abort(self):
+        """Nothing is left to do."""
+
+
+class SilentOwner:
+    """An owner that does nothing with its links."""
+
+    def on_link_opened(self, link, hello):
+        """Nothing to do."""
+
+    def on_link_ended(self, link):
+        """Nothing to do."""
+
+
+@given("a link to a node of protocol version {version:d}")
+def step_version_link(context, version):
+    context.peer_hello = (
+        HELLO
+        if version == 0
+        else coordination.Hello.from_settings(
+            HELLO.host, HELLO.service, random.Random(1)
+        )
+    )
+    assert context.peer_hello.protocol_version == version
+
+
+@when("it is to tell which hosts were removed")
+def step_tell_removed(context):
+    async def act():
+        log = transport.JsonLog("host-1", transport.BootClock(), _keep([]))
+        link = transport.Link(SilentOwner(), HELLO, True, log)
+        link_transport = KeepingTransport()
+        link.connection_made(link_transport)
+        link.data_received(protocol.encode(context.peer_hello))
+        link_transport.written.clear()
+        link.send(coordination.HostsRemoved((("10.0.0.9", 10),)))
+        link.connection_lost(None)
+        return link_transport.written
+
+    context.written = asyncio.run(act())
+
+
+@then("{count:d} messages are sent on it")
+def step_sent(context, count):
+    assert len(context.written) == count, context.written
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -5,9 +5,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+import random
+import typing
 
 from jasminecrank.mesh import state
 
+PROTOCOL_VERSION = 1
+"""Version 1 adds HostsRemoved."""
+_INCARNATION_BITS = 48
+
 MAX_AGE_MS = 60_000
 """Largest age that is reported; older information is treated the same."""
 
@@ -18,8 +24,26 @@
 
     host: str
     incarnation: int
+    """48 random bits; those above are the version of the protocol.
+
+    Nodes of version 0 accept no further field.
+    """
     service: str
 
+    @classmethod
+    def from_settings(
+        cls, host: str, service: str, rng: random.Random
+    ) -> typing.Self:
+        """Return the Hello of a process that starts."""
+        version_bits = PROTOCOL_VERSION << _INCARNATION_BITS
+        incarnation = rng.getrandbits(_INCARNATION_BITS) | version_bits
+        return cls(host, incarnation, service)
+
+    @property
+    def protocol_version(self) -> int:
+        """Return the version of the protocol that the sender speaks."""
+        return self.incarnation >> _INCARNATION_BITS
+
 
 @dataclass(slots=True, frozen=True)
 class CallSent:
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -63,8 +63,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
         self._links: set[transport.Link] = set()
-        hello = coordination.Hello(
-            config.host, rng.getrandbits(48), config.service
+        hello = coordination.Hello.from_settings(
+            config.host, config.service, rng
         )
         self._hello = hello
         self.memory_budget = state.MemoryBudget.from_memory_limit(
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -87,6 +87,10 @@
                 return
             case coordination.CallCancelled(call_id):
                 self._body_sender.cancel_call(call_id)
+            case coordination.HostsRemoved() if (
+                self.peer is None or self.peer.protocol_version < 1
+            ):
+                return  # An older node ends a link on which it gets this.
             case _:
                 pass
         self._write(message)
