Let arbiters report removed hosts, but not those that may have left

- Rates were still exceeded in fleets of over 20 hosts: the eight hosts that tell an arbiter may have restarted and know nothing.
The other arbiters, which are told themselves, now always do.
A node now reports only removals that it saw in contact with the source, and ignores reports on hosts that it saw draining.
- Ages grew with each report in transit, and ages and numbers of hosts had no bound.

--- a/features/mesh/quota_cut.feature
+++ b/features/mesh/quota_cut.feature
@@ -50,6 +50,17 @@
       | 6   | 1.0      |
       | 8   | 1.0      |
 
+  Scenario Outline: Restarted nodes that know nothing do not hide removed hosts
+    Given <hosts> linked nodes and a team with rate 200 and burst 200
+    When <cut> of them are cut off, their entries expire, and the others restart one by one, the arbiters last, in an order of seed <seed>
+    Then the tokens of any 5 s stay within the platform's bound
+
+    Examples:
+      | hosts | cut | seed |
+      | 30    | 12  | 0    |
+      | 60    | 24  | 0    |
+      | 60    | 24  | 1    |
+
   Scenario Outline: Calls within the rate are not refused after hosts are lost
     Given 10 linked nodes and a team with rate 200 and burst 200
     When <cut> of them are lost, their entries expire after 4.5 s, and the others get <calls> calls a second
@@ -85,6 +96,32 @@
       | ready    | the other | 60  | 9   | 9     | 1    |
       | draining | the other | 5   | 9   | 9     | 55   |
 
+  Scenario Outline: Hosts that may have left unseen are not reported to others
+    Given a census of 10 hosts that <contact>
+    When its entry is removed
+    Then it counts 10 hosts and tells others of <told> that was removed
+
+    Examples: Guards against hosts that left by plan while a node was cut off
+      | contact                         | told |
+      | the source confirms             | 1    |
+      | lost the source                 | 0    |
+      | has just found the source again | 0    |
+      | found the source again 3 s ago  | 1    |
+
+  Scenario Outline: What others report of a host
+    Given a census of 10 hosts, one of them <state>
+    When its entry is removed
+    And others report that host after <ages> s
+    Then <now> hosts count now and <later> after 60 s
+
+    Examples:
+      | state    | ages       | now | later |
+      | draining | 0          | 9   | 9     |
+      | draining | 30, 0      | 9   | 9     |
+      | ready    | 0, 0       | 10  | 9     |
+      | ready    | -30        | 10  | 9     |
+      | ready    | 100        | 10  | 9     |
+
   Scenario Outline: A part without the source stops when others stop counting it
     Given an arbiter of 10 hosts that grants for <covered> of them
     When the source confirmed its entries <age> s ago
--- a/features/steps/mesh_quota_cut_steps.py
+++ b/features/steps/mesh_quota_cut_steps.py
@@ -74,7 +74,9 @@
                     self.nodes.tell(name, coordination.PeerUp(other, send))
             self.nodes.tell(name, coordination.FleetChanged(fleet))
 
-    def restart_in_turn(self, names, fleet, interval_s):
+    def restart_in_turn(
+        self, names, fleet, interval_s, calls_per_s=CALLS_PER_NODE
+    ):
         """Restart nodes one by one; the others get their calls meanwhile."""
         for name in names:
             others = [other for other in names if other != name]
@@ -89,7 +91,7 @@
                 for near, far in ((name, other), (other, name)):
                     send = self.nodes.send(near, far)
                     self.nodes.tell(near, coordination.PeerUp(far, send))
-            self.call(self.nodes.names, interval_s)
+            self.call(self.nodes.names, interval_s, calls_per_s)
 
     def heal(self):
         """Connect all nodes again and list all their entries."""
@@ -170,6 +172,27 @@
     fleet.call(nodes.names, CUT_S)
 
 
+@when(
+    "{cut:d} of them are cut off, their entries expire, and the others "
+    "restart one by one, the arbiters last, in an order of seed {seed:d}"
+)
+def step_restart_arbiters_last(context, cut, seed):
+    nodes = context.nodes
+    fleet = CutFleet(nodes)
+    names = random.Random(seed).sample(nodes.names, len(nodes.names))
+    away, rest = names[:cut], names[cut:]
+    calls_per_s = 10 * CALLS_PER_NODE / len(nodes.names)
+    fleet.call(nodes.names, 2.0, calls_per_s)
+    fleet.cut(away, True)
+    fleet.call(nodes.names, 4.5, calls_per_s)
+    seen = fleet.expire(away, rest)
+    fleet.call(nodes.names, 1.0, calls_per_s)
+    arbiters = state.arbiter_hosts(seen)
+    order = [name for name in rest if name not in arbiters]
+    fleet.restart_in_turn([*order, *arbiters], seen, 0.3, calls_per_s)
+    fleet.call(nodes.names, 8.0, calls_per_s)
+
+
 @when("cuts, expired entries and returns are drawn from seed {seed:d}")
 def step_drawn(context, seed):
     rng = random.Random(seed)
@@ -261,7 +284,7 @@
 @when("a new census lists {listed} hosts and hears of it after {age_s:g} s")
 def step_heard(context, listed, age_s):
     heard_at_s = 10.0 + age_s
-    age_s_by_host = context.census.removed_age_s_by_host(heard_at_s)
+    age_s_by_host = context.census.reported_age_s_by_host(heard_at_s)
     context.census = state.HostCensus()
     match listed:
         case "no":
@@ -275,6 +298,45 @@
     context.heard_at_s = heard_at_s
 
 
+@given("a census of 10 hosts that {contact}")
+def step_census_contact(context, contact):
+    context.listed = [
+        mesh_directory_steps.make_server(
+            f"i-{number}", host=f"10.0.0.{number}"
+        )
+        for number in range(9)
+    ]
+    last = mesh_directory_steps.make_server("i-9", host="10.0.0.9")
+    context.census = state.HostCensus()
+    context.census.update([*context.listed, last], 0.0)
+    match contact:
+        case "the source confirms":
+            confirmed = [(tenth / 10, tenth / 10) for tenth in range(101)]
+        case "lost the source":
+            confirmed = [(0.0, tenth / 10) for tenth in range(101)]
+        case "has just found the source again":
+            confirmed = [(0.0, tenth / 10) for tenth in range(96)]
+            confirmed += [(tenth / 10, tenth / 10) for tenth in (98, 99, 100)]
+        case "found the source again 3 s ago":
+            confirmed = [(0.0, tenth / 10) for tenth in range(70)]
+            confirmed += [(tenth / 10, tenth / 10) for tenth in range(70, 101)]
+    for at_s, now_s in confirmed:
+        context.census.confirm(at_s, now_s)
+
+
+@then("it counts 10 hosts and tells others of {count:d} that was removed")
+def step_tells(context, count):
+    assert context.census.count("10.0.0.0", 10.0) == 10
+    told = context.census.reported_age_s_by_host(10.0)
+    assert len(told) == count, told
+
+
+@when("others report that host after {ages} s")
+def step_reports(context, ages):
+    for age_s in map(float, ages.split(", ")):
+        context.census.add_removed({"10.0.0.9": age_s}, 10.0)
+
+
 @then("it counts {now:d} hosts now and {later:d} after {wait_s:g} s")
 def step_heard_count(context, now, later, wait_s):
     found = [
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -28,6 +28,7 @@
 """One in this many periodic presence reports lists the reachable arbiters."""
 SPARE_TOKEN_TTL_S = 1.0
 """Time for which an unused token can be used by another call."""
+_MAX_REMOVED_AGE_MS = round(1000 * state.ABSENT_GRANTS_S)
 
 
 @dataclass(slots=True)
@@ -112,6 +113,7 @@
                 self._update_reachable(now_s)
             case _messages.SourceConfirmed(at_s):
                 self._arbiter.confirmed_at_s = at_s
+                self._census.confirm(at_s, now_s)
             case _messages.BoundsChanged(quota):
                 self._arbiter.bounds = quota
             case _messages.QuotaTick():
@@ -215,7 +217,12 @@
                 )
             case _peer_messages.HostsRemoved(age_ms_by_host):
                 self._census.add_removed(
-                    {name: age / 1000 for name, age in age_ms_by_host}, now_s
+                    {
+                        name: age_ms / 1000
+                        for name, age_ms in age_ms_by_host
+                        if 0 <= age_ms <= _MAX_REMOVED_AGE_MS
+                    },
+                    now_s,
                 )
                 self._count_hosts(now_s)
             case _:
@@ -274,8 +281,10 @@
 
     def _report_removed(self, arbiter: str, now_s: float) -> None:
         """Tell an arbiter, which may have started later, of removed hosts."""
-        age_s_by_host = self._census.removed_age_s_by_host(now_s)
-        if age_s_by_host and self._census.reports_to(arbiter, self._own_host):
+        age_s_by_host = self._census.reported_age_s_by_host(now_s)
+        if age_s_by_host and self._census.reports_to(
+            arbiter, self._own_host, self._arbiters
+        ):
             self._send_by_host[arbiter](
                 _peer_messages.HostsRemoved(
                     tuple(
