Take no more tokens of a late reply than were asked for

A reply of an arbiter that was silent and came back, to five calls, reached a task that had asked it again for one: IndexError, a logged traceback, and the task's other waiting calls without an answer until the next tick.

Cause: replies are matched by team and arbiter only. The tokens of a late reply are now limited to the number of the current request, which is conservative.

features/mesh/quota_task.feature: the new scenario fails before.

--- a/features/mesh/quota_task.feature
+++ b/features/mesh/quota_task.feature
@@ -34,6 +34,11 @@
     When a node's call leaves its token unused
     Then its next call gets a token without a message
 
+  Scenario: A late reply of an arbiter does not end the task
+    Given 8 linked nodes and a team with rate 40 and burst 40
+    When the arbiter's reply to 5 calls arrives after another call has asked it
+    Then that call gets a token
+
   Scenario: A team without a rate limit
     Given 8 linked nodes and a team with rate 0 and burst 0
     When nothing fails and then each node has 40 calls in a second
--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -255,3 +255,30 @@
     nodes.request_token(context.node, 2)
     assert nodes.answers[2][0].granted
     assert nodes.messages == sent
+
+
+@when("the arbiter's reply to 5 calls arrives after another call has asked it")
+def step_late_reply(context):
+    nodes = context.nodes
+    arbiter = nodes.arbiter()
+    node = next(
+        name
+        for name in nodes.names
+        if name not in state.arbiter_hosts(nodes.fleet)
+    )
+    up = coordination.PeerUp(arbiter, lambda message: None)
+    nodes.tell(node, up)
+    for number in range(5):
+        nodes.request_token(node, number)
+    nodes.tell(node, coordination.PeerSilent(arbiter))
+    nodes.run(1.0)
+    nodes.tell(node, up)
+    nodes.request_token(node, 5)
+    late = coordination.TokensGranted(nodes.team.name, 5, 0)
+    nodes.tell(node, coordination.ArbiterGranted(arbiter, late))
+
+
+@then("that call gets a token")
+def step_late_granted(context):
+    message, _ = context.nodes.answers[5]
+    assert message.granted
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -168,6 +168,8 @@
         """Reply to the calls for which tokens were requested."""
         requests.arbiter = None
         requested, requests.requested = requests.requested, 0
+        # A late reply may be to an earlier request.
+        granted = min(granted, requested)
         for _ in range(granted):
             self._reply(requests.waiting.popleft(), True, 0.0)
         if granted < requested:
