--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Settings and hooks of behave for all features."""
 
 import os
+import traceback
 
 from hypothesis import settings
 
@@ -16,3 +17,10 @@
     if stack is not None:
         stack.close()
         context.exit_stack = None
+
+
+def after_step(context, step):
+    """Print the error of a step; the report has only failed assertions."""
+    del context
+    if step.status.name == "error" and step.exception is not None:
+        traceback.print_exception(step.exception)
