Hold requests that come whole until their bodies have memory

Seen: one read can bring a body along with its head. If the part of the memory budget for it was full, the claim was withdrawn and the request was started all the same, so that the bodies of many connections were held without a claim.

Cause: the end of the message ended the wait (BodyIntake.stop_waiting).

Now a complete request waits in the reader until its claim is granted or the time limit of a request ends; then it is refused as not run, and the requests behind it on the connection follow in order. Bytes that came before their claim are counted, in `held_bytes` too, and limited to 7 % of the memory limit; a body beyond that is refused at once. If the same read brought it whole, the connection goes on, otherwise it ends as before.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -115,6 +115,48 @@
       | 4    | 4 MB in chunks   | held     | 503 at once                  | none  |
       | 4    | 5 MB             | complete | 413 at once                  | 200   |
 
+  Scenario Outline: A request that comes whole waits for memory in its turn
+    Given a node with 20 MB of memory, all used that is for small bodies
+    When a caller sends <sent> at once, and <event>
+    Then <kept> kB are counted and <first> requests run meanwhile
+    And the answers are <statuses> in this order, those of 200 have run once
+    And the node holds no bytes once the memory is free
+
+    Examples:
+      | sent                        | event               | kept | first | statuses    |
+      | 20 kB                       | memory is free soon | 20   | 0     | 200         |
+      | 20 kB                       | no memory is free   | 20   | 0     | 503         |
+      | 20 kB, 0 kB, 30 kB          | memory is free soon | 50   | 0     | 200 200 200 |
+      | 20 kB, 0 kB, 30 kB          | no memory is free   | 50   | 0     | 503 200 503 |
+      | 0 kB, 20 kB, 0 kB           | no memory is free   | 20   | 1     | 200 503 200 |
+      | 0 kB, 20 kB, 0 kB           | memory is free soon | 20   | 1     | 200 200 200 |
+      | 20 kB in chunks, 0 kB       | memory is free soon | 20   | 0     | 200 200     |
+      | 20 kB, a line without method | no memory is free  | 20   | 0     | 503 400     |
+      | 20 kB, a line without method | memory is free soon | 20  | 0     | 200 400     |
+      | 20 kB, 0 kB                 | the node stops      | 20   | 0     | 503 503     |
+      | 20 kB, 0 kB                 | the caller leaves   | 20   | 0     | none        |
+
+  Scenario Outline: Requests behind one that is refused at once are answered
+    Given a node with 20 MB of memory, all used that is for small bodies
+    And as many bytes as it keeps of bodies whose claims wait
+    When a caller sends <sent> at once, and no memory is free
+    Then 0 kB are counted and <first> requests run meanwhile
+    And the answers are <statuses> in this order, those of 200 have run once
+    And the node holds no bytes once the memory is free
+
+    Examples:
+      | sent                               | first | statuses    |
+      | 20 kB, 0 kB                        | 1     | 503 200     |
+      | 20 kB, 30 kB, 0 kB                 | 1     | 503 503 200 |
+      | 0 kB, 20 kB in chunks, 0 kB        | 2     | 200 503 200 |
+      | 0 kB, 20 kB, a line without method | 1     | 200 503 400 |
+
+  Scenario: Bodies that come before their claims are bounded
+    Given a node with 4 MB of memory, all used that is for small bodies
+    When 100 callers send 41 kB each at once
+    Then 6 wait and are answered 200, and 94 get 503 at once
+    And the node holds no bytes once the memory is free
+
   Scenario: Four bodies of 64 MB at a time leave a node within its memory
     Given a node as a process with 300 MB, and six callers that book
     When four callers send bodies of 64 MB each at the same time, twice
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -10,6 +10,11 @@
 """Size up to which bodies have a part of the budget to themselves."""
 BODY_SHARE = 0.55
 """Share of the memory limit for bodies; the rest is for everything else."""
+EARLY_SHARE = 0.07
+"""Share of the memory limit for bodies that arrive before they are claimed.
+
+One read can bring a body along with its head.
+"""
 UNSENT_SHARE = 0.2
 """Share of the memory limit for answers that callers do not take."""
 SMALL_SHARE = 0.125
@@ -102,6 +107,9 @@
     _part_by_kind: dict[BudgetPart, _Part]
     unsent_limit_bytes: int = 0
     """Bytes of answers above which the slowest callers are disconnected."""
+    early_limit_bytes: int = 0
+    """Bytes that may be kept of bodies whose claims wait."""
+    _early_bytes: int = 0
     _claim_by_id: dict[int, _Claim] = field(default_factory=dict)
     _last_id: int = 0
 
@@ -118,6 +126,7 @@
                 BudgetPart.LINKS: _Part(large_bytes),
             },
             int(UNSENT_SHARE * limit_bytes),
+            int(EARLY_SHARE * limit_bytes),
         )
 
     @property
@@ -127,8 +136,10 @@
 
     @property
     def held_bytes(self) -> int:
-        """Return the bytes of all claims that are granted."""
-        return sum(part.held_bytes for part in self._part_by_kind.values())
+        """Return the bytes of granted claims, and those that came early."""
+        return self._early_bytes + sum(
+            part.held_bytes for part in self._part_by_kind.values()
+        )
 
     @property
     def waiting(self) -> int:
@@ -188,6 +199,21 @@
         self._grant_waiting(old_part)
         return True
 
+    def keep_early(self, size_bytes: int) -> bool:
+        """Count bytes of a body whose claim waits, unless there are too many.
+
+        They belong to no part, as claims can only be granted if they do not
+        take the room that they wait for.
+        """
+        if self._early_bytes + size_bytes > self.early_limit_bytes:
+            return False
+        self._early_bytes += size_bytes
+        return True
+
+    def drop_early(self, size_bytes: int) -> None:
+        """Stop counting such bytes, which are claimed or freed now."""
+        self._early_bytes -= size_bytes
+
     def release(self, claim_id: int) -> None:
         """Give back the bytes of a claim, or stop waiting for them.
 
--- a/src/jasminecrank/mesh/transport/_body_intake.py
+++ b/src/jasminecrank/mesh/transport/_body_intake.py
@@ -55,6 +55,8 @@
         """Bytes announced, or received so far if the length is unknown."""
         self._claimed_bytes = 0
         self._received_bytes = 0
+        self._early_bytes = 0
+        """Bytes received while the claim waits."""
         self._parts: list[bytes] = []
         """The body until it has a buffer, or all of a small one."""
         self._buffer: _body_buffer.BodyBuffer | None = None
@@ -87,13 +89,14 @@
 
     def resume(self) -> None:
         """Continue after the claim was granted."""
-        self.is_waiting = False
+        self._end_wait()
         self._allocate()
 
     def add(self, data: bytes) -> IntakeStep:
         """Keep a part of the body.
 
-        While the claim waits, this is the rest of one read.
+        While the claim waits, this is the rest of one read; it is refused if
+        too much has come before its claim at all connections.
         """
         self._received_bytes += len(data)
         self.size_bytes = max(self.size_bytes, self._received_bytes)
@@ -101,6 +104,10 @@
             return IntakeStep.REFUSE_SIZE
         if self._received_bytes > self._claimed_bytes and not self._grow():
             return IntakeStep.REFUSE_MEMORY
+        if self.is_waiting:
+            if not self._budget.keep_early(len(data)):
+                return IntakeStep.REFUSE_MEMORY
+            self._early_bytes += len(data)
         if self._buffer is None:
             self._parts.append(data)
         else:
@@ -113,13 +120,6 @@
             return b"".join(self._parts)
         return self._buffer.view()
 
-    def stop_waiting(self) -> None:
-        """Withdraw the claim of a body that one read has brought whole."""
-        if self.is_waiting and self._claim_id is not None:
-            self._budget.release(self._claim_id)
-            self._claim_id = None
-        self.is_waiting = False
-
     def take_claim(self) -> int | None:
         """Return the claim of a small body, to be released with its reply.
 
@@ -130,12 +130,18 @@
 
     def drop(self) -> None:
         """Give up the body and its claim."""
+        self._end_wait()
         claim_id = self.take_claim()
         if claim_id is not None:
             self._budget.release(claim_id)
         self._parts.clear()
         self._buffer = None
 
+    def _end_wait(self) -> None:
+        self.is_waiting = False
+        self._budget.drop_early(self._early_bytes)
+        self._early_bytes = 0
+
     def _grow(self) -> bool:
         """Claim more memory for a body of unknown length."""
         size_bytes = min(
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -63,7 +63,9 @@
         self._transport: asyncio.Transport | None = None
         self._reader = _request_reader.RequestReader(self, context.budget)
         self._debts = state.ConnectionDebts()
-        self._requests: deque[protocol.RawRequest] = deque()
+        self._requests: deque[
+            protocol.RawRequest | _request_reader.RefusedRequest
+        ] = deque()
         self._current_number = 0
         self._current_method = b""
         self._ended = False
@@ -146,7 +148,7 @@
         self._requests.clear()
         while self._claim_ids:
             self._release_claim()
-        self._reader.drop_body()
+        self._reader.close()
         if self._debts.in_progress:
             self._context.tell(
                 coordination.CallerDisconnected(self._current_number)
@@ -169,7 +171,8 @@
 
     def on_memory_granted(self) -> None:
         """Read the body, in the time limit of a request from now on."""
-        if not self._debts.answers_due:
+        waits = self._reader.waits_for_memory
+        if not self._debts.answers_due and not waits:
             self._start_timer(self._context.limits.header_timeout_s)
         self._update_reading()
 
@@ -194,13 +197,13 @@
 
     def on_request(
         self,
-        raw: protocol.RawRequest,
+        request: protocol.RawRequest | _request_reader.RefusedRequest,
         keep_alive: bool,
         claim_id: int | None,
     ) -> None:
         """Queue a complete request; pause reading if too many wait."""
-        self._debts.receiving = False
-        self._requests.append(raw)
+        self._debts.receiving = self._reader.is_receiving
+        self._requests.append(request)
         self._claim_ids.append(claim_id)
         self._debts.waiting += 1
         self._debts.last_request_read = not keep_alive
@@ -255,6 +258,7 @@
 
     def refuse_unstarted(self) -> None:
         """Refuse the requests that wait or were received in part."""
+        self._reader.refuse_held(_STOPPING)
         if self._debts.receiving:
             self._reader.refuse(
                 state.RefusalKind.OVERLOADED, state.STOPPING_REASON
@@ -306,18 +310,30 @@
             case _:
                 typing.assert_never(step)
 
-    def _take_request(self) -> tuple[int, protocol.RawRequest]:
+    def _take_request(
+        self,
+    ) -> tuple[int, protocol.RawRequest | state.Refusal]:
         self._cancel_timer()
-        raw = self._requests.popleft()
+        raw: protocol.RawRequest | state.Refusal
+        match self._requests.popleft():
+            case _request_reader.RefusedRequest(head, refusal):
+                method, raw = head.method, refusal
+            case protocol.RawRequest() as raw:
+                method = raw.method
         self._debts.waiting -= 1
         self._debts.in_progress = True
         self._current_number = next(self._context.request_numbers)
-        self._current_method = raw.method
+        self._current_method = method
         return self._current_number, raw
 
     def _start_request(self) -> None:
         number, raw = self._take_request()
-        request = self._context.codec.read_request(raw)
+        request: state.CallRequest | state.Refusal
+        match raw:
+            case protocol.RawRequest():
+                request = self._context.codec.read_request(raw)
+            case state.Refusal():
+                request = raw
         match request:
             case state.Refusal():
                 self._reply(number, request, None)
@@ -407,7 +423,7 @@
 
     def _on_timeout(self, timeout_s: float) -> None:
         if self._reader.waits_for_memory:
-            self._reader.refuse_for_memory()
+            self._reader.end_memory_waits()
             return
         step = self._debts.timeout_step(self._undelivered_bytes)
         if step is state.ConnectionStep.CLOSE:
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -1,6 +1,9 @@
 """Reads HTTP/1.1 requests from the bytes of a connection."""
 
 import asyncio
+from collections import deque
+import dataclasses
+from dataclasses import dataclass
 import functools
 import typing
 
@@ -16,6 +19,35 @@
 """Bytes of a head besides its target and headers, such as the method."""
 
 
+@dataclass(slots=True, frozen=True)
+class RefusedRequest:
+    """Complete request that is answered without being run."""
+
+    head: protocol.RawRequest
+    refusal: state.Refusal
+
+
+@dataclass(slots=True)
+class _ReadRequest:
+    """Complete request that is handed over once its body has memory."""
+
+    head: protocol.RawRequest
+    keep_alive: bool
+    intake: _body_intake.BodyIntake | None
+    refusal: state.Refusal | None = None
+    """Set if the wait has ended without memory."""
+
+    @property
+    def is_waiting(self) -> bool:
+        return self.intake is not None and self.intake.is_waiting
+
+    def refuse(self, refusal: state.Refusal) -> None:
+        """Give up the body."""
+        self.refusal = refusal
+        if self.intake is not None:
+            self.intake.drop()
+
+
 class RequestOwner(typing.Protocol):
     """Callbacks for what has been read."""
 
@@ -38,7 +70,7 @@
 
     def on_request(
         self,
-        raw: protocol.RawRequest,
+        request: protocol.RawRequest | RefusedRequest,
         keep_alive: bool,
         claim_id: int | None,
     ) -> None:
@@ -58,6 +90,12 @@
         self._budget = budget
         self._intake: _body_intake.BodyIntake | None = None
         """The body that is being received, if the request has one."""
+        self._held: deque[_ReadRequest | state.Refusal] = deque()
+        """Requests of one read, from the first whose body has no memory yet.
+
+        A refusal is that of the request after which nothing is read.
+        """
+        self._is_in_request = False
         self._parser = httptools.HttpRequestParser(self)
         self._limits = state.CallerLimits()
         self._ended = False
@@ -76,13 +114,22 @@
             self.refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
         except httptools.HttpParserError as error:
             self.refuse(state.RefusalKind.REQUEST_INVALID, str(error))
+        if self._is_body_refused:
+            self._refuse_for_memory()
         if self._unparsed_bytes > limits.max_header_bytes + HEAD_MARGIN_BYTES:
             self._refuse_head()
 
     @property
     def waits_for_memory(self) -> bool:
-        """Return whether a body must not be read yet."""
-        return self._intake is not None and self._intake.is_waiting
+        """Return whether no more must be read yet."""
+        return bool(self._held) or (
+            self._intake is not None and self._intake.is_waiting
+        )
+
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request is read in part or waits for memory."""
+        return self._is_in_request or bool(self._held)
 
     def refuse(
         self,
@@ -94,34 +141,44 @@
         if self._ended:
             return
         self._ended = True
-        self.drop_body()
+        self._is_in_request = False
+        self._drop_body()
         self._reset()
-        self._owner.on_invalid(state.Refusal(kind, detail, retry_after_s))
-
-    def refuse_for_memory(self) -> None:
-        """Refuse a request for whose body there is no memory; not run."""
-        if self._intake is None:
-            return
-        head = protocol.RawRequest(
-            self._method, self._target, tuple(self._headers), b""
-        )
-        self._owner.on_memory_refused(head, self._intake.size_bytes)
-        self.refuse(
-            state.RefusalKind.OVERLOADED,
-            state.MEMORY_REASON,
-            state.MEMORY_RETRY_S,
-        )
-
-    def drop_body(self) -> None:
-        """Give up the body that is being received, with its memory."""
-        if self._intake is not None:
-            self._intake.drop()
-            self._intake = None
+        refusal = state.Refusal(kind, detail, retry_after_s)
+        if self._held:
+            self._held.append(refusal)
+        else:
+            self._owner.on_invalid(refusal)
+
+    def end_memory_waits(self) -> None:
+        """Refuse the requests that have waited too long; they are not run."""
+        for held in self._held:
+            if isinstance(held, _ReadRequest) and held.is_waiting:
+                self._refuse_read(held)
+        if self._intake is not None and self._intake.is_waiting:
+            self._refuse_for_memory()
+        self._hand_over_held()
+
+    def refuse_held(self, refusal: state.Refusal) -> None:
+        """Refuse the complete requests that wait for memory."""
+        for held in self._held:
+            if isinstance(held, _ReadRequest):
+                held.refuse(refusal)
+        self._hand_over_held()
+
+    def close(self) -> None:
+        """Give up all bodies, with their memory."""
+        self._drop_body()
+        for held in self._held:
+            if isinstance(held, _ReadRequest) and held.intake is not None:
+                held.intake.drop()
+        self._held.clear()
 
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._reset()
         if not self._ended:
+            self._is_in_request = True
             self._owner.on_request_begin()
 
     def on_url(self, url: bytes) -> None:
@@ -149,26 +206,80 @@
     def on_body(self, body: bytes) -> None:
         """Append to the body and refuse a request that is too large."""
         self._unparsed_bytes = 0
-        if not self._ended and self._intake is not None:
+        if self._ended or self._is_body_refused:
+            return
+        if self._intake is not None:
             self._follow_intake(self._intake.add(body))
 
     def on_message_complete(self) -> None:
-        """Hand over a complete request."""
+        """Hand over a complete request, after those that wait for memory."""
         if self._ended:
             return
-        body: state.Body = b""
+        request = _ReadRequest(self._head(), self._keep_alive, self._intake)
+        if self._is_body_refused:
+            self._refuse_read(request)
+        self._ended = not self._keep_alive
+        self._is_in_request = False
+        self._reset()
+        if self._held or request.is_waiting:
+            self._held.append(request)
+        else:
+            self._hand_over(request)
+
+    def _hand_over(self, request: _ReadRequest) -> None:
+        if request.refusal is not None:
+            self._owner.on_request(
+                RefusedRequest(request.head, request.refusal),
+                request.keep_alive,
+                None,
+            )
+            return
+        raw = request.head
         claim_id = None
+        if request.intake is not None:
+            raw = dataclasses.replace(raw, body=request.intake.finish())
+            claim_id = request.intake.take_claim()
+        self._owner.on_request(raw, request.keep_alive, claim_id)
+
+    def _hand_over_held(self) -> None:
+        """Hand over requests up to the next one that waits for memory."""
+        while self._held:
+            match self._held[0]:
+                case state.Refusal() as refusal:
+                    self._held.popleft()
+                    self._owner.on_invalid(refusal)
+                case _ReadRequest() as request:
+                    if request.is_waiting:
+                        return
+                    self._held.popleft()
+                    self._hand_over(request)
+
+    def _refuse_read(self, request: _ReadRequest) -> None:
+        """Refuse a complete request for its memory; not run."""
+        assert request.intake is not None
+        self._owner.on_memory_refused(request.head, request.intake.size_bytes)
+        request.refuse(_NO_MEMORY)
+
+    def _head(self) -> protocol.RawRequest:
+        """Return the request that is being read, without its body."""
+        return protocol.RawRequest(
+            self._method, self._target, tuple(self._headers), b""
+        )
+
+    def _drop_body(self) -> None:
+        """Give up the body that is being received, with its memory."""
         if self._intake is not None:
-            self._intake.stop_waiting()
-            body = self._intake.finish()
-            claim_id = self._intake.take_claim()
-        raw = protocol.RawRequest(
-            self._method, self._target, tuple(self._headers), body
+            self._intake.drop()
+            self._intake = None
+
+    def _refuse_for_memory(self) -> None:
+        """Refuse a request whose body is not read to its end; not run."""
+        if self._intake is None:
+            return
+        self._owner.on_memory_refused(self._head(), self._intake.size_bytes)
+        self.refuse(
+            _NO_MEMORY.kind, _NO_MEMORY.detail, _NO_MEMORY.retry_after_s
         )
-        self._ended = not self._keep_alive
-        keep_alive = self._keep_alive
-        self._reset()
-        self._owner.on_request(raw, keep_alive, claim_id)
 
     def _begin_body(self) -> None:
         length = _body_intake.body_length(self._headers)
@@ -193,7 +304,9 @@
             case _body_intake.IntakeStep.WAIT:
                 self._owner.on_memory_wait()
             case _body_intake.IntakeStep.REFUSE_MEMORY:
-                self.refuse_for_memory()
+                self._is_body_refused = True
+                if self._intake is not None:
+                    self._intake.drop()
             case _body_intake.IntakeStep.REFUSE_SIZE:
                 self.refuse(state.RefusalKind.TOO_LARGE, "body")
             case _:
@@ -204,10 +317,13 @@
         asyncio.get_running_loop().call_soon(self._resume_body, intake)
 
     def _resume_body(self, intake: _body_intake.BodyIntake) -> None:
-        if self._intake is intake and intake.is_waiting:
-            intake.resume()
+        if not intake.is_waiting:
+            return
+        intake.resume()
+        if self._intake is intake:
             self._ask_for_body()
-            self._owner.on_memory_granted()
+        self._hand_over_held()
+        self._owner.on_memory_granted()
 
     def _ask_for_body(self) -> None:
         if protocol.find_header(self._headers, b"expect") is not None:
@@ -233,3 +349,10 @@
         They are those of a line without end, which only the parser holds.
         """
         self._keep_alive = True
+        self._is_body_refused = False
+        """Whether the rest of the body in this read is discarded."""
+
+
+_NO_MEMORY = state.Refusal(
+    state.RefusalKind.OVERLOADED, state.MEMORY_REASON, state.MEMORY_RETRY_S
+)
