Count the large answers of other nodes in the memory budget

Seen (trial): 64 answers of 4 MB kept at the end of a link took 250 MB of resident memory. The budget of 300 MB counted 0 of them and granted a body of 64 MB beside them.

Cause: BodyReceiver took an answer without a claim, since a call that has run is answered in any case.

Now an answer of over 64 KiB claims its bytes without a condition, in the part for callers' bodies, and the claim is released with its memory.

Tests, failed before with 0 bytes held: "Answers of peers are counted, and are taken over the limit too", "A part of an answer is released with its link".

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -20,6 +20,10 @@
       | 64 MB for a caller, 64 MB for a link | 0.0002 MB | caller | granted     |
       | 64 MB for a caller                | 64 MB       | link   | granted      |
       | 64 MB for a link                  | 64 MB       | link   | denied       |
+      | 80 MB of answers                  | 0.1 MB      | caller | waiting      |
+      | 80 MB of answers                  | 0.06 MB     | caller | granted      |
+      | 80 MB of answers                  | 64 MB       | link   | granted      |
+      | 40 MB of answers                  | 30 MB       | caller | granted      |
 
   Scenario: Claims are granted in order of arrival
     Given the budget of a node with 300 MB that holds 64 MB for a caller
@@ -70,6 +74,16 @@
     When 12 answers of 4 MB are sent at the same time
     Then all 12 arrive whole on the link
 
+  Scenario: Answers of peers are counted, and are taken over the limit too
+    Given a link between two nodes with 300 MB
+    When 20 answers of 4 MB are kept, and then dropped
+    Then 80 MB were held, and a body of a caller had to wait for them
+
+  Scenario: A part of an answer is released with its link
+    Given a link between two nodes with 300 MB
+    When a peer sends a part of an answer of 4 MB and the link ends
+    Then 4 MB were held, and none afterwards
+
   Scenario Outline: A body that breaks its announcement closes the link
     Given a link between two nodes with 300 MB
     When a peer sends <frames>
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -177,6 +177,20 @@
         part.size_by_waiting_id[claim_id] = size_bytes
         return Waiting(claim_id)
 
+    def claim_answer(self, size_bytes: int) -> int:
+        """Claim bytes for an answer of another node, over the limit as well.
+
+        The call has run, so its answer is taken in any case. It counts in the
+        part for callers, whose further bodies wait meanwhile.
+        """
+        part = self._part_by_kind[BudgetPart.CALLERS]
+        self._last_id += 1
+        self._claim_by_id[self._last_id] = _Claim(
+            size_bytes, BudgetPart.CALLERS, None
+        )
+        part.held_bytes += size_bytes
+        return self._last_id
+
     def grow(self, claim_id: int, use: BodyUse, size_bytes: int) -> bool:
         """Enlarge a granted claim to a size, unless there is no room.
 
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -158,8 +158,11 @@
             case coordination.CallSent():
                 buffer = self._allocate(carrier, message.body_bytes)
             case coordination.CallServed():
-                # The call has run, so its response is taken in any case.
-                buffer = _body_buffer.BodyBuffer(message.body_bytes)
+                buffer = _body_buffer.BodyBuffer.from_claim(
+                    message.body_bytes,
+                    self._budget,
+                    self._budget.claim_answer(message.body_bytes),
+                )
             case _:
                 raise protocol.LinkError("body of a message without a body")
         if buffer is not None:
