Refuse a request that does not arrive in time with 408

What callers saw: a request whose head or body took longer than the header time limit had its connection closed without an answer, after which a booking may not be repeated. `timeout_step` knew only to wait or to close.

A request received in part is now a step of its own: the reader gives it up, and the refusal follows the answers that are due, as for an invalid one. It was never handed on, so that 408 ("not run") is true. An idle connection is closed without a word, as before.

Evidence: on the code before, 9 of 9 rows of "A request that does not arrive in time" got no answer in place of 408.

One row of the decision table said that a time limit closes a connection with a part of a request, which is this fault; it now asks for the refusal, and two rows were added for bytes that are undelivered and a request in progress.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -93,6 +93,26 @@
       | 1000 |
       | 4000 |
 
+  Scenario Outline: A request that does not arrive in time is refused as not run
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    And requests have to arrive within 0.5 s
+    When a caller sends <before> requests and, as its next one, <what>
+    Then it gets <before> complete answers, then 408, and the connection ends
+    And the servers have run <before> requests
+
+    Examples:
+      | before | what                        |
+      | 0      | half a head                 |
+      | 0      | a head without its body     |
+      | 0      | half a body                 |
+      | 0      | a head, a byte each 0.1 s   |
+      | 0      | a body, a byte each 0.1 s   |
+      | 0      | chunks, one each 0.1 s      |
+      | 1      | half a head                 |
+      | 3      | half a body                 |
+      | 3      | a body, a byte each 0.1 s   |
+
   Scenario Outline: A connection that opens late in a stop is answered
     Given a deployment of 2 hosts on the event loop of a process
     When node 0 stops, and <opened> s later a connection opens that sends a request after <wait> s
@@ -161,7 +181,9 @@
       | nothing               | 9.0 | callers-left  | 1     | wait  | wait  |
       | a waiting request     | 9.0 | callers-left  | 0     | wait  | wait  |
       | a request in progress | 9.0 | window-closed | 0     | wait  | wait  |
-      | a part of a request   | 9.0 | callers-left  | 0     | wait  | close |
+      | a part of a request   | 9.0 | callers-left  | 0     | wait  | refuse-incomplete |
+      | a part of a request   | 9.0 | serving       | 1     | wait  | wait  |
+      | a request in progress, a part of a request | 9.0 | serving | 0 | wait | wait |
       | a refusal             | 9.0 | callers-left  | 0     | wait  | wait  |
 
   Scenario Outline: Requests of one read are all answered in a stop
--- a/features/platform/headers.feature
+++ b/features/platform/headers.feature
@@ -106,3 +106,4 @@
       | timed-out       | 504    |
       | request-invalid | 400    |
       | too-large       | 413    |
+      | incomplete      | 408    |
--- a/features/steps/mesh_refusal_steps.py
+++ b/features/steps/mesh_refusal_steps.py
@@ -4,11 +4,17 @@
 import contextlib
 import time
 
+from behave import given
 from behave import then
 from behave import when
 import mesh_owed_steps
 
+from jasminecrank.mesh import state
+
+DRIP_S = 0.1
+DRIPS = 40
 TARGET = "/book/1"
+LENGTH = {"Content-Length": "1000"}
 
 
 async def _send_requests(caller, count):
@@ -90,3 +96,55 @@
         return not server._context.connections
 
     context.runner.run(context.fleet.wait_until(none_left, limit_s))
+
+
+@given("requests have to arrive within {limit_s:g} s")
+def step_time_limit(context, limit_s):
+    limits = state.CallerLimits(header_timeout_s=limit_s)
+    context.fleet.nodes[0]._caller_server.set_limits(limits)
+
+
+async def _send_part(caller, what):
+    drip = b""
+    match what:
+        case "half a head":
+            await caller.write(b"GET /lots/1 HTTP/1.1\r\nHost: a.example\r\n")
+        case "a head without its body":
+            await caller.send("POST", TARGET, LENGTH)
+        case "half a body":
+            await caller.send("POST", TARGET, LENGTH)
+            await caller.write(b"x" * 500)
+        case "a head, a byte each 0.1 s":
+            await caller.write(b"POST /book/1 HTTP/1.1\r\nA: ")
+            drip = b"a"
+        case "a body, a byte each 0.1 s":
+            await caller.send("POST", TARGET, LENGTH)
+            drip = b"x"
+        case "chunks, one each 0.1 s":
+            await caller.write(
+                b"POST /book/1 HTTP/1.1\r\nHost: a.example\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            drip = b"1\r\nx\r\n"
+        case _:
+            raise ValueError(what)
+    for _ in range(DRIPS if drip else 0):
+        await caller.write(drip)
+        await asyncio.sleep(DRIP_S)
+
+
+@when("a caller sends {before:d} requests and, as its next one, {what}")
+def step_part(context, before, what):
+    async def act():
+        caller = await mesh_owed_steps.open_caller(context)
+        await _send_requests(caller, before)
+        await _receive(context, caller, _send_part(caller, what))
+
+    context.runner.run(act())
+
+
+@then("the servers have run {count:d} requests")
+def step_runs(context, count):
+    servers = context.fleet.servers
+    runs = sum(server.runs_by_request_id.total() for server in servers)
+    assert runs == count, runs
--- a/src/jasminecrank/mesh/state/_calls.py
+++ b/src/jasminecrank/mesh/state/_calls.py
@@ -83,6 +83,8 @@
     TIMED_OUT = "timed-out"
     REQUEST_INVALID = "request-invalid"
     TOO_LARGE = "too-large"
+    INCOMPLETE = "incomplete"
+    """The request did not arrive in the time that a caller has for it."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/state/_connection_debts.py
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -33,6 +33,8 @@
     """Refuse the first waiting request, which has not run."""
     SEND_REFUSAL = "send-refusal"
     """Send the refusal of the request that could not be read."""
+    REFUSE_INCOMPLETE = "refuse-incomplete"
+    """Refuse the request that has been received in part."""
     CLOSE = "close"
     WAIT = "wait"
 
@@ -113,12 +115,11 @@
                 typing.assert_never(phase)
 
     def timeout_step(self, undelivered_bytes: int) -> ConnectionStep:
-        """Return whether to close after the idle or the header time limit.
-
-        A request that has not arrived in time is given up.
-        """
+        """Return what to do after the idle or the header time limit."""
         if self.answers_due or undelivered_bytes:
             return ConnectionStep.WAIT
+        if self.receiving:
+            return ConnectionStep.REFUSE_INCOMPLETE
         return ConnectionStep.CLOSE
 
     def first_request_wait_s(self, now_s: float) -> float:
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -286,7 +286,9 @@
         """Take the next step on the debts, in the order of the requests."""
         if self._ended or self._transport is None:
             return
-        step = self._debts.next_step(self._context.phase)
+        self._take_step(self._debts.next_step(self._context.phase))
+
+    def _take_step(self, step: state.ConnectionStep) -> None:
         match step:
             case state.ConnectionStep.START_REQUEST:
                 self._start_request()
@@ -298,6 +300,8 @@
                 if refusal is not None:
                     raw = self._context.codec.write_reply(refusal, None)
                     self._write(raw, b"GET")
+            case state.ConnectionStep.REFUSE_INCOMPLETE:
+                self._reader.refuse(state.RefusalKind.INCOMPLETE, "too slow")
             case state.ConnectionStep.CLOSE:
                 self._close()
             case state.ConnectionStep.WAIT:
@@ -409,10 +413,10 @@
             self._reader.refuse_for_memory()
             return
         step = self._debts.timeout_step(self._undelivered_bytes)
-        if step is state.ConnectionStep.CLOSE:
-            self._close()
-        else:
+        if step is state.ConnectionStep.WAIT:
             self._start_timer(timeout_s)
+        else:
+            self._take_step(step)
 
 
 _STOPPING = state.Refusal(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -20,6 +20,7 @@
     "expired": "503: its time was over before a server had room; not run",
     "may-have-run": "502: it was sent to a server and may have run",
     "timed-out": "504: no answer in time; it may have run",
+    "incomplete": "408: the request did not arrive in time; not run",
     "caller-left": "no answer: the caller closed its connection",
 }
 REASONS = {
--- a/src/jasminecrank/platform/_headers.py
+++ b/src/jasminecrank/platform/_headers.py
@@ -27,6 +27,7 @@
     state.RefusalKind.TIMED_OUT: 504,
     state.RefusalKind.REQUEST_INVALID: 400,
     state.RefusalKind.TOO_LARGE: 413,
+    state.RefusalKind.INCOMPLETE: 408,
 }
 
 
