Log the node's own errors in reading a request, and answer 503

What callers saw: 400, after which no request is repeated, when the node itself failed in a callback of the HTTP parser. httptools wraps any error of a callback in a subclass of the error for invalid bytes, and the reader took both for the caller's fault. Nothing of the error was logged.

The wrapped error now goes to the log with its traceback (`request-read-failed`, counted as a failure). The request that was being read has not been handed on, so that it gets the refusal `internal-error` with 503, after the answers that are due. Requests that were read whole are answered, also if the error comes while the last one is handed on.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -113,6 +113,39 @@
       | 3      | half a body                 |
       | 3      | a body, a byte each 0.1 s   |
 
+  Scenario Outline: An error of the node is not blamed on the caller
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    When a caller sends <before> requests and another in whose <callback> the reader fails
+    Then it gets <before> complete answers, then 503, and the connection ends
+    And the servers have run <before> requests
+    And the log names the error that the node met in <callback>
+
+    Examples:
+      | before | callback            |
+      | 0      | on_message_begin    |
+      | 0      | on_url              |
+      | 0      | on_header           |
+      | 0      | on_headers_complete |
+      | 0      | on_body             |
+      | 0      | on_message_complete |
+      | 3      | on_header           |
+      | 3      | on_body             |
+
+  Scenario Outline: An error of the node costs no request that was read
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    When a caller sends <before> requests and another after which the reader fails, with <header>
+    Then it gets the statuses <statuses>, only the last of which closes
+    And the log names the error that the node met in on_message_complete
+
+    Examples:
+      | before | header                 | statuses    |
+      | 0      | Connection: keep-alive | 200 503     |
+      | 2      | Connection: keep-alive | 200 200 200 503 |
+      | 0      | Connection: close      | 200         |
+      | 2      | Connection: close      | 200 200 200 |
+
   Scenario Outline: A connection that opens late in a stop is answered
     Given a deployment of 2 hosts on the event loop of a process
     When node 0 stops, and <opened> s later a connection opens that sends a request after <wait> s
--- a/features/platform/headers.feature
+++ b/features/platform/headers.feature
@@ -107,3 +107,4 @@
       | request-invalid | 400    |
       | too-large       | 413    |
       | incomplete      | 408    |
+      | internal-error  | 503    |
--- a/features/steps/mesh_refusal_steps.py
+++ b/features/steps/mesh_refusal_steps.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import json
+import pkgutil
 import time
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -11,6 +14,7 @@
 
 from jasminecrank.mesh import state
 
+READER = "jasminecrank.mesh.transport._request_reader:RequestReader"
 DRIP_S = 0.1
 DRIPS = 40
 TARGET = "/book/1"
@@ -148,3 +152,58 @@
     servers = context.fleet.servers
     runs = sum(server.runs_by_request_id.total() for server in servers)
     assert runs == count, runs
+
+
+@when(
+    "a caller sends {before:d} requests and another "
+    "in whose {callback} the reader fails"
+)
+def step_callback_fails(context, before, callback):
+    _fail_reader(context, before, callback, runs_first=False, headers={})
+
+
+@when(
+    "a caller sends {before:d} requests and another "
+    "after which the reader fails, with {header}"
+)
+def step_fails_after(context, before, header):
+    name, value = header.split(": ")
+    headers = {name: value}
+    _fail_reader(context, before, "on_message_complete", True, headers)
+
+
+def _fail_reader(context, before, callback, runs_first, headers):
+    """Let a callback of the parser fail on the last request."""
+    reader_class = pkgutil.resolve_name(READER)
+    original = getattr(reader_class, callback)
+    failing = False
+
+    def fail(reader, *args):
+        if runs_first or not failing:
+            original(reader, *args)
+        if failing:
+            raise LookupError(f"made by the test in {callback}")
+
+    async def act():
+        nonlocal failing
+        caller = await mesh_owed_steps.open_caller(context)
+        await _send_requests(caller, before)
+        failing = True
+        await caller.send("POST", TARGET, {"Content-Length": "4", **headers})
+        await _receive(context, caller, caller.write(b"body"))
+
+    # The parser of a connection takes its callbacks when it opens.
+    with mock.patch.object(reader_class, callback, fail):
+        context.runner.run(act())
+
+
+@then("the log names the error that the node met in {callback}")
+def step_error_logged(context, callback):
+    lines = [
+        json.loads(line)
+        for line in b"".join(context.fleet.log_lines).splitlines()
+    ]
+    found = [line for line in lines if line["event"] == "request-read-failed"]
+    assert len(found) == 1, lines[-5:]
+    assert f"made by the test in {callback}" in found[0]["error"], found
+    assert "LookupError" in found[0]["trace"], found
--- a/src/jasminecrank/mesh/state/_calls.py
+++ b/src/jasminecrank/mesh/state/_calls.py
@@ -85,6 +85,8 @@
     TOO_LARGE = "too-large"
     INCOMPLETE = "incomplete"
     """The request did not arrive in the time that a caller has for it."""
+    INTERNAL_ERROR = "internal-error"
+    """The node failed to read the request, which has not run."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -222,6 +222,11 @@
         self._debts.refusal = refusal
         self._continue_soon()
 
+    def on_read_error(self, error: BaseException) -> None:
+        """Log the error, and go on with the requests that have been read."""
+        self._context.log.failure("request-read-failed", error)
+        self._continue_soon()
+
     def abort(self) -> None:
         """Abort the connection without flushing pending data."""
         if self._transport is not None:
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -47,6 +47,9 @@
     def on_invalid(self, refusal: state.Refusal) -> None:
         """Handle a request that is not read to its end."""
 
+    def on_read_error(self, error: BaseException) -> None:
+        """Handle an error of the program; the request is refused after it."""
+
 
 class RequestReader:
     """Reads requests up to the last one, or to one that is refused."""
@@ -74,6 +77,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
+        except httptools.HttpParserCallbackError as error:
+            # The parser sets the context to the error of the callback.
+            self._owner.on_read_error(error.__context__ or error)
+            self.refuse(state.RefusalKind.INTERNAL_ERROR, "read error")
         except httptools.HttpParserError as error:
             self.refuse(state.RefusalKind.REQUEST_INVALID, str(error))
         if self._unparsed_bytes > limits.max_header_bytes + HEAD_MARGIN_BYTES:
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -21,6 +21,7 @@
     "may-have-run": "502: it was sent to a server and may have run",
     "timed-out": "504: no answer in time; it may have run",
     "incomplete": "408: the request did not arrive in time; not run",
+    "internal-error": "503: an error in the node; not run",
     "caller-left": "no answer: the caller closed its connection",
 }
 REASONS = {
--- a/src/jasminecrank/platform/_headers.py
+++ b/src/jasminecrank/platform/_headers.py
@@ -28,6 +28,7 @@
     state.RefusalKind.REQUEST_INVALID: 400,
     state.RefusalKind.TOO_LARGE: 413,
     state.RefusalKind.INCOMPLETE: 408,
+    state.RefusalKind.INTERNAL_ERROR: 503,
 }
 
 
