--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -53,12 +53,99 @@
       | 2.5   |
       | 4.0   |
 
-  Scenario: Bytes after the last request do not cut its answer
+  Scenario Outline: Bytes after the last request do not cut its answer
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 0.1 s and answer with 1000 kB
-    When a caller sends a request that closes, and 200 kB after it, and reads at 20 Mbit/s
+    When a caller sends a request that closes, <kB> kB <wait> s after it, and reads at 20 Mbit/s
     Then it gets 1 complete answers
 
+    Examples:
+      | kB    | wait |
+      | 200   | 0.0  |
+      | 8000  | 0.0  |
+      | 200   | 0.3  |
+      | 8000  | 0.3  |
+      | 40000 | 0.3  |
+
+  Scenario Outline: A body that goes on after its refusal does not cut answers
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.1 s and answer with <kB> kB
+    When a caller sends <before> requests, then <MB> MB of a body, and reads at <mbit> Mbit/s
+    Then it gets <before> complete answers, then 413, and the connection ends
+
+    Examples:
+      | before | kB   | MB | mbit |
+      | 0      | 0    | 30 | 20   |
+      | 1      | 200  | 30 | 4    |
+      | 1      | 1000 | 30 | 20   |
+      | 3      | 100  | 30 | 4    |
+
+  Scenario Outline: A caller that leaves an unread answer behind is forgotten
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.1 s and answer with <kB> kB
+    When a caller sends a request that closes, 8 MB after it, and leaves after 1.0 s without reading
+    Then node 0 has no connection of callers left after 3.0 s
+
+    Examples:
+      | kB   |
+      | 0    |
+      | 300  |
+      | 1000 |
+      | 4000 |
+
+  Scenario Outline: A request that does not arrive in time is refused as not run
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    And requests have to arrive within 0.5 s
+    When a caller sends <before> requests and, as its next one, <what>
+    Then it gets <before> complete answers, then 408, and the connection ends
+    And the servers have run <before> requests
+
+    Examples:
+      | before | what                        |
+      | 0      | half a head                 |
+      | 0      | a head without its body     |
+      | 0      | half a body                 |
+      | 0      | a head, a byte each 0.1 s   |
+      | 0      | a body, a byte each 0.1 s   |
+      | 0      | chunks, one each 0.1 s      |
+      | 1      | half a head                 |
+      | 3      | half a body                 |
+      | 3      | a body, a byte each 0.1 s   |
+
+  Scenario Outline: An error of the node is not blamed on the caller
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    When a caller sends <before> requests and another in whose <callback> the reader fails
+    Then it gets <before> complete answers, then 503, and the connection ends
+    And the servers have run <before> requests
+    And the log names the error that the node met in <callback>
+
+    Examples:
+      | before | callback            |
+      | 0      | on_message_begin    |
+      | 0      | on_url              |
+      | 0      | on_header           |
+      | 0      | on_headers_complete |
+      | 0      | on_body             |
+      | 0      | on_message_complete |
+      | 3      | on_header           |
+      | 3      | on_body             |
+
+  Scenario Outline: An error of the node costs no request that was read
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    When a caller sends <before> requests and another after which the reader fails, with <header>
+    Then it gets the statuses <statuses>, only the last of which closes
+    And the log names the error that the node met in on_message_complete
+
+    Examples:
+      | before | header                 | statuses    |
+      | 0      | Connection: keep-alive | 200 503     |
+      | 2      | Connection: keep-alive | 200 200 200 503 |
+      | 0      | Connection: close      | 200         |
+      | 2      | Connection: close      | 200 200 200 |
+
   Scenario Outline: A connection that opens late in a stop is answered
     Given a deployment of 2 hosts on the event loop of a process
     When node 0 stops, and <opened> s later a connection opens that sends a request after <wait> s
@@ -127,7 +214,9 @@
       | nothing               | 9.0 | callers-left  | 1     | wait  | wait  |
       | a waiting request     | 9.0 | callers-left  | 0     | wait  | wait  |
       | a request in progress | 9.0 | window-closed | 0     | wait  | wait  |
-      | a part of a request   | 9.0 | callers-left  | 0     | wait  | close |
+      | a part of a request   | 9.0 | callers-left  | 0     | wait  | refuse-incomplete |
+      | a part of a request   | 9.0 | serving       | 1     | wait  | wait  |
+      | a request in progress, a part of a request | 9.0 | serving | 0 | wait | wait |
       | a refusal             | 9.0 | callers-left  | 0     | wait  | wait  |
 
   Scenario Outline: Requests of one read are all answered in a stop
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -102,13 +102,12 @@
             self._start_timer(self._context.limits.idle_timeout_s)
 
     def _drop(self, dropped_bytes: int) -> None:
-        """Count bytes that nobody reads, and stop at a limit."""
+        """Count bytes that nobody reads, and stop reading at a limit.
+
+        Closing here would cut what the caller has not taken yet.
+        """
         self._dropped_bytes += dropped_bytes
-        if self._dropped_bytes <= LINGER_MAX_BYTES:
-            return
-        if self._ended:
-            self._close()
-        else:
+        if self._dropped_bytes > LINGER_MAX_BYTES:
             self._update_reading()
 
     def eof_received(self) -> bool:
@@ -228,6 +227,11 @@
         self._debts.refusal = refusal
         self._continue_soon()
 
+    def on_read_error(self, error: BaseException) -> None:
+        """Log the error, and go on with the requests that have been read."""
+        self._context.log.failure("request-read-failed", error)
+        self._continue_soon()
+
     def abort(self) -> None:
         """Abort the connection without flushing pending data."""
         if self._transport is not None:
@@ -293,7 +297,9 @@
         """Take the next step on the debts, in the order of the requests."""
         if self._ended or self._transport is None:
             return
-        step = self._debts.next_step(self._context.phase)
+        self._take_step(self._debts.next_step(self._context.phase))
+
+    def _take_step(self, step: state.ConnectionStep) -> None:
         match step:
             case state.ConnectionStep.START_REQUEST:
                 self._start_request()
@@ -305,6 +311,8 @@
                 if refusal is not None:
                     raw = self._context.codec.write_reply(refusal, None)
                     self._write(raw, b"GET")
+            case state.ConnectionStep.REFUSE_INCOMPLETE:
+                self._reader.refuse(state.RefusalKind.INCOMPLETE, "too slow")
             case state.ConnectionStep.CLOSE:
                 self._close()
             case state.ConnectionStep.WAIT:
@@ -428,10 +436,10 @@
             self._reader.end_memory_waits()
             return
         step = self._debts.timeout_step(self._undelivered_bytes)
-        if step is state.ConnectionStep.CLOSE:
-            self._close()
-        else:
+        if step is state.ConnectionStep.WAIT:
             self._start_timer(timeout_s)
+        else:
+            self._take_step(step)
 
 
 _STOPPING = state.Refusal(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
