Judge every lost answer of the soak, whatever was sent to the process

An answer that a node lost without a SIGTERM or SIGHUP in play was judged by no check: a node made to drop 2 in 100 answers passed. The checks on planned stops and reloads each asked for their signal first, and nothing looked at the rest.

The check cuts reports every request that a node had read and dropped, unless an existing rule excuses it; the signals sent to the host are part of the line. The checks on stops and reloads stay and count their share.

Three of the new rows (a request sent whole, an answer of a slow reader and a request that ran, each without a signal) find nothing with the two old checks together; the other rows state that the excuses are the old ones.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -44,6 +44,17 @@
       | a server is at work on a request sent late     | planned_stops   | a fault |
       | a SIGHUP cuts a request that was sent whole    | reloads         | a fault |
       | a SIGHUP cuts a request before its last byte   | reloads         | nothing |
+      | a node cuts a request that was sent whole      | cuts            | a fault |
+      | a node cuts a request before its last byte     | cuts            | nothing |
+      | a node cuts an answer of a slow reader         | cuts            | a fault |
+      | a node cuts a request that ran                 | cuts            | a fault |
+      | a node cuts a request that ran in a fault      | cuts            | nothing |
+      | a planned stop cuts a request that ran         | cuts            | a fault |
+      | a planned stop cuts an answer of a slow reader | cuts            | a fault |
+      | a reader is too slow for the grace period      | cuts            | nothing |
+      | a server is at work until the end of the grace period | cuts            | nothing |
+      | a node leaves a server early                   | cuts            | a fault |
+      | a SIGHUP cuts a request that was sent whole    | cuts            | a fault |
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -33,6 +33,7 @@
     "no_new_work": checks.no_new_work,
     "cold_servers": checks.cold_servers,
     "quotas": checks.quotas(RATE_PER_S),
+    "cuts": losses.cuts,
     "planned_stops": losses.planned_stops,
     "reloads": losses.reloads,
     "foreign_entries": checks.foreign_entries,
@@ -104,8 +105,13 @@
     return records
 
 
-def records_with_slow_caller(reload=False, upload_s=0.0, reading_s=0.0):
-    """Return records in which a stop or SIGHUP at 10 s cut a slow request."""
+def records_with_slow_caller(
+    reload=False, upload_s=0.0, reading_s=0.0, stop=True
+):
+    """Return records of a slow request cut by a stop or SIGHUP at 10 s.
+
+    Or by neither of them.
+    """
     cut = make_attempt(sent_s=9.0, status=0)
     cut.ended_s = 12.0
     cut.upload_s = upload_s
@@ -113,7 +119,7 @@
     records = make_records([cut])
     if reload:
         records.reloads.append((0, 10.0))
-    else:
+    elif stop:
         records.terminations.append(observed.Termination(0, 1, 10.0))
     return records
 
@@ -309,6 +315,21 @@
     "a SIGHUP cuts a request before its last byte": lambda: (
         records_with_slow_caller(reload=True, upload_s=math.inf)
     ),
+    "a node cuts a request that was sent whole": lambda: (
+        records_with_slow_caller(stop=False)
+    ),
+    "a node cuts a request before its last byte": lambda: (
+        records_with_slow_caller(stop=False, upload_s=math.inf)
+    ),
+    "a node cuts an answer of a slow reader": lambda: records_with_slow_caller(
+        stop=False, reading_s=6.5
+    ),
+    "a node cuts a request that ran": lambda: make_records(
+        [make_attempt(status=0)], [make_arrival()]
+    ),
+    "a node cuts a request that ran in a fault": lambda: make_records(
+        [make_attempt(status=0)], [make_arrival()], 9.0
+    ),
     "4 of 20 are served with foreign entries": lambda: (
         records_with_foreign_entries(4)
     ),
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -85,6 +85,7 @@
             checks.no_new_work,
             checks.cold_servers,
             checks.quotas(_deployment.TEAM_RATE_PER_S),
+            losses.cuts,
             losses.planned_stops,
             losses.reloads,
             checks.foreign_entries,
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -1,4 +1,4 @@
-"""Checks that planned work drops no request that a node had read."""
+"""Checks that nodes drop no request that they had read."""
 
 from collections.abc import Iterator
 import math
@@ -17,6 +17,13 @@
 LATE_SERVER_SENT_S = 3.0
 
 
+def cuts(records: observed.Records) -> Iterator[str]:
+    """Check that a node drops no request that it had read."""
+    for attempt in _cut_attempts(records):
+        if not _is_left_to_server(records, attempt):
+            yield _describe(records, attempt)
+
+
 def planned_stops(records: observed.Records) -> Iterator[str]:
     """Check that a planned stop drops no request that the node had read."""
     for attempt in _cut_attempts(records):
@@ -46,13 +53,17 @@
         for stop in records.terminations
         if stop.host == attempt.host
     )
+    reloads_s = ", ".join(
+        f"{at_s:.2f}" for host, at_s in records.reloads if host == attempt.host
+    )
     return (
         f"{attempt.request_id}, sent to host {attempt.host} (process "
         f"{attempt.incarnation}) at {attempt.sent_s:.2f} s, uploaded in "
         f"{attempt.upload_s:.2f} s, answered from {attempt.head_s:.2f} s, to "
         f"be read in {attempt.reading_s:.2f} s, was cut at "
         f"{attempt.ended_s:.2f} s ({attempt.load}: {attempt.end}; "
-        f"SIGTERM at {stops or 'no time'})"
+        f"SIGTERM at {stops or 'no time'}; "
+        f"SIGHUP at {reloads_s or 'no time'})"
     )
 
 
@@ -77,6 +88,16 @@
             yield stop.at_s
 
 
+def _is_left_to_server(
+    records: observed.Records, attempt: observed.Attempt
+) -> bool:
+    """Return whether the server was late for each stop of the node."""
+    stops_s = list(_stops_during(records, attempt))
+    return bool(stops_s) and all(
+        _is_server_late(records, attempt, at_s) for at_s in stops_s
+    )
+
+
 def _is_server_late(
     records: observed.Records, attempt: observed.Attempt, stop_s: float
 ) -> bool:
