Judge a lost answer by the processes that may have had it

Stops were matched with a request by host: a SIGTERM to the next process, which started after the caller's connection had been opened, excused a slow reader or a late server, or was named as the cause of a cut by a process that had crashed.

Each request now names its connection: when it was opened, and which processes of the host had started and not ended then. Only their stops concern it, and only those of processes that had not ended when it was sent.

Five new rows; four of them fail with the old match: three cuts excused by a stop of a process that never had the connection, and one cut blamed on such a stop. The check cuts finds all of these.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -55,6 +55,11 @@
       | a server is at work until the end of the grace period | cuts            | nothing |
       | a node leaves a server early                   | cuts            | a fault |
       | a SIGHUP cuts a request that was sent whole    | cuts            | a fault |
+      | a reader was too slow for a stop of a process it never had | cuts            | a fault |
+      | a reader is too slow for a stop of the next process | cuts            | a fault |
+      | a server is late for a stop of the next process | cuts            | a fault |
+      | the next process stops before a cut is noticed | cuts            | a fault |
+      | the next process stops before a cut is noticed | planned_stops   | nothing |
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -50,7 +50,15 @@
     """Return a request as observed by its caller."""
     ended_s = sent_s + 0.3
     return observed.Attempt(
-        request_id, 0, 1, method, key, sent_s, ended_s, status
+        request_id,
+        0,
+        1,
+        method,
+        key,
+        sent_s,
+        ended_s,
+        status,
+        connection=observed.Connection(sent_s, frozenset({1})),
     )
 
 
@@ -124,13 +132,16 @@
     return records
 
 
-def records_with_two_stops(first_end_s):
+def records_with_two_stops(first_end_s, accepting=(1, 2)):
     """Return records of a request that may be cut by the first of two stops.
 
     The process of the first one ends at a time.
     """
     records = records_with_slow_caller(reading_s=2.5)
     records.attempts[0].ended_s = 12.5
+    records.attempts[0].connection = observed.Connection(
+        4.0, frozenset(accepting)
+    )
     records.terminations[:] = [
         observed.Termination(0, 1, 5.0),
         observed.Termination(0, 2, 11.0),
@@ -147,6 +158,18 @@
     return records
 
 
+def records_with_crash(stop_s, reading_s=0.0, unfinished_s=0.0):
+    """Return records of a cut by a process that crashed at 9.1 s.
+
+    The next process gets a SIGTERM before the caller notices the cut at 12 s.
+    """
+    records = records_with_slow_caller(stop=False, reading_s=reading_s)
+    records.process_ends.append(observed.ProcessEnd(0, 1, 9.1, 1))
+    records.terminations.append(observed.Termination(0, 2, stop_s))
+    records.unfinished_s_by_id["r1"] = unfinished_s
+    return records
+
+
 def records_with_late_server(unfinished_s, sent_s=12.0):
     """Return records in which a stop at 10 s cut a request in its server."""
     cut = make_attempt(sent_s=sent_s, status=0)
@@ -296,6 +319,18 @@
     "a stop before the last ended before the request": lambda: (
         records_with_two_stops(8.0)
     ),
+    "a reader was too slow for a stop of a process it never had": lambda: (
+        records_with_two_stops(10.6, (2,))
+    ),
+    "a reader is too slow for a stop of the next process": lambda: (
+        records_with_crash(stop_s=9.5, reading_s=6.0)
+    ),
+    "a server is late for a stop of the next process": lambda: (
+        records_with_crash(stop_s=9.5, unfinished_s=15.0)
+    ),
+    "the next process stops before a cut is noticed": lambda: (
+        records_with_crash(stop_s=12.0, reading_s=2.0)
+    ),
     "a planned stop cuts a request that was sent whole": (
         records_with_slow_caller
     ),
--- a/src/jasminecrank/standins/fleet/_caller.py
+++ b/src/jasminecrank/standins/fleet/_caller.py
@@ -21,6 +21,18 @@
         self._writer: asyncio.StreamWriter | None = None
         self.last_request_id = ""
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether there is a connection for the next request."""
+        return self._writer is not None
+
+    async def connect(self) -> None:
+        """Open a connection unless there is one."""
+        if not self.is_connected:
+            self._reader, self._writer = await asyncio.open_connection(
+                *self._address
+            )
+
     async def send(
         self,
         method: str = "GET",
@@ -31,10 +43,8 @@
         has_length: bool = True,
     ) -> None:
         """Send a request without waiting for its response."""
-        if self._writer is None:
-            self._reader, self._writer = await asyncio.open_connection(
-                *self._address
-            )
+        await self.connect()
+        assert self._writer is not None
         self.last_request_id = f"{next(self._request_numbers):016x}"
         framing = {"Content-Length": "0"}
         if method == "GET" or not has_length:
--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 
-from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _connections
 from jasminecrank.standins.soak import _demanding
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import observed
@@ -55,9 +55,7 @@
                 await task
 
     async def _run_caller(self, number: int, rng: random.Random) -> None:
-        caller = fleet.Caller(
-            self._deployment.host(number), self._deployment.ports["callers"]
-        )
+        caller = _connections.RecordedCaller(self._deployment, number)
         try:
             while True:
                 await asyncio.sleep(rng.expovariate(1.0 / CALLER_MEAN_PAUSE_S))
@@ -77,7 +75,7 @@
 
     async def _send_request(
         self,
-        caller: fleet.Caller,
+        caller: _connections.RecordedCaller,
         number: int,
         method: str,
         target: str,
@@ -98,6 +96,7 @@
             method,
             key,
             self._deployment.now_s(),
+            connection=caller.connection,
         )
         self._deployment.records.attempts.append(attempt)
         if rng.random() < ABANDON_RATIO:
--- a/src/jasminecrank/standins/soak/_demanding.py
+++ b/src/jasminecrank/standins/soak/_demanding.py
@@ -8,6 +8,7 @@
 import socket
 
 from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _connections
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _server
 from jasminecrank.standins.soak import observed
@@ -95,6 +96,7 @@
         self._streams: (
             tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
         ) = None
+        self._connection = observed.Connection(0.0, frozenset())
 
     async def run(self) -> None:
         """Send loads until the task is cancelled."""
@@ -124,7 +126,9 @@
             self._deployment.ports["callers"],
         )
         try:
+            opening = _connections.Opening(self._deployment, self._number)
             await asyncio.get_running_loop().sock_connect(sock, address)
+            self._connection = opening.complete()
             self._streams = await asyncio.open_connection(
                 sock=sock, limit=READ_BYTES
             )
@@ -182,6 +186,7 @@
             load.method,
             None,
             self._deployment.now_s(),
+            connection=self._connection,
             load=f"{load.requests} {load.method} {load.target}",
             upload_s=math.inf,
             reading_s=load.reading_s,
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -1,7 +1,6 @@
 """Checks that nodes drop no request that they had read."""
 
 from collections.abc import Iterator
-import math
 
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import observed
@@ -48,6 +47,9 @@
 
 
 def _describe(records: observed.Records, attempt: observed.Attempt) -> str:
+    processes = " or ".join(
+        str(process) for process in sorted(attempt.connection.incarnations)
+    )
     stops = ", ".join(
         f"{stop.at_s:.2f} to process {stop.incarnation}"
         for stop in records.terminations
@@ -57,10 +59,11 @@
         f"{at_s:.2f}" for host, at_s in records.reloads if host == attempt.host
     )
     return (
-        f"{attempt.request_id}, sent to host {attempt.host} (process "
-        f"{attempt.incarnation}) at {attempt.sent_s:.2f} s, uploaded in "
-        f"{attempt.upload_s:.2f} s, answered from {attempt.head_s:.2f} s, to "
-        f"be read in {attempt.reading_s:.2f} s, was cut at "
+        f"{attempt.request_id}, sent to host {attempt.host} (connection of "
+        f"{attempt.connection.opened_s:.2f} s, process {processes}) at "
+        f"{attempt.sent_s:.2f} s, uploaded in {attempt.upload_s:.2f} s, "
+        f"answered from {attempt.head_s:.2f} s, to be read in "
+        f"{attempt.reading_s:.2f} s, was cut at "
         f"{attempt.ended_s:.2f} s ({attempt.load}: {attempt.end}; "
         f"SIGTERM at {stops or 'no time'}; "
         f"SIGHUP at {reloads_s or 'no time'})"
@@ -75,19 +78,31 @@
     A slow reader notices the end of its connection long after the process has
     ended, perhaps in the next stop.
     """
-    end_s_by_process = {
-        (end.host, end.incarnation): end.at_s for end in records.process_ends
-    }
+    processes = _processes_with(records, attempt)
     for stop in records.terminations:
-        end_s = end_s_by_process.get((stop.host, stop.incarnation), math.inf)
         if (
             stop.host == attempt.host
+            and stop.incarnation in processes
             and stop.at_s <= attempt.ended_s
-            and attempt.sent_s <= end_s
         ):
             yield stop.at_s
 
 
+def _processes_with(
+    records: observed.Records, attempt: observed.Attempt
+) -> frozenset[int]:
+    """Return the processes of the host that may have had a request.
+
+    One of them accepted its connection, and had not ended when it was sent.
+    """
+    ended = {
+        end.incarnation
+        for end in records.process_ends
+        if end.host == attempt.host and end.at_s < attempt.sent_s
+    }
+    return attempt.connection.incarnations - ended
+
+
 def _is_left_to_server(
     records: observed.Records, attempt: observed.Attempt
 ) -> bool:
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -9,6 +9,15 @@
 """Time without a fault after which limits apply, the platform's contactMs."""
 
 
+@dataclass(slots=True, frozen=True)
+class Connection:
+    """A caller's connection to the node of a host."""
+
+    opened_s: float
+    incarnations: frozenset[int]
+    """Processes that had started and not ended when it was opened."""
+
+
 @dataclass(slots=True)
 class Attempt:
     """A request as observed by its caller."""
@@ -20,6 +29,7 @@
     method: str
     key: str | None
     sent_s: float
+    connection: Connection = field(kw_only=True)
     ended_s: float = math.inf
     status: int = 0
     """0 if no response was received."""
