Excuse no lost answer by a fault after its process had ended

A slow reader notices a cut long after it, and every unplanned fault until then excused it: one on another host, 3 s after the process had ended, was enough.

The window now ends when the last process that may have had the request ended, if that is known and before the caller's notice.

Of four new rows, the two of such a late kill find nothing with the old window; a kill before that end still excuses the cut.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -60,6 +60,10 @@
       | a server is late for a stop of the next process | cuts            | a fault |
       | the next process stops before a cut is noticed | cuts            | a fault |
       | the next process stops before a cut is noticed | planned_stops   | nothing |
+      | another host is killed after the process of a cut has ended | cuts            | a fault |
+      | another host is killed after the process of a cut has ended | planned_stops   | a fault |
+      | another host is killed before the process of a cut has ended | cuts            | nothing |
+      | another host is killed before the last possible process ends | cuts            | nothing |
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -150,11 +150,19 @@
     return records
 
 
-def records_with_late_notice():
-    """Return records of a cut that a slow reader noticed after 8 s."""
+def records_with_late_notice(kill_s=None, processes=(1,)):
+    """Return records of a cut that a slow reader noticed after 8 s.
+
+    Perhaps another host is killed, and another process has the connection.
+    """
     records = records_with_slow_caller(reading_s=4.0)
     records.attempts[0].ended_s = 18.0
+    records.attempts[0].connection = observed.Connection(
+        9.0, frozenset(processes)
+    )
     records.process_ends.append(observed.ProcessEnd(0, 1, 11.0, 0))
+    if kill_s is not None:
+        records.begin_disturbance(kill_s, (3,))
     return records
 
 
@@ -313,6 +321,15 @@
     "a reader notices late that a planned stop cut its answer": (
         records_with_late_notice
     ),
+    "another host is killed after the process of a cut has ended": lambda: (
+        records_with_late_notice(11.5)
+    ),
+    "another host is killed before the process of a cut has ended": lambda: (
+        records_with_late_notice(10.5)
+    ),
+    "another host is killed before the last possible process ends": lambda: (
+        records_with_late_notice(11.5, (1, 2))
+    ),
     "a reader was too slow for a stop before the last": lambda: (
         records_with_two_stops(10.6)
     ),
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -1,6 +1,7 @@
 """Checks that nodes drop no request that they had read."""
 
 from collections.abc import Iterator
+import math
 
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import observed
@@ -148,11 +149,31 @@
         )
         and not _is_read_too_late(records, attempt)
         and records.is_undisturbed(
-            None, attempt.sent_s, attempt.ended_s, False
+            None, attempt.sent_s, _latest_cut_s(records, attempt), False
         )
     )
 
 
+def _latest_cut_s(
+    records: observed.Records, attempt: observed.Attempt
+) -> float:
+    """Return when a request had been cut at the latest.
+
+    A slow reader notices it long after its process has ended.
+    """
+    end_s_by_process = {
+        (end.host, end.incarnation): end.at_s for end in records.process_ends
+    }
+    last_end_s = max(
+        (
+            end_s_by_process.get((attempt.host, process), math.inf)
+            for process in _processes_with(records, attempt)
+        ),
+        default=math.inf,
+    )
+    return min(attempt.ended_s, last_end_s)
+
+
 def _is_read_too_late(
     records: observed.Records, attempt: observed.Attempt
 ) -> bool:
