Blame a SIGHUP for a lost answer only if its process got it

Reloads were matched with a request by host and by the time of the caller's notice: a SIGHUP to the next process, after the process of a cut had ended, was named as its cause. And a request that the check on stops excused, since its server had been late, was reported as cut after a SIGHUP.

A reload now names its process, like a stop, and the excuse of a late server holds for all three checks. The check cuts still reports the first case.

Of six new rows, the two of these cases find a fault with the old match.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -64,6 +64,12 @@
       | another host is killed after the process of a cut has ended | planned_stops   | a fault |
       | another host is killed before the process of a cut has ended | cuts            | nothing |
       | another host is killed before the last possible process ends | cuts            | nothing |
+      | the process of a cut gets a SIGHUP             | reloads         | a fault |
+      | the next process gets a SIGHUP before a cut is noticed | reloads         | nothing |
+      | the next process gets a SIGHUP before a cut is noticed | cuts            | a fault |
+      | a server is at work until the end, with a SIGHUP | reloads         | nothing |
+      | a server is at work until the end, with a SIGHUP | cuts            | nothing |
+      | a node leaves a server early, with a SIGHUP    | reloads         | a fault |
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -126,7 +126,7 @@
     cut.reading_s = reading_s
     records = make_records([cut])
     if reload:
-        records.reloads.append((0, 10.0))
+        records.reloads.append(observed.Reload(0, 1, 10.0))
     elif stop:
         records.terminations.append(observed.Termination(0, 1, 10.0))
     return records
@@ -178,13 +178,25 @@
     return records
 
 
-def records_with_late_server(unfinished_s, sent_s=12.0):
+def records_with_reload(incarnation, at_s):
+    """Return records of a cut by process 1, which ended at 11 s.
+
+    A process gets a SIGHUP before a slow reader notices the cut.
+    """
+    records = records_with_late_notice()
+    records.reloads.append(observed.Reload(0, incarnation, at_s))
+    return records
+
+
+def records_with_late_server(unfinished_s, sent_s=12.0, reload=False):
     """Return records in which a stop at 10 s cut a request in its server."""
     cut = make_attempt(sent_s=sent_s, status=0)
     cut.ended_s = 15.6
     records = make_records([cut], [make_arrival()])
     records.terminations.append(observed.Termination(0, 1, 10.0))
     records.unfinished_s_by_id["r1"] = unfinished_s
+    if reload:
+        records.reloads.append(observed.Reload(0, 1, 10.5))
     return records
 
 
@@ -357,6 +369,12 @@
     "a server is at work until the end of the grace period": lambda: (
         records_with_late_server(15.5)
     ),
+    "a server is at work until the end, with a SIGHUP": lambda: (
+        records_with_late_server(15.5, reload=True)
+    ),
+    "a node leaves a server early, with a SIGHUP": lambda: (
+        records_with_late_server(14.9, reload=True)
+    ),
     "a node leaves a server early": lambda: records_with_late_server(14.9),
     "a server is at work on a request sent late": lambda: (
         records_with_late_server(15.5, 13.1)
@@ -364,6 +382,10 @@
     "a SIGHUP cuts a request that was sent whole": lambda: (
         records_with_slow_caller(reload=True)
     ),
+    "the process of a cut gets a SIGHUP": lambda: records_with_reload(1, 10.0),
+    "the next process gets a SIGHUP before a cut is noticed": lambda: (
+        records_with_reload(2, 13.0)
+    ),
     "a SIGHUP cuts a request before its last byte": lambda: (
         records_with_slow_caller(reload=True, upload_s=math.inf)
     ),
--- a/src/jasminecrank/standins/soak/_series_injector.py
+++ b/src/jasminecrank/standins/soak/_series_injector.py
@@ -62,7 +62,7 @@
             observed.Termination(host, run.incarnation, now_s)
         )
     else:
-        records.reloads.append((host, now_s))
+        records.reloads.append(observed.Reload(host, run.incarnation, now_s))
 
 
 def send_to_newest(
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -20,29 +20,27 @@
 def cuts(records: observed.Records) -> Iterator[str]:
     """Check that a node drops no request that it had read."""
     for attempt in _cut_attempts(records):
-        if not _is_left_to_server(records, attempt):
-            yield _describe(records, attempt)
+        yield _describe(records, attempt)
 
 
 def planned_stops(records: observed.Records) -> Iterator[str]:
     """Check that a planned stop drops no request that the node had read."""
     for attempt in _cut_attempts(records):
-        if any(
-            not _is_server_late(records, attempt, at_s)
-            for at_s in _stops_during(records, attempt)
-        ):
+        if list(_stops_during(records, attempt)):
             yield f"{_describe(records, attempt)} by a planned stop"
 
 
 def reloads(records: observed.Records) -> Iterator[str]:
     """Check that a SIGHUP drops no request that the node had read."""
     for attempt in _cut_attempts(records):
+        processes = _processes_with(records, attempt)
         if any(
-            host == attempt.host
+            reload.host == attempt.host
+            and reload.incarnation in processes
             and attempt.sent_s - checks.CONFIG_APPLY_S
-            <= at_s
+            <= reload.at_s
             <= attempt.ended_s
-            for host, at_s in records.reloads
+            for reload in records.reloads
         ):
             yield f"{_describe(records, attempt)} after a SIGHUP"
 
@@ -56,8 +54,10 @@
         for stop in records.terminations
         if stop.host == attempt.host
     )
-    reloads_s = ", ".join(
-        f"{at_s:.2f}" for host, at_s in records.reloads if host == attempt.host
+    reloads_sent = ", ".join(
+        f"{reload.at_s:.2f} to process {reload.incarnation}"
+        for reload in records.reloads
+        if reload.host == attempt.host
     )
     return (
         f"{attempt.request_id}, sent to host {attempt.host} (connection of "
@@ -67,7 +67,7 @@
         f"{attempt.reading_s:.2f} s, was cut at "
         f"{attempt.ended_s:.2f} s ({attempt.load}: {attempt.end}; "
         f"SIGTERM at {stops or 'no time'}; "
-        f"SIGHUP at {reloads_s or 'no time'})"
+        f"SIGHUP at {reloads_sent or 'no time'})"
     )
 
 
@@ -148,6 +148,7 @@
             or attempt.ended_s - whole_s > LOSS_SLACK_S
         )
         and not _is_read_too_late(records, attempt)
+        and not _is_left_to_server(records, attempt)
         and records.is_undisturbed(
             None, attempt.sent_s, _latest_cut_s(records, attempt), False
         )
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -106,6 +106,15 @@
     at_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class Reload:
+    """A SIGHUP to a node process."""
+
+    host: int
+    incarnation: int
+    at_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class ProcessEnd:
     """The end of a node process."""
@@ -134,8 +143,7 @@
     terminations: list[Termination] = field(default_factory=list)
     unfinished_s_by_id: dict[str, float] = field(default_factory=dict)
     """When servers gave up requests whose nodes had disconnected."""
-    reloads: list[tuple[int, float]] = field(default_factory=list)
-    """Hosts whose nodes got a SIGHUP, each with its time."""
+    reloads: list[Reload] = field(default_factory=list)
     foreign_entry_periods: list[tuple[float, float]] = field(
         default_factory=list
     )
