--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -44,6 +44,32 @@
       | a server is at work on a request sent late     | planned_stops   | a fault |
       | a SIGHUP cuts a request that was sent whole    | reloads         | a fault |
       | a SIGHUP cuts a request before its last byte   | reloads         | nothing |
+      | a node cuts a request that was sent whole      | cuts            | a fault |
+      | a node cuts a request before its last byte     | cuts            | nothing |
+      | a node cuts an answer of a slow reader         | cuts            | a fault |
+      | a node cuts a request that ran                 | cuts            | a fault |
+      | a node cuts a request that ran in a fault      | cuts            | nothing |
+      | a planned stop cuts a request that ran         | cuts            | a fault |
+      | a planned stop cuts an answer of a slow reader | cuts            | a fault |
+      | a reader is too slow for the grace period      | cuts            | nothing |
+      | a server is at work until the end of the grace period | cuts            | nothing |
+      | a node leaves a server early                   | cuts            | a fault |
+      | a SIGHUP cuts a request that was sent whole    | cuts            | a fault |
+      | a reader was too slow for a stop of a process it never had | cuts            | a fault |
+      | a reader is too slow for a stop of the next process | cuts            | a fault |
+      | a server is late for a stop of the next process | cuts            | a fault |
+      | the next process stops before a cut is noticed | cuts            | a fault |
+      | the next process stops before a cut is noticed | planned_stops   | nothing |
+      | another host is killed after the process of a cut has ended | cuts            | a fault |
+      | another host is killed after the process of a cut has ended | planned_stops   | a fault |
+      | another host is killed before the process of a cut has ended | cuts            | nothing |
+      | another host is killed before the last possible process ends | cuts            | nothing |
+      | the process of a cut gets a SIGHUP             | reloads         | a fault |
+      | the next process gets a SIGHUP before a cut is noticed | reloads         | nothing |
+      | the next process gets a SIGHUP before a cut is noticed | cuts            | a fault |
+      | a server is at work until the end, with a SIGHUP | reloads         | nothing |
+      | a server is at work until the end, with a SIGHUP | cuts            | nothing |
+      | a node leaves a server early, with a SIGHUP    | reloads         | a fault |
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -33,6 +33,7 @@
     "no_new_work": checks.no_new_work,
     "cold_servers": checks.cold_servers,
     "quotas": checks.quotas(RATE_PER_S),
+    "cuts": losses.cuts,
     "planned_stops": losses.planned_stops,
     "reloads": losses.reloads,
     "foreign_entries": checks.foreign_entries,
@@ -49,7 +50,15 @@
     """Return a request as observed by its caller."""
     ended_s = sent_s + 0.3
     return observed.Attempt(
-        request_id, 0, 1, method, key, sent_s, ended_s, status
+        request_id,
+        0,
+        1,
+        method,
+        key,
+        sent_s,
+        ended_s,
+        status,
+        connection=observed.Connection(sent_s, frozenset({1})),
     )
 
 
@@ -104,27 +113,35 @@
     return records
 
 
-def records_with_slow_caller(reload=False, upload_s=0.0, reading_s=0.0):
-    """Return records in which a stop or SIGHUP at 10 s cut a slow request."""
+def records_with_slow_caller(
+    reload=False, upload_s=0.0, reading_s=0.0, stop=True
+):
+    """Return records of a slow request cut by a stop or SIGHUP at 10 s.
+
+    Or by neither of them.
+    """
     cut = make_attempt(sent_s=9.0, status=0)
     cut.ended_s = 12.0
     cut.upload_s = upload_s
     cut.reading_s = reading_s
     records = make_records([cut])
     if reload:
-        records.reloads.append((0, 10.0))
-    else:
+        records.reloads.append(observed.Reload(0, 1, 10.0))
+    elif stop:
         records.terminations.append(observed.Termination(0, 1, 10.0))
     return records
 
 
-def records_with_two_stops(first_end_s):
+def records_with_two_stops(first_end_s, accepting=(1, 2)):
     """Return records of a request that may be cut by the first of two stops.
 
     The process of the first one ends at a time.
     """
     records = records_with_slow_caller(reading_s=2.5)
     records.attempts[0].ended_s = 12.5
+    records.attempts[0].connection = observed.Connection(
+        4.0, frozenset(accepting)
+    )
     records.terminations[:] = [
         observed.Termination(0, 1, 5.0),
         observed.Termination(0, 2, 11.0),
@@ -133,21 +150,53 @@
     return records
 
 
-def records_with_late_notice():
-    """Return records of a cut that a slow reader noticed after 8 s."""
+def records_with_late_notice(kill_s=None, processes=(1,)):
+    """Return records of a cut that a slow reader noticed after 8 s.
+
+    Perhaps another host is killed, and another process has the connection.
+    """
     records = records_with_slow_caller(reading_s=4.0)
     records.attempts[0].ended_s = 18.0
+    records.attempts[0].connection = observed.Connection(
+        9.0, frozenset(processes)
+    )
     records.process_ends.append(observed.ProcessEnd(0, 1, 11.0, 0))
+    if kill_s is not None:
+        records.begin_disturbance(kill_s, (3,))
+    return records
+
+
+def records_with_crash(stop_s, reading_s=0.0, unfinished_s=0.0):
+    """Return records of a cut by a process that crashed at 9.1 s.
+
+    The next process gets a SIGTERM before the caller notices the cut at 12 s.
+    """
+    records = records_with_slow_caller(stop=False, reading_s=reading_s)
+    records.process_ends.append(observed.ProcessEnd(0, 1, 9.1, 1))
+    records.terminations.append(observed.Termination(0, 2, stop_s))
+    records.unfinished_s_by_id["r1"] = unfinished_s
+    return records
+
+
+def records_with_reload(incarnation, at_s):
+    """Return records of a cut by process 1, which ended at 11 s.
+
+    A process gets a SIGHUP before a slow reader notices the cut.
+    """
+    records = records_with_late_notice()
+    records.reloads.append(observed.Reload(0, incarnation, at_s))
     return records
 
 
-def records_with_late_server(unfinished_s, sent_s=12.0):
+def records_with_late_server(unfinished_s, sent_s=12.0, reload=False):
     """Return records in which a stop at 10 s cut a request in its server."""
     cut = make_attempt(sent_s=sent_s, status=0)
     cut.ended_s = 15.6
     records = make_records([cut], [make_arrival()])
     records.terminations.append(observed.Termination(0, 1, 10.0))
     records.unfinished_s_by_id["r1"] = unfinished_s
+    if reload:
+        records.reloads.append(observed.Reload(0, 1, 10.5))
     return records
 
 
@@ -284,12 +333,33 @@
     "a reader notices late that a planned stop cut its answer": (
         records_with_late_notice
     ),
+    "another host is killed after the process of a cut has ended": lambda: (
+        records_with_late_notice(11.5)
+    ),
+    "another host is killed before the process of a cut has ended": lambda: (
+        records_with_late_notice(10.5)
+    ),
+    "another host is killed before the last possible process ends": lambda: (
+        records_with_late_notice(11.5, (1, 2))
+    ),
     "a reader was too slow for a stop before the last": lambda: (
         records_with_two_stops(10.6)
     ),
     "a stop before the last ended before the request": lambda: (
         records_with_two_stops(8.0)
     ),
+    "a reader was too slow for a stop of a process it never had": lambda: (
+        records_with_two_stops(10.6, (2,))
+    ),
+    "a reader is too slow for a stop of the next process": lambda: (
+        records_with_crash(stop_s=9.5, reading_s=6.0)
+    ),
+    "a server is late for a stop of the next process": lambda: (
+        records_with_crash(stop_s=9.5, unfinished_s=15.0)
+    ),
+    "the next process stops before a cut is noticed": lambda: (
+        records_with_crash(stop_s=12.0, reading_s=2.0)
+    ),
     "a planned stop cuts a request that was sent whole": (
         records_with_slow_caller
     ),
@@ -299,6 +369,12 @@
     "a server is at work until the end of the grace period": lambda: (
         records_with_late_server(15.5)
     ),
+    "a server is at work until the end, with a SIGHUP": lambda: (
+        records_with_late_server(15.5, reload=True)
+    ),
+    "a node leaves a server early, with a SIGHUP": lambda: (
+        records_with_late_server(14.9, reload=True)
+    ),
     "a node leaves a server early": lambda: records_with_late_server(14.9),
     "a server is at work on a request sent late": lambda: (
         records_with_late_server(15.5, 13.1)
@@ -306,9 +382,28 @@
     "a SIGHUP cuts a request that was sent whole": lambda: (
         records_with_slow_caller(reload=True)
     ),
+    "the process of a cut gets a SIGHUP": lambda: records_with_reload(1, 10.0),
+    "the next process gets a SIGHUP before a cut is noticed": lambda: (
+        records_with_reload(2, 13.0)
+    ),
     "a SIGHUP cuts a request before its last byte": lambda: (
         records_with_slow_caller(reload=True, upload_s=math.inf)
     ),
+    "a node cuts a request that was sent whole": lambda: (
+        records_with_slow_caller(stop=False)
+    ),
+    "a node cuts a request before its last byte": lambda: (
+        records_with_slow_caller(stop=False, upload_s=math.inf)
+    ),
+    "a node cuts an answer of a slow reader": lambda: records_with_slow_caller(
+        stop=False, reading_s=6.5
+    ),
+    "a node cuts a request that ran": lambda: make_records(
+        [make_attempt(status=0)], [make_arrival()]
+    ),
+    "a node cuts a request that ran in a fault": lambda: make_records(
+        [make_attempt(status=0)], [make_arrival()], 9.0
+    ),
     "4 of 20 are served with foreign entries": lambda: (
         records_with_foreign_entries(4)
     ),
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -1,4 +1,4 @@
-"""Checks that planned work drops no request that a node had read."""
+"""Checks that nodes drop no request that they had read."""
 
 from collections.abc import Iterator
 import math
@@ -17,42 +17,57 @@
 LATE_SERVER_SENT_S = 3.0
 
 
+def cuts(records: observed.Records) -> Iterator[str]:
+    """Check that a node drops no request that it had read."""
+    for attempt in _cut_attempts(records):
+        yield _describe(records, attempt)
+
+
 def planned_stops(records: observed.Records) -> Iterator[str]:
     """Check that a planned stop drops no request that the node had read."""
     for attempt in _cut_attempts(records):
-        if any(
-            not _is_server_late(records, attempt, at_s)
-            for at_s in _stops_during(records, attempt)
-        ):
+        if list(_stops_during(records, attempt)):
             yield f"{_describe(records, attempt)} by a planned stop"
 
 
 def reloads(records: observed.Records) -> Iterator[str]:
     """Check that a SIGHUP drops no request that the node had read."""
     for attempt in _cut_attempts(records):
+        processes = _processes_with(records, attempt)
         if any(
-            host == attempt.host
+            reload.host == attempt.host
+            and reload.incarnation in processes
             and attempt.sent_s - checks.CONFIG_APPLY_S
-            <= at_s
+            <= reload.at_s
             <= attempt.ended_s
-            for host, at_s in records.reloads
+            for reload in records.reloads
         ):
             yield f"{_describe(records, attempt)} after a SIGHUP"
 
 
 def _describe(records: observed.Records, attempt: observed.Attempt) -> str:
+    processes = " or ".join(
+        str(process) for process in sorted(attempt.connection.incarnations)
+    )
     stops = ", ".join(
         f"{stop.at_s:.2f} to process {stop.incarnation}"
         for stop in records.terminations
         if stop.host == attempt.host
     )
+    reloads_sent = ", ".join(
+        f"{reload.at_s:.2f} to process {reload.incarnation}"
+        for reload in records.reloads
+        if reload.host == attempt.host
+    )
     return (
-        f"{attempt.request_id}, sent to host {attempt.host} (process "
-        f"{attempt.incarnation}) at {attempt.sent_s:.2f} s, uploaded in "
-        f"{attempt.upload_s:.2f} s, answered from {attempt.head_s:.2f} s, to "
-        f"be read in {attempt.reading_s:.2f} s, was cut at "
+        f"{attempt.request_id}, sent to host {attempt.host} (connection of "
+        f"{attempt.connection.opened_s:.2f} s, process {processes}) at "
+        f"{attempt.sent_s:.2f} s, uploaded in {attempt.upload_s:.2f} s, "
+        f"answered from {attempt.head_s:.2f} s, to be read in "
+        f"{attempt.reading_s:.2f} s, was cut at "
         f"{attempt.ended_s:.2f} s ({attempt.load}: {attempt.end}; "
-        f"SIGTERM at {stops or 'no time'})"
+        f"SIGTERM at {stops or 'no time'}; "
+        f"SIGHUP at {reloads_sent or 'no time'})"
     )
 
 
@@ -64,19 +79,41 @@
     A slow reader notices the end of its connection long after the process has
     ended, perhaps in the next stop.
     """
-    end_s_by_process = {
-        (end.host, end.incarnation): end.at_s for end in records.process_ends
-    }
+    processes = _processes_with(records, attempt)
     for stop in records.terminations:
-        end_s = end_s_by_process.get((stop.host, stop.incarnation), math.inf)
         if (
             stop.host == attempt.host
+            and stop.incarnation in processes
             and stop.at_s <= attempt.ended_s
-            and attempt.sent_s <= end_s
         ):
             yield stop.at_s
 
 
+def _processes_with(
+    records: observed.Records, attempt: observed.Attempt
+) -> frozenset[int]:
+    """Return the processes of the host that may have had a request.
+
+    One of them accepted its connection, and had not ended when it was sent.
+    """
+    ended = {
+        end.incarnation
+        for end in records.process_ends
+        if end.host == attempt.host and end.at_s < attempt.sent_s
+    }
+    return attempt.connection.incarnations - ended
+
+
+def _is_left_to_server(
+    records: observed.Records, attempt: observed.Attempt
+) -> bool:
+    """Return whether the server was late for each stop of the node."""
+    stops_s = list(_stops_during(records, attempt))
+    return bool(stops_s) and all(
+        _is_server_late(records, attempt, at_s) for at_s in stops_s
+    )
+
+
 def _is_server_late(
     records: observed.Records, attempt: observed.Attempt, stop_s: float
 ) -> bool:
@@ -111,12 +148,33 @@
             or attempt.ended_s - whole_s > LOSS_SLACK_S
         )
         and not _is_read_too_late(records, attempt)
+        and not _is_left_to_server(records, attempt)
         and records.is_undisturbed(
-            None, attempt.sent_s, attempt.ended_s, False
+            None, attempt.sent_s, _latest_cut_s(records, attempt), False
         )
     )
 
 
+def _latest_cut_s(
+    records: observed.Records, attempt: observed.Attempt
+) -> float:
+    """Return when a request had been cut at the latest.
+
+    A slow reader notices it long after its process has ended.
+    """
+    end_s_by_process = {
+        (end.host, end.incarnation): end.at_s for end in records.process_ends
+    }
+    last_end_s = max(
+        (
+            end_s_by_process.get((attempt.host, process), math.inf)
+            for process in _processes_with(records, attempt)
+        ),
+        default=math.inf,
+    )
+    return min(attempt.ended_s, last_end_s)
+
+
 def _is_read_too_late(
     records: observed.Records, attempt: observed.Attempt
 ) -> bool:
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -9,6 +9,15 @@
 """Time without a fault after which limits apply, the platform's contactMs."""
 
 
+@dataclass(slots=True, frozen=True)
+class Connection:
+    """A caller's connection to the node of a host."""
+
+    opened_s: float
+    incarnations: frozenset[int]
+    """Processes that had started and not ended when it was opened."""
+
+
 @dataclass(slots=True)
 class Attempt:
     """A request as observed by its caller."""
@@ -20,6 +29,7 @@
     method: str
     key: str | None
     sent_s: float
+    connection: Connection = field(kw_only=True)
     ended_s: float = math.inf
     status: int = 0
     """0 if no response was received."""
@@ -96,6 +106,15 @@
     at_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class Reload:
+    """A SIGHUP to a node process."""
+
+    host: int
+    incarnation: int
+    at_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class ProcessEnd:
     """The end of a node process."""
@@ -124,8 +143,7 @@
     terminations: list[Termination] = field(default_factory=list)
     unfinished_s_by_id: dict[str, float] = field(default_factory=dict)
     """When servers gave up requests whose nodes had disconnected."""
-    reloads: list[tuple[int, float]] = field(default_factory=list)
-    """Hosts whose nodes got a SIGHUP, each with its time."""
+    reloads: list[Reload] = field(default_factory=list)
     foreign_entry_periods: list[tuple[float, float]] = field(
         default_factory=list
     )
