Keep a recent dial when its host dials this one

Two hosts that dialled each other at the same moment could end each other's links without end: calls on them were answered 502 or 503.

Cause: a node that is dialled gives up its own dial to that host and begins a new one, so as not to wait for a backoff. If the dial had just opened a link, that link ended, and the other host did the same on the next one. It needs both Hellos to arrive before the dials return; binding the ports before the tasks start made this certain for nodes of one event loop, as in the tests.

A dial of under 0.1 s now goes on, and if it fails, the next one follows without a backoff.

--- a/features/mesh/links.feature
+++ b/features/mesh/links.feature
@@ -32,3 +32,17 @@
       | version | messages |
       | 0       | 0        |
       | 1       | 1        |
+
+  Scenario Outline: Two hosts that dial each other keep their first links
+    Given two hosts on <loop> that dial each other <gap> turns apart
+    Then each has accepted one link after 0.5 s
+
+    Examples: Guards against dials that are given up for each other without end
+      | loop    | gap |
+      | uvloop  | 0   |
+      | uvloop  | 1   |
+      | uvloop  | 2   |
+      | uvloop  | 4   |
+      | asyncio | 0   |
+      | asyncio | 1   |
+      | asyncio | 2   |
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -225,3 +225,63 @@
 @then("{count:d} messages are sent on it")
 def step_sent(context, count):
     assert len(context.written) == count, context.written
+
+
+class RedialingOwner:
+    """A node that dials each host that has dialled it."""
+
+    def __init__(self):
+        self.dialler = None
+        self.accepted = 0
+
+    def on_link_opened(self, link, hello):
+        """Dial the host of an accepted link."""
+        if not link.dialled:
+            self.accepted += 1
+            self.dialler.redial_now(hello.host)
+
+    def on_link_ended(self, link):
+        """Nothing to do."""
+
+
+async def _dial_each_other(turns):
+    """Let two hosts dial each other; return the links that each accepted."""
+    log = transport.JsonLog("host-1", transport.BootClock(), _keep([]))
+    hosts = ("127.0.6.1", "127.0.6.2")
+    socks = [socket.create_server((hosts[0], 0))]
+    port = socks[0].getsockname()[1]
+    socks.append(socket.create_server((hosts[1], port)))
+    owners, servers = [], []
+    for number, host in enumerate(hosts):
+        hello = coordination.Hello(host, number, "ledger")
+        owner = RedialingOwner()
+        owner.dialler = transport.Dialler(
+            owner, hello, port, random.Random(number), log
+        )
+        owners.append(owner)
+        servers.append(
+            await transport.listen_for_links(owner, hello, socks[number], log)
+        )
+    owners[0].dialler.set_hosts({hosts[1]})
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    owners[1].dialler.set_hosts({hosts[0]})
+    await asyncio.sleep(0.5)
+    accepted = [owner.accepted for owner in owners]
+    for owner in owners:
+        owner.dialler.set_hosts(set())
+    for server in servers:
+        server.close()
+    await asyncio.sleep(0.01)
+    return accepted
+
+
+@given("two hosts on {loop} that dial each other {turns:d} turns apart")
+def step_dial_each_other(context, loop, turns):
+    run = uvloop.run if loop == "uvloop" else asyncio.run
+    context.accepted = run(_dial_each_other(turns))
+
+
+@then("each has accepted one link after 0.5 s")
+def step_one_link_each(context):
+    assert context.accepted == [1, 1], context.accepted
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -17,6 +17,8 @@
 REDIAL_MIN_S = 0.05
 REDIAL_MAX_S = 0.6
 """Maximum backoff, shorter than the restart of a killed node takes."""
+STALE_DIAL_S = 0.1
+"""Age of a dial that is given up for a new one; a live host answers sooner."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 """Size of the send buffer above which a link is aborted."""
 HELLO_TIMEOUT_S = 2.0
@@ -295,6 +297,10 @@
         self._log = log
         self._task_by_host: dict[str, asyncio.Task[None]] = {}
         self._link_by_host: dict[str, Link] = {}
+        self._dialled_at_s_by_host: dict[str, float] = {}
+        """Hosts whose dials are in progress."""
+        self._live_hosts: set[str] = set()
+        """Hosts that have dialled this one during its dial to them."""
 
     def set_hosts(self, hosts: set[str]) -> None:
         """Set the hosts to keep links to.
@@ -309,10 +315,19 @@
             )
 
     def redial_now(self, host: str) -> None:
-        """Dial a host without backoff, since it has just dialled this one."""
+        """Dial a host without backoff, since it has just dialled this one.
+
+        A recent dial goes on: two hosts that give up their dials for each
+        other's would never be linked.
+        """
         task = self._task_by_host.get(host)
         if task is None or host in self._link_by_host:
             return
+        now_s = asyncio.get_running_loop().time()
+        dialled_at_s = self._dialled_at_s_by_host.get(host)
+        if dialled_at_s is not None and now_s - dialled_at_s < STALE_DIAL_S:
+            self._live_hosts.add(host)
+            return
         task.cancel()
         self._task_by_host[host] = asyncio.create_task(
             self._maintain_link(host)
@@ -321,7 +336,7 @@
     async def _maintain_link(self, host: str) -> None:
         delay_s = REDIAL_MIN_S
         while True:
-            link = await self._connect(host)
+            link = await self._dial(host)
             if link is not None:
                 delay_s = REDIAL_MIN_S
                 self._link_by_host[host] = link
@@ -329,9 +344,20 @@
                     await asyncio.shield(link.closed)
                 finally:
                     self._link_by_host.pop(host, None)
+            elif host in self._live_hosts:
+                continue
             await asyncio.sleep(delay_s * (0.5 + self._rng.random()))
             delay_s = min(REDIAL_MAX_S, 2 * delay_s)
 
+    async def _dial(self, host: str) -> Link | None:
+        """Dial once, and record that this is in progress."""
+        self._live_hosts.discard(host)
+        self._dialled_at_s_by_host[host] = asyncio.get_running_loop().time()
+        try:
+            return await self._connect(host)
+        finally:
+            self._dialled_at_s_by_host.pop(host, None)
+
     async def _connect(self, host: str) -> Link | None:
         loop = asyncio.get_running_loop()
         link = Link(self._owner, self._hello, True, self._log, self._budget)
