Report calls that a link has not sent whole as not run

What callers saw: 502, "may have run", for a request with a large body whose link ended while the body was being sent. Another host could have served it.

Cause: the entry task took each call on a link that had ended for one that may have run. A host runs a call only once it has received the whole message, so one of which the last part was never written can't have run. The same held for a call that was sent on a link which had just ended, whatever its size: it was dropped without a word.

The link now reports these calls before its own end, and the entry task decides: the attempt has not run, so that another server gets the call, or its caller 503. It writes a `call-unsent` line and counts `calls_unsent`. A part counts as written only if the link was still open for it. Calls that were written whole stay "may have run".

The check that every logged reason is explained reads the constant LINK_LOST now, since the literal that it found before became this constant.

--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -19,6 +19,7 @@
     "REASON_MALFORMED",
     "REASON_TRUNCATED",
     "SERVER_GONE",
+    "LINK_LOST",
 )
 LINE_BY_SETTING = {
     "ip": 'ip = "10.1.0.5"',
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -224,6 +224,7 @@
     def __init__(self):
         self.links = []
         self.messages = []
+        self.unsent = []
         self.ended = 0
         self._changed = asyncio.Event()
 
@@ -239,6 +240,11 @@
         self.messages.append(message)
         self._changed.set()
 
+    def on_call_unsent(self, link, call):
+        """Keep a call that was not sent whole."""
+        del link
+        self.unsent.append(call)
+
     def on_link_ended(self, link):
         """Count the end of a link."""
         del link
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -41,6 +41,7 @@
 from jasminecrank.mesh.coordination._messages import (
     CallerDisconnected as CallerDisconnected,
 )
+from jasminecrank.mesh.coordination._messages import CallUnsent as CallUnsent
 from jasminecrank.mesh.coordination._messages import CancelCall as CancelCall
 from jasminecrank.mesh.coordination._messages import ChangesRead as ChangesRead
 from jasminecrank.mesh.coordination._messages import (
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -22,6 +22,8 @@
 NO_TABLE_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 0.5
 """About the time until a restarted server is listed or found healthy."""
+LINK_LOST = "link-lost"
+"""Reason for the end of attempts on a link that has ended."""
 
 
 class LocalGate(typing.Protocol):
@@ -106,6 +108,8 @@
                 if active_calls is not None:
                     self._placement.record_response(host, active_calls)
                 self._attempt_ended(number, host, result)
+            case _messages.CallUnsent():
+                self._call_unsent(message)
             case _messages.FleetChanged(fleet):
                 self._fleet_changed(fleet)
             case _messages.LoadUpdated(host, load):
@@ -502,9 +506,32 @@
         for call in list(self._call_by_number.values()):
             if call.host == host and send in (None, call.send):
                 self._attempt_ended(
-                    call.number, host, state.MayHaveRun("link-lost")
+                    call.number, host, state.MayHaveRun(LINK_LOST)
                 )
 
+    def _call_unsent(self, message: _messages.CallUnsent) -> None:
+        """End an attempt whose message has not been sent whole."""
+        call = self._call_by_number.get(message.number)
+        if (
+            call is None
+            or call.host != message.host
+            or call.send != message.send
+        ):
+            return
+        self.log.count("calls_unsent")
+        self.log.decision(
+            "call-unsent",
+            request_id=call.request.request_id,
+            peer=message.host,
+            server=call.servers[-1],
+            body_bytes=len(call.request.body),
+        )
+        self._attempt_ended(
+            call.number,
+            message.host,
+            state.NotRun(LINK_LOST, NO_SERVER_RETRY_S),
+        )
+
     def _fleet_changed(self, fleet: state.FleetSnapshot) -> None:
         self._fleet = fleet
         hosts = {server.host for server in fleet.server_by_id.values()}
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -54,6 +54,18 @@
     """Calls that still run or wait at the host, if it reported them."""
 
 
+@dataclass(slots=True, frozen=True)
+class CallUnsent:
+    """A link has ended before an attempt's message was written whole to it.
+
+    The host there runs a call only once it has received the whole message.
+    """
+
+    number: int
+    host: str
+    send: _peer_messages.SendToPeer
+
+
 @dataclass(slots=True, frozen=True)
 class FleetChanged:
     """The node's view of the fleet has changed."""
@@ -297,6 +309,7 @@
     | CallDeadlineReached
     | QuotaDecided
     | AttemptEnded
+    | CallUnsent
     | FleetChanged
     | LoadUpdated
     | PeerUp
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -438,6 +438,14 @@
                     )
                 )
 
+    def on_call_unsent(
+        self, link: transport.Link, call: coordination.CallSent
+    ) -> None:
+        """Notify the task that has sent a call on a link that has ended."""
+        self.entry.mailbox.tell(
+            coordination.CallUnsent(call.call_id, link.peer_host, link.send)
+        )
+
     def on_link_ended(self, link: transport.Link) -> None:
         """Remove a link and notify the tasks that use it."""
         self._links.discard(link)
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -16,7 +16,8 @@
 
 _Carrier = coordination.CallSent | coordination.CallServed
 """A message whose body can be large."""
-_SendMessage = Callable[[coordination.PeerMessage], None]
+_SendMessage = Callable[[coordination.PeerMessage], bool]
+"""Writes a message to the link, and returns whether the link was open."""
 
 
 @dataclass(slots=True)
@@ -25,11 +26,14 @@
     carrier: _Carrier
     sent_bytes: int = 0
 
-    def next_part(self) -> coordination.BodyPart:
+    def send_part(self, send: _SendMessage) -> bool:
+        """Send the next part, and return whether the link was open."""
         start = self.sent_bytes
         data = memoryview(self.carrier.body)[start : start + PART_BYTES]
+        if not send(coordination.BodyPart(self.transfer_id, bytes(data))):
+            return False
         self.sent_bytes += len(data)
-        return coordination.BodyPart(self.transfer_id, bytes(data))
+        return True
 
     @property
     def is_sent(self) -> bool:
@@ -54,6 +58,14 @@
             for transfer in self._transfers
         )
 
+    def unsent_calls(self) -> tuple[coordination.CallSent, ...]:
+        """Return the calls of which a part is still to be written."""
+        return tuple(
+            transfer.carrier
+            for transfer in self._transfers
+            if isinstance(transfer.carrier, coordination.CallSent)
+        )
+
     def start(self, carrier: _Carrier) -> None:
         """Send a message; its body follows as the link has room."""
         transfer = _Outgoing(next(self._ids), carrier)
@@ -101,8 +113,11 @@
         self._turn = None
         if self._paused or not self._transfers:
             return
-        transfer = self._transfers.popleft()
-        self._send(transfer.next_part())
+        transfer = self._transfers[0]
+        if not transfer.send_part(self._send):
+            # The end of the link is about to be reported.
+            return
+        self._transfers.popleft()
         if not transfer.is_sent:
             self._transfers.append(transfer)
         self._schedule_turn()
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -35,6 +35,14 @@
     ) -> None:
         """Handle a message from the peer."""
 
+    def on_call_unsent(
+        self, link: "Link", call: coordination.CallSent
+    ) -> None:
+        """Handle a call that was not sent whole before the link ended.
+
+        Reported before the end of the link.
+        """
+
     def on_link_ended(self, link: "Link") -> None:
         """Handle the end of a link that was reported as opened."""
 
@@ -75,11 +83,14 @@
 
         A large body follows in parts as the peer takes them.
         """
+        if isinstance(message, coordination.CallSent) and not self._is_open:
+            self._owner.on_call_unsent(self, message)
+            return
         match message:
             case coordination.CallSent() | coordination.CallServed() if (
                 len(message.body) > state.SMALL_BODY_BYTES
             ):
-                if self._transport is not None:
+                if self._is_open:
                     self._body_sender.start(message)
                 return
             case coordination.CallCancelled(call_id):
@@ -96,11 +107,19 @@
         """Continue to send bodies."""
         self._body_sender.resume()
 
-    def _write(self, message: coordination.PeerMessage) -> None:
-        """Write a message; abort the link if its peer reads too slowly."""
+    @property
+    def _is_open(self) -> bool:
+        """Return whether messages are written."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def _write(self, message: coordination.PeerMessage) -> bool:
+        """Write a message, and return whether the link was open.
+
+        The link is aborted if its peer reads too slowly.
+        """
         transport = self._transport
         if transport is None or transport.is_closing():
-            return
+            return False
         try:
             transport.write(protocol.encode(message))
         except RuntimeError:
@@ -111,10 +130,11 @@
                 peer=self.peer_host,
                 message=type(message).__name__,
             )
-            return
+            return False
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self._log.decision("link-blocked", peer=self.peer_host)
             transport.abort()
+        return True
 
     @property
     def unsent_bytes(self) -> int:
@@ -245,9 +265,12 @@
         )
         # A closed transport of uvloop raises an error on each use.
         self._transport = None
+        unsent_calls = self._body_sender.unsent_calls()
         self._body_sender.close()
         self._body_receiver.close()
         if self.peer is not None:
+            for call in unsent_calls:
+                self._owner.on_call_unsent(self, call)
             self._owner.on_link_ended(self)
         self.closed.set_result(None)
 
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -88,6 +88,10 @@
         if line["event"] == "gate-call":
             yield f"gate of host {line['host']}: {outcome}, {reason}"
             yield f"  server {line.get('server', 'not logged under load')}"
+        elif line["event"] == "call-unsent":
+            yield f"entry node {line['host']}: not sent whole"
+            yield f"  the link to host {line['peer']} ended before; not run"
+            yield f"  server {line['server']}"
         else:
             yield f"entry node {line['host']}: {outcome}"
             yield f"  {OUTCOMES.get(outcome, 'unknown outcome')}"
