Wait in a stop for calls whose bodies are arriving

What callers saw: a node that was stopped ended after 2.3 s while a large body was on its way to it, although it had 3.3 s left, so that their request was refused, or lost with the connection.

Cause: the gate task learned of a call only once its whole body had arrived, so that the stop did not count it.

A link now tells the gate task when a call begins to arrive, and the call counts as active until it has arrived, was cancelled or has lost its link. A stop judges it by the rule for queued calls: one that would not end before the process is refused at once, with the reason `stopping`, so that another server gets it. What has not arrived when the window closes is refused then. The link discards the parts of a refused body and frees its memory, and the gate takes no call once the window has closed, since it has said that none will run.

--- a/features/mesh/gate_task.feature
+++ b/features/mesh/gate_task.feature
@@ -24,3 +24,24 @@
     Given a gate task beside a server with 2 slots
     When the next health check raises an error and the server is doubtful
     Then the server is up again within 1.0 s
+
+  Scenario Outline: Calls that are arriving count until they have ended
+    Given a gate task beside a server with 2 slots
+    When a call is arriving, and then <events>
+    Then it has been answered <answers>, and <active> calls are active
+
+    Examples:
+      | events                                  | answers                        | active |
+      | nothing                                 | nothing                        | 1      |
+      | it is cancelled                         | nothing                        | 0      |
+      | its link ends                           | nothing                        | 0      |
+      | another link ends                       | nothing                        | 1      |
+      | it has arrived                          | served                         | 0      |
+      | a stop is requested                     | nothing                        | 1      |
+      | a stop is requested, it has arrived     | served                         | 0      |
+      | a short stop is requested               | not run: stopping              | 0      |
+      | a short stop is requested, another arrives | not run: stopping, not run: stopping | 0 |
+      | the stop window closes                  | not run: stopping              | 0      |
+      | the stop window closes, it has arrived  | not run: stopping, not run: stopping | 0 |
+      | the stop window closes, another arrives | not run: stopping, not run: stopping | 0 |
+      | it is cancelled, the stop window closes | nothing                        | 0      |
--- a/features/steps/mesh_gate_task_steps.py
+++ b/features/steps/mesh_gate_task_steps.py
@@ -159,3 +159,69 @@
 
     load = context.runner.run(act())
     assert load.accepting, load
+
+
+STOP_S_BY_EVENT = {
+    "a stop is requested": 4.0,
+    "a short stop is requested": 1.0,
+}
+"""Time that a stopping node has left; calls have 2 s to their deadline."""
+
+
+def _arriving_event(context, event):
+    """Return the message of an event in the life of an arriving call."""
+    call = make_call(0, False)
+    match event:
+        case "it is cancelled":
+            return coordination.CancelCall(LINK_ID, call.call_id)
+        case "its link ends":
+            return coordination.LinkClosed(LINK_ID)
+        case "another link ends":
+            return coordination.LinkClosed(LINK_ID + 1)
+        case "it has arrived":
+            return coordination.RunCall(LINK_ID, call, context.sent.append)
+        case "a stop is requested" | "a short stop is requested":
+            now_s = asyncio.get_running_loop().time()
+            return coordination.StopRequested(
+                state.StopWindow(now_s, now_s + STOP_S_BY_EVENT[event])
+            )
+        case "the stop window closes":
+            return coordination.StopWindowClosed()
+        case "another arrives":
+            other = make_call(1, False)
+            return coordination.CallArriving(
+                LINK_ID, other, context.sent.append
+            )
+        case _:
+            raise ValueError(event)
+
+
+@when("a call is arriving, and then {events}")
+def step_arriving(context, events):
+    context.sent = []
+
+    async def act():
+        tell = context.gate.mailbox.tell
+        call = make_call(0, False)
+        tell(coordination.CallArriving(LINK_ID, call, context.sent.append))
+        for event in events.split(", "):
+            if event != "nothing":
+                tell(_arriving_event(context, event))
+        await asyncio.sleep(2 * RUN_S)
+
+    context.runner.run(act())
+
+
+@then("it has been answered {answers}, and {count:d} calls are active")
+def step_answers(context, answers, count):
+    seen = []
+    for message in context.sent:
+        match message:
+            case coordination.CallServed():
+                seen.append("served")
+            case coordination.CallNotRun(reason=reason, reached_server=False):
+                seen.append(f"not run: {reason}")
+            case _:
+                seen.append(str(message))
+    assert (", ".join(seen) or "nothing") == answers, seen
+    assert context.gate.active_calls == count, context.gate.active_calls
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -224,6 +224,7 @@
     def __init__(self):
         self.links = []
         self.messages = []
+        self.arriving = []
         self.unsent = []
         self.ended = 0
         self._changed = asyncio.Event()
@@ -240,6 +241,12 @@
         self.messages.append(message)
         self._changed.set()
 
+    def on_call_arriving(self, link, call):
+        """Keep a call whose body is on its way."""
+        del link
+        self.arriving.append(call)
+        self._changed.set()
+
     def on_call_unsent(self, link, call):
         """Keep a call that was not sent whole."""
         del link
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -35,6 +35,9 @@
     BoundsChanged as BoundsChanged,
 )
 from jasminecrank.mesh.coordination._messages import CallArrived as CallArrived
+from jasminecrank.mesh.coordination._messages import (
+    CallArriving as CallArriving,
+)
 from jasminecrank.mesh.coordination._messages import (
     CallDeadlineReached as CallDeadlineReached,
 )
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -7,6 +7,7 @@
 import typing
 
 from jasminecrank.mesh import state
+from jasminecrank.mesh.coordination import _arriving_calls
 from jasminecrank.mesh.coordination import _mailbox
 from jasminecrank.mesh.coordination import _messages
 from jasminecrank.mesh.coordination import _peer_messages
@@ -84,14 +85,16 @@
         """Ids and times of creation listed at the server's address."""
         self._gone_server_ids: set[str] = set()
         self._call_by_key: dict[tuple[int, int], _ActiveCall] = {}
+        self._arriving = _arriving_calls.ArrivingCalls()
         self._accepting = True
+        self._stop_window_closed = False
         self._health_check: asyncio.Task[None] | None = None
         self._tick_scheduled = False
 
     @property
     def active_calls(self) -> int:
-        """Return the number of calls that run or wait in the queue."""
-        return len(self._call_by_key)
+        """Return the number of calls that run, wait or are arriving."""
+        return len(self._call_by_key) + len(self._arriving)
 
     def load(self) -> state.ServerLoad:
         """Return the load of this server as reported to other nodes."""
@@ -102,7 +105,10 @@
     def handle(self, message: _messages.GateMessage) -> None:
         """Process one message."""
         match message:
-            case _messages.RunCall():
+            case _messages.CallArriving():
+                self._call_arriving(message)
+            case _messages.RunCall(link_id, call):
+                self._arriving.remove(link_id, call.call_id)
                 self._admit(message)
             case _messages.CancelCall(link_id, call_id):
                 self._cancel((link_id, call_id))
@@ -122,25 +128,46 @@
                 self._refuse_stopped(
                     self._admission.request_stop(window, self._clock.now_s())
                 )
+                self._refuse_arriving()
             case _messages.StopWindowClosed():
                 self._end_all_calls()
             case _:
                 typing.assert_never(message)
 
+    def _call_arriving(self, message: _messages.CallArriving) -> None:
+        """Wait for a call, unless the node stops before it would end."""
+        self._arriving.add(
+            _arriving_calls.ArrivingCall.from_message(
+                message, self._clock.now_s()
+            )
+        )
+        self._refuse_arriving()
+
+    def _refuse_arriving(self) -> None:
+        """Refuse the arriving calls that would not end before a stop."""
+        now_s = self._clock.now_s()
+        for arriving in self._arriving.take_unless(
+            lambda request: (
+                not self._stop_window_closed
+                and self._admission.ends_before_stop(request, 0.0, now_s)
+            )
+        ):
+            self._refuse(
+                arriving.call, arriving.send, state.STOPPING_REASON, 0.0
+            )
+
     def _admit(self, message: _messages.RunCall) -> None:
         call = message.call
         now_s = self._clock.now_s()
+        if self._stop_window_closed:
+            self._refuse(call, message.send, state.STOPPING_REASON, 0.0)
+            return
         reason = self._rejection_reason(call.server_id)
         if reason is not None:
             self._refuse(call, message.send, reason, CLOSED_RETRY_S)
             return
-        request = state.AdmissionRequest(
-            call.call_id,
-            message.link_id,
-            call.rank,
-            call.route,
-            now_s + call.remaining_s,
-            now_s + call.target_remaining_s,
+        request = _arriving_calls.admission_request(
+            message.link_id, call, now_s
         )
         active = _ActiveCall(call, message.send)
         decision = self._admission.submit(request, now_s)
@@ -277,6 +304,7 @@
         self._release_queued()
 
     def _cancel(self, key: tuple[int, int]) -> None:
+        self._arriving.remove(*key)
         active = self._call_by_key.get(key)
         if active is None or active.cancelled:
             return
@@ -296,6 +324,7 @@
             active.task.cancel()
 
     def _link_closed(self, link_id: int) -> None:
+        self._arriving.remove_link(link_id)
         for key in [key for key in self._call_by_key if key[0] == link_id]:
             self._cancel(key)
 
@@ -407,7 +436,9 @@
 
     def _end_all_calls(self) -> None:
         """Reply to the remaining calls, whose results will not be known."""
+        self._stop_window_closed = True
         self._refuse_queued()
+        self._refuse_arriving()
         for active in self._call_by_key.values():
             if active.cancelled:
                 continue
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -167,6 +167,19 @@
     """Triggers the check for requests without a reply."""
 
 
+@dataclass(slots=True, frozen=True)
+class CallArriving:
+    """A call whose body is being received from a link.
+
+    RunCall, CancelCall or LinkClosed follows.
+    """
+
+    link_id: int
+    call: _peer_messages.CallSent
+    """The call without its body."""
+    send: _peer_messages.SendToPeer
+
+
 @dataclass(slots=True, frozen=True)
 class RunCall:
     """A call to run at the local backend server.
@@ -334,7 +347,8 @@
     | QuotaTick
 )
 GateMessage = (
-    RunCall
+    CallArriving
+    | RunCall
     | CancelCall
     | LinkClosed
     | RunEnded
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -438,6 +438,14 @@
                     )
                 )
 
+    def on_call_arriving(
+        self, link: transport.Link, call: coordination.CallSent
+    ) -> None:
+        """Notify the task that will run a call once its body has arrived."""
+        self.gate.mailbox.tell(
+            coordination.CallArriving(link.link_id, call, link.send)
+        )
+
     def on_call_unsent(
         self, link: transport.Link, call: coordination.CallSent
     ) -> None:
--- a/src/jasminecrank/mesh/state/_gate.py
+++ b/src/jasminecrank/mesh/state/_gate.py
@@ -102,7 +102,7 @@
         self, request: _admission.AdmissionRequest, now_s: float
     ) -> _admission.Decision:
         """Admit, enqueue or reject a new call."""
-        if self.stop_window is not None and not self._ends_before_stop(
+        if self.stop_window is not None and not self.ends_before_stop(
             request, self.expected_wait_s(request.rank, now_s), now_s
         ):
             return _admission.Reject(STOPPING_REASON, 0.0)
@@ -321,9 +321,10 @@
         run_time_s = 0.5 * self.expected_run_time_s(request.route)
         return now_s + run_time_s > request.deadline_at_s
 
-    def _ends_before_stop(
+    def ends_before_stop(
         self, request: _admission.AdmissionRequest, wait_s: float, now_s: float
     ) -> bool:
+        """Return whether a call that waits so long ends in time for a stop."""
         return self.stop_window is None or self.stop_window.accepts(
             now_s,
             request.deadline_at_s,
@@ -340,7 +341,7 @@
         ahead = 0
         for request in self._queued_requests():
             wait_s = self._wait_behind_s(ahead, now_s)
-            if self._ends_before_stop(request, wait_s, now_s):
+            if self.ends_before_stop(request, wait_s, now_s):
                 ahead += 1
             else:
                 stopped.append(request)
@@ -356,7 +357,7 @@
         stopped = [
             request
             for request in self._queued_requests()
-            if not self._ends_before_stop(request, 0.0, now_s)
+            if not self.ends_before_stop(request, 0.0, now_s)
         ]
         self._discard(stopped)
         return stopped
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -161,10 +161,13 @@
         self._send = send
         self._incoming_by_id: dict[int, _Incoming] = {}
 
-    def begin(self, message: coordination.BodyFollows) -> None:
+    def begin(
+        self, message: coordination.BodyFollows
+    ) -> coordination.CallSent | None:
         """Start to receive a body, or refuse its call.
 
-        Raises LinkError if the message is invalid.
+        Returns a call that is now arriving. Raises LinkError if the message
+        is invalid.
         """
         carrier = protocol.decode(message.message)
         if not 0 < message.body_bytes <= protocol.MAX_BODY_BYTES:
@@ -177,10 +180,12 @@
                 buffer = _body_buffer.BodyBuffer(message.body_bytes)
             case _:
                 raise protocol.LinkError("body of a message without a body")
-        if buffer is not None:
-            self._incoming_by_id[message.transfer_id] = _Incoming(
-                carrier, buffer, asyncio.get_running_loop().time()
-            )
+        if buffer is None:
+            return None
+        self._incoming_by_id[message.transfer_id] = _Incoming(
+            carrier, buffer, asyncio.get_running_loop().time()
+        )
+        return carrier if isinstance(carrier, coordination.CallSent) else None
 
     def add(self, part: coordination.BodyPart) -> _Carrier | None:
         """Return the whole message with the last part of its body.
@@ -202,6 +207,16 @@
         """Discard what has been received of a body."""
         self._incoming_by_id.pop(message.transfer_id, None)
 
+    def refuse_call(self, call_id: int) -> None:
+        """Discard what has been received of a call that is not to run."""
+        for transfer_id, incoming in list(self._incoming_by_id.items()):
+            carrier = incoming.carrier
+            if (
+                isinstance(carrier, coordination.CallSent)
+                and carrier.call_id == call_id
+            ):
+                del self._incoming_by_id[transfer_id]
+
     def close(self) -> None:
         """Discard all incomplete bodies."""
         self._incoming_by_id.clear()
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -35,6 +35,14 @@
     ) -> None:
         """Handle a message from the peer."""
 
+    def on_call_arriving(
+        self, link: "Link", call: coordination.CallSent
+    ) -> None:
+        """Handle the head of a call whose body is still to be received.
+
+        `on_message` follows with the whole call, or with its cancellation.
+        """
+
     def on_call_unsent(
         self, link: "Link", call: coordination.CallSent
     ) -> None:
@@ -95,6 +103,8 @@
                 return
             case coordination.CallCancelled(call_id):
                 self._body_sender.cancel_call(call_id)
+            case coordination.CallNotRun(call_id):
+                self._body_receiver.refuse_call(call_id)
             case _:
                 pass
         self._write(message)
@@ -241,7 +251,9 @@
             case coordination.BodyPart():
                 return self._body_receiver.add(message)
             case coordination.BodyFollows():
-                self._body_receiver.begin(message)
+                call = self._body_receiver.begin(message)
+                if call is not None:
+                    self._owner.on_call_arriving(self, call)
                 return None
             case coordination.BodyAbandoned():
                 self._body_receiver.abandon(message)
