--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -34,12 +34,16 @@
     BoundsChanged as BoundsChanged,
 )
 from jasminecrank.mesh.coordination._messages import CallArrived as CallArrived
+from jasminecrank.mesh.coordination._messages import (
+    CallArriving as CallArriving,
+)
 from jasminecrank.mesh.coordination._messages import (
     CallDeadlineReached as CallDeadlineReached,
 )
 from jasminecrank.mesh.coordination._messages import (
     CallerDisconnected as CallerDisconnected,
 )
+from jasminecrank.mesh.coordination._messages import CallUnsent as CallUnsent
 from jasminecrank.mesh.coordination._messages import CancelCall as CancelCall
 from jasminecrank.mesh.coordination._messages import ChangesRead as ChangesRead
 from jasminecrank.mesh.coordination._messages import (
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -54,6 +54,18 @@
     """Calls that still run or wait at the host, if it reported them."""
 
 
+@dataclass(slots=True, frozen=True)
+class CallUnsent:
+    """A link has ended before an attempt's message was written whole to it.
+
+    The host there runs a call only once it has received the whole message.
+    """
+
+    number: int
+    host: str
+    send: _peer_messages.SendToPeer
+
+
 @dataclass(slots=True, frozen=True)
 class FleetChanged:
     """The node's view of the fleet has changed."""
@@ -155,6 +167,19 @@
     """Triggers the check for requests without a reply."""
 
 
+@dataclass(slots=True, frozen=True)
+class CallArriving:
+    """A call whose body is being received from a link.
+
+    RunCall, CancelCall or LinkClosed follows.
+    """
+
+    link_id: int
+    call: _peer_messages.CallSent
+    """The call without its body."""
+    send: _peer_messages.SendToPeer
+
+
 @dataclass(slots=True, frozen=True)
 class RunCall:
     """A call to run at the local backend server.
@@ -297,6 +322,7 @@
     | CallDeadlineReached
     | QuotaDecided
     | AttemptEnded
+    | CallUnsent
     | FleetChanged
     | LoadUpdated
     | PeerUp
@@ -321,7 +347,8 @@
     | QuotaTick
 )
 GateMessage = (
-    RunCall
+    CallArriving
+    | RunCall
     | CancelCall
     | LinkClosed
     | RunEnded
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -16,7 +16,8 @@
 
 _Carrier = coordination.CallSent | coordination.CallServed
 """A message whose body can be large."""
-_SendMessage = Callable[[coordination.PeerMessage], None]
+_SendMessage = Callable[[coordination.PeerMessage], bool]
+"""Writes a message to the link, and returns whether the link was open."""
 
 
 @dataclass(slots=True)
@@ -25,11 +26,14 @@
     carrier: _Carrier
     sent_bytes: int = 0
 
-    def next_part(self) -> coordination.BodyPart:
+    def send_part(self, send: _SendMessage) -> bool:
+        """Send the next part, and return whether the link was open."""
         start = self.sent_bytes
         data = memoryview(self.carrier.body)[start : start + PART_BYTES]
+        if not send(coordination.BodyPart(self.transfer_id, bytes(data))):
+            return False
         self.sent_bytes += len(data)
-        return coordination.BodyPart(self.transfer_id, bytes(data))
+        return True
 
     @property
     def is_sent(self) -> bool:
@@ -54,6 +58,14 @@
             for transfer in self._transfers
         )
 
+    def unsent_calls(self) -> tuple[coordination.CallSent, ...]:
+        """Return the calls of which a part is still to be written."""
+        return tuple(
+            transfer.carrier
+            for transfer in self._transfers
+            if isinstance(transfer.carrier, coordination.CallSent)
+        )
+
     def start(self, carrier: _Carrier) -> None:
         """Send a message; its body follows as the link has room."""
         transfer = _Outgoing(next(self._ids), carrier)
@@ -101,8 +113,11 @@
         self._turn = None
         if self._paused or not self._transfers:
             return
-        transfer = self._transfers.popleft()
-        self._send(transfer.next_part())
+        transfer = self._transfers[0]
+        if not transfer.send_part(self._send):
+            # The end of the link is about to be reported.
+            return
+        self._transfers.popleft()
         if not transfer.is_sent:
             self._transfers.append(transfer)
         self._schedule_turn()
@@ -146,10 +161,13 @@
         self._send = send
         self._incoming_by_id: dict[int, _Incoming] = {}
 
-    def begin(self, message: coordination.BodyFollows) -> None:
+    def begin(
+        self, message: coordination.BodyFollows
+    ) -> coordination.CallSent | None:
         """Start to receive a body, or refuse its call.
 
-        Raises LinkError if the message is invalid.
+        Returns a call that is now arriving. Raises LinkError if the message
+        is invalid.
         """
         carrier = protocol.decode(message.message)
         if not 0 < message.body_bytes <= protocol.MAX_BODY_BYTES:
@@ -165,10 +183,12 @@
                 )
             case _:
                 raise protocol.LinkError("body of a message without a body")
-        if buffer is not None:
-            self._incoming_by_id[message.transfer_id] = _Incoming(
-                carrier, buffer, asyncio.get_running_loop().time()
-            )
+        if buffer is None:
+            return None
+        self._incoming_by_id[message.transfer_id] = _Incoming(
+            carrier, buffer, asyncio.get_running_loop().time()
+        )
+        return carrier if isinstance(carrier, coordination.CallSent) else None
 
     def add(self, part: coordination.BodyPart) -> _Carrier | None:
         """Return the whole message with the last part of its body.
@@ -190,6 +210,16 @@
         """Discard what has been received of a body."""
         self._incoming_by_id.pop(message.transfer_id, None)
 
+    def refuse_call(self, call_id: int) -> None:
+        """Discard what has been received of a call that is not to run."""
+        for transfer_id, incoming in list(self._incoming_by_id.items()):
+            carrier = incoming.carrier
+            if (
+                isinstance(carrier, coordination.CallSent)
+                and carrier.call_id == call_id
+            ):
+                del self._incoming_by_id[transfer_id]
+
     def close(self) -> None:
         """Discard all incomplete bodies."""
         self._incoming_by_id.clear()
