Send bursts of very large bodies in the fault soak

The table now allows 64 MiB, the settings state memoryMb = 300, and callers of their own send 2 to 4 bodies of 8 to 64 MiB to one node at once. They draw from a generator of their own: faults and loads of a seed stay as they were. No check has changed.

Seed 3 is kept as a regression case.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -82,6 +82,18 @@
       | 2    |
       | 3    |
 
+  Scenario Outline: A node gets several very large bodies at once
+    Given the first 20 bursts of seed <seed> for 8 hosts
+    Then they are the same when they are drawn again
+    And each has 2 to 4 bodies of 8 to 64 MiB that follow within 1 s
+    And some bursts have 2 bodies of 64 MiB or more
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   Scenario Outline: A short run of node processes
     When <faults> of seed <seed> are run on <hosts> hosts for <seconds> s
     Then no guarantee is violated
@@ -90,6 +102,7 @@
       | faults       | seed | hosts | seconds | why                                        |
       | planned work | 4    | 6     | 16      | failed: signals, ports, settings and answers in stops |
       | planned work | 5    | 6     | 16      | failed: entries of an unknown service at all servers  |
+      | planned work | 3    | 8     | 30      | failed: large bodies took a node's memory             |
       | all faults   | 1    | 5     | 18      | a short run                                |
       | all faults   | 11   | 5     | 18      | a short run                                |
       | all faults   | 8    | 8     | 30      | failed: two plans for one data centre met  |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -16,12 +16,14 @@
 from behave import when
 
 from jasminecrank.standins import soak
+from jasminecrank.standins.soak import _large_bodies
 from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import losses
 from jasminecrank.standins.soak import observed
 
 SOAK_COMMAND = (sys.executable, "script/run_fault_soak.py")
+MIB = 1024 * 1024
 RATE_PER_S = 60
 END_S = 30.0
 CHECK_BY_NAME = {
@@ -384,6 +386,43 @@
     assert times[-1] <= context.arguments[2] - seconds
 
 
+def draw_bursts(seed, hosts, count):
+    """Return the first bursts of large bodies of a seed."""
+    rng = _large_bodies.make_rng(seed)
+    return [_large_bodies.draw_burst(rng, hosts) for _ in range(count)]
+
+
+@given("the first {count:d} bursts of seed {seed:d} for {hosts:d} hosts")
+def step_bursts(context, count, seed, hosts):
+    context.arguments = (seed, hosts, count)
+    context.bursts = draw_bursts(*context.arguments)
+
+
+@then("they are the same when they are drawn again")
+def step_same_bursts(context):
+    assert context.bursts == draw_bursts(*context.arguments)
+
+
+@then(
+    "each has {fewest:d} to {most:d} bodies of {low:d} to {high:d} MiB "
+    "that follow within {seconds:g} s"
+)
+def step_burst_bodies(context, fewest, most, low, high, seconds):
+    for burst in context.bursts:
+        assert fewest <= len(burst.loads) <= most, burst
+        for load in burst.loads:
+            assert low * MIB <= load.body_bytes <= high * MIB, load
+            assert load.upload_s <= seconds, load
+
+
+@then("some bursts have {count:d} bodies of {mib:d} MiB or more")
+def step_largest_bodies(context, count, mib):
+    assert any(
+        sum(load.body_bytes >= mib * MIB for load in burst.loads) >= count
+        for burst in context.bursts
+    )
+
+
 @when("{faults} of seed {seed:d} are run on {hosts:d} hosts for {seconds:d} s")
 def step_run_seed(context, faults, seed, hosts, seconds):
     # The soak reports all errors of its process, so that it has its own.
--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -7,6 +7,7 @@
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _demanding
 from jasminecrank.standins.soak import _deployment
+from jasminecrank.standins.soak import _large_bodies
 from jasminecrank.standins.soak import observed
 
 CALLERS_PER_HOST = 4
@@ -33,6 +34,8 @@
 
     def start(self) -> None:
         """Start sending requests to the nodes of all hosts."""
+        large = _large_bodies.LargeBodyCallers(self._deployment, self._seed)
+        self._tasks.append(asyncio.create_task(large.run()))
         for number in self._deployment.hosts:
             for index in range(CALLERS_PER_HOST):
                 rng = random.Random(f"{number}/{index}")
--- a/src/jasminecrank/standins/soak/_demanding.py
+++ b/src/jasminecrank/standins/soak/_demanding.py
@@ -108,6 +108,15 @@
         finally:
             self._close()
 
+    async def send_once(self, load: Load) -> None:
+        """Send a load on a new connection, unless the node is down."""
+        try:
+            await self._connect()
+            if self._streams is not None:
+                await self._play(*self._streams, load)
+        finally:
+            self._close()
+
     def _close(self) -> None:
         if self._streams is not None:
             self._streams[1].transport.abort()
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -20,6 +20,7 @@
 TEAM_RATE_PER_S = 60
 FOREIGN_BORN_AHEAD_MS = 3_600_000
 COLD_START_S = 3.0
+MEMORY_LIMIT_MB = 300
 MEMORY_INTERVAL_S = 0.2
 START_TIMEOUT_S = 15.0
 """Time limit for all nodes to become ready at the start."""
@@ -149,6 +150,8 @@
 [listen]
 outbound = "{host}:{self.ports["callers"]}"
 ready = "{host}:{self.ports["ready"]}"
+[limits]
+memoryMb = {MEMORY_LIMIT_MB}
 [platform]
 address = "{host}:{self.ports["store"]}"
 """
@@ -248,7 +251,9 @@
             team: fleet.TeamRow(tuple(keys), TEAM_RATE_PER_S)
             for team, keys in self.keys_by_team.items()
         }
-        entry = fleet.table_entry(self._version, 1000, rows)
+        entry = fleet.table_entry(
+            self._version, 1000, rows, max_body_bytes=_server.MAX_BODY_BYTES
+        )
         entry["resources"].extend(_server.bulk_routes(entry["resources"][0]))
         await self.store.put("op/config", entry)
 
--- a/src/jasminecrank/standins/soak/_server.py
+++ b/src/jasminecrank/standins/soak/_server.py
@@ -8,6 +8,8 @@
 
 BULK_TIMEOUT_MS = 15_000
 """Limit of the routes on which bodies and answers are large and slow."""
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Limit of the table, the platform's maxBodyBytes."""
 BULK_ROUTES = (("files", "/files/", "safe"), ("upload", "/upload/", "unsafe"))
 
 
