Judge each request without a key while foreign entries stand

The soak judged entries of other writers by a quarter of all requests that are served with them, over whole periods without an unplanned fault, and hardly ever if the entries stay. An entry that takes away single requests, or all of them for a short time, passed.

The promise is that such entries take away nothing. Requests without a key have no quota, and a host without a fault serves all of them otherwise, so now each one has to be served: sent while entries of others stand, staying ones included, to a host without a fault or stop in the last 3 s, with no unplanned fault anywhere and at least half of the servers in service. A 504 does not count, since its server was in use. The check of a quarter stays beside it.

Evidence: seven new rows fail with the previous check.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -47,6 +47,21 @@
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
+      | a public request is served with foreign entries | foreign_entries | nothing |
+      | a public request is refused with foreign entries | foreign_entries | a fault |
+      | a public request is lost with foreign entries  | foreign_entries | a fault |
+      | a public request is refused as foreign entries begin | foreign_entries | a fault |
+      | a public request is refused while foreign entries stay | foreign_entries | a fault |
+      | a public request is refused after foreign entries | foreign_entries | nothing |
+      | a public request is refused with foreign entries in a fault | foreign_entries | nothing |
+      | a public request is refused with foreign entries in a stop | foreign_entries | nothing |
+      | a public request times out with foreign entries | foreign_entries | nothing |
+      | a public request fails with foreign entries    | foreign_entries | a fault |
+      | a public request is refused as half of the servers leave | foreign_entries | a fault |
+      | a public request is refused as most servers leave | foreign_entries | nothing |
+      | a public request is refused while its node stops | foreign_entries | nothing |
+      | a public request is refused long after its node stopped | foreign_entries | a fault |
+      | a request with a key is refused with foreign entries | foreign_entries | nothing |
       | a process is killed                            | process_ends    | nothing |
       | a process is killed by another                 | process_ends    | a fault |
       | a process ends well after a SIGTERM            | process_ends    | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -163,7 +163,46 @@
         fault=11.0,
         planned=planned,
     )
-    records.foreign_entry_periods.append((10.0, 14.0))
+    records.foreign_entry_periods.append(
+        observed.ForeignEntryPeriod(10.0, 14.0)
+    )
+    return records
+
+
+def records_with_public_request(
+    status=503,
+    sent_s=13.0,
+    key=None,
+    end_s=14.0,
+    fault=None,
+    planned=False,
+    leaving=0,
+):
+    """Return a request to a public route and a period of foreign entries.
+
+    Some of the 4 hosts have servers that leave at that time.
+    """
+    attempt = make_attempt(method="GET", key=key, sent_s=sent_s, status=status)
+    records = make_records([attempt], [], fault, planned)
+    for host in range(1, 4):
+        other = make_attempt(f"other-{host}")
+        other.host = host
+        records.attempts.append(other)
+    records.out_of_service_periods.extend(
+        observed.OutOfServicePeriod(host, 14.0, 15.0)
+        for host in range(leaving)
+    )
+    records.foreign_entry_periods.append(
+        observed.ForeignEntryPeriod(10.0, end_s)
+    )
+    return records
+
+
+def records_with_stopping_node(end_s):
+    """Return a public request refused at 13 s, and the end of a stop."""
+    records = records_with_public_request()
+    records.terminations.append(observed.Termination(0, 1, 7.0))
+    records.process_ends.append(observed.ProcessEnd(0, 1, end_s, 0))
     return records
 
 
@@ -320,6 +359,51 @@
     "4 of 20 are served with foreign entries in a fault": lambda: (
         records_with_foreign_entries(4, planned=False)
     ),
+    "a public request is served with foreign entries": lambda: (
+        records_with_public_request(status=200)
+    ),
+    "a public request is refused with foreign entries": (
+        records_with_public_request
+    ),
+    "a public request is lost with foreign entries": lambda: (
+        records_with_public_request(status=0)
+    ),
+    "a public request is refused as foreign entries begin": lambda: (
+        records_with_public_request(sent_s=10.1)
+    ),
+    "a public request is refused while foreign entries stay": lambda: (
+        records_with_public_request(sent_s=25.0, end_s=math.inf)
+    ),
+    "a public request is refused after foreign entries": lambda: (
+        records_with_public_request(sent_s=14.1)
+    ),
+    "a public request is refused with foreign entries in a fault": lambda: (
+        records_with_public_request(fault=12.0)
+    ),
+    "a public request is refused with foreign entries in a stop": lambda: (
+        records_with_public_request(fault=12.0, planned=True)
+    ),
+    "a public request times out with foreign entries": lambda: (
+        records_with_public_request(status=504)
+    ),
+    "a public request fails with foreign entries": lambda: (
+        records_with_public_request(status=502)
+    ),
+    "a public request is refused as half of the servers leave": lambda: (
+        records_with_public_request(leaving=2)
+    ),
+    "a public request is refused as most servers leave": lambda: (
+        records_with_public_request(leaving=3)
+    ),
+    "a public request is refused while its node stops": lambda: (
+        records_with_stopping_node(end_s=12.5)
+    ),
+    "a public request is refused long after its node stopped": lambda: (
+        records_with_stopping_node(end_s=9.5)
+    ),
+    "a request with a key is refused with foreign entries": lambda: (
+        records_with_public_request(key="k1")
+    ),
     "a process is killed": lambda: records_with_end(
         -signal.SIGKILL, (signal.SIGKILL, 1.0)
     ),
--- a/src/jasminecrank/standins/soak/_series_injector.py
+++ b/src/jasminecrank/standins/soak/_series_injector.py
@@ -34,13 +34,12 @@
             with deployment.record_disturbance((series.host,), planned=True):
                 await _restart(deployment, series)
         case _series.ForeignEntries(hosts, duration_s):
-            begin_s = deployment.now_s()
+            period = observed.ForeignEntryPeriod(deployment.now_s())
+            deployment.records.foreign_entry_periods.append(period)
             await deployment.put_foreign_entries(hosts)
             if duration_s is not None:
                 await asyncio.sleep(duration_s)
-                deployment.records.foreign_entry_periods.append(
-                    (begin_s, deployment.now_s())
-                )
+                period.end_s = deployment.now_s()
                 await deployment.delete_foreign_entries(hosts)
         case _:
             typing.assert_never(series)
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterator
+import math
 import signal
 
 from jasminecrank.standins.soak import observed
@@ -22,6 +23,10 @@
 RECOVERED_RATIO = 0.25
 """Minimum fraction of requests served after the last fault."""
 MIN_JUDGED_REQUESTS = 20
+IN_SERVICE_RATIO = 0.5
+"""Minimum fraction of hosts in service that can serve all requests."""
+LEAVING_S = 5.0
+"""Longest time in which servers leave before they are out of service."""
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 Check = Callable[[observed.Records], Iterator[str]]
@@ -192,25 +197,91 @@
 
 def foreign_entries(records: observed.Records) -> Iterator[str]:
     """Check that entries of other writers do not take servers out of use."""
-    for begin_s, end_s in records.foreign_entry_periods:
+    for period in records.foreign_entry_periods:
         requests = [
             attempt
             for attempt in records.attempts
-            if begin_s + CONFIG_APPLY_S < attempt.sent_s
-            and attempt.ended_s < end_s
+            if period.begin_s + CONFIG_APPLY_S < attempt.sent_s
+            and attempt.ended_s < period.end_s
         ]
         served = sum(attempt.status == 200 for attempt in requests)
         if (
             len(requests) >= MIN_JUDGED_REQUESTS
             and served < RECOVERED_RATIO * len(requests)
-            and records.is_undisturbed(None, begin_s, end_s, False)
+            and records.is_undisturbed(
+                None, period.begin_s, period.end_s, False
+            )
+        ):
+            yield (
+                f"{served} of {len(requests)} requests served with entries of "
+                f"another writer from {period.begin_s:.2f} to "
+                f"{period.end_s:.2f} s"
+            )
+    yield from _unserved_public_requests(records)
+
+
+def _unserved_public_requests(records: observed.Records) -> Iterator[str]:
+    """Yield requests that were not served with entries of other writers.
+
+    Requests without a key have no quota, so that hosts without a fault serve
+    them as long as enough servers are in service. Loads are left out: their
+    bodies can exceed a limit. A 504 means that a server was in use.
+    """
+    hosts = {attempt.host for attempt in records.attempts}
+    for attempt in records.attempts:
+        if (
+            attempt.key is None
+            and not attempt.load
+            and not attempt.abandoned
+            and attempt.status not in (200, 504)
+            and any(
+                period.begin_s <= attempt.sent_s < period.end_s
+                for period in records.foreign_entry_periods
+            )
+            and records.is_undisturbed(
+                None, attempt.sent_s, attempt.ended_s, False
+            )
+            and _is_calm(records, attempt.host, attempt)
+            and sum(_is_in_service(records, host, attempt) for host in hosts)
+            >= IN_SERVICE_RATIO * len(hosts)
         ):
             yield (
-                f"{served} of {len(requests)} requests served with entries "
-                f"of another writer from {begin_s:.2f} to {end_s:.2f} s"
+                f"{attempt.request_id}, sent to host {attempt.host} at "
+                f"{attempt.sent_s:.2f} s, got {attempt.status} with entries "
+                f"of another writer"
             )
 
 
+def _is_calm(
+    records: observed.Records, host: int, attempt: observed.Attempt
+) -> bool:
+    """Return whether a host had neither a fault nor a stopping process."""
+    end_s_by_process = {
+        (end.host, end.incarnation): end.at_s for end in records.process_ends
+    }
+    return records.is_undisturbed(
+        host, attempt.sent_s, attempt.ended_s, True
+    ) and not any(
+        stop.host == host
+        and stop.at_s <= attempt.ended_s
+        and attempt.sent_s - observed.SETTLE_S
+        <= end_s_by_process.get((host, stop.incarnation), math.inf)
+        for stop in records.terminations
+    )
+
+
+def _is_in_service(
+    records: observed.Records, host: int, attempt: observed.Attempt
+) -> bool:
+    """Return whether a host and its server were in service for a request."""
+    return _is_calm(records, host, attempt) and not any(
+        period.host == host
+        and period.from_s - LEAVING_S <= attempt.ended_s
+        and attempt.sent_s <= period.until_s + observed.SETTLE_S
+        for period in records.out_of_service_periods
+    )
+
+
 def recovery(end_s: float) -> Check:
     """Return a check that requests are served at the end of the run."""
 
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -77,6 +77,15 @@
     until_s: float = math.inf
 
 
+@dataclass(slots=True)
+class ForeignEntryPeriod:
+    """A period with entries of another writer at servers' addresses."""
+
+    begin_s: float
+    end_s: float = math.inf
+    """Infinite if the entries stay."""
+
+
 @dataclass(slots=True, frozen=True)
 class SentSignal:
     """A signal that the soak sent to a process."""
@@ -126,10 +135,9 @@
     """When servers gave up requests whose nodes had disconnected."""
     reloads: list[tuple[int, float]] = field(default_factory=list)
     """Hosts whose nodes got a SIGHUP, each with its time."""
-    foreign_entry_periods: list[tuple[float, float]] = field(
+    foreign_entry_periods: list[ForeignEntryPeriod] = field(
         default_factory=list
     )
-    """Begin and end of times with entries of other writers."""
     process_ends: list[ProcessEnd] = field(default_factory=list)
     peak_bytes_by_process: dict[tuple[int, int], int] = field(
         default_factory=dict
