--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -73,6 +73,21 @@
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
+      | a public request is served with foreign entries | foreign_entries | nothing |
+      | a public request is refused with foreign entries | foreign_entries | a fault |
+      | a public request is lost with foreign entries  | foreign_entries | a fault |
+      | a public request is refused as foreign entries begin | foreign_entries | a fault |
+      | a public request is refused while foreign entries stay | foreign_entries | a fault |
+      | a public request is refused after foreign entries | foreign_entries | nothing |
+      | a public request is refused with foreign entries in a fault | foreign_entries | nothing |
+      | a public request is refused with foreign entries in a stop | foreign_entries | nothing |
+      | a public request times out with foreign entries | foreign_entries | nothing |
+      | a public request fails with foreign entries    | foreign_entries | a fault |
+      | a public request is refused as half of the servers leave | foreign_entries | a fault |
+      | a public request is refused as most servers leave | foreign_entries | nothing |
+      | a public request is refused while its node stops | foreign_entries | nothing |
+      | a public request is refused long after its node stopped | foreign_entries | a fault |
+      | a request with a key is refused with foreign entries | foreign_entries | nothing |
       | a process is killed                            | process_ends    | nothing |
       | a process is killed by another                 | process_ends    | a fault |
       | a process ends well after a SIGTERM            | process_ends    | nothing |
@@ -108,6 +123,18 @@
       | 2    |
       | 3    |
 
+  Scenario Outline: A node gets several very large bodies at once
+    Given the first 20 bursts of seed <seed> for 8 hosts
+    Then they are the same when they are drawn again
+    And each has 2 to 4 bodies of 8 to 64 MiB that follow within 1 s
+    And some bursts have 2 bodies of 64 MiB or more
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   Scenario Outline: A short run of node processes
     When <faults> of seed <seed> are run on <hosts> hosts for <seconds> s
     Then no guarantee is violated
@@ -116,6 +143,7 @@
       | faults       | seed | hosts | seconds | why                                        |
       | planned work | 4    | 6     | 16      | failed: signals, ports, settings and answers in stops |
       | planned work | 5    | 6     | 16      | failed: entries of an unknown service at all servers  |
+      | planned work | 3    | 8     | 30      | failed: large bodies took a node's memory             |
       | all faults   | 1    | 5     | 18      | a short run                                |
       | all faults   | 11   | 5     | 18      | a short run                                |
       | all faults   | 8    | 8     | 30      | failed: two plans for one data centre met  |
