State the memory limit of a test's nodes once

The settings of the soak's deployment now have it, so that the scenario with four bodies of 64 MB wrote the table twice, and its node did not start.

--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -767,7 +767,7 @@
 
 
 class UploadDeployment(soak_deployment.SoakDeployment):
-    """Deployment of node processes that take bodies of 67 MB."""
+    """Deployment of node processes with 300 MB that take bodies of 67 MB."""
 
     async def publish(self):
         """Publish a table with long timeouts and large bodies."""
@@ -780,12 +780,6 @@
             fleet.table_entry(2, 10_000, rows, max_body_bytes=67_108_864),
         )
 
-    def write_settings(self, number, retry_slack):
-        """Add the memory limit to the settings."""
-        path = super().write_settings(number, retry_slack)
-        path.write_text(f"{path.read_text()}[limits]\nmemoryMb = 300\n")
-        return path
-
     def peak_memory_bytes(self, number):
         """Return the largest resident size of a node so far."""
         status = pathlib.Path(f"/proc/{self.nodes[number].process_id}/status")
