--- a/src/jasminecrank/mesh/transport/__init__.py
+++ b/src/jasminecrank/mesh/transport/__init__.py
@@ -4,6 +4,7 @@
     CallerServer as CallerServer,
 )
 from jasminecrank.mesh.transport._clock import BootClock as BootClock
+from jasminecrank.mesh.transport._dialler import Dialler as Dialler
 from jasminecrank.mesh.transport._http_client import Broken as Broken
 from jasminecrank.mesh.transport._http_client import (
     ClientConnection as ClientConnection,
@@ -15,7 +16,6 @@
 from jasminecrank.mesh.transport._http_client import (
     REASON_TOO_LARGE as REASON_TOO_LARGE,
 )
-from jasminecrank.mesh.transport._links import Dialler as Dialler
 from jasminecrank.mesh.transport._links import Link as Link
 from jasminecrank.mesh.transport._links import (
     listen_for_links as listen_for_links,
