Log what the kernel still held when a node closed a connection

Cause: caller-connection-cut counts what the process has read, so that a request in the kernel's buffer and a connection that was never accepted left no trace. Change: unread_bytes in caller-connection-cut, and connections-dropped when the port of callers closes with connections in its queue. No change of behaviour.

--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -73,6 +73,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closed_by_node = False
         self._unsent_at_end_bytes = 0
+        self._unread_at_end_bytes = 0
+        """Bytes that the kernel held when this node closed the connection."""
         self._dropped_bytes = 0
         self._claim_ids: deque[int | None] = deque()
         """Claims of small bodies: of the current and the waiting requests."""
@@ -132,7 +134,11 @@
         """Cancel the current request, since its caller has disconnected."""
         self._context.connections.discard(self)
         self._context.blocked.pop(self, None)
-        if self.unanswered or self._unsent_at_end_bytes:
+        if (
+            self.unanswered
+            or self._unsent_at_end_bytes
+            or self._unread_at_end_bytes
+        ):
             self._context.log.count("caller_connections", "cut")
             # Callers that leave are many, and each call of theirs is logged.
             log = self._context.log
@@ -143,6 +149,7 @@
                 error=None if exc is None else repr(exc),
                 unanswered=self.unanswered,
                 unsent_bytes=self._unsent_at_end_bytes,
+                unread_bytes=self._unread_at_end_bytes,
             )
         self._cancel_timer()
         self._transport = None
@@ -237,6 +244,7 @@
         if self._transport is not None:
             self._closed_by_node = True
             self._unsent_at_end_bytes = self.unsent_bytes
+            self._unread_at_end_bytes = self._unread_bytes
             self._transport.abort()
 
     @property
@@ -289,6 +297,15 @@
             return 0
         return _sockets.undelivered_bytes(self._transport)
 
+    @property
+    def _unread_bytes(self) -> int:
+        """Return the bytes that may hold requests and are not read yet."""
+        if self._ended or self._debts.last_request_read:
+            return 0
+        if self._transport is None:
+            return 0
+        return _sockets.unread_bytes(self._transport)
+
     def _continue_soon(self) -> None:
         """Continue once all requests of a read are known."""
         asyncio.get_running_loop().call_soon(self._continue)
@@ -407,6 +424,7 @@
     def _close(self) -> None:
         """Close the connection once the bytes written so far are sent."""
         if self._transport is not None:
+            self._unread_at_end_bytes = self._unread_bytes
             self._ended = True
             self._closed_by_node = True
             self._transport.close()
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -8,6 +8,7 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _caller_connection
+from jasminecrank.mesh.transport import _sockets
 
 LISTEN_BACKLOG = 1_024
 """Connections waiting to be accepted, for bursts of new callers."""
@@ -28,6 +29,7 @@
             codec, tell, clock, log, budget
         )
         self._servers: list[asyncio.Server] = []
+        self._sockets: list[socket.socket] = []
 
     async def serve(self, sock: socket.socket) -> asyncio.Server:
         """Accept connections on a listening socket."""
@@ -38,6 +40,7 @@
             backlog=LISTEN_BACKLOG,
         )
         self._servers.append(server)
+        self._sockets.append(sock)
         return server
 
     def set_limits(self, limits: state.CallerLimits) -> None:
@@ -87,8 +90,17 @@
             connection.unsent_bytes for connection in self._context.connections
         )
 
+    @property
+    def unaccepted(self) -> int:
+        """Return the number of connections that wait to be accepted."""
+        return sum(map(_sockets.unaccepted_connections, self._sockets))
+
     def stop_listening(self) -> None:
         """Stop accepting connections."""
+        if self.unaccepted:
+            self._context.log.decision(
+                "connections-dropped", unaccepted=self.unaccepted
+            )
         for server in self._servers:
             server.close()
 
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -23,6 +23,8 @@
 """
 TCP_CLOSE = 7
 """State of a connection that the kernel has given up."""
+_TCP_INFO_UNACKED = struct.Struct("24xI")
+"""The field tcpi_unacked of struct tcp_info, behind 8 octets and 4 words."""
 
 
 def set_socket_options(
@@ -71,6 +73,26 @@
     return transport.get_write_buffer_size() + _kernel_unsent_bytes(transport)
 
 
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the bytes that the kernel has received and nobody has read."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    return _read_int(sock, termios.FIONREAD)
+
+
+def unaccepted_connections(sock: socket.socket) -> int:
+    """Return the connections that a listening socket has not accepted."""
+    if sock.fileno() < 0:
+        return 0
+    info = sock.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_UNACKED.size
+    )
+    # For a listening socket, the kernel reports its accept queue here.
+    (count,) = _TCP_INFO_UNACKED.unpack(info)
+    return int(count)
+
+
 def _kernel_unsent_bytes(transport: asyncio.BaseTransport) -> int:
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
@@ -79,6 +101,9 @@
     if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE:
         return 0
     # On a socket, TIOCOUTQ is SIOCOUTQ.
-    found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    (unsent_bytes,) = struct.unpack("i", found)
-    return int(unsent_bytes)
+    return _read_int(sock, termios.TIOCOUTQ)
+
+
+def _read_int(sock: socket.socket, request: int) -> int:
+    found = fcntl.ioctl(sock.fileno(), request, struct.pack("i", 0))
+    return int(struct.unpack("i", found)[0])
