Leave callers time to read their last answer in a stop

Callers saw a reset instead of an answer that had reached their host: idle connections are closed 2.3 s after SIGTERM, and with them those on which the last answer had just been written, and the end of the process did not wait for them either. Change: a connection whose last answer is written is closed by its caller or after LINGER_S, in a stop as well, and the stop waits for that. Test: 3 of 3 rows of the new outline fail before, none after.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -157,6 +157,19 @@
       | 2.4    | 0.3  |
       | 2.25   | 0.2  |
 
+  Scenario Outline: A stop leaves a caller time to read its last answer
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for <run> s and answer with 0 kB
+    When a caller sends a request, node 0 stops, and the caller sends more bytes after <more> s
+    Then the connection takes these bytes
+    And it gets 1 complete answers
+
+    Examples: Guards against a reset that destroys an answer
+      | run | more |
+      | 2.1 | 2.5  |
+      | 2.1 | 2.9  |
+      | 2.6 | 3.2  |
+
   Scenario: A reply to another node is sent before the process ends
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 2.5 s and answer with 4000 kB
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -268,6 +268,33 @@
     return float(found[1])
 
 
+@when(
+    "a caller sends a request, node 0 stops, and the caller sends more bytes "
+    "after {more_s:g} s"
+)
+def step_more_bytes(context, more_s):
+    async def act():
+        caller = await open_caller(context)
+        await caller.send()
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(_stop_node(context))
+        await asyncio.sleep(more_s)
+        context.were_sent = []
+        for _ in range(2):
+            # The reset that answers the first bytes comes before the second.
+            context.were_sent.append(await caller.write(b"GET "))
+            await asyncio.sleep(0.05)
+        await receive_answers(context, [caller])
+        await stopping
+
+    context.runner.run(act())
+
+
+@then("the connection takes these bytes")
+def step_bytes_taken(context):
+    assert context.were_sent == [True, True], context.were_sent
+
+
 @when("a caller sends {count:d} requests and reads nothing for {pause_s:g} s")
 def step_pause(context, count, pause_s):
     async def act():
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -261,8 +261,25 @@
 
     @property
     def owes(self) -> bool:
-        """Return whether an answer is due or has not been delivered."""
-        return not self._debts.idle or self._undelivered_bytes > 0
+        """Return whether an answer is due or may not have been taken."""
+        return (
+            not self._debts.idle
+            or self._undelivered_bytes > 0
+            or self._is_lingering
+        )
+
+    @property
+    def _is_lingering(self) -> bool:
+        """Return whether the caller is to close first.
+
+        A reset, as for bytes that it sends to a closed connection, discards
+        what it has not read.
+        """
+        return (
+            self._ended
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
 
     @property
     def awaits_first_request(self) -> bool:
@@ -283,7 +300,10 @@
         """Close the connection if the phase of the stop allows it."""
         now_s = self._context.clock.now_s()
         phase = self._context.phase
-        if phase in (state.StopPhase.SERVING, state.StopPhase.CLOSING):
+        if self._is_lingering or phase in (
+            state.StopPhase.SERVING,
+            state.StopPhase.CLOSING,
+        ):
             return
         step = self._debts.idle_step(phase, now_s, self._undelivered_bytes)
         if step is state.ConnectionStep.CLOSE:
--- a/src/jasminecrank/standins/fleet/_pipelining_caller.py
+++ b/src/jasminecrank/standins/fleet/_pipelining_caller.py
@@ -59,12 +59,13 @@
         lines.extend(f"{name}: {value}" for name, value in fields.items())
         await self.write(("\r\n".join(lines) + "\r\n\r\n").encode())
 
-    async def write(self, data: bytes) -> None:
-        """Send bytes; a node that has answered may not take them all."""
+    async def write(self, data: bytes) -> bool:
+        """Send bytes; return whether the connection has taken them."""
         try:
             await asyncio.get_running_loop().sock_sendall(self._socket, data)
         except OSError:
-            return
+            return False
+        return True
 
     async def receive_all(self, timeout_s: float) -> list[_http.Response]:
         """Return the complete responses received until the node closes."""
