Answer requests that the kernel has received before a connection closes

Cause: the debts of a connection began with the first byte that was read. Change: bytes that are unread count as due at each place that closes a connection; a stop accepts what the kernel has opened before it closes the port.

--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -342,7 +342,7 @@
 @then("its next step is {step}, and the answer being written is {answer}")
 def step_next(context, step, answer):
     assert context.debts.next_step(context.phase).value == step
-    last = context.debts.is_last_answer(context.phase)
+    last = context.debts.is_last_answer(context.phase, 0)
     assert last == (answer == "last"), last
 
 
@@ -352,8 +352,10 @@
 )
 def step_found(context, age_s, phase, count):
     debts = context.debts
-    context.stop_step = debts.idle_step(state.StopPhase(phase), age_s, count)
-    context.limit_step = debts.timeout_step(count)
+    context.stop_step = debts.idle_step(
+        state.StopPhase(phase), age_s, count, 0
+    )
+    context.limit_step = debts.timeout_step(count, 0)
 
 
 @then("a stop says {stop}, and a time limit says {limit}")
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -314,6 +314,7 @@
         )
         self._caller_server.close_idle()
         await self._wait_until_settled(window.closes_at_s)
+        await self._accept_pending(window.closes_at_s)
         # A later connection is refused, so that its request is not lost.
         self._caller_server.stop_listening()
         while (
@@ -332,6 +333,11 @@
         self.abort()
         self._log.flush()
 
+    async def _accept_pending(self, until_s: float) -> None:
+        """Wait until the connections that the kernel has opened are known."""
+        while self._clock.now_s() < until_s and self._caller_server.unaccepted:
+            await asyncio.sleep(STOP_CHECK_PERIOD_S)
+
     async def _wait_until_settled(self, until_s: float) -> None:
         """Wait until no call is open and all answers are delivered."""
         owing_links = set(self._links)
--- a/src/jasminecrank/mesh/state/_connection_debts.py
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -78,13 +78,16 @@
         """Return whether further requests are read."""
         return not self.write_blocked and self.waiting <= MAX_WAITING_REQUESTS
 
-    def is_last_answer(self, phase: StopPhase) -> bool:
+    def is_last_answer(self, phase: StopPhase, unread_bytes: int) -> bool:
         """Return whether the answer about to be written ends the connection.
 
         Its request counts neither as waiting nor as in progress any more.
         """
-        ends = self.last_request_read or phase is not StopPhase.SERVING
-        return ends and self.idle
+        if not self.idle:
+            return False
+        if self.last_request_read:
+            return True
+        return phase is not StopPhase.SERVING and not unread_bytes
 
     def next_step(self, phase: StopPhase) -> ConnectionStep:
         """Return what to do after a request or an answer has ended."""
@@ -99,11 +102,17 @@
         return ConnectionStep.WAIT
 
     def idle_step(
-        self, phase: StopPhase, now_s: float, undelivered_bytes: int
+        self,
+        phase: StopPhase,
+        now_s: float,
+        undelivered_bytes: int,
+        unread_bytes: int,
     ) -> ConnectionStep:
         """Return whether to close a connection that a stop finds idle."""
         if not self.idle or undelivered_bytes:
             return ConnectionStep.WAIT
+        if unread_bytes and not self.last_request_read:
+            return ConnectionStep.WAIT
         match phase:
             case StopPhase.SERVING | StopPhase.CLOSING:
                 return ConnectionStep.WAIT
@@ -114,10 +123,17 @@
             case _:
                 typing.assert_never(phase)
 
-    def timeout_step(self, undelivered_bytes: int) -> ConnectionStep:
-        """Return what to do after the idle or the header time limit."""
+    def timeout_step(
+        self, undelivered_bytes: int, unread_bytes: int
+    ) -> ConnectionStep:
+        """Return what to do after the idle or the header time limit.
+
+        A caller whose bytes the kernel still holds has kept to the limit.
+        """
         if self.answers_due or undelivered_bytes:
             return ConnectionStep.WAIT
+        if unread_bytes and not self.last_request_read:
+            return ConnectionStep.WAIT
         if self.receiving:
             return ConnectionStep.REFUSE_INCOMPLETE
         return ConnectionStep.CLOSE
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -265,6 +265,7 @@
         return (
             not self._debts.idle
             or self._undelivered_bytes > 0
+            or self._unread_bytes > 0
             or self._is_lingering
         )
 
@@ -305,7 +306,9 @@
             state.StopPhase.CLOSING,
         ):
             return
-        step = self._debts.idle_step(phase, now_s, self._undelivered_bytes)
+        step = self._debts.idle_step(
+            phase, now_s, self._undelivered_bytes, self._unread_bytes
+        )
         if step is state.ConnectionStep.CLOSE:
             self._close()
         elif self._debts.unused:
@@ -411,7 +414,11 @@
         """Write an answer, and end the connection with the last one."""
         if self._transport is None:
             return
-        last = self._debts.is_last_answer(self._context.phase)
+        phase = self._context.phase
+        is_serving = phase is state.StopPhase.SERVING
+        last = self._debts.is_last_answer(
+            phase, 0 if is_serving else self._unread_bytes
+        )
         self._ended = last
         self._transport.writelines(protocol.encode_response(raw, method, last))
         if last:
@@ -473,7 +480,9 @@
         if self._reader.waits_for_memory:
             self._reader.end_memory_waits()
             return
-        step = self._debts.timeout_step(self._undelivered_bytes)
+        step = self._debts.timeout_step(
+            self._undelivered_bytes, self._unread_bytes
+        )
         if step is state.ConnectionStep.WAIT:
             self._start_timer(timeout_s)
         else:
--- a/src/jasminecrank/standins/fleet/_pipelining_caller.py
+++ b/src/jasminecrank/standins/fleet/_pipelining_caller.py
@@ -45,6 +45,25 @@
         headers: dict[str, str] | None = None,
     ) -> None:
         """Send the head of a request without waiting for a response."""
+        await self.write(self._encode(method, target, headers or {}))
+
+    def send_blocking(self) -> None:
+        """Send a request while the event loop stands still.
+
+        Opens the connection first unless there is one.
+        """
+        sock = self._socket
+        sock.setblocking(True)
+        try:
+            sock.getpeername()
+        except OSError:
+            sock.connect(self._address)
+        sock.sendall(self._encode("GET", "/lots/1", {}))
+        sock.setblocking(False)
+
+    def _encode(
+        self, method: str, target: str, headers: dict[str, str]
+    ) -> bytes:
         request_id = f"p{next(self._request_numbers):015x}"
         self.request_ids.append(request_id)
         fields = {
@@ -53,11 +72,11 @@
             "Deadline-Ms": "20000",
             "Authorization": "Token k1",
             **({} if method == "GET" else {"Content-Length": "0"}),
-            **(headers or {}),
+            **headers,
         }
         lines = [f"{method} {target} HTTP/1.1"]
         lines.extend(f"{name}: {value}" for name, value in fields.items())
-        await self.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
     async def write(self, data: bytes) -> bool:
         """Send bytes; return whether the connection has taken them."""
