Count the grace period of a stop from when a process last ran

Callers of a node that was paused when SIGTERM came got no answer: the stop counted its time from the moment at which the loop handled the signal, so that SIGKILL ended it with open calls. Cause: a signal is handled when the process next runs; when it came is not known. It came at the earliest when the process was last known to run.

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -50,6 +50,17 @@
       | SIGTERM                              |
       | SIGHUP SIGHUP SIGTERM SIGTERM SIGHUP |
 
+  Scenario Outline: A process that was paused when SIGTERM came is not killed with open calls
+    Given a node process with 3.0 s to stop that serves a call of 9.0 s
+    When it is paused, gets SIGTERM, goes on after <pause> s, and is killed 3.0 s after SIGTERM
+    Then the call gets 502
+    And it ends with status 0 within 1.0 s
+
+    Examples:
+      | pause |
+      | 0.8   |
+      | 2.0   |
+
   Scenario Outline: A port that the previous process holds is waited for
     Given a node process that is not started yet
     And its <port> port is held
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -244,14 +244,22 @@
     start_serving(context, run_s, ("-c", script))
 
 
-def start_serving(context, run_s, arguments):
+@given(
+    "a node process with {grace} s to stop that serves a call of {run_s:g} s"
+)
+def step_serving_with_grace(context, grace, run_s):
+    arguments = ("-m", "jasminecrank.mesh.daemon")
+    start_serving(context, run_s, arguments, grace)
+
+
+def start_serving(context, run_s, arguments, grace="6"):
     """Start a node and send it a call that is running when this returns."""
     open_node(context)
     node = context.node
 
     async def act():
         await node.open_fleet()
-        node.settings_path.write_text(node.settings())
+        node.settings_path.write_text(node.settings(grace))
         await node.start(arguments)
         await node.until(node.is_serving)
         node.server.run_s = run_s
@@ -275,6 +283,26 @@
     context.runner.run(act())
 
 
+@when(
+    "it is paused, gets SIGTERM, goes on after {pause_s:g} s, and is killed "
+    "{kill_s:g} s after SIGTERM"
+)
+def step_paused_in_stop(context, pause_s, kill_s):
+    node = context.node
+
+    async def act():
+        node.send(signal.SIGSTOP)
+        node.send(signal.SIGTERM)
+        await asyncio.sleep(pause_s)
+        node.send(signal.SIGCONT)
+        asyncio.get_running_loop().call_later(
+            kill_s - pause_s, node.send, signal.SIGKILL
+        )
+        context.response = await context.caller.receive()
+
+    context.runner.run(act())
+
+
 @when("it gets {names} while it imports {module}")
 def step_signal_at_import(context, names, module):
     node = context.node
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -21,8 +21,6 @@
 from jasminecrank.mesh.daemon import _metrics
 from jasminecrank.mesh.daemon import _signals
 
-STOP_MARGIN_S = 0.4
-"""Time before SIGKILL at which a stopping node ends all calls."""
 STOP_FLUSH_S = 0.15
 """Longest time after that for the last responses to be taken."""
 STOP_CHECK_PERIOD_S = 0.05
@@ -60,6 +58,10 @@
         self._log = log
         self._clock = transport.BootClock()
         self._stopping = False
+        self._last_ran_at_s = self._clock.now_s()
+        """When the event loop was last known to run."""
+        self._stop_window: state.StopWindow | None = None
+        """Set by the signal to stop."""
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
         self._links: set[transport.Link] = set()
@@ -163,6 +165,7 @@
             if received is signal.SIGHUP:
                 self._reload()
             else:
+                self._stop_window = self._window_from_signal()
                 stop.set()
 
         loop.set_exception_handler(self._log_callback_error)
@@ -181,18 +184,16 @@
             self._log.flush()
             return
         await stop.wait()
-        closes_at_s = (
-            self._clock.now_s() + self._config.stop_grace_s - STOP_MARGIN_S
-        )
         try:
             await self.stop()
         except Exception as error:
             self._log.failure("stop-failed", error)
-            await self._stop_after_failure(closes_at_s)
+            await self._stop_after_failure()
 
-    async def _stop_after_failure(self, closes_at_s: float) -> None:
+    async def _stop_after_failure(self) -> None:
         """Let the open calls end, whichever part of the stop has failed."""
-        while self._clock.now_s() < closes_at_s and (
+        window = self._stop_window or self._window_from_signal()
+        while self._clock.now_s() < window.closes_at_s and (
             self.entry.open_calls
             or self.gate.active_calls
             or self._caller_server.unanswered
@@ -296,22 +297,18 @@
     async def stop(self) -> None:
         """Complete the open calls as far as the time before SIGKILL allows."""
         self._stopping = True
-        started_s = self._clock.now_s()
-        window = state.StopWindow(
-            started_s, started_s + self._config.stop_grace_s - STOP_MARGIN_S
-        )
+        window = self._stop_window or self._window_from_signal()
+        now_s = self._clock.now_s()
         self._log.decision(
             "stopping",
             calls=self.entry.open_calls + self.gate.active_calls,
-            closes_in_ms=round(1000 * (window.closes_at_s - started_s)),
+            closes_in_ms=round(1000 * (window.closes_at_s - now_s)),
         )
         stop_requested = coordination.StopRequested(window)
         self.gate.mailbox.tell(stop_requested)
         self.entry.mailbox.tell(stop_requested)
         self._caller_server.start_closing()
-        await asyncio.sleep(
-            min(state.CALLERS_LEAVE_S, window.closes_at_s - started_s)
-        )
+        await asyncio.sleep(window.callers_leave_at_s - now_s)
         self._caller_server.close_idle()
         await self._wait_until_settled(window.closes_at_s)
         await self._accept_pending(window.closes_at_s)
@@ -333,6 +330,13 @@
         self.abort()
         self._log.flush()
 
+    def _window_from_signal(self) -> state.StopWindow:
+        return state.StopWindow.from_signal(
+            self._clock.now_s(),
+            self._last_ran_at_s,
+            self._config.stop_grace_s,
+        )
+
     async def _accept_pending(self, until_s: float) -> None:
         """Wait until the connections that the kernel has opened are known."""
         while self._clock.now_s() < until_s and self._caller_server.unaccepted:
@@ -487,6 +491,7 @@
 
     async def _run_ticks(self) -> None:
         while True:
+            self._last_ran_at_s = self._clock.now_s()
             self._tell_fleet(coordination.FleetTick())
             self._log.flush()
             await asyncio.sleep(coordination.FLEET_TICK_S)
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -1,7 +1,10 @@
 """Decides which calls a node takes between SIGTERM and SIGKILL."""
 
 from dataclasses import dataclass
+import typing
 
+STOP_MARGIN_S = 0.4
+"""Time before SIGKILL at which a stopping node ends all calls."""
 CALLERS_LEAVE_S = 2.3
 """Time in which callers have left, after two failed readiness checks.
 
@@ -17,6 +20,23 @@
     closes_at_s: float
     """When all calls have to be answered; the process is killed then."""
 
+    @classmethod
+    def from_signal(
+        cls, handled_at_s: float, last_ran_at_s: float, grace_s: float
+    ) -> typing.Self:
+        """Return the window after a signal to stop.
+
+        A signal that comes while the process does not run is handled late,
+        but its grace period has begun.
+        """
+        started_at_s = min(handled_at_s, last_ran_at_s)
+        return cls(started_at_s, started_at_s + grace_s - STOP_MARGIN_S)
+
+    @property
+    def callers_leave_at_s(self) -> float:
+        """Return when callers have left, or the window closes."""
+        return min(self.started_at_s + CALLERS_LEAVE_S, self.closes_at_s)
+
     def accepts(
         self,
         now_s: float,
@@ -40,4 +60,4 @@
         The node's own backend server has no other node to send its calls to,
         so that this does not hold for them.
         """
-        return arrived_at_s <= self.started_at_s + CALLERS_LEAVE_S
+        return arrived_at_s <= self.callers_leave_at_s
