Wait for settings that are missing or invalid at the start

Cause: the wait had an end, although nothing is gained by ending: the platform starts the process again with the same file. Change: the file is read again until it can be used, with a line on standard error for each new reason; only a missing JASMINECRANK_CONFIG ends the process.

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -137,20 +137,20 @@
   Scenario Outline: A settings file that is being written is read again
     Given a node process that is not started yet
     And its settings file is <state>
-    When it is started, and the file is complete after 0.7 s
+    When it is started, and the file is complete after <after> s
     Then it serves
 
     Examples:
-      | state        |
-      | missing      |
-      | empty        |
-      | half written |
+      | state        | after |
+      | missing      | 0.7   |
+      | empty        | 0.7   |
+      | half written | 0.7   |
 
-  Scenario Outline: Invalid settings end the process with one line
+  Scenario Outline: Settings that stay invalid are reported with one line and read again
     Given a node process that is not started yet
     And its settings file is <state>
-    When it is started
-    Then it ends with status 2 within 4.0 s
+    When it is started, and the file is complete after 4.0 s
+    Then it serves
     And its error line contains <named>
 
     Examples:
@@ -160,6 +160,12 @@
       | half written | boot.toml       |
       | limits = 3   | limits: 3       |
 
+  Scenario: A process that waits for its settings can be stopped
+    Given a node process that is not started yet
+    And its settings file is missing
+    When it is started, and gets SIGTERM after 1.5 s
+    Then it ends with status 0 within 2.0 s
+
   Scenario Outline: A signal in the start of the interpreter does not kill the process
     Given a node process that is not started yet
     When it gets <signal> once it has run for as long as an empty program takes
--- a/features/platform/settings.feature
+++ b/features/platform/settings.feature
@@ -57,11 +57,15 @@
       | an unknown bound of nan    | nothing                                     |
       | deeply nested lists        | recursion                                   |
 
-  Scenario Outline: The command exits with a documented status
+  Scenario Outline: The command reports settings that it can't use, and waits
     When the node is started with <file>
-    Then it exits with status 2 and one error line that contains <named>
+    Then it writes one error line that contains <named>, and runs for 3.0 s
 
     Examples:
       | file         | named        |
       | no file      | No such file |
       | a bad bound  | graceS=soon  |
+
+  Scenario: The command exits if no settings file is named
+    When the node is started without a settings variable
+    Then it exits with status 2 and one error line that contains JASMINECRANK_CONFIG
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -1,5 +1,6 @@
 """Steps for the platform's settings file."""
 
+import contextlib
 import os
 import pathlib
 import subprocess
@@ -11,7 +12,9 @@
 
 from jasminecrank import exceptions
 from jasminecrank import platform
+from jasminecrank.standins import fleet
 
+RUNS_FOR_S = 3.0
 SETTINGS = """
 node = "side-belt-hall-a-1"
 ip = "10.1.0.5"
@@ -119,14 +122,50 @@
         path = pathlib.Path(directory) / "absent.toml"
         if file == "a bad bound":
             path = write_settings(directory, "a bound that is text")
-        context.completed = subprocess.run(
-            [sys.executable, "-m", "jasminecrank.mesh.daemon"],
-            env={**os.environ, platform.CONFIG_PATH_VARIABLE: str(path)},
-            capture_output=True,
+        environment = {
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(sys.path),
+            platform.CONFIG_PATH_VARIABLE: str(path),
+        }
+        context.process = subprocess.Popen(
+            fleet.node_command(),
+            env=environment,
+            stderr=subprocess.PIPE,
             text=True,
-            timeout=20,
-            check=False,
         )
+        context.exit_stack = contextlib.ExitStack()
+        context.exit_stack.enter_context(context.process)
+        context.exit_stack.callback(context.process.kill)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            context.process.wait(RUNS_FOR_S)
+
+
+@then(
+    "it writes one error line that contains {named}, and runs for "
+    "{least_s:g} s"
+)
+def step_waits(context, named, least_s):
+    assert least_s <= RUNS_FOR_S
+    assert context.process.poll() is None, context.process.returncode
+    context.process.kill()
+    lines = context.process.stderr.read().splitlines()
+    assert len(lines) == 1 and named in lines[0], lines
+
+
+@when("the node is started without a settings variable")
+def step_start_without(context):
+    environment = {
+        "PATH": os.environ["PATH"],
+        "PYTHONPATH": os.pathsep.join(sys.path),
+    }
+    context.completed = subprocess.run(
+        fleet.node_command(),
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
 
 
 @then(
--- a/src/jasminecrank/mesh/daemon/_process.py
+++ b/src/jasminecrank/mesh/daemon/_process.py
@@ -15,9 +15,9 @@
 from jasminecrank.mesh.daemon import _node
 from jasminecrank.mesh.daemon import _signals
 
-SETTINGS_WAIT_S = 2.0
-"""Time for a settings file that is being written to become complete."""
 SETTINGS_RETRY_S = 0.05
+SETTINGS_RETRY_MAX_S = 0.5
+"""Shortest and longest pause before an invalid settings file is read again."""
 EXIT_USAGE = 2
 EXIT_PORT_HELD = 3
 GC_THRESHOLD = 20_000
@@ -27,14 +27,13 @@
 def run(signals: _signals.Signals) -> int:
     """Run the node; return its exit status.
 
-    2: the settings are invalid; 3: a port could not be opened.
+    2: no settings file is named; 3: a port could not be opened.
     """
     path = os.environ.get(platform.CONFIG_PATH_VARIABLE, "")
-    try:
-        config = _read_settings(path, signals)
-    except exceptions.SettingError as error:
-        _report(error)
+    if not path:
+        _report(f"{platform.CONFIG_PATH_VARIABLE}: names no settings file")
         return EXIT_USAGE
+    config = _read_settings(path, signals)
     if config is None:
         return 0
     # Modules and their classes live as long as the process, so the
@@ -44,7 +43,7 @@
     try:
         uvloop.run(_run_node(config, path, signals))
     except exceptions.ListenError as error:
-        _report(error)
+        _report(str(error))
         return EXIT_PORT_HELD
     return 0
 
@@ -52,21 +51,29 @@
 def _read_settings(
     path: str, signals: _signals.Signals
 ) -> settings.NodeSettings | None:
-    """Return the settings, or None if the process is stopped before."""
-    deadline_s = time.monotonic() + SETTINGS_WAIT_S
+    """Return the settings, or None if the process is stopped before.
+
+    A file that is missing or invalid is read again until it is complete; each
+    new reason is reported once it has lasted for a while.
+    """
+    pause_s = SETTINGS_RETRY_S
+    reported = ""
     while not signals.stop_requested:
         try:
             return platform.read_settings(path)
-        except exceptions.SettingError:
-            if time.monotonic() >= deadline_s:
-                raise
-        time.sleep(SETTINGS_RETRY_S)
+        except exceptions.SettingError as error:
+            reason = str(error)
+        if pause_s >= SETTINGS_RETRY_MAX_S and reason != reported:
+            _report(f"{reason}; the settings are read again")
+            reported = reason
+        time.sleep(pause_s)
+        pause_s = min(SETTINGS_RETRY_MAX_S, 2 * pause_s)
     return None
 
 
-def _report(error: exceptions.JasminecrankError) -> None:
+def _report(message: str) -> None:
     """Write a line to standard error, which may be closed."""
-    line = " ".join(str(error).splitlines())
+    line = " ".join(message.splitlines())
     with contextlib.suppress(OSError):
         os.write(2, f"jasminecrank: {line}\n".encode())
 
