Wait for a held port for as long as it is held

Cause: the wait ended after graceS, which says how long a stop may take, not how long a process may be paused. Change: ports are tried until they are free, with port-held every 10 s; an address that can't be opened at all still ends the process with status 3. A row for an address that does not exist keeps status 3.

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -108,14 +108,15 @@
       | links   |
       | metrics |
 
-  Scenario Outline: A port that stays held ends the process with its own status
+  Scenario Outline: A port that is held for longer than the grace period is waited for
     Given a node process that is not started yet
     And its grace period is 0.6 s
     And its <port> port is held
-    When it is started
-    Then it ends with status 3 within 5.0 s
-    And its error line contains <setting> and 127.0.5.1:{<port>}
-    And it has written start-failed 1 times
+    When it is started, and the port is let go after 3.0 s
+    Then it serves
+    And it has written port-held 1 times
+    And it has written "setting": "<setting>" 1 times
+    And it has written "address": "127.0.5.1:{<port>}" 1 times
 
     Examples:
       | port    | setting         |
@@ -123,6 +124,14 @@
       | ready   | listen.ready    |
       | links   | innerPorts      |
 
+  Scenario: An address that can't be opened ends the process with its own status
+    Given a node process that is not started yet
+    And its callers address is 256.0.0.1
+    When it is started
+    Then it ends with status 3 within 5.0 s
+    And its error line contains listen.outbound and 256.0.0.1:{callers}
+    And it has written start-failed 1 times
+
   Scenario Outline: A process that waits for a port can be stopped
     Given a node process that is not started yet
     And its callers port is held
--- a/src/jasminecrank/mesh/daemon/_listening.py
+++ b/src/jasminecrank/mesh/daemon/_listening.py
@@ -19,6 +19,8 @@
 
 RETRY_PERIOD_S = 0.05
 """Interval at which a port that is held is tried again."""
+HELD_LOG_PERIOD_S = 10.0
+"""Interval at which a port that stays held is logged."""
 TEMPORARY_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 BACKLOG = 512
 """Connections waiting to be accepted until a server sets its own number."""
@@ -47,36 +49,38 @@
 
 async def open_ports(
     ports: Sequence[Port],
-    deadline_s: float,
     clock: coordination.Clock,
     log: coordination.Log,
 ) -> list[OpenPort]:
-    """Return listening sockets, or raise ListenError at the deadline.
+    """Return listening sockets, or raise ListenError if it can't succeed.
 
-    A previous process that is still stopping may hold a port.
+    A previous process that is still stopping may hold a port, for longer than
+    its grace period if it was paused.
     """
-    waited_for: set[str] = set()
+    began_at_s = clock.now_s()
+    logged_at_s_by_setting: dict[str, float] = {}
     while True:
         try:
             return await _try_open(ports)
         except _PortError as failed:
-            left_s = deadline_s - clock.now_s()
+            now_s = clock.now_s()
             endpoint = failed.port.endpoint
-            if failed.error.errno not in TEMPORARY_ERRORS or left_s <= 0.0:
+            if failed.error.errno not in TEMPORARY_ERRORS:
                 raise exceptions.ListenError(
                     f"{endpoint.setting}: cannot listen at "
                     f"{failed.port.address}: {failed.error}"
                 ) from failed.error
-            if endpoint.setting not in waited_for:
-                waited_for.add(endpoint.setting)
+            logged_at_s = logged_at_s_by_setting.get(endpoint.setting)
+            if logged_at_s is None or now_s >= logged_at_s + HELD_LOG_PERIOD_S:
+                logged_at_s_by_setting[endpoint.setting] = now_s
                 log.decision(
                     "port-held",
                     setting=endpoint.setting,
                     address=failed.port.address,
-                    waits_s=round(left_s, 1),
+                    waited_s=round(now_s - began_at_s, 1),
                     error=str(failed.error),
                 )
-        await asyncio.sleep(min(RETRY_PERIOD_S, max(0.0, left_s)))
+        await asyncio.sleep(RETRY_PERIOD_S)
 
 
 class _PortError(Exception):
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -240,11 +240,7 @@
         """Open the ports, start the tasks and accept connections."""
         config = self._config
         opened = await _listening.open_ports(
-            self._ports(config),
-            # A stopping process may hold them so long.
-            self._clock.now_s() + config.stop_grace_s,
-            self._clock,
-            self._log,
+            self._ports(config), self._clock, self._log
         )
         self._log.decision(
             "start",
