--- a/src/jasminecrank/mesh/daemon/_signals.py
+++ b/src/jasminecrank/mesh/daemon/_signals.py
@@ -37,8 +37,8 @@
         signals = cls()
         for number in HANDLED_SIGNALS:
             signal.signal(number, signals._receive)
-        for number in early_signals:
-            signals._receive(number, None)
+        for early_number in early_signals:
+            signals._receive(early_number, None)
         return signals
 
     def attach(
