--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -50,6 +50,17 @@
       | SIGTERM                              |
       | SIGHUP SIGHUP SIGTERM SIGTERM SIGHUP |
 
+  Scenario Outline: A process that was paused when SIGTERM came is not killed with open calls
+    Given a node process with 3.0 s to stop that serves a call of 9.0 s
+    When it is paused, gets SIGTERM, goes on after <pause> s, and is killed 3.0 s after SIGTERM
+    Then the call gets 502
+    And it ends with status 0 within 1.0 s
+
+    Examples:
+      | pause |
+      | 0.8   |
+      | 2.0   |
+
   Scenario Outline: A port that the previous process holds is waited for
     Given a node process that is not started yet
     And its <port> port is held
@@ -97,14 +108,15 @@
       | links   |
       | metrics |
 
-  Scenario Outline: A port that stays held ends the process with its own status
+  Scenario Outline: A port that is held for longer than the grace period is waited for
     Given a node process that is not started yet
     And its grace period is 0.6 s
     And its <port> port is held
-    When it is started
-    Then it ends with status 3 within 5.0 s
-    And its error line contains <setting> and 127.0.5.1:{<port>}
-    And it has written start-failed 1 times
+    When it is started, and the port is let go after 3.0 s
+    Then it serves
+    And it has written port-held 1 times
+    And it has written "setting": "<setting>" 1 times
+    And it has written "address": "127.0.5.1:{<port>}" 1 times
 
     Examples:
       | port    | setting         |
@@ -112,6 +124,14 @@
       | ready   | listen.ready    |
       | links   | innerPorts      |
 
+  Scenario: An address that can't be opened ends the process with its own status
+    Given a node process that is not started yet
+    And its callers address is 256.0.0.1
+    When it is started
+    Then it ends with status 3 within 5.0 s
+    And its error line contains listen.outbound and 256.0.0.1:{callers}
+    And it has written start-failed 1 times
+
   Scenario Outline: A process that waits for a port can be stopped
     Given a node process that is not started yet
     And its callers port is held
@@ -126,20 +146,20 @@
   Scenario Outline: A settings file that is being written is read again
     Given a node process that is not started yet
     And its settings file is <state>
-    When it is started, and the file is complete after 0.7 s
+    When it is started, and the file is complete after <after> s
     Then it serves
 
     Examples:
-      | state        |
-      | missing      |
-      | empty        |
-      | half written |
+      | state        | after |
+      | missing      | 0.7   |
+      | empty        | 0.7   |
+      | half written | 0.7   |
 
-  Scenario Outline: Invalid settings end the process with one line
+  Scenario Outline: Settings that stay invalid are reported with one line and read again
     Given a node process that is not started yet
     And its settings file is <state>
-    When it is started
-    Then it ends with status 2 within 4.0 s
+    When it is started, and the file is complete after 4.0 s
+    Then it serves
     And its error line contains <named>
 
     Examples:
@@ -149,6 +169,22 @@
       | half written | boot.toml       |
       | limits = 3   | limits: 3       |
 
+  Scenario: A process that waits for its settings can be stopped
+    Given a node process that is not started yet
+    And its settings file is missing
+    When it is started, and gets SIGTERM after 1.5 s
+    Then it ends with status 0 within 2.0 s
+
+  Scenario Outline: A signal in the start of the interpreter does not kill the process
+    Given a node process that is not started yet
+    When it gets <signal> once it has run for as long as an empty program takes
+    Then it <outcome>
+
+    Examples: Guards against processes ended by signals before their first line
+      | signal  | outcome                          |
+      | SIGHUP  | serves                           |
+      | SIGTERM | ends with status 0 within 5.0 s  |
+
   Scenario Outline: A bad value in a reload does not cut the stop
     Given a node process that serves a call of 0.8 s
     When its bound of the grace period becomes <value> and it gets SIGHUP SIGTERM
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -268,6 +268,33 @@
     return float(found[1])
 
 
+@when(
+    "a caller sends a request, node 0 stops, and the caller sends more bytes "
+    "after {more_s:g} s"
+)
+def step_more_bytes(context, more_s):
+    async def act():
+        caller = await open_caller(context)
+        await caller.send()
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(_stop_node(context))
+        await asyncio.sleep(more_s)
+        context.were_sent = []
+        for _ in range(2):
+            # The reset that answers the first bytes comes before the second.
+            context.were_sent.append(await caller.write(b"GET "))
+            await asyncio.sleep(0.05)
+        await receive_answers(context, [caller])
+        await stopping
+
+    context.runner.run(act())
+
+
+@then("the connection takes these bytes")
+def step_bytes_taken(context):
+    assert context.were_sent == [True, True], context.were_sent
+
+
 @when("a caller sends {count:d} requests and reads nothing for {pause_s:g} s")
 def step_pause(context, count, pause_s):
     async def act():
@@ -315,7 +342,7 @@
 @then("its next step is {step}, and the answer being written is {answer}")
 def step_next(context, step, answer):
     assert context.debts.next_step(context.phase).value == step
-    last = context.debts.is_last_answer(context.phase)
+    last = context.debts.is_last_answer(context.phase, 0)
     assert last == (answer == "last"), last
 
 
@@ -325,8 +352,10 @@
 )
 def step_found(context, age_s, phase, count):
     debts = context.debts
-    context.stop_step = debts.idle_step(state.StopPhase(phase), age_s, count)
-    context.limit_step = debts.timeout_step(count)
+    context.stop_step = debts.idle_step(
+        state.StopPhase(phase), age_s, count, 0
+    )
+    context.limit_step = debts.timeout_step(count, 0)
 
 
 @then("a stop says {stop}, and a time limit says {limit}")
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -73,6 +73,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closed_by_node = False
         self._unsent_at_end_bytes = 0
+        self._unread_at_end_bytes = 0
+        """Bytes that the kernel held when this node closed the connection."""
         self._dropped_bytes = 0
         self._claim_ids: deque[int | None] = deque()
         """Claims of small bodies: of the current and the waiting requests."""
@@ -132,7 +134,11 @@
         """Cancel the current request, since its caller has disconnected."""
         self._context.connections.discard(self)
         self._context.blocked.pop(self, None)
-        if self.unanswered or self._unsent_at_end_bytes:
+        if (
+            self.unanswered
+            or self._unsent_at_end_bytes
+            or self._unread_at_end_bytes
+        ):
             self._context.log.count("caller_connections", "cut")
             # Callers that leave are many, and each call of theirs is logged.
             log = self._context.log
@@ -143,6 +149,7 @@
                 error=None if exc is None else repr(exc),
                 unanswered=self.unanswered,
                 unsent_bytes=self._unsent_at_end_bytes,
+                unread_bytes=self._unread_at_end_bytes,
             )
         self._cancel_timer()
         self._transport = None
@@ -237,6 +244,7 @@
         if self._transport is not None:
             self._closed_by_node = True
             self._unsent_at_end_bytes = self.unsent_bytes
+            self._unread_at_end_bytes = self._unread_bytes
             self._transport.abort()
 
     @property
@@ -253,8 +261,26 @@
 
     @property
     def owes(self) -> bool:
-        """Return whether an answer is due or has not been delivered."""
-        return not self._debts.idle or self._undelivered_bytes > 0
+        """Return whether an answer is due or may not have been taken."""
+        return (
+            not self._debts.idle
+            or self._undelivered_bytes > 0
+            or self._unread_bytes > 0
+            or self._is_lingering
+        )
+
+    @property
+    def _is_lingering(self) -> bool:
+        """Return whether the caller is to close first.
+
+        A reset, as for bytes that it sends to a closed connection, discards
+        what it has not read.
+        """
+        return (
+            self._ended
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
 
     @property
     def awaits_first_request(self) -> bool:
@@ -275,9 +301,14 @@
         """Close the connection if the phase of the stop allows it."""
         now_s = self._context.clock.now_s()
         phase = self._context.phase
-        if phase in (state.StopPhase.SERVING, state.StopPhase.CLOSING):
+        if self._is_lingering or phase in (
+            state.StopPhase.SERVING,
+            state.StopPhase.CLOSING,
+        ):
             return
-        step = self._debts.idle_step(phase, now_s, self._undelivered_bytes)
+        step = self._debts.idle_step(
+            phase, now_s, self._undelivered_bytes, self._unread_bytes
+        )
         if step is state.ConnectionStep.CLOSE:
             self._close()
         elif self._debts.unused:
@@ -289,6 +320,15 @@
             return 0
         return _sockets.undelivered_bytes(self._transport)
 
+    @property
+    def _unread_bytes(self) -> int:
+        """Return the bytes that may hold requests and are not read yet."""
+        if self._ended or self._debts.last_request_read:
+            return 0
+        if self._transport is None:
+            return 0
+        return _sockets.unread_bytes(self._transport)
+
     def _continue_soon(self) -> None:
         """Continue once all requests of a read are known."""
         asyncio.get_running_loop().call_soon(self._continue)
@@ -374,7 +414,11 @@
         """Write an answer, and end the connection with the last one."""
         if self._transport is None:
             return
-        last = self._debts.is_last_answer(self._context.phase)
+        phase = self._context.phase
+        is_serving = phase is state.StopPhase.SERVING
+        last = self._debts.is_last_answer(
+            phase, 0 if is_serving else self._unread_bytes
+        )
         self._ended = last
         self._transport.writelines(protocol.encode_response(raw, method, last))
         if last:
@@ -407,6 +451,7 @@
     def _close(self) -> None:
         """Close the connection once the bytes written so far are sent."""
         if self._transport is not None:
+            self._unread_at_end_bytes = self._unread_bytes
             self._ended = True
             self._closed_by_node = True
             self._transport.close()
@@ -435,7 +480,9 @@
         if self._reader.waits_for_memory:
             self._reader.end_memory_waits()
             return
-        step = self._debts.timeout_step(self._undelivered_bytes)
+        step = self._debts.timeout_step(
+            self._undelivered_bytes, self._unread_bytes
+        )
         if step is state.ConnectionStep.WAIT:
             self._start_timer(timeout_s)
         else:
