Answer connections that opened while the window of a stop closed

Callers saw a reset 0.2 s and more after their request: a node that is held up over the end of its window closed the port of callers at once, with connections in the kernel's queue. Cause: the queue was looked at only before the window closes. Change: a stop accepts what the kernel has opened for up to 0.15 s after its window, and refuses the requests as not run.

--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -22,7 +22,9 @@
 from jasminecrank.mesh.daemon import _signals
 
 STOP_FLUSH_S = 0.15
-"""Longest time after that for the last responses to be taken."""
+"""Longest time after the window of a stop to accept the last connections, and
+the same for the last responses to be taken.
+"""
 STOP_CHECK_PERIOD_S = 0.05
 """Interval at which a stopping node checks what it owes."""
 SETTINGS_READ_PERIOD_S = 5.0
@@ -307,7 +309,7 @@
         await asyncio.sleep(window.callers_leave_at_s - now_s)
         self._caller_server.close_idle()
         await self._wait_until_settled(window.closes_at_s)
-        await self._accept_pending(window.closes_at_s)
+        await self._accept_pending(window)
         # A later connection is refused, so that its request is not lost.
         self._caller_server.stop_listening()
         while (
@@ -333,8 +335,12 @@
             self._config.stop_grace_s,
         )
 
-    async def _accept_pending(self, until_s: float) -> None:
-        """Wait until the connections that the kernel has opened are known."""
+    async def _accept_pending(self, window: state.StopWindow) -> None:
+        """Wait until the connections that the kernel has opened are known.
+
+        Those that were opened while the window closed are answered as well.
+        """
+        until_s = max(window.closes_at_s, self._clock.now_s() + STOP_FLUSH_S)
         while self._clock.now_s() < until_s and self._caller_server.unaccepted:
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
 
