Use no connection again on which a server answered early

Callers got 502 for calls that had not run, and a server did not get the rest of an upload that it had answered: the pool took the connection back while a part of the body was unsent, so that the next call waited behind it, and after 2.5 s without acknowledgement the kernel ended both. Cause: a complete answer was taken for the end of the exchange. Change: a connection with unsent bytes is closed once all is sent, and keeps the longer time limit of slow receivers until then.

--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -89,13 +89,30 @@
             raise
         finally:
             self._waiter = None
-            if is_large and self._transport is not None:
+            if (
+                is_large
+                and self._transport is not None
+                and not self.has_unsent
+            ):
                 _sockets.set_user_timeout(
                     self._transport, _sockets.TCP_USER_TIMEOUT_MS
                 )
             # It may refer to the request, whose body can be large.
             self._find_owner = None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether a part of the request has not been taken yet."""
+        return self._transport is not None and (
+            _sockets.undelivered_bytes(self._transport) > 0
+        )
+
+    def close(self) -> None:
+        """Close the connection once the request has been sent whole."""
+        self.usable = False
+        if self._transport is not None:
+            self._transport.close()
+
     def abort(self) -> None:
         """Abort the connection and mark it as unusable."""
         self.usable = False
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -57,7 +57,11 @@
             return state.MayHaveRun(str(broken))
         if self._codec.is_rejection(raw):
             connection.rejected_ids.add(call.request_id)
-        self._release(connection)
+        if request.body and connection.has_unsent:
+            # The server has answered early, and may read the rest later.
+            connection.close()
+        else:
+            self._release(connection)
         return self._codec.read_response(raw, self._clock.now_s() - sent_s)
 
     async def check_health(self, path: str) -> coordination.Health | None:
