Count hosts that are cut off for the retry budget too

Cause: a node's part of the fleet's budget is the slack over the listed hosts. The entries of hosts that are cut off expire, so that the others took the parts of hosts that went on repeating calls.

Change: the quota task, which owns the census of hosts (decision 0013), tells the entry task how many count (HostsCounted); the entry task no longer counts listed hosts itself. Hosts that are removed thus count for 60 s more for the budget, those that left after draining do not.

Test: two outlines in features/mesh/budgets.feature, 8 rows, with the quota and entry tasks of 10 nodes, and the window that the platform counts. Command: python -m behave -n "Retries of a fleet" -n "Hosts that are lost or" features/mesh/budgets.feature.

What it costs: for 60 s after hosts are lost without draining, the others have their own part only: with 8 of 10 killed, 12 repeats from the slack in 10 s instead of 60. What is earned by calls is as before.

The recorder of tests of the quota task now records its decisions only, since it sends the entry task another message too.

--- a/features/mesh/budgets.feature
+++ b/features/mesh/budgets.feature
@@ -39,3 +39,27 @@
       | 10    | 0     |
       | 10    | 5     |
       | 12    | 60    |
+
+  Scenario Outline: Retries of a fleet that is cut stay within its budget
+    Given 10 nodes that make all retries allowed by a budget of 100 in 10 s
+    When <cut> of them are cut off <how>, and the entries of <expired> are removed
+    Then the retries of any 10 s stay within the platform's bound
+
+    Examples: Guards against shares of hosts that others no longer count
+      | cut | how        | expired     |
+      | 1   | together   | these       |
+      | 4   | together   | these       |
+      | 8   | together   | these       |
+      | 8   | one by one | these       |
+      | 8   | together   | the others  |
+      | 2   | together   | both        |
+
+  Scenario Outline: Hosts that are lost or leave free their parts of the budget
+    Given 10 nodes that make all retries allowed by a budget of 100 in 10 s
+    When 8 of them <leave>, and their entries are removed
+    Then the others make <at_once> retries in the next 10 s and <later> a minute later
+
+    Examples:
+      | leave                | at_once | later |
+      | are killed           | 12      | 60    |
+      | leave after draining | 60      | 60    |
--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -64,7 +64,9 @@
         """Return a new quota task that records its answers."""
 
         def answer(message):
-            self.answers[message.number] = (message, self.now)
+            match message:
+                case coordination.QuotaDecided():
+                    self.answers[message.number] = (message, self.now)
 
         arbiter = state.QuotaArbiter(name, mesh_budget_steps.BOUNDS)
         return coordination.QuotaTask(name, arbiter, answer, self, NullLog())
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -62,6 +62,9 @@
 from jasminecrank.mesh.coordination._messages import (
     HealthChecked as HealthChecked,
 )
+from jasminecrank.mesh.coordination._messages import (
+    HostsCounted as HostsCounted,
+)
 from jasminecrank.mesh.coordination._messages import LinkClosed as LinkClosed
 from jasminecrank.mesh.coordination._messages import LinkEnded as LinkEnded
 from jasminecrank.mesh.coordination._messages import LinkOpened as LinkOpened
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -111,7 +111,7 @@
             case _messages.CallUnsent():
                 self._call_unsent(message)
             case _messages.FleetChanged(fleet):
-                self._fleet_changed(fleet)
+                self._fleet = fleet
             case _messages.LoadUpdated(host, load):
                 self._placement.record_load(host, load, self._clock.now_s())
             case _messages.PeerUp(host, send):
@@ -121,8 +121,8 @@
                 self._peer_silent(host)
             case _messages.PeerDown(host, send):
                 self._peer_down(host, send)
-            case _messages.BoundsChanged(_, retries):
-                self._budget.bounds = retries
+            case _messages.BoundsChanged() | _messages.HostsCounted():
+                self._update_budget(message)
             case _messages.StopRequested(window):
                 self._stop_window = window
             case _messages.StopWindowClosed():
@@ -130,6 +130,17 @@
             case _:
                 typing.assert_never(message)
 
+    def _update_budget(
+        self, message: _messages.BoundsChanged | _messages.HostsCounted
+    ) -> None:
+        match message:
+            case _messages.BoundsChanged(_, retries):
+                self._budget.bounds = retries
+            case _messages.HostsCounted(count):
+                self._budget.host_count = count
+            case _:
+                typing.assert_never(message)
+
     def _call_arrived(self, message: _messages.CallArrived) -> None:
         request = message.request
         table = self._fleet.table
@@ -532,11 +543,6 @@
             state.NotRun(LINK_LOST, NO_SERVER_RETRY_S),
         )
 
-    def _fleet_changed(self, fleet: state.FleetSnapshot) -> None:
-        self._fleet = fleet
-        hosts = {server.host for server in fleet.server_by_id.values()}
-        self._budget.host_count = len(hosts | {self._own_host})
-
     def _retry_after_s(
         self, call: _open_calls.OpenCall, wait_s: float
     ) -> float:
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -43,6 +43,13 @@
     wait_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class HostsCounted:
+    """The number of hosts among which the fleet's bounds are shared."""
+
+    count: int
+
+
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
     """An attempt to run a call at a host has ended."""
@@ -321,6 +328,7 @@
     | CallerDisconnected
     | CallDeadlineReached
     | QuotaDecided
+    | HostsCounted
     | AttemptEnded
     | CallUnsent
     | FleetChanged
--- a/src/jasminecrank/mesh/coordination/_quota.py
+++ b/src/jasminecrank/mesh/coordination/_quota.py
@@ -50,7 +50,9 @@
 class QuotaTask(_mailbox.MailboxTask[_messages.QuotaMessage]):
     """Owns this node's token requests, and the token buckets it grants from.
 
-    Each team has one arbiter, chosen among those that this node can reach.
+    Each team has one arbiter, chosen among those that this node can reach. The
+    task also counts the hosts among which the rates and the retry budget are
+    shared.
     """
 
     def __init__(
@@ -251,6 +253,7 @@
         host_count = self._census.count(self._own_host, now_s)
         if host_count != self._arbiter.host_count:
             self._arbiter.host_count = host_count
+            self._to_entry(_messages.HostsCounted(host_count))
             self.log.decision("quota-hosts", hosts=host_count)
 
     def _update_reachable(self, now_s: float) -> None:
