Let idle connections give way to those that are needed

Cause: nothing limits how many connections callers, or anybody at the ports of readiness and metrics, keep open. Once they hold all descriptors, libuv accepts and closes each further connection, and the node opens none itself: it serves no call and isn't ready until callers leave.

Change: on each connection that opens, and on each tick, the node looks how many descriptors are in use, which the number of a fresh one says. If fewer than 64 are left, or a quarter of a smaller limit, idle connections of all three ports are closed: unused ones first, then those that are idle longest. A connection on which anything is due, unread or unacknowledged stays. The choice is state.connections_to_yield. New log line descriptors-scarce, new results gave-way of two counters.

Connections to the port of links that send no Hello hold descriptors for 2 s as before.

--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -109,12 +109,14 @@
             rng,
             log,
         )
+        self._idle_connections = transport.IdleConnections(log)
         self._caller_server = transport.CallerServer(
             codec,
             self.entry.mailbox.tell,
             self._clock,
             log,
             self.memory_budget,
+            self._idle_connections,
         )
         self._source = coordination.SourceTask(
             source, self._tell_fleet, rng, log
@@ -280,7 +282,11 @@
             respond: Callable[[bytes], protocol.RawResponse],
         ) -> Callable[[socket.socket], Coroutine[None, None, asyncio.Server]]:
             return functools.partial(
-                transport.listen_for_status, respond, log=self._log
+                transport.listen_for_status,
+                respond,
+                log=self._log,
+                idle=self._idle_connections,
+                clock=self._clock,
             )
 
         return (
@@ -489,6 +495,7 @@
         while True:
             self._last_ran_at_s = self._clock.now_s()
             self._tell_fleet(coordination.FleetTick())
+            self._idle_connections.make_room()
             self._log.flush()
             await asyncio.sleep(coordination.FLEET_TICK_S)
 
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -50,6 +50,11 @@
     FIRST_REQUEST_S as FIRST_REQUEST_S,
 )
 from jasminecrank.mesh.state._connection_debts import StopPhase as StopPhase
+from jasminecrank.mesh.state._descriptors import (
+    connections_to_yield as connections_to_yield,
+)
+from jasminecrank.mesh.state._descriptors import DescriptorUse as DescriptorUse
+from jasminecrank.mesh.state._descriptors import Idleness as Idleness
 from jasminecrank.mesh.state._directory import BackendServer as BackendServer
 from jasminecrank.mesh.state._directory import (
     DataCentreOutEntry as DataCentreOutEntry,
--- a/src/jasminecrank/mesh/transport/__init__.py
+++ b/src/jasminecrank/mesh/transport/__init__.py
@@ -16,6 +16,9 @@
 from jasminecrank.mesh.transport._http_client import (
     REASON_TOO_LARGE as REASON_TOO_LARGE,
 )
+from jasminecrank.mesh.transport._idle_connections import (
+    IdleConnections as IdleConnections,
+)
 from jasminecrank.mesh.transport._links import Link as Link
 from jasminecrank.mesh.transport._links import (
     listen_for_links as listen_for_links,
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -12,6 +12,7 @@
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _idle_connections
 from jasminecrank.mesh.transport import _request_reader
 from jasminecrank.mesh.transport import _sockets
 
@@ -34,6 +35,7 @@
     clock: coordination.Clock
     log: coordination.Log
     budget: state.MemoryBudget
+    idle: _idle_connections.IdleConnections
     limits: state.CallerLimits = field(default_factory=state.CallerLimits)
     phase: state.StopPhase = state.StopPhase.SERVING
     request_numbers: Iterator[int] = field(
@@ -68,6 +70,8 @@
         ] = deque()
         self._current_number = 0
         self._current_method = b""
+        self._active_at_s = 0.0
+        """When the latest bytes came or were written."""
         self._ended = False
         """Whether the last answer has been written."""
         self._timer: asyncio.TimerHandle | None = None
@@ -87,8 +91,10 @@
             transport, _sockets.SLOW_TCP_USER_TIMEOUT_MS
         )
         self._context.connections.add(self)
-        self._debts.opened_at_s = self._context.clock.now_s()
+        self._active_at_s = self._context.clock.now_s()
+        self._debts.opened_at_s = self._active_at_s
         self._start_timer(self._context.limits.idle_timeout_s)
+        self._context.idle.add(self)
         self.close_if_idle()
 
     def data_received(self, data: bytes) -> None:
@@ -97,6 +103,7 @@
             self._drop(len(data))
             return
         self._debts.unused = False
+        self._active_at_s = self._context.clock.now_s()
         if self._debts.idle:
             self._start_timer(self._context.limits.header_timeout_s)
         self._reader.feed(data, self._context.limits)
@@ -133,6 +140,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request, since its caller has disconnected."""
         self._context.connections.discard(self)
+        self._context.idle.discard(self)
         self._context.blocked.pop(self, None)
         if (
             self.unanswered
@@ -288,6 +296,18 @@
         now_s = self._context.clock.now_s()
         return self._debts.first_request_wait_s(now_s) > 0.0
 
+    @property
+    def idleness(self) -> state.Idleness | None:
+        """Return how it is idle, or None if something is owed."""
+        if self.owes:
+            return None
+        return state.Idleness(not self._debts.unused, self._active_at_s)
+
+    def give_way(self) -> None:
+        """Close the connection, on which nothing is owed."""
+        self._context.log.count("caller_connections", "gave-way")
+        self._close()
+
     def refuse_unstarted(self) -> None:
         """Refuse the requests that wait or were received in part."""
         self._reader.refuse_held(_STOPPING)
@@ -420,6 +440,7 @@
             phase, 0 if is_serving else self._unread_bytes
         )
         self._ended = last
+        self._active_at_s = self._context.clock.now_s()
         self._transport.writelines(protocol.encode_response(raw, method, last))
         if last:
             self._end()
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -8,6 +8,7 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _caller_connection
+from jasminecrank.mesh.transport import _idle_connections
 from jasminecrank.mesh.transport import _sockets
 
 LISTEN_BACKLOG = 1_024
@@ -24,9 +25,10 @@
         clock: coordination.Clock,
         log: coordination.Log,
         budget: state.MemoryBudget,
+        idle: _idle_connections.IdleConnections,
     ) -> None:
         self._context = _caller_connection.ConnectionContext(
-            codec, tell, clock, log, budget
+            codec, tell, clock, log, budget, idle
         )
         self._servers: list[asyncio.Server] = []
         self._sockets: list[socket.socket] = []
--- /dev/null
+++ b/src/jasminecrank/mesh/transport/_idle_connections.py
@@ -0,0 +1,80 @@
+"""Closes idle connections when the process runs out of descriptors."""
+
+import errno
+import os
+import resource
+import typing
+
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import state
+
+
+class IdleConnection(typing.Protocol):
+    """Connection that anybody can open, and that may have to give way."""
+
+    @property
+    def idleness(self) -> state.Idleness | None:
+        """Return how it is idle, or None if something is due on it."""
+
+    def give_way(self) -> None:
+        """Close it."""
+
+
+class IdleConnections:
+    """Connections of all ports that give way to those that are needed."""
+
+    def __init__(self, log: coordination.Log) -> None:
+        self._log = log
+        self._connections: set[IdleConnection] = set()
+        self._all_due = False
+        """Whether no connection was left to give way when last asked."""
+
+    def add(self, connection: IdleConnection) -> None:
+        """Add a connection that has opened."""
+        self._connections.add(connection)
+        if not self._all_due:
+            self.make_room()
+
+    def discard(self, connection: IdleConnection) -> None:
+        """Remove a connection that has ended."""
+        self._connections.discard(connection)
+
+    def make_room(self) -> None:
+        """Close the longest idle connections if few descriptors are left."""
+        use = _descriptor_use()
+        self._all_due = False
+        if not use.excess:
+            return
+        idleness_by_connection = {
+            connection: idleness
+            for connection in self._connections
+            if (idleness := connection.idleness) is not None
+        }
+        yielding = state.connections_to_yield(idleness_by_connection, use)
+        self._all_due = len(yielding) < use.excess
+        for connection in yielding:
+            self._connections.discard(connection)
+            connection.give_way()
+        self._log.connection(
+            "descriptors-scarce",
+            outcome=f"{len(yielding)} idle connections closed",
+            reason=f"{use.used} of {use.limit} descriptors used",
+        )
+
+
+def _descriptor_use() -> state.DescriptorUse:
+    """Return how many descriptors are open, as far as this is known.
+
+    The kernel gives out the lowest free number, below which all are open.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return state.DescriptorUse(0, None)
+    try:
+        probe = os.eventfd(0)
+    except OSError as error:
+        if error.errno != errno.EMFILE:
+            return state.DescriptorUse(0, None)
+        return state.DescriptorUse(limit, limit)
+    os.close(probe)
+    return state.DescriptorUse(probe, limit)
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -9,6 +9,8 @@
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _idle_connections
 from jasminecrank.mesh.transport import _sockets
 
 REQUEST_TIMEOUT_S = 5.0
@@ -28,13 +30,19 @@
         self,
         respond: Callable[[bytes], protocol.RawResponse],
         log: coordination.Log,
+        idle: _idle_connections.IdleConnections,
+        clock: coordination.Clock,
     ) -> None:
         self._respond = respond
         self._log = log
+        self._idle = idle
+        self._clock = clock
+        self._active_at_s = clock.now_s()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
         self._request_bytes = 0
+        self._unused = True
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -43,6 +51,7 @@
         self._transport = transport
         _sockets.set_socket_options(transport)
         self._start_timer(IDLE_TIMEOUT_S, "idle")
+        self._idle.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; end the connection if they are invalid."""
@@ -51,6 +60,8 @@
         if self._request_bytes == 0:
             self._start_timer(REQUEST_TIMEOUT_S, "request-timeout")
         self._request_bytes += len(data)
+        self._unused = False
+        self._active_at_s = self._clock.now_s()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -62,7 +73,27 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer."""
         del exc
+        self._idle.discard(self)
         self._cancel_timer()
+        self._transport = None
+
+    @property
+    def idleness(self) -> state.Idleness | None:
+        """Return how it is idle, or None if something is due."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._request_bytes:
+            return None
+        if _sockets.undelivered_bytes(transport):
+            return None
+        if _sockets.unread_bytes(transport):
+            return None
+        return state.Idleness(not self._unused, self._active_at_s)
+
+    def give_way(self) -> None:
+        """Close the connection, on which nothing is due."""
+        self._log.count("status_connections", "gave-way")
+        if self._transport is not None:
+            self._transport.close()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target, which can arrive in parts."""
@@ -109,9 +140,11 @@
     respond: Callable[[bytes], protocol.RawResponse],
     sock: socket.socket,
     log: coordination.Log,
+    idle: _idle_connections.IdleConnections,
+    clock: coordination.Clock,
 ) -> asyncio.Server:
     """Serve readiness or metrics on a listening socket."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: StatusConnection(respond, log), sock=sock
+        lambda: StatusConnection(respond, log, idle, clock), sock=sock
     )
