Take trailers for no headers

Cause: the parser reports trailers like headers, and both readers stored them behind the headers. A server that ended its answer with the trailer `Not-Executed` had its answer replaced by 503 "not run", although the request had run; a second `Request-Id` or other trailers went to callers and servers as headers. A trailer `Connection: close` ends the parser, but the connection was used again: the next call on it got 502.

Change: trailers are counted against the limit of a head, and dropped. A connection is not used again after a message after which the parser reads nothing.

--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -156,8 +156,9 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header until the response is complete."""
-        self._headers.append((name, value))
+        """Store a header until the response is complete; drop a trailer."""
+        if not self._headers_done:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Determine the body framing and whether the connection persists."""
@@ -189,6 +190,9 @@
 
     def on_message_complete(self) -> None:
         """Return the response to its exchange, or drop an unsolicited one."""
+        if not self._parser.should_keep_alive():
+            # A trailer may say so; the parser reads nothing more then.
+            self.usable = False
         if not self._head_only:
             self._complete()
 
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -196,13 +196,18 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and count its bytes, 4 of them delimiters."""
-        self._headers.append((name, value))
+        """Store a header, and count its bytes, 4 of them delimiters.
+
+        A trailer is only counted.
+        """
+        if not self._headers_done:
+            self._headers.append((name, value))
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Refuse an upgrade, and claim memory for the body."""
         self._unparsed_bytes = 0
+        self._headers_done = True
         if self._ended:
             return
         if self._parser.should_upgrade():
@@ -233,6 +238,8 @@
 
     def _end_request(self) -> _ReadRequest:
         """Return the request that is being read, as a complete one."""
+        # After a trailer that says so, the parser reads nothing more.
+        self._keep_alive &= self._parser.should_keep_alive()
         request = _ReadRequest(self._head(), self._keep_alive, self._intake)
         if self._is_body_refused:
             self._refuse_read(request)
@@ -377,6 +384,7 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._intake = None
+        self._headers_done = False
         self._head_bytes = 0
         self._unparsed_bytes = 0
         """Bytes since the latest start, head, body part or end of a message.
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -33,6 +33,9 @@
     GARBLED = "garbled"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
+    TRAILER = "answer-with-the-trailer-x-sum"
+    TRAILER_NOT_RUN = "answer-with-the-trailer-not-run"
+    TRAILER_CLOSE = "answer-with-the-trailer-close"
     EXTRA = "extra"
     LATE_EXTRA = "late-extra"
     HANG = "hang"
@@ -48,6 +51,11 @@
 ENDLESS_MAX_BYTES = 256 * 1024 * 1024
 """Bytes after which a test of an endless response is given up."""
 ENDLESS_PART_BYTES = 65_536
+_TRAILER_BY_BEHAVIOUR = {
+    Behaviour.TRAILER: b"X-Sum: 1",
+    Behaviour.TRAILER_NOT_RUN: b"Not-Executed: 1",
+    Behaviour.TRAILER_CLOSE: b"Connection: close",
+}
 _ENDLESS_BY_BEHAVIOUR = {
     Behaviour.ENDLESS_BODY: (b"Connection: close\r\n\r\n", b"x"),
     Behaviour.ENDLESS_CHUNKS: (
@@ -284,6 +292,13 @@
                 if behaviour is Behaviour.UNFRAMED_RESET:
                     _reset(writer)
                 return False
+            case (
+                Behaviour.TRAILER
+                | Behaviour.TRAILER_NOT_RUN
+                | Behaviour.TRAILER_CLOSE
+            ):
+                trailer = _TRAILER_BY_BEHAVIOUR[behaviour]
+                writer.write(_encode_chunked(headers, body, trailer))
             case Behaviour.EXTRA:
                 writer.write(response + response)
             case Behaviour.LATE_EXTRA:
@@ -311,6 +326,16 @@
     return _http.encode_response(503, b"", {**headers, "Not-Executed": "1"})
 
 
+def _encode_chunked(
+    headers: dict[str, str], body: bytes, trailer: bytes
+) -> bytes:
+    lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+    lines.extend(f"{name}: {value}" for name, value in headers.items())
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode()
+    chunk = b"%x\r\n%b\r\n" % (len(body), body)
+    return head + chunk + b"0\r\n" + trailer + b"\r\n\r\n"
+
+
 def _cut_head(response: bytes, behaviour: Behaviour) -> bytes:
     """Return the part of a response that is sent before the server closes."""
     head_bytes = response.index(b"\r\n\r\n") + 4
