Draw busy hosts, stops of many nodes, late starts and overlapping requests

Change: four kinds of faults and one caller a host, each with a generator of its own, so that the other draws of a seed stay as they were. Losses on busy hosts and while the store alone fails are judged; those at the host of a paused process that holds the ports are excused, no others. Requests behind an answer with `Connection: close` are excused if they have not run (RFC 9112, 9.6). A store outage by itself excuses no loss any more. A request to a leaving server is judged if the host that took it was undisturbed too, as on the platform: a busy one sends it late.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -25,6 +25,8 @@
       | a withdrawn key is refused and served again    | withdrawn_keys  | a fault |
       | a leaving server gets a late request           | no_new_work     | a fault |
       | a leaving server gets a late request in a fault | no_new_work    | nothing |
+      | a leaving server gets a late request from a busy host | no_new_work | nothing |
+      | a leaving server gets a late request beside a busy host | no_new_work | a fault |
       | a cold server gets 20 requests in a second     | cold_servers    | nothing |
       | a cold server gets 21 requests in a second     | cold_servers    | a fault |
       | a team runs 470 requests in 5 s                | quotas          | nothing |
@@ -49,6 +51,12 @@
       | a node cuts an answer of a slow reader         | cuts            | a fault |
       | a node cuts a request that ran                 | cuts            | a fault |
       | a node cuts a request that ran in a fault      | cuts            | nothing |
+      | a node cuts a request that ran on a busy host  | cuts            | a fault |
+      | a node cuts a request that ran while the store is away | cuts            | a fault |
+      | a node cuts a request that ran while its ports are held | cuts            | nothing |
+      | a node cuts a request that ran while another's ports are held | cuts            | a fault |
+      | a request behind an answer that closes does not run | cuts            | nothing |
+      | a request behind an answer that closes runs    | cuts            | a fault |
       | a planned stop cuts a request that ran         | cuts            | a fault |
       | a planned stop cuts an answer of a slow reader | cuts            | a fault |
       | a reader is too slow for the grace period      | cuts            | nothing |
@@ -73,6 +81,8 @@
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
       | 5 of 20 are served with foreign entries        | foreign_entries | nothing |
       | 4 of 20 are served with foreign entries in a fault | foreign_entries | nothing |
+      | 4 of 20 are served while the store is away     | foreign_entries | nothing |
+      | 4 of 20 are served while ports are held        | foreign_entries | a fault |
       | a public request is served with foreign entries | foreign_entries | nothing |
       | a public request is refused with foreign entries | foreign_entries | a fault |
       | a public request is lost with foreign entries  | foreign_entries | a fault |
@@ -135,6 +145,37 @@
       | 2    |
       | 3    |
 
+  Scenario Outline: Nodes get their processors late and start late
+    Given the faults of busy hosts of seeds 1 to 20 for 8 hosts and 30 s
+    Then they are the same when they are drawn again
+    And some are <faults>
+    And each of these has <what> from <low> to <high>
+
+    Examples:
+      | faults          | what                      | low  | high |
+      | HostsBusy       | a time in s               | 2.0  | 8.4  |
+      | HostsBusy       | shortest pause in s       | 0.05 | 0.25 |
+      | HostsBusy       | longest pause in s        | 0.05 | 0.25 |
+      | HostsBusy       | longest turn in s         | 0.02 | 0.08 |
+      | HostsBusy       | number of signals         | 2    | 2    |
+      | ManyStopped     | number of stopped hosts   | 4    | 8    |
+      | ManyStopped     | time of all stops in s    | 0.0  | 1.0  |
+      | SettingsMissing | time without settings in s | 3.0 | 8.0  |
+      | PortsHeld       | time beyond the grace in s | 0.5 | 3.0  |
+
+  Scenario Outline: Requests of unusual form are whole
+    Given 100 requests that overlapping callers draw with form <form>
+    Then each has <what> in <count> or more of its parts
+
+    Examples:
+      | form    | what                         | count |
+      | PLAIN   | Content-Length               | 1     |
+      | CHUNKED | Transfer-Encoding: chunked   | 1     |
+      | CHUNKED | Sum: 1                       | 1     |
+      | EXPECT  | Expect: 100-continue         | 1     |
+      | EXPECT  | Content-Length               | 1     |
+      | HALVES  | HTTP/1.1                     | 1     |
+
   Scenario Outline: A short run of node processes
     When <faults> of seed <seed> are run on <hosts> hosts for <seconds> s
     Then no guarantee is violated
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -16,7 +16,10 @@
 from behave import when
 
 from jasminecrank.standins import soak
+from jasminecrank.standins.soak import _busy_hosts
+from jasminecrank.standins.soak import _demanding
 from jasminecrank.standins.soak import _large_bodies
+from jasminecrank.standins.soak import _overlapping
 from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import losses
@@ -96,6 +99,33 @@
     return records
 
 
+def records_with_disturbance(records, hosts, planned=False, excused=None):
+    """Return records to which a disturbance from 9 s on is added."""
+    records.begin_disturbance(9.0, hosts, planned, excused)
+    return records
+
+
+def records_of_cut(hosts, planned=False, excused=None):
+    """Return records of a cut request that ran in a disturbance."""
+    records = make_records([make_attempt(status=0)], [make_arrival()])
+    return records_with_disturbance(records, hosts, planned, excused)
+
+
+def records_behind_close(*arrivals):
+    """Return records of a request behind an answer that closes."""
+    records = records_with_slow_caller(stop=False)
+    records.attempts[0].behind_close = True
+    records.arrivals.extend(arrivals)
+    return records
+
+
+def records_of_late_sender(busy_host):
+    """Return records in which host 2 sends a request to a leaving server."""
+    records = records_with_leaving_server()
+    records.attempts[0].host = 2
+    return records_with_disturbance(records, (busy_host,), planned=True)
+
+
 def records_with_leaving_server(fault=None):
     """Return records in which a server gets a request when out of service."""
     records = make_records([make_attempt()], [make_arrival()], fault)
@@ -203,7 +233,10 @@
 
 
 def records_with_foreign_entries(served, planned=True):
-    """Return 20 requests with entries of another writer, some served."""
+    """Return 20 requests with entries of another writer, some served.
+
+    Host 0 is disturbed.
+    """
     records = make_records(
         [
             make_attempt(sent_s=13.0, status=200 if number < served else 503)
@@ -445,6 +478,45 @@
     "a node cuts a request that ran in a fault": lambda: make_records(
         [make_attempt(status=0)], [make_arrival()], 9.0
     ),
+    "a node cuts a request that ran on a busy host": lambda: records_of_cut(
+        (0,), planned=True
+    ),
+    "a node cuts a request that ran while the store is away": lambda: (
+        records_of_cut(None, excused=observed.Excused.NONE)
+    ),
+    "a node cuts a request that ran while its ports are held": lambda: (
+        records_of_cut((0,), planned=True, excused=observed.Excused.OWN)
+    ),
+    "a node cuts a request that ran while another's ports are held": lambda: (
+        records_of_cut((1,), planned=True, excused=observed.Excused.OWN)
+    ),
+    "a request behind an answer that closes does not run": (
+        records_behind_close
+    ),
+    "a request behind an answer that closes runs": lambda: (
+        records_behind_close(make_arrival())
+    ),
+    "a leaving server gets a late request from a busy host": lambda: (
+        records_of_late_sender(2)
+    ),
+    "a leaving server gets a late request beside a busy host": lambda: (
+        records_of_late_sender(3)
+    ),
+    "4 of 20 are served while the store is away": lambda: (
+        records_with_disturbance(
+            records_with_foreign_entries(4),
+            None,
+            excused=observed.Excused.NONE,
+        )
+    ),
+    "4 of 20 are served while ports are held": lambda: (
+        records_with_disturbance(
+            records_with_foreign_entries(4),
+            (1,),
+            planned=True,
+            excused=observed.Excused.OWN,
+        )
+    ),
     "4 of 20 are served with foreign entries": lambda: (
         records_with_foreign_entries(4)
     ),
@@ -574,12 +646,13 @@
 @given("the first {count:d} bursts of seed {seed:d} for {hosts:d} hosts")
 def step_bursts(context, count, seed, hosts):
     context.arguments = (seed, hosts, count)
-    context.bursts = draw_bursts(*context.arguments)
+    context.drawn = draw_bursts(*context.arguments)
+    context.draw_again = draw_bursts
 
 
 @then("they are the same when they are drawn again")
 def step_same_bursts(context):
-    assert context.bursts == draw_bursts(*context.arguments)
+    assert context.drawn == context.draw_again(*context.arguments)
 
 
 @then(
@@ -587,7 +660,7 @@
     "that follow within {seconds:g} s"
 )
 def step_burst_bodies(context, fewest, most, low, high, seconds):
-    for burst in context.bursts:
+    for burst in context.drawn:
         assert fewest <= len(burst.loads) <= most, burst
         for load in burst.loads:
             assert low * MIB <= load.body_bytes <= high * MIB, load
@@ -598,10 +671,88 @@
 def step_largest_bodies(context, count, mib):
     assert any(
         sum(load.body_bytes >= mib * MIB for load in burst.loads) >= count
-        for burst in context.bursts
+        for burst in context.drawn
     )
 
 
+MEASURE_BY_NAME = {
+    "a time in s": lambda fault: sum(
+        turn.paused_s + turn.run_s for turn in fault.turns
+    ),
+    "shortest pause in s": lambda fault: min(
+        turn.paused_s for turn in fault.turns
+    ),
+    "longest pause in s": lambda fault: max(
+        turn.paused_s for turn in fault.turns
+    ),
+    "longest turn in s": lambda fault: max(turn.run_s for turn in fault.turns),
+    "number of signals": lambda fault: len(fault.signals),
+    "number of stopped hosts": lambda fault: len(dict(fault.delay_s_by_host)),
+    "time of all stops in s": lambda fault: max(
+        delay_s for _, delay_s in fault.delay_s_by_host
+    ),
+    "time without settings in s": lambda fault: fault.missing_s,
+    "time beyond the grace in s": lambda fault: (
+        fault.paused_s - losses.GRACE_S
+    ),
+}
+
+
+def draw_busy_hosts(first, last, hosts, seconds):
+    """Return the faults of busy hosts of several seeds."""
+    return [
+        item
+        for seed in range(first, last + 1)
+        for item in _busy_hosts.make_faults(seed, hosts, seconds - 8.0)
+    ]
+
+
+@given(
+    "the faults of busy hosts of seeds {first:d} to {last:d} for {hosts:d} "
+    "hosts and {seconds:d} s"
+)
+def step_busy_hosts(context, first, last, hosts, seconds):
+    context.arguments = (first, last, hosts, seconds)
+    context.drawn = context.faults = draw_busy_hosts(*context.arguments)
+    context.draw_again = draw_busy_hosts
+
+
+@then("some are {name}")
+def step_some_faults(context, name):
+    context.faults = [
+        fault
+        for _, fault in context.faults
+        if isinstance(fault, getattr(_busy_hosts, name))
+    ]
+    assert context.faults
+
+
+@then("each of these has {what} from {low:g} to {high:g}")
+def step_fault_measure(context, what, low, high):
+    measures = [MEASURE_BY_NAME[what](fault) for fault in context.faults]
+    assert low <= min(measures) <= max(measures) <= high, measures
+
+
+@given("{count:d} requests that overlapping callers draw with form {form}")
+def step_overlapping_loads(context, count, form):
+    rng = _overlapping.make_rng(1, 0)
+    loads = []
+    while len(loads) < count:
+        load = _overlapping.draw_load(rng)
+        if load.form is _demanding.Form[form]:
+            loads.append(load)
+    context.requests = [
+        [part for _, part in _demanding.encode_request(load, "d1")]
+        for load in loads
+    ]
+
+
+@then("each has {what} in {count:d} or more of its parts")
+def step_request_parts(context, what, count):
+    for parts in context.requests:
+        assert sum(what.encode() in part for part in parts) >= count, parts[0]
+
+
 @when("{faults} of seed {seed:d} are run on {hosts:d} hosts for {seconds:d} s")
 def step_run_seed(context, faults, seed, hosts, seconds):
     # The soak reports all errors of its process, so that it has its own.
--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -8,6 +8,7 @@
 from jasminecrank.standins.soak import _demanding
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _large_bodies
+from jasminecrank.standins.soak import _overlapping
 from jasminecrank.standins.soak import observed
 
 CALLERS_PER_HOST = 4
@@ -48,6 +49,12 @@
                     self._deployment, number, rng
                 )
                 self._tasks.append(asyncio.create_task(caller.run()))
+            overlapping = _overlapping.OverlappingCaller(
+                self._deployment,
+                number,
+                _overlapping.make_rng(self._seed, number),
+            )
+            self._tasks.append(asyncio.create_task(overlapping.run()))
 
     async def stop(self) -> None:
         """Stop sending requests and wait until all callers have ended."""
--- a/src/jasminecrank/standins/soak/_demanding.py
+++ b/src/jasminecrank/standins/soak/_demanding.py
@@ -1,7 +1,9 @@
 """Callers that pipeline requests, and that send and read slowly."""
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass
+import enum
 import itertools
 import math
 import random
@@ -30,6 +32,23 @@
 """SO_RCVBUF of connections; None for the default."""
 
 
+class Form(enum.Enum):
+    """How a request is written."""
+
+    PLAIN = "plain"
+    CHUNKED = "chunked"
+    """A chunked body with a trailer."""
+    EXPECT = "expect"
+    """`Expect: 100-continue`, which the body does not wait for."""
+    HALVES = "halves"
+    """The head in two parts."""
+
+    @property
+    def has_body(self) -> bool:
+        """Whether the form is that of a body."""
+        return self in (Form.CHUNKED, Form.EXPECT)
+
+
 @dataclass(slots=True, frozen=True)
 class Load:
     """Requests sent in a row on one connection."""
@@ -44,6 +63,7 @@
     """Time over which the answers are read, with the pause."""
     pause_s: float = 0.0
     """Pause in the middle of an answer."""
+    form: Form = Form.PLAIN
 
 
 def draw_load(rng: random.Random) -> Load:
@@ -97,6 +117,8 @@
             tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
         ) = None
         self._connection = observed.Connection(0.0, frozenset())
+        self._closing = False
+        """Whether the head of an answer closes the connection."""
 
     async def run(self) -> None:
         """Send loads until the task is cancelled."""
@@ -138,6 +160,7 @@
             opening = _connections.Opening(self._deployment, self._number)
             await asyncio.get_running_loop().sock_connect(sock, address)
             self._connection = opening.complete()
+            self._closing = False
             self._streams = await asyncio.open_connection(
                 sock=sock, limit=READ_BYTES
             )
@@ -162,7 +185,9 @@
         try:
             try:
                 for _ in range(load.requests):
-                    await self._send(writer, load, attempts)
+                    attempt = self._begin(load)
+                    attempts.append(attempt)
+                    await self._send(writer, load, attempt)
             except OSError:
                 pass  # The node closed the connection; read what it sent.
             for attempt in attempts:
@@ -182,12 +207,8 @@
         if closed_s < math.inf or len(attempts) < load.requests:
             self._close()
 
-    async def _send(
-        self,
-        writer: asyncio.StreamWriter,
-        load: Load,
-        attempts: list[observed.Attempt],
-    ) -> None:
+    def _begin(self, load: Load) -> observed.Attempt:
+        """Record a request that is about to be sent."""
         attempt = observed.Attempt(
             f"d{next(self._numbers):015x}",
             self._number,
@@ -196,28 +217,25 @@
             None,
             self._deployment.now_s(),
             connection=self._connection,
-            load=f"{load.requests} {load.method} {load.target}",
+            load=(
+                f"{load.requests} {load.form.value} {load.method} "
+                f"{load.target}"
+            ),
             upload_s=math.inf,
             reading_s=load.reading_s,
         )
         self._deployment.records.attempts.append(attempt)
-        attempts.append(attempt)
-        writer.write(
-            (
-                f"{load.method} {load.target} HTTP/1.1\r\nHost: a.example\r\n"
-                f"Request-Id: {attempt.request_id}\r\n"
-                f"Deadline-Ms: {round(1000 * DEADLINE_S)}\r\n"
-                f"Content-Length: {load.body_bytes}\r\n\r\n"
-            ).encode()
-        )
-        await writer.drain()
-        parts = min(20, 1 + load.body_bytes // KIB) if load.body_bytes else 0
-        for part in range(parts):
-            await asyncio.sleep(load.upload_s / parts)
-            begin, end = (
-                load.body_bytes * index // parts for index in (part, part + 1)
-            )
-            writer.write(bytes(end - begin))
+        return attempt
+
+    async def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        load: Load,
+        attempt: observed.Attempt,
+    ) -> None:
+        for delay_s, part in encode_request(load, attempt.request_id):
+            await asyncio.sleep(delay_s)
+            writer.write(part)
             await writer.drain()
         attempt.upload_s = self._deployment.now_s() - attempt.sent_s
 
@@ -228,12 +246,17 @@
         attempt: observed.Attempt,
     ) -> float:
         """Read a response; return when it closed the connection, or inf."""
+        status = 0
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                status, headers = fleet.parse_head(
-                    await reader.readuntil(b"\r\n\r\n")
-                )
+                status = 100
+                while status == 100:
+                    status, headers = fleet.parse_head(
+                        await reader.readuntil(b"\r\n\r\n")
+                    )
                 attempt.head_s = self._deployment.now_s()
+                # A slow caller learns now that nothing follows the body.
+                self._closing = headers.get("connection") == "close"
                 body = await _read_slowly(
                     reader, int(headers["content-length"]), load
                 )
@@ -241,16 +264,48 @@
             attempt.abandoned = True
             return self._deployment.now_s()
         except (OSError, asyncio.IncompleteReadError) as error:
-            attempt.end = repr(error)
+            attempt.end = f"{error!r} after status {status}"
             return self._deployment.now_s()
         attempt.status = status
         attempt.response_intact = status != 200 or (
             body == _server.encode_answer(attempt.request_id, load.target)
             and headers.get("server-stamp") == f"stamp-{attempt.request_id}"
         )
-        # A slow caller learns from the head that nothing follows the body.
-        closes = headers.get("connection") == "close"
-        return attempt.head_s if closes else math.inf
+        return attempt.head_s if self._closing else math.inf
+
+
+def encode_request(
+    load: Load, request_id: str
+) -> Iterator[tuple[float, bytes]]:
+    """Yield the parts of a request, each with the delay before it."""
+    length = f"Content-Length: {load.body_bytes}"
+    framing = {
+        Form.CHUNKED: "Transfer-Encoding: chunked\r\nTrailer: Sum",
+        Form.EXPECT: f"Expect: 100-continue\r\n{length}",
+    }.get(load.form, length)
+    head = (
+        f"{load.method} {load.target} HTTP/1.1\r\nHost: a.example\r\n"
+        f"Request-Id: {request_id}\r\n"
+        f"Deadline-Ms: {round(1000 * DEADLINE_S)}\r\n"
+        f"{framing}\r\n\r\n"
+    ).encode()
+    cut = len(head) // 2 if load.form is Form.HALVES else len(head)
+    yield 0.0, head[:cut]
+    if head[cut:]:
+        yield load.upload_s, head[cut:]
+    parts = min(20, 1 + load.body_bytes // KIB) if load.body_bytes else 0
+    delay_s = 0.0 if head[cut:] or not parts else load.upload_s / parts
+    for part in range(parts):
+        begin, end = (
+            load.body_bytes * index // parts for index in (part, part + 1)
+        )
+        if load.form is Form.CHUNKED:
+            size = f"{end - begin:x}\r\n".encode()
+            yield delay_s, size + bytes(end - begin) + b"\r\n"
+        else:
+            yield delay_s, bytes(end - begin)
+    if load.form is Form.CHUNKED:
+        yield delay_s, b"0\r\nSum: 1\r\n\r\n"
 
 
 async def _read_slowly(
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -66,11 +66,14 @@
 
     @contextlib.contextmanager
     def record_disturbance(
-        self, hosts: Iterable[int] | None, planned: bool = False
+        self,
+        hosts: Iterable[int] | None,
+        planned: bool = False,
+        excused: observed.Excused | None = None,
     ) -> Iterator[None]:
         """Record that some hosts, or all, are disturbed inside the block."""
         disturbance = self.records.begin_disturbance(
-            self.now_s(), hosts, planned
+            self.now_s(), hosts, planned, excused
         )
         try:
             yield
@@ -155,10 +158,17 @@
 [platform]
 address = "{host}:{self.ports["store"]}"
 """
-        path = self._folder / f"host-{number}.toml"
+        path = self._settings_path(number)
         path.write_text(text[: round(len(text) * written_ratio)])
         return path
 
+    def remove_settings(self, number: int) -> None:
+        """Remove a host's settings file."""
+        self._settings_path(number).unlink(missing_ok=True)
+
+    def _settings_path(self, number: int) -> pathlib.Path:
+        return self._folder / f"host-{number}.toml"
+
     async def _wait_until_ready(self) -> None:
         async with asyncio.timeout(START_TIMEOUT_S):
             for number in self.hosts:
--- a/src/jasminecrank/standins/soak/_faults.py
+++ b/src/jasminecrank/standins/soak/_faults.py
@@ -6,6 +6,8 @@
 import typing
 
 from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _busy_hosts
+from jasminecrank.standins.soak import _busy_hosts_injector
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _plan
 from jasminecrank.standins.soak import _proxy
@@ -71,6 +73,13 @@
                 | _series.ForeignEntries()
             ):
                 await _series_injector.inject(self._deployment, fault)
+            case (
+                _busy_hosts.HostsBusy()
+                | _busy_hosts.ManyStopped()
+                | _busy_hosts.SettingsMissing()
+                | _busy_hosts.PortsHeld()
+            ):
+                await _busy_hosts_injector.inject(self._deployment, fault)
             case _:
                 typing.assert_never(fault)
 
@@ -89,10 +98,10 @@
                     # A successor may be the newest process at the end.
                     paused = nodes[host].runs[-1:]
                     for run in paused:
-                        run.send_signal(signal.SIGSTOP)
+                        run.pause()
                     await asyncio.sleep(duration_s)
                     for run in paused:
-                        run.send_signal(signal.SIGCONT)
+                        run.resume()
             case _plan.NodeTerminated(host):
                 with self._deployment.record_disturbance(
                     (host,), planned=True
@@ -123,7 +132,9 @@
                 with deployment.record_disturbance(None):
                     await _apply_condition(affected, condition, duration_s)
             case _plan.StoreOutage(outage, duration_s):
-                with deployment.record_disturbance(None):
+                with deployment.record_disturbance(
+                    None, excused=observed.Excused.NONE
+                ):
                     deployment.store.outage = outage
                     await asyncio.sleep(duration_s)
                     deployment.store.outage = fleet.Outage.NONE
--- a/src/jasminecrank/standins/soak/_plan.py
+++ b/src/jasminecrank/standins/soak/_plan.py
@@ -5,6 +5,7 @@
 import random
 
 from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _busy_hosts
 from jasminecrank.standins.soak import _proxy
 from jasminecrank.standins.soak import _series
 
@@ -131,7 +132,12 @@
 ServerFault = ServerCrashed | ServerReplaced | ServerMisbehaves
 OperatorChange = KeyWithdrawn | TableUpdateBurst | DataCentreOut
 Fault = (
-    ProcessFault | NetworkFault | ServerFault | OperatorChange | _series.Series
+    ProcessFault
+    | NetworkFault
+    | ServerFault
+    | OperatorChange
+    | _series.Series
+    | _busy_hosts.BusyHostFault
 )
 PLANNED_WORK = (
     NodeTerminated,
@@ -188,8 +194,11 @@
     if planned_only:
         plan = [item for item in plan if isinstance(item.fault, PLANNED_WORK)]
     # Own draws, so that the other faults of a seed stay the same.
-    series = _series.make_series(seed, hosts, duration_s - RECOVERY_S)
-    plan.extend(PlannedFault(at_s, fault) for at_s, fault in series)
+    for at_s, fault in (
+        *_series.make_series(seed, hosts, duration_s - RECOVERY_S),
+        *_busy_hosts.make_faults(seed, hosts, duration_s - RECOVERY_S),
+    ):
+        plan.append(PlannedFault(at_s, fault))
     return sorted(plan, key=lambda item: item.at_s)
 
 
--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -28,6 +28,8 @@
     started_s: float
     pidfd: int
     signals: list[observed.SentSignal] = field(default_factory=list)
+    pauses: int = 0
+    """Number of faults that pause the process now."""
 
     @property
     def is_running(self) -> bool:
@@ -47,6 +49,23 @@
             signal.pidfd_send_signal(self.pidfd, signal_number)
         return True
 
+    def pause(self) -> None:
+        """Suspend the process until as many calls resume it."""
+        self.pauses += 1
+        self._send_unrecorded(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Resume the process unless another fault pauses it."""
+        self.pauses -= 1
+        if not self.pauses:
+            self._send_unrecorded(signal.SIGCONT)
+
+    def _send_unrecorded(self, signal_number: int) -> None:
+        """Send a signal that explains no end of the process."""
+        if self.is_running:
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self.pidfd, signal_number)
+
     def _cpu_s(self) -> float:
         """Return the processor time of the main thread."""
         try:
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -105,14 +105,26 @@
 
 
 def no_new_work(records: observed.Records) -> Iterator[str]:
-    """Check that draining or evacuated servers get no new requests."""
+    """Check that draining or evacuated servers get no new requests.
+
+    Neither the server's host nor the one that took the request is disturbed.
+    """
+    host_by_id = {
+        attempt.request_id: attempt.host for attempt in records.attempts
+    }
     for period in records.out_of_service_periods:
         for arrival in records.arrivals:
             if (
                 arrival.host == period.host
                 and period.from_s < arrival.at_s < period.until_s
-                and records.is_undisturbed(
-                    arrival.host, period.from_s, arrival.at_s, True
+                and all(
+                    records.is_undisturbed(
+                        host, period.from_s, arrival.at_s, True
+                    )
+                    for host in (
+                        arrival.host,
+                        host_by_id.get(arrival.request_id, arrival.host),
+                    )
                 )
             ):
                 late_s = arrival.at_s - period.from_s
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -145,12 +145,15 @@
         attempt.is_lost
         and (
             attempt.request_id in ran
-            or attempt.ended_s - whole_s > LOSS_SLACK_S
+            or (
+                attempt.ended_s - whole_s > LOSS_SLACK_S
+                and not attempt.behind_close
+            )
         )
         and not _is_read_too_late(records, attempt)
         and not _is_left_to_server(records, attempt)
-        and records.is_undisturbed(
-            None, attempt.sent_s, _latest_cut_s(records, attempt), False
+        and not records.excuses_loss(
+            attempt.host, attempt.sent_s, _latest_cut_s(records, attempt)
         )
     )
 
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -3,12 +3,23 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+import enum
 import math
+import typing
 
 SETTLE_S = 3.0
 """Time without a fault after which limits apply, the platform's contactMs."""
 
 
+class Excused(enum.Enum):
+    """Which lost requests a disturbance excuses."""
+
+    ALL = "all"
+    OWN = "own"
+    """Those sent to its hosts."""
+    NONE = "none"
+
+
 @dataclass(slots=True, frozen=True)
 class Connection:
     """A caller's connection to the node of a host."""
@@ -44,6 +55,8 @@
     """Time until the last byte was sent, infinite if it never was."""
     reading_s: float = 0.0
     """Least time in which the caller reads this response and earlier ones."""
+    behind_close: bool = False
+    """Whether an earlier answer on the connection closed it."""
     head_s: float = math.inf
     """When the head of the response was received, if it was read slowly."""
 
@@ -74,9 +87,26 @@
     hosts: frozenset[int] | None
     """None for all hosts."""
     planned: bool = False
-    """A SIGTERM or an operator change, which must not lose any request."""
+    """A SIGTERM or an operator change, after which service goes on."""
+    excused: Excused = Excused.ALL
     end_s: float = math.inf
 
+    def overlaps(self, from_s: float, to_s: float) -> bool:
+        """Return whether limits do not apply in a period."""
+        return self.begin_s <= to_s and self.end_s >= from_s - SETTLE_S
+
+    def excuses_loss(self, host: int) -> bool:
+        """Return whether a request to a host may be lost."""
+        match self.excused:
+            case Excused.ALL:
+                return True
+            case Excused.OWN:
+                return self.hosts is None or host in self.hosts
+            case Excused.NONE:
+                return False
+            case _:
+                typing.assert_never(self.excused)
+
 
 @dataclass(slots=True)
 class OutOfServicePeriod:
@@ -165,11 +195,21 @@
     """Last lines of the tracebacks in the nodes' logs, by host."""
 
     def begin_disturbance(
-        self, now_s: float, hosts: Iterable[int] | None, planned: bool = False
+        self,
+        now_s: float,
+        hosts: Iterable[int] | None,
+        planned: bool = False,
+        excused: Excused | None = None,
     ) -> Disturbance:
-        """Record the start of a disturbance."""
+        """Record the start of a disturbance.
+
+        By itself, planned work excuses no lost request, and a fault excuses
+        all.
+        """
         affected_hosts = None if hosts is None else frozenset(hosts)
-        disturbance = Disturbance(now_s, affected_hosts, planned)
+        if excused is None:
+            excused = Excused.NONE if planned else Excused.ALL
+        disturbance = Disturbance(now_s, affected_hosts, planned, excused)
         self.disturbances.append(disturbance)
         return disturbance
 
@@ -182,8 +222,7 @@
     ) -> bool:
         """Return whether a host, or every host if None, was undisturbed."""
         return not any(
-            disturbance.begin_s <= to_s
-            and disturbance.end_s >= from_s - SETTLE_S
+            disturbance.overlaps(from_s, to_s)
             and (include_planned or not disturbance.planned)
             and (
                 host is None
@@ -192,3 +231,11 @@
             )
             for disturbance in self.disturbances
         )
+
+    def excuses_loss(self, host: int, from_s: float, to_s: float) -> bool:
+        """Return whether a request to a host may be lost in a period."""
+        return any(
+            disturbance.overlaps(from_s, to_s)
+            and disturbance.excuses_loss(host)
+            for disturbance in self.disturbances
+        )
