Let overlapping callers read at once, and record how late the soak ran

On a machine with a load of 20, the soak itself also notices answers late. Change: overlapping callers use the default buffer; the line of a lost request names the largest delay of the soak's own event loop meanwhile, which excuses nothing.

--- a/src/jasminecrank/standins/soak/_demanding.py
+++ b/src/jasminecrank/standins/soak/_demanding.py
@@ -8,6 +8,7 @@
 import math
 import random
 import socket
+import typing
 
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _connections
@@ -103,6 +104,9 @@
     """Keeps a connection until it ends, then opens the next one."""
 
     _numbers = itertools.count(1)
+    _receive_buffers: typing.ClassVar[tuple[int | None, ...]] = (
+        RECEIVE_BUFFERS_BYTES
+    )
 
     def __init__(
         self,
@@ -149,7 +153,7 @@
     async def _connect(self) -> None:
         sock = socket.socket()
         sock.setblocking(False)
-        buffer_bytes = self._rng.choice(RECEIVE_BUFFERS_BYTES)
+        buffer_bytes = self._rng.choice(self._receive_buffers)
         if buffer_bytes is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         address = (
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -226,7 +226,9 @@
                     peak_bytes[process] = max(
                         peak_bytes.get(process, 0), run.resident_bytes()
                     )
+            due_s = self.now_s() + MEMORY_INTERVAL_S
             await asyncio.sleep(MEMORY_INTERVAL_S)
+            self.records.delays.append((self.now_s(), self.now_s() - due_s))
 
     def _record_arrival(
         self, host: int, headers: dict[str, str], cold: bool
--- a/src/jasminecrank/standins/soak/_overlapping.py
+++ b/src/jasminecrank/standins/soak/_overlapping.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import typing
 
 from jasminecrank.standins.soak import _demanding
 from jasminecrank.standins.soak import observed
@@ -44,6 +45,9 @@
 class OverlappingCaller(_demanding.DemandingCaller):
     """Sends further requests while it reads the answers to earlier ones."""
 
+    # A small buffer would make it a slow reader.
+    _receive_buffers: typing.ClassVar[tuple[int | None, ...]] = (None,)
+
     async def run(self) -> None:
         """Send requests until the task is cancelled."""
         try:
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -59,6 +59,14 @@
         for reload in records.reloads
         if reload.host == attempt.host
     )
+    delay_s = max(
+        (
+            delay_s
+            for at_s, delay_s in records.delays
+            if attempt.sent_s <= at_s <= attempt.ended_s + delay_s
+        ),
+        default=0.0,
+    )
     return (
         f"{attempt.request_id}, sent to host {attempt.host} (connection of "
         f"{attempt.connection.opened_s:.2f} s, process {processes}) at "
@@ -67,7 +75,8 @@
         f"{attempt.reading_s:.2f} s, was cut at "
         f"{attempt.ended_s:.2f} s ({attempt.load}: {attempt.end}; "
         f"SIGTERM at {stops or 'no time'}; "
-        f"SIGHUP at {reloads_sent or 'no time'})"
+        f"SIGHUP at {reloads_sent or 'no time'}; "
+        f"the soak itself was late by {delay_s:.2f} s)"
     )
 
 
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -191,6 +191,8 @@
         default_factory=dict
     )
     """Largest resident size by host and incarnation."""
+    delays: list[tuple[float, float]] = field(default_factory=list)
+    """When the soak itself ran late, and by how many seconds."""
     tracebacks: list[tuple[int, str]] = field(default_factory=list)
     """Last lines of the tracebacks in the nodes' logs, by host."""
 
