Refuse or answer each connection that opens late in a stop

Cause: a node whose callers keep coming never settles, so that it listened until its time was over; a process that gets its processor late handles its timers before it accepts, so that there were unaccepted connections at each check, and it ended with requests that it could still have read. Change: a node stops listening while a new connection has time for its first request, accepts what the kernel has opened in the same step, and reads once more before it ends.

--- a/features/mesh/unread_requests.feature
+++ b/features/mesh/unread_requests.feature
@@ -13,6 +13,24 @@
       | an idle connection | 2.2  | 2.6 |
       | a new connection   | 2.2  | 2.6 |
 
+  Scenario Outline: A connection that opens late in a stop is refused or answered
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 7 s and answer with 1 kB
+    When node 0 stops in a call, and a request comes on a new connection while the node is held up, from <from> s to <to> s
+    Then it gets <what>
+
+    Examples:
+      | from | to  | what                 |
+      | 4.9  | 5.7 | an answer 503        |
+      | 5.4  | 5.8 | no connection at all |
+
+  Scenario: A node that is late all the time drops no connection in a stop
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 7 s and answer with 1 kB
+    When node 0 stops in a call, and a request comes on a new connection every 0.3 s from 3.0 s to 5.8 s, with the node held up for 0.25 s each time
+    Then each gets an answer 503 or no connection at all
+    And the last gets no connection at all
+
   Scenario: The idle limit does not close a connection with an unread request
     Given a deployment of 2 hosts on the event loop of a process
     And idle connections are closed after 0.6 s
--- a/features/steps/mesh_unread_steps.py
+++ b/features/steps/mesh_unread_steps.py
@@ -31,7 +31,10 @@
 
     def handle_input():
         loop.remove_reader(reader)
-        caller.send_blocking()
+        try:
+            caller.send_blocking()
+        except ConnectionRefusedError:
+            context.refused.append(caller)
         time.sleep(duration_s)
 
     loop.add_reader(reader, handle_input)
@@ -58,6 +61,66 @@
     context.runner.run(act())
 
 
+@when(
+    "node 0 stops in a call, and a request comes on a new connection while "
+    "the node is held up, from {from_s:g} s to {to_s:g} s"
+)
+def step_held_up_late(context, from_s, to_s):
+    _stop_late(context, [from_s], to_s - from_s)
+
+
+@when(
+    "node 0 stops in a call, and a request comes on a new connection every "
+    "{interval_s:g} s from {from_s:g} s to {to_s:g} s, with the node held up "
+    "for {duration_s:g} s each time"
+)
+def step_held_up_often(context, interval_s, from_s, to_s, duration_s):
+    count = round((to_s - from_s) / interval_s)
+    times = [from_s + index * interval_s for index in range(count)]
+    _stop_late(context, times, duration_s)
+
+
+def _stop_late(context, times, duration_s):
+    """Stop node 0 in a call, and hold it up each time a request comes."""
+
+    async def act():
+        first = await mesh_owed_steps.open_caller(context)
+        await first.send("POST", "/book/1")
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(context.fleet.nodes[0].stop())
+        for at_s in times:
+            caller = context.fleet.pipelining_caller(0)
+            context.exit_stack.callback(caller.close)
+            context.late_callers.append(caller)
+            _hold_up(context, at_s, caller, duration_s)
+        await asyncio.sleep(times[-1] + duration_s)
+        connected = [
+            caller
+            for caller in context.late_callers
+            if caller not in context.refused
+        ]
+        await mesh_owed_steps.receive_answers(context, connected)
+        await stopping
+
+    context.late_callers = []
+    context.refused = []
+    context.runner.run(act())
+
+
+@then("it gets an answer 503")
+@then("each gets an answer 503 or no connection at all")
+def step_late_answer(context):
+    assert context.answers
+    for answers in context.answers:
+        assert [answer.status for answer in answers] == [503], context.answers
+
+
+@then("it gets no connection at all")
+@then("the last gets no connection at all")
+def step_late_refused(context):
+    assert context.late_callers[-1] in context.refused, context.answers
+
+
 @when(
     "a request comes on a connection that was idle for {idle_s:g} s, "
     "and the node is held up for {duration_s:g} s"
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -23,6 +23,8 @@
 
 STOP_FLUSH_S = 0.15
 """Longest time after that for the last responses to be taken."""
+STOP_LAST_TURNS = 5
+"""Turns of the event loop in which a request is read and refused."""
 STOP_CHECK_PERIOD_S = 0.05
 """Interval at which a stopping node checks what it owes."""
 SETTINGS_READ_PERIOD_S = 5.0
@@ -306,10 +308,9 @@
         self._caller_server.start_closing()
         await asyncio.sleep(window.callers_leave_at_s - now_s)
         self._caller_server.close_idle()
-        await self._wait_until_settled(window.closes_at_s)
-        await self._accept_pending(window.closes_at_s)
+        await self._wait_until_settled(window.listens_until_s)
         # A later connection is refused, so that its request is not lost.
-        self._caller_server.stop_listening()
+        await self._caller_server.accept_last()
         while (
             self._clock.now_s() < window.closes_at_s
             and self._caller_server.awaits_first_requests
@@ -333,11 +334,6 @@
             self._config.stop_grace_s,
         )
 
-    async def _accept_pending(self, until_s: float) -> None:
-        """Wait until the connections that the kernel has opened are known."""
-        while self._clock.now_s() < until_s and self._caller_server.unaccepted:
-            await asyncio.sleep(STOP_CHECK_PERIOD_S)
-
     async def _wait_until_settled(self, until_s: float) -> None:
         """Wait until no call is open and all answers are delivered."""
         owing_links = set(self._links)
@@ -368,6 +364,9 @@
         self.entry.mailbox.tell(closed)
         await asyncio.sleep(0)
         await self._wait_until_settled(self._clock.now_s() + STOP_FLUSH_S)
+        # A late loop has handled its timers, and not yet what has arrived.
+        for _ in range(STOP_LAST_TURNS):
+            await asyncio.sleep(0)
 
     def abort(self) -> None:
         """Cancel all tasks and close all connections immediately."""
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 import typing
 
+from jasminecrank.mesh.state import _connection_debts
+
 STOP_MARGIN_S = 0.4
 """Time before SIGKILL at which a stopping node ends all calls."""
 CALLERS_LEAVE_S = 2.3
@@ -37,6 +39,11 @@
         """Return when callers have left, or the window closes."""
         return min(self.started_at_s + CALLERS_LEAVE_S, self.closes_at_s)
 
+    @property
+    def listens_until_s(self) -> float:
+        """Return when a new connection has no time left for a request."""
+        return self.closes_at_s - _connection_debts.FIRST_REQUEST_S
+
     def accepts(
         self,
         now_s: float,
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import socket
 
 from jasminecrank.mesh import coordination
@@ -35,14 +36,18 @@
         """Accept connections on a listening socket."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: _caller_connection.CallerConnection(self._context),
+            self._create_connection,
             sock=sock,
             backlog=LISTEN_BACKLOG,
         )
+        sock.setblocking(False)
         self._servers.append(server)
         self._sockets.append(sock)
         return server
 
+    def _create_connection(self) -> _caller_connection.CallerConnection:
+        return _caller_connection.CallerConnection(self._context)
+
     def set_limits(self, limits: state.CallerLimits) -> None:
         """Set the limits of requests and connections."""
         self._context.limits = limits
@@ -95,6 +100,23 @@
         """Return the number of connections that wait to be accepted."""
         return sum(map(_sockets.unaccepted_connections, self._sockets))
 
+    async def accept_last(self) -> None:
+        """Accept the connections that the kernel has opened, and no others.
+
+        A loop that is late would only see them after its next timers.
+        """
+        accepted = []
+        for sock in self._sockets:
+            with contextlib.suppress(OSError):
+                while True:
+                    accepted.append(sock.accept()[0])
+        self.stop_listening()
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            await loop.connect_accepted_socket(
+                self._create_connection, connection
+            )
+
     def stop_listening(self) -> None:
         """Stop accepting connections."""
         if self.unaccepted:
