Send the rest of a body in a stop after its answer came early

A server got a reset in place of the rest of an upload that it had answered: the stop waited for calls, answers and links, not for connections that are closed once their bodies are sent. Change: the pool of server connections owes until these have ended.

--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -351,7 +351,10 @@
                 owing_links = {
                     link for link in owing_links if link.unsent_bytes
                 }
-                if not owing_links and not self._caller_server.owes:
+                owes = (
+                    self._caller_server.owes or self._server_connections.owes
+                )
+                if not owing_links and not owes:
                     return
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
 
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -44,6 +44,8 @@
         self._on_progress: Callable[[], None] | None = None
         self._reset_message()
         self.usable = False
+        self.is_lost = False
+        """Whether the connection has ended."""
         self.response_status = 0
         """Status of the response that is being received; 0 before its head."""
         self.idle_timeout_s: float | None = None
@@ -158,6 +160,7 @@
         """Fail the pending exchange."""
         del exc
         self.usable = False
+        self.is_lost = True
         self._fail(REASON_TRUNCATED if self._headers_done else REASON_RESET)
 
     def on_message_begin(self) -> None:
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -34,6 +34,8 @@
         self._clock = clock
         self._log = log
         self._idle: list[_http_client.ClientConnection] = []
+        self._closing: list[_http_client.ClientConnection] = []
+        """Those whose servers have answered before they had read a body."""
 
     async def exchange(
         self, call: coordination.CallSent, remaining_s: float
@@ -58,8 +60,8 @@
         if self._codec.is_rejection(raw):
             connection.rejected_ids.add(call.request_id)
         if request.body and connection.has_unsent:
-            # The server has answered early, and may read the rest later.
             connection.close()
+            self._closing = [*self._open_closing(), connection]
         else:
             self._release(connection)
         return self._codec.read_response(raw, self._clock.now_s() - sent_s)
@@ -79,6 +81,14 @@
         self._release(connection)
         return self._codec.read_health_response(raw)
 
+    @property
+    def owes(self) -> bool:
+        """Return whether a part of a body is still being sent."""
+        return bool(self._open_closing())
+
+    def _open_closing(self) -> list[_http_client.ClientConnection]:
+        return [item for item in self._closing if not item.is_lost]
+
     def close(self) -> None:
         """Abort the idle connections."""
         for connection in self._idle:
