Keep calls away from a body that the server has not taken

Cause: a server may answer before it has read a long body, and read on later. The connection went back to the pool with the answer, and the next call was sent behind the body: it waited until the server read on, or, as the short TCP user timeout had come back with the answer, its connection was given up after 2.5 s and the call answered as one that may have run.

Change: a connection on which bytes of the request are not acknowledged when the answer is complete carries no call until they are, and keeps the long user timeout. At most 4 wait so; beyond that the oldest is reset, with what the kernel still holds of the body.

Tests: features/mesh/early_answers.feature, before: 4 of 4 fail (second call served after 2.0 s twice, MayHaveRun('answer-cut') twice).

--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -38,6 +38,7 @@
         self._find_owner: _OwnerFinder | None = None
         self._exchanges = 0
         self._head_only = False
+        self._user_timeout_ms = _sockets.TCP_USER_TIMEOUT_MS
         self._max_body_bytes = MAX_BODY_BYTES
         self.received_bytes = 0
         """Bytes received for the current exchange, framing included."""
@@ -76,11 +77,8 @@
         self._max_body_bytes = max_body_bytes
         self.received_bytes = 0
         self._on_progress = on_progress
-        is_large = len(request.body) > state.SMALL_BODY_BYTES
-        if is_large:
-            _sockets.set_user_timeout(
-                self._transport, _sockets.SLOW_TCP_USER_TIMEOUT_MS
-            )
+        if len(request.body) > state.SMALL_BODY_BYTES:
+            self._set_user_timeout(_sockets.SLOW_TCP_USER_TIMEOUT_MS)
         self._transport.writelines(protocol.encode_request(request))
         try:
             return await self._waiter
@@ -89,19 +87,41 @@
             raise
         finally:
             self._waiter = None
-            if is_large and self._transport is not None:
-                _sockets.set_user_timeout(
-                    self._transport, _sockets.TCP_USER_TIMEOUT_MS
-                )
+            if not self.is_sending:
+                self._set_user_timeout(_sockets.TCP_USER_TIMEOUT_MS)
             # It may refer to the request, whose body can be large.
             self._find_owner = None
 
+    @property
+    def is_sending(self) -> bool:
+        """Return whether the server has not taken the latest request whole.
+
+        It may answer before, and keeps later requests waiting then.
+        """
+        return (
+            self.usable
+            and self._transport is not None
+            and _sockets.undelivered_bytes(self._transport) > 0
+        )
+
+    def _set_user_timeout(self, user_timeout_ms: int) -> None:
+        if self._transport is None or self._user_timeout_ms == user_timeout_ms:
+            return
+        self._user_timeout_ms = user_timeout_ms
+        _sockets.set_user_timeout(self._transport, user_timeout_ms)
+
     def abort(self) -> None:
         """Abort the connection and mark it as unusable."""
         self.usable = False
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Abort the connection, also what the kernel still sends."""
+        if self._transport is not None:
+            _sockets.reset_on_close(self._transport)
+        self.abort()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options and mark the connection as usable."""
         transport = typing.cast(asyncio.Transport, transport)
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -15,6 +15,8 @@
 """Time before the server's idle timeout when a connection is closed."""
 DEFAULT_MAX_IDLE_S = 4.0
 """Maximum idle time of a connection if the server states no timeout."""
+MAX_SENDING = 4
+"""Connections on which the server may read a body after its answer."""
 MAX_REJECTED_IDS = 256
 """Rejections after which a connection is closed, to bound its memory."""
 
@@ -34,6 +36,8 @@
         self._clock = clock
         self._log = log
         self._idle: list[_http_client.ClientConnection] = []
+        self._sending: list[_http_client.ClientConnection] = []
+        """Connections whose server has answered before it took the body."""
 
     async def exchange(
         self, call: coordination.CallSent, remaining_s: float
@@ -76,10 +80,11 @@
         return self._codec.read_health_response(raw)
 
     def close(self) -> None:
-        """Abort the idle connections."""
-        for connection in self._idle:
+        """Abort the connections that carry no call."""
+        for connection in (*self._idle, *self._sending):
             connection.abort()
         self._idle.clear()
+        self._sending.clear()
 
     async def _acquire(
         self, request_id: str = ""
@@ -89,6 +94,7 @@
         Otherwise a repetition of that rejection would carry a matching id.
         """
         now_s = self._clock.now_s()
+        self._collect_sent()
         while self._idle:
             connection = self._idle.pop()
             timeout_s = connection.idle_timeout_s
@@ -113,4 +119,20 @@
             connection.abort()
             return
         connection.idle_since_s = self._clock.now_s()
-        self._idle.append(connection)
+        if not connection.is_sending:
+            self._idle.append(connection)
+            return
+        self._collect_sent()
+        self._sending.append(connection)
+        if len(self._sending) > MAX_SENDING:
+            self._sending.pop(0).reset()
+
+    def _collect_sent(self) -> None:
+        """Move the connections whose server has taken the whole body."""
+        sending, self._sending = self._sending, []
+        for connection in sending:
+            if connection.is_sending:
+                self._sending.append(connection)
+            else:
+                connection.idle_since_s = self._clock.now_s()
+                self._idle.append(connection)
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -52,6 +52,18 @@
         )
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Discard what is not sent when the connection is closed.
+
+    The kernel would keep the connection until its peer has taken it.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+
+
 def limit_unsent_bytes(transport: asyncio.BaseTransport) -> None:
     """Keep the queue of a socket short, so that messages can overtake."""
     sock = transport.get_extra_info("socket")
