--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -15,6 +15,8 @@
 """Time before the server's idle timeout when a connection is closed."""
 DEFAULT_MAX_IDLE_S = 4.0
 """Maximum idle time of a connection if the server states no timeout."""
+MAX_SENDING = 4
+"""Connections on which the server may read a body after its answer."""
 MAX_REJECTED_IDS = 256
 """Rejections after which a connection is closed, to bound its memory."""
 
@@ -34,8 +36,8 @@
         self._clock = clock
         self._log = log
         self._idle: list[_http_client.ClientConnection] = []
-        self._closing: list[_http_client.ClientConnection] = []
-        """Those whose servers have answered before they had read a body."""
+        self._sending: list[_http_client.ClientConnection] = []
+        """Connections whose server has answered before it took the body."""
 
     async def exchange(
         self, call: coordination.CallSent, remaining_s: float
@@ -59,11 +61,7 @@
             return state.MayHaveRun(str(broken))
         if self._codec.is_rejection(raw):
             connection.rejected_ids.add(call.request_id)
-        if request.body and connection.has_unsent:
-            connection.close()
-            self._closing = [*self._open_closing(), connection]
-        else:
-            self._release(connection)
+        self._release(connection)
         return self._codec.read_response(raw, self._clock.now_s() - sent_s)
 
     async def check_health(self, path: str) -> coordination.Health | None:
@@ -84,16 +82,15 @@
     @property
     def owes(self) -> bool:
         """Return whether a part of a body is still being sent."""
-        return bool(self._open_closing())
-
-    def _open_closing(self) -> list[_http_client.ClientConnection]:
-        return [item for item in self._closing if not item.is_lost]
+        self._close_sent()
+        return bool(self._sending)
 
     def close(self) -> None:
-        """Abort the idle connections."""
-        for connection in self._idle:
+        """Abort the connections that carry no call."""
+        for connection in (*self._idle, *self._sending):
             connection.abort()
         self._idle.clear()
+        self._sending.clear()
 
     async def _acquire(
         self, request_id: str = ""
@@ -103,6 +100,7 @@
         Otherwise a repetition of that rejection would carry a matching id.
         """
         now_s = self._clock.now_s()
+        self._close_sent()
         while self._idle:
             connection = self._idle.pop()
             timeout_s = connection.idle_timeout_s
@@ -120,6 +118,12 @@
         return await _http_client.connect(*self._address, CONNECT_TIMEOUT_S)
 
     def _release(self, connection: _http_client.ClientConnection) -> None:
+        if connection.is_sending:
+            self._close_sent()
+            self._sending.append(connection)
+            if len(self._sending) > MAX_SENDING:
+                self._sending.pop(0).reset()
+            return
         if (
             not connection.usable
             or len(connection.rejected_ids) >= MAX_REJECTED_IDS
@@ -128,3 +132,15 @@
             return
         connection.idle_since_s = self._clock.now_s()
         self._idle.append(connection)
+
+    def _close_sent(self) -> None:
+        """Close the connections whose server has taken the whole body.
+
+        A further call could wait behind what the server has not read.
+        """
+        sending, self._sending = self._sending, []
+        for connection in sending:
+            if connection.is_sending:
+                self._sending.append(connection)
+            else:
+                connection.close()
