--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -48,6 +48,10 @@
       | a SIGHUP cuts a request before its last byte   | reloads         | nothing |
       | a node cuts a request that was sent whole      | cuts            | a fault |
       | a node cuts a request before its last byte     | cuts            | nothing |
+      | the soak notices 2.9 s late that a request of 3 s ended | cuts            | nothing |
+      | the soak notices 2.7 s late that a request of 3 s ended | cuts            | a fault |
+      | the soak was late before a request that was sent whole | cuts            | a fault |
+      | the soak notices late that a request ended that ran | cuts            | a fault |
       | a node cuts an answer of a slow reader         | cuts            | a fault |
       | a node cuts a request that ran                 | cuts            | a fault |
       | a node cuts a request that ran in a fault      | cuts            | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -119,6 +119,14 @@
     return records
 
 
+def records_of_late_soak(at_s, delay_s, *arrivals):
+    """Return records of a request from 9 to 12 s and a delay of the soak."""
+    records = records_with_slow_caller(stop=False)
+    records.delays.append((at_s, delay_s))
+    records.arrivals.extend(arrivals)
+    return records
+
+
 def records_of_late_sender(busy_host):
     """Return records in which host 2 sends a request to a leaving server."""
     records = records_with_leaving_server()
@@ -490,6 +498,18 @@
     "a node cuts a request that ran while another's ports are held": lambda: (
         records_of_cut((1,), planned=True, excused=observed.Excused.OWN)
     ),
+    "the soak notices 2.9 s late that a request of 3 s ended": lambda: (
+        records_of_late_soak(12.0, 2.9)
+    ),
+    "the soak notices 2.7 s late that a request of 3 s ended": lambda: (
+        records_of_late_soak(12.0, 2.7)
+    ),
+    "the soak was late before a request that was sent whole": lambda: (
+        records_of_late_soak(8.9, 2.9)
+    ),
+    "the soak notices late that a request ended that ran": lambda: (
+        records_of_late_soak(12.0, 2.9, make_arrival())
+    ),
     "a request behind an answer that closes does not run": (
         records_behind_close
     ),
