Know that a slow reader finds out late that its connection was closed

Change: behind a closing answer that a slow reader does not read first, requests count as behind a close, which excuses them unless they ran. Rows of requests that are read at once, and a first answer, are judged as before.

--- a/src/jasminecrank/standins/soak/_demanding.py
+++ b/src/jasminecrank/standins/soak/_demanding.py
@@ -186,6 +186,7 @@
         writer.transport.set_write_buffer_limits(0)
         attempts: list[observed.Attempt] = []
         closed_s = math.inf
+        last: observed.Attempt | None = None
         try:
             try:
                 for _ in range(load.requests):
@@ -197,10 +198,18 @@
             for attempt in attempts:
                 attempt.end = "behind an answer that closes the connection"
                 if closed_s == math.inf:
+                    last = attempt
                     closed_s = await self._receive(reader, load, attempt)
                     attempt.ended_s = self._deployment.now_s()
                 else:
                     attempt.ended_s = closed_s
+                    # A slow reader does not know since when it was closed.
+                    attempt.behind_close = (
+                        load.reading_s > 0.0
+                        and last is not attempts[0]
+                        and last is not None
+                        and last.status != 0
+                    )
                     attempt.abandoned = any(
                         earlier.abandoned for earlier in attempts
                     )
