--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -56,6 +56,8 @@
         self.ports: dict[str, int] = {}
         self.restarting_hosts: set[int] = set()
         """Hosts whose servers are being replaced or restarted."""
+        self.busy_hosts: set[int] = set()
+        """Hosts whose node processes get their processors late."""
         self.records = observed.Records()
         self._folder = folder
         self._node_path = node_path
