Let what a gate measured of its server fade while no call completes

Cause: placement lets the estimate of a server fade, until the server gets a call that shows its speed. The gate's moving average took that call with a weight of 0.1, and of 0.08 for failures, so that nine tenths of the bad estimate came back as a fresh one. A server that was slow for some calls got one call in 5 to 20 s, and needed over ten of them.

Change: the share of earlier run times in the average halves every 2 s without a call, and the failure rate halves every 4 s, as in placement.

--- a/features/mesh/gate.feature
+++ b/features/mesh/gate.feature
@@ -86,3 +86,34 @@
       | left | after |
       | 2.0  | 2.0   |
       | 0.5  | 0.5   |
+
+  Scenario Outline: What was measured at a server fades while it gets no calls
+    Given an admission controller for a warm server with 4 slots
+    When 50 calls run for 0.02 s each, 0.05 s apart
+    And <late> calls run for <run> s each, 0.001 s apart
+    And <later> calls run for 0.02 s each, <pause> s apart
+    Then it reports a run time of <least> to <most> s
+
+    Examples:
+      | late | run  | later | pause | least | most  |
+      | 4    | 0.3  | 0     | 1.0   | 0.1   | 0.13  |
+      | 4    | 0.3  | 1     | 0.05  | 0.1   | 0.13  |
+      | 4    | 0.3  | 1     | 4.0   | 0.02  | 0.05  |
+      | 4    | 0.3  | 2     | 5.0   | 0.02  | 0.04  |
+      | 4    | 1.5  | 3     | 5.0   | 0.02  | 0.06  |
+      | 4    | 0.3  | 40    | 0.05  | 0.02  | 0.025 |
+      | 50   | 0.3  | 1     | 0.05  | 0.2   | 0.29  |
+
+  Scenario Outline: Failures of a server fade while it gets no calls
+    Given an admission controller for a warm server with 4 slots
+    When <failed> calls fail, 0.05 s apart
+    And <later> calls run for 0.02 s each, <pause> s apart
+    Then it reports a failure rate of <least> to <most>
+
+    Examples:
+      | failed | later | pause | least | most |
+      | 30     | 0     | 1.0   | 0.85  | 1.0  |
+      | 30     | 1     | 0.05  | 0.75  | 0.95 |
+      | 30     | 1     | 4.0   | 0.3   | 0.5  |
+      | 30     | 3     | 5.0   | 0.0   | 0.1  |
+      | 1      | 0     | 4.0   | 0.07  | 0.09 |
--- a/features/steps/mesh_state_steps.py
+++ b/features/steps/mesh_state_steps.py
@@ -276,3 +276,39 @@
     assert rejected
     for decision in rejected:
         assert decision.retry_after_s >= after_s, decision
+
+
+def run_calls(context, count, run_s, gap_s, failed=False):
+    """Let calls run one at a time, and end some time apart."""
+    controller = context.controller
+    now_s = getattr(context, "now_s", 0.0)
+    for number in range(count):
+        now_s += gap_s
+        decision = controller.submit(
+            make_request(number, 0, now_s + 9.0, now_s + 9.0), now_s
+        )
+        assert isinstance(decision, state.Admit), decision
+        controller.record_completion("r", run_s, failed, now_s)
+    context.now_s = now_s
+
+
+@when("{count:d} calls run for {run_s:g} s each, {gap_s:g} s apart")
+def step_run_apart(context, count, run_s, gap_s):
+    run_calls(context, count, run_s, gap_s)
+
+
+@when("{count:d} calls fail, {gap_s:g} s apart")
+def step_fail_apart(context, count, gap_s):
+    run_calls(context, count, 0.02, gap_s, failed=True)
+
+
+@then("it reports a run time of {least:g} to {most:g} s")
+def step_reported_run(context, least, most):
+    found = context.controller.load(context.now_s, True).run_time_s
+    assert least <= found <= most, found
+
+
+@then("it reports a failure rate of {least:g} to {most:g}")
+def step_reported_failures(context, least, most):
+    found = context.controller.load(context.now_s, True).failure_rate
+    assert least <= found <= most, found
--- a/src/jasminecrank/mesh/state/_gate.py
+++ b/src/jasminecrank/mesh/state/_gate.py
@@ -19,8 +19,6 @@
 """Time between two admissions if the table states no rate."""
 DEFAULT_RUN_TIME_S = 0.1
 """Run time assumed until a call has completed."""
-FAILURE_WEIGHT = 0.08
-"""Weight of the latest outcome in the failure rate's moving average."""
 MAX_WAIT_FRACTION = 0.7
 """Longest accepted wait, as a fraction of the time left to the objective."""
 ALWAYS_ACCEPTED_WAIT_S = 0.03
@@ -78,14 +76,17 @@
     cold_until_s: float = 0.0
     cold_rate_per_s: float = 0.0
     in_flight: int = 0
-    run_time_s: float = 0.0
-    """Moving average of run times; 0 until a call has completed."""
     cold_run_time_s: float = 0.0
-    """The same for the current cold start."""
-    failure_rate: float = 0.0
+    """Moving average of run times of the current cold start."""
     run_times: _run_times.RunTimes = field(default_factory=_run_times.RunTimes)
     stop_window: _stopping.StopWindow | None = None
     """Set once the node is being stopped."""
+    _run_time: _run_times.AgeingRunTime = field(
+        default_factory=_run_times.AgeingRunTime
+    )
+    _failures: _run_times.FailureRate = field(
+        default_factory=_run_times.FailureRate
+    )
     _queue: list[tuple[int, int, _admission.AdmissionRequest]] = field(
         default_factory=list
     )
@@ -93,6 +94,16 @@
     _sequence: int = 0
     _next_cold_admission_at_s: float = 0.0
 
+    @property
+    def run_time_s(self) -> float:
+        """Return the average run time; 0 until a call has completed."""
+        return self._run_time.average_s
+
+    @property
+    def failure_rate(self) -> float:
+        """Return the average failure rate at the latest completion."""
+        return self._failures.rate
+
     @property
     def queued(self) -> int:
         """Return the number of queued calls, without cancelled ones."""
@@ -180,7 +191,7 @@
         about the time after it.
         """
         self.in_flight -= 1
-        self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
+        self._failures.record(failed, now_s)
         if run_time_s is None or failed:
             return
         if self.is_cold(now_s):
@@ -189,10 +200,7 @@
                 run_time_s - self.cold_run_time_s
             )
             return
-        self.run_time_s = self.run_time_s or run_time_s
-        self.run_time_s += _run_times.RUN_TIME_WEIGHT * (
-            run_time_s - self.run_time_s
-        )
+        self._run_time.record(run_time_s, now_s)
         self.run_times.record(route, run_time_s)
 
     def mark_server_up(
@@ -201,8 +209,8 @@
         """Record a successful health check."""
         if server_id != self.server_id:
             self.server_id = server_id
-            self.failure_rate = 0.0
-            self.run_time_s = 0.0
+            self._failures = _run_times.FailureRate()
+            self._run_time = _run_times.AgeingRunTime()
             self.run_times.clear()
             self.cold_run_time_s = 0.0
         self.health = ServerHealth.UP
--- a/src/jasminecrank/mesh/state/_run_times.py
+++ b/src/jasminecrank/mesh/state/_run_times.py
@@ -5,6 +5,19 @@
 
 RUN_TIME_WEIGHT = 0.1
 """Weight of the latest run time in the exponential moving averages."""
+FAILURE_WEIGHT = 0.08
+"""Weight of the latest outcome in the failure rate's moving average."""
+ESTIMATE_HALF_LIFE_S = 4.0
+"""Half-life of what was measured at a server, by the age of the last call.
+
+Without it, a server with a bad estimate would get no calls that could show
+that it has recovered.
+"""
+RUN_TIME_HALF_LIFE_S = 2.0
+"""Half-life of earlier run times when another one is measured.
+
+Short, so that a few calls show that a server has recovered.
+"""
 LONGEST_RUN_DEVIATIONS = 4.0
 """Mean deviations above the average that few run times exceed.
 
@@ -12,6 +25,46 @@
 """
 
 
+def retained_share(
+    age_s: float, half_life_s: float = ESTIMATE_HALF_LIFE_S
+) -> float:
+    """Return the share of a measured value that is kept after a time."""
+    return float(0.5 ** (max(0.0, age_s) / half_life_s))
+
+
+@dataclass(slots=True)
+class AgeingRunTime:
+    """Moving average of run times, in which those of an earlier time fade."""
+
+    average_s: float = 0.0
+    """0 until a call has completed."""
+    _recorded_at_s: float = 0.0
+
+    def record(self, run_time_s: float, now_s: float) -> None:
+        """Record the run time of a completed call."""
+        retained = (1.0 - RUN_TIME_WEIGHT) * retained_share(
+            now_s - self._recorded_at_s, RUN_TIME_HALF_LIFE_S
+        )
+        if not self.average_s:
+            retained = 0.0
+        self.average_s = run_time_s + retained * (self.average_s - run_time_s)
+        self._recorded_at_s = now_s
+
+
+@dataclass(slots=True)
+class FailureRate:
+    """Moving average of failures, which fades while no call completes."""
+
+    rate: float = 0.0
+    _recorded_at_s: float = 0.0
+
+    def record(self, failed: bool, now_s: float) -> None:
+        """Record whether a call failed."""
+        self.rate *= retained_share(now_s - self._recorded_at_s)
+        self.rate += FAILURE_WEIGHT * (failed - self.rate)
+        self._recorded_at_s = now_s
+
+
 @dataclass(slots=True)
 class _Estimate:
     average_s: float
