Age the estimate of a server by its calls, not by its averages

Cause: placement took averages that a node reports unchanged as a sign that no call had completed. They are reported in whole milliseconds and percent, so that those of a busy, steady server do not change either: its estimate faded to 0.6 of the typical run time. A server that was slow for some calls had to fade below that before it got a call, and run times faded by differences, so that ten times the run time took 14 s.

Change: a response to this node counts as a measurement too, and run times fade by factors.

--- a/features/mesh/placement.feature
+++ b/features/mesh/placement.feature
@@ -67,6 +67,42 @@
       | unreachable |
       | closed      |
 
+  Scenario Outline: What was measured ages only while no call completes
+    Given servers with these reported loads
+      | id   | data centre | busy | limit | run    | failing |
+      | used | belt-a      | 0    | 12    | 0.1    | 0.0     |
+      | idle | belt-a      | 0    | 12    | <idle> | 0.0     |
+      | far  | belt-b      | 0    | 12    | 0.1    | 0.0     |
+    When their last run completed <ago> s ago
+    And this node then gets a response from server <answering>
+    And 100 calls are placed one at a time from belt-a
+    Then most calls go to <wanted>
+
+    Examples:
+      | idle | ago  | answering | wanted |
+      | 0.15 | 0.1  | used      | used   |
+      | 0.15 | 8.0  | used      | idle   |
+      | 0.5  | 4.0  | used      | used   |
+      | 0.5  | 12.0 | used      | idle   |
+      | 0.5  | 12.0 | idle      | used   |
+      | 0.05 | 0.1  | used      | idle   |
+
+  Scenario Outline: A server that was slow for a moment soon gets its share
+    Given <servers> servers whose calls run for 0.02 s
+    When a node places <rate> calls per second for 45 s
+    And at 5 s the calls of a server <event>
+    Then from <from> s on it waits at most 3.5 s for a call
+    And from <from> s on it gets at least <share> of an equal share
+
+    Examples:
+      | servers | rate | event        | from | share |
+      | 6       | 100  | take 0.3 s   | 13.0 | 0.8   |
+      | 6       | 100  | take 1.0 s   | 18.0 | 0.7   |
+      | 6       | 300  | take 0.3 s   | 13.0 | 0.8   |
+      | 12      | 200  | take 0.5 s   | 18.0 | 0.7   |
+      | 6       | 100  | fail for 1 s | 13.0 | 0.7   |
+      | 12      | 200  | fail for 1 s | 13.0 | 0.7   |
+
   Scenario Outline: Split weights are exact over a hundred requests
     Given a route with split weights <first> and <second>
     When 100 requests are distributed
--- a/features/steps/mesh_placement_steps.py
+++ b/features/steps/mesh_placement_steps.py
@@ -1,12 +1,15 @@
 """Steps for server selection and split weights."""
 
 from collections import Counter
+import heapq
+import itertools
 import random
 
 from behave import given
 from behave import then
 from behave import when
 from mesh_directory_steps import make_server
+from mesh_state_steps import make_request
 from mesh_state_steps import make_route
 
 from jasminecrank.mesh import state
@@ -74,6 +77,14 @@
         context.placement.record_load(host, load, ago)
 
 
+@when("this node then gets a response from server {name}")
+def step_response(context, name):
+    (server,) = (
+        server for server in context.servers if server.server_id == name
+    )
+    context.placement.record_response(server.host, 0, context.now_s)
+
+
 @when("{count:d} calls are placed one at a time from belt-a")
 def step_place(context, count):
     now_s = getattr(context, "now_s", 0.1)
@@ -153,3 +164,148 @@
         context.count_by_service.values()
     )
     assert abs(share - wanted) <= limit, (share, wanted)
+
+
+class PlacedLoad:
+    """Calls of one node to servers whose loads are reported to it."""
+
+    run_s = 0.02
+    report_s = 0.45
+    event_s = 5.0
+    end_s = 45.0
+
+    def __init__(self, count):
+        self.servers = [
+            make_server(f"s{number}", host=f"10.0.0.{number}")
+            for number in range(count)
+        ]
+        self.gates = [
+            state.AdmissionController(
+                slots=4,
+                server_id=server.server_id,
+                health=state.ServerHealth.UP,
+            )
+            for server in self.servers
+        ]
+        self.placement = state.Placement(
+            "10.0.9.9", "belt-a", random.Random(1)
+        )
+        self.late_s = 0.0
+        """Time that the calls of the first server take at the event."""
+        self.failing_s = 0.0
+        """Time for which the calls of the first server fail."""
+        self.calls_s = [[] for _ in range(count)]
+        self._numbers = itertools.count()
+
+    def play(self, rate):
+        """Place calls at random times."""
+        rng = random.Random(2)
+        events = [(0.0, next(self._numbers), "report", 0)]
+        at_s = 0.0
+        while (at_s := at_s + rng.expovariate(rate)) < self.end_s:
+            events.append((at_s, next(self._numbers), "call", 0))
+        heapq.heapify(events)
+        while events:
+            now_s, _, kind, number = heapq.heappop(events)
+            if now_s >= self.end_s:
+                break
+            match kind:
+                case "call":
+                    choice = self.placement.choose(self.servers, (), now_s)
+                    self.placement.record_sent(choice.server.host)
+                    number = self.servers.index(choice.server)
+                    self.calls_s[number].append(now_s)
+                    if not self.is_admitted(number, now_s):
+                        continue
+                    ended_s = now_s + self.run_time_s(number, now_s)
+                    heapq.heappush(
+                        events, (ended_s, next(self._numbers), "end", number)
+                    )
+                case "end":
+                    self.complete(number, now_s)
+                case "report":
+                    for server, gate in zip(
+                        self.servers, self.gates, strict=True
+                    ):
+                        self.placement.record_load(
+                            server.host, gate.load(now_s, True), now_s
+                        )
+                    heapq.heappush(
+                        events,
+                        (
+                            now_s + self.report_s,
+                            next(self._numbers),
+                            "report",
+                            0,
+                        ),
+                    )
+
+    def is_admitted(self, number, now_s):
+        request = make_request(
+            next(self._numbers), 0, now_s + 0.001, now_s + 0.001
+        )
+        decision = self.gates[number].submit(request, now_s)
+        return isinstance(decision, state.Admit)
+
+    def run_time_s(self, number, now_s):
+        if number == 0 and 0.0 <= now_s - self.event_s < self.late_s:
+            return self.late_s
+        return self.run_s
+
+    def complete(self, number, now_s):
+        gate = self.gates[number]
+        failed = number == 0 and 0.0 <= now_s - self.event_s < self.failing_s
+        late = (
+            number == 0
+            and self.late_s
+            and (
+                self.event_s + self.late_s
+                <= now_s
+                < self.event_s + 2 * self.late_s
+            )
+        )
+        run_time_s = self.late_s if late else self.run_s
+        gate.record_completion("r", run_time_s, failed, now_s)
+        self.placement.record_response(
+            self.servers[number].host, gate.in_flight + gate.queued, now_s
+        )
+
+
+@given("{count:d} servers whose calls run for 0.02 s")
+def step_placed_load(context, count):
+    context.load = PlacedLoad(count)
+
+
+@when("a node places {rate:d} calls per second for 45 s")
+def step_placed_rate(context, rate):
+    context.rate = rate
+
+
+@when("at 5 s the calls of a server {event}")
+def step_placed_event(context, event):
+    match event.split():
+        case ["take", late, "s"]:
+            context.load.late_s = float(late)
+        case ["fail", "for", failing, "s"]:
+            context.load.failing_s = float(failing)
+    context.load.play(context.rate)
+
+
+@then("from {from_s:g} s on it waits at most {wait_s:g} s for a call")
+def step_placed_wait(context, from_s, wait_s):
+    load = context.load
+    times = [at_s for at_s in load.calls_s[0] if at_s >= from_s]
+    found = max(
+        later - earlier
+        for earlier, later in itertools.pairwise([from_s, *times, load.end_s])
+    )
+    assert found <= wait_s, found
+
+
+@then("from {from_s:g} s on it gets at least {share:g} of an equal share")
+def step_placed_share(context, from_s, share):
+    counts = [
+        sum(at_s >= from_s for at_s in times) for times in context.load.calls_s
+    ]
+    found = counts[0] * len(counts) / sum(counts)
+    assert found >= share, (found, counts)
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -106,7 +106,9 @@
                 self._quota_decided(message)
             case _messages.AttemptEnded(number, host, result, active_calls):
                 if active_calls is not None:
-                    self._placement.record_response(host, active_calls)
+                    self._placement.record_response(
+                        host, active_calls, self._clock.now_s()
+                    )
                 self._attempt_ended(number, host, result)
             case _messages.CallUnsent():
                 self._call_unsent(message)
--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -9,6 +9,7 @@
 
 from jasminecrank.mesh.state import _directory
 from jasminecrank.mesh.state import _gate
+from jasminecrank.mesh.state import _run_times
 from jasminecrank.mesh.state import _table
 
 REMOTE_DATA_CENTRE_COST_RUNS = 1.6
@@ -39,12 +40,6 @@
 
 Below 1, so that each server occasionally gets a call that shows its speed.
 """
-ESTIMATE_HALF_LIFE_S = 4.0
-"""Half-life of the measured run time and failure rate of a server.
-
-Without decay, a server with a bad estimate would get no calls that could show
-that it has recovered.
-"""
 SCORE_JITTER = 0.2
 """Random fraction added to a score, so that nodes choose differently."""
 LOAD_MAX_AGE_S = 1.5
@@ -65,8 +60,11 @@
 class _ReportedLoad:
     load: _gate.ServerLoad
     reported_at_s: float
-    changed_at_s: float
-    """When the reported run time or failure rate last changed."""
+    measured_at_s: float
+    """When a call was last seen to have completed there.
+
+    This node got its response, or the reported averages changed.
+    """
     sent_since_report: int = 0
 
 
@@ -96,14 +94,14 @@
         """Record a load report, which proves that the host is reachable."""
         self._unreachable_hosts.discard(host)
         known = self._reported_load_by_host.get(host)
-        changed_at_s = now_s
+        measured_at_s = now_s
         if known is not None and (
             (known.load.run_time_s, known.load.failure_rate)
             == (load.run_time_s, load.failure_rate)
         ):
-            changed_at_s = known.changed_at_s
+            measured_at_s = known.measured_at_s
         self._reported_load_by_host[host] = _ReportedLoad(
-            load, now_s, changed_at_s
+            load, now_s, measured_at_s
         )
 
     def mark_unreachable(self, host: str) -> None:
@@ -121,7 +119,9 @@
         if report is not None:
             report.sent_since_report += 1
 
-    def record_response(self, host: str, active_calls: int) -> None:
+    def record_response(
+        self, host: str, active_calls: int, now_s: float
+    ) -> None:
         """Update the load of a host with the active calls it reported."""
         report = self._reported_load_by_host.get(host)
         if report is None:
@@ -133,6 +133,8 @@
             queued=max(0, active_calls - limit),
         )
         report.sent_since_report = 0
+        # Averages of a steady server do not change, and do not age either.
+        report.measured_at_s = now_s
 
     def choose(
         self,
@@ -229,12 +231,11 @@
     unmeasured_s = UNMEASURED_RUN_TIME_FACTOR * typical.run_time_s
     if report is None:
         return _Estimate(unmeasured_s, 0.0)
-    retained: float = 0.5 ** (
-        (now_s - report.changed_at_s) / ESTIMATE_HALF_LIFE_S
-    )
+    retained = _run_times.retained_share(now_s - report.measured_at_s)
     run_time_s = report.load.run_time_s or unmeasured_s
+    # Run times differ by factors: the difference would fade too late.
     return _Estimate(
-        unmeasured_s + retained * (run_time_s - unmeasured_s),
+        unmeasured_s * (run_time_s / unmeasured_s) ** retained,
         retained * report.load.failure_rate,
     )
 
--- a/src/jasminecrank/standins/fleet/_load_model.py
+++ b/src/jasminecrank/standins/fleet/_load_model.py
@@ -321,7 +321,7 @@
         )
         calls = server.gate.in_flight + server.gate.queued
         self._placements[request.entry_node].record_response(
-            server.entry.host, calls
+            server.entry.host, calls, now_s
         )
         own_data_centre = self._servers[request.entry_node].entry.data_centre
         self.outcome.cross_data_centre_calls += (
