End an idle connection at the moment at which it is found idle

Callers saw a reset 0.2 s and more after a request on a kept connection: a stop asks the kernel for unread bytes on each idle connection, and the transport closes the sockets one pass of the loop later, 0.04 s for 2,000 connections, longer for a process that does not get its processor; what came in between was lost. Change: the sending side is shut down in the same step as the question, so that a later request crosses the end of its connection. Test: the reader's scenario fails before, passes now.

--- a/features/mesh/unread_requests.feature
+++ b/features/mesh/unread_requests.feature
@@ -49,3 +49,8 @@
       | a part of a request   | 0      | wait  | refuse-incomplete | not last |
       | a part of a request   | 1      | wait  | wait              | not last |
       | nothing after a close | 1      | close | close             | last     |
+
+  Scenario: No request comes between the decision to close a connection and its end
+    Given a deployment of 1 hosts on the event loop of a process
+    When node 0 stops, and is held up for 0.3 s once it has decided to close an idle connection
+    Then its caller has seen the end before it sends, or gets 1 answers
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -473,8 +473,11 @@
         """Close the connection once the bytes written so far are sent."""
         if self._transport is not None:
             self._unread_at_end_bytes = self._unread_bytes
-            self._ended = True
             self._closed_by_node = True
+            if not self._ended and not self.unsent_bytes:
+                # A request that comes later crosses the end of the connection.
+                _sockets.shut_down_sending(self._transport)
+            self._ended = True
             self._transport.close()
 
     def _update_reading(self) -> None:
--- a/src/jasminecrank/mesh/transport/_sockets.py
+++ b/src/jasminecrank/mesh/transport/_sockets.py
@@ -1,7 +1,9 @@
 """Socket options that limit the time to detect a dead peer."""
 
 import asyncio
+import contextlib
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -93,6 +95,21 @@
     return _read_int(sock, termios.FIONREAD)
 
 
+def shut_down_sending(transport: asyncio.BaseTransport) -> None:
+    """Tell the peer at once that nothing more will be sent.
+
+    A transport closes its socket only after the current callbacks.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    with (
+        socket.socket(fileno=os.dup(sock.fileno())) as duplicate,
+        contextlib.suppress(OSError),  # The peer has reset the connection.
+    ):
+        duplicate.shutdown(socket.SHUT_WR)
+
+
 def unaccepted_connections(sock: socket.socket) -> int:
     """Return the connections that a listening socket has not accepted."""
     if sock.fileno() < 0:
