Extend a caller's time limit once for bytes that are not read

Change: the limit is extended once, by 0.05 s, in which what the kernel holds is read. Test: a byte of a head in each hold-up of 0.15 s, limit 0.6 s: fails before, passes now.

--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -278,3 +278,36 @@
         context.possible_taken,
         context.possible,
     )
+
+
+@given(
+    "a process that was late by {delay_s:g} s, {ago_s:g} s before it is told "
+    "to stop"
+)
+def step_late_process(context, delay_s, ago_s):
+    context.lateness = state.Lateness()
+    context.now_s = 100.0
+    context.lateness.record(delay_s, context.now_s)
+    until_s = context.now_s + ago_s
+    while context.now_s < until_s:
+        context.now_s = min(until_s, context.now_s + 0.05)
+        context.lateness.record(0.0, context.now_s)
+
+
+@when(
+    "it last ran {paused_s:g} s before it handles the signal, with "
+    "{grace_s:g} s to stop"
+)
+def step_window_of_late(context, paused_s, grace_s):
+    context.window = state.StopWindow.from_signal(
+        context.now_s,
+        context.now_s - paused_s,
+        grace_s,
+        context.lateness.recent_s,
+    )
+
+
+@then("it answers all calls within {window_s:g} s")
+def step_window_length(context, window_s):
+    found = context.window.closes_at_s - context.now_s
+    assert abs(found - window_s) < 1e-6, found
--- a/features/steps/mesh_unread_steps.py
+++ b/features/steps/mesh_unread_steps.py
@@ -1,6 +1,7 @@
 """Steps for requests that wait in the kernel while a node is held up."""
 
 import asyncio
+import contextlib
 import socket
 import time
 
@@ -11,6 +12,8 @@
 
 from jasminecrank.mesh import state
 
+DRIP_S = 3.0
+
 
 @given("idle connections are closed after {limit_s:g} s")
 def step_idle_limit(context, limit_s):
@@ -175,6 +178,44 @@
     assert context.has_ended or len(answers) == count, answers
 
 
+@when(
+    "a caller sends a byte of a head each time that the node is held up, for "
+    "{duration_s:g} s each"
+)
+def step_drip_while_held_up(context, duration_s):
+    async def act():
+        caller = await mesh_owed_steps.open_caller(context)
+        loop = asyncio.get_running_loop()
+        reader, writer = socket.socketpair()
+        context.exit_stack.callback(reader.close)
+        context.exit_stack.callback(writer.close)
+        started_s = time.monotonic()
+
+        def handle_input():
+            reader.recv(1)
+            if time.monotonic() - started_s > DRIP_S:
+                return
+            with contextlib.suppress(OSError):
+                caller._socket.send(b"x" if context.drops else b"GET /")
+            context.drops += 1
+            time.sleep(duration_s)
+            loop.call_soon(writer.send, b"x")
+
+        context.drops = 0
+        loop.add_reader(reader, handle_input)
+        writer.send(b"x")
+        await mesh_owed_steps.receive_answers(context, [caller])
+        context.elapsed_s = time.monotonic() - started_s
+        loop.remove_reader(reader)
+
+    context.runner.run(act())
+
+
+@then("its answer has come within {limit_s:g} s")
+def step_answered_within(context, limit_s):
+    assert context.elapsed_s < limit_s, context.elapsed_s
+
+
 @when("it is found idle with {unread:d} bytes that are not read")
 def step_found_unread(context, unread):
     debts = context.debts
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -62,6 +62,7 @@
         self._stopping = False
         self._last_ran_at_s = self._clock.now_s()
         """When the event loop was last known to run."""
+        self._lateness = state.Lateness()
         self._stop_window: state.StopWindow | None = None
         """Set by the signal to stop."""
         self._tasks: list[asyncio.Task[None]] = []
@@ -338,6 +339,7 @@
             self._clock.now_s(),
             self._last_ran_at_s,
             self._config.stop_grace_s,
+            self._lateness.recent_s,
         )
 
     async def _wait_until_settled(self, until_s: float) -> None:
@@ -494,8 +496,13 @@
             await asyncio.sleep(TASK_RESTART_S)
 
     async def _run_ticks(self) -> None:
+        self._last_ran_at_s = self._clock.now_s()
         while True:
-            self._last_ran_at_s = self._clock.now_s()
+            now_s = self._clock.now_s()
+            self._lateness.record(
+                now_s - self._last_ran_at_s - coordination.FLEET_TICK_S, now_s
+            )
+            self._last_ran_at_s = now_s
             self._tell_fleet(coordination.FleetTick())
             self._idle_connections.make_room()
             self._log.flush()
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -14,6 +14,33 @@
 """
 
 
+LATENESS_INTERVAL_S = 2.0
+"""Interval whose largest delay is kept for another one."""
+MAX_LATENESS_S = 1.0
+"""Largest delay that a stop allows for."""
+
+
+@dataclass(slots=True)
+class Lateness:
+    """How late the process has run in the last seconds."""
+
+    _largest_s: float = 0.0
+    _previous_s: float = 0.0
+    _began_at_s: float = 0.0
+
+    def record(self, delay_s: float, now_s: float) -> None:
+        """Record by how much the process has run too late."""
+        if now_s - self._began_at_s >= LATENESS_INTERVAL_S:
+            self._previous_s, self._largest_s = self._largest_s, 0.0
+            self._began_at_s = now_s
+        self._largest_s = max(self._largest_s, delay_s)
+
+    @property
+    def recent_s(self) -> float:
+        """Return the largest delay of the last seconds."""
+        return max(self._largest_s, self._previous_s)
+
+
 @dataclass(slots=True, frozen=True)
 class StopWindow:
     """The time that a stopping node has left for calls."""
@@ -24,15 +51,21 @@
 
     @classmethod
     def from_signal(
-        cls, handled_at_s: float, last_ran_at_s: float, grace_s: float
+        cls,
+        handled_at_s: float,
+        last_ran_at_s: float,
+        grace_s: float,
+        lateness_s: float,
     ) -> typing.Self:
         """Return the window after a signal to stop.
 
         A signal that comes while the process does not run is handled late,
-        but its grace period has begun.
+        but its grace period has begun. A process that runs late needs as much
+        more time for its end.
         """
         started_at_s = min(handled_at_s, last_ran_at_s)
-        return cls(started_at_s, started_at_s + grace_s - STOP_MARGIN_S)
+        margin_s = STOP_MARGIN_S + min(lateness_s, MAX_LATENESS_S)
+        return cls(started_at_s, started_at_s + grace_s - margin_s)
 
     @property
     def callers_leave_at_s(self) -> float:
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -22,6 +22,8 @@
 Closing with unread bytes makes the kernel send a reset, which can discard
 the answer.
 """
+UNREAD_WAIT_S = 0.05
+"""Time after a limit in which bytes that the kernel holds are read."""
 LINGER_MAX_BYTES = 4 * 1024 * 1024
 """Bytes read and dropped on a connection whose last request is known."""
 
@@ -495,22 +497,31 @@
             timeout_s, self._on_timeout, timeout_s
         )
 
+    def _extend_timer(self, timeout_s: float) -> None:
+        """Let the bytes be read that the kernel holds, but no later ones."""
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            UNREAD_WAIT_S, self._on_timeout, timeout_s, True
+        )
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _on_timeout(self, timeout_s: float) -> None:
+    def _on_timeout(self, timeout_s: float, is_extended: bool = False) -> None:
         if self._reader.waits_for_memory:
             self._reader.end_memory_waits()
             return
-        step = self._debts.timeout_step(
-            self._undelivered_bytes, self._unread_bytes
-        )
-        if step is state.ConnectionStep.WAIT:
+        undelivered_bytes = self._undelivered_bytes
+        unread_bytes = 0 if is_extended else self._unread_bytes
+        step = self._debts.timeout_step(undelivered_bytes, unread_bytes)
+        if step is not state.ConnectionStep.WAIT:
+            self._take_step(step)
+        elif self._debts.answers_due or undelivered_bytes:
             self._start_timer(timeout_s)
         else:
-            self._take_step(step)
+            self._extend_timer(timeout_s)
 
 
 _STOPPING = state.Refusal(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
