Send 100 Continue after the answers to earlier requests

Cause: 100 Continue was written when the head of its request was read, also while earlier requests of the connection were unanswered. A caller that sends requests before it has read the answers takes it for a part of the answer to the first of them, and waits for its own in vain.

Change: it is due, in state.ConnectionDebts, until the answers before it have been written.

--- a/src/jasminecrank/mesh/state/_connection_debts.py
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -48,6 +48,8 @@
     in_progress: bool = False
     receiving: bool = False
     """Whether a part of a request has been read."""
+    continue_due: bool = False
+    """Whether the caller waits for 100 Continue to send the rest of it."""
     refusal: _calls.Refusal | None = None
     """Answer to a request that will not be read, due after all others."""
     last_request_read: bool = False
@@ -78,6 +80,13 @@
         """Return whether further requests are read."""
         return not self.write_blocked and self.waiting <= MAX_WAITING_REQUESTS
 
+    def take_continue(self) -> bool:
+        """Return whether to send 100 Continue now, which is due only once."""
+        if not self.continue_due or self.answers_due:
+            return False
+        self.continue_due = False
+        return self.receiving
+
     def is_last_answer(self, phase: StopPhase, unread_bytes: int) -> bool:
         """Return whether the answer about to be written ends the connection.
 
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -174,10 +174,17 @@
     def on_request_begin(self) -> None:
         """Note that a part of a request has been received."""
         self._debts.receiving = True
+        self._debts.continue_due = False
 
     def on_expect_continue(self) -> None:
-        """Send 100 Continue."""
-        if self._transport is not None and not self._ended:
+        """Send 100 Continue, after the answers to earlier requests."""
+        self._debts.continue_due = True
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        if self._transport is None or self._ended:
+            return
+        if self._debts.take_continue():
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_memory_wait(self) -> None:
@@ -445,6 +452,7 @@
         if last:
             self._end()
             return
+        self._send_continue()
         limits = self._context.limits
         self._start_timer(
             limits.header_timeout_s
