End connections of HTTP/1.0 with their first answer

Cause: a connection of HTTP/1.0 with `Connection: keep-alive` was kept, but the answer did not say so, and its caller reads on until the connection ends: until the idle limit. `Expect` of HTTP/1.0 was answered with 100 Continue, which such a caller takes for its answer.

Change: a request of HTTP/1.0 is the last of its connection, and its `Expect` has no effect.

--- a/features/mesh/interim_responses.feature
+++ b/features/mesh/interim_responses.feature
@@ -27,3 +27,15 @@
       | a waiting request, a part of a request     | not | now   |
       | a request in progress                      | not | not   |
       | nothing                                    | not | not   |
+
+  Scenario Outline: Requests of HTTP/1.0
+    Given a deployment of 1 hosts
+    When a caller of HTTP/1.0 sends a request with the header <header>
+    Then it gets the statuses 200, and the connection is closed
+
+    Examples:
+      | header                 |
+      | Connection: close      |
+      | Connection: keep-alive |
+      | Expect: 100-continue   |
+      | Accept: text/plain     |
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -214,7 +214,11 @@
             self.refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
             return
         self._method = self._parser.get_method()
-        self._keep_alive = self._parser.should_keep_alive()
+        # Only an answer that says so would keep a connection of HTTP/1.0.
+        self._keep_alive = (
+            self._parser.should_keep_alive()
+            and self._parser.get_http_version() != "1.0"
+        )
         self._begin_body()
 
     def on_body(self, body: bytes) -> None:
@@ -368,6 +372,8 @@
         self._owner.on_memory_granted()
 
     def _ask_for_body(self) -> None:
+        if self._parser.get_http_version() == "1.0":
+            return  # Its caller knows no interim response.
         if protocol.find_header(self._headers, b"expect") is not None:
             self._owner.on_expect_continue()
 
