Log the scarcity of descriptors in fields

The texts with numbers in outcome and reason kept lines from being merged above their rate limit: 1,164 lines of 3 nodes in 50 s of a trial with 120 descriptors each. No test looks at them.

--- a/src/jasminecrank/mesh/transport/_idle_connections.py
+++ b/src/jasminecrank/mesh/transport/_idle_connections.py
@@ -57,8 +57,10 @@
             connection.give_way()
         self._log.connection(
             "descriptors-scarce",
-            outcome=f"{len(yielding)} idle connections closed",
-            reason=f"{use.used} of {use.limit} descriptors used",
+            outcome="idle-closed" if yielding else "none-idle",
+            closed=len(yielding),
+            used=use.used,
+            limit=use.limit,
         )
 
 
