Give the modelled quota tasks all their ticks

Cause: a run of the model that ended at the time of a tick returned before it, and the next run began after it. Nodes in the model then told their presence less often, and arbiters granted less than those of processes do: a model that granted too little could hide an exceeded bound.

Change: a tick at the end of a run is given.

Test: "The modelled nodes get each tick" in features/mesh/quota_task.feature, 5 rows.

--- a/features/mesh/quota_task.feature
+++ b/features/mesh/quota_task.feature
@@ -43,3 +43,16 @@
     Given 8 linked nodes and a team with rate 0 and burst 0
     When nothing fails and then each node has 40 calls in a second
     Then every call gets a token within 0.02 s
+
+  Scenario Outline: The modelled nodes get each tick
+    Given 2 linked nodes and a team with rate 40 and burst 40
+    When 20 s pass in steps of <step> s
+    Then each node has had a tick every 0.1 s
+
+    Examples: Guards against a model in which presence is not told
+      | step  |
+      | 0.013 |
+      | 0.05  |
+      | 0.1   |
+      | 0.5   |
+      | 2.0   |
--- a/features/steps/mesh_quota_task_steps.py
+++ b/features/steps/mesh_quota_task_steps.py
@@ -134,10 +134,11 @@
                 self.deliver()
                 continue
             self.now = min(end_s, tick_s)
+            if self.now > tick_s - 1e-6 * TICK_S:
+                for name in self.names:
+                    self.tell(name, coordination.QuotaTick())
             if self.now >= end_s:
                 return
-            for name in self.names:
-                self.tell(name, coordination.QuotaTick())
 
     def request_token(self, name, number):
         """Let a call of a node request a token."""
@@ -284,3 +285,29 @@
 def step_late_granted(context):
     message, _ = context.nodes.answers[5]
     assert message.granted
+
+
+@when("{for_s:d} s pass in steps of {step_s:g} s")
+def step_pass(context, for_s, step_s):
+    nodes = context.nodes
+    context.ticks = dict.fromkeys(nodes.names, 0)
+    tell = nodes.tell
+
+    def count(name, message):
+        match message:
+            case coordination.QuotaTick():
+                context.ticks[name] += 1
+        tell(name, message)
+
+    nodes.tell = count
+    started_at_s = nodes.now
+    while nodes.now < started_at_s + for_s - step_s / 2:
+        nodes.run(step_s)
+    context.passed_s = nodes.now - started_at_s
+
+
+@then("each node has had a tick every 0.1 s")
+def step_ticked(context):
+    due = context.passed_s / TICK_S
+    for ticks in context.ticks.values():
+        assert abs(ticks - due) <= 1.0, (ticks, due)
