Let nodes that have started use less of the retry budget

Cause: a node that starts has an empty window, while the platform still counts the retries that were made before; and it counts listed hosts only, not those that are cut off. All nodes that restarted at once used their parts twice.

Change: for one window after the start a node uses at most 0.3 of what its calls earn; of its part of the slack 0.1 at once, rising to 0.3 in one window, and its whole share after 60 s, when hosts that are cut off no longer count. Decision 0014 has the six ways that were weighed.

Test: two outlines and a scenario in features/mesh/budgets.feature. Command: python script/run_features.py features/mesh/budgets.feature.

--- a/features/mesh/budgets.feature
+++ b/features/mesh/budgets.feature
@@ -63,3 +63,39 @@
       | leave                | at_once | later |
       | are killed           | 12      | 60    |
       | leave after draining | 60      | 60    |
+
+  Scenario Outline: Retries of nodes that restart stay within the fleet's budget
+    Given 10 nodes that make all retries allowed by a budget of 100 in 10 s
+    When <which> restart <times> while each gets <calls> calls a second
+    Then the retries of any 10 s stay within the platform's bound
+
+    Examples: Guards against windows that a restarted node can't know
+      | which                              | times     | calls |
+      | all                                | once      | 0     |
+      | all                                | once      | 60    |
+      | all                                | twice     | 0     |
+      | all                                | twice     | 60    |
+      | all                                | every 2 s | 60    |
+      | all                                | in turn   | 0     |
+      | all                                | in turn   | 60    |
+      | the others, with 8 of them cut off | once      | 0     |
+      | the others, with 8 of them cut off | once      | 60    |
+      | the others, with 4 of them cut off | twice     | 0     |
+
+  Scenario: Retries of nodes that restart again and again
+    Given 10 nodes that make all retries allowed by a budget of 100 in 10 s
+    When all restart every 2 s while each gets 0 calls a second
+    Then the retries of any 10 s stay within the platform's bound
+
+  Scenario Outline: Nodes that have restarted repeat calls that need it
+    Given 10 nodes with a budget of 100 in 10 s, all of which have restarted
+    When each gets <calls> calls a second for 60 s and 1 in <every> needs a repeat
+    Then of the repeats <at_first> in 100 are made in the first 10 s, and <later> after that
+
+    Examples:
+      | calls | every | at_first | later |
+      | 2     | 50    | 90       | 100   |
+      | 5     | 50    | 90       | 100   |
+      | 20    | 50    | 90       | 100   |
+      | 20    | 20    | 90       | 100   |
+      | 60    | 20    | 90       | 100   |
--- a/features/steps/mesh_retry_cut_steps.py
+++ b/features/steps/mesh_retry_cut_steps.py
@@ -62,22 +62,38 @@
                 self.entry_by_name[name].handle(message)
         super().tell(name, message)
 
+    def call(self, names, for_s, calls_per_s):
+        """Let nodes get calls for a time without a retry."""
+        for _ in range(round(for_s)):
+            self._count_calls(names, calls_per_s)
+            self.run(1.0)
+
     def retry(self, names, for_s, calls_per_s=0):
         """Let nodes get calls and make all allowed retries for a time."""
-        steps = round(for_s / STEP_S)
-        for step in range(steps):
+        for step in range(round(for_s / STEP_S)):
+            if step % 10 == 0:
+                self._count_calls(names, calls_per_s)
             for name in names:
-                budget = self.budget_by_name[name]
-                if step % 10 == 0:
-                    for _ in range(calls_per_s):
-                        budget.record_first_attempt(SERVICE, self.now)
-                        self.first_attempts.append(self.now)
-                while budget.try_retry(
-                    SERVICE, state.UNANSWERED_RETRY_SHARE, self.now
-                ):
+                while self.try_retry(name):
                     self.retries.append(self.now)
             self.run(STEP_S)
 
+    def try_retry(self, name):
+        """Return whether a node may make a retry now."""
+        return self.budget_by_name[name].try_retry(
+            SERVICE, state.UNANSWERED_RETRY_SHARE, self.now
+        )
+
+    def _count_calls(self, names, count):
+        for name in names:
+            for _ in range(count):
+                self.count_call(name)
+
+    def count_call(self, name):
+        """Let a node get a call."""
+        self.budget_by_name[name].record_first_attempt(SERVICE, self.now)
+        self.first_attempts.append(self.now)
+
 
 @given(
     "{hosts:d} nodes that make all retries allowed by a budget of {slack:d} "
@@ -149,6 +165,87 @@
     assert found == [at_once, later], found
 
 
+def restart(nodes, fleet, names, listed):
+    """Start nodes anew; they know nothing of before."""
+    for name in names:
+        nodes.disconnect(name)
+        nodes.disconnected.discard(name)
+    fleet.restart(names, listed)
+
+
+@when("{which} restart {times} while each gets {calls_per_s:d} calls a second")
+def step_restart(context, which, times, calls_per_s):
+    nodes = context.nodes
+    fleet = mesh_quota_cut_steps.CutFleet(nodes)
+    cut = 0 if which == "all" else int(which.split("with ")[1].split()[0])
+    away, rest = nodes.names[:cut], nodes.names[cut:]
+    listed = nodes.fleet
+    if away:
+        fleet.cut(away, True)
+        listed = fleet.expire(away, rest)
+    nodes.call(nodes.names, WINDOW_S, calls_per_s)
+    nodes.retry(nodes.names, STEP_S)
+    match times:
+        case "once":
+            pauses_s = [20.0]
+        case "twice":
+            pauses_s = [4.0, 20.0]
+        case "every 2 s":
+            pauses_s = [2.0] * 6
+        case "in turn":
+            for name in rest:
+                restart(nodes, fleet, [name], listed)
+                nodes.retry(nodes.names, 1.0, calls_per_s)
+            pauses_s = []
+    for pause_s in pauses_s:
+        restart(nodes, fleet, rest, listed)
+        nodes.retry(nodes.names, pause_s, calls_per_s)
+    nodes.retry(nodes.names, WINDOW_S, calls_per_s)
+
+
+@given(
+    "{hosts:d} nodes with a budget of {slack:d} in 10 s, "
+    "all of which have restarted"
+)
+def step_restarted(context, hosts, slack):
+    step_nodes(context, hosts, slack)
+    nodes = context.nodes
+    fleet = mesh_quota_cut_steps.CutFleet(nodes)
+    restart(nodes, fleet, nodes.names, nodes.fleet)
+
+
+@when(
+    "each gets {calls_per_s:d} calls a second for 60 s and 1 in {every:d} "
+    "needs a repeat"
+)
+def step_need(context, calls_per_s, every):
+    nodes = context.nodes
+    rng = random.Random(7)
+    started_at_s = nodes.now
+    context.made = {True: [], False: []}
+    for _ in range(60 * calls_per_s):
+        is_first = nodes.now - started_at_s < WINDOW_S
+        for name in nodes.names:
+            nodes.count_call(name)
+            if rng.random() < 1.0 / every:
+                context.made[is_first].append(nodes.try_retry(name))
+        nodes.run(1.0 / calls_per_s)
+
+
+@then(
+    "of the repeats {at_first:d} in 100 are made in the first 10 s, "
+    "and {later:d} after that"
+)
+def step_repeats_made(context, at_first, later):
+    for is_first, least in ((True, at_first), (False, later)):
+        made = context.made[is_first]
+        assert 100 * sum(made) >= least * len(made), (
+            is_first,
+            sum(made),
+            len(made),
+        )
+
+
 @then("the retries of any 10 s stay within the platform's bound")
 def step_bound(context):
     nodes = context.nodes
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -77,6 +77,7 @@
         self._attempt_times = state.RunTimes()
         """Times from sending a call to a host until its response."""
         self._stop_window: state.StopWindow | None = None
+        self._has_fleet = False
 
     @property
     def open_calls(self) -> int:
@@ -111,7 +112,7 @@
             case _messages.CallUnsent():
                 self._call_unsent(message)
             case _messages.FleetChanged(fleet):
-                self._fleet = fleet
+                self._fleet_changed(fleet)
             case _messages.LoadUpdated(host, load):
                 self._placement.record_load(host, load, self._clock.now_s())
             case _messages.PeerUp(host, send):
@@ -543,6 +544,13 @@
             state.NotRun(LINK_LOST, NO_SERVER_RETRY_S),
         )
 
+    def _fleet_changed(self, fleet: state.FleetSnapshot) -> None:
+        if not self._has_fleet:
+            # Until its ports are open, a previous process may make retries.
+            self._has_fleet = True
+            self._budget.started_at_s = self._clock.now_s()
+        self._fleet = fleet
+
     def _retry_after_s(
         self, call: _open_calls.OpenCall, wait_s: float
     ) -> float:
--- a/src/jasminecrank/mesh/state/_budgets.py
+++ b/src/jasminecrank/mesh/state/_budgets.py
@@ -3,6 +3,9 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+import math
+
+from jasminecrank.mesh.state import _host_census
 
 UNANSWERED_RETRY_SHARE = 0.6
 """Share of the fleet's retry budget for calls without a server response.
@@ -15,6 +18,11 @@
 
 Each retry also repeats the downstream calls of the backend server.
 """
+STARTED_SHARE = 0.3
+"""Most of the budget that nodes which have started use.
+
+The platform still counts what was used before, up to the share above.
+"""
 
 
 @dataclass(slots=True, frozen=True)
@@ -28,10 +36,18 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Counts first attempts and retries per service in a sliding window."""
+    """Counts first attempts and retries per service in a sliding window.
+
+    A node that has started does not know the retries that were made before,
+    nor which hosts are cut off. It uses a smaller share of what its calls earn
+    for one window, and of the slack until hosts that are cut off no longer
+    count; the share of the slack rises in the first window, so that two starts
+    in one window stay within the budget.
+    """
 
     bounds: RetryBudgetBounds
     host_count: int = 1
+    started_at_s: float = -math.inf
     _first_attempts_by_service: dict[str, deque[float]] = field(
         default_factory=dict
     )
@@ -52,15 +68,29 @@
         retries = self._retries_by_service.setdefault(service, deque())
         self._discard_expired(first_attempts, now_s)
         self._discard_expired(retries, now_s)
-        allowed = share * (
-            self.bounds.ratio * len(first_attempts)
-            + self.bounds.slack / max(1, self.host_count)
+        age_s = now_s - self.started_at_s
+        earned = self.bounds.ratio * len(first_attempts)
+        slack = self.bounds.slack / max(1, self.host_count)
+        allowed = (
+            min(share, self._max_earned_share(age_s)) * earned
+            + min(share, self._max_slack_share(age_s)) * slack
         )
         if len(retries) + 1 > allowed:
             return False
         retries.append(now_s)
         return True
 
+    def _max_earned_share(self, age_s: float) -> float:
+        return 1.0 if age_s >= self.bounds.window_s else STARTED_SHARE
+
+    def _max_slack_share(self, age_s: float) -> float:
+        if age_s >= max(_host_census.ABSENT_GRANTS_S, self.bounds.window_s):
+            return 1.0
+        risen = min(1.0, age_s / self.bounds.window_s)
+        return FAILED_RETRY_SHARE + risen * (
+            STARTED_SHARE - FAILED_RETRY_SHARE
+        )
+
     def _discard_expired(self, times_s: deque[float], now_s: float) -> None:
         while times_s and times_s[0] <= now_s - self.bounds.window_s:
             times_s.popleft()
