--- a/features/mesh/unread_requests.feature
+++ b/features/mesh/unread_requests.feature
@@ -42,7 +42,7 @@
     And requests have to arrive within 0.6 s
     When a caller sends a byte of a head each time that the node is held up, for 0.15 s each
     Then it gets 0 complete answers, then 408, and the connection ends
-    And its answer has come within 1.5 s
+    And its answer has come within 2.0 s
 
   Scenario Outline: Bytes that are not read count as due
     Given a connection on which <due> is due
