Send 100 Continue after the answers that are due before it

Callers that send a request with `Expect: 100-continue` behind others got the 100 at once, ahead of the earlier requests' answers, so that it looked like an interim response of the first of these (found while the soak's callers were written; RFC 9112, 9.3.2 has responses in the order of the requests). Change: that a caller waits for 100 Continue is one of the debts of its connection, the last in order, and it is forgotten once the body has come.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -33,6 +33,19 @@
       | 1      | a line without method | 400    |
       | 3      | an upgrade            | 400    |
 
+  Scenario Outline: 100 Continue comes after the answers that were due before it
+    Given a deployment of 2 hosts on the event loop of a process
+    And servers run for 0.3 s and answer with 0 kB
+    When a caller sends <before> requests and the head of one that expects 100 Continue
+    Then 100 Continue comes after <before> answers
+    And the answer to the body that it sends then is complete
+
+    Examples:
+      | before |
+      | 0      |
+      | 1      |
+      | 3      |
+
   Scenario: Requests that wait when the time of a stop ends are refused
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 9.0 s and answer with 0 kB
@@ -203,6 +216,11 @@
       | a waiting request           | callers-left  | start-request  | not last |
       | a waiting request           | window-closed | refuse-request | not last |
       | a part of a request         | closing       | wait           | not last |
+      | a part of a request, 100    | serving       | ask-for-body   | not last |
+      | a part of a request, 100    | closing       | ask-for-body   | not last |
+      | a part of a request, 100, blocked | closing | wait           | not last |
+      | a part of a request, 100, a request in progress | serving | wait | not last |
+      | a part of a request, 100, a waiting request | serving | start-request | not last |
       | a refusal                   | serving       | send-refusal   | not last |
       | a refusal                   | closing       | send-refusal   | not last |
       | a waiting request, refusal  | closing       | start-request  | not last |
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -323,6 +323,7 @@
         waiting=int("a waiting request" in parts),
         in_progress="a request in progress" in parts,
         receiving="a part of a request" in parts,
+        body_expected="100" in parts,
         refusal=refusal if due.find("refusal") >= 0 else None,
         last_request_read="refusal" in due or "after a close" in due,
         write_blocked="blocked" in parts,
@@ -499,3 +500,39 @@
 def step_dropped(context, limit, count):
     dropped = state.connections_to_drop(context.unsent_by_caller, limit)
     assert dropped == list(range(count)), dropped
+
+
+@when(
+    "a caller sends {before:d} requests and the head of one that expects "
+    "100 Continue"
+)
+def step_expect(context, before):
+    async def act():
+        caller = await open_caller(context)
+        for _ in range(before):
+            await caller.send()
+        await caller.send(
+            "POST",
+            "/book/1",
+            {"Content-Length": "4", "Expect": "100-continue"},
+        )
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            received = await caller.receive_until(b"100 Continue\r\n\r\n")
+            context.answers_before = received.count(b"HTTP/1.1 200 ")
+            await caller.write(b"body")
+            request_id = caller.request_ids[-1]
+            context.expected_end = f"body of {request_id}".encode()
+            context.received = await caller.receive_until(context.expected_end)
+
+    context.received = b""
+    context.runner.run(act())
+
+
+@then("100 Continue comes after {count:d} answers")
+def step_continue_after(context, count):
+    assert context.answers_before == count, context.answers_before
+
+
+@then("the answer to the body that it sends then is complete")
+def step_expected_body(context):
+    assert context.received.endswith(context.expected_end), context.received
--- a/src/jasminecrank/mesh/state/_connection_debts.py
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -35,6 +35,8 @@
     """Send the refusal of the request that could not be read."""
     REFUSE_INCOMPLETE = "refuse-incomplete"
     """Refuse the request that has been received in part."""
+    ASK_FOR_BODY = "ask-for-body"
+    """Send 100 Continue for the request that is being received."""
     CLOSE = "close"
     WAIT = "wait"
 
@@ -48,6 +50,8 @@
     in_progress: bool = False
     receiving: bool = False
     """Whether a part of a request has been read."""
+    body_expected: bool = False
+    """Whether the caller of that request waits for 100 Continue."""
     refusal: _calls.Refusal | None = None
     """Answer to a request that will not be read, due after all others."""
     last_request_read: bool = False
@@ -99,6 +103,8 @@
             return ConnectionStep.START_REQUEST
         if self.refusal is not None:
             return ConnectionStep.SEND_REFUSAL
+        if self.body_expected:
+            return ConnectionStep.ASK_FOR_BODY
         return ConnectionStep.WAIT
 
     def idle_step(
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -166,11 +166,12 @@
     def on_request_begin(self) -> None:
         """Note that a part of a request has been received."""
         self._debts.receiving = True
+        self._debts.body_expected = False
 
     def on_expect_continue(self) -> None:
-        """Send 100 Continue."""
-        if self._transport is not None and not self._ended:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Send 100 Continue after the answers that are due before it."""
+        self._debts.body_expected = True
+        self._continue_soon()
 
     def on_memory_wait(self) -> None:
         """Read no more of a body until there is memory for it."""
@@ -211,6 +212,7 @@
     ) -> None:
         """Queue a complete request; pause reading if too many wait."""
         self._debts.receiving = self._reader.is_receiving
+        self._debts.body_expected &= self._debts.receiving
         self._requests.append(request)
         self._claim_ids.append(claim_id)
         self._debts.waiting += 1
@@ -231,6 +233,7 @@
         )
         self._debts.last_request_read = True
         self._debts.receiving = False
+        self._debts.body_expected = False
         self._debts.refusal = refusal
         self._continue_soon()
 
@@ -353,6 +356,10 @@
                     self._write(raw, b"GET")
             case state.ConnectionStep.REFUSE_INCOMPLETE:
                 self._reader.refuse(state.RefusalKind.INCOMPLETE, "too slow")
+            case state.ConnectionStep.ASK_FOR_BODY:
+                self._debts.body_expected = False
+                if self._transport is not None:
+                    self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             case state.ConnectionStep.CLOSE:
                 self._close()
             case state.ConnectionStep.WAIT:
--- a/src/jasminecrank/standins/fleet/_pipelining_caller.py
+++ b/src/jasminecrank/standins/fleet/_pipelining_caller.py
@@ -101,6 +101,13 @@
             pass
         return await self._parse()
 
+    async def receive_until(self, end: bytes) -> bytes:
+        """Return what has been received once it contains some bytes."""
+        while end not in self._received:
+            if not await self._receive():
+                raise ConnectionError("the node closed the connection")
+        return bytes(self._received)
+
     def close(self) -> None:
         """Close the connection."""
         self._socket.close()
