Let nodes without the source use less of the retry slack

Cause: 60 s after hosts were removed the others no longer count them, while hosts that are cut off go on using their parts of the slack.

Change: the fleet task tells the entry task too when the source last confirmed the entries. What its calls earn is as before.

Test: "Retries of a part that is cut off for long" in features/mesh/budgets.feature, 5 rows. Command: python -m behave -n "Retries of a part that" features/mesh/budgets.feature.

In an outage of the store of over 50 s the same holds for all nodes; what that costs callers has not been measured.

--- a/features/mesh/budgets.feature
+++ b/features/mesh/budgets.feature
@@ -54,6 +54,19 @@
       | 8   | together   | the others  |
       | 2   | together   | both        |
 
+  Scenario Outline: Retries of a part that is cut off for long stay within the budget
+    Given 10 nodes that make all retries allowed by a budget of 100 in 10 s
+    When <cut> of them lose the source and the others for 90 s, and their entries are removed after <expire> s
+    Then the retries of any 10 s stay within the platform's bound
+
+    Examples: Guards against parts that others no longer count after a minute
+      | cut | expire |
+      | 4   | 4.5    |
+      | 8   | 3.0    |
+      | 8   | 4.5    |
+      | 8   | 15.0   |
+      | 9   | 3.0    |
+
   Scenario Outline: Hosts that are lost or leave free their parts of the budget
     Given 10 nodes that make all retries allowed by a budget of 100 in 10 s
     When 8 of them <leave>, and their entries are removed
--- a/features/steps/mesh_retry_cut_steps.py
+++ b/features/steps/mesh_retry_cut_steps.py
@@ -58,7 +58,7 @@
     def tell(self, name, message):
         """Let the tasks of a node handle a message."""
         match message:
-            case coordination.FleetChanged():
+            case coordination.FleetChanged() | coordination.SourceConfirmed():
                 self.entry_by_name[name].handle(message)
         super().tell(name, message)
 
@@ -125,6 +125,30 @@
     nodes.retry(nodes.names, 12.0)
 
 
+@when(
+    "{cut:d} of them lose the source and the others for {for_s:g} s, "
+    "and their entries are removed after {expire_s:g} s"
+)
+def step_long_cut(context, cut, for_s, expire_s):
+    nodes = context.nodes
+    fleet = mesh_quota_cut_steps.CutFleet(nodes)
+    away, rest = nodes.names[:cut], nodes.names[cut:]
+    cut_at_s = nodes.now
+    for name in nodes.names:
+        nodes.tell(name, coordination.SourceConfirmed(cut_at_s))
+    fleet.cut(away, True)
+    has_expired = False
+    while nodes.now < cut_at_s + for_s:
+        if not has_expired and nodes.now >= cut_at_s + expire_s:
+            has_expired = True
+            fleet.expire(away, rest)
+        for name in away:
+            nodes.tell(name, coordination.SourceConfirmed(cut_at_s))
+        for name in rest:
+            nodes.tell(name, coordination.SourceConfirmed(nodes.now))
+        nodes.retry(nodes.names, STEP_S)
+
+
 @when("8 of them {leave}, and their entries are removed")
 def step_leave(context, leave):
     nodes = context.nodes
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -122,7 +122,11 @@
                 self._peer_silent(host)
             case _messages.PeerDown(host, send):
                 self._peer_down(host, send)
-            case _messages.BoundsChanged() | _messages.HostsCounted():
+            case (
+                _messages.BoundsChanged()
+                | _messages.HostsCounted()
+                | _messages.SourceConfirmed()
+            ):
                 self._update_budget(message)
             case _messages.StopRequested(window):
                 self._stop_window = window
@@ -132,13 +136,18 @@
                 typing.assert_never(message)
 
     def _update_budget(
-        self, message: _messages.BoundsChanged | _messages.HostsCounted
+        self,
+        message: _messages.BoundsChanged
+        | _messages.HostsCounted
+        | _messages.SourceConfirmed,
     ) -> None:
         match message:
             case _messages.BoundsChanged(_, retries):
                 self._budget.bounds = retries
             case _messages.HostsCounted(count):
                 self._budget.host_count = count
+            case _messages.SourceConfirmed(at_s):
+                self._budget.confirmed_at_s = at_s
             case _:
                 typing.assert_never(message)
 
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -410,9 +410,11 @@
         if self._ticks % TICKS_PER_CHECK == 0:
             self._exchange.check_gaps(now_s)
             self._peers.check_silence(now_s)
-            self._ports.to_quota(
-                _messages.SourceConfirmed(now_s - self.confirmed_age_s(now_s))
+            confirmed = _messages.SourceConfirmed(
+                now_s - self.confirmed_age_s(now_s)
             )
+            self._ports.to_entry(confirmed)
+            self._ports.to_quota(confirmed)
             self._update_watch_duty(now_s)
         load = self._ports.load()
         self._set_running(self._own_host, load.server_id)
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -329,6 +329,7 @@
     | CallDeadlineReached
     | QuotaDecided
     | HostsCounted
+    | SourceConfirmed
     | AttemptEnded
     | CallUnsent
     | FleetChanged
--- a/src/jasminecrank/mesh/state/_budgets.py
+++ b/src/jasminecrank/mesh/state/_budgets.py
@@ -42,12 +42,15 @@
     nor which hosts are cut off. It uses a smaller share of what its calls earn
     for one window, and of the slack until hosts that are cut off no longer
     count; the share of the slack rises in the first window, so that two starts
-    in one window stay within the budget.
+    in one window stay within the budget. A node that has lost the source uses
+    less of the slack too, one window before others no longer count its host.
     """
 
     bounds: RetryBudgetBounds
     host_count: int = 1
     started_at_s: float = -math.inf
+    confirmed_at_s: float | None = None
+    """When the source last confirmed the entries; None if not known."""
     _first_attempts_by_service: dict[str, deque[float]] = field(
         default_factory=dict
     )
@@ -73,7 +76,7 @@
         slack = self.bounds.slack / max(1, self.host_count)
         allowed = (
             min(share, self._max_earned_share(age_s)) * earned
-            + min(share, self._max_slack_share(age_s)) * slack
+            + min(share, self._max_slack_share(now_s)) * slack
         )
         if len(retries) + 1 > allowed:
             return False
@@ -83,14 +86,23 @@
     def _max_earned_share(self, age_s: float) -> float:
         return 1.0 if age_s >= self.bounds.window_s else STARTED_SHARE
 
-    def _max_slack_share(self, age_s: float) -> float:
+    def _max_slack_share(self, now_s: float) -> float:
+        age_s = now_s - self.started_at_s
         if age_s >= max(_host_census.ABSENT_GRANTS_S, self.bounds.window_s):
-            return 1.0
+            return STARTED_SHARE if self._may_be_uncounted(now_s) else 1.0
         risen = min(1.0, age_s / self.bounds.window_s)
         return FAILED_RETRY_SHARE + risen * (
             STARTED_SHARE - FAILED_RETRY_SHARE
         )
 
+    def _may_be_uncounted(self, now_s: float) -> bool:
+        """Return whether others may count this host no longer in a window."""
+        return (
+            self.confirmed_at_s is not None
+            and now_s - self.confirmed_at_s
+            > _host_census.ABSENT_GRANTS_S - self.bounds.window_s
+        )
+
     def _discard_expired(self, times_s: deque[float], now_s: float) -> None:
         while times_s and times_s[0] <= now_s - self.bounds.window_s:
             times_s.popleft()
