--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -111,6 +111,7 @@
       | a SIGHUP ends a process that starts            | process_ends    | a fault |
       | a SIGTERM ends a process that starts           | process_ends    | a fault |
       | a SIGHUP ends an interpreter that starts       | process_ends    | nothing |
+      | a SIGHUP ends a program that starts            | process_ends    | a fault |
       | a process takes 300 MiB                        | memory          | nothing |
       | a process takes 301 MiB                        | memory          | a fault |
       | a node writes a traceback                      | tracebacks      | a fault |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -614,6 +614,9 @@
         -signal.SIGTERM, (signal.SIGTERM, 0.06)
     ),
     "a SIGHUP ends an interpreter that starts": lambda: records_with_end(
+        -signal.SIGHUP, (signal.SIGHUP, 0.02)
+    ),
+    "a SIGHUP ends a program that starts": lambda: records_with_end(
         -signal.SIGHUP, (signal.SIGHUP, 0.04)
     ),
     "a process takes 300 MiB": lambda: records_with_memory(300),
