Keep a connection in use while a test opens 240 idle ones

Cause: it was used once before the idle ones were opened; a node that takes more than 0.5 s for these has it idle longest, and closes it as intended. Change: a request every 20 connections keeps it in use.

--- a/features/steps/mesh_descriptor_steps.py
+++ b/features/steps/mesh_descriptor_steps.py
@@ -15,6 +15,11 @@
 HOST = "127.0.5.1"
 CHECK_PERIOD_S = 0.05
 
+FIRST_USED = 140
+"""Used connections that are opened before a pause."""
+USED_EVERY = 20
+"""Unused connections opened between two requests on the one in use."""
+
 
 @given("it may open {limit:d} descriptors")
 def step_limit(context, limit):
@@ -42,19 +47,18 @@
 def step_idle(context, count, kind, port):
     async def act():
         context.used = fleet.Caller(HOST, context.node.ports["callers"])
-        if kind == "unused":
-            await context.used.request("GET", "/open/1", None)
+        context.node.server.run_s = 0.02
         address = (HOST, context.node.ports[port])
-        context.idle = [
-            _open(address, kind, port) for _ in range(min(count, 140))
-        ]
-        if kind == "used":
-            await asyncio.sleep(0.6)
-        context.idle.extend(
-            _open(address, kind, port) for _ in range(count - 140)
-        )
-        for connection in context.idle:
-            context.exit_stack.callback(connection.close)
+        context.idle = []
+        for number in range(count):
+            # The node may take long to accept the connections between two
+            # requests, and the one that is in use must not be idle longest.
+            if kind == "unused" and number % USED_EVERY == 0:
+                await context.used.request("GET", "/open/1", None)
+            if kind == "used" and number == FIRST_USED:
+                await asyncio.sleep(0.6)
+            context.idle.append(_open(address, kind, port))
+            context.exit_stack.callback(context.idle[-1].close)
         # Of those that have been used, the one idle longest goes first.
         if kind == "used":
             await context.used.request("GET", "/open/1", None)
