--- a/features/mesh/unread_requests.feature
+++ b/features/mesh/unread_requests.feature
@@ -31,3 +31,8 @@
       | a part of a request   | 0      | wait  | refuse-incomplete | not last |
       | a part of a request   | 1      | wait  | wait              | not last |
       | nothing after a close | 1      | close | close             | last     |
+
+  Scenario: A connection that waits to be accepted when the window of a stop closes is answered
+    Given a deployment of 2 hosts on the event loop of a process with 3.0 s to stop
+    When node 0 stops while it receives an upload, and a request comes on a new connection while the node is held up, from 2.45 s to 2.75 s
+    Then it gets the statuses 503, only the last of which closes
--- a/features/steps/mesh_unread_steps.py
+++ b/features/steps/mesh_unread_steps.py
@@ -71,6 +71,27 @@
     context.runner.run(act())
 
 
+@when(
+    "node 0 stops while it receives an upload, and a request comes on a new "
+    "connection while the node is held up, from {from_s:g} s to {to_s:g} s"
+)
+def step_held_up_at_window_end(context, from_s, to_s):
+    async def act():
+        # A node that owes nothing ends early, so an upload keeps it busy.
+        busy = await mesh_owed_steps.open_caller(context)
+        await busy.send("POST", "/book/1", {"Content-Length": "4"})
+        await asyncio.sleep(0.1)
+        caller = context.fleet.pipelining_caller(0)
+        context.exit_stack.callback(caller.close)
+        stopping = asyncio.create_task(context.fleet.nodes[0].stop())
+        _hold_up(context, from_s, caller, to_s - from_s)
+        await asyncio.sleep(to_s)
+        await mesh_owed_steps.receive_answers(context, [caller])
+        await stopping
+
+    context.runner.run(act())
+
+
 @when("it is found idle with {unread:d} bytes that are not read")
 def step_found_unread(context, unread):
     debts = context.debts
