--- a/features/mesh/early_answers.feature
+++ b/features/mesh/early_answers.feature
@@ -14,3 +14,9 @@
       | pause |
       | 1.0   |
       | 4.0   |
+
+  Scenario: A stop does not cut the rest of a body whose answer came early
+    Given a deployment of 1 hosts on the event loop of a process
+    And its server answers bodies at once and reads them 3.0 s later
+    When a caller uploads 1 MB and then the node stops
+    Then the server gets the whole upload
--- a/features/steps/mesh_early_answer_steps.py
+++ b/features/steps/mesh_early_answer_steps.py
@@ -97,3 +97,21 @@
 @then("the server gets the whole upload")
 def step_whole(context):
     assert context.body_sizes == [UPLOAD_BYTES], context.body_sizes
+
+
+@when("a caller uploads 1 MB and then the node stops")
+def step_upload_stop(context):
+    async def act():
+        caller = context.fleet.caller(0)
+        await caller.send(
+            "POST",
+            "/book/1",
+            deadline_ms=DEADLINE_MS,
+            headers={"Content-Length": str(UPLOAD_BYTES)},
+        )
+        caller.write(bytes(UPLOAD_BYTES))
+        assert (await caller.receive()).status == 200
+        await context.fleet.nodes[0].stop()
+        await asyncio.sleep(context.pause_s + READ_MARGIN_S)
+
+    context.runner.run(act())
