--- a/features/mesh/unread_requests.feature
+++ b/features/mesh/unread_requests.feature
@@ -36,3 +36,8 @@
     Given a deployment of 2 hosts on the event loop of a process with 3.0 s to stop
     When node 0 stops while it receives an upload, and a request comes on a new connection while the node is held up, from 2.45 s to 2.75 s
     Then it gets the statuses 503, only the last of which closes
+
+  Scenario: No request comes between the decision to close a connection and its end
+    Given a deployment of 1 hosts on the event loop of a process
+    When node 0 stops, and is held up for 0.3 s once it has decided to close an idle connection
+    Then its caller has seen the end before it sends, or gets 1 answers
--- a/features/steps/mesh_unread_steps.py
+++ b/features/steps/mesh_unread_steps.py
@@ -92,6 +92,49 @@
     context.runner.run(act())
 
 
+@when(
+    "node 0 stops, and is held up for {duration_s:g} s once it has decided to "
+    "close an idle connection"
+)
+def step_held_up_after_decision(context, duration_s):
+    async def act():
+        caller = await mesh_owed_steps.open_caller(context)
+        await asyncio.sleep(0.1)
+        server = context.fleet.nodes[0]._caller_server
+        close_idle = server.close_idle
+
+        def close_idle_and_pause():
+            close_idle()
+            context.has_ended = _has_ended(caller)
+            if not context.has_ended:
+                caller.send_blocking()
+            time.sleep(duration_s)
+
+        server.close_idle = close_idle_and_pause
+        stopping = asyncio.create_task(context.fleet.nodes[0].stop())
+        await mesh_owed_steps.receive_answers(context, [caller])
+        await stopping
+
+    context.runner.run(act())
+
+
+def _has_ended(caller):
+    """Return whether the node has ended its side of a connection."""
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        return caller._socket.recv(1, flags) == b""
+    except BlockingIOError:
+        return False
+
+
+@then(
+    "its caller has seen the end before it sends, or gets {count:d} answers"
+)
+def step_ended_or_answered(context, count):
+    (answers,) = context.answers
+    assert context.has_ended or len(answers) == count, answers
+
+
 @when("it is found idle with {unread:d} bytes that are not read")
 def step_found_unread(context, unread):
     debts = context.debts
