Give servers no more time for a call than a stop leaves

Callers saw: 502 for a call of a backend server that was sent late in a stop, while a server was at work on it. Cause: a stop takes a call that is expected to end in time, by the run times before it, and gives its server all of the call's own deadline; if run times grow, the node has to break the run off and does not know its outcome. Class: a decision on a view that is older than the decision.

Change: a call that is passed on during a stop gets the deadline at which its server has to be done for the answer to come back (0.3 s before calls are broken off). The server ends a longer run itself, with an answer of its own. Entry and gate both apply it, also to calls that were queued when the signal came. A call has to be expected to end by then to be taken; the margin for late calls goes. The stand-in server keeps to Deadline-Ms. New connections are taken up to the break-off as before, which a late process did not.

Rows changed: the window within which a call has to be expected to end is 0.3 s shorter, so that seven rows state a narrower bound; the four rows of late calls with a margin become eight on the deadline that the server gets (5.2 s with 0.1 s to run is taken now).

Before: both rows of calls that take 0.9 and 2.5 s instead of 0.05 s get 502 (1 run); the server is given 9.0, 8.8 and 8.8 s where the stop leaves 3.0, 2.8 and 3.8 s. After: 504 of the server; features/mesh/stopping.feature 61 of 61 rows. Not run yet: real processes with growing run times.

--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -21,6 +21,19 @@
       | 4.8 | a call of its backend server | 2.5 | 503    | 0    | 0.3    |
       | 1.0 | the start of an upload       | 0.2 | 503    | 0    | 5.0    |
 
+  Scenario Outline: A late call that runs longer than those before it is answered by its server
+    Given a deployment of 2 hosts with a time limit of 20.0 s
+    When node 0 stops, and after <at> s its server makes a call that takes <run> s instead of 0.05 s
+    Then it gets <status> and the request has run 1 times
+    And it got that within <within> s
+    And node 0 has stopped within 6.0 s
+
+    Examples:
+      | at  | run | status | within |
+      | 4.8 | 0.3 | 200    | 0.5    |
+      | 4.8 | 0.9 | 504    | 0.7    |
+      | 4.0 | 2.5 | 504    | 1.5    |
+
   Scenario Outline: A call that outlasts the grace period gets a true answer
     Given a deployment of 2 hosts with a time limit of 20.0 s
     When a <method> that runs for 9.0 s is sent to host <host>, and node 0 stops
@@ -39,14 +52,14 @@
 
     Examples:
       | delay | ago | paused | grace | window |
-      | 0.0   | 0.1 | 0.0    | 6.0   | 5.6    |
-      | 0.0   | 0.1 | 2.0    | 6.0   | 3.6    |
-      | 0.3   | 0.1 | 0.0    | 6.0   | 5.3    |
-      | 0.3   | 2.5 | 0.0    | 6.0   | 5.3    |
-      | 0.3   | 5.0 | 0.0    | 6.0   | 5.6    |
+      | 0.0   | 0.1 | 0.0    | 6.0   | 5.3    |
+      | 0.0   | 0.1 | 2.0    | 6.0   | 3.3    |
+      | 0.3   | 0.1 | 0.0    | 6.0   | 5.0    |
+      | 0.3   | 2.5 | 0.0    | 6.0   | 5.0    |
+      | 0.3   | 5.0 | 0.0    | 6.0   | 5.3    |
       | 9.0   | 0.1 | 0.0    | 6.0   | 4.6    |
-      | 0.3   | 0.1 | 1.0    | 6.0   | 4.3    |
-      | 9.0   | 0.1 | 0.0    | 1.0   | 0.4    |
+      | 0.3   | 0.1 | 1.0    | 6.0   | 4.0    |
+      | 9.0   | 0.1 | 0.0    | 1.0   | 0.3    |
 
   Scenario Outline: A process that runs late breaks off no call before the last sixth of a stop
     Given a process that was late by <delay> s, 0.1 s before it is told to stop
@@ -95,16 +108,21 @@
       | POST   | 5.53 | 0    | 5.50 | 5.63 |
       | POST   | 5.53 | 1    | 5.50 | 5.63 |
 
-  Scenario Outline: A call that comes after callers have left is taken only with time to spare
-    Given a stop of 5.6 s, and calls that run for <run> s at the longest
+  Scenario Outline: A call that is taken in a stop has a deadline in the stop
+    Given a process that gets <grace> s to stop, and calls that run for <run> s at the longest
     Then a call after <at> s with <left> s to its deadline is <taken>
+    And its server would get <given> s
 
     Examples:
-      | run | at  | left | taken   |
-      | 0.1 | 4.9 | 15.0 | taken   |
-      | 0.1 | 5.2 | 15.0 | refused |
-      | 0.1 | 5.2 | 0.25 | taken   |
-      | 1.0 | 4.3 | 15.0 | refused |
+      | grace | run | at  | left | taken   | given |
+      | 6.0   | 0.1 | 4.9 | 15.0 | taken   | 0.4   |
+      | 6.0   | 0.1 | 5.2 | 15.0 | taken   | 0.1   |
+      | 6.0   | 0.1 | 5.3 | 15.0 | refused | 0.0   |
+      | 6.0   | 0.1 | 5.2 | 0.05 | taken   | 0.05  |
+      | 6.0   | 1.0 | 4.3 | 15.0 | taken   | 1.0   |
+      | 6.0   | 1.0 | 4.4 | 15.0 | refused | 0.9   |
+      | 10.0  | 1.0 | 4.3 | 15.0 | taken   | 5.0   |
+      | 3.0   | 0.1 | 2.1 | 15.0 | taken   | 0.2   |
 
   Scenario Outline: A gate takes what is expected to end in time
     Given a gate task beside a server with <slots> slots
@@ -127,6 +145,20 @@
       | 2     | none | 5.6   | 4.0 | 2     | 4.0  | 0     |
       | 2     | none | 5.6   | 4.0 | 2     | 1.5  | 2     |
 
+  Scenario Outline: A server gets no more time for a call than a stop leaves
+    Given a gate task beside a server with 1 slots
+    And calls have run for 0.2 s there
+    When it stops with <close> s left, and <calls> calls with <left> s to their deadline arrive <when>
+    Then the server is given <given> s for the last one
+
+    Examples:
+      | close | calls | left | when        | given |
+      | 4.0   | 1     | 9.0  | after 1.0 s | 3.0   |
+      | 4.0   | 1     | 2.0  | after 1.0 s | 2.0   |
+      | 4.0   | 2     | 9.0  | after 1.0 s | 2.8   |
+      | 4.0   | 2     | 9.0  | before      | 3.8   |
+      | 4.0   | 1     | 9.0  | before      | 9.0   |
+
   Scenario Outline: Queued calls go elsewhere while there is time
     Given a gate task beside a server with 2 slots
     And calls have run for 0.5 s there
--- a/features/steps/mesh_gate_task_steps.py
+++ b/features/steps/mesh_gate_task_steps.py
@@ -22,13 +22,15 @@
 
     def __init__(self):
         self.received = []
+        self.remaining_s = 0.0
+        """Time to the deadline of the call that came last."""
         self.run_s = RUN_S
         self.result = None
         """Result of the calls; None if they are served."""
 
     async def exchange(self, call, remaining_s):
         """Answer a call."""
-        del remaining_s
+        self.remaining_s = remaining_s
         self.received.append(call)
         await asyncio.sleep(self.run_s)
         if self.result is not None:
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -16,6 +16,7 @@
 NO_RUN = "none"
 WARM_UP_CALLS = 20
 LONG_RUN_S = 1.0
+TIMER_SLACK_S = 0.15
 BUSY_AT_S = 0.5
 
 
@@ -103,6 +104,34 @@
     context.runner.run(act())
 
 
+@when(
+    "node 0 stops, and after {at_s:g} s its server makes a call that takes "
+    "{run_s:g} s instead of {usual_s:g} s"
+)
+def step_longer_call(context, at_s, run_s, usual_s):
+    async def act():
+        deployment = _slow_down(context, usual_s)
+        await deployment.register(0, "draining")
+        await _warm_up(deployment)
+        busy = deployment.caller(0)
+        upload = asyncio.create_task(_send_upload(busy, asyncio.Event()))
+        stop_s = time.monotonic()
+        stopping = asyncio.create_task(deployment.nodes[0].stop())
+        await asyncio.sleep(at_s)
+        _slow_down(context, run_s)
+        started_s = time.monotonic()
+        caller = deployment.caller(0)
+        await caller.send("GET", "/open/1", key=None, deadline_ms=20_000)
+        context.response = await caller.receive()
+        context.elapsed_s = time.monotonic() - started_s
+        context.request_id = caller.last_request_id
+        await stopping
+        context.stopped_s = time.monotonic() - stop_s
+        upload.cancel()
+
+    context.runner.run(act())
+
+
 @then("it got that within {limit_s:g} s")
 def step_within(context, limit_s):
     assert context.elapsed_s <= limit_s, context.elapsed_s
@@ -122,7 +151,7 @@
         stopping = asyncio.create_task(deployment.nodes[0].stop())
         response = asyncio.create_task(caller.receive(9.0))
         await stopping
-        context.elapsed_s = time.monotonic() - started_s
+        context.stopped_s = time.monotonic() - started_s
         context.response = await response
         context.request_id = caller.last_request_id
 
@@ -174,14 +203,14 @@
     response = asyncio.create_task(caller.receive(9.0))
     await asyncio.sleep(0.01)
     await context.fleet.nodes[0].stop()
-    context.elapsed_s = time.monotonic() - started_s
+    context.stopped_s = time.monotonic() - started_s
     context.response = await response
     context.request_id = caller.last_request_id
 
 
 @then("node 0 has stopped within {limit_s:g} s")
 def step_stopped(context, limit_s):
-    assert context.elapsed_s <= limit_s, context.elapsed_s
+    assert context.stopped_s <= limit_s, context.stopped_s
 
 
 @given("calls have run for {seen} s there")
@@ -264,6 +293,26 @@
     context.runner.run(act())
 
 
+@when(
+    "it stops with {close_s:g} s left, and {calls:d} calls with {left_s:g} s "
+    "to their deadline arrive before"
+)
+def step_stop_after_calls(context, close_s, calls, left_s):
+    async def act():
+        _offer(context, calls, left_s)
+        await asyncio.sleep(0.001)
+        _stop(context, close_s)
+        await asyncio.sleep(calls * context.port.run_s + 0.1)
+
+    context.runner.run(act())
+
+
+@then("the server is given {given_s:g} s for the last one")
+def step_given_time(context, given_s):
+    found_s = context.port.remaining_s
+    assert abs(found_s - given_s) < TIMER_SLACK_S, found_s
+
+
 @then("{refused:d} of them are refused at once")
 def step_queue_refused(context, refused):
     assert len(context.replies) == refused, context.replies
@@ -367,15 +416,25 @@
 
 
 @given(
-    "a stop of {close_s:g} s, and calls that run for {run_s:g} s at the "
-    "longest"
+    "a process that gets {grace_s:g} s to stop, and calls that run for "
+    "{run_s:g} s at the longest"
 )
-def step_stop_of(context, close_s, run_s):
-    context.window = state.StopWindow(0.0, close_s, close_s)
+def step_stop_of(context, grace_s, run_s):
+    context.window = state.StopWindow.from_signal(0.0, 0.0, grace_s, 0.0)
     context.longest_s = run_s
 
 
 @then("a call after {at_s:g} s with {left_s:g} s to its deadline is {taken}")
 def step_late_taken(context, at_s, left_s, taken):
-    found = context.window.accepts_late(at_s, at_s + left_s, context.longest_s)
+    context.at_s, context.deadline_at_s = at_s, at_s + left_s
+    found = context.window.accepts(
+        at_s, context.deadline_at_s, 0.0, context.longest_s
+    )
     assert found == (taken == "taken"), found
+
+
+@then("its server would get {given_s:g} s")
+def step_server_deadline(context, given_s):
+    deadline_at_s = context.window.server_deadline_at_s(context.deadline_at_s)
+    found = deadline_at_s - context.at_s
+    assert abs(found - given_s) < 1e-3, found
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -284,10 +284,11 @@
         if window is None:
             return True
         longest_s = self._attempt_times.longest_s(call.attempts.route.name)
-        if not window.accepts_caller(call.arrived_at_s):
-            return call.is_from_backend_server and window.accepts_late(
-                now_s, call.deadline_at_s, longest_s
-            )
+        if not (
+            call.is_from_backend_server
+            or window.accepts_caller(call.arrived_at_s)
+        ):
+            return False
         return window.accepts(now_s, call.deadline_at_s, wait_s, longest_s)
 
     def _refuse_stopping(
@@ -343,7 +344,9 @@
         server: state.BackendServer,
         now_s: float,
     ) -> None:
-        sent = call.start_attempt(server, self._own_service, now_s)
+        sent = call.start_attempt(
+            server, self._own_service, self._server_deadline_at_s(call), now_s
+        )
         self._placement.record_sent(server.host)
         if server.host == self._own_host:
             call.send = None
@@ -354,6 +357,11 @@
         call.send = self._send_by_host[server.host]
         call.send(sent)
 
+    def _server_deadline_at_s(self, call: _open_calls.OpenCall) -> float:
+        if self._stop_window is None:
+            return call.deadline_at_s
+        return self._stop_window.server_deadline_at_s(call.deadline_at_s)
+
     def handle_local_reply(self, message: _peer_messages.PeerMessage) -> None:
         """Process the local gate task's reply to a call."""
         self.handle_peer_reply(self._own_host, message)
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -239,11 +239,17 @@
     ) -> None:
         active.started = True
         call = active.call
-        remaining_s = max(0.001, deadline_at_s - self._clock.now_s())
+        now_s = self._clock.now_s()
+        remaining_s = max(0.001, deadline_at_s - now_s)
+        server_deadline_at_s = self._admission.server_deadline_at_s(
+            deadline_at_s
+        )
         result: state.AttemptResult
         try:
             async with asyncio.timeout(remaining_s + RUN_TIMEOUT_MARGIN_S):
-                result = await self.port.exchange(call, remaining_s)
+                result = await self.port.exchange(
+                    call, max(0.001, server_deadline_at_s - now_s)
+                )
         except TimeoutError:
             result = state.MayHaveRun("no answer by the deadline")
         except asyncio.CancelledError:
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -91,7 +91,11 @@
         )
 
     def start_attempt(
-        self, server: state.BackendServer, caller_service: str, now_s: float
+        self,
+        server: state.BackendServer,
+        caller_service: str,
+        server_deadline_at_s: float,
+        now_s: float,
     ) -> _peer_messages.CallSent:
         """Record an attempt at a server and return the message to send."""
         route = self.attempts.route
@@ -110,7 +114,7 @@
             self.request.body,
             self.rank,
             route.kind is state.RouteKind.IDEMPOTENT,
-            self.deadline_at_s - now_s,
+            server_deadline_at_s - now_s,
             self.arrived_at_s + route.target_s - now_s,
             caller_service,
             "" if self.team is None else self.team.name,
--- a/src/jasminecrank/mesh/state/_gate.py
+++ b/src/jasminecrank/mesh/state/_gate.py
@@ -340,6 +340,12 @@
             self.longest_run_time_s(request.route),
         )
 
+    def server_deadline_at_s(self, deadline_at_s: float) -> float:
+        """Return the deadline of a call that is given to the server now."""
+        if self.stop_window is None:
+            return deadline_at_s
+        return self.stop_window.server_deadline_at_s(deadline_at_s)
+
     def request_stop(
         self, window: _stopping.StopWindow, now_s: float
     ) -> tuple[_admission.AdmissionRequest, ...]:
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -10,11 +10,12 @@
 MAY_BREAK_OFF_RATIO = 5.0 / 6.0
 """Fraction of the grace period after which calls may be broken off."""
 ANSWER_TRANSIT_S = 0.3
-"""Time for an answer to come from the server of another host."""
+"""Time for an answer to come from the server of another host.
+
+Also for the answer that a server gives at its deadline.
+"""
 LATE_ANSWERS_S = 0.1
 """Longest time in which a late process reads what has come meanwhile."""
-LATE_CALL_MARGIN_S = 0.5
-"""Time beyond its usual one that a call may take that comes late in a stop."""
 CALLERS_LEAVE_S = 2.3
 """Time in which callers have left, after two failed readiness checks.
 
@@ -57,7 +58,10 @@
 
     started_at_s: float
     closes_at_s: float
-    """When a call has to be expected to end, for it to be taken."""
+    """When servers give up the calls that they get during the stop.
+
+    A call has to be expected to end before, for it to be taken.
+    """
     breaks_off_at_s: float
     """When the calls that still run are answered without their results."""
 
@@ -81,8 +85,9 @@
         )
         longest_s = grace_s - STOP_MARGIN_S
         may_break_off_s = MAY_BREAK_OFF_RATIO * grace_s + ANSWER_TRANSIT_S
-        closes_s = longest_s - allowance_s
-        breaks_off_s = max(closes_s, min(longest_s, may_break_off_s))
+        ends_s = longest_s - allowance_s
+        breaks_off_s = max(ends_s, min(longest_s, may_break_off_s))
+        closes_s = min(ends_s, breaks_off_s - ANSWER_TRANSIT_S)
         return cls(
             started_at_s, started_at_s + closes_s, started_at_s + breaks_off_s
         )
@@ -95,7 +100,7 @@
     @property
     def listens_until_s(self) -> float:
         """Return when a new connection has no time left for a request."""
-        return self.closes_at_s - _connection_debts.FIRST_REQUEST_S
+        return self.breaks_off_at_s - _connection_debts.FIRST_REQUEST_S
 
     def reads_until_s(self, now_s: float) -> float:
         """Return until when answers are read, after the calls are to end.
@@ -122,16 +127,13 @@
             return False
         return now_s + wait_s + longest_run_s <= self.closes_at_s
 
-    def accepts_late(
-        self, now_s: float, deadline_at_s: float, longest_s: float | None
-    ) -> bool:
-        """Return whether a call that comes after callers have left is taken.
+    def server_deadline_at_s(self, deadline_at_s: float) -> float:
+        """Return the deadline of a call that is given to a server now.
 
-        Once it runs, nothing excuses breaking it off.
+        At its deadline, the server gives the call up with an answer of its
+        own. The node could only break it off without knowing its outcome.
         """
-        return self.accepts(
-            now_s, deadline_at_s, LATE_CALL_MARGIN_S, longest_s
-        )
+        return min(deadline_at_s, self.closes_at_s)
 
     def accepts_caller(self, arrived_at_s: float) -> bool:
         """Return whether a request of a caller comes before they have left.
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -38,6 +38,7 @@
     TRAILER_CLOSE = "answer-with-the-trailer-close"
     EXTRA = "extra"
     LATE_EXTRA = "late-extra"
+    TIMED_OUT = "fail-at-the-deadline"
     HANG = "hang"
     ENDLESS_BODY = "send-a-body-without-end"
     ENDLESS_CHUNKS = "send-chunks-without-end"
@@ -245,11 +246,13 @@
         self.requests.append(request)
         self.runs_by_request_id[request.headers.get("request-id", "")] += 1
         self.run_times_s.append(asyncio.get_running_loop().time())
+        run_s = self._run_time_s(request)
+        deadline_s = _deadline_s(request)
         try:
-            await asyncio.sleep(self._run_time_s(request))
+            await asyncio.sleep(min(run_s, deadline_s))
         finally:
             self._concurrency -= 1
-        return behaviour
+        return behaviour if run_s <= deadline_s else Behaviour.TIMED_OUT
 
     def _send(
         self,
@@ -269,6 +272,8 @@
                 writer.write(deferred + response)
             case Behaviour.FAIL:
                 writer.write(_http.encode_response(500, b"failed", headers))
+            case Behaviour.TIMED_OUT:
+                writer.write(_http.encode_response(504, b"too late", headers))
             case Behaviour.RESET_AFTER_RUN:
                 writer.transport.abort()
                 return False
@@ -329,6 +334,11 @@
         return True
 
 
+def _deadline_s(request: _http.Request) -> float:
+    """Return how long a run may take, at the end of which it is given up."""
+    return float(request.headers.get("deadline-ms", "inf")) / 1000
+
+
 def _encode_rejection(headers: dict[str, str]) -> bytes:
     return _http.encode_response(503, b"", {**headers, "Not-Executed": "1"})
 
--- a/src/jasminecrank/standins/soak/_server.py
+++ b/src/jasminecrank/standins/soak/_server.py
@@ -17,6 +17,7 @@
 _STATUS_BY_BEHAVIOUR = {
     fleet.Behaviour.SERVE: 200,
     fleet.Behaviour.FAIL: 500,
+    fleet.Behaviour.TIMED_OUT: 504,
 }
 CALLS = 2
 """Calls that a run on the route `calls` makes at the same time."""
