Break off no call before the last sixth of a stop if its signal was late

Cause: a signal that comes while the process does not run is handled late, and the stop window began when the process last ran. That bounds the end of the stop, but breaks calls off too early by as much if the signal came just before it was handled.

Change: the end is counted from the earliest moment at which the signal can have come, the break-off from the latest, up to the end.

The row of 1.0 s stated 4.3 s, the fault itself. Not run yet: real processes that are paused over the signal.

--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -58,7 +58,7 @@
       | 0.3   | 2.5 | 0.0    | 6.0   | 5.0    |
       | 0.3   | 5.0 | 0.0    | 6.0   | 5.3    |
       | 9.0   | 0.1 | 0.0    | 6.0   | 4.6    |
-      | 0.3   | 0.1 | 1.0    | 6.0   | 4.0    |
+      | 0.3   | 0.1 | 1.0    | 6.0   | 4.3    |
       | 9.0   | 0.1 | 0.0    | 1.0   | 0.3    |
 
   Scenario Outline: A process that runs late breaks off no call before the last sixth of a stop
@@ -72,7 +72,9 @@
       | 0.2   | 0.0    | 5.4   |
       | 0.6   | 0.0    | 5.3   |
       | 9.0   | 0.0    | 5.3   |
-      | 9.0   | 1.0    | 4.3   |
+      | 0.6   | 0.3    | 5.3   |
+      | 9.0   | 0.6    | 5.0   |
+      | 9.0   | 1.0    | 4.6   |
 
   Scenario Outline: A call that ends before the last sixth of a stop is answered by a late process
     Given a deployment of 2 hosts with a time limit of 20.0 s
@@ -85,6 +87,17 @@
       | GET    | 4.9 |
       | POST   | 4.9 |
 
+  Scenario Outline: A call that ends before the last sixth of a stop is answered if the signal was handled late
+    Given a deployment of 2 hosts with a time limit of 20.0 s
+    When a <method> that runs for 5.4 s is sent to host 0, and node 0 stops after it was held up for 1.0 s and again for 0.5 s
+    Then it gets 200 and the request has run 1 times
+    And node 0 has stopped within 6.0 s
+
+    Examples:
+      | method |
+      | GET    |
+      | POST   |
+
   Scenario Outline: A process that is late at the end of a stop reads the answers that have come
     Given a deployment of 2 hosts with a time limit of 20.0 s
     When a <method> that runs for <run> s is sent to host 0, and node 0 stops and is held up from 5.0 s to 5.7 s
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -173,6 +173,22 @@
     context.runner.run(act())
 
 
+@when(
+    "a {method} that runs for {run_s:g} s is sent to host {host:d}, and node "
+    "0 stops after it was held up for {first_s:g} s and again for {then_s:g} s"
+)
+def step_late_signal(context, method, run_s, host, first_s, then_s):
+    async def act():
+        deployment = await _one_server(context, 0.0)
+        time.sleep(first_s)
+        await asyncio.sleep(0.2)
+        _slow_down(context, run_s)
+        caller = deployment.caller(host)
+        await _stop_in_call(context, caller, method, then_s)
+
+    context.runner.run(act())
+
+
 @when(
     "a {method} that runs for {run_s:g} s is sent to host {host:d}, "
     "and node 0 stops and is held up from {from_s:g} s to {to_s:g} s"
@@ -196,12 +212,16 @@
     return deployment
 
 
-async def _stop_in_call(context, caller, method):
-    """Send a request, stop node 0 at once, and store the answer."""
+async def _stop_in_call(context, caller, method, held_up_s=0.0):
+    """Send a request, stop node 0, and store the answer.
+
+    The signal comes just before the end of the time that it is held up.
+    """
     await caller.send(method, "/book/1", deadline_ms=30_000)
-    started_s = time.monotonic()
     response = asyncio.create_task(caller.receive(9.0))
     await asyncio.sleep(0.01)
+    time.sleep(held_up_s)
+    started_s = time.monotonic()
     await context.fleet.nodes[0].stop()
     context.stopped_s = time.monotonic() - started_s
     context.response = await response
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -75,22 +75,24 @@
     ) -> typing.Self:
         """Return the window after a signal to stop.
 
-        A signal that comes while the process does not run is handled late,
-        but its grace period has begun. A process that runs late takes calls
-        for less time, and needs more time for its end.
+        A signal that comes while the process does not run is handled late.
+        Its grace period may have begun when the process last ran, and bounds
+        the end; or just now, and bounds what may be broken off. A process
+        that runs late takes calls for less time, and needs more time for its
+        end.
         """
         started_at_s = min(handled_at_s, last_ran_at_s)
         allowance_s = min(
             lateness_s, MAX_LATENESS_S, MAX_LATENESS_RATIO * grace_s
         )
-        longest_s = grace_s - STOP_MARGIN_S
-        may_break_off_s = MAY_BREAK_OFF_RATIO * grace_s + ANSWER_TRANSIT_S
-        ends_s = longest_s - allowance_s
-        breaks_off_s = max(ends_s, min(longest_s, may_break_off_s))
-        closes_s = min(ends_s, breaks_off_s - ANSWER_TRANSIT_S)
-        return cls(
-            started_at_s, started_at_s + closes_s, started_at_s + breaks_off_s
+        longest_at_s = started_at_s + grace_s - STOP_MARGIN_S
+        ends_at_s = longest_at_s - allowance_s
+        may_break_off_at_s = (
+            handled_at_s + MAY_BREAK_OFF_RATIO * grace_s + ANSWER_TRANSIT_S
         )
+        breaks_off_at_s = min(longest_at_s, max(ends_at_s, may_break_off_at_s))
+        closes_at_s = min(ends_at_s, breaks_off_at_s - ANSWER_TRANSIT_S)
+        return cls(started_at_s, closes_at_s, breaks_off_at_s)
 
     @property
     def callers_leave_at_s(self) -> float:
