--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -33,6 +33,7 @@
 
 Long runs at each host would take most of the servers' slots.
 """
+_PUBLIC = ("/open/1", "/calls/9", "/shift/9")
 _LOADS = ("/calls/9", "/called/9", "/shift/9")
 _DEADLINE_MS_BY_TARGET = {"/called/9": 250, "/shift/9": 8_000}
 
@@ -136,7 +137,7 @@
             while True:
                 await asyncio.sleep(rng.expovariate(1.0 / CALLER_MEAN_PAUSE_S))
                 method, target = rng.choice(targets)
-                key = None if target == "/open/1" else self._pick_key(rng)
+                key = None if target in _PUBLIC else self._pick_key(rng)
                 abandoned = rng.random() < ABANDON_RATIO
                 await self._send_request(
                     caller, number, method, target, key, abandoned
--- a/src/jasminecrank/standins/soak/_server.py
+++ b/src/jasminecrank/standins/soak/_server.py
@@ -69,7 +69,7 @@
                 "prefix": prefix,
                 "kind": kind,
                 "timeoutMs": timeout,
-                "public": name not in ("calls", "shift"),
+                "public": True,
             },
         }
 
