Give servers of a late process the time until calls are broken off

Callers saw: 504 of the server for a call that a late process took in a stop and that ran longer than those before it, though the stop left time for it: 0.8 s from 4.0 s on, where calls are broken off at 5.3 s. Cause: since one moment bounds both what is taken, which allows for a process that runs late, and the deadline that the server gets. A call that is taken is awaited until the break-off.

Change: the deadline is 0.3 s before the break-off; what is taken stays as it was. The gate's rows keep the deadlines they state: their window breaks off 0.3 s after it closes, as each window made from a signal does at least.

Not run: real processes.

--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -23,16 +23,18 @@
 
   Scenario Outline: A late call that runs longer than those before it is answered by its server
     Given a deployment of 2 hosts with a time limit of 20.0 s
-    When node 0 stops, and after <at> s its server makes a call that takes <run> s instead of 0.05 s
+    When node 0 stops after it was held up for <held> s, and after <at> s its server makes a call that takes <run> s instead of 0.05 s
     Then it gets <status> and the request has run 1 times
     And it got that within <within> s
     And node 0 has stopped within 6.0 s
 
     Examples:
-      | at  | run | status | within |
-      | 4.8 | 0.3 | 200    | 0.5    |
-      | 4.8 | 0.9 | 504    | 0.7    |
-      | 4.0 | 2.5 | 504    | 1.5    |
+      | held | at  | run | status | within |
+      | 0.0  | 4.8 | 0.3 | 200    | 0.5    |
+      | 0.0  | 4.8 | 0.9 | 504    | 0.7    |
+      | 0.0  | 4.0 | 2.5 | 504    | 1.5    |
+      | 1.0  | 4.0 | 0.8 | 200    | 1.0    |
+      | 1.0  | 4.0 | 2.5 | 504    | 1.2    |
 
   Scenario Outline: A call that outlasts the grace period gets a true answer
     Given a deployment of 2 hosts with a time limit of 20.0 s
@@ -122,20 +124,26 @@
       | POST   | 5.53 | 1    | 5.50 | 5.63 |
 
   Scenario Outline: A call that is taken in a stop has a deadline in the stop
-    Given a process that gets <grace> s to stop, and calls that run for <run> s at the longest
+    Given a process that gets <grace> s to stop, was late by <late> s, and has calls that run for <run> s at the longest
     Then a call after <at> s with <left> s to its deadline is <taken>
     And its server would get <given> s
 
     Examples:
-      | grace | run | at  | left | taken   | given |
-      | 6.0   | 0.1 | 4.9 | 15.0 | taken   | 0.4   |
-      | 6.0   | 0.1 | 5.2 | 15.0 | taken   | 0.1   |
-      | 6.0   | 0.1 | 5.3 | 15.0 | refused | 0.0   |
-      | 6.0   | 0.1 | 5.2 | 0.05 | taken   | 0.05  |
-      | 6.0   | 1.0 | 4.3 | 15.0 | taken   | 1.0   |
-      | 6.0   | 1.0 | 4.4 | 15.0 | refused | 0.9   |
-      | 10.0  | 1.0 | 4.3 | 15.0 | taken   | 5.0   |
-      | 3.0   | 0.1 | 2.1 | 15.0 | taken   | 0.2   |
+      | grace | late | run | at  | left | taken   | given |
+      | 6.0   | 0.0  | 0.1 | 4.9 | 15.0 | taken   | 0.4   |
+      | 6.0   | 0.0  | 0.1 | 5.2 | 15.0 | taken   | 0.1   |
+      | 6.0   | 0.0  | 0.1 | 5.3 | 15.0 | refused | 0.0   |
+      | 6.0   | 0.0  | 0.1 | 5.2 | 0.05 | taken   | 0.05  |
+      | 6.0   | 0.0  | 1.0 | 4.3 | 15.0 | taken   | 1.0   |
+      | 6.0   | 0.0  | 1.0 | 4.4 | 15.0 | refused | 0.9   |
+      | 10.0  | 0.0  | 1.0 | 4.3 | 15.0 | taken   | 5.0   |
+      | 3.0   | 0.0  | 0.1 | 2.1 | 15.0 | taken   | 0.2   |
+      | 6.0   | 1.0  | 0.1 | 4.4 | 15.0 | taken   | 0.6   |
+      | 6.0   | 1.0  | 0.1 | 4.6 | 15.0 | refused | 0.4   |
+      | 6.0   | 0.3  | 0.1 | 4.4 | 15.0 | taken   | 0.6   |
+      | 10.0  | 1.0  | 0.1 | 8.0 | 15.0 | taken   | 0.333 |
+      | 3.0   | 0.6  | 0.1 | 1.8 | 15.0 | taken   | 0.5   |
+      | 2.4   | 1.0  | 0.1 | 1.4 | 15.0 | taken   | 0.3   |
 
   Scenario Outline: A gate takes what is expected to end in time
     Given a gate task beside a server with <slots> slots
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -105,14 +105,16 @@
 
 
 @when(
-    "node 0 stops, and after {at_s:g} s its server makes a call that takes "
-    "{run_s:g} s instead of {usual_s:g} s"
+    "node 0 stops after it was held up for {held_s:g} s, and after {at_s:g} s "
+    "its server makes a call that takes {run_s:g} s instead of {usual_s:g} s"
 )
-def step_longer_call(context, at_s, run_s, usual_s):
+def step_longer_call(context, held_s, at_s, run_s, usual_s):
     async def act():
         deployment = _slow_down(context, usual_s)
         await deployment.register(0, "draining")
         await _warm_up(deployment)
+        time.sleep(held_s)
+        await asyncio.sleep(0.2)
         busy = deployment.caller(0)
         upload = asyncio.create_task(_send_upload(busy, asyncio.Event()))
         stop_s = time.monotonic()
@@ -254,7 +256,9 @@
 
 def _stop(context, close_s):
     loop_s = asyncio.get_running_loop().time()
-    window = state.StopWindow(loop_s, loop_s + close_s, loop_s + close_s)
+    window = state.StopWindow(
+        loop_s, loop_s + close_s, loop_s + close_s + state.ANSWER_TRANSIT_S
+    )
     context.gate.mailbox.tell(coordination.StopRequested(window))
 
 
@@ -436,11 +440,11 @@
 
 
 @given(
-    "a process that gets {grace_s:g} s to stop, and calls that run for "
-    "{run_s:g} s at the longest"
+    "a process that gets {grace_s:g} s to stop, was late by {late_s:g} s, "
+    "and has calls that run for {run_s:g} s at the longest"
 )
-def step_stop_of(context, grace_s, run_s):
-    context.window = state.StopWindow.from_signal(0.0, 0.0, grace_s, 0.0)
+def step_stop_of(context, grace_s, late_s, run_s):
+    context.window = state.StopWindow.from_signal(0.0, 0.0, grace_s, late_s)
     context.longest_s = run_s
 
 
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -58,10 +58,7 @@
 
     started_at_s: float
     closes_at_s: float
-    """When servers give up the calls that they get during the stop.
-
-    A call has to be expected to end before, for it to be taken.
-    """
+    """When a call has to be expected to end, for it to be taken."""
     breaks_off_at_s: float
     """When the calls that still run are answered without their results."""
 
@@ -134,8 +131,9 @@
 
         At its deadline, the server gives the call up with an answer of its
         own. The node could only break it off without knowing its outcome.
+        A late process takes calls for less time, but awaits their answers.
         """
-        return min(deadline_at_s, self.closes_at_s)
+        return min(deadline_at_s, self.breaks_off_at_s - ANSWER_TRANSIT_S)
 
     def accepts_caller(self, arrived_at_s: float) -> bool:
         """Return whether a request of a caller comes before they have left.
