Keep the shares of a split right after its weights change

After a configuration that changed the weights of a split route, callers' requests went to the wrong shares: with 134 nodes and 200 requests after a change from 50/50 to 99/1, the first service got 0.775 of them. Each node kept its position in the old rotation, whose credits are in units of the old weights: half of the nodes owed their next request to the second service, whatever its new weight, and weights written on another scale (90/10, then 0.9/0.1) were owed tens of requests (0.5 instead of 0.9 of the first 100 at one node).

A rotation now belongs to its weights; when these change, each node begins anew at a random position, as it does for a new split.

Of the 7 new rows on changed weights 4 failed before (shares off by 0.205 to 0.4); all are within 0.2 now. Two rows add a weight of 0, which held before.

--- a/features/mesh/placement.feature
+++ b/features/mesh/placement.feature
@@ -135,6 +135,8 @@
       | 90    | 10     |
       | 50    | 50     |
       | 1     | 99     |
+      | 100   | 0      |
+      | 0     | 100    |
 
   Scenario Outline: Nodes that begin to split do not all begin alike
     Given a route with split weights <first> and <second>
@@ -150,3 +152,20 @@
       | 300   | 70    | 30     |
       | 2200  | 50    | 50     |
       | 2200  | 75    | 25     |
+
+  Scenario Outline: Changed split weights hold from the next request on
+    Given a route with split weights <first> and <second>
+    When <before> requests arrive at random at <nodes> nodes that have just started
+    And the split weights change to <new first> and <new second>
+    And <after> more requests arrive at random at these nodes
+    Then the first service's share is at most 0.2 off its weight
+
+    Examples:
+      | nodes | before | first | second | new first | new second | after |
+      | 1     | 5      | 90    | 10     | 0.9       | 0.1        | 100   |
+      | 1     | 7      | 500   | 500    | 1         | 1          | 200   |
+      | 134   | 200    | 50    | 50     | 99        | 1          | 200   |
+      | 134   | 1000   | 50    | 50     | 1         | 99         | 200   |
+      | 2200  | 9000   | 50    | 50     | 95        | 5          | 1000  |
+      | 300   | 3000   | 90    | 10     | 50        | 50         | 200   |
+      | 300   | 3000   | 100   | 0      | 75        | 25         | 200   |
--- a/features/steps/mesh_placement_steps.py
+++ b/features/steps/mesh_placement_steps.py
@@ -169,6 +169,7 @@
 
 
 @given("a route with split weights {first:d} and {second:d}")
+@when("the split weights change to {first:g} and {second:g}")
 def step_split(context, first, second):
     context.route = make_route(
         weighted_services=(
@@ -198,13 +199,19 @@
     "started"
 )
 def step_distribute_fleet(context, count, nodes):
-    balancers = [
+    context.balancers = [
         state.WeightedRoundRobin(random.Random(number))
         for number in range(nodes)
     ]
-    rng = random.Random(nodes)
+    context.rng = random.Random(nodes)
+    step_distribute_more(context, count)
+
+
+@when("{count:d} more requests arrive at random at these nodes")
+def step_distribute_more(context, count):
     context.count_by_service = Counter(
-        rng.choice(balancers).choose(context.route) for _ in range(count)
+        context.rng.choice(context.balancers).choose(context.route)
+        for _ in range(count)
     )
 
 
--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -291,32 +291,49 @@
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of each route.
 
-    Each node begins at a random position. Otherwise the first requests at
-    all nodes of a large fleet would go to the service with the most weight.
+    Each node begins at a random position, and again when the weights change.
+    Otherwise the first requests at all nodes of a large fleet would go to the
+    service with the most weight, or to the one whose turn was next before.
     """
 
     rng: random.Random
-    _credit_by_route: dict[str, dict[str, float]] = field(default_factory=dict)
+    _rotation_by_route: dict[str, "_Rotation"] = field(default_factory=dict)
 
     def choose(self, route: _table.Route) -> str:
         """Return the service for the next request of a route."""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
-        credit = self._credit_by_route.setdefault(route.name, {})
-        services = {weighted.service for weighted in route.weighted_services}
-        if credit.keys() != services:
-            credit.clear()
-            credit.update(dict.fromkeys(services, 0.0))
+        rotation = self._rotation_by_route.get(route.name)
+        if (
+            rotation is None
+            or rotation.weighted_services != route.weighted_services
+        ):
+            rotation = _Rotation(route.weighted_services)
             for _ in range(self.rng.randrange(START_POSITIONS)):
-                _choose_next(route, credit)
-        return _choose_next(route, credit)
-
-
-def _choose_next(route: _table.Route, credit: dict[str, float]) -> str:
-    total = 0.0
-    for weighted in route.weighted_services:
-        credit[weighted.service] += weighted.weight
-        total += weighted.weight
-    chosen = max(credit, key=lambda name: credit[name])
-    credit[chosen] -= total
-    return chosen
+                rotation.next_service()
+            self._rotation_by_route[route.name] = rotation
+        return rotation.next_service()
+
+
+@dataclass(slots=True)
+class _Rotation:
+    """Smooth weighted round robin over services with constant weights."""
+
+    weighted_services: tuple[_table.WeightedService, ...]
+    _credit_by_service: dict[str, float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._credit_by_service = {
+            weighted.service: 0.0 for weighted in self.weighted_services
+        }
+
+    def next_service(self) -> str:
+        """Return the service whose turn it is."""
+        credit = self._credit_by_service
+        total = 0.0
+        for weighted in self.weighted_services:
+            credit[weighted.service] += weighted.weight
+            total += weighted.weight
+        chosen = max(credit, key=lambda name: credit[name])
+        credit[chosen] -= total
+        return chosen
