--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -5,6 +5,7 @@
 import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
+import enum
 import random
 
 from jasminecrank.mesh.state import _directory
@@ -48,6 +49,22 @@
 """Concurrent calls to a server that has not reported a load yet."""
 
 
+class Exclusion(enum.Enum):
+    """Why a server may not get a call."""
+
+    DISPLACED = "displaced"
+    """Another server is listed at its address and preferred."""
+    DRAINING = "draining"
+    REGION = "region"
+    """It is outside the home regions of the route or the team."""
+    DATA_CENTRE_OUT = "data-centre-out"
+    UNREACHABLE = "unreachable"
+    """There is no link to its host, or its node is silent."""
+    NOT_ACCEPTING = "not-accepting"
+    """Its node reports that it is stopping or that the server is down."""
+    TRIED = "tried"
+
+
 @dataclass(slots=True, frozen=True)
 class PlacementDecision:
     """The selected server and the expected wait for a slot there."""
@@ -148,13 +165,8 @@
         servers = tuple(servers)
         typical = self._typical_estimate(servers)
         for server in servers:
-            if (
-                server.server_id in tried
-                or server.host in self._unreachable_hosts
-            ):
-                continue
             report = self._fresh_report(server, now_s)
-            if report is not None and not report.load.accepting:
+            if self._exclusion(server, report, tried) is not None:
                 continue
             estimate = _estimate(report, typical, now_s)
             candidate = PlacementDecision(
@@ -167,6 +179,31 @@
                 best, best_score = candidate, score
         return best
 
+    def exclusion(
+        self,
+        server: _directory.BackendServer,
+        tried: Collection[str],
+        now_s: float,
+    ) -> Exclusion | None:
+        """Return why a server can't be selected, or None if it can be."""
+        return self._exclusion(
+            server, self._fresh_report(server, now_s), tried
+        )
+
+    def _exclusion(
+        self,
+        server: _directory.BackendServer,
+        report: _ReportedLoad | None,
+        tried: Collection[str],
+    ) -> Exclusion | None:
+        if server.host in self._unreachable_hosts:
+            return Exclusion.UNREACHABLE
+        if report is not None and not report.load.accepting:
+            return Exclusion.NOT_ACCEPTING
+        if server.server_id in tried:
+            return Exclusion.TRIED
+        return None
+
     def _typical_estimate(
         self, servers: tuple[_directory.BackendServer, ...]
     ) -> "_Estimate":
@@ -254,32 +291,49 @@
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of each route.
 
-    Each node begins at a random position. Otherwise the first requests at
-    all nodes of a large fleet would go to the service with the most weight.
+    Each node begins at a random position, and again when the weights change.
+    Otherwise the first requests at all nodes of a large fleet would go to the
+    service with the most weight, or to the one whose turn was next before.
     """
 
     rng: random.Random
-    _credit_by_route: dict[str, dict[str, float]] = field(default_factory=dict)
+    _rotation_by_route: dict[str, "_Rotation"] = field(default_factory=dict)
 
     def choose(self, route: _table.Route) -> str:
         """Return the service for the next request of a route."""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
-        credit = self._credit_by_route.setdefault(route.name, {})
-        services = {weighted.service for weighted in route.weighted_services}
-        if credit.keys() != services:
-            credit.clear()
-            credit.update(dict.fromkeys(services, 0.0))
+        rotation = self._rotation_by_route.get(route.name)
+        if (
+            rotation is None
+            or rotation.weighted_services != route.weighted_services
+        ):
+            rotation = _Rotation(route.weighted_services)
             for _ in range(self.rng.randrange(START_POSITIONS)):
-                _choose_next(route, credit)
-        return _choose_next(route, credit)
-
-
-def _choose_next(route: _table.Route, credit: dict[str, float]) -> str:
-    total = 0.0
-    for weighted in route.weighted_services:
-        credit[weighted.service] += weighted.weight
-        total += weighted.weight
-    chosen = max(credit, key=lambda name: credit[name])
-    credit[chosen] -= total
-    return chosen
+                rotation.next_service()
+            self._rotation_by_route[route.name] = rotation
+        return rotation.next_service()
+
+
+@dataclass(slots=True)
+class _Rotation:
+    """Smooth weighted round robin over services with constant weights."""
+
+    weighted_services: tuple[_table.WeightedService, ...]
+    _credit_by_service: dict[str, float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._credit_by_service = {
+            weighted.service: 0.0 for weighted in self.weighted_services
+        }
+
+    def next_service(self) -> str:
+        """Return the service whose turn it is."""
+        credit = self._credit_by_service
+        total = 0.0
+        for weighted in self.weighted_services:
+            credit[weighted.service] += weighted.weight
+            total += weighted.weight
+        chosen = max(credit, key=lambda name: credit[name])
+        credit[chosen] -= total
+        return chosen
