Count callers as gone from when a stop signal was handled

Callers saw: 503 for requests up to 1.0 s too early at a node that was held up for 1.0 s before it handled SIGTERM, and their idle connections closed. Cause: one moment for two bounds. The stop window begins when the process last ran, the earliest moment at which the signal can have come; but a node is found not to be ready only after it has handled the signal, and callers leave after that.

Change: the time in which callers leave is counted from the handling.

Before: the row of a request 1.8 s after a signal that was handled 1.0 s late gets 503; callers count as gone after 2.0, 1.7, 1.3 and -0.2 s in the rows of late signals.

--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -7,19 +7,21 @@
 
   Scenario Outline: A call that comes late is served or refused, never cut
     Given a deployment of 2 hosts with a time limit of 6.0 s
-    When node 0 stops, and after <at> s <what> comes that runs for <run> s
+    When node 0 stops by a signal that it handles <late> s late, and after <at> s <what> comes that runs for <run> s
     Then it gets <status> and the request has run <runs> times
     And it got that within <within> s
 
     Examples:
-      | at  | what                         | run | status | runs | within |
-      | 0.5 | a request                    | 0.2 | 200    | 1    | 0.6    |
-      | 1.5 | a request                    | 5.0 | 503    | 0    | 0.3    |
-      | 4.0 | a request                    | 0.2 | 503    | 0    | 0.3    |
-      | 4.0 | the end of an upload         | 2.5 | 503    | 0    | 0.3    |
-      | 4.0 | a call of its backend server | 0.2 | 200    | 1    | 0.6    |
-      | 4.8 | a call of its backend server | 2.5 | 503    | 0    | 0.3    |
-      | 1.0 | the start of an upload       | 0.2 | 503    | 0    | 5.0    |
+      | late | at  | what                         | run | status | runs | within |
+      | 0.0  | 0.5 | a request                    | 0.2 | 200    | 1    | 0.6    |
+      | 0.0  | 1.5 | a request                    | 5.0 | 503    | 0    | 0.3    |
+      | 0.0  | 4.0 | a request                    | 0.2 | 503    | 0    | 0.3    |
+      | 0.0  | 4.0 | the end of an upload         | 2.5 | 503    | 0    | 0.3    |
+      | 0.0  | 4.0 | a call of its backend server | 0.2 | 200    | 1    | 0.6    |
+      | 0.0  | 4.8 | a call of its backend server | 2.5 | 503    | 0    | 0.3    |
+      | 0.0  | 1.0 | the start of an upload       | 0.2 | 503    | 0    | 5.0    |
+      | 1.0  | 1.8 | a request                    | 0.2 | 200    | 1    | 0.6    |
+      | 1.0  | 2.6 | a request                    | 0.2 | 503    | 0    | 0.3    |
 
   Scenario Outline: A late call that runs longer than those before it is answered by its server
     Given a deployment of 2 hosts with a time limit of 20.0 s
@@ -67,16 +69,18 @@
     Given a process that was late by <delay> s, 0.1 s before it is told to stop
     When it last ran <paused> s before it handles the signal, with 6.0 s to stop
     Then it breaks off calls after <after> s
+    And it takes callers as gone after <gone> s
 
     Examples:
-      | delay | paused | after |
-      | 0.0   | 0.0    | 5.6   |
-      | 0.2   | 0.0    | 5.4   |
-      | 0.6   | 0.0    | 5.3   |
-      | 9.0   | 0.0    | 5.3   |
-      | 0.6   | 0.3    | 5.3   |
-      | 9.0   | 0.6    | 5.0   |
-      | 9.0   | 1.0    | 4.6   |
+      | delay | paused | after | gone |
+      | 0.0   | 0.0    | 5.6   | 2.3  |
+      | 0.2   | 0.0    | 5.4   | 2.3  |
+      | 0.6   | 0.0    | 5.3   | 2.3  |
+      | 9.0   | 0.0    | 5.3   | 2.3  |
+      | 0.6   | 0.3    | 5.3   | 2.3  |
+      | 9.0   | 0.6    | 5.0   | 2.3  |
+      | 9.0   | 1.0    | 4.6   | 2.3  |
+      | 9.0   | 2.5    | 3.1   | 2.1  |
 
   Scenario Outline: A call that ends before the last sixth of a stop is answered by a late process
     Given a deployment of 2 hosts with a time limit of 20.0 s
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -56,9 +56,10 @@
 
 
 @when(
-    "node 0 stops, and after {at_s:g} s {what} comes that runs for {run_s:g} s"
+    "node 0 stops by a signal that it handles {late_s:g} s late, "
+    "and after {at_s:g} s {what} comes that runs for {run_s:g} s"
 )
-def step_late_call(context, at_s, what, run_s):
+def step_late_call(context, late_s, at_s, what, run_s):
     async def act():
         deployment = _slow_down(context, run_s)
         caller = deployment.caller(0)
@@ -71,6 +72,7 @@
                 asyncio.create_task(_send_upload(caller, completed))
             )
         await asyncio.sleep(0.1)
+        time.sleep(late_s)
         stopping = asyncio.create_task(deployment.nodes[0].stop())
         # A node without calls ends early, so another caller keeps it busy.
         await asyncio.sleep(BUSY_AT_S)
@@ -439,6 +441,12 @@
     assert abs(found - after_s) < 1e-6, found
 
 
+@then("it takes callers as gone after {gone_s:g} s")
+def step_callers_gone(context, gone_s):
+    found = context.window.callers_leave_at_s - context.now_s
+    assert abs(found - gone_s) < 1e-6, found
+
+
 @given(
     "a process that gets {grace_s:g} s to stop, was late by {late_s:g} s, "
     "and has calls that run for {run_s:g} s at the longest"
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -56,7 +56,8 @@
 class StopWindow:
     """The time that a stopping node has left for calls."""
 
-    started_at_s: float
+    handled_at_s: float
+    """When the node learnt of the signal and stopped being ready."""
     closes_at_s: float
     """When a call has to be expected to end, for it to be taken."""
     breaks_off_at_s: float
@@ -74,9 +75,9 @@
 
         A signal that comes while the process does not run is handled late.
         Its grace period may have begun when the process last ran, and bounds
-        the end; or just now, and bounds what may be broken off. A process
-        that runs late takes calls for less time, and needs more time for its
-        end.
+        the end; or just now, and bounds what may be broken off. Callers leave
+        after the signal was handled. A process that runs late takes calls for
+        less time, and needs more time for its end.
         """
         started_at_s = min(handled_at_s, last_ran_at_s)
         allowance_s = min(
@@ -89,12 +90,12 @@
         )
         breaks_off_at_s = min(longest_at_s, max(ends_at_s, may_break_off_at_s))
         closes_at_s = min(ends_at_s, breaks_off_at_s - ANSWER_TRANSIT_S)
-        return cls(started_at_s, closes_at_s, breaks_off_at_s)
+        return cls(handled_at_s, closes_at_s, breaks_off_at_s)
 
     @property
     def callers_leave_at_s(self) -> float:
         """Return when callers have left, or no call is taken any more."""
-        return min(self.started_at_s + CALLERS_LEAVE_S, self.closes_at_s)
+        return min(self.handled_at_s + CALLERS_LEAVE_S, self.closes_at_s)
 
     @property
     def listens_until_s(self) -> float:
