Test the shares of a split when a part fails or has weight 0

The rows state that a split keeps its shares when a part's servers reject, fail, drain, are removed or crash: what that part gets is refused or retried there, and never moved to another service. Others cover a weight of 0, a single part, a split beside a service, fractions as weights, and a part of no service that has no weight.

--- a/features/mesh/whole_path.feature
+++ b/features/mesh/whole_path.feature
@@ -160,6 +160,26 @@
     Then it gets no request after 0.5 s
     And callers on both hosts are served
 
+  Scenario Outline: A split keeps its shares whatever becomes of a part
+    Given a deployment of 4 hosts
+    When servers 2 and 3 are of service spare and a split gives it <weight>
+    And server 2 <event>
+    And server 3 <event>
+    And the deployment is idle for 1 s
+    And 100 requests are sent one after the other
+    Then <kept> of them have run at servers 0 and 1 and the others got <status>
+
+    Examples:
+      | weight | event             | kept | status |
+      | 30     | always will serve | 70   | 200    |
+      | 30     | always will shed  | 70   | 503    |
+      | 30     | always will fail  | 70   | 500    |
+      | 30     | is draining       | 70   | 503    |
+      | 30     | is removed        | 70   | 503    |
+      | 30     | crashes           | 70   | 503    |
+      | 0      | always will serve | 100  | 200    |
+      | 100    | is removed        | 0    | 503    |
+
   Scenario Outline: A new table takes effect on every host
     Given a deployment of 5 hosts
     When the store is <fault> and key k1 is withdrawn
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -276,6 +276,57 @@
     context.runner.run(act())
 
 
+@when("servers 2 and 3 are of service spare and a split gives it {weight:d}")
+def step_split_servers(context, weight):
+    async def act():
+        deployment = context.fleet
+        deployment.version += 1
+        table = fleet.table_entry(
+            deployment.version, 1000, {"team-1": fleet.TeamRow(["k1"], 0)}
+        )
+        route = table["resources"][0]["spec"]
+        del route["service"]
+        route["split"] = [
+            {"service": "ledger", "weight": 100 - weight},
+            {"service": "spare", "weight": weight},
+        ]
+        spare = {
+            "typeUrl": "services",
+            "metadata": {"name": "spare"},
+            "spec": {"healthPath": "/healthz"},
+        }
+        table["resources"].append(spare)
+        await deployment.store.put("op/config", table)
+        for number in (2, 3):
+            entry = deployment.server_entry(number)
+            entry["info"]["service"] = "spare"
+            server_id = deployment.servers[number].server_id
+            await deployment.store.put(f"servers/{server_id}", entry)
+        await asyncio.sleep(1.0)
+
+    context.runner.run(act())
+
+
+@then(
+    "{kept:d} of them have run at servers 0 and 1 and the others got "
+    "{status:d}"
+)
+def step_kept(context, kept, status):
+    runs = [
+        sum(
+            server.runs_by_request_id[request_id]
+            for server in context.fleet.servers[:2]
+        )
+        for request_id, _ in context.responses
+    ]
+    assert sum(runs) == runs.count(1) == kept, runs
+    for (request_id, response), ran in zip(
+        context.responses, runs, strict=True
+    ):
+        wanted = 200 if ran else status
+        assert response.status == wanted, (request_id, response)
+
+
 def send_from_all_hosts(context, seconds):
     """Send requests to the nodes of all hosts and record the responses."""
 
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -61,6 +61,28 @@
 }
 
 
+HUVO = {"service": "huvo11a", "weight": 90}
+WUNO = {"service": "wuno96b", "weight": 10}
+TARGETS_BY_CHANGE = {
+    "only parts of weight 0": {"split": [HUVO | {"weight": 0}]},
+    "a part of weight 0": {"split": [HUVO, WUNO | {"weight": 0}]},
+    "a part of weight 0 that is of no service": {
+        "split": [HUVO, {"service": "absent", "weight": 0}]
+    },
+    "a single part": {"split": [WUNO]},
+    "a service beside its split": {
+        "split": [HUVO, WUNO],
+        "service": "wuno96b",
+    },
+    "a service instead of its split": {"service": "wuno96b"},
+    "a service and an empty split": {"split": [], "service": "wuno96b"},
+    "fractions as weights": {
+        "split": [HUVO | {"weight": 0.9}, WUNO | {"weight": 0.1}]
+    },
+}
+"""Services of the first route after a change."""
+
+
 def change_server(entry, change):
     """Return the encoded server entry after a change, or invalid bytes."""
     match change:
@@ -95,6 +117,9 @@
             )
         case "a route to no service":
             route["split"][1]["service"] = "absent"
+        case _ if change in TARGETS_BY_CHANGE:
+            del route["split"]
+            route |= TARGETS_BY_CHANGE[change]
         case "a route without a prefix":
             del route["prefix"]
         case "version as text":
@@ -142,6 +167,16 @@
     assert found == result, context.entry
 
 
+@then("the first route sends requests to {services}")
+def step_services(context, services):
+    route = context.entry.table.match("ficu95.example", "/lohu930/2f")
+    found = ", ".join(
+        f"{weighted.service} {weighted.weight:g}"
+        for weighted in route.weighted_services
+    )
+    assert found == services, found
+
+
 @then("the first route has {field} {value}")
 def step_route(context, field, value):
     table = context.entry.table
