Answer callers that end their sending side without a check

Callers saw: a whole request, an ended sending side, and a connection that ends without an answer; a booking ran all the same. Cause: the end of a caller's bytes counted as a closed connection. A check by interim responses broke the rule on callers that have left on a process that was late (decision 0015).

Change: the connection stays until the answers that are due are acknowledged. The call in progress is cancelled by the message that is sent for callers that have left, and gates now reply to it: 503 if the call waited, 502 if a repeatable one ran, the server's answer to a booking that runs. Requests that have not begun get 503 in order, and no call is sent on. Servers get the same work as before.

Rows of the gate that said "nothing" for a cancelled call state its reply.

--- a/features/mesh/gate_task.feature
+++ b/features/mesh/gate_task.feature
@@ -7,18 +7,31 @@
     Given a gate task beside a server with 2 slots
     When <kind> calls arrive and <what>, <when>
     Then the server has received <received> of them
+    And each has been answered <answer>
     And no call holds a slot
 
     Examples:
-      | kind   | what                            | when           | received |
-      | safe   | are cancelled                   | at once        | 0        |
-      | unsafe | are cancelled                   | at once        | 0        |
-      | safe   | lose the link                   | at once        | 0        |
-      | unsafe | lose the link                   | at once        | 0        |
-      | safe   | are cancelled and lose the link | at once        | 0        |
-      | safe   | are cancelled                   | while they run | 2        |
-      | unsafe | are cancelled                   | while they run | 2        |
-      | unsafe | lose the link                   | while they run | 2        |
+      | kind   | what                            | when           | received | answer                    |
+      | safe   | are cancelled                   | at once        | 0        | not run: cancelled        |
+      | unsafe | are cancelled                   | at once        | 0        | not run: cancelled        |
+      | safe   | lose the link                   | at once        | 0        | not run: cancelled        |
+      | unsafe | lose the link                   | at once        | 0        | not run: cancelled        |
+      | safe   | are cancelled and lose the link | at once        | 0        | not run: cancelled        |
+      | safe   | are cancelled                   | while they run | 2        | may have run: cancelled   |
+      | unsafe | are cancelled                   | while they run | 2        | served                    |
+      | unsafe | lose the link                   | while they run | 2        | served                    |
+
+  Scenario Outline: A queued call is answered when it is cancelled
+    Given a gate task beside a server with 1 slots
+    When <kind> calls arrive and are cancelled, while they run
+    Then the server has received 1 of them
+    And it has answered <answers>
+    And no call holds a slot
+
+    Examples:
+      | kind   | answers                                     |
+      | safe   | not run: cancelled, may have run: cancelled |
+      | unsafe | not run: cancelled, served                  |
 
   Scenario: A health check that raises an error is followed by others
     Given a gate task beside a server with 2 slots
@@ -33,7 +46,7 @@
     Examples:
       | events                                  | answers                        | active |
       | nothing                                 | nothing                        | 1      |
-      | it is cancelled                         | nothing                        | 0      |
+      | it is cancelled                         | not run: cancelled             | 0      |
       | its link ends                           | nothing                        | 0      |
       | another link ends                       | nothing                        | 1      |
       | it has arrived                          | served                         | 0      |
@@ -44,4 +57,4 @@
       | the stop window closes                  | not run: stopping              | 0      |
       | the stop window closes, it has arrived  | not run: stopping, not run: stopping | 0 |
       | the stop window closes, another arrives | not run: stopping, not run: stopping | 0 |
-      | it is cancelled, the stop window closes | nothing                        | 0      |
+      | it is cancelled, the stop window closes | not run: cancelled             | 0      |
--- a/features/steps/mesh_gate_task_steps.py
+++ b/features/steps/mesh_gate_task_steps.py
@@ -97,11 +97,12 @@
 @when("{kind} calls arrive and {what}, {when}")
 def step_calls(context, kind, what, when):
     tell = context.gate.mailbox.tell
+    context.sent = []
 
     async def act():
         for number in range(CALLS):
             call = make_call(number, kind == "safe")
-            tell(coordination.RunCall(LINK_ID, call, lambda message: None))
+            tell(coordination.RunCall(LINK_ID, call, context.sent.append))
         if when == "while they run":
             await asyncio.sleep(RUN_S / 2)
         if "cancelled" in what:
@@ -215,8 +216,8 @@
     context.runner.run(act())
 
 
-@then("it has been answered {answers}, and {count:d} calls are active")
-def step_answers(context, answers, count):
+def _answers(context):
+    """Return descriptions of the gate's replies, in their order."""
     seen = []
     for message in context.sent:
         match message:
@@ -224,7 +225,25 @@
                 seen.append("served")
             case coordination.CallNotRun(reason=reason, reached_server=False):
                 seen.append(f"not run: {reason}")
+            case coordination.CallMayHaveRun(reason=reason):
+                seen.append(f"may have run: {reason}")
             case _:
                 seen.append(str(message))
+    return seen
+
+
+@then("each has been answered {answer}")
+def step_answered_each(context, answer):
+    assert _answers(context) == [answer] * CALLS, _answers(context)
+
+
+@then("it has answered {answers}")
+def step_answered(context, answers):
+    assert ", ".join(_answers(context)) == answers, _answers(context)
+
+
+@then("it has been answered {answers}, and {count:d} calls are active")
+def step_answers(context, answers, count):
+    seen = _answers(context)
     assert (", ".join(seen) or "nothing") == answers, seen
     assert context.gate.active_calls == count, context.gate.active_calls
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -92,7 +92,8 @@
     context.runner.run(act())
 
 
-def _check_answer(answer, request_id, context):
+def check_answer(answer, request_id, context):
+    """Check that an answer is whole and belongs to a request."""
     start = f"body of {request_id}".encode()
     assert answer.status == 200, answer.status
     assert answer.body.startswith(start), answer.body[:40]
@@ -116,7 +117,7 @@
         for answer, request_id in zip(
             answers, caller.request_ids, strict=False
         ):
-            _check_answer(answer, request_id, context)
+            check_answer(answer, request_id, context)
 
 
 @then(
@@ -175,7 +176,7 @@
     assert found == [200] * before + [status], found
     request_ids = context.callers[0].request_ids[:before]
     for answer, request_id in zip(answers, request_ids, strict=False):
-        _check_answer(answer, request_id, context)
+        check_answer(answer, request_id, context)
     _check_closing(answers)
     assert context.elapsed_s < READ_TIMEOUT_S, context.elapsed_s
 
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -43,6 +43,9 @@
 from jasminecrank.mesh.coordination._messages import (
     CallerDisconnected as CallerDisconnected,
 )
+from jasminecrank.mesh.coordination._messages import (
+    CallerStopped as CallerStopped,
+)
 from jasminecrank.mesh.coordination._messages import CallUnsent as CallUnsent
 from jasminecrank.mesh.coordination._messages import CancelCall as CancelCall
 from jasminecrank.mesh.coordination._messages import ChangesRead as ChangesRead
--- a/src/jasminecrank/mesh/coordination/_arriving_calls.py
+++ b/src/jasminecrank/mesh/coordination/_arriving_calls.py
@@ -54,9 +54,9 @@
         request = arriving.request
         self._call_by_key[request.link_id, request.call_id] = arriving
 
-    def remove(self, link_id: int, call_id: int) -> None:
-        """Remove a call that has arrived whole or was cancelled."""
-        self._call_by_key.pop((link_id, call_id), None)
+    def remove(self, link_id: int, call_id: int) -> ArrivingCall | None:
+        """Remove and return a call that has arrived whole or was cancelled."""
+        return self._call_by_key.pop((link_id, call_id), None)
 
     def remove_link(self, link_id: int) -> None:
         """Remove the calls on a link that has ended."""
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -99,8 +99,8 @@
         match message:
             case _messages.CallArrived():
                 self._call_arrived(message)
-            case _messages.CallerDisconnected(number):
-                self._caller_disconnected(number)
+            case _messages.CallerDisconnected() | _messages.CallerStopped():
+                self._caller_left(message)
             case _messages.CallDeadlineReached(number):
                 self._deadline_reached(number)
             case _messages.QuotaDecided():
@@ -392,8 +392,11 @@
         match step:
             case state.TryAnotherServer(is_retry, fallback, budget_share):
                 now_s = self._clock.now_s()
-                if is_retry and not self._budget.try_retry(
-                    call.service, budget_share, now_s
+                if call.caller_stopped or (
+                    is_retry
+                    and not self._budget.try_retry(
+                        call.service, budget_share, now_s
+                    )
                 ):
                     self._conclude(call, fallback)
                     return
@@ -428,15 +431,18 @@
             case state.Refusal(kind, detail):
                 if call.holds_unused_token and call.team is not None:
                     self._quota.tell(_messages.QuotaUnused(call.team.name))
-                self._log_refusal(
-                    call.request.request_id,
-                    kind,
-                    detail,
-                    0
-                    if self._fleet.table is None
-                    else (self._fleet.table.version),
-                    call,
-                )
+                if call.caller_stopped:
+                    self._log_caller_left(call, kind)
+                else:
+                    self._log_refusal(
+                        call.request.request_id,
+                        kind,
+                        detail,
+                        0
+                        if self._fleet.table is None
+                        else (self._fleet.table.version),
+                        call,
+                    )
             case state.Response(status=status):
                 duration_s = self._clock.now_s() - call.arrived_at_s
                 self.log.count("calls", f"answered-{status // 100}xx")
@@ -484,6 +490,17 @@
             **fields,
         )
 
+    def _caller_left(
+        self, message: _messages.CallerDisconnected | _messages.CallerStopped
+    ) -> None:
+        match message:
+            case _messages.CallerDisconnected(number):
+                self._caller_disconnected(number)
+            case _messages.CallerStopped(number):
+                self._caller_stopped(number)
+            case _:
+                typing.assert_never(message)
+
     def _caller_disconnected(self, number: int) -> None:
         call = self._call_by_number.pop(number, None)
         if call is None:
@@ -491,11 +508,33 @@
         if call.timer is not None:
             call.timer.cancel()
         self._cancel_attempt(call)
+        self._log_caller_left(call, None)
+
+    def _caller_stopped(self, number: int) -> None:
+        """Cancel a call; the gate replies unless it has begun to run it."""
+        call = self._call_by_number.get(number)
+        if call is None:
+            return
+        call.caller_stopped = True
+        if call.host is not None:
+            self._cancel_attempt(call)
+            return
+        self._finish(
+            call,
+            state.Refusal(
+                state.RefusalKind.OVERLOADED, state.CALLER_STOPPED_REASON
+            ),
+        )
+
+    def _log_caller_left(
+        self, call: _open_calls.OpenCall, kind: state.RefusalKind | None
+    ) -> None:
         self.log.count("calls", "caller-left")
         self.log.sampled(
             "call",
             request_id=call.request.request_id,
             outcome="caller-left",
+            reason=None if kind is None else kind.value,
             servers=call.servers,
         )
 
@@ -520,7 +559,11 @@
         self._placement.mark_unreachable(host)
         now_s = self._clock.now_s()
         for call in list(self._call_by_number.values()):
-            if call.host != host or not call.attempts.may_retry_unanswered:
+            if (
+                call.host != host
+                or call.caller_stopped
+                or not call.attempts.may_retry_unanswered
+            ):
                 continue
             choice = self._choose_server(call, now_s)
             if (
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -56,6 +56,8 @@
     started: bool = False
     """Whether its task has begun to run."""
     cancelled: bool = False
+    """Whether it is not to run, or not to its end."""
+    replied: bool = False
 
 
 class GateTask(_mailbox.MailboxTask[_messages.GateMessage]):
@@ -302,32 +304,43 @@
                     self._log_ended(call, "may-have-run", reason)
                     if reason == "connection-reset":
                         self._mark_server_unknown(reason)
-                reply = _peer_messages.CallMayHaveRun(call.call_id, reason)
+                reply = (
+                    _peer_messages.CallMayHaveRun(call.call_id, reason)
+                    if active.started
+                    else _not_run(call)
+                )
             case _:
                 typing.assert_never(message.result)
-        if not active.cancelled:
+        if not active.replied:
             active.send(reply)
         self._release_queued()
 
     def _cancel(self, key: tuple[int, int]) -> None:
-        self._arriving.remove(*key)
+        """Cancel a call, unless it runs and must not run twice.
+
+        The entry ignores the reply if the caller has left.
+        """
+        arriving = self._arriving.remove(*key)
+        if arriving is not None:
+            arriving.send(_not_run(arriving.call))
         active = self._call_by_key.get(key)
         if active is None or active.cancelled:
             return
         if self._admission.cancel(*key):
             del self._call_by_key[key]
+            active.send(_not_run(active.call))
             return
-        active.cancelled = True
-        if active.task is None:
+        if active.task is None or (
+            active.started and not active.call.idempotent
+        ):
             return
+        active.cancelled = True
+        active.task.cancel()
         if not active.started:
             # A task that is cancelled before it has started reports no end.
-            active.task.cancel()
             self.mailbox.tell(
                 _messages.RunEnded(*key, state.MayHaveRun("cancelled"), False)
             )
-        elif active.call.idempotent:
-            active.task.cancel()
 
     def _link_closed(self, link_id: int) -> None:
         self._arriving.remove_link(link_id)
@@ -448,7 +461,7 @@
         for active in self._call_by_key.values():
             if active.cancelled:
                 continue
-            active.cancelled = True
+            active.cancelled = active.replied = True
             self._log_ended(active.call, "may-have-run", state.STOPPING_REASON)
             active.send(
                 _peer_messages.CallMayHaveRun(
@@ -535,6 +548,10 @@
         self._release_queued()
 
 
+def _not_run(call: _peer_messages.CallSent) -> _peer_messages.CallNotRun:
+    return _peer_messages.CallNotRun(call.call_id, "cancelled", 0.0, False)
+
+
 def _server_failed(result: state.AttemptResult) -> bool:
     match result:
         case state.Served(response=response):
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -24,6 +24,16 @@
     number: int
 
 
+@dataclass(slots=True, frozen=True)
+class CallerStopped:
+    """The caller has ended its sending side, and may have left.
+
+    A call that can be cancelled is cancelled, and each is replied to.
+    """
+
+    number: int
+
+
 @dataclass(slots=True, frozen=True)
 class CallDeadlineReached:
     """The deadline of a call has passed."""
@@ -328,6 +338,7 @@
 EntryMessage = (
     CallArrived
     | CallerDisconnected
+    | CallerStopped
     | CallDeadlineReached
     | QuotaDecided
     | HostsCounted
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -27,6 +27,9 @@
 )
 from jasminecrank.mesh.state._calls import AttemptResult as AttemptResult
 from jasminecrank.mesh.state._calls import Body as Body
+from jasminecrank.mesh.state._calls import (
+    CALLER_STOPPED_REASON as CALLER_STOPPED_REASON,
+)
 from jasminecrank.mesh.state._calls import CallRequest as CallRequest
 from jasminecrank.mesh.state._calls import Headers as Headers
 from jasminecrank.mesh.state._calls import MayHaveRun as MayHaveRun
--- a/src/jasminecrank/mesh/state/_calls.py
+++ b/src/jasminecrank/mesh/state/_calls.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 import enum
 
+CALLER_STOPPED_REASON = "caller-stopped"
+"""Reason for refusing a request whose caller has ended its sending side."""
+
 Headers = tuple[tuple[bytes, bytes], ...]
 Body = bytes | memoryview
 """A view if the body is large, so that it is never copied."""
--- a/src/jasminecrank/mesh/state/_connection_debts.py
+++ b/src/jasminecrank/mesh/state/_connection_debts.py
@@ -54,6 +54,8 @@
     """Answer to a request that will not be read, due after all others."""
     last_request_read: bool = False
     """Whether nothing that follows will be read."""
+    half_closed: bool = False
+    """Whether the caller has ended its sending side."""
     write_blocked: bool = False
     """Whether the caller takes answers more slowly than they are written."""
     opened_at_s: float = 0.0
@@ -80,6 +82,20 @@
         """Return whether further requests are read."""
         return not self.write_blocked and self.waiting <= MAX_WAITING_REQUESTS
 
+    def end_receiving(self) -> bool:
+        """Note the end of the caller's bytes; return whether to go on.
+
+        What was received in part will never be whole. The caller may have
+        left, so that no further request is started.
+        """
+        if not self.answers_due:
+            return False
+        self.half_closed = True
+        self.last_request_read = True
+        self.receiving = False
+        self.continue_due = False
+        return True
+
     def take_continue(self) -> bool:
         """Return whether to send 100 Continue now, which is due only once."""
         if not self.continue_due or self.answers_due:
@@ -103,7 +119,7 @@
         if self.in_progress or self.write_blocked:
             return ConnectionStep.WAIT
         if self.waiting:
-            if phase is StopPhase.WINDOW_CLOSED:
+            if self.half_closed or phase is StopPhase.WINDOW_CLOSED:
                 return ConnectionStep.REFUSE_REQUEST
             return ConnectionStep.START_REQUEST
         if self.refusal is not None:
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -22,6 +22,8 @@
 Closing with unread bytes makes the kernel send a reset, which can discard
 the answer.
 """
+HALF_CLOSED_LINGER_S = 0.05
+"""Time between checks whether a half-closed caller has taken the answers."""
 UNREAD_WAIT_S = 0.05
 """Time after a limit in which bytes that the kernel holds are read."""
 LINGER_MAX_BYTES = 4 * 1024 * 1024
@@ -122,8 +124,20 @@
             self._update_reading()
 
     def eof_received(self) -> bool:
-        """Treat a half-closed connection as closed by the caller."""
-        return False
+        """Keep the connection until the answers that are due are written.
+
+        Whether the caller has closed its socket or still reads shows only
+        then.
+        """
+        self._reader.refuse_held(_CALLER_STOPPED)
+        if self._ended or not self._debts.end_receiving():
+            return False
+        self._reader.close()
+        if self._debts.in_progress:
+            self._context.tell(
+                coordination.CallerStopped(self._current_number)
+            )
+        return True
 
     def pause_writing(self) -> None:
         """Start no further request until the caller takes the answers."""
@@ -374,7 +388,9 @@
                 self._start_request()
             case state.ConnectionStep.REFUSE_REQUEST:
                 number = self._take_request()[0]
-                self._reply(number, _STOPPING, None)
+                is_left = self._debts.half_closed
+                reason = _CALLER_STOPPED if is_left else _STOPPING
+                self._reply(number, reason, None)
             case state.ConnectionStep.SEND_REFUSAL:
                 refusal, self._debts.refusal = self._debts.refusal, None
                 if refusal is not None:
@@ -480,7 +496,8 @@
         self._closed_by_node = True
         self._transport.write_eof()
         self._update_reading()
-        self._start_timer(LINGER_S)
+        is_half_closed = self._debts.half_closed
+        self._start_timer(HALF_CLOSED_LINGER_S if is_half_closed else LINGER_S)
 
     def _close(self) -> None:
         """Close the connection once the bytes written so far are sent."""
@@ -496,6 +513,8 @@
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
+        if self._debts.half_closed:
+            return
         reads = self._debts.reads and not self._reader.waits_for_memory
         if self._dropped_bytes <= LINGER_MAX_BYTES and (self._ended or reads):
             self._transport.resume_reading()
@@ -536,3 +555,6 @@
 
 
 _STOPPING = state.Refusal(state.RefusalKind.OVERLOADED, state.STOPPING_REASON)
+_CALLER_STOPPED = state.Refusal(
+    state.RefusalKind.OVERLOADED, state.CALLER_STOPPED_REASON
+)
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -22,7 +22,7 @@
     "timed-out": "504: no answer in time; it may have run",
     "incomplete": "408: the request did not arrive in time; not run",
     "internal-error": "503: an error in the node; not run",
-    "caller-left": "no answer: the caller closed its connection",
+    "caller-left": "the caller closed its connection or its sending side",
 }
 REASONS = {
     "busy": "the wait for a slot was too long for its latency objective",
@@ -32,6 +32,7 @@
     "draining": "the server was leaving",
     "data-centre-out": "operators had taken the data centre out of service",
     "closed": "the server left while the call waited",
+    "cancelled": "its caller left or ended its sending side",
     "stopping": "the node was being stopped and the call would outlast it",
     "memory": "the node beside the server had no memory for the body",
     "expected wait": "all servers were told to be full for long",
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -17,6 +17,8 @@
     SERVE = "serve"
     FAIL = "fail"
     SHED = "shed"
+    SHED_LATE = "shed-late"
+    """Reject a request that has waited for as long as a run takes."""
     SHED_UNNAMED = "shed-without-an-id"
     REPEAT_REJECTION = "repeat-an-earlier-rejection"
     REPEAT_UNNAMED = "repeat-an-earlier-rejection-without-an-id"
@@ -192,6 +194,10 @@
             case Behaviour.SHED:
                 writer.write(_encode_rejection(echoed_headers))
                 return True
+            case Behaviour.SHED_LATE:
+                await asyncio.sleep(self.run_s)
+                writer.write(_encode_rejection(echoed_headers))
+                return True
             case Behaviour.SHED_UNNAMED:
                 writer.write(_encode_rejection({}))
                 return True
@@ -318,6 +324,7 @@
                 self._deferred_response = response
             case (
                 Behaviour.SHED
+                | Behaviour.SHED_LATE
                 | Behaviour.SHED_UNNAMED
                 | Behaviour.HANG
                 | Behaviour.ENDLESS_BODY
