--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -98,6 +98,9 @@
       | a node answers before its server               | replaced_answers | nothing |
       | a node passes an answer 500 on                 | replaced_answers | nothing |
       | a node replaces an answer to a slow reader     | replaced_answers | nothing |
+      | a node replaces an answer to a half-closed GET | replaced_answers | nothing |
+      | a node replaces an answer to a half-closed POST | replaced_answers | a fault |
+      | a half-closed GET is cut in a stop             | planned_stops   | a fault |
       | a node replaces an answer at the limit         | replaced_answers | nothing |
       | a node replaces an answer before the limit     | replaced_answers | a fault |
       | 4 of 20 are served with foreign entries        | foreign_entries | a fault |
@@ -202,6 +205,10 @@
       | 1    | 200   |
       | 2    | 200   |
 
+  Scenario: Some callers end their sending side
+    Given 100 loads that demanding callers draw
+    Then 10 to 30 of them end the sending side
+
   Scenario Outline: Requests of unusual form are whole
     Given 100 requests that overlapping callers draw with form <form>
     Then each has <what> in <count> or more of its parts
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -281,6 +281,13 @@
     return records
 
 
+def records_of_half_closed(records, method):
+    """Return records whose caller has ended its sending side."""
+    records.attempts[0].method = method
+    records.attempts[0].ends_sending = True
+    return records
+
+
 def records_with_foreign_entries(served, planned=True):
     """Return 20 requests with entries of another writer, some served.
 
@@ -629,6 +636,15 @@
     "a node replaces an answer to a slow reader": lambda: records_of_limit(
         7.0, reading_s=0.1
     ),
+    "a node replaces an answer to a half-closed GET": lambda: (
+        records_of_half_closed(records_of_limit(7.0), "GET")
+    ),
+    "a node replaces an answer to a half-closed POST": lambda: (
+        records_of_half_closed(records_of_limit(7.0), "POST")
+    ),
+    "a half-closed GET is cut in a stop": lambda: records_of_half_closed(
+        records_with_stop(make_arrival()), "GET"
+    ),
     "a node replaces an answer at the limit": lambda: records_of_limit(2.05),
     "a node replaces an answer before the limit": lambda: records_of_limit(
         2.15
@@ -917,6 +933,18 @@
     assert len(context.changes) > 1
 
 
+@given("{count:d} loads that demanding callers draw")
+def step_demanding_loads(context, count):
+    rng = random.Random(1)
+    context.loads = [_demanding.draw_load(rng) for _ in range(count)]
+
+
+@then("{fewest:d} to {most:d} of them end the sending side")
+def step_ending_loads(context, fewest, most):
+    ending = sum(load.ends_sending for load in context.loads)
+    assert fewest <= ending <= most, ending
+
+
 @given("{count:d} requests that overlapping callers draw with form {form}")
 def step_overlapping_loads(context, count, form):
     rng = _overlapping.make_rng(1, 0)
--- a/src/jasminecrank/standins/soak/losses.py
+++ b/src/jasminecrank/standins/soak/losses.py
@@ -53,7 +53,8 @@
 
     Neither of an answer that a server made whole nor, in a stop, of a run at
     which a server was at work. Callers that read several answers slowly
-    don't know when theirs was made.
+    don't know when theirs was made. Repeatable requests of callers that end
+    their sending side are cancelled.
     """
     runs_by_id: dict[str, list[observed.Arrival]] = defaultdict(list)
     for run in records.arrivals:
@@ -63,6 +64,7 @@
             attempt.status < 400
             or attempt.stamped
             or attempt.reading_s
+            or attempt.may_be_given_up
             or attempt.ended_s - attempt.sent_s
             > attempt.limit_s - LIMIT_MARGIN_S
         ):
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -63,12 +63,22 @@
     """Whether the response is that of a server."""
     limit_s: float = math.inf
     """Least of the deadline and the route's timeout."""
+    ends_sending: bool = False
+    """Whether the caller ended its sending side and read on."""
 
     @property
     def is_lost(self) -> bool:
         """Whether the connection ended without a complete response."""
         return self.status == 0 and not self.abandoned
 
+    @property
+    def may_be_given_up(self) -> bool:
+        """Whether its node cancels it as if its caller had left.
+
+        It has to be answered all the same.
+        """
+        return self.ends_sending and self.method == "GET"
+
 
 @dataclass(slots=True)
 class Arrival:
