Explain calls whose server could not be connected to

`jasminecrank explain` printed "no explanation" for a call that was refused since nothing listened at its server: the reason holds the error after "connect: ". Reasons are looked up by what stands before the colon. The new row of explain failed before.

--- a/features/mesh/explain.feature
+++ b/features/mesh/explain.feature
@@ -20,6 +20,7 @@
       | is draining                        | GET    | /lots/1 | k1  | no-server    | excluded: 3 draining                            |
       | is in a data centre out of service | GET    | /lots/1 | k1  | no-server    | excluded: 3 data-centre-out                     |
       | is in a data centre out of service | GET    | /lots/1 | k1  | no-server    | data centres out of service: belt-a, belt-b     |
+      | crashes                            | GET    | /lots/1 | k1  | overloaded   | the node beside the server could not connect to it |
       | crashes and misses a call          | GET    | /lots/1 | k1  | no-server    | excluded: 3 not-accepting                       |
       | crashes and misses a call          | GET    | /lots/1 | k1  | no-server    | usable servers of the service: 0                |
 
--- a/features/steps/mesh_path_steps.py
+++ b/features/steps/mesh_path_steps.py
@@ -516,7 +516,7 @@
                 case "is in a data centre out of service":
                     for name in ("op/evacuate/belt-a", "op/evacuate/belt-b"):
                         await context.fleet.store.put(name, {})
-                case "crashes and misses a call":
+                case "crashes" | "crashes and misses a call":
                     server.close()
                 case "has restarted unlisted":
                     server.server_id = f"new-{number}"
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -36,6 +36,7 @@
     "memory": "the node beside the server had no memory for the body",
     "expected wait": "all servers were told to be full for long",
     "no usable server": "none was listed, reachable and accepting",
+    "connect": "the node beside the server could not connect to it",
     "link-lost": "the node beside the server ended, or its link was cut",
     "peer-silent": "the node beside the server said nothing for a second",
     "answer-cut": "the server ended its answer before it was whole",
@@ -98,7 +99,9 @@
             yield f"entry node {line['host']}: {outcome}"
             yield f"  {OUTCOMES.get(outcome, 'unknown outcome')}"
         if reason:
-            yield f"  {reason}: {REASONS.get(reason, 'no explanation')}"
+            # The error may follow, as in "connect: ConnectionRefusedError".
+            known = REASONS.get(reason.partition(":")[0], "no explanation")
+            yield f"  {reason}: {known}"
         yield from _decision_inputs(line)
 
 
