Await the first request on a connection that a late process accepts

Callers saw: a connection that a late process accepts in a stop is closed before its first request comes. Cause: since a process listens until 0.5 s before calls are broken off, but waits for first requests until it takes no more calls, which a process that ran late does earlier: 4.6 s, where it listens until 4.8 s.

Change: first requests are awaited until calls are broken off.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -148,14 +148,15 @@
 
   Scenario Outline: A connection that opens late in a stop is answered
     Given a deployment of 2 hosts on the event loop of a process
-    When node 0 stops, and <opened> s later a connection opens that sends a request after <wait> s
+    When node 0 is held up for <held> s, stops in <busy>, and <opened> s later a connection opens that sends a request after <wait> s
     Then it gets the statuses 503, only the last of which closes
 
     Examples:
-      | opened | wait |
-      | 2.4    | 0.0  |
-      | 2.4    | 0.3  |
-      | 2.25   | 0.2  |
+      | held | busy             | opened | wait |
+      | 0.0  | an upload        | 2.4    | 0.0  |
+      | 0.0  | an upload        | 2.4    | 0.3  |
+      | 0.0  | an upload        | 2.25   | 0.2  |
+      | 1.0  | a call of 4.75 s | 4.5    | 0.4  |
 
   Scenario Outline: A stop leaves a caller time to read its last answer
     Given a deployment of 2 hosts on the event loop of a process
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -209,14 +209,24 @@
 
 
 @when(
-    "node 0 stops, and {opened_s:g} s later a connection opens that sends "
-    "a request after {wait_s:g} s"
+    "node 0 is held up for {held_s:g} s, stops in {busy_with}, and "
+    "{opened_s:g} s later a connection opens that sends a request after "
+    "{wait_s:g} s"
 )
-def step_late_connection(context, opened_s, wait_s):
+def step_late_connection(context, held_s, busy_with, opened_s, wait_s):
     async def act():
-        # A node that owes nothing ends early, so an upload keeps it busy.
+        time.sleep(held_s)
+        await asyncio.sleep(0.2)
+        # A node that owes nothing ends early.
         busy = await open_caller(context)
-        await busy.send("POST", "/book/1", {"Content-Length": "4"})
+        if busy_with == "an upload":
+            await busy.send("POST", "/book/1", {"Content-Length": "4"})
+        else:
+            for server in context.fleet.servers:
+                server.run_s = float(busy_with.split()[-2])
+            await busy.send("POST", "/book/1")
+            reading = asyncio.create_task(busy.receive_all(READ_TIMEOUT_S))
+            reading.add_done_callback(lambda _: busy.close())
         await asyncio.sleep(0.1)
         stopping = asyncio.create_task(_stop_node(context))
         await asyncio.sleep(opened_s)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -325,7 +325,7 @@
         # A later connection is refused, so that its request is not lost.
         await self._caller_server.accept_last()
         while (
-            self._clock.now_s() < window.closes_at_s
+            self._clock.now_s() < window.breaks_off_at_s
             and self._caller_server.awaits_first_requests
         ):
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
