Read the answers that have come before a late deadline ends their calls

Callers saw: 504 for calls whose answer was there before their deadline, and 502 "no answer by the deadline" for the answer that a server gives at a deadline a stop has shortened. Cause: event loops handle timers before what has come while they did not run, so that a late process ends the call first. Class: a decision on a view that is older than the decision.

--- a/features/mesh/gate_task.feature
+++ b/features/mesh/gate_task.feature
@@ -45,3 +45,18 @@
       | the stop window closes, it has arrived  | not run: stopping, not run: stopping | 0 |
       | the stop window closes, another arrives | not run: stopping, not run: stopping | 0 |
       | it is cancelled, the stop window closes | nothing                        | 0      |
+
+  Scenario Outline: A gate that runs late reads the answers that have come
+    Given a gate task beside a server with 2 slots
+    When a call with 2.0 s to its deadline is answered after <run> s, and the gate does not run for <held> s from 2.0 s on
+    Then it has been answered <answers>, and 0 calls are active
+
+    Examples:
+      | run  | held | answers                                |
+      | 2.05 | 0.0  | served                                 |
+      | 2.05 | 0.05 | served                                 |
+      | 2.05 | 0.2  | served                                 |
+      | 2.05 | 1.0  | served                                 |
+      | 9.0  | 0.0  | may have run: no answer by the deadline |
+      | 9.0  | 0.2  | may have run: no answer by the deadline |
+      | 9.0  | 1.0  | may have run: no answer by the deadline |
--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -183,6 +183,19 @@
       | 0      | 1.0   |
       | 50     | 1.0   |
 
+  Scenario Outline: A late process reads the answers that have come before the deadline
+    Given a deployment of 2 hosts on the event loop of a process
+    When a <method> with <left> s to its deadline is sent to host <host>, answered after <run> s, and nothing runs for <held> s from then on
+    Then it gets <status> and the request has run 1 times
+
+    Examples:
+      | method | host | left | run | held | status |
+      | POST   | 0    | 0.6  | 0.5 | 0.3  | 200    |
+      | GET    | 0    | 0.6  | 0.5 | 0.3  | 200    |
+      | POST   | 1    | 0.6  | 0.5 | 0.3  | 200    |
+      | POST   | 0    | 0.6  | 0.5 | 1.0  | 200    |
+      | POST   | 0    | 0.6  | 9.0 | 0.3  | 504    |
+
   Scenario: A caller that pauses reading is not taken for dead
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 0.02 s and answer with 4000 kB
--- a/features/steps/mesh_gate_task_steps.py
+++ b/features/steps/mesh_gate_task_steps.py
@@ -15,6 +15,8 @@
 CALLS = 2
 LINK_ID = 7
 RUN_S = 0.2
+LATE_REPLY_S = 0.5
+"""Time after which a gate has given up a call whose deadline is over."""
 
 
 class ServerPort:
@@ -224,7 +226,29 @@
                 seen.append("served")
             case coordination.CallNotRun(reason=reason, reached_server=False):
                 seen.append(f"not run: {reason}")
+            case coordination.CallMayHaveRun(reason=reason):
+                seen.append(f"may have run: {reason}")
             case _:
                 seen.append(str(message))
     assert (", ".join(seen) or "nothing") == answers, seen
     assert context.gate.active_calls == count, context.gate.active_calls
+
+
+@when(
+    "a call with {left_s:g} s to its deadline is answered after {run_s:g} s, "
+    "and the gate does not run for {held_s:g} s from {at_s:g} s on"
+)
+def step_late_gate(context, left_s, run_s, held_s, at_s):
+    context.sent = []
+    context.port.run_s = run_s
+
+    async def act():
+        loop = asyncio.get_running_loop()
+        call = make_call(0, False, remaining_s=left_s)
+        loop.call_later(at_s, loop.block, held_s)
+        context.gate.mailbox.tell(
+            coordination.RunCall(LINK_ID, call, context.sent.append)
+        )
+        await asyncio.sleep(at_s + held_s + LATE_REPLY_S)
+
+    context.runner.run(act())
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -261,6 +261,38 @@
     context.runner.run(act())
 
 
+def hold_up_after_answer(server, held_s):
+    """Let nothing run for a while after the server has sent an answer."""
+    send = server._send
+
+    def send_and_hold_up(*args):
+        result = send(*args)
+        time.sleep(held_s)
+        return result
+
+    server._send = send_and_hold_up
+
+
+@when(
+    "a {method} with {left_s:g} s to its deadline is sent to host {host:d}, "
+    "answered after {run_s:g} s, and nothing runs for {held_s:g} s from then "
+    "on"
+)
+def step_late_reading(context, method, left_s, host, run_s, held_s):
+    async def act():
+        deployment = context.fleet
+        await deployment.register(1, "draining")
+        await asyncio.sleep(0.5)
+        deployment.servers[0].run_s = run_s
+        hold_up_after_answer(deployment.servers[0], held_s)
+        caller = deployment.caller(host)
+        await caller.send(method, "/book/1", deadline_ms=round(1000 * left_s))
+        context.response = await caller.receive(left_s + held_s + 1.0)
+        context.request_id = caller.last_request_id
+
+    context.runner.run(act())
+
+
 def _unsent_bytes(context):
     body = context.fleet.nodes[0].read_metrics(b"/metrics").body.decode()
     found = re.search(r"caller_unsent_bytes\S* (\S+)", body)
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -176,11 +176,7 @@
         call = _open_calls.OpenCall.from_arrival(message, route, team)
         self._call_by_number[call.number] = call
         remaining_s = call.deadline_at_s - self._clock.now_s()
-        call.timer = asyncio.get_running_loop().call_later(
-            max(0.0, remaining_s),
-            self.mailbox.tell,
-            _messages.CallDeadlineReached(call.number),
-        )
+        call.timer = self._start_timer(call.number, remaining_s)
         if team is not None and team.rate_per_s > 0.0:
             self._quota.tell(_messages.QuotaRequested(call.number, team))
         else:
@@ -501,11 +497,28 @@
 
     def _deadline_reached(self, number: int) -> None:
         call = self._call_by_number.get(number)
-        if call is None:
+        if call is None or self._reads_late_answers(call):
             return
         self._cancel_attempt(call)
         self._conclude(call, call.attempts.timeout_step(call.host is not None))
 
+    def _reads_late_answers(self, call: _open_calls.OpenCall) -> bool:
+        """Return whether a call is left open for an answer that has come."""
+        now_s = self._clock.now_s()
+        until_s = state.late_answers_until_s(call.deadline_at_s, now_s)
+        if call.reads_late or call.host is None or until_s <= now_s:
+            return False
+        call.reads_late = True
+        call.timer = self._start_timer(call.number, until_s - now_s)
+        return True
+
+    def _start_timer(self, number: int, delay_s: float) -> asyncio.TimerHandle:
+        return asyncio.get_running_loop().call_later(
+            max(0.0, delay_s),
+            self.mailbox.tell,
+            _messages.CallDeadlineReached(number),
+        )
+
     def _cancel_attempt(self, call: _open_calls.OpenCall) -> None:
         if call.host is None:
             return
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -246,10 +246,11 @@
         )
         result: state.AttemptResult
         try:
-            async with asyncio.timeout(remaining_s + RUN_TIMEOUT_MARGIN_S):
-                result = await self.port.exchange(
-                    call, max(0.001, server_deadline_at_s - now_s)
-                )
+            result = await self._exchange_until(
+                call,
+                max(0.001, server_deadline_at_s - now_s),
+                now_s + remaining_s + RUN_TIMEOUT_MARGIN_S,
+            )
         except TimeoutError:
             result = state.MayHaveRun("no answer by the deadline")
         except asyncio.CancelledError:
@@ -264,6 +265,27 @@
             )
         )
 
+    async def _exchange_until(
+        self,
+        call: _peer_messages.CallSent,
+        remaining_s: float,
+        ends_at_s: float,
+    ) -> state.AttemptResult:
+        """Send a call and return its outcome, or raise TimeoutError."""
+        loop = asyncio.get_running_loop()
+
+        def end() -> None:
+            now_s = self._clock.now_s()
+            until_s = state.late_answers_until_s(ends_at_s, now_s)
+            timeout.reschedule(loop.time() + until_s - now_s)
+
+        async with asyncio.timeout(None) as timeout:
+            timer = loop.call_later(ends_at_s - self._clock.now_s(), end)
+            try:
+                return await self.port.exchange(call, remaining_s)
+            finally:
+                timer.cancel()
+
     def _run_ended(self, message: _messages.RunEnded) -> None:
         active = self._call_by_key.pop((message.link_id, message.call_id))
         call = active.call
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -45,6 +45,8 @@
     sent_at_s: float = 0.0
     """When the current attempt was sent."""
     timer: asyncio.TimerHandle | None = None
+    reads_late: bool = False
+    """Whether its deadline was handled late, and answers are still read."""
     has_token: bool = False
     """Whether it holds a token of its team's rate."""
     has_waited_for_token: bool = False
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -52,6 +52,14 @@
         return max(self._largest_s, self._previous_s)
 
 
+def late_answers_until_s(due_at_s: float, now_s: float) -> float:
+    """Return until when answers are read at a moment that is handled late.
+
+    Event loops handle timers before what has come while they did not run.
+    """
+    return now_s + min(LATE_ANSWERS_S, max(0.0, now_s - due_at_s))
+
+
 @dataclass(slots=True, frozen=True)
 class StopWindow:
     """The time that a stopping node has left for calls."""
@@ -109,8 +117,7 @@
 
         A process that is late finds some that have come while it did not run.
         """
-        late_s = max(0.0, now_s - self.breaks_off_at_s)
-        return now_s + min(LATE_ANSWERS_S, late_s)
+        return late_answers_until_s(self.breaks_off_at_s, now_s)
 
     def accepts(
         self,
