End the calls of a stop only after the gate has said what it knows

Callers saw: 502 at the end of a stop for a call whose answer, or whose refusal before it had run, was known to the gate of the same node. Cause: gate and entry were told of the end at once, and the entry ended its calls before it got the gate's replies. Class: a result that is known gives way to a refusal of the node.

Change: the entry passes the end on to the gate, which answers all its calls and then reports that it has; the report comes behind the replies in the entry's mailbox.

After: 200, 503 and 503; a call at which the server is at work gets 502 as before.

--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -122,6 +122,18 @@
       | POST   | 5.53 | 0    | 5.50 | 5.63 |
       | POST   | 5.53 | 1    | 5.50 | 5.63 |
 
+  Scenario Outline: What the gate knows at the end of a stop reaches the caller
+    Given a deployment of 2 hosts with a time limit of 20.0 s
+    When the time of node 0 to stop is over just when <what>
+    Then it gets <status> and the request has run <runs> times
+
+    Examples:
+      | what                           | status | runs |
+      | a server has answered a call   | 200    | 1    |
+      | a server has refused a call    | 503    | 0    |
+      | a call waits for a slot        | 503    | 0    |
+      | a server is at work on a call  | 502    | 1    |
+
   Scenario Outline: A call that is taken in a stop has a deadline in the stop
     Given a process that gets <grace> s to stop, and calls that run for <run> s at the longest
     Then a call after <at> s with <left> s to its deadline is <taken>
--- a/features/steps/mesh_gate_task_steps.py
+++ b/features/steps/mesh_gate_task_steps.py
@@ -191,7 +191,7 @@
                 state.StopWindow(now_s, end_s, end_s)
             )
         case "the stop window closes":
-            return coordination.StopWindowClosed()
+            return coordination.CloseGate(lambda: None)
         case "another arrives":
             other = make_call(1, False)
             return coordination.CallArriving(
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -12,6 +12,7 @@
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import state
+from jasminecrank.standins import fleet
 
 NO_RUN = "none"
 WARM_UP_CALLS = 20
@@ -236,6 +237,49 @@
     assert context.stopped_s <= limit_s, context.stopped_s
 
 
+def _end_calls_after_exchange(node):
+    """End the calls of a node once it has read what its server sent."""
+    exchange = node.gate.port.exchange
+
+    async def exchange_and_end(*args):
+        result = await exchange(*args)
+        node.ending = asyncio.create_task(node._end_calls())
+        return result
+
+    node.gate.port.exchange = exchange_and_end
+
+
+@when("the time of node 0 to stop is over just when {what}")
+def step_end_calls(context, what):
+    async def act():
+        deployment = await _one_server(context, 0.0)
+        node, server = deployment.nodes[0], deployment.servers[0]
+        busy = 0
+        match what:
+            case "a server has answered a call":
+                _end_calls_after_exchange(node)
+            case "a server has refused a call":
+                server.behaviours.append(fleet.Behaviour.SHED)
+                _end_calls_after_exchange(node)
+            case "a call waits for a slot":
+                server.run_s = 9.0
+                busy = server.slots
+            case "a server is at work on a call":
+                server.run_s = 9.0
+            case _:
+                raise ValueError(what)
+        callers = [deployment.caller(0) for _ in range(busy + 1)]
+        for caller in callers:
+            await caller.send("POST", "/book/1", deadline_ms=20_000)
+            await asyncio.sleep(0.05)
+        if server.run_s:
+            await node._end_calls()
+        context.response = await callers[-1].receive()
+        context.request_id = callers[-1].last_request_id
+
+    context.runner.run(act())
+
+
 @given("calls have run for {seen} s there")
 def step_seen(context, seen):
     context.port.run_s = 0.0 if seen == NO_RUN else float(seen)
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -46,6 +46,7 @@
 from jasminecrank.mesh.coordination._messages import CallUnsent as CallUnsent
 from jasminecrank.mesh.coordination._messages import CancelCall as CancelCall
 from jasminecrank.mesh.coordination._messages import ChangesRead as ChangesRead
+from jasminecrank.mesh.coordination._messages import CloseGate as CloseGate
 from jasminecrank.mesh.coordination._messages import (
     EntryMessage as EntryMessage,
 )
@@ -56,6 +57,7 @@
     FleetMessage as FleetMessage,
 )
 from jasminecrank.mesh.coordination._messages import FleetTick as FleetTick
+from jasminecrank.mesh.coordination._messages import GateClosed as GateClosed
 from jasminecrank.mesh.coordination._messages import GateMessage as GateMessage
 from jasminecrank.mesh.coordination._messages import GateTick as GateTick
 from jasminecrank.mesh.coordination._messages import Health as Health
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -130,9 +130,31 @@
                 | _messages.SourceConfirmed()
             ):
                 self._update_budget(message)
+            case (
+                _messages.StopRequested()
+                | _messages.StopWindowClosed()
+                | _messages.GateClosed()
+            ):
+                self._stop(message)
+            case _:
+                typing.assert_never(message)
+
+    def _stop(
+        self,
+        message: _messages.StopRequested
+        | _messages.StopWindowClosed
+        | _messages.GateClosed,
+    ) -> None:
+        match message:
             case _messages.StopRequested(window):
                 self._stop_window = window
             case _messages.StopWindowClosed():
+                # What the gate knows of the calls comes before its report.
+                closed = _messages.GateClosed()
+                self._gate.tell(
+                    _messages.CloseGate(lambda: self.mailbox.tell(closed))
+                )
+            case _messages.GateClosed():
                 self._end_all_calls()
             case _:
                 typing.assert_never(message)
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -127,8 +127,11 @@
                     self._admission.request_stop(window, self._clock.now_s())
                 )
                 self._refuse_arriving()
-            case _messages.StopWindowClosed():
-                self._end_all_calls()
+            case _messages.CloseGate(report):
+                try:
+                    self._end_all_calls()
+                finally:
+                    report()
             case _:
                 typing.assert_never(message)
 
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -258,6 +258,18 @@
     """The time before the end of the process is over; all calls must end."""
 
 
+@dataclass(slots=True, frozen=True)
+class CloseGate:
+    """The gate task is to reply to all its calls, and then to report that."""
+
+    report: Callable[[], None]
+
+
+@dataclass(slots=True, frozen=True)
+class GateClosed:
+    """The gate task has replied to all its calls."""
+
+
 @dataclass(slots=True, frozen=True)
 class ListingRead:
     """All entries of the source, at least as new as a revision."""
@@ -342,6 +354,7 @@
     | BoundsChanged
     | StopRequested
     | StopWindowClosed
+    | GateClosed
 )
 QuotaMessage = (
     QuotaRequested
@@ -367,7 +380,7 @@
     | FleetChanged
     | GateTick
     | StopRequested
-    | StopWindowClosed
+    | CloseGate
 )
 FleetMessage = (
     ListingRead
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -380,9 +380,7 @@
             unsent_bytes=self._caller_server.unsent_bytes,
         )
         self._caller_server.refuse_unstarted()
-        closed = coordination.StopWindowClosed()
-        self.gate.mailbox.tell(closed)
-        self.entry.mailbox.tell(closed)
+        self.entry.mailbox.tell(coordination.StopWindowClosed())
         await asyncio.sleep(0)
         await self._wait_until_settled(self._clock.now_s() + STOP_FLUSH_S)
         # A late loop has handled its timers, and not yet what has arrived.
