--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -25,18 +25,19 @@
 
   Scenario Outline: A late call that runs longer than those before it is answered by its server
     Given a deployment of 2 hosts with a time limit of 20.0 s
-    When node 0 stops after it was held up for <held> s, and after <at> s its server makes a call that takes <run> s instead of 0.05 s
+    When node 0 stops after it was held up for <held> s, and after <at> s its server makes a call that takes <run> s instead of 0.05 s, and is <late> s late at a deadline
     Then it gets <status> and the request has run 1 times
     And it got that within <within> s
     And node 0 has stopped within 6.0 s
 
     Examples:
-      | held | at  | run | status | within |
-      | 0.0  | 4.8 | 0.3 | 200    | 0.5    |
-      | 0.0  | 4.8 | 0.9 | 504    | 0.7    |
-      | 0.0  | 4.0 | 2.5 | 504    | 1.5    |
-      | 1.0  | 4.0 | 0.8 | 200    | 1.0    |
-      | 1.0  | 4.0 | 2.5 | 504    | 1.2    |
+      | held | at  | run | late | status | within |
+      | 0.0  | 4.8 | 0.3 | 0.0  | 200    | 0.5    |
+      | 0.0  | 4.8 | 0.9 | 0.0  | 504    | 0.7    |
+      | 0.0  | 4.8 | 0.9 | 0.2  | 504    | 0.9    |
+      | 0.0  | 4.0 | 2.5 | 0.0  | 504    | 1.5    |
+      | 1.0  | 4.0 | 0.8 | 0.0  | 200    | 1.0    |
+      | 1.0  | 4.0 | 2.5 | 0.0  | 504    | 1.2    |
 
   Scenario Outline: A call that outlasts the grace period gets a true answer
     Given a deployment of 2 hosts with a time limit of 20.0 s
@@ -127,6 +128,18 @@
       | POST   | 5.53 | 0    | 5.50 | 5.63 |
       | POST   | 5.53 | 1    | 5.50 | 5.63 |
 
+  Scenario Outline: What the gate knows at the end of a stop reaches the caller
+    Given a deployment of 2 hosts with a time limit of 20.0 s
+    When the time of node 0 to stop is over just when <what>
+    Then it gets <status> and the request has run <runs> times
+
+    Examples:
+      | what                           | status | runs |
+      | a server has answered a call   | 200    | 1    |
+      | a server has refused a call    | 503    | 0    |
+      | a call waits for a slot        | 503    | 0    |
+      | a server is at work on a call  | 502    | 1    |
+
   Scenario Outline: A call that is taken in a stop has a deadline in the stop
     Given a process that gets <grace> s to stop, was late by <late> s, and has calls that run for <run> s at the longest
     Then a call after <at> s with <left> s to its deadline is <taken>
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -12,8 +12,6 @@
 from jasminecrank.mesh.coordination import _messages
 from jasminecrank.mesh.coordination import _peer_messages
 
-RUN_TIMEOUT_MARGIN_S = 0.1
-"""Time for a response that the server sends at the deadline to arrive."""
 HEALTH_CHECK_PAUSE_S = 0.3
 """Pause between health checks of a server that is not healthy."""
 CLOSED_RETRY_S = 0.8
@@ -131,8 +129,11 @@
                     self._admission.request_stop(window, self._clock.now_s())
                 )
                 self._refuse_arriving()
-            case _messages.StopWindowClosed():
-                self._end_all_calls()
+            case _messages.CloseGate(report):
+                try:
+                    self._end_all_calls()
+                finally:
+                    report()
             case _:
                 typing.assert_never(message)
 
@@ -248,10 +249,11 @@
         )
         result: state.AttemptResult
         try:
-            async with asyncio.timeout(remaining_s + RUN_TIMEOUT_MARGIN_S):
-                result = await self.port.exchange(
-                    call, max(0.001, server_deadline_at_s - now_s)
-                )
+            result = await self._exchange_until(
+                call,
+                max(0.001, server_deadline_at_s - now_s),
+                now_s + remaining_s + state.ANSWER_TRANSIT_S,
+            )
         except TimeoutError:
             result = state.MayHaveRun("no answer by the deadline")
         except asyncio.CancelledError:
@@ -266,6 +268,27 @@
             )
         )
 
+    async def _exchange_until(
+        self,
+        call: _peer_messages.CallSent,
+        remaining_s: float,
+        ends_at_s: float,
+    ) -> state.AttemptResult:
+        """Send a call and return its outcome, or raise TimeoutError."""
+        loop = asyncio.get_running_loop()
+
+        def end() -> None:
+            now_s = self._clock.now_s()
+            until_s = state.late_answers_until_s(ends_at_s, now_s)
+            timeout.reschedule(loop.time() + until_s - now_s)
+
+        async with asyncio.timeout(None) as timeout:
+            timer = loop.call_later(ends_at_s - self._clock.now_s(), end)
+            try:
+                return await self.port.exchange(call, remaining_s)
+            finally:
+                timer.cancel()
+
     def _run_ended(self, message: _messages.RunEnded) -> None:
         active = self._call_by_key.pop((message.link_id, message.call_id))
         call = active.call
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -47,6 +47,8 @@
     timer: asyncio.TimerHandle | None = None
     caller_stopped: bool = False
     """Whether its caller may have left, so that it is not sent again."""
+    reads_late: bool = False
+    """Whether its deadline was handled late, and answers are still read."""
     has_token: bool = False
     """Whether it holds a token of its team's rate."""
     has_waited_for_token: bool = False
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -126,6 +126,9 @@
 from jasminecrank.mesh.state._stopping import (
     ANSWER_TRANSIT_S as ANSWER_TRANSIT_S,
 )
+from jasminecrank.mesh.state._stopping import (
+    late_answers_until_s as late_answers_until_s,
+)
 from jasminecrank.mesh.state._stopping import Lateness as Lateness
 from jasminecrank.mesh.state._stopping import StopWindow as StopWindow
 from jasminecrank.mesh.state._table import CallerLimits as CallerLimits
