Keep the link to a paused peer for calls that cannot be repeated

Callers saw: 502 "link-lost" for a booking at a host whose node did not run for 2.5 s and then went on, with the answer. Cause: a dialled link is aborted after 2.2 s of silence, with whatever waits on it. Class: a result that is still to come gives way to a refusal of the node.

Change: a link on which such a call waits is kept, and another one is dialled meanwhile for new calls. It ends with its connection, or once its calls are answered or given up at their deadline and another link is there or the peer is still silent. Repeatable calls get a second look for another server when the link would have been aborted before. A booking at a host that is really dead, with nothing unacknowledged, now gets 504 at its deadline instead of 502 after 2.2 s.

Before: 3 of 3 rows of peers get 502. After: they pass, and one link is left.

--- a/features/mesh/peers.feature
+++ b/features/mesh/peers.feature
@@ -79,3 +79,15 @@
       | 3     | the caller's node stops         | 1    |
       | 3     | no retry is left in the budget  | 1    |
       | 3     | the third one is free           | 2    |
+
+  Scenario Outline: A call that cannot be repeated stays on the link to a paused peer
+    Given a deployment of 2 hosts
+    When a <method> runs at host 1, whose node is not heard for <silent> s
+    Then the call on it gets 200
+    And another call gets 200 there, over the only link to host 1
+
+    Examples:
+      | method | silent |
+      | POST   | 2.0    |
+      | POST   | 2.7    |
+      | POST   | 4.0    |
--- a/features/steps/fleet_model.py
+++ b/features/steps/fleet_model.py
@@ -208,6 +208,9 @@
     other: "LinkEnd | None" = None
     closed: bool = False
     received_bytes: int = 0
+    awaits_answers: bool = False
+    has_calls: bool = False
+    """No calls are sent in the model."""
 
     def send(self, message):
         """Deliver a message after the bytes queued before it."""
--- a/features/steps/mesh_peer_steps.py
+++ b/features/steps/mesh_peer_steps.py
@@ -256,6 +256,7 @@
 
 LONG_RUN_S = 1.5
 SETTLE_S = 0.4
+SETTLE_AFTER_PAUSE_S = 1.0
 
 
 async def _open_second_link(context):
@@ -372,3 +373,44 @@
         for server in context.fleet.servers
     )
     assert found == count, found
+
+
+def _dialled_links(deployment):
+    return [link for link in deployment.nodes[0]._links if link.dialled]
+
+
+@when("a {method} runs at host 1, whose node is not heard for {silent_s:g} s")
+def step_paused_peer(context, method, silent_s):
+    async def act():
+        deployment = context.fleet
+        deployment.timeout_ms = 10_000
+        await deployment.publish()
+        await deployment.register(0, "draining")
+        await asyncio.sleep(SETTLE_S)
+        deployment.servers[1].run_s = LONG_RUN_S
+        context.caller = deployment.caller(0)
+        await context.caller.send(method, "/book/1", deadline_ms=8_000)
+        await asyncio.sleep(SETTLE_S)
+        transports = [link._transport for link in _dialled_links(deployment)]
+        for link_transport in transports:
+            link_transport.pause_reading()
+        await asyncio.sleep(silent_s)
+        for link_transport in transports:
+            if not link_transport.is_closing():
+                link_transport.resume_reading()
+        context.response = await context.caller.receive(6.0)
+        deployment.servers[1].run_s = 0.0
+
+    context.runner.run(act())
+
+
+@then("another call gets {status:d} there, over the only link to host 1")
+def step_one_link(context, status):
+    async def act():
+        await asyncio.sleep(SETTLE_AFTER_PAUSE_S)
+        response = await context.fleet.caller(0).request("POST", "/book/1")
+        assert response.status == status, response
+        links = _dialled_links(context.fleet)
+        assert len(links) == 1, links
+
+    context.runner.run(act())
--- a/src/jasminecrank/mesh/coordination/_peers.py
+++ b/src/jasminecrank/mesh/coordination/_peers.py
@@ -27,9 +27,20 @@
     def received_bytes(self) -> int:
         """Return the bytes received so far, those of partial messages too."""
 
+    @property
+    def awaits_answers(self) -> bool:
+        """Return whether calls wait on it that no other server may run."""
+
+    @property
+    def has_calls(self) -> bool:
+        """Return whether any calls wait on it."""
+
     def abort(self) -> None:
         """Close the link at once, discarding unsent messages."""
 
+    def let_replace(self) -> None:
+        """Let another link to the host be dialled beside this one."""
+
 
 @dataclass(slots=True)
 class Peer:
@@ -41,6 +52,8 @@
     received_at_s: float
     contact: state.SourceContact
     silent: bool = False
+    replaceable: bool = False
+    """Whether it is kept for its calls only, since it was silent for long."""
     progress_bytes: int = 0
     """Bytes received on the link when they last counted as a sign of life."""
     server_id: str = ""
@@ -105,7 +118,11 @@
     def dialled_to(self, host: str) -> Peer | None:
         """Return the peer of a dialled link to a host, preferably alive."""
         peers = [peer for peer in self.dialled if peer.host == host]
-        return min(peers, key=lambda peer: peer.silent, default=None)
+        return min(
+            peers,
+            key=lambda peer: (peer.silent, peer.replaceable),
+            default=None,
+        )
 
     def report_down(self, peer: Peer, remaining: Peer | None) -> None:
         """Report the end of a dialled link, and the one that replaces it."""
@@ -135,7 +152,11 @@
             peer.received_at_s += delay_s
 
     def check_silence(self, now_s: float) -> None:
-        """Report peers that are silent, and end the links of dead ones."""
+        """Report peers that are silent, and end the links of dead ones.
+
+        A peer may only be paused, so that a link stays for the calls that
+        have no other way to their answers. Another one is dialled meanwhile.
+        """
         for peer in list(self.dialled):
             received_bytes = peer.link.received_bytes
             if received_bytes - peer.progress_bytes >= MIN_PROGRESS_BYTES:
@@ -143,17 +164,36 @@
                 self._mark_alive(peer, now_s)
             silence_s = now_s - peer.received_at_s
             if silence_s > DEAD_AFTER_S:
+                self._give_up(peer)
+            elif peer.replaceable and self._is_replaced(peer):
                 peer.link.abort()
             elif silence_s > SILENT_AFTER_S and not peer.silent:
                 peer.silent = True
                 self._log.decision("peer-silent", peer=peer.host)
                 self._report(_messages.PeerSilent(peer.host))
 
+    def _give_up(self, peer: Peer) -> None:
+        if not peer.link.awaits_answers:
+            peer.link.abort()
+        elif not peer.replaceable:
+            peer.replaceable = True
+            peer.link.let_replace()
+            self._log.decision("link-replaceable", peer=peer.host)
+            # Calls that can be repeated may find another server by now.
+            self._report(_messages.PeerSilent(peer.host))
+
+    def _is_replaced(self, peer: Peer) -> bool:
+        """Return whether nothing needs a link, once its peer is heard."""
+        if peer.link.has_calls:
+            return False
+        best = self.dialled_to(peer.host)
+        return best is not None and not best.replaceable
+
     def _mark_alive(self, peer: Peer, now_s: float) -> None:
         peer.received_at_s = now_s
         if peer.silent:
             peer.silent = False
-            self._report_up(peer)
+            self._report_up(self.dialled_to(peer.host) or peer)
 
     def _report_up(self, peer: Peer) -> None:
         self._report(_messages.PeerUp(peer.host, peer.send))
--- a/src/jasminecrank/mesh/transport/_dialler.py
+++ b/src/jasminecrank/mesh/transport/_dialler.py
@@ -81,19 +81,19 @@
             if link is not None:
                 delay_s = REDIAL_MIN_S
                 self._keep(host, link)
-                await asyncio.shield(link.closed)
+                await asyncio.shield(link.replaceable)
             elif host in self._live_hosts:
                 continue
             await asyncio.sleep(delay_s * (0.5 + self._rng.random()))
             delay_s = min(REDIAL_MAX_S, 2 * delay_s)
 
     def _keep(self, host: str, link: _links.Link) -> None:
-        """Note the link to a host until it is closed."""
+        """Note the link to a host until it may be replaced."""
         if self._link_by_host.get(host) is link:
             return
         self._link_by_host[host] = link
-        link.closed.add_done_callback(
-            lambda closed: self._link_by_host.pop(host, None)
+        link.replaceable.add_done_callback(
+            lambda replaceable: self._link_by_host.pop(host, None)
         )
 
     async def _dial(self, host: str) -> _links.Link | None:
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -70,6 +70,10 @@
         self.peer: coordination.Hello | None = None
         self.received_bytes = 0
         self.closed = asyncio.get_running_loop().create_future()
+        self.replaceable = asyncio.get_running_loop().create_future()
+        """Completed once another link to the host may be dialled."""
+        self._idempotent_by_call_id: dict[int, bool] = {}
+        """Calls that were sent and have not been answered."""
         self._owner = owner
         self._hello = hello
         self._log = log
@@ -93,6 +97,7 @@
         if isinstance(message, coordination.CallSent) and not self._is_open:
             self._owner.on_call_unsent(self, message)
             return
+        self._note_sent(message)
         match message:
             case coordination.CallSent() | coordination.CallServed() if (
                 len(message.body) > state.SMALL_BODY_BYTES
@@ -112,6 +117,26 @@
                 pass
         self._write(message)
 
+    def _note_sent(self, message: coordination.PeerMessage) -> None:
+        match message:
+            case coordination.CallSent(call_id=call_id):
+                self._idempotent_by_call_id[call_id] = message.idempotent
+            case coordination.CallCancelled(call_id):
+                self._idempotent_by_call_id.pop(call_id, None)
+            case _:
+                pass
+
+    def _note_received(self, message: coordination.PeerMessage) -> None:
+        match message:
+            case (
+                coordination.CallServed(call_id=call_id)
+                | coordination.CallNotRun(call_id=call_id)
+                | coordination.CallMayHaveRun(call_id=call_id)
+            ):
+                self._idempotent_by_call_id.pop(call_id, None)
+            case _:
+                pass
+
     def pause_writing(self) -> None:
         """Stop sending bodies while the send buffer is full."""
         self._body_sender.pause()
@@ -163,6 +188,21 @@
             + self._body_sender.unsent_bytes
         )
 
+    @property
+    def awaits_answers(self) -> bool:
+        """Return whether calls wait on it that no other server may run."""
+        return not all(self._idempotent_by_call_id.values())
+
+    @property
+    def has_calls(self) -> bool:
+        """Return whether any calls wait on it."""
+        return bool(self._idempotent_by_call_id)
+
+    def let_replace(self) -> None:
+        """Let another link to the host be dialled beside this one."""
+        if not self.replaceable.done():
+            self.replaceable.set_result(None)
+
     @property
     def peer_host(self) -> str:
         """Return the peer's host, or an empty string before its Hello."""
@@ -240,6 +280,7 @@
             self.abort()
             return False
         if whole is not None:
+            self._note_received(whole)
             self._owner.on_message(self, whole)
         return True
 
@@ -305,6 +346,7 @@
                 self._owner.on_call_unsent(self, call)
             self._owner.on_link_ended(self)
         self.closed.set_result(None)
+        self.let_replace()
 
     def abandon(self) -> None:
         """End the link of a dial that was given up.
@@ -315,6 +357,7 @@
             return
         if self._transport is None:
             self.closed.set_result(None)
+            self.let_replace()
             return
         self._transport.abort()
         self.connection_lost(None)
