Promise that large requests have not run until limits are known

Callers saw: 413 for an upload of 1.5 MB that the table allows, 13 ms after a node had started again. Callers do not retry after 413. Cause: until a node has read a table, the default limits hold, 1 MB for a body.

Change: what exceeds the defaults is refused with 503 and a retry delay until then, as all other requests are. The delay moves to the state layer, for the reader of requests.

Before: both rows get 413. Not covered: a body that begins before the table is read and exceeds the defaults after it.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -33,6 +33,18 @@
       | 1      | a line without method | 400    |
       | 3      | an upgrade            | 400    |
 
+  Scenario Outline: A node that knows no limits yet promises that a large request has not run
+    Given a deployment of 1 hosts on the event loop of a process
+    When the store responds to no host
+    And the node of host 0 is killed and restarted
+    And a caller sends 0 requests and then <refused>
+    Then it gets 0 complete answers, then 503, and the connection ends
+
+    Examples:
+      | refused           |
+      | a body of 3 MB    |
+      | a header of 70 kB |
+
   Scenario: Requests that wait when the time of a stop ends are refused
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 9.0 s and answer with 0 kB
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -24,7 +24,6 @@
 
 As a multiple of the route's latency objective. Its deadline bounds the run.
 """
-NO_TABLE_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 0.5
 """About the time until a restarted server is listed or found healthy."""
 LINK_LOST = "link-lost"
@@ -189,7 +188,9 @@
         table = self._fleet.table
         if table is None:
             message.reply(
-                state.Refusal(state.RefusalKind.NO_TABLE, "", NO_TABLE_RETRY_S)
+                state.Refusal(
+                    state.RefusalKind.NO_TABLE, "", state.NO_TABLE_RETRY_S
+                )
             )
             return
         route = table.match(request.host, request.path)
--- a/src/jasminecrank/mesh/state/_calls.py
+++ b/src/jasminecrank/mesh/state/_calls.py
@@ -9,6 +9,8 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 Body = bytes | memoryview
 """A view if the body is large, so that it is never copied."""
+NO_TABLE_RETRY_S = 0.5
+"""Retry delay while the node has read no table."""
 
 
 class RouteKind(enum.Enum):
--- a/src/jasminecrank/mesh/state/_table.py
+++ b/src/jasminecrank/mesh/state/_table.py
@@ -73,6 +73,8 @@
     header_timeout_s: float = 5.0
     idle_timeout_s: float = 15.0
     """Announced to callers."""
+    is_known: bool = True
+    """Whether a table has been read; it may allow more than the defaults."""
 
     @property
     def idle_close_s(self) -> float:
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -40,7 +40,7 @@
     log: coordination.Log
     budget: state.MemoryBudget
     idle: _idle_connections.IdleConnections
-    limits: state.CallerLimits = field(default_factory=state.CallerLimits)
+    limits: state.CallerLimits = state.CallerLimits(is_known=False)
     phase: state.StopPhase = state.StopPhase.SERVING
     request_numbers: Iterator[int] = field(
         default_factory=lambda: itertools.count(1)
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -359,7 +359,7 @@
                 if self._intake is not None:
                     self._intake.drop()
             case _body_intake.IntakeStep.REFUSE_SIZE:
-                self.refuse(state.RefusalKind.TOO_LARGE, "body")
+                self._refuse_size("body")
             case _:
                 typing.assert_never(step)
 
@@ -388,7 +388,16 @@
             self._refuse_head()
 
     def _refuse_head(self) -> None:
-        self.refuse(state.RefusalKind.TOO_LARGE, HEAD_TOO_LARGE)
+        self._refuse_size(HEAD_TOO_LARGE)
+
+    def _refuse_size(self, detail: str) -> None:
+        """Refuse a request beyond a limit; not run."""
+        if self._limits.is_known:
+            self.refuse(state.RefusalKind.TOO_LARGE, detail)
+        else:
+            self.refuse(
+                state.RefusalKind.NO_TABLE, detail, state.NO_TABLE_RETRY_S
+            )
 
     def _reset(self) -> None:
         self._method = b""
