Wait for the node itself in the rows of ports that others hold

Cause: 'it serves' asks whether the port accepts connections, and the socket that holds it does, before the node has tried to listen. Change: the step waits for the node's line 'start' as well, which is stricter. Shown: with 0.3 s between the two sockets in a trial, 1 of 3 rows fails with the old step and none with the new one; without it, 3 of 3 pass.

--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -628,7 +628,14 @@
 
 @then("it serves")
 def step_opens_ports(context):
-    context.runner.run(context.node.until(context.node.is_open))
+    node = context.node
+
+    async def has_opened():
+        # Another socket may accept connections at the port before.
+        started = '"event": "start"' in node.log_path.read_text()
+        return started and await node.is_open()
+
+    context.runner.run(node.until(has_opened))
 
 
 @then("it serves, and ends with status {status:d} after SIGTERM")
