Tell peers at the end of a stop which calls have not run

Cause: a stopping node cancels its gate and ends its links; what a peer has sent until it reads the end is neither run nor refused, and the peer can't tell it from a call that ran. It needs a peer that is late, or has no load report yet. Change: the last message on a link, LinkEnding, says that each call that was received has its reply, but for those whose bodies were not sent whole. The peer takes its other calls there as not run, and sends them to other servers. A node sends it only once its gate is closed, so that nothing it names can begin later, and only to peers of protocol version 2.

--- a/features/mesh/links.feature
+++ b/features/mesh/links.feature
@@ -42,6 +42,31 @@
       | version | messages |
       | 0       | 0        |
       | 1       | 1        |
+      | 2       | 1        |
+
+  Scenario Outline: A node that stops says which calls it has not run
+    Given a link to a node of protocol version <version>
+    When a call is sent on it, <reply> comes, and the peer ends it with <message>
+    Then the call sent on it counts as <outcome>
+
+    Examples: Guards against bookings that nobody has read and that count as run
+      | version | reply           | message    | outcome  |
+      | 2       | no reply        | LinkEnding | unsent   |
+      | 2       | a part of one   | LinkEnding | lost     |
+      | 2       | a reply         | LinkEnding | answered |
+      | 2       | no reply        | nothing    | lost     |
+
+  Scenario Outline: A node that stops replies to calls before it ends a link
+    Given a link to a node of protocol version <version>
+    When this node ends the link, <state>
+    Then <times> LinkEnding messages are sent, with <unsent> calls
+
+    Examples:
+      | version | state                            | times | unsent |
+      | 2       | with each call replied to        | 1     | 0      |
+      | 2       | with a body that is not sent yet | 1     | 1      |
+      | 2       | with calls that were not ended   | 0     | 0      |
+      | 1       | with each call replied to        | 0     | 0      |
 
   Scenario Outline: Two hosts that dial each other keep their first links
     Given two hosts on <loop> that dial each other <gap> turns apart
--- a/features/mesh/peers.feature
+++ b/features/mesh/peers.feature
@@ -91,3 +91,15 @@
       | POST   | 2.0    |
       | POST   | 2.7    |
       | POST   | 4.0    |
+
+  Scenario Outline: A call that crosses the end of a stopping node's link goes to another server
+    Given a deployment of 3 hosts
+    When a <method> is sent to host 1 <moment>, before its end is noticed
+    Then the call on it gets 200
+    And 1 servers have run it
+
+    Examples: Guards against calls that nobody has read and that count as run
+      | method | moment                        |
+      | POST   | after its gate has closed     |
+      | POST   | after its link has ended      |
+      | GET    | after its link has ended      |
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -1,6 +1,7 @@
 """Steps for links that can't be used."""
 
 import asyncio
+import dataclasses
 import random
 import socket
 
@@ -15,6 +16,8 @@
 
 UNUSED_PORT = 9
 HELLO = coordination.Hello("10.0.0.1", 1, "ledger")
+NEWEST_VERSION = 2
+INCARNATION_BITS = 48
 
 
 class ResetTransport:
@@ -180,41 +183,64 @@
         """Nothing waits."""
         return 0
 
+    def write_eof(self):
+        """Nothing to do."""
+
     def abort(self):
         """Nothing is left to do."""
 
 
 class SilentOwner:
-    """An owner that does nothing with its links."""
+    """An owner that keeps what becomes of the calls on its links."""
+
+    def __init__(self):
+        self.unsent = []
+        self.received = []
 
     def on_link_opened(self, link, hello):
         """Nothing to do."""
 
+    def on_message(self, link, message):
+        """Keep a message."""
+        self.received.append(message)
+
+    def on_call_unsent(self, link, call_id):
+        """Keep the id of a call."""
+        self.unsent.append(call_id)
+
     def on_link_ended(self, link):
         """Nothing to do."""
 
 
 @given("a link to a node of protocol version {version:d}")
 def step_version_link(context, version):
-    context.peer_hello = (
-        HELLO
-        if version == 0
-        else coordination.Hello.from_settings(
-            HELLO.host, HELLO.service, random.Random(1)
-        )
+    hello = coordination.Hello.from_settings(
+        HELLO.host, HELLO.service, random.Random(1)
+    )
+    assert hello.protocol_version == NEWEST_VERSION
+    version_step = (NEWEST_VERSION - version) << INCARNATION_BITS
+    context.peer_hello = dataclasses.replace(
+        hello, incarnation=hello.incarnation - version_step
     )
     assert context.peer_hello.protocol_version == version
 
 
+def _open_link(context):
+    """Open a link to the peer, and return it with its owner."""
+    log = transport.JsonLog("host-1", transport.BootClock(), _keep([]))
+    owner = SilentOwner()
+    link = transport.Link(owner, HELLO, True, log)
+    link_transport = KeepingTransport()
+    link.connection_made(link_transport)
+    link.data_received(protocol.encode(context.peer_hello))
+    link_transport.written.clear()
+    return link, owner, link_transport
+
+
 @when("it is to tell which hosts were removed")
 def step_tell_removed(context):
     async def act():
-        log = transport.JsonLog("host-1", transport.BootClock(), _keep([]))
-        link = transport.Link(SilentOwner(), HELLO, True, log)
-        link_transport = KeepingTransport()
-        link.connection_made(link_transport)
-        link.data_received(protocol.encode(context.peer_hello))
-        link_transport.written.clear()
+        link, _, link_transport = _open_link(context)
         link.send(coordination.HostsRemoved((("10.0.0.9", 10),)))
         link.connection_lost(None)
         return link_transport.written
@@ -222,6 +248,94 @@
     context.written = asyncio.run(act())
 
 
+BOOKING = coordination.CallSent(
+    7,
+    "r-7",
+    "i-1",
+    "book",
+    b"POST",
+    b"/book/1",
+    (),
+    b"",
+    0,
+    False,
+    5.0,
+    1.0,
+    "ledger",
+    "",
+)
+SMALL_REPLY = coordination.CallServed(7, 200, b"OK", (), b"done", 0.1, 0)
+LARGE_REPLY = dataclasses.replace(SMALL_REPLY, body=bytes(200_000))
+
+
+@when(
+    "a call is sent on it, {reply} comes, and the peer ends it with {message}"
+)
+def step_peer_ends(context, reply, message):
+    async def act():
+        link, owner, _ = _open_link(context)
+        link.send(BOOKING)
+        unsent_call_ids = ()
+        match reply:
+            case "a part of one":
+                head = protocol.encode_unframed(SMALL_REPLY)
+                follows = coordination.BodyFollows(1, 200_000, head)
+                link.data_received(protocol.encode(follows))
+                unsent_call_ids = (BOOKING.call_id,)
+            case "a reply":
+                link.data_received(protocol.encode(SMALL_REPLY))
+        if message == "LinkEnding":
+            ending = coordination.LinkEnding(unsent_call_ids)
+            link.data_received(protocol.encode(ending))
+        link.connection_lost(None)
+        return owner
+
+    context.owner = asyncio.run(act())
+
+
+@then("the call sent on it counts as {outcome}")
+def step_outcome(context, outcome):
+    owner = context.owner
+    found = ([BOOKING.call_id] == owner.unsent, len(owner.received))
+    expected = {
+        "unsent": (True, 0),
+        "lost": (False, 0),
+        "answered": (False, 1),
+    }
+    assert found == expected[outcome], (owner.unsent, owner.received)
+
+
+@when("this node ends the link, with {state}")
+def step_node_ends(context, state):
+    async def act():
+        link, _, link_transport = _open_link(context)
+        match state:
+            case "each call replied to":
+                link.send(SMALL_REPLY)
+            case "a body that is not sent yet":
+                link.send(LARGE_REPLY)
+        link.end(state != "calls that were not ended")
+        link.connection_lost(None)
+        return link_transport.written
+
+    context.written = asyncio.run(act())
+
+
+@then("{times:d} LinkEnding messages are sent, with {unsent:d} calls")
+def step_link_ending(context, times, unsent):
+    prefix_bytes = protocol.FRAME_LENGTH.size
+    endings = [
+        message
+        for frame in context.written
+        if isinstance(
+            message := protocol.decode(frame[prefix_bytes:]),
+            coordination.LinkEnding,
+        )
+    ]
+    assert len(endings) == times, context.written
+    assert sum(len(end.unsent_call_ids) for end in endings) == unsent, endings
+
+
 @then("{count:d} messages are sent on it")
 def step_sent(context, count):
     assert len(context.written) == count, context.written
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -270,10 +270,10 @@
         self.arriving.append(call)
         self._changed.set()
 
-    def on_call_unsent(self, link, call):
-        """Keep a call that was not sent whole."""
+    def on_call_unsent(self, link, call_id):
+        """Keep the id of a call that was not received whole."""
         del link
-        self.unsent.append(call)
+        self.unsent.append(call_id)
 
     def on_link_ended(self, link):
         """Count the end of a link."""
--- a/features/steps/mesh_peer_steps.py
+++ b/features/steps/mesh_peer_steps.py
@@ -414,3 +414,49 @@
         assert len(links) == 1, links
 
     context.runner.run(act())
+
+
+@when("a {method} is sent to host 1 {moment}, before its end is noticed")
+def step_crossing(context, method, moment):
+    async def act():
+        deployment = context.fleet
+        deployment.timeout_ms = 10_000
+        await deployment.publish()
+        for host in (0, 2):
+            await deployment.register(host, "draining")
+        await asyncio.sleep(SETTLE_S)
+        node, caller_node = deployment.nodes[1], deployment.nodes[0]
+        load = node.gate.load()
+        stopping = asyncio.create_task(node.stop())
+        while not node.gate.is_closed:
+            await asyncio.sleep(0)
+        paused = [
+            link._transport
+            for link in caller_node._links
+            if link.peer_host == node.config.host
+        ]
+        for link_transport in paused:
+            link_transport.pause_reading()
+        if moment == "after its link has ended":
+            while not all(task.done() for task in node._tasks):
+                await asyncio.sleep(0)
+        # As if the last report had not come.
+        caller_node.entry.mailbox.tell(
+            coordination.LoadUpdated(node.config.host, load)
+        )
+        context.caller = deployment.caller(0)
+        await context.caller.send(
+            method,
+            "/book/1" if method == "POST" else "/lots/1",
+            deadline_ms=8_000,
+        )
+        context.request_id = context.caller.last_request_id
+        await asyncio.sleep(SETTLE_S)
+        await deployment.register(2)
+        await asyncio.sleep(SETTLE_S)
+        for link_transport in paused:
+            link_transport.resume_reading()
+        context.response = await context.caller.receive(6.0)
+        await stopping
+
+    context.runner.run(act())
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -155,6 +155,9 @@
 from jasminecrank.mesh.coordination._peer_messages import (
     ItemsSent as ItemsSent,
 )
+from jasminecrank.mesh.coordination._peer_messages import (
+    LinkEnding as LinkEnding,
+)
 from jasminecrank.mesh.coordination._peer_messages import (
     ListingRequested as ListingRequested,
 )
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -96,6 +96,11 @@
         """Return the number of calls that run, wait or are arriving."""
         return len(self._call_by_key) + len(self._arriving)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether each call has been replied to and none is taken."""
+        return self._stop_window_closed
+
     def load(self) -> state.ServerLoad:
         """Return the load of this server as reported to other nodes."""
         return self._admission.load(
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -73,7 +73,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CallUnsent:
-    """A link has ended before an attempt's message was written whole to it.
+    """A link ends before its host has received an attempt's message whole.
 
     The host there runs a call only once it has received the whole message.
     """
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -10,8 +10,8 @@
 
 from jasminecrank.mesh import state
 
-PROTOCOL_VERSION = 1
-"""Version 1 adds HostsRemoved."""
+PROTOCOL_VERSION = 2
+"""Version 1 adds HostsRemoved, version 2 LinkEnding."""
 _INCARNATION_BITS = 48
 
 MAX_AGE_MS = 60_000
@@ -190,6 +190,18 @@
     """Time since the removal."""
 
 
+@dataclass(slots=True, frozen=True)
+class LinkEnding:
+    """Last message of a node that stops.
+
+    It has replied to each call that it has started or received. Calls without
+    a reply have not run, and never will.
+    """
+
+    unsent_call_ids: tuple[int, ...]
+    """Calls whose replies were not sent whole."""
+
+
 @dataclass(slots=True, frozen=True)
 class TokensRequested:
     """Requests tokens of a team's rate, one for each waiting call."""
@@ -320,6 +332,7 @@
     | BodyPart
     | BodyAbandoned
     | HostsRemoved
+    | LinkEnding
 )
 QuotaPeerMessage = Presence | TokensRequested | HostsRemoved
 FleetPeerMessage = (
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -395,7 +395,7 @@
         for listener in self._listeners:
             listener.close()
         for link in list(self._links):
-            link.end()
+            link.end(self.gate.is_closed)
         until_s = min(
             self._clock.now_s() + LINKS_END_S,
             window.breaks_off_at_s + LINKS_END_AFTER_S,
@@ -464,6 +464,7 @@
                 | coordination.BodyFollows()
                 | coordination.BodyPart()
                 | coordination.BodyAbandoned()
+                | coordination.LinkEnding()
             ):
                 pass
             case _:
@@ -481,12 +482,10 @@
             coordination.CallArriving(link.link_id, call, link.send)
         )
 
-    def on_call_unsent(
-        self, link: transport.Link, call: coordination.CallSent
-    ) -> None:
-        """Notify the task that has sent a call on a link that has ended."""
+    def on_call_unsent(self, link: transport.Link, call_id: int) -> None:
+        """Notify the task that has sent a call on a link that ends."""
         self.entry.mailbox.tell(
-            coordination.CallUnsent(call.call_id, link.peer_host, link.send)
+            coordination.CallUnsent(call_id, link.peer_host, link.send)
         )
 
     def on_link_ended(self, link: transport.Link) -> None:
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -55,6 +55,7 @@
     coordination.BodyPart,
     coordination.BodyAbandoned,
     coordination.HostsRemoved,
+    coordination.LinkEnding,
 )
 _TAG_BY_TYPE = {
     message_type: tag for tag, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -66,6 +66,14 @@
             if isinstance(transfer.carrier, coordination.CallSent)
         )
 
+    def unsent_replies(self) -> tuple[int, ...]:
+        """Return the calls whose replies are still to be written whole."""
+        return tuple(
+            transfer.carrier.call_id
+            for transfer in self._transfers
+            if isinstance(transfer.carrier, coordination.CallServed)
+        )
+
     def start(self, carrier: _Carrier) -> None:
         """Send a message; its body follows as the link has room."""
         transfer = _Outgoing(next(self._ids), carrier)
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -40,10 +40,8 @@
         `on_message` follows with the whole call, or with its cancellation.
         """
 
-    def on_call_unsent(
-        self, link: "Link", call: coordination.CallSent
-    ) -> None:
-        """Handle a call that was not sent whole before the link ended.
+    def on_call_unsent(self, link: "Link", call_id: int) -> None:
+        """Handle a call that the peer has not received whole.
 
         Reported before the end of the link.
         """
@@ -82,6 +80,8 @@
         self._hello_timer: asyncio.TimerHandle | None = None
         self._has_ended = False
         """Whether nothing more is sent."""
+        self._peer_has_ended = False
+        """Whether the peer takes no more calls."""
         self._body_sender = _body_transfers.BodySender(self._write)
         self._body_receiver = _body_transfers.BodyReceiver(
             budget or state.MemoryBudget.from_memory_limit(0),
@@ -94,8 +94,10 @@
 
         A large body follows in parts as the peer takes them.
         """
-        if isinstance(message, coordination.CallSent) and not self._is_open:
-            self._owner.on_call_unsent(self, message)
+        if isinstance(message, coordination.CallSent) and (
+            self._peer_has_ended or not self._is_open
+        ):
+            self._owner.on_call_unsent(self, message.call_id)
             return
         self._note_sent(message)
         match message:
@@ -213,15 +215,33 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def end(self) -> None:
+    def end(self, has_replied: bool) -> None:
         """Send nothing more, and leave it to the peer to close the link.
 
         It does so once it has read everything. Closing here would reset the
         link if the peer still sends, and so discard what it has not read.
+        `has_replied`: no call is taken any more, and all have their replies.
         """
-        if self._transport is not None and self._is_open:
-            self._has_ended = True
-            self._transport.write_eof()
+        if self._transport is None or not self._is_open:
+            return
+        if (
+            has_replied
+            and self.peer is not None
+            and (self.peer.protocol_version >= 2)
+        ):
+            self._write(
+                coordination.LinkEnding(self._body_sender.unsent_replies())
+            )
+        self._has_ended = True
+        self._transport.write_eof()
+
+    def _peer_ends(self, message: coordination.LinkEnding) -> None:
+        """Report the calls that the peer has not received."""
+        self._peer_has_ended = True
+        for call_id in list(self._idempotent_by_call_id):
+            if call_id not in message.unsent_call_ids:
+                del self._idempotent_by_call_id[call_id]
+                self._owner.on_call_unsent(self, call_id)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the Hello that identifies this node."""
@@ -316,6 +336,9 @@
             case coordination.BodyAbandoned():
                 self._body_receiver.abandon(message)
                 return None
+            case coordination.LinkEnding():
+                self._peer_ends(message)
+                return None
             case coordination.CallNotRun(call_id):
                 self._body_sender.cancel_call(call_id)
             case _:
@@ -343,7 +366,7 @@
         self._body_receiver.close()
         if self.peer is not None:
             for call in unsent_calls:
-                self._owner.on_call_unsent(self, call)
+                self._owner.on_call_unsent(self, call.call_id)
             self._owner.on_link_ended(self)
         self.closed.set_result(None)
         self.let_replace()
