Find streams that outlive the soak's loop on newer releases of Python

Cause: the finalizer of such a stream raised an error, and now warns. The soak counted errors only, so that on a newer Python it missed a fault of its own. Change: the warning counts as well.

--- a/src/jasminecrank/standins/soak/_tracebacks.py
+++ b/src/jasminecrank/standins/soak/_tracebacks.py
@@ -7,8 +7,10 @@
 import pathlib
 import sys
 import typing
+import warnings
 
 TRACEBACK_START = "Traceback (most recent call last):"
+OUTLIVED_STREAM_WARNING = "loop is closed"
 
 
 def handle_loop_errors(errors: list[str]) -> None:
@@ -28,7 +30,11 @@
 
 @contextlib.contextmanager
 def collect_unraisable(errors: list[str]) -> Iterator[None]:
-    """Add errors in finalizers inside the block to a list."""
+    """Add errors in finalizers inside the block to a list.
+
+    A stream that outlives its loop raises an error in its finalizer, or, in
+    newer releases of Python, leaves a warning.
+    """
     previous = sys.unraisablehook
 
     def handle(unraisable: "sys.UnraisableHookArgs") -> None:
@@ -39,12 +45,38 @@
 
     sys.unraisablehook = handle
     try:
-        yield
-        gc.collect()
+        with _collect_warnings(errors):
+            yield
+            gc.collect()
     finally:
         sys.unraisablehook = previous
 
 
+@contextlib.contextmanager
+def _collect_warnings(errors: list[str]) -> Iterator[None]:
+    """Add warnings about streams without a loop to a list."""
+    with warnings.catch_warnings():
+        show = warnings.showwarning
+
+        def handle(
+            message: Warning | str,
+            category: type[Warning],
+            filename: str,
+            lineno: int,
+            file: typing.TextIO | None = None,
+            line: str | None = None,
+        ) -> None:
+            if category is ResourceWarning:
+                errors.append(f"the soak itself: {message}")
+            show(message, category, filename, lineno, file, line)
+
+        warnings.showwarning = handle
+        warnings.filterwarnings(
+            "always", OUTLIVED_STREAM_WARNING, ResourceWarning
+        )
+        yield
+
+
 def read_tracebacks(path: pathlib.Path) -> Iterator[str]:
     """Yield the last line of each traceback in a log."""
     inside = False
