Report the peak memory of the node itself

So the metric can't tell a node that takes too much from a large parent. Change: the peak is read from /proc/self/status, whose figure begins anew with the program.

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -220,3 +220,9 @@
       | closed, like the others |
       | a pipe without a reader |
       | a full pipe             |
+
+  Scenario: A node reports the peak of its own memory
+    Given a node process that is not started yet
+    When it is started by a program that takes 200 MB
+    Then it serves without a log
+    And its metrics report a peak of at most 150 MB
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -604,6 +604,37 @@
     )
 
 
+@when("it is started by a program that takes {size:d} MB")
+def step_large_parent(context, size):
+    arguments = fleet.node_command()
+    code = (
+        f"import os; taken = b'x' * {size}_000_000; "
+        f"os.execv({arguments[0]!r}, {arguments!r})"
+    )
+    context.runner.run(
+        context.node.start(("-c", code), program=sys.executable)
+    )
+
+
+@then("its metrics report a peak of at most {size:d} MB")
+def step_peak(context, size):
+    node = context.node
+
+    async def act():
+        caller = fleet.Caller(HOST, node.ports["metrics"])
+        response = await caller.request("GET", "/metrics", None)
+        caller.close()
+        return response.body.decode()
+
+    lines = context.runner.run(act()).splitlines()
+    (peak,) = (
+        float(line.split()[1])
+        for line in lines
+        if "peak_memory_bytes" in line and not line.startswith("#")
+    )
+    assert 0 < peak <= size * 1_000_000, peak
+
+
 @then("its standard output is no socket of its own")
 def step_output_kind(context):
     target = os.readlink(f"/proc/{context.node.process.pid}/fd/1")
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 import functools
 import os
 import random
@@ -581,5 +582,16 @@
 
 
 def _peak_memory_bytes() -> int:
-    """Return the largest resident size of the process so far."""
+    """Return the largest resident size of the process so far.
+
+    The figure of `getrusage` is at least that of the program that started
+    this one.
+    """
+    with (
+        contextlib.suppress(OSError),
+        open("/proc/self/status", encoding="ascii") as status,
+    ):
+        for line in status:
+            if line.startswith("VmHWM:"):
+                return 1024 * int(line.split()[1])
     return 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
