Count calls as not run if their new connection has ended

Callers saw: 502 "connection-reset" for a booking at a server that resets new connections, although no byte of it was sent. Cause: a connection can end between the moment at which it is made and the one at which the call that waits for it goes on. The exchange fails then as if it had been sent. Class: a result that is known gives way to a refusal of the node.

Change: a new connection is checked as one that was idle is. The call counts as not run, as when the connection is refused, and may go to another server.

Before: the row gets MayHaveRun.

--- a/features/mesh/server_connections.feature
+++ b/features/mesh/server_connections.feature
@@ -6,3 +6,8 @@
     Given a server that answers at once, and reads the body after 0.0 s
     When the server closes its idle connection and a call is sent before the node reads that
     Then the call is served on another connection
+
+  Scenario: A call whose new connection ends before it is sent counts as not run
+    Given a server that answers at once, and reads the body after 0.0 s
+    When a call is sent on a new connection that has ended before the node reads that
+    Then the call counts as not run, and the server has read no request
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -115,7 +115,14 @@
                 return connection
             connection.abort()
         self._log.count("server_connections")
-        return await _http_client.connect(*self._address, CONNECT_TIMEOUT_S)
+        connection = await _http_client.connect(
+            *self._address, CONNECT_TIMEOUT_S
+        )
+        if not connection.is_open:
+            # Nothing was sent, which the end of an exchange would not show.
+            connection.abort()
+            raise ConnectionResetError
+        return connection
 
     def _release(self, connection: _http_client.ClientConnection) -> None:
         if connection.is_sending:
