Refuse calls at the end of a stop that have not begun

Callers saw, by the gate's reply: 502 for a call that came just before the end of a stop and had not begun, and its server began to run it after that. Cause: a call that is admitted runs in a task, which begins only after the messages that wait behind it. If the end of the stop is one of these, the gate replied that the call may have run and let the task begin. A stop that has nothing left to do ends early, at any moment at which a peer may send a call. Class: a result that is known gives way to a refusal of the node.

Change: the gate cancels such a task and replies that the call has not run, to one that was cancelled before it began too, before it reports its end.

Before: both new rows of gate_task fail, one with "may have run", one with a reply other than that of the stop. The step also compares the runs that have begun with the replies. Not run: real processes.

--- a/features/mesh/gate_task.feature
+++ b/features/mesh/gate_task.feature
@@ -58,6 +58,8 @@
       | the stop window closes, it has arrived  | not run: stopping, not run: stopping | 0 |
       | the stop window closes, another arrives | not run: stopping, not run: stopping | 0 |
       | it is cancelled, the stop window closes | not run: cancelled             | 0      |
+      | it has arrived, the stop window closes  | not run: stopping              | 0      |
+      | it has arrived, it is cancelled, the stop window closes | not run: stopping | 0   |
 
   Scenario Outline: A gate that runs late reads the answers that have come
     Given a gate task beside a server with 2 slots
--- a/features/steps/mesh_gate_task_steps.py
+++ b/features/steps/mesh_gate_task_steps.py
@@ -249,6 +249,8 @@
     seen = _answers(context)
     assert (", ".join(seen) or "nothing") == answers, seen
     assert context.gate.active_calls == count, context.gate.active_calls
+    begun = [answer for answer in seen if not answer.startswith("not run")]
+    assert len(context.port.received) == len(begun), context.port.received
 
 
 @when(
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -362,8 +362,12 @@
             active.started and not active.call.idempotent
         ):
             return
+        self._cancel_task(key, active)
+
+    def _cancel_task(self, key: tuple[int, int], active: _ActiveCall) -> None:
         active.cancelled = True
-        active.task.cancel()
+        if active.task is not None:
+            active.task.cancel()
         if not active.started:
             # A task that is cancelled before it has started reports no end.
             self.mailbox.tell(
@@ -486,7 +490,15 @@
         self._stop_window_closed = True
         self._refuse_queued()
         self._refuse_arriving()
-        for active in self._call_by_key.values():
+        for key, active in self._call_by_key.items():
+            if not active.started:
+                if not active.cancelled:
+                    self._cancel_task(key, active)
+                active.replied = True
+                self._refuse(
+                    active.call, active.send, state.STOPPING_REASON, 0.0
+                )
+                continue
             if active.cancelled:
                 continue
             active.cancelled = active.replied = True
