Name calls without a reply in the last message on a link

Cause, found by reading: LinkEnding says that calls without a reply have not run if the gate has closed. A task that fails on one message goes on with the next, so that a call can have run without a reply. The peer would send a booking of that kind to another server: it would run twice.

Change: a link notes the calls it has received whole until it sends a reply, and LinkEnding names those that are left. To the peer they may have run. The message and the protocol version stay; peers of version 2 understand it.

A call received in the last turns before the gate's task is cancelled is named too, though it has not run: 502, as before LinkEnding.

Before: the row of a call without a reply is not named.

--- a/features/mesh/links.feature
+++ b/features/mesh/links.feature
@@ -64,6 +64,7 @@
     Examples:
       | version | state                            | times | unsent |
       | 2       | with each call replied to        | 1     | 0      |
+      | 2       | with a call that has no reply    | 1     | 1      |
       | 2       | with a body that is not sent yet | 1     | 1      |
       | 2       | with calls that were not ended   | 0     | 0      |
       | 1       | with each call replied to        | 0     | 0      |
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -309,6 +309,7 @@
 def step_node_ends(context, state):
     async def act():
         link, _, link_transport = _open_link(context)
+        link.data_received(protocol.encode(BOOKING))
         match state:
             case "each call replied to":
                 link.send(SMALL_REPLY)
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -194,12 +194,12 @@
 class LinkEnding:
     """Last message of a node that stops.
 
-    It has replied to each call that it has started or received. Calls without
-    a reply have not run, and never will.
+    It has replied to each call that it has started or received, but for those
+    it names. Other calls without a reply have not run, and never will.
     """
 
     unsent_call_ids: tuple[int, ...]
-    """Calls whose replies were not sent whole."""
+    """Calls that were received and whose replies were not sent whole."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -72,6 +72,8 @@
         """Completed once another link to the host may be dialled."""
         self._idempotent_by_call_id: dict[int, bool] = {}
         """Calls that were sent and have not been answered."""
+        self._unreplied_call_ids: set[int] = set()
+        """Calls that were received whole and have no reply yet."""
         self._owner = owner
         self._hello = hello
         self._log = log
@@ -125,6 +127,12 @@
                 self._idempotent_by_call_id[call_id] = message.idempotent
             case coordination.CallCancelled(call_id):
                 self._idempotent_by_call_id.pop(call_id, None)
+            case (
+                coordination.CallServed(call_id=call_id)
+                | coordination.CallNotRun(call_id=call_id)
+                | coordination.CallMayHaveRun(call_id=call_id)
+            ):
+                self._unreplied_call_ids.discard(call_id)
             case _:
                 pass
 
@@ -136,6 +144,8 @@
                 | coordination.CallMayHaveRun(call_id=call_id)
             ):
                 self._idempotent_by_call_id.pop(call_id, None)
+            case coordination.CallSent(call_id=call_id):
+                self._unreplied_call_ids.add(call_id)
             case _:
                 pass
 
@@ -220,7 +230,8 @@
 
         It does so once it has read everything. Closing here would reset the
         link if the peer still sends, and so discard what it has not read.
-        `has_replied`: no call is taken any more, and all have their replies.
+        `has_replied`: no call is taken any more, and all have their replies,
+        but for those that failed in the node.
         """
         if self._transport is None or not self._is_open:
             return
@@ -229,9 +240,11 @@
             and self.peer is not None
             and (self.peer.protocol_version >= 2)
         ):
-            self._write(
-                coordination.LinkEnding(self._body_sender.unsent_replies())
-            )
+            unsent = {
+                *self._unreplied_call_ids,
+                *self._body_sender.unsent_replies(),
+            }
+            self._write(coordination.LinkEnding(tuple(unsent)))
         self._has_ended = True
         self._transport.write_eof()
 
