End links that open after a stopping node has ended its links

Cause: a stopping node ends the links whose peers have said who they are. One that a peer had dialled, and whose Hello came after that, was registered as usual and got neither LinkEnding nor an end. The peer has the node's Hello and may send calls there, which nobody reads; bookings would count as perhaps run.

Change: such a link is ended as the others are, once its Hello has come.

Before: a peer that sends its Hello after the stop reads no end of the link in 3 s. Not run: real processes.

--- a/features/mesh/peers.feature
+++ b/features/mesh/peers.feature
@@ -103,3 +103,8 @@
       | POST   | after its gate has closed     |
       | POST   | after its link has ended      |
       | GET    | after its link has ended      |
+
+  Scenario: A link that opens while a stopping node ends its links is ended too
+    Given a deployment of 2 hosts
+    When a peer dials host 1, and says who it is after the links of a stop have ended
+    Then host 1 says on that link that it has not run its calls
--- a/features/steps/mesh_peer_steps.py
+++ b/features/steps/mesh_peer_steps.py
@@ -460,3 +460,44 @@
         await stopping
 
     context.runner.run(act())
+
+
+DIAL_AFTER_S = 1.0
+"""Time in a stop after which a peer dials, before links are ended."""
+LINK_END_S = 3.0
+
+
+@when(
+    "a peer dials host 1, "
+    "and says who it is after the links of a stop have ended"
+)
+def step_late_hello(context):
+    hello = coordination.Hello.from_settings(PEER, "ledger", random.Random(1))
+
+    async def act():
+        node = context.fleet.nodes[1]
+        stopping = asyncio.create_task(node.stop())
+        await asyncio.sleep(DIAL_AFTER_S)
+        address = node.config.links
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        await stopping
+        writer.write(protocol.encode(hello))
+        async with asyncio.timeout(LINK_END_S):
+            context.received = await reader.read()
+        writer.close()
+
+    context.runner.run(act())
+
+
+@then("host 1 says on that link that it has not run its calls")
+def step_link_ending(context):
+    data = context.received
+    messages = []
+    while data:
+        (length,) = protocol.FRAME_LENGTH.unpack_from(data)
+        end = protocol.FRAME_LENGTH.size + length
+        frame, data = data[protocol.FRAME_LENGTH.size : end], data[end:]
+        messages.append(protocol.decode(frame))
+    assert messages[-1] == coordination.LinkEnding(()), messages
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -73,6 +73,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
         self._links: set[transport.Link] = set()
+        self._links_ended = False
+        """Whether links are ended, those too that open from then on."""
         hello = coordination.Hello.from_settings(
             config.host, config.service, rng
         )
@@ -394,6 +396,7 @@
         self._dialler.set_hosts(set())
         for listener in self._listeners:
             listener.close()
+        self._links_ended = True
         for link in list(self._links):
             link.end(self.gate.is_closed)
         until_s = min(
@@ -420,6 +423,9 @@
     ) -> None:
         """Register a link whose peer has sent its Hello."""
         self._links.add(link)
+        if self._links_ended:
+            link.end(self.gate.is_closed)
+            return
         if not link.dialled:
             self._dialler.redial_now(hello.host)
         self._tell_fleet(
