Read an answer that has arrived before its deadline is handled

A call got 504 "may have run" although the server's answer had arrived in time, if the node was paused between a read that found nothing and the check of the deadline. Cause: DeadlineSocket raised the timeout without looking at the socket again. It now polls once more, without waiting.

--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -19,6 +19,8 @@
 VERSION = state.Version(7, "ab" * 32)
 TIMEOUT_S = 15.0
 ENDLESS_DEADLINE_S = 3.0
+PAUSED_DEADLINE_S = 0.5
+PAUSE_STEP_S = 0.01
 
 
 def route(kind):
@@ -59,6 +61,7 @@
         self.other_port_by_host = {}
         self.admits_locally = True
         self.deadline_s = TIMEOUT_S
+        self.deadline_at_s = 0.0
         self.outcomes = []
         self.calls = []
         self.admit_gate = None
@@ -97,7 +100,7 @@
             if call.method == "POST"
             else state.RouteKind.LOOKUP
         )
-        deadline_at_s = time.monotonic() + self.deadline_s
+        self.deadline_at_s = time.monotonic() + self.deadline_s
         if self.admits_locally and "own" not in call.tried_hosts:
             return state.Admitted(
                 state.Permit(
@@ -105,7 +108,7 @@
                     route(kind),
                     "belt",
                     VERSION,
-                    deadline_at_s,
+                    self.deadline_at_s,
                 )
             )
         for host, port in self.other_port_by_host.items():
@@ -115,7 +118,7 @@
                     route(kind),
                     "belt",
                     VERSION,
-                    deadline_at_s,
+                    self.deadline_at_s,
                 )
         return state.Refused(
             exceptions.ResultCode.NO_HOST_AVAILABLE,
@@ -220,6 +223,37 @@
         socket_class.is_idle = original
 
 
+@when("the node is paused beyond the deadline while these calls wait")
+def step_paused(context):
+    # The pause begins after a read has found no data.
+    socket_class = transport.DeadlineSocket
+    original = socket_class._wait_until_ready
+
+    def pause_and_wait(deadline_socket, event):
+        if deadline_socket.deadline_at_s == context.admission.deadline_at_s:
+            while time.monotonic() < deadline_socket.deadline_at_s:
+                time.sleep(PAUSE_STEP_S)
+        original(deadline_socket, event)
+
+    socket_class._wait_until_ready = pause_and_wait
+    context.admission.deadline_s = PAUSED_DEADLINE_S
+    names = ("status", "result code", "run state")
+    context.failures = []
+    try:
+        for row in context.table:
+            with contextlib.closing(
+                scripted_server.ScriptedServer(row["fault"])
+            ) as server:
+                context.application.runner.backend_server = transport.Target(
+                    "127.0.0.1", server.port
+                )
+                actual = send_call(context, row["method"])
+            if actual != tuple(row[name] for name in names):
+                context.failures.append(f"{row} gave {actual}")
+    finally:
+        socket_class._wait_until_ready = original
+
+
 @then("every call has the expected outcome")
 def step_outcomes(context):
     assert not context.failures, "\n".join(context.failures)
--- a/features/transport/faults.feature
+++ b/features/transport/faults.feature
@@ -71,6 +71,18 @@
       | repeats another call's refusal |             | POST   | 2     | 502    | 304         | may-have-run | 1    | broken  |
     Then every call has the expected outcome
 
+  Scenario: An answer that has arrived goes before the deadline
+    Given a call server with scripted admission decisions
+    When the node is paused beyond the deadline while these calls wait
+      | method | fault                  | status | result code | run state    |
+      | POST   | none                   | 200    |             |              |
+      | GET    | none                   | 200    |             |              |
+      | POST   | sheds, not run         | 503    |             | not-run      |
+      | POST   | cuts its body          | 502    | 303         | may-have-run |
+      | POST   | never answers          | 504    | 302         | may-have-run |
+      | POST   | sends a byte at a time | 504    | 302         | may-have-run |
+    Then every call has the expected outcome
+
   Scenario: A server that sheds its health checks is reachable
     Given a call server with scripted admission decisions
     When the health of a server is checked that then sheds 2 checks, no id
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -93,10 +93,12 @@
     def _wait_until_ready(self, event: int) -> None:
         if self.deadline_at_s is None:
             raise BlockingIOError(errno.EAGAIN, "no data available")
-        remaining_s = self.deadline_at_s - time.monotonic()
+        # Polls once after the deadline too: a thread that was paused since
+        # its last read may have missed data that arrived in time.
+        remaining_s = max(0.0, self.deadline_at_s - time.monotonic())
         poll = select.poll()
         poll.register(self.fileno(), event)
-        if remaining_s <= 0 or not poll.poll(remaining_s * 1000):
+        if not poll.poll(remaining_s * 1000):
             raise TimeoutError("timed out")
 
 
