Deliver the last answer before a caller's connection is closed

A caller whose connection the node closes after an answer (Connection: close, or a stop) lost the rest of that answer, also of a booking that had run, if it had sent more bytes by then. Cause: closing a socket with unread bytes, or receiving bytes after the close, resets the connection and discards what has not been delivered. The node now ends its sending side, reads and discards until the caller has acknowledged all bytes or has closed, for 10 s at most, in a thread of its own. A stop waits for it.

--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -144,6 +144,9 @@
     "answers twice": ScriptedResponse(
         lambda r: encode_response(r) + encode_response("another")
     ),
+    "answers a megabyte": ScriptedResponse(
+        lambda r: encode_response(r, body=b"x" * 1_000_000)
+    ),
     "answers at length": ScriptedResponse(
         lambda r: encode_response(r, body=b"x" * 1_000_001)
     ),
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 
 from behave import given
 from behave import then
@@ -11,6 +12,8 @@
 from jasminecrank import transport
 
 TIMEOUT_S = 15.0
+SLOW_CALLER_BUFFER_BYTES = 4096
+SLOW_CALLER_PAUSE_S = 0.2
 HEADERS_AND_BODY_BY_NAME = {
     "body": (["Content-Length: 4"], b"abcd"),
     "chunked body": (
@@ -77,8 +80,9 @@
 
 
 @given("a backend server without faults")
-def step_backend(context):
-    context.server = scripted_server.ScriptedServer("none")
+@given("a backend server that {fault}")
+def step_backend(context, fault="none"):
+    context.server = scripted_server.ScriptedServer(fault)
     context.exit_stack.callback(context.server.close)
     context.application.runner.backend_server = transport.Target(
         "127.0.0.1", context.server.port
@@ -137,6 +141,51 @@
     assert context.actual == expected, context.actual
 
 
+@when("slow callers send these requests, and more before they have read all")
+def step_slow_callers(context):
+    context.failures = []
+    for row in context.table:
+        context.call_server._server.draining = row["node"] == "stopping"
+        runs_before = context.server.runs
+        with socket.socket() as caller:
+            caller.settimeout(TIMEOUT_S)
+            caller.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_CALLER_BUFFER_BYTES
+            )
+            caller.connect(("127.0.0.1", context.port))
+            caller.sendall(encode(row["request"]))
+            caller.recv(1, socket.MSG_PEEK)
+            caller.sendall(encode(row["then"]))
+            if row["end"] == "half-open":
+                caller.shutdown(socket.SHUT_WR)
+            # The node closes its end while the answer is in transit.
+            time.sleep(SLOW_CALLER_PAUSE_S)
+            received = read_to_end(caller)
+        body = received.partition(b"\r\n\r\n")[2]
+        runs = context.server.runs - runs_before
+        if len(body) != 1_000_000 or runs != 1:
+            context.failures.append(f"{row}: {len(body)} bytes, {runs} runs")
+
+
+def read_to_end(caller):
+    """Return the bytes up to the end or a reset of a connection."""
+    received = b""
+    try:
+        while part := caller.recv(65536):
+            received += part
+    except ConnectionError:
+        pass
+    return received
+
+
+@then("each receives its whole answer, and no connection stays open")
+def step_delivered(context):
+    assert not context.failures, "\n".join(context.failures)
+    lingering = context.call_server._server.lingering
+    lingering.stop()
+    assert not lingering.by_fd
+
+
 @when("{count:d} callers connect and send nothing")
 def step_silent_callers(context, count):
     for _ in range(count):
--- a/features/transport/requests.feature
+++ b/features/transport/requests.feature
@@ -46,6 +46,17 @@
     When 20 pipelined requests are sent
     Then 20 responses arrive in the order of the requests
 
+  Scenario: A last answer is delivered whole although more bytes arrive
+    Given a call server with scripted admission decisions
+    And a backend server that answers a megabyte
+    When slow callers send these requests, and more before they have read all
+      | request                       | node     | then             | end       |
+      | POST /lots; Connection: close | serves   | POST /lots       | keeps     |
+      | POST /lots; Connection: close | serves   | POST /lots; body | half-open |
+      | POST /lots                    | stopping | POST /lots       | keeps     |
+      | POST /lots                    | stopping | GET /lots        | half-open |
+    Then each receives its whole answer, and no connection stays open
+
   Scenario: Idle connections occupy no worker thread
     Given a call server with scripted admission decisions
     And a backend server without faults
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -25,6 +25,7 @@
 from jasminecrank import state
 from jasminecrank.transport import _caller_watch
 from jasminecrank.transport import _header_lines
+from jasminecrank.transport import _lingering
 from jasminecrank.transport import _sockets
 
 _KEEP_ALIVE_TIMEOUT_S = 30
@@ -36,6 +37,8 @@
 _STOP_READ_TIMEOUT_S = 0.2
 """Wait at shutdown for the request of a new connection."""
 _WRITE_TIMEOUT_S = 10.0
+_LINGER_S = 10.0
+"""Time for a caller to receive its last answer."""
 _NEXT_REQUEST_WAIT_S = 0.25
 _WORKERS_PER_WAITER = 4
 """One worker out of this number may wait on a keep-alive connection."""
@@ -157,6 +160,7 @@
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
     reached_worker = False
+    closing = False
 
     def __init__(
         self, server: "CallHttpServer", sock: socket.socket, makefile: object
@@ -180,6 +184,20 @@
             if not self.server.await_next_request(self):
                 return True
 
+    def close(self) -> None:
+        """Close the connection, once its last answer is delivered."""
+        if self.closing:
+            return
+        self.closing = True
+        if self.socket.unacknowledged_bytes() or self.socket.is_readable(0):
+            self.server.lingering.add(
+                self.socket,
+                time.monotonic() + _LINGER_S,
+                super().close,
+            )
+        else:
+            super().close()
+
 
 def _make_file(
     deadline_socket: _sockets.DeadlineSocket, mode: str, size: int
@@ -286,6 +304,7 @@
         )
         self.handler = handler
         self.caller_watch = _caller_watch.CallerWatch.start()
+        self.lingering = _lingering.LingeringConnections.start()
         self.draining = False
         self._waiting_workers = threading.BoundedSemaphore(
             max(1, threads // _WORKERS_PER_WAITER)
@@ -350,6 +369,7 @@
             self._connections.stop()
             self._enqueue_received()
         super().stop()
+        self.lingering.stop()
         self.caller_watch.stop()
 
     def _enqueue_received(self) -> None:
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -1,13 +1,16 @@
 """Sockets whose reads and writes share one deadline."""
 
 import errno
+import fcntl
 import io
 import select
 import socket
 import struct
+import termios
 import time
 import typing
 
+_INT = struct.Struct("=i")
 _BYTES_ACKED = struct.Struct("=Q")
 _BYTES_ACKED_OFFSET = 120  # tcpi_bytes_acked in struct tcp_info of Linux
 _TCP_INFO_BYTES = 192
@@ -80,6 +83,13 @@
         poll.register(self.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of bytes the peer has not acknowledged."""
+        # On a socket, TIOCOUTQ is SIOCOUTQ.
+        found = fcntl.ioctl(self.fileno(), termios.TIOCOUTQ, _INT.pack(0))
+        unacknowledged: int = _INT.unpack(found)[0]
+        return unacknowledged
+
     def bytes_acked(self) -> int | None:
         """Return the number of bytes acknowledged by the peer, if known."""
         info = self.getsockopt(
