Serve requests that cross the close of an idle connection

A caller on a kept connection got no answer, and a node counted its call as one that may have run, if the request came just when a stop or the idle limit of 30 s closed that connection. Cause: which connections have a request was read once, and all others were closed after that; the library's idle limit did not look at all. Each idle connection is now looked at when it is closed; one with a request goes to a worker, whose answer announces the close.

A request that is sent after the close is still cut.

--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import math
 import queue
 import threading
 import time
@@ -21,6 +22,8 @@
 ENDLESS_DEADLINE_S = 3.0
 PAUSED_DEADLINE_S = 0.5
 PAUSE_STEP_S = 0.01
+IDLE_S = 0.5
+"""Longer than a worker waits for the next request on a connection."""
 
 
 def route(kind):
@@ -407,6 +410,64 @@
     assert context.idle_socket.recv(1) == b""
 
 
+@when(
+    "{count:d} callers send a {method} each while {closing} closes connections"
+)
+def step_crossing(context, count, method, closing):
+    server = scripted_server.ScriptedServer("none")
+    context.exit_stack.callback(server.close)
+    context.application.runner.backend_server = transport.Target(
+        "127.0.0.1", server.port
+    )
+    callers = [
+        http.client.HTTPConnection(
+            "127.0.0.1", context.port, timeout=TIMEOUT_S
+        )
+        for _ in range(count)
+    ]
+    for caller in callers:
+        context.exit_stack.callback(caller.close)
+        caller.request("GET", "/warm")
+        caller.getresponse().read()
+    manager = context.call_server._server._connections
+    name = {"a stop": "close", "the idle limit": "_expire"}[closing]
+    original = getattr(manager, name)
+    sent = threading.Event()
+
+    def send_and_close(**arguments):
+        # Connections on which workers wait are not closed here.
+        if arguments and manager._num_connections < count or sent.is_set():
+            return
+        for caller in callers:
+            caller.request(method, "/lots")
+        if arguments:
+            arguments["threshold"] = math.inf
+        original(**arguments)
+        sent.set()
+
+    setattr(manager, name, send_and_close)
+    if closing == "a stop":
+        time.sleep(IDLE_S)
+        context.call_server.stop()
+    assert sent.wait(TIMEOUT_S)
+    context.actual = [read_answer(caller) for caller in callers]
+
+
+def read_answer(caller):
+    """Return the status of an answer and whether its connection closes."""
+    try:
+        response = caller.getresponse()
+        response.read()
+    except (OSError, http.client.HTTPException) as error:
+        return type(error).__name__, True
+    return response.status, response.will_close
+
+
+@then("each caller is answered and told that its connection closes")
+def step_crossed(context):
+    assert set(context.actual) == {(200, True)}, context.actual
+
+
 @when("a caller closes its connection while its call is queued")
 def step_caller_gone(context):
     caller = http.client.HTTPConnection(
--- a/features/transport/faults.feature
+++ b/features/transport/faults.feature
@@ -118,6 +118,18 @@
     When the server stops with a call in progress and another being sent
     Then both calls succeed and idle connections do not delay the stop
 
+  Scenario Outline: A request that crosses the close of its connection is read
+    Given a call server with scripted admission decisions
+    When <callers> callers send a <method> each while <closes> closes connections
+    Then each caller is answered and told that its connection closes
+
+    Examples:
+      | callers | method | closes         |
+      | 1       | GET    | the idle limit |
+      | 20      | POST   | the idle limit |
+      | 1       | GET    | a stop         |
+      | 20      | POST   | a stop         |
+
   Scenario: A queued call is cancelled when its caller disconnects
     Given a call server with scripted admission decisions
     When a caller closes its connection while its call is queued
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -113,6 +113,8 @@
         ):
             self.simple_response("400 Bad Request")
             return False
+        if self.conn.is_last_request:
+            self.close_connection = True
         tokens = self.inheaders.get(b"Connection", b"").lower().split(b",")
         if b"close" in [token.strip() for token in tokens]:
             self.close_connection = True
@@ -160,7 +162,10 @@
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
     reached_worker = False
+    is_idle = True
+    """Whether it waits for its next request, without a worker."""
     closing = False
+    is_last_request = False
 
     def __init__(
         self, server: "CallHttpServer", sock: socket.socket, makefile: object
@@ -179,15 +184,25 @@
             )
             self.socket.deadline_at_s = time.monotonic() + limit_s
             self.reached_worker = True
+            self.is_idle = False
             if not communicate():
                 return False
             if not self.server.await_next_request(self):
+                self.is_idle = True
                 return True
 
     def close(self) -> None:
-        """Close the connection, once its last answer is delivered."""
+        """Close the connection, once its last answer is delivered.
+
+        An idle connection with a request is served first.
+        """
         if self.closing:
             return
+        if self.is_idle and self.socket.is_readable(0):
+            self.is_last_request = True
+            self.is_idle = False
+            self.server.requests.put(self)
+            return
         self.closing = True
         if self.socket.unacknowledged_bytes() or self.socket.is_readable(0):
             self.server.lingering.add(
