Cover splits of a route among more than two services

The rows on split weights had two services with whole weights each. Eight rows add one, three and four services, fractions, weights at the upper limit, a service that is listed twice, and a share of one in a thousand.

--- a/features/mesh/placement.feature
+++ b/features/mesh/placement.feature
@@ -138,6 +138,22 @@
       | 100   | 0      |
       | 0     | 100    |
 
+  Scenario Outline: Requests are split among any number of services
+    Given a route that is split into <parts>
+    When <count> requests are distributed
+    Then the services receive <received>
+
+    Examples:
+      | parts                          | count | received               |
+      | a 50, b 30, c 20               | 100   | a 50, b 30, c 20       |
+      | a 1, b 1, c 1, d 1             | 100   | a 25, b 25, c 25, d 25 |
+      | a 0.5, b 0.25, c 0.25          | 100   | a 50, b 25, c 25       |
+      | a 1000000000, b 1000000000     | 100   | a 50, b 50             |
+      | a 30, b 40, a 30               | 100   | a 60, b 40             |
+      | a 999, b 1                     | 1000  | a 999, b 1             |
+      | a 0.1, b 0.2, c 0.3            | 6000  | a 1000, b 2000, c 3000 |
+      | a 7                            | 10    | a 10                   |
+
   Scenario Outline: Nodes that begin to split do not all begin alike
     Given a route with split weights <first> and <second>
     When 200 requests arrive at random at <nodes> nodes that have just started
--- a/features/steps/mesh_placement_steps.py
+++ b/features/steps/mesh_placement_steps.py
@@ -179,6 +179,16 @@
     )
 
 
+@given("a route that is split into {parts}")
+def step_split_into(context, parts):
+    context.route = make_route(
+        weighted_services=tuple(
+            state.WeightedService(service, float(weight))
+            for service, weight in (part.split() for part in parts.split(", "))
+        )
+    )
+
+
 @when("{count:d} requests are distributed")
 def step_distribute(context, count):
     balancer = state.WeightedRoundRobin(random.Random(count))
@@ -187,6 +197,13 @@
     )
 
 
+@then("the services receive {wanted}")
+def step_services(context, wanted):
+    counts = sorted(context.count_by_service.items())
+    received = ", ".join(f"{service} {count}" for service, count in counts)
+    assert received == wanted, received
+
+
 @then("the first service receives {wanted:d}")
 def step_first_service(context, wanted):
     assert context.count_by_service["first"] == wanted, (
