Cover callers that end their sending side at the own interface

Eight rows in transport/faults: calls that run are answered, also while the node stops and with answers of a megabyte; queued ones are cancelled and refused as not run.

--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -4,6 +4,7 @@
 import http.client
 import math
 import queue
+import socket
 import threading
 import time
 
@@ -410,6 +411,38 @@
     assert context.idle_socket.recv(1) == b""
 
 
+@when("callers send these calls, end their sending side and read")
+def step_half_closed(context):
+    names = ("status", "result code", "run state", "runs")
+    context.failures = []
+    for row in context.table:
+        context.call_server._server.draining = row["node"] == "stopping"
+        caller = http.client.HTTPConnection(
+            "127.0.0.1", context.port, timeout=TIMEOUT_S
+        )
+        with (
+            contextlib.closing(
+                scripted_server.ScriptedServer(row["fault"])
+            ) as server,
+            contextlib.closing(caller),
+        ):
+            context.application.runner.backend_server = transport.Target(
+                "127.0.0.1", server.port
+            )
+            caller.request(row["method"], row["path"])
+            caller.sock.shutdown(socket.SHUT_WR)
+            response = caller.getresponse()
+            response.read()
+            actual = (
+                str(response.status),
+                response.headers.get("X-Result-Code", ""),
+                response.headers.get("X-Run-State", ""),
+                str(server.runs),
+            )
+        if actual != tuple(row[name] for name in names):
+            context.failures.append(f"{row} gave {actual}")
+
+
 @when(
     "{count:d} callers send a {method} each while {closing} closes connections"
 )
--- a/features/transport/faults.feature
+++ b/features/transport/faults.feature
@@ -118,6 +118,20 @@
     When the server stops with a call in progress and another being sent
     Then both calls succeed and idle connections do not delay the stop
 
+  Scenario: Callers that end their sending side are answered
+    Given a call server with scripted admission decisions
+    When callers send these calls, end their sending side and read
+      | method | path   | node     | fault                    | status | result code | run state    | runs |
+      | POST   | /lots  | serves   | none                     | 200    |             |              | 1    |
+      | POST   | /lots  | stopping | none                     | 200    |             |              | 1    |
+      | POST   | /lots  | serves   | answers a megabyte       | 200    |             |              | 1    |
+      | POST   | /lots  | stopping | answers a megabyte       | 200    |             |              | 1    |
+      | POST   | /lots  | serves   | closes without an answer | 502    | 303         | may-have-run | 1    |
+      | GET    | /lots  | serves   | none                     | 200    |             |              | 1    |
+      | POST   | /waits | serves   | none                     | 503    | 216         | not-run      | 0    |
+      | GET    | /waits | stopping | none                     | 503    | 216         | not-run      | 0    |
+    Then every call has the expected outcome
+
   Scenario Outline: A request that crosses the close of its connection is read
     Given a call server with scripted admission decisions
     When <callers> callers send a <method> each while <closes> closes connections
