--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import http.client
+import math
 import queue
+import socket
 import threading
 import time
 
@@ -19,6 +21,10 @@
 VERSION = state.Version(7, "ab" * 32)
 TIMEOUT_S = 15.0
 ENDLESS_DEADLINE_S = 3.0
+PAUSED_DEADLINE_S = 0.5
+PAUSE_STEP_S = 0.01
+IDLE_S = 0.5
+"""Longer than a worker waits for the next request on a connection."""
 
 
 def route(kind):
@@ -59,6 +65,7 @@
         self.other_port_by_host = {}
         self.admits_locally = True
         self.deadline_s = TIMEOUT_S
+        self.deadline_at_s = 0.0
         self.outcomes = []
         self.calls = []
         self.admit_gate = None
@@ -97,7 +104,7 @@
             if call.method == "POST"
             else state.RouteKind.LOOKUP
         )
-        deadline_at_s = time.monotonic() + self.deadline_s
+        self.deadline_at_s = time.monotonic() + self.deadline_s
         if self.admits_locally and "own" not in call.tried_hosts:
             return state.Admitted(
                 state.Permit(
@@ -105,7 +112,7 @@
                     route(kind),
                     "belt",
                     VERSION,
-                    deadline_at_s,
+                    self.deadline_at_s,
                 )
             )
         for host, port in self.other_port_by_host.items():
@@ -115,7 +122,7 @@
                     route(kind),
                     "belt",
                     VERSION,
-                    deadline_at_s,
+                    self.deadline_at_s,
                 )
         return state.Refused(
             exceptions.ResultCode.NO_HOST_AVAILABLE,
@@ -220,6 +227,37 @@
         socket_class.is_idle = original
 
 
+@when("the node is paused beyond the deadline while these calls wait")
+def step_paused(context):
+    # The pause begins after a read has found no data.
+    socket_class = transport.DeadlineSocket
+    original = socket_class._wait_until_ready
+
+    def pause_and_wait(deadline_socket, event):
+        if deadline_socket.deadline_at_s == context.admission.deadline_at_s:
+            while time.monotonic() < deadline_socket.deadline_at_s:
+                time.sleep(PAUSE_STEP_S)
+        original(deadline_socket, event)
+
+    socket_class._wait_until_ready = pause_and_wait
+    context.admission.deadline_s = PAUSED_DEADLINE_S
+    names = ("status", "result code", "run state")
+    context.failures = []
+    try:
+        for row in context.table:
+            with contextlib.closing(
+                scripted_server.ScriptedServer(row["fault"])
+            ) as server:
+                context.application.runner.backend_server = transport.Target(
+                    "127.0.0.1", server.port
+                )
+                actual = send_call(context, row["method"])
+            if actual != tuple(row[name] for name in names):
+                context.failures.append(f"{row} gave {actual}")
+    finally:
+        socket_class._wait_until_ready = original
+
+
 @then("every call has the expected outcome")
 def step_outcomes(context):
     assert not context.failures, "\n".join(context.failures)
@@ -373,6 +411,96 @@
     assert context.idle_socket.recv(1) == b""
 
 
+@when("callers send these calls, end their sending side and read")
+def step_half_closed(context):
+    names = ("status", "result code", "run state", "runs")
+    context.failures = []
+    for row in context.table:
+        context.call_server._server.draining = row["node"] == "stopping"
+        caller = http.client.HTTPConnection(
+            "127.0.0.1", context.port, timeout=TIMEOUT_S
+        )
+        with (
+            contextlib.closing(
+                scripted_server.ScriptedServer(row["fault"])
+            ) as server,
+            contextlib.closing(caller),
+        ):
+            context.application.runner.backend_server = transport.Target(
+                "127.0.0.1", server.port
+            )
+            caller.request(row["method"], row["path"])
+            caller.sock.shutdown(socket.SHUT_WR)
+            response = caller.getresponse()
+            response.read()
+            actual = (
+                str(response.status),
+                response.headers.get("X-Result-Code", ""),
+                response.headers.get("X-Run-State", ""),
+                str(server.runs),
+            )
+        if actual != tuple(row[name] for name in names):
+            context.failures.append(f"{row} gave {actual}")
+
+
+@when(
+    "{count:d} callers send a {method} each while {closing} closes connections"
+)
+def step_crossing(context, count, method, closing):
+    server = scripted_server.ScriptedServer("none")
+    context.exit_stack.callback(server.close)
+    context.application.runner.backend_server = transport.Target(
+        "127.0.0.1", server.port
+    )
+    callers = [
+        http.client.HTTPConnection(
+            "127.0.0.1", context.port, timeout=TIMEOUT_S
+        )
+        for _ in range(count)
+    ]
+    for caller in callers:
+        context.exit_stack.callback(caller.close)
+        caller.request("GET", "/warm")
+        caller.getresponse().read()
+    manager = context.call_server._server._connections
+    name = {"a stop": "close", "the idle limit": "_expire"}[closing]
+    original = getattr(manager, name)
+    sent = threading.Event()
+
+    def send_and_close(**arguments):
+        # Connections on which workers wait are not closed here.
+        if arguments and manager._num_connections < count or sent.is_set():
+            return
+        for caller in callers:
+            caller.request(method, "/lots")
+        if arguments:
+            arguments["threshold"] = math.inf
+        original(**arguments)
+        sent.set()
+
+    setattr(manager, name, send_and_close)
+    if closing == "a stop":
+        time.sleep(IDLE_S)
+        context.call_server.stop()
+    assert sent.wait(TIMEOUT_S)
+    context.actual = [read_answer(caller) for caller in callers]
+
+
+def read_answer(caller):
+    """Return the status of an answer and whether its connection closes."""
+    try:
+        response = caller.getresponse()
+        response.read()
+    except (OSError, http.client.HTTPException) as error:
+        return type(error).__name__, True
+    return response.status, response.will_close
+
+
+@then("each caller is answered and told that its connection closes")
+def step_crossed(context):
+    assert set(context.actual) == {(200, True)}, context.actual
+
+
 @when("a caller closes its connection while its call is queued")
 def step_caller_gone(context):
     caller = http.client.HTTPConnection(
--- a/features/transport/faults.feature
+++ b/features/transport/faults.feature
@@ -71,6 +71,18 @@
       | repeats another call's refusal |             | POST   | 2     | 502    | 304         | may-have-run | 1    | broken  |
     Then every call has the expected outcome
 
+  Scenario: An answer that has arrived goes before the deadline
+    Given a call server with scripted admission decisions
+    When the node is paused beyond the deadline while these calls wait
+      | method | fault                  | status | result code | run state    |
+      | POST   | none                   | 200    |             |              |
+      | GET    | none                   | 200    |             |              |
+      | POST   | sheds, not run         | 503    |             | not-run      |
+      | POST   | cuts its body          | 502    | 303         | may-have-run |
+      | POST   | never answers          | 504    | 302         | may-have-run |
+      | POST   | sends a byte at a time | 504    | 302         | may-have-run |
+    Then every call has the expected outcome
+
   Scenario: A server that sheds its health checks is reachable
     Given a call server with scripted admission decisions
     When the health of a server is checked that then sheds 2 checks, no id
@@ -106,6 +118,32 @@
     When the server stops with a call in progress and another being sent
     Then both calls succeed and idle connections do not delay the stop
 
+  Scenario: Callers that end their sending side are answered
+    Given a call server with scripted admission decisions
+    When callers send these calls, end their sending side and read
+      | method | path   | node     | fault                    | status | result code | run state    | runs |
+      | POST   | /lots  | serves   | none                     | 200    |             |              | 1    |
+      | POST   | /lots  | stopping | none                     | 200    |             |              | 1    |
+      | POST   | /lots  | serves   | answers a megabyte       | 200    |             |              | 1    |
+      | POST   | /lots  | stopping | answers a megabyte       | 200    |             |              | 1    |
+      | POST   | /lots  | serves   | closes without an answer | 502    | 303         | may-have-run | 1    |
+      | GET    | /lots  | serves   | none                     | 200    |             |              | 1    |
+      | POST   | /waits | serves   | none                     | 503    | 216         | not-run      | 0    |
+      | GET    | /waits | stopping | none                     | 503    | 216         | not-run      | 0    |
+    Then every call has the expected outcome
+
+  Scenario Outline: A request that crosses the close of its connection is read
+    Given a call server with scripted admission decisions
+    When <callers> callers send a <method> each while <closes> closes connections
+    Then each caller is answered and told that its connection closes
+
+    Examples:
+      | callers | method | closes         |
+      | 1       | GET    | the idle limit |
+      | 20      | POST   | the idle limit |
+      | 1       | GET    | a stop         |
+      | 20      | POST   | a stop         |
+
   Scenario: A queued call is cancelled when its caller disconnects
     Given a call server with scripted admission decisions
     When a caller closes its connection while its call is queued
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -1,13 +1,16 @@
 """Sockets whose reads and writes share one deadline."""
 
 import errno
+import fcntl
 import io
 import select
 import socket
 import struct
+import termios
 import time
 import typing
 
+_INT = struct.Struct("=i")
 _BYTES_ACKED = struct.Struct("=Q")
 _BYTES_ACKED_OFFSET = 120  # tcpi_bytes_acked in struct tcp_info of Linux
 _TCP_INFO_BYTES = 192
@@ -80,6 +83,13 @@
         poll.register(self.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of bytes the peer has not acknowledged."""
+        # On a socket, TIOCOUTQ is SIOCOUTQ.
+        found = fcntl.ioctl(self.fileno(), termios.TIOCOUTQ, _INT.pack(0))
+        unacknowledged: int = _INT.unpack(found)[0]
+        return unacknowledged
+
     def bytes_acked(self) -> int | None:
         """Return the number of bytes acknowledged by the peer, if known."""
         info = self.getsockopt(
@@ -93,10 +103,12 @@
     def _wait_until_ready(self, event: int) -> None:
         if self.deadline_at_s is None:
             raise BlockingIOError(errno.EAGAIN, "no data available")
-        remaining_s = self.deadline_at_s - time.monotonic()
+        # Polls once after the deadline too: a thread that was paused since
+        # its last read may have missed data that arrived in time.
+        remaining_s = max(0.0, self.deadline_at_s - time.monotonic())
         poll = select.poll()
         poll.register(self.fileno(), event)
-        if remaining_s <= 0 or not poll.poll(remaining_s * 1000):
+        if not poll.poll(remaining_s * 1000):
             raise TimeoutError("timed out")
 
 
