Refuse connections at the end of a stop instead of resetting them

Callers that connected while a stopping node closed its call socket got a reset after they had sent their request, and nothing told them that it had not run. Cause: the kernel completes connections until the socket is closed, and resets those that were not accepted. The node now drops the first segments of new connections, accepts those that are being opened, and closes the socket then; later callers are refused when they connect.

--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -23,6 +23,7 @@
 ENDLESS_DEADLINE_S = 3.0
 PAUSED_DEADLINE_S = 0.5
 PAUSE_STEP_S = 0.01
+CONNECT_S = 0.1
 IDLE_S = 0.5
 """Longer than a worker waits for the next request on a connection."""
 
@@ -486,6 +487,66 @@
     context.actual = [read_answer(caller) for caller in callers]
 
 
+@when("{count:d} callers connect and send a request {moment}")
+def step_connecting(context, count, moment):
+    server = scripted_server.ScriptedServer("none")
+    context.exit_stack.callback(server.close)
+    context.application.runner.backend_server = transport.Target(
+        "127.0.0.1", server.port
+    )
+    outcomes = queue.SimpleQueue()
+
+    def call():
+        caller = http.client.HTTPConnection(
+            "127.0.0.1", context.port, timeout=TIMEOUT_S
+        )
+        with contextlib.closing(caller):
+            try:
+                caller.connect()
+            except ConnectionRefusedError:
+                outcomes.put("refused")
+                return
+            try:
+                caller.request("POST", "/lots")
+            except ConnectionError as error:
+                outcomes.put(type(error).__name__)
+                return
+            outcomes.put(read_answer(caller)[0])
+
+    threads = [threading.Thread(target=call) for _ in range(count)]
+    http_server = context.call_server._server
+    manager = http_server._connections
+    owner, name = {
+        "before the stop looks for new connections": (
+            http_server,
+            "_enqueue_received",
+        ),
+        "after the stop looked for new connections": (
+            manager._selector,
+            "unregister",
+        ),
+    }[moment]
+    original = getattr(owner, name)
+
+    def connect_first(*arguments):
+        if manager._stop_requested and not threads[0].ident:
+            for thread in threads:
+                thread.start()
+            time.sleep(CONNECT_S)
+        return original(*arguments)
+
+    setattr(owner, name, connect_first)
+    context.call_server.stop()
+    for thread in threads:
+        thread.join(TIMEOUT_S)
+    context.actual = [outcomes.get_nowait() for _ in threads]
+
+
+@then("each is answered, or its connection is refused")
+def step_connected(context):
+    assert set(context.actual) <= {200, "refused"}, context.actual
+
+
 def read_answer(caller):
     """Return the status of an answer and whether its connection closes."""
     try:
--- a/features/transport/faults.feature
+++ b/features/transport/faults.feature
@@ -144,6 +144,18 @@
       | 1       | GET    | a stop         |
       | 20      | POST   | a stop         |
 
+  Scenario Outline: No connection is opened that a stop does not serve
+    Given a call server with scripted admission decisions
+    When <callers> callers connect and send a request <moment>
+    Then each is answered, or its connection is refused
+
+    Examples:
+      | callers | moment                                     |
+      | 1       | before the stop looks for new connections  |
+      | 20      | before the stop looks for new connections  |
+      | 1       | after the stop looked for new connections  |
+      | 20      | after the stop looked for new connections  |
+
   Scenario: A queued call is cancelled when its caller disconnects
     Given a call server with scripted admission decisions
     When a caller closes its connection while its call is queued
--- a/src/jasminecrank/transport/_call_http.py
+++ b/src/jasminecrank/transport/_call_http.py
@@ -6,10 +6,12 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import http
 import io
 import logging as std_logging
 import queue
+import select
 import socket
 import threading
 import time
@@ -36,6 +38,8 @@
 _READ_TIMEOUT_S = 5.0
 _STOP_READ_TIMEOUT_S = 0.2
 """Wait at shutdown for the request of a new connection."""
+_HANDSHAKE_S = 0.05
+"""Wait at shutdown for connections that are being opened."""
 _WRITE_TIMEOUT_S = 10.0
 _LINGER_S = 10.0
 """Time for a caller to receive its last answer."""
@@ -391,15 +395,15 @@
         # A connection that hasn't reached a worker yet is about to send its
         # first request. Idle keep-alive connections are not waited for.
         selector = self._connections._selector
+        # Closing the socket resets connections that were not accepted.
+        with contextlib.suppress(OSError):
+            _sockets.ignore_new_connections(self.socket)
         for _ in range(_ACCEPT_BACKLOG):
-            if not any(conn is self for _, conn in selector.select(0)):
+            if not _is_readable(self.socket, _HANDSHAKE_S):
                 break
             conn = self._connections._from_server_socket(self.socket)
             if conn is not None:
                 self.requests.put(conn)
-        # Connections made between the last accept and the close are reset.
-        # Closing here keeps that window short, because the library does more
-        # work before it closes the socket.
         selector.unregister(self.socket.fileno())
         self.socket.close()
         self.socket = None
@@ -411,6 +415,12 @@
             self.requests.put(conn)
 
 
+def _is_readable(listener: socket.socket, timeout_s: float) -> bool:
+    poll = select.poll()
+    poll.register(listener, select.POLLIN)
+    return bool(poll.poll(timeout_s * 1000))
+
+
 def _status_line(status: int) -> str:
     try:
         return f"{status} {http.HTTPStatus(status).phrase}"
--- a/src/jasminecrank/transport/_sockets.py
+++ b/src/jasminecrank/transport/_sockets.py
@@ -1,5 +1,6 @@
 """Sockets whose reads and writes share one deadline."""
 
+import ctypes
 import errno
 import fcntl
 import io
@@ -14,6 +15,31 @@
 _BYTES_ACKED = struct.Struct("=Q")
 _BYTES_ACKED_OFFSET = 120  # tcpi_bytes_acked in struct tcp_info of Linux
 _TCP_INFO_BYTES = 192
+_SO_ATTACH_FILTER = 26
+_INSTRUCTION = struct.Struct("=HBBI")
+_DROP_SYN = (
+    (0x30, 0, 0, 13),  # load the byte with the TCP flags
+    (0x45, 0, 1, 0x02),  # skip an instruction unless SYN is set
+    (0x06, 0, 0, 0),  # drop the segment
+    (0x06, 0, 0, 0xFFFFFFFF),  # keep the segment
+)
+"""Classic BPF program for a listening socket."""
+
+
+def ignore_new_connections(listener: socket.socket) -> None:
+    """Drop the first segments of new connections to a listening socket.
+
+    Connections that are being opened still reach the accept queue. Callers
+    whose segments are dropped send them again, and are refused once the
+    socket is closed.
+    """
+    instructions = ctypes.create_string_buffer(
+        b"".join(_INSTRUCTION.pack(*parts) for parts in _DROP_SYN)
+    )
+    program = struct.pack(
+        "@HL", len(_DROP_SYN), ctypes.addressof(instructions)
+    )
+    listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
 
 
 class DeadlineSocket(socket.socket):
