End the process as soon as its stop is over

Callers of a host with little processor time could lose the end of a stop: a node that had logged "stopped" at 5.68 s was still there at 6.0 s and was killed. After the last line the interpreter ran its exit handlers and freed all objects, which no bound of the stop counts and which takes ten times as long on a tenth of a processor.

The process now ends directly once the event loop is closed. The log is written without buffers, and nothing else is left to do. That the cleanup was the cause of the kill above is not shown.

The new scenario of process_start, with an interpreter that takes 5.0 s to end, ends after 6.5 s before, where 5.0 s are allowed, and passes now.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -19,14 +19,12 @@
     _signal.signal(_number, _note)
 
 
-def main() -> int:
-    """Run the node and return its exit status."""
+def main() -> None:
+    """Run the node until the process ends."""
     from jasminecrank.mesh.daemon import __main__
 
-    return __main__.main(_early_signals)
+    __main__.main(_early_signals)
 
 
 if __name__ == "__main__":
-    import sys
-
-    sys.exit(main())
+    main()
--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -61,6 +61,12 @@
       | 0.8   |
       | 2.0   |
 
+  Scenario: A process ends as soon as its stop is over
+    Given a node process whose interpreter takes 5.0 s to end serves a call of 0.8 s
+    When it gets SIGTERM during the call
+    Then the call gets 200
+    And it ends with status 0 within 5.0 s
+
   Scenario Outline: A port that the previous process holds is waited for
     Given a node process that is not started yet
     And its <port> port is held
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -56,7 +56,15 @@
 
 
 {part} = fail
-sys.exit(__main__.main())
+__main__.main()
+"""
+SLOW_END = """
+import atexit
+import time
+from jasminecrank.mesh.daemon import __main__
+
+atexit.register(time.sleep, {end_s})
+__main__.main()
 """
 TAKEN_PORT = """
 import socket
@@ -78,7 +86,7 @@
 
 from jasminecrank.mesh.daemon import __main__
 socket.socket = Socket
-sys.exit(__main__.main())
+__main__.main()
 """
 """A program in which another socket listens at a port first, for a time."""
 SETTINGS = """
@@ -257,6 +265,15 @@
     start_serving(context, run_s, ("-c", script))
 
 
+@given(
+    "a node process whose interpreter takes {end_s:g} s to end serves a call "
+    "of {run_s:g} s"
+)
+def step_slow_end(context, end_s, run_s):
+    script = SLOW_END.format(end_s=end_s)
+    start_serving(context, run_s, ("-c", script))
+
+
 @given(
     "a node process with {grace} s to stop that serves a call of {run_s:g} s"
 )
--- a/src/jasminecrank/mesh/daemon/__main__.py
+++ b/src/jasminecrank/mesh/daemon/__main__.py
@@ -4,17 +4,17 @@
 """
 
 import os
-import sys
 
 from jasminecrank.mesh.daemon import _signals
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    import typing
 
 
-def main(early_signals: "Sequence[int]" = ()) -> int:
-    """Run the node and return its exit status.
+def main(early_signals: "Sequence[int]" = ()) -> "typing.NoReturn":
+    """Run the node and end the process with its exit status.
 
     `early_signals` are those received so far, and until handlers are set.
     """
@@ -24,9 +24,11 @@
         # Takes most of the start, in which signals must be handled.
         from jasminecrank.mesh.daemon import _process
 
-        return _process.run(signals)
+        status = _process.run(signals)
     finally:
         signals.ignore()
+    # Freeing all objects would take processor time after the stop is over.
+    os._exit(status)
 
 
 def _open_standard_streams() -> None:
@@ -39,4 +41,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
