Bound all steps at the end of a stop by one moment

A node that was held up at the end of its stop was still there when it was killed, so that callers and peers lost what it had left to say. A stop of 6.05 s has been seen where 6.0 s are allowed.

The steps after the break-off (reading late answers, 0.1 s, and delivering the last responses, 0.15 s) were each bounded from the moment at which they began, not by SIGKILL. A wait also went on for a whole period of 0.05 s beyond its bound.

The stop window now has a moment, 0.1 s before SIGKILL, after which no step waits. A wait ends at its bound.

That the stop of 6.05 s that had been seen had this cause is not shown.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -65,6 +65,17 @@
       | 2.5   |
       | 4.0   |
 
+  Scenario Outline: A stop ends before the process is killed if it is late at the end
+    Given a deployment of 2 hosts on the event loop of a process with <grace> s to stop
+    And servers run for <run> s and answer with <kB> kB
+    When a caller sends a request and reads at <mbit> Mbit/s, and node 0 stops and is held up <held>
+    Then node 0 has stopped within <grace> s
+
+    Examples:
+      | grace | run | kB   | mbit | held                |
+      | 6.0   | 0.1 | 4000 | 1    | from 5.0 s to 5.8 s |
+      | 3.0   | 0.1 | 4000 | 1    | from 2.2 s to 2.8 s |
+
   Scenario Outline: Bytes after the last request do not cut its answer
     Given a deployment of 2 hosts on the event loop of a process
     And servers run for 0.1 s and answer with 1000 kB
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -92,6 +92,27 @@
     context.runner.run(act())
 
 
+@when(
+    "a caller sends a request and reads at {mbit:g} Mbit/s, and node 0 stops "
+    "and is held up {times}"
+)
+def step_held_up(context, mbit, times):
+    async def act():
+        caller = await open_caller(context, 0, mbit)
+        await caller.send()
+        reading = asyncio.create_task(receive_answers(context, [caller]))
+        await asyncio.sleep(0.3)
+        loop = asyncio.get_running_loop()
+        for span in re.findall(r"from ([\d.]+) s to ([\d.]+) s", times):
+            from_s, to_s = map(float, span)
+            loop.call_later(from_s, time.sleep, to_s - from_s)
+        await _stop_node(context)
+        await asyncio.wait((reading,), timeout=1.0)
+        reading.cancel()
+
+    context.runner.run(act())
+
+
 def check_answer(answer, request_id, context):
     """Check that an answer is whole and belongs to a request."""
     start = f"body of {request_id}".encode()
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -243,13 +243,17 @@
     assert context.stopped_s <= limit_s, context.stopped_s
 
 
+async def _end_calls(node):
+    await node._end_calls(node._window_from_signal())
+
+
 def _end_calls_after_exchange(node):
     """End the calls of a node once it has read what its server sent."""
     exchange = node.gate.port.exchange
 
     async def exchange_and_end(*args):
         result = await exchange(*args)
-        node.ending = asyncio.create_task(node._end_calls())
+        node.ending = asyncio.create_task(_end_calls(node))
         return result
 
     node.gate.port.exchange = exchange_and_end
@@ -279,7 +283,7 @@
             await caller.send("POST", "/book/1", deadline_ms=20_000)
             await asyncio.sleep(0.05)
         if server.run_s:
-            await node._end_calls()
+            await _end_calls(node)
         context.response = await callers[-1].receive()
         context.request_id = callers[-1].last_request_id
 
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -211,7 +211,7 @@
         ):
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
         try:
-            await self._end_calls()
+            await self._end_calls(window)
         except Exception as error:
             self._log.failure("stop-failed", error)
         self._log.decision("stopped", reason="stop failed")
@@ -333,7 +333,7 @@
         await self._wait_until_settled(
             window.reads_until_s(self._clock.now_s())
         )
-        await self._end_calls()
+        await self._end_calls(window)
         await self._end_links(window)
         self._log.decision(
             "stopped",
@@ -368,9 +368,10 @@
                 )
                 if not owing_links and not owes:
                     return
-            await asyncio.sleep(STOP_CHECK_PERIOD_S)
+            left_s = until_s - self._clock.now_s()
+            await asyncio.sleep(min(STOP_CHECK_PERIOD_S, left_s))
 
-    async def _end_calls(self) -> None:
+    async def _end_calls(self, window: state.StopWindow) -> None:
         """Answer what is left, as far as the outcome is known."""
         calls = self.entry.open_calls + self.gate.active_calls
         self._log.decision(
@@ -382,7 +383,9 @@
         self._caller_server.refuse_unstarted()
         self.entry.mailbox.tell(coordination.StopWindowClosed())
         await asyncio.sleep(0)
-        await self._wait_until_settled(self._clock.now_s() + STOP_FLUSH_S)
+        await self._wait_until_settled(
+            min(self._clock.now_s() + STOP_FLUSH_S, window.ends_at_s)
+        )
         # A late loop has handled its timers, and not yet what has arrived.
         for _ in range(STOP_LAST_TURNS):
             await asyncio.sleep(0)
@@ -399,6 +402,7 @@
         until_s = min(
             self._clock.now_s() + LINKS_END_S,
             window.breaks_off_at_s + LINKS_END_AFTER_S,
+            window.ends_at_s,
         )
         while self._links and self._clock.now_s() < until_s:
             await asyncio.sleep(LINKS_CHECK_PERIOD_S)
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -1,6 +1,7 @@
 """Decides which calls a node takes between SIGTERM and SIGKILL."""
 
 from dataclasses import dataclass
+import math
 import typing
 
 from jasminecrank.mesh.state import _connection_debts
@@ -14,6 +15,8 @@
 
 Also for the answer that a server gives at its deadline.
 """
+END_MARGIN_S = 0.1
+"""Time before SIGKILL at which a stopping node waits for nothing any more."""
 LATE_ANSWERS_S = 0.1
 """Longest time in which a late process reads what has come meanwhile."""
 CALLERS_LEAVE_S = 2.3
@@ -70,6 +73,8 @@
     """When a call has to be expected to end, for it to be taken."""
     breaks_off_at_s: float
     """When the calls that still run are answered without their results."""
+    ends_at_s: float = math.inf
+    """When nothing is waited for any more, whatever is still owed."""
 
     @classmethod
     def from_signal(
@@ -98,7 +103,12 @@
         )
         breaks_off_at_s = min(longest_at_s, max(ends_at_s, may_break_off_at_s))
         closes_at_s = min(ends_at_s, breaks_off_at_s - ANSWER_TRANSIT_S)
-        return cls(handled_at_s, closes_at_s, breaks_off_at_s)
+        return cls(
+            handled_at_s,
+            closes_at_s,
+            breaks_off_at_s,
+            started_at_s + grace_s - END_MARGIN_S,
+        )
 
     @property
     def callers_leave_at_s(self) -> float:
@@ -115,7 +125,8 @@
 
         A process that is late finds some that have come while it did not run.
         """
-        return late_answers_until_s(self.breaks_off_at_s, now_s)
+        until_s = late_answers_until_s(self.breaks_off_at_s, now_s)
+        return min(until_s, self.ends_at_s)
 
     def accepts(
         self,
