Break off calls earlier if a process becomes late in its stop

A node that began to run late only after SIGTERM was killed with its calls open: callers got no answer instead of 502. The stop window allowed for the lateness before the signal only.

While it waits for the break-off, the node now takes the lateness of the last seconds into account. Calls are broken off no earlier than 0.1 s after the time that servers got, nor before the last sixth, so that a server's answer at its deadline still arrives: after 5.4 s instead of 5.6 s of a grace period of 6.0 s, if the process was on time when the signal came.

The new row of owed_answers (held up from 4.0 to 4.5 s and from 5.56 to 6.2 s, a call that runs for 9.0 s) stops after 6.20 s of 6.0 s before, and passes now.

--- a/features/mesh/owed_answers.feature
+++ b/features/mesh/owed_answers.feature
@@ -72,9 +72,10 @@
     Then node 0 has stopped within <grace> s
 
     Examples:
-      | grace | run | kB   | mbit | held                |
-      | 6.0   | 0.1 | 4000 | 1    | from 5.0 s to 5.8 s |
-      | 3.0   | 0.1 | 4000 | 1    | from 2.2 s to 2.8 s |
+      | grace | run | kB   | mbit | held                                         |
+      | 6.0   | 9.0 | 0    | 0    | from 4.0 s to 4.5 s and from 5.56 s to 6.2 s |
+      | 6.0   | 0.1 | 4000 | 1    | from 5.0 s to 5.8 s                          |
+      | 3.0   | 0.1 | 4000 | 1    | from 2.2 s to 2.8 s                          |
 
   Scenario Outline: Bytes after the last request do not cut its answer
     Given a deployment of 2 hosts on the event loop of a process
--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -85,6 +85,21 @@
       | 9.0   | 1.0    | 4.6   | 2.3  |
       | 9.0   | 2.5    | 3.1   | 2.1  |
 
+  Scenario Outline: A process that becomes late in a stop breaks off calls earlier
+    Given a process that was late by <before> s, 0.1 s before it is told to stop
+    When it last ran <paused> s before it handles the signal, with 6.0 s to stop
+    And it becomes late by <late> s
+    Then it breaks off calls after <after> s
+
+    Examples: Not before its servers have answered at the end of their time
+      | before | paused | late | after |
+      | 0.0    | 0.0    | 0.0  | 5.6   |
+      | 0.0    | 0.0    | 0.1  | 5.5   |
+      | 0.0    | 0.0    | 0.6  | 5.4   |
+      | 0.2    | 0.0    | 0.6  | 5.3   |
+      | 0.6    | 0.0    | 0.1  | 5.3   |
+      | 9.0    | 1.0    | 0.6  | 4.6   |
+
   Scenario Outline: A call that ends before the last sixth of a stop is answered by a late process
     Given a deployment of 2 hosts with a time limit of 20.0 s
     When a <method> that runs for <run> s is sent to host 0, and node 0 stops after it was held up for 1.0 s
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -482,6 +482,11 @@
     )
 
 
+@when("it becomes late by {late_s:g} s")
+def step_becomes_late(context, late_s):
+    context.window = context.window.for_lateness(late_s)
+
+
 @then("it takes only calls that are expected to end within {window_s:g} s")
 def step_window_length(context, window_s):
     found = context.window.closes_at_s - context.now_s
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -321,18 +321,20 @@
         self._caller_server.start_closing()
         await asyncio.sleep(window.callers_leave_at_s - now_s)
         self._caller_server.close_idle()
-        await self._wait_until_settled(window.listens_until_s)
+        await self._wait_until_settled(lambda: window.listens_until_s)
         # A later connection is refused, so that its request is not lost.
         await self._caller_server.accept_last()
         while (
-            self._clock.now_s() < window.breaks_off_at_s
+            self._clock.now_s() < self._window_now(window).breaks_off_at_s
             and self._caller_server.awaits_first_requests
         ):
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
-        await self._wait_until_settled(window.breaks_off_at_s)
         await self._wait_until_settled(
-            window.reads_until_s(self._clock.now_s())
+            lambda: self._window_now(window).breaks_off_at_s
         )
+        window = self._window_now(window)
+        reads_until_s = window.reads_until_s(self._clock.now_s())
+        await self._wait_until_settled(lambda: reads_until_s)
         await self._end_calls(window)
         await self._end_links(window)
         self._log.decision(
@@ -352,10 +354,13 @@
             self._lateness.recent_s,
         )
 
-    async def _wait_until_settled(self, until_s: float) -> None:
+    def _window_now(self, window: state.StopWindow) -> state.StopWindow:
+        return window.for_lateness(self._lateness.recent_s)
+
+    async def _wait_until_settled(self, until: Callable[[], float]) -> None:
         """Wait until no call is open and all answers are delivered."""
         owing_links = set(self._links)
-        while self._clock.now_s() < until_s:
+        while (left_s := until() - self._clock.now_s()) > 0:
             if self.entry.open_calls or self.gate.active_calls:
                 owing_links = set(self._links)
             else:
@@ -368,7 +373,6 @@
                 )
                 if not owing_links and not owes:
                     return
-            left_s = until_s - self._clock.now_s()
             await asyncio.sleep(min(STOP_CHECK_PERIOD_S, left_s))
 
     async def _end_calls(self, window: state.StopWindow) -> None:
@@ -383,9 +387,10 @@
         self._caller_server.refuse_unstarted()
         self.entry.mailbox.tell(coordination.StopWindowClosed())
         await asyncio.sleep(0)
-        await self._wait_until_settled(
-            min(self._clock.now_s() + STOP_FLUSH_S, window.ends_at_s)
+        flushes_until_s = min(
+            self._clock.now_s() + STOP_FLUSH_S, window.ends_at_s
         )
+        await self._wait_until_settled(lambda: flushes_until_s)
         # A late loop has handled its timers, and not yet what has arrived.
         for _ in range(STOP_LAST_TURNS):
             await asyncio.sleep(0)
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -1,6 +1,7 @@
 """Decides which calls a node takes between SIGTERM and SIGKILL."""
 
 from dataclasses import dataclass
+from dataclasses import replace
 import math
 import typing
 
@@ -75,6 +76,8 @@
     """When the calls that still run are answered without their results."""
     ends_at_s: float = math.inf
     """When nothing is waited for any more, whatever is still owed."""
+    may_break_off_at_s: float = math.inf
+    """When calls may be broken off at the earliest."""
 
     @classmethod
     def from_signal(
@@ -108,8 +111,24 @@
             closes_at_s,
             breaks_off_at_s,
             started_at_s + grace_s - END_MARGIN_S,
+            may_break_off_at_s,
         )
 
+    def for_lateness(self, lateness_s: float) -> "StopWindow":
+        """Return the window of a process that has become late meanwhile.
+
+        Servers keep the time that they got, and their answers to it are read.
+        """
+        longest_at_s = self.ends_at_s + END_MARGIN_S - STOP_MARGIN_S
+        earliest_at_s = max(
+            self.may_break_off_at_s,
+            self.breaks_off_at_s - ANSWER_TRANSIT_S + LATE_ANSWERS_S,
+        )
+        breaks_off_at_s = min(
+            self.breaks_off_at_s, max(earliest_at_s, longest_at_s - lateness_s)
+        )
+        return replace(self, breaks_off_at_s=breaks_off_at_s)
+
     @property
     def callers_leave_at_s(self) -> float:
         """Return when callers have left, or no call is taken any more."""
