--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -1,6 +1,8 @@
 """Decides which calls a node takes between SIGTERM and SIGKILL."""
 
 from dataclasses import dataclass
+from dataclasses import replace
+import math
 import typing
 
 from jasminecrank.mesh.state import _connection_debts
@@ -14,6 +16,8 @@
 
 Also for the answer that a server gives at its deadline.
 """
+END_MARGIN_S = 0.1
+"""Time before SIGKILL at which a stopping node waits for nothing any more."""
 LATE_ANSWERS_S = 0.1
 """Longest time in which a late process reads what has come meanwhile."""
 CALLERS_LEAVE_S = 2.3
@@ -70,6 +74,10 @@
     """When a call has to be expected to end, for it to be taken."""
     breaks_off_at_s: float
     """When the calls that still run are answered without their results."""
+    ends_at_s: float = math.inf
+    """When nothing is waited for any more, whatever is still owed."""
+    may_break_off_at_s: float = math.inf
+    """When calls may be broken off at the earliest."""
 
     @classmethod
     def from_signal(
@@ -98,7 +106,28 @@
         )
         breaks_off_at_s = min(longest_at_s, max(ends_at_s, may_break_off_at_s))
         closes_at_s = min(ends_at_s, breaks_off_at_s - ANSWER_TRANSIT_S)
-        return cls(handled_at_s, closes_at_s, breaks_off_at_s)
+        return cls(
+            handled_at_s,
+            closes_at_s,
+            breaks_off_at_s,
+            started_at_s + grace_s - END_MARGIN_S,
+            may_break_off_at_s,
+        )
+
+    def for_lateness(self, lateness_s: float) -> "StopWindow":
+        """Return the window of a process that has become late meanwhile.
+
+        Servers keep the time that they got, and their answers to it are read.
+        """
+        longest_at_s = self.ends_at_s + END_MARGIN_S - STOP_MARGIN_S
+        earliest_at_s = max(
+            self.may_break_off_at_s,
+            self.breaks_off_at_s - ANSWER_TRANSIT_S + LATE_ANSWERS_S,
+        )
+        breaks_off_at_s = min(
+            self.breaks_off_at_s, max(earliest_at_s, longest_at_s - lateness_s)
+        )
+        return replace(self, breaks_off_at_s=breaks_off_at_s)
 
     @property
     def callers_leave_at_s(self) -> float:
@@ -115,7 +144,8 @@
 
         A process that is late finds some that have come while it did not run.
         """
-        return late_answers_until_s(self.breaks_off_at_s, now_s)
+        until_s = late_answers_until_s(self.breaks_off_at_s, now_s)
+        return min(until_s, self.ends_at_s)
 
     def accepts(
         self,
