Name the end of the grace period in the stop window

Read-through: the window held the moment after which nothing is awaited, and computed from it the one from which calls are broken off. It now holds the end of the grace period, from which both follow. The line 'stop' says how late the process has run, since that moves the moment that 'stopping' announced (docs/OPERATIONS.md).

--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -358,6 +358,7 @@
         )
 
     def _window_now(self, window: state.StopWindow) -> state.StopWindow:
+        """Return the window of the signal as the process runs now."""
         return window.for_lateness(self._lateness.recent_s)
 
     async def _wait_until_settled(self, until: Callable[[], float]) -> None:
@@ -386,6 +387,7 @@
             calls=calls,
             unanswered=self._caller_server.unanswered,
             unsent_bytes=self._caller_server.unsent_bytes,
+            lateness_ms=round(1000 * self._lateness.recent_s),
         )
         self._caller_server.refuse_unstarted()
         self.entry.mailbox.tell(coordination.StopWindowClosed())
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -1,7 +1,7 @@
 """Decides which calls a node takes between SIGTERM and SIGKILL."""
 
+import dataclasses
 from dataclasses import dataclass
-from dataclasses import replace
 import math
 import typing
 
@@ -74,10 +74,10 @@
     """When a call has to be expected to end, for it to be taken."""
     breaks_off_at_s: float
     """When the calls that still run are answered without their results."""
-    ends_at_s: float = math.inf
-    """When nothing is waited for any more, whatever is still owed."""
     may_break_off_at_s: float = math.inf
     """When calls may be broken off at the earliest."""
+    killed_at_s: float = math.inf
+    """When the grace period ends at the earliest."""
 
     @classmethod
     def from_signal(
@@ -99,7 +99,8 @@
         allowance_s = min(
             lateness_s, MAX_LATENESS_S, MAX_LATENESS_RATIO * grace_s
         )
-        longest_at_s = started_at_s + grace_s - STOP_MARGIN_S
+        killed_at_s = started_at_s + grace_s
+        longest_at_s = killed_at_s - STOP_MARGIN_S
         ends_at_s = longest_at_s - allowance_s
         may_break_off_at_s = (
             handled_at_s + MAY_BREAK_OFF_RATIO * grace_s + ANSWER_TRANSIT_S
@@ -110,24 +111,32 @@
             handled_at_s,
             closes_at_s,
             breaks_off_at_s,
-            started_at_s + grace_s - END_MARGIN_S,
             may_break_off_at_s,
+            killed_at_s,
         )
 
-    def for_lateness(self, lateness_s: float) -> "StopWindow":
+    def for_lateness(self, lateness_s: float) -> typing.Self:
         """Return the window of a process that has become late meanwhile.
 
-        Servers keep the time that they got, and their answers to it are read.
+        Calls are broken off earlier, but not before servers have answered at
+        the deadlines that they got.
         """
-        longest_at_s = self.ends_at_s + END_MARGIN_S - STOP_MARGIN_S
         earliest_at_s = max(
             self.may_break_off_at_s,
             self.breaks_off_at_s - ANSWER_TRANSIT_S + LATE_ANSWERS_S,
         )
-        breaks_off_at_s = min(
-            self.breaks_off_at_s, max(earliest_at_s, longest_at_s - lateness_s)
+        due_at_s = self.killed_at_s - STOP_MARGIN_S - lateness_s
+        return dataclasses.replace(
+            self,
+            breaks_off_at_s=min(
+                self.breaks_off_at_s, max(earliest_at_s, due_at_s)
+            ),
         )
-        return replace(self, breaks_off_at_s=breaks_off_at_s)
+
+    @property
+    def ends_at_s(self) -> float:
+        """Return when nothing is waited for any more, even if it is owed."""
+        return self.killed_at_s - END_MARGIN_S
 
     @property
     def callers_leave_at_s(self) -> float:
