--- /dev/null
+++ b/features/mesh/restored_source.feature
@@ -0,0 +1,167 @@
+Feature: A source that is restored from an older copy
+
+  Guards against entries that stay out of force, and against servers, keys and
+  data centres that return, because the source gives out revisions again.
+
+  Scenario Outline: What was written later than the copy stays until its author writes again
+    Given a directory that has read <known> at revision 150
+    When the source is restored from a copy with <copy> at revision <revision>
+    Then it uses <then>
+    And it uses <later> once the time to write it again is over
+
+    Examples:
+      | known                 | copy               | revision | then            | later          |
+      | table 6               | table 5            | 90       | table 6         | table 6        |
+      | table 6               | table 6            | 150      | table 6         | table 6        |
+      | table 6               | table 7            | 150      | table 7         | table 7        |
+      | table 6               | nothing            | 90       | table 6         | table 6        |
+      | table 6               | nonsense           | 90       | table 6         | table 6        |
+      | server draining       | server ready       | 90       | server draining | server ready   |
+      | server ready          | server draining    | 150      | server draining | server draining |
+      | server ready of 2     | server ready of 1  | 90       | server of 2     | server of 1    |
+      | server draining of 1  | server ready of 2  | 150      | server of 2     | server of 2    |
+      | report 8 of a server  | report 7 of a server | 90     | report 8        | report 7       |
+      | a server's removal    | server ready       | 90       | nothing         | server ready   |
+      | server ready          | nothing            | 90       | server ready    | nothing        |
+      | server draining       | nothing            | 90       | nothing         | nothing        |
+      | out dryer             | nothing            | 90       | out dryer       | nothing        |
+      | the return of dryer   | out dryer          | 90       | nothing         | out dryer      |
+
+  Scenario Outline: What is written again replaces what was retained
+    Given a directory that has read <known> at revision 150
+    When the source is restored from a copy with <copy> at revision 90
+    And <written> is written at revision <revision>
+    Then it uses <then>
+    And it uses <then> once the time to write it again is over
+
+    Examples:
+      | known              | copy         | written            | revision | then            |
+      | table 6            | table 5      | table 7            | 101      | table 7         |
+      | table 6            | table 5      | table 6            | 101      | table 6         |
+      | table 8            | table 5      | table 6            | 101      | table 8         |
+      | server draining    | server ready | server draining    | 101      | server draining |
+      | server draining    | server ready | a server's removal | 101      | nothing         |
+      | a server's removal | server ready | a server's removal | 101      | nothing         |
+      | a server's removal | server ready | server ready of 2  | 150      | server of 2     |
+      | out dryer          | nothing      | out dryer          | 101      | out dryer       |
+      | out dryer          | nothing      | the return of dryer | 101     | nothing         |
+
+  Scenario Outline: A restore leaves no service without servers
+    Given a directory that has read that server i-1 of 2 has <left>
+    When the source is restored with <copy>
+    Then <servers> receive calls
+
+    Examples:
+      | left      | copy                    | servers  |
+      | left      | both of them            | i-2      |
+      | left      | i-1 only                | i-2      |
+      | left      | neither of them         | i-2      |
+      | crashed too | both of them          | i-1, i-2 |
+
+  Scenario Outline: Two restores keep the newest that a node has read
+    Given a directory that has read table 6 at revision 150
+    When the source is restored from a copy with table 5 at revision 90
+    And the source is restored from a copy with <copy> at revision <revision>
+    Then it uses <then>
+
+    Examples:
+      | copy    | revision | then    |
+      | table 4 | 80       | table 6 |
+      | table 5 | 90       | table 6 |
+      | table 7 | 85       | table 7 |
+
+  Scenario Outline: Nodes that know different parts of a lost era agree
+    Given nodes that have read table 6 up to version <versions>
+    When it has lost all but table 3
+    And <first> of them read it, and the others receive what they push
+    Then all of them have the same entries, with table <newest>
+
+    Examples:
+      | versions   | first | newest |
+      | 6, 6, 6, 6 | 1     | 6      |
+      | 6, 5, 4, 3 | 1     | 6      |
+      | 3, 4, 5, 6 | 1     | 6      |
+      | 3, 4, 5, 6 | 4     | 6      |
+
+  Scenario Outline: The header with the era of the store
+    When the store answers status <status> with era <text>
+    Then the reply is of <era>
+
+    Examples:
+      | status | text                 | era         |
+      | 200    | 3                    | era 3       |
+      | 410    | 3                    | era 3       |
+      | 503    | 3                    | era 3       |
+      | 200    | 0                    | era 0       |
+      | 200    | 9223372036854775807  | era 9223372036854775807 |
+      | 200    | 9223372036854775808  | an invalid era |
+      | 200    | 99999999999999999999999 | an invalid era |
+      | 200    | -1                   | an invalid era |
+      | 200    | +1                   | an invalid era |
+      | 200    | 1_0                  | an invalid era |
+      | 200    | two                  | an invalid era |
+      | 200    | none                 | no era      |
+
+  Scenario Outline: Replies of the source in different eras
+    Given a node that has read the source in era 2
+    When the source replies with <replies>
+    Then it has read up to <position>
+    And it has listed the source <times> times
+    And the task has logged <events>
+
+    Examples:
+      | replies                                 | position | times | events       |
+      | changes of era 2                        | 2.30     | 1     | nothing      |
+      | changes of no era                       | 2.30     | 1     | nothing      |
+      | changes of an invalid era               | 2.30     | 1     | era-rejected |
+      | changes of era 1                        | 2.20     | 1     | era-rejected |
+      | changes of era 3                        | 3.25     | 2     | source-era   |
+      | history gone of era 3                   | 3.25     | 2     | source-era   |
+      | an error of era 3                       | 3.25     | 2     | source-era   |
+      | history gone of era 2                   | 2.25     | 2     | history-gone |
+      | changes of era 3, pages of eras 3 and 4 | 4.25     | 3     | source-era   |
+      | changes of era 3, pages of eras 3 and 2 | 3.25     | 3     | source-era, era-rejected |
+
+  Scenario Outline: Messages between nodes of different versions
+    When <message> is encoded for a node of version <version>
+    Then that node reads <positions>
+
+    Examples:
+      | message        | version | positions             |
+      | ItemsSent      | 3       | 1.7                   |
+      | ItemsSent      | 2       | unknown.7             |
+      | LoadReported   | 3       | 1.7, 1.7              |
+      | LoadReported   | 2       | unknown.7, unknown.7  |
+      | ItemPatched    | 3       | 1.1, 1.2              |
+      | ItemPatched    | 2       | unknown.1, unknown.2  |
+      | a retained one | 3       | 2.90 for 1.150        |
+      | a retained one | 2       | unknown.90            |
+
+  Scenario Outline: A fleet whose source is restored
+    Given <hosts> nodes whose source loses <lost> entries and is away for <away> s
+    When the source is back, and after 0.8 s what it lost is written again
+    And meanwhile <meanwhile>
+    Then the next table is in force everywhere within 2 s
+    And no node has gone back to an older table
+    And the restore has cost at most <listings> listings and <bytes> bytes of entries a node
+
+    Examples:
+      | hosts | lost | away | meanwhile                      | listings | bytes |
+      | 24    | 10   | 0.1  | nothing else happens           | 3        | 4000  |
+      | 24    | 200  | 5.0  | nothing else happens           | 5        | 4000  |
+      | 24    | 60   | 1.0  | a node starts                  | 4        | 4000  |
+      | 24    | 60   | 1.0  | a third is cut from the source | 5        | 4000  |
+      | 24    | 60   | 1.0  | the source is restored again   | 6        | 4000  |
+      | 195   | 60   | 1.0  | nothing else happens           | 3        | 4000  |
+      | 195   | 60   | 5.0  | nothing else happens           | 5        | 4000  |
+
+  Scenario Outline: A node that starts uses its table once no peer may know a newer one
+    Given a node with a table, where <reports>
+    Then its calls are routed at once: <now>
+    And its calls are routed after 0.4 s: yes
+
+    Examples:
+      | reports                            | now |
+      | no peer has reported               | no  |
+      | a peer has reported the same       | yes |
+      | a peer has reported other entries  | no  |
--- a/features/steps/fleet_model.py
+++ b/features/steps/fleet_model.py
@@ -113,6 +113,7 @@
 class Source:
     """Entries and their history, as the source keeps them."""
 
+    era: int = 1
     revision: int = 10
     item_by_key: dict = field(default_factory=dict)
     events: list = field(default_factory=list)
@@ -120,22 +121,56 @@
     unreachable_for: set = field(default_factory=set)
     sent_bytes_by_host: dict = field(default_factory=dict)
     calls: int = 0
+    listings: int = 0
+    is_away: bool = False
 
     def put(self, key, value):
         """Write an entry and end the watches that wait."""
         self.revision += 1
-        item = state.SourceItem(key, self.revision, value)
+        position = state.Position(self.era, self.revision)
+        item = state.SourceItem(key, position, value)
         self.item_by_key[key] = item
         now_s = LoopClock().now_s()
         self.events.append((now_s, item))
         self.events = [
             event for event in self.events if event[0] > now_s - HISTORY_S
         ]
+        self._end_waits()
+
+    def copy(self):
+        """Return a copy from which the source can be restored."""
+        return self.revision, dict(self.item_by_key), list(self.events)
+
+    async def restore(self, copy, away_s):
+        """Be away, and come back in the next era as in a copy."""
+        self.is_away = True
+        self._end_waits()
+        await asyncio.sleep(away_s)
+        self.era += 1
+        self.revision, items, events = copy
+        self.item_by_key = {
+            key: item.at(state.Position(self.era, item.position.revision))
+            for key, item in items.items()
+        }
+        self.events = [
+            (
+                at_s,
+                item.at(state.Position(self.era, item.position.revision)),
+            )
+            for at_s, item in events
+        ]
+        self.is_away = False
+
+    def _end_waits(self):
         for waiter in self.waiters:
             if not waiter.done():
                 waiter.set_result(None)
         self.waiters.clear()
 
+    def is_reached_by(self, host):
+        """Return whether a host reaches the source now."""
+        return not self.is_away and host not in self.unreachable_for
+
 
 class SourcePort:
     """Reads of the source by one host, over its link."""
@@ -150,40 +185,48 @@
         if not await self._reach():
             return coordination.Unavailable("timeout")
         on_reply()
+        self._source.listings += 1
         items = tuple(self._source.item_by_key.values())
         revision = self._source.revision
+        era = coordination.NamedEra(self._source.era)
         await self._transfer(items)
-        return coordination.Page(items, False, revision)
+        return coordination.Page(items, False, revision, era=era)
 
     async def watch(self, after_revision, wait_s, max_bytes, on_reply):
         """Return the changes after a revision, waiting for one."""
         if not await self._reach():
             return coordination.Unavailable("timeout")
-        if self._source.revision <= after_revision:
+        if self._source.revision < after_revision:
+            return coordination.HistoryGone(
+                coordination.NamedEra(self._source.era)
+            )
+        if self._source.revision == after_revision:
             waiter = asyncio.get_running_loop().create_future()
             self._source.waiters.add(waiter)
             await asyncio.wait([waiter], timeout=wait_s)
-        if self._node.host in self._source.unreachable_for:
+        if not self._source.is_reached_by(self._node.host):
             return coordination.Unavailable("timeout")
         on_reply()
         items = tuple(
             item
             for _, item in self._source.events
-            if item.revision > after_revision
+            if item.position.revision > after_revision
         )
         revision = self._source.revision
+        era = coordination.NamedEra(self._source.era)
         if wire_bytes(items) > max_bytes:
             return coordination.ChangesTooLarge()
         await self._transfer(items)
-        return coordination.Changes(items, revision)
+        return coordination.Changes(items, revision, era=era)
 
     async def _reach(self):
         self._source.calls += 1
         await asyncio.sleep(SOURCE_DELAY_S)
-        if self._node.host in self._source.unreachable_for:
+        if self._source.is_reached_by(self._node.host):
+            return True
+        if not self._source.is_away:
             await asyncio.sleep(SOURCE_TIMEOUT_S)
-            return False
-        return True
+        return False
 
     async def _transfer(self, items):
         size = wire_bytes(items)
@@ -252,20 +295,29 @@
             self.directory,
             self.uploads,
             coordination.FleetPorts(
-                lambda message: None,
+                self._use,
                 lambda message: None,
                 lambda message: None,
                 lambda hosts: fleet.dial(self, hosts),
                 self.source.set_watching,
                 self.source.skip_to,
+                self.source.list_again,
                 lambda: load,
             ),
             LoopClock(),
             random.Random(1000 + number),
             self.log,
         )
+        self.used_versions = []
+        """Versions of the table that calls have been routed by."""
         self._tasks = []
 
+    def _use(self, message):
+        if isinstance(message, coordination.FleetChanged) and (
+            message.fleet.table is not None
+        ):
+            self.used_versions.append(message.fleet.table.version)
+
     def set_link_rate(self, mbit_per_s):
         """Set the rate of the host's link."""
         self.bytes_per_s = mbit_per_s * BYTES_PER_MBIT
@@ -275,6 +327,7 @@
 
     def start(self):
         """Start the tasks."""
+        self.started_s = LoopClock().now_s()
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self.task.run()),
@@ -315,6 +368,8 @@
         self.delay_s = delay_s
         self.lost_hosts = set()
         self.sent_bytes_by_host = {}
+        self.entry_bytes = 0
+        """Bytes sent between nodes besides load reports."""
         self.longest_wait_s = 0.0
         """Longest time that a message has waited for its sender's uplink."""
         self._uplink_free_at_s = {}
@@ -361,6 +416,32 @@
             version, self.rows, range(changed_rows)
         )
         self.source.put("table", value)
+        return version
+
+    def republish(self):
+        """Publish the newest version again, as the source has lost it."""
+        version = len(self.published_s_by_version)
+        value = mesh_exchange_steps.table_value(version, self.rows, range(1))
+        self.source.put("table", value)
+
+    def restart(self, host):
+        """Replace a node by one without entries, as after a kill."""
+        old = self.node_by_host[host]
+        old.stop()
+        for end in list(old.links_by_host.values()):
+            end.abort()
+        linked = [
+            other
+            for other in self.node_by_host.values()
+            if host in other.links_by_host
+        ]
+        for other in linked:
+            other.links_by_host.pop(host).abort()
+        node = ModelNode(self, int(host.rpartition(".")[2]))
+        self.node_by_host[host] = node
+        node.start()
+        for other in linked:
+            self.dial(other, {*other.links_by_host, host})
 
     def register_servers(self, count, state_number):
         """Let the servers of the first hosts renew their entries."""
@@ -455,6 +536,8 @@
             return
         loop = asyncio.get_running_loop()
         size = len(protocol.encode(message))
+        if not isinstance(message, coordination.LoadReported):
+            self.entry_bytes += size
         sent = self.sent_bytes_by_host
         sent[end.sender] = sent.get(end.sender, 0) + size
         free_at_s = max(
--- a/features/steps/mesh_directory_steps.py
+++ b/features/steps/mesh_directory_steps.py
@@ -42,7 +42,12 @@
 def make_item(key, revision, value):
     """Return a source item with an encoded value."""
     encoded = None if value is None else value.encode()
-    return state.SourceItem(key, revision, encoded)
+    return state.SourceItem(key, make_position(revision), encoded)
+
+
+def make_position(revision, era=1):
+    """Return a position of the source."""
+    return state.Position(era, revision)
 
 
 @given("a directory with table version {version:d} at revision {revision:d}")
@@ -137,7 +142,7 @@
 
 @when("a listing at revision {revision:d} without the entry arrives")
 def step_listing(context, revision):
-    context.directory.apply_listing([], revision, context.now_s)
+    context.directory.apply_listing([], make_position(revision), context.now_s)
 
 
 @then("the server is {now} now and {later} after 2 s")
@@ -180,9 +185,9 @@
 def step_peer_complete(context, entries, revision):
     own = context.directory.digest
     digest = own if entries == "the same" else own + 1
-    context.directory.compare_with_peer(digest, revision)
+    context.directory.compare_with_peer(digest, make_position(revision))
 
 
 @then("the directory is complete up to revision {revision:d}")
 def step_complete(context, revision):
-    assert context.directory.complete_revision == revision
+    assert context.directory.complete_position.revision == revision
--- a/features/steps/mesh_endless_store_steps.py
+++ b/features/steps/mesh_endless_store_steps.py
@@ -114,7 +114,11 @@
         self.pages += 1
         key = f"{self.pages:09d}"
         items = tuple(
-            state.SourceItem(f"{key}-{number:03d}", 1, b"a" * self.size)
+            state.SourceItem(
+                f"{key}-{number:03d}",
+                state.Position(1, 1),
+                b"a" * self.size,
+            )
             for number in range(self.items)
         )
         listed = self.pages * self.items * self.size
--- a/features/steps/mesh_exchange_steps.py
+++ b/features/steps/mesh_exchange_steps.py
@@ -109,10 +109,11 @@
     def read(self, number, items):
         """Let a host read entries from the source and push them to others."""
         host = self.hosts[number]
-        revision = max(item.revision for item in items)
-        fresh = host.directory.apply_changes(items, revision, self.now_s)
+        position = max(item.position for item in items)
+        applied = host.directory.apply_changes(items, position, self.now_s)
         host.exchange.push(
-            fresh, [self.send_to(number, other) for other in host.accepted]
+            applied.changed,
+            [self.send_to(number, other) for other in host.accepted],
         )
 
     def run(self, for_s, until=None):
@@ -134,16 +135,14 @@
 
     def _tick(self, host, ticks):
         host.exchange.request_pending(self.now_s)
-        host.exchange.check_gaps(self.now_s)
+        host.exchange.check_gaps(self.now_s, False)
         if (ticks + host.number) % round(REPORT_PERIOD_S / TICK_S) == 0:
             load = state.ServerLoad("i", 0, 0, 1, 0.1, 0.0, True)
             report = coordination.LoadReported.from_load(
                 load,
                 0.0,
                 0.0,
-                host.directory.revision,
-                host.directory.digest,
-                host.directory.complete_revision,
+                host.directory,
             )
             for other in host.accepted:
                 self.send_to(host.number, other)(report)
@@ -159,9 +158,7 @@
         learned = []
         match message:
             case coordination.LoadReported():
-                host.exchange.peer_reported(
-                    reply, message.revision, message.digest
-                )
+                host.exchange.peer_reported(reply, message)
             case coordination.ItemsSent(items):
                 learned = [state.SourceItem(*item) for item in items]
             case coordination.ItemPatched():
@@ -185,7 +182,7 @@
             message, coordination.ItemsSent | coordination.ItemPatched
         ):
             is_upload = host.exchange.confirm_upload(message, reply)
-        fresh = host.directory.apply_items(learned, self.now_s)
+        fresh = host.directory.apply_items(learned, self.now_s).changed
         host.exchange.mark_received(fresh)
         if is_upload and fresh:
             host.exchange.announce_upload(
@@ -196,7 +193,7 @@
 
 def item(key, revision, value):
     """Return an entry."""
-    return state.SourceItem(key, revision, value)
+    return state.SourceItem(key, state.Position(1, revision), value)
 
 
 @given("{hosts:d} nodes with a table of {rows:d} rows")
@@ -211,7 +208,7 @@
         ),
     ]
     for host in context.net.hosts:
-        host.directory.apply_listing(first, hosts + 2, 0.0)
+        host.directory.apply_listing(first, state.Position(1, hosts + 2), 0.0)
     context.revision = hosts + 2
     context.net.run(1.0)
 
@@ -334,11 +331,13 @@
     directories[0].apply_items([item("table", 1, context.base)], 0.0)
     other = context.base if base == "the same" else table_value(3, 200)
     directories[1].apply_items([item("table", 1, other)], 0.0)
-    patch = directories[0].create_patch(item("table", 2, context.target), 1)
+    patch = directories[0].create_patch(
+        item("table", 2, context.target), state.Position(1, 1)
+    )
     context.result = (
         None
         if patch is None
-        else directories[1].apply_patch("table", 1, patch)
+        else directories[1].apply_patch("table", state.Position(1, 1), patch)
     )
 
 
@@ -352,7 +351,10 @@
 def step_message(context, count, size):
     value = (b'{"service":"ledger","slots":6}' * size)[:size]
     context.message = coordination.ItemsSent(
-        tuple((f"i-{number}", number, value) for number in range(count))
+        tuple(
+            (f"i-{number}", state.Position(1, number), value)
+            for number in range(count)
+        )
     )
 
 
--- a/features/steps/mesh_link_codec_steps.py
+++ b/features/steps/mesh_link_codec_steps.py
@@ -11,11 +11,25 @@
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
+from jasminecrank.mesh import state
 
 MESSAGE_BY_NAME = {
-    "ItemsSent": coordination.ItemsSent((("servers/i-1", 7, b"{}"),)),
+    "ItemsSent": coordination.ItemsSent(
+        (("servers/i-1", state.Position(1, 7), b"{}"),)
+    ),
     "LoadReported": coordination.LoadReported(
-        "i-1", 1, 0, 2, 100, 0, True, 5, 5, 7, 1, 7
+        "i-1",
+        1,
+        0,
+        2,
+        100,
+        0,
+        True,
+        5,
+        5,
+        state.Position(1, 7),
+        1,
+        state.Position(1, 7),
     ),
     "CallSent": coordination.CallSent(
         1,
@@ -34,7 +48,11 @@
         "team-1",
     ),
     "ItemPatched": coordination.ItemPatched(
-        "op/config", 1, 2, (b"ab", (1, 5)), b"digest"
+        "op/config",
+        state.Position(1, 1),
+        state.Position(1, 2),
+        (b"ab", (1, 5)),
+        b"digest",
     ),
     "Presence": coordination.Presence(("10.0.0.1",)),
 }
@@ -44,11 +62,11 @@
     """Return the fields of a message after a change."""
     match change:
         case "a key of bytes":
-            values[1] = [[b"servers/i-1", 7, b"{}"]]
+            values[1] = [[b"servers/i-1", [1, 7], b"{}"]]
         case "a revision of text":
-            values[1] = [["servers/i-1", "7", b"{}"]]
+            values[1] = [["servers/i-1", [1, "7"], b"{}"]]
         case "an item of two fields":
-            values[1] = [["servers/i-1", 7]]
+            values[1] = [["servers/i-1", [1, 7]]]
         case "a field too many":
             values.append(1)
         case "a field too few":
@@ -107,10 +125,13 @@
 def _large_frame(size, what):
     match what:
         case "one large entry":
-            items = (("op/config", 1, b"x" * size),)
+            items = (("op/config", state.Position(1, 1), b"x" * size),)
         case "9000 entries":
             value = b"x" * (size // 9000)
-            items = tuple((f"servers/{n}", n, value) for n in range(1, 9001))
+            items = tuple(
+                (f"servers/{n}", state.Position(1, n), value)
+                for n in range(1, 9001)
+            )
         case _:
             head = bytes([0x82, ITEMS_SENT_TAG, 0x9A])
             count = struct.pack("!I", size)
--- a/features/steps/mesh_listed_steps.py
+++ b/features/steps/mesh_listed_steps.py
@@ -33,7 +33,7 @@
     context.directory = state.Directory(lambda key, value: entry_by_key[key])
     context.directory.apply_items(
         [
-            state.SourceItem(key, revision, b"")
+            state.SourceItem(key, state.Position(1, revision), b"")
             for revision, key in enumerate(entry_by_key, 1)
         ],
         0.0,
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -114,7 +114,7 @@
     context.good_items = [
         state.SourceItem(
             f"servers/i-{number}",
-            number + 1,
+            state.Position(1, number + 1),
             replace(
                 platform_entry_steps.SERVER,
                 ("address",),
@@ -126,7 +126,7 @@
     context.good_items.append(
         state.SourceItem(
             "op/config",
-            GOOD_SERVERS + 1,
+            state.Position(1, GOOD_SERVERS + 1),
             json.dumps(platform_entry_steps.CONFIG).encode(),
         )
     )
@@ -194,7 +194,10 @@
             items = [good]
             for key, value in odd:
                 revision += 1
-                items.insert(0, state.SourceItem(key, revision, value))
+                items.insert(
+                    0,
+                    state.SourceItem(key, state.Position(1, revision), value),
+                )
             directory.apply_items(items, 0.0)
         # The table's key has one entry only, so the last good one is put
         # again, as its operator does with the next version.
@@ -202,7 +205,9 @@
         directory.apply_items(
             [
                 state.SourceItem(
-                    "op/config", revision + 1, json.dumps(config).encode()
+                    "op/config",
+                    state.Position(1, revision + 1),
+                    json.dumps(config).encode(),
                 )
             ],
             0.0,
@@ -239,14 +244,16 @@
     odd = replace(item(2), PATH_BY_ITEM_FIELD[field], parse_value(value))
     parts = [json.dumps(item(1)), odd, json.dumps(item(3))]
     body = f'{{"items":[{",".join(parts)}],"hasMore":true,"currentRev":9}}'
-    context.page = platform.decode_page(body.encode(), 0.0)
+    context.page = platform.decode_page(
+        body.encode(), 0.0, coordination.UnnamedEra()
+    )
 
 
 @then("the page has the 2 good items, and the odd one {fate}")
 def step_page_items(context, fate):
     page = context.page
     assert isinstance(page, coordination.Page), page
-    found = {item.revision: item.value for item in page.items}
+    found = {item.position.revision: item.value for item in page.items}
     assert page.last_key == "servers/i-3", page
     assert (found.pop(1), found.pop(3)) == (b"{}", b"{}"), page
     match fate:
--- a/script/measure_messages.py
+++ b/script/measure_messages.py
@@ -28,6 +28,15 @@
     return state.ServerLoad(f"i-{number:010x}", 7, 0, 12, 0.09, 0.01, True)
 
 
+def make_directory() -> state.Directory:
+    """Return a directory with the positions and digest of a running node."""
+    directory = state.Directory(lambda key, value: state.InvalidEntry(key))
+    directory.position = state.Position(1, 1234)
+    directory.complete_position = state.Position(1, 1240)
+    directory.digest = 2**47
+    return directory
+
+
 def make_messages() -> dict[str, coordination.PeerMessage]:
     """Return one message of each frequent type."""
     headers = (
@@ -37,7 +46,7 @@
     )
     return {
         "load report": coordination.LoadReported.from_load(
-            make_load(1), 0.5, 1234, 2**47
+            make_load(1), 0.5, 0.5, make_directory()
         ),
         f"presence, {state.ARBITER_COUNT} arbiters": coordination.Presence(
             tuple(f"10.1.0.{number}" for number in range(state.ARBITER_COUNT))
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -139,6 +139,10 @@
 from jasminecrank.mesh.coordination._peer_messages import (
     CallServed as CallServed,
 )
+from jasminecrank.mesh.coordination._peer_messages import EraBegun as EraBegun
+from jasminecrank.mesh.coordination._peer_messages import (
+    FIRST_VERSION_WITH_ERAS as FIRST_VERSION_WITH_ERAS,
+)
 from jasminecrank.mesh.coordination._peer_messages import Hello as Hello
 from jasminecrank.mesh.coordination._peer_messages import (
     HostsRemoved as HostsRemoved,
@@ -168,6 +172,9 @@
     PeerMessage as PeerMessage,
 )
 from jasminecrank.mesh.coordination._peer_messages import Presence as Presence
+from jasminecrank.mesh.coordination._peer_messages import (
+    PROTOCOL_VERSION as PROTOCOL_VERSION,
+)
 from jasminecrank.mesh.coordination._peer_messages import (
     SendToPeer as SendToPeer,
 )
@@ -190,7 +197,11 @@
     ChangesTooLarge as ChangesTooLarge,
 )
 from jasminecrank.mesh.coordination._source import HistoryGone as HistoryGone
+from jasminecrank.mesh.coordination._source import InvalidEra as InvalidEra
+from jasminecrank.mesh.coordination._source import NamedEra as NamedEra
 from jasminecrank.mesh.coordination._source import Page as Page
+from jasminecrank.mesh.coordination._source import SourceEra as SourceEra
 from jasminecrank.mesh.coordination._source import SourcePort as SourcePort
 from jasminecrank.mesh.coordination._source import SourceTask as SourceTask
 from jasminecrank.mesh.coordination._source import Unavailable as Unavailable
+from jasminecrank.mesh.coordination._source import UnnamedEra as UnnamedEra
--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True, frozen=True)
 class _Transfer:
-    """How an entry is sent to a node that has an earlier revision of it."""
+    """How an entry is sent to a node that has an earlier value of it."""
 
     patch: _peer_messages.ItemPatched | None
     """None if all of the entry is sent."""
@@ -53,7 +53,7 @@
     def from_item(
         cls,
         item: state.SourceItem,
-        base_revision: int,
+        base_position: state.Position,
         patch: state.Patch | None,
     ) -> "_Transfer":
         """Return the transfer of an entry, by a patch if that saves half."""
@@ -64,8 +64,8 @@
             return cls(None, _compressed_bytes(value))
         message = _peer_messages.ItemPatched(
             item.key,
-            base_revision,
-            item.revision,
+            base_position,
+            item.position,
             patch.pieces,
             patch.digest,
         )
@@ -74,8 +74,9 @@
 
 @dataclass(slots=True)
 class _PeerState:
-    revision: int
+    position: state.Position
     digest: int
+    revision_digest: int
 
 
 class EntryExchange:
@@ -99,7 +100,9 @@
         self._directory = directory
         self._uploads = uploads
         self._rng = rng
-        self._transfer_by_revisions: dict[tuple[str, int, int], _Transfer] = {}
+        self._transfer_by_positions: dict[
+            tuple[str, state.Position, state.Position], _Transfer
+        ] = {}
         self._pending = _pending.PendingEntries(rng)
         self._state_by_send: dict[_peer_messages.SendToPeer, _PeerState] = {}
         self._differs_since_s: float | None = None
@@ -121,7 +124,7 @@
         items = list(items)
         for item in items:
             if item.value is None or len(item.value) <= INLINE_MAX_BYTES:
-                inline.append((item.key, item.revision, item.value))
+                inline.append((item.key, item.position, item.value))
                 continue
             transfer = self._transfer(item, self._newest_base(item))
             if transfer.patch is None or transfer.upload_bytes:
@@ -134,7 +137,7 @@
             for message in messages:
                 send(message)
         pushed = tuple(
-            (item.key, item.revision) for item in items if item not in large
+            (item.key, item.position) for item in items if item not in large
         )
         if pushed:
             for send in announced_to:
@@ -147,11 +150,24 @@
         """Return whether only one reader pushes entries to each node."""
         return len(self._directory.item_by_key) > SMALL_FLEET_MAX_ENTRIES
 
+    def push_era(
+        self,
+        message: _peer_messages.EraBegun,
+        pushed_to: Iterable[_peer_messages.SendToPeer],
+    ) -> None:
+        """Tell nodes of a new era, before the entries that it changes."""
+        for send in pushed_to:
+            send(message)
+
     def peer_reported(
-        self, send: _peer_messages.SendToPeer, revision: int, digest: int
+        self,
+        send: _peer_messages.SendToPeer,
+        report: _peer_messages.LoadReported,
     ) -> None:
-        """Store the revision and digest that a peer has reported."""
-        self._state_by_send[send] = _PeerState(revision, digest)
+        """Store which entries a peer has reported."""
+        self._state_by_send[send] = _PeerState(
+            report.position, report.digest, report.revision_digest
+        )
 
     def remove_peer(self, send: _peer_messages.SendToPeer) -> None:
         """Discard what is known of a peer, since its link has ended."""
@@ -175,17 +191,18 @@
             overdue_at_s = now_s
         if not at_once and (overdue_at_s == now_s or not message.upload_bytes):
             request_at_s += self._request_delay_s()
-        for key, revision in message.revisions:
+        for key, announced in message.positions:
+            position = self._directory.with_era(announced)
             known = self._directory.item_by_key.get(key)
-            if known is not None and known.revision >= revision:
+            if known is not None and known.position >= position:
                 continue
-            self._pending.add(key, revision, send, request_at_s, overdue_at_s)
+            self._pending.add(key, position, send, request_at_s, overdue_at_s)
         self.request_pending(now_s)
-        if not message.complete_revision:
+        if not message.complete_position.revision:
             return []
-        keys = {key for key, _ in message.revisions}
+        keys = {key for key, _ in message.positions}
         return self._directory.implied_removals(
-            keys, message.complete_revision
+            keys, message.complete_position, now_s
         )
 
     def handle_patched(
@@ -199,19 +216,20 @@
         It is requested if the patch does not apply. The result is empty if
         it was requested or is already known.
         """
+        position = self._directory.with_era(message.position)
         known = self._directory.item_by_key.get(message.key)
-        if known is not None and known.revision >= message.revision:
+        if known is not None and known.position >= position:
             return []
         value = self._directory.apply_patch(
             message.key,
-            message.base_revision,
+            message.base_position,
             state.Patch(message.pieces, message.digest),
         )
         if value is not None:
-            return [state.SourceItem(message.key, message.revision, value)]
-        revisions = ((message.key, message.revision),)
+            return [state.SourceItem(message.key, position, value)]
+        positions = ((message.key, position),)
         self.handle_announced(
-            _peer_messages.ItemsAnnounced(revisions), send, True, now_s
+            _peer_messages.ItemsAnnounced(positions), send, True, now_s
         )
         return []
 
@@ -237,7 +255,7 @@
     ) -> None:
         """Announce large entries, which other nodes request at once."""
         message = _peer_messages.ItemsAnnounced(
-            tuple((item.key, item.revision) for item in items),
+            tuple((item.key, item.position) for item in items),
             upload_bytes=max(
                 self._transfer(item, self._newest_base(item)).upload_bytes
                 for item in items
@@ -277,17 +295,18 @@
         """
         deferred = []
         full_items = []
-        for key, revision in message.keys:
+        for key, known in message.keys:
+            known_position = self._directory.with_era(known)
             item = self._directory.item_by_key.get(key)
-            if item is None or item.revision <= revision:
+            if item is None or item.position <= known_position:
                 continue
-            transfer = self._transfer(item, revision)
+            transfer = self._transfer(item, known_position)
             if transfer.upload_bytes and not self._uploads.start(
                 send, transfer.upload_bytes, now_s
             ):
                 deferred.append(key)
             elif transfer.patch is None:
-                full_items.append((item.key, item.revision, item.value))
+                full_items.append((item.key, item.position, item.value))
             else:
                 send(transfer.patch)
         if full_items:
@@ -296,12 +315,12 @@
             send(_peer_messages.UploadDeferred(tuple(deferred)))
 
     def send_listing(self, send: _peer_messages.SendToPeer) -> None:
-        """Send the keys and revisions of all entries."""
+        """Send the keys and positions of all entries."""
         items = self._directory.item_by_key.values()
         send(
             _peer_messages.ItemsAnnounced(
-                tuple((item.key, item.revision) for item in items),
-                self._directory.complete_revision,
+                tuple((item.key, item.position) for item in items),
+                self._directory.complete_position,
             )
         )
 
@@ -309,33 +328,43 @@
         """Request each pending entry that is due from a random announcer."""
         for send, keys in self._pending.take_due(now_s).items():
             known_items = map(self._directory.item_by_key.get, keys)
-            revisions = (
-                0 if known is None else known.revision for known in known_items
+            positions = (
+                state.NO_POSITION if known is None else known.position
+                for known in known_items
             )
             send(
                 _peer_messages.ItemsRequested(
-                    tuple(zip(keys, revisions, strict=True))
+                    tuple(zip(keys, positions, strict=True))
                 )
             )
 
-    def check_gaps(self, now_s: float) -> None:
-        """Request the listing of a peer whose entries differ from this node's.
+    @property
+    def has_report(self) -> bool:
+        """Return whether any peer has reported which entries it has."""
+        return bool(self._state_by_send)
 
-        Peers with an older revision are ignored.
-        """
-        ahead = [
+    def peers_ahead(self) -> list[_peer_messages.SendToPeer]:
+        """Return the peers with other entries, which may be newer."""
+        return [
             send
             for send, peer in self._state_by_send.items()
-            if peer.digest != self._directory.digest
-            and peer.revision >= self._directory.revision
+            if self._is_ahead(peer)
         ]
+
+    def check_gaps(self, now_s: float, at_once: bool) -> None:
+        """Request the listing of a peer whose entries differ from this node's.
+
+        Peers with an older position are ignored. Unless it is done at once,
+        pushed entries have some time to arrive.
+        """
+        ahead = self.peers_ahead()
         if not ahead:
             self._differs_since_s = None
             return
         if self._differs_since_s is None:
             self._differs_since_s = now_s
-        empty = self._directory.revision == 0
-        if not empty and now_s - self._differs_since_s < GAP_TIMEOUT_S:
+        at_once |= self._directory.position == state.NO_POSITION
+        if not at_once and now_s - self._differs_since_s < GAP_TIMEOUT_S:
             return
         if now_s - self._listing_requested_at_s < LISTING_RETRY_S:
             return
@@ -343,10 +372,20 @@
         send = ahead[self._rng.randrange(len(ahead))]
         send(_peer_messages.ListingRequested())
 
-    def _newest_base(self, item: state.SourceItem) -> int:
+    def _is_ahead(self, peer: _PeerState) -> bool:
+        """Return whether a peer has other entries, which may be newer."""
+        directory = self._directory
+        position = directory.with_era(peer.position)
+        if peer.position.era == state.UNKNOWN_ERA:
+            differs = peer.revision_digest != directory.revision_digest
+        else:
+            differs = peer.digest != directory.digest
+        return differs and position >= directory.position
+
+    def _newest_base(self, item: state.SourceItem) -> state.Position:
         bases = self._directory.bases_by_key.get(item.key, {})
-        older = [revision for revision in bases if revision < item.revision]
-        return max(older, default=0)
+        older = [position for position in bases if position < item.position]
+        return max(older, default=state.NO_POSITION)
 
     def _spread_s(self, upload_bytes: int) -> float:
         """Return the time in which uploads reach the whole fleet."""
@@ -354,19 +393,19 @@
         return self._uploads.spread_s(upload_bytes, hosts)
 
     def _transfer(
-        self, item: state.SourceItem, base_revision: int
+        self, item: state.SourceItem, base_position: state.Position
     ) -> _Transfer:
-        """Return how to send an entry to a node that has a revision of it."""
-        revisions = (item.key, base_revision, item.revision)
-        if revisions not in self._transfer_by_revisions:
-            if len(self._transfer_by_revisions) >= MAX_CACHED_TRANSFERS:
-                self._transfer_by_revisions.clear()
-            self._transfer_by_revisions[revisions] = _Transfer.from_item(
+        """Return how to send an entry to a node that has a value of it."""
+        positions = (item.key, base_position, item.position)
+        if positions not in self._transfer_by_positions:
+            if len(self._transfer_by_positions) >= MAX_CACHED_TRANSFERS:
+                self._transfer_by_positions.clear()
+            self._transfer_by_positions[positions] = _Transfer.from_item(
                 item,
-                base_revision,
-                self._directory.create_patch(item, base_revision),
+                base_position,
+                self._directory.create_patch(item, base_position),
             )
-        return self._transfer_by_revisions[revisions]
+        return self._transfer_by_positions[positions]
 
     def _request_delay_s(self) -> float:
         """Return the delay before an announced entry is requested.
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -1,6 +1,7 @@
 """Task that keeps the node's view of the fleet and shares it with peers."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 import random
 import typing
@@ -23,6 +24,9 @@
 LATE_TICK_AFTER_S = 0.25
 """Delay of a tick that is logged: the node applies entries as late."""
 
+CONFIRMATION_RETRY_S = 2.0
+"""Time between two listings that confirm retained entries."""
+
 START_PAUSE_S = 0.6
 """Mean time after which a node without a table reads the source again.
 
@@ -41,10 +45,12 @@
     to_quota: Callable[[_messages.QuotaMessage], None]
     dial: Callable[[set[str]], None]
     """Keep open links to exactly these hosts."""
-    watch: Callable[[bool], None]
-    """Start or stop watching the source."""
-    skip_to: Callable[[int], None]
-    """Read only changes of the source after this revision."""
+    watch: Callable[[bool, bool], None]
+    """Start or stop watching the source; whether the node is a reader."""
+    skip_to: Callable[[state.Position], None]
+    """Read only changes of the source after this position."""
+    list_again: Callable[[], None]
+    """Read all entries of the source next."""
     load: Callable[[], state.ServerLoad]
 
 
@@ -89,11 +95,14 @@
         )
         self._ticked_at_s = clock.now_s()
         self._ticks = 0
+        self._start_check = state.StartCheck()
+        self._confirmation_at_s = -1e9
+        """When a listing was last requested for retained entries."""
 
     @property
     def ready(self) -> bool:
         """Return whether the node has a table and can route calls."""
-        return self._fleet.table is not None
+        return self._fleet.table is not None and self._start_check.is_over
 
     @property
     def table_version(self) -> int:
@@ -109,19 +118,14 @@
                 self._peer_message_received(message, now_s)
             case _messages.FleetTick():
                 self._tick(now_s)
-            case _messages.ListingRead(items, start_revision):
+            case _messages.ListingRead(items, start):
                 self._contact.confirmed_at_s = now_s
-                self._apply_source_items(
-                    self._directory.apply_listing(
-                        items, start_revision, now_s
-                    ),
-                    now_s,
-                )
+                self._apply_listing(items, start, now_s)
                 self._listing_applied(now_s)
-            case _messages.ChangesRead(items, revision):
+            case _messages.ChangesRead(items, position):
                 self._contact.confirmed_at_s = now_s
                 self._apply_source_items(
-                    self._directory.apply_changes(items, revision, now_s),
+                    self._directory.apply_changes(items, position, now_s),
                     now_s,
                 )
             case _messages.SourceReplied():
@@ -142,6 +146,97 @@
             case _:
                 typing.assert_never(message)
 
+    def _apply_listing(
+        self,
+        items: Sequence[state.SourceItem],
+        start: state.Position,
+        now_s: float,
+    ) -> None:
+        """Apply all entries of the source, perhaps of a new era."""
+        directory = self._directory
+        before = directory.position
+        digest = directory.digest
+        known_keys = {
+            key
+            for key, item in directory.item_by_key.items()
+            if item.value is not None
+        }
+        applied = directory.apply_listing(items, start, now_s)
+        if state.UNKNOWN_ERA < before.era < directory.position.era:
+            changed_keys = known_keys - {item.key for item in applied.renewed}
+            self._log_restore(before, start, applied)
+            self._exchange.push_era(
+                _peer_messages.EraBegun(
+                    start.era, digest, tuple(sorted(changed_keys))
+                ),
+                [
+                    peer.send
+                    for peer in self._peers.accepted
+                    if self._reads_for(peer.host)
+                ],
+            )
+        self._apply_source_items(applied, now_s)
+
+    def _log_restore(
+        self,
+        before: state.Position,
+        start: state.Position,
+        applied: state.AppliedItems,
+    ) -> None:
+        retained = sum(item.position.is_retained for item in applied.changed)
+        dropped = sum(item.value is None for item in applied.changed)
+        self.log.decision(
+            "source-restored",
+            era=start.era,
+            previous_era=before.era,
+            revision=start.revision,
+            previous_revision=before.revision,
+            renewed=len(applied.renewed),
+            retained=retained,
+            dropped=dropped,
+            replaced=len(applied.changed) - retained - dropped,
+        )
+
+    def _era_begun(
+        self,
+        message: _messages.PeerMessageReceived,
+        begun: _peer_messages.EraBegun,
+        now_s: float,
+    ) -> None:
+        """Follow a reader into a new era, and pass on that it has begun.
+
+        Without the same entries, this node requests those of the peer once
+        their digests differ.
+        """
+        before = self._directory.position
+        is_renewed = self._directory.renew(
+            begun.era, begun.digest, begun.changed_keys, now_s
+        )
+        self.log.decision(
+            "era-received",
+            era=begun.era,
+            previous_era=before.era,
+            previous_revision=before.revision,
+            renewed=is_renewed,
+            changed=len(begun.changed_keys),
+            origin=message.host,
+        )
+        if is_renewed and self._readers.is_fellow(message.host):
+            self._exchange.push_era(
+                begun,
+                [
+                    peer.send
+                    for peer in self._peers.accepted
+                    if self._readers.relays_to(peer.host)
+                ],
+            )
+
+    def _reads_for(self, host: str) -> bool:
+        """Return whether this node pushes what it reads to a host."""
+        return not self._exchange.in_large_fleet or (
+            self._readers.pushes_read_to(host)
+        )
+
     def _listing_applied(self, now_s: float) -> None:
         """Leave the watch to the watchers, or wait for a table.
 
@@ -165,23 +260,20 @@
         return min(_peer_messages.MAX_AGE_MS, round(1000 * age_s))
 
     def _apply_source_items(
-        self, fresh: list[state.SourceItem], now_s: float
+        self, applied: state.AppliedItems, now_s: float
     ) -> None:
-        """Apply entries read from the source, and pass them on to peers."""
-        self._apply_fresh(fresh, _source.SOURCE_ORIGIN, now_s)
-        if not fresh:
+        """Use entries read from the source, and pass them on to peers."""
+        self._apply_fresh(applied, _source.SOURCE_ORIGIN, now_s)
+        if not applied.changed:
             return
         pushed_to = []
         announced_to = []
         for peer in self._peers.accepted:
-            if (
-                not self._exchange.in_large_fleet
-                or self._readers.pushes_read_to(peer.host)
-            ):
+            if self._reads_for(peer.host):
                 pushed_to.append(peer.send)
             else:
                 announced_to.append(peer.send)
-        self._exchange.push(fresh, pushed_to, announced_to)
+        self._exchange.push(applied.changed, pushed_to, announced_to)
 
     def _relay(self, fresh: list[state.SourceItem], host: str) -> None:
         """Push entries that another reader has read earlier than this one."""
@@ -202,9 +294,9 @@
         self, items: list[state.SourceItem], host: str, now_s: float
     ) -> list[state.SourceItem]:
         """Apply entries received from a peer and return the new ones."""
-        fresh = self._directory.apply_items(items, now_s)
-        self._apply_fresh(fresh, host, now_s)
-        return fresh
+        applied = self._directory.apply_items(items, now_s)
+        self._apply_fresh(applied, host, now_s)
+        return applied.changed
 
     def _entries_received(
         self,
@@ -238,25 +330,29 @@
             )
 
     def _apply_fresh(
-        self, fresh: list[state.SourceItem], origin: str, now_s: float
+        self, applied: state.AppliedItems, origin: str, now_s: float
     ) -> None:
         for rejected in self._directory.pop_rejected():
             self.log.count("entries", "rejected")
             self.log.decision(
                 "entry-rejected",
                 key=rejected.key,
-                revision=rejected.revision,
+                era=rejected.position.era,
+                revision=rejected.position.revision,
                 reason=rejected.reason,
                 origin=origin,
             )
-        if not fresh:
+        self._exchange.mark_received(applied.renewed)
+        if not applied.changed:
             return
-        self._exchange.mark_received(fresh)
-        for item in fresh:
+        self._exchange.mark_received(applied.changed)
+        for item in applied.changed:
             self.log.decision(
                 "entry",
                 key=item.key,
-                revision=item.revision,
+                era=item.position.era,
+                revision=item.position.revision,
+                retained=item.position.is_retained,
                 removed=item.value is None,
                 origin=origin,
             )
@@ -266,7 +362,8 @@
             self.log.decision(
                 "table-in-force",
                 version=self._fleet.table.version,
-                revision=self._directory.revision,
+                era=self._directory.position.era,
+                revision=self._directory.position.revision,
                 origin=origin,
                 confirmed_age_ms=self._confirmed_age_ms(now_s),
             )
@@ -290,7 +387,8 @@
                     ),
                 )
         changed = _messages.FleetChanged(self._fleet)
-        self._ports.to_entry(changed)
+        if self._start_check.is_over:
+            self._ports.to_entry(changed)
         self._ports.to_gate(changed)
         self._ports.to_quota(changed)
         self._readers = state.SourceReaders.from_fleet(
@@ -329,6 +427,8 @@
                 )
             case _peer_messages.ListingRequested():
                 self._exchange.send_listing(message.send)
+            case _peer_messages.EraBegun():
+                self._era_begun(message, message.message, now_s)
             case _peer_messages.UploadConfirmed():
                 self._exchange.handle_confirmed(message.send)
             case _peer_messages.UploadDeferred():
@@ -348,11 +448,11 @@
             return
         peer.contact.confirmed_at_s = now_s - report.confirmed_age_ms / 1000
         peer.contact.replied_at_s = now_s - report.replied_age_ms / 1000
-        self._exchange.peer_reported(peer.send, report.revision, report.digest)
+        self._exchange.peer_reported(peer.send, report)
         if self._directory.compare_with_peer(
-            report.digest, report.complete_revision
+            report.digest, report.complete_position, report.revision_digest
         ):
-            self._ports.skip_to(report.complete_revision)
+            self._ports.skip_to(self._directory.complete_position)
         peer.server_id = report.server_id or peer.server_id
         self._set_running(peer.host, peer.server_id)
         load = report.load(peer.server_id)
@@ -408,9 +508,10 @@
         if self._directory.remove_expired(now_s):
             self._publish()
         self._exchange.request_pending(now_s)
+        self._check_start(now_s)
         self._ticks += 1
         if self._ticks % TICKS_PER_CHECK == 0:
-            self._exchange.check_gaps(now_s)
+            self._exchange.check_gaps(now_s, not self._start_check.is_over)
             self._peers.check_silence(now_s)
             confirmed = _messages.SourceConfirmed(
                 now_s - self.confirmed_age_s(now_s)
@@ -418,11 +519,37 @@
             self._ports.to_entry(confirmed)
             self._ports.to_quota(confirmed)
             self._update_watch_duty(now_s)
+            self._confirm_retained(now_s)
         load = self._ports.load()
         self._set_running(self._own_host, load.server_id)
         self._ports.to_entry(_messages.LoadUpdated(self._own_host, load))
         self._reporter.report_changes(load, self._peers.accepted, now_s)
 
+    def _confirm_retained(self, now_s: float) -> None:
+        """Read the source again if retained entries were not written again."""
+        if (
+            self._watching
+            and now_s - self._confirmation_at_s >= CONFIRMATION_RETRY_S
+            and self._directory.needs_confirmation(now_s)
+        ):
+            self._confirmation_at_s = now_s
+            self._ports.list_again()
+
+    def _check_start(self, now_s: float) -> None:
+        """Use the first table once no peer may know a newer one."""
+        if self._start_check.update(
+            self._fleet.table is not None,
+            self._exchange.has_report,
+            bool(self._exchange.peers_ahead()),
+            now_s,
+        ):
+            self.log.decision(
+                "start-checked",
+                version=self.table_version,
+                has_report=self._exchange.has_report,
+            )
+            self._ports.to_entry(_messages.FleetChanged(self._fleet))
+
     def _is_near(self, host: str) -> bool:
         """Return whether a host prefers this one for its calls."""
         if not self._exchange.in_large_fleet:
@@ -442,7 +569,7 @@
                 is_overdue=self._exchange.is_overdue(now_s),
                 confirmed_age_ms=self._confirmed_age_ms(now_s),
             )
-            self._ports.watch(watch)
+            self._ports.watch(watch, self._readers.is_reader)
 
     def _should_watch(self, now_s: float) -> bool:
         if self._fleet.table is None:
--- a/src/jasminecrank/mesh/coordination/_load_reports.py
+++ b/src/jasminecrank/mesh/coordination/_load_reports.py
@@ -82,9 +82,7 @@
             load,
             now_s - self._contact.confirmed_at_s,
             now_s - self._contact.replied_at_s,
-            self._directory.revision,
-            self._directory.digest,
-            self._directory.complete_revision,
+            self._directory,
             with_server,
         )
         for peer in peers:
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -282,18 +282,18 @@
 
 @dataclass(slots=True, frozen=True)
 class ListingRead:
-    """All entries of the source, at least as new as a revision."""
+    """All entries of the source, at least as new as a position."""
 
     items: tuple[state.SourceItem, ...]
-    start_revision: int
+    start: state.Position
 
 
 @dataclass(slots=True, frozen=True)
 class ChangesRead:
-    """All entries of the source that changed, up to a revision."""
+    """All entries of the source that changed, up to a position."""
 
     items: tuple[state.SourceItem, ...]
-    revision: int
+    position: state.Position
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -10,8 +10,10 @@
 
 from jasminecrank.mesh import state
 
-PROTOCOL_VERSION = 2
-"""Version 1 adds HostsRemoved, version 2 LinkEnding."""
+PROTOCOL_VERSION = 3
+"""Version 1 adds HostsRemoved, version 2 LinkEnding, version 3 eras."""
+FIRST_VERSION_WITH_ERAS = 3
+"""Older nodes know the revision of a position only."""
 _INCARNATION_BITS = 48
 
 MAX_AGE_MS = 60_000
@@ -127,12 +129,14 @@
     """
     replied_age_ms: int
     """Time since the source last began to reply to the sender."""
-    revision: int
-    """Newest revision among the sender's entries."""
+    position: state.Position
+    """Newest position among the sender's entries."""
     digest: int
     """Digest of all entries that the sender has."""
-    complete_revision: int
-    """Revision up to which the sender has all changes."""
+    complete_position: state.Position
+    """Position up to which the sender has all changes."""
+    revision_digest: int = 0
+    """The digest as nodes compute it that know no eras."""
 
     @classmethod
     def from_load(
@@ -140,9 +144,7 @@
         load: state.ServerLoad,
         confirmed_age_s: float,
         replied_age_s: float,
-        revision: int,
-        digest: int,
-        complete_revision: int,
+        directory: state.Directory,
         with_server: bool = True,
     ) -> "LoadReported":
         """Return a report in whole numbers, which encode in fewer bytes."""
@@ -156,9 +158,10 @@
             load.accepting,
             min(MAX_AGE_MS, round(1000 * confirmed_age_s)),
             min(MAX_AGE_MS, round(1000 * replied_age_s)),
-            revision,
-            digest,
-            complete_revision,
+            directory.position,
+            directory.digest,
+            directory.complete_position,
+            directory.revision_digest,
         )
 
     def load(self, server_id: str) -> state.ServerLoad:
@@ -222,9 +225,9 @@
 
 @dataclass(slots=True, frozen=True)
 class ItemsSent:
-    """Entries of the source: key, revision and value (None if removed)."""
+    """Entries of the source: key, position and value (None if removed)."""
 
-    items: tuple[tuple[str, int, bytes | None], ...]
+    items: tuple[tuple[str, state.Position, bytes | None], ...]
 
     @property
     def largest_bytes(self) -> int:
@@ -236,11 +239,11 @@
 
 @dataclass(slots=True, frozen=True)
 class ItemPatched:
-    """A new revision of an entry, as a patch against an older one."""
+    """A new value of an entry, as a patch against an older one."""
 
     key: str
-    base_revision: int
-    revision: int
+    base_position: state.Position
+    position: state.Position
     pieces: tuple[bytes | tuple[int, int], ...]
     digest: bytes
 
@@ -252,25 +255,25 @@
 
 @dataclass(slots=True, frozen=True)
 class ItemsAnnounced:
-    """Keys and revisions of entries that the sender has."""
+    """Keys and positions of entries that the sender has."""
 
-    revisions: tuple[tuple[str, int], ...]
-    complete_revision: int = 0
-    """If above 0, the list has all keys that existed at this revision."""
+    positions: tuple[tuple[str, state.Position], ...]
+    complete_position: state.Position = state.NO_POSITION
+    """If it has a revision, the list has all keys that existed then."""
     upload_bytes: int = 0
     """Compressed size of the largest one, if they are too large to push."""
 
 
 @dataclass(slots=True, frozen=True)
 class ItemsRequested:
-    """Requests entries by key, with the revision that the sender has."""
+    """Requests entries by key, with the position that the sender has."""
 
-    keys: tuple[tuple[str, int], ...]
+    keys: tuple[tuple[str, state.Position], ...]
 
 
 @dataclass(slots=True, frozen=True)
 class ListingRequested:
-    """Requests the keys and revisions of all entries."""
+    """Requests the keys and positions of all entries."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -310,6 +313,17 @@
     transfer_id: int
 
 
+@dataclass(slots=True, frozen=True)
+class EraBegun:
+    """The source has been restored, and the sender has read its listing."""
+
+    era: int
+    digest: int
+    """Digest of the entries that the sender had before."""
+    changed_keys: tuple[str, ...]
+    """Those that are not at the same revision in the new era."""
+
+
 PeerMessage = (
     Hello
     | CallSent
@@ -333,6 +347,7 @@
     | BodyAbandoned
     | HostsRemoved
     | LinkEnding
+    | EraBegun
 )
 QuotaPeerMessage = Presence | TokensRequested | HostsRemoved
 FleetPeerMessage = (
@@ -344,6 +359,7 @@
     | ListingRequested
     | UploadConfirmed
     | UploadDeferred
+    | EraBegun
 )
 
 SendToPeer = Callable[[PeerMessage], None]
--- a/src/jasminecrank/mesh/coordination/_pending.py
+++ b/src/jasminecrank/mesh/coordination/_pending.py
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True)
 class _PendingEntry:
-    revision: int
+    position: state.Position
     request_at_s: float
     overdue_at_s: float
     announcers: list[_peer_messages.SendToPeer] = field(default_factory=list)
@@ -34,7 +34,7 @@
     def add(
         self,
         key: str,
-        revision: int,
+        position: state.Position,
         announcer: _peer_messages.SendToPeer,
         request_at_s: float,
         overdue_at_s: float,
@@ -45,10 +45,10 @@
         """
         pending = self._entry_by_key.get(key)
         if pending is None:
-            pending = _PendingEntry(revision, request_at_s, overdue_at_s)
+            pending = _PendingEntry(position, request_at_s, overdue_at_s)
             self._entry_by_key[key] = pending
-        elif pending.revision < revision:
-            pending.revision = revision
+        elif pending.position < position:
+            pending.position = position
             if not pending.requested:
                 pending.request_at_s = min(pending.request_at_s, request_at_s)
         if announcer not in pending.announcers:
@@ -78,7 +78,7 @@
             pending = self._entry_by_key.get(item.key)
             if pending is None:
                 continue
-            if pending.revision <= item.revision:
+            if pending.position <= item.position:
                 del self._entry_by_key[item.key]
             elif pending.requested:
                 pending.requested = False
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
+import enum
 import random
 import typing
 
@@ -24,6 +26,12 @@
 
 It lets changes be read in batches.
 """
+READERS_LEAD_S = 0.9
+"""Least time that the readers of the source have to list a new era.
+
+Other nodes that watch it in their place get the entries from them, instead of
+listing the source all at once.
+"""
 LISTING_PAUSE_S = 0.02
 """Time after a listing in which the node may leave the watch to others."""
 MIN_CHANGES_BYTES = 65_536
@@ -36,6 +44,9 @@
 ITEM_OVERHEAD_BYTES = 256
 """Size of an entry in memory besides its key and value."""
 REASON_LISTING_TOO_LARGE = "listing-too-large"
+REASON_OUTDATED = "reply-of-an-earlier-era"
+UNNAMED_ERA = 0
+"""Era of a source that has not named one."""
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.8
 """Longest back-off after a failed read.
@@ -44,9 +55,34 @@
 """
 
 
+@dataclass(slots=True, frozen=True)
+class NamedEra:
+    """A reply names the era of the source, which rises with each restore."""
+
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class UnnamedEra:
+    """A reply does not name the era of the source."""
+
+
+@dataclass(slots=True, frozen=True)
+class InvalidEra:
+    """A reply names an era that can't be used."""
+
+    text: str
+
+
+SourceEra = NamedEra | UnnamedEra | InvalidEra
+
+
 @dataclass(slots=True, frozen=True)
 class Page:
-    """One page of the source's entries, ordered by key."""
+    """One page of the source's entries, ordered by key.
+
+    Their positions have no era; that of the reply holds.
+    """
 
     items: tuple[state.SourceItem, ...]
     has_more: bool
@@ -57,6 +93,7 @@
     """Key after which the next page begins, if there is one."""
     rejected: tuple[str, ...] = ()
     """Why the other items of the page can't be used."""
+    era: SourceEra = UnnamedEra()
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,16 +106,21 @@
     """Time in which the response was received, once it had begun."""
     rejected: tuple[str, ...] = ()
     """Why the other changes can't be used."""
+    era: SourceEra = UnnamedEra()
 
 
 @dataclass(slots=True, frozen=True)
 class ChangesTooLarge:
     """The changes after a revision exceed the bytes that were asked for."""
 
+    era: SourceEra = UnnamedEra()
+
 
 @dataclass(slots=True, frozen=True)
 class HistoryGone:
-    """The source no longer has the changes after the requested revision."""
+    """The source does not have the changes after the requested revision."""
+
+    era: SourceEra = UnnamedEra()
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,6 +128,20 @@
     """The source could not be reached or sent no usable reply."""
 
     reason: str
+    era: SourceEra = UnnamedEra()
+
+
+Reply = Page | Changes | ChangesTooLarge | HistoryGone | Unavailable
+
+
+class EraStep(enum.Enum):
+    """How the era of a reply compares with the one known so far."""
+
+    SAME = "same"
+    BEGUN = "begun"
+    """The source has been restored, and its entries are to be listed."""
+    OUTDATED = "outdated"
+    """The reply was sent before the source was restored."""
 
 
 class SourcePort(typing.Protocol):
@@ -110,11 +166,11 @@
 
 
 class SourceTask:
-    """Keeps the revision up to which the source has been read.
+    """Keeps the position up to which the source has been read.
 
     It lists all entries first, then watches for changes. It lists them again
-    if the source no longer has the changes, or if a listing is shorter since
-    it has only the last change of each entry.
+    if the source no longer has the changes, if it has been restored, or if a
+    listing is shorter since it has only the last change of each entry.
     """
 
     def __init__(
@@ -130,20 +186,29 @@
         self._log = log
         self._enabled = asyncio.Event()
         self._enabled.set()
-        self._revision: int | None = None
+        self._era = state.UNKNOWN_ERA
+        self._position: state.Position | None = None
+        self._must_list = False
+        self._is_reader = True
         self._failures = 0
         self._max_changes_bytes = MIN_CHANGES_BYTES
 
-    def set_watching(self, watching: bool) -> None:
-        """Start or stop watching the source."""
+    def set_watching(self, watching: bool, is_reader: bool) -> None:
+        """Start or stop watching the source, for others or in their place."""
+        self._is_reader = is_reader
         if watching:
             self._enabled.set()
         else:
             self._enabled.clear()
 
-    def skip_to(self, revision: int) -> None:
-        """Read only changes after a revision, since the others are known."""
-        self._revision = max(revision, self._revision or 0)
+    def skip_to(self, position: state.Position) -> None:
+        """Read only changes after a position, since the others are known."""
+        self._era = max(self._era, position.era)
+        self._position = max(position, self._position or position)
+
+    def list_again(self) -> None:
+        """Read all entries next, also those that have not changed."""
+        self._must_list = True
 
     async def run(self) -> None:
         """Read and watch until the task is cancelled."""
@@ -156,34 +221,56 @@
                 await self._back_off("unexpected answer")
 
     async def _read_once(self) -> None:
-        if self._revision is None:
+        if self._position is None or self._must_list:
             await self._read_all()
             return
         self._log.count("source_calls", "watch")
         result = await self._port.watch(
-            self._revision,
+            self._position.revision,
             WATCH_TIMEOUT_S,
             self._max_changes_bytes,
             self._replied,
         )
+        match self._compare_era(result):
+            case EraStep.BEGUN:
+                # What was read is no continuation.
+                if not self._is_reader:
+                    await asyncio.sleep(
+                        READERS_LEAD_S * (1.0 + 0.5 * self._rng.random())
+                    )
+                return
+            case EraStep.OUTDATED:
+                await self._back_off(REASON_OUTDATED)
+                return
+            case EraStep.SAME:
+                pass
+            case step:
+                typing.assert_never(step)
         match result:
             case Changes(items, revision, transfer_s, rejected):
                 self._record_success()
                 self._log_rejected(rejected, revision)
                 self._log_read("watch", items, revision, transfer_s)
-                self.skip_to(revision)
-                self._tell(_messages.ChangesRead(items, revision))
+                position = state.Position(self._era, revision)
+                self.skip_to(position)
+                self._tell(
+                    _messages.ChangesRead(self._in_era(items), position)
+                )
                 await asyncio.sleep(max(0.0, WATCH_PAUSE_S - transfer_s))
             case ChangesTooLarge():
                 self._log.decision(
                     "changes-too-large",
-                    after_revision=self._revision,
+                    after_revision=self._position.revision,
                     max_bytes=self._max_changes_bytes,
                 )
                 await self._read_all()
             case HistoryGone():
-                self._log.decision("history-gone", revision=self._revision)
-                self._revision = None
+                self._log.decision(
+                    "history-gone",
+                    era=self._era,
+                    revision=self._position.revision,
+                )
+                self._position = None
             case Unavailable(reason):
                 await self._back_off(reason)
             case _:
@@ -191,6 +278,7 @@
 
     async def _read_all(self) -> None:
         items: list[state.SourceItem] = []
+        self._must_list = False
         start_revision = None
         transfer_s = 0.0
         after_key = ""
@@ -199,6 +287,16 @@
         while True:
             self._log.count("source_calls", "list")
             page = await self._port.read_page(after_key, self._replied)
+            match self._compare_era(page):
+                case EraStep.BEGUN if start_revision is not None:
+                    return  # The pages before are of another era.
+                case EraStep.BEGUN | EraStep.SAME:
+                    pass
+                case EraStep.OUTDATED:
+                    await self._back_off(REASON_OUTDATED)
+                    return
+                case step:
+                    typing.assert_never(step)
             match page:
                 case Unavailable(reason):
                     await self._back_off(reason)
@@ -209,7 +307,7 @@
                     typing.assert_never(page)
             if start_revision is None:
                 start_revision = page.revision
-            items.extend(page.items)
+            items.extend(self._in_era(page.items))
             transfer_s += page.transfer_s
             self._log_rejected(page.rejected, page.revision)
             if not page.has_more:
@@ -229,11 +327,52 @@
             CHANGES_TO_LISTING_RATIO * _wire_bytes(items)
         )
         self._log_read("list", items, start_revision, transfer_s)
+        start = state.Position(self._era, start_revision)
         if items:
-            self.skip_to(start_revision)
-        self._tell(_messages.ListingRead(tuple(items), start_revision))
+            self.skip_to(start)
+        self._tell(_messages.ListingRead(tuple(items), start))
         await asyncio.sleep(LISTING_PAUSE_S)
 
+    def _in_era(
+        self, items: Iterable[state.SourceItem]
+    ) -> tuple[state.SourceItem, ...]:
+        return tuple(
+            item.at(item.position.in_era(self._era)) for item in items
+        )
+
+    def _compare_era(self, reply: Reply) -> EraStep:
+        """Compare the era of a reply with the known one, and store it."""
+        match reply.era:
+            case UnnamedEra():
+                number = max(self._era, UNNAMED_ERA)
+            case InvalidEra(text):
+                self._log.count("source_eras", "rejected")
+                self._log.decision("era-rejected", text=text, era=self._era)
+                number = max(self._era, UNNAMED_ERA)
+            case NamedEra(number):
+                pass
+            case era:
+                typing.assert_never(era)
+        if number < self._era:
+            self._log.count("source_eras", "outdated")
+            self._log.decision("era-rejected", text=str(number), era=self._era)
+            return EraStep.OUTDATED
+        if number == self._era:
+            return EraStep.SAME
+        if self._era != state.UNKNOWN_ERA:
+            self._log.count("source_eras", "begun")
+        self._log.decision(
+            "source-era",
+            era=number,
+            previous_era=self._era,
+            revision=None
+            if self._position is None
+            else (self._position.revision),
+        )
+        self._era = number
+        self._position = None
+        return EraStep.BEGUN
+
     def _replied(self) -> None:
         """Report a reply at its start, since a large one takes seconds."""
         self._tell(_messages.SourceReplied())
@@ -266,7 +405,10 @@
         self._log.decision(
             "source-read",
             kind=kind,
-            after_revision=self._revision,
+            after_revision=(
+                None if self._position is None else self._position.revision
+            ),
+            era=self._era,
             revision=revision,
             entries=len(items),
             superseded=len(items) - len({item.key for item in items}),
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -144,6 +144,7 @@
                 self._dialler.set_hosts,
                 self._source.set_watching,
                 self._source.skip_to,
+                self._source.list_again,
                 self.gate.load,
             ),
             self._clock,
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -29,6 +29,9 @@
 _COMPRESSED_FIRST_BYTE = 0x78
 """First byte of zlib data; that of an uncompressed frame is a CBOR array."""
 
+_REVISION_DIGEST = "revision_digest"
+"""Field that is sent in place of `digest` to nodes that know no eras."""
+
 _STRING_TYPES = (2, 3)
 """Major types of CBOR items whose value is the number of bytes after them."""
 
@@ -56,6 +59,7 @@
     coordination.BodyAbandoned,
     coordination.HostsRemoved,
     coordination.LinkEnding,
+    coordination.EraBegun,
 )
 _TAG_BY_TYPE = {
     message_type: tag for tag, message_type in enumerate(_MESSAGE_TYPES)
@@ -65,23 +69,62 @@
 }
 _FIELD_NAMES_BY_TYPE = {
     message_type: tuple(
-        field.name for field in dataclasses.fields(message_type)
+        field.name
+        for field in dataclasses.fields(message_type)
+        if field.name != _REVISION_DIGEST
     )
     for message_type in _MESSAGE_TYPES
 }
+_ENTRY_TYPES = (
+    coordination.LoadReported,
+    coordination.ItemsSent,
+    coordination.ItemPatched,
+    coordination.ItemsAnnounced,
+    coordination.ItemsRequested,
+)
+"""Messages with positions; a revision in each case for older nodes."""
 
 
-def _field_types(message_type: type) -> types.GenericAlias:
+def _field_types(
+    message_type: type, position_type: object
+) -> types.GenericAlias:
     """Return the type of the tuple of a message's fields."""
     hints = typing.get_type_hints(message_type)
     if hints.get("body") == state.Body:
         hints["body"] = bytes
-    names = (field.name for field in dataclasses.fields(message_type))
-    return types.GenericAlias(tuple, tuple(hints[name] for name in names))
+    return types.GenericAlias(
+        tuple,
+        tuple(
+            _with_positions_as(hints[name], position_type)
+            for name in _FIELD_NAMES_BY_TYPE[message_type]
+        ),
+    )
+
+
+def _with_positions_as(hint: typing.Any, position_type: object) -> typing.Any:
+    """Return a type with another one in place of positions."""
+    if hint is state.Position:
+        return position_type
+    if typing.get_origin(hint) is not tuple:
+        return hint
+    parts = tuple(
+        _with_positions_as(part, position_type)
+        for part in typing.get_args(hint)
+    )
+    return types.GenericAlias(tuple, parts)
 
 
 _FIELD_TYPES_BY_TYPE = {
-    message_type: _field_types(message_type) for message_type in _MESSAGE_TYPES
+    message_type: _field_types(message_type, tuple[int, ...])
+    for message_type in _MESSAGE_TYPES
+}
+_HINT_BY_NAME_BY_TYPE = {
+    message_type: typing.get_type_hints(message_type)
+    for message_type in _ENTRY_TYPES
+}
+_REVISION_FIELD_TYPES_BY_TYPE = {
+    message_type: _field_types(message_type, int)
+    for message_type in _ENTRY_TYPES
 }
 
 
@@ -89,25 +132,34 @@
     """A peer sent a frame that isn't a valid message."""
 
 
-def encode(message: coordination.PeerMessage) -> bytes:
-    """Return the frame of a message, with its length prefix."""
+def encode(
+    message: coordination.PeerMessage,
+    protocol_version: int = coordination.PROTOCOL_VERSION,
+) -> bytes:
+    """Return the frame of a message, with its length prefix.
+
+    `protocol_version` is that of the receiver.
+    """
+    has_eras = protocol_version >= coordination.FIRST_VERSION_WITH_ERAS
     match message:
         case coordination.LoadReported():
-            return _encode_report(message)
+            return _encode_report(message, has_eras)
         case (
             coordination.ItemsSent()
             | coordination.ItemPatched()
             | coordination.ItemsAnnounced()
         ):
-            return _encode_entries(message)
+            return _encode_entries(message, has_eras)
         case _:
-            return _frame(encode_unframed(message))
+            return _frame(encode_unframed(message, has_eras))
 
 
 @functools.lru_cache(maxsize=ENCODED_CACHE_SIZE)
-def _encode_report(message: coordination.LoadReported) -> bytes:
+def _encode_report(
+    message: coordination.LoadReported, has_eras: bool
+) -> bytes:
     """Return the frame of a load report, which goes to all peers alike."""
-    return _frame(encode_unframed(message))
+    return _frame(encode_unframed(message, has_eras))
 
 
 @functools.lru_cache(maxsize=ENCODED_CACHE_SIZE)
@@ -117,32 +169,63 @@
         | coordination.ItemPatched
         | coordination.ItemsAnnounced
     ),
+    has_eras: bool,
 ) -> bytes:
     """Return the frame of a message, compressed as a whole if it is large.
 
     Entries resemble each other more than the parts of one entry do.
     """
-    body = encode_unframed(message)
+    body = encode_unframed(message, has_eras)
     if len(body) >= COMPRESS_MIN_BYTES:
         body = zlib.compress(body, 1)
     return _frame(body)
 
 
-def encode_unframed(message: coordination.PeerMessage) -> bytes:
+def encode_unframed(
+    message: coordination.PeerMessage, has_eras: bool = True
+) -> bytes:
     """Return an uncompressed message without its length prefix."""
     message_type = type(message)
-    fields = [
-        getattr(message, name) for name in _FIELD_NAMES_BY_TYPE[message_type]
-    ]
-    return cbor2.dumps([_TAG_BY_TYPE[message_type], *fields])
+    names = _FIELD_NAMES_BY_TYPE[message_type]
+    if not has_eras and isinstance(message, coordination.LoadReported):
+        names = tuple(
+            _REVISION_DIGEST if name == "digest" else name for name in names
+        )
+    fields = [getattr(message, name) for name in names]
+    return cbor2.dumps(
+        [_TAG_BY_TYPE[message_type], *fields],
+        default=_encode_position if has_eras else _encode_revision,
+    )
+
+
+def _encode_position(
+    encoder: cbor2.CBOREncoder, position: state.Position
+) -> None:
+    """Encode a position, without the retained part in the usual case."""
+    parts = [position.era, position.revision]
+    if position.has_retained_part:
+        parts += [position.retained_era, position.retained_revision]
+    encoder.encode(parts)
+
+
+def _encode_revision(
+    encoder: cbor2.CBOREncoder, position: state.Position
+) -> None:
+    encoder.encode(position.revision)
 
 
 def _frame(body: bytes) -> bytes:
     return FRAME_LENGTH.pack(len(body)) + body
 
 
-def decode(body: bytes) -> coordination.PeerMessage:
-    """Return the message of a frame, given without its length prefix."""
+def decode(
+    body: bytes, protocol_version: int = coordination.PROTOCOL_VERSION
+) -> coordination.PeerMessage:
+    """Return the message of a frame, given without its length prefix.
+
+    `protocol_version` is that of the sender.
+    """
+    has_eras = protocol_version >= coordination.FIRST_VERSION_WITH_ERAS
     try:
         if body[0] == _COMPRESSED_FIRST_BYTE:
             body = _decompress(body)
@@ -150,20 +233,54 @@
             _limit_items(body)
         tag, *fields = cbor2.loads(body)
         message_type = _TYPE_BY_TAG[tag]
-        message: coordination.PeerMessage = message_type(
-            *msgspec.convert(
-                fields,
-                _FIELD_TYPES_BY_TYPE[message_type],
-                builtin_types=(bytes,),
-            )
-        )
-        return message
+        field_types = _FIELD_TYPES_BY_TYPE[message_type]
+        if not has_eras and message_type in _REVISION_FIELD_TYPES_BY_TYPE:
+            field_types = _REVISION_FIELD_TYPES_BY_TYPE[message_type]
+        values = msgspec.convert(fields, field_types, builtin_types=(bytes,))
+        return _build(message_type, values, has_eras)
     except LinkError:
         raise
     except Exception as error:
         raise LinkError(f"undecodable frame: {error}") from error
 
 
+def _build(
+    message_type: type[coordination.PeerMessage],
+    values: tuple[typing.Any, ...],
+    has_eras: bool,
+) -> coordination.PeerMessage:
+    """Return a message of decoded fields."""
+    names = _FIELD_NAMES_BY_TYPE[message_type]
+    if message_type not in _REVISION_FIELD_TYPES_BY_TYPE:
+        return message_type(*values)
+    hint_by_name = _HINT_BY_NAME_BY_TYPE[message_type]
+    value_by_name = {
+        name: _read_positions(value, hint_by_name[name])
+        for name, value in zip(names, values, strict=True)
+    }
+    if not has_eras and message_type is coordination.LoadReported:
+        value_by_name[_REVISION_DIGEST] = value_by_name["digest"]
+    message: coordination.PeerMessage = message_type(**value_by_name)
+    return message
+
+
+def _read_positions(value: typing.Any, hint: typing.Any) -> typing.Any:
+    """Return a decoded value with its positions, where its type has any."""
+    if hint is state.Position:
+        if isinstance(value, int):
+            return state.Position(state.UNKNOWN_ERA, value)
+        return state.Position.from_parts(value)
+    if typing.get_origin(hint) is not tuple:
+        return value
+    parts = typing.get_args(hint)
+    if parts[-1] is Ellipsis:
+        return tuple(_read_positions(part, parts[0]) for part in value)
+    return tuple(
+        _read_positions(part, part_hint)
+        for part, part_hint in zip(value, parts, strict=True)
+    )
+
+
 def _decompress(body: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     data = decompressor.decompress(body, MAX_FRAME_BYTES)
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -59,19 +59,20 @@
 )
 from jasminecrank.mesh.state._descriptors import DescriptorUse as DescriptorUse
 from jasminecrank.mesh.state._descriptors import Idleness as Idleness
-from jasminecrank.mesh.state._directory import BackendServer as BackendServer
-from jasminecrank.mesh.state._directory import (
-    DataCentreOutEntry as DataCentreOutEntry,
-)
+from jasminecrank.mesh.state._directory import AppliedItems as AppliedItems
 from jasminecrank.mesh.state._directory import Decoder as Decoder
 from jasminecrank.mesh.state._directory import Directory as Directory
 from jasminecrank.mesh.state._directory import FleetSnapshot as FleetSnapshot
-from jasminecrank.mesh.state._directory import InvalidEntry as InvalidEntry
-from jasminecrank.mesh.state._directory import PublishedEntry as PublishedEntry
-from jasminecrank.mesh.state._directory import ServerEntry as ServerEntry
-from jasminecrank.mesh.state._directory import ServerState as ServerState
-from jasminecrank.mesh.state._directory import SourceItem as SourceItem
-from jasminecrank.mesh.state._directory import TableEntry as TableEntry
+from jasminecrank.mesh.state._entries import BackendServer as BackendServer
+from jasminecrank.mesh.state._entries import (
+    DataCentreOutEntry as DataCentreOutEntry,
+)
+from jasminecrank.mesh.state._entries import InvalidEntry as InvalidEntry
+from jasminecrank.mesh.state._entries import PublishedEntry as PublishedEntry
+from jasminecrank.mesh.state._entries import ServerEntry as ServerEntry
+from jasminecrank.mesh.state._entries import ServerState as ServerState
+from jasminecrank.mesh.state._entries import SourceItem as SourceItem
+from jasminecrank.mesh.state._entries import TableEntry as TableEntry
 from jasminecrank.mesh.state._gate import (
     AdmissionController as AdmissionController,
 )
@@ -113,6 +114,9 @@
 from jasminecrank.mesh.state._placement import (
     WeightedRoundRobin as WeightedRoundRobin,
 )
+from jasminecrank.mesh.state._positions import NO_POSITION as NO_POSITION
+from jasminecrank.mesh.state._positions import Position as Position
+from jasminecrank.mesh.state._positions import UNKNOWN_ERA as UNKNOWN_ERA
 from jasminecrank.mesh.state._quota import choose_arbiter as choose_arbiter
 from jasminecrank.mesh.state._quota import Grant as Grant
 from jasminecrank.mesh.state._quota import (
@@ -144,3 +148,4 @@
 )
 from jasminecrank.mesh.state._watch_duty import SourceContact as SourceContact
 from jasminecrank.mesh.state._watch_duty import takes_over as takes_over
+from jasminecrank.mesh.state._start_check import StartCheck as StartCheck
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -6,10 +6,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
-import enum
 import hashlib
 
+from jasminecrank.mesh.state import _entries
 from jasminecrank.mesh.state import _patches
+from jasminecrank.mesh.state import _positions
+from jasminecrank.mesh.state import _restores
 from jasminecrank.mesh.state import _table
 
 EXPIRY_GRACE_S = 1.8
@@ -36,80 +38,7 @@
 """Smaller values are sent whole, as a patch would save little."""
 
 
-class ServerState(enum.Enum):
-    """Lifecycle state that a backend server publishes about itself."""
-
-    READY = "ready"
-    DRAINING = "draining"
-
-
-@dataclass(slots=True, frozen=True)
-class BackendServer:
-    """One incarnation of a backend server."""
-
-    server_id: str
-    service: str
-    host: str
-    """IP address of its host; the node of the host listens on it as well."""
-    port: int
-    data_centre: str
-    slots: int
-    state: ServerState
-    cold_left_s: float
-    """Remaining cold start time when the entry was written."""
-    created_at_ms: int
-
-
-@dataclass(slots=True, frozen=True)
-class TableEntry:
-    """An entry with a table that the operators accepted."""
-
-    table: _table.Table
-
-
-@dataclass(slots=True, frozen=True)
-class ServerEntry:
-    """An entry in which a backend server registers itself."""
-
-    server: BackendServer
-
-
-@dataclass(slots=True, frozen=True)
-class DataCentreOutEntry:
-    """An entry by which operators take a data centre out of service."""
-
-    data_centre: str
-
-
-@dataclass(slots=True, frozen=True)
-class InvalidEntry:
-    """An entry that can't be used, and why."""
-
-    reason: str
-
-
-PublishedEntry = TableEntry | ServerEntry | DataCentreOutEntry | InvalidEntry
-
-
-@dataclass(slots=True, frozen=True)
-class SourceItem:
-    """A key of the source at one revision; its value is None once removed."""
-
-    key: str
-    revision: int
-    value: bytes | None
-
-
-@dataclass(slots=True, frozen=True)
-class RejectedEntry:
-    """An entry that was not taken, and why."""
-
-    key: str
-    revision: int
-    reason: str
-
-
-Decoder = Callable[[str, bytes], PublishedEntry]
+Decoder = Callable[[str, bytes], _entries.PublishedEntry]
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,13 +46,15 @@
     """An immutable view of the fleet, replaced as a whole on each change."""
 
     table: _table.Table | None
-    server_by_id: Mapping[str, BackendServer]
+    server_by_id: Mapping[str, _entries.BackendServer]
     cold_until_s_by_id: Mapping[str, float]
     data_centres_out: frozenset[str]
-    displaced_by_id: Mapping[str, BackendServer] = field(default_factory=dict)
+    displaced_by_id: Mapping[str, _entries.BackendServer] = field(
+        default_factory=dict
+    )
     """Listed servers that another one is preferred to on the same host."""
 
-    def listed_at(self, host: str, port: int) -> list[BackendServer]:
+    def listed_at(self, host: str, port: int) -> list[_entries.BackendServer]:
         """Return all servers listed at an address, displaced ones too.
 
         Those of services that the table does not have are left out.
@@ -139,126 +70,234 @@
             and server.service in self.table.service_by_name
         ]
 
-    def usable_servers(self, service: str) -> list[BackendServer]:
+    def usable_servers(self, service: str) -> list[_entries.BackendServer]:
         """Return the servers of a service that may receive new calls."""
         return [
             server
             for server in self.server_by_id.values()
             if server.service == service
-            and server.state is ServerState.READY
+            and server.state is _entries.ServerState.READY
             and server.data_centre not in self.data_centres_out
         ]
 
 
+@dataclass(slots=True, frozen=True)
+class AppliedItems:
+    """Items that have become part of a directory."""
+
+    changed: list[_entries.SourceItem] = field(default_factory=list)
+    renewed: list[_entries.SourceItem] = field(default_factory=list)
+    """Entries of an earlier era that the new one has at the same revision."""
+
+
 @dataclass(slots=True)
 class Directory:
     """The node's replica of the entries that the platform publishes."""
 
     decode: Decoder
-    item_by_key: dict[str, SourceItem] = field(default_factory=dict)
-    entry_by_key: dict[str, PublishedEntry] = field(default_factory=dict)
+    item_by_key: dict[str, _entries.SourceItem] = field(default_factory=dict)
+    entry_by_key: dict[str, _entries.PublishedEntry] = field(
+        default_factory=dict
+    )
     cold_until_s_by_id: dict[str, float] = field(default_factory=dict)
     removal_at_s_by_key: dict[str, float] = field(default_factory=dict)
     table: _table.Table | None = None
-    revision: int = 0
+    position: _positions.Position = _positions.NO_POSITION
+    """Newest position among the entries."""
     grace_until_s: float = 0.0
-    rejected: list[RejectedEntry] = field(default_factory=list)
+    rejected: list[_entries.RejectedEntry] = field(default_factory=list)
     """Entries rejected since the last `pop_rejected` call."""
     heartbeat_s: float = 1.5
     """Interval at which servers renew their entries."""
     digest: int = 0
     """Equal for two directories that hold the same entries."""
-    complete_revision: int = 0
-    """Revision up to which the directory has all changes of the source."""
-    bases_by_key: dict[str, dict[int, bytes]] = field(default_factory=dict)
-    """Recent values of large entries, by key and revision."""
+    revision_digest: int = 0
+    """The digest as nodes compute it that know no eras."""
+    complete_position: _positions.Position = _positions.NO_POSITION
+    """Position up to which the directory has all changes of the source."""
+    bases_by_key: dict[str, dict[_positions.Position, bytes]] = field(
+        default_factory=dict
+    )
+    """Recent values of large entries, by key and position."""
     running_id_by_host: dict[str, str] = field(default_factory=dict)
     """Server that each host's node has found to be running there."""
+    removed_server_by_key: dict[str, _entries.BackendServer] = field(
+        default_factory=dict
+    )
+    """Servers whose entries were removed."""
+    holds: _restores.Holds = field(default_factory=_restores.Holds)
+    has_seen_restore: bool = False
+    """Whether the source has begun a new era since this node started."""
 
     def apply_items(
-        self, items: Iterable[SourceItem], now_s: float
-    ) -> list[SourceItem]:
-        """Apply items with a newer revision and return the applied ones."""
-        applied = []
+        self, items: Iterable[_entries.SourceItem], now_s: float
+    ) -> AppliedItems:
+        """Apply the items that are newer than the known ones."""
+        applied = AppliedItems()
+        relisted = []
         for item in items:
+            item = item.at(self.with_era(item.position))
             known = self.item_by_key.get(item.key)
-            if known is not None and known.revision >= item.revision:
+            if known is not None and known.position >= item.position:
+                continue
+            if self.has_seen_restore and (
+                item.position.era == _positions.UNKNOWN_ERA
+            ):
                 continue
-            self.item_by_key[item.key] = item
-            self.revision = max(self.revision, item.revision)
-            self.digest ^= _item_digest(known) ^ _item_digest(item)
-            self._keep_patch_base(item)
-            self._apply_item(item, now_s)
-            applied.append(item)
+            if known is not None and known.value is None:
+                relisted.append(item)
+            else:
+                self._apply_newer(item, known, applied, now_s)
+        # Whether removed servers are taken back depends on the others.
+        served = self._ready_services() if relisted else frozenset()
+        for item in relisted:
+            known = self.item_by_key.get(item.key)
+            if known is None or known.position < item.position:
+                self._apply_newer(item, known, applied, now_s, served)
         return applied
 
+    def with_era(self, position: _positions.Position) -> _positions.Position:
+        """Return a position in this node's era if it comes without one.
+
+        After a restore it may be one of the lost era, and stays below all.
+        """
+        if self.has_seen_restore:
+            return position
+        return position.in_era(self.position.era)
+
     def apply_listing(
-        self, items: Iterable[SourceItem], start_revision: int, now_s: float
-    ) -> list[SourceItem]:
+        self,
+        items: Iterable[_entries.SourceItem],
+        start: _positions.Position,
+        now_s: float,
+    ) -> AppliedItems:
         """Apply a complete listing and remove the entries missing from it.
 
-        A missing key was removed at the revision of the listing's first page
+        A missing key was removed at the position of the listing's first page
         or earlier.
         """
-        listed = list(items)
+        listed = [self._confirm(item, now_s) for item in items]
         removals = self.implied_removals(
-            {item.key for item in listed}, start_revision
+            {item.key for item in listed}, start, now_s
         )
         applied = self.apply_items([*listed, *removals], now_s)
-        self.complete_revision = max(self.complete_revision, start_revision)
+        self._begin_era(start.era, now_s)
+        self.complete_position = max(self.complete_position, start)
+        self.holds.remove_due(now_s)
         return applied
 
     def apply_changes(
-        self, items: Iterable[SourceItem], revision: int, now_s: float
-    ) -> list[SourceItem]:
-        """Apply all changes that the source reported up to a revision."""
+        self,
+        items: Iterable[_entries.SourceItem],
+        position: _positions.Position,
+        now_s: float,
+    ) -> AppliedItems:
+        """Apply all changes that the source reported up to a position."""
         applied = self.apply_items(items, now_s)
-        self.complete_revision = max(self.complete_revision, revision)
+        self.complete_position = max(self.complete_position, position)
         return applied
 
-    def compare_with_peer(self, digest: int, complete_revision: int) -> bool:
+    def renew(
+        self,
+        era: int,
+        digest: int,
+        changed_keys: Collection[str],
+        now_s: float,
+    ) -> bool:
+        """Take the entries that a peer had too into a new era.
+
+        Return whether the digest shows that the peer had the same ones. Those
+        that are not as the source has them are left out; the peer sends them.
+        """
+        if digest != self.digest or era <= self.position.era:
+            return False
+        self._begin_era(era, now_s)
+        for key, known in list(self.item_by_key.items()):
+            if known.value is not None and key not in changed_keys:
+                self._store(
+                    known.at(_positions.Position(era, known.position.revision))
+                )
+        return True
+
+    def compare_with_peer(
+        self,
+        digest: int,
+        complete_position: _positions.Position,
+        revision_digest: int = 0,
+    ) -> bool:
         """Return whether a peer's digest shows that no change is missing.
 
-        The peer has all changes up to `complete_revision`, so a directory
-        with the same entries has them too.
+        The peer has all changes up to `complete_position`, so a directory
+        with the same entries has them too. A peer that knows no eras sends
+        a position without one, and its own kind of digest.
         """
-        if (
-            digest != self.digest
-            or complete_revision <= self.complete_revision
-        ):
+        if complete_position.era == _positions.UNKNOWN_ERA:
+            is_same = revision_digest == self.revision_digest
+        else:
+            is_same = digest == self.digest
+        complete_position = self.with_era(complete_position)
+        if not is_same or complete_position <= self.complete_position:
             return False
-        self.complete_revision = complete_revision
+        self.complete_position = complete_position
         return True
 
     def implied_removals(
-        self, keys: Collection[str], complete_revision: int
-    ) -> list[SourceItem]:
-        """Return removals of the known keys missing from a complete list."""
+        self,
+        keys: Collection[str],
+        complete_position: _positions.Position,
+        now_s: float,
+    ) -> list[_entries.SourceItem]:
+        """Return removals of the known keys missing from a complete list.
+
+        A table that was in force stays, and so does a retained entry until
+        its author has had time to write it again.
+        """
+        complete_position = self.with_era(complete_position)
         return [
-            SourceItem(key, complete_revision, None)
+            _entries.SourceItem(key, complete_position, None)
             for key, known in self.item_by_key.items()
             if key not in keys
             and known.value is not None
-            and known.revision < complete_revision
+            and known.position < complete_position
+            and not self.holds.is_held(key, now_s)
+            and not isinstance(self.entry_by_key.get(key), _entries.TableEntry)
         ]
 
+    def needs_confirmation(self, now_s: float) -> bool:
+        """Return whether a listing is due that confirms retained entries.
+
+        A service whose servers have all been removed does not wait for it.
+        """
+        if not self.holds.until_s_by_key:
+            return False
+        served = self._ready_services()
+        for key in self.holds.until_s_by_key:
+            removed = self.removed_server_by_key.get(key)
+            if removed is not None and removed.service not in served:
+                self.holds.end(key, now_s)
+        return self.holds.has_due(now_s)
+
     def create_patch(
-        self, item: SourceItem, base_revision: int
+        self, item: _entries.SourceItem, base_position: _positions.Position
     ) -> _patches.Patch | None:
         """Return a patch from an earlier value, or None if it is not kept."""
-        base = self.bases_by_key.get(item.key, {}).get(base_revision)
+        base = self.bases_by_key.get(item.key, {}).get(base_position)
         if base is None or item.value is None:
             return None
         return _patches.make_patch(base, item.value)
 
     def apply_patch(
-        self, key: str, base_revision: int, patch: _patches.Patch
+        self,
+        key: str,
+        base_position: _positions.Position,
+        patch: _patches.Patch,
     ) -> bytes | None:
         """Return the patched value of an entry.
 
         Returns None if the base is not kept or the patch does not match it.
         """
-        base = self.bases_by_key.get(key, {}).get(base_revision)
+        bases = self.bases_by_key.get(key, {})
+        base = bases.get(self.with_era(base_position))
         return None if base is None else _patches.apply_patch(base, patch)
 
     def end_outage(self, last_reply_at_s: float, now_s: float) -> None:
@@ -287,7 +326,7 @@
             self.entry_by_key.pop(key, None)
         return bool(expired)
 
-    def pop_rejected(self) -> list[RejectedEntry]:
+    def pop_rejected(self) -> list[_entries.RejectedEntry]:
         """Return and clear the rejected entries."""
         rejected, self.rejected = self.rejected, []
         return rejected
@@ -297,7 +336,7 @@
         data_centres_out = frozenset(
             entry.data_centre
             for entry in self.entry_by_key.values()
-            if isinstance(entry, DataCentreOutEntry)
+            if isinstance(entry, _entries.DataCentreOutEntry)
         )
         listed_by_id = {
             server.server_id: server for server in self._listed_servers()
@@ -333,23 +372,25 @@
             sum(server.host == host for server in self._listed_servers()) > 1
         )
 
-    def _listed_servers(self) -> list[BackendServer]:
+    def _listed_servers(self) -> list[_entries.BackendServer]:
         return [
             entry.server
             for entry in self.entry_by_key.values()
-            if isinstance(entry, ServerEntry)
+            if isinstance(entry, _entries.ServerEntry)
         ]
 
     def _preferred_servers(
-        self, listed_by_id: Mapping[str, BackendServer]
-    ) -> list[BackendServer]:
+        self, listed_by_id: Mapping[str, _entries.BackendServer]
+    ) -> list[_entries.BackendServer]:
         """Return one server for each address.
 
         The entry of a crashed server remains for a few heartbeats, alongside
         that of its successor, and other writers can add entries too. What
         runs on a host is known to its node, so that its word decides.
         """
-        preferred_by_address: dict[tuple[str, int], BackendServer] = {}
+        preferred_by_address: dict[
+            tuple[str, int], _entries.BackendServer
+        ] = {}
         for server in listed_by_id.values():
             running = listed_by_id.get(
                 self.running_id_by_host.get(server.host, "")
@@ -366,69 +407,220 @@
                 preferred_by_address[address] = server
         return list(preferred_by_address.values())
 
-    def _rank(self, server: BackendServer) -> tuple[bool, int]:
+    def _rank(self, server: _entries.BackendServer) -> tuple[bool, int]:
         """Return the rank of an entry among those at its address."""
         configured = self.table is not None and (
             server.service in self.table.service_by_name
         )
         return configured, server.created_at_ms
 
-    def _apply_item(self, item: SourceItem, now_s: float) -> None:
-        if item.value is None:
+    def _begin_era(self, era: int, now_s: float) -> None:
+        """Begin a later era, in which removals may be of lost entries."""
+        if era <= self.position.era:
+            return
+        if self.position.era != _positions.UNKNOWN_ERA:
+            self.has_seen_restore = True
+            self.start_expiry_grace(now_s)
+        self.position = _positions.Position(era, 0)
+
+    def _apply_newer(
+        self,
+        item: _entries.SourceItem,
+        known: _entries.SourceItem | None,
+        applied: AppliedItems,
+        now_s: float,
+        served: frozenset[str] = frozenset(),
+    ) -> None:
+        """Apply an item whose position is above that of the known one.
+
+        `served`: services that have servers besides removed ones.
+        """
+        self._begin_era(item.position.era, now_s)
+        if known is not None and _is_renewed(known, item):
+            self._store(item)
+            applied.renewed.append(item)
+            return
+        entry = None
+        if item.value is not None:
+            entry = self.decode(item.key, item.value)
+        if known is not None and self._outlasts(known, item, entry, served):
+            self._retain(known, item, entry, now_s)
+        else:
+            self._store(item)
+            self.holds.remove(item.key)
+            self._apply_entry(item, entry, now_s)
+            if item.position.is_retained and not isinstance(
+                entry, _entries.TableEntry
+            ):
+                self._hold(item.key, now_s)
+        applied.changed.append(self.item_by_key[item.key])
+
+    def _outlasts(
+        self,
+        known: _entries.SourceItem,
+        item: _entries.SourceItem,
+        entry: _entries.PublishedEntry | None,
+        served: frozenset[str],
+    ) -> bool:
+        """Return whether a known entry stays in place of a newer item."""
+        known_entry = None
+        if known.value is not None:
+            known_entry = self.entry_by_key.get(item.key)
+        if isinstance(known_entry, _entries.TableEntry):
+            return known.value != item.value and _restores.is_older(
+                entry, known_entry, None
+            )
+        if not (
+            _positions.UNKNOWN_ERA < known.position.era < item.position.era
+        ):
+            return False
+        if item.position.is_retained:
+            return known.position.written_at > item.position.written_at
+        if not _restores.is_older(
+            entry, known_entry, self.removed_server_by_key.get(item.key)
+        ):
+            return False
+        if known_entry is None and isinstance(entry, _entries.ServerEntry):
+            return entry.server.service in served
+        return True
+
+    def _retain(
+        self,
+        known: _entries.SourceItem,
+        item: _entries.SourceItem,
+        entry: _entries.PublishedEntry | None,
+        now_s: float,
+    ) -> None:
+        """Keep a known entry at a position above that of an older one."""
+        self._store(known.at(known.position.retain_over(item.position)))
+        if isinstance(self.entry_by_key.get(item.key), _entries.TableEntry):
+            self._reject(item, _table_rejection(entry, self.table))
+            return
+        self._hold(item.key, now_s)
+
+    def _hold(self, key: str, now_s: float) -> None:
+        self.holds.begin(key, now_s, self.heartbeat_s, EXPIRY_GRACE_S)
+
+    def _ready_services(self) -> frozenset[str]:
+        """Return the services that have a server in state ready."""
+        return frozenset(
+            server.service
+            for server in self._listed_servers()
+            if server.state is _entries.ServerState.READY
+        )
+
+    def _confirm(
+        self, item: _entries.SourceItem, now_s: float
+    ) -> _entries.SourceItem:
+        """Return a listed item, which replaces one that was held for it.
+
+        Its author has not written it again in the time of the hold.
+        """
+        known = self.item_by_key.get(item.key)
+        if (
+            known is None
+            or not known.position.is_retained
+            or known.position.era != item.position.era
+            or known.position.revision != item.position.revision
+            or isinstance(self.entry_by_key.get(item.key), _entries.TableEntry)
+            or self.holds.is_held(item.key, now_s)
+        ):
+            return item
+        return item.at(item.position.confirmed())
+
+    def _store(self, item: _entries.SourceItem) -> None:
+        """Store an item in place of the known one."""
+        known = self.item_by_key.get(item.key)
+        self.item_by_key[item.key] = item
+        self.position = max(self.position, item.position)
+        self.digest ^= _item_digest(known) ^ _item_digest(item)
+        self.revision_digest ^= _revision_digest(known)
+        self.revision_digest ^= _revision_digest(item)
+        self._keep_patch_base(item)
+
+    def _apply_entry(
+        self,
+        item: _entries.SourceItem,
+        entry: _entries.PublishedEntry | None,
+        now_s: float,
+    ) -> None:
+        """Use an entry, or its removal, from now on."""
+        if entry is None:
             self._remove(item.key, now_s)
             return
         self.removal_at_s_by_key.pop(item.key, None)
-        entry = self.decode(item.key, item.value)
+        self.removed_server_by_key.pop(item.key, None)
         match entry:
-            case TableEntry(table):
-                if self.table is not None and (
-                    table.version <= self.table.version
-                ):
-                    self._reject(
-                        item,
-                        f"table version {table.version} is not above "
-                        f"{self.table.version}",
-                    )
-                    return
-                self.table = table
-            case ServerEntry(server):
+            case _entries.TableEntry(table):
+                if self.table is None or table.version > self.table.version:
+                    self.table = table
+            case _entries.ServerEntry(server):
                 self.cold_until_s_by_id[server.server_id] = (
                     now_s + server.cold_left_s
                 )
-            case InvalidEntry(reason):
+            case _entries.InvalidEntry(reason):
                 self._reject(item, reason)
-            case DataCentreOutEntry():
+            case _entries.DataCentreOutEntry():
                 pass
         self.entry_by_key[item.key] = entry
 
-    def _reject(self, item: SourceItem, reason: str) -> None:
-        self.rejected.append(RejectedEntry(item.key, item.revision, reason))
+    def _reject(self, item: _entries.SourceItem, reason: str) -> None:
+        self.rejected.append(
+            _entries.RejectedEntry(item.key, item.position, reason)
+        )
 
-    def _keep_patch_base(self, item: SourceItem) -> None:
+    def _keep_patch_base(self, item: _entries.SourceItem) -> None:
         if item.value is None or len(item.value) < MIN_PATCH_BASE_BYTES:
             return
         bases = self.bases_by_key.setdefault(item.key, {})
-        bases[item.revision] = item.value
+        bases[item.position] = item.value
         while len(bases) > MAX_PATCH_BASES:
             del bases[min(bases)]
 
     def _remove(self, key: str, now_s: float) -> None:
         entry = self.entry_by_key.get(key)
         match entry:
-            case ServerEntry(server):
-                ready = server.state is ServerState.READY
+            case _entries.ServerEntry(server):
+                ready = server.state is _entries.ServerState.READY
                 if ready and now_s < self.grace_until_s:
                     self.removal_at_s_by_key[key] = self.grace_until_s
+                    self.removed_server_by_key[key] = server
                     return
                 self.cold_until_s_by_id.pop(server.server_id, None)
-            case TableEntry():
+                self.removed_server_by_key[key] = server
+            case _entries.TableEntry():
                 return
-            case DataCentreOutEntry() | InvalidEntry() | None:
+            case (
+                _entries.DataCentreOutEntry() | _entries.InvalidEntry() | None
+            ):
                 pass
         self.entry_by_key.pop(key, None)
 
 
-def _item_digest(item: SourceItem | None) -> int:
+def _is_renewed(known: _entries.SourceItem, item: _entries.SourceItem) -> bool:
+    """Return whether a new era only repeats a known entry."""
+    return (
+        known.value is not None
+        and known.value == item.value
+        and known.position.era < item.position.era
+        and known.position.revision == item.position.revision
+    )
+
+
+def _table_rejection(
+    entry: _entries.PublishedEntry | None, table: _table.Table | None
+) -> str:
+    """Return why an entry does not replace the table in force."""
+    match entry:
+        case _entries.TableEntry(new) if table is not None:
+            return f"table version {new.version} is not above {table.version}"
+        case _entries.InvalidEntry(reason):
+            return reason
+        case _:
+            return "the table has been removed"
+
+
+def _item_digest(item: _entries.SourceItem | None) -> int:
     """Return an entry's contribution to the directory's digest.
 
     Removed entries contribute nothing, since a node that starts later never
@@ -436,5 +628,19 @@
     """
     if item is None or item.value is None:
         return 0
-    name = f"{item.key}@{item.revision}".encode()
-    return int.from_bytes(hashlib.blake2b(name, digest_size=6).digest())
+    position = item.position
+    written_at = "" if not position.is_retained else position.written_at
+    return _name_digest(
+        f"{item.key}@{position.era}.{position.revision}{written_at}"
+    )
+
+
+def _revision_digest(item: _entries.SourceItem | None) -> int:
+    if item is None or item.value is None:
+        return 0
+    return _name_digest(f"{item.key}@{item.position.revision}")
+
+
+def _name_digest(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=6).digest()
+    return int.from_bytes(digest)
--- a/src/jasminecrank/mesh/state/_host_census.py
+++ b/src/jasminecrank/mesh/state/_host_census.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from jasminecrank.mesh.state import _directory
+from jasminecrank.mesh.state import _entries
 from jasminecrank.mesh.state import _links
 
 ABSENT_GRANTS_S = 60.0
@@ -49,11 +49,11 @@
         self._confirmed_at_s = at_s
 
     def update(
-        self, servers: Iterable[_directory.BackendServer], now_s: float
+        self, servers: Iterable[_entries.BackendServer], now_s: float
     ) -> None:
         """Record the hosts of the servers that are listed now."""
         is_draining_by_host = {
-            server.host: server.state is _directory.ServerState.DRAINING
+            server.host: server.state is _entries.ServerState.DRAINING
             for server in servers
         }
         sure = self._has_contact(now_s)
--- a/src/jasminecrank/mesh/state/_links.py
+++ b/src/jasminecrank/mesh/state/_links.py
@@ -4,6 +4,7 @@
 import hashlib
 
 from jasminecrank.mesh.state import _directory
+from jasminecrank.mesh.state import _entries
 
 WATCHER_COUNT = 3
 """Nodes that watch the source for the fleet; two may fail at once."""
@@ -59,7 +60,7 @@
     hosts = {
         server.host
         for server in fleet.server_by_id.values()
-        if server.state is _directory.ServerState.READY
+        if server.state is _entries.ServerState.READY
     }
     return tuple(rank_hosts(_WATCH_SEED, hosts)[:ARBITER_COUNT])
 
@@ -68,7 +69,7 @@
     fleet: _directory.FleetSnapshot, own_host: str, own_data_centre: str
 ) -> set[str]:
     """Return the hosts that a node keeps links to."""
-    servers_by_service: dict[str, list[_directory.BackendServer]] = {}
+    servers_by_service: dict[str, list[_entries.BackendServer]] = {}
     for server in fleet.server_by_id.values():
         servers_by_service.setdefault(server.service, []).append(server)
     targets = set(_coordinators(fleet))
@@ -79,7 +80,7 @@
 
 
 def _service_targets(
-    servers: list[_directory.BackendServer],
+    servers: list[_entries.BackendServer],
     own_host: str,
     own_data_centre: str,
 ) -> set[str]:
--- a/src/jasminecrank/mesh/state/_placement.py
+++ b/src/jasminecrank/mesh/state/_placement.py
@@ -8,7 +8,7 @@
 import enum
 import random
 
-from jasminecrank.mesh.state import _directory
+from jasminecrank.mesh.state import _entries
 from jasminecrank.mesh.state import _gate
 from jasminecrank.mesh.state import _run_times
 from jasminecrank.mesh.state import _table
@@ -69,7 +69,7 @@
 class PlacementDecision:
     """The selected server and the expected wait for a slot there."""
 
-    server: _directory.BackendServer
+    server: _entries.BackendServer
     wait_s: float
 
 
@@ -155,7 +155,7 @@
 
     def choose(
         self,
-        servers: Iterable[_directory.BackendServer],
+        servers: Iterable[_entries.BackendServer],
         tried: Collection[str],
         now_s: float,
     ) -> PlacementDecision | None:
@@ -181,7 +181,7 @@
 
     def exclusion(
         self,
-        server: _directory.BackendServer,
+        server: _entries.BackendServer,
         tried: Collection[str],
         now_s: float,
     ) -> Exclusion | None:
@@ -192,7 +192,7 @@
 
     def _exclusion(
         self,
-        server: _directory.BackendServer,
+        server: _entries.BackendServer,
         report: _ReportedLoad | None,
         tried: Collection[str],
     ) -> Exclusion | None:
@@ -205,7 +205,7 @@
         return None
 
     def _typical_estimate(
-        self, servers: tuple[_directory.BackendServer, ...]
+        self, servers: tuple[_entries.BackendServer, ...]
     ) -> "_Estimate":
         """Return the medians of the reported run times and failure rates."""
         loads = [
@@ -251,7 +251,7 @@
         return score
 
     def _fresh_report(
-        self, server: _directory.BackendServer, now_s: float
+        self, server: _entries.BackendServer, now_s: float
     ) -> _ReportedLoad | None:
         report = self._reported_load_by_host.get(server.host)
         if report is None or now_s - report.reported_at_s > LOAD_MAX_AGE_S:
--- /dev/null
+++ b/src/jasminecrank/mesh/state/_positions.py
@@ -0,0 +1,66 @@
+"""Positions in the source, by which the ages of entries are compared."""
+
+from dataclasses import dataclass
+
+UNKNOWN_ERA = -1
+"""Era of a position that was received without one."""
+_NOTHING_RETAINED = -2
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Position:
+    """When an entry was written, as far as the source can tell.
+
+    The source begins a new era when it is restored from a copy. It then gives
+    out the revisions that the copy lacks again. What was written there in an
+    earlier era, and is lost, may be retained in place of an older entry of
+    the copy. Its position is then above that of the copy's entry, and below
+    all that is written later.
+    """
+
+    era: int
+    revision: int
+    retained_era: int = _NOTHING_RETAINED
+    retained_revision: int = 0
+
+    @classmethod
+    def from_parts(cls, parts: tuple[int, ...]) -> "Position":
+        """Return the position of two or four numbers, or raise ValueError."""
+        if len(parts) not in (2, 4) or min(parts) < UNKNOWN_ERA:
+            raise ValueError(f"{parts} is no position")
+        return cls(*parts)
+
+    @property
+    def has_retained_part(self) -> bool:
+        """Return whether it differs from where the source has the entry."""
+        return self.retained_era != _NOTHING_RETAINED
+
+    @property
+    def is_retained(self) -> bool:
+        """Return whether the entry was lost in the era of its position."""
+        return _NOTHING_RETAINED < self.retained_era < self.era
+
+    @property
+    def written_at(self) -> tuple[int, int]:
+        """Return the era and the revision in which the entry was written."""
+        if self.is_retained:
+            return self.retained_era, self.retained_revision
+        return self.era, self.revision
+
+    def in_era(self, era: int) -> "Position":
+        """Return the position with an era, if it has none."""
+        if self.era != UNKNOWN_ERA:
+            return self
+        return Position(era, self.revision)
+
+    def retain_over(self, older: "Position") -> "Position":
+        """Return the position of this entry in place of an older one."""
+        return Position(older.era, older.revision, *self.written_at)
+
+    def confirmed(self) -> "Position":
+        """Return the position at which an entry replaces retained ones."""
+        return Position(self.era, self.revision, self.era)
+
+
+NO_POSITION = Position(UNKNOWN_ERA, 0)
+"""Position of a node that has no entries, below all others."""
--- a/src/jasminecrank/mesh/state/_readers.py
+++ b/src/jasminecrank/mesh/state/_readers.py
@@ -40,6 +40,11 @@
         """Return whether this host is a standby watcher."""
         return self.own_host in self.standby_watchers
 
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this host reads the source for others."""
+        return self.is_watcher or self.is_standby
+
     def is_fellow(self, host: str) -> bool:
         """Return whether a host divides the fleet with this one."""
         return host != self.own_host and host in self._group()
--- a/src/jasminecrank/mesh/state/_server_survey.py
+++ b/src/jasminecrank/mesh/state/_server_survey.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from jasminecrank.mesh.state import _directory
+from jasminecrank.mesh.state import _entries
 from jasminecrank.mesh.state import _placement
 
 MAX_DATA_CENTRES_NAMED = 5
@@ -78,13 +79,13 @@
 
     def _exclusion(
         self,
-        server: _directory.BackendServer,
+        server: _entries.BackendServer,
         regions: frozenset[str] | None,
         tried: Collection[str],
     ) -> _placement.Exclusion | None:
         """Return the reason that has to end first, or None if usable."""
         region = self.region_by_data_centre.get(server.data_centre, "")
-        if server.state is not _directory.ServerState.READY:
+        if server.state is not _entries.ServerState.READY:
             return _placement.Exclusion.DRAINING
         if regions is not None and region not in regions:
             return _placement.Exclusion.REGION
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -113,10 +113,12 @@
                 self._body_sender.cancel_call(call_id)
             case coordination.CallNotRun(call_id):
                 self._body_receiver.refuse_call(call_id)
-            case coordination.HostsRemoved() if (
-                self.peer is None or self.peer.protocol_version < 1
-            ):
+            case coordination.HostsRemoved() if self._peer_version < 1:
                 return  # An older node ends a link on which it gets this.
+            case coordination.EraBegun() if (
+                self._peer_version < coordination.FIRST_VERSION_WITH_ERAS
+            ):
+                return
             case _:
                 pass
         self._write(message)
@@ -175,7 +177,7 @@
         if transport is None or not self._is_open:
             return False
         try:
-            transport.write(protocol.encode(message))
+            transport.write(protocol.encode(message, self._peer_version))
         except RuntimeError:
             # uvloop raises this between a reset and its report to the link.
             self._log.count("links", "reset")
@@ -220,6 +222,11 @@
         """Return the peer's host, or an empty string before its Hello."""
         return "" if self.peer is None else self.peer.host
 
+    @property
+    def _peer_version(self) -> int:
+        """Return the version of the protocol that the peer speaks."""
+        return 0 if self.peer is None else self.peer.protocol_version
+
     def abort(self) -> None:
         """Abort the link without flushing pending data."""
         if self._transport is not None:
@@ -235,11 +242,7 @@
         """
         if self._transport is None or not self._is_open:
             return
-        if (
-            has_replied
-            and self.peer is not None
-            and (self.peer.protocol_version >= 2)
-        ):
+        if has_replied and self._peer_version >= 2:
             unsent = {
                 *self._unreplied_call_ids,
                 *self._body_sender.unsent_replies(),
@@ -300,7 +303,7 @@
 
     def _handle_frame(self, body: bytes) -> bool:
         try:
-            message = protocol.decode(body)
+            message = protocol.decode(body, self._peer_version)
             if isinstance(message, coordination.Hello):
                 self._hello_received(message)
                 return True
--- a/src/jasminecrank/platform/__init__.py
+++ b/src/jasminecrank/platform/__init__.py
@@ -11,3 +11,4 @@
 from jasminecrank.platform._settings import read_settings as read_settings
 from jasminecrank.platform._store import decode_page as decode_page
 from jasminecrank.platform._store import PlatformStore as PlatformStore
+from jasminecrank.platform._store import read_era as read_era
--- a/src/jasminecrank/platform/_entries.py
+++ b/src/jasminecrank/platform/_entries.py
@@ -108,6 +108,7 @@
         state=entry.status.state,
         cold_left_s=max(0, entry.status.cold_left_ms) / 1000,
         created_at_ms=entry.created_at_ms,
+        sequence=entry.status.sequence,
     )
 
 
--- a/src/jasminecrank/platform/_schema.py
+++ b/src/jasminecrank/platform/_schema.py
@@ -52,6 +52,8 @@
 ]
 """Negative for a server whose cold start has ended."""
 UnixTimeMs = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_TIME_MS)]
+Sequence = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+"""Number of reports of a server; entries without one count as the first."""
 Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
@@ -68,6 +70,7 @@
 
     state: state.ServerState
     cold_left_ms: ColdLeftMs = msgspec.field(name="coldLeftMs")
+    sequence: Sequence = msgspec.field(name="seq", default=0)
 
 
 class Server(msgspec.Struct, frozen=True):
--- a/src/jasminecrank/platform/_store.py
+++ b/src/jasminecrank/platform/_store.py
@@ -50,9 +50,10 @@
             raw = await self._get(
                 "/-/kv-range", query, READ_TIMEOUT_S, on_reply
             )
+            era = read_era(raw.headers)
             if raw.status != 200:
-                return coordination.Unavailable(f"status {raw.status}")
-            return decode_page(bytes(raw.body), self._transfer_s)
+                return coordination.Unavailable(f"status {raw.status}", era)
+            return decode_page(bytes(raw.body), self._transfer_s, era)
         except _READ_ERRORS as error:
             return self._unavailable(error)
 
@@ -82,11 +83,12 @@
                 on_reply,
                 max_bytes,
             )
+            era = read_era(raw.headers)
             if raw.status == 410:
-                return coordination.HistoryGone()
+                return coordination.HistoryGone(era)
             if raw.status != 200:
-                return coordination.Unavailable(f"status {raw.status}")
-            return decode_changes(bytes(raw.body), self._transfer_s)
+                return coordination.Unavailable(f"status {raw.status}", era)
+            return decode_changes(bytes(raw.body), self._transfer_s, era)
         except _READ_ERRORS as error:
             unavailable = self._unavailable(error)
             if unavailable.reason == transport.REASON_TOO_LARGE:
@@ -147,6 +149,10 @@
         return coordination.Unavailable(reason)
 
 
+_ERA_HEADER = b"store-era"
+_MAX_ERA_DIGITS = 20
+_MAX_LOGGED_BYTES = 100
+
 _READ_ERRORS = (
     OSError,
     TimeoutError,
@@ -161,7 +167,27 @@
 _value_decoder = msgspec.json.Decoder(_schema.ItemValue)
 
 
-def decode_page(body: bytes, transfer_s: float) -> coordination.Page:
+def read_era(headers: state.Headers) -> coordination.SourceEra:
+    """Return the era of the store that a response names."""
+    value = protocol.find_header(headers, _ERA_HEADER)
+    if value is None:
+        return coordination.UnnamedEra()
+    text = value.strip()
+    # Python's int() also takes signs, underscores and other digits.
+    if text.isdigit() and len(text) <= _MAX_ERA_DIGITS:
+        number = int(text)
+        if number <= _schema.MAX_INTEGER:
+            return coordination.NamedEra(number)
+    return coordination.InvalidEra(
+        text[:_MAX_LOGGED_BYTES].decode(errors="replace")
+    )
+
+
+def decode_page(
+    body: bytes,
+    transfer_s: float,
+    era: coordination.SourceEra,
+) -> coordination.Page:
     """Return a page of items; raise ValueError if it can't be read."""
     page = _page_decoder.decode(body)
     items, rejected = _decode_items(page.items)
@@ -169,15 +195,27 @@
     if page.has_more and not last_key:
         raise ValueError("a page has no key after which to read on")
     return coordination.Page(
-        items, page.has_more, page.revision, transfer_s, last_key, rejected
+        items,
+        page.has_more,
+        page.revision,
+        transfer_s,
+        last_key,
+        rejected,
+        era,
     )
 
 
-def decode_changes(body: bytes, transfer_s: float) -> coordination.Changes:
+def decode_changes(
+    body: bytes,
+    transfer_s: float,
+    era: coordination.SourceEra,
+) -> coordination.Changes:
     """Return changes of items; raise ValueError if they can't be read."""
     changes = _events_decoder.decode(body)
     items, rejected = _decode_items(changes.events)
-    return coordination.Changes(items, changes.revision, transfer_s, rejected)
+    return coordination.Changes(
+        items, changes.revision, transfer_s, rejected, era
+    )
 
 
 def _decode_items(
@@ -199,7 +237,8 @@
     if len(head.key.encode()) > _schema.MAX_KEY_BYTES:
         raise ValueError(f"key: more than {_schema.MAX_KEY_BYTES} bytes")
     value = None if head.removed else _decode_value(raw)
-    return state.SourceItem(head.key, head.revision, value)
+    position = state.Position(state.UNKNOWN_ERA, head.revision)
+    return state.SourceItem(head.key, position, value)
 
 
 def _decode_value(raw: msgspec.Raw) -> bytes:
