--- a/src/jasminecrank/standins/fleet/__init__.py
+++ b/src/jasminecrank/standins/fleet/__init__.py
@@ -3,6 +3,7 @@
 from jasminecrank.standins.fleet._caller import Caller as Caller
 from jasminecrank.standins.fleet._deployment import Deployment as Deployment
 from jasminecrank.standins.fleet._deployment import free_ports as free_ports
+from jasminecrank.standins.fleet._entries import Incarnation as Incarnation
 from jasminecrank.standins.fleet._entries import server_entry as server_entry
 from jasminecrank.standins.fleet._entries import table_entry as table_entry
 from jasminecrank.standins.fleet._entries import TeamRow as TeamRow
@@ -27,3 +28,4 @@
 from jasminecrank.standins.fleet._server import Server as Server
 from jasminecrank.standins.fleet._store import Outage as Outage
 from jasminecrank.standins.fleet._store import Store as Store
+from jasminecrank.standins.fleet._store import StoreCopy as StoreCopy
--- a/src/jasminecrank/standins/fleet/_deployment.py
+++ b/src/jasminecrank/standins/fleet/_deployment.py
@@ -53,6 +53,7 @@
         """Service named in the settings of nodes created from now on."""
         self.changed_settings: settings.NodeSettings | None = None
         """Settings that nodes get on a reload; None for unchanged ones."""
+        self._incarnation_by_id: dict[str, _entries.Incarnation] = {}
         self._callers: list[_caller.Caller] = []
         self._ports: dict[str, int] = {}
         self._store_port = 0
@@ -173,13 +174,17 @@
     def server_entry(
         self, number: int, server_state: str = "ready", cold_ms: int = 0
     ) -> dict[str, typing.Any]:
-        """Return the store entry of a host's backend server."""
+        """Return the next store entry of a host's backend server."""
+        incarnation = self._incarnation_by_id.setdefault(
+            self.servers[number].server_id, _entries.Incarnation()
+        )
         return _entries.server_entry(
             f"{self.host(number)}:{self._ports['server']}",
             DATA_CENTRES[number % len(DATA_CENTRES)],
             self.servers[number].slots,
             server_state,
             cold_ms,
+            incarnation,
         )
 
     async def wait_until(
--- a/src/jasminecrank/standins/fleet/_entries.py
+++ b/src/jasminecrank/standins/fleet/_entries.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import field
 import time
 import typing
 
@@ -21,6 +22,19 @@
     rate_per_s: int
 
 
+@dataclass(slots=True)
+class Incarnation:
+    """What the entries of a backend server tell of its incarnation."""
+
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
+    seq: int = 0
+
+    def next_seq(self) -> int:
+        """Return the number of the next entry."""
+        self.seq += 1
+        return self.seq
+
+
 def table_entry(
     version: int,
     timeout_ms: int,
@@ -104,16 +118,25 @@
     slots: int,
     server_state: str,
     cold_ms: int,
+    incarnation: Incarnation | None = None,
 ) -> dict[str, typing.Any]:
-    """Return the entry with which a backend server registers itself."""
+    """Return the next entry with which a backend server registers itself.
+
+    Without an incarnation, it is the first entry of a new one.
+    """
+    incarnation = incarnation or Incarnation()
     return {
         "address": address,
-        "born": int(time.time() * 1000),
+        "born": incarnation.born_ms,
         "info": {
             "service": "ledger",
             "version": "v1",
             "zone": data_centre,
             "slots": slots,
         },
-        "status": {"state": server_state, "seq": 1, "coldLeftMs": cold_ms},
+        "status": {
+            "state": server_state,
+            "seq": incarnation.next_seq(),
+            "coldLeftMs": cold_ms,
+        },
     }
