Add runs in which the store comes back from an older copy

What the operator and the servers had written is written again within a second. The servers of the soak renew their entries every second, and its limits for leaving servers and withdrawn keys begin anew when what a restore lost is written again.

--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -53,18 +53,23 @@
         """Idle connections by the number of the server's host."""
         self._calls: set[asyncio.Task[bool]] = set()
 
-    def start(self) -> None:
-        """Start sending requests to the nodes of all hosts."""
-        large = _large_bodies.LargeBodyCallers(self._deployment, self._seed)
-        self._tasks.append(asyncio.create_task(large.run()))
+    def start_plain(self, callers_per_host: int) -> None:
+        """Start sending requests of usual form and size only."""
         for number in self._deployment.hosts:
-            for index in range(CALLERS_PER_HOST):
+            for index in range(callers_per_host):
                 rng = random.Random(f"{number}/{index}")
                 self._tasks.append(
                     asyncio.create_task(
                         self._run_caller(number, rng, _TARGETS)
                     )
                 )
+
+    def start(self) -> None:
+        """Start sending requests to the nodes of all hosts."""
+        large = _large_bodies.LargeBodyCallers(self._deployment, self._seed)
+        self._tasks.append(asyncio.create_task(large.run()))
+        self.start_plain(CALLERS_PER_HOST)
+        for number in self._deployment.hosts:
             for target in _MORE_TARGETS[: 2 if number % 3 == 0 else 1]:
                 rng = random.Random(f"{self._seed}/{number}/{target}")
                 self._tasks.append(
@@ -117,7 +122,7 @@
             else _connections.RecordedCaller(self._deployment, number)
         )
         try:
-            status = await self._send_request(
+            status = await self.send_request(
                 caller, number, "GET", "/called/9", None
             )
         except asyncio.CancelledError:
@@ -139,7 +144,7 @@
                 method, target = rng.choice(targets)
                 key = None if target in _PUBLIC else self._pick_key(rng)
                 abandoned = rng.random() < ABANDON_RATIO
-                await self._send_request(
+                await self.send_request(
                     caller, number, method, target, key, abandoned
                 )
         finally:
@@ -151,7 +156,7 @@
             return rng.choice(sorted(self._deployment.records.team_by_key))
         return rng.choice(list(self._deployment.keys_by_team.values()))[-1]
 
-    async def _send_request(
+    async def send_request(
         self,
         caller: _connections.RecordedCaller,
         number: int,
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterator
 import contextlib
 import functools
+import json
 import pathlib
 import random
+import typing
 
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _processes
@@ -22,6 +24,12 @@
 COLD_START_S = 3.0
 MEMORY_LIMIT_MB = 300
 MEMORY_INTERVAL_S = 0.2
+RENEWAL_INTERVAL_S = 1.0
+"""Interval at which servers write their entries again."""
+AGAIN_AWAY_S = 0.1
+"""Time for which the store is away when it is restored again."""
+MAX_REWRITE_S = 1.0
+"""Time after a restore in which what the store has lost is written again."""
 START_TIMEOUT_S = 15.0
 """Time limit for all nodes to become ready at the start."""
 
@@ -50,6 +58,8 @@
         self.link_proxy_by_hosts: dict[tuple[int, int], _proxy.Proxy] = {}
         """By the connecting and the accepting host of a link."""
         self.store_proxies: list[_proxy.Proxy] = []
+        self.added_routes = 0
+        """Routes that the table has beside the usual ones."""
         self.keys_by_team: dict[str, list[str]] = {}
         self.ports: dict[str, int] = {}
         self.restarting_hosts: set[int] = set()
@@ -58,9 +68,14 @@
         """Hosts whose node processes get their processors late."""
         self._folder = folder
         self._node_path = node_path
-        self._memory_task: asyncio.Task[None] | None = None
-        self._version = 0
+        self.unlisted_hosts: set[int] = set()
+        """Hosts whose servers have no entry at the start."""
+        self._tasks: list[asyncio.Task[None]] = []
+        self.version = 0
         self._generation = 0
+        self._written_by_key: dict[str, typing.Any] = {}
+        """What the operator and the servers want in the store."""
+        self._incarnation_by_id: dict[str, fleet.Incarnation] = {}
         self._started_s = 0.0
 
     @contextlib.contextmanager
@@ -100,7 +115,8 @@
         await self.publish()
         for number in self.hosts:
             await self._start_listeners(number, store)
-            await self.register(number, "ready")
+            if number not in self.unlisted_hosts:
+                await self.register(number, "ready")
         for number in self.hosts:
             node = _processes.NodeProcess(
                 f"host-{number}",
@@ -111,7 +127,9 @@
             )
             self.nodes.append(node)
             node.start()
-        self._memory_task = asyncio.create_task(self._watch_memory())
+        self._tasks.append(asyncio.create_task(self._watch_memory()))
+        for number in self.hosts:
+            self._tasks.append(asyncio.create_task(self._renew(number)))
         await self._wait_until_ready()
         self.records.arrivals.clear()
         self._started_s = asyncio.get_running_loop().time()
@@ -188,8 +206,8 @@
     async def close(self) -> None:
         """Stop all processes and close all sockets of the run."""
         await asyncio.gather(*(node.close() for node in self.nodes))
-        if self._memory_task is not None:
-            self._memory_task.cancel()
+        for task in self._tasks:
+            task.cancel()
         for number in self.hosts[: len(self.nodes)]:
             path = self._folder / f"host-{number}.log"
             self.records.tracebacks.extend(
@@ -229,6 +247,16 @@
 
     # Changes by operators and by servers.
 
+    async def write(self, key: str, value: object) -> None:
+        """Write an item until another value of its key is written."""
+        self._written_by_key[key] = value
+        await self.store.put(key, value)
+
+    async def remove(self, key: str) -> None:
+        """Delete an item."""
+        self._written_by_key.pop(key, None)
+        await self.store.delete(key)
+
     def issue_key(self, team: str) -> None:
         """Issue a new key for a team, effective with the next table."""
         self._generation += 1
@@ -238,26 +266,32 @@
 
     async def publish(self) -> None:
         """Publish the table as a new version."""
-        self._version += 1
+        self.version += 1
         rows = {
             team: fleet.TeamRow(tuple(keys), TEAM_RATE_PER_S)
             for team, keys in self.keys_by_team.items()
         }
         entry = fleet.table_entry(
-            self._version,
+            self.version,
             _server.TIMEOUT_MS,
             rows,
             max_body_bytes=_server.MAX_BODY_BYTES,
         )
         entry["resources"].extend(_server.more_routes(entry["resources"][0]))
-        await self.store.put("op/config", entry)
+        entry["resources"].extend(
+            _server.added_routes(entry["resources"][0], self.added_routes)
+        )
+        await self.write("op/config", entry)
 
     async def register(
         self, number: int, server_state: str, cold_s: float = 0.0
     ) -> None:
         """Write the store entry of a host's server."""
         server = self.servers[number]
-        await self.store.put(
+        incarnation = self._incarnation_by_id.setdefault(
+            server.server_id, fleet.Incarnation()
+        )
+        await self.write(
             f"servers/{server.server_id}",
             fleet.server_entry(
                 f"{self.host(number)}:{self.ports['server']}",
@@ -265,9 +299,73 @@
                 server.slots,
                 server_state,
                 round(1000 * cold_s),
+                incarnation,
             ),
         )
 
+    async def renew(self, number: int) -> None:
+        """Write the entry of a host's server again, if it has one."""
+        server = self.servers[number]
+        entry = self._written_by_key.get(f"servers/{server.server_id}")
+        if entry is not None and number not in self.restarting_hosts:
+            state = entry["status"]["state"]
+            await self.register(number, state, server.cold_left_s)
+
+    async def _renew(self, number: int) -> None:
+        rng = random.Random(f"renewals {number}")
+        await asyncio.sleep(rng.uniform(0.0, RENEWAL_INTERVAL_S))
+        while True:
+            await self.renew(number)
+            await asyncio.sleep(RENEWAL_INTERVAL_S)
+
+    async def restore_store(
+        self,
+        copy: fleet.StoreCopy,
+        away_s: float,
+        again_after_s: float | None,
+        rng: random.Random,
+    ) -> None:
+        """Restore the store, and again if a time is given.
+
+        Return when all that it has lost is written again.
+        """
+        restores = [self._restore_store(copy, 0.0, away_s, rng)]
+        if again_after_s is not None:
+            delay_s = away_s + again_after_s
+            restores.append(
+                self._restore_store(copy, delay_s, AGAIN_AWAY_S, rng)
+            )
+        await asyncio.gather(*restores)
+
+    async def _restore_store(
+        self,
+        copy: fleet.StoreCopy,
+        delay_s: float,
+        away_s: float,
+        rng: random.Random,
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        with self.record_disturbance(None, excused=observed.Excused.NONE):
+            await self.store.restore(copy, away_s)
+        back_s = self.now_s()
+        await asyncio.gather(
+            *(
+                self._write_again(key, rng.uniform(0.1, MAX_REWRITE_S))
+                for key in sorted({*copy.item_by_key, *self._written_by_key})
+            )
+        )
+        self.records.renewals.append(observed.Renewal(back_s, self.now_s()))
+
+    async def _write_again(self, key: str, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        written = self._written_by_key.get(key)
+        stored = self.store.value(key)
+        if written is None:
+            if stored is not None:
+                await self.store.delete(key)
+        elif stored != json.dumps(written).encode():
+            await self.store.put(key, written)
+
     async def put_foreign_entries(self, hosts: Iterable[int]) -> None:
         """Write entries of another writer at the addresses of servers."""
         for number in hosts:
@@ -280,12 +378,12 @@
             )
             entry["born"] += FOREIGN_BORN_AHEAD_MS
             entry["info"]["service"] = "unknown"
-            await self.store.put(f"servers/foreign-{number}", entry)
+            await self.write(f"servers/foreign-{number}", entry)
 
     async def delete_foreign_entries(self, hosts: Iterable[int]) -> None:
         """Delete the entries of another writer."""
         for number in hosts:
-            await self.store.delete(f"servers/foreign-{number}")
+            await self.remove(f"servers/foreign-{number}")
 
     async def restart_server(self, number: int, down_s: float) -> None:
         """Stop a server and start a cold one with a new id in its place."""
@@ -298,4 +396,4 @@
         await server.listen(self.host(number), self.ports["server"])
         await asyncio.sleep(self.rng.uniform(0.0, 1.5))
         await self.register(number, "ready", server.cold_left_s)
-        await self.store.delete(f"servers/{old_id}")
+        await self.remove(f"servers/{old_id}")
--- a/src/jasminecrank/standins/soak/_server.py
+++ b/src/jasminecrank/standins/soak/_server.py
@@ -74,6 +74,22 @@
         }
 
 
+def added_routes(
+    route: dict[str, typing.Any], count: int
+) -> Iterator[dict[str, typing.Any]]:
+    """Yield routes that the first tables do not have."""
+    for number in range(1, count + 1):
+        yield {
+            "typeUrl": "routes",
+            "metadata": {"name": f"added-{number}"},
+            "spec": {
+                **route["spec"],
+                "prefix": f"/added-{number}/",
+                "public": True,
+            },
+        }
+
+
 class SoakServer(fleet.Server):
     """Backend server that reports each request it starts to run."""
 
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -96,11 +96,8 @@
             < attempt.sent_s
         ):
             yield f"{attempt.request_id} went back to an older table"
-        if (
-            attempt.sent_s > withdrawn_s + CONFIG_APPLY_S
-            and records.is_undisturbed(
-                attempt.host, withdrawn_s, attempt.sent_s, True
-            )
+        if attempt.sent_s > withdrawn_s + CONFIG_APPLY_S and records.is_bound(
+            (attempt.host,), withdrawn_s, CONFIG_APPLY_S, attempt.sent_s
         ):
             yield f"{attempt.request_id} was served with a withdrawn key"
 
@@ -118,14 +115,14 @@
             if (
                 arrival.host == period.host
                 and period.from_s < arrival.at_s < period.until_s
-                and all(
-                    records.is_undisturbed(
-                        host, period.from_s, arrival.at_s, True
-                    )
-                    for host in (
+                and records.is_bound(
+                    (
                         arrival.host,
                         host_by_id.get(arrival.request_id, arrival.host),
-                    )
+                    ),
+                    period.from_s,
+                    period.limit_s,
+                    arrival.at_s,
                 )
             ):
                 late_s = arrival.at_s - period.from_s
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -135,6 +135,23 @@
     host: int
     from_s: float
     until_s: float = math.inf
+    limit_s: float = 0.0
+    """Time from the acknowledgement until `from_s`."""
+
+
+@dataclass(slots=True, frozen=True)
+class Renewal:
+    """What a restored store had lost is written again."""
+
+    back_s: float
+    """When the store was back."""
+    written_s: float
+    """When all of it was acknowledged."""
+
+    def binds_from_s(self, limit_s: float) -> float:
+        """Return when what was written binds undisturbed hosts again."""
+        settled_s = math.nextafter(self.back_s + SETTLE_S, math.inf)
+        return max(settled_s, self.written_s + limit_s)
 
 
 @dataclass(slots=True)
@@ -197,6 +214,7 @@
         default_factory=list
     )
     """Of draining servers and of servers in an evacuated data centre."""
+    renewals: list[Renewal] = field(default_factory=list)
     withdrawn_s_by_key: dict[str, float] = field(default_factory=dict)
     team_by_key: dict[str, str] = field(default_factory=dict)
     terminations: list[Termination] = field(default_factory=list)
@@ -256,6 +274,27 @@
             for disturbance in self.disturbances
         )
 
+    def is_bound(
+        self, hosts: Iterable[int], from_s: float, limit_s: float, at_s: float
+    ) -> bool:
+        """Return whether hosts must have heeded an entry at a moment.
+
+        It binds them from a moment on, or from when it was written again,
+        unless one of them has been disturbed since.
+        """
+        begins_s = [from_s]
+        begins_s.extend(
+            renewal.binds_from_s(limit_s) for renewal in self.renewals
+        )
+        return any(
+            from_s <= begin_s < at_s
+            and all(
+                self.is_undisturbed(host, begin_s, at_s, True)
+                for host in hosts
+            )
+            for begin_s in begins_s
+        )
+
     def excuses_loss(self, host: int, from_s: float, to_s: float) -> bool:
         """Return whether a request to a host may be lost in a period."""
         return any(
