Log a table as in force once calls are routed by it

A node that started after a restore logged the store's older table as in force, though it routed no call by it until a peer had sent the newer one: rows @1.2 and @1.5 of features/mesh/restore.feature, "no node returns to an older table", failed. The line now follows the check at the start.

--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -96,6 +96,7 @@
         self._ticked_at_s = clock.now_s()
         self._ticks = 0
         self._start_check = state.StartCheck()
+        self._table_origin = _source.SOURCE_ORIGIN
         self._confirmation_at_s = -1e9
         """When a listing was last requested for retained entries."""
 
@@ -358,15 +359,20 @@
             )
         before = self._fleet
         self._publish()
-        if self._fleet.table is not before.table and self._fleet.table:
-            self.log.decision(
-                "table-in-force",
-                version=self._fleet.table.version,
-                era=self._directory.position.era,
-                revision=self._directory.position.revision,
-                origin=origin,
-                confirmed_age_ms=self._confirmed_age_ms(now_s),
-            )
+        if self._fleet.table is not before.table:
+            self._table_origin = origin
+            if self._start_check.is_over:
+                self._log_table(now_s)
+
+    def _log_table(self, now_s: float) -> None:
+        self.log.decision(
+            "table-in-force",
+            version=self.table_version,
+            era=self._directory.position.era,
+            revision=self._directory.position.revision,
+            origin=self._table_origin,
+            confirmed_age_ms=self._confirmed_age_ms(now_s),
+        )
 
     def _set_running(self, host: str, server_id: str) -> None:
         if self._directory.set_running(host, server_id):
@@ -548,6 +554,7 @@
                 version=self.table_version,
                 has_report=self._exchange.has_report,
             )
+            self._log_table(now_s)
             self._ports.to_entry(_messages.FleetChanged(self._fleet))
 
     def _is_near(self, host: str) -> bool:
