--- a/features/mesh/explain.feature
+++ b/features/mesh/explain.feature
@@ -24,6 +24,17 @@
       | crashes and misses a call          | GET    | /lots/1 | k1  | no-server    | excluded: 3 not-accepting                       |
       | crashes and misses a call          | GET    | /lots/1 | k1  | no-server    | usable servers of the service: 0                |
 
+  Scenario Outline: A request shortly after a restore of the store
+    Given a log in which host <restored> restored its entries <age> s before a refusal at host a
+    Then explain <names> era 3 with 2 retained entries
+
+    Examples:
+      | restored | age  | names         |
+      | a        | 1.2  | names         |
+      | a        | 90.0 | does not name |
+      | a        | -1.0 | does not name |
+      | b        | 1.2  | does not name |
+
   Scenario: Every logged outcome and reason has an explanation
     Then the command explains every outcome and reason that a node logs
 
--- a/features/steps/mesh_explain_steps.py
+++ b/features/steps/mesh_explain_steps.py
@@ -1,5 +1,6 @@
 """Steps for the commands explain and settings check on the platform."""
 
+import json
 import pathlib
 import re
 import subprocess
@@ -63,6 +64,46 @@
     assert because in result.stdout, result.stdout
 
 
+@given(
+    "a log in which host {host} restored its entries {age_s:g} s before a "
+    "refusal at host a"
+)
+def step_restore_log(context, host, age_s):
+    lines = (
+        {
+            "time": 100.0 - age_s,
+            "up_s": 1.0,
+            "host": host,
+            "event": "source-restored",
+            "era": 3,
+            "previous_era": 2,
+            "replaced": 1,
+            "retained": 2,
+            "dropped": 0,
+        },
+        {
+            "time": 100.0,
+            "up_s": 2.0,
+            "host": "a",
+            "event": "call",
+            "request_id": "9c41",
+            "outcome": "no-server",
+        },
+    )
+    context.log_text = "\n".join(map(json.dumps, lines))
+
+
+@then("explain {names} era 3 with 2 retained entries")
+def step_restore_named(context, names):
+    with tempfile.NamedTemporaryFile(suffix=".log") as file:
+        path = pathlib.Path(file.name)
+        path.write_text(context.log_text)
+        result = run("explain", "9c41", str(path))
+    assert result.returncode == 0, result.stderr
+    named = "era 3 after 2" in result.stdout and "2 retained" in result.stdout
+    assert named == (names == "names"), result.stdout
+
+
 @then("the command explains every outcome and reason that a node logs")
 def step_every(context):
     del context
--- a/src/jasminecrank/operators/_node_explain.py
+++ b/src/jasminecrank/operators/_node_explain.py
@@ -48,25 +48,35 @@
 }
 
 
+RESTORE_EVENTS = ("source-restored", "era-received")
+RESTORE_SHOWN_S = 60.0
+"""Time for which a restore of the source is named with a call after it."""
+
+
 @dataclass(slots=True, frozen=True)
 class NodeTrace:
     """The log lines of one call: gates first, then the entry node."""
 
     request_id: str
     lines: tuple[dict[str, typing.Any], ...]
+    restores: tuple[dict[str, typing.Any], ...] = ()
+    """Lines of all hosts on restores of the source, oldest first."""
 
     @classmethod
     def from_logs(
         cls, request_id: str, paths: Iterable[pathlib.Path]
     ) -> "NodeTrace":
         """Return the trace; raise NOT_FOUND if no line has the request ID."""
-        found = [
-            line
-            for path in paths
-            for line in _read_lines(path)
-            if request_id == line.get("request_id")
-            or request_id in line.get("request_ids", ())
-        ]
+        found = []
+        restores = []
+        for path in paths:
+            for line in _read_lines(path):
+                if request_id == line.get("request_id") or (
+                    request_id in line.get("request_ids", ())
+                ):
+                    found.append(line)
+                elif line["event"] in RESTORE_EVENTS:
+                    restores.append(line)
         if not found:
             raise exceptions.JasminecrankError(
                 f"no log line has the request ID {request_id!r}; one in 50"
@@ -74,7 +84,22 @@
                 exceptions.ResultCode.NOT_FOUND,
             )
         found.sort(key=lambda line: (line["event"] == "call", line["time"]))
-        return cls(request_id, tuple(found))
+        restores.sort(key=lambda line: line["time"])
+        return cls(request_id, tuple(found), tuple(restores))
+
+    def restore_before(
+        self, line: dict[str, typing.Any]
+    ) -> dict[str, typing.Any] | None:
+        """Return the last restore that the host of a line knew then."""
+        return next(
+            (
+                restore
+                for restore in reversed(self.restores)
+                if restore["host"] == line["host"]
+                and 0.0 <= line["time"] - restore["time"] <= RESTORE_SHOWN_S
+            ),
+            None,
+        )
 
 
 def is_node_log(path: pathlib.Path) -> bool:
@@ -104,6 +129,26 @@
             known = REASONS.get(reason.partition(":")[0], "no explanation")
             yield f"  {reason}: {known}"
         yield from _decision_inputs(line)
+        restore = trace.restore_before(line)
+        if restore is not None:
+            yield from _explain_restore(line, restore)
+
+
+def _explain_restore(
+    line: dict[str, typing.Any], restore: dict[str, typing.Any]
+) -> Iterator[str]:
+    """Yield what a restore of the source shortly before has changed."""
+    age_s = line["time"] - restore["time"]
+    yield (
+        f"  source restored {age_s:.1f} s before: era {restore['era']} after "
+        f"{restore['previous_era']}"
+    )
+    counts = ", ".join(
+        f"{restore[name]} {name}"
+        for name in ("replaced", "retained", "dropped", "changed")
+        if name in restore
+    )
+    yield f"  entries: {counts}"
 
 
 def _decision_inputs(line: dict[str, typing.Any]) -> Iterator[str]:
