Cover links to nodes of protocol version 3

The scenarios on older nodes stated version 2 as the newest, so 12 rows failed since version 3 adds EraBegun. They state 3 now, and three rows say who gets which message. features/mesh/links.feature: all rows pass (12 failed before).

--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -16,7 +16,7 @@
 
 UNUSED_PORT = 9
 HELLO = coordination.Hello("10.0.0.1", 1, "ledger")
-NEWEST_VERSION = 2
+NEWEST_VERSION = 3
 INCARNATION_BITS = 48
 
 
@@ -237,11 +237,17 @@
     return link, owner, link_transport
 
 
-@when("it is to tell which hosts were removed")
-def step_tell_removed(context):
+MESSAGE_BY_WHAT = {
+    "which hosts were removed": coordination.HostsRemoved((("10.0.0.9", 10),)),
+    "that an era has begun": coordination.EraBegun(3, 5, ()),
+}
+
+
+@when("it is to tell {what}")
+def step_tell(context, what):
     async def act():
         link, _, link_transport = _open_link(context)
-        link.send(coordination.HostsRemoved((("10.0.0.9", 10),)))
+        link.send(MESSAGE_BY_WHAT[what])
         link.connection_lost(None)
         return link_transport.written
 
