--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -62,7 +62,6 @@
 from jasminecrank.mesh.state._directory import AppliedItems as AppliedItems
 from jasminecrank.mesh.state._directory import Decoder as Decoder
 from jasminecrank.mesh.state._directory import Directory as Directory
-from jasminecrank.mesh.state._directory import FleetSnapshot as FleetSnapshot
 from jasminecrank.mesh.state._entries import BackendServer as BackendServer
 from jasminecrank.mesh.state._entries import (
     DataCentreOutEntry as DataCentreOutEntry,
@@ -73,6 +72,9 @@
 from jasminecrank.mesh.state._entries import ServerState as ServerState
 from jasminecrank.mesh.state._entries import SourceItem as SourceItem
 from jasminecrank.mesh.state._entries import TableEntry as TableEntry
+from jasminecrank.mesh.state._fleet_snapshot import (
+    FleetSnapshot as FleetSnapshot,
+)
 from jasminecrank.mesh.state._gate import (
     AdmissionController as AdmissionController,
 )
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -6,9 +6,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
-import hashlib
 
 from jasminecrank.mesh.state import _entries
+from jasminecrank.mesh.state import _fleet_snapshot
+from jasminecrank.mesh.state import _item_digests
 from jasminecrank.mesh.state import _patches
 from jasminecrank.mesh.state import _positions
 from jasminecrank.mesh.state import _restores
@@ -41,46 +42,6 @@
 Decoder = Callable[[str, bytes], _entries.PublishedEntry]
 
 
-@dataclass(slots=True, frozen=True)
-class FleetSnapshot:
-    """An immutable view of the fleet, replaced as a whole on each change."""
-
-    table: _table.Table | None
-    server_by_id: Mapping[str, _entries.BackendServer]
-    cold_until_s_by_id: Mapping[str, float]
-    data_centres_out: frozenset[str]
-    displaced_by_id: Mapping[str, _entries.BackendServer] = field(
-        default_factory=dict
-    )
-    """Listed servers that another one is preferred to on the same host."""
-
-    def listed_at(self, host: str, port: int) -> list[_entries.BackendServer]:
-        """Return all servers listed at an address, displaced ones too.
-
-        Those of services that the table does not have are left out.
-        """
-        return [
-            server
-            for server in (
-                *self.server_by_id.values(),
-                *self.displaced_by_id.values(),
-            )
-            if (server.host, server.port) == (host, port)
-            and self.table is not None
-            and server.service in self.table.service_by_name
-        ]
-
-    def usable_servers(self, service: str) -> list[_entries.BackendServer]:
-        """Return the servers of a service that may receive new calls."""
-        return [
-            server
-            for server in self.server_by_id.values()
-            if server.service == service
-            and server.state is _entries.ServerState.READY
-            and server.data_centre not in self.data_centres_out
-        ]
-
-
 @dataclass(slots=True, frozen=True)
 class AppliedItems:
     """Items that have become part of a directory."""
@@ -331,7 +292,7 @@
         rejected, self.rejected = self.rejected, []
         return rejected
 
-    def snapshot(self) -> FleetSnapshot:
+    def snapshot(self) -> _fleet_snapshot.FleetSnapshot:
         """Return the fleet that the published entries describe."""
         data_centres_out = frozenset(
             entry.data_centre
@@ -345,7 +306,7 @@
             server.server_id: server
             for server in self._preferred_servers(listed_by_id)
         }
-        return FleetSnapshot(
+        return _fleet_snapshot.FleetSnapshot(
             self.table,
             server_by_id,
             dict(self.cold_until_s_by_id),
@@ -533,9 +494,11 @@
         known = self.item_by_key.get(item.key)
         self.item_by_key[item.key] = item
         self.position = max(self.position, item.position)
-        self.digest ^= _item_digest(known) ^ _item_digest(item)
-        self.revision_digest ^= _revision_digest(known)
-        self.revision_digest ^= _revision_digest(item)
+        self.digest ^= _item_digests.with_era(known) ^ _item_digests.with_era(
+            item
+        )
+        self.revision_digest ^= _item_digests.without_era(known)
+        self.revision_digest ^= _item_digests.without_era(item)
         self._keep_patch_base(item)
 
     def _apply_entry(
@@ -618,29 +581,3 @@
             return reason
         case _:
             return "the table has been removed"
-
-
-def _item_digest(item: _entries.SourceItem | None) -> int:
-    """Return an entry's contribution to the directory's digest.
-
-    Removed entries contribute nothing, since a node that starts later never
-    sees them.
-    """
-    if item is None or item.value is None:
-        return 0
-    position = item.position
-    written_at = "" if not position.is_retained else position.written_at
-    return _name_digest(
-        f"{item.key}@{position.era}.{position.revision}{written_at}"
-    )
-
-
-def _revision_digest(item: _entries.SourceItem | None) -> int:
-    if item is None or item.value is None:
-        return 0
-    return _name_digest(f"{item.key}@{item.position.revision}")
-
-
-def _name_digest(name: str) -> int:
-    digest = hashlib.blake2b(name.encode(), digest_size=6).digest()
-    return int.from_bytes(digest)
--- a/src/jasminecrank/mesh/state/_links.py
+++ b/src/jasminecrank/mesh/state/_links.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 import hashlib
 
-from jasminecrank.mesh.state import _directory
 from jasminecrank.mesh.state import _entries
+from jasminecrank.mesh.state import _fleet_snapshot
 
 WATCHER_COUNT = 3
 """Nodes that watch the source for the fleet; two may fail at once."""
@@ -36,13 +36,13 @@
     return hashlib.blake2b(f"{seed}/{host}".encode(), digest_size=8).digest()
 
 
-def watcher_hosts(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
+def watcher_hosts(fleet: _fleet_snapshot.FleetSnapshot) -> tuple[str, ...]:
     """Return the hosts whose nodes watch the source for the fleet."""
     return _coordinators(fleet)[:WATCHER_COUNT]
 
 
 def standby_watcher_hosts(
-    fleet: _directory.FleetSnapshot,
+    fleet: _fleet_snapshot.FleetSnapshot,
 ) -> tuple[str, ...]:
     """Return the hosts whose nodes take over from the watchers first.
 
@@ -51,12 +51,12 @@
     return _coordinators(fleet)[WATCHER_COUNT:]
 
 
-def arbiter_hosts(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
+def arbiter_hosts(fleet: _fleet_snapshot.FleetSnapshot) -> tuple[str, ...]:
     """Return the hosts whose nodes grant rate tokens, sorted."""
     return tuple(sorted(_coordinators(fleet)))
 
 
-def _coordinators(fleet: _directory.FleetSnapshot) -> tuple[str, ...]:
+def _coordinators(fleet: _fleet_snapshot.FleetSnapshot) -> tuple[str, ...]:
     hosts = {
         server.host
         for server in fleet.server_by_id.values()
@@ -66,7 +66,7 @@
 
 
 def link_targets(
-    fleet: _directory.FleetSnapshot, own_host: str, own_data_centre: str
+    fleet: _fleet_snapshot.FleetSnapshot, own_host: str, own_data_centre: str
 ) -> set[str]:
     """Return the hosts that a node keeps links to."""
     servers_by_service: dict[str, list[_entries.BackendServer]] = {}
--- a/src/jasminecrank/mesh/state/_readers.py
+++ b/src/jasminecrank/mesh/state/_readers.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 import typing
 
-from jasminecrank.mesh.state import _directory
+from jasminecrank.mesh.state import _fleet_snapshot
 from jasminecrank.mesh.state import _links
 
 
@@ -21,7 +21,7 @@
 
     @classmethod
     def from_fleet(
-        cls, own_host: str, fleet: _directory.FleetSnapshot
+        cls, own_host: str, fleet: _fleet_snapshot.FleetSnapshot
     ) -> typing.Self:
         """Return the readers of a fleet."""
         return cls(
--- a/src/jasminecrank/mesh/state/_server_survey.py
+++ b/src/jasminecrank/mesh/state/_server_survey.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from jasminecrank.mesh.state import _directory
 from jasminecrank.mesh.state import _entries
+from jasminecrank.mesh.state import _fleet_snapshot
 from jasminecrank.mesh.state import _placement
 
 MAX_DATA_CENTRES_NAMED = 5
@@ -26,7 +26,7 @@
 class ServerSurvey:
     """What a node knows of all servers at one moment."""
 
-    fleet: _directory.FleetSnapshot
+    fleet: _fleet_snapshot.FleetSnapshot
     placement: _placement.Placement
     linked_hosts: Collection[str]
     """Other hosts that calls can be sent to."""
