Restore the store from older copies in the fault soak

The soak took the store away, but never back, and judged tables by withdrawn keys only: a node that ignores the tables of a new era for minutes passed.

Each seed draws restores of its own, so that its other faults stay the same: copies 0.5 to 8 s old, the store away for 0.1 to 5 s, at times twice within a second. What the operator and the servers had written since, removals too, is written again within a second, and then a table with one more route. A caller at each node requests the newest route, and the check added_routes judges that nodes know it within the platform's limit and never lose it. Limits that an earlier disturbance had excused for good are judged again once what a restore lost is written again.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -27,6 +27,17 @@
       | a leaving server gets a late request in a fault | no_new_work    | nothing |
       | a leaving server gets a late request from a busy host | no_new_work | nothing |
       | a leaving server gets a late request beside a busy host | no_new_work | a fault |
+      | a leaving server gets a request 3 s after a restore | no_new_work | nothing |
+      | a leaving server gets a request later after a restore | no_new_work | a fault |
+      | a withdrawn key is served 3 s after a restore  | withdrawn_keys  | nothing |
+      | a withdrawn key is served later after a restore | withdrawn_keys | a fault |
+      | an added route is unknown for 2 s              | added_routes    | nothing |
+      | an added route is unknown for longer           | added_routes    | a fault |
+      | an added route is unknown for longer in a fault | added_routes   | nothing |
+      | an added route is unknown 3 s after a restore  | added_routes    | nothing |
+      | an added route is unknown later after a restore | added_routes   | a fault |
+      | an added route is served and gone              | added_routes    | a fault |
+      | an added route is served and fails             | added_routes    | nothing |
       | a cold server gets 20 requests in a second     | cold_servers    | nothing |
       | a cold server gets 21 requests in a second     | cold_servers    | a fault |
       | a team runs 470 requests in 5 s                | quotas          | nothing |
@@ -195,6 +206,17 @@
       | SettingsMissing | time without settings in s | 3.0 | 8.0  |
       | PortsHeld       | time beyond the grace in s | 0.5 | 3.0  |
 
+  Scenario Outline: The store comes back from older copies
+    Given the restores of seeds 1 to 20 within 22 s
+    Then they are the same when they are drawn again
+    And each of these has <what> from <low> to <high>
+
+    Examples:
+      | what                  | low | high |
+      | age of the copy in s  | 0.5 | 8.0  |
+      | time away in s        | 0.1 | 5.0  |
+      | time between two in s | 0.0 | 0.9  |
+
   Scenario Outline: The run times of a route do not hold
     Given the first <count> run times of seed <seed>
     Then 5 or more of 0.02 s come before some of 0.5 to 4.9 s
@@ -235,6 +257,7 @@
       | all faults   | 11   | 5     | 18      | a short run                                |
       | all faults   | 8    | 8     | 30      | failed: two plans for one data centre met  |
       | all faults   | 302  | 6     | 30      | failed: a new connection repeated a rejection |
+      | planned work | 102  | 6     | 30      | failed: tables after the store was restored |
 
   Scenario: A stopped soak leaves no process
     Given a running soak of 3 hosts
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -22,6 +22,7 @@
 from jasminecrank.standins.soak import _demanding
 from jasminecrank.standins.soak import _large_bodies
 from jasminecrank.standins.soak import _overlapping
+from jasminecrank.standins.soak import _restores
 from jasminecrank.standins.soak import _server
 from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
@@ -38,6 +39,7 @@
     "whole_answers": checks.whole_answers,
     "known_callers": checks.known_callers,
     "withdrawn_keys": checks.withdrawn_keys,
+    "added_routes": checks.added_routes,
     "no_new_work": checks.no_new_work,
     "cold_servers": checks.cold_servers,
     "quotas": checks.quotas(RATE_PER_S),
@@ -147,6 +149,42 @@
     return records
 
 
+def records_after_restore(records, back_s):
+    """Return records to which a restore of the store is added.
+
+    What it had lost is written again within 0.5 s.
+    """
+    disturbance = records.begin_disturbance(
+        9.5, None, excused=observed.Excused.NONE
+    )
+    disturbance.end_s = back_s
+    records.renewals.append(observed.Renewal(back_s, back_s + 0.5))
+    return records
+
+
+def records_of_leaving_after_restore(at_s):
+    """Return records in which a leaving server gets a request.
+
+    The store was restored at 10 s, and servers leave within 2 s.
+    """
+    records = make_records([make_attempt()], [make_arrival(at_s=at_s)])
+    records.out_of_service_periods.append(
+        observed.OutOfServicePeriod(0, 9.0, 20.0, limit_s=2.0)
+    )
+    return records_after_restore(records, 10.0)
+
+
+def records_of_probes(*probes):
+    """Return records of requests to a route that was added at 9 s."""
+    records = make_records()
+    records.written_s_by_route[1] = 9.0
+    records.probes.extend(
+        observed.Probe(0, 1, 1, sent_s, sent_s + 0.1, status)
+        for status, sent_s in probes
+    )
+    return records
+
+
 def records_with_stop(*arrivals, fault=None):
     """Return records in which a stop at 10 s cut a request."""
     cut = make_attempt(status=0)
@@ -455,6 +493,43 @@
     "a leaving server gets a late request in a fault": lambda: (
         records_with_leaving_server(8.0)
     ),
+    "a leaving server gets a request 3 s after a restore": lambda: (
+        records_of_leaving_after_restore(13.0)
+    ),
+    "a leaving server gets a request later after a restore": lambda: (
+        records_of_leaving_after_restore(13.1)
+    ),
+    "a withdrawn key is served 3 s after a restore": lambda: (
+        records_after_restore(
+            records_with_withdrawn_key(make_attempt(sent_s=13.0)), 10.0
+        )
+    ),
+    "a withdrawn key is served later after a restore": lambda: (
+        records_after_restore(
+            records_with_withdrawn_key(make_attempt(sent_s=13.1)), 10.0
+        )
+    ),
+    "an added route is unknown for 2 s": lambda: records_of_probes(
+        (404, 11.0)
+    ),
+    "an added route is unknown for longer": lambda: records_of_probes(
+        (404, 11.1)
+    ),
+    "an added route is unknown for longer in a fault": lambda: (
+        records_with_disturbance(records_of_probes((404, 11.1)), (0,))
+    ),
+    "an added route is unknown 3 s after a restore": lambda: (
+        records_after_restore(records_of_probes((404, 13.0)), 10.0)
+    ),
+    "an added route is unknown later after a restore": lambda: (
+        records_after_restore(records_of_probes((404, 13.1)), 10.0)
+    ),
+    "an added route is served and gone": lambda: records_of_probes(
+        (200, 9.5), (404, 10.0)
+    ),
+    "an added route is served and fails": lambda: records_of_probes(
+        (200, 9.5), (503, 13.0)
+    ),
     "a cold server gets 20 requests in a second": lambda: make_records(
         [], make_arrivals(20, 1.0, True)
     ),
@@ -844,6 +919,9 @@
 
 
 MEASURE_BY_NAME = {
+    "age of the copy in s": lambda fault: fault.copy_age_s,
+    "time away in s": lambda fault: fault.away_s,
+    "time between two in s": lambda fault: fault.again_after_s or 0.0,
     "a time in s": lambda fault: sum(
         turn.paused_s + turn.run_s for turn in fault.turns
     ),
@@ -885,6 +963,23 @@
     context.draw_again = draw_busy_hosts
 
 
+def draw_restores(first, last, seconds):
+    """Return the restores of several seeds."""
+    return [
+        drawn
+        for seed in range(first, last + 1)
+        for drawn in _restores.make_restores(seed, seconds)
+    ]
+
+
+@given("the restores of seeds {first:d} to {last:d} within {seconds:d} s")
+def step_restores(context, first, last, seconds):
+    context.arguments = (first, last, seconds)
+    context.drawn = draw_restores(*context.arguments)
+    context.faults = [fault for _, fault in context.drawn]
+    context.draw_again = draw_restores
+
+
 @then("some are {name}")
 def step_some_faults(context, name):
     context.faults = [
--- a/script/run_fault_soak.py
+++ b/script/run_fault_soak.py
@@ -73,7 +73,8 @@
     duration_s
         Seconds that a seed is played.
     planned_only
-        Leave out kills, pauses and faults of the network and the store.
+        Leave out kills, pauses and faults of the network and the store, but
+        for restores.
     node_path
         Source folder from which the nodes run, for other revisions.
     """
--- a/src/jasminecrank/standins/soak/_callers.py
+++ b/src/jasminecrank/standins/soak/_callers.py
@@ -34,7 +34,7 @@
 Long runs at each host would take most of the servers' slots.
 """
 _PUBLIC = ("/open/1", "/calls/9", "/shift/9")
-_LOADS = ("/calls/9", "/called/9", "/shift/9")
+_LOADS = ("/calls/9", "/called/9", "/shift/9", "/added-")
 _DEADLINE_MS_BY_TARGET = {"/called/9": 250, "/shift/9": 8_000}
 
 
@@ -93,6 +93,12 @@
             )
             self._tasks.append(asyncio.create_task(overlapping.run()))
 
+    def start_task(
+        self, coroutine: "asyncio._CoroutineLike[typing.Any]"
+    ) -> None:
+        """Run a coroutine until the callers are stopped."""
+        self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
+
     async def stop(self) -> None:
         """Stop sending requests and wait until all callers have ended."""
         for server in self._deployment.servers:
@@ -182,7 +188,7 @@
             key,
             self._deployment.now_s(),
             connection=caller.connection,
-            load=target if target in _LOADS else "",
+            load=target if target.startswith(_LOADS) else "",
             limit_s=_server.timeout_ms(target) / 1000.0,
         )
         self._deployment.records.attempts.append(attempt)
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -283,6 +283,13 @@
         )
         await self.write("op/config", entry)
 
+    async def add_route(self) -> None:
+        """Publish a table with one more route."""
+        self.added_routes += 1
+        number = self.added_routes
+        await self.publish()
+        self.records.written_s_by_route[number] = self.now_s()
+
     async def register(
         self, number: int, server_state: str, cold_s: float = 0.0
     ) -> None:
--- a/src/jasminecrank/standins/soak/_faults.py
+++ b/src/jasminecrank/standins/soak/_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import random
 import signal
 import typing
 
@@ -11,6 +12,7 @@
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _plan
 from jasminecrank.standins.soak import _proxy
+from jasminecrank.standins.soak import _restores
 from jasminecrank.standins.soak import _series
 from jasminecrank.standins.soak import _series_injector
 from jasminecrank.standins.soak import checks
@@ -51,6 +53,8 @@
             await _series_injector.inject(self._deployment, fault)
         elif isinstance(fault, _busy_hosts.BusyHostFault):
             await _busy_hosts_injector.inject(self._deployment, fault)
+        elif isinstance(fault, _restores.StoreRestored):
+            await self._restore_store(fault)
         else:
             typing.assert_never(fault)
 
@@ -132,6 +136,16 @@
             case _:
                 typing.assert_never(fault)
 
+    async def _restore_store(self, fault: _restores.StoreRestored) -> None:
+        deployment = self._deployment
+        rng = random.Random(f"written again {fault}")
+        copy = deployment.store.copy()
+        await asyncio.sleep(fault.copy_age_s)
+        await deployment.restore_store(
+            copy, fault.away_s, fault.again_after_s, rng
+        )
+        await deployment.add_route()
+
     async def _apply_change(self, change: _plan.OperatorChange) -> None:
         match change:
             case _plan.KeyWithdrawn(team):
@@ -166,7 +180,9 @@
         deployment.restarting_hosts.add(host)
         await deployment.register(host, "draining")
         period = observed.OutOfServicePeriod(
-            host, deployment.now_s() + DRAIN_TIMEOUT_S + SCHEDULING_SLACK_S
+            host,
+            deployment.now_s() + DRAIN_TIMEOUT_S + SCHEDULING_SLACK_S,
+            limit_s=DRAIN_TIMEOUT_S + SCHEDULING_SLACK_S,
         )
         deployment.records.out_of_service_periods.append(period)
         await asyncio.sleep(DRAIN_TIMEOUT_S + 1.0)
@@ -192,10 +208,12 @@
         self._data_centres_out.add(number)
         deployment = self._deployment
         key = f"op/evacuate/{_deployment.DATA_CENTRES[number]}"
-        await deployment.store.put(key, {})
+        await deployment.write(key, {})
         periods = [
             observed.OutOfServicePeriod(
-                host, deployment.now_s() + EVACUATION_TIMEOUT_S
+                host,
+                deployment.now_s() + EVACUATION_TIMEOUT_S,
+                limit_s=EVACUATION_TIMEOUT_S,
             )
             for host in deployment.hosts
             if host % 2 == number
@@ -204,7 +222,7 @@
         await asyncio.sleep(duration_s)
         for period in periods:
             period.until_s = deployment.now_s()
-        await deployment.store.delete(key)
+        await deployment.remove(key)
         self._data_centres_out.discard(number)
 
 
--- a/src/jasminecrank/standins/soak/_plan.py
+++ b/src/jasminecrank/standins/soak/_plan.py
@@ -7,6 +7,7 @@
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _busy_hosts
 from jasminecrank.standins.soak import _proxy
+from jasminecrank.standins.soak import _restores
 from jasminecrank.standins.soak import _series
 
 FIRST_FAULT_S = 2.0
@@ -138,6 +139,7 @@
     | OperatorChange
     | _series.Series
     | _busy_hosts.BusyHostFault
+    | _restores.StoreRestored
 )
 PLANNED_WORK = (
     NodeTerminated,
@@ -197,6 +199,7 @@
     for at_s, fault in (
         *_series.make_series(seed, hosts, duration_s - RECOVERY_S),
         *_busy_hosts.make_faults(seed, hosts, duration_s - RECOVERY_S),
+        *_restores.make_restores(seed, duration_s - RECOVERY_S),
     ):
         plan.append(PlannedFault(at_s, fault))
     return sorted(plan, key=lambda item: item.at_s)
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -10,10 +10,13 @@
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _faults
 from jasminecrank.standins.soak import _plan
+from jasminecrank.standins.soak import _probes
 from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import losses
 
+PROBE_INTERVAL_S = 0.25
+
 
 @dataclass(slots=True, frozen=True)
 class SoakResult:
@@ -63,6 +66,11 @@
         try:
             await deployment.start()
             callers.start()
+            for number in deployment.hosts:
+                prober = _probes.Prober(
+                    deployment, callers, number, PROBE_INTERVAL_S
+                )
+                callers.start_task(prober.run())
             faults = [
                 asyncio.create_task(injector.inject(planned_fault))
                 for planned_fault in self._plan
@@ -82,6 +90,7 @@
             checks.whole_answers,
             checks.known_callers,
             checks.withdrawn_keys,
+            checks.added_routes,
             checks.no_new_work,
             checks.cold_servers,
             checks.quotas(_deployment.TEAM_RATE_PER_S),
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -102,6 +102,31 @@
             yield f"{attempt.request_id} was served with a withdrawn key"
 
 
+def added_routes(records: observed.Records) -> Iterator[str]:
+    """Check that nodes know added routes in time and never lose them."""
+    served_s: dict[tuple[int, int, int], float] = {}
+    for probe in sorted(records.probes, key=lambda probe: probe.ended_s):
+        route = probe.added_route
+        key = (probe.host, probe.incarnation, route)
+        if probe.status == 200:
+            served_s.setdefault(key, probe.ended_s)
+        if not route or probe.status != 404:
+            continue
+        if served_s.get(key, probe.sent_s) < probe.sent_s:
+            yield (
+                f"route {route} was gone at host {probe.host} at "
+                f"{probe.sent_s:.2f} s"
+            )
+        written_s = records.written_s_by_route.get(route, math.inf)
+        if probe.sent_s > written_s + CONFIG_APPLY_S and records.is_bound(
+            (probe.host,), written_s, CONFIG_APPLY_S, probe.sent_s
+        ):
+            yield (
+                f"route {route}, written at {written_s:.2f} s, was unknown "
+                f"to host {probe.host} at {probe.sent_s:.2f} s"
+            )
+
+
 def no_new_work(records: observed.Records) -> Iterator[str]:
     """Check that draining or evacuated servers get no new requests.
 
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -128,6 +128,19 @@
                 typing.assert_never(self.excused)
 
 
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """A request to an open route, or to one that was added."""
+
+    host: int
+    incarnation: int
+    added_route: int
+    """0 for the open route."""
+    sent_s: float
+    ended_s: float
+    status: int
+
+
 @dataclass(slots=True)
 class OutOfServicePeriod:
     """A period in which a host's server must not get new requests."""
@@ -214,6 +227,9 @@
         default_factory=list
     )
     """Of draining servers and of servers in an evacuated data centre."""
+    probes: list[Probe] = field(default_factory=list)
+    written_s_by_route: dict[int, float] = field(default_factory=dict)
+    """When tables with added routes were acknowledged."""
     renewals: list[Renewal] = field(default_factory=list)
     withdrawn_s_by_key: dict[str, float] = field(default_factory=dict)
     team_by_key: dict[str, str] = field(default_factory=dict)
--- a/src/jasminecrank/standins/soak/restores.py
+++ b/src/jasminecrank/standins/soak/restores.py
@@ -15,8 +15,8 @@
 import typing
 
 from jasminecrank.standins.soak import _callers
-from jasminecrank.standins.soak import _connections
 from jasminecrank.standins.soak import _deployment
+from jasminecrank.standins.soak import _probes
 from jasminecrank.standins.soak import _proxy
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import losses
@@ -153,19 +153,6 @@
     until_s: float = math.inf
 
 
-@dataclass(slots=True, frozen=True)
-class _Probe:
-    """Request to an open route, or to one that was added."""
-
-    host: int
-    incarnation: int
-    added_route: int
-    """0 for the open route."""
-    sent_s: float
-    ended_s: float
-    status: int
-
-
 @dataclass(slots=True, frozen=True)
 class _InForce:
     """A table that took effect, by a node's log."""
@@ -180,7 +167,6 @@
     """What a run has seen besides the records."""
 
     leaving: list[_Leaving] = field(default_factory=list)
-    probes: list[_Probe] = field(default_factory=list)
     written_s_by_version: dict[int, float] = field(default_factory=dict)
     """When configurations written after a restore were acknowledged."""
     added_servers: list[tuple[int, float]] = field(default_factory=list)
@@ -222,24 +208,21 @@
     async def _play(self) -> None:
         deployment = self._deployment
         pool = _callers.CallerPool(deployment, self._seed)
-        probers: list[asyncio.Task[None]] = []
         try:
             await deployment.start()
             self._boot_offset_s = (
                 time.clock_gettime(time.CLOCK_BOOTTIME) - deployment.now_s()
             )
             pool.start_plain(CALLERS_PER_HOST)
-            probers.extend(
-                asyncio.create_task(self._probe(pool, number))
-                for number in deployment.hosts
-            )
+            for number in deployment.hosts:
+                prober = _probes.Prober(
+                    deployment, pool, number, PROBE_INTERVAL_S
+                )
+                pool.start_task(prober.run())
             for restore in self._restores:
                 await asyncio.sleep(CALM_S)
                 await self._restore(restore)
         finally:
-            for prober in probers:
-                prober.cancel()
-            await asyncio.gather(*probers, return_exceptions=True)
             await pool.stop()
             await deployment.close()
 
@@ -267,13 +250,6 @@
             await asyncio.sleep(JUDGED_S)
         await self._end_changes(restore.change)
 
-    async def _add_route(self) -> int:
-        """Publish a table with one more route and return its version."""
-        deployment = self._deployment
-        deployment.added_routes += 1
-        await deployment.publish()
-        return deployment.version
-
     async def _lose(self, revision: int, end_s: float) -> None:
         """Renew entries until the store has a revision and time has passed."""
         deployment = self._deployment
@@ -289,7 +265,7 @@
         """Add a route and make another change."""
         deployment = self._deployment
         await asyncio.sleep(delay_s)
-        await self._add_route()
+        await deployment.add_route()
         match change:
             case LostChange.NOTHING:
                 pass
@@ -338,8 +314,10 @@
         deployment = self._deployment
         await deployment.register(0, "draining")
         self._leave(0, DRAIN_LIMIT_S)
-        version = await self._add_route()
-        self._seen.written_s_by_version[version] = deployment.now_s()
+        await deployment.add_route()
+        self._seen.written_s_by_version[deployment.version] = (
+            deployment.now_s()
+        )
 
     async def _end_changes(self, change: LostChange) -> None:
         deployment = self._deployment
@@ -402,32 +380,6 @@
             for proxy in proxies:
                 proxy.set_condition(_proxy.LinkCondition.NORMAL)
 
-    async def _probe(self, pool: _callers.CallerPool, number: int) -> None:
-        """Request open routes, the newest route and withdrawn keys."""
-        deployment = self._deployment
-        caller = _connections.RecordedCaller(deployment, number)
-        while True:
-            for route in (0, deployment.added_routes):
-                target = f"/added-{route}/1" if route else "/open/1"
-                incarnation = deployment.nodes[number].incarnation
-                sent_s = deployment.now_s()
-                status = await pool.send_request(
-                    caller, number, "GET", target, None
-                )
-                self._seen.probes.append(
-                    _Probe(
-                        number,
-                        incarnation,
-                        route,
-                        sent_s,
-                        deployment.now_s(),
-                        status,
-                    )
-                )
-            for key in list(deployment.records.withdrawn_s_by_key):
-                await pool.send_request(caller, number, "GET", "/lots/1", key)
-            await asyncio.sleep(PROBE_INTERVAL_S)
-
     # What went wrong.
 
     def _result(self) -> Result:
@@ -507,7 +459,9 @@
         """
         served_s: dict[tuple[int, int, int], float] = {}
         first_served_s: dict[int, float] = {}
-        for probe in sorted(self._seen.probes, key=lambda item: item.ended_s):
+        for probe in sorted(
+            self._deployment.records.probes, key=lambda item: item.ended_s
+        ):
             if not probe.added_route:
                 continue
             key = (probe.host, probe.incarnation, probe.added_route)
@@ -529,8 +483,8 @@
 
     def _unserved(self) -> Iterator[str]:
         yield from self._unused_servers()
-        probes_by_second: dict[tuple[int, int], list[_Probe]] = {}
-        for probe in self._seen.probes:
+        probes_by_second: dict[tuple[int, int], list[observed.Probe]] = {}
+        for probe in self._deployment.records.probes:
             if not probe.added_route and not self._is_excused(probe):
                 key = (probe.host, int(probe.sent_s))
                 probes_by_second.setdefault(key, []).append(probe)
@@ -554,7 +508,7 @@
             ):
                 yield f"the new server of host {host} got no request"
 
-    def _is_excused(self, probe: _Probe) -> bool:
+    def _is_excused(self, probe: observed.Probe) -> bool:
         """Return whether a node was killed or links cut just before."""
         return any(
             host == probe.host
