Read the settings again when the signal to stop comes

Callers got 502 for calls at which their server was at work. The settings file may change without a signal, and a node reads it every 5 s. A SIGTERM within these 5 s was handled with the grace period of the older file.

Evidence: a node with 2 s to stop, whose file then says 6 s, gets SIGTERM during a call of 2.5 s. Its log has "breaks_off_in_ms": 1587 and then the call with "may-have-run", "stopping" after 1,611 ms. With 6 s that become 2 s it waits for 3.98 s, 1.98 s longer than it has.

The node reads the file on SIGTERM as on SIGHUP, before it takes the window of the stop. An error in the reading does not keep it from stopping.

A row for an error while the settings are read is added to "An error in the stop".

--- a/features/mesh/process_start.feature
+++ b/features/mesh/process_start.feature
@@ -202,6 +202,18 @@
       | nan   |
       | 1e300 |
 
+  Scenario Outline: A stop keeps to a grace period that has just changed
+    Given a node process with <grace> s to stop that serves a call of <run> s
+    When its bound of the grace period becomes <changed> and it gets <signals>
+    Then the call gets <status>
+    And it ends with status 0 within 5.0 s
+
+    Examples: Guards against calls broken off by the bound of older settings
+      | grace | changed | run | signals        | status |
+      | 2.0   | 6       | 2.5 | SIGTERM        | 200    |
+      | 2.0   | 6       | 2.5 | SIGHUP SIGTERM | 200    |
+      | 6     | 2.0     | 9.0 | SIGTERM        | 502    |
+
   Scenario Outline: An error in the stop does not cut a call
     Given a node process whose <part> fails serves a call of 0.8 s
     When it gets SIGTERM during the call
@@ -213,6 +225,7 @@
       | part                                   | lines |
       | transport.CallerServer.start_closing   | 2     |
       | transport.CallerServer.close_idle      | 2     |
+      | _node.Node._reload                     | 2     |
 
   Scenario Outline: A node serves without a working standard output
     Given a node process that is not started yet
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -49,6 +49,7 @@
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import transport
 from jasminecrank.mesh.daemon import __main__
+from jasminecrank.mesh.daemon import _node
 
 
 def fail(*arguments):
@@ -434,17 +435,15 @@
     context.runner.run(act())
 
 
-@when(
-    "its bound of the grace period becomes {value} and it gets SIGHUP SIGTERM"
-)
-def step_bad_reload(context, value):
+@when("its bound of the grace period becomes {value} and it gets {names}")
+def step_changed_grace(context, value, names):
     node = context.node
     node.settings_path.write_text(node.settings(grace=value))
 
     async def act():
-        node.send(signal.SIGHUP)
-        await asyncio.sleep(0.1)
-        node.send(signal.SIGTERM)
+        for name in names.split():
+            node.send(getattr(signal, name))
+            await asyncio.sleep(0.1)
         context.response = await context.caller.receive()
         await node.ended()
 
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -175,11 +175,13 @@
             if stop.is_set() and received is not signal.SIGHUP:
                 return
             self._log.decision("signal", signal=received.name)
-            if received is signal.SIGHUP:
+            try:
+                # The file can have changed without a signal.
                 self._reload()
-            else:
-                self._stop_window = self._window_from_signal()
-                stop.set()
+            finally:
+                if received is not signal.SIGHUP:
+                    self._stop_window = self._window_from_signal()
+                    stop.set()
 
         loop.set_exception_handler(self._log_callback_error)
         self._log.decision("starting", process_id=os.getpid())
