Do not doubt a server because its service returns to the table

For up to 0.8 s after a configuration that brings a service back, callers waited or got 503: each node of the service took its unchanged server for a new incarnation, reported that it accepts nothing and held its queue until a health check had passed, which waits for a slot of the server.

Incarnations that are known at the address stay known while their entries remain; new ones count once the table has their service, as before.

gate_task, "A server is checked again only if another one may run there": 1 of 5 rows failed, now all pass.

--- a/features/mesh/gate_task.feature
+++ b/features/mesh/gate_task.feature
@@ -38,6 +38,19 @@
     When the next health check raises an error and the server is doubtful
     Then the server is up again within 1.0 s
 
+  Scenario Outline: A server is checked again only if another one may run there
+    Given a gate task beside a server with 2 slots
+    When a snapshot with <changes> is published
+    Then the health of the server has been checked <checks> times
+
+    Examples: Guards against refusals while a server that has not changed is checked
+      | changes                                        | checks |
+      | its service gone, its service back             | 1      |
+      | its entry gone, its entry back                 | 2      |
+      | a new incarnation                              | 2      |
+      | its service gone, a new incarnation            | 2      |
+      | an entry of an unknown service                 | 1      |
+
   Scenario Outline: Calls that are arriving count until they have ended
     Given a gate task beside a server with 2 slots
     When a call is arriving, and then <events>
--- a/features/steps/mesh_gate_task_steps.py
+++ b/features/steps/mesh_gate_task_steps.py
@@ -1,6 +1,7 @@
 """Steps for the task that admits calls to a backend server."""
 
 import asyncio
+import dataclasses
 
 from behave import given
 from behave import then
@@ -29,6 +30,7 @@
         self.run_s = RUN_S
         self.result = None
         """Result of the calls; None if they are served."""
+        self.health_checks = 0
 
     async def exchange(self, call, remaining_s):
         """Answer a call."""
@@ -42,6 +44,7 @@
     async def check_health(self, path):
         """Report a warm server."""
         del path
+        self.health_checks += 1
         return coordination.Health("i-1", 0.0)
 
 
@@ -166,6 +169,42 @@
     assert load.accepting, load
 
 
+@when("a snapshot with {changes} is published")
+def step_published(context, changes):
+    server = mesh_directory_steps.make_server("i-1", slots=2)
+    stray = dataclasses.replace(server, server_id="i-2", service="depot")
+    newer = dataclasses.replace(server, created_at_ms=1)
+    table = mesh_state_steps.make_table(1)
+    snapshot_by_change = {
+        "its service gone": (
+            mesh_state_steps.make_table(2, services=()),
+            [server],
+        ),
+        "its service back": (table, [server]),
+        "its entry gone": (table, []),
+        "its entry back": (table, [server]),
+        "a new incarnation": (table, [newer]),
+        "an entry of an unknown service": (table, [server, stray]),
+    }
+
+    async def act():
+        for change in changes.split(", "):
+            table, servers = snapshot_by_change[change]
+            server_by_id = {server.server_id: server for server in servers}
+            snapshot = state.FleetSnapshot(
+                table, server_by_id, {}, frozenset()
+            )
+            context.gate.mailbox.tell(coordination.FleetChanged(snapshot))
+            await asyncio.sleep(1.0)
+
+    context.runner.run(act())
+
+
+@then("the health of the server has been checked {count:d} times")
+def step_checked(context, count):
+    assert context.port.health_checks == count, context.port.health_checks
+
+
 STOP_S_BY_EVENT = {
     "a stop is requested": 4.0,
     "a short stop is requested": 1.0,
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -81,8 +81,8 @@
         self._clock = clock
         self._fleet = state.FleetSnapshot(None, {}, {}, frozenset())
         self._own_server: state.BackendServer | None = None
-        self._listed_incarnations: set[tuple[str, int]] = set()
-        """Ids and times of creation listed at the server's address."""
+        self._known_incarnations: set[tuple[str, int]] = set()
+        """Servers listed at the address that have been in use there."""
         self._gone_server_ids: set[str] = set()
         self._call_by_key: dict[tuple[int, int], _ActiveCall] = {}
         self._arriving = _arriving_calls.ArrivingCalls()
@@ -462,14 +462,16 @@
             own_servers, key=lambda server: server.created_at_ms, default=None
         )
         self._own_server = newest
-        listed = {
-            (server.server_id, server.created_at_ms)
-            for server in fleet.listed_at(*self._address)
-        }
-        if listed - self._listed_incarnations:
+        listed = fleet.listed_at(*self._address)
+        known = self._known_incarnations.intersection(
+            map(_incarnation, listed)
+        )
+        in_use = set(map(_incarnation, filter(fleet.has_service, listed)))
+        if in_use - known:
             # One of them may have replaced the server that ran before.
             self._mark_server_unknown("new-incarnation")
-        self._listed_incarnations = listed
+        # A service can leave the table and return while its server runs.
+        self._known_incarnations = known | in_use
         if newest is not None:
             self._admission.slots = newest.slots
             service = fleet.table and fleet.table.service_by_name.get(
@@ -588,6 +590,10 @@
         self._release_queued()
 
 
+def _incarnation(server: state.BackendServer) -> tuple[str, int]:
+    return server.server_id, server.created_at_ms
+
+
 def _not_run(call: _peer_messages.CallSent) -> _peer_messages.CallNotRun:
     return _peer_messages.CallNotRun(call.call_id, "cancelled", 0.0, False)
 
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -124,10 +124,7 @@
     """Listed servers that another one is preferred to on the same host."""
 
     def listed_at(self, host: str, port: int) -> list[BackendServer]:
-        """Return all servers listed at an address, displaced ones too.
-
-        Those of services that the table does not have are left out.
-        """
+        """Return all servers listed at an address, displaced ones too."""
         return [
             server
             for server in (
@@ -135,10 +132,14 @@
                 *self.displaced_by_id.values(),
             )
             if (server.host, server.port) == (host, port)
-            and self.table is not None
-            and server.service in self.table.service_by_name
         ]
 
+    def has_service(self, server: BackendServer) -> bool:
+        """Return whether the table has the service of a server."""
+        return self.table is not None and (
+            server.service in self.table.service_by_name
+        )
+
     def usable_servers(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that may receive new calls."""
         return [
