Drop replies that continue an era which a peer has ended

Callers would see entries of the new era missing, or servers gone that had been listed, on a node that learns of a restore from a peer while it reads.

Cause: `skip_to` took a peer's position of an earlier era as the one to read on from, once a listing of the new era had failed; and a reply was compared with the era known when it arrived, not when its request was sent. A watch from a revision of the lost era was read as one of the new era, and a listing could join pages of two eras, with a start revision of the first.

Change: `skip_to` leaves positions of earlier eras out; a reply to a request that continued another era than the one known by then is dropped.

--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -122,6 +122,20 @@
       | changes of era 3, pages of eras 3 and 4 | 4.25     | 3     | source-era   |
       | changes of era 3, pages of eras 3 and 2 | 3.25     | 3     | source-era, era-rejected |
 
+  Scenario Outline: A peer's position that arrives while the source replies
+    Given a node that has read the source in era 2
+    When these arrive in order: <arrivals>
+    Then it has read up to <read>
+    And it has listed the source <times> times
+
+    Examples:
+      | arrivals                                                     | read | times |
+      | changes of era 3, peer at 2.28, error of era 3, page of era 3 | 3.25 | 3    |
+      | peer at 3.24, changes of era 3                               | 2.20 | 1     |
+      | peer at 3.24, changes of no era                              | 2.20 | 1     |
+      | peer at 3.24, history gone of era 3                          | 2.20 | 1     |
+      | history gone of era 2, first page of era 2, peer at 3.24, page of era 3 | 2.20 | 2 |
+
   Scenario Outline: Messages between nodes of different versions
     When <message> is encoded for a node of version <version>
     Then that node reads <positions>
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -304,6 +304,8 @@
 
     def __init__(self, replies):
         self._replies = replies
+        """A position among them is one that a peer is at."""
+        self.skip_to = None
         self.listings = 0
         self.done = asyncio.Event()
 
@@ -319,8 +321,11 @@
         return await self._next()
 
     async def _next(self):
-        if self._replies:
-            return self._replies.pop(0)
+        while self._replies:
+            reply = self._replies.pop(0)
+            if not isinstance(reply, state.Position):
+                return reply
+            self.skip_to(reply)
         self.done.set()
         await asyncio.Event().wait()
         raise AssertionError
@@ -379,6 +384,21 @@
     context.source = run_source(context)
 
 
+@when("these arrive in order: {arrivals}")
+def step_arrivals(context, arrivals):
+    for arrival in arrivals.split(", "):
+        match arrival.split():
+            case ["peer", "at", position]:
+                parts = map(int, position.split("."))
+                context.replies.append(state.Position(*parts))
+            case [*first, "page", "of", "era", era]:
+                page = make_page(int(era), 25, has_more=bool(first))
+                context.replies.append(page)
+            case _:
+                context.replies.append(make_reply(arrival))
+    context.source = run_source(context)
+
+
 def run_source(context):
     """Run a source task until it has had all replies; return its source."""
     context.told = []
@@ -390,6 +410,7 @@
         task = coordination.SourceTask(
             source, context.told.append, random.Random(1), context.log
         )
+        source.skip_to = task.skip_to
         running = asyncio.create_task(task.run())
         done = asyncio.create_task(source.done.wait())
         await asyncio.wait(
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -140,6 +140,8 @@
     SAME = "same"
     BEGUN = "begun"
     """The source has been restored, and its entries are to be listed."""
+    LEARNT = "learnt"
+    """A peer has named it since the request, which continued another era."""
     OUTDATED = "outdated"
     """The reply was sent before the source was restored."""
 
@@ -202,7 +204,12 @@
             self._enabled.clear()
 
     def skip_to(self, position: state.Position) -> None:
-        """Read only changes after a position, since the others are known."""
+        """Read only changes after a position, since the others are known.
+
+        One of an earlier era is of entries that the source may have lost.
+        """
+        if position.era < self._era:
+            return
         self._era = max(self._era, position.era)
         self._position = max(position, self._position or position)
 
@@ -225,13 +232,14 @@
             await self._read_all()
             return
         self._log.count("source_calls", "watch")
+        asked_era = self._era
         result = await self._port.watch(
             self._position.revision,
             WATCH_TIMEOUT_S,
             self._max_changes_bytes,
             self._replied,
         )
-        match self._compare_era(result):
+        match self._compare_era(result, asked_era):
             case EraStep.BEGUN:
                 # What was read is no continuation.
                 if not self._is_reader:
@@ -239,6 +247,8 @@
                         READERS_LEAD_S * (1.0 + 0.5 * self._rng.random())
                     )
                 return
+            case EraStep.LEARNT:
+                return
             case EraStep.OUTDATED:
                 await self._back_off(REASON_OUTDATED)
                 return
@@ -286,11 +296,14 @@
         held_bytes = 0
         while True:
             self._log.count("source_calls", "list")
+            asked_era = self._era
             page = await self._port.read_page(after_key, self._replied)
-            match self._compare_era(page):
-                case EraStep.BEGUN if start_revision is not None:
+            match self._compare_era(page, asked_era):
+                case EraStep.BEGUN | EraStep.LEARNT if (
+                    start_revision is not None
+                ):
                     return  # The pages before are of another era.
-                case EraStep.BEGUN | EraStep.SAME:
+                case EraStep.BEGUN | EraStep.LEARNT | EraStep.SAME:
                     pass
                 case EraStep.OUTDATED:
                     await self._back_off(REASON_OUTDATED)
@@ -340,8 +353,11 @@
             item.at(item.position.in_era(self._era)) for item in items
         )
 
-    def _compare_era(self, reply: Reply) -> EraStep:
-        """Compare the era of a reply with the known one, and store it."""
+    def _compare_era(self, reply: Reply, asked_era: int) -> EraStep:
+        """Compare the era of a reply with the known one, and store it.
+
+        `asked_era`: the one that was known when the request was sent.
+        """
         match reply.era:
             case UnnamedEra():
                 number = max(self._era, UNNAMED_ERA)
@@ -358,7 +374,7 @@
             self._log.decision("era-rejected", text=str(number), era=self._era)
             return EraStep.OUTDATED
         if number == self._era:
-            return EraStep.SAME
+            return EraStep.SAME if asked_era == number else EraStep.LEARNT
         if self._era != state.UNKNOWN_ERA:
             self._log.count("source_eras", "begun")
         self._log.decision(
