End retained entries where nothing else is written

Callers would see a data centre stay out of service for good, if its entry was lost in a restore and the source wrote nothing between the restore's listing and the one that ends the hold.

Cause: an entry that the copy lacks is retained at the position of the listing's start, and a listing that starts at the same revision removes only what is below that. The hold had ended by then, so no listing followed.

Change: a removal that a listing implies replaces a retained entry at the same position, as a listed entry does already.

Evidence: features/mesh/restored_source.feature, "What its author does not write again ends without other writes": row 1 failed before, 84 rows pass now.

--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -27,6 +27,18 @@
       | out dryer             | nothing            | 90       | out dryer       | nothing        |
       | the return of dryer   | out dryer          | 90       | nothing         | out dryer      |
 
+  Scenario Outline: What its author does not write again ends without other writes
+    Given a directory that has read <known> at revision 150
+    When the source is restored from a copy with <copy> at revision 90
+    Then it uses <later> after a listing at the same revision
+
+    Examples:
+      | known               | copy         | later        |
+      | out dryer           | nothing      | nothing      |
+      | the return of dryer | out dryer    | out dryer    |
+      | server draining     | server ready | server ready |
+      | server ready        | nothing      | nothing      |
+
   Scenario Outline: What is written again replaces what was retained
     Given a directory that has read <known> at revision 150
     When the source is restored from a copy with <copy> at revision 90
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -145,15 +145,26 @@
 
 @then("it uses {wanted} once the time to write it again is over")
 def step_uses_later(context, wanted):
+    list_when_due(context, 200)
+    step_uses(context, wanted)
+
+
+@then("it uses {wanted} after a listing at the same revision")
+def step_uses_without_writes(context, wanted):
+    list_when_due(context, LISTING_REVISION)
+    step_uses(context, wanted)
+
+
+def list_when_due(context, revision):
+    """Let the time to write entries again pass, and list them if needed."""
     context.now_s += HOLD_S
     directory = context.directory
     directory.remove_expired(context.now_s)
     if directory.needs_confirmation(context.now_s):
-        start = state.Position(context.era, 200)
+        start = state.Position(context.era, revision)
         directory.apply_listing(context.listed, start, context.now_s)
         directory.remove_expired(context.now_s)
     assert not directory.needs_confirmation(context.now_s)
-    step_uses(context, wanted)
 
 
 @then("it uses {wanted}")
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -253,15 +253,23 @@
         its author has had time to write it again.
         """
         complete_position = self.with_era(complete_position)
-        return [
-            _entries.SourceItem(key, complete_position, None)
-            for key, known in self.item_by_key.items()
-            if key not in keys
-            and known.value is not None
-            and known.position < complete_position
-            and not self.holds.is_held(key, now_s)
-            and not isinstance(self.entry_by_key.get(key), _entries.TableEntry)
-        ]
+        removals = []
+        for key, known in self.item_by_key.items():
+            removed_at = complete_position
+            if known.position.is_retained:
+                # Nothing else may have been written since.
+                removed_at = complete_position.confirmed()
+            if (
+                key not in keys
+                and known.value is not None
+                and known.position < removed_at
+                and not self.holds.is_held(key, now_s)
+                and not isinstance(
+                    self.entry_by_key.get(key), _entries.TableEntry
+                )
+            ):
+                removals.append(_entries.SourceItem(key, removed_at, None))
+        return removals
 
     def needs_confirmation(self, now_s: float) -> bool:
         """Return whether a listing is due that confirms retained entries.
