Refuse positions out of the range of a store

Callers would see a node that no longer takes entries, if a peer sent a position beyond 64 bits: it stays above all that the store writes, and beyond 4,300 digits its digest raises ValueError in the fleet task.

Cause: a position was checked for its length and its least number only, and the revision of a node of the previous version not at all.

Change: eras from -1 and revisions from 0, both up to 63 bits; other frames raise LinkError.

--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -172,6 +172,28 @@
       | a retained one | 3       | 2.90 for 1.150        |
       | a retained one | 2       | unknown.90            |
 
+  Scenario Outline: Positions out of the range of a store
+    When an entry at <position> is received from a node of version <version>
+    Then its frame is <result>
+
+    Examples:
+      | position              | version | result  |
+      | 1, 7                  | 3       | read    |
+      | -1, 7                 | 3       | read    |
+      | 1, 9223372036854775807 | 3      | read    |
+      | 1, 9223372036854775808 | 3      | refused |
+      | 9223372036854775808, 7 | 3      | refused |
+      | -2, 7                 | 3       | refused |
+      | 1, -1                 | 3       | refused |
+      | 2, 90, 1, 150         | 3       | read    |
+      | 2, 90, 1, -1          | 3       | refused |
+      | 2, 90, 1              | 3       | refused |
+      | 7                     | 3       | refused |
+      | 7                     | 2       | read    |
+      | -1                    | 2       | refused |
+      | 9223372036854775808   | 2       | refused |
+      | 1, 7                  | 2       | refused |
+
   Scenario Outline: A fleet whose source is restored
     Given <hosts> nodes whose source loses <lost> entries and is away for <away> s
     When the source is back, and after 0.8 s what it lost is written again
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+import cbor2
 import fleet_model
 import mesh_directory_steps
 import mesh_exchange_steps
@@ -536,6 +537,26 @@
     assert found == positions.split(", "), found
 
 
+@when("an entry at {position} is received from a node of version {version:d}")
+def step_position_received(context, position, version):
+    numbers = [int(part) for part in position.split(", ")]
+    sent = numbers if len(numbers) > 1 else numbers[0]
+    items_sent_tag = 10
+    body = cbor2.dumps([items_sent_tag, [["t", sent, b"table 6"]]])
+    try:
+        message = protocol.decode(body, version)
+    except protocol.LinkError:
+        context.result = "refused"
+    else:
+        assert isinstance(message, coordination.ItemsSent), message
+        context.result = "read"
+
+
+@then("its frame is {result}")
+def step_frame_result(context, result):
+    assert context.result == result, context.result
+
+
 LINK_MBIT_PER_S = 20
 LINK_DELAY_S = 0.001
 TABLE_ROWS = 200
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -268,7 +268,7 @@
     """Return a decoded value with its positions, where its type has any."""
     if hint is state.Position:
         if isinstance(value, int):
-            return state.Position(state.UNKNOWN_ERA, value)
+            return state.Position.from_parts((state.UNKNOWN_ERA, value))
         return state.Position.from_parts(value)
     if typing.get_origin(hint) is not tuple:
         return value
--- a/src/jasminecrank/mesh/state/_positions.py
+++ b/src/jasminecrank/mesh/state/_positions.py
@@ -5,6 +5,8 @@
 UNKNOWN_ERA = -1
 """Era of a position that was received without one."""
 _NOTHING_RETAINED = -2
+_MAX_NUMBER = 2**63 - 1
+"""Largest era and revision of a store."""
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -26,8 +28,14 @@
     @classmethod
     def from_parts(cls, parts: tuple[int, ...]) -> "Position":
         """Return the position of two or four numbers, or raise ValueError."""
-        if len(parts) not in (2, 4) or min(parts) < UNKNOWN_ERA:
-            raise ValueError(f"{parts} is no position")
+        eras, revisions = parts[::2], parts[1::2]
+        if (
+            len(parts) not in (2, 4)
+            or min(eras) < UNKNOWN_ERA
+            or min(revisions) < 0
+            or max(parts) > _MAX_NUMBER
+        ):
+            raise ValueError("the numbers are no position")
         return cls(*parts)
 
     @property
