--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -27,6 +27,18 @@
       | out dryer             | nothing            | 90       | out dryer       | nothing        |
       | the return of dryer   | out dryer          | 90       | nothing         | out dryer      |
 
+  Scenario Outline: What its author does not write again ends without other writes
+    Given a directory that has read <known> at revision 150
+    When the source is restored from a copy with <copy> at revision 90
+    Then it uses <later> after a listing at the same revision
+
+    Examples:
+      | known               | copy         | later        |
+      | out dryer           | nothing      | nothing      |
+      | the return of dryer | out dryer    | out dryer    |
+      | server draining     | server ready | server ready |
+      | server ready        | nothing      | nothing      |
+
   Scenario Outline: What is written again replaces what was retained
     Given a directory that has read <known> at revision 150
     When the source is restored from a copy with <copy> at revision 90
@@ -83,6 +95,15 @@
       | 3, 4, 5, 6 | 1     | 6      |
       | 3, 4, 5, 6 | 4     | 6      |
 
+  Scenario Outline: The work of a new era grows with the entries only
+    Given a directory with <entries> servers
+    When a peer tells of a new era that changes all of them
+    Then the directory is in that era within 0.3 s
+
+    Examples:
+      | entries |
+      | 20000   |
+
   Scenario Outline: The header with the era of the store
     When the store answers status <status> with era <text>
     Then the reply is of <era>
@@ -122,6 +143,20 @@
       | changes of era 3, pages of eras 3 and 4 | 4.25     | 3     | source-era   |
       | changes of era 3, pages of eras 3 and 2 | 3.25     | 3     | source-era, era-rejected |
 
+  Scenario Outline: A peer's position that arrives while the source replies
+    Given a node that has read the source in era 2
+    When these arrive in order: <arrivals>
+    Then it has read up to <read>
+    And it has listed the source <times> times
+
+    Examples:
+      | arrivals                                                     | read | times |
+      | changes of era 3, peer at 2.28, error of era 3, page of era 3 | 3.25 | 3    |
+      | peer at 3.24, changes of era 3                               | 2.20 | 1     |
+      | peer at 3.24, changes of no era                              | 2.20 | 1     |
+      | peer at 3.24, history gone of era 3                          | 2.20 | 1     |
+      | history gone of era 2, first page of era 2, peer at 3.24, page of era 3 | 2.20 | 2 |
+
   Scenario Outline: Messages between nodes of different versions
     When <message> is encoded for a node of version <version>
     Then that node reads <positions>
@@ -137,6 +172,28 @@
       | a retained one | 3       | 2.90 for 1.150        |
       | a retained one | 2       | unknown.90            |
 
+  Scenario Outline: Positions out of the range of a store
+    When an entry at <position> is received from a node of version <version>
+    Then its frame is <result>
+
+    Examples:
+      | position              | version | result  |
+      | 1, 7                  | 3       | read    |
+      | -1, 7                 | 3       | read    |
+      | 1, 9223372036854775807 | 3      | read    |
+      | 1, 9223372036854775808 | 3      | refused |
+      | 9223372036854775808, 7 | 3      | refused |
+      | -2, 7                 | 3       | refused |
+      | 1, -1                 | 3       | refused |
+      | 2, 90, 1, 150         | 3       | read    |
+      | 2, 90, 1, -1          | 3       | refused |
+      | 2, 90, 1              | 3       | refused |
+      | 7                     | 3       | refused |
+      | 7                     | 2       | read    |
+      | -1                    | 2       | refused |
+      | 9223372036854775808   | 2       | refused |
+      | 1, 7                  | 2       | refused |
+
   Scenario Outline: A fleet whose source is restored
     Given <hosts> nodes whose source loses <lost> entries and is away for <away> s
     When the source is back, and after 0.8 s what it lost is written again
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import random
+import time
 
 from behave import given
 from behave import then
 from behave import when
+import cbor2
 import fleet_model
 import mesh_directory_steps
 import mesh_exchange_steps
@@ -145,15 +147,26 @@
 
 @then("it uses {wanted} once the time to write it again is over")
 def step_uses_later(context, wanted):
+    list_when_due(context, 200)
+    step_uses(context, wanted)
+
+
+@then("it uses {wanted} after a listing at the same revision")
+def step_uses_without_writes(context, wanted):
+    list_when_due(context, LISTING_REVISION)
+    step_uses(context, wanted)
+
+
+def list_when_due(context, revision):
+    """Let the time to write entries again pass, and list them if needed."""
     context.now_s += HOLD_S
     directory = context.directory
     directory.remove_expired(context.now_s)
     if directory.needs_confirmation(context.now_s):
-        start = state.Position(context.era, 200)
+        start = state.Position(context.era, revision)
         directory.apply_listing(context.listed, start, context.now_s)
         directory.remove_expired(context.now_s)
     assert not directory.needs_confirmation(context.now_s)
-    step_uses(context, wanted)
 
 
 @then("it uses {wanted}")
@@ -215,6 +228,35 @@
     assert found == servers.split(", "), found
 
 
+@given("a directory with {entries:d} servers")
+def step_many_servers(context, entries):
+    context.directory = state.Directory(decode)
+    items = [
+        state.SourceItem(
+            f"i-{number}", state.Position(1, number + 1), b"server ready 1 1"
+        )
+        for number in range(entries)
+    ]
+    start = state.Position(1, entries)
+    context.directory.apply_listing(items, start, 50.0)
+
+
+@when("a peer tells of a new era that changes all of them")
+def step_told_of_era(context):
+    directory = context.directory
+    # As decoded from a message, the keys are equal but not the same.
+    changed = tuple(key.encode().decode() for key in directory.item_by_key)
+    began_s = time.perf_counter()
+    assert directory.renew(2, directory.digest, changed, 60.0)
+    context.took_s = time.perf_counter() - began_s
+
+
+@then("the directory is in that era within {limit_s:g} s")
+def step_in_era(context, limit_s):
+    assert context.directory.position.era == 2
+    assert context.took_s <= limit_s, context.took_s
+
+
 @given("nodes that have read table 6 up to version {versions}")
 def step_versions(context, versions):
     context.net = mesh_exchange_steps.Network(4)
@@ -304,6 +346,8 @@
 
     def __init__(self, replies):
         self._replies = replies
+        """A position among them is one that a peer is at."""
+        self.skip_to = None
         self.listings = 0
         self.done = asyncio.Event()
 
@@ -319,8 +363,11 @@
         return await self._next()
 
     async def _next(self):
-        if self._replies:
-            return self._replies.pop(0)
+        while self._replies:
+            reply = self._replies.pop(0)
+            if not isinstance(reply, state.Position):
+                return reply
+            self.skip_to(reply)
         self.done.set()
         await asyncio.Event().wait()
         raise AssertionError
@@ -379,6 +426,21 @@
     context.source = run_source(context)
 
 
+@when("these arrive in order: {arrivals}")
+def step_arrivals(context, arrivals):
+    for arrival in arrivals.split(", "):
+        match arrival.split():
+            case ["peer", "at", position]:
+                parts = map(int, position.split("."))
+                context.replies.append(state.Position(*parts))
+            case [*first, "page", "of", "era", era]:
+                page = make_page(int(era), 25, has_more=bool(first))
+                context.replies.append(page)
+            case _:
+                context.replies.append(make_reply(arrival))
+    context.source = run_source(context)
+
+
 def run_source(context):
     """Run a source task until it has had all replies; return its source."""
     context.told = []
@@ -390,6 +452,7 @@
         task = coordination.SourceTask(
             source, context.told.append, random.Random(1), context.log
         )
+        source.skip_to = task.skip_to
         running = asyncio.create_task(task.run())
         done = asyncio.create_task(source.done.wait())
         await asyncio.wait(
@@ -474,6 +537,26 @@
     assert found == positions.split(", "), found
 
 
+@when("an entry at {position} is received from a node of version {version:d}")
+def step_position_received(context, position, version):
+    numbers = [int(part) for part in position.split(", ")]
+    sent = numbers if len(numbers) > 1 else numbers[0]
+    items_sent_tag = 10
+    body = cbor2.dumps([items_sent_tag, [["t", sent, b"table 6"]]])
+    try:
+        message = protocol.decode(body, version)
+    except protocol.LinkError:
+        context.result = "refused"
+    else:
+        assert isinstance(message, coordination.ItemsSent), message
+        context.result = "read"
+
+
+@then("its frame is {result}")
+def step_frame_result(context, result):
+    assert context.result == result, context.result
+
+
 LINK_MBIT_PER_S = 20
 LINK_DELAY_S = 0.001
 TABLE_ROWS = 200
