--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -128,6 +128,7 @@
 from jasminecrank.mesh.state._run_times import RunTimes as RunTimes
 from jasminecrank.mesh.state._server_survey import ServerCounts as ServerCounts
 from jasminecrank.mesh.state._server_survey import ServerSurvey as ServerSurvey
+from jasminecrank.mesh.state._start_check import StartCheck as StartCheck
 from jasminecrank.mesh.state._stopping import (
     ANSWER_TRANSIT_S as ANSWER_TRANSIT_S,
 )
@@ -148,4 +149,3 @@
 )
 from jasminecrank.mesh.state._watch_duty import SourceContact as SourceContact
 from jasminecrank.mesh.state._watch_duty import takes_over as takes_over
-from jasminecrank.mesh.state._start_check import StartCheck as StartCheck
