Play nodes of two versions in one fleet

It prints the traffic on links, the listings that nodes request from each other, and the calls at the store.

In the model, messages from and to nodes of the previous version are encoded for it, and its nodes read no era; entries in replies come without one, as they do from the store.

--- a/features/steps/fleet_model.py
+++ b/features/steps/fleet_model.py
@@ -188,18 +188,16 @@
         self._source.listings += 1
         items = tuple(self._source.item_by_key.values())
         revision = self._source.revision
-        era = coordination.NamedEra(self._source.era)
+        era = self._node.named_era()
         await self._transfer(items)
-        return coordination.Page(items, False, revision, era=era)
+        return coordination.Page(without_eras(items), False, revision, era=era)
 
     async def watch(self, after_revision, wait_s, max_bytes, on_reply):
         """Return the changes after a revision, waiting for one."""
         if not await self._reach():
             return coordination.Unavailable("timeout")
         if self._source.revision < after_revision:
-            return coordination.HistoryGone(
-                coordination.NamedEra(self._source.era)
-            )
+            return coordination.HistoryGone(self._node.named_era())
         if self._source.revision == after_revision:
             waiter = asyncio.get_running_loop().create_future()
             self._source.waiters.add(waiter)
@@ -213,11 +211,11 @@
             if item.position.revision > after_revision
         )
         revision = self._source.revision
-        era = coordination.NamedEra(self._source.era)
+        era = self._node.named_era()
         if wire_bytes(items) > max_bytes:
             return coordination.ChangesTooLarge()
         await self._transfer(items)
-        return coordination.Changes(items, revision, era=era)
+        return coordination.Changes(without_eras(items), revision, era=era)
 
     async def _reach(self):
         self._source.calls += 1
@@ -235,6 +233,14 @@
         await asyncio.sleep(size / self._node.bytes_per_s)
 
 
+def without_eras(items):
+    """Return entries as a reply has them, whose era holds for all."""
+    return tuple(
+        item.at(state.Position(state.UNKNOWN_ERA, item.position.revision))
+        for item in items
+    )
+
+
 def wire_bytes(items):
     """Return the size of entries in a reply of the source."""
     return BASE64_RATIO * sum(len(item.value or b"") for item in items)
@@ -275,6 +281,7 @@
     """The fleet and source tasks of one host."""
 
     def __init__(self, fleet, number):
+        self._fleet = fleet
         self.host = f"10.0.0.{number}"
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.log = NullLog()
@@ -312,6 +319,15 @@
         """Versions of the table that calls have been routed by."""
         self._tasks = []
 
+    def named_era(self):
+        """Return the era that replies of the source have for this node.
+
+        One of the previous version does not read it.
+        """
+        if self.host in self._fleet.old_hosts:
+            return coordination.UnnamedEra()
+        return coordination.NamedEra(self._fleet.source.era)
+
     def _use(self, message):
         if isinstance(message, coordination.FleetChanged) and (
             message.fleet.table is not None
@@ -367,6 +383,10 @@
         self.mbit_per_s = mbit_per_s
         self.delay_s = delay_s
         self.lost_hosts = set()
+        self.old_hosts = set()
+        """Hosts whose nodes are of the previous version of the protocol."""
+        self.listing_requests = 0
+        """Listings that nodes have requested from each other."""
         self.sent_bytes_by_host = {}
         self.entry_bytes = 0
         """Bytes sent between nodes besides load reports."""
@@ -535,7 +555,17 @@
         if self.lost_hosts & {end.sender, end.receiver}:
             return
         loop = asyncio.get_running_loop()
-        size = len(protocol.encode(message))
+        version = coordination.PROTOCOL_VERSION
+        if self.old_hosts & {end.sender, end.receiver}:
+            if isinstance(message, coordination.EraBegun):
+                return
+            version = coordination.FIRST_VERSION_WITH_ERAS - 1
+        frame = protocol.encode(message, version)
+        size = len(frame)
+        message = protocol.decode(frame[protocol.FRAME_LENGTH.size :], version)
+        self.listing_requests += isinstance(
+            message, coordination.ListingRequested
+        )
         if not isinstance(message, coordination.LoadReported):
             self.entry_bytes += size
         sent = self.sent_bytes_by_host
--- a/script/run_fault_soak.py
+++ b/script/run_fault_soak.py
@@ -10,6 +10,7 @@
 import cyclopts
 
 from jasminecrank.standins import soak
+from jasminecrank.standins.soak import upgrades
 
 app = cyclopts.App(help=__doc__, version_flags=())
 
@@ -47,6 +48,35 @@
     return passed
 
 
+def run_upgrade(
+    seed: int,
+    hosts: int,
+    old_path: pathlib.Path,
+    node_path: pathlib.Path | None,
+    store_era: int | None,
+) -> bool:
+    """Run an upgrade in turn and back; return whether all went well."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"upgrade-{seed}-"))
+    run = upgrades.UpgradeRun(
+        seed, hosts, folder, old_path, node_path, store_era
+    )
+    result = run.run()
+    verdict = "FAILED" if result.violations or not result.served else "ok"
+    print(
+        f"{verdict:6} --upgrade-from {old_path} --seed {seed} --hosts "
+        f"{hosts} --store-era {store_era}: {result.requests} requests, "
+        f"{result.served} served, {result.configurations} configurations, "
+        f"the slowest after {result.slowest_s:.2f} s",
+        flush=True,
+    )
+    for phase in result.phases:
+        print(f"       {phase}", flush=True)
+    for line in result.violations[:20]:
+        print(f"       {line}", flush=True)
+    print(f"       logs: {folder}", flush=True)
+    return verdict == "ok"
+
+
 @app.default
 def main(
     *,
@@ -57,6 +87,8 @@
     duration_s: float = 30.0,
     planned_only: bool = False,
     node_path: pathlib.Path | None = None,
+    upgrade_from: pathlib.Path | None = None,
+    store_era: int | None = None,
 ) -> int:
     """Run seeds one after the other; return 1 if a promise did not hold.
 
@@ -76,6 +108,11 @@
         Leave out kills, pauses and faults of the network and the store.
     node_path
         Source folder from which the nodes run, for other revisions.
+    upgrade_from
+        Source folder of an older revision: replace its nodes in turn, under
+        load, then back, and again, with a restore of the store at the end.
+    store_era
+        Era that the store names in such a run; none without it.
     """
     # Handle SIGTERM like Ctrl-C, so that the node processes are stopped.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -84,9 +121,14 @@
     failed = 0
     number = first
     while number < first + seeds or time.monotonic() - start_s < 60 * minutes:
-        failed += not run_seed(
-            number, hosts, duration_s, planned_only, node_path
-        )
+        if upgrade_from is not None:
+            failed += not run_upgrade(
+                number, hosts, upgrade_from, node_path, store_era
+            )
+        else:
+            failed += not run_seed(
+                number, hosts, duration_s, planned_only, node_path
+            )
         number += 1
     print(f"{number - first - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -98,7 +98,8 @@
         self.incarnation = 0
         self._settings_path = settings_path
         self._log_path = log_path
-        self._node_path = node_path
+        self.node_path = node_path
+        """Source folder from which the next processes are started."""
         self._report_end = report_end
         self._runs: list[ProcessRun] = []
         """Running processes; two while a stopping one has a successor."""
@@ -169,7 +170,7 @@
                 await asyncio.sleep(0.0 if self._closed else RESTART_DELAY_S)
 
     async def _spawn(self) -> ProcessRun:
-        paths = [str(self._node_path)] if self._node_path else []
+        paths = [str(self.node_path)] if self.node_path else []
         environment = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": os.pathsep.join([*paths, *sys.path]),
@@ -178,7 +179,7 @@
         self.incarnation += 1
         with self._log_path.open("ab") as output:
             process = await asyncio.create_subprocess_exec(
-                *fleet.node_command(self._node_path),
+                *fleet.node_command(self.node_path),
                 env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
--- a/src/jasminecrank/standins/soak/_proxy.py
+++ b/src/jasminecrank/standins/soak/_proxy.py
@@ -1,6 +1,7 @@
 """Loopback TCP proxy that delays, resets or discards traffic."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 
 CHUNK_BYTES = 65_536
@@ -23,6 +24,8 @@
     """Forwards connections of one host to one target."""
 
     def __init__(self, target: tuple[str, int]) -> None:
+        self.observe: Callable[[bytes], object] = len
+        """Called with what each of the two sides sends."""
         self._target = target
         self._condition = LinkCondition.NORMAL
         self._writers: set[asyncio.StreamWriter] = set()
@@ -88,6 +91,7 @@
         from_client: bool,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
+            self.observe(data)
             match self._condition:
                 case LinkCondition.SLOW:
                     await asyncio.sleep(SLOW_LINK_DELAY_S)
