Compare reports without an era by the digest of revisions

Two new nodes that start among old ones and do not reach the store have entries without an era. Each took the other's entries for different ones, because a report between new nodes had only the digest of positions and the receiver compared the one of revisions, which was 0: they requested each other's listings every 0.6 s, for as long as the store was away. The digest of revisions is now sent with each position that has no era.

--- a/features/mesh/mixed_versions.feature
+++ b/features/mesh/mixed_versions.feature
@@ -20,4 +20,5 @@
       | 24    | all          | all are replaced by new ones in turn    |
       | 8     | none         | all are replaced by old ones in turn    |
       | 24    | none         | all are replaced by old ones in turn    |
+      | 8     | all          | two new ones start, cut from the source |
       | 24    | all          | two new ones start, cut from the source |
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -30,7 +30,7 @@
 """First byte of zlib data; that of an uncompressed frame is a CBOR array."""
 
 _REVISION_DIGEST = "revision_digest"
-"""Field that is sent in place of `digest` to nodes that know no eras."""
+"""Field that is sent in place of `digest` with positions without an era."""
 
 _STRING_TYPES = (2, 3)
 """Major types of CBOR items whose value is the number of bytes after them."""
@@ -187,7 +187,9 @@
     """Return an uncompressed message without its length prefix."""
     message_type = type(message)
     names = _FIELD_NAMES_BY_TYPE[message_type]
-    if not has_eras and isinstance(message, coordination.LoadReported):
+    if isinstance(message, coordination.LoadReported) and (
+        not has_eras or message.position.era == state.UNKNOWN_ERA
+    ):
         names = tuple(
             _REVISION_DIGEST if name == "digest" else name for name in names
         )
@@ -237,7 +239,7 @@
         if not has_eras and message_type in _REVISION_FIELD_TYPES_BY_TYPE:
             field_types = _REVISION_FIELD_TYPES_BY_TYPE[message_type]
         values = msgspec.convert(fields, field_types, builtin_types=(bytes,))
-        return _build(message_type, values, has_eras)
+        return _build(message_type, values)
     except LinkError:
         raise
     except Exception as error:
@@ -247,7 +249,6 @@
 def _build(
     message_type: type[coordination.PeerMessage],
     values: tuple[typing.Any, ...],
-    has_eras: bool,
 ) -> coordination.PeerMessage:
     """Return a message of decoded fields."""
     names = _FIELD_NAMES_BY_TYPE[message_type]
@@ -258,7 +259,10 @@
         name: _read_positions(value, hint_by_name[name])
         for name, value in zip(names, values, strict=True)
     }
-    if not has_eras and message_type is coordination.LoadReported:
+    if (
+        message_type is coordination.LoadReported
+        and value_by_name["position"].era == state.UNKNOWN_ERA
+    ):
         value_by_name[_REVISION_DIGEST] = value_by_name["digest"]
     message: coordination.PeerMessage = message_type(**value_by_name)
     return message
