Bring a node up to date that has entries without an era

A new node that starts beside old and new ones and does not reach the store may get its entries from an old node, without an era. When a new peer then named one, the entries that had not changed stayed below those of the peer: the node requested them, and the peer, which took their revisions for those of its own era, had nothing to send. A table that was written then did not come into force on it. The entries are now taken into the first era that a peer names; a listing of the store still goes above them, since they may be older than a restore.

--- a/features/mesh/mixed_versions.feature
+++ b/features/mesh/mixed_versions.feature
@@ -22,3 +22,5 @@
       | 24    | none         | all are replaced by old ones in turn    |
       | 8     | all          | two new ones start, cut from the source |
       | 24    | all          | two new ones start, cut from the source |
+      | 8     | every second | two new ones start, cut from the source |
+      | 24    | every second | two new ones start, cut from the source |
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -455,6 +455,7 @@
         peer.contact.confirmed_at_s = now_s - report.confirmed_age_ms / 1000
         peer.contact.replied_at_s = now_s - report.replied_age_ms / 1000
         self._exchange.peer_reported(peer.send, report)
+        self._directory.adopt_era(report.position.era, now_s)
         if self._directory.compare_with_peer(
             report.digest, report.complete_position, report.revision_digest
         ):
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -135,7 +135,9 @@
         """Apply the items that are newer than the known ones."""
         applied = AppliedItems()
         relisted = []
+        items = list(items)
         for item in items:
+            self.adopt_era(item.position.era, now_s)
             item = item.at(self.with_era(item.position))
             known = self.item_by_key.get(item.key)
             if known is not None and known.position >= item.position:
@@ -165,6 +167,22 @@
             return position
         return position.in_era(self.position.era)
 
+    def adopt_era(self, era: int, now_s: float) -> None:
+        """Take entries that came without an era into the first one known.
+
+        Peers that know it have such entries in it too.
+        """
+        if (
+            era == _positions.UNKNOWN_ERA
+            or self.position.era != _positions.UNKNOWN_ERA
+            or not self.item_by_key
+        ):
+            return
+        self._begin_era(era, now_s)
+        for known in list(self.item_by_key.values()):
+            self._store(known.at(known.position.in_era(era)))
+        self.complete_position = self.complete_position.in_era(era)
+
     def apply_listing(
         self,
         items: Iterable[_entries.SourceItem],
@@ -176,6 +194,9 @@
         A missing key was removed at the position of the listing's first page
         or earlier.
         """
+        if self.position.era == _positions.UNKNOWN_ERA:
+            # Entries that came without an era may be older than a restore.
+            self._begin_era(start.era, now_s)
         listed = [self._confirm(item, now_s) for item in items]
         removals = self.implied_removals(
             {item.key for item in listed}, start, now_s
