Skip to no position of an era that has ended

A node that watches the store in a reader's place waits up to 1.35 s for the readers when the store begins an era, before it lists the store. A report of a peer that had not seen the restore, or was of the previous version, could meanwhile make it take a position of the ended era for one of the new. It then watched from there and did not list the store: what the copy had otherwise stayed out of force on it unless a peer sent it, and changes up to that revision were passed over. Such a position is now left out of account.

Two of the three new rows failed before (a watch in place of the second listing).

--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -122,6 +122,18 @@
       | changes of era 3, pages of eras 3 and 4 | 4.25     | 3     | source-era   |
       | changes of era 3, pages of eras 3 and 2 | 3.25     | 3     | source-era, era-rejected |
 
+  Scenario Outline: Positions that peers report before a new era is listed
+    Given a node that has read the source in era 2
+    When the source begins era 3, and <position> is known before it is listed
+    Then it has read up to 3.25
+    And it has listed the source <times> times
+
+    Examples:
+      | position   | times |
+      | nothing    | 2     |
+      | 2.21       | 2     |
+      | unknown.21 | 2     |
+
   Scenario Outline: Messages between nodes of different versions
     When <message> is encoded for a node of version <version>
     Then that node reads <positions>
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -299,6 +299,10 @@
     assert found == era, found
 
 
+SKIPPED_AFTER_S = 0.5
+"""Time into the run, in the wait before an era is listed."""
+
+
 class ScriptedSource:
     """Replies of the source in order; then nothing more."""
 
@@ -379,8 +383,28 @@
     context.source = run_source(context)
 
 
-def run_source(context):
-    """Run a source task until it has had all replies; return its source."""
+@when("the source begins era 3, and {position} is known before it is listed")
+def step_known_before(context, position):
+    context.replies += [
+        make_reply("changes of era 3"),
+        make_page(3, 25),
+        coordination.Changes((), 25, era=coordination.NamedEra(3)),
+    ]
+
+    def skip(task):
+        if position != "nothing":
+            era, _, revision = position.partition(".")
+            number = state.UNKNOWN_ERA if era == "unknown" else int(era)
+            task.skip_to(state.Position(number, int(revision)))
+
+    context.source = run_source(context, skip)
+
+
+def run_source(context, in_new_era=None):
+    """Run a source task until it has had all replies; return its source.
+
+    `in_new_era` is called while the task, no reader, waits to list one.
+    """
     context.told = []
     loop = fleet_model.VirtualLoop()
 
@@ -390,6 +414,11 @@
         task = coordination.SourceTask(
             source, context.told.append, random.Random(1), context.log
         )
+        if in_new_era is not None:
+            task.set_watching(True, False)
+            asyncio.get_running_loop().call_later(
+                SKIPPED_AFTER_S, in_new_era, task
+            )
         running = asyncio.create_task(task.run())
         done = asyncio.create_task(source.done.wait())
         await asyncio.wait(
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -202,7 +202,12 @@
             self._enabled.clear()
 
     def skip_to(self, position: state.Position) -> None:
-        """Read only changes after a position, since the others are known."""
+        """Read only changes after a position, since the others are known.
+
+        Positions of an earlier era say nothing of the entries of this one.
+        """
+        if position.era < self._era:
+            return
         self._era = max(self._era, position.era)
         self._position = max(position, self._position or position)
 
