Take no era from a failure to reach the store

A time-out, or an error of something before the store, names no era. A node that had read nothing took this for a store without eras, era 0: the first real reply then counted and was logged as a restore, and a node that was no reader waited up to 1.35 s before it listed the store.

--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -122,6 +122,18 @@
       | changes of era 3, pages of eras 3 and 4 | 4.25     | 3     | source-era   |
       | changes of era 3, pages of eras 3 and 2 | 3.25     | 3     | source-era, era-rejected |
 
+  Scenario Outline: A reply that comes from no store is of no era
+    Given a node that has not read the source
+    When the source fails with <error>, and is listed in <era>
+    Then it has read up to <position>
+    And the task has logged nothing
+
+    Examples:
+      | error    | era    | position |
+      | no era   | era 2  | 2.25     |
+      | era 2    | era 2  | 2.25     |
+      | no era   | no era | 0.25     |
+
   Scenario Outline: Positions that peers report before a new era is listed
     Given a node that has read the source in era 2
     When the source begins era 3, and <position> is known before it is listed
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -1,6 +1,7 @@
 """Steps for a source that is restored from an older copy."""
 
 import asyncio
+import dataclasses
 import random
 
 from behave import given
@@ -362,6 +363,21 @@
     return coordination.Unavailable("status 503", era)
 
 
+@given("a node that has not read the source")
+def step_not_read(context):
+    context.replies = []
+
+
+@when("the source fails with {error}, and is listed in {era}")
+def step_fails(context, error, era):
+    failed = make_reply(f"an error of {error}")
+    listed = make_page(2, 25)
+    if era == "no era":
+        listed = dataclasses.replace(listed, era=coordination.UnnamedEra())
+    context.replies += [failed, listed]
+    context.source = run_source(context)
+
+
 @given("a node that has read the source in era 2")
 def step_read_source(context):
     context.replies = [make_page(2, 20)]
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -348,6 +348,8 @@
     def _compare_era(self, reply: Reply) -> EraStep:
         """Compare the era of a reply with the known one, and store it."""
         match reply.era:
+            case UnnamedEra() if isinstance(reply, Unavailable):
+                return EraStep.SAME  # It may not be from the source.
             case UnnamedEra():
                 number = max(self._era, UNNAMED_ERA)
             case InvalidEra(text):
