--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -157,6 +157,30 @@
       | peer at 3.24, history gone of era 3                          | 2.20 | 1     |
       | history gone of era 2, first page of era 2, peer at 3.24, page of era 3 | 2.20 | 2 |
 
+  Scenario Outline: A reply that comes from no store is of no era
+    Given a node that has not read the source
+    When the source fails with <error>, and is listed in <era>
+    Then it has read up to <position>
+    And the task has logged nothing
+
+    Examples:
+      | error    | era    | position |
+      | no era   | era 2  | 2.25     |
+      | era 2    | era 2  | 2.25     |
+      | no era   | no era | 0.25     |
+
+  Scenario Outline: Positions that peers report before a new era is listed
+    Given a node that has read the source in era 2
+    When the source begins era 3, and <position> is known before it is listed
+    Then it has read up to 3.25
+    And it has listed the source <times> times
+
+    Examples:
+      | position   | times |
+      | nothing    | 2     |
+      | 2.21       | 2     |
+      | unknown.21 | 2     |
+
   Scenario Outline: Messages between nodes of different versions
     When <message> is encoded for a node of version <version>
     Then that node reads <positions>
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -1,6 +1,7 @@
 """Steps for a source that is restored from an older copy."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
@@ -341,6 +342,10 @@
     assert found == era, found
 
 
+SKIPPED_AFTER_S = 0.5
+"""Time into the run, in the wait before an era is listed."""
+
+
 class ScriptedSource:
     """Replies of the source in order; then nothing more."""
 
@@ -405,6 +410,21 @@
     return coordination.Unavailable("status 503", era)
 
 
+@given("a node that has not read the source")
+def step_not_read(context):
+    context.replies = []
+
+
+@when("the source fails with {error}, and is listed in {era}")
+def step_fails(context, error, era):
+    failed = make_reply(f"an error of {error}")
+    listed = make_page(2, 25)
+    if era == "no era":
+        listed = dataclasses.replace(listed, era=coordination.UnnamedEra())
+    context.replies += [failed, listed]
+    context.source = run_source(context)
+
+
 @given("a node that has read the source in era 2")
 def step_read_source(context):
     context.replies = [make_page(2, 20)]
@@ -441,8 +461,28 @@
     context.source = run_source(context)
 
 
-def run_source(context):
-    """Run a source task until it has had all replies; return its source."""
+@when("the source begins era 3, and {position} is known before it is listed")
+def step_known_before(context, position):
+    context.replies += [
+        make_reply("changes of era 3"),
+        make_page(3, 25),
+        coordination.Changes((), 25, era=coordination.NamedEra(3)),
+    ]
+
+    def skip(task):
+        if position != "nothing":
+            era, _, revision = position.partition(".")
+            number = state.UNKNOWN_ERA if era == "unknown" else int(era)
+            task.skip_to(state.Position(number, int(revision)))
+
+    context.source = run_source(context, skip)
+
+
+def run_source(context, in_new_era=None):
+    """Run a source task until it has had all replies; return its source.
+
+    `in_new_era` is called while the task, no reader, waits to list one.
+    """
     context.told = []
     loop = fleet_model.VirtualLoop()
 
@@ -453,6 +493,12 @@
             source, context.told.append, random.Random(1), context.log
         )
         source.skip_to = task.skip_to
+
+        if in_new_era is not None:
+            task.set_watching(True, False)
+            asyncio.get_running_loop().call_later(
+                SKIPPED_AFTER_S, in_new_era, task
+            )
         running = asyncio.create_task(task.run())
         done = asyncio.create_task(source.done.wait())
         await asyncio.wait(
--- a/src/jasminecrank/mesh/coordination/_source.py
+++ b/src/jasminecrank/mesh/coordination/_source.py
@@ -359,6 +359,8 @@
         `asked_era`: the one that was known when the request was sent.
         """
         match reply.era:
+            case UnnamedEra() if isinstance(reply, Unavailable):
+                return EraStep.SAME  # It may not be from the source.
             case UnnamedEra():
                 number = max(self._era, UNNAMED_ERA)
             case InvalidEra(text):
