Ask any peer for its entries before calls are routed

Callers could get an older table from a node that starts after a restore: it read the store's copy later than its peers had read anything, so that their reports were below its own position, and it took none of them for newer.

Until the check at the start is over, the node asks a peer with any other digest for its listing. The check ends when a peer has the same entries, when a listing has come and nothing newer of the table is on its way, or after 0.4 s.

Evidence: features/mesh/restored_source.feature, "A node that starts uses its table once no peer may know a newer one": the row "has read less, and retains table 6" stands for the trace; the check before had no place for it.

--- a/features/mesh/restored_source.feature
+++ b/features/mesh/restored_source.feature
@@ -237,12 +237,17 @@
       | 195   | 60   | 5.0  | nothing else happens           | 5        | 4000  |
 
   Scenario Outline: A node that starts uses its table once no peer may know a newer one
-    Given a node with a table, where <reports>
-    Then its calls are routed at once: <now>
-    And its calls are routed after 0.4 s: yes
+    Given a node that has listed table 5, where <reports>
+    Then its calls are routed by table <version> within <within> s
 
     Examples:
-      | reports                            | now |
-      | no peer has reported               | no  |
-      | a peer has reported the same       | yes |
-      | a peer has reported other entries  | no  |
+      | reports                                   | version | within |
+      | a peer has the same entries               | 5       | 0.1    |
+      | a peer has read less                      | 5       | 0.1    |
+      | a peer has read less, and retains table 6 | 6       | 0.1    |
+      | a peer has read more, and retains table 6 | 6       | 0.1    |
+      | no peer has reported                      | 5       | 0.45   |
+
+  Scenario: A node that starts waits for its peers for a while
+    Given a node that has listed table 5, where no peer has reported
+    Then its calls are not routed before 0.35 s
--- a/features/steps/mesh_exchange_steps.py
+++ b/features/steps/mesh_exchange_steps.py
@@ -135,7 +135,7 @@
 
     def _tick(self, host, ticks):
         host.exchange.request_pending(self.now_s)
-        host.exchange.check_gaps(self.now_s, False)
+        host.exchange.check_gaps(self.now_s, True)
         if (ticks + host.number) % round(REPORT_PERIOD_S / TICK_S) == 0:
             load = state.ServerLoad("i", 0, 0, 1, 0.1, 0.0, True)
             report = coordination.LoadReported.from_load(
--- a/features/steps/mesh_restored_steps.py
+++ b/features/steps/mesh_restored_steps.py
@@ -707,24 +707,74 @@
     assert made <= listings and each <= limit, (made, each)
 
 
-@given("a node with a table, where {reports}")
+PEER_TABLE_BY_REPORT = {
+    "a peer has the same entries": (5, 100, None),
+    "a peer has read less": (5, 95, None),
+    "a peer has read less, and retains table 6": (6, 95, 150),
+    "a peer has read more, and retains table 6": (6, 105, 150),
+}
+"""Version of the peer's table, its newest revision, and the lost one."""
+
+
+@given("a node that has listed table 5, where {reports}")
 def step_started(context, reports):
+    context.net = mesh_exchange_steps.Network(3)
+    node, peer, _ = context.net.hosts
+    node.accepted = peer.accepted = []
     context.check = state.StartCheck()
-    context.has_report = reports != "no peer has reported"
-    context.is_behind = "other entries" in reports
+    table = mesh_exchange_steps.table_value(5, 3)
+    server = mesh_exchange_steps.item("i-1", 100, b"server ready")
+    node.directory.apply_listing(
+        [mesh_exchange_steps.item("table", 50, table), server],
+        state.Position(1, 100),
+        0.0,
+    )
+    context.has_peer = reports != "no peer has reported"
+    if context.has_peer:
+        version, revision, lost = PEER_TABLE_BY_REPORT[reports]
+        position = state.Position(1, 50)
+        if lost is not None:
+            position = state.Position(1, 50, 0, lost)
+        value = mesh_exchange_steps.table_value(version, 3)
+        peer.directory.apply_listing(
+            [
+                state.SourceItem("table", position, value),
+                mesh_exchange_steps.item("i-1", revision, b"server ready"),
+            ],
+            state.Position(1, revision),
+            0.0,
+        )
 
 
-@then("its calls are routed at once: {used}")
-def step_used_at_once(context, used):
-    assert used_at(context, 10.0) == (used == "yes")
+def run_start(context, for_s):
+    """Let time pass until the node's check at the start is over."""
+    node, peer, _ = context.net.hosts
+    net = context.net
+    exchange = node.exchange
+    if context.has_peer:
+        load = state.ServerLoad("i", 0, 0, 1, 0.1, 0.0, True)
+        exchange.peer_reported(
+            net.send_to(0, 1),
+            coordination.LoadReported.from_load(
+                load, 0.0, 0.0, peer.directory
+            ),
+        )
+    end_s = net.now_s + for_s
+    while net.now_s < end_s and not context.check.is_over:
+        exchange.check_gaps(net.now_s, False)
+        net.run(0.01)
+        context.check.update(True, exchange.has_confirmed("table"), net.now_s)
 
 
-@then("its calls are routed after {seconds:g} s: yes")
-def step_used_later(context, seconds):
-    assert used_at(context, 10.0 + seconds)
+@then("its calls are routed by table {version:d} within {seconds:g} s")
+def step_routed(context, version, seconds):
+    run_start(context, seconds)
+    assert context.check.is_over
+    found = context.net.hosts[0].directory.table.version
+    assert found == version, found
 
 
-def used_at(context, now_s):
-    """Return whether the node uses its table."""
-    context.check.update(True, context.has_report, context.is_behind, now_s)
-    return context.check.is_over
+@then("its calls are not routed before {seconds:g} s")
+def step_not_routed(context, seconds):
+    run_start(context, seconds)
+    assert not context.check.is_over
--- a/src/jasminecrank/mesh/coordination/_exchange.py
+++ b/src/jasminecrank/mesh/coordination/_exchange.py
@@ -106,6 +106,8 @@
         self._pending = _pending.PendingEntries(rng)
         self._state_by_send: dict[_peer_messages.SendToPeer, _PeerState] = {}
         self._differs_since_s: float | None = None
+        self._has_listing = False
+        """Whether any peer has sent the keys of all its entries."""
         self._listing_requested_at_s = -1e9
 
     def push(
@@ -200,6 +202,7 @@
         self.request_pending(now_s)
         if not message.complete_position.revision:
             return []
+        self._has_listing = True
         keys = {key for key, _ in message.positions}
         return self._directory.implied_removals(
             keys, message.complete_position, now_s
@@ -338,32 +341,39 @@
                 )
             )
 
-    @property
-    def has_report(self) -> bool:
-        """Return whether any peer has reported which entries it has."""
-        return bool(self._state_by_send)
+    def has_confirmed(self, key: str) -> bool:
+        """Return whether some peer has no newer entry of a key.
 
-    def peers_ahead(self) -> list[_peer_messages.SendToPeer]:
-        """Return the peers with other entries, which may be newer."""
-        return [
-            send
-            for send, peer in self._state_by_send.items()
-            if self._is_ahead(peer)
-        ]
+        It has the same entries, or has sent its listing, and what that names
+        has arrived.
+        """
+        if any(
+            not self._differs(peer) for peer in self._state_by_send.values()
+        ):
+            return True
+        return self._has_listing and not self._pending.awaits(key)
 
-    def check_gaps(self, now_s: float, at_once: bool) -> None:
+    def check_gaps(self, now_s: float, has_started: bool) -> None:
         """Request the listing of a peer whose entries differ from this node's.
 
-        Peers with an older position are ignored. Unless it is done at once,
-        pushed entries have some time to arrive.
+        Peers with an older position are ignored, and pushed entries have some
+        time to arrive. A node that has not started asks any peer at once: it
+        may have read the source after the peer, and still not know what the
+        source has lost.
         """
-        ahead = self.peers_ahead()
+        ahead = [
+            send
+            for send, peer in self._state_by_send.items()
+            if self._differs(peer)
+            and not (has_started and self._is_behind(peer))
+        ]
         if not ahead:
             self._differs_since_s = None
             return
         if self._differs_since_s is None:
             self._differs_since_s = now_s
-        at_once |= self._directory.position == state.NO_POSITION
+        empty = self._directory.position == state.NO_POSITION
+        at_once = empty or not has_started
         if not at_once and now_s - self._differs_since_s < GAP_TIMEOUT_S:
             return
         if now_s - self._listing_requested_at_s < LISTING_RETRY_S:
@@ -372,15 +382,16 @@
         send = ahead[self._rng.randrange(len(ahead))]
         send(_peer_messages.ListingRequested())
 
-    def _is_ahead(self, peer: _PeerState) -> bool:
-        """Return whether a peer has other entries, which may be newer."""
-        directory = self._directory
-        position = directory.with_era(peer.position)
+    def _differs(self, peer: _PeerState) -> bool:
+        """Return whether a peer has other entries."""
         if peer.position.era == state.UNKNOWN_ERA:
-            differs = peer.revision_digest != directory.revision_digest
-        else:
-            differs = peer.digest != directory.digest
-        return differs and position >= directory.position
+            return peer.revision_digest != self._directory.revision_digest
+        return peer.digest != self._directory.digest
+
+    def _is_behind(self, peer: _PeerState) -> bool:
+        """Return whether all entries of a peer are older than one here."""
+        position = self._directory.with_era(peer.position)
+        return position < self._directory.position
 
     def _newest_base(self, item: state.SourceItem) -> state.Position:
         bases = self._directory.bases_by_key.get(item.key, {})
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -518,7 +518,7 @@
         self._check_start(now_s)
         self._ticks += 1
         if self._ticks % TICKS_PER_CHECK == 0:
-            self._exchange.check_gaps(now_s, not self._start_check.is_over)
+            self._exchange.check_gaps(now_s, self._start_check.is_over)
             self._peers.check_silence(now_s)
             confirmed = _messages.SourceConfirmed(
                 now_s - self.confirmed_age_s(now_s)
@@ -544,16 +544,17 @@
 
     def _check_start(self, now_s: float) -> None:
         """Use the first table once no peer may know a newer one."""
+        table_key = self._directory.table_key
+        is_confirmed = table_key is not None and (
+            self._exchange.has_confirmed(table_key)
+        )
         if self._start_check.update(
-            self._fleet.table is not None,
-            self._exchange.has_report,
-            bool(self._exchange.peers_ahead()),
-            now_s,
+            table_key is not None, is_confirmed, now_s
         ):
             self.log.decision(
                 "start-checked",
                 version=self.table_version,
-                has_report=self._exchange.has_report,
+                is_confirmed=is_confirmed,
             )
             self._log_table(now_s)
             self._ports.to_entry(_messages.FleetChanged(self._fleet))
--- a/src/jasminecrank/mesh/coordination/_pending.py
+++ b/src/jasminecrank/mesh/coordination/_pending.py
@@ -69,6 +69,10 @@
         pending.requested = False
         pending.request_at_s = request_at_s
 
+    def awaits(self, key: str) -> bool:
+        """Return whether a newer entry of a key has been announced."""
+        return key in self._entry_by_key
+
     def remove_received(self, items: Iterable[state.SourceItem]) -> None:
         """Remove the entries that have arrived.
 
--- a/src/jasminecrank/mesh/state/_directory.py
+++ b/src/jasminecrank/mesh/state/_directory.py
@@ -119,6 +119,18 @@
                 self._apply_newer(item, known, applied, now_s, served)
         return applied
 
+    @property
+    def table_key(self) -> str | None:
+        """Return the key of the table in force, or None without a table."""
+        return next(
+            (
+                key
+                for key, entry in self.entry_by_key.items()
+                if isinstance(entry, _entries.TableEntry)
+            ),
+            None,
+        )
+
     def with_era(self, position: _positions.Position) -> _positions.Position:
         """Return a position in this node's era if it comes without one.
 
--- a/src/jasminecrank/mesh/state/_start_check.py
+++ b/src/jasminecrank/mesh/state/_start_check.py
@@ -17,22 +17,16 @@
     is_over: bool = False
 
     def update(
-        self,
-        has_table: bool,
-        has_report: bool,
-        is_behind: bool,
-        now_s: float,
+        self, has_table: bool, is_confirmed: bool, now_s: float
     ) -> bool:
         """Return whether the check is over with this update.
 
-        `has_report`: whether a peer has reported which entries it has;
-        `is_behind`: whether these are others, which may be newer.
+        `is_confirmed`: whether a peer is known not to have a newer table.
         """
         if self.is_over or not has_table:
             return False
         if self.table_since_s is None:
             self.table_since_s = now_s
-        self.is_over = (has_report and not is_behind) or (
-            now_s - self.table_since_s >= START_CHECK_S
-        )
+        waited_s = now_s - self.table_since_s
+        self.is_over = is_confirmed or waited_s >= START_CHECK_S
         return self.is_over
