Await the answers of late peers until a stop's last moment

Seen: a stopping node answers 502 at 5.3 s to calls that a server on another host has finished (done 5.00 to 5.26 s after SIGTERM, the node there paused until after that).

Cause: one moment ended all calls of a stop. It comes earlier on a host that was late itself (5.3 s instead of 5.6), whatever the lateness of the hosts that still owe answers, though the process runs on until 5.9 s.

Change: at the break-off the gate closes and everything but calls at other hosts is answered; links on which peers send calls end. Then the node waits for the answers that are left until 0.25 s before SIGKILL, when a kill would lose nothing but what would be given up. The count of the gate's active calls leaves out those that were replied to.

--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -145,6 +145,19 @@
       | POST   | 5.53 | 0    | 5.50 | 5.63 |
       | POST   | 5.53 | 1    | 5.50 | 5.63 |
 
+  Scenario Outline: An answer that a server has made is not given up since its node is late
+    Given a deployment of 2 hosts with a time limit of 20.0 s
+    When a <method> runs for <run> s at host 1, whose node reads the answer <late> s late, and node 0 stops after it was held up for <held> s
+    Then it gets <status> and the request has run 1 times
+    And node 0 has stopped within 6.0 s
+
+    Examples:
+      | method | run | late | held | status |
+      | GET    | 4.9 | 0.6  | 1.0  | 200    |
+      | POST   | 4.9 | 0.6  | 1.0  | 200    |
+      | POST   | 4.9 | 0.76 | 0.0  | 200    |
+      | POST   | 4.9 | 1.5  | 1.0  | 502    |
+
   Scenario Outline: What the gate knows at the end of a stop reaches the caller
     Given a deployment of 2 hosts with a time limit of 20.0 s
     When the time of node 0 to stop is over just when <what>
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -214,10 +214,37 @@
     context.runner.run(act())
 
 
-async def _one_server(context, run_s):
-    """Let only the server of host 0 take calls, and return the deployment."""
+def _read_late(node, late_s):
+    """Let a node read the answers of its server late."""
+    exchange = node.gate.port.exchange
+
+    async def exchange_late(*args):
+        result = await exchange(*args)
+        await asyncio.sleep(late_s)
+        return result
+
+    node.gate.port.exchange = exchange_late
+
+
+@when(
+    "a {method} runs for {run_s:g} s at host 1, whose node reads the answer "
+    "{late_s:g} s late, and node 0 stops after it was held up for {held_s:g} s"
+)
+def step_late_peer(context, method, run_s, late_s, held_s):
+    async def act():
+        deployment = await _one_server(context, run_s, other=0)
+        _read_late(deployment.nodes[1], late_s)
+        time.sleep(held_s)
+        await asyncio.sleep(0.2)
+        await _stop_in_call(context, deployment.caller(0), method)
+
+    context.runner.run(act())
+
+
+async def _one_server(context, run_s, other=1):
+    """Let no call go to the other server, and return the deployment."""
     deployment = _slow_down(context, run_s)
-    await deployment.register(1, "draining")
+    await deployment.register(other, "draining")
     await asyncio.sleep(0.5)
     return deployment
 
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -79,6 +79,9 @@
 from jasminecrank.mesh.coordination._messages import (
     PeerMessageReceived as PeerMessageReceived,
 )
+from jasminecrank.mesh.coordination._messages import (
+    PeersGivenUp as PeersGivenUp,
+)
 from jasminecrank.mesh.coordination._messages import PeerSilent as PeerSilent
 from jasminecrank.mesh.coordination._messages import PeerUp as PeerUp
 from jasminecrank.mesh.coordination._messages import (
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -1,6 +1,7 @@
 """Task that routes callers' requests to backend servers."""
 
 import asyncio
+from collections.abc import Iterable
 import random
 import typing
 
@@ -142,6 +143,7 @@
                 _messages.StopRequested()
                 | _messages.StopWindowClosed()
                 | _messages.GateClosed()
+                | _messages.PeersGivenUp()
             ):
                 self._stop(message)
             case _:
@@ -151,7 +153,8 @@
         self,
         message: _messages.StopRequested
         | _messages.StopWindowClosed
-        | _messages.GateClosed,
+        | _messages.GateClosed
+        | _messages.PeersGivenUp,
     ) -> None:
         match message:
             case _messages.StopRequested(window):
@@ -163,7 +166,13 @@
                     _messages.CloseGate(lambda: self.mailbox.tell(closed))
                 )
             case _messages.GateClosed():
-                self._end_all_calls()
+                self._end_calls(
+                    call
+                    for call in self._call_by_number.values()
+                    if call.host in (None, self._own_host)
+                )
+            case _messages.PeersGivenUp():
+                self._end_calls(self._call_by_number.values())
             case _:
                 typing.assert_never(message)
 
@@ -341,9 +350,9 @@
             ),
         )
 
-    def _end_all_calls(self) -> None:
-        """Reply to the remaining calls, whose results will not be known."""
-        for call in list(self._call_by_number.values()):
+    def _end_calls(self, calls: Iterable[_open_calls.OpenCall]) -> None:
+        """Reply to calls whose results will not be known."""
+        for call in list(calls):
             in_flight = call.host is not None
             self._cancel_attempt(call)
             self._conclude(call, call.attempts.stop_step(in_flight))
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -93,8 +93,11 @@
 
     @property
     def active_calls(self) -> int:
-        """Return the number of calls that run, wait or are arriving."""
-        return len(self._call_by_key) + len(self._arriving)
+        """Return the number of calls that have not been replied to yet."""
+        unreplied = sum(
+            not active.replied for active in self._call_by_key.values()
+        )
+        return unreplied + len(self._arriving)
 
     @property
     def is_closed(self) -> bool:
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -265,7 +265,12 @@
 
 @dataclass(slots=True, frozen=True)
 class StopWindowClosed:
-    """The time before the end of the process is over; all calls must end."""
+    """The time to stop is over; calls that are at no other host must end."""
+
+
+@dataclass(slots=True, frozen=True)
+class PeersGivenUp:
+    """The answers of other hosts would come too late; all calls must end."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -365,6 +370,7 @@
     | BoundsChanged
     | StopRequested
     | StopWindowClosed
+    | PeersGivenUp
     | GateClosed
 )
 QuotaMessage = (
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterable
 import contextlib
 import functools
 import os
@@ -215,6 +216,7 @@
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
         try:
             await self._end_calls(window)
+            await self._await_peers(window)
         except Exception as error:
             self._log.failure("stop-failed", error)
         self._log.decision("stopped", reason="stop failed")
@@ -336,10 +338,15 @@
             lambda: self._window_now(window).breaks_off_at_s
         )
         window = self._window_now(window)
-        reads_until_s = window.reads_until_s(self._clock.now_s())
+        reads_until_s = window.reads_until_s(
+            window.breaks_off_at_s, self._clock.now_s()
+        )
         await self._wait_until_settled(lambda: reads_until_s)
         await self._end_calls(window)
-        await self._end_links(window)
+        self._close_listeners()
+        self._end_links(link for link in self._links if not link.dialled)
+        await self._await_peers(window)
+        await self._close_links(window)
         self._log.decision(
             "stopped",
             unanswered=self._caller_server.unanswered,
@@ -391,28 +398,55 @@
         )
         self._caller_server.refuse_unstarted()
         self.entry.mailbox.tell(coordination.StopWindowClosed())
-        await asyncio.sleep(0)
-        flushes_until_s = min(
-            self._clock.now_s() + STOP_FLUSH_S, window.ends_at_s
-        )
-        await self._wait_until_settled(lambda: flushes_until_s)
+        await self._flush(window)
         # A late loop has handled its timers, and not yet what has arrived.
         for _ in range(STOP_LAST_TURNS):
             await asyncio.sleep(0)
 
-    async def _end_links(self, window: state.StopWindow) -> None:
-        """Wait until the peers have read all replies and closed the links."""
-        for task in self._tasks:
-            task.cancel()
+    async def _flush(self, window: state.StopWindow) -> None:
+        """Let callers and peers take what they have just been sent."""
+        await asyncio.sleep(0)
+        until_s = min(self._clock.now_s() + STOP_FLUSH_S, window.ends_at_s)
+        await self._wait_until_settled(lambda: until_s)
+
+    async def _await_peers(self, window: state.StopWindow) -> None:
+        """Deliver the answers of other hosts that still come in time."""
+        if not self.entry.open_calls:
+            return
+        self._log.decision("awaiting-peers", calls=self.entry.open_calls)
+        due_at_s = window.awaits_peers_until_s
+        await self._wait_for_entry(due_at_s)
+        await self._wait_for_entry(
+            window.reads_until_s(due_at_s, self._clock.now_s())
+        )
+        self.entry.mailbox.tell(coordination.PeersGivenUp())
+        await self._flush(window)
+
+    async def _wait_for_entry(self, until_s: float) -> None:
+        """Wait until no call of a caller is open."""
+        while self.entry.open_calls and self._clock.now_s() < until_s:
+            await asyncio.sleep(LINKS_CHECK_PERIOD_S)
+
+    def _close_listeners(self) -> None:
+        """Accept no connection any more, and open none."""
         self._dialler.set_hosts(set())
         for listener in self._listeners:
             listener.close()
         self._links_ended = True
-        for link in list(self._links):
+
+    def _end_links(self, links: Iterable[transport.Link]) -> None:
+        for link in list(links):
             link.end(self.gate.is_closed)
+
+    async def _close_links(self, window: state.StopWindow) -> None:
+        """Wait until the peers have read all replies and closed the links."""
+        for task in self._tasks:
+            task.cancel()
+        self._end_links(self._links)
+        now_s = self._clock.now_s()
         until_s = min(
-            self._clock.now_s() + LINKS_END_S,
-            window.breaks_off_at_s + LINKS_END_AFTER_S,
+            now_s + LINKS_END_S,
+            max(now_s, window.breaks_off_at_s) + LINKS_END_AFTER_S,
             window.ends_at_s,
         )
         while self._links and self._clock.now_s() < until_s:
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -8,7 +8,7 @@
 from jasminecrank.mesh.state import _connection_debts
 
 STOP_MARGIN_S = 0.4
-"""Time before SIGKILL at which a stopping node ends all calls."""
+"""Time before SIGKILL at which a stopping node ends its own server's calls."""
 MAY_BREAK_OFF_RATIO = 5.0 / 6.0
 """Fraction of the grace period after which calls may be broken off."""
 ANSWER_TRANSIT_S = 0.3
@@ -18,6 +18,8 @@
 """
 END_MARGIN_S = 0.1
 """Time before SIGKILL at which a stopping node waits for nothing any more."""
+PEERS_MARGIN_S = 0.25
+"""Time before SIGKILL at which it waits for no answer of another host."""
 LATE_ANSWERS_S = 0.1
 """Longest time in which a late process reads what has come meanwhile."""
 CALLERS_LEAVE_S = 2.3
@@ -73,7 +75,7 @@
     closes_at_s: float
     """When a call has to be expected to end, for it to be taken."""
     breaks_off_at_s: float
-    """When the calls that still run are answered without their results."""
+    """When the own server's runs are answered without their results."""
     may_break_off_at_s: float = math.inf
     """When calls may be broken off at the earliest."""
     killed_at_s: float = math.inf
@@ -148,13 +150,22 @@
         """Return when a new connection has no time left for a request."""
         return self.breaks_off_at_s - _connection_debts.FIRST_REQUEST_S
 
-    def reads_until_s(self, now_s: float) -> float:
-        """Return until when answers are read, after the calls are to end.
+    @property
+    def awaits_peers_until_s(self) -> float:
+        """Return when the answers of other hosts are given up.
+
+        Their processes may be late, too, which this one can't know. It has
+        nothing else left to do by then, so that waiting puts nothing at risk
+        but the calls that would be given up.
+        """
+        return self.killed_at_s - PEERS_MARGIN_S
+
+    def reads_until_s(self, due_at_s: float, now_s: float) -> float:
+        """Return until when answers are read, after calls are to end.
 
         A process that is late finds some that have come while it did not run.
         """
-        until_s = late_answers_until_s(self.breaks_off_at_s, now_s)
-        return min(until_s, self.ends_at_s)
+        return min(late_answers_until_s(due_at_s, now_s), self.ends_at_s)
 
     def accepts(
         self,
