Leave a late host's servers less time in a stop

Seen: late in a stop, a call at a late host gets 502 though its server has ended it at the deadline that it got (done 5.2 to 5.3 s after SIGTERM, given up at 5.75 s).

Cause: a server's deadline leaves its answer 0.3 s at least, by the lateness of the stopping node alone. That of the other host was not known to it.

Change: nodes report how late they ran in the last seconds, when that changes by 0.05 s or more, to peers of protocol version 3. In a stop, a call at another host has to end so much before its answers are given up, and its server gets a deadline accordingly. Other peers count as not late, as before.

The rows on messages to older nodes name the message now; none is removed.

--- a/features/mesh/links.feature
+++ b/features/mesh/links.feature
@@ -35,14 +35,16 @@
 
   Scenario Outline: A node of an older version gets no message that it does not know
     Given a link to a node of protocol version <version>
-    When it is to tell which hosts were removed
+    When it is to tell <what>
     Then <messages> messages are sent on it
 
     Examples: Guards against links that end again and again during an update
-      | version | messages |
-      | 0       | 0        |
-      | 1       | 1        |
-      | 2       | 1        |
+      | version | what                     | messages |
+      | 0       | which hosts were removed | 0        |
+      | 1       | which hosts were removed | 1        |
+      | 2       | which hosts were removed | 1        |
+      | 2       | how late it runs         | 0        |
+      | 3       | how late it runs         | 1        |
 
   Scenario Outline: A node that stops says which calls it has not run
     Given a link to a node of protocol version <version>
--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -147,7 +147,7 @@
 
   Scenario Outline: An answer that a server has made is not given up since its node is late
     Given a deployment of 2 hosts with a time limit of 20.0 s
-    When a <method> runs for <run> s at host 1, whose node reads the answer <late> s late, and node 0 stops after it was held up for <held> s
+    When a <method> runs for <run> s at host 1, whose node answers <late> s late, and node 0 stops after it was held up for <held> s
     Then it gets <status> and the request has run 1 times
     And node 0 has stopped within 6.0 s
 
@@ -158,6 +158,27 @@
       | POST   | 4.9 | 0.76 | 0.0  | 200    |
       | POST   | 4.9 | 1.5  | 1.0  | 502    |
 
+  Scenario Outline: A server on a late host gets less time in a stop
+    Given a process that gets 6.0 s to stop, was late by <own> s, and has calls that run for 0.1 s at the longest
+    When a call of it would run on a host that is late by <peer> s
+    Then a call after <at> s with 15.0 s to its deadline is <taken>
+    And its server would get <given> s
+
+    Examples:
+      | own | peer | at  | taken   | given |
+      | 0.0 | 0.0  | 5.1 | taken   | 0.2   |
+      | 0.0 | 0.3  | 5.1 | taken   | 0.2   |
+      | 0.0 | 0.6  | 4.9 | taken   | 0.15  |
+      | 0.0 | 0.6  | 5.1 | refused | -0.05 |
+      | 0.6 | 0.6  | 4.5 | taken   | 0.5   |
+      | 0.0 | 9.0  | 4.6 | refused | 0.05  |
+
+  Scenario: A late host's answer to a late call comes before a stop gives it up
+    Given a deployment of 2 hosts with a time limit of 20.0 s
+    When node 1 answers 0.6 s late, and node 0 stops, and after 4.6 s its server makes a call that takes 0.9 s instead of 0.05 s
+    Then it gets 504 and the request has run 1 times
+    And node 0 has stopped within 6.0 s
+
   Scenario Outline: What the gate knows at the end of a stop reaches the caller
     Given a deployment of 2 hosts with a time limit of 20.0 s
     When the time of node 0 to stop is over just when <what>
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -16,7 +16,7 @@
 
 UNUSED_PORT = 9
 HELLO = coordination.Hello("10.0.0.1", 1, "ledger")
-NEWEST_VERSION = 2
+NEWEST_VERSION = 3
 INCARNATION_BITS = 48
 
 
@@ -237,11 +237,18 @@
     return link, owner, link_transport
 
 
-@when("it is to tell which hosts were removed")
-def step_tell_removed(context):
+@when("it is to tell {what}")
+def step_tell(context, what):
+    messages = {
+        "which hosts were removed": coordination.HostsRemoved(
+            (("10.0.0.9", 10),)
+        ),
+        "how late it runs": coordination.LatenessReported(600),
+    }
+
     async def act():
         link, _, link_transport = _open_link(context)
-        link.send(coordination.HostsRemoved((("10.0.0.9", 10),)))
+        link.send(messages[what])
         link.connection_lost(None)
         return link_transport.written
 
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -122,26 +122,32 @@
         await deployment.register(0, "draining")
         await _warm_up(deployment)
         time.sleep(held_s)
-        await asyncio.sleep(0.2)
-        busy = deployment.caller(0)
-        upload = asyncio.create_task(_send_upload(busy, asyncio.Event()))
-        stop_s = time.monotonic()
-        stopping = asyncio.create_task(deployment.nodes[0].stop())
-        await asyncio.sleep(at_s)
-        _slow_down(context, run_s)
-        started_s = time.monotonic()
-        caller = deployment.caller(0)
-        await caller.send("GET", "/open/1", key=None, deadline_ms=20_000)
-        context.response = await caller.receive()
-        context.elapsed_s = time.monotonic() - started_s
-        context.request_id = caller.last_request_id
-        await stopping
-        context.stopped_s = time.monotonic() - stop_s
-        upload.cancel()
+        await _call_in_stop(context, at_s, run_s)
 
     context.runner.run(act())
 
 
+async def _call_in_stop(context, at_s, run_s):
+    """Stop node 0, and let its server make a call that takes so long."""
+    deployment = context.fleet
+    await asyncio.sleep(0.2)
+    busy = deployment.caller(0)
+    upload = asyncio.create_task(_send_upload(busy, asyncio.Event()))
+    stop_s = time.monotonic()
+    stopping = asyncio.create_task(deployment.nodes[0].stop())
+    await asyncio.sleep(at_s)
+    _slow_down(context, run_s)
+    started_s = time.monotonic()
+    caller = deployment.caller(0)
+    await caller.send("GET", "/open/1", key=None, deadline_ms=20_000)
+    context.response = await caller.receive()
+    context.elapsed_s = time.monotonic() - started_s
+    context.request_id = caller.last_request_id
+    await stopping
+    context.stopped_s = time.monotonic() - stop_s
+    upload.cancel()
+
+
 @then("it got that within {limit_s:g} s")
 def step_within(context, limit_s):
     assert context.elapsed_s <= limit_s, context.elapsed_s
@@ -214,26 +220,30 @@
     context.runner.run(act())
 
 
-def _read_late(node, late_s):
-    """Let a node read the answers of its server late."""
-    exchange = node.gate.port.exchange
+def _answer_late(node, late_s):
+    """Let a node pass on the answers of its server late."""
+    loop = asyncio.get_running_loop()
 
-    async def exchange_late(*args):
-        result = await exchange(*args)
-        await asyncio.sleep(late_s)
-        return result
+    def delay(send):
+        def send_late(message):
+            served = isinstance(message, coordination.CallServed)
+            loop.call_later(late_s if served else 0.0, send, message)
+
+        return send_late
 
-    node.gate.port.exchange = exchange_late
+    for link in node._links:
+        if not link.dialled:
+            link.send = delay(link.send)
 
 
 @when(
-    "a {method} runs for {run_s:g} s at host 1, whose node reads the answer "
+    "a {method} runs for {run_s:g} s at host 1, whose node answers "
     "{late_s:g} s late, and node 0 stops after it was held up for {held_s:g} s"
 )
 def step_late_peer(context, method, run_s, late_s, held_s):
     async def act():
         deployment = await _one_server(context, run_s, other=0)
-        _read_late(deployment.nodes[1], late_s)
+        _answer_late(deployment.nodes[1], late_s)
         time.sleep(held_s)
         await asyncio.sleep(0.2)
         await _stop_in_call(context, deployment.caller(0), method)
@@ -241,6 +251,31 @@
     context.runner.run(act())
 
 
+@when(
+    "node 1 answers {late_s:g} s late, and node 0 stops, and after "
+    "{at_s:g} s its server makes a call that takes {run_s:g} s instead of "
+    "{usual_s:g} s"
+)
+def step_longer_call_at_late_peer(context, late_s, at_s, run_s, usual_s):
+    async def act():
+        deployment = await _one_server(context, usual_s, other=0)
+        await _warm_up(deployment)
+        node = deployment.nodes[1]
+        _answer_late(node, late_s)
+        asyncio.get_running_loop().call_later(
+            at_s - 0.5,
+            lambda: node.fleet._lateness.record(late_s, node._clock.now_s()),
+        )
+        await _call_in_stop(context, at_s, run_s)
+
+    context.runner.run(act())
+
+
+@when("a call of it would run on a host that is late by {late_s:g} s")
+def step_at_late_peer(context, late_s):
+    context.window = context.window.at_peer(late_s)
+
+
 async def _one_server(context, run_s, other=1):
     """Let no call go to the other server, and return the deployment."""
     deployment = _slow_down(context, run_s)
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -158,6 +158,9 @@
 from jasminecrank.mesh.coordination._peer_messages import (
     ItemsSent as ItemsSent,
 )
+from jasminecrank.mesh.coordination._peer_messages import (
+    LatenessReported as LatenessReported,
+)
 from jasminecrank.mesh.coordination._peer_messages import (
     LinkEnding as LinkEnding,
 )
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -81,6 +81,8 @@
         self._send_by_host: dict[str, _peer_messages.SendToPeer] = {}
         self._attempt_times = state.RunTimes()
         """Times from sending a call to a host until its response."""
+        self._lateness_by_host: dict[str, float] = {}
+        """How late the nodes of other hosts have run, as they report it."""
         self._stop_window: state.StopWindow | None = None
         self._has_fleet = False
 
@@ -126,6 +128,8 @@
                 self._fleet_changed(fleet)
             case _messages.LoadUpdated(host, load):
                 self._placement.record_load(host, load, self._clock.now_s())
+            case _messages.PeerLate(host, lateness_s):
+                self._lateness_by_host[host] = lateness_s
             case _messages.PeerUp(host, send):
                 self._send_by_host[host] = send
                 self._placement.mark_reachable(host)
@@ -286,7 +290,7 @@
         if choice is None:
             self._conclude(call, fallback)
             return
-        if not self._ends_before_stop(call, choice.wait_s, now_s):
+        if not self._ends_before_stop(call, choice, now_s):
             self._refuse_stopping(call, fallback)
             return
         route = call.attempts.route
@@ -315,9 +319,12 @@
         )
 
     def _ends_before_stop(
-        self, call: _open_calls.OpenCall, wait_s: float, now_s: float
+        self,
+        call: _open_calls.OpenCall,
+        choice: state.PlacementDecision,
+        now_s: float,
     ) -> bool:
-        window = self._stop_window
+        window = self._window_at(choice.server.host)
         if window is None:
             return True
         route = call.attempts.route
@@ -328,7 +335,16 @@
                 longest_s = UNKNOWN_RUN_TARGETS * route.target_s
         elif not window.accepts_caller(call.arrived_at_s):
             return False
-        return window.accepts(now_s, call.deadline_at_s, wait_s, longest_s)
+        return window.accepts(
+            now_s, call.deadline_at_s, choice.wait_s, longest_s
+        )
+
+    def _window_at(self, host: str) -> state.StopWindow | None:
+        """Return what a stop leaves for calls at a host, None without one."""
+        window = self._stop_window
+        if window is None or host == self._own_host:
+            return window
+        return window.at_peer(self._lateness_by_host.get(host, 0.0))
 
     def _refuse_stopping(
         self,
@@ -378,8 +394,12 @@
         server: state.BackendServer,
         now_s: float,
     ) -> None:
+        window = self._window_at(server.host)
+        deadline_at_s = call.deadline_at_s
+        if window is not None:
+            deadline_at_s = window.server_deadline_at_s(deadline_at_s)
         sent = call.start_attempt(
-            server, self._own_service, self._server_deadline_at_s(call), now_s
+            server, self._own_service, deadline_at_s, now_s
         )
         self._placement.record_sent(server.host)
         if server.host == self._own_host:
@@ -391,11 +411,6 @@
         call.send = self._send_by_host[server.host]
         call.send(sent)
 
-    def _server_deadline_at_s(self, call: _open_calls.OpenCall) -> float:
-        if self._stop_window is None:
-            return call.deadline_at_s
-        return self._stop_window.server_deadline_at_s(call.deadline_at_s)
-
     def handle_local_reply(self, message: _peer_messages.PeerMessage) -> None:
         """Process the local gate task's reply to a call."""
         self.handle_peer_reply(self._own_host, message)
@@ -647,7 +662,7 @@
             choice = self._choose_server(call, now_s)
             if (
                 choice is None
-                or not self._ends_before_stop(call, choice.wait_s, now_s)
+                or not self._ends_before_stop(call, choice, now_s)
                 or not self._budget.try_retry(
                     call.service, state.UNANSWERED_RETRY_SHARE, now_s
                 )
@@ -665,6 +680,7 @@
             # While a link remains, the load last reported holds: a process
             # that ends accepts no calls, and its links end one by one.
             self._placement.mark_unreachable(host)
+            self._lateness_by_host.pop(host, None)
         for call in list(self._call_by_number.values()):
             if call.host == host and message.send in (None, call.send):
                 self._attempt_ended(
--- a/src/jasminecrank/mesh/coordination/_fleet.py
+++ b/src/jasminecrank/mesh/coordination/_fleet.py
@@ -88,6 +88,7 @@
             directory, self._contact, self._is_near
         )
         self._ticked_at_s = clock.now_s()
+        self._lateness = state.Lateness()
         self._ticks = 0
 
     @property
@@ -331,6 +332,10 @@
                 self._exchange.send_listing(message.send)
             case _peer_messages.UploadConfirmed():
                 self._exchange.handle_confirmed(message.send)
+            case _peer_messages.LatenessReported(recent_ms):
+                self._ports.to_entry(
+                    _messages.PeerLate(message.host, recent_ms / 1000)
+                )
             case _peer_messages.UploadDeferred():
                 self._exchange.handle_deferred(
                     message.message, message.send, now_s
@@ -364,6 +369,7 @@
         peer = self._peers.open(message, now_s)
         if not message.dialled:
             self._reporter.send(self._ports.load(), [peer], now_s)
+            self._reporter.send_lateness([peer])
             if self._fleet.table is None:
                 # Without entries this node opens no links of its own, so it
                 # requests a listing on a link that a peer has opened.
@@ -398,6 +404,7 @@
         self._ticked_at_s = now_s
         delay_s = max(0.0, since_tick_s - FLEET_TICK_S)
         self.log.observe("tick_delay", delay_s)
+        self._lateness.record(delay_s, now_s)
         if delay_s > LATE_TICK_AFTER_S:
             self.log.decision("late-tick", delay_ms=round(1000 * delay_s))
         if since_tick_s > SUSPENDED_AFTER_S:
@@ -422,6 +429,9 @@
         self._set_running(self._own_host, load.server_id)
         self._ports.to_entry(_messages.LoadUpdated(self._own_host, load))
         self._reporter.report_changes(load, self._peers.accepted, now_s)
+        self._reporter.report_lateness(
+            self._lateness.recent_s, self._peers.accepted
+        )
 
     def _is_near(self, host: str) -> bool:
         """Return whether a host prefers this one for its calls."""
--- a/src/jasminecrank/mesh/coordination/_load_reports.py
+++ b/src/jasminecrank/mesh/coordination/_load_reports.py
@@ -10,6 +10,8 @@
 
 IDLE_REPORT_S = 0.45
 """Period of load reports that are sent even without a change."""
+LATENESS_CHANGE_S = 0.05
+"""Change of the lateness that is reported."""
 
 
 class ReportReceiver(typing.Protocol):
@@ -44,6 +46,24 @@
         self._reported_load: state.ServerLoad | None = None
         self._reported_to_near_at_s = 0.0
         self._reported_to_far_at_s = 0.0
+        self._reported_lateness_s = 0.0
+
+    def report_lateness(
+        self, lateness_s: float, peers: Iterable[ReportReceiver]
+    ) -> None:
+        """Tell peers how late this process runs, if that has changed."""
+        change_s = lateness_s - self._reported_lateness_s
+        if abs(change_s) >= LATENESS_CHANGE_S:
+            self._reported_lateness_s = lateness_s
+            self.send_lateness(peers)
+
+    def send_lateness(self, peers: Iterable[ReportReceiver]) -> None:
+        """Send the lateness that was last reported."""
+        report = _peer_messages.LatenessReported(
+            round(1000 * self._reported_lateness_s)
+        )
+        for peer in peers:
+            peer.send(report)
 
     def report_changes(
         self,
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -98,6 +98,14 @@
     load: state.ServerLoad
 
 
+@dataclass(slots=True, frozen=True)
+class PeerLate:
+    """A host has reported how late its node has run in the last seconds."""
+
+    host: str
+    lateness_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class PeerUp:
     """A link to a host is usable, for the first time or again."""
@@ -364,6 +372,7 @@
     | CallUnsent
     | FleetChanged
     | LoadUpdated
+    | PeerLate
     | PeerUp
     | PeerSilent
     | PeerDown
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -10,8 +10,8 @@
 
 from jasminecrank.mesh import state
 
-PROTOCOL_VERSION = 2
-"""Version 1 adds HostsRemoved, version 2 LinkEnding."""
+PROTOCOL_VERSION = 3
+"""Version 1 adds HostsRemoved, 2 LinkEnding, 3 LatenessReported."""
 _INCARNATION_BITS = 48
 
 MAX_AGE_MS = 60_000
@@ -202,6 +202,13 @@
     """Calls that were received and whose replies were not sent whole."""
 
 
+@dataclass(slots=True, frozen=True)
+class LatenessReported:
+    """How late the sender's process has run in the last seconds."""
+
+    recent_ms: int
+
+
 @dataclass(slots=True, frozen=True)
 class TokensRequested:
     """Requests tokens of a team's rate, one for each waiting call."""
@@ -333,6 +340,7 @@
     | BodyAbandoned
     | HostsRemoved
     | LinkEnding
+    | LatenessReported
 )
 QuotaPeerMessage = Presence | TokensRequested | HostsRemoved
 FleetPeerMessage = (
@@ -344,6 +352,7 @@
     | ListingRequested
     | UploadConfirmed
     | UploadDeferred
+    | LatenessReported
 )
 
 SendToPeer = Callable[[PeerMessage], None]
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -56,6 +56,7 @@
     coordination.BodyAbandoned,
     coordination.HostsRemoved,
     coordination.LinkEnding,
+    coordination.LatenessReported,
 )
 _TAG_BY_TYPE = {
     message_type: tag for tag, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -117,6 +117,24 @@
             killed_at_s,
         )
 
+    def at_peer(self, lateness_s: float) -> typing.Self:
+        """Return the window for calls at a host that runs so late.
+
+        It may read the last answers of its server so much later.
+        """
+        due_at_s = (
+            self.awaits_peers_until_s
+            - LATE_ANSWERS_S
+            - min(lateness_s, MAX_LATENESS_S)
+        )
+        return dataclasses.replace(
+            self,
+            closes_at_s=min(self.closes_at_s, due_at_s),
+            breaks_off_at_s=min(
+                self.breaks_off_at_s, due_at_s + ANSWER_TRANSIT_S
+            ),
+        )
+
     def for_lateness(self, lateness_s: float) -> typing.Self:
         """Return the window of a process that has become late meanwhile.
 
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -117,6 +117,10 @@
                 self.peer is None or self.peer.protocol_version < 1
             ):
                 return  # An older node ends a link on which it gets this.
+            case coordination.LatenessReported() if (
+                self.peer is None or self.peer.protocol_version < 3
+            ):
+                return
             case _:
                 pass
         self._write(message)
