Count the time that a call waits unread as a part of its deadline

Cause: deadlines travel as durations. What a call waits in the socket of a process that does not run is added to its deadline.

Change: a process that has been held up takes what it reads next as sent at the beginning of that time, and at most half of the call's time as passed. The gate awaits the answer as long as before.

--- a/features/mesh/stopping.feature
+++ b/features/mesh/stopping.feature
@@ -179,6 +179,12 @@
     Then it gets 504 and the request has run 1 times
     And node 0 has stopped within 6.0 s
 
+  Scenario: A call that a host reads late in a stop ends by the deadline that it was given
+    Given a deployment of 2 hosts with a time limit of 20.0 s
+    When node 1 reads calls 0.5 s late, and node 0 stops, and after 4.6 s its server makes a call that takes 0.9 s instead of 0.05 s
+    Then it gets 504 and the request has run 1 times
+    And node 0 has stopped within 6.0 s
+
   Scenario Outline: What the gate knows at the end of a stop reaches the caller
     Given a deployment of 2 hosts with a time limit of 20.0 s
     When the time of node 0 to stop is over just when <what>
@@ -248,6 +254,18 @@
       | 4.0   | 2     | 9.0  | before      | 3.8   |
       | 4.0   | 1     | 9.0  | before      | 9.0   |
 
+  Scenario Outline: A server gets no time that a call has waited unread
+    Given a gate task beside a server with 1 slots
+    And calls have run for 0.2 s there
+    When a call with <left> s to its deadline arrives that may have waited <unread> s
+    Then the server is given <given> s for the last one
+
+    Examples:
+      | left | unread | given |
+      | 2.0  | 0.0    | 2.0   |
+      | 2.0  | 0.6    | 1.4   |
+      | 0.8  | 0.6    | 0.4   |
+
   Scenario Outline: Queued calls go elsewhere while there is time
     Given a gate task beside a server with 2 slots
     And calls have run for 0.5 s there
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -271,6 +271,34 @@
     context.runner.run(act())
 
 
+@when(
+    "node 1 reads calls {late_s:g} s late, and node 0 stops, and after "
+    "{at_s:g} s its server makes a call that takes {run_s:g} s instead of "
+    "{usual_s:g} s"
+)
+def step_longer_call_read_late(context, late_s, at_s, run_s, usual_s):
+    async def act():
+        deployment = await _one_server(context, usual_s, other=0)
+        await _warm_up(deployment)
+        send_by_host = deployment.nodes[0].entry._send_by_host
+        for host, send in send_by_host.items():
+            send_by_host[host] = _hold_up_after_call(send, late_s)
+        await _call_in_stop(context, at_s, run_s)
+
+    context.runner.run(act())
+
+
+def _hold_up_after_call(send, late_s):
+    """Let nothing run for a while after a call is sent on a link."""
+
+    def send_and_hold_up(message):
+        send(message)
+        if isinstance(message, coordination.CallSent):
+            time.sleep(late_s)
+
+    return send_and_hold_up
+
+
 @when("a call of it would run on a host that is late by {late_s:g} s")
 def step_at_late_peer(context, late_s):
     context.window = context.window.at_peer(late_s)
@@ -379,16 +407,28 @@
     context.gate.mailbox.tell(coordination.StopRequested(window))
 
 
-def _offer(context, count, left_s):
+def _offer(context, count, left_s, unread_s=0.0):
     """Send calls to the gate and collect its replies to them."""
     context.replies = []
     for number in range(count):
         call = mesh_gate_task_steps.make_call(number, True, left_s, left_s)
         context.gate.mailbox.tell(
-            coordination.RunCall(1, call, context.replies.append)
+            coordination.RunCall(1, call, context.replies.append, unread_s)
         )
 
 
+@when(
+    "a call with {left_s:g} s to its deadline arrives that may have waited "
+    "{unread_s:g} s"
+)
+def step_offer_unread(context, left_s, unread_s):
+    async def act():
+        _offer(context, 1, left_s, unread_s)
+        await asyncio.sleep(context.port.run_s + 0.1)
+
+    context.runner.run(act())
+
+
 @when(
     "it stops with {close_s:g} s left, and {calls:d} calls with {left_s:g} s "
     "to their deadline arrive after {at_s:g} s"
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -30,6 +30,8 @@
 
 A server that starts at the address later may belong to another service.
 """
+MAX_UNREAD_RATIO = 0.5
+"""Part of a call's time that it may have waited unread at most."""
 SERVER_GONE = "server-gone"
 """Reason for refusing calls to another incarnation of the server."""
 
@@ -50,6 +52,8 @@
 class _ActiveCall:
     call: _peer_messages.CallSent
     send: _peer_messages.SendToPeer
+    unread_s: float = 0.0
+    """How long it may have waited unread, with its deadline passing."""
     task: asyncio.Task[None] | None = None
     started: bool = False
     """Whether its task has begun to run."""
@@ -180,7 +184,11 @@
         request = _arriving_calls.admission_request(
             message.link_id, call, now_s
         )
-        active = _ActiveCall(call, message.send)
+        active = _ActiveCall(
+            call,
+            message.send,
+            min(message.unread_s, MAX_UNREAD_RATIO * call.remaining_s),
+        )
         decision = self._admission.submit(request, now_s)
         match decision:
             case state.Admit():
@@ -253,7 +261,7 @@
         now_s = self._clock.now_s()
         remaining_s = max(0.001, deadline_at_s - now_s)
         server_deadline_at_s = self._admission.server_deadline_at_s(
-            deadline_at_s
+            deadline_at_s - active.unread_s
         )
         result: state.AttemptResult
         try:
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -217,6 +217,8 @@
     link_id: int
     call: _peer_messages.CallSent
     send: _peer_messages.SendToPeer
+    unread_s: float = 0.0
+    """How long it may have waited until this process has read it."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -485,7 +485,9 @@
         match message:
             case coordination.CallSent():
                 self.gate.mailbox.tell(
-                    coordination.RunCall(link.link_id, message, link.send)
+                    coordination.RunCall(
+                        link.link_id, message, link.send, self._unread_s()
+                    )
                 )
             case coordination.CallCancelled(call_id):
                 self.gate.mailbox.tell(
@@ -570,7 +572,13 @@
                 self._log.failure("task-failed", error, task=run.__qualname__)
             await asyncio.sleep(TASK_RESTART_S)
 
+    def _unread_s(self) -> float:
+        """Return how long a message that is read now may have waited."""
+        due_at_s = self._last_ran_at_s + coordination.FLEET_TICK_S
+        return self._lateness.unread_s(self._clock.now_s() - due_at_s)
+
     async def _run_ticks(self) -> None:
+        loop = asyncio.get_running_loop()
         self._last_ran_at_s = self._clock.now_s()
         while True:
             now_s = self._clock.now_s()
@@ -578,6 +586,7 @@
                 now_s - self._last_ran_at_s - coordination.FLEET_TICK_S, now_s
             )
             self._last_ran_at_s = now_s
+            loop.call_soon(self._lateness.mark_read)
             self._tell_fleet(coordination.FleetTick())
             self._idle_connections.make_room()
             self._log.flush()
--- a/src/jasminecrank/mesh/state/_stopping.py
+++ b/src/jasminecrank/mesh/state/_stopping.py
@@ -44,14 +44,28 @@
     _largest_s: float = 0.0
     _previous_s: float = 0.0
     _began_at_s: float = 0.0
+    _held_up_s: float = 0.0
+    """The latest delay, until what has come in it is read."""
 
     def record(self, delay_s: float, now_s: float) -> None:
         """Record by how much the process has run too late."""
+        self._held_up_s = max(0.0, delay_s)
         if now_s - self._began_at_s >= LATENESS_INTERVAL_S:
             self._previous_s, self._largest_s = self._largest_s, 0.0
             self._began_at_s = now_s
         self._largest_s = max(self._largest_s, delay_s)
 
+    def mark_read(self) -> None:
+        """Note that all has been read that came until the last record."""
+        self._held_up_s = 0.0
+
+    def unread_s(self, overdue_s: float) -> float:
+        """Return how long what is read now may have waited.
+
+        `overdue_s` is the time since the next record was due.
+        """
+        return max(self._held_up_s, overdue_s)
+
     @property
     def recent_s(self) -> float:
         """Return the largest delay of the last seconds."""
