--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -240,6 +240,7 @@
 MESSAGE_BY_WHAT = {
     "which hosts were removed": coordination.HostsRemoved((("10.0.0.9", 10),)),
     "that an era has begun": coordination.EraBegun(3, 5, ()),
+    "how late it runs": coordination.LatenessReported(600),
 }
 
 
--- a/features/steps/mesh_stopping_steps.py
+++ b/features/steps/mesh_stopping_steps.py
@@ -122,26 +122,32 @@
         await deployment.register(0, "draining")
         await _warm_up(deployment)
         time.sleep(held_s)
-        await asyncio.sleep(0.2)
-        busy = deployment.caller(0)
-        upload = asyncio.create_task(_send_upload(busy, asyncio.Event()))
-        stop_s = time.monotonic()
-        stopping = asyncio.create_task(deployment.nodes[0].stop())
-        await asyncio.sleep(at_s)
-        _slow_down(context, run_s)
-        started_s = time.monotonic()
-        caller = deployment.caller(0)
-        await caller.send("GET", "/open/1", key=None, deadline_ms=20_000)
-        context.response = await caller.receive()
-        context.elapsed_s = time.monotonic() - started_s
-        context.request_id = caller.last_request_id
-        await stopping
-        context.stopped_s = time.monotonic() - stop_s
-        upload.cancel()
+        await _call_in_stop(context, at_s, run_s)
 
     context.runner.run(act())
 
 
+async def _call_in_stop(context, at_s, run_s):
+    """Stop node 0, and let its server make a call that takes so long."""
+    deployment = context.fleet
+    await asyncio.sleep(0.2)
+    busy = deployment.caller(0)
+    upload = asyncio.create_task(_send_upload(busy, asyncio.Event()))
+    stop_s = time.monotonic()
+    stopping = asyncio.create_task(deployment.nodes[0].stop())
+    await asyncio.sleep(at_s)
+    _slow_down(context, run_s)
+    started_s = time.monotonic()
+    caller = deployment.caller(0)
+    await caller.send("GET", "/open/1", key=None, deadline_ms=20_000)
+    context.response = await caller.receive()
+    context.elapsed_s = time.monotonic() - started_s
+    context.request_id = caller.last_request_id
+    await stopping
+    context.stopped_s = time.monotonic() - stop_s
+    upload.cancel()
+
+
 @then("it got that within {limit_s:g} s")
 def step_within(context, limit_s):
     assert context.elapsed_s <= limit_s, context.elapsed_s
@@ -214,10 +220,94 @@
     context.runner.run(act())
 
 
-async def _one_server(context, run_s):
-    """Let only the server of host 0 take calls, and return the deployment."""
+def _answer_late(node, late_s):
+    """Let a node pass on the answers of its server late."""
+    loop = asyncio.get_running_loop()
+
+    def delay(send):
+        def send_late(message):
+            served = isinstance(message, coordination.CallServed)
+            loop.call_later(late_s if served else 0.0, send, message)
+
+        return send_late
+
+    for link in node._links:
+        if not link.dialled:
+            link.send = delay(link.send)
+
+
+@when(
+    "a {method} runs for {run_s:g} s at host 1, whose node answers "
+    "{late_s:g} s late, and node 0 stops after it was held up for {held_s:g} s"
+)
+def step_late_peer(context, method, run_s, late_s, held_s):
+    async def act():
+        deployment = await _one_server(context, run_s, other=0)
+        _answer_late(deployment.nodes[1], late_s)
+        time.sleep(held_s)
+        await asyncio.sleep(0.2)
+        await _stop_in_call(context, deployment.caller(0), method)
+
+    context.runner.run(act())
+
+
+@when(
+    "node 1 answers {late_s:g} s late, and node 0 stops, and after "
+    "{at_s:g} s its server makes a call that takes {run_s:g} s instead of "
+    "{usual_s:g} s"
+)
+def step_longer_call_at_late_peer(context, late_s, at_s, run_s, usual_s):
+    async def act():
+        deployment = await _one_server(context, usual_s, other=0)
+        await _warm_up(deployment)
+        node = deployment.nodes[1]
+        _answer_late(node, late_s)
+        asyncio.get_running_loop().call_later(
+            at_s - 0.5,
+            lambda: node.fleet._lateness.record(late_s, node._clock.now_s()),
+        )
+        await _call_in_stop(context, at_s, run_s)
+
+    context.runner.run(act())
+
+
+@when(
+    "node 1 reads calls {late_s:g} s late, and node 0 stops, and after "
+    "{at_s:g} s its server makes a call that takes {run_s:g} s instead of "
+    "{usual_s:g} s"
+)
+def step_longer_call_read_late(context, late_s, at_s, run_s, usual_s):
+    async def act():
+        deployment = await _one_server(context, usual_s, other=0)
+        await _warm_up(deployment)
+        send_by_host = deployment.nodes[0].entry._send_by_host
+        for host, send in send_by_host.items():
+            send_by_host[host] = _hold_up_after_call(send, late_s)
+        await _call_in_stop(context, at_s, run_s)
+
+    context.runner.run(act())
+
+
+def _hold_up_after_call(send, late_s):
+    """Let nothing run for a while after a call is sent on a link."""
+
+    def send_and_hold_up(message):
+        send(message)
+        if isinstance(message, coordination.CallSent):
+            time.sleep(late_s)
+
+    return send_and_hold_up
+
+
+@when("a call of it would run on a host that is late by {late_s:g} s")
+def step_at_late_peer(context, late_s):
+    context.window = context.window.at_peer(late_s)
+
+
+async def _one_server(context, run_s, other=1):
+    """Let no call go to the other server, and return the deployment."""
     deployment = _slow_down(context, run_s)
-    await deployment.register(1, "draining")
+    await deployment.register(other, "draining")
     await asyncio.sleep(0.5)
     return deployment
 
@@ -317,16 +407,28 @@
     context.gate.mailbox.tell(coordination.StopRequested(window))
 
 
-def _offer(context, count, left_s):
+def _offer(context, count, left_s, unread_s=0.0):
     """Send calls to the gate and collect its replies to them."""
     context.replies = []
     for number in range(count):
         call = mesh_gate_task_steps.make_call(number, True, left_s, left_s)
         context.gate.mailbox.tell(
-            coordination.RunCall(1, call, context.replies.append)
+            coordination.RunCall(1, call, context.replies.append, unread_s)
         )
 
 
+@when(
+    "a call with {left_s:g} s to its deadline arrives that may have waited "
+    "{unread_s:g} s"
+)
+def step_offer_unread(context, left_s, unread_s):
+    async def act():
+        _offer(context, 1, left_s, unread_s)
+        await asyncio.sleep(context.port.run_s + 0.1)
+
+    context.runner.run(act())
+
+
 @when(
     "it stops with {close_s:g} s left, and {calls:d} calls with {left_s:g} s "
     "to their deadline arrive after {at_s:g} s"
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -79,6 +79,9 @@
 from jasminecrank.mesh.coordination._messages import (
     PeerMessageReceived as PeerMessageReceived,
 )
+from jasminecrank.mesh.coordination._messages import (
+    PeersGivenUp as PeersGivenUp,
+)
 from jasminecrank.mesh.coordination._messages import PeerSilent as PeerSilent
 from jasminecrank.mesh.coordination._messages import PeerUp as PeerUp
 from jasminecrank.mesh.coordination._messages import (
@@ -159,6 +162,9 @@
 from jasminecrank.mesh.coordination._peer_messages import (
     ItemsSent as ItemsSent,
 )
+from jasminecrank.mesh.coordination._peer_messages import (
+    LatenessReported as LatenessReported,
+)
 from jasminecrank.mesh.coordination._peer_messages import (
     LinkEnding as LinkEnding,
 )
--- a/src/jasminecrank/mesh/coordination/_messages.py
+++ b/src/jasminecrank/mesh/coordination/_messages.py
@@ -98,6 +98,14 @@
     load: state.ServerLoad
 
 
+@dataclass(slots=True, frozen=True)
+class PeerLate:
+    """A host has reported how late its node has run in the last seconds."""
+
+    host: str
+    lateness_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class PeerUp:
     """A link to a host is usable, for the first time or again."""
@@ -209,6 +217,8 @@
     link_id: int
     call: _peer_messages.CallSent
     send: _peer_messages.SendToPeer
+    unread_s: float = 0.0
+    """How long it may have waited until this process has read it."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -265,7 +275,12 @@
 
 @dataclass(slots=True, frozen=True)
 class StopWindowClosed:
-    """The time before the end of the process is over; all calls must end."""
+    """The time to stop is over; calls that are at no other host must end."""
+
+
+@dataclass(slots=True, frozen=True)
+class PeersGivenUp:
+    """The answers of other hosts would come too late; all calls must end."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -359,12 +374,14 @@
     | CallUnsent
     | FleetChanged
     | LoadUpdated
+    | PeerLate
     | PeerUp
     | PeerSilent
     | PeerDown
     | BoundsChanged
     | StopRequested
     | StopWindowClosed
+    | PeersGivenUp
     | GateClosed
 )
 QuotaMessage = (
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -11,7 +11,7 @@
 from jasminecrank.mesh import state
 
 PROTOCOL_VERSION = 3
-"""Version 1 adds HostsRemoved, version 2 LinkEnding, version 3 eras."""
+"""Version 1 adds HostsRemoved, 2 LinkEnding, 3 eras and LatenessReported."""
 FIRST_VERSION_WITH_ERAS = 3
 """Older nodes know the revision of a position only."""
 _INCARNATION_BITS = 48
@@ -205,6 +205,13 @@
     """Calls that were received and whose replies were not sent whole."""
 
 
+@dataclass(slots=True, frozen=True)
+class LatenessReported:
+    """How late the sender's process has run in the last seconds."""
+
+    recent_ms: int
+
+
 @dataclass(slots=True, frozen=True)
 class TokensRequested:
     """Requests tokens of a team's rate, one for each waiting call."""
@@ -348,6 +355,7 @@
     | HostsRemoved
     | LinkEnding
     | EraBegun
+    | LatenessReported
 )
 QuotaPeerMessage = Presence | TokensRequested | HostsRemoved
 FleetPeerMessage = (
@@ -360,6 +368,7 @@
     | UploadConfirmed
     | UploadDeferred
     | EraBegun
+    | LatenessReported
 )
 
 SendToPeer = Callable[[PeerMessage], None]
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -115,7 +115,7 @@
                 self._body_receiver.refuse_call(call_id)
             case coordination.HostsRemoved() if self._peer_version < 1:
                 return  # An older node ends a link on which it gets this.
-            case coordination.EraBegun() if (
+            case coordination.EraBegun() | coordination.LatenessReported() if (
                 self._peer_version < coordination.FIRST_VERSION_WITH_ERAS
             ):
                 return
