--- a/src/jasminecrank/mesh/state/_positions.py
+++ b/src/jasminecrank/mesh/state/_positions.py
@@ -14,10 +14,13 @@
     """When an entry was written, as far as the source can tell.
 
     The source begins a new era when it is restored from a copy. It then gives
-    out the revisions that the copy lacks again. What was written there in an
-    earlier era, and is lost, may be retained in place of an older entry of
-    the copy. Its position is then above that of the copy's entry, and below
-    all that is written later.
+    out the revisions that the copy lacks again.
+
+    A plain position has an era and a revision. An entry that the source has
+    lost can be retained in place of an older one of the copy: its position is
+    that of the copy's entry with the one at which it was written in the lost
+    era. A confirmed position names its own era there: the source's entry, in
+    place of a retained one. All are below what is written later.
     """
 
     era: int
