Log failed answers of servers and the memory of their connections

Cause: neither a log line nor a metric told what a failed answer had brought, what the answers that are being received take, or whether connections that have ended are still in memory. Retained answers and too many answers at once looked the same.

Change: the event server-answer-failed with the id of the request, and the gauges server_answer_bytes, server_connections_ended and resident_memory_bytes. No change of behaviour.

--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -646,6 +646,11 @@
             "answers_held_bytes": self._caller_server.held_bytes,
             "paced_reads": self._caller_server.paced_reads,
             "body_memory_bytes": self.memory_budget.held_bytes,
+            "server_answer_bytes": self._server_connections.receiving_bytes,
+            "server_connections_ended": (
+                self._server_connections.ended_in_memory
+            ),
+            "resident_memory_bytes": _memory_bytes("VmRSS"),
             "peak_memory_bytes": _peak_memory_bytes(),
         }
         usable = self.entry.usable_servers()
@@ -660,11 +665,18 @@
     The figure of `getrusage` is at least that of the program that started
     this one.
     """
+    return _memory_bytes("VmHWM") or (
+        1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    )
+
+
+def _memory_bytes(field: str) -> int:
+    """Return a size from the process's status, 0 if it is not there."""
     with (
         contextlib.suppress(OSError),
         open("/proc/self/status", encoding="ascii") as status,
     ):
         for line in status:
-            if line.startswith("VmHWM:"):
+            if line.startswith(f"{field}:"):
                 return 1024 * int(line.split()[1])
-    return 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return 0
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -102,6 +102,11 @@
             # It may refer to the request, whose body can be large.
             self._find_owner = None
 
+    @property
+    def is_exchanging(self) -> bool:
+        """Return whether a response is due."""
+        return self._waiter is not None and not self._waiter.done()
+
     @property
     def is_open(self) -> bool:
         """Return whether it may carry a request and the peer keeps it."""
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -1,6 +1,7 @@
 """Connection pool for the backend server on the local host."""
 
 import asyncio
+import weakref
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
@@ -38,6 +39,10 @@
         self._idle: list[_http_client.ClientConnection] = []
         self._sending: list[_http_client.ClientConnection] = []
         """Connections whose server has answered before it took the body."""
+        self._in_memory: weakref.WeakSet[_http_client.ClientConnection] = (
+            weakref.WeakSet()
+        )
+        """Connections that have not been freed, open or not."""
 
     async def exchange(
         self, call: coordination.CallSent, remaining_s: float
@@ -58,6 +63,15 @@
                 lambda response: self._codec.find_owner(call, response),
             )
         except _http_client.Broken as broken:
+            self._log.decision(
+                "server-answer-failed",
+                request_id=call.request_id,
+                server=call.server_id,
+                reason=str(broken),
+                status=connection.response_status,
+                received_bytes=connection.received_bytes,
+                waited_ms=round(1000 * (self._clock.now_s() - sent_s)),
+            )
             return state.MayHaveRun(str(broken))
         if self._codec.is_rejection(raw):
             connection.rejected_ids.add(call.request_id)
@@ -85,6 +99,20 @@
         self._close_sent()
         return bool(self._sending)
 
+    @property
+    def receiving_bytes(self) -> int:
+        """Return the bytes of answers that are being received."""
+        return sum(
+            connection.received_bytes
+            for connection in self._in_memory
+            if connection.is_exchanging
+        )
+
+    @property
+    def ended_in_memory(self) -> int:
+        """Return the connections that have ended and are not freed yet."""
+        return sum(connection.is_lost for connection in self._in_memory)
+
     def close(self) -> None:
         """Abort the connections that carry no call."""
         for connection in (*self._idle, *self._sending):
@@ -118,6 +146,7 @@
         connection = await _http_client.connect(
             *self._address, CONNECT_TIMEOUT_S
         )
+        self._in_memory.add(connection)
         if not connection.is_open:
             # Nothing was sent, which the end of an exchange would not show.
             connection.abort()
