--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -44,6 +44,8 @@
     HANG = "hang"
     ENDLESS_BODY = "send-a-body-without-end"
     ENDLESS_CHUNKS = "send-chunks-without-end"
+    ENDLESS_LARGE_CHUNKS = "send-chunks-of-64-kb-without-end"
+    ENDLESS_TINY_CHUNKS = "send-chunks-of-one-byte-without-end"
     ENDLESS_LENGTH = "send-a-body-of-a-terabyte"
     ENDLESS_HEADERS = "send-headers-without-end"
     ENDLESS_HEADER = "send-one-header-without-end"
@@ -65,6 +67,14 @@
         b"Transfer-Encoding: chunked\r\n\r\n",
         b"10\r\n0123456789abcdef\r\n",
     ),
+    Behaviour.ENDLESS_LARGE_CHUNKS: (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + bytes(65_536) + b"\r\n",
+    ),
+    Behaviour.ENDLESS_TINY_CHUNKS: (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n",
+    ),
     Behaviour.ENDLESS_LENGTH: (
         b"Content-Length: 1000000000000\r\n\r\n",
         b"x",
@@ -108,6 +118,9 @@
         self.connection_count = 0
         self.endless_bytes = 0
         """Bytes of endless responses that a client has accepted."""
+        self.endless_max_bytes = ENDLESS_MAX_BYTES
+        self.endless_health = False
+        """Whether health checks are answered by the default behaviour too."""
         self._concurrency = 0
         self._deferred_response: bytes = b""
         self._server: asyncio.Server | None = None
@@ -134,6 +147,11 @@
             while (request := await _http.read_request(reader)) is not None:
                 was_kept, is_kept = is_kept, True
                 if request.target == "/healthz":
+                    if self.endless_health:
+                        await self._send_endlessly(
+                            writer, self.default_behaviour, {}
+                        )
+                        return
                     writer.write(self._encode_health())
                     continue
                 response = asyncio.ensure_future(
@@ -235,8 +253,8 @@
         lines = [f"HTTP/1.1 {102 if interim else 200} OK"]
         lines.extend(f"{name}: {value}" for name, value in headers.items())
         writer.write(("\r\n".join(lines) + "\r\n").encode() + head_end)
-        part = repeated * (ENDLESS_PART_BYTES // len(repeated))
-        while self.endless_bytes < ENDLESS_MAX_BYTES:
+        part = repeated * max(1, ENDLESS_PART_BYTES // len(repeated))
+        while self.endless_bytes < self.endless_max_bytes:
             writer.write(part)
             await writer.drain()
             self.endless_bytes += len(part)
@@ -336,6 +354,8 @@
                 | Behaviour.HANG
                 | Behaviour.ENDLESS_BODY
                 | Behaviour.ENDLESS_CHUNKS
+                | Behaviour.ENDLESS_LARGE_CHUNKS
+                | Behaviour.ENDLESS_TINY_CHUNKS
                 | Behaviour.ENDLESS_LENGTH
                 | Behaviour.ENDLESS_HEADERS
                 | Behaviour.ENDLESS_HEADER
