Free what a connection has read when it ends

Callers saw their requests end with the node's process, which ran out of memory beside a backend server that sends without end.

Cause: a connection and its parser refer to each other, and so do a connection and the parts that call it back. Such a connection is only freed by the garbage collector, which counts new objects and not bytes; what each failed exchange had read, 4.2 MB, stayed in memory. The class of fault: memory whose end is left to the collector. It acted in connections to servers and the store, of callers, of the status ports and between nodes.

Change: at its end, a connection gives up its parser and what is kept of a message; its parts refer to it weakly, or to nothing any more. A response to an exchange that has failed is not kept, and a complete one is not kept a second time until the next.

--- a/features/steps/mesh_freed_steps.py
+++ b/features/steps/mesh_freed_steps.py
@@ -110,19 +110,29 @@
     context.runner.run(act())
 
 
+def _left(context):
+    """Return those in memory, but for the one that the next call uses."""
+    pool = context.fleet.nodes[0]._server_connections
+    left = [reference() for reference in context.references]
+    return [
+        connection
+        for connection in left
+        if connection is not None and connection not in pool._idle
+    ]
+
+
 @then("none of them is in memory any more")
 def step_freed(context):
     assert len(context.references) >= MIN_COUNT, context.references
 
     async def act():
         async with asyncio.timeout(FREED_S):
-            while any(reference() for reference in context.references):
+            while _left(context):
                 await asyncio.sleep(0.05)
 
     try:
         context.runner.run(act())
     except TimeoutError:
-        left = sum(reference() is not None for reference in context.references)
         raise AssertionError(
-            f"{left} of {len(context.references)} in memory"
+            f"{len(_left(context))} of {len(context.references)} in memory"
         ) from None
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -20,6 +20,12 @@
 """Writes a message to the link, and returns whether the link was open."""
 
 
+def _send_to_ended(message: coordination.PeerMessage) -> bool:
+    """Send nothing, since the link has ended."""
+    del message
+    return False
+
+
 @dataclass(slots=True)
 class _Outgoing:
     transfer_id: int
@@ -107,7 +113,8 @@
         self._schedule_turn()
 
     def close(self) -> None:
-        """Drop all transfers."""
+        """Drop all transfers, and the reference to the link."""
+        self._send = _send_to_ended
         self._transfers.clear()
         if self._turn is not None:
             self._turn.cancel()
@@ -229,7 +236,8 @@
                 del self._incoming_by_id[transfer_id]
 
     def close(self) -> None:
-        """Discard all incomplete bodies."""
+        """Discard all incomplete bodies, and the reference to the link."""
+        self._send = _send_to_ended
         self._incoming_by_id.clear()
 
     def _allocate(
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -304,7 +304,7 @@
         for waiting in self._waiting:
             self._release_claim(waiting.claim_id)
         self._waiting.clear()
-        self._reader.close()
+        self._reader.end()
         while self._exchanges:
             exchange = self._exchanges.popleft()
             self._end_turn(exchange)
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -25,6 +25,13 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest body of a response, so that each slot of a server may hold one."""
 
+_ENDED_PARSER = httptools.HttpResponseParser(object())
+"""Parser of a connection that has ended.
+
+Its own parser refers to the connection, which would only be freed by the
+garbage collector.
+"""
+
 _OwnerFinder = Callable[[protocol.RawResponse], protocol.ResponseOwner]
 
 
@@ -194,6 +201,8 @@
         self.usable = False
         self.is_lost = True
         self._fail(REASON_TRUNCATED if self._headers_done else REASON_RESET)
+        self._transport = None
+        self._parser = _ENDED_PARSER
 
     def on_message_begin(self) -> None:
         """Reset the parser state; reject an unsolicited response."""
@@ -209,7 +218,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header until the response is complete; drop a trailer."""
-        if not self._headers_done:
+        if self.is_exchanging and not self._headers_done:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -241,7 +250,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body until the response is complete."""
-        self._body.append(body)
+        if self.is_exchanging:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Return the response to its exchange, or drop an unsolicited one."""
@@ -260,6 +270,7 @@
             tuple(self._headers),
             b"".join(self._body),
         )
+        self._drop_message()
         if self.response_status < MIN_FINAL_STATUS:
             return
         if self._waiter is None or self._waiter.done():
@@ -285,8 +296,14 @@
     def _fail(self, reason: str) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(Broken(reason))
+        self._drop_message()
         self.abort()
 
+    def _drop_message(self) -> None:
+        """Free what is kept of a response that is complete or has failed."""
+        self._headers.clear()
+        self._body.clear()
+
     def _reset_message(self) -> None:
         self._in_message = False
         self._headers_done = False
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -385,6 +385,7 @@
         unsent_calls = self._body_sender.unsent_calls()
         self._body_sender.close()
         self._body_receiver.close()
+        self._buffer.clear()
         if self.peer is not None:
             for call in unsent_calls:
                 self._owner.on_call_unsent(self, call.call_id)
--- a/src/jasminecrank/mesh/transport/_paced_reading.py
+++ b/src/jasminecrank/mesh/transport/_paced_reading.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 import typing
+import weakref
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import state
@@ -32,7 +33,8 @@
     """Bytes of one connection that wait to be parsed."""
 
     def __init__(self, parser: SliceParser, turns: "ReadTurns") -> None:
-        self._parser = parser
+        self._parser: SliceParser = weakref.proxy(parser)
+        """A strong reference would keep both until garbage is collected."""
         self._turns = turns
         self.pace = state.ReadPace()
         self._held: deque[memoryview] = deque()
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 import functools
 import typing
+import weakref
 
 import httptools
 
@@ -17,6 +18,8 @@
 """Detail of a refusal because of the size of the head."""
 HEAD_MARGIN_BYTES = 1_024
 """Bytes of a head besides its target and headers, such as the method."""
+_ENDED_PARSER = httptools.HttpRequestParser(object())
+"""Parser of a reader that is closed, and which its own would refer to."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,7 +92,8 @@
     def __init__(
         self, owner: RequestOwner, budget: state.MemoryBudget
     ) -> None:
-        self._owner = owner
+        self._owner: RequestOwner = weakref.proxy(owner)
+        """A strong reference would keep both until garbage is collected."""
         self._budget = budget
         self._intake: _body_intake.BodyIntake | None = None
         """The body that is being received, if the request has one."""
@@ -211,6 +215,13 @@
                 held.intake.drop()
         self._held.clear()
 
+    def end(self) -> None:
+        """Read nothing more, and free everything that is kept."""
+        self._ended = True
+        self.close()
+        self._reset()
+        self._parser = _ENDED_PARSER
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self.events += 1
--- a/src/jasminecrank/mesh/transport/_status_server.py
+++ b/src/jasminecrank/mesh/transport/_status_server.py
@@ -21,6 +21,8 @@
 """Largest request, its body and framing included."""
 MAX_UNSENT_BYTES = 1024 * 1024
 """Size of the send buffer above which a connection is aborted."""
+_ENDED_PARSER = httptools.HttpRequestParser(object())
+"""Parser of a connection that has ended, and which its own would refer to."""
 
 
 class StatusConnection(asyncio.Protocol):
@@ -76,6 +78,7 @@
         self._idle.discard(self)
         self._cancel_timer()
         self._transport = None
+        self._parser = _ENDED_PARSER
 
     @property
     def idleness(self) -> state.Idleness | None:
