Parse the answers of servers in turns of the event loop

Cause: each read of a server was parsed in one go. 256 KiB in chunks of one byte are 43,000 events of the parser, during which answers, deadlines and reads of everybody else wait. Reads of callers are paced, those of servers were not. Trailers counted against the limit of a body, 4 MiB.

Change: connections to the backend server share the turns of the connections of callers: small answers are parsed at once, the rest in slices of 512 events a turn. A read of each may be held in any case, and is counted. Trailers have the limit of a head. What is held behind a complete answer is dropped with the connection, so that it cannot answer a later call.

--- a/features/mesh/server_connections.feature
+++ b/features/mesh/server_connections.feature
@@ -11,3 +11,18 @@
     Given a server that answers at once, and reads the body after 0.0 s
     When a call is sent on a new connection that has ended before the node reads that
     Then the call counts as not run, and the server has read no request
+
+  Scenario Outline: An answer that costs much to parse leaves turns to others
+    Given a server whose answer has <count> <what>
+    When a call is sent to it while others use the event loop
+    Then the call is <outcome>
+    And at most 1024 events were parsed in one turn of the event loop
+
+    Examples:
+      | count | what              | outcome              |
+      | 40000 | chunks of 1 byte  | served, 40000 bytes  |
+      | 40000 | chunks of 3 bytes | served, 120000 bytes |
+      | 10    | chunks of 90000 bytes | served, 900000 bytes |
+      | 9000  | header lines      | served, 2 bytes      |
+      | 20000 | trailers          | answer-too-large     |
+      | 20000 | interim responses | answer-too-large     |
--- a/features/steps/mesh_early_steps.py
+++ b/features/steps/mesh_early_steps.py
@@ -74,23 +74,29 @@
 
 @given("a server that answers at once, and reads the body after {pause_s:g} s")
 def step_server(context, pause_s):
+    context.server = EarlyServer(pause_s)
+    start_server(context, context.server.serve)
+
+
+def start_server(context, serve):
+    """Start a server, and a pool of connections to it."""
     context.exit_stack = contextlib.ExitStack()
     context.runner = context.exit_stack.enter_context(
         asyncio.Runner(loop_factory=uvloop.new_event_loop)
     )
-    context.server = EarlyServer(pause_s)
 
     async def listen():
-        server = await asyncio.start_server(
-            context.server.serve, "127.0.0.1", 0
-        )
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
         context.exit_stack.callback(server.close)
         clock = transport.BootClock()
+        log = transport.JsonLog("host-0", clock, len)
+        budget = state.MemoryBudget.from_memory_limit(300_000_000)
         context.pool = transport.ServerConnectionPool(
             server.sockets[0].getsockname(),
             platform.PlatformCodec(),
             clock,
-            transport.JsonLog("host-0", clock, len),
+            log,
+            transport.ReadTurns(budget, log),
         )
 
     context.runner.run(listen())
--- a/features/steps/mesh_server_connection_steps.py
+++ b/features/steps/mesh_server_connection_steps.py
@@ -47,8 +47,8 @@
 def step_new_ended(context):
     connect = _http_client.connect
 
-    async def connect_ended(*arguments):
-        connection = await connect(*arguments)
+    async def connect_ended(*arguments, **options):
+        connection = await connect(*arguments, **options)
         _shut_down(connection._transport)
         return connection
 
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -91,8 +91,9 @@
             config.backend_server.host,
             config.backend_server.port,
         )
+        turns = transport.ReadTurns(self.memory_budget, log)
         self._server_connections = transport.ServerConnectionPool(
-            server_address, codec, self._clock, log
+            server_address, codec, self._clock, log, turns
         )
         self.gate = coordination.GateTask(
             state.AdmissionController(),
@@ -131,6 +132,7 @@
             log,
             self.memory_budget,
             self._idle_connections,
+            turns,
         )
         self._source = coordination.SourceTask(
             source, self._tell_fleet, rng, log
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -213,13 +213,17 @@
         self._grant_waiting(old_part)
         return True
 
-    def keep_early(self, size_bytes: int) -> bool:
+    def keep_early(self, size_bytes: int, over_limit: bool = False) -> bool:
         """Count bytes of a body whose claim waits, unless there are too many.
 
+        `over_limit`: they are counted in any case.
         They belong to no part, as claims can only be granted if they do not
         take the room that they wait for.
         """
-        if self._early_bytes + size_bytes > self.early_limit_bytes:
+        if (
+            not over_limit
+            and self._early_bytes + size_bytes > self.early_limit_bytes
+        ):
             return False
         self._early_bytes += size_bytes
         return True
--- a/src/jasminecrank/mesh/transport/__init__.py
+++ b/src/jasminecrank/mesh/transport/__init__.py
@@ -30,6 +30,7 @@
 from jasminecrank.mesh.transport._log import (
     REQUEST_LINES_PER_S as REQUEST_LINES_PER_S,
 )
+from jasminecrank.mesh.transport._paced_reading import ReadTurns as ReadTurns
 from jasminecrank.mesh.transport._server_connections import (
     ServerConnectionPool as ServerConnectionPool,
 )
--- a/src/jasminecrank/mesh/transport/_caller_server.py
+++ b/src/jasminecrank/mesh/transport/_caller_server.py
@@ -28,6 +28,7 @@
         log: coordination.Log,
         budget: state.MemoryBudget,
         idle: _idle_connections.IdleConnections,
+        turns: _paced_reading.ReadTurns,
     ) -> None:
         self._context = _caller_connection.ConnectionContext(
             codec,
@@ -37,7 +38,7 @@
             budget,
             idle,
             state.AheadBudget.from_unsent_limit(budget.unsent_limit_bytes),
-            _paced_reading.ReadTurns(budget, log),
+            turns,
         )
         self._servers: list[asyncio.Server] = []
         self._sockets: list[socket.socket] = []
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -8,6 +8,7 @@
 
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _paced_reading
 from jasminecrank.mesh.transport import _sockets
 
 REASON_RESET = "connection-reset"
@@ -15,13 +16,15 @@
 REASON_TRUNCATED = "answer-cut"
 REASON_UNNAMED = "answer-unnamed"
 REASON_TOO_LARGE = "answer-too-large"
+REASON_COSTLY = "answer-read-cost"
+"""It costs more to parse than it carries, while others wait to be parsed."""
 MIN_STATUS = 100
 MIN_FINAL_STATUS = 200
 """Lower ones are those of interim responses."""
 MAX_STATUS = 599
 """Bounds of status codes (RFC 9110, 15)."""
 MAX_HEAD_BYTES = 65_536
-"""Largest head of a response, interim responses included."""
+"""Largest head of a response with interim ones, and its largest trailers."""
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest body of a response, so that each slot of a server may hold one."""
 
@@ -41,9 +44,25 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """Persistent connection that carries one request at a time."""
+    """Persistent connection that carries one request at a time.
 
-    def __init__(self) -> None:
+    `turns` are those of all connections that parse their bytes in slices;
+    without them, each read is parsed at once.
+    """
+
+    def __init__(self, turns: _paced_reading.ReadTurns | None = None) -> None:
+        self._paced: _paced_reading.PacedReader | None = None
+        if turns is not None:
+            self._paced = _paced_reading.PacedReader(
+                self, turns, is_bounded=True
+            )
+        self._is_paused = False
+        """Whether reading is paused."""
+        self._events = 0
+        """Events of the parser so far, by which reading costs time."""
+        self._parsed_bytes = 0
+        """Bytes parsed for the current exchange."""
+        self._trailer_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[protocol.RawResponse] | None = None
@@ -92,6 +111,9 @@
         self._head_only = request.method == b"HEAD"
         self._max_body_bytes = max_body_bytes
         self.received_bytes = 0
+        self._parsed_bytes = 0
+        if self._paced is not None:
+            self._paced.pace.start_request()
         self._on_progress = on_progress
         self._has_sent_body = bool(request.body)
         if len(request.body) > state.SMALL_BODY_BYTES:
@@ -174,6 +196,28 @@
             self.abort()
             return
         self.received_bytes += len(data)
+        if self._paced is None:
+            self.parse(memoryview(data), True)
+        else:
+            self._paced.receive(data)
+            self._drop_late_bytes()
+        self._update_reading()
+        if self._on_progress is not None:
+            self._on_progress()
+
+    @property
+    def takes_bytes(self) -> bool:
+        """Return whether more may be parsed now."""
+        return True
+
+    def parse(self, data: memoryview, ends_read: bool) -> int:
+        """Parse bytes, and return the number of the parser's events."""
+        del ends_read
+        if not self.is_exchanging:
+            self.usable = False
+            return 0
+        events = self._events
+        self._parsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -183,10 +227,39 @@
         max_bytes = MAX_HEAD_BYTES
         if self._headers_done:
             max_bytes += self._max_body_bytes
-        if self.received_bytes > max_bytes:
+        if self._parsed_bytes > max_bytes:
             self._fail(REASON_TOO_LARGE)
-        if self._on_progress is not None:
-            self._on_progress()
+        self._drop_late_bytes()
+        return self._events - events
+
+    def refuse_costly(self) -> None:
+        """Fail the exchange, and read nothing more."""
+        self._fail(REASON_COSTLY)
+
+    def on_held_parsed(self) -> None:
+        """Go on reading, since no bytes wait any more."""
+        self._update_reading()
+
+    def _drop_late_bytes(self) -> None:
+        """Drop bytes behind a response, which must not answer a later call."""
+        if self._paced is None or self.is_exchanging:
+            return
+        if self._paced.held_bytes:
+            self.usable = False
+            self._paced.drop()
+
+    def _update_reading(self) -> None:
+        """Read no more while bytes wait to be parsed."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        is_paused = self._paced is not None and self._paced.held_bytes > 0
+        if is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Complete a response whose body extends to the end of stream."""
@@ -198,6 +271,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending exchange."""
         del exc
+        if self._paced is not None:
+            self._paced.parse_rest()
         self.usable = False
         self.is_lost = True
         self._fail(REASON_TRUNCATED if self._headers_done else REASON_RESET)
@@ -206,6 +281,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the parser state; reject an unsolicited response."""
+        self._events += 1
         self._reset_message()
         self._in_message = True
         self._began_at_s = asyncio.get_running_loop().time()
@@ -217,9 +293,16 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header until the response is complete; drop a trailer."""
-        if self.is_exchanging and not self._headers_done:
+        """Store a header until the response is complete; count a trailer."""
+        self._events += 1
+        if not self.is_exchanging:
+            return
+        if not self._headers_done:
             self._headers.append((name, value))
+            return
+        self._trailer_bytes += len(name) + len(value) + 4
+        if self._trailer_bytes > MAX_HEAD_BYTES:
+            self._fail(REASON_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Determine the body framing and whether the connection persists."""
@@ -250,6 +333,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body until the response is complete."""
+        self._events += 1
         if self.is_exchanging:
             self._body.append(body)
 
@@ -307,6 +391,7 @@
     def _reset_message(self) -> None:
         self._in_message = False
         self._headers_done = False
+        self._trailer_bytes = 0
         self._body_until_close = False
         self.response_status = 0
         self._reason = b""
@@ -331,13 +416,17 @@
 
 
 async def connect(
-    host: str, port: int, timeout_s: float, local_host: str | None = None
+    host: str,
+    port: int,
+    timeout_s: float,
+    local_host: str | None = None,
+    turns: _paced_reading.ReadTurns | None = None,
 ) -> ClientConnection:
     """Open a connection, or raise OSError or TimeoutError."""
     loop = asyncio.get_running_loop()
     local = None if local_host is None else (local_host, 0)
     async with asyncio.timeout(timeout_s):
         _, connection = await loop.create_connection(
-            ClientConnection, host, port, local_addr=local
+            lambda: ClientConnection(turns), host, port, local_addr=local
         )
     return connection
--- a/src/jasminecrank/mesh/transport/_paced_reading.py
+++ b/src/jasminecrank/mesh/transport/_paced_reading.py
@@ -1,4 +1,4 @@
-"""Parses the bytes of callers in slices, between the turns of the loop."""
+"""Parses received bytes in slices, between the turns of the event loop."""
 
 import asyncio
 from collections import deque
@@ -23,19 +23,29 @@
         """
 
     def refuse_costly(self) -> None:
-        """Refuse the request that is being read, and read nothing more."""
+        """Refuse the message that is being read, and read nothing more."""
 
     def on_held_parsed(self) -> None:
         """Go on reading, since no bytes wait any more."""
 
 
 class PacedReader:
-    """Bytes of one connection that wait to be parsed."""
+    """Bytes of one connection that wait to be parsed.
 
-    def __init__(self, parser: SliceParser, turns: "ReadTurns") -> None:
+    `is_bounded`: few connections are of this kind, so that one read of each
+    may be held in any case.
+    """
+
+    def __init__(
+        self,
+        parser: SliceParser,
+        turns: "ReadTurns",
+        is_bounded: bool = False,
+    ) -> None:
         self._parser: SliceParser = weakref.proxy(parser)
         """A strong reference would keep both until garbage is collected."""
         self._turns = turns
+        self._is_bounded = is_bounded
         self.pace = state.ReadPace()
         self._held: deque[memoryview] = deque()
         self.held_bytes = 0
@@ -72,7 +82,7 @@
 
         A view keeps the memory of its whole read.
         """
-        if not self._turns.keep(_read_bytes(view)):
+        if not self._turns.keep(_read_bytes(view), self._is_bounded):
             self.drop()
             self._parser.refuse_costly()
             return
@@ -111,6 +121,12 @@
         else:
             self._parser.on_held_parsed()
 
+    def parse_rest(self) -> None:
+        """Parse all that is held, since the connection has ended."""
+        while self._held:
+            self.parse_next()
+        self.drop()
+
     def drop(self) -> None:
         """Drop what is held, which nobody will read."""
         self._turns.scheduler.discard(self)
@@ -143,9 +159,9 @@
         self.scheduler.turn_events += events
         self._schedule()
 
-    def keep(self, size_bytes: int) -> bool:
+    def keep(self, size_bytes: int, over_limit: bool) -> bool:
         """Return whether there is memory for bytes that are not parsed."""
-        return self._budget.keep_early(size_bytes)
+        return self._budget.keep_early(size_bytes, over_limit)
 
     def release(self, size_bytes: int) -> None:
         """Release the memory of bytes that have been parsed or dropped."""
--- a/src/jasminecrank/mesh/transport/_server_connections.py
+++ b/src/jasminecrank/mesh/transport/_server_connections.py
@@ -7,6 +7,7 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _http_client
+from jasminecrank.mesh.transport import _paced_reading
 
 CONNECT_TIMEOUT_S = 0.5
 """Timeout for connecting on the local host, which usually takes 1 ms."""
@@ -31,11 +32,13 @@
         codec: protocol.ServerCodec,
         clock: coordination.Clock,
         log: coordination.Log,
+        turns: _paced_reading.ReadTurns,
     ) -> None:
         self._address = address
         self._codec = codec
         self._clock = clock
         self._log = log
+        self._turns = turns
         self._idle: list[_http_client.ClientConnection] = []
         self._sending: list[_http_client.ClientConnection] = []
         """Connections whose server has answered before it took the body."""
@@ -144,7 +147,7 @@
             connection.abort()
         self._log.count("server_connections")
         connection = await _http_client.connect(
-            *self._address, CONNECT_TIMEOUT_S
+            *self._address, CONNECT_TIMEOUT_S, turns=self._turns
         )
         self._in_memory.add(connection)
         if not connection.is_open:
