Count the answers of backend servers in the memory budget

Callers saw their requests end with the node's process, which ran out of memory beside a backend server with many slots.

Cause: an answer is bounded by 4 MiB, but nothing bounded the answers together, and the parts of a body and the whole body were held at the same time.

Change: answers of the own backend server over 64 KiB have a part of the memory budget, 0.06 of the memory limit, taken from the share for unsent answers (0.2 before, 0.14 now). An answer claims its announced length, or the largest size, and is read no further until that is granted; its bytes are mapped once and given back when the link or the caller has taken them. A single one is taken in any case. A body above 4 MiB without a length fails as too large at that size. The random claims of the test play the new part too; the bounds of the others are as before.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -24,6 +24,12 @@
       | 80 MB of answers                  | 0.06 MB     | caller | granted      |
       | 80 MB of answers                  | 64 MB       | link   | granted      |
       | 40 MB of answers                  | 30 MB       | caller | granted      |
+      | nothing                           | 4 MB        | server | granted      |
+      | nothing                           | 30 MB       | server | granted      |
+      | 15 MB for a server                | 4 MB        | server | waiting      |
+      | 15 MB for a server                | 2 MB        | server | granted      |
+      | 64 MB for a caller, 64 MB for a link, 80 MB of answers | 4 MB | server | granted |
+      | 15 MB for a server                | 64 MB       | caller | granted      |
 
   Scenario: Claims are granted in order of arrival
     Given the budget of a node with 300 MB that holds 64 MB for a caller
--- a/features/steps/mesh_endless_server_steps.py
+++ b/features/steps/mesh_endless_server_steps.py
@@ -3,15 +3,39 @@
 import asyncio
 import itertools
 
+from behave import given
 from behave import then
 from behave import when
 import process_start_steps
 
 from jasminecrank.standins import fleet
 
+ENDLESS_FAULTS = "send-"
 ENDLESS_MAX_BYTES = 1_500_000_000
 DEADLINE_MS = 4_000
 RECOVERY_S = 10.0
+SETTLE_S = 0.5
+"""Time in which a node reads a change of the store."""
+
+
+@given("its server has {slots:d} slots and answers of {size:d} bytes")
+def step_slots(context, slots, size):
+    node = context.node
+    node.server.slots = slots
+    node.server.min_body_bytes = size
+    entry = fleet.server_entry(
+        f"{process_start_steps.HOST}:{node.ports['server']}",
+        "belt-a",
+        slots,
+        "ready",
+        0,
+    )
+
+    async def act():
+        await node.store.put("servers/i-0", entry)
+        await asyncio.sleep(SETTLE_S)
+
+    context.runner.run(act())
 
 
 @when(
@@ -21,7 +45,7 @@
 def step_call(context, callers, what, calls):
     node = context.node
     node.server.default_behaviour = fleet.Behaviour(what)
-    node.server.endless_health = True
+    node.server.endless_health = what.startswith(ENDLESS_FAULTS)
     node.server.endless_max_bytes = ENDLESS_MAX_BYTES
     numbers = itertools.count()
 
@@ -55,4 +79,5 @@
     node = context.node
     node.server.default_behaviour = fleet.Behaviour.SERVE
     node.server.endless_health = False
+    node.server.min_body_bytes = 0
     context.runner.run(node.until(node.is_serving, RECOVERY_S))
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -34,6 +34,7 @@
 DELISTED_S = 0.3
 """Time in which nodes learn that a server has left the store."""
 USE_BY_NAME = {use.value: use for use in state.BodyUse}
+REQUEST_USES = (state.BodyUse.CALLER, state.BodyUse.LINK)
 
 
 def claim_text(budget, text):
@@ -117,13 +118,15 @@
         self.size_by_held = {}
         self.size_by_waiting = {}
         self.size_by_answer = {}
+        self.size_by_server_answer = {}
+        self.size_by_waiting_answer = {}
 
     def _on_granted(self, box):
         claim_id = box[0]
         self.size_by_held[claim_id] = self.size_by_waiting.pop(claim_id)
 
     @stateful.rule(
-        use=strategies.sampled_from(state.BodyUse),
+        use=strategies.sampled_from(REQUEST_USES),
         size=strategies.integers(1, 300_000) | strategies.integers(1, 65_536),
         waits=strategies.booleans(),
     )
@@ -163,6 +166,39 @@
         claim_id = self.budget.claim_answer(size)
         self.size_by_answer[claim_id] = size
 
+    @stateful.rule(size=strategies.integers(1, 100_000))
+    def claim_server_answer(self, size):
+        box = []
+
+        def on_granted():
+            claim_id = box[0]
+            self.size_by_server_answer[claim_id] = (
+                self.size_by_waiting_answer.pop(claim_id)
+            )
+
+        match self.budget.claim(state.BodyUse.SERVER, size, on_granted):
+            case state.Granted(claim_id):
+                self.size_by_server_answer[claim_id] = size
+            case state.Waiting(claim_id):
+                assert self.size_by_server_answer
+                box.append(claim_id)
+                self.size_by_waiting_answer[claim_id] = size
+            case state.Denied():
+                raise AssertionError("an answer was denied")
+
+    @stateful.precondition(lambda self: self.size_by_server_answer)
+    @stateful.rule(data=strategies.data())
+    def release_server_answer(self, data):
+        ids = sorted(
+            {*self.size_by_server_answer, *self.size_by_waiting_answer}
+        )
+        self._release_server_answer(data.draw(strategies.sampled_from(ids)))
+
+    def _release_server_answer(self, claim_id):
+        self.size_by_server_answer.pop(claim_id, None)
+        self.size_by_waiting_answer.pop(claim_id, None)
+        self.budget.release(claim_id)
+
     @stateful.precondition(lambda self: self.size_by_answer)
     @stateful.rule(data=strategies.data())
     def release_answer(self, data):
@@ -206,12 +242,19 @@
     def within_budget(self):
         held = sum(self.size_by_held.values())
         answers = sum(self.size_by_answer.values())
-        assert held + answers == self.budget.held_bytes
-        assert held <= self.budget.limit_bytes
-        assert self.budget.limit_bytes <= 550_000
+        server_answers = sum(self.size_by_server_answer.values())
+        assert held + answers + server_answers == self.budget.held_bytes
+        assert held <= 550_000
+        assert server_answers <= 60_000 or (
+            len(self.size_by_server_answer) == 1
+        )
+        assert self.budget.limit_bytes <= 610_000
 
     def teardown(self):
         """Release what is held until nothing waits."""
+        while self.size_by_server_answer:
+            self._release_server_answer(min(self.size_by_server_answer))
+        assert not self.size_by_waiting_answer
         while self.size_by_answer:
             self._release_answer(min(self.size_by_answer))
         while self.size_by_held:
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -15,7 +15,9 @@
 
 One read can bring a body along with its head.
 """
-UNSENT_SHARE = 0.2
+ANSWER_SHARE = 0.06
+"""Share of the memory limit for answers of the own backend server."""
+UNSENT_SHARE = 0.14
 """Share of the memory limit for answers that callers do not take."""
 SMALL_SHARE = 0.125
 """Share of the budget for small bodies."""
@@ -30,25 +32,30 @@
 
     CALLER = "caller"
     LINK = "link"
+    SERVER = "server"
 
 
 class BudgetPart(enum.Enum):
     """Part of the budget from which a body is taken.
 
     Callers and links have parts of their own. Otherwise, nodes whose budgets
-    are full of their callers' bodies could not pass any of them on.
+    are full of their callers' bodies could not pass any of them on. So have
+    answers, whose calls have run.
     """
 
     SMALL = "small"
     CALLERS = "callers"
     LINKS = "links"
+    ANSWERS = "answers"
 
     @classmethod
     def of(cls, use: BodyUse, size_bytes: int) -> typing.Self:
         """Return the part for a body of a size."""
-        if size_bytes <= SMALL_BODY_BYTES:
+        if size_bytes <= SMALL_BODY_BYTES and use is not BodyUse.SERVER:
             return cls(cls.SMALL)
         match use:
+            case BodyUse.SERVER:
+                return cls(cls.ANSWERS)
             case BodyUse.CALLER:
                 return cls(cls.CALLERS)
             case BodyUse.LINK:
@@ -92,13 +99,21 @@
 @dataclass(slots=True)
 class _Part:
     limit_bytes: int
+    takes_any: bool = False
+    """Whether a body above the limit is taken while there is no other."""
     held_bytes: int = 0
     size_by_waiting_id: dict[int, int] = field(default_factory=dict)
     """In order of arrival."""
 
     def has_room(self, size_bytes: int) -> bool:
+        if self.takes_any and self.held_bytes == 0:
+            return True
         return self.held_bytes + size_bytes <= self.limit_bytes
 
+    def is_too_large(self, size_bytes: int) -> bool:
+        """Return whether there is never room."""
+        return size_bytes > self.limit_bytes and not self.takes_any
+
 
 @dataclass(slots=True)
 class MemoryBudget:
@@ -124,6 +139,9 @@
                 BudgetPart.SMALL: _Part(small_bytes),
                 BudgetPart.CALLERS: _Part(large_bytes),
                 BudgetPart.LINKS: _Part(large_bytes),
+                BudgetPart.ANSWERS: _Part(
+                    int(ANSWER_SHARE * limit_bytes), takes_any=True
+                ),
             },
             int(UNSENT_SHARE * limit_bytes),
             int(EARLY_SHARE * limit_bytes),
@@ -162,7 +180,7 @@
         """
         kind = BudgetPart.of(use, size_bytes)
         part = self._part_by_kind[kind]
-        if size_bytes > part.limit_bytes:
+        if part.is_too_large(size_bytes):
             return Denied(True)
         can_start = not part.size_by_waiting_id and part.has_room(size_bytes)
         if not can_start and on_granted is None:
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -9,6 +9,7 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _paced_reading
+from jasminecrank.mesh.transport import _response_body
 from jasminecrank.mesh.transport import _sockets
 
 REASON_RESET = "connection-reset"
@@ -26,7 +27,7 @@
 MAX_HEAD_BYTES = 65_536
 """Largest head of a response with interim ones, and its largest trailers."""
 MAX_BODY_BYTES = 4 * 1024 * 1024
-"""Largest body of a response, so that each slot of a server may hold one."""
+"""Largest body of a response."""
 
 _ENDED_PARSER = httptools.HttpResponseParser(object())
 """Parser of a connection that has ended.
@@ -46,11 +47,13 @@
 class ClientConnection(asyncio.Protocol):
     """Persistent connection that carries one request at a time.
 
-    `turns` are those of all connections that parse their bytes in slices;
-    without them, each read is parsed at once.
+    `turns` are those of all connections that parse their bytes in slices, and
+    name the budget of large bodies; without them, each read is parsed at once,
+    and nothing is claimed.
     """
 
     def __init__(self, turns: _paced_reading.ReadTurns | None = None) -> None:
+        self._turns = turns
         self._paced: _paced_reading.PacedReader | None = None
         if turns is not None:
             self._paced = _paced_reading.PacedReader(
@@ -208,7 +211,7 @@
     @property
     def takes_bytes(self) -> bool:
         """Return whether more may be parsed now."""
-        return True
+        return not self._body.is_waiting
 
     def parse(self, data: memoryview, ends_read: bool) -> int:
         """Parse bytes, and return the number of the parser's events."""
@@ -249,13 +252,17 @@
             self._paced.drop()
 
     def _update_reading(self) -> None:
-        """Read no more while bytes wait to be parsed."""
+        """Read no more while bytes wait to be parsed, or a body for memory."""
         if self._transport is None or self._transport.is_closing():
             return
-        is_paused = self._paced is not None and self._paced.held_bytes > 0
+        is_paused = self._body.is_waiting or (
+            self._paced is not None and self._paced.held_bytes > 0
+        )
         if is_paused == self._is_paused:
             return
         self._is_paused = is_paused
+        if self._body.is_waiting and self._turns is not None:
+            self._turns.record_memory_wait()
         if is_paused:
             self._transport.pause_reading()
         else:
@@ -324,6 +331,8 @@
         length = protocol.find_header(headers, b"content-length")
         if length is not None and int(length) > self._max_body_bytes:
             self._fail(REASON_TOO_LARGE)
+        elif length is not None and not self._head_only:
+            self._body.announce(int(length))
         idle_timeout_s = protocol.keep_alive_timeout_s(headers)
         if idle_timeout_s is not None:
             self.idle_timeout_s = idle_timeout_s
@@ -334,8 +343,8 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body until the response is complete."""
         self._events += 1
-        if self.is_exchanging:
-            self._body.append(body)
+        if self.is_exchanging and not self._body.add(body):
+            self._fail(REASON_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Return the response to its exchange, or drop an unsolicited one."""
@@ -352,7 +361,7 @@
             self.response_status,
             self._reason,
             tuple(self._headers),
-            b"".join(self._body),
+            self._body.finish(),
         )
         self._drop_message()
         if self.response_status < MIN_FINAL_STATUS:
@@ -386,7 +395,23 @@
     def _drop_message(self) -> None:
         """Free what is kept of a response that is complete or has failed."""
         self._headers.clear()
-        self._body.clear()
+        self._body.drop()
+
+    def _new_body(self) -> _response_body.ResponseBody:
+        budget = None if self._turns is None else self._turns.budget
+        return _response_body.ResponseBody(
+            budget, self._max_body_bytes, self._schedule_body
+        )
+
+    def _schedule_body(self) -> None:
+        """Read the body soon; its claim can be granted at any point."""
+        asyncio.get_running_loop().call_soon(self._resume_body)
+
+    def _resume_body(self) -> None:
+        self._body.resume()
+        if self._paced is not None:
+            self._paced.resume()
+        self._update_reading()
 
     def _reset_message(self) -> None:
         self._in_message = False
@@ -396,7 +421,7 @@
         self.response_status = 0
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = self._new_body()
 
 
 def _is_valid_status(status: int, headers: state.Headers) -> bool:
--- a/src/jasminecrank/mesh/transport/_paced_reading.py
+++ b/src/jasminecrank/mesh/transport/_paced_reading.py
@@ -150,7 +150,7 @@
         self.scheduler: state.ReadScheduler[PacedReader] = (
             state.ReadScheduler()
         )
-        self._budget = budget
+        self.budget = budget
         self._log = log
         self._is_scheduled = False
 
@@ -161,11 +161,15 @@
 
     def keep(self, size_bytes: int, over_limit: bool) -> bool:
         """Return whether there is memory for bytes that are not parsed."""
-        return self._budget.keep_early(size_bytes, over_limit)
+        return self.budget.keep_early(size_bytes, over_limit)
 
     def release(self, size_bytes: int) -> None:
         """Release the memory of bytes that have been parsed or dropped."""
-        self._budget.drop_early(size_bytes)
+        self.budget.drop_early(size_bytes)
+
+    def record_memory_wait(self) -> None:
+        """Count an answer that is not read further before it has memory."""
+        self._log.count("answer_memory_waits")
 
     def add(self, reader: PacedReader) -> None:
         """Let a connection wait for its next turn."""
