Show nodes that fill up with answers nobody reads

Callers that nobody controls can ask for large answers and read none of them. All their requests are within the limits of the table, but the memory of a node that passes such answers on goes far over its limit, above which the platform ends the process with all its calls.

The deployment of the fault soak takes the memory limit as an argument.

--- /dev/null
+++ b/features/steps/mesh_unread_answer_steps.py
@@ -0,0 +1,113 @@
+"""Steps for callers that do not read their answers."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import re
+import socket
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from jasminecrank.standins import fleet
+from jasminecrank.standins.soak import _deployment
+
+RECEIVE_BUFFER_BYTES = 4_096
+CROWD_S = 8.0
+"""Time for which a crowd stays; the answers need a part of it."""
+SETTLE_S = 0.5
+HEAD = (
+    "GET /files/{size} HTTP/1.1\r\nHost: a.example\r\n"
+    "Request-Id: {request_id}\r\nDeadline-Ms: 15000\r\n\r\n"
+)
+
+
+@given("{hosts:d} node processes with {memory_mb:d} MB each")
+def step_nodes(context, hosts, memory_mb):
+    context.exit_stack = contextlib.ExitStack()
+    folder = context.exit_stack.enter_context(tempfile.TemporaryDirectory())
+    context.runner = context.exit_stack.enter_context(asyncio.Runner())
+    context.nodes = _deployment.SoakDeployment(
+        random.Random(1), hosts, pathlib.Path(folder), memory_mb=memory_mb
+    )
+    context.exit_stack.callback(
+        lambda: context.runner.run(context.nodes.close())
+    )
+    context.runner.run(context.nodes.start())
+
+
+@when(
+    "{connections:d} callers of one node send {requests:d} requests each for "
+    "{size:d} bytes and read nothing"
+)
+def step_crowd(context, connections, requests, size):
+    address = (context.nodes.host(0), context.nodes.ports["callers"])
+    context.crowd = []
+
+    async def connect(number):
+        sock = socket.socket()
+        context.exit_stack.callback(sock.close)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, address)
+        heads = (
+            HEAD.format(size=size, request_id=f"{number:08x}{turn:08x}")
+            for turn in range(requests)
+        )
+        await loop.sock_sendall(sock, "".join(heads).encode())
+        context.crowd.append(sock)
+
+    async def act():
+        await asyncio.gather(*(connect(n) for n in range(connections)))
+        await asyncio.sleep(CROWD_S)
+
+    context.runner.run(act())
+
+
+async def _ordinary_statuses(nodes):
+    statuses = []
+    for number in nodes.hosts:
+        caller = fleet.Caller(nodes.host(number), nodes.ports["callers"])
+        try:
+            response = await caller.request("GET", "/open/1", None, 5_000)
+            statuses.append(response.status)
+        finally:
+            caller.close()
+    return statuses
+
+
+@then(
+    "each node answers an ordinary request beside them, and after they have "
+    "left"
+)
+def step_ordinary(context):
+    nodes = context.nodes
+
+    async def act():
+        statuses = await _ordinary_statuses(nodes)
+        for sock in context.crowd:
+            sock.close()
+        await asyncio.sleep(SETTLE_S)
+        return statuses + await _ordinary_statuses(nodes)
+
+    statuses = context.runner.run(act())
+    assert set(statuses) == {200}, statuses
+
+
+@then("each process still runs and has never had more than {memory_mb:d} MB")
+def step_memory(context, memory_mb):
+    assert not context.nodes.records.process_ends, (
+        context.nodes.records.process_ends
+    )
+    peaks_mb = []
+    for node in context.nodes.nodes:
+        status = pathlib.Path(f"/proc/{node.process_id}/status").read_text()
+        peak = re.search(r"VmHWM:\s+(\d+) kB", status)
+        peaks_mb.append(int(peak[1]) * 1024 / 1e6)
+    assert max(peaks_mb) <= memory_mb, peaks_mb
--- a/src/jasminecrank/standins/soak/_deployment.py
+++ b/src/jasminecrank/standins/soak/_deployment.py
@@ -43,6 +43,7 @@
         hosts: int,
         folder: pathlib.Path,
         node_path: pathlib.Path | None = None,
+        memory_mb: int = MEMORY_LIMIT_MB,
     ) -> None:
         self.rng = rng
         self.hosts = range(hosts)
@@ -68,6 +69,7 @@
         """Hosts whose node processes get their processors late."""
         self._folder = folder
         self._node_path = node_path
+        self._memory_mb = memory_mb
         self.unlisted_hosts: set[int] = set()
         """Hosts whose servers have no entry at the start."""
         self._tasks: list[asyncio.Task[None]] = []
@@ -172,7 +174,7 @@
 outbound = "{host}:{self.ports["callers"]}"
 ready = "{host}:{self.ports["ready"]}"
 [limits]
-memoryMb = {MEMORY_LIMIT_MB}
+memoryMb = {self._memory_mb}
 [platform]
 address = "{host}:{self.ports["store"]}"
 """
