Send large replies on a link one at a time

What callers saw: nodes whose callers asked for many large answers went over their memory limit. All replies of a link were sent part by part in turn, and announced at once, so that the receiver held a part of each and claimed memory for all, while none was complete and could be passed on.

Now the reply with the fewest bytes left is sent first, in turn with the bodies of requests, and is announced with its first part.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -74,6 +74,11 @@
     When 12 answers of 4 MB are sent at the same time
     Then all 12 arrive whole on the link
 
+  Scenario: Large answers beside each other are on their way one at a time
+    Given a link between two nodes with 300 MB
+    When answers of 4, 2, 3 and 1 MB are sent at the same time and dropped
+    Then they arrive as 1, 2, 3 and 4 MB, and no more was held at a time
+
   Scenario: Answers of peers are counted, and are taken over the limit too
     Given a link between two nodes with 300 MB
     When 20 answers of 4 MB are kept, and then dropped
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -501,6 +501,33 @@
     play(context, act)
 
 
+@when("answers of 4, 2, 3 and 1 MB are sent at the same time and dropped")
+def step_answers_in_turn(context):
+    nodes = context.nodes
+    context.seen_mb = []
+
+    def on_message(link, message):
+        del link
+        held_mb = nodes.budget.held_bytes / MB
+        context.seen_mb.append((len(message.body) / MB, held_mb))
+        nodes.receiver._changed.set()
+
+    async def act(link):
+        nodes.receiver.on_message = on_message
+        for number, size in enumerate((4, 2, 3, 1)):
+            link.send(make_answer(number, size * MB))
+        await nodes.receiver.wait_until(lambda: len(context.seen_mb) == 4)
+
+    play(context, act)
+
+
+@then("they arrive as 1, 2, 3 and 4 MB, and no more was held at a time")
+def step_arrived_in_turn(context):
+    sizes_mb = [size_mb for size_mb, _ in context.seen_mb]
+    assert sizes_mb == [1, 2, 3, 4], context.seen_mb
+    assert all(held <= size for size, held in context.seen_mb), context.seen_mb
+
+
 @when("{count:d} answers of {size:d} MB are kept, and then dropped")
 def step_answers_kept(context, count, size):
     nodes = context.nodes
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -6,6 +6,7 @@
 import dataclasses
 from dataclasses import dataclass
 import itertools
+import typing
 
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
@@ -36,16 +37,33 @@
         return True
 
     @property
-    def is_sent(self) -> bool:
-        return self.sent_bytes == len(self.carrier.body)
+    def unsent_bytes(self) -> int:
+        return len(self.carrier.body) - self.sent_bytes
+
+    def announce(self, send: _SendMessage) -> bool:
+        """Send the message without its body; return as `send_part`."""
+        carrier = dataclasses.replace(self.carrier, body=b"")
+        return send(
+            coordination.BodyFollows(
+                self.transfer_id,
+                len(self.carrier.body),
+                protocol.encode_unframed(carrier),
+            )
+        )
 
 
 class BodySender:
-    """Sends the large bodies of a link part by part, in turn."""
+    """Sends the large bodies of a link part by part.
+
+    Requests take turns. Of the replies, the one with the fewest bytes left
+    is sent first, since the receiver holds each of which it has a part.
+    """
 
     def __init__(self, send: _SendMessage) -> None:
         self._send = send
-        self._transfers: deque[_Outgoing] = deque()
+        self._requests: deque[_Outgoing] = deque()
+        self._replies: list[_Outgoing] = []
+        self._reply_is_next = False
         self._ids = itertools.count(1)
         self._paused = False
         self._turn: asyncio.Handle | None = None
@@ -54,47 +72,40 @@
     def unsent_bytes(self) -> int:
         """Return the bytes of bodies that are still to be written."""
         return sum(
-            len(transfer.carrier.body) - transfer.sent_bytes
-            for transfer in self._transfers
+            transfer.unsent_bytes
+            for transfer in (*self._requests, *self._replies)
         )
 
     def unsent_calls(self) -> tuple[coordination.CallSent, ...]:
         """Return the calls of which a part is still to be written."""
         return tuple(
             transfer.carrier
-            for transfer in self._transfers
+            for transfer in self._requests
             if isinstance(transfer.carrier, coordination.CallSent)
         )
 
     def unsent_replies(self) -> tuple[int, ...]:
         """Return the calls whose replies are still to be written whole."""
-        return tuple(
-            transfer.carrier.call_id
-            for transfer in self._transfers
-            if isinstance(transfer.carrier, coordination.CallServed)
-        )
+        return tuple(transfer.carrier.call_id for transfer in self._replies)
 
     def start(self, carrier: _Carrier) -> None:
         """Send a message; its body follows as the link has room."""
         transfer = _Outgoing(next(self._ids), carrier)
-        head = protocol.encode_unframed(dataclasses.replace(carrier, body=b""))
-        self._send(
-            coordination.BodyFollows(
-                transfer.transfer_id, len(carrier.body), head
-            )
-        )
-        self._transfers.append(transfer)
+        match carrier:
+            case coordination.CallSent():
+                transfer.announce(self._send)
+                self._requests.append(transfer)
+            case coordination.CallServed():
+                self._replies.append(transfer)
+            case _:
+                typing.assert_never(carrier)
         self._schedule_turn()
 
     def cancel_call(self, call_id: int) -> None:
         """Stop sending the body of a call that is no longer to run."""
-        for transfer in list(self._transfers):
-            carrier = transfer.carrier
-            if (
-                isinstance(carrier, coordination.CallSent)
-                and carrier.call_id == call_id
-            ):
-                self._transfers.remove(transfer)
+        for transfer in list(self._requests):
+            if transfer.carrier.call_id == call_id:
+                self._requests.remove(transfer)
                 self._send(coordination.BodyAbandoned(transfer.transfer_id))
 
     def pause(self) -> None:
@@ -108,27 +119,53 @@
 
     def close(self) -> None:
         """Drop all transfers."""
-        self._transfers.clear()
+        self._requests.clear()
+        self._replies.clear()
         if self._turn is not None:
             self._turn.cancel()
 
     def _schedule_turn(self) -> None:
-        if self._transfers and not self._paused and self._turn is None:
+        if self._paused or self._turn is not None:
+            return
+        if self._requests or self._replies:
             self._turn = asyncio.get_running_loop().call_soon(self._take_turn)
 
     def _take_turn(self) -> None:
         """Send one part; other messages can be sent before the next."""
         self._turn = None
-        if self._paused or not self._transfers:
+        if self._paused:
             return
-        transfer = self._transfers[0]
+        sends_reply = bool(self._replies) and (
+            self._reply_is_next or not self._requests
+        )
+        self._reply_is_next = not sends_reply
+        is_open = self._send_reply() if sends_reply else self._send_request()
+        if is_open:
+            # Otherwise, the end of the link is about to be reported.
+            self._schedule_turn()
+
+    def _send_request(self) -> bool:
+        """Send a part of the next request; return as `send_part`."""
+        if not self._requests:
+            return False
+        transfer = self._requests[0]
         if not transfer.send_part(self._send):
-            # The end of the link is about to be reported.
-            return
-        self._transfers.popleft()
-        if not transfer.is_sent:
-            self._transfers.append(transfer)
-        self._schedule_turn()
+            return False
+        self._requests.popleft()
+        if transfer.unsent_bytes:
+            self._requests.append(transfer)
+        return True
+
+    def _send_reply(self) -> bool:
+        """Send a part of the shortest reply; return as `send_part`."""
+        transfer = min(self._replies, key=lambda reply: reply.unsent_bytes)
+        if not transfer.sent_bytes and not transfer.announce(self._send):
+            return False
+        if not transfer.send_part(self._send):
+            return False
+        if not transfer.unsent_bytes:
+            self._replies.remove(transfer)
+        return True
 
 
 @dataclass(slots=True)
