Free what blocked callers have taken of large answers

What callers saw: nodes whose callers asked for large answers and read none of them went over their memory limit. Of an answer of 4 MB, the kernel took 2.8 MB at once and the node counted the other 1.2 MB as unsent, but it held the mapped body whole until its last byte was taken: 80 MB beside a limit of 24 MB for unsent answers.

Before unsent bytes are compared with their limit, the pages that have been sent are given back, so that the bytes that are counted are those that are held. Which connections are disconnected does not change. The scenario checks that the rest of a body stays as it is; the answers to callers in owed_answers.feature are now compared whole.

What remains are answers of its own backend server, which are not mapped yet.

--- a/features/mesh/unread_answers.feature
+++ b/features/mesh/unread_answers.feature
@@ -15,3 +15,17 @@
       | 60          | 1        | 4000000 |
       | 20          | 8        | 4000000 |
       | 200         | 1        | 1000000 |
+
+  Scenario Outline: Memory of what a caller has taken of an answer is freed
+    Given a caller's connection at a node with 100000000 bytes of memory
+    When 1 requests run, and the caller takes no more answers
+    And a mapped answer of 4000000 bytes comes, and <left> bytes are not taken
+    Then at least <freed> bytes of it are freed, and the rest is unchanged
+
+    Examples:
+      | left    | freed   |
+      | 4000100 | 0       |
+      | 4000000 | 0       |
+      | 3990000 | 0       |
+      | 1000000 | 2930000 |
+      | 1       | 3930000 |
--- a/features/steps/mesh_owed_steps.py
+++ b/features/steps/mesh_owed_steps.py
@@ -118,6 +118,7 @@
     start = f"body of {request_id}".encode()
     assert answer.status == 200, answer.status
     assert answer.body.startswith(start), answer.body[:40]
+    assert not answer.body[len(start) :].strip(b"."), "body changed"
     least = max(server.min_body_bytes for server in context.fleet.servers)
     assert len(answer.body) >= least, len(answer.body)
 
--- a/features/steps/mesh_unread_answer_steps.py
+++ b/features/steps/mesh_unread_answer_steps.py
@@ -12,6 +12,8 @@
 from behave import then
 from behave import when
 
+from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _body_buffer
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _deployment
 
@@ -111,3 +113,30 @@
         peak = re.search(r"VmHWM:\s+(\d+) kB", status)
         peaks_mb.append(int(peak[1]) * 1024 / 1e6)
     assert max(peaks_mb) <= memory_mb, peaks_mb
+
+
+@when(
+    "a mapped answer of {size:d} bytes comes, and {left:d} bytes are not taken"
+)
+def step_mapped_answer(context, size, left):
+    buffer = _body_buffer.BodyBuffer(size)
+    buffer.append(b"x" * size)
+    context.body = buffer.view()
+
+    async def act():
+        for call in context.arrived:
+            call.reply(state.Response(200, b"OK", (), context.body))
+        context.left_bytes = left
+        context.transport.unsent_bytes = left
+        context.shared.limit_unsent()
+
+    context.runner.run(act())
+
+
+@then("at least {freed:d} bytes of it are freed, and the rest is unchanged")
+def step_freed(context, freed):
+    rest = bytes(context.body).lstrip(b"\0")
+    assert rest == b"x" * len(rest), rest[:40]
+    freed_bytes = len(context.body) - len(rest)
+    assert freed_bytes >= freed, freed_bytes
+    assert len(rest) >= min(context.left_bytes, len(context.body))
--- a/src/jasminecrank/mesh/transport/_body_buffer.py
+++ b/src/jasminecrank/mesh/transport/_body_buffer.py
@@ -54,3 +54,15 @@
     def view(self) -> memoryview:
         """Return the bytes received so far, without a copy."""
         return memoryview(self._map)[: self.received_bytes]
+
+
+def free_start(body: state.Body, size_bytes: int) -> None:
+    """Give the memory of the first bytes of a mapped body back.
+
+    Nobody may read them any more.
+    """
+    if not isinstance(body, memoryview) or not isinstance(body.obj, mmap.mmap):
+        return
+    whole_pages = size_bytes // mmap.PAGESIZE * mmap.PAGESIZE
+    if whole_pages:
+        body.obj.madvise(mmap.MADV_DONTNEED, 0, whole_pages)
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -16,6 +16,7 @@
 from jasminecrank.mesh.transport import _paced_reading
 from jasminecrank.mesh.transport import _request_reader
 from jasminecrank.mesh.transport import _sockets
+from jasminecrank.mesh.transport import _unsent_bodies
 
 LINGER_S = 1.0
 """Time for a caller to close its side after the last answer.
@@ -104,7 +105,12 @@
     """Connections whose callers do not take answers, longest first."""
 
     def limit_unsent(self) -> None:
-        """Abort the longest blocked connections while too much is unsent."""
+        """Abort the longest blocked connections while too much is unsent.
+
+        What their callers have taken is freed first.
+        """
+        for connection in self.blocked:
+            connection.free_sent()
         unsent_by_connection = {
             connection: connection.unsent_bytes for connection in self.blocked
         }
@@ -140,6 +146,8 @@
         self._unread_at_end_bytes = 0
         """Bytes that the kernel held when this node closed the connection."""
         self._dropped_bytes = 0
+        self._unsent_bodies = _unsent_bodies.UnsentBodies()
+        """Those written since the caller takes no more."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timer."""
@@ -272,6 +280,7 @@
         """Continue with the next request."""
         self._debts.write_blocked = False
         self._context.blocked.pop(self, None)
+        self._unsent_bodies.clear()
         self._update_reading()
         self._write_due()
         self._continue()
@@ -300,6 +309,7 @@
             )
         self._cancel_timer()
         self._transport = None
+        self._unsent_bodies.clear()
         self._paced.drop()
         for waiting in self._waiting:
             self._release_claim(waiting.claim_id)
@@ -408,6 +418,13 @@
             self._unread_at_end_bytes = self._unread_bytes
             self._transport.abort()
 
+    def free_sent(self) -> None:
+        """Free the memory of what the blocked caller has taken."""
+        if self._transport is not None:
+            self._unsent_bodies.free_sent(
+                self._transport.get_write_buffer_size()
+            )
+
     @property
     def unanswered(self) -> int:
         """Return the number of complete requests without a response."""
@@ -724,6 +741,8 @@
             raw, method, last, limits.idle_timeout_s
         )
         self._transport.writelines(response)
+        if self._debts.write_blocked:
+            self._unsent_bodies.add(response)
         if last:
             self._end()
             return
