Read answers on a link once in a turn of the event loop

What callers saw: beside callers that read none of their large answers, a node with many peers went over its memory limit, though it disconnects such callers. It does so one turn of the event loop after an answer was written, and their memory is free another turn later; meanwhile each link brought what its kernel held, since libuv reads a stream up to 32 times in a turn. With 12 hosts, 107 MB of answers were unsent beside a limit of 60 MB.

A link on which parts of an answer arrive pauses reading until the next turn. Links that bring bodies of requests are read as before.

A transport of links.feature gets the two methods.

--- a/features/mesh/unread_answers.feature
+++ b/features/mesh/unread_answers.feature
@@ -29,3 +29,13 @@
       | 3990000 | 0       |
       | 1000000 | 2930000 |
       | 1       | 3930000 |
+
+  Scenario Outline: A link that brings an answer is read once in a turn of the event loop
+    Given a link without a socket
+    When a part of <message> of 4000000 bytes arrives
+    Then reading <reads>, and goes on in the next turn
+
+    Examples:
+      | message   | reads          |
+      | an answer | pauses         |
+      | a call    | does not pause |
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -183,6 +183,12 @@
         """Nothing waits."""
         return 0
 
+    def pause_reading(self):
+        """Nothing is read."""
+
+    def resume_reading(self):
+        """Nothing is read."""
+
     def write_eof(self):
         """Nothing to do."""
 
--- a/features/steps/mesh_unread_answer_steps.py
+++ b/features/steps/mesh_unread_answer_steps.py
@@ -7,13 +7,19 @@
 import re
 import socket
 import tempfile
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+import mesh_caller_connection_steps
+import mesh_memory_steps
 
+from jasminecrank.mesh import coordination
+from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _body_buffer
+from jasminecrank.mesh.transport import _links
 from jasminecrank.standins import fleet
 from jasminecrank.standins.soak import _deployment
 
@@ -140,3 +146,50 @@
     freed_bytes = len(context.body) - len(rest)
     assert freed_bytes >= freed, freed_bytes
     assert len(rest) >= min(context.left_bytes, len(context.body))
+
+
+@given("a link without a socket")
+def step_link(context):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    context.transport = mesh_caller_connection_steps.KeepingTransport()
+    context.transport.write = lambda data: None
+
+    async def connect():
+        context.link = _links.Link(
+            mock.Mock(),
+            mesh_memory_steps.HELLO,
+            False,
+            mock.Mock(),
+            state.MemoryBudget.from_memory_limit(300_000_000),
+        )
+        context.link.connection_made(context.transport)
+        context.link.data_received(protocol.encode(mesh_memory_steps.HELLO))
+
+    context.runner.run(connect())
+
+
+@when("a part of {message} of {size:d} bytes arrives")
+def step_part(context, message, size):
+    make = {
+        "an answer": mesh_memory_steps.make_answer,
+        "a call": mesh_memory_steps.make_call,
+    }[message]
+    head = protocol.encode_unframed(make(1, 0))
+
+    async def act():
+        follows = coordination.BodyFollows(1, size, head)
+        part = coordination.BodyPart(1, bytes(65_536))
+        context.link.data_received(
+            protocol.encode(follows) + protocol.encode(part)
+        )
+        context.read = [context.transport.is_reading]
+        await asyncio.sleep(0)
+        context.read.append(context.transport.is_reading)
+
+    context.runner.run(act())
+
+
+@then("reading {reads}, and goes on in the next turn")
+def step_reads(context, reads):
+    assert context.read == [reads == "does not pause", True], context.read
--- a/src/jasminecrank/mesh/transport/_body_transfers.py
+++ b/src/jasminecrank/mesh/transport/_body_transfers.py
@@ -206,6 +206,14 @@
         self._send = send
         self._incoming_by_id: dict[int, _Incoming] = {}
 
+    @property
+    def receives_reply(self) -> bool:
+        """Return whether parts of a reply are to come."""
+        return any(
+            isinstance(incoming.carrier, coordination.CallServed)
+            for incoming in self._incoming_by_id.values()
+        )
+
     def begin(
         self, message: coordination.BodyFollows
     ) -> coordination.CallSent | None:
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -1,6 +1,7 @@
 """Persistent connections between nodes that multiplex calls."""
 
 import asyncio
+import contextlib
 import itertools
 import socket
 import typing
@@ -305,6 +306,26 @@
             if not self._handle_frame(body):
                 return
         del buffer[:start]
+        if self._body_receiver.receives_reply:
+            self._yield_reading()
+
+    def _yield_reading(self) -> None:
+        """Read no more in this turn of the event loop.
+
+        uvloop reads up to 8 MB of a link in a turn, while the callers whose
+        answers nobody reads are disconnected in the next one only.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        with contextlib.suppress(RuntimeError):  # As in _write.
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        with contextlib.suppress(RuntimeError):  # As in _write.
+            self._transport.resume_reading()
 
     def _handle_frame(self, body: bytes) -> bool:
         try:
