Show what crowds of callers do to memory

Change: rows for crowds with heads of many headers, with bodies in chunks of a few bytes, and with bodies up to the largest limit that a table may set; a single body up to this limit at a process with 200 MB. Crowds so far were sent to a table with the default limit of 1 MiB, so that larger bodies were refused by their size at once. No product code is changed.

--- a/features/steps/mesh_crowd_steps.py
+++ b/features/steps/mesh_crowd_steps.py
@@ -18,10 +18,15 @@
 SEND_S = 6.0
 """Time for which a crowd sends at most."""
 SETTLE_S = 0.5
+DESCRIPTORS = 400
+PIECE_BYTES = 4_096
+PIECE_PAUSE_S = 0.01
 HEAD = (
     "POST /open/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n"
     "Deadline-Ms: 5000\r\n"
 )
+EXTENSION = b";a=" + b"x" * 16
+"""Extension of a chunk, which the node drops."""
 LIMITS = """
 [limits]
 memoryMb = {memory_mb}
@@ -31,8 +36,13 @@
 def _crowd_bytes(what, number):
     """Return what a caller of the crowd sends, and what it repeats."""
     head = HEAD.format(request_id=f"{number:016x}").encode()
+    if "bare lines, and " in what:
+        lines, what = what.split(", and ")
+        head += _bare_lines(lines)
     chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
     match re.findall(r"\d+", what):
+        case [count, size] if "extended chunks" in what:
+            return chunked + _chunk(int(size), EXTENSION) * int(count), b""
         case [count, size] if "chunk" in what:
             return chunked + _chunk(int(size)) * int(count), b""
         case [size] if "chunk" in what:
@@ -43,19 +53,39 @@
             return head + length + bytes(sent_bytes), b""
         case [count] if "short lines" in what:
             return head + b"A: b\r\n" * int(count), b""
+        case [_] if "bare lines" in what:
+            return head + _bare_lines(what), b""
         case [size]:
             return head + b"X-Value: " + b"v" * int(size), b""
     raise AssertionError(what)
 
 
-def _chunk(size):
-    return b"%x\r\n%b\r\n" % (size, b"x" * size)
+def _bare_lines(what):
+    """Return as many headers without a value as the text says."""
+    return b"AB:\r\n" * int(re.findall(r"\d+", what)[0])
+
+
+def _chunk(size, extension=b""):
+    return b"%x%b\r\n%b\r\n" % (size, extension, b"x" * size)
 
 
 @given("a node process with {memory_mb:d} MB and {descriptors:d} descriptors")
 def step_process(context, memory_mb, descriptors):
+    start_process(context, memory_mb, descriptors)
+
+
+@given(
+    "a node process with {memory_mb:d} MB and bodies up to {max_bytes:d} bytes"
+)
+def step_process_with_limit(context, memory_mb, max_bytes):
+    start_process(context, memory_mb, DESCRIPTORS, max_bytes)
+
+
+def start_process(context, memory_mb, descriptors, max_body_bytes=None):
+    """Start a node process whose table allows bodies up to a size."""
     process_start_steps.open_node(context)
     node = context.node
+    node.max_body_bytes = max_body_bytes
 
     async def act():
         await node.open_fleet()
@@ -78,10 +108,14 @@
         process_start_steps.HOST, node.ports["callers"]
     )
     data, repeated = _crowd_bytes(what, number)
+    piece_bytes = PIECE_BYTES if what.endswith("in pieces") else len(data)
     with contextlib.suppress(OSError, TimeoutError):
         async with asyncio.timeout(SEND_S):
-            writer.write(data)
-            await writer.drain()
+            for start in range(0, len(data), piece_bytes):
+                writer.write(data[start : start + piece_bytes])
+                await writer.drain()
+                if piece_bytes < len(data):
+                    await asyncio.sleep(PIECE_PAUSE_S)
             for _ in range(SENT_MAX_BYTES // max(1, len(repeated))):
                 if not repeated:
                     break
@@ -164,6 +198,32 @@
     context.runner.run(act())
 
 
+@when("a caller sends {what}, whole")
+def step_single_body(context, what):
+    count, size = 1, 0
+    match [int(number) for number in re.findall(r"\d+", what)]:
+        case [size]:
+            headers = {"Content-Length": str(size)}
+            data = bytes(size)
+        case [count, size]:
+            headers = {"Transfer-Encoding": "chunked"}
+            data = _chunk(size) * count + b"0\r\n\r\n"
+
+    async def act():
+        caller = fleet.Caller(
+            process_start_steps.HOST, context.node.ports["callers"]
+        )
+        await caller.send(
+            "POST", "/open/1", None, 20_000, headers, has_length=False
+        )
+        caller.write(data)
+        context.response = await caller.receive(20.0)
+        caller.close()
+
+    context.body_bytes = count * size
+    context.runner.run(act())
+
+
 @then("it is answered with {status:d}, and the server has its whole body")
 def step_whole_body(context, status):
     assert context.response.status == status, context.response
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -120,6 +120,7 @@
         )
         self.ports["metrics"] = self.ports["links"] + 1
         self.environment: dict[str, str] = {}
+        self.max_body_bytes: int | None = None
         self.store = fleet.Store()
         self.server = fleet.Server("i-0")
         self.process = None
@@ -129,7 +130,10 @@
         self.ports["store"] = await self.store.listen(HOST)
         await self.server.listen(HOST, self.ports["server"])
         rows = {"team-0": fleet.TeamRow(("k1",), 100)}
-        await self.store.put("op/config", fleet.table_entry(1, 5000, rows))
+        table = fleet.table_entry(
+            1, 5000, rows, max_body_bytes=self.max_body_bytes
+        )
+        await self.store.put("op/config", table)
         await self.store.put(
             "servers/i-0",
             fleet.server_entry(
