Keep small bodies in the memory that they claim

What callers saw: a process that ran out of memory beside callers that sent bodies in chunks of a few bytes and stopped short of their end.

Cause: a body without a buffer was a list of the parser's chunks, each an object of 35 bytes or more. A claim of 64 KiB in chunks of two bytes took about 1.8 MB.

Why this works: the bytes are appended to one array, which is as large as what was received, whatever the chunks, and claims limit it.

--- a/src/jasminecrank/mesh/transport/_body_buffer.py
+++ b/src/jasminecrank/mesh/transport/_body_buffer.py
@@ -45,7 +45,7 @@
         self._map.resize(size_bytes)
         self._size_bytes = size_bytes
 
-    def append(self, data: bytes) -> None:
+    def append(self, data: bytes | bytearray) -> None:
         """Append bytes for which there is room."""
         end = self.received_bytes + len(data)
         self._map[self.received_bytes : end] = data
--- a/src/jasminecrank/mesh/transport/_body_intake.py
+++ b/src/jasminecrank/mesh/transport/_body_intake.py
@@ -57,7 +57,7 @@
         self._received_bytes = 0
         self._early_bytes = 0
         """Bytes received while the claim waits."""
-        self._parts: list[bytes] = []
+        self._unbuffered = bytearray()
         """The body until it has a buffer, or all of a small one."""
         self._buffer: _body_buffer.BodyBuffer | None = None
         self._buffer_claim_id = 0
@@ -109,7 +109,7 @@
                 return IntakeStep.REFUSE_MEMORY
             self._early_bytes += len(data)
         if self._buffer is None:
-            self._parts.append(data)
+            self._unbuffered += data
         else:
             self._buffer.append(data)
         return IntakeStep.READ
@@ -117,7 +117,9 @@
     def finish(self) -> state.Body:
         """Return the whole body."""
         if self._buffer is None:
-            return b"".join(self._parts)
+            body = bytes(self._unbuffered)
+            self._unbuffered.clear()
+            return body
         return self._buffer.view()
 
     def take_claim(self) -> int | None:
@@ -134,7 +136,7 @@
         claim_id = self.take_claim()
         if claim_id is not None:
             self._budget.release(claim_id)
-        self._parts.clear()
+        self._unbuffered.clear()
         self._buffer = None
 
     def _end_wait(self) -> None:
@@ -172,6 +174,5 @@
         self._buffer = _body_buffer.BodyBuffer.from_claim(
             self._claimed_bytes, self._budget, claim_id
         )
-        for part in self._parts:
-            self._buffer.append(part)
-        self._parts.clear()
+        self._buffer.append(self._unbuffered)
+        self._unbuffered.clear()
