Keep the heads of unfinished requests as bytes

What callers saw: a process that ran out of memory beside callers that stopped short of the end of their heads or bodies.

Cause: the headers of a request that is being received were a tuple and two byte strings each. A head of 13 KB, within the limit of 16,384 bytes, took 0.35 MB until the request was complete, so that 300 connections filled 105 MB.

Why this works: what is left unfinished by a slice is kept in one array of bytes and one of lengths. Requests that one slice brings whole are read as before. The headers become objects again when the request is handed over.

--- a/features/mesh/read_pacing.feature
+++ b/features/mesh/read_pacing.feature
@@ -97,3 +97,17 @@
       | 3     |
       | 1000  |
       | 1009  |
+
+  Scenario Outline: A request that comes in pieces keeps its headers and body
+    When a request with <headers> headers and <body> comes in pieces of <size> bytes
+    Then it is read once, with all headers in order and its whole body
+
+    Examples:
+      | headers | body                   | size  |
+      | 0       | a body of 0 bytes      | 1     |
+      | 1       | a body of 0 bytes      | 7     |
+      | 1000    | a body of 0 bytes      | 1     |
+      | 1000    | a body of 60000 bytes  | 1000  |
+      | 1000    | 300 chunks of 2 bytes  | 3     |
+      | 3       | 300 chunks of 1000 bytes | 900 |
+      | 1000    | 2 chunks of 40000 bytes | 100000 |
--- a/features/steps/mesh_read_pacing_steps.py
+++ b/features/steps/mesh_read_pacing_steps.py
@@ -1,10 +1,15 @@
 """Steps for the pace at which requests of callers are read."""
 
+import asyncio
+import re
+from unittest import mock
+
 from behave import given
 from behave import then
 from behave import when
 
 from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _request_reader
 
 YES_NO = {True: "yes", False: "no"}
 
@@ -70,3 +75,43 @@
 @then("more is parsed in it: {more}")
 def step_more(context, more):
     assert YES_NO[context.scheduler.has_turn_left] == more
+
+
+@when(
+    "a request with {count:d} headers and {body} comes in pieces of "
+    "{size:d} bytes"
+)
+def step_pieces(context, count, body, size):
+    headers = [(b"A%d" % (n % 7), b"v" * (n % 5)) for n in range(count)]
+    match [int(number) for number in re.findall(r"\d+", body)]:
+        case [length]:
+            context.body = b"b" * length
+            headers.append((b"Content-Length", b"%d" % length))
+            sent = context.body
+        case [chunks, length]:
+            context.body = b"b" * length * chunks
+            headers.append((b"Transfer-Encoding", b"chunked"))
+            chunk = b"%x\r\n%b\r\n" % (length, b"b" * length)
+            sent = chunk * chunks + b"0\r\n\r\n"
+    lines = b"".join(b"%b: %b\r\n" % header for header in headers)
+    data = b"POST /open/1 HTTP/1.1\r\n" + lines + b"\r\n" + sent
+    context.headers = headers
+    context.owner = mock.Mock()
+
+    async def act():
+        reader = _request_reader.RequestReader(
+            context.owner, state.MemoryBudget.from_memory_limit(100_000_000)
+        )
+        for start in range(0, len(data), size):
+            reader.feed(data[start : start + size], state.CallerLimits())
+
+    asyncio.run(act())
+
+
+@then("it is read once, with all headers in order and its whole body")
+def step_whole(context):
+    context.owner.on_request.assert_called_once()
+    request = context.owner.on_request.call_args.args[0]
+    assert request.method == b"POST" and request.target == b"/open/1"
+    assert request.headers == tuple(context.headers), request.headers
+    assert bytes(request.body) == context.body
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -12,6 +12,7 @@
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
 from jasminecrank.mesh.transport import _body_intake
+from jasminecrank.mesh.transport import _received_head
 
 HEAD_TOO_LARGE = "headers"
 """Detail of a refusal because of the size of the head."""
@@ -31,7 +32,7 @@
 class _ReadRequest:
     """Complete request that is handed over once its body has memory."""
 
-    head: protocol.RawRequest
+    head: _received_head.ReceivedHead
     keep_alive: bool
     intake: _body_intake.BodyIntake | None
     refusal: state.Refusal | None = None
@@ -138,6 +139,8 @@
             self._refuse_partial()
         if self._unparsed_bytes > limits.max_header_bytes + HEAD_MARGIN_BYTES:
             self._refuse_head()
+        if self._is_in_request:
+            self._head.pack()
 
     @property
     def waits_for_memory(self) -> bool:
@@ -161,7 +164,7 @@
         """Return the head of the request that is being read, once whole."""
         if not self._is_in_request or not self._headers_done:
             return None
-        return self._head()
+        return self._head.request()
 
     @property
     def takes_interim_responses(self) -> bool:
@@ -222,7 +225,7 @@
     def on_url(self, url: bytes) -> None:
         """Append to the request target, which can arrive in parts."""
         self.events += 1
-        self._target += url
+        self._head.target += url
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -232,7 +235,7 @@
         """
         self.events += 1
         if not self._headers_done:
-            self._headers.append((name, value))
+            self._head.add(name, value)
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
@@ -244,7 +247,7 @@
         if self._parser.should_upgrade():
             self.refuse(state.RefusalKind.REQUEST_INVALID, "upgrade")
             return
-        self._method = self._parser.get_method()
+        self._head.method = self._parser.get_method()
         # Only an answer that says so would keep a connection of HTTP/1.0.
         self._keep_alive = (
             self._parser.should_keep_alive()
@@ -276,7 +279,7 @@
         """Return the request that is being read, as a complete one."""
         # After a trailer that says so, the parser reads nothing more.
         self._keep_alive &= self._parser.should_keep_alive()
-        request = _ReadRequest(self._head(), self._keep_alive, self._intake)
+        request = _ReadRequest(self._head, self._keep_alive, self._intake)
         if self._is_body_refused:
             self._refuse_read(request)
         self._ended = not self._keep_alive
@@ -291,7 +294,7 @@
         """
         if self._is_discarding:
             return
-        length = _body_intake.body_length(self._headers)
+        length = _body_intake.body_length(self._head.headers)
         if length is None or length > state.SMALL_BODY_BYTES:
             self._refuse_for_memory()
             return
@@ -300,6 +303,7 @@
 
     def _hand_over_in_order(self, request: _ReadRequest) -> None:
         if self._held or request.is_waiting:
+            request.head.pack()
             self._held.append(request)
         else:
             self._hand_over(request)
@@ -307,12 +311,12 @@
     def _hand_over(self, request: _ReadRequest) -> None:
         if request.refusal is not None:
             self._owner.on_request(
-                RefusedRequest(request.head, request.refusal),
+                RefusedRequest(request.head.request(), request.refusal),
                 request.keep_alive,
                 None,
             )
             return
-        raw = request.head
+        raw = request.head.request()
         claim_id = None
         if request.intake is not None:
             raw = dataclasses.replace(raw, body=request.intake.finish())
@@ -335,14 +339,10 @@
     def _refuse_read(self, request: _ReadRequest) -> None:
         """Refuse a complete request for its memory; not run."""
         assert request.intake is not None
-        self._owner.on_memory_refused(request.head, request.intake.size_bytes)
-        request.refuse(_NO_MEMORY)
-
-    def _head(self) -> protocol.RawRequest:
-        """Return the request that is being read, without its body."""
-        return protocol.RawRequest(
-            self._method, self._target, tuple(self._headers), b""
+        self._owner.on_memory_refused(
+            request.head.request(), request.intake.size_bytes
         )
+        request.refuse(_NO_MEMORY)
 
     def _drop_body(self) -> None:
         """Give up the body that is being received, with its memory."""
@@ -354,13 +354,15 @@
         """Refuse a request whose body is not read to its end; not run."""
         if self._intake is None:
             return
-        self._owner.on_memory_refused(self._head(), self._intake.size_bytes)
+        self._owner.on_memory_refused(
+            self._head.request(), self._intake.size_bytes
+        )
         self.refuse(
             _NO_MEMORY.kind, _NO_MEMORY.detail, _NO_MEMORY.retry_after_s
         )
 
     def _begin_body(self) -> None:
-        length = _body_intake.body_length(self._headers)
+        length = _body_intake.body_length(self._head.headers)
         if length == 0:
             self._ask_for_body()
             return
@@ -406,7 +408,7 @@
     def _ask_for_body(self) -> None:
         if not self.takes_interim_responses:
             return
-        if protocol.find_header(self._headers, b"expect") is not None:
+        if protocol.find_header(self._head.headers, b"expect") is not None:
             self._owner.on_expect_continue()
 
     def _count_head(self, added_bytes: int) -> None:
@@ -427,9 +429,7 @@
             )
 
     def _reset(self) -> None:
-        self._method = b""
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._head = _received_head.ReceivedHead()
         self._intake = None
         self._headers_done = False
         self._head_bytes = 0
