Limit the memory of unfinished requests' heads

What callers saw: a process that ran out of memory beside many callers that stopped short of the end of their heads or bodies.

Cause: heads of requests that are being received were counted nowhere. Each may have 16 KiB, on as many connections as there are descriptors.

Change: they have 0.02 of the memory limit, taken from the part for answers that callers do not take (0.18 instead of 0.2), so that the shares add up to what they did. Beyond it, requests are refused as not run, those with the largest heads first, so that short heads of ordinary callers stay. The limit is checked after each slice, since one turn of the event loop can read from a thousand connections.

Why this works: what a refused connection held of its head, with the line that the parser holds, is freed at once, and not with the connection.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -42,6 +42,19 @@
       | nothing            | 73 MB  | stayed  |
       | 64 MB for a caller | 9 MB   | stayed  |
 
+  Scenario Outline: Of unfinished requests, those with the largest heads go first
+    Given heads of unfinished requests may have 100 bytes in all
+    When connections hold <sizes> bytes of heads
+    Then connections <refused> are refused, and <held> bytes are left
+
+    Examples:
+      | sizes                  | refused | held |
+      | 60, 40                 | none    | 100  |
+      | 60, 41                 | 0       | 41   |
+      | 10, 60, 10, 60         | 1       | 80   |
+      | 50, 50, 50, 50         | 0, 1    | 100  |
+      | 101                    | 0       | 0    |
+
   Scenario: Random claims keep to the budget and none waits forever
     When 300 random sequences of claims and releases are played
     Then the budget was never exceeded and every claim was granted in the end
--- a/features/mesh/untrusted_callers.feature
+++ b/features/mesh/untrusted_callers.feature
@@ -41,6 +41,18 @@
       | connections | what                                    |
       | 45          | 16000 extended chunks of 2 bytes, but no end, in pieces |
 
+  Scenario Outline: The heads of unfinished requests have a limit in all
+    Given a node process with 60 MB and 2000 descriptors
+    When <connections> callers send <what>, and stay connected
+    Then an ordinary request is answered with 200, and again once they have left
+    And the process still runs, with at most 60 MB and 2000 descriptors
+
+    Examples:
+      | connections | what                                    |
+      | 1800        | a head of 16000 bytes but for its end   |
+      | 1800        | a head of 16000 bytes, and a body of 20 bytes but for the last |
+      | 1800        | a head of 16000 bytes, and 1 chunks of 20 bytes, but no end |
+
   Scenario Outline: Crowds with bodies up to the largest limit
     Given a node process with 120 MB and bodies up to 67108864 bytes
     When <connections> callers send <what>, and stay connected
--- a/features/steps/mesh_crowd_steps.py
+++ b/features/steps/mesh_crowd_steps.py
@@ -36,9 +36,9 @@
 def _crowd_bytes(what, number):
     """Return what a caller of the crowd sends, and what it repeats."""
     head = HEAD.format(request_id=f"{number:016x}").encode()
-    if "bare lines, and " in what:
+    if what.startswith("a head") and ", and " in what:
         lines, what = what.split(", and ")
-        head += _bare_lines(lines)
+        head += _header_lines(lines)
     chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
     match re.findall(r"\d+", what):
         case [count, size] if "extended chunks" in what:
@@ -51,18 +51,21 @@
             length = b"Content-Length: %d\r\n\r\n" % int(size)
             sent_bytes = min(SENT_MAX_BYTES, int(size) - 1)
             return head + length + bytes(sent_bytes), b""
-        case [count] if "short lines" in what:
-            return head + b"A: b\r\n" * int(count), b""
-        case [_] if "bare lines" in what:
-            return head + _bare_lines(what), b""
-        case [size]:
-            return head + b"X-Value: " + b"v" * int(size), b""
+        case [_]:
+            lines = _header_lines(what)
+            is_whole = "lines" in what
+            return head + (lines if is_whole else lines[:-2]), b""
     raise AssertionError(what)
 
 
-def _bare_lines(what):
-    """Return as many headers without a value as the text says."""
-    return b"AB:\r\n" * int(re.findall(r"\d+", what)[0])
+def _header_lines(what):
+    """Return the headers of which the text tells."""
+    number = int(re.findall(r"\d+", what)[0])
+    if "short lines" in what:
+        return b"A: b\r\n" * number
+    if "bare lines" in what:
+        return b"AB:\r\n" * number
+    return b"X-Value: " + b"v" * number + b"\r\n"
 
 
 def _chunk(size, extension=b""):
@@ -86,6 +89,9 @@
     process_start_steps.open_node(context)
     node = context.node
     node.max_body_bytes = max_body_bytes
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < 2 * descriptors:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (2 * descriptors, hard))
 
     async def act():
         await node.open_fleet()
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -108,6 +108,26 @@
     assert context.grown == (outcome == "grown")
 
 
+@given("heads of unfinished requests may have {limit:d} bytes in all")
+def step_heads(context, limit):
+    context.heads = state.ReceivedHeads(limit)
+
+
+@when("connections hold {sizes} bytes of heads")
+def step_hold_heads(context, sizes):
+    for number, size in enumerate(sizes.split(", ")):
+        context.heads.record(number, 1)
+        context.heads.record(number, int(size))
+
+
+@then("connections {refused} are refused, and {held:d} bytes are left")
+def step_refused_heads(context, refused, held):
+    taken = ", ".join(map(str, context.heads.take_excess()))
+    assert (taken or "none") == refused, taken
+    assert context.heads.held_bytes == held
+    assert not context.heads.take_excess()
+
+
 class BudgetMachine(stateful.RuleBasedStateMachine):
     """Claims and releases in any order, beside a list of what is held."""
 
--- a/src/jasminecrank/mesh/state/__init__.py
+++ b/src/jasminecrank/mesh/state/__init__.py
@@ -145,6 +145,9 @@
 from jasminecrank.mesh.state._read_pacing import ReadPace as ReadPace
 from jasminecrank.mesh.state._read_pacing import ReadScheduler as ReadScheduler
 from jasminecrank.mesh.state._readers import SourceReaders as SourceReaders
+from jasminecrank.mesh.state._received_heads import (
+    ReceivedHeads as ReceivedHeads,
+)
 from jasminecrank.mesh.state._requests_ahead import AheadBudget as AheadBudget
 from jasminecrank.mesh.state._requests_ahead import AheadWindow as AheadWindow
 from jasminecrank.mesh.state._requests_ahead import (
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -15,7 +15,9 @@
 
 One read can bring a body along with its head.
 """
-UNSENT_SHARE = 0.2
+HEAD_SHARE = 0.02
+"""Share of the memory limit for heads of requests without their end."""
+UNSENT_SHARE = 0.18
 """Share of the memory limit for answers that callers do not take."""
 SMALL_SHARE = 0.125
 """Share of the budget for small bodies."""
@@ -109,6 +111,8 @@
     """Bytes of answers above which the slowest callers are disconnected."""
     early_limit_bytes: int = 0
     """Bytes that may be kept of bodies whose claims wait."""
+    head_limit_bytes: int = 0
+    """Bytes of unfinished requests' heads above which some are refused."""
     _early_bytes: int = 0
     _claim_by_id: dict[int, _Claim] = field(default_factory=dict)
     _last_id: int = 0
@@ -127,6 +131,7 @@
             },
             int(UNSENT_SHARE * limit_bytes),
             int(EARLY_SHARE * limit_bytes),
+            int(HEAD_SHARE * limit_bytes),
         )
 
     @property
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -102,6 +102,16 @@
     connections: set["CallerConnection"] = field(default_factory=set)
     blocked: dict["CallerConnection", None] = field(default_factory=dict)
     """Connections whose callers do not take answers, longest first."""
+    heads: state.ReceivedHeads["CallerConnection"] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.heads = state.ReceivedHeads(self.budget.head_limit_bytes)
+
+    def limit_heads(self) -> None:
+        """Refuse unfinished requests while their heads are too large."""
+        for connection in self.heads.take_excess():
+            self.log.count("memory_refusals", "head")
+            connection.refuse_received()
 
     def limit_unsent(self) -> None:
         """Abort the longest blocked connections while too much is unsent."""
@@ -185,8 +195,20 @@
             return 0
         events = self._reader.events
         self._reader.feed(data, self._context.limits, ends_read)
+        self._record_head()
+        # One turn of the loop can read from a thousand connections.
+        if self._context.heads.is_full:
+            self._context.limit_heads()
         return self._reader.events - events
 
+    def _record_head(self) -> None:
+        """Count the heads of requests without their end or their memory."""
+        self._context.heads.record(self, self._reader.received_head_bytes)
+
+    def refuse_received(self) -> None:
+        """Refuse what has been received of requests, for want of memory."""
+        self._reader.refuse_received()
+
     def refuse_costly(self) -> None:
         """Refuse the request that is being read, and read nothing more.
 
@@ -305,6 +327,7 @@
             self._release_claim(waiting.claim_id)
         self._waiting.clear()
         self._reader.close()
+        self._context.heads.record(self, 0)
         while self._exchanges:
             exchange = self._exchanges.popleft()
             self._end_turn(exchange)
@@ -393,6 +416,7 @@
         self._debts.last_request_read = True
         self._debts.receiving = False
         self._debts.refusal = refusal
+        self._record_head()
         self._continue_soon()
 
     def on_read_error(self, error: BaseException) -> None:
@@ -766,6 +790,7 @@
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
+        self._record_head()
         self._paced.resume()
         if self._debts.half_closed:
             return
--- a/src/jasminecrank/mesh/transport/_received_head.py
+++ b/src/jasminecrank/mesh/transport/_received_head.py
@@ -36,8 +36,9 @@
 
     @property
     def packed_bytes(self) -> int:
-        """Return the memory of the headers that were packed."""
-        return len(self._text) + len(self._lengths) * self._lengths.itemsize
+        """Return the memory of the target and of what was packed."""
+        lengths_bytes = len(self._lengths) * self._lengths.itemsize
+        return len(self.target) + len(self._text) + lengths_bytes
 
     @property
     def headers(self) -> tuple[tuple[bytes, bytes], ...]:
--- a/src/jasminecrank/mesh/transport/_request_reader.py
+++ b/src/jasminecrank/mesh/transport/_request_reader.py
@@ -159,6 +159,19 @@
         """Return whether a request is read in part or waits for memory."""
         return self._is_in_request or bool(self._held)
 
+    @property
+    def received_head_bytes(self) -> int:
+        """Return the memory of the heads of requests not handed over."""
+        size_bytes = sum(
+            held.head.packed_bytes
+            for held in self._held
+            if isinstance(held, _ReadRequest)
+        )
+        if self._is_in_request:
+            # The parser holds the line that has no end yet.
+            size_bytes += max(self._head.packed_bytes, self._unparsed_bytes)
+        return size_bytes
+
     @property
     def partial_head(self) -> protocol.RawRequest | None:
         """Return the head of the request that is being read, once whole."""
@@ -206,6 +219,16 @@
                 held.refuse(refusal)
         self._hand_over_held()
 
+    def refuse_received(self) -> None:
+        """Refuse what has been received and not handed over; not run."""
+        self.refuse_held(_NO_MEMORY)
+        if self._is_in_request:
+            self.refuse(
+                _NO_MEMORY.kind, _NO_MEMORY.detail, _NO_MEMORY.retry_after_s
+            )
+            # The old one may hold a line without its end.
+            self._parser = httptools.HttpRequestParser(self)
+
     def close(self) -> None:
         """Give up all bodies, with their memory."""
         self._drop_body()
