Let a large body use both parts for large bodies

What callers saw: 413 for a body within the table's limit, sent alone to an idle node with 200 MB of memory; 503 for the same in chunks.

Cause: the budget for bodies over 64 KiB is divided in halves, for callers and for other nodes, 48 MB each with 200 MB. A larger body was denied for good, although the node had the memory.

Change: a body that is larger than its part takes the rest from the other one, once its own is unused and the other has room. At most one of each side does, and what it leaves of the other part can still be claimed. Callers wait for this as for other memory; links are refused at once as before, so that neither waits for the other without end.

Changed rows of memory_budget.feature: at 300 MB a claim of 80 MB was to be denied forever and growth to 73 MB refused, and at 20 MB a body of 5 MB was to get 413. That was this fault.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -13,7 +13,21 @@
       | held                              | claimed     | use    | decision     |
       | nothing                           | 64 MB       | caller | granted      |
       | nothing                           | 67.108864 MB | caller | granted     |
-      | nothing                           | 80 MB       | caller | denied forever |
+      | nothing                           | 144 MB      | caller | granted      |
+      | nothing                           | 144 MB      | link   | granted      |
+      | nothing                           | 145 MB      | caller | denied forever |
+      | nothing                           | 145 MB      | link   | denied forever |
+      | 1 MB for a caller                 | 80 MB       | caller | waiting      |
+      | 1 MB for a link                   | 80 MB       | link   | denied       |
+      | 64 MB for a link                  | 80 MB       | caller | granted      |
+      | 64 MB for a link                  | 81 MB       | caller | waiting      |
+      | 64 MB for a caller                | 80 MB       | link   | granted      |
+      | 64 MB for a caller                | 81 MB       | link   | denied       |
+      | 80 MB for a caller                | 64 MB       | link   | granted      |
+      | 80 MB for a caller                | 65 MB       | link   | denied       |
+      | 80 MB for a caller                | 0.1 MB      | caller | waiting      |
+      | 80 MB of answers                  | 80 MB       | link   | denied       |
+      | 0.1 MB of answers                 | 80 MB       | caller | waiting      |
       | 64 MB for a caller                | 64 MB       | caller | waiting      |
       | 64 MB for a caller                | 8 MB        | caller | granted      |
       | 64 MB for a caller, 8 MB waiting behind 64 MB | 1 MB | caller | waiting |
@@ -39,7 +53,12 @@
       | held               | size   | outcome |
       | nothing            | 1 MB   | grown   |
       | nothing            | 72 MB  | grown   |
-      | nothing            | 73 MB  | stayed  |
+      | nothing            | 73 MB  | grown   |
+      | nothing            | 144 MB | grown   |
+      | nothing            | 145 MB | stayed  |
+      | 1 MB for a caller  | 73 MB  | stayed  |
+      | 64 MB for a link   | 80 MB  | grown   |
+      | 64 MB for a link   | 81 MB  | stayed  |
       | 64 MB for a caller | 9 MB   | stayed  |
 
   Scenario Outline: Of unfinished requests, those with the largest heads go first
@@ -121,6 +140,18 @@
       | 20   |
       | 64   |
 
+  Scenario Outline: A body larger than its part of the budget reaches another host
+    Given two hosts with 200 MB, bodies up to 67 MB and a server on the second only
+    When a caller of the first host sends a body of <size> MB
+    Then it gets 200, the server has the whole body, and no link has ended
+    And both nodes soon hold no bytes
+
+    Examples:
+      | size |
+      | 48   |
+      | 60   |
+      | 67.1 |
+
   Scenario Outline: A caller's body waits for memory, or is refused as not run
     Given a node with 20 MB of memory that receives a body of <held> MB
     When another caller sends <body>, and the first body is <end>
@@ -135,12 +166,13 @@
       | 4    | 4 MB after 100 Continue    | complete | 200    | 200   |
       | 4    | 200 bytes                  | held     | 200    | none  |
       | 4    | 0.5 MB in chunks           | complete | 200    | 200   |
+      | 4    | 5 MB                       | complete | 200    | 200   |
 
     Examples: there is no room
       | held | body             | end      | status                       | first |
       | 4    | 4 MB             | running  | 503 after 3 s                | 200   |
       | 4    | 4 MB in chunks   | held     | 503 at once                  | none  |
-      | 4    | 5 MB             | complete | 413 at once                  | 200   |
+      | 4    | 10 MB            | complete | 413 at once                  | 200   |
 
   Scenario Outline: A request that comes whole waits for memory in its turn
     Given a node with 20 MB of memory, all used that is for small bodies
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -615,7 +615,22 @@
 
 @given("two hosts with bodies up to 67 MB and a server on the second only")
 def step_two_hosts(context):
+    open_two_hosts(context, 300)
+
+
+@given(
+    "two hosts with {limit:d} MB, bodies up to 67 MB and a server on the "
+    "second only"
+)
+def step_two_small_hosts(context, limit):
+    open_two_hosts(context, limit)
+
+
+def open_two_hosts(context, limit_mb):
+    """Start two hosts, the first of which has no backend server."""
+
     def prepare(deployment):
+        deployment.memory_limit_bytes = limit_mb * MB
         deployment.max_body_bytes = 67_108_864
         deployment.timeout_ms = 10_000
 
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -45,6 +45,19 @@
     CALLERS = "callers"
     LINKS = "links"
 
+    @property
+    def other(self) -> "BudgetPart | None":
+        """Return the part from which a body larger than this one borrows."""
+        match self:
+            case BudgetPart.SMALL:
+                return None
+            case BudgetPart.CALLERS:
+                return BudgetPart.LINKS
+            case BudgetPart.LINKS:
+                return BudgetPart.CALLERS
+            case _:
+                typing.assert_never(self)
+
     @classmethod
     def of(cls, use: BodyUse, size_bytes: int) -> typing.Self:
         """Return the part for a body of a size."""
@@ -75,7 +88,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Denied:
-    """The bytes are not available; `never` if they exceed the whole part."""
+    """The bytes are not available; `never` if they exceed all large parts."""
 
     never: bool
 
@@ -89,6 +102,8 @@
     part: BudgetPart
     on_granted: Callable[[], None] | None
     """Set while the claim waits; it may refer to the body."""
+    borrowed_bytes: int = 0
+    """Bytes that it holds in the other part for large bodies."""
 
 
 @dataclass(slots=True)
@@ -167,16 +182,17 @@
         """
         kind = BudgetPart.of(use, size_bytes)
         part = self._part_by_kind[kind]
-        if size_bytes > part.limit_bytes:
+        if size_bytes > self._largest_bytes(kind):
             return Denied(True)
-        can_start = not part.size_by_waiting_id and part.has_room(size_bytes)
-        if not can_start and on_granted is None:
+        borrowed_bytes = self._bytes_to_borrow_at_once(kind, size_bytes)
+        if borrowed_bytes is None and on_granted is None:
             return Denied(False)
         self._last_id += 1
         claim_id = self._last_id
-        if can_start:
-            self._claim_by_id[claim_id] = _Claim(size_bytes, kind, None)
-            part.held_bytes += size_bytes
+        if borrowed_bytes is not None:
+            claim = _Claim(size_bytes, kind, None)
+            self._claim_by_id[claim_id] = claim
+            self._hold(claim, borrowed_bytes)
             return Granted(claim_id)
         self._claim_by_id[claim_id] = _Claim(size_bytes, kind, on_granted)
         part.size_by_waiting_id[claim_id] = size_bytes
@@ -204,18 +220,16 @@
         """
         claim = self._claim_by_id[claim_id]
         kind = BudgetPart.of(use, size_bytes)
-        part = self._part_by_kind[kind]
-        more_bytes = size_bytes
-        if kind is claim.part:
-            more_bytes -= claim.size_bytes
-        if part.size_by_waiting_id or not part.has_room(more_bytes):
+        old_kind = claim.part
+        old_borrowed_bytes = self._give_back(claim)
+        borrowed_bytes = self._bytes_to_borrow_at_once(kind, size_bytes)
+        if borrowed_bytes is None:
+            self._hold(claim, old_borrowed_bytes)
             return False
-        old_part = self._part_by_kind[claim.part]
-        old_part.held_bytes -= claim.size_bytes
-        part.held_bytes += size_bytes
         claim.part = kind
         claim.size_bytes = size_bytes
-        self._grant_waiting(old_part)
+        self._hold(claim, borrowed_bytes)
+        self._grant_waiting(old_kind)
         return True
 
     def keep_early(self, size_bytes: int) -> bool:
@@ -241,18 +255,82 @@
         claim = self._claim_by_id.pop(claim_id)
         part = self._part_by_kind[claim.part]
         if part.size_by_waiting_id.pop(claim_id, None) is None:
-            part.held_bytes -= claim.size_bytes
-        self._grant_waiting(part)
-
-    def _grant_waiting(self, part: _Part) -> None:
+            self._give_back(claim)
+        self._grant_waiting(claim.part)
+
+    def _largest_bytes(self, kind: BudgetPart) -> int:
+        """Return the size of the largest claim that is ever granted."""
+        largest_bytes = self._part_by_kind[kind].limit_bytes
+        if kind.other is not None:
+            largest_bytes += self._part_by_kind[kind.other].limit_bytes
+        return largest_bytes
+
+    def _bytes_to_borrow(
+        self, kind: BudgetPart, size_bytes: int
+    ) -> int | None:
+        """Return what a claim takes of the other part, None without room.
+
+        Only one that is larger than its part takes any, once nobody else
+        holds bytes of its part.
+        """
+        part = self._part_by_kind[kind]
+        if part.has_room(size_bytes):
+            return 0
+        borrowed_bytes = size_bytes - part.limit_bytes
+        if kind.other is None or part.held_bytes or borrowed_bytes <= 0:
+            return None
+        if not self._part_by_kind[kind.other].has_room(borrowed_bytes):
+            return None
+        return borrowed_bytes
+
+    def _bytes_to_borrow_at_once(
+        self, kind: BudgetPart, size_bytes: int
+    ) -> int | None:
+        """Return the same for a claim that comes after those that wait."""
+        if self._part_by_kind[kind].size_by_waiting_id:
+            return None
+        borrowed_bytes = self._bytes_to_borrow(kind, size_bytes)
+        if (
+            borrowed_bytes
+            and kind.other is not None
+            and self._part_by_kind[kind.other].size_by_waiting_id
+        ):
+            return None
+        return borrowed_bytes
+
+    def _hold(self, claim: _Claim, borrowed_bytes: int) -> None:
+        own_bytes = claim.size_bytes - borrowed_bytes
+        self._part_by_kind[claim.part].held_bytes += own_bytes
+        if claim.part.other is not None:
+            other = self._part_by_kind[claim.part.other]
+            other.held_bytes += borrowed_bytes
+        claim.borrowed_bytes = borrowed_bytes
+
+    def _give_back(self, claim: _Claim) -> int:
+        """Hold the bytes of a claim no more; return what it had borrowed."""
+        borrowed_bytes = claim.borrowed_bytes
+        own_bytes = claim.size_bytes - borrowed_bytes
+        self._part_by_kind[claim.part].held_bytes -= own_bytes
+        if claim.part.other is not None:
+            other = self._part_by_kind[claim.part.other]
+            other.held_bytes -= borrowed_bytes
+        claim.borrowed_bytes = 0
+        return borrowed_bytes
+
+    def _grant_waiting(self, freed: BudgetPart) -> None:
+        """Grant what has room after bytes of a part have been released."""
         granted = []
-        for claim_id, size_bytes in part.size_by_waiting_id.items():
-            if not part.has_room(size_bytes):
-                break
-            part.held_bytes += size_bytes
-            granted.append(claim_id)
-        for claim_id in granted:
-            del part.size_by_waiting_id[claim_id]
+        for kind in (freed, freed.other):
+            if kind is None:
+                continue
+            waiting = self._part_by_kind[kind].size_by_waiting_id
+            for claim_id, size_bytes in list(waiting.items()):
+                borrowed_bytes = self._bytes_to_borrow(kind, size_bytes)
+                if borrowed_bytes is None:
+                    break
+                self._hold(self._claim_by_id[claim_id], borrowed_bytes)
+                del waiting[claim_id]
+                granted.append(claim_id)
         for claim_id in granted:
             claim = self._claim_by_id.get(claim_id)
             if claim is not None and claim.on_granted is not None:
