--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -109,6 +109,26 @@
     assert context.grown == (outcome == "grown")
 
 
+@given("heads of unfinished requests may have {limit:d} bytes in all")
+def step_heads(context, limit):
+    context.heads = state.ReceivedHeads(limit)
+
+
+@when("connections hold {sizes} bytes of heads")
+def step_hold_heads(context, sizes):
+    for number, size in enumerate(sizes.split(", ")):
+        context.heads.record(number, 1)
+        context.heads.record(number, int(size))
+
+
+@then("connections {refused} are refused, and {held:d} bytes are left")
+def step_refused_heads(context, refused, held):
+    taken = ", ".join(map(str, context.heads.take_excess()))
+    assert (taken or "none") == refused, taken
+    assert context.heads.held_bytes == held
+    assert not context.heads.take_excess()
+
+
 class BudgetMachine(stateful.RuleBasedStateMachine):
     """Claims and releases in any order, beside a list of what is held."""
 
@@ -665,7 +685,22 @@
 
 @given("two hosts with bodies up to 67 MB and a server on the second only")
 def step_two_hosts(context):
+    open_two_hosts(context, 300)
+
+
+@given(
+    "two hosts with {limit:d} MB, bodies up to 67 MB and a server on the "
+    "second only"
+)
+def step_two_small_hosts(context, limit):
+    open_two_hosts(context, limit)
+
+
+def open_two_hosts(context, limit_mb):
+    """Start two hosts, the first of which has no backend server."""
+
     def prepare(deployment):
+        deployment.memory_limit_bytes = limit_mb * MB
         deployment.max_body_bytes = 67_108_864
         deployment.timeout_ms = 10_000
 
