Parse the answers of the store in turns of the event loop

Cause: the same as for answers of backend servers: a read of the store was parsed in one go, so that 256 KiB in chunks of one byte, or of interim responses, held up everything else on the node.

Change: the connection to the store is paced like those to the backend server, with turns and a budget of its own, as there is one of it.

--- a/features/mesh/server_connections.feature
+++ b/features/mesh/server_connections.feature
@@ -26,3 +26,14 @@
       | 9000  | header lines      | served, 2 bytes      |
       | 20000 | trailers          | answer-too-large     |
       | 20000 | interim responses | answer-too-large     |
+
+  Scenario Outline: A page of the store that costs much to parse leaves turns to others
+    Given a server whose answer has <count> <what>
+    When it is read as a page of the store while others use the event loop
+    Then no page is read
+    And at most 1024 events were parsed in one turn of the event loop
+
+    Examples:
+      | count | what              |
+      | 40000 | chunks of 1 byte  |
+      | 20000 | interim responses |
--- a/features/steps/mesh_costly_answer_steps.py
+++ b/features/steps/mesh_costly_answer_steps.py
@@ -10,11 +10,15 @@
 from behave import when
 import mesh_early_steps
 
+from jasminecrank import platform
+from jasminecrank.mesh import coordination
 from jasminecrank.mesh import state
+from jasminecrank.mesh import transport
 from jasminecrank.mesh.transport import _http_client
 
 EVENTS = ("on_message_begin", "on_header", "on_body")
 CALL_TIMEOUT_S = 20.0
+MEMORY_LIMIT_BYTES = 300_000_000
 
 
 def _answer(count, what):
@@ -48,8 +52,8 @@
     mesh_early_steps.start_server(context, serve)
 
 
-@when("a call is sent to it while others use the event loop")
-def step_call(context):
+def _count_events(context, exchange):
+    """Run an exchange, and count the events in each turn of the loop."""
     context.most_events = events = 0
 
     def count_event(callback):
@@ -70,7 +74,7 @@
         loop = asyncio.get_running_loop()
         loop.call_soon(take_turn, loop)
         async with asyncio.timeout(CALL_TIMEOUT_S):
-            context.result, _ = await mesh_early_steps.send_call(context)
+            context.result = await exchange()
 
     with contextlib.ExitStack() as stack:
         for name in EVENTS:
@@ -83,6 +87,31 @@
         context.runner.run(act())
 
 
+@when("a call is sent to it while others use the event loop")
+def step_call(context):
+    async def exchange():
+        result, _ = await mesh_early_steps.send_call(context)
+        return result
+
+    _count_events(context, exchange)
+
+
+@when("it is read as a page of the store while others use the event loop")
+def step_page(context):
+    clock = transport.BootClock()
+    turns = transport.ReadTurns(
+        state.MemoryBudget.from_memory_limit(MEMORY_LIMIT_BYTES),
+        transport.JsonLog("host-0", clock, len),
+    )
+    store = platform.PlatformStore(context.address, turns=turns)
+    _count_events(context, lambda: store.read_page("", lambda: None))
+
+
+@then("no page is read")
+def step_no_page(context):
+    assert isinstance(context.result, coordination.Unavailable), context.result
+
+
 @then("the call is served, {size:d} bytes")
 def step_served(context, size):
     assert isinstance(context.result, state.Served), context.result
--- a/features/steps/mesh_early_steps.py
+++ b/features/steps/mesh_early_steps.py
@@ -88,11 +88,12 @@
     async def listen():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         context.exit_stack.callback(server.close)
+        context.address = server.sockets[0].getsockname()
         clock = transport.BootClock()
         log = transport.JsonLog("host-0", clock, len)
         budget = state.MemoryBudget.from_memory_limit(300_000_000)
         context.pool = transport.ServerConnectionPool(
-            server.sockets[0].getsockname(),
+            context.address,
             platform.PlatformCodec(),
             clock,
             log,
--- a/src/jasminecrank/mesh/daemon/_process.py
+++ b/src/jasminecrank/mesh/daemon/_process.py
@@ -11,6 +11,7 @@
 from jasminecrank import exceptions
 from jasminecrank import platform
 from jasminecrank.mesh import settings
+from jasminecrank.mesh import state
 from jasminecrank.mesh import transport
 from jasminecrank.mesh.daemon import _node
 from jasminecrank.mesh.daemon import _signals
@@ -83,12 +84,20 @@
     config: settings.NodeSettings, path: str, signals: _signals.Signals
 ) -> None:
     clock = transport.BootClock()
+    log = transport.JsonLog.to_stdout(config.name, clock)
+    # The store has one connection, which needs no share of the node's budget.
+    turns = transport.ReadTurns(
+        state.MemoryBudget.from_memory_limit(config.memory_limit_bytes), log
+    )
+    source = platform.PlatformStore(
+        (config.source.host, config.source.port), turns=turns
+    )
     node = _node.Node(
         config,
         platform.PlatformCodec(),
-        platform.PlatformStore((config.source.host, config.source.port)),
+        source,
         platform.EntryDecoder().decode,
-        transport.JsonLog.to_stdout(config.name, clock),
+        log,
         random.Random(),
         lambda: platform.read_settings(path),
     )
--- a/src/jasminecrank/platform/_store.py
+++ b/src/jasminecrank/platform/_store.py
@@ -32,9 +32,13 @@
     """Reads entries over a persistent connection to the store."""
 
     def __init__(
-        self, address: tuple[str, int], local_host: str | None = None
+        self,
+        address: tuple[str, int],
+        local_host: str | None = None,
+        turns: transport.ReadTurns | None = None,
     ) -> None:
         self._address = address
+        self._turns = turns
         self._local_host = local_host
         self._host_header = f"{address[0]}:{address[1]}".encode()
         self._connection: transport.ClientConnection | None = None
@@ -113,7 +117,10 @@
         )
         if self._connection is None or not self._connection.usable:
             self._connection = await transport.connect(
-                *self._address, CONNECT_TIMEOUT_S, self._local_host
+                *self._address,
+                CONNECT_TIMEOUT_S,
+                self._local_host,
+                self._turns,
             )
         connection = self._connection
         loop = asyncio.get_running_loop()
