Test callers that open and close connections in turn

Cause: what callers had sent stayed with their connections until the garbage collector freed them; freed_connections shows this for single connections only.

Change: three rows with a node process of 120 MB and 100 callers that send an unfinished request and leave, again and again.

--- a/features/mesh/freed_connections.feature
+++ b/features/mesh/freed_connections.feature
@@ -28,3 +28,15 @@
       | links              | after half a frame                                 |
       | links              | after a Hello                                      |
       | links              | after a Hello and a part of a body                 |
+
+  Scenario Outline: Callers that leave in turn do not fill the memory
+    Given a node process with 120 MB and 400 descriptors
+    When 100 callers send <what>, and leave, <times> times
+    Then an ordinary request is answered with 200
+    And the process still runs, with at most 120 MB and 400 descriptors
+
+    Examples:
+      | what                                    | times |
+      | a head of 2600 bare lines but for its end | 40  |
+      | a head of 13000 bytes but for its end   | 120   |
+      | 16000 chunks of 2 bytes, but no end     | 10    |
--- a/features/steps/mesh_crowd_steps.py
+++ b/features/steps/mesh_crowd_steps.py
@@ -143,6 +143,28 @@
     context.runner.run(act())
 
 
+@when("{connections:d} callers send {what}, and leave, {times:d} times")
+def step_crowd_leaves(context, connections, what, times):
+    async def act():
+        for _ in range(times):
+            crowd = await asyncio.gather(
+                *(
+                    _send(context.node, what, number)
+                    for number in range(connections)
+                )
+            )
+            for _, writer in crowd:
+                writer.transport.abort()
+
+    context.runner.run(act())
+
+
+@then("an ordinary request is answered with {status:d}")
+def step_one_ordinary(context, status):
+    found = context.runner.run(_ordinary_status(context.node))
+    assert found == status, found
+
+
 async def _ordinary_status(node):
     caller = fleet.Caller(process_start_steps.HOST, node.ports["callers"])
     try:
