Refuse no answer of a server for the cost of reading it

Callers could get 502 for calls that had run and been answered well, in small chunks, while eight connections waited to be parsed; and reads of servers that wait to be parsed took the room of callers' bodies that come before their claims.

Cause: answers were refused by the same rule as requests, which have not run.

Change: only connections with a refuser refuse; reads of servers are held in any case, one of each connection, and counted apart.

The rule is gone from the path of answers; mesh/server_connections passes.

--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -140,6 +140,8 @@
     head_limit_bytes: int = 0
     """Bytes of unfinished requests' heads above which some are refused."""
     _early_bytes: int = 0
+    unparsed_answer_bytes: int = 0
+    """Bytes of servers that wait to be parsed, one read of each connection."""
     _claim_by_id: dict[int, _Claim] = field(default_factory=dict)
     _last_id: int = 0
 
@@ -171,8 +173,10 @@
     @property
     def held_bytes(self) -> int:
         """Return the bytes of granted claims, and those that came early."""
-        return self._early_bytes + sum(
-            part.held_bytes for part in self._part_by_kind.values()
+        return (
+            self._early_bytes
+            + self.unparsed_answer_bytes
+            + sum(part.held_bytes for part in self._part_by_kind.values())
         )
 
     @property
@@ -246,17 +250,13 @@
         self._grant_waiting(old_kind)
         return True
 
-    def keep_early(self, size_bytes: int, over_limit: bool = False) -> bool:
+    def keep_early(self, size_bytes: int) -> bool:
         """Count bytes of a body whose claim waits, unless there are too many.
 
-        `over_limit`: they are counted in any case.
         They belong to no part, as claims can only be granted if they do not
         take the room that they wait for.
         """
-        if (
-            not over_limit
-            and self._early_bytes + size_bytes > self.early_limit_bytes
-        ):
+        if self._early_bytes + size_bytes > self.early_limit_bytes:
             return False
         self._early_bytes += size_bytes
         return True
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -138,7 +138,7 @@
         self._context = context
         self._transport: asyncio.Transport | None = None
         self._reader = _request_reader.RequestReader(self, context.budget)
-        self._paced = _paced_reading.PacedReader(self, context.turns)
+        self._paced = _paced_reading.PacedReader(self, context.turns, self)
         self._is_end_held = False
         """Whether the caller has ended its side behind bytes that wait."""
         self._debts = state.ConnectionDebts()
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -17,8 +17,6 @@
 REASON_TRUNCATED = "answer-cut"
 REASON_UNNAMED = "answer-unnamed"
 REASON_TOO_LARGE = "answer-too-large"
-REASON_COSTLY = "answer-read-cost"
-"""It costs more to parse than it carries, while others wait to be parsed."""
 MIN_STATUS = 100
 MIN_FINAL_STATUS = 200
 """Lower ones are those of interim responses."""
@@ -56,9 +54,7 @@
         self._turns = turns
         self._paced: _paced_reading.PacedReader | None = None
         if turns is not None:
-            self._paced = _paced_reading.PacedReader(
-                self, turns, is_bounded=True
-            )
+            self._paced = _paced_reading.PacedReader(self, turns)
         self._is_paused = False
         """Whether reading is paused."""
         self._events = 0
@@ -235,10 +231,6 @@
         self._drop_late_bytes()
         return self._events - events
 
-    def refuse_costly(self) -> None:
-        """Fail the exchange, and read nothing more."""
-        self._fail(REASON_COSTLY)
-
     def on_held_parsed(self) -> None:
         """Go on reading, since no bytes wait any more."""
         self._update_reading()
@@ -331,7 +323,7 @@
         length = protocol.find_header(headers, b"content-length")
         if length is not None and int(length) > self._max_body_bytes:
             self._fail(REASON_TOO_LARGE)
-        elif length is not None and not self._head_only:
+        elif length is not None and self.is_exchanging and not self._head_only:
             self._body.announce(int(length))
         idle_timeout_s = protocol.keep_alive_timeout_s(headers)
         if idle_timeout_s is not None:
--- a/src/jasminecrank/mesh/transport/_paced_reading.py
+++ b/src/jasminecrank/mesh/transport/_paced_reading.py
@@ -22,30 +22,36 @@
         `ends_read`: they are the last of what was read with them.
         """
 
-    def refuse_costly(self) -> None:
-        """Refuse the message that is being read, and read nothing more."""
-
     def on_held_parsed(self) -> None:
         """Go on reading, since no bytes wait any more."""
 
 
+class CostlyRefuser(typing.Protocol):
+    """Connection whose requests can be refused for their cost."""
+
+    def refuse_costly(self) -> None:
+        """Refuse the request that is being read, and read nothing more."""
+
+
 class PacedReader:
     """Bytes of one connection that wait to be parsed.
 
-    `is_bounded`: few connections are of this kind, so that one read of each
-    may be held in any case.
+    Without a refuser, they are held in any case, as those of servers: there
+    are few such connections, and what is read on them has run.
     """
 
     def __init__(
         self,
         parser: SliceParser,
         turns: "ReadTurns",
-        is_bounded: bool = False,
+        refuser: CostlyRefuser | None = None,
     ) -> None:
         self._parser: SliceParser = weakref.proxy(parser)
         """A strong reference would keep both until garbage is collected."""
         self._turns = turns
-        self._is_bounded = is_bounded
+        self._refuser: CostlyRefuser | None = None
+        if refuser is not None:
+            self._refuser = weakref.proxy(refuser)
         self.pace = state.ReadPace()
         self._held: deque[memoryview] = deque()
         self.held_bytes = 0
@@ -82,9 +88,11 @@
 
         A view keeps the memory of its whole read.
         """
-        if not self._turns.keep(_read_bytes(view), self._is_bounded):
+        if self._refuser is None:
+            self._turns.budget.unparsed_answer_bytes += _read_bytes(view)
+        elif not self._turns.keep(_read_bytes(view)):
             self.drop()
-            self._parser.refuse_costly()
+            self._refuser.refuse_costly()
             return
         self._held.append(view)
         self.held_bytes += len(view)
@@ -110,12 +118,14 @@
             self._held[0] = rest
         else:
             self._held.popleft()
-            self._turns.release(_read_bytes(view))
+            self._release(_read_bytes(view))
         self.held_bytes -= len(part)
         self._parse(part, not rest)
-        if self._turns.scheduler.refuses(self.pace):
+        if self._refuser is not None and self._turns.scheduler.refuses(
+            self.pace
+        ):
             self.drop()
-            self._parser.refuse_costly()
+            self._refuser.refuse_costly()
         elif self._held:
             self.resume()
         else:
@@ -131,10 +141,16 @@
         """Drop what is held, which nobody will read."""
         self._turns.scheduler.discard(self)
         self._has_turn = False
-        self._turns.release(sum(map(_read_bytes, self._held)))
+        self._release(sum(map(_read_bytes, self._held)))
         self._held.clear()
         self.held_bytes = 0
 
+    def _release(self, size_bytes: int) -> None:
+        if self._refuser is None:
+            self._turns.budget.unparsed_answer_bytes -= size_bytes
+        else:
+            self._turns.release(size_bytes)
+
 
 def _read_bytes(view: memoryview) -> int:
     """Return the size of the read of which a view shows a part."""
@@ -159,9 +175,9 @@
         self.scheduler.turn_events += events
         self._schedule()
 
-    def keep(self, size_bytes: int, over_limit: bool) -> bool:
+    def keep(self, size_bytes: int) -> bool:
         """Return whether there is memory for bytes that are not parsed."""
-        return self.budget.keep_early(size_bytes, over_limit)
+        return self.budget.keep_early(size_bytes)
 
     def release(self, size_bytes: int) -> None:
         """Release the memory of bytes that have been parsed or dropped."""
