Keep no room of other answers for callers that read nothing

A few callers that asked for large answers and read nothing stopped every answer over 64 KiB of the server on their host: 504 for ordinary callers.

Cause: an answer of the own server kept its part of the memory budget until the caller had taken it, and callers are only disconnected above the share for unsent answers, which is larger. An answer without a length kept 4 MiB, whatever it had.

Change: a whole answer keeps what it takes, and once it is handed to a caller it counts like an answer of another node.

--- a/features/mesh/memory_budget.feature
+++ b/features/mesh/memory_budget.feature
@@ -45,6 +45,17 @@
       | 64 MB for a caller, 64 MB for a link, 80 MB of answers | 4 MB | server | granted |
       | 15 MB for a server                | 64 MB       | caller | granted      |
 
+  Scenario Outline: A complete answer of a server keeps no more than it takes
+    Given the budget of a node with 300 MB that holds nothing
+    When <count> answers of a server claim 4 MB and then <event>
+    Then a further one is <decision>
+
+    Examples:
+      | count | event             | decision |
+      | 4     | are received      | waiting  |
+      | 40    | shrink to 0.1 MB  | granted  |
+      | 12    | go to callers     | granted  |
+
   Scenario: Claims are granted in order of arrival
     Given the budget of a node with 300 MB that holds 64 MB for a caller
     When callers claim 40 MB, 20 MB, 30 MB and 1 MB and the first is released
--- a/features/mesh/unread_answers.feature
+++ b/features/mesh/unread_answers.feature
@@ -39,3 +39,16 @@
       | message   | reads          |
       | an answer | pauses         |
       | a call    | does not pause |
+
+  Scenario Outline: Callers that read nothing leave room for the answers of others
+    Given a node process with 300 MB and 400 descriptors
+    And its server has 12 slots and answers of <size> bytes
+    When <callers> callers each ask for an answer and read nothing
+    Then an ordinary request is answered with 200, and again once they have left
+    And the process still runs, with at most 300 MB and 400 descriptors
+
+    Examples:
+      | size    | callers |
+      | 4000000 | 5       |
+      | 4000000 | 12      |
+      | 4000000 | 60      |
--- a/features/steps/mesh_crowd_steps.py
+++ b/features/steps/mesh_crowd_steps.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import resource
+import socket
 
 from behave import given
 from behave import then
@@ -18,6 +19,7 @@
 SEND_S = 6.0
 """Time for which a crowd sends at most."""
 SETTLE_S = 0.5
+UNREAD_BUFFER_BYTES = 4_096
 DESCRIPTORS = 400
 PIECE_BYTES = 4_096
 PIECE_PAUSE_S = 0.01
@@ -165,6 +167,36 @@
     assert found == status, found
 
 
+async def _ask_and_read_nothing(node, number):
+    """Return a connection whose answer fills all buffers on its way."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES)
+    address = (process_start_steps.HOST, node.ports["callers"])
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    reader, writer = await asyncio.open_connection(sock=sock, limit=1)
+    writer.transport.pause_reading()
+    writer.write(
+        f"GET /open/1 HTTP/1.1\r\nHost: a.example\r\n"
+        f"Request-Id: {number:016x}\r\nDeadline-Ms: 5000\r\n\r\n".encode()
+    )
+    return reader, writer
+
+
+@when("{connections:d} callers each ask for an answer and read nothing")
+def step_read_nothing(context, connections):
+    async def act():
+        context.crowd = await asyncio.gather(
+            *(
+                _ask_and_read_nothing(context.node, number)
+                for number in range(connections)
+            )
+        )
+        await asyncio.sleep(SETTLE_S)
+
+    context.runner.run(act())
+
+
 async def _ordinary_status(node):
     caller = fleet.Caller(process_start_steps.HOST, node.ports["callers"])
     try:
--- a/features/steps/mesh_memory_steps.py
+++ b/features/steps/mesh_memory_steps.py
@@ -104,6 +104,25 @@
     assert budget.held_bytes == held_bytes
 
 
+@when("{count:d} answers of a server claim 4 MB and then {event}")
+def step_server_answers(context, count, event):
+    budget = context.budget
+    for _ in range(count):
+        claim = budget.claim(state.BodyUse.SERVER, 4 * MB, lambda: None)
+        assert isinstance(claim, state.Granted), claim
+        match event.split():
+            case ["shrink", _, size, _]:
+                budget.shrink(claim.claim_id, int(float(size) * MB))
+            case ["go", *_]:
+                budget.move_to_callers(claim.claim_id)
+
+
+@then("a further one is {decision}")
+def step_further_answer(context, decision):
+    found = context.budget.claim(state.BodyUse.SERVER, 4 * MB, lambda: None)
+    assert type(found).__name__.lower() == decision, found
+
+
 @then("the claim has {outcome}")
 def step_grown(context, outcome):
     assert context.grown == (outcome == "grown")
--- a/src/jasminecrank/mesh/state/_memory_budget.py
+++ b/src/jasminecrank/mesh/state/_memory_budget.py
@@ -250,6 +250,28 @@
         self._grant_waiting(old_kind)
         return True
 
+    def shrink(self, claim_id: int, size_bytes: int) -> None:
+        """Give back what an answer has claimed beyond its size."""
+        claim = self._claim_by_id[claim_id]
+        self._part_by_kind[claim.part].held_bytes -= (
+            claim.size_bytes - size_bytes
+        )
+        claim.size_bytes = size_bytes
+        self._grant_waiting(claim.part)
+
+    def move_to_callers(self, claim_id: int) -> None:
+        """Count an answer of the own server like one of another node.
+
+        Until its caller takes it, it keeps no room of other answers.
+        """
+        claim = self._claim_by_id[claim_id]
+        if claim.part is not BudgetPart.ANSWERS:
+            return
+        self._part_by_kind[claim.part].held_bytes -= claim.size_bytes
+        claim.part = BudgetPart.CALLERS
+        self._part_by_kind[claim.part].held_bytes += claim.size_bytes
+        self._grant_waiting(BudgetPart.ANSWERS)
+
     def keep_early(self, size_bytes: int) -> bool:
         """Count bytes of a body whose claim waits, unless there are too many.
 
--- a/src/jasminecrank/mesh/transport/_body_buffer.py
+++ b/src/jasminecrank/mesh/transport/_body_buffer.py
@@ -1,11 +1,25 @@
 """Memory of large bodies, counted against the budget."""
 
+from dataclasses import dataclass
 import mmap
 import weakref
 
 from jasminecrank.mesh import state
 
 
+@dataclass(slots=True, frozen=True)
+class _Claim:
+    """Claim that is released with the memory of a body."""
+
+    budget: state.MemoryBudget
+    claim_id: int
+
+
+_claim_by_map: weakref.WeakKeyDictionary[mmap.mmap, _Claim] = (
+    weakref.WeakKeyDictionary()
+)
+
+
 class BodyBuffer:
     """Body of bounded size, kept once for all its users.
 
@@ -29,6 +43,7 @@
         buffer = cls(size_bytes)
         finalizer = weakref.finalize(buffer._map, budget.release, claim_id)
         finalizer.atexit = False
+        _claim_by_map[buffer._map] = _Claim(budget, claim_id)
         return buffer
 
     @property
@@ -56,6 +71,15 @@
         return memoryview(self._map)[: self.received_bytes]
 
 
+def count_for_caller(body: state.Body) -> None:
+    """Count an answer that its caller is now to take."""
+    if not isinstance(body, memoryview) or not isinstance(body.obj, mmap.mmap):
+        return
+    claim = _claim_by_map.get(body.obj)
+    if claim is not None:
+        claim.budget.move_to_callers(claim.claim_id)
+
+
 def free_start(body: state.Body, size_bytes: int) -> None:
     """Give the memory of the first bytes of a mapped body back.
 
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -12,6 +12,7 @@
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh import state
+from jasminecrank.mesh.transport import _body_buffer
 from jasminecrank.mesh.transport import _idle_connections
 from jasminecrank.mesh.transport import _paced_reading
 from jasminecrank.mesh.transport import _request_reader
@@ -670,7 +671,8 @@
         if self._transport is None or exchange.answer is not None:
             return
         match reply:
-            case state.Response():
+            case state.Response(body=body):
+                _body_buffer.count_for_caller(body)
                 self._window.record_answer()
             case state.Refusal(kind=kind) if kind in _NO_ROOM_KINDS:
                 if self._defer(exchange, reply):
--- a/src/jasminecrank/mesh/transport/_response_body.py
+++ b/src/jasminecrank/mesh/transport/_response_body.py
@@ -18,6 +18,7 @@
 
     __slots__ = (
         "_buffer",
+        "_buffer_claim_id",
         "_budget",
         "_claim_id",
         "_claimed_bytes",
@@ -43,6 +44,7 @@
         self._claim_id: int | None = None
         self._claimed_bytes = 0
         self._buffer: _body_buffer.BodyBuffer | None = None
+        self._buffer_claim_id = 0
 
     def announce(self, size_bytes: int) -> None:
         """Claim memory for a body of a known length."""
@@ -76,8 +78,12 @@
         self._allocate()
 
     def finish(self) -> state.Body:
-        """Return the whole body."""
+        """Return the whole body, and claim no more than it takes."""
         if self._buffer is not None:
+            if self._budget is not None:
+                self._budget.shrink(
+                    self._buffer_claim_id, self._buffer.received_bytes
+                )
             return self._buffer.view()
         return bytes(self._small)
 
@@ -109,11 +115,13 @@
 
     def _allocate(self) -> None:
         """Move the body to a buffer, which takes over the claim."""
-        claim_id, self._claim_id = self._claim_id, None
+        claim_id = self._claim_id
         assert claim_id is not None
         assert self._budget is not None
         self._buffer = _body_buffer.BodyBuffer.from_claim(
             self._claimed_bytes, self._budget, claim_id
         )
+        self._claim_id = None
+        self._buffer_claim_id = claim_id
         self._buffer.append(bytes(self._small))
         self._small = bytearray()
