Free connections to the store that have ended

A grant of memory could also resume the body after the one that had claimed it; no order of events is known in which it does.

Change: an exchange drops the callback at its end, and a grant names its body.

--- a/features/mesh/freed_connections.feature
+++ b/features/mesh/freed_connections.feature
@@ -17,6 +17,7 @@
       | server connections | in close-after-the-head                            |
       | server connections | in reset-after-run                                 |
       | server connections | in unframed                                        |
+      | store connections  | in a page                                          |
       | caller connections | after a complete request                           |
       | caller connections | after POST /open/1 HTTP/1.1..Host: a..             |
       | caller connections | after POST /open/1 HTTP/1.1..Host: a..Content-Length: 4....ab |
--- a/features/steps/mesh_freed_steps.py
+++ b/features/steps/mesh_freed_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from jasminecrank import platform
 from jasminecrank.mesh import coordination
 from jasminecrank.mesh import protocol
 from jasminecrank.mesh.transport import _caller_connection
@@ -23,6 +24,7 @@
 FREED_S = 3.0
 CLASS_AND_PORT_BY_NAME = {
     "server connections": (_http_client.ClientConnection, "callers"),
+    "store connections": (_http_client.ClientConnection, None),
     "caller connections": (_caller_connection.CallerConnection, "callers"),
     "status connections": (_status_server.StatusConnection, "metrics"),
     "links": (_links.Link, "links"),
@@ -77,6 +79,21 @@
     caller.close()
 
 
+async def _read_page(context):
+    """Read a page of a store that cuts its answer."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    store = platform.PlatformStore(server.sockets[0].getsockname())
+    page = await store.read_page("", lambda: None)
+    assert isinstance(page, coordination.Unavailable), page
+    server.close()
+
+
 async def _send(context, port, data):
     """Send bytes on a new connection, and end it."""
     address = getattr(context.fleet.nodes[0].config, port)
@@ -95,7 +112,9 @@
 
     async def act():
         for _ in range(COUNT):
-            if kind == "in":
+            if name == "store connections":
+                await _read_page(context)
+            elif kind == "in":
                 await _call(context, what)
             elif what == "a complete request":
                 caller = context.fleet.caller(0)
--- a/src/jasminecrank/mesh/transport/_http_client.py
+++ b/src/jasminecrank/mesh/transport/_http_client.py
@@ -125,6 +125,7 @@
             raise
         finally:
             self._waiter = None
+            self._on_progress = None
             if not self.is_sending:
                 self._set_user_timeout(_sockets.TCP_USER_TIMEOUT_MS)
             # It may refer to the request, whose body can be large.
@@ -397,10 +398,12 @@
 
     def _schedule_body(self) -> None:
         """Read the body soon; its claim can be granted at any point."""
-        asyncio.get_running_loop().call_soon(self._resume_body)
+        asyncio.get_running_loop().call_soon(self._resume_body, self._body)
 
-    def _resume_body(self) -> None:
-        self._body.resume()
+    def _resume_body(self, body: _response_body.ResponseBody) -> None:
+        if body is not self._body:
+            return
+        body.resume()
         if self._paced is not None:
             self._paced.resume()
         self._update_reading()
