Stop a soak between the callbacks of its event loop

Cause: the handler raised KeyboardInterrupt at any point. In the start of a process, after the fork, nobody knows of that process any more, and the soak did not end.

Change: the soaks handle SIGTERM in their event loop, and cancel their task.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -263,3 +263,7 @@
     Given a running soak of 3 hosts
     When it gets a SIGTERM
     Then none of its 3 node processes exists after 5 s
+
+  Scenario: A soak that is stopped in the start of a process leaves none
+    Given a soak of 3 hosts that gets a SIGTERM in the start of its last process
+    Then none of its 3 node processes exists after 5 s
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import math
+import os
 import pathlib
 import random
 import signal
@@ -1118,6 +1119,31 @@
     assert bool(context.errors) == (found == "found"), context.errors
 
 
+SIGNAL_IN_START = """
+import os
+import pathlib
+import signal
+import subprocess
+
+pids = []
+execute = subprocess.Popen._execute_child
+
+
+def execute_child(self, *arguments):
+    execute(self, *arguments)
+    pids.append(self.pid)
+    if len(pids) == {hosts}:
+        path = pathlib.Path({started!r})
+        path.with_suffix(".new").write_text(" ".join(map(str, pids)))
+        path.with_suffix(".new").rename(path)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+
+subprocess.Popen._execute_child = execute_child
+"""
+"""A `sitecustomize` module that stops a soak in the start of a process."""
+
+
 def child_pids(pid):
     """Return the process ids of a process's children."""
     children = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
@@ -1146,6 +1172,39 @@
     context.nodes = child_pids(pid)
 
 
+@given(
+    "a soak of {hosts:d} hosts that gets a SIGTERM in the start of its last "
+    "process"
+)
+def step_stopped_in_start(context, hosts):
+    context.exit_stack = contextlib.ExitStack()
+    folder = pathlib.Path(
+        context.exit_stack.enter_context(tempfile.TemporaryDirectory())
+    )
+    started = folder / "started"
+    (folder / "sitecustomize.py").write_text(
+        SIGNAL_IN_START.format(hosts=hosts, started=str(started))
+    )
+    paths = [str(folder), *filter(None, [os.environ.get("PYTHONPATH")])]
+    context.soak = subprocess.Popen(
+        [*SOAK_COMMAND, "--seed", "1", "--hosts", str(hosts)],
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(paths)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    context.exit_stack.callback(context.soak.kill)
+    assert wait_until(started.exists, 20.0)
+    context.nodes = [int(pid) for pid in started.read_text().split()]
+    context.exit_stack.callback(kill_left, context.nodes)
+
+
+def kill_left(pids):
+    """Kill the processes that a soak has left."""
+    for pid in pids:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, signal.SIGKILL)
+
+
 @when("it gets a SIGTERM")
 def step_stop_soak(context):
     context.soak.terminate()
--- a/src/jasminecrank/standins/soak/_processes.py
+++ b/src/jasminecrank/standins/soak/_processes.py
@@ -19,6 +19,16 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
+def stop_on_sigterm() -> None:
+    """Cancel the current task at SIGTERM, between callbacks of the loop.
+
+    An exception in the start of a process would leave it running.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 @dataclass(slots=True)
 class ProcessRun:
     """One process and the signals that it got."""
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -11,6 +11,7 @@
 from jasminecrank.standins.soak import _faults
 from jasminecrank.standins.soak import _plan
 from jasminecrank.standins.soak import _probes
+from jasminecrank.standins.soak import _processes
 from jasminecrank.standins.soak import _tracebacks
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import losses
@@ -60,6 +61,7 @@
 
     async def _play(self) -> None:
         _tracebacks.handle_loop_errors(self._errors)
+        _processes.stop_on_sigterm()
         deployment = self._deployment
         callers = _callers.CallerPool(deployment, self._seed)
         injector = _faults.FaultInjector(deployment)
--- a/src/jasminecrank/standins/soak/restores.py
+++ b/src/jasminecrank/standins/soak/restores.py
@@ -17,6 +17,7 @@
 from jasminecrank.standins.soak import _callers
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _probes
+from jasminecrank.standins.soak import _processes
 from jasminecrank.standins.soak import _proxy
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import losses
@@ -206,6 +207,7 @@
         return self._result()
 
     async def _play(self) -> None:
+        _processes.stop_on_sigterm()
         deployment = self._deployment
         pool = _callers.CallerPool(deployment, self._seed)
         try:
--- a/src/jasminecrank/standins/soak/upgrades.py
+++ b/src/jasminecrank/standins/soak/upgrades.py
@@ -17,6 +17,7 @@
 from jasminecrank.standins.soak import _deployment
 from jasminecrank.standins.soak import _faults
 from jasminecrank.standins.soak import _plan
+from jasminecrank.standins.soak import _processes
 from jasminecrank.standins.soak import _series_injector
 from jasminecrank.standins.soak import checks
 from jasminecrank.standins.soak import losses
@@ -115,6 +116,7 @@
         return self._result()
 
     async def _play(self) -> None:
+        _processes.stop_on_sigterm()
         deployment = self._deployment
         pool = _callers.CallerPool(deployment, self._seed)
         changes: asyncio.Task[None] | None = None
