Repeat calls that a node refuses in a test of ended connections

Change: a call is sent until the server has played its fault, within 10 s; the number of connections and what is checked of them are as before.

--- a/features/steps/mesh_freed_steps.py
+++ b/features/steps/mesh_freed_steps.py
@@ -22,6 +22,8 @@
 MIN_COUNT = 5
 """The first call may use a connection that was open before."""
 FREED_S = 3.0
+CALL_TIMEOUT_S = 10.0
+CALL_PAUSE_S = 0.02
 CLASS_AND_PORT_BY_NAME = {
     "server connections": (_http_client.ClientConnection, "callers"),
     "store connections": (_http_client.ClientConnection, None),
@@ -75,7 +77,11 @@
     server = context.fleet.servers[0]
     server.behaviours.append(fleet.Behaviour(fault))
     caller = context.fleet.caller(0)
-    await caller.request("POST", "/book/1")
+    async with asyncio.timeout(CALL_TIMEOUT_S):
+        # A node refuses calls while it doubts its server.
+        while server.behaviours:
+            await caller.request("POST", "/book/1")
+            await asyncio.sleep(CALL_PAUSE_S)
     caller.close()
 
 
