Count retries and log requests that are admitted again

No metric counts retries or what the retry budget denies, and the second admission of a pipelined request leaves no line, so that the hypotheses on repeats beyond the budget look the same in logs and metrics.

Adds the counter retries_total (allowed, denied) and the line request-readmitted with the request's id and the refusal's reason. No decision changes.

--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -529,10 +529,7 @@
             case state.TryAnotherServer(is_retry, fallback, budget_share):
                 now_s = self._clock.now_s()
                 if call.caller_stopped or (
-                    is_retry
-                    and not self._budget.try_retry(
-                        call.service, budget_share, now_s
-                    )
+                    is_retry and not self._try_retry(call, budget_share, now_s)
                 ):
                     self._conclude(call, fallback)
                     return
@@ -548,6 +545,14 @@
             case _:
                 typing.assert_never(step)
 
+    def _try_retry(
+        self, call: _open_calls.OpenCall, share: float, now_s: float
+    ) -> bool:
+        """Take a retry of a call from the budget, and count the outcome."""
+        is_allowed = self._budget.try_retry(call.service, share, now_s)
+        self.log.count("retries", "allowed" if is_allowed else "denied")
+        return is_allowed
+
     def _becomes_patient(
         self, call: _open_calls.OpenCall, result: state.AttemptResult
     ) -> bool:
@@ -772,8 +777,8 @@
             if (
                 choice is None
                 or not self._ends_before_stop(call, choice, now_s)
-                or not self._budget.try_retry(
-                    call.service, state.UNANSWERED_RETRY_SHARE, now_s
+                or not self._try_retry(
+                    call, state.UNANSWERED_RETRY_SHARE, now_s
                 )
             ):
                 continue
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -742,6 +742,11 @@
             return
         exchange.number = next(self._context.request_numbers)
         self._context.log.count("requests_readmitted")
+        self._context.log.decision(
+            "request-readmitted",
+            request_id=request.request_id,
+            reason=refusal.detail,
+        )
         self._admit(exchange, request)
 
     def _end_turn(self, exchange: _Exchange) -> None:
