Show that pipelined requests exceed the retry limits

Three nodes whose servers reject everything, 150 callers that pipeline two requests each: 310 repeats where the fleet's budget allows 116. With five nodes and every second request rejected, 204 where 136 are allowed. Requests reach three and four servers where their route allows two.

The stand-in server counts the requests that reach it.

--- a/features/mesh/pipelining.feature
+++ b/features/mesh/pipelining.feature
@@ -119,3 +119,15 @@
       | memory   | size   | result  |
       | 10000000 | 500000 | aborted |
       | 10000000 | 100000 | kept    |
+
+  Scenario Outline: Rejected requests that are pipelined stay within the retry limits
+    Given a deployment of <hosts> hosts whose nodes have answered
+    When <callers> callers pipeline <requests> requests each, and the servers reject <rejected>
+    Then the repeats of all requests stay within the fleet's retry budget
+    And no request reaches more servers than its route allows
+
+    Examples: Guards against attempts that start over when a request's turn comes
+      | hosts | callers | requests | rejected             |
+      | 3     | 150     | 2        | all of them          |
+      | 3     | 100     | 4        | all of them          |
+      | 5     | 100     | 4        | every second of them |
--- a/src/jasminecrank/standins/fleet/_server.py
+++ b/src/jasminecrank/standins/fleet/_server.py
@@ -111,6 +111,8 @@
         """For the next requests, in order; then `default_behaviour`."""
         self.default_behaviour = Behaviour.SERVE
         self.runs_by_request_id: Counter[str] = Counter()
+        self.arrivals_by_request_id: Counter[str] = Counter()
+        """Requests received, rejected ones included."""
         self.run_times_s: list[float] = []
         self.requests: list[_http.Request] = []
         self.peak_concurrency = 0
@@ -198,6 +200,7 @@
         is_kept: bool,
     ) -> bool:
         request_id = request.headers.get("request-id", "")
+        self.arrivals_by_request_id[request_id] += 1
         echoed_headers = {"Request-Id": request_id}
         expected_id = request.headers.get("expect-instance", self.server_id)
         if expected_id != self.server_id:
