Admit nothing again for callers that may have left

A caller that ends its sending side may have left, so that its requests are cancelled or refused (decision 0015). A pipelined request that had been refused ahead of its turn was admitted again all the same when its turn came, as a new call that knew nothing of this, and ran for nobody.

The request now gets its refusal.

--- a/features/mesh/pipelining.feature
+++ b/features/mesh/pipelining.feature
@@ -147,3 +147,13 @@
       | nothing changes              | its service  |
       | the weights change           | its service  |
       | one service loses its weight | the other    |
+
+  Scenario Outline: Requests of a caller that may have left are not admitted again
+    Given a node whose server has 1 slots, with runs of 0.25 s
+    When a caller pipelines <requests> and ends its sending side once one runs
+    Then it gets the statuses <statuses>, and the server has begun 1 run
+
+    Examples: Guards against requests that reach a server after their caller has left
+      | requests | statuses        |
+      | GET x 2  | 502 503         |
+      | GET x 4  | 502 503 503 503 |
--- a/features/steps/mesh_pipelining_steps.py
+++ b/features/steps/mesh_pipelining_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 from behave import given
 from behave import then
@@ -11,6 +12,7 @@
 from jasminecrank.standins import fleet
 
 RECEIVE_S = 8.0
+LEARNED_RUNS = 8
 TARGET_BY_METHOD = {"GET": "/lots/1", "POST": "/book/1"}
 KIND_BY_ROUTE = {
     "a repeatable route": state.RouteKind.IDEMPOTENT,
@@ -108,6 +110,16 @@
     context.server.peak_concurrency = 0
 
 
+async def _learn_run_time(context):
+    """Let the node see some runs, so that it expects further ones."""
+    caller = context.fleet.caller(0)
+    for _ in range(LEARNED_RUNS):
+        assert (await caller.request()).status == 200
+    caller.close()
+    context.server.requests.clear()
+    context.server.peak_concurrency = 0
+
+
 async def _answer_first(deployment):
     """Let the node pass on an answer, before which it runs none ahead."""
     caller = deployment.caller(0)
@@ -285,3 +297,26 @@
         for response in context.responses
     ]
     assert closing == [False] * (len(closing) - 1) + [True], closing
+
+
+@when("a caller pipelines {requests} and ends its sending side once one runs")
+def step_half_close(context, requests):
+    async def act():
+        await _learn_run_time(context)
+        caller = await _pipeline(context, _methods(requests))
+        entry = context.fleet.nodes[0].entry
+        # The second one has been refused ahead of its turn.
+        await context.fleet.wait_until(
+            lambda: context.server.peak_concurrency and entry.open_calls == 1
+        )
+        caller._socket.shutdown(socket.SHUT_WR)
+        context.responses = await caller.receive_all(RECEIVE_S)
+
+    context.runner.run(act())
+
+
+@then("it gets the statuses {statuses}, and the server has begun 1 run")
+def step_begun_once(context, statuses):
+    found = [str(response.status) for response in context.responses]
+    assert found == statuses.split(), found
+    assert len(context.server.requests) == 1, context.server.requests
--- a/src/jasminecrank/mesh/transport/_caller_connection.py
+++ b/src/jasminecrank/mesh/transport/_caller_connection.py
@@ -746,6 +746,9 @@
         if refusal is None or request is None:
             return
         exchange.request = None
+        if self._debts.half_closed:
+            self._reply(exchange, _CALLER_STOPPED, request)
+            return
         if self._context.phase is state.StopPhase.WINDOW_CLOSED:
             self._reply(exchange, refusal, request)
             return
