Check the retry budget in the fault soak

The soak checked no repeats, so that requests which reached servers more often than the retry budget allows went unnoticed. Its servers now record each request that they receive, rejected ones included, and the check 'retries' compares the repeats of any 10 s with 0.2 of the requests and the largest slack that its settings files have, 40.

The check finds a fault in 61 repeats of 100 requests and none in 59.

--- a/features/standins/fault_soak.feature
+++ b/features/standins/fault_soak.feature
@@ -42,6 +42,10 @@
       | a cold server gets 21 requests in a second     | cold_servers    | a fault |
       | a team runs 470 requests in 5 s                | quotas          | nothing |
       | a team runs 471 requests in 5 s                | quotas          | a fault |
+      | 59 of 100 requests in 9 s are repeated         | retries         | nothing |
+      | 61 of 100 requests in 9 s are repeated         | retries         | a fault |
+      | 31 of 100 requests in 9 s are repeated twice   | retries         | a fault |
+      | 120 of 400 requests in 40 s are repeated       | retries         | a fault |
       | a planned stop cuts a request that ran         | planned_stops   | a fault |
       | a planned stop cuts a request that did not run | planned_stops   | nothing |
       | a kill cuts a request that ran                 | planned_stops   | nothing |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -44,6 +44,7 @@
     "no_new_work": checks.no_new_work,
     "cold_servers": checks.cold_servers,
     "quotas": checks.quotas(RATE_PER_S),
+    "retries": checks.retries,
     "cuts": losses.cuts,
     "planned_stops": losses.planned_stops,
     "reloads": losses.reloads,
@@ -99,6 +100,20 @@
     return records
 
 
+def records_with_repeats(count, requests, over_s, attempts_each=2):
+    """Return records of requests, some of them received several times."""
+    records = make_records(
+        make_attempt(f"r{number}", sent_s=10.0 + number * over_s / requests)
+        for number in range(requests)
+    )
+    for number, attempt in enumerate(records.attempts):
+        times = attempts_each if number * (attempts_each - 1) < count else 1
+        records.received_s_by_request_id[attempt.request_id] = [
+            attempt.sent_s + 0.001 * again for again in range(times)
+        ]
+    return records
+
+
 def records_with_withdrawn_key(*attempts, fault=None):
     """Return records in which the key was withdrawn at 9 s."""
     records = make_records(attempts, fault=fault)
@@ -537,6 +552,18 @@
     "a cold server gets 21 requests in a second": lambda: make_records(
         [], make_arrivals(21, 1.0, True)
     ),
+    "59 of 100 requests in 9 s are repeated": lambda: records_with_repeats(
+        59, 100, 9.0
+    ),
+    "61 of 100 requests in 9 s are repeated": lambda: records_with_repeats(
+        61, 100, 9.0
+    ),
+    "31 of 100 requests in 9 s are repeated twice": (
+        lambda: records_with_repeats(62, 100, 9.0, 3)
+    ),
+    "120 of 400 requests in 40 s are repeated": lambda: records_with_repeats(
+        120, 400, 40.0
+    ),
     "a team runs 470 requests in 5 s": lambda: make_records(
         [], make_arrivals(470, 5.0, False)
     ),
--- a/src/jasminecrank/standins/soak/_run.py
+++ b/src/jasminecrank/standins/soak/_run.py
@@ -96,6 +96,7 @@
             checks.no_new_work,
             checks.cold_servers,
             checks.quotas(_deployment.TEAM_RATE_PER_S),
+            checks.retries,
             losses.cuts,
             losses.planned_stops,
             losses.reloads,
--- a/src/jasminecrank/standins/soak/_server.py
+++ b/src/jasminecrank/standins/soak/_server.py
@@ -132,6 +132,17 @@
         self.cold_s = self.cold_left_s
         return super()._encode_health()
 
+    async def _handle(
+        self,
+        request: typing.Any,
+        writer: asyncio.StreamWriter,
+        is_kept: bool,
+    ) -> bool:
+        request_id = request.headers.get("request-id", "")
+        received_s_by_id = self._records.received_s_by_request_id
+        received_s_by_id.setdefault(request_id, []).append(self._now_s())
+        return await super()._handle(request, writer, is_kept)
+
     async def _run(
         self, request: typing.Any, behaviour: fleet.Behaviour
     ) -> fleet.Behaviour:
--- a/src/jasminecrank/standins/soak/checks.py
+++ b/src/jasminecrank/standins/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks of the guarantees to callers and servers on recorded observations."""
 
+import bisect
 from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -17,6 +18,10 @@
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5.0
 """Platform limits for team rates and for cold servers."""
+RETRY_RATIO = 0.2
+RETRY_SLACK = 40.0
+RETRY_WINDOW_S = 10.0
+"""Fleet's retry budget; the slack is the largest that settings are given."""
 INTERPRETER_START_CPU_S = 0.03
 """Processor time before the first line of a node's program runs."""
 MAX_RESIDENT_BYTES = 300 * 1024 * 1024
@@ -188,6 +193,39 @@
     return check
 
 
+def retries(records: observed.Records) -> Iterator[str]:
+    """Check that repeated requests stay within the fleet's retry budget.
+
+    As on the platform, the requests of the window count, of the one before
+    it, or of the one half a window before, whichever are most.
+    """
+    repeats = sorted(
+        at_s
+        for received in records.received_s_by_request_id.values()
+        for at_s in sorted(received)[1:]
+    )
+    sent = sorted(attempt.sent_s for attempt in records.attempts)
+    for start_s in repeats:
+        count = _count_in_window(repeats, start_s)
+        requests = max(
+            _count_in_window(sent, start_s - before_s)
+            for before_s in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+        )
+        allowed = RETRY_RATIO * requests + RETRY_SLACK
+        if count > allowed:
+            yield (
+                f"{count} repeats in {RETRY_WINDOW_S} s from {start_s:.2f} s, "
+                f"{allowed:.0f} allowed"
+            )
+
+
+def _count_in_window(times: list[float], start_s: float) -> int:
+    """Return the number of sorted times in a window of the retry budget."""
+    return bisect.bisect_left(
+        times, start_s + RETRY_WINDOW_S
+    ) - bisect.bisect_left(times, start_s)
+
+
 def process_ends(records: observed.Records) -> Iterator[str]:
     """Check that each process ends by a SIGKILL or well after a SIGTERM."""
     for end in records.process_ends:
--- a/src/jasminecrank/standins/soak/observed.py
+++ b/src/jasminecrank/standins/soak/observed.py
@@ -222,6 +222,10 @@
 
     attempts: list[Attempt] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    received_s_by_request_id: dict[str, list[float]] = field(
+        default_factory=dict
+    )
+    """When servers received each request, rejected ones included."""
     disturbances: list[Disturbance] = field(default_factory=list)
     out_of_service_periods: list[OutOfServicePeriod] = field(
         default_factory=list
