Count the calls of repeated runs in the retry budget

A run that is a retry makes its calls again, and they count as repeats at the service that is called. No node knew which runs are retries, so that nobody counted these calls: 0.4 of the budget was left for them, which is too little where most calls of one service call a smaller one.

The message of a call says whether it is a repeat, the gate keeps it for the run, and the node beside the server counts the run's calls as repeats in place of first attempts. They are always sent, since the run would fail without them, and leave fewer retries for other calls. This is version 5 of the protocol between nodes; older nodes get the message as before, and all calls but repeated ones are encoded as before.

--- a/features/mesh/budgets.feature
+++ b/features/mesh/budgets.feature
@@ -40,6 +40,30 @@
       | 10    | 5     |
       | 12    | 60    |
 
+  Scenario Outline: Calls of repeated runs stay within the budget of their service
+    Given 10 nodes with a retry budget of 0.2 and 56 in 10 s
+    When each node sends <calls> calls a second to a service with <servers> servers, whose runs make a call each
+    And all allowed retries of both are made for 30 s
+    Then retries in any 10 s stay within the platform's bound
+
+    Examples: Guards against repeats at a service that is called that nobody counts
+      | calls | servers |
+      | 1     | 3       |
+      | 10    | 3       |
+      | 30    | 3       |
+      | 30    | 10      |
+
+  Scenario Outline: Calls of a repeated run count as repeats
+    Given a deployment of 2 hosts whose nodes have answered
+    When a request is <outcome> by its first server, and its run at the second one makes 3 calls
+    Then the second server's node counts <repeats> calls of repeated runs
+
+    Examples: Guards against nodes that do not know which runs are retries
+      | outcome  | repeats |
+      | rejected | 3       |
+      | lost     | 3       |
+      | refused  | 0       |
+
   Scenario Outline: Retries of a fleet that is cut stay within its budget
     Given 10 nodes that make all retries allowed by a budget of 100 in 10 s
     When <cut> of them are cut off <how>, and the entries of <expired> are removed
--- a/features/mesh/link_codec.feature
+++ b/features/mesh/link_codec.feature
@@ -19,6 +19,9 @@
       | LoadReported   | a load of text        | refused   |
       | LoadReported   | a list 50000 deep     | refused   |
       | CallSent       | nothing changed       | a message |
+      | CallSent       | a mark of no repeat   | a message |
+      | CallSent       | a mark of text        | refused   |
+      | CallSent       | a field too few       | refused   |
       | CallSent       | a body of text        | refused   |
       | CallSent       | a header of one part  | refused   |
       | ItemPatched    | nothing changed       | a message |
--- a/features/mesh/links.feature
+++ b/features/mesh/links.feature
@@ -51,6 +51,18 @@
       | 3       | a changed load           | 0        |
       | 4       | a changed load           | 1        |
 
+  Scenario Outline: Only a node that knows of repeats is told that a call is one
+    Given a link to a node of protocol version <version>
+    When a repeated call with <body> is sent on it
+    Then the peer <reads> that it is a repeat
+
+    Examples: Guards against links that end with each retry during an update
+      | version | body         | reads         |
+      | 4       | no body      | does not read |
+      | 4       | a large body | does not read |
+      | 5       | no body      | reads         |
+      | 5       | a large body | reads         |
+
   Scenario Outline: A node that stops says which calls it has not run
     Given a link to a node of protocol version <version>
     When a call is sent on it, <reply> comes, and the peer ends it with <message>
--- a/features/steps/mesh_link_codec_steps.py
+++ b/features/steps/mesh_link_codec_steps.py
@@ -71,6 +71,10 @@
             values.append(1)
         case "a field too few":
             values.pop()
+        case "a mark of no repeat":
+            values.append(False)
+        case "a mark of text":
+            values.append("yes")
         case "a load of text":
             values[2] = "1"
         case "a body of text":
--- a/features/steps/mesh_link_steps.py
+++ b/features/steps/mesh_link_steps.py
@@ -8,6 +8,7 @@
 from behave import given
 from behave import then
 from behave import when
+import cbor2
 import uvloop
 
 from jasminecrank.mesh import coordination
@@ -16,7 +17,7 @@
 
 UNUSED_PORT = 9
 HELLO = coordination.Hello("10.0.0.1", 1, "ledger")
-NEWEST_VERSION = 4
+NEWEST_VERSION = 5
 INCARNATION_BITS = 48
 
 
@@ -278,6 +279,34 @@
     "ledger",
     "",
 )
+
+
+@when("a repeated call with {body} is sent on it")
+def step_repeated_call(context, body):
+    call = dataclasses.replace(
+        BOOKING, is_repeat=True, body=bytes(200_000 * (body != "no body"))
+    )
+
+    async def act():
+        link, _, link_transport = _open_link(context)
+        link.send(call)
+        link.connection_lost(None)
+        return link_transport.written
+
+    context.written = asyncio.run(act())
+
+
+@then("the peer {reads} that it is a repeat")
+def step_reads_repeat(context, reads):
+    frame = bytes(context.written[0])[protocol.FRAME_LENGTH.size :]
+    message = protocol.decode(frame)
+    if isinstance(message, coordination.BodyFollows):
+        message = protocol.decode(message.message)
+    assert message.is_repeat == (reads == "reads"), message
+    fields = cbor2.loads(protocol.encode_unframed(message))
+    assert (True in fields[-1:]) == message.is_repeat, fields
+
+
 SMALL_REPLY = coordination.CallServed(7, 200, b"OK", (), b"done", 0.1, 0)
 LARGE_REPLY = dataclasses.replace(SMALL_REPLY, body=bytes(200_000))
 
--- a/src/jasminecrank/mesh/coordination/__init__.py
+++ b/src/jasminecrank/mesh/coordination/__init__.py
@@ -152,6 +152,9 @@
 from jasminecrank.mesh.coordination._peer_messages import (
     FIRST_VERSION_WITH_LOAD_CHANGES as FIRST_VERSION_WITH_LOAD_CHANGES,
 )
+from jasminecrank.mesh.coordination._peer_messages import (
+    FIRST_VERSION_WITH_REPEATS as FIRST_VERSION_WITH_REPEATS,
+)
 from jasminecrank.mesh.coordination._peer_messages import Hello as Hello
 from jasminecrank.mesh.coordination._peer_messages import (
     HostsRemoved as HostsRemoved,
--- a/src/jasminecrank/mesh/coordination/_entry.py
+++ b/src/jasminecrank/mesh/coordination/_entry.py
@@ -69,8 +69,11 @@
         rng: random.Random,
         log: _mailbox.Log,
         is_running: Callable[[str], bool] = lambda request_id: False,
+        is_repeating: Callable[[str], bool] = lambda request_id: False,
     ) -> None:
         super().__init__(log)
+        self._is_repeating = is_repeating
+        """Whether the own backend server's run of an id is a retry."""
         self._is_running = is_running
         """Whether the own backend server runs a request of an id."""
         self._own_host = own_host
@@ -230,6 +233,7 @@
         call = _open_calls.OpenCall.from_arrival(
             message, route, team, self._rank(message.request, route, team)
         )
+        call.is_of_repeated_run = self._is_repeating(request.parent_id)
         if self._has_objective_policy and not call.is_from_backend_server:
             call.is_patient = self._has_missed_objective(
                 message.request, route
@@ -328,9 +332,7 @@
     def _admit(self, call: _open_calls.OpenCall) -> None:
         if not call.has_service:
             call.service = self._service_chooser.choose(call.attempts.route)
-            self._budget.record_first_attempt(
-                call.service, self._clock.now_s()
-            )
+            self._count_admission(call)
         self._dispatch(
             call,
             state.Refuse(
@@ -342,6 +344,15 @@
             ),
         )
 
+    def _count_admission(self, call: _open_calls.OpenCall) -> None:
+        """Count a call in the retry budget of its service."""
+        now_s = self._clock.now_s()
+        if call.is_of_repeated_run:
+            self._budget.record_repeat(call.service, now_s)
+            self.log.count("retries", "of-repeated-run")
+        else:
+            self._budget.record_first_attempt(call.service, now_s)
+
     def _dispatch(
         self,
         call: _open_calls.OpenCall,
--- a/src/jasminecrank/mesh/coordination/_gate.py
+++ b/src/jasminecrank/mesh/coordination/_gate.py
@@ -81,6 +81,8 @@
         self._cold_overshoot = cold_overshoot
         self._running_ids: Counter[str] = Counter()
         """Ids of the requests that the server runs."""
+        self._repeated_ids: Counter[str] = Counter()
+        """Those of them whose runs are retries."""
         self._started_at_s = clock.now_s()
         self._server_started_at_s = -1e9
         """Derived from the remaining cold start; long ago if it is warm."""
@@ -117,6 +119,10 @@
         """Return whether the server runs a request of this id."""
         return request_id in self._running_ids
 
+    def is_repeating(self, request_id: str) -> bool:
+        """Return whether the server's run of this id is a retry."""
+        return request_id in self._repeated_ids
+
     def load(self) -> state.ServerLoad:
         """Return the load of this server as reported to other nodes."""
         return self._admission.load(
@@ -259,6 +265,8 @@
                 call, server_id=self._admission.server_id
             )
         self._running_ids[active.call.request_id] += 1
+        if active.call.is_repeat:
+            self._repeated_ids[active.call.request_id] += 1
         active.task = asyncio.get_running_loop().create_task(
             self._exchange(link_id, active, deadline_at_s)
         )
@@ -318,7 +326,9 @@
     def _run_ended(self, message: _messages.RunEnded) -> None:
         active = self._call_by_key.pop((message.link_id, message.call_id))
         call = active.call
-        self._remove_running(call.request_id)
+        _remove_one(self._running_ids, call.request_id)
+        if call.is_repeat:
+            _remove_one(self._repeated_ids, call.request_id)
         now_s = self._clock.now_s()
         match message.result:
             case state.Served(response, run_time_s):
@@ -365,12 +375,6 @@
             active.send(reply)
         self._release_queued()
 
-    def _remove_running(self, request_id: str) -> None:
-        if self._running_ids[request_id] > 1:
-            self._running_ids[request_id] -= 1
-        else:
-            del self._running_ids[request_id]
-
     def _cancel(self, key: tuple[int, int]) -> None:
         """Cancel a call, unless it runs and must not run twice.
 
@@ -620,6 +624,13 @@
         self._release_queued()
 
 
+def _remove_one(counts: Counter[str], request_id: str) -> None:
+    if counts[request_id] > 1:
+        counts[request_id] -= 1
+    else:
+        del counts[request_id]
+
+
 def _incarnation(server: state.BackendServer) -> tuple[str, int]:
     return server.server_id, server.created_at_ms
 
--- a/src/jasminecrank/mesh/coordination/_open_calls.py
+++ b/src/jasminecrank/mesh/coordination/_open_calls.py
@@ -60,6 +60,8 @@
     """Servers whose nodes have refused it since it would be late there."""
     is_patient: bool = False
     """Whether it waits for a slot although it misses its objective."""
+    is_of_repeated_run: bool = False
+    """Whether a run that is a retry has made it."""
     has_waited_for_token: bool = False
     """Whether it has already waited once for a token."""
     servers: list[str] = field(default_factory=list)
@@ -202,6 +204,7 @@
             - now_s,
             caller_service,
             "" if self.team is None else self.team.name,
+            self.is_of_repeated_run or self.attempts.servers_reached > 0,
         )
 
     def retry_after_s(
--- a/src/jasminecrank/mesh/coordination/_peer_messages.py
+++ b/src/jasminecrank/mesh/coordination/_peer_messages.py
@@ -10,15 +10,17 @@
 
 from jasminecrank.mesh import state
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 """Version 1 adds HostsRemoved, 2 LinkEnding, 3 eras and LatenessReported.
 
-Version 4 adds LoadChanged.
+Version 4 adds LoadChanged, 5 the mark of repeated calls.
 """
 FIRST_VERSION_WITH_ERAS = 3
 """Older nodes know the revision of a position only."""
 FIRST_VERSION_WITH_LOAD_CHANGES = 4
 """Older nodes get a whole report each time."""
+FIRST_VERSION_WITH_REPEATS = 5
+"""Older nodes end a link on which they get the mark of a repeated call."""
 _INCARNATION_BITS = 48
 
 MAX_AGE_MS = 60_000
@@ -73,6 +75,8 @@
     caller_service: str
     team: str
     """Empty on routes that are open to all callers."""
+    is_repeat: bool = False
+    """Whether its run counts as a retry, and the calls of the run do too."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/jasminecrank/mesh/daemon/_node.py
+++ b/src/jasminecrank/mesh/daemon/_node.py
@@ -123,6 +123,7 @@
             rng,
             log,
             self.gate.is_running,
+            self.gate.is_repeating,
         )
         self._idle_connections = transport.IdleConnections(self._clock, log)
         self._caller_server = transport.CallerServer(
--- a/src/jasminecrank/mesh/protocol/_link_codec.py
+++ b/src/jasminecrank/mesh/protocol/_link_codec.py
@@ -190,6 +190,9 @@
     """Return an uncompressed message without its length prefix."""
     message_type = type(message)
     names = _FIELD_NAMES_BY_TYPE[message_type]
+    if isinstance(message, coordination.CallSent) and not message.is_repeat:
+        # The mark is the last field, and left out if it is false.
+        names = names[:-1]
     if isinstance(message, coordination.LoadReported) and (
         not has_eras or message.position.era == state.UNKNOWN_ERA
     ):
@@ -250,6 +253,11 @@
             _limit_items(body)
         tag, *fields = cbor2.loads(body)
         message_type = _TYPE_BY_TAG[tag]
+        if (
+            message_type is coordination.CallSent
+            and len(fields) == len(_FIELD_NAMES_BY_TYPE[message_type]) - 1
+        ):
+            fields.append(False)
         field_types = _FIELD_TYPES_BY_TYPE[message_type]
         if not has_eras and message_type in _REVISION_FIELD_TYPES_BY_TYPE:
             field_types = _REVISION_FIELD_TYPES_BY_TYPE[message_type]
--- a/src/jasminecrank/mesh/state/_budgets.py
+++ b/src/jasminecrank/mesh/state/_budgets.py
@@ -11,7 +11,8 @@
 """Share of the fleet's retry budget for calls without a server response.
 
 The rest covers nodes that disagree about the fleet size, and the downstream
-calls that backend servers repeat when they run a retried call.
+calls that backend servers repeat when they run a retried call, as far as they
+exceed the part of the budget that the servers' own nodes have for them.
 """
 FAILED_RETRY_SHARE = 0.1
 """Share for idempotent calls to which a server responded with a failure.
@@ -63,6 +64,14 @@
         )
         self._discard_expired(self._first_attempts_by_service[service], now_s)
 
+    def record_repeat(self, service: str, now_s: float) -> None:
+        """Count the call of a run that is a retry, which can't be refused.
+
+        It leaves fewer retries for other calls, and earns none.
+        """
+        self._retries_by_service.setdefault(service, deque()).append(now_s)
+        self._discard_expired(self._retries_by_service[service], now_s)
+
     def try_retry(self, service: str, share: float, now_s: float) -> bool:
         """Count a retry and return True unless the budget share is used up."""
         first_attempts = self._first_attempts_by_service.setdefault(
--- a/src/jasminecrank/mesh/transport/_links.py
+++ b/src/jasminecrank/mesh/transport/_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 import socket
 import typing
@@ -103,6 +104,12 @@
             self._owner.on_call_unsent(self, message.call_id)
             return
         self._note_sent(message)
+        if (
+            isinstance(message, coordination.CallSent)
+            and message.is_repeat
+            and self._peer_version < coordination.FIRST_VERSION_WITH_REPEATS
+        ):
+            message = dataclasses.replace(message, is_repeat=False)
         match message:
             case coordination.CallSent() | coordination.CallServed() if (
                 len(message.body) > state.SMALL_BODY_BYTES
